--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"fennelhub/decide"
-	"fennelhub/internal/wire"
+	"garnetline/decide"
+	"garnetline/internal/wire"
 )
 
 func main() {
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"fennelhub/decide"
+	"garnetline/decide"
 )
 
 // A router is told of its servers and of a request; it answers with what to do.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"fennelhub/decide"
+	"garnetline/decide"
 )
 
 // pairs are the settings of a BEGIN line by path. The first error sticks in f.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"fennelhub/decide"
+	"garnetline/decide"
 )
 
 // Kind tells what an Item is about.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"fennelhub/decide"
+	"garnetline/decide"
 )
 
 const begin = "SELECT 3\nBEGIN 7 areas=hub,edge zone=1 machine_types=a,parent,origin family_info.second_tier_kind=1 " +
