--- /dev/null
+++ b/cmd/garnetline/serve.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"garnetline/internal/changelog"
+	"garnetline/internal/clock"
+	"garnetline/internal/config"
+	"garnetline/internal/core"
+	"garnetline/internal/front/http"
+	"garnetline/internal/peer"
+	"garnetline/internal/stats"
+)
+
+const (
+	// lameDuck is how long a router that is to stop goes on taking requests:
+	// the front sends some for 0.6 s yet.
+	lameDuck  = 700 * time.Millisecond
+	heapShare = 0.7 // of the memory limit, for the runtime; the kernel counts more
+	connShare = 0.6 // of the descriptors, for clients; peers and files have the rest
+)
+
+// serve runs the router until a signal ends it.
+func serve(ctx context.Context, conf *config.Config) error {
+	bound(conf.Limits)
+	count := stats.New()
+	defer count.Print(os.Stderr)
+	clk := clock.NewSystem()
+
+	listener, err := net.Listen("tcp", conf.Listen.String())
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	defer listener.Close()
+
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	var c *core.Core
+	var told atomic.Bool
+	log := changelog.New(clk, conf, func(ev config.Event) {
+		c.Tell(ev)
+		told.Store(true)
+	}, count)
+	pool := peer.NewPool(ctx, peer.Options{Clock: clk, Conn: conf.Conn, Guard: log.Guard,
+		End: func(e core.End) { c.End(e) }, Stats: count})
+	if c, err = core.New(clk, conf.Settings, conf.Seed, pool, count); err != nil {
+		return err
+	}
+	front := http.New(http.Options{Clock: clk, Core: c, Carrier: pool, Classes: conf.Settings.Classes,
+		Ready: told.Load, Stats: count, Conns: conns(conf.Limits)})
+	go c.Run(ctx)
+	go log.Run(ctx)
+	failed := make(chan error, 1)
+	go func() { failed <- front.Serve(listener) }()
+
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	for {
+		select {
+		case err := <-failed:
+			return fmt.Errorf("listen: %w", err)
+		case s := <-signals:
+			if s == syscall.SIGUSR1 {
+				count.Print(os.Stderr)
+				continue
+			}
+		}
+		break
+	}
+	front.Stopping()
+	time.Sleep(lameDuck)
+	listener.Close()
+	front.Finish()
+	return nil
+}
+
+// bound keeps the process inside its limits.
+func bound(l config.Limits) {
+	if l.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(l.MemoryMB<<20) * heapShare))
+	}
+	if l.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(l.Cores+0.5)))
+	}
+}
+
+// conns is how many clients' connections are open at once.
+func conns(l config.Limits) int {
+	if l.Sockets == 0 {
+		return 1024
+	}
+	return max(1, int(float64(l.Sockets)*connShare))
+}
--- /dev/null
+++ b/decide/guard.go
@@ -0,0 +1,61 @@
+package decide
+
+import "time"
+
+// Guard is what an attempt is held against once more when it is written: it
+// may have been queued since it was decided. A Guard does not change.
+type Guard struct {
+	Ready  map[ServerID]bool // listed, and neither draining nor gone
+	Purges []PurgedAt
+	Done   time.Duration // after it a purge has left no older copy
+}
+
+// PurgedAt is a purge and when it was made.
+type PurgedAt struct {
+	Object ObjectID // 0: the whole group
+	Group  int
+	At     time.Duration
+}
+
+// Bars tells whether nothing new may go to a server, as target or as source.
+//
+// Symptom guarded against: an attempt that waited in a queue while its server
+// was listed as draining goes out past the grace.
+func (g *Guard) Bars(id ServerID) bool { return g == nil || !g.Ready[id] }
+
+// Age returns the oldest copy that will do at now for an attempt decided with
+// the bound age, 0 for any.
+//
+// Symptom guarded against: an attempt decided just before a purge is written
+// after it, and is answered from the old copy.
+func (g *Guard) Age(now, age time.Duration, o ObjectID, group int) time.Duration {
+	if g == nil {
+		return age
+	}
+	for _, p := range g.Purges {
+		if p.At+g.Done > now && p.covers(o, group) {
+			if since := max(now-p.At, time.Microsecond); age == 0 || since < age {
+				age = since
+			}
+		}
+	}
+	return age
+}
+
+// Purged tells whether old copies of an object may still lie about. With group
+// -1 the object's group is not known, and a purge of any group counts.
+func (g *Guard) Purged(now time.Duration, o ObjectID, group int) bool {
+	if g == nil {
+		return false
+	}
+	for _, p := range g.Purges {
+		if p.At+g.Done > now && (p.covers(o, group) || p.Object == 0 && group < 0) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p PurgedAt) covers(o ObjectID, group int) bool {
+	return p.Object == o && o != 0 || p.Object == 0 && p.Group == group
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,317 @@
+// Package config reads what an edge router is told at its start. Errors name
+// the field that cannot be used.
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"garnetline/decide"
+	"garnetline/internal/clock"
+	"garnetline/internal/wire"
+)
+
+// Limits bound the process.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Config is all that an edge router is told at its start.
+type Config struct {
+	Name      string
+	Listen    netip.AddrPort
+	ChangeLog netip.AddrPort
+	Seed      uint64
+	Limits    Limits
+	Settings  decide.Settings
+	Report    []string // names of the values of a load report
+	Conn      Conn
+	Known     []Event
+	Seq       uint64 // number of the last known event
+	Zones     []string
+	Kinds     []string
+}
+
+// Conn holds what the settings say of connections to caches.
+type Conn struct {
+	Idle       float64 // ms; an idle connection is closed after it
+	Connect    float64 // ms; a connection that is not up by then failed
+	MaxStreams int     // requests that one connection carries
+}
+
+// Host is one entry of the list of caches, with its address.
+type Host struct {
+	decide.Server
+	Dial netip.AddrPort
+}
+
+// Purge is a purge with the moment at which it was made.
+type Purge struct {
+	Object decide.ObjectID // 0: a whole group
+	Group  int
+	At     float64 // Unix ms
+}
+
+// Event is one event of the change log: a change of the list or a purge.
+type Event struct {
+	Seq   uint64
+	Fleet bool // Hosts holds what changed
+	Whole bool // Hosts holds the whole list
+	Hosts []Host
+	Purge *Purge
+}
+
+type file struct {
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Seed      string          `json:"seed"`
+	Limits    Limits          `json:"limits"`
+	ChangeLog string          `json:"changelog"`
+	Known     known           `json:"known"`
+	Settings  json.RawMessage `json:"settings"`
+}
+
+type known struct {
+	Seq     uint64 `json:"seq"`
+	Results []struct {
+		Seq        uint64      `json:"seq"`
+		Fleet      *fleet      `json:"fleet"`
+		Invalidate *invalidate `json:"invalidate"`
+	} `json:"results"`
+}
+
+type fleet struct {
+	Whole bool `json:"whole"`
+	Hosts []struct {
+		Host   string  `json:"host"`
+		Dial   string  `json:"dial"`
+		Site   string  `json:"site"`
+		Class  string  `json:"class"`
+		Block  int     `json:"block"`
+		Health string  `json:"health"`
+		Share  float64 `json:"share"`
+		Born   float64 `json:"born_ms"`
+	} `json:"hosts"`
+}
+
+type invalidate struct {
+	Object string  `json:"object"`
+	Bucket *int    `json:"bucket"`
+	Time   float64 `json:"time"`
+}
+
+// Load reads the file that EDGE_CONFIG names, or path where it is given.
+// EDGE_NAME and EDGE_LISTEN go before what the file says.
+func Load(path string, env func(string) string) (*Config, error) {
+	if path == "" {
+		path = env("EDGE_CONFIG")
+	}
+	if path == "" {
+		return nil, errors.New("EDGE_CONFIG: not set, and no --config given")
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
+	}
+	return Parse(data, env)
+}
+
+// Parse reads a configuration.
+func Parse(data []byte, env func(string) string) (*Config, error) {
+	var f file
+	if err := json.Unmarshal(data, &f); err != nil {
+		var bad *json.UnmarshalTypeError
+		if errors.As(err, &bad) {
+			return nil, fmt.Errorf("%s: is a %s", bad.Field, bad.Value)
+		}
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	if v := env("EDGE_NAME"); v != "" {
+		f.Name = v
+	}
+	if v := env("EDGE_LISTEN"); v != "" {
+		f.Listen = v
+	}
+	c := &Config{Name: f.Name, Limits: f.Limits, Seq: f.Known.Seq}
+	var err error
+	if c.Listen, err = netip.ParseAddrPort(f.Listen); err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	if c.ChangeLog, err = netip.ParseAddrPort(f.ChangeLog); err != nil {
+		return nil, fmt.Errorf("changelog: %w", err)
+	}
+	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %q is not up to 16 hex digits", f.Seed)
+	}
+	if f.Limits.MemoryMB < 0 || f.Limits.Sockets < 0 || f.Limits.Cores < 0 {
+		return nil, fmt.Errorf("limits: %+v: negative", f.Limits)
+	}
+	if f.Limits.Sockets > 0 && f.Limits.Sockets < 32 {
+		return nil, fmt.Errorf("limits.sockets: %d, want 32 or more", f.Limits.Sockets)
+	}
+	if err := c.settings(f.Settings); err != nil {
+		return nil, err
+	}
+	for i, r := range f.Known.Results {
+		ev, err := c.known(r.Seq, r.Fleet, r.Invalidate)
+		if err != nil {
+			return nil, fmt.Errorf("known.results[%d].%w", i, err)
+		}
+		c.Known = append(c.Known, ev)
+		c.Seq = max(c.Seq, r.Seq)
+	}
+	return c, nil
+}
+
+// settings reads the settings, which stand here as nested JSON under the
+// names that the simulator's wire gives as paths.
+func (c *Config) settings(raw json.RawMessage) error {
+	if len(raw) == 0 {
+		return errors.New("settings: missing")
+	}
+	var tree map[string]any
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.UseNumber()
+	if err := d.Decode(&tree); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	m := map[string]string{}
+	flatten(m, "", tree)
+	s, report, err := wire.ParseSettings(m)
+	if err != nil {
+		return fmt.Errorf("settings.%w", err)
+	}
+	if _, err := decide.New(s, 0); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	c.Settings, c.Report = s, report
+	c.Zones, c.Kinds = strings.Split(m["areas"], ","), strings.Split(m["machine_types"], ",")
+	c.Conn = Conn{Idle: 15000, Connect: 400, MaxStreams: 100}
+	for path, v := range map[string]*float64{"limits.conn_idle_us": &c.Conn.Idle, "limits.connect_timeout_us": &c.Conn.Connect} {
+		if m[path] == "" {
+			continue
+		}
+		us, err := strconv.ParseFloat(m[path], 64)
+		if err != nil || !(us > 0) || math.IsInf(us, 0) {
+			return fmt.Errorf("settings.%s: %q is not a time in microseconds", path, m[path])
+		}
+		*v = us / 1000
+	}
+	if v := m["limits.max_streams"]; v != "" {
+		if c.Conn.MaxStreams, err = strconv.Atoi(v); err != nil || c.Conn.MaxStreams < 1 {
+			return fmt.Errorf("settings.limits.max_streams: %q is not a number from 1", v)
+		}
+	}
+	return nil
+}
+
+// flatten writes a tree as path=value pairs, in the form of the wire.
+func flatten(m map[string]string, path string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		for k, x := range v {
+			flatten(m, strings.TrimPrefix(path+"."+k, "."), x)
+		}
+	case []any:
+		plain := make([]string, 0, len(v))
+		for i, x := range v {
+			switch x.(type) {
+			case map[string]any, []any:
+				flatten(m, path+"."+strconv.Itoa(i), x)
+			default:
+				plain = append(plain, scalar(x))
+			}
+		}
+		m[path+".count"] = strconv.Itoa(len(v))
+		m[path] = strings.Join(plain, ",")
+	default:
+		m[path] = scalar(v)
+	}
+}
+
+func scalar(v any) string {
+	if v == nil {
+		return "-"
+	}
+	return strings.NewReplacer(" ", "_", ",", "_").Replace(fmt.Sprint(v))
+}
+
+func (c *Config) known(seq uint64, fl *fleet, inv *invalidate) (Event, error) {
+	ev := Event{Seq: seq}
+	switch {
+	case fl != nil:
+		ev.Fleet, ev.Whole = true, fl.Whole
+		for i, h := range fl.Hosts {
+			at := fmt.Sprintf("fleet.hosts[%d]", i)
+			id, ok := strings.CutPrefix(h.Host, "s-")
+			n, err := strconv.ParseUint(id, 16, 32)
+			if !ok || err != nil || len(id) != 8 {
+				return ev, fmt.Errorf("%s.host: %q is not an id", at, h.Host)
+			}
+			s := decide.Server{ID: decide.ServerID(n), Cell: h.Block, Weight: h.Share, Started: Born(h.Born)}
+			if s.Zone = index(c.Zones, h.Site); s.Zone < 0 {
+				return ev, fmt.Errorf("%s.site: %q is not one of settings.areas", at, h.Site)
+			}
+			if s.Kind = index(c.Kinds, h.Class); s.Kind < 0 {
+				return ev, fmt.Errorf("%s.class: %q is not one of settings.machine_types", at, h.Class)
+			}
+			switch h.Health {
+			case "ready":
+				s.Phase = decide.Ready
+			case "draining":
+				s.Phase = decide.Draining
+			case "gone":
+				s.Phase = decide.Gone
+			default:
+				return ev, fmt.Errorf("%s.health: unknown word %q", at, h.Health)
+			}
+			dial, err := netip.ParseAddrPort(h.Dial)
+			if err != nil {
+				return ev, fmt.Errorf("%s.dial: %w", at, err)
+			}
+			ev.Hosts = append(ev.Hosts, Host{s, dial})
+		}
+	case inv != nil:
+		p := Purge{At: inv.Time}
+		if inv.Bucket != nil {
+			p.Group = *inv.Bucket
+		} else {
+			n, err := strconv.ParseUint(inv.Object, 16, 64)
+			if err != nil || len(inv.Object) != 16 {
+				return ev, fmt.Errorf("invalidate.object: %q is not 16 hex digits", inv.Object)
+			}
+			p.Object = decide.ObjectID(n)
+		}
+		ev.Purge = &p
+	default:
+		return ev, errors.New("fleet: missing, and no invalidate either")
+	}
+	return ev, nil
+}
+
+// Born converts the time of a late start for the module: 0 is long ago.
+func Born(ms float64) time.Duration {
+	if ms <= 0 {
+		return 0
+	}
+	return clock.Duration(ms)
+}
+
+func index(words []string, w string) int {
+	for i, x := range words {
+		if x == w && w != "" {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,431 @@
+// Package core is the actor round the decision module. It deals in requests,
+// attempts and outcomes and knows no wire: fronts hand it requests, carriers
+// carry out its attempts.
+package core
+
+import (
+	"container/heap"
+	"context"
+	"math"
+	"strings"
+	"time"
+
+	"garnetline/decide"
+	"garnetline/internal/clock"
+	"garnetline/internal/config"
+	"garnetline/internal/stats"
+)
+
+// Kind tells what an answer is.
+type Kind int
+
+// The kinds of final answers.
+const (
+	Failed  Kind = iota
+	Refused      // a retry is harmless after Backoff
+	Served
+	Same // served: the copy that the client holds is the one
+)
+
+// Answer is the one final answer to a request.
+type Answer struct {
+	Kind    Kind
+	Body    []byte
+	Tag     string
+	Backoff float64 // ms
+	Server  decide.ServerID
+}
+
+// Request is what a front takes in. From Submit on the core owns it; the
+// front keeps Body unchanged until the attempt that carries it is over.
+type Request struct {
+	Txn      string // the client's id, passed on unchanged
+	Key      string // idempotency key
+	Known    string // tag of the client's copy
+	Class    int
+	Object   decide.ObjectID
+	Part     int
+	Group    int
+	Body     []byte
+	Deadline float64 // the client gives up
+	Carrier  Carrier // carries the attempts out
+	Reply    func(Answer)
+
+	id       decide.RequestID
+	tries    []*Attempt
+	answered bool
+}
+
+// Attempt is one sending of a request.
+type Attempt struct {
+	Req      *Request
+	N        int
+	Get      decide.Get
+	Until    float64 // it is given up then
+	Class    *decide.Class
+	Deadline float64 // of its request
+
+	Via any // the carrier's own
+
+	sent   float64
+	taken  bool // by its carrier
+	ended  bool
+	asked  bool          // the carrier has been asked to give it up
+	ending decide.Result // what it is called then
+}
+
+// End is how a carrier says that an attempt is over. Result Cancelled says
+// that it was given up, where that was asked for.
+type End struct {
+	Attempt *Attempt
+	Result  decide.Result
+	Answer  Answer
+	Load    decide.Load
+	Final   bool // the request is over though nothing was served by the attempt
+}
+
+// Carrier carries attempts out. Neither call may block or call back: how an
+// attempt ended comes to the core's mailbox as an End.
+type Carrier interface {
+	// Send takes an attempt. Unless it returns Served, the attempt was not
+	// taken and ended that way.
+	Send(*Attempt) decide.Result
+	// Cancel gives an attempt up. Its End follows once it is given up on the
+	// wire, with that or another result.
+	Cancel(*Attempt)
+	// Over says that the core has taken the End of an attempt that was sent.
+	Over(*Attempt)
+}
+
+// Lister is told of each change of the list before the module is.
+type Lister interface{ List(ev config.Event) }
+
+// Plain tells whether a tag or key can stand in a carrier's fields as it is:
+// short, and of letters, digits and marks that cannot end a field.
+func Plain(s string) bool {
+	if s == "" || len(s) > 128 {
+		return false
+	}
+	for i := range len(s) {
+		c := s[i]
+		if !(c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || strings.IndexByte("-_.:+/", c) >= 0) {
+			return false
+		}
+	}
+	return true
+}
+
+// NoLoad is a load report without values.
+func NoLoad() decide.Load {
+	nan := math.NaN()
+	return decide.Load{Inflight: nan, Busy: nan, HitShare: nan, Link: nan}
+}
+
+// slack is how long after the deadline of a request the core waits for the
+// module's word before it answers by itself.
+const slack = 5.0
+
+// mailbox bounds the events that wait for the core.
+const mailbox = 4096
+
+// Core is the actor that owns the module, the open requests and the timers.
+type Core struct {
+	clock  clock.Clock
+	set    decide.Settings
+	router *decide.Router
+	lister Lister
+	count  *stats.Set
+	box    chan any
+	done   chan struct{}
+	nextID decide.RequestID
+	open   map[decide.RequestID]*Request
+	timers timers
+	queue  []decide.Event
+	acts   []decide.Action
+}
+
+type left struct{ req *Request }
+
+// New returns a core that has not been started.
+func New(c clock.Clock, set decide.Settings, seed uint64, l Lister, s *stats.Set) (*Core, error) {
+	router, err := decide.New(set, seed)
+	if err != nil {
+		return nil, err
+	}
+	return &Core{clock: c, set: set, router: router, lister: l, count: s, box: make(chan any, mailbox),
+		done: make(chan struct{}), open: map[decide.RequestID]*Request{}}, nil
+}
+
+// Run works through the mailbox until ctx ends.
+func (c *Core) Run(ctx context.Context) {
+	defer close(c.done)
+	t := time.NewTimer(time.Hour)
+	defer t.Stop()
+	for {
+		wait := time.Hour
+		if len(c.timers) > 0 {
+			wait = max(0, clock.Duration(c.timers[0].at-c.clock.Now()))
+		}
+		t.Reset(wait)
+		select {
+		case m := <-c.box:
+			c.step(m)
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		c.tick()
+	}
+}
+
+// Submit hands a request to the core, which calls Reply exactly once unless
+// the client leaves first. It reports false where the core has stopped.
+func (c *Core) Submit(r *Request) bool { return c.post(r) }
+
+// Leave says that the client of a submitted request has gone.
+func (c *Core) Leave(r *Request) { c.post(left{r}) }
+
+// End reports the end of an attempt.
+func (c *Core) End(e End) { c.post(e) }
+
+// Tell hands over an event of the change log.
+func (c *Core) Tell(ev config.Event) { c.post(ev) }
+
+func (c *Core) post(m any) bool {
+	select {
+	case c.box <- m:
+		return true
+	case <-c.done:
+		return false
+	}
+}
+
+// step takes one message.
+func (c *Core) step(m any) {
+	switch m := m.(type) {
+	case *Request:
+		c.take(m)
+	case left:
+		c.leave(m.req)
+	case End:
+		c.end(m)
+	case config.Event:
+		c.told(m)
+	}
+}
+
+// take opens a request under an id of its own: the module shifts ids into
+// timer tokens, where a client's 64-bit id would lose bits.
+func (c *Core) take(r *Request) {
+	c.nextID++
+	r.id = c.nextID
+	c.open[r.id] = r
+	c.at(r.Deadline+slack, 0, nil, r)
+	c.count.Add("requests_taken", 1)
+	c.feed(decide.Request{ID: r.id, Class: r.Class, Object: r.Object, Part: r.Part, Group: r.Group,
+		Left: clock.Duration(r.Deadline - c.clock.Now())})
+}
+
+// leave closes a request whose client has gone; nothing is owed.
+func (c *Core) leave(r *Request) {
+	if c.open[r.id] != r {
+		return
+	}
+	c.count.Add("clients_gone", 1)
+	r.answered = true
+	c.close(r)
+}
+
+// close forgets a request and has the module give up what is out for it.
+func (c *Core) close(r *Request) {
+	delete(c.open, r.id)
+	c.feed(decide.Left{ID: r.id})
+	for _, a := range r.tries { // what the module no longer knows of
+		c.cancel(a, decide.Cancelled)
+	}
+}
+
+// answer gives the one final answer.
+func (c *Core) answer(r *Request, a Answer) {
+	if r.answered {
+		return
+	}
+	r.answered = true
+	c.count.Add([]string{"answers_failed", "answers_refused", "answers_served", "answers_same"}[a.Kind], 1)
+	r.Reply(a)
+}
+
+// end books the end of an attempt.
+func (c *Core) end(e End) {
+	a := e.Attempt
+	if a.ended {
+		return
+	}
+	a.ended = true
+	if a.taken {
+		a.Req.Carrier.Over(a)
+	}
+	if e.Result == decide.Cancelled && a.asked {
+		e.Result = a.ending
+	}
+	c.count.Add("attempts_"+resultNames[e.Result], 1)
+	r := a.Req
+	if !r.answered && (e.Result == decide.Served || e.Final) {
+		c.answer(r, e.Answer)
+	}
+	c.feed(decide.Outcome{ID: r.id, Attempt: a.N, Server: a.Get.Server, Result: e.Result,
+		Took: clock.Duration(c.clock.Now() - a.sent), Done: r.answered, Load: e.Load})
+	if r.answered {
+		delete(c.open, r.id)
+	}
+}
+
+var resultNames = [...]string{decide.Served: "served", decide.Errored: "errored", decide.Full: "full",
+	decide.TimedOut: "timed_out", decide.Unreached: "unreached", decide.Broken: "broken",
+	decide.Cancelled: "cancelled", decide.NotSent: "not_sent", decide.Miss: "miss"}
+
+// told passes an event of the change log on.
+func (c *Core) told(ev config.Event) {
+	switch {
+	case ev.Fleet:
+		if c.lister != nil {
+			c.lister.List(ev)
+		}
+		m := decide.Members{Full: ev.Whole}
+		for _, h := range ev.Hosts {
+			m.Servers = append(m.Servers, h.Server)
+		}
+		c.count.Add("lists_told", 1)
+		c.feed(m)
+	case ev.Purge != nil:
+		c.count.Add("purges_told", 1)
+		c.feed(decide.Purge{Object: ev.Purge.Object, Group: ev.Purge.Group,
+			Age: clock.Duration(max(0, c.clock.Now()-ev.Purge.At))})
+	}
+}
+
+// feed gives the module an event and carries out what it calls for, and so on
+// with the events that this makes at once.
+func (c *Core) feed(ev decide.Event) {
+	c.queue = append(c.queue, ev)
+	if len(c.queue) > 1 {
+		return // the loop below is running
+	}
+	for i := 0; i < len(c.queue); i++ {
+		c.acts = c.router.Handle(clock.Duration(c.clock.Now()), c.queue[i], c.acts[:0])
+		for _, a := range c.acts {
+			c.do(a)
+		}
+	}
+	c.queue = c.queue[:0]
+}
+
+func (c *Core) do(a decide.Action) {
+	switch a := a.(type) {
+	case decide.Get:
+		c.send(a)
+	case decide.Refuse:
+		if r := c.open[a.ID]; r != nil {
+			delete(c.open, a.ID)
+			c.answer(r, Answer{Kind: Refused, Backoff: clock.Millis(a.Backoff)})
+		}
+	case decide.Fail:
+		if r := c.open[a.ID]; r != nil {
+			delete(c.open, a.ID)
+			c.answer(r, Answer{Kind: Failed})
+		}
+	case decide.Cancel:
+		if r := c.open[a.ID]; r != nil && a.Attempt < len(r.tries) {
+			c.cancel(r.tries[a.Attempt], decide.Cancelled)
+		}
+	case decide.Wake:
+		c.at(c.clock.Now()+clock.Millis(a.After), a.Token, nil, nil)
+	}
+}
+
+// send makes an attempt of a decision.
+func (c *Core) send(g decide.Get) {
+	r := c.open[g.ID]
+	if r == nil {
+		return
+	}
+	a := &Attempt{Req: r, N: len(r.tries), Get: g, Class: &c.set.Classes[r.Class], sent: c.clock.Now(),
+		Until: min(clock.Millis(g.Until), r.Deadline), Deadline: r.Deadline}
+	if g.Until == 0 {
+		a.Until = r.Deadline
+	}
+	busy := len(r.tries) > 0 && !r.tries[len(r.tries)-1].ended
+	r.tries = append(r.tries, a)
+	res := decide.NotSent
+	if !r.answered && !busy && a.N < c.set.MaxAttempts && a.sent < a.Until {
+		res = r.Carrier.Send(a)
+	}
+	if res != decide.Served {
+		c.end(End{Attempt: a, Result: res, Load: NoLoad()})
+		return
+	}
+	a.taken = true
+	c.count.Add("attempts_sent", 1)
+	c.at(a.Until, 0, a, nil)
+}
+
+// cancel has an attempt given up. It is over when its carrier says so.
+func (c *Core) cancel(a *Attempt, as decide.Result) {
+	if a.ended || a.asked {
+		return
+	}
+	a.asked, a.ending = true, as
+	a.Req.Carrier.Cancel(a)
+}
+
+// tick fires the timers that are due.
+func (c *Core) tick() {
+	for len(c.timers) > 0 && c.timers[0].at <= c.clock.Now() {
+		switch t := heap.Pop(&c.timers).(timer); {
+		case t.attempt != nil:
+			c.cancel(t.attempt, decide.TimedOut)
+		case t.req != nil:
+			c.expire(t.req)
+		default:
+			c.feed(decide.Timer{Token: t.token})
+		}
+	}
+}
+
+// expire answers a request whose time is over and that has no answer yet.
+//
+// Symptom guarded against: an attempt whose carrier cannot give it up in time
+// would keep its client waiting past the deadline.
+func (c *Core) expire(r *Request) {
+	if c.open[r.id] != r {
+		return
+	}
+	c.answer(r, Answer{Kind: Failed})
+	c.close(r)
+}
+
+func (c *Core) at(at float64, token uint64, a *Attempt, r *Request) {
+	heap.Push(&c.timers, timer{at, token, a, r})
+}
+
+// timer is one entry of the heap: for an attempt, a request or the module.
+type timer struct {
+	at      float64
+	token   uint64
+	attempt *Attempt
+	req     *Request
+}
+
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*t = old[:len(old)-1]
+	return x
+}
--- /dev/null
+++ b/internal/front/http/http.go
@@ -0,0 +1,516 @@
+// Package http is the front for the platform's protocol: HTTP/1.1 over
+// textproto, one request at a time on a connection. It parses and answers;
+// it decides nothing.
+package http
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http/httputil"
+	"net/textproto"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"garnetline/decide"
+	"garnetline/internal/clock"
+	"garnetline/internal/core"
+	"garnetline/internal/sock"
+	"garnetline/internal/stats"
+)
+
+const (
+	maxHead    = 16 << 10
+	maxBody    = 48_000
+	maxWait    = 60_000.0 // ms; a longer X-Ttl-Ms is cut to it
+	maxPart    = 1 << 31
+	idleFor    = 30_000.0 // ms that a connection may be idle; clients close after 4 s
+	headFor    = 5_000.0  // ms from a request's first byte to its last
+	writeFor   = 2_000.0  // ms that an answer may take to be written
+	lingerFor  = 500.0    // ms for which a client that is still sending is read
+	lingerMost = 1 << 20
+	margin     = 20.0 // ms before the client gives up by which an answer is wanted
+	lookAfter  = 0.8  // part of the connections from which on none is kept alive
+)
+
+// Core is what the front needs of the core.
+type Core interface {
+	Submit(*core.Request) bool
+	Leave(*core.Request)
+}
+
+// Options are what a Server needs.
+type Options struct {
+	Clock   clock.Clock
+	Core    Core
+	Carrier core.Carrier
+	Classes []decide.Class
+	Ready   func() bool // it has a list of caches
+	Stats   *stats.Set
+	Conns   int // connections open at once
+}
+
+// Server owns the listener and the clients' connections.
+type Server struct {
+	Options
+	slots    chan struct{}
+	open     sync.WaitGroup
+	closing  atomic.Bool // answers say so and no connection is kept
+	stopping atomic.Bool // the health check says so
+	mu       sync.Mutex
+	idle     map[*conn]bool
+}
+
+// New returns a server that has not been started.
+func New(o Options) *Server {
+	return &Server{Options: o, slots: make(chan struct{}, max(o.Conns, 1)), idle: map[*conn]bool{}}
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		s.slots <- struct{}{}
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil { // out of descriptors, or a client that has gone again
+			<-s.slots
+			s.Stats.Add("accept_errors", 1)
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		s.Stats.Add("connections_taken", 1)
+		s.open.Add(1)
+		go func() {
+			defer s.open.Done()
+			defer func() { <-s.slots }()
+			s.serve(c)
+		}()
+	}
+}
+
+// Stopping makes the health check fail; all else goes on.
+func (s *Server) Stopping() { s.stopping.Store(true) }
+
+// Finish closes idle connections, lets the others finish what is open on them
+// and returns when all are closed.
+func (s *Server) Finish() {
+	s.closing.Store(true)
+	s.mu.Lock()
+	for c := range s.idle {
+		c.k.Net.SetReadDeadline(time.Now())
+	}
+	s.mu.Unlock()
+	s.open.Wait()
+}
+
+// conn is one client's connection. The goroutine in serve owns it.
+type conn struct {
+	s *Server
+	k *sock.Conn
+}
+
+// serve answers the requests of a connection. It is the one place where a
+// client's connection is given back.
+func (s *Server) serve(nc net.Conn) {
+	c := &conn{s: s, k: sock.New(nc)}
+	defer c.k.Close()
+	for c.await() {
+		req, bad := c.read()
+		if bad != nil {
+			if bad.status != 0 {
+				s.Stats.Add("requests_malformed", 1)
+				c.error(bad)
+			}
+			return
+		}
+		if keep := c.handle(req); !keep || !c.keep(req) {
+			return
+		}
+	}
+}
+
+// await waits for the first byte of a request.
+func (c *conn) await() bool {
+	c.s.mu.Lock()
+	c.s.idle[c] = true
+	c.k.Net.SetReadDeadline(time.Now().Add(clock.Duration(idleFor)))
+	if c.s.closing.Load() {
+		c.k.Net.SetReadDeadline(time.Now())
+	}
+	c.s.mu.Unlock()
+	c.k.Allow(maxHead)
+	_, err := c.k.R.Peek(1)
+	c.s.mu.Lock()
+	delete(c.s.idle, c)
+	c.s.mu.Unlock()
+	c.k.Net.SetReadDeadline(time.Now().Add(clock.Duration(headFor)))
+	return err == nil
+}
+
+// keep tells whether the connection stays open after a request.
+func (c *conn) keep(r *request) bool {
+	return !r.last && !c.s.closing.Load() && float64(len(c.s.slots)) < lookAfter*float64(cap(c.s.slots))
+}
+
+// request is a parsed request.
+type request struct {
+	method, path, query string
+	head                textproto.MIMEHeader
+	body                []byte
+	last                bool // the client wants the connection closed
+	at                  float64
+}
+
+// problem is an answer that the front gives by itself.
+type problem struct {
+	status int // 0: the client has gone, nothing is owed
+	why    string
+	allow  string
+}
+
+var gone = &problem{}
+
+// read reads one request.
+func (c *conn) read() (*request, *problem) {
+	r := &request{}
+	line, err := c.k.ReadLine()
+	if err == nil && line == "" { // one empty line before a request is let pass
+		line, err = c.k.ReadLine()
+	}
+	if err != nil {
+		return nil, c.broken(err)
+	}
+	parts := strings.Split(line, " ")
+	if len(parts) != 3 || parts[0] == "" || !strings.HasPrefix(parts[2], "HTTP/1.") || len(parts[2]) != 8 {
+		return nil, &problem{status: 400, why: "malformed request line"}
+	}
+	u, err := url.ParseRequestURI(parts[1])
+	if err != nil {
+		return nil, &problem{status: 400, why: "malformed target"}
+	}
+	r.method, r.path, r.query = parts[0], u.EscapedPath(), u.RawQuery
+	if r.head, err = c.k.ReadMIMEHeader(); err != nil {
+		return nil, c.broken(err)
+	}
+	if len(r.head["Host"]) > 1 || parts[2] == "HTTP/1.1" && len(r.head["Host"]) == 0 {
+		return nil, &problem{status: 400, why: "Host: want one"}
+	}
+	r.last = token(r.head, "Connection", "close") || parts[2] == "HTTP/1.0"
+	if bad := c.body(r); bad != nil {
+		return nil, bad
+	}
+	r.at = c.s.Clock.Now()
+	c.s.Stats.Add("requests_read", 1)
+	return r, nil
+}
+
+// broken tells what a failed read means for the client.
+func (c *conn) broken(err error) *problem {
+	var text textproto.ProtocolError
+	switch {
+	case c.k.Over():
+		return &problem{status: 431, why: "head too long"}
+	case errors.As(err, &text):
+		return &problem{status: 400, why: "malformed header"}
+	case errors.Is(err, context.DeadlineExceeded), isTimeout(err):
+		return &problem{status: 408, why: "request too slow"}
+	}
+	return gone
+}
+
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// body reads what the head announces.
+func (c *conn) body(r *request) *problem {
+	te, cl := r.head["Transfer-Encoding"], r.head["Content-Length"]
+	switch {
+	case len(te) > 0 && len(cl) > 0:
+		return &problem{status: 400, why: "Content-Length and Transfer-Encoding"}
+	case len(te) > 0:
+		if len(te) != 1 || !strings.EqualFold(te[0], "chunked") {
+			return &problem{status: 501, why: "Transfer-Encoding: unknown"}
+		}
+		return c.chunked(r)
+	case len(cl) == 0:
+		return nil
+	}
+	n, err := strconv.ParseUint(cl[0], 10, 63)
+	if err != nil || len(cl) > 1 {
+		return &problem{status: 400, why: "Content-Length: not a number"}
+	}
+	if n > maxBody {
+		return &problem{status: 413, why: "body too long"}
+	}
+	if bad := c.goOn(r); bad != nil {
+		return bad
+	}
+	c.k.Allow(int(n))
+	b, err := c.k.Body(int(n))
+	if err != nil {
+		return c.broken(err)
+	}
+	// A copy: an attempt may still be written when the client's next request
+	// is read into the buffer.
+	r.body = bytes.Clone(b)
+	return nil
+}
+
+// chunked reads a body in chunks.
+func (c *conn) chunked(r *request) *problem {
+	if bad := c.goOn(r); bad != nil {
+		return bad
+	}
+	c.k.Allow(8*maxBody + maxHead) // chunks may be small, and each has a line of its own
+	var err error
+	if r.body, err = io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.k.R), maxBody+1)); err != nil {
+		if bad := c.broken(err); bad != gone {
+			return bad
+		}
+		return &problem{status: 400, why: "malformed chunks"}
+	}
+	if len(r.body) > maxBody {
+		return &problem{status: 413, why: "body too long"}
+	}
+	if _, err := c.k.ReadMIMEHeader(); err != nil { // trailers
+		return c.broken(err)
+	}
+	return nil
+}
+
+// goOn tells a client that waits for it to send its body.
+func (c *conn) goOn(r *request) *problem {
+	if !token(r.head, "Expect", "100-continue") {
+		return nil
+	}
+	if c.k.Flush(append(c.k.Out(), "HTTP/1.1 100 Continue\r\n\r\n"...), nil, writeFor) != nil {
+		return gone
+	}
+	return nil
+}
+
+// token tells whether a header holds a word in its list.
+func token(h textproto.MIMEHeader, name, word string) bool {
+	for _, v := range h[name] {
+		for w := range strings.SplitSeq(v, ",") {
+			if strings.EqualFold(strings.TrimSpace(w), word) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// handle answers one request; it reports whether the connection still holds.
+func (c *conn) handle(r *request) bool {
+	if r.path == "/healthz" {
+		return c.health(r)
+	}
+	q, bad := c.s.parse(r)
+	if bad != nil {
+		c.s.Stats.Add("requests_malformed", 1)
+		return c.refuse(r, bad)
+	}
+	answers := make(chan core.Answer, 1)
+	q.Reply = func(a core.Answer) { answers <- a }
+	if !c.s.Core.Submit(q) {
+		return c.refuse(r, &problem{status: 503, why: "stopping"})
+	}
+	// The only byte that may come now is that of the next request; an error
+	// says that the client has gone.
+	heard := make(chan error, 1)
+	c.k.Net.SetReadDeadline(time.Time{})
+	c.k.Allow(maxHead)
+	go func() {
+		_, err := c.k.R.Peek(1)
+		heard <- err
+	}()
+	var ok bool
+	select {
+	case a := <-answers:
+		ok = c.answer(r, a)
+		// The watcher is waited for: the connection has one reader at a time.
+		c.k.Net.SetReadDeadline(time.Now())
+		if err := <-heard; err != nil && !isTimeout(err) {
+			return false
+		}
+	case err := <-heard:
+		if err != nil {
+			c.s.Core.Leave(q)
+			return false
+		}
+		ok = c.answer(r, <-answers) // pipelined: the next one waits its turn
+	}
+	return ok
+}
+
+// health answers the front's question whether this router can be used.
+func (c *conn) health(r *request) bool {
+	switch {
+	case r.method != "GET" && r.method != "HEAD":
+		return c.refuse(r, &problem{status: 405, why: "GET only", allow: "GET"})
+	case c.s.stopping.Load() || !c.s.Ready():
+		return c.refuse(r, &problem{status: 503, why: "not ready"})
+	}
+	return c.write(r, 200, "Content-Type: text/plain\r\n", []byte("ok\n"))
+}
+
+// parse turns a request into what the core takes.
+func (s *Server) parse(r *request) (*core.Request, *problem) {
+	rest, ok := strings.CutPrefix(r.path, "/v1/")
+	name, object, two := strings.Cut(rest, "/")
+	if !ok || !two || strings.Contains(object, "/") {
+		return nil, &problem{status: 404, why: "no such path"}
+	}
+	class := -1
+	for i := range s.Classes {
+		if s.Classes[i].Name == name {
+			class = i
+		}
+	}
+	if class < 0 {
+		return nil, &problem{status: 404, why: "unknown class"}
+	}
+	k := &s.Classes[class]
+	if want := map[bool]string{false: "GET", true: "PUT"}[k.Write]; r.method != want {
+		return nil, &problem{status: 405, why: want + " only", allow: want}
+	}
+	q := &core.Request{Class: class, Carrier: s.Carrier, Body: r.body}
+	bad := func(why string) (*core.Request, *problem) { return nil, &problem{status: 400, why: why} }
+	o, err := strconv.ParseUint(object, 16, 64)
+	if err != nil || len(object) != 16 || o == 0 || object != strings.ToLower(object) {
+		return bad("object: not 16 hex digits")
+	}
+	q.Object = decide.ObjectID(o)
+	if !k.Write && len(r.body) > 0 {
+		return bad("body: none wanted")
+	}
+	values, err := url.ParseQuery(r.query)
+	if err != nil || len(values["block"]) > 1 {
+		return bad("query: malformed")
+	}
+	if v := values.Get("block"); v != "" || values.Has("block") {
+		n, err := strconv.ParseUint(v, 10, 31)
+		if err != nil || n >= maxPart || strconv.FormatUint(n, 10) != v {
+			return bad("block: not a number")
+		}
+		q.Part = int(n)
+	}
+	for _, h := range []string{"X-Txn", "X-Ttl-Ms", "X-Txn-Key", "X-Family"} {
+		if len(r.head[h]) > 1 {
+			return bad(h + ": more than one")
+		}
+	}
+	q.Txn = r.head.Get("X-Txn")
+	if _, err := strconv.ParseUint(q.Txn, 16, 64); err != nil || len(q.Txn) != 16 {
+		return bad("X-Txn: not 16 hex digits")
+	}
+	ttl, err := strconv.ParseFloat(r.head.Get("X-Ttl-Ms"), 64)
+	if err != nil || !(ttl > 0 && ttl < 1e12) {
+		return bad("X-Ttl-Ms: not a time")
+	}
+	ttl = min(ttl, maxWait)
+	q.Deadline = r.at + ttl - min(margin, ttl/10)
+	if v := r.head.Get("X-Family"); v != "" {
+		n, err := strconv.ParseUint(v, 10, 8)
+		if err != nil {
+			return bad("X-Family: not 0 to 255")
+		}
+		q.Group = int(n)
+	}
+	q.Key = r.head.Get("X-Txn-Key")
+	if q.Key != "" && !core.Plain(q.Key) || q.Key == "" && k.Effect == decide.Keyed {
+		return bad("X-Txn-Key: missing or malformed")
+	}
+	// A list of tags, a weak one or * is passed over: the answer is then whole.
+	if v := r.head["If-None-Match"]; len(v) == 1 && len(v[0]) > 2 && v[0][0] == '"' && v[0][len(v[0])-1] == '"' {
+		if tag := v[0][1 : len(v[0])-1]; core.Plain(tag) && !k.Write {
+			q.Known = tag
+		}
+	}
+	return q, nil
+}
+
+// answer writes a final answer.
+func (c *conn) answer(r *request, a core.Answer) bool {
+	switch a.Kind {
+	case core.Served:
+		head := "Content-Type: application/octet-stream\r\n"
+		if a.Tag != "" {
+			head += "ETag: \"" + a.Tag + "\"\r\n"
+		}
+		return c.write(r, 200, head, a.Body)
+	case core.Same:
+		head := ""
+		if a.Tag != "" {
+			head = "ETag: \"" + a.Tag + "\"\r\n"
+		}
+		return c.write(r, 304, head, nil)
+	case core.Refused:
+		head := "Content-Type: text/plain\r\n"
+		if a.Backoff > 0 {
+			head += fmt.Sprintf("X-Throttle-Ms: %d\r\n", int64(a.Backoff))
+		}
+		return c.write(r, 503, head, []byte("refused: a retry is harmless\n"))
+	}
+	return c.write(r, 502, "Content-Type: text/plain\r\n", []byte("failed\n"))
+}
+
+// refuse answers by the front's own word.
+func (c *conn) refuse(r *request, p *problem) bool {
+	head := "Content-Type: text/plain\r\n"
+	if p.allow != "" {
+		head += "Allow: " + p.allow + "\r\n"
+	}
+	return c.write(r, p.status, head, []byte(p.why+"\n"))
+}
+
+// error answers what could not be read to its end, and lets the client read
+// that before the connection is closed.
+//
+// Symptom guarded against: a connection that is closed with unread bytes is
+// reset, and the reset overtakes the answer.
+func (c *conn) error(p *problem) {
+	half, ok := c.k.Net.(interface{ CloseWrite() error })
+	if c.refuse(&request{last: true}, p) && ok && half.CloseWrite() == nil {
+		c.k.Net.SetReadDeadline(time.Now().Add(clock.Duration(lingerFor)))
+		io.Copy(io.Discard, io.LimitReader(c.k.Net, lingerMost))
+	}
+}
+
+var reasons = map[int]string{200: "OK", 304: "Not Modified", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+	408: "Request Timeout", 413: "Content Too Large", 431: "Request Header Fields Too Large", 501: "Not Implemented",
+	502: "Bad Gateway", 503: "Service Unavailable"}
+
+// write writes one whole answer.
+func (c *conn) write(r *request, status int, head string, body []byte) bool {
+	out := fmt.Appendf(c.k.Out(), "HTTP/1.1 %d %s\r\n%s", status, reasons[status], head)
+	if status != 304 {
+		out = fmt.Appendf(out, "Content-Length: %d\r\n", len(body))
+	}
+	if !c.keep(r) {
+		r.last = true
+		out = append(out, "Connection: close\r\n"...)
+	}
+	out = append(out, "\r\n"...)
+	if r.method == "HEAD" {
+		body = nil
+	}
+	err := c.k.Flush(out, body, writeFor)
+	c.k.RestOut()
+	c.k.RestIn()
+	c.s.Stats.Add("http_"+strconv.Itoa(status), 1)
+	c.s.Stats.Add("bytes_answered", int64(len(body)))
+	return err == nil
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -20,15 +20,31 @@
 // of the values in a load report. Unknown paths are skipped; absent ones take
 // their default.
 func (f *fields) settings() (decide.Settings, []string) {
-	p := pairs{map[string]string{}, f}
+	m := map[string]string{}
 	for f.more {
 		s := f.next("info")
 		path, value, ok := strings.Cut(s, "=")
 		if !ok {
 			f.fail("info", fmt.Sprintf("%q is not path=value", s))
 		}
-		p.m[path] = value
+		m[path] = value
 	}
+	return pairs{m, f}.settings()
+}
+
+// ParseSettings reads settings given by path, and the names of the values in
+// a load report. An error names the path.
+func ParseSettings(m map[string]string) (decide.Settings, []string, error) {
+	var f fields
+	s, report := pairs{m, &f}.settings()
+	if e, ok := f.err.(*Error); ok {
+		return s, nil, fmt.Errorf("%s: %s", e.Field, e.Why)
+	}
+	return s, report, f.err
+}
+
+// settings turns the pairs into what the module takes.
+func (p pairs) settings() (decide.Settings, []string) {
 	s := decide.Settings{
 		Zones:        len(p.list("areas")),
 		Zone:         p.whole("zone", 0),
