--- a/cmd/garnetline/main.go
+++ b/cmd/garnetline/main.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"garnetline/internal/config"
+	"garnetline/internal/front/dns"
 )
 
 // version is set by the linker where a release is built.
@@ -17,26 +18,38 @@
 
 func main() {
 	path := &cli.StringFlag{Name: "config", Usage: "configuration `FILE`; without it, what EDGE_CONFIG names"}
+	names := &cli.StringFlag{Name: "dns", Usage: "operator's `FILE` of the DNS front; without it the front is off"}
 	app := &cli.Command{
 		Name:  "garnetline",
 		Usage: "edge router for caches of large objects",
 		Commands: []*cli.Command{
-			{Name: "serve", Usage: "serve until SIGTERM; SIGUSR1 prints the counters", Flags: []cli.Flag{path},
+			{Name: "serve", Usage: "serve until SIGTERM; SIGUSR1 prints the counters", Flags: []cli.Flag{path, names},
 				Action: func(ctx context.Context, c *cli.Command) error {
 					conf, err := config.Load(c.String("config"), os.Getenv)
 					if err != nil {
 						return err
 					}
-					return serve(ctx, conf)
+					lookups, err := dns.Load(c.String("dns"))
+					if err != nil {
+						return err
+					}
+					return serve(ctx, conf, lookups)
 				}},
-			{Name: "check", Usage: "check a configuration and say what it holds", Flags: []cli.Flag{path},
+			{Name: "check", Usage: "check a configuration and say what it holds", Flags: []cli.Flag{path, names},
 				Action: func(_ context.Context, c *cli.Command) error {
 					conf, err := config.Load(c.String("config"), os.Getenv)
 					if err != nil {
 						return err
 					}
+					lookups, err := dns.Load(c.String("dns"))
+					if err != nil {
+						return err
+					}
 					fmt.Printf("%s: listens on %v, change log at %v, %d events known, %d classes\n",
 						conf.Name, conf.Listen, conf.ChangeLog, len(conf.Known), len(conf.Settings.Classes))
+					if lookups.Enabled {
+						fmt.Printf("DNS front: %s at %s\n", lookups.Zone, lookups.Listen)
+					}
 					return nil
 				}},
 			{Name: "version", Usage: "print the version",
--- a/cmd/garnetline/serve.go
+++ b/cmd/garnetline/serve.go
@@ -16,6 +16,7 @@
 	"garnetline/internal/clock"
 	"garnetline/internal/config"
 	"garnetline/internal/core"
+	"garnetline/internal/front/dns"
 	"garnetline/internal/front/http"
 	"garnetline/internal/peer"
 	"garnetline/internal/stats"
@@ -30,7 +31,7 @@
 )
 
 // serve runs the router until a signal ends it.
-func serve(ctx context.Context, conf *config.Config) error {
+func serve(ctx context.Context, conf *config.Config, lookups dns.Config) error {
 	bound(conf.Limits)
 	count := stats.New()
 	defer count.Print(os.Stderr)
@@ -44,16 +45,28 @@
 
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	var c *core.Core
+	c, err := core.New(clk, conf.Settings, conf.Seed, count)
+	if err != nil {
+		return err
+	}
 	var told atomic.Bool
 	log := changelog.New(clk, conf, func(ev config.Event) {
 		c.Tell(ev)
 		told.Store(true)
 	}, count)
-	pool := peer.NewPool(ctx, peer.Options{Clock: clk, Conn: conf.Conn, Guard: log.Guard,
-		End: func(e core.End) { c.End(e) }, Stats: count})
-	if c, err = core.New(clk, conf.Settings, conf.Seed, pool, count); err != nil {
-		return err
+	pool := peer.NewPool(ctx, peer.Options{Clock: clk, Conn: conf.Conn, Guard: log.Guard, End: c.End, Stats: count})
+	names := dns.New(dns.Options{Config: lookups, Clock: clk, Core: c, Classes: conf.Settings.Classes,
+		Guard: log.Guard, Stats: count})
+	c.Follow(pool, names)
+	if lookups.Enabled {
+		if _, err := names.Start(); err != nil {
+			return err
+		}
+		defer func() {
+			ctx, stop := context.WithTimeout(context.Background(), time.Second)
+			defer stop()
+			names.Stop(ctx)
+		}()
 	}
 	front := http.New(http.Options{Clock: clk, Core: c, Carrier: pool, Classes: conf.Settings.Classes,
 		Ready: told.Load, Stats: count, Conns: conns(conf.Limits)})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -84,12 +84,16 @@
 	Final   bool // the request is over though nothing was served by the attempt
 }
 
-// Carrier carries attempts out. Neither call may block or call back: how an
-// attempt ended comes to the core's mailbox as an End.
+// NotTaken is the end of an attempt that never left.
+func NotTaken(a *Attempt, r decide.Result) *End {
+	return &End{Attempt: a, Result: r, Load: NoLoad()}
+}
+
+// Carrier carries attempts out. No call may block or call back: how an attempt
+// that was taken ended comes to the core's mailbox as an End.
 type Carrier interface {
-	// Send takes an attempt. Unless it returns Served, the attempt was not
-	// taken and ended that way.
-	Send(*Attempt) decide.Result
+	// Send takes an attempt, or returns how it ended at once.
+	Send(*Attempt) *End
 	// Cancel gives an attempt up. Its End follows once it is given up on the
 	// wire, with that or another result.
 	Cancel(*Attempt)
@@ -133,7 +137,7 @@
 	clock  clock.Clock
 	set    decide.Settings
 	router *decide.Router
-	lister Lister
+	lists  []Lister
 	count  *stats.Set
 	box    chan any
 	done   chan struct{}
@@ -147,15 +151,18 @@
 type left struct{ req *Request }
 
 // New returns a core that has not been started.
-func New(c clock.Clock, set decide.Settings, seed uint64, l Lister, s *stats.Set) (*Core, error) {
+func New(c clock.Clock, set decide.Settings, seed uint64, s *stats.Set) (*Core, error) {
 	router, err := decide.New(set, seed)
 	if err != nil {
 		return nil, err
 	}
-	return &Core{clock: c, set: set, router: router, lister: l, count: s, box: make(chan any, mailbox),
+	return &Core{clock: c, set: set, router: router, count: s, box: make(chan any, mailbox),
 		done: make(chan struct{}), open: map[decide.RequestID]*Request{}}, nil
 }
 
+// Follow adds listers. It must not be called once Run has been.
+func (c *Core) Follow(l ...Lister) { c.lists = append(c.lists, l...) }
+
 // Run works through the mailbox until ctx ends.
 func (c *Core) Run(ctx context.Context) {
 	defer close(c.done)
@@ -288,8 +295,8 @@
 func (c *Core) told(ev config.Event) {
 	switch {
 	case ev.Fleet:
-		if c.lister != nil {
-			c.lister.List(ev)
+		for _, l := range c.lists {
+			l.List(ev)
 		}
 		m := decide.Members{Full: ev.Whole}
 		for _, h := range ev.Hosts {
@@ -356,12 +363,12 @@
 	}
 	busy := len(r.tries) > 0 && !r.tries[len(r.tries)-1].ended
 	r.tries = append(r.tries, a)
-	res := decide.NotSent
+	over := NotTaken(a, decide.NotSent)
 	if !r.answered && !busy && a.N < c.set.MaxAttempts && a.sent < a.Until {
-		res = r.Carrier.Send(a)
+		over = r.Carrier.Send(a)
 	}
-	if res != decide.Served {
-		c.end(End{Attempt: a, Result: res, Load: NoLoad()})
+	if over != nil {
+		c.end(*over)
 		return
 	}
 	a.taken = true
--- /dev/null
+++ b/internal/front/dns/config.go
@@ -0,0 +1,63 @@
+package dns
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+
+	"github.com/BurntSushi/toml"
+	"github.com/miekg/dns"
+)
+
+// Config is the operator's file. deploy/dns.toml documents its keys.
+type Config struct {
+	Enabled  bool    `toml:"enabled"`
+	Listen   string  `toml:"listen"`
+	Zone     string  `toml:"zone"`
+	Patience float64 `toml:"patience_ms"`
+	Inflight int     `toml:"max_inflight"`
+	Conns    int     `toml:"max_connections"`
+}
+
+// Load reads an operator's file. Without one the front is off.
+func Load(path string) (Config, error) {
+	c := Config{Listen: "127.0.0.1:5353", Zone: "garnetline.local.", Patience: 1000, Inflight: 256, Conns: 32}
+	if path == "" {
+		return c, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return c, err
+	}
+	meta, err := toml.Decode(string(text), &c)
+	if err != nil {
+		return c, fmt.Errorf("%s: %w", path, err)
+	}
+	if rest := meta.Undecoded(); len(rest) > 0 {
+		return c, fmt.Errorf("%s: %s: unknown key", path, rest[0])
+	}
+	if err := c.check(); err != nil {
+		return c, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+func (c *Config) check() error {
+	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	if _, ok := dns.IsDomainName(c.Zone); !ok || c.Zone == "" || c.Zone == "." {
+		return fmt.Errorf("zone: %q is not a zone of its own", c.Zone)
+	}
+	c.Zone = dns.CanonicalName(c.Zone)
+	switch {
+	case !(c.Patience >= 1 && c.Patience <= 60_000):
+		return fmt.Errorf("patience_ms: %v, want 1 to 60000", c.Patience)
+	case c.Inflight < 1 || c.Inflight > 4096:
+		return errors.New("max_inflight: want 1 to 4096")
+	case c.Conns < 1 || c.Conns > 256:
+		return errors.New("max_connections: want 1 to 256")
+	}
+	return nil
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -82,18 +82,18 @@
 }
 
 // Send hands an attempt to its peer.
-func (p *Pool) Send(a *core.Attempt) decide.Result {
+func (p *Pool) Send(a *core.Attempt) *core.End {
 	q := p.peers[a.Get.Server]
 	if q == nil || q.gone {
-		return decide.NotSent
+		return core.NotTaken(a, decide.NotSent)
 	}
 	if q.out.Load() >= maxOut {
-		return decide.Full
+		return core.NotTaken(a, decide.Full)
 	}
 	a.Via = q
 	q.out.Add(1)
 	q.orders <- order{send: a}
-	return decide.Served
+	return nil
 }
 
 // Cancel has an attempt given up.
@@ -207,11 +207,11 @@
 		l := p.room(a.Req.Txn)
 		switch res, ok := p.bars(a); {
 		case !ok:
-			p.end(core.End{Attempt: a, Result: res, Load: core.NoLoad()})
+			p.end(*core.NotTaken(a, res))
 		case l != nil:
 			p.write(l, a)
 		case p.leaving || len(p.links) >= maxLinks && !p.dialing:
-			p.end(core.End{Attempt: a, Result: decide.Full, Load: core.NoLoad()})
+			p.end(*core.NotTaken(a, decide.Full))
 		default:
 			held = append(held, a)
 		}
@@ -349,7 +349,7 @@
 		failed := p.waiting
 		p.waiting = nil
 		for _, a := range failed {
-			p.end(core.End{Attempt: a, Result: decide.Unreached, Load: core.NoLoad()})
+			p.end(*core.NotTaken(a, decide.Unreached))
 		}
 		return
 	}
