--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -260,6 +260,7 @@
 	r.answered = true
 	c.count.Add([]string{"answers_failed", "answers_refused", "answers_served", "answers_same"}[a.Kind], 1)
 	r.Reply(a)
+	r.release()
 }
 
 // end books the end of an attempt.
@@ -284,6 +285,15 @@
 		Took: clock.Duration(c.clock.Now() - a.sent), Done: r.answered, Load: e.Load})
 	if r.answered {
 		delete(c.open, r.id)
+		r.release()
+	}
+}
+
+// release gives back the body of a request that is over and has nothing out:
+// timers hold the request until its deadline.
+func (r *Request) release() {
+	if n := len(r.tries); n == 0 || r.tries[n-1].ended {
+		r.Body = nil
 	}
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -145,7 +145,7 @@
 	k       *sock.Conn
 	open    map[string]*sent
 	dead    map[string]bool // given up here: an answer may still cross
-	heard   float64         // when the latest answer came
+	heard   float64         // when the latest answer came; 0: none yet
 	used    float64         // when it last had something open
 	retired bool            // takes nothing new
 	lost    bool
@@ -354,7 +354,7 @@
 		return
 	}
 	now := p.Clock.Now()
-	l := &link{k: sock.New(e.conn), open: map[string]*sent{}, dead: map[string]bool{}, heard: now, used: now}
+	l := &link{k: sock.New(e.conn), open: map[string]*sent{}, dead: map[string]bool{}, used: now}
 	p.links = append(p.links, l)
 	go p.read(ctx, l)
 	p.work(ctx)
