Tests of the DNS front, the change log and the configuration

The DNS tests run on loopback sockets with stand-in clients and a resolver that caches for the TTL: no drained box is named, a cold box gets no more lookups than it may get work, a purge gives SERVFAIL until old copies are gone.

--- /dev/null
+++ b/internal/changelog/changelog_test.go
@@ -0,0 +1,186 @@
+package changelog
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"garnetline/decide"
+	"garnetline/internal/clock"
+	"garnetline/internal/config"
+	"garnetline/internal/sock"
+	"garnetline/internal/stats"
+)
+
+const now = 1.7e12
+
+// frame writes a frame by the protocol's own words.
+func frame(seq uint64, kind byte, payload ...byte) []byte {
+	b := binary.BigEndian.AppendUint32(nil, uint32(9+len(payload)))
+	return append(append(binary.BigEndian.AppendUint64(b, seq), kind), payload...)
+}
+
+func record(id uint32, state byte) []byte {
+	b := binary.BigEndian.AppendUint32(nil, id)
+	b = append(b, 127, 0, 0, 9, 0x13, 0xba, state, 1, 0, 0, 5)
+	b = binary.BigEndian.AppendUint32(b, 2500)
+	return binary.BigEndian.AppendUint64(b, 1_700_000_000_123)
+}
+
+func purge(object uint64, at uint64) []byte {
+	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, object), at)
+}
+
+func newLog(addr netip.AddrPort, tell func(config.Event)) *Log {
+	return New(clock.NewManual(now), &config.Config{ChangeLog: addr, Seq: 1, Zones: []string{"a", "b"}, Kinds: []string{"box"},
+		Settings: decide.Settings{PurgeDone: 6 * time.Second},
+		Known:    []config.Event{{Seq: 1, Fleet: true, Whole: true}}}, tell, stats.New())
+}
+
+// A connection that ends, or brings a broken frame, is made anew from the
+// number of the last event; what comes twice is told once.
+func TestReconnectsFromTheLastNumber(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	told := make(chan config.Event, 16)
+	log := newLog(l.Addr().(*net.TCPAddr).AddrPort(), func(ev config.Event) { told <- ev })
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		log.Run(ctx)
+		close(done)
+	}()
+	for _, c := range []struct {
+		from  uint64
+		bytes []byte
+	}{
+		{1, bytes.Join([][]byte{frame(2, 2, record(7, 0)...), frame(2, 0)}, nil)},
+		{2, bytes.Join([][]byte{frame(2, 2, record(7, 2)...), frame(3, 3, purge(9, now-50)...), frame(4, 9)}, nil)},
+		{3, bytes.Join([][]byte{frame(4, 4, append([]byte{0, 17}, purge(now, 0)[:8]...)...), {0, 0, 0, 1, 0}}, nil)},
+		{4, frame(5, 2, record(7, 1)...)},
+	} {
+		conn, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var from [8]byte
+		if _, err := io.ReadFull(conn, from[:]); err != nil || binary.BigEndian.Uint64(from[:]) != c.from {
+			t.Fatalf("asked from %v, %v; want %d", from, err, c.from)
+		}
+		if _, err := conn.Write(c.bytes); err != nil {
+			t.Fatal(err)
+		}
+		conn.Close()
+	}
+	for seq := uint64(1); seq <= 5; seq++ {
+		ev := <-told
+		if ev.Seq != seq {
+			t.Fatalf("event %d told, want %d", ev.Seq, seq)
+		}
+		if seq == 2 {
+			h := ev.Hosts[0]
+			if h.ID != 7 || h.Dial.String() != "127.0.0.9:5050" || h.Zone != 1 || h.Cell != 5 || h.Weight != 2.5 ||
+				h.Started != config.Born(1_700_000_000_123) || h.Phase != decide.Ready {
+				t.Errorf("%+v", h)
+			}
+		}
+	}
+	stop()
+	<-done
+	if g := log.Guard(); !g.Bars(7) || !g.Purged(clock.Duration(now), 9, 0) || !g.Purged(clock.Duration(now), 1, 17) ||
+		g.Purged(clock.Duration(now), 1, 16) || g.Purged(clock.Duration(now+7000), 9, 17) {
+		t.Errorf("%+v", g)
+	}
+}
+
+type source struct {
+	net.Conn
+	r io.Reader
+}
+
+func (s source) Read(p []byte) (int, error) { return s.r.Read(p) }
+
+// FuzzFrame: any bytes are events or an error, never a panic nor a buffer
+// larger than a frame may be, and zones and kinds are those of the settings.
+func FuzzFrame(f *testing.F) {
+	f.Add(frame(2, 1, append(record(1, 0), record(2, 1)...)...))
+	f.Add(frame(3, 3, purge(0, 5)...))
+	f.Add(frame(4, 4, 0, 1, 2))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		log, k := newLog(netip.AddrPort{}, nil), sock.New(source{r: bytes.NewReader(b)})
+		for {
+			ev, _, err := log.frame(k)
+			if err != nil {
+				if !errors.Is(err, ErrFrame) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+					t.Fatal(err)
+				}
+				return
+			}
+			for _, h := range ev.Hosts {
+				if h.Zone >= 2 || h.Kind >= 1 || h.Phase > decide.Draining || h.Started < 0 {
+					t.Fatalf("%+v", h)
+				}
+			}
+		}
+	})
+}
+
+// FuzzGuard checks the published guard against a plain replay of the events.
+func FuzzGuard(f *testing.F) {
+	for seed := range uint64(16) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		b := make([]byte, 90)
+		for i := range b {
+			b[i] = byte(rng.Uint32())
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		g, ready := &decide.Guard{Done: 6 * time.Second}, map[decide.ServerID]bool{}
+		at, last := map[int]float64{}, now
+		for i := 0; i+2 < len(steps); i += 3 {
+			id, x := decide.ServerID(steps[i+1]%5), int(steps[i+2])
+			last += float64(x * 10)
+			switch op := steps[i] % 4; op {
+			case 0, 1:
+				if op == 1 {
+					clear(ready)
+				}
+				p := decide.Phase(x % 3)
+				ready[id] = p == decide.Ready
+				g = next(g, config.Event{Fleet: true, Whole: op == 1,
+					Hosts: []config.Host{{Server: decide.Server{ID: id, Phase: p}}}}, clock.Duration(last))
+			default:
+				at[x%4] = last
+				g = next(g, config.Event{Purge: &config.Purge{Group: x % 4, At: last}}, clock.Duration(last))
+			}
+			for id := range decide.ServerID(5) {
+				if g.Bars(id) == ready[id] {
+					t.Fatalf("server %d: barred %v, ready %v", id, g.Bars(id), ready[id])
+				}
+			}
+			for group := range 4 {
+				told, was := at[group]
+				want := was && told+6000 > last
+				if g.Purged(clock.Duration(last), 99, group) != want {
+					t.Fatalf("group %d purged at %.0f: now %.0f, want %v", group, told, last, want)
+				}
+				age := g.Age(clock.Duration(last), 8*time.Second, 99, group)
+				if bound := clock.Duration(last - told); want && age > max(bound, time.Microsecond)+time.Millisecond || !want && age != 8*time.Second {
+					t.Fatalf("group %d: age %v", group, age)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/front/dns/dns_test.go
@@ -0,0 +1,335 @@
+package dns
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/miekg/dns"
+
+	"garnetline/decide"
+	"garnetline/internal/clock"
+	"garnetline/internal/config"
+	"garnetline/internal/core"
+	"garnetline/internal/stats"
+)
+
+const zone = "garnet.test."
+
+// rig is a front on loopback sockets over a real core, with a clock that the
+// test sets and a list that the test tells.
+type rig struct {
+	t     *testing.T
+	clk   *clock.Manual
+	c     *core.Core
+	addr  string
+	guard atomic.Pointer[decide.Guard]
+	seen  chan config.Event
+}
+
+func (r *rig) List(ev config.Event) { r.seen <- ev }
+
+func newRig(t *testing.T) *rig {
+	r := &rig{t: t, clk: clock.NewManual(1.7e12), seen: make(chan config.Event, 1)}
+	ramp := decide.Ramp{From: 0.15, Warm: 16 * time.Second, Multiple: 3, Span: 1500 * time.Millisecond}
+	set := decide.Settings{Zones: 1, Kinds: 3, ParentKind: 1, OriginKind: 2, SeatsByZone: []int{1}, Routers: 1, MaxAttempts: 6,
+		MaxBackoff: time.Second, CanCancel: true, CanJoin: true, PurgeDone: 6 * time.Second, Cache: ramp, Parent: ramp,
+		Classes: []decide.Class{{Name: "part", Effect: decide.Safe, Aim: 400 * time.Millisecond, Deadline: 4 * time.Second, Worth: 2},
+			{Name: "form", Effect: decide.Keyed, Aim: 400 * time.Millisecond, Deadline: 4 * time.Second, Worth: 2, Write: true}}}
+	var err error
+	if r.c, err = core.New(r.clk, set, 1, stats.New()); err != nil {
+		t.Fatal(err)
+	}
+	s := New(Options{Config: Config{Listen: "127.0.0.1:0", Zone: zone, Patience: 1000, Inflight: 64, Conns: 4}, Clock: r.clk,
+		Core: r.c, Classes: set.Classes, Guard: r.guard.Load, Stats: stats.New()})
+	r.c.Follow(s, r)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		r.c.Run(ctx)
+		close(done)
+	}()
+	at, err := s.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.addr = at.String()
+	t.Cleanup(func() {
+		if err := s.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+		stop()
+		<-done
+	})
+	return r
+}
+
+// tell changes the list as the change log would: the guard first, then the core.
+func (r *rig) tell(whole bool, hosts ...config.Host) {
+	g := decide.Guard{Ready: map[decide.ServerID]bool{}, Done: 6 * time.Second}
+	if old := r.guard.Load(); old != nil && !whole {
+		g.Purges = old.Purges
+		for id := range old.Ready {
+			g.Ready[id] = true
+		}
+	}
+	for _, h := range hosts {
+		g.Ready[h.ID] = h.Phase == decide.Ready
+	}
+	r.guard.Store(&g)
+	r.c.Tell(config.Event{Fleet: true, Whole: whole, Hosts: hosts})
+	<-r.seen
+}
+
+func (r *rig) purge(object decide.ObjectID, group int) {
+	g := *r.guard.Load()
+	g.Purges = append(g.Purges, decide.PurgedAt{Object: object, Group: group, At: clock.Duration(r.clk.Now())})
+	r.guard.Store(&g)
+	r.c.Tell(config.Event{Purge: &config.Purge{Object: object, Group: group, At: r.clk.Now()}})
+}
+
+func box(id, kind int, p decide.Phase) config.Host {
+	return config.Host{Server: decide.Server{ID: decide.ServerID(id), Kind: kind, Phase: p, Weight: 1},
+		Dial: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 9, byte(id)}), 5050)}
+}
+
+func (r *rig) fleet() {
+	r.tell(true, box(1, 0, decide.Ready), box(2, 0, decide.Ready), box(3, 0, decide.Ready), box(8, 1, decide.Ready), box(9, 2, decide.Ready))
+}
+
+func name(i int) string { return fmt.Sprintf("%d.%016x.g%d.part.%s", i%3, 1+i, i%7, zone) }
+
+// ask is a stand-in client: one question over UDP or TCP.
+func (r *rig) ask(network, name string, kind uint16) *dns.Msg {
+	r.t.Helper()
+	m, _, err := (&dns.Client{Net: network, Timeout: 5 * time.Second}).Exchange(new(dns.Msg).SetQuestion(name, kind), r.addr)
+	if err != nil {
+		r.t.Fatalf("%s %s: %v", network, name, err)
+	}
+	return m
+}
+
+func address(m *dns.Msg) string {
+	for _, rr := range m.Answer {
+		if a, ok := rr.(*dns.A); ok {
+			return a.A.String()
+		}
+	}
+	return ""
+}
+
+// resolver is a stand-in for a school's resolver: it keeps an answer for its
+// TTL, by the test's clock, and serves it from there.
+type resolver struct {
+	r    *rig
+	kept map[string]kept
+}
+
+type kept struct {
+	addr  string
+	until float64
+}
+
+func (s *resolver) resolve(name string) string {
+	if k, ok := s.kept[name]; ok && s.r.clk.Now() < k.until {
+		return k.addr
+	}
+	m := s.r.ask("udp", name, dns.TypeA)
+	addr := address(m)
+	if addr != "" {
+		s.kept[name] = kept{addr, s.r.clk.Now() + 1000*float64(m.Answer[0].Header().Ttl)}
+	}
+	return addr
+}
+
+// A resolver that caches for the TTL names no drained box, a second after it
+// was told or any time later.
+func TestNoDrainedBoxIsNamed(t *testing.T) {
+	r := newRig(t)
+	r.fleet()
+	res := &resolver{r: r, kept: map[string]kept{}}
+	named := map[string]bool{}
+	for i := range 60 {
+		named[res.resolve(name(i))] = true
+	}
+	if !named["127.0.9.1"] || !named["127.0.9.2"] || !named["127.0.9.3"] || len(named) != 3 {
+		t.Fatalf("named %v, want all three boxes", named)
+	}
+	r.tell(false, box(2, 0, decide.Draining))
+	for range 4 {
+		r.clk.Advance(300)
+		for i := range 60 {
+			if got := res.resolve(name(i)); got == "127.0.9.2" || got == "" {
+				t.Fatalf("%.0f ms after the drain: %q", r.clk.Now()-1.7e12, got)
+			}
+		}
+	}
+	r.tell(false, box(1, 0, decide.Gone), box(3, 0, decide.Draining))
+	if m := r.ask("tcp", name(1), dns.TypeA); m.Rcode != dns.RcodeServerFailure {
+		t.Errorf("with no box left: %v", dns.RcodeToString[m.Rcode])
+	}
+}
+
+// A box that has just started is named no more often than it may be sent to,
+// counted with the lookups alone.
+func TestLookupsCountAgainstColdBoxes(t *testing.T) {
+	r := newRig(t)
+	r.tell(true, box(1, 0, decide.Ready), box(8, 1, decide.Ready), box(9, 2, decide.Ready))
+	cold := box(2, 0, decide.Ready)
+	cold.Started = clock.Duration(r.clk.Now())
+	r.tell(false, cold)
+	for i := range 200 { // nothing was seen carried: nothing can be afforded
+		r.clk.Advance(5)
+		if got := address(r.ask("udp", name(i), dns.TypeA)); got != "127.0.9.1" {
+			t.Fatalf("lookup %d names %q while the box is cold", i, got)
+		}
+	}
+	r.clk.Advance(20_000)
+	warm := 0
+	for i := range 60 {
+		if address(r.ask("udp", name(i), dns.TypeA)) == "127.0.9.2" {
+			warm++
+		}
+	}
+	if warm == 0 {
+		t.Error("the box is never named once it is warm")
+	}
+}
+
+// While a purge may leave old copies no box is named for what it covers: an
+// answer can't say how old a copy may be.
+func TestPurge(t *testing.T) {
+	r := newRig(t)
+	r.fleet()
+	part := func(object, group string) string { return "0." + object + group + ".part." + zone }
+	const hit, other = "00000000000000aa", "00000000000000bb"
+	check := func(when, name string, want int) {
+		t.Helper()
+		if m := r.ask("udp", name, dns.TypeA); m.Rcode != want || (want == dns.RcodeSuccess) != (address(m) != "") {
+			t.Errorf("%s, %s: %v %v", when, name, dns.RcodeToString[m.Rcode], m.Answer)
+		}
+	}
+	r.purge(0xaa, 0)
+	check("purged object", part(hit, ".g3"), dns.RcodeServerFailure)
+	check("another object", part(other, ".g3"), dns.RcodeSuccess)
+	r.purge(0, 5)
+	check("purged group", part(other, ".g5"), dns.RcodeServerFailure)
+	check("another group", part(other, ".g4"), dns.RcodeSuccess)
+	check("a group that is not told", part(other, ""), dns.RcodeServerFailure)
+	check("a write", "0."+other+".g5.form."+zone, dns.RcodeSuccess)
+	r.clk.Advance(6001)
+	check("when no old copy is left", part(hit, ".g5"), dns.RcodeSuccess)
+}
+
+// SRV names the port and a target that resolves for as long as it may be used.
+func TestSRV(t *testing.T) {
+	r := newRig(t)
+	r.fleet()
+	m := r.ask("udp", name(4), dns.TypeSRV)
+	srv, ok := m.Answer[0].(*dns.SRV)
+	if !ok || srv.Port != 5050 || srv.Hdr.Ttl != 0 || len(m.Extra) != 1 {
+		t.Fatalf("%v", m)
+	}
+	want := m.Extra[0].(*dns.A).A.String()
+	if got := address(r.ask("udp", srv.Target, dns.TypeA)); got != want {
+		t.Errorf("the target resolves to %q, want %q", got, want)
+	}
+	r.clk.Advance(1500)
+	if m := r.ask("udp", srv.Target, dns.TypeA); m.Rcode != dns.RcodeNameError {
+		t.Errorf("the target still resolves: %v", m)
+	}
+}
+
+func TestOtherQuestions(t *testing.T) {
+	r := newRig(t)
+	r.fleet()
+	for _, c := range []struct {
+		name string
+		kind uint16
+		want int
+	}{
+		{"example.org.", dns.TypeA, dns.RcodeRefused},
+		{"notgarnet.test.", dns.TypeA, dns.RcodeRefused},
+		{zone, dns.TypeSOA, dns.RcodeSuccess},
+		{strings.ToUpper(name(1)), dns.TypeA, dns.RcodeSuccess},
+		{name(1), dns.TypeAAAA, dns.RcodeSuccess},
+		{"1.00000000000000aa.nothing." + zone, dns.TypeA, dns.RcodeNameError},
+		{"s-00000001." + zone, dns.TypeA, dns.RcodeNameError},
+		{"x.00000000000000aa.part." + zone, dns.TypeA, dns.RcodeFormatError},
+		{"1.aa.part." + zone, dns.TypeA, dns.RcodeFormatError},
+		{"1.00000000000000aa.g999.part." + zone, dns.TypeA, dns.RcodeFormatError},
+		{"part." + zone, dns.TypeA, dns.RcodeFormatError},
+	} {
+		for _, network := range []string{"udp", "tcp"} {
+			if m := r.ask(network, c.name, c.kind); m.Rcode != c.want {
+				t.Errorf("%s %s: %s, want %s", network, c.name, dns.RcodeToString[m.Rcode], dns.RcodeToString[c.want])
+			}
+		}
+	}
+	conn, err := net.Dial("udp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	broken := append([]byte{0x12, 0x34, 1, 0, 0, 1, 0, 0, 0, 0, 0, 0}, 0x3f, 'x') // a question cut short
+	if _, err := conn.Write(broken); err != nil {
+		t.Fatal(err)
+	}
+	b := make([]byte, 512)
+	conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if n, err := conn.Read(b); err != nil || n < 4 || int(b[3]&15) != dns.RcodeFormatError {
+		t.Errorf("a broken message: % x, %v", b[:n], err)
+	}
+}
+
+// FuzzName: any name is parsed or refused, and what is parsed names the same
+// again.
+func FuzzName(f *testing.F) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 16 {
+		f.Add(fmt.Sprintf("%d.%016x.g%d.part", rng.IntN(100), rng.Uint64(), rng.IntN(300)))
+	}
+	f.Add("..part")
+	s := New(Options{Classes: []decide.Class{{Name: "part"}}})
+	f.Fuzz(func(t *testing.T, rest string) {
+		l, rcode := s.parse(rest)
+		if rcode != dns.RcodeSuccess {
+			return
+		}
+		again := fmt.Sprintf("%d.%016x.part", l.part, uint64(l.object))
+		if l.group >= 0 {
+			again = fmt.Sprintf("%d.%016x.g%d.part", l.part, uint64(l.object), l.group)
+		}
+		if l2, _ := s.parse(again); l2 != l {
+			t.Errorf("%q: %+v, then %+v", rest, l, l2)
+		}
+	})
+}
+
+// A key that cannot be used is named; the example in deploy can be used.
+func TestLoad(t *testing.T) {
+	if c, err := Load(""); err != nil || c.Enabled {
+		t.Errorf("without a file: %+v %v", c, err)
+	}
+	if c, err := Load("../../../deploy/dns.toml"); err != nil || !c.Enabled || c.Zone != "garnetline.local." {
+		t.Errorf("deploy/dns.toml: %+v %v", c, err)
+	}
+	for text, want := range map[string]string{`listen = "x"`: "listen", `zone = "."`: "zone", `patience_ms = 0`: "patience_ms",
+		`max_inflight = 0`: "max_inflight", `max_connections = 0`: "max_connections", `ttl = 5`: "ttl"} {
+		path := filepath.Join(t.TempDir(), "dns.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Load(path); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
