--- a/decide/decide.go
+++ b/decide/decide.go
@@ -18,27 +18,28 @@
 
 // Tuned values, each with its reason.
 const (
-	hotLife    = 12 * time.Second       // a copy unused for about so long is likely to be dropped
-	hotMark    = 1.5                    // a second request soon after a first: more may meet its fill
-	forget     = time.Minute            // a server gone for so long is a new one when it comes back
-	tableMax   = 1 << 15                // objects counted, twice over; some MB at the most
-	failLimit  = 8                      // failures in a row before a rest: a router hears little
-	sickFirst  = 500 * time.Millisecond // first rest of a sick server; doubles while it stays sick
-	sickMost   = 4 * time.Second        // a server that is back must not wait much longer for work
-	coldMargin = 0.8                    // part of a cold budget used: load is uneven and capacity a guess
-	carryTau   = 15 * time.Second       // over which carried work is averaged: a router sees few pieces
-	paceTarget = 1.6                    // pace of hits, over their sending time, at which a cache is full
-	linkTarget = 1.8                    // fill of the link at which fills still run at a client's pace
-	fillTarget = 3.0                    // pace of a source's fills, over that of hits, at which it is full
-	untoldMost = 3                      // attempts of a read where outcomes tell nothing: more feed a jam
-	gateOn     = 0.7                    // fullness, as a share of the target, from which a gate rations
-	gateGain   = 0.2                    // weight of the newest observation: several must agree
-	gateLeast  = 2.0                    // a location is always allowed, or nothing would be learned
-	meanGain   = 0.02                   // weight of the newest sending time: sizes differ much
-	gateEvery  = 100 * time.Millisecond // between moves of a ration: what a fill needs to show
-	gateFirst  = 8.0                    // a location is allowed when a ration starts and none is known yet
-	refused    = 2.0                    // fullness that a server shows by refusing
-	untold     = 0.2                    // and by serving, where no outcome tells more
+	hotLife     = 12 * time.Second       // a copy unused for about so long is likely to be dropped
+	hotMark     = 1.5                    // a second request soon after a first: more may meet its fill
+	forget      = time.Minute            // a server gone for so long is a new one when it comes back
+	tableMax    = 1 << 15                // objects counted, twice over; some MB at the most
+	failLimit   = 8                      // failures in a row before a rest: a router hears little
+	sickFirst   = 500 * time.Millisecond // first rest of a sick server; doubles while it stays sick
+	sickMost    = 4 * time.Second        // a server that is back must not wait much longer for work
+	coldMargin  = 0.8                    // part of a cold budget used: load is uneven and capacity a guess
+	weightTrust = 0.7                    // part of what a weight tells that a server is taken to carry
+	carryTau    = 15 * time.Second       // over which carried work is averaged: a router sees few pieces
+	paceTarget  = 1.6                    // pace of hits, over their sending time, at which a cache is full
+	linkTarget  = 1.8                    // fill of the link at which fills still run at a client's pace
+	fillTarget  = 3.0                    // pace of a source's fills, over that of hits, at which it is full
+	untoldMost  = 3                      // attempts of a read where outcomes tell nothing: more feed a jam
+	gateOn      = 0.7                    // fullness, as a share of the target, from which a gate rations
+	gateGain    = 0.2                    // weight of the newest observation: several must agree
+	gateLeast   = 2.0                    // a location is always allowed, or nothing would be learned
+	meanGain    = 0.02                   // weight of the newest sending time: sizes differ much
+	gateEvery   = 100 * time.Millisecond // between moves of a ration: what a fill needs to show
+	gateFirst   = 8.0                    // a location is allowed when a ration starts and none is known yet
+	refused     = 2.0                    // fullness that a server shows by refusing
+	untold      = 0.2                    // and by serving, where no outcome tells more
 )
 
 // rode tells whether a look failed together with the fill for another request.
@@ -335,12 +336,27 @@
 			sent += c.v
 		}
 	}
-	budget := coldMargin * s.ramp.Multiple * r.warmth(s, r.now-s.ramp.Span) * r.peak[s.role] * r.weight(s) *
+	budget := coldMargin * s.ramp.Multiple * r.warmth(s, r.now-s.ramp.Span) * r.carries(s.role) * r.weight(s) *
 		s.ramp.Span.Seconds()
 	lot := r.seed ^ mix(uint64(s.ID)^mix(uint64(r.now/max(s.ramp.Span, 1))))
 	return sent+work < budget || sent == 0 && uniform(lot) < budget/work
 }
 
+// carries is the work a second, per weight, that this router may count on: the
+// most it saw, or its share of what weights tell where they count transfers.
+//
+// Symptom guarded against: a router that restarted, or whose whole location
+// came back cold, has seen nothing carried and refuses all until it is warm.
+func (r *Router) carries(role role) float64 {
+	told := 0.0
+	if r.set.WeightsSize && r.set.FlowKBps > 0 {
+		if told = weightTrust * r.part; role == parent {
+			told = weightTrust / float64(max(r.set.Routers, 1))
+		}
+	}
+	return max(r.peak[role], told)
+}
+
 // uniform maps a key evenly to numbers above 0 and below 1.
 func uniform(key uint64) float64 { return (float64(mix(key)>>11) + 0.5) / (1 << 53) }
 
