--- a/decide/decide.go
+++ b/decide/decide.go
@@ -39,6 +39,7 @@
 	gateEvery   = 100 * time.Millisecond // between moves of a ration: what a fill needs to show
 	gateFirst   = 8.0                    // a location is allowed when a ration starts and none is known yet
 	refused     = 2.0                    // fullness that a server shows by refusing
+	crowd       = 1.5                    // transfers out over those that fit at full pace; some wait for a fill
 	untold      = 0.2                    // and by serving, where no outcome tells more
 )
 
@@ -525,6 +526,8 @@
 		switch {
 		case q.missed && (!open || !r.link.open(r.now)) || q.lacked && !r.origin.open(r.now):
 			return s, source, false
+		case r.crowded(s):
+			return s, source, false
 		case !s.gate.open(r.now):
 			if full = true; q.hot < hotMark {
 				return s, source, false
@@ -546,6 +549,17 @@
 	return to, source, open && r.link.open(r.now) && r.origin.open(r.now)
 }
 
+// crowded tells whether a cache has as much out from this router as its link
+// sends at full pace: the weight counts transfers.
+//
+// Symptom guarded against: without notes nothing tells that a link is full but
+// that all answers are late. It might hurt where one router has more than its
+// part of a location's requests.
+func (r *Router) crowded(s *server) bool {
+	return r.set.WeightsSize && r.set.FlowKBps > 0 && !r.told &&
+		float64(s.out) >= max(2, crowd*s.Weight*r.part)
+}
+
 // pickSource returns the home parent of an object, or its stand-in where that
 // is lost or cold beyond its budget; the origin where there is no parent, and
 // for a write. open is false where what it may be sent is used up.
--- a/decide/untold_test.go
+++ b/decide/untold_test.go
@@ -77,3 +77,53 @@
 		t.Errorf("%v: want a refusal", acts)
 	}
 }
+
+// A crowded home is waited for: a hot object that went to another cache would
+// be filled there once more, over a link that is full already.
+func TestCrowdedHomeIsWaitedFor(t *testing.T) {
+	s := settings()
+	s.WeightsSize, s.SeatsByZone = true, []int{0, 1, 1}
+	list := fleet()
+	for i := range list {
+		list[i].Weight = 4
+	}
+	f := start(t, s, list)
+	var sent []Get
+	for range 10 {
+		sent = append(sent, gets(f.ask(Request{Object: 7, Left: 6 * sec}))...)
+	}
+	if want := int(crowd * 4); len(sent) != want {
+		t.Fatalf("%d attempts out, want %d", len(sent), want)
+	}
+	for _, g := range sent {
+		if g.Server != sent[0].Server {
+			t.Errorf("sent to %d and to %d", sent[0].Server, g.Server)
+		}
+	}
+	if next := gets(f.untold(sent[0], 0, Served, 10*ms)); len(next) != 1 || next[0].Server != sent[0].Server {
+		t.Errorf("when one ends %v follow, want one to the same cache", next)
+	}
+}
+
+// A router that restarted has seen nothing carried. Where all caches are cold
+// and their weights count transfers, it sends its part and no more.
+func TestColdBudgetFromWeights(t *testing.T) {
+	s := settings()
+	s.WeightsSize = true
+	list := append(fleet()[:1:1], fleet()[4:]...)
+	list[0].Weight, list[0].Started = 10, 1000*sec
+	list[1].Weight, list[2].Weight = 100, 100
+	f := start(t, s, list)
+	work := 0.0
+	for i := range 400 {
+		f.now += 5 * ms
+		for _, g := range gets(f.ask(Request{Object: ObjectID(i + 1), SizeKB: 100})) {
+			work += 0.1
+			f.untold(g, 0, Served, 100*ms)
+		}
+	}
+	// The ramp is at 0.2 to 0.36 of 10 transfers, and twice that for 2 s is too much.
+	if limit := 2 * 0.2 * 10 * 2.0; work == 0 || work > limit {
+		t.Errorf("a cold cache was sent %.1f s of work, want some and at most %.1f", work, limit)
+	}
+}
