Add the gRPC plug-in: resolver, balancer and interceptors on the core

Servers are found by DNS SRV; the interceptors make requests of RPCs, the balancer gives each the connection to the server that the core chose.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -89,6 +89,14 @@
 	return &End{Attempt: a, Result: r, Load: NoLoad()}
 }
 
+// Named is the end of an attempt that is over once its server is named: the
+// request is answered with it. The module books what it sent as work and
+// learns nothing, since how the client fares there is not told here.
+func Named(a *Attempt) *End {
+	return &End{Attempt: a, Result: decide.Cancelled, Final: true, Load: NoLoad(),
+		Answer: Answer{Kind: Served, Server: a.Get.Server}}
+}
+
 // Carrier carries attempts out. No call may block or call back: how an attempt
 // that was taken ended comes to the core's mailbox as an End.
 type Carrier interface {
--- a/internal/front/dns/dns.go
+++ b/internal/front/dns/dns.go
@@ -119,14 +119,12 @@
 	}
 }
 
-// Send names the box of an attempt. The module books what it sent as work, and
-// learns nothing: how the client fares with the box is not told here.
+// Send names the box of an attempt.
 func (s *Server) Send(a *core.Attempt) *core.End {
 	if g := s.Guard(); g.Bars(a.Get.Server) || g.Bars(a.Get.Source) {
 		return core.NotTaken(a, decide.NotSent)
 	}
-	return &core.End{Attempt: a, Result: decide.Cancelled, Final: true, Load: core.NoLoad(),
-		Answer: core.Answer{Kind: core.Served, Server: a.Get.Server}}
+	return core.Named(a)
 }
 
 // Cancel has nothing to give up: no attempt is out after Send.
--- /dev/null
+++ b/plugin/call.go
@@ -0,0 +1,174 @@
+package plugin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"garnetline/decide"
+	"garnetline/internal/clock"
+	"garnetline/internal/core"
+)
+
+const codeUnknown = codes.FailedPrecondition
+
+// call carries the attempts of one unary RPC out.
+type call struct {
+	p      *Plugin
+	ctx    context.Context
+	invoke func(ctx context.Context) error
+
+	mu     sync.Mutex
+	closed bool
+	out    sync.WaitGroup
+	err    error // of the latest attempt
+}
+
+// unary carries a unary RPC out by the core's decisions.
+func (p *Plugin) unary(ctx context.Context, method string, req, reply any, cc *grpc.ClientConn, invoker grpc.UnaryInvoker, opts ...grpc.CallOption) error {
+	r, err := p.request(ctx, method, req)
+	if err != nil {
+		return err
+	}
+	c := &call{p: p, ctx: ctx, invoke: func(ctx context.Context) error { return invoker(ctx, method, req, reply, cc, opts...) }}
+	a, err := p.submit(ctx, r, c)
+	c.end()
+	if err != nil {
+		return err
+	}
+	return c.result(a)
+}
+
+// submit hands a request to the core and waits for its answer, or for the
+// caller to leave.
+func (p *Plugin) submit(ctx context.Context, r *core.Request, c core.Carrier) (core.Answer, error) {
+	answers := make(chan core.Answer, 1)
+	r.Carrier, r.Reply = c, func(a core.Answer) { answers <- a }
+	if !p.core.Submit(r) {
+		return core.Answer{}, status.Error(codes.Canceled, "garnetline: the plugin is closed")
+	}
+	select {
+	case a := <-answers:
+		return a, nil
+	case <-ctx.Done():
+		p.core.Leave(r)
+		return core.Answer{}, status.FromContextError(ctx.Err()).Err()
+	case <-p.done:
+		return core.Answer{}, status.Error(codes.Canceled, "garnetline: the plugin is closed")
+	}
+}
+
+// end lets no further attempt begin and waits for the one that is out: it
+// still writes to the caller's reply.
+func (c *call) end() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.out.Wait()
+}
+
+// result turns the core's answer into that of the RPC.
+func (c *call) result(a core.Answer) error {
+	switch a.Kind {
+	case core.Served, core.Same:
+		return c.err
+	case core.Refused:
+		s := status.New(codes.Unavailable, "garnetline: refused, a retry is harmless")
+		if t, err := s.WithDetails(&errdetails.RetryInfo{RetryDelay: durationpb.New(clock.Duration(a.Backoff))}); err == nil {
+			s = t
+		}
+		return s.Err()
+	}
+	if c.err != nil {
+		return c.err
+	}
+	return status.Error(codes.DeadlineExceeded, "garnetline: no answer in time")
+}
+
+// Send begins an attempt.
+func (c *call) Send(a *core.Attempt) *core.End {
+	addr, ok := c.p.listed(a.Get.Server)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !ok || c.closed {
+		return core.NotTaken(a, decide.NotSent)
+	}
+	ctx, stop := context.WithDeadline(c.ctx, time.Now().Add(clock.Duration(a.Until-c.p.clock.Now())))
+	a.Via = stop
+	c.out.Add(1)
+	go func() {
+		defer c.out.Done()
+		defer stop()
+		to := &choice{addr: addr}
+		err := c.invoke(context.WithValue(ctx, choiceKey{}, to))
+		c.mu.Lock()
+		c.err = err
+		c.mu.Unlock()
+		c.p.core.End(outcome(a, err, to.picked.Load()))
+	}()
+	return nil
+}
+
+// Cancel gives an attempt up: gRPC resets its stream, and the invoker returns.
+func (c *call) Cancel(a *core.Attempt) { a.Via.(context.CancelFunc)() }
+
+// Over has nothing to book.
+func (c *call) Over(*core.Attempt) {}
+
+// outcome tells what the end of an RPC says of its attempt. What is no word
+// of the transport is the application's, and is an answer.
+func outcome(a *core.Attempt, err error, picked bool) core.End {
+	e := core.End{Attempt: a, Load: core.NoLoad(), Answer: core.Answer{Kind: core.Served, Server: a.Get.Server}}
+	switch code := status.Code(err); {
+	case code == codes.OK:
+	case !picked && code == codes.Unavailable:
+		e.Result = decide.Unreached // no connection was there to write to
+	case code == codes.Unavailable:
+		e.Result = decide.Broken
+	case code == codes.Canceled:
+		e.Result = decide.Cancelled
+	case code == codes.DeadlineExceeded:
+		e.Result = decide.TimedOut
+	case code == codes.ResourceExhausted && a.Class.Effect == decide.Safe:
+		e.Result = decide.Full
+	case code == codes.Internal, code == codes.DataLoss, code == codes.Aborted, code == codes.ResourceExhausted:
+		e.Result = decide.Errored
+	}
+	return e
+}
+
+// named carries a stream's attempt out: it is over once its server is named.
+type named struct{ p *Plugin }
+
+func (n named) Send(a *core.Attempt) *core.End {
+	if _, ok := n.p.listed(a.Get.Server); !ok {
+		return core.NotTaken(a, decide.NotSent)
+	}
+	return core.Named(a)
+}
+func (n named) Cancel(*core.Attempt) {}
+func (n named) Over(*core.Attempt)   {}
+
+// stream has the core choose a stream's server. A stream is not tried again:
+// what was sent on it can't be.
+func (p *Plugin) stream(ctx context.Context, desc *grpc.StreamDesc, cc *grpc.ClientConn, method string, streamer grpc.Streamer, opts ...grpc.CallOption) (grpc.ClientStream, error) {
+	r, err := p.request(ctx, method, nil)
+	if err != nil {
+		return nil, err
+	}
+	a, err := p.submit(ctx, r, named{p})
+	if err != nil {
+		return nil, err
+	}
+	addr, ok := p.listed(a.Server)
+	if a.Kind != core.Served || !ok {
+		return nil, (&call{}).result(core.Answer{Kind: core.Refused, Backoff: a.Backoff})
+	}
+	return streamer(context.WithValue(ctx, choiceKey{}, &choice{addr: addr}), desc, cc, method, opts...)
+}
--- /dev/null
+++ b/plugin/grpc.go
@@ -0,0 +1,182 @@
+package plugin
+
+import (
+	"context"
+	"hash/fnv"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc/balancer"
+	"google.golang.org/grpc/balancer/base"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/resolver"
+	"google.golang.org/grpc/status"
+
+	"garnetline/decide"
+	"garnetline/internal/config"
+)
+
+const (
+	balancerName = "garnetline"
+	scheme       = "garnetline"
+	lookupFor    = 2 * time.Second
+)
+
+func init() { balancer.Register(base.NewBalancerBuilder(balancerName, pickers{}, base.Config{})) }
+
+// choice is the server that the core chose for an RPC.
+type choice struct {
+	addr   string
+	picked atomic.Bool // a connection to it was there
+}
+
+type choiceKey struct{}
+
+// pickers makes the picker of the servers that are connected.
+type pickers struct{}
+
+func (pickers) Build(info base.PickerBuildInfo) balancer.Picker {
+	p := picker{}
+	for sc, i := range info.ReadySCs {
+		p[i.Address.Addr] = sc
+	}
+	return p
+}
+
+// picker finds the connection to the server that was chosen.
+type picker map[string]balancer.SubConn
+
+func (p picker) Pick(info balancer.PickInfo) (balancer.PickResult, error) {
+	c, ok := info.Ctx.Value(choiceKey{}).(*choice)
+	if !ok {
+		return balancer.PickResult{}, status.Error(codes.Internal, "garnetline: the plugin's interceptors are not in use")
+	}
+	sc, ok := p[c.addr]
+	if !ok {
+		return balancer.PickResult{}, status.Errorf(codes.Unavailable, "garnetline: %s is not connected", c.addr)
+	}
+	c.picked.Store(true)
+	return balancer.PickResult{SubConn: sc}, nil
+}
+
+// Scheme is that of the targets that the plugin resolves, as in
+// garnetline://DNSSERVER/NAME; without a DNS server the system's is asked.
+func (p *Plugin) Scheme() string { return scheme }
+
+// Build starts to follow the SRV records of the target's name.
+func (p *Plugin) Build(target resolver.Target, cc resolver.ClientConn, _ resolver.BuildOptions) (resolver.Resolver, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	w := &watcher{p: p, cc: cc, name: target.Endpoint(), stop: stop, now: make(chan struct{}, 1), dns: net.DefaultResolver}
+	if server := target.URL.Host; server != "" {
+		if _, _, err := net.SplitHostPort(server); err != nil {
+			server = net.JoinHostPort(server, "53")
+		}
+		w.dns = &net.Resolver{PreferGo: true, Dial: func(ctx context.Context, network, _ string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, network, server)
+		}}
+	}
+	w.done.Add(1)
+	go w.run(ctx)
+	return w, nil
+}
+
+// watcher is the actor that follows the list of servers in DNS.
+type watcher struct {
+	p    *Plugin
+	cc   resolver.ClientConn
+	dns  *net.Resolver
+	name string
+	now  chan struct{}
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
+
+// ResolveNow asks for a lookup before the next is due.
+func (w *watcher) ResolveNow(resolver.ResolveNowOptions) {
+	select {
+	case w.now <- struct{}{}:
+	default:
+	}
+}
+
+// Close ends the watcher.
+func (w *watcher) Close() {
+	w.stop()
+	w.done.Wait()
+}
+
+func (w *watcher) run(ctx context.Context) {
+	defer w.done.Done()
+	tick := time.NewTicker(w.p.opts.Refresh)
+	defer tick.Stop()
+	for {
+		if hosts, err := w.lookup(ctx); err == nil {
+			w.tell(hosts)
+		} else if ctx.Err() == nil {
+			w.p.count.Add("lookups_failed", 1)
+			w.cc.ReportError(err) // the last list stands
+		}
+		select {
+		case <-tick.C:
+		case <-w.now:
+			select { // no more often than ten times a refresh
+			case <-time.After(w.p.opts.Refresh / 10):
+			case <-ctx.Done():
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// lookup asks for the servers of the name: the SRV records of the lowest
+// priority and their addresses.
+func (w *watcher) lookup(ctx context.Context) ([]config.Host, error) {
+	ctx, stop := context.WithTimeout(ctx, lookupFor)
+	defer stop()
+	_, records, err := w.dns.LookupSRV(ctx, "", "", w.name)
+	if err != nil {
+		return nil, err
+	}
+	var hosts []config.Host
+	for _, r := range records { // sorted by priority
+		if r.Priority != records[0].Priority {
+			break
+		}
+		addrs, err := w.dns.LookupNetIP(ctx, "ip", strings.TrimSuffix(r.Target, ".")+".")
+		if err != nil {
+			return nil, err
+		}
+		for _, a := range addrs {
+			at := netip.AddrPortFrom(a.Unmap(), r.Port)
+			hosts = append(hosts, config.Host{Dial: at, Server: decide.Server{ID: decide.ServerID(hash(at.String())),
+				Phase: decide.Ready, Weight: max(float64(r.Weight), 1)}})
+		}
+	}
+	return hosts, nil
+}
+
+// tell hands a list to gRPC, which connects, and to the core. A server that
+// is no longer on it gets nothing from here on, whatever was decided before.
+func (w *watcher) tell(hosts []config.Host) {
+	servers, state := map[decide.ServerID]string{}, resolver.State{}
+	for _, h := range hosts {
+		servers[h.ID] = h.Dial.String()
+		state.Addresses = append(state.Addresses, resolver.Address{Addr: h.Dial.String()})
+	}
+	w.p.servers.Store(&servers)
+	w.p.core.Tell(config.Event{Fleet: true, Whole: true, Hosts: hosts})
+	if err := w.cc.UpdateState(state); err != nil {
+		w.p.count.Add("lists_not_taken", 1)
+	}
+}
+
+func hash(s string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(s))
+	return max(h.Sum64(), 1)
+}
