--- a/cmd/garnetline/serve.go
+++ b/cmd/garnetline/serve.go
@@ -37,6 +37,12 @@
 	defer count.Print(os.Stderr)
 	clk := clock.NewSystem()
 
+	// Before anything can be asked of the program: a signal that nobody waits
+	// for would end it at once.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	defer signal.Stop(signals)
+
 	listener, err := net.Listen("tcp", conf.Listen.String())
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -75,8 +81,6 @@
 	failed := make(chan error, 1)
 	go func() { failed <- front.Serve(listener) }()
 
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	for {
 		select {
 		case err := <-failed:
--- /dev/null
+++ b/cmd/garnetline/serve_test.go
@@ -0,0 +1,234 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"garnetline/internal/config"
+	"garnetline/internal/front/dns"
+)
+
+// cache is a stand-in cache: it answers each serve with what reply returns.
+type cache struct {
+	net.Listener
+	mu    sync.Mutex
+	seen  []string // the fields of each serve
+	reply func(id, fields string) string
+}
+
+func newCache(t *testing.T, reply func(id, fields string) string) *cache {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	c := &cache{Listener: l, reply: reply}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go c.serve(conn)
+		}
+	}()
+	return c
+}
+
+func (c *cache) serve(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		var n int
+		if _, err := fmt.Fscanf(in, "*%d\r\n", &n); err != nil {
+			return
+		}
+		var words []string
+		for range n {
+			var l int
+			if _, err := fmt.Fscanf(in, "$%d\r\n", &l); err != nil {
+				return
+			}
+			b := make([]byte, l+2)
+			if _, err := io.ReadFull(in, b); err != nil {
+				return
+			}
+			words = append(words, string(b[:l]))
+		}
+		if words[0] == "serve" {
+			c.mu.Lock()
+			c.seen = append(c.seen, words[2])
+			c.mu.Unlock()
+			io.WriteString(conn, c.reply(words[1], words[2]))
+		}
+	}
+}
+
+func (c *cache) sent() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.seen
+}
+
+func answer(id, word, fields, body string) string {
+	return fmt.Sprintf("*4\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n", len(id), id, len(word), word, len(fields), fields, len(body), body)
+}
+
+// newLog is a stand-in change log that brings nothing new. Each connection's
+// number is reported on the channel.
+func newLog(t *testing.T) (net.Addr, chan uint64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	from := make(chan uint64, 8)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			var b [8]byte
+			if _, err := io.ReadFull(conn, b[:]); err == nil {
+				from <- binary.BigEndian.Uint64(b[:])
+			}
+		}
+	}()
+	return l.Addr(), from
+}
+
+func free(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func host(id int, class string, addr net.Addr) string {
+	return fmt.Sprintf(`{"host":"s-%08x","dial":%q,"site":"edge","class":%q,"block":0,"health":"ready","share":100,"born_ms":0}`, id, addr, class)
+}
+
+const settings = `{"areas":["edge"],"machine_types":["box","parent","origin"],"zone":0,"weights":"rough",
+"classes":[{"name":"part","effect":"read_like","aim_us":400000,"deadline_us":4000000,"value":2.0},
+ {"name":"form","effect":"idempotency_key","group":"all","window_us":2000000,"aim_us":400000,"deadline_us":4000000,"value":3.0}],
+"family_info":{"class_write":[false,true],"root_kind":2,"second_tier_kind":1,"seats_by_zone":[1],"cleared_within_us":6000000,"one_flow_kb_per_s":5000,"can_join":true},
+"limits":{"try_limit":6,"cancel":true,"retry_after":true,"max_retry_after_us":2000000},"rules":{"cold_from":0.15,"cold_us":16000000,"fall_multiple":3.0,"overload_for_us":1500000}}`
+
+// One whole run on real sockets: requests are served, a break is tried again,
+// SIGTERM lets new ones in for a while, and the end is clean.
+func TestServe(t *testing.T) {
+	broken := true
+	var mu sync.Mutex
+	reply := func(id, fields string) string {
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case strings.Contains(fields, "sort=form"):
+			return answer(id, "DONE", "tag=w1,minted=1", "written")
+		case strings.Contains(fields, "asset=00000000000000bb") && broken:
+			broken = false
+			return answer(id, "BROKE", "-", "")
+		case strings.Contains(fields, "known=t7"):
+			return answer(id, "KEEP", "tag=t7,minted=1", "")
+		}
+		return answer(id, "DONE", "tag=t7,minted=1", "the\r\nbytes\x00")
+	}
+	a, b := newCache(t, reply), newCache(t, reply)
+	log, from := newLog(t)
+	listen := free(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"1","limits":{"cores":1,"memory_mb":192,"sockets":1024},"changelog":%q,
+"known":{"seq":4,"results":[{"seq":4,"fleet":{"seq":0,"whole":true,"hosts":[%s,%s,%s,%s]}}]},"settings":%s}`, listen, log,
+		host(1, "box", a.Addr()), host(2, "box", b.Addr()), host(8, "parent", a.Addr()), host(9, "origin", a.Addr()), settings)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	conf, err := config.Load(path, func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- serve(context.Background(), conf, dns.Config{}) }()
+	if seq := <-from; seq != 4 {
+		t.Errorf("the change log was asked from %d, want 4", seq)
+	}
+	ask := func(method, target, body string, head ...string) (int, string) {
+		t.Helper()
+		r, err := http.NewRequest(method, "http://"+listen+target, strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := 0; i+1 < len(head); i += 2 {
+			r.Header.Set(head[i], head[i+1])
+		}
+		r.Header.Set("X-Txn", fmt.Sprintf("%016x", time.Now().UnixNano()))
+		r.Header.Set("X-Ttl-Ms", "4000")
+		w, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer w.Body.Close()
+		got, err := io.ReadAll(w.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return w.StatusCode, string(got)
+	}
+	check := func(what string, status int, got string, wantStatus int, want string) {
+		t.Helper()
+		if status != wantStatus || got != want {
+			t.Errorf("%s: %d %q, want %d %q", what, status, got, wantStatus, want)
+		}
+	}
+	status, _ := ask("GET", "/healthz", "")
+	for range 1000 { // until the list has been taken
+		if status == 200 {
+			break
+		}
+		status, _ = ask("GET", "/healthz", "")
+	}
+	const bytes = "the\r\nbytes\x00"
+	status, got := ask("GET", "/v1/part/00000000000000aa?block=2", "", "X-Family", "9")
+	check("a read", status, got, 200, bytes)
+	status, got = ask("GET", "/v1/part/00000000000000bb", "")
+	check("a read that breaks once", status, got, 200, bytes)
+	status, got = ask("GET", "/v1/part/00000000000000aa", "", "If-None-Match", `"t7"`)
+	check("a copy that holds", status, got, 304, "")
+	status, got = ask("PUT", "/v1/form/00000000000000cc", "answer", "X-Txn-Key", "k1")
+	check("a write", status, got, 200, "written")
+	sent := strings.Join(append(a.sent(), b.sent()...), "\n")
+	for _, want := range []string{"sort=part,asset=00000000000000aa,slice=2,patience=", ",via=s-00000008", ",op=k1,via=s-00000009"} {
+		if !strings.Contains(sent, want) {
+			t.Errorf("%q was never sent:\n%s", want, sent)
+		}
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for status, _ = ask("GET", "/healthz", ""); status == 200; status, _ = ask("GET", "/healthz", "") {
+	}
+	status, got = ask("GET", "/v1/part/00000000000000aa", "")
+	check("a read while stopping", status, got, 200, bytes)
+	http.DefaultClient.CloseIdleConnections()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	if _, err := net.Dial("tcp", listen); err == nil {
+		t.Error("still listening after the end")
+	}
+}
