Change the source, not the cache, after a first untold refusal

Cause: while a parent is lost each miss of its objects is refused without a word, and again() left the home cache for the next, which asked the same parent; three caches later the request was refused. The cache is now asked once more with the next parent.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -758,12 +758,13 @@
 
 // again decides what follows a failed attempt.
 func (r *Router) again(q *request, a *attempt, o Outcome) {
+	untold := !r.told && o.Result == Full && !q.class.Write // by the cache, or by its source
 	switch {
 	case a.look && o.Result == Miss || a.rode(o.Note):
 		q.missed = true
 	case q.missed && (o.Note == SourceLacks || a.held && o.Result == Miss) && !q.lacked:
 		q.lacked = true
-	case o.Note >= SourceRefused && o.Note != NoFillPlace:
+	case o.Note >= SourceRefused && o.Note != NoFillPlace || untold && a.n == 0:
 		q.avoid = append(q.avoid, a.source)
 	default:
 		q.avoid = append(q.avoid, a.to)
--- a/decide/untold_test.go
+++ b/decide/untold_test.go
@@ -129,3 +129,18 @@
 		t.Errorf("a cold cache was sent %.1f s of work, want some and at most %.1f", work, limit)
 	}
 }
+
+// A refusal without a word may be the source's: the home cache is asked once
+// more with another (the symptom: while a parent was lost, every miss of its
+// objects went round the caches and was refused).
+func TestUntoldRefusalChangesTheSource(t *testing.T) {
+	f := start(t, settings(), fleet())
+	a := f.one(f.ask(Request{Object: 7, Left: 6 * sec}))
+	b := f.one(f.untold(a, 0, Full, ms))
+	if b.Server != a.Server || b.Source == a.Source {
+		t.Errorf("%+v follows %+v: want the same cache and another source", b, a)
+	}
+	if c := f.one(f.untold(b, 1, Full, ms)); c.Server == a.Server {
+		t.Errorf("%+v: want another cache after two refusals", c)
+	}
+}
