Bound copies while the change log is cut off; one purge table

A purge binds once it is in the change log, heard or not. The module's own purge table is a Guard now.

--- a/cmd/garnetline/main.go
+++ b/cmd/garnetline/main.go
@@ -25,11 +25,7 @@
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "serve until SIGTERM; SIGUSR1 prints the counters", Flags: []cli.Flag{path, names},
 				Action: func(ctx context.Context, c *cli.Command) error {
-					conf, err := config.Load(c.String("config"), os.Getenv)
-					if err != nil {
-						return err
-					}
-					lookups, err := dns.Load(c.String("dns"))
+					conf, lookups, err := load(c)
 					if err != nil {
 						return err
 					}
@@ -37,11 +33,7 @@
 				}},
 			{Name: "check", Usage: "check a configuration and say what it holds", Flags: []cli.Flag{path, names},
 				Action: func(_ context.Context, c *cli.Command) error {
-					conf, err := config.Load(c.String("config"), os.Getenv)
-					if err != nil {
-						return err
-					}
-					lookups, err := dns.Load(c.String("dns"))
+					conf, lookups, err := load(c)
 					if err != nil {
 						return err
 					}
@@ -64,3 +56,13 @@
 		os.Exit(1)
 	}
 }
+
+// load reads what the flags and the environment name.
+func load(c *cli.Command) (*config.Config, dns.Config, error) {
+	conf, err := config.Load(c.String("config"), os.Getenv)
+	if err != nil {
+		return nil, dns.Config{}, err
+	}
+	lookups, err := dns.Load(c.String("dns"))
+	return conf, lookups, err
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -129,7 +129,7 @@
 	sizes    bounded[float64] // least sending time seen by part, seconds
 	origin   gate             // rations what parents must fetch from the origin
 	link     gate             // rations the fills that come in through the location's link
-	purges   []purge          // in the order told
+	purges   Guard            // only its purges are used
 	size     [roles]float64   // weights of the ready ones by role
 	carried  [roles]rate      // work a second that they served for this router
 	peak     [roles]float64   // the most of that seen, per weight
@@ -940,29 +940,16 @@
 	return count
 }
 
-// purge is when an object or, with object 0, a group was purged.
-type purge struct {
-	object ObjectID
-	group  int
-	at     time.Duration
-}
-
 // purged books a purge and forgets those whose older copies are gone.
 func (r *Router) purged(p Purge) {
-	r.purges = slices.DeleteFunc(r.purges, func(x purge) bool { return x.at+r.set.PurgeDone < r.now })
-	r.purges = append(r.purges, purge{p.Object, p.Group, r.now - p.Age})
+	gone := func(x PurgedAt) bool { return x.At+r.set.PurgeDone < r.now }
+	r.purges.Done = r.set.PurgeDone
+	l := slices.DeleteFunc(r.purges.Purges, gone)
+	r.purges.Purges = append(l, PurgedAt{p.Object, p.Group, r.now - p.Age})
 }
 
 // age returns the oldest copy that will do for q: fresh, and younger than the
 // latest purge of its object or group. 0 means that any will do.
 func (r *Router) age(q *request) time.Duration {
-	bound := q.class.Fresh
-	for _, p := range r.purges {
-		if p.object == q.Object || p.object == 0 && p.group == q.Group {
-			if since := max(r.now-p.at, time.Microsecond); bound == 0 || since < bound {
-				bound = since
-			}
-		}
-	}
-	return bound
+	return r.purges.Age(r.now, q.class.Fresh, q.Object, q.Group)
 }
--- a/decide/guard.go
+++ b/decide/guard.go
@@ -5,9 +5,23 @@
 // Guard is what an attempt is held against once more when it is written: it
 // may have been queued since it was decided. A Guard does not change.
 type Guard struct {
-	Ready  map[ServerID]bool // listed, and neither draining nor gone
-	Purges []PurgedAt
-	Done   time.Duration // after it a purge has left no older copy
+	Ready   map[ServerID]bool // listed, and neither draining nor gone
+	Purges  []PurgedAt
+	Done    time.Duration // after it a purge has left no older copy
+	Grace   time.Duration // after it a purge binds
+	Purging bool          // purges have been told
+	Heard   time.Duration // latest word of the change log; 0: it is not followed
+}
+
+// deafAfter is when a change log counts as cut off: it says something each second.
+const deafAfter = 1500 * time.Millisecond
+
+// deaf tells whether there may be purges that were not heard of.
+//
+// Symptom guarded against: with the change log cut off a purge binds all the
+// same. It might hurt for as long as that lasts: copies must be nearly new.
+func (g *Guard) deaf(now time.Duration) bool {
+	return g.Purging && g.Heard != 0 && now > g.Heard+deafAfter
 }
 
 // PurgedAt is a purge and when it was made.
@@ -29,8 +43,8 @@
 // Symptom guarded against: an attempt decided just before a purge is written
 // after it, and is answered from the old copy.
 func (g *Guard) Age(now, age time.Duration, o ObjectID, group int) time.Duration {
-	if g == nil {
-		return age
+	if g.deaf(now) && (age == 0 || age > g.Grace) {
+		age = g.Grace
 	}
 	for _, p := range g.Purges {
 		if p.At+g.Done > now && p.covers(o, group) {
@@ -45,8 +59,8 @@
 // Purged tells whether old copies of an object may still lie about. With group
 // -1 the object's group is not known, and a purge of any group counts.
 func (g *Guard) Purged(now time.Duration, o ObjectID, group int) bool {
-	if g == nil {
-		return false
+	if g == nil || g.deaf(now) {
+		return g != nil
 	}
 	for _, p := range g.Purges {
 		if p.At+g.Done > now && (p.covers(o, group) || p.Object == 0 && group < 0) {
--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -54,7 +54,7 @@
 	l.dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", to.String())
 	}
-	l.guard.Store(&decide.Guard{Done: conf.Settings.PurgeDone})
+	l.guard.Store(&decide.Guard{Done: conf.Settings.PurgeDone, Grace: conf.Settings.PurgeGrace})
 	return l
 }
 
@@ -95,7 +95,8 @@
 
 // next is the guard after one more event.
 func next(g *decide.Guard, ev config.Event, now time.Duration) *decide.Guard {
-	n := &decide.Guard{Ready: g.Ready, Done: g.Done}
+	n := *g
+	n.Heard = now
 	if ev.Fleet {
 		n.Ready = map[decide.ServerID]bool{}
 		if !ev.Whole { // a whole list names all that there are
@@ -106,11 +107,12 @@
 		}
 		maps.DeleteFunc(n.Ready, func(_ decide.ServerID, ready bool) bool { return !ready })
 	}
+	n.Purging = n.Purging || ev.Purge != nil
 	n.Purges = slices.DeleteFunc(slices.Clone(g.Purges), func(p decide.PurgedAt) bool { return p.At+g.Done < now })
 	if ev.Purge != nil {
 		n.Purges = append(n.Purges, decide.PurgedAt{Object: ev.Purge.Object, Group: ev.Purge.Group, At: clock.Duration(ev.Purge.At)})
 	}
-	return n
+	return &n
 }
 
 // follow reads one connection until it breaks; heard tells that a frame came.
@@ -139,6 +141,10 @@
 		if kind != 0 && ev.Seq > l.seq {
 			l.take(ev)
 			l.seq = ev.Seq
+		} else {
+			g := *l.guard.Load()
+			g.Heard = clock.Duration(l.clock.Now())
+			l.guard.Store(&g)
 		}
 	}
 	return heard, ctx.Err()
