Bound the connections to all peers together; Finish ends Serve first

Large fleets could take all descriptors, after which dials fail and the caches look dead. Finish waited for the open connections while Serve could still add one: it closes the listener and waits for Serve before that.

--- a/cmd/garnetline/serve.go
+++ b/cmd/garnetline/serve.go
@@ -27,7 +27,8 @@
 	// the front sends some for 0.6 s yet.
 	lameDuck  = 700 * time.Millisecond
 	heapShare = 0.7 // of the memory limit, for the runtime; the kernel counts more
-	connShare = 0.6 // of the descriptors, for clients; peers and files have the rest
+	connShare = 0.6 // of the descriptors, for clients
+	linkShare = 0.3 // of the descriptors, for peers; files and the DNS front have the rest
 )
 
 // serve runs the router until a signal ends it.
@@ -47,7 +48,6 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	defer listener.Close()
 
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -60,7 +60,8 @@
 		c.Tell(ev)
 		told.Store(true)
 	}, count)
-	pool := peer.NewPool(ctx, peer.Options{Clock: clk, Conn: conf.Conn, Guard: log.Guard, End: c.End, Stats: count})
+	pool := peer.NewPool(ctx, peer.Options{Clock: clk, Conn: conf.Conn, Guard: log.Guard, End: c.End, Stats: count,
+		Links: int64(float64(conf.Limits.Sockets) * linkShare)})
 	names := dns.New(dns.Options{Config: lookups, Clock: clk, Core: c, Classes: conf.Settings.Classes,
 		Guard: log.Guard, Stats: count})
 	c.Follow(pool, names)
@@ -95,7 +96,6 @@
 	}
 	front.Stopping()
 	time.Sleep(lameDuck)
-	listener.Close()
 	front.Finish()
 	return nil
 }
--- a/internal/front/http/http.go
+++ b/internal/front/http/http.go
@@ -62,19 +62,26 @@
 	Options
 	slots    chan struct{}
 	open     sync.WaitGroup
-	closing  atomic.Bool // answers say so and no connection is kept
-	stopping atomic.Bool // the health check says so
+	closing  atomic.Bool   // answers say so and no connection is kept
+	stopping atomic.Bool   // the health check says so
+	accepted chan struct{} // closed when Serve has returned
 	mu       sync.Mutex
 	idle     map[*conn]bool
+	listener net.Listener
 }
 
 // New returns a server that has not been started.
 func New(o Options) *Server {
-	return &Server{Options: o, slots: make(chan struct{}, max(o.Conns, 1)), idle: map[*conn]bool{}}
+	return &Server{Options: o, slots: make(chan struct{}, max(o.Conns, 1)), idle: map[*conn]bool{},
+		accepted: make(chan struct{})}
 }
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until Finish closes the listener. It is called once.
 func (s *Server) Serve(l net.Listener) error {
+	defer close(s.accepted)
+	s.mu.Lock()
+	s.listener = l
+	s.mu.Unlock()
 	for {
 		s.slots <- struct{}{}
 		c, err := l.Accept()
@@ -100,15 +107,17 @@
 // Stopping makes the health check fail; all else goes on.
 func (s *Server) Stopping() { s.stopping.Store(true) }
 
-// Finish closes idle connections, lets the others finish what is open on them
-// and returns when all are closed.
+// Finish ends Serve, closes idle connections, lets the others finish what is
+// open on them and returns when all are closed.
 func (s *Server) Finish() {
 	s.closing.Store(true)
 	s.mu.Lock()
+	s.listener.Close()
 	for c := range s.idle {
 		c.k.Net.SetReadDeadline(time.Now())
 	}
 	s.mu.Unlock()
+	<-s.accepted
 	s.open.Wait()
 }
 
--- a/internal/front/http/http_test.go
+++ b/internal/front/http/http_test.go
@@ -79,11 +79,10 @@
 	}
 	t.Cleanup(func() {
 		c.Close()
-		l.Close()
+		s.Finish()
 		if err := <-done; err != nil {
 			t.Error(err)
 		}
-		s.Finish()
 	})
 	return c
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -34,6 +34,8 @@
 	End   func(core.End)       // takes the ends of attempts; it may block
 	Stats *stats.Set
 	Dial  func(ctx context.Context, to netip.AddrPort) (net.Conn, error) // nil: TCP
+	Links int64                                                          // connections of all peers together; 0: no bound
+	live  *atomic.Int64                                                  // of those, open or being dialled
 }
 
 // Pool holds the peers by id. It belongs to the core's goroutine.
@@ -50,6 +52,7 @@
 			return (&net.Dialer{}).DialContext(ctx, "tcp", to.String())
 		}
 	}
+	o.live = new(atomic.Int64)
 	return &Pool{Options: o, ctx: ctx, peers: map[decide.ServerID]*Peer{}}
 }
 
@@ -210,7 +213,7 @@
 			p.end(*core.NotTaken(a, res))
 		case l != nil:
 			p.write(l, a)
-		case p.leaving || len(p.links) >= maxLinks && !p.dialing:
+		case p.leaving || !p.dialing && (len(p.links) >= maxLinks || p.Links > 0 && p.live.Load() >= p.Links):
 			p.end(*core.NotTaken(a, decide.Full))
 		default:
 			held = append(held, a)
@@ -220,6 +223,7 @@
 	p.waiting = held
 	if len(held) > 0 && !p.dialing {
 		p.dialing = true
+		p.live.Add(1)
 		p.Stats.Add("peer_dials", 1)
 		go p.dial(ctx)
 	}
@@ -312,6 +316,7 @@
 	}
 	l.lost = true
 	l.k.Close()
+	p.live.Add(-1)
 	p.links = slices.DeleteFunc(p.links, func(x *link) bool { return x == l })
 	for _, s := range l.open {
 		p.end(core.End{Attempt: s.a, Result: decide.Broken, Load: core.NoLoad()})
@@ -345,6 +350,7 @@
 func (p *Peer) dialed(ctx context.Context, e event) {
 	p.dialing = false
 	if e.err != nil {
+		p.live.Add(-1)
 		p.Stats.Add("peer_dials_failed", 1)
 		failed := p.waiting
 		p.waiting = nil
@@ -399,8 +405,11 @@
 	ctx, stop := context.WithTimeout(ctx, clock.Duration(p.Conn.Connect))
 	defer stop()
 	c, err := p.Dial(ctx, p.addr)
-	if !p.tell(event{conn: c, err: err}) && c != nil {
-		c.Close()
+	if !p.tell(event{conn: c, err: err}) { // the actor has ended meanwhile
+		p.live.Add(-1)
+		if c != nil {
+			c.Close()
+		}
 	}
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -81,7 +82,7 @@
 	m := &model{t: t, dials: make(chan *wire), clk: clock.NewManual(1.7e12), ends: map[*core.Attempt][]decide.Result{}, asked: map[*core.Attempt]bool{},
 		guard: &decide.Guard{Ready: map[decide.ServerID]bool{1: true, 8: true}, Done: 6 * time.Second}}
 	m.p = newPeer(Options{Clock: m.clk, Conn: config.Conn{Idle: 15000, Connect: 400, MaxStreams: 3},
-		Guard: func() *decide.Guard { return m.guard }, Stats: stats.New(),
+		Guard: func() *decide.Guard { return m.guard }, Stats: stats.New(), Links: 5, live: new(atomic.Int64),
 		End: func(e core.End) { m.ends[e.Attempt] = append(m.ends[e.Attempt], e.Result) },
 		Dial: func(context.Context, netip.AddrPort) (net.Conn, error) {
 			if w := <-m.dials; w != nil {
@@ -218,6 +219,13 @@
 			}
 		}
 	}
+	want := int64(len(m.p.links))
+	if m.p.dialing {
+		want++
+	}
+	if got := m.p.live.Load(); got != want || got > m.p.Links {
+		m.t.Fatalf("%d connections are counted, want %d and at most %d", got, want, m.p.Links)
+	}
 	for i, w := range m.wires {
 		if !live[w] && !w.isClosed() {
 			m.t.Fatalf("connection %d was dropped without being closed", i)
