--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -284,7 +284,11 @@
 	if e.Result == decide.Cancelled && a.asked {
 		e.Result = a.ending
 	}
-	c.count.Add("attempts_"+resultNames[e.Result], 1)
+	if e.Final {
+		c.count.Add("attempts_named", 1)
+	} else {
+		c.count.Add("attempts_"+resultNames[e.Result], 1)
+	}
 	r := a.Req
 	if !r.answered && (e.Result == decide.Served || e.Final) {
 		c.answer(r, e.Answer)
--- a/internal/front/http/http.go
+++ b/internal/front/http/http.go
@@ -30,7 +30,6 @@
 	maxHead    = 16 << 10
 	maxBody    = 48_000
 	maxWait    = 60_000.0 // ms; a longer X-Ttl-Ms is cut to it
-	maxPart    = 1 << 31
 	idleFor    = 30_000.0 // ms that a connection may be idle; clients close after 4 s
 	headFor    = 5_000.0  // ms from a request's first byte to its last
 	writeFor   = 2_000.0  // ms that an answer may take to be written
@@ -411,7 +410,7 @@
 	}
 	if v := values.Get("block"); v != "" || values.Has("block") {
 		n, err := strconv.ParseUint(v, 10, 31)
-		if err != nil || n >= maxPart || strconv.FormatUint(n, 10) != v {
+		if err != nil || strconv.FormatUint(n, 10) != v {
 			return bad("block: not a number")
 		}
 		q.Part = int(n)
