Let writes pass a crowded cache

Cause: a write goes through a cache, and the rule on crowded homes held it there with the reads until its time was up, though its bytes are few.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -526,7 +526,7 @@
 		switch {
 		case q.missed && (!open || !r.link.open(r.now)) || q.lacked && !r.origin.open(r.now):
 			return s, source, false
-		case r.crowded(s):
+		case r.crowded(s) && !q.class.Write:
 			return s, source, false
 		case !s.gate.open(r.now):
 			if full = true; q.hot < hotMark {
--- a/decide/untold_test.go
+++ b/decide/untold_test.go
@@ -144,3 +144,21 @@
 		t.Errorf("%+v: want another cache after two refusals", c)
 	}
 }
+
+// A write does not wait for a crowded cache: its bytes are few and its worth
+// is the highest (the symptom: a third of the writes was refused unsent).
+func TestWritesPassACrowdedCache(t *testing.T) {
+	s := settings()
+	s.WeightsSize, s.Direct = true, false
+	list := fleet()
+	for i := range list {
+		list[i].Weight = 2
+	}
+	f := start(t, s, list)
+	for range 10 * len(f.r.list[cache]) {
+		f.ask(Request{Object: ObjectID(f.next), Left: 6 * sec})
+	}
+	if g := f.one(f.ask(Request{Object: 7, Class: 2, Left: 3 * sec})); !f.r.crowded(f.r.open[g.ID].tries[0].to) {
+		t.Error("the write went to a cache that was not crowded")
+	}
+}
