--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -372,3 +372,43 @@
 		t.Errorf("a body too long: %v", err)
 	}
 }
+
+// A new cache may have the address of one that has gone: it is another peer,
+// with connections of its own, and the old id gets nothing more.
+func TestAddressReused(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	dials := make(chan netip.AddrPort, 4)
+	g := &decide.Guard{Ready: map[decide.ServerID]bool{1: true, 2: true, 8: true}}
+	ends := make(chan core.End, 4)
+	p := NewPool(ctx, Options{Clock: clock.NewManual(1.7e12), Conn: config.Conn{Idle: 15000, Connect: 60_000, MaxStreams: 3},
+		Guard: func() *decide.Guard { return g }, Stats: stats.New(), End: func(e core.End) { ends <- e },
+		Dial: func(_ context.Context, to netip.AddrPort) (net.Conn, error) {
+			dials <- to
+			return nil, errors.New("refused")
+		}})
+	at := netip.MustParseAddrPort("127.0.0.9:5050")
+	host := func(id int, phase decide.Phase) config.Host {
+		return config.Host{Server: decide.Server{ID: decide.ServerID(id), Phase: phase}, Dial: at}
+	}
+	attempt := func(id int) *core.Attempt {
+		return &core.Attempt{Req: &core.Request{Txn: fmt.Sprint(id)}, Class: &decide.Class{}, Until: 1.7e12 + 1000,
+			Get: decide.Get{Server: decide.ServerID(id), Source: 8}}
+	}
+	p.List(config.Event{Fleet: true, Whole: true, Hosts: []config.Host{host(1, decide.Ready)}})
+	old := p.peers[1]
+	p.List(config.Event{Fleet: true, Hosts: []config.Host{host(1, decide.Gone), host(2, decide.Ready)}})
+	if p.peers[1] != nil || p.peers[2] == nil || p.peers[2] == old {
+		t.Fatalf("peers %v", p.peers)
+	}
+	if e := p.Send(attempt(1)); e == nil || e.Result != decide.NotSent {
+		t.Errorf("an attempt to the one that has gone: %v", e)
+	}
+	if e := p.Send(attempt(2)); e != nil {
+		t.Errorf("an attempt to the new one: %v", e.Result)
+	}
+	if to, e := <-dials, <-ends; to != at || e.Result != decide.Unreached {
+		t.Errorf("dialled %v, ended as %v", to, e.Result)
+	}
+	<-old.done // it ends by itself: nothing is out
+}
