--- /dev/null
+++ b/internal/clock/clock_test.go
@@ -0,0 +1,33 @@
+package clock
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// The module's times and the program's convert into one another, and what does
+// not fit is cut, not wrapped.
+func TestConversions(t *testing.T) {
+	for ms, want := range map[float64]time.Duration{0: 0, 1.5: 1500 * time.Microsecond, -2: -2 * time.Millisecond,
+		1e300: math.MaxInt64, math.Inf(-1): math.MinInt64} {
+		if got := Duration(ms); got != want {
+			t.Errorf("%v ms became %v, want %v", ms, got, want)
+		}
+	}
+	if got := Duration(math.NaN()); got != 0 {
+		t.Errorf("no number became %v", got)
+	}
+	if got := Millis(1500 * time.Microsecond); got != 1.5 {
+		t.Errorf("1.5 ms became %v", got)
+	}
+	c := NewManual(10)
+	c.Advance(2.5)
+	if c.Now() != 12.5 {
+		t.Errorf("the clock stands at %v", c.Now())
+	}
+	s := NewSystem()
+	if a, b := s.Now(), s.Now(); b < a || math.Abs(a-float64(time.Now().UnixMilli())) > 60_000 {
+		t.Errorf("the system's clock says %v, then %v", a, b)
+	}
+}
