--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -27,7 +27,7 @@
 	recordLen  = 27
 	headLen    = 8 + 1                       // number and kind, which the length counts
 	maxFrame   = headLen + recordLen*(8<<10) // a list longer than any fleet
-	silence    = 2500.0                      // ms without a frame: one comes each second
+	silence    = 1600.0                      // ms without a frame: one comes each second
 	dialWithin = 500.0
 	retryFirst = 50.0 // ms before the next connection; doubles
 	retryMost  = 800.0
--- /dev/null
+++ b/plugin/example_test.go
@@ -0,0 +1,30 @@
+package plugin_test
+
+import (
+	"fmt"
+
+	"garnetline/plugin"
+)
+
+// A description says what may be repeated: reads at will, writes with a key
+// for as long as the key is remembered.
+func ExampleOpenAPI() {
+	ops, err := plugin.OpenAPI([]byte(`
+openapi: 3.0.3
+info: {title: puzzles, version: "1"}
+paths:
+  /solutions:
+    post:
+      operationId: Solve
+      x-garnetline-class: solution
+      parameters: [{name: Idempotency-Key, in: header, schema: {type: string}}]
+      responses: {"200": {description: taken}}
+`), []string{"solution"})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	op, ok := ops.Find("/puzzles.Solutions/Solve")
+	fmt.Println(ok, op.Class, op.Effect == plugin.Keyed)
+	// Output: true solution true
+}
