SIGHUP swaps the configuration whole and follows the new change log at once

Checked: the logs end without a word; cmd/garnetline/serve.go gave signal.Notify no SIGHUP, so the runtime's default ended the program. Ruled out: the new file, which parses. Changed: the file is read again; config.Admits names what only a restart can change; a pointer is replaced whole and read by the fronts and peers as of now; the core has the module adopt the settings; the change log's connection is cut and the new address asked from the last number, what the new file knows beyond it being told first. Checking the settings, which decides nothing, moved to api.go beside their type. Tests: TestReload (an open request is answered, a broken file changes nothing) dies of the signal without the change; TestReloadFollowsTheNewLog.

--- a/cmd/garnetline/main.go
+++ b/cmd/garnetline/main.go
@@ -23,13 +23,14 @@
 		Name:  "garnetline",
 		Usage: "edge router for caches of large objects",
 		Commands: []*cli.Command{
-			{Name: "serve", Usage: "serve until SIGTERM; SIGUSR1 prints the counters", Flags: []cli.Flag{path, names},
+			{Name: "serve", Usage: "serve until SIGTERM; SIGHUP reads the configuration again, SIGUSR1 prints the counters", Flags: []cli.Flag{path, names},
 				Action: func(ctx context.Context, c *cli.Command) error {
 					conf, lookups, err := load(c)
 					if err != nil {
 						return err
 					}
-					return serve(ctx, conf, lookups)
+					again := func() (*config.Config, error) { return config.Load(c.String("config"), os.Getenv) }
+					return serve(ctx, conf, again, lookups)
 				}},
 			{Name: "check", Usage: "check a configuration and say what it holds", Flags: []cli.Flag{path, names},
 				Action: func(_ context.Context, c *cli.Command) error {
--- a/cmd/garnetline/serve.go
+++ b/cmd/garnetline/serve.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"garnetline/decide"
 	"garnetline/internal/changelog"
 	"garnetline/internal/clock"
 	"garnetline/internal/config"
@@ -31,9 +32,12 @@
 	linkShare = 0.3 // of the descriptors, for peers; files and the DNS front have the rest
 )
 
-// serve runs the router until a signal ends it.
-func serve(ctx context.Context, conf *config.Config, lookups dns.Config) error {
+// serve runs the router until a signal ends it. again reads the configuration
+// anew.
+func serve(ctx context.Context, conf *config.Config, again func() (*config.Config, error), lookups dns.Config) error {
 	bound(conf.Limits)
+	var now atomic.Pointer[config.Config] // read whole by all parts, replaced whole
+	now.Store(conf)
 	count := stats.New()
 	defer count.Print(os.Stderr)
 	clk := clock.NewSystem()
@@ -41,7 +45,7 @@
 	// Before anything can be asked of the program: a signal that nobody waits
 	// for would end it at once.
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	defer signal.Stop(signals)
 
 	listener, err := net.Listen("tcp", conf.Listen.String())
@@ -60,9 +64,11 @@
 		c.Tell(ev)
 		told.Store(true)
 	}, count)
-	pool := peer.NewPool(ctx, peer.Options{Clock: clk, Conn: conf.Conn, Guard: log.Guard, End: c.End, Stats: count,
-		Links: int64(float64(conf.Limits.Sockets) * linkShare)})
-	names := dns.New(dns.Options{Config: lookups, Clock: clk, Core: c, Classes: conf.Settings.Classes,
+	pool := peer.NewPool(ctx, peer.Options{Clock: clk, Conn: func() config.Conn { return now.Load().Conn },
+		Guard: log.Guard, End: c.End, Stats: count,
+		Links: func() int64 { return int64(float64(now.Load().Limits.Sockets) * linkShare) }})
+	classes := func() []decide.Class { return now.Load().Settings.Classes }
+	names := dns.New(dns.Options{Config: lookups, Clock: clk, Core: c, Classes: classes,
 		Guard: log.Guard, Stats: count})
 	c.Follow(pool, names)
 	if lookups.Enabled {
@@ -75,7 +81,7 @@
 			names.Stop(ctx)
 		}()
 	}
-	front := http.New(http.Options{Clock: clk, Core: c, Carrier: pool, Classes: conf.Settings.Classes,
+	front := http.New(http.Options{Clock: clk, Core: c, Carrier: pool, Classes: classes,
 		Ready: told.Load, Stats: count, Conns: conns(conf.Limits)})
 	go c.Run(ctx)
 	go log.Run(ctx)
@@ -87,9 +93,26 @@
 		case err := <-failed:
 			return fmt.Errorf("listen: %w", err)
 		case s := <-signals:
-			if s == syscall.SIGUSR1 {
+			switch s {
+			case syscall.SIGUSR1:
 				count.Print(os.Stderr)
 				continue
+			case syscall.SIGHUP:
+				next, err := again()
+				if err == nil {
+					err = now.Load().Admits(next)
+				}
+				if err != nil {
+					count.Add("reloads_refused", 1)
+					fmt.Fprintf(os.Stderr, "garnetline: reload: %v; the old configuration holds\n", err)
+					continue
+				}
+				count.Add("reloads", 1)
+				bound(next.Limits)
+				now.Store(next)
+				c.Reload(next.Settings)
+				log.Reload(next)
+				continue
 			}
 		}
 		break
--- a/cmd/garnetline/serve_test.go
+++ b/cmd/garnetline/serve_test.go
@@ -163,7 +163,7 @@
 		t.Fatal(err)
 	}
 	done := make(chan error, 1)
-	go func() { done <- serve(context.Background(), conf, dns.Config{}) }()
+	go func() { done <- serve(context.Background(), conf, nil, dns.Config{}) }()
 	if seq := <-from; seq != 4 {
 		t.Errorf("the change log was asked from %d, want 4", seq)
 	}
@@ -232,3 +232,98 @@
 		t.Error("still listening after the end")
 	}
 }
+
+// SIGHUP goes over to the new file whole: the new change log is asked at once
+// from the last number, and a request that is open is answered all the same. A
+// file that cannot be used changes nothing and ends nothing.
+func TestReload(t *testing.T) {
+	hold, asked := make(chan bool), make(chan bool, 8)
+	a := newCache(t, func(id, _ string) string {
+		asked <- true
+		<-hold
+		return answer(id, "DONE", "tag=t7,minted=1", "kept")
+	})
+	first, from := newLog(t)
+	second, again := newLog(t)
+	listen, path := free(t), filepath.Join(t.TempDir(), "config.json")
+	read := make(chan error, 1)
+	load := func() (*config.Config, error) {
+		conf, err := config.Load(path, func(string) string { return "" })
+		read <- err
+		return conf, err
+	}
+	file := func(listen string, log net.Addr) *config.Config {
+		text := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"1","limits":{},"changelog":%q,
+"known":{"seq":4,"results":[{"seq":4,"fleet":{"seq":0,"whole":true,"hosts":[%s,%s]}}]},"settings":%s}`, listen, log,
+			host(1, "box", a.Addr()), host(9, "origin", a.Addr()), settings)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		conf, err := load()
+		<-read
+		if err != nil {
+			t.Fatal(err)
+		}
+		return conf
+	}
+	conf := file(listen, first)
+	if err := conf.Admits(file(free(t), first)); err == nil || !strings.HasPrefix(err.Error(), "listen: ") {
+		t.Errorf("another address: %v", err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- serve(context.Background(), conf, load, dns.Config{}) }()
+	<-from
+	conn, err := net.Dial("tcp", listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	for status, in := 0, bufio.NewReader(conn); status != 200; {
+		io.WriteString(conn, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+		w, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, w.Body)
+		status = w.StatusCode
+	}
+	io.WriteString(conn, "PUT /v1/form/00000000000000aa HTTP/1.1\r\nHost: x\r\nX-Txn: 00000000000000a1\r\n"+
+		"X-Txn-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\nX-Ttl-Ms: 30000\r\n\r\n")
+	<-asked
+	hangUp := func() {
+		t.Helper()
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := os.WriteFile(path, []byte(`{"listen":1}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	hangUp()
+	if err := <-read; err == nil {
+		t.Error("a broken file was read")
+	}
+	text := file(listen, second)
+	hangUp()
+	if err := <-read; err != nil || text.ChangeLog.String() != second.String() {
+		t.Error(err)
+	}
+	if seq := <-again; seq != 4 {
+		t.Errorf("the new change log was asked from %d, want 4", seq)
+	}
+	close(hold)
+	w, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(w.Body); err != nil || string(body) != "kept" {
+		t.Errorf("the open request: %q, %v", body, err)
+	}
+	conn.Close()
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
--- a/decide/api.go
+++ b/decide/api.go
@@ -7,7 +7,11 @@
 // is in decide.go.
 package decide
 
-import "time"
+import (
+	"errors"
+	"fmt"
+	"time"
+)
 
 // RequestID names one request. It carries no meaning.
 type RequestID uint64
@@ -89,6 +93,28 @@
 	Parent       Ramp
 }
 
+// check tells whether settings can be used; an error names the field.
+func (s *Settings) check() error {
+	switch {
+	case len(s.Classes) == 0:
+		return errors.New("Classes: there is none")
+	case s.Zone < 0 || s.Zone >= s.Zones:
+		return fmt.Errorf("Zone: %d is not one of %d zones", s.Zone, s.Zones)
+	case max(s.ParentKind, s.OriginKind) >= s.Kinds || min(s.ParentKind, s.OriginKind) < -1:
+		return fmt.Errorf("ParentKind %d, OriginKind %d: there are %d kinds", s.ParentKind, s.OriginKind, s.Kinds)
+	case len(s.SeatsByZone) != 0 && len(s.SeatsByZone) != s.Zones:
+		return fmt.Errorf("SeatsByZone: %d values for %d zones", len(s.SeatsByZone), s.Zones)
+	case s.MaxAttempts < 1:
+		return fmt.Errorf("MaxAttempts: %d, want 1 or more", s.MaxAttempts)
+	}
+	for i, c := range s.Classes {
+		if c.Deadline <= 0 {
+			return fmt.Errorf("Classes[%d].Deadline: %v, want more than 0", i, c.Deadline)
+		}
+	}
+	return nil
+}
+
 // Phase tells how the list sees a server.
 type Phase int
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -9,7 +9,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -62,7 +61,6 @@
 type server struct {
 	Server
 	role          role
-	ramp          Ramp          // how it gains capacity after a start
 	ready, silent bool          // listed as ready; set aside for not answering at all
 	cold          time.Duration // since when it is taken for freshly started
 	fails, rests  int           // failures in a row; how often in a row it was set aside
@@ -130,6 +128,7 @@
 	origin   gate             // rations what parents must fetch from the origin
 	link     gate             // rations the fills that come in through the location's link
 	purges   Guard            // only its purges are used
+	ramps    [roles]Ramp      // how servers gain capacity after a start
 	size     [roles]float64   // weights of the ready ones by role
 	carried  [roles]rate      // work a second that they served for this router
 	peak     [roles]float64   // the most of that seen, per weight
@@ -147,36 +146,23 @@
 // New returns a Router that has just started. It fails where a setting
 // cannot be used, and names it.
 func New(s Settings, seed uint64) (*Router, error) {
-	if err := check(&s); err != nil {
-		return nil, fmt.Errorf("decide: %w", err)
+	r := &Router{seed: seed, open: map[RequestID]*request{}}
+	return r, r.Adopt(s)
+}
+
+// Adopt goes over to other settings: what is known of servers and objects stays.
+func (r *Router) Adopt(s Settings) error {
+	if err := s.check(); err != nil {
+		return fmt.Errorf("decide: %w", err)
 	}
-	r := &Router{set: s, seed: seed, open: map[RequestID]*request{}, part: 1}
+	r.set, r.part, r.aim, r.ramps = s, 1, 0, [roles]Ramp{s.Cache, s.Parent, {From: 1}}
 	if len(s.SeatsByZone) > 0 {
 		r.part = 1 / float64(max(s.SeatsByZone[s.Zone], 1))
 	}
-	for _, c := range s.Classes {
-		r.aim = max(r.aim, c.Aim, time.Millisecond)
-		r.means = append(r.means, c.Aim.Seconds()) // until more is known: not too short
-	}
-	return r, nil
-}
-
-func check(s *Settings) error {
-	switch {
-	case len(s.Classes) == 0:
-		return errors.New("Classes: there is none")
-	case s.Zone < 0 || s.Zone >= s.Zones:
-		return fmt.Errorf("Zone: %d is not one of %d zones", s.Zone, s.Zones)
-	case max(s.ParentKind, s.OriginKind) >= s.Kinds || min(s.ParentKind, s.OriginKind) < -1:
-		return fmt.Errorf("ParentKind %d, OriginKind %d: there are %d kinds", s.ParentKind, s.OriginKind, s.Kinds)
-	case len(s.SeatsByZone) != 0 && len(s.SeatsByZone) != s.Zones:
-		return fmt.Errorf("SeatsByZone: %d values for %d zones", len(s.SeatsByZone), s.Zones)
-	case s.MaxAttempts < 1:
-		return fmt.Errorf("MaxAttempts: %d, want 1 or more", s.MaxAttempts)
-	}
 	for i, c := range s.Classes {
-		if c.Deadline <= 0 {
-			return fmt.Errorf("Classes[%d].Deadline: %v, want more than 0", i, c.Deadline)
+		r.aim = max(r.aim, c.Aim, time.Millisecond)
+		if i == len(r.means) {
+			r.means = append(r.means, c.Aim.Seconds()) // until more is known: not too short
 		}
 	}
 	return nil
@@ -244,12 +230,12 @@
 // member takes one entry; caches of other zones are not kept. A new server is cold
 // from its start or, where that is not told, from now, unless on the first list.
 func (r *Router) member(e Server, first bool) {
-	role, ramp := cache, r.set.Cache
+	role := cache
 	switch {
 	case e.Kind == r.set.OriginKind:
-		role, ramp = origin, Ramp{From: 1}
+		role = origin
 	case e.Kind == r.set.ParentKind:
-		role, ramp = parent, r.set.Parent
+		role = parent
 	case e.Zone != r.set.Zone:
 		return
 	}
@@ -266,7 +252,7 @@
 		s.cold = e.Started
 		s.fails, s.rests, s.resting = 0, 0, 0
 	}
-	s.Server, s.role, s.ramp, s.ready = e, role, ramp, e.Phase == Ready
+	s.Server, s.role, s.ready = e, role, e.Phase == Ready
 }
 
 // forgotten tells whether s left so long ago that no late listed start concerns it.
@@ -314,8 +300,8 @@
 
 // warmth is the least share of its capacity that s has at a time.
 func (r *Router) warmth(s *server, at time.Duration) float64 {
-	part := max(0, (at-s.cold).Seconds()/max(s.ramp.Warm.Seconds(), 1e-3))
-	return min(1, max(0.01, s.ramp.From+(1-s.ramp.From)*part))
+	part := max(0, (at-s.cold).Seconds()/max(r.ramps[s.role].Warm.Seconds(), 1e-3))
+	return min(1, max(0.01, r.ramps[s.role].From+(1-r.ramps[s.role].From)*part))
 }
 
 // affords tells whether a cold server can take more work from this router. What it
@@ -331,15 +317,15 @@
 	if r.warmth(s, r.now) >= 1 {
 		return true
 	}
-	sent := 0.0
+	sent, ramp := 0.0, r.ramps[s.role]
 	for _, c := range s.charges {
-		if c.at > r.now-s.ramp.Span {
+		if c.at > r.now-ramp.Span {
 			sent += c.v
 		}
 	}
-	budget := coldMargin * s.ramp.Multiple * r.warmth(s, r.now-s.ramp.Span) * r.carries(s.role) * r.weight(s) *
-		s.ramp.Span.Seconds()
-	lot := r.seed ^ mix(uint64(s.ID)^mix(uint64(r.now/max(s.ramp.Span, 1))))
+	budget := coldMargin * ramp.Multiple * r.warmth(s, r.now-ramp.Span) * r.carries(s.role) * r.weight(s) *
+		ramp.Span.Seconds()
+	lot := r.seed ^ mix(uint64(s.ID)^mix(uint64(r.now/max(ramp.Span, 1))))
 	return sent+work < budget || sent == 0 && uniform(lot) < budget/work
 }
 
@@ -364,7 +350,7 @@
 // charge books work sent to a server. It is kept for warm servers too: one
 // that restarted is listed late, and what it got meanwhile counts.
 func (r *Router) charge(s *server, work float64) {
-	s.charges = slices.DeleteFunc(s.charges, func(c rate) bool { return c.at <= r.now-s.ramp.Span })
+	s.charges = slices.DeleteFunc(s.charges, func(c rate) bool { return c.at <= r.now-r.ramps[s.role].Span })
 	s.charges = append(s.charges, rate{r.now, work})
 }
 
--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -39,7 +39,8 @@
 // Log is the actor of the change log.
 type Log struct {
 	clock clock.Clock
-	conf  *config.Config
+	conf  *config.Config      // Run's
+	box   chan *config.Config // the next one, the latest only
 	tell  func(config.Event)
 	count *stats.Set
 	guard atomic.Pointer[decide.Guard]
@@ -50,7 +51,7 @@
 // New returns a log that has told what the configuration knows. tell takes
 // each event, in order; it may block.
 func New(c clock.Clock, conf *config.Config, tell func(config.Event), s *stats.Set) *Log {
-	l := &Log{clock: c, conf: conf, tell: tell, count: s, seq: conf.Seq}
+	l := &Log{clock: c, conf: conf, box: make(chan *config.Config, 1), tell: tell, count: s, seq: conf.Seq}
 	l.dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", to.String())
 	}
@@ -61,6 +62,16 @@
 // Guard returns what attempts are held against now. It does not change.
 func (l *Log) Guard() *decide.Guard { return l.guard.Load() }
 
+// Reload has the log that another configuration names followed, from the last
+// number held and at once. It never blocks and has one caller at a time.
+func (l *Log) Reload(conf *config.Config) {
+	select {
+	case <-l.box: // never taken up
+	default:
+	}
+	l.box <- conf
+}
+
 // Run tells what is known and then follows the log until ctx ends.
 func (l *Log) Run(ctx context.Context) {
 	for _, ev := range l.conf.Known {
@@ -68,10 +79,15 @@
 	}
 	wait := retryFirst
 	for ctx.Err() == nil {
-		heard, err := l.follow(ctx)
+		heard, next, err := l.session(ctx)
 		if ctx.Err() != nil {
 			return
 		}
+		if next != nil {
+			l.adopt(next)
+			wait = retryFirst
+			continue
+		}
 		l.count.Add("changelog_reconnects", 1)
 		if errors.Is(err, ErrFrame) {
 			l.count.Add("changelog_broken_frames", 1)
@@ -81,8 +97,45 @@
 		}
 		select {
 		case <-time.After(clock.Duration(wait)):
+		case conf := <-l.box:
+			l.adopt(conf)
+			wait = retryFirst
+		case <-ctx.Done():
+		}
+	}
+}
+
+// session follows one connection until it breaks or another configuration
+// comes, which cuts it.
+func (l *Log) session(ctx context.Context) (heard bool, next *config.Config, err error) {
+	ctx, cut := context.WithCancel(ctx)
+	came := make(chan *config.Config, 1)
+	go func() {
+		defer close(came)
+		select {
+		case conf := <-l.box:
+			came <- conf
+			cut()
 		case <-ctx.Done():
 		}
+	}()
+	heard, err = l.follow(ctx)
+	cut()
+	return heard, <-came, err
+}
+
+// adopt goes over to another configuration. What it knows beyond what was told
+// is told now.
+func (l *Log) adopt(conf *config.Config) {
+	l.conf = conf
+	g := *l.guard.Load()
+	g.Done, g.Grace = conf.Settings.PurgeDone, conf.Settings.PurgeGrace
+	l.guard.Store(&g)
+	for _, ev := range conf.Known {
+		if ev.Seq > l.seq {
+			l.take(ev)
+			l.seq = ev.Seq
+		}
 	}
 }
 
--- a/internal/changelog/changelog_test.go
+++ b/internal/changelog/changelog_test.go
@@ -104,6 +104,64 @@
 	}
 }
 
+// Another configuration's log is asked at once and from the last number held,
+// though the old one is still open; what it knows beyond that is told first.
+func TestReloadFollowsTheNewLog(t *testing.T) {
+	var ls [2]net.Listener
+	for i := range ls {
+		var err error
+		if ls[i], err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			t.Fatal(err)
+		}
+		defer ls[i].Close()
+	}
+	addr := func(i int) netip.AddrPort { return ls[i].Addr().(*net.TCPAddr).AddrPort() }
+	told := make(chan config.Event, 16)
+	log := newLog(addr(0), func(ev config.Event) { told <- ev })
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		log.Run(ctx)
+		close(done)
+	}()
+	asked := func(i int) uint64 {
+		conn, err := ls[i].Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		var from [8]byte
+		if _, err := io.ReadFull(conn, from[:]); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := conn.Write(frame(2, 4, append([]byte{0, 17}, purge(now, 0)[:8]...)...)); err != nil {
+			t.Fatal(err)
+		}
+		return binary.BigEndian.Uint64(from[:])
+	}
+	if from := asked(0); from != 1 {
+		t.Fatalf("asked from %d", from)
+	}
+	for seq := uint64(1); seq <= 2; seq++ {
+		if ev := <-told; ev.Seq != seq {
+			t.Fatalf("event %d told, want %d", ev.Seq, seq)
+		}
+	}
+	next := *log.conf
+	next.ChangeLog, next.Settings.PurgeDone = addr(1), 7*time.Second
+	next.Known = []config.Event{{Seq: 2}, {Seq: 3, Fleet: true}}
+	log.Reload(&config.Config{}) // taken over by the next, or left by it
+	log.Reload(&next)
+	if from := asked(1); from != 3 {
+		t.Errorf("the new log was asked from %d, want 3", from)
+	}
+	if ev := <-told; ev.Seq != 3 || log.Guard().Done != 7*time.Second {
+		t.Errorf("event %d told, guard %+v", ev.Seq, log.Guard())
+	}
+	stop()
+	<-done
+}
+
 type source struct {
 	net.Conn
 	r io.Reader
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,7 @@
 	"math"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -173,6 +174,32 @@
 	return c, nil
 }
 
+// Admits tells whether a running program can go over to next, and names the
+// field that it cannot: where it listens and stands, and what lists and open
+// requests refer to by place, holds for its life.
+func (c *Config) Admits(next *Config) error {
+	a, b := &c.Settings, &next.Settings
+	for _, f := range []struct {
+		field string
+		same  bool
+	}{
+		{"listen", c.Listen == next.Listen},
+		{"settings.areas", slices.Equal(c.Zones, next.Zones)},
+		{"settings.machine_types", slices.Equal(c.Kinds, next.Kinds)},
+		{"settings.zone", a.Zone == b.Zone},
+		{"settings.family_info.second_tier_kind", a.ParentKind == b.ParentKind},
+		{"settings.family_info.root_kind", a.OriginKind == b.OriginKind},
+		{"settings.classes", slices.EqualFunc(a.Classes, b.Classes, func(x, y decide.Class) bool {
+			return x.Name == y.Name && x.Effect == y.Effect && x.Write == y.Write
+		})},
+	} {
+		if !f.same {
+			return fmt.Errorf("%s: can change with a restart only", f.field)
+		}
+	}
+	return nil
+}
+
 // settings reads the settings, which stand here as nested JSON under the
 // names that the simulator's wire gives as paths.
 func (c *Config) settings(raw json.RawMessage) error {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -206,6 +206,9 @@
 // Tell hands over an event of the change log.
 func (c *Core) Tell(ev config.Event) { c.post(ev) }
 
+// Reload goes over to other settings, which config.Admits has let pass.
+func (c *Core) Reload(set decide.Settings) { c.post(set) }
+
 func (c *Core) post(m any) bool {
 	select {
 	case c.box <- m:
@@ -226,6 +229,10 @@
 		c.end(m)
 	case config.Event:
 		c.told(m)
+	case decide.Settings:
+		if err := c.router.Adopt(m); err == nil {
+			c.set = m
+		}
 	}
 }
 
--- a/internal/front/dns/dns.go
+++ b/internal/front/dns/dns.go
@@ -49,7 +49,7 @@
 	Config
 	Clock   clock.Clock
 	Core    Core
-	Classes []decide.Class
+	Classes func() []decide.Class // as of now; their names and places do not change
 	Guard   func() *decide.Guard
 	Stats   *stats.Set
 }
@@ -245,8 +245,8 @@
 		return l, dns.RcodeFormatError
 	}
 	l.part, l.object = int(part), decide.ObjectID(object)
-	for i := range s.Classes {
-		if strings.EqualFold(s.Classes[i].Name, words[2]) {
+	for i, k := range s.Classes() {
+		if strings.EqualFold(k.Name, words[2]) {
 			l.class = i
 		}
 	}
@@ -294,7 +294,7 @@
 // stale tells whether old copies of the object may lie about. A DNS answer
 // cannot say how old a copy may be, so no box may be named meanwhile.
 func (s *Server) stale(l lookup) bool {
-	return !s.Classes[l.class].Write && s.Guard().Purged(clock.Duration(s.Clock.Now()), l.object, l.group)
+	return !s.Classes()[l.class].Write && s.Guard().Purged(clock.Duration(s.Clock.Now()), l.object, l.group)
 }
 
 // box answers for the target of a recent SRV answer.
--- a/internal/front/dns/dns_test.go
+++ b/internal/front/dns/dns_test.go
@@ -53,7 +53,7 @@
 		t.Fatal(err)
 	}
 	s := New(Options{Config: Config{Listen: "127.0.0.1:0", Zone: zone, Patience: 1000, Inflight: 64, Conns: 4}, Clock: r.clk,
-		Core: r.c, Classes: set.Classes, Guard: r.guard.Load, Stats: stats.New()})
+		Core: r.c, Classes: func() []decide.Class { return set.Classes }, Guard: r.guard.Load, Stats: stats.New()})
 	r.c.Follow(s, r)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -328,7 +328,7 @@
 		f.Add(fmt.Sprintf("%d.%016x.g%d.part", rng.IntN(100), rng.Uint64(), rng.IntN(300)))
 	}
 	f.Add("..part")
-	s := New(Options{Classes: []decide.Class{{Name: "part"}}})
+	s := New(Options{Classes: func() []decide.Class { return []decide.Class{{Name: "part"}} }})
 	f.Fuzz(func(t *testing.T, rest string) {
 		l, rcode := s.parse(rest)
 		if rcode != dns.RcodeSuccess {
--- a/internal/front/http/http.go
+++ b/internal/front/http/http.go
@@ -50,8 +50,8 @@
 	Clock   clock.Clock
 	Core    Core
 	Carrier core.Carrier
-	Classes []decide.Class
-	Ready   func() bool // it has a list of caches
+	Classes func() []decide.Class // as of now; their names and places do not change
+	Ready   func() bool           // it has a list of caches
 	Stats   *stats.Set
 	Conns   int // connections open at once
 }
@@ -382,15 +382,16 @@
 		return nil, &problem{status: 404, why: "no such path"}
 	}
 	class := -1
-	for i := range s.Classes {
-		if s.Classes[i].Name == name {
+	classes := s.Classes()
+	for i := range classes {
+		if classes[i].Name == name {
 			class = i
 		}
 	}
 	if class < 0 {
 		return nil, &problem{status: 404, why: "unknown class"}
 	}
-	k := &s.Classes[class]
+	k := &classes[class]
 	if want := map[bool]string{false: "GET", true: "PUT"}[k.Write]; r.method != want {
 		return nil, &problem{status: 405, why: want + " only", allow: want}
 	}
--- a/internal/front/http/http_test.go
+++ b/internal/front/http/http_test.go
@@ -61,7 +61,9 @@
 func newServer(f *fake) *Server {
 	f.left = make(chan *core.Request, 8)
 	return New(Options{Clock: clock.NewManual(1.7e12), Core: f, Ready: func() bool { return true }, Stats: stats.New(), Conns: 8,
-		Classes: []decide.Class{{Name: "part", Effect: decide.Safe}, {Name: "form", Effect: decide.Keyed, Write: true}}})
+		Classes: func() []decide.Class {
+			return []decide.Class{{Name: "part", Effect: decide.Safe}, {Name: "form", Effect: decide.Keyed, Write: true}}
+		}})
 }
 
 // dial serves one end of a loopback connection and returns the other.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -29,12 +29,12 @@
 // Options are what a Pool shares among its peers.
 type Options struct {
 	Clock clock.Clock
-	Conn  config.Conn
+	Conn  func() config.Conn   // as of now
 	Guard func() *decide.Guard // as of now
 	End   func(core.End)       // takes the ends of attempts; it may block
 	Stats *stats.Set
 	Dial  func(ctx context.Context, to netip.AddrPort) (net.Conn, error) // nil: TCP
-	Links int64                                                          // connections of all peers together; 0: no bound
+	Links func() int64                                                   // connections of all peers together; 0: no bound
 	live  *atomic.Int64                                                  // of those, open or being dialled
 }
 
@@ -213,7 +213,7 @@
 			p.end(*core.NotTaken(a, res))
 		case l != nil:
 			p.write(l, a)
-		case p.leaving || !p.dialing && (len(p.links) >= maxLinks || p.Links > 0 && p.live.Load() >= p.Links):
+		case p.leaving || !p.dialing && (len(p.links) >= maxLinks || p.full()):
 			p.end(*core.NotTaken(a, decide.Full))
 		default:
 			held = append(held, a)
@@ -229,6 +229,12 @@
 	}
 }
 
+// full tells whether all peers together have as many connections as they may.
+func (p *Peer) full() bool {
+	most := p.Links()
+	return most > 0 && p.live.Load() >= most
+}
+
 // bars holds an attempt against what the change log says now: it may have
 // waited here since it was decided.
 func (p *Peer) bars(a *core.Attempt) (decide.Result, bool) {
@@ -247,7 +253,7 @@
 // that crosses the cancel would be taken for the new attempt's.
 func (p *Peer) room(txn string) *link {
 	for _, l := range p.links {
-		if !l.retired && len(l.open) < p.Conn.MaxStreams && l.open[txn] == nil && !l.dead[txn] {
+		if !l.retired && len(l.open) < p.Conn().MaxStreams && l.open[txn] == nil && !l.dead[txn] {
 			return l
 		}
 	}
@@ -395,14 +401,14 @@
 			continue
 		}
 		l.k.RestOut()
-		if now-l.used > p.Conn.Idle*idlePart {
+		if now-l.used > p.Conn().Idle*idlePart {
 			p.lose(l)
 		}
 	}
 }
 
 func (p *Peer) dial(ctx context.Context) {
-	ctx, stop := context.WithTimeout(ctx, clock.Duration(p.Conn.Connect))
+	ctx, stop := context.WithTimeout(ctx, clock.Duration(p.Conn().Connect))
 	defer stop()
 	c, err := p.Dial(ctx, p.addr)
 	if !p.tell(event{conn: c, err: err}) { // the actor has ended meanwhile
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -81,8 +81,8 @@
 func newModel(t *testing.T) *model {
 	m := &model{t: t, dials: make(chan *wire), clk: clock.NewManual(1.7e12), ends: map[*core.Attempt][]decide.Result{}, asked: map[*core.Attempt]bool{},
 		guard: &decide.Guard{Ready: map[decide.ServerID]bool{1: true, 8: true}, Done: 6 * time.Second}}
-	m.p = newPeer(Options{Clock: m.clk, Conn: config.Conn{Idle: 15000, Connect: 400, MaxStreams: 3},
-		Guard: func() *decide.Guard { return m.guard }, Stats: stats.New(), Links: 5, live: new(atomic.Int64),
+	m.p = newPeer(Options{Clock: m.clk, Conn: func() config.Conn { return config.Conn{Idle: 15000, Connect: 400, MaxStreams: 3} },
+		Guard: func() *decide.Guard { return m.guard }, Stats: stats.New(), Links: func() int64 { return 5 }, live: new(atomic.Int64),
 		End: func(e core.End) { m.ends[e.Attempt] = append(m.ends[e.Attempt], e.Result) },
 		Dial: func(context.Context, netip.AddrPort) (net.Conn, error) {
 			if w := <-m.dials; w != nil {
@@ -223,8 +223,8 @@
 	if m.p.dialing {
 		want++
 	}
-	if got := m.p.live.Load(); got != want || got > m.p.Links {
-		m.t.Fatalf("%d connections are counted, want %d and at most %d", got, want, m.p.Links)
+	if got := m.p.live.Load(); got != want || got > m.p.Links() {
+		m.t.Fatalf("%d connections are counted, want %d and at most %d", got, want, m.p.Links())
 	}
 	for i, w := range m.wires {
 		if !live[w] && !w.isClosed() {
@@ -381,7 +381,7 @@
 	dials := make(chan netip.AddrPort, 4)
 	g := &decide.Guard{Ready: map[decide.ServerID]bool{1: true, 2: true, 8: true}}
 	ends := make(chan core.End, 4)
-	p := NewPool(ctx, Options{Clock: clock.NewManual(1.7e12), Conn: config.Conn{Idle: 15000, Connect: 60_000, MaxStreams: 3},
+	p := NewPool(ctx, Options{Clock: clock.NewManual(1.7e12), Conn: func() config.Conn { return config.Conn{Idle: 15000, Connect: 60_000, MaxStreams: 3} }, Links: func() int64 { return 0 },
 		Guard: func() *decide.Guard { return g }, Stats: stats.New(), End: func(e core.End) { ends <- e },
 		Dial: func(_ context.Context, to netip.AddrPort) (net.Conn, error) {
 			dials <- to
