Silent and idle connections make room, and bad clients end within 3 s of their start

Checked, by a trace of the front: of 2,630 connections of a router 408 said nothing and were held 8 to 80 s, and some 60 of those that had asked once for 10 s; that is all 230 it may hold. Ruled out: CPU (0.1 s in the worst second) and memory (9 MB). At fault: http.go, Serve took a slot before Accept and none was ever taken back; await gave 30 s of silence, headFor 5 s from the first byte, anew for each request. Changed: a full router has one connection make room: one refused and still read, one that has had 250 ms for its first request, then the one idle for longest. All times of a first request count from the connection's start. A refused client is read on so that no reset overtakes its answer. X-Txn in capitals and X-Ttl-Ms above 600,000 or with a fraction are refused. Tests: TestBadClientsEndInTime on a set clock, TestIdleConnectionsMakeRoom (hangs without it).

--- a/cmd/garnetline/serve.go
+++ b/cmd/garnetline/serve.go
@@ -82,7 +82,7 @@
 		}()
 	}
 	front := http.New(http.Options{Clock: clk, Core: c, Carrier: pool, Classes: classes,
-		Ready: told.Load, Stats: count, Conns: conns(conf.Limits)})
+		Ready: told.Load, Stats: count, Conns: func() int { return conns(now.Load().Limits) }})
 	go c.Run(ctx)
 	go log.Run(ctx)
 	failed := make(chan error, 1)
--- a/internal/front/http/http.go
+++ b/internal/front/http/http.go
@@ -29,14 +29,18 @@
 const (
 	maxHead    = 16 << 10
 	maxBody    = 48_000
-	maxWait    = 60_000.0 // ms; a longer X-Ttl-Ms is cut to it
-	idleFor    = 30_000.0 // ms that a connection may be idle; clients close after 4 s
-	headFor    = 5_000.0  // ms from a request's first byte to its last
-	writeFor   = 2_000.0  // ms that an answer may take to be written
-	lingerFor  = 500.0    // ms for which a client that is still sending is read
-	lingerMost = 1 << 20
-	margin     = 20.0 // ms before the client gives up by which an answer is wanted
-	lookAfter  = 0.8  // part of the connections from which on none is kept alive
+	maxWait    = 60_000.0  // ms; a longer X-Ttl-Ms is cut to it
+	maxTTL     = 600_000   // ms; a longer X-Ttl-Ms is no time that a client waits
+	idleFor    = 6_000.0   // ms that a connection may be idle; clients close after 4 s
+	firstFor   = 2_500.0   // ms from the connection's start to the last byte of its first request
+	headFor    = 2_500.0   // ms from a later request's first byte to its last
+	writeFor   = 2_000.0   // ms that an answer may take to be written
+	lingerFor  = 2_800.0   // ms from the connection's start for which a refused client is still read
+	lingerBig  = 5_500.0   // and for one that announced, or sent, more than a body may be
+	lingerMost = 128 << 20 // bytes read and dropped meanwhile
+	margin     = 20.0      // ms before the client gives up by which an answer is wanted
+	freshFor   = 250.0     // ms that a connection has for its first request before it may have to make room
+	pressEvery = 20 * time.Millisecond
 )
 
 // Core is what the front needs of the core.
@@ -53,26 +57,25 @@
 	Classes func() []decide.Class // as of now; their names and places do not change
 	Ready   func() bool           // it has a list of caches
 	Stats   *stats.Set
-	Conns   int // connections open at once
+	Conns   func() int // connections open at once, as of now
 }
 
 // Server owns the listener and the clients' connections.
 type Server struct {
 	Options
-	slots    chan struct{}
 	open     sync.WaitGroup
 	closing  atomic.Bool   // answers say so and no connection is kept
 	stopping atomic.Bool   // the health check says so
 	accepted chan struct{} // closed when Serve has returned
+	freed    chan struct{} // a connection was given back
 	mu       sync.Mutex
-	idle     map[*conn]bool
+	conns    map[*conn]bool
 	listener net.Listener
 }
 
 // New returns a server that has not been started.
 func New(o Options) *Server {
-	return &Server{Options: o, slots: make(chan struct{}, max(o.Conns, 1)), idle: map[*conn]bool{},
-		accepted: make(chan struct{})}
+	return &Server{Options: o, conns: map[*conn]bool{}, freed: make(chan struct{}, 1), accepted: make(chan struct{})}
 }
 
 // Serve accepts connections until Finish closes the listener. It is called once.
@@ -82,27 +85,68 @@
 	s.listener = l
 	s.mu.Unlock()
 	for {
-		s.slots <- struct{}{}
-		c, err := l.Accept()
+		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil { // out of descriptors, or a client that has gone again
-			<-s.slots
 			s.Stats.Add("accept_errors", 1)
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
 		s.Stats.Add("connections_taken", 1)
 		s.open.Add(1)
+		c := s.newConn(nc)
+		s.admit(c)
 		go func() {
 			defer s.open.Done()
-			defer func() { <-s.slots }()
-			s.serve(c)
+			c.serve()
 		}()
 	}
 }
 
+// admit waits until there is room for one more connection, and makes it.
+//
+// Symptom guarded against: connections that say nothing, or that asked once and
+// stay, took all that may be open, and the usual clients waited outside.
+func (s *Server) admit(c *conn) {
+	for {
+		s.mu.Lock()
+		room := len(s.conns) < max(s.Conns(), 1)
+		if room {
+			s.conns[c] = true
+		} else if v := s.victim(); v != nil {
+			s.Stats.Add("connections_evicted", 1)
+			v.kicked = true
+			v.k.Net.SetReadDeadline(time.Now())
+		}
+		s.mu.Unlock()
+		if room {
+			return
+		}
+		select {
+		case <-s.freed:
+		case <-time.After(pressEvery):
+		}
+	}
+}
+
+// victim is the connection that can best be done without, or nil: one that was
+// refused and is still read, then one that has had time for its first request,
+// then the one that is idle for longest. Each is the longest of its kind.
+func (s *Server) victim() *conn {
+	var best *conn
+	for c := range s.conns {
+		if c.kicked || c.phase == busy || c.phase == fresh && s.Clock.Now()-c.since < freshFor {
+			continue
+		}
+		if best == nil || c.phase < best.phase || c.phase == best.phase && c.since < best.since {
+			best = c
+		}
+	}
+	return best
+}
+
 // Stopping makes the health check fail; all else goes on.
 func (s *Server) Stopping() { s.stopping.Store(true) }
 
@@ -112,26 +156,80 @@
 	s.closing.Store(true)
 	s.mu.Lock()
 	s.listener.Close()
-	for c := range s.idle {
-		c.k.Net.SetReadDeadline(time.Now())
+	for c := range s.conns {
+		if c.phase != busy && !c.asking {
+			c.k.Net.SetReadDeadline(time.Now())
+		}
 	}
 	s.mu.Unlock()
 	<-s.accepted
 	s.open.Wait()
 }
 
-// conn is one client's connection. The goroutine in serve owns it.
+// phase is what a connection is at, in the order in which they make room.
+type phase int
+
+const (
+	refused phase = iota // it has its answer and is read to its end
+	fresh                // its first request is not whole
+	idle
+	busy
+)
+
+// conn is one client's connection. The goroutine in serve owns it; what stands
+// below born is the server's, under its lock.
 type conn struct {
-	s *Server
-	k *sock.Conn
+	s      *Server
+	k      *sock.Conn
+	born   float64
+	phase  phase
+	since  float64 // when the phase began
+	asking bool    // a request has begun to come
+	kicked bool    // it is to make room
+}
+
+func (s *Server) newConn(nc net.Conn) *conn {
+	now := s.Clock.Now()
+	return &conn{s: s, k: sock.New(nc), born: now, phase: fresh, since: now}
+}
+
+// enter goes over to a phase, in which reads may go on for some time. A
+// connection that is to make room, or is idle when all end, has none.
+func (c *conn) enter(p phase, asking bool, within float64) {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	if p != c.phase {
+		c.phase, c.since = p, c.s.Clock.Now()
+	}
+	c.asking = asking
+	switch {
+	case p == busy:
+		c.k.Net.SetReadDeadline(time.Time{})
+	case c.kicked || c.s.closing.Load() && !asking:
+		c.k.Net.SetReadDeadline(time.Now())
+	default:
+		c.k.Net.SetReadDeadline(time.Now().Add(clock.Duration(within)))
+	}
 }
 
+// left is what is left of a time that began with the connection.
+func (c *conn) left(of float64) float64 { return c.born + of - c.s.Clock.Now() }
+
 // serve answers the requests of a connection. It is the one place where a
 // client's connection is given back.
-func (s *Server) serve(nc net.Conn) {
-	c := &conn{s: s, k: sock.New(nc)}
-	defer c.k.Close()
-	for c.await() {
+func (c *conn) serve() {
+	s := c.s
+	defer func() {
+		c.k.Close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+		select {
+		case s.freed <- struct{}{}:
+		default:
+		}
+	}()
+	for first := true; c.await(first); first = false {
 		req, bad := c.read()
 		if bad != nil {
 			if bad.status != 0 {
@@ -147,26 +245,25 @@
 }
 
 // await waits for the first byte of a request.
-func (c *conn) await() bool {
-	c.s.mu.Lock()
-	c.s.idle[c] = true
-	c.k.Net.SetReadDeadline(time.Now().Add(clock.Duration(idleFor)))
-	if c.s.closing.Load() {
-		c.k.Net.SetReadDeadline(time.Now())
+func (c *conn) await(first bool) bool {
+	p, within, rest := fresh, c.left(firstFor), c.left(firstFor)
+	if !first {
+		p, within, rest = idle, idleFor, headFor
 	}
-	c.s.mu.Unlock()
+	c.enter(p, false, within)
 	c.k.Allow(maxHead)
-	_, err := c.k.R.Peek(1)
-	c.s.mu.Lock()
-	delete(c.s.idle, c)
-	c.s.mu.Unlock()
-	c.k.Net.SetReadDeadline(time.Now().Add(clock.Duration(headFor)))
-	return err == nil
+	if _, err := c.k.R.Peek(1); err != nil {
+		return false
+	}
+	c.enter(p, true, rest)
+	return true
 }
 
 // keep tells whether the connection stays open after a request.
 func (c *conn) keep(r *request) bool {
-	return !r.last && !c.s.closing.Load() && float64(len(c.s.slots)) < lookAfter*float64(cap(c.s.slots))
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	return !r.last && !c.s.closing.Load() && !c.kicked
 }
 
 // request is a parsed request.
@@ -183,6 +280,7 @@
 	status int // 0: the client has gone, nothing is owed
 	why    string
 	allow  string
+	big    bool // the client may have much to send yet
 }
 
 var gone = &problem{}
@@ -259,7 +357,7 @@
 		return &problem{status: 400, why: "Content-Length: not a number"}
 	}
 	if n > maxBody {
-		return &problem{status: 413, why: "body too long"}
+		return &problem{status: 413, why: "body too long", big: true}
 	}
 	if bad := c.goOn(r); bad != nil {
 		return bad
@@ -289,7 +387,7 @@
 		return &problem{status: 400, why: "malformed chunks"}
 	}
 	if len(r.body) > maxBody {
-		return &problem{status: 413, why: "body too long"}
+		return &problem{status: 413, why: "body too long", big: true}
 	}
 	if _, err := c.k.ReadMIMEHeader(); err != nil { // trailers
 		return c.broken(err)
@@ -330,6 +428,7 @@
 		c.s.Stats.Add("requests_malformed", 1)
 		return c.refuse(r, bad)
 	}
+	c.enter(busy, true, 0)
 	answers := make(chan core.Answer, 1)
 	q.Reply = func(a core.Answer) { answers <- a }
 	if !c.s.Core.Submit(q) {
@@ -338,7 +437,6 @@
 	// The only byte that may come now is that of the next request; an error
 	// says that the client has gone.
 	heard := make(chan error, 1)
-	c.k.Net.SetReadDeadline(time.Time{})
 	c.k.Allow(maxHead)
 	go func() {
 		_, err := c.k.R.Peek(1)
@@ -422,14 +520,14 @@
 		}
 	}
 	q.Txn = r.head.Get("X-Txn")
-	if _, err := strconv.ParseUint(q.Txn, 16, 64); err != nil || len(q.Txn) != 16 {
+	if _, err := strconv.ParseUint(q.Txn, 16, 64); err != nil || len(q.Txn) != 16 || q.Txn != strings.ToLower(q.Txn) {
 		return bad("X-Txn: not 16 hex digits")
 	}
-	ttl, err := strconv.ParseFloat(r.head.Get("X-Ttl-Ms"), 64)
-	if err != nil || !(ttl > 0 && ttl < 1e12) {
+	ms, err := strconv.ParseUint(r.head.Get("X-Ttl-Ms"), 10, 64)
+	if err != nil || ms == 0 || ms > maxTTL {
 		return bad("X-Ttl-Ms: not a time")
 	}
-	ttl = min(ttl, maxWait)
+	ttl := min(float64(ms), maxWait)
 	q.Deadline = r.at + ttl - min(margin, ttl/10)
 	if v := r.head.Get("X-Family"); v != "" {
 		n, err := strconv.ParseUint(v, 10, 8)
@@ -489,11 +587,16 @@
 // that before the connection is closed.
 //
 // Symptom guarded against: a connection that is closed with unread bytes is
-// reset, and the reset overtakes the answer.
+// reset, and the reset overtakes the answer. What it still sends is dropped for
+// a time that counts from the connection's start, however it sends.
 func (c *conn) error(p *problem) {
 	half, ok := c.k.Net.(interface{ CloseWrite() error })
 	if c.refuse(&request{last: true}, p) && ok && half.CloseWrite() == nil {
-		c.k.Net.SetReadDeadline(time.Now().Add(clock.Duration(lingerFor)))
+		within := c.left(lingerFor)
+		if p.big {
+			within = c.left(lingerBig)
+		}
+		c.enter(refused, true, max(within, 0))
 		io.Copy(io.Discard, io.LimitReader(c.k.Net, lingerMost))
 	}
 }
--- a/internal/front/http/http_test.go
+++ b/internal/front/http/http_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -60,7 +61,7 @@
 
 func newServer(f *fake) *Server {
 	f.left = make(chan *core.Request, 8)
-	return New(Options{Clock: clock.NewManual(1.7e12), Core: f, Ready: func() bool { return true }, Stats: stats.New(), Conns: 8,
+	return New(Options{Clock: clock.NewManual(1.7e12), Core: f, Ready: func() bool { return true }, Stats: stats.New(), Conns: func() int { return 8 },
 		Classes: func() []decide.Class {
 			return []decide.Class{{Name: "part", Effect: decide.Safe}, {Name: "form", Effect: decide.Keyed, Write: true}}
 		}})
@@ -270,6 +271,132 @@
 	<-done
 }
 
+// slow is a client on a clock of its own: it sends a text at a pace, says
+// nothing more or goes on for ever, and reads what it gets.
+type slow struct {
+	memory
+	clk          *clock.Manual
+	text, more   string
+	every, until float64 // ms between bytes; when a read is over
+}
+
+func (s *slow) SetReadDeadline(t time.Time) error {
+	s.until = s.clk.Now() + 1e9
+	if !t.IsZero() {
+		s.until = s.clk.Now() + clock.Millis(time.Until(t))
+	}
+	return nil
+}
+
+func (s *slow) Read(p []byte) (int, error) {
+	if s.text == "" {
+		s.text = s.more
+	}
+	at := s.clk.Now() + s.every
+	if s.text == "" || at > s.until {
+		s.clk.Advance(max(0, s.until-s.clk.Now()))
+		return 0, os.ErrDeadlineExceeded
+	}
+	n := 1
+	if s.every == 0 { // at 10 MB/s
+		n = copy(p, s.text)
+		at += float64(n) / 1e4
+	}
+	copy(p[:n], s.text)
+	s.clk.Advance(at - s.clk.Now())
+	s.text = s.text[n:]
+	return n, nil
+}
+
+func (s *slow) CloseWrite() error { return nil }
+
+// Silence, trickles and floods end within 3 s of the connection's start, or 6 s
+// where too much was announced, however the bytes are spread; and what was
+// begun is answered. (The symptom: each had 5 s or more, anew for each request.)
+func TestBadClientsEndInTime(t *testing.T) {
+	for _, c := range []struct {
+		name, text, more string
+		every, within    float64
+		status           int
+	}{
+		{"silence", "", "", 0, 3000, 0},
+		{"half a line", "GET " + object, "", 0, 3000, 400},
+		{"half a head", "GET " + object + " HTTP/1.1\r\n", "", 0, 3000, 408},
+		{"a trickled line", get(object), "", 300, 3000, 400},
+		{"a trickled head", strings.TrimSuffix(get(object, "X-A: "), "\r\n\r\n"), "a", 15, 3000, 408},
+		{"a trickled body", put(40_000), "a", 10, 3000, 408},
+		{"a body that stops", put(40_000) + "abc", "", 0, 3000, 408},
+		{"chunks that never end", strings.Replace(put(0), "Content-Length: 0", "Transfer-Encoding: chunked", 1), strings.Repeat("1\r\na\r\n", 800), 0, 6000, 413},
+		{"a trickle after the refusal", "x\r\n", "a", 500, 3000, 400},
+		{"a flood after the refusal", "x\r\n" + strings.Repeat("a", 5000), strings.Repeat("a", 5000), 0, 3000, 400},
+		{"a huge body", put(60_000_000) + "a", strings.Repeat("a", 5000), 0, 6000, 413},
+	} {
+		clk := clock.NewManual(1.7e12)
+		s := newServer(&fake{})
+		s.Clock = clk
+		nc := &slow{clk: clk, text: c.text, more: c.more, every: c.every}
+		s.newConn(nc).serve()
+		if took := clk.Now() - 1.7e12; took > c.within {
+			t.Errorf("%s: closed after %.0f ms", c.name, took)
+		}
+		status := 0
+		if r, err := http.ReadResponse(bufio.NewReader(&nc.out), nil); err == nil {
+			status = r.StatusCode
+		}
+		if status != c.status {
+			t.Errorf("%s: status %d, want %d", c.name, status, c.status)
+		}
+	}
+}
+
+// Connections that say nothing, or that asked once and stay, make room for one
+// that asks; one that is being answered does not.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	f := &fake{answer: core.Answer{Kind: core.Served, Body: []byte("x")}}
+	s := newServer(f)
+	clk := clock.NewManual(1.7e12)
+	s.Clock = clk
+	first := dial(t, s)
+	ask := func(c net.Conn) error {
+		if _, err := io.WriteString(c, get(object)); err != nil {
+			return err
+		}
+		r, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || r.StatusCode != 200 {
+			return fmt.Errorf("%v %w", r, err)
+		}
+		_, err = io.Copy(io.Discard, r.Body)
+		return err
+	}
+	more := func() net.Conn {
+		c, err := net.Dial("tcp", first.RemoteAddr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	f.set(f.answer, true)
+	io.WriteString(first, get(object))
+	for f.count() < 1 {
+		time.Sleep(time.Millisecond) // until it is taken
+	}
+	f.set(f.answer, false)
+	for i := range 40 { // of these some ask and stay, some say nothing
+		c := more()
+		if i%2 == 0 {
+			if err := ask(c); err != nil {
+				t.Fatalf("connection %d: %v", i, err)
+			}
+		}
+		clk.Advance(freshFor)
+	}
+	f.get(0).Reply(f.answer)
+	if r, err := http.ReadResponse(bufio.NewReader(first), nil); err != nil || r.StatusCode != 200 {
+		t.Errorf("the one that was being answered: %v %v", r, err)
+	}
+}
+
 // memory is a connection that brings fixed bytes and keeps what is written.
 type memory struct {
 	net.Conn
@@ -295,7 +422,7 @@
 		s := newServer(fk)
 		fk.left = make(chan *core.Request, len(b)+1)
 		m := &memory{in: bytes.NewReader(b)}
-		s.serve(m)
+		s.newConn(m).serve()
 		answers, in := 0, bufio.NewReader(&m.out)
 		for {
 			if _, err := in.Peek(1); err != nil {
