Refuse a request whose id is that of an open one, with 409 and without an attempt

Seen: reading core.go, take opened a second request under the X-Txn of an open one; its attempt could go out under the same id, where a cache holds it for the same request. Changed: the core knows the ids of open requests; the second is answered at once as a clash, which the front words as 409.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -24,7 +24,8 @@
 	Failed  Kind = iota
 	Refused      // a retry is harmless after Backoff
 	Served
-	Same // served: the copy that the client holds is the one
+	Same  // served: the copy that the client holds is the one
+	Clash // not taken: another request with its id is open
 )
 
 // Answer is the one final answer to a request.
@@ -151,6 +152,7 @@
 	done   chan struct{}
 	nextID decide.RequestID
 	open   map[decide.RequestID]*Request
+	txns   map[string]*Request // of those, the ones with a client's id
 	timers timers
 	queue  []decide.Event
 	acts   []decide.Action
@@ -165,7 +167,7 @@
 		return nil, err
 	}
 	return &Core{clock: c, set: set, router: router, count: s, box: make(chan any, mailbox),
-		done: make(chan struct{}), open: map[decide.RequestID]*Request{}}, nil
+		done: make(chan struct{}), open: map[decide.RequestID]*Request{}, txns: map[string]*Request{}}, nil
 }
 
 // Follow adds listers. It must not be called once Run has been.
@@ -238,10 +240,20 @@
 
 // take opens a request under an id of its own: the module shifts ids into
 // timer tokens, where a client's 64-bit id would lose bits.
+//
+// Symptom guarded against: under the id of an open request a second one went
+// out, and on the caches' side the two were one.
 func (c *Core) take(r *Request) {
+	if c.txns[r.Txn] != nil {
+		c.answer(r, Answer{Kind: Clash})
+		return
+	}
 	c.nextID++
 	r.id = c.nextID
 	c.open[r.id] = r
+	if r.Txn != "" {
+		c.txns[r.Txn] = r
+	}
 	c.at(r.Deadline+slack, 0, nil, r)
 	c.count.Add("requests_taken", 1)
 	c.feed(decide.Request{ID: r.id, Class: r.Class, Object: r.Object, Part: r.Part, Group: r.Group,
@@ -260,20 +272,28 @@
 
 // close forgets a request and has the module give up what is out for it.
 func (c *Core) close(r *Request) {
-	delete(c.open, r.id)
+	c.forget(r)
 	c.feed(decide.Left{ID: r.id})
 	for _, a := range r.tries { // what the module no longer knows of
 		c.cancel(a, decide.Cancelled)
 	}
 }
 
+// forget ends what holds a request as open.
+func (c *Core) forget(r *Request) {
+	delete(c.open, r.id)
+	if c.txns[r.Txn] == r {
+		delete(c.txns, r.Txn)
+	}
+}
+
 // answer gives the one final answer.
 func (c *Core) answer(r *Request, a Answer) {
 	if r.answered {
 		return
 	}
 	r.answered = true
-	c.count.Add([]string{"answers_failed", "answers_refused", "answers_served", "answers_same"}[a.Kind], 1)
+	c.count.Add([]string{"answers_failed", "answers_refused", "answers_served", "answers_same", "answers_clash"}[a.Kind], 1)
 	r.Reply(a)
 	r.release()
 }
@@ -303,7 +323,7 @@
 	c.feed(decide.Outcome{ID: r.id, Attempt: a.N, Server: a.Get.Server, Result: e.Result,
 		Took: clock.Duration(c.clock.Now() - a.sent), Done: r.answered, Load: e.Load})
 	if r.answered {
-		delete(c.open, r.id)
+		c.forget(r)
 		r.release()
 	}
 }
@@ -362,12 +382,12 @@
 		c.send(a)
 	case decide.Refuse:
 		if r := c.open[a.ID]; r != nil {
-			delete(c.open, a.ID)
+			c.forget(r)
 			c.answer(r, Answer{Kind: Refused, Backoff: clock.Millis(a.Backoff)})
 		}
 	case decide.Fail:
 		if r := c.open[a.ID]; r != nil {
-			delete(c.open, a.ID)
+			c.forget(r)
 			c.answer(r, Answer{Kind: Failed})
 		}
 	case decide.Cancel:
--- a/internal/front/http/http.go
+++ b/internal/front/http/http.go
@@ -571,6 +571,9 @@
 		}
 		return c.write(r, 503, head, []byte("refused: a retry is harmless\n"))
 	}
+	if a.Kind == core.Clash {
+		return c.refuse(r, &problem{status: 409, why: "X-Txn: another request with it is open"})
+	}
 	return c.write(r, 502, "Content-Type: text/plain\r\n", []byte("failed\n"))
 }
 
@@ -602,7 +605,7 @@
 }
 
 var reasons = map[int]string{200: "OK", 304: "Not Modified", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-	408: "Request Timeout", 413: "Content Too Large", 431: "Request Header Fields Too Large", 501: "Not Implemented",
+	408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large", 501: "Not Implemented",
 	502: "Bad Gateway", 503: "Service Unavailable"}
 
 // write writes one whole answer.
--- a/internal/front/http/http_test.go
+++ b/internal/front/http/http_test.go
@@ -161,6 +161,7 @@
 		{core.Answer{Kind: core.Same, Tag: "t1"}, 304, "Etag", `"t1"`, ""},
 		{core.Answer{Kind: core.Refused, Backoff: 250}, 503, "X-Throttle-Ms", "250", "refused: a retry is harmless\n"},
 		{core.Answer{Kind: core.Failed}, 502, "X-Throttle-Ms", "", "failed\n"},
+		{core.Answer{Kind: core.Clash}, 409, "X-Throttle-Ms", "", "X-Txn: another request with it is open\n"},
 		{core.Answer{Kind: core.Served}, 200, "Content-Length", "0", ""},
 	} {
 		f.set(c.answer, false)
