Spread what is open with a server over connections, and give answers a time to end

Checked, by a trace of attempts and connections: 13 answers could not be read, and each took 2 to 9 others along, since all that is open with a server lay on one connection. Ruled out: errors, time-outs and refused dials (none). At fault: peer.go, room filled the first connection up to its limit; read waited for ever inside an answer. Changed: a request goes to the connection with the least open, and one more is made where each has two; an answer has 800 ms from its first byte.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -21,9 +21,11 @@
 const (
 	maxOut   = 512   // attempts that one peer has in hand; each makes two orders at the most
 	maxLinks = 8     // connections to one peer
+	spread   = 2     // requests open on each of them from which on one more is made
 	maxDead  = 256   // ids given up on a connection before it is set aside
 	writeIn  = 100.0 // ms that a write may block the actor
 	idlePart = 0.8   // of the idle time after which this side closes first
+	wholeIn  = 800.0 // ms from the first byte of an answer to its last
 )
 
 // Options are what a Pool shares among its peers.
@@ -205,7 +207,7 @@
 
 // work writes what waits, and dials where a connection is wanted for it.
 func (p *Peer) work(ctx context.Context) {
-	held := p.waiting[:0]
+	held, more := p.waiting[:0], false
 	for _, a := range p.waiting {
 		l := p.room(a.Req.Txn)
 		switch res, ok := p.bars(a); {
@@ -213,7 +215,8 @@
 			p.end(*core.NotTaken(a, res))
 		case l != nil:
 			p.write(l, a)
-		case p.leaving || !p.dialing && (len(p.links) >= maxLinks || p.full()):
+			more = more || len(l.open) >= spread
+		case p.leaving || !p.dialing && p.full():
 			p.end(*core.NotTaken(a, decide.Full))
 		default:
 			held = append(held, a)
@@ -221,7 +224,7 @@
 	}
 	clear(p.waiting[len(held):])
 	p.waiting = held
-	if len(held) > 0 && !p.dialing {
+	if (len(held) > 0 || more && !p.full()) && !p.dialing {
 		p.dialing = true
 		p.live.Add(1)
 		p.Stats.Add("peer_dials", 1)
@@ -229,10 +232,10 @@
 	}
 }
 
-// full tells whether all peers together have as many connections as they may.
+// full tells whether this peer, or all together, have as many connections as they may.
 func (p *Peer) full() bool {
 	most := p.Links()
-	return most > 0 && p.live.Load() >= most
+	return len(p.links) >= maxLinks || most > 0 && p.live.Load() >= most
 }
 
 // bars holds an attempt against what the change log says now: it may have
@@ -248,16 +251,20 @@
 	return 0, true
 }
 
-// room returns a connection that can take a request, or nil. An id that is
-// open or was given up on a connection is not used there again: an answer
-// that crosses the cancel would be taken for the new attempt's.
-func (p *Peer) room(txn string) *link {
+// room returns the connection with the least open that can take a request, or
+// nil. An id that is open or was given up on a connection is not used there
+// again: an answer that crosses the cancel would be taken for the new attempt's.
+//
+// Symptom guarded against: one answer that could not be read took all that was
+// open with the server along, since all of it was on one connection.
+func (p *Peer) room(txn string) (best *link) {
 	for _, l := range p.links {
-		if !l.retired && len(l.open) < p.Conn().MaxStreams && l.open[txn] == nil && !l.dead[txn] {
-			return l
+		if !l.retired && len(l.open) < p.Conn().MaxStreams && l.open[txn] == nil && !l.dead[txn] &&
+			(best == nil || len(l.open) < len(best.open)) {
+			best = l
 		}
 	}
-	return nil
+	return best
 }
 
 func (p *Peer) write(l *link, a *core.Attempt) {
@@ -422,13 +429,31 @@
 // read hands over the answers of a connection until it ends.
 func (p *Peer) read(_ context.Context, l *link) {
 	for {
-		r, err := readReply(l.k)
+		r, err := l.answer()
 		if !p.tell(event{link: l, reply: r, err: err}) || err != nil {
 			return
 		}
 	}
 }
 
+// answer reads one answer, which has some time from its first byte on.
+//
+// Symptom guarded against: an answer that stops short keeps the connection open
+// and silent, and whatever else was open there waited for its deadline.
+func (l *link) answer() (reply, error) {
+	if err := l.k.Net.SetReadDeadline(time.Time{}); err != nil {
+		return reply{}, err
+	}
+	l.k.Allow(maxAll)
+	if _, err := l.k.R.Peek(1); err != nil {
+		return reply{}, err
+	}
+	if err := l.k.Net.SetReadDeadline(time.Now().Add(clock.Duration(wholeIn))); err != nil {
+		return reply{}, err
+	}
+	return readReply(l.k)
+}
+
 func (p *Peer) tell(e event) bool {
 	select {
 	case p.events <- e:
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -46,6 +47,7 @@
 }
 
 func (w *wire) SetWriteDeadline(time.Time) error { return nil }
+func (w *wire) SetReadDeadline(time.Time) error  { return nil }
 func (w *wire) Close() error {
 	select {
 	case <-w.closed:
@@ -412,3 +414,63 @@
 	}
 	<-old.done // it ends by itself: nothing is out
 }
+
+// What is open with a server lies on several connections, so that a spoilt
+// answer on one takes little along. (The symptom: it took all.)
+func TestSpoiltAnswerTakesLittleAlong(t *testing.T) {
+	m := newModel(t)
+	for i := range 6 {
+		m.send(fmt.Sprint(i))
+		m.dialed()
+	}
+	if len(m.p.links) < 2 {
+		t.Fatal("all is on one connection")
+	}
+	m.p.event(t.Context(), event{link: m.p.links[0], err: errFrame})
+	if n := len(m.ends); n == 0 || n > 2 {
+		t.Errorf("%d of 6 attempts ended with one connection", n)
+	}
+	for _, e := range m.ends {
+		if e[0] != decide.Broken {
+			t.Errorf("ended as %v", e)
+		}
+	}
+}
+
+// halting is a connection that brings some bytes and then nothing more.
+type halting struct {
+	source
+	until time.Time
+}
+
+func (h *halting) SetReadDeadline(t time.Time) error {
+	h.until = t
+	return nil
+}
+
+func (h *halting) Read(p []byte) (int, error) {
+	if n, err := h.r.Read(p); err == nil {
+		return n, nil
+	}
+	if h.until.IsZero() {
+		return 0, errors.New("waits for ever")
+	}
+	return 0, os.ErrDeadlineExceeded
+}
+
+// An answer that has begun has a time to end; one that has not begun has none.
+func TestAnswerThatStopsShort(t *testing.T) {
+	whole := "*4\r\n$1\r\na\r\n$4\r\nLACK\r\n$1\r\n-\r\n$0\r\n\r\n"
+	for _, c := range []struct {
+		text string
+		want string
+	}{{whole, "waits for ever"}, {whole + whole[:20], os.ErrDeadlineExceeded.Error()}} {
+		l := &link{k: sock.New(&halting{source: source{r: strings.NewReader(c.text)}})}
+		if r, err := l.answer(); err != nil || r.word != "LACK" {
+			t.Fatalf("%+v, %v", r, err)
+		}
+		if _, err := l.answer(); err == nil || err.Error() != c.want {
+			t.Errorf("after %q: %v, want %s", c.text, err, c.want)
+		}
+	}
+}
