A lost answer to a write does not make the origin look full

Checked, by a trace of every observation of the origin's gate: two writes whose answers were lost, 568 and 1,225 ms out, gave 1.9 to 4.1 at each look while all other writes took 70 to 100 ms; the gate went on and each read then looked first, lacked and waited for the origin's ration. Ruled out: load (0.25 s of CPU in the worst second) and refusals (40, after the start). At fault: decide.go, look and learn took each slow attempt that needs the origin for a sign of a full one. Changed: only where its source has brought nothing since the attempt was sent. Test: TestLostAnswerIsNoFullOrigin.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -650,7 +650,7 @@
 // hurt where so little is sent that silence is ordinary.
 func (r *Router) look(a *attempt) {
 	q := a.req
-	if (a.deep || q.class.Write) && r.now > a.sent+r.aim {
+	if r.now > a.sent+r.aim && a.stuck() {
 		r.strain(a, (r.now-a.sent).Seconds()/r.aim.Seconds())
 	}
 	bad := a.to
@@ -678,6 +678,16 @@
 	}
 }
 
+// stuck tells whether an attempt that takes long speaks for a full origin: it
+// needs that, and its source has brought nothing since.
+//
+// Symptom guarded against: one answer to a write that got lost on its way made
+// the origin look full while others took their usual time, and all misses
+// waited for its ration. It might hurt where an origin stalls for some alone.
+func (a *attempt) stuck() bool {
+	return (a.deep || a.req.class.Write) && a.source.heard <= a.sent
+}
+
 // end gives the final answer to a request that will not be served.
 func (r *Router) end(q *request) {
 	if q.out > 0 {
@@ -764,7 +774,7 @@
 
 // learn books an outcome with the servers that had a part in it.
 func (r *Router) learn(a *attempt, o Outcome) {
-	slow := (a.deep || a.req.class.Write) && (o.Result == TimedOut || o.Note == SourceUnreached)
+	slow := o.Result == TimedOut && a.stuck() || (a.deep || a.req.class.Write) && o.Note == SourceUnreached
 	if slow {
 		r.strain(a, max(refused, o.Took.Seconds()/r.aim.Seconds()))
 	}
--- a/decide/untold_test.go
+++ b/decide/untold_test.go
@@ -239,3 +239,30 @@
 		}
 	}
 }
+
+// A write whose answer is lost, while others are answered in their usual time,
+// does not make the origin look full: no read is held back or sent to look first.
+func TestLostAnswerIsNoFullOrigin(t *testing.T) {
+	f := start(t, settings(), fleet())
+	write := func() Get { return f.one(f.ask(Request{Class: 2, Object: 9, Left: 3 * sec})) }
+	for range 3 {
+		lost := write()
+		for range 30 {
+			f.now += 100 * ms
+			f.untold(write(), 0, Served, 50*ms)
+			f.do(Timer{Token: uint64(lost.ID)<<tokenBits | tokenLook})
+		}
+		f.untold(lost, 0, TimedOut, 3*sec)
+	}
+	if f.r.origin.on || f.r.origin.full > gateOn/2 {
+		t.Errorf("the origin is taken for full: on %v, at %.2f", f.r.origin.on, f.r.origin.full)
+	}
+	for range 3 { // with nothing answered at all, it is
+		stuck := write()
+		f.now += 2 * sec
+		f.do(Timer{Token: uint64(stuck.ID)<<tokenBits | tokenLook})
+	}
+	if !f.r.origin.on {
+		t.Error("an origin that answers nothing is not taken for full")
+	}
+}
