A cache far slower than its peers gets less of its keys until it is well

Checked, by a trace of what is out per cache: one of three caches answered at a tenth of the pace that its bytes need (1,300 ms for 13 KB, all objects and sources alike) while the others took 1; ten attempts lay there all the time, its limit, and whatever had it as home waited as for a crowded one. Ruled out: its parent, errors, time-outs, a listed start (none). At fault: decide.go knew a cache's pace only from notes, which are not given here; crowded took it for a busy one. Changed: flow_bytes_per_s and the bytes of an answer tell what it needs; time taken over that is smoothed for each cache, overdue answers included, and one over twice as slow as its best peer keeps fewer keys and less out. Sending times are learnt from the bytes too. Test: TestSlowCacheKeepsFewKeys.

--- a/decide/api.go
+++ b/decide/api.go
@@ -84,6 +84,7 @@
 	CanJoin      bool
 	Direct       bool    // parents and the origin take attempts too
 	FlowKBps     float64 // pace of one transfer to a client; 0: not told
+	BytesPerS    float64 // the same in an answer's bytes; 0: those tell nothing
 	WeightsSize  bool    // a server's Weight tells its size
 	MustAsk      bool    // the server list must be subscribed to
 	DrainGrace   time.Duration
@@ -207,6 +208,7 @@
 	Note    Note
 	Waited  time.Duration // to the source's first byte or failure
 	Took    time.Duration
+	Bytes   int  // of what was served
 	Done    bool // the request is finished
 	Load    Load
 }
@@ -278,3 +280,34 @@
 func (Cancel) action() {}
 func (Wake) action()   {}
 func (Watch) action()  {}
+
+// Handle takes one event and appends the actions that it calls for to out.
+func (r *Router) Handle(now time.Duration, ev Event, out []Action) []Action {
+	r.now, r.acts = now, out
+	switch ev := ev.(type) {
+	case Members:
+		if ev.Failed {
+			r.do(Wake{sickFirst, tokenWatch})
+		} else {
+			r.members(ev)
+		}
+	case Request:
+		if r.open[ev.ID] == nil {
+			r.request(ev)
+		}
+	case Outcome:
+		r.outcome(ev)
+	case Timer:
+		r.timer(ev.Token)
+	case Purge:
+		r.purged(ev)
+	case Left:
+		if q := r.open[ev.ID]; q != nil {
+			r.finish(q)
+		}
+	}
+	out, r.acts = r.acts, nil
+	return out
+}
+
+func (r *Router) do(a Action) { r.acts = append(r.acts, a) }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,6 +1,6 @@
 package decide
 
-// Every decision, table and tuned value is in this file; its types are in api.go.
+// Every decision and tuned value is in this file; types are in api.go, tables in table.go.
 //
 // The ordinary path: a request goes to the home cache of its object, found by
 // rendezvous hashing over the zone's caches, and a miss is filled from the home
@@ -24,6 +24,12 @@
 	badGain     = 0.06                   // weight of the newest success or error in a server's share of errors
 	badMark     = 0.12                   // share of errors, over twice its best peer's, that is no chance
 	badMost     = 0.4                    // where the share is cut: a server that is well again soon shows it
+	lagGain     = 0.15                   // weight of the newest answer in a cache's lag
+	lagLife     = 5 * time.Second        // after which a lag that is not felt any more is mostly forgotten
+	lagMost     = 10.0                   // what one answer can tell at the most
+	lagLead     = 0.1                    // seconds that a fill may take on top
+	lagMark     = 2.0                    // lag over that of the best peer from which on a cache gets less
+	lagLeast    = 0.05                   // part of its keys that it keeps, or it would not be seen to be well
 	sickFirst   = 500 * time.Millisecond // first rest of a sick server; doubles while it stays sick
 	sickMost    = 4 * time.Second        // a server that is back must not wait much longer for work
 	coldMargin  = 0.8                    // part of a cold budget used: load is uneven and capacity a guess
@@ -68,6 +74,7 @@
 	fails, rests  int           // failures in a row; how often in a row it was set aside
 	bad           float64       // share of errors in what it has a part in, smoothed
 	broke         time.Duration // when a connection to it last broke
+	lag           ratio         // how long it takes over what its bytes need
 	resting       time.Duration // until then it is set aside
 	heard         time.Duration // latest outcome of its own, for a source: latest fill
 	out           int           // attempts sent to it that have not ended
@@ -159,37 +166,6 @@
 	return nil
 }
 
-// Handle takes one event and appends the actions that it calls for to out.
-func (r *Router) Handle(now time.Duration, ev Event, out []Action) []Action {
-	r.now, r.acts = now, out
-	switch ev := ev.(type) {
-	case Members:
-		if ev.Failed {
-			r.do(Wake{sickFirst, tokenWatch})
-		} else {
-			r.members(ev)
-		}
-	case Request:
-		if r.open[ev.ID] == nil {
-			r.request(ev)
-		}
-	case Outcome:
-		r.outcome(ev)
-	case Timer:
-		r.timer(ev.Token)
-	case Purge:
-		r.purged(ev)
-	case Left:
-		if q := r.open[ev.ID]; q != nil {
-			r.finish(q)
-		}
-	}
-	out, r.acts = r.acts, nil
-	return out
-}
-
-func (r *Router) do(a Action) { r.acts = append(r.acts, a) }
-
 // members takes a change of the list. Who leaves or drains is not chosen from now on.
 func (r *Router) members(m Members) {
 	first := !r.begun
@@ -261,7 +237,8 @@
 	out := r.scratch[:0]
 	for _, s := range r.list[role] {
 		if (allSick || r.well(s)) && !slices.Contains(q.avoid, s) && q.inGroup(s) && r.affords(s, *q.mean) {
-			s.score = -math.Log(uniform(key^mix(uint64(s.ID)))) / (r.weight(s) * r.warmth(s, r.now))
+			room := r.weight(s) * r.warmth(s, r.now) * r.keeps(s)
+			s.score = -math.Log(uniform(key^mix(uint64(s.ID)))) / room
 			out = append(out, s)
 		}
 	}
@@ -272,6 +249,22 @@
 	return out
 }
 
+// keeps is the part of its keys that s keeps though it is slower than its peers.
+//
+// Symptom guarded against: a cache that did a tenth of its work for a while was
+// waited for as a crowded home, and a third of all requests were refused. It
+// should hold where a link is narrower than listed. It might hurt a cache that
+// happens to fill more than its peers.
+func (r *Router) keeps(s *server) float64 {
+	lag := s.lag.get(r.now, lagLife)
+	least := lag
+	for _, x := range r.list[s.role] {
+		least = min(least, x.lag.get(r.now, lagLife))
+	}
+	part := min(1, lagMark*least/lag)
+	return max(part*part, lagLeast)
+}
+
 // weight is the size of a server against its peers.
 func (r *Router) weight(s *server) float64 {
 	if r.set.WeightsSize {
@@ -358,10 +351,9 @@
 
 // outlier tells whether s fails far more than the best of its peers.
 //
-// Symptom guarded against: a parent that failed what it was asked for looked
-// well: the hits among what names it as source are successes, and its errors
-// went to the caches' account. It should hold where cache and source can't be told
-// apart, and where answers of all are spoilt alike. It might hurt a lone bad pair.
+// Symptom guarded against: a parent that failed its fills looked well, since hits
+// that name it are successes and its errors went to the caches' account. It should
+// hold where the answers of all are spoilt alike. It might hurt a lone bad pair.
 func (r *Router) outlier(s *server) bool {
 	least := s.bad
 	for _, x := range r.list[s.role] {
@@ -547,7 +539,7 @@
 // part of a location's requests.
 func (r *Router) crowded(s *server) bool {
 	return r.set.WeightsSize && r.set.FlowKBps > 0 && !r.told &&
-		float64(s.out) >= max(2, crowd*s.Weight*r.part)
+		float64(s.out) >= max(2, crowd*s.Weight*r.part*r.keeps(s))
 }
 
 // pickSource returns the home parent of an object, or its stand-in where that
@@ -653,6 +645,10 @@
 	if r.now > a.sent+r.aim && a.stuck() {
 		r.strain(a, (r.now-a.sent).Seconds()/r.aim.Seconds())
 	}
+	if r.set.BytesPerS > 0 && !q.class.Write { // overdue, it tells before it ends
+		lag := (r.now - a.sent).Seconds() / (r.sending(q).Seconds() + lagLead)
+		a.to.lag.feel(r.now, lagLife, lagGain, min(max(lag, a.to.lag.get(r.now, lagLife)), lagMost))
+	}
 	bad := a.to
 	if a.to.heard > a.sent {
 		bad = a.source
@@ -819,6 +815,11 @@
 func (r *Router) learnServed(a *attempt, o Outcome) {
 	q := a.req
 	work, known := r.work(q)
+	told := o.Bytes > 0 && r.set.BytesPerS > 0 && !q.class.Write
+	if told {
+		work, known = float64(o.Bytes)/r.set.BytesPerS, true
+		a.to.lag.feel(r.now, lagLife, lagGain, min(o.Took.Seconds()/(work+lagLead), lagMost))
+	}
 	r.worked(a.to)
 	r.carry(a.to, work)
 	filled := o.Note == Filled || o.Note == FilledByOrigin
@@ -849,12 +850,12 @@
 		a.to.gate.feel(r.now, untold, r.part)
 	}
 	if !r.sized(q) {
-		if took := o.Took.Seconds(); !known || took < work {
+		if took := o.Took.Seconds(); !told && (!known || took < work) {
 			work = took
 		}
 		r.sizes.put(q.partKey(), work)
 	}
-	if !r.sized(q) && (!known || o.Note == Hit) {
+	if !r.sized(q) && (told || !known || o.Note == Hit) {
 		*q.mean += (work - *q.mean) * meanGain
 	}
 }
--- a/decide/table.go
+++ b/decide/table.go
@@ -51,3 +51,19 @@
 	}
 	t.young[k] = v
 }
+
+// ratio is a smoothed ratio that goes back to 1 where nothing more is felt.
+type ratio struct {
+	at   time.Duration
+	over float64 // what it is over 1
+}
+
+func (r *ratio) get(now, life time.Duration) float64 {
+	return 1 + r.over*math.Exp(-(now-r.at).Seconds()/life.Seconds())
+}
+
+// feel moves the ratio by a part of the way to x, but never under 1.
+func (r *ratio) feel(now, life time.Duration, gain, x float64) {
+	v := r.get(now, life)
+	r.at, r.over = now, max(0, v+(x-v)*gain-1)
+}
--- a/decide/untold_test.go
+++ b/decide/untold_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -266,3 +267,47 @@
 		t.Error("an origin that answers nothing is not taken for full")
 	}
 }
+
+// A cache that does a tenth of its work for a while keeps few of its keys, and
+// has them again when it is well. (The symptom: its keys waited for it as for a
+// crowded home, and a third of all requests were refused.)
+func TestSlowCacheKeepsFewKeys(t *testing.T) {
+	set := settings()
+	set.BytesPerS = 100_000
+	f := start(t, set, fleet())
+	slow := f.r.list[cache][0].ID
+	type out struct {
+		g   Get
+		at  time.Duration
+		due time.Duration
+	}
+	var open []out
+	play := func(n int, times time.Duration) (there int) {
+		for i := range n {
+			f.now += 20 * ms
+			for _, g := range gets(f.ask(Request{Object: ObjectID(1 + i), Left: 6 * sec})) {
+				o := out{g, f.now, f.now + 150*ms}
+				if g.Server == slow {
+					there++
+					o.due = f.now + 150*ms*times
+				}
+				open = append(open, o)
+			}
+			open = slices.DeleteFunc(open, func(o out) bool {
+				if o.due <= f.now {
+					f.do(Outcome{ID: o.g.ID, Server: o.g.Server, Result: Served, Took: f.now - o.at, Bytes: 15_000, Done: true})
+				}
+				return o.due <= f.now
+			})
+		}
+		return there
+	}
+	well := play(300, 1)
+	play(150, 10)
+	sick := play(300, 10)
+	play(300, 1)
+	again := play(300, 1)
+	if well < 60 || sick > well/3 || again < well*3/4 {
+		t.Errorf("of 300 it had %d when well, %d when slow and %d when well again", well, sick, again)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -79,6 +79,7 @@
 	Limits    Limits          `json:"limits"`
 	ChangeLog string          `json:"changelog"`
 	Known     known           `json:"known"`
+	Flow      float64         `json:"flow_bytes_per_s"`
 	Settings  json.RawMessage `json:"settings"`
 }
 
@@ -163,6 +164,10 @@
 	if err := c.settings(f.Settings); err != nil {
 		return nil, err
 	}
+	if f.Flow < 0 {
+		return nil, fmt.Errorf("flow_bytes_per_s: %v: negative", f.Flow)
+	}
+	c.Settings.BytesPerS = f.Flow
 	for i, r := range f.Known.Results {
 		ev, err := c.known(r.Seq, r.Fleet, r.Invalidate)
 		if err != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -321,7 +321,7 @@
 		c.answer(r, e.Answer)
 	}
 	c.feed(decide.Outcome{ID: r.id, Attempt: a.N, Server: a.Get.Server, Result: e.Result,
-		Took: clock.Duration(c.clock.Now() - a.sent), Done: r.answered, Load: e.Load})
+		Took: clock.Duration(c.clock.Now() - a.sent), Bytes: len(e.Answer.Body), Done: r.answered, Load: e.Load})
 	if r.answered {
 		c.forget(r)
 		r.release()
