Stand in for a crowded home with the next cache that has ample room

Checked, by a trace of what is out per cache: one of three caches had all it may (11) and answered 1.2 to 1.7 times over its bytes, the other two had 3 to 5 and 0.5 to 0.7; 186 of 338 late requests had been held over 50 ms. Ruled out: connections (8,000, all taken), sources, errors. At fault: decide.go, plan waited for a crowded home whatever room the next cache in rank had, and the lag mark of 2 over a floor of 1 did not see a cache that is half as fast. Changed: a read whose home is crowded goes to the next cache that has less than half of its limit out; lag counts from 1.5 times the best peer.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -27,8 +27,8 @@
 	lagGain     = 0.15                   // weight of the newest answer in a cache's lag
 	lagLife     = 5 * time.Second        // after which a lag that is not felt any more is mostly forgotten
 	lagMost     = 10.0                   // what one answer can tell at the most
-	lagLead     = 0.1                    // seconds that a fill may take on top
-	lagMark     = 2.0                    // lag over that of the best peer from which on a cache gets less
+	lagLead     = 0.03                   // seconds that an answer may take on top
+	lagMark     = 1.5                    // lag over that of the best peer from which on a cache gets less
 	lagLeast    = 0.05                   // part of its keys that it keeps, or it would not be seen to be well
 	sickFirst   = 500 * time.Millisecond // first rest of a sick server; doubles while it stays sick
 	sickMost    = 4 * time.Second        // a server that is back must not wait much longer for work
@@ -47,6 +47,7 @@
 	gateFirst   = 8.0                    // a location is allowed when a ration starts and none is known yet
 	refused     = 2.0                    // fullness that a server shows by refusing
 	crowd       = 1.5                    // transfers out over those that fit at full pace; some wait for a fill
+	standIn     = 0.5                    // a cache stands in for others up to so much of that
 	untold      = 0.2                    // and by serving, where no outcome tells more
 )
 
@@ -254,7 +255,7 @@
 //
 // Symptom guarded against: a cache that did a tenth of its work for a while was
 // waited for as a crowded home, and a third of all requests were refused. It
-// might hurt a cache that happens to fill more than its peers.
+// might hurt a cache that fills more.
 func (r *Router) keeps(s *server) float64 {
 	lag := s.lag.get(r.now, lagLife)
 	least := lag
@@ -285,8 +286,7 @@
 // pays for, drawn from the seed: all routers together stay within the sum.
 //
 // Symptom guarded against: many routers, each of which sends little, find an
-// empty server at once, and the least that each of them sends pushes it over. It
-// might hurt a router that has just started: it has seen nothing carried yet.
+// empty server at once, and the least that each of them sends pushes it over.
 func (r *Router) affords(s *server, work float64) bool {
 	if r.warmth(s, r.now) >= 1 {
 		return true
@@ -306,8 +306,8 @@
 // carries is the work a second, per weight, that this router may count on: the
 // most it saw, or its share of what weights tell where they count transfers.
 //
-// Symptom guarded against: a router that restarted, or whose whole location
-// came back cold, has seen nothing carried and refuses all until it is warm.
+// Symptom guarded against: a router that restarted, or whose whole location came
+// back cold, has seen nothing carried and refuses all until it is warm.
 func (r *Router) carries(role role) float64 {
 	told := 0.0
 	if r.set.WeightsSize && r.set.FlowKBps > 0 {
@@ -348,10 +348,9 @@
 	}
 }
 
-// outlier tells whether s fails far more than the best of its peers.
-//
-// Symptom guarded against: a parent that failed its fills looked well, since hits
-// that name it are successes and its errors went to the caches' account.
+// outlier tells whether s fails far more than its best peer. Symptom guarded against:
+// a parent that failed its fills looked well, since hits that name it are successes
+// and its errors went to the caches' account.
 func (r *Router) outlier(s *server) bool {
 	least := s.bad
 	for _, x := range r.list[s.role] {
@@ -501,20 +500,22 @@
 		q.class.Group == GroupCell && s.Zone == a.to.Zone && s.Cell == a.to.Cell
 }
 
-// plan picks where the next attempt goes and who fills a miss. room: it need not wait.
+// plan picks where the next attempt goes, a crowded home's to the next cache with
+// ample room, and who fills a miss. room: it need not wait.
 func (r *Router) plan(q *request) (to, source *server, room bool) {
 	source, open := r.pickSource(q)
 	if q.class.Write && (r.set.Direct || source == nil) {
 		return source, source, open
 	}
-	full := false
+	full, home := false, (*server)(nil)
 	look := !q.missed && !q.class.Write && (r.link.on || r.origin.on || source != nil && source.gate.on)
 	for _, s := range r.ranked(cache, q.partKey(), q) {
 		switch {
 		case q.missed && (!open || !r.link.open(r.now)) || q.lacked && !r.origin.open(r.now):
 			return s, source, false
-		case r.crowded(s) && !q.class.Write:
-			return s, source, false
+		case !q.class.Write && home == nil && r.crowded(s, 1):
+			home = s
+		case home != nil && r.crowded(s, standIn):
 		case !s.gate.open(r.now):
 			if full = true; q.hot < hotMark {
 				return s, source, false
@@ -525,6 +526,9 @@
 			return s, source, true
 		}
 	}
+	if home != nil {
+		return home, source, false
+	}
 	// No cache can take it: straight to the source. A parent that is named as
 	// its own source gives only what it holds; it must be let ask the origin.
 	if to = source; source == nil || full || !r.set.Direct {
@@ -536,15 +540,12 @@
 	return to, source, open && r.link.open(r.now) && r.origin.open(r.now)
 }
 
-// crowded tells whether a cache has as much out from this router as its link
-// sends at full pace: the weight counts transfers.
-//
-// Symptom guarded against: without notes nothing tells that a link is full but
-// that all answers are late. It might hurt where one router has more than its
-// part of a location's requests.
-func (r *Router) crowded(s *server) bool {
+// crowded tells whether a cache has as much out from this router as its link sends
+// at full pace, or a part of that. Symptom guarded against: without notes nothing
+// tells that a link is full but that all answers are late.
+func (r *Router) crowded(s *server, part float64) bool {
 	return r.set.WeightsSize && r.set.FlowKBps > 0 && !r.told &&
-		float64(s.out) >= max(2, crowd*s.Weight*r.part*r.keeps(s))
+		float64(s.out) >= max(2, crowd*s.Weight*r.part*r.keeps(s))*part
 }
 
 // pickSource returns the home parent of an object, or its stand-in where that
@@ -642,9 +643,8 @@
 // Symptom guarded against: a server that went silent. It neither answers nor
 // refuses, so nothing but the lack of outcomes tells. A cache that has not been
 // heard since the attempt was sent is blamed itself; if it has answered others,
-// the source is, unless that has filled something since, or seems to have, since
-// hits that name it count: then what fails more than its peers. It might hurt
-// where so little is sent that silence is ordinary.
+// the source is, unless it is heard too, as it is by hits that name it: then what
+// fails more than its peers. It might hurt where little is sent.
 func (r *Router) look(a *attempt) {
 	q := a.req
 	if r.now > a.sent+r.aim && a.stuck() {
