Let a router that is alone in its location use the links of caches that answer in time

Checked, by a trace of what is out per cache: the one router left of two had 11 to 12 out at each of three caches with links for 15, its limit by its half, and answers took 0.7 of what they may; 300 to 500 requests were refused unsent. Ruled out: the link in and the sources (refusals none, errors 1). At fault: decide.go, crowded counted with the router's listed part of its location whatever its caches showed. Changed: while a cache's lag is under 1.2 a router may have a whole link's transfers out there. Test: TestCachesAtFullPaceTakeMore.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,6 +25,7 @@
 	badMark     = 0.12                   // share of errors, over twice its best peer's, that is no chance
 	badMost     = 0.4                    // where the share is cut: a server that is well again soon shows it
 	lagGain     = 0.15                   // weight of the newest answer in a cache's lag
+	lagFull     = 1.2                    // lag from which on a cache sends all that it can
 	lagLife     = 5 * time.Second        // after which a lag that is not felt any more is mostly forgotten
 	lagMost     = 10.0                   // what one answer can tell at the most
 	lagLead     = 0.03                   // seconds that an answer may take on top
@@ -231,9 +232,8 @@
 }
 
 // ranked returns the servers of a role that can take q in the rendezvous order
-// of key, best first, valid until it is called again. A cold server draws keys in
-// proportion to what it can carry already, so that its homes come to it as it
-// warms up. If all parents look sick, their looks tell nothing.
+// of key, best first, valid until it is called again. A cold or slow server draws
+// keys as it can carry them. If all parents look sick, their looks tell nothing.
 func (r *Router) ranked(role role, key uint64, q *request) []*server {
 	allSick := role == parent && !slices.ContainsFunc(r.list[role], r.well)
 	out := r.scratch[:0]
@@ -252,7 +252,6 @@
 }
 
 // keeps is the part of its keys that s keeps though it is slower than its peers.
-//
 // Symptom guarded against: a cache that did a tenth of its work for a while was
 // waited for as a crowded home, and a third of all requests were refused. It
 // might hurt a cache that fills more.
@@ -318,8 +317,7 @@
 	return max(r.peak[role], told)
 }
 
-// charge books work sent to a server. It is kept for warm servers too: one
-// that restarted is listed late, and what it got meanwhile counts.
+// charge books work sent to a server; what one that restarted gets unlisted counts.
 func (r *Router) charge(s *server, work float64) {
 	s.charges = slices.DeleteFunc(s.charges, func(c rate) bool { return c.at <= r.now-r.ramps[s.role].Span })
 	s.charges = append(s.charges, rate{r.now, work})
@@ -544,8 +542,12 @@
 // at full pace, or a part of that. Symptom guarded against: without notes nothing
 // tells that a link is full but that all answers are late.
 func (r *Router) crowded(s *server, part float64) bool {
+	most := crowd * r.part
+	if r.set.BytesPerS > 0 && s.lag.get(r.now, lagLife) < lagFull {
+		most = max(most, 1) // others have little out there
+	}
 	return r.set.WeightsSize && r.set.FlowKBps > 0 && !r.told &&
-		float64(s.out) >= max(2, crowd*s.Weight*r.part*r.keeps(s))*part
+		float64(s.out) >= max(2, most*s.Weight*r.keeps(s))*part
 }
 
 // pickSource returns the home parent of an object, or its stand-in where that
@@ -827,8 +829,7 @@
 	r.carry(a.to, work)
 	filled := o.Note == Filled || o.Note == FilledByOrigin
 	// Symptom guarded against: without notes a source was never heard of and was
-	// blamed for every slow attempt, until all parents rested and the origin
-	// had to fill everything. It might hurt where a lost parent goes unseen.
+	// blamed for every slow attempt, until all parents rested.
 	if a.source != a.to && (filled || o.Note == Joined || o.Note == NoNote) {
 		r.worked(a.source)
 		r.carry(a.source, work)
@@ -904,10 +905,9 @@
 	}
 }
 
-// feel takes one observation of how full the bottleneck is. The ration starts
-// from what is out and is lifted only when it was not needed for a while:
-// lifted at once, all that waits would fill the link again. part is this
-// router's part of its location's requests: so much of the least is its own.
+// feel takes one observation of how full the bottleneck is. The ration starts from
+// what is out and is lifted only when it was not needed for a while, or all that
+// waits would fill the link again. part is this router's of its location's requests.
 func (g *gate) feel(now time.Duration, x, part float64) {
 	steps := min(float64((now-g.felt)/gateEvery), 10)
 	g.full += (min(x, 4) - g.full) * gateGain * min(max(steps, 1), 2)
--- a/decide/untold_test.go
+++ b/decide/untold_test.go
@@ -358,3 +358,25 @@
 		t.Errorf("%d of some 100 fills went to a parent that brings none", hung)
 	}
 }
+
+// A router that serves its location alone for a while may use the caches' whole
+// links as long as they answer in time, and its part of them once they lag. (The
+// symptom: it refused a tenth while the links were half used.)
+func TestCachesAtFullPaceTakeMore(t *testing.T) {
+	s := settings()
+	s.WeightsSize, s.SeatsByZone, s.BytesPerS = true, []int{0, 2, 2}, 100_000
+	list := fleet()
+	for i := range list {
+		list[i].Weight = 20
+	}
+	f := start(t, s, list)
+	c := f.r.list[cache][0]
+	c.out = 18
+	if f.r.crowded(c, 1) {
+		t.Error("a cache whose answers come in time counts as crowded")
+	}
+	c.lag.feel(f.now, lagLife, 1, 2*lagFull)
+	if !f.r.crowded(c, 1) {
+		t.Error("a cache that lags, with more out than this router's part, does not")
+	}
+}
