Clients that leave soon do not set connections to a server aside

Checked, by a trace: all of a burst ended as full three times within a millisecond, at one cache with all sources; no server had answered WAIT. So the peer said it: its eight connections were set aside and none more could be made. Ruled out: descriptors (209 of 1,024), servers at rest. At fault: peer.go, cancel set a connection aside when a client left before the next answer came, and room and full counted what is set aside. Changed: an attempt speaks against its connection after 250 ms without an answer; what is set aside no longer counts among the eight. Test: TestQuickCancelsKeepConnections.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -25,6 +25,7 @@
 	maxDead  = 256   // ids given up on a connection before it is set aside
 	writeIn  = 100.0 // ms that a write may block the actor
 	idlePart = 0.8   // of the idle time after which this side closes first
+	quietFor = 250.0 // ms without an answer after which a request given up speaks against its connection
 	wholeIn  = 800.0 // ms from the first byte of an answer to its last
 )
 
@@ -234,8 +235,13 @@
 
 // full tells whether this peer, or all together, have as many connections as they may.
 func (p *Peer) full() bool {
-	most := p.Links()
-	return len(p.links) >= maxLinks || most > 0 && p.live.Load() >= most
+	most, links := p.Links(), 0
+	for _, l := range p.links {
+		if !l.retired {
+			links++
+		}
+	}
+	return links >= maxLinks || most > 0 && p.live.Load() >= most
 }
 
 // bars holds an attempt against what the change log says now: it may have
@@ -301,10 +307,11 @@
 		}
 		delete(l.open, a.Req.Txn)
 		l.dead[a.Req.Txn] = true
-		// Symptom guarded against: a machine that vanished leaves its
+		// Symptoms guarded against: clients that leave soon had all connections
+		// set aside, and none could be made. A machine that vanished leaves its
 		// connections open and silent; what is written there after it is back
 		// would be lost as well, and it would look silent for ever.
-		if l.heard < s.at || len(l.dead) > maxDead {
+		if l.heard < s.at && p.Clock.Now()-s.at >= quietFor || len(l.dead) > maxDead {
 			l.retired = true
 		}
 		p.flush(l, appendCancel(l.k.Out(), a.Req.Txn))
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -474,3 +474,28 @@
 		}
 	}
 }
+
+// Clients that leave soon after they asked say nothing of the server: its
+// connections stay in use. (The symptom: all eight were set aside, each for one
+// such client, and what came next was refused as if the server were full.)
+func TestQuickCancelsKeepConnections(t *testing.T) {
+	m := newModel(t)
+	for i := range 40 {
+		a := m.send(fmt.Sprintf("stay%d", i))
+		b := m.send(fmt.Sprintf("leave%d", i))
+		m.dialed()
+		m.clk.Advance(20)
+		m.cancel(b)
+		if i > 4 {
+			m.cancel(m.attempts[2*(i-5)])
+		}
+		for _, l := range m.p.links {
+			if l.retired {
+				t.Fatalf("a connection was set aside after %d", i)
+			}
+		}
+		if len(m.ends[a]) > 0 {
+			t.Fatalf("attempt %d ended as %v", i, m.ends[a])
+		}
+	}
+}
