Close a silent connection whose attempt is sent again, so that no second copy is out

Ruled out: clients that leave (nothing is sent again), answers under reused ids (kept apart by room). At fault: peer.go, cancel. Changed: an attempt given up while its request is open closes a connection that has said nothing since it was written; what else was open there ends as broken and goes by its class. Test: TestResendClosesASilentConnection.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -66,7 +66,8 @@
 	Class    *decide.Class
 	Deadline float64 // of its request
 
-	Via any // the carrier's own
+	Again bool // it is given up while its request is open: another may follow
+	Via   any  // the carrier's own
 
 	sent   float64
 	taken  bool // by its carrier
@@ -430,7 +431,7 @@
 	if a.ended || a.asked {
 		return
 	}
-	a.asked, a.ending = true, as
+	a.asked, a.ending, a.Again = true, as, !a.Req.answered
 	a.Req.Carrier.Cancel(a)
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -306,6 +306,13 @@
 			continue
 		}
 		delete(l.open, a.Req.Txn)
+		// Symptom guarded against: where a connection has said nothing since, its
+		// cancel may not arrive, and the next attempt was a second copy.
+		if a.Again && l.heard < s.at {
+			p.lose(l)
+			p.end(over)
+			return
+		}
 		l.dead[a.Req.Txn] = true
 		// Symptoms guarded against: clients that leave soon had all connections
 		// set aside, and none could be made. A machine that vanished leaves its
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -499,3 +499,23 @@
 		}
 	}
 }
+
+// What is given up to be sent again, on a connection that has said nothing
+// since, is given up by closing that: only then can no second copy be out. On
+// one that has answered others the cancel does.
+func TestResendClosesASilentConnection(t *testing.T) {
+	for _, answered := range []bool{false, true} {
+		m := newModel(t)
+		a, b := m.send("a"), m.send("b")
+		m.dialed()
+		m.clk.Advance(100)
+		if answered {
+			m.p.event(t.Context(), event{link: m.p.links[0], reply: reply{id: "b", word: "LACK", fields: "-"}})
+		}
+		a.Again = true
+		m.cancel(a)
+		if m.wires[0].isClosed() == answered || len(m.ends[a]) != 1 || m.ends[a][0] != decide.Cancelled || len(m.ends[b]) != 1 {
+			t.Errorf("answered %v: closed %v, ends %v and %v", answered, m.wires[0].isClosed(), m.ends[a], m.ends[b])
+		}
+	}
+}
