Take the listening socket that the platform passes on, and leave it to the next process

Ruled out: the configuration, which parses, and a process left over (first start). At fault: cmd/garnetline/serve.go, serve bound conf.Listen whatever was inherited. Changed: config reads EDGE_LISTEN_FD; listen takes that descriptor. At SIGTERM a router with an inherited socket stops accepting at once, since its other holders take what is queued, and ends each open connection with the next answer (HandOver); Finish is as before. Not taken: SO_REUSEPORT, where what waits in the old process's queue is reset when it closes.

--- a/cmd/garnetline/serve.go
+++ b/cmd/garnetline/serve.go
@@ -48,9 +48,9 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	defer signal.Stop(signals)
 
-	listener, err := net.Listen("tcp", conf.Listen.String())
+	listener, err := listen(conf)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
 	}
 
 	ctx, stop := context.WithCancel(ctx)
@@ -118,11 +118,33 @@
 		break
 	}
 	front.Stopping()
+	if conf.ListenFD != 0 { // its other holders take what comes from now on
+		front.HandOver()
+	}
 	time.Sleep(lameDuck)
 	front.Finish()
 	return nil
 }
 
+// listen opens the clients' socket, or takes the one that the platform holds and
+// passes on from one process to the next.
+func listen(conf *config.Config) (net.Listener, error) {
+	if conf.ListenFD == 0 {
+		l, err := net.Listen("tcp", conf.Listen.String())
+		if err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		return l, nil
+	}
+	f := os.NewFile(uintptr(conf.ListenFD), "listen")
+	defer f.Close() // the listener has a descriptor of its own
+	l, err := net.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("EDGE_LISTEN_FD: %w", err)
+	}
+	return l, nil
+}
+
 // bound keeps the process inside its limits.
 func bound(l config.Limits) {
 	if l.MemoryMB > 0 {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -31,6 +31,9 @@
 type Config struct {
 	Name      string
 	Listen    netip.AddrPort
+	ListenFD  int            // descriptor of a listening socket that is inherited; 0: none
+	Mgmt      netip.AddrPort // where staff call; not valid: nowhere
+	State     string         // folder that outlives the process, shared with its successor; empty: none
 	ChangeLog netip.AddrPort
 	Seed      uint64
 	Limits    Limits
@@ -77,6 +80,7 @@
 	Listen    string          `json:"listen"`
 	Seed      string          `json:"seed"`
 	Limits    Limits          `json:"limits"`
+	Mgmt      string          `json:"mgmt"`
 	ChangeLog string          `json:"changelog"`
 	Known     known           `json:"known"`
 	Flow      float64         `json:"flow_bytes_per_s"`
@@ -113,7 +117,7 @@
 }
 
 // Load reads the file that EDGE_CONFIG names, or path where it is given.
-// EDGE_NAME and EDGE_LISTEN go before what the file says.
+// EDGE_NAME, EDGE_LISTEN and EDGE_MGMT go before what the file says.
 func Load(path string, env func(string) string) (*Config, error) {
 	if path == "" {
 		path = env("EDGE_CONFIG")
@@ -144,8 +148,21 @@
 	if v := env("EDGE_LISTEN"); v != "" {
 		f.Listen = v
 	}
-	c := &Config{Name: f.Name, Limits: f.Limits, Seq: f.Known.Seq}
+	if v := env("EDGE_MGMT"); v != "" {
+		f.Mgmt = v
+	}
+	c := &Config{Name: f.Name, Limits: f.Limits, Seq: f.Known.Seq, State: env("TMPDIR")}
 	var err error
+	if v := env("EDGE_LISTEN_FD"); v != "" {
+		if c.ListenFD, err = strconv.Atoi(v); err != nil || c.ListenFD < 3 {
+			return nil, fmt.Errorf("EDGE_LISTEN_FD: %q is not a descriptor from 3", v)
+		}
+	}
+	if f.Mgmt != "" {
+		if c.Mgmt, err = netip.ParseAddrPort(f.Mgmt); err != nil {
+			return nil, fmt.Errorf("mgmt: %w", err)
+		}
+	}
 	if c.Listen, err = netip.ParseAddrPort(f.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -189,6 +206,7 @@
 		same  bool
 	}{
 		{"listen", c.Listen == next.Listen},
+		{"mgmt", c.Mgmt == next.Mgmt},
 		{"settings.areas", slices.Equal(c.Zones, next.Zones)},
 		{"settings.machine_types", slices.Equal(c.Kinds, next.Kinds)},
 		{"settings.zone", a.Zone == b.Zone},
--- a/internal/front/http/http.go
+++ b/internal/front/http/http.go
@@ -65,6 +65,7 @@
 	Options
 	open     sync.WaitGroup
 	closing  atomic.Bool   // answers say so and no connection is kept
+	ended    atomic.Bool   // what is idle is closed
 	stopping atomic.Bool   // the health check says so
 	accepted chan struct{} // closed when Serve has returned
 	freed    chan struct{} // a connection was given back
@@ -150,12 +151,21 @@
 // Stopping makes the health check fail; all else goes on.
 func (s *Server) Stopping() { s.stopping.Store(true) }
 
+// HandOver ends Serve and has every answer end its connection. What is open goes
+// on, and what waits to be accepted is left to others who hold the socket.
+func (s *Server) HandOver() {
+	s.closing.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener.Close()
+}
+
 // Finish ends Serve, closes idle connections, lets the others finish what is
 // open on them and returns when all are closed.
 func (s *Server) Finish() {
-	s.closing.Store(true)
+	s.HandOver()
+	s.ended.Store(true)
 	s.mu.Lock()
-	s.listener.Close()
 	for c := range s.conns {
 		if c.phase != busy && !c.asking {
 			c.k.Net.SetReadDeadline(time.Now())
@@ -205,7 +215,7 @@
 	switch {
 	case p == busy:
 		c.k.Net.SetReadDeadline(time.Time{})
-	case c.kicked || c.s.closing.Load() && !asking:
+	case c.kicked || c.s.ended.Load() && !asking:
 		c.k.Net.SetReadDeadline(time.Now())
 	default:
 		c.k.Net.SetReadDeadline(time.Now().Add(clock.Duration(within)))
--- a/internal/front/http/http_test.go
+++ b/internal/front/http/http_test.go
@@ -100,6 +100,28 @@
 	return strings.Replace(get("/v1/form/7f3a9c21e0b4d655", append(head, "X-Txn-Key: k1", "Content-Length: "+strconv.Itoa(n))...), "GET", "PUT", 1)
 }
 
+// Guards against a handover that cuts connections: their next request is answered,
+// as the last one, and the socket's other holders take what is new.
+func TestHandOver(t *testing.T) {
+	s := newServer(&fake{answer: core.Answer{Kind: core.Served, Body: []byte("x")}})
+	conn := dial(t, s)
+	in := bufio.NewReader(conn)
+	for _, last := range []bool{false, true} {
+		if last {
+			s.HandOver()
+			<-s.accepted
+		}
+		io.WriteString(conn, get(object))
+		r, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if io.Copy(io.Discard, r.Body); r.StatusCode != 200 || r.Close != last {
+			t.Errorf("handed over %v: status %d, close %v", last, r.StatusCode, r.Close)
+		}
+	}
+}
+
 // What cannot be used is answered by the front and never reaches the core.
 func TestBadInput(t *testing.T) {
 	for _, c := range []struct {
