A connection ends only after an answer that said so, also when a handover begins

Seen: TestHandOver was reset once in some runs. At fault: http.go, serve asked keep a second time after the answer was written; a handover between the two closed a connection that had been promised to stay. Test: TestHandOver, 30 times (one reset in a few runs without it).

--- a/internal/front/http/http.go
+++ b/internal/front/http/http.go
@@ -248,7 +248,9 @@
 			}
 			return
 		}
-		if keep := c.handle(req); !keep || !c.keep(req) {
+		// Symptom guarded against: a connection whose answer had not said that it
+		// ends was closed when the end began just then, on the next request.
+		if keep := c.handle(req); !keep || req.last {
 			return
 		}
 	}
