Open the operators' door: readiness, figures, and caches taken out of use and back

Checked: the configuration brings `mgmt` (or EDGE_MGMT); nothing listened there. Changed: internal/door answers GET /ready, GET /metrics and POST /caches/disable|enable/ID on a second http.Server, one call a connection. changelog.Log, which owns the list, takes the bans: a cache that is out is told as draining to module, peers and guard, whatever the list says. internal/marks keeps a file for each under $TMPDIR; a successor reads them before its first list, and two processes look at them each 200 ms. What is back counts as cold from its listed start, or from now where no start was told since. A process is ready once the change log has spoken or 300 ms are over, and with an inherited socket accepts only then. Its reader is a goroutine of its own now, so that the actor hears calls and frames alike. Tests: TestSwitch, TestPages, TestDoor (nothing listens without the change).

--- a/cmd/garnetline/serve.go
+++ b/cmd/garnetline/serve.go
@@ -17,6 +17,7 @@
 	"garnetline/internal/clock"
 	"garnetline/internal/config"
 	"garnetline/internal/core"
+	"garnetline/internal/door"
 	"garnetline/internal/front/dns"
 	"garnetline/internal/front/http"
 	"garnetline/internal/peer"
@@ -29,7 +30,8 @@
 	lameDuck  = 700 * time.Millisecond
 	heapShare = 0.7 // of the memory limit, for the runtime; the kernel counts more
 	connShare = 0.6 // of the descriptors, for clients
-	linkShare = 0.3 // of the descriptors, for peers; files and the DNS front have the rest
+	linkShare = 0.3 // of the descriptors, for peers; files, the door and the DNS front have the rest
+	doorConns = 12  // callers of the door at once
 )
 
 // serve runs the router until a signal ends it. again reads the configuration
@@ -59,7 +61,7 @@
 	if err != nil {
 		return err
 	}
-	var told atomic.Bool
+	var told, stopping atomic.Bool
 	log := changelog.New(clk, conf, func(ev config.Event) {
 		c.Tell(ev)
 		told.Store(true)
@@ -85,8 +87,25 @@
 		Ready: told.Load, Stats: count, Conns: func() int { return conns(now.Load().Limits) }})
 	go c.Run(ctx)
 	go log.Run(ctx)
-	failed := make(chan error, 1)
-	go func() { failed <- front.Serve(listener) }()
+	failed := make(chan error, 2)
+	go func() {
+		if conf.ListenFD != 0 { // others may hold the socket: take what can be served well
+			<-log.Caught()
+		}
+		failed <- front.Serve(listener)
+	}()
+	if conf.Mgmt.IsValid() {
+		l, err := net.Listen("tcp", conf.Mgmt.String())
+		if err != nil {
+			return fmt.Errorf("mgmt: %w", err)
+		}
+		pages := &door.Door{Switch: log.Switch,
+			Ready:   func() bool { return told.Load() && caught(log) && !stopping.Load() },
+			Figures: func() door.Figures { return figures(classes(), count, log, c) }}
+		staff := http.New(http.Options{Clock: clk, Stats: count, Page: pages.Page, Conns: func() int { return doorConns }})
+		go func() { failed <- staff.Serve(l) }()
+		defer staff.Finish()
+	}
 
 	for {
 		select {
@@ -117,6 +136,7 @@
 		}
 		break
 	}
+	stopping.Store(true)
 	front.Stopping()
 	if conf.ListenFD != 0 { // its other holders take what comes from now on
 		front.HandOver()
@@ -145,6 +165,29 @@
 	return l, nil
 }
 
+// caught tells whether the change log has spoken, or has had its time to.
+func caught(l *changelog.Log) bool {
+	select {
+	case <-l.Caught():
+		return true
+	default:
+		return false
+	}
+}
+
+// figures puts together what staff see.
+func figures(classes []decide.Class, count *stats.Set, log *changelog.Log, c *core.Core) door.Figures {
+	n := func(name string) int64 { return count.Counter(name).Load() }
+	all, barred := log.Listed()
+	f := door.Figures{Relayed: n("attempts_relayed"), Open: n("requests_open"), Listed: all, Avoided: barred + c.Avoided(),
+		Accepted: n("reloads"), Invalid: n("reloads_refused")}
+	for _, k := range classes {
+		f.Classes = append(f.Classes, door.Class{Name: k.Name, Served: n(core.Ended(k.Name, core.Served)),
+			Refused: n(core.Ended(k.Name, core.Refused)), Failed: n(core.Ended(k.Name, core.Failed))})
+	}
+	return f
+}
+
 // bound keeps the process inside its limits.
 func bound(l config.Limits) {
 	if l.MemoryMB > 0 {
--- a/cmd/garnetline/upgrade_test.go
+++ b/cmd/garnetline/upgrade_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -69,6 +70,66 @@
 	return c
 }
 
+// Guards the wiring of the operators' door: it says yes once requests can be served,
+// counts them, and a cache that staff took out gets nothing until it is back.
+func TestDoor(t *testing.T) {
+	box := newCache(t, func(id, _ string) string { return answer(id, "DONE", "tag=t7,minted=1", "bytes") })
+	log, from := newLog(t)
+	listen, mgmt := free(t), free(t)
+	conf := configure(t, listen, log, box.Addr(), "EDGE_MGMT", mgmt, "TMPDIR", t.TempDir())
+	done := make(chan error, 1)
+	go func() { done <- serve(context.Background(), conf, nil, dns.Config{}) }()
+	select {
+	case <-from:
+	case err := <-done:
+		t.Fatal(err)
+	}
+	call := func(method, path string) (int, string) {
+		t.Helper()
+		conn := connect(t, mgmt)
+		defer conn.Close()
+		w, body := say(t, conn, method+" "+path+" HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+		if !w.Close {
+			t.Errorf("%s: the door stays open", path)
+		}
+		return w.StatusCode, body
+	}
+	ask := func(txn string, want int) {
+		t.Helper()
+		w, _ := say(t, connect(t, listen), "GET /v1/part/00000000000000aa HTTP/1.1\r\nHost: x\r\nX-Txn: 00000000000000"+txn+"\r\nX-Ttl-Ms: 4000\r\n\r\n")
+		if w.StatusCode != want {
+			t.Errorf("request %s: %d, want %d", txn, w.StatusCode, want)
+		}
+	}
+	for status := 0; status != 200; status, _ = call("GET", "/ready") {
+	}
+	ask("a1", 200)
+	if status, _ := call("POST", "/caches/disable/s-00000001"); status != 200 {
+		t.Errorf("out: %d", status)
+	}
+	ask("a2", 503)
+	if status, _ := call("POST", "/caches/disable/s-000000ff"); status != 404 {
+		t.Errorf("out, unknown: %d", status)
+	}
+	_, text := call("GET", "/metrics")
+	for _, want := range []string{`app_operations_total{priority="part",status="fulfilled"} 1`, `app_operations_total{priority="part",status="throttled"} 1`,
+		"app_relayed_total 1", "app_registry_entries 2", "app_out_of_rotation 1"} {
+		if !strings.Contains(text, want+"\n") {
+			t.Errorf("no %q in\n%s", want, text)
+		}
+	}
+	if status, _ := call("POST", "/caches/enable/s-00000001"); status != 200 {
+		t.Errorf("back: %d", status)
+	}
+	ask("a3", 200)
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against binding an address that the platform holds: the program ended at
 // once where its socket was inherited. Its end leaves the socket to others.
 func TestInheritedSocket(t *testing.T) {
--- a/decide/api.go
+++ b/decide/api.go
@@ -10,6 +10,8 @@
 import (
 	"errors"
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -19,6 +21,19 @@
 // ServerID names one cache, parent or origin. It carries no meaning.
 type ServerID uint64
 
+// String is how an id stands in text.
+func (id ServerID) String() string { return fmt.Sprintf("s-%08x", uint64(id)) }
+
+// ParseServerID reads an id that stands in text.
+func ParseServerID(s string) (ServerID, error) {
+	hex, ok := strings.CutPrefix(s, "s-")
+	n, err := strconv.ParseUint(hex, 16, 32)
+	if !ok || err != nil || len(hex) != 8 {
+		return 0, fmt.Errorf("%q is not an id", s)
+	}
+	return ServerID(n), nil
+}
+
 // ObjectID names one object; all parts of an object share it.
 type ObjectID uint64
 
@@ -310,4 +325,15 @@
 	return out
 }
 
+// Avoided returns how many servers that are listed as ready are set aside.
+func (r *Router) Avoided() int64 {
+	n := int64(0)
+	for _, s := range r.all {
+		if s.ready && !r.well(s) {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *Router) do(a Action) { r.acts = append(r.acts, a) }
--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -19,6 +19,7 @@
 	"garnetline/decide"
 	"garnetline/internal/clock"
 	"garnetline/internal/config"
+	"garnetline/internal/marks"
 	"garnetline/internal/sock"
 	"garnetline/internal/stats"
 )
@@ -31,27 +32,51 @@
 	dialWithin = 500.0
 	retryFirst = 50.0 // ms before the next connection; doubles
 	retryMost  = 800.0
+	marksEvery = 200 * time.Millisecond // between looks at what another process was told
+	// catchWithin is the time that a log has for its first word: what is new comes
+	// at once, and where nothing is, a successor must not be late for that.
+	catchWithin = 300.0
 )
 
 // ErrFrame reports a frame that cannot be used.
 var ErrFrame = errors.New("change log: broken frame")
 
-// Log is the actor of the change log.
+// Log is the actor of the change log, and of the list that it tells.
 type Log struct {
-	clock clock.Clock
-	conf  *config.Config      // Run's
-	box   chan *config.Config // the next one, the latest only
-	tell  func(config.Event)
-	count *stats.Set
-	guard atomic.Pointer[decide.Guard]
-	seq   uint64
-	dial  func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+	clock  clock.Clock
+	conf   *config.Config      // Run's
+	box    chan *config.Config // the next one, the latest only
+	orders chan order          // from staff
+	tell   func(config.Event)
+	count  *stats.Set
+	guard  atomic.Pointer[decide.Guard]
+	seq    uint64
+	dial   func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+	marks  marks.Dir
+	hosts  map[decide.ServerID]config.Host   // as listed, without those that are gone
+	banned map[decide.ServerID]time.Duration // taken out by staff, with the start listed then
+	listed atomic.Int64                      // how many hosts there are
+	barred atomic.Int64                      // how many of them may not be sent to
+	heard  atomic.Bool                       // its word is as new as it can be had soon
+	caught chan struct{}                     // closed then
 }
 
+// order is a call of staff to take a cache out, or back.
+type order struct {
+	id  decide.ServerID
+	out bool
+	err chan error
+}
+
+// ErrUnknown reports a cache that is neither listed nor taken out.
+var ErrUnknown = errors.New("unknown cache")
+
 // New returns a log that has told what the configuration knows. tell takes
 // each event, in order; it may block.
 func New(c clock.Clock, conf *config.Config, tell func(config.Event), s *stats.Set) *Log {
-	l := &Log{clock: c, conf: conf, box: make(chan *config.Config, 1), tell: tell, count: s, seq: conf.Seq}
+	l := &Log{clock: c, conf: conf, box: make(chan *config.Config, 1), orders: make(chan order), tell: tell, count: s,
+		seq: conf.Seq, marks: marks.In(conf.State), hosts: map[decide.ServerID]config.Host{},
+		banned: map[decide.ServerID]time.Duration{}, caught: make(chan struct{})}
 	l.dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", to.String())
 	}
@@ -62,6 +87,13 @@
 // Guard returns what attempts are held against now. It does not change.
 func (l *Log) Guard() *decide.Guard { return l.guard.Load() }
 
+// Listed returns how many servers the list holds, and how many of them are
+// draining or taken out.
+func (l *Log) Listed() (all, barred int64) { return l.listed.Load(), l.barred.Load() }
+
+// Caught is closed once the log has spoken, or has had its time to.
+func (l *Log) Caught() <-chan struct{} { return l.caught }
+
 // Reload has the log that another configuration names followed, from the last
 // number held and at once. It never blocks and has one caller at a time.
 func (l *Log) Reload(conf *config.Config) {
@@ -72,56 +104,176 @@
 	l.box <- conf
 }
 
+// Switch takes a cache out of use, or back, whatever the list says of it. When it
+// returns without an error, nothing that is written from then on goes there.
+func (l *Log) Switch(ctx context.Context, id decide.ServerID, out bool) error {
+	o := order{id, out, make(chan error, 1)}
+	select {
+	case l.orders <- o:
+		return <-o.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Run tells what is known and then follows the log until ctx ends.
 func (l *Log) Run(ctx context.Context) {
+	for id := range l.marks.All() {
+		l.banned[id] = 0
+	}
 	for _, ev := range l.conf.Known {
 		l.take(ev)
 	}
+	late := time.AfterFunc(clock.Duration(catchWithin), l.catch)
+	defer late.Stop()
 	wait := retryFirst
 	for ctx.Err() == nil {
 		heard, next, err := l.session(ctx)
-		if ctx.Err() != nil {
-			return
+		if next == nil && ctx.Err() == nil {
+			l.count.Add("changelog_reconnects", 1)
+			if errors.Is(err, ErrFrame) {
+				l.count.Add("changelog_broken_frames", 1)
+			}
+			if wait = min(2*wait, retryMost); heard {
+				wait = retryFirst
+			}
+			_, next, _ = l.work(ctx, nil, time.After(clock.Duration(wait)))
 		}
 		if next != nil {
 			l.adopt(next)
 			wait = retryFirst
-			continue
-		}
-		l.count.Add("changelog_reconnects", 1)
-		if errors.Is(err, ErrFrame) {
-			l.count.Add("changelog_broken_frames", 1)
-		}
-		if wait = min(2*wait, retryMost); heard {
-			wait = retryFirst
-		}
-		select {
-		case <-time.After(clock.Duration(wait)):
-		case conf := <-l.box:
-			l.adopt(conf)
-			wait = retryFirst
-		case <-ctx.Done():
 		}
 	}
 }
 
+// catch says that the log has spoken, or will not soon.
+func (l *Log) catch() {
+	if !l.heard.Swap(true) {
+		close(l.caught)
+	}
+}
+
 // session follows one connection until it breaks or another configuration
 // comes, which cuts it.
 func (l *Log) session(ctx context.Context) (heard bool, next *config.Config, err error) {
 	ctx, cut := context.WithCancel(ctx)
-	came := make(chan *config.Config, 1)
-	go func() {
-		defer close(came)
+	frames := make(chan message)
+	done := make(chan struct{})
+	go func(c *config.Config, seq uint64) {
+		defer close(done)
+		l.follow(ctx, c, seq, frames)
+	}(l.conf, l.seq)
+	defer func() { cut(); <-done }()
+	return l.work(ctx, frames, nil)
+}
+
+// message is a frame that a connection brought, or how it ended.
+type message struct {
+	ev   config.Event
+	kind byte
+	err  error
+}
+
+// work does what comes up until the connection that frames come from ends, or the
+// pause is over, or another configuration comes.
+func (l *Log) work(ctx context.Context, frames <-chan message, pause <-chan time.Time) (heard bool, next *config.Config, err error) {
+	look := time.NewTicker(marksEvery)
+	defer look.Stop()
+	for {
 		select {
+		case f := <-frames:
+			if f.err != nil {
+				return heard, nil, f.err
+			}
+			heard = true
+			l.hear(f)
+		case o := <-l.orders:
+			o.err <- l.order(o)
+		case <-look.C:
+			l.compare()
 		case conf := <-l.box:
-			came <- conf
-			cut()
+			return heard, conf, nil
+		case <-pause:
+			return heard, nil, nil
 		case <-ctx.Done():
+			return heard, nil, ctx.Err()
+		}
+	}
+}
+
+// hear takes one frame.
+func (l *Log) hear(f message) {
+	if f.kind != 0 && f.ev.Seq > l.seq {
+		l.take(f.ev)
+		l.seq = f.ev.Seq
+	} else {
+		g := *l.guard.Load()
+		g.Heard = clock.Duration(l.clock.Now())
+		l.guard.Store(&g)
+	}
+	l.catch()
+}
+
+// order carries out a call of staff. The mark is there before the answer is.
+func (l *Log) order(o order) error {
+	_, listed := l.hosts[o.id]
+	_, out := l.banned[o.id]
+	switch {
+	case !listed && !out:
+		return ErrUnknown
+	case o.out == out:
+		return nil
+	}
+	if err := l.marks.Set(o.id, o.out); err != nil {
+		return err
+	}
+	l.ban(o.id, o.out)
+	return nil
+}
+
+// compare goes over to what another process of this router was told meanwhile.
+func (l *Log) compare() {
+	if l.marks == "" {
+		return
+	}
+	marked := l.marks.All()
+	for id := range marked {
+		if _, out := l.banned[id]; !out {
+			l.ban(id, true)
+		}
+	}
+	for id := range l.banned {
+		if !marked[id] {
+			l.ban(id, false)
 		}
-	}()
-	heard, err = l.follow(ctx)
-	cut()
-	return heard, <-came, err
+	}
+}
+
+// ban takes a cache out, or back, and tells so as a change of the list. One that is
+// back was restarted meanwhile, as caches that staff take out are; where the list
+// has not told its start, it counts from now.
+func (l *Log) ban(id decide.ServerID, out bool) {
+	h, listed := l.hosts[id]
+	if out {
+		l.banned[id] = h.Started
+	} else {
+		if h.Started == l.banned[id] {
+			h.Started = clock.Duration(l.clock.Now())
+		}
+		delete(l.banned, id)
+	}
+	if listed {
+		l.publish(config.Event{Seq: l.seq, Fleet: true, Hosts: []config.Host{l.seen(h)}})
+	}
+}
+
+// seen is a listed server as the rest of the program sees it: one that is taken
+// out drains.
+func (l *Log) seen(h config.Host) config.Host {
+	if _, out := l.banned[h.ID]; out && h.Phase == decide.Ready {
+		h.Phase = decide.Draining
+	}
+	return h
 }
 
 // adopt goes over to another configuration. What it knows beyond what was told
@@ -139,10 +291,29 @@
 	}
 }
 
-// take publishes an event and then tells it: what is decided from then on and
-// what was decided before both see it.
+// take books an event in the list and publishes it.
 func (l *Log) take(ev config.Event) {
-	l.guard.Store(next(l.guard.Load(), ev, clock.Duration(l.clock.Now())))
+	if ev.Fleet && ev.Whole {
+		clear(l.hosts)
+	}
+	seen := make([]config.Host, 0, len(ev.Hosts))
+	for _, h := range ev.Hosts {
+		if l.hosts[h.ID] = h; h.Phase == decide.Gone {
+			delete(l.hosts, h.ID)
+		}
+		seen = append(seen, l.seen(h))
+	}
+	ev.Hosts = seen
+	l.publish(ev)
+}
+
+// publish publishes an event and then tells it: what is decided from then on and
+// what was decided before both see it.
+func (l *Log) publish(ev config.Event) {
+	g := next(l.guard.Load(), ev, clock.Duration(l.clock.Now()))
+	l.guard.Store(g)
+	l.listed.Store(int64(len(l.hosts)))
+	l.barred.Store(int64(len(l.hosts) - len(g.Ready)))
 	l.tell(ev)
 }
 
@@ -168,43 +339,40 @@
 	return &n
 }
 
-// follow reads one connection until it breaks; heard tells that a frame came.
-func (l *Log) follow(ctx context.Context) (heard bool, err error) {
+// follow reads one connection, from a number on, until it breaks.
+func (l *Log) follow(ctx context.Context, conf *config.Config, seq uint64, to chan<- message) {
+	f := message{}
+	hand := func() bool {
+		select {
+		case to <- f:
+			return f.err == nil
+		case <-ctx.Done():
+			return false
+		}
+	}
 	dctx, stop := context.WithTimeout(ctx, clock.Duration(dialWithin))
-	c, err := l.dial(dctx, l.conf.ChangeLog)
+	c, err := l.dial(dctx, conf.ChangeLog)
 	stop()
-	if err != nil {
-		return false, err
+	if f.err = err; err != nil {
+		hand()
+		return
 	}
 	k := sock.New(c)
 	defer k.Close()
 	defer context.AfterFunc(ctx, func() { c.SetDeadline(time.Now()) })()
-	if err := k.Flush(binary.BigEndian.AppendUint64(k.Out(), l.seq), nil, dialWithin); err != nil {
-		return false, err
-	}
-	for ctx.Err() == nil {
-		if err := c.SetReadDeadline(time.Now().Add(clock.Duration(silence))); err != nil {
-			return heard, err
-		}
-		ev, kind, err := l.frame(k)
-		if err != nil {
-			return heard, err
+	f.err = k.Flush(binary.BigEndian.AppendUint64(k.Out(), seq), nil, dialWithin)
+	for first := true; first || hand(); first = false {
+		if f.err == nil {
+			f.err = c.SetReadDeadline(time.Now().Add(clock.Duration(silence)))
 		}
-		heard = true
-		if kind != 0 && ev.Seq > l.seq {
-			l.take(ev)
-			l.seq = ev.Seq
-		} else {
-			g := *l.guard.Load()
-			g.Heard = clock.Duration(l.clock.Now())
-			l.guard.Store(&g)
+		if f.err == nil {
+			f.ev, f.kind, f.err = read(k, len(conf.Zones), len(conf.Kinds))
 		}
 	}
-	return heard, ctx.Err()
 }
 
-// frame reads one frame.
-func (l *Log) frame(k *sock.Conn) (config.Event, byte, error) {
+// read reads one frame.
+func read(k *sock.Conn, zones, kinds int) (config.Event, byte, error) {
 	k.Allow(4 + maxFrame)
 	head, err := k.Body(4)
 	if err != nil {
@@ -218,7 +386,7 @@
 	if err != nil {
 		return config.Event{}, 0, err
 	}
-	ev, err := parse(b, len(l.conf.Zones), len(l.conf.Kinds))
+	ev, err := parse(b, zones, kinds)
 	kind := b[8]
 	k.RestIn()
 	return ev, kind, err
--- a/internal/changelog/changelog_test.go
+++ b/internal/changelog/changelog_test.go
@@ -162,6 +162,75 @@
 	<-done
 }
 
+// Guards against work for a cache that staff have taken out: the list, however often
+// it says that the cache is ready, a second process of the same router, and one that
+// starts later, do not let it back. One call undoes two. What is back is cold.
+func TestSwitch(t *testing.T) {
+	state := t.TempDir()
+	start := func() (*Log, chan config.Event, func()) {
+		told := make(chan config.Event, 64)
+		log := New(clock.NewManual(now), &config.Config{State: state, Zones: []string{"a", "b"}, Kinds: []string{"box"}, Seq: 1,
+			Known: []config.Event{{Seq: 1, Fleet: true, Whole: true, Hosts: []config.Host{{Server: decide.Server{ID: 7, Phase: decide.Ready}}}}}},
+			func(ev config.Event) { told <- ev }, stats.New())
+		here, there := net.Pipe()
+		log.dial = func(context.Context, netip.AddrPort) (net.Conn, error) { return here, nil }
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			log.Run(ctx)
+			close(done)
+		}()
+		go io.ReadFull(there, make([]byte, 8))
+		return log, told, func() {
+			stop()
+			there.Close()
+			<-done
+		}
+	}
+	phase := func(log *Log, told chan config.Event, want decide.Phase) decide.Server {
+		t.Helper()
+		ev := <-told
+		if len(ev.Hosts) != 1 || ev.Hosts[0].Phase != want || log.Guard().Bars(7) != (want != decide.Ready) {
+			t.Fatalf("told %+v, barred %v; want phase %v", ev, log.Guard().Bars(7), want)
+		}
+		return ev.Hosts[0].Server
+	}
+	log, told, stop := start()
+	defer stop()
+	phase(log, told, decide.Ready)
+	call := func(id decide.ServerID, out bool, want error) {
+		t.Helper()
+		if err := log.Switch(t.Context(), id, out); !errors.Is(err, want) {
+			t.Fatalf("%v out %v: %v, want %v", id, out, err, want)
+		}
+	}
+	call(8, true, ErrUnknown)
+	call(7, true, nil)
+	phase(log, told, decide.Draining)
+	call(7, true, nil)
+	if all, barred := log.Listed(); all != 1 || barred != 1 {
+		t.Errorf("listed %d, barred %d", all, barred)
+	}
+	log2, told2, stop2 := start()
+	defer stop2()
+	phase(log2, told2, decide.Draining)
+	call(7, false, nil)
+	if s := phase(log, told, decide.Ready); s.Started != clock.Duration(now) {
+		t.Errorf("back with start %v", s.Started)
+	}
+	phase(log2, told2, decide.Ready) // it sees that the mark has gone
+	if err := log2.Switch(t.Context(), 7, true); err != nil {
+		t.Fatal(err)
+	}
+	phase(log, told, decide.Draining)
+	for _, whole := range []bool{true, false} { // whatever the list says
+		ev := config.Event{Fleet: true, Whole: whole, Hosts: []config.Host{{Server: decide.Server{ID: 7, Phase: decide.Ready}}}}
+		if h := log.seen(ev.Hosts[0]); h.Phase != decide.Draining {
+			t.Errorf("seen as %v", h.Phase)
+		}
+	}
+}
+
 type source struct {
 	net.Conn
 	r io.Reader
@@ -177,9 +246,9 @@
 	f.Add(frame(4, 4, 0, 1, 2))
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0})
 	f.Fuzz(func(t *testing.T, b []byte) {
-		log, k := newLog(netip.AddrPort{}, nil), sock.New(source{r: bytes.NewReader(b)})
+		k := sock.New(source{r: bytes.NewReader(b)})
 		for {
-			ev, _, err := log.frame(k)
+			ev, _, err := read(k, 2, 1)
 			if err != nil {
 				if !errors.Is(err, ErrFrame) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 					t.Fatal(err)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -303,12 +303,11 @@
 		ev.Fleet, ev.Whole = true, fl.Whole
 		for i, h := range fl.Hosts {
 			at := fmt.Sprintf("fleet.hosts[%d]", i)
-			id, ok := strings.CutPrefix(h.Host, "s-")
-			n, err := strconv.ParseUint(id, 16, 32)
-			if !ok || err != nil || len(id) != 8 {
-				return ev, fmt.Errorf("%s.host: %q is not an id", at, h.Host)
+			id, err := decide.ParseServerID(h.Host)
+			if err != nil {
+				return ev, fmt.Errorf("%s.host: %w", at, err)
 			}
-			s := decide.Server{ID: decide.ServerID(n), Cell: h.Block, Weight: h.Share, Started: Born(h.Born)}
+			s := decide.Server{ID: id, Cell: h.Block, Weight: h.Share, Started: Born(h.Born)}
 			if s.Zone = index(c.Zones, h.Site); s.Zone < 0 {
 				return ev, fmt.Errorf("%s.site: %q is not one of settings.areas", at, h.Site)
 			}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 	"context"
 	"math"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"garnetline/decide"
@@ -157,6 +158,8 @@
 	timers timers
 	queue  []decide.Event
 	acts   []decide.Action
+
+	avoided atomic.Int64 // servers that the module has set aside
 }
 
 type left struct{ req *Request }
@@ -193,6 +196,7 @@
 			return
 		}
 		c.tick()
+		c.avoided.Store(c.router.Avoided())
 	}
 }
 
@@ -295,10 +299,25 @@
 	}
 	r.answered = true
 	c.count.Add([]string{"answers_failed", "answers_refused", "answers_served", "answers_same", "answers_clash"}[a.Kind], 1)
+	c.count.Add(Ended(c.set.Classes[r.Class].Name, a.Kind), 1)
 	r.Reply(a)
 	r.release()
 }
 
+// Ended names the counter of the requests of a class that ended in a way.
+func Ended(class string, k Kind) string {
+	switch k {
+	case Served, Same:
+		return "class_" + class + "_served"
+	case Refused:
+		return "class_" + class + "_refused"
+	}
+	return "class_" + class + "_failed"
+}
+
+// Avoided returns how many servers the module has set aside.
+func (c *Core) Avoided() int64 { return c.avoided.Load() }
+
 // end books the end of an attempt.
 func (c *Core) end(e End) {
 	a := e.Attempt
--- /dev/null
+++ b/internal/door/door_test.go
@@ -0,0 +1,63 @@
+package door
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"garnetline/decide"
+	"garnetline/internal/changelog"
+)
+
+// Guards the words and figures of the operators' door.
+func TestPages(t *testing.T) {
+	var out []decide.ServerID
+	ready := false
+	d := &Door{Ready: func() bool { return ready },
+		Figures: func() Figures {
+			return Figures{Classes: []Class{{Name: "part", Served: 812, Refused: 3, Failed: 1}}, Relayed: 900, Open: 14, Listed: 9, Avoided: 2}
+		},
+		Switch: func(_ context.Context, id decide.ServerID, off bool) error {
+			switch {
+			case id == 8:
+				return changelog.ErrUnknown
+			case id == 9:
+				return context.DeadlineExceeded
+			case off:
+				out = append(out, id)
+			default:
+				out = nil
+			}
+			return nil
+		}}
+	for _, c := range []struct {
+		method, path string
+		status       int
+		out          int // servers taken out since
+	}{
+		{"GET", "/ready", 503, 0},
+		{"GET", "/other", 404, 0},
+		{"POST", "/ready", 405, 0},
+		{"GET", "/caches/disable/s-00000007", 405, 0},
+		{"POST", "/caches/disable/7", 404, 0},
+		{"POST", "/caches/disable/s-00000008", 404, 0},
+		{"POST", "/caches/disable/s-00000009", 503, 0},
+		{"POST", "/caches/disable/s-00c41f7a", 200, 1},
+		{"POST", "/caches/enable/s-00c41f7a", 200, 0},
+	} {
+		if status, _ := d.Page(t.Context(), c.method, c.path); status != c.status || len(out) != c.out {
+			t.Errorf("%s %s: %d, out %v; want %d and %d", c.method, c.path, status, out, c.status, c.out)
+		}
+	}
+	ready = true
+	if status, _ := d.Page(t.Context(), "GET", "/ready"); status != 200 {
+		t.Error(status)
+	}
+	_, b := d.Page(t.Context(), "GET", "/metrics")
+	for _, want := range []string{`app_operations_total{priority="part",status="fulfilled"} 812`, `{priority="part",status="throttled"} 3`,
+		`{priority="part",status="faulted"} 1`, "\napp_relayed_total 900\n", "\napp_open_requests 14\n", "\napp_registry_entries 9\n", "\napp_out_of_rotation 2\n"} {
+		if !strings.Contains(string(b), want) {
+			t.Errorf("no %q in\n%s", want, b)
+		}
+	}
+}
--- a/internal/front/http/http.go
+++ b/internal/front/http/http.go
@@ -58,6 +58,8 @@
 	Ready   func() bool           // it has a list of caches
 	Stats   *stats.Set
 	Conns   func() int // connections open at once, as of now
+	// Page answers every request by itself, one a connection; nil: requests go to the core.
+	Page func(ctx context.Context, method, path string) (status int, body []byte)
 }
 
 // Server owns the listener and the clients' connections.
@@ -84,6 +86,9 @@
 	defer close(s.accepted)
 	s.mu.Lock()
 	s.listener = l
+	if s.closing.Load() { // before it began
+		l.Close()
+	}
 	s.mu.Unlock()
 	for {
 		nc, err := l.Accept()
@@ -157,7 +162,9 @@
 	s.closing.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.listener.Close()
+	if s.listener != nil {
+		s.listener.Close()
+	}
 }
 
 // Finish ends Serve, closes idle connections, lets the others finish what is
@@ -432,6 +439,12 @@
 
 // handle answers one request; it reports whether the connection still holds.
 func (c *conn) handle(r *request) bool {
+	if c.s.Page != nil {
+		c.enter(busy, true, 0)
+		status, body := c.s.Page(context.Background(), r.method, r.path)
+		r.last = true
+		return c.write(r, status, "Content-Type: text/plain\r\n", body)
+	}
 	if r.path == "/healthz" {
 		return c.health(r)
 	}
@@ -441,6 +454,9 @@
 		return c.refuse(r, bad)
 	}
 	c.enter(busy, true, 0)
+	open := c.s.Stats.Counter("requests_open")
+	open.Add(1)
+	defer open.Add(-1)
 	answers := make(chan core.Answer, 1)
 	q.Reply = func(a core.Answer) { answers <- a }
 	if !c.s.Core.Submit(q) {
--- /dev/null
+++ b/internal/marks/marks.go
@@ -0,0 +1,54 @@
+// Package marks keeps which caches staff have taken out where it outlives the
+// process: as one empty file each, so that a process and its successor, which share
+// the folder, never write over each other.
+package marks
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"garnetline/decide"
+)
+
+// Dir is the folder of the marks. An empty one keeps nothing.
+type Dir string
+
+// In returns the folder of the marks in a state folder, which may be empty.
+func In(state string) Dir {
+	if state == "" {
+		return ""
+	}
+	return Dir(filepath.Join(state, "garnetline-disabled"))
+}
+
+// All returns what is marked. What is not a mark is passed over.
+func (d Dir) All() map[decide.ServerID]bool {
+	l, _ := os.ReadDir(string(d)) // no folder: no marks
+	m := make(map[decide.ServerID]bool, len(l))
+	for _, e := range l {
+		if id, err := decide.ParseServerID(e.Name()); err == nil {
+			m[id] = true
+		}
+	}
+	return m
+}
+
+// Set marks a server, or takes its mark away.
+func (d Dir) Set(id decide.ServerID, on bool) error {
+	if d == "" {
+		return nil
+	}
+	path := filepath.Join(string(d), id.String())
+	if !on {
+		if err := os.Remove(path); !errors.Is(err, fs.ErrNotExist) {
+			return err
+		}
+		return nil
+	}
+	if err := os.MkdirAll(string(d), 0o700); err != nil {
+		return err
+	}
+	return os.WriteFile(path, nil, 0o600)
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -280,16 +280,20 @@
 		age = 0
 	}
 	l.open[a.Req.Txn] = &sent{a, now}
-	p.flush(l, appendServe(l.k.Out(), a, age, now))
+	if p.flush(l, appendServe(l.k.Out(), a, age, now)) {
+		p.Stats.Add("attempts_relayed", 1)
+	}
 }
 
 // flush writes the command that was put together. A write that fails leaves
 // nothing to be said about what came through: the connection is lost.
-func (p *Peer) flush(l *link, msg []byte) {
+func (p *Peer) flush(l *link, msg []byte) bool {
 	l.used = p.Clock.Now()
-	if err := l.k.Flush(msg, nil, writeIn); err != nil {
+	err := l.k.Flush(msg, nil, writeIn)
+	if err != nil {
 		p.lose(l)
 	}
+	return err == nil
 }
 
 // cancel gives an attempt up on the wire, and only then reports it over.
--- a/internal/peer/resp.go
+++ b/internal/peer/resp.go
@@ -156,7 +156,7 @@
 		f = fmt.Appendf(f, ",op=%s", r.Key)
 	}
 	if a.Get.Source != a.Get.Server {
-		f = fmt.Appendf(f, ",via=%s", name(a.Get.Source))
+		f = fmt.Appendf(f, ",via=%v", a.Get.Source)
 	}
 	if a.Get.Keep > 0 {
 		f = fmt.Appendf(f, ",tier=%d", a.Get.Keep)
@@ -194,5 +194,3 @@
 func appendBulk(dst []byte, s string) []byte {
 	return append(append(fmt.Appendf(dst, "$%d\r\n", len(s)), s...), "\r\n"...)
 }
-
-func name(id decide.ServerID) string { return fmt.Sprintf("s-%08x", uint64(id)) }
