--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -118,7 +118,11 @@
 
 // Run tells what is known and then follows the log until ctx ends.
 func (l *Log) Run(ctx context.Context) {
-	for id := range l.marks.All() {
+	marked, err := l.marks.All()
+	if err != nil {
+		l.count.Add("marks_unread", 1)
+	}
+	for id := range marked {
 		l.banned[id] = 0
 	}
 	for _, ev := range l.conf.Known {
@@ -233,10 +237,10 @@
 
 // compare goes over to what another process of this router was told meanwhile.
 func (l *Log) compare() {
-	if l.marks == "" {
+	marked, err := l.marks.All()
+	if err != nil || l.marks == "" {
 		return
 	}
-	marked := l.marks.All()
 	for id := range marked {
 		if _, out := l.banned[id]; !out {
 			l.ban(id, true)
--- a/internal/marks/marks.go
+++ b/internal/marks/marks.go
@@ -24,15 +24,24 @@
 }
 
 // All returns what is marked. What is not a mark is passed over.
-func (d Dir) All() map[decide.ServerID]bool {
-	l, _ := os.ReadDir(string(d)) // no folder: no marks
+//
+// Symptom guarded against: a folder that could not be read for want of descriptors
+// looked empty, and every cache that was out came back.
+func (d Dir) All() (map[decide.ServerID]bool, error) {
+	if d == "" {
+		return nil, nil
+	}
+	l, err := os.ReadDir(string(d))
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, err
+	}
 	m := make(map[decide.ServerID]bool, len(l))
 	for _, e := range l {
 		if id, err := decide.ParseServerID(e.Name()); err == nil {
 			m[id] = true
 		}
 	}
-	return m
+	return m, nil
 }
 
 // Set marks a server, or takes its mark away.
--- /dev/null
+++ b/internal/marks/marks_test.go
@@ -0,0 +1,45 @@
+package marks
+
+import (
+	"maps"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"garnetline/decide"
+)
+
+// Guards what a successor reads, and that a folder that cannot be read is an error
+// and not a folder without marks, which would bring every cache back.
+func TestMarks(t *testing.T) {
+	state := t.TempDir()
+	d := In(state)
+	want := map[decide.ServerID]bool{}
+	for _, step := range []struct {
+		id decide.ServerID
+		on bool
+	}{{7, true}, {8, true}, {7, true}, {7, false}, {7, false}, {0xffffffff, true}} {
+		if err := d.Set(step.id, step.on); err != nil {
+			t.Fatal(err)
+		}
+		if want[step.id] = true; !step.on {
+			delete(want, step.id)
+		}
+		if err := os.WriteFile(filepath.Join(string(d), "other"), nil, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := In(state).All(); err != nil || !maps.Equal(got, want) {
+			t.Fatalf("%v, %v; want %v", got, err, want)
+		}
+	}
+	if got, err := In("").All(); err != nil || len(got) != 0 || In("").Set(7, true) != nil {
+		t.Errorf("without a folder: %v, %v", got, err)
+	}
+	file := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(file, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Dir(file).All(); err == nil {
+		t.Error("what is no folder was read as an empty one")
+	}
+}
