--- a/decide/decide.go
+++ b/decide/decide.go
@@ -49,7 +49,7 @@
 	gateFirst   = 8.0                    // a location is allowed when a ration starts and none is known yet
 	refused     = 2.0                    // fullness that a server shows by refusing
 	crowd       = 1.5                    // transfers out over those that fit at full pace; some wait for a fill
-	standIn     = 0.65                   // a cache stands in for others up to so much of that
+	standIn     = 0.5                    // a cache stands in for others up to so much of that
 	untold      = 0.2                    // and by serving, where no outcome tells more
 )
 
