--- a/decide/decide.go
+++ b/decide/decide.go
@@ -26,7 +26,6 @@
 	badMost     = 0.4                    // where the share is cut: a server that is well again soon shows it
 	lagGain     = 0.15                   // weight of the newest answer in a cache's lag
 	lagFull     = 1.2                    // lag from which on a cache sends all that it can
-	lagSlow     = 1.8                    // and from which on a router has its own part out there
 	lagLife     = 5 * time.Second        // after which a lag that is not felt any more is mostly forgotten
 	lagMost     = 10.0                   // what one answer can tell at the most
 	lagLead     = 0.03                   // seconds that an answer may take on top
@@ -540,12 +539,13 @@
 	return to, source, open && r.link.open(r.now) && r.origin.open(r.now)
 }
 
-// crowded tells whether a cache has out what its link sends at full pace, or a part of that.
-// Symptom guarded against: without notes only late answers tell that a link is full.
+// crowded tells whether a cache has as much out from this router as its link sends
+// at full pace, or a part of that. Symptom guarded against: without notes nothing
+// tells that a link is full but that all answers are late.
 func (r *Router) crowded(s *server, part float64) bool {
 	most := crowd * r.part
-	if r.set.BytesPerS > 0 { // what answers in time has little out from others
-		most += (crowd - most) * min(1, max(0, (lagSlow-s.lag.get(r.now, lagLife))/(lagSlow-lagFull)))
+	if r.set.BytesPerS > 0 && s.lag.get(r.now, lagLife) < lagFull {
+		most = max(most, 1) // others have little out there
 	}
 	return r.set.WeightsSize && r.set.FlowKBps > 0 && !r.told &&
 		float64(s.out) >= max(2, most*s.Weight*r.keeps(s))*part
--- a/decide/untold_test.go
+++ b/decide/untold_test.go
@@ -1,7 +1,6 @@
 package decide
 
 import (
-	"math"
 	"slices"
 	"testing"
 	"time"
@@ -105,7 +104,7 @@
 	}
 	home, most := sent[0].Server, int(crowd*4)
 	for id, n := range there {
-		if id == home && n != most || id != home && n != int(math.Ceil(float64(most)*standIn)) {
+		if id == home && n != most || id != home && n != int(float64(most)*standIn) {
 			t.Errorf("%d attempts at cache %d; the home is %d", n, id, home)
 		}
 	}
@@ -384,8 +383,8 @@
 }
 
 // A router that serves its location alone for a while may use the caches' whole
-// links as long as they answer in time, and less of them the more they lag, down to
-// its part. (The symptom: it refused a tenth while the links were half used.)
+// links as long as they answer in time, and its part of them once they lag. (The
+// symptom: it refused a tenth while the links were half used.)
 func TestCachesAtFullPaceTakeMore(t *testing.T) {
 	s := settings()
 	s.WeightsSize, s.SeatsByZone, s.BytesPerS = true, []int{0, 2, 2}, 100_000
@@ -395,19 +394,12 @@
 	}
 	f := start(t, s, list)
 	c := f.r.list[cache][0]
-	for _, x := range []struct {
-		lag   float64
-		least int // out, from which on it is crowded
-	}{{1, 30}, {1.5, 23}, {2.4, 15}} {
-		for _, peer := range f.r.list[cache] { // alike: none keeps fewer keys
-			peer.lag.feel(f.now, lagLife, 1, x.lag)
-		}
-		c.out = x.least - 1
-		if f.r.crowded(c, 1) {
-			t.Errorf("at a lag of %v a cache is crowded with %d out", x.lag, c.out)
-		}
-		if c.out++; !f.r.crowded(c, 1) {
-			t.Errorf("at a lag of %v a cache is not crowded with %d out", x.lag, c.out)
-		}
+	c.out = 18
+	if f.r.crowded(c, 1) {
+		t.Error("a cache whose answers come in time counts as crowded")
+	}
+	c.lag.feel(f.now, lagLife, 1, 2*lagFull)
+	if !f.r.crowded(c, 1) {
+		t.Error("a cache that lags, with more out than this router's part, does not")
 	}
 }
