--- a/test.sh
+++ b/test.sh
@@ -8,5 +8,13 @@
 	exit 1
 fi
 go vet ./...
-mkdir -p bin && go build -o bin/ ./cmd/...
+# The build is the deploy file's own, so that what is tested is what is deployed.
+build=$(sed -n 's/^build = "\(.*\)".*/\1/p' deploy/balancer.toml)
+sh -c "$build"
+for program in bin/garnetline bin/drill; do
+	if ! ldd "$program" | grep -q 'libc\.so'; then
+		echo "$program: not linked dynamically against the C library" >&2
+		exit 1
+	fi
+done
 go test -race ./...
