Look at the linked library without a pipe, which could fail a good build

Seen: test.sh ended with 'bin/garnetline: not linked dynamically' on a program that ldd shows as dynamic. Cause: with pipefail, 'ldd | grep -q' fails where grep ends before ldd has written all. Change: the output is taken whole first. Checked: eight looks at good programs say nothing, test.sh passes, and ldd says 'not a dynamic executable' of one built with CGO_ENABLED=0, which the pattern does not match.

--- a/test.sh
+++ b/test.sh
@@ -12,9 +12,12 @@
 build=$(sed -n 's/^build = "\(.*\)".*/\1/p' deploy/balancer.toml)
 sh -c "$build"
 for program in bin/garnetline bin/drill; do
-	if ! ldd "$program" | grep -q 'libc\.so'; then
+	case "$(ldd "$program")" in # no pipe: one that ends early would count as a failure
+	*libc.so*) ;;
+	*)
 		echo "$program: not linked dynamically against the C library" >&2
 		exit 1
-	fi
+		;;
+	esac
 done
 go test -race ./...
