Operators' settings in one HCL file, and a structured log with levels

Need: the issue on traces asks for both; features to come each get a block.

No free-form line is left on standard error while the router serves. The trace block is read and checked; nothing uses it yet.

--- a/cmd/garnetline/main.go
+++ b/cmd/garnetline/main.go
@@ -11,6 +11,8 @@
 
 	"garnetline/internal/config"
 	"garnetline/internal/front/dns"
+	"garnetline/internal/logs"
+	"garnetline/internal/settings"
 )
 
 // version is set by the linker where a release is built.
@@ -18,26 +20,28 @@
 
 func main() {
 	path := &cli.StringFlag{Name: "config", Usage: "configuration `FILE`; without it, what EDGE_CONFIG names"}
-	names := &cli.StringFlag{Name: "dns", Usage: "operator's `FILE` of the DNS front; without it the front is off"}
+	ops := &cli.StringFlag{Name: "settings", Usage: "operators' `FILE` in HCL; without it all that it could switch on is off"}
+	names := &cli.StringFlag{Name: "dns", Usage: "older `FILE` of the DNS front alone; its place is the dns block of --settings"}
 	app := &cli.Command{
 		Name:  "garnetline",
 		Usage: "edge router for caches of large objects",
 		Commands: []*cli.Command{
-			{Name: "serve", Usage: "serve until SIGTERM; SIGHUP reads the configuration again, SIGUSR1 prints the counters", Flags: []cli.Flag{path, names},
+			{Name: "serve", Usage: "serve until SIGTERM; SIGHUP reads the configuration again, SIGUSR1 prints the counters", Flags: []cli.Flag{path, ops, names},
 				Action: func(ctx context.Context, c *cli.Command) error {
-					conf, lookups, err := load(c)
+					again := func() (setup, error) { return load(c) }
+					with, err := again()
 					if err != nil {
 						return err
 					}
-					again := func() (*config.Config, error) { return config.Load(c.String("config"), os.Getenv) }
-					return serve(ctx, conf, again, lookups)
+					return serve(ctx, with, again)
 				}},
-			{Name: "check", Usage: "check a configuration and say what it holds", Flags: []cli.Flag{path, names},
+			{Name: "check", Usage: "check a configuration and say what it holds", Flags: []cli.Flag{path, ops, names},
 				Action: func(_ context.Context, c *cli.Command) error {
-					conf, lookups, err := load(c)
+					with, err := load(c)
 					if err != nil {
 						return err
 					}
+					conf, lookups := with.conf, with.file.DNS
 					fmt.Printf("%s: listens on %v, change log at %v, %d events known, %d classes\n",
 						conf.Name, conf.Listen, conf.ChangeLog, len(conf.Known), len(conf.Settings.Classes))
 					if lookups.Enabled {
@@ -59,11 +63,14 @@
 }
 
 // load reads what the flags and the environment name.
-func load(c *cli.Command) (*config.Config, dns.Config, error) {
-	conf, err := config.Load(c.String("config"), os.Getenv)
-	if err != nil {
-		return nil, dns.Config{}, err
+func load(c *cli.Command) (with setup, err error) {
+	if with.conf, err = config.Load(c.String("config"), os.Getenv); err != nil {
+		return with, err
 	}
-	lookups, err := dns.Load(c.String("dns"))
-	return conf, lookups, err
+	if with.file, err = settings.Load(c.String("settings")); err != nil || c.String("dns") == "" {
+		return with, err
+	}
+	logs.New(os.Stderr).Warn().Str("file", c.String("dns")).Msg("--dns: the place of these keys is the dns block of --settings")
+	with.file.DNS, err = dns.Load(c.String("dns"))
+	return with, err
 }
--- a/cmd/garnetline/serve.go
+++ b/cmd/garnetline/serve.go
@@ -20,7 +20,9 @@
 	"garnetline/internal/door"
 	"garnetline/internal/front/dns"
 	"garnetline/internal/front/http"
+	"garnetline/internal/logs"
 	"garnetline/internal/peer"
+	"garnetline/internal/settings"
 	"garnetline/internal/stats"
 )
 
@@ -34,14 +36,32 @@
 	doorConns = 12  // callers of the door at once
 )
 
-// serve runs the router until a signal ends it. again reads the configuration
-// anew.
-func serve(ctx context.Context, conf *config.Config, again func() (*config.Config, error), lookups dns.Config) error {
+// setup is what the router is started with, and may be told anew.
+type setup struct {
+	conf *config.Config
+	file settings.File // the operators'
+}
+
+// admits tells whether a running router can go over to another setup.
+func (s setup) admits(next setup) error {
+	if err := s.conf.Admits(next.conf); err != nil {
+		return err
+	}
+	return s.file.Admits(next.file)
+}
+
+// serve runs the router until a signal ends it. again reads its setup anew.
+func serve(ctx context.Context, with setup, again func() (setup, error)) error {
+	conf, lookups := with.conf, with.file.DNS
+	log := logs.New(os.Stderr)
+	if err := logs.Set(with.file.Log.Level); err != nil {
+		return err
+	}
 	bound(conf.Limits)
 	var now atomic.Pointer[config.Config] // read whole by all parts, replaced whole
 	now.Store(conf)
 	count := stats.New()
-	defer count.Print(os.Stderr)
+	defer func() { logs.Counters(log, count.All()) }()
 	clk := clock.NewSystem()
 
 	// Before anything can be asked of the program: a signal that nobody waits
@@ -62,16 +82,16 @@
 		return err
 	}
 	var told, stopping atomic.Bool
-	log := changelog.New(clk, conf, func(ev config.Event) {
+	list := changelog.New(clk, conf, func(ev config.Event) {
 		c.Tell(ev)
 		told.Store(true)
 	}, count)
 	pool := peer.NewPool(ctx, peer.Options{Clock: clk, Conn: func() config.Conn { return now.Load().Conn },
-		Guard: log.Guard, End: c.End, Stats: count,
+		Guard: list.Guard, End: c.End, Stats: count,
 		Links: func() int64 { return int64(float64(now.Load().Limits.Sockets) * linkShare) }})
 	classes := func() []decide.Class { return now.Load().Settings.Classes }
 	names := dns.New(dns.Options{Config: lookups, Clock: clk, Core: c, Classes: classes,
-		Guard: log.Guard, Stats: count})
+		Guard: list.Guard, Stats: count})
 	c.Follow(pool, names)
 	if lookups.Enabled {
 		if _, err := names.Start(); err != nil {
@@ -86,11 +106,11 @@
 	front := http.New(http.Options{Clock: clk, Core: c, Carrier: pool, Classes: classes,
 		Ready: told.Load, Stats: count, Conns: func() int { return conns(now.Load().Limits) }})
 	go c.Run(ctx)
-	go log.Run(ctx)
+	go list.Run(ctx)
 	failed := make(chan error, 2)
 	go func() {
 		if conf.ListenFD != 0 { // others may hold the socket: take what can be served well
-			<-log.Caught()
+			<-list.Caught()
 		}
 		failed <- front.Serve(listener)
 	}()
@@ -99,14 +119,15 @@
 		if err != nil {
 			return fmt.Errorf("mgmt: %w", err)
 		}
-		pages := &door.Door{Switch: log.Switch,
-			Ready:   func() bool { return told.Load() && caught(log) && !stopping.Load() },
-			Figures: func() door.Figures { return figures(classes(), count, log, c) }}
+		pages := &door.Door{Switch: list.Switch,
+			Ready:   func() bool { return told.Load() && caught(list) && !stopping.Load() },
+			Figures: func() door.Figures { return figures(classes(), count, list, c) }}
 		staff := http.New(http.Options{Clock: clk, Stats: count, Page: pages.Page, Conns: func() int { return doorConns }})
 		go func() { failed <- staff.Serve(l) }()
 		defer staff.Finish()
 	}
 
+	log.Info().Str("name", conf.Name).Str("listen", conf.Listen.String()).Str("version", version).Msg("serving")
 	var done chan struct{} // closed when all is answered; nil until it is to stop
 	for {
 		select {
@@ -119,22 +140,27 @@
 		case s := <-signals:
 			switch {
 			case s == syscall.SIGUSR1:
-				count.Print(os.Stderr)
+				logs.Counters(log, count.All())
 			case s == syscall.SIGHUP: // while it stops too: what is open may outlive the old log
 				next, err := again()
 				if err == nil {
-					err = now.Load().Admits(next)
+					err = with.admits(next)
+				}
+				if err == nil {
+					err = logs.Set(next.file.Log.Level)
 				}
 				if err != nil {
 					count.Add("reloads_refused", 1)
-					fmt.Fprintf(os.Stderr, "garnetline: reload: %v; the old configuration holds\n", err)
+					log.Error().Err(err).Msg("reload refused")
 					continue
 				}
 				count.Add("reloads", 1)
-				bound(next.Limits)
-				now.Store(next)
-				c.Reload(next.Settings)
-				log.Reload(next)
+				with = next
+				bound(next.conf.Limits)
+				now.Store(next.conf)
+				c.Reload(next.conf.Settings)
+				list.Reload(next.conf)
+				log.Info().Msg("reloaded")
 			case done == nil:
 				stopping.Store(true)
 				front.Stopping()
@@ -182,9 +208,9 @@
 }
 
 // figures puts together what staff see.
-func figures(classes []decide.Class, count *stats.Set, log *changelog.Log, c *core.Core) door.Figures {
+func figures(classes []decide.Class, count *stats.Set, list *changelog.Log, c *core.Core) door.Figures {
 	n := func(name string) int64 { return count.Counter(name).Load() }
-	all, barred := log.Listed()
+	all, barred := list.Listed()
 	f := door.Figures{Relayed: n("attempts_relayed"), Open: n("requests_open"), Listed: all, Avoided: barred + c.Avoided(),
 		Accepted: n("reloads"), Invalid: n("reloads_refused")}
 	for _, k := range classes {
--- a/internal/front/dns/config.go
+++ b/internal/front/dns/config.go
@@ -10,19 +10,25 @@
 	"github.com/miekg/dns"
 )
 
-// Config is the operator's file. deploy/dns.toml documents its keys.
+// Config is the dns block of the operators' file, or the older file of the front
+// alone. deploy/garnetline.hcl documents the keys.
 type Config struct {
-	Enabled  bool    `toml:"enabled"`
-	Listen   string  `toml:"listen"`
-	Zone     string  `toml:"zone"`
-	Patience float64 `toml:"patience_ms"`
-	Inflight int     `toml:"max_inflight"`
-	Conns    int     `toml:"max_connections"`
+	Enabled  bool    `toml:"enabled" hcl:"enabled,optional"`
+	Listen   string  `toml:"listen" hcl:"listen,optional"`
+	Zone     string  `toml:"zone" hcl:"zone,optional"`
+	Patience float64 `toml:"patience_ms" hcl:"patience_ms,optional"`
+	Inflight int     `toml:"max_inflight" hcl:"max_inflight,optional"`
+	Conns    int     `toml:"max_connections" hcl:"max_connections,optional"`
 }
 
-// Load reads an operator's file. Without one the front is off.
+// Default is what holds where a key is not given: the front is off.
+func Default() Config {
+	return Config{Listen: "127.0.0.1:5353", Zone: "garnetline.local.", Patience: 1000, Inflight: 256, Conns: 32}
+}
+
+// Load reads a file of the front alone. Without one the front is off.
 func Load(path string) (Config, error) {
-	c := Config{Listen: "127.0.0.1:5353", Zone: "garnetline.local.", Patience: 1000, Inflight: 256, Conns: 32}
+	c := Default()
 	if path == "" {
 		return c, nil
 	}
@@ -37,13 +43,15 @@
 	if rest := meta.Undecoded(); len(rest) > 0 {
 		return c, fmt.Errorf("%s: %s: unknown key", path, rest[0])
 	}
-	if err := c.check(); err != nil {
+	if err := c.Check(); err != nil {
 		return c, fmt.Errorf("%s: %w", path, err)
 	}
 	return c, nil
 }
 
-func (c *Config) check() error {
+// Check tells whether the values can be used, and brings the zone to its one form.
+// An error begins with the field.
+func (c *Config) Check() error {
 	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,87 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func load(t *testing.T, text string) (File, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "x.hcl")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f, err := Load(path)
+	if err != nil {
+		err = &short{strings.ReplaceAll(err.Error(), path, "x.hcl")}
+	}
+	return f, err
+}
+
+type short struct{ s string }
+
+func (s *short) Error() string { return s.s }
+
+// The file that is shipped is the default, and what a file leaves out is too.
+func TestShippedFileIsTheDefault(t *testing.T) {
+	f, err := Load("../../deploy/garnetline.hcl")
+	if err != nil || f.DNS != Default().DNS || f.Log != Default().Log || f.Trace.Enabled {
+		t.Errorf("%+v, %v", f, err)
+	}
+	f, err = load(t, `dns { enabled = true }`)
+	if err != nil || !f.DNS.Enabled || f.DNS.Zone != "garnetline.local." || f.Log.Level != "info" {
+		t.Errorf("%+v, %v", f, err)
+	}
+}
+
+// What cannot be used is one line with file, line and field, and nothing of the file
+// holds.
+func TestErrorsNameFileLineAndField(t *testing.T) {
+	for text, want := range map[string]string{
+		"log {\n  level = \"loud\"\n}":                  "x.hcl:2: log: level: ",
+		"log {}\ndns {\n  zone = \".\"\n}":              "x.hcl:3: dns: zone: ",
+		"trace {\n enabled = true\n}":                   "x.hcl:2: trace: enabled: ",
+		"trace {\n folder = \"/x\"\n segment_mb = 0\n}": "x.hcl:3: trace: segment_mb: ",
+		"trace {\n keep_mb = 9\n}":                      "x.hcl:2: trace: keep_mb: ",
+		"trace {\n class \"a\" {}\n class \"a\" {}\n}":  "x.hcl:1: trace: class \"a\": named twice",
+		"trace {\n collector { url = \"ftp://x\" }\n}":  "x.hcl:1: trace: collector: url: ",
+		"dns {\n colour = 1\n}":                         "x.hcl:2: Unsupported argument",
+		"zones {}":                                      "x.hcl:1: Unsupported block type",
+		"dns {\n max_inflight = \"many\"\n}":            "x.hcl:2: ",
+		"dns {":                                         "x.hcl:1: ",
+		"log {}\nlog {}":                                "x.hcl:2: Duplicate log block",
+		"trace {\n ordinary_per_s = -1\n}":              "x.hcl:2: trace: ordinary_per_s: ",
+		"trace {\n retry_within_ms = 1e9\n}":            "x.hcl:2: trace: retry_within_ms: ",
+		"trace {\n undecided_kb = 1\n}":                 "x.hcl:2: trace: undecided_kb: ",
+		"trace {\n class \"a\" { wanted_ms = -1 }\n}":   "x.hcl:1: trace: class \"a\": ",
+		"trace {\n collector {\n url = \"http://127.0.0.1\"\n queue = -1\n}\n}": "x.hcl:1: trace: collector: ",
+	} {
+		f, err := load(t, text)
+		if err == nil || !strings.HasPrefix(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v, want %s", text, err, want)
+		}
+		if f.Log != Default().Log || f.DNS != Default().DNS {
+			t.Errorf("%q: a part of it holds", text)
+		}
+	}
+}
+
+// What only a restart can change is named.
+func TestAdmits(t *testing.T) {
+	f, next := Default(), Default()
+	next.Log.Level, next.Trace.Ordinary = "debug", 9
+	if err := f.Admits(next); err != nil {
+		t.Error(err)
+	}
+	next.DNS.Listen = "127.0.0.1:1"
+	if err := f.Admits(next); err == nil || !strings.HasPrefix(err.Error(), "dns: ") {
+		t.Error(err)
+	}
+	next = Default()
+	next.Trace.Folder = "/x"
+	if err := f.Admits(next); err == nil || !strings.HasPrefix(err.Error(), "trace: ") {
+		t.Error(err)
+	}
+}
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -2,9 +2,6 @@
 package stats
 
 import (
-	"fmt"
-	"io"
-	"slices"
 	"sync"
 	"sync/atomic"
 )
@@ -34,16 +31,13 @@
 // Add adds n to a counter.
 func (s *Set) Add(name string, n int64) { s.Counter(name).Add(n) }
 
-// Print writes a line for each counter, by name.
-func (s *Set) Print(w io.Writer) {
+// All returns the counters as they stand, by name.
+func (s *Set) All() map[string]int64 {
 	s.mu.Lock()
-	names := make([]string, 0, len(s.by))
-	for n := range s.by {
-		names = append(names, n)
-	}
-	s.mu.Unlock()
-	slices.Sort(names)
-	for _, n := range names {
-		fmt.Fprintf(w, "%s %d\n", n, s.Counter(n).Load())
+	defer s.mu.Unlock()
+	all := make(map[string]int64, len(s.by))
+	for n, c := range s.by {
+		all[n] = c.Load()
 	}
+	return all
 }
