Traces: the model, which trace a request belongs to, and what is kept after the end

Need: when boxes failed fast while claiming to run, nobody could tell afterwards which attempt went where. These are the parts that decide; nothing calls them yet.

Change: internal/trace has spans, the piece of a trace that one router makes, its stored form, W3C traceparent, and the merging of pieces under one root whose id follows from the trace's, so that routers agree on it without a word. internal/trace/link ties a request to its trace: by traceparent, by the HMAC of the idempotency key at whatever router, else by what the same client asked for and was not served. internal/trace/keep keeps what failed, was refused, tried again or slow, and draws from the ordinary rest by the order that follows from the trace's id: the lowest of a window are held, and weigh one over the lowest order turned away.

--- /dev/null
+++ b/internal/trace/code.go
@@ -0,0 +1,128 @@
+package trace
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+
+	"garnetline/decide"
+)
+
+// ErrCode reports bytes that are no trace.
+var ErrCode = errors.New("trace: broken record")
+
+// Bounds of what one record may hold.
+const (
+	maxName  = 255
+	maxSpans = 4096
+)
+
+// Append appends t in its stored form to b. Times are kept to the microsecond.
+func Append(b []byte, t *Trace) []byte {
+	b = append(b, t.ID[:]...)
+	b = binary.AppendUvarint(b, uint64(t.Remote))
+	b = name(name(b, t.Router), t.Class)
+	for _, n := range []uint64{t.Object, uint64(t.Part), uint64(t.Group), uint64(t.Try), uint64(t.Outcome), uint64(t.Why),
+		uint64(t.Lost), uint64(t.Attempts), micros(t.Start), micros(t.End - t.Start), math.Float64bits(t.Weight)} {
+		b = binary.AppendUvarint(b, n)
+	}
+	b = binary.AppendUvarint(b, uint64(len(t.Spans)))
+	for _, s := range t.Spans {
+		b = append(b, byte(s.Kind), s.N, s.Result, s.Flags, s.Rank)
+		for _, n := range []uint64{uint64(s.ID), uint64(s.Parent), uint64(s.Server), uint64(s.Source), uint64(s.Bytes),
+			uint64(math.Float32bits(s.Age)), uint64(math.Float32bits(s.Inflight)), uint64(math.Float32bits(s.Link))} {
+			b = binary.AppendUvarint(b, n)
+		}
+		b = binary.AppendVarint(b, int64(micros(s.Start)-micros(t.Start)))
+		b = binary.AppendVarint(b, int64(micros(s.End)-micros(s.Start)))
+	}
+	return b
+}
+
+func micros(ms float64) uint64 { return uint64(int64(math.Round(ms * 1000))) }
+
+func millis(us uint64) float64 { return float64(int64(us)) / 1000 }
+
+func name(b []byte, s string) []byte {
+	s = s[:min(len(s), maxName)]
+	return append(append(b, byte(len(s))), s...)
+}
+
+// Decode reads one trace from the whole of b.
+func Decode(b []byte) (*Trace, error) {
+	d := decoder{b: b}
+	t := &Trace{}
+	copy(t.ID[:], d.take(16))
+	t.Remote = SpanID(d.uint(math.MaxUint64))
+	t.Router, t.Class = d.name(), d.name()
+	t.Object, t.Part, t.Group = d.uint(math.MaxUint64), uint32(d.uint(math.MaxUint32)), uint16(d.uint(math.MaxUint16))
+	t.Try, t.Outcome, t.Why = uint8(d.uint(255)), Outcome(d.uint(uint64(outcomes)-1)), Why(d.uint(255))
+	t.Lost, t.Attempts = uint32(d.uint(math.MaxUint32)), uint8(d.uint(255))
+	start := d.uint(math.MaxInt64)
+	t.Start, t.End = millis(start), millis(start+d.uint(math.MaxInt64/2))
+	t.Weight = math.Float64frombits(d.uint(math.MaxUint64))
+	n := d.uint(maxSpans)
+	if d.bad || math.IsNaN(t.Weight) || n > uint64(len(d.b)) {
+		return nil, fmt.Errorf("%w: head", ErrCode)
+	}
+	t.Spans = make([]Span, n)
+	for i := range t.Spans {
+		s := &t.Spans[i]
+		k := d.take(5)
+		s.Kind, s.N, s.Result, s.Flags, s.Rank = Kind(k[0]), k[1], k[2], k[3], k[4]
+		s.ID, s.Parent = SpanID(d.uint(math.MaxUint64)), SpanID(d.uint(math.MaxUint64))
+		s.Server, s.Source = decide.ServerID(d.uint(math.MaxUint64)), decide.ServerID(d.uint(math.MaxUint64))
+		s.Bytes = uint32(d.uint(math.MaxUint32))
+		s.Age, s.Inflight, s.Link = d.float(), d.float(), d.float()
+		at := start + uint64(d.int())
+		s.Start, s.End = millis(at), millis(at+uint64(d.int()))
+		if d.bad || s.Kind >= kinds {
+			return nil, fmt.Errorf("%w: span %d", ErrCode, i)
+		}
+	}
+	if len(d.b) > 0 {
+		return nil, fmt.Errorf("%w: %d bytes too many", ErrCode, len(d.b))
+	}
+	return t, nil
+}
+
+// decoder reads fields; bad says that one was not there or out of range.
+type decoder struct {
+	b   []byte
+	bad bool
+}
+
+func (d *decoder) take(n int) []byte {
+	if len(d.b) < n {
+		d.bad, d.b = true, nil
+		return make([]byte, n)
+	}
+	b := d.b[:n]
+	d.b = d.b[n:]
+	return b
+}
+
+func (d *decoder) uint(most uint64) uint64 {
+	n, k := binary.Uvarint(d.b)
+	if k <= 0 || n > most {
+		d.bad, d.b = true, nil
+		return 0
+	}
+	d.b = d.b[k:]
+	return n
+}
+
+func (d *decoder) int() int64 {
+	n, k := binary.Varint(d.b)
+	if k <= 0 {
+		d.bad, d.b = true, nil
+		return 0
+	}
+	d.b = d.b[k:]
+	return n
+}
+
+func (d *decoder) float() float32 { return math.Float32frombits(uint32(d.uint(math.MaxUint32))) }
+
+func (d *decoder) name() string { return string(d.take(int(d.take(1)[0]))) }
--- /dev/null
+++ b/internal/trace/keep/keep.go
@@ -0,0 +1,259 @@
+// Package keep decides, when a request has ended, whether its trace is kept. It does
+// no I/O and has no clock: the caller tells the time, in Unix milliseconds.
+//
+// What failed, was refused, was tried again or was slower than its class wants is
+// kept always and at once. Of the ordinary rest each class has a budget a second. A
+// class's traces of one window are drawn by trace.ID.Order: those with the lowest
+// orders are held, and the lowest order that was turned away is the bound under which
+// all were held. So each held trace stands for one over that bound, whatever came
+// when, and routers that meet the same trace draw alike without a word between them.
+//
+// The memory for what is open and for what is held is one budget. Where it does not
+// suffice ordinary traces go first, those of the highest order of all classes, which
+// lowers their class's bound and so keeps the weights right. Where even that does not
+// do, the request is not traced; if it would have been kept, it is counted, and the
+// next kept trace says how many were lost before it.
+package keep
+
+import (
+	"container/heap"
+	"math"
+
+	"garnetline/internal/trace"
+)
+
+// Class is what a Keeper knows of one class.
+type Class struct {
+	Wanted   float64 // ms; slower traces are kept
+	Ordinary float64 // ordinary traces kept a second
+}
+
+// window is how long ordinary traces of a class are drawn together, ms, or longer
+// until three are due: the weight of fewer, though right in the mean, varies without a
+// bound. No window is longer than longest.
+const (
+	window  = 1000.0
+	least   = 3.0
+	longest = 60_000.0
+)
+
+// Keeper decides what is kept. It is not safe for concurrent use.
+type Keeper struct {
+	classes map[string]*draw
+	other   Class
+	most    int // bytes
+	open    int // bytes of traces whose requests are open
+	held    int // bytes of ordinary traces that are not decided
+	lost    uint32
+	Counts  Counts
+}
+
+// Counts tells what a Keeper did.
+type Counts struct {
+	Kept, Ordinary, Drawn int64 // kept always; ordinary ones met; of those, kept
+	Pushed                int64 // ordinary ones given up for room
+	Untraced              int64 // requests for which there was no room
+	Lost                  int64 // of those, the ones that had to be kept
+}
+
+// draw is a window of one class.
+type draw struct {
+	Class
+	began float64
+	bound float64 // the lowest order that was turned away; 1: none
+	n     int     // how many may be held
+	span  float64 // length of the window, ms
+	held  byOrder
+}
+
+// New returns a Keeper that holds most bytes. Classes that are not named have other.
+func New(most int, other Class, classes map[string]Class) *Keeper {
+	k := &Keeper{classes: map[string]*draw{}, most: most}
+	k.Adopt(most, other, classes)
+	return k
+}
+
+// Adopt goes over to other settings. What is held stays, drawn as it was.
+func (k *Keeper) Adopt(most int, other Class, classes map[string]Class) {
+	k.most, k.other = most, other
+	for name, c := range classes {
+		k.class(name).set(c)
+	}
+	for name, d := range k.classes {
+		if _, named := classes[name]; !named {
+			d.set(other)
+		}
+	}
+}
+
+func (k *Keeper) class(name string) *draw {
+	d := k.classes[name]
+	if d == nil {
+		d = &draw{bound: 1}
+		d.set(k.other)
+		k.classes[name] = d
+	}
+	return d
+}
+
+func (d *draw) set(c Class) {
+	d.Class, d.span = c, window
+	if c.Ordinary > 0 {
+		d.span = min(max(window, least*1000/c.Ordinary), longest)
+	}
+	d.n = int(math.Ceil(c.Ordinary * d.span / 1000))
+}
+
+// Open asks for room for a request's trace. Without it the request is not traced, and
+// Missed is to be told its end.
+func (k *Keeper) Open(size int) bool {
+	for k.open+k.held+size > k.most {
+		if !k.push() {
+			k.Counts.Untraced++
+			return false
+		}
+	}
+	k.open += size
+	return true
+}
+
+// push gives up the ordinary trace of the highest order of all classes.
+func (k *Keeper) push() bool {
+	var from *draw
+	for _, d := range k.classes {
+		if len(d.held) > 0 && (from == nil || d.held[0].order > from.held[0].order) {
+			from = d
+		}
+	}
+	if from == nil {
+		return false
+	}
+	k.turnAway(from)
+	k.Counts.Pushed++
+	return true
+}
+
+// turnAway gives up the highest of a class.
+func (k *Keeper) turnAway(d *draw) {
+	e := heap.Pop(&d.held).(entry)
+	d.bound = min(d.bound, e.order)
+	k.held -= e.size
+}
+
+// Missed takes the end of a request that was not traced.
+func (k *Keeper) Missed(class string, took float64, outcome trace.Outcome, attempts int, try uint8) {
+	if k.why(k.class(class), took, outcome, attempts, try) != 0 {
+		k.lost++
+		k.Counts.Lost++
+	}
+}
+
+// why tells why a request must be kept; 0: it is ordinary.
+func (k *Keeper) why(d *draw, took float64, o trace.Outcome, attempts int, try uint8) (why trace.Why) {
+	switch o {
+	case trace.Failed, trace.Left:
+		why |= trace.WhyFailed
+	case trace.Refused:
+		why |= trace.WhyRefused
+	}
+	if attempts > 1 || try > 0 {
+		why |= trace.WhyRetried
+	}
+	if d.Wanted > 0 && took > d.Wanted {
+		why |= trace.WhySlow
+	}
+	return why
+}
+
+// End decides on a trace for which Open gave room of size, or holds it until its
+// window is over. It returns t where it is kept, with the reason and the weight.
+// Tick must have been called with this time or a later one of the same window.
+func (k *Keeper) End(t *trace.Trace, size int) *trace.Trace {
+	k.open -= size
+	d := k.class(t.Class)
+	if t.Why = k.why(d, t.Took(), t.Outcome, int(t.Attempts), t.Try); t.Why != 0 {
+		t.Weight = 1
+		k.Counts.Kept++
+		return k.mark(t)
+	}
+	k.Counts.Ordinary++
+	order := t.ID.Order()
+	if order >= d.bound {
+		return nil
+	}
+	if d.n == 0 {
+		d.bound = 0
+		return nil
+	}
+	size = t.Size()
+	heap.Push(&d.held, entry{order, size, t})
+	k.held += size
+	for len(d.held) > d.n {
+		k.turnAway(d)
+	}
+	for k.open+k.held > k.most && k.push() {
+	}
+	return nil
+}
+
+// mark has the next kept trace say what was lost before it.
+func (k *Keeper) mark(t *trace.Trace) *trace.Trace {
+	t.Lost, k.lost = k.lost, 0
+	return t
+}
+
+// Tick closes the windows that are over and returns what was drawn in them.
+func (k *Keeper) Tick(now float64) (kept []*trace.Trace) {
+	for _, d := range k.classes {
+		if now >= d.began && now < d.began+d.span {
+			continue
+		}
+		kept = k.close(d, kept)
+		d.began = now - math.Mod(now, d.span)
+	}
+	return kept
+}
+
+// Close ends all windows, as at the end of the program.
+func (k *Keeper) Close() (kept []*trace.Trace) {
+	for _, d := range k.classes {
+		kept = k.close(d, kept)
+	}
+	return kept
+}
+
+func (k *Keeper) close(d *draw, kept []*trace.Trace) []*trace.Trace {
+	for _, e := range d.held {
+		e.t.Why, e.t.Weight = trace.WhyChance, 1/d.bound
+		k.held -= e.size
+		k.Counts.Drawn++
+		kept = append(kept, k.mark(e.t))
+	}
+	d.held, d.bound = d.held[:0], 1
+	return kept
+}
+
+// Bytes returns how much is held for traces that are open or not decided.
+func (k *Keeper) Bytes() int { return k.open + k.held }
+
+// entry is a held trace.
+type entry struct {
+	order float64
+	size  int
+	t     *trace.Trace
+}
+
+// byOrder is a heap with the highest order on top: what is given up next.
+type byOrder []entry
+
+func (h byOrder) Len() int           { return len(h) }
+func (h byOrder) Less(i, j int) bool { return h[i].order > h[j].order }
+func (h byOrder) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *byOrder) Push(x any)        { *h = append(*h, x.(entry)) }
+func (h *byOrder) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	old[len(old)-1] = entry{}
+	*h = old[:len(old)-1]
+	return x
+}
--- /dev/null
+++ b/internal/trace/link/link.go
@@ -0,0 +1,161 @@
+// Package link decides which trace a request belongs to. It does no I/O and has no
+// clock.
+//
+// In this order: the trace that the client's traceparent names; in keyed classes the
+// one that follows from the idempotency key, at whatever router the try arrives; else,
+// where the same client asked this router for the same part within the retry time and
+// was not served, the trace of that try; else a new one. The last rule is a guess. It
+// errs where two clients share an address and one is refused while the other asks, and
+// misses a try that comes to another router. BenchmarkGuess measures how often.
+package link
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"garnetline/internal/trace"
+)
+
+// Ask is a request as far as its trace depends on it.
+type Ask struct {
+	Parent string // the traceparent header, as it came
+	Key    string // idempotency key, of a keyed class
+	Client string // the client's address without its port; "": not known
+	Class  string
+	Object uint64
+	Part   int
+}
+
+// Tie is where a request belongs.
+type Tie struct {
+	ID     trace.ID
+	Remote trace.SpanID // the client's own span
+	Try    uint8        // 0: the first, as far as is known
+	guess  uint64       // its place in the table of unserved tries; 0: none
+}
+
+// halfMost is how many unserved tries one half of the table holds.
+const halfMost = 1 << 14
+
+// Linker ties requests to traces. It is not safe for concurrent use.
+type Linker struct {
+	secret     []byte
+	within     float64
+	seed       uint64
+	n          uint64
+	young, old map[uint64]unserved
+}
+
+// unserved is a try whose client may come again.
+type unserved struct {
+	id  trace.ID
+	at  float64
+	try uint8
+}
+
+// New returns a Linker. Routers with the same secret agree on the trace of a key; the
+// seed differs from router to router, and from start to start.
+func New(secret string, within float64, seed uint64) *Linker {
+	return &Linker{secret: []byte(secret), within: within, seed: seed, young: map[uint64]unserved{}}
+}
+
+// Within sets for how long, in ms, a try that was not served waits for the next.
+func (l *Linker) Within(ms float64) { l.within = ms }
+
+// Tie returns where a request belongs that came at now, in Unix ms.
+func (l *Linker) Tie(now float64, a Ask) Tie {
+	t := Tie{guess: l.place(a)}
+	u, again := l.find(t.guess)
+	again = again && now-u.at <= l.within
+	if again {
+		t.Try = min(u.try+1, 255)
+	}
+	if p, ok := trace.ParseParent(a.Parent); ok {
+		t.ID, t.Remote = p.Trace, p.Span
+		if again && u.id != p.Trace {
+			t.Try = 0
+		}
+		return t
+	}
+	switch {
+	case a.Key != "":
+		t.ID = l.keyed(a.Key)
+		if u.id != t.ID {
+			t.Try = 0
+		}
+	case again:
+		t.ID = u.id
+	default:
+		l.n++
+		binary.BigEndian.PutUint64(t.ID[:8], xx(l.seed, l.n))
+		binary.BigEndian.PutUint64(t.ID[8:], xx(l.n, l.seed))
+	}
+	return t
+}
+
+// Ended takes the end of a request that Tie was asked for.
+func (l *Linker) Ended(now float64, t Tie, served bool) {
+	if t.guess == 0 {
+		return
+	}
+	if served {
+		delete(l.young, t.guess)
+		delete(l.old, t.guess)
+		return
+	}
+	if len(l.young) >= halfMost {
+		l.young, l.old = map[uint64]unserved{}, l.young
+	}
+	l.young[t.guess] = unserved{t.ID, now, t.Try}
+}
+
+func (l *Linker) find(place uint64) (unserved, bool) {
+	if place == 0 {
+		return unserved{}, false
+	}
+	u, ok := l.young[place]
+	if !ok {
+		u, ok = l.old[place]
+	}
+	return u, ok
+}
+
+// keyed is the trace of an idempotency key, from which the key can't be had.
+func (l *Linker) keyed(key string) (id trace.ID) {
+	m := hmac.New(sha256.New, l.secret)
+	m.Write([]byte(key))
+	copy(id[:], m.Sum(nil))
+	return id
+}
+
+// place is the place of a client's request in the table: of its key or, without one,
+// of what it asks for. Nothing that names a client is kept as it came.
+func (l *Linker) place(a Ask) uint64 {
+	if a.Client == "" && a.Key == "" {
+		return 0
+	}
+	d := xxhash.NewWithSeed(l.seed)
+	if a.Key != "" {
+		d.WriteString(a.Key)
+	} else {
+		var b [16]byte
+		binary.BigEndian.PutUint64(b[:8], a.Object)
+		binary.BigEndian.PutUint64(b[8:], uint64(a.Part))
+		d.Write(b[:])
+		d.WriteString(a.Class)
+		d.WriteString("\x00")
+		d.WriteString(a.Client)
+	}
+	return max(d.Sum64(), 1)
+}
+
+func xx(seed, n uint64) uint64 {
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], n)
+	d := xxhash.NewWithSeed(seed)
+	d.Write(b[:])
+	return max(d.Sum64(), 1)
+}
--- /dev/null
+++ b/internal/trace/live.go
@@ -0,0 +1,111 @@
+package trace
+
+import (
+	"math"
+
+	"garnetline/decide"
+)
+
+// waitLeast is how long, in ms, the time before an attempt must be to count as a wait:
+// less is the program's own work.
+const waitLeast = 0.2
+
+// Live is the piece of a trace that one router is making, from the request's last
+// byte until its answer is given and nothing is out. It is not safe for concurrent
+// use: the goroutine that decides owns it.
+type Live struct {
+	Trace
+	request  SpanID
+	seed     uint64
+	idle     float64 // since when nothing is out
+	out      int     // place in Spans of the attempt that is; -1: none
+	answered bool
+	room     [6]Span // the usual trace needs no more
+}
+
+// Begin starts a piece of the trace id with the request that t describes; t.Spans is
+// passed over. The seed differs for each piece.
+func Begin(t Trace, seed uint64) *Live {
+	l := &Live{Trace: t, seed: seed, idle: t.Start, out: -1}
+	l.Spans = l.room[:0]
+	l.request = l.add(Span{Parent: t.ID.Root(), Kind: Request, Start: t.Start})
+	return l
+}
+
+// add numbers a span and keeps it.
+func (l *Live) add(s Span) SpanID {
+	l.seed++
+	s.ID = l.ID.Span(l.seed)
+	if s.Kind != Attempt {
+		s.Inflight, s.Link = float32(math.NaN()), float32(math.NaN())
+	}
+	l.Spans = append(l.Spans, s)
+	return s.ID
+}
+
+// Sending notes that an attempt was decided.
+func (l *Live) Sending(now float64, g decide.Get) {
+	if now-l.idle >= waitLeast {
+		l.add(Span{Parent: l.request, Kind: Wait, Start: l.idle, End: now, N: l.Attempts})
+	}
+	s := Span{Parent: l.request, Kind: Attempt, N: l.Attempts, Start: now, Server: g.Server, Source: g.Source,
+		Rank: uint8(g.Keep), Age: float32(g.MaxAge.Seconds() * 1000)}
+	if g.Join {
+		s.Flags |= Join
+	}
+	if g.Renew {
+		s.Flags |= Renew
+	}
+	if g.HeldOnly {
+		s.Flags |= Held
+	}
+	l.Attempts++
+	l.add(s)
+	l.out = len(l.Spans) - 1
+}
+
+// Wire is what the carrier of an attempt knows of it; times are 0 where there was none.
+type Wire struct {
+	Dialled, Up float64 // when a connection was asked for on its account, and was there
+	Wrote       float64 // when the command was written
+	Age         float64 // ms, the bound that was written
+}
+
+// Over notes how the attempt that is out ended.
+func (l *Live) Over(now float64, r decide.Result, bytes int, load decide.Load, w Wire) {
+	if l.out < 0 {
+		return
+	}
+	s := &l.Spans[l.out]
+	s.End, s.Result, s.Bytes = now, uint8(r), uint32(bytes)
+	s.Inflight, s.Link = float32(load.Inflight), float32(load.Link)
+	if w.Wrote > 0 {
+		s.Flags |= Sent
+		s.Age = float32(w.Age)
+	}
+	if w.Dialled > 0 {
+		l.add(Span{Parent: s.ID, Kind: Connect, Server: s.Server, N: s.N, Start: max(w.Dialled, s.Start), End: max(w.Up, w.Dialled, s.Start)})
+	}
+	l.idle, l.out = now, -1
+}
+
+// Answered notes the final answer, or that the client left.
+func (l *Live) Answered(now float64, o Outcome) {
+	if l.answered {
+		return
+	}
+	l.answered, l.Outcome, l.End = true, o, now
+	if l.out < 0 && now-l.idle >= waitLeast && o != Served && o != Same {
+		l.add(Span{Parent: l.request, Kind: Wait, Start: l.idle, End: now, N: l.Attempts})
+	}
+}
+
+// Done tells whether the piece is whole: answered, with nothing out.
+func (l *Live) Done() bool { return l.answered && l.out < 0 }
+
+// Piece returns the finished piece. It must not be used before Done.
+func (l *Live) Piece() *Trace {
+	l.Spans[0].End = l.End
+	l.Spans[0].Result = uint8(l.Outcome)
+	return &l.Trace
+}
--- /dev/null
+++ b/internal/trace/trace.go
@@ -0,0 +1,233 @@
+// Package trace is the model of what happened to a request: spans of time, who had
+// a part in them and how they ended. It knows no wire, no file and no clock: times
+// are Unix milliseconds that the caller gives.
+//
+// A trace is all tries of one request of a client, also on several routers. Each
+// router keeps a piece of its own, with spans of its own try; Merge puts the pieces
+// together. All pieces have the same root, whose id follows from the trace's, so that
+// routers that share nothing agree on it.
+package trace
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"math"
+	"slices"
+
+	"garnetline/decide"
+)
+
+// ID names a trace, as in W3C Trace Context.
+type ID [16]byte
+
+// String is how an id stands in text: 32 hex digits.
+func (id ID) String() string { return hex.EncodeToString(id[:]) }
+
+// ParseID reads an id that stands in text.
+func ParseID(s string) (id ID, ok bool) {
+	if len(s) != 32 || !lower(s) {
+		return id, false
+	}
+	_, err := hex.Decode(id[:], []byte(s))
+	return id, err == nil && id != ID{}
+}
+
+// Order is a number above 0 and at most 1 that follows from the id alone and is
+// spread evenly: everyone who must choose among traces chooses by it, and alike.
+func (id ID) Order() float64 {
+	x := mix(binary.BigEndian.Uint64(id[:8]) ^ mix(binary.BigEndian.Uint64(id[8:])))
+	return (float64(x>>11) + 1) / (1 << 53)
+}
+
+// SpanID names a span within its trace; 0 is none.
+type SpanID uint64
+
+// Root is the id of the span that all others of a trace stand under: the client's
+// request with all its tries.
+func (id ID) Root() SpanID { return id.Span(0x9e3779b97f4a7c15) }
+
+// Span is an id that follows from the trace and a number, never 0.
+func (id ID) Span(n uint64) SpanID {
+	return SpanID(max(mix(n^binary.BigEndian.Uint64(id[:8])^mix(n+binary.BigEndian.Uint64(id[8:]))), 1))
+}
+
+// mix spreads the bits of a number.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Kind tells what a span stands for.
+type Kind uint8
+
+// The kinds of spans.
+const (
+	Client  Kind = iota // the client's request, all its tries
+	Request             // one try, at one router
+	Wait                // held by the decisions, or on the way to them
+	Attempt             // one sending to a server
+	Connect             // a connection that had to be made for an attempt
+	kinds
+)
+
+var kindNames = [...]string{"client", "request", "wait", "attempt", "connect"}
+
+// String is the kind's name.
+func (k Kind) String() string {
+	if k >= kinds {
+		return "unknown"
+	}
+	return kindNames[k]
+}
+
+// Flags of an attempt.
+const (
+	Join  = 1 << iota // it was let join a fill under way
+	Renew             // an ageing copy was to be renewed behind
+	Held              // the source was to give only what it holds
+	Sent              // it was written whole
+)
+
+// Span is one piece of time in a trace.
+type Span struct {
+	ID, Parent SpanID
+	Kind       Kind
+	N          uint8 // place of an attempt among those of its request
+	Result     uint8 // of an attempt, a decide.Result
+	Flags      uint8
+	Rank       uint8   // at which a copy was to be kept
+	Start, End float64 // Unix milliseconds
+	Server     decide.ServerID
+	Source     decide.ServerID // of a fill; the server itself: none
+	Bytes      uint32          // that came
+	Age        float32         // ms, the oldest copy that would do; 0: any
+	Inflight   float32         // the server's load report; NaN: none
+	Link       float32
+}
+
+// Outcome is how a request ended at a router.
+type Outcome uint8
+
+// The outcomes of a request.
+const (
+	Failed Outcome = iota
+	Refused
+	Served
+	Same // the client's copy holds
+	Left // its client went
+	outcomes
+)
+
+var outcomeNames = [...]string{"failed", "refused", "served", "same", "left"}
+
+// String is the outcome's name.
+func (o Outcome) String() string {
+	if o >= outcomes {
+		return "unknown"
+	}
+	return outcomeNames[o]
+}
+
+// ParseOutcome reads an outcome's name.
+func ParseOutcome(s string) (Outcome, bool) {
+	i := slices.Index(outcomeNames[:], s)
+	return Outcome(max(i, 0)), i >= 0
+}
+
+// Why tells, in bits, why a trace is kept.
+type Why uint8
+
+// The reasons.
+const (
+	WhyFailed  Why = 1 << iota // failed, or its client left
+	WhyRefused                 //
+	WhyRetried                 // more than one attempt, or a client's repeat
+	WhySlow                    // slower than its class wants
+	WhyChance                  // ordinary, and drawn within the budget
+)
+
+// Trace is what one router knows of one request: a piece of a trace.
+type Trace struct {
+	ID       ID
+	Remote   SpanID // the client's own span, where it sent one
+	Router   string
+	Class    string
+	Object   uint64
+	Part     uint32
+	Group    uint16
+	Try      uint8 // 0: the client's first, as far as this router knows
+	Outcome  Outcome
+	Start    float64 // Unix ms, the request whole; the end is that of its answer
+	End      float64
+	Why      Why
+	Weight   float64 // how many traces of its class and kind it stands for
+	Lost     uint32  // traces that had to be kept and were not, since the one before
+	Attempts uint8
+	Spans    []Span
+}
+
+// Took is how long the request took at this router, in ms.
+func (t *Trace) Took() float64 { return t.End - t.Start }
+
+// Size is about how many bytes t holds in memory.
+func (t *Trace) Size() int { return 200 + len(t.Router) + len(t.Class) + cap(t.Spans)*spanSize }
+
+const spanSize = 80
+
+// Has tells whether a server or source had a part in an attempt.
+func (t *Trace) Has(id decide.ServerID) bool {
+	return slices.ContainsFunc(t.Spans, func(s Span) bool { return s.Kind == Attempt && (s.Server == id || s.Source == id) })
+}
+
+// Merge puts the pieces of one trace together: all spans once, with one root that
+// lasts from the first try to the last answer. Pieces of other traces are passed over.
+// A span whose parent is in no piece, since its router was killed, stands under the
+// root. The result is in the order of the spans' starts, the root first.
+func Merge(id ID, pieces []*Trace) []Span {
+	root := Span{ID: id.Root(), Kind: Client, Start: math.Inf(1), End: math.Inf(-1)}
+	by := map[SpanID]Span{}
+	for _, t := range pieces {
+		if t.ID != id {
+			continue
+		}
+		root.Start, root.End = min(root.Start, t.Start), max(root.End, t.End)
+		if t.Remote != 0 {
+			root.Parent = t.Remote
+		}
+		for _, s := range t.Spans {
+			if s.ID != root.ID {
+				by[s.ID] = s
+			}
+		}
+	}
+	if math.IsInf(root.Start, 0) {
+		return nil
+	}
+	out := make([]Span, 0, len(by)+1)
+	for _, s := range by {
+		if _, known := by[s.Parent]; !known || s.Parent == s.ID {
+			s.Parent = root.ID
+		}
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b Span) int {
+		switch {
+		case a.Start != b.Start:
+			if a.Start < b.Start {
+				return -1
+			}
+			return 1
+		case a.Kind != b.Kind:
+			return int(a.Kind) - int(b.Kind)
+		case a.ID < b.ID:
+			return -1
+		case a.ID > b.ID:
+			return 1
+		}
+		return 0
+	})
+	return slices.Insert(out, 0, root)
+}
--- /dev/null
+++ b/internal/trace/trace_test.go
@@ -0,0 +1,177 @@
+package trace
+
+import (
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"garnetline/decide"
+	"garnetline/internal/seeds"
+)
+
+// What the specification of traceparent allows is read, and all else is none.
+func TestParseParent(t *testing.T) {
+	good := "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"
+	p, ok := ParseParent(good)
+	if !ok || p.String() != good || !p.Sampled {
+		t.Errorf("%v %v", p, ok)
+	}
+	if p, ok := ParseParent("cc" + good[2:] + "-what-comes-later"); !ok || p.Span != 0xf067aa0ba902b7 {
+		t.Errorf("a later version: %v %v", p, ok)
+	}
+	for _, bad := range []string{"", good[:54], good + "-x", "ff" + good[2:], strings.ToUpper(good), "cc" + good[2:] + "x",
+		"00-" + strings.Repeat("0", 32) + good[35:], good[:36] + strings.Repeat("0", 16) + good[52:], "cc" + good[2:] + "-" + strings.Repeat("x", 4096),
+		strings.Replace(good, "f", "g", 1), strings.Replace(good, "-", "_", 1), "0x" + good[2:], good[:53] + "0x"} {
+		if p, ok := ParseParent(bad); ok {
+			t.Errorf("%.80q was read as %v", bad, p)
+		}
+	}
+}
+
+// FuzzParent checks that what is read is written the same way.
+func FuzzParent(f *testing.F) {
+	f.Add("00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01")
+	f.Add("cc-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-03-more")
+	f.Fuzz(func(t *testing.T, s string) {
+		p, ok := ParseParent(s)
+		if q, again := ParseParent(p.String()); ok && (!again || q != p || p.Trace == ID{} || p.Span == 0) {
+			t.Errorf("%q is %v, and that %v", s, p, q)
+		}
+	})
+}
+
+// play makes a piece by random legal steps.
+func play(id ID, rng *rand.Rand, start float64) *Trace {
+	l := Begin(Trace{ID: id, Router: "n1", Class: "part", Object: rng.Uint64(), Part: 3, Group: 17, Start: start, Weight: 1}, rng.Uint64())
+	now := start
+	for range rng.IntN(4) {
+		now += rng.Float64() * 10
+		l.Sending(now, decide.Get{Server: decide.ServerID(rng.Uint32()), Source: 9, Keep: 2, Join: true, MaxAge: time.Second})
+		at := now + rng.Float64()
+		now = at + rng.Float64()*100
+		w := Wire{}
+		if rng.IntN(2) == 0 {
+			w = Wire{Dialled: at, Up: at + 1, Wrote: at + 1, Age: 500}
+		}
+		if rng.IntN(3) == 0 {
+			l.Answered(now, Left)
+		}
+		l.Over(now, decide.Result(rng.IntN(9)), rng.IntN(1000), decide.Load{Inflight: 7, Link: math.NaN()}, w)
+	}
+	l.Answered(now, Outcome(rng.IntN(int(outcomes))))
+	if !l.Done() {
+		panic("not done")
+	}
+	return l.Piece()
+}
+
+// same compares traces whose missing load reports are NaN, to the microsecond.
+func same(a, b *Trace) bool {
+	if len(a.Spans) != len(b.Spans) {
+		return false
+	}
+	near := func(x, y float64) bool { return math.Abs(x-y) < 0.002 }
+	for i, s := range a.Spans {
+		q := b.Spans[i]
+		if !near(s.Start, q.Start) || !near(s.End, q.End) || math.IsNaN(float64(s.Link)) != math.IsNaN(float64(q.Link)) {
+			return false
+		}
+		s.Start, s.End, q.Start, q.End, s.Link, q.Link, s.Inflight, q.Inflight = 0, 0, 0, 0, 0, 0, 0, 0
+		if s != q {
+			return false
+		}
+	}
+	x, y := *a, *b
+	if !near(x.Start, y.Start) || !near(x.End, y.End) {
+		return false
+	}
+	x.Spans, y.Spans, x.Start, y.Start, x.End, y.End = nil, nil, 0, 0, 0, 0
+	return reflect.DeepEqual(x, y)
+}
+
+// FuzzCode checks that a trace comes back as it was, and that no bytes break the
+// reader or make it hold much.
+func FuzzCode(f *testing.F) {
+	seeds.Add(f, 16, 200)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if got, err := Decode(b); err == nil {
+			if again, err := Decode(Append(nil, got)); err != nil || len(again.Spans) != len(got.Spans) {
+				t.Errorf("read, but not again: %v", err)
+			}
+		}
+		seed := uint64(len(b))
+		for i, c := range b {
+			seed += uint64(c) << (i % 56)
+		}
+		rng := rand.New(rand.NewPCG(seed, 1))
+		in := play(ID{1, byte(seed)}, rng, 1.7e12+rng.Float64())
+		code := Append(nil, in)
+		if out, err := Decode(code); err != nil || !same(in, out) {
+			t.Fatalf("%v\n%+v\n%+v", err, in, out)
+		}
+		for n := range code {
+			if _, err := Decode(code[:n]); err == nil {
+				t.Fatalf("cut at %d of %d it is read", n, len(code))
+			}
+		}
+	})
+}
+
+// The pieces of a trace that two routers made have one root, every span a parent, and
+// nothing ends before it starts; also where one piece is missing a part.
+func TestMergeHasOneRoot(t *testing.T) {
+	id := ID{7}
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		a, b := play(id, rng, 1000), play(id, rng, 1500)
+		if seed%3 == 0 { // the router that made it was killed with a part of it
+			b.Spans = b.Spans[1:]
+		}
+		spans := Merge(id, []*Trace{a, b, play(ID{8}, rng, 1), a})
+		ids, roots := map[SpanID]bool{}, 0
+		for _, s := range spans {
+			if ids[s.ID] {
+				t.Fatalf("seed %d: span %x stands twice", seed, s.ID)
+			}
+			ids[s.ID] = true
+		}
+		for _, s := range spans {
+			if s.Kind == Client {
+				roots++
+			} else if !ids[s.Parent] {
+				t.Fatalf("seed %d: %v has no parent", seed, s)
+			}
+			if s.End < s.Start {
+				t.Fatalf("seed %d: %v ends before it starts", seed, s)
+			}
+		}
+		if roots != 1 || spans[0].Kind != Client || len(spans) != 1+len(a.Spans)+len(b.Spans) {
+			t.Fatalf("seed %d: %d roots, %d spans", seed, roots, len(spans))
+		}
+	}
+}
+
+// Order is spread evenly, and alike for all who know the id.
+func TestOrderIsEven(t *testing.T) {
+	var n [10]int
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 100_000 {
+		var id ID
+		for i := range id {
+			id[i] = byte(rng.Uint32())
+		}
+		o := id.Order()
+		if o <= 0 || o > 1 {
+			t.Fatalf("%v", o)
+		}
+		n[min(int(o*10), 9)]++
+	}
+	for i, c := range n {
+		if c < 9600 || c > 10_400 {
+			t.Errorf("%d of 100000 in tenth %d", c, i)
+		}
+	}
+}
