--- /dev/null
+++ b/internal/trace/store/index.go
@@ -0,0 +1,88 @@
+package store
+
+import (
+	"os"
+
+	"garnetline/internal/trace"
+)
+
+// Index knows the heads of all blocks of a folder. It is safe for concurrent use once
+// it is made, and sees what had been written by then.
+type Index struct {
+	files  []string
+	blocks [][]ref // by file
+}
+
+// Read makes an Index of a folder. Files that are no segments are passed over.
+func Read(folder string) (*Index, error) {
+	paths, err := segments(folder)
+	if err != nil {
+		return nil, err
+	}
+	x := &Index{}
+	for _, p := range paths {
+		f, err := os.Open(p)
+		if err != nil {
+			continue // removed meanwhile
+		}
+		var refs []ref
+		err = scan(f, func(r ref) bool { refs = append(refs, r); return true })
+		f.Close()
+		if err == nil {
+			x.files, x.blocks = append(x.files, p), append(x.blocks, refs)
+		}
+	}
+	return x, nil
+}
+
+// Stat tells how many blocks, traces and spans there are.
+func (x *Index) Stat() (blocks, traces, spans int) {
+	for _, refs := range x.blocks {
+		for _, r := range refs {
+			blocks, traces, spans = blocks+1, traces+int(r.head.traces), spans+int(r.head.spans)
+		}
+	}
+	return blocks, traces, spans
+}
+
+// Query calls do with each trace that f wants, in the order in which they were kept,
+// until it returns false. It returns how many blocks it had to read, and the first
+// error: a block that cannot be read is passed over.
+func (x *Index) Query(f Filter, do func(*trace.Trace) bool) (read int, err error) {
+	for i, path := range x.files {
+		var file *os.File
+		for j := range x.blocks[i] {
+			r := &x.blocks[i][j]
+			if !f.may(&r.head) {
+				continue
+			}
+			if file == nil {
+				opened, e := os.Open(path)
+				if e != nil {
+					break // removed meanwhile
+				}
+				file = opened
+			}
+			read++
+			body, e := r.read(file)
+			more := true
+			if e == nil {
+				e = traces(body, func(t *trace.Trace) bool {
+					more = !f.Wants(t) || do(t)
+					return more
+				})
+			}
+			if err == nil {
+				err = e
+			}
+			if !more {
+				file.Close()
+				return read, err
+			}
+		}
+		if file != nil {
+			file.Close()
+		}
+	}
+	return read, err
+}
