--- a/cmd/garnetline/main.go
+++ b/cmd/garnetline/main.go
@@ -49,6 +49,7 @@
 					}
 					return nil
 				}},
+			traceCommand(os.Stdout),
 			{Name: "version", Usage: "print the version",
 				Action: func(context.Context, *cli.Command) error {
 					fmt.Println("garnetline", version)
--- a/cmd/garnetline/serve.go
+++ b/cmd/garnetline/serve.go
@@ -90,6 +90,13 @@
 		Guard: list.Guard, End: c.End, Stats: count,
 		Links: func() int64 { return int64(float64(now.Load().Limits.Sockets) * linkShare) }})
 	classes := func() []decide.Class { return now.Load().Settings.Classes }
+	rec, err := tracing(with.file.Trace, conf, clk, count, log, &now)
+	if err != nil {
+		return err
+	}
+	if rec != nil {
+		c.Trace(rec)
+	}
 	names := dns.New(dns.Options{Config: lookups, Clock: clk, Core: c, Classes: classes,
 		Guard: list.Guard, Stats: count})
 	c.Follow(pool, names)
@@ -104,8 +111,16 @@
 		}()
 	}
 	front := http.New(http.Options{Clock: clk, Core: c, Carrier: pool, Classes: classes,
-		Ready: told.Load, Stats: count, Conns: func() int { return conns(now.Load().Limits) }})
+		Ready: told.Load, Stats: count, Conns: func() int { return conns(now.Load().Limits) }, Traced: rec != nil})
 	go c.Run(ctx)
+	if rec != nil {
+		go rec.Run()
+		defer func() { // the core tells it of the last requests
+			stop()
+			<-c.Stopped()
+			rec.Finish()
+		}()
+	}
 	go list.Run(ctx)
 	failed := make(chan error, 2)
 	go func() {
@@ -160,6 +175,9 @@
 				now.Store(next.conf)
 				c.Reload(next.conf.Settings)
 				list.Reload(next.conf)
+				if rec != nil {
+					rec.Adopt(kept(next.file.Trace, next.conf.Settings.Classes))
+				}
 				log.Info().Msg("reloaded")
 			case done == nil:
 				stopping.Store(true)
--- a/cmd/garnetline/serve_test.go
+++ b/cmd/garnetline/serve_test.go
@@ -71,11 +71,18 @@
 			c.mu.Lock()
 			c.seen = append(c.seen, words[2])
 			c.mu.Unlock()
-			io.WriteString(conn, c.reply(words[1], words[2]))
+			text := c.reply(words[1], words[2])
+			if text == cut {
+				return
+			}
+			io.WriteString(conn, text)
 		}
 	}
 }
 
+// cut is a reply that ends the connection.
+const cut = "\x00cut"
+
 func (c *cache) sent() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- /dev/null
+++ b/cmd/garnetline/tracing.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"fmt"
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+
+	"garnetline/decide"
+	"garnetline/internal/clock"
+	"garnetline/internal/config"
+	"garnetline/internal/settings"
+	"garnetline/internal/stats"
+	"garnetline/internal/trace/keep"
+	"garnetline/internal/trace/record"
+	"garnetline/internal/trace/store"
+)
+
+// tracing makes what follows the requests, or nil where the operators' file does not
+// switch it on.
+func tracing(t settings.Trace, conf *config.Config, clk clock.Clock, count *stats.Set, log *zerolog.Logger,
+	now *atomic.Pointer[config.Config]) (*record.Recorder, error) {
+	if !t.Enabled {
+		return nil, nil
+	}
+	w, err := store.Open(t.Folder, int64(t.SegmentMB)<<20, int64(t.KeepMB)<<20)
+	if err != nil {
+		return nil, fmt.Errorf("trace: folder: %w", err)
+	}
+	return record.New(record.Options{Clock: clk, Router: conf.Name, Secret: t.Secret, Seed: conf.Seed, Stats: count, Log: log, Sink: w,
+		Pace: func() float64 { return now.Load().Settings.BytesPerS }}, kept(t, conf.Settings.Classes)), nil
+}
+
+// kept is what is kept of each class: what the operators' file says, and else slower
+// traces than the class's aim and the budget of all.
+func kept(t settings.Trace, classes []decide.Class) record.Settings {
+	s := record.Settings{Undecided: t.UndecidedKB << 10, RetryWithin: t.RetryWithin, Sampled: t.Sampled, Other: keep.Class{Ordinary: t.Ordinary},
+		Classes: map[string]keep.Class{}}
+	for _, c := range classes {
+		s.Classes[c.Name] = keep.Class{Wanted: clock.Millis(c.Aim), Ordinary: t.Ordinary, All: c.Effect == decide.Keyed}
+	}
+	for _, c := range t.Classes {
+		k, known := s.Classes[c.Name]
+		if !known {
+			continue
+		}
+		if k.Ordinary = c.Ordinary; c.Wanted > 0 {
+			k.Wanted = c.Wanted
+		}
+		s.Classes[c.Name] = k
+	}
+	return s
+}
--- a/deploy/garnetline.hcl
+++ b/deploy/garnetline.hcl
@@ -20,3 +20,22 @@
   max_inflight    = 256            # lookups being decided at once; more are SERVFAIL
   max_connections = 32             # TCP connections open at once
 }
+
+# Traces of requests, kept in segments that `garnetline trace` reads: docs/tracing.md.
+# Only a restart can change enabled, folder and secret.
+trace {
+  enabled         = false
+  folder          = "traces"       # of this router; 0700
+  secret          = ""             # the same at all routers: mixed into what names a key or an object
+  segment_mb      = 8              # a segment is closed at this size
+  keep_mb         = 256            # of all segments; the oldest go first
+  undecided_kb    = 4096           # memory for traces whose requests are open or not decided
+  ordinary_per_s  = 2              # ordinary traces kept a second, of each class
+  retry_within_ms = 5000           # a client that was not served and asks again within it tries again
+  honour_sampled  = true           # what a client samples, by its traceparent, is kept
+
+  # class "video-part" {
+  #   ordinary_per_s = 1           # instead of the above
+  #   wanted_ms      = 400         # slower ones are kept; without it, the class's own aim
+  # }
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,6 +15,7 @@
 	"garnetline/internal/clock"
 	"garnetline/internal/config"
 	"garnetline/internal/stats"
+	"garnetline/internal/trace"
 )
 
 // Kind tells what an answer is.
@@ -52,12 +53,36 @@
 	Deadline float64 // the client gives up
 	Carrier  Carrier // carries the attempts out
 	Reply    func(Answer)
+	Came     float64 // when its last byte came; 0: now
+	Origin   Origin
 
 	id       decide.RequestID
+	trail    Trail // nil: it is not traced
 	tries    []*Attempt
 	answered bool
 }
 
+// Origin tells where a request comes from, as far as that is traced.
+type Origin struct {
+	Parent string // the traceparent that came with it, not checked
+	Client string // the client's address
+}
+
+// Trail is what a Tracer keeps of one request. Its methods are called on the core's
+// goroutine.
+type Trail interface {
+	Sending(now float64, g decide.Get)
+	Over(now float64, r decide.Result, bytes int, load decide.Load, w trace.Wire)
+	Answered(now float64, o trace.Outcome)
+	Done() bool
+}
+
+// Tracer follows the requests of a core, on its goroutine.
+type Tracer interface {
+	Open(now float64, r *Request, class *decide.Class) Trail
+	Close(now float64, t Trail) // t is done
+}
+
 // Attempt is one sending of a request.
 type Attempt struct {
 	Req      *Request
@@ -67,8 +92,9 @@
 	Class    *decide.Class
 	Deadline float64 // of its request
 
-	Again bool // it is given up while its request is open: another may follow
-	Via   any  // the carrier's own
+	Again bool       // it is given up while its request is open: another may follow
+	Via   any        // the carrier's own
+	Wire  trace.Wire // the carrier's, until it reports the End
 
 	sent   float64
 	taken  bool // by its carrier
@@ -149,6 +175,7 @@
 	set    decide.Settings
 	router *decide.Router
 	lists  []Lister
+	tracer Tracer
 	count  *stats.Set
 	box    chan any
 	done   chan struct{}
@@ -177,6 +204,12 @@
 // Follow adds listers. It must not be called once Run has been.
 func (c *Core) Follow(l ...Lister) { c.lists = append(c.lists, l...) }
 
+// Trace has all requests followed. It must not be called once Run has been.
+func (c *Core) Trace(t Tracer) { c.tracer = t }
+
+// Stopped is closed when Run has returned.
+func (c *Core) Stopped() <-chan struct{} { return c.done }
+
 // Run works through the mailbox until ctx ends.
 func (c *Core) Run(ctx context.Context) {
 	defer close(c.done)
@@ -261,6 +294,9 @@
 	}
 	c.at(r.Deadline+slack, 0, nil, r)
 	c.count.Add("requests_taken", 1)
+	if c.tracer != nil {
+		r.trail = c.tracer.Open(c.clock.Now(), r, &c.set.Classes[r.Class])
+	}
 	c.feed(decide.Request{ID: r.id, Class: r.Class, Object: r.Object, Part: r.Part, Group: r.Group,
 		Left: clock.Duration(r.Deadline - c.clock.Now())})
 }
@@ -272,6 +308,7 @@
 	}
 	c.count.Add("clients_gone", 1)
 	r.answered = true
+	c.traced(r, trace.Left)
 	c.close(r)
 }
 
@@ -301,9 +338,29 @@
 	c.count.Add([]string{"answers_failed", "answers_refused", "answers_served", "answers_same", "answers_clash"}[a.Kind], 1)
 	c.count.Add(Ended(c.set.Classes[r.Class].Name, a.Kind), 1)
 	r.Reply(a)
+	c.traced(r, outcomes[a.Kind])
 	r.release()
 }
 
+// outcomes are the kinds of answers as traces name them.
+var outcomes = [...]trace.Outcome{Failed: trace.Failed, Refused: trace.Refused, Served: trace.Served, Same: trace.Same, Clash: trace.Failed}
+
+// traced notes the answer to a request that is followed.
+func (c *Core) traced(r *Request, o trace.Outcome) {
+	if r.trail != nil {
+		r.trail.Answered(c.clock.Now(), o)
+		c.untrail(r)
+	}
+}
+
+// untrail gives the trail of a request back once it is answered and nothing is out.
+func (c *Core) untrail(r *Request) {
+	if r.trail.Done() {
+		c.tracer.Close(c.clock.Now(), r.trail)
+		r.trail = nil
+	}
+}
+
 // Ended names the counter of the requests of a class that ended in a way.
 func Ended(class string, k Kind) string {
 	switch k {
@@ -337,6 +394,12 @@
 		c.count.Add("attempts_"+resultNames[e.Result], 1)
 	}
 	r := a.Req
+	if r.trail != nil {
+		r.trail.Over(c.clock.Now(), e.Result, len(e.Answer.Body), e.Load, a.Wire)
+		if r.answered {
+			c.untrail(r)
+		}
+	}
 	if !r.answered && (e.Result == decide.Served || e.Final) {
 		c.answer(r, e.Answer)
 	}
@@ -430,6 +493,9 @@
 	if g.Until == 0 {
 		a.Until = r.Deadline
 	}
+	if r.trail != nil {
+		r.trail.Sending(a.sent, g)
+	}
 	busy := len(r.tries) > 0 && !r.tries[len(r.tries)-1].ended
 	r.tries = append(r.tries, a)
 	over := NotTaken(a, decide.NotSent)
--- a/internal/front/http/http.go
+++ b/internal/front/http/http.go
@@ -58,6 +58,7 @@
 	Ready   func() bool           // it has a list of caches
 	Stats   *stats.Set
 	Conns   func() int // connections open at once, as of now
+	Traced  bool       // requests are to tell where they come from
 	// Page answers every request by itself, one a connection; nil: requests go to the core.
 	Page func(ctx context.Context, method, path string) (status int, body []byte)
 }
@@ -459,6 +460,9 @@
 	defer open.Add(-1)
 	answers := make(chan core.Answer, 1)
 	q.Reply = func(a core.Answer) { answers <- a }
+	if c.s.Traced {
+		c.s.origin(q, r, c.k.Net)
+	}
 	if !c.s.Core.Submit(q) {
 		return c.refuse(r, &problem{status: 503, why: "stopping"})
 	}
@@ -489,6 +493,17 @@
 	return ok
 }
 
+// origin notes where a request comes from. More than one traceparent is none.
+func (s *Server) origin(q *core.Request, r *request, nc net.Conn) {
+	q.Came = r.at
+	if v := r.head["Traceparent"]; len(v) == 1 {
+		q.Origin.Parent = v[0]
+	}
+	if host, _, err := net.SplitHostPort(nc.RemoteAddr().String()); err == nil {
+		q.Origin.Client = host
+	}
+}
+
 // health answers the front's question whether this router can be used.
 func (c *conn) health(r *request) bool {
 	switch {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -131,6 +131,7 @@
 	links   []*link
 	waiting []*core.Attempt // for a connection
 	dialing bool
+	dialAt  float64 // when the latest dial began
 	leaving bool
 	growAt  float64 // no connection beyond those it has is made before
 }
@@ -228,7 +229,7 @@
 	clear(p.waiting[len(held):])
 	p.waiting = held
 	if (len(held) > 0 || more && !p.full() && p.Clock.Now() >= p.growAt) && !p.dialing {
-		p.dialing = true
+		p.dialing, p.dialAt = true, p.Clock.Now()
 		p.live.Add(1)
 		p.Stats.Add("peer_dials", 1)
 		go p.dial(ctx)
@@ -282,6 +283,7 @@
 		age = 0
 	}
 	l.open[a.Req.Txn] = &sent{a, now}
+	a.Wire.Wrote, a.Wire.Age = now, age
 	if p.flush(l, appendServe(l.k.Out(), a, age, now)) {
 		p.Stats.Add("attempts_relayed", 1)
 	}
@@ -393,11 +395,15 @@
 		failed := p.waiting
 		p.waiting = nil
 		for _, a := range failed {
+			a.Wire.Dialled, a.Wire.Up = p.dialAt, p.Clock.Now()
 			p.end(*core.NotTaken(a, decide.Unreached))
 		}
 		return
 	}
 	now := p.Clock.Now()
+	for _, a := range p.waiting {
+		a.Wire.Dialled, a.Wire.Up = p.dialAt, now
+	}
 	l := &link{k: sock.New(e.conn), open: map[string]*sent{}, dead: map[string]bool{}, used: now}
 	p.links = append(p.links, l)
 	go p.read(ctx, l)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,7 @@
 	UndecidedKB int          `hcl:"undecided_kb,optional"`   // memory for traces that are not decided
 	Ordinary    float64      `hcl:"ordinary_per_s,optional"` // ordinary traces kept a second, a class
 	RetryWithin float64      `hcl:"retry_within_ms,optional"`
+	Sampled     bool         `hcl:"honour_sampled,optional"` // what a client samples, as its traceparent says, is kept
 	Classes     []TraceClass `hcl:"class,block"`
 	Collector   *Collector   `hcl:"collector,block"`
 }
@@ -60,7 +61,7 @@
 // Default is what holds without a file.
 func Default() File {
 	return File{Log: Log{Level: "info"}, DNS: dns.Default(),
-		Trace: Trace{SegmentMB: 8, KeepMB: 256, UndecidedKB: 4096, Ordinary: 2, RetryWithin: 5000}}
+		Trace: Trace{SegmentMB: 8, KeepMB: 256, UndecidedKB: 4096, Ordinary: 2, RetryWithin: 5000, Sampled: true}}
 }
 
 // Load reads an operators' file; "" stands for none. An error is one line that
@@ -140,8 +141,8 @@
 
 func (t *Trace) check() error {
 	switch {
-	case t.Enabled && t.Folder == "" && t.Collector == nil:
-		return errors.New("enabled: want a folder or a collector to keep traces in")
+	case t.Enabled && t.Folder == "":
+		return errors.New("enabled: want a folder to keep traces in")
 	case t.SegmentMB < 1 || t.SegmentMB > 1024:
 		return errors.New("segment_mb: want 1 to 1024")
 	case t.KeepMB < 2*t.SegmentMB || t.KeepMB > 1<<20:
--- /dev/null
+++ b/internal/trace/blame/blame.go
@@ -0,0 +1,124 @@
+// Package blame finds what failed requests have in common: which server, source of a
+// fill, pair of both, or router has a part in more failed attempts than chance gives.
+package blame
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+
+	"garnetline/decide"
+	"garnetline/internal/trace"
+)
+
+// Suspect is one thing that attempts have in common.
+type Suspect struct {
+	What           string  // "server", "source", "pair", "router"
+	Name           string  // of it
+	Failed, All    float64 // attempts that it had a part in, by weight
+	Others, Rest   float64 // failed and all attempts without it
+	Rate, RateRest float64
+	Low, High      float64 // of Rate - RateRest, with 95% confidence
+}
+
+// Failure tells whether an attempt counts as failed. One that was given up since its
+// client left, or never left, says nothing: known is false.
+func Failure(r decide.Result) (failed, known bool) {
+	switch r {
+	case decide.Served, decide.Miss, decide.Full:
+		return false, true
+	case decide.Cancelled, decide.NotSent:
+		return false, false
+	}
+	return true, true
+}
+
+type tally struct{ failed, all, n, bad float64 }
+
+// Finder takes traces and tells the suspects.
+type Finder struct {
+	by  map[[2]string]*tally
+	sum tally
+}
+
+// New returns an empty Finder.
+func New() *Finder { return &Finder{by: map[[2]string]*tally{}} }
+
+// Add takes the attempts of a trace, each as often as the trace stands for.
+func (f *Finder) Add(t *trace.Trace) {
+	for _, s := range t.Spans {
+		if s.Kind != trace.Attempt {
+			continue
+		}
+		failed, known := Failure(decide.Result(s.Result))
+		if !known {
+			continue
+		}
+		f.count(&f.sum, t.Weight, failed)
+		f.count(f.at("server", s.Server.String()), t.Weight, failed)
+		f.count(f.at("router", t.Router), t.Weight, failed)
+		if s.Source != s.Server {
+			f.count(f.at("source", s.Source.String()), t.Weight, failed)
+			f.count(f.at("pair", s.Server.String()+" from "+s.Source.String()), t.Weight, failed)
+		}
+	}
+}
+
+func (f *Finder) at(what, name string) *tally {
+	k := [2]string{what, name}
+	if f.by[k] == nil {
+		f.by[k] = &tally{}
+	}
+	return f.by[k]
+}
+
+// count books by weight, and by number: a weight of a hundred is one observation.
+func (f *Finder) count(t *tally, weight float64, failed bool) {
+	t.all += weight
+	t.n++
+	if failed {
+		t.failed += weight
+		t.bad++
+	}
+}
+
+// z is the 97.5% quantile of the normal distribution.
+const z = 1.959964
+
+// Suspects returns all that have a part in failed attempts, the one that most surely
+// raises the rate first. The interval is Newcombe's, of two Wilson scores, on as many
+// observations as the weights are worth.
+func (f *Finder) Suspects() []Suspect {
+	var out []Suspect
+	for k, t := range f.by {
+		rest := tally{f.sum.failed - t.failed, f.sum.all - t.all, f.sum.n - t.n, f.sum.bad - t.bad}
+		if t.bad == 0 || rest.n <= 0 {
+			continue
+		}
+		s := Suspect{What: k[0], Name: k[1], Failed: t.failed, All: t.all, Others: max(rest.failed, 0), Rest: rest.all}
+		s.Rate, s.RateRest = t.failed/t.all, max(rest.failed, 0)/rest.all
+		l1, u1 := wilson(s.Rate, t.n)
+		l2, u2 := wilson(s.RateRest, rest.n)
+		d := s.Rate - s.RateRest
+		s.Low = d - math.Sqrt((s.Rate-l1)*(s.Rate-l1)+(u2-s.RateRest)*(u2-s.RateRest))
+		s.High = d + math.Sqrt((u1-s.Rate)*(u1-s.Rate)+(s.RateRest-l2)*(s.RateRest-l2))
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b Suspect) int {
+		return cmp.Or(cmp.Compare(b.Low, a.Low), cmp.Compare(a.What, b.What), cmp.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+// wilson is the score interval of a rate p in n observations.
+func wilson(p, n float64) (low, high float64) {
+	mid, half := p+z*z/(2*n), z*math.Sqrt(p*(1-p)/n+z*z/(4*n*n))
+	return max(0, (mid-half)/(1+z*z/n)), min(1, (mid+half)/(1+z*z/n))
+}
+
+// Line is a suspect as a line of a table.
+func (s Suspect) Line() string {
+	return fmt.Sprintf("%-6s  %-28s %6.1f%% of %-8.0f %6.1f%% of %-8.0f %+6.1f to %+.1f points",
+		s.What, s.Name, 100*s.Rate, s.All, 100*s.RateRest, s.Rest, 100*s.Low, 100*s.High)
+}
--- /dev/null
+++ b/internal/trace/blame/blame_test.go
@@ -0,0 +1,78 @@
+package blame
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"garnetline/decide"
+	"garnetline/internal/trace"
+)
+
+// day is a day on which one server, or one source, fails a part of its attempts.
+func day(seed uint64, n int, fails func(server, source decide.ServerID, rng *rand.Rand) bool) *Finder {
+	rng, f := rand.New(rand.NewPCG(seed, 1)), New()
+	for range n {
+		t := &trace.Trace{Router: []string{"n1", "n2"}[rng.IntN(2)], Weight: 1}
+		s := trace.Span{Kind: trace.Attempt, Server: decide.ServerID(1 + rng.IntN(8)), Source: decide.ServerID(100 + rng.IntN(3))}
+		if fails(s.Server, s.Source, rng) {
+			s.Result = uint8(decide.Errored)
+		} else if rng.IntN(10) > 0 { // an ordinary one is kept one time in ten
+			continue
+		} else {
+			t.Weight = 10
+		}
+		t.Spans = append(t.Spans, s)
+		f.Add(t)
+	}
+	return f
+}
+
+// The guilty server or source stands first, with an interval above zero that holds the
+// true difference; on a day without one, nobody stands out.
+func TestGuiltyStandsFirst(t *testing.T) {
+	server := func(s, _ decide.ServerID, rng *rand.Rand) bool {
+		return s == 3 && rng.IntN(10) < 6 || rng.IntN(100) < 2
+	}
+	got := day(1, 20_000, server).Suspects()
+	if got[0].What != "server" && got[0].What != "pair" || got[0].Low < 0.3 {
+		t.Errorf("%+v", got[0])
+	}
+	for _, s := range got {
+		if s.What == "server" && s.Name == "s-00000003" {
+			if want := 0.6 + 0.4*0.02 - 0.02; want < s.Low || want > s.High {
+				t.Errorf("%+v: want %.3f within", s, want)
+			}
+		} else if s.What != "pair" && s.Low > 0.02 {
+			t.Errorf("%+v: stands out without guilt", s)
+		}
+	}
+	source := func(_, s decide.ServerID, rng *rand.Rand) bool { return s == 101 && rng.IntN(10) < 3 }
+	found := false
+	for _, s := range day(2, 20_000, source).Suspects()[:9] {
+		found = found || s.What == "source" && s.Name == "s-00000065" && s.Low > 0.2
+	}
+	if !found {
+		t.Error("the guilty source is not among the first")
+	}
+	bold := 0
+	for seed := range uint64(40) {
+		for _, s := range day(10+seed, 4000, func(_, _ decide.ServerID, rng *rand.Rand) bool { return rng.IntN(20) == 0 }).Suspects() {
+			if s.What == "server" && s.Low > 0 {
+				bold++
+			}
+		}
+	}
+	if bold > 32 { // of 320, at 2.5%, with weights that are not exact
+		t.Errorf("%d of 320 innocent servers stand out", bold)
+	}
+}
+
+// The score interval has its textbook values.
+func TestWilson(t *testing.T) {
+	for _, c := range [][4]float64{{0.5, 10, 0.2366, 0.7634}, {0, 20, 0, 0.1611}, {0.1, 100, 0.0552, 0.1744}} {
+		if l, u := wilson(c[0], c[1]); math.Abs(l-c[2]) > 1e-3 || math.Abs(u-c[3]) > 1e-3 {
+			t.Errorf("%v: %.4f to %.4f", c, l, u)
+		}
+	}
+}
--- a/internal/trace/code.go
+++ b/internal/trace/code.go
@@ -22,7 +22,7 @@
 func Append(b []byte, t *Trace) []byte {
 	b = append(b, t.ID[:]...)
 	b = binary.AppendUvarint(b, uint64(t.Remote))
-	b = name(name(b, t.Router), t.Class)
+	b = name(name(name(b, t.Router), t.Txn), t.Class)
 	for _, n := range []uint64{t.Object, uint64(t.Part), uint64(t.Group), uint64(t.Try), uint64(t.Outcome), uint64(t.Why),
 		uint64(t.Lost), uint64(t.Attempts), micros(t.Start), micros(t.End - t.Start), math.Float64bits(t.Weight)} {
 		b = binary.AppendUvarint(b, n)
@@ -55,7 +55,7 @@
 	t := &Trace{}
 	copy(t.ID[:], d.take(16))
 	t.Remote = SpanID(d.uint(math.MaxUint64))
-	t.Router, t.Class = d.name(), d.name()
+	t.Router, t.Txn, t.Class = d.name(), d.name(), d.name()
 	t.Object, t.Part, t.Group = d.uint(math.MaxUint64), uint32(d.uint(math.MaxUint32)), uint16(d.uint(math.MaxUint16))
 	t.Try, t.Outcome, t.Why = uint8(d.uint(255)), Outcome(d.uint(uint64(outcomes)-1)), Why(d.uint(255))
 	t.Lost, t.Attempts = uint32(d.uint(math.MaxUint32)), uint8(d.uint(255))
--- a/internal/trace/keep/keep.go
+++ b/internal/trace/keep/keep.go
@@ -26,6 +26,9 @@
 type Class struct {
 	Wanted   float64 // ms; slower traces are kept
 	Ordinary float64 // ordinary traces kept a second
+	// All of them are kept: a router can't know whether a keyed request was tried at
+	// another one before, and the pieces of a trace that is kept are all wanted.
+	All bool
 }
 
 // window is how long ordinary traces of a class are drawn together, ms, or longer
@@ -140,7 +143,8 @@
 	k.held -= e.size
 }
 
-// Missed takes the end of a request that was not traced.
+// Missed takes the end of a request that was not traced; took is in ms, less what its
+// bytes allow.
 func (k *Keeper) Missed(class string, took float64, outcome trace.Outcome, attempts int, try uint8) {
 	if k.why(k.class(class), took, outcome, attempts, try) != 0 {
 		k.lost++
@@ -159,6 +163,9 @@
 	if attempts > 1 || try > 0 {
 		why |= trace.WhyRetried
 	}
+	if d.All {
+		why |= trace.WhyKeyed
+	}
 	if d.Wanted > 0 && took > d.Wanted {
 		why |= trace.WhySlow
 	}
@@ -171,7 +178,11 @@
 func (k *Keeper) End(t *trace.Trace, size int) *trace.Trace {
 	k.open -= size
 	d := k.class(t.Class)
-	if t.Why = k.why(d, t.Took(), t.Outcome, int(t.Attempts), t.Try); t.Why != 0 {
+	t.Why = k.why(d, t.Took()-t.Allow, t.Outcome, int(t.Attempts), t.Try)
+	if t.Asked {
+		t.Why |= trace.WhyAsked
+	}
+	if t.Why != 0 {
 		t.Weight = 1
 		k.Counts.Kept++
 		return k.mark(t)
@@ -196,6 +207,15 @@
 	return nil
 }
 
+// Lose takes back a trace that was returned as kept and could not be taken.
+func (k *Keeper) Lose(t *trace.Trace) {
+	k.lost += t.Lost
+	if t.Why&^trace.WhyChance != 0 {
+		k.lost++
+		k.Counts.Lost++
+	}
+}
+
 // mark has the next kept trace say what was lost before it.
 func (k *Keeper) mark(t *trace.Trace) *trace.Trace {
 	t.Lost, k.lost = k.lost, 0
--- a/internal/trace/link/link.go
+++ b/internal/trace/link/link.go
@@ -33,6 +33,7 @@
 type Tie struct {
 	ID     trace.ID
 	Remote trace.SpanID // the client's own span
+	Asked  bool         // the client samples it
 	Try    uint8        // 0: the first, as far as is known
 	guess  uint64       // its place in the table of unserved tries; 0: none
 }
@@ -44,7 +45,7 @@
 type Linker struct {
 	secret     []byte
 	within     float64
-	seed       uint64
+	seed, hide uint64
 	n          uint64
 	young, old map[uint64]unserved
 }
@@ -59,7 +60,8 @@
 // New returns a Linker. Routers with the same secret agree on the trace of a key; the
 // seed differs from router to router, and from start to start.
 func New(secret string, within float64, seed uint64) *Linker {
-	return &Linker{secret: []byte(secret), within: within, seed: seed, young: map[uint64]unserved{}}
+	return &Linker{secret: []byte(secret), within: within, seed: seed, young: map[uint64]unserved{},
+		hide: xxhash.Sum64String("object " + secret)}
 }
 
 // Within sets for how long, in ms, a try that was not served waits for the next.
@@ -74,7 +76,7 @@
 		t.Try = min(u.try+1, 255)
 	}
 	if p, ok := trace.ParseParent(a.Parent); ok {
-		t.ID, t.Remote = p.Trace, p.Span
+		t.ID, t.Remote, t.Asked = p.Trace, p.Span, p.Sampled
 		if again && u.id != p.Trace {
 			t.Try = 0
 		}
@@ -123,6 +125,10 @@
 	return u, ok
 }
 
+// Hide returns a number that stands for an object: alike at all routers with the same
+// secret, and without that it does not tell the object.
+func (l *Linker) Hide(object uint64) uint64 { return xx(l.hide, object) }
+
 // keyed is the trace of an idempotency key, from which the key can't be had.
 func (l *Linker) keyed(key string) (id trace.ID) {
 	m := hmac.New(sha256.New, l.secret)
--- a/internal/trace/live.go
+++ b/internal/trace/live.go
@@ -20,6 +20,7 @@
 	idle     float64 // since when nothing is out
 	out      int     // place in Spans of the attempt that is; -1: none
 	answered bool
+	blind    bool // there is no room for its spans
 	room     [6]Span // the usual trace needs no more
 }
 
@@ -89,13 +90,24 @@
 	l.idle, l.out = now, -1
 }
 
+// Blind counts attempts, as n more are out, where there is no room for their spans.
+func (l *Live) Blind(n int) {
+	l.blind = true
+	if n > 0 {
+		l.Attempts++
+		l.out = 0
+	} else {
+		l.out = -1
+	}
+}
+
 // Answered notes the final answer, or that the client left.
 func (l *Live) Answered(now float64, o Outcome) {
 	if l.answered {
 		return
 	}
 	l.answered, l.Outcome, l.End = true, o, now
-	if l.out < 0 && now-l.idle >= waitLeast && o != Served && o != Same {
+	if l.out < 0 && !l.blind && now-l.idle >= waitLeast && o != Served && o != Same {
 		l.add(Span{Parent: l.request, Kind: Wait, Start: l.idle, End: now, N: l.Attempts})
 	}
 }
--- /dev/null
+++ b/internal/trace/record/record.go
@@ -0,0 +1,204 @@
+// Package record follows the requests of a core and keeps the traces of those that
+// package keep wants, in segments. What it does on the core's goroutine is bounded and
+// never blocks; files are written by an actor of its own.
+package record
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"garnetline/decide"
+	"garnetline/internal/clock"
+	"garnetline/internal/core"
+	"garnetline/internal/stats"
+	"garnetline/internal/trace"
+	"garnetline/internal/trace/keep"
+	"garnetline/internal/trace/link"
+)
+
+const (
+	mailbox    = 1024                   // kept traces that wait to be written; more are lost, and counted
+	flushEvery = 250 * time.Millisecond // what a kill can lose of what was kept
+	openSize   = 760                    // bytes of a trace whose request is open, with the spans of two attempts
+)
+
+// Sink is where kept traces go: segments, or another place. It has one caller.
+type Sink interface {
+	Add(t *trace.Trace) error
+	Flush(now float64) error
+	Close(now float64) error
+}
+
+// Options are what a Recorder is made with.
+type Options struct {
+	Clock  clock.Clock
+	Router string // its name, as it stands in traces
+	Secret string // mixed into whatever names a key; the same at all routers
+	Seed   uint64 // differs at each start
+	Stats  *stats.Set
+	Log    *zerolog.Logger
+	Sink   Sink
+	Pace   func() float64 // bytes a second of a transfer to a client, as of now; 0: not told
+}
+
+// Settings are what may change while the program runs.
+type Settings struct {
+	Undecided   int     // bytes
+	RetryWithin float64 // ms
+	Sampled     bool    // what a client samples is kept
+	Other       keep.Class
+	Classes     map[string]keep.Class
+}
+
+// Recorder is a core.Tracer. Open and Close belong to the core's goroutine.
+type Recorder struct {
+	Options
+	next  atomic.Pointer[Settings] // to go over to, once
+	link  *link.Linker
+	keep  *keep.Keeper
+	n     uint64
+	asked bool // Settings.Sampled
+	box   chan *trace.Trace
+	quit  chan struct{}
+	ended chan struct{}
+}
+
+// New returns a Recorder; Run is to be called.
+func New(o Options, s Settings) *Recorder {
+	return &Recorder{Options: o, link: link.New(o.Secret, s.RetryWithin, o.Seed), keep: keep.New(s.Undecided, s.Other, s.Classes), asked: s.Sampled,
+		box: make(chan *trace.Trace, mailbox), quit: make(chan struct{}), ended: make(chan struct{})}
+}
+
+// Adopt goes over to other settings, at the next request.
+func (r *Recorder) Adopt(s Settings) { r.next.Store(&s) }
+
+// trail is one request that is followed.
+type trail struct {
+	*trace.Live
+	tie     link.Tie
+	room    bool    // there was memory for its spans
+	stretch float64 // of its class's aim
+	bytes   int     // that came
+}
+
+// Sending notes an attempt.
+func (t *trail) Sending(now float64, g decide.Get) {
+	if t.room {
+		t.Live.Sending(now, g)
+	} else {
+		t.Live.Blind(1)
+	}
+}
+
+// Over notes the end of one.
+func (t *trail) Over(now float64, res decide.Result, bytes int, load decide.Load, w trace.Wire) {
+	t.bytes = bytes
+	if t.room {
+		t.Live.Over(now, res, bytes, load, w)
+	} else {
+		t.Live.Blind(-1)
+	}
+}
+
+// Open begins to follow a request.
+func (r *Recorder) Open(now float64, q *core.Request, class *decide.Class) core.Trail {
+	if s := r.next.Swap(nil); s != nil {
+		r.link.Within(s.RetryWithin)
+		r.keep.Adopt(s.Undecided, s.Other, s.Classes)
+		r.asked = s.Sampled
+	}
+	r.send(r.keep.Tick(now))
+	ask := link.Ask{Parent: q.Origin.Parent, Client: q.Origin.Client, Class: class.Name, Object: uint64(q.Object), Part: q.Part}
+	if class.Effect == decide.Keyed {
+		ask.Key = q.Key
+	}
+	t := &trail{tie: r.link.Tie(now, ask), room: r.keep.Open(openSize), stretch: class.AimStretch}
+	if q.Came == 0 {
+		q.Came = now
+	}
+	r.n++
+	piece := trace.Trace{ID: t.tie.ID, Remote: t.tie.Remote, Try: t.tie.Try, Router: r.Router, Txn: q.Txn, Class: class.Name,
+		Object: r.link.Hide(uint64(q.Object)), Part: uint32(q.Part), Group: uint16(q.Group), Start: min(q.Came, now),
+		Asked: t.tie.Asked && r.asked}
+	t.Live = trace.Begin(piece, r.Seed+r.n<<20)
+	return t
+}
+
+// Close takes a request that is done.
+func (r *Recorder) Close(now float64, done core.Trail) {
+	t := done.(*trail)
+	p := t.Piece()
+	if pace := r.Pace(); pace > 0 {
+		p.Allow = t.stretch * float64(t.bytes) / pace * 1000
+	}
+	served := p.Outcome == trace.Served || p.Outcome == trace.Same
+	r.link.Ended(now, t.tie, served)
+	if !t.room {
+		r.keep.Missed(p.Class, p.Took()-p.Allow, p.Outcome, int(p.Attempts), p.Try)
+		r.Stats.Add("traces_without_room", 1)
+		return
+	}
+	if kept := r.keep.End(p, openSize); kept != nil {
+		if !served {
+			r.Log.Debug().Str("trace", p.ID.String()).Str("class", p.Class).Int("attempts", int(p.Attempts)).
+				Float64("took_ms", p.Took()).Msg("request " + p.Outcome.String())
+		}
+		r.send([]*trace.Trace{kept})
+	}
+	r.send(r.keep.Tick(now))
+}
+
+// send hands kept traces to the actor. One for which there is no room is lost, and if
+// it had to be kept the next one says so.
+func (r *Recorder) send(kept []*trace.Trace) {
+	for _, t := range kept {
+		select {
+		case r.box <- t:
+			r.Stats.Add("traces_kept", 1)
+		default:
+			r.Stats.Add("traces_not_taken", 1)
+			r.keep.Lose(t)
+		}
+	}
+}
+
+// Run writes what is kept until Finish.
+func (r *Recorder) Run() {
+	defer close(r.ended)
+	tick := time.NewTicker(flushEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case t := <-r.box:
+			r.failed(r.Sink.Add(t))
+		case <-tick.C:
+			r.failed(r.Sink.Flush(r.Clock.Now()))
+		case <-r.quit:
+			for len(r.box) > 0 {
+				r.failed(r.Sink.Add(<-r.box))
+			}
+			r.failed(r.Sink.Close(r.Clock.Now()))
+			return
+		}
+	}
+}
+
+// failed notes an error of the sink, the first of a kind at each counted step.
+func (r *Recorder) failed(err error) {
+	if err != nil {
+		r.Stats.Add("traces_failed", 1)
+		if n := r.Stats.Counter("traces_failed").Load(); n&(n-1) == 0 { // the 1st, 2nd, 4th, 8th ...
+			r.Log.Error().Err(err).Int64("failures", n).Msg("traces not written")
+		}
+	}
+}
+
+// Finish decides what is undecided and returns when all that is kept is written. The
+// core must have stopped, and Run have been called.
+func (r *Recorder) Finish() {
+	r.send(r.keep.Close())
+	close(r.quit)
+	<-r.ended
+}
--- /dev/null
+++ b/internal/trace/record/record_test.go
@@ -0,0 +1,234 @@
+package record
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"garnetline/decide"
+	"garnetline/internal/clock"
+	"garnetline/internal/config"
+	"garnetline/internal/core"
+	"garnetline/internal/logs"
+	"garnetline/internal/stats"
+	"garnetline/internal/trace"
+	"garnetline/internal/trace/keep"
+)
+
+// sink keeps what it is given, or fails.
+type sink struct {
+	mu     sync.Mutex
+	kept   []*trace.Trace
+	err    error
+	gate   chan bool // nil: open
+	closed bool
+}
+
+func (s *sink) Add(t *trace.Trace) error {
+	if s.gate != nil {
+		<-s.gate
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kept = append(s.kept, t)
+	return s.err
+}
+func (s *sink) Flush(float64) error { return s.err }
+func (s *sink) Close(float64) error { s.closed = true; return s.err }
+
+var classes = []decide.Class{{Name: "part", Aim: 400 * time.Millisecond, AimStretch: 2, Deadline: 4 * time.Second},
+	{Name: "form", Effect: decide.Keyed, Write: true, Aim: 400 * time.Millisecond, Deadline: 4 * time.Second}}
+
+func newRecorder(s *sink, set Settings) (*Recorder, *clock.Manual, *stats.Set, *bytes.Buffer) {
+	clk, count, out := clock.NewManual(1.7e12), stats.New(), &bytes.Buffer{}
+	if set.Undecided == 0 {
+		set.Undecided = 1 << 20
+	}
+	set.Other = keep.Class{Wanted: 400, Ordinary: set.Other.Ordinary}
+	r := New(Options{Clock: clk, Router: "n1", Secret: "s", Seed: 7, Stats: count, Log: logs.New(out), Sink: s,
+		Pace: func() float64 { return 1000 }}, set)
+	return r, clk, count, out
+}
+
+// pass plays a request of so many attempts.
+func pass(r *Recorder, clk *clock.Manual, q *core.Request, o trace.Outcome, attempts, bytes int, took float64) core.Trail {
+	t := r.Open(clk.Now(), q, &classes[q.Class])
+	for range attempts {
+		t.Sending(clk.Now(), decide.Get{Server: 5, Source: 6})
+		clk.Advance(took / float64(attempts))
+		t.Over(clk.Now(), decide.Served, bytes, core.NoLoad(), trace.Wire{Wrote: 1})
+	}
+	t.Answered(clk.Now(), o)
+	if t.Done() {
+		r.Close(clk.Now(), t)
+	}
+	return t
+}
+
+// An answer that is late against the aim of its class is slow, but one whose bytes
+// allow it is not; what is ordinary waits for its draw.
+func TestSlowGoesByTheBytes(t *testing.T) {
+	s := &sink{}
+	r, clk, _, _ := newRecorder(s, Settings{Other: keep.Class{Ordinary: 5}})
+	go r.Run()
+	pass(r, clk, &core.Request{Object: 1}, trace.Served, 1, 0, 450)
+	pass(r, clk, &core.Request{Object: 2}, trace.Served, 1, 100, 450) // 100 ms of sending, and twice that
+	pass(r, clk, &core.Request{Object: 3}, trace.Failed, 0, 0, 0)
+	pass(r, clk, &core.Request{Object: 4}, trace.Served, 2, 0, 10)
+	r.Finish()
+	whys := map[uint64]trace.Why{}
+	for _, k := range s.kept {
+		whys[k.Object] |= k.Why
+	}
+	for o, want := range map[uint64]trace.Why{1: trace.WhySlow, 2: trace.WhyChance, 3: trace.WhyFailed, 4: trace.WhyRetried} {
+		if got := whys[r.link.Hide(o)]; got != want {
+			t.Errorf("object %d is kept for %b, want %b", o, got, want)
+		}
+	}
+	if !s.closed {
+		t.Error("the sink was not closed")
+	}
+}
+
+// A sink that stands still, and one that fails, hold nothing up: what cannot be taken is
+// lost, counted and told by the next trace; errors are logged at ever fewer steps.
+func TestSinkThatFails(t *testing.T) {
+	s := &sink{gate: make(chan bool), err: errors.New("disk full")}
+	r, clk, count, out := newRecorder(s, Settings{})
+	go r.Run()
+	const n = mailbox + 200
+	for i := range n {
+		pass(r, clk, &core.Request{Object: decide.ObjectID(i + 1)}, trace.Failed, 1, 0, 1)
+	}
+	missed := count.Counter("traces_not_taken").Load()
+	if missed < n-mailbox-2 || missed > n-mailbox {
+		t.Errorf("%d were not taken of %d", missed, n)
+	}
+	close(s.gate)
+	for len(r.box) > 0 { // the actor takes what waits
+		time.Sleep(time.Millisecond)
+	}
+	pass(r, clk, &core.Request{Object: 9}, trace.Failed, 1, 0, 1)
+	r.Finish()
+	if last := s.kept[len(s.kept)-1]; int64(last.Lost) != missed || int64(len(s.kept)) != n-missed+1 {
+		t.Errorf("the next one tells of %d, %d are kept", last.Lost, len(s.kept))
+	}
+	if lines := strings.Count(out.String(), "disk full"); lines < 5 || lines > 14 {
+		t.Errorf("%d lines for %d failures", lines, n)
+	}
+}
+
+// Where there is no room for spans a request is followed blindly: what had to be kept
+// is counted, and an attempt that is out when its client leaves is waited for.
+func TestNoRoom(t *testing.T) {
+	s := &sink{}
+	r, clk, count, _ := newRecorder(s, Settings{Undecided: 2*openSize + 10})
+	go r.Run()
+	open := []core.Trail{r.Open(clk.Now(), &core.Request{}, &classes[0]), r.Open(clk.Now(), &core.Request{}, &classes[0])}
+	for range 3 {
+		if x := pass(r, clk, &core.Request{Object: 8}, trace.Refused, 2, 0, 5); len(x.(*trail).Spans) > 1 {
+			t.Errorf("%d spans without room", len(x.(*trail).Spans))
+		}
+	}
+	open[0].Sending(clk.Now(), decide.Get{Server: 1})
+	open[0].Answered(clk.Now(), trace.Left)
+	if open[0].Done() {
+		t.Error("done with an attempt out")
+	}
+	open[0].Over(clk.Now(), decide.Cancelled, 0, core.NoLoad(), trace.Wire{})
+	r.Close(clk.Now(), open[0])
+	r.Finish()
+	if len(s.kept) != 1 || s.kept[0].Lost != 3 || count.Counter("traces_without_room").Load() != 3 {
+		t.Errorf("%+v", s.kept)
+	}
+}
+
+// Keyed requests are all kept, their two tries at two routers under one trace, and
+// other settings hold from the next request on.
+func TestKeyedAndAdopt(t *testing.T) {
+	s := &sink{}
+	r, clk, _, _ := newRecorder(s, Settings{Classes: map[string]keep.Class{"form": {All: true}}, Sampled: true})
+	go r.Run()
+	q := func(client string) *core.Request {
+		return &core.Request{Class: 1, Key: "secretkey", Object: 5, Origin: core.Origin{Client: client}}
+	}
+	pass(r, clk, q("1.1.1.1"), trace.Served, 1, 0, 1)
+	pass(r, clk, q("2.2.2.2"), trace.Served, 1, 0, 1)
+	asked := &core.Request{Object: 6, Origin: core.Origin{Parent: "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"}}
+	pass(r, clk, asked, trace.Served, 1, 0, 1)
+	r.Adopt(Settings{Undecided: 1 << 20})
+	pass(r, clk, asked, trace.Served, 1, 0, 1)
+	r.Finish()
+	if len(s.kept) != 3 || s.kept[0].ID != s.kept[1].ID || s.kept[0].Why != trace.WhyKeyed || s.kept[2].Why != trace.WhyAsked || s.kept[2].Remote == 0 {
+		t.Errorf("%d kept: %+v", len(s.kept), s.kept)
+	}
+	if text := fmt.Sprintf("%+v", s.kept); strings.Contains(text, "secretkey") {
+		t.Error("a key stands in a trace")
+	}
+}
+
+// carrier serves each attempt at once, as the core's own goroutine goes on.
+type carrier struct{ c *core.Core }
+
+func (k *carrier) Send(a *core.Attempt) *core.End {
+	return &core.End{Attempt: a, Result: decide.Served, Load: core.NoLoad(), Answer: core.Answer{Kind: core.Served}}
+}
+func (k *carrier) Cancel(*core.Attempt) {}
+func (k *carrier) Over(*core.Attempt)   {}
+
+// BenchmarkCore measures a request through the core with tracing off, with a budget of
+// about one in a hundred, and with all kept.
+func BenchmarkCore(b *testing.B) {
+	for _, m := range []struct {
+		name string
+		set  *Settings
+	}{{"off", nil}, {"1%", &Settings{Undecided: 4 << 20, Other: keep.Class{Wanted: 1e9, Ordinary: 1000}}},
+		{"100%", &Settings{Undecided: 4 << 20, Other: keep.Class{All: true}}}} {
+		b.Run(m.name, func(b *testing.B) {
+			set := decide.Settings{Zones: 1, Kinds: 2, ParentKind: -1, OriginKind: 1, SeatsByZone: []int{1}, Routers: 1, MaxAttempts: 6,
+				CanCancel: true, Classes: classes, Cache: decide.Ramp{From: 1}, Parent: decide.Ramp{From: 1}}
+			c, err := core.New(clock.NewSystem(), set, 1, stats.New())
+			if err != nil {
+				b.Fatal(err)
+			}
+			var r *Recorder
+			if m.set != nil {
+				r, _, _, _ = newRecorder(&sink{}, *m.set)
+				r.Clock, r.Sink = clock.NewSystem(), drop{}
+				r.keep = keep.New(m.set.Undecided, m.set.Other, nil)
+				go r.Run()
+				c.Trace(r)
+			}
+			ctx, stop := context.WithCancel(context.Background())
+			go c.Run(ctx)
+			c.Tell(config.Event{Fleet: true, Whole: true, Hosts: []config.Host{{Server: decide.Server{ID: 1, Phase: decide.Ready}},
+				{Server: decide.Server{ID: 2, Kind: 1, Phase: decide.Ready}}}})
+			done := make(chan core.Answer, 1)
+			k, clk := &carrier{c}, clock.NewSystem()
+			b.ReportAllocs()
+			for b.Loop() {
+				c.Submit(&core.Request{Txn: "9b1f03aa5c7e2d41", Object: 7, Carrier: k, Deadline: clk.Now() + 4, Reply: func(a core.Answer) { done <- a }})
+				if a := <-done; a.Kind != core.Served {
+					b.Fatal(a.Kind)
+				}
+			}
+			stop()
+			<-c.Stopped()
+			if r != nil {
+				r.Finish()
+			}
+		})
+	}
+}
+
+// drop is a sink that forgets.
+type drop struct{}
+
+func (drop) Add(*trace.Trace) error { return nil }
+func (drop) Flush(float64) error    { return nil }
+func (drop) Close(float64) error    { return nil }
--- /dev/null
+++ b/internal/trace/render/render.go
@@ -0,0 +1,135 @@
+// Package render shows a trace: as lines for a terminal, as OTLP JSON and as a page
+// that needs nothing else.
+package render
+
+import (
+	"fmt"
+	"html"
+	"io"
+	"math"
+	"strings"
+
+	"garnetline/decide"
+	"garnetline/internal/trace"
+)
+
+// results name the ends of attempts.
+var results = [...]string{decide.Served: "served", decide.Errored: "error", decide.Full: "full", decide.TimedOut: "timed out",
+	decide.Unreached: "unreached", decide.Broken: "broken", decide.Cancelled: "cancelled", decide.NotSent: "not sent", decide.Miss: "miss"}
+
+func result(n uint8) string {
+	if int(n) < len(results) {
+		return results[n]
+	}
+	return "unknown"
+}
+
+// Whys names the reasons for which a trace was kept.
+func Whys(w trace.Why) string {
+	var out []string
+	for i, n := range []string{"failed", "refused", "retried", "slow", "ordinary", "keyed", "asked"} {
+		if w&(1<<i) != 0 {
+			out = append(out, n)
+		}
+	}
+	return strings.Join(out, ",")
+}
+
+// label says in words what a span is.
+func label(s trace.Span) string {
+	switch s.Kind {
+	case trace.Request:
+		return "request " + trace.Outcome(s.Result).String()
+	case trace.Attempt:
+		text := fmt.Sprintf("attempt %d to %v", s.N+1, s.Server)
+		if s.Source != s.Server && s.Source != 0 {
+			text += fmt.Sprintf(" from %v", s.Source)
+		}
+		text += ": " + result(s.Result)
+		if s.Bytes > 0 {
+			text += fmt.Sprintf(", %d bytes", s.Bytes)
+		}
+		for i, n := range []string{"join", "renew", "held only"} {
+			if s.Flags&(1<<i) != 0 {
+				text += ", " + n
+			}
+		}
+		if s.Flags&trace.Sent == 0 {
+			text += ", not written"
+		}
+		if !math.IsNaN(float64(s.Inflight)) {
+			text += fmt.Sprintf(", inflight %.0f", s.Inflight)
+		}
+		return text
+	case trace.Connect:
+		return fmt.Sprintf("connection to %v", s.Server)
+	case trace.Wait:
+		return "held"
+	}
+	return "client's request"
+}
+
+// Waterfall writes a trace as lines: what, when and how long, with a bar of so many
+// columns. The spans are those that trace.Merge returns.
+func Waterfall(w io.Writer, spans []trace.Span, columns int) error {
+	if len(spans) == 0 {
+		return nil
+	}
+	start, all := spans[0].Start, max(spans[0].End-spans[0].Start, 1e-3)
+	children := map[trace.SpanID][]trace.Span{}
+	for _, s := range spans[1:] {
+		children[s.Parent] = append(children[s.Parent], s)
+	}
+	var err error
+	var line func(s trace.Span, depth int)
+	line = func(s trace.Span, depth int) {
+		from := min(max(int(float64(columns)*(s.Start-start)/all), 0), columns-1)
+		to := min(max(int(math.Ceil(float64(columns)*(s.End-start)/all)), from+1), columns)
+		mark := map[trace.Kind]string{trace.Wait: "·", trace.Connect: "-"}[s.Kind]
+		if mark == "" {
+			mark = "="
+		}
+		bar := strings.Repeat(" ", from) + strings.Repeat(mark, to-from) + strings.Repeat(" ", columns-to)
+		if _, e := fmt.Fprintf(w, "%9.1f %9.1f |%s| %s%s\n", s.Start-start, s.End-s.Start, bar, strings.Repeat("  ", depth), label(s)); err == nil {
+			err = e
+		}
+		for _, c := range children[s.ID] {
+			line(c, depth+1)
+		}
+	}
+	line(spans[0], 0)
+	return err
+}
+
+// Page writes traces as one HTML page with a drawing of each.
+func Page(w io.Writer, title string, all [][]trace.Span) error {
+	const width, row = 900.0, 20
+	fmt.Fprintf(w, "<!doctype html><meta charset=utf-8><title>%s</title><style>body{font:13px sans-serif}text{font:11px sans-serif}</style><h1>%[1]s</h1>\n", html.EscapeString(title))
+	for _, spans := range all {
+		if len(spans) == 0 {
+			continue
+		}
+		start, long := spans[0].Start, max(spans[0].End-spans[0].Start, 1e-3)
+		fmt.Fprintf(w, "<svg width=%.0f height=%d role=img>\n", width+20, row*len(spans)+4)
+		for i, s := range spans {
+			x, wide := width*(s.Start-start)/long, max(width*(s.End-s.Start)/long, 1)
+			fmt.Fprintf(w, "<rect x=%.1f y=%d width=%.1f height=%d fill=%q><title>%s</title></rect><text x=%.1f y=%d>%s, %.1f ms</text>\n",
+				x, row*i+2, wide, row-4, colour(s), html.EscapeString(label(s)), min(x+3, width*0.6), row*i+14, html.EscapeString(label(s)), s.End-s.Start)
+		}
+		fmt.Fprintln(w, "</svg><hr>")
+	}
+	_, err := fmt.Fprintln(w, "<p>Times in milliseconds. Blue: served; red: failed; grey: held; green: the request.</p>")
+	return err
+}
+
+func colour(s trace.Span) string {
+	switch {
+	case s.Kind == trace.Wait:
+		return "#cccccc"
+	case s.Kind != trace.Attempt:
+		return "#bfe0bf"
+	case decide.Result(s.Result) == decide.Served:
+		return "#a9c8ee"
+	}
+	return "#f2a9a0"
+}
--- a/internal/trace/store/block.go
+++ b/internal/trace/store/block.go
@@ -218,6 +218,7 @@
 type Filter struct {
 	ID       trace.ID // the zero id: any
 	Class    string   // "": any
+	Txn      string   // "": any
 	Outcome  uint8    // bits of trace.Outcome; 0: any
 	Server   decide.ServerID
 	Slower   float64 // ms
@@ -248,7 +249,7 @@
 
 // Wants tells whether f wants a trace.
 func (f *Filter) Wants(t *trace.Trace) bool {
-	return (f.ID == trace.ID{} || f.ID == t.ID) && (f.Class == "" || f.Class == t.Class) &&
+	return (f.ID == trace.ID{} || f.ID == t.ID) && (f.Class == "" || f.Class == t.Class) && (f.Txn == "" || f.Txn == t.Txn) &&
 		(f.Outcome == 0 || f.Outcome&(1<<t.Outcome) != 0) && (f.Why == 0 || f.Why&t.Why != 0) &&
 		(f.Slower == 0 || t.Took() >= f.Slower) && int(t.Attempts) >= f.Attempts &&
 		t.Start >= f.From && (f.To == 0 || t.Start <= f.To) && (f.Server == 0 || t.Has(f.Server))
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -147,6 +147,8 @@
 	WhyRetried                 // more than one attempt, or a client's repeat
 	WhySlow                    // slower than its class wants
 	WhyChance                  // ordinary, and drawn within the budget
+	WhyKeyed                   // of a class of which all are kept
+	WhyAsked                   // its client samples it, and says so in its traceparent
 )
 
 // Trace is what one router knows of one request: a piece of a trace.
@@ -154,6 +156,7 @@
 	ID       ID
 	Remote   SpanID // the client's own span, where it sent one
 	Router   string
+	Txn      string // the id that the client gave this try
 	Class    string
 	Object   uint64
 	Part     uint32
@@ -167,13 +170,17 @@
 	Lost     uint32  // traces that had to be kept and were not, since the one before
 	Attempts uint8
 	Spans    []Span
+	Allow    float64 // ms by which its class's wanted time grows with its bytes; not stored
+	Asked    bool    // its client samples it; not stored
 }
 
 // Took is how long the request took at this router, in ms.
 func (t *Trace) Took() float64 { return t.End - t.Start }
 
 // Size is about how many bytes t holds in memory.
-func (t *Trace) Size() int { return 200 + len(t.Router) + len(t.Class) + cap(t.Spans)*spanSize }
+func (t *Trace) Size() int {
+	return 220 + len(t.Router) + len(t.Class) + len(t.Txn) + cap(t.Spans)*spanSize
+}
 
 const spanSize = 80
 
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -45,7 +45,7 @@
 
 // play makes a piece by random legal steps.
 func play(id ID, rng *rand.Rand, start float64) *Trace {
-	l := Begin(Trace{ID: id, Router: "n1", Class: "part", Object: rng.Uint64(), Part: 3, Group: 17, Start: start, Weight: 1}, rng.Uint64())
+	l := Begin(Trace{ID: id, Router: "n1", Txn: "9b1f03aa5c7e2d41", Class: "part", Object: rng.Uint64(), Part: 3, Group: 17, Start: start, Weight: 1}, rng.Uint64())
 	now := start
 	for range rng.IntN(4) {
 		now += rng.Float64() * 10
