--- a/internal/trace/live.go
+++ b/internal/trace/live.go
@@ -20,7 +20,7 @@
 	idle     float64 // since when nothing is out
 	out      int     // place in Spans of the attempt that is; -1: none
 	answered bool
-	blind    bool // there is no room for its spans
+	blind    bool    // there is no room for its spans
 	room     [6]Span // the usual trace needs no more
 }
 
