The plug-in traces calls and attempts, and passes W3C Trace Context to servers

Need: a call from a game page to a small service is one hop more; its attempts went where nobody could tell.

Change: Options.Trace names a folder; a call is a span under the caller's own (that of its context by OpenTelemetry's API, else its traceparent metadata), each attempt one whose id goes to the server as traceparent. The core hands the context of an attempt to its carrier; peers do not use it, so not a byte to a cache changes. The plug-in writes nothing to its host's standard error. Without Trace the caller's metadata goes on untouched.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -71,7 +71,7 @@
 // Trail is what a Tracer keeps of one request. Its methods are called on the core's
 // goroutine.
 type Trail interface {
-	Sending(now float64, g decide.Get)
+	Sending(now float64, g decide.Get) trace.Parent // of what is done for the attempt
 	Over(now float64, r decide.Result, bytes int, load decide.Load, w trace.Wire)
 	Answered(now float64, o trace.Outcome)
 	Done() bool
@@ -95,6 +95,9 @@
 	Again bool       // it is given up while its request is open: another may follow
 	Via   any        // the carrier's own
 	Wire  trace.Wire // the carrier's, until it reports the End
+	// Context is what a carrier passes on where its wire has a place for it; the zero
+	// Parent where the request is not traced.
+	Context trace.Parent
 
 	sent   float64
 	taken  bool // by its carrier
@@ -494,7 +497,7 @@
 		a.Until = r.Deadline
 	}
 	if r.trail != nil {
-		r.trail.Sending(a.sent, g)
+		a.Context = r.trail.Sending(a.sent, g)
 	}
 	busy := len(r.tries) > 0 && !r.tries[len(r.tries)-1].ended
 	r.tries = append(r.tries, a)
--- a/internal/trace/live.go
+++ b/internal/trace/live.go
@@ -44,8 +44,9 @@
 	return s.ID
 }
 
-// Sending notes that an attempt was decided.
-func (l *Live) Sending(now float64, g decide.Get) {
+// Sending notes that an attempt was decided, and returns the context of what is done
+// for it.
+func (l *Live) Sending(now float64, g decide.Get) Parent {
 	if now-l.idle >= waitLeast {
 		l.add(Span{Parent: l.request, Kind: Wait, Start: l.idle, End: now, N: l.Attempts})
 	}
@@ -61,8 +62,9 @@
 		s.Flags |= Held
 	}
 	l.Attempts++
-	l.add(s)
+	id := l.add(s)
 	l.out = len(l.Spans) - 1
+	return Parent{l.ID, id, l.Asked}
 }
 
 // Wire is what the carrier of an attempt knows of it; times are 0 where there was none.
--- a/internal/trace/record/record.go
+++ b/internal/trace/record/record.go
@@ -84,12 +84,12 @@
 }
 
 // Sending notes an attempt.
-func (t *trail) Sending(now float64, g decide.Get) {
+func (t *trail) Sending(now float64, g decide.Get) trace.Parent {
 	if t.room {
-		t.Live.Sending(now, g)
-	} else {
-		t.Live.Blind(1)
+		return t.Live.Sending(now, g)
 	}
+	t.Live.Blind(1)
+	return trace.Parent{}
 }
 
 // Over notes the end of one.
--- a/plugin/plugin.go
+++ b/plugin/plugin.go
@@ -27,6 +27,7 @@
 	"garnetline/internal/clock"
 	"garnetline/internal/core"
 	"garnetline/internal/stats"
+	"garnetline/internal/trace/record"
 )
 
 // Class describes a class of RPCs.
@@ -52,6 +53,7 @@
 	Key        func(fullMethod string, req any) Key // nil: by the method alone
 	Refresh    time.Duration                        // between DNS lookups; 0: half a second
 	Attempts   int                                  // of one RPC at the most; 0: 4
+	Trace      *Trace                               // nil: nothing is traced, and no metadata is added
 }
 
 // Plugin holds the decisions for one ClientConn.
@@ -62,6 +64,7 @@
 	classes map[classKey]int
 	count   *stats.Set
 	servers atomic.Pointer[map[decide.ServerID]string] // listed ones, by id
+	tracer  *record.Recorder                           // nil: none
 	stop    context.CancelFunc
 	done    chan struct{}
 	close   sync.Once
@@ -113,6 +116,13 @@
 	if p.core, err = core.New(p.clock, set, rand.Uint64(), p.count); err != nil {
 		return nil, fmt.Errorf("plugin: %w", err)
 	}
+	if p.tracer, err = o.Trace.recorder(c, p.count, o.Classes); err != nil {
+		return nil, fmt.Errorf("plugin: Trace: %w", err)
+	}
+	if p.tracer != nil {
+		p.core.Trace(p.tracer)
+		go p.tracer.Run()
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
 	go func() {
@@ -127,6 +137,9 @@
 	p.close.Do(func() {
 		p.stop()
 		<-p.done
+		if p.tracer != nil {
+			p.tracer.Finish()
+		}
 	})
 }
 
@@ -162,6 +175,9 @@
 		left = clock.Millis(time.Until(at))
 	}
 	r.Deadline = p.clock.Now() + left
+	if p.tracer != nil {
+		r.Origin.Parent = caller(ctx)
+	}
 	return r, nil
 }
 
--- a/plugin/plugin_test.go
+++ b/plugin/plugin_test.go
@@ -110,7 +110,7 @@
 	w.WriteMsg(m)
 }
 
-func newRig(t *testing.T, method string, n int) *rig {
+func newRig(t *testing.T, method string, n int, more ...func(*Options)) *rig {
 	r := &rig{T: t}
 	for i := range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -139,14 +139,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.p, err = New(Options{Classes: []Class{{Name: "part", Aim: time.Second, Deadline: 20 * time.Second, Window: time.Second}},
+	o := Options{Classes: []Class{{Name: "part", Aim: time.Second, Deadline: 20 * time.Second, Window: time.Second}},
 		Operations: ops, Refresh: 5 * time.Millisecond, Key: func(_ string, req any) Key {
 			if q, ok := req.(*health.HealthCheckRequest); ok {
 				return Key{Object: hash(q.Service)}
 			}
 			return Key{}
-		}})
-	if err != nil {
+		}}
+	for _, f := range more {
+		f(&o)
+	}
+	if r.p, err = New(o); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(r.p.Close)
--- /dev/null
+++ b/plugin/trace.go
@@ -0,0 +1,88 @@
+package plugin
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+
+	oteltrace "go.opentelemetry.io/otel/trace"
+	"google.golang.org/grpc/metadata"
+
+	"garnetline/internal/clock"
+	"garnetline/internal/logs"
+	"garnetline/internal/stats"
+	"garnetline/internal/trace"
+	"garnetline/internal/trace/keep"
+	"garnetline/internal/trace/record"
+	"garnetline/internal/trace/store"
+)
+
+// traceparent is the metadata in which W3C Trace Context travels.
+const traceparent = "traceparent"
+
+// Trace says where traces of RPCs are kept: a span for each call, under the caller's
+// own span, and one for each attempt, whose id goes to the server as traceparent.
+// `garnetline trace --folder Folder` shows them.
+type Trace struct {
+	Folder   string  // of the segments; the process must be able to write there
+	Name     string  // of this client in its traces
+	Secret   string  // mixed into whatever names a call; the same as at the routers
+	Ordinary float64 // ordinary calls kept a second, a class; others are kept always
+	KeepMB   int     // of all segments, the oldest go first; 0: 64
+}
+
+// recorder makes what follows the calls; nil where there is no Trace.
+func (t *Trace) recorder(c clock.Clock, count *stats.Set, classes []Class) (*record.Recorder, error) {
+	if t == nil {
+		return nil, nil
+	}
+	most := int64(t.KeepMB)
+	if most == 0 {
+		most = 64
+	}
+	w, err := store.Open(t.Folder, most<<20/16, most<<20)
+	if err != nil {
+		return nil, err
+	}
+	o := record.Options{Clock: c, Router: t.Name, Secret: t.Secret, Seed: rand.Uint64(), Stats: count, Log: logs.New(io.Discard), // the host's log is its own
+		Sink: w, Pace: func() float64 { return 0 }}
+	s := record.Settings{Undecided: 4 << 20, Sampled: true, Classes: map[string]keep.Class{}}
+	for _, k := range classes {
+		s.Classes[k.Name] = keep.Class{Wanted: clock.Millis(k.Aim), Ordinary: t.Ordinary}
+	}
+	return record.New(o, s), nil
+}
+
+// caller is the traceparent of the caller's own span: of the span in its context or,
+// where it has none, of the metadata that it sends.
+func caller(ctx context.Context) string {
+	if s := oteltrace.SpanContextFromContext(ctx); s.IsValid() {
+		id, span := s.TraceID(), s.SpanID()
+		var n uint64
+		for _, b := range span {
+			n = n<<8 | uint64(b)
+		}
+		return trace.Parent{Trace: trace.ID(id), Span: trace.SpanID(n), Sampled: s.IsSampled()}.String()
+	}
+	if md, ok := metadata.FromOutgoingContext(ctx); ok {
+		if v := md.Get(traceparent); len(v) == 1 {
+			return v[0]
+		}
+	}
+	return ""
+}
+
+// within has what an attempt does stand under its span. The caller's own traceparent
+// is replaced; without tracing ctx is returned as it is.
+func within(ctx context.Context, p trace.Parent) context.Context {
+	if p.Span == 0 {
+		return ctx
+	}
+	md, _ := metadata.FromOutgoingContext(ctx)
+	md = md.Copy()
+	if md == nil {
+		md = metadata.MD{}
+	}
+	md.Set(traceparent, p.String())
+	return metadata.NewOutgoingContext(ctx, md)
+}
