Send kept traces to a collector as OTLP, with a bounded queue and waits that grow

Need: other installations have a collector; one that is gone, slow or answers errors must not be felt by any request.

Change: internal/trace/export is a sink beside the segments, with a queue and an actor of its own; up to 64 traces a call, over the program's own sockets, as OTLP's JSON. 429, 502, 503, 504 and connections that fail are tried again after waits that double from 0.2 to 30 s, drawn from the upper half, and no sooner than Retry-After; any other answer drops its batch. The `collector` block of the operators' file names it.

--- a/cmd/garnetline/trace.go
+++ b/cmd/garnetline/trace.go
@@ -91,7 +91,7 @@
 			}},
 		{Name: "export", Usage: "traces as OTLP JSON, one a line, or as a page", Flags: slices.Concat(which, []cli.Flag{most,
 			&cli.StringFlag{Name: "as", Usage: "otlp or html", Value: "otlp"}, &cli.StringFlag{Name: "id", Usage: "this trace alone"}}),
-			Action: func(_ context.Context, c *cli.Command) error { return export(c, out) }},
+			Action: func(_ context.Context, c *cli.Command) error { return convert(c, out) }},
 	}}
 }
 
@@ -227,8 +227,8 @@
 	}
 }
 
-// export writes the traces that are wanted in another form.
-func export(c *cli.Command, out io.Writer) error {
+// convert writes the traces that are wanted in another form.
+func convert(c *cli.Command, out io.Writer) error {
 	as := c.String("as")
 	if as != "otlp" && as != "html" {
 		return fmt.Errorf("--as: %q is neither otlp nor html", as)
--- a/cmd/garnetline/tracing.go
+++ b/cmd/garnetline/tracing.go
@@ -11,6 +11,7 @@
 	"garnetline/internal/config"
 	"garnetline/internal/settings"
 	"garnetline/internal/stats"
+	"garnetline/internal/trace/export"
 	"garnetline/internal/trace/keep"
 	"garnetline/internal/trace/record"
 	"garnetline/internal/trace/store"
@@ -27,7 +28,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("trace: folder: %w", err)
 	}
-	return record.New(record.Options{Clock: clk, Router: conf.Name, Secret: t.Secret, Seed: conf.Seed, Stats: count, Log: log, Sink: w,
+	sinks := record.Sinks{w}
+	if c := t.Collector; c != nil {
+		x, err := export.New(export.Options{URL: c.URL, Queue: c.Queue, Timeout: c.Timeout, Stats: count, Log: log, Seed: conf.Seed})
+		if err != nil {
+			return nil, fmt.Errorf("trace: collector: url: %w", err)
+		}
+		sinks = append(sinks, x)
+	}
+	return record.New(record.Options{Clock: clk, Router: conf.Name, Secret: t.Secret, Seed: conf.Seed, Stats: count, Log: log, Sink: sinks,
 		Pace: func() float64 { return now.Load().Settings.BytesPerS }}, kept(t, conf.Settings.Classes)), nil
 }
 
--- a/deploy/garnetline.hcl
+++ b/deploy/garnetline.hcl
@@ -22,7 +22,7 @@
 }
 
 # Traces of requests, kept in segments that `garnetline trace` reads: docs/tracing.md.
-# Only a restart can change enabled, folder and secret.
+# Only a restart can change enabled, folder, secret and collector.
 trace {
   enabled         = false
   folder          = "traces"       # of this router; 0700
@@ -34,6 +34,12 @@
   retry_within_ms = 5000           # a client that was not served and asks again within it tries again
   honour_sampled  = true           # what a client samples, by its traceparent, is kept
 
+  # collector {                    # kept traces go there too, as OTLP in JSON over HTTP
+  #   url        = "http://127.0.0.1:4318/v1/traces"
+  #   queue      = 1024            # traces that wait; more are not sent, and counted
+  #   timeout_ms = 2000            # of one call
+  # }
+
   # class "video-part" {
   #   ordinary_per_s = 1           # instead of the above
   #   wanted_ms      = 400         # slower ones are kept; without it, the class's own aim
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -182,14 +182,18 @@
 	return nil
 }
 
+// same tells whether two collectors are alike, or both absent.
+func same(a, b *Collector) bool { return a == b || a != nil && b != nil && *a == *b }
+
 // Admits tells whether a running program can go over to another file. An error
 // names what only a restart can change.
 func (f *File) Admits(next File) error {
 	if f.DNS != next.DNS {
 		return errors.New("dns: only a restart can change it")
 	}
-	if f.Trace.Enabled != next.Trace.Enabled || f.Trace.Folder != next.Trace.Folder || f.Trace.Secret != next.Trace.Secret {
-		return errors.New("trace: only a restart can change enabled, folder and secret")
+	if f.Trace.Enabled != next.Trace.Enabled || f.Trace.Folder != next.Trace.Folder || f.Trace.Secret != next.Trace.Secret ||
+		!same(f.Trace.Collector, next.Trace.Collector) {
+		return errors.New("trace: only a restart can change enabled, folder, secret and collector")
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/trace/export/export.go
@@ -0,0 +1,216 @@
+// Package export sends kept traces to a collector, as OTLP in JSON over HTTP. It has a
+// bounded queue and an actor of its own: a collector that is gone, slow, or answers
+// errors costs no request anything. What finds no room in the queue is counted.
+package export
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"garnetline/internal/clock"
+	"garnetline/internal/sock"
+	"garnetline/internal/stats"
+	"garnetline/internal/trace"
+	"garnetline/internal/trace/render"
+)
+
+const (
+	batchMost = 64       // traces in one call
+	answerMax = 64 << 10 // bytes of an answer that are read
+)
+
+// Options are what an Exporter is made with.
+type Options struct {
+	URL     string  // http
+	Queue   int     // traces that wait
+	Timeout float64 // ms, of one call
+	Stats   *stats.Set
+	Log     *zerolog.Logger
+	Seed    uint64
+}
+
+// Exporter is a record.Sink.
+type Exporter struct {
+	Options
+	to    *url.URL
+	queue chan *trace.Trace
+	quit  chan struct{}
+	ended chan struct{}
+}
+
+// New returns an Exporter whose actor runs until Close.
+func New(o Options) (*Exporter, error) {
+	u, err := url.Parse(o.URL)
+	if err != nil || u.Scheme != "http" || u.Host == "" {
+		return nil, fmt.Errorf("%q is not an http URL", o.URL)
+	}
+	if u.Port() == "" {
+		u.Host += ":80"
+	}
+	if u.Path == "" {
+		u.Path = "/v1/traces"
+	}
+	x := &Exporter{Options: o, to: u, queue: make(chan *trace.Trace, o.Queue), quit: make(chan struct{}), ended: make(chan struct{})}
+	go x.run()
+	return x, nil
+}
+
+// Add queues a trace. It never waits.
+func (x *Exporter) Add(t *trace.Trace) error {
+	select {
+	case x.queue <- t:
+	default:
+		x.Stats.Add("traces_not_exported", 1)
+	}
+	return nil
+}
+
+// Flush has nothing to do: what is queued is sent as soon as it can be.
+func (x *Exporter) Flush(float64) error { return nil }
+
+// Close makes one last call with what is queued, a batch at the most, and returns when
+// it has ended, within the timeout. The rest is counted as not exported.
+func (x *Exporter) Close(float64) error {
+	close(x.quit)
+	<-x.ended
+	return nil
+}
+
+// run sends batches; one that failed is sent again after a pause.
+func (x *Exporter) run() {
+	defer close(x.ended)
+	p := pause{draw: rand.New(rand.NewPCG(x.Seed, 3))}
+	var batch []*trace.Trace
+	for {
+		if len(batch) == 0 {
+			select {
+			case t := <-x.queue:
+				batch = append(batch, t)
+			case <-x.quit:
+				return
+			}
+		}
+		batch = x.more(batch)
+		after, err := x.send(batch)
+		switch {
+		case err == nil:
+			x.Stats.Add("traces_exported", int64(len(batch)))
+			p.most, batch = 0, nil
+			continue
+		case errors.Is(err, errFinal):
+			x.Stats.Add("traces_not_exported", int64(len(batch)))
+			batch = nil
+		}
+		if p.most == 0 { // once, until a call succeeds again
+			x.Log.Warn().Err(err).Str("collector", x.to.Host).Msg("traces not exported")
+		}
+		x.Stats.Add("export_failures", 1)
+		select {
+		case <-time.After(clock.Duration(p.next(after))):
+		case <-x.quit:
+			if batch = x.more(batch); len(batch) > 0 {
+				if _, err := x.send(batch); err == nil {
+					x.Stats.Add("traces_exported", int64(len(batch)))
+					batch = nil
+				}
+			}
+			x.Stats.Add("traces_not_exported", int64(len(batch)+len(x.queue)))
+			return
+		}
+	}
+}
+
+// more fills a batch with what is queued.
+func (x *Exporter) more(batch []*trace.Trace) []*trace.Trace {
+	for len(batch) < batchMost {
+		select {
+		case t := <-x.queue:
+			batch = append(batch, t)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// errFinal reports an answer after which the same batch would fare no better.
+var errFinal = errors.New("refused for good")
+
+// send makes one call. after is how long the collector asks to be left alone, ms.
+func (x *Exporter) send(batch []*trace.Trace) (after float64, err error) {
+	body, err := render.Batch(batch)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", errFinal, err)
+	}
+	within := clock.Duration(x.Timeout)
+	ctx, stop := context.WithTimeout(context.Background(), within)
+	defer stop()
+	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", x.to.Host)
+	if err != nil {
+		return 0, err
+	}
+	k := sock.New(nc)
+	defer k.Close()
+	if err := nc.SetReadDeadline(time.Now().Add(within)); err != nil {
+		return 0, err
+	}
+	head := fmt.Appendf(k.Out(), "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n",
+		x.to.RequestURI(), x.to.Host, len(body))
+	if err := k.Flush(head, body, x.Timeout); err != nil {
+		return 0, err
+	}
+	k.Allow(answerMax)
+	line, err := k.ReadLine()
+	if err != nil {
+		return 0, err
+	}
+	_, rest, _ := strings.Cut(line, " ")
+	status, err := strconv.Atoi(rest[:min(len(rest), 3)])
+	if err != nil || !strings.HasPrefix(line, "HTTP/1.") {
+		return 0, fmt.Errorf("answer %.40q", line)
+	}
+	header, err := k.ReadMIMEHeader()
+	if err != nil {
+		return 0, err
+	}
+	switch {
+	case status/100 == 2:
+		_, err := io.Copy(io.Discard, k.R) // a close before it is read could reset the call
+		if errors.Is(err, sock.ErrLimit) {
+			err = nil
+		}
+		return 0, err
+	case status == 429 || status == 502 || status == 503 || status == 504: // as OTLP says
+		seconds, _ := strconv.ParseFloat(header.Get("Retry-After"), 64)
+		return min(max(seconds, 0)*1000, longest), fmt.Errorf("status %d", status)
+	}
+	return 0, fmt.Errorf("%w: status %d", errFinal, status)
+}
+
+// pause is the wait after a call that failed: it doubles from shortest to longest, and
+// each is drawn from the upper half of its length, so that routers come back apart.
+type pause struct {
+	draw *rand.Rand
+	most float64
+}
+
+const (
+	shortest = 200.0 // ms
+	longest  = 30_000.0
+)
+
+// next returns the wait, in ms: at least what the collector asked for.
+func (p *pause) next(after float64) float64 {
+	p.most = min(max(2*p.most, shortest), longest)
+	return max(p.most*(1+p.draw.Float64())/2, after)
+}
--- a/internal/trace/record/record.go
+++ b/internal/trace/record/record.go
@@ -4,6 +4,7 @@
 package record
 
 import (
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +32,33 @@
 	Close(now float64) error
 }
 
+// Sinks hands what is kept to each of several sinks. All are told, whatever one answers.
+type Sinks []Sink
+
+// Add hands a trace to all.
+func (s Sinks) Add(t *trace.Trace) (err error) {
+	for _, x := range s {
+		err = errors.Join(err, x.Add(t))
+	}
+	return err
+}
+
+// Flush has all write what they hold.
+func (s Sinks) Flush(now float64) (err error) {
+	for _, x := range s {
+		err = errors.Join(err, x.Flush(now))
+	}
+	return err
+}
+
+// Close closes all.
+func (s Sinks) Close(now float64) (err error) {
+	for _, x := range s {
+		err = errors.Join(err, x.Close(now))
+	}
+	return err
+}
+
 // Options are what a Recorder is made with.
 type Options struct {
 	Clock  clock.Clock
--- a/internal/trace/render/otlp.go
+++ b/internal/trace/render/otlp.go
@@ -73,6 +73,30 @@
 // OTLP writes the spans of one trace as a line of OTLP JSON; pieces are what its
 // routers kept of it, and their attributes.
 func OTLP(w io.Writer, id trace.ID, spans []trace.Span, pieces []*trace.Trace) error {
+	return json.NewEncoder(w).Encode(otlp{[]otlpResource{resource(id, spans, pieces)}})
+}
+
+// Batch is one OTLP request, in JSON, with the pieces of traces that one router kept.
+// A piece whose client named its own span stands under that. Else the root goes with
+// it, under the id on which all routers agree: who gets it twice has one span.
+func Batch(pieces []*trace.Trace) ([]byte, error) {
+	var all otlp
+	for _, p := range pieces {
+		spans := trace.Merge(p.ID, []*trace.Trace{p})
+		if p.Remote != 0 {
+			for i, s := range spans[1:] {
+				if s.Parent == p.ID.Root() {
+					spans[1+i].Parent = p.Remote
+				}
+			}
+			spans = spans[1:]
+		}
+		all.ResourceSpans = append(all.ResourceSpans, resource(p.ID, spans, []*trace.Trace{p}))
+	}
+	return json.Marshal(all)
+}
+
+func resource(id trace.ID, spans []trace.Span, pieces []*trace.Trace) otlpResource {
 	scope := otlpScope{}
 	scope.Scope.Name = "garnetline"
 	for _, s := range spans {
@@ -106,6 +130,5 @@
 		}
 		scope.Spans = append(scope.Spans, o)
 	}
-	return json.NewEncoder(w).Encode(otlp{[]otlpResource{{Resource: otlpAttributes{[]otlpAttribute{text("service.name", "garnetline")}},
-		ScopeSpans: []otlpScope{scope}}}})
+	return otlpResource{Resource: otlpAttributes{[]otlpAttribute{text("service.name", "garnetline")}}, ScopeSpans: []otlpScope{scope}}
 }
