--- /dev/null
+++ b/cmd/garnetline/bench_test.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// BenchmarkDaemon measures CPU a request of the whole daemon, in a process of its own,
+// with tracing off, with some of the ordinary requests kept and with all of them. Where
+// GARNETLINE_EARLIER names a program built from an earlier version, it is measured in
+// the same run, in turn with the others.
+func BenchmarkDaemon(b *testing.B) {
+	box := newBenchBox(b)
+	log, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer log.Close()
+	hosts := strings.Join([]string{host(1, "box", box), host(2, "box", box), host(9, "origin", box)}, ",")
+	trace := func(per string) string {
+		return "trace {\n enabled = true\n folder = %q\n ordinary_per_s = " + per + "\n undecided_kb = 65536\n honour_sampled = false\n}\n"
+	}
+	for _, m := range []struct{ name, program, settings string }{
+		{"earlier", os.Getenv("GARNETLINE_EARLIER"), ""}, {"off", os.Args[0], ""},
+		{"1%", os.Args[0], trace("80")}, {"100%", os.Args[0], trace("100000")},
+	} {
+		if m.program == "" {
+			continue
+		}
+		b.Run(m.name, func(b *testing.B) {
+			dir := b.TempDir()
+			listen := freeAddr(b)
+			conf := filepath.Join(dir, "config.json")
+			text := fmt.Sprintf(`{"name":"n","listen":%q,"seed":"1","limits":{},"changelog":%q,"known":{"seq":1,"results":[{"seq":1,"fleet":{"seq":0,"whole":true,"hosts":[%s]}}]},"settings":%s}`,
+				listen, log.Addr(), hosts, platform)
+			if err := os.WriteFile(conf, []byte(text), 0o600); err != nil {
+				b.Fatal(err)
+			}
+			args := []string{"serve", "--config", conf}
+			if m.settings != "" {
+				ops := filepath.Join(dir, "ops.hcl")
+				if err := os.WriteFile(ops, fmt.Appendf(nil, m.settings, filepath.Join(dir, "traces")), 0o600); err != nil {
+					b.Fatal(err)
+				}
+				args = append(args, "--settings", ops)
+			}
+			daemon := exec.Command(m.program, args...)
+			daemon.Env = append(os.Environ(), "GARNETLINE_TEST_PROGRAM=1", "GOMAXPROCS=1")
+			daemon.Stderr = io.Discard
+			if err := daemon.Start(); err != nil {
+				b.Fatal(err)
+			}
+			for i := 0; ; i++ {
+				if w, err := http.Get("http://" + listen + "/healthz"); err == nil {
+					w.Body.Close()
+					if w.StatusCode == 200 {
+						break
+					}
+				}
+				if i > 5000 {
+					b.Fatal("never ready")
+				}
+				time.Sleep(time.Millisecond)
+			}
+			b.ResetTimer()
+			began := time.Now()
+			var wg sync.WaitGroup
+			for c := range 4 {
+				wg.Go(func() { benchClient(b, listen, c, b.N/4+1) })
+			}
+			wg.Wait()
+			rate := float64(b.N) / time.Since(began).Seconds()
+			b.StopTimer()
+			daemon.Process.Signal(syscall.SIGTERM)
+			daemon.Wait()
+			use := daemon.ProcessState.SysUsage().(*syscall.Rusage)
+			cpu := daemon.ProcessState.UserTime() + daemon.ProcessState.SystemTime()
+			b.ReportMetric(float64(cpu.Microseconds())/float64(b.N), "cpu-us/req")
+			b.ReportMetric(rate, "req/s")
+			b.ReportMetric(float64(use.Maxrss)/1024, "rss-MB")
+		})
+	}
+}
+
+func freeAddr(b *testing.B) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// newBenchBox answers every serve at once with 2 KB.
+func newBenchBox(b *testing.B) net.Addr {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { l.Close() })
+	body := strings.Repeat("x", 2048)
+	c := &cache{Listener: l, reply: func(id, _ string) string { return answer(id, "DONE", "tag=t1,minted=1", body) }}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go c.serve(conn)
+		}
+	}()
+	return l.Addr()
+}
+
+func benchClient(b *testing.B, listen string, c, n int) {
+	conn, err := net.Dial("tcp", listen)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for i := range n {
+		fmt.Fprintf(conn, "GET /v1/part/%016x?block=%d HTTP/1.1\r\nHost: x\r\nX-Txn: %08x%08x\r\nX-Ttl-Ms: 4000\r\n\r\n", 1+i%5000, i%7, c+1, i+1)
+		w, err := http.ReadResponse(in, nil)
+		if err != nil {
+			b.Error(err)
+			return
+		}
+		io.Copy(io.Discard, w.Body)
+		if w.StatusCode != 200 {
+			b.Errorf("status %d", w.StatusCode)
+		}
+	}
+}
