Boxes and hubs take part in traces where the operators' file says that they can

Need: what a box did for an attempt (a hit, a fill, whose fill it rode) is known to the box alone, and the platform's protocol has no place for it.

Pieces of boxes are moved to lie within their attempt, whatever their clock says. Off, the commands are as before, byte by byte.

--- a/cmd/garnetline/serve.go
+++ b/cmd/garnetline/serve.go
@@ -88,13 +88,15 @@
 	}, count)
 	pool := peer.NewPool(ctx, peer.Options{Clock: clk, Conn: func() config.Conn { return now.Load().Conn },
 		Guard: list.Guard, End: c.End, Stats: count,
-		Links: func() int64 { return int64(float64(now.Load().Limits.Sockets) * linkShare) }})
+		Links:  func() int64 { return int64(float64(now.Load().Limits.Sockets) * linkShare) },
+		Traced: with.file.Trace.Enabled && with.file.Trace.Peers})
 	classes := func() []decide.Class { return now.Load().Settings.Classes }
 	rec, err := tracing(with.file.Trace, conf, clk, count, log, &now)
 	if err != nil {
 		return err
 	}
 	if rec != nil {
+		rec.Kept = pool.Kept
 		c.Trace(rec)
 	}
 	names := dns.New(dns.Options{Config: lookups, Clock: clk, Core: c, Classes: classes,
--- a/cmd/garnetline/trace.go
+++ b/cmd/garnetline/trace.go
@@ -66,7 +66,15 @@
 				for _, t := range pieces {
 					row(out, t)
 				}
-				return render.Waterfall(out, trace.Merge(id, pieces), 40)
+				if err := render.Waterfall(out, trace.Merge(id, pieces), 40); err != nil {
+					return err
+				}
+				for _, t := range pieces {
+					for _, l := range t.Links {
+						fmt.Fprintf(out, "at %s it rode a fill of trace %v\n", t.Router, l.Trace)
+					}
+				}
+				return nil
 			}},
 		{Name: "follow", Usage: "a line for each trace as it is kept, until interrupted", Flags: which,
 			Action: func(ctx context.Context, c *cli.Command) error {
--- a/deploy/garnetline.hcl
+++ b/deploy/garnetline.hcl
@@ -22,7 +22,7 @@
 }
 
 # Traces of requests, kept in segments that `garnetline trace` reads: docs/tracing.md.
-# Only a restart can change enabled, folder, secret and collector.
+# Only a restart can change enabled, folder, secret, peers and collector.
 trace {
   enabled         = false
   folder          = "traces"       # of this router; 0700
@@ -32,6 +32,7 @@
   undecided_kb    = 4096           # memory for traces whose requests are open or not decided
   ordinary_per_s  = 2              # ordinary traces kept a second, of each class
   retry_within_ms = 5000           # a client that was not served and asks again within it tries again
+  peers           = false          # boxes and hubs take two further fields, see docs/tracing.md
   honour_sampled  = true           # what a client samples, by its traceparent, is kept
 
   # collector {                    # kept traces go there too, as OTLP in JSON over HTTP
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,6 +16,7 @@
 	"garnetline/internal/core"
 	"garnetline/internal/sock"
 	"garnetline/internal/stats"
+	"garnetline/internal/trace"
 )
 
 const (
@@ -27,6 +28,8 @@
 	idlePart = 0.8   // of the idle time after which this side closes first
 	quietFor = 250.0 // ms without an answer after which a request given up speaks against its connection
 	wholeIn  = 800.0 // ms from the first byte of an answer to its last
+	maxKept  = 256   // verdicts that wait for a peer
+	keptRide = 4     // of them, in one command
 	growRest = 2e3   // ms without a further connection once a server took no more
 )
 
@@ -39,7 +42,9 @@
 	Stats *stats.Set
 	Dial  func(ctx context.Context, to netip.AddrPort) (net.Conn, error) // nil: TCP
 	Links func() int64                                                   // connections of all peers together; 0: no bound
-	live  *atomic.Int64                                                  // of those, open or being dialled
+	// Traced says that peers take the fields trace and kept. The platform's do not.
+	Traced bool
+	live   *atomic.Int64 // of those, open or being dialled
 }
 
 // Pool holds the peers by id. It belongs to the core's goroutine.
@@ -103,6 +108,18 @@
 	return nil
 }
 
+// Kept tells a server, with what is next written to it, that a trace in which it had a
+// part is kept. A server that is sent nothing for long is not told: it has a limit.
+func (p *Pool) Kept(server decide.ServerID, id trace.ID) {
+	if q := p.peers[server]; q != nil && p.Traced {
+		select {
+		case q.kept <- id:
+		default:
+			p.Stats.Add("verdicts_dropped", 1)
+		}
+	}
+}
+
 // Cancel has an attempt given up.
 func (p *Pool) Cancel(a *core.Attempt) {
 	if q, ok := a.Via.(*Peer); ok {
@@ -122,8 +139,9 @@
 	Options
 	id     decide.ServerID
 	addr   netip.AddrPort
-	orders chan order // from the core: never full, see maxOut
-	events chan event // from connections
+	orders chan order    // from the core: never full, see maxOut
+	kept   chan trace.ID // verdicts that wait for a command to ride on
+	events chan event    // from connections
 	done   chan struct{}
 	out    atomic.Int64 // attempts sent here whose end the core has not taken
 	gone   bool         // the pool's: it left the list
@@ -166,7 +184,7 @@
 }
 
 func newPeer(o Options, id decide.ServerID, addr netip.AddrPort) *Peer {
-	return &Peer{Options: o, id: id, addr: addr, orders: make(chan order, 2*maxOut+8), events: make(chan event),
+	return &Peer{Options: o, id: id, addr: addr, orders: make(chan order, 2*maxOut+8), kept: make(chan trace.ID, maxKept), events: make(chan event),
 		done: make(chan struct{})}
 }
 
@@ -284,11 +302,31 @@
 	}
 	l.open[a.Req.Txn] = &sent{a, now}
 	a.Wire.Wrote, a.Wire.Age = now, age
-	if p.flush(l, appendServe(l.k.Out(), a, age, now)) {
+	if p.flush(l, appendServe(l.k.Out(), a, age, now, p.context(a))) {
 		p.Stats.Add("attempts_relayed", 1)
 	}
 }
 
+// context is the fields by which a trace goes on at a peer that takes them.
+func (p *Peer) context(a *core.Attempt) string {
+	if !p.Traced {
+		return ""
+	}
+	text := ""
+	if a.Context.Span != 0 {
+		text = ",trace=" + a.Context.String()
+	}
+	for n := range keptRide {
+		select {
+		case id := <-p.kept:
+			text += []string{",kept=", "+"}[min(n, 1)] + id.String()
+		default:
+			return text
+		}
+	}
+	return text
+}
+
 // flush writes the command that was put together. A write that fails leaves
 // nothing to be said about what came through: the connection is lost.
 func (p *Peer) flush(l *link, msg []byte) bool {
--- a/internal/peer/resp.go
+++ b/internal/peer/resp.go
@@ -146,8 +146,8 @@
 	}
 }
 
-// appendServe appends the command of an attempt, written at now.
-func appendServe(dst []byte, a *core.Attempt, age float64, now float64) []byte {
+// appendServe appends the command of an attempt, written at now, with more fields.
+func appendServe(dst []byte, a *core.Attempt, age float64, now float64, more string) []byte {
 	r := a.Req
 	f := make([]byte, 0, 256)
 	f = fmt.Appendf(f, "sort=%s,asset=%016x,slice=%d,patience=%d", a.Class.Name, uint64(r.Object), r.Part,
@@ -180,6 +180,7 @@
 	if r.Known != "" {
 		f = fmt.Appendf(f, ",known=%s", r.Known)
 	}
+	f = append(f, more...)
 	dst = append(dst, "*4\r\n"...)
 	dst = appendBulk(dst, "serve")
 	dst = appendBulk(dst, r.Txn)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,7 @@
 	Ordinary    float64      `hcl:"ordinary_per_s,optional"` // ordinary traces kept a second, a class
 	RetryWithin float64      `hcl:"retry_within_ms,optional"`
 	Sampled     bool         `hcl:"honour_sampled,optional"` // what a client samples, as its traceparent says, is kept
+	Peers       bool         `hcl:"peers,optional"`          // boxes and hubs take the fields trace and kept
 	Classes     []TraceClass `hcl:"class,block"`
 	Collector   *Collector   `hcl:"collector,block"`
 }
@@ -191,9 +192,9 @@
 	if f.DNS != next.DNS {
 		return errors.New("dns: only a restart can change it")
 	}
-	if f.Trace.Enabled != next.Trace.Enabled || f.Trace.Folder != next.Trace.Folder || f.Trace.Secret != next.Trace.Secret ||
+	if f.Trace.Enabled != next.Trace.Enabled || f.Trace.Folder != next.Trace.Folder || f.Trace.Secret != next.Trace.Secret || f.Trace.Peers != next.Trace.Peers ||
 		!same(f.Trace.Collector, next.Trace.Collector) {
-		return errors.New("trace: only a restart can change enabled, folder, secret and collector")
+		return errors.New("trace: only a restart can change enabled, folder, secret, peers and collector")
 	}
 	return nil
 }
--- a/internal/trace/record/record.go
+++ b/internal/trace/record/record.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -68,7 +69,10 @@
 	Stats  *stats.Set
 	Log    *zerolog.Logger
 	Sink   Sink
-	Pace   func() float64 // bytes a second of a transfer to a client, as of now; 0: not told
+	// Kept tells a server that a trace in which it had a part is kept; nil: none is told.
+	// It is called on the core's goroutine and must not block.
+	Kept func(server decide.ServerID, id trace.ID)
+	Pace func() float64 // bytes a second of a transfer to a client, as of now; 0: not told
 }
 
 // Settings are what may change while the program runs.
@@ -185,6 +189,7 @@
 		select {
 		case r.box <- t:
 			r.Stats.Add("traces_kept", 1)
+			r.tell(t)
 		default:
 			r.Stats.Add("traces_not_taken", 1)
 			r.keep.Lose(t)
@@ -192,6 +197,20 @@
 	}
 }
 
+// tell tells the servers that had a part in a trace that it is kept. t belongs to the
+// actor by now, and is only read.
+func (r *Recorder) tell(t *trace.Trace) {
+	if r.Kept == nil {
+		return
+	}
+	for i, s := range t.Spans {
+		again := slices.ContainsFunc(t.Spans[:i], func(x trace.Span) bool { return x.Kind == trace.Attempt && x.Server == s.Server })
+		if s.Kind == trace.Attempt && s.Flags&trace.Sent != 0 && !again {
+			r.Kept(s.Server, t.ID)
+		}
+	}
+}
+
 // Run writes what is kept until Finish.
 func (r *Recorder) Run() {
 	defer close(r.ended)
--- a/internal/trace/render/render.go
+++ b/internal/trace/render/render.go
@@ -17,6 +17,11 @@
 var results = [...]string{decide.Served: "served", decide.Errored: "error", decide.Full: "full", decide.TimedOut: "timed out",
 	decide.Unreached: "unreached", decide.Broken: "broken", decide.Cancelled: "cancelled", decide.NotSent: "not sent", decide.Miss: "miss"}
 
+// notes name what a server did.
+var notes = [...]string{decide.NoNote: "not told", decide.Hit: "hit", decide.Filled: "filled", decide.FilledByOrigin: "filled from the archive",
+	decide.Joined: "joined a fill", decide.StaleHit: "an old copy", decide.SourceRefused: "the source refused", decide.SourceUnreached: "the source was not reached",
+	decide.SourceLacks: "the source lacks it", decide.NoFillPlace: "no place for a fill", decide.OriginFailed: "the archive failed"}
+
 func result(n uint8) string {
 	if int(n) < len(results) {
 		return results[n]
@@ -61,6 +66,15 @@
 			text += fmt.Sprintf(", inflight %.0f", s.Inflight)
 		}
 		return text
+	case trace.Work, trace.Fill:
+		text := s.Kind.String()
+		if s.Server != 0 {
+			text += fmt.Sprintf(" of %v", s.Server)
+		}
+		if int(s.Result) < len(notes) {
+			text += ": " + notes[s.Result]
+		}
+		return text
 	case trace.Connect:
 		return fmt.Sprintf("connection to %v", s.Server)
 	case trace.Wait:
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -70,10 +70,12 @@
 	Wait                // held by the decisions, or on the way to them
 	Attempt             // one sending to a server
 	Connect             // a connection that had to be made for an attempt
+	Work                // what a server did for an attempt; Result is a decide.Note
+	Fill                // a fill, under the work that began it; others link to it
 	kinds
 )
 
-var kindNames = [...]string{"client", "request", "wait", "attempt", "connect"}
+var kindNames = [...]string{"client", "request", "wait", "attempt", "connect", "work", "fill"}
 
 // String is the kind's name.
 func (k Kind) String() string {
@@ -108,6 +110,13 @@
 	Link       float32
 }
 
+// Link says that a span rode a fill that belongs to another span, maybe of another trace.
+type Link struct {
+	From  SpanID // in this piece
+	Trace ID
+	To    SpanID
+}
+
 // Outcome is how a request ended at a router.
 type Outcome uint8
 
@@ -170,6 +179,7 @@
 	Lost     uint32  // traces that had to be kept and were not, since the one before
 	Attempts uint8
 	Spans    []Span
+	Links    []Link
 	Allow    float64 // ms by which its class's wanted time grows with its bytes; not stored
 	Asked    bool    // its client samples it; not stored
 }
@@ -177,6 +187,9 @@
 // Took is how long the request took at this router, in ms.
 func (t *Trace) Took() float64 { return t.End - t.Start }
 
+// OfPeer tells whether t is the piece of a server, on a clock of its own.
+func (t *Trace) OfPeer() bool { return len(t.Spans) > 0 && t.Spans[0].Kind >= Work }
+
 // Size is about how many bytes t holds in memory.
 func (t *Trace) Size() int {
 	return 220 + len(t.Router) + len(t.Class) + len(t.Txn) + cap(t.Spans)*spanSize
@@ -193,6 +206,11 @@
 // lasts from the first try to the last answer. Pieces of other traces are passed over.
 // A span whose parent is in no piece, since its router was killed, stands under the
 // root. The result is in the order of the spans' starts, the root first.
+//
+// A server's clock is not the router's. Where its piece does not lie within the attempt
+// that it stands under, all of it is moved so that it does: with equal times on the way
+// there and back, as is usual where nothing more is known, or to the attempt's start
+// where it is longer than that.
 func Merge(id ID, pieces []*Trace) []Span {
 	root := Span{ID: id.Root(), Kind: Client, Start: math.Inf(1), End: math.Inf(-1)}
 	by := map[SpanID]Span{}
@@ -200,6 +218,9 @@
 		if t.ID != id {
 			continue
 		}
+		if t.OfPeer() {
+			continue
+		}
 		root.Start, root.End = min(root.Start, t.Start), max(root.End, t.End)
 		if t.Remote != 0 {
 			root.Parent = t.Remote
@@ -210,6 +231,22 @@
 			}
 		}
 	}
+	for _, t := range pieces {
+		if t.ID == id && t.OfPeer() {
+			by0, known := by[t.Spans[0].Parent]
+			shift := 0.0
+			if known {
+				shift = fit(t.Start, t.End, by0.Start, by0.End)
+			}
+			for _, s := range t.Spans {
+				s.Start, s.End = s.Start+shift, s.End+shift
+				by[s.ID] = s
+			}
+			if math.IsInf(root.Start, 0) || !known {
+				root.Start, root.End = min(root.Start, t.Start), max(root.End, t.End)
+			}
+		}
+	}
 	if math.IsInf(root.Start, 0) {
 		return nil
 	}
@@ -238,3 +275,14 @@
 	})
 	return slices.Insert(out, 0, root)
 }
+
+// fit is by how much what lasted from a to b is to be moved to lie within from and to.
+func fit(a, b, from, to float64) float64 {
+	switch {
+	case a >= from && b <= to:
+		return 0
+	case b-a > to-from:
+		return from - a
+	}
+	return (from+to)/2 - (a+b)/2
+}
