Tests of a killed router, of reloads of the operators' file, and of the bytes to boxes

Change, tests alone: a router in a process of its own is killed, and what it had kept is read from its folder, which can be opened again; SIGHUP with a file that cannot be used, or that names another folder, is one event with file, line and field, and a good one takes hold; a command to a box is the same to the byte where boxes take no part in traces, traced or not, and has the context and each verdict once where they do. The daemon's bench has a case with the collector gone.

--- a/cmd/garnetline/bench_test.go
+++ b/cmd/garnetline/bench_test.go
@@ -34,6 +34,7 @@
 	for _, m := range []struct{ name, program, settings string }{
 		{"earlier", os.Getenv("GARNETLINE_EARLIER"), ""}, {"off", os.Args[0], ""},
 		{"1%", os.Args[0], trace("80")}, {"100%", os.Args[0], trace("100000")},
+		{"100%,collector gone", os.Args[0], trace("100000") + "#"},
 	} {
 		if m.program == "" {
 			continue
@@ -50,7 +51,11 @@
 			args := []string{"serve", "--config", conf}
 			if m.settings != "" {
 				ops := filepath.Join(dir, "ops.hcl")
-				if err := os.WriteFile(ops, fmt.Appendf(nil, m.settings, filepath.Join(dir, "traces")), 0o600); err != nil {
+				text := fmt.Sprintf(m.settings, filepath.Join(dir, "traces"))
+				if strings.HasSuffix(text, "#") {
+					text = strings.Replace(text, "\n}", fmt.Sprintf("\n collector {\n url = \"http://%s\"\n }\n}", freeAddr(b)), 1)
+				}
+				if err := os.WriteFile(ops, []byte(text), 0o600); err != nil {
 					b.Fatal(err)
 				}
 				args = append(args, "--settings", ops)
--- a/cmd/garnetline/trace_test.go
+++ b/cmd/garnetline/trace_test.go
@@ -35,8 +35,38 @@
 // tracer is a router in a process of its own that traces into a folder.
 type tracer struct {
 	*exec.Cmd
-	listen, folder string
-	log            bytes.Buffer
+	listen, folder, ops string
+	log                 output
+}
+
+// output is what a process has written so far.
+type output struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.Write(p)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.String()
+}
+
+// until waits for what a process does by itself, and fails the test after a while.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 20_000 {
+		if ok() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatalf("%s: not so after 20 s", what)
 }
 
 func startTracer(t *testing.T, name string, log net.Addr, hosts, more string) *tracer {
@@ -52,8 +82,8 @@
 	}
 	conf := write("config.json", fmt.Sprintf(`{"name":%q,"listen":%q,"seed":"%x","limits":{},"changelog":%q,
 "known":{"seq":1,"results":[{"seq":1,"fleet":{"seq":0,"whole":true,"hosts":[%s]}}]},"settings":%s}`, name, r.listen, name, log, hosts, platform))
-	ops := write("garnetline.hcl", fmt.Sprintf("trace {\n enabled = true\n folder = %q\n secret = \"shared\"\n %s}\n", r.folder, more))
-	r.Cmd = exec.Command(os.Args[0], "serve", "--config", conf, "--settings", ops)
+	r.ops = write("garnetline.hcl", fmt.Sprintf("trace {\n enabled = true\n folder = %q\n secret = \"shared\"\n %s}\n", r.folder, more))
+	r.Cmd = exec.Command(os.Args[0], "serve", "--config", conf, "--settings", r.ops)
 	r.Env = append(os.Environ(), "GARNETLINE_TEST_PROGRAM=1")
 	r.Stderr = &r.log
 	if err := r.Start(); err != nil {
@@ -299,6 +329,58 @@
 	}
 }
 
+// A router that is killed leaves what it kept, in a folder that can be opened again. The
+// operators' file is read again on SIGHUP: one that cannot be used, or
+// changes what only a restart can, is one event that names file, line and field.
+func TestKillAndReload(t *testing.T) {
+	box := newCache(t, func(id, _ string) string { return answer(id, "BROKE", "-", "") })
+	log, _ := newLog(t)
+	hosts := host(1, "box", box.Addr()) + "," + host(9, "origin", box.Addr())
+	r := startTracer(t, "a1", log, hosts, "ordinary_per_s = 2\n")
+	ask := func(txn int) {
+		conn, err := net.Dial("tcp", r.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if w, _ := say(t, conn, fmt.Sprintf("GET /v1/part/00000000000000aa HTTP/1.1\r\nHost: x\r\nX-Txn: %016x\r\nX-Ttl-Ms: 900\r\n\r\n", txn)); w.StatusCode == 200 {
+			t.Error("served by a box that fails")
+		}
+	}
+	for i := range 20 {
+		ask(i + 1)
+	}
+	write := func(text string) {
+		if err := os.WriteFile(r.ops, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		r.Process.Signal(syscall.SIGHUP)
+	}
+	write("trace {\n enabled = true\n colour = 1\n}\n")
+	until(t, "a file that cannot be used", func() bool { return strings.Contains(r.log.String(), "garnetline.hcl:3: Unsupported argument") })
+	write("trace {\n enabled = true\n folder = \"elsewhere\"\n}\n")
+	until(t, "another folder", func() bool { return strings.Contains(r.log.String(), "trace: only a restart") })
+	write(fmt.Sprintf("log {\n level = \"debug\"\n}\ntrace {\n enabled = true\n folder = %q\n secret = \"shared\"\n}\n", r.folder))
+	until(t, "a good file", func() bool { return strings.Contains(r.log.String(), `"event":"reloaded"`) })
+	ask(21)
+	until(t, "debug", func() bool {
+		return strings.Contains(r.log.String(), `"event":"request refused"`) || strings.Contains(r.log.String(), `"event":"request failed"`)
+	})
+	until(t, "what was kept is on disk", func() bool { return len(r.pieces(t)) == 21 })
+	r.Process.Kill()
+	r.Wait()
+	if _, err := store.Open(r.folder, 1<<20, 1<<30); err != nil {
+		t.Errorf("the folder of a killed router: %v", err)
+	}
+	x, err := store.Read(r.folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, traces, _ := x.Stat(); traces != 21 {
+		t.Errorf("%d traces are left, want 21", traces)
+	}
+}
+
 // With the operators' file away, or tracing off in it, no folder is made.
 func TestNoTracesWithoutSettings(t *testing.T) {
 	if rec, err := tracing(setup{}.file.Trace, nil, nil, nil, nil, nil); rec != nil || err != nil {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -21,6 +22,7 @@
 	"garnetline/internal/seeds"
 	"garnetline/internal/sock"
 	"garnetline/internal/stats"
+	"garnetline/internal/trace"
 )
 
 // wire is a connection that keeps what is written and never brings anything:
@@ -358,6 +360,53 @@
 	}
 }
 
+// Where peers take no part in traces a command is the same to the byte, traced or not,
+// whatever verdicts there are; where they do it has the attempt's context, and each
+// verdict once, so many at a time.
+func TestTracesChangeNoByteUnlessTaken(t *testing.T) {
+	wrote := func(traced, takes bool) []string {
+		m := newModel(t)
+		m.p.Traced = takes
+		pool := &Pool{Options: m.p.Options, peers: map[decide.ServerID]*Peer{1: m.p}}
+		for i := range keptRide + 1 {
+			pool.Kept(1, trace.ID{byte(i + 1)})
+		}
+		pool.Kept(2, trace.ID{9}) // nobody
+		for _, txn := range []string{"a", "b", "c"} {
+			a := &core.Attempt{Req: &core.Request{Txn: txn, Object: 7, Group: 3, Key: "k"}, Class: &decide.Class{Name: "part"},
+				Get: decide.Get{Server: 1, Source: 8, Keep: 2, Join: true}, Until: m.clk.Now() + 2000}
+			if traced {
+				a.Context = trace.Parent{Trace: trace.ID{5}, Span: 6, Sampled: true}
+			}
+			m.attempts = append(m.attempts, a)
+			m.p.order(t.Context(), order{send: a})
+			m.dialed()
+		}
+		var out []string
+		for _, w := range m.wires {
+			for _, c := range commands(t, w.wrote.Bytes()) {
+				out = append(out, c[2])
+			}
+		}
+		return out
+	}
+	plain := "sort=part,asset=0000000000000007,slice=0,patience=2000,op=k,via=s-00000008,tier=2,opts=join"
+	for _, got := range [][]string{wrote(false, false), wrote(true, false)} {
+		for _, fields := range got {
+			if fields != plain {
+				t.Errorf("%q, want %q", fields, plain)
+			}
+		}
+	}
+	got := wrote(true, true)
+	context := plain + ",trace=00-05000000000000000000000000000000-0000000000000006-01"
+	slices.SortFunc(got, func(a, b string) int { return len(b) - len(a) })
+	if len(got) != 3 || !strings.HasPrefix(got[0], context+",kept=0100") || strings.Count(got[0], "+") != keptRide-1 ||
+		!strings.HasPrefix(got[1], context+",kept=0500") || strings.Contains(got[1], "+") || got[2] != context {
+		t.Errorf("%q", got)
+	}
+}
+
 // source is a connection that brings fixed bytes.
 type source struct {
 	net.Conn
