A hub's work stands under the fill of the box that asked it, whatever their clocks say

Need: a trace goes on from box to hub and archive; the pieces of both come on clocks of their own.

Seen by a test with a hub behind the box, pieces in any order: the hub's piece was placed before the box's had been moved, and lay outside its fill. Change: Merge places a piece of a server once the span that it stands under has its place, and so on down; what is left over stands under the root.

--- a/cmd/garnetline/peers_test.go
+++ b/cmd/garnetline/peers_test.go
@@ -27,10 +27,31 @@
 	mu     sync.Mutex
 	h      *hold.Holder
 	w      *store.Writer
-	fills  map[string]trace.Link // by object, what is under way
+	fills  map[string]trace.Link // by object; one stays under way to the end
 	next   uint64
 	errors int
-	told   int // verdicts
+	told   int      // verdicts
+	hub    *speaker // what it fills from; nil: it is a hub, and fills from the archive
+}
+
+// ask has a hub fill for a span of a box, which hands on the verdicts that it was told.
+func (s *speaker) ask(p trace.Parent, class string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next++
+	start := s.now()
+	work := trace.Span{ID: p.Trace.Span(s.next), Parent: p.Span, Kind: trace.Work, Start: start, Result: uint8(decide.FilledByOrigin)}
+	fetch := trace.Span{ID: p.Trace.Span(s.next | 1<<40), Parent: work.ID, Kind: trace.Fill, Start: s.now(), End: s.now(), Result: uint8(decide.FilledByOrigin)}
+	work.End = s.now()
+	s.keep(s.h.Add(work.End, &trace.Trace{ID: p.Trace, Router: s.name, Class: class, Start: start, End: work.End, Weight: 1, Outcome: trace.Served,
+		Spans: []trace.Span{work, fetch}}, false))
+}
+
+func (s *speaker) hear(id trace.ID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told++
+	s.keep(s.h.Kept(id))
 }
 
 const ahead = 3_600_000.0
@@ -59,7 +80,11 @@
 		for x := range strings.SplitSeq(v, "+") {
 			if id, ok := trace.ParseID(x); ok {
 				s.told++
-				s.keep(s.h.Kept(id))
+				kept := s.h.Kept(id)
+				for _, t := range kept { // a fill that a rider keeps is of another trace
+					s.hub.hear(t.ID)
+				}
+				s.keep(kept)
 			}
 		}
 	}
@@ -82,6 +107,9 @@
 		work.Result = uint8(decide.Filled)
 		fill := trace.Span{ID: p.Trace.Span(s.next | 1<<40), Parent: work.ID, Kind: trace.Fill, Start: s.now(), Result: uint8(decide.FilledByOrigin)}
 		s.fills[asset] = trace.Link{Trace: p.Trace, To: fill.ID}
+		if traced {
+			s.hub.ask(trace.Parent{Trace: p.Trace, Span: fill.ID}, f["sort"])
+		}
 		fill.End = s.now()
 		t.Spans = append(t.Spans, fill)
 	}
@@ -97,7 +125,8 @@
 	return answer(id, "DONE", "tag=t1,minted=1", "bytes")
 }
 
-// Where the operators' file says that boxes take it, a trace goes on there: each attempt
+// Where the operators' file says that boxes take it, a trace goes on there, and by them at
+// their hub: each attempt
 // that arrived has the box's work under it, within its time though the box's clock is an
 // hour ahead; the box keeps what the router keeps and what failed, and no more; and a
 // rider's verdict keeps the fill that it rode.
@@ -105,15 +134,20 @@
 	var hosts []string
 	var boxes []*speaker
 	folders := []string{}
-	for i := range 2 {
+	var hub *speaker
+	for i := range 3 { // the first is the hub
 		folder := t.TempDir()
 		w, err := store.Open(folder, 1<<20, 1<<30)
 		if err != nil {
 			t.Fatal(err)
 		}
-		s := &speaker{name: decide.ServerID(i + 1).String(), h: hold.New(60_000, 1<<20), w: w, fills: map[string]trace.Link{}, next: uint64(i) << 32}
+		s := &speaker{name: decide.ServerID(i).String(), hub: hub, h: hold.New(60_000, 1<<20), w: w, fills: map[string]trace.Link{}, next: uint64(i) << 32}
 		boxes, folders = append(boxes, s), append(folders, folder)
-		hosts = append(hosts, host(i+1, "box", newCache(t, s.serve).Addr()))
+		if i == 0 {
+			hub = s
+			continue
+		}
+		hosts = append(hosts, host(i, "box", newCache(t, s.serve).Addr()))
 	}
 	hosts = append(hosts, host(9, "origin", newCache(t, func(id, _ string) string { return answer(id, "DONE", "tag=t1,minted=1", "x") }).Addr()))
 	log, _ := newLog(t)
@@ -153,9 +187,10 @@
 	}
 	for i, s := range boxes {
 		s.mu.Lock()
-		s.keep(s.h.Tick(s.now() + 1e6)) // the limit
+		if s.keep(s.h.Tick(s.now() + 1e6)); s.hub != nil { // the limit
+			told, own = told+s.told, own+int(s.h.Counts.Own)
+		}
 		s.w.Close(s.now())
-		told, own = told+s.told, own+int(s.h.Counts.Own)
 		s.mu.Unlock()
 		x, err := store.Read(folders[i])
 		if err != nil {
@@ -169,7 +204,7 @@
 			return true
 		})
 	}
-	works, rides := 0, 0
+	works, rides, fetches := 0, 0, 0
 	for _, piece := range pieces {
 		spans := map[trace.SpanID]trace.Span{}
 		all := trace.Merge(piece.ID, byID[piece.ID])
@@ -182,6 +217,12 @@
 				continue
 			}
 			a := spans[s.Parent]
+			if a.Kind == trace.Fill { // a hub's, under the box's fill
+				if fetches++; s.Start < a.Start-0.01 || s.End > a.End+0.01 {
+					t.Fatalf("the hub's work from %v to %v under a fill from %v to %v", s.Start, s.End, a.Start, a.End)
+				}
+				continue
+			}
 			if under[a.ID]++; a.Kind != trace.Attempt || s.Start < a.Start-0.01 && s.End-s.Start < a.End-a.Start || s.Start-a.Start > 1000 {
 				t.Fatalf("work from %v to %v under %v from %v to %v", s.Start, s.End, a.Kind, a.Start, a.End)
 			}
@@ -208,8 +249,8 @@
 			}
 		}
 	}
-	if works < 10 || rides < 2 || told < 8 {
-		t.Errorf("%d works, %d rides, %d verdicts, %d kept at the limit: too few to show anything", works, rides, told, own)
+	if works < 10 || rides < 2 || told < 8 || fetches < 1 {
+		t.Errorf("%d works, %d rides, %d fetches of the hub, %d verdicts, %d kept at the limit: too few to show anything", works, rides, fetches, told, own)
 	}
 	var rider trace.ID
 	for id, of := range byID {
@@ -218,7 +259,7 @@
 		}
 	}
 	var out bytes.Buffer
-	if err := traceCommand(&out).Run(context.Background(), []string{"trace", "show", "--folder", r.folder, "--folder", folders[0], "--folder", folders[1], rider.String()}); err != nil ||
+	if err := traceCommand(&out).Run(context.Background(), []string{"trace", "show", "--folder", r.folder, "--folder", folders[0], "--folder", folders[1], "--folder", folders[2], rider.String()}); err != nil ||
 		!strings.Contains(out.String(), "work: joined a fill") || !strings.Contains(out.String(), "it rode a fill of trace") {
 		t.Errorf("%v: %s", err, out.String())
 	}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -226,21 +226,32 @@
 			}
 		}
 	}
+	var peers []*Trace
 	for _, t := range pieces {
 		if t.ID == id && t.OfPeer() {
-			by0, known := by[t.Spans[0].Parent]
-			shift := 0.0
+			peers = append(peers, t)
+		}
+	}
+	place := func(t *Trace, shift float64) {
+		for _, s := range t.Spans {
+			s.Start, s.End = s.Start+shift, s.End+shift
+			by[s.ID] = s
+		}
+	}
+	for placed := true; placed; { // a hub's piece stands under that of its box
+		n := len(peers)
+		peers = slices.DeleteFunc(peers, func(t *Trace) bool {
+			p, known := by[t.Spans[0].Parent]
 			if known {
-				shift = fit(t.Start, t.End, by0.Start, by0.End)
+				place(t, fit(t.Start, t.End, p.Start, p.End))
 			}
-			for _, s := range t.Spans {
-				s.Start, s.End = s.Start+shift, s.End+shift
-				by[s.ID] = s
-			}
-			if math.IsInf(root.Start, 0) || !known {
-				root.Start, root.End = min(root.Start, t.Start), max(root.End, t.End)
-			}
-		}
+			return known
+		})
+		placed = len(peers) < n
+	}
+	for _, t := range peers { // of a router whose piece is lost
+		place(t, 0)
+		root.Start, root.End = min(root.Start, t.Start), max(root.End, t.End)
 	}
 	if math.IsInf(root.Start, 0) {
 		return nil
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -170,10 +170,15 @@
 		start := 1010 + off
 		box := &Trace{ID: id, Router: "s-00000005", Start: start, End: start + 30, Spans: []Span{
 			{ID: 77, Parent: p.Span, Kind: Work, Start: start, End: start + 30}, {ID: 78, Parent: 77, Kind: Fill, Start: start + 5, End: start + 25}}}
+		hub := &Trace{ID: id, Router: "s-00000008", Start: start - 2*off, End: start - 2*off + 10, Spans: []Span{
+			{ID: 79, Parent: 78, Kind: Work, Start: start - 2*off, End: start - 2*off + 10}}}
 		at := map[SpanID]Span{}
-		for _, s := range Merge(id, []*Trace{box, l.Piece()}) {
+		for _, s := range Merge(id, []*Trace{hub, box, l.Piece()}) {
 			at[s.ID] = s
 		}
+		if h, f := at[79], at[78]; h.Parent != 78 || h.Start < f.Start || h.End > f.End || h.End-h.Start != 10 {
+			t.Errorf("%v ms off: the hub's work from %v to %v under the fill from %v to %v", off, h.Start, h.End, f.Start, f.End)
+		}
 		a, w, f := at[p.Span], at[77], at[78]
 		if w.Start < a.Start || w.End > a.End || f.Start-w.Start != 5 || f.End-f.Start != 20 || w.Parent != a.ID || f.Parent != w.ID {
 			t.Errorf("%v ms off: attempt %v to %v, work %v to %v, fill %v to %v", off, a.Start, a.End, w.Start, w.End, f.Start, f.End)
