Close trace windows once a request, keep a class's budget where its block names none

The recorder looked for windows that are over twice a request, at its start and after its end, the second after the trace had been put into its window; now once, before that. A class block of the operators' file that gave only wanted_ms set that class's budget to 0, though the file says "instead of the above"; now it keeps that of all classes, and 0 has to be said. Two tests had a locked buffer each; internal/standin has one.

--- a/cmd/garnetline/trace_test.go
+++ b/cmd/garnetline/trace_test.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"garnetline/decide"
+	"garnetline/internal/settings"
 	"garnetline/internal/standin"
 	"garnetline/internal/trace"
 	"garnetline/internal/trace/store"
@@ -37,25 +38,7 @@
 type tracer struct {
 	*exec.Cmd
 	listen, folder, ops string
-	log                 output
-}
-
-// output is what a process has written so far.
-type output struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (o *output) Write(p []byte) (int, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.b.Write(p)
-}
-
-func (o *output) String() string {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.b.String()
+	log                 standin.Output
 }
 
 // until waits for what a process does by itself, and fails the test after a while.
@@ -387,9 +370,16 @@
 	}
 }
 
-// With the operators' file away, or tracing off in it, no folder is made.
+// With the operators' file away, or tracing off in it, no folder is made; a class block
+// says what differs, and nothing else does.
 func TestNoTracesWithoutSettings(t *testing.T) {
 	if rec, err := tracing(setup{}.file.Trace, nil, nil, nil, nil, nil); rec != nil || err != nil {
 		t.Errorf("%v, %v", rec, err)
 	}
+	none := 0.0
+	s := kept(settings.Trace{Ordinary: 2, Classes: []settings.TraceClass{{Name: "part", Wanted: 9}, {Name: "form", Ordinary: &none}}},
+		[]decide.Class{{Name: "part", Aim: time.Second}, {Name: "form", Aim: time.Second}})
+	if p, f := s.Classes["part"], s.Classes["form"]; p.Ordinary != 2 || p.Wanted != 9 || f.Ordinary != 0 || f.Wanted != 1000 {
+		t.Errorf("%+v, %+v", p, f)
+	}
 }
--- a/cmd/garnetline/tracing.go
+++ b/cmd/garnetline/tracing.go
@@ -53,7 +53,10 @@
 		if !known {
 			continue
 		}
-		if k.Ordinary = c.Ordinary; c.Wanted > 0 {
+		if c.Ordinary != nil {
+			k.Ordinary = *c.Ordinary
+		}
+		if c.Wanted > 0 {
 			k.Wanted = c.Wanted
 		}
 		s.Classes[c.Name] = k
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,9 +47,9 @@
 
 // TraceClass is what differs for one class.
 type TraceClass struct {
-	Name     string  `hcl:"name,label"`
-	Ordinary float64 `hcl:"ordinary_per_s,optional"`
-	Wanted   float64 `hcl:"wanted_ms,optional"` // slower ones are kept; 0: the class's own aim
+	Name     string   `hcl:"name,label"`
+	Ordinary *float64 `hcl:"ordinary_per_s,optional"` // nil: that of all classes
+	Wanted   float64  `hcl:"wanted_ms,optional"`      // slower ones are kept; 0: the class's own aim
 }
 
 // Collector is where kept traces are sent by OTLP over HTTP.
@@ -161,7 +161,7 @@
 			return fmt.Errorf("class %q: named twice", c.Name)
 		}
 		seen[c.Name] = true
-		if !(c.Ordinary >= 0 && c.Ordinary <= 1e5) || !(c.Wanted >= 0 && c.Wanted <= 600_000) {
+		if c.Ordinary != nil && !(*c.Ordinary >= 0 && *c.Ordinary <= 1e5) || !(c.Wanted >= 0 && c.Wanted <= 600_000) {
 			return fmt.Errorf("class %q: ordinary_per_s or wanted_ms out of range", t.Classes[i].Name)
 		}
 	}
--- /dev/null
+++ b/internal/standin/output.go
@@ -0,0 +1,27 @@
+package standin
+
+import (
+	"bytes"
+	"sync"
+)
+
+// Output keeps what is written to it, by several goroutines or a process, and tells what
+// there is so far.
+type Output struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write keeps p.
+func (o *Output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.Write(p)
+}
+
+// String returns what has been written.
+func (o *Output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.String()
+}
--- a/internal/trace/record/record.go
+++ b/internal/trace/record/record.go
@@ -149,7 +149,6 @@
 		r.keep.Adopt(s.Undecided, s.Other, s.Classes)
 		r.asked = s.Sampled
 	}
-	r.send(r.keep.Tick(now))
 	from := core.Origin{Came: now}
 	if q.Origin != nil {
 		from = *q.Origin
@@ -175,6 +174,7 @@
 		p.Allow = t.stretch * float64(t.bytes) / pace * 1000
 	}
 	served := p.Outcome == trace.Served || p.Outcome == trace.Same
+	r.send(r.keep.Tick(now)) // windows that are over, before what ends now is drawn in its own
 	if !t.room {
 		r.keep.Missed(p.Class, p.Took()-p.Allow, p.Outcome, int(p.Attempts), p.Try)
 		r.Stats.Add("traces_without_room", 1)
@@ -187,7 +187,6 @@
 		}
 		r.send([]*trace.Trace{kept})
 	}
-	r.send(r.keep.Tick(now))
 }
 
 // send hands kept traces to the actor. One for which there is no room is lost, and if
--- a/internal/trace/record/record_test.go
+++ b/internal/trace/record/record_test.go
@@ -1,7 +1,6 @@
 package record
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"strings"
@@ -13,6 +12,7 @@
 	"garnetline/internal/clock"
 	"garnetline/internal/core"
 	"garnetline/internal/logs"
+	"garnetline/internal/standin"
 	"garnetline/internal/stats"
 	"garnetline/internal/trace"
 	"garnetline/internal/trace/keep"
@@ -40,23 +40,11 @@
 func (s *sink) Flush(float64) error { return s.err }
 func (s *sink) Close(float64) error { s.closed = true; return s.err }
 
-// lines is what was logged; the core's goroutine and the actor both write.
-type lines struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (l *lines) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
 var classes = []decide.Class{{Name: "part", Aim: 400 * time.Millisecond, AimStretch: 2, Deadline: 4 * time.Second},
 	{Name: "form", Effect: decide.Keyed, Write: true, Aim: 400 * time.Millisecond, Deadline: 4 * time.Second}}
 
-func newRecorder(s *sink, set Settings) (*Recorder, *clock.Manual, *stats.Set, *lines) {
-	clk, count, out := clock.NewManual(1.7e12), stats.New(), &lines{}
+func newRecorder(s *sink, set Settings) (*Recorder, *clock.Manual, *stats.Set, *standin.Output) {
+	clk, count, out := clock.NewManual(1.7e12), stats.New(), &standin.Output{}
 	if set.Undecided == 0 {
 		set.Undecided = 1 << 20
 	}
@@ -129,7 +117,7 @@
 	if last := s.kept[len(s.kept)-1]; int64(last.Lost) != missed || int64(len(s.kept)) != n-missed+1 {
 		t.Errorf("the next one tells of %d, %d are kept", last.Lost, len(s.kept))
 	}
-	if n := strings.Count(out.b.String(), "disk full"); n < 5 || n > 14 {
+	if n := strings.Count(out.String(), "disk full"); n < 5 || n > 14 {
 		t.Errorf("%d lines for over a thousand failures", n)
 	}
 }
