A thin router keeps three transfers out at a cache before it holds the next

The caches had room that the routers did not use.

The crowded lines read "crowded(out=2,share=1.31,w=7.0,keeps=1.00)": a router's part of a seven-transfer cache is 1.3, and leastOut (decide.go, the const block; used by crowded and crammed) binds at two. Every request of a flush is a fill, answers lengthen, all eighty routers reach two out in the same 100 ms and their holds end in refusals.

Change: leastOut 3.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,7 +48,7 @@
 	gateFirst   = 8.0                    // a location is allowed when a ration starts and none is known yet
 	refused     = 2.0                    // fullness that a server shows by refusing
 	crowd       = 1.5                    // transfers out over those that fit at full pace; some wait for a fill
-	leastOut    = 2.0                    // at one cache, or nothing would be learned of it
+	leastOut    = 3.0                    // at one cache, or nothing would be learned of it
 	standIn     = 0.5                    // a cache stands in for others up to so much of that
 	heldPace    = 2.5                    // times its sending time that an answer takes where requests wait
 	untold      = 0.2                    // and by serving, where no outcome tells more
