Keep three out only while no cache of the location refused; two where one did

One more out at a full cache only makes it later.

Change: leastOut is two again; roomy adds one in crowded() and crammed() while no cache of the location has its gate on, which a cache's WAIT turns on.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,7 +48,8 @@
 	gateFirst   = 8.0                    // a location is allowed when a ration starts and none is known yet
 	refused     = 2.0                    // fullness that a server shows by refusing
 	crowd       = 1.5                    // transfers out over those that fit at full pace; some wait for a fill
-	leastOut    = 3.0                    // at one cache, or nothing would be learned of it
+	leastOut    = 2.0                    // at one cache, or nothing would be learned of it
+	roomy       = 1.0                    // more where no cache refused: thin routers that hold, hold at once
 	standIn     = 0.5                    // a cache stands in for others up to so much of that
 	heldPace    = 2.5                    // times its sending time that an answer takes where requests wait
 	untold      = 0.2                    // and by serving, where no outcome tells more
@@ -268,12 +269,10 @@
 	return min(1, max(0.01, r.ramps[s.role].From+(1-r.ramps[s.role].From)*part))
 }
 
-// affords tells whether a cold server can take more work from this router. What it
-// can carry is inferred from what its peers carried for this router. Where
-// that is less than one piece of work, a piece may go in as many spans as it
-// pays for, drawn from the seed: all routers together stay within the sum.
-//
-// Symptom guarded against: many routers, each of which sends little, find an
+// affords tells whether a cold server can take more work from this router, inferred
+// from what its peers carried for it. Where that is less than one piece of work, a piece
+// may go in as many spans as it pays for, drawn from the seed: all routers together stay
+// within the sum. Symptom guarded against: many routers, each of which sends little, find an
 // empty server at once, and the least that each of them sends pushes it over.
 func (r *Router) affords(s *server, work float64) bool {
 	if r.warmth(s, r.now) >= 1 {
@@ -291,11 +290,9 @@
 	return sent+work < budget || sent == 0 && uniform(lot) < budget/work
 }
 
-// carries is the work a second, per weight, that this router may count on: the
-// most it saw, or its share of what weights tell where they count transfers.
-//
-// Symptom guarded against: a router that restarted, or whose whole location came
-// back cold, has seen nothing carried and refuses all until it is warm.
+// carries is the work a second, per weight, that this router may count on: the most it
+// saw, or its share of what weights tell where they count transfers. Symptom guarded
+// against: a router that restarted, or whose location came back cold, refused all.
 func (r *Router) carries(role role) float64 {
 	told := 0.0
 	if r.set.WeightsSize && r.set.FlowKBps > 0 {
@@ -357,17 +354,11 @@
 }
 
 // blamed is the one of cache and source that fails more of what it has a part in.
-func (a *attempt) blamed() *server {
-	if a.source.bad > a.to.bad {
-		return a.source
-	}
-	return a.to
-}
+func (a *attempt) blamed() *server { return pick(a.source.bad > a.to.bad, a.source, a.to) }
 
-// worked books a success of s.
-//
-// Symptom guarded against: a server that was silent and answers again has most
-// likely restarted, cold, before the list tells. It might hurt one that was cut off.
+// worked books a success of s. Symptom guarded against: a server that was silent and
+// answers again has most likely restarted, cold, before the list tells. It might hurt
+// one that was cut off.
 func (r *Router) worked(s *server) {
 	if s.silent && s.rests > 1 && s.cold < r.now-sickMost {
 		s.cold = r.now
@@ -529,20 +520,25 @@
 // at full pace, or a part of that. Symptom guarded against: without notes nothing
 // tells that a link is full but that all answers are late.
 func (r *Router) crowded(s *server, part float64) bool {
-	return r.meters() && float64(s.out) >= max(leastOut, r.share(s))*part
+	return r.meters() && float64(s.out) >= max(least(s.gate.on), r.share(s))*part
 }
 
 // crammed tells whether all caches together have as much out from this router as they
 // send. Symptom guarded against: eight routers, each allowed two at a cache that sends
 // six, jammed the link of their location, and what they refused kept it jammed.
 func (r *Router) crammed() bool {
-	most, out := 0.0, 0
+	most, out, full := 0.0, 0, false
 	for _, s := range r.list[cache] {
-		most, out = most+r.share(s), out+s.out
+		most, out, full = most+r.share(s), out+s.out, full || s.gate.on
 	}
-	return r.meters() && float64(out) >= max(leastOut, most)
+	return r.meters() && float64(out) >= max(least(full), most)
 }
 
+// least is what a router keeps out however thin its part: one more where no cache is
+// known to be full. Symptom guarded against: a flush made all answers long, eighty
+// routers held at two at once, and a quarter was refused while the caches had room.
+func least(full bool) float64 { return pick(full, leastOut, leastOut+roomy) }
+
 // meters tells whether what is out counts against weights.
 func (r *Router) meters() bool { return r.set.WeightsSize && r.set.FlowKBps > 0 && !r.told }
 
@@ -645,10 +641,8 @@
 	}
 }
 
-// look judges an attempt that takes longer than it should.
-//
-// Symptom guarded against: a server that went silent. It neither answers nor
-// refuses, so nothing but the lack of outcomes tells. A cache that has not been
+// look judges an attempt that takes longer than it should. Symptom guarded against: a
+// server that went silent, which neither answers nor refuses. A cache that has not been
 // heard since the attempt was sent is blamed itself; if it has answered others,
 // the source is, unless it is heard too, as it is by hits that name it: then what
 // fails more than its peers. It might hurt where little is sent.
@@ -874,11 +868,11 @@
 	}
 }
 
-// gate rations what shares a bottleneck: a link, a source's known fills, fetches
-// from the origin, writes, or all that is sent to one cache.
-// Symptom guarded against: a full link, or a server that slows or refuses. More
-// work makes all of it slower until none is in time. So while a link or source is full
-// a request first looks for a copy; only known misses wait, for a few fills.
+// gate rations what shares a bottleneck: a link, a source's known fills, fetches from the
+// origin, writes, or all that is sent to one cache. Symptom guarded against: a full link,
+// or a server that slows or refuses; more work made all slower until none was in time.
+// So while a link or source is full a request first looks for a copy; only known misses
+// wait, for a few fills.
 type gate struct {
 	full         float64       // how full the bottleneck is, smoothed; 1: as full as it should be
 	on           bool          // it rations
--- a/decide/table.go
+++ b/decide/table.go
@@ -21,6 +21,14 @@
 	return r.v
 }
 
+// pick returns a where c holds, else b.
+func pick[T any](c bool, a, b T) T {
+	if c {
+		return a
+	}
+	return b
+}
+
 // mix is a fixed mixing function: all routers must agree on homes.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
