The thin router's test turns gates on in one loop, not a loop round a condition

Review of the change: TestThinRouterKeepsThreeOut looped three times round an if that only the full case passed. The condition now stands in the loop; the assertions are the same, and the full half still fails where no refusal is felt (checked). test.sh passes.

--- a/decide/untold_test.go
+++ b/decide/untold_test.go
@@ -572,11 +572,9 @@
 		}
 		f := start(t, s, list)
 		for _, c := range f.r.list[cache] {
-			for range 3 {
-				if full {
-					f.now += gateEvery
-					c.gate.feel(f.now, refused, f.r.part)
-				}
+			for i := 0; full && i < 3; i++ { // three refusals turn a cache's gate on
+				f.now += gateEvery
+				c.gate.feel(f.now, refused, f.r.part)
 			}
 		}
 		there := map[ServerID]int{}
