Routers know each other: SWIM with Lifeguard, words of boxes, stance, off by default

Need: a router knew the others only as a number in its settings. The operators want to know who is there, who has failed, and what to do while cut off, shown on several processes.

The change: internal/fleet/member is the failure detector, a state machine stepped by packets and the time; words an add-wins set of bans with drains and purges; stance what follows from the view; link the one actor with the socket; seal the key ring. internal/faultnet relays UDP and TCP with a place for each ordered pair, internal/rig starts processes behind it, internal/virtual runs the same machines on one manual clock. All of it is off without a fleet block.

--- a/cmd/garnetline/serve.go
+++ b/cmd/garnetline/serve.go
@@ -99,6 +99,10 @@
 		rec.Kept = pool.Kept
 		c.Trace(rec)
 	}
+	mates, err := join(with.file.Fleet, conf, list, c, clk, count, log)
+	if err != nil {
+		return err
+	}
 	names := dns.New(dns.Options{Config: lookups, Clock: clk, Core: c, Classes: classes,
 		Guard: list.Guard, Stats: count})
 	c.Follow(pool, names)
@@ -123,6 +127,13 @@
 			rec.Finish()
 		}()
 	}
+	if mates != nil {
+		go mates.Run(ctx)
+		defer func() { // the socket is another process's from then on
+			stop()
+			<-mates.Stopped()
+		}()
+	}
 	go list.Run(ctx)
 	failed := make(chan error, 2)
 	go func() {
@@ -137,8 +148,11 @@
 			return fmt.Errorf("mgmt: %w", err)
 		}
 		pages := &door.Door{Switch: list.Switch,
-			Ready:   func() bool { return told.Load() && caught(list) && !stopping.Load() },
+			Ready:   func() bool { return told.Load() && caught(list) && !stopping.Load() && mates.Ready() },
 			Figures: func() door.Figures { return figures(classes(), count, list, c) }}
+		if mates != nil {
+			pages.Fleet = mates
+		}
 		staff := http.New(http.Options{Clock: clk, Stats: count, Page: pages.Page, Conns: func() int { return doorConns }})
 		go func() { failed <- staff.Serve(l) }()
 		defer staff.Finish()
@@ -177,12 +191,14 @@
 				now.Store(next.conf)
 				c.Reload(next.conf.Settings)
 				list.Reload(next.conf)
+				mates.Reload(next.file.Fleet)
 				if rec != nil {
 					rec.Adopt(kept(next.file.Trace, next.conf.Settings.Classes))
 				}
 				log.Info().Msg("reloaded")
 			case done == nil:
 				stopping.Store(true)
+				mates.Leave()
 				front.Stopping()
 				if conf.ListenFD != 0 { // its other holders take what comes from now on
 					front.HandOver()
--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -60,6 +60,7 @@
 	barred atomic.Int64                      // how many of them may not be sent to
 	heard  atomic.Bool                       // its word is as new as it can be had soon
 	caught chan struct{}                     // closed then
+	fleet  neighbours
 }
 
 // order is a call of staff to take a cache out, or back.
@@ -212,6 +213,9 @@
 			o.err <- l.order(o)
 		case <-look.C:
 			l.compare()
+			l.deaf()
+		case <-l.fleet.nudge:
+			l.neighbour()
 		case conf := <-l.box:
 			return heard, conf, nil
 		case <-pause:
@@ -224,9 +228,11 @@
 
 // hear takes one frame.
 func (l *Log) hear(f message) {
+	l.frame()
 	if f.kind != 0 && f.ev.Seq > l.seq {
 		l.take(f.ev)
 		l.seq = f.ev.Seq
+		l.spread(f.ev)
 	} else {
 		g := *l.guard.Load()
 		g.Heard = clock.Duration(l.clock.Now())
@@ -249,6 +255,7 @@
 		return err
 	}
 	l.ban(o.id, o.out)
+	l.tellBan(o.id, o.out)
 	return nil
 }
 
@@ -261,11 +268,13 @@
 	for id := range marked {
 		if _, out := l.banned[id]; !out {
 			l.ban(id, true)
+			l.tellBan(id, true)
 		}
 	}
 	for id := range l.banned {
 		if !marked[id] {
 			l.ban(id, false)
+			l.tellBan(id, false)
 		}
 	}
 }
@@ -294,6 +303,9 @@
 	if _, out := l.banned[h.ID]; out && h.Phase == decide.Ready {
 		h.Phase = decide.Draining
 	}
+	if started, out := l.fleet.drained[h.ID]; out && h.Phase == decide.Ready && h.Started <= started {
+		h.Phase = decide.Draining
+	}
 	return h
 }
 
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -21,6 +21,12 @@
 	Ready   func() bool
 	Figures func() Figures // as of now
 	Switch  func(ctx context.Context, id decide.ServerID, out bool) error
+	// Fleet is what the router knows of the others: the page, as JSON, and figures for
+	// /metrics. Nil: it knows no others, and has no such page.
+	Fleet interface {
+		Page() []byte
+		Append(metrics []byte) []byte
+	}
 }
 
 // Figures are the numbers that staff see.
@@ -51,6 +57,7 @@
 	switch {
 	case disable || enable:
 		want = "POST"
+	case path == "/fleet" && d.Fleet != nil:
 	case path != "/ready" && path != "/metrics":
 		return 404, []byte("no such call\n")
 	}
@@ -59,6 +66,10 @@
 		return 405, []byte(want + " only\n")
 	case want == "POST":
 		return d.turn(ctx, id, disable)
+	case path == "/fleet":
+		return 200, d.Fleet.Page()
+	case path == "/metrics" && d.Fleet != nil:
+		return 200, d.Fleet.Append(d.Figures().Append(nil))
 	case path == "/metrics":
 		return 200, d.Figures().Append(nil)
 	case !d.Ready():
--- /dev/null
+++ b/internal/rig/rig.go
@@ -0,0 +1,377 @@
+// Package rig starts several processes of the program with stand-in boxes, change logs
+// and clients on loopback, all that they say to each other passing through faultnet. It
+// stops, stalls, kills and restarts them, waits for stated conditions, and counts what
+// everyone received.
+package rig
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"garnetline/decide"
+	"garnetline/internal/faultnet"
+	"garnetline/internal/fleet"
+	"garnetline/internal/standin"
+)
+
+// Options say what is started.
+type Options struct {
+	Program  string   // the daemon's path
+	Env      []string // further environment of the daemon
+	Routers  int
+	Boxes    int
+	Fleet    bool
+	Lines    string // further lines of the fleet block
+	Seed     uint64
+	Dir      string // for files; made if need be
+	Patience time.Duration
+}
+
+// Key is the fleet's key in every rig.
+const Key = "a key for routers on loopback"
+
+// Rig is what runs.
+type Rig struct {
+	o       Options
+	Net     *faultnet.Net
+	Boxes   []*Box
+	Log     *standin.Teller
+	Routers []*Router
+	claim   net.Listener
+	base    netip.Addr
+	mu      sync.Mutex
+	began   time.Time
+}
+
+// Box is a stand-in box with its name on the list.
+type Box struct {
+	*standin.Box
+	ID   decide.ServerID
+	Name string
+	mu   sync.Mutex
+	fail bool
+}
+
+// Router is one router: its files, and its process if it runs.
+type Router struct {
+	Name, Listen, Mgmt, Fleet string // addresses of its own
+	Reached                   string // where the others write to
+	Output                    *standin.Output
+	rig                       *Rig
+	dir                       string
+	conf, ops                 string
+	cmd                       *exec.Cmd
+	done                      chan struct{}
+	exit                      error
+}
+
+// claimPort is where a rig holds its part of the loopback addresses, so that no two rigs
+// have the same: its ports can then be nobody else's.
+const claimPort = 20017
+
+// Start starts the parties, and the routers one after another without waiting.
+func Start(o Options) (r *Rig, err error) {
+	if o.Patience == 0 {
+		o.Patience = 30 * time.Second
+	}
+	r = &Rig{o: o, Net: faultnet.New(o.Seed), began: time.Now()}
+	defer func() {
+		if err != nil {
+			r.Close()
+		}
+	}()
+	for i := range 200 {
+		h := fnv.New32a()
+		fmt.Fprint(h, os.Getpid(), time.Now().UnixNano(), i)
+		x := h.Sum32()
+		r.base = netip.AddrFrom4([4]byte{127, byte(64 + x%128), byte(x >> 8), 0})
+		if r.claim, err = net.Listen("tcp", netip.AddrPortFrom(r.at(255), claimPort).String()); err == nil {
+			break
+		}
+	}
+	if err != nil {
+		return nil, fmt.Errorf("rig: no loopback addresses to be had: %w", err)
+	}
+	if r.Log, err = standin.NewTeller(1); err != nil {
+		return nil, err
+	}
+	for i := range o.Boxes {
+		b := &Box{ID: decide.ServerID(i + 1), Name: fmt.Sprintf("box%d", i+1)}
+		if b.Box, err = standin.NewBox(b.reply); err != nil {
+			return nil, err
+		}
+		r.Boxes = append(r.Boxes, b)
+	}
+	for i := range o.Routers {
+		if _, err = r.Add(fmt.Sprintf("r%02d", i), i); err != nil {
+			return nil, err
+		}
+	}
+	return r, nil
+}
+
+// at is the i-th address of this rig's part of the loopback.
+func (r *Rig) at(i int) netip.Addr {
+	b := r.base.As4()
+	b[3] = byte(i)
+	return netip.AddrFrom4(b)
+}
+
+func (b *Box) reply(id, fields string) string {
+	b.mu.Lock()
+	fail := b.fail
+	b.mu.Unlock()
+	if fail {
+		return standin.Answer(id, "BROKE", "-", "")
+	}
+	return standin.Answer(id, "DONE", "tag=t1,minted=1", "bytes of an object")
+}
+
+// SetFail has a box fail all that it is sent, or serve again.
+func (b *Box) SetFail(on bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fail = on
+}
+
+const platform = `{"areas":["edge"],"machine_types":["box","parent","origin"],"zone":0,"weights":"rough",
+"classes":[{"name":"part","effect":"read_like","aim_us":400000,"deadline_us":4000000,"value":2.0},
+ {"name":"form","effect":"idempotency_key","group":"all","window_us":2000000,"aim_us":400000,"deadline_us":4000000,"value":3.0}],
+"family_info":{"class_write":[false,true],"root_kind":2,"second_tier_kind":1,"seats_by_zone":[%d],"cleared_within_us":6000000,"one_flow_kb_per_s":5000,"can_join":true},
+"limits":{"try_limit":6,"cancel":true,"retry_after":true,"max_retry_after_us":2000000},"rules":{"cold_from":0.15,"cold_us":16000000,"fall_multiple":3.0,"overload_for_us":1500000}}`
+
+// Add starts a further router with a name, in the i-th place of the fleet. Two may have
+// one name: each has files of its own.
+func (r *Rig) Add(name string, i int) (*Router, error) {
+	x := &Router{Name: name, rig: r, dir: filepath.Join(r.o.Dir, fmt.Sprintf("%s-%d", name, i)), Output: &standin.Output{}}
+	ip := r.at(i + 1)
+	port := func(n uint16) string { return netip.AddrPortFrom(ip, n).String() }
+	x.Listen, x.Mgmt, x.Fleet = port(8080), port(8081), port(7946)
+	real := netip.MustParseAddrPort(x.Fleet)
+	way := fmt.Sprintf("%s-%d", name, i)
+	reached, err := r.Net.UDP(way, real)
+	if err != nil {
+		return nil, err
+	}
+	x.Reached = reached.String()
+	if err := os.MkdirAll(filepath.Join(x.dir, "state"), 0o700); err != nil {
+		return nil, err
+	}
+	log, err := r.Net.TCP(way, "log", r.Log.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	var hosts []string
+	host := func(id decide.ServerID, kind, name, addr string) error {
+		via, err := r.Net.TCP(way, name, addr)
+		hosts = append(hosts, fmt.Sprintf(`{"host":%q,"dial":%q,"site":"edge","class":%q,"block":0,"health":"ready","share":100,"born_ms":0}`, id, via, kind))
+		return err
+	}
+	for _, b := range r.Boxes {
+		if err := host(b.ID, "box", b.Name, b.Addr().String()); err != nil {
+			return nil, err
+		}
+	}
+	if len(r.Boxes) > 0 {
+		if err := host(250, "origin", "archive", r.Boxes[0].Addr().String()); err != nil {
+			return nil, err
+		}
+	}
+	conf := fmt.Sprintf(`{"name":%q,"listen":%q,"mgmt":%q,"seed":"%d","limits":{},"changelog":%q,
+"known":{"seq":1,"results":[{"seq":1,"fleet":{"seq":0,"whole":true,"hosts":[%s]}}]},"settings":%s}`,
+		name, x.Listen, x.Mgmt, i+1, log, strings.Join(hosts, ","), fmt.Sprintf(platform, max(1, r.o.Routers)))
+	x.conf, x.ops = filepath.Join(x.dir, "config.json"), filepath.Join(x.dir, "garnetline.hcl")
+	if err := os.WriteFile(x.conf, []byte(conf), 0o600); err != nil {
+		return nil, err
+	}
+	if err := x.Settings(Key); err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	r.Routers = append(r.Routers, x)
+	r.mu.Unlock()
+	return x, x.Start()
+}
+
+// Settings writes a router's operators' file, with the keys given.
+func (x *Router) Settings(keys ...string) error {
+	var join []string
+	x.rig.mu.Lock()
+	for _, o := range x.rig.Routers[:min(3, len(x.rig.Routers))] {
+		join = append(join, fmt.Sprintf("%q", o.Reached))
+	}
+	x.rig.mu.Unlock()
+	if len(join) == 0 {
+		join = []string{fmt.Sprintf("%q", x.Reached)}
+	}
+	quoted := make([]string, len(keys))
+	for i, k := range keys {
+		quoted[i] = fmt.Sprintf("%q", k)
+	}
+	text := "log {\n level = \"info\"\n}\n"
+	if x.rig.o.Fleet {
+		text += fmt.Sprintf("fleet {\n enabled = true\n name = \"rig\"\n listen = %q\n advertise = %q\n join = [%s]\n keys = [%s]\n%s}\n",
+			x.Fleet, x.Reached, strings.Join(join, ", "), strings.Join(quoted, ", "), x.rig.o.Lines)
+	}
+	return os.WriteFile(x.ops, []byte(text), 0o600)
+}
+
+// Way is the router's name among the parties of the relay.
+func (x *Router) Way() string { return filepath.Base(x.dir) }
+
+// Start starts the router's process; it may be its second and later life.
+func (x *Router) Start() error {
+	cmd := exec.Command(x.rig.o.Program, "serve", "--config", x.conf, "--settings", x.ops)
+	cmd.Env = append(append(os.Environ(), "TMPDIR="+filepath.Join(x.dir, "state"), "GOMAXPROCS=2"), x.rig.o.Env...)
+	cmd.Stderr = x.Output
+	// A rig that is itself killed leaves nobody behind.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	x.cmd, x.done = cmd, done
+	go func() {
+		x.exit = cmd.Wait()
+		close(done)
+	}()
+	return nil
+}
+
+// Running tells whether the process is there, stalled or not.
+func (x *Router) Running() bool {
+	select {
+	case <-x.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Signal sends a signal to the process.
+func (x *Router) Signal(s syscall.Signal) error { return x.cmd.Process.Signal(s) }
+
+// Kill ends the process without a word and waits until it is gone.
+func (x *Router) Kill() {
+	x.cmd.Process.Kill()
+	<-x.done
+}
+
+// Stall stops the process, Wake has it go on.
+func (x *Router) Stall() error { return x.Signal(syscall.SIGSTOP) }
+
+// Wake has a stalled process go on.
+func (x *Router) Wake() error { return x.Signal(syscall.SIGCONT) }
+
+// Stop ends the process in order. An error is its own, or that it does not end.
+func (x *Router) Stop() error {
+	if err := x.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-x.done:
+		return x.exit
+	case <-time.After(x.rig.o.Patience):
+		return fmt.Errorf("%s: still there after %v", x.Name, x.rig.o.Patience)
+	}
+}
+
+// Status is what the router shows of its fleet.
+func (x *Router) Status() (*fleet.Status, error) {
+	code, b, err := x.Door("GET", "/fleet")
+	if err != nil || code != 200 {
+		return nil, fmt.Errorf("%s: /fleet: %d %v", x.Name, code, err)
+	}
+	s := &fleet.Status{}
+	return s, json.Unmarshal(b, s)
+}
+
+// Door makes one call at the router's door.
+func (x *Router) Door(method, path string) (int, []byte, error) {
+	return call(x.Mgmt, method+" "+path+" HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 2*time.Second)
+}
+
+// call says one request on a connection of its own and reads all of the answer.
+func call(addr, request string, within time.Duration) (code int, body []byte, err error) {
+	conn, err := net.DialTimeout("tcp", addr, within)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(within))
+	if _, err := io.WriteString(conn, request); err != nil {
+		return 0, nil, err
+	}
+	b, err := io.ReadAll(conn)
+	if err != nil {
+		return 0, nil, err
+	}
+	head, body, whole := bytes.Cut(b, []byte("\r\n\r\n"))
+	if n, _ := fmt.Sscanf(string(head), "HTTP/1.1 %d", &code); n != 1 || !whole {
+		return 0, nil, errors.New("no whole answer")
+	}
+	return code, body, nil
+}
+
+// Until waits until a condition holds. ok tells whether it does, and what is seen now;
+// that, and the ends of the routers' logs, are in the error when it does not hold in time.
+func (r *Rig) Until(what string, within time.Duration, ok func() (bool, string)) (took time.Duration, err error) {
+	began := time.Now()
+	for {
+		done, seen := ok()
+		took = time.Since(began)
+		if done {
+			return took, nil
+		}
+		if took > within {
+			return took, fmt.Errorf("%s: not so after %v: %s\n%s", what, within, seen, r.Logs(12))
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Logs returns the last lines of each router's log.
+func (r *Rig) Logs(lines int) string {
+	var s strings.Builder
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, x := range r.Routers {
+		l := strings.Split(strings.TrimSpace(x.Output.String()), "\n")
+		fmt.Fprintf(&s, "--- %s\n%s\n", x.Way(), strings.Join(l[max(0, len(l)-lines):], "\n"))
+	}
+	return s.String()
+}
+
+// Close ends all processes and parties that the rig started, and no others.
+func (r *Rig) Close() {
+	for _, x := range r.Routers {
+		if x.cmd != nil {
+			x.Kill()
+		}
+	}
+	for _, b := range r.Boxes {
+		if b.Box != nil {
+			b.Close()
+		}
+	}
+	if r.Log != nil {
+		r.Log.Close()
+	}
+	if r.claim != nil {
+		r.claim.Close()
+	}
+	r.Net.Close()
+}
--- /dev/null
+++ b/internal/rig/views.go
@@ -0,0 +1,93 @@
+package rig
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Live returns the routers whose processes run and are not among those given.
+func (r *Rig) Live(but ...*Router) (l []*Router) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, x := range r.Routers {
+		if x.Running() && !slices.Contains(but, x) {
+			l = append(l, x)
+		}
+	}
+	return l
+}
+
+// Seen is how a router sees the others, in a few words that are the same for equal views.
+func (x *Router) Seen() string {
+	s, err := x.Status()
+	if err != nil {
+		return err.Error()
+	}
+	var l []string
+	for _, m := range s.Members {
+		if m.State != "left" {
+			l = append(l, m.Name+" "+m.State)
+		}
+	}
+	return strings.Join(l, ", ")
+}
+
+// Alike waits until all of these routers see just these as alive.
+func (r *Rig) Alike(within time.Duration, of ...*Router) (time.Duration, error) {
+	return r.Until(fmt.Sprintf("%d routers see each other as alive and nobody else", len(of)), within, func() (bool, string) {
+		for _, x := range of {
+			s, err := x.Status()
+			if err != nil {
+				return false, err.Error()
+			}
+			alive := 0
+			for _, m := range s.Members {
+				if m.State == "alive" || m.State == "suspect" {
+					alive++
+				}
+			}
+			if alive != len(of) || strings.Contains(x.Seen(), "suspect") {
+				return false, x.Name + " sees " + x.Seen()
+			}
+		}
+		return true, ""
+	})
+}
+
+// Sees waits until all of these routers see a router in a state.
+func (r *Rig) Sees(within time.Duration, who *Router, state string, of ...*Router) (time.Duration, error) {
+	return r.Until(who.Name+" is "+state+" in each view", within, func() (bool, string) {
+		for _, x := range of {
+			s, err := x.Status()
+			if err != nil {
+				return false, err.Error()
+			}
+			as := "unknown"
+			for _, m := range s.Members {
+				if m.Name == who.Name && m.Addr == who.Reached {
+					as = m.State
+				}
+			}
+			if as != state {
+				return false, x.Name + " sees it as " + as
+			}
+		}
+		return true, ""
+	})
+}
+
+// Told counts the lines of a router's log that hold each of some texts.
+func (x *Router) Told(texts ...string) (n int) {
+	for line := range strings.Lines(x.Output.String()) {
+		all := true
+		for _, t := range texts {
+			all = all && strings.Contains(line, t)
+		}
+		if all {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,6 +22,7 @@
 	Log   Log
 	DNS   dns.Config
 	Trace Trace
+	Fleet Fleet
 }
 
 // Log says what is logged.
@@ -62,7 +63,7 @@
 // Default is what holds without a file.
 func Default() File {
 	return File{Log: Log{Level: "info"}, DNS: dns.Default(),
-		Trace: Trace{SegmentMB: 8, KeepMB: 256, UndecidedKB: 4096, Ordinary: 2, RetryWithin: 5000, Sampled: true}}
+		Fleet: defaultFleet(), Trace: Trace{SegmentMB: 8, KeepMB: 256, UndecidedKB: 4096, Ordinary: 2, RetryWithin: 5000, Sampled: true}}
 }
 
 // Load reads an operators' file; "" stands for none. An error is one line that
@@ -84,14 +85,15 @@
 		Log   *Log        `hcl:"log,block"`
 		DNS   *dns.Config `hcl:"dns,block"`
 		Trace *Trace      `hcl:"trace,block"`
-	}{&f.Log, &f.DNS, &f.Trace}
+		Fleet *Fleet      `hcl:"fleet,block"`
+	}{&f.Log, &f.DNS, &f.Trace, &f.Fleet}
 	if diags = gohcl.DecodeBody(parsed.Body, nil, &blocks); diags.HasErrors() {
 		return Default(), first(diags)
 	}
 	for _, c := range []struct {
 		block string
 		check func() error
-	}{{"log", f.Log.check}, {"dns", f.DNS.Check}, {"trace", f.Trace.check}} {
+	}{{"log", f.Log.check}, {"dns", f.DNS.Check}, {"trace", f.Trace.check}, {"fleet", f.Fleet.check}} {
 		if err := c.check(); err != nil {
 			return Default(), fmt.Errorf("%s: %w", place(parsed, path, c.block, err), err)
 		}
@@ -196,5 +198,8 @@
 		!same(f.Trace.Collector, next.Trace.Collector) {
 		return errors.New("trace: only a restart can change enabled, folder, secret, peers and collector")
 	}
+	if err := f.Fleet.admits(&next.Fleet); err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
 	return nil
 }
--- /dev/null
+++ b/internal/virtual/virtual.go
@@ -0,0 +1,325 @@
+// Package virtual runs the state machines of many routers on one manual clock and a
+// network of its own, deterministic from one seed: the same code as in the daemon, by
+// the hundred, in one goroutine.
+package virtual
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+
+	"garnetline/internal/fleet"
+	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/seal"
+)
+
+// udpHead is what the network adds to a datagram: IPv4 and UDP.
+const udpHead = 28
+
+// Machine is what a host runs.
+type Machine interface {
+	Step(now float64, p *member.Packet) fleet.Output
+	Leave(now float64) member.Output
+}
+
+// Bare runs membership alone, without words of boxes and stance.
+type Bare struct{ *member.Machine }
+
+// Step steps it.
+func (b Bare) Step(now float64, p *member.Packet) fleet.Output {
+	return fleet.Output{Output: b.Machine.Step(now, p)}
+}
+
+// Host is one process of a router.
+type Host struct {
+	Machine
+	Name   string
+	Addr   netip.AddrPort
+	Self   member.Word
+	Dead   bool
+	Sent   int64 // packets
+	Bytes  int64 // that it sent, sealed, with the network's heads
+	paused float64
+	wake   float64 // of its earliest timer that is in the queue
+	queued []*member.Packet
+	On     func(h *Host, now float64, out *fleet.Output) // may be nil
+}
+
+// Link decides what becomes of a packet from one host to another.
+type Link struct {
+	Loss   float64                        // share that is lost
+	Repeat float64                        // share that comes twice
+	Delay  float64                        // ms at the least
+	Jitter float64                        // mean of what comes on top
+	Cut    func(from, to *Host) bool      // nil: nothing is
+	Alter  func(p *member.Packet) float64 // further delay; nil: none
+}
+
+// Net is the network and its hosts.
+type Net struct {
+	Now    float64
+	Link   Link
+	Rng    *rand.Rand
+	Hosts  []*Host
+	Events int64
+	at     map[netip.AddrPort]*Host
+	queue  heap
+	n      uint64
+	room   []byte
+}
+
+// New returns an empty network.
+func New(seed uint64) *Net {
+	return &Net{Link: Link{Delay: 0.2, Jitter: 0.3}, Rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), at: map[netip.AddrPort]*Host{}}
+}
+
+// Addr is the address of the i-th place of the network.
+func Addr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i)}), 7946)
+}
+
+// Fleet adds n routers of one fleet, each in its first life, that find each other by the
+// address of the first.
+func (v *Net) Fleet(n int, set fleet.Settings, bare bool) {
+	for i := range n {
+		v.Start(i, fmt.Sprintf("r%03d", i), member.ID(v.Rng.Uint64()|1), 1, set, bare)
+	}
+}
+
+// Start adds a process of a router at a place, with a seat and a life.
+func (v *Net) Start(place int, name string, seat member.ID, life uint64, set fleet.Settings, bare bool) *Host {
+	h := &Host{Name: name, Addr: Addr(place), wake: math.Inf(1),
+		Self: member.Word{ID: seat, Inc: member.Incarnation(life), Name: name, Zone: fmt.Sprintf("z%d", place%3), Version: "v", Addr: Addr(place)}}
+	rng := rand.New(rand.NewPCG(v.Rng.Uint64(), v.Rng.Uint64()))
+	seeds := []netip.AddrPort{Addr(0), Addr(1)}
+	if bare {
+		h.Machine = Bare{member.New(set.Member, h.Self, seeds, rng, nil, v.Now)}
+	} else {
+		h.Machine = fleet.New(set, h.Self, seeds, rng, v.Now)
+	}
+	v.Hosts = append(v.Hosts, h)
+	v.at[h.Addr] = h
+	v.push(event{at: v.Now, to: h})
+	return h
+}
+
+// Kill ends a process without a word.
+func (v *Net) Kill(h *Host) {
+	h.Dead = true
+	if v.at[h.Addr] == h {
+		delete(v.at, h.Addr)
+	}
+}
+
+// Leave ends a process in order.
+func (v *Net) Leave(h *Host) {
+	out := h.Machine.Leave(v.Now)
+	v.carry(h, &out)
+	v.Kill(h)
+}
+
+// Stall stops a process for a while. What comes for it waits, up to what a socket holds.
+func (v *Net) Stall(h *Host, ms float64) {
+	h.paused = v.Now + ms
+	v.push(event{at: h.paused, to: h})
+}
+
+// Do steps a host by something other than the network.
+func (v *Net) Do(h *Host, f func()) {
+	f()
+	v.step(h, nil)
+}
+
+// Run goes on until a moment.
+func (v *Net) Run(until float64) {
+	for len(v.queue) > 0 && v.queue[0].at <= until {
+		e := v.queue.pop()
+		v.Now = e.at
+		v.Events++
+		h := e.to
+		if e.p != nil {
+			if h = v.at[e.addr]; h == nil || h.Dead {
+				continue // nobody is there, as on a real network
+			}
+		} else if h.wake <= e.at {
+			h.wake = math.Inf(1)
+		}
+		switch {
+		case h.Dead:
+		case v.Now < h.paused:
+			if e.p != nil && len(h.queued) < 200 {
+				h.queued = append(h.queued, e.p)
+			}
+		default:
+			for _, p := range h.queued {
+				v.step(h, p)
+			}
+			h.queued = h.queued[:0]
+			v.step(h, e.p)
+		}
+	}
+	v.Now = until
+}
+
+// Until goes on in steps until a condition holds, and tells whether it did by then.
+func (v *Net) Until(limit, step float64, ok func() bool) bool {
+	for !ok() {
+		if v.Now >= limit {
+			return false
+		}
+		v.Run(v.Now + step)
+	}
+	return true
+}
+
+func (v *Net) step(h *Host, p *member.Packet) {
+	out := h.Machine.Step(v.Now, p)
+	v.carry(h, &out.Output)
+	if h.On != nil {
+		h.On(h, v.Now, &out)
+	}
+	// One timer a host: a later one is set when it fires.
+	if at := max(out.Wake, v.Now+0.05); at < h.wake {
+		h.wake = at
+		v.push(event{at: at, to: h})
+	}
+}
+
+// carry sends what a host wants sent.
+func (v *Net) carry(h *Host, out *member.Output) {
+	for _, s := range out.Sends {
+		v.room = s.Packet.Append(v.room[:0])
+		h.Sent++
+		h.Bytes += int64(len(v.room) + seal.Overhead + udpHead)
+		to := v.at[s.To]
+		if v.Link.Cut != nil && to != nil && v.Link.Cut(h, to) {
+			continue
+		}
+		for n := 0; n < 2; n++ {
+			if n == 1 && v.Rng.Float64() >= v.Link.Repeat {
+				break
+			}
+			if v.Link.Loss > 0 && v.Rng.Float64() < v.Link.Loss {
+				continue
+			}
+			late := v.Link.Delay
+			if v.Link.Jitter > 0 {
+				late += v.Rng.ExpFloat64() * v.Link.Jitter
+			}
+			if v.Link.Alter != nil {
+				late += v.Link.Alter(s.Packet)
+			}
+			p := *s.Packet // what a host does with it is nobody else's matter
+			v.push(event{at: v.Now + late, p: &p, addr: s.To})
+		}
+	}
+}
+
+// event is a packet that arrives, or a timer.
+type event struct {
+	at   float64
+	n    uint64 // what was pushed first goes first
+	to   *Host
+	p    *member.Packet
+	addr netip.AddrPort
+}
+
+func (v *Net) push(e event) {
+	v.n++
+	e.n = v.n
+	v.queue.push(e)
+}
+
+// heap is the queue of events, a binary heap of values: container/heap would box each.
+type heap []event
+
+func (q heap) less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].n < q[j].n
+}
+
+func (q *heap) push(e event) {
+	h := append(*q, e)
+	for i := len(h) - 1; i > 0; {
+		up := (i - 1) / 2
+		if !h.less(i, up) {
+			break
+		}
+		h[i], h[up] = h[up], h[i]
+		i = up
+	}
+	*q = h
+}
+
+func (q *heap) pop() event {
+	h := *q
+	e := h[0]
+	last := len(h) - 1
+	h[0] = h[last]
+	h[last] = event{}
+	h = h[:last]
+	for i := 0; ; {
+		c := 2*i + 1
+		if c >= len(h) {
+			break
+		}
+		if c+1 < len(h) && h.less(c+1, c) {
+			c++
+		}
+		if !h.less(c, i) {
+			break
+		}
+		h[c], h[i] = h[i], h[c]
+		i = c
+	}
+	*q = h
+	return e
+}
+
+// Alike tells whether all hosts that live hold the same routers as there, and nobody else.
+func (v *Net) Alike() bool {
+	var want [member.Buckets]uint32
+	first := true
+	live := 0
+	for _, h := range v.Hosts {
+		if !h.Dead {
+			live++
+		}
+	}
+	for _, h := range v.Hosts {
+		if h.Dead {
+			continue
+		}
+		m := h.Member()
+		if first {
+			want, first = m.Sums(), false
+		}
+		if m.Sums() != want || m.There() != live {
+			return false
+		}
+	}
+	return true
+}
+
+// Member returns a host's machine of membership.
+func (h *Host) Member() *member.Machine {
+	switch m := h.Machine.(type) {
+	case Bare:
+		return m.Machine
+	case *fleet.Node:
+		return m.Machine
+	}
+	return nil
+}
+
+// SeenAs counts how the others that live see a host.
+func (v *Net) SeenAs(x *Host) (n [4]int) {
+	for _, h := range v.Hosts {
+		if h != x && !h.Dead {
+			if s, known := h.Member().State(x.Self.ID); known {
+				n[s]++
+			}
+		}
+	}
+	return n
+}
