--- /dev/null
+++ b/internal/lab/report.go
@@ -0,0 +1,68 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"path/filepath"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Table writes the results as Markdown.
+func Table(w io.Writer, all []*Result) {
+	fmt.Fprintln(w, "| way | routers | first to know, ms: median, p99 | all know, ms: median, p99 | packets/s | bytes/s | KB held |")
+	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- |")
+	for _, r := range all {
+		fmt.Fprintf(w, "| %s | %d | %.0f, %.0f | %.0f, %.0f | %.1f | %.0f | %.0f |\n", r.Way, r.Size, Quantile(r.Detect, 0.5), Quantile(r.Detect, 0.99),
+			Quantile(r.Known, 0.5), Quantile(r.Known, 0.99), r.Packets, r.Bytes, r.Memory/1024)
+	}
+	fmt.Fprintln(w, "\nWrong words an hour and fleet, of routers that lived and did not stall, by those who said so first:")
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "| way | routers | trouble | suspicions | failures | failures of those that stalled | hours played |")
+	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- |")
+	for _, r := range all {
+		for _, x := range r.Rough {
+			fmt.Fprintf(w, "| %s | %d | %s | %.0f | %.1f | %.0f | %.2f |\n", r.Way, r.Size, x.Trouble, x.Suspected, x.Failed, x.StalledFailed, x.Hours)
+		}
+	}
+}
+
+// Charts draws the results into a folder.
+func Charts(folder string, all []*Result) error {
+	for _, c := range []struct {
+		file, title, y string
+		of             func(*Result) float64
+	}{
+		{"known.svg", "From a kill until all know, p99", "ms", func(r *Result) float64 { return Quantile(r.Known, 0.99) }},
+		{"bytes.svg", "What a router sends without a fault", "bytes a second", func(r *Result) float64 { return r.Bytes }},
+	} {
+		p := plot.New()
+		p.Title.Text, p.X.Label.Text, p.Y.Label.Text = c.title, "routers", c.y
+		p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.ConstantTicks([]plot.Tick{{Value: 3, Label: "3"}, {Value: 30, Label: "30"}, {Value: 300, Label: "300"}, {Value: 1000, Label: "1,000"}})
+		p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+		p.Add(plotter.NewGrid())
+		p.Legend.Top, p.Legend.Left = true, true
+		for i, way := range Ways() {
+			var xy plotter.XYs
+			for _, r := range all {
+				if r.Way == way.Name {
+					xy = append(xy, plotter.XY{X: float64(r.Size), Y: c.of(r)})
+				}
+			}
+			line, points, err := plotter.NewLinePoints(xy)
+			if err != nil {
+				return err
+			}
+			line.Color, points.Color, points.Shape = plotutil.Color(i), plotutil.Color(i), plotutil.Shape(i)
+			p.Add(line, points)
+			p.Legend.Add(way.Name, line, points)
+		}
+		if err := p.Save(16*vg.Centimeter, 10*vg.Centimeter, filepath.Join(folder, c.file)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
