garnetline fleet shows the others; check reads an operators' file by itself

Also: what records traces no longer reaches up into core; trace/attach ties the two. A failed word about one heard of a moment ago, without a suspicion before it, is a suspicion: after a cut healed both sides failed their own for 0.2 s.

--- /dev/null
+++ b/cmd/garnetline/fleet.go
@@ -0,0 +1,224 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/textproto"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"garnetline/internal/clock"
+	"garnetline/internal/config"
+	"garnetline/internal/fleet"
+)
+
+const (
+	doorWithin = 2 * time.Second
+	watchEvery = 200 * time.Millisecond
+)
+
+// fleetCommand shows what a running router knows of the others, from its door.
+func fleetCommand(out io.Writer) *cli.Command {
+	flags := []cli.Flag{
+		&cli.StringFlag{Name: "mgmt", Usage: "`ADDRESS` of the router's door; without it, EDGE_MGMT or the configuration's"},
+		&cli.StringFlag{Name: "config", Usage: "configuration `FILE` that names the door; without it, what EDGE_CONFIG names"},
+		&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+	}
+	show := func(c *cli.Command, table func(io.Writer, *fleet.Status) error) error {
+		s, text, err := statusOf(c)
+		if err != nil {
+			return err
+		}
+		if c.Bool("json") {
+			_, err := out.Write(text)
+			return err
+		}
+		return table(out, s)
+	}
+	return &cli.Command{Name: "fleet", Usage: "show what a running router knows of the others", Commands: []*cli.Command{
+		{Name: "status", Usage: "the stance, and how many there are", Flags: flags,
+			Action: func(_ context.Context, c *cli.Command) error { return show(c, status) }},
+		{Name: "members", Usage: "a line for each router", Flags: flags,
+			Action: func(_ context.Context, c *cli.Command) error { return show(c, members) }},
+		{Name: "watch", Usage: "a line for each change, until it is ended", Flags: flags,
+			Action: func(ctx context.Context, c *cli.Command) error {
+				ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+				defer stop()
+				return watch(ctx, c, out)
+			}},
+	}}
+}
+
+// statusOf asks the door, and returns what it says as it came too.
+func statusOf(c *cli.Command) (*fleet.Status, []byte, error) {
+	addr := c.String("mgmt")
+	if addr == "" {
+		addr = os.Getenv("EDGE_MGMT")
+	}
+	if addr == "" {
+		conf, err := config.Load(c.String("config"), os.Getenv)
+		if err != nil {
+			return nil, nil, fmt.Errorf("mgmt: not given, and %w", err)
+		}
+		if !conf.Mgmt.IsValid() {
+			return nil, nil, errors.New("mgmt: not given, and the configuration names none")
+		}
+		addr = conf.Mgmt.String()
+	}
+	text, err := get(addr, "/fleet")
+	if err != nil {
+		return nil, nil, err
+	}
+	s := &fleet.Status{}
+	if err := json.Unmarshal(text, s); err != nil {
+		return nil, nil, fmt.Errorf("%s: no status of a fleet: %w", addr, err)
+	}
+	return s, text, nil
+}
+
+// get makes one call at a door.
+func get(addr, path string) ([]byte, error) {
+	conn, err := net.DialTimeout("tcp", addr, doorWithin)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(doorWithin))
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, addr); err != nil {
+		return nil, err
+	}
+	in := textproto.NewConn(conn)
+	first, err := in.ReadLine()
+	if err != nil {
+		return nil, err
+	}
+	if _, err := in.ReadMIMEHeader(); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(in.R, 64<<20))
+	switch code := strings.Fields(first + " 0 0"); {
+	case err != nil:
+		return nil, err
+	case code[1] == "404":
+		return nil, fmt.Errorf("%s: that router knows no others: its file has no fleet block, or it is not enabled", addr)
+	case code[1] != "200":
+		return nil, fmt.Errorf("%s: %s", addr, first)
+	}
+	return body, nil
+}
+
+func status(out io.Writer, s *fleet.Status) error {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "router\t%s, seat %s, life %d\n", s.Name, s.Seat, s.Life)
+	fmt.Fprintf(t, "fleet\t%s\n", s.Fleet)
+	fmt.Fprintf(t, "stance\t%s since %s\n", s.Stance, stamp(s.Since))
+	fmt.Fprintf(t, "there\t%d of %d known lately\n", s.There, s.Known)
+	if s.Health > 0 {
+		fmt.Fprintf(t, "slowness\t%d: it takes itself for slow, and accuses later\n", s.Health)
+	}
+	if !s.Bound {
+		fmt.Fprintln(t, "socket\twaits: another process has the address")
+	}
+	if s.Yielded {
+		fmt.Fprintln(t, "seat\ta later process has it")
+	}
+	if len(s.Bans) > 0 {
+		fmt.Fprintf(t, "banned\t%s\n", strings.Join(s.Bans, " "))
+	}
+	return t.Flush()
+}
+
+func members(out io.Writer, s *fleet.Status) error {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "NAME\tSTATE\tSINCE\tBY\tWAY\tZONE\tVERSION\tLIFE\tADDRESS\tSEAT")
+	for _, m := range s.Members {
+		way := "by others"
+		switch {
+		case m.Self:
+			way = "itself"
+		case m.Direct:
+			way = "direct"
+		case m.State == "failed" || m.State == "left":
+			way = "-"
+		}
+		since := "-"
+		if m.Since > 0 {
+			since = stamp(m.Since)
+		}
+		by := m.By
+		if by == "" {
+			by = "-"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d.%d\t%s\t%s\n", m.Name, m.State, since, by, way, m.Zone, m.Version, m.Life, m.Inc, m.Addr, m.Seat)
+	}
+	return t.Flush()
+}
+
+func stamp(ms float64) string {
+	return time.Unix(0, int64(clock.Duration(ms))).Format("15:04:05.000")
+}
+
+// watch prints what changes between looks.
+func watch(ctx context.Context, c *cli.Command, out io.Writer) error {
+	last := map[string]string{}
+	tick := time.NewTicker(watchEvery)
+	defer tick.Stop()
+	for first := true; ; first = false {
+		s, text, err := statusOf(c)
+		if err != nil && first {
+			return err
+		}
+		now := map[string]string{}
+		if err != nil {
+			now["door"] = "does not answer: " + err.Error()
+		} else {
+			now["stance"] = fmt.Sprintf("%s, %d of %d there", s.Stance, s.There, s.Known)
+			for _, m := range s.Members {
+				now[m.Name+" "+m.Seat] = fmt.Sprintf("%s, life %d at %s", m.State, m.Life, m.Addr)
+			}
+			for _, b := range s.Bans {
+				now["box "+b] = "banned"
+			}
+		}
+		changed := false
+		for k, v := range now {
+			if last[k] != v {
+				changed = true
+				if !c.Bool("json") {
+					fmt.Fprintf(out, "%s  %s: %s\n", time.Now().Format("15:04:05.000"), k, v)
+				}
+			}
+		}
+		for k := range last {
+			if _, there := now[k]; !there && err == nil {
+				changed = true
+				if !c.Bool("json") {
+					fmt.Fprintf(out, "%s  %s: no more\n", time.Now().Format("15:04:05.000"), k)
+				}
+			}
+		}
+		if c.Bool("json") && changed && err == nil {
+			line, err := json.Marshal(json.RawMessage(text))
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(out, "%s\n", line)
+		}
+		last = now
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
--- a/cmd/garnetline/main.go
+++ b/cmd/garnetline/main.go
@@ -5,11 +5,14 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
+	"text/tabwriter"
 
 	"github.com/urfave/cli/v3"
 
 	"garnetline/internal/config"
+	"garnetline/internal/fleet/stance"
 	"garnetline/internal/front/dns"
 	"garnetline/internal/logs"
 	"garnetline/internal/settings"
@@ -36,20 +39,9 @@
 					return serve(ctx, with, again)
 				}},
 			{Name: "check", Usage: "check a configuration and say what it holds", Flags: []cli.Flag{path, ops, names},
-				Action: func(_ context.Context, c *cli.Command) error {
-					with, err := load(c)
-					if err != nil {
-						return err
-					}
-					conf, lookups := with.conf, with.file.DNS
-					fmt.Printf("%s: listens on %v, change log at %v, %d events known, %d classes\n",
-						conf.Name, conf.Listen, conf.ChangeLog, len(conf.Known), len(conf.Settings.Classes))
-					if lookups.Enabled {
-						fmt.Printf("DNS front: %s at %s\n", lookups.Zone, lookups.Listen)
-					}
-					return nil
-				}},
+				Action: func(_ context.Context, c *cli.Command) error { return check(c, os.Stdout) }},
 			traceCommand(os.Stdout),
+			fleetCommand(os.Stdout),
 			{Name: "version", Usage: "print the version",
 				Action: func(context.Context, *cli.Command) error {
 					fmt.Println("garnetline", version)
@@ -63,6 +55,41 @@
 	}
 }
 
+// check says what a configuration and an operators' file hold. Where no configuration is
+// named, an operators' file is checked by itself.
+func check(c *cli.Command, out io.Writer) error {
+	var file settings.File
+	if c.String("config") == "" && os.Getenv("EDGE_CONFIG") == "" && c.String("settings") != "" && c.String("dns") == "" {
+		var err error
+		if file, err = settings.Load(c.String("settings")); err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "%s: can be used\n", c.String("settings"))
+	} else {
+		with, err := load(c)
+		if err != nil {
+			return err
+		}
+		conf := with.conf
+		file = with.file
+		fmt.Fprintf(out, "%s: listens on %v, change log at %v, %d events known, %d classes\n",
+			conf.Name, conf.Listen, conf.ChangeLog, len(conf.Known), len(conf.Settings.Classes))
+	}
+	if file.DNS.Enabled {
+		fmt.Fprintf(out, "DNS front: %s at %s\n", file.DNS.Zone, file.DNS.Listen)
+	}
+	if file.Fleet.Enabled {
+		fmt.Fprintf(out, "fleet %s: listens on %s, joins at %d addresses, %d keys\n", file.Fleet.Name, file.Fleet.Listen, len(file.Fleet.Join), len(file.Fleet.Keys))
+		t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(t, "\ttogether\tpartial\talone")
+		for _, r := range stance.Table() {
+			fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", r.Thing, r.Together, r.Partial, r.Alone)
+		}
+		return t.Flush()
+	}
+	return nil
+}
+
 // load reads what the flags and the environment name.
 func load(c *cli.Command) (with setup, err error) {
 	if with.conf, err = config.Load(c.String("config"), os.Getenv); err != nil {
--- a/cmd/garnetline/serve.go
+++ b/cmd/garnetline/serve.go
@@ -24,6 +24,7 @@
 	"garnetline/internal/peer"
 	"garnetline/internal/settings"
 	"garnetline/internal/stats"
+	"garnetline/internal/trace/attach"
 )
 
 const (
@@ -97,7 +98,7 @@
 	}
 	if rec != nil {
 		rec.Kept = pool.Kept
-		c.Trace(rec)
+		c.Trace(attach.Core(rec))
 	}
 	mates, err := join(with.file.Fleet, conf, list, c, clk, count, log)
 	if err != nil {
--- a/internal/fleet/member/machine.go
+++ b/internal/fleet/member/machine.go
@@ -356,6 +356,11 @@
 		return
 	}
 	r := m.by[w.ID]
+	if r != nil && w.State == Failed && r.State == Alive && r.heard > 0 && m.now-r.heard <= vouch*m.set.Period {
+		// No suspicion came before it, and it was heard of a moment ago: a cut healed, whose
+		// other side had failed it. It is asked before it is believed to be gone.
+		w.State = Suspect
+	}
 	switch {
 	case r == nil && !w.State.There():
 		return // forgotten, or never known
--- /dev/null
+++ b/internal/trace/attach/attach.go
@@ -0,0 +1,25 @@
+// Package attach ties a recorder to a core, so that neither knows the other.
+package attach
+
+import (
+	"garnetline/decide"
+	"garnetline/internal/core"
+	"garnetline/internal/trace/record"
+)
+
+// Core returns a recorder as a core's tracer.
+func Core(r *record.Recorder) core.Tracer { return tracer{r} }
+
+type tracer struct{ r *record.Recorder }
+
+// Open begins to follow a request.
+func (t tracer) Open(now float64, q *core.Request, class *decide.Class) core.Trail {
+	a := record.Asked{Txn: q.Txn, Key: q.Key, Object: q.Object, Part: q.Part, Group: q.Group, Came: now}
+	if o := q.Origin; o != nil {
+		a.Came, a.Parent, a.Client = o.Came, o.Parent, o.Client
+	}
+	return t.r.Open(now, a, class)
+}
+
+// Close takes a request that is done.
+func (t tracer) Close(now float64, done core.Trail) { t.r.Close(now, done.(*record.Trail)) }
--- a/internal/trace/record/record.go
+++ b/internal/trace/record/record.go
@@ -13,7 +13,6 @@
 
 	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/core"
 	"garnetline/internal/stats"
 	"garnetline/internal/trace"
 	"garnetline/internal/trace/keep"
@@ -84,7 +83,7 @@
 	Classes     map[string]keep.Class
 }
 
-// Recorder is a core.Tracer. Open and Close belong to the core's goroutine.
+// Recorder follows requests. Open and Close belong to the core's goroutine.
 type Recorder struct {
 	Options
 	next  atomic.Pointer[Settings] // to go over to, once
@@ -106,8 +105,17 @@
 // Adopt goes over to other settings, at the next request.
 func (r *Recorder) Adopt(s Settings) { r.next.Store(&s) }
 
-// trail is one request that is followed.
-type trail struct {
+// Asked is a request as it is followed.
+type Asked struct {
+	Txn, Key       string
+	Object         decide.ObjectID
+	Part, Group    int
+	Came           float64 // when its last byte came; 0: now
+	Parent, Client string  // the traceparent that came with it, not checked; the client's address
+}
+
+// Trail is one request that is followed.
+type Trail struct {
 	*trace.Live
 	link    *link.Linker
 	tie     link.Tie
@@ -117,7 +125,7 @@
 }
 
 // Sending notes an attempt.
-func (t *trail) Sending(now float64, g decide.Get) trace.Parent {
+func (t *Trail) Sending(now float64, g decide.Get) trace.Parent {
 	if t.room {
 		return t.Live.Sending(now, g)
 	}
@@ -127,13 +135,13 @@
 
 // Answered notes the answer. From here on the client may come again, though an attempt
 // may still be out.
-func (t *trail) Answered(now float64, o trace.Outcome) {
+func (t *Trail) Answered(now float64, o trace.Outcome) {
 	t.Live.Answered(now, o)
 	t.link.Ended(now, t.tie, o == trace.Served || o == trace.Same)
 }
 
 // Over notes the end of one.
-func (t *trail) Over(now float64, res decide.Result, bytes int, load decide.Load, w trace.Wire) {
+func (t *Trail) Over(now float64, res decide.Result, bytes int, load decide.Load, w trace.Wire) {
 	t.bytes = bytes
 	if t.room {
 		t.Live.Over(now, res, bytes, load, w)
@@ -143,32 +151,30 @@
 }
 
 // Open begins to follow a request.
-func (r *Recorder) Open(now float64, q *core.Request, class *decide.Class) core.Trail {
+func (r *Recorder) Open(now float64, q Asked, class *decide.Class) *Trail {
 	if s := r.next.Swap(nil); s != nil {
 		r.link.Within(s.RetryWithin)
 		r.keep.Adopt(s.Undecided, s.Other, s.Classes)
 		r.asked = s.Sampled
 	}
-	from := core.Origin{Came: now}
-	if q.Origin != nil {
-		from = *q.Origin
+	if q.Came == 0 {
+		q.Came = now
 	}
-	ask := link.Ask{Parent: from.Parent, Client: from.Client, Class: class.Name, Object: uint64(q.Object), Part: q.Part}
+	ask := link.Ask{Parent: q.Parent, Client: q.Client, Class: class.Name, Object: uint64(q.Object), Part: q.Part}
 	if class.Effect == decide.Keyed {
 		ask.Key = q.Key
 	}
-	t := &trail{link: r.link, tie: r.link.Tie(now, ask), room: r.keep.Open(openSize), stretch: class.AimStretch}
+	t := &Trail{link: r.link, tie: r.link.Tie(now, ask), room: r.keep.Open(openSize), stretch: class.AimStretch}
 	r.n++
 	piece := trace.Trace{ID: t.tie.ID, Remote: t.tie.Remote, Try: t.tie.Try, Router: r.Router, Txn: q.Txn, Class: class.Name,
-		Object: r.link.Hide(uint64(q.Object)), Part: uint32(q.Part), Group: uint16(q.Group), Start: min(from.Came, now),
+		Object: r.link.Hide(uint64(q.Object)), Part: uint32(q.Part), Group: uint16(q.Group), Start: min(q.Came, now),
 		Asked: t.tie.Asked && r.asked}
 	t.Live = trace.Begin(piece, r.Seed+r.n<<20|1)
 	return t
 }
 
 // Close takes a request that is done.
-func (r *Recorder) Close(now float64, done core.Trail) {
-	t := done.(*trail)
+func (r *Recorder) Close(now float64, t *Trail) {
 	p := t.Piece()
 	if pace := r.Pace(); pace > 0 {
 		p.Allow = t.stretch * float64(t.bytes) / pace * 1000
--- a/internal/trace/record/record_test.go
+++ b/internal/trace/record/record_test.go
@@ -10,7 +10,6 @@
 
 	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/core"
 	"garnetline/internal/logs"
 	"garnetline/internal/standin"
 	"garnetline/internal/stats"
@@ -55,12 +54,16 @@
 }
 
 // pass plays a request of so many attempts.
-func pass(r *Recorder, clk *clock.Manual, q *core.Request, o trace.Outcome, attempts, bytes int, took float64) core.Trail {
-	t := r.Open(clk.Now(), q, &classes[q.Class])
+func pass(r *Recorder, clk *clock.Manual, q Asked, o trace.Outcome, attempts, bytes int, took float64) *Trail {
+	class := 0
+	if q.Key != "" {
+		class = 1
+	}
+	t := r.Open(clk.Now(), q, &classes[class])
 	for range attempts {
 		t.Sending(clk.Now(), decide.Get{Server: 5, Source: 6})
 		clk.Advance(took / float64(attempts))
-		t.Over(clk.Now(), decide.Served, bytes, core.NoLoad(), trace.Wire{Wrote: 1})
+		t.Over(clk.Now(), decide.Served, bytes, decide.Load{}, trace.Wire{Wrote: 1})
 	}
 	t.Answered(clk.Now(), o)
 	if t.Done() {
@@ -75,10 +78,10 @@
 	s := &sink{}
 	r, clk, _, _ := newRecorder(s, Settings{Other: keep.Class{Ordinary: 5}})
 	go r.Run()
-	pass(r, clk, &core.Request{Object: 1}, trace.Served, 1, 0, 450)
-	pass(r, clk, &core.Request{Object: 2}, trace.Served, 1, 100, 450) // 100 ms of sending, and twice that
-	pass(r, clk, &core.Request{Object: 3}, trace.Failed, 0, 0, 0)
-	pass(r, clk, &core.Request{Object: 4}, trace.Served, 2, 0, 10)
+	pass(r, clk, Asked{Object: 1}, trace.Served, 1, 0, 450)
+	pass(r, clk, Asked{Object: 2}, trace.Served, 1, 100, 450) // 100 ms of sending, and twice that
+	pass(r, clk, Asked{Object: 3}, trace.Failed, 0, 0, 0)
+	pass(r, clk, Asked{Object: 4}, trace.Served, 2, 0, 10)
 	r.Finish()
 	whys := map[uint64]trace.Why{}
 	for _, k := range s.kept {
@@ -102,7 +105,7 @@
 	go r.Run()
 	const n = mailbox + 200
 	for i := range n {
-		pass(r, clk, &core.Request{Object: decide.ObjectID(i + 1)}, trace.Failed, 1, 0, 1)
+		pass(r, clk, Asked{Object: decide.ObjectID(i + 1)}, trace.Failed, 1, 0, 1)
 	}
 	missed := count.Counter("traces_not_taken").Load()
 	if missed < n-mailbox-2 || missed > n-mailbox {
@@ -112,7 +115,7 @@
 	for len(r.box) > 0 { // the actor takes what waits
 		time.Sleep(time.Millisecond)
 	}
-	pass(r, clk, &core.Request{Object: 9}, trace.Failed, 1, 0, 1)
+	pass(r, clk, Asked{Object: 9}, trace.Failed, 1, 0, 1)
 	r.Finish()
 	if last := s.kept[len(s.kept)-1]; int64(last.Lost) != missed || int64(len(s.kept)) != n-missed+1 {
 		t.Errorf("the next one tells of %d, %d are kept", last.Lost, len(s.kept))
@@ -128,11 +131,11 @@
 	s := &sink{}
 	r, clk, count, _ := newRecorder(s, Settings{Undecided: 2*openSize + 10, RetryWithin: 1000})
 	go r.Run()
-	first := &core.Request{Origin: &core.Origin{Client: "1.1.1.1"}}
-	open := []core.Trail{r.Open(clk.Now(), first, &classes[0]), r.Open(clk.Now(), &core.Request{}, &classes[0])}
+	first := Asked{Client: "1.1.1.1"}
+	open := []*Trail{r.Open(clk.Now(), first, &classes[0]), r.Open(clk.Now(), Asked{}, &classes[0])}
 	for range 3 {
-		if x := pass(r, clk, &core.Request{Object: 8}, trace.Refused, 2, 0, 5); len(x.(*trail).Spans) > 1 {
-			t.Errorf("%d spans without room", len(x.(*trail).Spans))
+		if x := pass(r, clk, Asked{Object: 8}, trace.Refused, 2, 0, 5); len(x.Spans) > 1 {
+			t.Errorf("%d spans without room", len(x.Spans))
 		}
 	}
 	open[0].Sending(clk.Now(), decide.Get{Server: 1})
@@ -140,10 +143,10 @@
 	if open[0].Done() {
 		t.Error("done with an attempt out")
 	}
-	if again := r.link.Tie(clk.Now(), link.Ask{Class: "part", Client: "1.1.1.1"}); again.ID != open[0].(*trail).ID {
+	if again := r.link.Tie(clk.Now(), link.Ask{Class: "part", Client: "1.1.1.1"}); again.ID != open[0].ID {
 		t.Error("a client that comes again while an attempt is out is not known")
 	}
-	open[0].Over(clk.Now(), decide.Cancelled, 0, core.NoLoad(), trace.Wire{})
+	open[0].Over(clk.Now(), decide.Cancelled, 0, decide.Load{}, trace.Wire{})
 	r.Close(clk.Now(), open[0])
 	r.Finish()
 	if len(s.kept) != 1 || s.kept[0].Lost != 3 || count.Counter("traces_without_room").Load() != 3 {
@@ -157,12 +160,12 @@
 	s := &sink{}
 	r, clk, _, _ := newRecorder(s, Settings{Classes: map[string]keep.Class{"form": {All: true}}, Sampled: true})
 	go r.Run()
-	q := func(client string) *core.Request {
-		return &core.Request{Class: 1, Key: "secretkey", Object: 5, Origin: &core.Origin{Came: 1.7e12, Client: client}}
+	q := func(client string) Asked {
+		return Asked{Key: "secretkey", Object: 5, Came: 1.7e12, Client: client}
 	}
 	pass(r, clk, q("1.1.1.1"), trace.Served, 1, 0, 1)
 	pass(r, clk, q("2.2.2.2"), trace.Served, 1, 0, 1)
-	asked := &core.Request{Object: 6, Origin: &core.Origin{Came: 1.7e12, Parent: "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"}}
+	asked := Asked{Object: 6, Came: 1.7e12, Parent: "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"}
 	pass(r, clk, asked, trace.Served, 1, 0, 1)
 	r.Adopt(Settings{Undecided: 1 << 20})
 	pass(r, clk, asked, trace.Served, 1, 0, 1)
--- a/plugin/plugin.go
+++ b/plugin/plugin.go
@@ -27,6 +27,7 @@
 	"garnetline/internal/clock"
 	"garnetline/internal/core"
 	"garnetline/internal/stats"
+	"garnetline/internal/trace/attach"
 	"garnetline/internal/trace/record"
 )
 
@@ -120,7 +121,7 @@
 		return nil, fmt.Errorf("plugin: Trace: %w", err)
 	}
 	if p.tracer != nil {
-		p.core.Trace(p.tracer)
+		p.core.Trace(attach.Core(p.tracer))
 		go p.tracer.Run()
 	}
 	ctx, stop := context.WithCancel(context.Background())
