Alone when nobody is heard for 2 s, not when all have been failed one by one

Seen: with five of six routers killed at once the last one stood together for 13 s; it doubted itself, probed nine times slower and failed the others one by one. Of 60, one that is cut off would have stood so for a minute and more. What it knows at once is that nobody says anything: the view tells since when, and the stance is alone after 2 s of it (alone_after_silence_ms).

--- a/cmd/garnetline/main.go
+++ b/cmd/garnetline/main.go
@@ -22,10 +22,18 @@
 var version = "devel"
 
 func main() {
+	if err := program(os.Stdout).Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "garnetline:", err)
+		os.Exit(1)
+	}
+}
+
+// program is the command line. What its commands print goes to out.
+func program(out io.Writer) *cli.Command {
 	path := &cli.StringFlag{Name: "config", Usage: "configuration `FILE`; without it, what EDGE_CONFIG names"}
 	ops := &cli.StringFlag{Name: "settings", Usage: "operators' `FILE` in HCL; without it all that it could switch on is off"}
 	names := &cli.StringFlag{Name: "dns", Usage: "older `FILE` of the DNS front alone; its place is the dns block of --settings"}
-	app := &cli.Command{
+	return &cli.Command{
 		Name:  "garnetline",
 		Usage: "edge router for caches of large objects",
 		Commands: []*cli.Command{
@@ -39,20 +47,16 @@
 					return serve(ctx, with, again)
 				}},
 			{Name: "check", Usage: "check a configuration and say what it holds", Flags: []cli.Flag{path, ops, names},
-				Action: func(_ context.Context, c *cli.Command) error { return check(c, os.Stdout) }},
-			traceCommand(os.Stdout),
-			fleetCommand(os.Stdout),
+				Action: func(_ context.Context, c *cli.Command) error { return check(c, out) }},
+			traceCommand(out),
+			fleetCommand(out),
 			{Name: "version", Usage: "print the version",
 				Action: func(context.Context, *cli.Command) error {
-					fmt.Println("garnetline", version)
+					fmt.Fprintln(out, "garnetline", version)
 					return nil
 				}},
 		},
 	}
-	if err := app.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "garnetline:", err)
-		os.Exit(1)
-	}
 }
 
 // check says what a configuration and an operators' file hold. Where no configuration is
--- a/internal/fleet/member/machine.go
+++ b/internal/fleet/member/machine.go
@@ -53,6 +53,7 @@
 	nextProbe, nextGossip, nextSync, nextReach float64
 	syncEvery                                  float64
 
+	heard         float64 // the latest packet of anybody
 	left, yielded bool
 	Replays       int64 // packets that were dropped as old
 	Refused       int64 // routers for which there was no room
@@ -322,7 +323,7 @@
 
 // take takes a packet of one that has proven itself.
 func (m *Machine) take(r *record, p *Packet, q question, answer bool) {
-	r.heard = m.now
+	r.heard, m.heard = m.now, m.now
 	accused := r.State == Suspect
 	m.apply(p.From, "its own word")
 	if accused && r.State == Alive { // who accused it is told at once, not when chance has it
--- a/internal/fleet/member/view.go
+++ b/internal/fleet/member/view.go
@@ -25,11 +25,12 @@
 	Health    int      // how slow the viewer takes itself to be; 0: not at all
 	Conflicts int      // routers whose name or seat another has too
 	Yielded   bool     // a later process has the viewer's seat
+	Silence   float64  // ms since anybody was heard
 }
 
 // View returns the view as of now.
 func (m *Machine) View() *View {
-	v := &View{At: m.now, Self: m.self.ID, Health: m.health, Conflicts: len(m.told), Yielded: m.yielded, There: 1 + len(m.round),
+	v := &View{At: m.now, Self: m.self.ID, Health: m.health, Conflicts: len(m.told), Yielded: m.yielded, There: 1 + len(m.round), Silence: m.now - m.heard,
 		Members: make([]Member, 0, 1+len(m.by))}
 	v.Alive = v.There - len(m.suspects)
 	v.Members = append(v.Members, Member{Word: m.self, Heard: m.now, Direct: true, Self: true})
--- a/internal/fleet/stance/stance.go
+++ b/internal/fleet/stance/stance.go
@@ -28,6 +28,7 @@
 type Settings struct {
 	Lately float64 // a router that was there within it counts as one that should be
 	Share  float64 // of those: together from it on
+	Silent float64 // alone when nobody was heard for so long, whatever the view says
 	Less   float64 // evidence for a stance with less room
 	More   float64 // for one with more
 	Most   float64 // and never more than this, however often it flaps
@@ -35,7 +36,7 @@
 
 // Default is what the operators' file begins with.
 func Default() Settings {
-	return Settings{Lately: 600_000, Share: 0.75, Less: 500, More: 5000, Most: 60_000}
+	return Settings{Lately: 600_000, Share: 0.75, Silent: 2000, Less: 500, More: 5000, Most: 60_000}
 }
 
 // Reading is the stance with what it rests on.
@@ -82,7 +83,9 @@
 	m.now.Known = max(1, len(m.seen))
 	says := Together
 	switch {
-	case m.now.There <= 1:
+	case m.now.There <= 1, v.Silence > m.set.Silent:
+		// One that is cut off from all takes minutes to fail hundreds one by one, the more so
+		// as it doubts itself. That nobody says anything it knows at once.
 		says = Alone
 	case float64(m.now.There) < m.set.Share*float64(m.now.Known):
 		says = Partial
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -359,6 +359,9 @@
 	}
 }
 
+// Pid is the process's number.
+func (x *Router) Pid() int { return x.cmd.Process.Pid }
+
 // Signal sends a signal to the process.
 func (x *Router) Signal(s syscall.Signal) error { return x.cmd.Process.Signal(s) }
 
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -32,6 +32,7 @@
 
 	Lately float64 `hcl:"lately_ms,optional"`
 	Share  float64 `hcl:"together_share,optional"`
+	Silent float64 `hcl:"alone_after_silence_ms,optional"`
 	Less   float64 `hcl:"less_room_after_ms,optional"`
 	More   float64 `hcl:"more_room_after_ms,optional"`
 }
@@ -40,7 +41,7 @@
 	d := fleet.Default()
 	return Fleet{Name: "garnetline", Listen: "127.0.0.1:7946", Probe: d.Member.Period, Timeout: d.Member.Timeout, Suspect: d.Member.Shortest,
 		Sync: d.Member.Sync, Reach: d.Member.Reach, MaxMembers: d.Member.MaxMembers, Packets: 500, Bytes: 100_000,
-		Lately: d.Stance.Lately, Share: d.Stance.Share, Less: d.Stance.Less, More: d.Stance.More}
+		Lately: d.Stance.Lately, Share: d.Stance.Share, Silent: d.Stance.Silent, Less: d.Stance.Less, More: d.Stance.More}
 }
 
 func (f *Fleet) check() error {
@@ -68,6 +69,7 @@
 	between("bytes_per_s", f.Bytes, 2000, 1e9)
 	between("lately_ms", f.Lately, 1000, 86_400_000)
 	between("together_share", f.Share, 0.5, 1)
+	between("alone_after_silence_ms", f.Silent, 4*f.Probe, 600_000)
 	between("less_room_after_ms", f.Less, 0, 600_000)
 	between("more_room_after_ms", f.More, f.Less, 600_000)
 	if err != nil {
@@ -100,7 +102,7 @@
 	s.Fleet, s.Packets, s.Bytes, s.Node = f.Name, f.Packets, f.Bytes, fleet.Default()
 	m, st := &s.Node.Member, &s.Node.Stance
 	m.Period, m.Timeout, m.Shortest, m.Sync, m.Reach, m.MaxMembers = f.Probe, f.Timeout, f.Suspect, f.Sync, f.Reach, f.MaxMembers
-	st.Lately, st.Share, st.Less, st.More = f.Lately, f.Share, f.Less, f.More
+	st.Lately, st.Share, st.Silent, st.Less, st.More = f.Lately, f.Share, f.Silent, f.Less, f.More
 	st.Most = max(st.Most, st.More)
 	return s, nil
 }
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -43,6 +43,7 @@
 	paused float64
 	wake   float64 // of its earliest timer that is in the queue
 	queued []*member.Packet
+	Clock  func(now float64) float64                     // its own; nil: the network's
 	On     func(h *Host, now float64, out *fleet.Output) // may be nil
 }
 
@@ -186,13 +187,17 @@
 }
 
 func (v *Net) step(h *Host, p *member.Packet) {
-	out := h.Machine.Step(v.Now, p)
+	now := v.Now
+	if h.Clock != nil {
+		now = h.Clock(now)
+	}
+	out := h.Machine.Step(now, p)
 	v.carry(h, &out.Output)
 	if h.On != nil {
 		h.On(h, v.Now, &out)
 	}
 	// One timer a host: a later one is set when it fires.
-	if at := max(out.Wake, v.Now+0.05); at < h.wake {
+	if at := v.Now + max(out.Wake-now, 0.05); at < h.wake {
 		h.wake = at
 		v.push(event{at: at, to: h})
 	}
