--- a/cmd/garnetlab/main.go
+++ b/cmd/garnetlab/main.go
@@ -21,6 +21,7 @@
 		Usage: "several routers together: shown, and measured",
 		Commands: []*cli.Command{
 			fleetCommand(),
+			requestsCommand(),
 			{Name: "members", Usage: "measure membership on the virtual network: a table and charts", Flags: []cli.Flag{
 				&cli.StringFlag{Name: "out", Usage: "`FOLDER` for members.md and the charts", Value: "."},
 				&cli.IntSliceFlag{Name: "sizes", Usage: "numbers of routers", Value: []int{3, 30, 300, 1000}},
--- a/deploy/garnetline.hcl
+++ b/deploy/garnetline.hcl
@@ -46,3 +46,28 @@
   #   wanted_ms      = 400         # slower ones are kept; without it, the class's own aim
   # }
 }
+
+# Routers that know each other: docs/members.md. SIGHUP changes keys and join; the rest of
+# the block needs a restart. Times are in milliseconds.
+fleet {
+  enabled                = false
+  name                   = "garnetline"     # routers of another fleet are not heard
+  listen                 = "127.0.0.1:7946" # UDP; port 0: any
+  advertise              = ""               # where the others write to; "": where it listens
+  join                   = []               # addresses at which others may be; some may be dead
+  keys                   = []               # 16 bytes or more each; the first seals, all open
+  zone                   = ""               # "": that of the configuration
+  probe_ms               = 200              # one router is probed in each
+  timeout_ms             = 100              # then others are asked to probe too; half of probe_ms at the most
+  suspect_ms             = 800              # shortest time to refute a suspicion; six times as long without others' word
+  sync_ms                = 10000            # between exchanges of the view, where views are alike
+  reach_ms               = 1000             # between tries at one that failed, or at an address of join
+  max_members            = 2048
+  packets_per_s          = 500              # bounds of what is sent
+  bytes_per_s            = 100000
+  lately_ms              = 600000           # one that was there within it counts as one that should be
+  together_share         = 0.75             # of those, to be together
+  alone_after_silence_ms = 2000             # nobody heard for so long: alone
+  less_room_after_ms     = 500              # evidence for a stance with less room
+  more_room_after_ms     = 5000             # and for one with more
+}
--- /dev/null
+++ b/internal/fleet/link/link_test.go
@@ -0,0 +1,141 @@
+package link
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"garnetline/decide"
+	"garnetline/internal/clock"
+	"garnetline/internal/fleet"
+	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/seal"
+	"garnetline/internal/logs"
+	"garnetline/internal/stats"
+)
+
+func options(t testing.TB, state string) Options {
+	ring, err := seal.New("f", []string{"sixteen bytes or more"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	any := netip.MustParseAddrPort("127.0.0.1:0")
+	return Options{Settings: Settings{Fleet: "f", Listen: any, Advertise: any, Ring: ring, Node: fleet.Default(), Packets: 500, Bytes: 100_000},
+		Name: "r", Zone: "z", State: state, Clock: clock.NewSystem(), Log: logs.New(io.Discard), Stats: stats.New()}
+}
+
+func newLink(t testing.TB, o Options) *Link {
+	l, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// The seat and the bans outlive the process; a file that cannot be read is a new seat.
+func TestSeatAndBansOutliveTheProcess(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	dir := t.TempDir()
+	life := func(o Options, do func(*Link)) *fleet.Status {
+		l := newLink(t, o)
+		ctx, stop := context.WithCancel(context.Background())
+		go l.Run(ctx)
+		do(l)
+		stop()
+		<-l.Stopped()
+		return l.View()
+	}
+	until := func(l *Link, ok func(s *fleet.Status) bool) {
+		for range 5000 {
+			if ok(l.View()) {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+		t.Errorf("never so: %+v", l.View())
+	}
+	first := life(options(t, dir), func(l *Link) {
+		l.Switch(5, true)
+		until(l, func(s *fleet.Status) bool { return len(s.Bans) == 1 })
+	})
+	o := options(t, dir)
+	o.Bans = []decide.ServerID{5, 6} // 6 was set while no fleet knew
+	second := life(o, func(l *Link) { until(l, func(s *fleet.Status) bool { return len(s.Bans) == 2 }) })
+	if second.Seat != first.Seat || second.Life != 2 {
+		t.Errorf("seat %s life %d, then seat %s life %d", first.Seat, first.Life, second.Seat, second.Life)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "garnetline-fleet-r"), []byte("none"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if third := life(options(t, dir), func(*Link) {}); third.Seat == first.Seat || third.Life != 1 {
+		t.Errorf("%+v", third)
+	}
+	if _, err := New(options(t, filepath.Join(dir, "nowhere"))); err == nil {
+		t.Error("a state folder that is not there is taken")
+	}
+}
+
+func TestBudget(t *testing.T) {
+	b := budget{packets: 10, bytes: 1000}
+	sent := 0
+	for now := 1.0; now < 5001; now++ {
+		if b.take(now, 150) {
+			sent++
+		}
+	}
+	if sent < 33 || sent > 40 { // 6.7 a second by bytes, and a second's worth at once
+		t.Errorf("%d packets of 150 bytes in 5 s", sent)
+	}
+	b = budget{packets: 10, bytes: 1e6}
+	sent = 0
+	for now := 1.0; now < 5001; now++ {
+		if b.take(now, 150) {
+			sent++
+		}
+	}
+	if sent < 50 || sent > 60 {
+		t.Errorf("%d packets in 5 s", sent)
+	}
+}
+
+// BenchmarkView is what a reader of the snapshot pays.
+func BenchmarkView(b *testing.B) {
+	l := newLink(b, options(b, ""))
+	b.ReportAllocs()
+	for b.Loop() {
+		if l.View() == nil {
+			b.Fatal("none")
+		}
+	}
+}
+
+// BenchmarkPublish is what a change of the view costs, of 300 routers.
+func BenchmarkPublish(b *testing.B) {
+	l := newLink(b, options(b, ""))
+	for i := range 300 {
+		l.node.Lie(member.Word{ID: member.ID(i + 2), Name: "r", Addr: netip.MustParseAddrPort("127.0.0.1:1")})
+	}
+	for b.Loop() {
+		l.publish(1)
+	}
+}
+
+// BenchmarkSeal is the sealing and opening of a packet of the usual size.
+func BenchmarkSeal(b *testing.B) {
+	r := options(b, "").Ring
+	packet := make([]byte, 120)
+	var sealed, open []byte
+	for b.Loop() {
+		var err error
+		sealed = r.Seal(sealed[:0], packet)
+		if open, err = r.Open(open[:0], sealed); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 )
@@ -27,7 +28,7 @@
 // The file that is shipped is the default, and what a file leaves out is too.
 func TestShippedFileIsTheDefault(t *testing.T) {
 	f, err := Load("../../deploy/garnetline.hcl")
-	if err != nil || f.DNS != Default().DNS || f.Log != Default().Log || f.Trace.Enabled {
+	if err != nil || f.DNS != Default().DNS || f.Log != Default().Log || f.Trace.Enabled || !reflect.DeepEqual(plain(f.Fleet), plain(Default().Fleet)) {
 		t.Errorf("%+v, %v", f, err)
 	}
 	f, err = load(t, `dns { enabled = true }`)
@@ -40,22 +41,26 @@
 // holds.
 func TestErrorsNameFileLineAndField(t *testing.T) {
 	for text, want := range map[string]string{
-		"log {\n  level = \"loud\"\n}":                  "x.hcl:2: log: level: ",
-		"log {}\ndns {\n  zone = \".\"\n}":              "x.hcl:3: dns: zone: ",
-		"trace {\n enabled = true\n}":                   "x.hcl:2: trace: enabled: ",
-		"trace {\n folder = \"/x\"\n segment_mb = 0\n}": "x.hcl:3: trace: segment_mb: ",
-		"trace {\n keep_mb = 9\n}":                      "x.hcl:2: trace: keep_mb: ",
-		"trace {\n class \"a\" {}\n class \"a\" {}\n}":  "x.hcl:1: trace: class \"a\": named twice",
-		"trace {\n collector { url = \"ftp://x\" }\n}":  "x.hcl:1: trace: collector: url: ",
-		"dns {\n colour = 1\n}":                         "x.hcl:2: Unsupported argument",
-		"zones {}":                                      "x.hcl:1: Unsupported block type",
-		"dns {\n max_inflight = \"many\"\n}":            "x.hcl:2: ",
-		"dns {":                                         "x.hcl:1: ",
-		"log {}\nlog {}":                                "x.hcl:2: Duplicate log block",
-		"trace {\n ordinary_per_s = -1\n}":              "x.hcl:2: trace: ordinary_per_s: ",
-		"trace {\n retry_within_ms = 1e9\n}":            "x.hcl:2: trace: retry_within_ms: ",
-		"trace {\n undecided_kb = 1\n}":                 "x.hcl:2: trace: undecided_kb: ",
-		"trace {\n class \"a\" { wanted_ms = -1 }\n}":   "x.hcl:1: trace: class \"a\": ",
+		"log {\n  level = \"loud\"\n}":                                                              "x.hcl:2: log: level: ",
+		"log {}\ndns {\n  zone = \".\"\n}":                                                          "x.hcl:3: dns: zone: ",
+		"trace {\n enabled = true\n}":                                                               "x.hcl:2: trace: enabled: ",
+		"trace {\n folder = \"/x\"\n segment_mb = 0\n}":                                             "x.hcl:3: trace: segment_mb: ",
+		"trace {\n keep_mb = 9\n}":                                                                  "x.hcl:2: trace: keep_mb: ",
+		"trace {\n class \"a\" {}\n class \"a\" {}\n}":                                              "x.hcl:1: trace: class \"a\": named twice",
+		"trace {\n collector { url = \"ftp://x\" }\n}":                                              "x.hcl:1: trace: collector: url: ",
+		"dns {\n colour = 1\n}":                                                                     "x.hcl:2: Unsupported argument",
+		"fleet {\n enabled = true\n}":                                                               "x.hcl:1: fleet: keys: ",
+		"fleet {\n enabled = true\n keys = [\"sixteen bytes or more\"]\n probe_ms = 1\n}":           "x.hcl:4: fleet: probe_ms: ",
+		"fleet {\n enabled = true\n keys = [\"sixteen bytes or more\"]\n join = [\"here\"]\n}":      "x.hcl:4: fleet: join: ",
+		"fleet {\n enabled = true\n keys = [\"sixteen bytes or more\"]\n listen = \"0.0.0.0:1\"\n}": "x.hcl:1: fleet: advertise: ",
+		"zones {}":                                    "x.hcl:1: Unsupported block type",
+		"dns {\n max_inflight = \"many\"\n}":          "x.hcl:2: ",
+		"dns {":                                       "x.hcl:1: ",
+		"log {}\nlog {}":                              "x.hcl:2: Duplicate log block",
+		"trace {\n ordinary_per_s = -1\n}":            "x.hcl:2: trace: ordinary_per_s: ",
+		"trace {\n retry_within_ms = 1e9\n}":          "x.hcl:2: trace: retry_within_ms: ",
+		"trace {\n undecided_kb = 1\n}":               "x.hcl:2: trace: undecided_kb: ",
+		"trace {\n class \"a\" { wanted_ms = -1 }\n}": "x.hcl:1: trace: class \"a\": ",
 		"trace {\n collector {\n url = \"http://127.0.0.1\"\n queue = -1\n}\n}": "x.hcl:1: trace: collector: ",
 	} {
 		f, err := load(t, text)
@@ -85,3 +90,22 @@
 		t.Error(err)
 	}
 }
+
+// plain is a fleet's block with lists that are there, if empty.
+func plain(f Fleet) Fleet {
+	f.Join, f.Keys = append([]string{}, f.Join...), append([]string{}, f.Keys...)
+	return f
+}
+
+// Keys and addresses to join at can be changed while a router runs, and nothing else.
+func TestFleetAdmits(t *testing.T) {
+	a, b := Default(), Default()
+	b.Fleet.Keys, b.Fleet.Join = []string{"x"}, []string{"y"}
+	if err := a.Admits(b); err != nil {
+		t.Error(err)
+	}
+	b.Fleet.Listen = "127.0.0.1:1"
+	if err := a.Admits(b); err == nil || !strings.HasPrefix(err.Error(), "fleet: ") {
+		t.Error(err)
+	}
+}
