--- a/internal/lab/members.go
+++ b/internal/lab/members.go
@@ -87,6 +87,9 @@
 			if size > 30 && way.Set == nil {
 				o.Rough, o.Calm, o.Kills = min(o.Rough, 4000), 1000, 1
 			}
+			if way.Set == nil { // its packets are counted by the million
+				o.Seeds, o.Rough = min(o.Seeds, 3), min(o.Rough, 60_000)
+			}
 			r := &Result{Kind: Kind{way.Name, size}}
 			all = append(all, r)
 			r.Rough = make([]Rough, len(o.Losses)+1)
