A register by agreement: raft stepped by our clock, its log on disk, leases with fencing

Need: duties that one router may hold at a time. internal/fleet/register is what electors agree on, a pure function of commands; agree steps go.etcd.io/raft with what must be kept saved before anything is sent, and answers a renewal only after a majority still followed it; duty has both sides of a lease; agree/disk the log, failed at every call in turn. None of it is in the daemon yet. In memory: five electors and four routers through kills, cuts, stalls, loss and drift: no two may act at once, all answers are one history (porcupine), a duty handed on a hundred times is without a holder for under 0.3 s each time.

--- /dev/null
+++ b/internal/fleet/agree/agree_test.go
@@ -0,0 +1,398 @@
+package agree
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"garnetline/internal/fleet/agree/disk"
+	"garnetline/internal/fleet/duty"
+	"garnetline/internal/fleet/member"
+)
+
+// kept is a disk in memory: what was saved is there after a crash.
+type kept struct {
+	s      disk.State
+	broken bool
+	saves  int
+}
+
+func (k *kept) Save(hard *raftpb.HardState, entries []*raftpb.Entry, snap *raftpb.Snapshot) error {
+	if k.broken {
+		return fmt.Errorf("disk full")
+	}
+	k.saves++
+	if snap != nil {
+		k.s.Snap = proto.Clone(snap).(*raftpb.Snapshot)
+		k.s.Entries = slices.DeleteFunc(k.s.Entries, func(e *raftpb.Entry) bool { return e.GetIndex() <= snap.GetMetadata().GetIndex() })
+	}
+	for _, e := range entries {
+		k.s.Entries = slices.DeleteFunc(k.s.Entries, func(x *raftpb.Entry) bool { return x.GetIndex() >= e.GetIndex() })
+		k.s.Entries = append(k.s.Entries, proto.Clone(e).(*raftpb.Entry))
+	}
+	if hard != nil {
+		k.s.Hard = proto.Clone(hard).(*raftpb.HardState)
+	}
+	return nil
+}
+func (k *kept) Mark([]byte) error          { return nil }
+func (k *kept) Rewrite(s disk.State) error { k.s = s; return nil }
+func (k *kept) Grown() bool                { return false }
+
+// parcel is something on its way.
+type parcel struct {
+	at   float64
+	to   int // elector, or router from routers on
+	m    *raftpb.Message
+	q    *Question
+	a    *duty.Answer
+	from int
+}
+
+// cluster is electors and routers on one clock; each router's clock has a rate of its own.
+type cluster struct {
+	t       testing.TB
+	rng     *rand.Rand
+	now     float64
+	set     Settings
+	nodes   []*Machine
+	disks   []*kept
+	wake    []float64
+	down    []bool
+	leads   []bool
+	cut     func(a, b int) bool // electors are 0 to n-1, routers follow
+	loss    float64
+	air     []parcel
+	routers []*router
+	grants  int
+	trouble string
+	history []porcupine.Operation
+}
+
+type router struct {
+	*duty.Holder
+	id      member.ID
+	rate    float64
+	wake    float64
+	stalled float64 // until, in the cluster's time
+	queue   []duty.Answer
+	hint    int
+	asked   map[uint64]int // question: place in the history
+}
+
+func newCluster(t testing.TB, seed uint64, electors, routers int, duties ...string) *cluster {
+	set := Default()
+	set.Duty.TTL, set.Duty.Margin, set.Duty.Retry, set.Duty.Away = 1000, 100, 60, 1500
+	c := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 5)), set: set, cut: func(int, int) bool { return false }}
+	for range electors {
+		c.disks = append(c.disks, &kept{})
+	}
+	c.nodes, c.wake, c.down, c.leads = make([]*Machine, electors), make([]float64, electors), make([]bool, electors), make([]bool, electors)
+	for i := range electors {
+		c.start(i)
+	}
+	var ids []member.ID
+	for i := range routers {
+		ids = append(ids, member.ID(100+i))
+	}
+	for i, id := range ids {
+		r := &router{Holder: duty.NewHolder(set.Duty, id, uint64(i)<<40), id: id, rate: 1 + (c.rng.Float64()*2-1)*set.Duty.Drift/2, asked: map[uint64]int{}}
+		for _, d := range duties {
+			r.Want(0, d, duty.Rank(d, id, ids))
+		}
+		c.routers = append(c.routers, r)
+	}
+	return c
+}
+
+func (c *cluster) start(i int) {
+	var voters []uint64
+	for k := range c.nodes {
+		voters = append(voters, uint64(k+1))
+	}
+	m, err := New(c.set, uint64(i+1), c.disks[i], c.disks[i].s, voters, c.now)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.nodes[i], c.down[i], c.wake[i], c.leads[i] = m, false, c.now, false
+}
+
+func (c *cluster) clock(r *router) float64 { return c.now * r.rate }
+
+func (c *cluster) post(from int, p parcel) {
+	if c.cut(from, p.to) || c.rng.Float64() < c.loss {
+		return
+	}
+	p.at, p.from = c.now+1+c.rng.ExpFloat64()*3, from
+	c.air = append(c.air, p)
+}
+
+func (c *cluster) step(i int, in Input) {
+	out, err := c.nodes[i].Step(c.now, in)
+	if err != nil {
+		c.down[i] = true
+		return
+	}
+	c.wake[i], c.leads[i] = out.Wake, out.Leading
+	for _, m := range out.Messages {
+		c.post(i, parcel{to: int(m.GetTo()) - 1, m: m})
+	}
+	for _, a := range out.Replies {
+		c.post(i, parcel{to: len(c.nodes) + int(a.To) - 100, a: &a.Answer})
+	}
+}
+
+func (c *cluster) stepRouter(k int) {
+	r := c.routers[k]
+	if c.now < r.stalled {
+		return
+	}
+	for _, a := range r.queue {
+		c.hear(k, a)
+	}
+	r.queue = nil
+	asks, _, wake := r.Step(c.clock(r))
+	r.wake = wake
+	for _, a := range asks {
+		r.hint = c.rng.IntN(len(c.nodes))
+		for i, leads := range c.leads {
+			if leads && c.rng.IntN(3) > 0 {
+				r.hint = i
+			}
+		}
+		r.asked[a.Question] = len(c.history)
+		c.history = append(c.history, porcupine.Operation{ClientId: k, Input: input{a.Duty, r.id, a.Give}, Call: int64(c.now * 1000), Output: output{lost: true}, Return: 1 << 60})
+		c.post(len(c.nodes)+k, parcel{to: r.hint, q: &Question{r.id, 1, a}})
+	}
+}
+
+// hear has a router take an answer, and looks whether two may act now.
+func (c *cluster) hear(k int, a duty.Answer) {
+	r := c.routers[k]
+	if i, asked := r.asked[a.Question]; asked {
+		c.history[i].Output, c.history[i].Return = output{a.Token, a.Holder, false}, int64(c.now*1000)
+		delete(r.asked, a.Question)
+	}
+	for _, ch := range r.Hear(c.clock(r), a) {
+		if ch.Token == 0 {
+			continue
+		}
+		c.grants++
+		for _, o := range c.routers {
+			if token, may := o.May(c.clock(o), a.Duty); may && o != r {
+				c.trouble = fmt.Sprintf("at %.0f %v may act for %s under %d and %v under %d", c.now, r.id, a.Duty, ch.Token, o.id, token)
+			}
+		}
+	}
+}
+
+func (c *cluster) run(ms float64) {
+	for end := c.now + ms; c.now < end; c.now += 2 {
+		due := c.air
+		c.air = nil
+		for _, p := range due {
+			if p.at > c.now {
+				c.air = append(c.air, p)
+				continue
+			}
+			switch k := p.to - len(c.nodes); {
+			case k >= 0 && c.now < c.routers[k].stalled:
+				c.routers[k].queue = append(c.routers[k].queue, *p.a)
+			case k >= 0:
+				c.hear(k, *p.a)
+				c.routers[k].wake = 0
+			case !c.down[p.to]:
+				c.step(p.to, Input{Message: p.m, Question: p.q})
+			}
+		}
+		for i := range c.nodes {
+			if !c.down[i] && c.wake[i] <= c.now {
+				c.step(i, Input{})
+			}
+		}
+		for k, r := range c.routers {
+			if r.wake <= c.clock(r) {
+				c.stepRouter(k)
+			}
+		}
+	}
+}
+
+// held tells which duties somebody may act for.
+func (c *cluster) held(duties ...string) (n int) {
+	for _, d := range duties {
+		for _, r := range c.routers {
+			if _, ok := r.May(c.clock(r), d); ok {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+type input struct {
+	duty string
+	who  member.ID
+	give bool
+}
+
+type output struct {
+	token  uint64
+	holder member.ID
+	lost   bool // no answer came: it may have happened or not
+}
+
+// model is a duty of the register as a question sees it: tokens only grow, and each answer
+// is how the duty stands at some moment between the question and the answer.
+var model = porcupine.Model{
+	Partition: func(h []porcupine.Operation) [][]porcupine.Operation {
+		by := map[string][]porcupine.Operation{}
+		for _, o := range h {
+			if !o.Output.(output).lost {
+				by[o.Input.(input).duty] = append(by[o.Input.(input).duty], o)
+			}
+		}
+		var l [][]porcupine.Operation
+		for _, d := range []string{"a", "b", "c"} {
+			l = append(l, by[d])
+		}
+		return l
+	},
+	Init: func() any { return output{} },
+	Step: func(state, _, out any) (bool, any) {
+		s, o := state.(output), out.(output)
+		// What others did without an answer may lie between: a later token is such a state.
+		return o.token > s.token || o == s, o
+	},
+}
+
+// Electors are killed, started anew with their disks, and cut in all ways, routers
+// stopped for longer than a lease, packets lost, clocks of differing rates: no two routers
+// may act for a duty at one time, what was answered is one history, and all comes back.
+func TestElectorsUnderFaults(t *testing.T) {
+	duties := []string{"a", "b", "c"}
+	for seed := range uint64(6) {
+		n := 3 + 2*int(seed%2)
+		c := newCluster(t, seed+1, n, 4, duties...)
+		c.run(4000)
+		if got := c.held(duties...); got != 3 {
+			t.Fatalf("seed %d: %d duties of 3 are held after 4 s", seed, got)
+		}
+		for range 40 {
+			switch c.rng.IntN(6) {
+			case 0:
+				if i := c.rng.IntN(n); !c.down[i] {
+					c.down[i] = true
+				}
+			case 1:
+				for i := range c.nodes {
+					if c.down[i] {
+						c.start(i)
+					}
+				}
+			case 2: // halves, and routers on either side
+				side := c.rng.IntN(1 << (n + 4))
+				c.cut = func(a, b int) bool { return side>>a&1 != side>>b&1 }
+			case 3: // one way
+				x, y := c.rng.IntN(n+4), c.rng.IntN(n+4)
+				c.cut = func(a, b int) bool { return a == x && b == y }
+			case 4:
+				r := c.routers[c.rng.IntN(4)]
+				r.stalled = c.now + c.rng.Float64()*2500
+			case 5:
+				c.loss = c.rng.Float64() * 0.2
+			}
+			c.run(300 + c.rng.Float64()*1200)
+		}
+		c.cut, c.loss = func(int, int) bool { return false }, 0
+		for i := range c.nodes {
+			if c.down[i] {
+				c.start(i)
+			}
+		}
+		c.run(8000)
+		if got := c.held(duties...); got != 3 || c.trouble != "" {
+			t.Errorf("seed %d: %d duties of 3 are held at the end; %s", seed, got, c.trouble)
+		}
+		if c.grants < 10 {
+			t.Errorf("seed %d: %d grants show nothing", seed, c.grants)
+		}
+		if !porcupine.CheckOperations(model, c.history) {
+			t.Errorf("seed %d: %d questions and answers are no one history", seed, len(c.history))
+		}
+	}
+}
+
+// A duty is handed on by plan, again and again, without two that act and with little time
+// in which nobody does; one whose disk fails stops, and the others go on.
+func TestHandingOnAndAFullDisk(t *testing.T) {
+	c := newCluster(t, 9, 5, 3, "a")
+	c.run(4000)
+	gaps := []float64{}
+	for i := range 100 {
+		from := slices.IndexFunc(c.routers, func(r *router) bool { _, ok := r.May(c.clock(r), "a"); return ok })
+		if from < 0 {
+			t.Fatalf("nobody holds it after %d times", i)
+		}
+		to := (from + 1 + i%2) % 3
+		c.routers[from].Give(c.clock(c.routers[from]), "a", c.routers[to].id, []byte("work"))
+		c.routers[from].wake = 0
+		at := c.now
+		for c.held("a") == 0 && c.now < at+5000 {
+			c.run(2)
+		}
+		if _, ok := c.routers[to].May(c.clock(c.routers[to]), "a"); !ok {
+			t.Fatalf("handed to %v, it is held by another", c.routers[to].id)
+		}
+		gaps = append(gaps, c.now-at)
+		c.run(200)
+		if i == 50 {
+			c.disks[slices.Index(c.leads, true)].broken = true
+			c.run(3000)
+		}
+	}
+	slices.Sort(gaps)
+	if gaps[50] > 100 || gaps[98] > 300 || c.trouble != "" {
+		t.Errorf("without a holder for %.0f ms, %.0f at the most; %s", gaps[50], gaps[99], c.trouble)
+	}
+	if n := slices.Index(c.down, true); n < 0 {
+		t.Error("the elector with a full disk goes on")
+	}
+}
+
+// The log stays short, and one that was away for longer than it reaches back catches up by
+// a snapshot.
+func TestSnapshots(t *testing.T) {
+	c := newCluster(t, 10, 3, 2, "a")
+	c.set.Snapshot, c.set.Keep = 40, 10
+	for i := range c.nodes {
+		c.start(i)
+	}
+	c.run(4000)
+	away := (slices.Index(c.leads, true) + 1) % 3
+	c.down[away] = true
+	for i := range 60 {
+		from := slices.IndexFunc(c.routers, func(r *router) bool { _, ok := r.May(c.clock(r), "a"); return ok })
+		if from < 0 {
+			c.run(500)
+			continue
+		}
+		c.routers[from].Give(c.clock(c.routers[from]), "a", c.routers[1-from].id, nil)
+		c.routers[from].wake = 0
+		c.run(100 + float64(i%3))
+	}
+	c.start(away)
+	c.run(3000)
+	lead := slices.Index(c.leads, true)
+	if a, b := c.nodes[away].Status(), c.nodes[lead].Status(); a.Applied != b.Applied || len(c.disks[away].s.Entries) > 120 || c.disks[away].s.Snap.GetMetadata().GetIndex() < 20 {
+		t.Errorf("applied %d of %d, %d entries on its disk", a.Applied, b.Applied, len(c.disks[away].s.Entries))
+	}
+	if string(c.nodes[away].State().Snapshot()) != string(c.nodes[lead].State().Snapshot()) {
+		t.Error("of another state")
+	}
+}
