--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -331,6 +331,16 @@
 	}
 }
 
+// Backdate sets when a question was asked, if it is open. It is for tests that break the
+// rule by which a lease counts from before it was asked for.
+func (h *Holder) Backdate(name string, question uint64, asked float64) {
+	if l := h.by[name]; l != nil {
+		if _, open := l.open[question]; open {
+			l.open[question] = asked
+		}
+	}
+}
+
 // Held returns the duties that may be acted for now, by name.
 func (h *Holder) Held(now float64) (names []string) {
 	for name := range h.by {
--- /dev/null
+++ b/internal/lab/duties.go
@@ -0,0 +1,291 @@
+package lab
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"garnetline/internal/fleet/duty"
+	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/register"
+)
+
+// Safeguard is one that can be switched off, to see that what it guards against is found.
+type Safeguard string
+
+// The safeguards of a lease.
+const (
+	None       Safeguard = ""
+	Margin     Safeguard = "margin and drift"
+	Write      Safeguard = "check at the write"
+	Tokens     Safeguard = "tokens at the receiver"
+	NewLeader  Safeguard = "a new leader counts anew"
+	OwnEnd     Safeguard = "a holder stops by itself"
+	BeforeAsks Safeguard = "a lease counts from before it was asked for"
+)
+
+// Safeguards are all of them.
+var Safeguards = []Safeguard{Margin, Write, Tokens, NewLeader, OwnEnd, BeforeAsks}
+
+// Leases is one run of routers that hold a duty in turn, over a register that is one
+// place: what electors agree on is shown elsewhere. Clocks drift within the bound times
+// Drift, packets are late, lost and repeated, routers stall, leaders change.
+type Leases struct {
+	Seed    uint64
+	Off     Safeguard
+	Drift   float64 // of the clocks, in bounds that the settings allow; 1: within
+	Routers int
+	Until   int // handovers
+}
+
+// LeaseResult is what a run saw.
+type LeaseResult struct {
+	Handovers, Planned, Acts int
+	Refused                  int // acts that a receiver refused by their token
+	Dropped                  int // acts that the check at the write stopped
+	Virtual                  float64
+	Broken                   string // the first time that two acted at once
+	Steps                    int    // faults and moves until then
+	Gaps                     []float64
+}
+
+type leaseRouter struct {
+	*duty.Holder
+	id      member.ID
+	rate    float64
+	stalled float64
+	cut     float64 // from the register, until then; not from the receiver
+	queue   []duty.Answer
+	acts    []act // decided, and not written yet
+	wake    float64
+	since   float64 // true time from which it holds by what it was told
+}
+
+type act struct {
+	token uint64
+	at    float64 // when it is written, in true time, if nothing stalls it
+}
+
+type mail struct {
+	at     float64
+	to     int
+	ask    *duty.Ask
+	answer *duty.Answer
+	act    *act
+	from   int
+}
+
+// Run plays until there were enough handovers, or two acted at once.
+func (o Leases) Run() (r LeaseResult) {
+	rng := rand.New(rand.NewPCG(o.Seed, 77))
+	set := duty.Default()
+	set.TTL, set.Margin, set.Retry, set.Away, set.Drift = 1000, 60, 60, 1200, 0.05
+	real := set.Drift / 2 * o.Drift // each clock's rate; two differ by twice that
+	if o.Off == Margin {
+		set.Margin, set.Drift = 0, 0
+	}
+	var routers []*leaseRouter
+	var ids []member.ID
+	for i := range o.Routers {
+		ids = append(ids, member.ID(i+1))
+	}
+	for i, id := range ids {
+		x := &leaseRouter{Holder: duty.NewHolder(set, id, uint64(i)<<40), id: id, rate: 1 + real*(2*float64(i%2)-1)}
+		x.Want(0, "d", duty.Rank("d", id, ids))
+		routers = append(routers, x)
+	}
+	leader := 1 + real*(2*rng.Float64()-1) // the rate of the leader's clock
+	state, index := register.New(), uint64(0)
+	ledger := duty.NewLedger(set, 0, state)
+	var air []mail
+	now, fence := 0.0, duty.Fence{}
+	post := func(m mail) {
+		if rng.Float64() < 0.03 || m.ask != nil && now < routers[m.from].cut || m.answer != nil && now < routers[m.to].cut {
+			return
+		}
+		m.at = now + 0.5 + rng.ExpFloat64()*2
+		if rng.IntN(50) == 0 {
+			m.at += 200 * rng.Float64()
+		}
+		air = append(air, m)
+		if rng.IntN(30) == 0 {
+			m.at += 20
+			air = append(air, m)
+		}
+	}
+	last, lastEnd := uint64(0), 0.0 // the token under which somebody acted latest
+	// may tells whether a router may act, as it sees that by itself.
+	may := func(x *leaseRouter) (uint64, bool) {
+		token, ok := x.May(now*x.rate, "d")
+		if o.Off == OwnEnd {
+			if _, t := x.Until("d"); t != 0 {
+				return t, true
+			}
+		}
+		return token, ok
+	}
+	// wrote is an act that left a socket: nobody else may act at that moment, whoever
+	// took over since must not have begun.
+	wrote := func(x *leaseRouter, a act) {
+		r.Acts++
+		for _, y := range routers {
+			if token, ok := may(y); ok && y != x && now >= y.stalled {
+				r.Broken = fmt.Sprintf("at %.0f ms router %d wrote under token %d while %d holds %d", now, x.id, a.token, y.id, token)
+			}
+		}
+		post(mail{to: -1, act: &a, from: int(x.id) - 1})
+	}
+	ask := func(q duty.Ask, from int) {
+		x := routers[from]
+		a := duty.Answer{Question: q.Question, Duty: "d"}
+		d := state.Duties["d"]
+		t := now * leader
+		switch {
+		case q.Give && d != nil && d.Holder == x.id && d.Token == q.Token:
+			index++
+			c := &register.Command{Op: register.Move, Duty: "d", Who: q.To, Token: q.Token}
+			if q.To == 0 {
+				c.Op, c.Who = register.Release, x.id
+			}
+			state.Apply(index, c)
+			if q.To != 0 {
+				post(mail{to: int(q.To) - 1, answer: &duty.Answer{Duty: "d", Holder: q.To, Token: index}})
+			}
+		case q.Give:
+		case d != nil && d.Holder == x.id && d.Life != 0 && (q.Token == d.Token || q.Token == 0):
+			a.Yes = true
+		case q.Token == 0 && (ledger.Free(t, d) || d.Holder == x.id && d.Life == 0):
+			index++
+			c := &register.Command{Op: register.Grant, Duty: "d", Who: x.id, Life: 1}
+			if d != nil {
+				c.Token, c.Lost = d.Token, d.Holder != 0 && d.Holder != x.id
+			}
+			if state.Apply(index, c) == nil {
+				a.Yes = true
+				r.Handovers++
+				if !c.Lost {
+					r.Planned++
+				}
+			}
+		}
+		if d = state.Duties["d"]; d != nil {
+			a.Token, a.Holder, a.Losses, a.Left = d.Token, d.Holder, min(1, d.Losses[x.id]), ledger.Left(t, "d")
+		}
+		if a.Yes {
+			ledger.Answered(t, "d")
+		}
+		post(mail{to: from, answer: &a})
+	}
+	hear := func(x *leaseRouter, a duty.Answer) {
+		if o.Off == BeforeAsks { // as if the question had been asked when the answer came
+			x.Backdate("d", a.Question, now*x.rate)
+		}
+		for _, c := range x.Hear(now*x.rate, a) {
+			if c.Token != 0 && c.Token != last {
+				if lastEnd > 0 {
+					r.Gaps = append(r.Gaps, max(0, now-lastEnd))
+				}
+				last = c.Token
+			}
+		}
+	}
+	for r.Handovers < o.Until && r.Broken == "" && now < 1e9 {
+		due := air[:0:0]
+		rest := air[:0]
+		for _, m := range air {
+			if m.at <= now {
+				due = append(due, m)
+			} else {
+				rest = append(rest, m)
+			}
+		}
+		air = rest
+		slices.SortStableFunc(due, func(a, b mail) int {
+			if a.at < b.at {
+				return -1
+			}
+			return 1
+		})
+		for _, m := range due {
+			switch {
+			case m.act != nil:
+				if o.Off == Tokens {
+					if m.act.token < fence["d"] {
+						r.Broken = fmt.Sprintf("at %.0f ms an act of token %d came after one of %d", now, m.act.token, fence["d"])
+					}
+				}
+				if !fence.Pass("d", m.act.token) {
+					r.Refused++
+				}
+			case m.ask != nil:
+				ask(*m.ask, m.from)
+			case now < routers[m.to].stalled:
+				routers[m.to].queue = append(routers[m.to].queue, *m.answer)
+			default:
+				hear(routers[m.to], *m.answer)
+				routers[m.to].wake = 0
+			}
+		}
+		for i, x := range routers {
+			if now < x.stalled {
+				continue
+			}
+			// What was decided before a stall is written first, as a woken process does.
+			for len(x.acts) > 0 && x.acts[0].at <= now {
+				a := x.acts[0]
+				x.acts = x.acts[1:]
+				if token, ok := may(x); o.Off != Write && (!ok || token != a.token) {
+					r.Dropped++
+				} else {
+					wrote(x, a)
+				}
+			}
+			for _, a := range x.queue {
+				hear(x, a)
+			}
+			if x.queue = nil; x.wake <= now*x.rate {
+				asks, _, wake := x.Step(now * x.rate)
+				x.wake = wake
+				for _, q := range asks {
+					post(mail{ask: &q, from: i})
+				}
+			}
+			if token, ok := may(x); ok {
+				lastEnd = now
+				if len(x.acts) < 4 && rng.IntN(8) == 0 {
+					x.acts = append(x.acts, act{token, now + 2*rng.Float64()})
+				}
+				if now < x.cut { // it acts until its own end, knowing of nothing
+					continue
+				}
+				switch rng.IntN(100) {
+				case 0, 1: // hands it on
+					r.Steps++
+					x.Give(now*x.rate, "d", routers[rng.IntN(len(routers))].id, nil)
+					x.wake = 0
+				case 2:
+					if rng.IntN(8) == 0 {
+						r.Steps++
+						x.stalled = now + 2500*rng.Float64()
+					}
+				case 3:
+					if rng.IntN(8) == 0 {
+						r.Steps++
+						x.cut = now + 2500*rng.Float64()
+					}
+				}
+			}
+		}
+		if rng.IntN(1500) == 0 { // another leader, with another clock
+			r.Steps++
+			leader = 1 + real*(2*rng.Float64()-1)
+			ledger = duty.NewLedger(set, now*leader, state)
+			if o.Off == NewLeader {
+				ledger = duty.NewLedger(set, now*leader, register.New())
+			}
+		}
+		now += 2
+	}
+	r.Virtual = now
+	return r
+}
