--- a/internal/fleet/member/code.go
+++ b/internal/fleet/member/code.go
@@ -12,6 +12,7 @@
 	MaxPacket = 1400 // bytes before sealing
 	MaxName   = 64   // of a router, a zone, a version
 	MaxItem   = 96
+	MaxLoad   = 1100 // of Carry
 	maxWords  = 64
 	maxItems  = 64
 )
@@ -30,6 +31,7 @@
 	fWord
 	fItem
 	fSums
+	fLoad
 )
 
 const (
@@ -60,6 +62,9 @@
 			b = protowire.AppendFixed32(b, s)
 		}
 	}
+	if len(p.Load) > 0 {
+		b = protowire.AppendBytes(protowire.AppendTag(b, fLoad, protowire.BytesType), p.Load)
+	}
 	for i := range p.Words {
 		b = word(b, fWord, &p.Words[i])
 	}
@@ -182,6 +187,11 @@
 				return false
 			}
 			p.Words = append(p.Words, w)
+		case fLoad:
+			if len(in) > MaxLoad {
+				return false
+			}
+			p.Load = append([]byte(nil), in...)
 		case fItem:
 			if len(p.Items) == maxItems || len(in) > MaxItem {
 				return false
--- a/internal/fleet/member/machine.go
+++ b/internal/fleet/member/machine.go
@@ -360,6 +360,10 @@
 		m.answered(r, p)
 	case PingFor:
 		m.relay(r, p)
+	case Carry:
+		if len(p.Load) > 0 {
+			m.out.Loads = append(m.out.Loads, Load{r.ID, r.Life(), p.Load})
+		}
 	case Ask:
 		m.pages(r, p, Page)
 	case Page:
@@ -569,6 +573,17 @@
 	m.stir()
 }
 
+// Send has something carried to another machine of a router, which may get lost. Nothing
+// is sent to one that is not there.
+func (m *Machine) Send(now float64, to ID, load []byte) (out Output) {
+	m.out, m.now = &out, max(m.now, now)
+	if r := m.by[to]; r != nil && r.State.There() && len(load) <= MaxLoad && !m.left {
+		m.send(r.Addr, nil, &Packet{Kind: Carry, Load: load})
+	}
+	m.out = nil
+	return out
+}
+
 // Leave tells the others that this router goes. Nothing is sent after it.
 func (m *Machine) Leave(now float64) Output {
 	var out Output
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -116,6 +116,7 @@
 	Tell    // words alone
 	Ask     // for the whole view, with the sums of one's own
 	Page    // a part of the answer
+	Carry   // something for another machine of the receiver
 	kinds
 )
 
@@ -129,6 +130,7 @@
 	At     netip.AddrPort
 	Words  []Word
 	Items  [][]byte
+	Load   []byte   // Carry: what is carried
 	Sums   []uint32 // of the view and the shelf, for each bucket
 }
 
@@ -151,6 +153,14 @@
 	Events []Event
 	Wake   float64 // when to step next at the latest
 	Moved  bool    // the view has changed
+	Loads  []Load  // what was carried here
+}
+
+// Load is what a router sent to another machine of this one. Its sender has proven itself.
+type Load struct {
+	From  ID
+	Life  uint64
+	Bytes []byte
 }
 
 func (o *Output) event(what string, w Word, cause string) {
--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -36,6 +36,7 @@
 		"no address":     func(p *Packet) { p.From.Addr = netip.AddrPort{} },
 		"long name":      func(p *Packet) { p.From.Name = strings.Repeat("x", MaxName+1) },
 		"odd name":       func(p *Packet) { p.From.Name = "a\nb" },
+		"long load":      func(p *Packet) { p.Load = make([]byte, MaxLoad+1) },
 		"long item":      func(p *Packet) { p.Items[0] = make([]byte, MaxItem+1) },
 		"unknown state":  func(p *Packet) { p.Words[0].State = 9 },
 		"too few sums":   func(p *Packet) { p.Sums = p.Sums[1:] },
@@ -87,7 +88,7 @@
 			now += float64(b%7) * 60
 			w := Word{ID: ID(1 + b%9), Inc: Incarnation(uint64(1+b%2)) + uint64(b%3), State: State(b / 8 % 4), By: ID(1 + b%5), Name: "x", Addr: place(int(b % 9))}
 			from := Word{ID: ID(2 + b%4), Inc: Incarnation(1 + uint64(b%2)), Name: "y", Addr: place(int(1 + b%4))}
-			p := &Packet{Kind: Kind(1 + b%7), From: from, Count: uint64(b), Words: []Word{w}, Target: ID(b % 3), At: place(3)}
+			p := &Packet{Kind: Kind(1 + b%8), Load: []byte{b}, From: from, Count: uint64(b), Words: []Word{w}, Target: ID(b % 3), At: place(3)}
 			if len(asked) > 0 {
 				p.Nonce = asked[int(b)%len(asked)]
 			}
