Duties in the daemon: electors, leases and the prober of a location, off by default

Need: the operators want duties that one router holds, handed on safely when the holder stalls or is cut off, shown on processes. A duties block names three or five electors; a router's elector and holder are two actors, so that a slow disk never holds up a renewal. The prober's acts carry the token in the probe's tag, checked at the write. No act after one of a later token.

--- a/cmd/garnetline/mates.go
+++ b/cmd/garnetline/mates.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -12,7 +16,12 @@
 	"garnetline/internal/clock"
 	"garnetline/internal/config"
 	"garnetline/internal/core"
+	"garnetline/internal/fleet/agree/disk"
+	"garnetline/internal/fleet/carry"
+	"garnetline/internal/fleet/duties"
 	"garnetline/internal/fleet/link"
+	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/prober"
 	"garnetline/internal/fleet/stance"
 	"garnetline/internal/marks"
 	"garnetline/internal/settings"
@@ -28,12 +37,16 @@
 	clock clock.Clock
 	count *stats.Set
 
+	duties *duties.Duties // nil: this router takes part in none
+	prober *prober.Prober // nil: it does not probe
+
 	mu   sync.Mutex
 	stop context.CancelFunc // once it runs
 }
 
 // join makes the link to the other routers and ties the list to it.
-func join(s settings.Fleet, conf *config.Config, list *changelog.Log, c *core.Core, clk clock.Clock, count *stats.Set, log *zerolog.Logger) (*mates, error) {
+func join(file settings.File, conf *config.Config, list *changelog.Log, c *core.Core, clk clock.Clock, count *stats.Set, log *zerolog.Logger) (*mates, error) {
+	s := file.Fleet
 	if !s.Enabled {
 		return nil, nil
 	}
@@ -58,7 +71,70 @@
 		return nil, err
 	}
 	list.Join(l)
-	return &mates{Link: l, list: list, core: c, clock: clk, count: count}, nil
+	m := &mates{Link: l, list: list, core: c, clock: clk, count: count}
+	if file.Duties.Enabled {
+		if err := m.share(file.Duties, set.Fleet, zone, conf, log); err != nil {
+			return nil, fmt.Errorf("duties: %w", err)
+		}
+	}
+	return m, nil
+}
+
+// share makes this router's part in the duties.
+func (m *mates) share(d settings.Duties, name, zone string, conf *config.Config, log *zerolog.Logger) error {
+	folder := d.Folder
+	if folder == "" && conf.State != "" {
+		folder = filepath.Join(conf.State, "garnetline-elector-"+conf.Name)
+	}
+	boot := clock.NewBoot()
+	o := duties.Options{Settings: duties.Settings{Fleet: name, Electors: d.Electors, Agree: d.Agree()}, Name: conf.Name, Life: m.View().Life,
+		Link: m.Link, Clock: boot, Log: log, Stats: m.count, Ready: m.willing}
+	if slices.Contains(d.Electors, conf.Name) {
+		if folder == "" {
+			return errors.New("folder: an elector wants one that outlives it")
+		}
+		o.Disk = disk.Folder(folder)
+	}
+	var wants []string
+	if d.Prober != nil {
+		wants = append(wants, prober.Duty(zone))
+	}
+	self := m.Members().Self
+	var err error
+	if m.duties, err = duties.New(o, self, wants); err != nil {
+		return err
+	}
+	if p := d.Prober; p != nil {
+		m.prober = prober.New(prober.Options{Zone: zone, Every: p.Every, Most: p.Most, May: m.duties.May, Clock: boot, Stats: m.count, Carry: m.Carry,
+			Told: m.core.Report, Boxes: func() (l []prober.Box) {
+				for _, h := range m.list.Boxes(conf.Settings.Zone, 0) {
+					l = append(l, prober.Box{ID: h.ID, Dial: h.Dial})
+				}
+				return l
+			}, Mates: func() (ids []member.ID) {
+				for _, x := range m.Members().Members {
+					if x.State == member.Alive && x.Zone == zone && !x.Self {
+						ids = append(ids, x.ID)
+					}
+				}
+				return ids
+			}})
+	}
+	m.Deliver(func(from member.ID, life uint64, ch carry.Channel, b []byte) {
+		if ch != carry.Report {
+			m.duties.Deliver(from, life, ch, b)
+		} else if m.prober != nil {
+			m.prober.Heard(b)
+		}
+	})
+	return nil
+}
+
+// willing tells whether this router may hold duties: not one that is cut off from its
+// boxes, that takes itself for slow, or whose successor runs.
+func (m *mates) willing() bool {
+	v := m.Members()
+	return !v.Yielded && v.Health < 4 && v.There > 1 && m.View().Bound && !m.list.Deaf(m.clock.Now())
 }
 
 // Run runs the link until ctx ends or Leave is called.
@@ -68,7 +144,25 @@
 	m.mu.Lock()
 	m.stop = stop
 	m.mu.Unlock()
-	m.Link.Run(ctx)
+	if m.duties == nil {
+		m.Link.Run(ctx)
+		return
+	}
+	// What is held is handed on before the others are told that this router goes.
+	linked, leave := context.WithCancel(context.Background())
+	if m.prober != nil {
+		go m.prober.Run(ctx)
+	}
+	go func() {
+		defer leave()
+		m.duties.Run(ctx)
+	}()
+	m.Link.Run(linked)
+	stop()
+	<-m.duties.Stopped()
+	if m.prober != nil {
+		<-m.prober.Stopped()
+	}
 }
 
 // Leave tells the others that this router goes, and gives the socket back.
@@ -108,13 +202,44 @@
 	return s.Ready(lost, m.list.Deaf(m.clock.Now()))
 }
 
-// Page is what the door shows at /fleet.
-func (m *mates) Page() []byte {
-	b, err := json.MarshalIndent(m.View(), "", " ")
-	if err != nil { // a status is plain data
-		return nil
+// Page answers the door's calls below /fleet; false: there is no such call.
+func (m *mates) Page(ctx context.Context, method, path string) (status int, body []byte, ok bool) {
+	show := func(v any) (int, []byte, bool) {
+		b, err := json.MarshalIndent(v, "", " ")
+		if err != nil { // all that is shown is plain data
+			return 500, []byte(err.Error()), true
+		}
+		return 200, append(b, '\n'), true
+	}
+	words := strings.Split(strings.TrimPrefix(path, "/"), "/")
+	switch {
+	case path == "/fleet" && method == "GET":
+		return show(m.View())
+	case m.duties == nil || len(words) < 2:
+		return 0, nil, false
+	case path == "/fleet/duties" && method == "GET":
+		return show(dutyPage{m.duties.Shown(), m.duties.Leases()})
+	case method == "POST" && len(words) >= 4 && words[1] == "duty" && words[2] == "move":
+		// The name of a duty has a stroke in it; the router's comes behind "to".
+		name, to, _ := strings.Cut(strings.Join(words[3:], "/"), "/to/")
+		return done(m.duties.Move(ctx, name, to))
+	case method == "POST" && len(words) == 4 && words[1] == "elector" && (words[2] == "add" || words[2] == "remove"):
+		return done(m.duties.Elector(ctx, words[3], words[2] == "add"))
+	}
+	return 0, nil, false
+}
+
+// dutyPage is what /fleet/duties shows.
+type dutyPage struct {
+	Register *duties.Shown  `json:"register"`
+	Held     []duties.Lease `json:"held"` // by this router
+}
+
+func done(err error) (int, []byte, bool) {
+	if err != nil {
+		return 503, []byte(err.Error() + "\n"), true
 	}
-	return append(b, '\n')
+	return 200, []byte("done\n"), true
 }
 
 // Append appends the fleet's figures in the text form of Prometheus.
--- a/cmd/garnetline/serve.go
+++ b/cmd/garnetline/serve.go
@@ -100,7 +100,7 @@
 		rec.Kept = pool.Kept
 		c.Trace(attach.Core(rec))
 	}
-	mates, err := join(with.file.Fleet, conf, list, c, clk, count, log)
+	mates, err := join(with.file, conf, list, c, clk, count, log)
 	if err != nil {
 		return err
 	}
--- a/decide/api.go
+++ b/decide/api.go
@@ -250,6 +250,14 @@
 // Left tells that a client left; nothing more is owed.
 type Left struct{ ID RequestID }
 
+// Report tells a cache's load as another router measured it, Age ago.
+type Report struct {
+	Server ServerID
+	Load   Load
+	Age    time.Duration
+}
+
+func (Report) event()  {}
 func (Members) event() {}
 func (Request) event() {}
 func (Outcome) event() {}
@@ -325,6 +333,8 @@
 		r.timer(ev.Token)
 	case Purge:
 		r.purged(ev)
+	case Report:
+		r.report(ev)
 	case Left:
 		if q := r.open[ev.ID]; q != nil {
 			r.finish(q)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -738,6 +738,12 @@
 	}
 }
 
+func (r *Router) report(v Report) {
+	if v.Age < time.Second && v.Load.Link >= 0 && slices.ContainsFunc(r.list[cache], func(s *server) bool { return s.ID == v.Server }) {
+		r.link.feel(r.now, v.Load.Link/linkTarget, r.part)
+	}
+}
+
 func (r *Router) outcome(o Outcome) {
 	q := r.open[o.ID]
 	if q == nil || o.Attempt < 0 || o.Attempt >= len(q.tries) || q.tries[o.Attempt].over {
--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -61,6 +61,7 @@
 	heard  atomic.Bool                       // its word is as new as it can be had soon
 	caught chan struct{}                     // closed then
 	fleet  neighbours
+	boxes  atomic.Pointer[[]config.Host] // that are ready; nil without neighbours
 }
 
 // order is a call of staff to take a cache out, or back.
@@ -347,6 +348,7 @@
 	l.guard.Store(g)
 	l.listed.Store(int64(len(l.hosts)))
 	l.barred.Store(int64(len(l.hosts) - len(g.Ready)))
+	l.show(g)
 	l.tell(ev)
 }
 
--- a/internal/changelog/fleet.go
+++ b/internal/changelog/fleet.go
@@ -157,6 +157,33 @@
 	}
 }
 
+// Boxes returns the listed servers of a kind and zone that are ready, as of the latest
+// event. It may be called from any goroutine; without neighbours there are none.
+func (l *Log) Boxes(zone, kind int) (boxes []config.Host) {
+	if all := l.boxes.Load(); all != nil {
+		for _, h := range *all {
+			if h.Zone == zone && h.Kind == kind {
+				boxes = append(boxes, h)
+			}
+		}
+	}
+	return boxes
+}
+
+// show publishes the ready servers, for Boxes.
+func (l *Log) show(g *decide.Guard) {
+	if l.fleet.Neighbours == nil {
+		return
+	}
+	var all []config.Host
+	for id, h := range l.hosts {
+		if g.Ready[id] {
+			all = append(all, h)
+		}
+	}
+	l.boxes.Store(&all)
+}
+
 // Deaf tells whether the log is cut off, by the latest guard. It may be called from any
 // goroutine.
 func (l *Log) Deaf(now float64) bool {
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -7,6 +7,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Clock tells the time.
@@ -26,6 +28,24 @@
 	return float64(s.start.UnixMicro())/1e3 + float64(time.Since(s.start))/float64(time.Millisecond)
 }
 
+// Boot counts milliseconds since the machine's start, suspended time among them: a lease
+// must not be longer for a machine that slept through a part of it. Where there is no such
+// clock it is the monotonic one, which stands still while the machine is suspended; what a
+// holder then writes after its waking is held back by tokens alone.
+type Boot struct{ start time.Time }
+
+// NewBoot returns the boot clock.
+func NewBoot() Boot { return Boot{time.Now()} }
+
+// Now returns the time in milliseconds, from no particular start.
+func (b Boot) Now() float64 {
+	var t unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &t) == nil {
+		return float64(t.Sec)*1000 + float64(t.Nsec)/1e6
+	}
+	return float64(time.Since(b.start)) / float64(time.Millisecond)
+}
+
 // Manual is a clock that tests set.
 type Manual struct {
 	mu  sync.Mutex
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -252,6 +252,15 @@
 // Tell hands over an event of the change log.
 func (c *Core) Tell(ev config.Event) { c.post(ev) }
 
+// Report hands over a cache's load as another router measured it, age ms ago. It does not
+// wait: a report that finds no room is worth nothing later.
+func (c *Core) Report(id decide.ServerID, l decide.Load, age float64) {
+	select {
+	case c.box <- decide.Report{Server: id, Load: l, Age: clock.Duration(age)}:
+	default:
+	}
+}
+
 // Reload goes over to other settings, which config.Admits has let pass.
 func (c *Core) Reload(set decide.Settings) { c.post(set) }
 
@@ -275,6 +284,8 @@
 		c.end(m)
 	case config.Event:
 		c.told(m)
+	case decide.Report:
+		c.feed(m)
 	case decide.Settings:
 		if err := c.router.Adopt(m); err == nil {
 			c.set = m
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -21,10 +21,10 @@
 	Ready   func() bool
 	Figures func() Figures // as of now
 	Switch  func(ctx context.Context, id decide.ServerID, out bool) error
-	// Fleet is what the router knows of the others: the page, as JSON, and figures for
-	// /metrics. Nil: it knows no others, and has no such page.
+	// Fleet is what the router knows of the others: the calls below /fleet, and figures
+	// for /metrics. Nil: it knows no others, and has no such calls.
 	Fleet interface {
-		Page() []byte
+		Page(ctx context.Context, method, path string) (status int, body []byte, ok bool)
 		Append(metrics []byte) []byte
 	}
 }
@@ -48,6 +48,13 @@
 
 // Page answers one call.
 func (d *Door) Page(ctx context.Context, method, path string) (status int, body []byte) {
+	if d.Fleet != nil && strings.HasPrefix(path, "/fleet") {
+		ctx, stop := context.WithTimeout(ctx, answerIn)
+		defer stop()
+		if status, body, ok := d.Fleet.Page(ctx, method, path); ok {
+			return status, body
+		}
+	}
 	want := "GET"
 	id, disable := strings.CutPrefix(path, "/caches/disable/")
 	enable := false
@@ -57,7 +64,6 @@
 	switch {
 	case disable || enable:
 		want = "POST"
-	case path == "/fleet" && d.Fleet != nil:
 	case path != "/ready" && path != "/metrics":
 		return 404, []byte("no such call\n")
 	}
@@ -66,8 +72,6 @@
 		return 405, []byte(want + " only\n")
 	case want == "POST":
 		return d.turn(ctx, id, disable)
-	case path == "/fleet":
-		return 200, d.Fleet.Page()
 	case path == "/metrics" && d.Fleet != nil:
 		return 200, d.Fleet.Append(d.Figures().Append(nil))
 	case path == "/metrics":
--- a/internal/fleet/agree/agree.go
+++ b/internal/fleet/agree/agree.go
@@ -470,6 +470,23 @@
 	}
 }
 
+// SnapshotSent tells raft that a snapshot is on its way. Where it gets lost, the next
+// append is refused, and another is sent.
+func (m *Machine) SnapshotSent(id uint64) { m.node.ReportSnapshot(id, raft.SnapshotFinish) }
+
+// HandLead hands the lead to the voter that has most of the log, if this one leads.
+func (m *Machine) HandLead() {
+	best, most := uint64(0), uint64(0)
+	m.node.WithProgress(func(id uint64, t raft.ProgressType, pr tracker.Progress) {
+		if id != m.id && t == raft.ProgressTypePeer && pr.RecentActive && (pr.Match > most || pr.Match == most && id < best) {
+			best, most = id, pr.Match
+		}
+	})
+	if s := m.node.BasicStatus(); s.RaftState == raft.StateLeader && best != 0 && s.LeadTransferee == 0 {
+		m.node.TransferLeader(best)
+	}
+}
+
 // Duties returns the register's duties by name.
 func (m *Machine) Duties() []*register.Duty {
 	return slices.SortedFunc(maps.Values(m.state.Duties), func(a, b *register.Duty) int { return cmp.Compare(a.Name, b.Name) })
--- a/internal/fleet/carry/carry.go
+++ b/internal/fleet/carry/carry.go
@@ -20,6 +20,8 @@
 	Ask                       // a router's question to an elector
 	Answer                    // and back
 	Report                    // of the load of boxes
+	Hello                     // between electors, about themselves
+	Hint                      // who leads, of one that does not
 )
 
 // Bounds of what is put together, whatever comes.
--- /dev/null
+++ b/internal/fleet/duties/code.go
@@ -0,0 +1,180 @@
+package duties
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"garnetline/internal/fleet/duty"
+	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/register"
+)
+
+// The forms of what routers and electors say to each other, in protobuf's: numbers and
+// strings. Bounds are those of the register.
+
+func num(b []byte, f protowire.Number, v uint64) []byte {
+	if v == 0 {
+		return b
+	}
+	return protowire.AppendVarint(protowire.AppendTag(b, f, protowire.VarintType), v)
+}
+
+func text(b []byte, f protowire.Number, s string) []byte {
+	if s == "" {
+		return b
+	}
+	return protowire.AppendString(protowire.AppendTag(b, f, protowire.BytesType), s)
+}
+
+func flag(on bool) uint64 {
+	if on {
+		return 1
+	}
+	return 0
+}
+
+func putAsk(a duty.Ask) []byte {
+	b := num(nil, 1, a.Question)
+	b = text(b, 2, a.Duty)
+	b = num(b, 3, a.Token)
+	b = num(b, 4, flag(a.Give))
+	b = num(b, 5, uint64(a.To))
+	return text(b, 6, string(a.Work))
+}
+
+func getAsk(b []byte) (a duty.Ask, ok bool) {
+	ok = register.Fields(b, func(f protowire.Number, v uint64, in []byte) bool {
+		switch f {
+		case 1:
+			a.Question = v
+		case 2:
+			a.Duty = string(in)
+		case 3:
+			a.Token = v
+		case 4:
+			a.Give = v != 0
+		case 5:
+			a.To = member.ID(v)
+		case 6:
+			a.Work = slices.Clone(in)
+		}
+		return true
+	})
+	return a, ok && a.Duty != "" && len(a.Duty) <= register.MaxName && len(a.Work) <= register.MaxWork
+}
+
+// hint is the answer of an elector that does not lead: who does, as far as it knows.
+type hint struct {
+	Question uint64
+	Leader   string
+}
+
+func (h hint) append() []byte { return text(num(nil, 1, h.Question), 2, h.Leader) }
+
+func getHint(b []byte) (h hint, ok bool) {
+	ok = register.Fields(b, func(f protowire.Number, v uint64, in []byte) bool {
+		if f == 1 {
+			h.Question = v
+		} else if f == 2 {
+			h.Leader = string(in)
+		}
+		return true
+	})
+	return h, ok && h.Leader != "" && len(h.Leader) <= register.MaxName
+}
+
+func putAnswer(a duty.Answer) []byte {
+	b := num(nil, 1, a.Question)
+	b = text(b, 2, a.Duty)
+	b = num(b, 3, flag(a.Yes))
+	b = num(b, 4, a.Token)
+	b = num(b, 5, uint64(a.Holder))
+	b = num(b, 6, uint64(a.Left))
+	b = num(b, 7, a.Losses)
+	return text(b, 8, string(a.Work))
+}
+
+func getAnswer(b []byte) (a duty.Answer, ok bool) {
+	ok = register.Fields(b, func(f protowire.Number, v uint64, in []byte) bool {
+		switch f {
+		case 1:
+			a.Question = v
+		case 2:
+			a.Duty = string(in)
+		case 3:
+			a.Yes = v != 0
+		case 4:
+			a.Token = v
+		case 5:
+			a.Holder = member.ID(v)
+		case 6:
+			a.Left = float64(min(v, 1<<40))
+		case 7:
+			a.Losses = v
+		case 8:
+			a.Work = slices.Clone(in)
+		}
+		return true
+	})
+	return a, ok && a.Duty != ""
+}
+
+// hello is what electors say to each other about themselves, besides raft's messages.
+type hello struct {
+	Name  string
+	ID    uint64 // its number, or the one that it would begin with
+	Fresh bool   // it has no log
+	Back  bool   // it answers
+	Heard bool   // Back: something came from the asker's first number once
+	Voter bool   // Back: that number is among the voters, as far as this one knows
+	Join  bool   // asks to be taken in under ID
+}
+
+func (h hello) append() []byte {
+	b := text(nil, 1, h.Name)
+	b = num(b, 2, h.ID)
+	b = num(b, 3, flag(h.Fresh)|flag(h.Back)<<1|flag(h.Heard)<<2|flag(h.Voter)<<3|flag(h.Join)<<4)
+	return b
+}
+
+func getHello(b []byte) (h hello, ok bool) {
+	ok = register.Fields(b, func(f protowire.Number, v uint64, in []byte) bool {
+		switch f {
+		case 1:
+			h.Name = string(in)
+		case 2:
+			h.ID = v
+		case 3:
+			h.Fresh, h.Back, h.Heard, h.Voter, h.Join = v&1 != 0, v&2 != 0, v&4 != 0, v&8 != 0, v&16 != 0
+		}
+		return true
+	})
+	return h, ok && h.Name != "" && len(h.Name) <= register.MaxName && h.ID != 0
+}
+
+// own is what an elector's log keeps of it: its number, and whom it has heard.
+type own struct {
+	ID    uint64
+	Heard []uint64
+}
+
+func (o own) append() []byte {
+	b := num(nil, 1, o.ID)
+	for _, id := range o.Heard {
+		b = num(b, 2, id)
+	}
+	return b
+}
+
+func getOwn(b []byte) (o own, ok bool) {
+	ok = register.Fields(b, func(f protowire.Number, v uint64, _ []byte) bool {
+		if f == 1 {
+			o.ID = v
+		} else if f == 2 {
+			o.Heard = append(o.Heard, v)
+		}
+		return true
+	})
+	return o, ok
+}
--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -212,6 +212,16 @@
 	return l.token, true
 }
 
+// Given tells whether the register knows of all that was given up, or need not.
+func (h *Holder) Given() bool {
+	for _, l := range h.by {
+		if l.giving != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // Until is when a lease ends, and its token; 0 where there is none.
 func (h *Holder) Until(name string) (end float64, token uint64) {
 	if l := h.by[name]; l != nil && l.token != 0 {
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -21,6 +21,7 @@
 	"garnetline/decide"
 	"garnetline/internal/clock"
 	"garnetline/internal/fleet"
+	"garnetline/internal/fleet/carry"
 	"garnetline/internal/fleet/member"
 	"garnetline/internal/fleet/seal"
 	"garnetline/internal/fleet/words"
@@ -54,6 +55,9 @@
 	Log                 *zerolog.Logger
 	Stats               *stats.Set
 	Bans                []decide.ServerID // that staff set while no fleet knew
+	// Deliver takes what others sent to a machine of this router. It must not block; nil:
+	// there is none.
+	Deliver func(from member.ID, life uint64, ch carry.Channel, b []byte)
 }
 
 // Link is the actor.
@@ -66,6 +70,9 @@
 	in     chan *member.Packet
 	orders chan func(now float64)
 	view   atomic.Pointer[fleet.Status]
+	raw    atomic.Pointer[member.View]
+	joiner carry.Joiner
+	sent   uint64 // of what was carried
 	done   chan struct{}
 	conn   *net.UDPConn
 	bound  bool
@@ -187,6 +194,14 @@
 	for _, e := range out.Events {
 		l.event(e)
 	}
+	for _, x := range out.Loads {
+		if l.o.Deliver == nil {
+			break
+		}
+		if ch, b, whole := l.joiner.Take(now, x); whole {
+			l.o.Deliver(x.From, x.Life, ch, b)
+		}
+	}
 	if out.Swung {
 		l.o.Log.Info().Str("stance", out.Stance.Stance.String()).Int("there", out.Stance.There).Int("known", out.Stance.Known).Msg("fleet stance")
 		l.moved = true
@@ -327,7 +342,9 @@
 
 // publish replaces the snapshot.
 func (l *Link) publish(now float64) {
-	s := fleet.Show(l.node.View(), l.node.Reading(), l.o.Fleet)
+	v := l.node.View()
+	l.raw.Store(v)
+	s := fleet.Show(v, l.node.Reading(), l.o.Fleet)
 	s.At, s.Bound = now, l.bound
 	for _, b := range l.node.Shelf.Bans() {
 		s.Bans = append(s.Bans, b.String())
@@ -339,6 +356,26 @@
 // View returns the latest snapshot, which does not change. It allocates nothing.
 func (l *Link) View() *fleet.Status { return l.view.Load() }
 
+// Members returns the latest view as the state machines have it. It does not change.
+func (l *Link) Members() *member.View { return l.raw.Load() }
+
+// Deliver sets who takes what others send to a machine of this router. It is called
+// before Run.
+func (l *Link) Deliver(f func(from member.ID, life uint64, ch carry.Channel, b []byte)) {
+	l.o.Deliver = f
+}
+
+// Carry sends something to a machine of another router. It may get lost, and never blocks.
+func (l *Link) Carry(to member.ID, ch carry.Channel, b []byte) {
+	l.order(func(now float64) {
+		l.sent++
+		for _, x := range carry.Split(l.sent, ch, b) {
+			out := l.node.Send(now, to, x)
+			l.carry(now, out.Sends)
+		}
+	})
+}
+
 // Stopped is closed when the actor has ended.
 func (l *Link) Stopped() <-chan struct{} { return l.done }
 
--- a/internal/peer/resp.go
+++ b/internal/peer/resp.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"garnetline/decide"
+	"garnetline/internal/clock"
 	"garnetline/internal/core"
 	"garnetline/internal/sock"
 )
@@ -195,3 +197,25 @@
 func appendBulk(dst []byte, s string) []byte {
 	return append(append(fmt.Appendf(dst, "$%d\r\n", len(s)), s...), "\r\n"...)
 }
+
+// ReadGauges reads the answer to a probe that was sent as gauges under a tag, within so
+// many ms. What the report leaves out is NaN.
+func ReadGauges(k *sock.Conn, tag string, most int, within float64) (decide.Load, error) {
+	l := core.NoLoad()
+	if err := k.Net.SetReadDeadline(time.Now().Add(clock.Duration(within))); err != nil {
+		return l, err
+	}
+	r, err := readReply(k)
+	if err != nil {
+		return l, err
+	}
+	if r.id != tag || r.word != "FIT" && r.word != "UNFIT" || len(r.body) > most {
+		return l, fmt.Errorf("%w to a probe", errFrame)
+	}
+	for f := range strings.SplitSeq(r.fields, ",") {
+		if value, ok := strings.CutPrefix(f, "l="); ok {
+			load(&l, value)
+		}
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/rig/duties.go
@@ -0,0 +1,79 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// DutyPage is what a router shows of duties.
+type DutyPage struct {
+	Register struct {
+		Elector, Leading bool
+		Leader, Fault    string
+		Voters, Learners []string
+		Term, Applied    uint64
+		Duties           []struct {
+			Duty, Holder string
+			Token        uint64
+		}
+	}
+	Held []struct {
+		Duty  string
+		Token uint64
+	}
+}
+
+// Duties is what the router shows of duties.
+func (x *Router) Duties() (*DutyPage, error) {
+	code, b, err := x.Door("GET", "/fleet/duties")
+	if err != nil || code != 200 {
+		return nil, fmt.Errorf("%s: /fleet/duties: %d %v", x.Name, code, err)
+	}
+	p := &DutyPage{}
+	return p, json.Unmarshal(b, p)
+}
+
+// Holder waits until one of these routers says that it holds a duty, and returns it.
+func (r *Rig) Holder(within time.Duration, name string, of ...*Router) (holder *Router, token uint64, err error) {
+	_, err = r.Until("somebody holds "+name, within, func() (bool, string) {
+		seen := ""
+		for _, x := range of {
+			p, err := x.Duties()
+			if err != nil {
+				seen += err.Error() + "; "
+				continue
+			}
+			for _, h := range p.Held {
+				if h.Duty == name {
+					holder, token = x, h.Token
+					return true, ""
+				}
+			}
+			seen += fmt.Sprintf("%s: leader %q, %v %s; ", x.Name, p.Register.Leader, p.Register.Duties, p.Register.Fault)
+		}
+		return false, seen
+	})
+	return holder, token, err
+}
+
+// Handover is a change of who acts, as a box saw it.
+type Handover struct {
+	From, To uint64 // tokens
+	Gap      time.Duration
+}
+
+// Handovers returns the changes of who acted at a box, and what breaks the rule: an act
+// under a token that came after one under a later token.
+func (b *Box) Handovers() (l []Handover, broken error) {
+	acts := b.Acts()
+	for i := 1; i < len(acts); i++ {
+		switch a, z := acts[i-1], acts[i]; {
+		case z.Token < a.Token:
+			broken = fmt.Errorf("%s: an act of token %d came %v after one of %d", b.Name, z.Token, z.At.Sub(a.At), a.Token)
+		case z.Token > a.Token:
+			l = append(l, Handover{a.Token, z.Token, z.At.Sub(a.At)})
+		}
+	}
+	return l, broken
+}
--- /dev/null
+++ b/internal/rig/duties_test.go
@@ -0,0 +1,122 @@
+package rig
+
+import (
+	"testing"
+	"time"
+
+	"garnetline/internal/faultnet"
+)
+
+const probing = "probe/edge"
+
+// Five electors among eight routers. The holder of a duty is stopped past its lease's end
+// and woken, killed, cut off from the electors though not from the boxes, told to go, and
+// asked to hand on: at the boxes no act ever comes after one of a later token, and each
+// time there is a holder again. Requests go on.
+func TestDutyIsHeldByOne(t *testing.T) {
+	r := fleetOf(t, Options{Routers: 8, Boxes: 2, Electors: 5, Duties: " lease_ms = 1500\n margin_ms = 150\n", Seed: 21})
+	holder := func(what string, but ...*Router) (*Router, uint64) {
+		t.Helper()
+		x, token, err := r.Holder(within, probing, r.Live(but...)...)
+		if err != nil {
+			t.Fatalf("%s: %v", what, err)
+		}
+		t.Logf("%s: %s holds it under %d", what, x.Name, token)
+		return x, token
+	}
+	x, first := holder("at the start")
+	l := r.Load(50*time.Millisecond, r.Routers...)
+	acting := func(after uint64) {
+		t.Helper()
+		must(t, "a later token acts")(r.Until("acts", within, func() (bool, string) {
+			for _, b := range r.Boxes {
+				if a := b.Acts(); len(a) == 0 || a[len(a)-1].Token <= after {
+					return false, b.Name
+				}
+			}
+			return true, ""
+		}))
+	}
+	acting(first - 1)
+	l.Excuse(x, true)
+	no(t, x.Stall())
+	y, second := holder("the holder stopped", x)
+	acting(first)
+	no(t, x.Wake())
+	must(t, "woken one is back")(r.Alike(within, r.Routers...))
+	l.Excuse(x, false)
+
+	if code, b, err := y.Door("POST", "/fleet/duty/move/"+probing); code != 200 {
+		t.Fatalf("%d %s %v", code, b, err)
+	}
+	acting(second)
+	z, third := holder("moved")
+	if z == y {
+		t.Error("moved to itself")
+	}
+	for _, e := range r.Routers { // from all others, and not from the boxes
+		if e != z {
+			r.Net.Both(z.Way(), e.Way(), faultnet.Fault{Cut: true})
+		}
+	}
+	_, fourth := holder("the holder cut off from the electors", z)
+	acting(third)
+	r.Net.Heal()
+	must(t, "healed")(r.Alike(within, r.Routers...))
+
+	v, _ := holder("after the cut")
+	l.Excuse(v, true)
+	v.Kill()
+	_, fifth := holder("the holder killed", v)
+	acting(fourth)
+	no(t, v.Start())
+	must(t, "killed one is back")(r.Alike(within, r.Routers...))
+	l.Excuse(v, false)
+
+	w, _ := holder("before one goes in order")
+	l.Excuse(w, true)
+	no(t, w.Stop())
+	acting(fifth)
+	for _, b := range r.Boxes {
+		h, err := b.Handovers()
+		if err != nil || len(h) < 5 {
+			t.Errorf("%d handovers: %v", len(h), err)
+		}
+		for _, x := range h {
+			t.Logf("%s: from %d to %d, %v without an act", b.Name, x.From, x.To, x.Gap.Round(time.Millisecond))
+		}
+	}
+	end(t, l)
+}
+
+// A majority of the electors is down: the duty lapses, requests go on; when they are back
+// so is the duty, under a later token.
+func TestMajorityOfElectorsDown(t *testing.T) {
+	r := fleetOf(t, Options{Routers: 5, Boxes: 1, Electors: 3, Duties: " lease_ms = 1500\n margin_ms = 150\n", Seed: 22})
+	_, first, err := r.Holder(within, probing, r.Routers...)
+	no(t, err)
+	l := r.Load(50*time.Millisecond, r.Routers[3:]...)
+	for _, x := range r.Routers[:2] {
+		x.Kill()
+	}
+	must(t, "nobody holds it")(r.Until("nobody holds", within, func() (bool, string) {
+		for _, x := range r.Live() {
+			if p, err := x.Duties(); err != nil || len(p.Held) > 0 {
+				return false, x.Name
+			}
+		}
+		return true, ""
+	}))
+	for _, x := range r.Routers[:2] {
+		no(t, x.Start())
+	}
+	_, later, err := r.Holder(within, probing, r.Routers...)
+	no(t, err)
+	if later < first { // the same, where its holder was none of those killed
+		t.Errorf("token %d after %d", later, first)
+	}
+	if _, err := r.Boxes[0].Handovers(); err != nil {
+		t.Error(err)
+	}
+	end(t, l)
+}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -17,6 +17,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -35,6 +36,8 @@
 	Routers  int
 	Boxes    int
 	Fleet    bool
+	Electors int    // the first so many routers are electors; 0: no duties
+	Duties   string // further lines of the duties block
 	Bare     bool   // no operators' file at all
 	Lines    string // further lines of the fleet block
 	Seed     uint64
@@ -66,6 +69,32 @@
 	mu    sync.Mutex
 	fail  bool
 	tries map[string]int // by the request's id
+	acts  []Act
+}
+
+// Act is a probe that came, with the token that its tag has.
+type Act struct {
+	Token uint64
+	At    time.Time // by the machine's one clock
+}
+
+// gauges answers a probe.
+func (b *Box) gauges(tag string) string {
+	var a Act
+	var n uint64
+	fmt.Sscanf(tag, "p%d.%d", &a.Token, &n)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a.At = time.Now()
+	b.acts = append(b.acts, a)
+	return "l=util:0.5;link:0.5"
+}
+
+// Acts returns the probes that came, in their order.
+func (b *Box) Acts() []Act {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.acts)
 }
 
 // Router is one router: its files, and its process if it runs.
@@ -123,6 +152,7 @@
 		if b.Box, err = standin.NewBox(b.reply); err != nil {
 			return nil, err
 		}
+		b.Gauges = b.gauges
 		r.Boxes = append(r.Boxes, b)
 	}
 	for i := range o.Routers {
@@ -252,6 +282,13 @@
 		text += fmt.Sprintf("fleet {\n enabled = true\n name = \"rig\"\n listen = %q\n advertise = %q\n join = [%s]\n keys = [%s]\n%s}\n",
 			x.Fleet, x.Reached, strings.Join(join, ", "), strings.Join(quoted, ", "), x.rig.o.Lines)
 	}
+	if n := x.rig.o.Electors; n > 0 {
+		names := make([]string, n)
+		for i := range names {
+			names[i] = fmt.Sprintf("%q", fmt.Sprintf("r%02d", i))
+		}
+		text += fmt.Sprintf("duties {\n enabled = true\n electors = [%s]\n prober {\n  every_ms = 20\n  most_ms = 20\n }\n%s}\n", strings.Join(names, ", "), x.rig.o.Duties)
+	}
 	return os.WriteFile(x.ops, []byte(text), 0o600)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/url"
 	"os"
+	"reflect"
 	"regexp"
 
 	"github.com/hashicorp/hcl/v2"
@@ -19,10 +20,11 @@
 
 // File is the whole of the operators' file.
 type File struct {
-	Log   Log
-	DNS   dns.Config
-	Trace Trace
-	Fleet Fleet
+	Log    Log
+	DNS    dns.Config
+	Trace  Trace
+	Fleet  Fleet
+	Duties Duties
 }
 
 // Log says what is logged.
@@ -63,7 +65,7 @@
 // Default is what holds without a file.
 func Default() File {
 	return File{Log: Log{Level: "info"}, DNS: dns.Default(),
-		Fleet: defaultFleet(), Trace: Trace{SegmentMB: 8, KeepMB: 256, UndecidedKB: 4096, Ordinary: 2, RetryWithin: 5000, Sampled: true}}
+		Fleet: defaultFleet(), Duties: defaultDuties(), Trace: Trace{SegmentMB: 8, KeepMB: 256, UndecidedKB: 4096, Ordinary: 2, RetryWithin: 5000, Sampled: true}}
 }
 
 // Load reads an operators' file; "" stands for none. An error is one line that
@@ -82,18 +84,20 @@
 		return Default(), first(diags)
 	}
 	blocks := struct {
-		Log   *Log        `hcl:"log,block"`
-		DNS   *dns.Config `hcl:"dns,block"`
-		Trace *Trace      `hcl:"trace,block"`
-		Fleet *Fleet      `hcl:"fleet,block"`
-	}{&f.Log, &f.DNS, &f.Trace, &f.Fleet}
+		Log    *Log        `hcl:"log,block"`
+		DNS    *dns.Config `hcl:"dns,block"`
+		Trace  *Trace      `hcl:"trace,block"`
+		Fleet  *Fleet      `hcl:"fleet,block"`
+		Duties *Duties     `hcl:"duties,block"`
+	}{&f.Log, &f.DNS, &f.Trace, &f.Fleet, &f.Duties}
 	if diags = gohcl.DecodeBody(parsed.Body, nil, &blocks); diags.HasErrors() {
 		return Default(), first(diags)
 	}
 	for _, c := range []struct {
 		block string
 		check func() error
-	}{{"log", f.Log.check}, {"dns", f.DNS.Check}, {"trace", f.Trace.check}, {"fleet", f.Fleet.check}} {
+	}{{"log", f.Log.check}, {"dns", f.DNS.Check}, {"trace", f.Trace.check}, {"fleet", f.Fleet.check},
+		{"duties", func() error { return f.Duties.check(f.Fleet.Enabled) }}} {
 		if err := c.check(); err != nil {
 			return Default(), fmt.Errorf("%s: %w", place(parsed, path, c.block, err), err)
 		}
@@ -201,5 +205,8 @@
 	if err := f.Fleet.admits(&next.Fleet); err != nil {
 		return fmt.Errorf("fleet: %w", err)
 	}
+	if !reflect.DeepEqual(f.Duties, next.Duties) {
+		return errors.New("duties: only a restart can change it")
+	}
 	return nil
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -26,6 +26,8 @@
 type Box struct {
 	net.Listener
 	Reply Reply // not to be changed once requests may come
+	// Gauges gives the fields of the answer to a probe with a tag; nil: it is not answered.
+	Gauges func(tag string) string
 
 	mu   sync.Mutex
 	seen []string
@@ -66,6 +68,12 @@
 		if err != nil {
 			return
 		}
+		if len(words) == 2 && words[0] == "gauges" && b.Gauges != nil {
+			if _, err := io.WriteString(conn, Answer(words[1], "FIT", b.Gauges(words[1]), "")); err != nil {
+				return
+			}
+			continue
+		}
 		if len(words) < 3 || words[0] != "serve" {
 			continue
 		}
