No renewal while a command for the duty is under way; a lost disk and a new elector

Cause: agree.answer proposed the grant when the lease had ended, and renewed the old holder's before the grant was applied. An elector whose disk was emptied asks all others first; one that was heard of comes back as a learner under a new number.

--- a/deploy/garnetline.hcl
+++ b/deploy/garnetline.hcl
@@ -71,3 +71,21 @@
   less_room_after_ms     = 500              # evidence for a stance with less room
   more_room_after_ms     = 5000             # and for one with more
 }
+
+# Duties that one router holds at a time, agreed on by electors: docs/duties.md. Wants the
+# fleet block. Only a restart can change it.
+duties {
+  enabled     = false
+  electors    = []                 # names of three or five routers; the register's own list wins
+  folder      = ""                 # of an elector's log; "": below the state folder
+  lease_ms    = 3000               # a holder that cannot renew stops by itself before its end
+  margin_ms   = 200                # given away on each side of a lease
+  drift       = 0.01               # share by which the rates of two clocks may differ
+  retry_ms    = 250                # a question without an answer is asked again
+  election_ms = 600                # without a leader, up to twice as long by chance
+
+  # prober {                       # one router asks the boxes of its location for their load
+  #   every_ms = 250               # of one box, while its load changes
+  #   most_ms  = 1000              # and where it does not
+  # }
+}
--- a/internal/fleet/agree/agree.go
+++ b/internal/fleet/agree/agree.go
@@ -101,12 +101,14 @@
 	conf    *raftpb.ConfState
 	applied uint64
 	term    uint64 // in which the last applied entry was made
+	changed bool   // the electors have, since the last snapshot
 
 	nextTick float64
 	ledger   *duty.Ledger // nil: this one does not lead, or has not caught up with its term
 	ledTerm  uint64
 	asks     map[uint64][]Question // by the read that they wait for
 	grants   map[uint64]Question   // by the number of the question that was proposed
+	busy     map[string]int        // commands for a duty that were proposed and are not applied
 	reads    uint64
 	fresh    []Question // that came since the last read was asked for
 	halted   error
@@ -115,14 +117,15 @@
 }
 
 // New returns an elector with a number. found is what its disk held; where that is
-// nothing, voters are those of the very first register, this one among them, or nobody if
-// it is to be taken in by the others.
-func New(set Settings, id uint64, d Disk, found disk.State, voters []uint64, now float64) (*Machine, error) {
+// nothing, first are those of the very first register, this one among them, with their
+// names, or nobody if it is to be taken in by the others.
+func New(set Settings, id uint64, d Disk, found disk.State, first map[uint64]string, now float64) (*Machine, error) {
 	m := &Machine{set: set, id: id, disk: d, store: raft.NewMemoryStorage(), state: register.New(), conf: &raftpb.ConfState{},
-		nextTick: now + set.Tick, asks: map[uint64][]Question{}, grants: map[uint64]Question{}}
-	if found.Hard == nil && found.Snap == nil && len(found.Entries) == 0 && len(voters) > 0 {
+		nextTick: now + set.Tick, asks: map[uint64][]Question{}, grants: map[uint64]Question{}, busy: map[string]int{}}
+	if found.Hard == nil && found.Snap == nil && len(found.Entries) == 0 && len(first) > 0 {
 		// All of the first electors begin with the same snapshot of nothing.
-		voters = slices.Sorted(slices.Values(voters))
+		voters := slices.Sorted(maps.Keys(first))
+		m.state.Names = maps.Clone(first)
 		one := uint64(1)
 		found.Snap = &raftpb.Snapshot{Data: m.state.Snapshot(), Metadata: &raftpb.SnapshotMetadata{Index: &one, Term: &one, ConfState: &raftpb.ConfState{Voters: voters}}}
 		found.Hard = &raftpb.HardState{Term: &one, Commit: &one}
@@ -254,7 +257,7 @@
 	case raftpb.EntryConfChangeV2:
 		c := &raftpb.ConfChangeV2{}
 		if proto.Unmarshal(e.GetData(), c) == nil {
-			m.conf = m.node.ApplyConfChange(c)
+			m.conf, m.changed = m.node.ApplyConfChange(c), true
 		}
 	case raftpb.EntryConfChange:
 		c := &raftpb.ConfChange{}
@@ -278,10 +281,15 @@
 // compact takes a snapshot when the log has grown, and has the disk forget what is old.
 func (m *Machine) compact() error {
 	first, _ := m.store.FirstIndex()
-	if m.applied > first+uint64(m.set.Snapshot) {
-		if _, err := m.store.CreateSnapshot(m.applied, m.conf, m.state.Snapshot()); err != nil {
+	long := m.applied > first+uint64(m.set.Snapshot)
+	if long || m.changed {
+		// A learner takes no snapshot that does not name it.
+		if _, err := m.store.CreateSnapshot(m.applied, m.conf, m.state.Snapshot()); err != nil && !errors.Is(err, raft.ErrSnapOutOfDate) {
 			return err
 		}
+		m.changed = false
+	}
+	if long {
 		if err := m.store.Compact(m.applied - uint64(m.set.Keep)); err != nil {
 			return err
 		}
@@ -316,6 +324,7 @@
 			m.ledger, m.fresh = nil, nil
 			clear(m.asks)
 			clear(m.grants)
+			clear(m.busy)
 		}
 		return
 	}
@@ -323,6 +332,7 @@
 		m.ledger, m.ledTerm = duty.NewLedger(m.set.Duty, m.now, m.state), term
 		clear(m.asks)
 		clear(m.grants)
+		clear(m.busy)
 	}
 }
 
@@ -369,6 +379,9 @@
 func (m *Machine) answer(q Question) {
 	d := m.state.Duties[q.Duty]
 	switch {
+	case m.busy[q.Duty] > 0:
+		// Symptom guarded against: the duty had been proposed for another, and before that
+		// was applied its holder renewed: it was told yes for a whole lease more.
 	case q.Duty == "" || len(q.Duty) > register.MaxName || len(q.Work) > register.MaxWork:
 	case q.Give:
 		c := &register.Command{Op: register.Release, Duty: q.Duty, Who: q.From, Token: q.Token, Work: q.Work, Question: q.Question}
@@ -399,6 +412,7 @@
 func (m *Machine) propose(q Question, c *register.Command) {
 	if m.node.Propose(c.Append(nil)) == nil {
 		m.grants[q.Question] = q
+		m.busy[q.Duty]++
 	}
 }
 
@@ -414,6 +428,9 @@
 		return
 	}
 	delete(m.grants, c.Question)
+	if m.busy[c.Duty]--; m.busy[c.Duty] <= 0 {
+		delete(m.busy, c.Duty)
+	}
 	if c.Op == register.Grant && err == nil {
 		m.ledger.Answered(m.now, c.Duty)
 	}
--- a/internal/fleet/duties/duties.go
+++ b/internal/fleet/duties/duties.go
@@ -174,7 +174,7 @@
 			return
 		}
 		name := ""
-		if ch == carry.Hello {
+		if ch != carry.Ask {
 			name = d.nameOf(from)
 		}
 		select {
--- a/internal/fleet/duties/elector.go
+++ b/internal/fleet/duties/elector.go
@@ -73,8 +73,8 @@
 }
 
 // begin starts the machine, with the voters of the first register or with none.
-func (e *elector) begin(voters []uint64, now float64) (err error) {
-	e.node, err = agree.New(e.set.Agree, e.own.ID, e.log, e.found, voters, now)
+func (e *elector) begin(first map[uint64]string, now float64) (err error) {
+	e.node, err = agree.New(e.set.Agree, e.own.ID, e.log, e.found, first, now)
 	return err
 }
 
@@ -182,7 +182,7 @@
 // Symptom guarded against: an elector whose disk was emptied votes a second time in a
 // term in which it voted before, and two leaders are elected.
 func (e *elector) decide(now float64) {
-	voters := []uint64{e.first}
+	voters := map[uint64]string{e.first: e.name}
 	known := false
 	for _, n := range e.names {
 		if n == e.name {
@@ -195,7 +195,7 @@
 		if !told && !known {
 			return // it may know
 		}
-		voters = append(voters, numberOf(e.set.Fleet, n))
+		voters[numberOf(e.set.Fleet, n)] = n
 	}
 	e.own = own{ID: e.first}
 	if known { // it was one before, or is a new one: it begins anew, without a vote
@@ -235,6 +235,9 @@
 		if e.node == nil || proto.Unmarshal(b, m) != nil || m.GetTo() != e.own.ID || m.GetFrom() == 0 || !e.heard(m.GetFrom()) {
 			return agree.Input{}
 		}
+		if name != "" {
+			e.told[name] = hello{Name: name, ID: m.GetFrom(), Back: true} // one that is new may know its leader by nothing else
+		}
 		return agree.Input{Message: m}
 	case carry.Ask:
 		a, ok := getAsk(b)
@@ -246,7 +249,7 @@
 			return agree.Input{Question: &agree.Question{From: from, Life: life, Ask: a}}
 		}
 	case carry.Hello:
-		if h, ok := getHello(b); ok && h.Name == name {
+		if h, ok := getHello(b); ok && (h.Name == name || h.Join && e.votes(name)) {
 			return e.greeted(h)
 		}
 	}
@@ -261,6 +264,9 @@
 		if e.lead && !slices.Contains(e.node.Status().Voters, h.ID) {
 			return e.takeIn(h)
 		}
+		if l := e.leader(); !e.lead && l != "" { // one that is new may not know it
+			e.out.to = append(e.out.to, parcel{name: l, ch: carry.Hello, b: h.append()})
+		}
 	default:
 		back := hello{Name: e.name, ID: e.first, Back: true, Fresh: e.node == nil}
 		if e.node != nil {
@@ -272,14 +278,22 @@
 	return agree.Input{}
 }
 
+// votes tells whether an elector of that name is a voter.
+func (e *elector) votes(name string) bool {
+	if e.node != nil && name != "" {
+		for _, id := range e.node.Status().Voters {
+			if e.nameOf(id) == name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // takeIn makes one that asks a learner: one that lost its disk, or one that staff named.
 func (e *elector) takeIn(h hello) agree.Input {
 	s := e.node.Status()
-	was := false
-	for _, id := range s.Voters {
-		was = was || e.nameOf(id) == h.Name
-	}
-	if !was && !e.allow[h.Name] || slices.Contains(s.Learners, h.ID) {
+	if !e.votes(h.Name) && !e.allow[h.Name] || slices.Contains(s.Learners, h.ID) {
 		return agree.Input{}
 	}
 	if e.node.State().Names[h.ID] != h.Name {
--- a/internal/rig/duties_test.go
+++ b/internal/rig/duties_test.go
@@ -1,6 +1,10 @@
 package rig
 
 import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -120,3 +124,75 @@
 	}
 	end(t, l)
 }
+
+// voters waits until the electors agree that these vote and nobody learns, and returns the
+// leader.
+func voters(t *testing.T, r *Rig, of []*Router, want ...string) (leader *Router) {
+	t.Helper()
+	must(t, fmt.Sprint("voters ", want))(r.Until("voters", within, func() (bool, string) {
+		leader = nil
+		for _, x := range of {
+			p, err := x.Duties()
+			if err != nil {
+				return false, err.Error()
+			}
+			names := slices.Sorted(slices.Values(p.Register.Voters))
+			if !slices.Equal(names, want) || len(p.Register.Learners) > 0 {
+				return false, fmt.Sprintf("%s: voters %v, learners %v, leader %s %s", x.Name, p.Register.Voters, p.Register.Learners, p.Register.Leader, p.Register.Fault)
+			}
+			if p.Register.Leading {
+				leader = x
+			}
+		}
+		return leader != nil, "no leader"
+	}))
+	return leader
+}
+
+// An elector that lost its disk comes back as a learner, and is a voter again; one that
+// staff add is taken in, one that they remove is out; who is named by a file alone is not.
+func TestElectorsAreReplaced(t *testing.T) {
+	r := fleetOf(t, Options{Routers: 4, Boxes: 1, Electors: 3, Seed: 23})
+	voters(t, r, r.Routers[:3], "r00", "r01", "r02")
+	_, first, err := r.Holder(within, probing, r.Routers...)
+	no(t, err)
+	x := r.Routers[1]
+	x.Kill()
+	no(t, os.RemoveAll(filepath.Join(x.State(), "garnetline-elector-r01")))
+	no(t, x.Start())
+	leader := voters(t, r, r.Routers[:3], "r00", "r01", "r02")
+
+	y := r.Routers[3]
+	y.Kill()
+	y.Electors = []string{"r00", "r01", "r03"}
+	no(t, y.Settings(Key))
+	no(t, y.Start())
+	must(t, "all there")(r.Alike(within, r.Routers...))
+	time.Sleep(time.Second) // it asks several times
+	leader = voters(t, r, r.Routers[:3], "r00", "r01", "r02")
+	call := func(what string) {
+		t.Helper()
+		if code, b, err := leader.Door("POST", "/fleet/elector/"+what); code != 200 {
+			t.Fatalf("%s at %s: %d %s %v", what, leader.Name, code, b, err)
+		}
+	}
+	call("add/r03")
+	leader = voters(t, r, r.Routers, "r00", "r01", "r02", "r03")
+	out := "r02"
+	if leader.Name == out {
+		out = "r00"
+	}
+	call("remove/" + out)
+	var rest []*Router
+	var names []string
+	for _, x := range r.Routers {
+		if x.Name != out {
+			rest, names = append(rest, x), append(names, x.Name)
+		}
+	}
+	voters(t, r, rest, names...)
+	_, last, err := r.Holder(within, probing, r.Routers...)
+	if err != nil || last < first {
+		t.Errorf("token %d after %d, %v", last, first, err)
+	}
+}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -105,6 +105,7 @@
 	rig                       *Rig
 	dir                       string
 	conf, ops                 string
+	Electors                  []string // in its file; nil: the rig's
 	socket                    *os.File // of the clients, held for each of its processes
 	lives                     int
 	*process                  // the newest; nil before the first
@@ -283,15 +284,24 @@
 			x.Fleet, x.Reached, strings.Join(join, ", "), strings.Join(quoted, ", "), x.rig.o.Lines)
 	}
 	if n := x.rig.o.Electors; n > 0 {
-		names := make([]string, n)
+		names := x.Electors
+		for i := range n {
+			if x.Electors == nil {
+				names = append(names, fmt.Sprintf("r%02d", i))
+			}
+		}
+		names = slices.Clone(names)
 		for i := range names {
-			names[i] = fmt.Sprintf("%q", fmt.Sprintf("r%02d", i))
+			names[i] = fmt.Sprintf("%q", names[i])
 		}
 		text += fmt.Sprintf("duties {\n enabled = true\n electors = [%s]\n prober {\n  every_ms = 20\n  most_ms = 20\n }\n%s}\n", strings.Join(names, ", "), x.rig.o.Duties)
 	}
 	return os.WriteFile(x.ops, []byte(text), 0o600)
 }
 
+// State is the router's folder that outlives its process.
+func (x *Router) State() string { return filepath.Join(x.dir, "state") }
+
 // Way is the router's name among the parties of the relay.
 func (x *Router) Way() string { return filepath.Base(x.dir) }
 
