--- /dev/null
+++ b/cmd/garnetlab/duties.go
@@ -0,0 +1,228 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"garnetline/internal/faultnet"
+	"garnetline/internal/lab"
+	"garnetline/internal/rig"
+)
+
+// leasesCommand plays leases on the virtual network: many handovers with all safeguards,
+// then each safeguard off in turn.
+func leasesCommand() *cli.Command {
+	return &cli.Command{Name: "leases", Usage: "play leases on the virtual network, then with each safeguard off in turn", Flags: []cli.Flag{
+		&cli.StringFlag{Name: "out", Usage: "`FOLDER` for leases.md", Value: "."},
+		&cli.IntFlag{Name: "handovers", Value: 1_000_000},
+		&cli.IntFlag{Name: "seeds", Usage: "tried with a safeguard off", Value: 200},
+	}, Action: func(_ context.Context, c *cli.Command) error {
+		f, err := os.Create(filepath.Join(c.String("out"), "leases.md"))
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		began := time.Now()
+		const each = 20_000
+		var mu sync.Mutex
+		var all lab.LeaseResult
+		runs := (c.Int("handovers") + each - 1) / each
+		parallel(runs, func(i int) {
+			r := lab.Leases{Seed: uint64(i + 1), Drift: 1, Routers: 3 + i%3, Until: each}.Run()
+			mu.Lock()
+			defer mu.Unlock()
+			all.Handovers, all.Planned, all.Acts = all.Handovers+r.Handovers, all.Planned+r.Planned, all.Acts+r.Acts
+			all.Refused, all.Dropped, all.Virtual = all.Refused+r.Refused, all.Dropped+r.Dropped, all.Virtual+r.Virtual
+			if r.Broken != "" {
+				all.Broken += fmt.Sprintf("seed %d: %s; ", i+1, r.Broken)
+			}
+		})
+		if all.Broken == "" {
+			all.Broken = "none"
+		}
+		fmt.Fprintf(f, "Made by `garnetlab leases --handovers %d --seeds %d`, %v.\n\n", c.Int("handovers"), c.Int("seeds"), time.Since(began).Round(time.Second))
+		fmt.Fprintf(f, "%d handovers (%d planned) in %.0f virtual hours and %d runs, %d acts written, %d stopped by the check at the write, %d refused by their token at the receiver. Two that acted at once: %s.\n\n",
+			all.Handovers, all.Planned, all.Virtual/3_600_000, runs, all.Acts, all.Dropped, all.Refused, all.Broken)
+		fmt.Fprintln(f, "| off | seeds that show it | smallest schedule: faults and moves | handovers until then | what is seen there |\n| --- | --- | --- | --- | --- |")
+		for _, off := range append(slices.Clone(lab.Safeguards), "ten times the drift") {
+			n, best := 0, lab.LeaseResult{}
+			parallel(c.Int("seeds"), func(i int) {
+				o := lab.Leases{Seed: uint64(i + 1), Off: off, Drift: 1, Routers: 3, Until: 2000}
+				if off == "ten times the drift" {
+					o.Off, o.Drift = lab.None, 10
+				}
+				r := o.Run()
+				mu.Lock()
+				defer mu.Unlock()
+				if r.Broken != "" {
+					if n++; best.Broken == "" || r.Steps < best.Steps {
+						best = r
+						best.Broken = fmt.Sprintf("seed %d: %s", i+1, r.Broken)
+					}
+				}
+			})
+			fmt.Fprintf(f, "| %s | %d of %d | %d | %d | %s |\n", off, n, c.Int("seeds"), best.Steps, best.Handovers, best.Broken)
+		}
+		return nil
+	}}
+}
+
+// parallel calls f with 0 to n-1, as many at once as there are processors.
+func parallel(n int, f func(i int)) {
+	var wg sync.WaitGroup
+	room := make(chan struct{}, runtime.GOMAXPROCS(0))
+	for i := range n {
+		room <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-room }()
+			f(i)
+		})
+	}
+	wg.Wait()
+}
+
+// handoversCommand plays handovers on real processes.
+func handoversCommand() *cli.Command {
+	return &cli.Command{Name: "handovers", Usage: "a duty handed over on real processes under faults, as the boxes see it", Flags: []cli.Flag{
+		&cli.StringFlag{Name: "out", Usage: "`FOLDER` for handovers.md and the chart", Value: "."},
+		&cli.IntFlag{Name: "handovers", Value: 200},
+		&cli.IntFlag{Name: "seed", Value: 1},
+		&cli.StringFlag{Name: "program", Usage: "the daemon; without it, garnetline beside this program"},
+	}, Action: func(ctx context.Context, c *cli.Command) error {
+		program, err := beside(c)
+		if err != nil {
+			return err
+		}
+		dir, err := os.MkdirTemp("", "garnetlab")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+		r, err := rig.Start(rig.Options{Program: program, Routers: 8, Boxes: 2, Fleet: true, Electors: 5, Seed: uint64(c.Int("seed")), Dir: dir,
+			Lines: " more_room_after_ms = 1000\n", Duties: " lease_ms = 1000\n margin_ms = 100\n retry_ms = 100\n"})
+		if err != nil {
+			return err
+		}
+		defer r.Close()
+		return handovers(r, rand.New(rand.NewPCG(uint64(c.Int("seed")), 9)), c.Int("handovers"), c.String("out"))
+	}}
+}
+
+func beside(c *cli.Command) (string, error) {
+	if p := c.String("program"); p != "" {
+		return p, nil
+	}
+	self, err := os.Executable()
+	return filepath.Join(filepath.Dir(self), "garnetline"), err
+}
+
+// kinds of handovers that are played.
+var kindsOfEnd = []string{"moved by staff", "ended in order", "killed", "stopped past its end", "cut off from all but the boxes", "cut off one way from the leader"}
+
+func handovers(r *rig.Rig, rng *rand.Rand, n int, out string) error {
+	const duty = "probe/edge"
+	const bound = 60 * time.Second
+	if _, err := r.Alike(bound, r.Routers...); err != nil {
+		return err
+	}
+	l := r.Load(50*time.Millisecond, r.Routers...)
+	gaps := map[string][]float64{}
+	done := 0
+	for done < n {
+		x, token, err := r.Holder(bound, duty, r.Live()...)
+		if err != nil {
+			return err
+		}
+		time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
+		kind := kindsOfEnd[rng.IntN(len(kindsOfEnd))]
+		before := len(r.Boxes[0].Acts())
+		mend := func() error { return nil }
+		switch kind {
+		case "moved by staff":
+			if code, b, err := x.Door("POST", "/fleet/duty/move/"+duty); code != 200 {
+				if err == nil && code == 503 {
+					continue // it has just lost it
+				}
+				return fmt.Errorf("%d %s %v", code, b, err)
+			}
+		case "ended in order":
+			l.Excuse(x, true)
+			if err := x.Stop(); err != nil {
+				return err
+			}
+			mend = x.Start
+		case "killed":
+			l.Excuse(x, true)
+			x.Kill()
+			mend = x.Start
+		case "stopped past its end":
+			l.Excuse(x, true)
+			x.Stall()
+			mend = x.Wake
+		default:
+			for _, y := range r.Routers {
+				if p, err := y.Duties(); y != x && (kind != "cut off one way from the leader" || err == nil && p.Register.Leading) {
+					r.Net.Set(x.Way(), y.Way(), faultnet.Fault{Cut: true})
+					if kind != "cut off one way from the leader" {
+						r.Net.Set(y.Way(), x.Way(), faultnet.Fault{Cut: true})
+					}
+				}
+			}
+			mend = func() error { r.Net.Heal(); return nil }
+		}
+		if _, err := r.Until("another acts", 15*time.Second, func() (bool, string) {
+			a := r.Boxes[0].Acts()
+			return len(a) > before && a[len(a)-1].Token > token, kind
+		}); err != nil && kind != "cut off one way from the leader" { // which others may get round
+			return err
+		}
+		if err := mend(); err != nil {
+			return err
+		}
+		if _, err := r.Alike(bound, r.Routers...); err != nil {
+			return err
+		}
+		l.Excuse(x, false)
+		acts := r.Boxes[0].Acts()
+		for i := max(1, before); i < len(acts); i++ {
+			if acts[i].Token > acts[i-1].Token {
+				done++
+				gaps[kind] = append(gaps[kind], float64(acts[i].At.Sub(acts[i-1].At).Microseconds())/1000)
+			}
+		}
+		fmt.Fprintf(os.Stderr, "%d of %d: %s\n", done, n, kind)
+	}
+	res := l.End()
+	f, err := os.Create(filepath.Join(out, "handovers.md"))
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	fmt.Fprintf(f, "Made by `garnetlab handovers`: 8 processes, 5 electors, lease 1 s, margin 0.1 s; acts as a box saw them, a probe each 20 ms.\n\n")
+	fmt.Fprintln(f, "| the holder | handovers | nobody acted, ms: median | p90 | most |\n| --- | --- | --- | --- | --- |")
+	for _, k := range kindsOfEnd {
+		slices.Sort(gaps[k])
+		fmt.Fprintf(f, "| %s | %d | %.0f | %.0f | %.0f |\n", k, len(gaps[k]), lab.Quantile(gaps[k], 0.5), lab.Quantile(gaps[k], 0.9), lab.Quantile(gaps[k], 1))
+	}
+	broken := "none"
+	for _, b := range r.Boxes {
+		if _, err := b.Handovers(); err != nil {
+			broken = err.Error()
+		}
+	}
+	fmt.Fprintf(f, "\n%d handovers, acts after one of a later token: %s. %d requests of clients meanwhile, %d without one whole answer, %d served, p50 %.1f ms, p99 %.1f ms.\n",
+		done, broken, res.Asked, len(res.Lost), res.Statuses[200], float64(res.P50.Microseconds())/1000, float64(res.P99.Microseconds())/1000)
+	for _, x := range res.Lost {
+		fmt.Fprintln(os.Stderr, x)
+	}
+	return lab.Gaps(filepath.Join(out, "handovers.svg"), kindsOfEnd, gaps)
+}
--- a/cmd/garnetlab/fleet.go
+++ b/cmd/garnetlab/fleet.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"syscall"
@@ -57,13 +56,9 @@
 			if err != nil {
 				return err
 			}
-			program := c.String("program")
-			if program == "" {
-				self, err := os.Executable()
-				if err != nil {
-					return err
-				}
-				program = filepath.Join(filepath.Dir(self), "garnetline")
+			program, err := beside(c)
+			if err != nil {
+				return err
 			}
 			ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 			defer stop()
--- a/cmd/garnetlab/main.go
+++ b/cmd/garnetlab/main.go
@@ -22,6 +22,8 @@
 		Commands: []*cli.Command{
 			fleetCommand(),
 			requestsCommand(),
+			leasesCommand(),
+			handoversCommand(),
 			{Name: "members", Usage: "measure membership on the virtual network: a table and charts", Flags: []cli.Flag{
 				&cli.StringFlag{Name: "out", Usage: "`FOLDER` for members.md and the charts", Value: "."},
 				&cli.IntSliceFlag{Name: "sizes", Usage: "numbers of routers", Value: []int{3, 30, 300, 1000}},
--- a/cmd/garnetlab/requests.go
+++ b/cmd/garnetlab/requests.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -19,13 +18,9 @@
 		&cli.IntFlag{Name: "routers", Value: 8}, &cli.IntFlag{Name: "rounds", Value: 3},
 		&cli.StringFlag{Name: "program", Usage: "the daemon; without it, garnetline beside this program"},
 	}, Action: func(_ context.Context, c *cli.Command) error {
-		program := c.String("program")
-		if program == "" {
-			self, err := os.Executable()
-			if err != nil {
-				return err
-			}
-			program = filepath.Join(filepath.Dir(self), "garnetline")
+		program, err := beside(c)
+		if err != nil {
+			return err
 		}
 		fmt.Println("| round | fleet | requests | without one whole answer | served | p50, ms | p99, ms | most attempts |")
 		fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- |")
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -66,3 +66,28 @@
 	}
 	return nil
 }
+
+// Gaps draws for each kind of handover which share of its gaps was how long at the most.
+func Gaps(file string, kinds []string, gaps map[string][]float64) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "Time in which nobody acted", "ms", "share of handovers"
+	p.Add(plotter.NewGrid())
+	p.Legend.Top = false
+	for i, k := range kinds {
+		var xy plotter.XYs
+		for n, g := range gaps[k] {
+			xy = append(xy, plotter.XY{X: g, Y: float64(n+1) / float64(len(gaps[k]))})
+		}
+		if len(xy) == 0 {
+			continue
+		}
+		line, err := plotter.NewLine(xy)
+		if err != nil {
+			return err
+		}
+		line.Color, line.Dashes = plotutil.Color(i), plotutil.Dashes(i/3)
+		p.Add(line)
+		p.Legend.Add(k, line)
+	}
+	return p.Save(16*vg.Centimeter, 10*vg.Centimeter, file)
+}
