--- a/internal/fleet/duties/duties.go
+++ b/internal/fleet/duties/duties.go
@@ -342,11 +342,11 @@
 			d.rank(now)
 		}
 		asks, changes, wake := d.holder.Step(now)
+		d.publish(now) // before the register is told that something is given up
 		for _, a := range asks {
 			d.ask(a)
 		}
 		d.changed(changes)
-		d.publish(now)
 		timer.Reset(clock.Duration(max(1, min(wake, look)-d.o.Clock.Now())))
 	}
 }
