An answer that comes after its lease's end grants nothing; an emptied elector asks all

Seen: the random cluster test failed once in some 300 runs with two that may act. By printing each yes beside every elector's state: no stale yes; the router had been stopped, heard its answer after the lease's end, and said granted, then too late, in one breath. An emptied elector told by the last of its list alone that it had voted waited for the rest: decide() returned at the first name without an answer.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -739,7 +739,7 @@
 }
 
 func (r *Router) report(v Report) {
-	if v.Age < time.Second && v.Load.Link >= 0 && slices.ContainsFunc(r.list[cache], func(s *server) bool { return s.ID == v.Server }) {
+	if v.Age < time.Second && v.Load.Link >= 0 && has(r.list[cache], v.Server) {
 		r.link.feel(r.now, v.Load.Link/linkTarget, r.part)
 	}
 }
--- a/decide/table.go
+++ b/decide/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -83,3 +84,8 @@
 
 // partKey is the key of the part: caches keep each part by itself.
 func (q *request) partKey() uint64 { return mix(uint64(q.Object) + uint64(q.Part)*0x9e3779b97f4a7c15) }
+
+// has tells whether a server is one of those listed.
+func has(list []*server, id ServerID) bool {
+	return slices.ContainsFunc(list, func(s *server) bool { return s.ID == id })
+}
--- a/internal/fleet/agree/agree_test.go
+++ b/internal/fleet/agree/agree_test.go
@@ -140,7 +140,7 @@
 	}
 	c.wake[i], c.leads[i] = out.Wake, out.Leading
 	for _, m := range out.Messages {
-		c.post(i, parcel{to: int(m.GetTo()) - 1, m: m})
+		c.post(i, parcel{to: int(m.GetTo()) - 1, m: proto.Clone(m).(*raftpb.Message)}) // as on a wire
 	}
 	for _, a := range out.Replies {
 		c.post(i, parcel{to: len(c.nodes) + int(a.To) - 100, a: &a.Answer})
@@ -315,7 +315,7 @@
 				c.start(i)
 			}
 		}
-		c.run(8000)
+		c.run(15_000)
 		if got := c.held(duties...); got != 3 || c.trouble != "" {
 			t.Errorf("seed %d: %d duties of 3 are held at the end; %s", seed, got, c.trouble)
 		}
--- a/internal/fleet/duties/duties_test.go
+++ b/internal/fleet/duties/duties_test.go
@@ -141,12 +141,17 @@
 	if g.state("b") != "waits" {
 		t.Errorf("emptied and cut off: %s", g.state("b"))
 	}
-	g.cut["a"] = false // one that has heard it is enough to know that it voted
+	for _, n := range []string{"a", "c"} { // one that has heard it is enough to know that it voted
+		if slices.Contains(g.by[n].own.Heard, first) {
+			g.cut[n] = false
+			break
+		}
+	}
 	g.run(1000)
 	if g.by["b"].node == nil || g.by["b"].own.ID == first || g.state("b")[:11] != "votes false" {
 		t.Errorf("emptied: %s under %d, before %d", g.state("b"), g.by["b"].own.ID, first)
 	}
-	g.cut["c"] = false
+	g.cut["a"], g.cut["c"] = false, false
 	g.run(6000)
 	if got := g.state("b"); got != "votes true, leader known true" {
 		t.Errorf("taken in again: %s", got)
--- a/internal/fleet/duties/elector.go
+++ b/internal/fleet/duties/elector.go
@@ -182,21 +182,19 @@
 // Symptom guarded against: an elector whose disk was emptied votes a second time in a
 // term in which it voted before, and two leaders are elected.
 func (e *elector) decide(now float64) {
-	voters := map[uint64]string{e.first: e.name}
-	known := false
+	voters, known, missing := map[uint64]string{e.first: e.name}, false, false
 	for _, n := range e.names {
 		if n == e.name {
 			continue
 		}
 		h, told := e.told[n]
-		if told && (h.Heard || !h.Fresh && !h.Voter) {
-			known = true
-		}
-		if !told && !known {
-			return // it may know
-		}
+		known = known || told && (h.Heard || !h.Fresh && !h.Voter)
+		missing = missing || !told // it may know
 		voters[numberOf(e.set.Fleet, n)] = n
 	}
+	if missing && !known {
+		return
+	}
 	e.own = own{ID: e.first}
 	if known { // it was one before, or is a new one: it begins anew, without a vote
 		e.own.ID, voters = rand.Uint64()|1, nil
--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -307,16 +307,20 @@
 		}
 		return changes
 	}
-	if end := asked + h.set.held(); end > l.end || a.Token != l.token {
+	end := asked + h.set.held()
+	if now >= end && now >= l.end { // the answer took longer than the lease
+		if l.token != 0 {
+			changes = append(changes, Change{Duty: a.Duty, Cause: "renewed too late"})
+		}
+		l.token, l.end, l.next = 0, 0, now
+		return changes
+	}
+	if end > l.end || a.Token != l.token {
 		if a.Token != l.token {
 			changes = append(changes, Change{Duty: a.Duty, Token: a.Token, Work: a.Work, Cause: "granted"})
 		}
 		l.token, l.end = a.Token, end
 	}
-	if now >= l.end { // the answer took longer than the lease
-		l.token, l.next = 0, now
-		return append(changes, Change{Duty: a.Duty, Cause: "granted too late"})
-	}
 	l.next = now + h.set.TTL/3
 	if l.rank < 0 { // asked for before it changed its mind
 		h.Give(now, a.Duty, 0, nil)
