One package writes numbers and strings for all that routers say; a dead rule is gone

Review of the change: the same two functions that append a protobuf number or string stood in member, duties, register and words. They are form.Number and form.Text now; what is written is the same to the byte, as the round-trip and fuzz tests of each form hold. The search's rule proofOfLife was never switched off by any test, and its branch in Machine.hear could not run. Looked at and left: member and register read fields by loops of their own, which differ in what they refuse (fixed64), so that one loop would loosen the register's; words passes over what it does not know. test.sh passes.

--- a/internal/fleet/duties/code.go
+++ b/internal/fleet/duties/code.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"garnetline/internal/fleet/duty"
+	"garnetline/internal/fleet/form"
 	"garnetline/internal/fleet/member"
 	"garnetline/internal/fleet/register"
 )
@@ -13,20 +14,6 @@
 // The forms of what routers and electors say to each other, in protobuf's: numbers and
 // strings. Bounds are those of the register.
 
-func num(b []byte, f protowire.Number, v uint64) []byte {
-	if v == 0 {
-		return b
-	}
-	return protowire.AppendVarint(protowire.AppendTag(b, f, protowire.VarintType), v)
-}
-
-func text(b []byte, f protowire.Number, s string) []byte {
-	if s == "" {
-		return b
-	}
-	return protowire.AppendString(protowire.AppendTag(b, f, protowire.BytesType), s)
-}
-
 func flag(on bool) uint64 {
 	if on {
 		return 1
@@ -35,12 +22,12 @@
 }
 
 func putAsk(a duty.Ask) []byte {
-	b := num(nil, 1, a.Question)
-	b = text(b, 2, a.Duty)
-	b = num(b, 3, a.Token)
-	b = num(b, 4, flag(a.Give))
-	b = num(b, 5, uint64(a.To))
-	return text(b, 6, string(a.Work))
+	b := form.Number(nil, 1, a.Question)
+	b = form.Text(b, 2, a.Duty)
+	b = form.Number(b, 3, a.Token)
+	b = form.Number(b, 4, flag(a.Give))
+	b = form.Number(b, 5, uint64(a.To))
+	return form.Text(b, 6, string(a.Work))
 }
 
 func getAsk(b []byte) (a duty.Ask, ok bool) {
@@ -70,7 +57,7 @@
 	Leader   string
 }
 
-func (h hint) append() []byte { return text(num(nil, 1, h.Question), 2, h.Leader) }
+func (h hint) append() []byte { return form.Text(form.Number(nil, 1, h.Question), 2, h.Leader) }
 
 func getHint(b []byte) (h hint, ok bool) {
 	ok = register.Fields(b, func(f protowire.Number, v uint64, in []byte) bool {
@@ -85,14 +72,14 @@
 }
 
 func putAnswer(a duty.Answer) []byte {
-	b := num(nil, 1, a.Question)
-	b = text(b, 2, a.Duty)
-	b = num(b, 3, flag(a.Yes))
-	b = num(b, 4, a.Token)
-	b = num(b, 5, uint64(a.Holder))
-	b = num(b, 6, uint64(a.Left))
-	b = num(b, 7, a.Losses)
-	return text(b, 8, string(a.Work))
+	b := form.Number(nil, 1, a.Question)
+	b = form.Text(b, 2, a.Duty)
+	b = form.Number(b, 3, flag(a.Yes))
+	b = form.Number(b, 4, a.Token)
+	b = form.Number(b, 5, uint64(a.Holder))
+	b = form.Number(b, 6, uint64(a.Left))
+	b = form.Number(b, 7, a.Losses)
+	return form.Text(b, 8, string(a.Work))
 }
 
 func getAnswer(b []byte) (a duty.Answer, ok bool) {
@@ -132,9 +119,9 @@
 }
 
 func (h hello) append() []byte {
-	b := text(nil, 1, h.Name)
-	b = num(b, 2, h.ID)
-	b = num(b, 3, flag(h.Fresh)|flag(h.Back)<<1|flag(h.Heard)<<2|flag(h.Voter)<<3|flag(h.Join)<<4)
+	b := form.Text(nil, 1, h.Name)
+	b = form.Number(b, 2, h.ID)
+	b = form.Number(b, 3, flag(h.Fresh)|flag(h.Back)<<1|flag(h.Heard)<<2|flag(h.Voter)<<3|flag(h.Join)<<4)
 	return b
 }
 
@@ -160,9 +147,9 @@
 }
 
 func (o own) append() []byte {
-	b := num(nil, 1, o.ID)
+	b := form.Number(nil, 1, o.ID)
 	for _, id := range o.Heard {
-		b = num(b, 2, id)
+		b = form.Number(b, 2, id)
 	}
 	return b
 }
--- a/internal/fleet/member/code.go
+++ b/internal/fleet/member/code.go
@@ -5,6 +5,8 @@
 	"net/netip"
 
 	"google.golang.org/protobuf/encoding/protowire"
+
+	"garnetline/internal/fleet/form"
 )
 
 // Bounds of a packet and of what is in it.
@@ -47,10 +49,10 @@
 
 // Append appends a packet in protobuf's form.
 func (p *Packet) Append(b []byte) []byte {
-	b = number(b, fKind, uint64(p.Kind))
+	b = form.Number(b, fKind, uint64(p.Kind))
 	b = word(b, fFrom, &p.From)
-	b = number(b, fCount, p.Count)
-	b = number(b, fNonce, p.Nonce)
+	b = form.Number(b, fCount, p.Count)
+	b = form.Number(b, fNonce, p.Nonce)
 	b = fixed(b, fTarget, uint64(p.Target))
 	if p.At.IsValid() {
 		b = address(b, fAt, p.At)
@@ -75,13 +77,6 @@
 	return b
 }
 
-func number(b []byte, f protowire.Number, v uint64) []byte {
-	if v == 0 {
-		return b
-	}
-	return protowire.AppendVarint(protowire.AppendTag(b, f, protowire.VarintType), v)
-}
-
 func fixed(b []byte, f protowire.Number, v uint64) []byte {
 	if v == 0 {
 		return b
@@ -89,13 +84,6 @@
 	return protowire.AppendFixed64(protowire.AppendTag(b, f, protowire.Fixed64Type), v)
 }
 
-func text(b []byte, f protowire.Number, s string) []byte {
-	if s == "" {
-		return b
-	}
-	return protowire.AppendString(protowire.AppendTag(b, f, protowire.BytesType), s)
-}
-
 func address(b []byte, f protowire.Number, a netip.AddrPort) []byte {
 	ip := a.Addr().AsSlice()
 	b = protowire.AppendTag(b, f, protowire.BytesType)
@@ -108,12 +96,12 @@
 func word(b []byte, f protowire.Number, w *Word) []byte {
 	var room [4*MaxName + 64]byte
 	in := fixed(room[:0], wID, uint64(w.ID))
-	in = number(in, wInc, w.Inc)
-	in = number(in, wState, uint64(w.State))
+	in = form.Number(in, wInc, w.Inc)
+	in = form.Number(in, wState, uint64(w.State))
 	in = fixed(in, wBy, uint64(w.By))
-	in = text(in, wName, w.Name)
-	in = text(in, wZone, w.Zone)
-	in = text(in, wVersion, w.Version)
+	in = form.Text(in, wName, w.Name)
+	in = form.Text(in, wZone, w.Zone)
+	in = form.Text(in, wVersion, w.Version)
 	if w.Addr.IsValid() {
 		in = address(in, wAddr, w.Addr)
 	}
--- a/internal/fleet/member/machine.go
+++ b/internal/fleet/member/machine.go
@@ -66,7 +66,6 @@
 
 const (
 	orderOfWords rule = 1 + iota // an older word never beats a newer one
-	proofOfLife                  // a packet counts once its sender has answered
 	refuting                     // a router that is told as gone says that it is not
 )
 
@@ -274,13 +273,6 @@
 		r.direct = true
 		proven = true
 	}
-	if !proven && m.broken == proofOfLife {
-		m.apply(p.From, "not proven")
-		if r = m.by[p.From.ID]; r == nil {
-			return
-		}
-		proven = true
-	}
 	if !proven {
 		m.challenge(p)
 		return
--- a/internal/fleet/register/register.go
+++ b/internal/fleet/register/register.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"garnetline/decide"
+	"garnetline/internal/fleet/form"
 	"garnetline/internal/fleet/member"
 )
 
@@ -240,11 +241,7 @@
 
 type writer struct{ b []byte }
 
-func (w *writer) num(f protowire.Number, v uint64) {
-	if v != 0 {
-		w.b = protowire.AppendVarint(protowire.AppendTag(w.b, f, protowire.VarintType), v)
-	}
-}
+func (w *writer) num(f protowire.Number, v uint64) { w.b = form.Number(w.b, f, v) }
 
 func (w *writer) flag(f protowire.Number, on bool) {
 	if on {
@@ -252,11 +249,7 @@
 	}
 }
 
-func (w *writer) text(f protowire.Number, s string) {
-	if s != "" {
-		w.b = protowire.AppendString(protowire.AppendTag(w.b, f, protowire.BytesType), s)
-	}
-}
+func (w *writer) text(f protowire.Number, s string) { w.b = form.Text(w.b, f, s) }
 
 // Fields calls f with each field of a message of numbers and strings, until it says no.
 func Fields(b []byte, f func(n protowire.Number, v uint64, in []byte) bool) bool {
--- a/internal/fleet/words/words.go
+++ b/internal/fleet/words/words.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"garnetline/decide"
+	"garnetline/internal/fleet/form"
 	"garnetline/internal/fleet/member"
 )
 
@@ -102,11 +103,7 @@
 
 // Append appends a word in protobuf's form.
 func (w *Word) Append(b []byte) []byte {
-	num := func(f protowire.Number, v uint64) {
-		if v != 0 {
-			b = protowire.AppendVarint(protowire.AppendTag(b, f, protowire.VarintType), v)
-		}
-	}
+	num := func(f protowire.Number, v uint64) { b = form.Number(b, f, v) }
 	num(1, uint64(w.Kind))
 	num(2, uint64(w.Box))
 	num(3, uint64(w.Seat))
