A duty given up to nobody is offered to those that wait for it

Seen: of the planned handovers on processes some left nobody acting for 1 to 2 s. The next router by rank had just come back from another fault and was not willing; it gave the duty up to nobody (Holder.Hear, Give with To 0), and those that could have had it had been told by Answer.Left to wait for the lease before. r03 happened to ask early.

Ruled out: the mailboxes (duties_crowded_out 0); the next one's question meeting an elector that does not lead (electors name the leader).

A router that is handed what it does not want gives it up until the register knows; before it asked once for a lease, and a lost packet left the duty with it. Found by the test on the way: a question that was open when a duty was given up is answered with a grant under a later token, which the giver took for another's; the duty then lay with it until the lease's end. It gives that one up too.

--- a/cmd/garnetlab/duties.go
+++ b/cmd/garnetlab/duties.go
@@ -96,6 +96,8 @@
 		&cli.StringFlag{Name: "out", Usage: "`FOLDER` for handovers.md and the chart", Value: "."},
 		&cli.IntFlag{Name: "handovers", Value: 200},
 		&cli.IntFlag{Name: "seed", Value: 1},
+		&cli.StringSliceFlag{Name: "kind", Usage: "only handovers of this kind; may be given several times", Value: kindsOfEnd},
+		&cli.FloatFlag{Name: "tell", Usage: "print the routers' logs after a planned handover that left nobody acting for longer, `ms`", Value: 300},
 		&cli.StringFlag{Name: "program", Usage: "the daemon; without it, garnetline beside this program"},
 	}, Action: func(ctx context.Context, c *cli.Command) error {
 		program, err := beside(c)
@@ -113,7 +115,7 @@
 			return err
 		}
 		defer r.Close()
-		return handovers(r, rand.New(rand.NewPCG(uint64(c.Int("seed")), 9)), c.Int("handovers"), c.String("out"))
+		return handovers(r, rand.New(rand.NewPCG(uint64(c.Int("seed")), 9)), c.Int("handovers"), c.StringSlice("kind"), c.Float("tell"), c.String("out"))
 	}}
 }
 
@@ -128,7 +130,10 @@
 // kinds of handovers that are played.
 var kindsOfEnd = []string{"moved by staff", "ended in order", "killed", "stopped past its end", "cut off from all but the boxes", "cut off one way from the leader"}
 
-func handovers(r *rig.Rig, rng *rand.Rand, n int, out string) error {
+// planned are those in which the holder itself hands the duty on.
+var planned = kindsOfEnd[:2]
+
+func handovers(r *rig.Rig, rng *rand.Rand, n int, kinds []string, tell float64, out string) error {
 	const duty = "probe/edge"
 	const bound = 60 * time.Second
 	if _, err := r.Alike(bound, r.Routers...); err != nil {
@@ -143,7 +148,7 @@
 			return err
 		}
 		time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
-		kind := kindsOfEnd[rng.IntN(len(kindsOfEnd))]
+		kind := kinds[rng.IntN(len(kinds))]
 		before := len(r.Boxes[0].Acts())
 		mend := func() error { return nil }
 		switch kind {
@@ -200,7 +205,11 @@
 		for i := max(1, before); i < len(acts); i++ {
 			if acts[i].Token > acts[i-1].Token {
 				done++
-				gaps[kind] = append(gaps[kind], float64(acts[i].At.Sub(acts[i-1].At).Microseconds())/1000)
+				gap := float64(acts[i].At.Sub(acts[i-1].At).Microseconds()) / 1000
+				gaps[kind] = append(gaps[kind], gap)
+				if gap > tell && slices.Contains(planned, kind) {
+					fmt.Fprintf(os.Stderr, "%s: from token %d at %v to %d at %v, %.0f ms\n%s\n", kind, acts[i-1].Token, acts[i-1].At.UnixMilli(), acts[i].Token, acts[i].At.UnixMilli(), gap, r.Logs(6))
+				}
 			}
 		}
 		fmt.Fprintf(os.Stderr, "%d of %d: %s\n", done, n, kind)
@@ -213,7 +222,7 @@
 	defer f.Close()
 	fmt.Fprintf(f, "Made by `garnetlab handovers`: 8 processes, 5 electors, lease 1 s, margin 0.1 s; acts as a box saw them, a probe each 20 ms.\n\n")
 	fmt.Fprintln(f, "| the holder | handovers | nobody acted, ms: median | p90 | most |\n| --- | --- | --- | --- | --- |")
-	for _, k := range kindsOfEnd {
+	for _, k := range kinds {
 		slices.Sort(gaps[k])
 		fmt.Fprintf(f, "| %s | %d | %.0f | %.0f | %.0f |\n", k, len(gaps[k]), lab.Quantile(gaps[k], 0.5), lab.Quantile(gaps[k], 0.9), lab.Quantile(gaps[k], 1))
 	}
@@ -228,5 +237,5 @@
 	for _, x := range res.Lost {
 		fmt.Fprintln(os.Stderr, x)
 	}
-	return lab.Gaps(filepath.Join(out, "handovers.svg"), kindsOfEnd, gaps)
+	return lab.Gaps(filepath.Join(out, "handovers.svg"), kinds, gaps)
 }
--- a/internal/fleet/agree/agree_test.go
+++ b/internal/fleet/agree/agree_test.go
@@ -67,6 +67,7 @@
 	leads   []bool
 	cut     func(a, b int) bool // electors are 0 to n-1, routers follow
 	loss    float64
+	sure    bool // routers know the leader, as the daemon's are told it
 	air     []parcel
 	routers []*router
 	grants  int
@@ -161,7 +162,7 @@
 	for _, a := range asks {
 		r.hint = c.rng.IntN(len(c.nodes))
 		for i, leads := range c.leads {
-			if leads && c.rng.IntN(3) > 0 {
+			if leads && (c.sure || c.rng.IntN(3) > 0) {
 				r.hint = i
 			}
 		}
@@ -398,3 +399,28 @@
 		t.Error("of another state")
 	}
 }
+
+// A duty is handed to a router that does not want it: those that were told to wait for the
+// lease before are told that it is free.
+func TestHandedToOneThatDoesNotWantIt(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newCluster(t, 100+seed, 3, 4, "a")
+		c.sure = true
+		c.run(4000)
+		from := slices.IndexFunc(c.routers, func(r *router) bool { _, ok := r.May(c.clock(r), "a"); return ok })
+		if from < 0 {
+			t.Fatalf("seed %d: nobody holds it", seed)
+		}
+		to := (from + 1) % 4
+		c.routers[to].Want(c.clock(c.routers[to]), "a", -1)
+		c.routers[from].Give(c.clock(c.routers[from]), "a", c.routers[to].id, nil)
+		c.routers[from].wake = 0
+		at := c.now
+		for c.held("a") == 0 && c.now < at+5000 || c.now < at+20 {
+			c.run(2)
+		}
+		if took := c.now - at; took > 200 || c.trouble != "" {
+			t.Errorf("seed %d: nobody held it for %.0f ms; %s", seed, took, c.trouble)
+		}
+	}
+}
--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -122,7 +122,7 @@
 type Answer struct {
 	Question uint64
 	Duty     string
-	Yes      bool      // the asker holds it under Token
+	Yes      bool      // the asker's process holds it under Token, as the register has it
 	Token    uint64    // as the register has it
 	Holder   member.ID // the same
 	Left     float64   // ms until it may be asked for again
@@ -281,14 +281,24 @@
 		return nil
 	}
 	if l.giving != nil {
-		if a.Token > l.giving.Token || a.Holder != h.self {
+		if a.Yes && a.Token > l.giving.Token {
+			// An earlier question of this process was answered with a grant meanwhile, which
+			// it does not take: that one is given up instead.
+			l.giving.Token, l.next, l.repeats = a.Token, now, 0
+		} else if a.Token > l.giving.Token || a.Holder != h.self {
 			l.giving = nil
 			l.next = now + h.set.TTL
 		}
 		return nil
 	}
 	if a.Question == 0 && a.Holder == h.self && l.token == 0 { // handed on to this one: it asks for its lease
-		l.next, l.away = now, 0
+		if l.next, l.away = now, 0; l.rank < 0 { // or gives it up until the register knows
+			l.giving, l.repeats = &Ask{Duty: a.Duty, Token: a.Token, Give: true}, 0
+		}
+		return nil
+	}
+	if a.Question == 0 && a.Holder == 0 && l.token == 0 && l.rank >= 0 { // nobody has it: in the order of ranks
+		l.next = min(l.next, max(l.away, now+float64(l.rank)*h.set.Retry/4))
 		return nil
 	}
 	asked, mine := l.open[a.Question]
