Reports of load leave a quarter of the link's bounds to what matters more

A holder of the prober's duty tells each mate what each box said: with 60 boxes, 80 routers and the default spacing that is far beyond the 500 packets a second that a router may send. What is over is dropped whatever it is: renewals, the elector's words, answers to probes.

Reports now go only while a quarter of a second's worth is left after them.

--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -257,7 +257,13 @@
 }
 
 // carry seals and sends, within the bounds a second.
-func (l *Link) carry(now float64, sends []member.Send) {
+func (l *Link) carry(now float64, sends []member.Send) { l.carryKeeping(now, sends, 0) }
+
+// carryKeeping sends as carry does, but leaves a share of the bounds for what matters more.
+//
+// A prober with 60 boxes and 80 routers has more to report than may be sent: renewals, its
+// elector's words and its answers to probes are not to wait for that.
+func (l *Link) carryKeeping(now float64, sends []member.Send, keep float64) {
 	if !l.bound {
 		return
 	}
@@ -270,7 +276,7 @@
 			continue
 		}
 		l.room = ring.Seal(l.room[:0], b)
-		if !l.budget.take(now, len(l.room)) {
+		if !l.budget.take(now, len(l.room), keep) {
 			l.o.Stats.Add("fleet_over_budget", 1)
 			continue
 		}
@@ -371,7 +377,11 @@
 		l.sent++
 		for _, x := range carry.Split(l.sent, ch, b) {
 			out := l.node.Send(now, to, x)
-			l.carry(now, out.Sends)
+			keep := 0.0
+			if ch == carry.Report {
+				keep = spare
+			}
+			l.carryKeeping(now, out.Sends, keep)
 		}
 	})
 }
@@ -426,7 +436,12 @@
 	np, nb, at     float64
 }
 
-func (b *budget) take(now float64, n int) bool {
+// spare is the share of the bounds that reports of the load of boxes leave untouched: the
+// next one says more than one that was dropped.
+const spare = 0.25
+
+// take takes a packet's room, if keep of a second's worth is left after it.
+func (b *budget) take(now float64, n int, keep float64) bool {
 	if b.at == 0 {
 		b.np, b.nb = b.packets, b.bytes
 	}
@@ -434,7 +449,7 @@
 		b.np, b.nb = min(b.packets, b.np+d*b.packets), min(b.bytes, b.nb+d*b.bytes)
 	}
 	b.at = now
-	if b.np < 1 || b.nb < float64(n) {
+	if b.np-1 < keep*b.packets || b.nb-float64(n) < keep*b.bytes {
 		return false
 	}
 	b.np, b.nb = b.np-1, b.nb-float64(n)
--- a/internal/fleet/link/link_test.go
+++ b/internal/fleet/link/link_test.go
@@ -85,7 +85,7 @@
 	b := budget{packets: 10, bytes: 1000}
 	sent := 0
 	for now := 1.0; now < 5001; now++ {
-		if b.take(now, 150) {
+		if b.take(now, 150, 0) {
 			sent++
 		}
 	}
@@ -95,13 +95,20 @@
 	b = budget{packets: 10, bytes: 1e6}
 	sent = 0
 	for now := 1.0; now < 5001; now++ {
-		if b.take(now, 150) {
+		if b.take(now, 150, 0) {
 			sent++
 		}
 	}
 	if sent < 50 || sent > 60 {
 		t.Errorf("%d packets in 5 s", sent)
 	}
+	b = budget{packets: 100, bytes: 1e6}
+	for now := 1.0; now < 5001; now++ { // more than may be sent, of what may wait; and what may not
+		b.take(now, 150, spare)
+		if int(now)%50 == 0 && !b.take(now, 150, 0) {
+			t.Fatalf("at %.0f there is no room beside reports", now)
+		}
+	}
 }
 
 // BenchmarkView is what a reader of the snapshot pays.
