The leader's router offers a freed duty to those that come first, by its view

Those that waited had been noted by the leader before; the new one knew of nobody and told nobody.

So who is told is no longer kept from questions: the leader's machine says that a duty was given up to nobody (Output.Freed), and its router tells the first four of its view by the duty's hash. That needs no state and survives a change of leaders. duty.First serves that and the giver, which ranked all against all to find the first.

--- a/internal/fleet/agree/agree.go
+++ b/internal/fleet/agree/agree.go
@@ -75,6 +75,7 @@
 	Messages []*raftpb.Message // to electors, by their numbers
 	Replies  []Reply
 	Applied  []Applied
+	Freed    []duty.Answer // of duties that were given up to nobody: for those that come first now
 	Wake     float64
 	Leader   uint64 // 0: none is known
 	Leading  bool   // this one is, and answers
@@ -87,10 +88,6 @@
 	Err     error
 }
 
-// maxWaiting is how many of those that wait for a duty are told when it is free: more would
-// only ask in vain.
-const maxWaiting = 8
-
 // ErrHalted reports an elector whose disk failed: it says nothing any more.
 var ErrHalted = errors.New("elector: its disk failed, it neither votes nor answers")
 
@@ -110,10 +107,9 @@
 	nextTick float64
 	ledger   *duty.Ledger // nil: this one does not lead, or has not caught up with its term
 	ledTerm  uint64
-	asks     map[uint64][]Question  // by the read that they wait for
-	grants   map[uint64]Question    // by the number of the question that was proposed
-	busy     map[string]int         // commands for a duty that were proposed and are not applied
-	waiting  map[string][]member.ID // who was told that another holds a duty, the latest last
+	asks     map[uint64][]Question // by the read that they wait for
+	grants   map[uint64]Question   // by the number of the question that was proposed
+	busy     map[string]int        // commands for a duty that were proposed and are not applied
 	reads    uint64
 	fresh    []Question // that came since the last read was asked for
 	halted   error
@@ -126,7 +122,7 @@
 // names, or nobody if it is to be taken in by the others.
 func New(set Settings, id uint64, d Disk, found disk.State, first map[uint64]string, now float64) (*Machine, error) {
 	m := &Machine{set: set, id: id, disk: d, store: raft.NewMemoryStorage(), state: register.New(), conf: &raftpb.ConfState{},
-		nextTick: now + set.Tick, asks: map[uint64][]Question{}, grants: map[uint64]Question{}, busy: map[string]int{}, waiting: map[string][]member.ID{}}
+		nextTick: now + set.Tick, asks: map[uint64][]Question{}, grants: map[uint64]Question{}, busy: map[string]int{}}
 	if found.Hard == nil && found.Snap == nil && len(found.Entries) == 0 && len(first) > 0 {
 		// All of the first electors begin with the same snapshot of nothing.
 		voters := slices.Sorted(maps.Keys(first))
@@ -342,28 +338,6 @@
 	clear(m.asks)
 	clear(m.grants)
 	clear(m.busy)
-	clear(m.waiting)
-}
-
-// wait notes that a router was told that another holds a duty.
-func (m *Machine) wait(name string, id member.ID) {
-	l := slices.DeleteFunc(m.waiting[name], func(x member.ID) bool { return x == id })
-	if len(l) == maxWaiting {
-		l = l[1:]
-	}
-	m.waiting[name] = append(l, id)
-}
-
-// free tells those that wait for a duty that nobody holds it.
-//
-// Symptom guarded against: a duty was handed to a router that did not want it. It gave it
-// up to nobody at once, and the others, who had been told how long the lease before might
-// last, came back only after that: 1 to 2 s without a holder.
-func (m *Machine) free(d *register.Duty) {
-	for _, id := range m.waiting[d.Name] {
-		m.out.Replies = append(m.out.Replies, Reply{To: id, Answer: duty.Answer{Duty: d.Name, Token: d.Token}})
-	}
-	delete(m.waiting, d.Name)
 }
 
 // asked takes a router's question. Only a leader answers, and only after it knows again
@@ -435,9 +409,6 @@
 		}
 		m.propose(q, c)
 	default:
-		if q.Token == 0 {
-			m.wait(q.Duty, q.From)
-		}
 		m.reply(q, d)
 	}
 }
@@ -457,7 +428,7 @@
 		m.out.Replies = append(m.out.Replies, Reply{To: c.Who, Answer: duty.Answer{Duty: c.Duty, Holder: c.Who, Token: m.state.Duties[c.Duty].Token}})
 	}
 	if c.Op == register.Release && err == nil && m.ledger != nil {
-		m.free(m.state.Duties[c.Duty])
+		m.out.Freed = append(m.out.Freed, duty.Answer{Duty: c.Duty, Token: m.state.Duties[c.Duty].Token})
 	}
 	q, mine := m.grants[c.Question]
 	if !mine || m.ledger == nil {
--- a/internal/fleet/agree/agree_test.go
+++ b/internal/fleet/agree/agree_test.go
@@ -143,6 +143,11 @@
 	for _, m := range out.Messages {
 		c.post(i, parcel{to: int(m.GetTo()) - 1, m: proto.Clone(m).(*raftpb.Message)}) // as on a wire
 	}
+	for _, a := range out.Freed {
+		for k := range c.routers {
+			c.post(i, parcel{to: len(c.nodes) + k, a: &a})
+		}
+	}
 	for _, a := range out.Replies {
 		c.post(i, parcel{to: len(c.nodes) + int(a.To) - 100, a: &a.Answer})
 	}
@@ -400,8 +405,8 @@
 	}
 }
 
-// A duty is handed to a router that does not want it: those that were told to wait for the
-// lease before are told that it is free.
+// A duty is handed to a router that does not want it: those that come first are told that
+// it is free, by a leader that has just taken office too.
 func TestHandedToOneThatDoesNotWantIt(t *testing.T) {
 	for seed := range uint64(20) {
 		c := newCluster(t, 100+seed, 3, 4, "a")
@@ -412,6 +417,10 @@
 			t.Fatalf("seed %d: nobody holds it", seed)
 		}
 		to := (from + 1) % 4
+		if seed%2 == 1 {
+			c.nodes[slices.Index(c.leads, true)].HandLead()
+			c.run(60)
+		}
 		c.routers[to].Want(c.clock(c.routers[to]), "a", -1)
 		c.routers[from].Give(c.clock(c.routers[from]), "a", c.routers[to].id, nil)
 		c.routers[from].wake = 0
--- a/internal/fleet/duties/duties.go
+++ b/internal/fleet/duties/duties.go
@@ -232,6 +232,9 @@
 		for _, p := range out.to {
 			d.send(p)
 		}
+		for _, a := range out.freed {
+			d.offer(a)
+		}
 		if d.elector.fault != nil && !loud {
 			loud = true
 			d.o.Stats.Add("duties_elector_faults", 1)
@@ -261,6 +264,20 @@
 	d.o.Link.Carry(to, p.ch, p.b)
 }
 
+// offered is how many routers are told of a duty that nobody holds. More would ask in vain.
+const offered = 4
+
+// offer tells those that come first for a duty that nobody holds it.
+//
+// Symptom guarded against: a duty was handed to a router that did not want it. It gave it
+// up to nobody at once, and the others, who had been told how long the lease before might
+// last, came back only after that: 1 to 2 s without a holder.
+func (d *Duties) offer(a duty.Answer) {
+	for _, id := range duty.First(a.Duty, d.alive(), offered) {
+		d.send(parcel{id: id, ch: carry.Answer, b: putAnswer(a)})
+	}
+}
+
 // show publishes how the elector stands.
 func (d *Duties) show() {
 	e := d.elector
@@ -391,10 +408,8 @@
 
 func (d *Duties) give(now float64, name string, to member.ID) {
 	ids := slices.DeleteFunc(d.alive(), func(id member.ID) bool { return id == d.self })
-	for _, id := range ids {
-		if to == 0 && duty.Rank(name, id, ids) == 0 {
-			to = id
-		}
+	if first := duty.First(name, ids, 1); to == 0 && len(first) > 0 {
+		to = first[0]
 	}
 	d.holder.Give(now, name, to, d.works[name])
 	d.o.Log.Info().Str("duty", name).Str("to", d.nameOf(to)).Msg("duty handed on")
--- a/internal/fleet/duties/elector.go
+++ b/internal/fleet/duties/elector.go
@@ -12,6 +12,7 @@
 	"garnetline/internal/fleet/agree"
 	"garnetline/internal/fleet/agree/disk"
 	"garnetline/internal/fleet/carry"
+	"garnetline/internal/fleet/duty"
 	"garnetline/internal/fleet/member"
 	"garnetline/internal/fleet/register"
 )
@@ -42,7 +43,10 @@
 }
 
 // sends is what a step wants sent.
-type sends struct{ to []parcel }
+type sends struct {
+	to    []parcel
+	freed []duty.Answer // for those that come first
+}
 
 type parcel struct {
 	name string    // of an elector
@@ -114,6 +118,7 @@
 	for _, m := range o.Messages {
 		e.post(m)
 	}
+	e.out.freed = append(e.out.freed, o.Freed...)
 	for _, r := range o.Replies {
 		e.out.to = append(e.out.to, parcel{id: r.To, ch: carry.Answer, b: putAnswer(r.Answer)})
 	}
--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"errors"
 	"maps"
 	"math"
@@ -53,29 +54,37 @@
 // counted is how long the register counts a lease, from after it answered.
 func (s Settings) counted() float64 { return s.TTL*(1+s.Drift) + s.Margin }
 
+// score orders the routers for a duty.
+func score(name string, id member.ID) uint64 {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(id))
+	return xxhash.Sum64(append(b[:], name...))
+}
+
 // Rank is a router's place among those that may hold a duty, by rendezvous hash: the same
 // at all routers with the same view, and no other router's coming or going changes who of
 // two comes first. -1: it is none of them.
 func Rank(name string, self member.ID, among []member.ID) int {
-	score := func(id member.ID) uint64 {
-		var b [8]byte
-		for i := range b {
-			b[i] = byte(uint64(id) >> (8 * i))
-		}
-		return xxhash.Sum64(append(b[:], name...))
-	}
-	mine, rank := score(self), 0
 	if !slices.Contains(among, self) {
 		return -1
 	}
+	mine, rank := score(name, self), 0
 	for _, id := range among {
-		if s := score(id); s > mine || s == mine && id > self {
+		if s := score(name, id); s > mine || s == mine && id > self {
 			rank++
 		}
 	}
 	return rank
 }
 
+// First returns the n of them that come first for a duty, in the order of their ranks.
+func First(name string, among []member.ID, n int) []member.ID {
+	l := slices.SortedFunc(slices.Values(among), func(a, b member.ID) int {
+		return cmp.Or(cmp.Compare(score(name, b), score(name, a)), cmp.Compare(b, a))
+	})
+	return l[:min(n, len(l))]
+}
+
 // Ledger is what the register's leader counts. It is not part of what is agreed on: a new
 // leader knows nothing of what the last one answered, and counts all leases from anew.
 type Ledger struct {
