Every state of two routers and a register is searched, each safeguard off in turn

The lease machine was shown by random runs alone. garnetlab lease-states visits its states breadth first: two routers whose clocks go at 3/4 and 4/3 of the leader's rate, one register, time that passes or not, routers that stand still, messages that wait, are lost or come twice, crashes, new leaders, duties handed on. The daemon's own Holder and Ledger run, copied by Clone; Form says what two states must share to be one.

Ages of open questions had to be bounded: without that no bound of the search is finite, a message may wait for ever.

Tokens are for acts on their way, which the search does not follow; the random runs do.

--- a/cmd/garnetlab/duties.go
+++ b/cmd/garnetlab/duties.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"runtime"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -76,6 +77,33 @@
 	}}
 }
 
+// statesCommand visits the states of a lease, and writes what was seen.
+func statesCommand() *cli.Command {
+	return &cli.Command{Name: "lease-states", Usage: "visit the states of two routers and a register one by one", Flags: []cli.Flag{
+		&cli.StringFlag{Name: "out", Usage: "`FOLDER` for states.md", Value: "."},
+		&cli.IntFlag{Name: "most", Usage: "states visited in the larger bounds", Value: 4_000_000},
+	}, Action: func(_ context.Context, c *cli.Command) error {
+		f, err := os.Create(filepath.Join(c.String("out"), "states.md"))
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		fmt.Fprintf(f, "Made by `garnetlab lease-states --most %d`.\n\n", c.Int("most"))
+		fmt.Fprintln(f, "| off | on their way, faults, crashes, handings on, grants at the most | states | moves | deepest | whole | found |\n| --- | --- | --- | --- | --- | --- | --- |")
+		wide := lab.LeaseSearch{Air: 2, Crashes: 1, Gives: 1, Grants: 3, Most: c.Int("most")}
+		all := []lab.LeaseSearch{
+			{Air: 2, Grants: 1}, {Air: 2, Grants: 2}, {Air: 2, Grants: 2, Faults: 1, Most: wide.Most}, {Air: 2, Grants: 2, Crashes: 1, Most: wide.Most},
+			{Air: 2, Grants: 3, Gives: 1, Most: wide.Most}, {Air: 3, Grants: 3, Gives: 1, Crashes: 1, Faults: 1, Most: wide.Most}}
+		for _, wide.Off = range lab.Searched {
+			all = append(all, wide)
+		}
+		rows := make([]string, len(all))
+		parallel(len(all), func(i int) { rows[i] = all[i].Row(all[i].Run()) })
+		_, err = fmt.Fprintln(f, strings.Join(rows, "\n"))
+		return err
+	}}
+}
+
 // parallel calls f with 0 to n-1, as many at once as there are processors.
 func parallel(n int, f func(i int)) {
 	var wg sync.WaitGroup
@@ -234,8 +262,25 @@
 	}
 	fmt.Fprintf(f, "\n%d handovers, acts after one of a later token: %s. %d requests of clients meanwhile, %d without one whole answer, %d served, p50 %.1f ms, p99 %.1f ms.\n",
 		done, broken, res.Asked, len(res.Lost), res.Statuses[200], float64(res.P50.Microseconds())/1000, float64(res.P99.Microseconds())/1000)
+	fmt.Fprintf(f, "\nAt the routers that ran to the end: %d packets dropped for the bounds of a second, %d suspicions of them refuted, of %d packets.\n",
+		figure(r, "over_budget"), figure(r, "refuted"), figure(r, "packets_out"))
 	for _, x := range res.Lost {
 		fmt.Fprintln(os.Stderr, x)
 	}
 	return lab.Gaps(filepath.Join(out, "handovers.svg"), kinds, gaps)
 }
+
+// figure is the sum of one of the fleet's counters over the routers that run.
+func figure(r *rig.Rig, name string) (sum int) {
+	for _, x := range r.Live() {
+		_, b, _ := x.Door("GET", "/metrics")
+		for line := range strings.Lines(string(b)) {
+			var n int
+			if v, ok := strings.CutPrefix(line, "app_fleet_"+name+"_total "); ok {
+				fmt.Sscan(v, &n)
+				sum += n
+			}
+		}
+	}
+	return sum
+}
--- a/internal/lab/duties_test.go
+++ b/internal/lab/duties_test.go
@@ -24,3 +24,19 @@
 		t.Logf("%s off: %s", off, found)
 	}
 }
+
+// The states of two routers and a register are visited one after another, and no two can
+// act in any; each safeguard that is switched off is found out within fewer. All states of
+// a small bound are few enough to be visited whole.
+func TestStatesOfALease(t *testing.T) {
+	o := LeaseSearch{Air: 2, Crashes: 1, Gives: 1, Grants: 3, Most: 60_000}
+	for _, o.Off = range Searched {
+		r := o.Run()
+		if found := r.Broken != ""; found != (o.Off != None) || !found && r.States < o.Most {
+			t.Errorf("%q off, %d states: %q by %v", o.Off, r.States, r.Broken, r.Schedule)
+		}
+	}
+	if r := (LeaseSearch{Air: 1, Grants: 1, Most: 200_000}).Run(); !r.Whole || r.Broken != "" || r.States < 1000 {
+		t.Errorf("%+v", r)
+	}
+}
