The register keeps staff's bans: filed, agreed on, known before a router is ready

internal/fleet/keeper is a router's side, a machine without I/O and its actor: what staff set at a door holds there at once and is filed by compare and set when electors answer; a box is let in only once the register has taken that (else 503); a router that starts is not ready before it has read the register (a linearizable read) or 5 s have passed. Questions about bans go the way of those about leases; electors name the leader to who asks another.

A router asks again after a box came back by a neighbour's word, and follows what that reading says.

--- a/cmd/garnetline/fleet.go
+++ b/cmd/garnetline/fleet.go
@@ -85,6 +85,7 @@
 					return order(c, out, path)
 				}},
 		}},
+		bansCommand(out, flags),
 		{Name: "elector", Usage: "take an elector in, or out, at the leader's door", Commands: []*cli.Command{
 			{Name: "add", ArgsUsage: "ROUTER", Flags: flags, Usage: "one whose file names it among the electors; it is a learner until it has caught up",
 				Action: func(_ context.Context, c *cli.Command) error {
--- a/cmd/garnetline/mates.go
+++ b/cmd/garnetline/mates.go
@@ -5,20 +5,25 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/url"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 
 	"github.com/rs/zerolog"
 
+	"garnetline/decide"
 	"garnetline/internal/changelog"
 	"garnetline/internal/clock"
 	"garnetline/internal/config"
 	"garnetline/internal/core"
+	"garnetline/internal/fleet/agree"
 	"garnetline/internal/fleet/agree/disk"
 	"garnetline/internal/fleet/carry"
 	"garnetline/internal/fleet/duties"
+	"garnetline/internal/fleet/keeper"
 	"garnetline/internal/fleet/link"
 	"garnetline/internal/fleet/member"
 	"garnetline/internal/fleet/prober"
@@ -39,6 +44,7 @@
 
 	duties *duties.Duties // nil: this router takes part in none
 	prober *prober.Prober // nil: it does not probe
+	keeper *keeper.Keeper // nil: the register keeps no bans
 
 	mu   sync.Mutex
 	stop context.CancelFunc // once it runs
@@ -100,6 +106,11 @@
 		wants = append(wants, prober.Duty(zone))
 	}
 	self := m.Members().Self
+	o.Bans = func(a agree.BanAnswer) {
+		if m.keeper != nil {
+			m.keeper.Answer(a)
+		}
+	}
 	var err error
 	if m.duties, err = duties.New(o, self, wants); err != nil {
 		return err
@@ -120,6 +131,13 @@
 				return ids
 			}})
 	}
+	if b := d.Bans; b != nil {
+		set := keeper.Default()
+		set.Every = b.Every
+		m.keeper = keeper.New(keeper.Options{Settings: set, State: conf.State, Name: conf.Name, Ready: b.Ready, Out: m.list.Out, Switch: m.list.Switch,
+			Follow: m.list.Follow, Clock: boot, Unix: m.clock, Log: log, Stats: m.count,
+			Ask: func(question uint64, a agree.BanAsk) { m.duties.Ask(question, duties.PutBanAsk(question, a)) }})
+	}
 	m.Deliver(func(from member.ID, life uint64, ch carry.Channel, b []byte) {
 		if ch != carry.Report {
 			m.duties.Deliver(from, life, ch, b)
@@ -153,6 +171,9 @@
 	if m.prober != nil {
 		go m.prober.Run(ctx)
 	}
+	if m.keeper != nil {
+		go m.keeper.Run(ctx)
+	}
 	go func() {
 		defer leave()
 		m.duties.Run(ctx)
@@ -163,8 +184,19 @@
 	if m.prober != nil {
 		<-m.prober.Stopped()
 	}
+	if m.keeper != nil {
+		<-m.keeper.Stopped()
+	}
 }
 
+// Switch takes a box out by order of staff, or back: by the register where it keeps bans.
+func (m *mates) Switch(ctx context.Context, id decide.ServerID, out bool) error {
+	return m.keeper.Call(ctx, keeper.Call{Box: id, Out: out})
+}
+
+// Keeps tells whether the register keeps staff's bans.
+func (m *mates) Keeps() bool { return m != nil && m.keeper != nil }
+
 // Leave tells the others that this router goes, and gives the socket back.
 func (m *mates) Leave() {
 	if m == nil {
@@ -193,6 +225,9 @@
 	if m == nil {
 		return true
 	}
+	if m.keeper != nil && !m.keeper.Ready() {
+		return false
+	}
 	all, barred := m.list.Listed()
 	lost := all-barred > 0 && m.core.Avoided() >= all-barred
 	s := stance.Together
@@ -219,6 +254,10 @@
 		return 0, nil, false
 	case path == "/fleet/duties" && method == "GET":
 		return show(dutyPage{m.duties.Shown(), m.duties.Leases()})
+	case path == "/fleet/bans" && method == "GET" && m.keeper != nil:
+		return show(m.keeper.Shown())
+	case method == "POST" && len(words) == 7 && words[1] == "bans" && m.keeper != nil && (words[2] == "disable" || words[2] == "enable"):
+		return done(m.banned(ctx, words[2:]))
 	case method == "POST" && len(words) >= 4 && words[1] == "duty" && words[2] == "move":
 		// The name of a duty has a stroke in it; the router's comes behind "to".
 		name, to, _ := strings.Cut(strings.Join(words[3:], "/"), "/to/")
@@ -229,6 +268,25 @@
 	return 0, nil, false
 }
 
+// banned carries out a call about a ban: what to do, the box, the version that staff saw
+// or 0, who, and why.
+func (m *mates) banned(ctx context.Context, w []string) (err error) {
+	c := keeper.Call{Out: w[0] == "disable"}
+	if c.Box, err = decide.ParseServerID(w[1]); err != nil {
+		return err
+	}
+	if c.Version, err = strconv.ParseUint(w[2], 10, 64); err != nil {
+		return fmt.Errorf("version: %q is none", w[2])
+	}
+	if c.Who, err = url.PathUnescape(w[3]); err == nil {
+		c.Why, err = url.PathUnescape(w[4])
+	}
+	if err != nil {
+		return err
+	}
+	return m.keeper.Call(ctx, c)
+}
+
 // dutyPage is what /fleet/duties shows.
 type dutyPage struct {
 	Register *duties.Shown  `json:"register"`
--- a/cmd/garnetline/serve.go
+++ b/cmd/garnetline/serve.go
@@ -153,6 +153,9 @@
 			Figures: func() door.Figures { return figures(classes(), count, list, c) }}
 		if mates != nil {
 			pages.Fleet = mates
+			if mates.Keeps() {
+				pages.Switch = mates.Switch
+			}
 		}
 		staff := http.New(http.Options{Clock: clk, Stats: count, Page: pages.Page, Conns: func() int { return doorConns }})
 		go func() { failed <- staff.Serve(l) }()
--- a/deploy/garnetline.hcl
+++ b/deploy/garnetline.hcl
@@ -88,4 +88,9 @@
   #   every_ms = 250               # of one box, while its load changes
   #   most_ms  = 1000              # and where it does not
   # }
+
+  # bans {                         # the register keeps staff's bans, with who, when and why
+  #   every_ms      = 1000         # between a router's readings of it
+  #   ready_wait_ms = 5000         # one that starts is not ready before it has read it, or so long
+  # }
 }
--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -61,14 +61,16 @@
 	heard  atomic.Bool                       // its word is as new as it can be had soon
 	caught chan struct{}                     // closed then
 	fleet  neighbours
-	boxes  atomic.Pointer[[]config.Host] // that are ready; nil without neighbours
+	boxes  atomic.Pointer[[]config.Host]     // that are ready; nil without neighbours
+	out    atomic.Pointer[[]decide.ServerID] // that staff took out; the same
 }
 
 // order is a call of staff to take a cache out, or back.
 type order struct {
-	id  decide.ServerID
-	out bool
-	err chan error
+	id    decide.ServerID
+	out   bool
+	quiet bool // of the register: the others have it too
+	err   chan error
 }
 
 // ErrUnknown reports a cache that is neither listed nor taken out.
@@ -110,7 +112,10 @@
 // Switch takes a cache out of use, or back, whatever the list says of it. When it
 // returns without an error, nothing that is written from then on goes there.
 func (l *Log) Switch(ctx context.Context, id decide.ServerID, out bool) error {
-	o := order{id, out, make(chan error, 1)}
+	return l.call(ctx, order{id: id, out: out, err: make(chan error, 1)})
+}
+
+func (l *Log) call(ctx context.Context, o order) error {
 	select {
 	case l.orders <- o:
 		return <-o.err
@@ -128,6 +133,7 @@
 	for id := range marked {
 		l.banned[id] = 0
 	}
+	l.showOut()
 	for _, ev := range l.conf.Known {
 		l.take(ev)
 	}
@@ -256,7 +262,9 @@
 		return err
 	}
 	l.ban(o.id, o.out)
-	l.tellBan(o.id, o.out)
+	if !o.quiet {
+		l.tellBan(o.id, o.out)
+	}
 	return nil
 }
 
@@ -293,6 +301,7 @@
 		}
 		delete(l.banned, id)
 	}
+	l.showOut()
 	if listed {
 		l.publish(config.Event{Seq: l.seq, Fleet: true, Hosts: []config.Host{l.seen(h)}})
 	}
--- a/internal/changelog/fleet.go
+++ b/internal/changelog/fleet.go
@@ -1,6 +1,9 @@
 package changelog
 
 import (
+	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"garnetline/decide"
@@ -184,6 +187,29 @@
 	l.boxes.Store(&all)
 }
 
+// Follow takes a cache out, or back, as the register has it. That it is out is not told to
+// the neighbours, who read the register too.
+func (l *Log) Follow(ctx context.Context, id decide.ServerID, out bool) error {
+	return l.call(ctx, order{id: id, out: out, quiet: out, err: make(chan error, 1)})
+}
+
+// Out returns what staff took out, as of now. It may be called from any goroutine;
+// without neighbours there is nothing.
+func (l *Log) Out() []decide.ServerID {
+	if p := l.out.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// showOut publishes what is out, for Out.
+func (l *Log) showOut() {
+	if l.fleet.Neighbours != nil {
+		out := slices.Sorted(maps.Keys(l.banned))
+		l.out.Store(&out)
+	}
+}
+
 // Deaf tells whether the log is cut off, by the latest guard. It may be called from any
 // goroutine.
 func (l *Log) Deaf(now float64) bool {
--- a/internal/fleet/agree/agree.go
+++ b/internal/fleet/agree/agree.go
@@ -54,12 +54,27 @@
 	From member.ID
 	Life uint64
 	duty.Ask
+	Ban *BanAsk // instead: about staff's bans
+}
+
+// BanAsk is a question about staff's bans, and may set one first.
+type BanAsk struct {
+	Since uint64            // the version that the asker knows
+	Set   *register.Command // nil: it only asks
 }
 
 // Reply is an answer with whom it is for.
 type Reply struct {
 	To member.ID
 	duty.Answer
+	Ban *BanAnswer // instead
+}
+
+// BanAnswer is how staff's bans stand.
+type BanAnswer struct {
+	Question, Version uint64
+	Refused           string // why what was to be set was not
+	Bans              []byte // register.State.BansAlone; nil: none since the asker's version
 }
 
 // Input is one thing that happened; all nil: time passed.
@@ -383,6 +398,10 @@
 func (m *Machine) answer(q Question) {
 	d := m.state.Duties[q.Duty]
 	switch {
+	case q.Ban != nil && q.Ban.Set != nil:
+		m.propose(q, q.Ban.Set)
+	case q.Ban != nil:
+		m.banned(q, nil)
 	case m.busy[q.Duty] > 0:
 		// Symptom guarded against: the duty had been proposed for another, and before that
 		// was applied its holder renewed: it was told yes for a whole lease more.
@@ -438,12 +457,28 @@
 	if m.busy[c.Duty]--; m.busy[c.Duty] <= 0 {
 		delete(m.busy, c.Duty)
 	}
+	if q.Ban != nil {
+		m.banned(q, err)
+		return
+	}
 	if c.Op == register.Grant && err == nil {
 		m.ledger.Answered(m.now, c.Duty)
 	}
 	m.reply(q, m.state.Duties[c.Duty])
 }
 
+// banned says how staff's bans stand.
+func (m *Machine) banned(q Question, err error) {
+	a := &BanAnswer{Question: q.Question, Version: m.state.BanVersion()}
+	if err != nil {
+		a.Refused = err.Error()
+	}
+	if a.Version != q.Ban.Since {
+		a.Bans = m.state.BansAlone()
+	}
+	m.out.Replies = append(m.out.Replies, Reply{To: q.From, Ban: a})
+}
+
 // reply says how a duty stands.
 func (m *Machine) reply(q Question, d *register.Duty) {
 	a := duty.Answer{Question: q.Question, Duty: q.Duty}
@@ -454,7 +489,7 @@
 			a.Work = d.Work
 		}
 	}
-	m.out.Replies = append(m.out.Replies, Reply{q.From, a})
+	m.out.Replies = append(m.out.Replies, Reply{To: q.From, Answer: a})
 }
 
 // State is the register as this elector has applied it. It may be old: read it where that
--- a/internal/fleet/agree/agree_test.go
+++ b/internal/fleet/agree/agree_test.go
@@ -173,7 +173,7 @@
 		}
 		r.asked[a.Question] = len(c.history)
 		c.history = append(c.history, porcupine.Operation{ClientId: k, Input: input{a.Duty, r.id, a.Give}, Call: int64(c.now * 1000), Output: output{lost: true}, Return: 1 << 60})
-		c.post(len(c.nodes)+k, parcel{to: r.hint, q: &Question{r.id, 1, a}})
+		c.post(len(c.nodes)+k, parcel{to: r.hint, q: &Question{From: r.id, Life: 1, Ask: a}})
 	}
 }
 
--- a/internal/fleet/carry/carry.go
+++ b/internal/fleet/carry/carry.go
@@ -16,12 +16,14 @@
 
 // The channels.
 const (
-	Raft   Channel = 1 + iota // between electors
-	Ask                       // a router's question to an elector
-	Answer                    // and back
-	Report                    // of the load of boxes
-	Hello                     // between electors, about themselves
-	Hint                      // who leads, of one that does not
+	Raft      Channel = 1 + iota // between electors
+	Ask                          // a router's question to an elector
+	Answer                       // and back
+	Report                       // of the load of boxes
+	Hello                        // between electors, about themselves
+	Hint                         // who leads, of one that does not
+	BanAsk                       // a router's question about staff's bans
+	BanAnswer                    // and back
 )
 
 // Bounds of what is put together, whatever comes.
--- a/internal/fleet/duties/code.go
+++ b/internal/fleet/duties/code.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"garnetline/internal/fleet/agree"
 	"garnetline/internal/fleet/duty"
 	"garnetline/internal/fleet/form"
 	"garnetline/internal/fleet/member"
@@ -107,6 +108,58 @@
 	return a, ok && a.Duty != ""
 }
 
+// PutBanAsk and the three after it are the forms of what is asked about staff's bans.
+func PutBanAsk(question uint64, a agree.BanAsk) []byte {
+	b := form.Number(form.Number(nil, 1, question), 2, a.Since)
+	if a.Set != nil {
+		b = form.Text(b, 3, string(a.Set.Append(nil)))
+	}
+	return b
+}
+
+func getBanAsk(b []byte) (question uint64, a agree.BanAsk, ok bool) {
+	sets := true
+	ok = register.Fields(b, func(f protowire.Number, v uint64, in []byte) bool {
+		switch f {
+		case 1:
+			question = v
+		case 2:
+			a.Since = v
+		case 3:
+			a.Set, sets = register.Read(in)
+			sets = sets && a.Set.Op == register.SetBan && a.Set.Box>>32 == 0
+		}
+		return sets
+	})
+	if ok && a.Set != nil {
+		a.Set.Question = question // by which the leader finds whose command it was
+	}
+	return question, a, ok
+}
+
+func putBanAnswer(a agree.BanAnswer) []byte {
+	b := form.Number(form.Number(nil, 1, a.Question), 2, a.Version)
+	return form.Text(form.Text(b, 3, a.Refused), 4, string(a.Bans))
+}
+
+// GetBanAnswer reads what an elector answered.
+func GetBanAnswer(b []byte) (a agree.BanAnswer, ok bool) {
+	ok = register.Fields(b, func(f protowire.Number, v uint64, in []byte) bool {
+		switch f {
+		case 1:
+			a.Question = v
+		case 2:
+			a.Version = v
+		case 3:
+			a.Refused = string(in)
+		case 4:
+			a.Bans = slices.Clone(in)
+		}
+		return true
+	})
+	return a, ok
+}
+
 // hello is what electors say to each other about themselves, besides raft's messages.
 type hello struct {
 	Name  string
--- a/internal/fleet/duties/duties.go
+++ b/internal/fleet/duties/duties.go
@@ -55,6 +55,8 @@
 	Log   *zerolog.Logger
 	Stats *stats.Set
 	Ready func() bool // this router may hold duties
+	// Bans takes what an elector answered about staff's bans. It must not block.
+	Bans func(a agree.BanAnswer)
 }
 
 // Lease is a duty that this router holds.
@@ -82,7 +84,7 @@
 	stop    atomic.Bool
 	doneE   chan struct{}
 	doneH   chan struct{}
-	asked   map[uint64]duty.Ask // that have no answer yet
+	asked   map[uint64]parcel // that have no answer yet
 }
 
 // Shown is how an elector stands, for staff.
@@ -109,7 +111,7 @@
 // willing to hold.
 func New(o Options, self member.ID, wants []string) (*Duties, error) {
 	d := &Duties{o: o, self: self, wants: wants, works: map[string][]byte{}, toE: make(chan func(*elector) agree.Input, mailbox),
-		toH: make(chan func(float64), mailbox), doneE: make(chan struct{}), doneH: make(chan struct{}), asked: map[uint64]duty.Ask{}}
+		toH: make(chan func(float64), mailbox), doneE: make(chan struct{}), doneH: make(chan struct{}), asked: map[uint64]parcel{}}
 	d.holder = duty.NewHolder(o.Agree.Duty, self, rand.Uint64()>>1)
 	d.leases.Store(&[]Lease{})
 	d.shown.Store(&Shown{})
@@ -169,12 +171,17 @@
 		if h, ok := getHint(b); ok {
 			d.order(func(float64) { d.hinted(h) })
 		}
-	case carry.Raft, carry.Ask, carry.Hello:
+	case carry.BanAnswer:
+		if a, ok := GetBanAnswer(b); ok && d.o.Bans != nil {
+			d.order(func(float64) { d.heard(from, a.Question) })
+			d.o.Bans(a)
+		}
+	case carry.Raft, carry.Ask, carry.Hello, carry.BanAsk:
 		if d.elector == nil {
 			return
 		}
 		name := ""
-		if ch != carry.Ask {
+		if ch == carry.Raft || ch == carry.Hello {
 			name = d.nameOf(from)
 		}
 		select {
@@ -361,7 +368,7 @@
 		asks, changes, wake := d.holder.Step(now)
 		d.publish(now) // before the register is told that something is given up
 		for _, a := range asks {
-			d.ask(a)
+			d.ask(a.Question, parcel{ch: carry.Ask, b: putAsk(a)})
 		}
 		d.changed(changes)
 		timer.Reset(clock.Duration(max(1, min(wake, look)-d.o.Clock.Now())))
@@ -415,40 +422,50 @@
 	d.o.Log.Info().Str("duty", name).Str("to", d.nameOf(to)).Msg("duty handed on")
 }
 
+// Ask sends a question about staff's bans to the electors. Its answer, if one comes, goes
+// to Options.Bans.
+func (d *Duties) Ask(question uint64, b []byte) {
+	d.order(func(float64) { d.ask(question, parcel{ch: carry.BanAsk, b: b}) })
+}
+
 // ask sends a question to the elector that answered latest, or to the next one.
-func (d *Duties) ask(a duty.Ask) {
-	b := putAsk(a)
-	if d.asked[a.Question] = a; len(d.asked) > 64 {
+func (d *Duties) ask(question uint64, p parcel) {
+	if d.asked[question] = p; len(d.asked) > 64 {
 		delete(d.asked, slices.Min(slices.Collect(maps.Keys(d.asked))))
 	}
-	to := d.hint
-	if d.asks++; to == 0 || d.asks%3 == 0 {
-		to = d.idOf(d.o.Electors[d.asks/3%len(d.o.Electors)])
+	p.id = d.hint
+	if d.asks++; p.id == 0 || d.asks%3 == 0 {
+		p.id = d.idOf(d.o.Electors[d.asks/3%len(d.o.Electors)])
 	}
 	if d.asks%4 == 0 {
 		d.hint = 0 // not answered for a while: ask around
 	}
-	if to != 0 {
-		d.send(parcel{id: to, ch: carry.Ask, b: b})
+	if p.id != 0 {
+		d.send(p)
 	}
 }
 
 // hinted asks the leader that another elector named, once for each question.
 func (d *Duties) hinted(h hint) {
-	a, open := d.asked[h.Question]
+	p, open := d.asked[h.Question]
 	if !open {
 		return
 	}
 	delete(d.asked, h.Question)
-	if to := d.idOf(h.Leader); to != 0 {
-		d.hint = to
-		d.send(parcel{id: to, ch: carry.Ask, b: putAsk(a)})
+	if p.id = d.idOf(h.Leader); p.id != 0 {
+		d.hint = p.id
+		d.send(p)
 	}
 }
 
-func (d *Duties) hear(now float64, from member.ID, a duty.Answer) {
+// heard notes who answered a question.
+func (d *Duties) heard(from member.ID, question uint64) {
 	d.hint, d.asks = from, 0
-	delete(d.asked, a.Question)
+	delete(d.asked, question)
+}
+
+func (d *Duties) hear(now float64, from member.ID, a duty.Answer) {
+	d.heard(from, a.Question)
 	d.changed(d.holder.Hear(now, a))
 	d.publish(now)
 }
--- a/internal/fleet/duties/elector.go
+++ b/internal/fleet/duties/elector.go
@@ -120,6 +120,10 @@
 	}
 	e.out.freed = append(e.out.freed, o.Freed...)
 	for _, r := range o.Replies {
+		if r.Ban != nil {
+			e.out.to = append(e.out.to, parcel{id: r.To, ch: carry.BanAnswer, b: putBanAnswer(*r.Ban)})
+			continue
+		}
 		e.out.to = append(e.out.to, parcel{id: r.To, ch: carry.Answer, b: putAnswer(r.Answer)})
 	}
 }
@@ -243,13 +247,12 @@
 		}
 		return agree.Input{Message: m}
 	case carry.Ask:
-		a, ok := getAsk(b)
-		if l := e.leader(); ok && !e.lead && l != "" && l != e.name {
-			e.out.to = append(e.out.to, parcel{id: from, ch: carry.Hint, b: hint{a.Question, l}.append()})
-			return agree.Input{}
+		if a, ok := getAsk(b); ok {
+			return e.asked(agree.Question{From: from, Life: life, Ask: a})
 		}
-		if ok && e.node != nil {
-			return agree.Input{Question: &agree.Question{From: from, Life: life, Ask: a}}
+	case carry.BanAsk:
+		if q, a, ok := getBanAsk(b); ok {
+			return e.asked(agree.Question{From: from, Life: life, Ask: duty.Ask{Question: q}, Ban: &a})
 		}
 	case carry.Hello:
 		if h, ok := getHello(b); ok && (h.Name == name || h.Join && e.votes(name)) {
@@ -259,6 +262,18 @@
 	return agree.Input{}
 }
 
+// asked has the machine take a question, or names the leader to who asks.
+func (e *elector) asked(q agree.Question) agree.Input {
+	if l := e.leader(); !e.lead && l != "" && l != e.name {
+		e.out.to = append(e.out.to, parcel{id: q.From, ch: carry.Hint, b: hint{q.Question, l}.append()})
+		return agree.Input{}
+	}
+	if e.node == nil {
+		return agree.Input{}
+	}
+	return agree.Input{Question: &q}
+}
+
 func (e *elector) greeted(h hello) agree.Input {
 	switch {
 	case h.Back:
--- a/internal/fleet/register/register.go
+++ b/internal/fleet/register/register.go
@@ -152,6 +152,14 @@
 	return nil
 }
 
+// BanVersion is the number of the latest command that set a ban; 0: there was none.
+func (s *State) BanVersion() (v uint64) {
+	for _, b := range s.Bans {
+		v = max(v, b.Version)
+	}
+	return v
+}
+
 // lost counts a loss of the holder. Those of all others count half from then on.
 //
 // Symptom guarded against: after some ninety losses among eight routers each of them
@@ -294,8 +302,20 @@
 		}
 		w.text(1, string(in.b))
 	}
-	for _, box := range slices.Sorted(maps.Keys(s.Bans)) {
-		b := s.Bans[box]
+	w.bans(s.Bans)
+	for _, n := range slices.Sorted(maps.Keys(s.Names)) {
+		in := writer{}
+		in.num(1, n)
+		in.text(2, s.Names[n])
+		w.text(3, string(in.b))
+	}
+	return w.b
+}
+
+// bans are written alike in a snapshot and in an answer.
+func (w *writer) bans(of map[decide.ServerID]*Ban) {
+	for _, box := range slices.Sorted(maps.Keys(of)) {
+		b := of[box]
 		in := writer{}
 		in.num(1, uint64(b.Box)+1) // 0 is a box too
 		in.flag(2, b.Out)
@@ -305,12 +325,12 @@
 		in.num(6, uint64(b.At))
 		w.text(2, string(in.b))
 	}
-	for _, n := range slices.Sorted(maps.Keys(s.Names)) {
-		in := writer{}
-		in.num(1, n)
-		in.text(2, s.Names[n])
-		w.text(3, string(in.b))
-	}
+}
+
+// BansAlone is the part of a snapshot that tells staff's bans. Restore reads it.
+func (s *State) BansAlone() []byte {
+	w := writer{}
+	w.bans(s.Bans)
 	return w.b
 }
 
--- /dev/null
+++ b/internal/rig/bans_test.go
@@ -0,0 +1,140 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"garnetline/internal/faultnet"
+	"garnetline/internal/fleet/keeper"
+)
+
+// bans is what a router shows of the register's bans.
+func bans(t *testing.T, x *Router) *keeper.Page {
+	t.Helper()
+	code, b, err := x.Door("GET", "/fleet/bans")
+	p := &keeper.Page{}
+	if err != nil || code != 200 || json.Unmarshal(b, p) != nil {
+		t.Fatalf("%s: /fleet/bans: %d %s %v", x.Name, code, b, err)
+	}
+	return p
+}
+
+// filed waits until routers have read from the register that a box is out, or in.
+func filed(t *testing.T, r *Rig, box string, out bool, by string, at ...*Router) {
+	t.Helper()
+	must(t, fmt.Sprintf("%s filed as out %v by %q", box, out, by))(r.Until("filed", within, func() (bool, string) {
+		for _, x := range at {
+			if l := bans(t, x).Bans; !slices.ContainsFunc(l, func(b keeper.Ban) bool { return b.Box == box && b.Out == out && strings.Contains(b.Who, by) }) {
+				return false, fmt.Sprintf("%s: %+v", x.Name, l)
+			}
+		}
+		return true, ""
+	}))
+}
+
+func staff(t *testing.T, x *Router, call string, want int) {
+	t.Helper()
+	if code, b, err := x.Door("POST", call); err != nil || code != want {
+		t.Fatalf("%s %s: %d %s %v", x.Name, call, code, b, err)
+	}
+}
+
+// Eight routers, five of them electors, keep staff's bans. One is set; all processes are
+// killed, and what they keep by themselves is lost: when one says that it is ready the box
+// is out there. Two routers that are cut off take a box out and cannot let one in; healed, their
+// ban is the register's. While a majority of electors is down a box can be taken out, and
+// not let in; when it is back all is filed, and the boxes come back by one call each.
+func TestBansAreKept(t *testing.T) {
+	r := fleetOf(t, Options{Routers: 8, Boxes: 4, Electors: 5, Duties: " bans {\n  every_ms = 200\n }\n", Seed: 31})
+	one, two, three := r.Boxes[0].ID.String(), r.Boxes[1].ID.String(), r.Boxes[2].ID.String()
+	all := r.Routers
+	l := r.Load(50*time.Millisecond, all...)
+	staff(t, all[6], "/fleet/bans/disable/"+one+"/0/ada/a%20bad%20disk", 200)
+	filed(t, r, one, true, "ada", all...)
+	must(t, "out at all")(r.Banned(within, one, true, all...))
+	if p := bans(t, all[0]); p.Bans[0].Why != "a bad disk" || p.Bans[0].At == 0 {
+		t.Errorf("%+v", p)
+	}
+	staff(t, all[0], "/fleet/bans/enable/"+one+"/1/bob/an%20older%20view", 503)
+
+	for _, x := range all {
+		l.Excuse(x, true)
+		x.Kill()
+	}
+	for _, x := range all { // all that routers keep by themselves is lost: the electors' logs alone know
+		left, err := filepath.Glob(filepath.Join(x.State(), "*"))
+		no(t, err)
+		for _, f := range left {
+			if !strings.Contains(f, "elector") && !strings.HasSuffix(f, "seat") {
+				no(t, os.RemoveAll(f))
+			}
+		}
+		no(t, x.Start())
+	}
+	for _, x := range all {
+		must(t, x.Name+" is ready")(r.Until("ready", within, func() (bool, string) {
+			code, _, err := x.Door("GET", "/ready")
+			return code == 200, fmt.Sprint(code, err)
+		}))
+		if p := bans(t, x); !slices.Contains(p.Here, one) {
+			t.Errorf("%s is ready, and has not taken out what the register has: %+v", x.Name, p)
+		}
+	}
+	must(t, "all are back")(r.Alike(within, all...))
+	for _, x := range all {
+		l.Excuse(x, false)
+	}
+
+	most, few := all[:6], all[6:]
+	for _, a := range few {
+		for _, b := range most {
+			r.Net.Both(a.Way(), b.Way(), faultnet.Fault{Cut: true})
+		}
+	}
+	staff(t, few[0], "/caches/disable/"+two, 200)
+	staff(t, few[0], "/caches/enable/"+one, 503)
+	if p := bans(t, few[0]); !slices.Contains(p.Here, one) || !slices.Contains(p.Here, two) {
+		t.Errorf("in the minority: %+v", p)
+	}
+	staff(t, most[0], "/caches/disable/"+three, 200)
+	filed(t, r, three, true, "r00", most...)
+	r.Net.Heal()
+	filed(t, r, two, true, "r06", all...)
+	must(t, "the minority's ban is all's")(r.Banned(within, two, true, all...))
+
+	for _, x := range all[:3] {
+		l.Excuse(x, true)
+		x.Kill()
+	}
+	staff(t, all[5], "/caches/enable/"+two, 503)
+	four := r.Boxes[3].ID.String()
+	staff(t, all[5], "/caches/disable/"+four, 200)
+	for _, x := range all[:3] {
+		no(t, x.Start())
+	}
+	must(t, "electors are back")(r.Alike(within, all...))
+	filed(t, r, four, true, "r05", all...)
+	for i, box := range []string{one, two, three, four} {
+		must(t, box+" is let in")(r.Until("enabled", within, func() (bool, string) {
+			code, b, err := all[i].Door("POST", "/caches/enable/"+box)
+			return code == 200, fmt.Sprintf("%d %s %v", code, b, err)
+		}))
+		must(t, box+" is in at all")(r.Banned(within, box, false, all...))
+		filed(t, r, box, false, all[i].Name, all...)
+	}
+	for _, x := range all {
+		if p := bans(t, x); len(p.Here) != 0 {
+			t.Errorf("%s: %+v", x.Name, p)
+		}
+		if _, err := os.Stat(filepath.Join(x.State(), "garnetline-bans.json")); err != nil {
+			t.Error(err)
+		}
+	}
+	l.End()
+}
--- a/internal/settings/duties.go
+++ b/internal/settings/duties.go
@@ -6,6 +6,7 @@
 
 	"garnetline/internal/fleet/agree"
 	"garnetline/internal/fleet/duty"
+	"garnetline/internal/fleet/keeper"
 )
 
 // Duties says what one router does for all of them. Times are milliseconds.
@@ -20,6 +21,13 @@
 	Election float64  `hcl:"election_ms,optional"`
 
 	Prober *Prober `hcl:"prober,block"`
+	Bans   *Bans   `hcl:"bans,block"`
+}
+
+// Bans has the register keep staff's bans.
+type Bans struct {
+	Every float64 `hcl:"every_ms,optional"`      // between readings of the register
+	Ready float64 `hcl:"ready_wait_ms,optional"` // a router that starts waits so long to have read it
 }
 
 // Prober is the duty of asking the boxes of a location for their load.
@@ -34,6 +42,17 @@
 }
 
 func (d *Duties) check(fleet bool) error {
+	if b := d.Bans; b != nil {
+		if b.Every == 0 {
+			b.Every = keeper.Default().Every
+		}
+		if b.Ready == 0 {
+			b.Ready = 5000
+		}
+		if !(b.Every >= 50 && b.Every <= 60_000 && b.Ready >= 100 && b.Ready <= 600_000) {
+			return errors.New("bans: every_ms or ready_wait_ms out of range")
+		}
+	}
 	if p := d.Prober; p != nil {
 		if p.Every == 0 {
 			p.Every = 250
