One router of a location tries first what was set aside; the others come in by a ramp

Need: a box that comes back meets every router that set it aside as its rest ends, hundreds within its first second, and none of them knows what another found.

internal/fleet/first: routers that set a server aside say so to the holder of first/ZONE. Its module suspects the server (one request out, the next only after an answer), and what comes of it is told, under the token and checked at the write. The others' rests are prolonged meanwhile, 1 s from the last word on, and then until each one's place in the ramp. A word never sets a server aside for others, never ends a rest, and holds nobody for long: without a holder, its words or its requests all go on as before. The module gains the events Hold and Suspect and the list Aside, outside the policy files, whose lines are as they were.

--- a/cmd/garnetline/mates.go
+++ b/cmd/garnetline/mates.go
@@ -23,6 +23,7 @@
 	"garnetline/internal/fleet/agree/disk"
 	"garnetline/internal/fleet/carry"
 	"garnetline/internal/fleet/duties"
+	"garnetline/internal/fleet/first"
 	"garnetline/internal/fleet/keeper"
 	"garnetline/internal/fleet/link"
 	"garnetline/internal/fleet/member"
@@ -44,6 +45,7 @@
 
 	duties *duties.Duties // nil: this router takes part in none
 	prober *prober.Prober // nil: it does not probe
+	first  *first.Trier   // nil: it tries what was set aside by itself
 	keeper *keeper.Keeper // nil: the register keeps no bans
 
 	mu   sync.Mutex
@@ -105,6 +107,9 @@
 	if d.Prober != nil {
 		wants = append(wants, prober.Duty(zone))
 	}
+	if d.First != nil {
+		wants = append(wants, first.Duty(zone))
+	}
 	self := m.Members().Self
 	o.Bans = func(a agree.BanAnswer) {
 		if m.keeper != nil {
@@ -115,6 +120,21 @@
 	if m.duties, err = duties.New(o, self, wants); err != nil {
 		return err
 	}
+	mates := func() (ids []member.ID) { // of this location
+		for _, x := range m.Members().Members {
+			if x.State == member.Alive && x.Zone == zone && !x.Self {
+				ids = append(ids, x.ID)
+			}
+		}
+		return ids
+	}
+	if d.First != nil {
+		set := first.Default()
+		set.Pace = d.First.Pace
+		m.core.ShowAside()
+		m.first = first.New(first.Options{Settings: set, Zone: zone, Self: self, May: m.duties.May, Aside: m.core.Aside, Hold: m.core.Hold,
+			Suspect: m.core.Suspect, Mates: mates, Carry: m.Carry, Clock: boot, Stats: m.count})
+	}
 	if p := d.Prober; p != nil {
 		m.prober = prober.New(prober.Options{Zone: zone, Every: p.Every, Most: p.Most, May: m.duties.May, Clock: boot, Stats: m.count, Carry: m.Carry,
 			Told: m.core.Report, Boxes: func() (l []prober.Box) {
@@ -122,14 +142,7 @@
 					l = append(l, prober.Box{ID: h.ID, Dial: h.Dial})
 				}
 				return l
-			}, Mates: func() (ids []member.ID) {
-				for _, x := range m.Members().Members {
-					if x.State == member.Alive && x.Zone == zone && !x.Self {
-						ids = append(ids, x.ID)
-					}
-				}
-				return ids
-			}})
+			}, Mates: mates})
 	}
 	if b := d.Bans; b != nil {
 		set := keeper.Default()
@@ -139,10 +152,17 @@
 			Ask: func(question uint64, a agree.BanAsk) { m.duties.Ask(question, duties.PutBanAsk(question, a)) }})
 	}
 	m.Deliver(func(from member.ID, life uint64, ch carry.Channel, b []byte) {
-		if ch != carry.Report {
+		switch {
+		case ch == carry.Report:
+			if m.prober != nil {
+				m.prober.Heard(b)
+			}
+		case ch == carry.Aside || ch == carry.Tried:
+			if m.first != nil {
+				m.first.Heard(from, ch, b)
+			}
+		default:
 			m.duties.Deliver(from, life, ch, b)
-		} else if m.prober != nil {
-			m.prober.Heard(b)
 		}
 	})
 	return nil
@@ -171,6 +191,9 @@
 	if m.prober != nil {
 		go m.prober.Run(ctx)
 	}
+	if m.first != nil {
+		go m.first.Run(ctx)
+	}
 	if m.keeper != nil {
 		go m.keeper.Run(ctx)
 	}
@@ -184,6 +207,9 @@
 	if m.prober != nil {
 		<-m.prober.Stopped()
 	}
+	if m.first != nil {
+		<-m.first.Stopped()
+	}
 	if m.keeper != nil {
 		<-m.keeper.Stopped()
 	}
--- a/decide/api.go
+++ b/decide/api.go
@@ -257,7 +257,20 @@
 	Age    time.Duration
 }
 
+// Hold prolongs the rest of a server that this router set aside, until a moment: another
+// router tries it first. It never sets one aside, nor ends a rest.
+type Hold struct {
+	Server ServerID
+	Until  time.Duration
+}
+
+// Suspect has a server that others set aside tried with one request before it gets more,
+// unless this router heard well of it lately.
+type Suspect struct{ Server ServerID }
+
 func (Report) event()  {}
+func (Hold) event()    {}
+func (Suspect) event() {}
 func (Members) event() {}
 func (Request) event() {}
 func (Outcome) event() {}
@@ -335,6 +348,14 @@
 		r.purged(ev)
 	case Report:
 		r.report(ev)
+	case Hold:
+		if s := r.known(ev.Server); s != nil && s.rests > 0 && ev.Until > s.resting {
+			s.resting = min(ev.Until, now+holdMost)
+		}
+	case Suspect:
+		if s := r.known(ev.Server); s != nil && s.rests == 0 && now > s.heard+wellFor {
+			s.rests, s.resting = 1, now
+		}
 	case Left:
 		if q := r.open[ev.ID]; q != nil {
 			r.finish(q)
@@ -344,6 +365,32 @@
 	return out
 }
 
+const (
+	holdMost = 5 * time.Second        // by which a rest is prolonged at once, at the most
+	wellFor  = 500 * time.Millisecond // for so long an answer of a server speaks for it
+)
+
+// known returns a server that is listed as ready; nil: it is not.
+func (r *Router) known(id ServerID) *server {
+	for _, s := range r.all {
+		if s.ID == id && s.ready {
+			return s
+		}
+	}
+	return nil
+}
+
+// Aside appends the servers that are listed as ready and that this router set aside, or
+// tries again and has not heard of since.
+func (r *Router) Aside(to []ServerID) []ServerID {
+	for _, s := range r.all {
+		if s.ready && s.rests > 0 {
+			to = append(to, s.ID)
+		}
+	}
+	return to
+}
+
 // Avoided returns how many servers that are listed as ready are set aside.
 func (r *Router) Avoided() int64 {
 	n := int64(0)
--- a/deploy/garnetline.hcl
+++ b/deploy/garnetline.hcl
@@ -89,6 +89,10 @@
   #   most_ms  = 1000              # and where it does not
   # }
 
+  # first_try {                    # one router of a location tries first what was set aside
+  #   routers_per_s = 30           # the others come in so fast once it is found well
+  # }
+
   # bans {                         # the register keeps staff's bans, with who, when and why
   #   every_ms      = 1000         # between a router's readings of it
   #   ready_wait_ms = 5000         # one that starts is not ready before it has read it, or so long
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,6 +7,7 @@
 	"container/heap"
 	"context"
 	"math"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -191,8 +192,11 @@
 	timers timers
 	queue  []decide.Event
 	acts   []decide.Action
+	sick   []decide.ServerID // room for show
 
 	avoided atomic.Int64 // servers that the module has set aside
+	shows   bool         // the ones set aside are published
+	aside   atomic.Pointer[[]decide.ServerID]
 }
 
 type left struct{ req *Request }
@@ -236,9 +240,35 @@
 		}
 		c.tick()
 		c.avoided.Store(c.router.Avoided())
+		c.show()
 	}
 }
 
+// ShowAside has the servers that are set aside published. It must not be called once Run
+// has been.
+func (c *Core) ShowAside() { c.shows = true }
+
+// show publishes the servers that are set aside, where that is wanted and has changed.
+func (c *Core) show() {
+	if !c.shows {
+		return
+	}
+	l := c.router.Aside(c.sick[:0])
+	if c.sick = l; !slices.Equal(l, c.Aside()) {
+		l = slices.Clone(l)
+		c.aside.Store(&l)
+	}
+}
+
+// Aside returns the servers that the module has set aside, where they are published. It
+// does not change.
+func (c *Core) Aside() []decide.ServerID {
+	if p := c.aside.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
 // Submit hands a request to the core, which calls Reply exactly once unless
 // the client leaves first. It reports false where the core has stopped.
 func (c *Core) Submit(r *Request) bool { return c.post(r) }
@@ -255,8 +285,22 @@
 // Report hands over a cache's load as another router measured it, age ms ago. It does not
 // wait: a report that finds no room is worth nothing later.
 func (c *Core) Report(id decide.ServerID, l decide.Load, age float64) {
+	c.word(decide.Report{Server: id, Load: l, Age: clock.Duration(age)})
+}
+
+// Hold prolongs the rest of a server that is set aside, for so many ms from now. Like a
+// report it does not wait.
+func (c *Core) Hold(id decide.ServerID, ms float64) {
+	c.word(decide.Hold{Server: id, Until: clock.Duration(c.clock.Now() + ms)})
+}
+
+// Suspect has a server that others set aside tried before it gets more.
+func (c *Core) Suspect(id decide.ServerID) { c.word(decide.Suspect{Server: id}) }
+
+// word hands another router's word to the module, if there is room.
+func (c *Core) word(ev decide.Event) {
 	select {
-	case c.box <- decide.Report{Server: id, Load: l, Age: clock.Duration(age)}:
+	case c.box <- ev:
 	default:
 	}
 }
@@ -284,8 +328,8 @@
 		c.end(m)
 	case config.Event:
 		c.told(m)
-	case decide.Report:
-		c.feed(m)
+	case decide.Report, decide.Hold, decide.Suspect:
+		c.feed(m.(decide.Event))
 	case decide.Settings:
 		if err := c.router.Adopt(m); err == nil {
 			c.set = m
--- a/internal/fleet/carry/carry.go
+++ b/internal/fleet/carry/carry.go
@@ -24,6 +24,8 @@
 	Hint                         // who leads, of one that does not
 	BanAsk                       // a router's question about staff's bans
 	BanAnswer                    // and back
+	Aside                        // the boxes that a router has set aside, to who tries first
+	Tried                        // and what that one knows of them
 )
 
 // Bounds of what is put together, whatever comes.
--- a/internal/fleet/duties/code.go
+++ b/internal/fleet/duties/code.go
@@ -22,7 +22,8 @@
 	return 0
 }
 
-func putAsk(a duty.Ask) []byte {
+// PutAsk and the three after it are the forms of a question and of its answer.
+func PutAsk(a duty.Ask) []byte {
 	b := form.Number(nil, 1, a.Question)
 	b = form.Text(b, 2, a.Duty)
 	b = form.Number(b, 3, a.Token)
@@ -31,7 +32,7 @@
 	return form.Text(b, 6, string(a.Work))
 }
 
-func getAsk(b []byte) (a duty.Ask, ok bool) {
+func GetAsk(b []byte) (a duty.Ask, ok bool) {
 	ok = register.Fields(b, func(f protowire.Number, v uint64, in []byte) bool {
 		switch f {
 		case 1:
@@ -72,7 +73,7 @@
 	return h, ok && h.Leader != "" && len(h.Leader) <= register.MaxName
 }
 
-func putAnswer(a duty.Answer) []byte {
+func PutAnswer(a duty.Answer) []byte {
 	b := form.Number(nil, 1, a.Question)
 	b = form.Text(b, 2, a.Duty)
 	b = form.Number(b, 3, flag(a.Yes))
@@ -83,7 +84,7 @@
 	return form.Text(b, 8, string(a.Work))
 }
 
-func getAnswer(b []byte) (a duty.Answer, ok bool) {
+func GetAnswer(b []byte) (a duty.Answer, ok bool) {
 	ok = register.Fields(b, func(f protowire.Number, v uint64, in []byte) bool {
 		switch f {
 		case 1:
@@ -108,7 +109,7 @@
 	return a, ok && a.Duty != ""
 }
 
-// PutBanAsk and the three after it are the forms of what is asked about staff's bans.
+// PutBanAsk is the form of what is asked about staff's bans.
 func PutBanAsk(question uint64, a agree.BanAsk) []byte {
 	b := form.Number(form.Number(nil, 1, question), 2, a.Since)
 	if a.Set != nil {
--- a/internal/fleet/duties/duties_test.go
+++ b/internal/fleet/duties/duties_test.go
@@ -14,11 +14,11 @@
 
 func TestForms(t *testing.T) {
 	ask := duty.Ask{Question: 1 << 62, Duty: "probe/x", Token: 7, Give: true, To: 9, Work: []byte("w")}
-	if got, ok := getAsk(putAsk(ask)); !ok || !reflect.DeepEqual(got, ask) {
+	if got, ok := GetAsk(PutAsk(ask)); !ok || !reflect.DeepEqual(got, ask) {
 		t.Errorf("%+v", got)
 	}
 	answer := duty.Answer{Question: 3, Duty: "probe/x", Yes: true, Token: 7, Holder: 9, Left: 1500, Losses: 2, Work: []byte("w")}
-	if got, ok := getAnswer(putAnswer(answer)); !ok || !reflect.DeepEqual(got, answer) {
+	if got, ok := GetAnswer(PutAnswer(answer)); !ok || !reflect.DeepEqual(got, answer) {
 		t.Errorf("%+v", got)
 	}
 	h := hello{Name: "r1", ID: 5, Back: true, Heard: true}
@@ -35,13 +35,13 @@
 }
 
 func FuzzForms(f *testing.F) {
-	f.Add(putAnswer(duty.Answer{Duty: "a", Yes: true}))
+	f.Add(PutAnswer(duty.Answer{Duty: "a", Yes: true}))
 	f.Add(hello{Name: "r1", ID: 5}.append())
 	f.Fuzz(func(t *testing.T, b []byte) {
-		if a, ok := getAsk(b); ok && (len(a.Duty) > 64 || len(a.Work) > 512) {
+		if a, ok := GetAsk(b); ok && (len(a.Duty) > 64 || len(a.Work) > 512) {
 			t.Fatalf("%+v", a)
 		}
-		getAnswer(b)
+		GetAnswer(b)
 		getHello(b)
 		getOwn(b)
 		getHint(b)
--- a/internal/fleet/duties/elector.go
+++ b/internal/fleet/duties/elector.go
@@ -124,7 +124,7 @@
 			e.out.to = append(e.out.to, parcel{id: r.To, ch: carry.BanAnswer, b: putBanAnswer(*r.Ban)})
 			continue
 		}
-		e.out.to = append(e.out.to, parcel{id: r.To, ch: carry.Answer, b: putAnswer(r.Answer)})
+		e.out.to = append(e.out.to, parcel{id: r.To, ch: carry.Answer, b: PutAnswer(r.Answer)})
 	}
 }
 
@@ -247,7 +247,7 @@
 		}
 		return agree.Input{Message: m}
 	case carry.Ask:
-		if a, ok := getAsk(b); ok {
+		if a, ok := GetAsk(b); ok {
 			return e.asked(agree.Question{From: from, Life: life, Ask: a})
 		}
 	case carry.BanAsk:
--- a/internal/rig/duties_test.go
+++ b/internal/rig/duties_test.go
@@ -196,3 +196,37 @@
 		t.Errorf("token %d after %d, %v", last, first, err)
 	}
 }
+
+// A box that failed for a while and is well again is tried by one router first; the others
+// come in one after another, at the pace that the file gives, and in the end all do.
+func TestOneTriesFirst(t *testing.T) {
+	r := fleetOf(t, Options{Routers: 8, Boxes: 3, Electors: 5, Duties: " lease_ms = 1500\n margin_ms = 150\n first_try {\n  routers_per_s = 1\n }\n", Seed: 24})
+	if _, _, err := r.Holder(within, "first/edge", r.Routers...); err != nil {
+		t.Fatal(err)
+	}
+	l := r.Load(50*time.Millisecond, r.Routers...)
+	b := r.Boxes[0]
+	rate := func() int { now := time.Now(); return b.Between(now.Add(-time.Second), now) }
+	must(t, "the box has its part")(r.Until("its part", within, func() (bool, string) { return rate() >= 30, fmt.Sprint(rate()) }))
+	b.SetFail(true)
+	must(t, "set aside at all")(r.Until("set aside", within, func() (bool, string) { return rate() <= 12, fmt.Sprint(rate()) }))
+	up := time.Now()
+	b.SetFail(false)
+	var first time.Time
+	must(t, "tried")(r.Until("tried", within, func() (bool, string) {
+		for at := up; at.Before(time.Now()); at = at.Add(10 * time.Millisecond) {
+			if b.Between(up, at) > 0 {
+				first = at
+				return true, ""
+			}
+		}
+		return false, ""
+	}))
+	must(t, "all are in again")(r.Until("in", within, func() (bool, string) { return rate() >= 30, fmt.Sprint(rate()) }))
+	n := b.Between(first, first.Add(time.Second))
+	t.Logf("%d requests in the second from the first try on, all in after %v", n, time.Since(up))
+	if n > 25 || time.Since(up) < 3*time.Second {
+		t.Errorf("%d requests in the first second, all in after %v", n, time.Since(up))
+	}
+	end(t, l)
+}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -69,6 +69,7 @@
 	mu    sync.Mutex
 	fail  bool
 	tries map[string]int // by the request's id
+	asked []time.Time    // when each came
 	acts  []Act
 }
 
@@ -175,6 +176,7 @@
 	b.mu.Lock()
 	fail := b.fail
 	b.tries[id]++
+	b.asked = append(b.asked, time.Now())
 	b.mu.Unlock()
 	if fail {
 		return standin.Answer(id, "BROKE", "-", "")
@@ -197,6 +199,18 @@
 	return n
 }
 
+// Between returns how many requests came from one moment until another.
+func (b *Box) Between(from, to time.Time) (n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, at := range b.asked {
+		if !at.Before(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
 // SetFail has a box fail all that it is sent, or serve again.
 func (b *Box) SetFail(on bool) {
 	b.mu.Lock()
--- a/internal/settings/duties.go
+++ b/internal/settings/duties.go
@@ -6,6 +6,7 @@
 
 	"garnetline/internal/fleet/agree"
 	"garnetline/internal/fleet/duty"
+	firsttry "garnetline/internal/fleet/first"
 	"garnetline/internal/fleet/keeper"
 )
 
@@ -21,9 +22,15 @@
 	Election float64  `hcl:"election_ms,optional"`
 
 	Prober *Prober `hcl:"prober,block"`
+	First  *First  `hcl:"first_try,block"`
 	Bans   *Bans   `hcl:"bans,block"`
 }
 
+// First is the duty of trying first what was set aside.
+type First struct {
+	Pace float64 `hcl:"routers_per_s,optional"` // that come in once a box is found well
+}
+
 // Bans has the register keep staff's bans.
 type Bans struct {
 	Every float64 `hcl:"every_ms,optional"`      // between readings of the register
@@ -42,6 +49,14 @@
 }
 
 func (d *Duties) check(fleet bool) error {
+	if f := d.First; f != nil {
+		if f.Pace == 0 {
+			f.Pace = firsttry.Default().Pace
+		}
+		if !(f.Pace >= 1 && f.Pace <= 10_000) {
+			return errors.New("first_try: routers_per_s: want 1 to 10000")
+		}
+	}
 	if b := d.Bans; b != nil {
 		if b.Every == 0 {
 			b.Every = keeper.Default().Every
