The holder that tries first is found wherever it is; reports go several in a packet

Seen: all eight had the box set aside (app_out_of_rotation 1 at each), r02 held first/edge, and no router counted a hold or a suspect. The words went to the three that come first by hash, and the holder, granted while others were not willing yet, was none of them. A router now knows the holder by the register's latest answer (duty.Holder.Known) and, where it has no word, tells one mate after another too.

Second, by the way: a server that had failed the holder only a few times was not suspected, since it was "heard of" just now, and counted as well after 150 ms. Failures do not speak for it.

--- a/cmd/garnetlab/duties.go
+++ b/cmd/garnetlab/duties.go
@@ -184,6 +184,22 @@
 	}}
 }
 
+// worthCommand compares who may ask the boxes of a location for their load, and how often.
+func worthCommand() *cli.Command {
+	return &cli.Command{Name: "worth", Usage: "who asks the boxes for their load: nobody, everybody, one by hash, one by lease", Flags: []cli.Flag{
+		&cli.StringFlag{Name: "out", Usage: "`FOLDER` for worth.md", Value: "."},
+	}, Action: func(_ context.Context, c *cli.Command) error {
+		f, err := os.Create(filepath.Join(c.String("out"), "worth.md"))
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		fmt.Fprint(f, "Made by `garnetlab worth`: 90 virtual seconds, 20 boxes in one location, which is cut in two from 30 to 60 s; six in ten routers are on the register's side.\n\n")
+		lab.WorthTable(f)
+		return nil
+	}}
+}
+
 // returnsCommand has a box fail and come back, before routers that try it again each by
 // itself, and before routers of which one tries it first.
 func returnsCommand() *cli.Command {
--- a/cmd/garnetline/mates.go
+++ b/cmd/garnetline/mates.go
@@ -132,7 +132,7 @@
 		set := first.Default()
 		set.Pace = d.First.Pace
 		m.core.ShowAside()
-		m.first = first.New(first.Options{Settings: set, Zone: zone, Self: self, May: m.duties.May, Aside: m.core.Aside, Hold: m.core.Hold,
+		m.first = first.New(first.Options{Settings: set, Zone: zone, Self: self, May: m.duties.May, Known: m.duties.Known, Aside: m.core.Aside, Hold: m.core.Hold,
 			Suspect: m.core.Suspect, Mates: mates, Carry: m.Carry, Clock: boot, Stats: m.count})
 	}
 	if p := d.Prober; p != nil {
--- a/decide/api.go
+++ b/decide/api.go
@@ -266,6 +266,9 @@
 
 // Suspect has a server that others set aside tried with one request before it gets more,
 // unless this router heard well of it lately.
+//
+// Symptom guarded against: the holder, whom the server had failed only a few times yet, went
+// on sending, and by that took it for well.
 type Suspect struct{ Server ServerID }
 
 func (Report) event()  {}
@@ -353,7 +356,7 @@
 			s.resting = min(ev.Until, now+holdMost)
 		}
 	case Suspect:
-		if s := r.known(ev.Server); s != nil && s.rests == 0 && now > s.heard+wellFor {
+		if s := r.known(ev.Server); s != nil && s.rests == 0 && (s.fails > 0 || now > s.heard+wellFor) {
 			s.rests, s.resting = 1, now
 		}
 	case Left:
--- a/decide/first_test.go
+++ b/decide/first_test.go
@@ -23,6 +23,11 @@
 	if f.do(Suspect{Server: 11}); len(f.r.Aside(nil)) != 0 {
 		t.Error("one that served just now is suspected")
 	}
+	f.r.known(12).fails = 1
+	if f.do(Suspect{Server: 12}); !slices.Equal(f.r.Aside(nil), []ServerID{12}) {
+		t.Error("one that failed just now is not suspected")
+	}
+	f.r.worked(f.r.known(12))
 	f.now += 600 * ms
 	f.do(Suspect{Server: 11})
 	if !slices.Equal(f.r.Aside(nil), []ServerID{11}) || !well(11) {
--- a/internal/fleet/duties/duties.go
+++ b/internal/fleet/duties/duties.go
@@ -76,6 +76,7 @@
 	wants   []string
 	works   map[string][]byte
 	leases  atomic.Pointer[[]Lease]
+	known   atomic.Pointer[map[string]member.ID] // who holds what, by the latest answers
 	shown   atomic.Pointer[Shown]
 	toE     chan func(e *elector) agree.Input
 	toH     chan func(now float64)
@@ -487,6 +488,20 @@
 		l = append(l, Lease{name, token, end, d.works[name]})
 	}
 	d.leases.Store(&l)
+	known := make(map[string]member.ID, len(d.wants))
+	for _, name := range d.wants {
+		known[name] = d.holder.Known(name)
+	}
+	d.known.Store(&known)
+}
+
+// Known is who held a duty by the latest answer that this router had; 0: not known. It may
+// be called from any goroutine.
+func (d *Duties) Known(name string) member.ID {
+	if m := d.known.Load(); m != nil {
+		return (*m)[name]
+	}
+	return 0
 }
 
 // May tells whether this router may act for a duty now, and under which token. It is to be
--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -167,6 +167,7 @@
 	until   float64            // another holds it until then, at the most
 	away    float64            // stays away until then
 	seen    uint64             // the highest token heard of
+	holder  member.ID          // who had it, by the latest answer
 	giving  *Ask
 	repeats int
 }
@@ -239,6 +240,14 @@
 	return 0, 0
 }
 
+// Known is who held a duty by the latest answer of the register; 0: nobody, or not known.
+func (h *Holder) Known(name string) member.ID {
+	if l := h.by[name]; l != nil {
+		return l.holder
+	}
+	return 0
+}
+
 // Step brings the holder to now. It returns what to ask, which leases ended, and when to
 // step next.
 func (h *Holder) Step(now float64) (asks []Ask, changes []Change, wake float64) {
@@ -289,6 +298,9 @@
 	if l == nil {
 		return nil
 	}
+	if a.Token >= l.seen {
+		l.holder = a.Holder
+	}
 	if l.giving != nil {
 		if a.Yes && a.Token > l.giving.Token {
 			// An earlier question of this process was answered with a grant meanwhile, which
--- a/internal/fleet/first/actor.go
+++ b/internal/fleet/first/actor.go
@@ -16,7 +16,7 @@
 const (
 	look    = 50 * time.Millisecond
 	mailbox = 256
-	likely  = 3 // routers that are told where the holder is not known
+	likely  = 2 // routers that are told where the holder is not known
 )
 
 // Options are what the actor works with. No function may block.
@@ -25,6 +25,7 @@
 	Zone    string
 	Self    member.ID
 	May     func(duty string) (token uint64, ok bool)
+	Known   func(duty string) member.ID // the holder, by the register's latest answer
 	Aside   func() []decide.ServerID
 	Hold    func(id decide.ServerID, ms float64)
 	Suspect func(id decide.ServerID)
@@ -76,7 +77,7 @@
 	if token, ok := t.o.May(Duty(t.o.Zone)); ok {
 		in.Token = token
 	}
-	in.Holders = duty.First(Duty(t.o.Zone), append(slices.Clone(in.Mates), t.o.Self), likely)
+	in.Holders = append(duty.First(Duty(t.o.Zone), append(slices.Clone(in.Mates), t.o.Self), likely), t.o.Known(Duty(t.o.Zone)))
 	out := t.m.Step(t.o.Clock.Now(), in)
 	for id, ms := range out.Holds {
 		t.o.Hold(id, ms)
--- a/internal/fleet/first/first.go
+++ b/internal/fleet/first/first.go
@@ -62,7 +62,7 @@
 	Aside   []decide.ServerID // that its module has set aside
 	Token   uint64            // 0: it does not hold the duty
 	Mates   []member.ID       // alive, of its location, without itself
-	Holders []member.ID       // who may hold the duty, the likeliest first
+	Holders []member.ID       // who may hold the duty
 }
 
 // Output is what a step calls for.
@@ -78,6 +78,7 @@
 	self   member.ID
 	since  map[decide.ServerID]float64 // own: set aside since
 	said   float64
+	turn   int // of the mates that are told where the holder is not known
 	fence  duty.Fence
 	holder member.ID
 	heard  float64 // when its latest word came
@@ -142,10 +143,16 @@
 			out.Say[m.holder] = w
 		} else {
 			for _, id := range in.Holders {
-				if id != m.self {
+				if id != m.self && id != 0 {
 					out.Say[id] = w
 				}
 			}
+			// Symptom guarded against: the holder was none of the likeliest, nobody told it of a
+			// box, and all tried by themselves. So one mate after another is told too.
+			if n := len(in.Mates); n > 0 {
+				m.turn++
+				out.Say[in.Mates[m.turn%n]] = w
+			}
 		}
 	}
 	if now-m.heard <= m.set.Fresh {
--- a/internal/fleet/prober/prober.go
+++ b/internal/fleet/prober/prober.go
@@ -5,9 +5,11 @@
 package prober
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"net"
 	"net/netip"
@@ -21,6 +23,7 @@
 	"garnetline/internal/clock"
 	"garnetline/internal/fleet/carry"
 	"garnetline/internal/fleet/duty"
+	"garnetline/internal/fleet/form"
 	"garnetline/internal/fleet/member"
 	"garnetline/internal/fleet/register"
 	"garnetline/internal/peer"
@@ -57,6 +60,8 @@
 	mu    sync.Mutex
 	fence duty.Fence
 	boxes map[decide.ServerID]*box
+	told  map[decide.ServerID]report // to be told, and when they were measured
+	tell  float64                    // when that is done next
 	done  chan struct{}
 }
 
@@ -73,7 +78,7 @@
 
 // New returns a prober that has not begun.
 func New(o Options) *Prober {
-	return &Prober{o: o, fence: duty.Fence{}, boxes: map[decide.ServerID]*box{}, done: make(chan struct{})}
+	return &Prober{o: o, fence: duty.Fence{}, boxes: map[decide.ServerID]*box{}, told: map[decide.ServerID]report{}, done: make(chan struct{})}
 }
 
 const (
@@ -122,6 +127,7 @@
 			b.busy = true
 			probes.Go(func() { p.one(ctx, b, token) })
 		}
+		p.share(now, token)
 		p.mu.Unlock()
 	}
 }
@@ -175,13 +181,40 @@
 	}
 	b.last = l
 	p.o.Stats.Add("probes_answered", 1)
-	r := report{token, b.ID, l, 0}
-	for _, id := range p.o.Mates() {
-		p.o.Carry(id, carry.Report, r.append())
-	}
+	p.told[b.ID] = report{b.ID, l, now}
 	p.o.Told(b.ID, l, 0)
 }
 
+// Collect is how long reports are collected, in ms, where there are so many mates. Each is
+// sent a packet after it: no more than some 200 a second, whatever the number of boxes.
+//
+// Symptom guarded against: each report went to each mate by itself, 772 packets a second
+// with 30 routers and 20 boxes, where a router may send 500.
+func Collect(mates int) float64 { return max(40, 5*float64(mates)) }
+
+// Together is how many reports one packet has room for.
+const Together = 50
+
+// share tells the mates what was measured since the last time; the lock is held.
+func (p *Prober) share(now float64, token uint64) {
+	if now < p.tell || len(p.told) == 0 {
+		return
+	}
+	mates := p.o.Mates()
+	p.tell = now + Collect(len(mates))
+	all := slices.SortedFunc(maps.Values(p.told), func(a, b report) int { return cmp.Compare(a.Box, b.Box) })
+	clear(p.told)
+	for some := range slices.Chunk(all, Together) {
+		w := form.Number(nil, 1, token)
+		for _, r := range some {
+			w = form.Text(w, 2, string(r.append(now)))
+		}
+		for _, id := range mates {
+			p.o.Carry(id, carry.Report, w)
+		}
+	}
+}
+
 // errHeld reports a probe that was not written: the lease is another's by now.
 var errHeld = errors.New("prober: the lease has ended")
 
@@ -210,36 +243,35 @@
 	return peer.ReadGauges(b.conn, tag, maxBody, within)
 }
 
-// report is what a prober tells.
+// report is what a prober tells of a box.
 type report struct {
-	Token uint64
-	Box   decide.ServerID
-	Load  decide.Load
-	Age   float64
+	Box  decide.ServerID
+	Load decide.Load
+	At   float64 // when it was measured
 }
 
-func (r report) append() []byte {
-	b := protowire.AppendVarint(protowire.AppendTag(nil, 1, protowire.VarintType), r.Token)
-	b = protowire.AppendVarint(protowire.AppendTag(b, 2, protowire.VarintType), uint64(r.Box))
+func (r report) append(now float64) []byte {
+	b := form.Number(nil, 1, uint64(r.Box)+1)
+	b = form.Number(b, 2, uint64(max(0, now-r.At)))
 	for i, x := range []float64{r.Load.Inflight, r.Load.Busy, r.Load.HitShare, r.Load.Link} {
 		if x >= 0 { // NaN is not told
-			b = protowire.AppendVarint(protowire.AppendTag(b, protowire.Number(3+i), protowire.VarintType), uint64(x*1000)+1)
+			b = form.Number(b, protowire.Number(3+i), uint64(x*1000)+1)
 		}
 	}
 	return b
 }
 
-// Heard takes a report of another router. One under an older token than another is not
-// taken: its sender lost the duty meanwhile.
-func (p *Prober) Heard(b []byte) {
-	r := report{Load: decide.Load{Inflight: math.NaN(), Busy: math.NaN(), HitShare: math.NaN(), Link: math.NaN()}}
-	if !register.Fields(b, func(f protowire.Number, v uint64, _ []byte) bool {
+// readReport reads one report, At being its age.
+func readReport(b []byte) (r report, ok bool) {
+	nan := math.NaN()
+	r.Load = decide.Load{Inflight: nan, Busy: nan, HitShare: nan, Link: nan}
+	ok = register.Fields(b, func(f protowire.Number, v uint64, _ []byte) bool {
 		x := float64(min(v, 1<<40)-min(v, 1)) / 1000
 		switch f {
 		case 1:
-			r.Token = v
+			r.Box = decide.ServerID(v - 1)
 		case 2:
-			r.Box = decide.ServerID(v)
+			r.At = float64(min(v, 1<<40))
 		case 3:
 			r.Load.Inflight = x
 		case 4:
@@ -250,16 +282,38 @@
 			r.Load.Link = x
 		}
 		return true
-	}) || r.Token == 0 {
+	})
+	return r, ok
+}
+
+// Heard takes the reports of another router. Those under an older token than another are
+// not taken: their sender lost the duty meanwhile.
+func (p *Prober) Heard(b []byte) {
+	var token uint64
+	var all []report
+	if !register.Fields(b, func(f protowire.Number, v uint64, in []byte) bool {
+		switch f {
+		case 1:
+			token = v
+		case 2:
+			r, ok := readReport(in)
+			if all = append(all, r); !ok || len(all) > Together {
+				return false
+			}
+		}
+		return true
+	}) || token == 0 {
 		return
 	}
 	p.mu.Lock()
-	ok := p.fence.Pass(Duty(p.o.Zone), r.Token)
+	ok := p.fence.Pass(Duty(p.o.Zone), token)
 	p.mu.Unlock()
 	if !ok {
-		p.o.Stats.Add("reports_refused", 1)
+		p.o.Stats.Add("reports_refused", int64(len(all)))
 		return
 	}
-	p.o.Stats.Add("reports_taken", 1)
-	p.o.Told(r.Box, r.Load, r.Age)
+	p.o.Stats.Add("reports_taken", int64(len(all)))
+	for _, r := range all {
+		p.o.Told(r.Box, r.Load, r.At)
+	}
 }
--- /dev/null
+++ b/internal/lab/worth.go
@@ -0,0 +1,279 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+
+	"garnetline/internal/fleet/duty"
+	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/prober"
+	"garnetline/internal/fleet/register"
+)
+
+// Worth compares ways in which the routers of a location may know the load of its boxes:
+// nobody asks, everybody does, the one that comes first by hash in each router's own view
+// does, or the holder of a lease. The location is cut in two for a third of the time; six
+// in ten routers are on the register's side. What a router knows is what it was told last.
+type Worth struct {
+	Seed    uint64
+	Routers int
+	Boxes   int
+	Way     string // nobody, everybody, by hash, by lease
+	Spacing string // fixed 250, fixed 1000, adaptive, by need
+	Single  bool   // each report goes by itself, as before they were collected
+}
+
+// Ways and Spacings that are compared.
+var (
+	WorthWays = []string{"nobody", "everybody", "by hash", "by lease"}
+	Spacings  = []string{"fixed 250", "fixed 1000", "adaptive", "by need"}
+)
+
+// WorthResult is what a run saw, a second where nothing else is said.
+type WorthResult struct {
+	Probes, PerBox float64 // in all, and the most that a box was sent in a second
+	Packets, Bytes float64 // of reports, by the one that sends most
+	Age, Error     float64 // mean age, ms, of what routers know, and how far it is off, as a share of a link
+	Stale          float64 // share of what routers know that is older than 2 s, or was never told
+	Twice          int     // probes sent while another router probed too, of the whole run
+	Gap            float64 // s of the run in which nobody probed
+}
+
+// What a packet of reports takes on the wire: heads and the seal, and each report in it.
+const packetBytes, reportBytes = 28.0 + 41 + 20, 20.0
+
+type report struct{ load, at float64 }
+
+// Run plays a minute and a half.
+func (o Worth) Run() (r WorthResult) {
+	const end, from, until, tick, seen = 90_000.0, 30_000.0, 60_000.0, 10.0, 3000.0
+	rng := rand.New(rand.NewPCG(o.Seed, 21))
+	ids := make([]member.ID, o.Routers)
+	for i := range ids {
+		ids[i] = member.ID(rng.Uint64() | 1)
+	}
+	side := func(i int) bool { return i*10 < o.Routers*6 } // of the register
+	var halves [2][]member.ID
+	for i, id := range ids {
+		h := 1
+		if side(i) {
+			h = 0
+		}
+		halves[h] = append(halves[h], id)
+	}
+	views := [3][]member.ID{ids, halves[0], halves[1]}
+	var firsts [3]member.ID
+	ranks := [3][]int{}
+	for k, v := range views {
+		firsts[k] = duty.First("d", v, 1)[0]
+		for _, id := range ids {
+			ranks[k] = append(ranks[k], duty.Rank("d", id, v))
+		}
+	}
+	view := func(now float64, i int) int { // it learns of the cut and of its end later
+		if now < from+seen || now > until+seen/2 {
+			return 0
+		}
+		if side(i) {
+			return 1
+		}
+		return 2
+	}
+	reach := func(now float64, a, b int) bool { return now < from || now > until || side(a) == side(b) }
+	set := duty.Default()
+	state, index := register.New(), uint64(0)
+	ledger := duty.NewLedger(set, 0, state)
+	holders := make([]*duty.Holder, o.Routers)
+	for i, id := range ids {
+		holders[i] = duty.NewHolder(set, id, uint64(i)<<40)
+	}
+	lease := func(now float64, i int) bool {
+		if int(now)%100 == 0 {
+			holders[i].Want(now, "d", ranks[view(now, i)][i])
+			asks, _, _ := holders[i].Step(now)
+			for _, q := range asks {
+				if now >= from && now <= until && !side(i) {
+					continue
+				}
+				d, a := state.Duties["d"], duty.Answer{Question: q.Question, Duty: "d"}
+				if d != nil && d.Holder == ids[i] || d == nil || ledger.Free(now, d) {
+					if d == nil || d.Holder != ids[i] {
+						index++
+						c := &register.Command{Op: register.Grant, Duty: "d", Who: ids[i], Life: 1}
+						if d != nil {
+							c.Token = d.Token
+						}
+						state.Apply(index, c)
+					}
+					ledger.Answered(now, "d")
+					a.Yes = true
+				}
+				d = state.Duties["d"]
+				a.Token, a.Holder, a.Left = d.Token, d.Holder, ledger.Left(now, "d")
+				holders[i].Hear(now, a)
+			}
+		}
+		_, may := holders[i].May(now, "d")
+		return may
+	}
+	type line struct {
+		next, every, last float64
+	}
+	lines := make([][]line, o.Routers)
+	knows, at := make([][]float64, o.Routers), make([][]float64, o.Routers)
+	for i := range lines {
+		lines[i], knows[i], at[i] = make([]line, o.Boxes), make([]float64, o.Boxes), make([]float64, o.Boxes)
+		for b := range at[i] {
+			at[i][b], lines[i][b].last = math.Inf(-1), -1
+			lines[i][b].next = 1000 * rng.Float64() // no two in step
+		}
+	}
+	loads, bursts := make([]float64, o.Boxes), make([]float64, o.Boxes)
+	perBox, sent, bytes, flush := make([]float64, o.Boxes), make([]float64, o.Routers), make([]float64, o.Routers), make([]float64, o.Routers)
+	queue := make([]map[int]report, o.Routers)
+	for i := range queue {
+		queue[i] = map[int]report{}
+	}
+	var age, off, n, stale float64
+	acting := make([]bool, o.Routers)
+	for now := 0.0; now < end; now += tick {
+		for b := range loads { // a link's load wanders, and now and then a burst fills it for seconds
+			if bursts[b] -= tick; bursts[b] <= 0 && rng.Float64() < tick/30_000 {
+				bursts[b] = 5000 * rng.Float64()
+			}
+			to := 0.4
+			if bursts[b] > 0 {
+				to = 1
+			}
+			loads[b] += (to-loads[b])*tick/800 + 0.01*rng.NormFloat64()
+		}
+		active := 0
+		for i := range ids {
+			switch o.Way {
+			case "nobody":
+				acting[i] = false
+			case "everybody":
+				acting[i] = true
+			case "by hash":
+				acting[i] = firsts[view(now, i)] == ids[i]
+			default:
+				acting[i] = lease(now, i)
+			}
+			if acting[i] {
+				active++
+			}
+		}
+		if active == 0 {
+			r.Gap += tick / 1000
+		}
+		for i := range ids {
+			if !acting[i] {
+				continue
+			}
+			for b := range loads {
+				l := &lines[i][b]
+				if l.next > now {
+					continue
+				}
+				r.Probes++
+				perBox[b]++
+				if active > 1 {
+					r.Twice++
+				}
+				switch moved := math.Abs(loads[b]-l.last) > 0.1; {
+				case o.Spacing == "fixed 250":
+					l.every = 250
+				case o.Spacing == "fixed 1000":
+					l.every = 1000
+				case o.Spacing == "by need":
+					if l.every = 1000; loads[b] > 0.6 { // where the module begins to ration
+						l.every = 250
+					}
+				case moved || l.every == 0:
+					l.every = 250
+				default:
+					l.every = min(1000, l.every*1.5)
+				}
+				l.next, l.last = now+l.every, loads[b]
+				knows[i][b], at[i][b] = loads[b], now
+				if o.Way != "everybody" {
+					queue[i][b] = report{loads[b], now}
+				}
+			}
+			if now < flush[i] || len(queue[i]) == 0 {
+				continue
+			}
+			if flush[i] = now; !o.Single {
+				flush[i] += prober.Collect(o.Routers - 1)
+			}
+			packets := float64(len(queue[i]))
+			if !o.Single {
+				packets = math.Ceil(packets / prober.Together)
+			}
+			for k := range ids {
+				if k == i || view(now, i) != 0 && side(i) != side(k) {
+					continue
+				}
+				sent[i] += packets
+				bytes[i] += packets*packetBytes + float64(len(queue[i]))*reportBytes
+				if reach(now, i, k) {
+					for b, x := range queue[i] {
+						knows[k][b], at[k][b] = x.load, x.at
+					}
+				}
+			}
+			clear(queue[i])
+		}
+		if int(now)%370 == 0 && now > 10_000 {
+			for i := range ids {
+				for b := range loads {
+					n++
+					if now-at[i][b] > 2000 {
+						stale++
+						continue
+					}
+					age += now - at[i][b]
+					off += math.Abs(loads[b] - knows[i][b])
+				}
+			}
+		}
+	}
+	for _, x := range perBox {
+		r.PerBox = max(r.PerBox, x/(end/1000))
+	}
+	for _, x := range sent {
+		r.Packets = max(r.Packets, x/(end/1000))
+	}
+	for _, x := range bytes {
+		r.Bytes = max(r.Bytes, x/(end/1000))
+	}
+	r.Probes /= end / 1000
+	r.Age, r.Error, r.Stale = age/(n-stale), off/(n-stale), stale/n
+	return r
+}
+
+// WorthTable plays all ways, and for one router that asks all spacings.
+func WorthTable(w io.Writer) {
+	fmt.Fprintln(w, "| routers | who asks | spacing | probes/s at all boxes, at one | reports/s and bytes/s of who sends most | age known, ms | off by | older than 2 s or unknown | probes while two ask | nobody asks, s of 90 |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	row := func(o Worth) {
+		r := o.Run()
+		way := o.Way
+		if o.Single {
+			way += ", each report by itself"
+		}
+		fmt.Fprintf(w, "| %d | %s | %s | %.1f, %.1f | %.0f, %.0f | %.0f | %.3f | %.1f%% | %d | %.1f |\n", o.Routers, way, o.Spacing, r.Probes, r.PerBox, r.Packets, r.Bytes, r.Age, r.Error, 100*r.Stale, r.Twice, r.Gap)
+	}
+	for _, n := range []int{3, 30, 300} {
+		for _, way := range WorthWays {
+			row(Worth{Seed: 1, Routers: n, Boxes: 20, Way: way, Spacing: "adaptive"})
+		}
+		row(Worth{Seed: 1, Routers: n, Boxes: 20, Way: "by lease", Spacing: "adaptive", Single: true})
+	}
+	for _, n := range []int{3, 30} {
+		for _, s := range Spacings {
+			row(Worth{Seed: 1, Routers: n, Boxes: 20, Way: "by lease", Spacing: s})
+		}
+	}
+}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -154,7 +154,7 @@
 		if b.Box, err = standin.NewBox(b.reply); err != nil {
 			return nil, err
 		}
-		b.Gauges = b.gauges
+		b.SetGauges(b.gauges)
 		r.Boxes = append(r.Boxes, b)
 	}
 	for i := range o.Routers {
