An elector that waits for the others to begin sleeps, and takes no processor

Seen in top while 30 routers started: the five electors had 1.6 s of processor time each after 2 s, the other 25 had 0.15 s. elector.step took min(wake, next) with a wake that stays at the elector's start until there is a machine to set it: the actor's timer was always due. At a first start with one elector missing that would have gone on for ever.

While there is no machine the next greeting is what it wakes for. The test of the first start looks at that, and fails without it (wake at 0, 3 s later).

--- a/internal/fleet/duties/duties_test.go
+++ b/internal/fleet/duties/duties_test.go
@@ -127,6 +127,9 @@
 	if g.state("a") != "waits" || g.state("b") != "waits" {
 		t.Fatalf("begun without c: %s, %s", g.state("a"), g.state("b"))
 	}
+	if e := g.by["a"]; e.wake < g.now-20 {
+		t.Errorf("one that waits wants to be woken at %.0f, and it is %.0f", e.wake, g.now)
+	}
 	g.cut["c"] = false
 	g.run(4000)
 	for n := range g.by {
--- a/internal/fleet/duties/elector.go
+++ b/internal/fleet/duties/elector.go
@@ -100,7 +100,11 @@
 		e.todo = e.todo[1:]
 		e.run(now, in)
 	}
-	e.wake = min(e.wake, e.next)
+	// Symptom guarded against: an elector that waits for the others before it begins had a
+	// wake of its start, and took a whole processor until they came.
+	if e.wake = min(e.wake, e.next); e.node == nil {
+		e.wake = e.next
+	}
 	e.out = nil
 	return out
 }
