The actors beside duties are started and waited for in one place

mates.Run named each of prober, first and keeper twice, and duties waited for its actor's answer in two like blocks.

--- a/cmd/garnetlab/duties.go
+++ b/cmd/garnetlab/duties.go
@@ -163,6 +163,7 @@
 		fmt.Fprintf(f, "Made by `garnetlab register --days %g`: electors, routers and their register on one virtual clock, a message takes 0.3 ms and 0.3 on average on top; a duty is handed on twice a second, and in the last run, whose tick is 1 s and lease 60 s, once a minute, while a router is deaf for two leases every hour.\n\n", c.Float("days"))
 		fmt.Fprintln(f, "| electors, routers, duties | hours | held at the end | from ask to grant, ms: median, p99 | handed on, ms: median, p99 | questions/s | between electors: messages/s, bytes/s | questions and answers: bytes/s | commands | syncs of a disk | its most, KB | heap of all after each eighth, MB |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 		long := agree.Default()
+		long.Election, long.Heartbeat = 30, 5
 		long.Tick, long.Duty.TTL, long.Duty.Margin, long.Duty.Retry = 1000, 60_000, 2000, 5000
 		for _, x := range []struct {
 			lab.Register
--- a/cmd/garnetline/mates.go
+++ b/cmd/garnetline/mates.go
@@ -48,10 +48,18 @@
 	first  *first.Trier   // nil: it tries what was set aside by itself
 	keeper *keeper.Keeper // nil: the register keeps no bans
 
+	actors []actor // of those three, the ones that are there
+
 	mu   sync.Mutex
 	stop context.CancelFunc // once it runs
 }
 
+// actor runs until its context ends, and says when it has.
+type actor interface {
+	Run(ctx context.Context)
+	Stopped() <-chan struct{}
+}
+
 // join makes the link to the other routers and ties the list to it.
 func join(file settings.File, conf *config.Config, list *changelog.Log, c *core.Core, clk clock.Clock, count *stats.Set, log *zerolog.Logger) (*mates, error) {
 	s := file.Fleet
@@ -134,6 +142,7 @@
 		m.core.ShowAside()
 		m.first = first.New(first.Options{Settings: set, Zone: zone, Self: self, May: m.duties.May, Known: m.duties.Known, Aside: m.core.Aside, Hold: m.core.Hold,
 			Suspect: m.core.Suspect, Mates: mates, Carry: m.Carry, Clock: boot, Stats: m.count})
+		m.actors = append(m.actors, m.first)
 	}
 	if p := d.Prober; p != nil {
 		m.prober = prober.New(prober.Options{Zone: zone, Every: p.Every, Most: p.Most, May: m.duties.May, Clock: boot, Stats: m.count, Carry: m.Carry,
@@ -143,6 +152,7 @@
 				}
 				return l
 			}, Mates: mates})
+		m.actors = append(m.actors, m.prober)
 	}
 	if b := d.Bans; b != nil {
 		set := keeper.Default()
@@ -150,6 +160,7 @@
 		m.keeper = keeper.New(keeper.Options{Settings: set, State: conf.State, Name: conf.Name, Ready: b.Ready, Out: m.list.Out, Switch: m.list.Switch,
 			Follow: m.list.Follow, Clock: boot, Unix: m.clock, Log: log, Stats: m.count,
 			Ask: func(question uint64, a agree.BanAsk) { m.duties.Ask(question, duties.PutBanAsk(question, a)) }})
+		m.actors = append(m.actors, m.keeper)
 	}
 	m.Deliver(func(from member.ID, life uint64, ch carry.Channel, b []byte) {
 		switch {
@@ -188,14 +199,8 @@
 	}
 	// What is held is handed on before the others are told that this router goes.
 	linked, leave := context.WithCancel(context.Background())
-	if m.prober != nil {
-		go m.prober.Run(ctx)
-	}
-	if m.first != nil {
-		go m.first.Run(ctx)
-	}
-	if m.keeper != nil {
-		go m.keeper.Run(ctx)
+	for _, a := range m.actors {
+		go a.Run(ctx)
 	}
 	go func() {
 		defer leave()
@@ -204,14 +209,8 @@
 	m.Link.Run(linked)
 	stop()
 	<-m.duties.Stopped()
-	if m.prober != nil {
-		<-m.prober.Stopped()
-	}
-	if m.first != nil {
-		<-m.first.Stopped()
-	}
-	if m.keeper != nil {
-		<-m.keeper.Stopped()
+	for _, a := range m.actors {
+		<-a.Stopped()
 	}
 }
 
--- a/internal/fleet/duties/duties.go
+++ b/internal/fleet/duties/duties.go
@@ -545,6 +545,11 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	return answer(ctx, done)
+}
+
+// answer waits for an actor's answer to a call of staff.
+func answer(ctx context.Context, done <-chan error) error {
 	select {
 	case err := <-done:
 		return err
@@ -564,10 +569,5 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return answer(ctx, done)
 }
