--- a/internal/rig/bans_test.go
+++ b/internal/rig/bans_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -61,6 +62,21 @@
 	if p := bans(t, all[0]); p.Bans[0].Why != "a bad disk" || p.Bans[0].At == 0 {
 		t.Errorf("%+v", p)
 	}
+	cli := func(args ...string) string {
+		out, err := exec.Command(program, append([]string{"fleet", "bans"}, args...)...).CombinedOutput()
+		return fmt.Sprint(string(out), err)
+	}
+	if text := cli("--mgmt", all[3].Mgmt); !strings.Contains(text, one) || !strings.Contains(text, "ada") || !strings.Contains(text, "a bad disk") {
+		t.Errorf("fleet bans: %s", text)
+	}
+	if text := cli("disable", "--mgmt", all[3].Mgmt, "--who", "eve", "--why", "a/b c?", r.Boxes[3].ID.String()); !strings.Contains(text, "done") {
+		t.Errorf("fleet bans disable: %s", text)
+	}
+	filed(t, r, r.Boxes[3].ID.String(), true, "eve", all...)
+	if text := cli("enable", "--mgmt", all[2].Mgmt, r.Boxes[3].ID.String()); !strings.Contains(text, "done") {
+		t.Errorf("fleet bans enable: %s", text)
+	}
+	filed(t, r, r.Boxes[3].ID.String(), false, "", all...)
 	staff(t, all[0], "/fleet/bans/enable/"+one+"/1/bob/an%20older%20view", 503)
 
 	for _, x := range all {
