An order of the keeper in one place; a wake that no machine sets; one block for bans

Read over: keeper.follow had the pause between like orders three times, Hear asked twice whether the register had been read; the wake of an elector that waits was a case put after the minimum, and is now what run leaves where there is no machine; mates made the keeper after the duties and reached it through a check. Behaviour as before.

--- a/cmd/garnetline/mates.go
+++ b/cmd/garnetline/mates.go
@@ -119,10 +119,14 @@
 		wants = append(wants, first.Duty(zone))
 	}
 	self := m.Members().Self
-	o.Bans = func(a agree.BanAnswer) {
-		if m.keeper != nil {
-			m.keeper.Answer(a)
-		}
+	if b := d.Bans; b != nil {
+		set := keeper.Default()
+		set.Every = b.Every
+		m.keeper = keeper.New(keeper.Options{Settings: set, State: conf.State, Name: conf.Name, Ready: b.Ready, Out: m.list.Out, Switch: m.list.Switch,
+			Follow: m.list.Follow, Clock: boot, Unix: m.clock, Log: log, Stats: m.count,
+			Ask: func(question uint64, a agree.BanAsk) { m.duties.Ask(question, duties.PutBanAsk(question, a)) }})
+		m.actors = append(m.actors, m.keeper)
+		o.Bans = m.keeper.Answer
 	}
 	var err error
 	if m.duties, err = duties.New(o, self, wants); err != nil {
@@ -154,14 +158,6 @@
 			}, Mates: mates})
 		m.actors = append(m.actors, m.prober)
 	}
-	if b := d.Bans; b != nil {
-		set := keeper.Default()
-		set.Every = b.Every
-		m.keeper = keeper.New(keeper.Options{Settings: set, State: conf.State, Name: conf.Name, Ready: b.Ready, Out: m.list.Out, Switch: m.list.Switch,
-			Follow: m.list.Follow, Clock: boot, Unix: m.clock, Log: log, Stats: m.count,
-			Ask: func(question uint64, a agree.BanAsk) { m.duties.Ask(question, duties.PutBanAsk(question, a)) }})
-		m.actors = append(m.actors, m.keeper)
-	}
 	m.Deliver(func(from member.ID, life uint64, ch carry.Channel, b []byte) {
 		switch {
 		case ch == carry.Report:
--- a/internal/fleet/duties/elector.go
+++ b/internal/fleet/duties/elector.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -100,17 +101,17 @@
 		e.todo = e.todo[1:]
 		e.run(now, in)
 	}
-	// Symptom guarded against: an elector that waits for the others before it begins had a
-	// wake of its start, and took a whole processor until they came.
-	if e.wake = min(e.wake, e.next); e.node == nil {
-		e.wake = e.next
-	}
+	e.wake = min(e.wake, e.next)
 	e.out = nil
 	return out
 }
 
 // run steps the machine, if there is one.
+//
+// Symptom guarded against: an elector that waits for the others before it begins kept the
+// wake of its start, and took a whole processor until they came.
 func (e *elector) run(now float64, in agree.Input) {
+	e.wake = math.Inf(1) // a machine that is not there wants nothing
 	if e.node == nil || e.fault != nil {
 		return
 	}
--- a/internal/fleet/keeper/keeper.go
+++ b/internal/fleet/keeper/keeper.go
@@ -264,15 +264,9 @@
 			m.basis[box] = Basis{Version: r.Version}
 			m.done[box], out.Keep = r.Version, true
 		case r.Out && !is && (m.done[box] < r.Version || m.stillOut(now, box)):
-			if m.tried[box]+m.set.Retry <= now { // one that the list does not have yet is tried again
-				m.tried[box] = now
-				out.Orders = append(out.Orders, Order{box, true})
-			}
+			m.order(now, Order{box, true}, out)
 		case !r.Out && is && ours && b.Version != 0 && b.Version < r.Version:
-			if m.tried[box]+m.set.Retry <= now {
-				m.tried[box] = now
-				out.Orders = append(out.Orders, Order{box, false})
-			}
+			m.order(now, Order{box, false}, out)
 		case !r.Out && !is:
 			if m.done[box] = r.Version; ours {
 				delete(m.basis, box)
@@ -283,9 +277,8 @@
 	for _, box := range slices.Sorted(maps.Keys(m.basis)) {
 		// An enable that did not know of this router's call took it back before it was filed:
 		// of a ban and an enable that do not know of each other the ban holds.
-		if m.basis[box].Own && !slices.Contains(local, box) && m.tried[box]+m.set.Retry <= now {
-			m.tried[box] = now
-			out.Orders = append(out.Orders, Order{box, true})
+		if m.basis[box].Own && !slices.Contains(local, box) {
+			m.order(now, Order{box, true}, out)
 		}
 	}
 	for box := range m.since {
@@ -295,6 +288,15 @@
 	}
 }
 
+// order gives an order, and again after a while where it had no effect: the list may not
+// have the box yet.
+func (m *Machine) order(now float64, o Order, out *Output) {
+	if m.tried[o.Box]+m.set.Retry <= now {
+		m.tried[o.Box] = now
+		out.Orders = append(out.Orders, o)
+	}
+}
+
 // Hear takes an elector's answer.
 func (m *Machine) Hear(now float64, a agree.BanAnswer) (out Output) {
 	asked, mine := m.open[a.Question]
@@ -313,11 +315,9 @@
 		return out // it took this router for one that knows more
 	}
 	if math.IsNaN(m.heard) {
-		m.next = now
-	}
-	if math.IsNaN(m.heard) || asked > m.heard {
-		m.heard = asked
+		m.heard, m.next = asked, now
 	}
+	m.heard = max(m.heard, asked)
 	for box, q := range m.filing {
 		if q != a.Question {
 			continue
