A duty that was moved away is not offered back to the router that gave it up

Seen while the tests ran again: TestDutyIsHeldByOne failed in two of four runs, "moved: r04 holds it under 7" and "moved to itself". A giver waits a lease before it asks again, but the offer went by that.

Give now has the router stay away for a lease, which an offer heeds; handed to it by name it still takes the duty at once.

--- a/internal/fleet/agree/agree_test.go
+++ b/internal/fleet/agree/agree_test.go
@@ -446,6 +446,9 @@
 		if took := c.now - at; took > 200 || c.trouble != "" {
 			t.Errorf("seed %d: nobody held it for %.0f ms; %s", seed, took, c.trouble)
 		}
+		if _, back := c.routers[from].May(c.clock(c.routers[from]), "a"); back {
+			t.Errorf("seed %d: it came back to the one that gave it up", seed)
+		}
 	}
 }
 
--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -209,6 +209,9 @@
 	}
 	l.giving = &Ask{Duty: name, Token: l.token, Give: true, To: to, Work: work}
 	l.token, l.end, l.next, l.repeats = 0, 0, now, 0
+	// Symptom guarded against: staff moved a duty to a router that did not want it, and what
+	// was offered then came back to the one that it had been moved away from.
+	l.away = max(l.away, now+h.set.TTL)
 	clear(l.open)
 }
 
