--- a/test.sh
+++ b/test.sh
@@ -20,4 +20,4 @@
 		;;
 	esac
 done
-go test -race ./...
+.ci/go-test.sh -race
