A client's leaving, the end and an eviction lose no request that came at that instant

Read from the code, each shown by a test over real connections that fails without its mend: - handle stopped watching at the first byte of what comes next, so that a client that wrote more and then left was not missed (front/http, Peek(1) in the watcher). The watch reads on, keeps 64 KB, drops the rest, and such a connection ends with its answer. What waits behind an open request keeps the time it came at. - HandOver closed the listener while connections waited in the backlog or in admit for room: they were reset with the requests they had brought. At the end they are accepted first. - idle close, eviction and Finish set a read deadline to now, and Go does not look at a socket whose deadline has passed: a request that lay there whole was closed unread. It is looked for once more. - after 'Connection: close' the connection was closed with bytes unread, and the reset overtook the answer (240,000 bytes to a client with a small buffer). This side ends first and reads on for 0.5 s. - an answer had 2 s to be written whatever the deadline; it has until the client gives up.

--- /dev/null
+++ b/internal/front/http/endings_test.go
@@ -0,0 +1,279 @@
+package http
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"garnetline/decide"
+	"garnetline/internal/clock"
+	"garnetline/internal/core"
+)
+
+// wait waits for a condition within a wide bound.
+func wait(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not seen in time: " + what)
+		}
+	}
+}
+
+// got reads the next answer and wants it whole, with a body.
+func got(t *testing.T, in *bufio.Reader, body string) *http.Response {
+	t.Helper()
+	r, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b, err := io.ReadAll(r.Body); err != nil || string(b) != body {
+		t.Fatalf("%d bytes of %d: %v", len(b), len(body), err)
+	}
+	return r
+}
+
+// Guards against a watcher that stops at the first byte of what comes next: a client that
+// wrote more and then left was not missed, and its request was sent on.
+func TestGoneAfterMore(t *testing.T) {
+	for name, more := range map[string]string{"a byte": "G", "a request": get(object), "requests": strings.Repeat(get(object), 100),
+		"more than is kept": strings.Repeat("x", 3*aheadMost)} {
+		t.Run(name, func(t *testing.T) {
+			f := &fake{hold: true}
+			s := newServer(f)
+			conn := dial(t, s)
+			if _, err := io.WriteString(conn, get(object)); err != nil {
+				t.Fatal(err)
+			}
+			wait(t, "the request is taken", func() bool { return f.count() == 1 })
+			if _, err := io.WriteString(conn, more); err != nil {
+				t.Fatal(err)
+			}
+			conn.Close()
+			select {
+			case r := <-f.left:
+				if r != f.get(0) {
+					t.Error("another request was left")
+				}
+			case <-time.After(20 * time.Second):
+				t.Error("that the client left was not told")
+			}
+			wait(t, "its connection is given back", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.conns) == 0 })
+			if f.count() != 1 {
+				t.Errorf("%d requests were taken", f.count())
+			}
+		})
+	}
+}
+
+// What waits behind an open request is answered in turn, with the time that its client had
+// when it came; one that sends without end has its answer, as the last on its connection.
+func TestAhead(t *testing.T) {
+	f := &fake{hold: true}
+	s := newServer(f)
+	clk := s.Clock.(*clock.Manual)
+	conn := dial(t, s)
+	in := bufio.NewReader(conn)
+	two := strings.Replace(get(object), "2d41", "2d42", 1)
+	io.WriteString(conn, get(object)+two) // in one piece: the second is read with the first
+	wait(t, "the request is taken", func() bool { return f.count() == 1 })
+	clk.Advance(700)
+	f.get(0).Reply(core.Answer{Kind: core.Served, Body: []byte("1")})
+	got(t, in, "1")
+	wait(t, "the next is taken", func() bool { return f.count() == 2 })
+	if q := f.get(1); q.Deadline != 1.7e12+1500-margin {
+		t.Errorf("the second has until %v, as if it had come later than it did", q.Deadline-1.7e12)
+	}
+	io.WriteString(conn, strings.Repeat("x", 2*aheadMost))
+	wait(t, "more than is kept has come", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for c := range s.conns {
+			return c.k.Spilt()
+		}
+		return false
+	})
+	f.get(1).Reply(core.Answer{Kind: core.Served, Body: []byte("2")})
+	if r := got(t, in, "2"); !r.Close {
+		t.Error("a connection that cannot be read on is kept")
+	}
+}
+
+// Guards against a listener that is closed on connections which wait to be accepted, while
+// there is no room for one more: each has brought a request.
+func TestBacklogAtEnd(t *testing.T) {
+	f := &fake{hold: true}
+	s := newServer(f)
+	s.Conns = func() int { return 1 }
+	conns := []net.Conn{dial(t, s)}
+	io.WriteString(conns[0], get(object))
+	wait(t, "the request is taken", func() bool { return f.count() == 1 })
+	for range 5 { // one is accepted and waits for room, the others are not
+		c, err := net.Dial("tcp", conns[0].RemoteAddr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, get(object))
+		conns = append(conns, c)
+	}
+	f.set(core.Answer{Kind: core.Served, Body: []byte("x")}, false)
+	done := make(chan bool)
+	go func() { s.Finish(); close(done) }()
+	<-s.accepted
+	f.get(0).Reply(core.Answer{Kind: core.Served, Body: []byte("x")})
+	for _, c := range conns {
+		if r := got(t, bufio.NewReader(c), "x"); !r.Close {
+			t.Error("a connection is kept at the end")
+		}
+		c.Close()
+	}
+	<-done
+}
+
+// gated is a connection whose reads wait for a gate, and which tells of read deadlines.
+type gated struct {
+	*net.TCPConn
+	gate   chan bool
+	limits chan bool
+	once   sync.Once
+	armed  chan bool
+}
+
+func (g *gated) Read(p []byte) (int, error) {
+	select {
+	case <-g.armed:
+		<-g.gate
+	default:
+	}
+	return g.TCPConn.Read(p)
+}
+
+func (g *gated) SetReadDeadline(t time.Time) error {
+	err := g.TCPConn.SetReadDeadline(t)
+	select {
+	case <-g.armed:
+		select {
+		case g.limits <- true:
+		default:
+		}
+	default:
+	}
+	return err
+}
+
+// Guards against a request that came whole at the moment at which an idle connection is
+// closed, to make room or at the end: a read whose time is over does not look for it.
+func TestCrossesClose(t *testing.T) {
+	for name, end := range map[string]func(s *Server, c *conn){
+		"evicted": func(s *Server, c *conn) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.victim() != c {
+				t.Error("it is not the one to make room")
+			}
+			c.kicked = true
+			c.k.Net.SetReadDeadline(time.Now())
+		},
+		"finished": func(s *Server, _ *conn) { go s.Finish() },
+		"idle":     func(_ *Server, c *conn) { c.k.Net.SetReadDeadline(time.Now()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &fake{answer: core.Answer{Kind: core.Served, Body: []byte("x")}}
+			s := newServer(f)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			g := &gated{gate: make(chan bool), limits: make(chan bool, 1), armed: make(chan bool)}
+			up := make(chan *gated)
+			go s.Serve(&gateListener{l, g, up})
+			client, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer client.Close()
+			<-up
+			in := bufio.NewReader(client)
+			close(g.armed) // each read waits from here on
+			io.WriteString(client, get(object))
+			g.gate <- true // its first request
+			g.gate <- true // the watcher's read
+			got(t, in, "x")
+			var c *conn
+			wait(t, "it is idle", func() bool {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				for c = range s.conns {
+					return c.phase == idle
+				}
+				return false
+			})
+			select {
+			case <-g.limits:
+			default:
+			}
+			io.WriteString(client, get(object)) // it lies in the socket; the read is at the gate
+			end(s, c)
+			<-g.limits
+			time.Sleep(time.Millisecond) // the deadline is in the past
+			close(g.gate)
+			got(t, in, "x")
+			client.Close()
+			s.Finish()
+		})
+	}
+}
+
+// gateListener accepts one connection as g.
+type gateListener struct {
+	net.Listener
+	g  *gated
+	up chan *gated
+}
+
+func (l *gateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.g.TCPConn = c.(*net.TCPConn)
+	l.up <- l.g
+	return l.g, nil
+}
+
+// Guards against an answer that a reset overtakes: the client has sent more than was read
+// when its connection is closed behind the last answer.
+func TestUnreadAtClose(t *testing.T) {
+	body := strings.Repeat("b", 240_000)
+	f := &fake{hold: true}
+	s := newServer(f)
+	conn := dial(t, s).(*net.TCPConn)
+	conn.SetReadBuffer(4 << 10) // the most of the answer waits on the other side
+	io.WriteString(conn, get(object, "Connection: close"))
+	wait(t, "the request is taken", func() bool { return f.count() == 1 })
+	io.WriteString(conn, strings.Repeat("x", 32<<10)) // more than a reader's buffer takes
+	f.get(0).Reply(core.Answer{Kind: core.Served, Body: []byte(body)})
+	wait(t, "the answer is written", func() bool { return s.Stats.Counter("http_200").Load() == 1 })
+	io.WriteString(conn, strings.Repeat("y", 4<<10)) // nobody reads requests any more
+	got(t, bufio.NewReader(conn), body)
+}
+
+// An answer may be read as slowly as its client's link lets it, while the client waits.
+func TestWriting(t *testing.T) {
+	s := newServer(&fake{})
+	classes := []decide.Class{{Deadline: 6 * time.Second}, {Deadline: time.Second}}
+	s.Classes = func() []decide.Class { return classes }
+	now := s.Clock.Now()
+	c := &conn{s: s}
+	for _, x := range []struct{ until, want float64 }{{0, writeFor}, {now + 500, writeFor}, {now + 4000, 4000}, {now + 600_000, 6000}} {
+		if got := c.writing(&request{until: x.until}); got != x.want {
+			t.Errorf("waits %v more: %v to write, want %v", x.until-now, got, x.want)
+		}
+	}
+}
--- a/internal/front/http/http.go
+++ b/internal/front/http/http.go
@@ -39,7 +39,13 @@
 	lingerBig  = 5_500.0   // and for one that announced, or sent, more than a body may be
 	lingerMost = 128 << 20 // bytes read and dropped meanwhile
 	margin     = 20.0      // ms before the client gives up by which an answer is wanted
+	lingerLast = 500.0     // ms for which a client is still read after the last answer on its connection
 	freshFor   = 250.0     // ms that a connection has for its first request before it may have to make room
+	kickedFor  = 50.0      // ms that is left to a request that is coming on a connection that is to make room
+	endFor     = 100.0     // ms that a new connection has for its first request when all end
+	aheadMost  = maxHead + maxBody
+	backlogFor = 20 * time.Millisecond  // without a new connection, until the socket is closed at the end
+	backlogAll = 400 * time.Millisecond // by which it is closed all the same
 	pressEvery = 20 * time.Millisecond
 )
 
@@ -70,6 +76,7 @@
 	closing  atomic.Bool   // answers say so and no connection is kept
 	ended    atomic.Bool   // what is idle is closed
 	stopping atomic.Bool   // the health check says so
+	closeBy  time.Time     // the listener is closed by then; set when the end begins
 	accepted chan struct{} // closed when Serve has returned
 	freed    chan struct{} // a connection was given back
 	mu       sync.Mutex
@@ -92,10 +99,17 @@
 	}
 	s.mu.Unlock()
 	for {
+		s.last()
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		if isTimeout(err) { // the end has begun, and nothing waits
+			if s.ended.Load() {
+				l.Close()
+			}
+			continue
+		}
 		if err != nil { // out of descriptors, or a client that has gone again
 			s.Stats.Add("accept_errors", 1)
 			time.Sleep(5 * time.Millisecond)
@@ -112,6 +126,23 @@
 	}
 }
 
+// last lets one more connection be accepted at the end, if it waits already.
+//
+// Symptom guarded against: a listener that is closed resets what waits to be accepted,
+// with the requests that those connections have brought.
+func (s *Server) last() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.ended.Load() || s.listener == nil {
+		return
+	}
+	until := time.Now().Add(backlogFor)
+	l, ok := s.listener.(interface{ SetDeadline(time.Time) error })
+	if !ok || until.After(s.closeBy) || l.SetDeadline(until) != nil {
+		s.listener.Close()
+	}
+}
+
 // admit waits until there is room for one more connection, and makes it.
 //
 // Symptom guarded against: connections that say nothing, or that asked once and
@@ -119,7 +150,7 @@
 func (s *Server) admit(c *conn) {
 	for {
 		s.mu.Lock()
-		room := len(s.conns) < max(s.Conns(), 1)
+		room := len(s.conns) < max(s.Conns(), 1) || s.ended.Load() // at the end no more will come
 		if room {
 			s.conns[c] = true
 		} else if v := s.victim(); v != nil {
@@ -171,15 +202,17 @@
 // Finish ends Serve, closes idle connections, lets the others finish what is
 // open on them and returns when all are closed.
 func (s *Server) Finish() {
-	s.HandOver()
-	s.ended.Store(true)
 	s.mu.Lock()
+	s.closing.Store(true)
+	s.ended.Store(true)
+	s.closeBy = time.Now().Add(backlogAll)
 	for c := range s.conns {
 		if c.phase != busy && !c.asking {
-			c.k.Net.SetReadDeadline(time.Now())
+			c.k.Net.SetReadDeadline(time.Now().Add(clock.Duration(c.atEnd())))
 		}
 	}
 	s.mu.Unlock()
+	s.last() // the listener, if there is one already
 	<-s.accepted
 	s.open.Wait()
 }
@@ -194,8 +227,8 @@
 	busy
 )
 
-// conn is one client's connection. The goroutine in serve owns it; what stands
-// below born is the server's, under its lock.
+// conn is one client's connection. The goroutine in serve owns it; phase to kicked are
+// the server's, under its lock.
 type conn struct {
 	s      *Server
 	k      *sock.Conn
@@ -204,6 +237,7 @@
 	since  float64 // when the phase began
 	asking bool    // a request has begun to come
 	kicked bool    // it is to make room
+	came   float64 // when the newest of what was read came
 }
 
 func (s *Server) newConn(nc net.Conn) *conn {
@@ -223,11 +257,25 @@
 	switch {
 	case p == busy:
 		c.k.Net.SetReadDeadline(time.Time{})
-	case c.kicked || c.s.ended.Load() && !asking:
-		c.k.Net.SetReadDeadline(time.Now())
-	default:
-		c.k.Net.SetReadDeadline(time.Now().Add(clock.Duration(within)))
+		return
+	case c.kicked && p == refused:
+		within = 0
+	case c.kicked && asking:
+		within = min(within, kickedFor)
+	case c.kicked:
+		within = 0
+	case c.s.ended.Load() && !asking:
+		within = min(within, c.atEnd())
 	}
+	c.k.Net.SetReadDeadline(time.Now().Add(clock.Duration(within)))
+}
+
+// atEnd is how long a connection without a request waits for one when all end.
+func (c *conn) atEnd() float64 {
+	if c.phase == fresh {
+		return endFor
+	}
+	return 0
 }
 
 // left is what is left of a time that began with the connection.
@@ -258,7 +306,11 @@
 		}
 		// Symptom guarded against: a connection whose answer had not said that it
 		// ends was closed when the end began just then, on the next request.
-		if keep := c.handle(req); !keep || req.last {
+		if !c.handle(req) {
+			return
+		}
+		if req.last {
+			c.linger(lingerLast)
 			return
 		}
 	}
@@ -272,7 +324,8 @@
 	}
 	c.enter(p, false, within)
 	c.k.Allow(maxHead)
-	if _, err := c.k.R.Peek(1); err != nil {
+	c.k.Settle()
+	if _, err := c.k.R.Peek(1); err != nil && !(isTimeout(err) && c.k.Poll()) {
 		return false
 	}
 	c.enter(p, true, rest)
@@ -283,7 +336,7 @@
 func (c *conn) keep(r *request) bool {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
-	return !r.last && !c.s.closing.Load() && !c.kicked
+	return !r.last && !c.s.closing.Load() && !c.kicked && !c.k.Spilt()
 }
 
 // request is a parsed request.
@@ -293,6 +346,7 @@
 	body                []byte
 	last                bool // the client wants the connection closed
 	at                  float64
+	until               float64 // its client waits until then; 0: not told
 }
 
 // problem is an answer that the front gives by itself.
@@ -334,7 +388,12 @@
 	if bad := c.body(r); bad != nil {
 		return nil, bad
 	}
-	r.at = c.s.Clock.Now()
+	// Symptom guarded against: a request that waited behind another one on its connection
+	// was given the time that its client had when it sent it, not what was left of that.
+	if c.k.Fresh() || c.came == 0 {
+		c.came = c.s.Clock.Now()
+	}
+	r.at = c.came
 	c.s.Stats.Add("requests_read", 1)
 	return r, nil
 }
@@ -466,31 +525,24 @@
 	if !c.s.Core.Submit(q) {
 		return c.refuse(r, &problem{status: 503, why: "stopping"})
 	}
-	// The only byte that may come now is that of the next request; an error
-	// says that the client has gone.
+	r.until = q.Deadline + margin
+	// An error says that the client has gone: also one that wrote more before it left.
 	heard := make(chan error, 1)
-	c.k.Allow(maxHead)
-	go func() {
-		_, err := c.k.R.Peek(1)
-		heard <- err
-	}()
-	var ok bool
+	go func() { heard <- c.k.Watch(aheadMost, func() { c.came = c.s.Clock.Now() }) }()
 	select {
 	case a := <-answers:
-		ok = c.answer(r, a)
+		ok := c.answer(r, a)
 		// The watcher is waited for: the connection has one reader at a time.
 		c.k.Net.SetReadDeadline(time.Now())
-		if err := <-heard; err != nil && !isTimeout(err) {
-			return false
-		}
+		err := <-heard
+		return ok && (isTimeout(err) || err == sock.ErrLimit)
 	case err := <-heard:
-		if err != nil {
+		if err != sock.ErrLimit {
 			c.s.Core.Leave(q)
 			return false
 		}
-		ok = c.answer(r, <-answers) // pipelined: the next one waits its turn
+		return c.answer(r, <-answers) // it sends without end: the answer is its last
 	}
-	return ok
 }
 
 // origin notes where a request comes from. More than one traceparent is none.
@@ -636,12 +688,18 @@
 // reset, and the reset overtakes the answer. What it still sends is dropped for
 // a time that counts from the connection's start, however it sends.
 func (c *conn) error(p *problem) {
-	half, ok := c.k.Net.(interface{ CloseWrite() error })
-	if c.refuse(&request{last: true}, p) && ok && half.CloseWrite() == nil {
+	if c.refuse(&request{last: true}, p) {
 		within := c.left(lingerFor)
 		if p.big {
 			within = c.left(lingerBig)
 		}
+		c.linger(within)
+	}
+}
+
+// linger ends this side of a connection and reads what still comes, for some time.
+func (c *conn) linger(within float64) {
+	if half, ok := c.k.Net.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
 		c.enter(refused, true, max(within, 0))
 		io.Copy(io.Discard, io.LimitReader(c.k.Net, lingerMost))
 	}
@@ -651,6 +709,18 @@
 	408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large", 501: "Not Implemented",
 	502: "Bad Gateway", 503: "Service Unavailable"}
 
+// writing is how long an answer may take to be written: a client that waits reads as its
+// link lets it, up to the longest time that any class is waited for.
+func (c *conn) writing(r *request) float64 {
+	longest := 0.0
+	if c.s.Classes != nil {
+		for _, k := range c.s.Classes() {
+			longest = max(longest, clock.Millis(k.Deadline))
+		}
+	}
+	return max(writeFor, min(r.until-c.s.Clock.Now(), longest))
+}
+
 // write writes one whole answer.
 func (c *conn) write(r *request, status int, head string, body []byte) bool {
 	out := fmt.Appendf(c.k.Out(), "HTTP/1.1 %d %s\r\n%s", status, reasons[status], head)
@@ -665,7 +735,7 @@
 	if r.method == "HEAD" {
 		body = nil
 	}
-	err := c.k.Flush(out, body, writeFor)
+	err := c.k.Flush(out, body, c.writing(r))
 	c.k.RestOut()
 	c.k.RestIn()
 	c.s.Stats.Add("http_"+strconv.Itoa(status), 1)
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -8,6 +8,9 @@
 	"io"
 	"net"
 	"net/textproto"
+	"slices"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"garnetline/internal/clock"
@@ -28,6 +31,11 @@
 	in   []byte // the message being read
 	out  []byte // the message being written
 	over bool   // a read went past the limit
+	// What was read beside textproto, which gets it first. Watch and Poll write it, while
+	// nobody reads.
+	ahead []byte
+	spilt atomic.Bool // Watch dropped bytes
+	fresh bool        // textproto has had bytes from the socket since Settle
 }
 
 // New wraps a connection.
@@ -46,8 +54,18 @@
 		l.k.over = true
 		return 0, ErrLimit
 	}
-	n, err := l.k.Net.Read(p[:min(len(p), l.k.left)])
+	p = p[:min(len(p), l.k.left)]
+	if len(l.k.ahead) > 0 {
+		n := copy(p, l.k.ahead)
+		if l.k.ahead = l.k.ahead[n:]; len(l.k.ahead) == 0 {
+			l.k.ahead = nil
+		}
+		l.k.left -= n
+		return n, nil
+	}
+	n, err := l.k.Net.Read(p)
 	l.k.left -= n
+	l.k.fresh = l.k.fresh || n > 0
 	return n, err
 }
 
@@ -60,6 +78,85 @@
 // Over tells whether a read stopped at the bound.
 func (k *Conn) Over() bool { return k.over }
 
+const (
+	watchStep = 4 << 10   // by which what is read ahead grows at first
+	watchDrop = 128 << 20 // bytes dropped by one Watch, after which it looks no longer
+)
+
+// Watch reads ahead until the connection ends or its read deadline passes, and returns
+// why. Up to most bytes wait for textproto, the rest is dropped. Nobody else may read
+// meanwhile; came is called for each piece.
+//
+// Symptom guarded against: one byte more than a request hid it for good that the client
+// had left, and what nobody wanted any more was sent on.
+func (k *Conn) Watch(most int, came func()) error {
+	var one [1]byte // an idle watch needs no buffer
+	var drop []byte
+	for dropped := 0; dropped < watchDrop; {
+		b := one[:]
+		if n := len(k.ahead); n > 0 && n < most {
+			k.ahead = slices.Grow(k.ahead, min(max(n, watchStep), most-n))
+			b = k.ahead[n:min(cap(k.ahead), most)]
+		} else if n > 0 {
+			if drop == nil {
+				drop = make([]byte, watchStep)
+			}
+			b = drop
+		}
+		n, err := k.Net.Read(b)
+		switch {
+		case len(k.ahead) >= most && n > 0:
+			dropped += n
+			k.spilt.Store(true)
+		case n > 0:
+			k.ahead = append(k.ahead, b[:n]...)
+		}
+		if n > 0 {
+			came()
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return ErrLimit
+}
+
+// Spilt tells whether Watch dropped bytes: what follows on the connection cannot be read.
+func (k *Conn) Spilt() bool { return k.spilt.Load() }
+
+// Settle begins a message; Fresh tells whether any byte of it came from the socket since,
+// and not from what had been read before.
+func (k *Conn) Settle()     { k.fresh = false }
+func (k *Conn) Fresh() bool { return k.fresh }
+
+// Poll tells whether something waits to be read, without waiting for it. It takes the read
+// deadline away.
+//
+// Symptom guarded against: a read whose deadline has passed does not look at the socket
+// at all, and a request that lay there whole was closed unread.
+func (k *Conn) Poll() bool {
+	if k.R.Buffered() > 0 || len(k.ahead) > 0 {
+		return true
+	}
+	sc, ok := k.Net.(syscall.Conn)
+	if !ok || k.Net.SetReadDeadline(time.Time{}) != nil {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	b, n := make([]byte, watchStep), 0
+	if raw.Read(func(fd uintptr) bool {
+		n, err = syscall.Read(int(fd), b)
+		return true // it does not wait
+	}) != nil || err != nil || n <= 0 {
+		return false
+	}
+	k.ahead, k.fresh = b[:n], true
+	return true
+}
+
 // Line reads a line as it stands in the reader's buffer, without its end. It
 // is valid until the next read; one longer than that buffer is an error.
 func (k *Conn) Line() ([]byte, error) {
