An end, a gap in the log, a key's window and a second answer lose or repeat nothing

Read from the code and shown by tests that fail without each mend: - SIGTERM while caches hang: a request of a class with a deadline over 3 s stayed open until the kill (serve.go, Finish waits for all). The core answers all by 0.2 s before the earliest kill (EndBy). - a change log that lost events and went on with empty frames: hear() ignored the frame's number. A number beyond it, or an event that does not follow, has the log asked anew from what is held, once for each number. - a keyed repeat queued for a connection was written after its key's window; the core bounds the write (SendBy), and bars what must not run twice whatever the module asks. - a client's leaving is known to peers at once (Request.Gone), not behind the core's mailbox. - a refusal that came twice was taken for the end of the attempt that followed on the same connection (peer.answered): two out.

--- a/cmd/garnetline/serve.go
+++ b/cmd/garnetline/serve.go
@@ -30,7 +30,11 @@
 const (
 	// lameDuck is how long a router that is to stop goes on taking requests:
 	// the front sends some for 0.6 s yet.
-	lameDuck  = 700 * time.Millisecond
+	lameDuck = 700 * time.Millisecond
+	// killAfter is how long after that a process has at the least, or the longest deadline
+	// where that is shorter; endMargin is kept for the answers' way.
+	killAfter = 3000.0
+	endMargin = 200.0
 	heapShare = 0.7 // of the memory limit, for the runtime; the kernel counts more
 	connShare = 0.6 // of the descriptors, for clients
 	linkShare = 0.3 // of the descriptors, for peers; files, the door and the DNS front have the rest
@@ -207,6 +211,7 @@
 				if conf.ListenFD != 0 { // its other holders take what comes from now on
 					front.HandOver()
 				}
+				c.EndBy(clk.Now() + endIn(classes()))
 				done = make(chan struct{})
 				go func() {
 					defer close(done)
@@ -218,6 +223,18 @@
 	}
 }
 
+// endIn is when, in ms from the signal on, all that is open has its answer.
+//
+// Symptom guarded against: a request of a class with a long deadline waited for a cache that
+// hung until the process was killed.
+func endIn(classes []decide.Class) float64 {
+	longest := 0.0
+	for _, k := range classes {
+		longest = max(longest, clock.Millis(k.Deadline))
+	}
+	return clock.Millis(lameDuck) + max(min(longest, killAfter)-endMargin, 0)
+}
+
 // listen opens the clients' socket, or takes the one that the platform holds and
 // passes on from one process to the next.
 func listen(conf *config.Config) (net.Listener, error) {
--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -42,6 +42,9 @@
 // ErrFrame reports a frame that cannot be used.
 var ErrFrame = errors.New("change log: broken frame")
 
+// ErrGap reports that events are missing before the one that came.
+var ErrGap = errors.New("change log: events missing")
+
 // Log is the actor of the change log, and of the list that it tells.
 type Log struct {
 	clock  clock.Clock
@@ -52,6 +55,7 @@
 	count  *stats.Set
 	guard  atomic.Pointer[decide.Guard]
 	seq    uint64
+	missed uint64 // the number that was missing when the log was last asked anew for it
 	dial   func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 	marks  marks.Dir
 	hosts  map[decide.ServerID]config.Host   // as listed, without those that are gone
@@ -215,7 +219,9 @@
 				return heard, nil, f.err
 			}
 			heard = true
-			l.hear(f)
+			if err := l.hear(f); err != nil {
+				return heard, nil, err
+			}
 		case o := <-l.orders:
 			o.err <- l.order(o)
 		case <-look.C:
@@ -233,8 +239,17 @@
 	}
 }
 
-// hear takes one frame.
-func (l *Log) hear(f message) {
+// hear takes one frame. What follows on a missed one is not taken, since the log tells what
+// came after the number that it is asked from.
+//
+// Symptom guarded against: a log that had lost events on the way went on with empty frames,
+// and the router sent on to caches that drained until something new came.
+func (l *Log) hear(f message) error {
+	if next := l.seq + min(uint64(f.kind), 1); f.ev.Seq > next && l.missed != next {
+		l.missed = next // asked for once: a log whose numbers are not in order is followed as it is
+		l.count.Add("changelog_gaps", 1)
+		return ErrGap
+	}
 	l.frame()
 	if f.kind != 0 && f.ev.Seq > l.seq {
 		l.take(f.ev)
@@ -246,6 +261,7 @@
 		l.guard.Store(&g)
 	}
 	l.catch()
+	return nil
 }
 
 // order carries out a call of staff. The mark is there before the answer is.
--- a/internal/changelog/changelog_test.go
+++ b/internal/changelog/changelog_test.go
@@ -333,3 +333,51 @@
 		}
 	})
 }
+
+// Guards against events that are lost on the way: an empty frame with a later number, or an
+// event that does not follow the last one, has the log asked again from what is held. A log
+// that goes on like that is followed as it is.
+func TestMissedEvents(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	told := make(chan config.Event, 16)
+	log := newLog(l.Addr().(*net.TCPAddr).AddrPort(), func(ev config.Event) { told <- ev })
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { log.Run(ctx); close(done) }()
+	defer func() { stop(); <-done }()
+	for i, c := range []struct {
+		from  uint64
+		bytes []byte
+	}{
+		{1, bytes.Join([][]byte{frame(2, 2, record(7, 0)...), frame(3, 0)}, nil)},                               // 3 never came
+		{2, bytes.Join([][]byte{frame(3, 2, record(7, 1)...), frame(5, 2, record(8, 0)...)}, nil)},              // nor did 4
+		{3, bytes.Join([][]byte{frame(4, 2, record(9, 0)...), frame(5, 2, record(8, 0)...)}, nil)},              // here they are
+		{5, bytes.Join([][]byte{frame(7, 2, record(8, 1)...)}, nil)},                                            // 6 is not there
+		{5, bytes.Join([][]byte{frame(7, 2, record(8, 1)...), frame(7, 0), frame(8, 2, record(9, 1)...)}, nil)}, // still
+	} {
+		conn, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		var from [8]byte
+		if _, err := io.ReadFull(conn, from[:]); err != nil || binary.BigEndian.Uint64(from[:]) != c.from {
+			t.Fatalf("connection %d asked from %v, %v; want %d", i, from, err, c.from)
+		}
+		if _, err := conn.Write(c.bytes); err != nil {
+			t.Fatal(err)
+		}
+		if i == 2 { // it has all that there is; a connection that ends is made anew
+			conn.Close()
+		}
+	}
+	for _, seq := range []uint64{1, 2, 3, 4, 5, 7, 8} {
+		if ev := <-told; ev.Seq != seq {
+			t.Fatalf("event %d told, want %d", ev.Seq, seq)
+		}
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -51,6 +51,7 @@
 	Idle       float64 // ms; an idle connection is closed after it
 	Connect    float64 // ms; a connection that is not up by then failed
 	MaxStreams int     // requests that one connection carries
+	BytesPerS  float64 // pace of one transfer; 0: not told
 }
 
 // Host is one entry of the list of caches, with its address.
@@ -184,7 +185,7 @@
 	if f.Flow < 0 {
 		return nil, fmt.Errorf("flow_bytes_per_s: %v: negative", f.Flow)
 	}
-	c.Settings.BytesPerS = f.Flow
+	c.Settings.BytesPerS, c.Conn.BytesPerS = f.Flow, f.Flow
 	for i, r := range f.Known.Results {
 		ev, err := c.known(r.Seq, r.Fleet, r.Invalidate)
 		if err != nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -34,7 +34,7 @@
 		t.Errorf("%+v", p)
 	}
 	if s := c.Settings; s.MaxAttempts != 6 || len(s.Classes) != 1 || s.Classes[0].Aim != 280*time.Millisecond ||
-		s.PurgeDone != 6*time.Second || len(c.Report) != 2 || c.Conn != (Conn{15000, 400, 100}) || c.Seq != 2 {
+		s.PurgeDone != 6*time.Second || len(c.Report) != 2 || c.Conn != (Conn{Idle: 15000, Connect: 400, MaxStreams: 100, BytesPerS: c.Settings.BytesPerS}) || c.Seq != 2 {
 		t.Errorf("%+v %+v", s, c)
 	}
 	env := func(k string) string { return map[string]string{"EDGE_NAME": "n7", "EDGE_LISTEN": "127.0.0.3:1"}[k] }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,8 +60,13 @@
 	trail    Trail // nil: it is not traced
 	tries    []*Attempt
 	answered bool
+	gone     atomic.Bool // its client has left
 }
 
+// Gone tells whether the client has left, as soon as that is known and on any goroutine:
+// nothing is sent on for it from then on.
+func (r *Request) Gone() bool { return r.gone.Load() }
+
 // Origin tells when and where a request comes from, as far as that is traced.
 type Origin struct {
 	Came   float64 // when its last byte came; 0: when the core takes it
@@ -96,6 +101,7 @@
 	N        int
 	Get      decide.Get
 	Until    float64 // it is given up then
+	SendBy   float64 // it may be written until then; 0: until it is given up
 	Class    *decide.Class
 	Deadline float64 // of its request
 
@@ -106,6 +112,7 @@
 	sent   float64
 	taken  bool // by its carrier
 	ended  bool
+	moot   bool          // it ended and is proved not to have run
 	asked  bool          // the carrier has been asked to give it up
 	ending decide.Result // what it is called then
 }
@@ -117,7 +124,9 @@
 	Result  decide.Result
 	Answer  Answer
 	Load    decide.Load
-	Final   bool // the request is over though nothing was served by the attempt
+	Note    decide.Note // how it met its object, where that is told
+	Waited  float64     // ms for the source's first byte or failure; 0: not told
+	Final   bool        // the request is over though nothing was served by the attempt
 }
 
 // NotTaken is the end of an attempt that never left.
@@ -170,8 +179,12 @@
 }
 
 // slack is how long after the deadline of a request the core waits for the
-// module's word before it answers by itself.
-const slack = 5.0
+// module's word before it answers by itself, and slackPart bounds it by the time that the
+// request has: who waits for 50 ms would not wait for 5 more.
+const (
+	slack     = 5.0
+	slackPart = 0.05
+)
 
 // mailbox bounds the events that wait for the core.
 const mailbox = 4096
@@ -190,6 +203,7 @@
 	open   map[decide.RequestID]*Request
 	txns   map[string]*Request // of those, the ones with a client's id
 	timers timers
+	endBy  float64 // all is answered by then; 0: there is no such time
 	queue  []decide.Event
 	acts   []decide.Action
 	sick   []decide.ServerID // room for show
@@ -201,6 +215,8 @@
 
 type left struct{ req *Request }
 
+type ending struct{ by float64 }
+
 // New returns a core that has not been started.
 func New(c clock.Clock, set decide.Settings, seed uint64, s *stats.Set) (*Core, error) {
 	router, err := decide.New(set, seed)
@@ -274,7 +290,14 @@
 func (c *Core) Submit(r *Request) bool { return c.post(r) }
 
 // Leave says that the client of a submitted request has gone.
-func (c *Core) Leave(r *Request) { c.post(left{r}) }
+func (c *Core) Leave(r *Request) {
+	r.gone.Store(true)
+	c.post(left{r})
+}
+
+// EndBy has all that is open, or is still taken, answered by a time: the process is
+// killed soon after.
+func (c *Core) EndBy(at float64) { c.post(ending{at}) }
 
 // End reports the end of an attempt.
 func (c *Core) End(e End) { c.post(e) }
@@ -324,6 +347,11 @@
 		c.take(m)
 	case left:
 		c.leave(m.req)
+	case ending:
+		c.endBy = m.by
+		for _, r := range c.open {
+			c.at(m.by, 0, nil, r)
+		}
 	case End:
 		c.end(m)
 	case config.Event:
@@ -353,7 +381,11 @@
 	if r.Txn != "" {
 		c.txns[r.Txn] = r
 	}
-	c.at(r.Deadline+slack, 0, nil, r)
+	now := c.clock.Now()
+	if c.endBy > 0 {
+		r.Deadline = min(r.Deadline, c.endBy)
+	}
+	c.at(r.Deadline+min(slack, slackPart*max(r.Deadline-now, 0)), 0, nil, r)
 	c.count.Add("requests_taken", 1)
 	if c.tracer != nil {
 		r.trail = c.tracer.Open(c.clock.Now(), r, &c.set.Classes[r.Class])
@@ -368,6 +400,9 @@
 		return
 	}
 	c.count.Add("clients_gone", 1)
+	if n := len(r.tries); n == 0 || r.tries[n-1].ended {
+		c.count.Add("clients_gone_waiting", 1) // with nothing out
+	}
 	r.answered = true
 	c.traced(r, trace.Left)
 	c.close(r)
@@ -454,6 +489,7 @@
 	} else {
 		c.count.Add("attempts_"+resultNames[e.Result], 1)
 	}
+	a.moot = e.Result == decide.Full || e.Result == decide.Unreached || e.Result == decide.NotSent || e.Result == decide.Miss
 	r := a.Req
 	if r.trail != nil {
 		r.trail.Over(c.clock.Now(), e.Result, len(e.Answer.Body), e.Load, a.Trace.Wire)
@@ -465,7 +501,8 @@
 		c.answer(r, e.Answer)
 	}
 	c.feed(decide.Outcome{ID: r.id, Attempt: a.N, Server: a.Get.Server, Result: e.Result,
-		Took: clock.Duration(c.clock.Now() - a.sent), Bytes: len(e.Answer.Body), Done: r.answered, Load: e.Load})
+		Took: clock.Duration(c.clock.Now() - a.sent), Bytes: len(e.Answer.Body), Done: r.answered, Load: e.Load,
+		Note: e.Note, Waited: clock.Duration(e.Waited)})
 	if r.answered {
 		c.forget(r)
 		r.release()
@@ -558,9 +595,10 @@
 		a.Trace = &Trace{Context: r.trail.Sending(a.sent, g)}
 	}
 	busy := len(r.tries) > 0 && !r.tries[len(r.tries)-1].ended
+	barred := r.Gone() || c.settled(r, a)
 	r.tries = append(r.tries, a)
 	over := NotTaken(a, decide.NotSent)
-	if !r.answered && !busy && a.N < c.set.MaxAttempts && a.sent < a.Until {
+	if !r.answered && !busy && !barred && a.N < c.set.MaxAttempts && a.sent < a.Until {
 		over = r.Carrier.Send(a)
 	}
 	if over != nil {
@@ -572,6 +610,28 @@
 	c.at(a.Until, 0, a, nil)
 }
 
+// settled tells whether the class of a request bars what may run a second time, and bounds
+// the time at which the attempt may be written: the module decided before it was queued.
+//
+// Symptom guarded against: a repeat that waited for a connection was written after the
+// window in which its key is known.
+func (c *Core) settled(r *Request, a *Attempt) bool {
+	for _, t := range r.tries {
+		if t.moot {
+			continue
+		}
+		switch a.Class.Effect {
+		case decide.Keyed:
+			a.SendBy = t.sent + clock.Millis(a.Class.Window)
+			return a.sent >= a.SendBy
+		case decide.Unsafe:
+			return true
+		}
+		break
+	}
+	return false
+}
+
 // cancel has an attempt given up. It is over when its carrier says so.
 func (c *Core) cancel(a *Attempt, as decide.Result) {
 	if a.ended || a.asked {
@@ -603,7 +663,11 @@
 	if c.open[r.id] != r {
 		return
 	}
-	c.answer(r, Answer{Kind: Failed})
+	a := Answer{Kind: Failed}
+	if c.clock.Now() < r.Deadline && !slices.ContainsFunc(r.tries, func(t *Attempt) bool { return !t.moot }) {
+		a = Answer{Kind: Refused, Backoff: clock.Millis(c.set.MaxBackoff) / 2} // it would have had time elsewhere
+	}
+	c.answer(r, a)
 	c.close(r)
 }
 
--- /dev/null
+++ b/internal/core/endings_test.go
@@ -0,0 +1,186 @@
+package core
+
+import (
+	"testing"
+
+	"garnetline/decide"
+	"garnetline/internal/clock"
+	"garnetline/internal/stats"
+)
+
+// hung is a carrier that takes every attempt and says nothing more of it.
+type hung struct {
+	sent      []*Attempt
+	cancelled []*Attempt
+}
+
+func (h *hung) Send(a *Attempt) *End { h.sent = append(h.sent, a); return nil }
+func (h *hung) Cancel(a *Attempt)    { h.cancelled = append(h.cancelled, a) }
+func (h *hung) Over(*Attempt)        {}
+
+// bench is a core that is stepped by hand, on a set clock, before caches that hang.
+type bench struct {
+	*Core
+	clk     *clock.Manual
+	box     hung
+	answers map[*Request][]Answer
+}
+
+func newBench(t *testing.T, change func(*decide.Settings)) *bench {
+	t.Helper()
+	set := settings()
+	if change != nil {
+		change(&set)
+	}
+	clk := clock.NewManual(start)
+	c, err := New(clk, set, 1, stats.New())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.step(fleet())
+	return &bench{Core: c, clk: clk, answers: map[*Request][]Answer{}}
+}
+
+// ask takes a request whose client waits for so many ms.
+func (b *bench) ask(class int, ms float64) *Request {
+	r := &Request{Class: class, Object: 7, Deadline: b.clk.Now() + ms, Carrier: &b.box}
+	r.Reply = func(a Answer) { b.answers[r] = append(b.answers[r], a) }
+	b.step(r)
+	return r
+}
+
+func (b *bench) pass(ms float64) {
+	for range int(ms) {
+		b.clk.Advance(1)
+		b.tick()
+	}
+}
+
+// Guards against an answer after the client of a very short request has given up: the
+// core's own wait for the module does not count from the same few milliseconds.
+func TestShortDeadline(t *testing.T) {
+	for _, ms := range []float64{20, 45, 180, 1480} {
+		b := newBench(t, nil)
+		r := b.ask(0, ms)
+		b.pass(ms + 1 + ms*slackPart)
+		if len(b.answers[r]) != 1 {
+			t.Errorf("%v ms: no answer %v ms after", ms, 1+ms*slackPart)
+		}
+	}
+}
+
+// Guards against requests that wait for a cache that hangs until the process is killed: all
+// that is open, or comes yet, has its answer by the time that is set.
+func TestEndBy(t *testing.T) {
+	b := newBench(t, nil)
+	open := b.ask(0, 6000)
+	b.EndBy(b.clk.Now() + 500)
+	b.step(<-b.Core.box)
+	late := b.ask(2, 6000)
+	b.pass(499)
+	if len(b.answers) > 0 {
+		t.Fatal("answered before the end")
+	}
+	b.pass(10)
+	for _, r := range []*Request{open, late} {
+		if a := b.answers[r]; len(a) != 1 || a[0].Kind != Failed {
+			t.Errorf("at the end: %+v", a)
+		}
+	}
+	if len(b.box.cancelled) != 2 {
+		t.Errorf("%d attempts were given up", len(b.box.cancelled))
+	}
+	// What was never sent on is harmless to retry, and says so.
+	b = newBench(t, nil)
+	r := b.ask(0, 6000)
+	for len(b.box.sent) > 0 {
+		a := b.box.sent[0]
+		b.box.sent = b.box.sent[1:]
+		b.step(*NotTaken(a, decide.Unreached))
+	}
+	if a := b.answers[r]; len(a) != 1 || a[0].Kind != Refused {
+		t.Errorf("never sent on: %+v", a)
+	}
+}
+
+// Guards against a repeat that is written after the window of its key, since it waited for
+// a connection, and against any repeat of what must not run twice.
+func TestSettled(t *testing.T) {
+	b := newBench(t, nil)
+	r := b.ask(1, 3000)
+	first := b.box.sent[0]
+	b.pass(300)
+	b.step(End{Attempt: first, Result: decide.Broken, Load: NoLoad()})
+	if len(b.box.sent) != 2 {
+		t.Fatalf("%d attempts", len(b.box.sent))
+	}
+	if a := b.box.sent[1]; first.SendBy != 0 || a.SendBy != start+1000 {
+		t.Errorf("the repeat may be written until %v, want 1000", a.SendBy-start)
+	}
+	// Whatever the module asks for.
+	for class, want := range map[int]bool{0: false, 1: true, 2: true} {
+		r := &Request{Class: class, tries: []*Attempt{{sent: start, ended: true}}}
+		a := &Attempt{Req: r, Class: &b.set.Classes[class], sent: start + 1000}
+		if got := b.settled(r, a); got != want {
+			t.Errorf("class %d: barred %v", class, got)
+		}
+		if r.tries[0].moot = true; b.settled(r, a) {
+			t.Errorf("class %d: barred though nothing ran", class)
+		}
+	}
+	if len(b.answers[r]) > 0 {
+		t.Error("answered while a repeat is out")
+	}
+}
+
+// Guards against work for nobody: a request whose client left between attempts, or while it
+// waited in the module, is not sent on though the core has not heard of it yet.
+func TestGoneIsNotSentOn(t *testing.T) {
+	b := newBench(t, nil)
+	r := b.ask(0, 6000)
+	b.Leave(r) // it is in the mailbox, behind the end of the attempt
+	b.step(End{Attempt: b.box.sent[0], Result: decide.Errored, Load: NoLoad()})
+	if len(b.box.sent) != 1 {
+		t.Errorf("%d attempts for a client that has left", len(b.box.sent))
+	}
+	b.step(<-b.Core.box)
+	if n := b.count.Counter("clients_gone_waiting").Load(); n > 1 || len(b.open) != 0 {
+		t.Errorf("%d left while they waited, %d are open", n, len(b.open))
+	}
+
+	// Held in the module: caches that refuse make requests wait.
+	b = newBench(t, func(s *decide.Settings) {
+		s.FlowKBps, s.WeightsSize, s.SeatsByZone, s.Classes[0].AimStretch = 1000, true, []int{8}, 4
+	})
+	var held []*Request
+	for i := range 40 {
+		r := b.ask(0, 6000)
+		if r.Object = decide.ObjectID(i + 1); len(r.tries) == 0 && len(b.answers[r]) == 0 {
+			held = append(held, r)
+		}
+	}
+	if len(held) == 0 {
+		t.Fatal("none waits in the module")
+	}
+	for _, r := range held {
+		b.Leave(r)
+	}
+	before := len(b.box.sent)
+	for range held {
+		b.step(<-b.Core.box)
+	}
+	for _, a := range b.box.sent[:before] {
+		b.step(End{Attempt: a, Result: decide.Served, Answer: Answer{Kind: Served}, Load: NoLoad()})
+	}
+	b.pass(300)
+	for _, a := range b.box.sent {
+		for _, r := range held {
+			if a.Req == r {
+				t.Error("sent on for a client that left while it waited")
+			}
+		}
+	}
+	if got := b.count.Counter("clients_gone_waiting").Load(); got != int64(len(held)) {
+		t.Errorf("%d are counted, want %d", got, len(held))
+	}
+}
--- a/internal/front/http/http.go
+++ b/internal/front/http/http.go
@@ -522,10 +522,10 @@
 	if c.s.Traced {
 		c.s.origin(q, r, c.k.Net)
 	}
+	r.until = q.Deadline + margin // from Submit on the core owns the request
 	if !c.s.Core.Submit(q) {
 		return c.refuse(r, &problem{status: 503, why: "stopping"})
 	}
-	r.until = q.Deadline + margin
 	// An error says that the client has gone: also one that wrote more before it left.
 	heard := make(chan error, 1)
 	go func() { heard <- c.k.Watch(aheadMost, func() { c.came = c.s.Clock.Now() }) }()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -20,17 +21,19 @@
 )
 
 const (
-	maxOut   = 512   // attempts that one peer has in hand; each makes two orders at the most
-	maxLinks = 8     // connections to one peer
-	spread   = 2     // requests open on each of them from which on one more is made
-	maxDead  = 256   // ids given up on a connection before it is set aside
-	writeIn  = 100.0 // ms that a write may block the actor
-	idlePart = 0.8   // of the idle time after which this side closes first
-	quietFor = 250.0 // ms without an answer after which a request given up speaks against its connection
-	wholeIn  = 800.0 // ms from the first byte of an answer to its last
-	maxKept  = 256   // verdicts that wait for a peer
-	keptRide = 4     // of them, in one command
-	growRest = 2e3   // ms without a further connection once a server took no more
+	maxOut   = 512    // attempts that one peer has in hand; each makes two orders at the most
+	maxLinks = 8      // connections to one peer
+	spread   = 2      // requests open on each of them from which on one more is made
+	maxDead  = 256    // ids given up on a connection before it is set aside
+	writeIn  = 100.0  // ms that a write may block the actor
+	idlePart = 0.8    // of the idle time after which this side closes first
+	quietFor = 250.0  // ms without an answer after which a request given up speaks against its connection
+	wholeIn  = 800.0  // ms between pieces of an answer, and for all of it beyond what its bytes need
+	maxKept  = 256    // verdicts that wait for a peer
+	keptRide = 4      // of them, in one command
+	growRest = 2e3    // ms without a further connection once a server took no more
+	tellMost = 4.0    // times what an answer's bytes need at the told pace that they may take beyond wholeIn
+	twiceFor = 1000.0 // ms for which an answer may come a second time
 )
 
 // Options are what a Pool shares among its peers.
@@ -171,10 +174,11 @@
 type link struct {
 	k       *sock.Conn
 	open    map[string]*sent
-	dead    map[string]bool // given up here: an answer may still cross
-	heard   float64         // when the latest answer came; 0: none yet
-	used    float64         // when it last had something open
-	retired bool            // takes nothing new
+	dead    map[string]bool    // given up here: an answer may still cross
+	past    map[string]float64 // answered here and not served, and when: a second answer may follow
+	heard   float64            // when the latest answer came; 0: none yet
+	used    float64            // when it last had something open
+	retired bool               // takes nothing new
 	lost    bool
 }
 
@@ -272,6 +276,11 @@
 	switch {
 	case g.Bars(a.Get.Server) || g.Bars(a.Get.Source):
 		return decide.NotSent, false
+	case a.Req.Gone(): // nobody waits for it; that it was given up is on its way
+		p.Stats.Add("attempts_unwanted", 1)
+		return decide.NotSent, false
+	case a.SendBy > 0 && p.Clock.Now() >= a.SendBy:
+		return decide.NotSent, false
 	case p.Clock.Now() >= a.Until:
 		return decide.TimedOut, false
 	}
@@ -444,7 +453,7 @@
 	for _, a := range p.waiting {
 		p.dialledFor(a)
 	}
-	l := &link{k: sock.New(e.conn), open: map[string]*sent{}, dead: map[string]bool{}, used: now}
+	l := &link{k: sock.New(e.conn), open: map[string]*sent{}, dead: map[string]bool{}, past: map[string]float64{}, used: now}
 	p.links = append(p.links, l)
 	go p.read(ctx, l)
 	p.work(ctx)
@@ -473,15 +482,37 @@
 		return
 	}
 	delete(l.open, r.id)
+	if e.Result != decide.Served {
+		p.twice(l, s.a, &e)
+	}
 	p.end(e)
 	p.settle(l)
 	p.work(ctx)
 }
 
+// twice settles an answer that may be the second one to an attempt before: its request was
+// answered on this connection a moment ago and was sent here again.
+//
+// Symptom guarded against: a refusal that came twice ended the attempt that followed it,
+// which ran on at the cache while the next one was sent elsewhere.
+func (p *Peer) twice(l *link, a *core.Attempt, e *core.End) {
+	now := p.Clock.Now()
+	if at, ok := l.past[a.Req.Txn]; ok && now-at < twiceFor {
+		p.Stats.Add("peer_answers_doubted", 1)
+		l.dead[a.Req.Txn] = true // nothing goes there a third time
+		if a.Class.Effect != decide.Safe {
+			e.Result = decide.Errored // it may have run
+		}
+		p.flush(l, appendCancel(l.k.Out(), a.Req.Txn))
+	}
+	l.past[a.Req.Txn] = now
+}
+
 // sweep closes connections that have been idle for long.
 func (p *Peer) sweep() {
 	now := p.Clock.Now()
 	for _, l := range slices.Clone(p.links) {
+		maps.DeleteFunc(l.past, func(_ string, at float64) bool { return now-at >= twiceFor })
 		if len(l.open) > 0 {
 			continue
 		}
@@ -507,7 +538,7 @@
 // read hands over the answers of a connection until it ends.
 func (p *Peer) read(_ context.Context, l *link) {
 	for {
-		r, err := l.answer()
+		r, err := l.answer(p.Conn().BytesPerS)
 		if !p.tell(event{link: l, reply: r, err: err}) || err != nil {
 			return
 		}
@@ -517,8 +548,9 @@
 // answer reads one answer, which has some time from its first byte on.
 //
 // Symptom guarded against: an answer that stops short keeps the connection open
-// and silent, and whatever else was open there waited for its deadline.
-func (l *link) answer() (reply, error) {
+// and silent, and whatever else was open there waited for its deadline. And: a fixed time
+// for all of it cut answers whose bytes come at the pace that the settings tell.
+func (l *link) answer(bytesPerS float64) (reply, error) {
 	if err := l.k.Net.SetReadDeadline(time.Time{}); err != nil {
 		return reply{}, err
 	}
@@ -526,10 +558,13 @@
 	if _, err := l.k.R.Peek(1); err != nil {
 		return reply{}, err
 	}
-	if err := l.k.Net.SetReadDeadline(time.Now().Add(clock.Duration(wholeIn))); err != nil {
-		return reply{}, err
-	}
-	return readReply(l.k)
+	l.k.Pace(wholeIn, wholeIn)
+	defer l.k.Pace(0, 0)
+	return readReply(l.k, func(n int) {
+		if bytesPerS > 0 {
+			l.k.Pace(wholeIn, wholeIn+tellMost*1000*float64(n)/bytesPerS)
+		}
+	})
 }
 
 func (p *Peer) tell(e event) bool {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -423,13 +423,13 @@
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
-		r, err := readReply(sock.New(source{r: bytes.NewReader(b)}))
+		r, err := readReply(sock.New(source{r: bytes.NewReader(b)}), nil)
 		if err != nil {
 			return
 		}
 		again := appendBulk([]byte("*4\r\n"), r.id)
 		again = appendBulk(appendBulk(appendBulk(again, r.word), r.fields), string(r.body))
-		r2, err := readReply(sock.New(source{r: bytes.NewReader(again)}))
+		r2, err := readReply(sock.New(source{r: bytes.NewReader(again)}), nil)
 		if err != nil || r2.id != r.id || r2.word != r.word || r2.fields != r.fields || !bytes.Equal(r.body, r2.body) {
 			t.Errorf("%+v became %+v, %v", r, r2, err)
 		}
@@ -445,15 +445,15 @@
 func TestReplyBodies(t *testing.T) {
 	body := strings.Repeat("\r\n$x\x00", 40_000)
 	frame := fmt.Sprintf("*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$15\r\ntag=t1,minted=5\r\n$%d\r\n%s\r\n", len(body), body)
-	r, err := readReply(sock.New(source{r: strings.NewReader(frame)}))
+	r, err := readReply(sock.New(source{r: strings.NewReader(frame)}), nil)
 	if err != nil || string(r.body) != body {
 		t.Errorf("%d bytes, %v", len(r.body), err)
 	}
-	if _, err := readReply(sock.New(source{r: strings.NewReader(frame[:len(frame)-9])})); err == nil {
+	if _, err := readReply(sock.New(source{r: strings.NewReader(frame[:len(frame)-9])}), nil); err == nil {
 		t.Error("a cut body was taken")
 	}
 	long := fmt.Sprintf("*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$1\r\n-\r\n$%d\r\n", maxBody+1)
-	if _, err := readReply(sock.New(source{r: strings.NewReader(long)})); !errors.Is(err, errFrame) {
+	if _, err := readReply(sock.New(source{r: strings.NewReader(long)}), nil); !errors.Is(err, errFrame) {
 		t.Errorf("a body too long: %v", err)
 	}
 }
@@ -549,10 +549,10 @@
 		want string
 	}{{whole, "waits for ever"}, {whole + whole[:20], os.ErrDeadlineExceeded.Error()}} {
 		l := &link{k: sock.New(&halting{source: source{r: strings.NewReader(c.text)}})}
-		if r, err := l.answer(); err != nil || r.word != "LACK" {
+		if r, err := l.answer(0); err != nil || r.word != "LACK" {
 			t.Fatalf("%+v, %v", r, err)
 		}
-		if _, err := l.answer(); err == nil || err.Error() != c.want {
+		if _, err := l.answer(0); err == nil || err.Error() != c.want {
 			t.Errorf("after %q: %v, want %s", c.text, err, c.want)
 		}
 	}
--- a/internal/peer/resp.go
+++ b/internal/peer/resp.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -18,6 +19,7 @@
 	maxWord = 4 << 10  // id, word or fields
 	maxBody = 240_000  // the largest object
 	maxLine = 32       // a length line
+	maxLag  = 600_000  // ms; a longer wait for a source is none
 	maxMore = 4 * 1024 // what textproto's reader may hold beyond it
 	maxAll  = maxBody + 3*maxWord + 5*maxLine + maxMore
 )
@@ -30,8 +32,8 @@
 	body             []byte
 }
 
-// readReply reads one answer. The body is the caller's.
-func readReply(k *sock.Conn) (reply, error) {
+// readReply reads one answer. The body is the caller's; sized is told its length before.
+func readReply(k *sock.Conn, sized func(n int)) (reply, error) {
 	k.Allow(maxAll)
 	var r reply
 	n, err := length(k, '*', 4)
@@ -42,13 +44,13 @@
 		return r, fmt.Errorf("%w: array of %d", errFrame, n)
 	}
 	for i := range 3 {
-		b, err := bulk(k, maxWord)
+		b, err := bulk(k, maxWord, nil)
 		if err != nil {
 			return r, err
 		}
 		*[]*string{&r.id, &r.word, &r.fields}[i] = string(b)
 	}
-	b, err := bulk(k, maxBody)
+	b, err := bulk(k, maxBody, sized)
 	if len(b) > 0 {
 		r.body = append([]byte(nil), b...)
 	}
@@ -73,11 +75,14 @@
 }
 
 // bulk reads a bulk string into the connection's buffer.
-func bulk(k *sock.Conn, most int) ([]byte, error) {
+func bulk(k *sock.Conn, most int, sized func(n int)) ([]byte, error) {
 	n, err := length(k, '$', most)
 	if err != nil {
 		return nil, err
 	}
+	if sized != nil {
+		sized(n)
+	}
 	b, err := k.Body(n + 2)
 	if err != nil {
 		return nil, err
@@ -96,6 +101,7 @@
 func (r reply) end(a *core.Attempt) (core.End, error) {
 	e := core.End{Attempt: a, Load: core.NoLoad()}
 	var ok bool
+	notes, lags := 0, 0
 	if e.Result, ok = results[r.word]; !ok {
 		return e, fmt.Errorf("%w: word %.20q", errFrame, r.word)
 	}
@@ -112,9 +118,21 @@
 				e.Answer.Tag = value
 			case name == "l":
 				load(&e.Load, value)
+			case name == "n":
+				e.Note = note(value)
+				notes++
+			case name == "lag":
+				e.Waited = waited(value)
+				lags++
 			}
 		}
 	}
+	if notes > 1 { // which of them holds is not told
+		e.Note = decide.NoNote
+	}
+	if lags > 1 {
+		e.Waited = 0
+	}
 	switch {
 	case r.word == "DONE":
 		e.Answer.Kind, e.Answer.Body = core.Served, r.body
@@ -127,6 +145,23 @@
 	return e, nil
 }
 
+// noteWords are the words that stand in n, in the module's order.
+var noteWords = []string{"", "cached", "fetched", "fetched_root", "merged", "past_fresh", "up_refused", "up_lost", "up_empty",
+	"fills_full", "root_failed"}
+
+// note reads a note. One that is not known counts as not told.
+func note(s string) decide.Note {
+	return decide.Note(max(slices.Index(noteWords, s), 0))
+}
+
+// waited reads the time for the source, in milliseconds. What is no time counts as not told.
+func waited(s string) float64 {
+	if x, err := strconv.ParseFloat(s, 64); err == nil && x >= 0 && x < maxLag {
+		return x
+	}
+	return 0
+}
+
 // load reads a load report. What cannot be read is left out: it is advice.
 func load(l *decide.Load, s string) {
 	for f := range strings.SplitSeq(s, ";") {
@@ -205,7 +240,7 @@
 	if err := k.Net.SetReadDeadline(time.Now().Add(clock.Duration(within))); err != nil {
 		return l, err
 	}
-	r, err := readReply(k)
+	r, err := readReply(k, nil)
 	if err != nil {
 		return l, err
 	}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -36,6 +36,9 @@
 	ahead []byte
 	spilt atomic.Bool // Watch dropped bytes
 	fresh bool        // textproto has had bytes from the socket since Settle
+	stall float64     // ms that a read may take within a message; 0: reads set no deadline
+	whole time.Time   // the message is read by then
+	began time.Time   // the message's first Pace
 }
 
 // New wraps a connection.
@@ -63,6 +66,15 @@
 		l.k.left -= n
 		return n, nil
 	}
+	if l.k.stall > 0 {
+		until := time.Now().Add(clock.Duration(l.k.stall))
+		if l.k.whole.Before(until) {
+			until = l.k.whole
+		}
+		if err := l.k.Net.SetReadDeadline(until); err != nil {
+			return 0, err
+		}
+	}
 	n, err := l.k.Net.Read(p)
 	l.k.left -= n
 	l.k.fresh = l.k.fresh || n > 0
@@ -75,6 +87,16 @@
 // Allow bounds what may be read from the socket until the next call.
 func (k *Conn) Allow(n int) { k.left, k.over = n, false }
 
+// Pace has each read of the message that is coming take stall ms at the most, and all of
+// them together whole, counted from the message's first Pace. Without a stall it is over.
+func (k *Conn) Pace(stall, whole float64) {
+	now := time.Now()
+	if k.stall == 0 {
+		k.began = now
+	}
+	k.stall, k.whole = stall, k.began.Add(clock.Duration(whole))
+}
+
 // Over tells whether a read stopped at the bound.
 func (k *Conn) Over() bool { return k.over }
 
--- a/internal/sock/sock_test.go
+++ b/internal/sock/sock_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
+	"garnetline/internal/clock"
 	"garnetline/internal/seeds"
 )
 
@@ -74,3 +76,39 @@
 		}
 	})
 }
+
+// paced keeps the read deadlines that are set, and brings nothing.
+type paced struct {
+	net.Conn
+	until time.Time
+}
+
+func (p *paced) SetReadDeadline(t time.Time) error { p.until = t; return nil }
+func (p *paced) Read([]byte) (int, error)          { return 0, io.EOF }
+
+// Guards against a fixed time for a whole message: one whose bytes come at the pace that
+// was told was cut, though it never stood still.
+func TestPace(t *testing.T) {
+	p := &paced{}
+	k := New(p)
+	read := func() float64 {
+		k.Allow(10)
+		k.R.Peek(1)
+		return clock.Millis(time.Until(p.until))
+	}
+	k.Pace(800, 800)
+	k.began = k.began.Add(-700 * time.Millisecond) // so long under way
+	k.Pace(800, 800)
+	if left := read(); left > 100 {
+		t.Errorf("%v ms are left of 100", left)
+	}
+	k.Pace(800, 10_400) // its length is known now
+	if left := read(); left < 400 || left > 800 {
+		t.Errorf("%v ms are left until it counts as stopped, want 800", left)
+	}
+	k.Pace(0, 0)
+	p.until = time.Time{}
+	if read(); !p.until.IsZero() {
+		t.Error("a read between messages has a deadline")
+	}
+}
