The size that a request tells reaches the module; what is no size is a 400

No number, below zero, without end, absurd or twice: 400 and no attempt (eight cases). Requests without it are unchanged.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -50,6 +50,7 @@
 	Object   decide.ObjectID
 	Part     int
 	Group    int
+	SizeKB   float64 // of the part, as the settings' links count it; 0: not told
 	Body     []byte
 	Deadline float64 // the client gives up
 	Carrier  Carrier // carries the attempts out
@@ -391,7 +392,7 @@
 		r.trail = c.tracer.Open(c.clock.Now(), r, &c.set.Classes[r.Class])
 	}
 	c.feed(decide.Request{ID: r.id, Class: r.Class, Object: r.Object, Part: r.Part, Group: r.Group,
-		Left: clock.Duration(r.Deadline - c.clock.Now())})
+		SizeKB: r.SizeKB, Left: clock.Duration(r.Deadline - c.clock.Now())})
 }
 
 // leave closes a request whose client has gone; nothing is owed.
--- a/internal/front/http/http.go
+++ b/internal/front/http/http.go
@@ -31,6 +31,7 @@
 	maxBody    = 48_000
 	maxWait    = 60_000.0  // ms; a longer X-Ttl-Ms is cut to it
 	maxTTL     = 600_000   // ms; a longer X-Ttl-Ms is no time that a client waits
+	maxSizeKB  = 1e9       // a larger X-Working-Set-Kb is no size of a part
 	idleFor    = 6_000.0   // ms that a connection may be idle; clients close after 4 s
 	firstFor   = 2_500.0   // ms from the connection's start to the last byte of its first request
 	headFor    = 2_500.0   // ms from a later request's first byte to its last
@@ -609,7 +610,7 @@
 		}
 		q.Part = int(n)
 	}
-	for _, h := range []string{"X-Txn", "X-Ttl-Ms", "X-Txn-Key", "X-Family"} {
+	for _, h := range []string{"X-Txn", "X-Ttl-Ms", "X-Txn-Key", "X-Family", "X-Working-Set-Kb"} {
 		if len(r.head[h]) > 1 {
 			return bad(h + ": more than one")
 		}
@@ -631,6 +632,11 @@
 		}
 		q.Group = int(n)
 	}
+	if v, told := r.head["X-Working-Set-Kb"]; told {
+		if q.SizeKB, err = strconv.ParseFloat(v[0], 64); err != nil || strings.ContainsAny(v[0], "xXpP_") || !(q.SizeKB >= 0 && q.SizeKB <= maxSizeKB) {
+			return bad("X-Working-Set-Kb: not a size")
+		}
+	}
 	q.Key = r.head.Get("X-Txn-Key")
 	if q.Key != "" && !core.Plain(q.Key) || q.Key == "" && k.Effect == decide.Keyed {
 		return bad("X-Txn-Key: missing or malformed")
--- a/internal/front/http/http_test.go
+++ b/internal/front/http/http_test.go
@@ -137,6 +137,14 @@
 		{"family", get(object, "X-Family: 256"), 400},
 		{"two families", get(object, "X-Family: 1", "X-Family: 2"), 400},
 		{"object", get("/v1/part/xyz"), 400},
+		{"size not a number", get(object, "X-Working-Set-Kb: much"), 400},
+		{"no size", get(object, "X-Working-Set-Kb:"), 400},
+		{"size below zero", get(object, "X-Working-Set-Kb: -0.5"), 400},
+		{"size NaN", get(object, "X-Working-Set-Kb: NaN"), 400},
+		{"size without end", get(object, "X-Working-Set-Kb: Inf"), 400},
+		{"size in hex", get(object, "X-Working-Set-Kb: 0x10p2"), 400},
+		{"absurd size", get(object, "X-Working-Set-Kb: 1e12"), 400},
+		{"two sizes", get(object, "X-Working-Set-Kb: 4", "X-Working-Set-Kb: 4"), 400},
 		{"block", get("/v1/part/7f3a9c21e0b4d655?block=-1"), 400},
 		{"key with a comma", strings.Replace(put(0), "k1", "k,via=s-00000001", 1), 400},
 		{"no key", strings.Replace(put(0), "X-Txn-Key: k1\r\n", "", 1), 400},
@@ -187,7 +195,7 @@
 		{core.Answer{Kind: core.Served}, 200, "Content-Length", "0", ""},
 	} {
 		f.set(c.answer, false)
-		if _, err := io.WriteString(conn, get(object, `If-None-Match: "t1"`, "X-Family: 17")); err != nil {
+		if _, err := io.WriteString(conn, get(object, `If-None-Match: "t1"`, "X-Family: 17", "X-Working-Set-Kb: 412.5")); err != nil {
 			t.Fatal(err)
 		}
 		r, err := http.ReadResponse(in, &http.Request{Method: "GET"})
@@ -200,7 +208,7 @@
 		}
 	}
 	q := f.get(0)
-	if q.Txn != "9b1f03aa5c7e2d41" || q.Object != 0x7f3a9c21e0b4d655 || q.Part != 3 || q.Group != 17 || q.Known != "t1" ||
+	if q.Txn != "9b1f03aa5c7e2d41" || q.Object != 0x7f3a9c21e0b4d655 || q.Part != 3 || q.Group != 17 || q.Known != "t1" || q.SizeKB != 412.5 ||
 		q.Deadline != 1.7e12+1500-margin {
 		t.Errorf("%+v", q)
 	}
