--- a/internal/changelog/changelog_test.go
+++ b/internal/changelog/changelog_test.go
@@ -381,3 +381,46 @@
 		}
 	}
 }
+
+// Guards against a log that connects and then says nothing, and one that dies right after it
+// is back: a drain that begins in that gap is heard of on the next connection.
+func TestSilentLog(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	told := make(chan config.Event, 16)
+	log := newLog(l.Addr().(*net.TCPAddr).AddrPort(), func(ev config.Event) { told <- ev })
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { log.Run(ctx); close(done) }()
+	defer func() { stop(); <-done }()
+	for _, c := range []struct {
+		from  uint64
+		bytes []byte
+		cut   bool
+	}{{1, nil, false}, {1, frame(2, 2, record(7, 0)...), true}, {2, frame(3, 2, record(7, 1)...), false}} {
+		conn, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		var from [8]byte
+		if _, err := io.ReadFull(conn, from[:]); err != nil || binary.BigEndian.Uint64(from[:]) != c.from {
+			t.Fatalf("asked from %v, %v; want %d", from, err, c.from)
+		}
+		conn.Write(c.bytes)
+		if c.cut {
+			conn.Close()
+		}
+	}
+	for _, want := range []decide.Phase{decide.Gone, decide.Ready, decide.Draining} {
+		if ev := <-told; len(ev.Hosts) > 0 && ev.Hosts[0].Phase != want {
+			t.Fatalf("%+v", ev)
+		}
+	}
+	if !log.Guard().Bars(7) {
+		t.Error("the cache that drains is not barred")
+	}
+}
