Where answers tell hits alone, a fill says nothing of its source's pace

Probe of what held requests waited for: 36,000 looks, all 'miss open=false link=true origin=true': the ration of a parent. Fills as it felt them: took 156 ms for 30 ms of sending, waited 0 each time: at level 'hit' the wait is not told (WIRE, waited_us), so that a small object's wait counted as a slow source (decide.go, learnServed). And any note made failures count as told (learn), which at that level they never are: errors were not looked for, nor crowding by weights. Settings.HitsOnly (family_info.note_level = hit) sets both. Sites that tell all or nothing are unchanged.

--- a/decide/api.go
+++ b/decide/api.go
@@ -100,12 +100,17 @@
 	FlowKBps    float64 // pace of one transfer to a client; 0: not told
 	BytesPerS   float64 // the same in an answer's bytes; 0: those tell nothing
 	WeightsSize bool    // a server's Weight tells its size
-	MustAsk     bool    // the server list must be subscribed to
-	DrainGrace  time.Duration
-	PurgeGrace  time.Duration
-	PurgeDone   time.Duration // after it no older copy is left
-	Cache       Ramp
-	Parent      Ramp
+	// HitsOnly: outcomes tell hits and fills, but neither failures nor what a fill waited.
+	// Symptom guarded against: a fill of 10 ms of sending that had waited 150 ms for its
+	// source looked like a source at fifteen times its pace, all known misses were rationed
+	// for it, and what notes do not tell there was not looked for in another way.
+	HitsOnly   bool
+	MustAsk    bool // the server list must be subscribed to
+	DrainGrace time.Duration
+	PurgeGrace time.Duration
+	PurgeDone  time.Duration // after it no older copy is left
+	Cache      Ramp
+	Parent     Ramp
 }
 
 // check tells whether settings can be used; an error names the field.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -125,7 +125,7 @@
 	carried  [roles]rate      // work a second that they served for this router
 	peak     [roles]float64   // the most of that seen, per weight
 	begun    bool             // it has had its first list
-	told     bool             // outcomes come with notes
+	told     bool             // outcomes come with notes, of failures too
 	lead     float64          // time that a fill takes to begin, smoothed, seconds
 	fillPace float64          // time that it takes then over its sending time, smoothed
 	aim      time.Duration    // the longest of all classes: an origin that takes it is full
@@ -790,7 +790,7 @@
 		return // no fault of a server: one that is silent is found by look
 	}
 	a.to.heard = r.now
-	r.told = r.told || o.Note != NoNote
+	r.told = r.told || o.Note != NoNote && !r.set.HitsOnly
 	if o.Result == Served || o.Result == Errored {
 		r.judge(a, o.Result != Served)
 	}
@@ -843,7 +843,7 @@
 	}
 	pace := (o.Took - o.Waited).Seconds() / max(work, 0.02)
 	switch {
-	case !known:
+	case !known || filled && r.set.HitsOnly: // its wait is not told
 	case filled:
 		r.lead += (o.Waited.Seconds() - r.lead) * gateGain / 2
 		r.fillPace += (min(pace, 2*fillTarget) - r.fillPace) * gateGain / 2
--- a/decide/untold_test.go
+++ b/decide/untold_test.go
@@ -592,3 +592,26 @@
 		}
 	}
 }
+
+// Where answers tell hits and fills but not how long a fill waited, a small object's fill
+// must not make its parent look full (the symptom: known misses were rationed all day), and
+// notes that come do not stand for failures, which are never told.
+func TestHitsOnly(t *testing.T) {
+	for _, only := range []bool{true, false} {
+		set := settings()
+		set.FlowKBps, set.HitsOnly = 1000, only
+		f := start(t, set, fleet())
+		for i := range 60 {
+			f.now += 100 * ms
+			g := f.one(f.ask(Request{Object: ObjectID(1 + i), SizeKB: 10, Left: 6 * sec})) // 10 ms to send
+			if g.Source == g.Server {
+				break // it looks for a copy first: the parent is rationed
+			}
+			f.do(Outcome{ID: g.ID, Server: g.Server, Result: Served, Note: Filled, Took: 200 * ms, Bytes: 1, Done: true})
+		}
+		rationed := slices.ContainsFunc(f.r.list[parent], func(p *server) bool { return p.gate.on })
+		if rationed == only || f.r.told == only {
+			t.Errorf("hits only %v: a parent is rationed: %v, failures count as told: %v", only, rationed, f.r.told)
+		}
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -59,6 +59,7 @@
 		Direct:      p.yes("family_info.bypass_allowed"),
 		FlowKBps:    p.real("family_info.one_flow_kb_per_s"),
 		WeightsSize: p.m["weights"] == "nominal" || p.m["weights"] == "rough",
+		HitsOnly:    p.m["family_info.note_level"] == "hit",
 		MustAsk:     p.m["discovery"] == "on_request",
 		DrainGrace:  p.time("rules.drain_grace_us"),
 		PurgeGrace:  p.time("family_info.obey_after_us"),
