--- a/.ci/go-test.sh
+++ b/.ci/go-test.sh
@@ -6,7 +6,7 @@
 # with a test of a real fault that is not mended yet, why it fails and the issue it belongs
 # to. At most three may be listed. They are printed, passed over by their exact names, and run
 # by themselves: one that passes, or is not there, fails the run so that its line goes.
-# All arguments go to go test; GO_TEST_PACKAGES narrows what is tested.
+# All arguments go to go test.
 set -euo pipefail
 file=KNOWN-RED.txt
 form='^([A-Za-z0-9_./-]+) (Test[A-Za-z0-9_/]*) \| ([^|]*[^| ][^|]*) \| ([0-9]+)$'
@@ -30,7 +30,7 @@
 exact() { sed 's,[^/]*,^&$,g' <<<"$1"; }
 
 # Each package is tested once: those without a listed test together, the others without theirs.
-all=$(go list ${GO_TEST_PACKAGES:-./...})
+all=$(go list ./...)
 plain=$all
 for p in "${packages[@]:-}"; do
 	[ -n "$p" ] || continue
--- a/cmd/garnetline/serve.go
+++ b/cmd/garnetline/serve.go
@@ -228,11 +228,7 @@
 // Symptom guarded against: a request of a class with a long deadline waited for a cache that
 // hung until the process was killed.
 func endIn(classes []decide.Class) float64 {
-	longest := 0.0
-	for _, k := range classes {
-		longest = max(longest, clock.Millis(k.Deadline))
-	}
-	return clock.Millis(lameDuck) + max(min(longest, killAfter)-endMargin, 0)
+	return clock.Millis(lameDuck) + max(min(clock.Millis(decide.Longest(classes)), killAfter)-endMargin, 0)
 }
 
 // listen opens the clients' socket, or takes the one that the platform holds and
--- a/decide/api.go
+++ b/decide/api.go
@@ -73,6 +73,15 @@
 	Grace      time.Duration // time past Fresh in which a copy may be served
 }
 
+// Longest is the longest deadline of all classes.
+func Longest(classes []Class) time.Duration {
+	most := time.Duration(0)
+	for _, c := range classes {
+		most = max(most, c.Deadline)
+	}
+	return most
+}
+
 // Ramp describes how a server that has just started gains capacity, and what
 // makes it fall over.
 type Ramp struct {
@@ -174,8 +183,7 @@
 // Result tells how an attempt ended.
 type Result int
 
-// The results of an attempt. Full, Unreached, NotSent and Miss prove that it
-// never ran.
+// The results of an attempt.
 const (
 	Served Result = iota
 	Errored
@@ -188,6 +196,9 @@
 	Miss
 )
 
+// Moot tells whether a result proves that the attempt never ran.
+func (r Result) Moot() bool { return r == Full || r == Unreached || r == NotSent || r == Miss }
+
 // Note tells how an attempt met, filled or failed to fill its object.
 type Note int
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -750,7 +750,7 @@
 		return
 	}
 	a := q.tries[o.Attempt]
-	a.moot = o.Result == Full || o.Result == Unreached || o.Result == NotSent || o.Result == Miss
+	a.moot = o.Result.Moot()
 	r.count(a, -1)
 	if a.to.role == cache && o.Load.Link >= 0 {
 		r.link.feel(r.now, o.Load.Link/linkTarget, r.part)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -490,7 +490,7 @@
 	} else {
 		c.count.Add("attempts_"+resultNames[e.Result], 1)
 	}
-	a.moot = e.Result == decide.Full || e.Result == decide.Unreached || e.Result == decide.NotSent || e.Result == decide.Miss
+	a.moot = e.Result.Moot()
 	r := a.Req
 	if r.trail != nil {
 		r.trail.Over(c.clock.Now(), e.Result, len(e.Answer.Body), e.Load, a.Trace.Wire)
--- a/internal/front/http/http.go
+++ b/internal/front/http/http.go
@@ -718,13 +718,10 @@
 // writing is how long an answer may take to be written: a client that waits reads as its
 // link lets it, up to the longest time that any class is waited for.
 func (c *conn) writing(r *request) float64 {
-	longest := 0.0
-	if c.s.Classes != nil {
-		for _, k := range c.s.Classes() {
-			longest = max(longest, clock.Millis(k.Deadline))
-		}
+	if r.until == 0 { // no request for the core: nobody told how long it is waited for
+		return writeFor
 	}
-	return max(writeFor, min(r.until-c.s.Clock.Now(), longest))
+	return max(writeFor, min(r.until-c.s.Clock.Now(), clock.Millis(decide.Longest(c.s.Classes()))))
 }
 
 // write writes one whole answer.
