Settings that contradict each other are refused, with the field that does

Need: of two classes, zones or kinds of one name the first stood for both; a class that runs at the origin where none is named went to a cache; a kind that is parent and origin at once, and a cold start above the whole capacity, were taken as they came. An aim beyond the deadline or reports without probes are no contradictions. Seven rows of TestParseNamesTheField fail without it.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -63,6 +63,13 @@
 		{`"conn_idle_us":15000000`, `"conn_idle_us":-1`, "settings.limits.conn_idle_us"},
 		{`"max_streams":100`, `"max_streams":0`, "settings.limits.max_streams"},
 		{`"read_like"`, `"whatever"`, "settings.classes.0.effect"},
+		{`["hub","edge-1"]`, `["edge-1","edge-1"]`, "settings.areas: \"edge-1\" stands twice"},
+		{`"parent","origin"]`, `"box","origin"]`, "settings.machine_types: \"box\" stands twice"},
+		{`"second_tier_kind":1`, `"second_tier_kind":2`, "settings.family_info.second_tier_kind"},
+		{`"report_x1"`, `"parent_starts_at":1.5,"report_x1"`, "settings.family_info.parent_starts_at"},
+		{`"telemetry"`, `"rules":{"cold_from":2},"telemetry"`, "settings.rules.cold_from"},
+		{"\"value\":2.0}],\n \"family_info\":{\"class_write\":[false],", `"value":2.0},{"name":"part","deadline_us":1}],"family_info":{`, "settings.classes: \"part\" stands twice"},
+		{`"class_write":[false],"seats_by_zone":[0,2],"root_kind":2`, `"class_write":[true],"seats_by_zone":[0,2]`, "settings.family_info.class_write"},
 		{`"class_write":[false]`, `"class_write":[false,true]`, "settings.family_info.class_write"},
 		{`"settings"`, `"set"`, "settings"},
 	} {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -76,9 +77,44 @@
 		s.SeatsByZone = append(s.SeatsByZone, p.wholeOf("family_info.seats_by_zone", v))
 	}
 	s.Classes = p.classes()
+	p.agree(s)
 	return s, p.list("telemetry.fields")
 }
 
+// agree fails where settings contradict each other. What only makes a rule stricter than it
+// need be, such as an aim beyond the deadline, is no contradiction.
+//
+// Symptom guarded against: of two classes, zones or kinds of one name the first stood for
+// both, and a write without an origin went to a cache, which cannot run it.
+func (p pairs) agree(s decide.Settings) {
+	p.apart("areas", p.list("areas"))
+	p.apart("machine_types", p.list("machine_types"))
+	if s.ParentKind >= 0 && s.ParentKind == s.OriginKind {
+		p.f.fail("family_info.second_tier_kind", fmt.Sprintf("kind %d is the origin's, as family_info.root_kind says", s.ParentKind))
+	}
+	for path, from := range map[string]float64{"rules.cold_from": s.Cache.From, "family_info.parent_starts_at": s.Parent.From} {
+		if from > 1 {
+			p.f.fail(path, fmt.Sprintf("%v is more than all of a server's capacity", from))
+		}
+	}
+	names := make([]string, len(s.Classes))
+	for i, c := range s.Classes {
+		if names[i] = c.Name; c.Write && s.OriginKind < 0 {
+			p.f.fail("family_info.class_write", fmt.Sprintf("class %q runs at the origin, and family_info.root_kind names none", c.Name))
+		}
+	}
+	p.apart("classes", names)
+}
+
+// apart fails where a name stands twice. The simulator's wire need not name its classes.
+func (p pairs) apart(path string, names []string) {
+	for i, n := range names {
+		if n != "" && slices.Contains(names[:i], n) {
+			p.f.fail(path, fmt.Sprintf("%q stands twice", n))
+		}
+	}
+}
+
 func (p pairs) classes() []decide.Class {
 	const info = "family_info."
 	writes, fresh, grace := p.list(info+"class_write"), p.list(info+"lifetime_by_class_us"), p.list(info+"older_by_us")
