--- a/internal/front/http/endings_test.go
+++ b/internal/front/http/endings_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -136,32 +135,23 @@
 	<-done
 }
 
-// gated is a connection whose reads wait for a gate, and which tells of read deadlines.
+// gated is a connection each of whose reads waits for a gate, and which tells of read
+// deadlines.
 type gated struct {
 	*net.TCPConn
 	gate   chan bool
 	limits chan bool
-	once   sync.Once
-	armed  chan bool
 }
 
 func (g *gated) Read(p []byte) (int, error) {
-	select {
-	case <-g.armed:
-		<-g.gate
-	default:
-	}
+	<-g.gate
 	return g.TCPConn.Read(p)
 }
 
 func (g *gated) SetReadDeadline(t time.Time) error {
 	err := g.TCPConn.SetReadDeadline(t)
 	select {
-	case <-g.armed:
-		select {
-		case g.limits <- true:
-		default:
-		}
+	case g.limits <- true:
 	default:
 	}
 	return err
@@ -190,7 +180,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			g := &gated{gate: make(chan bool), limits: make(chan bool, 1), armed: make(chan bool)}
+			g := &gated{gate: make(chan bool), limits: make(chan bool, 1)}
 			up := make(chan *gated)
 			go s.Serve(&gateListener{l, g, up})
 			client, err := net.Dial("tcp", l.Addr().String())
@@ -200,7 +190,6 @@
 			defer client.Close()
 			<-up
 			in := bufio.NewReader(client)
-			close(g.armed) // each read waits from here on
 			io.WriteString(client, get(object))
 			g.gate <- true // its first request
 			g.gate <- true // the watcher's read
@@ -254,7 +243,7 @@
 	f := &fake{hold: true}
 	s := newServer(f)
 	conn := dial(t, s).(*net.TCPConn)
-	conn.SetReadBuffer(4 << 10) // the most of the answer waits on the other side
+	conn.SetReadBuffer(16 << 10) // the most of the answer waits on the other side
 	io.WriteString(conn, get(object, "Connection: close"))
 	wait(t, "the request is taken", func() bool { return f.count() == 1 })
 	io.WriteString(conn, strings.Repeat("x", 32<<10)) // more than a reader's buffer takes
