--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -313,7 +313,7 @@
 		l.banned[id] = h.Started
 	} else {
 		if h.Started == l.banned[id] {
-			h.Started = clock.Duration(l.clock.Now())
+			h.Started = clock.Duration(l.clock.Now() + clock.Step(l.clock))
 		}
 		delete(l.banned, id)
 	}
@@ -369,7 +369,7 @@
 // publish publishes an event and then tells it: what is decided from then on and
 // what was decided before both see it.
 func (l *Log) publish(ev config.Event) {
-	g := next(l.guard.Load(), ev, clock.Duration(l.clock.Now()))
+	g := next(l.guard.Load(), ev, clock.Duration(l.clock.Now()), clock.Step(l.clock))
 	l.guard.Store(g)
 	l.listed.Store(int64(len(l.hosts)))
 	l.barred.Store(int64(len(l.hosts) - len(g.Ready)))
@@ -377,8 +377,9 @@
 	l.tell(ev)
 }
 
-// next is the guard after one more event.
-func next(g *decide.Guard, ev config.Event, now time.Duration) *decide.Guard {
+// next is the guard after one more event, whose times are the wall clock's, set by step
+// since the start.
+func next(g *decide.Guard, ev config.Event, now time.Duration, step float64) *decide.Guard {
 	n := *g
 	n.Heard = now
 	if ev.Fleet {
@@ -394,7 +395,7 @@
 	n.Purging = n.Purging || ev.Purge != nil
 	n.Purges = slices.DeleteFunc(slices.Clone(g.Purges), func(p decide.PurgedAt) bool { return p.At+g.Done < now })
 	if ev.Purge != nil {
-		n.Purges = append(n.Purges, decide.PurgedAt{Object: ev.Purge.Object, Group: ev.Purge.Group, At: clock.Duration(ev.Purge.At)})
+		n.Purges = append(n.Purges, decide.PurgedAt{Object: ev.Purge.Object, Group: ev.Purge.Group, At: clock.Duration(ev.Purge.At - step)})
 	}
 	return &n
 }
--- a/internal/changelog/changelog_test.go
+++ b/internal/changelog/changelog_test.go
@@ -17,6 +17,7 @@
 	"garnetline/internal/config"
 	"garnetline/internal/seeds"
 	"garnetline/internal/sock"
+	"garnetline/internal/standin"
 	"garnetline/internal/stats"
 )
 
@@ -309,10 +310,10 @@
 				p := decide.Phase(x % 3)
 				ready[id] = p == decide.Ready
 				g = next(g, config.Event{Fleet: true, Whole: op == 1,
-					Hosts: []config.Host{{Server: decide.Server{ID: id, Phase: p}}}}, clock.Duration(last))
+					Hosts: []config.Host{{Server: decide.Server{ID: id, Phase: p}}}}, clock.Duration(last), 0)
 			default:
 				at[x%4] = last
-				g = next(g, config.Event{Purge: &config.Purge{Group: x % 4, At: last}}, clock.Duration(last))
+				g = next(g, config.Event{Purge: &config.Purge{Group: x % 4, At: last}}, clock.Duration(last), 0)
 			}
 			for id := range decide.ServerID(5) {
 				if g.Bars(id) == ready[id] {
@@ -404,3 +405,33 @@
 		t.Error("the cache that drains is not barred")
 	}
 }
+
+// Guards against a wall clock that is set while the router runs: a purge's time is the wall
+// clock's, and set back by more than a purge binds it looked long past when it was told.
+func TestWallClockIsSet(t *testing.T) {
+	for _, by := range []float64{-3_600_000, -7_000, 0, 7_000, 3_600_000} {
+		teller, err := standin.NewTeller(1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer teller.Close()
+		told := make(chan config.Event, 16)
+		log := newLog(teller.Addr().(*net.TCPAddr).AddrPort(), func(ev config.Event) { told <- ev })
+		log.clock.(*clock.Manual).Set(by)
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { log.Run(ctx); close(done) }()
+		teller.Purge(9, uint64(now+by-50))
+		for ev := range told {
+			if ev.Purge != nil {
+				break
+			}
+		}
+		at := clock.Duration(now)
+		if g := log.Guard(); !g.Purged(at, 9, 0) || g.Age(at, 0, 9, 0).Round(time.Millisecond) != 50*time.Millisecond {
+			t.Errorf("set by %v ms: purged %v, copies of %v will do", by, g.Purged(at, 9, 0), g.Age(at, 0, 9, 0))
+		}
+		stop()
+		<-done
+	}
+}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -8,7 +8,9 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
+	sys "golang.org/x/sys/unix"
+
+	"garnetline/internal/faults"
 )
 
 // Clock tells the time.
@@ -18,14 +20,40 @@
 
 // System follows the system's clock as it stood at the start, and from there
 // the monotonic one, so that a step of the wall clock moves no deadline.
-type System struct{ start time.Time }
+type System struct {
+	start time.Time
+	unix  float64 // what the wall clock said then
+}
 
 // NewSystem returns a clock that starts now.
-func NewSystem() System { return System{time.Now()} }
+func NewSystem() System { return System{time.Now(), unix(faults.Wall())} }
 
 // Now returns the time in Unix milliseconds.
 func (s System) Now() float64 {
-	return float64(s.start.UnixMicro())/1e3 + float64(time.Since(s.start))/float64(time.Millisecond)
+	return s.unix + float64(time.Since(s.start))/float64(time.Millisecond)
+}
+
+// stepGrain is to what a step is rounded: without one it is none at all, and what others
+// wrote at one moment stays at one moment.
+const stepGrain = 20.0
+
+// Step is by how much the wall clock has been set since the clock's start.
+func (s System) Step() float64 {
+	return math.Round((unix(faults.Wall())-s.Now())/stepGrain) * stepGrain
+}
+
+func unix(t time.Time) float64 { return float64(t.UnixMicro()) / 1e3 }
+
+// Step is by how many milliseconds the machine's wall clock has been set since a clock's
+// start: a time that somebody else took from the wall clock is that much later than by c.
+//
+// Symptom guarded against: a wall clock that was set back by some seconds made every purge
+// look long past, and old copies were served as if there had been none.
+func Step(c Clock) float64 {
+	if s, ok := c.(interface{ Step() float64 }); ok {
+		return s.Step()
+	}
+	return 0
 }
 
 // Boot counts milliseconds since the machine's start, suspended time among them: a lease
@@ -39,8 +67,8 @@
 
 // Now returns the time in milliseconds, from no particular start.
 func (b Boot) Now() float64 {
-	var t unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &t) == nil {
+	var t sys.Timespec
+	if sys.ClockGettime(sys.CLOCK_BOOTTIME, &t) == nil {
 		return float64(t.Sec)*1000 + float64(t.Nsec)/1e6
 	}
 	return float64(time.Since(b.start)) / float64(time.Millisecond)
@@ -48,8 +76,9 @@
 
 // Manual is a clock that tests set.
 type Manual struct {
-	mu  sync.Mutex
-	now float64
+	mu   sync.Mutex
+	now  float64
+	step float64
 }
 
 // NewManual returns a clock that stands at now.
@@ -69,6 +98,20 @@
 	m.now += ms
 }
 
+// Set sets the wall clock by so many ms; the clock itself goes on.
+func (m *Manual) Set(ms float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.step += ms
+}
+
+// Step is by how much the wall clock was set.
+func (m *Manual) Step() float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.step
+}
+
 // Duration converts milliseconds. What does not fit is cut to the ends.
 func Duration(ms float64) time.Duration {
 	ns := ms * float64(time.Millisecond)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -529,17 +529,25 @@
 		for _, l := range c.lists {
 			l.List(ev)
 		}
-		m := decide.Members{Full: ev.Whole}
-		for _, h := range ev.Hosts {
-			m.Servers = append(m.Servers, h.Server)
-		}
 		c.count.Add("lists_told", 1)
-		c.feed(m)
+		c.feed(c.members(ev))
 	case ev.Purge != nil:
 		c.count.Add("purges_told", 1)
 		c.feed(decide.Purge{Object: ev.Purge.Object, Group: ev.Purge.Group,
-			Age: clock.Duration(max(0, c.clock.Now()-ev.Purge.At))})
+			Age: clock.Duration(max(0, c.clock.Now()+clock.Step(c.clock)-ev.Purge.At))})
+	}
+}
+
+// members is a change of the list as the module takes it, with times of the core's clock.
+func (c *Core) members(ev config.Event) decide.Members {
+	m, step := decide.Members{Full: ev.Whole}, clock.Duration(clock.Step(c.clock))
+	for _, h := range ev.Hosts {
+		if h.Started != 0 { // which is long ago
+			h.Started = max(h.Started-step, 1)
+		}
+		m.Servers = append(m.Servers, h.Server)
 	}
+	return m
 }
 
 // feed gives the module an event and carries out what it calls for, and so on
--- a/internal/core/endings_test.go
+++ b/internal/core/endings_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	"garnetline/decide"
 	"garnetline/internal/clock"
+	"garnetline/internal/config"
 	"garnetline/internal/stats"
 )
 
@@ -184,3 +186,21 @@
 		t.Errorf("%d are counted, want %d", got, len(held))
 	}
 }
+
+// Guards against a wall clock that is set while the router runs: what the change log tells by
+// it, of a purge and of a server's start, is as old as it was.
+func TestWallClockIsSet(t *testing.T) {
+	for _, by := range []float64{-3_600_000, 0, 3_600_000} {
+		b := newBench(t, nil)
+		b.clk.Set(by)
+		b.step(config.Event{Purge: &config.Purge{Object: 7, At: start + by - 50}})
+		b.ask(0, 1480)
+		if a := b.box.sent; len(a) != 1 || a[0].Get.MaxAge != 50*time.Millisecond {
+			t.Errorf("set by %v ms: %d sent, copies of %v will do", by, len(a), a[0].Get.MaxAge)
+		}
+		l := b.members(config.Event{Hosts: []config.Host{{Server: decide.Server{Started: clock.Duration(start + by - 50)}}, {}}}).Servers
+		if l[0].Started != clock.Duration(start-50) || l[1].Started != 0 {
+			t.Errorf("set by %v ms: %v", by, l)
+		}
+	}
+}
--- a/internal/fleet/agree/disk/disk.go
+++ b/internal/fleet/agree/disk/disk.go
@@ -15,6 +15,8 @@
 
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
+
+	"garnetline/internal/faults"
 )
 
 // File is one that is written.
@@ -47,7 +49,16 @@
 	if err := os.MkdirAll(string(d), 0o700); err != nil {
 		return nil, err
 	}
-	return os.OpenFile(filepath.Join(string(d), name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	f, err := os.OpenFile(filepath.Join(string(d), name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	return saved{f}, err
+}
+
+// saved is a file of the machine, whose saves a build for tests can make slow.
+type saved struct{ *os.File }
+
+func (s saved) Sync() error {
+	faults.Save()
+	return s.File.Sync()
 }
 
 // Rename renames a file.
--- a/internal/rig/duties.go
+++ b/internal/rig/duties.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
+	"path/filepath"
 	"time"
 )
 
@@ -57,6 +59,28 @@
 	return holder, token, err
 }
 
+// Acting waits until every box has been acted on under a later token.
+func (r *Rig) Acting(within time.Duration, after uint64) (time.Duration, error) {
+	return r.Until(fmt.Sprintf("acts after token %d", after), within, func() (bool, string) {
+		for _, b := range r.Boxes {
+			if a := b.Acts(); len(a) == 0 || a[len(a)-1].Token <= after {
+				return false, b.Name
+			}
+		}
+		return true, ""
+	})
+}
+
+// Fault writes what a program built with -tags faults reads: fault-wall, by how many ms its
+// wall clock is set, or fault-save, how long a save takes.
+func (x *Router) Fault(name string, ms int64) error {
+	file := filepath.Join(x.State(), name)
+	if err := os.WriteFile(file+"~", fmt.Append(nil, ms), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(file+"~", file)
+}
+
 // Handover is a change of who acts, as a box saw it.
 type Handover struct {
 	From, To uint64 // tokens
--- a/internal/rig/duties_test.go
+++ b/internal/rig/duties_test.go
@@ -32,14 +32,7 @@
 	l := r.Load(50*time.Millisecond, r.Routers...)
 	acting := func(after uint64) {
 		t.Helper()
-		must(t, "a later token acts")(r.Until("acts", within, func() (bool, string) {
-			for _, b := range r.Boxes {
-				if a := b.Acts(); len(a) == 0 || a[len(a)-1].Token <= after {
-					return false, b.Name
-				}
-			}
-			return true, ""
-		}))
+		must(t, "a later token acts")(r.Acting(within, after))
 	}
 	acting(first - 1)
 	l.Excuse(x, true)
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -15,9 +15,10 @@
 	"garnetline/internal/standin"
 )
 
-var program string
+// The program, and the same with faults that tests set.
+var program, faulty string
 
-// TestMain builds the program once.
+// TestMain builds both once.
 func TestMain(m *testing.M) { os.Exit(run(m)) }
 
 func run(m *testing.M) int {
@@ -27,10 +28,12 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
-	program = filepath.Join(dir, "garnetline")
-	if out, err := exec.Command("go", "build", "-o", program, "garnetline/cmd/garnetline").CombinedOutput(); err != nil {
-		fmt.Printf("%v: %s\n", err, out)
-		return 1
+	program, faulty = filepath.Join(dir, "garnetline"), filepath.Join(dir, "faulty")
+	for to, tags := range map[string]string{program: "", faulty: "faults"} {
+		if out, err := exec.Command("go", "build", "-tags", tags, "-o", to, "garnetline/cmd/garnetline").CombinedOutput(); err != nil {
+			fmt.Printf("%v: %s\n", err, out)
+			return 1
+		}
 	}
 	return m.Run()
 }
@@ -61,7 +64,10 @@
 // fleetOf is a fleet in which all see each other and are together.
 func fleetOf(t *testing.T, o Options) *Rig {
 	t.Helper()
-	o.Program, o.Dir, o.Fleet = program, t.TempDir(), true
+	o.Dir, o.Fleet = t.TempDir(), true
+	if o.Program == "" {
+		o.Program = program
+	}
 	// Slower to accuse than by default: the machine may be busy with other tests, and a
 	// process that gets no processor for a second is to be failed by none of them.
 	o.Lines += " more_room_after_ms = 1000\n probe_ms = 250\n timeout_ms = 120\n suspect_ms = 1500\n"
