A silent parent's part comes from the origin where few are left; one try at a time at it

Ruled out: rations (none was on), the caches (all late ones were fills), second copies and reports (entries before). Cause: pickSource let the parents that were left stand in however few; well() lets a resting server be tried with one request at a time, but count() booked what was out at targets alone, so that a parent met all of its part when its rest ended. Change: sources count as well; where fewer than three in four parents can take a request, what a silent one would fill comes from the origin, unless that stops when asked for much (family_info.origin_limit_factor). TestSilentParentsPart fails without either change: 51 out at once; all from the other.

--- a/decide/api.go
+++ b/decide/api.go
@@ -113,13 +113,14 @@
 	// Symptom guarded against: a fill of 10 ms of sending that had waited 150 ms for its
 	// source looked like a source at fifteen times its pace, all known misses were rationed
 	// for it, and what notes do not tell there was not looked for in another way.
-	HitsOnly   bool
-	MustAsk    bool // the server list must be subscribed to
-	DrainGrace time.Duration
-	PurgeGrace time.Duration
-	PurgeDone  time.Duration // after it no older copy is left
-	Cache      Ramp
-	Parent     Ramp
+	HitsOnly    bool
+	OriginFalls bool // asked for too much, the origin stops for a while
+	MustAsk     bool // the server list must be subscribed to
+	DrainGrace  time.Duration
+	PurgeGrace  time.Duration
+	PurgeDone   time.Duration // after it no older copy is left
+	Cache       Ramp
+	Parent      Ramp
 }
 
 // check tells whether settings can be used; an error names the field.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -53,6 +53,7 @@
 	standIn     = 0.5                    // a cache stands in for others up to so much of that
 	heldPace    = 2.5                    // times its sending time that an answer takes where requests wait
 	untold      = 0.2                    // and by serving, where no outcome tells more
+	parentsLeft = 0.75                   // part of the parents that take over from a lost one
 )
 
 // rode tells whether a look failed together with the fill for another request.
@@ -70,7 +71,7 @@
 	lag           ratio         // how long it takes over what its bytes need
 	resting       time.Duration // until then it is set aside
 	heard         time.Duration // latest outcome of its own, for a source: latest fill
-	out           int           // attempts sent to it that have not ended
+	out           int           // attempts that name it and have not ended
 	charges       []rate        // work sent to it lately
 	score         float64       // its place in ranked
 	gate          gate          // rations what is sent to a cache, or the known fills of a source
@@ -229,9 +230,9 @@
 	allSick := role == parent && !slices.ContainsFunc(r.list[role], r.well)
 	out := r.scratch[:0]
 	for _, s := range r.list[role] {
+		room := r.weight(s) * r.warmth(s, r.now) * r.keeps(s)
+		s.score = -math.Log(uniform(key^mix(uint64(s.ID)))) / room
 		if (allSick || r.well(s)) && !slices.Contains(q.avoid, s) && q.inGroup(s) && r.affords(s, *q.mean) {
-			room := r.weight(s) * r.warmth(s, r.now) * r.keeps(s)
-			s.score = -math.Log(uniform(key^mix(uint64(s.ID)))) / room
 			out = append(out, s)
 		}
 	}
@@ -242,9 +243,8 @@
 	return out
 }
 
-// keeps is the part of its keys that s keeps though it is far slower than its peers.
-// Symptom guarded against: a cache that did a tenth of its work for a while was
-// waited for as a crowded home, and a third of all requests were refused.
+// keeps is the part of its keys that a far slower s keeps. Symptom guarded against: a cache that
+// did a tenth of its work was waited for as a crowded home, and a third of all was refused.
 func (r *Router) keeps(s *server) float64 {
 	lag := s.lag.get(r.now, lagLife)
 	least := lag
@@ -255,7 +255,7 @@
 	return max(part*part, lagLeast)
 }
 
-// weight is the size of a server against its peers.
+// weight is a server's size against its peers.
 func (r *Router) weight(s *server) float64 {
 	if r.set.WeightsSize {
 		return max(s.Weight, 0.01)
@@ -269,11 +269,10 @@
 	return min(1, max(0.01, r.ramps[s.role].From+(1-r.ramps[s.role].From)*part))
 }
 
-// affords tells whether a cold server can take more work from this router, inferred
-// from what its peers carried for it. Where that is less than one piece of work, a piece
-// may go in as many spans as it pays for, drawn from the seed: all routers together stay
-// within the sum. Symptom guarded against: many routers, each of which sends little, find an
-// empty server at once, and the least that each of them sends pushes it over.
+// affords tells whether a cold server can take more work from this router, by what its
+// peers carried. Where that is less than one piece of work, one goes in as many spans as it
+// pays for, drawn from the seed: the sum holds. Symptom guarded against: many routers that
+// each send little find an empty server at once, and the least of each pushes it over.
 func (r *Router) affords(s *server, work float64) bool {
 	if r.warmth(s, r.now) >= 1 {
 		return true
@@ -332,9 +331,8 @@
 	}
 }
 
-// outlier tells whether s fails far more than its best peer. Symptom guarded against:
-// a parent that failed its fills looked well, since hits that name it are successes
-// and its errors went to the caches' account.
+// outlier tells whether s fails far more than its best peer. Symptom guarded against: a
+// parent that failed its fills looked well, by hits that name it; its errors went to caches.
 func (r *Router) outlier(s *server) bool {
 	least := s.bad
 	for _, x := range r.list[s.role] {
@@ -516,9 +514,8 @@
 	return to, source, open && r.link.open(r.now) && r.origin.open(r.now)
 }
 
-// crowded tells whether a cache has as much out from this router as its link sends
-// at full pace, or a part of that. Symptom guarded against: without notes nothing
-// tells that a link is full but that all answers are late.
+// crowded tells whether a cache has as much out from this router as its link sends at full
+// pace, or a part of that. Symptom guarded against: without notes only late answers tell that.
 func (r *Router) crowded(s *server, part float64) bool {
 	return r.meters() && float64(s.out) >= max(least(s.gate.on), r.share(s))*part
 }
@@ -551,12 +548,15 @@
 	return most * s.Weight * r.keeps(s)
 }
 
-// pickSource returns the home parent of an object, or its stand-in where that
-// is lost or cold beyond its budget; the origin where there is no parent, and
-// for a write. open is false where what it may be sent is used up.
+// pickSource returns the home parent of an object, or its stand-in where that is lost or cold; the origin
+// for a write, and where no or too few parents are left. open: it may be sent one more. Symptom guarded
+// against: with one of two parents silent the other's link was full, and answers came late.
 func (r *Router) pickSource(q *request) (source *server, open bool) {
 	l := r.ranked(parent, mix(uint64(q.Object)), q)
-	if len(l) == 0 || q.class.Write {
+	few := float64(len(l)) < parentsLeft*float64(len(r.list[parent])) &&
+		!r.set.OriginFalls && len(r.list[origin]) > 0
+	lost := func(s *server) bool { return s.silent && !r.well(s) && s.score < l[0].score }
+	if len(l) == 0 || q.class.Write || few && slices.ContainsFunc(r.list[parent], lost) {
 		l = r.list[origin]
 	}
 	if len(l) == 0 || !q.inGroup(l[0]) {
@@ -723,6 +723,7 @@
 	a.over = n < 0
 	a.req.out += n
 	a.to.out += n
+	a.source.out += pick(a.source == a.to, 0, n)
 	if a.to.role == cache {
 		a.to.gate.count(r.now, n)
 	}
@@ -877,10 +878,9 @@
 }
 
 // gate rations what shares a bottleneck: a link, a source's known fills, fetches from the
-// origin, writes, or all that is sent to one cache. Symptom guarded against: a full link,
-// or a server that slows or refuses; more work made all slower until none was in time.
-// So while a link or source is full a request first looks for a copy; only known misses
-// wait, for a few fills.
+// origin, writes, or all that is sent to one cache. Symptom guarded against: a full link, or
+// a server that slows; more work made all slower until none was in time. So while it is
+// full a request first looks for a copy; only known misses wait, for a few fills.
 type gate struct {
 	full         float64       // how full the bottleneck is, smoothed; 1: as full as it should be
 	on           bool          // it rations
--- a/decide/untold_test.go
+++ b/decide/untold_test.go
@@ -615,3 +615,71 @@
 		}
 	}
 }
+
+// Guards against a silent parent that is asked for many at once whenever its rest ends, and,
+// where few parents are left, against the others' link: what the silent one would fill comes
+// from the origin, unless that stops when it is asked for too much; then from the others.
+func TestSilentParentsPart(t *testing.T) {
+	for _, falls := range []bool{false, true} {
+		set := settings()
+		set.HitsOnly, set.OriginFalls = true, falls
+		f := start(t, set, fleet())
+		silent := f.r.list[parent][0]
+		other, stand := f.r.list[parent][1].ID, f.r.list[origin][0].ID
+		if falls {
+			stand = other
+		}
+		type sent struct {
+			Get
+			at time.Duration
+		}
+		var out []sent
+		most, stood, homes := 0, map[ServerID]int{}, map[ObjectID]ServerID{}
+		take := func(acts []Action, q ObjectID) {
+			for _, g := range gets(acts) {
+				if g.Source == silent.ID {
+					out = append(out, sent{g, f.now})
+					continue
+				}
+				if silent.rests > 0 && homes[q] == silent.ID {
+					stood[g.Source]++
+				}
+				f.end(g, 0, Served, Filled)
+			}
+		}
+		for i := range 3000 {
+			f.now += 5 * ms
+			o := ObjectID(i%200 + 1)
+			acts := f.ask(Request{Object: o, SizeKB: 100, Left: 6 * sec})
+			if g := gets(acts); len(g) > 0 && i < 200 {
+				homes[o] = g[0].Source // nobody rests yet
+			}
+			take(acts, o)
+			for j := 0; j < len(out); j++ { // looks, and what they give up
+				s := &out[j]
+				if f.now < s.at+500*ms {
+					continue
+				}
+				s.at = f.now
+				for _, a := range f.do(Timer{uint64(s.ID)<<tokenBits | tokenLook}) {
+					if c, ok := a.(Cancel); ok {
+						for _, g := range gets(f.do(Outcome{ID: c.ID, Attempt: c.Attempt, Server: s.Server, Result: Cancelled})) {
+							f.end(g, 1, Served, Filled)
+						}
+						out = slices.Delete(out, j, j+1)
+						j--
+					}
+				}
+			}
+			if silent.rests > 1 {
+				most = max(most, len(out))
+			}
+		}
+		if silent.rests < 3 || most > 1 {
+			t.Errorf("falls %v: rests %d, then %d out at once at a silent parent", falls, silent.rests, most)
+		}
+		if n := len(stood); n != 1 || stood[stand] < 100 {
+			t.Errorf("falls %v: its part came from %v, want all from %d", falls, stood, stand)
+		}
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -61,6 +61,7 @@
 		FlowKBps:    p.real("family_info.one_flow_kb_per_s"),
 		WeightsSize: p.m["weights"] == "nominal" || p.m["weights"] == "rough",
 		HitsOnly:    p.m["family_info.note_level"] == "hit",
+		OriginFalls: p.real("family_info.origin_limit_factor") > 0,
 		MustAsk:     p.m["discovery"] == "on_request",
 		DrainGrace:  p.time("rules.drain_grace_us"),
 		PurgeGrace:  p.time("family_info.obey_after_us"),
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -83,9 +83,13 @@
 	if c := s.Classes[1]; c.Effect != decide.Keyed || c.Group != decide.GroupZone || !c.Write {
 		t.Errorf("class %+v", c)
 	}
-	if s.Routers != 1 || s.Direct || s.Classes[0].Effect != decide.Safe {
+	if s.Routers != 1 || s.Direct || s.Classes[0].Effect != decide.Safe || s.HitsOnly || s.OriginFalls {
 		t.Errorf("defaults: %+v", s)
 	}
+	items, err = read(turn(strings.Replace(begin, "new_key=x", "family_info.note_level=hit family_info.origin_limit_factor=2.5", 1)))
+	if err != nil || !items[0].Settings.HitsOnly || !items[0].Settings.OriginFalls {
+		t.Errorf("hits alone, and an origin that stops: %+v %v", items, err)
+	}
 }
 
 func TestBadInput(t *testing.T) {
