What is sent on waits 5 ms behind the giving up of the attempt before: no two out

Cause: core end() had the module send on in the step in which a cancel was written or a connection closed; on another connection that can arrive first. Change: the end of an attempt that was given up or lost waits for 5 ms. TestSentOnAfterTheWay fails without it; TestSettled waits for as long.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -113,6 +113,7 @@
 	sent   float64
 	taken  bool // by its carrier
 	ended  bool
+	left   bool          // it was given up or lost; its end waits for wayFor
 	moot   bool          // it ended and is proved not to have run
 	asked  bool          // the carrier has been asked to give it up
 	ending decide.Result // what it is called then
@@ -187,6 +188,13 @@
 	slackPart = 0.05
 )
 
+// wayFor is how long giving an attempt up, by a cancel or the end of its connection, has to
+// arrive before the request is sent again: a way to a cache takes a few ms at the most.
+//
+// Symptom guarded against: what was sent on at once overtook the cancel, on another
+// connection, and the request was out twice.
+const wayFor = 5.0
+
 // mailbox bounds the events that wait for the core.
 const mailbox = 4096
 
@@ -478,6 +486,11 @@
 	if a.ended {
 		return
 	}
+	if left := e.Result == decide.Cancelled || e.Result == decide.Broken; left && a.taken && !a.left && !a.Req.answered {
+		a.left = true
+		heap.Push(&c.timers, timer{at: c.clock.Now() + wayFor, over: &e})
+		return
+	}
 	a.ended = true
 	if a.taken {
 		a.Req.Carrier.Over(a)
@@ -654,6 +667,8 @@
 func (c *Core) tick() {
 	for len(c.timers) > 0 && c.timers[0].at <= c.clock.Now() {
 		switch t := heap.Pop(&c.timers).(timer); {
+		case t.over != nil:
+			c.end(*t.over)
 		case t.attempt != nil:
 			c.cancel(t.attempt, decide.TimedOut)
 		case t.req != nil:
@@ -681,15 +696,16 @@
 }
 
 func (c *Core) at(at float64, token uint64, a *Attempt, r *Request) {
-	heap.Push(&c.timers, timer{at, token, a, r})
+	heap.Push(&c.timers, timer{at: at, token: token, attempt: a, req: r})
 }
 
-// timer is one entry of the heap: for an attempt, a request or the module.
+// timer is one entry of the heap: for an attempt, its end, a request or the module.
 type timer struct {
 	at      float64
 	token   uint64
 	attempt *Attempt
 	req     *Request
+	over    *End
 }
 
 type timers []timer
--- a/internal/core/endings_test.go
+++ b/internal/core/endings_test.go
@@ -113,6 +113,7 @@
 	first := b.box.sent[0]
 	b.pass(300)
 	b.step(End{Attempt: first, Result: decide.Broken, Load: NoLoad()})
+	b.pass(wayFor)
 	if len(b.box.sent) != 2 {
 		t.Fatalf("%d attempts", len(b.box.sent))
 	}
@@ -204,3 +205,33 @@
 		}
 	}
 }
+
+// Guards against a request that is out twice: what is sent on at once overtakes the cancel,
+// or the end of the connection, by which the attempt before was given up.
+func TestSentOnAfterTheWay(t *testing.T) {
+	for _, res := range []decide.Result{decide.Cancelled, decide.Broken} {
+		b := newBench(t, nil)
+		r := b.ask(0, 1480)
+		if res == decide.Cancelled {
+			b.cancel(r.tries[0], decide.Cancelled)
+		}
+		b.step(End{Attempt: r.tries[0], Result: res})
+		b.pass(wayFor - 1)
+		if len(b.box.sent) != 1 {
+			t.Fatalf("%v: sent on within %v ms", res, wayFor-1)
+		}
+		b.pass(1)
+		if len(b.box.sent) != 2 {
+			t.Errorf("%v: %d sent after %v ms, want the next one", res, len(b.box.sent), wayFor)
+		}
+	}
+	b := newBench(t, nil) // its client leaves meanwhile: nothing is sent on
+	r := b.ask(0, 1480)
+	b.step(End{Attempt: r.tries[0], Result: decide.Broken})
+	b.Leave(r)
+	b.step(left{r})
+	b.pass(2 * wayFor)
+	if len(b.box.sent) != 1 || !r.tries[0].ended || len(b.open) != 0 {
+		t.Errorf("%d sent for a client that left, ended %v, %d open", len(b.box.sent), r.tries[0].ended, len(b.open))
+	}
+}
