At an attempt's end nothing waits for the way of its cancel; the refusal is told at once

The core's own end of the request came first: a safe request was told that it had failed where it was told before, and at once, that a retry is harmless. Change: it is held only where there is time to send on. TestNoWayToWaitForAtTheEnd fails without it ('answered [], want a refusal at once').

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -486,9 +486,10 @@
 	if a.ended {
 		return
 	}
-	if left := e.Result == decide.Cancelled || e.Result == decide.Broken; left && a.taken && !a.left && !a.Req.answered {
+	at := c.clock.Now() + wayFor // past its time nothing is sent on, and the answer is not held back
+	if left := e.Result == decide.Cancelled || e.Result == decide.Broken; left && a.taken && !a.left && !a.Req.answered && at < a.Until {
 		a.left = true
-		heap.Push(&c.timers, timer{at: c.clock.Now() + wayFor, over: &e})
+		heap.Push(&c.timers, timer{at: at, over: &e})
 		return
 	}
 	a.ended = true
--- a/internal/core/endings_test.go
+++ b/internal/core/endings_test.go
@@ -235,3 +235,18 @@
 		t.Errorf("%d sent for a client that left, ended %v, %d open", len(b.box.sent), r.tries[0].ended, len(b.open))
 	}
 }
+
+// Guards against an answer that is held back for the way of a cancel when nothing can be sent
+// on any more: at the attempt's end the client is told at once that a retry is harmless.
+func TestNoWayToWaitForAtTheEnd(t *testing.T) {
+	b := newBench(t, nil)
+	r := b.ask(0, 1480)
+	b.pass(1480)
+	if len(b.box.cancelled) != 1 {
+		t.Fatalf("%d attempts were given up at the end", len(b.box.cancelled))
+	}
+	b.step(End{Attempt: r.tries[0], Result: decide.Cancelled, Load: NoLoad()})
+	if a := b.answers[r]; len(a) != 1 || a[0].Kind != Refused {
+		t.Errorf("answered %+v, want a refusal at once", a)
+	}
+}
