Give the admin API's view of the fleet an interface of its own

Its two methods could not be renamed with their implementation while the interface stood unnamed inside a field. door.Fleet now names it; nothing else changes. The package's tests pass.

--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -21,12 +21,14 @@
 	Ready   func() bool
 	Figures func() Figures // as of now
 	Switch  func(ctx context.Context, id decide.ServerID, out bool) error
-	// Fleet is what the router knows of the others: the calls below /fleet, and figures
-	// for /metrics. Nil: it knows no others, and has no such calls.
-	Fleet interface {
-		Page(ctx context.Context, method, path string) (status int, body []byte, ok bool)
-		Append(metrics []byte) []byte
-	}
+	Fleet   Fleet // nil: the router knows no others, and has no such calls
+}
+
+// Fleet is what the router knows of the others: the calls below /fleet, and figures for
+// /metrics.
+type Fleet interface {
+	Page(ctx context.Context, method, path string) (status int, body []byte, ok bool)
+	Append(metrics []byte) []byte
 }
 
 // Figures are the numbers that staff see.
