--- /dev/null
+++ b/internal/config/golden_test.go
@@ -0,0 +1,210 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// compareGolden compares text with a file in testdata. UPDATE_GOLDEN=1 writes the file anew.
+func compareGolden(t *testing.T, name, got string) {
+	t.Helper()
+	path := "testdata/" + name
+	if os.Getenv("UPDATE_GOLDEN") != "" {
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("%s: got\n%s\nwant\n%s", path, got, want)
+	}
+}
+
+// Pins what each key of the platform's JSON is read as. UPDATE_GOLDEN=1 writes
+// testdata/full.golden anew, from testdata/full.json, which has every key.
+func TestGoldenConfiguration(t *testing.T) {
+	env := func(name string) string {
+		return map[string]string{"TMPDIR": "/state", "EDGE_LISTEN_FD": "7"}[name]
+	}
+	c, err := Load("testdata/full.json", env)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	line := func(key string, values ...any) { fmt.Fprintln(&out, append([]any{key}, values...)...) }
+	line("name", c.Name)
+	line("listen", c.Listen)
+	line("EDGE_LISTEN_FD", c.ListenFD)
+	line("mgmt", c.Mgmt)
+	line("TMPDIR", c.State)
+	line("changelog", c.ChangeLog)
+	line("seed", c.Seed)
+	line("limits", c.Limits.Cores, c.Limits.MemoryMB, c.Limits.Sockets)
+	line("flow_bytes_per_s", c.Conn.BytesPerS)
+	for _, ev := range c.Known {
+		line("known", ev.Seq, ev.Fleet, ev.Whole)
+		for _, h := range ev.Hosts {
+			line("  host", h.ID, h.Dial, h.Zone, h.Kind, h.Cell, int(h.Phase), h.Weight, h.Started)
+		}
+		if p := ev.Purge; p != nil {
+			line("  invalidate", uint64(p.Object), p.Group, p.At)
+		}
+	}
+	line("known.seq", c.Seq)
+	line("settings.areas", c.Zones)
+	line("settings.machine_types", c.Kinds)
+	line("settings.telemetry.fields", c.Report)
+	line("settings.limits.conn_idle_us", c.Conn.Idle)
+	line("settings.limits.connect_timeout_us", c.Conn.Connect)
+	line("settings.limits.max_streams", c.Conn.MaxStreams)
+	s := c.Settings
+	line("counts", s.Zones, s.Zone, s.Kinds, s.ParentKind, s.OriginKind, s.SeatsByZone, s.Routers)
+	for _, k := range s.Classes {
+		line("class", k.Name, int(k.Effect), int(k.Group), k.Window, k.Aim, k.AimStretch, k.Deadline, k.Worth, k.LateWorth, k.Write, k.Fresh, k.Grace)
+	}
+	line("limits", s.MaxAttempts, s.MaxBackoff, s.CanCancel)
+	line("family_info", s.CanJoin, s.Direct, s.FlowKBps, s.BytesPerS, s.HitsOnly, s.OriginFalls)
+	line("discovery, weights", s.MustAsk, s.WeightsSize)
+	line("rules", s.DrainGrace, s.PurgeGrace, s.PurgeDone)
+	line("cache", s.Cache.From, s.Cache.Warm, s.Cache.Multiple, s.Cache.Span)
+	line("parent", s.Parent.From, s.Parent.Warm, s.Parent.Multiple, s.Parent.Span)
+	compareGolden(t, "full.golden", out.String())
+}
+
+// jsonKeys writes the keys of a type that the platform's JSON is read into.
+func jsonKeys(out *strings.Builder, at string, v reflect.Type) {
+	switch {
+	case v.Kind() == reflect.Pointer:
+		jsonKeys(out, at, v.Elem())
+	case v.Kind() == reflect.Slice && v.Elem().Kind() == reflect.Struct:
+		jsonKeys(out, at+"[]", v.Elem())
+	case v.Kind() == reflect.Struct:
+		for i := range v.NumField() {
+			jsonKeys(out, strings.TrimPrefix(at+"."+v.Field(i).Tag.Get("json"), "."), v.Field(i).Type)
+		}
+	default:
+		fmt.Fprintf(out, "%s %s\n", at, v.Kind())
+	}
+}
+
+// Pins the keys of the platform's JSON, the settings' own aside, which testdata/full.json
+// has. UPDATE_GOLDEN=1 writes testdata/keys.golden anew.
+func TestGoldenKeys(t *testing.T) {
+	var out strings.Builder
+	jsonKeys(&out, "", reflect.TypeOf(file{}))
+	compareGolden(t, "keys.golden", out.String())
+}
+
+// Pins which field the error of a configuration that cannot be used names, up to its first
+// colon, and that it is one line. UPDATE_GOLDEN=1 writes testdata/errors.golden anew.
+func TestGoldenErrors(t *testing.T) {
+	var out strings.Builder
+	for _, c := range [][2]string{
+		{`{"name"`, `"name"`},
+		{`"127.0.0.1:5050"`, `"nowhere"`},
+		{`"127.0.0.1:5050"`, `17`},
+		{`"name":"n0"`, `"mgmt":"x"`},
+		{`"127.0.0.1:9092"`, `""`},
+		{`8c1f30d27a5be964`, `xyz`},
+		{`"cores":1.0`, `"cores":-1`},
+		{`"sockets":1024`, `"sockets":4`},
+		{`"memory_mb":192`, `"memory_mb":"a lot"`},
+		{`"limits":{"cores"`, `"flow_bytes_per_s":-1,"limits":{"cores"`},
+		{`"s-00c41f7a"`, `"s-1"`},
+		{`"site":"edge-1"`, `"site":"edge-9"`},
+		{`"class":"box"`, `"class":"cat"`},
+		{`"health":"draining"`, `"health":"fine"`},
+		{`"dial":"127.0.0.2:5050"`, `"dial":"x"`},
+		{`"block":2`, `"block":"2"`},
+		{`"bucket":17`, `"object":"17"`},
+		{`"invalidate"`, `"other"`},
+		{`"zone":1`, `"zone":7`},
+		{`"try_limit":6`, `"try_limit":"x"`},
+		{`"conn_idle_us":15000000`, `"conn_idle_us":-1`},
+		{`"connect_timeout_us":400000`, `"connect_timeout_us":0`},
+		{`"max_streams":100`, `"max_streams":0`},
+		{`"read_like"`, `"whatever"`},
+		{`["hub","edge-1"]`, `["edge-1","edge-1"]`},
+		{`"parent","origin"]`, `"box","origin"]`},
+		{`"second_tier_kind":1`, `"second_tier_kind":2`},
+		{`"report_x1"`, `"parent_starts_at":1.5,"report_x1"`},
+		{`"telemetry"`, `"rules":{"cold_from":2},"telemetry"`},
+		{`"class_write":[false]`, `"class_write":[false,true]`},
+		{`"settings"`, `"set"`},
+		{`"settings":{`, `"settings":[{`},
+	} {
+		text := strings.Replace(good, c[0], c[1], 1)
+		if text == good {
+			t.Fatalf("%s is not in the text", c[0])
+		}
+		if c[1] == `"settings":[{` {
+			text = strings.TrimSuffix(text, "}") + "]}"
+		}
+		_, err := Parse([]byte(text), none)
+		if err == nil || strings.Contains(err.Error(), "\n") {
+			t.Fatalf("%s: %v", c[1], err)
+		}
+		field, _, _ := strings.Cut(err.Error(), ": ")
+		fmt.Fprintf(&out, "%s -> %s\n", c[1], field)
+	}
+	for _, env := range []string{"EDGE_CONFIG", "EDGE_LISTEN", "EDGE_MGMT", "EDGE_LISTEN_FD"} {
+		get := func(name string) string {
+			if name == env {
+				return "x"
+			}
+			return ""
+		}
+		_, err := Parse([]byte(good), get)
+		if env == "EDGE_CONFIG" {
+			_, err = Load("", get)
+		}
+		field, _, _ := strings.Cut(err.Error(), ": ")
+		fmt.Fprintf(&out, "%s=x -> %s\n", env, field)
+	}
+	_, err := Load("", none)
+	fmt.Fprintf(&out, "nothing given -> %v\n", err)
+	compareGolden(t, "errors.golden", out.String())
+}
+
+// Pins which fields only a restart can change. UPDATE_GOLDEN=1 writes
+// testdata/restart.golden anew.
+func TestGoldenRestart(t *testing.T) {
+	c, err := Parse([]byte(good), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	for _, change := range [][2]string{
+		{`"name":"n0"`, `"name":"n1"`},
+		{`"127.0.0.1:5050","seed"`, `"127.0.0.1:5051","seed"`},
+		{`"name":"n0"`, `"name":"n0","mgmt":"127.0.0.1:1"`},
+		{`"127.0.0.1:9092"`, `"127.0.0.1:9093"`},
+		{`"sockets":1024`, `"sockets":64`},
+		{`["hub","edge-1"]`, `["hub","edge-1","x"],"x":[0]`},
+		{`"parent","origin"]`, `"parent","origin","x"]`},
+		{`"zone":1`, `"zone":0`},
+		{`"second_tier_kind":1`, `"second_tier_kind":0`},
+		{`"root_kind":2`, `"root_kind":0`},
+		{`"name":"part"`, `"name":"path"`},
+		{`"read_like"`, `"non_idempotent"`},
+		{`"class_write":[false]`, `"class_write":[true]`},
+		{`"aim_us":280000`, `"aim_us":1`},
+	} {
+		text := strings.Replace(good, change[0], change[1], 1)
+		if strings.Contains(change[1], `"x":[0]`) {
+			text = strings.Replace(text, `[0,2]`, `[0,2,0]`, 1)
+		}
+		next, err := Parse([]byte(text), none)
+		if err != nil || text == good {
+			t.Fatalf("%s: %v", change[1], err)
+		}
+		fmt.Fprintf(&out, "%s -> %v\n", change[1], c.Admits(next))
+	}
+	compareGolden(t, "restart.golden", out.String())
+}
--- /dev/null
+++ b/internal/door/golden_test.go
@@ -0,0 +1,116 @@
+package door
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"garnetline/decide"
+	"garnetline/internal/changelog"
+	"garnetline/internal/fleet"
+	"garnetline/internal/fleet/duties"
+	"garnetline/internal/fleet/keeper"
+)
+
+// compareGolden compares text with a file in testdata. UPDATE_GOLDEN=1 writes the file anew.
+func compareGolden(t *testing.T, name, got string) {
+	t.Helper()
+	path := "testdata/" + name
+	if os.Getenv("UPDATE_GOLDEN") != "" {
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("%s: got\n%s\nwant\n%s", path, got, want)
+	}
+}
+
+// goldenFleet has one call of its own and a figure.
+type goldenFleet struct{}
+
+func (goldenFleet) Page(_ context.Context, method, path string) (int, []byte, bool) {
+	return 200, []byte("fleet's " + method + "\n"), path == "/fleet"
+}
+
+func (goldenFleet) Append(b []byte) []byte { return append(b, "app_fleet_figure 1\n"...) }
+
+// Pins paths, methods, statuses and texts of the operators' door. UPDATE_GOLDEN=1 writes
+// testdata/pages.golden anew.
+func TestGoldenPages(t *testing.T) {
+	ready := true
+	d := &Door{Ready: func() bool { return ready },
+		Figures: func() Figures {
+			return Figures{Classes: []Class{{Name: "part", Served: 1, Refused: 2, Failed: 3}, {Name: "a \"b\"", Served: 4}}, Relayed: 5,
+				Open: 6, Listed: 7, Avoided: 8, Accepted: 9, Invalid: 10}
+		},
+		Switch: func(_ context.Context, id decide.ServerID, _ bool) error {
+			switch id {
+			case 8:
+				return changelog.ErrUnknown
+			case 9:
+				return context.DeadlineExceeded
+			}
+			return nil
+		}}
+	var out strings.Builder
+	for _, d.Fleet = range []Fleet{nil, goldenFleet{}} {
+		for _, ready = range []bool{true, false} {
+			fmt.Fprintf(&out, "== fleet %v, ready %v\n", d.Fleet != nil, ready)
+			for _, path := range []string{"/ready", "/metrics", "/caches/disable/s-00000001", "/caches/enable/s-00000001",
+				"/caches/disable/s-00000008", "/caches/disable/s-00000009", "/caches/disable/8", "/caches/disable", "/fleet", "/fleet/other", "/"} {
+				for _, method := range []string{"GET", "POST"} {
+					status, body := d.Page(t.Context(), method, path)
+					fmt.Fprintf(&out, "%s %s: %d\n%s", method, path, status, body)
+				}
+			}
+		}
+	}
+	compareGolden(t, "pages.golden", out.String())
+}
+
+// jsonKeys writes the keys of a type as encoding/json names them, with their kinds.
+func jsonKeys(out *strings.Builder, at string, v reflect.Type) {
+	switch v.Kind() {
+	case reflect.Pointer:
+		jsonKeys(out, at, v.Elem())
+	case reflect.Slice:
+		jsonKeys(out, at+"[]", v.Elem())
+	case reflect.Struct:
+		for i := range v.NumField() {
+			f := v.Field(i)
+			name, more, _ := strings.Cut(f.Tag.Get("json"), ",")
+			if name == "" {
+				name = f.Name
+			}
+			if more != "" {
+				more = "," + more
+			}
+			jsonKeys(out, at+"."+name+more, f.Type)
+		}
+	default:
+		fmt.Fprintf(out, "%s %s\n", at, v.Kind())
+	}
+}
+
+// Pins the keys of the JSON that the door's calls below /fleet answer with. UPDATE_GOLDEN=1
+// writes testdata/json.golden anew.
+func TestGoldenJSON(t *testing.T) {
+	var out strings.Builder
+	for _, page := range []struct {
+		path string
+		of   any
+	}{
+		{"/fleet ", fleet.Status{}}, {"/fleet/duties register", duties.Shown{}}, {"/fleet/duties held[]", duties.Lease{}}, {"/fleet/bans ", keeper.Page{}},
+	} {
+		jsonKeys(&out, page.path, reflect.TypeOf(page.of))
+	}
+	compareGolden(t, "json.golden", out.String())
+}
--- /dev/null
+++ b/internal/marks/golden_test.go
@@ -0,0 +1,58 @@
+package marks
+
+import (
+	"fmt"
+	"io/fs"
+	"maps"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"garnetline/decide"
+)
+
+// Pins the files that say which caches are out: their folder, names, sizes and rights, as a
+// process of another version reads them. UPDATE_GOLDEN=1 writes testdata/files.golden anew;
+// testdata/state is such a folder, written by an earlier version.
+func TestGoldenFiles(t *testing.T) {
+	state := t.TempDir()
+	want := map[decide.ServerID]bool{7: true, 0xc41f7a: true, 0xffffffff: true}
+	for id := range want {
+		if err := In(state).Set(id, true); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var out strings.Builder
+	err := filepath.WalkDir(state, func(path string, e fs.DirEntry, err error) error {
+		if err != nil || path == state {
+			return err
+		}
+		info, err := e.Info()
+		if err != nil {
+			return err
+		}
+		size := info.Size()
+		if e.IsDir() {
+			size = 0 // the file system's
+		}
+		fmt.Fprintf(&out, "%v %d %s\n", info.Mode(), size, strings.TrimPrefix(path, state+"/"))
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	const golden = "testdata/files.golden"
+	if os.Getenv("UPDATE_GOLDEN") != "" {
+		if err := os.WriteFile(golden, []byte(out.String()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	text, err := os.ReadFile(golden)
+	if err != nil || out.String() != string(text) {
+		t.Errorf("got\n%swant\n%s%v", out.String(), text, err)
+	}
+	if got, err := In("testdata/state").All(); err != nil || !maps.Equal(got, want) {
+		t.Errorf("the earlier version's: %v, %v", got, err)
+	}
+}
--- /dev/null
+++ b/internal/settings/golden_test.go
@@ -0,0 +1,151 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// compareGolden compares text with a file in testdata. UPDATE_GOLDEN=1 writes the file anew.
+func compareGolden(t *testing.T, name, got string) {
+	t.Helper()
+	path := "testdata/" + name
+	if os.Getenv("UPDATE_GOLDEN") != "" {
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("%s: got\n%s\nwant\n%s", path, got, want)
+	}
+}
+
+// describe writes each key that a block is read from with its value, by the tags.
+func describe(out *strings.Builder, at string, v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Pointer:
+		if v.IsNil() {
+			fmt.Fprintf(out, "%s none\n", at)
+			return
+		}
+		describe(out, at, v.Elem())
+	case reflect.Struct:
+		for i := range v.NumField() {
+			describe(out, at+"."+v.Type().Field(i).Tag.Get("hcl"), v.Field(i))
+		}
+	case reflect.Slice:
+		if v.Type().Elem().Kind() != reflect.Struct {
+			fmt.Fprintf(out, "%s %q\n", at, v.Interface())
+			return
+		}
+		for i := range v.Len() {
+			describe(out, fmt.Sprintf("%s[%d]", at, i), v.Index(i))
+		}
+	default:
+		fmt.Fprintf(out, "%s %v\n", at, v.Interface())
+	}
+}
+
+func describeFile(f *File) string {
+	var out strings.Builder
+	for _, block := range []struct {
+		name string
+		of   any
+	}{{"log", f.Log}, {"dns", f.DNS}, {"trace", f.Trace}, {"fleet", f.Fleet}, {"duties", f.Duties}} {
+		describe(&out, block.name, reflect.ValueOf(block.of))
+	}
+	return out.String()
+}
+
+// Pins every block and key of the operators' file with the value that is read from it and
+// with its default. UPDATE_GOLDEN=1 writes testdata/full.golden, from testdata/full.hcl,
+// which has every key, and testdata/default.golden anew.
+func TestGoldenKeys(t *testing.T) {
+	f, err := Load("testdata/full.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	compareGolden(t, "full.golden", describeFile(&f))
+	f, err = load(t, "trace {\n class \"a\" {}\n collector { url = \"http://127.0.0.1\" }\n}\nduties {\n prober {}\n first_try {}\n bans {}\n}")
+	if err != nil {
+		t.Fatal(err)
+	}
+	compareGolden(t, "default.golden", describeFile(&f))
+}
+
+// Pins what the fleet's machines are given for the keys of the file, by values.
+// UPDATE_GOLDEN=1 writes testdata/fleet.golden anew.
+func TestGoldenFleet(t *testing.T) {
+	f, err := Load("testdata/full.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := f.Fleet.Link()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	m, st := s.Node.Member, s.Node.Stance
+	fmt.Fprintln(&out, s.Fleet, s.Listen, s.Advertise, s.Join, s.Packets, s.Bytes)
+	fmt.Fprintln(&out, m.Period, m.Timeout, m.Shortest, m.Sync, m.Reach, m.MaxMembers)
+	fmt.Fprintln(&out, st.Lately, st.Share, st.Silent, st.Less, st.More, st.Most)
+	a := f.Duties.Agree()
+	fmt.Fprintln(&out, a.Election, a.Duty.TTL, a.Duty.Margin, a.Duty.Drift, a.Duty.Retry)
+	compareGolden(t, "fleet.golden", out.String())
+}
+
+// Pins where the error of a file that cannot be used points: file, line, block and field, or
+// what the reader of the language says; and that it is one line. UPDATE_GOLDEN=1 writes
+// testdata/errors.golden anew.
+func TestGoldenErrors(t *testing.T) {
+	const fleet = "fleet {\n enabled = true\n keys = [\"sixteen bytes or more\"]\n "
+	const duties = fleet + "}\nduties {\n enabled = true\n electors = [\"a\", \"b\", \"c\"]\n "
+	var out strings.Builder
+	for _, text := range []string{
+		"log {\n level = \"loud\"\n}",
+		"dns {\n listen = \"x\"\n}", "dns {\n zone = \".\"\n}", "dns {\n patience_ms = 0\n}", "dns {\n max_inflight = 0\n}", "dns {\n max_connections = 0\n}",
+		"dns {\n colour = 1\n}", "dns {\n max_inflight = \"many\"\n}", "dns {", "zones {}", "log {}\nlog {}",
+		"trace {\n enabled = true\n}", "trace {\n segment_mb = 0\n}", "trace {\n keep_mb = 9\n}", "trace {\n undecided_kb = 1\n}",
+		"trace {\n ordinary_per_s = -1\n}", "trace {\n retry_within_ms = 1e9\n}", "trace {\n class \"a\" {}\n class \"a\" {}\n}",
+		"trace {\n class \"a\" { wanted_ms = -1 }\n}", "trace {\n collector { url = \"ftp://x\" }\n}", "trace {\n collector {}\n}",
+		"trace {\n collector {\n url = \"http://x\"\n queue = -1\n}\n}",
+		"fleet {\n enabled = true\n}", fleet + "probe_ms = 1\n}", fleet + "timeout_ms = 101\n}", fleet + "suspect_ms = 1\n}", fleet + "sync_ms = 1\n}",
+		fleet + "reach_ms = 1\n}", fleet + "max_members = 1\n}", fleet + "packets_per_s = 1\n}", fleet + "bytes_per_s = 1\n}", fleet + "lately_ms = 1\n}",
+		fleet + "together_share = 2\n}", fleet + "alone_after_silence_ms = 1\n}", fleet + "less_room_after_ms = -1\n}", fleet + "more_room_after_ms = 1\n}",
+		fleet + "name = \"\"\n}", fleet + "listen = \"x\"\n}", fleet + "advertise = \"x\"\n}", fleet + "listen = \"0.0.0.0:1\"\n}", fleet + "join = [\"here\"]\n}",
+		"duties {\n enabled = true\n}", fleet + "}\nduties {\n enabled = true\n}", duties + "election_ms = 1\n}", duties + "lease_ms = 1\n}", duties + "drift = 1\n}",
+		fleet + "}\nduties {\n enabled = true\n electors = [\"a\", \"b\", \"a\"]\n}", "duties {\n first_try { routers_per_s = -1 }\n}",
+		"duties {\n bans { every_ms = 1 }\n}", "duties {\n prober { every_ms = 1 }\n}",
+	} {
+		_, err := load(t, text)
+		if err == nil || strings.Contains(err.Error(), "\n") {
+			t.Fatalf("%q: %v", text, err)
+		}
+		parts := strings.SplitN(err.Error(), ": ", 4)
+		fmt.Fprintf(&out, "%q -> %s\n", text, strings.Join(parts[:min(3, len(parts)-1)], ": "))
+	}
+	compareGolden(t, "errors.golden", out.String())
+}
+
+// Pins which blocks only a restart can change. UPDATE_GOLDEN=1 writes
+// testdata/restart.golden anew.
+func TestGoldenRestart(t *testing.T) {
+	f := Default()
+	var out strings.Builder
+	for _, text := range []string{"log {\n level = \"off\"\n}", "dns {\n patience_ms = 2\n}", "trace {\n enabled = true\n folder = \"x\"\n}",
+		"trace {\n folder = \"x\"\n}", "trace {\n secret = \"x\"\n}", "trace {\n peers = true\n}", "trace {\n collector { url = \"http://x\" }\n}",
+		"trace {\n keep_mb = 99\n}", "fleet {\n keys = [\"x\"]\n join = [\"x\"]\n}", "fleet {\n zone = \"x\"\n}", "duties {\n drift = 0.03\n}"} {
+		next, err := load(t, text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(&out, "%q -> %v\n", text, f.Admits(next))
+	}
+	compareGolden(t, "restart.golden", out.String())
+}
