Pin what routers send and store by golden fixtures before names change

Need: identifiers of the fleet's packages are about to be renamed and their files split; bytes on the wire, stored files and printed words are to stay. A simulated fleet of twelve (loss, stall, upgrade, crash, partition, bans on both sides of it, a false report, shutdown) is pinned by a hash over each packet, its time and address, and over each event.

--- /dev/null
+++ b/internal/fleet/carry/golden_test.go
@@ -0,0 +1,44 @@
+package carry
+
+import (
+	"bytes"
+	"testing"
+
+	"garnetline/internal/fleet/golden"
+	"garnetline/internal/fleet/member"
+)
+
+// Fragments between routers of this version and of the one before are the same bytes, and so
+// are the numbers of the channels.
+func TestGoldenFragments(t *testing.T) {
+	long := make([]byte, 2*piece+10)
+	for i := range long {
+		long[i] = byte(i * 7)
+	}
+	var messages []golden.Message
+	for _, l := range Split(300, Raft, long) {
+		messages = append(messages, golden.Message{Name: "long", Bytes: l})
+	}
+	names := []string{"raft", "lease-request", "lease-response", "load-report", "voter-hello", "leader-hint",
+		"ban-request", "ban-response", "ejection-report", "probe-result"}
+	channels := []Channel{Raft, Ask, Answer, Report, Hello, Hint, BanAsk, BanAnswer, Aside, Tried}
+	for i, ch := range channels {
+		messages = append(messages, golden.Message{Name: names[i], Bytes: Split(uint64(i), ch, []byte(names[i]))[0]})
+	}
+	messages = append(messages, golden.Message{Name: "empty", Bytes: Split(1, Raft, nil)[0]})
+	var j Joiner
+	var got [][]byte
+	for _, m := range golden.CompareMessages(t, "fragments.golden", messages) {
+		if _, b, whole := j.Take(0, member.Load{From: 1, Bytes: m.Bytes}); whole {
+			got = append(got, b)
+		}
+	}
+	if len(got) != 2+len(channels) || !bytes.Equal(got[0], long) {
+		t.Fatalf("%d messages put together, want %d", len(got), 2+len(channels))
+	}
+	for i, name := range names {
+		if string(got[1+i]) != name {
+			t.Errorf("%q, want %q", got[1+i], name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/member/golden_test.go
@@ -0,0 +1,76 @@
+package member
+
+import (
+	"bytes"
+	"net/netip"
+	"testing"
+
+	"garnetline/internal/fleet/golden"
+)
+
+// packetsOfEachKind returns one packet of each kind, and one with all of the fields.
+func packetsOfEachKind() (names []string, packets []*Packet) {
+	from := Word{ID: 0x1122334455667788, Inc: Incarnation(5) + 3, Name: "r1", Zone: "north", Version: "1.2", Addr: netip.MustParseAddrPort("10.1.2.3:7946")}
+	suspect := Word{ID: 8, Inc: Incarnation(2), State: Suspect, By: 9, Name: "r2", Zone: "south", Version: "1.1", Addr: netip.MustParseAddrPort("[fd00::2]:7946")}
+	failed, left := suspect, suspect
+	failed.ID, failed.State = 10, Failed
+	left.ID, left.State, left.By = 11, Left, 11
+	alive := Word{ID: 12, Inc: Incarnation(1), Name: "r3", Addr: netip.MustParseAddrPort("10.1.2.4:7946")}
+	sums := make([]uint32, Buckets)
+	for i := range sums {
+		sums[i] = uint32(i) * 0x01010101
+	}
+	add := func(name string, p *Packet) {
+		p.From = from
+		names, packets = append(names, name), append(packets, p)
+	}
+	add("ping", &Packet{Kind: Ping, Count: 1, Nonce: 0xfedcba9876543211, Target: 8})
+	add("ack", &Packet{Kind: Ack, Count: 2, Nonce: 0xfedcba9876543211, Target: from.ID})
+	add("nack", &Packet{Kind: Nack, Count: 3, Nonce: 77, Target: 8})
+	add("indirect-ping", &Packet{Kind: PingFor, Count: 4, Nonce: 77, Target: 8, At: suspect.Addr, Words: []Word{suspect}})
+	add("gossip", &Packet{Kind: Tell, Count: 5, Words: []Word{alive, suspect, failed, left}, Items: [][]byte{[]byte("one"), []byte("another")}})
+	add("sync-request", &Packet{Kind: Ask, Count: 6, Nonce: 79, Target: 8, Sums: sums})
+	add("sync-response", &Packet{Kind: Page, Count: 7, Nonce: 79, Words: []Word{alive}, Items: [][]byte{[]byte("one")}, Sums: sums})
+	add("data", &Packet{Kind: Carry, Count: 8, Load: []byte("for another state machine")})
+	add("all-fields", &Packet{Kind: Tell, Count: 1 << 40, Nonce: 1, Target: 1, At: alive.Addr, Words: []Word{left}, Items: [][]byte{{0}}, Load: []byte{1, 2}, Sums: sums})
+	return names, packets
+}
+
+// Packets between routers of this version and of the one before are the same bytes.
+func TestGoldenPackets(t *testing.T) {
+	names, packets := packetsOfEachKind()
+	var messages []golden.Message
+	for i, p := range packets {
+		messages = append(messages, golden.Message{Name: names[i], Bytes: p.Append(nil)})
+	}
+	for _, m := range golden.CompareMessages(t, "packets.golden", messages) {
+		p, err := Decode(m.Bytes)
+		if err != nil {
+			t.Errorf("%s: %v", m.Name, err)
+			continue
+		}
+		if again := p.Append(nil); !bytes.Equal(again, m.Bytes) {
+			t.Errorf("%s: read and written again it is %x, want %x", m.Name, again, m.Bytes)
+		}
+	}
+}
+
+// The admin API, metrics and log lines show states and identities in these words.
+func TestPrintedStrings(t *testing.T) {
+	for s, want := range map[State]string{Alive: "alive", Suspect: "suspect", Failed: "failed", Left: "left", Left + 1: "unknown"} {
+		if s.String() != want {
+			t.Errorf("state %d is %q, want %q", s, s, want)
+		}
+	}
+	if got := ID(0xab).String(); got != "00000000000000ab" {
+		t.Errorf("an identity is %q", got)
+	}
+}
+
+// An incarnation of a process begins at a multiple of 2^24; what is below counts refutations.
+func TestIncarnationBits(t *testing.T) {
+	w := Word{Inc: Incarnation(3) + 2}
+	if w.Inc != 3<<24+2 || w.Life() != 3 {
+		t.Errorf("%x, of life %d", w.Inc, w.Life())
+	}
+}
--- /dev/null
+++ b/internal/fleet/simulation_test.go
@@ -0,0 +1,84 @@
+//go:build amd64
+
+// On other machines, fused multiply-add changes the last bits of some times.
+
+package fleet_test
+
+import (
+	"bytes"
+	"fmt"
+	"hash/fnv"
+	"testing"
+
+	"garnetline/internal/fleet"
+	"garnetline/internal/fleet/golden"
+	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/words"
+	"garnetline/internal/virtual"
+)
+
+// Twelve routers on a simulated network send the same packets at the same times as before,
+// through loss, a stall, an upgrade, a crash, a partition that heals and a shutdown: what is
+// rewritten for its readers behaves as it did.
+func TestGoldenSimulation(t *testing.T) {
+	const routers = 12
+	net := virtual.New(7)
+	sum := fnv.New64a()
+	packets := 0
+	net.Tap = func(s virtual.Send) {
+		packets++
+		fmt.Fprintf(sum, "%v %v ", net.Now, s.To)
+		sum.Write(s.Packet.Append(nil))
+	}
+	net.Fleet(routers, fleet.Default(), false)
+	for _, host := range net.Hosts {
+		host.On = func(h *virtual.Host, now float64, out *fleet.Output) {
+			for _, e := range out.Events {
+				fmt.Fprintf(sum, "%v %s %s %x %s ", now, h.Name, e.What, e.Word.Inc, e.Word.Name)
+			}
+			for _, c := range out.Changes {
+				fmt.Fprintf(sum, "%v %s %d %d %v ", now, h.Name, c.Kind, c.Box, c.Out)
+			}
+			fmt.Fprintf(sum, "%v %v %d ", out.Stance.Stance, out.Stance.Since, out.Stance.Known)
+		}
+	}
+	node := func(i int) *fleet.Node { return net.Hosts[i].Machine.(*fleet.Node) }
+	var got bytes.Buffer
+	phase := func(name string, ms float64) {
+		net.Run(net.Now + ms)
+		fmt.Fprintf(&got, "%s %d %016x\n", name, packets, sum.Sum64())
+	}
+	phase("start", 15_000)
+	net.Do(net.Hosts[2], func() { node(2).Switch(net.Now, 5, true) })
+	for i := range routers {
+		net.Do(net.Hosts[i], func() {
+			node(i).Heard(net.Now, words.Word{Kind: words.Drain, Box: 6, Started: 1000})
+			node(i).Heard(net.Now, words.Word{Kind: words.Purge, Object: 9, At: 2000})
+		})
+	}
+	phase("items", 5000)
+	net.Link.Loss, net.Link.Repeat = 0.2, 0.1
+	phase("loss", 30_000)
+	net.Stall(net.Hosts[3], 5000)
+	phase("stall", 20_000)
+	net.Link.Loss, net.Link.Repeat = 0.02, 0
+	old := net.Hosts[4]
+	net.Start(4, old.Name, old.Self.ID, 2, fleet.Default(), false)
+	phase("upgrade", 10_000)
+	net.Kill(net.Hosts[5])
+	phase("crash", 20_000)
+	net.Link.Cut = func(from, to *virtual.Host) bool { return (from.Self.ID^to.Self.ID)&2 != 0 }
+	phase("partition", 30_000)
+	net.Do(net.Hosts[2], func() { node(2).Switch(net.Now, 5, false) })
+	net.Do(net.Hosts[6], func() { node(6).Switch(net.Now, 5, true) })
+	phase("partition with bans", 10_000)
+	net.Link.Cut = nil
+	phase("healed", 60_000)
+	net.Do(net.Hosts[7], func() {
+		node(7).Lie(member.Word{ID: net.Hosts[8].Self.ID, Inc: member.Incarnation(1), State: member.Failed, By: 3, Name: "r008", Addr: net.Hosts[8].Addr})
+	})
+	phase("false report", 10_000)
+	net.Leave(net.Hosts[9])
+	phase("shutdown", 20_000)
+	golden.Compare(t, "simulation.golden", got.Bytes())
+}
