Give form one parser of fields for the two that stand in member and register

Need: the decoding of fields stands twice, and the two differ only in that member accepts 64-bit numbers of fixed length. Nobody calls them yet.

--- /dev/null
+++ b/internal/fleet/form/fields.go
@@ -0,0 +1,48 @@
+package form
+
+import "google.golang.org/protobuf/encoding/protowire"
+
+// VisitFunc is called with a field of a message: its number and, by its type, the value of
+// a number or the content of a string. The content refers to the message. It returns false
+// where the field is not valid, which ends the parsing.
+type VisitFunc func(number protowire.Number, value uint64, content []byte) bool
+
+// ParseFields calls visit with each field of a message of varints and strings. It returns
+// false where the message is cut short, holds a field of another type, or visit returned
+// false.
+func ParseFields(message []byte, visit VisitFunc) bool {
+	return parseFields(message, false, visit)
+}
+
+// ParseFieldsFixed64 is ParseFields for messages that may hold 64-bit numbers of fixed
+// length too.
+func ParseFieldsFixed64(message []byte, visit VisitFunc) bool {
+	return parseFields(message, true, visit)
+}
+
+func parseFields(message []byte, fixed64 bool, visit VisitFunc) bool {
+	for len(message) > 0 {
+		number, fieldType, n := protowire.ConsumeTag(message)
+		if n < 0 {
+			return false
+		}
+		message = message[n:]
+		var value uint64
+		var content []byte
+		switch {
+		case fieldType == protowire.VarintType:
+			value, n = protowire.ConsumeVarint(message)
+		case fieldType == protowire.BytesType:
+			content, n = protowire.ConsumeBytes(message)
+		case fieldType == protowire.Fixed64Type && fixed64:
+			value, n = protowire.ConsumeFixed64(message)
+		default:
+			return false
+		}
+		if n < 0 || !visit(number, value, content) {
+			return false
+		}
+		message = message[n:]
+	}
+	return true
+}
