--- /dev/null
+++ b/internal/logs/golden_test.go
@@ -0,0 +1,53 @@
+package logs
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+var update = flag.Bool("update", false, "rewrite testdata from what the program writes now")
+
+// Guards the form of the log, which operators' tools read: the names of time, level, event and
+// error, and the counters as one event with sorted names. After a change that is meant:
+// go test ./internal/logs -update
+func TestFormOfEvents(t *testing.T) {
+	defer zerolog.SetGlobalLevel(zerolog.GlobalLevel())
+	defer func(f func() time.Time) { zerolog.TimestampFunc = f }(zerolog.TimestampFunc)
+	zerolog.TimestampFunc = func() time.Time { return time.UnixMilli(1_700_000_000_123) }
+	var out bytes.Buffer
+	log := New(&out)
+	for _, level := range Levels {
+		if err := Set(level); err != nil {
+			t.Fatal(err)
+		}
+		log.Debug().Int("n", 1).Msg("at " + level)
+		log.Info().Str("server", "s-00000001").Float64("took_ms", 1.5).Msg("at " + level)
+		log.Warn().Bool("ready", true).Msg("at " + level)
+		log.Error().Err(errors.New("two\nlines")).Msg("at " + level)
+		Counters(log, map[string]int64{"b": 2, "a": 1, "c_3": -3})
+	}
+	if _, err := Level("loud"); err == nil {
+		t.Error("a level that does not exist is read")
+	} else {
+		out.WriteString(err.Error() + "\n")
+	}
+	const golden = "testdata/events.golden"
+	if *update {
+		if err := os.WriteFile(golden, out.Bytes(), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(golden)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(out.Bytes(), want) {
+		t.Errorf("written:\n%s\nwant:\n%s", out.Bytes(), want)
+	}
+}
