Test that a reload shortens key windows, and that a client's leaving cancels what is out

With the core's adoption of settings broken the first fails ('shorter, over: 2 sent'); with the cancel in close broken, or the client's id kept, the second does ('0 attempts were given up', 'came again: 1 sent').

--- a/internal/core/endings_test.go
+++ b/internal/core/endings_test.go
@@ -250,3 +250,63 @@
 		t.Errorf("answered %+v, want a refusal at once", a)
 	}
 }
+
+// Guards against a repeat after a window of keys, or more attempts, than the settings allow by
+// now: what is reloaded under an open request holds for its next attempt.
+func TestReloadShortensKeyWindow(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*decide.Settings)
+		sent   int
+		sendBy float64
+	}{
+		{"not shortened", func(*decide.Settings) {}, 2, start + 1000},
+		{"shorter, not over", func(s *decide.Settings) { s.Classes[1].Window = 400 * time.Millisecond }, 2, start + 400},
+		{"shorter, over", func(s *decide.Settings) { s.Classes[1].Window = 200 * time.Millisecond }, 1, 0},
+		{"one attempt", func(s *decide.Settings) { s.MaxAttempts = 1 }, 1, 0},
+	} {
+		b := newBench(t, nil)
+		r := b.ask(1, 3000)
+		next := settings()
+		c.change(&next)
+		b.Reload(next)
+		b.step(<-b.Core.box)
+		b.pass(300)
+		b.step(End{Attempt: b.box.sent[0], Result: decide.Errored, Load: NoLoad()})
+		b.pass(100)
+		if last := b.box.sent[len(b.box.sent)-1]; len(b.box.sent) != c.sent || last.SendBy != c.sendBy {
+			t.Errorf("%s: %d sent, the last to be written by %v", c.name, len(b.box.sent), last.SendBy-start)
+		}
+		if a := b.answers[r]; c.sent == 1 && (len(a) != 1 || a[0].Kind != Failed) {
+			t.Errorf("%s: answered %+v", c.name, a)
+		}
+	}
+}
+
+// Guards against work for a client that gave up early: what is out for it is given up, once,
+// its late end is no answer, and the client may come again under the same id at once.
+func TestDisconnectCancelsAttempt(t *testing.T) {
+	b := newBench(t, nil)
+	ask := func() *Request {
+		r := &Request{Txn: "9b1f03aa5c7e2d41", Object: 7, Deadline: b.clk.Now() + 1480, Carrier: &b.box}
+		r.Reply = func(a Answer) { b.answers[r] = append(b.answers[r], a) }
+		b.step(r)
+		return r
+	}
+	first := ask()
+	b.step(left{first})
+	b.step(left{first})
+	if len(b.box.cancelled) != 1 || b.box.cancelled[0] != first.tries[0] {
+		t.Fatalf("%d attempts were given up", len(b.box.cancelled))
+	}
+	second := ask()
+	if len(b.box.sent) != 2 || len(b.answers[second]) != 0 {
+		t.Fatalf("came again: %d sent, answered %+v", len(b.box.sent), b.answers[second])
+	}
+	for _, r := range []*Request{first, second} {
+		b.step(End{Attempt: r.tries[0], Result: decide.Served, Answer: Answer{Kind: Served}, Load: NoLoad()})
+	}
+	if a := b.answers[second]; len(b.answers[first]) != 0 || len(a) != 1 || a[0].Kind != Served || len(b.open) != 0 || len(b.txns) != 0 {
+		t.Errorf("answered %v, %d open", b.answers, len(b.open))
+	}
+}
