Name the interface by which a clock's step is found, so that a rename cannot miss it

Need: clock.Step asserts an interface without a name. A rename of the clocks' methods left it as it was: on a scratch copy the wall clock's step became 0 without a word from the compiler, and only TestStep failed. Change: the interface has a name.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -50,12 +50,15 @@
 // Symptom guarded against: a wall clock that was set back by some seconds made every purge
 // look long past, and old copies were served as if there had been none.
 func Step(c Clock) float64 {
-	if s, ok := c.(interface{ Step() float64 }); ok {
+	if s, ok := c.(stepped); ok {
 		return s.Step()
 	}
 	return 0
 }
 
+// stepped is a clock that knows by how much the wall clock has been set.
+type stepped interface{ Step() float64 }
+
 // Boot counts milliseconds since the machine's start, suspended time among them: a lease
 // must not be longer for a machine that slept through a part of it. Where there is no such
 // clock it is the monotonic one, which stands still while the machine is suspended; what a
