Name the JSON keys of held leases, so that fields can be renamed

/fleet/duties shows them by their Go names (Duty, Token, End, Work), and commands and the test cluster read them.

--- a/internal/fleet/duties/duties.go
+++ b/internal/fleet/duties/duties.go
@@ -59,12 +59,12 @@
 	Bans func(a agree.BanAnswer)
 }
 
-// Lease is a duty that this router holds.
+// Lease is a duty that this router holds. Its JSON is shown to operators by /fleet/duties.
 type Lease struct {
-	Duty  string
-	Token uint64
-	End   float64 // on the boot clock, ms
-	Work  []byte  // what the last holder handed on
+	Duty  string  `json:"Duty"`
+	Token uint64  `json:"Token"`
+	End   float64 `json:"End"`  // on the boot clock, ms
+	Work  []byte  `json:"Work"` // what the last holder handed on
 }
 
 // Duties are the two actors.
