--- /dev/null
+++ b/internal/fleet/duty/rank_test.go
@@ -0,0 +1,28 @@
+package duty
+
+import (
+	"slices"
+	"testing"
+
+	"garnetline/internal/fleet/member"
+)
+
+// Routers of different versions must agree on who comes first for a duty: the order is
+// pinned as it was first released.
+func TestGoldenRanks(t *testing.T) {
+	routers := []member.ID{1, 2, 3, 0xdeadbeef, 0x1122334455667788}
+	for name, want := range map[string][]member.ID{
+		"probe/edge":  {0x1122334455667788, 3, 0xdeadbeef, 1, 2},
+		"first/north": {1, 3, 2, 0x1122334455667788, 0xdeadbeef},
+	} {
+		got := First(name, routers, len(routers))
+		if !slices.Equal(got, want) {
+			t.Errorf("%s: %#v, want %#v", name, got, want)
+		}
+		for rank, id := range got {
+			if r := Rank(name, id, routers); r != rank {
+				t.Errorf("%s: router %v has rank %d, want %d", name, id, r, rank)
+			}
+		}
+	}
+}
