Name the keys of the ban file by tags, so that fields may be renamed

The file that bans rest on was written with the names of the struct's fields, which are about to change. Tags give the same keys; the golden file is unchanged and still written to the byte.

Measured: go test ./internal/fleet/keeper passes.

--- a/internal/fleet/keeper/keeper.go
+++ b/internal/fleet/keeper/keeper.go
@@ -33,11 +33,11 @@
 
 // Basis is what it rests on that a box is out at this router. It outlives the process.
 type Basis struct {
-	Own     bool   // staff called this router, and the register does not know yet
-	Version uint64 // of the register's ban that this router knows of; 0: of none
-	Who     string `json:",omitempty"`
-	Why     string `json:",omitempty"`
-	At      float64
+	Own     bool    `json:"Own"`     // staff called this router, and the register does not know yet
+	Version uint64  `json:"Version"` // of the register's ban that this router knows of; 0: of none
+	Who     string  `json:"Who,omitempty"`
+	Why     string  `json:"Why,omitempty"`
+	At      float64 `json:"At"`
 }
 
 // Call is one of staff.
