--- a/cmd/garnetline/golden_test.go
+++ b/cmd/garnetline/golden_test.go
@@ -2,47 +2,22 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
 	"io"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 
 	"github.com/urfave/cli/v3"
 
 	"garnetline/internal/fleet/duties"
+	"garnetline/internal/golden"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
-// compareGolden compares text with a file of testdata, to the byte; -update writes the file.
-func compareGolden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if *update {
-		if err := os.MkdirAll("testdata", 0o755); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got != string(want) {
-		t.Errorf("got\n%s\nwant, as in %s,\n%s", got, path, want)
-	}
-}
-
 // Commands, their arguments and their flags are what scripts of the operators rest on.
 func TestCommandsAndFlags(t *testing.T) {
 	var text strings.Builder
 	describeCommand(&text, program(io.Discard), "")
-	compareGolden(t, "commands.golden", text.String())
+	golden.Compare(t, "commands.golden", []byte(text.String()))
 }
 
 // The keys under which operators' scripts find the register and the leases held.
@@ -51,7 +26,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	compareGolden(t, "duties.golden", string(text)+"\n")
+	golden.Compare(t, "duties.golden", []byte(string(text)+"\n"))
 }
 
 func describeCommand(out io.Writer, command *cli.Command, parent string) {
--- a/cmd/garnetline/metrics_test.go
+++ b/cmd/garnetline/metrics_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"flag"
 	"net/netip"
-	"os"
 	"testing"
 
 	"garnetline/internal/clock"
@@ -12,14 +10,13 @@
 	"garnetline/internal/fleet"
 	"garnetline/internal/fleet/link"
 	"garnetline/internal/fleet/seal"
+	"garnetline/internal/golden"
 	"garnetline/internal/logs"
 	"garnetline/internal/stats"
 )
 
-var update = flag.Bool("update", false, "rewrite testdata from what the program writes now")
-
 // Guards the page /metrics, which operators' monitoring reads, to the byte: names, types and
-// labels. After a change that is meant: go test ./cmd/garnetline -run TestMetricsPage -update
+// labels. UPDATE_GOLDEN=1 writes it anew.
 func TestMetricsPage(t *testing.T) {
 	ring, err := seal.New("f", []string{"sixteen bytes or more"})
 	if err != nil {
@@ -36,17 +33,5 @@
 	page := door.Figures{Classes: []door.Class{{Name: "part", Served: 1, Refused: 2, Failed: 3}, {Name: "form", Served: 4, Refused: 5, Failed: 6}},
 		Relayed: 7, Open: 8, Listed: 9, Avoided: 10, Accepted: 11, Invalid: 12}.Append(nil)
 	page = (&mates{Link: l, count: count}).Append(page)
-	const golden = "testdata/metrics.golden"
-	if *update {
-		if err := os.WriteFile(golden, page, 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(golden)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !bytes.Equal(page, want) {
-		t.Errorf("written:\n%s\nwant:\n%s", page, want)
-	}
+	golden.Compare(t, "metrics.golden", page)
 }
--- a/internal/fleet/carry/golden_test.go
+++ b/internal/fleet/carry/golden_test.go
@@ -4,8 +4,8 @@
 	"bytes"
 	"testing"
 
-	"garnetline/internal/fleet/golden"
 	"garnetline/internal/fleet/member"
+	"garnetline/internal/golden"
 )
 
 // Fragments between routers of this version and of the one before are the same bytes, and so
--- a/internal/fleet/first/golden_test.go
+++ b/internal/fleet/first/golden_test.go
@@ -8,7 +8,7 @@
 )
 
 // Routers of several releases run side by side: what they send each other stays as it is.
-// GOLDEN_UPDATE=1 rewrites testdata.
+// UPDATE_GOLDEN=1 rewrites testdata.
 func TestMessageFormat(t *testing.T) {
 	for _, c := range []struct {
 		file string
--- a/internal/fleet/keeper/golden_test.go
+++ b/internal/fleet/keeper/golden_test.go
@@ -18,7 +18,7 @@
 
 // The file that bans rest on is read by later releases and written as it always was: by
 // the routers' names of servers, with the keys of the first release.
-// GOLDEN_UPDATE=1 rewrites testdata.
+// UPDATE_GOLDEN=1 rewrites testdata.
 func TestStateFileFormat(t *testing.T) {
 	folder := t.TempDir()
 	logger := zerolog.New(io.Discard)
@@ -47,7 +47,7 @@
 	}
 }
 
-// Operators' scripts read this JSON. GOLDEN_UPDATE=1 rewrites testdata.
+// Operators' scripts read this JSON. UPDATE_GOLDEN=1 rewrites testdata.
 func TestStatusJSON(t *testing.T) {
 	page := Page{
 		Read: 1_700_000_000_500.25,
--- a/internal/fleet/link/golden_test.go
+++ b/internal/fleet/link/golden_test.go
@@ -4,7 +4,7 @@
 	"os"
 	"testing"
 
-	"garnetline/internal/fleet/golden"
+	"garnetline/internal/golden"
 )
 
 // The identity file that the next process reads, and counts on in, is the same bytes.
--- a/internal/fleet/member/golden_test.go
+++ b/internal/fleet/member/golden_test.go
@@ -5,7 +5,7 @@
 	"net/netip"
 	"testing"
 
-	"garnetline/internal/fleet/golden"
+	"garnetline/internal/golden"
 )
 
 // packetsOfEachKind returns one packet of each kind, and one with all of the fields.
--- a/internal/fleet/prober/golden_test.go
+++ b/internal/fleet/prober/golden_test.go
@@ -13,7 +13,7 @@
 )
 
 // Routers of several releases run side by side: the packet of load reports stays as it is.
-// GOLDEN_UPDATE=1 rewrites testdata.
+// UPDATE_GOLDEN=1 rewrites testdata.
 func TestReportFormat(t *testing.T) {
 	const now = 5000.0
 	nan := math.NaN()
--- a/internal/fleet/seal/golden_test.go
+++ b/internal/fleet/seal/golden_test.go
@@ -4,7 +4,7 @@
 	"crypto/rand"
 	"testing"
 
-	"garnetline/internal/fleet/golden"
+	"garnetline/internal/golden"
 )
 
 // counting is a source of nonces that are the same each time.
--- a/internal/fleet/simulation_test.go
+++ b/internal/fleet/simulation_test.go
@@ -11,9 +11,9 @@
 	"testing"
 
 	"garnetline/internal/fleet"
-	"garnetline/internal/fleet/golden"
 	"garnetline/internal/fleet/member"
 	"garnetline/internal/fleet/words"
+	"garnetline/internal/golden"
 	"garnetline/internal/virtual"
 )
 
--- a/internal/fleet/status_test.go
+++ b/internal/fleet/status_test.go
@@ -6,9 +6,9 @@
 	"reflect"
 	"testing"
 
-	"garnetline/internal/fleet/golden"
 	"garnetline/internal/fleet/member"
 	"garnetline/internal/fleet/stance"
+	"garnetline/internal/golden"
 )
 
 // The admin API shows a fleet under these keys.
--- a/internal/fleet/words/golden_test.go
+++ b/internal/fleet/words/golden_test.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"testing"
 
-	"garnetline/internal/fleet/golden"
+	"garnetline/internal/golden"
 )
 
 // Items between routers of this version and of the one before are the same bytes.
--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -1,43 +1,87 @@
-// Package golden compares bytes with files in testdata, for tests that pin stored forms and
-// messages between routers. Only tests import it.
+// Package golden compares bytes with files in testdata, for tests that pin stored forms,
+// messages on a wire, and names that operators' scripts rest on. Only tests import it.
+//
+// The files were written by the program before its identifiers were renamed. They are
+// written anew with
+//
+//	UPDATE_GOLDEN=1 go test ./PACKAGE
+//
+// which is right only where such a form is changed on purpose, in a way that programs of the
+// version before can read.
 package golden
 
 import (
+	"bufio"
 	"bytes"
+	"encoding/hex"
+	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 )
 
-// updateVariable is the environment variable with which Compare writes the files instead:
-//
-//	GOLDEN_UPDATE=1 go test ./internal/PACKAGE/
-const updateVariable = "GOLDEN_UPDATE"
+// updateVariable is the environment variable with which Compare writes the files first.
+const updateVariable = "UPDATE_GOLDEN"
+
+// Message is one named message of a file that CompareMessages reads.
+type Message struct {
+	Name  string
+	Bytes []byte
+}
 
-// Compare fails the test unless got is what testdata/name holds, to the byte.
-func Compare(t testing.TB, name string, got []byte) {
+// Compare fails the test unless got is what testdata/name holds, to the byte. It returns what
+// the file holds.
+func Compare(t testing.TB, name string, got []byte) []byte {
 	t.Helper()
 	if os.Getenv(updateVariable) != "" {
-		if err := os.MkdirAll("testdata", 0o755); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path(name), got, 0o644); err != nil {
-			t.Fatal(err)
-		}
+		write(t, name, got)
+	}
+	want := Read(t, name)
+	if !bytes.Equal(got, want) {
+		t.Errorf("%s differs (%d bytes, want %d):\ngot\n%s\nwant\n%s", name, len(got), len(want), got, want)
+	}
+	return want
+}
+
+// CompareMessages is Compare for messages, one a line: its name and its bytes in
+// hexadecimal. It returns the messages of the file.
+func CompareMessages(t testing.TB, name string, got []Message) []Message {
+	t.Helper()
+	var text bytes.Buffer
+	for _, message := range got {
+		fmt.Fprintf(&text, "%s %x\n", message.Name, message.Bytes)
 	}
-	if want := Read(t, name); !bytes.Equal(got, want) {
-		t.Errorf("%s differs (%d bytes, want %d):\ngot  %q\nwant %q", name, len(got), len(want), got, want)
+	var want []Message
+	lines := bufio.NewScanner(bytes.NewReader(Compare(t, name, text.Bytes())))
+	for lines.Scan() {
+		label, digits, _ := strings.Cut(lines.Text(), " ")
+		content, err := hex.DecodeString(digits)
+		if err != nil {
+			t.Fatalf("%s: %s: %v", name, label, err)
+		}
+		want = append(want, Message{Name: label, Bytes: content})
 	}
+	return want
 }
 
 // Read returns what testdata/name holds.
 func Read(t testing.TB, name string) []byte {
 	t.Helper()
-	content, err := os.ReadFile(path(name))
+	content, err := os.ReadFile(filepath.Join("testdata", name))
 	if err != nil {
 		t.Fatal(err)
 	}
 	return content
 }
 
-func path(name string) string { return filepath.Join("testdata", name) }
+func write(t testing.TB, name string, content []byte) {
+	t.Helper()
+	path := filepath.Join("testdata", name)
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, content, 0o644); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/lab/golden_test.go
+++ b/internal/lab/golden_test.go
@@ -10,7 +10,7 @@
 
 // Experiments with a seed give what they always gave, so that figures of several releases
 // can be held against each other. Register is left out: its counts differ from run to run
-// with one seed. GOLDEN_UPDATE=1 rewrites testdata.
+// with one seed. UPDATE_GOLDEN=1 rewrites testdata.
 func TestResultsOfASeed(t *testing.T) {
 	var text bytes.Buffer
 	for _, off := range []Safeguard{None, Write} {
--- a/internal/trace/golden_test.go
+++ b/internal/trace/golden_test.go
@@ -10,7 +10,7 @@
 )
 
 // Kept records are read by later releases, and written as they always were.
-// GOLDEN_UPDATE=1 rewrites testdata.
+// UPDATE_GOLDEN=1 rewrites testdata.
 func TestRecordFormat(t *testing.T) {
 	const start = 1_700_000_000_000.0
 	l := Begin(Trace{ID: ID{1, 2, 3, 15: 16}, Remote: 99, Router: "n1", Txn: "9b1f03aa5c7e2d41", Class: "part", Object: 1 << 60, Part: 3,
--- a/internal/trace/store/golden_test.go
+++ b/internal/trace/store/golden_test.go
@@ -12,7 +12,7 @@
 )
 
 // Segments are read by later releases, and written as they always were.
-// GOLDEN_UPDATE=1 rewrites testdata.
+// UPDATE_GOLDEN=1 rewrites testdata.
 func TestSegmentFormat(t *testing.T) {
 	folder := t.TempDir()
 	w, err := Open(folder, 1<<20, 1<<30)
