A 304 only where the cache named the client's copy; KEEP of another is an error

Seen: a cache that is offered the tag of the client's copy and answers KEEP with another tag, with none or with two has its answer taken as "the client's copy holds", and the client gets a 304 for a copy that no cache has named.

Cause: reply.end (internal/peer/resp.go, the cases of KEEP) looked only at whether a tag had been offered; the tag of the answer was read but held against nothing. Ruled out: the front, which writes 304 for core.Same alone and takes one strong, plain tag from If-None-Match; the core, which passes the answer on; other makers of core.Same (none).

Change: KEEP counts as served where it names exactly the offered tag, once. Otherwise it is an error, as KEEP with nothing offered already was: the module goes on by the class's effect.

FuzzReply asserted that every KEEP is served where a tag was offered. That was wrong by the term above; it now asserts that DONE, and KEEP with exactly the offered tag, are served and nothing else is, and besides that only the latter may become a 304. Without the mend its seeds fail. With it: internal/peer passes, TestServe of cmd/garnetline (KEEP to a 304) passes.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -419,6 +419,7 @@
 // for an answer reads the same when it is written again.
 func FuzzReply(f *testing.F) {
 	for _, s := range []string{"*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$5\r\ntag=x\r\n$3\r\nabc\r\n", "*4\r\n$1\r\na\r\n$4\r\nKEEP\r\n$1\r\n-\r\n$0\r\n\r\n",
+		"*4\r\n$1\r\na\r\n$4\r\nKEEP\r\n$5\r\ntag=x\r\n$0\r\n\r\n", "*4\r\n$1\r\na\r\n$4\r\nKEEP\r\n$5\r\ntag=y\r\n$0\r\n\r\n",
 		"*4\r\n$999999999\r\n", "*-1\r\n", "$4\r\nDONE\r\n", "*4\r\n$1\r\nabc", strings.Repeat("x", 9000), "*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$7\r\nl=x1:+9\r\n$0\r\n\r\n"} {
 		f.Add([]byte(s))
 	}
@@ -434,8 +435,12 @@
 			t.Errorf("%+v became %+v, %v", r, r2, err)
 		}
 		e, err := r.end(&core.Attempt{Req: &core.Request{Known: "x"}})
-		if err == nil && (e.Result == decide.Served) != (r.word == "DONE" || r.word == "KEEP") {
-			t.Errorf("%s became %v", r.word, e.Result)
+		named := strings.Count(","+r.fields, ",tag=") == 1 && strings.Contains(","+r.fields+",", ",tag=x,")
+		if err == nil && (e.Result == decide.Served) != (r.word == "DONE" || r.word == "KEEP" && named) {
+			t.Errorf("%s with %q became %v", r.word, r.fields, e.Result)
+		}
+		if err == nil && (e.Answer.Kind == core.Same) != (r.word == "KEEP" && named) {
+			t.Errorf("%s with %q is answered as %v", r.word, r.fields, e.Answer.Kind)
 		}
 	})
 }
--- a/internal/peer/resp.go
+++ b/internal/peer/resp.go
@@ -101,7 +101,7 @@
 func (r reply) end(a *core.Attempt) (core.End, error) {
 	e := core.End{Attempt: a, Load: core.NoLoad()}
 	var ok bool
-	notes, lags := 0, 0
+	notes, lags, tags := 0, 0, 0
 	if e.Result, ok = results[r.word]; !ok {
 		return e, fmt.Errorf("%w: word %.20q", errFrame, r.word)
 	}
@@ -116,6 +116,7 @@
 					return e, fmt.Errorf("%w: tag", errFrame)
 				}
 				e.Answer.Tag = value
+				tags++
 			case name == "l":
 				load(&e.Load, value)
 			case name == "n":
@@ -136,8 +137,10 @@
 	switch {
 	case r.word == "DONE":
 		e.Answer.Kind, e.Answer.Body = core.Served, r.body
-	case r.word == "KEEP" && a.Req.Known == "":
-		e.Result = decide.Errored // nothing was offered that could be kept
+	case r.word == "KEEP" && (a.Req.Known == "" || tags != 1 || e.Answer.Tag != a.Req.Known):
+		// Symptom guarded against: a cache that named another copy, or none, had the client
+		// told by a 304 that its own is current.
+		e.Result = decide.Errored
 	case r.word == "KEEP":
 		e.Answer.Kind = core.Same
 	}
