Terms on connections to caches each have a test over a loopback connection

Need: several terms of the standing test on connections to caches had tests on a stand-in connection or none at all.

Order is by channels, counters and the set clock.

--- a/internal/peer/tcp_test.go
+++ b/internal/peer/tcp_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -183,3 +184,224 @@
 		}
 	}
 }
+
+// tcpPair is both ends of a loopback connection.
+func tcpPair(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	if near, err = net.Dial("tcp", ln.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if far, err = ln.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		near.Close()
+		far.Close()
+	})
+	return near, far
+}
+
+// counter waits until a counter of the pool has a value.
+func (s *cacheServer) counter(name string, want int64) {
+	s.t.Helper()
+	for until := time.Now().Add(testTimeout); s.pool.Stats.Counter(name).Load() < want; {
+		if time.Now().After(until) {
+			s.t.Fatalf("%s did not come to %d", name, want)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// connections waits until so many are open or being dialled.
+func (s *cacheServer) connections(want int64) {
+	s.t.Helper()
+	for until := time.Now().Add(testTimeout); s.pool.live.Load() != want; {
+		if time.Now().After(until) {
+			s.t.Fatalf("%d connections, not %d", s.pool.live.Load(), want)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// noEnd checks that no attempt has ended.
+func (s *cacheServer) noEnd() {
+	s.t.Helper()
+	select {
+	case e := <-s.ends:
+		s.t.Fatalf("%s ended as %v", e.Attempt.Req.Txn, e.Result)
+	default:
+	}
+}
+
+// A command is small and is written at once: held back by the system it would go with a
+// connection that is reset.
+func TestNoDelayIsSet(t *testing.T) {
+	dialled := make(chan net.Conn, 1)
+	s := newCacheServer(t, func(o *Options) {
+		tcp := NewPool(context.Background(), Options{}).Dial
+		o.Dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+			c, err := tcp(ctx, to)
+			dialled <- c
+			return c, err
+		}
+	})
+	s.send("a", "")
+	s.accept().command()
+	raw, err := (<-dialled).(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	on := 0
+	if err := raw.Control(func(fd uintptr) { on, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_NODELAY) }); err != nil || on == 0 {
+		t.Errorf("TCP_NODELAY is %d, %v", on, err)
+	}
+}
+
+// Half a line of an answer, and then the connection's end: what is open on it ends once as
+// broken, and what follows takes a new connection.
+func TestConnectionEndsInsideReply(t *testing.T) {
+	for name, end := range map[string]func(c *cacheConn){
+		"closed": func(c *cacheConn) { c.Close() },
+		"reset":  func(c *cacheConn) { c.SetLinger(0); c.Close() },
+	} {
+		s := newCacheServer(t, nil)
+		a := s.send("a", "")
+		c := s.accept()
+		c.command()
+		c.say("*4\r\n$1\r\na\r\n$4\r\nDO")
+		end(c)
+		if e := s.end(a); e.Result != decide.Broken {
+			t.Errorf("%s: ended as %v", name, e.Result)
+		}
+		b := s.send("b", "")
+		c = s.accept()
+		c.command()
+		c.say(frame("b", "DONE", "tag=t", "body"))
+		if e := s.end(b); e.Result != decide.Served || string(e.Answer.Body) != "body" {
+			t.Errorf("%s: what followed ended as %v", name, e.Result)
+		}
+		s.noEnd()
+	}
+}
+
+// A cache that closes over a command it has not read resets the connection under the
+// request: it may have run.
+func TestResetOverUnreadCommand(t *testing.T) {
+	s := newCacheServer(t, nil)
+	a := s.send("a", "")
+	c := s.accept()
+	if _, err := c.in.Peek(1); err != nil { // it has come, and the system still holds what follows
+		t.Fatal(err)
+	}
+	c.SetLinger(0)
+	c.Close()
+	if e := s.end(a); e.Result != decide.Broken {
+		t.Errorf("ended as %v", e.Result)
+	}
+	s.connections(0)
+}
+
+// This side closes a connection on which half an answer waits unread, as it does where the
+// request is given up to be sent again: the end comes once, whatever the reader says after.
+func TestCloseOverUnreadBytes(t *testing.T) {
+	s := newCacheServer(t, nil)
+	a := s.send("a", "")
+	c := s.accept()
+	c.command()
+	c.say("*4\r\n$1\r\na\r\n$4\r\nDO")
+	a.Again = true
+	s.pool.Cancel(a)
+	if e := s.end(a); e.Result != decide.Cancelled {
+		t.Errorf("ended as %v", e.Result)
+	}
+	if _, err := c.in.ReadByte(); err == nil {
+		t.Error("the connection is still open")
+	}
+	s.connections(0)
+	s.noEnd()
+}
+
+// A second answer some ms after the first is nobody's, whatever it says, and the connection
+// goes on.
+func TestDuplicateReplyAfterCompletion(t *testing.T) {
+	s := newCacheServer(t, nil)
+	a := s.send("a", "")
+	c := s.accept()
+	c.command()
+	c.say(frame("a", "DONE", "tag=t", "first"))
+	if e := s.end(a); string(e.Answer.Body) != "first" {
+		t.Errorf("answered with %q", e.Answer.Body)
+	}
+	b := s.send("b", "")
+	c.command()
+	c.say(frame("a", "DONE", "tag=t", "second"))
+	s.counter("peer_answers_late", 1)
+	s.noEnd()
+	c.say(frame("b", "DONE", "tag=t", "own"))
+	if e := s.end(b); string(e.Answer.Body) != "own" {
+		t.Errorf("the next was answered with %q", e.Answer.Body)
+	}
+}
+
+// A connection that comes up late takes what still waits for it; one that never comes up
+// proves, when the settings' time for it is over, that nothing ran.
+func TestLateConnection(t *testing.T) {
+	up := make(chan struct{})
+	s := newCacheServer(t, func(o *Options) {
+		o.Dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+			<-up
+			return (&net.Dialer{}).DialContext(ctx, "tcp", to.String())
+		}
+	})
+	a, b := s.send("a", ""), s.sendBy("b", "", s.clk.Now()+1500)
+	s.clk.Advance(1500) // b's window has ended
+	close(up)
+	if e := s.end(b); e.Result != decide.NotSent {
+		t.Errorf("what may not be written any more ended as %v", e.Result)
+	}
+	c := s.accept()
+	if cmd := c.command(); cmd[1] != "a" {
+		t.Errorf("%s was written", cmd[1])
+	}
+	c.say(frame("a", "DONE", "-", ""))
+	if e := s.end(a); e.Result != decide.Served {
+		t.Errorf("what waited ended as %v", e.Result)
+	}
+
+	s = newCacheServer(t, func(o *Options) {
+		o.Conn = func() config.Conn { return config.Conn{Idle: 15_000, Connect: 20, MaxStreams: 4} }
+		o.Dial = func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+	})
+	if e := s.end(s.send("a", "")); e.Result != decide.Unreached {
+		t.Errorf("on a connection that never came up it ended as %v", e.Result)
+	}
+	s.connections(0)
+}
+
+// An idle connection that the cache closes early ends nothing, and is not written to any more.
+func TestServerClosesIdleConnection(t *testing.T) {
+	s := newCacheServer(t, nil)
+	a := s.send("a", "")
+	c := s.accept()
+	c.command()
+	c.say(frame("a", "LACK", "-", ""))
+	s.end(a)
+	c.Close()
+	s.connections(0)
+	s.noEnd()
+	b := s.send("b", "")
+	c = s.accept()
+	c.command()
+	c.say(frame("b", "DONE", "-", ""))
+	if e := s.end(b); e.Result != decide.Served {
+		t.Errorf("what followed ended as %v", e.Result)
+	}
+}
