Golden RESP commands and replies, and benchmarks of writing and reading them

Need: names and shape of this package are about to change and the bytes may not.

Change: testdata holds each form of a command as written, each form of a reply with what it is read as (whole and a byte at a time), and replies to probes. `-update` writes them anew.

Measured: the tests pass.

--- /dev/null
+++ b/internal/peer/golden_test.go
@@ -0,0 +1,192 @@
+package peer
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"garnetline/decide"
+	"garnetline/internal/core"
+	"garnetline/internal/sock"
+	"garnetline/internal/trace"
+)
+
+// The files in testdata hold what goes over the wire to caches and back. They are written
+// anew by `go test ./internal/peer -run Golden -update`, which only a change of the wire calls for.
+var update = flag.Bool("update", false, "write the golden files of testdata")
+
+// golden compares bytes with a file of testdata.
+func golden(t *testing.T, name string, got []byte) {
+	t.Helper()
+	path := "testdata/" + name
+	if *update {
+		if err := os.WriteFile(path, got, 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(got, want) {
+		t.Errorf("%s: got\n%s\nwant\n%s", name, got, want)
+	}
+}
+
+// goldenAttempts are one of each form of a command: each field, each word of opts and each bound.
+func goldenAttempts() []*core.Attempt {
+	const now = 1.7e12
+	part := &decide.Class{Name: "video-part"}
+	write := &decide.Class{Name: "submit", Write: true, Effect: decide.Unsafe}
+	attempt := func(txn string, class *decide.Class, get decide.Get) *core.Attempt {
+		return &core.Attempt{Req: &core.Request{Txn: txn, Object: 0x7f3a9c21e0b4d655, Part: 3, Group: 17}, Class: class, Get: get, Until: now + 1480.6}
+	}
+	plain := attempt("9b1f03aa5c7e2d41", part, decide.Get{Server: 0xc41f7a, Source: 0xc41f7a})
+	filled := attempt("9b1f03aa5c7e2d42", part, decide.Get{Server: 0xc41f7a, Source: 8, Keep: 3, Join: true})
+	held := attempt("9b1f03aa5c7e2d43", part, decide.Get{Server: 0xc41f7a, Source: 0xffffffff, HeldOnly: true, Renew: true})
+	all := attempt("9b1f03aa5c7e2d44", part, decide.Get{Server: 1, Source: 2, Keep: 1, Join: true, HeldOnly: true, Renew: true})
+	all.Req.Known = "4be0c1927d55a6f3"
+	all.Req.Key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+	written := attempt("9b1f03aa5c7e2d45", write, decide.Get{Server: 9, Source: 9})
+	written.Req.Body = []byte("$4\r\nbody\x00\xff")
+	written.Req.Object, written.Req.Part = 1, 0
+	late := attempt("9b1f03aa5c7e2d46", part, decide.Get{Server: 9, Source: 9})
+	late.Until = now - 5
+	return []*core.Attempt{plain, filled, held, all, written, late}
+}
+
+func TestGoldenCommands(t *testing.T) {
+	var out []byte
+	for i, a := range goldenAttempts() {
+		age := []float64{0, 0.4, 7999.9}[i%3]
+		out = appendServe(out, a, age, 1.7e12, "")
+	}
+	m := newModel(t)
+	m.p.Traced = true
+	m.p.kept <- trace.ID{1}
+	m.p.kept <- trace.ID{2}
+	traced := goldenAttempts()[1]
+	traced.Trace = &core.Trace{Context: trace.Parent{Trace: trace.ID{5}, Span: 6, Sampled: true}}
+	out = appendServe(out, traced, 20, 1.7e12, m.p.context(traced))
+	out = appendCancel(out, "9b1f03aa5c7e2d41")
+	golden(t, "commands.resp", out)
+	if got := commands(t, out); len(got) != 8 || got[4][3] != "$4\r\nbody\x00\xff" || got[7][0] != "cancel" {
+		t.Errorf("read back as %q", got)
+	}
+}
+
+// goldenReplies are one of each form of an answer.
+func goldenReplies() []byte {
+	var out []byte
+	for _, r := range [][4]string{
+		{"a1", "DONE", "tag=4be0c1927d55a6f3,minted=1764576000123", "bytes\r\n*4\r\n\x00"},
+		{"a2", "DONE", "-", ""},
+		{"a3", "DONE", "n=merged,lag=41.5,l=inflight:7;util:0.61;x0:0.5;x1:0.25,tag=t", "b"},
+		{"a4", "KEEP", "tag=offered,minted=5", ""},
+		{"a5", "KEEP", "tag=other,minted=5", ""},
+		{"a6", "LACK", "n=up_empty,lag=3", ""},
+		{"a7", "WAIT", "l=active:3;cpu:0.9", ""},
+		{"a8", "BROKE", "n=root_failed,n=cached,lag=1,lag=2", ""},
+		{"a9", "PAST", "", ""},
+		{"b1", "DONE", "unknown=1,l=inflight:x;util:-1;x1", "b"},
+		{"b2", "OTHER", "-", ""},
+		{"b3", "DONE", "tag=not plain", ""},
+		{"b4", "DONE", "tag", ""},
+		{"b5", "FIT", "l=util:0.5;inflight:2", ""},
+	} {
+		out = append(out, "*4\r\n"...)
+		for _, s := range r {
+			out = appendBulk(out, s)
+		}
+	}
+	return out
+}
+
+// TestGoldenReplies reads each form of an answer, whole and a byte at a time.
+func TestGoldenReplies(t *testing.T) {
+	golden(t, "replies.resp", goldenReplies())
+	stored, err := os.ReadFile("testdata/replies.resp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, in := range []io.Reader{bytes.NewReader(stored), iotest.OneByteReader(bytes.NewReader(stored))} {
+		k := sock.New(source{r: in})
+		var out strings.Builder
+		for {
+			r, err := readReply(k, nil)
+			if err != nil {
+				fmt.Fprintf(&out, "%v\n", err)
+				break
+			}
+			a := &core.Attempt{Req: &core.Request{Known: "offered"}, Get: decide.Get{Server: 7}}
+			e, err := r.end(a)
+			if err != nil {
+				fmt.Fprintf(&out, "%s %v\n", r.id, err)
+				continue
+			}
+			fmt.Fprintf(&out, "%s result=%d kind=%d server=%d tag=%q body=%q note=%d waited=%g load=%g,%g,%g,%g\n", r.id, int(e.Result), int(e.Answer.Kind),
+				uint32(e.Answer.Server), e.Answer.Tag, e.Answer.Body, int(e.Note), e.Waited, e.Load.Inflight, e.Load.Busy, e.Load.HitShare, e.Load.Link)
+		}
+		golden(t, "replies.golden", []byte(out.String()))
+	}
+}
+
+// TestGoldenGauges reads the answer to a probe.
+func TestGoldenGauges(t *testing.T) {
+	var out strings.Builder
+	for _, r := range [][3]string{{"p", "FIT", "l=util:0.5;inflight:2;x0:1;x1:0"}, {"p", "UNFIT", "-"}, {"q", "FIT", "-"}, {"p", "DONE", "-"}} {
+		near, far := tcpPair(t)
+		if _, err := far.Write([]byte(frame(r[0], r[1], r[2], ""))); err != nil {
+			t.Fatal(err)
+		}
+		l, err := ReadGauges(sock.New(near), "p", 100, 5000)
+		fmt.Fprintf(&out, "%s %s %s: load=%g,%g,%g,%g %v\n", r[0], r[1], r[2], l.Inflight, l.Busy, l.HitShare, l.Link, err)
+	}
+	golden(t, "gauges.golden", []byte(out.String()))
+}
+
+func BenchmarkAppendServe(b *testing.B) {
+	attempts := goldenAttempts()
+	var out []byte
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		out = appendServe(out[:0], attempts[i%len(attempts)], 20, 1.7e12, "")
+	}
+}
+
+// repeated brings the same bytes for ever.
+type repeated struct {
+	text []byte
+	at   int
+}
+
+func (r *repeated) Read(p []byte) (int, error) {
+	n := copy(p, r.text[r.at:])
+	r.at = (r.at + n) % len(r.text)
+	return n, nil
+}
+
+func BenchmarkReply(b *testing.B) {
+	for name, size := range map[string]int{"small": 100, "large": 100_000} {
+		b.Run(name, func(b *testing.B) {
+			text := frame("9b1f03aa5c7e2d41", "DONE", "tag=4be0c1927d55a6f3,minted=1764576000123,n=cached,lag=1.5,l=inflight:7;util:0.61", strings.Repeat("x", size))
+			k := sock.New(source{r: &repeated{text: []byte(text)}})
+			a := &core.Attempt{Req: &core.Request{}, Get: decide.Get{Server: 7}}
+			b.ReportAllocs()
+			for b.Loop() {
+				r, err := readReply(k, nil)
+				if err == nil {
+					_, err = r.end(a)
+				}
+				if err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
