--- /dev/null
+++ b/internal/front/http/bench_test.go
@@ -0,0 +1,81 @@
+package http
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"garnetline/internal/core"
+)
+
+// servedAtOnce is a core that answers in Submit and keeps nothing.
+type servedAtOnce struct{ answer core.Answer }
+
+func (c *servedAtOnce) Submit(r *core.Request) bool { r.Reply(c.answer); return true }
+func (c *servedAtOnce) Leave(*core.Request)         {}
+
+// BenchmarkRequest measures one request and its answer over a kept loopback connection.
+// The client allocates nothing, so that allocations are the front's alone.
+func BenchmarkRequest(b *testing.B) {
+	for name, text := range map[string]string{"read": get(object, "X-Family: 17", `If-None-Match: "4be0c1927d55a6f3"`), "write": put(3) + "abc"} {
+		b.Run(name, func(b *testing.B) {
+			s := newServer(&fake{})
+			s.Core = &servedAtOnce{core.Answer{Kind: core.Served, Body: make([]byte, 2048), Tag: "4be0c1927d55a6f3"}}
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			go s.Serve(l)
+			conn, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer s.Finish()
+			defer conn.Close()
+			request := []byte(text)
+			head := "HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nETag: \"4be0c1927d55a6f3\"\r\nContent-Length: 2048\r\n\r\n"
+			response := make([]byte, len(head)+2048)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := conn.Write(request); err != nil {
+					b.Fatal(err)
+				}
+				if _, err := io.ReadFull(conn, response); err != nil {
+					b.Fatal(err)
+				}
+			}
+			if string(response[:len(head)]) != head {
+				b.Fatalf("%q", response[:len(head)])
+			}
+		})
+	}
+}
+
+// BenchmarkParse measures the step from a read request to the core's.
+func BenchmarkParse(b *testing.B) {
+	s := newServer(&fake{})
+	c := s.newConn(&memory{in: &repeated{text: get(object, "X-Family: 17", `If-None-Match: "4be0c1927d55a6f3"`)}})
+	c.k.Allow(maxHead)
+	r, bad := c.read()
+	if bad != nil {
+		b.Fatal(bad.why)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, bad := s.parse(r); bad != nil {
+			b.Fatal(bad.why)
+		}
+	}
+}
+
+// repeated brings one text again and again.
+type repeated struct {
+	text string
+	at   int
+}
+
+func (r *repeated) Read(p []byte) (int, error) {
+	n := copy(p, r.text[r.at:])
+	r.at = (r.at + n) % len(r.text)
+	return n, nil
+}
