--- a/cmd/garnetlab/fleet.go
+++ b/cmd/garnetlab/fleet.go
@@ -163,7 +163,7 @@
 				for _, m := range s.Members {
 					by[m.State] = append(by[m.State], m.Name)
 				}
-				now = fmt.Sprintf("%-8s sees %d of %d", s.Stance, s.There, s.Known)
+				now = fmt.Sprintf("%-8s sees %d of %d", s.Connectivity, s.Present, s.Known)
 				for _, k := range []string{"suspect", "failed", "left"} {
 					if len(by[k]) > 0 {
 						now += fmt.Sprintf(", %s: %s", k, strings.Join(by[k], " "))
--- a/cmd/garnetline/bans.go
+++ b/cmd/garnetline/bans.go
@@ -46,7 +46,7 @@
 				_, err := out.Write(text)
 				return err
 			}
-			p := keeper.Page{}
+			p := keeper.Status{}
 			if err := json.Unmarshal(text, &p); err != nil {
 				return err
 			}
@@ -57,26 +57,26 @@
 		}}
 }
 
-func showBans(out io.Writer, p *keeper.Page) error {
+func showBans(out io.Writer, p *keeper.Status) error {
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	if p.Read == 0 {
+	if p.ReadAt == 0 {
 		fmt.Fprintln(t, "register\tnot read yet")
 	} else {
-		fmt.Fprintf(t, "register\tas of %s\n", stamp(p.Read))
+		fmt.Fprintf(t, "register\tas of %s\n", stamp(p.ReadAt))
 	}
 	fmt.Fprintln(t, "BOX\tIS\tHERE\tSINCE\tWHO\tWHY\tVERSION")
 	for _, b := range p.Bans {
 		is, here := "in", "in"
-		if b.Out {
+		if b.Disabled {
 			is = "out"
 		}
-		if slices.Contains(p.Here, b.Box) {
+		if slices.Contains(p.DisabledHere, b.Server) {
 			here = "out"
 		}
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%d\n", b.Box, is, here, stamp(b.At), b.Who, b.Why, b.Version)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%d\n", b.Server, is, here, stamp(b.SetAt), b.SetBy, b.Reason, b.Version)
 	}
-	for _, box := range p.Here {
-		if !slices.ContainsFunc(p.Bans, func(b keeper.Ban) bool { return b.Box == box }) {
+	for _, box := range p.DisabledHere {
+		if !slices.ContainsFunc(p.Bans, func(b keeper.Ban) bool { return b.Server == box }) {
 			fmt.Fprintf(t, "%s\tnot filed yet\tout\t-\t-\t-\t-\n", box)
 		}
 	}
--- a/cmd/garnetline/fleet.go
+++ b/cmd/garnetline/fleet.go
@@ -112,10 +112,10 @@
 func showDuties(out io.Writer, p *dutyPage) error {
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	for _, l := range p.Held {
-		fmt.Fprintf(t, "held here\t%s under token %d\n", l.Duty, l.Token)
+		fmt.Fprintf(t, "held here\t%s under token %d\n", l.Name, l.FencingToken)
 	}
 	r := p.Register
-	if !r.Elector {
+	if !r.Voter {
 		fmt.Fprintln(t, "register\tthis router is no elector")
 		return t.Flush()
 	}
@@ -127,12 +127,12 @@
 	if r.Fault != "" {
 		fmt.Fprintf(t, "stopped\t%s\n", strings.ReplaceAll(r.Fault, "\n", ": "))
 	}
-	for _, d := range r.Duties {
+	for _, d := range r.Leases {
 		holder := d.Holder
 		if holder == "" {
 			holder = "nobody"
 		}
-		fmt.Fprintf(t, "%s\t%s under token %d\n", d.Duty, holder, d.Token)
+		fmt.Fprintf(t, "%s\t%s under token %d\n", d.Name, holder, d.FencingToken)
 	}
 	return t.Flush()
 }
@@ -161,10 +161,10 @@
 		if err != nil {
 			return nil, fmt.Errorf("mgmt: not given, and %w", err)
 		}
-		if !conf.Mgmt.IsValid() {
+		if !conf.AdminListen.IsValid() {
 			return nil, errors.New("mgmt: not given, and the configuration names none")
 		}
-		addr = conf.Mgmt.String()
+		addr = conf.AdminListen.String()
 	}
 	return ask(addr, method, path)
 }
@@ -204,17 +204,17 @@
 
 func status(out io.Writer, s *fleet.Status) error {
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(t, "router\t%s, seat %s, life %d\n", s.Name, s.Seat, s.Life)
+	fmt.Fprintf(t, "router\t%s, seat %s, life %d\n", s.Name, s.RouterID, s.Incarnation)
 	fmt.Fprintf(t, "fleet\t%s\n", s.Fleet)
-	fmt.Fprintf(t, "stance\t%s since %s\n", s.Stance, stamp(s.Since))
-	fmt.Fprintf(t, "there\t%d of %d known lately\n", s.There, s.Known)
-	if s.Health > 0 {
-		fmt.Fprintf(t, "slowness\t%d: it takes itself for slow, and accuses later\n", s.Health)
+	fmt.Fprintf(t, "stance\t%s since %s\n", s.Connectivity, stamp(s.ConnectivitySince))
+	fmt.Fprintf(t, "there\t%d of %d known lately\n", s.Present, s.Known)
+	if s.HealthScore > 0 {
+		fmt.Fprintf(t, "slowness\t%d: it takes itself for slow, and accuses later\n", s.HealthScore)
 	}
 	if !s.Bound {
 		fmt.Fprintln(t, "socket\twaits: another process has the address")
 	}
-	if s.Yielded {
+	if s.Superseded {
 		fmt.Fprintln(t, "seat\ta later process has it")
 	}
 	if len(s.Bans) > 0 {
@@ -237,14 +237,14 @@
 			way = "-"
 		}
 		since := "-"
-		if m.Since > 0 {
-			since = stamp(m.Since)
+		if m.StateSince > 0 {
+			since = stamp(m.StateSince)
 		}
-		by := m.By
+		by := m.ReportedBy
 		if by == "" {
 			by = "-"
 		}
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d.%d\t%s\t%s\n", m.Name, m.State, since, by, way, m.Zone, m.Version, m.Life, m.Inc, m.Addr, m.Seat)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d.%d\t%s\t%s\n", m.Name, m.State, since, by, way, m.Zone, m.Version, m.Incarnation, m.Refutations, m.Addr, m.RouterID)
 	}
 	return t.Flush()
 }
@@ -267,9 +267,9 @@
 		if err != nil {
 			now["door"] = "does not answer: " + err.Error()
 		} else {
-			now["stance"] = fmt.Sprintf("%s, %d of %d there", s.Stance, s.There, s.Known)
+			now["stance"] = fmt.Sprintf("%s, %d of %d there", s.Connectivity, s.Present, s.Known)
 			for _, m := range s.Members {
-				now[m.Name+" "+m.Seat] = fmt.Sprintf("%s, life %d at %s", m.State, m.Life, m.Addr)
+				now[m.Name+" "+m.RouterID] = fmt.Sprintf("%s, life %d at %s", m.State, m.Incarnation, m.Addr)
 			}
 			for _, b := range s.Bans {
 				now["box "+b] = "banned"
--- a/cmd/garnetline/golden_test.go
+++ b/cmd/garnetline/golden_test.go
@@ -22,7 +22,7 @@
 
 // The keys under which operators' scripts find the register and the leases held.
 func TestKeysOfTheDutyPage(t *testing.T) {
-	text, err := json.Marshal(dutyPage{Register: &duties.Shown{}, Held: []duties.Lease{{}}})
+	text, err := json.Marshal(dutyPage{Register: &duties.Status{}, Held: []duties.Lease{{}}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/garnetline/main.go
+++ b/cmd/garnetline/main.go
@@ -62,7 +62,7 @@
 // check says what a configuration and an operators' file hold. Where no configuration is
 // named, an operators' file is checked by itself.
 func check(c *cli.Command, out io.Writer) error {
-	var file settings.File
+	var file settings.Config
 	if c.String("config") == "" && os.Getenv("EDGE_CONFIG") == "" && c.String("settings") != "" && c.String("dns") == "" {
 		var err error
 		if file, err = settings.Load(c.String("settings")); err != nil {
@@ -77,7 +77,7 @@
 		conf := with.conf
 		file = with.file
 		fmt.Fprintf(out, "%s: listens on %v, change log at %v, %d events known, %d classes\n",
-			conf.Name, conf.Listen, conf.ChangeLog, len(conf.Known), len(conf.Settings.Classes))
+			conf.Name, conf.Listen, conf.Discovery, len(conf.KnownEvents), len(conf.Settings.Classes))
 	}
 	if file.DNS.Enabled {
 		fmt.Fprintf(out, "DNS front: %s at %s\n", file.DNS.Zone, file.DNS.Listen)
@@ -86,8 +86,8 @@
 		fmt.Fprintf(out, "fleet %s: listens on %s, joins at %d addresses, %d keys\n", file.Fleet.Name, file.Fleet.Listen, len(file.Fleet.Join), len(file.Fleet.Keys))
 		t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 		fmt.Fprintln(t, "\ttogether\tpartial\talone")
-		for _, r := range stance.Table() {
-			fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", r.Thing, r.Together, r.Partial, r.Alone)
+		for _, r := range stance.Behaviors() {
+			fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", r.Subject, r.Together, r.Partial, r.Alone)
 		}
 		return t.Flush()
 	}
@@ -103,6 +103,6 @@
 		return with, err
 	}
 	logs.New(os.Stderr).Warn().Str("file", c.String("dns")).Msg("--dns: the place of these keys is the dns block of --settings")
-	with.file.DNS, err = dns.Load(c.String("dns"))
+	with.file.DNS, err = dns.LoadConfig(c.String("dns"))
 	return with, err
 }
--- a/cmd/garnetline/mates.go
+++ b/cmd/garnetline/mates.go
@@ -37,16 +37,16 @@
 // mates are the other routers, where the operators' file has a fleet. Without one it is
 // nil: no socket, no goroutine, and its methods do nothing.
 type mates struct {
-	*link.Link
-	list  *changelog.Log
-	core  *core.Core
+	*link.Transport
+	list  *changelog.Watcher
+	core  *core.Dispatcher
 	clock clock.Clock
-	count *stats.Set
+	count *stats.Registry
 
-	duties *duties.Duties // nil: this router takes part in none
-	prober *prober.Prober // nil: it does not probe
-	first  *first.Trier   // nil: it tries what was set aside by itself
-	keeper *keeper.Keeper // nil: the register keeps no bans
+	duties *duties.Manager    // nil: this router takes part in none
+	prober *prober.Collector  // nil: it does not probe
+	first  *first.Coordinator // nil: it tries what was set aside by itself
+	keeper *keeper.Manager    // nil: the register keeps no bans
 
 	actors []actor // of those three, the ones that are there
 
@@ -61,12 +61,12 @@
 }
 
 // join makes the link to the other routers and ties the list to it.
-func join(file settings.File, conf *config.Config, list *changelog.Log, c *core.Core, clk clock.Clock, count *stats.Set, log *zerolog.Logger) (*mates, error) {
+func join(file settings.Config, conf *config.Config, list *changelog.Watcher, c *core.Dispatcher, clk clock.Clock, count *stats.Registry, log *zerolog.Logger) (*mates, error) {
 	s := file.Fleet
 	if !s.Enabled {
 		return nil, nil
 	}
-	set, err := s.Link()
+	set, err := s.TransportSettings()
 	if err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
@@ -74,22 +74,22 @@
 	if zone == "" {
 		zone = conf.Zones[conf.Settings.Zone]
 	}
-	o := link.Options{Settings: set, Name: conf.Name, Zone: zone, Version: version, State: conf.State, Clock: clk, Log: log, Stats: count}
-	marked, err := marks.In(conf.State).All()
+	o := link.Options{Settings: set, Name: conf.Name, Zone: zone, Version: version, StateDir: conf.StateDir, Clock: clk, Log: log, Stats: count}
+	marked, err := marks.NewStore(conf.StateDir).List()
 	if err != nil {
 		count.Add("marks_unread", 1)
 	}
 	for id := range marked {
-		o.Bans = append(o.Bans, id)
+		o.InitialBans = append(o.InitialBans, id)
 	}
 	l, err := link.New(o)
 	if err != nil {
 		return nil, err
 	}
-	list.Join(l)
-	m := &mates{Link: l, list: list, core: c, clock: clk, count: count}
-	if file.Duties.Enabled {
-		if err := m.share(file.Duties, set.Fleet, zone, conf, log); err != nil {
+	list.SetGossip(l)
+	m := &mates{Transport: l, list: list, core: c, clock: clk, count: count}
+	if file.Leases.Enabled {
+		if err := m.share(file.Leases, set.FleetName, zone, conf, log); err != nil {
 			return nil, fmt.Errorf("duties: %w", err)
 		}
 	}
@@ -97,36 +97,38 @@
 }
 
 // share makes this router's part in the duties.
-func (m *mates) share(d settings.Duties, name, zone string, conf *config.Config, log *zerolog.Logger) error {
-	folder := d.Folder
-	if folder == "" && conf.State != "" {
-		folder = filepath.Join(conf.State, "garnetline-elector-"+conf.Name)
+func (m *mates) share(d settings.Leases, name, zone string, conf *config.Config, log *zerolog.Logger) error {
+	folder := d.WALDir
+	if folder == "" && conf.StateDir != "" {
+		folder = filepath.Join(conf.StateDir, "garnetline-elector-"+conf.Name)
 	}
 	boot := clock.NewBoot()
-	o := duties.Options{Settings: duties.Settings{Fleet: name, Electors: d.Electors, Agree: d.Agree()}, Name: conf.Name, Life: m.View().Life,
-		Link: m.Link, Clock: boot, Log: log, Stats: m.count, Ready: m.willing}
-	if slices.Contains(d.Electors, conf.Name) {
+	o := duties.Options{Settings: duties.Settings{Fleet: name, Voters: d.Voters, Consensus: d.ConsensusSettings()}, Name: conf.Name, Incarnation: m.Status().Incarnation,
+		Transport: m.Transport, Clock: boot, Log: log, Metrics: m.count, Eligible: m.willing}
+	if slices.Contains(d.Voters, conf.Name) {
 		if folder == "" {
 			return errors.New("folder: an elector wants one that outlives it")
 		}
-		o.Disk = disk.Folder(folder)
+		o.LogDir = disk.Dir(folder)
 	}
 	var wants []string
-	if d.Prober != nil {
-		wants = append(wants, prober.Duty(zone))
+	if d.LoadReport != nil {
+		wants = append(wants, prober.LeaseName(zone))
 	}
-	if d.First != nil {
-		wants = append(wants, first.Duty(zone))
+	if d.RecoveryProbe != nil {
+		wants = append(wants, first.LeaseName(zone))
 	}
 	self := m.Members().Self
 	if b := d.Bans; b != nil {
-		set := keeper.Default()
-		set.Every = b.Every
-		m.keeper = keeper.New(keeper.Options{Settings: set, State: conf.State, Name: conf.Name, Ready: b.Ready, Out: m.list.Out, Switch: m.list.Switch,
-			Follow: m.list.Follow, Clock: boot, Unix: m.clock, Log: log, Stats: m.count,
-			Ask: func(question uint64, a agree.BanAsk) { m.duties.Ask(question, duties.PutBanAsk(question, a)) }})
+		set := keeper.DefaultSettings()
+		set.PollInterval = b.PollInterval
+		m.keeper = keeper.New(keeper.Options{Settings: set, StateDir: conf.StateDir, RouterName: conf.Name, ReadyTimeout: b.ReadyTimeout, Disabled: m.list.Disabled, SetDisabled: m.list.SetDisabled,
+			SetDisabledByRegistry: m.list.SetDisabledByRegistry, Clock: boot, WallClock: m.clock, Log: log, Metrics: m.count,
+			SendRequest: func(question uint64, a agree.BanRequest) {
+				m.duties.SendBanRequest(question, duties.EncodeBanRequest(question, a))
+			}})
 		m.actors = append(m.actors, m.keeper)
-		o.Bans = m.keeper.Answer
+		o.OnBanResponse = m.keeper.HandleResponse
 	}
 	var err error
 	if m.duties, err = duties.New(o, self, wants); err != nil {
@@ -140,33 +142,33 @@
 		}
 		return ids
 	}
-	if d.First != nil {
-		set := first.Default()
-		set.Pace = d.First.Pace
-		m.core.ShowAside()
-		m.first = first.New(first.Options{Settings: set, Zone: zone, Self: self, May: m.duties.May, Known: m.duties.Known, Aside: m.core.Aside, Hold: m.core.Hold,
-			Suspect: m.core.Suspect, Mates: mates, Carry: m.Carry, Clock: boot, Stats: m.count})
+	if d.RecoveryProbe != nil {
+		set := first.DefaultSettings()
+		set.ReturnRate = d.RecoveryProbe.ReturnRate
+		m.core.PublishEjected()
+		m.first = first.New(first.Options{Settings: set, Zone: zone, Self: self, Valid: m.duties.Valid, LastKnownHolder: m.duties.LastKnownHolder, Ejected: m.core.Ejected, ExtendEjection: m.core.ExtendEjection,
+			RequireProbe: m.core.RequireProbe, ZonePeers: mates, Send: m.Send, Clock: boot, Metrics: m.count})
 		m.actors = append(m.actors, m.first)
 	}
-	if p := d.Prober; p != nil {
-		m.prober = prober.New(prober.Options{Zone: zone, Every: p.Every, Most: p.Most, May: m.duties.May, Clock: boot, Stats: m.count, Carry: m.Carry,
-			Told: m.core.Report, Boxes: func() (l []prober.Box) {
-				for _, h := range m.list.Boxes(conf.Settings.Zone, 0) {
-					l = append(l, prober.Box{ID: h.ID, Dial: h.Dial})
+	if p := d.LoadReport; p != nil {
+		m.prober = prober.New(prober.Options{Zone: zone, MinInterval: p.MinInterval, MaxInterval: p.MaxInterval, Valid: m.duties.Valid, Clock: boot, Metrics: m.count, Send: m.Send,
+			ReportLoad: m.core.ReportLoad, Servers: func() (l []prober.Server) {
+				for _, h := range m.list.ReadyServers(conf.Settings.Zone, 0) {
+					l = append(l, prober.Server{ID: h.ID, Address: h.Addr})
 				}
 				return l
-			}, Mates: mates})
+			}, ZonePeers: mates})
 		m.actors = append(m.actors, m.prober)
 	}
-	m.Deliver(func(from member.ID, life uint64, ch carry.Channel, b []byte) {
+	m.SetReceiver(func(from member.ID, life uint64, ch carry.Channel, b []byte) {
 		switch {
-		case ch == carry.Report:
+		case ch == carry.LoadReport:
 			if m.prober != nil {
-				m.prober.Heard(b)
+				m.prober.Receive(b)
 			}
-		case ch == carry.Aside || ch == carry.Tried:
+		case ch == carry.EjectionReport || ch == carry.ProbeResult:
 			if m.first != nil {
-				m.first.Heard(from, ch, b)
+				m.first.Receive(from, ch, b)
 			}
 		default:
 			m.duties.Deliver(from, life, ch, b)
@@ -179,7 +181,7 @@
 // boxes, that takes itself for slow, or whose successor runs.
 func (m *mates) willing() bool {
 	v := m.Members()
-	return !v.Yielded && v.Health < 4 && v.There > 1 && m.View().Bound && !m.list.Deaf(m.clock.Now())
+	return !v.Superseded && v.HealthScore < 4 && v.Present > 1 && m.Status().Bound && !m.list.Stale(m.clock.Now())
 }
 
 // Run runs the link until ctx ends or Leave is called.
@@ -190,7 +192,7 @@
 	m.stop = stop
 	m.mu.Unlock()
 	if m.duties == nil {
-		m.Link.Run(ctx)
+		m.Transport.Run(ctx)
 		return
 	}
 	// What is held is handed on before the others are told that this router goes.
@@ -202,7 +204,7 @@
 		defer leave()
 		m.duties.Run(ctx)
 	}()
-	m.Link.Run(linked)
+	m.Transport.Run(linked)
 	stop()
 	<-m.duties.Stopped()
 	for _, a := range m.actors {
@@ -212,7 +214,7 @@
 
 // Switch takes a box out by order of staff, or back: by the register where it keeps bans.
 func (m *mates) Switch(ctx context.Context, id decide.ServerID, out bool) error {
-	return m.keeper.Call(ctx, keeper.Call{Box: id, Out: out})
+	return m.keeper.Apply(ctx, keeper.Change{Server: id, Disable: out})
 }
 
 // Keeps tells whether the register keeps staff's bans.
@@ -235,8 +237,8 @@
 	if m == nil {
 		return
 	}
-	if set, err := s.Link(); err == nil { // it was checked when it was read
-		m.Link.Reload(set)
+	if set, err := s.TransportSettings(); err == nil { // it was checked when it was read
+		m.Transport.Reload(set)
 	}
 }
 
@@ -249,17 +251,17 @@
 	if m.keeper != nil && !m.keeper.Ready() {
 		return false
 	}
-	all, barred := m.list.Listed()
-	lost := all-barred > 0 && m.core.Avoided() >= all-barred
+	all, barred := m.list.ServerCounts()
+	lost := all-barred > 0 && m.core.EjectedCount() >= all-barred
 	s := stance.Together
-	if m.View().Stance == stance.Alone.String() {
+	if m.Status().Connectivity == stance.Alone.String() {
 		s = stance.Alone
 	}
-	return s.Ready(lost, m.list.Deaf(m.clock.Now()))
+	return s.Ready(lost, m.list.Stale(m.clock.Now()))
 }
 
-// Page answers the door's calls below /fleet; false: there is no such call.
-func (m *mates) Page(ctx context.Context, method, path string) (status int, body []byte, ok bool) {
+// Handle answers the door's calls below /fleet; false: there is no such call.
+func (m *mates) Handle(ctx context.Context, method, path string) (status int, body []byte, ok bool) {
 	show := func(v any) (int, []byte, bool) {
 		b, err := json.MarshalIndent(v, "", " ")
 		if err != nil { // all that is shown is plain data
@@ -270,21 +272,21 @@
 	words := strings.Split(strings.TrimPrefix(path, "/"), "/")
 	switch {
 	case path == "/fleet" && method == "GET":
-		return show(m.View())
+		return show(m.Status())
 	case m.duties == nil || len(words) < 2:
 		return 0, nil, false
 	case path == "/fleet/duties" && method == "GET":
-		return show(dutyPage{m.duties.Shown(), m.duties.Leases()})
+		return show(dutyPage{m.duties.Status(), m.duties.Leases()})
 	case path == "/fleet/bans" && method == "GET" && m.keeper != nil:
-		return show(m.keeper.Shown())
+		return show(m.keeper.Status())
 	case method == "POST" && len(words) == 7 && words[1] == "bans" && m.keeper != nil && (words[2] == "disable" || words[2] == "enable"):
 		return done(m.banned(ctx, words[2:]))
 	case method == "POST" && len(words) >= 4 && words[1] == "duty" && words[2] == "move":
 		// The name of a duty has a stroke in it; the router's comes behind "to".
 		name, to, _ := strings.Cut(strings.Join(words[3:], "/"), "/to/")
-		return done(m.duties.Move(ctx, name, to))
+		return done(m.duties.Transfer(ctx, name, to))
 	case method == "POST" && len(words) == 4 && words[1] == "elector" && (words[2] == "add" || words[2] == "remove"):
-		return done(m.duties.Elector(ctx, words[3], words[2] == "add"))
+		return done(m.duties.ChangeVoter(ctx, words[3], words[2] == "add"))
 	}
 	return 0, nil, false
 }
@@ -292,25 +294,25 @@
 // banned carries out a call about a ban: what to do, the box, the version that staff saw
 // or 0, who, and why.
 func (m *mates) banned(ctx context.Context, w []string) (err error) {
-	c := keeper.Call{Out: w[0] == "disable"}
-	if c.Box, err = decide.ParseServerID(w[1]); err != nil {
+	c := keeper.Change{Disable: w[0] == "disable"}
+	if c.Server, err = decide.ParseServerID(w[1]); err != nil {
 		return err
 	}
 	if c.Version, err = strconv.ParseUint(w[2], 10, 64); err != nil {
 		return fmt.Errorf("version: %q is none", w[2])
 	}
-	if c.Who, err = url.PathUnescape(w[3]); err == nil {
-		c.Why, err = url.PathUnescape(w[4])
+	if c.SetBy, err = url.PathUnescape(w[3]); err == nil {
+		c.Reason, err = url.PathUnescape(w[4])
 	}
 	if err != nil {
 		return err
 	}
-	return m.keeper.Call(ctx, c)
+	return m.keeper.Apply(ctx, c)
 }
 
 // dutyPage is what /fleet/duties shows.
 type dutyPage struct {
-	Register *duties.Shown  `json:"register"`
+	Register *duties.Status `json:"register"`
 	Held     []duties.Lease `json:"held"` // by this router
 }
 
@@ -321,9 +323,9 @@
 	return 200, []byte("done\n"), true
 }
 
-// Append appends the fleet's figures in the text form of Prometheus.
-func (m *mates) Append(b []byte) []byte {
-	v := m.View()
+// AppendMetrics appends the fleet's figures in the text form of Prometheus.
+func (m *mates) AppendMetrics(b []byte) []byte {
+	v := m.Status()
 	n := map[string]int{}
 	for i := range v.Members {
 		n[v.Members[i].State]++
@@ -335,7 +337,7 @@
 	b = append(b, "# TYPE app_fleet_stance gauge\n"...)
 	for _, s := range []string{"together", "partial", "alone"} {
 		is := 0
-		if s == v.Stance {
+		if s == v.Connectivity {
 			is = 1
 		}
 		b = fmt.Appendf(b, "app_fleet_stance{stance=%q} %d\n", s, is)
@@ -344,7 +346,7 @@
 		b = fmt.Appendf(b, "# TYPE app_fleet_%s gauge\napp_fleet_%s %d\n", name, name, n)
 	}
 	gauge("known", int64(v.Known))
-	gauge("slowness", int64(v.Health))
+	gauge("slowness", int64(v.HealthScore))
 	gauge("bans", int64(len(v.Bans)))
 	for _, x := range []string{"packets_in", "packets_out", "bytes_in", "bytes_out", "failed", "refuted", "conflict", "strangers",
 		"other_versions", "other_fleets", "unopened", "broken_packets", "over_budget", "crowded_out"} {
--- a/cmd/garnetline/metrics_test.go
+++ b/cmd/garnetline/metrics_test.go
@@ -18,20 +18,20 @@
 // Guards the page /metrics, which operators' monitoring reads, to the byte: names, types and
 // labels. UPDATE_GOLDEN=1 writes it anew.
 func TestMetricsPage(t *testing.T) {
-	ring, err := seal.New("f", []string{"sixteen bytes or more"})
+	ring, err := seal.NewKeyring("f", []string{"sixteen bytes or more"})
 	if err != nil {
 		t.Fatal(err)
 	}
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
 	count := stats.New()
 	count.Add("fleet_packets_in", 17)
-	l, err := link.New(link.Options{Settings: link.Settings{Fleet: "f", Listen: loopback, Advertise: loopback, Ring: ring, Node: fleet.Default(),
-		Packets: 500, Bytes: 100_000}, Name: "r", Zone: "z", State: t.TempDir(), Clock: clock.NewManual(1.7e12), Log: logs.New(&bytes.Buffer{}), Stats: count})
+	l, err := link.New(link.Options{Settings: link.Settings{FleetName: "f", ListenAddr: loopback, AdvertiseAddr: loopback, Keyring: ring, Node: fleet.DefaultSettings(),
+		PacketsPerSecond: 500, BytesPerSecond: 100_000}, Name: "r", Zone: "z", StateDir: t.TempDir(), Clock: clock.NewManual(1.7e12), Log: logs.New(&bytes.Buffer{}), Stats: count})
 	if err != nil {
 		t.Fatal(err)
 	}
-	page := door.Figures{Classes: []door.Class{{Name: "part", Served: 1, Refused: 2, Failed: 3}, {Name: "form", Served: 4, Refused: 5, Failed: 6}},
-		Relayed: 7, Open: 8, Listed: 9, Avoided: 10, Accepted: 11, Invalid: 12}.Append(nil)
-	page = (&mates{Link: l, count: count}).Append(page)
+	page := door.Metrics{Classes: []door.ClassMetrics{{Name: "part", Served: 1, Rejected: 2, Failed: 3}, {Name: "form", Served: 4, Rejected: 5, Failed: 6}},
+		Relayed: 7, OpenRequests: 8, ListedServers: 9, UnavailableServers: 10, ReloadsAccepted: 11, ReloadsRejected: 12}.AppendPrometheus(nil)
+	page = (&mates{Transport: l, count: count}).AppendMetrics(page)
 	golden.Compare(t, "metrics.golden", page)
 }
--- a/cmd/garnetline/serve.go
+++ b/cmd/garnetline/serve.go
@@ -44,29 +44,29 @@
 // setup is what the router is started with, and may be told anew.
 type setup struct {
 	conf *config.Config
-	file settings.File // the operators'
+	file settings.Config // the operators'
 }
 
 // admits tells whether a running router can go over to another setup.
 func (s setup) admits(next setup) error {
-	if err := s.conf.Admits(next.conf); err != nil {
+	if err := s.conf.CheckReload(next.conf); err != nil {
 		return err
 	}
-	return s.file.Admits(next.file)
+	return s.file.CheckReload(next.file)
 }
 
 // serve runs the router until a signal ends it. again reads its setup anew.
 func serve(ctx context.Context, with setup, again func() (setup, error)) error {
 	conf, lookups := with.conf, with.file.DNS
 	log := logs.New(os.Stderr)
-	if err := logs.Set(with.file.Log.Level); err != nil {
+	if err := logs.SetLevel(with.file.Log.Level); err != nil {
 		return err
 	}
 	bound(conf.Limits)
 	var now atomic.Pointer[config.Config] // read whole by all parts, replaced whole
 	now.Store(conf)
 	count := stats.New()
-	defer func() { logs.Counters(log, count.All()) }()
+	defer func() { logs.WriteCounters(log, count.Snapshot()) }()
 	clk := clock.NewSystem()
 
 	// Before anything can be asked of the program: a signal that nobody waits
@@ -87,30 +87,30 @@
 		return err
 	}
 	var told, stopping atomic.Bool
-	list := changelog.New(clk, conf, func(ev config.Event) {
-		c.Tell(ev)
+	list := changelog.NewWatcher(clk, conf, func(ev config.WatchEvent) {
+		c.HandleWatchEvent(ev)
 		told.Store(true)
 	}, count)
-	pool := peer.NewPool(ctx, peer.Options{Clock: clk, Conn: func() config.Conn { return now.Load().Conn },
-		Guard: list.Guard, End: c.End, Stats: count,
-		Links:  func() int64 { return int64(float64(now.Load().Limits.Sockets) * linkShare) },
-		Traced: with.file.Trace.Enabled && with.file.Trace.Peers})
+	pool := peer.NewPool(ctx, peer.Options{Clock: clk, Settings: func() config.Upstream { return now.Load().Upstream },
+		Guard: list.Guard, Complete: c.Complete, Metrics: count,
+		MaxConnections:  func() int64 { return int64(float64(now.Load().Limits.Sockets) * linkShare) },
+		PropagateTraces: with.file.Trace.Enabled && with.file.Trace.PropagateToServers})
 	classes := func() []decide.Class { return now.Load().Settings.Classes }
 	rec, err := tracing(with.file.Trace, conf, clk, count, log, &now)
 	if err != nil {
 		return err
 	}
 	if rec != nil {
-		rec.Kept = pool.Kept
-		c.Trace(attach.Core(rec))
+		rec.Kept = pool.TraceRetained
+		c.SetTracer(attach.Core(rec))
 	}
 	mates, err := join(with.file, conf, list, c, clk, count, log)
 	if err != nil {
 		return err
 	}
-	names := dns.New(dns.Options{Config: lookups, Clock: clk, Core: c, Classes: classes,
-		Guard: list.Guard, Stats: count})
-	c.Follow(pool, names)
+	names := dns.New(dns.Options{Config: lookups, Clock: clk, Dispatcher: c, Classes: classes,
+		Guard: list.Guard, Metrics: count})
+	c.AddListeners(pool, names)
 	if lookups.Enabled {
 		if _, err := names.Start(); err != nil {
 			return err
@@ -118,11 +118,11 @@
 		defer func() {
 			ctx, stop := context.WithTimeout(context.Background(), time.Second)
 			defer stop()
-			names.Stop(ctx)
+			names.Shutdown(ctx)
 		}()
 	}
-	front := http.New(http.Options{Clock: clk, Core: c, Carrier: pool, Classes: classes,
-		Ready: told.Load, Stats: count, Conns: func() int { return conns(now.Load().Limits) }, Traced: rec != nil})
+	front := http.New(http.Options{Clock: clk, Dispatcher: c, Transport: pool, Classes: classes,
+		Ready: told.Load, Metrics: count, MaxConnections: func() int { return conns(now.Load().Limits) }, RecordClient: rec != nil})
 	go c.Run(ctx)
 	if rec != nil {
 		go rec.Run()
@@ -143,27 +143,27 @@
 	failed := make(chan error, 2)
 	go func() {
 		if conf.ListenFD != 0 { // others may hold the socket: take what can be served well
-			<-list.Caught()
+			<-list.Synced()
 		}
 		failed <- front.Serve(listener)
 	}()
-	if conf.Mgmt.IsValid() {
-		l, err := net.Listen("tcp", conf.Mgmt.String())
+	if conf.AdminListen.IsValid() {
+		l, err := net.Listen("tcp", conf.AdminListen.String())
 		if err != nil {
 			return fmt.Errorf("mgmt: %w", err)
 		}
-		pages := &door.Door{Switch: list.Switch,
+		pages := &door.Handler{SetDisabled: list.SetDisabled,
 			Ready:   func() bool { return told.Load() && caught(list) && !stopping.Load() && mates.Ready() },
-			Figures: func() door.Figures { return figures(classes(), count, list, c) }}
+			Metrics: func() door.Metrics { return figures(classes(), count, list, c) }}
 		if mates != nil {
 			pages.Fleet = mates
 			if mates.Keeps() {
-				pages.Switch = mates.Switch
+				pages.SetDisabled = mates.Switch
 			}
 		}
-		staff := http.New(http.Options{Clock: clk, Stats: count, Page: pages.Page, Conns: func() int { return doorConns }})
+		staff := http.New(http.Options{Clock: clk, Metrics: count, Handler: pages.Handle, MaxConnections: func() int { return doorConns }})
 		go func() { failed <- staff.Serve(l) }()
-		defer staff.Finish()
+		defer staff.Shutdown()
 	}
 
 	log.Info().Str("name", conf.Name).Str("listen", conf.Listen.String()).Str("version", version).Msg("serving")
@@ -179,14 +179,14 @@
 		case s := <-signals:
 			switch {
 			case s == syscall.SIGUSR1:
-				logs.Counters(log, count.All())
+				logs.WriteCounters(log, count.Snapshot())
 			case s == syscall.SIGHUP: // while it stops too: what is open may outlive the old log
 				next, err := again()
 				if err == nil {
 					err = with.admits(next)
 				}
 				if err == nil {
-					err = logs.Set(next.file.Log.Level)
+					err = logs.SetLevel(next.file.Log.Level)
 				}
 				if err != nil {
 					count.Add("reloads_refused", 1)
@@ -207,16 +207,16 @@
 			case done == nil:
 				stopping.Store(true)
 				mates.Leave()
-				front.Stopping()
+				front.FailHealthChecks()
 				if conf.ListenFD != 0 { // its other holders take what comes from now on
-					front.HandOver()
+					front.StopAccepting()
 				}
-				c.EndBy(clk.Now() + endIn(classes()))
+				c.DrainBy(clk.Now() + endIn(classes()))
 				done = make(chan struct{})
 				go func() {
 					defer close(done)
 					time.Sleep(lameDuck)
-					front.Finish()
+					front.Shutdown()
 				}()
 			}
 		}
@@ -228,7 +228,7 @@
 // Symptom guarded against: a request of a class with a long deadline waited for a cache that
 // hung until the process was killed.
 func endIn(classes []decide.Class) float64 {
-	return clock.Millis(lameDuck) + max(min(clock.Millis(decide.Longest(classes)), killAfter)-endMargin, 0)
+	return clock.Millis(lameDuck) + max(min(clock.Millis(decide.MaxDeadline(classes)), killAfter)-endMargin, 0)
 }
 
 // listen opens the clients' socket, or takes the one that the platform holds and
@@ -251,9 +251,9 @@
 }
 
 // caught tells whether the change log has spoken, or has had its time to.
-func caught(l *changelog.Log) bool {
+func caught(l *changelog.Watcher) bool {
 	select {
-	case <-l.Caught():
+	case <-l.Synced():
 		return true
 	default:
 		return false
@@ -261,14 +261,14 @@
 }
 
 // figures puts together what staff see.
-func figures(classes []decide.Class, count *stats.Set, list *changelog.Log, c *core.Core) door.Figures {
+func figures(classes []decide.Class, count *stats.Registry, list *changelog.Watcher, c *core.Dispatcher) door.Metrics {
 	n := func(name string) int64 { return count.Counter(name).Load() }
-	all, barred := list.Listed()
-	f := door.Figures{Relayed: n("attempts_relayed"), Open: n("requests_open"), Listed: all, Avoided: barred + c.Avoided(),
-		Accepted: n("reloads"), Invalid: n("reloads_refused")}
+	all, barred := list.ServerCounts()
+	f := door.Metrics{Relayed: n("attempts_relayed"), OpenRequests: n("requests_open"), ListedServers: all, UnavailableServers: barred + c.EjectedCount(),
+		ReloadsAccepted: n("reloads"), ReloadsRejected: n("reloads_refused")}
 	for _, k := range classes {
-		f.Classes = append(f.Classes, door.Class{Name: k.Name, Served: n(core.Ended(k.Name, core.Served)),
-			Refused: n(core.Ended(k.Name, core.Refused)), Failed: n(core.Ended(k.Name, core.Failed))})
+		f.Classes = append(f.Classes, door.ClassMetrics{Name: k.Name, Served: n(core.ClassCounterName(k.Name, core.Served)),
+			Rejected: n(core.ClassCounterName(k.Name, core.Rejected)), Failed: n(core.ClassCounterName(k.Name, core.Failed))})
 	}
 	return f
 }
--- a/cmd/garnetline/serve_test.go
+++ b/cmd/garnetline/serve_test.go
@@ -195,7 +195,7 @@
 		return conf
 	}
 	conf := file(listen, first)
-	if err := conf.Admits(file(free(t), first)); err == nil || !strings.HasPrefix(err.Error(), "listen: ") {
+	if err := conf.CheckReload(file(free(t), first)); err == nil || !strings.HasPrefix(err.Error(), "listen: ") {
 		t.Errorf("another address: %v", err)
 	}
 	done := make(chan error, 1)
@@ -238,7 +238,7 @@
 	}
 	text := file(listen, second)
 	hangUp()
-	if err := <-read; err != nil || text.ChangeLog.String() != second.String() {
+	if err := <-read; err != nil || text.Discovery.String() != second.String() {
 		t.Error(err)
 	}
 	if seq := <-again; seq != 4 {
--- a/cmd/garnetline/trace.go
+++ b/cmd/garnetline/trace.go
@@ -133,10 +133,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if file.Trace.Folder == "" {
+		if file.Trace.Dir == "" {
 			return nil, errors.New("trace: --folder, or --settings with a trace block that names one, is wanted")
 		}
-		folders = []string{file.Trace.Folder}
+		folders = []string{file.Trace.Dir}
 	}
 	for _, f := range folders {
 		x, err := store.Read(f)
--- a/cmd/garnetline/trace_test.go
+++ b/cmd/garnetline/trace_test.go
@@ -233,7 +233,7 @@
 				sent, broken := 0, 0 // what was written to a connection that broke may not arrive
 				for _, s := range p.Spans {
 					if s.Kind == trace.Attempt && s.Flags&trace.Sent != 0 {
-						if sent++; decide.Result(s.Result) == decide.Broken {
+						if sent++; decide.Result(s.Result) == decide.ConnectionLost {
 							broken++
 						}
 					}
@@ -377,8 +377,8 @@
 		t.Errorf("%v, %v", rec, err)
 	}
 	none := 0.0
-	s := kept(settings.Trace{Ordinary: 2, Classes: []settings.TraceClass{{Name: "part", Wanted: 9}, {Name: "form", Ordinary: &none}}},
-		[]decide.Class{{Name: "part", Aim: time.Second}, {Name: "form", Aim: time.Second}})
+	s := kept(settings.Trace{OrdinaryPerSecond: 2, Classes: []settings.TraceClass{{Name: "part", SlowThreshold: 9}, {Name: "form", OrdinaryPerSecond: &none}}},
+		[]decide.Class{{Name: "part", LatencyObjective: time.Second}, {Name: "form", LatencyObjective: time.Second}})
 	if p, f := s.Classes["part"], s.Classes["form"]; p.Ordinary != 2 || p.Wanted != 9 || f.Ordinary != 0 || f.Wanted != 1000 {
 		t.Errorf("%+v, %+v", p, f)
 	}
--- a/cmd/garnetline/tracing.go
+++ b/cmd/garnetline/tracing.go
@@ -19,45 +19,45 @@
 
 // tracing makes what follows the requests, or nil where the operators' file does not
 // switch it on.
-func tracing(t settings.Trace, conf *config.Config, clk clock.Clock, count *stats.Set, log *zerolog.Logger,
+func tracing(t settings.Trace, conf *config.Config, clk clock.Clock, count *stats.Registry, log *zerolog.Logger,
 	now *atomic.Pointer[config.Config]) (*record.Recorder, error) {
 	if !t.Enabled {
 		return nil, nil
 	}
-	w, err := store.Open(t.Folder, int64(t.SegmentMB)<<20, int64(t.KeepMB)<<20)
+	w, err := store.Open(t.Dir, int64(t.SegmentMB)<<20, int64(t.KeepMB)<<20)
 	if err != nil {
 		return nil, fmt.Errorf("trace: folder: %w", err)
 	}
 	sinks := record.Sinks{w}
 	if c := t.Collector; c != nil {
-		x, err := export.New(export.Options{URL: c.URL, Queue: c.Queue, Timeout: c.Timeout, Stats: count, Log: log, Seed: conf.Seed})
+		x, err := export.New(export.Options{URL: c.URL, Queue: c.QueueLimit, Timeout: c.Timeout, Stats: count, Log: log, Seed: conf.Seed})
 		if err != nil {
 			return nil, fmt.Errorf("trace: collector: url: %w", err)
 		}
 		sinks = append(sinks, x)
 	}
 	return record.New(record.Options{Clock: clk, Router: conf.Name, Secret: t.Secret, Seed: conf.Seed, Stats: count, Log: log, Sink: sinks,
-		Pace: func() float64 { return now.Load().Settings.BytesPerS }}, kept(t, conf.Settings.Classes)), nil
+		Pace: func() float64 { return now.Load().Settings.BodyBytesPerSecond }}, kept(t, conf.Settings.Classes)), nil
 }
 
 // kept is what is kept of each class: what the operators' file says, and else slower
 // traces than the class's aim and the budget of all.
 func kept(t settings.Trace, classes []decide.Class) record.Settings {
-	s := record.Settings{Undecided: t.UndecidedKB << 10, RetryWithin: t.RetryWithin, Sampled: t.Sampled, Other: keep.Class{Ordinary: t.Ordinary},
+	s := record.Settings{Undecided: t.UndecidedKB << 10, RetryWithin: t.RetryWindow, Sampled: t.HonorSampled, Other: keep.Class{Ordinary: t.OrdinaryPerSecond},
 		Classes: map[string]keep.Class{}}
 	for _, c := range classes {
-		s.Classes[c.Name] = keep.Class{Wanted: clock.Millis(c.Aim), Ordinary: t.Ordinary, All: c.Effect == decide.Keyed}
+		s.Classes[c.Name] = keep.Class{Wanted: clock.Millis(c.LatencyObjective), Ordinary: t.OrdinaryPerSecond, All: c.Idempotency == decide.IdempotentWithKey}
 	}
 	for _, c := range t.Classes {
 		k, known := s.Classes[c.Name]
 		if !known {
 			continue
 		}
-		if c.Ordinary != nil {
-			k.Ordinary = *c.Ordinary
+		if c.OrdinaryPerSecond != nil {
+			k.Ordinary = *c.OrdinaryPerSecond
 		}
-		if c.Wanted > 0 {
-			k.Wanted = c.Wanted
+		if c.SlowThreshold > 0 {
+			k.Wanted = c.SlowThreshold
 		}
 		s.Classes[c.Name] = k
 	}
--- a/decide/decision_trace_test.go
+++ b/decide/decision_trace_test.go
@@ -61,8 +61,8 @@
 	// metered is a site without notes, whose weights tell sizes and answers their bytes.
 	metered := func(routers int) func(*decide.Settings) {
 		return func(s *decide.Settings) {
-			s.WeightsSize, s.BytesPerS = true, 100_000
-			s.SeatsByZone, s.Routers = []int{0, routers, 1}, routers+1
+			s.WeightIsCapacity, s.BodyBytesPerSecond = true, 100_000
+			s.RoutersByZone, s.Routers = []int{0, routers, 1}, routers+1
 		}
 	}
 	return []traceScenario{
@@ -73,11 +73,11 @@
 		{name: "metered-thinnest", seed: 5, settings: metered(40), servers: weights(4), rate: 10, length: 60 * time.Second},
 		{name: "untold", seed: 6, rate: 60, length: 60 * time.Second},
 		{name: "hits-only", seed: 7, notes: true, sizes: true, rate: 80, length: 60 * time.Second,
-			settings: func(s *decide.Settings) { s.HitsOnly, s.CanCancel = true, false }},
+			settings: func(s *decide.Settings) { s.HitStatusOnly, s.CanCancel = true, false }},
 		{name: "no-bypass", seed: 8, notes: true, sizes: true, loads: true, rate: 80, length: 60 * time.Second,
 			settings: func(s *decide.Settings) {
-				s.Direct, s.CanJoin, s.OriginFalls, s.MustAsk = false, false, true, true
-				s.SeatsByZone, s.MaxBackoff, s.MaxAttempts = nil, 0, 3
+				s.AllowBypass, s.CanJoinFill, s.OriginStopsOnOverload, s.MustSubscribe = false, false, true, true
+				s.RoutersByZone, s.MaxRetryAfter, s.MaxAttempts = nil, 0, 3
 			}},
 		{name: "no-parents", seed: 9, notes: true, sizes: true, loads: true, rate: 80, length: 40 * time.Second,
 			settings: func(s *decide.Settings) { s.ParentKind = -1 },
@@ -88,7 +88,7 @@
 			settings: func(s *decide.Settings) { s.ParentKind, s.OriginKind = -1, -1 },
 			servers:  func(list []decide.Server) []decide.Server { return list[:4] }},
 		{name: "pushed-origin", seed: 11, notes: true, sizes: true, rate: 150, length: 30 * time.Second,
-			settings: func(s *decide.Settings) { s.SeatsByZone, s.Routers = []int{0, 20, 1}, 21 }},
+			settings: func(s *decide.Settings) { s.RoutersByZone, s.Routers = []int{0, 20, 1}, 21 }},
 	}
 }
 
@@ -96,18 +96,18 @@
 	ms, sec := time.Millisecond, time.Second
 	return decide.Settings{
 		Zones: 3, Zone: 1, Kinds: 3, ParentKind: 1, OriginKind: 2,
-		SeatsByZone: []int{0, 1, 1}, Routers: 2, MaxAttempts: 6, MaxBackoff: 500 * ms,
-		CanCancel: true, CanJoin: true, Direct: true, FlowKBps: 1000,
-		DrainGrace: 250 * ms, PurgeGrace: 300 * ms, PurgeDone: 6 * sec,
-		Cache:  decide.Ramp{From: 0.2, Warm: 10 * sec, Multiple: 2, Span: 2 * sec},
-		Parent: decide.Ramp{From: 0.1, Warm: 20 * sec, Multiple: 2, Span: 2 * sec},
+		RoutersByZone: []int{0, 1, 1}, Routers: 2, MaxAttempts: 6, MaxRetryAfter: 500 * ms,
+		CanCancel: true, CanJoinFill: true, AllowBypass: true, TransferKBPerSecond: 1000,
+		DrainGrace: 250 * ms, PurgeGrace: 300 * ms, PurgeRetention: 6 * sec,
+		CacheSlowStart:  decide.SlowStart{InitialCapacity: 0.2, Duration: 10 * sec, OverloadFactor: 2, OverloadWindow: 2 * sec},
+		ParentSlowStart: decide.SlowStart{InitialCapacity: 0.1, Duration: 20 * sec, OverloadFactor: 2, OverloadWindow: 2 * sec},
 		Classes: []decide.Class{
-			{Name: "big", Effect: decide.Safe, Aim: 600 * ms, AimStretch: 2, Deadline: 6 * sec, Worth: 2},
-			{Name: "small", Effect: decide.Safe, Aim: 250 * ms, AimStretch: 2, Deadline: 3 * sec, Worth: 1, Fresh: 8 * sec},
-			{Name: "write", Effect: decide.Keyed, Aim: 700 * ms, Deadline: 3 * sec, Window: 2 * sec, Worth: 3, Write: true},
-			{Name: "once", Effect: decide.Unsafe, Aim: 700 * ms, Deadline: 3 * sec, Worth: 3, Write: true},
-			{Name: "form", Effect: decide.Keyed, Group: decide.GroupZone, Aim: 400 * ms, Deadline: 2 * sec, Window: sec, Worth: 4},
-			{Name: "cell", Effect: decide.Keyed, Group: decide.GroupCell, Aim: 400 * ms, Deadline: 2 * sec, Window: sec, Worth: 1},
+			{Name: "big", Idempotency: decide.Idempotent, LatencyObjective: 600 * ms, ObjectiveTransferFactor: 2, Deadline: 6 * sec, PriorityWeight: 2},
+			{Name: "small", Idempotency: decide.Idempotent, LatencyObjective: 250 * ms, ObjectiveTransferFactor: 2, Deadline: 3 * sec, PriorityWeight: 1, FreshnessLifetime: 8 * sec},
+			{Name: "write", Idempotency: decide.IdempotentWithKey, LatencyObjective: 700 * ms, Deadline: 3 * sec, KeyWindow: 2 * sec, PriorityWeight: 3, Write: true},
+			{Name: "once", Idempotency: decide.NonIdempotent, LatencyObjective: 700 * ms, Deadline: 3 * sec, PriorityWeight: 3, Write: true},
+			{Name: "form", Idempotency: decide.IdempotentWithKey, KeyScope: decide.KeyScopeZone, LatencyObjective: 400 * ms, Deadline: 2 * sec, KeyWindow: sec, PriorityWeight: 4},
+			{Name: "cell", Idempotency: decide.IdempotentWithKey, KeyScope: decide.KeyScopeCell, LatencyObjective: 400 * ms, Deadline: 2 * sec, KeyWindow: sec, PriorityWeight: 1},
 		},
 	}
 }
@@ -135,7 +135,7 @@
 
 // simAttempt is an attempt that a simulated server has in hand.
 type simAttempt struct {
-	send    decide.Get
+	send    decide.SendAttempt
 	request decide.Request
 	index   int
 	started time.Duration
@@ -247,7 +247,7 @@
 
 // run plays the scenario to its end, then lets go of what is still open.
 func (s *simulation) run() {
-	s.handle(decide.Members{Full: true, Servers: s.list()})
+	s.handle(decide.EndpointUpdate{Snapshot: true, Servers: s.list()})
 	s.after(0, s.arrive)
 	s.after(3*time.Second, s.changeRegime)
 	s.after(700*time.Millisecond, s.sendNews)
@@ -264,7 +264,7 @@
 				event.step()
 			}
 		case event.timer != nil:
-			s.handle(decide.Timer{Token: *event.timer})
+			s.handle(decide.TimerFired{Token: *event.timer})
 		default:
 			s.finish(event.attempt, *event.outcome)
 		}
@@ -284,19 +284,19 @@
 	for _, action := range s.router.Handle(s.now, event, nil) {
 		s.print(action)
 		switch action := action.(type) {
-		case decide.Get:
+		case decide.SendAttempt:
 			s.begin(action)
-		case decide.Refuse:
+		case decide.Reject:
 			delete(s.open, action.ID)
 		case decide.Fail:
 			delete(s.open, action.ID)
-		case decide.Cancel:
+		case decide.CancelAttempt:
 			s.cancel(action)
-		case decide.Wake:
+		case decide.SetTimer:
 			token := action.Token
-			s.at(s.now+action.After, &simEvent{timer: &token})
-		case decide.Watch:
-			s.after(20*time.Millisecond, func() { s.handle(decide.Members{Full: true, Servers: s.list()}) })
+			s.at(s.now+action.Delay, &simEvent{timer: &token})
+		case decide.Subscribe:
+			s.after(20*time.Millisecond, func() { s.handle(decide.EndpointUpdate{Snapshot: true, Servers: s.list()}) })
 		}
 	}
 }
@@ -304,18 +304,18 @@
 func (s *simulation) print(action decide.Action) {
 	at := s.now - 1000*time.Second
 	switch a := action.(type) {
-	case decide.Get:
+	case decide.SendAttempt:
 		s.trace.printf("%d send request=%d server=%d source=%d rank=%d max_age=%d deadline=%d join=%t renew=%t held=%t", at,
-			uint64(a.ID), uint64(a.Server), uint64(a.Source), a.Keep, int64(a.MaxAge), int64(a.Until), a.Join, a.Renew, a.HeldOnly)
-	case decide.Refuse:
-		s.trace.printf("%d reject request=%d retry_after=%d", at, uint64(a.ID), int64(a.Backoff))
+			uint64(a.ID), uint64(a.Server), uint64(a.FillSource), a.CopyRank, int64(a.MaxAge), int64(a.Deadline), a.JoinFill, a.Revalidate, a.OnlyIfCached)
+	case decide.Reject:
+		s.trace.printf("%d reject request=%d retry_after=%d", at, uint64(a.ID), int64(a.RetryAfter))
 	case decide.Fail:
 		s.trace.printf("%d fail request=%d", at, uint64(a.ID))
-	case decide.Cancel:
+	case decide.CancelAttempt:
 		s.trace.printf("%d cancel request=%d attempt=%d", at, uint64(a.ID), a.Attempt)
-	case decide.Wake:
-		s.trace.printf("%d timer delay=%d token=%d", at, int64(a.After), a.Token)
-	case decide.Watch:
+	case decide.SetTimer:
+		s.trace.printf("%d timer delay=%d token=%d", at, int64(a.Delay), a.Token)
+	case decide.Subscribe:
 		s.trace.printf("%d subscribe", at)
 	default:
 		s.trace.printf("%d unknown", at)
@@ -325,21 +325,21 @@
 // printServers prints once a second which servers the router avoids.
 func (s *simulation) printServers() {
 	line := ""
-	for _, id := range s.router.Aside(nil) {
+	for _, id := range s.router.AppendEjected(nil) {
 		line += fmt.Sprintf(" %d", uint64(id))
 	}
-	s.trace.printf("%d avoided=%d aside=%s", s.now-1000*time.Second, s.router.Avoided(), line)
+	s.trace.printf("%d avoided=%d aside=%s", s.now-1000*time.Second, s.router.UnavailableCount(), line)
 	s.after(time.Second, s.printServers)
 }
 
 func (s *simulation) arrive() {
 	class := []int{0, 0, 0, 1, 1, 1, 1, 2, 3, 4, 5}[s.random.IntN(11)]
 	c := s.set.Classes[class]
-	q := decide.Request{ID: s.nextID, Class: class, Part: s.random.IntN(3), Group: s.random.IntN(4), Left: c.Deadline,
-		Repeat: s.random.IntN(9) == 0}
+	q := decide.Request{ID: s.nextID, Class: class, Chunk: s.random.IntN(3), PurgeGroup: s.random.IntN(4), Timeout: c.Deadline,
+		ClientRetry: s.random.IntN(9) == 0}
 	q.Object = decide.ObjectID(1 + s.random.IntN(400)/(1+s.random.IntN(40)))
 	if s.random.IntN(12) == 0 {
-		q.Left = time.Duration(1 + s.random.Int64N(int64(c.Deadline)))
+		q.Timeout = time.Duration(1 + s.random.Int64N(int64(c.Deadline)))
 	}
 	if s.sizes && s.random.IntN(15) != 0 {
 		q.SizeKB = s.size(q)
@@ -362,12 +362,12 @@
 
 func (s *simulation) disconnect(id decide.RequestID) {
 	delete(s.open, id)
-	s.handle(decide.Left{ID: id})
+	s.handle(decide.ClientDisconnected{ID: id})
 }
 
 // size is the size of an object's part in KB.
 func (s *simulation) size(q decide.Request) float64 {
-	return float64(5 + (uint64(q.Object)*7919+uint64(q.Part)*104729)%400)
+	return float64(5 + (uint64(q.Object)*7919+uint64(q.Chunk)*104729)%400)
 }
 
 func (s *simulation) server(id decide.ServerID) *simServer {
@@ -380,16 +380,16 @@
 }
 
 // begin decides when and how an attempt will end.
-func (s *simulation) begin(send decide.Get) {
+func (s *simulation) begin(send decide.SendAttempt) {
 	a := &simAttempt{send: send, request: s.open[send.ID], index: s.counts[send.ID], started: s.now}
 	s.counts[send.ID]++
 	s.out = append(s.out, a)
 	o, delay := s.outcome(a)
-	if s.now+delay >= send.Until {
-		o.Result, o.Note, o.Done, o.Bytes, delay = decide.TimedOut, decide.NoNote, false, 0, send.Until-s.now
+	if s.now+delay >= send.Deadline {
+		o.Result, o.CacheStatus, o.RequestDone, o.BodyBytes, delay = decide.TimedOut, decide.CacheStatusUnknown, false, 0, send.Deadline-s.now
 	}
 	if s.random.IntN(150) == 0 {
-		o.Result, o.Note, o.Done = decide.Broken, decide.NoNote, false
+		o.Result, o.CacheStatus, o.RequestDone = decide.ConnectionLost, decide.CacheStatusUnknown, false
 		s.after(delay, func() { s.breakConnection(send.Server) })
 	}
 	s.at(s.now+delay, &simEvent{outcome: &o, attempt: a})
@@ -399,44 +399,44 @@
 func (s *simulation) breakConnection(id decide.ServerID) {
 	for _, a := range slices.Clone(s.out) {
 		if a.send.Server == id && !a.ended {
-			s.finish(a, decide.Outcome{Result: decide.Broken, Load: s.noLoad()})
+			s.finish(a, decide.Outcome{Result: decide.ConnectionLost, Load: s.noLoad()})
 		}
 	}
 }
 
-func (s *simulation) cancel(c decide.Cancel) {
+func (s *simulation) cancel(c decide.CancelAttempt) {
 	for _, a := range s.out {
 		if a.send.ID == c.ID && a.index == c.Attempt && !a.ended {
-			s.at(s.now+2*time.Millisecond, &simEvent{outcome: &decide.Outcome{Result: decide.Cancelled, Load: s.noLoad()}, attempt: a})
+			s.at(s.now+2*time.Millisecond, &simEvent{outcome: &decide.Outcome{Result: decide.Canceled, Load: s.noLoad()}, attempt: a})
 		}
 	}
 }
 
-func (s *simulation) noLoad() decide.Load {
+func (s *simulation) noLoad() decide.LoadReport {
 	nan := math.NaN()
-	return decide.Load{Inflight: nan, Busy: nan, HitShare: nan, Link: nan}
+	return decide.LoadReport{Inflight: nan, CPUUtilization: nan, HitRatio: nan, LinkUtilization: nan}
 }
 
 // outcome draws the end of an attempt and the time until then.
 func (s *simulation) outcome(a *simAttempt) (decide.Outcome, time.Duration) {
-	target, source := s.server(a.send.Server), s.server(a.send.Source)
+	target, source := s.server(a.send.Server), s.server(a.send.FillSource)
 	o := decide.Outcome{Load: s.noLoad()}
 	if s.loads && s.random.IntN(3) > 0 {
-		o.Load.Link = s.link * (0.8 + 0.4*s.random.Float64())
+		o.Load.LinkUtilization = s.link * (0.8 + 0.4*s.random.Float64())
 	}
 	sending := s.size(a.request) / 1000
 	quick := time.Duration(1+s.random.IntN(8)) * time.Millisecond
-	note := func(n decide.Note) decide.Note {
-		if !s.notes || s.set.HitsOnly && n >= decide.SourceRefused {
-			return decide.NoNote
+	note := func(n decide.CacheStatus) decide.CacheStatus {
+		if !s.notes || s.set.HitStatusOnly && n >= decide.SourceRejected {
+			return decide.CacheStatusUnknown
 		}
 		return n
 	}
-	write, fills := s.set.Classes[a.request.Class].Write, a.send.Source != a.send.Server
+	write, fills := s.set.Classes[a.request.Class].Write, a.send.FillSource != a.send.Server
 	hit := !write && s.random.Float64() < s.hits
 	switch {
 	case target.down:
-		o.Result = decide.Unreached
+		o.Result = decide.ConnectFailed
 		return o, quick
 	case target.silent:
 		return o, time.Hour
@@ -444,42 +444,42 @@
 		o.Result = decide.NotSent
 		return o, quick
 	case s.random.Float64() < target.rejects:
-		o.Result = decide.Full
+		o.Result = decide.Rejected
 		if fills && s.random.IntN(3) == 0 {
-			o.Note = note(decide.NoFillPlace)
+			o.CacheStatus = note(decide.FillRejected)
 		}
 		return o, quick
 	case s.random.Float64() < target.errors:
-		o.Result = decide.Errored
+		o.Result = decide.ServerError
 		return o, quick
 	case hit && target.listed.Kind != s.set.OriginKind:
-		o.Note = note([]decide.Note{decide.Hit, decide.Hit, decide.Hit, decide.StaleHit}[s.random.IntN(4)])
+		o.CacheStatus = note([]decide.CacheStatus{decide.Hit, decide.Hit, decide.Hit, decide.StaleHit}[s.random.IntN(4)])
 		return s.served(a, o, sending*target.slow, 0)
 	case !fills && target.listed.Kind != s.set.OriginKind:
-		o.Result = decide.Miss
+		o.Result = decide.NotCached
 		if s.random.IntN(20) == 0 { // it joined another request's fill, which failed
-			o.Result, o.Note = decide.Errored, note(decide.SourceUnreached)
+			o.Result, o.CacheStatus = decide.ServerError, note(decide.SourceUnreachable)
 		}
 		return o, quick
 	case source.silent:
 		return o, time.Hour
 	case source.down:
-		o.Result, o.Note = decide.Errored, note(decide.SourceUnreached)
+		o.Result, o.CacheStatus = decide.ServerError, note(decide.SourceUnreachable)
 		return o, quick
 	case s.random.Float64() < source.rejects:
-		o.Result, o.Note = decide.Full, note(decide.SourceRefused)
+		o.Result, o.CacheStatus = decide.Rejected, note(decide.SourceRejected)
 		return o, quick
 	case s.random.Float64() < source.errors:
-		o.Result, o.Note = decide.Errored, note([]decide.Note{decide.SourceUnreached, decide.OriginFailed}[s.random.IntN(2)])
+		o.Result, o.CacheStatus = decide.ServerError, note([]decide.CacheStatus{decide.SourceUnreachable, decide.OriginFailed}[s.random.IntN(2)])
 		return o, 3 * quick
-	case a.send.HeldOnly && s.random.IntN(2) == 0:
-		o.Result, o.Note = decide.Miss, note(decide.SourceLacks)
+	case a.send.OnlyIfCached && s.random.IntN(2) == 0:
+		o.Result, o.CacheStatus = decide.NotCached, note(decide.SourceMiss)
 		return o, quick
 	case s.random.IntN(3) == 0:
-		o.Note = note(decide.FilledByOrigin)
+		o.CacheStatus = note(decide.FilledByOrigin)
 		return s.served(a, o, sending*max(target.slow, source.slow), 0.04*s.origin().slow)
 	}
-	o.Note = note([]decide.Note{decide.Filled, decide.Filled, decide.Joined}[s.random.IntN(3)])
+	o.CacheStatus = note([]decide.CacheStatus{decide.Filled, decide.Filled, decide.JoinedFill}[s.random.IntN(3)])
 	return s.served(a, o, sending*max(target.slow, source.slow), 0.01*source.slow)
 }
 
@@ -487,15 +487,15 @@
 
 // served is a success that waits for its source and then takes some seconds to send.
 func (s *simulation) served(a *simAttempt, o decide.Outcome, sending, wait float64) (decide.Outcome, time.Duration) {
-	o.Result, o.Done = decide.Served, true
-	if s.set.BytesPerS > 0 {
-		o.Bytes = int(s.size(a.request) / 1000 * s.set.BytesPerS)
+	o.Result, o.RequestDone = decide.Served, true
+	if s.set.BodyBytesPerSecond > 0 {
+		o.BodyBytes = int(s.size(a.request) / 1000 * s.set.BodyBytesPerSecond)
 	}
-	if s.notes && !s.set.HitsOnly {
-		o.Waited = time.Duration(wait * float64(time.Second))
+	if s.notes && !s.set.HitStatusOnly {
+		o.SourceWait = time.Duration(wait * float64(time.Second))
 	}
 	took := (wait + sending) * (0.7 + 0.8*s.random.Float64())
-	return o, o.Waited + time.Duration(took*float64(time.Second))
+	return o, o.SourceWait + time.Duration(took*float64(time.Second))
 }
 
 // finish reports the end of an attempt, once.
@@ -505,9 +505,9 @@
 	}
 	a.ended = true
 	s.out = slices.DeleteFunc(s.out, func(x *simAttempt) bool { return x == a })
-	o.ID, o.Attempt, o.Server, o.Took = a.send.ID, a.index, a.send.Server, s.now-a.started
+	o.ID, o.Attempt, o.Server, o.Duration = a.send.ID, a.index, a.send.Server, s.now-a.started
 	_, open := s.open[a.send.ID]
-	o.Done = o.Done || !open
+	o.RequestDone = o.RequestDone || !open
 	if o.Result == decide.Served {
 		delete(s.open, a.send.ID)
 	}
@@ -575,11 +575,11 @@
 
 // restart lists a server as gone and, after a moment, as freshly started.
 func (s *simulation) restart(server *simServer) {
-	server.down, server.listed.Phase = true, decide.Gone
-	s.handle(decide.Members{Servers: []decide.Server{server.listed}})
+	server.down, server.listed.Phase = true, decide.Removed
+	s.handle(decide.EndpointUpdate{Servers: []decide.Server{server.listed}})
 	s.after(time.Duration(s.random.IntN(1500))*time.Millisecond, func() {
-		server.down, server.listed.Phase, server.listed.Started = false, decide.Ready, s.now
-		s.handle(decide.Members{Servers: []decide.Server{server.listed}})
+		server.down, server.listed.Phase, server.listed.StartedAt = false, decide.Ready, s.now
+		s.handle(decide.EndpointUpdate{Servers: []decide.Server{server.listed}})
 	})
 }
 
@@ -589,33 +589,33 @@
 	switch s.random.IntN(12) {
 	case 0:
 		one.listed.Phase = decide.Draining
-		s.handle(decide.Members{Servers: []decide.Server{one.listed}})
+		s.handle(decide.EndpointUpdate{Servers: []decide.Server{one.listed}})
 		s.after(time.Duration(s.random.IntN(3000))*time.Millisecond, func() { s.restart(one) })
 	case 1:
-		s.handle(decide.Members{Failed: true})
+		s.handle(decide.EndpointUpdate{Failed: true})
 	case 2:
-		s.handle(decide.Members{Full: true, Servers: s.list()})
+		s.handle(decide.EndpointUpdate{Snapshot: true, Servers: s.list()})
 	case 3:
 		s.handle(decide.Purge{Object: decide.ObjectID(1 + s.random.IntN(400)), Age: time.Duration(s.random.IntN(900)) * time.Millisecond})
 	case 4:
 		s.handle(decide.Purge{Group: s.random.IntN(4), Age: time.Duration(s.random.IntN(900)) * time.Millisecond})
 	case 5:
 		load := s.noLoad()
-		load.Link = 3 * s.random.Float64()
-		s.handle(decide.Report{Server: one.listed.ID, Load: load, Age: time.Duration(s.random.IntN(1200)) * time.Millisecond})
+		load.LinkUtilization = 3 * s.random.Float64()
+		s.handle(decide.PeerLoadReport{Server: one.listed.ID, Load: load, Age: time.Duration(s.random.IntN(1200)) * time.Millisecond})
 	case 6, 7:
-		s.handle(decide.Hold{Server: one.listed.ID, Until: s.now + time.Duration(s.random.IntN(8000))*time.Millisecond})
+		s.handle(decide.ExtendEjection{Server: one.listed.ID, Until: s.now + time.Duration(s.random.IntN(8000))*time.Millisecond})
 	case 8, 9:
-		s.handle(decide.Suspect{Server: one.listed.ID})
+		s.handle(decide.RequireProbe{Server: one.listed.ID})
 	case 10:
 		s.handle(decide.Outcome{ID: s.nextID + 5, Load: s.noLoad()}) // of nobody
-		s.handle(decide.Timer{Token: s.random.Uint64()})
+		s.handle(decide.TimerFired{Token: s.random.Uint64()})
 	case 11:
-		guest := decide.Server{ID: 50 + decide.ServerID(s.random.IntN(3)), Zone: 1, Phase: decide.Ready, Weight: 6, Started: s.now}
-		s.handle(decide.Members{Servers: []decide.Server{guest}})
+		guest := decide.Server{ID: 50 + decide.ServerID(s.random.IntN(3)), Zone: 1, Phase: decide.Ready, Weight: 6, StartedAt: s.now}
+		s.handle(decide.EndpointUpdate{Servers: []decide.Server{guest}})
 		s.after(time.Second, func() {
-			guest.Phase = decide.Gone
-			s.handle(decide.Members{Servers: []decide.Server{guest}})
+			guest.Phase = decide.Removed
+			s.handle(decide.EndpointUpdate{Servers: []decide.Server{guest}})
 		})
 	}
 	s.after(time.Duration(100+s.random.IntN(900))*time.Millisecond, s.sendNews)
@@ -623,11 +623,11 @@
 
 // adopt goes over to other settings: one class more, other shares.
 func (s *simulation) adopt() {
-	s.set.Classes = append(slices.Clone(s.set.Classes), decide.Class{Name: "new", Aim: 300 * time.Millisecond,
-		Deadline: 2 * time.Second, Worth: 1})
-	s.set.SeatsByZone = []int{0, 3, 1}
-	s.set.Cache.From = 0.4
-	if err := s.router.Adopt(s.set); err != nil {
+	s.set.Classes = append(slices.Clone(s.set.Classes), decide.Class{Name: "new", LatencyObjective: 300 * time.Millisecond,
+		Deadline: 2 * time.Second, PriorityWeight: 1})
+	s.set.RoutersByZone = []int{0, 3, 1}
+	s.set.CacheSlowStart.InitialCapacity = 0.4
+	if err := s.router.UpdateSettings(s.set); err != nil {
 		s.trace.printf("settings not adopted")
 	}
 }
@@ -681,16 +681,16 @@
 	second := time.Second
 	guards := []decide.Guard{
 		{},
-		{Ready: map[decide.ServerID]bool{1: true}, Done: 6 * second, Grace: 300 * time.Millisecond, Purging: true, Heard: 100 * second,
-			Purges: []decide.PurgedAt{{Object: 7, At: 99 * second}, {Group: 4, At: 95 * second}, {Object: 7, Group: 3, At: 101 * second}}},
-		{Ready: map[decide.ServerID]bool{1: true, 2: false}, Done: 2 * second, Grace: second, Heard: 10 * second,
-			Purges: []decide.PurgedAt{{At: 100 * second}}},
+		{Ready: map[decide.ServerID]bool{1: true}, PurgeRetention: 6 * second, PurgeGrace: 300 * time.Millisecond, PurgesSeen: true, LastEventAt: 100 * second,
+			Purges: []decide.PurgeRecord{{Object: 7, At: 99 * second}, {Group: 4, At: 95 * second}, {Object: 7, Group: 3, At: 101 * second}}},
+		{Ready: map[decide.ServerID]bool{1: true, 2: false}, PurgeRetention: 2 * second, PurgeGrace: second, LastEventAt: 10 * second,
+			Purges: []decide.PurgeRecord{{At: 100 * second}}},
 	}
 	text := &strings.Builder{}
 	for i := range guards {
 		g := &guards[i]
 		for id := range decide.ServerID(4) {
-			fmt.Fprintf(text, "guard %d server=%d barred=%t\n", i, uint64(id), g.Bars(id))
+			fmt.Fprintf(text, "guard %d server=%d barred=%t\n", i, uint64(id), g.Excludes(id))
 		}
 		for _, now := range []time.Duration{99 * second, 100 * second, 101*second + 1, 101*second + 500*time.Millisecond + 1, 110 * second} {
 			for object := range decide.ObjectID(9) {
@@ -699,12 +699,12 @@
 				}
 				for group := -1; group < 6; group += 2 + group&1 {
 					fmt.Fprintf(text, "guard %d now=%d object=%d group=%d age=%d of_5s=%d purged=%t\n", i, int64(now), uint64(object), group,
-						int64(g.Age(now, 0, object, group)), int64(g.Age(now, 5*second, object, group)), g.Purged(now, object, group))
+						int64(g.MaxAge(now, 0, object, group)), int64(g.MaxAge(now, 5*second, object, group)), g.MayBeStale(now, object, group))
 				}
 			}
 		}
 	}
 	var none *decide.Guard
-	fmt.Fprintf(text, "no guard barred=%t purged=%t\n", none.Bars(1), none.Purged(second, 1, 1))
+	fmt.Fprintf(text, "no guard barred=%t purged=%t\n", none.Excludes(1), none.MayBeStale(second, 1, 1))
 	compareGolden(t, "guard.txt", text.String())
 }
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -11,22 +11,22 @@
 func Example() {
 	router, err := decide.New(decide.Settings{
 		Zones: 2, Zone: 1, Kinds: 3, ParentKind: 1, OriginKind: 2,
-		MaxAttempts: 4, CanJoin: true, FlowKBps: 4000,
-		Classes: []decide.Class{{Name: "page", Aim: 250 * time.Millisecond, Deadline: 3 * time.Second, Worth: 1}},
+		MaxAttempts: 4, CanJoinFill: true, TransferKBPerSecond: 4000,
+		Classes: []decide.Class{{Name: "page", LatencyObjective: 250 * time.Millisecond, Deadline: 3 * time.Second, PriorityWeight: 1}},
 	}, 1)
 	if err != nil {
 		fmt.Println(err)
 		return
 	}
-	router.Handle(0, decide.Members{Full: true, Servers: []decide.Server{
+	router.Handle(0, decide.EndpointUpdate{Snapshot: true, Servers: []decide.Server{
 		{ID: 11, Zone: 1, Kind: 0, Phase: decide.Ready},
 		{ID: 31, Zone: 0, Kind: 1, Phase: decide.Ready},
 	}}, nil)
-	page := decide.Request{ID: 1, Object: 0xfe, Left: 3 * time.Second, SizeKB: 200}
+	page := decide.Request{ID: 1, Object: 0xfe, Timeout: 3 * time.Second, SizeKB: 200}
 	for _, a := range router.Handle(time.Millisecond, page, nil) {
-		if get, ok := a.(decide.Get); ok {
+		if get, ok := a.(decide.SendAttempt); ok {
 			fmt.Printf("request %d to cache %d, a miss filled by parent %d, join %v\n",
-				get.ID, get.Server, get.Source, get.Join)
+				get.ID, get.Server, get.FillSource, get.JoinFill)
 		}
 	}
 	// Output: request 1 to cache 11, a miss filled by parent 31, join false
--- a/decide/guard.go
+++ b/decide/guard.go
@@ -5,49 +5,49 @@
 // Guard is what an attempt is held against once more when it is written: it
 // may have been queued since it was decided. A Guard does not change.
 type Guard struct {
-	Ready   map[ServerID]bool // listed, and neither draining nor gone
-	Purges  []PurgedAt
-	Done    time.Duration // after it a purge has left no older copy
-	Grace   time.Duration // after it a purge binds
-	Purging bool          // purges have been told
-	Heard   time.Duration // latest word of the change log; 0: it is not followed
+	Ready          map[ServerID]bool // listed, and neither draining nor gone
+	Purges         []PurgeRecord
+	PurgeRetention time.Duration // after it a purge has left no older copy
+	PurgeGrace     time.Duration // after it a purge binds
+	PurgesSeen     bool          // purges have been told
+	LastEventAt    time.Duration // latest word of the change log; 0: it is not followed
 }
 
-// deafAfter is when a change log counts as cut off: it says something each second.
-const deafAfter = 1500 * time.Millisecond
+// watchStaleAfter is when a change log counts as cut off: it says something each second.
+const watchStaleAfter = 1500 * time.Millisecond
 
-// deaf tells whether there may be purges that were not heard of.
+// watchStale tells whether there may be purges that were not heard of.
 //
 // Symptom guarded against: with the change log cut off a purge binds all the
 // same. It might hurt for as long as that lasts: copies must be nearly new.
-func (g *Guard) deaf(now time.Duration) bool {
-	return g.Purging && g.Heard != 0 && now > g.Heard+deafAfter
+func (g *Guard) watchStale(now time.Duration) bool {
+	return g.PurgesSeen && g.LastEventAt != 0 && now > g.LastEventAt+watchStaleAfter
 }
 
-// PurgedAt is a purge and when it was made.
-type PurgedAt struct {
+// PurgeRecord is a purge and when it was made.
+type PurgeRecord struct {
 	Object ObjectID // 0: the whole group
 	Group  int
 	At     time.Duration
 }
 
-// Bars tells whether nothing new may go to a server, as target or as source.
+// Excludes tells whether nothing new may go to a server, as target or as source.
 //
 // Symptom guarded against: an attempt that waited in a queue while its server
 // was listed as draining goes out past the grace.
-func (g *Guard) Bars(id ServerID) bool { return g == nil || !g.Ready[id] }
+func (g *Guard) Excludes(id ServerID) bool { return g == nil || !g.Ready[id] }
 
-// Age returns the oldest copy that will do at now for an attempt decided with
+// MaxAge returns the oldest copy that will do at now for an attempt decided with
 // the bound age, 0 for any.
 //
 // Symptom guarded against: an attempt decided just before a purge is written
 // after it, and is answered from the old copy.
-func (g *Guard) Age(now, age time.Duration, o ObjectID, group int) time.Duration {
-	if g.deaf(now) && (age == 0 || age > g.Grace) {
-		age = g.Grace
+func (g *Guard) MaxAge(now, age time.Duration, o ObjectID, group int) time.Duration {
+	if g.watchStale(now) && (age == 0 || age > g.PurgeGrace) {
+		age = g.PurgeGrace
 	}
 	for _, p := range g.Purges {
-		if p.At+g.Done > now && p.covers(o, group) {
+		if p.At+g.PurgeRetention > now && p.covers(o, group) {
 			if since := max(now-p.At, time.Microsecond); age == 0 || since < age {
 				age = since
 			}
@@ -56,20 +56,20 @@
 	return age
 }
 
-// Purged tells whether old copies of an object may still lie about. With group
+// MayBeStale tells whether old copies of an object may still lie about. With group
 // -1 the object's group is not known, and a purge of any group counts.
-func (g *Guard) Purged(now time.Duration, o ObjectID, group int) bool {
-	if g == nil || g.deaf(now) {
+func (g *Guard) MayBeStale(now time.Duration, o ObjectID, group int) bool {
+	if g == nil || g.watchStale(now) {
 		return g != nil
 	}
 	for _, p := range g.Purges {
-		if p.At+g.Done > now && (p.covers(o, group) || p.Object == 0 && group < 0) {
+		if p.At+g.PurgeRetention > now && (p.covers(o, group) || p.Object == 0 && group < 0) {
 			return true
 		}
 	}
 	return false
 }
 
-func (p PurgedAt) covers(o ObjectID, group int) bool {
+func (p PurgeRecord) covers(o ObjectID, group int) bool {
 	return p.Object == o && o != 0 || p.Object == 0 && p.Group == group
 }
--- a/internal/changelog/golden_test.go
+++ b/internal/changelog/golden_test.go
@@ -35,12 +35,12 @@
 	}
 }
 
-// describeEvent writes what a frame says, by values and not by the names of fields.
-func describeEvent(w io.Writer, ev config.Event, kind byte) {
-	fmt.Fprintf(w, "  kind %d, event %d, list %v, whole %v\n", kind, ev.Seq, ev.Fleet, ev.Whole)
-	for _, h := range ev.Hosts {
+// formatEvent writes what a frame says, by values and not by the names of fields.
+func formatEvent(w io.Writer, ev config.WatchEvent, kind byte) {
+	fmt.Fprintf(w, "  kind %d, event %d, list %v, whole %v\n", kind, ev.Seq, ev.ListUpdate, ev.Snapshot)
+	for _, h := range ev.Endpoints {
 		fmt.Fprintf(w, "  server %v at %v, zone %d, kind %d, cell %d, phase %d, weight %v, started %v\n",
-			h.ID, h.Dial, h.Zone, h.Kind, h.Cell, h.Phase, h.Weight, h.Started)
+			h.ID, h.Addr, h.Zone, h.Kind, h.Cell, h.Phase, h.Weight, h.StartedAt)
 	}
 	if p := ev.Purge; p != nil {
 		fmt.Fprintf(w, "  purge of object %016x, group %d at %.0f\n", uint64(p.Object), p.Group, p.At)
@@ -53,12 +53,12 @@
 	var out strings.Builder
 	here, there := net.Pipe()
 	defer there.Close()
-	log := newLog(netip.AddrPort{}, func(config.Event) {})
+	log := newTestWatcher(netip.AddrPort{}, func(config.WatchEvent) {})
 	log.dial = func(context.Context, netip.AddrPort) (net.Conn, error) { return here, nil }
-	log.seq = 0x1122334455667788
+	log.lastSeq = 0x1122334455667788
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
-	go func() { log.follow(ctx, log.conf, log.seq, make(chan message)); close(done) }()
+	go func() { log.readFrames(ctx, log.config, log.lastSeq, make(chan frameResult)); close(done) }()
 	var asked [8]byte
 	if _, err := io.ReadFull(there, asked[:]); err != nil {
 		t.Fatal(err)
@@ -67,21 +67,21 @@
 	<-done
 	fmt.Fprintf(&out, "asked %x\n", asked)
 	for _, b := range [][]byte{
-		frame(0x29, 0),
-		frame(0x2a, 1, bytes.Join([][]byte{record(0xc41f7a, 0), record(8, 1)}, nil)...),
-		frame(0x2b, 2, record(8, 2)...),
-		frame(0x2c, 3, purge(0x7f3a9c21e0b4d655, 1_764_576_000_123)...),
-		frame(0x2d, 4, append([]byte{0, 17}, purge(1_764_576_000_480, 0)[:8]...)...),
-		frame(0x2e, 3, purge(0, 1_764_576_000_123)...),
+		encodeFrame(0x29, 0),
+		encodeFrame(0x2a, 1, bytes.Join([][]byte{encodeRecord(0xc41f7a, 0), encodeRecord(8, 1)}, nil)...),
+		encodeFrame(0x2b, 2, encodeRecord(8, 2)...),
+		encodeFrame(0x2c, 3, encodePurge(0x7f3a9c21e0b4d655, 1_764_576_000_123)...),
+		encodeFrame(0x2d, 4, append([]byte{0, 17}, encodePurge(1_764_576_000_480, 0)[:8]...)...),
+		encodeFrame(0x2e, 3, encodePurge(0, 1_764_576_000_123)...),
 	} {
-		ev, kind, err := read(sock.New(connOf(b)), 2, 1)
+		ev, kind, err := readFrame(sock.New(connOf(b)), 2, 1)
 		if err != nil {
 			t.Fatal(err)
 		}
 		fmt.Fprintf(&out, "told %s\n", hex.EncodeToString(b))
-		describeEvent(&out, ev, kind)
+		formatEvent(&out, ev, kind)
 	}
 	compareGolden(t, "frames.golden", out.String())
 }
 
-func connOf(b []byte) net.Conn { return source{r: bytes.NewReader(b)} }
+func connOf(b []byte) net.Conn { return stubConn{reader: bytes.NewReader(b)} }
--- a/internal/changelog/terms_test.go
+++ b/internal/changelog/terms_test.go
@@ -56,7 +56,7 @@
 }
 
 // startLog runs a log to the end of the test.
-func startLog(t *testing.T, log *Log) {
+func startLog(t *testing.T, log *Watcher) {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -65,7 +65,7 @@
 }
 
 // expectEvents awaits events with these numbers, in order.
-func expectEvents(t *testing.T, told <-chan config.Event, seqs ...uint64) {
+func expectEvents(t *testing.T, told <-chan config.WatchEvent, seqs ...uint64) {
 	t.Helper()
 	for _, seq := range seqs {
 		select {
@@ -85,8 +85,8 @@
 func TestDrainAfterDiscoveryWasDown(t *testing.T) {
 	server, closed := newChangeLogServer(t), newChangeLogServer(t)
 	closed.Close()
-	told := make(chan config.Event, 16)
-	log := newLog(server.addrPort(), func(ev config.Event) { told <- ev })
+	told := make(chan config.WatchEvent, 16)
+	log := newTestWatcher(server.addrPort(), func(ev config.WatchEvent) { told <- ev })
 	dial, dials, refused := log.dial, 0, make(chan error, 3)
 	log.dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 		if dials++; dials < 2 || dials > 4 {
@@ -97,17 +97,17 @@
 		return conn, err
 	}
 	startLog(t, log)
-	server.accept(1, append(frame(2, 2, record(7, 0)...), 0, 0, 0, 0)) // and a broken frame, which ends it
+	server.accept(1, append(encodeFrame(2, 2, encodeRecord(7, 0)...), 0, 0, 0, 0)) // and a broken frame, which ends it
 	expectEvents(t, told, 1, 2)
 	for range cap(refused) {
 		if err := <-refused; err == nil {
 			t.Fatal("connected to nothing")
 		}
 	}
-	server.accept(2, bytes.Join([][]byte{frame(3, 2, record(8, 0)...), frame(4, 2, record(7, 1)...)}, nil))
+	server.accept(2, bytes.Join([][]byte{encodeFrame(3, 2, encodeRecord(8, 0)...), encodeFrame(4, 2, encodeRecord(7, 1)...)}, nil))
 	expectEvents(t, told, 3, 4)
-	if g := log.Guard(); !g.Bars(7) || g.Bars(8) {
-		t.Errorf("barred: the one that drains %v, the new one %v", g.Bars(7), g.Bars(8))
+	if g := log.Guard(); !g.Excludes(7) || g.Excludes(8) {
+		t.Errorf("barred: the one that drains %v, the new one %v", g.Excludes(7), g.Excludes(8))
 	}
 }
 
@@ -120,8 +120,8 @@
 // that a new configuration names: the old one is open, silent, and never ends by itself.
 func TestReloadCutsASilentConnection(t *testing.T) {
 	first, second := newChangeLogServer(t), newChangeLogServer(t)
-	told := make(chan config.Event, 16)
-	log := newLog(first.addrPort(), func(ev config.Event) { told <- ev })
+	told := make(chan config.WatchEvent, 16)
+	log := newTestWatcher(first.addrPort(), func(ev config.WatchEvent) { told <- ev })
 	dial := log.dial
 	log.dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 		conn, err := dial(ctx, to)
@@ -130,15 +130,15 @@
 		}
 		return conn, err
 	}
-	next := *log.conf
-	next.ChangeLog = second.addrPort()
+	next := *log.config
+	next.Discovery = second.addrPort()
 	startLog(t, log)
-	first.accept(1, frame(2, 2, record(7, 0)...))
+	first.accept(1, encodeFrame(2, 2, encodeRecord(7, 0)...))
 	expectEvents(t, told, 1, 2)
 	log.Reload(&next)
-	second.accept(2, frame(3, 2, record(7, 1)...))
+	second.accept(2, encodeFrame(3, 2, encodeRecord(7, 1)...))
 	expectEvents(t, told, 3)
-	if !log.Guard().Bars(7) {
+	if !log.Guard().Excludes(7) {
 		t.Error("the server that drains is not barred")
 	}
 }
@@ -152,20 +152,20 @@
 // against waiting for the rest of one that stops half way: it is asked for anew.
 func TestListInPieces(t *testing.T) {
 	server := newChangeLogServer(t)
-	told := make(chan config.Event, 16)
-	log := newLog(server.addrPort(), func(ev config.Event) { told <- ev })
+	told := make(chan config.WatchEvent, 16)
+	log := newTestWatcher(server.addrPort(), func(ev config.WatchEvent) { told <- ev })
 	dial := log.dial
 	log.dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 		conn, err := dial(ctx, to)
 		return slowConn{conn}, err
 	}
 	startLog(t, log)
-	list := frame(3, 1, append(record(7, 1), record(8, 0)...)...)
-	server.accept(1, append(frame(2, 2, record(7, 0)...), list[:len(list)/2]...))
+	list := encodeFrame(3, 1, append(encodeRecord(7, 1), encodeRecord(8, 0)...)...)
+	server.accept(1, append(encodeFrame(2, 2, encodeRecord(7, 0)...), list[:len(list)/2]...))
 	expectEvents(t, told, 1, 2)
-	server.accept(2, append(list, frame(4, 2, record(8, 1)...)...))
+	server.accept(2, append(list, encodeFrame(4, 2, encodeRecord(8, 1)...)...))
 	expectEvents(t, told, 3, 4)
-	if all, barred := log.Listed(); all != 2 || barred != 2 {
+	if all, barred := log.ServerCounts(); all != 2 || barred != 2 {
 		t.Errorf("%d listed, %d barred", all, barred)
 	}
 }
@@ -173,8 +173,8 @@
 // Guards against a router that is never ready because discovery does not answer: what the
 // configuration knows is told before any connection, and Caught is closed without a word.
 func TestReadyWithoutDiscovery(t *testing.T) {
-	told := make(chan config.Event, 16)
-	log := newLog(netip.AddrPort{}, func(ev config.Event) { told <- ev })
+	told := make(chan config.WatchEvent, 16)
+	log := newTestWatcher(netip.AddrPort{}, func(ev config.WatchEvent) { told <- ev })
 	toldAtDial := make(chan int, 1)
 	log.dial = func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
 		select {
@@ -189,7 +189,7 @@
 		t.Errorf("%d events told before the first connection, want the one that is known", n)
 	}
 	select {
-	case <-log.Caught():
+	case <-log.Synced():
 	case <-time.After(testTimeout):
 		t.Fatal("it waits for a log that says nothing")
 	}
@@ -200,21 +200,21 @@
 // of before: whoever is told of an event finds the guard that has it.
 func TestGuardIsPublishedBeforeItIsTold(t *testing.T) {
 	server := newChangeLogServer(t)
-	told, barred := make(chan config.Event, 16), make(chan bool, 16)
-	var log *Log
-	log = newLog(server.addrPort(), func(ev config.Event) {
-		barred <- log.Guard().Bars(7)
+	told, barred := make(chan config.WatchEvent, 16), make(chan bool, 16)
+	var log *Watcher
+	log = newTestWatcher(server.addrPort(), func(ev config.WatchEvent) {
+		barred <- log.Guard().Excludes(7)
 		told <- ev
 	})
 	startLog(t, log)
-	server.accept(1, bytes.Join([][]byte{frame(2, 2, record(7, 0)...), frame(3, 2, record(7, 1)...), frame(4, 2, record(7, 0)...)}, nil))
+	server.accept(1, bytes.Join([][]byte{encodeFrame(2, 2, encodeRecord(7, 0)...), encodeFrame(3, 2, encodeRecord(7, 1)...), encodeFrame(4, 2, encodeRecord(7, 0)...)}, nil))
 	expectEvents(t, told, 1, 2, 3, 4)
 	for i, want := range []bool{true, false, true, false} {
 		if got := <-barred; got != want {
 			t.Errorf("event %d: barred %v when it was told, want %v", i+1, got, want)
 		}
 	}
-	if err := log.Switch(t.Context(), decide.ServerID(7), true); err != nil || !<-barred {
+	if err := log.SetDisabled(t.Context(), decide.ServerID(7), true); err != nil || !<-barred {
 		t.Errorf("taken out by staff: %v, or not barred when it was told", err)
 	}
 }
--- a/internal/changelog/changelog_test.go
+++ b/internal/changelog/watcher_test.go
@@ -23,39 +23,39 @@
 
 const now = 1.7e12
 
-// frame writes a frame by the protocol's own words.
-func frame(seq uint64, kind byte, payload ...byte) []byte {
+// encodeFrame writes a frame by the protocol's own words.
+func encodeFrame(seq uint64, kind byte, payload ...byte) []byte {
 	b := binary.BigEndian.AppendUint32(nil, uint32(9+len(payload)))
 	return append(append(binary.BigEndian.AppendUint64(b, seq), kind), payload...)
 }
 
-func record(id uint32, state byte) []byte {
+func encodeRecord(id uint32, state byte) []byte {
 	b := binary.BigEndian.AppendUint32(nil, id)
 	b = append(b, 127, 0, 0, 9, 0x13, 0xba, state, 1, 0, 0, 5)
 	b = binary.BigEndian.AppendUint32(b, 2500)
 	return binary.BigEndian.AppendUint64(b, 1_700_000_000_123)
 }
 
-func purge(object uint64, at uint64) []byte {
+func encodePurge(object uint64, at uint64) []byte {
 	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, object), at)
 }
 
-func newLog(addr netip.AddrPort, tell func(config.Event)) *Log {
-	return New(clock.NewManual(now), &config.Config{ChangeLog: addr, Seq: 1, Zones: []string{"a", "b"}, Kinds: []string{"box"},
-		Settings: decide.Settings{PurgeDone: 6 * time.Second},
-		Known:    []config.Event{{Seq: 1, Fleet: true, Whole: true}}}, tell, stats.New())
+func newTestWatcher(addr netip.AddrPort, tell func(config.WatchEvent)) *Watcher {
+	return NewWatcher(clock.NewManual(now), &config.Config{Discovery: addr, KnownSeq: 1, Zones: []string{"a", "b"}, Kinds: []string{"box"},
+		Settings:    decide.Settings{PurgeRetention: 6 * time.Second},
+		KnownEvents: []config.WatchEvent{{Seq: 1, ListUpdate: true, Snapshot: true}}}, tell, stats.New())
 }
 
 // A connection that ends, or brings a broken frame, is made anew from the
 // number of the last event; what comes twice is told once.
-func TestReconnectsFromTheLastNumber(t *testing.T) {
+func TestReconnectResumesFromLastSeq(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	told := make(chan config.Event, 16)
-	log := newLog(l.Addr().(*net.TCPAddr).AddrPort(), func(ev config.Event) { told <- ev })
+	told := make(chan config.WatchEvent, 16)
+	log := newTestWatcher(l.Addr().(*net.TCPAddr).AddrPort(), func(ev config.WatchEvent) { told <- ev })
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -66,10 +66,10 @@
 		from  uint64
 		bytes []byte
 	}{
-		{1, bytes.Join([][]byte{frame(2, 2, record(7, 0)...), frame(2, 0)}, nil)},
-		{2, bytes.Join([][]byte{frame(2, 2, record(7, 2)...), frame(3, 3, purge(9, now-50)...), frame(4, 9)}, nil)},
-		{3, bytes.Join([][]byte{frame(4, 4, append([]byte{0, 17}, purge(now, 0)[:8]...)...), {0, 0, 0, 1, 0}}, nil)},
-		{4, frame(5, 2, record(7, 1)...)},
+		{1, bytes.Join([][]byte{encodeFrame(2, 2, encodeRecord(7, 0)...), encodeFrame(2, 0)}, nil)},
+		{2, bytes.Join([][]byte{encodeFrame(2, 2, encodeRecord(7, 2)...), encodeFrame(3, 3, encodePurge(9, now-50)...), encodeFrame(4, 9)}, nil)},
+		{3, bytes.Join([][]byte{encodeFrame(4, 4, append([]byte{0, 17}, encodePurge(now, 0)[:8]...)...), {0, 0, 0, 1, 0}}, nil)},
+		{4, encodeFrame(5, 2, encodeRecord(7, 1)...)},
 	} {
 		conn, err := l.Accept()
 		if err != nil {
@@ -90,9 +90,9 @@
 			t.Fatalf("event %d told, want %d", ev.Seq, seq)
 		}
 		if seq == 2 {
-			h := ev.Hosts[0]
-			if h.ID != 7 || h.Dial.String() != "127.0.0.9:5050" || h.Zone != 1 || h.Cell != 5 || h.Weight != 2.5 ||
-				h.Started != config.Born(1_700_000_000_123) || h.Phase != decide.Ready {
+			h := ev.Endpoints[0]
+			if h.ID != 7 || h.Addr.String() != "127.0.0.9:5050" || h.Zone != 1 || h.Cell != 5 || h.Weight != 2.5 ||
+				h.StartedAt != config.StartTime(1_700_000_000_123) || h.Phase != decide.Ready {
 				t.Errorf("%+v", h)
 			}
 		}
@@ -100,28 +100,28 @@
 	stop()
 	<-done
 	// Seven seconds without a word there may be purges that were not heard of.
-	if g := log.Guard(); !g.Purging || g.Heard != clock.Duration(now) || !g.Bars(7) || !g.Purged(clock.Duration(now), 9, 0) || !g.Purged(clock.Duration(now), 1, 17) ||
-		g.Purged(clock.Duration(now), 1, 16) || !g.Purged(clock.Duration(now+7000), 1, 1) {
+	if g := log.Guard(); !g.PurgesSeen || g.LastEventAt != clock.Duration(now) || !g.Excludes(7) || !g.MayBeStale(clock.Duration(now), 9, 0) || !g.MayBeStale(clock.Duration(now), 1, 17) ||
+		g.MayBeStale(clock.Duration(now), 1, 16) || !g.MayBeStale(clock.Duration(now+7000), 1, 1) {
 		t.Errorf("%+v", g)
 	}
 }
 
 // Routers that lose their log at one moment come back to it one after another, ever
 // more seldom, and soon again once it has spoken.
-func TestRoutersComeBackApart(t *testing.T) {
+func TestReconnectDelaysAreSpread(t *testing.T) {
 	const routers = 300
 	crowd := map[int]int{}
 	for seed := range uint64(routers) {
-		p := pauses{draw: rand.New(rand.NewPCG(seed, 0))}
+		p := reconnectBackoff{random: rand.New(rand.NewPCG(seed, 0))}
 		at, last := 0.0, 0.0
 		for range 6 {
-			last = p.next(false)
+			last = p.nextDelay(false)
 			at += last
 		}
-		if at < 50 || last < retryMost/2 || last > retryMost {
+		if at < 50 || last < maxBackoff/2 || last > maxBackoff {
 			t.Fatalf("seed %d: back %.0f ms later, the last wait was %.0f ms", seed, at, last)
 		}
-		if w := p.next(true); w > retryFirst {
+		if w := p.nextDelay(true); w > initialBackoff {
 			t.Fatalf("seed %d: waits %.0f ms for a log that spoke", seed, w)
 		}
 		crowd[int(at)/20]++
@@ -135,7 +135,7 @@
 
 // Another configuration's log is asked at once and from the last number held,
 // though the old one is still open; what it knows beyond that is told first.
-func TestReloadFollowsTheNewLog(t *testing.T) {
+func TestReloadMovesToNewAddress(t *testing.T) {
 	var ls [2]net.Listener
 	for i := range ls {
 		var err error
@@ -145,8 +145,8 @@
 		defer ls[i].Close()
 	}
 	addr := func(i int) netip.AddrPort { return ls[i].Addr().(*net.TCPAddr).AddrPort() }
-	told := make(chan config.Event, 16)
-	log := newLog(addr(0), func(ev config.Event) { told <- ev })
+	told := make(chan config.WatchEvent, 16)
+	log := newTestWatcher(addr(0), func(ev config.WatchEvent) { told <- ev })
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -163,7 +163,7 @@
 		if _, err := io.ReadFull(conn, from[:]); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := conn.Write(frame(2, 4, append([]byte{0, 17}, purge(now, 0)[:8]...)...)); err != nil {
+		if _, err := conn.Write(encodeFrame(2, 4, append([]byte{0, 17}, encodePurge(now, 0)[:8]...)...)); err != nil {
 			t.Fatal(err)
 		}
 		return binary.BigEndian.Uint64(from[:])
@@ -176,15 +176,15 @@
 			t.Fatalf("event %d told, want %d", ev.Seq, seq)
 		}
 	}
-	next := *log.conf
-	next.ChangeLog, next.Settings.PurgeDone = addr(1), 7*time.Second
-	next.Known = []config.Event{{Seq: 2}, {Seq: 3, Fleet: true}}
+	next := *log.config
+	next.Discovery, next.Settings.PurgeRetention = addr(1), 7*time.Second
+	next.KnownEvents = []config.WatchEvent{{Seq: 2}, {Seq: 3, ListUpdate: true}}
 	log.Reload(&config.Config{}) // taken over by the next, or left by it
 	log.Reload(&next)
 	if from := asked(1); from != 3 {
 		t.Errorf("the new log was asked from %d, want 3", from)
 	}
-	if ev := <-told; ev.Seq != 3 || log.Guard().Done != 7*time.Second {
+	if ev := <-told; ev.Seq != 3 || log.Guard().PurgeRetention != 7*time.Second {
 		t.Errorf("event %d told, guard %+v", ev.Seq, log.Guard())
 	}
 	stop()
@@ -194,13 +194,13 @@
 // Guards against work for a cache that staff have taken out: the list, however often
 // it says that the cache is ready, a second process of the same router, and one that
 // starts later, do not let it back. One call undoes two. What is back is cold.
-func TestSwitch(t *testing.T) {
+func TestSetDisabled(t *testing.T) {
 	state := t.TempDir()
-	start := func() (*Log, chan config.Event, func()) {
-		told := make(chan config.Event, 64)
-		log := New(clock.NewManual(now), &config.Config{State: state, Zones: []string{"a", "b"}, Kinds: []string{"box"}, Seq: 1,
-			Known: []config.Event{{Seq: 1, Fleet: true, Whole: true, Hosts: []config.Host{{Server: decide.Server{ID: 7, Phase: decide.Ready}}}}}},
-			func(ev config.Event) { told <- ev }, stats.New())
+	start := func() (*Watcher, chan config.WatchEvent, func()) {
+		told := make(chan config.WatchEvent, 64)
+		log := NewWatcher(clock.NewManual(now), &config.Config{StateDir: state, Zones: []string{"a", "b"}, Kinds: []string{"box"}, KnownSeq: 1,
+			KnownEvents: []config.WatchEvent{{Seq: 1, ListUpdate: true, Snapshot: true, Endpoints: []config.Endpoint{{Server: decide.Server{ID: 7, Phase: decide.Ready}}}}}},
+			func(ev config.WatchEvent) { told <- ev }, stats.New())
 		here, there := net.Pipe()
 		log.dial = func(context.Context, netip.AddrPort) (net.Conn, error) { return here, nil }
 		ctx, stop := context.WithCancel(t.Context())
@@ -216,76 +216,76 @@
 			<-done
 		}
 	}
-	phase := func(log *Log, told chan config.Event, want decide.Phase) decide.Server {
+	phase := func(log *Watcher, told chan config.WatchEvent, want decide.Phase) decide.Server {
 		t.Helper()
 		ev := <-told
-		if len(ev.Hosts) != 1 || ev.Hosts[0].Phase != want || log.Guard().Bars(7) != (want != decide.Ready) {
-			t.Fatalf("told %+v, barred %v; want phase %v", ev, log.Guard().Bars(7), want)
+		if len(ev.Endpoints) != 1 || ev.Endpoints[0].Phase != want || log.Guard().Excludes(7) != (want != decide.Ready) {
+			t.Fatalf("told %+v, barred %v; want phase %v", ev, log.Guard().Excludes(7), want)
 		}
-		return ev.Hosts[0].Server
+		return ev.Endpoints[0].Server
 	}
 	log, told, stop := start()
 	defer stop()
 	phase(log, told, decide.Ready)
 	call := func(id decide.ServerID, out bool, want error) {
 		t.Helper()
-		if err := log.Switch(t.Context(), id, out); !errors.Is(err, want) {
+		if err := log.SetDisabled(t.Context(), id, out); !errors.Is(err, want) {
 			t.Fatalf("%v out %v: %v, want %v", id, out, err, want)
 		}
 	}
-	call(8, true, ErrUnknown)
+	call(8, true, ErrUnknownServer)
 	call(7, true, nil)
 	phase(log, told, decide.Draining)
 	call(7, true, nil)
-	if all, barred := log.Listed(); all != 1 || barred != 1 {
+	if all, barred := log.ServerCounts(); all != 1 || barred != 1 {
 		t.Errorf("listed %d, barred %d", all, barred)
 	}
 	log2, told2, stop2 := start()
 	defer stop2()
 	phase(log2, told2, decide.Draining)
 	call(7, false, nil)
-	if s := phase(log, told, decide.Ready); s.Started != clock.Duration(now) {
-		t.Errorf("back with start %v", s.Started)
+	if s := phase(log, told, decide.Ready); s.StartedAt != clock.Duration(now) {
+		t.Errorf("back with start %v", s.StartedAt)
 	}
 	phase(log2, told2, decide.Ready) // it sees that the mark has gone
-	if err := log2.Switch(t.Context(), 7, true); err != nil {
+	if err := log2.SetDisabled(t.Context(), 7, true); err != nil {
 		t.Fatal(err)
 	}
 	phase(log, told, decide.Draining)
 	for _, whole := range []bool{true, false} { // whatever the list says
-		ev := config.Event{Fleet: true, Whole: whole, Hosts: []config.Host{{Server: decide.Server{ID: 7, Phase: decide.Ready}}}}
-		if h := log.seen(ev.Hosts[0]); h.Phase != decide.Draining {
+		ev := config.WatchEvent{ListUpdate: true, Snapshot: whole, Endpoints: []config.Endpoint{{Server: decide.Server{ID: 7, Phase: decide.Ready}}}}
+		if h := log.effectiveState(ev.Endpoints[0]); h.Phase != decide.Draining {
 			t.Errorf("seen as %v", h.Phase)
 		}
 	}
 }
 
-type source struct {
+type stubConn struct {
 	net.Conn
-	r io.Reader
+	reader io.Reader
 }
 
-func (s source) Read(p []byte) (int, error) { return s.r.Read(p) }
+func (s stubConn) Read(p []byte) (int, error) { return s.reader.Read(p) }
 
 // FuzzFrame: any bytes are events or an error, never a panic nor a buffer
 // larger than a frame may be, and zones and kinds are those of the settings.
 func FuzzFrame(f *testing.F) {
-	f.Add(frame(2, 1, append(record(1, 0), record(2, 1)...)...))
-	f.Add(frame(3, 3, purge(0, 5)...))
-	f.Add(frame(4, 4, 0, 1, 2))
+	f.Add(encodeFrame(2, 1, append(encodeRecord(1, 0), encodeRecord(2, 1)...)...))
+	f.Add(encodeFrame(3, 3, encodePurge(0, 5)...))
+	f.Add(encodeFrame(4, 4, 0, 1, 2))
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0})
 	f.Fuzz(func(t *testing.T, b []byte) {
-		k := sock.New(source{r: bytes.NewReader(b)})
+		k := sock.New(stubConn{reader: bytes.NewReader(b)})
 		for {
-			ev, _, err := read(k, 2, 1)
+			ev, _, err := readFrame(k, 2, 1)
 			if err != nil {
-				if !errors.Is(err, ErrFrame) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+				if !errors.Is(err, ErrMalformedFrame) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 					t.Fatal(err)
 				}
 				return
 			}
-			for _, h := range ev.Hosts {
-				if h.Zone >= 2 || h.Kind >= 1 || h.Phase > decide.Draining || h.Started < 0 {
+			for _, h := range ev.Endpoints {
+				if h.Zone >= 2 || h.Kind >= 1 || h.Phase > decide.Draining || h.StartedAt < 0 {
 					t.Fatalf("%+v", h)
 				}
 			}
@@ -297,7 +297,7 @@
 func FuzzGuard(f *testing.F) {
 	seeds.Add(f, 16, 90)
 	f.Fuzz(func(t *testing.T, steps []byte) {
-		g, ready := &decide.Guard{Done: 6 * time.Second}, map[decide.ServerID]bool{}
+		g, ready := &decide.Guard{PurgeRetention: 6 * time.Second}, map[decide.ServerID]bool{}
 		at, last := map[int]float64{}, now
 		for i := 0; i+2 < len(steps); i += 3 {
 			id, x := decide.ServerID(steps[i+1]%5), int(steps[i+2])
@@ -309,24 +309,24 @@
 				}
 				p := decide.Phase(x % 3)
 				ready[id] = p == decide.Ready
-				g = next(g, config.Event{Fleet: true, Whole: op == 1,
-					Hosts: []config.Host{{Server: decide.Server{ID: id, Phase: p}}}}, clock.Duration(last), 0)
+				g = nextGuard(g, config.WatchEvent{ListUpdate: true, Snapshot: op == 1,
+					Endpoints: []config.Endpoint{{Server: decide.Server{ID: id, Phase: p}}}}, clock.Duration(last), 0)
 			default:
 				at[x%4] = last
-				g = next(g, config.Event{Purge: &config.Purge{Group: x % 4, At: last}}, clock.Duration(last), 0)
+				g = nextGuard(g, config.WatchEvent{Purge: &config.Purge{Group: x % 4, At: last}}, clock.Duration(last), 0)
 			}
 			for id := range decide.ServerID(5) {
-				if g.Bars(id) == ready[id] {
-					t.Fatalf("server %d: barred %v, ready %v", id, g.Bars(id), ready[id])
+				if g.Excludes(id) == ready[id] {
+					t.Fatalf("server %d: barred %v, ready %v", id, g.Excludes(id), ready[id])
 				}
 			}
 			for group := range 4 {
 				told, was := at[group]
 				want := was && told+6000 > last
-				if g.Purged(clock.Duration(last), 99, group) != want {
+				if g.MayBeStale(clock.Duration(last), 99, group) != want {
 					t.Fatalf("group %d purged at %.0f: now %.0f, want %v", group, told, last, want)
 				}
-				age := g.Age(clock.Duration(last), 8*time.Second, 99, group)
+				age := g.MaxAge(clock.Duration(last), 8*time.Second, 99, group)
 				if bound := clock.Duration(last - told); want && age > max(bound, time.Microsecond)+time.Millisecond || !want && age != 8*time.Second {
 					t.Fatalf("group %d: age %v", group, age)
 				}
@@ -335,22 +335,22 @@
 	})
 }
 
-// session is what a connection has to ask from and what it is brought; cut ends it then.
-type session struct {
+// scriptedSession is what a connection has to ask from and what it is brought; cut ends it then.
+type scriptedSession struct {
 	from  uint64
 	bytes []byte
 	cut   bool
 }
 
-// follow runs a log through sessions, one connection each, and returns what it tells.
-func follow(t *testing.T, sessions ...session) (*Log, chan config.Event) {
+// runScript runs a log through sessions, one connection each, and returns what it tells.
+func runScript(t *testing.T, sessions ...scriptedSession) (*Watcher, chan config.WatchEvent) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	told := make(chan config.Event, 16)
-	log := newLog(l.Addr().(*net.TCPAddr).AddrPort(), func(ev config.Event) { told <- ev })
+	told := make(chan config.WatchEvent, 16)
+	log := newTestWatcher(l.Addr().(*net.TCPAddr).AddrPort(), func(ev config.WatchEvent) { told <- ev })
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { log.Run(ctx); close(done) }()
@@ -379,12 +379,12 @@
 // event that does not follow the last one, has the log asked again from what is held. A log
 // that goes on like that is followed as it is.
 func TestMissedEvents(t *testing.T) {
-	event := func(seq uint64) []byte { return frame(seq, 2, record(7, 0)...) }
-	_, told := follow(t, session{1, append(event(2), frame(3, 0)...), false}, // 3 never came
-		session{2, append(event(3), event(5)...), false}, // nor did 4
-		session{3, append(event(4), event(5)...), true},  // here they are
-		session{5, event(7), false},                      // 6 is not there
-		session{5, bytes.Join([][]byte{event(7), frame(7, 0), event(8)}, nil), false})
+	event := func(seq uint64) []byte { return encodeFrame(seq, 2, encodeRecord(7, 0)...) }
+	_, told := runScript(t, scriptedSession{1, append(event(2), encodeFrame(3, 0)...), false}, // 3 never came
+		scriptedSession{2, append(event(3), event(5)...), false}, // nor did 4
+		scriptedSession{3, append(event(4), event(5)...), true},  // here they are
+		scriptedSession{5, event(7), false},                      // 6 is not there
+		scriptedSession{5, bytes.Join([][]byte{event(7), encodeFrame(7, 0), event(8)}, nil), false})
 	for _, seq := range []uint64{1, 2, 3, 4, 5, 7, 8} {
 		if ev := <-told; ev.Seq != seq {
 			t.Fatalf("event %d told, want %d", ev.Seq, seq)
@@ -394,30 +394,30 @@
 
 // Guards against a log that connects and then says nothing, and one that dies right after it
 // is back: a drain that begins in that gap is heard of on the next connection.
-func TestSilentLog(t *testing.T) {
-	log, told := follow(t, session{1, nil, false}, session{1, frame(2, 2, record(7, 0)...), true}, session{2, frame(3, 2, record(7, 1)...), false})
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	log, told := runScript(t, scriptedSession{1, nil, false}, scriptedSession{1, encodeFrame(2, 2, encodeRecord(7, 0)...), true}, scriptedSession{2, encodeFrame(3, 2, encodeRecord(7, 1)...), false})
 	for _, seq := range []uint64{1, 2, 3} {
 		if ev := <-told; ev.Seq != seq {
 			t.Fatalf("event %d told, want %d", ev.Seq, seq)
 		}
 	}
-	if !log.Guard().Bars(7) {
+	if !log.Guard().Excludes(7) {
 		t.Error("the cache that drains is not barred")
 	}
 }
 
 // Guards against a wall clock that is set while the router runs: a purge's time is the wall
 // clock's, and set back by more than a purge binds it looked long past when it was told.
-func TestWallClockIsSet(t *testing.T) {
+func TestWallClockStep(t *testing.T) {
 	for _, by := range []float64{-3_600_000, -7_000, 0, 7_000, 3_600_000} {
 		teller, err := standin.NewTeller(1)
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer teller.Close()
-		told := make(chan config.Event, 16)
-		log := newLog(teller.Addr().(*net.TCPAddr).AddrPort(), func(ev config.Event) { told <- ev })
-		log.clock.(*clock.Manual).Set(by)
+		told := make(chan config.WatchEvent, 16)
+		log := newTestWatcher(teller.Addr().(*net.TCPAddr).AddrPort(), func(ev config.WatchEvent) { told <- ev })
+		log.clock.(*clock.Manual).StepWallClock(by)
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { log.Run(ctx); close(done) }()
@@ -428,8 +428,8 @@
 			}
 		}
 		at := clock.Duration(now)
-		if g := log.Guard(); !g.Purged(at, 9, 0) || g.Age(at, 0, 9, 0).Round(time.Millisecond) != 50*time.Millisecond {
-			t.Errorf("set by %v ms: purged %v, copies of %v will do", by, g.Purged(at, 9, 0), g.Age(at, 0, 9, 0))
+		if g := log.Guard(); !g.MayBeStale(at, 9, 0) || g.MaxAge(at, 0, 9, 0).Round(time.Millisecond) != 50*time.Millisecond {
+			t.Errorf("set by %v ms: purged %v, copies of %v will do", by, g.MayBeStale(at, 9, 0), g.MaxAge(at, 0, 9, 0))
 		}
 		stop()
 		<-done
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -21,43 +21,43 @@
 // System follows the system's clock as it stood at the start, and from there
 // the monotonic one, so that a step of the wall clock moves no deadline.
 type System struct {
-	start time.Time
-	unix  float64 // what the wall clock said then
+	start     time.Time
+	startUnix float64 // what the wall clock said then
 }
 
 // NewSystem returns a clock that starts now.
-func NewSystem() System { return System{time.Now(), unix(faults.Wall())} }
+func NewSystem() System { return System{time.Now(), unixMillis(faults.Wall())} }
 
 // Now returns the time in Unix milliseconds.
 func (s System) Now() float64 {
-	return s.unix + float64(time.Since(s.start))/float64(time.Millisecond)
+	return s.startUnix + float64(time.Since(s.start))/float64(time.Millisecond)
 }
 
-// stepGrain is to what a step is rounded: without one it is none at all, and what others
+// stepRounding is to what a step is rounded: without one it is none at all, and what others
 // wrote at one moment stays at one moment.
-const stepGrain = 20.0
+const stepRounding = 20.0
 
-// Step is by how much the wall clock has been set since the clock's start.
-func (s System) Step() float64 {
-	return math.Round((unix(faults.Wall())-s.Now())/stepGrain) * stepGrain
+// WallClockStep is by how much the wall clock has been set since the clock's start.
+func (s System) WallClockStep() float64 {
+	return math.Round((unixMillis(faults.Wall())-s.Now())/stepRounding) * stepRounding
 }
 
-func unix(t time.Time) float64 { return float64(t.UnixMicro()) / 1e3 }
+func unixMillis(t time.Time) float64 { return float64(t.UnixMicro()) / 1e3 }
 
-// Step is by how many milliseconds the machine's wall clock has been set since a clock's
+// WallClockStep is by how many milliseconds the machine's wall clock has been set since a clock's
 // start: a time that somebody else took from the wall clock is that much later than by c.
 //
 // Symptom guarded against: a wall clock that was set back by some seconds made every purge
 // look long past, and old copies were served as if there had been none.
-func Step(c Clock) float64 {
-	if s, ok := c.(stepped); ok {
-		return s.Step()
+func WallClockStep(c Clock) float64 {
+	if s, ok := c.(wallClockStepper); ok {
+		return s.WallClockStep()
 	}
 	return 0
 }
 
-// stepped is a clock that knows by how much the wall clock has been set.
-type stepped interface{ Step() float64 }
+// wallClockStepper is a clock that knows by how much the wall clock has been set.
+type wallClockStepper interface{ WallClockStep() float64 }
 
 // Boot counts milliseconds since the machine's start, suspended time among them: a lease
 // must not be longer for a machine that slept through a part of it. Where there is no such
@@ -101,15 +101,15 @@
 	m.now += ms
 }
 
-// Set sets the wall clock by so many ms; the clock itself goes on.
-func (m *Manual) Set(ms float64) {
+// StepWallClock sets the wall clock by so many ms; the clock itself goes on.
+func (m *Manual) StepWallClock(ms float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.step += ms
 }
 
-// Step is by how much the wall clock was set.
-func (m *Manual) Step() float64 {
+// WallClockStep is by how much the wall clock was set.
+func (m *Manual) WallClockStep() float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.step
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -33,17 +33,17 @@
 }
 
 // A clock that is not set has no step, and rounds what little two readings differ by.
-func TestStep(t *testing.T) {
+func TestWallClockStep(t *testing.T) {
 	s := NewSystem()
-	if got := Step(s); got != 0 {
+	if got := WallClockStep(s); got != 0 {
 		t.Errorf("the wall clock seems set by %v ms", got)
 	}
-	s.unix -= 3_600_000.4 // as if it had been set on by so much since
-	if got := Step(s); got != 3_600_000 {
+	s.startUnix -= 3_600_000.4 // as if it had been set on by so much since
+	if got := WallClockStep(s); got != 3_600_000 {
 		t.Errorf("set by an hour: %v ms", got)
 	}
 	m := NewManual(5)
-	if m.Set(-30); Step(m) != -30 || m.Now() != 5 {
-		t.Errorf("set back: step %v, now %v", Step(m), m.Now())
+	if m.StepWallClock(-30); WallClockStep(m) != -30 || m.Now() != 5 {
+		t.Errorf("set back: step %v, now %v", WallClockStep(m), m.Now())
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -29,35 +29,35 @@
 
 // Config is all that an edge router is told at its start.
 type Config struct {
-	Name      string
-	Listen    netip.AddrPort
-	ListenFD  int            // descriptor of a listening socket that is inherited; 0: none
-	Mgmt      netip.AddrPort // where staff call; not valid: nowhere
-	State     string         // folder that outlives the process, shared with its successor; empty: none
-	ChangeLog netip.AddrPort
-	Seed      uint64
-	Limits    Limits
-	Settings  decide.Settings
-	Report    []string // names of the values of a load report
-	Conn      Conn
-	Known     []Event
-	Seq       uint64 // number of the last known event
-	Zones     []string
-	Kinds     []string
+	Name             string
+	Listen           netip.AddrPort
+	ListenFD         int            // descriptor of a listening socket that is inherited; 0: none
+	AdminListen      netip.AddrPort // where staff call; not valid: nowhere
+	StateDir         string         // folder that outlives the process, shared with its successor; empty: none
+	Discovery        netip.AddrPort
+	Seed             uint64
+	Limits           Limits
+	Settings         decide.Settings
+	LoadReportFields []string // names of the values of a load report
+	Upstream         Upstream
+	KnownEvents      []WatchEvent
+	KnownSeq         uint64 // number of the last known event
+	Zones            []string
+	Kinds            []string
 }
 
-// Conn holds what the settings say of connections to caches.
-type Conn struct {
-	Idle       float64 // ms; an idle connection is closed after it
-	Connect    float64 // ms; a connection that is not up by then failed
-	MaxStreams int     // requests that one connection carries
-	BytesPerS  float64 // pace of one transfer; 0: not told
+// Upstream holds what the settings say of connections to caches.
+type Upstream struct {
+	IdleTimeout    float64 // ms; an idle connection is closed after it
+	ConnectTimeout float64 // ms; a connection that is not up by then failed
+	MaxStreams     int     // requests that one connection carries
+	BytesPerSecond float64 // pace of one transfer; 0: not told
 }
 
-// Host is one entry of the list of caches, with its address.
-type Host struct {
+// Endpoint is one entry of the list of caches, with its address.
+type Endpoint struct {
 	decide.Server
-	Dial netip.AddrPort
+	Addr netip.AddrPort
 }
 
 // Purge is a purge with the moment at which it was made.
@@ -67,39 +67,39 @@
 	At     float64 // Unix ms
 }
 
-// Event is one event of the change log: a change of the list or a purge.
-type Event struct {
-	Seq   uint64
-	Fleet bool // Hosts holds what changed
-	Whole bool // Hosts holds the whole list
-	Hosts []Host
-	Purge *Purge
+// WatchEvent is one event of the change log: a change of the list or a purge.
+type WatchEvent struct {
+	Seq        uint64
+	ListUpdate bool // Hosts holds what changed
+	Snapshot   bool // Endpoints holds the whole list
+	Endpoints  []Endpoint
+	Purge      *Purge
 }
 
-type file struct {
-	Name      string          `json:"name"`
-	Listen    string          `json:"listen"`
-	Seed      string          `json:"seed"`
-	Limits    Limits          `json:"limits"`
-	Mgmt      string          `json:"mgmt"`
-	ChangeLog string          `json:"changelog"`
-	Known     known           `json:"known"`
-	Flow      float64         `json:"flow_bytes_per_s"`
-	Settings  json.RawMessage `json:"settings"`
+type document struct {
+	Name               string          `json:"name"`
+	Listen             string          `json:"listen"`
+	Seed               string          `json:"seed"`
+	Limits             Limits          `json:"limits"`
+	AdminListen        string          `json:"mgmt"`
+	Discovery          string          `json:"changelog"`
+	Known              knownEvents     `json:"known"`
+	FlowBytesPerSecond float64         `json:"flow_bytes_per_s"`
+	Settings           json.RawMessage `json:"settings"`
 }
 
-type known struct {
+type knownEvents struct {
 	Seq     uint64 `json:"seq"`
 	Results []struct {
 		Seq        uint64      `json:"seq"`
-		Fleet      *fleet      `json:"fleet"`
-		Invalidate *invalidate `json:"invalidate"`
+		Fleet      *listUpdate `json:"fleet"`
+		Invalidate *purge      `json:"invalidate"`
 	} `json:"results"`
 }
 
-type fleet struct {
-	Whole bool `json:"whole"`
-	Hosts []struct {
+type listUpdate struct {
+	Snapshot bool `json:"whole"`
+	Hosts    []struct {
 		Host   string  `json:"host"`
 		Dial   string  `json:"dial"`
 		Site   string  `json:"site"`
@@ -111,7 +111,7 @@
 	} `json:"hosts"`
 }
 
-type invalidate struct {
+type purge struct {
 	Object string  `json:"object"`
 	Bucket *int    `json:"bucket"`
 	Time   float64 `json:"time"`
@@ -135,7 +135,7 @@
 
 // Parse reads a configuration.
 func Parse(data []byte, env func(string) string) (*Config, error) {
-	var f file
+	var f document
 	if err := json.Unmarshal(data, &f); err != nil {
 		var bad *json.UnmarshalTypeError
 		if errors.As(err, &bad) {
@@ -150,24 +150,24 @@
 		f.Listen = v
 	}
 	if v := env("EDGE_MGMT"); v != "" {
-		f.Mgmt = v
+		f.AdminListen = v
 	}
-	c := &Config{Name: f.Name, Limits: f.Limits, Seq: f.Known.Seq, State: env("TMPDIR")}
+	c := &Config{Name: f.Name, Limits: f.Limits, KnownSeq: f.Known.Seq, StateDir: env("TMPDIR")}
 	var err error
 	if v := env("EDGE_LISTEN_FD"); v != "" {
 		if c.ListenFD, err = strconv.Atoi(v); err != nil || c.ListenFD < 3 {
 			return nil, fmt.Errorf("EDGE_LISTEN_FD: %q is not a descriptor from 3", v)
 		}
 	}
-	if f.Mgmt != "" {
-		if c.Mgmt, err = netip.ParseAddrPort(f.Mgmt); err != nil {
+	if f.AdminListen != "" {
+		if c.AdminListen, err = netip.ParseAddrPort(f.AdminListen); err != nil {
 			return nil, fmt.Errorf("mgmt: %w", err)
 		}
 	}
 	if c.Listen, err = netip.ParseAddrPort(f.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	if c.ChangeLog, err = netip.ParseAddrPort(f.ChangeLog); err != nil {
+	if c.Discovery, err = netip.ParseAddrPort(f.Discovery); err != nil {
 		return nil, fmt.Errorf("changelog: %w", err)
 	}
 	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
@@ -179,42 +179,42 @@
 	if f.Limits.Sockets > 0 && f.Limits.Sockets < 32 {
 		return nil, fmt.Errorf("limits.sockets: %d, want 32 or more", f.Limits.Sockets)
 	}
-	if err := c.settings(f.Settings); err != nil {
+	if err := c.parseSettings(f.Settings); err != nil {
 		return nil, err
 	}
-	if f.Flow < 0 {
-		return nil, fmt.Errorf("flow_bytes_per_s: %v: negative", f.Flow)
+	if f.FlowBytesPerSecond < 0 {
+		return nil, fmt.Errorf("flow_bytes_per_s: %v: negative", f.FlowBytesPerSecond)
 	}
-	c.Settings.BytesPerS, c.Conn.BytesPerS = f.Flow, f.Flow
+	c.Settings.BodyBytesPerSecond, c.Upstream.BytesPerSecond = f.FlowBytesPerSecond, f.FlowBytesPerSecond
 	for i, r := range f.Known.Results {
-		ev, err := c.known(r.Seq, r.Fleet, r.Invalidate)
+		ev, err := c.parseEvent(r.Seq, r.Fleet, r.Invalidate)
 		if err != nil {
 			return nil, fmt.Errorf("known.results[%d].%w", i, err)
 		}
-		c.Known = append(c.Known, ev)
-		c.Seq = max(c.Seq, r.Seq)
+		c.KnownEvents = append(c.KnownEvents, ev)
+		c.KnownSeq = max(c.KnownSeq, r.Seq)
 	}
 	return c, nil
 }
 
-// Admits tells whether a running program can go over to next, and names the
+// CheckReload tells whether a running program can go over to next, and names the
 // field that it cannot: where it listens and stands, and what lists and open
 // requests refer to by place, holds for its life.
-func (c *Config) Admits(next *Config) error {
+func (c *Config) CheckReload(next *Config) error {
 	a, b := &c.Settings, &next.Settings
 	for _, f := range []struct {
 		field string
 		same  bool
 	}{
 		{"listen", c.Listen == next.Listen},
-		{"mgmt", c.Mgmt == next.Mgmt},
+		{"mgmt", c.AdminListen == next.AdminListen},
 		{"settings.areas", slices.Equal(c.Zones, next.Zones)},
 		{"settings.machine_types", slices.Equal(c.Kinds, next.Kinds)},
 		{"settings.zone", a.Zone == b.Zone},
 		{"settings.family_info.second_tier_kind", a.ParentKind == b.ParentKind},
 		{"settings.family_info.root_kind", a.OriginKind == b.OriginKind},
 		{"settings.classes", slices.EqualFunc(a.Classes, b.Classes, func(x, y decide.Class) bool {
-			return x.Name == y.Name && x.Effect == y.Effect && x.Write == y.Write
+			return x.Name == y.Name && x.Idempotency == y.Idempotency && x.Write == y.Write
 		})},
 	} {
 		if !f.same {
@@ -224,9 +224,9 @@
 	return nil
 }
 
-// settings reads the settings, which stand here as nested JSON under the
+// parseSettings reads the settings, which stand here as nested JSON under the
 // names that the simulator's wire gives as paths.
-func (c *Config) settings(raw json.RawMessage) error {
+func (c *Config) parseSettings(raw json.RawMessage) error {
 	if len(raw) == 0 {
 		return errors.New("settings: missing")
 	}
@@ -245,10 +245,10 @@
 	if _, err := decide.New(s, 0); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
-	c.Settings, c.Report = s, report
+	c.Settings, c.LoadReportFields = s, report
 	c.Zones, c.Kinds = strings.Split(m["areas"], ","), strings.Split(m["machine_types"], ",")
-	c.Conn = Conn{Idle: 15000, Connect: 400, MaxStreams: 100}
-	for path, v := range map[string]*float64{"limits.conn_idle_us": &c.Conn.Idle, "limits.connect_timeout_us": &c.Conn.Connect} {
+	c.Upstream = Upstream{IdleTimeout: 15000, ConnectTimeout: 400, MaxStreams: 100}
+	for path, v := range map[string]*float64{"limits.conn_idle_us": &c.Upstream.IdleTimeout, "limits.connect_timeout_us": &c.Upstream.ConnectTimeout} {
 		if m[path] == "" {
 			continue
 		}
@@ -259,7 +259,7 @@
 		*v = us / 1000
 	}
 	if v := m["limits.max_streams"]; v != "" {
-		if c.Conn.MaxStreams, err = strconv.Atoi(v); err != nil || c.Conn.MaxStreams < 1 {
+		if c.Upstream.MaxStreams, err = strconv.Atoi(v); err != nil || c.Upstream.MaxStreams < 1 {
 			return fmt.Errorf("settings.limits.max_streams: %q is not a number from 1", v)
 		}
 	}
@@ -280,39 +280,39 @@
 			case map[string]any, []any:
 				flatten(m, path+"."+strconv.Itoa(i), x)
 			default:
-				plain = append(plain, scalar(x))
+				plain = append(plain, formatScalar(x))
 			}
 		}
 		m[path+".count"] = strconv.Itoa(len(v))
 		m[path] = strings.Join(plain, ",")
 	default:
-		m[path] = scalar(v)
+		m[path] = formatScalar(v)
 	}
 }
 
-func scalar(v any) string {
+func formatScalar(v any) string {
 	if v == nil {
 		return "-"
 	}
 	return strings.NewReplacer(" ", "_", ",", "_").Replace(fmt.Sprint(v))
 }
 
-func (c *Config) known(seq uint64, fl *fleet, inv *invalidate) (Event, error) {
-	ev := Event{Seq: seq}
+func (c *Config) parseEvent(seq uint64, fl *listUpdate, inv *purge) (WatchEvent, error) {
+	ev := WatchEvent{Seq: seq}
 	switch {
 	case fl != nil:
-		ev.Fleet, ev.Whole = true, fl.Whole
+		ev.ListUpdate, ev.Snapshot = true, fl.Snapshot
 		for i, h := range fl.Hosts {
 			at := fmt.Sprintf("fleet.hosts[%d]", i)
 			id, err := decide.ParseServerID(h.Host)
 			if err != nil {
 				return ev, fmt.Errorf("%s.host: %w", at, err)
 			}
-			s := decide.Server{ID: id, Cell: h.Block, Weight: h.Share, Started: Born(h.Born)}
-			if s.Zone = index(c.Zones, h.Site); s.Zone < 0 {
+			s := decide.Server{ID: id, Cell: h.Block, Weight: h.Share, StartedAt: StartTime(h.Born)}
+			if s.Zone = indexOf(c.Zones, h.Site); s.Zone < 0 {
 				return ev, fmt.Errorf("%s.site: %q is not one of settings.areas", at, h.Site)
 			}
-			if s.Kind = index(c.Kinds, h.Class); s.Kind < 0 {
+			if s.Kind = indexOf(c.Kinds, h.Class); s.Kind < 0 {
 				return ev, fmt.Errorf("%s.class: %q is not one of settings.machine_types", at, h.Class)
 			}
 			switch h.Health {
@@ -321,7 +321,7 @@
 			case "draining":
 				s.Phase = decide.Draining
 			case "gone":
-				s.Phase = decide.Gone
+				s.Phase = decide.Removed
 			default:
 				return ev, fmt.Errorf("%s.health: unknown word %q", at, h.Health)
 			}
@@ -329,7 +329,7 @@
 			if err != nil {
 				return ev, fmt.Errorf("%s.dial: %w", at, err)
 			}
-			ev.Hosts = append(ev.Hosts, Host{s, dial})
+			ev.Endpoints = append(ev.Endpoints, Endpoint{s, dial})
 		}
 	case inv != nil:
 		p := Purge{At: inv.Time}
@@ -349,15 +349,15 @@
 	return ev, nil
 }
 
-// Born converts the time of a late start for the module: 0 is long ago.
-func Born(ms float64) time.Duration {
+// StartTime converts the time of a late start for the module: 0 is long ago.
+func StartTime(ms float64) time.Duration {
 	if ms <= 0 {
 		return 0
 	}
 	return clock.Duration(ms)
 }
 
-func index(words []string, w string) int {
+func indexOf(words []string, w string) int {
 	for i, x := range words {
 		if x == w && w != "" {
 			return i
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -8,7 +8,7 @@
 	"garnetline/decide"
 )
 
-const good = `{"name":"n0","listen":"127.0.0.1:5050","seed":"8c1f30d27a5be964","changelog":"127.0.0.1:9092",
+const validConfig = `{"name":"n0","listen":"127.0.0.1:5050","seed":"8c1f30d27a5be964","changelog":"127.0.0.1:9092",
 "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
 "known":{"seq":2,"results":[
  {"seq":1,"fleet":{"seq":0,"whole":true,"hosts":[{"host":"s-00c41f7a","dial":"127.0.0.2:5050","site":"edge-1","class":"box","block":2,"health":"draining","share":4,"born_ms":1764576000000}]}},
@@ -18,33 +18,33 @@
  "family_info":{"class_write":[false],"seats_by_zone":[0,2],"root_kind":2,"second_tier_kind":1,"cleared_within_us":6000000,"report_x1":"a text, with a comma"},
  "limits":{"conn_idle_us":15000000,"connect_timeout_us":400000,"max_streams":100,"try_limit":6,"cancel":true},"telemetry":{"fields":["active","x1"]}}}`
 
-func none(string) string { return "" }
+func noEnvironment(string) string { return "" }
 
 func TestParse(t *testing.T) {
-	c, err := Parse([]byte(good), none)
+	c, err := Parse([]byte(validConfig), noEnvironment)
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := c.Known[0].Hosts[0]
+	h := c.KnownEvents[0].Endpoints[0]
 	if h.ID != 0xc41f7a || h.Zone != 1 || h.Cell != 2 || h.Phase != decide.Draining || h.Weight != 4 ||
-		h.Started != 1764576000000*time.Millisecond || h.Dial.String() != "127.0.0.2:5050" || !c.Known[0].Whole {
+		h.StartedAt != 1764576000000*time.Millisecond || h.Addr.String() != "127.0.0.2:5050" || !c.KnownEvents[0].Snapshot {
 		t.Errorf("%+v", h)
 	}
-	if p := c.Known[1].Purge; p == nil || p.Group != 17 || p.Object != 0 || p.At != 1764576000480 {
+	if p := c.KnownEvents[1].Purge; p == nil || p.Group != 17 || p.Object != 0 || p.At != 1764576000480 {
 		t.Errorf("%+v", p)
 	}
-	if s := c.Settings; s.MaxAttempts != 6 || len(s.Classes) != 1 || s.Classes[0].Aim != 280*time.Millisecond ||
-		s.PurgeDone != 6*time.Second || len(c.Report) != 2 || c.Conn != (Conn{Idle: 15000, Connect: 400, MaxStreams: 100, BytesPerS: c.Settings.BytesPerS}) || c.Seq != 2 {
+	if s := c.Settings; s.MaxAttempts != 6 || len(s.Classes) != 1 || s.Classes[0].LatencyObjective != 280*time.Millisecond ||
+		s.PurgeRetention != 6*time.Second || len(c.LoadReportFields) != 2 || c.Upstream != (Upstream{IdleTimeout: 15000, ConnectTimeout: 400, MaxStreams: 100, BytesPerSecond: c.Settings.BodyBytesPerSecond}) || c.KnownSeq != 2 {
 		t.Errorf("%+v %+v", s, c)
 	}
 	env := func(k string) string { return map[string]string{"EDGE_NAME": "n7", "EDGE_LISTEN": "127.0.0.3:1"}[k] }
-	if c, err := Parse([]byte(good), env); err != nil || c.Name != "n7" || c.Listen.String() != "127.0.0.3:1" {
+	if c, err := Parse([]byte(validConfig), env); err != nil || c.Name != "n7" || c.Listen.String() != "127.0.0.3:1" {
 		t.Errorf("the environment does not go first: %v %v", c, err)
 	}
 }
 
 // What cannot be used is named by its field.
-func TestParseNamesTheField(t *testing.T) {
+func TestParseErrorNamesField(t *testing.T) {
 	for _, c := range [][3]string{
 		{`"127.0.0.1:5050"`, `"nowhere"`, "listen"},
 		{`"127.0.0.1:9092"`, `""`, "changelog"},
@@ -73,11 +73,11 @@
 		{`"class_write":[false]`, `"class_write":[false,true]`, "settings.family_info.class_write"},
 		{`"settings"`, `"set"`, "settings"},
 	} {
-		text := strings.Replace(good, c[0], c[1], 1)
-		if text == good {
+		text := strings.Replace(validConfig, c[0], c[1], 1)
+		if text == validConfig {
 			t.Fatalf("%s is not in the text", c[0])
 		}
-		if _, err := Parse([]byte(text), none); err == nil || !strings.Contains(err.Error(), c[2]) {
+		if _, err := Parse([]byte(text), noEnvironment); err == nil || !strings.Contains(err.Error(), c[2]) {
 			t.Errorf("%s: %v, want %s named", c[1], err, c[2])
 		}
 	}
--- a/internal/config/golden_test.go
+++ b/internal/config/golden_test.go
@@ -28,7 +28,7 @@
 
 // Pins what each key of the platform's JSON is read as. UPDATE_GOLDEN=1 writes
 // testdata/full.golden anew, from testdata/full.json, which has every key.
-func TestGoldenConfiguration(t *testing.T) {
+func TestGoldenConfig(t *testing.T) {
 	env := func(name string) string {
 		return map[string]string{"TMPDIR": "/state", "EDGE_LISTEN_FD": "7"}[name]
 	}
@@ -41,39 +41,39 @@
 	line("name", c.Name)
 	line("listen", c.Listen)
 	line("EDGE_LISTEN_FD", c.ListenFD)
-	line("mgmt", c.Mgmt)
-	line("TMPDIR", c.State)
-	line("changelog", c.ChangeLog)
+	line("mgmt", c.AdminListen)
+	line("TMPDIR", c.StateDir)
+	line("changelog", c.Discovery)
 	line("seed", c.Seed)
 	line("limits", c.Limits.Cores, c.Limits.MemoryMB, c.Limits.Sockets)
-	line("flow_bytes_per_s", c.Conn.BytesPerS)
-	for _, ev := range c.Known {
-		line("known", ev.Seq, ev.Fleet, ev.Whole)
-		for _, h := range ev.Hosts {
-			line("  host", h.ID, h.Dial, h.Zone, h.Kind, h.Cell, int(h.Phase), h.Weight, h.Started)
+	line("flow_bytes_per_s", c.Upstream.BytesPerSecond)
+	for _, ev := range c.KnownEvents {
+		line("known", ev.Seq, ev.ListUpdate, ev.Snapshot)
+		for _, h := range ev.Endpoints {
+			line("  host", h.ID, h.Addr, h.Zone, h.Kind, h.Cell, int(h.Phase), h.Weight, h.StartedAt)
 		}
 		if p := ev.Purge; p != nil {
 			line("  invalidate", uint64(p.Object), p.Group, p.At)
 		}
 	}
-	line("known.seq", c.Seq)
+	line("known.seq", c.KnownSeq)
 	line("settings.areas", c.Zones)
 	line("settings.machine_types", c.Kinds)
-	line("settings.telemetry.fields", c.Report)
-	line("settings.limits.conn_idle_us", c.Conn.Idle)
-	line("settings.limits.connect_timeout_us", c.Conn.Connect)
-	line("settings.limits.max_streams", c.Conn.MaxStreams)
+	line("settings.telemetry.fields", c.LoadReportFields)
+	line("settings.limits.conn_idle_us", c.Upstream.IdleTimeout)
+	line("settings.limits.connect_timeout_us", c.Upstream.ConnectTimeout)
+	line("settings.limits.max_streams", c.Upstream.MaxStreams)
 	s := c.Settings
-	line("counts", s.Zones, s.Zone, s.Kinds, s.ParentKind, s.OriginKind, s.SeatsByZone, s.Routers)
+	line("counts", s.Zones, s.Zone, s.Kinds, s.ParentKind, s.OriginKind, s.RoutersByZone, s.Routers)
 	for _, k := range s.Classes {
-		line("class", k.Name, int(k.Effect), int(k.Group), k.Window, k.Aim, k.AimStretch, k.Deadline, k.Worth, k.LateWorth, k.Write, k.Fresh, k.Grace)
+		line("class", k.Name, int(k.Idempotency), int(k.KeyScope), k.KeyWindow, k.LatencyObjective, k.ObjectiveTransferFactor, k.Deadline, k.PriorityWeight, k.LateWeightFactor, k.Write, k.FreshnessLifetime, k.MaxStale)
 	}
-	line("limits", s.MaxAttempts, s.MaxBackoff, s.CanCancel)
-	line("family_info", s.CanJoin, s.Direct, s.FlowKBps, s.BytesPerS, s.HitsOnly, s.OriginFalls)
-	line("discovery, weights", s.MustAsk, s.WeightsSize)
-	line("rules", s.DrainGrace, s.PurgeGrace, s.PurgeDone)
-	line("cache", s.Cache.From, s.Cache.Warm, s.Cache.Multiple, s.Cache.Span)
-	line("parent", s.Parent.From, s.Parent.Warm, s.Parent.Multiple, s.Parent.Span)
+	line("limits", s.MaxAttempts, s.MaxRetryAfter, s.CanCancel)
+	line("family_info", s.CanJoinFill, s.AllowBypass, s.TransferKBPerSecond, s.BodyBytesPerSecond, s.HitStatusOnly, s.OriginStopsOnOverload)
+	line("discovery, weights", s.MustSubscribe, s.WeightIsCapacity)
+	line("rules", s.DrainGrace, s.PurgeGrace, s.PurgeRetention)
+	line("cache", s.CacheSlowStart.InitialCapacity, s.CacheSlowStart.Duration, s.CacheSlowStart.OverloadFactor, s.CacheSlowStart.OverloadWindow)
+	line("parent", s.ParentSlowStart.InitialCapacity, s.ParentSlowStart.Duration, s.ParentSlowStart.OverloadFactor, s.ParentSlowStart.OverloadWindow)
 	compareGolden(t, "full.golden", out.String())
 }
 
@@ -97,7 +97,7 @@
 // has. UPDATE_GOLDEN=1 writes testdata/keys.golden anew.
 func TestGoldenKeys(t *testing.T) {
 	var out strings.Builder
-	jsonKeys(&out, "", reflect.TypeOf(file{}))
+	jsonKeys(&out, "", reflect.TypeOf(document{}))
 	compareGolden(t, "keys.golden", out.String())
 }
 
@@ -139,14 +139,14 @@
 		{`"settings"`, `"set"`},
 		{`"settings":{`, `"settings":[{`},
 	} {
-		text := strings.Replace(good, c[0], c[1], 1)
-		if text == good {
+		text := strings.Replace(validConfig, c[0], c[1], 1)
+		if text == validConfig {
 			t.Fatalf("%s is not in the text", c[0])
 		}
 		if c[1] == `"settings":[{` {
 			text = strings.TrimSuffix(text, "}") + "]}"
 		}
-		_, err := Parse([]byte(text), none)
+		_, err := Parse([]byte(text), noEnvironment)
 		if err == nil || strings.Contains(err.Error(), "\n") {
 			t.Fatalf("%s: %v", c[1], err)
 		}
@@ -160,14 +160,14 @@
 			}
 			return ""
 		}
-		_, err := Parse([]byte(good), get)
+		_, err := Parse([]byte(validConfig), get)
 		if env == "EDGE_CONFIG" {
 			_, err = Load("", get)
 		}
 		field, _, _ := strings.Cut(err.Error(), ": ")
 		fmt.Fprintf(&out, "%s=x -> %s\n", env, field)
 	}
-	_, err := Load("", none)
+	_, err := Load("", noEnvironment)
 	fmt.Fprintf(&out, "nothing given -> %v\n", err)
 	compareGolden(t, "errors.golden", out.String())
 }
@@ -175,7 +175,7 @@
 // Pins which fields only a restart can change. UPDATE_GOLDEN=1 writes
 // testdata/restart.golden anew.
 func TestGoldenRestart(t *testing.T) {
-	c, err := Parse([]byte(good), none)
+	c, err := Parse([]byte(validConfig), noEnvironment)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -196,15 +196,15 @@
 		{`"class_write":[false]`, `"class_write":[true]`},
 		{`"aim_us":280000`, `"aim_us":1`},
 	} {
-		text := strings.Replace(good, change[0], change[1], 1)
+		text := strings.Replace(validConfig, change[0], change[1], 1)
 		if strings.Contains(change[1], `"x":[0]`) {
 			text = strings.Replace(text, `[0,2]`, `[0,2,0]`, 1)
 		}
-		next, err := Parse([]byte(text), none)
-		if err != nil || text == good {
+		next, err := Parse([]byte(text), noEnvironment)
+		if err != nil || text == validConfig {
 			t.Fatalf("%s: %v", change[1], err)
 		}
-		fmt.Fprintf(&out, "%s -> %v\n", change[1], c.Admits(next))
+		fmt.Fprintf(&out, "%s -> %v\n", change[1], c.CheckReload(next))
 	}
 	compareGolden(t, "restart.golden", out.String())
 }
--- a/internal/door/golden_test.go
+++ b/internal/door/golden_test.go
@@ -33,41 +33,41 @@
 	}
 }
 
-// goldenFleet has one call of its own and a figure.
-type goldenFleet struct{}
+// fakeFleet has one call of its own and a figure.
+type fakeFleet struct{}
 
-func (goldenFleet) Page(_ context.Context, method, path string) (int, []byte, bool) {
+func (fakeFleet) Handle(_ context.Context, method, path string) (int, []byte, bool) {
 	return 200, []byte("fleet's " + method + "\n"), path == "/fleet"
 }
 
-func (goldenFleet) Append(b []byte) []byte { return append(b, "app_fleet_figure 1\n"...) }
+func (fakeFleet) AppendMetrics(b []byte) []byte { return append(b, "app_fleet_figure 1\n"...) }
 
 // Pins paths, methods, statuses and texts of the operators' door. UPDATE_GOLDEN=1 writes
 // testdata/pages.golden anew.
-func TestGoldenPages(t *testing.T) {
+func TestGoldenCalls(t *testing.T) {
 	ready := true
-	d := &Door{Ready: func() bool { return ready },
-		Figures: func() Figures {
-			return Figures{Classes: []Class{{Name: "part", Served: 1, Refused: 2, Failed: 3}, {Name: "a \"b\"", Served: 4}}, Relayed: 5,
-				Open: 6, Listed: 7, Avoided: 8, Accepted: 9, Invalid: 10}
+	d := &Handler{Ready: func() bool { return ready },
+		Metrics: func() Metrics {
+			return Metrics{Classes: []ClassMetrics{{Name: "part", Served: 1, Rejected: 2, Failed: 3}, {Name: "a \"b\"", Served: 4}}, Relayed: 5,
+				OpenRequests: 6, ListedServers: 7, UnavailableServers: 8, ReloadsAccepted: 9, ReloadsRejected: 10}
 		},
-		Switch: func(_ context.Context, id decide.ServerID, _ bool) error {
+		SetDisabled: func(_ context.Context, id decide.ServerID, _ bool) error {
 			switch id {
 			case 8:
-				return changelog.ErrUnknown
+				return changelog.ErrUnknownServer
 			case 9:
 				return context.DeadlineExceeded
 			}
 			return nil
 		}}
 	var out strings.Builder
-	for _, d.Fleet = range []Fleet{nil, goldenFleet{}} {
+	for _, d.Fleet = range []Fleet{nil, fakeFleet{}} {
 		for _, ready = range []bool{true, false} {
 			fmt.Fprintf(&out, "== fleet %v, ready %v\n", d.Fleet != nil, ready)
 			for _, path := range []string{"/ready", "/metrics", "/caches/disable/s-00000001", "/caches/enable/s-00000001",
 				"/caches/disable/s-00000008", "/caches/disable/s-00000009", "/caches/disable/8", "/caches/disable", "/fleet", "/fleet/other", "/"} {
 				for _, method := range []string{"GET", "POST"} {
-					status, body := d.Page(t.Context(), method, path)
+					status, body := d.Handle(t.Context(), method, path)
 					fmt.Fprintf(&out, "%s %s: %d\n%s", method, path, status, body)
 				}
 			}
@@ -108,7 +108,7 @@
 		path string
 		of   any
 	}{
-		{"/fleet ", fleet.Status{}}, {"/fleet/duties register", duties.Shown{}}, {"/fleet/duties held[]", duties.Lease{}}, {"/fleet/bans ", keeper.Page{}},
+		{"/fleet ", fleet.Status{}}, {"/fleet/duties register", duties.Status{}}, {"/fleet/duties held[]", duties.Lease{}}, {"/fleet/bans ", keeper.Status{}},
 	} {
 		jsonKeys(&out, page.path, reflect.TypeOf(page.of))
 	}
--- a/internal/door/door_test.go
+++ b/internal/door/handler_test.go
@@ -10,17 +10,17 @@
 )
 
 // Guards the words and figures of the operators' door.
-func TestPages(t *testing.T) {
+func TestHandle(t *testing.T) {
 	var out []decide.ServerID
 	ready := false
-	d := &Door{Ready: func() bool { return ready },
-		Figures: func() Figures {
-			return Figures{Classes: []Class{{Name: "part", Served: 812, Refused: 3, Failed: 1}}, Relayed: 900, Open: 14, Listed: 9, Avoided: 2}
+	d := &Handler{Ready: func() bool { return ready },
+		Metrics: func() Metrics {
+			return Metrics{Classes: []ClassMetrics{{Name: "part", Served: 812, Rejected: 3, Failed: 1}}, Relayed: 900, OpenRequests: 14, ListedServers: 9, UnavailableServers: 2}
 		},
-		Switch: func(_ context.Context, id decide.ServerID, off bool) error {
+		SetDisabled: func(_ context.Context, id decide.ServerID, off bool) error {
 			switch {
 			case id == 8:
-				return changelog.ErrUnknown
+				return changelog.ErrUnknownServer
 			case id == 9:
 				return context.DeadlineExceeded
 			case off:
@@ -45,15 +45,15 @@
 		{"POST", "/caches/disable/s-00c41f7a", 200, 1},
 		{"POST", "/caches/enable/s-00c41f7a", 200, 0},
 	} {
-		if status, _ := d.Page(t.Context(), c.method, c.path); status != c.status || len(out) != c.out {
+		if status, _ := d.Handle(t.Context(), c.method, c.path); status != c.status || len(out) != c.out {
 			t.Errorf("%s %s: %d, out %v; want %d and %d", c.method, c.path, status, out, c.status, c.out)
 		}
 	}
 	ready = true
-	if status, _ := d.Page(t.Context(), "GET", "/ready"); status != 200 {
+	if status, _ := d.Handle(t.Context(), "GET", "/ready"); status != 200 {
 		t.Error(status)
 	}
-	_, b := d.Page(t.Context(), "GET", "/metrics")
+	_, b := d.Handle(t.Context(), "GET", "/metrics")
 	for _, want := range []string{`app_operations_total{priority="part",status="fulfilled"} 812`, `{priority="part",status="throttled"} 3`,
 		`{priority="part",status="faulted"} 1`, "\napp_relayed_total 900\n", "\napp_open_requests 14\n", "\napp_registry_entries 9\n", "\napp_out_of_rotation 2\n"} {
 		if !strings.Contains(string(b), want) {
--- a/internal/fleet/agree/disk/golden_test.go
+++ b/internal/fleet/agree/disk/golden_test.go
@@ -21,24 +21,24 @@
 // A log with every kind of record, as it is appended to and as it is rewritten, is on the
 // disk what it was, and a log that was written before is read.
 func TestGoldenLog(t *testing.T) {
-	last := State{Hard: hard(3, 2, 5), Snap: snapshotAt(5, 2, "later"), Entries: []*raftpb.Entry{entry(6, 3, "six"), entry(7, 3, "")}, Meta: []byte{8, 9}}
+	last := State{HardState: hardState(3, 2, 5), Snapshot: snapshotAt(5, 2, "later"), Entries: []*raftpb.Entry{entry(6, 3, "six"), entry(7, 3, "")}, Metadata: []byte{8, 9}}
 	for file, write := range map[string]func(l *Log) error{
 		"appended.log": func(l *Log) error {
-			if err := l.Mark([]byte{8, 9}); err != nil {
+			if err := l.SaveMetadata([]byte{8, 9}); err != nil {
 				return err
 			}
-			if err := l.Save(hard(1, 0, 1), nil, snapshotAt(1, 1, "first")); err != nil {
+			if err := l.Save(hardState(1, 0, 1), nil, snapshotAt(1, 1, "first")); err != nil {
 				return err
 			}
-			if err := l.Save(hard(2, 1, 3), []*raftpb.Entry{entry(2, 1, "two"), entry(3, 2, "three")}, nil); err != nil {
+			if err := l.Save(hardState(2, 1, 3), []*raftpb.Entry{entry(2, 1, "two"), entry(3, 2, "three")}, nil); err != nil {
 				return err
 			}
-			return l.Save(last.Hard, last.Entries, last.Snap)
+			return l.Save(last.HardState, last.Entries, last.Snapshot)
 		},
 		"rewritten.log": func(l *Log) error { return l.Rewrite(last) },
 	} {
 		folder := t.TempDir()
-		l, _, fresh, err := Open(Folder(folder), "fleet/r01")
+		l, _, fresh, err := Open(Dir(folder), "fleet/r01")
 		if err != nil || !fresh {
 			t.Fatal(fresh, err)
 		}
@@ -48,7 +48,7 @@
 		if err := l.Close(); err != nil {
 			t.Fatal(err)
 		}
-		got, err := os.ReadFile(folder + "/" + name)
+		got, err := os.ReadFile(folder + "/" + fileName)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -68,13 +68,13 @@
 		if err := os.WriteFile(stored+"/log", want, 0o600); err != nil {
 			t.Fatal(err)
 		}
-		l, found, fresh, err := Open(Folder(stored), "fleet/r01")
-		if err != nil || fresh || text(found) != text(last) || !bytes.Equal(found.Meta, last.Meta) {
-			t.Errorf("%s: %v: found %s, want %s", file, err, text(found), text(last))
+		l, found, fresh, err := Open(Dir(stored), "fleet/r01")
+		if err != nil || fresh || describe(found) != describe(last) || !bytes.Equal(found.Metadata, last.Metadata) {
+			t.Errorf("%s: %v: found %s, want %s", file, err, describe(found), describe(last))
 		}
 		l.Close()
-		if found.Snap.GetMetadata().GetConfState().GetLearners()[0] != 4 {
-			t.Errorf("%s: the electors are read as %v", file, found.Snap.GetMetadata().GetConfState())
+		if found.Snapshot.GetMetadata().GetConfState().GetLearners()[0] != 4 {
+			t.Errorf("%s: the electors are read as %v", file, found.Snapshot.GetMetadata().GetConfState())
 		}
 	}
 }
--- a/internal/fleet/agree/golden_test.go
+++ b/internal/fleet/agree/golden_test.go
@@ -20,14 +20,14 @@
 // which writes the file of testdata anew.
 var update = flag.Bool("update", false, "write the golden files of testdata")
 
-// recorder is a disk that notes each record which it is given.
-type recorder struct {
-	kept
-	grown bool // it wants to be rewritten
-	lines []string
+// recordingStorage is a disk that notes each record which it is given.
+type recordingStorage struct {
+	memoryStorage
+	wantsRewrite bool // it wants to be rewritten
+	lines        []string
 }
 
-func (r *recorder) note(call string, hard *raftpb.HardState, entries []*raftpb.Entry, snap *raftpb.Snapshot) {
+func (r *recordingStorage) record(call string, hard *raftpb.HardState, entries []*raftpb.Entry, snap *raftpb.Snapshot) {
 	add := func(kind string, m proto.Message) {
 		b, err := proto.Marshal(m)
 		if err != nil {
@@ -46,26 +46,26 @@
 	}
 }
 
-func (r *recorder) Save(hard *raftpb.HardState, entries []*raftpb.Entry, snap *raftpb.Snapshot) error {
-	r.note("save", hard, entries, snap)
-	return r.kept.Save(hard, entries, snap)
+func (r *recordingStorage) Save(hard *raftpb.HardState, entries []*raftpb.Entry, snap *raftpb.Snapshot) error {
+	r.record("save", hard, entries, snap)
+	return r.memoryStorage.Save(hard, entries, snap)
 }
 
-func (r *recorder) Rewrite(s disk.State) error {
-	r.note("rewrite", s.Hard, s.Entries, s.Snap)
-	r.grown = false
-	return r.kept.Rewrite(s)
+func (r *recordingStorage) Rewrite(s disk.State) error {
+	r.record("rewrite", s.HardState, s.Entries, s.Snapshot)
+	r.wantsRewrite = false
+	return r.memoryStorage.Rewrite(s)
 }
 
-func (r *recorder) Grown() bool { return r.grown }
+func (r *recordingStorage) NeedsRewrite() bool { return r.wantsRewrite }
 
 // What an elector that is alone has its disk keep: the first snapshot, its election, a
 // command of each kind, a change of the electors and a rewritten log are what they were,
 // and an elector that finds them goes on.
 func TestGoldenEntries(t *testing.T) {
-	set := Default()
-	d := &recorder{}
-	m, err := New(set, 5, d, disk.State{}, map[uint64]string{5: "r05"}, 0)
+	set := DefaultSettings()
+	d := &recordingStorage{}
+	m, err := NewNode(set, 5, d, disk.State{}, map[uint64]string{5: "r05"}, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -78,25 +78,25 @@
 		}
 		return out
 	}
-	for leads := false; !leads; now += set.Tick {
+	for leads := false; !leads; now += set.TickInterval {
 		if leads = step(Input{}).Leading; now > 10_000 {
 			t.Fatal("it is not elected")
 		}
 	}
-	ask := duty.Ask{Question: 1, Duty: "probe/edge"}
-	out := step(Input{Question: &Question{From: 9, Life: 77, Ask: ask}})
-	if len(out.Replies) != 1 || !out.Replies[0].Yes {
-		t.Fatalf("%+v", out.Replies)
+	ask := duty.Request{ID: 1, Lease: "probe/edge"}
+	out := step(Input{Request: &ClientRequest{From: 9, Incarnation: 77, Request: ask}})
+	if len(out.Responses) != 1 || !out.Responses[0].Granted {
+		t.Fatalf("%+v", out.Responses)
 	}
-	give := duty.Ask{Question: 2, Duty: "probe/edge", Token: out.Replies[0].Token, Give: true, To: 10, Work: []byte("work")}
-	step(Input{Question: &Question{From: 9, Life: 77, Ask: give}})
-	ban := &register.Command{Op: register.SetBan, Box: decide.ServerID(7), Out: true, Text: "ann", Why: "broken", At: 1000, Question: 3}
-	step(Input{Question: &Question{From: 9, Life: 77, Ask: duty.Ask{Question: 3}, Ban: &BanAsk{Set: ban}}})
-	step(Input{Ban: &register.Command{Op: register.Name, Number: 6, Text: "r06"}})
+	give := duty.Request{ID: 2, Lease: "probe/edge", FencingToken: out.Responses[0].FencingToken, Release: true, TransferTo: 10, Handoff: []byte("work")}
+	step(Input{Request: &ClientRequest{From: 9, Incarnation: 77, Request: give}})
+	ban := &register.Command{Op: register.OpSetBan, Server: decide.ServerID(7), Disabled: true, Text: "ann", Reason: "broken", SetAt: 1000, RequestID: 3}
+	step(Input{Request: &ClientRequest{From: 9, Incarnation: 77, Request: duty.Request{ID: 3}, Ban: &BanRequest{Set: ban}}})
+	step(Input{Proposal: &register.Command{Op: register.OpNameVoter, VoterID: 6, Text: "r06"}})
 	learner, id := raftpb.ConfChangeAddLearnerNode, uint64(6)
-	step(Input{Change: &raftpb.ConfChangeV2{Changes: []*raftpb.ConfChangeSingle{{Type: &learner, NodeId: &id}}}})
-	d.grown = true
-	step(Input{Ban: &register.Command{Op: register.Name, Number: 7, Text: "r07"}})
+	step(Input{ConfChange: &raftpb.ConfChangeV2{Changes: []*raftpb.ConfChangeSingle{{Type: &learner, NodeId: &id}}}})
+	d.wantsRewrite = true
+	step(Input{Proposal: &register.Command{Op: register.OpNameVoter, VoterID: 7, Text: "r07"}})
 
 	got := strings.Join(d.lines, "\n") + "\n"
 	if *update {
@@ -112,7 +112,7 @@
 		t.Errorf("kept as\n%s\nstored as\n%s", got, want)
 	}
 
-	again, err := New(set, 5, &kept{}, d.s, nil, now)
+	again, err := NewNode(set, 5, &memoryStorage{}, d.state, nil, now)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fleet/agree/safeguards_test.go
+++ b/internal/fleet/agree/safeguards_test.go
@@ -10,45 +10,45 @@
 	"github.com/anishathalye/porcupine"
 )
 
-// move is one fault of a schedule.
-type move struct {
-	what string // kill, start, cut, heal
-	who  int
+// fault is one fault of a schedule.
+type fault struct {
+	kind string // kill, start, cut, heal
+	node int
 }
 
-// suffer plays a schedule over three electors, with or without synced disks, and returns
+// playSchedule plays a schedule over three electors, with or without synced disks, and returns
 // what broke.
-func suffer(t *testing.T, seed uint64, lazy bool, moves []move) (broke string) {
+func playSchedule(t *testing.T, seed uint64, lazy bool, moves []fault) (broke string) {
 	defer func() {
 		if p := recover(); p != nil { // raft, of a log that has lost what was acknowledged
 			broke = fmt.Sprint("an elector cannot go on: ", p)
 		}
 	}()
 	c := newCluster(t, seed, 3, 4, "a", "b", "c")
-	c.sure = true
-	for _, d := range c.disks {
-		d.lazy = lazy
+	c.leaderKnown = true
+	for _, d := range c.storages {
+		d.unsynced = lazy
 	}
 	c.run(3000)
 	for _, m := range moves {
-		switch m.what {
+		switch m.kind {
 		case "kill":
-			if !c.down[m.who] {
-				c.down[m.who], c.leads[m.who] = true, false
-				c.disks[m.who].crash()
+			if !c.down[m.node] {
+				c.down[m.node], c.leading[m.node] = true, false
+				c.storages[m.node].crash()
 			}
 		case "start":
-			if c.down[m.who] {
-				c.start(m.who)
+			if c.down[m.node] {
+				c.start(m.node)
 			}
 		case "cut":
-			c.cut = func(a, b int) bool { return (a == m.who) != (b == m.who) }
+			c.partitioned = func(a, b int) bool { return (a == m.node) != (b == m.node) }
 		case "heal":
-			c.cut = func(int, int) bool { return false }
+			c.partitioned = func(int, int) bool { return false }
 		}
 		c.run(400)
 	}
-	c.cut = func(int, int) bool { return false }
+	c.partitioned = func(int, int) bool { return false }
 	for i := range c.nodes {
 		if c.down[i] {
 			c.start(i)
@@ -56,9 +56,9 @@
 	}
 	c.run(4000)
 	switch {
-	case c.trouble != "":
-		return c.trouble
-	case !porcupine.CheckOperations(model, c.history):
+	case c.violation != "":
+		return c.violation
+	case !porcupine.CheckOperations(leaseModel, c.history):
 		return "questions and answers are no one history"
 	}
 	return ""
@@ -70,14 +70,14 @@
 	found := 0
 	for seed := range uint64(40) {
 		rng := rand.New(rand.NewPCG(seed, 11))
-		var moves []move
+		var moves []fault
 		for range 10 {
-			moves = append(moves, move{[]string{"kill", "kill", "start", "cut", "heal"}[rng.IntN(5)], rng.IntN(3)})
+			moves = append(moves, fault{[]string{"kill", "kill", "start", "cut", "heal"}[rng.IntN(5)], rng.IntN(3)})
 		}
-		if broke := suffer(t, seed, false, moves); broke != "" {
+		if broke := playSchedule(t, seed, false, moves); broke != "" {
 			t.Errorf("seed %d, synced: %s after %v", seed, broke, moves)
 		}
-		broke := suffer(t, seed, true, moves)
+		broke := playSchedule(t, seed, true, moves)
 		if broke == "" {
 			continue
 		}
@@ -89,7 +89,7 @@
 			still := ""
 			for range 3 {
 				if still == "" {
-					still = suffer(t, seed, true, less)
+					still = playSchedule(t, seed, true, less)
 				}
 			}
 			if still == "" {
@@ -112,24 +112,24 @@
 // Without pre-vote an elector that was cut off comes back with a later term, and the leader,
 // which a majority follows, has to give up its lead. With it the lead stays.
 func TestWithoutPreVote(t *testing.T) {
-	defer func() { preVote = true }()
+	defer func() { preVoteEnabled = true }()
 	lost := map[bool]int{}
-	for _, preVote = range []bool{true, false} {
+	for _, preVoteEnabled = range []bool{true, false} {
 		for seed := range uint64(10) {
 			c := newCluster(t, 200+seed, 3, 2, "a")
-			c.sure = true
+			c.leaderKnown = true
 			c.run(4000)
-			lead := slices.Index(c.leads, true)
+			lead := slices.Index(c.leading, true)
 			term, away := c.nodes[lead].Status().Term, (lead+1)%3
-			c.cut = func(a, b int) bool { return a == away || b == away }
+			c.partitioned = func(a, b int) bool { return a == away || b == away }
 			c.run(5000)
-			c.cut = func(int, int) bool { return false }
+			c.partitioned = func(int, int) bool { return false }
 			c.run(3000)
-			if c.trouble != "" {
-				t.Errorf("seed %d, pre-vote %v: %s", seed, preVote, c.trouble)
+			if c.violation != "" {
+				t.Errorf("seed %d, pre-vote %v: %s", seed, preVoteEnabled, c.violation)
 			}
-			if !c.leads[lead] || c.nodes[lead].Status().Term != term {
-				lost[preVote]++
+			if !c.leading[lead] || c.nodes[lead].Status().Term != term {
+				lost[preVoteEnabled]++
 			}
 		}
 	}
--- a/internal/fleet/carry/carry_test.go
+++ b/internal/fleet/carry/fragment_test.go
@@ -10,11 +10,11 @@
 
 // Pieces in any order, some twice, of several at once, are put together; one that is lost
 // loses its whole and nothing else.
-func TestPieces(t *testing.T) {
+func TestFragmentsInAnyOrder(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
-	var j Joiner
+	var j Reassembler
 	for round := range 50 {
-		var all []member.Load
+		var all []member.Payload
 		want, came := map[string]bool{}, map[string]bool{}
 		for id := range uint64(5) {
 			b := bytes.Repeat([]byte{byte(id), byte(round)}, rng.IntN(20_000))
@@ -23,8 +23,8 @@
 				if id == 4 && i == len(loads)-1 && len(loads) > 1 {
 					continue // lost
 				}
-				all = append(all, member.Load{From: 7, Life: 1, Bytes: l})
-				if len(l) > member.MaxLoad {
+				all = append(all, member.Payload{From: 7, Incarnation: 1, Data: l})
+				if len(l) > member.MaxPayloadLen {
 					t.Fatalf("a load of %d bytes", len(l))
 				}
 				if len(loads) > 1 && rng.IntN(5) == 0 {
@@ -37,7 +37,7 @@
 		}
 		rng.Shuffle(len(all), func(a, b int) { all[a], all[b] = all[b], all[a] })
 		for _, l := range all {
-			if ch, b, whole := j.Take(float64(round), l); whole {
+			if ch, b, whole := j.Add(float64(round), l); whole {
 				if ch != Raft || !want[string(b)] && !came[string(b)] { // all of it twice comes twice
 
 					t.Fatalf("%d bytes on %d that nobody sent", len(b), ch)
@@ -50,20 +50,20 @@
 			t.Fatalf("%d never came", len(want))
 		}
 	}
-	if len(j.open) > waiting {
-		t.Errorf("%d wait", len(j.open))
+	if len(j.partial) > maxPartial {
+		t.Errorf("%d wait", len(j.partial))
 	}
-	if Split(1, Raft, make([]byte, MaxLen+1)) != nil {
+	if Split(1, Raft, make([]byte, MaxMessageLen+1)) != nil {
 		t.Error("too long is taken")
 	}
 }
 
-func FuzzTake(f *testing.F) {
-	f.Add(Split(3, Ask, make([]byte, 3000))[1])
+func FuzzReassembler(f *testing.F) {
+	f.Add(Split(3, LeaseRequest, make([]byte, 3000))[1])
 	f.Fuzz(func(t *testing.T, b []byte) {
-		var j Joiner
+		var j Reassembler
 		for i := range 3 {
-			j.Take(float64(i), member.Load{From: 1, Bytes: b})
+			j.Add(float64(i), member.Payload{From: 1, Data: b})
 		}
 	})
 }
--- a/internal/fleet/carry/golden_test.go
+++ b/internal/fleet/carry/golden_test.go
@@ -11,7 +11,7 @@
 // Fragments between routers of this version and of the one before are the same bytes, and so
 // are the numbers of the channels.
 func TestGoldenFragments(t *testing.T) {
-	long := make([]byte, 2*piece+10)
+	long := make([]byte, 2*maxFragmentLen+10)
 	for i := range long {
 		long[i] = byte(i * 7)
 	}
@@ -21,15 +21,15 @@
 	}
 	names := []string{"raft", "lease-request", "lease-response", "load-report", "voter-hello", "leader-hint",
 		"ban-request", "ban-response", "ejection-report", "probe-result"}
-	channels := []Channel{Raft, Ask, Answer, Report, Hello, Hint, BanAsk, BanAnswer, Aside, Tried}
+	channels := []Channel{Raft, LeaseRequest, LeaseResponse, LoadReport, VoterHello, LeaderHint, BanRequest, BanResponse, EjectionReport, ProbeResult}
 	for i, ch := range channels {
 		messages = append(messages, golden.Message{Name: names[i], Bytes: Split(uint64(i), ch, []byte(names[i]))[0]})
 	}
 	messages = append(messages, golden.Message{Name: "empty", Bytes: Split(1, Raft, nil)[0]})
-	var j Joiner
+	var j Reassembler
 	var got [][]byte
 	for _, m := range golden.CompareMessages(t, "fragments.golden", messages) {
-		if _, b, whole := j.Take(0, member.Load{From: 1, Bytes: m.Bytes}); whole {
+		if _, b, whole := j.Add(0, member.Payload{From: 1, Data: m.Bytes}); whole {
 			got = append(got, b)
 		}
 	}
--- a/internal/fleet/duties/golden_test.go
+++ b/internal/fleet/duties/golden_test.go
@@ -53,52 +53,52 @@
 	decode func(b []byte) (any, bool)
 }
 
-// banQuestion is a question about staff's bans with its number.
-type banQuestion struct {
-	Question uint64
-	agree.BanAsk
+// banRequest is a question about staff's bans with its number.
+type banRequest struct {
+	RequestID uint64
+	agree.BanRequest
 }
 
 func messages() []message {
-	getAsk := func(b []byte) (any, bool) { v, ok := GetAsk(b); return v, ok }
-	getAnswer := func(b []byte) (any, bool) { v, ok := GetAnswer(b); return v, ok }
-	getHint := func(b []byte) (any, bool) { v, ok := getHint(b); return v, ok }
-	getBanAsk := func(b []byte) (any, bool) { q, v, ok := getBanAsk(b); return banQuestion{q, v}, ok }
-	getBanAnswer := func(b []byte) (any, bool) { v, ok := GetBanAnswer(b); return v, ok }
-	getHello := func(b []byte) (any, bool) { v, ok := getHello(b); return v, ok }
-	getOwn := func(b []byte) (any, bool) { v, ok := getOwn(b); return v, ok }
+	getAsk := func(b []byte) (any, bool) { v, ok := DecodeRequest(b); return v, ok }
+	getAnswer := func(b []byte) (any, bool) { v, ok := DecodeResponse(b); return v, ok }
+	getHint := func(b []byte) (any, bool) { v, ok := decodeLeaderHint(b); return v, ok }
+	getBanAsk := func(b []byte) (any, bool) { q, v, ok := decodeBanRequest(b); return banRequest{q, v}, ok }
+	getBanAnswer := func(b []byte) (any, bool) { v, ok := DecodeBanResponse(b); return v, ok }
+	getHello := func(b []byte) (any, bool) { v, ok := decodeHello(b); return v, ok }
+	getOwn := func(b []byte) (any, bool) { v, ok := decodeVoterMetadata(b); return v, ok }
 	var all []message
-	ask := func(name string, a duty.Ask) { all = append(all, message{name, PutAsk(a), a, getAsk}) }
-	ask("ask", duty.Ask{Question: 1 << 62, Duty: "probe/edge"})
-	ask("renew", duty.Ask{Question: 2, Duty: "probe/edge", Token: 300})
-	ask("give-to", duty.Ask{Question: 3, Duty: "probe/edge", Token: 300, Give: true, To: 0x1122334455667788, Work: []byte("\x00work\xff")})
-	ask("give-up", duty.Ask{Question: 4, Duty: "first/north", Token: 301, Give: true})
-	answer := func(name string, a duty.Answer) { all = append(all, message{name, PutAnswer(a), a, getAnswer}) }
-	answer("answer-yes", duty.Answer{Question: 1 << 62, Duty: "probe/edge", Yes: true, Token: 300, Holder: 9, Left: 3230, Work: []byte("w")})
-	answer("answer-no", duty.Answer{Question: 2, Duty: "probe/edge", Token: 300, Holder: 0x1122334455667788, Left: 1500, Losses: 3})
-	answer("handed-on", duty.Answer{Duty: "probe/edge", Token: 301, Holder: 9})
-	answer("freed", duty.Answer{Duty: "probe/edge", Token: 302})
-	h := hint{5, "r01"}
-	all = append(all, message{"hint", h.append(), h, getHint})
-	ban := func(name string, q banQuestion) {
-		all = append(all, message{name, PutBanAsk(q.Question, q.BanAsk), q, getBanAsk})
-	}
-	ban("ban-ask", banQuestion{6, agree.BanAsk{Since: 17}})
-	ban("ban-set", banQuestion{7, agree.BanAsk{Since: 17, Set: &register.Command{Op: register.SetBan, Box: decide.ServerID(7), Out: true, Token: 17,
-		Text: "ann", Why: "broken", At: 1_700_000_000_123, Question: 7}}})
-	banAnswer := func(name string, a agree.BanAnswer) {
-		all = append(all, message{name, putBanAnswer(a), a, getBanAnswer})
-	}
-	banAnswer("bans-unchanged", agree.BanAnswer{Question: 6, Version: 17})
-	banAnswer("bans-refused", agree.BanAnswer{Question: 7, Version: 18, Refused: register.ErrToken.Error(), Bans: []byte{0x12, 2, 8, 8}})
-	say := func(name string, h hello) { all = append(all, message{name, h.append(), h, getHello}) }
-	say("hello-fresh", hello{Name: "r01", ID: numberOf("fleet", "r01"), Fresh: true})
-	say("hello-back", hello{Name: "r02", ID: 5, Back: true})
-	say("hello-heard", hello{Name: "r02", ID: 5, Back: true, Heard: true})
-	say("hello-voter", hello{Name: "r02", ID: 5, Back: true, Voter: true})
-	say("hello-join", hello{Name: "r03", ID: 1<<63 + 1, Join: true})
-	o := own{ID: 1<<63 + 1, Heard: []uint64{1, 300, 1 << 62}}
-	all = append(all, message{"own", o.append(), o, getOwn})
+	ask := func(name string, a duty.Request) { all = append(all, message{name, EncodeRequest(a), a, getAsk}) }
+	ask("ask", duty.Request{ID: 1 << 62, Lease: "probe/edge"})
+	ask("renew", duty.Request{ID: 2, Lease: "probe/edge", FencingToken: 300})
+	ask("give-to", duty.Request{ID: 3, Lease: "probe/edge", FencingToken: 300, Release: true, TransferTo: 0x1122334455667788, Handoff: []byte("\x00work\xff")})
+	ask("give-up", duty.Request{ID: 4, Lease: "first/north", FencingToken: 301, Release: true})
+	answer := func(name string, a duty.Response) { all = append(all, message{name, EncodeResponse(a), a, getAnswer}) }
+	answer("answer-yes", duty.Response{RequestID: 1 << 62, Lease: "probe/edge", Granted: true, FencingToken: 300, Holder: 9, Remaining: 3230, Handoff: []byte("w")})
+	answer("answer-no", duty.Response{RequestID: 2, Lease: "probe/edge", FencingToken: 300, Holder: 0x1122334455667788, Remaining: 1500, Losses: 3})
+	answer("handed-on", duty.Response{Lease: "probe/edge", FencingToken: 301, Holder: 9})
+	answer("freed", duty.Response{Lease: "probe/edge", FencingToken: 302})
+	h := leaderHint{5, "r01"}
+	all = append(all, message{"hint", h.encode(), h, getHint})
+	ban := func(name string, q banRequest) {
+		all = append(all, message{name, EncodeBanRequest(q.RequestID, q.BanRequest), q, getBanAsk})
+	}
+	ban("ban-ask", banRequest{6, agree.BanRequest{KnownVersion: 17}})
+	ban("ban-set", banRequest{7, agree.BanRequest{KnownVersion: 17, Set: &register.Command{Op: register.OpSetBan, Server: decide.ServerID(7), Disabled: true, ExpectedToken: 17,
+		Text: "ann", Reason: "broken", SetAt: 1_700_000_000_123, RequestID: 7}}})
+	banAnswer := func(name string, a agree.BanResponse) {
+		all = append(all, message{name, encodeBanResponse(a), a, getBanAnswer})
+	}
+	banAnswer("bans-unchanged", agree.BanResponse{RequestID: 6, Version: 17})
+	banAnswer("bans-refused", agree.BanResponse{RequestID: 7, Version: 18, Rejection: register.ErrTokenMismatch.Error(), Bans: []byte{0x12, 2, 8, 8}})
+	say := func(name string, h hello) { all = append(all, message{name, h.encode(), h, getHello}) }
+	say("hello-fresh", hello{Name: "r01", RaftID: bootstrapRaftID("fleet", "r01"), NoLog: true})
+	say("hello-back", hello{Name: "r02", RaftID: 5, Reply: true})
+	say("hello-heard", hello{Name: "r02", RaftID: 5, Reply: true, HeardFromSender: true})
+	say("hello-voter", hello{Name: "r02", RaftID: 5, Reply: true, SenderIsVoter: true})
+	say("hello-join", hello{Name: "r03", RaftID: 1<<63 + 1, JoinRequest: true})
+	o := voterMetadata{RaftID: 1<<63 + 1, HeardFrom: []uint64{1, 300, 1 << 62}}
+	all = append(all, message{"own", o.encode(), o, getOwn})
 	return all
 }
 
@@ -130,10 +130,10 @@
 // What operators see of the register and of what is held.
 func TestGoldenJSON(t *testing.T) {
 	for file, page := range map[string]any{
-		"register.json": Shown{Elector: true, Leader: "r01", Leading: true, Voters: []string{"r01", "r02", "r03"}, Learners: []string{"r04"}, Term: 4,
-			Applied: 99, Fault: "disk", Duties: []Held{{Duty: "probe/edge", Holder: "r02", Token: 98}}},
-		"no_elector.json": Shown{},
-		"held.json":       []Lease{{Duty: "probe/edge", Token: 98, End: 12345.5, Work: []byte("work")}, {Duty: "first/north", Token: 97, End: 1}},
+		"register.json": Status{Voter: true, Leader: "r01", Leading: true, Voters: []string{"r01", "r02", "r03"}, Learners: []string{"r04"}, Term: 4,
+			AppliedIndex: 99, Fault: "disk", Leases: []LeaseStatus{{Name: "probe/edge", Holder: "r02", FencingToken: 98}}},
+		"no_elector.json": Status{},
+		"held.json":       []Lease{{Name: "probe/edge", FencingToken: 98, ExpiresAt: 12345.5, Handoff: []byte("work")}, {Name: "first/north", FencingToken: 97, ExpiresAt: 1}},
 	} {
 		got, err := json.MarshalIndent(page, "", "  ")
 		if err != nil {
@@ -147,28 +147,28 @@
 // another in, say to each other what they said before: only the first one's clock goes, so
 // that it is always the one that stands for election.
 func TestGoldenElectors(t *testing.T) {
-	set := Settings{Fleet: "fleet", Electors: []string{"r01", "r02", "r03"}, Agree: agree.Default()}
-	electors := map[string]*elector{}
+	set := Settings{Fleet: "fleet", Voters: []string{"r01", "r02", "r03"}, Consensus: agree.DefaultSettings()}
+	electors := map[string]*voter{}
 	start := func(name string, mark []byte) {
-		folder := disk.Folder(t.TempDir())
+		folder := disk.Dir(t.TempDir())
 		if mark != nil {
 			l, _, _, err := disk.Open(folder, set.Fleet+"/"+name)
 			if err != nil {
 				t.Fatal(err)
 			}
-			if err := l.Mark(mark); err != nil {
+			if err := l.SaveMetadata(mark); err != nil {
 				t.Fatal(err)
 			}
 			l.Close()
 		}
-		e, err := newElector(set, set.Fleet, name, folder, 0)
+		e, err := newVoter(set, set.Fleet, name, folder, 0)
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { e.log.Close() })
 		electors[name] = e
 	}
-	for _, name := range set.Electors {
+	for _, name := range set.Voters {
 		start(name, nil)
 	}
 	var lines []string
@@ -176,39 +176,39 @@
 	now, fresh := 0.0, uint64(99)
 	type mail struct {
 		from string
-		parcel
+		outgoingMessage
 	}
 	deliver := func(queue []mail) {
 		for len(queue) > 0 {
 			m := queue[0]
 			queue = queue[1:]
-			kind := fmt.Sprintf("channel %d", m.ch)
-			if m.ch == carry.Raft {
+			kind := fmt.Sprintf("channel %d", m.channel)
+			if m.channel == carry.Raft {
 				r := &raftpb.Message{}
-				if err := proto.Unmarshal(m.b, r); err != nil {
+				if err := proto.Unmarshal(m.payload, r); err != nil {
 					t.Fatal(err)
 				}
 				kind = fmt.Sprintf("raft %v, %d entries, context of %d bytes", r.GetType(), len(r.GetEntries()), len(r.GetContext()))
 			}
 			if !seen[kind] {
 				seen[kind] = true
-				lines = append(lines, fmt.Sprintf("%s, %s to %s: %x", kind, m.from, m.name, m.b))
+				lines = append(lines, fmt.Sprintf("%s, %s to %s: %x", kind, m.from, m.voterName, m.payload))
 			}
-			e := electors[m.name]
+			e := electors[m.voterName]
 			if e == nil {
 				continue
 			}
 			at := 0.0
-			if m.name == "r01" {
+			if m.voterName == "r01" {
 				at = now
 			}
-			for _, p := range e.step(at, func(e *elector) agree.Input { return e.take(member.ID(1), 1, m.ch, m.b, m.from) }).to {
-				queue = append(queue, mail{m.name, p})
+			for _, p := range e.step(at, func(e *voter) agree.Input { return e.handleMessage(member.ID(1), 1, m.channel, m.payload, m.from) }).messages {
+				queue = append(queue, mail{m.voterName, p})
 			}
 		}
 	}
 	step := func(name string, at float64) {
-		for _, p := range electors[name].step(at, nil).to {
+		for _, p := range electors[name].step(at, nil).messages {
 			deliver([]mail{{name, p}})
 		}
 	}
@@ -221,7 +221,7 @@
 			}
 			step("r01", now)
 			for _, name := range others {
-				electors[name].next = 0
+				electors[name].nextHelloAt = 0
 				step(name, 0)
 			}
 		}
@@ -229,15 +229,15 @@
 	run("all begin", func() bool {
 		return electors["r01"].node != nil && electors["r02"].node != nil && electors["r03"].node != nil
 	}, "r02", "r03")
-	run("a leader", func() bool { return electors["r01"].lead })
-	ask := parcel{name: "r01", ch: carry.Ask, b: PutAsk(duty.Ask{Question: 1, Duty: "probe/edge"})}
+	run("a leader", func() bool { return electors["r01"].leading })
+	ask := outgoingMessage{voterName: "r01", channel: carry.LeaseRequest, payload: EncodeRequest(duty.Request{ID: 1, Lease: "probe/edge"})}
 	deliver([]mail{{"a router", ask}})
-	run("a grant", func() bool { return len(electors["r02"].node.State().Duties) > 0 })
-	ask.name = "r02"
+	run("a grant", func() bool { return len(electors["r02"].node.State().Leases) > 0 })
+	ask.voterName = "r02"
 	deliver([]mail{{"a router", ask}})
 
 	// One that lost its disk is taken in under another number.
-	start("r03", own{ID: fresh}.append())
-	run("a snapshot for it", func() bool { return electors["r03"].node.Status().Applied > 0 }, "r03")
+	start("r03", voterMetadata{RaftID: fresh}.encode())
+	run("a snapshot for it", func() bool { return electors["r03"].node.Status().AppliedIndex > 0 }, "r03")
 	compareGolden(t, "electors.golden", []byte(strings.Join(lines, "\n")+"\n"))
 }
--- a/internal/fleet/duty/rank_test.go
+++ b/internal/fleet/duty/rank_test.go
@@ -15,7 +15,7 @@
 		"probe/edge":  {0x1122334455667788, 3, 0xdeadbeef, 1, 2},
 		"first/north": {1, 3, 2, 0x1122334455667788, 0xdeadbeef},
 	} {
-		got := First(name, routers, len(routers))
+		got := TopRanked(name, routers, len(routers))
 		if !slices.Equal(got, want) {
 			t.Errorf("%s: %#v, want %#v", name, got, want)
 		}
--- a/internal/fleet/first/golden_test.go
+++ b/internal/fleet/first/golden_test.go
@@ -12,18 +12,18 @@
 func TestMessageFormat(t *testing.T) {
 	for _, c := range []struct {
 		file string
-		sent Word
+		sent Message
 	}{
-		{"report.bin", Word{Items: []Item{{Box: 0, Ago: 20}, {Box: 7, Ago: 1500}, {Box: 1 << 33, Ago: 0}}}},
-		{"results.bin", Word{Token: 300, Items: []Item{{Box: 7, Ago: 150, Up: true}, {Box: 9, Ago: 2}}}},
-		{"nothing.bin", Word{}},
+		{"report.bin", Message{Servers: []ServerStatus{{Server: 0, Age: 20}, {Server: 7, Age: 1500}, {Server: 1 << 33, Age: 0}}}},
+		{"results.bin", Message{FencingToken: 300, Servers: []ServerStatus{{Server: 7, Age: 150, Recovered: true}, {Server: 9, Age: 2}}}},
+		{"nothing.bin", Message{}},
 	} {
 		golden.Compare(t, c.file, c.sent.Append(nil))
-		if read, ok := Read(golden.Read(t, c.file)); !ok || !reflect.DeepEqual(read, c.sent) {
+		if read, ok := Decode(golden.Read(t, c.file)); !ok || !reflect.DeepEqual(read, c.sent) {
 			t.Errorf("%s: read back: %+v, %v", c.file, read, ok)
 		}
 	}
-	if name := Duty("lyon"); name != "first/lyon" {
+	if name := LeaseName("lyon"); name != "first/lyon" {
 		t.Errorf("the lease is called %q in the register", name)
 	}
 }
--- a/internal/fleet/first/first_test.go
+++ b/internal/fleet/first/machine_test.go
@@ -40,7 +40,7 @@
 func newPlace(seed uint64, n int, on bool) *place {
 	p := &place{rng: rand.New(rand.NewPCG(seed, 1)), up: true, holder: 0, token: 1, on: on}
 	for i := range n {
-		p.routers = append(p.routers, &router{m: NewMachine(Default(), member.ID(i+1)), id: member.ID(i + 1)})
+		p.routers = append(p.routers, &router{m: NewMachine(DefaultSettings(), member.ID(i+1)), id: member.ID(i + 1)})
 	}
 	for _, r := range p.routers {
 		for _, x := range p.routers {
@@ -70,24 +70,24 @@
 			if !p.on || int(p.now)%50 != 0 {
 				continue
 			}
-			in := Input{Holders: []member.ID{p.routers[0].id, p.routers[1].id}, Mates: r.mates}
+			in := Input{HolderCandidates: []member.ID{p.routers[0].id, p.routers[1].id}, ZonePeers: r.mates}
 			if r.rests > 0 {
-				in.Aside = []decide.ServerID{box}
+				in.Ejected = []decide.ServerID{box}
 			}
 			if i == p.holder {
-				in.Token = p.token
+				in.FencingToken = p.token
 			}
 			out := r.m.Step(p.now, in)
-			if ms := out.Holds[box]; ms > 0 && r.rests > 0 {
+			if ms := out.EjectionExtensions[box]; ms > 0 && r.rests > 0 {
 				r.resting = max(r.resting, p.now+min(ms, 5000))
 			}
-			if slices.Contains(out.Suspects, box) && r.rests == 0 && p.now > r.heard+500 {
+			if slices.Contains(out.Probes, box) && r.rests == 0 && p.now > r.heard+500 {
 				r.rests, r.resting = 1, p.now
 			}
-			for id, w := range out.Say {
+			for id, w := range out.Messages {
 				if p.rng.Float64() >= p.loss {
-					read, _ := Read(w.Append(nil))
-					p.routers[id-1].m.Hear(p.now, r.id, read)
+					read, _ := Decode(w.Append(nil))
+					p.routers[id-1].m.HandleMessage(p.now, r.id, read)
 				}
 			}
 		}
@@ -125,20 +125,20 @@
 
 // A box that comes back meets one try, and then the others at the pace of the ramp, lost
 // words or not. Without the duty it meets them as their rests end.
-func TestComesBack(t *testing.T) {
+func TestRoutersReturnGradually(t *testing.T) {
 	for _, n := range []int{3, 30, 300} {
 		with, whole := meets(newPlace(1, n, true))
 		without, alone := meets(newPlace(1, n, false))
 		t.Logf("%d routers: %d tries in the first second, all back after %.1f s; by themselves %d, %.1f s", n, with, whole/1000, without, alone/1000)
-		if bound := 1 + int(Default().Pace); with > bound || n >= 300 && without < 2*bound {
+		if bound := 1 + int(DefaultSettings().ReturnRate); with > bound || n >= 300 && without < 2*bound {
 			t.Errorf("%d routers: %d tries in the first second, %d without the duty", n, with, without)
 		}
-		if whole > 1000*(float64(n)/Default().Pace+5) {
+		if whole > 1000*(float64(n)/DefaultSettings().ReturnRate+5) {
 			t.Errorf("%d routers: all back after %.0f ms", n, whole)
 		}
 		p := newPlace(2, n, true)
 		p.loss = 0.2
-		if lossy, whole := meets(p); lossy > 1+int(Default().Pace)+n/20 || whole > 1000*(float64(n)/Default().Pace+6) {
+		if lossy, whole := meets(p); lossy > 1+int(DefaultSettings().ReturnRate)+n/20 || whole > 1000*(float64(n)/DefaultSettings().ReturnRate+6) {
 			t.Errorf("%d routers, a fifth of the words lost: %d, %.0f ms", n, lossy, whole)
 		}
 	}
@@ -146,7 +146,7 @@
 
 // Nobody waits for a holder that is gone, silent, or has no requests to try with; a router
 // whose own way is broken stays away alone and holds nobody up.
-func TestNobodyWaitsForEver(t *testing.T) {
+func TestProbesWithoutHolder(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		do   func(p *place)
@@ -177,25 +177,25 @@
 	// The holder is none of those that are likely: it is found all the same.
 	p = newPlace(5, 30, true)
 	p.holder = 17
-	if n, all := meets(p); all < 10*1000/Default().Pace || p.routers[3].m.holder != 18 {
+	if n, all := meets(p); all < 10*1000/DefaultSettings().ReturnRate || p.routers[3].m.holder != 18 {
 		t.Errorf("%d tries in the first second, all back after %.0f ms", n, all)
 	}
 	// A word under an older token is not taken.
-	m := NewMachine(Default(), 1)
-	if !m.Hear(0, 2, Word{Token: 9}) || m.Hear(0, 3, Word{Token: 8}) {
+	m := NewMachine(DefaultSettings(), 1)
+	if !m.HandleMessage(0, 2, Message{FencingToken: 9}) || m.HandleMessage(0, 3, Message{FencingToken: 8}) {
 		t.Error("an older holder's word is taken")
 	}
 }
 
-func FuzzRead(f *testing.F) {
-	w := Word{Token: 3, Items: []Item{{Box: 0, Ago: 20, Up: true}, {Box: 9, Ago: 1}}}
+func FuzzDecode(f *testing.F) {
+	w := Message{FencingToken: 3, Servers: []ServerStatus{{Server: 0, Age: 20, Recovered: true}, {Server: 9, Age: 1}}}
 	f.Add(w.Append(nil))
-	if got, ok := Read(w.Append(nil)); !ok || !reflect.DeepEqual(got, w) {
+	if got, ok := Decode(w.Append(nil)); !ok || !reflect.DeepEqual(got, w) {
 		f.Fatal(fmt.Sprintf("%+v", got))
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
-		if w, ok := Read(b); ok && len(w.Items) > MaxBoxes {
-			t.Fatal(len(w.Items))
+		if w, ok := Decode(b); ok && len(w.Servers) > MaxServers {
+			t.Fatal(len(w.Servers))
 		}
 	})
 }
--- a/internal/fleet/form/form.go
+++ b/internal/fleet/form/append.go
@@ -4,16 +4,16 @@
 
 import "google.golang.org/protobuf/encoding/protowire"
 
-// Number appends a number, unless it is 0.
-func Number(b []byte, f protowire.Number, v uint64) []byte {
+// AppendUint appends a number, unless it is 0.
+func AppendUint(b []byte, f protowire.Number, v uint64) []byte {
 	if v == 0 {
 		return b
 	}
 	return protowire.AppendVarint(protowire.AppendTag(b, f, protowire.VarintType), v)
 }
 
-// Text appends a string, unless it is empty.
-func Text(b []byte, f protowire.Number, s string) []byte {
+// AppendString appends a string, unless it is empty.
+func AppendString(b []byte, f protowire.Number, s string) []byte {
 	if s == "" {
 		return b
 	}
--- a/internal/fleet/form/fields_test.go
+++ b/internal/fleet/form/fields_test.go
@@ -51,7 +51,7 @@
 
 // Zero values are left out, which the strictness of the readers relies on.
 func TestAppendLeavesOutZeroes(t *testing.T) {
-	b := Text(Number(Number(Text(nil, 1, ""), 2, 0), 3, 5), 4, "x")
+	b := AppendString(AppendUint(AppendUint(AppendString(nil, 1, ""), 2, 0), 3, 5), 4, "x")
 	if got, ok := collect(ParseFields, b); !ok || !slices.Equal(got, []string{`3=5 ""`, `4=0 "x"`}) {
 		t.Errorf("%v, %v", got, ok)
 	}
--- a/internal/fleet/keeper/keeper_test.go
+++ b/internal/fleet/keeper/machine_test.go
@@ -18,9 +18,9 @@
 type router struct {
 	m     *Machine
 	out   map[decide.ServerID]bool
-	shelf *words.Shelf
+	shelf *words.Store
 	cut   bool // from the register and the others
-	calls map[uint64]Call
+	calls map[uint64]Change
 }
 
 // town is routers, a register in one place and staff.
@@ -43,50 +43,50 @@
 		delete(x.out, box)
 	}
 	if tell {
-		x.shelf.Switch(w.now, box, out)
+		x.shelf.SetDisabled(w.now, box, out)
 	}
 	w.words(x)
 }
 
 // words has a router's list follow what the others told, as the change log's actor does.
 func (w *town) words(x *router) {
-	for _, c := range x.shelf.Changes() {
-		if x.out[c.Box] = true; !c.Out {
-			delete(x.out, c.Box)
+	for _, c := range x.shelf.TakeChanges() {
+		if x.out[c.Server] = true; !c.Disabled {
+			delete(x.out, c.Server)
 		}
 	}
 }
 
 func (w *town) take(x *router, out Output) {
-	for _, o := range out.Orders {
-		w.set(x, o.Box, o.Out, !o.Out)
+	for _, o := range out.Actions {
+		w.set(x, o.Server, o.Disable, !o.Disable)
 	}
-	for _, e := range out.Ended {
-		c := x.calls[e.Call]
+	for _, e := range out.Completions {
+		c := x.calls[e.ChangeID]
 		if e.Err == nil {
-			w.set(x, c.Box, false, true)
+			w.set(x, c.Server, false, true)
 			w.enabled++
 		}
 	}
-	for _, a := range out.Asks {
+	for _, a := range out.Requests {
 		if x.cut || w.rng.Float64() < w.loss {
 			continue
 		}
-		answer := agree.BanAnswer{Question: a.Question}
+		answer := agree.BanResponse{RequestID: a.ID}
 		if a.Set != nil {
 			w.index++
-			c, _ := register.Read(a.Set.Append(nil))
+			c, _ := register.DecodeCommand(a.Set.Append(nil))
 			if err := w.reg.Apply(w.index, c); err != nil {
-				answer.Refused = err.Error()
-			} else if !c.Out {
-				w.latest[c.Box] = "enabled"
+				answer.Rejection = err.Error()
+			} else if !c.Disabled {
+				w.latest[c.Server] = "enabled"
 			}
 		}
-		if answer.Version = w.reg.BanVersion(); answer.Version != a.Since {
-			answer.Bans = w.reg.BansAlone()
+		if answer.Version = w.reg.BanVersion(); answer.Version != a.KnownVersion {
+			answer.Bans = w.reg.BansSnapshot()
 		}
 		if w.rng.Float64() >= w.loss {
-			w.take(x, x.m.Hear(w.now, answer))
+			w.take(x, x.m.HandleResponse(w.now, answer))
 		}
 	}
 }
@@ -99,8 +99,8 @@
 			if x == y || x.cut || y.cut || w.rng.Float64() < max(0.7, w.loss) {
 				continue
 			}
-			for b := range member.Buckets {
-				x.shelf.Each(b, func(item []byte) bool { y.shelf.Take(w.now, 0, item); return true })
+			for b := range member.BucketCount {
+				x.shelf.ForEach(b, func(item []byte) bool { y.shelf.Receive(w.now, 0, item); return true })
 			}
 			w.words(y)
 		}
@@ -110,8 +110,8 @@
 func newTown(t testing.TB, seed uint64) *town {
 	w := &town{t: t, rng: rand.New(rand.NewPCG(seed, 3)), reg: register.New(), latest: map[decide.ServerID]string{}}
 	for i := range 3 {
-		w.routers = append(w.routers, &router{m: NewMachine(Default(), uint64(i)<<40, nil, 0), out: map[decide.ServerID]bool{},
-			shelf: words.New(words.Default(), member.ID(i+1), 1), calls: map[uint64]Call{}})
+		w.routers = append(w.routers, &router{m: NewMachine(DefaultSettings(), uint64(i)<<40, nil, 0), out: map[decide.ServerID]bool{},
+			shelf: words.New(words.DefaultSettings(), member.ID(i+1), 1), calls: map[uint64]Change{}})
 	}
 	return w
 }
@@ -119,7 +119,7 @@
 // Staff take boxes out and let them in at any router, routers are cut off, start again,
 // and lose questions and answers: when all is quiet all have out what the register has,
 // and what staff took out last is out.
-func TestRandomStaff(t *testing.T) {
+func TestRandomOperatorChanges(t *testing.T) {
 	enabled := 0
 	for seed := range uint64(100) {
 		w := newTown(t, seed)
@@ -129,16 +129,16 @@
 			switch w.rng.IntN(6) {
 			case 0, 1:
 				w.set(x, box, true, true)
-				x.m.Disabled(w.now, Call{Box: box, Out: true, Who: "x"})
+				x.m.RecordDisabled(w.now, Change{Server: box, Disable: true, SetBy: "x"})
 				w.latest[box] = "disabled"
 			case 2:
-				c := Call{Box: box}
-				x.calls[x.m.Enable(w.now, c)] = c
+				c := Change{Server: box}
+				x.calls[x.m.RequestEnable(w.now, c)] = c
 			case 3:
 				x.cut = !x.cut
 			case 4:
-				x.m = NewMachine(Default(), w.rng.Uint64()>>1, maps.Clone(x.m.Basis()), w.now)
-				x.calls = map[uint64]Call{}
+				x.m = NewMachine(DefaultSettings(), w.rng.Uint64()>>1, maps.Clone(x.m.LocalBans()), w.now)
+				x.calls = map[uint64]Change{}
 			case 5:
 				w.loss = w.rng.Float64() * 0.4
 			}
@@ -153,7 +153,7 @@
 		for box := decide.ServerID(1); box <= 2; box++ {
 			r := w.reg.Bans[box]
 			for i, x := range w.routers {
-				if is := x.out[box]; is != (r != nil && r.Out) || w.latest[box] == "disabled" && !is {
+				if is := x.out[box]; is != (r != nil && r.Disabled) || w.latest[box] == "disabled" && !is {
 					t.Errorf("seed %d: box %d is out %v at router %d, the register has %+v, staff last %s it", seed, box, is, i, r, w.latest[box])
 				}
 			}
@@ -166,49 +166,49 @@
 
 // A call with an older version than the register's is refused; one that nobody answers
 // ends, and the box stays out.
-func TestVersionsAndSilence(t *testing.T) {
+func TestVersionConflictAndNoQuorum(t *testing.T) {
 	w := newTown(t, 1)
 	x := w.routers[0]
 	w.set(x, 7, true, true)
-	x.m.Disabled(0, Call{Box: 7, Out: true, Who: "ada", Why: "disk"})
+	x.m.RecordDisabled(0, Change{Server: 7, Disable: true, SetBy: "ada", Reason: "disk"})
 	w.run(1000)
-	if b := w.routers[2].m.Bans(); len(b) != 1 || !b[0].Out || b[0].Who != "ada" || b[0].Why != "disk" || !w.routers[2].out[7] {
+	if b := w.routers[2].m.Bans(); len(b) != 1 || !b[0].Disabled || b[0].SetBy != "ada" || b[0].Reason != "disk" || !w.routers[2].out[7] {
 		t.Fatalf("%+v", b)
 	}
-	ended := func(c Call, cut bool) (err error) {
+	ended := func(c Change, cut bool) (err error) {
 		x.cut = cut
-		n := x.m.Enable(w.now, c)
+		n := x.m.RequestEnable(w.now, c)
 		err = errors.New("no end")
 		for range 100 {
 			w.now += 20
 			out := x.m.Step(w.now, w.list(x))
-			for _, a := range out.Asks {
+			for _, a := range out.Requests {
 				if cut {
 					continue
 				}
 				w.index++
-				answer := agree.BanAnswer{Question: a.Question}
+				answer := agree.BanResponse{RequestID: a.ID}
 				if a.Set != nil && w.reg.Apply(w.index, a.Set) != nil {
-					answer.Refused = "no"
+					answer.Rejection = "no"
 				}
-				answer.Version, answer.Bans = w.reg.BanVersion(), w.reg.BansAlone()
-				out.Ended = append(out.Ended, x.m.Hear(w.now, answer).Ended...)
+				answer.Version, answer.Bans = w.reg.BanVersion(), w.reg.BansSnapshot()
+				out.Completions = append(out.Completions, x.m.HandleResponse(w.now, answer).Completions...)
 			}
-			for _, e := range out.Ended {
-				if e.Call == n {
+			for _, e := range out.Completions {
+				if e.ChangeID == n {
 					return e.Err
 				}
 			}
 		}
 		return err
 	}
-	if err := ended(Call{Box: 7, Version: 99}, false); !errors.Is(err, ErrVersion) {
+	if err := ended(Change{Server: 7, Version: 99}, false); !errors.Is(err, ErrVersionConflict) {
 		t.Error(err)
 	}
-	if err := ended(Call{Box: 7}, true); !errors.Is(err, ErrAgreement) || !w.reg.Bans[7].Out {
+	if err := ended(Change{Server: 7}, true); !errors.Is(err, ErrNoQuorum) || !w.reg.Bans[7].Disabled {
 		t.Error(err)
 	}
-	if err := ended(Call{Box: 7, Version: w.reg.Bans[7].Version}, false); err != nil || w.reg.Bans[7].Out {
+	if err := ended(Change{Server: 7, Version: w.reg.Bans[7].Version}, false); err != nil || w.reg.Bans[7].Disabled {
 		t.Error(err)
 	}
 }
--- a/internal/fleet/link/link_test.go
+++ b/internal/fleet/link/transport_test.go
@@ -21,16 +21,16 @@
 )
 
 func options(t testing.TB, state string) Options {
-	ring, err := seal.New("f", []string{"sixteen bytes or more"})
+	ring, err := seal.NewKeyring("f", []string{"sixteen bytes or more"})
 	if err != nil {
 		t.Fatal(err)
 	}
 	any := netip.MustParseAddrPort("127.0.0.1:0")
-	return Options{Settings: Settings{Fleet: "f", Listen: any, Advertise: any, Ring: ring, Node: fleet.Default(), Packets: 500, Bytes: 100_000},
-		Name: "r", Zone: "z", State: state, Clock: clock.NewSystem(), Log: logs.New(io.Discard), Stats: stats.New()}
+	return Options{Settings: Settings{FleetName: "f", ListenAddr: any, AdvertiseAddr: any, Keyring: ring, Node: fleet.DefaultSettings(), PacketsPerSecond: 500, BytesPerSecond: 100_000},
+		Name: "r", Zone: "z", StateDir: state, Clock: clock.NewSystem(), Log: logs.New(io.Discard), Stats: stats.New()}
 }
 
-func newLink(t testing.TB, o Options) *Link {
+func newTransport(t testing.TB, o Options) *Transport {
 	l, err := New(o)
 	if err != nil {
 		t.Fatal(err)
@@ -39,41 +39,41 @@
 }
 
 // The seat and the bans outlive the process; a file that cannot be read is a new seat.
-func TestSeatAndBansOutliveTheProcess(t *testing.T) {
+func TestIdentityAndBansSurviveRestart(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	dir := t.TempDir()
-	life := func(o Options, do func(*Link)) *fleet.Status {
-		l := newLink(t, o)
+	life := func(o Options, do func(*Transport)) *fleet.Status {
+		l := newTransport(t, o)
 		ctx, stop := context.WithCancel(context.Background())
 		go l.Run(ctx)
 		do(l)
 		stop()
 		<-l.Stopped()
-		return l.View()
+		return l.Status()
 	}
-	until := func(l *Link, ok func(s *fleet.Status) bool) {
+	until := func(l *Transport, ok func(s *fleet.Status) bool) {
 		for range 5000 {
-			if ok(l.View()) {
+			if ok(l.Status()) {
 				return
 			}
 			time.Sleep(time.Millisecond)
 		}
-		t.Errorf("never so: %+v", l.View())
+		t.Errorf("never so: %+v", l.Status())
 	}
-	first := life(options(t, dir), func(l *Link) {
-		l.Switch(5, true)
+	first := life(options(t, dir), func(l *Transport) {
+		l.SetDisabled(5, true)
 		until(l, func(s *fleet.Status) bool { return len(s.Bans) == 1 })
 	})
 	o := options(t, dir)
-	o.Bans = []decide.ServerID{5, 6} // 6 was set while no fleet knew
-	second := life(o, func(l *Link) { until(l, func(s *fleet.Status) bool { return len(s.Bans) == 2 }) })
-	if second.Seat != first.Seat || second.Life != 2 {
-		t.Errorf("seat %s life %d, then seat %s life %d", first.Seat, first.Life, second.Seat, second.Life)
+	o.InitialBans = []decide.ServerID{5, 6} // 6 was set while no fleet knew
+	second := life(o, func(l *Transport) { until(l, func(s *fleet.Status) bool { return len(s.Bans) == 2 }) })
+	if second.RouterID != first.RouterID || second.Incarnation != 2 {
+		t.Errorf("seat %s life %d, then seat %s life %d", first.RouterID, first.Incarnation, second.RouterID, second.Incarnation)
 	}
 	if err := os.WriteFile(filepath.Join(dir, "garnetline-fleet-r"), []byte("none"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if third := life(options(t, dir), func(*Link) {}); third.Seat == first.Seat || third.Life != 1 {
+	if third := life(options(t, dir), func(*Transport) {}); third.RouterID == first.RouterID || third.Incarnation != 1 {
 		t.Errorf("%+v", third)
 	}
 	if _, err := New(options(t, filepath.Join(dir, "nowhere"))); err == nil {
@@ -81,42 +81,42 @@
 	}
 }
 
-func TestBudget(t *testing.T) {
-	b := budget{packets: 10, bytes: 1000}
+func TestRateLimiter(t *testing.T) {
+	b := rateLimiter{packetsPerSecond: 10, bytesPerSecond: 1000}
 	sent := 0
 	for now := 1.0; now < 5001; now++ {
-		if b.take(now, 150, 0) {
+		if b.allow(now, 150, 0) {
 			sent++
 		}
 	}
 	if sent < 33 || sent > 40 { // 6.7 a second by bytes, and a second's worth at once
 		t.Errorf("%d packets of 150 bytes in 5 s", sent)
 	}
-	b = budget{packets: 10, bytes: 1e6}
+	b = rateLimiter{packetsPerSecond: 10, bytesPerSecond: 1e6}
 	sent = 0
 	for now := 1.0; now < 5001; now++ {
-		if b.take(now, 150, 0) {
+		if b.allow(now, 150, 0) {
 			sent++
 		}
 	}
 	if sent < 50 || sent > 60 {
 		t.Errorf("%d packets in 5 s", sent)
 	}
-	b = budget{packets: 100, bytes: 1e6}
+	b = rateLimiter{packetsPerSecond: 100, bytesPerSecond: 1e6}
 	for now := 1.0; now < 5001; now++ { // more than may be sent, of what may wait; and what may not
-		b.take(now, 150, spare)
-		if int(now)%50 == 0 && !b.take(now, 150, 0) {
+		b.allow(now, 150, loadReportReserve)
+		if int(now)%50 == 0 && !b.allow(now, 150, 0) {
 			t.Fatalf("at %.0f there is no room beside reports", now)
 		}
 	}
 }
 
-// BenchmarkView is what a reader of the snapshot pays.
-func BenchmarkView(b *testing.B) {
-	l := newLink(b, options(b, ""))
+// BenchmarkStatus is what a reader of the snapshot pays.
+func BenchmarkStatus(b *testing.B) {
+	l := newTransport(b, options(b, ""))
 	b.ReportAllocs()
 	for b.Loop() {
-		if l.View() == nil {
+		if l.Status() == nil {
 			b.Fatal("none")
 		}
 	}
@@ -124,18 +124,18 @@
 
 // BenchmarkPublish is what a change of the view costs, of 300 routers.
 func BenchmarkPublish(b *testing.B) {
-	l := newLink(b, options(b, ""))
+	l := newTransport(b, options(b, ""))
 	for i := range 300 {
-		l.node.Lie(member.Word{ID: member.ID(i + 2), Name: "r", Addr: netip.MustParseAddrPort("127.0.0.1:1")})
+		l.node.InjectUpdate(member.Update{ID: member.ID(i + 2), Name: "r", Addr: netip.MustParseAddrPort("127.0.0.1:1")})
 	}
 	for b.Loop() {
-		l.publish(1)
+		l.publishStatus(1)
 	}
 }
 
 // BenchmarkSeal is the sealing and opening of a packet of the usual size.
 func BenchmarkSeal(b *testing.B) {
-	r := options(b, "").Ring
+	r := options(b, "").Keyring
 	packet := make([]byte, 120)
 	var sealed, open []byte
 	for b.Loop() {
--- a/internal/fleet/member/golden_test.go
+++ b/internal/fleet/member/golden_test.go
@@ -10,13 +10,13 @@
 
 // packetsOfEachKind returns one packet of each kind, and one with all of the fields.
 func packetsOfEachKind() (names []string, packets []*Packet) {
-	from := Word{ID: 0x1122334455667788, Inc: Incarnation(5) + 3, Name: "r1", Zone: "north", Version: "1.2", Addr: netip.MustParseAddrPort("10.1.2.3:7946")}
-	suspect := Word{ID: 8, Inc: Incarnation(2), State: Suspect, By: 9, Name: "r2", Zone: "south", Version: "1.1", Addr: netip.MustParseAddrPort("[fd00::2]:7946")}
+	from := Update{ID: 0x1122334455667788, Revision: FirstRevision(5) + 3, Name: "r1", Zone: "north", Version: "1.2", Addr: netip.MustParseAddrPort("10.1.2.3:7946")}
+	suspect := Update{ID: 8, Revision: FirstRevision(2), State: Suspect, ReportedBy: 9, Name: "r2", Zone: "south", Version: "1.1", Addr: netip.MustParseAddrPort("[fd00::2]:7946")}
 	failed, left := suspect, suspect
 	failed.ID, failed.State = 10, Failed
-	left.ID, left.State, left.By = 11, Left, 11
-	alive := Word{ID: 12, Inc: Incarnation(1), Name: "r3", Addr: netip.MustParseAddrPort("10.1.2.4:7946")}
-	sums := make([]uint32, Buckets)
+	left.ID, left.State, left.ReportedBy = 11, Left, 11
+	alive := Update{ID: 12, Revision: FirstRevision(1), Name: "r3", Addr: netip.MustParseAddrPort("10.1.2.4:7946")}
+	sums := make([]uint32, BucketCount)
 	for i := range sums {
 		sums[i] = uint32(i) * 0x01010101
 	}
@@ -24,15 +24,15 @@
 		p.From = from
 		names, packets = append(names, name), append(packets, p)
 	}
-	add("ping", &Packet{Kind: Ping, Count: 1, Nonce: 0xfedcba9876543211, Target: 8})
-	add("ack", &Packet{Kind: Ack, Count: 2, Nonce: 0xfedcba9876543211, Target: from.ID})
-	add("nack", &Packet{Kind: Nack, Count: 3, Nonce: 77, Target: 8})
-	add("indirect-ping", &Packet{Kind: PingFor, Count: 4, Nonce: 77, Target: 8, At: suspect.Addr, Words: []Word{suspect}})
-	add("gossip", &Packet{Kind: Tell, Count: 5, Words: []Word{alive, suspect, failed, left}, Items: [][]byte{[]byte("one"), []byte("another")}})
-	add("sync-request", &Packet{Kind: Ask, Count: 6, Nonce: 79, Target: 8, Sums: sums})
-	add("sync-response", &Packet{Kind: Page, Count: 7, Nonce: 79, Words: []Word{alive}, Items: [][]byte{[]byte("one")}, Sums: sums})
-	add("data", &Packet{Kind: Carry, Count: 8, Load: []byte("for another state machine")})
-	add("all-fields", &Packet{Kind: Tell, Count: 1 << 40, Nonce: 1, Target: 1, At: alive.Addr, Words: []Word{left}, Items: [][]byte{{0}}, Load: []byte{1, 2}, Sums: sums})
+	add("ping", &Packet{Kind: Ping, Sequence: 1, Nonce: 0xfedcba9876543211, Target: 8})
+	add("ack", &Packet{Kind: Ack, Sequence: 2, Nonce: 0xfedcba9876543211, Target: from.ID})
+	add("nack", &Packet{Kind: Nack, Sequence: 3, Nonce: 77, Target: 8})
+	add("indirect-ping", &Packet{Kind: IndirectPing, Sequence: 4, Nonce: 77, Target: 8, TargetAddr: suspect.Addr, Updates: []Update{suspect}})
+	add("gossip", &Packet{Kind: Gossip, Sequence: 5, Updates: []Update{alive, suspect, failed, left}, Items: [][]byte{[]byte("one"), []byte("another")}})
+	add("sync-request", &Packet{Kind: SyncRequest, Sequence: 6, Nonce: 79, Target: 8, Checksums: sums})
+	add("sync-response", &Packet{Kind: SyncResponse, Sequence: 7, Nonce: 79, Updates: []Update{alive}, Items: [][]byte{[]byte("one")}, Checksums: sums})
+	add("data", &Packet{Kind: Data, Sequence: 8, Payload: []byte("for another state machine")})
+	add("all-fields", &Packet{Kind: Gossip, Sequence: 1 << 40, Nonce: 1, Target: 1, TargetAddr: alive.Addr, Updates: []Update{left}, Items: [][]byte{{0}}, Payload: []byte{1, 2}, Checksums: sums})
 	return names, packets
 }
 
@@ -69,8 +69,8 @@
 
 // An incarnation of a process begins at a multiple of 2^24; what is below counts refutations.
 func TestIncarnationBits(t *testing.T) {
-	w := Word{Inc: Incarnation(3) + 2}
-	if w.Inc != 3<<24+2 || w.Life() != 3 {
-		t.Errorf("%x, of life %d", w.Inc, w.Life())
+	w := Update{Revision: FirstRevision(3) + 2}
+	if w.Revision != 3<<24+2 || w.Incarnation() != 3 {
+		t.Errorf("%x, of life %d", w.Revision, w.Incarnation())
 	}
 }
