--- a/internal/fleet/member/machine.go
+++ b/internal/fleet/member/machine.go
@@ -10,266 +10,266 @@
 )
 
 const (
-	maxHeld      = 64   // packets of routers that have not proven themselves yet
-	maxQuestions = 1024 // that wait for an answer
-	pages        = 16   // packets of one answer to Ask
-	roomOfWords  = 1150 // bytes of words and items in one packet
-	// stalled is how many periods late a step must be for its router to take itself for
+	maxUnverified      = 64   // packets of routers that have not proven themselves yet
+	maxPendingRequests = 1024 // that wait for an answer
+	maxSyncPackets     = 16   // packets of one answer to Ask
+	packetBudget       = 1150 // bytes of words and items in one packet
+	// stallPeriods is how many periods late a step must be for its router to take itself for
 	// one that was stopped.
-	stalled = 2
-	// vouch is for how many periods one that was heard of is asked at once when another
+	stallPeriods = 2
+	// recentPeriods is for how many periods one that was heard of is asked at once when another
 	// suspects it.
-	vouch = 8
+	recentPeriods = 8
 )
 
 // Machine is one router's knowledge of the others. It is not safe for concurrent use.
 type Machine struct {
-	set   Settings
-	self  Word
-	seeds []netip.AddrPort
-	rng   *rand.Rand
-	shelf Shelf
-	out   *Output
-	now   float64
-	wake  float64
-	count uint64
-
-	by       map[ID]*record
-	names    map[string]ID // who of that name is there
-	round    []*record     // those that are there, in the order of probing
-	place    int
-	suspects []*record
-	gone     []*record // failed or left, and not forgotten
-	sums     [Buckets]uint32
-	own      uint32 // this router's part of its sum
-
-	health    int
-	probe     probe
-	questions []question
-	relays    []relay
-	held      []held
-	queue     queue
-
-	nextProbe, nextGossip, nextSync, nextReach float64
-	syncEvery                                  float64
-
-	heard         float64 // the latest packet of anybody
-	left, yielded bool
-	Replays       int64 // packets that were dropped as old
-	Refused       int64 // routers for which there was no room
-	told          map[string]bool
-	broken        rule // tests alone
-}
-
-// rule is one that a test switches off, to see that it finds that out.
-type rule uint8
+	settings Settings
+	self     Update
+	seeds    []netip.AddrPort
+	rng      *rand.Rand
+	store    ItemStore
+	output   *Output
+	now      float64
+	wakeAt   float64
+	sequence uint64
+
+	peers        map[ID]*peer
+	idsByName    map[string]ID // who of that name is there
+	present      []*peer       // those that are there, in the order of probing
+	probeIndex   int
+	suspects     []*peer
+	departed     []*peer // failed or left, and not forgotten
+	checksums    [BucketCount]uint32
+	selfChecksum uint32 // this router's part of its sum
+
+	healthScore int
+	probe       activeProbe
+	pending     []pendingRequest
+	relays      []relayedProbe
+	unverified  []unverifiedPacket
+	broadcasts  broadcastQueue
+
+	nextProbeAt, nextGossipAt, nextSyncAt, nextReconnectAt float64
+	syncInterval                                           float64
+
+	lastReceivedAt    float64 // the latest packet of anybody
+	left, superseded  bool
+	Replays           int64 // packets that were dropped as old
+	Rejected          int64 // routers for which there was no room
+	reportedConflicts map[string]bool
+	disabledRule      testRule // tests alone
+}
+
+// testRule is one that a test switches off, to see that it finds that out.
+type testRule uint8
 
 const (
-	orderOfWords rule = 1 + iota // an older word never beats a newer one
-	refuting                     // a router that is told as gone says that it is not
+	ruleOrdering   testRule = 1 + iota // an older word never beats a newer one
+	ruleRefutation                     // a router that is told as gone says that it is not
 )
 
-// record is what is known of another router.
-type record struct {
-	Word
-	since  float64
-	heard  float64 // the latest packet of its own; 0: never
-	proof  window
-	direct bool // the latest probe was answered without help
-	via    ID   // the helper through whom it answered latest
+// peer is what is known of another router.
+type peer struct {
+	Update
+	stateSince     float64
+	lastReceivedAt float64 // the latest packet of its own; 0: never
+	replay         replayWindow
+	direct         bool // the latest probe was answered without help
+	lastHelper     ID   // the helper through whom it answered latest
 
-	confirmed    []ID // who suspects it, the first accuser first
-	began, until float64
-	checks       int // of the suspicion, so far
+	accusers                       []ID // who suspects it, the first accuser first
+	suspectedAt, suspicionDeadline float64
+	checks                         int // of the suspicion, so far
 }
 
-// check is when one that is suspect is asked once more, after so many checks.
+// nextCheckAt is when one that is suspect is asked once more, after so many checks.
 //
 // Symptom guarded against: of 30 routers at 5% loss one in a thousand suspicions ended in
 // a failure, at a router that gossip had passed by with the refutation and that did not
 // meet the accused in the meantime.
-func (r *record) check() float64 {
+func (r *peer) nextCheckAt() float64 {
 	switch r.checks {
 	case 0:
-		return r.began + (r.until-r.began)/2
+		return r.suspectedAt + (r.suspicionDeadline-r.suspectedAt)/2
 	case 1:
-		return r.began + (r.until-r.began)*3/4
+		return r.suspectedAt + (r.suspicionDeadline-r.suspectedAt)*3/4
 	}
 	return math.Inf(1)
 }
 
-// window takes each packet of one life once, and none that is much older than the
+// replayWindow takes each packet of one life once, and none that is much older than the
 // newest. It is open once that life has answered a question of this router: a recorded
 // packet can not.
-type window struct {
-	life uint64
-	open bool
-	high uint64
-	seen uint64 // the 64 counts up to high, as bits
+type replayWindow struct {
+	incarnation uint64
+	verified    bool
+	highest     uint64
+	seen        uint64 // the 64 counts up to high, as bits
 }
 
-func (w *window) take(n uint64) bool {
+func (w *replayWindow) accept(n uint64) bool {
 	switch {
-	case n > w.high:
-		if d := n - w.high; d < 64 {
+	case n > w.highest:
+		if d := n - w.highest; d < 64 {
 			w.seen = w.seen<<d | 1
 		} else {
 			w.seen = 1
 		}
-		w.high = n
+		w.highest = n
 		return true
-	case w.high-n >= 64 || w.seen>>(w.high-n)&1 == 1:
+	case w.highest-n >= 64 || w.seen>>(w.highest-n)&1 == 1:
 		return false
 	}
-	w.seen |= 1 << (w.high - n)
+	w.seen |= 1 << (w.highest - n)
 	return true
 }
 
-// question is one that a later packet may answer.
-type question struct {
-	nonce uint64
-	of    ID // 0: whoever answers
-	until float64
-	ask   bool
+// pendingRequest is one that a later packet may answer.
+type pendingRequest struct {
+	nonce     uint64
+	target    ID // 0: whoever answers
+	expiresAt float64
+	sync      bool
 }
 
 // New returns a machine that knows itself alone. self is alive, with the incarnation of
 // its life; seeds are addresses at which others may be. shelf may be nil.
-func New(set Settings, self Word, seeds []netip.AddrPort, rng *rand.Rand, shelf Shelf, now float64) *Machine {
-	m := &Machine{set: set, self: self, seeds: slices.Clone(seeds), rng: rng, shelf: shelf, now: now, wake: now,
-		by: map[ID]*record{}, names: map[string]ID{self.Name: self.ID}, told: map[string]bool{},
-		nextProbe: now + rng.Float64()*set.Period, nextGossip: math.Inf(1), nextReach: now, syncEvery: min(set.Reach, set.Sync), nextSync: now + min(set.Reach, set.Sync)*(0.5+rng.Float64())}
-	m.ownSum()
+func New(set Settings, self Update, seeds []netip.AddrPort, rng *rand.Rand, shelf ItemStore, now float64) *Machine {
+	m := &Machine{settings: set, self: self, seeds: slices.Clone(seeds), rng: rng, store: shelf, now: now, wakeAt: now,
+		peers: map[ID]*peer{}, idsByName: map[string]ID{self.Name: self.ID}, reportedConflicts: map[string]bool{},
+		nextProbeAt: now + rng.Float64()*set.ProbeInterval, nextGossipAt: math.Inf(1), nextReconnectAt: now, syncInterval: min(set.ReconnectInterval, set.SyncInterval), nextSyncAt: now + min(set.ReconnectInterval, set.SyncInterval)*(0.5+rng.Float64())}
+	m.updateSelfChecksum()
 	return m
 }
 
 // Step brings the machine to now and has it take a packet, which may be nil.
 func (m *Machine) Step(now float64, p *Packet) Output {
 	var out Output
-	m.out = &out
-	late := now - m.wake
+	m.output = &out
+	late := now - m.wakeAt
 	m.now = max(m.now, now)
-	if late > stalled*m.set.Period+m.set.Timeout {
-		m.woken(late)
+	if late > stallPeriods*m.settings.ProbeInterval+m.settings.ProbeTimeout {
+		m.handleStall(late)
 	}
 	if p != nil && !m.left {
-		m.hear(p)
+		m.handlePacket(p)
 	}
 	if !m.left {
-		m.tick()
+		m.runTimers()
 	}
-	m.out = nil
-	out.Wake = m.next()
-	m.wake = max(out.Wake, m.now)
+	m.output = nil
+	out.WakeAt = m.nextWakeAt()
+	m.wakeAt = max(out.WakeAt, m.now)
 	return out
 }
 
-// woken forgives the others the time in which this router did nothing.
+// handleStall forgives the others the time in which this router did nothing.
 //
 // Symptom guarded against: a router stopped for 30 s woke, found every probe unanswered
 // and every suspicion run out, and told the fleet that all of it had failed.
-func (m *Machine) woken(late float64) {
-	m.probe.of = nil
+func (m *Machine) handleStall(late float64) {
+	m.probe.target = nil
 	for _, r := range m.suspects {
-		r.began += late
-		r.until += late
+		r.suspectedAt += late
+		r.suspicionDeadline += late
 	}
-	m.worse(1)
-	m.nextProbe, m.nextSync, m.syncEvery = m.now+m.set.Period, m.now, min(m.set.Reach, m.set.Sync)
-	m.out.event("woken", m.self, "late by a stall of its own")
+	m.raiseHealthScore(1)
+	m.nextProbeAt, m.nextSyncAt, m.syncInterval = m.now+m.settings.ProbeInterval, m.now, min(m.settings.ReconnectInterval, m.settings.SyncInterval)
+	m.output.addEvent("woken", m.self, "late by a stall of its own")
 }
 
-func (m *Machine) tick() {
-	if m.yielded { // its successor judges; it only asks whether that one is still there
-		if m.nextReach <= m.now {
-			m.nextReach = m.now + m.set.Reach
-			if r := m.anyone(nil); r != nil {
-				m.ask(r.Addr, r.ID)
+func (m *Machine) runTimers() {
+	if m.superseded { // its successor judges; it only asks whether that one is still there
+		if m.nextReconnectAt <= m.now {
+			m.nextReconnectAt = m.now + m.settings.ReconnectInterval
+			if r := m.randomPeer(nil); r != nil {
+				m.requestSync(r.Addr, r.ID)
 			}
 		}
 		return
 	}
 	for i := 0; i < len(m.suspects); i++ {
-		if r := m.suspects[i]; r.until <= m.now {
-			w := r.Word
-			w.State, w.By = Failed, m.self.ID
-			m.apply(w, "nobody refuted in time")
+		if r := m.suspects[i]; r.suspicionDeadline <= m.now {
+			w := r.Update
+			w.State, w.ReportedBy = Failed, m.self.ID
+			m.applyUpdate(w, "nobody refuted in time")
 			i--
-		} else if r.check() <= m.now {
+		} else if r.nextCheckAt() <= m.now {
 			r.checks++
-			m.checking(r)
+			m.recheckSuspect(r)
 		}
 	}
-	m.probing()
-	m.relaying()
-	if m.nextReach <= m.now {
-		m.nextReach = m.now + m.set.Reach*(0.75+m.rng.Float64()/2)
-		m.reach()
+	m.runProbe()
+	m.runRelays()
+	if m.nextReconnectAt <= m.now {
+		m.nextReconnectAt = m.now + m.settings.ReconnectInterval*(0.75+m.rng.Float64()/2)
+		m.reconnect()
 	}
-	if m.nextSync <= m.now {
+	if m.nextSyncAt <= m.now {
 		// Soon again while views differ, and ever more rarely where they do not.
-		m.nextSync = m.now + m.syncEvery*(0.75+m.rng.Float64()/2)
-		m.syncEvery = min(m.set.Sync, 1.5*m.syncEvery)
-		if r := m.anyone(nil); r != nil {
-			m.ask(r.Addr, r.ID)
+		m.nextSyncAt = m.now + m.syncInterval*(0.75+m.rng.Float64()/2)
+		m.syncInterval = min(m.settings.SyncInterval, 1.5*m.syncInterval)
+		if r := m.randomPeer(nil); r != nil {
+			m.requestSync(r.Addr, r.ID)
 		}
 	}
-	if m.nextGossip <= m.now {
-		m.nextGossip = math.Inf(1)
-		m.gossip()
+	if m.nextGossipAt <= m.now {
+		m.nextGossipAt = math.Inf(1)
+		m.sendGossip()
 	}
-	m.questions = slices.DeleteFunc(m.questions, func(q question) bool { return q.until <= m.now })
+	m.pending = slices.DeleteFunc(m.pending, func(q pendingRequest) bool { return q.expiresAt <= m.now })
 }
 
-// next is when something is to be done.
-func (m *Machine) next() float64 {
+// nextWakeAt is when something is to be done.
+func (m *Machine) nextWakeAt() float64 {
 	if m.left {
 		return math.Inf(1)
 	}
-	if m.yielded {
-		return m.nextReach
+	if m.superseded {
+		return m.nextReconnectAt
 	}
-	t := min(m.nextProbe, m.nextReach, m.nextSync, m.nextGossip)
-	if m.probe.of != nil && !m.probe.helped {
-		t = min(t, m.probe.help)
+	t := min(m.nextProbeAt, m.nextReconnectAt, m.nextSyncAt, m.nextGossipAt)
+	if m.probe.target != nil && !m.probe.helpRequested {
+		t = min(t, m.probe.helpAt)
 	}
 	for _, r := range m.suspects {
-		t = min(t, r.until, r.check())
+		t = min(t, r.suspicionDeadline, r.nextCheckAt())
 	}
 	for _, r := range m.relays {
-		t = min(t, r.nack)
+		t = min(t, r.deadline)
 	}
 	return t
 }
 
-// hear takes a packet whose seal held.
-func (m *Machine) hear(p *Packet) {
-	life := p.From.Life()
+// handlePacket takes a packet whose seal held.
+func (m *Machine) handlePacket(p *Packet) {
+	life := p.From.Incarnation()
 	if p.From.ID == m.self.ID {
-		m.aboutSelf(p.From)
+		m.applySelfUpdate(p.From)
 		return
 	}
-	r := m.by[p.From.ID]
-	if r != nil && life < r.Life() {
+	r := m.peers[p.From.ID]
+	if r != nil && life < r.Incarnation() {
 		m.Replays++ // the process before, or its recorded packets
-		if p.Kind == Ask || p.Kind == Ping {
+		if p.Kind == SyncRequest || p.Kind == Ping {
 			// If it still lives it is to know: that it has a successor, or that this one is gone.
-			m.send(p.From.Addr, nil, &Packet{Kind: Tell, Words: []Word{r.Word}})
+			m.send(p.From.Addr, nil, &Packet{Kind: Gossip, Updates: []Update{r.Update}})
 		}
 		return
 	}
-	proven := r != nil && r.proof.open && r.proof.life == life
-	if proven && !r.proof.take(p.Count) {
+	proven := r != nil && r.replay.verified && r.replay.incarnation == life
+	if proven && !r.replay.accept(p.Sequence) {
 		m.Replays++
 		return
 	}
-	q, answer := m.answers(p)
+	q, answer := m.matchRequest(p)
 	if !proven && answer {
-		m.apply(p.From, "answered")
-		if r = m.by[p.From.ID]; r == nil {
+		m.applyUpdate(p.From, "answered")
+		if r = m.peers[p.From.ID]; r == nil {
 			return // no room
 		}
-		r.proof = window{life: life, open: true, high: p.Count, seen: 1}
+		r.replay = replayWindow{incarnation: life, verified: true, highest: p.Sequence, seen: 1}
 		r.direct = true
 		proven = true
 	}
@@ -277,22 +277,22 @@
 		m.challenge(p)
 		return
 	}
-	m.take(r, p, q, answer)
-	for i, h := range m.held {
-		if h.p.From.ID == r.ID {
-			m.held = slices.Delete(m.held, i, i+1)
-			if h.p.From.Life() == life && r.proof.take(h.p.Count) {
-				m.take(r, h.p, question{}, false)
+	m.handleVerified(r, p, q, answer)
+	for i, h := range m.unverified {
+		if h.packet.From.ID == r.ID {
+			m.unverified = slices.Delete(m.unverified, i, i+1)
+			if h.packet.From.Incarnation() == life && r.replay.accept(h.packet.Sequence) {
+				m.handleVerified(r, h.packet, pendingRequest{}, false)
 			}
 			break
 		}
 	}
 }
 
-// held is a packet that waits for its sender to prove itself.
-type held struct {
-	p     *Packet
-	until float64
+// unverifiedPacket is a packet that waits for its sender to prove itself.
+type unverifiedPacket struct {
+	packet    *Packet
+	expiresAt float64
 }
 
 // challenge asks one that has not proven to be there now for an answer, and keeps what
@@ -300,47 +300,47 @@
 func (m *Machine) challenge(p *Packet) {
 	if p.Kind == Ping && (p.Target == m.self.ID || p.Target == 0) {
 		m.send(p.From.Addr, nil, &Packet{Kind: Ack, Nonce: p.Nonce, Target: m.self.ID})
-		p.Kind = Tell // it is answered
+		p.Kind = Gossip // it is answered
 	}
-	if p.Kind == Ack || p.Kind == Nack || p.Kind == Page {
+	if p.Kind == Ack || p.Kind == Nack || p.Kind == SyncResponse {
 		return // answers nothing of ours
 	}
-	m.held = slices.DeleteFunc(m.held, func(h held) bool { return h.until <= m.now || h.p.From.ID == p.From.ID })
-	if len(m.held) == maxHeld { // the oldest has had its chance
-		m.held = m.held[1:]
+	m.unverified = slices.DeleteFunc(m.unverified, func(h unverifiedPacket) bool { return h.expiresAt <= m.now || h.packet.From.ID == p.From.ID })
+	if len(m.unverified) == maxUnverified { // the oldest has had its chance
+		m.unverified = m.unverified[1:]
 	}
-	m.held = append(m.held, held{p, m.now + 4*m.set.Period})
-	m.send(p.From.Addr, nil, &Packet{Kind: Ping, Nonce: m.question(p.From.ID, false), Target: p.From.ID})
+	m.unverified = append(m.unverified, unverifiedPacket{p, m.now + 4*m.settings.ProbeInterval})
+	m.send(p.From.Addr, nil, &Packet{Kind: Ping, Nonce: m.newRequest(p.From.ID, false), Target: p.From.ID})
 }
 
-// take takes a packet of one that has proven itself.
-func (m *Machine) take(r *record, p *Packet, q question, answer bool) {
-	r.heard, m.heard = m.now, m.now
+// handleVerified takes a packet of one that has proven itself.
+func (m *Machine) handleVerified(r *peer, p *Packet, q pendingRequest, answer bool) {
+	r.lastReceivedAt, m.lastReceivedAt = m.now, m.now
 	accused := r.State == Suspect
-	m.apply(p.From, "its own word")
+	m.applyUpdate(p.From, "its own word")
 	if accused && r.State == Alive { // who accused it is told at once, not when chance has it
-		for _, id := range r.confirmed {
-			if x := m.by[id]; x != nil && x.State.There() {
-				m.send(x.Addr, x, &Packet{Kind: Tell, Words: []Word{r.Word}})
+		for _, id := range r.accusers {
+			if x := m.peers[id]; x != nil && x.State.Present() {
+				m.send(x.Addr, x, &Packet{Kind: Gossip, Updates: []Update{r.Update}})
 			}
 		}
 	}
-	var right []Word
-	for i := range p.Words {
-		w := &p.Words[i]
-		m.apply(*w, "told")
+	var right []Update
+	for i := range p.Updates {
+		w := &p.Updates[i]
+		m.applyUpdate(*w, "told")
 		// One who accuses by a word that is out of date has missed the refutation, and may
 		// be about to fail a router that lives: it is put right at once.
-		if x := m.by[w.ID]; x != nil && w.State != Alive && x.State == Alive && newer(&x.Word, w) && len(right) < 8 {
-			right = append(right, x.Word)
+		if x := m.peers[w.ID]; x != nil && w.State != Alive && x.State == Alive && newer(&x.Update, w) && len(right) < 8 {
+			right = append(right, x.Update)
 		}
 	}
 	if right != nil {
-		m.send(r.Addr, r, &Packet{Kind: Tell, Words: right})
+		m.send(r.Addr, r, &Packet{Kind: Gossip, Updates: right})
 	}
 	for _, it := range p.Items {
-		if m.shelf != nil && m.shelf.Take(m.now, r.ID, it) {
-			m.Tell(it)
+		if m.store != nil && m.store.Receive(m.now, r.ID, it) {
+			m.Broadcast(it)
 		}
 	}
 	switch p.Kind {
@@ -349,270 +349,272 @@
 			m.send(r.Addr, r, &Packet{Kind: Ack, Nonce: p.Nonce, Target: m.self.ID})
 		}
 	case Ack, Nack:
-		m.answered(r, p)
-	case PingFor:
-		m.relay(r, p)
-	case Carry:
-		if len(p.Load) > 0 {
-			m.out.Loads = append(m.out.Loads, Load{r.ID, r.Life(), p.Load})
+		m.handleProbeReply(r, p)
+	case IndirectPing:
+		m.startRelay(r, p)
+	case Data:
+		if len(p.Payload) > 0 {
+			m.output.Payloads = append(m.output.Payloads, Payload{r.ID, r.Incarnation(), p.Payload})
 		}
-	case Ask:
-		m.pages(r, p, Page)
-	case Page:
-		if answer && q.ask && p.Sums != nil {
-			m.pages(r, p, Tell)
+	case SyncRequest:
+		m.sendDifferences(r, p, SyncResponse)
+	case SyncResponse:
+		if answer && q.sync && p.Checksums != nil {
+			m.sendDifferences(r, p, Gossip)
 		}
 	}
 }
 
-// answers finds the question that a packet answers. A question for the view is answered
+// matchRequest finds the question that a packet answers. A question for the view is answered
 // by several packets.
-func (m *Machine) answers(p *Packet) (question, bool) {
-	if p.Kind != Ack && p.Kind != Nack && p.Kind != Page {
-		return question{}, false
+func (m *Machine) matchRequest(p *Packet) (pendingRequest, bool) {
+	if p.Kind != Ack && p.Kind != Nack && p.Kind != SyncResponse {
+		return pendingRequest{}, false
 	}
-	for _, q := range m.questions {
-		if q.nonce == p.Nonce && (q.of == 0 || q.of == p.From.ID) {
+	for _, q := range m.pending {
+		if q.nonce == p.Nonce && (q.target == 0 || q.target == p.From.ID) {
 			return q, true
 		}
 	}
-	return question{}, false
+	return pendingRequest{}, false
 }
 
-// question returns the number of a new question.
-func (m *Machine) question(of ID, ask bool) uint64 {
-	if len(m.questions) == maxQuestions {
-		m.questions = m.questions[1:]
+// newRequest returns the number of a new question.
+func (m *Machine) newRequest(of ID, ask bool) uint64 {
+	if len(m.pending) == maxPendingRequests {
+		m.pending = m.pending[1:]
 	}
 	n := m.rng.Uint64() | 1
-	m.questions = append(m.questions, question{n, of, m.now + 4*m.set.Period*float64(1+m.health), ask})
+	m.pending = append(m.pending, pendingRequest{n, of, m.now + 4*m.settings.ProbeInterval*float64(1+m.healthScore), ask})
 	return n
 }
 
-// apply books what is told of a router, if it is newer than what is known.
-func (m *Machine) apply(w Word, cause string) {
+// applyUpdate books what is told of a router, if it is newer than what is known.
+func (m *Machine) applyUpdate(w Update, cause string) {
 	if w.ID == m.self.ID {
-		m.aboutSelf(w)
+		m.applySelfUpdate(w)
 		return
 	}
 	if !w.Addr.IsValid() {
 		return
 	}
-	r := m.by[w.ID]
-	if r != nil && w.State == Failed && r.State == Alive && r.heard > 0 && m.now-r.heard <= vouch*m.set.Period {
+	r := m.peers[w.ID]
+	if r != nil && w.State == Failed && r.State == Alive && r.lastReceivedAt > 0 && m.now-r.lastReceivedAt <= recentPeriods*m.settings.ProbeInterval {
 		// No suspicion came before it, and it was heard of a moment ago: a cut healed, whose
 		// other side had failed it. It is asked before it is believed to be gone.
 		w.State = Suspect
 	}
 	switch {
-	case r == nil && !w.State.There():
+	case r == nil && !w.State.Present():
 		return // forgotten, or never known
 	case r == nil:
-		if len(m.by) >= m.set.MaxMembers {
-			if m.Refused++; m.Refused == 1 {
-				m.out.event("full", w, "no room for more routers")
+		if len(m.peers) >= m.settings.MaxMembers {
+			if m.Rejected++; m.Rejected == 1 {
+				m.output.addEvent("full", w, "no room for more routers")
 			}
 			return
 		}
-		r = &record{Word: w, since: m.now}
-		m.by[w.ID] = r
-		m.come(r)
-		m.sum(r)
-		m.enter(r)
-		m.out.event("joined", w, cause)
-	case w.State == Suspect && r.State == Suspect && w.Inc == r.Inc:
-		m.confirm(r, w)
+		r = &peer{Update: w, stateSince: m.now}
+		m.peers[w.ID] = r
+		m.addPresent(r)
+		m.toggleChecksum(r)
+		m.startSuspicion(r)
+		m.output.addEvent("joined", w, cause)
+	case w.State == Suspect && r.State == Suspect && w.Revision == r.Revision:
+		m.confirmSuspicion(r, w)
 		return
-	case !newer(&w, &r.Word) && m.broken != orderOfWords:
+	case !newer(&w, &r.Update) && m.disabledRule != ruleOrdering:
 		return
 	default:
-		m.change(r, w, cause)
-		if r.State == Suspect && w.By != m.self.ID && r.heard > 0 && m.now-r.heard <= vouch*m.set.Period {
+		m.replaceUpdate(r, w, cause)
+		if r.State == Suspect && w.ReportedBy != m.self.ID && r.lastReceivedAt > 0 && m.now-r.lastReceivedAt <= recentPeriods*m.settings.ProbeInterval {
 			// Heard of a moment ago: it is told at once, and what it says is passed on. Where
 			// two sides see each other through one router, nobody else can.
-			m.send(r.Addr, r, &Packet{Kind: Ping, Nonce: m.question(r.ID, false), Target: r.ID})
+			m.send(r.Addr, r, &Packet{Kind: Ping, Nonce: m.newRequest(r.ID, false), Target: r.ID})
 		}
 	}
-	m.out.Moved = true
-	m.queue.word(r.Word)
-	m.stir()
+	m.output.ViewChanged = true
+	m.broadcasts.addUpdate(r.Update)
+	m.scheduleGossip()
 }
 
-// change goes over to a newer word.
-func (m *Machine) change(r *record, w Word, cause string) {
-	old := r.Word
-	m.leave(r)
-	m.sum(r)
-	if old.Inc != w.Inc || old.State != w.State {
-		r.since = m.now
+// replaceUpdate goes over to a newer word.
+func (m *Machine) replaceUpdate(r *peer, w Update, cause string) {
+	old := r.Update
+	m.stopSuspicion(r)
+	m.toggleChecksum(r)
+	if old.Revision != w.Revision || old.State != w.State {
+		r.stateSince = m.now
 	}
-	r.Word = w
+	r.Update = w
 	switch {
-	case !old.State.There() && w.State.There():
-		m.gone = slices.DeleteFunc(m.gone, func(x *record) bool { return x == r })
-		m.come(r)
-	case old.State.There() && !w.State.There():
-		m.round = slices.DeleteFunc(m.round, func(x *record) bool { return x == r })
-		m.gone = append(m.gone, r)
-		if m.names[old.Name] == r.ID {
-			delete(m.names, old.Name)
+	case !old.State.Present() && w.State.Present():
+		m.departed = slices.DeleteFunc(m.departed, func(x *peer) bool { return x == r })
+		m.addPresent(r)
+	case old.State.Present() && !w.State.Present():
+		m.present = slices.DeleteFunc(m.present, func(x *peer) bool { return x == r })
+		m.departed = append(m.departed, r)
+		if m.idsByName[old.Name] == r.ID {
+			delete(m.idsByName, old.Name)
 		}
 	}
-	m.sum(r)
-	m.enter(r)
+	m.toggleChecksum(r)
+	m.startSuspicion(r)
 	switch {
 	case w.State != old.State && w.State != Alive:
-		m.out.event(w.State.String(), w, cause)
-	case w.Life() != old.Life():
-		m.out.event("joined", w, "a new life: "+cause)
+		m.output.addEvent(w.State.String(), w, cause)
+	case w.Incarnation() != old.Incarnation():
+		m.output.addEvent("joined", w, "a new life: "+cause)
 	case w.State != old.State:
-		m.out.event("back", w, cause)
+		m.output.addEvent("back", w, cause)
 	}
 }
 
-// enter begins a suspicion, leave ends one.
-func (m *Machine) enter(r *record) {
+// startSuspicion begins a suspicion, leave ends one.
+func (m *Machine) startSuspicion(r *peer) {
 	if r.State == Suspect {
-		r.confirmed = append(r.confirmed[:0], r.By)
-		r.began, r.checks = m.now, 0
-		r.until = m.now + m.patience(0)
+		r.accusers = append(r.accusers[:0], r.ReportedBy)
+		r.suspectedAt, r.checks = m.now, 0
+		r.suspicionDeadline = m.now + m.suspicionTimeout(0)
 		m.suspects = append(m.suspects, r)
 	}
 }
 
-func (m *Machine) leave(r *record) {
+func (m *Machine) stopSuspicion(r *peer) {
 	if r.State == Suspect {
-		m.suspects = slices.DeleteFunc(m.suspects, func(x *record) bool { return x == r })
+		m.suspects = slices.DeleteFunc(m.suspects, func(x *peer) bool { return x == r })
 	}
 }
 
-// come puts one that is there into the round, at a place drawn by chance.
-func (m *Machine) come(r *record) {
-	m.round = append(m.round, r)
-	i := m.rng.IntN(len(m.round))
-	last := len(m.round) - 1
-	m.round[i], m.round[last] = m.round[last], m.round[i]
-	if other, ok := m.names[r.Name]; ok && other != r.ID {
-		m.conflict(r.Word, "two routers have this name")
+// addPresent puts one that is there into the round, at a place drawn by chance.
+func (m *Machine) addPresent(r *peer) {
+	m.present = append(m.present, r)
+	i := m.rng.IntN(len(m.present))
+	last := len(m.present) - 1
+	m.present[i], m.present[last] = m.present[last], m.present[i]
+	if other, ok := m.idsByName[r.Name]; ok && other != r.ID {
+		m.reportConflict(r.Update, "two routers have this name")
 	} else {
-		m.names[r.Name] = r.ID
+		m.idsByName[r.Name] = r.ID
 	}
 }
 
-// conflict tells loudly, once for each router, that two have one name or one seat.
-func (m *Machine) conflict(w Word, cause string) {
+// reportConflict tells loudly, once for each router, that two have one name or one seat.
+func (m *Machine) reportConflict(w Update, cause string) {
 	key := cause + w.ID.String()
-	if !m.told[key] && len(m.told) < 256 {
-		m.told[key] = true
-		m.out.event("conflict", w, cause)
+	if !m.reportedConflicts[key] && len(m.reportedConflicts) < 256 {
+		m.reportedConflicts[key] = true
+		m.output.addEvent("conflict", w, cause)
 	}
 }
 
-// confirm counts one more router that suspects, which shortens the suspicion.
-func (m *Machine) confirm(r *record, w Word) {
-	if len(r.confirmed) > m.set.Confirm || slices.Contains(r.confirmed, w.By) {
+// confirmSuspicion counts one more router that suspects, which shortens the suspicion.
+func (m *Machine) confirmSuspicion(r *peer, w Update) {
+	if len(r.accusers) > m.settings.SuspicionConfirmations || slices.Contains(r.accusers, w.ReportedBy) {
 		return
 	}
-	r.confirmed = append(r.confirmed, w.By)
-	r.until = r.began + m.patience(len(r.confirmed)-1)
-	m.queue.word(w)
-	m.stir()
+	r.accusers = append(r.accusers, w.ReportedBy)
+	r.suspicionDeadline = r.suspectedAt + m.suspicionTimeout(len(r.accusers)-1)
+	m.broadcasts.addUpdate(w)
+	m.scheduleGossip()
 }
 
-// patience is how long one may be suspect after so many confirmations.
-func (m *Machine) patience(confirmed int) float64 {
-	n := len(m.round) + 1
-	short := max(m.set.Shortest, m.set.Alpha*math.Log10(max(10, float64(n)))*m.set.Period)
-	k := min(m.set.Confirm, n-2) // the accused and the first accuser do not confirm
+// suspicionTimeout is how long one may be suspect after so many confirmations.
+func (m *Machine) suspicionTimeout(confirmed int) float64 {
+	n := len(m.present) + 1
+	short := max(m.settings.MinSuspicionTimeout, m.settings.SuspicionMult*math.Log10(max(10, float64(n)))*m.settings.ProbeInterval)
+	k := min(m.settings.SuspicionConfirmations, n-2) // the accused and the first accuser do not confirm
 	if k < 1 {
 		return short
 	}
-	long := m.set.Beta * short
+	long := m.settings.MaxSuspicionMult * short
 	return max(short, long-(long-short)*math.Log(float64(confirmed+1))/math.Log(float64(k+1)))
 }
 
-// aboutSelf takes what is told of this router's own seat.
-func (m *Machine) aboutSelf(w Word) {
-	mine := m.self.Life()
+// applySelfUpdate takes what is told of this router's own seat.
+func (m *Machine) applySelfUpdate(w Update) {
+	mine := m.self.Incarnation()
 	switch {
-	case w.Life() < mine:
-	case w.Life() > mine && w.State.There():
+	case w.Incarnation() < mine:
+	case w.Incarnation() > mine && w.State.Present():
 		// The successor in an upgrade, or one that was started by mistake with a copy of
 		// this router's state folder. Either way there is one member, and it is that one.
-		if !m.yielded {
-			m.yielded = true
-			m.out.event("superseded", w, "a later process has this router's seat")
+		if !m.superseded {
+			m.superseded = true
+			m.output.addEvent("superseded", w, "a later process has this router's seat")
 		}
-	case w.Life() > mine:
-		m.self.Inc = Incarnation(w.Life() + 1)
-		m.reborn("the later process of its seat is gone")
-	case w.State != Alive && w.Inc >= m.self.Inc && m.broken != refuting:
-		m.self.Inc = w.Inc + 1
-		m.worse(1)
-		m.reborn("told as " + w.State.String())
-	case w.State == Alive && (w.Addr != m.self.Addr || w.Inc > m.self.Inc):
-		m.conflict(w, "another process has this router's seat and life")
+	case w.Incarnation() > mine:
+		m.self.Revision = FirstRevision(w.Incarnation() + 1)
+		m.announceSelf("the later process of its seat is gone")
+	case w.State != Alive && w.Revision >= m.self.Revision && m.disabledRule != ruleRefutation:
+		m.self.Revision = w.Revision + 1
+		m.raiseHealthScore(1)
+		m.announceSelf("told as " + w.State.String())
+	case w.State == Alive && (w.Addr != m.self.Addr || w.Revision > m.self.Revision):
+		m.reportConflict(w, "another process has this router's seat and life")
 	}
 }
 
-// reborn spreads this router's new incarnation.
-func (m *Machine) reborn(cause string) {
-	m.yielded = false
-	m.ownSum()
-	m.out.event("refuted", m.self, cause)
-	m.out.Moved = true
-	m.queue.word(m.self)
-	m.stir()
+// announceSelf spreads this router's new incarnation.
+func (m *Machine) announceSelf(cause string) {
+	m.superseded = false
+	m.updateSelfChecksum()
+	m.output.addEvent("refuted", m.self, cause)
+	m.output.ViewChanged = true
+	m.broadcasts.addUpdate(m.self)
+	m.scheduleGossip()
 }
 
-// Send has something carried to another machine of a router, which may get lost. Nothing
+// SendPayload has something carried to another machine of a router, which may get lost. Nothing
 // is sent to one that is not there.
-func (m *Machine) Send(now float64, to ID, load []byte) (out Output) {
-	m.out, m.now = &out, max(m.now, now)
-	if r := m.by[to]; r != nil && r.State.There() && len(load) <= MaxLoad && !m.left {
-		m.send(r.Addr, nil, &Packet{Kind: Carry, Load: load})
+func (m *Machine) SendPayload(now float64, to ID, load []byte) (out Output) {
+	m.output, m.now = &out, max(m.now, now)
+	if r := m.peers[to]; r != nil && r.State.Present() && len(load) <= MaxPayloadLen && !m.left {
+		m.send(r.Addr, nil, &Packet{Kind: Data, Payload: load})
 	}
-	m.out = nil
+	m.output = nil
 	return out
 }
 
 // Leave tells the others that this router goes. Nothing is sent after it.
 func (m *Machine) Leave(now float64) Output {
 	var out Output
-	m.out, m.now = &out, max(m.now, now)
-	if !m.left && !m.yielded {
+	m.output, m.now = &out, max(m.now, now)
+	if !m.left && !m.superseded {
 		m.self.State = Left
 		w := m.self
-		w.By = w.ID
-		for range min(8, len(m.round)) {
-			r := m.anyone(nil)
-			p := &Packet{Kind: Tell, Words: []Word{w}}
+		w.ReportedBy = w.ID
+		for range min(8, len(m.present)) {
+			r := m.randomPeer(nil)
+			p := &Packet{Kind: Gossip, Updates: []Update{w}}
 			m.send(r.Addr, nil, p)
 		}
 	}
-	m.left, m.out = true, nil
-	out.Wake = math.Inf(1)
+	m.left, m.output = true, nil
+	out.WakeAt = math.Inf(1)
 	return out
 }
 
-func (m *Machine) worse(by int)  { m.health = min(m.set.Health, m.health+by) }
-func (m *Machine) better(by int) { m.health = max(0, m.health-by) }
+func (m *Machine) raiseHealthScore(by int) {
+	m.healthScore = min(m.settings.MaxHealthScore, m.healthScore+by)
+}
+func (m *Machine) lowerHealthScore(by int) { m.healthScore = max(0, m.healthScore-by) }
 
-// sum adds a router to, or takes it out of, the sums by which views are compared.
-func (m *Machine) sum(r *record) {
-	if r.State.There() {
-		m.sums[r.ID%Buckets] ^= mix(r.ID, r.Inc)
+// toggleChecksum adds a router to, or takes it out of, the sums by which views are compared.
+func (m *Machine) toggleChecksum(r *peer) {
+	if r.State.Present() {
+		m.checksums[r.ID%BucketCount] ^= peerChecksum(r.ID, r.Revision)
 	}
 }
 
-func (m *Machine) ownSum() {
-	b := m.self.ID % Buckets
-	m.sums[b] ^= m.own
-	m.own = mix(m.self.ID, m.self.Inc)
-	m.sums[b] ^= m.own
+func (m *Machine) updateSelfChecksum() {
+	b := m.self.ID % BucketCount
+	m.checksums[b] ^= m.selfChecksum
+	m.selfChecksum = peerChecksum(m.self.ID, m.self.Revision)
+	m.checksums[b] ^= m.selfChecksum
 }
 
-func mix(id ID, inc uint64) uint32 {
+func peerChecksum(id ID, inc uint64) uint32 {
 	var b [16]byte
 	for i := range 8 {
 		b[i], b[8+i] = byte(uint64(id)>>(8*i)), byte(inc>>(8*i))
--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/membership_test.go
@@ -10,16 +10,16 @@
 )
 
 func samplePacket() *Packet {
-	w := Word{ID: 7, Inc: Incarnation(3) + 2, State: Suspect, By: 9, Name: "r1", Zone: "north", Version: "1.2", Addr: place(0)}
+	w := Update{ID: 7, Revision: FirstRevision(3) + 2, State: Suspect, ReportedBy: 9, Name: "r1", Zone: "north", Version: "1.2", Addr: testAddr(0)}
 	from := w
-	from.State, from.By = Alive, 0
-	return &Packet{Kind: PingFor, From: from, Count: 12, Nonce: 1 << 60, Target: 8, At: netip.MustParseAddrPort("[::1]:9"), Words: []Word{w, from},
-		Items: [][]byte{[]byte("one"), []byte("two")}, Sums: make([]uint32, Buckets)}
+	from.State, from.ReportedBy = Alive, 0
+	return &Packet{Kind: IndirectPing, From: from, Sequence: 12, Nonce: 1 << 60, Target: 8, TargetAddr: netip.MustParseAddrPort("[::1]:9"), Updates: []Update{w, from},
+		Items: [][]byte{[]byte("one"), []byte("two")}, Checksums: make([]uint32, BucketCount)}
 }
 
-func TestCodeRoundTrip(t *testing.T) {
+func TestPacketRoundTrip(t *testing.T) {
 	p := samplePacket()
-	p.Sums[3] = 5
+	p.Checksums[3] = 5
 	q, err := Decode(p.Append(nil))
 	if err != nil || !reflect.DeepEqual(p, q) {
 		t.Errorf("%v: %+v, want %+v", err, q, p)
@@ -34,13 +34,13 @@
 		"nobody":         func(p *Packet) { p.From.ID = 0 },
 		"dead sender":    func(p *Packet) { p.From.State = Failed },
 		"no address":     func(p *Packet) { p.From.Addr = netip.AddrPort{} },
-		"long name":      func(p *Packet) { p.From.Name = strings.Repeat("x", MaxName+1) },
+		"long name":      func(p *Packet) { p.From.Name = strings.Repeat("x", MaxNameLen+1) },
 		"odd name":       func(p *Packet) { p.From.Name = "a\nb" },
-		"long load":      func(p *Packet) { p.Load = make([]byte, MaxLoad+1) },
-		"long item":      func(p *Packet) { p.Items[0] = make([]byte, MaxItem+1) },
-		"unknown state":  func(p *Packet) { p.Words[0].State = 9 },
-		"too few sums":   func(p *Packet) { p.Sums = p.Sums[1:] },
-		"too many words": func(p *Packet) { p.Words = make([]Word, maxWords+1); p.Words[0].ID = 1 },
+		"long load":      func(p *Packet) { p.Payload = make([]byte, MaxPayloadLen+1) },
+		"long item":      func(p *Packet) { p.Items[0] = make([]byte, MaxItemLen+1) },
+		"unknown state":  func(p *Packet) { p.Updates[0].State = 9 },
+		"too few sums":   func(p *Packet) { p.Checksums = p.Checksums[1:] },
+		"too many words": func(p *Packet) { p.Updates = make([]Update, maxUpdates+1); p.Updates[0].ID = 1 },
 	} {
 		p := samplePacket()
 		spoil(p)
@@ -60,12 +60,12 @@
 		if err != nil {
 			return
 		}
-		if len(p.Words) > maxWords || len(p.Items) > maxItems || len(p.From.Name) > MaxName {
+		if len(p.Updates) > maxUpdates || len(p.Items) > maxItems || len(p.From.Name) > MaxNameLen {
 			t.Fatalf("out of bounds: %+v", p)
 		}
 		once := p.Append(nil)
 		q, err := Decode(once)
-		if len(once) <= MaxPacket && (err != nil || !bytes.Equal(once, q.Append(nil))) {
+		if len(once) <= MaxPacketLen && (err != nil || !bytes.Equal(once, q.Append(nil))) {
 			t.Fatalf("%v: %x, then %x", err, once, q.Append(nil))
 		}
 	})
@@ -78,47 +78,47 @@
 	f.Add(uint64(2), bytes.Repeat([]byte{1, 5, 9, 250}, 30))
 	f.Fuzz(func(t *testing.T, seed uint64, steps []byte) {
 		rng := rand.New(rand.NewPCG(seed, 1))
-		set := Default()
+		set := DefaultSettings()
 		set.MaxMembers = 6
-		self := Word{ID: 1, Inc: Incarnation(1), Name: "r0", Addr: place(0)}
-		m := New(set, self, []netip.AddrPort{place(1)}, rng, nil, 0)
-		now, held := 0.0, map[ID]Word{}
+		self := Update{ID: 1, Revision: FirstRevision(1), Name: "r0", Addr: testAddr(0)}
+		m := New(set, self, []netip.AddrPort{testAddr(1)}, rng, nil, 0)
+		now, held := 0.0, map[ID]Update{}
 		var asked []uint64
 		for _, b := range steps[:min(len(steps), 400)] {
 			now += float64(b%7) * 60
-			w := Word{ID: ID(1 + b%9), Inc: Incarnation(uint64(1+b%2)) + uint64(b%3), State: State(b / 8 % 4), By: ID(1 + b%5), Name: "x", Addr: place(int(b % 9))}
-			from := Word{ID: ID(2 + b%4), Inc: Incarnation(1 + uint64(b%2)), Name: "y", Addr: place(int(1 + b%4))}
-			p := &Packet{Kind: Kind(1 + b%8), Load: []byte{b}, From: from, Count: uint64(b), Words: []Word{w}, Target: ID(b % 3), At: place(3)}
+			w := Update{ID: ID(1 + b%9), Revision: FirstRevision(uint64(1+b%2)) + uint64(b%3), State: State(b / 8 % 4), ReportedBy: ID(1 + b%5), Name: "x", Addr: testAddr(int(b % 9))}
+			from := Update{ID: ID(2 + b%4), Revision: FirstRevision(1 + uint64(b%2)), Name: "y", Addr: testAddr(int(1 + b%4))}
+			p := &Packet{Kind: Kind(1 + b%8), Payload: []byte{b}, From: from, Sequence: uint64(b), Updates: []Update{w}, Target: ID(b % 3), TargetAddr: testAddr(3)}
 			if len(asked) > 0 {
 				p.Nonce = asked[int(b)%len(asked)]
 			}
 			out := m.Step(now, p)
-			for _, s := range out.Sends {
+			for _, s := range out.Packets {
 				asked = append(asked, s.Packet.Nonce)
-				if n := len(s.Packet.Append(nil)); n > MaxPacket {
+				if n := len(s.Packet.Append(nil)); n > MaxPacketLen {
 					t.Fatalf("a packet of %d bytes", n)
 				}
 			}
-			if len(m.by) > set.MaxMembers || len(m.held) > maxHeld || len(m.questions) > maxQuestions || len(m.relays) > maxRelays || len(out.Sends) > 64 {
-				t.Fatalf("out of bounds: %d members, %d held, %d sends", len(m.by), len(m.held), len(out.Sends))
+			if len(m.peers) > set.MaxMembers || len(m.unverified) > maxUnverified || len(m.pending) > maxPendingRequests || len(m.relays) > maxRelays || len(out.Packets) > 64 {
+				t.Fatalf("out of bounds: %d members, %d held, %d sends", len(m.peers), len(m.unverified), len(out.Packets))
 			}
 			for _, x := range m.View().Members {
-				if old, known := held[x.ID]; known && newer(&old, &x.Word) {
-					t.Fatalf("went back from %+v to %+v", old, x.Word)
+				if old, known := held[x.ID]; known && newer(&old, &x.Update) {
+					t.Fatalf("went back from %+v to %+v", old, x.Update)
 				}
-				held[x.ID] = x.Word
+				held[x.ID] = x.Update
 			}
 		}
 	})
 }
 
-func TestWindowTakesEachOnce(t *testing.T) {
-	w := window{open: true, high: 100, seen: 1}
+func TestReplayWindowAcceptsEachOnce(t *testing.T) {
+	w := replayWindow{verified: true, highest: 100, seen: 1}
 	for _, x := range []struct {
 		n    uint64
 		want bool
 	}{{100, false}, {101, true}, {101, false}, {99, true}, {99, false}, {300, true}, {237, true}, {236, false}, {237, false}, {101, false}} {
-		if got := w.take(x.n); got != x.want {
+		if got := w.accept(x.n); got != x.want {
 			t.Errorf("%d: %v, want %v", x.n, got, x.want)
 		}
 	}
@@ -126,11 +126,11 @@
 
 // benchFleet is a machine that knows n others, all of which have proven themselves.
 func benchFleet(n int) *Machine {
-	m := New(Default(), Word{ID: 1, Inc: Incarnation(1), Name: "r0", Addr: place(0)}, nil, rand.New(rand.NewPCG(1, 1)), nil, 0)
-	m.set.MaxMembers = 2 * n
+	m := New(DefaultSettings(), Update{ID: 1, Revision: FirstRevision(1), Name: "r0", Addr: testAddr(0)}, nil, rand.New(rand.NewPCG(1, 1)), nil, 0)
+	m.settings.MaxMembers = 2 * n
 	for i := range n {
-		m.Lie(Word{ID: ID(i + 2), Inc: Incarnation(1), Name: "r", Addr: place(i % 200)})
-		m.by[ID(i+2)].proof = window{life: 1, open: true}
+		m.InjectUpdate(Update{ID: ID(i + 2), Revision: FirstRevision(1), Name: "r", Addr: testAddr(i % 200)})
+		m.peers[ID(i+2)].replay = replayWindow{incarnation: 1, verified: true}
 	}
 	return m
 }
@@ -146,14 +146,14 @@
 
 func BenchmarkPing(b *testing.B) {
 	m := benchFleet(300)
-	p := &Packet{Kind: Ping, From: m.round[0].Word, Target: 1}
+	p := &Packet{Kind: Ping, From: m.present[0].Update, Target: 1}
 	for b.Loop() {
-		p.Count++
+		p.Sequence++
 		m.Step(1, p)
 	}
 }
 
-func BenchmarkCode(b *testing.B) {
+func BenchmarkPacketCodec(b *testing.B) {
 	p := samplePacket()
 	var room []byte
 	for b.Loop() {
--- a/internal/fleet/member/search_test.go
+++ b/internal/fleet/member/search_test.go
@@ -27,9 +27,9 @@
 	wake   []float64
 	dead   []bool
 	lives  []uint64
-	air    []Send
-	order  map[[2]ID]Word // latest that each holds of each
-	broken rule
+	air    []OutgoingPacket
+	order  map[[2]ID]Update // latest that each holds of each
+	broken testRule
 	wrong  string
 }
 
@@ -47,32 +47,32 @@
 
 func (m *Machine) copy(rng *rand.Rand) *Machine {
 	c := *m
-	c.rng, c.by, c.names, c.told = rng, make(map[ID]*record, len(m.by)), maps.Clone(m.names), maps.Clone(m.told)
-	for id, r := range m.by {
+	c.rng, c.peers, c.idsByName, c.reportedConflicts = rng, make(map[ID]*peer, len(m.peers)), maps.Clone(m.idsByName), maps.Clone(m.reportedConflicts)
+	for id, r := range m.peers {
 		x := *r
-		x.confirmed = slices.Clone(r.confirmed)
-		c.by[id] = &x
+		x.accusers = slices.Clone(r.accusers)
+		c.peers[id] = &x
 	}
-	for _, l := range []*[]*record{&c.round, &c.suspects, &c.gone} {
+	for _, l := range []*[]*peer{&c.present, &c.suspects, &c.departed} {
 		*l = slices.Clone(*l)
 		for i, r := range *l {
-			(*l)[i] = c.by[r.ID]
+			(*l)[i] = c.peers[r.ID]
 		}
 	}
-	if m.probe.of != nil {
-		c.probe.of = c.by[m.probe.of.ID]
+	if m.probe.target != nil {
+		c.probe.target = c.peers[m.probe.target.ID]
 	}
-	c.questions, c.relays, c.held, c.queue.all = slices.Clone(m.questions), slices.Clone(m.relays), slices.Clone(m.held), slices.Clone(m.queue.all)
+	c.pending, c.relays, c.unverified, c.broadcasts.entries = slices.Clone(m.pending), slices.Clone(m.relays), slices.Clone(m.unverified), slices.Clone(m.broadcasts.entries)
 	return &c
 }
 
-func place(i int) netip.AddrPort {
+func testAddr(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 1)
 }
 
-func newWorld(n int, b rule) *world {
+func newWorld(n int, b testRule) *world {
 	w := &world{m: make([]*Machine, n), dice: make([]*rand.PCG, n), now: make([]float64, n), wake: make([]float64, n), dead: make([]bool, n), lives: make([]uint64, n),
-		order: map[[2]ID]Word{}, broken: b}
+		order: map[[2]ID]Update{}, broken: b}
 	for i := range n {
 		w.start(i)
 	}
@@ -80,13 +80,13 @@
 }
 
 func (w *world) start(i int) {
-	set := Default()
-	set.Fanout, set.Indirect, set.Gossip = 1, 1, 50
+	set := DefaultSettings()
+	set.GossipFanout, set.IndirectProbes, set.GossipInterval = 1, 1, 50
 	w.lives[i]++
-	self := Word{ID: ID(i + 1), Inc: Incarnation(w.lives[i]), Name: "r" + strconv.Itoa(i), Addr: place(i)}
+	self := Update{ID: ID(i + 1), Revision: FirstRevision(w.lives[i]), Name: "r" + strconv.Itoa(i), Addr: testAddr(i)}
 	w.dice[i] = rand.NewPCG(uint64(i), w.lives[i])
-	w.m[i] = New(set, self, []netip.AddrPort{place(0)}, rand.New(w.dice[i]), nil, w.now[i])
-	w.m[i].broken = w.broken
+	w.m[i] = New(set, self, []netip.AddrPort{testAddr(0)}, rand.New(w.dice[i]), nil, w.now[i])
+	w.m[i].disabledRule = w.broken
 	w.dead[i], w.wake[i] = false, w.now[i]
 	for k := range w.order {
 		if k[0] == self.ID {
@@ -97,15 +97,15 @@
 
 func (w *world) step(i int, p *Packet) {
 	out := w.m[i].Step(w.now[i], p)
-	w.wake[i] = out.Wake
-	w.air = append(w.air, out.Sends...)
+	w.wake[i] = out.WakeAt
+	w.air = append(w.air, out.Packets...)
 	w.air = w.air[max(0, len(w.air)-inFlight):]
 	for _, m := range w.m[i].View().Members {
 		k := [2]ID{ID(i + 1), m.ID}
-		if old, known := w.order[k]; known && newer(&old, &m.Word) {
-			w.wrong = fmt.Sprintf("r%d went back from %v of %x to %v of %x for %s", i, old.State, old.Inc, m.State, m.Inc, m.Name)
+		if old, known := w.order[k]; known && newer(&old, &m.Update) {
+			w.wrong = fmt.Sprintf("r%d went back from %v of %x to %v of %x for %s", i, old.State, old.Revision, m.State, m.Revision, m.Name)
 		}
-		w.order[k] = m.Word
+		w.order[k] = m.Update
 	}
 }
 
@@ -116,7 +116,7 @@
 		w.air = slices.Delete(slices.Clone(w.air), k, k+1)
 	}
 	for i := range w.m {
-		if place(i) == s.To && !w.dead[i] {
+		if testAddr(i) == s.To && !w.dead[i] {
 			p := *s.Packet
 			w.step(i, &p)
 		}
@@ -167,23 +167,23 @@
 func (w *world) digest() uint64 {
 	var s strings.Builder
 	for i, m := range w.m {
-		fmt.Fprint(&s, w.dead[i], w.lives[i], m.health, m.yielded, m.self.Inc, len(m.queue.all), int(m.nextProbe-w.now[i]), len(m.held), m.probe.of != nil, '|')
+		fmt.Fprint(&s, w.dead[i], w.lives[i], m.healthScore, m.superseded, m.self.Revision, len(m.broadcasts.entries), int(m.nextProbeAt-w.now[i]), len(m.unverified), m.probe.target != nil, '|')
 		for _, x := range m.View().Members {
-			r := m.by[x.ID]
-			fmt.Fprint(&s, x.ID, x.Inc, x.State)
+			r := m.peers[x.ID]
+			fmt.Fprint(&s, x.ID, x.Revision, x.State)
 			if r != nil {
-				fmt.Fprint(&s, r.proof.open, r.proof.life, int(max(0, r.until-w.now[i])))
+				fmt.Fprint(&s, r.replay.verified, r.replay.incarnation, int(max(0, r.suspicionDeadline-w.now[i])))
 			}
 		}
 	}
 	for _, p := range w.air {
 		asked := false
 		for i, m := range w.m {
-			asked = asked || place(i) == p.To && slices.ContainsFunc(m.questions, func(q question) bool { return q.nonce == p.Packet.Nonce })
+			asked = asked || testAddr(i) == p.To && slices.ContainsFunc(m.pending, func(q pendingRequest) bool { return q.nonce == p.Packet.Nonce })
 		}
-		fmt.Fprint(&s, p.To, p.Packet.Kind, p.Packet.From.ID, p.Packet.From.Inc, asked)
-		for _, x := range p.Packet.Words {
-			fmt.Fprint(&s, x.ID, x.Inc, x.State)
+		fmt.Fprint(&s, p.To, p.Packet.Kind, p.Packet.From.ID, p.Packet.From.Revision, asked)
+		for _, x := range p.Packet.Updates {
+			fmt.Fprint(&s, x.ID, x.Revision, x.State)
 		}
 	}
 	return xxhash.Sum64String(s.String())
@@ -226,7 +226,7 @@
 		}
 	}
 	for i, m := range w.m {
-		if !w.dead[i] && (m.There() != live || m.Sums() != w.m[slices.Index(w.dead, false)].Sums()) {
+		if !w.dead[i] && (m.PresentCount() != live || m.Checksums() != w.m[slices.Index(w.dead, false)].Checksums()) {
 			return false
 		}
 	}
@@ -235,7 +235,7 @@
 
 // search goes through states from a settled fleet on, the shallow ones first, and returns
 // how many there were and the first path that breaks a rule.
-func search(n, states, every int, b rule) (seen, healed, depth int, path []byte, why string) {
+func search(n, states, every int, b testRule) (seen, healed, depth int, path []byte, why string) {
 	type node struct {
 		w    *world
 		path []byte
@@ -244,7 +244,7 @@
 	first.heal()
 	first.air, first.broken = nil, b
 	for _, m := range first.m {
-		m.broken = b
+		m.disabledRule = b
 	}
 	known := map[uint64]bool{}
 	queue := []node{{first, nil}}
@@ -282,7 +282,7 @@
 func (w *world) views() (l []string) {
 	for i, m := range w.m {
 		for _, x := range m.View().Members {
-			l = append(l, fmt.Sprintf("r%d dead %v: %s %v %x", i, w.dead[i], x.Name, x.State, x.Inc))
+			l = append(l, fmt.Sprintf("r%d dead %v: %s %v %x", i, w.dead[i], x.Name, x.State, x.Revision))
 		}
 	}
 	return l
@@ -290,7 +290,7 @@
 
 // No two views stay different once messages flow, and an older word never beats a newer
 // one. GARNETLINE_STATES goes through more states than CI does.
-func TestSearch(t *testing.T) {
+func TestStateSearch(t *testing.T) {
 	states := 6000
 	if s, err := strconv.Atoi(os.Getenv("GARNETLINE_STATES")); err == nil {
 		states = s
@@ -305,8 +305,8 @@
 }
 
 // Each rule that is switched off is found out.
-func TestSearchFindsBrokenRules(t *testing.T) {
-	for b, n := range map[rule]int{orderOfWords: 2, refuting: 2} {
+func TestStateSearchFindsDisabledRules(t *testing.T) {
+	for b, n := range map[testRule]int{ruleOrdering: 2, ruleRefutation: 2} {
 		if seen, _, _, path, why := search(n, 20_000, 2, b); why == "" {
 			t.Errorf("rule %d is off, and %d states show nothing", b, seen)
 		} else {
--- a/internal/fleet/prober/prober_test.go
+++ b/internal/fleet/prober/collector_test.go
@@ -19,8 +19,8 @@
 
 // A holder asks the boxes and tells its mates of several in one packet; a mate takes that
 // with its age, and nothing under an older token; without the duty nothing is asked.
-func TestReportsAreCollected(t *testing.T) {
-	var boxes []Box
+func TestReportsAreBatched(t *testing.T) {
+	var boxes []Server
 	for i := range 5 {
 		b, err := standin.NewBox(nil)
 		if err != nil {
@@ -28,20 +28,20 @@
 		}
 		defer b.Close()
 		b.SetGauges(func(string) string { return "l=util:0.5" })
-		boxes = append(boxes, Box{decide.ServerID(i), netip.MustParseAddrPort(b.Addr().String())})
+		boxes = append(boxes, Server{decide.ServerID(i), netip.MustParseAddrPort(b.Addr().String())})
 	}
 	var token atomic.Uint64
 	var mu sync.Mutex
 	var packets [][]byte
-	p := New(Options{Zone: "z", Every: 20, Most: 20, Clock: clock.NewBoot(), Stats: stats.New(),
-		May:   func(string) (uint64, bool) { n := token.Load(); return n, n != 0 },
-		Boxes: func() []Box { return boxes }, Mates: func() []member.ID { return []member.ID{2} },
-		Carry: func(_ member.ID, _ carry.Channel, b []byte) {
+	p := New(Options{Zone: "z", MinInterval: 20, MaxInterval: 20, Clock: clock.NewBoot(), Metrics: stats.New(),
+		Valid:   func(string) (uint64, bool) { n := token.Load(); return n, n != 0 },
+		Servers: func() []Server { return boxes }, ZonePeers: func() []member.ID { return []member.ID{2} },
+		Send: func(_ member.ID, _ carry.Channel, b []byte) {
 			mu.Lock()
 			defer mu.Unlock()
 			packets = append(packets, b)
 		},
-		Told: func(decide.ServerID, decide.Load, float64) {}})
+		ReportLoad: func(decide.ServerID, decide.LoadReport, float64) {}})
 	ctx, stop := context.WithCancel(context.Background())
 	go p.Run(ctx)
 	sent := func() (n int) {
@@ -49,7 +49,7 @@
 		defer mu.Unlock()
 		return len(packets)
 	}
-	if time.Sleep(100 * time.Millisecond); sent() != 0 || p.o.Stats.Counter("probes_sent").Load() != 0 {
+	if time.Sleep(100 * time.Millisecond); sent() != 0 || p.options.Metrics.Counter("probes_sent").Load() != 0 {
 		t.Error("asked without the duty")
 	}
 	token.Store(7)
@@ -58,13 +58,13 @@
 	stop()
 	<-p.Stopped()
 	took := map[decide.ServerID]int{}
-	mate := New(Options{Zone: "z", Clock: clock.NewBoot(), Stats: stats.New(), Told: func(id decide.ServerID, l decide.Load, age float64) {
-		if took[id]++; l.Busy != 0.5 || !math.IsNaN(l.HitShare) || age < 0 || age > 10_000 {
+	mate := New(Options{Zone: "z", Clock: clock.NewBoot(), Metrics: stats.New(), ReportLoad: func(id decide.ServerID, l decide.LoadReport, age float64) {
+		if took[id]++; l.CPUUtilization != 0.5 || !math.IsNaN(l.HitRatio) || age < 0 || age > 10_000 {
 			t.Errorf("box %v: %+v, %v ms old", id, l, age)
 		}
 	}})
 	for _, b := range packets {
-		mate.Heard(b)
+		mate.Receive(b)
 	}
 	reports := 0
 	for _, n := range took {
@@ -74,8 +74,8 @@
 		t.Errorf("%d packets told %d boxes %d times", len(packets), len(took), reports)
 	}
 	late := append([]byte{8, 6}, packets[0][2:]...) // the same under token 6
-	if mate.Heard(late); mate.o.Stats.Counter("reports_refused").Load() == 0 {
+	if mate.Receive(late); mate.options.Metrics.Counter("reports_refused").Load() == 0 {
 		t.Error("an older holder's report is taken")
 	}
-	mate.Heard([]byte{1, 2, 3})
+	mate.Receive([]byte{1, 2, 3})
 }
--- a/internal/fleet/prober/golden_test.go
+++ b/internal/fleet/prober/golden_test.go
@@ -18,36 +18,36 @@
 	const now = 5000.0
 	nan := math.NaN()
 	sent := map[decide.ServerID]report{
-		0:       {0, decide.Load{Inflight: 3, Busy: 0.25, HitShare: 0.875, Link: 0.5}, now - 20},
-		7:       {7, decide.Load{Inflight: nan, Busy: 0, HitShare: nan, Link: 1}, now},
-		1 << 33: {1 << 33, decide.Load{Inflight: nan, Busy: nan, HitShare: nan, Link: nan}, now - 300},
+		0:       {0, decide.LoadReport{Inflight: 3, CPUUtilization: 0.25, HitRatio: 0.875, LinkUtilization: 0.5}, now - 20},
+		7:       {7, decide.LoadReport{Inflight: nan, CPUUtilization: 0, HitRatio: nan, LinkUtilization: 1}, now},
+		1 << 33: {1 << 33, decide.LoadReport{Inflight: nan, CPUUtilization: nan, HitRatio: nan, LinkUtilization: nan}, now - 300},
 	}
 	var packet []byte
 	sender := New(Options{
-		Zone: "z", Clock: clock.NewBoot(), Stats: stats.New(),
-		Mates: func() []member.ID { return []member.ID{2} },
-		Carry: func(_ member.ID, _ carry.Channel, b []byte) { packet = b },
+		Zone: "z", Clock: clock.NewBoot(), Metrics: stats.New(),
+		ZonePeers: func() []member.ID { return []member.ID{2} },
+		Send:      func(_ member.ID, _ carry.Channel, b []byte) { packet = b },
 	})
 	for id, r := range sent {
-		sender.told[id] = r
+		sender.unsent[id] = r
 	}
-	sender.share(now, 300)
+	sender.sendReports(now, 300)
 	golden.Compare(t, "reports.bin", packet)
 
 	same := func(a, b float64) bool { return a == b || math.IsNaN(a) && math.IsNaN(b) }
 	read := 0
-	receiver := New(Options{Zone: "z", Clock: clock.NewBoot(), Stats: stats.New(), Told: func(id decide.ServerID, got decide.Load, age float64) {
+	receiver := New(Options{Zone: "z", Clock: clock.NewBoot(), Metrics: stats.New(), ReportLoad: func(id decide.ServerID, got decide.LoadReport, age float64) {
 		read++
 		want := sent[id].Load
-		if !same(got.Inflight, want.Inflight) || !same(got.Busy, want.Busy) || !same(got.HitShare, want.HitShare) || !same(got.Link, want.Link) || age != now-sent[id].At {
+		if !same(got.Inflight, want.Inflight) || !same(got.CPUUtilization, want.CPUUtilization) || !same(got.HitRatio, want.HitRatio) || !same(got.LinkUtilization, want.LinkUtilization) || age != now-sent[id].MeasuredAt {
 			t.Errorf("%v read back: %+v, %v ms old", id, got, age)
 		}
 	}})
-	receiver.Heard(golden.Read(t, "reports.bin"))
+	receiver.Receive(golden.Read(t, "reports.bin"))
 	if read != len(sent) {
 		t.Errorf("%d reports read back, want %d", read, len(sent))
 	}
-	if name := Duty("lyon"); name != "probe/lyon" {
+	if name := LeaseName("lyon"); name != "probe/lyon" {
 		t.Errorf("the lease is called %q in the register", name)
 	}
 }
--- a/internal/fleet/register/golden_test.go
+++ b/internal/fleet/register/golden_test.go
@@ -57,16 +57,16 @@
 // goldenCommands are one command of each kind, and one with every field.
 func goldenCommands() (names []string, commands map[string]*Command) {
 	commands = map[string]*Command{
-		"grant":       {Op: Grant, Duty: "probe/edge", Who: 0x1122334455667788, Life: 77, Question: 1 << 62},
-		"grant-again": {Op: Grant, Duty: "probe/edge", Who: 9, Life: 78, Token: 1, Lost: true, Question: 5},
-		"move":        {Op: Move, Duty: "probe/edge", Who: 11, Token: 2, Work: []byte("\x00work\xff"), Question: 6},
-		"grant-first": {Op: Grant, Duty: "first/north", Who: 11, Life: 3, Question: 7},
-		"release":     {Op: Release, Duty: "first/north", Who: 11, Token: 4, Work: []byte("w"), Question: 8},
-		"ban":         {Op: SetBan, Box: decide.ServerID(0), Out: true, Text: "ann", Why: "disk \u00fc", At: 1_700_000_000_123, Question: 9},
-		"unban":       {Op: SetBan, Box: decide.ServerID(0xfffffffe), Text: "bob", At: 1, Question: 10},
-		"name":        {Op: Name, Number: 0xdeadbeefcafef00d, Text: "r01"},
-		"all-fields": {Op: Grant, Duty: "d", Who: 2, Life: 3, Token: 4, Work: []byte("5"), Box: 6, Out: true, Text: "7", Why: "8",
-			At: 9, Number: 10, Lost: true, Question: 11},
+		"grant":       {Op: OpGrant, Lease: "probe/edge", Holder: 0x1122334455667788, Incarnation: 77, RequestID: 1 << 62},
+		"grant-again": {Op: OpGrant, Lease: "probe/edge", Holder: 9, Incarnation: 78, ExpectedToken: 1, HolderLost: true, RequestID: 5},
+		"move":        {Op: OpTransfer, Lease: "probe/edge", Holder: 11, ExpectedToken: 2, Handoff: []byte("\x00work\xff"), RequestID: 6},
+		"grant-first": {Op: OpGrant, Lease: "first/north", Holder: 11, Incarnation: 3, RequestID: 7},
+		"release":     {Op: OpRelease, Lease: "first/north", Holder: 11, ExpectedToken: 4, Handoff: []byte("w"), RequestID: 8},
+		"ban":         {Op: OpSetBan, Server: decide.ServerID(0), Disabled: true, Text: "ann", Reason: "disk \u00fc", SetAt: 1_700_000_000_123, RequestID: 9},
+		"unban":       {Op: OpSetBan, Server: decide.ServerID(0xfffffffe), Text: "bob", SetAt: 1, RequestID: 10},
+		"name":        {Op: OpNameVoter, VoterID: 0xdeadbeefcafef00d, Text: "r01"},
+		"all-fields": {Op: OpGrant, Lease: "d", Holder: 2, Incarnation: 3, ExpectedToken: 4, Handoff: []byte("5"), Server: 6, Disabled: true, Text: "7", Reason: "8",
+			SetAt: 9, VoterID: 10, HolderLost: true, RequestID: 11},
 	}
 	return []string{"grant", "grant-again", "move", "grant-first", "release", "ban", "unban", "name", "all-fields"}, commands
 }
@@ -93,7 +93,7 @@
 	}
 	compareGolden(t, "commands.golden", lines)
 	for name, stored := range goldenBytes(t, "commands.golden") {
-		if got, ok := Read(stored); !ok || !reflect.DeepEqual(got, commands[name]) {
+		if got, ok := DecodeCommand(stored); !ok || !reflect.DeepEqual(got, commands[name]) {
 			t.Errorf("%s: read as %+v, want %+v", name, got, commands[name])
 		}
 	}
@@ -103,13 +103,13 @@
 // to routers.
 func TestGoldenSnapshot(t *testing.T) {
 	state := goldenState(t)
-	compareGolden(t, "snapshot.golden", []string{fmt.Sprintf("snapshot %x", state.Snapshot()), fmt.Sprintf("bans %x", state.BansAlone())})
+	compareGolden(t, "snapshot.golden", []string{fmt.Sprintf("snapshot %x", state.Snapshot()), fmt.Sprintf("bans %x", state.BansSnapshot())})
 	stored := goldenBytes(t, "snapshot.golden")
 	got, ok := Restore(stored["snapshot"])
 	if !ok || !bytes.Equal(got.Snapshot(), stored["snapshot"]) {
 		t.Error("the stored snapshot is read as another state")
 	}
-	if d := got.Duties["probe/edge"]; d == nil || d.Holder != 11 || d.Token != 3 || d.Losses[member.ID(0x1122334455667788)] != 1 || string(d.Work) != "\x00work\xff" {
+	if d := got.Leases["probe/edge"]; d == nil || d.Holder != 11 || d.FencingToken != 3 || d.Losses[member.ID(0x1122334455667788)] != 1 || string(d.Handoff) != "\x00work\xff" {
 		t.Errorf("%+v", d)
 	}
 	if !reflect.DeepEqual(got, state) {
@@ -123,5 +123,5 @@
 
 // Why a ban was not set is sent to the router that asked, and shown to operators.
 func TestGoldenRejections(t *testing.T) {
-	compareGolden(t, "rejections.golden", []string{ErrToken.Error(), ErrFull.Error(), ErrBad.Error()})
+	compareGolden(t, "rejections.golden", []string{ErrTokenMismatch.Error(), ErrFull.Error(), ErrUnknownCommand.Error()})
 }
--- a/internal/fleet/register/register_test.go
+++ b/internal/fleet/register/registry_test.go
@@ -12,15 +12,15 @@
 
 // Whatever the commands, a token only grows, no command without the present token changes
 // a duty or a ban, bounds hold, and a snapshot is the state.
-func TestAnyCommands(t *testing.T) {
+func TestRandomCommands(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s, tokens := New(), map[string]uint64{}
 		for i := range uint64(rapid.IntRange(1, 60).Draw(t, "commands")) {
-			c := &Command{Op: Op(rapid.IntRange(0, 6).Draw(t, "op")), Duty: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "duty"),
-				Who: member.ID(rapid.IntRange(1, 3).Draw(t, "who")), Token: uint64(rapid.IntRange(0, 12).Draw(t, "token")),
-				Box: decide.ServerID(rapid.IntRange(0, 2).Draw(t, "box")), Out: rapid.Bool().Draw(t, "out"), Lost: rapid.Bool().Draw(t, "lost"),
-				Number: 7, Text: "x", At: 5, Work: []byte("w")}
-			read, ok := Read(c.Append(nil))
+			c := &Command{Op: Op(rapid.IntRange(0, 6).Draw(t, "op")), Lease: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "duty"),
+				Holder: member.ID(rapid.IntRange(1, 3).Draw(t, "who")), ExpectedToken: uint64(rapid.IntRange(0, 12).Draw(t, "token")),
+				Server: decide.ServerID(rapid.IntRange(0, 2).Draw(t, "box")), Disabled: rapid.Bool().Draw(t, "out"), HolderLost: rapid.Bool().Draw(t, "lost"),
+				VoterID: 7, Text: "x", SetAt: 5, Handoff: []byte("w")}
+			read, ok := DecodeCommand(c.Append(nil))
 			if !ok || !bytes.Equal(read.Append(nil), c.Append(nil)) {
 				t.Fatalf("read as %+v", read)
 			}
@@ -29,14 +29,14 @@
 			if err != nil && !bytes.Equal(before, s.Snapshot()) {
 				t.Fatalf("%v, and changed all the same", err)
 			}
-			for name, d := range s.Duties {
-				if d.Token < tokens[name] {
-					t.Fatalf("%s: token %d after %d", name, d.Token, tokens[name])
+			for name, d := range s.Leases {
+				if d.FencingToken < tokens[name] {
+					t.Fatalf("%s: token %d after %d", name, d.FencingToken, tokens[name])
 				}
-				if d.Token != tokens[name] && c.Token != tokens[name] {
-					t.Fatalf("%s changed by a command with token %d, not %d", name, c.Token, tokens[name])
+				if d.FencingToken != tokens[name] && c.ExpectedToken != tokens[name] {
+					t.Fatalf("%s changed by a command with token %d, not %d", name, c.ExpectedToken, tokens[name])
 				}
-				tokens[name] = d.Token
+				tokens[name] = d.FencingToken
 			}
 			again, ok := Restore(s.Snapshot())
 			if !ok || !bytes.Equal(again.Snapshot(), s.Snapshot()) {
@@ -50,12 +50,12 @@
 // turn none stays away for long.
 func TestLosses(t *testing.T) {
 	s, token := New(), uint64(0)
-	give := func(to member.ID, lost bool) *Duty {
-		if err := s.Apply(token+1, &Command{Op: Grant, Duty: "a", Who: to, Token: token, Lost: lost}); err != nil {
+	give := func(to member.ID, lost bool) *Lease {
+		if err := s.Apply(token+1, &Command{Op: OpGrant, Lease: "a", Holder: to, ExpectedToken: token, HolderLost: lost}); err != nil {
 			t.Fatal(err)
 		}
 		token++
-		return s.Duties["a"]
+		return s.Leases["a"]
 	}
 	give(1, false)
 	for i := range 100 {
@@ -69,15 +69,15 @@
 		give(9, false)
 		give(8, true)
 	}
-	if n := s.Duties["a"].Losses[9]; n < 6 {
+	if n := s.Leases["a"].Losses[9]; n < 6 {
 		t.Errorf("one that lost it six times has %d", n)
 	}
 }
 
 func FuzzRestore(f *testing.F) {
 	s := New()
-	s.Apply(1, &Command{Op: Grant, Duty: "a", Who: 3})
-	s.Apply(2, &Command{Op: SetBan, Box: 3, Out: true, Text: "x"})
+	s.Apply(1, &Command{Op: OpGrant, Lease: "a", Holder: 3})
+	s.Apply(2, &Command{Op: OpSetBan, Server: 3, Disabled: true, Text: "x"})
 	f.Add(s.Snapshot())
 	f.Fuzz(func(t *testing.T, b []byte) {
 		if s, ok := Restore(b); ok {
@@ -85,6 +85,6 @@
 				t.Fatal("its own snapshot cannot be read")
 			}
 		}
-		Read(b)
+		DecodeCommand(b)
 	})
 }
--- a/internal/fleet/seal/golden_test.go
+++ b/internal/fleet/seal/golden_test.go
@@ -26,10 +26,10 @@
 	rand.Reader = &counting{}
 	texts := []string{"", "a packet between routers"}
 	messages := []golden.Message{
-		{Name: "empty", Bytes: ring(t, "f", a).Seal(nil, []byte(texts[0]))},
-		{Name: "short", Bytes: ring(t, "f", b, a).Seal(nil, []byte(texts[1]))},
+		{Name: "empty", Bytes: newKeyring(t, "f", firstSecret).Seal(nil, []byte(texts[0]))},
+		{Name: "short", Bytes: newKeyring(t, "f", secondSecret, firstSecret).Seal(nil, []byte(texts[1]))},
 	}
-	both := ring(t, "f", a, b)
+	both := newKeyring(t, "f", firstSecret, secondSecret)
 	for i, m := range golden.CompareMessages(t, "sealed.golden", messages) {
 		got, err := both.Open(nil, m.Bytes)
 		if err != nil || string(got) != texts[i] {
--- a/internal/fleet/seal/seal_test.go
+++ b/internal/fleet/seal/keyring_test.go
@@ -6,10 +6,10 @@
 	"testing"
 )
 
-const a, b = "the first key of a ring", "the second key of a ring"
+const firstSecret, secondSecret = "the first key of a ring", "the second key of a ring"
 
-func ring(t testing.TB, fleet string, keys ...string) *Ring {
-	r, err := New(fleet, keys)
+func newKeyring(t testing.TB, fleet string, keys ...string) *Keyring {
+	r, err := NewKeyring(fleet, keys)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -17,10 +17,10 @@
 }
 
 // The key is changed in three steps; in each, each router opens what each other seals.
-func TestRing(t *testing.T) {
-	old, both, turned, next := ring(t, "f", a), ring(t, "f", a, b), ring(t, "f", b, a), ring(t, "f", b)
+func TestKeyRotation(t *testing.T) {
+	old, both, turned, next := newKeyring(t, "f", firstSecret), newKeyring(t, "f", firstSecret, secondSecret), newKeyring(t, "f", secondSecret, firstSecret), newKeyring(t, "f", secondSecret)
 	text := []byte("a packet")
-	for _, pair := range [][2]*Ring{{old, both}, {both, both}, {both, turned}, {turned, turned}, {turned, next}} {
+	for _, pair := range [][2]*Keyring{{old, both}, {both, both}, {both, turned}, {turned, turned}, {turned, next}} {
 		for i := range pair {
 			sealed := pair[i].Seal(nil, text)
 			if got, err := pair[1-i].Open(nil, sealed); err != nil || !bytes.Equal(got, text) || len(sealed) != len(text)+Overhead {
@@ -29,10 +29,10 @@
 		}
 	}
 	sealed := old.Seal(nil, text)
-	if _, err := next.Open(nil, sealed); !errors.Is(err, ErrKey) {
+	if _, err := next.Open(nil, sealed); !errors.Is(err, ErrNoMatchingKey) {
 		t.Errorf("another key: %v", err)
 	}
-	if _, err := ring(t, "g", a).Open(nil, sealed); !errors.Is(err, ErrFleet) {
+	if _, err := newKeyring(t, "g", firstSecret).Open(nil, sealed); !errors.Is(err, ErrFleetMismatch) {
 		t.Errorf("another fleet: %v", err)
 	}
 	for i := range sealed { // no byte can be changed
@@ -42,16 +42,16 @@
 			t.Errorf("byte %d changed: opened", i)
 		}
 	}
-	if _, err := New("f", []string{"short"}); err == nil {
+	if _, err := NewKeyring("f", []string{"short"}); err == nil {
 		t.Error("a short key is taken")
 	}
-	if _, err := New("f", nil); err == nil {
+	if _, err := NewKeyring("f", nil); err == nil {
 		t.Error("no key is taken")
 	}
 }
 
 func FuzzOpen(f *testing.F) {
-	r := ring(f, "f", a)
+	r := newKeyring(f, "f", firstSecret)
 	f.Add([]byte("gf\x01"))
 	f.Add(r.Seal(nil, []byte("x"))[:Overhead])
 	f.Fuzz(func(t *testing.T, sealed []byte) {
--- a/internal/fleet/simulation_test.go
+++ b/internal/fleet/simulation_test.go
@@ -30,16 +30,16 @@
 		fmt.Fprintf(sum, "%v %v ", net.Now, s.To)
 		sum.Write(s.Packet.Append(nil))
 	}
-	net.Fleet(routers, fleet.Default(), false)
+	net.Fleet(routers, fleet.DefaultSettings(), false)
 	for _, host := range net.Hosts {
 		host.On = func(h *virtual.Host, now float64, out *fleet.Output) {
 			for _, e := range out.Events {
-				fmt.Fprintf(sum, "%v %s %s %x %s ", now, h.Name, e.What, e.Word.Inc, e.Word.Name)
+				fmt.Fprintf(sum, "%v %s %s %x %s ", now, h.Name, e.Kind, e.Update.Revision, e.Update.Name)
 			}
 			for _, c := range out.Changes {
-				fmt.Fprintf(sum, "%v %s %d %d %v ", now, h.Name, c.Kind, c.Box, c.Out)
+				fmt.Fprintf(sum, "%v %s %d %d %v ", now, h.Name, c.Kind, c.Server, c.Disabled)
 			}
-			fmt.Fprintf(sum, "%v %v %d ", out.Stance.Stance, out.Stance.Since, out.Stance.Known)
+			fmt.Fprintf(sum, "%v %v %d ", out.Connectivity.State, out.Connectivity.Since, out.Connectivity.Known)
 		}
 	}
 	node := func(i int) *fleet.Node { return net.Hosts[i].Machine.(*fleet.Node) }
@@ -49,11 +49,11 @@
 		fmt.Fprintf(&got, "%s %d %016x\n", name, packets, sum.Sum64())
 	}
 	phase("start", 15_000)
-	net.Do(net.Hosts[2], func() { node(2).Switch(net.Now, 5, true) })
+	net.Do(net.Hosts[2], func() { node(2).SetDisabled(net.Now, 5, true) })
 	for i := range routers {
 		net.Do(net.Hosts[i], func() {
-			node(i).Heard(net.Now, words.Word{Kind: words.Drain, Box: 6, Started: 1000})
-			node(i).Heard(net.Now, words.Word{Kind: words.Purge, Object: 9, At: 2000})
+			node(i).Publish(net.Now, words.Item{Kind: words.Drain, Server: 6, StartedAt: 1000})
+			node(i).Publish(net.Now, words.Item{Kind: words.Purge, Object: 9, PurgedAt: 2000})
 		})
 	}
 	phase("items", 5000)
@@ -63,19 +63,19 @@
 	phase("stall", 20_000)
 	net.Link.Loss, net.Link.Repeat = 0.02, 0
 	old := net.Hosts[4]
-	net.Start(4, old.Name, old.Self.ID, 2, fleet.Default(), false)
+	net.Start(4, old.Name, old.Self.ID, 2, fleet.DefaultSettings(), false)
 	phase("upgrade", 10_000)
 	net.Kill(net.Hosts[5])
 	phase("crash", 20_000)
 	net.Link.Cut = func(from, to *virtual.Host) bool { return (from.Self.ID^to.Self.ID)&2 != 0 }
 	phase("partition", 30_000)
-	net.Do(net.Hosts[2], func() { node(2).Switch(net.Now, 5, false) })
-	net.Do(net.Hosts[6], func() { node(6).Switch(net.Now, 5, true) })
+	net.Do(net.Hosts[2], func() { node(2).SetDisabled(net.Now, 5, false) })
+	net.Do(net.Hosts[6], func() { node(6).SetDisabled(net.Now, 5, true) })
 	phase("partition with bans", 10_000)
 	net.Link.Cut = nil
 	phase("healed", 60_000)
 	net.Do(net.Hosts[7], func() {
-		node(7).Lie(member.Word{ID: net.Hosts[8].Self.ID, Inc: member.Incarnation(1), State: member.Failed, By: 3, Name: "r008", Addr: net.Hosts[8].Addr})
+		node(7).InjectUpdate(member.Update{ID: net.Hosts[8].Self.ID, Revision: member.FirstRevision(1), State: member.Failed, ReportedBy: 3, Name: "r008", Addr: net.Hosts[8].Addr})
 	})
 	phase("false report", 10_000)
 	net.Leave(net.Hosts[9])
--- a/internal/fleet/stance/stance_test.go
+++ b/internal/fleet/stance/connectivity_test.go
@@ -8,9 +8,9 @@
 
 // view is one of n routers of which the first there are there.
 func view(n, there int, left ...int) *member.View {
-	v := &member.View{There: there}
+	v := &member.View{Present: there}
 	for i := range n {
-		m := member.Member{Word: member.Word{ID: member.ID(i + 1)}}
+		m := member.Member{Update: member.Update{ID: member.ID(i + 1)}}
 		if i >= there {
 			m.State = member.Failed
 		}
@@ -24,14 +24,14 @@
 	return v
 }
 
-func TestStanceFollowsTheView(t *testing.T) {
-	set := Default()
+func TestConnectivityFollowsTheView(t *testing.T) {
+	set := DefaultSettings()
 	m := New(set, 0)
 	for _, x := range []struct {
 		at        float64
 		n, there  int
 		left      []int
-		want      Stance
+		want      State
 		wantKnown int
 	}{
 		{0, 8, 8, nil, Alone, 8},
@@ -48,12 +48,12 @@
 		{29000, 8, 8, nil, Together, 8},
 		{30000, 8, 4, []int{4, 5, 6, 7}, Together, 4}, // those that left are not missed
 		{40000, 4, 3, nil, Together, 4},
-		{29000 + set.Lately, 4, 3, nil, Together, 4},
-		{41000 + set.Lately, 4, 3, nil, Together, 3}, // long gone
+		{29000 + set.RecentWindow, 4, 3, nil, Together, 4},
+		{41000 + set.RecentWindow, 4, 3, nil, Together, 3}, // long gone
 	} {
 		got := m.Step(x.at, view(x.n, x.there, x.left...))
-		if got.Stance != x.want || got.Known != x.wantKnown {
-			t.Errorf("at %.0f: %v of %d, want %v of %d", x.at, got.Stance, got.Known, x.want, x.wantKnown)
+		if got.State != x.want || got.Known != x.wantKnown {
+			t.Errorf("at %.0f: %v of %d, want %v of %d", x.at, got.State, got.Known, x.want, x.wantKnown)
 		}
 	}
 }
@@ -62,7 +62,7 @@
 // than the one before, up to a minute.
 func TestFlappingAtAnyPeriod(t *testing.T) {
 	for period := 500.0; period < 30_000; period *= 1.3 {
-		m := New(Default(), 0)
+		m := New(DefaultSettings(), 0)
 		swings, last := 0, Alone
 		const span = 1_800_000
 		for now := 0.0; now < span; now += 100 {
@@ -70,8 +70,8 @@
 			if int(now/period)%2 == 1 {
 				there = 1
 			}
-			if s := m.Step(now, view(6, there)); s.Stance != last {
-				swings, last = swings+1, s.Stance
+			if s := m.Step(now, view(6, there)); s.State != last {
+				swings, last = swings+1, s.State
 			}
 		}
 		if most := span/60_000*2 + 10; swings > most {
@@ -84,16 +84,16 @@
 // number that budgets are divided by does not shrink when others fall silent.
 func TestSilenceAddsNothing(t *testing.T) {
 	for s := Together; s < Alone; s++ {
-		if (s+1).Enable() && !s.Enable() || (s+1).Ready(true, true) && !s.Ready(true, true) {
+		if (s+1).AcceptsRemoteEnable() && !s.AcceptsRemoteEnable() || (s+1).Ready(true, true) && !s.Ready(true, true) {
 			t.Errorf("%v permits what %v does not", s+1, s)
 		}
 	}
 	if Alone.Ready(true, true) || !Alone.Ready(false, true) || !Alone.Ready(true, false) || !Partial.Ready(true, true) {
 		t.Error("the rule of readiness")
 	}
-	for _, r := range Table() {
+	for _, r := range Behaviors() {
 		if r.Together == "" || r.Partial == "" || r.Alone == "" {
-			t.Errorf("%s: a stance has nothing said", r.Thing)
+			t.Errorf("%s: a stance has nothing said", r.Subject)
 		}
 	}
 }
--- a/internal/fleet/words/golden_test.go
+++ b/internal/fleet/words/golden_test.go
@@ -9,12 +9,12 @@
 
 // Items between routers of this version and of the one before are the same bytes.
 func TestGoldenItems(t *testing.T) {
-	items := []Word{
-		{Kind: Ban, Box: 0xfffffffe, Seat: 0x1122334455667788, N: 3},
-		{Kind: Ban, Box: 5, Seat: 7, N: 1 << 30, Removed: true},
-		{Kind: Drain, Box: 6, Started: 1_700_000_000_123},
-		{Kind: Purge, Object: 0xfedcba9876543211, At: 1_700_000_000_456},
-		{Kind: Purge, Group: 12, At: 1_700_000_000_789},
+	items := []Item{
+		{Kind: Ban, Server: 0xfffffffe, Router: 0x1122334455667788, Sequence: 3},
+		{Kind: Ban, Server: 5, Router: 7, Sequence: 1 << 30, Removed: true},
+		{Kind: Drain, Server: 6, StartedAt: 1_700_000_000_123},
+		{Kind: Purge, Object: 0xfedcba9876543211, PurgedAt: 1_700_000_000_456},
+		{Kind: Purge, Group: 12, PurgedAt: 1_700_000_000_789},
 	}
 	names := []string{"ban", "ban-removed", "drain", "purge-object", "purge-group"}
 	var messages []golden.Message
@@ -22,7 +22,7 @@
 		messages = append(messages, golden.Message{Name: names[i], Bytes: items[i].Append(nil)})
 	}
 	for i, m := range golden.CompareMessages(t, "items.golden", messages) {
-		got, ok := Read(m.Bytes)
+		got, ok := Decode(m.Bytes)
 		if !ok || got != items[i] {
 			t.Errorf("%s: %+v, want %+v", m.Name, got, items[i])
 		}
@@ -31,20 +31,20 @@
 
 // The file of the bans that the next process reads is the same bytes.
 func TestGoldenBansFile(t *testing.T) {
-	s := New(Default(), 7, 1<<24)
-	s.Switch(0, 5, true)
-	s.Switch(0, 6, true)
-	s.Switch(0, 6, false)
-	foreign := Word{Kind: Ban, Box: 9, Seat: 3, N: 2}
-	s.Take(0, 3, foreign.Append(nil))
+	s := New(DefaultSettings(), 7, 1<<24)
+	s.SetDisabled(0, 5, true)
+	s.SetDisabled(0, 6, true)
+	s.SetDisabled(0, 6, false)
+	foreign := Item{Kind: Ban, Server: 9, Router: 3, Sequence: 2}
+	s.Receive(0, 3, foreign.Append(nil))
 	b, _ := s.Export()
 	stored := golden.CompareMessages(t, "bans.golden", []golden.Message{{Name: "bans", Bytes: b}})
-	next := New(Default(), 7, 2<<24)
+	next := New(DefaultSettings(), 7, 2<<24)
 	next.Import(0, stored[0].Bytes)
 	if again, _ := next.Export(); !bytes.Equal(again, stored[0].Bytes) {
 		t.Errorf("read and written again it is %x, want %x", again, stored[0].Bytes)
 	}
-	if !next.Out(5) || next.Out(6) || !next.Out(9) {
+	if !next.Disabled(5) || next.Disabled(6) || !next.Disabled(9) {
 		t.Errorf("banned are %v, want 5 and 9", next.Bans())
 	}
 }
--- a/internal/front/dns/config.go
+++ b/internal/front/dns/config.go
@@ -13,22 +13,22 @@
 // Config is the dns block of the operators' file, or the older file of the front
 // alone. deploy/garnetline.hcl documents the keys.
 type Config struct {
-	Enabled  bool    `toml:"enabled" hcl:"enabled,optional"`
-	Listen   string  `toml:"listen" hcl:"listen,optional"`
-	Zone     string  `toml:"zone" hcl:"zone,optional"`
-	Patience float64 `toml:"patience_ms" hcl:"patience_ms,optional"`
-	Inflight int     `toml:"max_inflight" hcl:"max_inflight,optional"`
-	Conns    int     `toml:"max_connections" hcl:"max_connections,optional"`
+	Enabled        bool    `toml:"enabled" hcl:"enabled,optional"`
+	Listen         string  `toml:"listen" hcl:"listen,optional"`
+	Zone           string  `toml:"zone" hcl:"zone,optional"`
+	TimeoutMs      float64 `toml:"patience_ms" hcl:"patience_ms,optional"`
+	MaxInflight    int     `toml:"max_inflight" hcl:"max_inflight,optional"`
+	MaxConnections int     `toml:"max_connections" hcl:"max_connections,optional"`
 }
 
-// Default is what holds where a key is not given: the front is off.
-func Default() Config {
-	return Config{Listen: "127.0.0.1:5353", Zone: "garnetline.local.", Patience: 1000, Inflight: 256, Conns: 32}
+// DefaultConfig is what holds where a key is not given: the front is off.
+func DefaultConfig() Config {
+	return Config{Listen: "127.0.0.1:5353", Zone: "garnetline.local.", TimeoutMs: 1000, MaxInflight: 256, MaxConnections: 32}
 }
 
-// Load reads a file of the front alone. Without one the front is off.
-func Load(path string) (Config, error) {
-	c := Default()
+// LoadConfig reads a file of the front alone. Without one the front is off.
+func LoadConfig(path string) (Config, error) {
+	c := DefaultConfig()
 	if path == "" {
 		return c, nil
 	}
@@ -43,15 +43,15 @@
 	if rest := meta.Undecoded(); len(rest) > 0 {
 		return c, fmt.Errorf("%s: %s: unknown key", path, rest[0])
 	}
-	if err := c.Check(); err != nil {
+	if err := c.Validate(); err != nil {
 		return c, fmt.Errorf("%s: %w", path, err)
 	}
 	return c, nil
 }
 
-// Check tells whether the values can be used, and brings the zone to its one form.
+// Validate tells whether the values can be used, and brings the zone to its one form.
 // An error begins with the field.
-func (c *Config) Check() error {
+func (c *Config) Validate() error {
 	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -60,11 +60,11 @@
 	}
 	c.Zone = dns.CanonicalName(c.Zone)
 	switch {
-	case !(c.Patience >= 1 && c.Patience <= 60_000):
-		return fmt.Errorf("patience_ms: %v, want 1 to 60000", c.Patience)
-	case c.Inflight < 1 || c.Inflight > 4096:
+	case !(c.TimeoutMs >= 1 && c.TimeoutMs <= 60_000):
+		return fmt.Errorf("patience_ms: %v, want 1 to 60000", c.TimeoutMs)
+	case c.MaxInflight < 1 || c.MaxInflight > 4096:
 		return errors.New("max_inflight: want 1 to 4096")
-	case c.Conns < 1 || c.Conns > 256:
+	case c.MaxConnections < 1 || c.MaxConnections > 256:
 		return errors.New("max_connections: want 1 to 256")
 	}
 	return nil
--- a/internal/front/dns/golden_test.go
+++ b/internal/front/dns/golden_test.go
@@ -25,16 +25,16 @@
 // fixture is a name, the question and the answer; one cache is listed, so that no choice of
 // the module's shows here.
 func TestGoldenMessages(t *testing.T) {
-	r := newRig(t)
-	r.tell(true, box(1, 0, decide.Ready), box(8, 1, decide.Ready), box(9, 2, decide.Ready))
-	const target = "s-00000001." + zone
+	r := newHarness(t)
+	r.publish(true, endpoint(1, 0, decide.Ready), endpoint(8, 1, decide.Ready), endpoint(9, 2, decide.Ready))
+	const target = "s-00000001." + testZone
 	question := func(name string, kind uint16) *dns.Msg { return new(dns.Msg).SetQuestion(name, kind) }
 	other := func(change func(*dns.Msg)) *dns.Msg {
-		m := question(name(1), dns.TypeA)
+		m := question(queryName(1), dns.TypeA)
 		change(m)
 		return m
 	}
-	purged := fmt.Sprintf("0.%016x.part.%s", 0xaa, zone)
+	purged := fmt.Sprintf("0.%016x.part.%s", 0xaa, testZone)
 	r.purge(0xaa, 0)
 	var out strings.Builder
 	for _, c := range []struct {
@@ -42,20 +42,20 @@
 		m    *dns.Msg
 	}{
 		{"target of no answer yet", question(target, dns.TypeA)},
-		{"address", question(name(1), dns.TypeA)},
-		{"address, group not told", question("3.7f3a9c21e0b4d655.form."+zone, dns.TypeA)},
-		{"address, capitals", question(strings.ToUpper(name(1)), dns.TypeA)},
+		{"address", question(queryName(1), dns.TypeA)},
+		{"address, group not told", question("3.7f3a9c21e0b4d655.form."+testZone, dns.TypeA)},
+		{"address, capitals", question(strings.ToUpper(queryName(1)), dns.TypeA)},
 		{"address, EDNS0", other(func(m *dns.Msg) { m.SetEdns0(4096, true) })},
 		{"address, any class", other(func(m *dns.Msg) { m.Question[0].Qclass = dns.ClassANY })},
-		{"service", question(name(1), dns.TypeSRV)},
+		{"service", question(queryName(1), dns.TypeSRV)},
 		{"target", question(target, dns.TypeA)},
 		{"target, another type", question(target, dns.TypeAAAA)},
-		{"another type", question(name(1), dns.TypeAAAA)},
-		{"zone", question(zone, dns.TypeSOA)},
-		{"zone, another type", question(zone, dns.TypeNS)},
+		{"another type", question(queryName(1), dns.TypeAAAA)},
+		{"zone", question(testZone, dns.TypeSOA)},
+		{"zone, another type", question(testZone, dns.TypeNS)},
 		{"purged", question(purged, dns.TypeA)},
-		{"unknown class of objects", question("1.00000000000000aa.nothing."+zone, dns.TypeA)},
-		{"malformed name", question("x.00000000000000aa.part."+zone, dns.TypeA)},
+		{"unknown class of objects", question("1.00000000000000aa.nothing."+testZone, dns.TypeA)},
+		{"malformed name", question("x.00000000000000aa.part."+testZone, dns.TypeA)},
 		{"another zone", question("example.org.", dns.TypeA)},
 		{"another class", other(func(m *dns.Msg) { m.Question[0].Qclass = dns.ClassCHAOS })},
 		{"another operation", other(func(m *dns.Msg) { m.Opcode = dns.OpcodeNotify })},
@@ -68,8 +68,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		answer := r.raw("udp", query)
-		if tcp := r.raw("tcp", query); string(tcp) != string(answer) {
+		answer := r.exchangeRaw("udp", query)
+		if tcp := r.exchangeRaw("tcp", query); string(tcp) != string(answer) {
 			t.Errorf("%s: % x over UDP, % x over TCP", c.name, answer, tcp)
 		}
 		fmt.Fprintf(&out, "%s\t%s\t%s\n", c.name, hex.EncodeToString(query), hex.EncodeToString(answer))
@@ -95,8 +95,8 @@
 	}
 }
 
-// raw sends a packed question and returns the packed answer.
-func (r *rig) raw(network string, query []byte) []byte {
+// exchangeRaw sends a packed question and returns the packed answer.
+func (r *harness) exchangeRaw(network string, query []byte) []byte {
 	r.t.Helper()
 	nc, err := net.Dial(network, r.addr)
 	if err != nil {
@@ -123,11 +123,11 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	c, err := Load(path)
+	c, err := LoadConfig(path)
 	if want := (Config{true, "127.0.0.1:53", "a.test.", 2.5, 3, 4}); err != nil || c != want {
 		t.Errorf("%+v %v, want %+v", c, err, want)
 	}
-	if c, want := Default(), (Config{false, "127.0.0.1:5353", "garnetline.local.", 1000, 256, 32}); c != want {
+	if c, want := DefaultConfig(), (Config{false, "127.0.0.1:5353", "garnetline.local.", 1000, 256, 32}); c != want {
 		t.Errorf("without keys %+v, want %+v", c, want)
 	}
 }
--- a/internal/front/dns/dns.go
+++ b/internal/front/dns/server.go
@@ -32,26 +32,26 @@
 )
 
 const (
-	ttl     = 0      // seconds; with 1 an answer could outlive a drain
-	ticket  = 1000.0 // ms for which the target of an SRV answer resolves
-	ioFor   = 2 * time.Second
-	idleFor = 4 * time.Second
+	recordTTL        = 0      // seconds; with 1 an answer could outlive a drain
+	targetLifetimeMs = 1000.0 // ms for which the target of an SRV answer resolves
+	ioTimeout        = 2 * time.Second
+	idleTimeout      = 4 * time.Second
 )
 
-// Core is what the front needs of the core.
-type Core interface {
+// Dispatcher is what the front needs of the core.
+type Dispatcher interface {
 	Submit(*core.Request) bool
-	Leave(*core.Request)
+	Disconnect(*core.Request)
 }
 
 // Options are what a Server needs.
 type Options struct {
 	Config
-	Clock   clock.Clock
-	Core    Core
-	Classes func() []decide.Class // as of now; their names and places do not change
-	Guard   func() *decide.Guard
-	Stats   *stats.Set
+	Clock      clock.Clock
+	Dispatcher Dispatcher
+	Classes    func() []decide.Class // as of now; their names and places do not change
+	Guard      func() *decide.Guard
+	Metrics    *stats.Registry
 }
 
 // Server answers lookups over UDP and TCP. It is a carrier too: the attempt of
@@ -62,15 +62,15 @@
 	udp   *dns.Server
 	tcp   *dns.Server
 
-	mu    sync.Mutex
-	boxes map[decide.ServerID]netip.AddrPort
-	named map[decide.ServerID]float64 // until when an SRV target resolves
+	mu           sync.Mutex
+	addresses    map[decide.ServerID]netip.AddrPort
+	targetExpiry map[decide.ServerID]float64 // until when an SRV target resolves
 }
 
 // New returns a server that has not been started.
 func New(o Options) *Server {
-	return &Server{Options: o, slots: make(chan struct{}, max(o.Inflight, 1)),
-		boxes: map[decide.ServerID]netip.AddrPort{}, named: map[decide.ServerID]float64{}}
+	return &Server{Options: o, slots: make(chan struct{}, max(o.MaxInflight, 1)),
+		addresses: map[decide.ServerID]netip.AddrPort{}, targetExpiry: map[decide.ServerID]float64{}}
 }
 
 // Start listens on UDP and TCP and serves until Stop. It returns the address
@@ -86,10 +86,10 @@
 		l.Close()
 		return at, fmt.Errorf("dns: listen: %w", err)
 	}
-	idle := func() time.Duration { return idleFor }
-	s.udp = &dns.Server{PacketConn: pc, Handler: s, ReadTimeout: ioFor, WriteTimeout: ioFor}
-	s.tcp = &dns.Server{Listener: netutil.LimitListener(l, max(s.Conns, 1)), Handler: s, ReadTimeout: ioFor,
-		WriteTimeout: ioFor, IdleTimeout: idle}
+	idle := func() time.Duration { return idleTimeout }
+	s.udp = &dns.Server{PacketConn: pc, Handler: s, ReadTimeout: ioTimeout, WriteTimeout: ioTimeout}
+	s.tcp = &dns.Server{Listener: netutil.LimitListener(l, max(s.MaxConnections, 1)), Handler: s, ReadTimeout: ioTimeout,
+		WriteTimeout: ioTimeout, IdleTimeout: idle}
 	var up sync.WaitGroup
 	for _, d := range []*dns.Server{s.udp, s.tcp} {
 		up.Add(1)
@@ -100,38 +100,38 @@
 	return at, nil
 }
 
-// Stop ends both listeners once what is open is answered, or ctx ends.
-func (s *Server) Stop(ctx context.Context) error {
+// Shutdown ends both listeners once what is open is answered, or ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
 	return errors.Join(s.udp.ShutdownContext(ctx), s.tcp.ShutdownContext(ctx))
 }
 
-// List keeps the boxes' addresses.
-func (s *Server) List(ev config.Event) {
+// UpdateEndpoints keeps the boxes' addresses.
+func (s *Server) UpdateEndpoints(ev config.WatchEvent) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if ev.Whole {
-		clear(s.boxes)
+	if ev.Snapshot {
+		clear(s.addresses)
 	}
-	for _, h := range ev.Hosts {
-		if s.boxes[h.ID] = h.Dial; h.Phase == decide.Gone {
-			delete(s.boxes, h.ID)
+	for _, h := range ev.Endpoints {
+		if s.addresses[h.ID] = h.Addr; h.Phase == decide.Removed {
+			delete(s.addresses, h.ID)
 		}
 	}
 }
 
 // Send names the box of an attempt.
-func (s *Server) Send(a *core.Attempt) *core.End {
-	if g := s.Guard(); g.Bars(a.Get.Server) || g.Bars(a.Get.Source) {
-		return core.NotTaken(a, decide.NotSent)
+func (s *Server) Send(a *core.Attempt) *core.Completion {
+	if g := s.Guard(); g.Excludes(a.Decision.Server) || g.Excludes(a.Decision.FillSource) {
+		return core.Unsent(a, decide.NotSent)
 	}
-	return core.Named(a)
+	return core.Resolved(a)
 }
 
 // Cancel has nothing to give up: no attempt is out after Send.
 func (s *Server) Cancel(*core.Attempt) {}
 
-// Over has nothing to book either.
-func (s *Server) Over(*core.Attempt) {}
+// Release has nothing to book either.
+func (s *Server) Release(*core.Attempt) {}
 
 // ServeDNS answers one message.
 func (s *Server) ServeDNS(w dns.ResponseWriter, q *dns.Msg) {
@@ -141,7 +141,7 @@
 	if o := q.IsEdns0(); o != nil {
 		m.SetEdns0(1232, false)
 	}
-	s.Stats.Add("dns_queries", 1)
+	s.Metrics.Add("dns_queries", 1)
 	switch {
 	case q.Opcode != dns.OpcodeQuery:
 		m.Rcode = dns.RcodeNotImplemented
@@ -152,26 +152,26 @@
 	default:
 		select {
 		case s.slots <- struct{}{}:
-			s.answer(m, q.Question[0])
+			s.answerQuestion(m, q.Question[0])
 			<-s.slots
 		default:
 			m.Rcode = dns.RcodeServerFailure
 		}
 	}
-	s.Stats.Add("dns_"+strings.ToLower(dns.RcodeToString[m.Rcode]), 1)
+	s.Metrics.Add("dns_"+strings.ToLower(dns.RcodeToString[m.Rcode]), 1)
 	if err := w.WriteMsg(m); err != nil {
-		s.Stats.Add("dns_write_errors", 1)
+		s.Metrics.Add("dns_write_errors", 1)
 	}
 }
 
-// answer fills in the answer to a question.
-func (s *Server) answer(m *dns.Msg, q dns.Question) {
+// answerQuestion fills in the answer to a question.
+func (s *Server) answerQuestion(m *dns.Msg, q dns.Question) {
 	name := dns.CanonicalName(q.Name)
 	if !dns.IsSubDomain(s.Zone, name) {
 		m.Rcode, m.Authoritative = dns.RcodeRefused, false
 		return
 	}
-	soa := &dns.SOA{Hdr: header(s.Zone, dns.TypeSOA), Ns: "ns." + s.Zone, Mbox: "hostmaster." + s.Zone, Serial: 1,
+	soa := &dns.SOA{Hdr: recordHeader(s.Zone, dns.TypeSOA), Ns: "ns." + s.Zone, Mbox: "hostmaster." + s.Zone, Serial: 1,
 		Refresh: 60, Retry: 60, Expire: 60}
 	rest := strings.TrimSuffix(strings.TrimSuffix(name, s.Zone), ".")
 	switch {
@@ -183,10 +183,10 @@
 		}
 		return
 	case strings.HasPrefix(rest, "s-") && !strings.Contains(rest, "."):
-		s.box(m, q, rest, soa)
+		s.answerTarget(m, q, rest, soa)
 		return
 	}
-	req, rcode := s.parse(rest)
+	req, rcode := s.parseName(rest)
 	if rcode != dns.RcodeSuccess {
 		if m.Rcode = rcode; rcode == dns.RcodeNameError {
 			m.Ns = append(m.Ns, soa)
@@ -197,36 +197,36 @@
 		m.Ns = append(m.Ns, soa) // the name is there, with nothing of that type
 		return
 	}
-	at, id, ok := s.decide(req)
+	at, id, ok := s.selectServer(req)
 	if !ok {
 		m.Rcode = dns.RcodeServerFailure
 		return
 	}
-	a := &dns.A{Hdr: header(q.Name, dns.TypeA), A: at.Addr().AsSlice()}
+	a := &dns.A{Hdr: recordHeader(q.Name, dns.TypeA), A: at.Addr().AsSlice()}
 	if q.Qtype == dns.TypeA {
 		m.Answer = append(m.Answer, a)
 		return
 	}
 	a.Hdr.Name = fmt.Sprintf("s-%08x.%s", uint64(id), s.Zone)
-	m.Answer = append(m.Answer, &dns.SRV{Hdr: header(q.Name, dns.TypeSRV), Port: at.Port(), Target: a.Hdr.Name})
+	m.Answer = append(m.Answer, &dns.SRV{Hdr: recordHeader(q.Name, dns.TypeSRV), Port: at.Port(), Target: a.Hdr.Name})
 	m.Extra = append(m.Extra, a)
 }
 
-func header(name string, kind uint16) dns.RR_Header {
-	return dns.RR_Header{Name: name, Rrtype: kind, Class: dns.ClassINET, Ttl: ttl}
+func recordHeader(name string, kind uint16) dns.RR_Header {
+	return dns.RR_Header{Name: name, Rrtype: kind, Class: dns.ClassINET, Ttl: recordTTL}
 }
 
-// lookup is a parsed name.
-type lookup struct {
+// query is a parsed name.
+type query struct {
 	class  int
 	object decide.ObjectID
-	part   int
+	chunk  int
 	group  int // -1: the name does not tell it
 }
 
-// parse reads the part of a name before the zone.
-func (s *Server) parse(rest string) (lookup, int) {
-	l := lookup{class: -1, group: -1}
+// parseName reads the part of a name before the zone.
+func (s *Server) parseName(rest string) (query, int) {
+	l := query{class: -1, group: -1}
 	words := strings.Split(rest, ".")
 	if len(words) == 4 && strings.HasPrefix(words[2], "g") {
 		n, err := strconv.ParseUint(words[2][1:], 10, 8)
@@ -244,7 +244,7 @@
 	if err != nil || err2 != nil || len(words[1]) != 16 || object == 0 {
 		return l, dns.RcodeFormatError
 	}
-	l.part, l.object = int(part), decide.ObjectID(object)
+	l.chunk, l.object = int(part), decide.ObjectID(object)
 	for i, k := range s.Classes() {
 		if strings.EqualFold(k.Name, words[2]) {
 			l.class = i
@@ -256,66 +256,66 @@
 	return l, dns.RcodeSuccess
 }
 
-// decide has the core choose a box.
-func (s *Server) decide(l lookup) (netip.AddrPort, decide.ServerID, bool) {
-	if s.stale(l) {
+// selectServer has the core choose a box.
+func (s *Server) selectServer(l query) (netip.AddrPort, decide.ServerID, bool) {
+	if s.mayBeStale(l) {
 		return netip.AddrPort{}, 0, false
 	}
-	answers := make(chan core.Answer, 1)
-	r := &core.Request{Class: l.class, Object: l.object, Part: l.part, Group: max(l.group, 0), Carrier: s,
-		Deadline: s.Clock.Now() + s.Patience, Reply: func(a core.Answer) { answers <- a }}
-	if !s.Core.Submit(r) {
+	answers := make(chan core.Response, 1)
+	r := &core.Request{Class: l.class, Object: l.object, Chunk: l.chunk, Group: max(l.group, 0), Transport: s,
+		Deadline: s.Clock.Now() + s.TimeoutMs, Respond: func(a core.Response) { answers <- a }}
+	if !s.Dispatcher.Submit(r) {
 		return netip.AddrPort{}, 0, false
 	}
 	// The core answers by the deadline; the wait here is bounded for the case
 	// that it stops meanwhile.
-	wait := time.NewTimer(clock.Duration(s.Patience) + ioFor)
+	wait := time.NewTimer(clock.Duration(s.TimeoutMs) + ioTimeout)
 	defer wait.Stop()
-	var a core.Answer
+	var a core.Response
 	select {
 	case a = <-answers:
 	case <-wait.C:
-		s.Core.Leave(r)
+		s.Dispatcher.Disconnect(r)
 	}
 	// Held against the change log once more: the answer leaves now.
-	if a.Kind != core.Served || s.Guard().Bars(a.Server) || s.stale(l) {
+	if a.Kind != core.Served || s.Guard().Excludes(a.Server) || s.mayBeStale(l) {
 		return netip.AddrPort{}, 0, false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at, ok := s.boxes[a.Server]
+	at, ok := s.addresses[a.Server]
 	if ok && at.Addr().Is4() {
-		s.named[a.Server] = s.Clock.Now() + ticket
+		s.targetExpiry[a.Server] = s.Clock.Now() + targetLifetimeMs
 		return at, a.Server, true
 	}
 	return at, 0, false
 }
 
-// stale tells whether old copies of the object may lie about. A DNS answer
+// mayBeStale tells whether old copies of the object may lie about. A DNS answer
 // cannot say how old a copy may be, so no box may be named meanwhile.
-func (s *Server) stale(l lookup) bool {
-	return !s.Classes()[l.class].Write && s.Guard().Purged(clock.Duration(s.Clock.Now()), l.object, l.group)
+func (s *Server) mayBeStale(l query) bool {
+	return !s.Classes()[l.class].Write && s.Guard().MayBeStale(clock.Duration(s.Clock.Now()), l.object, l.group)
 }
 
-// box answers for the target of a recent SRV answer.
-func (s *Server) box(m *dns.Msg, q dns.Question, rest string, soa *dns.SOA) {
+// answerTarget answers for the target of a recent SRV answer.
+func (s *Server) answerTarget(m *dns.Msg, q dns.Question, rest string, soa *dns.SOA) {
 	n, err := strconv.ParseUint(rest[len("s-"):], 16, 32)
 	id := decide.ServerID(n)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Clock.Now()
-	for k, until := range s.named {
+	for k, until := range s.targetExpiry {
 		if until < now {
-			delete(s.named, k)
+			delete(s.targetExpiry, k)
 		}
 	}
-	at, ok := s.boxes[id]
-	switch _, fresh := s.named[id]; {
-	case err != nil || !ok || !fresh || s.Guard().Bars(id):
+	at, ok := s.addresses[id]
+	switch _, fresh := s.targetExpiry[id]; {
+	case err != nil || !ok || !fresh || s.Guard().Excludes(id):
 		m.Rcode = dns.RcodeNameError
 		m.Ns = append(m.Ns, soa)
 	case q.Qtype == dns.TypeA:
-		m.Answer = append(m.Answer, &dns.A{Hdr: header(q.Name, dns.TypeA), A: at.Addr().AsSlice()})
+		m.Answer = append(m.Answer, &dns.A{Hdr: recordHeader(q.Name, dns.TypeA), A: at.Addr().AsSlice()})
 	default:
 		m.Ns = append(m.Ns, soa)
 	}
--- a/internal/front/http/bench_test.go
+++ b/internal/front/http/bench_test.go
@@ -8,19 +8,19 @@
 	"garnetline/internal/core"
 )
 
-// servedAtOnce is a core that answers in Submit and keeps nothing.
-type servedAtOnce struct{ answer core.Answer }
+// immediateDispatcher is a core that answers in Submit and keeps nothing.
+type immediateDispatcher struct{ response core.Response }
 
-func (c *servedAtOnce) Submit(r *core.Request) bool { r.Reply(c.answer); return true }
-func (c *servedAtOnce) Leave(*core.Request)         {}
+func (c *immediateDispatcher) Submit(r *core.Request) bool { r.Respond(c.response); return true }
+func (c *immediateDispatcher) Disconnect(*core.Request)    {}
 
 // BenchmarkRequest measures one request and its answer over a kept loopback connection.
 // The client allocates nothing, so that allocations are the front's alone.
 func BenchmarkRequest(b *testing.B) {
-	for name, text := range map[string]string{"read": get(object, "X-Family: 17", `If-None-Match: "4be0c1927d55a6f3"`), "write": put(3) + "abc"} {
+	for name, text := range map[string]string{"read": getRequest(objectTarget, "X-Family: 17", `If-None-Match: "4be0c1927d55a6f3"`), "write": putRequest(3) + "abc"} {
 		b.Run(name, func(b *testing.B) {
-			s := newServer(&fake{})
-			s.Core = &servedAtOnce{core.Answer{Kind: core.Served, Body: make([]byte, 2048), Tag: "4be0c1927d55a6f3"}}
+			s := newServer(&fakeDispatcher{})
+			s.Dispatcher = &immediateDispatcher{core.Response{Kind: core.Served, Body: make([]byte, 2048), ETag: "4be0c1927d55a6f3"}}
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				b.Fatal(err)
@@ -30,7 +30,7 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			defer s.Finish()
+			defer s.Shutdown()
 			defer conn.Close()
 			request := []byte(text)
 			head := "HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nETag: \"4be0c1927d55a6f3\"\r\nContent-Length: 2048\r\n\r\n"
@@ -53,28 +53,28 @@
 
 // BenchmarkParse measures the step from a read request to the core's.
 func BenchmarkParse(b *testing.B) {
-	s := newServer(&fake{})
-	c := s.newConn(&memory{in: &repeated{text: get(object, "X-Family: 17", `If-None-Match: "4be0c1927d55a6f3"`)}})
-	c.k.Allow(maxHead)
-	r, bad := c.read()
+	s := newServer(&fakeDispatcher{})
+	c := s.newConn(&memoryConn{in: &repeatingReader{text: getRequest(objectTarget, "X-Family: 17", `If-None-Match: "4be0c1927d55a6f3"`)}})
+	c.text.LimitRead(maxHeaderBytes)
+	r, bad := c.readRequest()
 	if bad != nil {
-		b.Fatal(bad.why)
+		b.Fatal(bad.message)
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, bad := s.parse(r); bad != nil {
-			b.Fatal(bad.why)
+		if _, bad := s.parseRequest(r); bad != nil {
+			b.Fatal(bad.message)
 		}
 	}
 }
 
-// repeated brings one text again and again.
-type repeated struct {
+// repeatingReader brings one text again and again.
+type repeatingReader struct {
 	text string
 	at   int
 }
 
-func (r *repeated) Read(p []byte) (int, error) {
+func (r *repeatingReader) Read(p []byte) (int, error) {
 	n := copy(p, r.text[r.at:])
 	r.at = (r.at + n) % len(r.text)
 	return n, nil
--- a/internal/front/http/golden_test.go
+++ b/internal/front/http/golden_test.go
@@ -22,10 +22,10 @@
 //	go test ./PACKAGE -run TestGoldenResponses -update
 var update = flag.Bool("update", false, "write the golden files of this package anew")
 
-// notTaking is a core that has stopped.
-type notTaking struct{ *fake }
+// stoppedDispatcher is a core that has stopped.
+type stoppedDispatcher struct{ *fakeDispatcher }
 
-func (notTaking) Submit(*core.Request) bool { return false }
+func (stoppedDispatcher) Submit(*core.Request) bool { return false }
 
 // exchange sends a text on a new connection and returns the bytes of all answers up to the
 // first final one.
@@ -53,71 +53,71 @@
 
 // Every form in which a client is answered, to the byte.
 func TestGoldenResponses(t *testing.T) {
-	served := core.Answer{Kind: core.Served, Body: []byte("a\x00\r\nb"), Tag: "4be0c1927d55a6f3"}
+	served := core.Response{Kind: core.Served, Body: []byte("a\x00\r\nb"), ETag: "4be0c1927d55a6f3"}
 	without := func(text, what string) string { return strings.Replace(text, what, "", 1) }
 	health := "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
 	handOver := func(s *Server) { // once the request is read
 		classes := s.Classes
-		s.Classes = func() []decide.Class { s.HandOver(); return classes() }
+		s.Classes = func() []decide.Class { s.StopAccepting(); return classes() }
 	}
 	late := func(s *Server) { s.Ready = func() bool { return false } }
 	page := func(s *Server) {
-		s.Page = func(_ context.Context, method, path string) (int, []byte) {
+		s.Handler = func(_ context.Context, method, path string) (int, []byte) {
 			return 404, []byte(method + " " + path + "\n")
 		}
 	}
 	var out strings.Builder
 	for _, c := range []struct {
 		name, text string
-		answer     core.Answer
+		answer     core.Response
 		change     func(*Server)
 	}{
-		{"served", get(object), served, nil},
-		{"served, no tag, no body", get(object), core.Answer{Kind: core.Served}, nil},
-		{"served, last of its connection", get(object, "Connection: close"), served, nil},
-		{"served, HTTP/1.0", strings.Replace(get(object), "HTTP/1.1", "HTTP/1.0", 1), served, nil},
-		{"served, handed over", get(object), served, handOver},
-		{"written after 100", put(3, "Expect: 100-continue") + "abc", core.Answer{Kind: core.Served, Body: []byte("ok")}, nil},
-		{"the client's copy holds", get(object), core.Answer{Kind: core.Same, Tag: "4be0c1927d55a6f3"}, nil},
-		{"the client's copy holds, no tag", get(object, "Connection: close"), core.Answer{Kind: core.Same}, nil},
-		{"refused", get(object), core.Answer{Kind: core.Refused}, nil},
-		{"refused with a time", get(object), core.Answer{Kind: core.Refused, Backoff: 250.9}, nil},
-		{"failed", get(object), core.Answer{Kind: core.Failed}, nil},
-		{"clash", get(object), core.Answer{Kind: core.Clash}, nil},
-		{"core stopped", get(object), served, func(s *Server) { s.Core = notTaking{&fake{}} }},
+		{"served", getRequest(objectTarget), served, nil},
+		{"served, no tag, no body", getRequest(objectTarget), core.Response{Kind: core.Served}, nil},
+		{"served, last of its connection", getRequest(objectTarget, "Connection: close"), served, nil},
+		{"served, HTTP/1.0", strings.Replace(getRequest(objectTarget), "HTTP/1.1", "HTTP/1.0", 1), served, nil},
+		{"served, handed over", getRequest(objectTarget), served, handOver},
+		{"written after 100", putRequest(3, "Expect: 100-continue") + "abc", core.Response{Kind: core.Served, Body: []byte("ok")}, nil},
+		{"the client's copy holds", getRequest(objectTarget), core.Response{Kind: core.NotModified, ETag: "4be0c1927d55a6f3"}, nil},
+		{"the client's copy holds, no tag", getRequest(objectTarget, "Connection: close"), core.Response{Kind: core.NotModified}, nil},
+		{"refused", getRequest(objectTarget), core.Response{Kind: core.Rejected}, nil},
+		{"refused with a time", getRequest(objectTarget), core.Response{Kind: core.Rejected, RetryAfter: 250.9}, nil},
+		{"failed", getRequest(objectTarget), core.Response{Kind: core.Failed}, nil},
+		{"clash", getRequest(objectTarget), core.Response{Kind: core.DuplicateID}, nil},
+		{"core stopped", getRequest(objectTarget), served, func(s *Server) { s.Dispatcher = stoppedDispatcher{&fakeDispatcher{}} }},
 		{"healthy", health, served, nil},
 		{"healthy, HEAD", strings.Replace(health, "GET", "HEAD", 1), served, nil},
 		{"health, another method", strings.Replace(health, "GET", "PUT", 1), served, nil},
 		{"health, not ready", health, served, late},
-		{"health, stopping", health, served, (*Server).Stopping},
+		{"health, stopping", health, served, (*Server).FailHealthChecks},
 		{"a page", health, served, page},
 		{"request line", "hello\r\n\r\n", served, nil},
-		{"target", get("v1/part"), served, nil},
+		{"target", getRequest("v1/part"), served, nil},
 		{"header", "GET / HTTP/1.1\r\nHost\r\n\r\n", served, nil},
-		{"no host", without(get(object), "Host: x\r\n"), served, nil},
-		{"head too long", get(object, "X-A: "+strings.Repeat("a", 20_000)), served, nil},
-		{"body too long", put(48_001), served, nil},
-		{"length", put(1, "Content-Length: 2") + "x", served, nil},
-		{"length and chunks", put(1, "Transfer-Encoding: chunked") + "x", served, nil},
-		{"encoding", strings.Replace(put(0), "Content-Length: 0", "Transfer-Encoding: gzip", 1), served, nil},
-		{"chunks", strings.Replace(put(0), "Content-Length: 0", "Transfer-Encoding: chunked", 1) + "x\r\n", served, nil},
-		{"path", get("/"), served, nil},
-		{"class", get("/v1/nothing/7f3a9c21e0b4d655"), served, nil},
-		{"method of a read", strings.Replace(get(object), "GET", "PUT", 1), served, nil},
-		{"method of a write", get("/v1/form/7f3a9c21e0b4d655"), served, nil},
-		{"object", get("/v1/part/xyz"), served, nil},
-		{"body of a read", get(object, "Content-Length: 1") + "x", served, nil},
-		{"query", get("/v1/part/7f3a9c21e0b4d655?block=%"), served, nil},
-		{"block", get("/v1/part/7f3a9c21e0b4d655?block=-1"), served, nil},
-		{"two times", get(object, "X-Ttl-Ms: 1"), served, nil},
-		{"txn", strings.Replace(get(object), "2d41", "2d4", 1), served, nil},
-		{"ttl", strings.Replace(get(object), "1500", "0", 1), served, nil},
-		{"family", get(object, "X-Family: 256"), served, nil},
-		{"size", get(object, "X-Working-Set-Kb: much"), served, nil},
-		{"key", without(put(0), "X-Txn-Key: k1\r\n"), served, nil},
+		{"no host", without(getRequest(objectTarget), "Host: x\r\n"), served, nil},
+		{"head too long", getRequest(objectTarget, "X-A: "+strings.Repeat("a", 20_000)), served, nil},
+		{"body too long", putRequest(48_001), served, nil},
+		{"length", putRequest(1, "Content-Length: 2") + "x", served, nil},
+		{"length and chunks", putRequest(1, "Transfer-Encoding: chunked") + "x", served, nil},
+		{"encoding", strings.Replace(putRequest(0), "Content-Length: 0", "Transfer-Encoding: gzip", 1), served, nil},
+		{"chunks", strings.Replace(putRequest(0), "Content-Length: 0", "Transfer-Encoding: chunked", 1) + "x\r\n", served, nil},
+		{"path", getRequest("/"), served, nil},
+		{"class", getRequest("/v1/nothing/7f3a9c21e0b4d655"), served, nil},
+		{"method of a read", strings.Replace(getRequest(objectTarget), "GET", "PUT", 1), served, nil},
+		{"method of a write", getRequest("/v1/form/7f3a9c21e0b4d655"), served, nil},
+		{"object", getRequest("/v1/part/xyz"), served, nil},
+		{"body of a read", getRequest(objectTarget, "Content-Length: 1") + "x", served, nil},
+		{"query", getRequest("/v1/part/7f3a9c21e0b4d655?block=%"), served, nil},
+		{"block", getRequest("/v1/part/7f3a9c21e0b4d655?block=-1"), served, nil},
+		{"two times", getRequest(objectTarget, "X-Ttl-Ms: 1"), served, nil},
+		{"txn", strings.Replace(getRequest(objectTarget), "2d41", "2d4", 1), served, nil},
+		{"ttl", strings.Replace(getRequest(objectTarget), "1500", "0", 1), served, nil},
+		{"family", getRequest(objectTarget, "X-Family: 256"), served, nil},
+		{"size", getRequest(objectTarget, "X-Working-Set-Kb: much"), served, nil},
+		{"key", without(putRequest(0), "X-Txn-Key: k1\r\n"), served, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := newServer(&fake{answer: c.answer})
+			s := newServer(&fakeDispatcher{response: c.answer})
 			if c.change != nil {
 				c.change(s)
 			}
@@ -125,16 +125,16 @@
 		})
 	}
 	clk := clock.NewManual(1.7e12)
-	s := newServer(&fake{})
+	s := newServer(&fakeDispatcher{})
 	s.Clock = clk
-	stalled := &slow{clk: clk, text: "GET " + object + " HTTP/1.1\r\n"}
+	stalled := &slowClient{clock: clk, text: "GET " + objectTarget + " HTTP/1.1\r\n"}
 	s.newConn(stalled).serve()
 	out.WriteString("too slow\t" + strconv.Quote(stalled.out.String()) + "\n")
-	compare(t, "testdata/responses.golden", out.String())
+	compareGolden(t, "testdata/responses.golden", out.String())
 }
 
-// compare holds what is written now against a golden file, line by line.
-func compare(t *testing.T, path, now string) {
+// compareGolden holds what is written now against a golden file, line by line.
+func compareGolden(t *testing.T, path, now string) {
 	t.Helper()
 	if *update {
 		if err := os.WriteFile(path, []byte(now), 0o644); err != nil {
--- a/internal/lab/duties.go
+++ b/internal/lab/duties.go
@@ -55,7 +55,7 @@
 	rate    float64
 	stalled float64
 	cut     float64 // from the register, until then; not from the receiver
-	queue   []duty.Answer
+	queue   []duty.Response
 	acts    []act // decided, and not written yet
 	wake    float64
 	since   float64 // true time from which it holds by what it was told
@@ -69,8 +69,8 @@
 type mail struct {
 	at     float64
 	to     int
-	ask    *duty.Ask
-	answer *duty.Answer
+	ask    *duty.Request
+	answer *duty.Response
 	act    *act
 	from   int
 }
@@ -78,11 +78,11 @@
 // Run plays until there were enough handovers, or two acted at once.
 func (o Leases) Run() (r LeaseResult) {
 	rng := rand.New(rand.NewPCG(o.Seed, 77))
-	set := duty.Default()
-	set.TTL, set.Margin, set.Retry, set.Away, set.Drift = 1000, 60, 60, 1200, 0.05
-	real := set.Drift / 2 * o.Drift // each clock's rate; two differ by twice that
+	set := duty.DefaultSettings()
+	set.TTL, set.SafetyMargin, set.RetryInterval, set.MaxBackoff, set.MaxClockDrift = 1000, 60, 60, 1200, 0.05
+	real := set.MaxClockDrift / 2 * o.Drift // each clock's rate; two differ by twice that
 	if o.Off == Margin {
-		set.Margin, set.Drift = 0, 0
+		set.SafetyMargin, set.MaxClockDrift = 0, 0
 	}
 	var routers []*leaseRouter
 	var ids []member.ID
@@ -91,12 +91,12 @@
 	}
 	for i, id := range ids {
 		x := &leaseRouter{Holder: duty.NewHolder(set, id, uint64(i)<<40), id: id, rate: 1 + real*(2*float64(i%2)-1)}
-		x.Want(0, "d", duty.Rank("d", id, ids))
+		x.SetRank(0, "d", duty.Rank("d", id, ids))
 		routers = append(routers, x)
 	}
 	leader := 1 + real*(2*rng.Float64()-1) // the rate of the leader's clock
 	state, index := register.New(), uint64(0)
-	ledger := duty.NewLedger(set, 0, state)
+	ledger := duty.NewExpiryTracker(set, 0, state)
 	var air []mail
 	now, fence := 0.0, duty.Fence{}
 	post := func(m mail) {
@@ -116,9 +116,9 @@
 	last, lastEnd := uint64(0), 0.0 // the token under which somebody acted latest
 	// may tells whether a router may act, as it sees that by itself.
 	may := func(x *leaseRouter) (uint64, bool) {
-		token, ok := x.May(now*x.rate, "d")
+		token, ok := x.Valid(now*x.rate, "d")
 		if o.Off == OwnEnd {
-			if _, t := x.Until("d"); t != 0 {
+			if _, t := x.Expiry("d"); t != 0 {
 				return t, true
 			}
 		}
@@ -135,57 +135,57 @@
 		}
 		post(mail{to: -1, act: &a, from: int(x.id) - 1})
 	}
-	ask := func(q duty.Ask, from int) {
+	ask := func(q duty.Request, from int) {
 		x := routers[from]
-		a := duty.Answer{Question: q.Question, Duty: "d"}
-		d := state.Duties["d"]
+		a := duty.Response{RequestID: q.ID, Lease: "d"}
+		d := state.Leases["d"]
 		t := now * leader
 		switch {
-		case q.Give && d != nil && d.Holder == x.id && d.Token == q.Token:
+		case q.Release && d != nil && d.Holder == x.id && d.FencingToken == q.FencingToken:
 			index++
-			c := &register.Command{Op: register.Move, Duty: "d", Who: q.To, Token: q.Token}
-			if q.To == 0 {
-				c.Op, c.Who = register.Release, x.id
+			c := &register.Command{Op: register.OpTransfer, Lease: "d", Holder: q.TransferTo, ExpectedToken: q.FencingToken}
+			if q.TransferTo == 0 {
+				c.Op, c.Holder = register.OpRelease, x.id
 			}
 			state.Apply(index, c)
-			if q.To != 0 {
-				post(mail{to: int(q.To) - 1, answer: &duty.Answer{Duty: "d", Holder: q.To, Token: index}})
+			if q.TransferTo != 0 {
+				post(mail{to: int(q.TransferTo) - 1, answer: &duty.Response{Lease: "d", Holder: q.TransferTo, FencingToken: index}})
 			}
-		case q.Give:
-		case d != nil && d.Holder == x.id && d.Life != 0 && (q.Token == d.Token || q.Token == 0):
-			a.Yes = true
-		case q.Token == 0 && (ledger.Free(t, d) || d.Holder == x.id && d.Life == 0):
+		case q.Release:
+		case d != nil && d.Holder == x.id && d.Incarnation != 0 && (q.FencingToken == d.FencingToken || q.FencingToken == 0):
+			a.Granted = true
+		case q.FencingToken == 0 && (ledger.Available(t, d) || d.Holder == x.id && d.Incarnation == 0):
 			index++
-			c := &register.Command{Op: register.Grant, Duty: "d", Who: x.id, Life: 1}
+			c := &register.Command{Op: register.OpGrant, Lease: "d", Holder: x.id, Incarnation: 1}
 			if d != nil {
-				c.Token, c.Lost = d.Token, d.Holder != 0 && d.Holder != x.id
+				c.ExpectedToken, c.HolderLost = d.FencingToken, d.Holder != 0 && d.Holder != x.id
 			}
 			if state.Apply(index, c) == nil {
-				a.Yes = true
+				a.Granted = true
 				r.Handovers++
-				if !c.Lost {
+				if !c.HolderLost {
 					r.Planned++
 				}
 			}
 		}
-		if d = state.Duties["d"]; d != nil {
-			a.Token, a.Holder, a.Losses, a.Left = d.Token, d.Holder, min(1, d.Losses[x.id]), ledger.Left(t, "d")
+		if d = state.Leases["d"]; d != nil {
+			a.FencingToken, a.Holder, a.Losses, a.Remaining = d.FencingToken, d.Holder, min(1, d.Losses[x.id]), ledger.Remaining(t, "d")
 		}
-		if a.Yes {
-			ledger.Answered(t, "d")
+		if a.Granted {
+			ledger.Extend(t, "d")
 		}
 		post(mail{to: from, answer: &a})
 	}
-	hear := func(x *leaseRouter, a duty.Answer) {
+	hear := func(x *leaseRouter, a duty.Response) {
 		if o.Off == BeforeAsks { // as if the question had been asked when the answer came
-			x.Backdate("d", a.Question, now*x.rate)
+			x.Backdate("d", a.RequestID, now*x.rate)
 		}
-		for _, c := range x.Hear(now*x.rate, a) {
-			if c.Token != 0 && c.Token != last {
+		for _, c := range x.HandleResponse(now*x.rate, a) {
+			if c.FencingToken != 0 && c.FencingToken != last {
 				if lastEnd > 0 {
 					r.Gaps = append(r.Gaps, max(0, now-lastEnd))
 				}
-				last = c.Token
+				last = c.FencingToken
 			}
 		}
 	}
@@ -214,7 +214,7 @@
 						r.Broken = fmt.Sprintf("at %.0f ms an act of token %d came after one of %d", now, m.act.token, fence["d"])
 					}
 				}
-				if !fence.Pass("d", m.act.token) {
+				if !fence.Admit("d", m.act.token) {
 					r.Refused++
 				}
 			case m.ask != nil:
@@ -261,7 +261,7 @@
 				switch rng.IntN(100) {
 				case 0, 1: // hands it on
 					r.Steps++
-					x.Give(now*x.rate, "d", routers[rng.IntN(len(routers))].id, nil)
+					x.Release(now*x.rate, "d", routers[rng.IntN(len(routers))].id, nil)
 					x.wake = 0
 				case 2:
 					if rng.IntN(8) == 0 {
@@ -279,9 +279,9 @@
 		if rng.IntN(1500) == 0 { // another leader, with another clock
 			r.Steps++
 			leader = 1 + real*(2*rng.Float64()-1)
-			ledger = duty.NewLedger(set, now*leader, state)
+			ledger = duty.NewExpiryTracker(set, now*leader, state)
 			if o.Off == NewLeader {
-				ledger = duty.NewLedger(set, now*leader, register.New())
+				ledger = duty.NewExpiryTracker(set, now*leader, register.New())
 			}
 		}
 		now += 2
--- a/internal/lab/members.go
+++ b/internal/lab/members.go
@@ -24,10 +24,10 @@
 // Ways are the ways that are compared: as built, without Lifeguard, and the plainest.
 func Ways() []Way {
 	return []Way{
-		{"as built", fleet.Default},
+		{"as built", fleet.DefaultSettings},
 		{"without Lifeguard", func() fleet.Settings {
-			s := fleet.Default()
-			s.Member.Health, s.Member.Beta, s.Member.Confirm = 0, 1, 0
+			s := fleet.DefaultSettings()
+			s.Membership.MaxHealthScore, s.Membership.MaxSuspicionMult, s.Membership.SuspicionConfirmations = 0, 1, 0
 			return s
 		}},
 		{"all ping all", nil},
@@ -226,16 +226,16 @@
 	for _, h := range v.Hosts {
 		h.On = func(h *virtual.Host, _ float64, out *fleet.Output) {
 			for _, e := range out.Events {
-				x := by[e.Word.ID]
-				if e.Word.By != h.Self.ID || x == nil || x.Dead {
+				x := by[e.Update.ID]
+				if e.Update.ReportedBy != h.Self.ID || x == nil || x.Dead {
 					continue
 				}
 				switch {
-				case e.What == "suspect" && !stalls(x):
+				case e.Kind == "suspect" && !stalls(x):
 					r.Suspects++
-				case e.What == "failed" && !stalls(x):
+				case e.Kind == "failed" && !stalls(x):
 					r.Failures++
-				case e.What == "failed":
+				case e.Kind == "failed":
 					r.StalledFailed++
 				}
 			}
--- a/internal/lab/pingall.go
+++ b/internal/lab/pingall.go
@@ -13,8 +13,8 @@
 // period and holds one for failed that has not answered for long enough. It tells nobody.
 // All are known from the start.
 type plain struct {
-	self   member.Word
-	peers  []member.Word
+	self   member.Update
+	peers  []member.Update
 	heard  []float64
 	failed []bool
 	next   float64
@@ -31,9 +31,9 @@
 
 // pingAll adds n routers that all know each other.
 func pingAll(v *virtual.Net, n int) {
-	v.Fleet(n, fleet.Default(), true) // for names, seats and addresses
+	v.Fleet(n, fleet.DefaultSettings(), true) // for names, seats and addresses
 	rng := rand.New(rand.NewPCG(v.Rng.Uint64(), 1))
-	var all []member.Word
+	var all []member.Update
 	for _, h := range v.Hosts {
 		all = append(all, h.Self)
 	}
@@ -48,16 +48,16 @@
 
 // Step pings when it is time, answers, and judges.
 func (p *plain) Step(now float64, in *member.Packet) (out fleet.Output) {
-	send := func(to member.Word, k member.Kind) {
+	send := func(to member.Update, k member.Kind) {
 		p.count++
-		out.Sends = append(out.Sends, member.Send{To: to.Addr, Packet: &member.Packet{Kind: k, From: p.self, Count: p.count}})
+		out.Packets = append(out.Packets, member.OutgoingPacket{To: to.Addr, Packet: &member.Packet{Kind: k, From: p.self, Sequence: p.count}})
 	}
 	if in != nil {
 		j := p.place[in.From.ID]
 		p.heard[j] = now
 		if p.failed[j] {
 			p.failed[j] = false
-			out.Events = append(out.Events, member.Event{What: "back", Word: in.From})
+			out.Events = append(out.Events, member.Event{Kind: "back", Update: in.From})
 		}
 		if in.Kind == member.Ping {
 			send(in.From, member.Ack)
@@ -71,18 +71,18 @@
 			}
 			if !p.failed[j] && now-p.heard[j] > plainWait && now > 2*plainWait {
 				p.failed[j] = true
-				w.By = p.self.ID
-				out.Events = append(out.Events, member.Event{What: "failed", Word: w})
+				w.ReportedBy = p.self.ID
+				out.Events = append(out.Events, member.Event{Kind: "failed", Update: w})
 			}
 			send(w, member.Ping)
 		}
 	}
-	out.Wake = p.next
+	out.WakeAt = p.next
 	return out
 }
 
 // Leave says nothing.
-func (p *plain) Leave(float64) member.Output { return member.Output{Wake: math.Inf(1)} }
+func (p *plain) Leave(float64) member.Output { return member.Output{WakeAt: math.Inf(1)} }
 
 // State tells how a router is seen.
 func (p *plain) State(id member.ID) (member.State, bool) {
--- a/internal/lab/register.go
+++ b/internal/lab/register.go
@@ -128,7 +128,7 @@
 	for i := range o.Duties {
 		names = append(names, fmt.Sprintf("duty/%04d", i))
 	}
-	electors, folders := make([]*agree.Machine, o.Electors), make([]*folder, o.Electors)
+	electors, folders := make([]*agree.Node, o.Electors), make([]*folder, o.Electors)
 	wakes, leads := make([]int, o.Electors), 0
 	var ids []member.ID
 	for i := range o.Routers {
@@ -144,24 +144,24 @@
 	moved := map[string]float64{}
 	var stepRouter func(i int)
 	var step func(i int, in agree.Input)
-	answer := func(to member.ID, a duty.Answer) {
-		r.Asked += len(duties.PutAnswer(a))
+	answer := func(to member.ID, a duty.Response) {
+		r.Asked += len(duties.EncodeResponse(a))
 		after(way(), func() {
 			x := routers[to-1]
 			if now < x.deaf {
 				return
 			}
-			for _, c := range x.Hear(now, a) {
-				if c.Token == 0 {
+			for _, c := range x.HandleResponse(now, a) {
+				if c.FencingToken == 0 {
 					continue
 				}
-				if at, was := moved[c.Duty]; was {
+				if at, was := moved[c.Lease]; was {
 					r.Moved = append(r.Moved, now-at)
-					delete(moved, c.Duty)
-				} else if at, was := x.first[c.Duty]; was {
+					delete(moved, c.Lease)
+				} else if at, was := x.first[c.Lease]; was {
 					r.Granted = append(r.Granted, now-at)
 				}
-				delete(x.first, c.Duty)
+				delete(x.first, c.Lease)
 			}
 			stepRouter(int(to) - 1)
 		})
@@ -180,17 +180,17 @@
 			r.Messages, r.Bytes = r.Messages+1, r.Bytes+proto.Size(m)
 			after(way(), func() { step(int(m.GetTo())-1, agree.Input{Message: m}) })
 		}
-		for _, a := range out.Replies {
-			answer(a.To, a.Answer)
+		for _, a := range out.Responses {
+			answer(a.To, a.Response)
 		}
-		for _, a := range out.Freed {
-			for _, id := range duty.First(a.Duty, ids, 4) {
+		for _, a := range out.Released {
+			for _, id := range duty.TopRanked(a.Lease, ids, 4) {
 				answer(id, a)
 			}
 		}
 		wakes[i]++
 		at := wakes[i]
-		after(out.Wake-now, func() {
+		after(out.WakeAt-now, func() {
 			if at == wakes[i] {
 				step(i, agree.Input{})
 			}
@@ -201,12 +201,12 @@
 		asks, _, wake := x.Step(now)
 		for _, a := range asks {
 			r.Asks++
-			r.Asked += len(duties.PutAsk(a))
-			if _, was := x.first[a.Duty]; !was && a.Token == 0 {
-				x.first[a.Duty] = now
+			r.Asked += len(duties.EncodeRequest(a))
+			if _, was := x.first[a.Lease]; !was && a.FencingToken == 0 {
+				x.first[a.Lease] = now
 			}
 			after(way(), func() {
-				step(leads, agree.Input{Question: &agree.Question{From: ids[i], Life: 1, Ask: a}})
+				step(leads, agree.Input{Request: &agree.ClientRequest{From: ids[i], Incarnation: 1, Request: a}})
 			})
 		}
 		x.wake++
@@ -223,38 +223,38 @@
 		if err != nil {
 			return r, err
 		}
-		if electors[i], err = agree.New(o.Set, uint64(i+1), log, found, voters, 0); err != nil {
+		if electors[i], err = agree.NewNode(o.Set, uint64(i+1), log, found, voters, 0); err != nil {
 			return r, err
 		}
 		after(0, func() { step(i, agree.Input{}) })
 	}
 	for i, id := range ids {
-		routers[i] = &router{Holder: duty.NewHolder(o.Set.Duty, id, uint64(i)<<40), first: map[string]float64{}}
-		after(4*o.Set.Tick*float64(o.Set.Election), func() { // when there is a leader
+		routers[i] = &router{Holder: duty.NewHolder(o.Set.Lease, id, uint64(i)<<40), first: map[string]float64{}}
+		after(4*o.Set.TickInterval*float64(o.Set.ElectionTicks), func() { // when there is a leader
 			for _, name := range names {
-				routers[i].Want(now, name, duty.Rank(name, id, ids))
+				routers[i].SetRank(now, name, duty.Rank(name, id, ids))
 			}
 			stepRouter(i)
 		})
 	}
 	hold := func(name string) int {
-		return slices.IndexFunc(routers, func(x *router) bool { _, ok := x.May(now, name); return ok })
+		return slices.IndexFunc(routers, func(x *router) bool { _, ok := x.Valid(now, name); return ok })
 	}
 	var move, drop func()
 	move = func() {
 		name := names[rng.IntN(len(names))]
 		if i := hold(name); i >= 0 {
 			moved[name] = now
-			routers[i].Give(now, name, ids[(i+1+rng.IntN(len(ids)-1))%len(ids)], []byte("work"))
+			routers[i].Release(now, name, ids[(i+1+rng.IntN(len(ids)-1))%len(ids)], []byte("work"))
 			stepRouter(i)
 		}
 		after(o.Move*rng.ExpFloat64(), move)
 	}
 	drop = func() {
-		routers[rng.IntN(len(routers))].deaf = now + 2*o.Set.Duty.TTL
+		routers[rng.IntN(len(routers))].deaf = now + 2*o.Set.Lease.TTL
 		after(o.Drop*rng.ExpFloat64(), drop)
 	}
-	settled := 8 * o.Set.Tick * float64(o.Set.Election)
+	settled := 8 * o.Set.TickInterval * float64(o.Set.ElectionTicks)
 	if o.Move > 0 {
 		after(settled, move)
 	}
@@ -278,7 +278,7 @@
 			r.Held++
 		}
 	}
-	r.Virtual, r.Commands = now, electors[leads].Status().Applied
+	r.Virtual, r.Commands = now, electors[leads].Status().AppliedIndex
 	r.Syncs, r.Disk = folders[leads].syncs, folders[leads].most
 	slices.Sort(r.Granted)
 	slices.Sort(r.Moved)
--- a/internal/lab/search.go
+++ b/internal/lab/search.go
@@ -47,7 +47,7 @@
 	lives   [2]uint64
 	reg     *register.State
 	index   uint64
-	ledger  *duty.Ledger
+	ledger  *duty.ExpiryTracker
 	air     []mail
 	faults  int
 	crashes int
@@ -59,9 +59,9 @@
 var rates = [2]float64{0.75, 4.0 / 3}
 
 func (o LeaseSearch) settings() duty.Settings {
-	s := duty.Settings{TTL: 400, Margin: 50, Drift: 0.25, Retry: 200, Away: 400}
+	s := duty.Settings{TTL: 400, SafetyMargin: 50, MaxClockDrift: 0.25, RetryInterval: 200, MaxBackoff: 400}
 	if o.Off == Margin {
-		s.Margin, s.Drift = 0, 0
+		s.SafetyMargin, s.MaxClockDrift = 0, 0
 	}
 	return s
 }
@@ -76,19 +76,19 @@
 	n.ledger = s.ledger.Clone()
 	n.air = slices.Clone(s.air)
 	n.reg = register.New()
-	if d := s.reg.Duties["d"]; d != nil {
+	if d := s.reg.Leases["d"]; d != nil {
 		c := *d
 		c.Losses = map[member.ID]uint64{}
-		n.reg.Duties["d"] = &c
+		n.reg.Leases["d"] = &c
 	}
 	return &n
 }
 
 // may tells whether a router acts now, as it sees that by itself.
 func (o LeaseSearch) may(s *lstate, i int) (uint64, bool) {
-	token, ok := s.holders[i].May(s.clock(i), "d")
+	token, ok := s.holders[i].Valid(s.clock(i), "d")
 	if o.Off == OwnEnd {
-		if _, t := s.holders[i].Until("d"); t != 0 {
+		if _, t := s.holders[i].Expiry("d"); t != 0 {
 			return t, true
 		}
 	}
@@ -100,21 +100,21 @@
 	b := make([]byte, 0, 256)
 	num := func(v uint64) { b = binary.AppendUvarint(b, v) }
 	for i, h := range s.holders {
-		b = h.Form(b, s.clock(i), func(q uint64) bool {
+		b = h.AppendFingerprint(b, s.clock(i), func(q uint64) bool {
 			return slices.ContainsFunc(s.air, func(m mail) bool {
-				return m.ask != nil && m.from == i && m.ask.Question == q || m.answer != nil && m.to == i && m.answer.Question == q
+				return m.ask != nil && m.from == i && m.ask.ID == q || m.answer != nil && m.to == i && m.answer.RequestID == q
 			})
 		})
 		num(s.acts[i])
 		num(s.lives[i])
 	}
-	if d := s.reg.Duties["d"]; d != nil {
+	if d := s.reg.Leases["d"]; d != nil {
 		num(uint64(d.Holder))
-		num(d.Life)
-		num(d.Token)
+		num(d.Incarnation)
+		num(d.FencingToken)
 	}
 	num(s.index)
-	b = s.ledger.Form(b, s.tick)
+	b = s.ledger.AppendFingerprint(b, s.tick)
 	num(uint64(s.faults)<<8 | uint64(s.crashes)<<4 | uint64(s.gives))
 	var air [][]byte
 	for _, m := range s.air { // a set: which came first is nothing to the one that takes any
@@ -139,8 +139,8 @@
 // take has the register answer a question.
 func (o LeaseSearch) take(s *lstate, m mail) {
 	q, id := *m.ask, member.ID(m.from+1)
-	life := q.Question >> 32
-	d := s.reg.Duties["d"]
+	life := q.ID >> 32
+	d := s.reg.Leases["d"]
 	command := func(c *register.Command) bool {
 		if s.index >= o.Grants {
 			return false
@@ -150,31 +150,31 @@
 	}
 	yes := false
 	switch {
-	case q.Give && d != nil && d.Holder == id && d.Token == q.Token:
-		c := &register.Command{Op: register.Move, Duty: "d", Who: q.To, Token: q.Token}
-		if q.To == 0 {
-			c.Op, c.Who = register.Release, id
+	case q.Release && d != nil && d.Holder == id && d.FencingToken == q.FencingToken:
+		c := &register.Command{Op: register.OpTransfer, Lease: "d", Holder: q.TransferTo, ExpectedToken: q.FencingToken}
+		if q.TransferTo == 0 {
+			c.Op, c.Holder = register.OpRelease, id
 		}
-		if command(c) && q.To != 0 {
-			o.post(s, mail{to: int(q.To) - 1, answer: &duty.Answer{Duty: "d", Holder: q.To, Token: s.index}})
+		if command(c) && q.TransferTo != 0 {
+			o.post(s, mail{to: int(q.TransferTo) - 1, answer: &duty.Response{Lease: "d", Holder: q.TransferTo, FencingToken: s.index}})
 		}
-	case q.Give:
-	case d != nil && d.Holder == id && d.Life == life && (q.Token == d.Token || q.Token == 0):
+	case q.Release:
+	case d != nil && d.Holder == id && d.Incarnation == life && (q.FencingToken == d.FencingToken || q.FencingToken == 0):
 		yes = true
-	case q.Token == 0 && (s.ledger.Free(s.tick, d) || d.Holder == id && d.Life == 0):
-		c := &register.Command{Op: register.Grant, Duty: "d", Who: id, Life: life}
+	case q.FencingToken == 0 && (s.ledger.Available(s.tick, d) || d.Holder == id && d.Incarnation == 0):
+		c := &register.Command{Op: register.OpGrant, Lease: "d", Holder: id, Incarnation: life}
 		if d != nil {
-			c.Token = d.Token
+			c.ExpectedToken = d.FencingToken
 		}
 		yes = command(c)
 	}
-	a := duty.Answer{Question: q.Question, Duty: "d", Yes: yes}
-	if d = s.reg.Duties["d"]; d != nil {
-		a.Token, a.Holder, a.Left = d.Token, d.Holder, s.ledger.Left(s.tick, "d")
-		a.Yes = yes || d.Holder == id && d.Life == life
+	a := duty.Response{RequestID: q.ID, Lease: "d", Granted: yes}
+	if d = s.reg.Leases["d"]; d != nil {
+		a.FencingToken, a.Holder, a.Remaining = d.FencingToken, d.Holder, s.ledger.Remaining(s.tick, "d")
+		a.Granted = yes || d.Holder == id && d.Incarnation == life
 	}
 	if yes {
-		s.ledger.Answered(s.tick, "d")
+		s.ledger.Extend(s.tick, "d")
 	}
 	o.post(s, mail{to: m.from, from: 2, answer: &a})
 }
@@ -182,7 +182,7 @@
 // tidy drops answers that nobody waits for any more: they change nothing.
 func (s *lstate) tidy() {
 	s.air = slices.DeleteFunc(s.air, func(m mail) bool {
-		return m.answer != nil && m.answer.Question != 0 && !s.holders[m.to].Waits("d", m.answer.Question)
+		return m.answer != nil && m.answer.RequestID != 0 && !s.holders[m.to].AwaitsResponse("d", m.answer.RequestID)
 	})
 }
 
@@ -193,16 +193,16 @@
 		return
 	}
 	if o.Off == BeforeAsks {
-		s.holders[m.to].Backdate("d", m.answer.Question, s.clock(m.to))
+		s.holders[m.to].Backdate("d", m.answer.RequestID, s.clock(m.to))
 	}
-	s.holders[m.to].Hear(s.clock(m.to), *m.answer)
+	s.holders[m.to].HandleResponse(s.clock(m.to), *m.answer)
 }
 
 // holder is a router's side at its start; each life numbers its questions by itself.
 func (o LeaseSearch) holder(s *lstate, i int) *duty.Holder {
 	s.lives[i]++
 	h := duty.NewHolder(o.settings(), member.ID(i+1), s.lives[i]<<32)
-	h.Want(s.clock(i), "d", i)
+	h.SetRank(s.clock(i), "d", i)
 	return h
 }
 
@@ -236,7 +236,7 @@
 		if ok && s.gives < o.Gives {
 			to(name+" hands on", func(n *lstate) {
 				n.gives++
-				n.holders[i].Give(n.clock(i), "d", member.ID(2-i), nil)
+				n.holders[i].Release(n.clock(i), "d", member.ID(2-i), nil)
 			})
 		}
 		if s.crashes < o.Crashes {
@@ -253,7 +253,7 @@
 			if o.Off == NewLeader {
 				of = register.New()
 			}
-			n.ledger = duty.NewLedger(o.settings(), n.tick, of)
+			n.ledger = duty.NewExpiryTracker(o.settings(), n.tick, of)
 		})
 	}
 	for k, m := range s.air {
@@ -294,7 +294,7 @@
 		did    string
 	}
 	first := &lstate{reg: register.New()}
-	first.ledger = duty.NewLedger(o.settings(), 0, first.reg)
+	first.ledger = duty.NewExpiryTracker(o.settings(), 0, first.reg)
 	for i := range first.holders {
 		first.holders[i] = o.holder(first, i)
 	}
--- a/internal/lab/worth.go
+++ b/internal/lab/worth.go
@@ -67,7 +67,7 @@
 	var firsts [3]member.ID
 	ranks := [3][]int{}
 	for k, v := range views {
-		firsts[k] = duty.First("d", v, 1)[0]
+		firsts[k] = duty.TopRanked("d", v, 1)[0]
 		for _, id := range ids {
 			ranks[k] = append(ranks[k], duty.Rank("d", id, v))
 		}
@@ -82,40 +82,40 @@
 		return 2
 	}
 	reach := func(now float64, a, b int) bool { return now < from || now > until || side(a) == side(b) }
-	set := duty.Default()
+	set := duty.DefaultSettings()
 	state, index := register.New(), uint64(0)
-	ledger := duty.NewLedger(set, 0, state)
+	ledger := duty.NewExpiryTracker(set, 0, state)
 	holders := make([]*duty.Holder, o.Routers)
 	for i, id := range ids {
 		holders[i] = duty.NewHolder(set, id, uint64(i)<<40)
 	}
 	lease := func(now float64, i int) bool {
 		if int(now)%100 == 0 {
-			holders[i].Want(now, "d", ranks[view(now, i)][i])
+			holders[i].SetRank(now, "d", ranks[view(now, i)][i])
 			asks, _, _ := holders[i].Step(now)
 			for _, q := range asks {
 				if now >= from && now <= until && !side(i) {
 					continue
 				}
-				d, a := state.Duties["d"], duty.Answer{Question: q.Question, Duty: "d"}
-				if d != nil && d.Holder == ids[i] || d == nil || ledger.Free(now, d) {
+				d, a := state.Leases["d"], duty.Response{RequestID: q.ID, Lease: "d"}
+				if d != nil && d.Holder == ids[i] || d == nil || ledger.Available(now, d) {
 					if d == nil || d.Holder != ids[i] {
 						index++
-						c := &register.Command{Op: register.Grant, Duty: "d", Who: ids[i], Life: 1}
+						c := &register.Command{Op: register.OpGrant, Lease: "d", Holder: ids[i], Incarnation: 1}
 						if d != nil {
-							c.Token = d.Token
+							c.ExpectedToken = d.FencingToken
 						}
 						state.Apply(index, c)
 					}
-					ledger.Answered(now, "d")
-					a.Yes = true
+					ledger.Extend(now, "d")
+					a.Granted = true
 				}
-				d = state.Duties["d"]
-				a.Token, a.Holder, a.Left = d.Token, d.Holder, ledger.Left(now, "d")
-				holders[i].Hear(now, a)
+				d = state.Leases["d"]
+				a.FencingToken, a.Holder, a.Remaining = d.FencingToken, d.Holder, ledger.Remaining(now, "d")
+				holders[i].HandleResponse(now, a)
 			}
 		}
-		_, may := holders[i].May(now, "d")
+		_, may := holders[i].Valid(now, "d")
 		return may
 	}
 	type line struct {
@@ -206,11 +206,11 @@
 				continue
 			}
 			if flush[i] = now; !o.Single {
-				flush[i] += prober.Collect(o.Routers - 1)
+				flush[i] += prober.BatchInterval(o.Routers - 1)
 			}
 			packets := float64(len(queue[i]))
 			if !o.Single {
-				packets = math.Ceil(packets / prober.Together)
+				packets = math.Ceil(packets / prober.MaxReportsPerPacket)
 			}
 			for k := range ids {
 				if k == i || view(now, i) != 0 && side(i) != side(k) {
--- a/internal/logs/golden_test.go
+++ b/internal/logs/golden_test.go
@@ -23,16 +23,16 @@
 	var out bytes.Buffer
 	log := New(&out)
 	for _, level := range Levels {
-		if err := Set(level); err != nil {
+		if err := SetLevel(level); err != nil {
 			t.Fatal(err)
 		}
 		log.Debug().Int("n", 1).Msg("at " + level)
 		log.Info().Str("server", "s-00000001").Float64("took_ms", 1.5).Msg("at " + level)
 		log.Warn().Bool("ready", true).Msg("at " + level)
 		log.Error().Err(errors.New("two\nlines")).Msg("at " + level)
-		Counters(log, map[string]int64{"b": 2, "a": 1, "c_3": -3})
+		WriteCounters(log, map[string]int64{"b": 2, "a": 1, "c_3": -3})
 	}
-	if _, err := Level("loud"); err == nil {
+	if _, err := ParseLevel("loud"); err == nil {
 		t.Error("a level that does not exist is read")
 	} else {
 		out.WriteString(err.Error() + "\n")
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -20,8 +20,8 @@
 // Levels are the names that a level may have, the most talkative first.
 var Levels = []string{"debug", "info", "warn", "error", "off"}
 
-// Level reads the name of a level.
-func Level(name string) (zerolog.Level, error) {
+// ParseLevel reads the name of a level.
+func ParseLevel(name string) (zerolog.Level, error) {
 	for i, n := range Levels {
 		if n == name {
 			return [...]zerolog.Level{zerolog.DebugLevel, zerolog.InfoLevel, zerolog.WarnLevel, zerolog.ErrorLevel, zerolog.Disabled}[i], nil
@@ -37,18 +37,18 @@
 	return &l
 }
 
-// Set sets the level from which on all logs of the program write. An unknown name
+// SetLevel sets the level from which on all logs of the program write. An unknown name
 // changes nothing.
-func Set(name string) error {
-	l, err := Level(name)
+func SetLevel(name string) error {
+	l, err := ParseLevel(name)
 	if err == nil {
 		zerolog.SetGlobalLevel(l)
 	}
 	return err
 }
 
-// Counters logs counters as one event, by name.
-func Counters(l *zerolog.Logger, all map[string]int64) {
+// WriteCounters logs counters as one event, by name.
+func WriteCounters(l *zerolog.Logger, all map[string]int64) {
 	e := l.Info()
 	for _, n := range slices.Sorted(maps.Keys(all)) {
 		e.Int64(n, all[n])
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -11,22 +11,22 @@
 
 // One event is one line of JSON, whatever stands in it, and a level that does not
 // exist changes nothing.
-func TestOneEventALine(t *testing.T) {
+func TestOneEventPerLine(t *testing.T) {
 	defer zerolog.SetGlobalLevel(zerolog.GlobalLevel())
 	var out bytes.Buffer
 	l := New(&out)
-	if err := Set("warn"); err != nil {
+	if err := SetLevel("warn"); err != nil {
 		t.Fatal(err)
 	}
-	if Set("loud") == nil {
+	if SetLevel("loud") == nil {
 		t.Error("a level that does not exist was taken")
 	}
 	l.Info().Msg("below the level")
 	l.Error().Err(errors.New("two\nlines")).Msg("reload refused")
-	if err := Set("info"); err != nil {
+	if err := SetLevel("info"); err != nil {
 		t.Fatal(err)
 	}
-	Counters(l, map[string]int64{"b": 2, "a": 1})
+	WriteCounters(l, map[string]int64{"b": 2, "a": 1})
 	lines := bytes.Split(bytes.TrimSpace(out.Bytes()), []byte("\n"))
 	if len(lines) != 2 {
 		t.Fatalf("%q: want two lines", out.String())
--- a/internal/marks/golden_test.go
+++ b/internal/marks/golden_test.go
@@ -19,7 +19,7 @@
 	state := t.TempDir()
 	want := map[decide.ServerID]bool{7: true, 0xc41f7a: true, 0xffffffff: true}
 	for id := range want {
-		if err := In(state).Set(id, true); err != nil {
+		if err := NewStore(state).Set(id, true); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -52,7 +52,7 @@
 	if err != nil || out.String() != string(text) {
 		t.Errorf("got\n%swant\n%s%v", out.String(), text, err)
 	}
-	if got, err := In("testdata/state").All(); err != nil || !maps.Equal(got, want) {
+	if got, err := NewStore("testdata/state").List(); err != nil || !maps.Equal(got, want) {
 		t.Errorf("the earlier version's: %v, %v", got, err)
 	}
 }
--- a/internal/marks/marks.go
+++ b/internal/marks/store.go
@@ -12,22 +12,22 @@
 	"garnetline/decide"
 )
 
-// Dir is the folder of the marks. An empty one keeps nothing.
-type Dir string
+// Store is the folder of the marks. An empty one keeps nothing.
+type Store string
 
-// In returns the folder of the marks in a state folder, which may be empty.
-func In(state string) Dir {
+// NewStore returns the folder of the marks in a state folder, which may be empty.
+func NewStore(state string) Store {
 	if state == "" {
 		return ""
 	}
-	return Dir(filepath.Join(state, "garnetline-disabled"))
+	return Store(filepath.Join(state, "garnetline-disabled"))
 }
 
-// All returns what is marked. What is not a mark is passed over.
+// List returns what is marked. What is not a mark is passed over.
 //
 // Symptom guarded against: a folder that could not be read for want of descriptors
 // looked empty, and every cache that was out came back.
-func (d Dir) All() (map[decide.ServerID]bool, error) {
+func (d Store) List() (map[decide.ServerID]bool, error) {
 	if d == "" {
 		return nil, nil
 	}
@@ -45,7 +45,7 @@
 }
 
 // Set marks a server, or takes its mark away.
-func (d Dir) Set(id decide.ServerID, on bool) error {
+func (d Store) Set(id decide.ServerID, on bool) error {
 	if d == "" {
 		return nil
 	}
--- a/internal/marks/marks_test.go
+++ b/internal/marks/store_test.go
@@ -11,9 +11,9 @@
 
 // Guards what a successor reads, and that a folder that cannot be read is an error
 // and not a folder without marks, which would bring every cache back.
-func TestMarks(t *testing.T) {
+func TestStore(t *testing.T) {
 	state := t.TempDir()
-	d := In(state)
+	d := NewStore(state)
 	want := map[decide.ServerID]bool{}
 	for _, step := range []struct {
 		id decide.ServerID
@@ -28,18 +28,18 @@
 		if err := os.WriteFile(filepath.Join(string(d), "other"), nil, 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if got, err := In(state).All(); err != nil || !maps.Equal(got, want) {
+		if got, err := NewStore(state).List(); err != nil || !maps.Equal(got, want) {
 			t.Fatalf("%v, %v; want %v", got, err, want)
 		}
 	}
-	if got, err := In("").All(); err != nil || len(got) != 0 || In("").Set(7, true) != nil {
+	if got, err := NewStore("").List(); err != nil || len(got) != 0 || NewStore("").Set(7, true) != nil {
 		t.Errorf("without a folder: %v, %v", got, err)
 	}
 	file := filepath.Join(t.TempDir(), "file")
 	if err := os.WriteFile(file, nil, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Dir(file).All(); err == nil {
+	if _, err := Store(file).List(); err == nil {
 		t.Error("what is no folder was read as an empty one")
 	}
 }
--- a/internal/peer/golden_test.go
+++ b/internal/peer/golden_test.go
@@ -20,8 +20,8 @@
 // anew by `go test ./internal/peer -run Golden -update`, which only a change of the wire calls for.
 var update = flag.Bool("update", false, "write the golden files of testdata")
 
-// golden compares bytes with a file of testdata.
-func golden(t *testing.T, name string, got []byte) {
+// compareGolden compares bytes with a file of testdata.
+func compareGolden(t *testing.T, name string, got []byte) {
 	t.Helper()
 	path := "testdata/" + name
 	if *update {
@@ -42,21 +42,21 @@
 func goldenAttempts() []*core.Attempt {
 	const now = 1.7e12
 	part := &decide.Class{Name: "video-part"}
-	write := &decide.Class{Name: "submit", Write: true, Effect: decide.Unsafe}
-	attempt := func(txn string, class *decide.Class, get decide.Get) *core.Attempt {
-		return &core.Attempt{Req: &core.Request{Txn: txn, Object: 0x7f3a9c21e0b4d655, Part: 3, Group: 17}, Class: class, Get: get, Until: now + 1480.6}
+	write := &decide.Class{Name: "submit", Write: true, Idempotency: decide.NonIdempotent}
+	attempt := func(txn string, class *decide.Class, get decide.SendAttempt) *core.Attempt {
+		return &core.Attempt{Request: &core.Request{TransactionID: txn, Object: 0x7f3a9c21e0b4d655, Chunk: 3, Group: 17}, Class: class, Decision: get, ExpiresAt: now + 1480.6}
 	}
-	plain := attempt("9b1f03aa5c7e2d41", part, decide.Get{Server: 0xc41f7a, Source: 0xc41f7a})
-	filled := attempt("9b1f03aa5c7e2d42", part, decide.Get{Server: 0xc41f7a, Source: 8, Keep: 3, Join: true})
-	held := attempt("9b1f03aa5c7e2d43", part, decide.Get{Server: 0xc41f7a, Source: 0xffffffff, HeldOnly: true, Renew: true})
-	all := attempt("9b1f03aa5c7e2d44", part, decide.Get{Server: 1, Source: 2, Keep: 1, Join: true, HeldOnly: true, Renew: true})
-	all.Req.Known = "4be0c1927d55a6f3"
-	all.Req.Key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
-	written := attempt("9b1f03aa5c7e2d45", write, decide.Get{Server: 9, Source: 9})
-	written.Req.Body = []byte("$4\r\nbody\x00\xff")
-	written.Req.Object, written.Req.Part = 1, 0
-	late := attempt("9b1f03aa5c7e2d46", part, decide.Get{Server: 9, Source: 9})
-	late.Until = now - 5
+	plain := attempt("9b1f03aa5c7e2d41", part, decide.SendAttempt{Server: 0xc41f7a, FillSource: 0xc41f7a})
+	filled := attempt("9b1f03aa5c7e2d42", part, decide.SendAttempt{Server: 0xc41f7a, FillSource: 8, CopyRank: 3, JoinFill: true})
+	held := attempt("9b1f03aa5c7e2d43", part, decide.SendAttempt{Server: 0xc41f7a, FillSource: 0xffffffff, OnlyIfCached: true, Revalidate: true})
+	all := attempt("9b1f03aa5c7e2d44", part, decide.SendAttempt{Server: 1, FillSource: 2, CopyRank: 1, JoinFill: true, OnlyIfCached: true, Revalidate: true})
+	all.Request.IfNoneMatch = "4be0c1927d55a6f3"
+	all.Request.IdempotencyKey = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+	written := attempt("9b1f03aa5c7e2d45", write, decide.SendAttempt{Server: 9, FillSource: 9})
+	written.Request.Body = []byte("$4\r\nbody\x00\xff")
+	written.Request.Object, written.Request.Chunk = 1, 0
+	late := attempt("9b1f03aa5c7e2d46", part, decide.SendAttempt{Server: 9, FillSource: 9})
+	late.ExpiresAt = now - 5
 	return []*core.Attempt{plain, filled, held, all, written, late}
 }
 
@@ -64,17 +64,17 @@
 	var out []byte
 	for i, a := range goldenAttempts() {
 		age := []float64{0, 0.4, 7999.9}[i%3]
-		out = appendServe(out, a, age, 1.7e12, "")
+		out = appendServeCommand(out, a, age, 1.7e12, "")
 	}
-	m := newModel(t)
-	m.p.Traced = true
-	m.p.kept <- trace.ID{1}
-	m.p.kept <- trace.ID{2}
+	m := newHarness(t)
+	m.upstream.PropagateTraces = true
+	m.upstream.retainedTraces <- trace.ID{1}
+	m.upstream.retainedTraces <- trace.ID{2}
 	traced := goldenAttempts()[1]
-	traced.Trace = &core.Trace{Context: trace.Parent{Trace: trace.ID{5}, Span: 6, Sampled: true}}
-	out = appendServe(out, traced, 20, 1.7e12, m.p.context(traced))
-	out = appendCancel(out, "9b1f03aa5c7e2d41")
-	golden(t, "commands.resp", out)
+	traced.Trace = &core.AttemptTrace{Context: trace.Parent{Trace: trace.ID{5}, Span: 6, Sampled: true}}
+	out = appendServeCommand(out, traced, 20, 1.7e12, m.upstream.traceFields(traced))
+	out = appendCancelCommand(out, "9b1f03aa5c7e2d41")
+	compareGolden(t, "commands.resp", out)
 	if got := commands(t, out); len(got) != 8 || got[4][3] != "$4\r\nbody\x00\xff" || got[7][0] != "cancel" {
 		t.Errorf("read back as %q", got)
 	}
@@ -109,13 +109,13 @@
 
 // TestGoldenReplies reads each form of an answer, whole and a byte at a time.
 func TestGoldenReplies(t *testing.T) {
-	golden(t, "replies.resp", goldenReplies())
+	compareGolden(t, "replies.resp", goldenReplies())
 	stored, err := os.ReadFile("testdata/replies.resp")
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, in := range []io.Reader{bytes.NewReader(stored), iotest.OneByteReader(bytes.NewReader(stored))} {
-		k := sock.New(source{r: in})
+		k := sock.New(byteSource{reader: in})
 		var out strings.Builder
 		for {
 			r, err := readReply(k, nil)
@@ -123,31 +123,31 @@
 				fmt.Fprintf(&out, "%v\n", err)
 				break
 			}
-			a := &core.Attempt{Req: &core.Request{Known: "offered"}, Get: decide.Get{Server: 7}}
-			e, err := r.end(a)
+			a := &core.Attempt{Request: &core.Request{IfNoneMatch: "offered"}, Decision: decide.SendAttempt{Server: 7}}
+			e, err := r.completion(a)
 			if err != nil {
 				fmt.Fprintf(&out, "%s %v\n", r.id, err)
 				continue
 			}
-			fmt.Fprintf(&out, "%s result=%d kind=%d server=%d tag=%q body=%q note=%d waited=%g load=%g,%g,%g,%g\n", r.id, int(e.Result), int(e.Answer.Kind),
-				uint32(e.Answer.Server), e.Answer.Tag, e.Answer.Body, int(e.Note), e.Waited, e.Load.Inflight, e.Load.Busy, e.Load.HitShare, e.Load.Link)
+			fmt.Fprintf(&out, "%s result=%d kind=%d server=%d tag=%q body=%q note=%d waited=%g load=%g,%g,%g,%g\n", r.id, int(e.Result), int(e.Response.Kind),
+				uint32(e.Response.Server), e.Response.ETag, e.Response.Body, int(e.Note), e.FillWait, e.Load.Inflight, e.Load.CPUUtilization, e.Load.HitRatio, e.Load.LinkUtilization)
 		}
-		golden(t, "replies.golden", []byte(out.String()))
+		compareGolden(t, "replies.golden", []byte(out.String()))
 	}
 }
 
-// TestGoldenGauges reads the answer to a probe.
-func TestGoldenGauges(t *testing.T) {
+// TestGoldenLoadReport reads the answer to a probe.
+func TestGoldenLoadReport(t *testing.T) {
 	var out strings.Builder
 	for _, r := range [][3]string{{"p", "FIT", "l=util:0.5;inflight:2;x0:1;x1:0"}, {"p", "UNFIT", "-"}, {"q", "FIT", "-"}, {"p", "DONE", "-"}} {
 		near, far := tcpPair(t)
 		if _, err := far.Write([]byte(frame(r[0], r[1], r[2], ""))); err != nil {
 			t.Fatal(err)
 		}
-		l, err := ReadGauges(sock.New(near), "p", 100, 5000)
-		fmt.Fprintf(&out, "%s %s %s: load=%g,%g,%g,%g %v\n", r[0], r[1], r[2], l.Inflight, l.Busy, l.HitShare, l.Link, err)
+		l, err := ReadLoadReport(sock.New(near), "p", 100, 5000)
+		fmt.Fprintf(&out, "%s %s %s: load=%g,%g,%g,%g %v\n", r[0], r[1], r[2], l.Inflight, l.CPUUtilization, l.HitRatio, l.LinkUtilization, err)
 	}
-	golden(t, "gauges.golden", []byte(out.String()))
+	compareGolden(t, "gauges.golden", []byte(out.String()))
 }
 
 func BenchmarkAppendServe(b *testing.B) {
@@ -155,7 +155,7 @@
 	var out []byte
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
-		out = appendServe(out[:0], attempts[i%len(attempts)], 20, 1.7e12, "")
+		out = appendServeCommand(out[:0], attempts[i%len(attempts)], 20, 1.7e12, "")
 	}
 }
 
@@ -175,13 +175,13 @@
 	for name, size := range map[string]int{"small": 100, "large": 100_000} {
 		b.Run(name, func(b *testing.B) {
 			text := frame("9b1f03aa5c7e2d41", "DONE", "tag=4be0c1927d55a6f3,minted=1764576000123,n=cached,lag=1.5,l=inflight:7;util:0.61", strings.Repeat("x", size))
-			k := sock.New(source{r: &repeated{text: []byte(text)}})
-			a := &core.Attempt{Req: &core.Request{}, Get: decide.Get{Server: 7}}
+			k := sock.New(byteSource{reader: &repeated{text: []byte(text)}})
+			a := &core.Attempt{Request: &core.Request{}, Decision: decide.SendAttempt{Server: 7}}
 			b.ReportAllocs()
 			for b.Loop() {
 				r, err := readReply(k, nil)
 				if err == nil {
-					_, err = r.end(a)
+					_, err = r.completion(a)
 				}
 				if err != nil {
 					b.Fatal(err)
--- a/internal/peer/resp.go
+++ b/internal/peer/resp.go
@@ -16,157 +16,157 @@
 
 // What one answer may bring: a RESP array of four bulk strings.
 const (
-	maxWord = 4 << 10  // id, word or fields
-	maxBody = 240_000  // the largest object
-	maxLine = 32       // a length line
-	maxLag  = 600_000  // ms; a longer wait for a source is none
-	maxMore = 4 * 1024 // what textproto's reader may hold beyond it
-	maxAll  = maxBody + 3*maxWord + 5*maxLine + maxMore
+	maxFieldBytes = 4 << 10  // id, word or fields
+	maxBodyBytes  = 240_000  // the largest object
+	maxLengthLine = 32       // a length line
+	maxFillWait   = 600_000  // ms; a longer wait for a source is none
+	maxReadAhead  = 4 * 1024 // what textproto's reader may hold beyond it
+	maxReplyBytes = maxBodyBytes + 3*maxFieldBytes + 5*maxLengthLine + maxReadAhead
 )
 
-var errFrame = errors.New("not an answer")
+var errMalformedReply = errors.New("not an answer")
 
 // reply is one answer as it came.
 type reply struct {
-	id, word, fields string
-	body             []byte
+	id, status, fields string
+	body               []byte
 }
 
 // readReply reads one answer. The body is the caller's; sized is told its length before.
 func readReply(k *sock.Conn, sized func(n int)) (reply, error) {
-	k.Allow(maxAll)
+	k.LimitRead(maxReplyBytes)
 	var r reply
-	n, err := length(k, '*', 4)
+	n, err := readLength(k, '*', 4)
 	if err != nil {
 		return r, err
 	}
 	if n != 4 {
-		return r, fmt.Errorf("%w: array of %d", errFrame, n)
+		return r, fmt.Errorf("%w: array of %d", errMalformedReply, n)
 	}
 	for i := range 3 {
-		b, err := bulk(k, maxWord, nil)
+		b, err := readBulk(k, maxFieldBytes, nil)
 		if err != nil {
 			return r, err
 		}
-		*[]*string{&r.id, &r.word, &r.fields}[i] = string(b)
+		*[]*string{&r.id, &r.status, &r.fields}[i] = string(b)
 	}
-	b, err := bulk(k, maxBody, sized)
+	b, err := readBulk(k, maxBodyBytes, sized)
 	if len(b) > 0 {
 		r.body = append([]byte(nil), b...)
 	}
-	k.RestIn()
+	k.ShrinkReadBuffer()
 	return r, err
 }
 
-// length reads a line of a RESP type and its length.
-func length(k *sock.Conn, kind byte, most int) (int, error) {
-	line, err := k.Line()
+// readLength reads a line of a RESP type and its length.
+func readLength(k *sock.Conn, kind byte, most int) (int, error) {
+	line, err := k.ReadLineSlice()
 	if err != nil {
 		return 0, err
 	}
-	if len(line) < 2 || len(line) > maxLine || line[0] != kind {
-		return 0, fmt.Errorf("%w: want a line of %q", errFrame, kind)
+	if len(line) < 2 || len(line) > maxLengthLine || line[0] != kind {
+		return 0, fmt.Errorf("%w: want a line of %q", errMalformedReply, kind)
 	}
 	n, err := strconv.ParseUint(string(line[1:]), 10, 32)
 	if err != nil || n > uint64(most) {
-		return 0, fmt.Errorf("%w: length out of range", errFrame)
+		return 0, fmt.Errorf("%w: length out of range", errMalformedReply)
 	}
 	return int(n), nil
 }
 
-// bulk reads a bulk string into the connection's buffer.
-func bulk(k *sock.Conn, most int, sized func(n int)) ([]byte, error) {
-	n, err := length(k, '$', most)
+// readBulk reads a bulk string into the connection's buffer.
+func readBulk(k *sock.Conn, most int, sized func(n int)) ([]byte, error) {
+	n, err := readLength(k, '$', most)
 	if err != nil {
 		return nil, err
 	}
 	if sized != nil {
 		sized(n)
 	}
-	b, err := k.Body(n + 2)
+	b, err := k.ReadBody(n + 2)
 	if err != nil {
 		return nil, err
 	}
 	if b[n] != '\r' || b[n+1] != '\n' {
-		return nil, fmt.Errorf("%w: bulk string of another length", errFrame)
+		return nil, fmt.Errorf("%w: bulk string of another length", errMalformedReply)
 	}
 	return b[:n], nil
 }
 
-// results are the words of an answer.
-var results = map[string]decide.Result{"DONE": decide.Served, "KEEP": decide.Served, "LACK": decide.Miss,
-	"WAIT": decide.Full, "BROKE": decide.Errored, "PAST": decide.NotSent}
+// resultsByStatus are the words of an answer.
+var resultsByStatus = map[string]decide.Result{"DONE": decide.Served, "KEEP": decide.Served, "LACK": decide.NotCached,
+	"WAIT": decide.Rejected, "BROKE": decide.ServerError, "PAST": decide.NotSent}
 
-// end turns an answer to an attempt into its end.
-func (r reply) end(a *core.Attempt) (core.End, error) {
-	e := core.End{Attempt: a, Load: core.NoLoad()}
+// completion turns an answer to an attempt into its end.
+func (r reply) completion(a *core.Attempt) (core.Completion, error) {
+	e := core.Completion{Attempt: a, Load: core.UnknownLoad()}
 	var ok bool
 	notes, lags, tags := 0, 0, 0
-	if e.Result, ok = results[r.word]; !ok {
-		return e, fmt.Errorf("%w: word %.20q", errFrame, r.word)
+	if e.Result, ok = resultsByStatus[r.status]; !ok {
+		return e, fmt.Errorf("%w: word %.20q", errMalformedReply, r.status)
 	}
 	if r.fields != "-" && r.fields != "" {
 		for f := range strings.SplitSeq(r.fields, ",") {
 			name, value, ok := strings.Cut(f, "=")
 			switch {
 			case !ok:
-				return e, fmt.Errorf("%w: field %.20q", errFrame, f)
+				return e, fmt.Errorf("%w: field %.20q", errMalformedReply, f)
 			case name == "tag":
-				if !core.Plain(value) {
-					return e, fmt.Errorf("%w: tag", errFrame)
+				if !core.ValidFieldValue(value) {
+					return e, fmt.Errorf("%w: tag", errMalformedReply)
 				}
-				e.Answer.Tag = value
+				e.Response.ETag = value
 				tags++
 			case name == "l":
-				load(&e.Load, value)
+				parseLoad(&e.Load, value)
 			case name == "n":
-				e.Note = note(value)
+				e.Note = parseCacheStatus(value)
 				notes++
 			case name == "lag":
-				e.Waited = waited(value)
+				e.FillWait = parseFillWait(value)
 				lags++
 			}
 		}
 	}
 	if notes > 1 { // which of them holds is not told
-		e.Note = decide.NoNote
+		e.Note = decide.CacheStatusUnknown
 	}
 	if lags > 1 {
-		e.Waited = 0
+		e.FillWait = 0
 	}
 	switch {
-	case r.word == "DONE":
-		e.Answer.Kind, e.Answer.Body = core.Served, r.body
-	case r.word == "KEEP" && (a.Req.Known == "" || tags != 1 || e.Answer.Tag != a.Req.Known):
+	case r.status == "DONE":
+		e.Response.Kind, e.Response.Body = core.Served, r.body
+	case r.status == "KEEP" && (a.Request.IfNoneMatch == "" || tags != 1 || e.Response.ETag != a.Request.IfNoneMatch):
 		// Symptom guarded against: a cache that named another copy, or none, had the client
 		// told by a 304 that its own is current.
-		e.Result = decide.Errored
-	case r.word == "KEEP":
-		e.Answer.Kind = core.Same
+		e.Result = decide.ServerError
+	case r.status == "KEEP":
+		e.Response.Kind = core.NotModified
 	}
-	e.Answer.Server = a.Get.Server
+	e.Response.Server = a.Decision.Server
 	return e, nil
 }
 
-// noteWords are the words that stand in n, in the module's order.
-var noteWords = []string{"", "cached", "fetched", "fetched_root", "merged", "past_fresh", "up_refused", "up_lost", "up_empty",
+// cacheStatusNames are the words that stand in n, in the module's order.
+var cacheStatusNames = []string{"", "cached", "fetched", "fetched_root", "merged", "past_fresh", "up_refused", "up_lost", "up_empty",
 	"fills_full", "root_failed"}
 
-// note reads a note. One that is not known counts as not told.
-func note(s string) decide.Note {
-	return decide.Note(max(slices.Index(noteWords, s), 0))
+// parseCacheStatus reads a note. One that is not known counts as not told.
+func parseCacheStatus(s string) decide.CacheStatus {
+	return decide.CacheStatus(max(slices.Index(cacheStatusNames, s), 0))
 }
 
-// waited reads the time for the source, in milliseconds. What is no time counts as not told.
-func waited(s string) float64 {
-	if x, err := strconv.ParseFloat(s, 64); err == nil && x >= 0 && x < maxLag {
+// parseFillWait reads the time for the source, in milliseconds. What is no time counts as not told.
+func parseFillWait(s string) float64 {
+	if x, err := strconv.ParseFloat(s, 64); err == nil && x >= 0 && x < maxFillWait {
 		return x
 	}
 	return 0
 }
 
-// load reads a load report. What cannot be read is left out: it is advice.
-func load(l *decide.Load, s string) {
+// parseLoad reads a load report. What cannot be read is left out: it is advice.
+func parseLoad(l *decide.LoadReport, s string) {
 	for f := range strings.SplitSeq(s, ";") {
 		name, value, _ := strings.Cut(f, ":")
 		x, err := strconv.ParseFloat(value, 64)
@@ -177,58 +177,58 @@
 		case "inflight", "active":
 			l.Inflight = x
 		case "util", "cpu":
-			l.Busy = x
+			l.CPUUtilization = x
 		case "x0":
-			l.HitShare = x
+			l.HitRatio = x
 		case "x1":
-			l.Link = x
+			l.LinkUtilization = x
 		}
 	}
 }
 
-// appendServe appends the command of an attempt, written at now, with more fields.
-func appendServe(dst []byte, a *core.Attempt, age float64, now float64, more string) []byte {
-	r := a.Req
+// appendServeCommand appends the command of an attempt, written at now, with more fields.
+func appendServeCommand(dst []byte, a *core.Attempt, age float64, now float64, more string) []byte {
+	r := a.Request
 	f := make([]byte, 0, 256)
-	f = fmt.Appendf(f, "sort=%s,asset=%016x,slice=%d,patience=%d", a.Class.Name, uint64(r.Object), r.Part,
-		max(1, int64(a.Until-now)))
-	if r.Key != "" {
-		f = fmt.Appendf(f, ",op=%s", r.Key)
+	f = fmt.Appendf(f, "sort=%s,asset=%016x,slice=%d,patience=%d", a.Class.Name, uint64(r.Object), r.Chunk,
+		max(1, int64(a.ExpiresAt-now)))
+	if r.IdempotencyKey != "" {
+		f = fmt.Appendf(f, ",op=%s", r.IdempotencyKey)
 	}
-	if a.Get.Source != a.Get.Server {
-		f = fmt.Appendf(f, ",via=%v", a.Get.Source)
+	if a.Decision.FillSource != a.Decision.Server {
+		f = fmt.Appendf(f, ",via=%v", a.Decision.FillSource)
 	}
-	if a.Get.Keep > 0 {
-		f = fmt.Appendf(f, ",tier=%d", a.Get.Keep)
+	if a.Decision.CopyRank > 0 {
+		f = fmt.Appendf(f, ",tier=%d", a.Decision.CopyRank)
 	}
 	if age > 0 {
 		f = fmt.Appendf(f, ",fresh=%d", max(1, int64(age)))
 	}
 	words := make([]string, 0, 3)
-	if a.Get.Join {
+	if a.Decision.JoinFill {
 		words = append(words, "join")
 	}
-	if a.Get.HeldOnly {
+	if a.Decision.OnlyIfCached {
 		words = append(words, "held")
 	}
-	if a.Get.Renew {
+	if a.Decision.Revalidate {
 		words = append(words, "renew")
 	}
 	if len(words) > 0 {
 		f = fmt.Appendf(f, ",opts=%s", strings.Join(words, "+"))
 	}
-	if r.Known != "" {
-		f = fmt.Appendf(f, ",known=%s", r.Known)
+	if r.IfNoneMatch != "" {
+		f = fmt.Appendf(f, ",known=%s", r.IfNoneMatch)
 	}
 	f = append(f, more...)
 	dst = append(dst, "*4\r\n"...)
 	dst = appendBulk(dst, "serve")
-	dst = appendBulk(dst, r.Txn)
+	dst = appendBulk(dst, r.TransactionID)
 	dst = appendBulk(dst, string(f))
 	return appendBulk(dst, string(r.Body))
 }
 
-func appendCancel(dst []byte, txn string) []byte {
+func appendCancelCommand(dst []byte, txn string) []byte {
 	return appendBulk(appendBulk(append(dst, "*2\r\n"...), "cancel"), txn)
 }
 
@@ -236,23 +236,23 @@
 	return append(append(fmt.Appendf(dst, "$%d\r\n", len(s)), s...), "\r\n"...)
 }
 
-// ReadGauges reads the answer to a probe that was sent as gauges under a tag, within so
+// ReadLoadReport reads the answer to a probe that was sent as gauges under a tag, within so
 // many ms. What the report leaves out is NaN.
-func ReadGauges(k *sock.Conn, tag string, most int, within float64) (decide.Load, error) {
-	l := core.NoLoad()
-	if err := k.Net.SetReadDeadline(time.Now().Add(clock.Duration(within))); err != nil {
+func ReadLoadReport(k *sock.Conn, tag string, most int, within float64) (decide.LoadReport, error) {
+	l := core.UnknownLoad()
+	if err := k.NetConn.SetReadDeadline(time.Now().Add(clock.Duration(within))); err != nil {
 		return l, err
 	}
 	r, err := readReply(k, nil)
 	if err != nil {
 		return l, err
 	}
-	if r.id != tag || r.word != "FIT" && r.word != "UNFIT" || len(r.body) > most {
-		return l, fmt.Errorf("%w to a probe", errFrame)
+	if r.id != tag || r.status != "FIT" && r.status != "UNFIT" || len(r.body) > most {
+		return l, fmt.Errorf("%w to a probe", errMalformedReply)
 	}
 	for f := range strings.SplitSeq(r.fields, ",") {
 		if value, ok := strings.CutPrefix(f, "l="); ok {
-			load(&l, value)
+			parseLoad(&l, value)
 		}
 	}
 	return l, nil
--- a/internal/peer/tcp_test.go
+++ b/internal/peer/tcp_test.go
@@ -23,12 +23,12 @@
 
 // cacheServer is a cache on a loopback listener whose every word the test says.
 type cacheServer struct {
-	t    *testing.T
-	addr netip.AddrPort
-	ln   net.Listener
-	pool *Pool
-	clk  *clock.Manual
-	ends chan core.End
+	t           *testing.T
+	addr        netip.AddrPort
+	ln          net.Listener
+	pool        *Pool
+	clock       *clock.Manual
+	completions chan core.Completion
 }
 
 // cacheConn is the cache's side of one connection.
@@ -46,20 +46,22 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	s := &cacheServer{t: t, ln: ln, addr: netip.MustParseAddrPort(ln.Addr().String()), clk: clock.NewManual(1.7e12), ends: make(chan core.End, 16)}
+	s := &cacheServer{t: t, ln: ln, addr: netip.MustParseAddrPort(ln.Addr().String()), clock: clock.NewManual(1.7e12), completions: make(chan core.Completion, 16)}
 	guard := &decide.Guard{Ready: map[decide.ServerID]bool{1: true, 8: true}}
-	options := Options{Clock: s.clk, Conn: func() config.Conn { return config.Conn{Idle: 15_000, Connect: 5000, MaxStreams: 4} },
-		Guard: func() *decide.Guard { return guard }, End: func(e core.End) { s.ends <- e }, Stats: stats.New(), Links: func() int64 { return 0 }}
+	options := Options{Clock: s.clock, Settings: func() config.Upstream {
+		return config.Upstream{IdleTimeout: 15_000, ConnectTimeout: 5000, MaxStreams: 4}
+	},
+		Guard: func() *decide.Guard { return guard }, Complete: func(e core.Completion) { s.completions <- e }, Metrics: stats.New(), MaxConnections: func() int64 { return 0 }}
 	if change != nil {
 		change(&options)
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	s.pool = NewPool(ctx, options)
-	s.pool.List(config.Event{Fleet: true, Whole: true, Hosts: []config.Host{{Server: decide.Server{ID: 1, Phase: decide.Ready}, Dial: s.addr}}})
-	actor := s.pool.peers[1]
+	s.pool.UpdateEndpoints(config.WatchEvent{ListUpdate: true, Snapshot: true, Endpoints: []config.Endpoint{{Server: decide.Server{ID: 1, Phase: decide.Ready}, Addr: s.addr}}})
+	actor := s.pool.upstreams[1]
 	t.Cleanup(func() {
 		stop()
-		<-actor.done
+		<-actor.stopped
 	})
 	return s
 }
@@ -73,8 +75,8 @@
 // sendBy is send of an attempt that may be written until a time.
 func (s *cacheServer) sendBy(txn, known string, by float64) *core.Attempt {
 	s.t.Helper()
-	a := &core.Attempt{Req: &core.Request{Txn: txn, Object: 7, Known: known}, Class: &decide.Class{Name: "part"},
-		Get: decide.Get{Server: 1, Source: 8}, Until: s.clk.Now() + 60_000, SendBy: by}
+	a := &core.Attempt{Request: &core.Request{TransactionID: txn, Object: 7, IfNoneMatch: known}, Class: &decide.Class{Name: "part"},
+		Decision: decide.SendAttempt{Server: 1, FillSource: 8}, ExpiresAt: s.clock.Now() + 60_000, SendDeadline: by}
 	if e := s.pool.Send(a); e != nil {
 		s.t.Fatalf("%s was not taken: %v", txn, e.Result)
 	}
@@ -94,20 +96,20 @@
 	return &cacheConn{TCPConn: c.(*net.TCPConn), t: s.t, in: bufio.NewReader(c)}
 }
 
-// end waits for the end of an attempt.
-func (s *cacheServer) end(of *core.Attempt) core.End {
+// completion waits for the end of an attempt.
+func (s *cacheServer) completion(of *core.Attempt) core.Completion {
 	s.t.Helper()
 	select {
-	case e := <-s.ends:
+	case e := <-s.completions:
 		if e.Attempt != of {
-			s.t.Fatalf("the end of %s came, not of %s", e.Attempt.Req.Txn, of.Req.Txn)
+			s.t.Fatalf("the end of %s came, not of %s", e.Attempt.Request.TransactionID, of.Request.TransactionID)
 		}
-		s.pool.Over(of)
+		s.pool.Release(of)
 		return e
 	case <-time.After(testTimeout):
-		s.t.Fatalf("%s has no end", of.Req.Txn)
+		s.t.Fatalf("%s has no end", of.Request.TransactionID)
 	}
-	return core.End{}
+	return core.Completion{}
 }
 
 // command reads one command.
@@ -136,8 +138,8 @@
 	return words
 }
 
-// say writes bytes as they are.
-func (c *cacheConn) say(text string) {
+// write writes bytes as they are.
+func (c *cacheConn) write(text string) {
 	c.t.Helper()
 	if _, err := c.Write([]byte(text)); err != nil {
 		c.t.Fatal(err)
@@ -158,16 +160,16 @@
 	for i, test := range []struct {
 		known, fields string
 		result        decide.Result
-		kind          core.Kind
+		kind          core.ResponseKind
 	}{
-		{"t1", "tag=t1,minted=5", decide.Served, core.Same},
-		{"t1", "tag=t2,minted=5", decide.Errored, core.Failed},
-		{"t1", "tag=t1x", decide.Errored, core.Failed},
-		{"t1", "minted=5", decide.Errored, core.Failed},
-		{"t1", "-", decide.Errored, core.Failed},
-		{"t1", "tag=t2,tag=t1", decide.Errored, core.Failed},
-		{"t1", "tag=t1,tag=t2", decide.Errored, core.Failed},
-		{"", "tag=t1", decide.Errored, core.Failed},
+		{"t1", "tag=t1,minted=5", decide.Served, core.NotModified},
+		{"t1", "tag=t2,minted=5", decide.ServerError, core.Failed},
+		{"t1", "tag=t1x", decide.ServerError, core.Failed},
+		{"t1", "minted=5", decide.ServerError, core.Failed},
+		{"t1", "-", decide.ServerError, core.Failed},
+		{"t1", "tag=t2,tag=t1", decide.ServerError, core.Failed},
+		{"t1", "tag=t1,tag=t2", decide.ServerError, core.Failed},
+		{"", "tag=t1", decide.ServerError, core.Failed},
 	} {
 		txn := fmt.Sprint("r", i)
 		a := s.send(txn, test.known)
@@ -178,9 +180,9 @@
 		if offered := strings.HasSuffix(cmd[2], ",known="+test.known); offered != (test.known != "") {
 			t.Fatalf("%q was offered as %q", test.known, cmd[2])
 		}
-		c.say(frame(txn, "KEEP", test.fields, ""))
-		if e := s.end(a); e.Result != test.result || e.Answer.Kind != test.kind {
-			t.Errorf("offered %q, KEEP with %q: ended as %v, answered as %v", test.known, test.fields, e.Result, e.Answer.Kind)
+		c.write(frame(txn, "KEEP", test.fields, ""))
+		if e := s.completion(a); e.Result != test.result || e.Response.Kind != test.kind {
+			t.Errorf("offered %q, KEEP with %q: ended as %v, answered as %v", test.known, test.fields, e.Result, e.Response.Kind)
 		}
 	}
 }
@@ -209,7 +211,7 @@
 // counter waits until a counter of the pool has a value.
 func (s *cacheServer) counter(name string, want int64) {
 	s.t.Helper()
-	for until := time.Now().Add(testTimeout); s.pool.Stats.Counter(name).Load() < want; {
+	for until := time.Now().Add(testTimeout); s.pool.Metrics.Counter(name).Load() < want; {
 		if time.Now().After(until) {
 			s.t.Fatalf("%s did not come to %d", name, want)
 		}
@@ -220,20 +222,20 @@
 // connections waits until so many are open or being dialled.
 func (s *cacheServer) connections(want int64) {
 	s.t.Helper()
-	for until := time.Now().Add(testTimeout); s.pool.live.Load() != want; {
+	for until := time.Now().Add(testTimeout); s.pool.openConnections.Load() != want; {
 		if time.Now().After(until) {
-			s.t.Fatalf("%d connections, not %d", s.pool.live.Load(), want)
+			s.t.Fatalf("%d connections, not %d", s.pool.openConnections.Load(), want)
 		}
 		time.Sleep(time.Millisecond)
 	}
 }
 
-// noEnd checks that no attempt has ended.
-func (s *cacheServer) noEnd() {
+// noCompletion checks that no attempt has ended.
+func (s *cacheServer) noCompletion() {
 	s.t.Helper()
 	select {
-	case e := <-s.ends:
-		s.t.Fatalf("%s ended as %v", e.Attempt.Req.Txn, e.Result)
+	case e := <-s.completions:
+		s.t.Fatalf("%s ended as %v", e.Attempt.Request.TransactionID, e.Result)
 	default:
 	}
 }
@@ -273,19 +275,19 @@
 		a := s.send("a", "")
 		c := s.accept()
 		c.command()
-		c.say("*4\r\n$1\r\na\r\n$4\r\nDO")
+		c.write("*4\r\n$1\r\na\r\n$4\r\nDO")
 		end(c)
-		if e := s.end(a); e.Result != decide.Broken {
+		if e := s.completion(a); e.Result != decide.ConnectionLost {
 			t.Errorf("%s: ended as %v", name, e.Result)
 		}
 		b := s.send("b", "")
 		c = s.accept()
 		c.command()
-		c.say(frame("b", "DONE", "tag=t", "body"))
-		if e := s.end(b); e.Result != decide.Served || string(e.Answer.Body) != "body" {
+		c.write(frame("b", "DONE", "tag=t", "body"))
+		if e := s.completion(b); e.Result != decide.Served || string(e.Response.Body) != "body" {
 			t.Errorf("%s: what followed ended as %v", name, e.Result)
 		}
-		s.noEnd()
+		s.noCompletion()
 	}
 }
 
@@ -300,7 +302,7 @@
 	}
 	c.SetLinger(0)
 	c.Close()
-	if e := s.end(a); e.Result != decide.Broken {
+	if e := s.completion(a); e.Result != decide.ConnectionLost {
 		t.Errorf("ended as %v", e.Result)
 	}
 	s.connections(0)
@@ -313,17 +315,17 @@
 	a := s.send("a", "")
 	c := s.accept()
 	c.command()
-	c.say("*4\r\n$1\r\na\r\n$4\r\nDO")
-	a.Again = true
+	c.write("*4\r\n$1\r\na\r\n$4\r\nDO")
+	a.MayRetry = true
 	s.pool.Cancel(a)
-	if e := s.end(a); e.Result != decide.Cancelled {
+	if e := s.completion(a); e.Result != decide.Canceled {
 		t.Errorf("ended as %v", e.Result)
 	}
 	if _, err := c.in.ReadByte(); err == nil {
 		t.Error("the connection is still open")
 	}
 	s.connections(0)
-	s.noEnd()
+	s.noCompletion()
 }
 
 // A second answer some ms after the first is nobody's, whatever it says, and the connection
@@ -333,18 +335,18 @@
 	a := s.send("a", "")
 	c := s.accept()
 	c.command()
-	c.say(frame("a", "DONE", "tag=t", "first"))
-	if e := s.end(a); string(e.Answer.Body) != "first" {
-		t.Errorf("answered with %q", e.Answer.Body)
+	c.write(frame("a", "DONE", "tag=t", "first"))
+	if e := s.completion(a); string(e.Response.Body) != "first" {
+		t.Errorf("answered with %q", e.Response.Body)
 	}
 	b := s.send("b", "")
 	c.command()
-	c.say(frame("a", "DONE", "tag=t", "second"))
+	c.write(frame("a", "DONE", "tag=t", "second"))
 	s.counter("peer_answers_late", 1)
-	s.noEnd()
-	c.say(frame("b", "DONE", "tag=t", "own"))
-	if e := s.end(b); string(e.Answer.Body) != "own" {
-		t.Errorf("the next was answered with %q", e.Answer.Body)
+	s.noCompletion()
+	c.write(frame("b", "DONE", "tag=t", "own"))
+	if e := s.completion(b); string(e.Response.Body) != "own" {
+		t.Errorf("the next was answered with %q", e.Response.Body)
 	}
 }
 
@@ -358,29 +360,29 @@
 			return (&net.Dialer{}).DialContext(ctx, "tcp", to.String())
 		}
 	})
-	a, b := s.send("a", ""), s.sendBy("b", "", s.clk.Now()+1500)
-	s.clk.Advance(1500) // b's window has ended
+	a, b := s.send("a", ""), s.sendBy("b", "", s.clock.Now()+1500)
+	s.clock.Advance(1500) // b's window has ended
 	close(up)
-	if e := s.end(b); e.Result != decide.NotSent {
+	if e := s.completion(b); e.Result != decide.NotSent {
 		t.Errorf("what may not be written any more ended as %v", e.Result)
 	}
 	c := s.accept()
 	if cmd := c.command(); cmd[1] != "a" {
 		t.Errorf("%s was written", cmd[1])
 	}
-	c.say(frame("a", "DONE", "-", ""))
-	if e := s.end(a); e.Result != decide.Served {
+	c.write(frame("a", "DONE", "-", ""))
+	if e := s.completion(a); e.Result != decide.Served {
 		t.Errorf("what waited ended as %v", e.Result)
 	}
 
 	s = newCacheServer(t, func(o *Options) {
-		o.Conn = func() config.Conn { return config.Conn{Idle: 15_000, Connect: 20, MaxStreams: 4} }
+		o.Settings = func() config.Upstream { return config.Upstream{IdleTimeout: 15_000, ConnectTimeout: 20, MaxStreams: 4} }
 		o.Dial = func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
 	})
-	if e := s.end(s.send("a", "")); e.Result != decide.Unreached {
+	if e := s.completion(s.send("a", "")); e.Result != decide.ConnectFailed {
 		t.Errorf("on a connection that never came up it ended as %v", e.Result)
 	}
 	s.connections(0)
@@ -392,16 +394,16 @@
 	a := s.send("a", "")
 	c := s.accept()
 	c.command()
-	c.say(frame("a", "LACK", "-", ""))
-	s.end(a)
+	c.write(frame("a", "LACK", "-", ""))
+	s.completion(a)
 	c.Close()
 	s.connections(0)
-	s.noEnd()
+	s.noCompletion()
 	b := s.send("b", "")
 	c = s.accept()
 	c.command()
-	c.say(frame("b", "DONE", "-", ""))
-	if e := s.end(b); e.Result != decide.Served {
+	c.write(frame("b", "DONE", "-", ""))
+	if e := s.completion(b); e.Result != decide.Served {
 		t.Errorf("what followed ended as %v", e.Result)
 	}
 }
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -216,12 +216,12 @@
 	must(t, "all in their second lives")(r.Until("life 2 of each in each view", within, func() (bool, string) {
 		for _, x := range r.Routers {
 			s, err := x.Status()
-			if err != nil || s.There != 6 {
+			if err != nil || s.Present != 6 {
 				return false, fmt.Sprint(x.Name, " ", err)
 			}
 			for _, m := range s.Members {
-				if m.Life != 2 || m.State != "alive" {
-					return false, fmt.Sprintf("%s sees %s %s, life %d", x.Name, m.Name, m.State, m.Life)
+				if m.Incarnation != 2 || m.State != "alive" {
+					return false, fmt.Sprintf("%s sees %s %s, life %d", x.Name, m.Name, m.State, m.Incarnation)
 				}
 			}
 		}
@@ -262,7 +262,7 @@
 		}
 		for _, m := range s.Members {
 			if m.Name == x.Name {
-				return m.Life == 2 && m.State == "alive" && len(s.Members) == 5, fmt.Sprintf("%+v of %d", m, len(s.Members))
+				return m.Incarnation == 2 && m.State == "alive" && len(s.Members) == 5, fmt.Sprintf("%+v of %d", m, len(s.Members))
 			}
 		}
 		return false, "not there"
--- a/internal/rig/views.go
+++ b/internal/rig/views.go
@@ -100,8 +100,8 @@
 			if err != nil {
 				return false, err.Error()
 			}
-			if s.Stance != stance {
-				return false, fmt.Sprintf("%s is %s, %d of %d", x.Name, s.Stance, s.There, s.Known)
+			if s.Connectivity != stance {
+				return false, fmt.Sprintf("%s is %s, %d of %d", x.Name, s.Connectivity, s.Present, s.Known)
 			}
 		}
 		return true, ""
--- a/internal/settings/settings_test.go
+++ b/internal/settings/config_test.go
@@ -8,7 +8,7 @@
 	"testing"
 )
 
-func load(t *testing.T, text string) (File, error) {
+func loadText(t *testing.T, text string) (Config, error) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "x.hcl")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -16,22 +16,22 @@
 	}
 	f, err := Load(path)
 	if err != nil {
-		err = &short{strings.ReplaceAll(err.Error(), path, "x.hcl")}
+		err = &shortError{strings.ReplaceAll(err.Error(), path, "x.hcl")}
 	}
 	return f, err
 }
 
-type short struct{ s string }
+type shortError struct{ s string }
 
-func (s *short) Error() string { return s.s }
+func (s *shortError) Error() string { return s.s }
 
 // The file that is shipped is the default, and what a file leaves out is too.
-func TestShippedFileIsTheDefault(t *testing.T) {
+func TestShippedFileMatchesDefault(t *testing.T) {
 	f, err := Load("../../deploy/garnetline.hcl")
-	if err != nil || f.DNS != Default().DNS || f.Log != Default().Log || f.Trace.Enabled || !reflect.DeepEqual(plain(f.Fleet), plain(Default().Fleet)) {
+	if err != nil || f.DNS != Default().DNS || f.Log != Default().Log || f.Trace.Enabled || !reflect.DeepEqual(withoutNilLists(f.Fleet), withoutNilLists(Default().Fleet)) {
 		t.Errorf("%+v, %v", f, err)
 	}
-	f, err = load(t, `dns { enabled = true }`)
+	f, err = loadText(t, `dns { enabled = true }`)
 	if err != nil || !f.DNS.Enabled || f.DNS.Zone != "garnetline.local." || f.Log.Level != "info" {
 		t.Errorf("%+v, %v", f, err)
 	}
@@ -63,7 +63,7 @@
 		"trace {\n class \"a\" { wanted_ms = -1 }\n}": "x.hcl:1: trace: class \"a\": ",
 		"trace {\n collector {\n url = \"http://127.0.0.1\"\n queue = -1\n}\n}": "x.hcl:1: trace: collector: ",
 	} {
-		f, err := load(t, text)
+		f, err := loadText(t, text)
 		if err == nil || !strings.HasPrefix(err.Error(), want) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%q: %v, want %s", text, err, want)
 		}
@@ -74,38 +74,38 @@
 }
 
 // What only a restart can change is named.
-func TestAdmits(t *testing.T) {
+func TestCheckReload(t *testing.T) {
 	f, next := Default(), Default()
-	next.Log.Level, next.Trace.Ordinary = "debug", 9
-	if err := f.Admits(next); err != nil {
+	next.Log.Level, next.Trace.OrdinaryPerSecond = "debug", 9
+	if err := f.CheckReload(next); err != nil {
 		t.Error(err)
 	}
 	next.DNS.Listen = "127.0.0.1:1"
-	if err := f.Admits(next); err == nil || !strings.HasPrefix(err.Error(), "dns: ") {
+	if err := f.CheckReload(next); err == nil || !strings.HasPrefix(err.Error(), "dns: ") {
 		t.Error(err)
 	}
 	next = Default()
-	next.Trace.Folder = "/x"
-	if err := f.Admits(next); err == nil || !strings.HasPrefix(err.Error(), "trace: ") {
+	next.Trace.Dir = "/x"
+	if err := f.CheckReload(next); err == nil || !strings.HasPrefix(err.Error(), "trace: ") {
 		t.Error(err)
 	}
 }
 
-// plain is a fleet's block with lists that are there, if empty.
-func plain(f Fleet) Fleet {
+// withoutNilLists is a fleet's block with lists that are there, if empty.
+func withoutNilLists(f Fleet) Fleet {
 	f.Join, f.Keys = append([]string{}, f.Join...), append([]string{}, f.Keys...)
 	return f
 }
 
 // Keys and addresses to join at can be changed while a router runs, and nothing else.
-func TestFleetAdmits(t *testing.T) {
+func TestFleetCheckReload(t *testing.T) {
 	a, b := Default(), Default()
 	b.Fleet.Keys, b.Fleet.Join = []string{"x"}, []string{"y"}
-	if err := a.Admits(b); err != nil {
+	if err := a.CheckReload(b); err != nil {
 		t.Error(err)
 	}
 	b.Fleet.Listen = "127.0.0.1:1"
-	if err := a.Admits(b); err == nil || !strings.HasPrefix(err.Error(), "fleet: ") {
+	if err := a.CheckReload(b); err == nil || !strings.HasPrefix(err.Error(), "fleet: ") {
 		t.Error(err)
 	}
 }
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -21,72 +21,72 @@
 	Keys      []string `hcl:"keys,optional"`      // the first seals, each opens
 	Zone      string   `hcl:"zone,optional"`      // "": the configuration's
 
-	Probe      float64 `hcl:"probe_ms,optional"`
-	Timeout    float64 `hcl:"timeout_ms,optional"`
-	Suspect    float64 `hcl:"suspect_ms,optional"`
-	Sync       float64 `hcl:"sync_ms,optional"`
-	Reach      float64 `hcl:"reach_ms,optional"`
-	MaxMembers int     `hcl:"max_members,optional"`
-	Packets    float64 `hcl:"packets_per_s,optional"`
-	Bytes      float64 `hcl:"bytes_per_s,optional"`
+	ProbeInterval       float64 `hcl:"probe_ms,optional"`
+	ProbeTimeout        float64 `hcl:"timeout_ms,optional"`
+	MinSuspicionTimeout float64 `hcl:"suspect_ms,optional"`
+	SyncInterval        float64 `hcl:"sync_ms,optional"`
+	ReconnectInterval   float64 `hcl:"reach_ms,optional"`
+	MaxMembers          int     `hcl:"max_members,optional"`
+	PacketsPerSecond    float64 `hcl:"packets_per_s,optional"`
+	BytesPerSecond      float64 `hcl:"bytes_per_s,optional"`
 
-	Lately float64 `hcl:"lately_ms,optional"`
-	Share  float64 `hcl:"together_share,optional"`
-	Silent float64 `hcl:"alone_after_silence_ms,optional"`
-	Less   float64 `hcl:"less_room_after_ms,optional"`
-	More   float64 `hcl:"more_room_after_ms,optional"`
+	RecentWindow   float64 `hcl:"lately_ms,optional"`
+	TogetherShare  float64 `hcl:"together_share,optional"`
+	SilenceTimeout float64 `hcl:"alone_after_silence_ms,optional"`
+	DowngradeDelay float64 `hcl:"less_room_after_ms,optional"`
+	UpgradeDelay   float64 `hcl:"more_room_after_ms,optional"`
 }
 
 func defaultFleet() Fleet {
-	d := fleet.Default()
-	return Fleet{Name: "garnetline", Listen: "127.0.0.1:7946", Probe: d.Member.Period, Timeout: d.Member.Timeout, Suspect: d.Member.Shortest,
-		Sync: d.Member.Sync, Reach: d.Member.Reach, MaxMembers: d.Member.MaxMembers, Packets: 500, Bytes: 100_000,
-		Lately: d.Stance.Lately, Share: d.Stance.Share, Silent: d.Stance.Silent, Less: d.Stance.Less, More: d.Stance.More}
+	d := fleet.DefaultSettings()
+	return Fleet{Name: "garnetline", Listen: "127.0.0.1:7946", ProbeInterval: d.Membership.ProbeInterval, ProbeTimeout: d.Membership.ProbeTimeout, MinSuspicionTimeout: d.Membership.MinSuspicionTimeout,
+		SyncInterval: d.Membership.SyncInterval, ReconnectInterval: d.Membership.ReconnectInterval, MaxMembers: d.Membership.MaxMembers, PacketsPerSecond: 500, BytesPerSecond: 100_000,
+		RecentWindow: d.Connectivity.RecentWindow, TogetherShare: d.Connectivity.TogetherShare, SilenceTimeout: d.Connectivity.SilenceTimeout, DowngradeDelay: d.Connectivity.DowngradeDelay, UpgradeDelay: d.Connectivity.UpgradeDelay}
 }
 
-func (f *Fleet) check() error {
+func (f *Fleet) validate() error {
 	if !f.Enabled {
 		return nil
 	}
-	_, err := f.Link()
+	_, err := f.TransportSettings()
 	return err
 }
 
-// Link returns the settings as the link takes them. An error names the field.
-func (f *Fleet) Link() (s link.Settings, err error) {
+// TransportSettings returns the settings as the link takes them. An error names the field.
+func (f *Fleet) TransportSettings() (s link.Settings, err error) {
 	between := func(name string, v, least, most float64) {
 		if err == nil && !(v >= least && v <= most) {
 			err = fmt.Errorf("%s: want %v to %v", name, least, most)
 		}
 	}
-	between("probe_ms", f.Probe, 20, 60_000)
-	between("timeout_ms", f.Timeout, 5, f.Probe/2)
-	between("suspect_ms", f.Suspect, f.Probe, 600_000)
-	between("sync_ms", f.Sync, 100, 3_600_000)
-	between("reach_ms", f.Reach, 50, 600_000)
+	between("probe_ms", f.ProbeInterval, 20, 60_000)
+	between("timeout_ms", f.ProbeTimeout, 5, f.ProbeInterval/2)
+	between("suspect_ms", f.MinSuspicionTimeout, f.ProbeInterval, 600_000)
+	between("sync_ms", f.SyncInterval, 100, 3_600_000)
+	between("reach_ms", f.ReconnectInterval, 50, 600_000)
 	between("max_members", float64(f.MaxMembers), 2, 1<<16)
-	between("packets_per_s", f.Packets, 20, 1e6)
-	between("bytes_per_s", f.Bytes, 2000, 1e9)
-	between("lately_ms", f.Lately, 1000, 86_400_000)
-	between("together_share", f.Share, 0.5, 1)
-	between("alone_after_silence_ms", f.Silent, 4*f.Probe, 600_000)
-	between("less_room_after_ms", f.Less, 0, 600_000)
-	between("more_room_after_ms", f.More, f.Less, 600_000)
+	between("packets_per_s", f.PacketsPerSecond, 20, 1e6)
+	between("bytes_per_s", f.BytesPerSecond, 2000, 1e9)
+	between("lately_ms", f.RecentWindow, 1000, 86_400_000)
+	between("together_share", f.TogetherShare, 0.5, 1)
+	between("alone_after_silence_ms", f.SilenceTimeout, 4*f.ProbeInterval, 600_000)
+	between("less_room_after_ms", f.DowngradeDelay, 0, 600_000)
+	between("more_room_after_ms", f.UpgradeDelay, f.DowngradeDelay, 600_000)
 	if err != nil {
 		return s, err
 	}
 	if f.Name == "" || len(f.Name) > 64 || len(f.Zone) > 64 {
 		return s, errors.New("name: want 1 to 64 bytes, and a zone of 64 at the most")
 	}
-	if s.Listen, err = netip.ParseAddrPort(f.Listen); err != nil {
+	if s.ListenAddr, err = netip.ParseAddrPort(f.Listen); err != nil {
 		return s, fmt.Errorf("listen: %w", err)
 	}
-	if s.Advertise = s.Listen; f.Advertise != "" {
-		if s.Advertise, err = netip.ParseAddrPort(f.Advertise); err != nil {
+	if s.AdvertiseAddr = s.ListenAddr; f.Advertise != "" {
+		if s.AdvertiseAddr, err = netip.ParseAddrPort(f.Advertise); err != nil {
 			return s, fmt.Errorf("advertise: %w", err)
 		}
 	}
-	if s.Advertise.Addr().IsUnspecified() {
+	if s.AdvertiseAddr.Addr().IsUnspecified() {
 		return s, errors.New("advertise: wanted where listen names no address of its own")
 	}
 	for i, j := range f.Join {
@@ -94,21 +94,21 @@
 		if err != nil {
 			return s, fmt.Errorf("join: the one in place %d: %w", i+1, err)
 		}
-		s.Join = append(s.Join, a)
+		s.Seeds = append(s.Seeds, a)
 	}
-	if s.Ring, err = seal.New(f.Name, f.Keys); err != nil {
+	if s.Keyring, err = seal.NewKeyring(f.Name, f.Keys); err != nil {
 		return s, err
 	}
-	s.Fleet, s.Packets, s.Bytes, s.Node = f.Name, f.Packets, f.Bytes, fleet.Default()
-	m, st := &s.Node.Member, &s.Node.Stance
-	m.Period, m.Timeout, m.Shortest, m.Sync, m.Reach, m.MaxMembers = f.Probe, f.Timeout, f.Suspect, f.Sync, f.Reach, f.MaxMembers
-	st.Lately, st.Share, st.Silent, st.Less, st.More = f.Lately, f.Share, f.Silent, f.Less, f.More
-	st.Most = max(st.Most, st.More)
+	s.FleetName, s.PacketsPerSecond, s.BytesPerSecond, s.Node = f.Name, f.PacketsPerSecond, f.BytesPerSecond, fleet.DefaultSettings()
+	m, st := &s.Node.Membership, &s.Node.Connectivity
+	m.ProbeInterval, m.ProbeTimeout, m.MinSuspicionTimeout, m.SyncInterval, m.ReconnectInterval, m.MaxMembers = f.ProbeInterval, f.ProbeTimeout, f.MinSuspicionTimeout, f.SyncInterval, f.ReconnectInterval, f.MaxMembers
+	st.RecentWindow, st.TogetherShare, st.SilenceTimeout, st.DowngradeDelay, st.UpgradeDelay = f.RecentWindow, f.TogetherShare, f.SilenceTimeout, f.DowngradeDelay, f.UpgradeDelay
+	st.MaxUpgradeDelay = max(st.MaxUpgradeDelay, st.UpgradeDelay)
 	return s, nil
 }
 
-// admits tells whether a running router can go over to next: keys and join can change.
-func (f *Fleet) admits(next *Fleet) error {
+// checkReload tells whether a running router can go over to next: keys and join can change.
+func (f *Fleet) checkReload(next *Fleet) error {
 	a, b := *f, *next
 	a.Keys, b.Keys, a.Join, b.Join = nil, nil, nil, nil
 	if !reflect.DeepEqual(a, b) {
--- a/internal/settings/golden_test.go
+++ b/internal/settings/golden_test.go
@@ -26,18 +26,18 @@
 	}
 }
 
-// describe writes each key that a block is read from with its value, by the tags.
-func describe(out *strings.Builder, at string, v reflect.Value) {
+// formatKeys writes each key that a block is read from with its value, by the tags.
+func formatKeys(out *strings.Builder, at string, v reflect.Value) {
 	switch v.Kind() {
 	case reflect.Pointer:
 		if v.IsNil() {
 			fmt.Fprintf(out, "%s none\n", at)
 			return
 		}
-		describe(out, at, v.Elem())
+		formatKeys(out, at, v.Elem())
 	case reflect.Struct:
 		for i := range v.NumField() {
-			describe(out, at+"."+v.Type().Field(i).Tag.Get("hcl"), v.Field(i))
+			formatKeys(out, at+"."+v.Type().Field(i).Tag.Get("hcl"), v.Field(i))
 		}
 	case reflect.Slice:
 		if v.Type().Elem().Kind() != reflect.Struct {
@@ -45,20 +45,20 @@
 			return
 		}
 		for i := range v.Len() {
-			describe(out, fmt.Sprintf("%s[%d]", at, i), v.Index(i))
+			formatKeys(out, fmt.Sprintf("%s[%d]", at, i), v.Index(i))
 		}
 	default:
 		fmt.Fprintf(out, "%s %v\n", at, v.Interface())
 	}
 }
 
-func describeFile(f *File) string {
+func formatConfig(f *Config) string {
 	var out strings.Builder
 	for _, block := range []struct {
 		name string
 		of   any
-	}{{"log", f.Log}, {"dns", f.DNS}, {"trace", f.Trace}, {"fleet", f.Fleet}, {"duties", f.Duties}} {
-		describe(&out, block.name, reflect.ValueOf(block.of))
+	}{{"log", f.Log}, {"dns", f.DNS}, {"trace", f.Trace}, {"fleet", f.Fleet}, {"duties", f.Leases}} {
+		formatKeys(&out, block.name, reflect.ValueOf(block.of))
 	}
 	return out.String()
 }
@@ -71,32 +71,32 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	compareGolden(t, "full.golden", describeFile(&f))
-	f, err = load(t, "trace {\n class \"a\" {}\n collector { url = \"http://127.0.0.1\" }\n}\nduties {\n prober {}\n first_try {}\n bans {}\n}")
+	compareGolden(t, "full.golden", formatConfig(&f))
+	f, err = loadText(t, "trace {\n class \"a\" {}\n collector { url = \"http://127.0.0.1\" }\n}\nduties {\n prober {}\n first_try {}\n bans {}\n}")
 	if err != nil {
 		t.Fatal(err)
 	}
-	compareGolden(t, "default.golden", describeFile(&f))
+	compareGolden(t, "default.golden", formatConfig(&f))
 }
 
 // Pins what the fleet's machines are given for the keys of the file, by values.
 // UPDATE_GOLDEN=1 writes testdata/fleet.golden anew.
-func TestGoldenFleet(t *testing.T) {
+func TestGoldenTransport(t *testing.T) {
 	f, err := Load("testdata/full.hcl")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := f.Fleet.Link()
+	s, err := f.Fleet.TransportSettings()
 	if err != nil {
 		t.Fatal(err)
 	}
 	var out strings.Builder
-	m, st := s.Node.Member, s.Node.Stance
-	fmt.Fprintln(&out, s.Fleet, s.Listen, s.Advertise, s.Join, s.Packets, s.Bytes)
-	fmt.Fprintln(&out, m.Period, m.Timeout, m.Shortest, m.Sync, m.Reach, m.MaxMembers)
-	fmt.Fprintln(&out, st.Lately, st.Share, st.Silent, st.Less, st.More, st.Most)
-	a := f.Duties.Agree()
-	fmt.Fprintln(&out, a.Election, a.Duty.TTL, a.Duty.Margin, a.Duty.Drift, a.Duty.Retry)
+	m, st := s.Node.Membership, s.Node.Connectivity
+	fmt.Fprintln(&out, s.FleetName, s.ListenAddr, s.AdvertiseAddr, s.Seeds, s.PacketsPerSecond, s.BytesPerSecond)
+	fmt.Fprintln(&out, m.ProbeInterval, m.ProbeTimeout, m.MinSuspicionTimeout, m.SyncInterval, m.ReconnectInterval, m.MaxMembers)
+	fmt.Fprintln(&out, st.RecentWindow, st.TogetherShare, st.SilenceTimeout, st.DowngradeDelay, st.UpgradeDelay, st.MaxUpgradeDelay)
+	a := f.Leases.ConsensusSettings()
+	fmt.Fprintln(&out, a.ElectionTicks, a.Lease.TTL, a.Lease.SafetyMargin, a.Lease.MaxClockDrift, a.Lease.RetryInterval)
 	compareGolden(t, "fleet.golden", out.String())
 }
 
@@ -123,7 +123,7 @@
 		fleet + "}\nduties {\n enabled = true\n electors = [\"a\", \"b\", \"a\"]\n}", "duties {\n first_try { routers_per_s = -1 }\n}",
 		"duties {\n bans { every_ms = 1 }\n}", "duties {\n prober { every_ms = 1 }\n}",
 	} {
-		_, err := load(t, text)
+		_, err := loadText(t, text)
 		if err == nil || strings.Contains(err.Error(), "\n") {
 			t.Fatalf("%q: %v", text, err)
 		}
@@ -141,11 +141,11 @@
 	for _, text := range []string{"log {\n level = \"off\"\n}", "dns {\n patience_ms = 2\n}", "trace {\n enabled = true\n folder = \"x\"\n}",
 		"trace {\n folder = \"x\"\n}", "trace {\n secret = \"x\"\n}", "trace {\n peers = true\n}", "trace {\n collector { url = \"http://x\" }\n}",
 		"trace {\n keep_mb = 99\n}", "fleet {\n keys = [\"x\"]\n join = [\"x\"]\n}", "fleet {\n zone = \"x\"\n}", "duties {\n drift = 0.03\n}"} {
-		next, err := load(t, text)
+		next, err := loadText(t, text)
 		if err != nil {
 			t.Fatal(err)
 		}
-		fmt.Fprintf(&out, "%q -> %v\n", text, f.Admits(next))
+		fmt.Fprintf(&out, "%q -> %v\n", text, f.CheckReload(next))
 	}
 	compareGolden(t, "restart.golden", out.String())
 }
--- a/internal/sock/sock_test.go
+++ b/internal/sock/textconn_test.go
@@ -12,14 +12,14 @@
 	"garnetline/internal/seeds"
 )
 
-// source is a connection that brings fixed bytes, a few at a time.
-type source struct {
+// byteSource is a connection that brings fixed bytes, a few at a time.
+type byteSource struct {
 	net.Conn
-	r    io.Reader
-	step int
+	reader io.Reader
+	step   int
 }
 
-func (s *source) Read(p []byte) (int, error) { return s.r.Read(p[:min(len(p), s.step)]) }
+func (s *byteSource) Read(p []byte) (int, error) { return s.reader.Read(p[:min(len(p), s.step)]) }
 
 // FuzzConn reads lines and bodies in a random order and checks them against
 // the bytes themselves: nothing is lost between the two kinds of reading, no
@@ -34,15 +34,15 @@
 		if len(steps) > 0 {
 			step = 1 + int(steps[0])*17
 		}
-		k, at := New(&source{r: raw, step: step}), 0
+		k, at := New(&byteSource{reader: raw, step: step}), 0
 		for i := 0; i+1 < len(steps); i += 2 {
 			taken, limit := len(data)-raw.Len(), int(steps[i+1])*40
-			k.Allow(limit)
+			k.LimitRead(limit)
 			var err error
 			switch steps[i] % 3 {
 			case 0:
 				var line []byte
-				if line, err = k.Line(); err == nil {
+				if line, err = k.ReadLineSlice(); err == nil {
 					end := at + bytes.IndexByte(data[at:], '\n') + 1
 					if want := bytes.Trim(data[at:end], " \t\r\n"); !bytes.Equal(line, want) {
 						t.Fatalf("line %q at %d, want %q", line, at, want)
@@ -51,25 +51,25 @@
 				}
 			default:
 				n, body := int(steps[i+1])*30, []byte(nil)
-				if body, err = k.Body(n); err == nil {
+				if body, err = k.ReadBody(n); err == nil {
 					if !bytes.Equal(body, data[at:at+n]) {
 						t.Fatalf("another body of %d at %d", n, at)
 					}
 					at += n
-				} else if cap(k.in) > 2*max(limit+4096, 4096) {
-					t.Fatalf("%d bytes are held for a body cut at %d", cap(k.in), limit)
+				} else if cap(k.readBuffer) > 2*max(limit+4096, 4096) {
+					t.Fatalf("%d bytes are held for a body cut at %d", cap(k.readBuffer), limit)
 				}
-				k.RestIn()
-				if cap(k.in) > keep {
-					t.Fatalf("an idle buffer of %d bytes", cap(k.in))
+				k.ShrinkReadBuffer()
+				if cap(k.readBuffer) > maxIdleBuffer {
+					t.Fatalf("an idle buffer of %d bytes", cap(k.readBuffer))
 				}
 			}
 			if got := len(data) - raw.Len() - taken; got > limit {
 				t.Fatalf("%d bytes were taken, %d allowed", got, limit)
 			}
 			if err != nil {
-				if k.Over() != errors.Is(err, ErrLimit) && !errors.Is(err, io.ErrUnexpectedEOF) {
-					t.Fatalf("over %v, but %v", k.Over(), err)
+				if k.LimitExceeded() != errors.Is(err, ErrMessageTooLong) && !errors.Is(err, io.ErrUnexpectedEOF) {
+					t.Fatalf("over %v, but %v", k.LimitExceeded(), err)
 				}
 				return
 			}
@@ -77,38 +77,38 @@
 	})
 }
 
-// paced keeps the read deadlines that are set, and brings nothing.
-type paced struct {
+// deadlineConn keeps the read deadlines that are set, and brings nothing.
+type deadlineConn struct {
 	net.Conn
-	until time.Time
+	deadline time.Time
 }
 
-func (p *paced) SetReadDeadline(t time.Time) error { p.until = t; return nil }
-func (p *paced) Read([]byte) (int, error)          { return 0, io.EOF }
+func (p *deadlineConn) SetReadDeadline(t time.Time) error { p.deadline = t; return nil }
+func (p *deadlineConn) Read([]byte) (int, error)          { return 0, io.EOF }
 
 // Guards against a fixed time for a whole message: one whose bytes come at the pace that
 // was told was cut, though it never stood still.
-func TestPace(t *testing.T) {
-	p := &paced{}
+func TestReadPace(t *testing.T) {
+	p := &deadlineConn{}
 	k := New(p)
 	read := func() float64 {
-		k.Allow(10)
+		k.LimitRead(10)
 		k.R.Peek(1)
-		return clock.Millis(time.Until(p.until))
+		return clock.Millis(time.Until(p.deadline))
 	}
-	k.Pace(800, 800)
-	k.began = k.began.Add(-700 * time.Millisecond) // so long under way
-	k.Pace(800, 800)
+	k.SetReadPace(800, 800)
+	k.messageStart = k.messageStart.Add(-700 * time.Millisecond) // so long under way
+	k.SetReadPace(800, 800)
 	if left := read(); left > 100 {
 		t.Errorf("%v ms are left of 100", left)
 	}
-	k.Pace(800, 10_400) // its length is known now
+	k.SetReadPace(800, 10_400) // its length is known now
 	if left := read(); left < 400 || left > 800 {
 		t.Errorf("%v ms are left until it counts as stopped, want 800", left)
 	}
-	k.Pace(0, 0)
-	p.until = time.Time{}
-	if read(); !p.until.IsZero() {
+	k.SetReadPace(0, 0)
+	p.deadline = time.Time{}
+	if read(); !p.deadline.IsZero() {
 		t.Error("a read between messages has a deadline")
 	}
 }
--- a/internal/standin/speaker.go
+++ b/internal/standin/speaker.go
@@ -107,7 +107,7 @@
 		}
 	case strings.HasSuffix(asset, "f"):
 		if l, ok := s.fills[asset]; ok {
-			work.Result = uint8(decide.Joined)
+			work.Result = uint8(decide.JoinedFill)
 			t.Links = append(t.Links, trace.Link{From: work.ID, Trace: l.Trace, To: l.To})
 			break
 		}
--- a/internal/stats/stats_test.go
+++ b/internal/stats/registry_test.go
@@ -5,7 +5,7 @@
 	"testing"
 )
 
-func TestAll(t *testing.T) {
+func TestSnapshot(t *testing.T) {
 	s := New()
 	var wg sync.WaitGroup
 	for range 8 {
@@ -17,7 +17,7 @@
 		})
 	}
 	wg.Wait()
-	if all := s.All(); len(all) != 2 || all["a"] != 1600 || all["b"] != 800 {
+	if all := s.Snapshot(); len(all) != 2 || all["a"] != 1600 || all["b"] != 800 {
 		t.Errorf("%v", all)
 	}
 }
--- a/internal/trace/attach/attach.go
+++ b/internal/trace/attach/attach.go
@@ -13,13 +13,13 @@
 type tracer struct{ r *record.Recorder }
 
 // Open begins to follow a request.
-func (t tracer) Open(now float64, q *core.Request, class *decide.Class) core.Trail {
-	a := record.Asked{Txn: q.Txn, Key: q.Key, Object: q.Object, Part: q.Part, Group: q.Group, Came: now}
-	if o := q.Origin; o != nil {
-		a.Came, a.Parent, a.Client = o.Came, o.Parent, o.Client
+func (t tracer) Open(now float64, q *core.Request, class *decide.Class) core.RequestTrace {
+	a := record.Asked{Txn: q.TransactionID, Key: q.IdempotencyKey, Object: q.Object, Part: q.Chunk, Group: q.Group, Came: now}
+	if o := q.Client; o != nil {
+		a.Came, a.Parent, a.Client = o.ReceivedAt, o.TraceParent, o.Address
 	}
 	return t.r.Open(now, a, class)
 }
 
 // Close takes a request that is done.
-func (t tracer) Close(now float64, done core.Trail) { t.r.Close(now, done.(*record.Trail)) }
+func (t tracer) Close(now float64, done core.RequestTrace) { t.r.Close(now, done.(*record.Trail)) }
--- a/internal/trace/blame/blame.go
+++ b/internal/trace/blame/blame.go
@@ -26,9 +26,9 @@
 // client left, or never left, says nothing: known is false.
 func Failure(r decide.Result) (failed, known bool) {
 	switch r {
-	case decide.Served, decide.Miss, decide.Full:
+	case decide.Served, decide.NotCached, decide.Rejected:
 		return false, true
-	case decide.Cancelled, decide.NotSent:
+	case decide.Canceled, decide.NotSent:
 		return false, false
 	}
 	return true, true
--- a/internal/trace/blame/blame_test.go
+++ b/internal/trace/blame/blame_test.go
@@ -16,7 +16,7 @@
 		t := &trace.Trace{Router: []string{"n1", "n2"}[rng.IntN(2)], Weight: 1}
 		s := trace.Span{Kind: trace.Attempt, Server: decide.ServerID(1 + rng.IntN(8)), Source: decide.ServerID(100 + rng.IntN(3))}
 		if fails(s.Server, s.Source, rng) {
-			s.Result = uint8(decide.Errored)
+			s.Result = uint8(decide.ServerError)
 		} else if rng.IntN(10) > 0 { // an ordinary one is kept one time in ten
 			continue
 		} else {
--- a/internal/trace/export/export.go
+++ b/internal/trace/export/export.go
@@ -34,7 +34,7 @@
 	URL     string  // http
 	Queue   int     // traces that wait
 	Timeout float64 // ms, of one call
-	Stats   *stats.Set
+	Stats   *stats.Registry
 	Log     *zerolog.Logger
 	Seed    uint64
 }
@@ -164,12 +164,12 @@
 	if err := nc.SetReadDeadline(time.Now().Add(within)); err != nil {
 		return 0, err
 	}
-	head := fmt.Appendf(k.Out(), "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n",
+	head := fmt.Appendf(k.WriteBuffer(), "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n",
 		x.to.RequestURI(), x.to.Host, len(body))
 	if err := k.Flush(head, body, x.Timeout); err != nil {
 		return 0, err
 	}
-	k.Allow(answerMax)
+	k.LimitRead(answerMax)
 	line, err := k.ReadLine()
 	if err != nil {
 		return 0, err
@@ -186,7 +186,7 @@
 	switch {
 	case status/100 == 2:
 		_, err := io.Copy(io.Discard, k.R) // a close before it is read could reset the call
-		if errors.Is(err, sock.ErrLimit) {
+		if errors.Is(err, sock.ErrMessageTooLong) {
 			err = nil
 		}
 		return 0, err
--- a/internal/trace/export/export_test.go
+++ b/internal/trace/export/export_test.go
@@ -73,13 +73,13 @@
 
 func piece(n byte) *trace.Trace {
 	l := trace.Begin(trace.Trace{ID: trace.ID{n, 9}, Router: "n1", Class: "part", Start: 1.7e12, Weight: 1, Why: trace.WhyFailed}, uint64(n))
-	l.Sending(1.7e12+1, decide.Get{Server: 3, Source: 4})
-	l.Over(1.7e12+5, decide.Errored, 0, decide.Load{}, trace.Wire{Wrote: 1.7e12 + 2, Dialled: 1.7e12 + 1, Up: 1.7e12 + 2})
-	l.Answered(1.7e12+6, trace.Failed)
+	l.AttemptStarted(1.7e12+1, decide.SendAttempt{Server: 3, FillSource: 4})
+	l.AttemptEnded(1.7e12+5, decide.ServerError, 0, decide.LoadReport{}, trace.Wire{Wrote: 1.7e12 + 2, Dialled: 1.7e12 + 1, Up: 1.7e12 + 2})
+	l.Responded(1.7e12+6, trace.Failed)
 	return l.Piece()
 }
 
-func start(t *testing.T, url string, queue int, timeout float64) (*Exporter, *stats.Set) {
+func start(t *testing.T, url string, queue int, timeout float64) (*Exporter, *stats.Registry) {
 	t.Helper()
 	count := stats.New()
 	x, err := New(Options{URL: url, Queue: queue, Timeout: timeout, Stats: count, Log: logs.New(&bytes.Buffer{}), Seed: 1})
@@ -113,7 +113,7 @@
 	}
 	x.Close(0)
 	if len(c.spans) != 5+6+6 || count.Counter("traces_not_exported").Load() != 1 || count.Counter("export_failures").Load() != 3 {
-		t.Errorf("%d spans arrived: %v", len(c.spans), count.All())
+		t.Errorf("%d spans arrived: %v", len(c.spans), count.Snapshot())
 	}
 	for id, n := range c.spans {
 		if n != 1 {
