--- a/internal/trace/live.go
+++ b/internal/trace/live.go
@@ -44,21 +44,21 @@
 	return s.ID
 }
 
-// Sending notes that an attempt was decided, and returns the context of what is done
+// AttemptStarted notes that an attempt was decided, and returns the context of what is done
 // for it.
-func (l *Live) Sending(now float64, g decide.Get) Parent {
+func (l *Live) AttemptStarted(now float64, g decide.SendAttempt) Parent {
 	if now-l.idle >= waitLeast {
 		l.add(Span{Parent: l.request, Kind: Wait, Start: l.idle, End: now, N: l.Attempts})
 	}
-	s := Span{Parent: l.request, Kind: Attempt, N: l.Attempts, Start: now, Server: g.Server, Source: g.Source,
-		Rank: uint8(g.Keep), Age: float32(g.MaxAge.Seconds() * 1000)}
-	if g.Join {
+	s := Span{Parent: l.request, Kind: Attempt, N: l.Attempts, Start: now, Server: g.Server, Source: g.FillSource,
+		Rank: uint8(g.CopyRank), Age: float32(g.MaxAge.Seconds() * 1000)}
+	if g.JoinFill {
 		s.Flags |= Join
 	}
-	if g.Renew {
+	if g.Revalidate {
 		s.Flags |= Renew
 	}
-	if g.HeldOnly {
+	if g.OnlyIfCached {
 		s.Flags |= Held
 	}
 	l.Attempts++
@@ -74,14 +74,14 @@
 	Age         float64 // ms, the bound that was written
 }
 
-// Over notes how the attempt that is out ended.
-func (l *Live) Over(now float64, r decide.Result, bytes int, load decide.Load, w Wire) {
+// AttemptEnded notes how the attempt that is out ended.
+func (l *Live) AttemptEnded(now float64, r decide.Result, bytes int, load decide.LoadReport, w Wire) {
 	if l.out < 0 {
 		return
 	}
 	s := &l.Spans[l.out]
 	s.End, s.Result, s.Bytes = now, uint8(r), uint32(bytes)
-	s.Inflight, s.Link = float32(load.Inflight), float32(load.Link)
+	s.Inflight, s.Link = float32(load.Inflight), float32(load.LinkUtilization)
 	if w.Wrote > 0 {
 		s.Flags |= Sent
 		s.Age = float32(w.Age)
@@ -103,8 +103,8 @@
 	}
 }
 
-// Answered notes the final answer, or that the client left.
-func (l *Live) Answered(now float64, o Outcome) {
+// Responded notes the final answer, or that the client left.
+func (l *Live) Responded(now float64, o Outcome) {
 	if l.answered {
 		return
 	}
--- a/internal/trace/record/record.go
+++ b/internal/trace/record/record.go
@@ -65,7 +65,7 @@
 	Router string // its name, as it stands in traces
 	Secret string // mixed into whatever names a key; the same at all routers
 	Seed   uint64 // differs at each start
-	Stats  *stats.Set
+	Stats  *stats.Registry
 	Log    *zerolog.Logger
 	Sink   Sink
 	// Kept tells a server that a trace in which it had a part is kept; nil: none is told.
@@ -124,27 +124,27 @@
 	bytes   int     // that came
 }
 
-// Sending notes an attempt.
-func (t *Trail) Sending(now float64, g decide.Get) trace.Parent {
+// AttemptStarted notes an attempt.
+func (t *Trail) AttemptStarted(now float64, g decide.SendAttempt) trace.Parent {
 	if t.room {
-		return t.Live.Sending(now, g)
+		return t.Live.AttemptStarted(now, g)
 	}
 	t.Live.Blind(1)
 	return trace.Parent{}
 }
 
-// Answered notes the answer. From here on the client may come again, though an attempt
+// Responded notes the answer. From here on the client may come again, though an attempt
 // may still be out.
-func (t *Trail) Answered(now float64, o trace.Outcome) {
-	t.Live.Answered(now, o)
+func (t *Trail) Responded(now float64, o trace.Outcome) {
+	t.Live.Responded(now, o)
 	t.link.Ended(now, t.tie, o == trace.Served || o == trace.Same)
 }
 
-// Over notes the end of one.
-func (t *Trail) Over(now float64, res decide.Result, bytes int, load decide.Load, w trace.Wire) {
+// AttemptEnded notes the end of one.
+func (t *Trail) AttemptEnded(now float64, res decide.Result, bytes int, load decide.LoadReport, w trace.Wire) {
 	t.bytes = bytes
 	if t.room {
-		t.Live.Over(now, res, bytes, load, w)
+		t.Live.AttemptEnded(now, res, bytes, load, w)
 	} else {
 		t.Live.Blind(-1)
 	}
@@ -161,10 +161,10 @@
 		q.Came = now
 	}
 	ask := link.Ask{Parent: q.Parent, Client: q.Client, Class: class.Name, Object: uint64(q.Object), Part: q.Part}
-	if class.Effect == decide.Keyed {
+	if class.Idempotency == decide.IdempotentWithKey {
 		ask.Key = q.Key
 	}
-	t := &Trail{link: r.link, tie: r.link.Tie(now, ask), room: r.keep.Open(openSize), stretch: class.AimStretch}
+	t := &Trail{link: r.link, tie: r.link.Tie(now, ask), room: r.keep.Open(openSize), stretch: class.ObjectiveTransferFactor}
 	r.n++
 	piece := trace.Trace{ID: t.tie.ID, Remote: t.tie.Remote, Try: t.tie.Try, Router: r.Router, Txn: q.Txn, Class: class.Name,
 		Object: r.link.Hide(uint64(q.Object)), Part: uint32(q.Part), Group: uint16(q.Group), Start: min(q.Came, now),
--- a/internal/trace/record/record_test.go
+++ b/internal/trace/record/record_test.go
@@ -39,10 +39,10 @@
 func (s *sink) Flush(float64) error { return s.err }
 func (s *sink) Close(float64) error { s.closed = true; return s.err }
 
-var classes = []decide.Class{{Name: "part", Aim: 400 * time.Millisecond, AimStretch: 2, Deadline: 4 * time.Second},
-	{Name: "form", Effect: decide.Keyed, Write: true, Aim: 400 * time.Millisecond, Deadline: 4 * time.Second}}
+var classes = []decide.Class{{Name: "part", LatencyObjective: 400 * time.Millisecond, ObjectiveTransferFactor: 2, Deadline: 4 * time.Second},
+	{Name: "form", Idempotency: decide.IdempotentWithKey, Write: true, LatencyObjective: 400 * time.Millisecond, Deadline: 4 * time.Second}}
 
-func newRecorder(s *sink, set Settings) (*Recorder, *clock.Manual, *stats.Set, *standin.Output) {
+func newRecorder(s *sink, set Settings) (*Recorder, *clock.Manual, *stats.Registry, *standin.Output) {
 	clk, count, out := clock.NewManual(1.7e12), stats.New(), &standin.Output{}
 	if set.Undecided == 0 {
 		set.Undecided = 1 << 20
@@ -61,11 +61,11 @@
 	}
 	t := r.Open(clk.Now(), q, &classes[class])
 	for range attempts {
-		t.Sending(clk.Now(), decide.Get{Server: 5, Source: 6})
+		t.AttemptStarted(clk.Now(), decide.SendAttempt{Server: 5, FillSource: 6})
 		clk.Advance(took / float64(attempts))
-		t.Over(clk.Now(), decide.Served, bytes, decide.Load{}, trace.Wire{Wrote: 1})
+		t.AttemptEnded(clk.Now(), decide.Served, bytes, decide.LoadReport{}, trace.Wire{Wrote: 1})
 	}
-	t.Answered(clk.Now(), o)
+	t.Responded(clk.Now(), o)
 	if t.Done() {
 		r.Close(clk.Now(), t)
 	}
@@ -138,15 +138,15 @@
 			t.Errorf("%d spans without room", len(x.Spans))
 		}
 	}
-	open[0].Sending(clk.Now(), decide.Get{Server: 1})
-	open[0].Answered(clk.Now(), trace.Left)
+	open[0].AttemptStarted(clk.Now(), decide.SendAttempt{Server: 1})
+	open[0].Responded(clk.Now(), trace.Left)
 	if open[0].Done() {
 		t.Error("done with an attempt out")
 	}
 	if again := r.link.Tie(clk.Now(), link.Ask{Class: "part", Client: "1.1.1.1"}); again.ID != open[0].ID {
 		t.Error("a client that comes again while an attempt is out is not known")
 	}
-	open[0].Over(clk.Now(), decide.Cancelled, 0, decide.Load{}, trace.Wire{})
+	open[0].AttemptEnded(clk.Now(), decide.Canceled, 0, decide.LoadReport{}, trace.Wire{})
 	r.Close(clk.Now(), open[0])
 	r.Finish()
 	if len(s.kept) != 1 || s.kept[0].Lost != 3 || count.Counter("traces_without_room").Load() != 3 {
--- a/internal/trace/render/render.go
+++ b/internal/trace/render/render.go
@@ -14,13 +14,13 @@
 )
 
 // results name the ends of attempts.
-var results = [...]string{decide.Served: "served", decide.Errored: "error", decide.Full: "full", decide.TimedOut: "timed out",
-	decide.Unreached: "unreached", decide.Broken: "broken", decide.Cancelled: "cancelled", decide.NotSent: "not sent", decide.Miss: "miss"}
+var results = [...]string{decide.Served: "served", decide.ServerError: "error", decide.Rejected: "full", decide.TimedOut: "timed out",
+	decide.ConnectFailed: "unreached", decide.ConnectionLost: "broken", decide.Canceled: "cancelled", decide.NotSent: "not sent", decide.NotCached: "miss"}
 
 // notes name what a server did.
-var notes = [...]string{decide.NoNote: "not told", decide.Hit: "hit", decide.Filled: "filled", decide.FilledByOrigin: "filled from the archive",
-	decide.Joined: "joined a fill", decide.StaleHit: "an old copy", decide.SourceRefused: "the source refused", decide.SourceUnreached: "the source was not reached",
-	decide.SourceLacks: "the source lacks it", decide.NoFillPlace: "no place for a fill", decide.OriginFailed: "the archive failed"}
+var notes = [...]string{decide.CacheStatusUnknown: "not told", decide.Hit: "hit", decide.Filled: "filled", decide.FilledByOrigin: "filled from the archive",
+	decide.JoinedFill: "joined a fill", decide.StaleHit: "an old copy", decide.SourceRejected: "the source refused", decide.SourceUnreachable: "the source was not reached",
+	decide.SourceMiss: "the source lacks it", decide.FillRejected: "no place for a fill", decide.OriginFailed: "the archive failed"}
 
 func result(n uint8) string {
 	if int(n) < len(results) {
--- a/internal/trace/store/store_test.go
+++ b/internal/trace/store/store_test.go
@@ -22,16 +22,16 @@
 	l := trace.Begin(trace.Trace{ID: id, Router: "n1", Class: []string{"part", "sheet"}[i%2], Object: rng.Uint64(), Start: start, Weight: 1}, rng.Uint64())
 	server, took, res, out := decide.ServerID(10+rng.IntN(40)), 5+rng.Float64()*40, decide.Served, trace.Served
 	if i%5000 >= 4000 && i%5000 < 4050 {
-		server, res, out = 7, decide.Errored, trace.Failed
+		server, res, out = 7, decide.ServerError, trace.Failed
 	}
 	if i%10_000 == 77 {
 		took = 3000
 	}
 	for n := range 2 {
-		l.Sending(start+float64(n)*took, decide.Get{Server: server, Source: 3})
-		l.Over(start+float64(n+1)*took, res, 100, decide.Load{}, trace.Wire{Wrote: start + 1})
+		l.AttemptStarted(start+float64(n)*took, decide.SendAttempt{Server: server, FillSource: 3})
+		l.AttemptEnded(start+float64(n+1)*took, res, 100, decide.LoadReport{}, trace.Wire{Wrote: start + 1})
 	}
-	l.Answered(start+2*took, out)
+	l.Responded(start+2*took, out)
 	t := l.Piece()
 	t.Why = trace.WhyRetried
 	return t
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -49,7 +49,7 @@
 	now := start
 	for range rng.IntN(4) {
 		now += rng.Float64() * 10
-		l.Sending(now, decide.Get{Server: decide.ServerID(rng.Uint32()), Source: 9, Keep: 2, Join: true, MaxAge: time.Second})
+		l.AttemptStarted(now, decide.SendAttempt{Server: decide.ServerID(rng.Uint32()), FillSource: 9, CopyRank: 2, JoinFill: true, MaxAge: time.Second})
 		at := now + rng.Float64()
 		now = at + rng.Float64()*100
 		w := Wire{}
@@ -57,11 +57,11 @@
 			w = Wire{Dialled: at, Up: at + 1, Wrote: at + 1, Age: 500}
 		}
 		if rng.IntN(3) == 0 {
-			l.Answered(now, Left)
+			l.Responded(now, Left)
 		}
-		l.Over(now, decide.Result(rng.IntN(9)), rng.IntN(1000), decide.Load{Inflight: 7, Link: math.NaN()}, w)
+		l.AttemptEnded(now, decide.Result(rng.IntN(9)), rng.IntN(1000), decide.LoadReport{Inflight: 7, LinkUtilization: math.NaN()}, w)
 	}
-	l.Answered(now, Outcome(rng.IntN(int(outcomes))))
+	l.Responded(now, Outcome(rng.IntN(int(outcomes))))
 	if !l.Done() {
 		panic("not done")
 	}
@@ -163,9 +163,9 @@
 func TestServersClockIsFitted(t *testing.T) {
 	id := ID{3}
 	l := Begin(Trace{ID: id, Router: "n1", Start: 1000}, 1)
-	p := l.Sending(1002, decide.Get{Server: 5})
-	l.Over(1052, decide.Served, 10, decide.Load{}, Wire{Wrote: 1003})
-	l.Answered(1053, Served)
+	p := l.AttemptStarted(1002, decide.SendAttempt{Server: 5})
+	l.AttemptEnded(1052, decide.Served, 10, decide.LoadReport{}, Wire{Wrote: 1003})
+	l.Responded(1053, Served)
 	for _, off := range []float64{-5000, 0, 3, 1e6} {
 		start := 1010 + off
 		box := &Trace{ID: id, Router: "s-00000005", Start: start, End: start + 30, Spans: []Span{
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -36,7 +36,7 @@
 	Machine
 	Name   string
 	Addr   netip.AddrPort
-	Self   member.Word
+	Self   member.Update
 	Dead   bool
 	Sent   int64 // packets
 	Bytes  int64 // that it sent, sealed, with the network's heads
@@ -103,11 +103,11 @@
 // Start adds a process of a router at a place, with a seat and a life.
 func (v *Net) Start(place int, name string, seat member.ID, life uint64, set fleet.Settings, bare bool) *Host {
 	h := &Host{Name: name, Addr: Addr(place), wake: math.Inf(1),
-		Self: member.Word{ID: seat, Inc: member.Incarnation(life), Name: name, Zone: fmt.Sprintf("z%d", place%3), Version: "v", Addr: Addr(place)}}
+		Self: member.Update{ID: seat, Revision: member.FirstRevision(life), Name: name, Zone: fmt.Sprintf("z%d", place%3), Version: "v", Addr: Addr(place)}}
 	rng := rand.New(rand.NewPCG(v.Rng.Uint64(), v.Rng.Uint64()))
 	seeds := []netip.AddrPort{Addr(0), Addr(1)}
 	if bare {
-		h.Machine = Bare{member.New(set.Member, h.Self, seeds, rng, nil, v.Now)}
+		h.Machine = Bare{member.New(set.Membership, h.Self, seeds, rng, nil, v.Now)}
 	} else {
 		h.Machine = fleet.New(set, h.Self, seeds, rng, v.Now)
 	}
@@ -197,7 +197,7 @@
 		h.On(h, v.Now, &out)
 	}
 	// One timer a host: a later one is set when it fires.
-	if at := v.Now + max(out.Wake-now, 0.05); at < h.wake {
+	if at := v.Now + max(out.WakeAt-now, 0.05); at < h.wake {
 		h.wake = at
 		v.push(event{at: at, to: h})
 	}
@@ -205,7 +205,7 @@
 
 // carry sends what a host wants sent.
 func (v *Net) carry(h *Host, out *member.Output) {
-	for _, s := range out.Sends {
+	for _, s := range out.Packets {
 		v.room = s.Packet.Append(v.room[:0])
 		h.Sent++
 		if v.Tap != nil {
@@ -298,7 +298,7 @@
 
 // Alike tells whether all hosts that live hold the same routers as there, and nobody else.
 func (v *Net) Alike() bool {
-	var want [member.Buckets]uint32
+	var want [member.BucketCount]uint32
 	first := true
 	live := 0
 	for _, h := range v.Hosts {
@@ -312,9 +312,9 @@
 		}
 		m := h.Member()
 		if first {
-			want, first = m.Sums(), false
+			want, first = m.Checksums(), false
 		}
-		if m.Sums() != want || m.There() != live {
+		if m.Checksums() != want || m.PresentCount() != live {
 			return false
 		}
 	}
--- a/internal/virtual/virtual_test.go
+++ b/internal/virtual/virtual_test.go
@@ -14,7 +14,7 @@
 func settled(t testing.TB, seed uint64, n int) *Net {
 	t.Helper()
 	v := New(seed)
-	v.Fleet(n, fleet.Default(), false)
+	v.Fleet(n, fleet.DefaultSettings(), false)
 	alike(t, v, 10_000)
 	v.Run(v.Now + 8000) // until stances hold too
 	return v
@@ -28,7 +28,7 @@
 		seen := map[int]int{}
 		for _, h := range v.Hosts {
 			if !h.Dead {
-				seen[h.Member().There()]++
+				seen[h.Member().PresentCount()]++
 			}
 		}
 		t.Fatalf("views differ after %.0f ms: routers seen, by how many: %v", within, seen)
@@ -42,7 +42,7 @@
 	for _, h := range v.Hosts {
 		h.On = func(h *Host, _ float64, out *fleet.Output) {
 			for _, e := range out.Events {
-				if e.What == what && (e.Word.By == h.Self.ID || what != "suspect" && what != "failed") {
+				if e.Kind == what && (e.Update.ReportedBy == h.Self.ID || what != "suspect" && what != "failed") {
 					n++
 				}
 			}
@@ -72,11 +72,11 @@
 	of := func(seed uint64) string {
 		v := New(seed)
 		v.Link = Link{Loss: 0.1, Repeat: 0.1, Delay: 1, Jitter: 5}
-		v.Fleet(12, fleet.Default(), false)
+		v.Fleet(12, fleet.DefaultSettings(), false)
 		v.Run(20_000)
 		var b bytes.Buffer
 		for _, h := range v.Hosts {
-			fmt.Fprintln(&b, h.Sent, h.Bytes, h.Member().Sums())
+			fmt.Fprintln(&b, h.Sent, h.Bytes, h.Member().Checksums())
 		}
 		return b.String()
 	}
@@ -99,7 +99,7 @@
 		v.Link.Cut = sides(func(p int) int { return p % parts })
 		v.Run(v.Now + 15_000)
 		for _, h := range v.Hosts {
-			if n, s := h.Member().There(), h.Machine.(*fleet.Node).Reading(); n != 12/parts || s.Stance != stance.Partial || s.Known != 12 {
+			if n, s := h.Member().PresentCount(), h.Machine.(*fleet.Node).Connectivity(); n != 12/parts || s.State != stance.Partial || s.Known != 12 {
 				t.Errorf("cut in %d: %s sees %d there, %+v", parts, h.Name, n, s)
 			}
 		}
@@ -107,7 +107,7 @@
 		took := alike(t, v, 3000)
 		v.Run(v.Now + 12_000)
 		for _, h := range v.Hosts {
-			if s := h.Machine.(*fleet.Node).Reading(); s.Stance != stance.Together {
+			if s := h.Machine.(*fleet.Node).Connectivity(); s.State != stance.Together {
 				t.Errorf("%d parts healed after %.0f ms: %s is %v", parts, took, h.Name, s)
 			}
 		}
@@ -154,7 +154,7 @@
 	for _, h := range v.Hosts {
 		h.On = func(h *Host, _ float64, out *fleet.Output) {
 			for _, e := range out.Events {
-				if e.What == "failed" && e.Word.ID != x.Self.ID {
+				if e.Kind == "failed" && e.Update.ID != x.Self.ID {
 					said++
 				}
 			}
@@ -181,7 +181,7 @@
 	for _, h := range v.Hosts {
 		h.On = func(h *Host, _ float64, out *fleet.Output) {
 			for _, e := range out.Events {
-				if e.What == "failed" && e.Word.ID != x.Self.ID {
+				if e.Kind == "failed" && e.Update.ID != x.Self.ID {
 					wrong++
 				}
 			}
@@ -204,7 +204,7 @@
 	const hour = 3_600_000
 	again := false
 	v.Link.Repeat = 0 // the copies are made below
-	v.Fleet(5, fleet.Default(), false)
+	v.Fleet(5, fleet.DefaultSettings(), false)
 	var old []Send
 	v.Tap = func(s Send) {
 		if !again {
@@ -221,7 +221,7 @@
 	for _, h := range v.Hosts {
 		h.On = func(_ *Host, _ float64, out *fleet.Output) {
 			for _, e := range out.Events {
-				if e.What == "joined" || e.What == "back" || e.What == "failed" || e.What == "suspect" {
+				if e.Kind == "joined" || e.Kind == "back" || e.Kind == "failed" || e.Kind == "suspect" {
 					moved++
 				}
 			}
@@ -246,7 +246,7 @@
 		v.Run(v.Now + 150)
 		var place int
 		fmt.Sscanf(h.Name, "r%d", &place)
-		v.Start(place, h.Name, h.Self.ID, 2, fleet.Default(), false)
+		v.Start(place, h.Name, h.Self.ID, 2, fleet.DefaultSettings(), false)
 		v.Run(v.Now + 150)
 	}
 	alike(t, v, 5000)
@@ -255,8 +255,8 @@
 			continue
 		}
 		for _, m := range h.Member().View().Members {
-			if m.Life() != 2 {
-				t.Errorf("%s sees life %d of %s", h.Name, m.Life(), m.Name)
+			if m.Incarnation() != 2 {
+				t.Errorf("%s sees life %d of %s", h.Name, m.Incarnation(), m.Name)
 			}
 		}
 	}
@@ -269,8 +269,8 @@
 		v.Kill(h)
 	}
 	v.Run(v.Now + 30_000)
-	s := v.Hosts[0].Machine.(*fleet.Node).Reading()
-	if s.Stance != stance.Alone || s.Known != 8 {
+	s := v.Hosts[0].Machine.(*fleet.Node).Connectivity()
+	if s.State != stance.Alone || s.Known != 8 {
 		t.Errorf("%+v", s)
 	}
 }
@@ -280,12 +280,12 @@
 func TestCutOffFromAll(t *testing.T) {
 	v := settled(t, 14, 60)
 	x := v.Hosts[7]
-	stands := func(s stance.Stance) func() bool {
-		return func() bool { return x.Machine.(*fleet.Node).Reading().Stance == s }
+	stands := func(s stance.State) func() bool {
+		return func() bool { return x.Machine.(*fleet.Node).Connectivity().State == s }
 	}
 	v.Link.Cut = func(a, b *Host) bool { return a == x || b == x }
 	if !v.Until(v.Now+4000, 50, stands(stance.Alone)) {
-		t.Errorf("after 4 s it sees %d", x.Member().There())
+		t.Errorf("after 4 s it sees %d", x.Member().PresentCount())
 	}
 	v.Link.Cut = nil
 	if !v.Until(v.Now+20_000, 50, stands(stance.Together)) {
@@ -316,11 +316,11 @@
 func TestMovedAndTwoProcessesOfOneRouter(t *testing.T) {
 	v := settled(t, 10, 6)
 	old := v.Hosts[2]
-	next := v.Start(40, old.Name, old.Self.ID, 2, fleet.Default(), false)
+	next := v.Start(40, old.Name, old.Self.ID, 2, fleet.DefaultSettings(), false)
 	v.Run(v.Now + 5000)
 	for _, h := range v.Hosts {
 		if h == old {
-			if !h.Member().View().Yielded {
+			if !h.Member().View().Superseded {
 				t.Error("the process before does not know that it has a successor")
 			}
 			continue
@@ -331,16 +331,16 @@
 				n++
 			}
 		}
-		if there := h.Member().There(); n != 1 || there != 6 {
+		if there := h.Member().PresentCount(); n != 1 || there != 6 {
 			t.Errorf("%s sees it %d times, and %d routers", h.Name, n, there)
 		}
 	}
 	v.Kill(next) // the new one was no good: the one before has its seat back
 	alike(t, v, 10_000)
-	if w := old.Member().Self(); w.Life() != 3 {
-		t.Errorf("the one before is back as life %d", w.Life())
+	if w := old.Member().Self(); w.Incarnation() != 3 {
+		t.Errorf("the one before is back as life %d", w.Incarnation())
 	}
-	last := v.Start(41, old.Name, old.Self.ID, 4, fleet.Default(), false)
+	last := v.Start(41, old.Name, old.Self.ID, 4, fleet.DefaultSettings(), false)
 	v.Run(v.Now + 5000)
 	v.Leave(old) // says nothing of the seat, which is its successor's
 	v.Run(v.Now + 5000)
@@ -353,7 +353,7 @@
 func TestOneNameTwice(t *testing.T) {
 	v := settled(t, 11, 5)
 	n := spoken(v, "conflict")
-	x := v.Start(41, "r003", member.ID(v.Rng.Uint64()|1), 1, fleet.Default(), false)
+	x := v.Start(41, "r003", member.ID(v.Rng.Uint64()|1), 1, fleet.DefaultSettings(), false)
 	v.Run(v.Now + 20_000)
 	if got := v.SeenAs(x)[member.Alive]; got != 5 || v.SeenAs(v.Hosts[3])[member.Alive] != 5 {
 		t.Errorf("the second is alive for %d, the first for %d of 5", got, v.SeenAs(v.Hosts[3])[member.Alive])
@@ -375,7 +375,7 @@
 	for _, h := range v.Hosts {
 		h.On = func(_ *Host, _ float64, out *fleet.Output) {
 			for _, e := range out.Events {
-				if e.What == "failed" && real[e.Word.ID] {
+				if e.Kind == "failed" && real[e.Update.ID] {
 					wrong++
 				}
 			}
@@ -383,20 +383,20 @@
 	}
 	liar := v.Hosts[7]
 	for i := range 1000 {
-		w := member.Word{ID: member.ID(v.Rng.Uint64() | 1), Inc: member.Incarnation(1), Name: fmt.Sprintf("ghost%d", i), Addr: Addr(1000 + i)}
-		v.Do(liar, func() { liar.Member().Lie(w) })
+		w := member.Update{ID: member.ID(v.Rng.Uint64() | 1), Revision: member.FirstRevision(1), Name: fmt.Sprintf("ghost%d", i), Addr: Addr(1000 + i)}
+		v.Do(liar, func() { liar.Member().InjectUpdate(w) })
 	}
 	v.Run(v.Now + 5000)
-	if n := v.Hosts[0].Member().There(); n < 100 {
+	if n := v.Hosts[0].Member().PresentCount(); n < 100 {
 		t.Errorf("only %d are held: the test shows nothing", n)
 	}
 	for _, h := range v.Hosts {
-		if n := len(h.Member().View().Members); n > 1+fleet.Default().Member.MaxMembers {
+		if n := len(h.Member().View().Members); n > 1+fleet.DefaultSettings().Membership.MaxMembers {
 			t.Errorf("%s holds %d", h.Name, n)
 		}
 	}
 	v.Until(v.Now+400_000, 1000, v.Alike)
-	if n := v.Hosts[0].Member().There(); n != 8 || wrong != 0 {
+	if n := v.Hosts[0].Member().PresentCount(); n != 8 || wrong != 0 {
 		t.Errorf("%d there at the end, want 8; %d times one that lives was failed", n, wrong)
 	}
 }
@@ -407,7 +407,7 @@
 	v := settled(t, 13, 6)
 	swings := 0
 	v.Hosts[0].On = func(_ *Host, _ float64, out *fleet.Output) {
-		if out.Swung {
+		if out.ConnectivityChanged {
 			swings++
 		}
 	}
@@ -422,7 +422,7 @@
 		t.Errorf("%d changes of the stance in %d flaps", swings, flaps)
 	}
 	v.Run(v.Now + 90_000)
-	if s := v.Hosts[0].Machine.(*fleet.Node).Reading(); s.Stance != stance.Together {
+	if s := v.Hosts[0].Machine.(*fleet.Node).Connectivity(); s.State != stance.Together {
 		t.Errorf("when the link is sound it stays %v", s)
 	}
 }
--- a/internal/wire/golden_test.go
+++ b/internal/wire/golden_test.go
@@ -66,24 +66,24 @@
 		if it.Kind == Begin {
 			printSettings(text, &it.Settings)
 		}
-	case decide.Members:
-		fmt.Fprintf(text, "list full=%t failed=%t\n", ev.Full, ev.Failed)
+	case decide.EndpointUpdate:
+		fmt.Fprintf(text, "list full=%t failed=%t\n", ev.Snapshot, ev.Failed)
 		for _, s := range ev.Servers {
 			fmt.Fprintf(text, "  server=%d zone=%d kind=%d cell=%d phase=%d weight=%v started=%d\n",
-				uint64(s.ID), s.Zone, s.Kind, s.Cell, int(s.Phase), s.Weight, int64(s.Started))
+				uint64(s.ID), s.Zone, s.Kind, s.Cell, int(s.Phase), s.Weight, int64(s.StartedAt))
 		}
 	case decide.Request:
 		fmt.Fprintf(text, "request=%d class=%d object=%x part=%d group=%d left=%d size=%v repeat=%t\n", uint64(ev.ID), ev.Class,
-			uint64(ev.Object), ev.Part, ev.Group, int64(ev.Left), ev.SizeKB, ev.Repeat)
+			uint64(ev.Object), ev.Chunk, ev.PurgeGroup, int64(ev.Timeout), ev.SizeKB, ev.ClientRetry)
 	case decide.Outcome:
 		fmt.Fprintf(text, "outcome request=%d attempt=%d server=%d result=%d note=%d waited=%d took=%d bytes=%d done=%t load=%v,%v,%v,%v\n",
-			uint64(ev.ID), ev.Attempt, uint64(ev.Server), int(ev.Result), int(ev.Note), int64(ev.Waited), int64(ev.Took), ev.Bytes,
-			ev.Done, ev.Load.Inflight, ev.Load.Busy, ev.Load.HitShare, ev.Load.Link)
-	case decide.Timer:
+			uint64(ev.ID), ev.Attempt, uint64(ev.Server), int(ev.Result), int(ev.CacheStatus), int64(ev.SourceWait), int64(ev.Duration), ev.BodyBytes,
+			ev.RequestDone, ev.Load.Inflight, ev.Load.CPUUtilization, ev.Load.HitRatio, ev.Load.LinkUtilization)
+	case decide.TimerFired:
 		fmt.Fprintf(text, "timer token=%d\n", ev.Token)
 	case decide.Purge:
 		fmt.Fprintf(text, "purge object=%x group=%d age=%d\n", uint64(ev.Object), ev.Group, int64(ev.Age))
-	case decide.Left:
+	case decide.ClientDisconnected:
 		fmt.Fprintf(text, "left request=%d\n", uint64(ev.ID))
 	default:
 		fmt.Fprintln(text, "unknown event")
@@ -92,17 +92,17 @@
 
 func printSettings(text *strings.Builder, s *decide.Settings) {
 	fmt.Fprintf(text, "  zones=%d zone=%d kinds=%d parent=%d origin=%d seats=%v routers=%d attempts=%d backoff=%d\n", s.Zones, s.Zone,
-		s.Kinds, s.ParentKind, s.OriginKind, s.SeatsByZone, s.Routers, s.MaxAttempts, int64(s.MaxBackoff))
-	fmt.Fprintf(text, "  cancel=%t join=%t direct=%t flow=%v bytes=%v sized=%t hits=%t falls=%t ask=%t\n", s.CanCancel, s.CanJoin,
-		s.Direct, s.FlowKBps, s.BytesPerS, s.WeightsSize, s.HitsOnly, s.OriginFalls, s.MustAsk)
-	fmt.Fprintf(text, "  drain=%d purge=%d purged=%d\n", int64(s.DrainGrace), int64(s.PurgeGrace), int64(s.PurgeDone))
-	for _, r := range []decide.Ramp{s.Cache, s.Parent} {
-		fmt.Fprintf(text, "  ramp from=%v warm=%d multiple=%v span=%d\n", r.From, int64(r.Warm), r.Multiple, int64(r.Span))
+		s.Kinds, s.ParentKind, s.OriginKind, s.RoutersByZone, s.Routers, s.MaxAttempts, int64(s.MaxRetryAfter))
+	fmt.Fprintf(text, "  cancel=%t join=%t direct=%t flow=%v bytes=%v sized=%t hits=%t falls=%t ask=%t\n", s.CanCancel, s.CanJoinFill,
+		s.AllowBypass, s.TransferKBPerSecond, s.BodyBytesPerSecond, s.WeightIsCapacity, s.HitStatusOnly, s.OriginStopsOnOverload, s.MustSubscribe)
+	fmt.Fprintf(text, "  drain=%d purge=%d purged=%d\n", int64(s.DrainGrace), int64(s.PurgeGrace), int64(s.PurgeRetention))
+	for _, r := range []decide.SlowStart{s.CacheSlowStart, s.ParentSlowStart} {
+		fmt.Fprintf(text, "  ramp from=%v warm=%d multiple=%v span=%d\n", r.InitialCapacity, int64(r.Duration), r.OverloadFactor, int64(r.OverloadWindow))
 	}
 	for _, c := range s.Classes {
 		fmt.Fprintf(text, "  class name=%q effect=%d group=%d window=%d aim=%d stretch=%v deadline=%d worth=%v late=%v write=%t fresh=%d grace=%d\n",
-			c.Name, int(c.Effect), int(c.Group), int64(c.Window), int64(c.Aim), c.AimStretch, int64(c.Deadline), c.Worth, c.LateWorth,
-			c.Write, int64(c.Fresh), int64(c.Grace))
+			c.Name, int(c.Idempotency), int(c.KeyScope), int64(c.KeyWindow), int64(c.LatencyObjective), c.ObjectiveTransferFactor, int64(c.Deadline), c.PriorityWeight, c.LateWeightFactor,
+			c.Write, int64(c.FreshnessLifetime), int64(c.MaxStale))
 	}
 }
 
@@ -111,11 +111,11 @@
 	us := time.Microsecond
 	text := AppendBy(nil, 12)
 	for _, a := range []decide.Action{
-		decide.Get{ID: 1<<52 - 1, Server: 1<<32 - 1, Source: 7, Keep: 3, MaxAge: 1_500_000*us + 999, Until: 9312250 * us},
-		decide.Get{ID: 5, Server: 6, Source: 7, Keep: 1, Join: true}, decide.Get{ID: 5, Server: 6, Source: 7, Renew: true},
-		decide.Get{ID: 5, Server: 6, Source: 7, HeldOnly: true},
-		decide.Refuse{ID: 5}, decide.Refuse{ID: 5, Backoff: 250_000 * us}, decide.Fail{ID: 6}, decide.Cancel{ID: 7, Attempt: 2},
-		decide.Wake{After: 500 * us, Token: 1 << 63}, decide.Watch{},
+		decide.SendAttempt{ID: 1<<52 - 1, Server: 1<<32 - 1, FillSource: 7, CopyRank: 3, MaxAge: 1_500_000*us + 999, Deadline: 9312250 * us},
+		decide.SendAttempt{ID: 5, Server: 6, FillSource: 7, CopyRank: 1, JoinFill: true}, decide.SendAttempt{ID: 5, Server: 6, FillSource: 7, Revalidate: true},
+		decide.SendAttempt{ID: 5, Server: 6, FillSource: 7, OnlyIfCached: true},
+		decide.Reject{ID: 5}, decide.Reject{ID: 5, RetryAfter: 250_000 * us}, decide.Fail{ID: 6}, decide.CancelAttempt{ID: 7, Attempt: 2},
+		decide.SetTimer{Delay: 500 * us, Token: 1 << 63}, decide.Subscribe{},
 	} {
 		text = AppendAction(text, a)
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -47,35 +47,35 @@
 // settings turns the pairs into what the module takes.
 func (p pairs) settings() (decide.Settings, []string) {
 	s := decide.Settings{
-		Zones:       len(p.list("areas")),
-		Zone:        p.whole("zone", 0),
-		Kinds:       len(p.list("machine_types")),
-		ParentKind:  p.whole("family_info.second_tier_kind", -1),
-		OriginKind:  p.whole("family_info.root_kind", -1),
-		Routers:     p.whole("peers_total", 1),
-		MaxAttempts: p.whole("limits.try_limit", 1),
-		MaxBackoff:  p.time("limits.max_retry_after_us"),
-		CanCancel:   p.yes("limits.cancel"),
-		CanJoin:     p.yes("family_info.can_join"),
-		Direct:      p.yes("family_info.bypass_allowed"),
-		FlowKBps:    p.real("family_info.one_flow_kb_per_s"),
-		WeightsSize: p.m["weights"] == "nominal" || p.m["weights"] == "rough",
-		HitsOnly:    p.m["family_info.note_level"] == "hit",
-		OriginFalls: p.real("family_info.origin_limit_factor") > 0,
-		MustAsk:     p.m["discovery"] == "on_request",
-		DrainGrace:  p.time("rules.drain_grace_us"),
-		PurgeGrace:  p.time("family_info.obey_after_us"),
-		PurgeDone:   p.time("family_info.cleared_within_us"),
-		Cache: decide.Ramp{From: p.real("rules.cold_from"), Warm: p.time("rules.cold_us"),
-			Multiple: p.real("rules.fall_multiple"), Span: p.time("rules.overload_for_us")},
-		Parent: decide.Ramp{From: p.real("family_info.parent_starts_at"), Warm: p.time("family_info.parent_warms_in_us"),
-			Multiple: p.real("family_info.parent_fall_multiple"), Span: p.time("rules.overload_for_us")},
+		Zones:                 len(p.list("areas")),
+		Zone:                  p.whole("zone", 0),
+		Kinds:                 len(p.list("machine_types")),
+		ParentKind:            p.whole("family_info.second_tier_kind", -1),
+		OriginKind:            p.whole("family_info.root_kind", -1),
+		Routers:               p.whole("peers_total", 1),
+		MaxAttempts:           p.whole("limits.try_limit", 1),
+		MaxRetryAfter:         p.time("limits.max_retry_after_us"),
+		CanCancel:             p.yes("limits.cancel"),
+		CanJoinFill:           p.yes("family_info.can_join"),
+		AllowBypass:           p.yes("family_info.bypass_allowed"),
+		TransferKBPerSecond:   p.real("family_info.one_flow_kb_per_s"),
+		WeightIsCapacity:      p.m["weights"] == "nominal" || p.m["weights"] == "rough",
+		HitStatusOnly:         p.m["family_info.note_level"] == "hit",
+		OriginStopsOnOverload: p.real("family_info.origin_limit_factor") > 0,
+		MustSubscribe:         p.m["discovery"] == "on_request",
+		DrainGrace:            p.time("rules.drain_grace_us"),
+		PurgeGrace:            p.time("family_info.obey_after_us"),
+		PurgeRetention:        p.time("family_info.cleared_within_us"),
+		CacheSlowStart: decide.SlowStart{InitialCapacity: p.real("rules.cold_from"), Duration: p.time("rules.cold_us"),
+			OverloadFactor: p.real("rules.fall_multiple"), OverloadWindow: p.time("rules.overload_for_us")},
+		ParentSlowStart: decide.SlowStart{InitialCapacity: p.real("family_info.parent_starts_at"), Duration: p.time("family_info.parent_warms_in_us"),
+			OverloadFactor: p.real("family_info.parent_fall_multiple"), OverloadWindow: p.time("rules.overload_for_us")},
 	}
 	if !p.yes("limits.retry_after") {
-		s.MaxBackoff = 0
+		s.MaxRetryAfter = 0
 	}
 	for _, v := range p.list("family_info.seats_by_zone") {
-		s.SeatsByZone = append(s.SeatsByZone, p.wholeOf("family_info.seats_by_zone", v))
+		s.RoutersByZone = append(s.RoutersByZone, p.wholeOf("family_info.seats_by_zone", v))
 	}
 	s.Classes = p.classes()
 	p.agree(s)
@@ -93,7 +93,7 @@
 	if s.ParentKind >= 0 && s.ParentKind == s.OriginKind {
 		p.f.fail("family_info.second_tier_kind", fmt.Sprintf("kind %d is the origin's, as family_info.root_kind says", s.ParentKind))
 	}
-	for path, from := range map[string]float64{"rules.cold_from": s.Cache.From, "family_info.parent_starts_at": s.Parent.From} {
+	for path, from := range map[string]float64{"rules.cold_from": s.CacheSlowStart.InitialCapacity, "family_info.parent_starts_at": s.ParentSlowStart.InitialCapacity} {
 		if from > 1 {
 			p.f.fail(path, fmt.Sprintf("%v is more than all of a server's capacity", from))
 		}
@@ -134,22 +134,22 @@
 	for i := range n {
 		at := fmt.Sprintf("classes.%d.", i)
 		c := decide.Class{
-			Name:       p.m[at+"name"],
-			Effect:     decide.Effect(choose(p, at+"effect", "read_like", "idempotency_key", "non_idempotent")),
-			Group:      decide.Group(choose(p, at+"group", "all", "zone", "cell")),
-			Window:     p.time(at + "window_us"),
-			Aim:        p.time(at + "aim_us"),
-			AimStretch: p.real(at + "aim_stretch"),
-			Deadline:   p.time(at + "deadline_us"),
-			Worth:      p.real(at + "value"),
-			LateWorth:  p.real(at + "late_worth"),
-			Write:      len(writes) > 0 && p.yesOf(info+"class_write", writes[i]),
+			Name:                    p.m[at+"name"],
+			Idempotency:             decide.Idempotency(choose(p, at+"effect", "read_like", "idempotency_key", "non_idempotent")),
+			KeyScope:                decide.KeyScope(choose(p, at+"group", "all", "zone", "cell")),
+			KeyWindow:               p.time(at + "window_us"),
+			LatencyObjective:        p.time(at + "aim_us"),
+			ObjectiveTransferFactor: p.real(at + "aim_stretch"),
+			Deadline:                p.time(at + "deadline_us"),
+			PriorityWeight:          p.real(at + "value"),
+			LateWeightFactor:        p.real(at + "late_worth"),
+			Write:                   len(writes) > 0 && p.yesOf(info+"class_write", writes[i]),
 		}
 		if len(fresh) > 0 {
-			c.Fresh = p.timeOf(info+"lifetime_by_class_us", fresh[i])
+			c.FreshnessLifetime = p.timeOf(info+"lifetime_by_class_us", fresh[i])
 		}
 		if len(grace) > 0 {
-			c.Grace = p.timeOf(info+"older_by_us", grace[i])
+			c.MaxStale = p.timeOf(info+"older_by_us", grace[i])
 		}
 		out = append(out, c)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -164,11 +164,11 @@
 	case "VERDICT":
 		it.Event = f.outcome(r.reports[r.who])
 	case "WAKEUP":
-		it.Event = decide.Timer{Token: f.num("nonce", maxToken)}
+		it.Event = decide.TimerFired{Token: f.num("nonce", maxToken)}
 	case "OUTDATED":
 		it.Event = decide.Purge{Group: int(f.num("set_no", maxIndex)), Age: f.time("how_old_us"), Object: f.object("key")}
 	case "LEFT":
-		it.Event = decide.Left{ID: decide.RequestID(f.num("id", maxRequest))}
+		it.Event = decide.ClientDisconnected{ID: decide.RequestID(f.num("id", maxRequest))}
 	case "FIRST_BYTE":
 		f.num("id", maxRequest)
 		f.time("cost_time_us")
@@ -205,13 +205,13 @@
 		}
 		f := &r.f
 		s := decide.Server{
-			ID:      decide.ServerID(f.num("server", maxServer)),
-			Zone:    int(f.num("site", maxIndex)),
-			Kind:    int(f.num("model", maxIndex)),
-			Cell:    int(f.num("pack", maxIndex)),
-			Phase:   decide.Phase(f.num("phase", 2)),
-			Weight:  f.real("power_hint"),
-			Started: f.time("last_start_us"),
+			ID:        decide.ServerID(f.num("server", maxServer)),
+			Zone:      int(f.num("site", maxIndex)),
+			Kind:      int(f.num("model", maxIndex)),
+			Cell:      int(f.num("pack", maxIndex)),
+			Phase:     decide.Phase(f.num("phase", 2)),
+			Weight:    f.real("power_hint"),
+			StartedAt: f.time("last_start_us"),
 		}
 		if err := f.end(); err != nil {
 			return err
@@ -228,14 +228,14 @@
 	f.num("revision", math.MaxUint64)
 	if form == 3 {
 		f.next("roster_id")
-		return decide.Members{Failed: true}
+		return decide.EndpointUpdate{Failed: true}
 	}
 	no := f.num("roster_id", 15)
 	list, known := r.lists[no]
 	if !known && f.err == nil {
 		f.fail("roster_id", "no CATALOG with this number")
 	}
-	return decide.Members{Full: form != 1, Servers: list}
+	return decide.EndpointUpdate{Snapshot: form != 1, Servers: list}
 }
 
 // fields takes the values of one line in turn. The first error sticks.
@@ -320,13 +320,13 @@
 
 func (f *fields) request() decide.Event {
 	q := decide.Request{
-		ID:    decide.RequestID(f.num("id", maxRequest)),
-		Group: int(f.num("label_no", maxIndex)),
-		Left:  f.time("grace_us"),
-		Part:  int(f.num("slice", maxIndex)),
+		ID:         decide.RequestID(f.num("id", maxRequest)),
+		PurgeGroup: int(f.num("label_no", maxIndex)),
+		Timeout:    f.time("grace_us"),
+		Chunk:      int(f.num("slice", maxIndex)),
 	}
 	f.num("project", maxIndex)
-	q.Repeat = f.num("opts", maxIndex)&2 != 0
+	q.ClientRetry = f.num("opts", maxIndex)&2 != 0
 	q.Object = f.object("key")
 	q.SizeKB = f.real("length_kb")
 	q.Class = int(f.num("class", maxIndex))
@@ -334,9 +334,9 @@
 }
 
 var results = map[string]decide.Result{
-	"served": decide.Served, "server_error": decide.Errored, "turned_away": decide.Full,
-	"no_answer": decide.TimedOut, "no_connection": decide.Unreached, "connection_lost": decide.Broken,
-	"called_off": decide.Cancelled, "not_sent": decide.NotSent, "not_stored": decide.Miss,
+	"served": decide.Served, "server_error": decide.ServerError, "turned_away": decide.Rejected,
+	"no_answer": decide.TimedOut, "no_connection": decide.ConnectFailed, "connection_lost": decide.ConnectionLost,
+	"called_off": decide.Canceled, "not_sent": decide.NotSent, "not_stored": decide.NotCached,
 }
 
 func (f *fields) result(field string) decide.Result {
@@ -350,23 +350,23 @@
 
 func (f *fields) outcome(report []string) decide.Event {
 	o := decide.Outcome{
-		ID:     decide.RequestID(f.num("id", maxRequest)),
-		Result: f.result("status"),
-		Server: decide.ServerID(f.num("server", maxServer)),
-		Waited: f.time("waited_us"),
-		Note:   decide.Note(f.num("note", 10)),
-		Took:   f.time("cost_time_us"),
+		ID:          decide.RequestID(f.num("id", maxRequest)),
+		Result:      f.result("status"),
+		Server:      decide.ServerID(f.num("server", maxServer)),
+		SourceWait:  f.time("waited_us"),
+		CacheStatus: decide.CacheStatus(f.num("note", 10)),
+		Duration:    f.time("cost_time_us"),
 	}
 	o.Attempt = int(f.num("leg", maxIndex))
-	o.Done = f.num("done_flag", 1) == 1
+	o.RequestDone = f.num("done_flag", 1) == 1
 	o.Load = f.load("pressure", report)
 	return o
 }
 
 // load reads a load report, whose values come in the order of names.
-func (f *fields) load(field string, names []string) decide.Load {
+func (f *fields) load(field string, names []string) decide.LoadReport {
 	nan := math.NaN()
-	l := decide.Load{Inflight: nan, Busy: nan, HitShare: nan, Link: nan}
+	l := decide.LoadReport{Inflight: nan, CPUUtilization: nan, HitRatio: nan, LinkUtilization: nan}
 	s := f.next(field)
 	if s == "-" {
 		return l
@@ -389,11 +389,11 @@
 		case "active":
 			l.Inflight = x
 		case "cpu":
-			l.Busy = x
+			l.CPUUtilization = x
 		case "x0":
-			l.HitShare = x
+			l.HitRatio = x
 		case "x1":
-			l.Link = x
+			l.LinkUtilization = x
 		}
 	}
 	return l
@@ -413,28 +413,28 @@
 	vals, name := v[:0], ""
 	us := func(d time.Duration) int64 { return int64(d / time.Microsecond) }
 	switch a := a.(type) {
-	case decide.Get:
+	case decide.SendAttempt:
 		name = "SERVE_OR_FILL"
 		how := int64(0)
-		if a.Join {
+		if a.JoinFill {
 			how |= 1
 		}
-		if a.HeldOnly {
+		if a.OnlyIfCached {
 			how |= 2
 		}
-		if a.Renew {
+		if a.Revalidate {
 			how |= 8
 		}
-		vals = append(vals, int64(a.ID), int64(a.Keep), how, us(a.Until), int64(a.Server), int64(a.Source), us(a.MaxAge))
-	case decide.Refuse:
-		name, vals = "REFUSE", append(vals, int64(a.ID), us(a.Backoff))
+		vals = append(vals, int64(a.ID), int64(a.CopyRank), how, us(a.Deadline), int64(a.Server), int64(a.FillSource), us(a.MaxAge))
+	case decide.Reject:
+		name, vals = "REFUSE", append(vals, int64(a.ID), us(a.RetryAfter))
 	case decide.Fail:
 		name, vals = "ABORT", append(vals, int64(a.ID))
-	case decide.Cancel:
+	case decide.CancelAttempt:
 		name, vals = "REVOKE", append(vals, int64(a.ID), int64(a.Attempt))
-	case decide.Wake:
-		return fmt.Appendf(dst, "SCHEDULE %d %d\n", us(a.After), a.Token)
-	case decide.Watch:
+	case decide.SetTimer:
+		return fmt.Appendf(dst, "SCHEDULE %d %d\n", us(a.Delay), a.Token)
+	case decide.Subscribe:
 		return append(dst, "FOLLOW 1\n"...)
 	default:
 		panic(fmt.Sprintf("wire: unknown action %T", a))
--- a/plugin/call.go
+++ b/plugin/call.go
@@ -47,20 +47,20 @@
 
 // submit hands a request to the core and waits for its answer, or for the
 // caller to leave.
-func (p *Plugin) submit(ctx context.Context, r *core.Request, c core.Carrier) (core.Answer, error) {
-	answers := make(chan core.Answer, 1)
-	r.Carrier, r.Reply = c, func(a core.Answer) { answers <- a }
+func (p *Plugin) submit(ctx context.Context, r *core.Request, c core.Transport) (core.Response, error) {
+	answers := make(chan core.Response, 1)
+	r.Transport, r.Respond = c, func(a core.Response) { answers <- a }
 	if !p.core.Submit(r) {
-		return core.Answer{}, status.Error(codes.Canceled, "garnetline: the plugin is closed")
+		return core.Response{}, status.Error(codes.Canceled, "garnetline: the plugin is closed")
 	}
 	select {
 	case a := <-answers:
 		return a, nil
 	case <-ctx.Done():
-		p.core.Leave(r)
-		return core.Answer{}, status.FromContextError(ctx.Err()).Err()
+		p.core.Disconnect(r)
+		return core.Response{}, status.FromContextError(ctx.Err()).Err()
 	case <-p.done:
-		return core.Answer{}, status.Error(codes.Canceled, "garnetline: the plugin is closed")
+		return core.Response{}, status.Error(codes.Canceled, "garnetline: the plugin is closed")
 	}
 }
 
@@ -74,13 +74,13 @@
 }
 
 // result turns the core's answer into that of the RPC.
-func (c *call) result(a core.Answer) error {
+func (c *call) result(a core.Response) error {
 	switch a.Kind {
-	case core.Served, core.Same:
+	case core.Served, core.NotModified:
 		return c.err
-	case core.Refused:
+	case core.Rejected:
 		s := status.New(codes.Unavailable, "garnetline: refused, a retry is harmless")
-		if t, err := s.WithDetails(&errdetails.RetryInfo{RetryDelay: durationpb.New(clock.Duration(a.Backoff))}); err == nil {
+		if t, err := s.WithDetails(&errdetails.RetryInfo{RetryDelay: durationpb.New(clock.Duration(a.RetryAfter))}); err == nil {
 			s = t
 		}
 		return s.Err()
@@ -92,15 +92,15 @@
 }
 
 // Send begins an attempt.
-func (c *call) Send(a *core.Attempt) *core.End {
-	addr, ok := c.p.listed(a.Get.Server)
+func (c *call) Send(a *core.Attempt) *core.Completion {
+	addr, ok := c.p.listed(a.Decision.Server)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !ok || c.closed {
-		return core.NotTaken(a, decide.NotSent)
+		return core.Unsent(a, decide.NotSent)
 	}
-	ctx, stop := context.WithDeadline(c.ctx, time.Now().Add(clock.Duration(a.Until-c.p.clock.Now())))
-	a.Via = stop
+	ctx, stop := context.WithDeadline(c.ctx, time.Now().Add(clock.Duration(a.ExpiresAt-c.p.clock.Now())))
+	a.TransportState = stop
 	c.out.Add(1)
 	go func() {
 		defer c.out.Done()
@@ -110,35 +110,35 @@
 		c.mu.Lock()
 		c.err = err
 		c.mu.Unlock()
-		c.p.core.End(outcome(a, err, to.picked.Load()))
+		c.p.core.Complete(outcome(a, err, to.picked.Load()))
 	}()
 	return nil
 }
 
 // Cancel gives an attempt up: gRPC resets its stream, and the invoker returns.
-func (c *call) Cancel(a *core.Attempt) { a.Via.(context.CancelFunc)() }
+func (c *call) Cancel(a *core.Attempt) { a.TransportState.(context.CancelFunc)() }
 
-// Over has nothing to book.
-func (c *call) Over(*core.Attempt) {}
+// Release has nothing to book.
+func (c *call) Release(*core.Attempt) {}
 
 // outcome tells what the end of an RPC says of its attempt. What is no word
 // of the transport is the application's, and is an answer.
-func outcome(a *core.Attempt, err error, picked bool) core.End {
-	e := core.End{Attempt: a, Load: core.NoLoad(), Answer: core.Answer{Kind: core.Served, Server: a.Get.Server}}
+func outcome(a *core.Attempt, err error, picked bool) core.Completion {
+	e := core.Completion{Attempt: a, Load: core.UnknownLoad(), Response: core.Response{Kind: core.Served, Server: a.Decision.Server}}
 	switch code := status.Code(err); {
 	case code == codes.OK:
 	case !picked && code == codes.Unavailable:
-		e.Result = decide.Unreached // no connection was there to write to
+		e.Result = decide.ConnectFailed // no connection was there to write to
 	case code == codes.Unavailable:
-		e.Result = decide.Broken
+		e.Result = decide.ConnectionLost
 	case code == codes.Canceled:
-		e.Result = decide.Cancelled
+		e.Result = decide.Canceled
 	case code == codes.DeadlineExceeded:
 		e.Result = decide.TimedOut
-	case code == codes.ResourceExhausted && a.Class.Effect == decide.Safe:
-		e.Result = decide.Full
+	case code == codes.ResourceExhausted && a.Class.Idempotency == decide.Idempotent:
+		e.Result = decide.Rejected
 	case code == codes.Internal, code == codes.DataLoss, code == codes.Aborted, code == codes.ResourceExhausted:
-		e.Result = decide.Errored
+		e.Result = decide.ServerError
 	}
 	return e
 }
@@ -146,14 +146,14 @@
 // named carries a stream's attempt out: it is over once its server is named.
 type named struct{ p *Plugin }
 
-func (n named) Send(a *core.Attempt) *core.End {
-	if _, ok := n.p.listed(a.Get.Server); !ok {
-		return core.NotTaken(a, decide.NotSent)
+func (n named) Send(a *core.Attempt) *core.Completion {
+	if _, ok := n.p.listed(a.Decision.Server); !ok {
+		return core.Unsent(a, decide.NotSent)
 	}
-	return core.Named(a)
+	return core.Resolved(a)
 }
-func (n named) Cancel(*core.Attempt) {}
-func (n named) Over(*core.Attempt)   {}
+func (n named) Cancel(*core.Attempt)  {}
+func (n named) Release(*core.Attempt) {}
 
 // stream has the core choose a stream's server. A stream is not tried again:
 // what was sent on it can't be.
@@ -168,7 +168,7 @@
 	}
 	addr, ok := p.listed(a.Server)
 	if a.Kind != core.Served || !ok {
-		return nil, (&call{}).result(core.Answer{Kind: core.Refused, Backoff: a.Backoff})
+		return nil, (&call{}).result(core.Response{Kind: core.Rejected, RetryAfter: a.RetryAfter})
 	}
 	return streamer(context.WithValue(ctx, choiceKey{}, &choice{addr: addr}), desc, cc, method, opts...)
 }
--- a/plugin/plugin.go
+++ b/plugin/plugin.go
@@ -61,9 +61,9 @@
 type Plugin struct {
 	opts    Options
 	clock   clock.Clock
-	core    *core.Core
+	core    *core.Dispatcher
 	classes map[classKey]int
-	count   *stats.Set
+	count   *stats.Registry
 	servers atomic.Pointer[map[decide.ServerID]string] // listed ones, by id
 	tracer  *record.Recorder                           // nil: none
 	stop    context.CancelFunc
@@ -92,19 +92,19 @@
 	}
 	p := &Plugin{opts: o, clock: c, classes: map[classKey]int{}, count: stats.New(), done: make(chan struct{})}
 	p.servers.Store(&map[decide.ServerID]string{})
-	set := decide.Settings{Zones: 1, Kinds: 1, ParentKind: -1, OriginKind: -1, SeatsByZone: []int{1}, Routers: 1,
-		MaxAttempts: o.Attempts, MaxBackoff: time.Second, CanCancel: true, WeightsSize: true,
-		Cache: decide.Ramp{From: 1}}
+	set := decide.Settings{Zones: 1, Kinds: 1, ParentKind: -1, OriginKind: -1, RoutersByZone: []int{1}, Routers: 1,
+		MaxAttempts: o.Attempts, MaxRetryAfter: time.Second, CanCancel: true, WeightIsCapacity: true,
+		CacheSlowStart: decide.SlowStart{InitialCapacity: 1}}
 	for i, k := range o.Classes {
 		if k.Name == "" || k.Aim <= 0 || k.Deadline <= 0 {
 			return nil, fmt.Errorf("plugin: Classes[%d]: want a Name, an Aim and a Deadline", i)
 		}
 		for e := Safe; e <= Unsafe; e++ {
 			p.classes[classKey{k.Name, e}] = len(set.Classes)
-			set.Classes = append(set.Classes, decide.Class{Name: k.Name, Effect: decide.Effect(e), Window: k.Window,
-				Aim: k.Aim, Deadline: k.Deadline, Worth: max(k.Worth, 0)})
+			set.Classes = append(set.Classes, decide.Class{Name: k.Name, Idempotency: decide.Idempotency(e), KeyWindow: k.Window,
+				LatencyObjective: k.Aim, Deadline: k.Deadline, PriorityWeight: max(k.Worth, 0)})
 			if k.Worth == 0 {
-				set.Classes[len(set.Classes)-1].Worth = 1
+				set.Classes[len(set.Classes)-1].PriorityWeight = 1
 			}
 		}
 	}
@@ -121,7 +121,7 @@
 		return nil, fmt.Errorf("plugin: Trace: %w", err)
 	}
 	if p.tracer != nil {
-		p.core.Trace(attach.Core(p.tracer))
+		p.core.SetTracer(attach.Core(p.tracer))
 		go p.tracer.Run()
 	}
 	ctx, stop := context.WithCancel(context.Background())
@@ -170,14 +170,14 @@
 	if k.Object == 0 {
 		k.Object = hash(method)
 	}
-	r.Object, r.Part, r.Group = decide.ObjectID(k.Object), k.Part, k.Group
+	r.Object, r.Chunk, r.Group = decide.ObjectID(k.Object), k.Part, k.Group
 	left := clock.Millis(p.opts.Classes[r.Class/int(Unsafe+1)].Deadline)
 	if at, ok := ctx.Deadline(); ok {
 		left = clock.Millis(time.Until(at))
 	}
 	r.Deadline = p.clock.Now() + left
 	if p.tracer != nil {
-		r.Origin = &core.Origin{Came: p.clock.Now(), Parent: caller(ctx)}
+		r.Client = &core.ClientInfo{ReceivedAt: p.clock.Now(), TraceParent: caller(ctx)}
 	}
 	return r, nil
 }
--- a/plugin/trace.go
+++ b/plugin/trace.go
@@ -33,7 +33,7 @@
 }
 
 // recorder makes what follows the calls; nil where there is no Trace.
-func (t *Trace) recorder(c clock.Clock, count *stats.Set, classes []Class) (*record.Recorder, error) {
+func (t *Trace) recorder(c clock.Clock, count *stats.Registry, classes []Class) (*record.Recorder, error) {
 	if t == nil {
 		return nil, nil
 	}
@@ -75,7 +75,7 @@
 
 // within has what an attempt does stand under its span. The caller's own traceparent
 // is replaced; without tracing ctx is returned as it is.
-func within(ctx context.Context, t *core.Trace) context.Context {
+func within(ctx context.Context, t *core.AttemptTrace) context.Context {
 	if t == nil || t.Context.Span == 0 {
 		return ctx
 	}
