--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"garnetline/decide"
 	"garnetline/internal/wire"
+	"garnetline/routing"
 )
 
 func main() {
@@ -23,9 +23,9 @@
 // run answers batch after batch until the input ends.
 func run(in io.Reader, w io.Writer) error {
 	r, out := wire.NewReader(in), bufio.NewWriterSize(w, 1<<16)
-	routers := map[int]*decide.Router{}
+	routers := map[int]*routing.Router{}
 	var line []byte
-	var acts []decide.Action
+	var acts []routing.Action
 	for {
 		b, err := r.Next()
 		if errors.Is(err, io.EOF) {
@@ -39,7 +39,7 @@
 		for _, it := range b.Items {
 			switch it.Kind {
 			case wire.Begin:
-				if routers[it.Instance], err = decide.New(it.Settings, it.Seed); err != nil {
+				if routers[it.Instance], err = routing.New(it.Settings, it.Seed); err != nil {
 					return fmt.Errorf("instance %d: %w", it.Instance, err)
 				}
 				continue
--- a/cmd/garnetlab/duties.go
+++ b/cmd/garnetlab/duties.go
@@ -15,7 +15,7 @@
 	"github.com/urfave/cli/v3"
 
 	"garnetline/internal/faultnet"
-	"garnetline/internal/fleet/agree"
+	"garnetline/internal/fleet/consensus"
 	"garnetline/internal/lab"
 	"garnetline/internal/rig"
 )
@@ -162,16 +162,16 @@
 		defer f.Close()
 		fmt.Fprintf(f, "Made by `garnetlab register --days %g`: electors, routers and their register on one virtual clock, a message takes 0.3 ms and 0.3 on average on top; a duty is handed on twice a second, and in the last run, whose tick is 1 s and lease 60 s, once a minute, while a router is deaf for two leases every hour.\n\n", c.Float("days"))
 		fmt.Fprintln(f, "| electors, routers, duties | hours | held at the end | from ask to grant, ms: median, p99 | handed on, ms: median, p99 | questions/s | between electors: messages/s, bytes/s | questions and answers: bytes/s | commands | syncs of a disk | its most, KB | heap of all after each eighth, MB |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
-		long := agree.DefaultSettings()
+		long := consensus.DefaultSettings()
 		long.ElectionTicks, long.HeartbeatTicks = 30, 5
 		long.TickInterval, long.Lease.TTL, long.Lease.SafetyMargin, long.Lease.RetryInterval = 1000, 60_000, 2000, 5000
 		for _, x := range []struct {
 			lab.Register
 			ms float64
 		}{
-			{lab.Register{Electors: 5, Routers: 30, Duties: 10, Set: agree.DefaultSettings(), Move: 500}, 60_000},
-			{lab.Register{Electors: 5, Routers: 30, Duties: 1000, Set: agree.DefaultSettings(), Move: 500}, 60_000},
-			{lab.Register{Electors: 5, Routers: 300, Duties: 10, Set: agree.DefaultSettings(), Move: 500}, 60_000},
+			{lab.Register{Electors: 5, Routers: 30, Duties: 10, Set: consensus.DefaultSettings(), Move: 500}, 60_000},
+			{lab.Register{Electors: 5, Routers: 30, Duties: 1000, Set: consensus.DefaultSettings(), Move: 500}, 60_000},
+			{lab.Register{Electors: 5, Routers: 300, Duties: 10, Set: consensus.DefaultSettings(), Move: 500}, 60_000},
 			{lab.Register{Electors: 5, Routers: 10, Duties: 10, Set: long, Move: 60_000, Drop: 3_600_000}, c.Float("days") * 86_400_000},
 		} {
 			x.Seed = 1
--- a/cmd/garnetline/bans.go
+++ b/cmd/garnetline/bans.go
@@ -12,7 +12,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"garnetline/internal/fleet/keeper"
+	"garnetline/internal/fleet/bans"
 )
 
 // bansCommand shows and sets the bans that the register keeps.
@@ -46,7 +46,7 @@
 				_, err := out.Write(text)
 				return err
 			}
-			p := keeper.Status{}
+			p := bans.Status{}
 			if err := json.Unmarshal(text, &p); err != nil {
 				return err
 			}
@@ -57,7 +57,7 @@
 		}}
 }
 
-func showBans(out io.Writer, p *keeper.Status) error {
+func showBans(out io.Writer, p *bans.Status) error {
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	if p.ReadAt == 0 {
 		fmt.Fprintln(t, "register\tnot read yet")
@@ -76,7 +76,7 @@
 		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%d\n", b.Server, is, here, stamp(b.SetAt), b.SetBy, b.Reason, b.Version)
 	}
 	for _, box := range p.DisabledHere {
-		if !slices.ContainsFunc(p.Bans, func(b keeper.Ban) bool { return b.Server == box }) {
+		if !slices.ContainsFunc(p.Bans, func(b bans.Ban) bool { return b.Server == box }) {
 			fmt.Fprintf(t, "%s\tnot filed yet\tout\t-\t-\t-\t-\n", box)
 		}
 	}
--- a/cmd/garnetline/endings_test.go
+++ b/cmd/garnetline/endings_test.go
@@ -15,10 +15,10 @@
 	"testing"
 	"time"
 
-	"garnetline/decide"
-	"garnetline/internal/config"
-	"garnetline/internal/settings"
+	"garnetline/internal/operatorconfig"
+	"garnetline/internal/platformconfig"
 	"garnetline/internal/standin"
+	"garnetline/routing"
 )
 
 // run starts the router in this process with stand-ins and the platform's settings, changed,
@@ -33,12 +33,12 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	conf, err := config.Load(path, func(string) string { return "" })
+	conf, err := platformconfig.Load(path, func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
 	}
 	done := make(chan error, 1)
-	go func() { done <- serve(context.Background(), setup{conf, settings.Default()}, nil) }()
+	go func() { done <- serve(context.Background(), setup{conf, operatorconfig.Default()}, nil) }()
 	end = sync.OnceFunc(func() {
 		if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
 			t.Error(err)
@@ -227,7 +227,7 @@
 		}
 	}
 	for _, c := range []struct{ longest, want time.Duration }{{6 * time.Second, 3500}, {time.Second, 1500}, {100 * time.Millisecond, 700}} {
-		if got := endIn([]decide.Class{{Deadline: c.longest}, {Deadline: time.Millisecond}}); got != float64(c.want) {
+		if got := endIn([]routing.Class{{Deadline: c.longest}, {Deadline: time.Millisecond}}); got != float64(c.want) {
 			t.Errorf("with a deadline of %v all ends after %v ms, want %d", c.longest, got, c.want)
 		}
 	}
--- a/cmd/garnetline/fleet.go
+++ b/cmd/garnetline/fleet.go
@@ -18,8 +18,8 @@
 	"github.com/urfave/cli/v3"
 
 	"garnetline/internal/clock"
-	"garnetline/internal/config"
 	"garnetline/internal/fleet"
+	"garnetline/internal/platformconfig"
 )
 
 const (
@@ -157,7 +157,7 @@
 		addr = os.Getenv("EDGE_MGMT")
 	}
 	if addr == "" {
-		conf, err := config.Load(c.String("config"), os.Getenv)
+		conf, err := platformconfig.Load(c.String("config"), os.Getenv)
 		if err != nil {
 			return nil, fmt.Errorf("mgmt: not given, and %w", err)
 		}
--- a/cmd/garnetline/golden_test.go
+++ b/cmd/garnetline/golden_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"garnetline/internal/fleet/duties"
+	"garnetline/internal/fleet/leasemanager"
 	"garnetline/internal/golden"
 )
 
@@ -22,7 +22,7 @@
 
 // The keys under which operators' scripts find the register and the leases held.
 func TestKeysOfTheDutyPage(t *testing.T) {
-	text, err := json.Marshal(dutyPage{Register: &duties.Status{}, Held: []duties.Lease{{}}})
+	text, err := json.Marshal(dutyPage{Register: &leasemanager.Status{}, Held: []leasemanager.Lease{{}}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/garnetline/main.go
+++ b/cmd/garnetline/main.go
@@ -11,11 +11,11 @@
 
 	"github.com/urfave/cli/v3"
 
-	"garnetline/internal/config"
-	"garnetline/internal/fleet/stance"
-	"garnetline/internal/front/dns"
+	"garnetline/internal/fleet/connectivity"
+	"garnetline/internal/frontend/dnsfront"
 	"garnetline/internal/logs"
-	"garnetline/internal/settings"
+	"garnetline/internal/operatorconfig"
+	"garnetline/internal/platformconfig"
 )
 
 // version is set by the linker where a release is built.
@@ -62,10 +62,10 @@
 // check says what a configuration and an operators' file hold. Where no configuration is
 // named, an operators' file is checked by itself.
 func check(c *cli.Command, out io.Writer) error {
-	var file settings.Config
+	var file operatorconfig.Config
 	if c.String("config") == "" && os.Getenv("EDGE_CONFIG") == "" && c.String("settings") != "" && c.String("dns") == "" {
 		var err error
-		if file, err = settings.Load(c.String("settings")); err != nil {
+		if file, err = operatorconfig.Load(c.String("settings")); err != nil {
 			return err
 		}
 		fmt.Fprintf(out, "%s: can be used\n", c.String("settings"))
@@ -86,7 +86,7 @@
 		fmt.Fprintf(out, "fleet %s: listens on %s, joins at %d addresses, %d keys\n", file.Fleet.Name, file.Fleet.Listen, len(file.Fleet.Join), len(file.Fleet.Keys))
 		t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 		fmt.Fprintln(t, "\ttogether\tpartial\talone")
-		for _, r := range stance.Behaviors() {
+		for _, r := range connectivity.Behaviors() {
 			fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", r.Subject, r.Together, r.Partial, r.Alone)
 		}
 		return t.Flush()
@@ -96,13 +96,13 @@
 
 // load reads what the flags and the environment name.
 func load(c *cli.Command) (with setup, err error) {
-	if with.conf, err = config.Load(c.String("config"), os.Getenv); err != nil {
+	if with.conf, err = platformconfig.Load(c.String("config"), os.Getenv); err != nil {
 		return with, err
 	}
-	if with.file, err = settings.Load(c.String("settings")); err != nil || c.String("dns") == "" {
+	if with.file, err = operatorconfig.Load(c.String("settings")); err != nil || c.String("dns") == "" {
 		return with, err
 	}
 	logs.New(os.Stderr).Warn().Str("file", c.String("dns")).Msg("--dns: the place of these keys is the dns block of --settings")
-	with.file.DNS, err = dns.LoadConfig(c.String("dns"))
+	with.file.DNS, err = dnsfront.LoadConfig(c.String("dns"))
 	return with, err
 }
--- a/cmd/garnetline/mates.go
+++ b/cmd/garnetline/mates.go
@@ -14,39 +14,39 @@
 
 	"github.com/rs/zerolog"
 
-	"garnetline/decide"
-	"garnetline/internal/changelog"
+	"garnetline/internal/admin/disabled"
 	"garnetline/internal/clock"
-	"garnetline/internal/config"
-	"garnetline/internal/core"
-	"garnetline/internal/fleet/agree"
-	"garnetline/internal/fleet/agree/disk"
-	"garnetline/internal/fleet/carry"
-	"garnetline/internal/fleet/duties"
-	"garnetline/internal/fleet/first"
-	"garnetline/internal/fleet/keeper"
-	"garnetline/internal/fleet/link"
-	"garnetline/internal/fleet/member"
-	"garnetline/internal/fleet/prober"
-	"garnetline/internal/fleet/stance"
-	"garnetline/internal/marks"
-	"garnetline/internal/settings"
-	"garnetline/internal/stats"
+	"garnetline/internal/discovery"
+	"garnetline/internal/dispatch"
+	"garnetline/internal/fleet/bans"
+	"garnetline/internal/fleet/connectivity"
+	"garnetline/internal/fleet/consensus"
+	"garnetline/internal/fleet/consensus/wal"
+	"garnetline/internal/fleet/fragment"
+	"garnetline/internal/fleet/leasemanager"
+	"garnetline/internal/fleet/loadreport"
+	"garnetline/internal/fleet/membership"
+	"garnetline/internal/fleet/recoveryprobe"
+	"garnetline/internal/fleet/transport"
+	"garnetline/internal/metrics"
+	"garnetline/internal/operatorconfig"
+	"garnetline/internal/platformconfig"
+	"garnetline/routing"
 )
 
 // mates are the other routers, where the operators' file has a fleet. Without one it is
 // nil: no socket, no goroutine, and its methods do nothing.
 type mates struct {
-	*link.Transport
-	list  *changelog.Watcher
-	core  *core.Dispatcher
+	*transport.Transport
+	list  *discovery.Watcher
+	core  *dispatch.Dispatcher
 	clock clock.Clock
-	count *stats.Registry
+	count *metrics.Registry
 
-	duties *duties.Manager    // nil: this router takes part in none
-	prober *prober.Collector  // nil: it does not probe
-	first  *first.Coordinator // nil: it tries what was set aside by itself
-	keeper *keeper.Manager    // nil: the register keeps no bans
+	duties *leasemanager.Manager      // nil: this router takes part in none
+	prober *loadreport.Collector      // nil: it does not probe
+	first  *recoveryprobe.Coordinator // nil: it tries what was set aside by itself
+	keeper *bans.Manager              // nil: the register keeps no bans
 
 	actors []actor // of those three, the ones that are there
 
@@ -61,7 +61,7 @@
 }
 
 // join makes the link to the other routers and ties the list to it.
-func join(file settings.Config, conf *config.Config, list *changelog.Watcher, c *core.Dispatcher, clk clock.Clock, count *stats.Registry, log *zerolog.Logger) (*mates, error) {
+func join(file operatorconfig.Config, conf *platformconfig.Config, list *discovery.Watcher, c *dispatch.Dispatcher, clk clock.Clock, count *metrics.Registry, log *zerolog.Logger) (*mates, error) {
 	s := file.Fleet
 	if !s.Enabled {
 		return nil, nil
@@ -74,15 +74,15 @@
 	if zone == "" {
 		zone = conf.Zones[conf.Settings.Zone]
 	}
-	o := link.Options{Settings: set, Name: conf.Name, Zone: zone, Version: version, StateDir: conf.StateDir, Clock: clk, Log: log, Stats: count}
-	marked, err := marks.NewStore(conf.StateDir).List()
+	o := transport.Options{Settings: set, Name: conf.Name, Zone: zone, Version: version, StateDir: conf.StateDir, Clock: clk, Log: log, Stats: count}
+	marked, err := disabled.NewStore(conf.StateDir).List()
 	if err != nil {
 		count.Add("marks_unread", 1)
 	}
 	for id := range marked {
 		o.InitialBans = append(o.InitialBans, id)
 	}
-	l, err := link.New(o)
+	l, err := transport.New(o)
 	if err != nil {
 		return nil, err
 	}
@@ -97,76 +97,76 @@
 }
 
 // share makes this router's part in the duties.
-func (m *mates) share(d settings.Leases, name, zone string, conf *config.Config, log *zerolog.Logger) error {
+func (m *mates) share(d operatorconfig.Leases, name, zone string, conf *platformconfig.Config, log *zerolog.Logger) error {
 	folder := d.WALDir
 	if folder == "" && conf.StateDir != "" {
 		folder = filepath.Join(conf.StateDir, "garnetline-elector-"+conf.Name)
 	}
 	boot := clock.NewBoot()
-	o := duties.Options{Settings: duties.Settings{Fleet: name, Voters: d.Voters, Consensus: d.ConsensusSettings()}, Name: conf.Name, Incarnation: m.Status().Incarnation,
+	o := leasemanager.Options{Settings: leasemanager.Settings{Fleet: name, Voters: d.Voters, Consensus: d.ConsensusSettings()}, Name: conf.Name, Incarnation: m.Status().Incarnation,
 		Transport: m.Transport, Clock: boot, Log: log, Metrics: m.count, Eligible: m.willing}
 	if slices.Contains(d.Voters, conf.Name) {
 		if folder == "" {
 			return errors.New("folder: an elector wants one that outlives it")
 		}
-		o.LogDir = disk.Dir(folder)
+		o.LogDir = wal.Dir(folder)
 	}
 	var wants []string
 	if d.LoadReport != nil {
-		wants = append(wants, prober.LeaseName(zone))
+		wants = append(wants, loadreport.LeaseName(zone))
 	}
 	if d.RecoveryProbe != nil {
-		wants = append(wants, first.LeaseName(zone))
+		wants = append(wants, recoveryprobe.LeaseName(zone))
 	}
 	self := m.Members().Self
 	if b := d.Bans; b != nil {
-		set := keeper.DefaultSettings()
+		set := bans.DefaultSettings()
 		set.PollInterval = b.PollInterval
-		m.keeper = keeper.New(keeper.Options{Settings: set, StateDir: conf.StateDir, RouterName: conf.Name, ReadyTimeout: b.ReadyTimeout, Disabled: m.list.Disabled, SetDisabled: m.list.SetDisabled,
+		m.keeper = bans.New(bans.Options{Settings: set, StateDir: conf.StateDir, RouterName: conf.Name, ReadyTimeout: b.ReadyTimeout, Disabled: m.list.Disabled, SetDisabled: m.list.SetDisabled,
 			SetDisabledByRegistry: m.list.SetDisabledByRegistry, Clock: boot, WallClock: m.clock, Log: log, Metrics: m.count,
-			SendRequest: func(question uint64, a agree.BanRequest) {
-				m.duties.SendBanRequest(question, duties.EncodeBanRequest(question, a))
+			SendRequest: func(question uint64, a consensus.BanRequest) {
+				m.duties.SendBanRequest(question, leasemanager.EncodeBanRequest(question, a))
 			}})
 		m.actors = append(m.actors, m.keeper)
 		o.OnBanResponse = m.keeper.HandleResponse
 	}
 	var err error
-	if m.duties, err = duties.New(o, self, wants); err != nil {
+	if m.duties, err = leasemanager.New(o, self, wants); err != nil {
 		return err
 	}
-	mates := func() (ids []member.ID) { // of this location
+	mates := func() (ids []membership.ID) { // of this location
 		for _, x := range m.Members().Members {
-			if x.State == member.Alive && x.Zone == zone && !x.Self {
+			if x.State == membership.Alive && x.Zone == zone && !x.Self {
 				ids = append(ids, x.ID)
 			}
 		}
 		return ids
 	}
 	if d.RecoveryProbe != nil {
-		set := first.DefaultSettings()
+		set := recoveryprobe.DefaultSettings()
 		set.ReturnRate = d.RecoveryProbe.ReturnRate
 		m.core.PublishEjected()
-		m.first = first.New(first.Options{Settings: set, Zone: zone, Self: self, Valid: m.duties.Valid, LastKnownHolder: m.duties.LastKnownHolder, Ejected: m.core.Ejected, ExtendEjection: m.core.ExtendEjection,
+		m.first = recoveryprobe.New(recoveryprobe.Options{Settings: set, Zone: zone, Self: self, Valid: m.duties.Valid, LastKnownHolder: m.duties.LastKnownHolder, Ejected: m.core.Ejected, ExtendEjection: m.core.ExtendEjection,
 			RequireProbe: m.core.RequireProbe, ZonePeers: mates, Send: m.Send, Clock: boot, Metrics: m.count})
 		m.actors = append(m.actors, m.first)
 	}
 	if p := d.LoadReport; p != nil {
-		m.prober = prober.New(prober.Options{Zone: zone, MinInterval: p.MinInterval, MaxInterval: p.MaxInterval, Valid: m.duties.Valid, Clock: boot, Metrics: m.count, Send: m.Send,
-			ReportLoad: m.core.ReportLoad, Servers: func() (l []prober.Server) {
+		m.prober = loadreport.New(loadreport.Options{Zone: zone, MinInterval: p.MinInterval, MaxInterval: p.MaxInterval, Valid: m.duties.Valid, Clock: boot, Metrics: m.count, Send: m.Send,
+			ReportLoad: m.core.ReportLoad, Servers: func() (l []loadreport.Server) {
 				for _, h := range m.list.ReadyServers(conf.Settings.Zone, 0) {
-					l = append(l, prober.Server{ID: h.ID, Address: h.Addr})
+					l = append(l, loadreport.Server{ID: h.ID, Address: h.Addr})
 				}
 				return l
 			}, ZonePeers: mates})
 		m.actors = append(m.actors, m.prober)
 	}
-	m.SetReceiver(func(from member.ID, life uint64, ch carry.Channel, b []byte) {
+	m.SetReceiver(func(from membership.ID, life uint64, ch fragment.Channel, b []byte) {
 		switch {
-		case ch == carry.LoadReport:
+		case ch == fragment.LoadReport:
 			if m.prober != nil {
 				m.prober.Receive(b)
 			}
-		case ch == carry.EjectionReport || ch == carry.ProbeResult:
+		case ch == fragment.EjectionReport || ch == fragment.ProbeResult:
 			if m.first != nil {
 				m.first.Receive(from, ch, b)
 			}
@@ -213,8 +213,8 @@
 }
 
 // Switch takes a box out by order of staff, or back: by the register where it keeps bans.
-func (m *mates) Switch(ctx context.Context, id decide.ServerID, out bool) error {
-	return m.keeper.Apply(ctx, keeper.Change{Server: id, Disable: out})
+func (m *mates) Switch(ctx context.Context, id routing.ServerID, out bool) error {
+	return m.keeper.Apply(ctx, bans.Change{Server: id, Disable: out})
 }
 
 // Keeps tells whether the register keeps staff's bans.
@@ -233,7 +233,7 @@
 }
 
 // Reload goes over to the keys and addresses of another file.
-func (m *mates) Reload(s settings.Fleet) {
+func (m *mates) Reload(s operatorconfig.Fleet) {
 	if m == nil {
 		return
 	}
@@ -253,9 +253,9 @@
 	}
 	all, barred := m.list.ServerCounts()
 	lost := all-barred > 0 && m.core.EjectedCount() >= all-barred
-	s := stance.Together
-	if m.Status().Connectivity == stance.Alone.String() {
-		s = stance.Alone
+	s := connectivity.Together
+	if m.Status().Connectivity == connectivity.Alone.String() {
+		s = connectivity.Alone
 	}
 	return s.Ready(lost, m.list.Stale(m.clock.Now()))
 }
@@ -294,8 +294,8 @@
 // banned carries out a call about a ban: what to do, the box, the version that staff saw
 // or 0, who, and why.
 func (m *mates) banned(ctx context.Context, w []string) (err error) {
-	c := keeper.Change{Disable: w[0] == "disable"}
-	if c.Server, err = decide.ParseServerID(w[1]); err != nil {
+	c := bans.Change{Disable: w[0] == "disable"}
+	if c.Server, err = routing.ParseServerID(w[1]); err != nil {
 		return err
 	}
 	if c.Version, err = strconv.ParseUint(w[2], 10, 64); err != nil {
@@ -312,8 +312,8 @@
 
 // dutyPage is what /fleet/duties shows.
 type dutyPage struct {
-	Register *duties.Status `json:"register"`
-	Held     []duties.Lease `json:"held"` // by this router
+	Register *leasemanager.Status `json:"register"`
+	Held     []leasemanager.Lease `json:"held"` // by this router
 }
 
 func done(err error) (int, []byte, bool) {
--- a/cmd/garnetline/metrics_test.go
+++ b/cmd/garnetline/metrics_test.go
@@ -5,32 +5,32 @@
 	"net/netip"
 	"testing"
 
+	"garnetline/internal/admin"
 	"garnetline/internal/clock"
-	"garnetline/internal/door"
 	"garnetline/internal/fleet"
-	"garnetline/internal/fleet/link"
-	"garnetline/internal/fleet/seal"
+	"garnetline/internal/fleet/packetcrypto"
+	"garnetline/internal/fleet/transport"
 	"garnetline/internal/golden"
 	"garnetline/internal/logs"
-	"garnetline/internal/stats"
+	"garnetline/internal/metrics"
 )
 
 // Guards the page /metrics, which operators' monitoring reads, to the byte: names, types and
 // labels. UPDATE_GOLDEN=1 writes it anew.
 func TestMetricsPage(t *testing.T) {
-	ring, err := seal.NewKeyring("f", []string{"sixteen bytes or more"})
+	ring, err := packetcrypto.NewKeyring("f", []string{"sixteen bytes or more"})
 	if err != nil {
 		t.Fatal(err)
 	}
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
-	count := stats.New()
+	count := metrics.New()
 	count.Add("fleet_packets_in", 17)
-	l, err := link.New(link.Options{Settings: link.Settings{FleetName: "f", ListenAddr: loopback, AdvertiseAddr: loopback, Keyring: ring, Node: fleet.DefaultSettings(),
+	l, err := transport.New(transport.Options{Settings: transport.Settings{FleetName: "f", ListenAddr: loopback, AdvertiseAddr: loopback, Keyring: ring, Node: fleet.DefaultSettings(),
 		PacketsPerSecond: 500, BytesPerSecond: 100_000}, Name: "r", Zone: "z", StateDir: t.TempDir(), Clock: clock.NewManual(1.7e12), Log: logs.New(&bytes.Buffer{}), Stats: count})
 	if err != nil {
 		t.Fatal(err)
 	}
-	page := door.Metrics{Classes: []door.ClassMetrics{{Name: "part", Served: 1, Rejected: 2, Failed: 3}, {Name: "form", Served: 4, Rejected: 5, Failed: 6}},
+	page := admin.Metrics{Classes: []admin.ClassMetrics{{Name: "part", Served: 1, Rejected: 2, Failed: 3}, {Name: "form", Served: 4, Rejected: 5, Failed: 6}},
 		Relayed: 7, OpenRequests: 8, ListedServers: 9, UnavailableServers: 10, ReloadsAccepted: 11, ReloadsRejected: 12}.AppendPrometheus(nil)
 	page = (&mates{Transport: l, count: count}).AppendMetrics(page)
 	golden.Compare(t, "metrics.golden", page)
--- a/cmd/garnetline/peers_test.go
+++ b/cmd/garnetline/peers_test.go
@@ -12,10 +12,10 @@
 	"strings"
 	"testing"
 
-	"garnetline/decide"
 	"garnetline/internal/standin"
 	"garnetline/internal/trace"
 	"garnetline/internal/trace/store"
+	"garnetline/routing"
 )
 
 // Where the operators' file says that boxes take it, a trace goes on there, and by them at
@@ -30,7 +30,7 @@
 	var hub *standin.Speaker
 	for i := range 3 { // the first is the hub
 		folder := t.TempDir()
-		s, err := standin.NewSpeaker(decide.ServerID(i).String(), folder, hub, uint64(i)<<32)
+		s, err := standin.NewSpeaker(routing.ServerID(i).String(), folder, hub, uint64(i)<<32)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/cmd/garnetline/serve.go
+++ b/cmd/garnetline/serve.go
@@ -12,19 +12,19 @@
 	"syscall"
 	"time"
 
-	"garnetline/decide"
-	"garnetline/internal/changelog"
+	"garnetline/internal/admin"
 	"garnetline/internal/clock"
-	"garnetline/internal/config"
-	"garnetline/internal/core"
-	"garnetline/internal/door"
-	"garnetline/internal/front/dns"
-	"garnetline/internal/front/http"
+	"garnetline/internal/discovery"
+	"garnetline/internal/dispatch"
+	"garnetline/internal/frontend/dnsfront"
+	"garnetline/internal/frontend/httpfront"
 	"garnetline/internal/logs"
-	"garnetline/internal/peer"
-	"garnetline/internal/settings"
-	"garnetline/internal/stats"
+	"garnetline/internal/metrics"
+	"garnetline/internal/operatorconfig"
+	"garnetline/internal/platformconfig"
 	"garnetline/internal/trace/attach"
+	"garnetline/internal/upstream"
+	"garnetline/routing"
 )
 
 const (
@@ -43,8 +43,8 @@
 
 // setup is what the router is started with, and may be told anew.
 type setup struct {
-	conf *config.Config
-	file settings.Config // the operators'
+	conf *platformconfig.Config
+	file operatorconfig.Config // the operators'
 }
 
 // admits tells whether a running router can go over to another setup.
@@ -63,9 +63,9 @@
 		return err
 	}
 	bound(conf.Limits)
-	var now atomic.Pointer[config.Config] // read whole by all parts, replaced whole
+	var now atomic.Pointer[platformconfig.Config] // read whole by all parts, replaced whole
 	now.Store(conf)
-	count := stats.New()
+	count := metrics.New()
 	defer func() { logs.WriteCounters(log, count.Snapshot()) }()
 	clk := clock.NewSystem()
 
@@ -82,20 +82,20 @@
 
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	c, err := core.New(clk, conf.Settings, conf.Seed, count)
+	c, err := dispatch.New(clk, conf.Settings, conf.Seed, count)
 	if err != nil {
 		return err
 	}
 	var told, stopping atomic.Bool
-	list := changelog.NewWatcher(clk, conf, func(ev config.WatchEvent) {
+	list := discovery.NewWatcher(clk, conf, func(ev platformconfig.WatchEvent) {
 		c.HandleWatchEvent(ev)
 		told.Store(true)
 	}, count)
-	pool := peer.NewPool(ctx, peer.Options{Clock: clk, Settings: func() config.Upstream { return now.Load().Upstream },
+	pool := upstream.NewPool(ctx, upstream.Options{Clock: clk, Settings: func() platformconfig.Upstream { return now.Load().Upstream },
 		Guard: list.Guard, Complete: c.Complete, Metrics: count,
 		MaxConnections:  func() int64 { return int64(float64(now.Load().Limits.Sockets) * linkShare) },
 		PropagateTraces: with.file.Trace.Enabled && with.file.Trace.PropagateToServers})
-	classes := func() []decide.Class { return now.Load().Settings.Classes }
+	classes := func() []routing.Class { return now.Load().Settings.Classes }
 	rec, err := tracing(with.file.Trace, conf, clk, count, log, &now)
 	if err != nil {
 		return err
@@ -108,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	names := dns.New(dns.Options{Config: lookups, Clock: clk, Dispatcher: c, Classes: classes,
+	names := dnsfront.New(dnsfront.Options{Config: lookups, Clock: clk, Dispatcher: c, Classes: classes,
 		Guard: list.Guard, Metrics: count})
 	c.AddListeners(pool, names)
 	if lookups.Enabled {
@@ -121,7 +121,7 @@
 			names.Shutdown(ctx)
 		}()
 	}
-	front := http.New(http.Options{Clock: clk, Dispatcher: c, Transport: pool, Classes: classes,
+	front := httpfront.New(httpfront.Options{Clock: clk, Dispatcher: c, Transport: pool, Classes: classes,
 		Ready: told.Load, Metrics: count, MaxConnections: func() int { return conns(now.Load().Limits) }, RecordClient: rec != nil})
 	go c.Run(ctx)
 	if rec != nil {
@@ -152,16 +152,16 @@
 		if err != nil {
 			return fmt.Errorf("mgmt: %w", err)
 		}
-		pages := &door.Handler{SetDisabled: list.SetDisabled,
+		pages := &admin.Handler{SetDisabled: list.SetDisabled,
 			Ready:   func() bool { return told.Load() && caught(list) && !stopping.Load() && mates.Ready() },
-			Metrics: func() door.Metrics { return figures(classes(), count, list, c) }}
+			Metrics: func() admin.Metrics { return figures(classes(), count, list, c) }}
 		if mates != nil {
 			pages.Fleet = mates
 			if mates.Keeps() {
 				pages.SetDisabled = mates.Switch
 			}
 		}
-		staff := http.New(http.Options{Clock: clk, Metrics: count, Handler: pages.Handle, MaxConnections: func() int { return doorConns }})
+		staff := httpfront.New(httpfront.Options{Clock: clk, Metrics: count, Handler: pages.Handle, MaxConnections: func() int { return doorConns }})
 		go func() { failed <- staff.Serve(l) }()
 		defer staff.Shutdown()
 	}
@@ -227,13 +227,13 @@
 //
 // Symptom guarded against: a request of a class with a long deadline waited for a cache that
 // hung until the process was killed.
-func endIn(classes []decide.Class) float64 {
-	return clock.Millis(lameDuck) + max(min(clock.Millis(decide.MaxDeadline(classes)), killAfter)-endMargin, 0)
+func endIn(classes []routing.Class) float64 {
+	return clock.Millis(lameDuck) + max(min(clock.Millis(routing.MaxDeadline(classes)), killAfter)-endMargin, 0)
 }
 
 // listen opens the clients' socket, or takes the one that the platform holds and
 // passes on from one process to the next.
-func listen(conf *config.Config) (net.Listener, error) {
+func listen(conf *platformconfig.Config) (net.Listener, error) {
 	if conf.ListenFD == 0 {
 		l, err := net.Listen("tcp", conf.Listen.String())
 		if err != nil {
@@ -251,7 +251,7 @@
 }
 
 // caught tells whether the change log has spoken, or has had its time to.
-func caught(l *changelog.Watcher) bool {
+func caught(l *discovery.Watcher) bool {
 	select {
 	case <-l.Synced():
 		return true
@@ -261,20 +261,20 @@
 }
 
 // figures puts together what staff see.
-func figures(classes []decide.Class, count *stats.Registry, list *changelog.Watcher, c *core.Dispatcher) door.Metrics {
+func figures(classes []routing.Class, count *metrics.Registry, list *discovery.Watcher, c *dispatch.Dispatcher) admin.Metrics {
 	n := func(name string) int64 { return count.Counter(name).Load() }
 	all, barred := list.ServerCounts()
-	f := door.Metrics{Relayed: n("attempts_relayed"), OpenRequests: n("requests_open"), ListedServers: all, UnavailableServers: barred + c.EjectedCount(),
+	f := admin.Metrics{Relayed: n("attempts_relayed"), OpenRequests: n("requests_open"), ListedServers: all, UnavailableServers: barred + c.EjectedCount(),
 		ReloadsAccepted: n("reloads"), ReloadsRejected: n("reloads_refused")}
 	for _, k := range classes {
-		f.Classes = append(f.Classes, door.ClassMetrics{Name: k.Name, Served: n(core.ClassCounterName(k.Name, core.Served)),
-			Rejected: n(core.ClassCounterName(k.Name, core.Rejected)), Failed: n(core.ClassCounterName(k.Name, core.Failed))})
+		f.Classes = append(f.Classes, admin.ClassMetrics{Name: k.Name, Served: n(dispatch.ClassCounterName(k.Name, dispatch.Served)),
+			Rejected: n(dispatch.ClassCounterName(k.Name, dispatch.Rejected)), Failed: n(dispatch.ClassCounterName(k.Name, dispatch.Failed))})
 	}
 	return f
 }
 
 // bound keeps the process inside its limits.
-func bound(l config.Limits) {
+func bound(l platformconfig.Limits) {
 	if l.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(l.MemoryMB<<20) * heapShare))
 	}
@@ -284,7 +284,7 @@
 }
 
 // conns is how many clients' connections are open at once.
-func conns(l config.Limits) int {
+func conns(l platformconfig.Limits) int {
 	if l.Sockets == 0 {
 		return 1024
 	}
--- a/cmd/garnetline/serve_test.go
+++ b/cmd/garnetline/serve_test.go
@@ -15,8 +15,8 @@
 	"testing"
 	"time"
 
-	"garnetline/internal/config"
-	"garnetline/internal/settings"
+	"garnetline/internal/operatorconfig"
+	"garnetline/internal/platformconfig"
 	"garnetline/internal/standin"
 )
 
@@ -86,12 +86,12 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	conf, err := config.Load(path, func(string) string { return "" })
+	conf, err := platformconfig.Load(path, func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
 	}
 	done := make(chan error, 1)
-	go func() { done <- serve(context.Background(), setup{conf, settings.Default()}, nil) }()
+	go func() { done <- serve(context.Background(), setup{conf, operatorconfig.Default()}, nil) }()
 	if seq := <-from; seq != 4 {
 		t.Errorf("the change log was asked from %d, want 4", seq)
 	}
@@ -175,12 +175,12 @@
 	second, again := newLog(t)
 	listen, path := free(t), filepath.Join(t.TempDir(), "config.json")
 	read := make(chan error, 1)
-	load := func() (*config.Config, error) {
-		conf, err := config.Load(path, func(string) string { return "" })
+	load := func() (*platformconfig.Config, error) {
+		conf, err := platformconfig.Load(path, func(string) string { return "" })
 		read <- err
 		return conf, err
 	}
-	file := func(listen string, log net.Addr) *config.Config {
+	file := func(listen string, log net.Addr) *platformconfig.Config {
 		text := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"1","limits":{},"changelog":%q,
 "known":{"seq":4,"results":[{"seq":4,"fleet":{"seq":0,"whole":true,"hosts":[%s,%s]}}]},"settings":%s}`, listen, log,
 			host(1, "box", a.Addr()), host(9, "origin", a.Addr()), platform)
@@ -200,9 +200,9 @@
 	}
 	done := make(chan error, 1)
 	go func() {
-		done <- serve(context.Background(), setup{conf, settings.Default()}, func() (setup, error) {
+		done <- serve(context.Background(), setup{conf, operatorconfig.Default()}, func() (setup, error) {
 			next, err := load()
-			return setup{next, settings.Default()}, err
+			return setup{next, operatorconfig.Default()}, err
 		})
 	}()
 	<-from
--- a/cmd/garnetline/trace.go
+++ b/cmd/garnetline/trace.go
@@ -13,12 +13,12 @@
 
 	"github.com/urfave/cli/v3"
 
-	"garnetline/decide"
-	"garnetline/internal/settings"
+	"garnetline/internal/operatorconfig"
 	"garnetline/internal/trace"
 	"garnetline/internal/trace/blame"
 	"garnetline/internal/trace/render"
 	"garnetline/internal/trace/store"
+	"garnetline/routing"
 )
 
 // followEvery is how often the folder is looked at for new traces.
@@ -118,7 +118,7 @@
 		f.Outcome |= 1 << o
 	}
 	if s := c.String("server"); s != "" {
-		if f.Server, err = decide.ParseServerID(s); err != nil {
+		if f.Server, err = routing.ParseServerID(s); err != nil {
 			return f, fmt.Errorf("--server: %w", err)
 		}
 	}
@@ -129,7 +129,7 @@
 func indexes(c *cli.Command) (all []*store.Index, err error) {
 	folders := c.StringSlice("folder")
 	if len(folders) == 0 {
-		file, err := settings.Load(c.String("settings"))
+		file, err := operatorconfig.Load(c.String("settings"))
 		if err != nil {
 			return nil, err
 		}
--- a/cmd/garnetline/trace_test.go
+++ b/cmd/garnetline/trace_test.go
@@ -18,11 +18,11 @@
 	"testing"
 	"time"
 
-	"garnetline/decide"
-	"garnetline/internal/settings"
+	"garnetline/internal/operatorconfig"
 	"garnetline/internal/standin"
 	"garnetline/internal/trace"
 	"garnetline/internal/trace/store"
+	"garnetline/routing"
 )
 
 // TestMain runs the program itself where a test started this binary for that.
@@ -233,7 +233,7 @@
 				sent, broken := 0, 0 // what was written to a connection that broke may not arrive
 				for _, s := range p.Spans {
 					if s.Kind == trace.Attempt && s.Flags&trace.Sent != 0 {
-						if sent++; decide.Result(s.Result) == decide.ConnectionLost {
+						if sent++; routing.Result(s.Result) == routing.ConnectionLost {
 							broken++
 						}
 					}
@@ -377,8 +377,8 @@
 		t.Errorf("%v, %v", rec, err)
 	}
 	none := 0.0
-	s := kept(settings.Trace{OrdinaryPerSecond: 2, Classes: []settings.TraceClass{{Name: "part", SlowThreshold: 9}, {Name: "form", OrdinaryPerSecond: &none}}},
-		[]decide.Class{{Name: "part", LatencyObjective: time.Second}, {Name: "form", LatencyObjective: time.Second}})
+	s := kept(operatorconfig.Trace{OrdinaryPerSecond: 2, Classes: []operatorconfig.TraceClass{{Name: "part", SlowThreshold: 9}, {Name: "form", OrdinaryPerSecond: &none}}},
+		[]routing.Class{{Name: "part", LatencyObjective: time.Second}, {Name: "form", LatencyObjective: time.Second}})
 	if p, f := s.Classes["part"], s.Classes["form"]; p.Ordinary != 2 || p.Wanted != 9 || f.Ordinary != 0 || f.Wanted != 1000 {
 		t.Errorf("%+v, %+v", p, f)
 	}
--- a/cmd/garnetline/tracing.go
+++ b/cmd/garnetline/tracing.go
@@ -6,21 +6,21 @@
 
 	"github.com/rs/zerolog"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/config"
-	"garnetline/internal/settings"
-	"garnetline/internal/stats"
+	"garnetline/internal/metrics"
+	"garnetline/internal/operatorconfig"
+	"garnetline/internal/platformconfig"
 	"garnetline/internal/trace/export"
 	"garnetline/internal/trace/keep"
 	"garnetline/internal/trace/record"
 	"garnetline/internal/trace/store"
+	"garnetline/routing"
 )
 
 // tracing makes what follows the requests, or nil where the operators' file does not
 // switch it on.
-func tracing(t settings.Trace, conf *config.Config, clk clock.Clock, count *stats.Registry, log *zerolog.Logger,
-	now *atomic.Pointer[config.Config]) (*record.Recorder, error) {
+func tracing(t operatorconfig.Trace, conf *platformconfig.Config, clk clock.Clock, count *metrics.Registry, log *zerolog.Logger,
+	now *atomic.Pointer[platformconfig.Config]) (*record.Recorder, error) {
 	if !t.Enabled {
 		return nil, nil
 	}
@@ -42,11 +42,11 @@
 
 // kept is what is kept of each class: what the operators' file says, and else slower
 // traces than the class's aim and the budget of all.
-func kept(t settings.Trace, classes []decide.Class) record.Settings {
+func kept(t operatorconfig.Trace, classes []routing.Class) record.Settings {
 	s := record.Settings{Undecided: t.UndecidedKB << 10, RetryWithin: t.RetryWindow, Sampled: t.HonorSampled, Other: keep.Class{Ordinary: t.OrdinaryPerSecond},
 		Classes: map[string]keep.Class{}}
 	for _, c := range classes {
-		s.Classes[c.Name] = keep.Class{Wanted: clock.Millis(c.LatencyObjective), Ordinary: t.OrdinaryPerSecond, All: c.Idempotency == decide.IdempotentWithKey}
+		s.Classes[c.Name] = keep.Class{Wanted: clock.Millis(c.LatencyObjective), Ordinary: t.OrdinaryPerSecond, All: c.Idempotency == routing.IdempotentWithKey}
 	}
 	for _, c := range t.Classes {
 		k, known := s.Classes[c.Name]
--- a/cmd/garnetline/upgrade_test.go
+++ b/cmd/garnetline/upgrade_test.go
@@ -14,14 +14,14 @@
 	"syscall"
 	"testing"
 
-	"garnetline/internal/config"
-	"garnetline/internal/settings"
+	"garnetline/internal/operatorconfig"
+	"garnetline/internal/platformconfig"
 	"garnetline/internal/standin"
 )
 
 // configure writes a configuration of one cache and one origin and reads it, with
 // the environment given as names and values.
-func configure(t *testing.T, listen string, log, box net.Addr, env ...string) *config.Config {
+func configure(t *testing.T, listen string, log, box net.Addr, env ...string) *platformconfig.Config {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"1","limits":{},"changelog":%q,
@@ -30,7 +30,7 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	conf, err := config.Load(path, func(name string) string {
+	conf, err := platformconfig.Load(path, func(name string) string {
 		for i := 0; i+1 < len(env); i += 2 {
 			if env[i] == name {
 				return env[i+1]
@@ -79,7 +79,7 @@
 	listen, mgmt := free(t), free(t)
 	conf := configure(t, listen, log, box.Addr(), "EDGE_MGMT", mgmt, "TMPDIR", t.TempDir())
 	done := make(chan error, 1)
-	go func() { done <- serve(context.Background(), setup{conf, settings.Default()}, nil) }()
+	go func() { done <- serve(context.Background(), setup{conf, operatorconfig.Default()}, nil) }()
 	select {
 	case <-from:
 	case err := <-done:
@@ -153,7 +153,7 @@
 	}
 	conf := configure(t, listen, log, box.Addr(), "EDGE_LISTEN_FD", strconv.Itoa(fd))
 	done := make(chan error, 1)
-	go func() { done <- serve(context.Background(), setup{conf, settings.Default()}, nil) }()
+	go func() { done <- serve(context.Background(), setup{conf, operatorconfig.Default()}, nil) }()
 	select {
 	case <-from:
 	case err := <-done:
--- a/internal/marks/golden_test.go
+++ b/internal/admin/disabled/golden_test.go
@@ -1,4 +1,4 @@
-package marks
+package disabled
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"garnetline/decide"
+	"garnetline/routing"
 )
 
 // Pins the files that say which caches are out: their folder, names, sizes and rights, as a
@@ -17,7 +17,7 @@
 // testdata/state is such a folder, written by an earlier version.
 func TestGoldenFiles(t *testing.T) {
 	state := t.TempDir()
-	want := map[decide.ServerID]bool{7: true, 0xc41f7a: true, 0xffffffff: true}
+	want := map[routing.ServerID]bool{7: true, 0xc41f7a: true, 0xffffffff: true}
 	for id := range want {
 		if err := NewStore(state).Set(id, true); err != nil {
 			t.Fatal(err)
--- a/internal/marks/store.go
+++ b/internal/admin/disabled/store.go
@@ -1,7 +1,7 @@
 // Package marks keeps which caches staff have taken out where it outlives the
 // process: as one empty file each, so that a process and its successor, which share
 // the folder, never write over each other.
-package marks
+package disabled
 
 import (
 	"errors"
@@ -9,7 +9,7 @@
 	"os"
 	"path/filepath"
 
-	"garnetline/decide"
+	"garnetline/routing"
 )
 
 // Store is the folder of the marks. An empty one keeps nothing.
@@ -27,7 +27,7 @@
 //
 // Symptom guarded against: a folder that could not be read for want of descriptors
 // looked empty, and every cache that was out came back.
-func (d Store) List() (map[decide.ServerID]bool, error) {
+func (d Store) List() (map[routing.ServerID]bool, error) {
 	if d == "" {
 		return nil, nil
 	}
@@ -35,9 +35,9 @@
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return nil, err
 	}
-	m := make(map[decide.ServerID]bool, len(l))
+	m := make(map[routing.ServerID]bool, len(l))
 	for _, e := range l {
-		if id, err := decide.ParseServerID(e.Name()); err == nil {
+		if id, err := routing.ParseServerID(e.Name()); err == nil {
 			m[id] = true
 		}
 	}
@@ -45,7 +45,7 @@
 }
 
 // Set marks a server, or takes its mark away.
-func (d Store) Set(id decide.ServerID, on bool) error {
+func (d Store) Set(id routing.ServerID, on bool) error {
 	if d == "" {
 		return nil
 	}
--- a/internal/marks/store_test.go
+++ b/internal/admin/disabled/store_test.go
@@ -1,4 +1,4 @@
-package marks
+package disabled
 
 import (
 	"maps"
@@ -6,7 +6,7 @@
 	"path/filepath"
 	"testing"
 
-	"garnetline/decide"
+	"garnetline/routing"
 )
 
 // Guards what a successor reads, and that a folder that cannot be read is an error
@@ -14,9 +14,9 @@
 func TestStore(t *testing.T) {
 	state := t.TempDir()
 	d := NewStore(state)
-	want := map[decide.ServerID]bool{}
+	want := map[routing.ServerID]bool{}
 	for _, step := range []struct {
-		id decide.ServerID
+		id routing.ServerID
 		on bool
 	}{{7, true}, {8, true}, {7, true}, {7, false}, {7, false}, {0xffffffff, true}} {
 		if err := d.Set(step.id, step.on); err != nil {
--- a/internal/door/golden_test.go
+++ b/internal/admin/golden_test.go
@@ -1,4 +1,4 @@
-package door
+package admin
 
 import (
 	"context"
@@ -8,11 +8,11 @@
 	"strings"
 	"testing"
 
-	"garnetline/decide"
-	"garnetline/internal/changelog"
+	"garnetline/internal/discovery"
 	"garnetline/internal/fleet"
-	"garnetline/internal/fleet/duties"
-	"garnetline/internal/fleet/keeper"
+	"garnetline/internal/fleet/bans"
+	"garnetline/internal/fleet/leasemanager"
+	"garnetline/routing"
 )
 
 // compareGolden compares text with a file in testdata. UPDATE_GOLDEN=1 writes the file anew.
@@ -51,10 +51,10 @@
 			return Metrics{Classes: []ClassMetrics{{Name: "part", Served: 1, Rejected: 2, Failed: 3}, {Name: "a \"b\"", Served: 4}}, Relayed: 5,
 				OpenRequests: 6, ListedServers: 7, UnavailableServers: 8, ReloadsAccepted: 9, ReloadsRejected: 10}
 		},
-		SetDisabled: func(_ context.Context, id decide.ServerID, _ bool) error {
+		SetDisabled: func(_ context.Context, id routing.ServerID, _ bool) error {
 			switch id {
 			case 8:
-				return changelog.ErrUnknownServer
+				return discovery.ErrUnknownServer
 			case 9:
 				return context.DeadlineExceeded
 			}
@@ -108,7 +108,7 @@
 		path string
 		of   any
 	}{
-		{"/fleet ", fleet.Status{}}, {"/fleet/duties register", duties.Status{}}, {"/fleet/duties held[]", duties.Lease{}}, {"/fleet/bans ", keeper.Status{}},
+		{"/fleet ", fleet.Status{}}, {"/fleet/duties register", leasemanager.Status{}}, {"/fleet/duties held[]", leasemanager.Lease{}}, {"/fleet/bans ", bans.Status{}},
 	} {
 		jsonKeys(&out, page.path, reflect.TypeOf(page.of))
 	}
--- a/internal/door/handler.go
+++ b/internal/admin/handler.go
@@ -1,6 +1,6 @@
 // Package door answers the calls of staff: whether the router is ready, its figures,
 // and which caches it leaves out. It speaks no wire; a front carries it.
-package door
+package admin
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
-	"garnetline/decide"
-	"garnetline/internal/changelog"
+	"garnetline/internal/discovery"
+	"garnetline/routing"
 )
 
 // callTimeout is how long a call may wait for the list's actor: a caller waits 1 s.
@@ -20,7 +20,7 @@
 type Handler struct {
 	Ready       func() bool
 	Metrics     func() Metrics // as of now
-	SetDisabled func(ctx context.Context, id decide.ServerID, out bool) error
+	SetDisabled func(ctx context.Context, id routing.ServerID, out bool) error
 	Fleet       Fleet // nil: the router knows no others, and has no such calls
 }
 
@@ -86,14 +86,14 @@
 
 // setDisabled takes a cache out of use, or back.
 func (d *Handler) setDisabled(ctx context.Context, text string, out bool) (int, []byte) {
-	id, err := decide.ParseServerID(text)
+	id, err := routing.ParseServerID(text)
 	if err != nil {
 		return 404, []byte(err.Error() + "\n")
 	}
 	ctx, stop := context.WithTimeout(ctx, callTimeout)
 	defer stop()
 	switch err := d.SetDisabled(ctx, id, out); {
-	case errors.Is(err, changelog.ErrUnknownServer):
+	case errors.Is(err, discovery.ErrUnknownServer):
 		return 404, []byte(err.Error() + "\n")
 	case err != nil:
 		return 503, []byte(err.Error() + "\n")
--- a/internal/door/handler_test.go
+++ b/internal/admin/handler_test.go
@@ -1,26 +1,26 @@
-package door
+package admin
 
 import (
 	"context"
 	"strings"
 	"testing"
 
-	"garnetline/decide"
-	"garnetline/internal/changelog"
+	"garnetline/internal/discovery"
+	"garnetline/routing"
 )
 
 // Guards the words and figures of the operators' door.
 func TestHandle(t *testing.T) {
-	var out []decide.ServerID
+	var out []routing.ServerID
 	ready := false
 	d := &Handler{Ready: func() bool { return ready },
 		Metrics: func() Metrics {
 			return Metrics{Classes: []ClassMetrics{{Name: "part", Served: 812, Rejected: 3, Failed: 1}}, Relayed: 900, OpenRequests: 14, ListedServers: 9, UnavailableServers: 2}
 		},
-		SetDisabled: func(_ context.Context, id decide.ServerID, off bool) error {
+		SetDisabled: func(_ context.Context, id routing.ServerID, off bool) error {
 			switch {
 			case id == 8:
-				return changelog.ErrUnknownServer
+				return discovery.ErrUnknownServer
 			case id == 9:
 				return context.DeadlineExceeded
 			case off:
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -10,7 +10,7 @@
 
 	sys "golang.org/x/sys/unix"
 
-	"garnetline/internal/faults"
+	"garnetline/internal/failpoint"
 )
 
 // Clock tells the time.
@@ -26,7 +26,7 @@
 }
 
 // NewSystem returns a clock that starts now.
-func NewSystem() System { return System{time.Now(), unixMillis(faults.Wall())} }
+func NewSystem() System { return System{time.Now(), unixMillis(failpoint.Wall())} }
 
 // Now returns the time in Unix milliseconds.
 func (s System) Now() float64 {
@@ -39,7 +39,7 @@
 
 // WallClockStep is by how much the wall clock has been set since the clock's start.
 func (s System) WallClockStep() float64 {
-	return math.Round((unixMillis(faults.Wall())-s.Now())/stepRounding) * stepRounding
+	return math.Round((unixMillis(failpoint.Wall())-s.Now())/stepRounding) * stepRounding
 }
 
 func unixMillis(t time.Time) float64 { return float64(t.UnixMicro()) / 1e3 }
--- a/internal/changelog/golden_test.go
+++ b/internal/discovery/golden_test.go
@@ -1,4 +1,4 @@
-package changelog
+package discovery
 
 import (
 	"bytes"
@@ -13,8 +13,8 @@
 	"strings"
 	"testing"
 
-	"garnetline/internal/config"
-	"garnetline/internal/sock"
+	"garnetline/internal/platformconfig"
+	"garnetline/internal/textconn"
 )
 
 // compareGolden compares text with a file in testdata. UPDATE_GOLDEN=1 writes the file anew.
@@ -36,7 +36,7 @@
 }
 
 // formatEvent writes what a frame says, by values and not by the names of fields.
-func formatEvent(w io.Writer, ev config.WatchEvent, kind byte) {
+func formatEvent(w io.Writer, ev platformconfig.WatchEvent, kind byte) {
 	fmt.Fprintf(w, "  kind %d, event %d, list %v, whole %v\n", kind, ev.Seq, ev.ListUpdate, ev.Snapshot)
 	for _, h := range ev.Endpoints {
 		fmt.Fprintf(w, "  server %v at %v, zone %d, kind %d, cell %d, phase %d, weight %v, started %v\n",
@@ -53,7 +53,7 @@
 	var out strings.Builder
 	here, there := net.Pipe()
 	defer there.Close()
-	log := newTestWatcher(netip.AddrPort{}, func(config.WatchEvent) {})
+	log := newTestWatcher(netip.AddrPort{}, func(platformconfig.WatchEvent) {})
 	log.dial = func(context.Context, netip.AddrPort) (net.Conn, error) { return here, nil }
 	log.lastSeq = 0x1122334455667788
 	ctx, stop := context.WithCancel(t.Context())
@@ -74,7 +74,7 @@
 		encodeFrame(0x2d, 4, append([]byte{0, 17}, encodePurge(1_764_576_000_480, 0)[:8]...)...),
 		encodeFrame(0x2e, 3, encodePurge(0, 1_764_576_000_123)...),
 	} {
-		ev, kind, err := readFrame(sock.New(connOf(b)), 2, 1)
+		ev, kind, err := readFrame(textconn.New(connOf(b)), 2, 1)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/changelog/gossip.go
+++ b/internal/discovery/gossip.go
@@ -1,4 +1,4 @@
-package changelog
+package discovery
 
 import (
 	"context"
@@ -6,10 +6,10 @@
 	"slices"
 	"time"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/config"
-	"garnetline/internal/fleet/words"
+	"garnetline/internal/fleet/gossip"
+	"garnetline/internal/platformconfig"
+	"garnetline/routing"
 )
 
 const (
@@ -26,10 +26,10 @@
 // Gossip are the other routers, as far as the list is concerned. Only this log says
 // that a box is usable; word of others takes out.
 type Gossip interface {
-	SetDisabled(box decide.ServerID, out bool) // staff called this router
-	Broadcast(w words.Item)                    // this router's log told it
-	ChangesReady() <-chan struct{}             // there are changes
-	TakeChanges() []words.Change               // what others told since the last call
+	SetDisabled(box routing.ServerID, out bool) // staff called this router
+	Broadcast(w gossip.Item)                    // this router's log told it
+	ChangesReady() <-chan struct{}              // there are changes
+	TakeChanges() []gossip.Change               // what others told since the last call
 }
 
 // gossipedDrain is a drain that a neighbour told.
@@ -42,39 +42,39 @@
 type gossipState struct {
 	Gossip
 	changesReady <-chan struct{}
-	drains       map[decide.ServerID]gossipedDrain
-	activeDrains map[decide.ServerID]time.Duration // of those, what is followed
-	lastFrameAt  float64                           // the latest frame of the own log
-	steadySince  float64                           // from when on there was no gap between frames
+	drains       map[routing.ServerID]gossipedDrain
+	activeDrains map[routing.ServerID]time.Duration // of those, what is followed
+	lastFrameAt  float64                            // the latest frame of the own log
+	steadySince  float64                            // from when on there was no gap between frames
 }
 
 // SetGossip has the log tell the neighbours, and follow what they tell while it is cut off
 // itself. It is called before Run.
 func (l *Watcher) SetGossip(n Gossip) {
 	now := l.clock.Now()
-	l.gossip = gossipState{Gossip: n, changesReady: n.ChangesReady(), drains: map[decide.ServerID]gossipedDrain{},
-		activeDrains: map[decide.ServerID]time.Duration{}, lastFrameAt: now, steadySince: now}
+	l.gossip = gossipState{Gossip: n, changesReady: n.ChangesReady(), drains: map[routing.ServerID]gossipedDrain{},
+		activeDrains: map[routing.ServerID]time.Duration{}, lastFrameAt: now, steadySince: now}
 }
 
 // broadcastEvent tells the neighbours what the own log told: what takes out, and nothing else.
-func (l *Watcher) broadcastEvent(ev config.WatchEvent) {
+func (l *Watcher) broadcastEvent(ev platformconfig.WatchEvent) {
 	if l.gossip.Gossip == nil {
 		return
 	}
 	if !ev.Snapshot { // a whole list is what all are told at their start
 		for _, h := range ev.Endpoints {
-			if h.Phase != decide.Ready {
-				l.gossip.Broadcast(words.Item{Kind: words.Drain, Server: h.ID, StartedAt: clock.Millis(h.StartedAt)})
+			if h.Phase != routing.Ready {
+				l.gossip.Broadcast(gossip.Item{Kind: gossip.Drain, Server: h.ID, StartedAt: clock.Millis(h.StartedAt)})
 			}
 		}
 	}
 	if p := ev.Purge; p != nil {
-		l.gossip.Broadcast(words.Item{Kind: words.Purge, Object: p.Object, Group: p.Group, PurgedAt: p.At})
+		l.gossip.Broadcast(gossip.Item{Kind: gossip.Purge, Object: p.Object, Group: p.Group, PurgedAt: p.At})
 	}
 }
 
 // broadcastDisabled tells the neighbours of a call of staff.
-func (l *Watcher) broadcastDisabled(id decide.ServerID, out bool) {
+func (l *Watcher) broadcastDisabled(id routing.ServerID, out bool) {
 	if l.gossip.Gossip != nil {
 		l.gossip.SetDisabled(id, out)
 	}
@@ -97,7 +97,7 @@
 	now := l.clock.Now()
 	for _, c := range l.gossip.TakeChanges() {
 		switch c.Kind {
-		case words.Ban:
+		case gossip.Ban:
 			if _, out := l.disabled[c.Server]; out != c.Disabled {
 				if err := l.disabledStore.Set(c.Server, c.Disabled); err != nil {
 					l.counters.Add("marks_unwritten", 1)
@@ -105,14 +105,14 @@
 				l.counters.Add("fleet_bans_taken", 1)
 				l.applyDisabled(c.Server, c.Disabled)
 			}
-		case words.Drain:
+		case gossip.Drain:
 			if t, known := l.gossip.drains[c.Server]; !known || clock.Duration(c.StartedAt) >= t.started {
 				l.gossip.drains[c.Server] = gossipedDrain{clock.Duration(c.StartedAt), now}
 			}
-		case words.Purge:
+		case gossip.Purge:
 			if done := clock.Millis(l.config.Settings.PurgeRetention); c.PurgedAt > now-done && c.PurgedAt < now+maxPurgeLead {
 				l.counters.Add("fleet_purges_taken", 1)
-				l.publish(config.WatchEvent{Seq: l.lastSeq, Purge: &config.Purge{Object: c.Object, Group: c.Group, At: c.PurgedAt}})
+				l.publish(platformconfig.WatchEvent{Seq: l.lastSeq, Purge: &platformconfig.Purge{Object: c.Object, Group: c.Group, At: c.PurgedAt}})
 			}
 		}
 	}
@@ -154,15 +154,15 @@
 }
 
 // republish tells a listed box as it is seen now.
-func (l *Watcher) republish(id decide.ServerID) {
+func (l *Watcher) republish(id routing.ServerID) {
 	if h, listed := l.servers[id]; listed {
-		l.publish(config.WatchEvent{Seq: l.lastSeq, ListUpdate: true, Endpoints: []config.Endpoint{l.effectiveState(h)}})
+		l.publish(platformconfig.WatchEvent{Seq: l.lastSeq, ListUpdate: true, Endpoints: []platformconfig.Endpoint{l.effectiveState(h)}})
 	}
 }
 
 // ReadyServers returns the listed servers of a kind and zone that are ready, as of the latest
 // event. It may be called from any goroutine; without neighbours there are none.
-func (l *Watcher) ReadyServers(zone, kind int) (boxes []config.Endpoint) {
+func (l *Watcher) ReadyServers(zone, kind int) (boxes []platformconfig.Endpoint) {
 	if all := l.readyServers.Load(); all != nil {
 		for _, h := range *all {
 			if h.Zone == zone && h.Kind == kind {
@@ -174,11 +174,11 @@
 }
 
 // publishReadyServers publishes the ready servers, for Boxes.
-func (l *Watcher) publishReadyServers(g *decide.Guard) {
+func (l *Watcher) publishReadyServers(g *routing.Guard) {
 	if l.gossip.Gossip == nil {
 		return
 	}
-	var all []config.Endpoint
+	var all []platformconfig.Endpoint
 	for id, h := range l.servers {
 		if g.Ready[id] {
 			all = append(all, h)
@@ -189,13 +189,13 @@
 
 // SetDisabledByRegistry takes a cache out, or back, as the register has it. That it is out is not told to
 // the neighbours, who read the register too.
-func (l *Watcher) SetDisabledByRegistry(ctx context.Context, id decide.ServerID, out bool) error {
+func (l *Watcher) SetDisabledByRegistry(ctx context.Context, id routing.ServerID, out bool) error {
 	return l.submit(ctx, disableRequest{server: id, disabled: out, skipBroadcast: out, result: make(chan error, 1)})
 }
 
 // Disabled returns what staff took out, as of now. It may be called from any goroutine;
 // without neighbours there is nothing.
-func (l *Watcher) Disabled() []decide.ServerID {
+func (l *Watcher) Disabled() []routing.ServerID {
 	if p := l.disabledServers.Load(); p != nil {
 		return *p
 	}
--- a/internal/changelog/terms_test.go
+++ b/internal/discovery/terms_test.go
@@ -1,4 +1,4 @@
-package changelog
+package discovery
 
 import (
 	"bytes"
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"garnetline/decide"
-	"garnetline/internal/config"
+	"garnetline/internal/platformconfig"
+	"garnetline/routing"
 )
 
 // testTimeout ends a test whose log does not do what is awaited. It decides no order.
@@ -65,7 +65,7 @@
 }
 
 // expectEvents awaits events with these numbers, in order.
-func expectEvents(t *testing.T, told <-chan config.WatchEvent, seqs ...uint64) {
+func expectEvents(t *testing.T, told <-chan platformconfig.WatchEvent, seqs ...uint64) {
 	t.Helper()
 	for _, seq := range seqs {
 		select {
@@ -85,8 +85,8 @@
 func TestDrainAfterDiscoveryWasDown(t *testing.T) {
 	server, closed := newChangeLogServer(t), newChangeLogServer(t)
 	closed.Close()
-	told := make(chan config.WatchEvent, 16)
-	log := newTestWatcher(server.addrPort(), func(ev config.WatchEvent) { told <- ev })
+	told := make(chan platformconfig.WatchEvent, 16)
+	log := newTestWatcher(server.addrPort(), func(ev platformconfig.WatchEvent) { told <- ev })
 	dial, dials, refused := log.dial, 0, make(chan error, 3)
 	log.dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 		if dials++; dials < 2 || dials > 4 {
@@ -120,8 +120,8 @@
 // that a new configuration names: the old one is open, silent, and never ends by itself.
 func TestReloadCutsASilentConnection(t *testing.T) {
 	first, second := newChangeLogServer(t), newChangeLogServer(t)
-	told := make(chan config.WatchEvent, 16)
-	log := newTestWatcher(first.addrPort(), func(ev config.WatchEvent) { told <- ev })
+	told := make(chan platformconfig.WatchEvent, 16)
+	log := newTestWatcher(first.addrPort(), func(ev platformconfig.WatchEvent) { told <- ev })
 	dial := log.dial
 	log.dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 		conn, err := dial(ctx, to)
@@ -152,8 +152,8 @@
 // against waiting for the rest of one that stops half way: it is asked for anew.
 func TestListInPieces(t *testing.T) {
 	server := newChangeLogServer(t)
-	told := make(chan config.WatchEvent, 16)
-	log := newTestWatcher(server.addrPort(), func(ev config.WatchEvent) { told <- ev })
+	told := make(chan platformconfig.WatchEvent, 16)
+	log := newTestWatcher(server.addrPort(), func(ev platformconfig.WatchEvent) { told <- ev })
 	dial := log.dial
 	log.dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 		conn, err := dial(ctx, to)
@@ -173,8 +173,8 @@
 // Guards against a router that is never ready because discovery does not answer: what the
 // configuration knows is told before any connection, and Caught is closed without a word.
 func TestReadyWithoutDiscovery(t *testing.T) {
-	told := make(chan config.WatchEvent, 16)
-	log := newTestWatcher(netip.AddrPort{}, func(ev config.WatchEvent) { told <- ev })
+	told := make(chan platformconfig.WatchEvent, 16)
+	log := newTestWatcher(netip.AddrPort{}, func(ev platformconfig.WatchEvent) { told <- ev })
 	toldAtDial := make(chan int, 1)
 	log.dial = func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
 		select {
@@ -200,9 +200,9 @@
 // of before: whoever is told of an event finds the guard that has it.
 func TestGuardIsPublishedBeforeItIsTold(t *testing.T) {
 	server := newChangeLogServer(t)
-	told, barred := make(chan config.WatchEvent, 16), make(chan bool, 16)
+	told, barred := make(chan platformconfig.WatchEvent, 16), make(chan bool, 16)
 	var log *Watcher
-	log = newTestWatcher(server.addrPort(), func(ev config.WatchEvent) {
+	log = newTestWatcher(server.addrPort(), func(ev platformconfig.WatchEvent) {
 		barred <- log.Guard().Excludes(7)
 		told <- ev
 	})
@@ -214,7 +214,7 @@
 			t.Errorf("event %d: barred %v when it was told, want %v", i+1, got, want)
 		}
 	}
-	if err := log.SetDisabled(t.Context(), decide.ServerID(7), true); err != nil || !<-barred {
+	if err := log.SetDisabled(t.Context(), routing.ServerID(7), true); err != nil || !<-barred {
 		t.Errorf("taken out by staff: %v, or not barred when it was told", err)
 	}
 }
--- a/internal/changelog/watcher.go
+++ b/internal/discovery/watcher.go
@@ -1,7 +1,7 @@
 // Package changelog follows the log of list changes and purges. Its actor
 // owns the connection and the number of the last event, and publishes what
 // attempts are held against when they are written.
-package changelog
+package discovery
 
 import (
 	"context"
@@ -17,12 +17,12 @@
 	"sync/atomic"
 	"time"
 
-	"garnetline/decide"
+	"garnetline/internal/admin/disabled"
 	"garnetline/internal/clock"
-	"garnetline/internal/config"
-	"garnetline/internal/marks"
-	"garnetline/internal/sock"
-	"garnetline/internal/stats"
+	"garnetline/internal/metrics"
+	"garnetline/internal/platformconfig"
+	"garnetline/internal/textconn"
+	"garnetline/routing"
 )
 
 const (
@@ -48,30 +48,30 @@
 // Watcher is the actor of the change log, and of the list that it tells.
 type Watcher struct {
 	clock            clock.Clock
-	config           *config.Config      // Run's
-	pendingConfig    chan *config.Config // the next one, the latest only
-	disableRequests  chan disableRequest // from staff
-	notify           func(config.WatchEvent)
-	counters         *stats.Registry
-	guard            atomic.Pointer[decide.Guard]
+	config           *platformconfig.Config      // Run's
+	pendingConfig    chan *platformconfig.Config // the next one, the latest only
+	disableRequests  chan disableRequest         // from staff
+	notify           func(platformconfig.WatchEvent)
+	counters         *metrics.Registry
+	guard            atomic.Pointer[routing.Guard]
 	lastSeq          uint64
 	refetchedSeq     uint64 // the number that was missing when the log was last asked anew for it
 	dial             func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
-	disabledStore    marks.Store
-	servers          map[decide.ServerID]config.Endpoint // as listed, without those that are gone
-	disabled         map[decide.ServerID]time.Duration   // taken out by staff, with the start listed then
-	listedCount      atomic.Int64                        // how many hosts there are
-	unavailableCount atomic.Int64                        // how many of them may not be sent to
-	synced           atomic.Bool                         // its word is as new as it can be had soon
-	syncedSignal     chan struct{}                       // closed then
+	disabledStore    disabled.Store
+	servers          map[routing.ServerID]platformconfig.Endpoint // as listed, without those that are gone
+	disabled         map[routing.ServerID]time.Duration           // taken out by staff, with the start listed then
+	listedCount      atomic.Int64                                 // how many hosts there are
+	unavailableCount atomic.Int64                                 // how many of them may not be sent to
+	synced           atomic.Bool                                  // its word is as new as it can be had soon
+	syncedSignal     chan struct{}                                // closed then
 	gossip           gossipState
-	readyServers     atomic.Pointer[[]config.Endpoint] // that are ready; nil without neighbours
-	disabledServers  atomic.Pointer[[]decide.ServerID] // that staff took out; the same
+	readyServers     atomic.Pointer[[]platformconfig.Endpoint] // that are ready; nil without neighbours
+	disabledServers  atomic.Pointer[[]routing.ServerID]        // that staff took out; the same
 }
 
 // disableRequest is a call of staff to take a cache out, or back.
 type disableRequest struct {
-	server        decide.ServerID
+	server        routing.ServerID
 	disabled      bool
 	skipBroadcast bool // of the register: the others have it too
 	result        chan error
@@ -82,19 +82,19 @@
 
 // NewWatcher returns a log that has told what the configuration knows. tell takes
 // each event, in order; it may block.
-func NewWatcher(c clock.Clock, conf *config.Config, tell func(config.WatchEvent), s *stats.Registry) *Watcher {
-	l := &Watcher{clock: c, config: conf, pendingConfig: make(chan *config.Config, 1), disableRequests: make(chan disableRequest), notify: tell, counters: s,
-		lastSeq: conf.KnownSeq, disabledStore: marks.NewStore(conf.StateDir), servers: map[decide.ServerID]config.Endpoint{},
-		disabled: map[decide.ServerID]time.Duration{}, syncedSignal: make(chan struct{})}
+func NewWatcher(c clock.Clock, conf *platformconfig.Config, tell func(platformconfig.WatchEvent), s *metrics.Registry) *Watcher {
+	l := &Watcher{clock: c, config: conf, pendingConfig: make(chan *platformconfig.Config, 1), disableRequests: make(chan disableRequest), notify: tell, counters: s,
+		lastSeq: conf.KnownSeq, disabledStore: disabled.NewStore(conf.StateDir), servers: map[routing.ServerID]platformconfig.Endpoint{},
+		disabled: map[routing.ServerID]time.Duration{}, syncedSignal: make(chan struct{})}
 	l.dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", to.String())
 	}
-	l.guard.Store(&decide.Guard{PurgeRetention: conf.Settings.PurgeRetention, PurgeGrace: conf.Settings.PurgeGrace})
+	l.guard.Store(&routing.Guard{PurgeRetention: conf.Settings.PurgeRetention, PurgeGrace: conf.Settings.PurgeGrace})
 	return l
 }
 
 // Guard returns what attempts are held against now. It does not change.
-func (l *Watcher) Guard() *decide.Guard { return l.guard.Load() }
+func (l *Watcher) Guard() *routing.Guard { return l.guard.Load() }
 
 // ServerCounts returns how many servers the list holds, and how many of them are
 // draining or taken out.
@@ -107,7 +107,7 @@
 
 // Reload has the log that another configuration names followed, from the last
 // number held and at once. It never blocks and has one caller at a time.
-func (l *Watcher) Reload(conf *config.Config) {
+func (l *Watcher) Reload(conf *platformconfig.Config) {
 	select {
 	case <-l.pendingConfig: // never taken up
 	default:
@@ -117,7 +117,7 @@
 
 // SetDisabled takes a cache out of use, or back, whatever the list says of it. When it
 // returns without an error, nothing that is written from then on goes there.
-func (l *Watcher) SetDisabled(ctx context.Context, id decide.ServerID, out bool) error {
+func (l *Watcher) SetDisabled(ctx context.Context, id routing.ServerID, out bool) error {
 	return l.submit(ctx, disableRequest{server: id, disabled: out, result: make(chan error, 1)})
 }
 
@@ -190,11 +190,11 @@
 
 // runSession follows one connection until it breaks or another configuration
 // comes, which cuts it.
-func (l *Watcher) runSession(ctx context.Context) (heard bool, next *config.Config, err error) {
+func (l *Watcher) runSession(ctx context.Context) (heard bool, next *platformconfig.Config, err error) {
 	ctx, cut := context.WithCancel(ctx)
 	frames := make(chan frameResult)
 	done := make(chan struct{})
-	go func(c *config.Config, seq uint64) {
+	go func(c *platformconfig.Config, seq uint64) {
 		defer close(done)
 		l.readFrames(ctx, c, seq, frames)
 	}(l.config, l.lastSeq)
@@ -204,14 +204,14 @@
 
 // frameResult is a frame that a connection brought, or how it ended.
 type frameResult struct {
-	event config.WatchEvent
+	event platformconfig.WatchEvent
 	kind  byte
 	err   error
 }
 
 // processEvents does what comes up until the connection that frames come from ends, or the
 // pause is over, or another configuration comes.
-func (l *Watcher) processEvents(ctx context.Context, frames <-chan frameResult, pause <-chan time.Time) (heard bool, next *config.Config, err error) {
+func (l *Watcher) processEvents(ctx context.Context, frames <-chan frameResult, pause <-chan time.Time) (heard bool, next *platformconfig.Config, err error) {
 	look := time.NewTicker(disabledPollInterval)
 	defer look.Stop()
 	for {
@@ -309,7 +309,7 @@
 // applyDisabled takes a cache out, or back, and tells so as a change of the list. One that is
 // back was restarted meanwhile, as caches that staff take out are; where the list
 // has not told its start, it counts from now.
-func (l *Watcher) applyDisabled(id decide.ServerID, out bool) {
+func (l *Watcher) applyDisabled(id routing.ServerID, out bool) {
 	h, listed := l.servers[id]
 	if out {
 		l.disabled[id] = h.StartedAt
@@ -321,25 +321,25 @@
 	}
 	l.publishDisabled()
 	if listed {
-		l.publish(config.WatchEvent{Seq: l.lastSeq, ListUpdate: true, Endpoints: []config.Endpoint{l.effectiveState(h)}})
+		l.publish(platformconfig.WatchEvent{Seq: l.lastSeq, ListUpdate: true, Endpoints: []platformconfig.Endpoint{l.effectiveState(h)}})
 	}
 }
 
 // effectiveState is a listed server as the rest of the program sees it: one that is taken
 // out drains.
-func (l *Watcher) effectiveState(h config.Endpoint) config.Endpoint {
-	if _, out := l.disabled[h.ID]; out && h.Phase == decide.Ready {
-		h.Phase = decide.Draining
+func (l *Watcher) effectiveState(h platformconfig.Endpoint) platformconfig.Endpoint {
+	if _, out := l.disabled[h.ID]; out && h.Phase == routing.Ready {
+		h.Phase = routing.Draining
 	}
-	if started, out := l.gossip.activeDrains[h.ID]; out && h.Phase == decide.Ready && h.StartedAt <= started {
-		h.Phase = decide.Draining
+	if started, out := l.gossip.activeDrains[h.ID]; out && h.Phase == routing.Ready && h.StartedAt <= started {
+		h.Phase = routing.Draining
 	}
 	return h
 }
 
 // applyConfig goes over to another configuration. What it knows beyond what was told
 // is told now.
-func (l *Watcher) applyConfig(conf *config.Config) {
+func (l *Watcher) applyConfig(conf *platformconfig.Config) {
 	l.config = conf
 	g := *l.guard.Load()
 	g.PurgeRetention, g.PurgeGrace = conf.Settings.PurgeRetention, conf.Settings.PurgeGrace
@@ -353,13 +353,13 @@
 }
 
 // applyEvent books an event in the list and publishes it.
-func (l *Watcher) applyEvent(ev config.WatchEvent) {
+func (l *Watcher) applyEvent(ev platformconfig.WatchEvent) {
 	if ev.ListUpdate && ev.Snapshot {
 		clear(l.servers)
 	}
-	seen := make([]config.Endpoint, 0, len(ev.Endpoints))
+	seen := make([]platformconfig.Endpoint, 0, len(ev.Endpoints))
 	for _, h := range ev.Endpoints {
-		if l.servers[h.ID] = h; h.Phase == decide.Removed {
+		if l.servers[h.ID] = h; h.Phase == routing.Removed {
 			delete(l.servers, h.ID)
 		}
 		seen = append(seen, l.effectiveState(h))
@@ -370,7 +370,7 @@
 
 // publish publishes an event and then tells it: what is decided from then on and
 // what was decided before both see it.
-func (l *Watcher) publish(ev config.WatchEvent) {
+func (l *Watcher) publish(ev platformconfig.WatchEvent) {
 	g := nextGuard(l.guard.Load(), ev, clock.Duration(l.clock.Now()), clock.WallClockStep(l.clock))
 	l.guard.Store(g)
 	l.listedCount.Store(int64(len(l.servers)))
@@ -381,29 +381,29 @@
 
 // nextGuard is the guard after one more event, whose times are the wall clock's, set by step
 // since the start.
-func nextGuard(g *decide.Guard, ev config.WatchEvent, now time.Duration, step float64) *decide.Guard {
+func nextGuard(g *routing.Guard, ev platformconfig.WatchEvent, now time.Duration, step float64) *routing.Guard {
 	n := *g
 	n.LastEventAt = now
 	if ev.ListUpdate {
-		n.Ready = map[decide.ServerID]bool{}
+		n.Ready = map[routing.ServerID]bool{}
 		if !ev.Snapshot { // a whole list names all that there are
 			maps.Copy(n.Ready, g.Ready)
 		}
 		for _, h := range ev.Endpoints {
-			n.Ready[h.ID] = h.Phase == decide.Ready
+			n.Ready[h.ID] = h.Phase == routing.Ready
 		}
-		maps.DeleteFunc(n.Ready, func(_ decide.ServerID, ready bool) bool { return !ready })
+		maps.DeleteFunc(n.Ready, func(_ routing.ServerID, ready bool) bool { return !ready })
 	}
 	n.PurgesSeen = n.PurgesSeen || ev.Purge != nil
-	n.Purges = slices.DeleteFunc(slices.Clone(g.Purges), func(p decide.PurgeRecord) bool { return p.At+g.PurgeRetention < now })
+	n.Purges = slices.DeleteFunc(slices.Clone(g.Purges), func(p routing.PurgeRecord) bool { return p.At+g.PurgeRetention < now })
 	if ev.Purge != nil {
-		n.Purges = append(n.Purges, decide.PurgeRecord{Object: ev.Purge.Object, Group: ev.Purge.Group, At: clock.Duration(ev.Purge.At - step)})
+		n.Purges = append(n.Purges, routing.PurgeRecord{Object: ev.Purge.Object, Group: ev.Purge.Group, At: clock.Duration(ev.Purge.At - step)})
 	}
 	return &n
 }
 
 // readFrames reads one connection, from a number on, until it breaks.
-func (l *Watcher) readFrames(ctx context.Context, conf *config.Config, seq uint64, to chan<- frameResult) {
+func (l *Watcher) readFrames(ctx context.Context, conf *platformconfig.Config, seq uint64, to chan<- frameResult) {
 	f := frameResult{}
 	hand := func() bool {
 		select {
@@ -420,7 +420,7 @@
 		hand()
 		return
 	}
-	k := sock.New(c)
+	k := textconn.New(c)
 	defer k.Close()
 	defer context.AfterFunc(ctx, func() { c.SetDeadline(time.Now()) })()
 	f.err = k.Flush(binary.BigEndian.AppendUint64(k.WriteBuffer(), seq), nil, dialTimeout)
@@ -435,19 +435,19 @@
 }
 
 // readFrame reads one frame.
-func readFrame(k *sock.Conn, zones, kinds int) (config.WatchEvent, byte, error) {
+func readFrame(k *textconn.Conn, zones, kinds int) (platformconfig.WatchEvent, byte, error) {
 	k.LimitRead(4 + maxFrameLength)
 	head, err := k.ReadBody(4)
 	if err != nil {
-		return config.WatchEvent{}, 0, err
+		return platformconfig.WatchEvent{}, 0, err
 	}
 	n := binary.BigEndian.Uint32(head)
 	if n < headerLength || n > maxFrameLength {
-		return config.WatchEvent{}, 0, fmt.Errorf("%w: length %d", ErrMalformedFrame, n)
+		return platformconfig.WatchEvent{}, 0, fmt.Errorf("%w: length %d", ErrMalformedFrame, n)
 	}
 	b, err := k.ReadBody(int(n))
 	if err != nil {
-		return config.WatchEvent{}, 0, err
+		return platformconfig.WatchEvent{}, 0, err
 	}
 	ev, err := parseFrame(b, zones, kinds)
 	kind := b[8]
@@ -456,9 +456,9 @@
 }
 
 // parseFrame reads what follows the length of a frame.
-func parseFrame(b []byte, zones, kinds int) (config.WatchEvent, error) {
+func parseFrame(b []byte, zones, kinds int) (platformconfig.WatchEvent, error) {
 	u := binary.BigEndian
-	ev := config.WatchEvent{Seq: u.Uint64(b)}
+	ev := platformconfig.WatchEvent{Seq: u.Uint64(b)}
 	kind, b := b[8], b[headerLength:]
 	switch kind {
 	case 0:
@@ -475,10 +475,10 @@
 			if born > math.MaxInt64/1_000_000 {
 				return ev, fmt.Errorf("%w: started %d", ErrMalformedFrame, born)
 			}
-			ev.Endpoints = append(ev.Endpoints, config.Endpoint{
-				Server: decide.Server{ID: decide.ServerID(u.Uint32(b)), Zone: int(b[11]), Kind: int(b[12]),
-					Cell: int(u.Uint16(b[13:])), Weight: float64(u.Uint32(b[15:])) / 1000, StartedAt: config.StartTime(float64(born)),
-					Phase: [...]decide.Phase{decide.Ready, decide.Draining, decide.Removed}[b[10]]},
+			ev.Endpoints = append(ev.Endpoints, platformconfig.Endpoint{
+				Server: routing.Server{ID: routing.ServerID(u.Uint32(b)), Zone: int(b[11]), Kind: int(b[12]),
+					Cell: int(u.Uint16(b[13:])), Weight: float64(u.Uint32(b[15:])) / 1000, StartedAt: platformconfig.StartTime(float64(born)),
+					Phase: [...]routing.Phase{routing.Ready, routing.Draining, routing.Removed}[b[10]]},
 				Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[4:8])), u.Uint16(b[8:])),
 			})
 		}
@@ -488,13 +488,13 @@
 		}
 		// Object 0 is no object to the module, and no front lets it in.
 		if o := u.Uint64(b); o != 0 {
-			ev.Purge = &config.Purge{Object: decide.ObjectID(o), At: float64(u.Uint64(b[8:]))}
+			ev.Purge = &platformconfig.Purge{Object: routing.ObjectID(o), At: float64(u.Uint64(b[8:]))}
 		}
 	case 4:
 		if len(b) != 10 {
 			return ev, fmt.Errorf("%w: %d bytes for a group", ErrMalformedFrame, len(b))
 		}
-		ev.Purge = &config.Purge{Group: int(u.Uint16(b)), At: float64(u.Uint64(b[2:]))}
+		ev.Purge = &platformconfig.Purge{Group: int(u.Uint16(b)), At: float64(u.Uint64(b[2:]))}
 	default:
 		return ev, fmt.Errorf("%w: kind %d", ErrMalformedFrame, kind)
 	}
--- a/internal/changelog/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -1,4 +1,4 @@
-package changelog
+package discovery
 
 import (
 	"bytes"
@@ -12,13 +12,13 @@
 	"testing"
 	"time"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/config"
+	"garnetline/internal/metrics"
+	"garnetline/internal/platformconfig"
 	"garnetline/internal/seeds"
-	"garnetline/internal/sock"
 	"garnetline/internal/standin"
-	"garnetline/internal/stats"
+	"garnetline/internal/textconn"
+	"garnetline/routing"
 )
 
 const now = 1.7e12
@@ -40,10 +40,10 @@
 	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, object), at)
 }
 
-func newTestWatcher(addr netip.AddrPort, tell func(config.WatchEvent)) *Watcher {
-	return NewWatcher(clock.NewManual(now), &config.Config{Discovery: addr, KnownSeq: 1, Zones: []string{"a", "b"}, Kinds: []string{"box"},
-		Settings:    decide.Settings{PurgeRetention: 6 * time.Second},
-		KnownEvents: []config.WatchEvent{{Seq: 1, ListUpdate: true, Snapshot: true}}}, tell, stats.New())
+func newTestWatcher(addr netip.AddrPort, tell func(platformconfig.WatchEvent)) *Watcher {
+	return NewWatcher(clock.NewManual(now), &platformconfig.Config{Discovery: addr, KnownSeq: 1, Zones: []string{"a", "b"}, Kinds: []string{"box"},
+		Settings:    routing.Settings{PurgeRetention: 6 * time.Second},
+		KnownEvents: []platformconfig.WatchEvent{{Seq: 1, ListUpdate: true, Snapshot: true}}}, tell, metrics.New())
 }
 
 // A connection that ends, or brings a broken frame, is made anew from the
@@ -54,8 +54,8 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	told := make(chan config.WatchEvent, 16)
-	log := newTestWatcher(l.Addr().(*net.TCPAddr).AddrPort(), func(ev config.WatchEvent) { told <- ev })
+	told := make(chan platformconfig.WatchEvent, 16)
+	log := newTestWatcher(l.Addr().(*net.TCPAddr).AddrPort(), func(ev platformconfig.WatchEvent) { told <- ev })
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -92,7 +92,7 @@
 		if seq == 2 {
 			h := ev.Endpoints[0]
 			if h.ID != 7 || h.Addr.String() != "127.0.0.9:5050" || h.Zone != 1 || h.Cell != 5 || h.Weight != 2.5 ||
-				h.StartedAt != config.StartTime(1_700_000_000_123) || h.Phase != decide.Ready {
+				h.StartedAt != platformconfig.StartTime(1_700_000_000_123) || h.Phase != routing.Ready {
 				t.Errorf("%+v", h)
 			}
 		}
@@ -145,8 +145,8 @@
 		defer ls[i].Close()
 	}
 	addr := func(i int) netip.AddrPort { return ls[i].Addr().(*net.TCPAddr).AddrPort() }
-	told := make(chan config.WatchEvent, 16)
-	log := newTestWatcher(addr(0), func(ev config.WatchEvent) { told <- ev })
+	told := make(chan platformconfig.WatchEvent, 16)
+	log := newTestWatcher(addr(0), func(ev platformconfig.WatchEvent) { told <- ev })
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -178,8 +178,8 @@
 	}
 	next := *log.config
 	next.Discovery, next.Settings.PurgeRetention = addr(1), 7*time.Second
-	next.KnownEvents = []config.WatchEvent{{Seq: 2}, {Seq: 3, ListUpdate: true}}
-	log.Reload(&config.Config{}) // taken over by the next, or left by it
+	next.KnownEvents = []platformconfig.WatchEvent{{Seq: 2}, {Seq: 3, ListUpdate: true}}
+	log.Reload(&platformconfig.Config{}) // taken over by the next, or left by it
 	log.Reload(&next)
 	if from := asked(1); from != 3 {
 		t.Errorf("the new log was asked from %d, want 3", from)
@@ -196,11 +196,11 @@
 // starts later, do not let it back. One call undoes two. What is back is cold.
 func TestSetDisabled(t *testing.T) {
 	state := t.TempDir()
-	start := func() (*Watcher, chan config.WatchEvent, func()) {
-		told := make(chan config.WatchEvent, 64)
-		log := NewWatcher(clock.NewManual(now), &config.Config{StateDir: state, Zones: []string{"a", "b"}, Kinds: []string{"box"}, KnownSeq: 1,
-			KnownEvents: []config.WatchEvent{{Seq: 1, ListUpdate: true, Snapshot: true, Endpoints: []config.Endpoint{{Server: decide.Server{ID: 7, Phase: decide.Ready}}}}}},
-			func(ev config.WatchEvent) { told <- ev }, stats.New())
+	start := func() (*Watcher, chan platformconfig.WatchEvent, func()) {
+		told := make(chan platformconfig.WatchEvent, 64)
+		log := NewWatcher(clock.NewManual(now), &platformconfig.Config{StateDir: state, Zones: []string{"a", "b"}, Kinds: []string{"box"}, KnownSeq: 1,
+			KnownEvents: []platformconfig.WatchEvent{{Seq: 1, ListUpdate: true, Snapshot: true, Endpoints: []platformconfig.Endpoint{{Server: routing.Server{ID: 7, Phase: routing.Ready}}}}}},
+			func(ev platformconfig.WatchEvent) { told <- ev }, metrics.New())
 		here, there := net.Pipe()
 		log.dial = func(context.Context, netip.AddrPort) (net.Conn, error) { return here, nil }
 		ctx, stop := context.WithCancel(t.Context())
@@ -216,18 +216,18 @@
 			<-done
 		}
 	}
-	phase := func(log *Watcher, told chan config.WatchEvent, want decide.Phase) decide.Server {
+	phase := func(log *Watcher, told chan platformconfig.WatchEvent, want routing.Phase) routing.Server {
 		t.Helper()
 		ev := <-told
-		if len(ev.Endpoints) != 1 || ev.Endpoints[0].Phase != want || log.Guard().Excludes(7) != (want != decide.Ready) {
+		if len(ev.Endpoints) != 1 || ev.Endpoints[0].Phase != want || log.Guard().Excludes(7) != (want != routing.Ready) {
 			t.Fatalf("told %+v, barred %v; want phase %v", ev, log.Guard().Excludes(7), want)
 		}
 		return ev.Endpoints[0].Server
 	}
 	log, told, stop := start()
 	defer stop()
-	phase(log, told, decide.Ready)
-	call := func(id decide.ServerID, out bool, want error) {
+	phase(log, told, routing.Ready)
+	call := func(id routing.ServerID, out bool, want error) {
 		t.Helper()
 		if err := log.SetDisabled(t.Context(), id, out); !errors.Is(err, want) {
 			t.Fatalf("%v out %v: %v, want %v", id, out, err, want)
@@ -235,26 +235,26 @@
 	}
 	call(8, true, ErrUnknownServer)
 	call(7, true, nil)
-	phase(log, told, decide.Draining)
+	phase(log, told, routing.Draining)
 	call(7, true, nil)
 	if all, barred := log.ServerCounts(); all != 1 || barred != 1 {
 		t.Errorf("listed %d, barred %d", all, barred)
 	}
 	log2, told2, stop2 := start()
 	defer stop2()
-	phase(log2, told2, decide.Draining)
+	phase(log2, told2, routing.Draining)
 	call(7, false, nil)
-	if s := phase(log, told, decide.Ready); s.StartedAt != clock.Duration(now) {
+	if s := phase(log, told, routing.Ready); s.StartedAt != clock.Duration(now) {
 		t.Errorf("back with start %v", s.StartedAt)
 	}
-	phase(log2, told2, decide.Ready) // it sees that the mark has gone
+	phase(log2, told2, routing.Ready) // it sees that the mark has gone
 	if err := log2.SetDisabled(t.Context(), 7, true); err != nil {
 		t.Fatal(err)
 	}
-	phase(log, told, decide.Draining)
+	phase(log, told, routing.Draining)
 	for _, whole := range []bool{true, false} { // whatever the list says
-		ev := config.WatchEvent{ListUpdate: true, Snapshot: whole, Endpoints: []config.Endpoint{{Server: decide.Server{ID: 7, Phase: decide.Ready}}}}
-		if h := log.effectiveState(ev.Endpoints[0]); h.Phase != decide.Draining {
+		ev := platformconfig.WatchEvent{ListUpdate: true, Snapshot: whole, Endpoints: []platformconfig.Endpoint{{Server: routing.Server{ID: 7, Phase: routing.Ready}}}}
+		if h := log.effectiveState(ev.Endpoints[0]); h.Phase != routing.Draining {
 			t.Errorf("seen as %v", h.Phase)
 		}
 	}
@@ -275,7 +275,7 @@
 	f.Add(encodeFrame(4, 4, 0, 1, 2))
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0})
 	f.Fuzz(func(t *testing.T, b []byte) {
-		k := sock.New(stubConn{reader: bytes.NewReader(b)})
+		k := textconn.New(stubConn{reader: bytes.NewReader(b)})
 		for {
 			ev, _, err := readFrame(k, 2, 1)
 			if err != nil {
@@ -285,7 +285,7 @@
 				return
 			}
 			for _, h := range ev.Endpoints {
-				if h.Zone >= 2 || h.Kind >= 1 || h.Phase > decide.Draining || h.StartedAt < 0 {
+				if h.Zone >= 2 || h.Kind >= 1 || h.Phase > routing.Draining || h.StartedAt < 0 {
 					t.Fatalf("%+v", h)
 				}
 			}
@@ -297,25 +297,25 @@
 func FuzzGuard(f *testing.F) {
 	seeds.Add(f, 16, 90)
 	f.Fuzz(func(t *testing.T, steps []byte) {
-		g, ready := &decide.Guard{PurgeRetention: 6 * time.Second}, map[decide.ServerID]bool{}
+		g, ready := &routing.Guard{PurgeRetention: 6 * time.Second}, map[routing.ServerID]bool{}
 		at, last := map[int]float64{}, now
 		for i := 0; i+2 < len(steps); i += 3 {
-			id, x := decide.ServerID(steps[i+1]%5), int(steps[i+2])
+			id, x := routing.ServerID(steps[i+1]%5), int(steps[i+2])
 			last += float64(x * 10)
 			switch op := steps[i] % 4; op {
 			case 0, 1:
 				if op == 1 {
 					clear(ready)
 				}
-				p := decide.Phase(x % 3)
-				ready[id] = p == decide.Ready
-				g = nextGuard(g, config.WatchEvent{ListUpdate: true, Snapshot: op == 1,
-					Endpoints: []config.Endpoint{{Server: decide.Server{ID: id, Phase: p}}}}, clock.Duration(last), 0)
+				p := routing.Phase(x % 3)
+				ready[id] = p == routing.Ready
+				g = nextGuard(g, platformconfig.WatchEvent{ListUpdate: true, Snapshot: op == 1,
+					Endpoints: []platformconfig.Endpoint{{Server: routing.Server{ID: id, Phase: p}}}}, clock.Duration(last), 0)
 			default:
 				at[x%4] = last
-				g = nextGuard(g, config.WatchEvent{Purge: &config.Purge{Group: x % 4, At: last}}, clock.Duration(last), 0)
+				g = nextGuard(g, platformconfig.WatchEvent{Purge: &platformconfig.Purge{Group: x % 4, At: last}}, clock.Duration(last), 0)
 			}
-			for id := range decide.ServerID(5) {
+			for id := range routing.ServerID(5) {
 				if g.Excludes(id) == ready[id] {
 					t.Fatalf("server %d: barred %v, ready %v", id, g.Excludes(id), ready[id])
 				}
@@ -343,14 +343,14 @@
 }
 
 // runScript runs a log through sessions, one connection each, and returns what it tells.
-func runScript(t *testing.T, sessions ...scriptedSession) (*Watcher, chan config.WatchEvent) {
+func runScript(t *testing.T, sessions ...scriptedSession) (*Watcher, chan platformconfig.WatchEvent) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	told := make(chan config.WatchEvent, 16)
-	log := newTestWatcher(l.Addr().(*net.TCPAddr).AddrPort(), func(ev config.WatchEvent) { told <- ev })
+	told := make(chan platformconfig.WatchEvent, 16)
+	log := newTestWatcher(l.Addr().(*net.TCPAddr).AddrPort(), func(ev platformconfig.WatchEvent) { told <- ev })
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { log.Run(ctx); close(done) }()
@@ -415,8 +415,8 @@
 			t.Fatal(err)
 		}
 		defer teller.Close()
-		told := make(chan config.WatchEvent, 16)
-		log := newTestWatcher(teller.Addr().(*net.TCPAddr).AddrPort(), func(ev config.WatchEvent) { told <- ev })
+		told := make(chan platformconfig.WatchEvent, 16)
+		log := newTestWatcher(teller.Addr().(*net.TCPAddr).AddrPort(), func(ev platformconfig.WatchEvent) { told <- ev })
 		log.clock.(*clock.Manual).StepWallClock(by)
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan struct{})
--- a/internal/core/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -1,18 +1,18 @@
-package core
+package dispatch
 
 import (
 	"testing"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/stats"
+	"garnetline/internal/metrics"
+	"garnetline/routing"
 )
 
 // BenchmarkRequest is one request through the core and the module, served at its first attempt,
 // without fronts and connections.
 func BenchmarkRequest(b *testing.B) {
 	clk := clock.NewManual(startTime)
-	c, err := New(clk, settings(), 1, stats.New())
+	c, err := New(clk, settings(), 1, metrics.New())
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -25,11 +25,11 @@
 	}
 	b.ReportAllocs()
 	for n := 0; b.Loop(); n++ {
-		r := &Request{TransactionID: "9b1f03aa5c7e2d41", Object: decide.ObjectID(1 + n%64), Deadline: clk.Now() + 500, Transport: &box, Respond: reply}
+		r := &Request{TransactionID: "9b1f03aa5c7e2d41", Object: routing.ObjectID(1 + n%64), Deadline: clk.Now() + 500, Transport: &box, Respond: reply}
 		c.handleMessage(r)
 		clk.Advance(2)
 		c.fireTimers()
-		c.handleMessage(Completion{Attempt: box.sent[0], Result: decide.Served, Response: Response{Kind: Served}, Load: UnknownLoad()})
+		c.handleMessage(Completion{Attempt: box.sent[0], Result: routing.Served, Response: Response{Kind: Served}, Load: UnknownLoad()})
 		box.sent = box.sent[:0]
 		c.fireTimers()
 	}
--- a/internal/core/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -1,7 +1,7 @@
 // Package core is the actor round the decision module. It deals in requests,
 // attempts and outcomes and knows no wire: fronts hand it requests, carriers
 // carry out its attempts.
-package core
+package dispatch
 
 import (
 	"container/heap"
@@ -12,11 +12,11 @@
 	"sync/atomic"
 	"time"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/config"
-	"garnetline/internal/stats"
+	"garnetline/internal/metrics"
+	"garnetline/internal/platformconfig"
 	"garnetline/internal/trace"
+	"garnetline/routing"
 )
 
 // ResponseKind tells what an answer is.
@@ -37,7 +37,7 @@
 	Body       []byte
 	ETag       string
 	RetryAfter float64 // ms
-	Server     decide.ServerID
+	Server     routing.ServerID
 }
 
 // Request is what a front takes in. From Submit on the core owns it; the
@@ -47,7 +47,7 @@
 	IdempotencyKey string // idempotency key
 	IfNoneMatch    string // tag of the client's copy
 	Class          int
-	Object         decide.ObjectID
+	Object         routing.ObjectID
 	Chunk          int
 	Group          int
 	SizeKB         float64 // of the part, as the settings' links count it; 0: not told
@@ -57,7 +57,7 @@
 	Respond        func(Response)
 	Client         *ClientInfo // nil: not told
 
-	id           decide.RequestID
+	id           routing.RequestID
 	trace        RequestTrace // nil: it is not traced
 	attempts     []*Attempt
 	responded    bool
@@ -84,15 +84,15 @@
 // RequestTrace is what a Tracer keeps of one request. Its methods are called on the core's
 // goroutine.
 type RequestTrace interface {
-	AttemptStarted(now float64, g decide.SendAttempt) trace.Parent // of what is done for the attempt
-	AttemptEnded(now float64, r decide.Result, bytes int, load decide.LoadReport, w trace.Wire)
+	AttemptStarted(now float64, g routing.SendAttempt) trace.Parent // of what is done for the attempt
+	AttemptEnded(now float64, r routing.Result, bytes int, load routing.LoadReport, w trace.Wire)
 	Responded(now float64, o trace.Outcome)
 	Done() bool
 }
 
 // Tracer follows the requests of a core, on its goroutine.
 type Tracer interface {
-	Open(now float64, r *Request, class *decide.Class) RequestTrace
+	Open(now float64, r *Request, class *routing.Class) RequestTrace
 	Close(now float64, t RequestTrace) // t is done
 }
 
@@ -100,10 +100,10 @@
 type Attempt struct {
 	Request         *Request
 	Index           int
-	Decision        decide.SendAttempt
+	Decision        routing.SendAttempt
 	ExpiresAt       float64 // it is given up then
 	SendDeadline    float64 // it may be written until then; 0: until it is given up
-	Class           *decide.Class
+	Class           *routing.Class
 	RequestDeadline float64 // of its request
 
 	MayRetry       bool          // it is given up while its request is open: another may follow
@@ -113,26 +113,26 @@
 	sentAt            float64
 	accepted          bool // by its carrier
 	ended             bool
-	completionDelayed bool          // it was given up or lost; its end waits for wayFor
-	notExecuted       bool          // it ended and is proved not to have run
-	cancelRequested   bool          // the carrier has been asked to give it up
-	cancelResult      decide.Result // what it is called then
+	completionDelayed bool           // it was given up or lost; its end waits for wayFor
+	notExecuted       bool           // it ended and is proved not to have run
+	cancelRequested   bool           // the carrier has been asked to give it up
+	cancelResult      routing.Result // what it is called then
 }
 
 // Completion is how a carrier says that an attempt is over. Result Cancelled says
 // that it was given up, where that was asked for.
 type Completion struct {
 	Attempt  *Attempt
-	Result   decide.Result
+	Result   routing.Result
 	Response Response
-	Load     decide.LoadReport
-	Note     decide.CacheStatus // how it met its object, where that is told
-	FillWait float64            // ms for the source's first byte or failure; 0: not told
-	Final    bool               // the request is over though nothing was served by the attempt
+	Load     routing.LoadReport
+	Note     routing.CacheStatus // how it met its object, where that is told
+	FillWait float64             // ms for the source's first byte or failure; 0: not told
+	Final    bool                // the request is over though nothing was served by the attempt
 }
 
 // Unsent is the end of an attempt that never left.
-func Unsent(a *Attempt, r decide.Result) *Completion {
+func Unsent(a *Attempt, r routing.Result) *Completion {
 	return &Completion{Attempt: a, Result: r, Load: UnknownLoad()}
 }
 
@@ -140,7 +140,7 @@
 // request is answered with it. The module books what it sent as work and
 // learns nothing, since how the client fares there is not told here.
 func Resolved(a *Attempt) *Completion {
-	return &Completion{Attempt: a, Result: decide.Canceled, Final: true, Load: UnknownLoad(),
+	return &Completion{Attempt: a, Result: routing.Canceled, Final: true, Load: UnknownLoad(),
 		Response: Response{Kind: Served, Server: a.Decision.Server}}
 }
 
@@ -157,7 +157,9 @@
 }
 
 // EndpointListener is told of each change of the list before the module is.
-type EndpointListener interface{ UpdateEndpoints(ev config.WatchEvent) }
+type EndpointListener interface {
+	UpdateEndpoints(ev platformconfig.WatchEvent)
+}
 
 // ValidFieldValue tells whether a tag or key can stand in a carrier's fields as it is:
 // short, and of letters, digits and marks that cannot end a field.
@@ -175,9 +177,9 @@
 }
 
 // UnknownLoad is a load report without values.
-func UnknownLoad() decide.LoadReport {
+func UnknownLoad() routing.LoadReport {
 	nan := math.NaN()
-	return decide.LoadReport{Inflight: nan, CPUUtilization: nan, HitRatio: nan, LinkUtilization: nan}
+	return routing.LoadReport{Inflight: nan, CPUUtilization: nan, HitRatio: nan, LinkUtilization: nan}
 }
 
 // slack is how long after the deadline of a request the core waits for the
@@ -201,25 +203,25 @@
 // Dispatcher is the actor that owns the module, the open requests and the timers.
 type Dispatcher struct {
 	clock           clock.Clock
-	settings        decide.Settings
-	router          *decide.Router
+	settings        routing.Settings
+	router          *routing.Router
 	listeners       []EndpointListener
 	tracer          Tracer
-	metrics         *stats.Registry
+	metrics         *metrics.Registry
 	mailbox         chan any
 	stopped         chan struct{}
-	nextID          decide.RequestID
-	openRequests    map[decide.RequestID]*Request
+	nextID          routing.RequestID
+	openRequests    map[routing.RequestID]*Request
 	byTransactionID map[string]*Request // of those, the ones with a client's id
 	timers          timerHeap
 	drainBy         float64 // all is answered by then; 0: there is no such time
-	pendingEvents   []decide.Event
-	actions         []decide.Action
-	ejectedBuffer   []decide.ServerID // room for show
+	pendingEvents   []routing.Event
+	actions         []routing.Action
+	ejectedBuffer   []routing.ServerID // room for show
 
 	ejectedCount     atomic.Int64 // servers that the module has set aside
 	publishesEjected bool         // the ones set aside are published
-	ejected          atomic.Pointer[[]decide.ServerID]
+	ejected          atomic.Pointer[[]routing.ServerID]
 }
 
 type disconnectMessage struct{ request *Request }
@@ -227,13 +229,13 @@
 type drainMessage struct{ deadline float64 }
 
 // New returns a core that has not been started.
-func New(c clock.Clock, set decide.Settings, seed uint64, s *stats.Registry) (*Dispatcher, error) {
-	router, err := decide.New(set, seed)
+func New(c clock.Clock, set routing.Settings, seed uint64, s *metrics.Registry) (*Dispatcher, error) {
+	router, err := routing.New(set, seed)
 	if err != nil {
 		return nil, err
 	}
 	return &Dispatcher{clock: c, settings: set, router: router, metrics: s, mailbox: make(chan any, mailboxSize),
-		stopped: make(chan struct{}), openRequests: map[decide.RequestID]*Request{}, byTransactionID: map[string]*Request{}}, nil
+		stopped: make(chan struct{}), openRequests: map[routing.RequestID]*Request{}, byTransactionID: map[string]*Request{}}, nil
 }
 
 // AddListeners adds listers. It must not be called once Run has been.
@@ -287,7 +289,7 @@
 
 // Ejected returns the servers that the module has set aside, where they are published. It
 // does not change.
-func (c *Dispatcher) Ejected() []decide.ServerID {
+func (c *Dispatcher) Ejected() []routing.ServerID {
 	if p := c.ejected.Load(); p != nil {
 		return *p
 	}
@@ -312,25 +314,25 @@
 func (c *Dispatcher) Complete(e Completion) { c.enqueue(e) }
 
 // HandleWatchEvent hands over an event of the change log.
-func (c *Dispatcher) HandleWatchEvent(ev config.WatchEvent) { c.enqueue(ev) }
+func (c *Dispatcher) HandleWatchEvent(ev platformconfig.WatchEvent) { c.enqueue(ev) }
 
 // ReportLoad hands over a cache's load as another router measured it, age ms ago. It does not
 // wait: a report that finds no room is worth nothing later.
-func (c *Dispatcher) ReportLoad(id decide.ServerID, l decide.LoadReport, age float64) {
-	c.offer(decide.PeerLoadReport{Server: id, Load: l, Age: clock.Duration(age)})
+func (c *Dispatcher) ReportLoad(id routing.ServerID, l routing.LoadReport, age float64) {
+	c.offer(routing.PeerLoadReport{Server: id, Load: l, Age: clock.Duration(age)})
 }
 
 // ExtendEjection prolongs the rest of a server that is set aside, for so many ms from now. Like a
 // report it does not wait.
-func (c *Dispatcher) ExtendEjection(id decide.ServerID, ms float64) {
-	c.offer(decide.ExtendEjection{Server: id, Until: clock.Duration(c.clock.Now() + ms)})
+func (c *Dispatcher) ExtendEjection(id routing.ServerID, ms float64) {
+	c.offer(routing.ExtendEjection{Server: id, Until: clock.Duration(c.clock.Now() + ms)})
 }
 
 // RequireProbe has a server that others set aside tried before it gets more.
-func (c *Dispatcher) RequireProbe(id decide.ServerID) { c.offer(decide.RequireProbe{Server: id}) }
+func (c *Dispatcher) RequireProbe(id routing.ServerID) { c.offer(routing.RequireProbe{Server: id}) }
 
 // offer hands another router's word to the module, if there is room.
-func (c *Dispatcher) offer(ev decide.Event) {
+func (c *Dispatcher) offer(ev routing.Event) {
 	select {
 	case c.mailbox <- ev:
 	default:
@@ -338,7 +340,7 @@
 }
 
 // Reload goes over to other settings, which config.Admits has let pass.
-func (c *Dispatcher) Reload(set decide.Settings) { c.enqueue(set) }
+func (c *Dispatcher) Reload(set routing.Settings) { c.enqueue(set) }
 
 func (c *Dispatcher) enqueue(m any) bool {
 	select {
@@ -363,11 +365,11 @@
 		}
 	case Completion:
 		c.handleCompletion(m)
-	case config.WatchEvent:
+	case platformconfig.WatchEvent:
 		c.applyWatchEvent(m)
-	case decide.PeerLoadReport, decide.ExtendEjection, decide.RequireProbe:
-		c.handleEvent(m.(decide.Event))
-	case decide.Settings:
+	case routing.PeerLoadReport, routing.ExtendEjection, routing.RequireProbe:
+		c.handleEvent(m.(routing.Event))
+	case routing.Settings:
 		if err := c.router.UpdateSettings(m); err == nil {
 			c.settings = m
 		}
@@ -399,7 +401,7 @@
 	if c.tracer != nil {
 		r.trace = c.tracer.Open(c.clock.Now(), r, &c.settings.Classes[r.Class])
 	}
-	c.handleEvent(decide.Request{ID: r.id, Class: r.Class, Object: r.Object, Chunk: r.Chunk, PurgeGroup: r.Group,
+	c.handleEvent(routing.Request{ID: r.id, Class: r.Class, Object: r.Object, Chunk: r.Chunk, PurgeGroup: r.Group,
 		SizeKB: r.SizeKB, Timeout: clock.Duration(r.Deadline - c.clock.Now())})
 }
 
@@ -420,9 +422,9 @@
 // closeRequest forgets a request and has the module give up what is out for it.
 func (c *Dispatcher) closeRequest(r *Request) {
 	c.removeRequest(r)
-	c.handleEvent(decide.ClientDisconnected{ID: r.id})
+	c.handleEvent(routing.ClientDisconnected{ID: r.id})
 	for _, a := range r.attempts { // what the module no longer knows of
-		c.cancelAttempt(a, decide.Canceled)
+		c.cancelAttempt(a, routing.Canceled)
 	}
 }
 
@@ -487,7 +489,7 @@
 		return
 	}
 	at := c.clock.Now() + cancelTransit // past its time nothing is sent on, and the answer is not held back
-	if left := e.Result == decide.Canceled || e.Result == decide.ConnectionLost; left && a.accepted && !a.completionDelayed && !a.Request.responded && at < a.ExpiresAt {
+	if left := e.Result == routing.Canceled || e.Result == routing.ConnectionLost; left && a.accepted && !a.completionDelayed && !a.Request.responded && at < a.ExpiresAt {
 		a.completionDelayed = true
 		heap.Push(&c.timers, timer{at: at, completion: &e})
 		return
@@ -496,7 +498,7 @@
 	if a.accepted {
 		a.Request.Transport.Release(a)
 	}
-	if e.Result == decide.Canceled && a.cancelRequested {
+	if e.Result == routing.Canceled && a.cancelRequested {
 		e.Result = a.cancelResult
 	}
 	if e.Final {
@@ -512,10 +514,10 @@
 			c.closeTrace(r)
 		}
 	}
-	if !r.responded && (e.Result == decide.Served || e.Final) {
+	if !r.responded && (e.Result == routing.Served || e.Final) {
 		c.respond(r, e.Response)
 	}
-	c.handleEvent(decide.Outcome{ID: r.id, Attempt: a.Index, Server: a.Decision.Server, Result: e.Result,
+	c.handleEvent(routing.Outcome{ID: r.id, Attempt: a.Index, Server: a.Decision.Server, Result: e.Result,
 		Duration: clock.Duration(c.clock.Now() - a.sentAt), BodyBytes: len(e.Response.Body), RequestDone: r.responded, Load: e.Load,
 		CacheStatus: e.Note, SourceWait: clock.Duration(e.FillWait)})
 	if r.responded {
@@ -532,12 +534,12 @@
 	}
 }
 
-var resultNames = [...]string{decide.Served: "served", decide.ServerError: "errored", decide.Rejected: "full",
-	decide.TimedOut: "timed_out", decide.ConnectFailed: "unreached", decide.ConnectionLost: "broken",
-	decide.Canceled: "cancelled", decide.NotSent: "not_sent", decide.NotCached: "miss"}
+var resultNames = [...]string{routing.Served: "served", routing.ServerError: "errored", routing.Rejected: "full",
+	routing.TimedOut: "timed_out", routing.ConnectFailed: "unreached", routing.ConnectionLost: "broken",
+	routing.Canceled: "cancelled", routing.NotSent: "not_sent", routing.NotCached: "miss"}
 
 // applyWatchEvent passes an event of the change log on.
-func (c *Dispatcher) applyWatchEvent(ev config.WatchEvent) {
+func (c *Dispatcher) applyWatchEvent(ev platformconfig.WatchEvent) {
 	switch {
 	case ev.ListUpdate:
 		for _, l := range c.listeners {
@@ -547,14 +549,14 @@
 		c.handleEvent(c.membershipChange(ev))
 	case ev.Purge != nil:
 		c.metrics.Add("purges_told", 1)
-		c.handleEvent(decide.Purge{Object: ev.Purge.Object, Group: ev.Purge.Group,
+		c.handleEvent(routing.Purge{Object: ev.Purge.Object, Group: ev.Purge.Group,
 			Age: clock.Duration(max(0, c.clock.Now()+clock.WallClockStep(c.clock)-ev.Purge.At))})
 	}
 }
 
 // membershipChange is a change of the list as the module takes it, with times of the core's clock.
-func (c *Dispatcher) membershipChange(ev config.WatchEvent) decide.EndpointUpdate {
-	m, step := decide.EndpointUpdate{Snapshot: ev.Snapshot}, clock.Duration(clock.WallClockStep(c.clock))
+func (c *Dispatcher) membershipChange(ev platformconfig.WatchEvent) routing.EndpointUpdate {
+	m, step := routing.EndpointUpdate{Snapshot: ev.Snapshot}, clock.Duration(clock.WallClockStep(c.clock))
 	for _, h := range ev.Endpoints {
 		if h.StartedAt != 0 { // which is long ago
 			h.StartedAt = max(h.StartedAt-step, 1)
@@ -566,7 +568,7 @@
 
 // handleEvent gives the module an event and carries out what it calls for, and so on
 // with the events that this makes at once.
-func (c *Dispatcher) handleEvent(ev decide.Event) {
+func (c *Dispatcher) handleEvent(ev routing.Event) {
 	c.pendingEvents = append(c.pendingEvents, ev)
 	if len(c.pendingEvents) > 1 {
 		return // the loop below is running
@@ -580,31 +582,31 @@
 	c.pendingEvents = c.pendingEvents[:0]
 }
 
-func (c *Dispatcher) execute(a decide.Action) {
+func (c *Dispatcher) execute(a routing.Action) {
 	switch a := a.(type) {
-	case decide.SendAttempt:
+	case routing.SendAttempt:
 		c.startAttempt(a)
-	case decide.Reject:
+	case routing.Reject:
 		if r := c.openRequests[a.ID]; r != nil {
 			c.removeRequest(r)
 			c.respond(r, Response{Kind: Rejected, RetryAfter: clock.Millis(a.RetryAfter)})
 		}
-	case decide.Fail:
+	case routing.Fail:
 		if r := c.openRequests[a.ID]; r != nil {
 			c.removeRequest(r)
 			c.respond(r, Response{Kind: Failed})
 		}
-	case decide.CancelAttempt:
+	case routing.CancelAttempt:
 		if r := c.openRequests[a.ID]; r != nil && a.Attempt < len(r.attempts) {
-			c.cancelAttempt(r.attempts[a.Attempt], decide.Canceled)
+			c.cancelAttempt(r.attempts[a.Attempt], routing.Canceled)
 		}
-	case decide.SetTimer:
+	case routing.SetTimer:
 		c.schedule(c.clock.Now()+clock.Millis(a.Delay), a.Token, nil, nil)
 	}
 }
 
 // startAttempt makes an attempt of a decision.
-func (c *Dispatcher) startAttempt(g decide.SendAttempt) {
+func (c *Dispatcher) startAttempt(g routing.SendAttempt) {
 	r := c.openRequests[g.ID]
 	if r == nil {
 		return
@@ -620,7 +622,7 @@
 	busy := len(r.attempts) > 0 && !r.attempts[len(r.attempts)-1].ended
 	barred := r.ClientDisconnected() || c.retryForbidden(r, a)
 	r.attempts = append(r.attempts, a)
-	over := Unsent(a, decide.NotSent)
+	over := Unsent(a, routing.NotSent)
 	if !r.responded && !busy && !barred && a.Index < c.settings.MaxAttempts && a.sentAt < a.ExpiresAt {
 		over = r.Transport.Send(a)
 	}
@@ -644,10 +646,10 @@
 			continue
 		}
 		switch a.Class.Idempotency {
-		case decide.IdempotentWithKey:
+		case routing.IdempotentWithKey:
 			a.SendDeadline = t.sentAt + clock.Millis(a.Class.KeyWindow)
 			return a.sentAt >= a.SendDeadline
-		case decide.NonIdempotent:
+		case routing.NonIdempotent:
 			return true
 		}
 		break
@@ -656,7 +658,7 @@
 }
 
 // cancelAttempt has an attempt given up. It is over when its carrier says so.
-func (c *Dispatcher) cancelAttempt(a *Attempt, as decide.Result) {
+func (c *Dispatcher) cancelAttempt(a *Attempt, as routing.Result) {
 	if a.ended || a.cancelRequested {
 		return
 	}
@@ -671,11 +673,11 @@
 		case t.completion != nil:
 			c.handleCompletion(*t.completion)
 		case t.attempt != nil:
-			c.cancelAttempt(t.attempt, decide.TimedOut)
+			c.cancelAttempt(t.attempt, routing.TimedOut)
 		case t.request != nil:
 			c.handleDeadline(t.request)
 		default:
-			c.handleEvent(decide.TimerFired{Token: t.token})
+			c.handleEvent(routing.TimerFired{Token: t.token})
 		}
 	}
 }
--- a/internal/core/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -1,37 +1,37 @@
-package core
+package dispatch
 
 import (
 	"testing"
 	"time"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/config"
+	"garnetline/internal/metrics"
+	"garnetline/internal/platformconfig"
 	"garnetline/internal/seeds"
-	"garnetline/internal/stats"
+	"garnetline/routing"
 )
 
 const startTime = 1.7e12
 
-func settings() decide.Settings {
-	ramp := decide.SlowStart{InitialCapacity: 0.2, Duration: 10 * time.Second, OverloadFactor: 2, OverloadWindow: 2 * time.Second}
-	return decide.Settings{Zones: 1, Kinds: 3, ParentKind: 1, OriginKind: 2, RoutersByZone: []int{1}, Routers: 1,
+func settings() routing.Settings {
+	ramp := routing.SlowStart{InitialCapacity: 0.2, Duration: 10 * time.Second, OverloadFactor: 2, OverloadWindow: 2 * time.Second}
+	return routing.Settings{Zones: 1, Kinds: 3, ParentKind: 1, OriginKind: 2, RoutersByZone: []int{1}, Routers: 1,
 		MaxAttempts: 6, MaxRetryAfter: time.Second, CanCancel: true, CanJoinFill: true, DrainGrace: time.Second,
 		PurgeGrace: 500 * time.Millisecond, PurgeRetention: 6 * time.Second, CacheSlowStart: ramp, ParentSlowStart: ramp,
-		Classes: []decide.Class{
-			{Name: "part", Idempotency: decide.Idempotent, LatencyObjective: 400 * time.Millisecond, Deadline: 6 * time.Second, PriorityWeight: 2},
-			{Name: "keyed", Idempotency: decide.IdempotentWithKey, KeyWindow: time.Second, LatencyObjective: 700 * time.Millisecond, Deadline: 3 * time.Second, PriorityWeight: 3, Write: true},
-			{Name: "once", Idempotency: decide.NonIdempotent, LatencyObjective: 700 * time.Millisecond, Deadline: 3 * time.Second, PriorityWeight: 3, Write: true},
+		Classes: []routing.Class{
+			{Name: "part", Idempotency: routing.Idempotent, LatencyObjective: 400 * time.Millisecond, Deadline: 6 * time.Second, PriorityWeight: 2},
+			{Name: "keyed", Idempotency: routing.IdempotentWithKey, KeyWindow: time.Second, LatencyObjective: 700 * time.Millisecond, Deadline: 3 * time.Second, PriorityWeight: 3, Write: true},
+			{Name: "once", Idempotency: routing.NonIdempotent, LatencyObjective: 700 * time.Millisecond, Deadline: 3 * time.Second, PriorityWeight: 3, Write: true},
 		}}
 }
 
-func endpoint(id, kind int, p decide.Phase) config.Endpoint {
-	return config.Endpoint{Server: decide.Server{ID: decide.ServerID(id), Kind: kind, Phase: p, Weight: 1}}
+func endpoint(id, kind int, p routing.Phase) platformconfig.Endpoint {
+	return platformconfig.Endpoint{Server: routing.Server{ID: routing.ServerID(id), Kind: kind, Phase: p, Weight: 1}}
 }
 
-func endpointList() config.WatchEvent {
-	return config.WatchEvent{ListUpdate: true, Snapshot: true, Endpoints: []config.Endpoint{endpoint(1, 0, decide.Ready), endpoint(2, 0, decide.Ready),
-		endpoint(3, 0, decide.Ready), endpoint(8, 1, decide.Ready), endpoint(9, 2, decide.Ready)}}
+func endpointList() platformconfig.WatchEvent {
+	return platformconfig.WatchEvent{ListUpdate: true, Snapshot: true, Endpoints: []platformconfig.Endpoint{endpoint(1, 0, routing.Ready), endpoint(2, 0, routing.Ready),
+		endpoint(3, 0, routing.Ready), endpoint(8, 1, routing.Ready), endpoint(9, 2, routing.Ready)}}
 }
 
 // model is what must hold of a core, kept from its calls alone.
@@ -44,7 +44,7 @@
 	states      map[*Request]*requestState
 	inFlight    []*Attempt // taken by the carrier, not ended
 	canceled    []*Attempt // of those, to be given up
-	unavailable map[decide.ServerID]bool
+	unavailable map[routing.ServerID]bool
 }
 
 // requestState is what the model knows of a request.
@@ -79,11 +79,11 @@
 		m.t.Fatal("an attempt for a request that is over")
 	case m.unavailable[a.Decision.Server] || m.unavailable[a.Decision.FillSource]:
 		m.t.Fatal("an attempt to a server that drains")
-	case s.possiblyExecuted > 0 && class.Idempotency == decide.NonIdempotent, s.possiblyExecuted > 0 && class.Idempotency == decide.IdempotentWithKey && now >= s.firstSentAt+1000:
+	case s.possiblyExecuted > 0 && class.Idempotency == routing.NonIdempotent, s.possiblyExecuted > 0 && class.Idempotency == routing.IdempotentWithKey && now >= s.firstSentAt+1000:
 		m.t.Fatal("a resend of what may have run")
 	}
 	if b := m.nextByte(); b%5 == 0 {
-		return Unsent(a, []decide.Result{decide.ConnectFailed, decide.Rejected, decide.NotSent}[b%3])
+		return Unsent(a, []routing.Result{routing.ConnectFailed, routing.Rejected, routing.NotSent}[b%3])
 	}
 	if s.possiblyExecuted++; s.possiblyExecuted == 1 {
 		s.firstSentAt = now
@@ -103,14 +103,14 @@
 		if s.responses > 1 || s.disconnected {
 			m.t.Fatalf("answer %d to a request, left %v", s.responses, s.disconnected)
 		}
-		if a.Kind == Rejected && s.possiblyExecuted > 0 && m.dispatcher.settings.Classes[s.request.Class].Idempotency == decide.NonIdempotent {
+		if a.Kind == Rejected && s.possiblyExecuted > 0 && m.dispatcher.settings.Classes[s.request.Class].Idempotency == routing.NonIdempotent {
 			m.t.Fatal("refused what may have run")
 		}
 	}
 }
 
 // endAttempt ends one attempt; proof says that it never ran.
-func (m *model) endAttempt(i int, res decide.Result, proof bool) {
+func (m *model) endAttempt(i int, res routing.Result, proof bool) {
 	a := m.inFlight[i]
 	m.inFlight = append(m.inFlight[:i:i], m.inFlight[i+1:]...)
 	s := m.states[a.Request]
@@ -143,15 +143,15 @@
 func (m *model) runStep() {
 	switch op, x := m.nextByte()%8, m.nextByte(); op {
 	case 0, 1:
-		r := &Request{Class: x % 3, Object: decide.ObjectID(1 + x%5), Chunk: x % 2, Transport: m, Deadline: m.clock.Now() + float64(200+x*10)}
+		r := &Request{Class: x % 3, Object: routing.ObjectID(1 + x%5), Chunk: x % 2, Transport: m, Deadline: m.clock.Now() + float64(200+x*10)}
 		s := &requestState{request: r}
 		r.Respond = m.checkResponse(s)
 		m.requests, m.states[r] = append(m.requests, s), s
 		m.dispatcher.handleMessage(r)
 	case 2, 3:
 		if len(m.inFlight) > 0 {
-			res := []decide.Result{decide.Served, decide.ServerError, decide.ConnectionLost, decide.Rejected, decide.NotCached, decide.ConnectFailed}[x%6]
-			m.endAttempt(x%len(m.inFlight), res, res >= decide.Rejected)
+			res := []routing.Result{routing.Served, routing.ServerError, routing.ConnectionLost, routing.Rejected, routing.NotCached, routing.ConnectFailed}[x%6]
+			m.endAttempt(x%len(m.inFlight), res, res >= routing.Rejected)
 		}
 	case 4:
 		m.advance(float64(x * 4))
@@ -161,7 +161,7 @@
 			m.canceled = m.canceled[1:]
 			for i, o := range m.inFlight {
 				if o == a {
-					m.endAttempt(i, decide.Canceled, false)
+					m.endAttempt(i, routing.Canceled, false)
 					break
 				}
 			}
@@ -174,12 +174,12 @@
 			}
 		}
 	case 7:
-		id, p := 1+x%3, decide.Ready
+		id, p := 1+x%3, routing.Ready
 		if x&8 != 0 {
-			p = decide.Draining
+			p = routing.Draining
 		}
-		m.unavailable[decide.ServerID(id)] = p != decide.Ready
-		m.dispatcher.handleMessage(config.WatchEvent{ListUpdate: true, Endpoints: []config.Endpoint{endpoint(id, 0, p)}})
+		m.unavailable[routing.ServerID(id)] = p != routing.Ready
+		m.dispatcher.handleMessage(platformconfig.WatchEvent{ListUpdate: true, Endpoints: []platformconfig.Endpoint{endpoint(id, 0, p)}})
 	}
 }
 
@@ -190,11 +190,11 @@
 	f.Fuzz(func(t *testing.T, steps []byte) {
 		steps = steps[:min(len(steps), 4096)]
 		clk := clock.NewManual(startTime)
-		c, err := New(clk, settings(), 1, stats.New())
+		c, err := New(clk, settings(), 1, metrics.New())
 		if err != nil {
 			t.Fatal(err)
 		}
-		m := &model{t: t, dispatcher: c, clock: clk, script: steps, states: map[*Request]*requestState{}, unavailable: map[decide.ServerID]bool{}}
+		m := &model{t: t, dispatcher: c, clock: clk, script: steps, states: map[*Request]*requestState{}, unavailable: map[routing.ServerID]bool{}}
 		c.handleMessage(endpointList())
 		for len(m.script) > 0 {
 			m.runStep()
@@ -218,7 +218,7 @@
 // token it would lose bits.
 func TestRequestsGetSmallIDs(t *testing.T) {
 	clk := clock.NewManual(startTime)
-	c, err := New(clk, settings(), 1, stats.New())
+	c, err := New(clk, settings(), 1, metrics.New())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -228,7 +228,7 @@
 		r := &Request{TransactionID: []string{"", "ffffffffffffffff", "fffffffffffffffe"}[i], Transport: m, Object: 1, Deadline: startTime + 1000, Respond: func(Response) {}}
 		m.states[r] = &requestState{request: r}
 		c.handleMessage(r)
-		if r.id != decide.RequestID(i) {
+		if r.id != routing.RequestID(i) {
 			t.Errorf("request %d has id %d", i, r.id)
 		}
 	}
@@ -238,7 +238,7 @@
 // leaves the first alone, also when its client goes; later the id is free.
 func TestDuplicateTransactionID(t *testing.T) {
 	clk := clock.NewManual(startTime)
-	c, err := New(clk, settings(), 1, stats.New())
+	c, err := New(clk, settings(), 1, metrics.New())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -246,7 +246,7 @@
 	c.handleMessage(endpointList())
 	var got [3][]ResponseKind
 	take := func(i int) *Request {
-		r := &Request{TransactionID: "9b1f03aa5c7e2d41", Transport: m, Object: decide.ObjectID(1 + i), Deadline: startTime + 1000,
+		r := &Request{TransactionID: "9b1f03aa5c7e2d41", Transport: m, Object: routing.ObjectID(1 + i), Deadline: startTime + 1000,
 			Respond: func(a Response) { got[i] = append(got[i], a.Kind) }}
 		m.states[r] = &requestState{request: r}
 		c.handleMessage(r)
@@ -258,7 +258,7 @@
 	if len(m.inFlight) != 1 || len(got[0]) != 0 || len(got[1]) != 1 || got[1][0] != DuplicateID {
 		t.Fatalf("%d attempts, answers %v", len(m.inFlight), got)
 	}
-	m.endAttempt(0, decide.Served, false)
+	m.endAttempt(0, routing.Served, false)
 	take(2)
 	if len(got[0]) != 1 || got[0][0] != Served || len(m.inFlight) != 1 || len(got[2]) != 0 {
 		t.Errorf("%d attempts, answers %v", len(m.inFlight), got)
--- a/internal/core/lifecycle_test.go
+++ b/internal/dispatch/lifecycle_test.go
@@ -1,13 +1,13 @@
-package core
+package dispatch
 
 import (
 	"testing"
 	"time"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/config"
-	"garnetline/internal/stats"
+	"garnetline/internal/metrics"
+	"garnetline/internal/platformconfig"
+	"garnetline/routing"
 )
 
 // hangingTransport is a carrier that takes every attempt and says nothing more of it.
@@ -28,14 +28,14 @@
 	responses map[*Request][]Response
 }
 
-func newHarness(t *testing.T, change func(*decide.Settings)) *harness {
+func newHarness(t *testing.T, change func(*routing.Settings)) *harness {
 	t.Helper()
 	set := settings()
 	if change != nil {
 		change(&set)
 	}
 	clk := clock.NewManual(startTime)
-	c, err := New(clk, set, 1, stats.New())
+	c, err := New(clk, set, 1, metrics.New())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -98,7 +98,7 @@
 	for len(b.transport.sent) > 0 {
 		a := b.transport.sent[0]
 		b.transport.sent = b.transport.sent[1:]
-		b.handleMessage(*Unsent(a, decide.ConnectFailed))
+		b.handleMessage(*Unsent(a, routing.ConnectFailed))
 	}
 	if a := b.responses[r]; len(a) != 1 || a[0].Kind != Rejected {
 		t.Errorf("never sent on: %+v", a)
@@ -112,7 +112,7 @@
 	r := b.submit(1, 3000)
 	first := b.transport.sent[0]
 	b.advance(300)
-	b.handleMessage(Completion{Attempt: first, Result: decide.ConnectionLost, Load: UnknownLoad()})
+	b.handleMessage(Completion{Attempt: first, Result: routing.ConnectionLost, Load: UnknownLoad()})
 	b.advance(cancelTransit)
 	if len(b.transport.sent) != 2 {
 		t.Fatalf("%d attempts", len(b.transport.sent))
@@ -142,7 +142,7 @@
 	b := newHarness(t, nil)
 	r := b.submit(0, 6000)
 	b.Disconnect(r) // it is in the mailbox, behind the end of the attempt
-	b.handleMessage(Completion{Attempt: b.transport.sent[0], Result: decide.ServerError, Load: UnknownLoad()})
+	b.handleMessage(Completion{Attempt: b.transport.sent[0], Result: routing.ServerError, Load: UnknownLoad()})
 	if len(b.transport.sent) != 1 {
 		t.Errorf("%d attempts for a client that has left", len(b.transport.sent))
 	}
@@ -152,13 +152,13 @@
 	}
 
 	// Held in the module: caches that refuse make requests wait.
-	b = newHarness(t, func(s *decide.Settings) {
+	b = newHarness(t, func(s *routing.Settings) {
 		s.TransferKBPerSecond, s.WeightIsCapacity, s.RoutersByZone, s.Classes[0].ObjectiveTransferFactor = 1000, true, []int{8}, 4
 	})
 	var held []*Request
 	for i := range 40 {
 		r := b.submit(0, 6000)
-		if r.Object = decide.ObjectID(i + 1); len(r.attempts) == 0 && len(b.responses[r]) == 0 {
+		if r.Object = routing.ObjectID(i + 1); len(r.attempts) == 0 && len(b.responses[r]) == 0 {
 			held = append(held, r)
 		}
 	}
@@ -173,7 +173,7 @@
 		b.handleMessage(<-b.Dispatcher.mailbox)
 	}
 	for _, a := range b.transport.sent[:before] {
-		b.handleMessage(Completion{Attempt: a, Result: decide.Served, Response: Response{Kind: Served}, Load: UnknownLoad()})
+		b.handleMessage(Completion{Attempt: a, Result: routing.Served, Response: Response{Kind: Served}, Load: UnknownLoad()})
 	}
 	b.advance(300)
 	for _, a := range b.transport.sent {
@@ -194,12 +194,12 @@
 	for _, by := range []float64{-3_600_000, 0, 3_600_000} {
 		b := newHarness(t, nil)
 		b.clock.StepWallClock(by)
-		b.handleMessage(config.WatchEvent{Purge: &config.Purge{Object: 7, At: startTime + by - 50}})
+		b.handleMessage(platformconfig.WatchEvent{Purge: &platformconfig.Purge{Object: 7, At: startTime + by - 50}})
 		b.submit(0, 1480)
 		if a := b.transport.sent; len(a) != 1 || a[0].Decision.MaxAge != 50*time.Millisecond {
 			t.Errorf("set by %v ms: %d sent, copies of %v will do", by, len(a), a[0].Decision.MaxAge)
 		}
-		l := b.membershipChange(config.WatchEvent{Endpoints: []config.Endpoint{{Server: decide.Server{StartedAt: clock.Duration(startTime + by - 50)}}, {}}}).Servers
+		l := b.membershipChange(platformconfig.WatchEvent{Endpoints: []platformconfig.Endpoint{{Server: routing.Server{StartedAt: clock.Duration(startTime + by - 50)}}, {}}}).Servers
 		if l[0].StartedAt != clock.Duration(startTime-50) || l[1].StartedAt != 0 {
 			t.Errorf("set by %v ms: %v", by, l)
 		}
@@ -209,11 +209,11 @@
 // Guards against a request that is out twice: what is sent on at once overtakes the cancel,
 // or the end of the connection, by which the attempt before was given up.
 func TestRetryWaitsForCancelTransit(t *testing.T) {
-	for _, res := range []decide.Result{decide.Canceled, decide.ConnectionLost} {
+	for _, res := range []routing.Result{routing.Canceled, routing.ConnectionLost} {
 		b := newHarness(t, nil)
 		r := b.submit(0, 1480)
-		if res == decide.Canceled {
-			b.cancelAttempt(r.attempts[0], decide.Canceled)
+		if res == routing.Canceled {
+			b.cancelAttempt(r.attempts[0], routing.Canceled)
 		}
 		b.handleMessage(Completion{Attempt: r.attempts[0], Result: res})
 		b.advance(cancelTransit - 1)
@@ -227,7 +227,7 @@
 	}
 	b := newHarness(t, nil) // its client leaves meanwhile: nothing is sent on
 	r := b.submit(0, 1480)
-	b.handleMessage(Completion{Attempt: r.attempts[0], Result: decide.ConnectionLost})
+	b.handleMessage(Completion{Attempt: r.attempts[0], Result: routing.ConnectionLost})
 	b.Disconnect(r)
 	b.handleMessage(disconnectMessage{r})
 	b.advance(2 * cancelTransit)
@@ -245,7 +245,7 @@
 	if len(b.transport.canceled) != 1 {
 		t.Fatalf("%d attempts were given up at the end", len(b.transport.canceled))
 	}
-	b.handleMessage(Completion{Attempt: r.attempts[0], Result: decide.Canceled, Load: UnknownLoad()})
+	b.handleMessage(Completion{Attempt: r.attempts[0], Result: routing.Canceled, Load: UnknownLoad()})
 	if a := b.responses[r]; len(a) != 1 || a[0].Kind != Rejected {
 		t.Errorf("answered %+v, want a refusal at once", a)
 	}
@@ -256,14 +256,14 @@
 func TestReloadShortensKeyWindow(t *testing.T) {
 	for _, c := range []struct {
 		name   string
-		change func(*decide.Settings)
+		change func(*routing.Settings)
 		sent   int
 		sendBy float64
 	}{
-		{"not shortened", func(*decide.Settings) {}, 2, startTime + 1000},
-		{"shorter, not over", func(s *decide.Settings) { s.Classes[1].KeyWindow = 400 * time.Millisecond }, 2, startTime + 400},
-		{"shorter, over", func(s *decide.Settings) { s.Classes[1].KeyWindow = 200 * time.Millisecond }, 1, 0},
-		{"one attempt", func(s *decide.Settings) { s.MaxAttempts = 1 }, 1, 0},
+		{"not shortened", func(*routing.Settings) {}, 2, startTime + 1000},
+		{"shorter, not over", func(s *routing.Settings) { s.Classes[1].KeyWindow = 400 * time.Millisecond }, 2, startTime + 400},
+		{"shorter, over", func(s *routing.Settings) { s.Classes[1].KeyWindow = 200 * time.Millisecond }, 1, 0},
+		{"one attempt", func(s *routing.Settings) { s.MaxAttempts = 1 }, 1, 0},
 	} {
 		b := newHarness(t, nil)
 		r := b.submit(1, 3000)
@@ -272,7 +272,7 @@
 		b.Reload(next)
 		b.handleMessage(<-b.Dispatcher.mailbox)
 		b.advance(300)
-		b.handleMessage(Completion{Attempt: b.transport.sent[0], Result: decide.ServerError, Load: UnknownLoad()})
+		b.handleMessage(Completion{Attempt: b.transport.sent[0], Result: routing.ServerError, Load: UnknownLoad()})
 		b.advance(100)
 		if last := b.transport.sent[len(b.transport.sent)-1]; len(b.transport.sent) != c.sent || last.SendDeadline != c.sendBy {
 			t.Errorf("%s: %d sent, the last to be written by %v", c.name, len(b.transport.sent), last.SendDeadline-startTime)
@@ -304,7 +304,7 @@
 		t.Fatalf("came again: %d sent, answered %+v", len(b.transport.sent), b.responses[second])
 	}
 	for _, r := range []*Request{first, second} {
-		b.handleMessage(Completion{Attempt: r.attempts[0], Result: decide.Served, Response: Response{Kind: Served}, Load: UnknownLoad()})
+		b.handleMessage(Completion{Attempt: r.attempts[0], Result: routing.Served, Response: Response{Kind: Served}, Load: UnknownLoad()})
 	}
 	if a := b.responses[second]; len(b.responses[first]) != 0 || len(a) != 1 || a[0].Kind != Served || len(b.openRequests) != 0 || len(b.byTransactionID) != 0 {
 		t.Errorf("answered %v, %d open", b.responses, len(b.openRequests))
--- a/internal/faults/disabled.go
+++ b/internal/failpoint/disabled.go
@@ -2,7 +2,7 @@
 
 // Package faults is where a build for tests (-tags faults) lets the machine's wall clock
 // jump and a save take long. In every other build it does nothing.
-package faults
+package failpoint
 
 import "time"
 
--- a/internal/faults/enabled.go
+++ b/internal/failpoint/enabled.go
@@ -2,7 +2,7 @@
 
 // Package faults is where a build for tests (-tags faults) lets the machine's wall clock
 // jump and a save take long, by what files in the process's TMPDIR say at that moment.
-package faults
+package failpoint
 
 import (
 	"os"
--- a/internal/fleet/keeper/golden_test.go
+++ b/internal/fleet/bans/golden_test.go
@@ -1,4 +1,4 @@
-package keeper
+package bans
 
 import (
 	"encoding/json"
@@ -10,10 +10,10 @@
 
 	"github.com/rs/zerolog"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
 	"garnetline/internal/golden"
-	"garnetline/internal/stats"
+	"garnetline/internal/metrics"
+	"garnetline/routing"
 )
 
 // The file that bans rest on is read by later releases and written as it always was: by
@@ -22,8 +22,8 @@
 func TestStateFileFormat(t *testing.T) {
 	folder := t.TempDir()
 	logger := zerolog.New(io.Discard)
-	options := Options{StateDir: folder, Clock: clock.NewBoot(), Log: &logger, Metrics: stats.New()}
-	bans := map[decide.ServerID]LocalBan{
+	options := Options{StateDir: folder, Clock: clock.NewBoot(), Log: &logger, Metrics: metrics.New()}
+	bans := map[routing.ServerID]LocalBan{
 		7:       {Unregistered: true, SetBy: "ada", Reason: "disk \"errors\"", SetAt: 1_700_000_000_123},
 		9:       {Version: 12},
 		1 << 33: {Unregistered: true, SetBy: "the door of r01", SetAt: 1_700_000_000_456.5},
@@ -52,10 +52,10 @@
 	page := Status{
 		ReadAt: 1_700_000_000_500.25,
 		Bans: []Ban{
-			{Server: decide.ServerID(7).String(), Disabled: true, Version: 12, SetBy: "ada", Reason: "disk", SetAt: 1_700_000_000_123},
-			{Server: decide.ServerID(9).String(), Version: 13},
+			{Server: routing.ServerID(7).String(), Disabled: true, Version: 12, SetBy: "ada", Reason: "disk", SetAt: 1_700_000_000_123},
+			{Server: routing.ServerID(9).String(), Version: 13},
 		},
-		DisabledHere: []string{decide.ServerID(7).String()},
+		DisabledHere: []string{routing.ServerID(7).String()},
 	}
 	text, err := json.MarshalIndent(page, "", " ")
 	if err != nil {
--- a/internal/fleet/keeper/machine.go
+++ b/internal/fleet/bans/machine.go
@@ -6,7 +6,7 @@
 // Taking out needs nobody: a ban that staff set at a door holds there at once and is filed
 // when the electors can be reached. Coming back needs agreement: the register must have
 // taken the enable before this router lets the box in again.
-package keeper
+package bans
 
 import (
 	"cmp"
@@ -15,9 +15,9 @@
 	"math"
 	"slices"
 
-	"garnetline/decide"
-	"garnetline/internal/fleet/agree"
-	"garnetline/internal/fleet/register"
+	"garnetline/internal/fleet/consensus"
+	"garnetline/internal/fleet/leaseregistry"
+	"garnetline/routing"
 )
 
 // Settings are times, in milliseconds.
@@ -44,7 +44,7 @@
 
 // Change is one of staff.
 type Change struct {
-	Server        decide.ServerID
+	Server        routing.ServerID
 	Disable       bool
 	SetBy, Reason string
 	Version       uint64  // that staff saw; 0: whatever holds
@@ -53,14 +53,14 @@
 
 // Action is what the router is to do with a box.
 type Action struct {
-	Server  decide.ServerID
+	Server  routing.ServerID
 	Disable bool
 }
 
 // Request is a question for the electors.
 type Request struct {
 	ID uint64
-	agree.BanRequest
+	consensus.BanRequest
 }
 
 // Completion is a call that has its answer.
@@ -88,18 +88,18 @@
 type Machine struct {
 	settings          Settings
 	lastRequestID     uint64
-	registered        map[decide.ServerID]*register.Ban
+	registered        map[routing.ServerID]*leaseregistry.Ban
 	registryVersion   uint64
 	lastReadAt        float64 // when the register was read last; NaN: never
-	local             map[decide.ServerID]LocalBan
-	appliedVersions   map[decide.ServerID]uint64 // the register's version that was followed
+	local             map[routing.ServerID]LocalBan
+	appliedVersions   map[routing.ServerID]uint64 // the register's version that was followed
 	changes           map[uint64]*pendingChange
-	registrations     map[decide.ServerID]uint64 // questions that file a ban
-	openRequests      map[uint64]float64         // questions and when they were asked
+	registrations     map[routing.ServerID]uint64 // questions that file a ban
+	openRequests      map[uint64]float64          // questions and when they were asked
 	nextPollAt        float64
-	unregisteredSince map[decide.ServerID]float64 // out here by a neighbour's word, and not in the register
-	reenabledAt       map[decide.ServerID]float64 // when one that the register has out was in here first
-	lastActionAt      map[decide.ServerID]float64 // orders that are to be given again where they had no effect
+	unregisteredSince map[routing.ServerID]float64 // out here by a neighbour's word, and not in the register
+	reenabledAt       map[routing.ServerID]float64 // when one that the register has out was in here first
+	lastActionAt      map[routing.ServerID]float64 // orders that are to be given again where they had no effect
 }
 
 type pendingChange struct {
@@ -111,28 +111,28 @@
 
 // NewMachine returns a machine that knows nothing of the register. basis is what an earlier life
 // kept. Questions are numbered from above first.
-func NewMachine(set Settings, first uint64, basis map[decide.ServerID]LocalBan, now float64) *Machine {
+func NewMachine(set Settings, first uint64, basis map[routing.ServerID]LocalBan, now float64) *Machine {
 	if basis == nil {
-		basis = map[decide.ServerID]LocalBan{}
+		basis = map[routing.ServerID]LocalBan{}
 	}
-	return &Machine{settings: set, lastRequestID: first, registered: map[decide.ServerID]*register.Ban{}, lastReadAt: math.NaN(), local: basis, appliedVersions: map[decide.ServerID]uint64{},
-		changes: map[uint64]*pendingChange{}, registrations: map[decide.ServerID]uint64{}, openRequests: map[uint64]float64{}, nextPollAt: now, lastActionAt: map[decide.ServerID]float64{}, unregisteredSince: map[decide.ServerID]float64{}, reenabledAt: map[decide.ServerID]float64{}}
+	return &Machine{settings: set, lastRequestID: first, registered: map[routing.ServerID]*leaseregistry.Ban{}, lastReadAt: math.NaN(), local: basis, appliedVersions: map[routing.ServerID]uint64{},
+		changes: map[uint64]*pendingChange{}, registrations: map[routing.ServerID]uint64{}, openRequests: map[uint64]float64{}, nextPollAt: now, lastActionAt: map[routing.ServerID]float64{}, unregisteredSince: map[routing.ServerID]float64{}, reenabledAt: map[routing.ServerID]float64{}}
 }
 
 // LastReadAt tells when the register was read last; NaN: never.
 func (m *Machine) LastReadAt() float64 { return m.lastReadAt }
 
 // Bans returns the register's bans as they were read last, by box.
-func (m *Machine) Bans() (l []register.Ban) {
+func (m *Machine) Bans() (l []leaseregistry.Ban) {
 	for _, b := range m.registered {
 		l = append(l, *b)
 	}
-	slices.SortFunc(l, func(a, b register.Ban) int { return cmp.Compare(a.Server, b.Server) })
+	slices.SortFunc(l, func(a, b leaseregistry.Ban) int { return cmp.Compare(a.Server, b.Server) })
 	return l
 }
 
 // LocalBans returns what is to be kept for the next life. It is the machine's own.
-func (m *Machine) LocalBans() map[decide.ServerID]LocalBan { return m.local }
+func (m *Machine) LocalBans() map[routing.ServerID]LocalBan { return m.local }
 
 // RecordDisabled notes that staff took a box out at this router, which holds already.
 func (m *Machine) RecordDisabled(now float64, c Change) {
@@ -151,19 +151,19 @@
 }
 
 // addRequest makes a question, which sets a ban where c is given.
-func (m *Machine) addRequest(now float64, c *register.Command, out *Output) uint64 {
+func (m *Machine) addRequest(now float64, c *leaseregistry.Command, out *Output) uint64 {
 	m.lastRequestID++
 	if len(m.openRequests) >= 64 {
 		delete(m.openRequests, slices.Min(slices.Collect(maps.Keys(m.openRequests))))
 	}
 	m.openRequests[m.lastRequestID] = now
-	out.Requests = append(out.Requests, Request{m.lastRequestID, agree.BanRequest{KnownVersion: m.registryVersion, Set: c}})
+	out.Requests = append(out.Requests, Request{m.lastRequestID, consensus.BanRequest{KnownVersion: m.registryVersion, Set: c}})
 	return m.lastRequestID
 }
 
 // Step brings the machine to now. local are the boxes that are out at this router now,
 // for whatever reason.
-func (m *Machine) Step(now float64, local []decide.ServerID) (out Output) {
+func (m *Machine) Step(now float64, local []routing.ServerID) (out Output) {
 	m.reconcile(now, local, &out)
 	for _, n := range slices.Sorted(maps.Keys(m.changes)) {
 		c := m.changes[n]
@@ -208,7 +208,7 @@
 
 // needsRegistration tells whether a box that is out here is to be told to the register. What another
 // router's word took out that one files, with who and why; only if it does not, others do.
-func (m *Machine) needsRegistration(now float64, box decide.ServerID) bool {
+func (m *Machine) needsRegistration(now float64, box routing.ServerID) bool {
 	if b, ours := m.local[box]; ours {
 		return b.Unregistered
 	}
@@ -222,13 +222,13 @@
 	return now-m.unregisteredSince[box] >= m.settings.AdoptAfter
 }
 
-func (m *Machine) command(c Change) *register.Command {
+func (m *Machine) command(c Change) *leaseregistry.Command {
 	version := c.Version
 	if b := m.registered[c.Server]; version == 0 && b != nil {
 		version = b.Version
 	}
-	cut := func(s string) string { return s[:min(len(s), register.MaxTextLen)] }
-	return &register.Command{Op: register.OpSetBan, Server: c.Server, Disabled: c.Disable, ExpectedToken: version, Text: cut(c.SetBy), Reason: cut(c.Reason), SetAt: c.SetAt}
+	cut := func(s string) string { return s[:min(len(s), leaseregistry.MaxTextLen)] }
+	return &leaseregistry.Command{Op: leaseregistry.OpSetBan, Server: c.Server, Disabled: c.Disable, ExpectedToken: version, Text: cut(c.SetBy), Reason: cut(c.Reason), SetAt: c.SetAt}
 }
 
 // stillDisabled tells whether the register was asked again after a box that it has out came back
@@ -236,7 +236,7 @@
 //
 // Symptom guarded against: an enable took away the neighbours' word of a ban that was filed
 // right after it. The box was in again at some routers for good, and out in the register.
-func (m *Machine) stillDisabled(now float64, box decide.ServerID) bool {
+func (m *Machine) stillDisabled(now float64, box routing.ServerID) bool {
 	at, seen := m.reenabledAt[box]
 	if !seen {
 		m.reenabledAt[box] = now
@@ -250,7 +250,7 @@
 // took it out again on that old reading, when the enable came to it by a neighbour's word.
 // So each version is followed once, and again only on a later reading; one that takes out
 // is undone by a later one.
-func (m *Machine) reconcile(now float64, local []decide.ServerID, out *Output) {
+func (m *Machine) reconcile(now float64, local []routing.ServerID, out *Output) {
 	for _, box := range slices.Sorted(maps.Keys(m.registered)) {
 		r := m.registered[box]
 		is := slices.Contains(local, box)
@@ -300,14 +300,14 @@
 }
 
 // HandleResponse takes an elector's answer.
-func (m *Machine) HandleResponse(now float64, a agree.BanResponse) (out Output) {
+func (m *Machine) HandleResponse(now float64, a consensus.BanResponse) (out Output) {
 	asked, mine := m.openRequests[a.RequestID]
 	if !mine || a.Version < m.registryVersion {
 		return out // of an earlier life, or overtaken
 	}
 	delete(m.openRequests, a.RequestID)
 	if a.Bans != nil || a.Version == 0 {
-		s, ok := register.Restore(a.Bans)
+		s, ok := leaseregistry.Restore(a.Bans)
 		if !ok {
 			return out
 		}
--- a/internal/fleet/keeper/machine_test.go
+++ b/internal/fleet/bans/machine_test.go
@@ -1,4 +1,4 @@
-package keeper
+package bans
 
 import (
 	"errors"
@@ -7,18 +7,18 @@
 	"slices"
 	"testing"
 
-	"garnetline/decide"
-	"garnetline/internal/fleet/agree"
-	"garnetline/internal/fleet/member"
-	"garnetline/internal/fleet/register"
-	"garnetline/internal/fleet/words"
+	"garnetline/internal/fleet/consensus"
+	"garnetline/internal/fleet/gossip"
+	"garnetline/internal/fleet/leaseregistry"
+	"garnetline/internal/fleet/membership"
+	"garnetline/routing"
 )
 
 // router is one with its list and its shelf of neighbours' words, as in the daemon.
 type router struct {
 	m     *Machine
-	out   map[decide.ServerID]bool
-	shelf *words.Store
+	out   map[routing.ServerID]bool
+	shelf *gossip.Store
 	cut   bool // from the register and the others
 	calls map[uint64]Change
 }
@@ -29,16 +29,16 @@
 	rng     *rand.Rand
 	now     float64
 	loss    float64
-	reg     *register.State
+	reg     *leaseregistry.State
 	index   uint64
 	routers []*router
-	latest  map[decide.ServerID]string // what staff did last, as far as it was taken
+	latest  map[routing.ServerID]string // what staff did last, as far as it was taken
 	enabled int
 }
 
-func (w *town) list(x *router) []decide.ServerID { return slices.Sorted(maps.Keys(x.out)) }
+func (w *town) list(x *router) []routing.ServerID { return slices.Sorted(maps.Keys(x.out)) }
 
-func (w *town) set(x *router, box decide.ServerID, out, tell bool) {
+func (w *town) set(x *router, box routing.ServerID, out, tell bool) {
 	if x.out[box] = true; !out {
 		delete(x.out, box)
 	}
@@ -72,10 +72,10 @@
 		if x.cut || w.rng.Float64() < w.loss {
 			continue
 		}
-		answer := agree.BanResponse{RequestID: a.ID}
+		answer := consensus.BanResponse{RequestID: a.ID}
 		if a.Set != nil {
 			w.index++
-			c, _ := register.DecodeCommand(a.Set.Append(nil))
+			c, _ := leaseregistry.DecodeCommand(a.Set.Append(nil))
 			if err := w.reg.Apply(w.index, c); err != nil {
 				answer.Rejection = err.Error()
 			} else if !c.Disabled {
@@ -99,7 +99,7 @@
 			if x == y || x.cut || y.cut || w.rng.Float64() < max(0.7, w.loss) {
 				continue
 			}
-			for b := range member.BucketCount {
+			for b := range membership.BucketCount {
 				x.shelf.ForEach(b, func(item []byte) bool { y.shelf.Receive(w.now, 0, item); return true })
 			}
 			w.words(y)
@@ -108,10 +108,10 @@
 }
 
 func newTown(t testing.TB, seed uint64) *town {
-	w := &town{t: t, rng: rand.New(rand.NewPCG(seed, 3)), reg: register.New(), latest: map[decide.ServerID]string{}}
+	w := &town{t: t, rng: rand.New(rand.NewPCG(seed, 3)), reg: leaseregistry.New(), latest: map[routing.ServerID]string{}}
 	for i := range 3 {
-		w.routers = append(w.routers, &router{m: NewMachine(DefaultSettings(), uint64(i)<<40, nil, 0), out: map[decide.ServerID]bool{},
-			shelf: words.New(words.DefaultSettings(), member.ID(i+1), 1), calls: map[uint64]Change{}})
+		w.routers = append(w.routers, &router{m: NewMachine(DefaultSettings(), uint64(i)<<40, nil, 0), out: map[routing.ServerID]bool{},
+			shelf: gossip.New(gossip.DefaultSettings(), membership.ID(i+1), 1), calls: map[uint64]Change{}})
 	}
 	return w
 }
@@ -125,7 +125,7 @@
 		w := newTown(t, seed)
 		for range 30 {
 			x := w.routers[w.rng.IntN(3)]
-			box := decide.ServerID(w.rng.IntN(2) + 1)
+			box := routing.ServerID(w.rng.IntN(2) + 1)
 			switch w.rng.IntN(6) {
 			case 0, 1:
 				w.set(x, box, true, true)
@@ -150,7 +150,7 @@
 		}
 		w.run(15_000)
 		enabled += w.enabled
-		for box := decide.ServerID(1); box <= 2; box++ {
+		for box := routing.ServerID(1); box <= 2; box++ {
 			r := w.reg.Bans[box]
 			for i, x := range w.routers {
 				if is := x.out[box]; is != (r != nil && r.Disabled) || w.latest[box] == "disabled" && !is {
@@ -187,7 +187,7 @@
 					continue
 				}
 				w.index++
-				answer := agree.BanResponse{RequestID: a.ID}
+				answer := consensus.BanResponse{RequestID: a.ID}
 				if a.Set != nil && w.reg.Apply(w.index, a.Set) != nil {
 					answer.Rejection = "no"
 				}
--- a/internal/fleet/keeper/manager.go
+++ b/internal/fleet/bans/manager.go
@@ -1,4 +1,4 @@
-package keeper
+package bans
 
 import (
 	"context"
@@ -14,10 +14,10 @@
 
 	"github.com/rs/zerolog"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/fleet/agree"
-	"garnetline/internal/stats"
+	"garnetline/internal/fleet/consensus"
+	"garnetline/internal/metrics"
+	"garnetline/routing"
 )
 
 const (
@@ -29,17 +29,17 @@
 // Options are what the keeper works with.
 type Options struct {
 	Settings
-	StateDir              string                                                        // folder that outlives the process; empty: none
-	RouterName            string                                                        // of the router, for who
-	ReadyTimeout          float64                                                       // ms after the start until which the router waits to have read the register
-	SendRequest           func(question uint64, a agree.BanRequest)                     // must not block
-	Disabled              func() []decide.ServerID                                      // that are out here now
-	SetDisabled           func(ctx context.Context, id decide.ServerID, out bool) error // by staff at this router
-	SetDisabledByRegistry func(ctx context.Context, id decide.ServerID, out bool) error // by the register
-	Clock                 clock.Clock                                                   // the boot clock
+	StateDir              string                                                         // folder that outlives the process; empty: none
+	RouterName            string                                                         // of the router, for who
+	ReadyTimeout          float64                                                        // ms after the start until which the router waits to have read the register
+	SendRequest           func(question uint64, a consensus.BanRequest)                  // must not block
+	Disabled              func() []routing.ServerID                                      // that are out here now
+	SetDisabled           func(ctx context.Context, id routing.ServerID, out bool) error // by staff at this router
+	SetDisabledByRegistry func(ctx context.Context, id routing.ServerID, out bool) error // by the register
+	Clock                 clock.Clock                                                    // the boot clock
 	WallClock             clock.Clock
 	Log                   *zerolog.Logger
-	Metrics               *stats.Registry
+	Metrics               *metrics.Registry
 }
 
 // Manager is the actor.
@@ -72,7 +72,7 @@
 
 // New returns a keeper that has read what an earlier life kept.
 func New(o Options) *Manager {
-	basis := map[decide.ServerID]LocalBan{}
+	basis := map[routing.ServerID]LocalBan{}
 	if o.StateDir != "" {
 		b, err := os.ReadFile(o.stateFile())
 		if err == nil {
@@ -81,7 +81,7 @@
 		if err != nil && !errors.Is(err, fs.ErrNotExist) {
 			// It only says what bans rest on: without it they stay until staff say otherwise.
 			o.Log.Error().Err(err).Msg("keeper: what bans rest on cannot be read")
-			basis = map[decide.ServerID]LocalBan{}
+			basis = map[routing.ServerID]LocalBan{}
 		}
 	}
 	k := &Manager{options: o, machine: NewMachine(o.Settings, rand.Uint64()>>1, basis, o.Clock.Now()), mailbox: make(chan func(float64), mailboxSize), completions: map[uint64]chan error{}, done: make(chan struct{})}
@@ -190,7 +190,7 @@
 func (k *Manager) Stopped() <-chan struct{} { return k.done }
 
 // HandleResponse takes what an elector said. It never blocks.
-func (k *Manager) HandleResponse(a agree.BanResponse) {
+func (k *Manager) HandleResponse(a consensus.BanResponse) {
 	select {
 	case k.mailbox <- func(now float64) { k.handleOutput(k.machine.HandleResponse(now, a)) }:
 	default:
--- a/internal/fleet/stance/connectivity.go
+++ b/internal/fleet/connectivity/connectivity.go
@@ -3,10 +3,10 @@
 //
 // A stance that takes room away comes soon, one that gives room needs evidence for
 // longer, and for longer each time that it did not last.
-package stance
+package connectivity
 
 import (
-	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/membership"
 )
 
 // State is how much of the fleet a router has with it.
@@ -50,7 +50,7 @@
 // Machine follows the view.
 type Machine struct {
 	settings       Settings
-	lastSeenAt     map[member.ID]float64 // when each was there latest
+	lastSeenAt     map[membership.ID]float64 // when each was there latest
 	current        Status
 	candidate      State // what the view says, while it is not what holds
 	candidateSince float64
@@ -61,17 +61,17 @@
 
 // New returns a machine that stands alone until the view says otherwise.
 func New(set Settings, now float64) *Machine {
-	return &Machine{settings: set, lastSeenAt: map[member.ID]float64{}, current: Status{Alone, now, 1, 1}, candidate: Alone, upgradeDelay: set.UpgradeDelay}
+	return &Machine{settings: set, lastSeenAt: map[membership.ID]float64{}, current: Status{Alone, now, 1, 1}, candidate: Alone, upgradeDelay: set.UpgradeDelay}
 }
 
 // Step takes the view as of now.
-func (m *Machine) Step(now float64, v *member.View) Status {
+func (m *Machine) Step(now float64, v *membership.View) Status {
 	m.current.Present = v.Present
 	for i := range v.Members {
 		switch w := &v.Members[i]; {
 		case w.State.Present():
 			m.lastSeenAt[w.ID] = now
-		case w.State == member.Left:
+		case w.State == membership.Left:
 			delete(m.lastSeenAt, w.ID)
 		}
 	}
--- a/internal/fleet/stance/connectivity_test.go
+++ b/internal/fleet/connectivity/connectivity_test.go
@@ -1,22 +1,22 @@
-package stance
+package connectivity
 
 import (
 	"testing"
 
-	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/membership"
 )
 
 // view is one of n routers of which the first there are there.
-func view(n, there int, left ...int) *member.View {
-	v := &member.View{Present: there}
+func view(n, there int, left ...int) *membership.View {
+	v := &membership.View{Present: there}
 	for i := range n {
-		m := member.Member{Update: member.Update{ID: member.ID(i + 1)}}
+		m := membership.Member{Update: membership.Update{ID: membership.ID(i + 1)}}
 		if i >= there {
-			m.State = member.Failed
+			m.State = membership.Failed
 		}
 		for _, l := range left {
 			if i == l {
-				m.State = member.Left
+				m.State = membership.Left
 			}
 		}
 		v.Members = append(v.Members, m)
--- a/internal/fleet/stance/golden_test.go
+++ b/internal/fleet/connectivity/golden_test.go
@@ -1,4 +1,4 @@
-package stance
+package connectivity
 
 import "testing"
 
--- a/internal/fleet/agree/golden_test.go
+++ b/internal/fleet/consensus/golden_test.go
@@ -1,4 +1,4 @@
-package agree
+package consensus
 
 import (
 	"flag"
@@ -10,10 +10,10 @@
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
-	"garnetline/decide"
-	"garnetline/internal/fleet/agree/disk"
-	"garnetline/internal/fleet/duty"
-	"garnetline/internal/fleet/register"
+	"garnetline/internal/fleet/consensus/wal"
+	"garnetline/internal/fleet/lease"
+	"garnetline/internal/fleet/leaseregistry"
+	"garnetline/routing"
 )
 
 // Only a wanted change of a stored form calls for `go test ./PACKAGE -run Golden -update`,
@@ -51,7 +51,7 @@
 	return r.memoryStorage.Save(hard, entries, snap)
 }
 
-func (r *recordingStorage) Rewrite(s disk.State) error {
+func (r *recordingStorage) Rewrite(s wal.State) error {
 	r.record("rewrite", s.HardState, s.Entries, s.Snapshot)
 	r.wantsRewrite = false
 	return r.memoryStorage.Rewrite(s)
@@ -65,7 +65,7 @@
 func TestGoldenEntries(t *testing.T) {
 	set := DefaultSettings()
 	d := &recordingStorage{}
-	m, err := NewNode(set, 5, d, disk.State{}, map[uint64]string{5: "r05"}, 0)
+	m, err := NewNode(set, 5, d, wal.State{}, map[uint64]string{5: "r05"}, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -83,20 +83,20 @@
 			t.Fatal("it is not elected")
 		}
 	}
-	ask := duty.Request{ID: 1, Lease: "probe/edge"}
+	ask := lease.Request{ID: 1, Lease: "probe/edge"}
 	out := step(Input{Request: &ClientRequest{From: 9, Incarnation: 77, Request: ask}})
 	if len(out.Responses) != 1 || !out.Responses[0].Granted {
 		t.Fatalf("%+v", out.Responses)
 	}
-	give := duty.Request{ID: 2, Lease: "probe/edge", FencingToken: out.Responses[0].FencingToken, Release: true, TransferTo: 10, Handoff: []byte("work")}
+	give := lease.Request{ID: 2, Lease: "probe/edge", FencingToken: out.Responses[0].FencingToken, Release: true, TransferTo: 10, Handoff: []byte("work")}
 	step(Input{Request: &ClientRequest{From: 9, Incarnation: 77, Request: give}})
-	ban := &register.Command{Op: register.OpSetBan, Server: decide.ServerID(7), Disabled: true, Text: "ann", Reason: "broken", SetAt: 1000, RequestID: 3}
-	step(Input{Request: &ClientRequest{From: 9, Incarnation: 77, Request: duty.Request{ID: 3}, Ban: &BanRequest{Set: ban}}})
-	step(Input{Proposal: &register.Command{Op: register.OpNameVoter, VoterID: 6, Text: "r06"}})
+	ban := &leaseregistry.Command{Op: leaseregistry.OpSetBan, Server: routing.ServerID(7), Disabled: true, Text: "ann", Reason: "broken", SetAt: 1000, RequestID: 3}
+	step(Input{Request: &ClientRequest{From: 9, Incarnation: 77, Request: lease.Request{ID: 3}, Ban: &BanRequest{Set: ban}}})
+	step(Input{Proposal: &leaseregistry.Command{Op: leaseregistry.OpNameVoter, VoterID: 6, Text: "r06"}})
 	learner, id := raftpb.ConfChangeAddLearnerNode, uint64(6)
 	step(Input{ConfChange: &raftpb.ConfChangeV2{Changes: []*raftpb.ConfChangeSingle{{Type: &learner, NodeId: &id}}}})
 	d.wantsRewrite = true
-	step(Input{Proposal: &register.Command{Op: register.OpNameVoter, VoterID: 7, Text: "r07"}})
+	step(Input{Proposal: &leaseregistry.Command{Op: leaseregistry.OpNameVoter, VoterID: 7, Text: "r07"}})
 
 	got := strings.Join(d.lines, "\n") + "\n"
 	if *update {
--- a/internal/fleet/agree/node.go
+++ b/internal/fleet/consensus/node.go
@@ -2,7 +2,7 @@
 // messages and by the time, with the register's state on it and the leader's ledger of
 // leases beside it. It does no I/O: what is to be on the disk before anything is answered
 // goes through Disk, what is to be sent is returned.
-package agree
+package consensus
 
 import (
 	"cmp"
@@ -18,10 +18,10 @@
 	"go.etcd.io/raft/v3/tracker"
 	"google.golang.org/protobuf/proto"
 
-	"garnetline/internal/fleet/agree/disk"
-	"garnetline/internal/fleet/duty"
-	"garnetline/internal/fleet/member"
-	"garnetline/internal/fleet/register"
+	"garnetline/internal/fleet/consensus/wal"
+	"garnetline/internal/fleet/lease"
+	"garnetline/internal/fleet/leaseregistry"
+	"garnetline/internal/fleet/membership"
 )
 
 // Storage is where an elector keeps its log. When a call returns without an error, what it
@@ -29,7 +29,7 @@
 type Storage interface {
 	Save(hard *raftpb.HardState, entries []*raftpb.Entry, snap *raftpb.Snapshot) error
 	SaveMetadata(meta []byte) error
-	Rewrite(s disk.State) error
+	Rewrite(s wal.State) error
 	NeedsRewrite() bool
 }
 
@@ -41,32 +41,32 @@
 	RetainedEntries    int // entries kept behind a snapshot, for those that lag
 	SnapshotEntries    int // entries after which one is taken
 	MaxPendingRequests int // questions that wait at a leader
-	Lease              duty.Settings
+	Lease              lease.Settings
 }
 
 // DefaultSettings is what the operators' file begins with.
 func DefaultSettings() Settings {
-	return Settings{TickInterval: 50, ElectionTicks: 12, HeartbeatTicks: 2, RetainedEntries: 500, SnapshotEntries: 2000, MaxPendingRequests: 4096, Lease: duty.DefaultSettings()}
+	return Settings{TickInterval: 50, ElectionTicks: 12, HeartbeatTicks: 2, RetainedEntries: 500, SnapshotEntries: 2000, MaxPendingRequests: 4096, Lease: lease.DefaultSettings()}
 }
 
 // ClientRequest is a router's ask with who asks.
 type ClientRequest struct {
-	From        member.ID
+	From        membership.ID
 	Incarnation uint64
-	duty.Request
+	lease.Request
 	Ban *BanRequest // instead: about staff's bans
 }
 
 // BanRequest is a question about staff's bans, and may set one first.
 type BanRequest struct {
-	KnownVersion uint64            // the version that the asker knows
-	Set          *register.Command // nil: it only asks
+	KnownVersion uint64                 // the version that the asker knows
+	Set          *leaseregistry.Command // nil: it only asks
 }
 
 // ClientResponse is an answer with whom it is for.
 type ClientResponse struct {
-	To member.ID
-	duty.Response
+	To membership.ID
+	lease.Response
 	Ban *BanResponse // instead
 }
 
@@ -81,7 +81,7 @@
 type Input struct {
 	Message    *raftpb.Message
 	Request    *ClientRequest
-	Proposal   *register.Command // staff's, to be proposed
+	Proposal   *leaseregistry.Command // staff's, to be proposed
 	ConfChange *raftpb.ConfChangeV2
 }
 
@@ -90,7 +90,7 @@
 	Messages  []*raftpb.Message // to electors, by their numbers
 	Responses []ClientResponse
 	Applied   []AppliedCommand
-	Released  []duty.Response // of duties that were given up to nobody: for those that come first now
+	Released  []lease.Response // of duties that were given up to nobody: for those that come first now
 	WakeAt    float64
 	LeaderID  uint64 // 0: none is known
 	Leading   bool   // this one is, and answers
@@ -99,7 +99,7 @@
 // AppliedCommand is a command that was committed, with how it ended.
 type AppliedCommand struct {
 	Index   uint64
-	Command *register.Command
+	Command *leaseregistry.Command
 	Err     error
 }
 
@@ -113,14 +113,14 @@
 	storage      Storage
 	raftNode     *raft.RawNode
 	raftLog      *raft.MemoryStorage
-	registry     *register.State
+	registry     *leaseregistry.State
 	confState    *raftpb.ConfState
 	appliedIndex uint64
 	appliedTerm  uint64 // in which the last applied entry was made
 	confChanged  bool   // the electors have, since the last snapshot
 
 	nextTickAt       float64
-	leaseExpiry      *duty.ExpiryTracker // nil: this one does not lead, or has not caught up with its term
+	leaseExpiry      *lease.ExpiryTracker // nil: this one does not lead, or has not caught up with its term
 	leadingTerm      uint64
 	pendingReads     map[uint64][]ClientRequest // by the read that they wait for
 	pendingProposals map[uint64]ClientRequest   // by the number of the question that was proposed
@@ -140,8 +140,8 @@
 // NewNode returns an elector with a number. found is what its disk held; where that is
 // nothing, first are those of the very first register, this one among them, with their
 // names, or nobody if it is to be taken in by the others.
-func NewNode(set Settings, id uint64, d Storage, found disk.State, first map[uint64]string, now float64) (*Node, error) {
-	m := &Node{settings: set, id: id, storage: d, raftLog: raft.NewMemoryStorage(), registry: register.New(), confState: &raftpb.ConfState{},
+func NewNode(set Settings, id uint64, d Storage, found wal.State, first map[uint64]string, now float64) (*Node, error) {
+	m := &Node{settings: set, id: id, storage: d, raftLog: raft.NewMemoryStorage(), registry: leaseregistry.New(), confState: &raftpb.ConfState{},
 		nextTickAt: now + set.TickInterval, pendingReads: map[uint64][]ClientRequest{}, pendingProposals: map[uint64]ClientRequest{}, proposalsByLease: map[string]int{}}
 	if found.HardState == nil && found.Snapshot == nil && len(found.Entries) == 0 && len(first) > 0 {
 		// All of the first electors begin with the same snapshot of nothing.
@@ -178,7 +178,7 @@
 }
 
 func (m *Node) restoreSnapshot(s *raftpb.Snapshot) error {
-	state, ok := register.Restore(s.GetData())
+	state, ok := leaseregistry.Restore(s.GetData())
 	if !ok {
 		return errors.New("elector: a snapshot of the register that makes no sense")
 	}
@@ -291,7 +291,7 @@
 		if len(e.GetData()) == 0 {
 			return // a leader's first
 		}
-		c, ok := register.DecodeCommand(e.GetData())
+		c, ok := leaseregistry.DecodeCommand(e.GetData())
 		if !ok {
 			return
 		}
@@ -325,7 +325,7 @@
 		return err
 	}
 	hard, _, _ := m.raftLog.InitialState()
-	s := disk.State{HardState: hard}
+	s := wal.State{HardState: hard}
 	if !raft.IsEmptySnap(snap) {
 		s.Snapshot = snap
 	}
@@ -350,7 +350,7 @@
 		return
 	}
 	if term := s.HardState.GetTerm(); m.appliedTerm == term && (m.leaseExpiry == nil || m.leadingTerm != term) {
-		m.leaseExpiry, m.leadingTerm = duty.NewExpiryTracker(m.settings.Lease, m.now, m.registry), term
+		m.leaseExpiry, m.leadingTerm = lease.NewExpiryTracker(m.settings.Lease, m.now, m.registry), term
 		m.dropPending()
 	}
 }
@@ -413,11 +413,11 @@
 	case m.proposalsByLease[q.Lease] > 0:
 		// Symptom guarded against: the duty had been proposed for another, and before that
 		// was applied its holder renewed: it was told yes for a whole lease more.
-	case q.Lease == "" || len(q.Lease) > register.MaxNameLen || len(q.Handoff) > register.MaxHandoffLen:
+	case q.Lease == "" || len(q.Lease) > leaseregistry.MaxNameLen || len(q.Handoff) > leaseregistry.MaxHandoffLen:
 	case q.Release:
-		c := &register.Command{Op: register.OpRelease, Lease: q.Lease, Holder: q.From, ExpectedToken: q.FencingToken, Handoff: q.Handoff, RequestID: q.ID}
+		c := &leaseregistry.Command{Op: leaseregistry.OpRelease, Lease: q.Lease, Holder: q.From, ExpectedToken: q.FencingToken, Handoff: q.Handoff, RequestID: q.ID}
 		if q.TransferTo != 0 {
-			c.Op, c.Holder = register.OpTransfer, q.TransferTo
+			c.Op, c.Holder = leaseregistry.OpTransfer, q.TransferTo
 		}
 		if d != nil && d.Holder == q.From && d.FencingToken == q.FencingToken {
 			m.proposeFor(q, c)
@@ -428,9 +428,9 @@
 		m.leaseExpiry.Extend(m.now, q.Lease)
 		m.respondLease(q, d)
 	case d != nil && d.Holder == q.From && d.Incarnation == 0 && q.FencingToken == 0: // it was handed on to this one
-		m.proposeFor(q, &register.Command{Op: register.OpGrant, Lease: q.Lease, Holder: q.From, Incarnation: q.Incarnation, ExpectedToken: d.FencingToken, RequestID: q.ID})
+		m.proposeFor(q, &leaseregistry.Command{Op: leaseregistry.OpGrant, Lease: q.Lease, Holder: q.From, Incarnation: q.Incarnation, ExpectedToken: d.FencingToken, RequestID: q.ID})
 	case q.FencingToken == 0 && m.leaseExpiry.Available(m.now, d):
-		c := &register.Command{Op: register.OpGrant, Lease: q.Lease, Holder: q.From, Incarnation: q.Incarnation, RequestID: q.ID}
+		c := &leaseregistry.Command{Op: leaseregistry.OpGrant, Lease: q.Lease, Holder: q.From, Incarnation: q.Incarnation, RequestID: q.ID}
 		if d != nil {
 			c.ExpectedToken, c.HolderLost = d.FencingToken, d.Holder != 0
 		}
@@ -440,7 +440,7 @@
 	}
 }
 
-func (m *Node) proposeFor(q ClientRequest, c *register.Command) {
+func (m *Node) proposeFor(q ClientRequest, c *leaseregistry.Command) {
 	if m.raftNode.Propose(c.Append(nil)) == nil {
 		m.pendingProposals[q.ID] = q
 		m.proposalsByLease[q.Lease]++
@@ -448,14 +448,14 @@
 }
 
 // completeProposal answers the one whose question led to a command, where this leader proposed it.
-func (m *Node) completeProposal(c *register.Command, err error) {
-	if c.Op == register.OpTransfer && err == nil && m.leaseExpiry != nil {
+func (m *Node) completeProposal(c *leaseregistry.Command, err error) {
+	if c.Op == leaseregistry.OpTransfer && err == nil && m.leaseExpiry != nil {
 		// The next one does not know yet; it is told, and asks for its lease by itself. Its
 		// process is known by its first ask.
-		m.output.Responses = append(m.output.Responses, ClientResponse{To: c.Holder, Response: duty.Response{Lease: c.Lease, Holder: c.Holder, FencingToken: m.registry.Leases[c.Lease].FencingToken}})
+		m.output.Responses = append(m.output.Responses, ClientResponse{To: c.Holder, Response: lease.Response{Lease: c.Lease, Holder: c.Holder, FencingToken: m.registry.Leases[c.Lease].FencingToken}})
 	}
-	if c.Op == register.OpRelease && err == nil && m.leaseExpiry != nil {
-		m.output.Released = append(m.output.Released, duty.Response{Lease: c.Lease, FencingToken: m.registry.Leases[c.Lease].FencingToken})
+	if c.Op == leaseregistry.OpRelease && err == nil && m.leaseExpiry != nil {
+		m.output.Released = append(m.output.Released, lease.Response{Lease: c.Lease, FencingToken: m.registry.Leases[c.Lease].FencingToken})
 	}
 	q, mine := m.pendingProposals[c.RequestID]
 	if !mine || m.leaseExpiry == nil {
@@ -469,7 +469,7 @@
 		m.respondBans(q, err)
 		return
 	}
-	if c.Op == register.OpGrant && err == nil {
+	if c.Op == leaseregistry.OpGrant && err == nil {
 		m.leaseExpiry.Extend(m.now, c.Lease)
 	}
 	m.respondLease(q, m.registry.Leases[c.Lease])
@@ -488,8 +488,8 @@
 }
 
 // respondLease says how a duty stands.
-func (m *Node) respondLease(q ClientRequest, d *register.Lease) {
-	a := duty.Response{RequestID: q.ID, Lease: q.Lease}
+func (m *Node) respondLease(q ClientRequest, d *leaseregistry.Lease) {
+	a := lease.Response{RequestID: q.ID, Lease: q.Lease}
 	if d != nil {
 		a.FencingToken, a.Holder, a.Losses = d.FencingToken, d.Holder, d.Losses[q.From]
 		a.Granted = d.Holder == q.From && d.Incarnation == q.Incarnation
@@ -502,7 +502,7 @@
 
 // State is the register as this elector has applied it. It may be old: read it where that
 // does no harm, or ask.
-func (m *Node) State() *register.State { return m.registry }
+func (m *Node) State() *leaseregistry.State { return m.registry }
 
 // Status is how the elector stands.
 type Status struct {
@@ -555,8 +555,8 @@
 }
 
 // Leases returns the register's duties by name.
-func (m *Node) Leases() []*register.Lease {
-	return slices.SortedFunc(maps.Values(m.registry.Leases), func(a, b *register.Lease) int { return cmp.Compare(a.Name, b.Name) })
+func (m *Node) Leases() []*leaseregistry.Lease {
+	return slices.SortedFunc(maps.Values(m.registry.Leases), func(a, b *leaseregistry.Lease) int { return cmp.Compare(a.Name, b.Name) })
 }
 
 // discardLogger is raft's log: what matters of it is seen in the status.
--- a/internal/fleet/agree/node_test.go
+++ b/internal/fleet/consensus/node_test.go
@@ -1,4 +1,4 @@
-package agree
+package consensus
 
 import (
 	"fmt"
@@ -10,19 +10,19 @@
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
-	"garnetline/internal/fleet/agree/disk"
-	"garnetline/internal/fleet/duty"
-	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/consensus/wal"
+	"garnetline/internal/fleet/lease"
+	"garnetline/internal/fleet/membership"
 )
 
 // memoryStorage is a disk in memory: what was saved is there after a crash.
 type memoryStorage struct {
-	state     disk.State
+	state     wal.State
 	failing   bool
 	saveDelay float64 // ms that the next save takes
 	saves     int
-	unsynced  bool       // nothing is synced: a crash loses what came after was
-	synced    disk.State // what the machine happened to write by itself
+	unsynced  bool      // nothing is synced: a crash loses what came after was
+	synced    wal.State // what the machine happened to write by itself
 }
 
 // crash is the end of a process and its machine.
@@ -37,7 +37,7 @@
 		return fmt.Errorf("disk full")
 	}
 	if k.saves++; k.unsynced && k.saves%7 == 0 {
-		k.synced = disk.State{HardState: k.state.HardState, Snapshot: k.state.Snapshot, Entries: slices.Clone(k.state.Entries)}
+		k.synced = wal.State{HardState: k.state.HardState, Snapshot: k.state.Snapshot, Entries: slices.Clone(k.state.Entries)}
 	}
 	k.saveDelay = -k.saveDelay // this one is
 	if snap != nil {
@@ -53,9 +53,9 @@
 	}
 	return nil
 }
-func (k *memoryStorage) SaveMetadata([]byte) error  { return nil }
-func (k *memoryStorage) Rewrite(s disk.State) error { k.state = s; return nil }
-func (k *memoryStorage) NeedsRewrite() bool         { return false }
+func (k *memoryStorage) SaveMetadata([]byte) error { return nil }
+func (k *memoryStorage) Rewrite(s wal.State) error { k.state = s; return nil }
+func (k *memoryStorage) NeedsRewrite() bool        { return false }
 
 // envelope is something on its way.
 type envelope struct {
@@ -63,7 +63,7 @@
 	to       int // elector, or router from routers on
 	message  *raftpb.Message
 	request  *ClientRequest
-	response *duty.Response
+	response *lease.Response
 	from     int
 }
 
@@ -90,12 +90,12 @@
 }
 
 type router struct {
-	*duty.Holder
-	id           member.ID
+	*lease.Holder
+	id           membership.ID
 	clockRate    float64
 	wakeAt       float64
 	stalledUntil float64 // until, in the cluster's time
-	queued       []duty.Response
+	queued       []lease.Response
 	likelyLeader int
 	historyIndex map[uint64]int // question: place in the history
 }
@@ -112,14 +112,14 @@
 	for i := range electors {
 		c.start(i)
 	}
-	var ids []member.ID
+	var ids []membership.ID
 	for i := range routers {
-		ids = append(ids, member.ID(100+i))
+		ids = append(ids, membership.ID(100+i))
 	}
 	for i, id := range ids {
-		r := &router{Holder: duty.NewHolder(set.Lease, id, uint64(i)<<40), id: id, clockRate: 1 + (c.rng.Float64()*2-1)*set.Lease.MaxClockDrift/2, historyIndex: map[uint64]int{}}
+		r := &router{Holder: lease.NewHolder(set.Lease, id, uint64(i)<<40), id: id, clockRate: 1 + (c.rng.Float64()*2-1)*set.Lease.MaxClockDrift/2, historyIndex: map[uint64]int{}}
 		for _, d := range duties {
-			r.SetRank(0, d, duty.Rank(d, id, ids))
+			r.SetRank(0, d, lease.Rank(d, id, ids))
 		}
 		c.routers = append(c.routers, r)
 	}
@@ -202,7 +202,7 @@
 }
 
 // deliver has a router take an answer, and looks whether two may act now.
-func (c *cluster) deliver(k int, a duty.Response) {
+func (c *cluster) deliver(k int, a lease.Response) {
 	r := c.routers[k]
 	if i, asked := r.historyIndex[a.RequestID]; asked {
 		c.history[i].Output, c.history[i].Return = operationOutput{a.FencingToken, a.Holder, false}, int64(c.now*1000)
@@ -269,13 +269,13 @@
 
 type operationInput struct {
 	lease   string
-	router  member.ID
+	router  membership.ID
 	release bool
 }
 
 type operationOutput struct {
 	token  uint64
-	holder member.ID
+	holder membership.ID
 	lost   bool // no answer came: it may have happened or not
 }
 
@@ -522,7 +522,7 @@
 	busy(1500)
 	was := c.nodes[0].Status().AppliedIndex
 	joins := &memoryStorage{}
-	m, err := NewNode(c.settings, 4, joins, disk.State{}, nil, c.now)
+	m, err := NewNode(c.settings, 4, joins, wal.State{}, nil, c.now)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fleet/agree/safeguards_test.go
+++ b/internal/fleet/consensus/safeguards_test.go
@@ -1,4 +1,4 @@
-package agree
+package consensus
 
 import (
 	"fmt"
--- a/internal/fleet/agree/disk/wal.go
+++ b/internal/fleet/consensus/wal/wal.go
@@ -2,7 +2,7 @@
 // checksum, rewritten whole when a snapshot has made most of it old. What Save returned
 // without an error is on the disk. After any failure nothing is taken any more: what the
 // disk holds is then not known, and the elector must not vote.
-package disk
+package wal
 
 import (
 	"encoding/binary"
@@ -16,7 +16,7 @@
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
-	"garnetline/internal/faults"
+	"garnetline/internal/failpoint"
 )
 
 // File is one that is written.
@@ -57,7 +57,7 @@
 type syncDelayFile struct{ *os.File }
 
 func (s syncDelayFile) Sync() error {
-	faults.Save()
+	failpoint.Save()
 	return s.File.Sync()
 }
 
--- a/internal/fleet/agree/disk/wal_test.go
+++ b/internal/fleet/consensus/wal/wal_test.go
@@ -1,4 +1,4 @@
-package disk
+package wal
 
 import (
 	"errors"
--- a/internal/fleet/carry/fragment.go
+++ b/internal/fleet/fragment/fragment.go
@@ -1,14 +1,14 @@
 // Package carry cuts what is longer than a packet between routers into pieces, and puts
 // it together again. It does no I/O. A piece that is lost loses the whole, which its
 // sender's protocol sends again.
-package carry
+package fragment
 
 import (
 	"slices"
 
 	"google.golang.org/protobuf/encoding/protowire"
 
-	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/membership"
 )
 
 // Channel tells whom what is carried is for.
@@ -30,7 +30,7 @@
 
 // Bounds of what is put together, whatever comes.
 const (
-	maxFragmentLen    = member.MaxPayloadLen - 40
+	maxFragmentLen    = membership.MaxPayloadLen - 40
 	maxFragments      = 600 // of one
 	maxPartial        = 64  // that are not whole yet
 	reassemblyTimeout = 2000.0
@@ -61,7 +61,7 @@
 }
 
 type partialMessage struct {
-	from        member.ID
+	from        membership.ID
 	incarnation uint64
 	id          uint64
 	channel     Channel
@@ -71,7 +71,7 @@
 }
 
 // Add takes a load; whole tells that it was the last piece of b.
-func (j *Reassembler) Add(now float64, l member.Payload) (ch Channel, b []byte, whole bool) {
+func (j *Reassembler) Add(now float64, l membership.Payload) (ch Channel, b []byte, whole bool) {
 	in := l.Data
 	if len(in) == 0 {
 		return 0, nil, false
--- a/internal/fleet/carry/fragment_test.go
+++ b/internal/fleet/fragment/fragment_test.go
@@ -1,11 +1,11 @@
-package carry
+package fragment
 
 import (
 	"bytes"
 	"math/rand/v2"
 	"testing"
 
-	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/membership"
 )
 
 // Pieces in any order, some twice, of several at once, are put together; one that is lost
@@ -14,7 +14,7 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	var j Reassembler
 	for round := range 50 {
-		var all []member.Payload
+		var all []membership.Payload
 		want, came := map[string]bool{}, map[string]bool{}
 		for id := range uint64(5) {
 			b := bytes.Repeat([]byte{byte(id), byte(round)}, rng.IntN(20_000))
@@ -23,8 +23,8 @@
 				if id == 4 && i == len(loads)-1 && len(loads) > 1 {
 					continue // lost
 				}
-				all = append(all, member.Payload{From: 7, Incarnation: 1, Data: l})
-				if len(l) > member.MaxPayloadLen {
+				all = append(all, membership.Payload{From: 7, Incarnation: 1, Data: l})
+				if len(l) > membership.MaxPayloadLen {
 					t.Fatalf("a load of %d bytes", len(l))
 				}
 				if len(loads) > 1 && rng.IntN(5) == 0 {
@@ -63,7 +63,7 @@
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var j Reassembler
 		for i := range 3 {
-			j.Add(float64(i), member.Payload{From: 1, Data: b})
+			j.Add(float64(i), membership.Payload{From: 1, Data: b})
 		}
 	})
 }
--- a/internal/fleet/carry/golden_test.go
+++ b/internal/fleet/fragment/golden_test.go
@@ -1,10 +1,10 @@
-package carry
+package fragment
 
 import (
 	"bytes"
 	"testing"
 
-	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/membership"
 	"garnetline/internal/golden"
 )
 
@@ -29,7 +29,7 @@
 	var j Reassembler
 	var got [][]byte
 	for _, m := range golden.CompareMessages(t, "fragments.golden", messages) {
-		if _, b, whole := j.Add(0, member.Payload{From: 1, Data: m.Bytes}); whole {
+		if _, b, whole := j.Add(0, membership.Payload{From: 1, Data: m.Bytes}); whole {
 			got = append(got, b)
 		}
 	}
--- a/internal/fleet/words/golden_test.go
+++ b/internal/fleet/gossip/golden_test.go
@@ -1,4 +1,4 @@
-package words
+package gossip
 
 import (
 	"bytes"
--- a/internal/fleet/words/store.go
+++ b/internal/fleet/gossip/store.go
@@ -6,7 +6,7 @@
 // the seat of the router at whose door it was set and a number; an enable removes the
 // dots that its router knew. Of a ban and an enable on two sides of a cut the ban holds,
 // since the enable did not know its dot.
-package words
+package gossip
 
 import (
 	"cmp"
@@ -15,9 +15,9 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/encoding/protowire"
 
-	"garnetline/decide"
-	"garnetline/internal/fleet/form"
-	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/membership"
+	"garnetline/internal/fleet/wireformat"
+	"garnetline/routing"
 )
 
 // Kind tells what a word is of.
@@ -33,12 +33,12 @@
 // Item is one item of the shelf.
 type Item struct {
 	Kind      Kind
-	Server    decide.ServerID
-	Router    member.ID // of the dot
-	Sequence  uint64    // of the dot
-	Removed   bool      // the dot is no more
-	StartedAt float64   // Drain: the start of the box that drains, Unix ms; 0: long ago
-	Object    decide.ObjectID
+	Server    routing.ServerID
+	Router    membership.ID // of the dot
+	Sequence  uint64        // of the dot
+	Removed   bool          // the dot is no more
+	StartedAt float64       // Drain: the start of the box that drains, Unix ms; 0: long ago
+	Object    routing.ObjectID
 	Group     int
 	PurgedAt  float64 // Purge: its moment, Unix ms
 }
@@ -65,13 +65,13 @@
 // Store holds the words of one router. It is a member.Shelf.
 type Store struct {
 	settings        Settings
-	self            member.ID
+	self            membership.ID
 	lastSequence    uint64
 	dots            map[dot]*entry
 	items           map[uint64]*entry // drains and purges, by the sum of their content
-	banCounts       map[decide.ServerID]int
-	deferredEnables map[decide.ServerID]bool // enabled by a neighbour's word while that is not taken
-	checksums       [member.BucketCount]uint32
+	banCounts       map[routing.ServerID]int
+	deferredEnables map[routing.ServerID]bool // enabled by a neighbour's word while that is not taken
+	checksums       [membership.BucketCount]uint32
 	forgotten       map[uint64]bool // sums of words that were dropped: they are not taken again
 	forgottenOrder  []uint64
 	lastExpiryAt    float64
@@ -83,7 +83,7 @@
 }
 
 type dot struct {
-	router   member.ID
+	router   membership.ID
 	sequence uint64
 }
 
@@ -96,14 +96,14 @@
 
 // New returns an empty shelf of the router with that seat. Its dots are numbered from
 // above first, which grows with each life of the seat.
-func New(set Settings, self member.ID, first uint64) *Store {
+func New(set Settings, self membership.ID, first uint64) *Store {
 	return &Store{settings: set, self: self, lastSequence: first, dots: map[dot]*entry{}, items: map[uint64]*entry{},
-		banCounts: map[decide.ServerID]int{}, deferredEnables: map[decide.ServerID]bool{}, forgotten: map[uint64]bool{}}
+		banCounts: map[routing.ServerID]int{}, deferredEnables: map[routing.ServerID]bool{}, forgotten: map[uint64]bool{}}
 }
 
 // Append appends a word in protobuf's form.
 func (w *Item) Append(b []byte) []byte {
-	num := func(f protowire.Number, v uint64) { b = form.AppendUint(b, f, v) }
+	num := func(f protowire.Number, v uint64) { b = wireformat.AppendUint(b, f, v) }
 	num(1, uint64(w.Kind))
 	num(2, uint64(w.Server))
 	num(3, uint64(w.Router))
@@ -123,7 +123,7 @@
 
 // Decode reads a word. Fields of a later version are passed over.
 func Decode(b []byte) (w Item, ok bool) {
-	if len(b) > member.MaxItemLen {
+	if len(b) > membership.MaxItemLen {
 		return w, false
 	}
 	for len(b) > 0 {
@@ -148,9 +148,9 @@
 		case 1:
 			w.Kind = Kind(min(v, 255))
 		case 2:
-			w.Server = decide.ServerID(v)
+			w.Server = routing.ServerID(v)
 		case 3:
-			w.Router = member.ID(v)
+			w.Router = membership.ID(v)
 		case 4:
 			w.Sequence = v
 		case 5:
@@ -158,7 +158,7 @@
 		case 6:
 			w.StartedAt = float64(min(v, maxTimestamp))
 		case 7:
-			w.Object = decide.ObjectID(v)
+			w.Object = routing.ObjectID(v)
 		case 8:
 			w.Group = int(min(v, 1<<16))
 		case 9:
@@ -177,7 +177,7 @@
 }
 
 // Receive takes an item that was heard. It tells whether it is new, and so passed on.
-func (s *Store) Receive(now float64, _ member.ID, item []byte) bool {
+func (s *Store) Receive(now float64, _ membership.ID, item []byte) bool {
 	w, ok := Decode(item)
 	if !ok {
 		s.Rejected++
@@ -200,7 +200,7 @@
 
 // SetDisabled takes a box out, or back, by order of staff at this router's door. It returns
 // the items to pass on.
-func (s *Store) SetDisabled(now float64, box decide.ServerID, out bool) (items [][]byte) {
+func (s *Store) SetDisabled(now float64, box routing.ServerID, out bool) (items [][]byte) {
 	if out {
 		for _, e := range s.dots {
 			if e.Server == box && !e.Removed && e.Router == s.self {
@@ -299,7 +299,7 @@
 }
 
 // recordChange notes that a box is out now, or back.
-func (s *Store) recordChange(box decide.ServerID, w Item) {
+func (s *Store) recordChange(box routing.ServerID, w Item) {
 	s.changes = append(s.changes, Change{Item: w, Disabled: s.Disabled(box)})
 }
 
@@ -307,13 +307,13 @@
 func (w *Item) dotHash() uint64 { return uint64(w.Router)*0x9e3779b97f4a7c15 + w.Sequence }
 
 // Disabled tells whether a ban holds for a box.
-func (s *Store) Disabled(box decide.ServerID) bool {
+func (s *Store) Disabled(box routing.ServerID) bool {
 	return s.banCounts[box] > 0 || s.deferredEnables[box]
 }
 
 // Bans returns the boxes that are out, in order.
-func (s *Store) Bans() []decide.ServerID {
-	var l []decide.ServerID
+func (s *Store) Bans() []routing.ServerID {
+	var l []routing.ServerID
 	for b := range s.banCounts {
 		l = append(l, b)
 	}
@@ -409,7 +409,7 @@
 
 func (w *Item) bucket() int {
 	x := uint64(w.Server)*31 + uint64(w.Object) + uint64(w.Group)*7 + w.Sequence
-	return int(x % member.BucketCount)
+	return int(x % membership.BucketCount)
 }
 
 // Checksum returns the sum of a bucket, by which shelves are compared.
--- a/internal/fleet/words/store_test.go
+++ b/internal/fleet/gossip/store_test.go
@@ -1,4 +1,4 @@
-package words
+package gossip
 
 import (
 	"bytes"
@@ -9,14 +9,14 @@
 
 	"pgregory.net/rapid"
 
-	"garnetline/decide"
-	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/membership"
+	"garnetline/routing"
 )
 
 // describe is what a shelf says, as text.
 func describe(s *Store) string {
 	var l []string
-	for b := range member.BucketCount {
+	for b := range membership.BucketCount {
 		s.ForEach(b, func(it []byte) bool { l = append(l, fmt.Sprintf("%x", it)); return true })
 	}
 	slices.Sort(l)
@@ -31,17 +31,17 @@
 		const n = 3
 		var shelves [n]*Store
 		for i := range shelves {
-			shelves[i] = New(DefaultSettings(), member.ID(i+1), 0)
+			shelves[i] = New(DefaultSettings(), membership.ID(i+1), 0)
 		}
 		var all [][]byte
 		type dotOf struct {
-			box decide.ServerID
+			box routing.ServerID
 			id  string
 		}
 		live, knows, gone := map[dotOf]bool{}, [n]map[dotOf]bool{{}, {}, {}}, map[dotOf]bool{}
 		items := map[string]dotOf{}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			i, box := rapid.IntRange(0, n-1).Draw(t, "router"), decide.ServerID(rapid.IntRange(1, 3).Draw(t, "box"))
+			i, box := rapid.IntRange(0, n-1).Draw(t, "router"), routing.ServerID(rapid.IntRange(1, 3).Draw(t, "box"))
 			switch rapid.IntRange(0, 3).Draw(t, "what") {
 			case 0:
 				for _, it := range shelves[i].SetDisabled(1, box, true) {
@@ -75,7 +75,7 @@
 				}
 			}
 		}
-		want := map[decide.ServerID]bool{}
+		want := map[routing.ServerID]bool{}
 		for d := range live {
 			want[d.box] = want[d.box] || !gone[d]
 		}
@@ -176,7 +176,7 @@
 	for i := range 10 {
 		w := Item{Kind: Ban, Server: 1, Router: 9, Sequence: uint64(i + 1)}
 		s.Receive(0, 9, w.Append(nil))
-		w = Item{Kind: Purge, Object: decide.ObjectID(i + 1), PurgedAt: 5}
+		w = Item{Kind: Purge, Object: routing.ObjectID(i + 1), PurgedAt: 5}
 		s.Receive(0, 9, w.Append(nil))
 	}
 	if len(s.dots) != 3 || len(s.items) != 2 || s.Rejected != 15 {
--- a/internal/fleet/duty/fingerprint.go
+++ b/internal/fleet/lease/fingerprint.go
@@ -1,4 +1,4 @@
-package duty
+package lease
 
 import (
 	"encoding/binary"
--- a/internal/fleet/duty/holder.go
+++ b/internal/fleet/lease/holder.go
@@ -3,7 +3,7 @@
 // to another. Neither reads the other's clock. The holder counts from before it asked,
 // the register from after it answered, and both give away a drift and a margin, so that
 // what the holder takes for its time lies within what the register counts.
-package duty
+package lease
 
 import (
 	"cmp"
@@ -15,8 +15,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"garnetline/internal/fleet/member"
-	"garnetline/internal/fleet/register"
+	"garnetline/internal/fleet/leaseregistry"
+	"garnetline/internal/fleet/membership"
 )
 
 // Settings are the times, in milliseconds of a clock that counts suspended time too.
@@ -55,7 +55,7 @@
 func (s Settings) registryPeriod() float64 { return s.TTL*(1+s.MaxClockDrift) + s.SafetyMargin }
 
 // rendezvousScore orders the routers for a duty.
-func rendezvousScore(name string, id member.ID) uint64 {
+func rendezvousScore(name string, id membership.ID) uint64 {
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], uint64(id))
 	return xxhash.Sum64(append(b[:], name...))
@@ -64,7 +64,7 @@
 // Rank is a router's place among those that may hold a duty, by rendezvous hash: the same
 // at all routers with the same view, and no other router's coming or going changes who of
 // two comes first. -1: it is none of them.
-func Rank(name string, self member.ID, among []member.ID) int {
+func Rank(name string, self membership.ID, among []membership.ID) int {
 	if !slices.Contains(among, self) {
 		return -1
 	}
@@ -78,8 +78,8 @@
 }
 
 // TopRanked returns the n of them that come first for a duty, in the order of their ranks.
-func TopRanked(name string, among []member.ID, n int) []member.ID {
-	l := slices.SortedFunc(slices.Values(among), func(a, b member.ID) int {
+func TopRanked(name string, among []membership.ID, n int) []membership.ID {
+	l := slices.SortedFunc(slices.Values(among), func(a, b membership.ID) int {
 		return cmp.Or(cmp.Compare(rendezvousScore(name, b), rendezvousScore(name, a)), cmp.Compare(b, a))
 	})
 	return l[:min(n, len(l))]
@@ -94,7 +94,7 @@
 
 // NewExpiryTracker returns the ledger of a leader that takes office now: all duties that are
 // held may be held for a whole lease from now on.
-func NewExpiryTracker(set Settings, now float64, s *register.State) *ExpiryTracker {
+func NewExpiryTracker(set Settings, now float64, s *leaseregistry.State) *ExpiryTracker {
 	l := &ExpiryTracker{set, map[string]float64{}}
 	for name, d := range s.Leases {
 		if d.Holder != 0 {
@@ -110,7 +110,7 @@
 }
 
 // Available tells whether a duty may be given to another than its holder.
-func (l *ExpiryTracker) Available(now float64, d *register.Lease) bool {
+func (l *ExpiryTracker) Available(now float64, d *leaseregistry.Lease) bool {
 	return d == nil || d.Holder == 0 || now >= l.expiry[d.Name]
 }
 
@@ -123,22 +123,22 @@
 type Request struct {
 	ID           uint64
 	Lease        string
-	FencingToken uint64    // of the lease that is renewed or given up; 0: the duty is asked for
-	Release      bool      // give it up
-	TransferTo   member.ID // Give: to that router; 0: to whoever asks
-	Handoff      []byte    // Give: what that one needs to go on
+	FencingToken uint64        // of the lease that is renewed or given up; 0: the duty is asked for
+	Release      bool          // give it up
+	TransferTo   membership.ID // Give: to that router; 0: to whoever asks
+	Handoff      []byte        // Give: what that one needs to go on
 }
 
 // Response is an elector's.
 type Response struct {
 	RequestID    uint64
 	Lease        string
-	Granted      bool      // the asker's process holds it under Token, as the register has it
-	FencingToken uint64    // as the register has it
-	Holder       member.ID // the same
-	Remaining    float64   // ms until it may be asked for again
-	Losses       uint64    // of the asker, of this duty
-	Handoff      []byte    // Yes: what the last holder handed on
+	Granted      bool          // the asker's process holds it under Token, as the register has it
+	FencingToken uint64        // as the register has it
+	Holder       membership.ID // the same
+	Remaining    float64       // ms until it may be asked for again
+	Losses       uint64        // of the asker, of this duty
+	Handoff      []byte        // Yes: what the last holder handed on
 }
 
 // Change is a duty that this router holds now, or no longer.
@@ -153,7 +153,7 @@
 // its owner publishes.
 type Holder struct {
 	settings      Settings
-	self          member.ID
+	self          membership.ID
 	leases        map[string]*leaseState
 	lastRequestID uint64
 }
@@ -169,14 +169,14 @@
 	until           float64            // another holds it until then, at the most
 	backoffUntil    float64            // stays away until then
 	highestToken    uint64             // the highest token heard of
-	lastKnownHolder member.ID          // who had it, by the latest answer
+	lastKnownHolder membership.ID      // who had it, by the latest answer
 	releasing       *Request
 	releaseAttempts int
 }
 
 // NewHolder returns a router's side that wants nothing. Questions are numbered from
 // above first, which differs from life to life.
-func NewHolder(set Settings, self member.ID, first uint64) *Holder {
+func NewHolder(set Settings, self membership.ID, first uint64) *Holder {
 	return &Holder{settings: set, self: self, leases: map[string]*leaseState{}, lastRequestID: first}
 }
 
@@ -204,7 +204,7 @@
 
 // Release gives a duty up, to another router if that is named. From now on this router does
 // not act any more; the register is told until it answers.
-func (h *Holder) Release(now float64, name string, to member.ID, work []byte) {
+func (h *Holder) Release(now float64, name string, to membership.ID, work []byte) {
 	l := h.stateOf(name)
 	if l.fencingToken == 0 {
 		return
@@ -246,7 +246,7 @@
 }
 
 // LastKnownHolder is who held a duty by the latest answer of the register; 0: nobody, or not known.
-func (h *Holder) LastKnownHolder(name string) member.ID {
+func (h *Holder) LastKnownHolder(name string) membership.ID {
 	if l := h.leases[name]; l != nil {
 		return l.lastKnownHolder
 	}
--- a/internal/fleet/duty/rank_test.go
+++ b/internal/fleet/lease/rank_test.go
@@ -1,17 +1,17 @@
-package duty
+package lease
 
 import (
 	"slices"
 	"testing"
 
-	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/membership"
 )
 
 // Routers of different versions must agree on who comes first for a duty: the order is
 // pinned as it was first released.
 func TestGoldenRanks(t *testing.T) {
-	routers := []member.ID{1, 2, 3, 0xdeadbeef, 0x1122334455667788}
-	for name, want := range map[string][]member.ID{
+	routers := []membership.ID{1, 2, 3, 0xdeadbeef, 0x1122334455667788}
+	for name, want := range map[string][]membership.ID{
 		"probe/edge":  {0x1122334455667788, 3, 0xdeadbeef, 1, 2},
 		"first/north": {1, 3, 2, 0x1122334455667788, 0xdeadbeef},
 	} {
--- a/internal/fleet/duties/golden_test.go
+++ b/internal/fleet/leasemanager/golden_test.go
@@ -1,4 +1,4 @@
-package duties
+package leasemanager
 
 import (
 	"bytes"
@@ -14,13 +14,13 @@
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
-	"garnetline/decide"
-	"garnetline/internal/fleet/agree"
-	"garnetline/internal/fleet/agree/disk"
-	"garnetline/internal/fleet/carry"
-	"garnetline/internal/fleet/duty"
-	"garnetline/internal/fleet/member"
-	"garnetline/internal/fleet/register"
+	"garnetline/internal/fleet/consensus"
+	"garnetline/internal/fleet/consensus/wal"
+	"garnetline/internal/fleet/fragment"
+	"garnetline/internal/fleet/lease"
+	"garnetline/internal/fleet/leaseregistry"
+	"garnetline/internal/fleet/membership"
+	"garnetline/routing"
 )
 
 // Only a wanted change of a form calls for `go test ./PACKAGE -run Golden -update`, which
@@ -56,7 +56,7 @@
 // banRequest is a question about staff's bans with its number.
 type banRequest struct {
 	RequestID uint64
-	agree.BanRequest
+	consensus.BanRequest
 }
 
 func messages() []message {
@@ -68,29 +68,29 @@
 	getHello := func(b []byte) (any, bool) { v, ok := decodeHello(b); return v, ok }
 	getOwn := func(b []byte) (any, bool) { v, ok := decodeVoterMetadata(b); return v, ok }
 	var all []message
-	ask := func(name string, a duty.Request) { all = append(all, message{name, EncodeRequest(a), a, getAsk}) }
-	ask("ask", duty.Request{ID: 1 << 62, Lease: "probe/edge"})
-	ask("renew", duty.Request{ID: 2, Lease: "probe/edge", FencingToken: 300})
-	ask("give-to", duty.Request{ID: 3, Lease: "probe/edge", FencingToken: 300, Release: true, TransferTo: 0x1122334455667788, Handoff: []byte("\x00work\xff")})
-	ask("give-up", duty.Request{ID: 4, Lease: "first/north", FencingToken: 301, Release: true})
-	answer := func(name string, a duty.Response) { all = append(all, message{name, EncodeResponse(a), a, getAnswer}) }
-	answer("answer-yes", duty.Response{RequestID: 1 << 62, Lease: "probe/edge", Granted: true, FencingToken: 300, Holder: 9, Remaining: 3230, Handoff: []byte("w")})
-	answer("answer-no", duty.Response{RequestID: 2, Lease: "probe/edge", FencingToken: 300, Holder: 0x1122334455667788, Remaining: 1500, Losses: 3})
-	answer("handed-on", duty.Response{Lease: "probe/edge", FencingToken: 301, Holder: 9})
-	answer("freed", duty.Response{Lease: "probe/edge", FencingToken: 302})
+	ask := func(name string, a lease.Request) { all = append(all, message{name, EncodeRequest(a), a, getAsk}) }
+	ask("ask", lease.Request{ID: 1 << 62, Lease: "probe/edge"})
+	ask("renew", lease.Request{ID: 2, Lease: "probe/edge", FencingToken: 300})
+	ask("give-to", lease.Request{ID: 3, Lease: "probe/edge", FencingToken: 300, Release: true, TransferTo: 0x1122334455667788, Handoff: []byte("\x00work\xff")})
+	ask("give-up", lease.Request{ID: 4, Lease: "first/north", FencingToken: 301, Release: true})
+	answer := func(name string, a lease.Response) { all = append(all, message{name, EncodeResponse(a), a, getAnswer}) }
+	answer("answer-yes", lease.Response{RequestID: 1 << 62, Lease: "probe/edge", Granted: true, FencingToken: 300, Holder: 9, Remaining: 3230, Handoff: []byte("w")})
+	answer("answer-no", lease.Response{RequestID: 2, Lease: "probe/edge", FencingToken: 300, Holder: 0x1122334455667788, Remaining: 1500, Losses: 3})
+	answer("handed-on", lease.Response{Lease: "probe/edge", FencingToken: 301, Holder: 9})
+	answer("freed", lease.Response{Lease: "probe/edge", FencingToken: 302})
 	h := leaderHint{5, "r01"}
 	all = append(all, message{"hint", h.encode(), h, getHint})
 	ban := func(name string, q banRequest) {
 		all = append(all, message{name, EncodeBanRequest(q.RequestID, q.BanRequest), q, getBanAsk})
 	}
-	ban("ban-ask", banRequest{6, agree.BanRequest{KnownVersion: 17}})
-	ban("ban-set", banRequest{7, agree.BanRequest{KnownVersion: 17, Set: &register.Command{Op: register.OpSetBan, Server: decide.ServerID(7), Disabled: true, ExpectedToken: 17,
+	ban("ban-ask", banRequest{6, consensus.BanRequest{KnownVersion: 17}})
+	ban("ban-set", banRequest{7, consensus.BanRequest{KnownVersion: 17, Set: &leaseregistry.Command{Op: leaseregistry.OpSetBan, Server: routing.ServerID(7), Disabled: true, ExpectedToken: 17,
 		Text: "ann", Reason: "broken", SetAt: 1_700_000_000_123, RequestID: 7}}})
-	banAnswer := func(name string, a agree.BanResponse) {
+	banAnswer := func(name string, a consensus.BanResponse) {
 		all = append(all, message{name, encodeBanResponse(a), a, getBanAnswer})
 	}
-	banAnswer("bans-unchanged", agree.BanResponse{RequestID: 6, Version: 17})
-	banAnswer("bans-refused", agree.BanResponse{RequestID: 7, Version: 18, Rejection: register.ErrTokenMismatch.Error(), Bans: []byte{0x12, 2, 8, 8}})
+	banAnswer("bans-unchanged", consensus.BanResponse{RequestID: 6, Version: 17})
+	banAnswer("bans-refused", consensus.BanResponse{RequestID: 7, Version: 18, Rejection: leaseregistry.ErrTokenMismatch.Error(), Bans: []byte{0x12, 2, 8, 8}})
 	say := func(name string, h hello) { all = append(all, message{name, h.encode(), h, getHello}) }
 	say("hello-fresh", hello{Name: "r01", RaftID: bootstrapRaftID("fleet", "r01"), NoLog: true})
 	say("hello-back", hello{Name: "r02", RaftID: 5, Reply: true})
@@ -147,12 +147,12 @@
 // another in, say to each other what they said before: only the first one's clock goes, so
 // that it is always the one that stands for election.
 func TestGoldenElectors(t *testing.T) {
-	set := Settings{Fleet: "fleet", Voters: []string{"r01", "r02", "r03"}, Consensus: agree.DefaultSettings()}
+	set := Settings{Fleet: "fleet", Voters: []string{"r01", "r02", "r03"}, Consensus: consensus.DefaultSettings()}
 	electors := map[string]*voter{}
 	start := func(name string, mark []byte) {
-		folder := disk.Dir(t.TempDir())
+		folder := wal.Dir(t.TempDir())
 		if mark != nil {
-			l, _, _, err := disk.Open(folder, set.Fleet+"/"+name)
+			l, _, _, err := wal.Open(folder, set.Fleet+"/"+name)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -183,7 +183,7 @@
 			m := queue[0]
 			queue = queue[1:]
 			kind := fmt.Sprintf("channel %d", m.channel)
-			if m.channel == carry.Raft {
+			if m.channel == fragment.Raft {
 				r := &raftpb.Message{}
 				if err := proto.Unmarshal(m.payload, r); err != nil {
 					t.Fatal(err)
@@ -202,7 +202,9 @@
 			if m.voterName == "r01" {
 				at = now
 			}
-			for _, p := range e.step(at, func(e *voter) agree.Input { return e.handleMessage(member.ID(1), 1, m.channel, m.payload, m.from) }).messages {
+			for _, p := range e.step(at, func(e *voter) consensus.Input {
+				return e.handleMessage(membership.ID(1), 1, m.channel, m.payload, m.from)
+			}).messages {
 				queue = append(queue, mail{m.voterName, p})
 			}
 		}
@@ -230,7 +232,7 @@
 		return electors["r01"].node != nil && electors["r02"].node != nil && electors["r03"].node != nil
 	}, "r02", "r03")
 	run("a leader", func() bool { return electors["r01"].leading })
-	ask := outgoingMessage{voterName: "r01", channel: carry.LeaseRequest, payload: EncodeRequest(duty.Request{ID: 1, Lease: "probe/edge"})}
+	ask := outgoingMessage{voterName: "r01", channel: fragment.LeaseRequest, payload: EncodeRequest(lease.Request{ID: 1, Lease: "probe/edge"})}
 	deliver([]mail{{"a router", ask}})
 	run("a grant", func() bool { return len(electors["r02"].node.State().Leases) > 0 })
 	ask.voterName = "r02"
