--- a/internal/fleet/duties/manager.go
+++ b/internal/fleet/leasemanager/manager.go
@@ -2,7 +2,7 @@
 // actor of an elector, where this router is one, and the actor that asks for leases, keeps
 // them and lets them go. What may be done now is published: whoever acts for a duty asks
 // at the write to the socket, and waits for nobody.
-package duties
+package leasemanager
 
 import (
 	"context"
@@ -16,12 +16,12 @@
 	"github.com/rs/zerolog"
 
 	"garnetline/internal/clock"
-	"garnetline/internal/fleet/agree"
-	"garnetline/internal/fleet/agree/disk"
-	"garnetline/internal/fleet/carry"
-	"garnetline/internal/fleet/duty"
-	"garnetline/internal/fleet/member"
-	"garnetline/internal/stats"
+	"garnetline/internal/fleet/consensus"
+	"garnetline/internal/fleet/consensus/wal"
+	"garnetline/internal/fleet/fragment"
+	"garnetline/internal/fleet/lease"
+	"garnetline/internal/fleet/membership"
+	"garnetline/internal/metrics"
 )
 
 const (
@@ -35,13 +35,13 @@
 type Settings struct {
 	Fleet     string
 	Voters    []string
-	Consensus agree.Settings
+	Consensus consensus.Settings
 }
 
 // Transport is the link, as far as it is needed here.
 type Transport interface {
-	Send(to member.ID, ch carry.Channel, b []byte)
-	Members() *member.View
+	Send(to membership.ID, ch fragment.Channel, b []byte)
+	Members() *membership.View
 }
 
 // Options are what duties work with.
@@ -49,14 +49,14 @@
 	Settings
 	Name        string
 	Incarnation uint64
-	LogDir      disk.FS // of an elector; nil: this router is none
+	LogDir      wal.FS // of an elector; nil: this router is none
 	Transport   Transport
 	Clock       clock.Clock // the boot clock
 	Log         *zerolog.Logger
-	Metrics     *stats.Registry
+	Metrics     *metrics.Registry
 	Eligible    func() bool // this router may hold duties
 	// OnBanResponse takes what an elector answered about staff's bans. It must not block.
-	OnBanResponse func(a agree.BanResponse)
+	OnBanResponse func(a consensus.BanResponse)
 }
 
 // Lease is a duty that this router holds. Its JSON is shown to operators by /fleet/duties.
@@ -70,17 +70,17 @@
 // Manager are the two actors.
 type Manager struct {
 	options            Options
-	self               member.ID
+	self               membership.ID
 	voter              *voter
-	holder             *duty.Holder
+	holder             *lease.Holder
 	leaseNames         []string
 	handoffs           map[string][]byte
 	leases             atomic.Pointer[[]Lease]
-	knownHolders       atomic.Pointer[map[string]member.ID] // who holds what, by the latest answers
+	knownHolders       atomic.Pointer[map[string]membership.ID] // who holds what, by the latest answers
 	status             atomic.Pointer[Status]
-	voterInbox         chan func(e *voter) agree.Input
+	voterInbox         chan func(e *voter) consensus.Input
 	holderInbox        chan func(now float64)
-	likelyLeader       member.ID
+	likelyLeader       membership.ID
 	unansweredRequests int
 	stopping           atomic.Bool
 	voterDone          chan struct{}
@@ -110,10 +110,10 @@
 
 // New opens an elector's log, where this router is one. wants are the duties that it is
 // willing to hold.
-func New(o Options, self member.ID, wants []string) (*Manager, error) {
-	d := &Manager{options: o, self: self, leaseNames: wants, handoffs: map[string][]byte{}, voterInbox: make(chan func(*voter) agree.Input, inboxSize),
+func New(o Options, self membership.ID, wants []string) (*Manager, error) {
+	d := &Manager{options: o, self: self, leaseNames: wants, handoffs: map[string][]byte{}, voterInbox: make(chan func(*voter) consensus.Input, inboxSize),
 		holderInbox: make(chan func(float64), inboxSize), voterDone: make(chan struct{}), holderDone: make(chan struct{}), pendingRequests: map[uint64]outgoingMessage{}}
-	d.holder = duty.NewHolder(o.Consensus.Lease, self, rand.Uint64()>>1)
+	d.holder = lease.NewHolder(o.Consensus.Lease, self, rand.Uint64()>>1)
 	d.leases.Store(&[]Lease{})
 	d.status.Store(&Status{})
 	if o.LogDir != nil && slices.Contains(o.Voters, o.Name) {
@@ -152,7 +152,7 @@
 	d.stopping.Store(true)
 	for until := time.Now().Add(leadershipTransferTimeout); d.status.Load().Leading && time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
 		select {
-		case d.voterInbox <- func(e *voter) agree.Input { e.node.TransferLeadership(); return agree.Input{} }:
+		case d.voterInbox <- func(e *voter) consensus.Input { e.node.TransferLeadership(); return consensus.Input{} }:
 		default:
 		}
 	}
@@ -162,31 +162,31 @@
 func (d *Manager) Stopped() <-chan struct{} { return d.holderDone }
 
 // Deliver takes what the link brought. It never blocks.
-func (d *Manager) Deliver(from member.ID, life uint64, ch carry.Channel, b []byte) {
+func (d *Manager) Deliver(from membership.ID, life uint64, ch fragment.Channel, b []byte) {
 	switch ch {
-	case carry.LeaseResponse:
+	case fragment.LeaseResponse:
 		if a, ok := DecodeResponse(b); ok {
 			d.enqueueHolder(func(now float64) { d.handleResponse(now, from, a) })
 		}
-	case carry.LeaderHint:
+	case fragment.LeaderHint:
 		if h, ok := decodeLeaderHint(b); ok {
 			d.enqueueHolder(func(float64) { d.handleLeaderHint(h) })
 		}
-	case carry.BanResponse:
+	case fragment.BanResponse:
 		if a, ok := DecodeBanResponse(b); ok && d.options.OnBanResponse != nil {
 			d.enqueueHolder(func(float64) { d.recordResponder(from, a.RequestID) })
 			d.options.OnBanResponse(a)
 		}
-	case carry.Raft, carry.LeaseRequest, carry.VoterHello, carry.BanRequest:
+	case fragment.Raft, fragment.LeaseRequest, fragment.VoterHello, fragment.BanRequest:
 		if d.voter == nil {
 			return
 		}
 		name := ""
-		if ch == carry.Raft || ch == carry.VoterHello {
+		if ch == fragment.Raft || ch == fragment.VoterHello {
 			name = d.memberName(from)
 		}
 		select {
-		case d.voterInbox <- func(e *voter) agree.Input { return e.handleMessage(from, life, ch, b, name) }:
+		case d.voterInbox <- func(e *voter) consensus.Input { return e.handleMessage(from, life, ch, b, name) }:
 		default:
 			d.options.Metrics.Add("duties_crowded_out", 1)
 		}
@@ -202,7 +202,7 @@
 }
 
 // memberName and idOf go from a router's seat to its name and back, as the view has them.
-func (d *Manager) memberName(id member.ID) string {
+func (d *Manager) memberName(id membership.ID) string {
 	for _, m := range d.options.Transport.Members().Members {
 		if m.ID == id {
 			return m.Name
@@ -211,7 +211,7 @@
 	return ""
 }
 
-func (d *Manager) memberID(name string) member.ID {
+func (d *Manager) memberID(name string) membership.ID {
 	for _, m := range d.options.Transport.Members().Members {
 		if m.Name == name && m.State.Present() {
 			return m.ID
@@ -228,7 +228,7 @@
 	defer timer.Stop()
 	loud := false
 	for {
-		var in func(*voter) agree.Input
+		var in func(*voter) consensus.Input
 		select {
 		case <-ctx.Done():
 			return
@@ -280,9 +280,9 @@
 // Symptom guarded against: a duty was handed to a router that did not want it. It gave it
 // up to nobody at once, and the others, who had been told how long the lease before might
 // last, came back only after that: 1 to 2 s without a holder.
-func (d *Manager) announceReleased(a duty.Response) {
-	for _, id := range duty.TopRanked(a.Lease, d.eligibleMembers(), maxReleaseNotices) {
-		d.send(outgoingMessage{routerID: id, channel: carry.LeaseResponse, payload: EncodeResponse(a)})
+func (d *Manager) announceReleased(a lease.Response) {
+	for _, id := range lease.TopRanked(a.Lease, d.eligibleMembers(), maxReleaseNotices) {
+		d.send(outgoingMessage{routerID: id, channel: fragment.LeaseResponse, payload: EncodeResponse(a)})
 	}
 }
 
@@ -369,7 +369,7 @@
 		asks, changes, wake := d.holder.Step(now)
 		d.publishLeases(now) // before the register is told that something is given up
 		for _, a := range asks {
-			d.sendRequest(a.ID, outgoingMessage{channel: carry.LeaseRequest, payload: EncodeRequest(a)})
+			d.sendRequest(a.ID, outgoingMessage{channel: fragment.LeaseRequest, payload: EncodeRequest(a)})
 		}
 		d.recordChanges(changes)
 		timer.Reset(clock.Duration(max(1, min(wake, look)-d.options.Clock.Now())))
@@ -383,20 +383,20 @@
 	for _, name := range d.leaseNames {
 		rank := -1
 		if ready {
-			rank = duty.Rank(name, d.self, ids)
+			rank = lease.Rank(name, d.self, ids)
 		}
 		d.holder.SetRank(now, name, rank)
 	}
 }
 
 // eligibleMembers are those that may hold a duty, this router among them.
-func (d *Manager) eligibleMembers() (ids []member.ID) {
+func (d *Manager) eligibleMembers() (ids []membership.ID) {
 	v := d.options.Transport.Members()
 	if v.Superseded {
 		return nil
 	}
 	for _, m := range v.Members {
-		if m.State == member.Alive {
+		if m.State == membership.Alive {
 			ids = append(ids, m.ID)
 		}
 	}
@@ -411,9 +411,9 @@
 	d.publishLeases(now)
 }
 
-func (d *Manager) release(now float64, name string, to member.ID) {
-	ids := slices.DeleteFunc(d.eligibleMembers(), func(id member.ID) bool { return id == d.self })
-	if first := duty.TopRanked(name, ids, 1); to == 0 && len(first) > 0 {
+func (d *Manager) release(now float64, name string, to membership.ID) {
+	ids := slices.DeleteFunc(d.eligibleMembers(), func(id membership.ID) bool { return id == d.self })
+	if first := lease.TopRanked(name, ids, 1); to == 0 && len(first) > 0 {
 		to = first[0]
 	}
 	d.holder.Release(now, name, to, d.handoffs[name])
@@ -423,7 +423,7 @@
 // SendBanRequest sends a question about staff's bans to the electors. Its answer, if one comes, goes
 // to Options.Bans.
 func (d *Manager) SendBanRequest(question uint64, b []byte) {
-	d.enqueueHolder(func(float64) { d.sendRequest(question, outgoingMessage{channel: carry.BanRequest, payload: b}) })
+	d.enqueueHolder(func(float64) { d.sendRequest(question, outgoingMessage{channel: fragment.BanRequest, payload: b}) })
 }
 
 // sendRequest sends a question to the elector that answered latest, or to the next one.
@@ -457,19 +457,19 @@
 }
 
 // recordResponder notes who answered a question.
-func (d *Manager) recordResponder(from member.ID, question uint64) {
+func (d *Manager) recordResponder(from membership.ID, question uint64) {
 	d.likelyLeader, d.unansweredRequests = from, 0
 	delete(d.pendingRequests, question)
 }
 
-func (d *Manager) handleResponse(now float64, from member.ID, a duty.Response) {
+func (d *Manager) handleResponse(now float64, from membership.ID, a lease.Response) {
 	d.recordResponder(from, a.RequestID)
 	d.recordChanges(d.holder.HandleResponse(now, a))
 	d.publishLeases(now)
 }
 
 // recordChanges logs what is held now, or no longer.
-func (d *Manager) recordChanges(changes []duty.Change) {
+func (d *Manager) recordChanges(changes []lease.Change) {
 	for _, c := range changes {
 		if c.FencingToken != 0 {
 			d.handoffs[c.Lease] = c.Handoff
@@ -488,7 +488,7 @@
 		l = append(l, Lease{name, token, end, d.handoffs[name]})
 	}
 	d.leases.Store(&l)
-	known := make(map[string]member.ID, len(d.leaseNames))
+	known := make(map[string]membership.ID, len(d.leaseNames))
 	for _, name := range d.leaseNames {
 		known[name] = d.holder.LastKnownHolder(name)
 	}
@@ -497,7 +497,7 @@
 
 // LastKnownHolder is who held a duty by the latest answer that this router had; 0: not known. It may
 // be called from any goroutine.
-func (d *Manager) LastKnownHolder(name string) member.ID {
+func (d *Manager) LastKnownHolder(name string) membership.ID {
 	if m := d.knownHolders.Load(); m != nil {
 		return (*m)[name]
 	}
@@ -530,7 +530,7 @@
 			done <- ErrNotHeld
 			return
 		}
-		var id member.ID
+		var id membership.ID
 		if to != "" {
 			if id = d.memberID(to); id == 0 || id == d.self {
 				done <- errors.New("no other router of that name is there")
@@ -565,7 +565,7 @@
 	}
 	done := make(chan error, 1)
 	select {
-	case d.voterInbox <- func(e *voter) agree.Input { done <- e.changeVoter(name, in); return agree.Input{} }:
+	case d.voterInbox <- func(e *voter) consensus.Input { done <- e.changeVoter(name, in); return consensus.Input{} }:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/internal/fleet/duties/voter.go
+++ b/internal/fleet/leasemanager/voter.go
@@ -1,4 +1,4 @@
-package duties
+package leasemanager
 
 import (
 	"fmt"
@@ -10,12 +10,12 @@
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
-	"garnetline/internal/fleet/agree"
-	"garnetline/internal/fleet/agree/disk"
-	"garnetline/internal/fleet/carry"
-	"garnetline/internal/fleet/duty"
-	"garnetline/internal/fleet/member"
-	"garnetline/internal/fleet/register"
+	"garnetline/internal/fleet/consensus"
+	"garnetline/internal/fleet/consensus/wal"
+	"garnetline/internal/fleet/fragment"
+	"garnetline/internal/fleet/lease"
+	"garnetline/internal/fleet/leaseregistry"
+	"garnetline/internal/fleet/membership"
 )
 
 const (
@@ -27,11 +27,11 @@
 type voter struct {
 	settings      Settings
 	name          string
-	log           *disk.Log
-	recovered     disk.State
+	log           *wal.Log
+	recovered     wal.State
 	metadata      voterMetadata
 	bootstrapID   uint64 // the number that it would begin with
-	node          *agree.Node
+	node          *consensus.Node
 	voterNames    []string // of all electors, by the file
 	hellos        map[string]hello
 	nextHelloAt   float64 // when to say hello again
@@ -40,19 +40,19 @@
 	leading       bool
 	approvedNames map[string]bool // names that staff want taken in
 	fault         error
-	queuedInputs  []agree.Input
+	queuedInputs  []consensus.Input
 }
 
 // voterOutput is what a step wants sent.
 type voterOutput struct {
 	messages []outgoingMessage
-	released []duty.Response // for those that come first
+	released []lease.Response // for those that come first
 }
 
 type outgoingMessage struct {
-	voterName string    // of an elector
-	routerID  member.ID // else
-	channel   carry.Channel
+	voterName string        // of an elector
+	routerID  membership.ID // else
+	channel   fragment.Channel
 	payload   []byte
 }
 
@@ -60,10 +60,10 @@
 func bootstrapRaftID(fleet, name string) uint64 { return xxhash.Sum64String(fleet+"\x00"+name) | 1 }
 
 // newVoter opens an elector's log. now is the boot clock's, as in all steps.
-func newVoter(set Settings, fleet, name string, fs disk.FS, now float64) (*voter, error) {
+func newVoter(set Settings, fleet, name string, fs wal.FS, now float64) (*voter, error) {
 	e := &voter{settings: set, name: name, voterNames: set.Voters, bootstrapID: bootstrapRaftID(fleet, name), hellos: map[string]hello{}, nextHelloAt: now, wakeAt: now,
 		approvedNames: map[string]bool{}}
-	l, found, _, err := disk.Open(fs, fleet+"/"+name)
+	l, found, _, err := wal.Open(fs, fleet+"/"+name)
 	if err != nil {
 		return nil, err
 	}
@@ -79,15 +79,15 @@
 
 // startNode starts the machine, with the voters of the first register or with none.
 func (e *voter) startNode(first map[uint64]string, now float64) (err error) {
-	e.node, err = agree.NewNode(e.settings.Consensus, e.metadata.RaftID, e.log, e.recovered, first, now)
+	e.node, err = consensus.NewNode(e.settings.Consensus, e.metadata.RaftID, e.log, e.recovered, first, now)
 	return err
 }
 
 // step takes one thing, or none, and returns what to send.
-func (e *voter) step(now float64, in func(e *voter) agree.Input) voterOutput {
+func (e *voter) step(now float64, in func(e *voter) consensus.Input) voterOutput {
 	var out voterOutput
 	e.output = &out
-	var input agree.Input
+	var input consensus.Input
 	if in != nil {
 		input = in(e)
 	}
@@ -110,7 +110,7 @@
 //
 // Symptom guarded against: an elector that waits for the others before it begins kept the
 // wake of its start, and took a whole processor until they came.
-func (e *voter) stepNode(now float64, in agree.Input) {
+func (e *voter) stepNode(now float64, in consensus.Input) {
 	e.wakeAt = math.Inf(1) // a machine that is not there wants nothing
 	if e.node == nil || e.fault != nil {
 		return
@@ -126,10 +126,10 @@
 	e.output.released = append(e.output.released, o.Released...)
 	for _, r := range o.Responses {
 		if r.Ban != nil {
-			e.output.messages = append(e.output.messages, outgoingMessage{routerID: r.To, channel: carry.BanResponse, payload: encodeBanResponse(*r.Ban)})
+			e.output.messages = append(e.output.messages, outgoingMessage{routerID: r.To, channel: fragment.BanResponse, payload: encodeBanResponse(*r.Ban)})
 			continue
 		}
-		e.output.messages = append(e.output.messages, outgoingMessage{routerID: r.To, channel: carry.LeaseResponse, payload: EncodeResponse(r.Response)})
+		e.output.messages = append(e.output.messages, outgoingMessage{routerID: r.To, channel: fragment.LeaseResponse, payload: EncodeResponse(r.Response)})
 	}
 }
 
@@ -154,11 +154,11 @@
 func (e *voter) sendRaft(m *raftpb.Message) {
 	b, err := proto.Marshal(m)
 	name := e.voterName(m.GetTo())
-	if err != nil || name == "" || len(b) > carry.MaxMessageLen {
+	if err != nil || name == "" || len(b) > fragment.MaxMessageLen {
 		e.node.ReportUnreachable(m.GetTo(), m.GetType() == raftpb.MsgSnap)
 		return
 	}
-	e.output.messages = append(e.output.messages, outgoingMessage{voterName: name, channel: carry.Raft, payload: b})
+	e.output.messages = append(e.output.messages, outgoingMessage{voterName: name, channel: fragment.Raft, payload: b})
 	if m.GetType() == raftpb.MsgSnap {
 		e.node.ReportSnapshotSent(m.GetTo()) // if it got lost, the next append says so
 	}
@@ -171,7 +171,7 @@
 	case e.node == nil:
 		for _, n := range e.voterNames {
 			if n != e.name {
-				e.output.messages = append(e.output.messages, outgoingMessage{voterName: n, channel: carry.VoterHello, payload: hello{Name: e.name, RaftID: e.bootstrapID, NoLog: true}.encode()})
+				e.output.messages = append(e.output.messages, outgoingMessage{voterName: n, channel: fragment.VoterHello, payload: hello{Name: e.name, RaftID: e.bootstrapID, NoLog: true}.encode()})
 			}
 		}
 		e.bootstrap(now)
@@ -180,7 +180,7 @@
 		if !slices.Contains(s.Voters, e.metadata.RaftID) && !slices.Contains(s.Learners, e.metadata.RaftID) {
 			for _, n := range e.voterNames {
 				if n != e.name {
-					e.output.messages = append(e.output.messages, outgoingMessage{voterName: n, channel: carry.VoterHello, payload: hello{Name: e.name, RaftID: e.metadata.RaftID, JoinRequest: true}.encode()})
+					e.output.messages = append(e.output.messages, outgoingMessage{voterName: n, channel: fragment.VoterHello, payload: hello{Name: e.name, RaftID: e.metadata.RaftID, JoinRequest: true}.encode()})
 				}
 			}
 		}
@@ -240,46 +240,46 @@
 }
 
 // handleMessage takes what another router sent.
-func (e *voter) handleMessage(from member.ID, life uint64, ch carry.Channel, b []byte, name string) agree.Input {
+func (e *voter) handleMessage(from membership.ID, life uint64, ch fragment.Channel, b []byte, name string) consensus.Input {
 	switch ch {
-	case carry.Raft:
+	case fragment.Raft:
 		m := &raftpb.Message{}
 		if e.node == nil || proto.Unmarshal(b, m) != nil || m.GetTo() != e.metadata.RaftID || m.GetFrom() == 0 || !e.recordHeardFrom(m.GetFrom()) {
-			return agree.Input{}
+			return consensus.Input{}
 		}
 		if name != "" {
 			e.hellos[name] = hello{Name: name, RaftID: m.GetFrom(), Reply: true} // one that is new may know its leader by nothing else
 		}
-		return agree.Input{Message: m}
-	case carry.LeaseRequest:
+		return consensus.Input{Message: m}
+	case fragment.LeaseRequest:
 		if a, ok := DecodeRequest(b); ok {
-			return e.handleRequest(agree.ClientRequest{From: from, Incarnation: life, Request: a})
+			return e.handleRequest(consensus.ClientRequest{From: from, Incarnation: life, Request: a})
 		}
-	case carry.BanRequest:
+	case fragment.BanRequest:
 		if q, a, ok := decodeBanRequest(b); ok {
-			return e.handleRequest(agree.ClientRequest{From: from, Incarnation: life, Request: duty.Request{ID: q}, Ban: &a})
+			return e.handleRequest(consensus.ClientRequest{From: from, Incarnation: life, Request: lease.Request{ID: q}, Ban: &a})
 		}
-	case carry.VoterHello:
+	case fragment.VoterHello:
 		if h, ok := decodeHello(b); ok && (h.Name == name || h.JoinRequest && e.isVoterName(name)) {
 			return e.handleHello(h)
 		}
 	}
-	return agree.Input{}
+	return consensus.Input{}
 }
 
 // handleRequest has the machine take a question, or names the leader to who asks.
-func (e *voter) handleRequest(q agree.ClientRequest) agree.Input {
+func (e *voter) handleRequest(q consensus.ClientRequest) consensus.Input {
 	if l := e.leaderName(); !e.leading && l != "" && l != e.name {
-		e.output.messages = append(e.output.messages, outgoingMessage{routerID: q.From, channel: carry.LeaderHint, payload: leaderHint{q.ID, l}.encode()})
-		return agree.Input{}
+		e.output.messages = append(e.output.messages, outgoingMessage{routerID: q.From, channel: fragment.LeaderHint, payload: leaderHint{q.ID, l}.encode()})
+		return consensus.Input{}
 	}
 	if e.node == nil {
-		return agree.Input{}
+		return consensus.Input{}
 	}
-	return agree.Input{Request: &q}
+	return consensus.Input{Request: &q}
 }
 
-func (e *voter) handleHello(h hello) agree.Input {
+func (e *voter) handleHello(h hello) consensus.Input {
 	switch {
 	case h.Reply:
 		e.hellos[h.Name] = h
@@ -288,7 +288,7 @@
 			return e.addLearner(h)
 		}
 		if l := e.leaderName(); !e.leading && l != "" { // one that is new may not know it
-			e.output.messages = append(e.output.messages, outgoingMessage{voterName: l, channel: carry.VoterHello, payload: h.encode()})
+			e.output.messages = append(e.output.messages, outgoingMessage{voterName: l, channel: fragment.VoterHello, payload: h.encode()})
 		}
 	default:
 		back := hello{Name: e.name, RaftID: e.bootstrapID, Reply: true, NoLog: e.node == nil}
@@ -296,9 +296,9 @@
 			back.RaftID, back.HeardFromSender = e.metadata.RaftID, slices.Contains(e.metadata.HeardFrom, h.RaftID)
 			back.SenderIsVoter = slices.Contains(e.node.Status().Voters, h.RaftID)
 		}
-		e.output.messages = append(e.output.messages, outgoingMessage{voterName: h.Name, channel: carry.VoterHello, payload: back.encode()})
+		e.output.messages = append(e.output.messages, outgoingMessage{voterName: h.Name, channel: fragment.VoterHello, payload: back.encode()})
 	}
-	return agree.Input{}
+	return consensus.Input{}
 }
 
 // isVoterName tells whether an elector of that name is a voter.
@@ -314,24 +314,24 @@
 }
 
 // addLearner makes one that asks a learner: one that lost its disk, or one that staff named.
-func (e *voter) addLearner(h hello) agree.Input {
+func (e *voter) addLearner(h hello) consensus.Input {
 	s := e.node.Status()
 	if !e.isVoterName(h.Name) && !e.approvedNames[h.Name] || slices.Contains(s.Learners, h.RaftID) {
-		return agree.Input{}
+		return consensus.Input{}
 	}
 	if e.node.State().VoterNames[h.RaftID] != h.Name {
-		return agree.Input{Proposal: &register.Command{Op: register.OpNameVoter, VoterID: h.RaftID, Text: h.Name}}
+		return consensus.Input{Proposal: &leaseregistry.Command{Op: leaseregistry.OpNameVoter, VoterID: h.RaftID, Text: h.Name}}
 	}
 	return confChange(raftpb.ConfChangeAddLearnerNode, h.RaftID)
 }
 
-func confChange(t raftpb.ConfChangeType, id uint64) agree.Input {
-	return agree.Input{ConfChange: &raftpb.ConfChangeV2{Changes: []*raftpb.ConfChangeSingle{{Type: &t, NodeId: &id}}}}
+func confChange(t raftpb.ConfChangeType, id uint64) consensus.Input {
+	return consensus.Input{ConfChange: &raftpb.ConfChangeV2{Changes: []*raftpb.ConfChangeSingle{{Type: &t, NodeId: &id}}}}
 }
 
 // promoteLearner makes a learner that has caught up a voter, in the place of the number that its
 // name had before. One change at a time: raft refuses a second.
-func (e *voter) promoteLearner(s agree.Status) {
+func (e *voter) promoteLearner(s consensus.Status) {
 	for _, id := range s.Learners {
 		if lag := e.node.LearnerLag(id); lag < 0 || lag > maxPromotionLag {
 			continue
--- a/internal/fleet/duties/voter_test.go
+++ b/internal/fleet/leasemanager/voter_test.go
@@ -1,4 +1,4 @@
-package duties
+package leasemanager
 
 import (
 	"fmt"
@@ -6,18 +6,18 @@
 	"slices"
 	"testing"
 
-	"garnetline/internal/fleet/agree"
-	"garnetline/internal/fleet/agree/disk"
-	"garnetline/internal/fleet/duty"
-	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/consensus"
+	"garnetline/internal/fleet/consensus/wal"
+	"garnetline/internal/fleet/lease"
+	"garnetline/internal/fleet/membership"
 )
 
 func TestCodecRoundTrip(t *testing.T) {
-	ask := duty.Request{ID: 1 << 62, Lease: "probe/x", FencingToken: 7, Release: true, TransferTo: 9, Handoff: []byte("w")}
+	ask := lease.Request{ID: 1 << 62, Lease: "probe/x", FencingToken: 7, Release: true, TransferTo: 9, Handoff: []byte("w")}
 	if got, ok := DecodeRequest(EncodeRequest(ask)); !ok || !reflect.DeepEqual(got, ask) {
 		t.Errorf("%+v", got)
 	}
-	answer := duty.Response{RequestID: 3, Lease: "probe/x", Granted: true, FencingToken: 7, Holder: 9, Remaining: 1500, Losses: 2, Handoff: []byte("w")}
+	answer := lease.Response{RequestID: 3, Lease: "probe/x", Granted: true, FencingToken: 7, Holder: 9, Remaining: 1500, Losses: 2, Handoff: []byte("w")}
 	if got, ok := DecodeResponse(EncodeResponse(answer)); !ok || !reflect.DeepEqual(got, answer) {
 		t.Errorf("%+v", got)
 	}
@@ -35,7 +35,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	f.Add(EncodeResponse(duty.Response{Lease: "a", Granted: true}))
+	f.Add(EncodeResponse(lease.Response{Lease: "a", Granted: true}))
 	f.Add(hello{Name: "r1", RaftID: 5}.encode())
 	f.Fuzz(func(t *testing.T, b []byte) {
 		if a, ok := DecodeRequest(b); ok && (len(a.Lease) > 64 || len(a.Handoff) > 512) {
@@ -59,7 +59,7 @@
 }
 
 func newVoterGroup(t *testing.T, names ...string) *voterGroup {
-	g := &voterGroup{t: t, settings: Settings{Fleet: "f", Voters: names, Consensus: agree.DefaultSettings()}, dir: t.TempDir(), voters: map[string]*voter{}, unreachable: map[string]bool{}}
+	g := &voterGroup{t: t, settings: Settings{Fleet: "f", Voters: names, Consensus: consensus.DefaultSettings()}, dir: t.TempDir(), voters: map[string]*voter{}, unreachable: map[string]bool{}}
 	for _, n := range names {
 		g.start(n, n)
 	}
@@ -68,7 +68,7 @@
 
 // start starts an elector in a folder.
 func (g *voterGroup) start(name, folder string) {
-	e, err := newVoter(g.settings, "f", name, disk.Dir(g.dir+"/"+folder), g.now)
+	e, err := newVoter(g.settings, "f", name, wal.Dir(g.dir+"/"+folder), g.now)
 	if err != nil {
 		g.t.Fatal(err)
 	}
@@ -83,7 +83,7 @@
 			p    outgoingMessage
 		}
 		var air []mail
-		step := func(n string, in func(*voter) agree.Input) {
+		step := func(n string, in func(*voter) consensus.Input) {
 			for _, p := range g.voters[n].step(g.now, in).messages {
 				air = append(air, mail{n, p})
 			}
@@ -102,7 +102,9 @@
 		for i := 0; i < len(air) && i < 500; i++ {
 			m := air[i]
 			if e := g.voters[m.p.voterName]; e != nil && !g.unreachable[m.p.voterName] && !g.unreachable[m.from] {
-				step(m.p.voterName, func(e *voter) agree.Input { return e.handleMessage(member.ID(1), 1, m.p.channel, m.p.payload, m.from) })
+				step(m.p.voterName, func(e *voter) consensus.Input {
+					return e.handleMessage(membership.ID(1), 1, m.p.channel, m.p.payload, m.from)
+				})
 			}
 		}
 	}
@@ -165,7 +167,7 @@
 	if got := g.state("b"); got != "votes true, leader known true" || g.voters["b"].metadata.RaftID != second {
 		t.Errorf("started again with its disk: %s", got)
 	}
-	if _, err := newVoter(g.settings, "f", "x", disk.Dir(g.dir+"/a"), g.now); err == nil {
+	if _, err := newVoter(g.settings, "f", "x", wal.Dir(g.dir+"/a"), g.now); err == nil {
 		t.Error("another's folder is taken")
 	}
 }
--- a/internal/fleet/register/golden_test.go
+++ b/internal/fleet/leaseregistry/golden_test.go
@@ -1,4 +1,4 @@
-package register
+package leaseregistry
 
 import (
 	"bytes"
@@ -10,8 +10,8 @@
 	"strings"
 	"testing"
 
-	"garnetline/decide"
-	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/membership"
+	"garnetline/routing"
 )
 
 // Only a wanted change of a stored form calls for `go test ./PACKAGE -run Golden -update`,
@@ -62,8 +62,8 @@
 		"move":        {Op: OpTransfer, Lease: "probe/edge", Holder: 11, ExpectedToken: 2, Handoff: []byte("\x00work\xff"), RequestID: 6},
 		"grant-first": {Op: OpGrant, Lease: "first/north", Holder: 11, Incarnation: 3, RequestID: 7},
 		"release":     {Op: OpRelease, Lease: "first/north", Holder: 11, ExpectedToken: 4, Handoff: []byte("w"), RequestID: 8},
-		"ban":         {Op: OpSetBan, Server: decide.ServerID(0), Disabled: true, Text: "ann", Reason: "disk \u00fc", SetAt: 1_700_000_000_123, RequestID: 9},
-		"unban":       {Op: OpSetBan, Server: decide.ServerID(0xfffffffe), Text: "bob", SetAt: 1, RequestID: 10},
+		"ban":         {Op: OpSetBan, Server: routing.ServerID(0), Disabled: true, Text: "ann", Reason: "disk \u00fc", SetAt: 1_700_000_000_123, RequestID: 9},
+		"unban":       {Op: OpSetBan, Server: routing.ServerID(0xfffffffe), Text: "bob", SetAt: 1, RequestID: 10},
 		"name":        {Op: OpNameVoter, VoterID: 0xdeadbeefcafef00d, Text: "r01"},
 		"all-fields": {Op: OpGrant, Lease: "d", Holder: 2, Incarnation: 3, ExpectedToken: 4, Handoff: []byte("5"), Server: 6, Disabled: true, Text: "7", Reason: "8",
 			SetAt: 9, VoterID: 10, HolderLost: true, RequestID: 11},
@@ -109,7 +109,7 @@
 	if !ok || !bytes.Equal(got.Snapshot(), stored["snapshot"]) {
 		t.Error("the stored snapshot is read as another state")
 	}
-	if d := got.Leases["probe/edge"]; d == nil || d.Holder != 11 || d.FencingToken != 3 || d.Losses[member.ID(0x1122334455667788)] != 1 || string(d.Handoff) != "\x00work\xff" {
+	if d := got.Leases["probe/edge"]; d == nil || d.Holder != 11 || d.FencingToken != 3 || d.Losses[membership.ID(0x1122334455667788)] != 1 || string(d.Handoff) != "\x00work\xff" {
 		t.Errorf("%+v", d)
 	}
 	if !reflect.DeepEqual(got, state) {
--- a/internal/fleet/register/registry.go
+++ b/internal/fleet/leaseregistry/registry.go
@@ -2,7 +2,7 @@
 // token, staff's bans, and the names of the electors. It is a pure function of the
 // commands that were committed, in their order: no clock, no chance. What depends on time,
 // whether a lease has ended, its leader decides before it proposes.
-package register
+package leaseregistry
 
 import (
 	"cmp"
@@ -12,9 +12,9 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
-	"garnetline/decide"
-	"garnetline/internal/fleet/form"
-	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/membership"
+	"garnetline/internal/fleet/wireformat"
+	"garnetline/routing"
 )
 
 // Bounds of the state, whatever is asked for.
@@ -29,16 +29,16 @@
 // Lease is one duty as it stands.
 type Lease struct {
 	Name         string
-	Holder       member.ID // 0: nobody
-	Incarnation  uint64    // of the holder's process
-	FencingToken uint64    // only grows; it is the number of the command that gave the duty
-	Losses       map[member.ID]uint64
+	Holder       membership.ID // 0: nobody
+	Incarnation  uint64        // of the holder's process
+	FencingToken uint64        // only grows; it is the number of the command that gave the duty
+	Losses       map[membership.ID]uint64
 	Handoff      []byte // what the last holder handed on
 }
 
 // Ban is one box that staff took out.
 type Ban struct {
-	Server        decide.ServerID
+	Server        routing.ServerID
 	Disabled      bool
 	Version       uint64 // number of the command that set it
 	SetBy, Reason string
@@ -48,13 +48,13 @@
 // State is the whole register. It is not safe for concurrent use.
 type State struct {
 	Leases     map[string]*Lease
-	Bans       map[decide.ServerID]*Ban
+	Bans       map[routing.ServerID]*Ban
 	VoterNames map[uint64]string // of electors, by their number in the agreement
 }
 
 // New returns an empty register.
 func New() *State {
-	return &State{Leases: map[string]*Lease{}, Bans: map[decide.ServerID]*Ban{}, VoterNames: map[uint64]string{}}
+	return &State{Leases: map[string]*Lease{}, Bans: map[routing.ServerID]*Ban{}, VoterNames: map[uint64]string{}}
 }
 
 // Op is what a command does.
@@ -73,11 +73,11 @@
 type Command struct {
 	Op            Op
 	Lease         string
-	Holder        member.ID
+	Holder        membership.ID
 	Incarnation   uint64
 	ExpectedToken uint64 // the one that is to be replaced, or is given up
 	Handoff       []byte
-	Server        decide.ServerID
+	Server        routing.ServerID
 	Disabled      bool
 	Text          string
 	Reason        string
@@ -106,7 +106,7 @@
 			if c.ExpectedToken != 0 || c.Lease == "" {
 				return ErrTokenMismatch
 			}
-			d = &Lease{Name: c.Lease, Losses: map[member.ID]uint64{}}
+			d = &Lease{Name: c.Lease, Losses: map[membership.ID]uint64{}}
 			s.Leases[c.Lease] = d
 		}
 		if d.FencingToken != c.ExpectedToken {
@@ -182,7 +182,7 @@
 
 // evictLoss drops the one that lost the duty least often.
 func (d *Lease) evictLoss() {
-	ids := slices.SortedFunc(maps.Keys(d.Losses), func(a, b member.ID) int {
+	ids := slices.SortedFunc(maps.Keys(d.Losses), func(a, b membership.ID) int {
 		return cmp.Or(cmp.Compare(d.Losses[a], d.Losses[b]), cmp.Compare(a, b))
 	})
 	delete(d.Losses, ids[0])
@@ -218,7 +218,7 @@
 		case 2:
 			c.Lease = string(in)
 		case 3:
-			c.Holder = member.ID(v)
+			c.Holder = membership.ID(v)
 		case 4:
 			c.Incarnation = v
 		case 5:
@@ -226,7 +226,7 @@
 		case 6:
 			c.Handoff = slices.Clone(in)
 		case 7:
-			c.Server = decide.ServerID(v)
+			c.Server = routing.ServerID(v)
 		case 8:
 			c.Disabled = v != 0
 		case 9:
@@ -249,7 +249,7 @@
 
 type fieldWriter struct{ b []byte }
 
-func (w *fieldWriter) number(f protowire.Number, v uint64) { w.b = form.AppendUint(w.b, f, v) }
+func (w *fieldWriter) number(f protowire.Number, v uint64) { w.b = wireformat.AppendUint(w.b, f, v) }
 
 func (w *fieldWriter) flag(f protowire.Number, on bool) {
 	if on {
@@ -257,7 +257,7 @@
 	}
 }
 
-func (w *fieldWriter) text(f protowire.Number, s string) { w.b = form.AppendString(w.b, f, s) }
+func (w *fieldWriter) text(f protowire.Number, s string) { w.b = wireformat.AppendString(w.b, f, s) }
 
 // DecodeFields calls f with each field of a message of numbers and strings, until it says no.
 func DecodeFields(b []byte, f func(n protowire.Number, v uint64, in []byte) bool) bool {
@@ -313,7 +313,7 @@
 }
 
 // bans are written alike in a snapshot and in an answer.
-func (w *fieldWriter) bans(of map[decide.ServerID]*Ban) {
+func (w *fieldWriter) bans(of map[routing.ServerID]*Ban) {
 	for _, box := range slices.Sorted(maps.Keys(of)) {
 		b := of[box]
 		in := fieldWriter{}
@@ -340,14 +340,14 @@
 	ok := DecodeFields(b, func(f protowire.Number, _ uint64, in []byte) bool {
 		switch f {
 		case 1:
-			d := &Lease{Losses: map[member.ID]uint64{}}
-			var who member.ID
+			d := &Lease{Losses: map[membership.ID]uint64{}}
+			var who membership.ID
 			if !DecodeFields(in, func(f protowire.Number, v uint64, in []byte) bool {
 				switch f {
 				case 1:
 					d.Name = string(in)
 				case 2:
-					d.Holder = member.ID(v)
+					d.Holder = membership.ID(v)
 				case 3:
 					d.Incarnation = v
 				case 4:
@@ -355,7 +355,7 @@
 				case 5:
 					d.Handoff = slices.Clone(in)
 				case 6:
-					who = member.ID(v)
+					who = membership.ID(v)
 				case 7:
 					d.Losses[who] = v
 				}
@@ -369,7 +369,7 @@
 			if !DecodeFields(in, func(f protowire.Number, v uint64, in []byte) bool {
 				switch f {
 				case 1:
-					b.Server = decide.ServerID(v - 1)
+					b.Server = routing.ServerID(v - 1)
 				case 2:
 					b.Disabled = v != 0
 				case 3:
--- a/internal/fleet/register/registry_test.go
+++ b/internal/fleet/leaseregistry/registry_test.go
@@ -1,4 +1,4 @@
-package register
+package leaseregistry
 
 import (
 	"bytes"
@@ -6,8 +6,8 @@
 
 	"pgregory.net/rapid"
 
-	"garnetline/decide"
-	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/membership"
+	"garnetline/routing"
 )
 
 // Whatever the commands, a token only grows, no command without the present token changes
@@ -17,8 +17,8 @@
 		s, tokens := New(), map[string]uint64{}
 		for i := range uint64(rapid.IntRange(1, 60).Draw(t, "commands")) {
 			c := &Command{Op: Op(rapid.IntRange(0, 6).Draw(t, "op")), Lease: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "duty"),
-				Holder: member.ID(rapid.IntRange(1, 3).Draw(t, "who")), ExpectedToken: uint64(rapid.IntRange(0, 12).Draw(t, "token")),
-				Server: decide.ServerID(rapid.IntRange(0, 2).Draw(t, "box")), Disabled: rapid.Bool().Draw(t, "out"), HolderLost: rapid.Bool().Draw(t, "lost"),
+				Holder: membership.ID(rapid.IntRange(1, 3).Draw(t, "who")), ExpectedToken: uint64(rapid.IntRange(0, 12).Draw(t, "token")),
+				Server: routing.ServerID(rapid.IntRange(0, 2).Draw(t, "box")), Disabled: rapid.Bool().Draw(t, "out"), HolderLost: rapid.Bool().Draw(t, "lost"),
 				VoterID: 7, Text: "x", SetAt: 5, Handoff: []byte("w")}
 			read, ok := DecodeCommand(c.Append(nil))
 			if !ok || !bytes.Equal(read.Append(nil), c.Append(nil)) {
@@ -50,7 +50,7 @@
 // turn none stays away for long.
 func TestLosses(t *testing.T) {
 	s, token := New(), uint64(0)
-	give := func(to member.ID, lost bool) *Lease {
+	give := func(to membership.ID, lost bool) *Lease {
 		if err := s.Apply(token+1, &Command{Op: OpGrant, Lease: "a", Holder: to, ExpectedToken: token, HolderLost: lost}); err != nil {
 			t.Fatal(err)
 		}
@@ -59,7 +59,7 @@
 	}
 	give(1, false)
 	for i := range 100 {
-		for id, n := range give(member.ID(i%8+1), true).Losses {
+		for id, n := range give(membership.ID(i%8+1), true).Losses {
 			if n > 2 {
 				t.Fatalf("after %d losses in turn router %d has %d", i, id, n)
 			}
--- a/internal/fleet/prober/collector.go
+++ b/internal/fleet/loadreport/collector.go
@@ -2,7 +2,7 @@
 // does it and tells the others of its location; each of them by itself would cost a probe
 // a box and router. What is written is checked at the write: a router that was stopped
 // after it decided to probe writes nothing under a lease that has ended.
-package prober
+package loadreport
 
 import (
 	"cmp"
@@ -19,16 +19,16 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/fleet/carry"
-	"garnetline/internal/fleet/duty"
-	"garnetline/internal/fleet/form"
-	"garnetline/internal/fleet/member"
-	"garnetline/internal/fleet/register"
-	"garnetline/internal/peer"
-	"garnetline/internal/sock"
-	"garnetline/internal/stats"
+	"garnetline/internal/fleet/fragment"
+	"garnetline/internal/fleet/lease"
+	"garnetline/internal/fleet/leaseregistry"
+	"garnetline/internal/fleet/membership"
+	"garnetline/internal/fleet/wireformat"
+	"garnetline/internal/metrics"
+	"garnetline/internal/textconn"
+	"garnetline/internal/upstream"
+	"garnetline/routing"
 )
 
 // LeaseName is the name of the duty of a location.
@@ -36,7 +36,7 @@
 
 // Server is one that is to be probed.
 type Server struct {
-	ID      decide.ServerID
+	ID      routing.ServerID
 	Address netip.AddrPort
 }
 
@@ -47,21 +47,21 @@
 	MaxInterval float64 // ms between them where nothing changes
 	Valid       func(duty string) (token uint64, ok bool)
 	Servers     func() []Server // of this location that are ready
-	ZonePeers   func() []member.ID
-	Send        func(to member.ID, ch carry.Channel, b []byte)
-	ReportLoad  func(id decide.ServerID, l decide.LoadReport, age float64) // takes a report, in ms of age
-	Clock       clock.Clock                                                // the boot clock
-	Metrics     *stats.Registry
+	ZonePeers   func() []membership.ID
+	Send        func(to membership.ID, ch fragment.Channel, b []byte)
+	ReportLoad  func(id routing.ServerID, l routing.LoadReport, age float64) // takes a report, in ms of age
+	Clock       clock.Clock                                                  // the boot clock
+	Metrics     *metrics.Registry
 }
 
 // Collector is the actor, with one goroutine for each box that is being probed.
 type Collector struct {
 	options    Options
 	mu         sync.Mutex
-	fence      duty.Fence
-	servers    map[decide.ServerID]*polledServer
-	unsent     map[decide.ServerID]report // to be told, and when they were measured
-	nextSendAt float64                    // when that is done next
+	fence      lease.Fence
+	servers    map[routing.ServerID]*polledServer
+	unsent     map[routing.ServerID]report // to be told, and when they were measured
+	nextSendAt float64                     // when that is done next
 	done       chan struct{}
 }
 
@@ -71,14 +71,14 @@
 	nextPollAt float64
 	interval   float64 // by now; longer where the load does not change
 	polling    bool
-	conn       *sock.Conn
+	conn       *textconn.Conn
 	sequence   uint64
-	lastLoad   decide.LoadReport
+	lastLoad   routing.LoadReport
 }
 
 // New returns a prober that has not begun.
 func New(o Options) *Collector {
-	return &Collector{options: o, fence: duty.Fence{}, servers: map[decide.ServerID]*polledServer{}, unsent: map[decide.ServerID]report{}, done: make(chan struct{})}
+	return &Collector{options: o, fence: lease.Fence{}, servers: map[routing.ServerID]*polledServer{}, unsent: map[routing.ServerID]report{}, done: make(chan struct{})}
 }
 
 const (
@@ -140,7 +140,7 @@
 	now := p.options.Servers()
 	for _, x := range now {
 		if p.servers[x.ID] == nil {
-			p.servers[x.ID] = &polledServer{Server: x, interval: p.options.MinInterval, lastLoad: decide.LoadReport{LinkUtilization: math.NaN()}}
+			p.servers[x.ID] = &polledServer{Server: x, interval: p.options.MinInterval, lastLoad: routing.LoadReport{LinkUtilization: math.NaN()}}
 		}
 	}
 	for id, b := range p.servers {
@@ -205,12 +205,12 @@
 	all := slices.SortedFunc(maps.Values(p.unsent), func(a, b report) int { return cmp.Compare(a.Server, b.Server) })
 	clear(p.unsent)
 	for some := range slices.Chunk(all, MaxReportsPerPacket) {
-		w := form.AppendUint(nil, 1, token)
+		w := wireformat.AppendUint(nil, 1, token)
 		for _, r := range some {
-			w = form.AppendString(w, 2, string(r.append(now)))
+			w = wireformat.AppendString(w, 2, string(r.append(now)))
 		}
 		for _, id := range mates {
-			p.options.Send(id, carry.LoadReport, w)
+			p.options.Send(id, fragment.LoadReport, w)
 		}
 	}
 }
@@ -219,7 +219,7 @@
 var errLeaseLost = errors.New("prober: the lease has ended")
 
 // query writes one probe and reads its answer.
-func (p *Collector) query(ctx context.Context, b *polledServer, token uint64) (l decide.LoadReport, err error) {
+func (p *Collector) query(ctx context.Context, b *polledServer, token uint64) (l routing.LoadReport, err error) {
 	if b.conn == nil {
 		dctx, stop := context.WithTimeout(ctx, clock.Duration(pollTimeout))
 		c, err := (&net.Dialer{}).DialContext(dctx, "tcp", b.Address.String())
@@ -227,7 +227,7 @@
 		if err != nil {
 			return l, err
 		}
-		b.conn = sock.New(c)
+		b.conn = textconn.New(c)
 	}
 	b.sequence++
 	tag := fmt.Sprintf("p%d.%d", token, b.sequence) // a box that takes part reads the token there
@@ -240,22 +240,22 @@
 		return l, err
 	}
 	p.options.Metrics.Add("probes_sent", 1)
-	return peer.ReadLoadReport(b.conn, tag, maxAnswerSize, pollTimeout)
+	return upstream.ReadLoadReport(b.conn, tag, maxAnswerSize, pollTimeout)
 }
 
 // report is what a prober tells of a box.
 type report struct {
-	Server     decide.ServerID
-	Load       decide.LoadReport
+	Server     routing.ServerID
+	Load       routing.LoadReport
 	MeasuredAt float64 // when it was measured
 }
 
 func (r report) append(now float64) []byte {
-	b := form.AppendUint(nil, 1, uint64(r.Server)+1)
-	b = form.AppendUint(b, 2, uint64(max(0, now-r.MeasuredAt)))
+	b := wireformat.AppendUint(nil, 1, uint64(r.Server)+1)
+	b = wireformat.AppendUint(b, 2, uint64(max(0, now-r.MeasuredAt)))
 	for i, x := range []float64{r.Load.Inflight, r.Load.CPUUtilization, r.Load.HitRatio, r.Load.LinkUtilization} {
 		if x >= 0 { // NaN is not told
-			b = form.AppendUint(b, protowire.Number(3+i), uint64(x*1000)+1)
+			b = wireformat.AppendUint(b, protowire.Number(3+i), uint64(x*1000)+1)
 		}
 	}
 	return b
@@ -264,12 +264,12 @@
 // decodeReport reads one report, At being its age.
 func decodeReport(b []byte) (r report, ok bool) {
 	nan := math.NaN()
-	r.Load = decide.LoadReport{Inflight: nan, CPUUtilization: nan, HitRatio: nan, LinkUtilization: nan}
-	ok = register.DecodeFields(b, func(f protowire.Number, v uint64, _ []byte) bool {
+	r.Load = routing.LoadReport{Inflight: nan, CPUUtilization: nan, HitRatio: nan, LinkUtilization: nan}
+	ok = leaseregistry.DecodeFields(b, func(f protowire.Number, v uint64, _ []byte) bool {
 		x := float64(min(v, 1<<40)-min(v, 1)) / 1000
 		switch f {
 		case 1:
-			r.Server = decide.ServerID(v - 1)
+			r.Server = routing.ServerID(v - 1)
 		case 2:
 			r.MeasuredAt = float64(min(v, 1<<40))
 		case 3:
@@ -291,7 +291,7 @@
 func (p *Collector) Receive(b []byte) {
 	var token uint64
 	var all []report
-	if !register.DecodeFields(b, func(f protowire.Number, v uint64, in []byte) bool {
+	if !leaseregistry.DecodeFields(b, func(f protowire.Number, v uint64, in []byte) bool {
 		switch f {
 		case 1:
 			token = v
--- a/internal/fleet/prober/collector_test.go
+++ b/internal/fleet/loadreport/collector_test.go
@@ -1,4 +1,4 @@
-package prober
+package loadreport
 
 import (
 	"context"
@@ -9,12 +9,12 @@
 	"testing"
 	"time"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/fleet/carry"
-	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/fragment"
+	"garnetline/internal/fleet/membership"
+	"garnetline/internal/metrics"
 	"garnetline/internal/standin"
-	"garnetline/internal/stats"
+	"garnetline/routing"
 )
 
 // A holder asks the boxes and tells its mates of several in one packet; a mate takes that
@@ -28,20 +28,20 @@
 		}
 		defer b.Close()
 		b.SetGauges(func(string) string { return "l=util:0.5" })
-		boxes = append(boxes, Server{decide.ServerID(i), netip.MustParseAddrPort(b.Addr().String())})
+		boxes = append(boxes, Server{routing.ServerID(i), netip.MustParseAddrPort(b.Addr().String())})
 	}
 	var token atomic.Uint64
 	var mu sync.Mutex
 	var packets [][]byte
-	p := New(Options{Zone: "z", MinInterval: 20, MaxInterval: 20, Clock: clock.NewBoot(), Metrics: stats.New(),
+	p := New(Options{Zone: "z", MinInterval: 20, MaxInterval: 20, Clock: clock.NewBoot(), Metrics: metrics.New(),
 		Valid:   func(string) (uint64, bool) { n := token.Load(); return n, n != 0 },
-		Servers: func() []Server { return boxes }, ZonePeers: func() []member.ID { return []member.ID{2} },
-		Send: func(_ member.ID, _ carry.Channel, b []byte) {
+		Servers: func() []Server { return boxes }, ZonePeers: func() []membership.ID { return []membership.ID{2} },
+		Send: func(_ membership.ID, _ fragment.Channel, b []byte) {
 			mu.Lock()
 			defer mu.Unlock()
 			packets = append(packets, b)
 		},
-		ReportLoad: func(decide.ServerID, decide.LoadReport, float64) {}})
+		ReportLoad: func(routing.ServerID, routing.LoadReport, float64) {}})
 	ctx, stop := context.WithCancel(context.Background())
 	go p.Run(ctx)
 	sent := func() (n int) {
@@ -57,8 +57,8 @@
 	}
 	stop()
 	<-p.Stopped()
-	took := map[decide.ServerID]int{}
-	mate := New(Options{Zone: "z", Clock: clock.NewBoot(), Metrics: stats.New(), ReportLoad: func(id decide.ServerID, l decide.LoadReport, age float64) {
+	took := map[routing.ServerID]int{}
+	mate := New(Options{Zone: "z", Clock: clock.NewBoot(), Metrics: metrics.New(), ReportLoad: func(id routing.ServerID, l routing.LoadReport, age float64) {
 		if took[id]++; l.CPUUtilization != 0.5 || !math.IsNaN(l.HitRatio) || age < 0 || age > 10_000 {
 			t.Errorf("box %v: %+v, %v ms old", id, l, age)
 		}
--- a/internal/fleet/prober/golden_test.go
+++ b/internal/fleet/loadreport/golden_test.go
@@ -1,15 +1,15 @@
-package prober
+package loadreport
 
 import (
 	"math"
 	"testing"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/fleet/carry"
-	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/fragment"
+	"garnetline/internal/fleet/membership"
 	"garnetline/internal/golden"
-	"garnetline/internal/stats"
+	"garnetline/internal/metrics"
+	"garnetline/routing"
 )
 
 // Routers of several releases run side by side: the packet of load reports stays as it is.
@@ -17,16 +17,16 @@
 func TestReportFormat(t *testing.T) {
 	const now = 5000.0
 	nan := math.NaN()
-	sent := map[decide.ServerID]report{
-		0:       {0, decide.LoadReport{Inflight: 3, CPUUtilization: 0.25, HitRatio: 0.875, LinkUtilization: 0.5}, now - 20},
-		7:       {7, decide.LoadReport{Inflight: nan, CPUUtilization: 0, HitRatio: nan, LinkUtilization: 1}, now},
-		1 << 33: {1 << 33, decide.LoadReport{Inflight: nan, CPUUtilization: nan, HitRatio: nan, LinkUtilization: nan}, now - 300},
+	sent := map[routing.ServerID]report{
+		0:       {0, routing.LoadReport{Inflight: 3, CPUUtilization: 0.25, HitRatio: 0.875, LinkUtilization: 0.5}, now - 20},
+		7:       {7, routing.LoadReport{Inflight: nan, CPUUtilization: 0, HitRatio: nan, LinkUtilization: 1}, now},
+		1 << 33: {1 << 33, routing.LoadReport{Inflight: nan, CPUUtilization: nan, HitRatio: nan, LinkUtilization: nan}, now - 300},
 	}
 	var packet []byte
 	sender := New(Options{
-		Zone: "z", Clock: clock.NewBoot(), Metrics: stats.New(),
-		ZonePeers: func() []member.ID { return []member.ID{2} },
-		Send:      func(_ member.ID, _ carry.Channel, b []byte) { packet = b },
+		Zone: "z", Clock: clock.NewBoot(), Metrics: metrics.New(),
+		ZonePeers: func() []membership.ID { return []membership.ID{2} },
+		Send:      func(_ membership.ID, _ fragment.Channel, b []byte) { packet = b },
 	})
 	for id, r := range sent {
 		sender.unsent[id] = r
@@ -36,7 +36,7 @@
 
 	same := func(a, b float64) bool { return a == b || math.IsNaN(a) && math.IsNaN(b) }
 	read := 0
-	receiver := New(Options{Zone: "z", Clock: clock.NewBoot(), Metrics: stats.New(), ReportLoad: func(id decide.ServerID, got decide.LoadReport, age float64) {
+	receiver := New(Options{Zone: "z", Clock: clock.NewBoot(), Metrics: metrics.New(), ReportLoad: func(id routing.ServerID, got routing.LoadReport, age float64) {
 		read++
 		want := sent[id].Load
 		if !same(got.Inflight, want.Inflight) || !same(got.CPUUtilization, want.CPUUtilization) || !same(got.HitRatio, want.HitRatio) || !same(got.LinkUtilization, want.LinkUtilization) || age != now-sent[id].MeasuredAt {
--- a/internal/fleet/member/codec.go
+++ b/internal/fleet/membership/codec.go
@@ -1,4 +1,4 @@
-package member
+package membership
 
 import (
 	"errors"
@@ -6,7 +6,7 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
-	"garnetline/internal/fleet/form"
+	"garnetline/internal/fleet/wireformat"
 )
 
 // Bounds of a packet and of what is in it.
@@ -49,10 +49,10 @@
 
 // Append appends a packet in protobuf's form.
 func (p *Packet) Append(b []byte) []byte {
-	b = form.AppendUint(b, fieldKind, uint64(p.Kind))
+	b = wireformat.AppendUint(b, fieldKind, uint64(p.Kind))
 	b = appendUpdate(b, fieldFrom, &p.From)
-	b = form.AppendUint(b, fieldSequence, p.Sequence)
-	b = form.AppendUint(b, fieldNonce, p.Nonce)
+	b = wireformat.AppendUint(b, fieldSequence, p.Sequence)
+	b = wireformat.AppendUint(b, fieldNonce, p.Nonce)
 	b = appendFixed64(b, fieldTarget, uint64(p.Target))
 	if p.TargetAddr.IsValid() {
 		b = appendAddr(b, fieldTargetAddr, p.TargetAddr)
@@ -96,12 +96,12 @@
 func appendUpdate(b []byte, f protowire.Number, w *Update) []byte {
 	var room [4*MaxNameLen + 64]byte
 	in := appendFixed64(room[:0], updateFieldID, uint64(w.ID))
-	in = form.AppendUint(in, updateFieldRevision, w.Revision)
-	in = form.AppendUint(in, updateFieldState, uint64(w.State))
+	in = wireformat.AppendUint(in, updateFieldRevision, w.Revision)
+	in = wireformat.AppendUint(in, updateFieldState, uint64(w.State))
 	in = appendFixed64(in, updateFieldReportedBy, uint64(w.ReportedBy))
-	in = form.AppendString(in, updateFieldName, w.Name)
-	in = form.AppendString(in, updateFieldZone, w.Zone)
-	in = form.AppendString(in, updateFieldVersion, w.Version)
+	in = wireformat.AppendString(in, updateFieldName, w.Name)
+	in = wireformat.AppendString(in, updateFieldZone, w.Zone)
+	in = wireformat.AppendString(in, updateFieldVersion, w.Version)
 	if w.Addr.IsValid() {
 		in = appendAddr(in, updateFieldAddr, w.Addr)
 	}
--- a/internal/fleet/member/golden_test.go
+++ b/internal/fleet/membership/golden_test.go
@@ -1,4 +1,4 @@
-package member
+package membership
 
 import (
 	"bytes"
--- a/internal/fleet/member/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -6,7 +6,7 @@
 // folder does, and within a seat by its incarnation: the number of its life in the upper
 // bits, how often it refuted in this life in the lower ones. What is told of a seat is
 // ordered by these alone, by no clock.
-package member
+package membership
 
 import (
 	"fmt"
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -10,10 +10,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"garnetline/decide"
-	"garnetline/internal/fleet/member"
-	"garnetline/internal/fleet/stance"
-	"garnetline/internal/fleet/words"
+	"garnetline/internal/fleet/connectivity"
+	"garnetline/internal/fleet/gossip"
+	"garnetline/internal/fleet/membership"
+	"garnetline/routing"
 )
 
 // relayCount is how many routers pass on what the change log told all of them. The rest
@@ -25,40 +25,40 @@
 
 // Settings are those of the parts.
 type Settings struct {
-	Membership   member.Settings
-	Connectivity stance.Settings
-	Gossip       words.Settings
+	Membership   membership.Settings
+	Connectivity connectivity.Settings
+	Gossip       gossip.Settings
 }
 
 // DefaultSettings is what the operators' file begins with.
 func DefaultSettings() Settings {
-	return Settings{member.DefaultSettings(), stance.DefaultSettings(), words.DefaultSettings()}
+	return Settings{membership.DefaultSettings(), connectivity.DefaultSettings(), gossip.DefaultSettings()}
 }
 
 // Node is one router's knowledge. It is not safe for concurrent use.
 type Node struct {
-	*member.Machine
-	Store        *words.Store
-	connectivity *stance.Machine
+	*membership.Machine
+	Store        *gossip.Store
+	connectivity *connectivity.Machine
 	nextCheckAt  float64
 }
 
 // Output is what a step calls for.
 type Output struct {
-	member.Output
-	Changes             []words.Change
-	Connectivity        stance.Status
+	membership.Output
+	Changes             []gossip.Change
+	Connectivity        connectivity.Status
 	ConnectivityChanged bool // the stance is another one
 }
 
 // New returns the node of a router.
-func New(set Settings, self member.Update, seeds []netip.AddrPort, rng *rand.Rand, now float64) *Node {
-	shelf := words.New(set.Gossip, self.ID, self.Revision)
-	return &Node{Machine: member.New(set.Membership, self, seeds, rng, shelf, now), Store: shelf, connectivity: stance.New(set.Connectivity, now), nextCheckAt: now}
+func New(set Settings, self membership.Update, seeds []netip.AddrPort, rng *rand.Rand, now float64) *Node {
+	shelf := gossip.New(set.Gossip, self.ID, self.Revision)
+	return &Node{Machine: membership.New(set.Membership, self, seeds, rng, shelf, now), Store: shelf, connectivity: connectivity.New(set.Connectivity, now), nextCheckAt: now}
 }
 
 // Step brings the node to now and has it take a packet, which may be nil.
-func (n *Node) Step(now float64, p *member.Packet) Output {
+func (n *Node) Step(now float64, p *membership.Packet) Output {
 	out := Output{Output: n.Machine.Step(now, p)}
 	old := n.connectivity.Status()
 	out.Connectivity = old
@@ -78,17 +78,17 @@
 }
 
 // Connectivity returns the stance as it is.
-func (n *Node) Connectivity() stance.Status { return n.connectivity.Status() }
+func (n *Node) Connectivity() connectivity.Status { return n.connectivity.Status() }
 
 // SetDisabled takes a box out, or back, by order of staff at this router's door.
-func (n *Node) SetDisabled(now float64, box decide.ServerID, out bool) {
+func (n *Node) SetDisabled(now float64, box routing.ServerID, out bool) {
 	for _, it := range n.Store.SetDisabled(now, box, out) {
 		n.Broadcast(it)
 	}
 }
 
 // Publish takes what this router's own change log told.
-func (n *Node) Publish(now float64, w words.Item) {
+func (n *Node) Publish(now float64, w gossip.Item) {
 	if b := n.Store.AddLocal(now, w); b != nil && n.relays(b) {
 		n.Broadcast(b)
 	}
@@ -98,7 +98,7 @@
 // seats, mixed with the item, are lowest among those that are there.
 func (n *Node) relays(item []byte) bool {
 	h := xxhash.Sum64(item)
-	rank := func(id member.ID) uint64 {
+	rank := func(id membership.ID) uint64 {
 		x := (uint64(id) ^ h) * 0x9e3779b97f4a7c15
 		return x ^ x>>32
 	}
--- a/internal/fleet/seal/keyring.go
+++ b/internal/fleet/packetcrypto/keyring.go
@@ -1,7 +1,7 @@
 // Package seal closes packets between routers with a key of the operators' file, so that
 // nobody without it can write or read them, and tells apart what does not belong here:
 // bytes of strangers, of other versions of the protocol, of other fleets.
-package seal
+package packetcrypto
 
 import (
 	"crypto/rand"
--- a/internal/fleet/seal/keyring_test.go
+++ b/internal/fleet/packetcrypto/keyring_test.go
@@ -1,4 +1,4 @@
-package seal
+package packetcrypto
 
 import (
 	"bytes"
--- a/internal/fleet/first/coordinator.go
+++ b/internal/fleet/recoveryprobe/coordinator.go
@@ -1,16 +1,16 @@
-package first
+package recoveryprobe
 
 import (
 	"context"
 	"slices"
 	"time"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/fleet/carry"
-	"garnetline/internal/fleet/duty"
-	"garnetline/internal/fleet/member"
-	"garnetline/internal/stats"
+	"garnetline/internal/fleet/fragment"
+	"garnetline/internal/fleet/lease"
+	"garnetline/internal/fleet/membership"
+	"garnetline/internal/metrics"
+	"garnetline/routing"
 )
 
 const (
@@ -23,16 +23,16 @@
 type Options struct {
 	Settings
 	Zone            string
-	Self            member.ID
+	Self            membership.ID
 	Valid           func(duty string) (token uint64, ok bool)
-	LastKnownHolder func(duty string) member.ID // the holder, by the register's latest answer
-	Ejected         func() []decide.ServerID
-	ExtendEjection  func(id decide.ServerID, ms float64)
-	RequireProbe    func(id decide.ServerID)
-	ZonePeers       func() []member.ID
-	Send            func(to member.ID, ch carry.Channel, b []byte)
+	LastKnownHolder func(duty string) membership.ID // the holder, by the register's latest answer
+	Ejected         func() []routing.ServerID
+	ExtendEjection  func(id routing.ServerID, ms float64)
+	RequireProbe    func(id routing.ServerID)
+	ZonePeers       func() []membership.ID
+	Send            func(to membership.ID, ch fragment.Channel, b []byte)
 	Clock           clock.Clock // the boot clock
-	Metrics         *stats.Registry
+	Metrics         *metrics.Registry
 }
 
 // Coordinator is the actor.
@@ -44,7 +44,7 @@
 }
 
 type received struct {
-	from    member.ID
+	from    membership.ID
 	message Message
 }
 
@@ -77,7 +77,7 @@
 	if token, ok := t.options.Valid(LeaseName(t.options.Zone)); ok {
 		in.FencingToken = token
 	}
-	in.HolderCandidates = append(duty.TopRanked(LeaseName(t.options.Zone), append(slices.Clone(in.ZonePeers), t.options.Self), holderCandidates), t.options.LastKnownHolder(LeaseName(t.options.Zone)))
+	in.HolderCandidates = append(lease.TopRanked(LeaseName(t.options.Zone), append(slices.Clone(in.ZonePeers), t.options.Self), holderCandidates), t.options.LastKnownHolder(LeaseName(t.options.Zone)))
 	out := t.machine.Step(t.options.Clock.Now(), in)
 	for id, ms := range out.EjectionExtensions {
 		t.options.ExtendEjection(id, ms)
@@ -88,14 +88,14 @@
 		t.options.Metrics.Add("first_suspects", 1)
 	}
 	for id, w := range out.Messages {
-		ch := carry.EjectionReport
+		ch := fragment.EjectionReport
 		if w.FencingToken != 0 {
 			// At the write: a holder that was stopped says nothing under a lease that ended.
 			if now, ok := t.options.Valid(LeaseName(t.options.Zone)); !ok || now != w.FencingToken {
 				t.options.Metrics.Add("first_held_back", 1)
 				continue
 			}
-			ch = carry.ProbeResult
+			ch = fragment.ProbeResult
 		}
 		t.options.Send(id, ch, w.Append(nil))
 	}
@@ -105,9 +105,9 @@
 func (t *Coordinator) Stopped() <-chan struct{} { return t.done }
 
 // Receive takes what another router said. It never blocks.
-func (t *Coordinator) Receive(from member.ID, ch carry.Channel, b []byte) {
+func (t *Coordinator) Receive(from membership.ID, ch fragment.Channel, b []byte) {
 	w, ok := Decode(b)
-	if !ok || (w.FencingToken != 0) != (ch == carry.ProbeResult) {
+	if !ok || (w.FencingToken != 0) != (ch == fragment.ProbeResult) {
 		t.options.Metrics.Add("first_words_refused", 1)
 		return
 	}
--- a/internal/fleet/first/golden_test.go
+++ b/internal/fleet/recoveryprobe/golden_test.go
@@ -1,4 +1,4 @@
-package first
+package recoveryprobe
 
 import (
 	"reflect"
--- a/internal/fleet/first/machine.go
+++ b/internal/fleet/recoveryprobe/machine.go
@@ -4,7 +4,7 @@
 //
 // It only ever delays a router's own try. Without a word of the holder for a while each
 // router goes on by itself, as without the duty; nobody is let in sooner than its own rest.
-package first
+package recoveryprobe
 
 import (
 	"maps"
@@ -13,11 +13,11 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
-	"garnetline/decide"
-	"garnetline/internal/fleet/duty"
-	"garnetline/internal/fleet/form"
-	"garnetline/internal/fleet/member"
-	"garnetline/internal/fleet/register"
+	"garnetline/internal/fleet/lease"
+	"garnetline/internal/fleet/leaseregistry"
+	"garnetline/internal/fleet/membership"
+	"garnetline/internal/fleet/wireformat"
+	"garnetline/routing"
 )
 
 // LeaseName is the name of the duty of a location.
@@ -45,7 +45,7 @@
 
 // ServerStatus is one box in a word.
 type ServerStatus struct {
-	Server    decide.ServerID
+	Server    routing.ServerID
 	Age       float64 // ms since it was set aside; in the holder's word, since it was found well
 	Recovered bool    // the holder's: it was found well
 }
@@ -59,34 +59,34 @@
 
 // Input is what a router sees by itself.
 type Input struct {
-	Ejected          []decide.ServerID // that its module has set aside
-	FencingToken     uint64            // 0: it does not hold the duty
-	ZonePeers        []member.ID       // alive, of its location, without itself
-	HolderCandidates []member.ID       // who may hold the duty
+	Ejected          []routing.ServerID // that its module has set aside
+	FencingToken     uint64             // 0: it does not hold the duty
+	ZonePeers        []membership.ID    // alive, of its location, without itself
+	HolderCandidates []membership.ID    // who may hold the duty
 }
 
 // Output is what a step calls for.
 type Output struct {
-	EjectionExtensions map[decide.ServerID]float64 // ms from now for which a box is left alone
-	Probes             []decide.ServerID
-	Messages           map[member.ID]Message
+	EjectionExtensions map[routing.ServerID]float64 // ms from now for which a box is left alone
+	Probes             []routing.ServerID
+	Messages           map[membership.ID]Message
 }
 
 // Machine is one router's part. It is not safe for concurrent use.
 type Machine struct {
 	settings         Settings
-	self             member.ID
-	ejectedAt        map[decide.ServerID]float64 // own: set aside since
+	self             membership.ID
+	ejectedAt        map[routing.ServerID]float64 // own: set aside since
 	lastSentAt       float64
 	nextPeerIndex    int // of the mates that are told where the holder is not known
-	fence            duty.Fence
-	holder           member.ID
+	fence            lease.Fence
+	holder           membership.ID
 	holderLastSeenAt float64 // when its latest word came
-	holderResults    map[decide.ServerID]probeResult
+	holderResults    map[routing.ServerID]probeResult
 	// The holder's:
-	peerReports  map[member.ID]ejectionReport
-	results      map[decide.ServerID]probeResult
-	lastProbedAt map[decide.ServerID]float64
+	peerReports  map[membership.ID]ejectionReport
+	results      map[routing.ServerID]probeResult
+	lastProbedAt map[routing.ServerID]float64
 }
 
 type probeResult struct {
@@ -96,18 +96,18 @@
 
 type ejectionReport struct {
 	receivedAt float64
-	ejectedAt  map[decide.ServerID]float64
+	ejectedAt  map[routing.ServerID]float64
 }
 
 // NewMachine returns a router's part that knows of nothing.
-func NewMachine(set Settings, self member.ID) *Machine {
-	return &Machine{settings: set, self: self, ejectedAt: map[decide.ServerID]float64{}, lastSentAt: math.Inf(-1), holderLastSeenAt: math.Inf(-1), fence: duty.Fence{},
-		holderResults: map[decide.ServerID]probeResult{}, peerReports: map[member.ID]ejectionReport{}, results: map[decide.ServerID]probeResult{}, lastProbedAt: map[decide.ServerID]float64{}}
+func NewMachine(set Settings, self membership.ID) *Machine {
+	return &Machine{settings: set, self: self, ejectedAt: map[routing.ServerID]float64{}, lastSentAt: math.Inf(-1), holderLastSeenAt: math.Inf(-1), fence: lease.Fence{},
+		holderResults: map[routing.ServerID]probeResult{}, peerReports: map[membership.ID]ejectionReport{}, results: map[routing.ServerID]probeResult{}, lastProbedAt: map[routing.ServerID]float64{}}
 }
 
 // Step brings the machine to now.
 func (m *Machine) Step(now float64, in Input) (out Output) {
-	out = Output{EjectionExtensions: map[decide.ServerID]float64{}, Messages: map[member.ID]Message{}}
+	out = Output{EjectionExtensions: map[routing.ServerID]float64{}, Messages: map[membership.ID]Message{}}
 	for box := range m.ejectedAt {
 		if !slices.Contains(in.Ejected, box) {
 			delete(m.ejectedAt, box)
@@ -173,7 +173,7 @@
 		default:
 			// The routers come in one after another, each at its place, whoever else waits.
 			all := append(slices.Clone(in.ZonePeers), m.self)
-			slot := f.at + 1000*float64(duty.Rank(LeaseName("ramp"), m.self, all))/m.settings.ReturnRate
+			slot := f.at + 1000*float64(lease.Rank(LeaseName("ramp"), m.self, all))/m.settings.ReturnRate
 			if slot > now {
 				out.EjectionExtensions[box] = slot - now
 			}
@@ -185,7 +185,7 @@
 func (m *Machine) coordinate(now float64, in Input, out *Output) {
 	m.holderLastSeenAt = math.Inf(-1)
 	clear(m.holderResults)
-	wanted := map[decide.ServerID]float64{} // with the latest moment at which one set it aside
+	wanted := map[routing.ServerID]float64{} // with the latest moment at which one set it aside
 	for id, r := range m.peerReports {
 		if now-r.receivedAt > 3*m.settings.ReportInterval+m.settings.HolderTimeout || !slices.Contains(in.ZonePeers, id) {
 			delete(m.peerReports, id)
@@ -238,12 +238,12 @@
 }
 
 // HandleMessage takes another router's word. It tells whether it was taken.
-func (m *Machine) HandleMessage(now float64, from member.ID, w Message) bool {
+func (m *Machine) HandleMessage(now float64, from membership.ID, w Message) bool {
 	if w.FencingToken == 0 {
 		if len(m.peerReports) >= 4096 {
 			return false
 		}
-		r := ejectionReport{now, map[decide.ServerID]float64{}}
+		r := ejectionReport{now, map[routing.ServerID]float64{}}
 		for _, it := range w.Servers {
 			r.ejectedAt[it.Server] = now - it.Age
 		}
@@ -270,30 +270,30 @@
 
 // Append appends a word in protobuf's form.
 func (w Message) Append(b []byte) []byte {
-	b = form.AppendUint(b, 1, w.FencingToken)
+	b = wireformat.AppendUint(b, 1, w.FencingToken)
 	for _, it := range w.Servers {
 		up := uint64(0)
 		if it.Recovered {
 			up = 1
 		}
-		in := form.AppendUint(form.AppendUint(form.AppendUint(nil, 1, uint64(it.Server)+1), 2, uint64(max(0, it.Age))), 3, up)
-		b = form.AppendString(b, 2, string(in))
+		in := wireformat.AppendUint(wireformat.AppendUint(wireformat.AppendUint(nil, 1, uint64(it.Server)+1), 2, uint64(max(0, it.Age))), 3, up)
+		b = wireformat.AppendString(b, 2, string(in))
 	}
 	return b
 }
 
 // Decode reads a word; false where it is none, or out of bounds.
 func Decode(b []byte) (w Message, ok bool) {
-	ok = register.DecodeFields(b, func(f protowire.Number, v uint64, in []byte) bool {
+	ok = leaseregistry.DecodeFields(b, func(f protowire.Number, v uint64, in []byte) bool {
 		switch f {
 		case 1:
 			w.FencingToken = v
 		case 2:
 			var it ServerStatus
-			good := register.DecodeFields(in, func(f protowire.Number, v uint64, _ []byte) bool {
+			good := leaseregistry.DecodeFields(in, func(f protowire.Number, v uint64, _ []byte) bool {
 				switch f {
 				case 1:
-					it.Server = decide.ServerID(v - 1)
+					it.Server = routing.ServerID(v - 1)
 				case 2:
 					it.Age = float64(min(v, 1<<40))
 				case 3:
--- a/internal/fleet/first/machine_test.go
+++ b/internal/fleet/recoveryprobe/machine_test.go
@@ -1,4 +1,4 @@
-package first
+package recoveryprobe
 
 import (
 	"fmt"
@@ -7,8 +7,8 @@
 	"slices"
 	"testing"
 
-	"garnetline/decide"
-	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/membership"
+	"garnetline/routing"
 )
 
 // place is the routers of one location before one box, each with the module's rests as
@@ -27,20 +27,20 @@
 
 type router struct {
 	m       *Machine
-	id      member.ID
+	id      membership.ID
 	rests   int
 	resting float64
 	heard   float64
 	bad     bool // its way to the box is broken
-	mates   []member.ID
+	mates   []membership.ID
 }
 
-const box = decide.ServerID(7)
+const box = routing.ServerID(7)
 
 func newPlace(seed uint64, n int, on bool) *place {
 	p := &place{rng: rand.New(rand.NewPCG(seed, 1)), up: true, holder: 0, token: 1, on: on}
 	for i := range n {
-		p.routers = append(p.routers, &router{m: NewMachine(DefaultSettings(), member.ID(i+1)), id: member.ID(i + 1)})
+		p.routers = append(p.routers, &router{m: NewMachine(DefaultSettings(), membership.ID(i+1)), id: membership.ID(i + 1)})
 	}
 	for _, r := range p.routers {
 		for _, x := range p.routers {
@@ -70,9 +70,9 @@
 			if !p.on || int(p.now)%50 != 0 {
 				continue
 			}
-			in := Input{HolderCandidates: []member.ID{p.routers[0].id, p.routers[1].id}, ZonePeers: r.mates}
+			in := Input{HolderCandidates: []membership.ID{p.routers[0].id, p.routers[1].id}, ZonePeers: r.mates}
 			if r.rests > 0 {
-				in.Ejected = []decide.ServerID{box}
+				in.Ejected = []routing.ServerID{box}
 			}
 			if i == p.holder {
 				in.FencingToken = p.token
--- a/internal/fleet/simulation_test.go
+++ b/internal/fleet/simulation_test.go
@@ -11,8 +11,8 @@
 	"testing"
 
 	"garnetline/internal/fleet"
-	"garnetline/internal/fleet/member"
-	"garnetline/internal/fleet/words"
+	"garnetline/internal/fleet/gossip"
+	"garnetline/internal/fleet/membership"
 	"garnetline/internal/golden"
 	"garnetline/internal/virtual"
 )
@@ -52,8 +52,8 @@
 	net.Do(net.Hosts[2], func() { node(2).SetDisabled(net.Now, 5, true) })
 	for i := range routers {
 		net.Do(net.Hosts[i], func() {
-			node(i).Publish(net.Now, words.Item{Kind: words.Drain, Server: 6, StartedAt: 1000})
-			node(i).Publish(net.Now, words.Item{Kind: words.Purge, Object: 9, PurgedAt: 2000})
+			node(i).Publish(net.Now, gossip.Item{Kind: gossip.Drain, Server: 6, StartedAt: 1000})
+			node(i).Publish(net.Now, gossip.Item{Kind: gossip.Purge, Object: 9, PurgedAt: 2000})
 		})
 	}
 	phase("items", 5000)
@@ -75,7 +75,7 @@
 	net.Link.Cut = nil
 	phase("healed", 60_000)
 	net.Do(net.Hosts[7], func() {
-		node(7).InjectUpdate(member.Update{ID: net.Hosts[8].Self.ID, Revision: member.FirstRevision(1), State: member.Failed, ReportedBy: 3, Name: "r008", Addr: net.Hosts[8].Addr})
+		node(7).InjectUpdate(membership.Update{ID: net.Hosts[8].Self.ID, Revision: membership.FirstRevision(1), State: membership.Failed, ReportedBy: 3, Name: "r008", Addr: net.Hosts[8].Addr})
 	})
 	phase("false report", 10_000)
 	net.Leave(net.Hosts[9])
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -1,8 +1,8 @@
 package fleet
 
 import (
-	"garnetline/internal/fleet/member"
-	"garnetline/internal/fleet/stance"
+	"garnetline/internal/fleet/connectivity"
+	"garnetline/internal/fleet/membership"
 )
 
 // Status is what a router shows of its fleet: at its door, as JSON, and so to the
@@ -41,18 +41,18 @@
 }
 
 // NewStatus makes a status of a view.
-func NewStatus(v *member.View, r stance.Status, fleet string) *Status {
+func NewStatus(v *membership.View, r connectivity.Status, fleet string) *Status {
 	s := &Status{Fleet: fleet, At: v.At, Connectivity: r.State.String(), ConnectivitySince: r.Since, Present: v.Present, Known: r.Known, HealthScore: v.HealthScore,
 		Superseded: v.Superseded, Members: make([]MemberStatus, 0, len(v.Members)), Bans: []string{}}
-	names := make(map[member.ID]string, len(v.Members))
+	names := make(map[membership.ID]string, len(v.Members))
 	for i := range v.Members {
 		names[v.Members[i].ID] = v.Members[i].Name
 	}
 	for i := range v.Members {
 		m := &v.Members[i]
-		x := MemberStatus{Name: m.Name, RouterID: m.ID.String(), Incarnation: m.Incarnation(), Refutations: m.Revision - member.FirstRevision(m.Incarnation()), State: m.State.String(),
+		x := MemberStatus{Name: m.Name, RouterID: m.ID.String(), Incarnation: m.Incarnation(), Refutations: m.Revision - membership.FirstRevision(m.Incarnation()), State: m.State.String(),
 			StateSince: m.StateSince, Zone: m.Zone, Version: m.Version, Addr: m.Addr.String(), Direct: m.Direct, Self: m.Self}
-		if m.State != member.Alive {
+		if m.State != membership.Alive {
 			if x.ReportedBy = names[m.ReportedBy]; x.ReportedBy == "" {
 				x.ReportedBy = m.ReportedBy.String()
 			}
--- a/internal/fleet/status_test.go
+++ b/internal/fleet/status_test.go
@@ -6,22 +6,22 @@
 	"reflect"
 	"testing"
 
-	"garnetline/internal/fleet/member"
-	"garnetline/internal/fleet/stance"
+	"garnetline/internal/fleet/connectivity"
+	"garnetline/internal/fleet/membership"
 	"garnetline/internal/golden"
 )
 
 // The admin API shows a fleet under these keys.
 func TestGoldenStatus(t *testing.T) {
-	self := member.Update{ID: 0xab, Revision: member.FirstRevision(4) + 1, Name: "r1", Zone: "north", Version: "1.2", Addr: netip.MustParseAddrPort("10.1.2.3:7946")}
-	suspect := member.Update{ID: 0xcd, Revision: member.FirstRevision(2) + 3, State: member.Suspect, ReportedBy: 0xab, Name: "r2", Zone: "south", Version: "1.1", Addr: netip.MustParseAddrPort("[fd00::2]:7946")}
-	failed := member.Update{ID: 0xef, Revision: member.FirstRevision(1), State: member.Failed, ReportedBy: 0x99, Name: "r3", Addr: netip.MustParseAddrPort("10.1.2.4:7946")}
-	v := &member.View{At: 1_700_000_000_000, Self: self.ID, Present: 2, Alive: 1, HealthScore: 3, Conflicts: 1, Superseded: true, Silence: 12, Members: []member.Member{
+	self := membership.Update{ID: 0xab, Revision: membership.FirstRevision(4) + 1, Name: "r1", Zone: "north", Version: "1.2", Addr: netip.MustParseAddrPort("10.1.2.3:7946")}
+	suspect := membership.Update{ID: 0xcd, Revision: membership.FirstRevision(2) + 3, State: membership.Suspect, ReportedBy: 0xab, Name: "r2", Zone: "south", Version: "1.1", Addr: netip.MustParseAddrPort("[fd00::2]:7946")}
+	failed := membership.Update{ID: 0xef, Revision: membership.FirstRevision(1), State: membership.Failed, ReportedBy: 0x99, Name: "r3", Addr: netip.MustParseAddrPort("10.1.2.4:7946")}
+	v := &membership.View{At: 1_700_000_000_000, Self: self.ID, Present: 2, Alive: 1, HealthScore: 3, Conflicts: 1, Superseded: true, Silence: 12, Members: []membership.Member{
 		{Update: self, LastReceivedAt: 1_700_000_000_000, Direct: true, Self: true},
 		{Update: suspect, StateSince: 1_699_999_999_000, LastReceivedAt: 1_699_999_998_000, Direct: true},
 		{Update: failed, StateSince: 1_699_999_000_000.5},
 	}}
-	s := NewStatus(v, stance.Status{State: stance.Partial, Since: 1_699_999_999_500, Present: 2, Known: 3}, "garnetline")
+	s := NewStatus(v, connectivity.Status{State: connectivity.Partial, Since: 1_699_999_999_500, Present: 2, Known: 3}, "garnetline")
 	s.Bound = true
 	s.Bans = append(s.Bans, "5")
 	b, err := json.MarshalIndent(s, "", " ")
--- a/internal/fleet/link/golden_test.go
+++ b/internal/fleet/transport/golden_test.go
@@ -1,4 +1,4 @@
-package link
+package transport
 
 import (
 	"os"
--- a/internal/fleet/link/identity.go
+++ b/internal/fleet/transport/identity.go
@@ -1,4 +1,4 @@
-package link
+package transport
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 	"path/filepath"
 	"syscall"
 
-	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/membership"
 )
 
 // identityFile is the file that holds a router's seat and the number of its latest life. Two
@@ -25,7 +25,7 @@
 
 // startIncarnation begins a life: the next one of the seat, or the first of a new seat where there is
 // none or it cannot be read.
-func (s identityFile) startIncarnation() (id member.ID, life uint64, err error) {
+func (s identityFile) startIncarnation() (id membership.ID, life uint64, err error) {
 	if s == "" {
 		return newRouterID(), 1, nil
 	}
@@ -64,15 +64,15 @@
 	return life
 }
 
-func (s identityFile) parse(f io.Reader) (id member.ID, life uint64) {
+func (s identityFile) parse(f io.Reader) (id membership.ID, life uint64) {
 	var n uint64
 	if k, _ := fmt.Fscanf(io.LimitReader(f, 64), "%x %d\n", &n, &life); k != 2 || life >= 1<<39 {
 		return 0, 0
 	}
-	return member.ID(n), life
+	return membership.ID(n), life
 }
 
 // bansPath is the file of the bans beside the seat's.
 func (s identityFile) bansPath() string { return string(s) + ".bans" }
 
-func newRouterID() member.ID { return member.ID(rand.Uint64() | 1) }
+func newRouterID() membership.ID { return membership.ID(rand.Uint64() | 1) }
--- a/internal/fleet/link/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -1,7 +1,7 @@
 // Package link carries a router's knowledge of the others: one actor that owns the
 // socket between routers, the node that is stepped by it, and what is kept for the next
 // life. Nothing that serves a request waits for it: it publishes snapshots.
-package link
+package transport
 
 import (
 	"context"
@@ -18,14 +18,14 @@
 
 	"github.com/rs/zerolog"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
 	"garnetline/internal/fleet"
-	"garnetline/internal/fleet/carry"
-	"garnetline/internal/fleet/member"
-	"garnetline/internal/fleet/seal"
-	"garnetline/internal/fleet/words"
-	"garnetline/internal/stats"
+	"garnetline/internal/fleet/fragment"
+	"garnetline/internal/fleet/gossip"
+	"garnetline/internal/fleet/membership"
+	"garnetline/internal/fleet/packetcrypto"
+	"garnetline/internal/metrics"
+	"garnetline/routing"
 )
 
 const (
@@ -40,7 +40,7 @@
 	ListenAddr       netip.AddrPort
 	AdvertiseAddr    netip.AddrPort // port 0: the one that is listened at
 	Seeds            []netip.AddrPort
-	Keyring          *seal.Keyring
+	Keyring          *packetcrypto.Keyring
 	Node             fleet.Settings
 	PacketsPerSecond float64 // a second, at the most
 	BytesPerSecond   float64 // the same, sealed
@@ -53,11 +53,11 @@
 	StateDir            string // folder that outlives the process; empty: none
 	Clock               clock.Clock
 	Log                 *zerolog.Logger
-	Stats               *stats.Registry
-	InitialBans         []decide.ServerID // that staff set while no fleet knew
+	Stats               *metrics.Registry
+	InitialBans         []routing.ServerID // that staff set while no fleet knew
 	// Receiver takes what others sent to a machine of this router. It must not block; nil:
 	// there is none.
-	Receiver func(from member.ID, life uint64, ch carry.Channel, b []byte)
+	Receiver func(from membership.ID, life uint64, ch fragment.Channel, b []byte)
 }
 
 // Transport is the actor.
@@ -66,12 +66,12 @@
 	identity       identityFile
 	incarnation    uint64
 	node           *fleet.Node
-	keyring        atomic.Pointer[seal.Keyring]
-	packets        chan *member.Packet
+	keyring        atomic.Pointer[packetcrypto.Keyring]
+	packets        chan *membership.Packet
 	commands       chan func(now float64)
 	status         atomic.Pointer[fleet.Status]
-	members        atomic.Pointer[member.View]
-	reassembler    carry.Reassembler
+	members        atomic.Pointer[membership.View]
+	reassembler    fragment.Reassembler
 	lastMessageID  uint64 // of what was carried
 	done           chan struct{}
 	conn           *net.UDPConn
@@ -82,13 +82,13 @@
 	publishedAt    float64
 
 	mu           sync.Mutex
-	changes      []words.Change
+	changes      []gossip.Change
 	changesReady chan struct{}
 }
 
 // New returns a link whose seat is taken. Run runs it.
 func New(o Options) (*Transport, error) {
-	l := &Transport{options: o, identity: identityFileIn(o.StateDir, o.Name), packets: make(chan *member.Packet, queueCapacity), commands: make(chan func(float64), queueCapacity),
+	l := &Transport{options: o, identity: identityFileIn(o.StateDir, o.Name), packets: make(chan *membership.Packet, queueCapacity), commands: make(chan func(float64), queueCapacity),
 		done: make(chan struct{}), changesReady: make(chan struct{}, 1), limiter: rateLimiter{packetsPerSecond: o.PacketsPerSecond, bytesPerSecond: o.BytesPerSecond}}
 	l.keyring.Store(o.Keyring)
 	id, life, err := l.identity.startIncarnation()
@@ -96,7 +96,7 @@
 		return nil, fmt.Errorf("fleet: seat: %w", err)
 	}
 	l.incarnation = life
-	self := member.Update{ID: id, Revision: member.FirstRevision(life), Name: o.Name, Zone: o.Zone, Version: o.Version, Addr: o.AdvertiseAddr}
+	self := membership.Update{ID: id, Revision: membership.FirstRevision(life), Name: o.Name, Zone: o.Zone, Version: o.Version, Addr: o.AdvertiseAddr}
 	now := o.Clock.Now()
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	if self.Addr.Port() == 0 { // the socket says, and so it cannot be another process's
@@ -187,7 +187,7 @@
 }
 
 // step steps the node and carries out what that calls for.
-func (l *Transport) step(p *member.Packet) (wake float64) {
+func (l *Transport) step(p *membership.Packet) (wake float64) {
 	now := l.options.Clock.Now()
 	out := l.node.Step(now, p)
 	l.sendPackets(now, out.Packets)
@@ -243,7 +243,7 @@
 }
 
 // logEvent logs a change of the view.
-func (l *Transport) logEvent(e member.Event) {
+func (l *Transport) logEvent(e membership.Event) {
 	l.options.Stats.Add("fleet_"+e.Kind, 1)
 	at := l.options.Log.Info()
 	switch e.Kind {
@@ -257,7 +257,7 @@
 }
 
 // sendPackets seals and sends, within the bounds a second.
-func (l *Transport) sendPackets(now float64, sends []member.OutgoingPacket) {
+func (l *Transport) sendPackets(now float64, sends []membership.OutgoingPacket) {
 	l.sendWithReserve(now, sends, 0)
 }
 
@@ -265,15 +265,15 @@
 //
 // A prober with 60 boxes and 80 routers has more to report than may be sent: renewals, its
 // elector's words and its answers to probes are not to wait for that.
-func (l *Transport) sendWithReserve(now float64, sends []member.OutgoingPacket, keep float64) {
+func (l *Transport) sendWithReserve(now float64, sends []membership.OutgoingPacket, keep float64) {
 	if !l.bound {
 		return
 	}
 	ring := l.keyring.Load()
-	var packet [member.MaxPacketLen]byte
+	var packet [membership.MaxPacketLen]byte
 	for _, s := range sends {
 		b := s.Packet.Append(packet[:0])
-		if len(b) > member.MaxPacketLen {
+		if len(b) > membership.MaxPacketLen {
 			l.options.Stats.Add("fleet_too_long", 1)
 			continue
 		}
@@ -293,7 +293,7 @@
 
 // readLoop opens what the socket brings and hands it to the actor, until the socket closes.
 func (l *Transport) readLoop() {
-	sealed := make([]byte, member.MaxPacketLen+seal.Overhead+1) // one more shows what is too long
+	sealed := make([]byte, membership.MaxPacketLen+packetcrypto.Overhead+1) // one more shows what is too long
 	var open []byte
 	for {
 		n, _, err := l.conn.ReadFromUDPAddrPort(sealed)
@@ -307,8 +307,8 @@
 		l.options.Stats.Add("fleet_packets_in", 1)
 		l.options.Stats.Add("fleet_bytes_in", int64(n))
 		if open, err = l.keyring.Load().Open(open[:0], sealed[:n]); err == nil {
-			var p *member.Packet
-			if p, err = member.Decode(open); err == nil {
+			var p *membership.Packet
+			if p, err = membership.Decode(open); err == nil {
 				select {
 				case l.packets <- p:
 				default:
@@ -324,13 +324,13 @@
 // rejectionCounter is the counter of what is not taken.
 func rejectionCounter(err error) string {
 	switch {
-	case errors.Is(err, seal.ErrForeignPacket):
+	case errors.Is(err, packetcrypto.ErrForeignPacket):
 		return "fleet_strangers"
-	case errors.Is(err, seal.ErrVersionMismatch):
+	case errors.Is(err, packetcrypto.ErrVersionMismatch):
 		return "fleet_other_versions"
-	case errors.Is(err, seal.ErrFleetMismatch):
+	case errors.Is(err, packetcrypto.ErrFleetMismatch):
 		return "fleet_other_fleets"
-	case errors.Is(err, seal.ErrNoMatchingKey):
+	case errors.Is(err, packetcrypto.ErrNoMatchingKey):
 		return "fleet_unopened"
 	}
 	return "fleet_broken_packets"
@@ -365,22 +365,22 @@
 func (l *Transport) Status() *fleet.Status { return l.status.Load() }
 
 // Members returns the latest view as the state machines have it. It does not change.
-func (l *Transport) Members() *member.View { return l.members.Load() }
+func (l *Transport) Members() *membership.View { return l.members.Load() }
 
 // SetReceiver sets who takes what others send to a machine of this router. It is called
 // before Run.
-func (l *Transport) SetReceiver(f func(from member.ID, life uint64, ch carry.Channel, b []byte)) {
+func (l *Transport) SetReceiver(f func(from membership.ID, life uint64, ch fragment.Channel, b []byte)) {
 	l.options.Receiver = f
 }
 
 // Send sends something to a machine of another router. It may get lost, and never blocks.
-func (l *Transport) Send(to member.ID, ch carry.Channel, b []byte) {
+func (l *Transport) Send(to membership.ID, ch fragment.Channel, b []byte) {
 	l.enqueue(func(now float64) {
 		l.lastMessageID++
-		for _, x := range carry.Split(l.lastMessageID, ch, b) {
+		for _, x := range fragment.Split(l.lastMessageID, ch, b) {
 			out := l.node.SendPayload(now, to, x)
 			keep := 0.0
-			if ch == carry.LoadReport {
+			if ch == fragment.LoadReport {
 				keep = loadReportReserve
 			}
 			l.sendWithReserve(now, out.Packets, keep)
@@ -402,7 +402,7 @@
 
 // SetDisabled tells the fleet that staff took a box out at this router's door, or back. It
 // waits for room in the mailbox: the link waits for nobody.
-func (l *Transport) SetDisabled(box decide.ServerID, out bool) {
+func (l *Transport) SetDisabled(box routing.ServerID, out bool) {
 	select {
 	case l.commands <- func(now float64) { l.node.SetDisabled(now, box, out) }:
 	case <-l.done:
@@ -410,7 +410,7 @@
 }
 
 // Broadcast tells the fleet what this router's change log told.
-func (l *Transport) Broadcast(w words.Item) {
+func (l *Transport) Broadcast(w gossip.Item) {
 	l.enqueue(func(now float64) { l.node.Publish(now, w) })
 }
 
@@ -424,7 +424,7 @@
 func (l *Transport) ChangesReady() <-chan struct{} { return l.changesReady }
 
 // TakeChanges returns what the others' words have changed since the last call.
-func (l *Transport) TakeChanges() []words.Change {
+func (l *Transport) TakeChanges() []gossip.Change {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := l.changes
--- a/internal/fleet/link/transport_test.go
+++ b/internal/fleet/transport/transport_test.go
@@ -1,4 +1,4 @@
-package link
+package transport
 
 import (
 	"context"
@@ -11,23 +11,23 @@
 
 	"go.uber.org/goleak"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
 	"garnetline/internal/fleet"
-	"garnetline/internal/fleet/member"
-	"garnetline/internal/fleet/seal"
+	"garnetline/internal/fleet/membership"
+	"garnetline/internal/fleet/packetcrypto"
 	"garnetline/internal/logs"
-	"garnetline/internal/stats"
+	"garnetline/internal/metrics"
+	"garnetline/routing"
 )
 
 func options(t testing.TB, state string) Options {
-	ring, err := seal.NewKeyring("f", []string{"sixteen bytes or more"})
+	ring, err := packetcrypto.NewKeyring("f", []string{"sixteen bytes or more"})
 	if err != nil {
 		t.Fatal(err)
 	}
 	any := netip.MustParseAddrPort("127.0.0.1:0")
 	return Options{Settings: Settings{FleetName: "f", ListenAddr: any, AdvertiseAddr: any, Keyring: ring, Node: fleet.DefaultSettings(), PacketsPerSecond: 500, BytesPerSecond: 100_000},
-		Name: "r", Zone: "z", StateDir: state, Clock: clock.NewSystem(), Log: logs.New(io.Discard), Stats: stats.New()}
+		Name: "r", Zone: "z", StateDir: state, Clock: clock.NewSystem(), Log: logs.New(io.Discard), Stats: metrics.New()}
 }
 
 func newTransport(t testing.TB, o Options) *Transport {
@@ -65,7 +65,7 @@
 		until(l, func(s *fleet.Status) bool { return len(s.Bans) == 1 })
 	})
 	o := options(t, dir)
-	o.InitialBans = []decide.ServerID{5, 6} // 6 was set while no fleet knew
+	o.InitialBans = []routing.ServerID{5, 6} // 6 was set while no fleet knew
 	second := life(o, func(l *Transport) { until(l, func(s *fleet.Status) bool { return len(s.Bans) == 2 }) })
 	if second.RouterID != first.RouterID || second.Incarnation != 2 {
 		t.Errorf("seat %s life %d, then seat %s life %d", first.RouterID, first.Incarnation, second.RouterID, second.Incarnation)
@@ -126,7 +126,7 @@
 func BenchmarkPublish(b *testing.B) {
 	l := newTransport(b, options(b, ""))
 	for i := range 300 {
-		l.node.InjectUpdate(member.Update{ID: member.ID(i + 2), Name: "r", Addr: netip.MustParseAddrPort("127.0.0.1:1")})
+		l.node.InjectUpdate(membership.Update{ID: membership.ID(i + 2), Name: "r", Addr: netip.MustParseAddrPort("127.0.0.1:1")})
 	}
 	for b.Loop() {
 		l.publishStatus(1)
--- a/internal/fleet/form/append.go
+++ b/internal/fleet/wireformat/append.go
@@ -1,6 +1,6 @@
 // Package form writes the fields of what routers say to each other, in protobuf's form:
 // numbers and strings, left out where they are zero.
-package form
+package wireformat
 
 import "google.golang.org/protobuf/encoding/protowire"
 
--- a/internal/fleet/form/fields.go
+++ b/internal/fleet/wireformat/fields.go
@@ -1,4 +1,4 @@
-package form
+package wireformat
 
 import "google.golang.org/protobuf/encoding/protowire"
 
--- a/internal/fleet/form/fields_test.go
+++ b/internal/fleet/wireformat/fields_test.go
@@ -1,4 +1,4 @@
-package form
+package wireformat
 
 import (
 	"fmt"
--- a/internal/front/dns/config.go
+++ b/internal/frontend/dnsfront/config.go
@@ -1,4 +1,4 @@
-package dns
+package dnsfront
 
 import (
 	"errors"
--- a/internal/front/dns/golden_test.go
+++ b/internal/frontend/dnsfront/golden_test.go
@@ -1,4 +1,4 @@
-package dns
+package dnsfront
 
 import (
 	"encoding/hex"
@@ -13,7 +13,7 @@
 
 	"github.com/miekg/dns"
 
-	"garnetline/decide"
+	"garnetline/routing"
 )
 
 // With -update the fixture is written anew, from the program as it is:
@@ -26,7 +26,7 @@
 // the module's shows here.
 func TestGoldenMessages(t *testing.T) {
 	r := newHarness(t)
-	r.publish(true, endpoint(1, 0, decide.Ready), endpoint(8, 1, decide.Ready), endpoint(9, 2, decide.Ready))
+	r.publish(true, endpoint(1, 0, routing.Ready), endpoint(8, 1, routing.Ready), endpoint(9, 2, routing.Ready))
 	const target = "s-00000001." + testZone
 	question := func(name string, kind uint16) *dns.Msg { return new(dns.Msg).SetQuestion(name, kind) }
 	other := func(change func(*dns.Msg)) *dns.Msg {
--- a/internal/front/dns/server.go
+++ b/internal/frontend/dnsfront/server.go
@@ -8,7 +8,7 @@
 //
 // as in 3.7f3a9c21e0b4d655.g17.video-part.garnetline.local. An A lookup gives
 // the address; SRV gives the port too, and a target that resolves for a second.
-package dns
+package dnsfront
 
 import (
 	"context"
@@ -24,11 +24,11 @@
 	"github.com/miekg/dns"
 	"golang.org/x/net/netutil"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/config"
-	"garnetline/internal/core"
-	"garnetline/internal/stats"
+	"garnetline/internal/dispatch"
+	"garnetline/internal/metrics"
+	"garnetline/internal/platformconfig"
+	"garnetline/routing"
 )
 
 const (
@@ -40,8 +40,8 @@
 
 // Dispatcher is what the front needs of the core.
 type Dispatcher interface {
-	Submit(*core.Request) bool
-	Disconnect(*core.Request)
+	Submit(*dispatch.Request) bool
+	Disconnect(*dispatch.Request)
 }
 
 // Options are what a Server needs.
@@ -49,9 +49,9 @@
 	Config
 	Clock      clock.Clock
 	Dispatcher Dispatcher
-	Classes    func() []decide.Class // as of now; their names and places do not change
-	Guard      func() *decide.Guard
-	Metrics    *stats.Registry
+	Classes    func() []routing.Class // as of now; their names and places do not change
+	Guard      func() *routing.Guard
+	Metrics    *metrics.Registry
 }
 
 // Server answers lookups over UDP and TCP. It is a carrier too: the attempt of
@@ -63,14 +63,14 @@
 	tcp   *dns.Server
 
 	mu           sync.Mutex
-	addresses    map[decide.ServerID]netip.AddrPort
-	targetExpiry map[decide.ServerID]float64 // until when an SRV target resolves
+	addresses    map[routing.ServerID]netip.AddrPort
+	targetExpiry map[routing.ServerID]float64 // until when an SRV target resolves
 }
 
 // New returns a server that has not been started.
 func New(o Options) *Server {
 	return &Server{Options: o, slots: make(chan struct{}, max(o.MaxInflight, 1)),
-		addresses: map[decide.ServerID]netip.AddrPort{}, targetExpiry: map[decide.ServerID]float64{}}
+		addresses: map[routing.ServerID]netip.AddrPort{}, targetExpiry: map[routing.ServerID]float64{}}
 }
 
 // Start listens on UDP and TCP and serves until Stop. It returns the address
@@ -106,32 +106,32 @@
 }
 
 // UpdateEndpoints keeps the boxes' addresses.
-func (s *Server) UpdateEndpoints(ev config.WatchEvent) {
+func (s *Server) UpdateEndpoints(ev platformconfig.WatchEvent) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ev.Snapshot {
 		clear(s.addresses)
 	}
 	for _, h := range ev.Endpoints {
-		if s.addresses[h.ID] = h.Addr; h.Phase == decide.Removed {
+		if s.addresses[h.ID] = h.Addr; h.Phase == routing.Removed {
 			delete(s.addresses, h.ID)
 		}
 	}
 }
 
 // Send names the box of an attempt.
-func (s *Server) Send(a *core.Attempt) *core.Completion {
+func (s *Server) Send(a *dispatch.Attempt) *dispatch.Completion {
 	if g := s.Guard(); g.Excludes(a.Decision.Server) || g.Excludes(a.Decision.FillSource) {
-		return core.Unsent(a, decide.NotSent)
+		return dispatch.Unsent(a, routing.NotSent)
 	}
-	return core.Resolved(a)
+	return dispatch.Resolved(a)
 }
 
 // Cancel has nothing to give up: no attempt is out after Send.
-func (s *Server) Cancel(*core.Attempt) {}
+func (s *Server) Cancel(*dispatch.Attempt) {}
 
 // Release has nothing to book either.
-func (s *Server) Release(*core.Attempt) {}
+func (s *Server) Release(*dispatch.Attempt) {}
 
 // ServeDNS answers one message.
 func (s *Server) ServeDNS(w dns.ResponseWriter, q *dns.Msg) {
@@ -219,7 +219,7 @@
 // query is a parsed name.
 type query struct {
 	class  int
-	object decide.ObjectID
+	object routing.ObjectID
 	chunk  int
 	group  int // -1: the name does not tell it
 }
@@ -244,7 +244,7 @@
 	if err != nil || err2 != nil || len(words[1]) != 16 || object == 0 {
 		return l, dns.RcodeFormatError
 	}
-	l.chunk, l.object = int(part), decide.ObjectID(object)
+	l.chunk, l.object = int(part), routing.ObjectID(object)
 	for i, k := range s.Classes() {
 		if strings.EqualFold(k.Name, words[2]) {
 			l.class = i
@@ -257,13 +257,13 @@
 }
 
 // selectServer has the core choose a box.
-func (s *Server) selectServer(l query) (netip.AddrPort, decide.ServerID, bool) {
+func (s *Server) selectServer(l query) (netip.AddrPort, routing.ServerID, bool) {
 	if s.mayBeStale(l) {
 		return netip.AddrPort{}, 0, false
 	}
-	answers := make(chan core.Response, 1)
-	r := &core.Request{Class: l.class, Object: l.object, Chunk: l.chunk, Group: max(l.group, 0), Transport: s,
-		Deadline: s.Clock.Now() + s.TimeoutMs, Respond: func(a core.Response) { answers <- a }}
+	answers := make(chan dispatch.Response, 1)
+	r := &dispatch.Request{Class: l.class, Object: l.object, Chunk: l.chunk, Group: max(l.group, 0), Transport: s,
+		Deadline: s.Clock.Now() + s.TimeoutMs, Respond: func(a dispatch.Response) { answers <- a }}
 	if !s.Dispatcher.Submit(r) {
 		return netip.AddrPort{}, 0, false
 	}
@@ -271,14 +271,14 @@
 	// that it stops meanwhile.
 	wait := time.NewTimer(clock.Duration(s.TimeoutMs) + ioTimeout)
 	defer wait.Stop()
-	var a core.Response
+	var a dispatch.Response
 	select {
 	case a = <-answers:
 	case <-wait.C:
 		s.Dispatcher.Disconnect(r)
 	}
 	// Held against the change log once more: the answer leaves now.
-	if a.Kind != core.Served || s.Guard().Excludes(a.Server) || s.mayBeStale(l) {
+	if a.Kind != dispatch.Served || s.Guard().Excludes(a.Server) || s.mayBeStale(l) {
 		return netip.AddrPort{}, 0, false
 	}
 	s.mu.Lock()
@@ -300,7 +300,7 @@
 // answerTarget answers for the target of a recent SRV answer.
 func (s *Server) answerTarget(m *dns.Msg, q dns.Question, rest string, soa *dns.SOA) {
 	n, err := strconv.ParseUint(rest[len("s-"):], 16, 32)
-	id := decide.ServerID(n)
+	id := routing.ServerID(n)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Clock.Now()
--- a/internal/front/dns/server_test.go
+++ b/internal/frontend/dnsfront/server_test.go
@@ -1,4 +1,4 @@
-package dns
+package dnsfront
 
 import (
 	"context"
@@ -15,11 +15,11 @@
 
 	"github.com/miekg/dns"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/config"
-	"garnetline/internal/core"
-	"garnetline/internal/stats"
+	"garnetline/internal/dispatch"
+	"garnetline/internal/metrics"
+	"garnetline/internal/platformconfig"
+	"garnetline/routing"
 )
 
 const testZone = "garnet.test."
@@ -29,31 +29,31 @@
 type harness struct {
 	t          *testing.T
 	clock      *clock.Manual
-	dispatcher *core.Dispatcher
+	dispatcher *dispatch.Dispatcher
 	addr       string
-	guard      atomic.Pointer[decide.Guard]
-	listed     chan config.WatchEvent
+	guard      atomic.Pointer[routing.Guard]
+	listed     chan platformconfig.WatchEvent
 }
 
-func (r *harness) UpdateEndpoints(ev config.WatchEvent) { r.listed <- ev }
+func (r *harness) UpdateEndpoints(ev platformconfig.WatchEvent) { r.listed <- ev }
 
 // newHarness makes a rig; change, where it is given, changes the module's settings.
-func newHarness(t *testing.T, change ...func(*decide.Settings)) *harness {
-	r := &harness{t: t, clock: clock.NewManual(1.7e12), listed: make(chan config.WatchEvent, 1)}
-	ramp := decide.SlowStart{InitialCapacity: 0.15, Duration: 16 * time.Second, OverloadFactor: 3, OverloadWindow: 1500 * time.Millisecond}
-	set := decide.Settings{Zones: 1, Kinds: 3, ParentKind: 1, OriginKind: 2, RoutersByZone: []int{1}, Routers: 1, MaxAttempts: 6,
+func newHarness(t *testing.T, change ...func(*routing.Settings)) *harness {
+	r := &harness{t: t, clock: clock.NewManual(1.7e12), listed: make(chan platformconfig.WatchEvent, 1)}
+	ramp := routing.SlowStart{InitialCapacity: 0.15, Duration: 16 * time.Second, OverloadFactor: 3, OverloadWindow: 1500 * time.Millisecond}
+	set := routing.Settings{Zones: 1, Kinds: 3, ParentKind: 1, OriginKind: 2, RoutersByZone: []int{1}, Routers: 1, MaxAttempts: 6,
 		MaxRetryAfter: time.Second, CanCancel: true, CanJoinFill: true, PurgeRetention: 6 * time.Second, CacheSlowStart: ramp, ParentSlowStart: ramp,
-		Classes: []decide.Class{{Name: "part", Idempotency: decide.Idempotent, LatencyObjective: 400 * time.Millisecond, Deadline: 4 * time.Second, PriorityWeight: 2},
-			{Name: "form", Idempotency: decide.IdempotentWithKey, LatencyObjective: 400 * time.Millisecond, Deadline: 4 * time.Second, PriorityWeight: 2, Write: true}}}
+		Classes: []routing.Class{{Name: "part", Idempotency: routing.Idempotent, LatencyObjective: 400 * time.Millisecond, Deadline: 4 * time.Second, PriorityWeight: 2},
+			{Name: "form", Idempotency: routing.IdempotentWithKey, LatencyObjective: 400 * time.Millisecond, Deadline: 4 * time.Second, PriorityWeight: 2, Write: true}}}
 	for _, f := range change {
 		f(&set)
 	}
 	var err error
-	if r.dispatcher, err = core.New(r.clock, set, 1, stats.New()); err != nil {
+	if r.dispatcher, err = dispatch.New(r.clock, set, 1, metrics.New()); err != nil {
 		t.Fatal(err)
 	}
 	s := New(Options{Config: Config{Listen: "127.0.0.1:0", Zone: testZone, TimeoutMs: 1000, MaxInflight: 64, MaxConnections: 4}, Clock: r.clock,
-		Dispatcher: r.dispatcher, Classes: func() []decide.Class { return set.Classes }, Guard: r.guard.Load, Metrics: stats.New()})
+		Dispatcher: r.dispatcher, Classes: func() []routing.Class { return set.Classes }, Guard: r.guard.Load, Metrics: metrics.New()})
 	r.dispatcher.AddListeners(s, r)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -77,8 +77,8 @@
 }
 
 // publish changes the list as the change log would: the guard first, then the core.
-func (r *harness) publish(whole bool, hosts ...config.Endpoint) {
-	g := decide.Guard{Ready: map[decide.ServerID]bool{}, PurgeRetention: 6 * time.Second}
+func (r *harness) publish(whole bool, hosts ...platformconfig.Endpoint) {
+	g := routing.Guard{Ready: map[routing.ServerID]bool{}, PurgeRetention: 6 * time.Second}
 	if old := r.guard.Load(); old != nil && !whole {
 		g.Purges = old.Purges
 		for id := range old.Ready {
@@ -86,27 +86,27 @@
 		}
 	}
 	for _, h := range hosts {
-		g.Ready[h.ID] = h.Phase == decide.Ready
+		g.Ready[h.ID] = h.Phase == routing.Ready
 	}
 	r.guard.Store(&g)
-	r.dispatcher.HandleWatchEvent(config.WatchEvent{ListUpdate: true, Snapshot: whole, Endpoints: hosts})
+	r.dispatcher.HandleWatchEvent(platformconfig.WatchEvent{ListUpdate: true, Snapshot: whole, Endpoints: hosts})
 	<-r.listed
 }
 
-func (r *harness) purge(object decide.ObjectID, group int) {
+func (r *harness) purge(object routing.ObjectID, group int) {
 	g := *r.guard.Load()
-	g.Purges = append(g.Purges, decide.PurgeRecord{Object: object, Group: group, At: clock.Duration(r.clock.Now())})
+	g.Purges = append(g.Purges, routing.PurgeRecord{Object: object, Group: group, At: clock.Duration(r.clock.Now())})
 	r.guard.Store(&g)
-	r.dispatcher.HandleWatchEvent(config.WatchEvent{Purge: &config.Purge{Object: object, Group: group, At: r.clock.Now()}})
+	r.dispatcher.HandleWatchEvent(platformconfig.WatchEvent{Purge: &platformconfig.Purge{Object: object, Group: group, At: r.clock.Now()}})
 }
 
-func endpoint(id, kind int, p decide.Phase) config.Endpoint {
-	return config.Endpoint{Server: decide.Server{ID: decide.ServerID(id), Kind: kind, Phase: p, Weight: 1},
+func endpoint(id, kind int, p routing.Phase) platformconfig.Endpoint {
+	return platformconfig.Endpoint{Server: routing.Server{ID: routing.ServerID(id), Kind: kind, Phase: p, Weight: 1},
 		Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 9, byte(id)}), 5050)}
 }
 
 func (r *harness) listServers() {
-	r.publish(true, endpoint(1, 0, decide.Ready), endpoint(2, 0, decide.Ready), endpoint(3, 0, decide.Ready), endpoint(8, 1, decide.Ready), endpoint(9, 2, decide.Ready))
+	r.publish(true, endpoint(1, 0, routing.Ready), endpoint(2, 0, routing.Ready), endpoint(3, 0, routing.Ready), endpoint(8, 1, routing.Ready), endpoint(9, 2, routing.Ready))
 }
 
 func queryName(i int) string { return fmt.Sprintf("%d.%016x.g%d.part.%s", i%3, 1+i, i%7, testZone) }
@@ -167,7 +167,7 @@
 	if !named["127.0.9.1"] || !named["127.0.9.2"] || !named["127.0.9.3"] || len(named) != 3 {
 		t.Fatalf("named %v, want all three boxes", named)
 	}
-	r.publish(false, endpoint(2, 0, decide.Draining))
+	r.publish(false, endpoint(2, 0, routing.Draining))
 	for range 4 {
 		r.clock.Advance(300)
 		for i := range 60 {
@@ -176,7 +176,7 @@
 			}
 		}
 	}
-	r.publish(false, endpoint(1, 0, decide.Removed), endpoint(3, 0, decide.Draining))
+	r.publish(false, endpoint(1, 0, routing.Removed), endpoint(3, 0, routing.Draining))
 	if m := r.query("tcp", queryName(1), dns.TypeA); m.Rcode != dns.RcodeServerFailure {
 		t.Errorf("with no box left: %v", dns.RcodeToString[m.Rcode])
 	}
@@ -186,8 +186,8 @@
 // counted with the lookups alone.
 func TestLookupsCountAgainstWarmingServers(t *testing.T) {
 	r := newHarness(t)
-	r.publish(true, endpoint(1, 0, decide.Ready), endpoint(8, 1, decide.Ready), endpoint(9, 2, decide.Ready))
-	cold := endpoint(2, 0, decide.Ready)
+	r.publish(true, endpoint(1, 0, routing.Ready), endpoint(8, 1, routing.Ready), endpoint(9, 2, routing.Ready))
+	cold := endpoint(2, 0, routing.Ready)
 	cold.StartedAt = clock.Duration(r.clock.Now())
 	r.publish(false, cold)
 	for i := range 200 { // nothing was seen carried: nothing can be afforded
@@ -211,9 +211,9 @@
 // Where weights tell what a box can carry, a cold one is named for its part of
 // the lookups, within the budget of each window.
 func TestWarmingServersStayWithinTheirBudget(t *testing.T) {
-	r := newHarness(t, func(s *decide.Settings) { s.WeightIsCapacity, s.TransferKBPerSecond = true, 1000 })
-	heavy := func(id, kind int, started float64) config.Endpoint {
-		h := endpoint(id, kind, decide.Ready)
+	r := newHarness(t, func(s *routing.Settings) { s.WeightIsCapacity, s.TransferKBPerSecond = true, 1000 })
+	heavy := func(id, kind int, started float64) platformconfig.Endpoint {
+		h := endpoint(id, kind, routing.Ready)
 		h.Weight, h.StartedAt = 10, clock.Duration(started)
 		return h
 	}
@@ -328,7 +328,7 @@
 		f.Add(fmt.Sprintf("%d.%016x.g%d.part", rng.IntN(100), rng.Uint64(), rng.IntN(300)))
 	}
 	f.Add("..part")
-	s := New(Options{Classes: func() []decide.Class { return []decide.Class{{Name: "part"}} }})
+	s := New(Options{Classes: func() []routing.Class { return []routing.Class{{Name: "part"}} }})
 	f.Fuzz(func(t *testing.T, rest string) {
 		l, rcode := s.parseName(rest)
 		if rcode != dns.RcodeSuccess {
--- a/internal/front/http/bench_test.go
+++ b/internal/frontend/httpfront/bench_test.go
@@ -1,18 +1,18 @@
-package http
+package httpfront
 
 import (
 	"io"
 	"net"
 	"testing"
 
-	"garnetline/internal/core"
+	"garnetline/internal/dispatch"
 )
 
 // immediateDispatcher is a core that answers in Submit and keeps nothing.
-type immediateDispatcher struct{ response core.Response }
+type immediateDispatcher struct{ response dispatch.Response }
 
-func (c *immediateDispatcher) Submit(r *core.Request) bool { r.Respond(c.response); return true }
-func (c *immediateDispatcher) Disconnect(*core.Request)    {}
+func (c *immediateDispatcher) Submit(r *dispatch.Request) bool { r.Respond(c.response); return true }
+func (c *immediateDispatcher) Disconnect(*dispatch.Request)    {}
 
 // BenchmarkRequest measures one request and its answer over a kept loopback connection.
 // The client allocates nothing, so that allocations are the front's alone.
@@ -20,7 +20,7 @@
 	for name, text := range map[string]string{"read": getRequest(objectTarget, "X-Family: 17", `If-None-Match: "4be0c1927d55a6f3"`), "write": putRequest(3) + "abc"} {
 		b.Run(name, func(b *testing.B) {
 			s := newServer(&fakeDispatcher{})
-			s.Dispatcher = &immediateDispatcher{core.Response{Kind: core.Served, Body: make([]byte, 2048), ETag: "4be0c1927d55a6f3"}}
+			s.Dispatcher = &immediateDispatcher{dispatch.Response{Kind: dispatch.Served, Body: make([]byte, 2048), ETag: "4be0c1927d55a6f3"}}
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				b.Fatal(err)
--- a/internal/front/http/clients_test.go
+++ b/internal/frontend/httpfront/clients_test.go
@@ -1,4 +1,4 @@
-package http
+package httpfront
 
 import (
 	"bufio"
@@ -13,7 +13,7 @@
 	"time"
 
 	"garnetline/internal/clock"
-	"garnetline/internal/core"
+	"garnetline/internal/dispatch"
 )
 
 // hookedListener is a listener whose connections and errors a test makes.
@@ -80,7 +80,7 @@
 	} {
 		for _, pieces := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, in pieces %v", name, pieces), func(t *testing.T) {
-				f := &fakeDispatcher{response: core.Response{Kind: core.Served, Body: []byte("x")}}
+				f := &fakeDispatcher{response: dispatch.Response{Kind: dispatch.Served, Body: []byte("x")}}
 				s := newServer(f)
 				addr := serveHooked(t, s, func(c net.Conn) (net.Conn, error) {
 					if pieces {
@@ -175,7 +175,7 @@
 				c.end(t, s)
 			}
 			if c.taken > 0 {
-				f.request(0).Respond(core.Response{Kind: core.Served, Body: []byte("x")})
+				f.request(0).Respond(dispatch.Response{Kind: dispatch.Served, Body: []byte("x")})
 			}
 			in := bufio.NewReader(conn)
 			r, err := http.ReadResponse(in, nil)
@@ -226,7 +226,7 @@
 		"too late": func(*testing.T, *Server) {},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newServer(&fakeDispatcher{response: core.Response{Kind: core.Served, Body: []byte("x")}})
+			s := newServer(&fakeDispatcher{response: dispatch.Response{Kind: dispatch.Served, Body: []byte("x")}})
 			g := &gatedConn{gate: make(chan bool), deadlineSet: make(chan bool, 1)}
 			addr := serveHooked(t, s, func(c net.Conn) (net.Conn, error) {
 				g.TCPConn = c.(*net.TCPConn)
@@ -279,7 +279,7 @@
 			t.Fatal("another request was left")
 		}
 	}
-	f.setResponse(core.Response{Kind: core.Served, Body: []byte("x")}, false)
+	f.setResponse(dispatch.Response{Kind: dispatch.Served, Body: []byte("x")}, false)
 	io.WriteString(conn, putRequest(1)+"a")
 	readResponse(t, bufio.NewReader(conn), "x")
 	conn.Close()
@@ -288,7 +288,7 @@
 // Guards against an end of Serve when descriptors run out: clients that come later are
 // served all the same.
 func TestOutOfDescriptors(t *testing.T) {
-	s := newServer(&fakeDispatcher{response: core.Response{Kind: core.Served, Body: []byte("x")}})
+	s := newServer(&fakeDispatcher{response: dispatch.Response{Kind: dispatch.Served, Body: []byte("x")}})
 	times := 0
 	addr := serveHooked(t, s, func(c net.Conn) (net.Conn, error) {
 		if times++; times <= 3 {
--- a/internal/front/http/golden_test.go
+++ b/internal/frontend/httpfront/golden_test.go
@@ -1,4 +1,4 @@
-package http
+package httpfront
 
 import (
 	"bufio"
@@ -12,9 +12,9 @@
 	"strings"
 	"testing"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/core"
+	"garnetline/internal/dispatch"
+	"garnetline/routing"
 )
 
 // With -update the fixture is written anew, from the program as it is:
@@ -25,7 +25,7 @@
 // stoppedDispatcher is a core that has stopped.
 type stoppedDispatcher struct{ *fakeDispatcher }
 
-func (stoppedDispatcher) Submit(*core.Request) bool { return false }
+func (stoppedDispatcher) Submit(*dispatch.Request) bool { return false }
 
 // exchange sends a text on a new connection and returns the bytes of all answers up to the
 // first final one.
@@ -53,12 +53,12 @@
 
 // Every form in which a client is answered, to the byte.
 func TestGoldenResponses(t *testing.T) {
-	served := core.Response{Kind: core.Served, Body: []byte("a\x00\r\nb"), ETag: "4be0c1927d55a6f3"}
+	served := dispatch.Response{Kind: dispatch.Served, Body: []byte("a\x00\r\nb"), ETag: "4be0c1927d55a6f3"}
 	without := func(text, what string) string { return strings.Replace(text, what, "", 1) }
 	health := "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
 	handOver := func(s *Server) { // once the request is read
 		classes := s.Classes
-		s.Classes = func() []decide.Class { s.StopAccepting(); return classes() }
+		s.Classes = func() []routing.Class { s.StopAccepting(); return classes() }
 	}
 	late := func(s *Server) { s.Ready = func() bool { return false } }
 	page := func(s *Server) {
@@ -69,21 +69,21 @@
 	var out strings.Builder
 	for _, c := range []struct {
 		name, text string
-		answer     core.Response
+		answer     dispatch.Response
 		change     func(*Server)
 	}{
 		{"served", getRequest(objectTarget), served, nil},
-		{"served, no tag, no body", getRequest(objectTarget), core.Response{Kind: core.Served}, nil},
+		{"served, no tag, no body", getRequest(objectTarget), dispatch.Response{Kind: dispatch.Served}, nil},
 		{"served, last of its connection", getRequest(objectTarget, "Connection: close"), served, nil},
 		{"served, HTTP/1.0", strings.Replace(getRequest(objectTarget), "HTTP/1.1", "HTTP/1.0", 1), served, nil},
 		{"served, handed over", getRequest(objectTarget), served, handOver},
-		{"written after 100", putRequest(3, "Expect: 100-continue") + "abc", core.Response{Kind: core.Served, Body: []byte("ok")}, nil},
-		{"the client's copy holds", getRequest(objectTarget), core.Response{Kind: core.NotModified, ETag: "4be0c1927d55a6f3"}, nil},
-		{"the client's copy holds, no tag", getRequest(objectTarget, "Connection: close"), core.Response{Kind: core.NotModified}, nil},
-		{"refused", getRequest(objectTarget), core.Response{Kind: core.Rejected}, nil},
-		{"refused with a time", getRequest(objectTarget), core.Response{Kind: core.Rejected, RetryAfter: 250.9}, nil},
-		{"failed", getRequest(objectTarget), core.Response{Kind: core.Failed}, nil},
-		{"clash", getRequest(objectTarget), core.Response{Kind: core.DuplicateID}, nil},
+		{"written after 100", putRequest(3, "Expect: 100-continue") + "abc", dispatch.Response{Kind: dispatch.Served, Body: []byte("ok")}, nil},
+		{"the client's copy holds", getRequest(objectTarget), dispatch.Response{Kind: dispatch.NotModified, ETag: "4be0c1927d55a6f3"}, nil},
+		{"the client's copy holds, no tag", getRequest(objectTarget, "Connection: close"), dispatch.Response{Kind: dispatch.NotModified}, nil},
+		{"refused", getRequest(objectTarget), dispatch.Response{Kind: dispatch.Rejected}, nil},
+		{"refused with a time", getRequest(objectTarget), dispatch.Response{Kind: dispatch.Rejected, RetryAfter: 250.9}, nil},
+		{"failed", getRequest(objectTarget), dispatch.Response{Kind: dispatch.Failed}, nil},
+		{"clash", getRequest(objectTarget), dispatch.Response{Kind: dispatch.DuplicateID}, nil},
 		{"core stopped", getRequest(objectTarget), served, func(s *Server) { s.Dispatcher = stoppedDispatcher{&fakeDispatcher{}} }},
 		{"healthy", health, served, nil},
 		{"healthy, HEAD", strings.Replace(health, "GET", "HEAD", 1), served, nil},
--- a/internal/front/http/lifecycle_test.go
+++ b/internal/frontend/httpfront/lifecycle_test.go
@@ -1,4 +1,4 @@
-package http
+package httpfront
 
 import (
 	"bufio"
@@ -9,9 +9,9 @@
 	"testing"
 	"time"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/core"
+	"garnetline/internal/dispatch"
+	"garnetline/routing"
 )
 
 // waitFor waits for a condition within a wide bound.
@@ -82,7 +82,7 @@
 	io.WriteString(conn, getRequest(objectTarget)+two) // in one piece: the second is read with the first
 	waitFor(t, "the request is taken", func() bool { return f.count() == 1 })
 	clk.Advance(700)
-	f.request(0).Respond(core.Response{Kind: core.Served, Body: []byte("1")})
+	f.request(0).Respond(dispatch.Response{Kind: dispatch.Served, Body: []byte("1")})
 	readResponse(t, in, "1")
 	waitFor(t, "the next is taken", func() bool { return f.count() == 2 })
 	if q := f.request(1); q.Deadline != 1.7e12+1500-responseMarginMs {
@@ -97,7 +97,7 @@
 		}
 		return false
 	})
-	f.request(1).Respond(core.Response{Kind: core.Served, Body: []byte("2")})
+	f.request(1).Respond(dispatch.Response{Kind: dispatch.Served, Body: []byte("2")})
 	if r := readResponse(t, in, "2"); !r.Close {
 		t.Error("a connection that cannot be read on is kept")
 	}
@@ -121,11 +121,11 @@
 		io.WriteString(c, getRequest(objectTarget))
 		conns = append(conns, c)
 	}
-	f.setResponse(core.Response{Kind: core.Served, Body: []byte("x")}, false)
+	f.setResponse(dispatch.Response{Kind: dispatch.Served, Body: []byte("x")}, false)
 	done := make(chan bool)
 	go func() { s.Shutdown(); close(done) }()
 	<-s.serveDone
-	f.request(0).Respond(core.Response{Kind: core.Served, Body: []byte("x")})
+	f.request(0).Respond(dispatch.Response{Kind: dispatch.Served, Body: []byte("x")})
 	for _, c := range conns {
 		if r := readResponse(t, bufio.NewReader(c), "x"); !r.Close {
 			t.Error("a connection is kept at the end")
@@ -174,7 +174,7 @@
 		"idle":     func(_ *Server, c *conn) { c.text.NetConn.SetReadDeadline(time.Now()) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := &fakeDispatcher{response: core.Response{Kind: core.Served, Body: []byte("x")}}
+			f := &fakeDispatcher{response: dispatch.Response{Kind: dispatch.Served, Body: []byte("x")}}
 			s := newServer(f)
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
@@ -247,7 +247,7 @@
 	io.WriteString(conn, getRequest(objectTarget, "Connection: close"))
 	waitFor(t, "the request is taken", func() bool { return f.count() == 1 })
 	io.WriteString(conn, strings.Repeat("x", 32<<10)) // more than a reader's buffer takes
-	f.request(0).Respond(core.Response{Kind: core.Served, Body: []byte(body)})
+	f.request(0).Respond(dispatch.Response{Kind: dispatch.Served, Body: []byte(body)})
 	waitFor(t, "the answer is written", func() bool { return s.Metrics.Counter("http_200").Load() == 1 })
 	io.WriteString(conn, strings.Repeat("y", 4<<10)) // nobody reads requests any more
 	readResponse(t, bufio.NewReader(conn), body)
@@ -256,8 +256,8 @@
 // An answer may be read as slowly as its client's link lets it, while the client waits.
 func TestWriteTimeout(t *testing.T) {
 	s := newServer(&fakeDispatcher{})
-	classes := []decide.Class{{Deadline: 6 * time.Second}, {Deadline: time.Second}}
-	s.Classes = func() []decide.Class { return classes }
+	classes := []routing.Class{{Deadline: 6 * time.Second}, {Deadline: time.Second}}
+	s.Classes = func() []routing.Class { return classes }
 	now := s.Clock.Now()
 	c := &conn{server: s}
 	for _, x := range []struct{ until, want float64 }{{0, minWriteTimeoutMs}, {now + 500, minWriteTimeoutMs}, {now + 4000, 4000}, {now + 600_000, 6000}} {
--- a/internal/front/http/server.go
+++ b/internal/frontend/httpfront/server.go
@@ -1,7 +1,7 @@
 // Package http is the front for the platform's protocol: HTTP/1.1 over
 // textproto, one request at a time on a connection. It parses and answers;
 // it decides nothing.
-package http
+package httpfront
 
 import (
 	"bytes"
@@ -19,11 +19,11 @@
 	"sync/atomic"
 	"time"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/core"
-	"garnetline/internal/sock"
-	"garnetline/internal/stats"
+	"garnetline/internal/dispatch"
+	"garnetline/internal/metrics"
+	"garnetline/internal/textconn"
+	"garnetline/routing"
 )
 
 const (
@@ -52,18 +52,18 @@
 
 // Dispatcher is what the front needs of the core.
 type Dispatcher interface {
-	Submit(*core.Request) bool
-	Disconnect(*core.Request)
+	Submit(*dispatch.Request) bool
+	Disconnect(*dispatch.Request)
 }
 
 // Options are what a Server needs.
 type Options struct {
 	Clock          clock.Clock
 	Dispatcher     Dispatcher
-	Transport      core.Transport
-	Classes        func() []decide.Class // as of now; their names and places do not change
-	Ready          func() bool           // it has a list of caches
-	Metrics        *stats.Registry
+	Transport      dispatch.Transport
+	Classes        func() []routing.Class // as of now; their names and places do not change
+	Ready          func() bool            // it has a list of caches
+	Metrics        *metrics.Registry
 	MaxConnections func() int // connections open at once, as of now
 	RecordClient   bool       // requests are to tell where they come from
 	// Handler answers every request by itself, one a connection; nil: requests go to the core.
@@ -232,7 +232,7 @@
 // the server's, under its lock.
 type conn struct {
 	server     *Server
-	text       *sock.Conn
+	text       *textconn.Conn
 	acceptedAt float64
 	state      connState
 	stateSince float64 // when the phase began
@@ -243,7 +243,7 @@
 
 func (s *Server) newConn(nc net.Conn) *conn {
 	now := s.Clock.Now()
-	return &conn{server: s, text: sock.New(nc), acceptedAt: now, state: stateNew, stateSince: now}
+	return &conn{server: s, text: textconn.New(nc), acceptedAt: now, state: stateNew, stateSince: now}
 }
 
 // setState goes over to a phase, in which reads may go on for some time. A
@@ -518,8 +518,8 @@
 	open := c.server.Metrics.Counter("requests_open")
 	open.Add(1)
 	defer open.Add(-1)
-	answers := make(chan core.Response, 1)
-	q.Respond = func(a core.Response) { answers <- a }
+	answers := make(chan dispatch.Response, 1)
+	q.Respond = func(a dispatch.Response) { answers <- a }
 	if c.server.RecordClient {
 		c.server.setClientInfo(q, r, c.text.NetConn)
 	}
@@ -536,9 +536,9 @@
 		// The watcher is waited for: the connection has one reader at a time.
 		c.text.NetConn.SetReadDeadline(time.Now())
 		err := <-heard
-		return ok && (isTimeout(err) || err == sock.ErrMessageTooLong)
+		return ok && (isTimeout(err) || err == textconn.ErrMessageTooLong)
 	case err := <-heard:
-		if err != sock.ErrMessageTooLong {
+		if err != textconn.ErrMessageTooLong {
 			c.server.Dispatcher.Disconnect(q)
 			return false
 		}
@@ -547,8 +547,8 @@
 }
 
 // setClientInfo notes where a request comes from. More than one traceparent is none.
-func (s *Server) setClientInfo(q *core.Request, r *request, nc net.Conn) {
-	q.Client = &core.ClientInfo{ReceivedAt: r.receivedAt}
+func (s *Server) setClientInfo(q *dispatch.Request, r *request, nc net.Conn) {
+	q.Client = &dispatch.ClientInfo{ReceivedAt: r.receivedAt}
 	if v := r.header["Traceparent"]; len(v) == 1 {
 		q.Client.TraceParent = v[0]
 	}
@@ -569,7 +569,7 @@
 }
 
 // parseRequest turns a request into what the core takes.
-func (s *Server) parseRequest(r *request) (*core.Request, *requestError) {
+func (s *Server) parseRequest(r *request) (*dispatch.Request, *requestError) {
 	rest, ok := strings.CutPrefix(r.path, "/v1/")
 	name, object, two := strings.Cut(rest, "/")
 	if !ok || !two || strings.Contains(object, "/") {
@@ -589,13 +589,15 @@
 	if want := map[bool]string{false: "GET", true: "PUT"}[k.Write]; r.method != want {
 		return nil, &requestError{status: 405, message: want + " only", allow: want}
 	}
-	q := &core.Request{Class: class, Transport: s.Transport, Body: r.body}
-	bad := func(why string) (*core.Request, *requestError) { return nil, &requestError{status: 400, message: why} }
+	q := &dispatch.Request{Class: class, Transport: s.Transport, Body: r.body}
+	bad := func(why string) (*dispatch.Request, *requestError) {
+		return nil, &requestError{status: 400, message: why}
+	}
 	o, err := strconv.ParseUint(object, 16, 64)
 	if err != nil || len(object) != 16 || o == 0 || object != strings.ToLower(object) {
 		return bad("object: not 16 hex digits")
 	}
-	q.Object = decide.ObjectID(o)
+	q.Object = routing.ObjectID(o)
 	if !k.Write && len(r.body) > 0 {
 		return bad("body: none wanted")
 	}
@@ -638,12 +640,12 @@
 		}
 	}
 	q.IdempotencyKey = r.header.Get("X-Txn-Key")
-	if q.IdempotencyKey != "" && !core.ValidFieldValue(q.IdempotencyKey) || q.IdempotencyKey == "" && k.Idempotency == decide.IdempotentWithKey {
+	if q.IdempotencyKey != "" && !dispatch.ValidFieldValue(q.IdempotencyKey) || q.IdempotencyKey == "" && k.Idempotency == routing.IdempotentWithKey {
 		return bad("X-Txn-Key: missing or malformed")
 	}
 	// A list of tags, a weak one or * is passed over: the answer is then whole.
 	if v := r.header["If-None-Match"]; len(v) == 1 && len(v[0]) > 2 && v[0][0] == '"' && v[0][len(v[0])-1] == '"' {
-		if tag := v[0][1 : len(v[0])-1]; core.ValidFieldValue(tag) && !k.Write {
+		if tag := v[0][1 : len(v[0])-1]; dispatch.ValidFieldValue(tag) && !k.Write {
 			q.IfNoneMatch = tag
 		}
 	}
@@ -651,28 +653,28 @@
 }
 
 // writeResponse writes a final answer.
-func (c *conn) writeResponse(r *request, a core.Response) bool {
+func (c *conn) writeResponse(r *request, a dispatch.Response) bool {
 	switch a.Kind {
-	case core.Served:
+	case dispatch.Served:
 		head := "Content-Type: application/octet-stream\r\n"
 		if a.ETag != "" {
 			head += "ETag: \"" + a.ETag + "\"\r\n"
 		}
 		return c.writeMessage(r, 200, head, a.Body)
-	case core.NotModified:
+	case dispatch.NotModified:
 		head := ""
 		if a.ETag != "" {
 			head = "ETag: \"" + a.ETag + "\"\r\n"
 		}
 		return c.writeMessage(r, 304, head, nil)
-	case core.Rejected:
+	case dispatch.Rejected:
 		head := "Content-Type: text/plain\r\n"
 		if a.RetryAfter > 0 {
 			head += fmt.Sprintf("X-Throttle-Ms: %d\r\n", int64(a.RetryAfter))
 		}
 		return c.writeMessage(r, 503, head, []byte("refused: a retry is harmless\n"))
 	}
-	if a.Kind == core.DuplicateID {
+	if a.Kind == dispatch.DuplicateID {
 		return c.writeError(r, &requestError{status: 409, message: "X-Txn: another request with it is open"})
 	}
 	return c.writeMessage(r, 502, "Content-Type: text/plain\r\n", []byte("failed\n"))
@@ -721,7 +723,7 @@
 	if r.clientDeadline == 0 { // no request for the core: nobody told how long it is waited for
 		return minWriteTimeoutMs
 	}
-	return max(minWriteTimeoutMs, min(r.clientDeadline-c.server.Clock.Now(), clock.Millis(decide.MaxDeadline(c.server.Classes()))))
+	return max(minWriteTimeoutMs, min(r.clientDeadline-c.server.Clock.Now(), clock.Millis(routing.MaxDeadline(c.server.Classes()))))
 }
 
 // writeMessage writes one whole answer.
--- a/internal/front/http/server_test.go
+++ b/internal/frontend/httpfront/server_test.go
@@ -1,4 +1,4 @@
-package http
+package httpfront
 
 import (
 	"bufio"
@@ -14,22 +14,22 @@
 	"testing"
 	"time"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/core"
-	"garnetline/internal/stats"
+	"garnetline/internal/dispatch"
+	"garnetline/internal/metrics"
+	"garnetline/routing"
 )
 
 // fakeDispatcher is a core that answers at once, unless held.
 type fakeDispatcher struct {
 	mu           sync.Mutex
-	requests     []*core.Request
-	response     core.Response
+	requests     []*dispatch.Request
+	response     dispatch.Response
 	hold         bool
-	disconnected chan *core.Request
+	disconnected chan *dispatch.Request
 }
 
-func (f *fakeDispatcher) Submit(r *core.Request) bool {
+func (f *fakeDispatcher) Submit(r *dispatch.Request) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.requests = append(f.requests, r)
@@ -39,15 +39,15 @@
 	return true
 }
 
-func (f *fakeDispatcher) Disconnect(r *core.Request) { f.disconnected <- r }
+func (f *fakeDispatcher) Disconnect(r *dispatch.Request) { f.disconnected <- r }
 
-func (f *fakeDispatcher) setResponse(a core.Response, hold bool) {
+func (f *fakeDispatcher) setResponse(a dispatch.Response, hold bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.response, f.hold = a, hold
 }
 
-func (f *fakeDispatcher) request(i int) *core.Request {
+func (f *fakeDispatcher) request(i int) *dispatch.Request {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.requests[i]
@@ -60,10 +60,10 @@
 }
 
 func newServer(f *fakeDispatcher) *Server {
-	f.disconnected = make(chan *core.Request, 8)
-	return New(Options{Clock: clock.NewManual(1.7e12), Dispatcher: f, Ready: func() bool { return true }, Metrics: stats.New(), MaxConnections: func() int { return 8 },
-		Classes: func() []decide.Class {
-			return []decide.Class{{Name: "part", Idempotency: decide.Idempotent}, {Name: "form", Idempotency: decide.IdempotentWithKey, Write: true}}
+	f.disconnected = make(chan *dispatch.Request, 8)
+	return New(Options{Clock: clock.NewManual(1.7e12), Dispatcher: f, Ready: func() bool { return true }, Metrics: metrics.New(), MaxConnections: func() int { return 8 },
+		Classes: func() []routing.Class {
+			return []routing.Class{{Name: "part", Idempotency: routing.Idempotent}, {Name: "form", Idempotency: routing.IdempotentWithKey, Write: true}}
 		}})
 }
 
@@ -103,7 +103,7 @@
 // Guards against a handover that cuts connections: their next request is answered,
 // as the last one, and the socket's other holders take what is new.
 func TestStopAccepting(t *testing.T) {
-	s := newServer(&fakeDispatcher{response: core.Response{Kind: core.Served, Body: []byte("x")}})
+	s := newServer(&fakeDispatcher{response: dispatch.Response{Kind: dispatch.Served, Body: []byte("x")}})
 	conn := dial(t, s)
 	in := bufio.NewReader(conn)
 	for _, last := range []bool{false, true} {
@@ -181,18 +181,18 @@
 	conn := dial(t, newServer(f))
 	in := bufio.NewReader(conn)
 	for _, c := range []struct {
-		answer core.Response
+		answer dispatch.Response
 		status int
 		name   string
 		value  string
 		body   string
 	}{
-		{core.Response{Kind: core.Served, Body: []byte("a\x00\r\nb"), ETag: "t1"}, 200, "Etag", `"t1"`, "a\x00\r\nb"},
-		{core.Response{Kind: core.NotModified, ETag: "t1"}, 304, "Etag", `"t1"`, ""},
-		{core.Response{Kind: core.Rejected, RetryAfter: 250}, 503, "X-Throttle-Ms", "250", "refused: a retry is harmless\n"},
-		{core.Response{Kind: core.Failed}, 502, "X-Throttle-Ms", "", "failed\n"},
-		{core.Response{Kind: core.DuplicateID}, 409, "X-Throttle-Ms", "", "X-Txn: another request with it is open\n"},
-		{core.Response{Kind: core.Served}, 200, "Content-Length", "0", ""},
+		{dispatch.Response{Kind: dispatch.Served, Body: []byte("a\x00\r\nb"), ETag: "t1"}, 200, "Etag", `"t1"`, "a\x00\r\nb"},
+		{dispatch.Response{Kind: dispatch.NotModified, ETag: "t1"}, 304, "Etag", `"t1"`, ""},
+		{dispatch.Response{Kind: dispatch.Rejected, RetryAfter: 250}, 503, "X-Throttle-Ms", "250", "refused: a retry is harmless\n"},
+		{dispatch.Response{Kind: dispatch.Failed}, 502, "X-Throttle-Ms", "", "failed\n"},
+		{dispatch.Response{Kind: dispatch.DuplicateID}, 409, "X-Throttle-Ms", "", "X-Txn: another request with it is open\n"},
+		{dispatch.Response{Kind: dispatch.Served}, 200, "Content-Length", "0", ""},
 	} {
 		f.setResponse(c.answer, false)
 		if _, err := io.WriteString(conn, getRequest(objectTarget, `If-None-Match: "t1"`, "X-Family: 17", "X-Working-Set-Kb: 412.5")); err != nil {
@@ -220,7 +220,7 @@
 	chunks := "PUT /v1/form/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: x\r\nX-Txn: 9b1f03aa5c7e2d41\r\nX-Ttl-Ms: 1500\r\nX-Txn-Key: k1\r\n" +
 		"Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(want), want)
 	for _, text := range []string{putRequest(len(want)) + want, chunks, putRequest(len(want), "Expect: 100-continue") + want} {
-		f := &fakeDispatcher{response: core.Response{Kind: core.Served, Body: []byte("ok")}}
+		f := &fakeDispatcher{response: dispatch.Response{Kind: dispatch.Served, Body: []byte("ok")}}
 		conn := dial(t, newServer(f))
 		go io.WriteString(conn, text)
 		in := bufio.NewReader(conn)
@@ -251,7 +251,7 @@
 // After Stopping the health check fails and requests are served on; Finish
 // lets what is open end and closes the connection behind it.
 func TestHealthCheckAndShutdown(t *testing.T) {
-	f := &fakeDispatcher{response: core.Response{Kind: core.Served, Body: []byte("x")}}
+	f := &fakeDispatcher{response: dispatch.Response{Kind: dispatch.Served, Body: []byte("x")}}
 	s := newServer(f)
 	conn := dial(t, s)
 	in := bufio.NewReader(conn)
@@ -383,7 +383,7 @@
 // Connections that say nothing, or that asked once and stay, make room for one
 // that asks; one that is being answered does not.
 func TestIdleConnectionsAreEvicted(t *testing.T) {
-	f := &fakeDispatcher{response: core.Response{Kind: core.Served, Body: []byte("x")}}
+	f := &fakeDispatcher{response: dispatch.Response{Kind: dispatch.Served, Body: []byte("x")}}
 	s := newServer(f)
 	clk := clock.NewManual(1.7e12)
 	s.Clock = clk
@@ -449,9 +449,9 @@
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
-		fk := &fakeDispatcher{response: core.Response{Kind: core.Served, Body: []byte("body"), ETag: "t"}}
+		fk := &fakeDispatcher{response: dispatch.Response{Kind: dispatch.Served, Body: []byte("body"), ETag: "t"}}
 		s := newServer(fk)
-		fk.disconnected = make(chan *core.Request, len(b)+1)
+		fk.disconnected = make(chan *dispatch.Request, len(b)+1)
 		m := &memoryConn{in: bytes.NewReader(b)}
 		s.newConn(m).serve()
 		answers, in := 0, bufio.NewReader(&m.out)
--- a/internal/lab/duties.go
+++ b/internal/lab/duties.go
@@ -5,9 +5,9 @@
 	"math/rand/v2"
 	"slices"
 
-	"garnetline/internal/fleet/duty"
-	"garnetline/internal/fleet/member"
-	"garnetline/internal/fleet/register"
+	"garnetline/internal/fleet/lease"
+	"garnetline/internal/fleet/leaseregistry"
+	"garnetline/internal/fleet/membership"
 )
 
 // Safeguard is one that can be switched off, to see that what it guards against is found.
@@ -50,12 +50,12 @@
 }
 
 type leaseRouter struct {
-	*duty.Holder
-	id      member.ID
+	*lease.Holder
+	id      membership.ID
 	rate    float64
 	stalled float64
 	cut     float64 // from the register, until then; not from the receiver
-	queue   []duty.Response
+	queue   []lease.Response
 	acts    []act // decided, and not written yet
 	wake    float64
 	since   float64 // true time from which it holds by what it was told
@@ -69,8 +69,8 @@
 type mail struct {
 	at     float64
 	to     int
-	ask    *duty.Request
-	answer *duty.Response
+	ask    *lease.Request
+	answer *lease.Response
 	act    *act
 	from   int
 }
@@ -78,27 +78,27 @@
 // Run plays until there were enough handovers, or two acted at once.
 func (o Leases) Run() (r LeaseResult) {
 	rng := rand.New(rand.NewPCG(o.Seed, 77))
-	set := duty.DefaultSettings()
+	set := lease.DefaultSettings()
 	set.TTL, set.SafetyMargin, set.RetryInterval, set.MaxBackoff, set.MaxClockDrift = 1000, 60, 60, 1200, 0.05
 	real := set.MaxClockDrift / 2 * o.Drift // each clock's rate; two differ by twice that
 	if o.Off == Margin {
 		set.SafetyMargin, set.MaxClockDrift = 0, 0
 	}
 	var routers []*leaseRouter
-	var ids []member.ID
+	var ids []membership.ID
 	for i := range o.Routers {
-		ids = append(ids, member.ID(i+1))
+		ids = append(ids, membership.ID(i+1))
 	}
 	for i, id := range ids {
-		x := &leaseRouter{Holder: duty.NewHolder(set, id, uint64(i)<<40), id: id, rate: 1 + real*(2*float64(i%2)-1)}
-		x.SetRank(0, "d", duty.Rank("d", id, ids))
+		x := &leaseRouter{Holder: lease.NewHolder(set, id, uint64(i)<<40), id: id, rate: 1 + real*(2*float64(i%2)-1)}
+		x.SetRank(0, "d", lease.Rank("d", id, ids))
 		routers = append(routers, x)
 	}
 	leader := 1 + real*(2*rng.Float64()-1) // the rate of the leader's clock
-	state, index := register.New(), uint64(0)
-	ledger := duty.NewExpiryTracker(set, 0, state)
+	state, index := leaseregistry.New(), uint64(0)
+	ledger := lease.NewExpiryTracker(set, 0, state)
 	var air []mail
-	now, fence := 0.0, duty.Fence{}
+	now, fence := 0.0, lease.Fence{}
 	post := func(m mail) {
 		if rng.Float64() < 0.03 || m.ask != nil && now < routers[m.from].cut || m.answer != nil && now < routers[m.to].cut {
 			return
@@ -135,28 +135,28 @@
 		}
 		post(mail{to: -1, act: &a, from: int(x.id) - 1})
 	}
-	ask := func(q duty.Request, from int) {
+	ask := func(q lease.Request, from int) {
 		x := routers[from]
-		a := duty.Response{RequestID: q.ID, Lease: "d"}
+		a := lease.Response{RequestID: q.ID, Lease: "d"}
 		d := state.Leases["d"]
 		t := now * leader
 		switch {
 		case q.Release && d != nil && d.Holder == x.id && d.FencingToken == q.FencingToken:
 			index++
-			c := &register.Command{Op: register.OpTransfer, Lease: "d", Holder: q.TransferTo, ExpectedToken: q.FencingToken}
+			c := &leaseregistry.Command{Op: leaseregistry.OpTransfer, Lease: "d", Holder: q.TransferTo, ExpectedToken: q.FencingToken}
 			if q.TransferTo == 0 {
-				c.Op, c.Holder = register.OpRelease, x.id
+				c.Op, c.Holder = leaseregistry.OpRelease, x.id
 			}
 			state.Apply(index, c)
 			if q.TransferTo != 0 {
-				post(mail{to: int(q.TransferTo) - 1, answer: &duty.Response{Lease: "d", Holder: q.TransferTo, FencingToken: index}})
+				post(mail{to: int(q.TransferTo) - 1, answer: &lease.Response{Lease: "d", Holder: q.TransferTo, FencingToken: index}})
 			}
 		case q.Release:
 		case d != nil && d.Holder == x.id && d.Incarnation != 0 && (q.FencingToken == d.FencingToken || q.FencingToken == 0):
 			a.Granted = true
 		case q.FencingToken == 0 && (ledger.Available(t, d) || d.Holder == x.id && d.Incarnation == 0):
 			index++
-			c := &register.Command{Op: register.OpGrant, Lease: "d", Holder: x.id, Incarnation: 1}
+			c := &leaseregistry.Command{Op: leaseregistry.OpGrant, Lease: "d", Holder: x.id, Incarnation: 1}
 			if d != nil {
 				c.ExpectedToken, c.HolderLost = d.FencingToken, d.Holder != 0 && d.Holder != x.id
 			}
@@ -176,7 +176,7 @@
 		}
 		post(mail{to: from, answer: &a})
 	}
-	hear := func(x *leaseRouter, a duty.Response) {
+	hear := func(x *leaseRouter, a lease.Response) {
 		if o.Off == BeforeAsks { // as if the question had been asked when the answer came
 			x.Backdate("d", a.RequestID, now*x.rate)
 		}
@@ -279,9 +279,9 @@
 		if rng.IntN(1500) == 0 { // another leader, with another clock
 			r.Steps++
 			leader = 1 + real*(2*rng.Float64()-1)
-			ledger = duty.NewExpiryTracker(set, now*leader, state)
+			ledger = lease.NewExpiryTracker(set, now*leader, state)
 			if o.Off == NewLeader {
-				ledger = duty.NewExpiryTracker(set, now*leader, register.New())
+				ledger = lease.NewExpiryTracker(set, now*leader, leaseregistry.New())
 			}
 		}
 		now += 2
--- a/internal/lab/duties_test.go
+++ b/internal/lab/duties_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"garnetline/internal/fleet/agree"
+	"garnetline/internal/fleet/consensus"
 )
 
 // Within the bounds no two act at once; each safeguard that is switched off is found out.
@@ -48,14 +48,14 @@
 // All duties are held, a thousand handings on leave none, what electors say to each other
 // does not grow with the questions, and a log stays short.
 func TestRegisterOfManyDuties(t *testing.T) {
-	set := agree.DefaultSettings()
+	set := consensus.DefaultSettings()
 	set.SnapshotEntries, set.RetainedEntries = 200, 50
 	few, err := Register{Seed: 1, Electors: 3, Routers: 6, Duties: 4, Set: set, Move: 20}.Run(20_000)
 	if err != nil || few.Held < 3 || len(few.Moved) < 500 || Quantile(few.Moved, 0.5) > 20 || few.Disk > 3<<20 {
 		t.Errorf("%d of 4 held, %d handed on in %.1f ms, %d bytes on the disk, %v", few.Held, len(few.Moved), Quantile(few.Moved, 0.5), few.Disk, err)
 	}
 	rate := func(duties int) float64 {
-		r, err := Register{Seed: 1, Electors: 3, Routers: 6, Duties: duties, Set: agree.DefaultSettings()}.Run(15_000)
+		r, err := Register{Seed: 1, Electors: 3, Routers: 6, Duties: duties, Set: consensus.DefaultSettings()}.Run(15_000)
 		if err != nil || r.Held != duties {
 			t.Errorf("%d of %d duties held, %v", r.Held, duties, err)
 		}
--- a/internal/lab/members.go
+++ b/internal/lab/members.go
@@ -11,7 +11,7 @@
 	"sync"
 
 	"garnetline/internal/fleet"
-	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/membership"
 	"garnetline/internal/virtual"
 )
 
@@ -186,7 +186,7 @@
 			}
 		}
 		v.Until(at+60_000, 10, func() bool {
-			n := v.SeenAs(x)[member.Failed]
+			n := v.SeenAs(x)[membership.Failed]
 			if n > 0 && math.IsNaN(first) {
 				first = v.Now - at
 			}
@@ -219,7 +219,7 @@
 // rough runs a fleet for a while in which nobody dies and some stall, and counts what is
 // said of routers by those who say it first.
 func rough(v *virtual.Net, ms float64, stalls func(*virtual.Host) bool) (r Rough) {
-	by := map[member.ID]*virtual.Host{}
+	by := map[membership.ID]*virtual.Host{}
 	for _, h := range v.Hosts {
 		by[h.Self.ID] = h
 	}
--- a/internal/lab/pingall.go
+++ b/internal/lab/pingall.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 
 	"garnetline/internal/fleet"
-	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/membership"
 	"garnetline/internal/virtual"
 )
 
@@ -13,12 +13,12 @@
 // period and holds one for failed that has not answered for long enough. It tells nobody.
 // All are known from the start.
 type plain struct {
-	self   member.Update
-	peers  []member.Update
+	self   membership.Update
+	peers  []membership.Update
 	heard  []float64
 	failed []bool
 	next   float64
-	place  map[member.ID]int
+	place  map[membership.ID]int
 	count  uint64
 }
 
@@ -33,12 +33,12 @@
 func pingAll(v *virtual.Net, n int) {
 	v.Fleet(n, fleet.DefaultSettings(), true) // for names, seats and addresses
 	rng := rand.New(rand.NewPCG(v.Rng.Uint64(), 1))
-	var all []member.Update
+	var all []membership.Update
 	for _, h := range v.Hosts {
 		all = append(all, h.Self)
 	}
 	for i, h := range v.Hosts {
-		p := &plain{self: all[i], peers: all, heard: make([]float64, n), failed: make([]bool, n), next: rng.Float64() * plainPeriod, place: map[member.ID]int{}}
+		p := &plain{self: all[i], peers: all, heard: make([]float64, n), failed: make([]bool, n), next: rng.Float64() * plainPeriod, place: map[membership.ID]int{}}
 		for j, w := range all {
 			p.place[w.ID] = j
 		}
@@ -47,20 +47,20 @@
 }
 
 // Step pings when it is time, answers, and judges.
-func (p *plain) Step(now float64, in *member.Packet) (out fleet.Output) {
-	send := func(to member.Update, k member.Kind) {
+func (p *plain) Step(now float64, in *membership.Packet) (out fleet.Output) {
+	send := func(to membership.Update, k membership.Kind) {
 		p.count++
-		out.Packets = append(out.Packets, member.OutgoingPacket{To: to.Addr, Packet: &member.Packet{Kind: k, From: p.self, Sequence: p.count}})
+		out.Packets = append(out.Packets, membership.OutgoingPacket{To: to.Addr, Packet: &membership.Packet{Kind: k, From: p.self, Sequence: p.count}})
 	}
 	if in != nil {
 		j := p.place[in.From.ID]
 		p.heard[j] = now
 		if p.failed[j] {
 			p.failed[j] = false
-			out.Events = append(out.Events, member.Event{Kind: "back", Update: in.From})
+			out.Events = append(out.Events, membership.Event{Kind: "back", Update: in.From})
 		}
-		if in.Kind == member.Ping {
-			send(in.From, member.Ack)
+		if in.Kind == membership.Ping {
+			send(in.From, membership.Ack)
 		}
 	}
 	if p.next <= now {
@@ -72,9 +72,9 @@
 			if !p.failed[j] && now-p.heard[j] > plainWait && now > 2*plainWait {
 				p.failed[j] = true
 				w.ReportedBy = p.self.ID
-				out.Events = append(out.Events, member.Event{Kind: "failed", Update: w})
+				out.Events = append(out.Events, membership.Event{Kind: "failed", Update: w})
 			}
-			send(w, member.Ping)
+			send(w, membership.Ping)
 		}
 	}
 	out.WakeAt = p.next
@@ -82,12 +82,12 @@
 }
 
 // Leave says nothing.
-func (p *plain) Leave(float64) member.Output { return member.Output{WakeAt: math.Inf(1)} }
+func (p *plain) Leave(float64) membership.Output { return membership.Output{WakeAt: math.Inf(1)} }
 
 // State tells how a router is seen.
-func (p *plain) State(id member.ID) (member.State, bool) {
+func (p *plain) State(id membership.ID) (membership.State, bool) {
 	if j, ok := p.place[id]; ok && p.failed[j] {
-		return member.Failed, true
+		return membership.Failed, true
 	}
-	return member.Alive, true
+	return membership.Alive, true
 }
--- a/internal/lab/register.go
+++ b/internal/lab/register.go
@@ -12,11 +12,11 @@
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
-	"garnetline/internal/fleet/agree"
-	"garnetline/internal/fleet/agree/disk"
-	"garnetline/internal/fleet/duties"
-	"garnetline/internal/fleet/duty"
-	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/consensus"
+	"garnetline/internal/fleet/consensus/wal"
+	"garnetline/internal/fleet/lease"
+	"garnetline/internal/fleet/leasemanager"
+	"garnetline/internal/fleet/membership"
 )
 
 // Register is a run of electors and routers that hold duties, on one clock: what it costs,
@@ -24,7 +24,7 @@
 type Register struct {
 	Seed                      uint64
 	Electors, Routers, Duties int
-	Set                       agree.Settings
+	Set                       consensus.Settings
 	Move                      float64 // a duty is handed on so often, ms; 0: never
 	Drop                      float64 // a router loses its answers for a lease so often, ms; 0: never
 }
@@ -61,7 +61,7 @@
 	}
 	return nil, fs.ErrNotExist
 }
-func (m *folder) Append(name string) (disk.File, error) {
+func (m *folder) Append(name string) (wal.File, error) {
 	m.files[name] = append(m.files[name], []byte{}...)
 	return &folderFile{m, name}, nil
 }
@@ -128,14 +128,14 @@
 	for i := range o.Duties {
 		names = append(names, fmt.Sprintf("duty/%04d", i))
 	}
-	electors, folders := make([]*agree.Node, o.Electors), make([]*folder, o.Electors)
+	electors, folders := make([]*consensus.Node, o.Electors), make([]*folder, o.Electors)
 	wakes, leads := make([]int, o.Electors), 0
-	var ids []member.ID
+	var ids []membership.ID
 	for i := range o.Routers {
-		ids = append(ids, member.ID(i+1))
+		ids = append(ids, membership.ID(i+1))
 	}
 	type router struct {
-		*duty.Holder
+		*lease.Holder
 		first map[string]float64 // when it began to ask
 		wake  int
 		deaf  float64
@@ -143,9 +143,9 @@
 	routers := make([]*router, o.Routers)
 	moved := map[string]float64{}
 	var stepRouter func(i int)
-	var step func(i int, in agree.Input)
-	answer := func(to member.ID, a duty.Response) {
-		r.Asked += len(duties.EncodeResponse(a))
+	var step func(i int, in consensus.Input)
+	answer := func(to membership.ID, a lease.Response) {
+		r.Asked += len(leasemanager.EncodeResponse(a))
 		after(way(), func() {
 			x := routers[to-1]
 			if now < x.deaf {
@@ -166,7 +166,7 @@
 			stepRouter(int(to) - 1)
 		})
 	}
-	step = func(i int, in agree.Input) {
+	step = func(i int, in consensus.Input) {
 		out, e := electors[i].Step(now, in)
 		if e != nil {
 			err = e
@@ -178,13 +178,13 @@
 		for _, m := range out.Messages {
 			m := proto.Clone(m).(*raftpb.Message)
 			r.Messages, r.Bytes = r.Messages+1, r.Bytes+proto.Size(m)
-			after(way(), func() { step(int(m.GetTo())-1, agree.Input{Message: m}) })
+			after(way(), func() { step(int(m.GetTo())-1, consensus.Input{Message: m}) })
 		}
 		for _, a := range out.Responses {
 			answer(a.To, a.Response)
 		}
 		for _, a := range out.Released {
-			for _, id := range duty.TopRanked(a.Lease, ids, 4) {
+			for _, id := range lease.TopRanked(a.Lease, ids, 4) {
 				answer(id, a)
 			}
 		}
@@ -192,7 +192,7 @@
 		at := wakes[i]
 		after(out.WakeAt-now, func() {
 			if at == wakes[i] {
-				step(i, agree.Input{})
+				step(i, consensus.Input{})
 			}
 		})
 	}
@@ -201,12 +201,12 @@
 		asks, _, wake := x.Step(now)
 		for _, a := range asks {
 			r.Asks++
-			r.Asked += len(duties.EncodeRequest(a))
+			r.Asked += len(leasemanager.EncodeRequest(a))
 			if _, was := x.first[a.Lease]; !was && a.FencingToken == 0 {
 				x.first[a.Lease] = now
 			}
 			after(way(), func() {
-				step(leads, agree.Input{Request: &agree.ClientRequest{From: ids[i], Incarnation: 1, Request: a}})
+				step(leads, consensus.Input{Request: &consensus.ClientRequest{From: ids[i], Incarnation: 1, Request: a}})
 			})
 		}
 		x.wake++
@@ -219,20 +219,20 @@
 	}
 	for i := range electors {
 		folders[i] = &folder{files: map[string][]byte{}}
-		log, found, _, err := disk.Open(folders[i], "lab")
+		log, found, _, err := wal.Open(folders[i], "lab")
 		if err != nil {
 			return r, err
 		}
-		if electors[i], err = agree.NewNode(o.Set, uint64(i+1), log, found, voters, 0); err != nil {
+		if electors[i], err = consensus.NewNode(o.Set, uint64(i+1), log, found, voters, 0); err != nil {
 			return r, err
 		}
-		after(0, func() { step(i, agree.Input{}) })
+		after(0, func() { step(i, consensus.Input{}) })
 	}
 	for i, id := range ids {
-		routers[i] = &router{Holder: duty.NewHolder(o.Set.Lease, id, uint64(i)<<40), first: map[string]float64{}}
+		routers[i] = &router{Holder: lease.NewHolder(o.Set.Lease, id, uint64(i)<<40), first: map[string]float64{}}
 		after(4*o.Set.TickInterval*float64(o.Set.ElectionTicks), func() { // when there is a leader
 			for _, name := range names {
-				routers[i].SetRank(now, name, duty.Rank(name, id, ids))
+				routers[i].SetRank(now, name, lease.Rank(name, id, ids))
 			}
 			stepRouter(i)
 		})
--- a/internal/lab/search.go
+++ b/internal/lab/search.go
@@ -9,9 +9,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"garnetline/internal/fleet/duty"
-	"garnetline/internal/fleet/member"
-	"garnetline/internal/fleet/register"
+	"garnetline/internal/fleet/lease"
+	"garnetline/internal/fleet/leaseregistry"
+	"garnetline/internal/fleet/membership"
 )
 
 // LeaseSearch visits every state that two routers and one register can come to, where at
@@ -42,12 +42,12 @@
 // lstate is one state. Acts carry their token only: what is written is looked at when it is.
 type lstate struct {
 	tick    float64
-	holders [2]*duty.Holder
+	holders [2]*lease.Holder
 	acts    [2]uint64 // decided and not written yet; 0: none
 	lives   [2]uint64
-	reg     *register.State
+	reg     *leaseregistry.State
 	index   uint64
-	ledger  *duty.ExpiryTracker
+	ledger  *lease.ExpiryTracker
 	air     []mail
 	faults  int
 	crashes int
@@ -58,8 +58,8 @@
 
 var rates = [2]float64{0.75, 4.0 / 3}
 
-func (o LeaseSearch) settings() duty.Settings {
-	s := duty.Settings{TTL: 400, SafetyMargin: 50, MaxClockDrift: 0.25, RetryInterval: 200, MaxBackoff: 400}
+func (o LeaseSearch) settings() lease.Settings {
+	s := lease.Settings{TTL: 400, SafetyMargin: 50, MaxClockDrift: 0.25, RetryInterval: 200, MaxBackoff: 400}
 	if o.Off == Margin {
 		s.SafetyMargin, s.MaxClockDrift = 0, 0
 	}
@@ -75,10 +75,10 @@
 	}
 	n.ledger = s.ledger.Clone()
 	n.air = slices.Clone(s.air)
-	n.reg = register.New()
+	n.reg = leaseregistry.New()
 	if d := s.reg.Leases["d"]; d != nil {
 		c := *d
-		c.Losses = map[member.ID]uint64{}
+		c.Losses = map[membership.ID]uint64{}
 		n.reg.Leases["d"] = &c
 	}
 	return &n
@@ -138,10 +138,10 @@
 
 // take has the register answer a question.
 func (o LeaseSearch) take(s *lstate, m mail) {
-	q, id := *m.ask, member.ID(m.from+1)
+	q, id := *m.ask, membership.ID(m.from+1)
 	life := q.ID >> 32
 	d := s.reg.Leases["d"]
-	command := func(c *register.Command) bool {
+	command := func(c *leaseregistry.Command) bool {
 		if s.index >= o.Grants {
 			return false
 		}
@@ -151,24 +151,24 @@
 	yes := false
 	switch {
 	case q.Release && d != nil && d.Holder == id && d.FencingToken == q.FencingToken:
-		c := &register.Command{Op: register.OpTransfer, Lease: "d", Holder: q.TransferTo, ExpectedToken: q.FencingToken}
+		c := &leaseregistry.Command{Op: leaseregistry.OpTransfer, Lease: "d", Holder: q.TransferTo, ExpectedToken: q.FencingToken}
 		if q.TransferTo == 0 {
-			c.Op, c.Holder = register.OpRelease, id
+			c.Op, c.Holder = leaseregistry.OpRelease, id
 		}
 		if command(c) && q.TransferTo != 0 {
-			o.post(s, mail{to: int(q.TransferTo) - 1, answer: &duty.Response{Lease: "d", Holder: q.TransferTo, FencingToken: s.index}})
+			o.post(s, mail{to: int(q.TransferTo) - 1, answer: &lease.Response{Lease: "d", Holder: q.TransferTo, FencingToken: s.index}})
 		}
 	case q.Release:
 	case d != nil && d.Holder == id && d.Incarnation == life && (q.FencingToken == d.FencingToken || q.FencingToken == 0):
 		yes = true
 	case q.FencingToken == 0 && (s.ledger.Available(s.tick, d) || d.Holder == id && d.Incarnation == 0):
-		c := &register.Command{Op: register.OpGrant, Lease: "d", Holder: id, Incarnation: life}
+		c := &leaseregistry.Command{Op: leaseregistry.OpGrant, Lease: "d", Holder: id, Incarnation: life}
 		if d != nil {
 			c.ExpectedToken = d.FencingToken
 		}
 		yes = command(c)
 	}
-	a := duty.Response{RequestID: q.ID, Lease: "d", Granted: yes}
+	a := lease.Response{RequestID: q.ID, Lease: "d", Granted: yes}
 	if d = s.reg.Leases["d"]; d != nil {
 		a.FencingToken, a.Holder, a.Remaining = d.FencingToken, d.Holder, s.ledger.Remaining(s.tick, "d")
 		a.Granted = yes || d.Holder == id && d.Incarnation == life
@@ -199,9 +199,9 @@
 }
 
 // holder is a router's side at its start; each life numbers its questions by itself.
-func (o LeaseSearch) holder(s *lstate, i int) *duty.Holder {
+func (o LeaseSearch) holder(s *lstate, i int) *lease.Holder {
 	s.lives[i]++
-	h := duty.NewHolder(o.settings(), member.ID(i+1), s.lives[i]<<32)
+	h := lease.NewHolder(o.settings(), membership.ID(i+1), s.lives[i]<<32)
 	h.SetRank(s.clock(i), "d", i)
 	return h
 }
@@ -236,7 +236,7 @@
 		if ok && s.gives < o.Gives {
 			to(name+" hands on", func(n *lstate) {
 				n.gives++
-				n.holders[i].Release(n.clock(i), "d", member.ID(2-i), nil)
+				n.holders[i].Release(n.clock(i), "d", membership.ID(2-i), nil)
 			})
 		}
 		if s.crashes < o.Crashes {
@@ -251,9 +251,9 @@
 			n.crashes++
 			of := n.reg
 			if o.Off == NewLeader {
-				of = register.New()
+				of = leaseregistry.New()
 			}
-			n.ledger = duty.NewExpiryTracker(o.settings(), n.tick, of)
+			n.ledger = lease.NewExpiryTracker(o.settings(), n.tick, of)
 		})
 	}
 	for k, m := range s.air {
@@ -293,8 +293,8 @@
 		parent int
 		did    string
 	}
-	first := &lstate{reg: register.New()}
-	first.ledger = duty.NewExpiryTracker(o.settings(), 0, first.reg)
+	first := &lstate{reg: leaseregistry.New()}
+	first.ledger = lease.NewExpiryTracker(o.settings(), 0, first.reg)
 	for i := range first.holders {
 		first.holders[i] = o.holder(first, i)
 	}
--- a/internal/lab/worth.go
+++ b/internal/lab/worth.go
@@ -6,10 +6,10 @@
 	"math"
 	"math/rand/v2"
 
-	"garnetline/internal/fleet/duty"
-	"garnetline/internal/fleet/member"
-	"garnetline/internal/fleet/prober"
-	"garnetline/internal/fleet/register"
+	"garnetline/internal/fleet/lease"
+	"garnetline/internal/fleet/leaseregistry"
+	"garnetline/internal/fleet/loadreport"
+	"garnetline/internal/fleet/membership"
 )
 
 // Worth compares ways in which the routers of a location may know the load of its boxes:
@@ -50,12 +50,12 @@
 func (o Worth) Run() (r WorthResult) {
 	const end, from, until, tick, seen = 90_000.0, 30_000.0, 60_000.0, 10.0, 3000.0
 	rng := rand.New(rand.NewPCG(o.Seed, 21))
-	ids := make([]member.ID, o.Routers)
+	ids := make([]membership.ID, o.Routers)
 	for i := range ids {
-		ids[i] = member.ID(rng.Uint64() | 1)
+		ids[i] = membership.ID(rng.Uint64() | 1)
 	}
 	side := func(i int) bool { return i*10 < o.Routers*6 } // of the register
-	var halves [2][]member.ID
+	var halves [2][]membership.ID
 	for i, id := range ids {
 		h := 1
 		if side(i) {
@@ -63,13 +63,13 @@
 		}
 		halves[h] = append(halves[h], id)
 	}
-	views := [3][]member.ID{ids, halves[0], halves[1]}
-	var firsts [3]member.ID
+	views := [3][]membership.ID{ids, halves[0], halves[1]}
+	var firsts [3]membership.ID
 	ranks := [3][]int{}
 	for k, v := range views {
-		firsts[k] = duty.TopRanked("d", v, 1)[0]
+		firsts[k] = lease.TopRanked("d", v, 1)[0]
 		for _, id := range ids {
-			ranks[k] = append(ranks[k], duty.Rank("d", id, v))
+			ranks[k] = append(ranks[k], lease.Rank("d", id, v))
 		}
 	}
 	view := func(now float64, i int) int { // it learns of the cut and of its end later
@@ -82,12 +82,12 @@
 		return 2
 	}
 	reach := func(now float64, a, b int) bool { return now < from || now > until || side(a) == side(b) }
-	set := duty.DefaultSettings()
-	state, index := register.New(), uint64(0)
-	ledger := duty.NewExpiryTracker(set, 0, state)
-	holders := make([]*duty.Holder, o.Routers)
+	set := lease.DefaultSettings()
+	state, index := leaseregistry.New(), uint64(0)
+	ledger := lease.NewExpiryTracker(set, 0, state)
+	holders := make([]*lease.Holder, o.Routers)
 	for i, id := range ids {
-		holders[i] = duty.NewHolder(set, id, uint64(i)<<40)
+		holders[i] = lease.NewHolder(set, id, uint64(i)<<40)
 	}
 	lease := func(now float64, i int) bool {
 		if int(now)%100 == 0 {
@@ -97,11 +97,11 @@
 				if now >= from && now <= until && !side(i) {
 					continue
 				}
-				d, a := state.Leases["d"], duty.Response{RequestID: q.ID, Lease: "d"}
+				d, a := state.Leases["d"], lease.Response{RequestID: q.ID, Lease: "d"}
 				if d != nil && d.Holder == ids[i] || d == nil || ledger.Available(now, d) {
 					if d == nil || d.Holder != ids[i] {
 						index++
-						c := &register.Command{Op: register.OpGrant, Lease: "d", Holder: ids[i], Incarnation: 1}
+						c := &leaseregistry.Command{Op: leaseregistry.OpGrant, Lease: "d", Holder: ids[i], Incarnation: 1}
 						if d != nil {
 							c.ExpectedToken = d.FencingToken
 						}
@@ -206,11 +206,11 @@
 				continue
 			}
 			if flush[i] = now; !o.Single {
-				flush[i] += prober.BatchInterval(o.Routers - 1)
+				flush[i] += loadreport.BatchInterval(o.Routers - 1)
 			}
 			packets := float64(len(queue[i]))
 			if !o.Single {
-				packets = math.Ceil(packets / prober.MaxReportsPerPacket)
+				packets = math.Ceil(packets / loadreport.MaxReportsPerPacket)
 			}
 			for k := range ids {
 				if k == i || view(now, i) != 0 && side(i) != side(k) {
--- a/internal/stats/names_test.go
+++ b/internal/metrics/names_test.go
@@ -1,4 +1,4 @@
-package stats_test
+package metrics_test
 
 import (
 	"flag"
@@ -24,7 +24,7 @@
 // Guards the names of all counters, which operators read in the log and on /metrics: none may
 // change, come or go unnoticed. After a change that is meant:
 //
-//	go test ./internal/stats -run TestCounterNames -update   (the folder as it is called now)
+//	go test ./internal/metrics -run TestCounterNames -update
 func TestCounterNames(t *testing.T) {
 	found := map[string]bool{}
 	for _, files := range sources(t, "../..") {
--- a/internal/stats/registry.go
+++ b/internal/metrics/registry.go
@@ -1,5 +1,5 @@
 // Package stats counts what the program takes in, sends and answers.
-package stats
+package metrics
 
 import (
 	"sync"
--- a/internal/stats/registry_test.go
+++ b/internal/metrics/registry_test.go
@@ -1,4 +1,4 @@
-package stats
+package metrics
 
 import (
 	"sync"
--- a/internal/settings/config.go
+++ b/internal/operatorconfig/config.go
@@ -1,6 +1,6 @@
 // Package settings reads the operators' file, deploy/garnetline.hcl: a block for
 // each feature that the platform does not have. Without a file all of them are off.
-package settings
+package operatorconfig
 
 import (
 	"errors"
@@ -14,14 +14,14 @@
 	"github.com/hashicorp/hcl/v2/gohcl"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 
-	"garnetline/internal/front/dns"
+	"garnetline/internal/frontend/dnsfront"
 	"garnetline/internal/logs"
 )
 
 // Config is the whole of the operators' file.
 type Config struct {
 	Log    Log
-	DNS    dns.Config
+	DNS    dnsfront.Config
 	Trace  Trace
 	Fleet  Fleet
 	Leases Leases
@@ -64,7 +64,7 @@
 
 // Default is what holds without a file.
 func Default() Config {
-	return Config{Log: Log{Level: "info"}, DNS: dns.DefaultConfig(),
+	return Config{Log: Log{Level: "info"}, DNS: dnsfront.DefaultConfig(),
 		Fleet: defaultFleet(), Leases: defaultLeases(), Trace: Trace{SegmentMB: 8, KeepMB: 256, UndecidedKB: 4096, OrdinaryPerSecond: 2, RetryWindow: 5000, HonorSampled: true}}
 }
 
@@ -84,11 +84,11 @@
 		return Default(), firstError(diags)
 	}
 	blocks := struct {
-		Log    *Log        `hcl:"log,block"`
-		DNS    *dns.Config `hcl:"dns,block"`
-		Trace  *Trace      `hcl:"trace,block"`
-		Fleet  *Fleet      `hcl:"fleet,block"`
-		Duties *Leases     `hcl:"duties,block"`
+		Log    *Log             `hcl:"log,block"`
+		DNS    *dnsfront.Config `hcl:"dns,block"`
+		Trace  *Trace           `hcl:"trace,block"`
+		Fleet  *Fleet           `hcl:"fleet,block"`
+		Duties *Leases          `hcl:"duties,block"`
 	}{&f.Log, &f.DNS, &f.Trace, &f.Fleet, &f.Leases}
 	if diags = gohcl.DecodeBody(parsed.Body, nil, &blocks); diags.HasErrors() {
 		return Default(), firstError(diags)
--- a/internal/settings/fleet.go
+++ b/internal/operatorconfig/fleet.go
@@ -1,4 +1,4 @@
-package settings
+package operatorconfig
 
 import (
 	"errors"
@@ -7,8 +7,8 @@
 	"reflect"
 
 	"garnetline/internal/fleet"
-	"garnetline/internal/fleet/link"
-	"garnetline/internal/fleet/seal"
+	"garnetline/internal/fleet/packetcrypto"
+	"garnetline/internal/fleet/transport"
 )
 
 // Fleet says how a router knows the others of its installation. Times are milliseconds.
@@ -53,7 +53,7 @@
 }
 
 // TransportSettings returns the settings as the link takes them. An error names the field.
-func (f *Fleet) TransportSettings() (s link.Settings, err error) {
+func (f *Fleet) TransportSettings() (s transport.Settings, err error) {
 	between := func(name string, v, least, most float64) {
 		if err == nil && !(v >= least && v <= most) {
 			err = fmt.Errorf("%s: want %v to %v", name, least, most)
@@ -96,7 +96,7 @@
 		}
 		s.Seeds = append(s.Seeds, a)
 	}
-	if s.Keyring, err = seal.NewKeyring(f.Name, f.Keys); err != nil {
+	if s.Keyring, err = packetcrypto.NewKeyring(f.Name, f.Keys); err != nil {
 		return s, err
 	}
 	s.FleetName, s.PacketsPerSecond, s.BytesPerSecond, s.Node = f.Name, f.PacketsPerSecond, f.BytesPerSecond, fleet.DefaultSettings()
--- a/internal/settings/golden_test.go
+++ b/internal/operatorconfig/golden_test.go
@@ -1,4 +1,4 @@
-package settings
+package operatorconfig
 
 import (
 	"fmt"
--- a/internal/settings/leases.go
+++ b/internal/operatorconfig/leases.go
@@ -1,13 +1,13 @@
-package settings
+package operatorconfig
 
 import (
 	"errors"
 	"fmt"
 
-	"garnetline/internal/fleet/agree"
-	"garnetline/internal/fleet/duty"
-	firsttry "garnetline/internal/fleet/first"
-	"garnetline/internal/fleet/keeper"
+	"garnetline/internal/fleet/bans"
+	"garnetline/internal/fleet/consensus"
+	"garnetline/internal/fleet/lease"
+	firsttry "garnetline/internal/fleet/recoveryprobe"
 )
 
 // Leases says what one router does for all of them. Times are milliseconds.
@@ -44,7 +44,7 @@
 }
 
 func defaultLeases() Leases {
-	d := duty.DefaultSettings()
+	d := lease.DefaultSettings()
 	return Leases{Duration: d.TTL, SafetyMargin: d.SafetyMargin, MaxClockDrift: d.MaxClockDrift, RetryInterval: d.RetryInterval, ElectionTimeout: 600}
 }
 
@@ -59,7 +59,7 @@
 	}
 	if b := d.Bans; b != nil {
 		if b.PollInterval == 0 {
-			b.PollInterval = keeper.DefaultSettings().PollInterval
+			b.PollInterval = bans.DefaultSettings().PollInterval
 		}
 		if b.ReadyTimeout == 0 {
 			b.ReadyTimeout = 5000
@@ -100,8 +100,8 @@
 }
 
 // ConsensusSettings returns the settings as the electors and holders take them.
-func (d *Leases) ConsensusSettings() agree.Settings {
-	s := agree.DefaultSettings()
+func (d *Leases) ConsensusSettings() consensus.Settings {
+	s := consensus.DefaultSettings()
 	s.ElectionTicks = max(4, int(d.ElectionTimeout/s.TickInterval))
 	s.Lease.TTL, s.Lease.SafetyMargin, s.Lease.MaxClockDrift, s.Lease.RetryInterval = d.Duration, d.SafetyMargin, d.MaxClockDrift, d.RetryInterval
 	return s
--- a/internal/config/config.go
+++ b/internal/platformconfig/config.go
@@ -1,6 +1,6 @@
 // Package config reads what an edge router is told at its start. Errors name
 // the field that cannot be used.
-package config
+package platformconfig
 
 import (
 	"bytes"
@@ -15,9 +15,9 @@
 	"strings"
 	"time"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
 	"garnetline/internal/wire"
+	"garnetline/routing"
 )
 
 // Limits bound the process.
@@ -37,7 +37,7 @@
 	Discovery        netip.AddrPort
 	Seed             uint64
 	Limits           Limits
-	Settings         decide.Settings
+	Settings         routing.Settings
 	LoadReportFields []string // names of the values of a load report
 	Upstream         Upstream
 	KnownEvents      []WatchEvent
@@ -56,13 +56,13 @@
 
 // Endpoint is one entry of the list of caches, with its address.
 type Endpoint struct {
-	decide.Server
+	routing.Server
 	Addr netip.AddrPort
 }
 
 // Purge is a purge with the moment at which it was made.
 type Purge struct {
-	Object decide.ObjectID // 0: a whole group
+	Object routing.ObjectID // 0: a whole group
 	Group  int
 	At     float64 // Unix ms
 }
@@ -213,7 +213,7 @@
 		{"settings.zone", a.Zone == b.Zone},
 		{"settings.family_info.second_tier_kind", a.ParentKind == b.ParentKind},
 		{"settings.family_info.root_kind", a.OriginKind == b.OriginKind},
-		{"settings.classes", slices.EqualFunc(a.Classes, b.Classes, func(x, y decide.Class) bool {
+		{"settings.classes", slices.EqualFunc(a.Classes, b.Classes, func(x, y routing.Class) bool {
 			return x.Name == y.Name && x.Idempotency == y.Idempotency && x.Write == y.Write
 		})},
 	} {
@@ -242,7 +242,7 @@
 	if err != nil {
 		return fmt.Errorf("settings.%w", err)
 	}
-	if _, err := decide.New(s, 0); err != nil {
+	if _, err := routing.New(s, 0); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
 	c.Settings, c.LoadReportFields = s, report
@@ -304,11 +304,11 @@
 		ev.ListUpdate, ev.Snapshot = true, fl.Snapshot
 		for i, h := range fl.Hosts {
 			at := fmt.Sprintf("fleet.hosts[%d]", i)
-			id, err := decide.ParseServerID(h.Host)
+			id, err := routing.ParseServerID(h.Host)
 			if err != nil {
 				return ev, fmt.Errorf("%s.host: %w", at, err)
 			}
-			s := decide.Server{ID: id, Cell: h.Block, Weight: h.Share, StartedAt: StartTime(h.Born)}
+			s := routing.Server{ID: id, Cell: h.Block, Weight: h.Share, StartedAt: StartTime(h.Born)}
 			if s.Zone = indexOf(c.Zones, h.Site); s.Zone < 0 {
 				return ev, fmt.Errorf("%s.site: %q is not one of settings.areas", at, h.Site)
 			}
@@ -317,11 +317,11 @@
 			}
 			switch h.Health {
 			case "ready":
-				s.Phase = decide.Ready
+				s.Phase = routing.Ready
 			case "draining":
-				s.Phase = decide.Draining
+				s.Phase = routing.Draining
 			case "gone":
-				s.Phase = decide.Removed
+				s.Phase = routing.Removed
 			default:
 				return ev, fmt.Errorf("%s.health: unknown word %q", at, h.Health)
 			}
@@ -340,7 +340,7 @@
 			if err != nil || len(inv.Object) != 16 {
 				return ev, fmt.Errorf("invalidate.object: %q is not 16 hex digits", inv.Object)
 			}
-			p.Object = decide.ObjectID(n)
+			p.Object = routing.ObjectID(n)
 		}
 		ev.Purge = &p
 	default:
--- a/internal/config/config_test.go
+++ b/internal/platformconfig/config_test.go
@@ -1,11 +1,11 @@
-package config
+package platformconfig
 
 import (
 	"strings"
 	"testing"
 	"time"
 
-	"garnetline/decide"
+	"garnetline/routing"
 )
 
 const validConfig = `{"name":"n0","listen":"127.0.0.1:5050","seed":"8c1f30d27a5be964","changelog":"127.0.0.1:9092",
@@ -26,7 +26,7 @@
 		t.Fatal(err)
 	}
 	h := c.KnownEvents[0].Endpoints[0]
-	if h.ID != 0xc41f7a || h.Zone != 1 || h.Cell != 2 || h.Phase != decide.Draining || h.Weight != 4 ||
+	if h.ID != 0xc41f7a || h.Zone != 1 || h.Cell != 2 || h.Phase != routing.Draining || h.Weight != 4 ||
 		h.StartedAt != 1764576000000*time.Millisecond || h.Addr.String() != "127.0.0.2:5050" || !c.KnownEvents[0].Snapshot {
 		t.Errorf("%+v", h)
 	}
--- a/internal/config/golden_test.go
+++ b/internal/platformconfig/golden_test.go
@@ -1,4 +1,4 @@
-package config
+package platformconfig
 
 import (
 	"fmt"
--- a/internal/rig/bans_test.go
+++ b/internal/rig/bans_test.go
@@ -12,14 +12,14 @@
 	"time"
 
 	"garnetline/internal/faultnet"
-	"garnetline/internal/fleet/keeper"
+	"garnetline/internal/fleet/bans"
 )
 
-// bans is what a router shows of the register's bans.
-func bans(t *testing.T, x *Router) *keeper.Status {
+// banStatus is what a router shows of the register's bans.
+func banStatus(t *testing.T, x *Router) *bans.Status {
 	t.Helper()
 	code, b, err := x.Door("GET", "/fleet/bans")
-	p := &keeper.Status{}
+	p := &bans.Status{}
 	if err != nil || code != 200 || json.Unmarshal(b, p) != nil {
 		t.Fatalf("%s: /fleet/bans: %d %s %v", x.Name, code, b, err)
 	}
@@ -31,7 +31,7 @@
 	t.Helper()
 	must(t, fmt.Sprintf("%s filed as out %v by %q", box, out, by))(r.Until("filed", within, func() (bool, string) {
 		for _, x := range at {
-			if l := bans(t, x).Bans; !slices.ContainsFunc(l, func(b keeper.Ban) bool { return b.Server == box && b.Disabled == out && strings.Contains(b.SetBy, by) }) {
+			if l := banStatus(t, x).Bans; !slices.ContainsFunc(l, func(b bans.Ban) bool { return b.Server == box && b.Disabled == out && strings.Contains(b.SetBy, by) }) {
 				return false, fmt.Sprintf("%s: %+v", x.Name, l)
 			}
 		}
@@ -59,7 +59,7 @@
 	staff(t, all[6], "/fleet/bans/disable/"+one+"/0/ada/a%20bad%20disk", 200)
 	filed(t, r, one, true, "ada", all...)
 	must(t, "out at all")(r.Banned(within, one, true, all...))
-	if p := bans(t, all[0]); p.Bans[0].Reason != "a bad disk" || p.Bans[0].SetAt == 0 {
+	if p := banStatus(t, all[0]); p.Bans[0].Reason != "a bad disk" || p.Bans[0].SetAt == 0 {
 		t.Errorf("%+v", p)
 	}
 	cli := func(args ...string) string {
@@ -98,7 +98,7 @@
 			code, _, err := x.Door("GET", "/ready")
 			return code == 200, fmt.Sprint(code, err)
 		}))
-		if p := bans(t, x); !slices.Contains(p.DisabledHere, one) {
+		if p := banStatus(t, x); !slices.Contains(p.DisabledHere, one) {
 			t.Errorf("%s is ready, and has not taken out what the register has: %+v", x.Name, p)
 		}
 	}
@@ -115,7 +115,7 @@
 	}
 	staff(t, few[0], "/caches/disable/"+two, 200)
 	staff(t, few[0], "/caches/enable/"+one, 503)
-	if p := bans(t, few[0]); !slices.Contains(p.DisabledHere, one) || !slices.Contains(p.DisabledHere, two) {
+	if p := banStatus(t, few[0]); !slices.Contains(p.DisabledHere, one) || !slices.Contains(p.DisabledHere, two) {
 		t.Errorf("in the minority: %+v", p)
 	}
 	staff(t, most[0], "/caches/disable/"+three, 200)
@@ -145,7 +145,7 @@
 		filed(t, r, box, false, all[i].Name, all...)
 	}
 	for _, x := range all {
-		if p := bans(t, x); len(p.DisabledHere) != 0 {
+		if p := banStatus(t, x); len(p.DisabledHere) != 0 {
 			t.Errorf("%s: %+v", x.Name, p)
 		}
 		if _, err := os.Stat(filepath.Join(x.State(), "garnetline-bans.json")); err != nil {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -23,10 +23,10 @@
 	"syscall"
 	"time"
 
-	"garnetline/decide"
 	"garnetline/internal/faultnet"
 	"garnetline/internal/fleet"
 	"garnetline/internal/standin"
+	"garnetline/routing"
 )
 
 // Options say what is started.
@@ -64,7 +64,7 @@
 // Box is a stand-in box with its name on the list.
 type Box struct {
 	*standin.Box
-	ID    decide.ServerID
+	ID    routing.ServerID
 	Name  string
 	mu    sync.Mutex
 	fail  bool
@@ -150,7 +150,7 @@
 		return nil, err
 	}
 	for i := range o.Boxes {
-		b := &Box{ID: decide.ServerID(i + 1), Name: fmt.Sprintf("box%d", i+1), tries: map[string]int{}}
+		b := &Box{ID: routing.ServerID(i + 1), Name: fmt.Sprintf("box%d", i+1), tries: map[string]int{}}
 		if b.Box, err = standin.NewBox(b.reply); err != nil {
 			return nil, err
 		}
@@ -246,7 +246,7 @@
 		return nil, err
 	}
 	var hosts []string
-	host := func(id decide.ServerID, kind, name, addr string) error {
+	host := func(id routing.ServerID, kind, name, addr string) error {
 		via, err := r.Net.TCP(way, name, addr)
 		hosts = append(hosts, fmt.Sprintf(`{"host":%q,"dial":%q,"site":"edge","class":%q,"block":0,"health":"ready","share":100,"born_ms":0}`, id, via, kind))
 		return err
--- a/internal/standin/speaker.go
+++ b/internal/standin/speaker.go
@@ -5,10 +5,10 @@
 	"sync"
 	"time"
 
-	"garnetline/decide"
 	"garnetline/internal/trace"
 	"garnetline/internal/trace/hold"
 	"garnetline/internal/trace/store"
+	"garnetline/routing"
 )
 
 // Speaker is a stand-in box that takes the fields trace and kept: it holds its spans and
@@ -46,8 +46,8 @@
 	defer s.mu.Unlock()
 	s.next++
 	start := s.now()
-	work := trace.Span{ID: p.Trace.Span(s.next), Parent: p.Span, Kind: trace.Work, Start: start, Result: uint8(decide.FilledByOrigin)}
-	fetch := trace.Span{ID: p.Trace.Span(s.next | 1<<40), Parent: work.ID, Kind: trace.Fill, Start: s.now(), End: s.now(), Result: uint8(decide.FilledByOrigin)}
+	work := trace.Span{ID: p.Trace.Span(s.next), Parent: p.Span, Kind: trace.Work, Start: start, Result: uint8(routing.FilledByOrigin)}
+	fetch := trace.Span{ID: p.Trace.Span(s.next | 1<<40), Parent: work.ID, Kind: trace.Fill, Start: s.now(), End: s.now(), Result: uint8(routing.FilledByOrigin)}
 	work.End = s.now()
 	s.keep(s.h.Add(work.End, &trace.Trace{ID: p.Trace, Router: s.Name, Class: class, Start: start, End: work.End, Weight: 1, Outcome: trace.Served,
 		Spans: []trace.Span{work, fetch}}, false))
@@ -97,22 +97,22 @@
 	}
 	p, traced := trace.ParseParent(f["trace"])
 	s.next++
-	work := trace.Span{ID: p.Trace.Span(s.next), Parent: p.Span, Kind: trace.Work, Start: start, Result: uint8(decide.Hit)}
+	work := trace.Span{ID: p.Trace.Span(s.next), Parent: p.Span, Kind: trace.Work, Start: start, Result: uint8(routing.Hit)}
 	t := &trace.Trace{ID: p.Trace, Router: s.Name, Txn: id, Class: f["sort"], Start: start, Weight: 1, Outcome: trace.Served}
 	failed := false
 	switch asset := f["asset"]; {
 	case strings.HasSuffix(asset, "e"): // an error now and then
 		if s.errors++; s.errors%2 == 1 {
-			failed, t.Outcome, work.Result = true, trace.Failed, uint8(decide.OriginFailed)
+			failed, t.Outcome, work.Result = true, trace.Failed, uint8(routing.OriginFailed)
 		}
 	case strings.HasSuffix(asset, "f"):
 		if l, ok := s.fills[asset]; ok {
-			work.Result = uint8(decide.JoinedFill)
+			work.Result = uint8(routing.JoinedFill)
 			t.Links = append(t.Links, trace.Link{From: work.ID, Trace: l.Trace, To: l.To})
 			break
 		}
-		work.Result = uint8(decide.Filled)
-		fill := trace.Span{ID: p.Trace.Span(s.next | 1<<40), Parent: work.ID, Kind: trace.Fill, Start: s.now(), Result: uint8(decide.FilledByOrigin)}
+		work.Result = uint8(routing.Filled)
+		fill := trace.Span{ID: p.Trace.Span(s.next | 1<<40), Parent: work.ID, Kind: trace.Fill, Start: s.now(), Result: uint8(routing.FilledByOrigin)}
 		s.fills[asset] = trace.Link{Trace: p.Trace, To: fill.ID}
 		if traced {
 			s.Hub.ask(trace.Parent{Trace: p.Trace, Span: fill.ID}, f["sort"])
--- a/internal/sock/textconn.go
+++ b/internal/textconn/textconn.go
@@ -1,7 +1,7 @@
 // Package sock holds what every socket of the program shares: a text
 // connection whose reading is bounded, with one buffer for each direction: a
 // multiplexed connection is read and written at the same time.
-package sock
+package textconn
 
 import (
 	"errors"
--- a/internal/sock/textconn_test.go
+++ b/internal/textconn/textconn_test.go
@@ -1,4 +1,4 @@
-package sock
+package textconn
 
 import (
 	"bytes"
--- a/internal/trace/attach/attach.go
+++ b/internal/trace/attach/attach.go
@@ -2,18 +2,18 @@
 package attach
 
 import (
-	"garnetline/decide"
-	"garnetline/internal/core"
+	"garnetline/internal/dispatch"
 	"garnetline/internal/trace/record"
+	"garnetline/routing"
 )
 
 // Core returns a recorder as a core's tracer.
-func Core(r *record.Recorder) core.Tracer { return tracer{r} }
+func Core(r *record.Recorder) dispatch.Tracer { return tracer{r} }
 
 type tracer struct{ r *record.Recorder }
 
 // Open begins to follow a request.
-func (t tracer) Open(now float64, q *core.Request, class *decide.Class) core.RequestTrace {
+func (t tracer) Open(now float64, q *dispatch.Request, class *routing.Class) dispatch.RequestTrace {
 	a := record.Asked{Txn: q.TransactionID, Key: q.IdempotencyKey, Object: q.Object, Part: q.Chunk, Group: q.Group, Came: now}
 	if o := q.Client; o != nil {
 		a.Came, a.Parent, a.Client = o.ReceivedAt, o.TraceParent, o.Address
@@ -22,4 +22,4 @@
 }
 
 // Close takes a request that is done.
-func (t tracer) Close(now float64, done core.RequestTrace) { t.r.Close(now, done.(*record.Trail)) }
+func (t tracer) Close(now float64, done dispatch.RequestTrace) { t.r.Close(now, done.(*record.Trail)) }
--- a/internal/trace/blame/blame.go
+++ b/internal/trace/blame/blame.go
@@ -8,8 +8,8 @@
 	"math"
 	"slices"
 
-	"garnetline/decide"
 	"garnetline/internal/trace"
+	"garnetline/routing"
 )
 
 // Suspect is one thing that attempts have in common.
@@ -24,11 +24,11 @@
 
 // Failure tells whether an attempt counts as failed. One that was given up since its
 // client left, or never left, says nothing: known is false.
-func Failure(r decide.Result) (failed, known bool) {
+func Failure(r routing.Result) (failed, known bool) {
 	switch r {
-	case decide.Served, decide.NotCached, decide.Rejected:
+	case routing.Served, routing.NotCached, routing.Rejected:
 		return false, true
-	case decide.Canceled, decide.NotSent:
+	case routing.Canceled, routing.NotSent:
 		return false, false
 	}
 	return true, true
@@ -51,7 +51,7 @@
 		if s.Kind != trace.Attempt {
 			continue
 		}
-		failed, known := Failure(decide.Result(s.Result))
+		failed, known := Failure(routing.Result(s.Result))
 		if !known {
 			continue
 		}
--- a/internal/trace/blame/blame_test.go
+++ b/internal/trace/blame/blame_test.go
@@ -5,18 +5,18 @@
 	"math/rand/v2"
 	"testing"
 
-	"garnetline/decide"
 	"garnetline/internal/trace"
+	"garnetline/routing"
 )
 
 // day is a day on which one server, or one source, fails a part of its attempts.
-func day(seed uint64, n int, fails func(server, source decide.ServerID, rng *rand.Rand) bool) *Finder {
+func day(seed uint64, n int, fails func(server, source routing.ServerID, rng *rand.Rand) bool) *Finder {
 	rng, f := rand.New(rand.NewPCG(seed, 1)), New()
 	for range n {
 		t := &trace.Trace{Router: []string{"n1", "n2"}[rng.IntN(2)], Weight: 1}
-		s := trace.Span{Kind: trace.Attempt, Server: decide.ServerID(1 + rng.IntN(8)), Source: decide.ServerID(100 + rng.IntN(3))}
+		s := trace.Span{Kind: trace.Attempt, Server: routing.ServerID(1 + rng.IntN(8)), Source: routing.ServerID(100 + rng.IntN(3))}
 		if fails(s.Server, s.Source, rng) {
-			s.Result = uint8(decide.ServerError)
+			s.Result = uint8(routing.ServerError)
 		} else if rng.IntN(10) > 0 { // an ordinary one is kept one time in ten
 			continue
 		} else {
@@ -31,7 +31,7 @@
 // The guilty server or source stands first, with an interval above zero that holds the
 // true difference; on a day without one, nobody stands out.
 func TestGuiltyStandsFirst(t *testing.T) {
-	server := func(s, _ decide.ServerID, rng *rand.Rand) bool {
+	server := func(s, _ routing.ServerID, rng *rand.Rand) bool {
 		return s == 3 && rng.IntN(10) < 6 || rng.IntN(100) < 2
 	}
 	got := day(1, 20_000, server).Suspects()
@@ -47,7 +47,7 @@
 			t.Errorf("%+v: stands out without guilt", s)
 		}
 	}
-	source := func(_, s decide.ServerID, rng *rand.Rand) bool { return s == 101 && rng.IntN(10) < 3 }
+	source := func(_, s routing.ServerID, rng *rand.Rand) bool { return s == 101 && rng.IntN(10) < 3 }
 	found := false
 	for _, s := range day(2, 20_000, source).Suspects()[:9] {
 		found = found || s.What == "source" && s.Name == "s-00000065" && s.Low > 0.2
@@ -57,7 +57,7 @@
 	}
 	bold := 0
 	for seed := range uint64(40) {
-		for _, s := range day(10+seed, 4000, func(_, _ decide.ServerID, rng *rand.Rand) bool { return rng.IntN(20) == 0 }).Suspects() {
+		for _, s := range day(10+seed, 4000, func(_, _ routing.ServerID, rng *rand.Rand) bool { return rng.IntN(20) == 0 }).Suspects() {
 			if s.What == "server" && s.Low > 0 {
 				bold++
 			}
--- a/internal/trace/code.go
+++ b/internal/trace/code.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"math"
 
-	"garnetline/decide"
+	"garnetline/routing"
 )
 
 // ErrCode reports bytes that are no trace.
@@ -76,7 +76,7 @@
 		k := d.take(5)
 		s.Kind, s.N, s.Result, s.Flags, s.Rank = Kind(k[0]), k[1], k[2], k[3], k[4]
 		s.ID, s.Parent = SpanID(d.uint(math.MaxUint64)), SpanID(d.uint(math.MaxUint64))
-		s.Server, s.Source = decide.ServerID(d.uint(math.MaxUint64)), decide.ServerID(d.uint(math.MaxUint64))
+		s.Server, s.Source = routing.ServerID(d.uint(math.MaxUint64)), routing.ServerID(d.uint(math.MaxUint64))
 		s.Bytes = uint32(d.uint(math.MaxUint32))
 		s.Age, s.Inflight, s.Link = d.float(), d.float(), d.float()
 		at := start + uint64(d.int())
--- a/internal/trace/export/export.go
+++ b/internal/trace/export/export.go
@@ -18,8 +18,8 @@
 	"github.com/rs/zerolog"
 
 	"garnetline/internal/clock"
-	"garnetline/internal/sock"
-	"garnetline/internal/stats"
+	"garnetline/internal/metrics"
+	"garnetline/internal/textconn"
 	"garnetline/internal/trace"
 	"garnetline/internal/trace/render"
 )
@@ -34,7 +34,7 @@
 	URL     string  // http
 	Queue   int     // traces that wait
 	Timeout float64 // ms, of one call
-	Stats   *stats.Registry
+	Stats   *metrics.Registry
 	Log     *zerolog.Logger
 	Seed    uint64
 }
@@ -159,7 +159,7 @@
 	if err != nil {
 		return 0, err
 	}
-	k := sock.New(nc)
+	k := textconn.New(nc)
 	defer k.Close()
 	if err := nc.SetReadDeadline(time.Now().Add(within)); err != nil {
 		return 0, err
@@ -186,7 +186,7 @@
 	switch {
 	case status/100 == 2:
 		_, err := io.Copy(io.Discard, k.R) // a close before it is read could reset the call
-		if errors.Is(err, sock.ErrMessageTooLong) {
+		if errors.Is(err, textconn.ErrMessageTooLong) {
 			err = nil
 		}
 		return 0, err
--- a/internal/trace/export/export_test.go
+++ b/internal/trace/export/export_test.go
@@ -13,10 +13,10 @@
 
 	"go.opentelemetry.io/collector/pdata/ptrace"
 
-	"garnetline/decide"
 	"garnetline/internal/logs"
-	"garnetline/internal/stats"
+	"garnetline/internal/metrics"
 	"garnetline/internal/trace"
+	"garnetline/routing"
 )
 
 // collector is a stand-in that reads OTLP by OpenTelemetry's own library.
@@ -73,15 +73,15 @@
 
 func piece(n byte) *trace.Trace {
 	l := trace.Begin(trace.Trace{ID: trace.ID{n, 9}, Router: "n1", Class: "part", Start: 1.7e12, Weight: 1, Why: trace.WhyFailed}, uint64(n))
-	l.AttemptStarted(1.7e12+1, decide.SendAttempt{Server: 3, FillSource: 4})
-	l.AttemptEnded(1.7e12+5, decide.ServerError, 0, decide.LoadReport{}, trace.Wire{Wrote: 1.7e12 + 2, Dialled: 1.7e12 + 1, Up: 1.7e12 + 2})
+	l.AttemptStarted(1.7e12+1, routing.SendAttempt{Server: 3, FillSource: 4})
+	l.AttemptEnded(1.7e12+5, routing.ServerError, 0, routing.LoadReport{}, trace.Wire{Wrote: 1.7e12 + 2, Dialled: 1.7e12 + 1, Up: 1.7e12 + 2})
 	l.Responded(1.7e12+6, trace.Failed)
 	return l.Piece()
 }
 
-func start(t *testing.T, url string, queue int, timeout float64) (*Exporter, *stats.Registry) {
+func start(t *testing.T, url string, queue int, timeout float64) (*Exporter, *metrics.Registry) {
 	t.Helper()
-	count := stats.New()
+	count := metrics.New()
 	x, err := New(Options{URL: url, Queue: queue, Timeout: timeout, Stats: count, Log: logs.New(&bytes.Buffer{}), Seed: 1})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/trace/live.go
+++ b/internal/trace/live.go
@@ -3,7 +3,7 @@
 import (
 	"math"
 
-	"garnetline/decide"
+	"garnetline/routing"
 )
 
 // waitLeast is how long, in ms, the time before an attempt must be to count as a wait:
@@ -46,7 +46,7 @@
 
 // AttemptStarted notes that an attempt was decided, and returns the context of what is done
 // for it.
-func (l *Live) AttemptStarted(now float64, g decide.SendAttempt) Parent {
+func (l *Live) AttemptStarted(now float64, g routing.SendAttempt) Parent {
 	if now-l.idle >= waitLeast {
 		l.add(Span{Parent: l.request, Kind: Wait, Start: l.idle, End: now, N: l.Attempts})
 	}
@@ -75,7 +75,7 @@
 }
 
 // AttemptEnded notes how the attempt that is out ended.
-func (l *Live) AttemptEnded(now float64, r decide.Result, bytes int, load decide.LoadReport, w Wire) {
+func (l *Live) AttemptEnded(now float64, r routing.Result, bytes int, load routing.LoadReport, w Wire) {
 	if l.out < 0 {
 		return
 	}
--- a/internal/trace/record/record.go
+++ b/internal/trace/record/record.go
@@ -11,12 +11,12 @@
 
 	"github.com/rs/zerolog"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/stats"
+	"garnetline/internal/metrics"
 	"garnetline/internal/trace"
 	"garnetline/internal/trace/keep"
 	"garnetline/internal/trace/link"
+	"garnetline/routing"
 )
 
 const (
@@ -65,12 +65,12 @@
 	Router string // its name, as it stands in traces
 	Secret string // mixed into whatever names a key; the same at all routers
 	Seed   uint64 // differs at each start
-	Stats  *stats.Registry
+	Stats  *metrics.Registry
 	Log    *zerolog.Logger
 	Sink   Sink
 	// Kept tells a server that a trace in which it had a part is kept; nil: none is told.
 	// It is called on the core's goroutine and must not block.
-	Kept func(server decide.ServerID, id trace.ID)
+	Kept func(server routing.ServerID, id trace.ID)
 	Pace func() float64 // bytes a second of a transfer to a client, as of now; 0: not told
 }
 
@@ -108,7 +108,7 @@
 // Asked is a request as it is followed.
 type Asked struct {
 	Txn, Key       string
-	Object         decide.ObjectID
+	Object         routing.ObjectID
 	Part, Group    int
 	Came           float64 // when its last byte came; 0: now
 	Parent, Client string  // the traceparent that came with it, not checked; the client's address
@@ -125,7 +125,7 @@
 }
 
 // AttemptStarted notes an attempt.
-func (t *Trail) AttemptStarted(now float64, g decide.SendAttempt) trace.Parent {
+func (t *Trail) AttemptStarted(now float64, g routing.SendAttempt) trace.Parent {
 	if t.room {
 		return t.Live.AttemptStarted(now, g)
 	}
@@ -141,7 +141,7 @@
 }
 
 // AttemptEnded notes the end of one.
-func (t *Trail) AttemptEnded(now float64, res decide.Result, bytes int, load decide.LoadReport, w trace.Wire) {
+func (t *Trail) AttemptEnded(now float64, res routing.Result, bytes int, load routing.LoadReport, w trace.Wire) {
 	t.bytes = bytes
 	if t.room {
 		t.Live.AttemptEnded(now, res, bytes, load, w)
@@ -151,7 +151,7 @@
 }
 
 // Open begins to follow a request.
-func (r *Recorder) Open(now float64, q Asked, class *decide.Class) *Trail {
+func (r *Recorder) Open(now float64, q Asked, class *routing.Class) *Trail {
 	if s := r.next.Swap(nil); s != nil {
 		r.link.Within(s.RetryWithin)
 		r.keep.Adopt(s.Undecided, s.Other, s.Classes)
@@ -161,7 +161,7 @@
 		q.Came = now
 	}
 	ask := link.Ask{Parent: q.Parent, Client: q.Client, Class: class.Name, Object: uint64(q.Object), Part: q.Part}
-	if class.Idempotency == decide.IdempotentWithKey {
+	if class.Idempotency == routing.IdempotentWithKey {
 		ask.Key = q.Key
 	}
 	t := &Trail{link: r.link, tie: r.link.Tie(now, ask), room: r.keep.Open(openSize), stretch: class.ObjectiveTransferFactor}
--- a/internal/trace/record/record_test.go
+++ b/internal/trace/record/record_test.go
@@ -8,14 +8,14 @@
 	"testing"
 	"time"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
 	"garnetline/internal/logs"
+	"garnetline/internal/metrics"
 	"garnetline/internal/standin"
-	"garnetline/internal/stats"
 	"garnetline/internal/trace"
 	"garnetline/internal/trace/keep"
 	"garnetline/internal/trace/link"
+	"garnetline/routing"
 )
 
 // sink keeps what it is given, or fails.
@@ -39,11 +39,11 @@
 func (s *sink) Flush(float64) error { return s.err }
 func (s *sink) Close(float64) error { s.closed = true; return s.err }
 
-var classes = []decide.Class{{Name: "part", LatencyObjective: 400 * time.Millisecond, ObjectiveTransferFactor: 2, Deadline: 4 * time.Second},
-	{Name: "form", Idempotency: decide.IdempotentWithKey, Write: true, LatencyObjective: 400 * time.Millisecond, Deadline: 4 * time.Second}}
+var classes = []routing.Class{{Name: "part", LatencyObjective: 400 * time.Millisecond, ObjectiveTransferFactor: 2, Deadline: 4 * time.Second},
+	{Name: "form", Idempotency: routing.IdempotentWithKey, Write: true, LatencyObjective: 400 * time.Millisecond, Deadline: 4 * time.Second}}
 
-func newRecorder(s *sink, set Settings) (*Recorder, *clock.Manual, *stats.Registry, *standin.Output) {
-	clk, count, out := clock.NewManual(1.7e12), stats.New(), &standin.Output{}
+func newRecorder(s *sink, set Settings) (*Recorder, *clock.Manual, *metrics.Registry, *standin.Output) {
+	clk, count, out := clock.NewManual(1.7e12), metrics.New(), &standin.Output{}
 	if set.Undecided == 0 {
 		set.Undecided = 1 << 20
 	}
@@ -61,9 +61,9 @@
 	}
 	t := r.Open(clk.Now(), q, &classes[class])
 	for range attempts {
-		t.AttemptStarted(clk.Now(), decide.SendAttempt{Server: 5, FillSource: 6})
+		t.AttemptStarted(clk.Now(), routing.SendAttempt{Server: 5, FillSource: 6})
 		clk.Advance(took / float64(attempts))
-		t.AttemptEnded(clk.Now(), decide.Served, bytes, decide.LoadReport{}, trace.Wire{Wrote: 1})
+		t.AttemptEnded(clk.Now(), routing.Served, bytes, routing.LoadReport{}, trace.Wire{Wrote: 1})
 	}
 	t.Responded(clk.Now(), o)
 	if t.Done() {
@@ -105,7 +105,7 @@
 	go r.Run()
 	const n = mailbox + 200
 	for i := range n {
-		pass(r, clk, Asked{Object: decide.ObjectID(i + 1)}, trace.Failed, 1, 0, 1)
+		pass(r, clk, Asked{Object: routing.ObjectID(i + 1)}, trace.Failed, 1, 0, 1)
 	}
 	missed := count.Counter("traces_not_taken").Load()
 	if missed < n-mailbox-2 || missed > n-mailbox {
@@ -138,7 +138,7 @@
 			t.Errorf("%d spans without room", len(x.Spans))
 		}
 	}
-	open[0].AttemptStarted(clk.Now(), decide.SendAttempt{Server: 1})
+	open[0].AttemptStarted(clk.Now(), routing.SendAttempt{Server: 1})
 	open[0].Responded(clk.Now(), trace.Left)
 	if open[0].Done() {
 		t.Error("done with an attempt out")
@@ -146,7 +146,7 @@
 	if again := r.link.Tie(clk.Now(), link.Ask{Class: "part", Client: "1.1.1.1"}); again.ID != open[0].ID {
 		t.Error("a client that comes again while an attempt is out is not known")
 	}
-	open[0].AttemptEnded(clk.Now(), decide.Canceled, 0, decide.LoadReport{}, trace.Wire{})
+	open[0].AttemptEnded(clk.Now(), routing.Canceled, 0, routing.LoadReport{}, trace.Wire{})
 	r.Close(clk.Now(), open[0])
 	r.Finish()
 	if len(s.kept) != 1 || s.kept[0].Lost != 3 || count.Counter("traces_without_room").Load() != 3 {
--- a/internal/trace/render/otlp.go
+++ b/internal/trace/render/otlp.go
@@ -7,8 +7,8 @@
 	"math"
 	"strconv"
 
-	"garnetline/decide"
 	"garnetline/internal/trace"
+	"garnetline/routing"
 )
 
 // The forms of OTLP's JSON, as far as they are used. 64-bit numbers stand as text.
@@ -115,7 +115,7 @@
 			if !math.IsNaN(float64(s.Inflight)) {
 				o.Attributes = append(o.Attributes, real("inflight", float64(s.Inflight)))
 			}
-			if r := decide.Result(s.Result); r != decide.Served {
+			if r := routing.Result(s.Result); r != routing.Served {
 				o.Status = &otlpStatus{codeError, result(s.Result)}
 			}
 		}
--- a/internal/trace/render/render.go
+++ b/internal/trace/render/render.go
@@ -9,18 +9,18 @@
 	"math"
 	"strings"
 
-	"garnetline/decide"
 	"garnetline/internal/trace"
+	"garnetline/routing"
 )
 
 // results name the ends of attempts.
-var results = [...]string{decide.Served: "served", decide.ServerError: "error", decide.Rejected: "full", decide.TimedOut: "timed out",
-	decide.ConnectFailed: "unreached", decide.ConnectionLost: "broken", decide.Canceled: "cancelled", decide.NotSent: "not sent", decide.NotCached: "miss"}
+var results = [...]string{routing.Served: "served", routing.ServerError: "error", routing.Rejected: "full", routing.TimedOut: "timed out",
+	routing.ConnectFailed: "unreached", routing.ConnectionLost: "broken", routing.Canceled: "cancelled", routing.NotSent: "not sent", routing.NotCached: "miss"}
 
 // notes name what a server did.
-var notes = [...]string{decide.CacheStatusUnknown: "not told", decide.Hit: "hit", decide.Filled: "filled", decide.FilledByOrigin: "filled from the archive",
-	decide.JoinedFill: "joined a fill", decide.StaleHit: "an old copy", decide.SourceRejected: "the source refused", decide.SourceUnreachable: "the source was not reached",
-	decide.SourceMiss: "the source lacks it", decide.FillRejected: "no place for a fill", decide.OriginFailed: "the archive failed"}
+var notes = [...]string{routing.CacheStatusUnknown: "not told", routing.Hit: "hit", routing.Filled: "filled", routing.FilledByOrigin: "filled from the archive",
+	routing.JoinedFill: "joined a fill", routing.StaleHit: "an old copy", routing.SourceRejected: "the source refused", routing.SourceUnreachable: "the source was not reached",
+	routing.SourceMiss: "the source lacks it", routing.FillRejected: "no place for a fill", routing.OriginFailed: "the archive failed"}
 
 func result(n uint8) string {
 	if int(n) < len(results) {
@@ -142,7 +142,7 @@
 		return "#cccccc"
 	case s.Kind != trace.Attempt:
 		return "#bfe0bf"
-	case decide.Result(s.Result) == decide.Served:
+	case routing.Result(s.Result) == routing.Served:
 		return "#a9c8ee"
 	}
 	return "#f2a9a0"
--- a/internal/trace/store/block.go
+++ b/internal/trace/store/block.go
@@ -15,8 +15,8 @@
 
 	"github.com/klauspost/compress/s2"
 
-	"garnetline/decide"
 	"garnetline/internal/trace"
+	"garnetline/routing"
 )
 
 const (
@@ -220,7 +220,7 @@
 	Class    string   // "": any
 	Txn      string   // "": any
 	Outcome  uint8    // bits of trace.Outcome; 0: any
-	Server   decide.ServerID
+	Server   routing.ServerID
 	Slower   float64 // ms
 	Attempts int     // so many or more
 	Why      trace.Why
--- a/internal/trace/store/store_test.go
+++ b/internal/trace/store/store_test.go
@@ -8,9 +8,9 @@
 	"path/filepath"
 	"testing"
 
-	"garnetline/decide"
 	"garnetline/internal/seeds"
 	"garnetline/internal/trace"
+	"garnetline/routing"
 )
 
 // made is a trace of a day on which server 7 fails fast for a while.
@@ -20,16 +20,16 @@
 	binary.BigEndian.PutUint64(id[8:], rng.Uint64())
 	start := 1.7e12 + float64(i)*5
 	l := trace.Begin(trace.Trace{ID: id, Router: "n1", Class: []string{"part", "sheet"}[i%2], Object: rng.Uint64(), Start: start, Weight: 1}, rng.Uint64())
-	server, took, res, out := decide.ServerID(10+rng.IntN(40)), 5+rng.Float64()*40, decide.Served, trace.Served
+	server, took, res, out := routing.ServerID(10+rng.IntN(40)), 5+rng.Float64()*40, routing.Served, trace.Served
 	if i%5000 >= 4000 && i%5000 < 4050 {
-		server, res, out = 7, decide.ServerError, trace.Failed
+		server, res, out = 7, routing.ServerError, trace.Failed
 	}
 	if i%10_000 == 77 {
 		took = 3000
 	}
 	for n := range 2 {
-		l.AttemptStarted(start+float64(n)*took, decide.SendAttempt{Server: server, FillSource: 3})
-		l.AttemptEnded(start+float64(n+1)*took, res, 100, decide.LoadReport{}, trace.Wire{Wrote: start + 1})
+		l.AttemptStarted(start+float64(n)*took, routing.SendAttempt{Server: server, FillSource: 3})
+		l.AttemptEnded(start+float64(n+1)*took, res, 100, routing.LoadReport{}, trace.Wire{Wrote: start + 1})
 	}
 	l.Responded(start+2*took, out)
 	t := l.Piece()
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -16,7 +16,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"garnetline/decide"
+	"garnetline/routing"
 )
 
 // ID names a trace, as in W3C Trace Context.
@@ -97,11 +97,11 @@
 	Flags      uint8
 	Rank       uint8   // at which a copy was to be kept
 	Start, End float64 // Unix milliseconds
-	Server     decide.ServerID
-	Source     decide.ServerID // of a fill; the server itself: none
-	Bytes      uint32          // that came
-	Age        float32         // ms, the oldest copy that would do; 0: any
-	Inflight   float32         // the server's load report; NaN: none
+	Server     routing.ServerID
+	Source     routing.ServerID // of a fill; the server itself: none
+	Bytes      uint32           // that came
+	Age        float32          // ms, the oldest copy that would do; 0: any
+	Inflight   float32          // the server's load report; NaN: none
 	Link       float32
 }
 
@@ -193,7 +193,7 @@
 const spanSize = 80
 
 // Has tells whether a server or source had a part in an attempt.
-func (t *Trace) Has(id decide.ServerID) bool {
+func (t *Trace) Has(id routing.ServerID) bool {
 	return slices.ContainsFunc(t.Spans, func(s Span) bool { return s.Kind == Attempt && (s.Server == id || s.Source == id) })
 }
 
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"garnetline/decide"
 	"garnetline/internal/seeds"
+	"garnetline/routing"
 )
 
 // What the specification of traceparent allows is read, and all else is none.
@@ -49,7 +49,7 @@
 	now := start
 	for range rng.IntN(4) {
 		now += rng.Float64() * 10
-		l.AttemptStarted(now, decide.SendAttempt{Server: decide.ServerID(rng.Uint32()), FillSource: 9, CopyRank: 2, JoinFill: true, MaxAge: time.Second})
+		l.AttemptStarted(now, routing.SendAttempt{Server: routing.ServerID(rng.Uint32()), FillSource: 9, CopyRank: 2, JoinFill: true, MaxAge: time.Second})
 		at := now + rng.Float64()
 		now = at + rng.Float64()*100
 		w := Wire{}
@@ -59,7 +59,7 @@
 		if rng.IntN(3) == 0 {
 			l.Responded(now, Left)
 		}
-		l.AttemptEnded(now, decide.Result(rng.IntN(9)), rng.IntN(1000), decide.LoadReport{Inflight: 7, LinkUtilization: math.NaN()}, w)
+		l.AttemptEnded(now, routing.Result(rng.IntN(9)), rng.IntN(1000), routing.LoadReport{Inflight: 7, LinkUtilization: math.NaN()}, w)
 	}
 	l.Responded(now, Outcome(rng.IntN(int(outcomes))))
 	if !l.Done() {
@@ -163,8 +163,8 @@
 func TestServersClockIsFitted(t *testing.T) {
 	id := ID{3}
 	l := Begin(Trace{ID: id, Router: "n1", Start: 1000}, 1)
-	p := l.AttemptStarted(1002, decide.SendAttempt{Server: 5})
-	l.AttemptEnded(1052, decide.Served, 10, decide.LoadReport{}, Wire{Wrote: 1003})
+	p := l.AttemptStarted(1002, routing.SendAttempt{Server: 5})
+	l.AttemptEnded(1052, routing.Served, 10, routing.LoadReport{}, Wire{Wrote: 1003})
 	l.Responded(1053, Served)
 	for _, off := range []float64{-5000, 0, 3, 1e6} {
 		start := 1010 + off
