--- a/internal/peer/golden_test.go
+++ b/internal/upstream/golden_test.go
@@ -1,4 +1,4 @@
-package peer
+package upstream
 
 import (
 	"bytes"
@@ -10,14 +10,14 @@
 	"testing"
 	"testing/iotest"
 
-	"garnetline/decide"
-	"garnetline/internal/core"
-	"garnetline/internal/sock"
+	"garnetline/internal/dispatch"
+	"garnetline/internal/textconn"
 	"garnetline/internal/trace"
+	"garnetline/routing"
 )
 
 // The files in testdata hold what goes over the wire to caches and back. They are written
-// anew by `go test ./internal/peer -run Golden -update`, which only a change of the wire calls for.
+// anew by `go test ./internal/upstream -run Golden -update`, which only a change of the wire calls for.
 var update = flag.Bool("update", false, "write the golden files of testdata")
 
 // compareGolden compares bytes with a file of testdata.
@@ -39,25 +39,25 @@
 }
 
 // goldenAttempts are one of each form of a command: each field, each word of opts and each bound.
-func goldenAttempts() []*core.Attempt {
+func goldenAttempts() []*dispatch.Attempt {
 	const now = 1.7e12
-	part := &decide.Class{Name: "video-part"}
-	write := &decide.Class{Name: "submit", Write: true, Idempotency: decide.NonIdempotent}
-	attempt := func(txn string, class *decide.Class, get decide.SendAttempt) *core.Attempt {
-		return &core.Attempt{Request: &core.Request{TransactionID: txn, Object: 0x7f3a9c21e0b4d655, Chunk: 3, Group: 17}, Class: class, Decision: get, ExpiresAt: now + 1480.6}
+	part := &routing.Class{Name: "video-part"}
+	write := &routing.Class{Name: "submit", Write: true, Idempotency: routing.NonIdempotent}
+	attempt := func(txn string, class *routing.Class, get routing.SendAttempt) *dispatch.Attempt {
+		return &dispatch.Attempt{Request: &dispatch.Request{TransactionID: txn, Object: 0x7f3a9c21e0b4d655, Chunk: 3, Group: 17}, Class: class, Decision: get, ExpiresAt: now + 1480.6}
 	}
-	plain := attempt("9b1f03aa5c7e2d41", part, decide.SendAttempt{Server: 0xc41f7a, FillSource: 0xc41f7a})
-	filled := attempt("9b1f03aa5c7e2d42", part, decide.SendAttempt{Server: 0xc41f7a, FillSource: 8, CopyRank: 3, JoinFill: true})
-	held := attempt("9b1f03aa5c7e2d43", part, decide.SendAttempt{Server: 0xc41f7a, FillSource: 0xffffffff, OnlyIfCached: true, Revalidate: true})
-	all := attempt("9b1f03aa5c7e2d44", part, decide.SendAttempt{Server: 1, FillSource: 2, CopyRank: 1, JoinFill: true, OnlyIfCached: true, Revalidate: true})
+	plain := attempt("9b1f03aa5c7e2d41", part, routing.SendAttempt{Server: 0xc41f7a, FillSource: 0xc41f7a})
+	filled := attempt("9b1f03aa5c7e2d42", part, routing.SendAttempt{Server: 0xc41f7a, FillSource: 8, CopyRank: 3, JoinFill: true})
+	held := attempt("9b1f03aa5c7e2d43", part, routing.SendAttempt{Server: 0xc41f7a, FillSource: 0xffffffff, OnlyIfCached: true, Revalidate: true})
+	all := attempt("9b1f03aa5c7e2d44", part, routing.SendAttempt{Server: 1, FillSource: 2, CopyRank: 1, JoinFill: true, OnlyIfCached: true, Revalidate: true})
 	all.Request.IfNoneMatch = "4be0c1927d55a6f3"
 	all.Request.IdempotencyKey = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
-	written := attempt("9b1f03aa5c7e2d45", write, decide.SendAttempt{Server: 9, FillSource: 9})
+	written := attempt("9b1f03aa5c7e2d45", write, routing.SendAttempt{Server: 9, FillSource: 9})
 	written.Request.Body = []byte("$4\r\nbody\x00\xff")
 	written.Request.Object, written.Request.Chunk = 1, 0
-	late := attempt("9b1f03aa5c7e2d46", part, decide.SendAttempt{Server: 9, FillSource: 9})
+	late := attempt("9b1f03aa5c7e2d46", part, routing.SendAttempt{Server: 9, FillSource: 9})
 	late.ExpiresAt = now - 5
-	return []*core.Attempt{plain, filled, held, all, written, late}
+	return []*dispatch.Attempt{plain, filled, held, all, written, late}
 }
 
 func TestGoldenCommands(t *testing.T) {
@@ -71,7 +71,7 @@
 	m.upstream.retainedTraces <- trace.ID{1}
 	m.upstream.retainedTraces <- trace.ID{2}
 	traced := goldenAttempts()[1]
-	traced.Trace = &core.AttemptTrace{Context: trace.Parent{Trace: trace.ID{5}, Span: 6, Sampled: true}}
+	traced.Trace = &dispatch.AttemptTrace{Context: trace.Parent{Trace: trace.ID{5}, Span: 6, Sampled: true}}
 	out = appendServeCommand(out, traced, 20, 1.7e12, m.upstream.traceFields(traced))
 	out = appendCancelCommand(out, "9b1f03aa5c7e2d41")
 	compareGolden(t, "commands.resp", out)
@@ -115,7 +115,7 @@
 		t.Fatal(err)
 	}
 	for _, in := range []io.Reader{bytes.NewReader(stored), iotest.OneByteReader(bytes.NewReader(stored))} {
-		k := sock.New(byteSource{reader: in})
+		k := textconn.New(byteSource{reader: in})
 		var out strings.Builder
 		for {
 			r, err := readReply(k, nil)
@@ -123,7 +123,7 @@
 				fmt.Fprintf(&out, "%v\n", err)
 				break
 			}
-			a := &core.Attempt{Request: &core.Request{IfNoneMatch: "offered"}, Decision: decide.SendAttempt{Server: 7}}
+			a := &dispatch.Attempt{Request: &dispatch.Request{IfNoneMatch: "offered"}, Decision: routing.SendAttempt{Server: 7}}
 			e, err := r.completion(a)
 			if err != nil {
 				fmt.Fprintf(&out, "%s %v\n", r.id, err)
@@ -144,7 +144,7 @@
 		if _, err := far.Write([]byte(frame(r[0], r[1], r[2], ""))); err != nil {
 			t.Fatal(err)
 		}
-		l, err := ReadLoadReport(sock.New(near), "p", 100, 5000)
+		l, err := ReadLoadReport(textconn.New(near), "p", 100, 5000)
 		fmt.Fprintf(&out, "%s %s %s: load=%g,%g,%g,%g %v\n", r[0], r[1], r[2], l.Inflight, l.CPUUtilization, l.HitRatio, l.LinkUtilization, err)
 	}
 	compareGolden(t, "gauges.golden", []byte(out.String()))
@@ -175,8 +175,8 @@
 	for name, size := range map[string]int{"small": 100, "large": 100_000} {
 		b.Run(name, func(b *testing.B) {
 			text := frame("9b1f03aa5c7e2d41", "DONE", "tag=4be0c1927d55a6f3,minted=1764576000123,n=cached,lag=1.5,l=inflight:7;util:0.61", strings.Repeat("x", size))
-			k := sock.New(byteSource{reader: &repeated{text: []byte(text)}})
-			a := &core.Attempt{Request: &core.Request{}, Decision: decide.SendAttempt{Server: 7}}
+			k := textconn.New(byteSource{reader: &repeated{text: []byte(text)}})
+			a := &dispatch.Attempt{Request: &dispatch.Request{}, Decision: routing.SendAttempt{Server: 7}}
 			b.ReportAllocs()
 			for b.Loop() {
 				r, err := readReply(k, nil)
--- a/internal/peer/lifecycle_test.go
+++ b/internal/upstream/lifecycle_test.go
@@ -1,21 +1,21 @@
-package peer
+package upstream
 
 import (
 	"strings"
 	"testing"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/core"
-	"garnetline/internal/sock"
-	"garnetline/internal/stats"
+	"garnetline/internal/dispatch"
+	"garnetline/internal/metrics"
+	"garnetline/internal/textconn"
+	"garnetline/routing"
 )
 
 // disconnectClient says that the client of an attempt's request has gone, as its front does.
-func disconnectClient(t *testing.T, a *core.Attempt) {
+func disconnectClient(t *testing.T, a *dispatch.Attempt) {
 	t.Helper()
-	c, err := core.New(clock.NewManual(0), decide.Settings{Zones: 1, Kinds: 1, ParentKind: -1, OriginKind: -1, MaxAttempts: 1,
-		Classes: []decide.Class{{Deadline: 1}}}, 1, stats.New())
+	c, err := dispatch.New(clock.NewManual(0), routing.Settings{Zones: 1, Kinds: 1, ParentKind: -1, OriginKind: -1, MaxAttempts: 1,
+		Classes: []routing.Class{{Deadline: 1}}}, 1, metrics.New())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -25,10 +25,10 @@
 // Guards against an attempt that is written though it may not be any more: it waited in the
 // mailbox, or for a connection, when its client left or the window of its key ended.
 func TestAttemptRejectedBeforeWrite(t *testing.T) {
-	for name, change := range map[string]func(m *harness, a *core.Attempt){
-		"client gone":   func(_ *harness, a *core.Attempt) { disconnectClient(t, a) },
-		"window ended":  func(m *harness, a *core.Attempt) { a.SendDeadline = m.clock.Now() + 30; m.clock.Advance(30) },
-		"its time over": func(m *harness, _ *core.Attempt) { m.clock.Advance(2000) },
+	for name, change := range map[string]func(m *harness, a *dispatch.Attempt){
+		"client gone":   func(_ *harness, a *dispatch.Attempt) { disconnectClient(t, a) },
+		"window ended":  func(m *harness, a *dispatch.Attempt) { a.SendDeadline = m.clock.Now() + 30; m.clock.Advance(30) },
+		"its time over": func(m *harness, _ *dispatch.Attempt) { m.clock.Advance(2000) },
 	} {
 		m := newHarness(t)
 		a := m.send("a") // it waits for a dial
@@ -37,7 +37,7 @@
 		b := m.send("b") // in the mailbox, with a connection there
 		change(m, b)
 		m.upstream.sendQueued(t.Context())
-		if got := m.completions[a]; len(got) != 1 || got[0] != decide.NotSent && got[0] != decide.TimedOut || strings.Contains(m.conns[0].written.String(), "$1\r\na\r\n") {
+		if got := m.completions[a]; len(got) != 1 || got[0] != routing.NotSent && got[0] != routing.TimedOut || strings.Contains(m.conns[0].written.String(), "$1\r\na\r\n") {
 			t.Errorf("%s: ended as %v after %q", name, got, m.conns[0].written.String())
 		}
 	}
@@ -46,7 +46,7 @@
 // Guards against a refusal that comes twice: the second one is not taken for the end of the
 // attempt that followed, while that runs on and another one is sent.
 func TestDuplicateReply(t *testing.T) {
-	for effect, want := range map[decide.Idempotency]decide.Result{decide.Idempotent: decide.Rejected, decide.IdempotentWithKey: decide.ServerError, decide.NonIdempotent: decide.ServerError} {
+	for effect, want := range map[routing.Idempotency]routing.Result{routing.Idempotent: routing.Rejected, routing.IdempotentWithKey: routing.ServerError, routing.NonIdempotent: routing.ServerError} {
 		m := newHarness(t)
 		say := func() {
 			m.upstream.handleConnectionEvent(t.Context(), connectionEvent{connection: m.upstream.connections[0], reply: reply{id: "a", status: "WAIT", fields: "-"}})
@@ -56,7 +56,7 @@
 		say()
 		m.clock.Advance(5)
 		again := m.send("a")
-		again.Class = &decide.Class{Idempotency: effect}
+		again.Class = &routing.Class{Idempotency: effect}
 		say()
 		if got := m.completions[again]; len(got) != 1 || got[0] != want {
 			t.Errorf("effect %v: ended as %v, want %v", effect, got, want)
@@ -89,32 +89,32 @@
 // The note and the wait of an answer reach the module; what cannot be read, or stands twice,
 // counts as not told, and the answer stands.
 func TestCacheStatus(t *testing.T) {
-	for fields, want := range map[string]core.Completion{
-		"n=cached":              {Note: decide.Hit},
-		"n=fetched,lag=41.5":    {Note: decide.Filled, FillWait: 41.5},
-		"n=fetched_root,lag=0":  {Note: decide.FilledByOrigin},
-		"n=merged":              {Note: decide.JoinedFill},
-		"n=past_fresh":          {Note: decide.StaleHit},
-		"n=up_refused":          {Note: decide.SourceRejected},
-		"n=up_lost,tag=t":       {Note: decide.SourceUnreachable},
-		"n=up_empty":            {Note: decide.SourceMiss},
-		"n=fills_full":          {Note: decide.FillRejected},
-		"n=root_failed":         {Note: decide.OriginFailed},
+	for fields, want := range map[string]dispatch.Completion{
+		"n=cached":              {Note: routing.Hit},
+		"n=fetched,lag=41.5":    {Note: routing.Filled, FillWait: 41.5},
+		"n=fetched_root,lag=0":  {Note: routing.FilledByOrigin},
+		"n=merged":              {Note: routing.JoinedFill},
+		"n=past_fresh":          {Note: routing.StaleHit},
+		"n=up_refused":          {Note: routing.SourceRejected},
+		"n=up_lost,tag=t":       {Note: routing.SourceUnreachable},
+		"n=up_empty":            {Note: routing.SourceMiss},
+		"n=fills_full":          {Note: routing.FillRejected},
+		"n=root_failed":         {Note: routing.OriginFailed},
 		"-":                     {},
 		"n=":                    {},
 		"n=stolen":              {},
 		"n=cached,n=cached":     {},
-		"n=cached,lag=x":        {Note: decide.Hit},
+		"n=cached,lag=x":        {Note: routing.Hit},
 		"lag=-1":                {},
 		"lag=NaN":               {},
 		"lag=Inf":               {},
 		"lag=1e9":               {},
-		"lag=5,lag=6,n=cached":  {Note: decide.Hit},
-		"unknown=1,n=merged,x=": {Note: decide.JoinedFill},
+		"lag=5,lag=6,n=cached":  {Note: routing.Hit},
+		"unknown=1,n=merged,x=": {Note: routing.JoinedFill},
 	} {
-		a := &core.Attempt{Request: &core.Request{}}
+		a := &dispatch.Attempt{Request: &dispatch.Request{}}
 		got, err := reply{status: "DONE", fields: fields}.completion(a)
-		if err != nil || got.Note != want.Note || got.FillWait != want.FillWait || got.Result != decide.Served {
+		if err != nil || got.Note != want.Note || got.FillWait != want.FillWait || got.Result != routing.Served {
 			t.Errorf("%s: note %v, waited %v, %v", fields, got.Note, got.FillWait, err)
 		}
 	}
@@ -124,7 +124,7 @@
 func TestBodyLengthIsReported(t *testing.T) {
 	var told []int
 	frame := "*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$1\r\n-\r\n$5\r\nbytes\r\n"
-	if _, err := readReply(sock.New(byteSource{reader: strings.NewReader(frame)}), func(n int) { told = append(told, n) }); err != nil || len(told) != 1 || told[0] != 5 {
+	if _, err := readReply(textconn.New(byteSource{reader: strings.NewReader(frame)}), func(n int) { told = append(told, n) }); err != nil || len(told) != 1 || told[0] != 5 {
 		t.Errorf("told %v, %v", told, err)
 	}
 }
--- a/internal/peer/resp.go
+++ b/internal/upstream/resp.go
@@ -1,4 +1,4 @@
-package peer
+package upstream
 
 import (
 	"errors"
@@ -8,10 +8,10 @@
 	"strings"
 	"time"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/core"
-	"garnetline/internal/sock"
+	"garnetline/internal/dispatch"
+	"garnetline/internal/textconn"
+	"garnetline/routing"
 )
 
 // What one answer may bring: a RESP array of four bulk strings.
@@ -33,7 +33,7 @@
 }
 
 // readReply reads one answer. The body is the caller's; sized is told its length before.
-func readReply(k *sock.Conn, sized func(n int)) (reply, error) {
+func readReply(k *textconn.Conn, sized func(n int)) (reply, error) {
 	k.LimitRead(maxReplyBytes)
 	var r reply
 	n, err := readLength(k, '*', 4)
@@ -59,7 +59,7 @@
 }
 
 // readLength reads a line of a RESP type and its length.
-func readLength(k *sock.Conn, kind byte, most int) (int, error) {
+func readLength(k *textconn.Conn, kind byte, most int) (int, error) {
 	line, err := k.ReadLineSlice()
 	if err != nil {
 		return 0, err
@@ -75,7 +75,7 @@
 }
 
 // readBulk reads a bulk string into the connection's buffer.
-func readBulk(k *sock.Conn, most int, sized func(n int)) ([]byte, error) {
+func readBulk(k *textconn.Conn, most int, sized func(n int)) ([]byte, error) {
 	n, err := readLength(k, '$', most)
 	if err != nil {
 		return nil, err
@@ -94,12 +94,12 @@
 }
 
 // resultsByStatus are the words of an answer.
-var resultsByStatus = map[string]decide.Result{"DONE": decide.Served, "KEEP": decide.Served, "LACK": decide.NotCached,
-	"WAIT": decide.Rejected, "BROKE": decide.ServerError, "PAST": decide.NotSent}
+var resultsByStatus = map[string]routing.Result{"DONE": routing.Served, "KEEP": routing.Served, "LACK": routing.NotCached,
+	"WAIT": routing.Rejected, "BROKE": routing.ServerError, "PAST": routing.NotSent}
 
 // completion turns an answer to an attempt into its end.
-func (r reply) completion(a *core.Attempt) (core.Completion, error) {
-	e := core.Completion{Attempt: a, Load: core.UnknownLoad()}
+func (r reply) completion(a *dispatch.Attempt) (dispatch.Completion, error) {
+	e := dispatch.Completion{Attempt: a, Load: dispatch.UnknownLoad()}
 	var ok bool
 	notes, lags, tags := 0, 0, 0
 	if e.Result, ok = resultsByStatus[r.status]; !ok {
@@ -112,7 +112,7 @@
 			case !ok:
 				return e, fmt.Errorf("%w: field %.20q", errMalformedReply, f)
 			case name == "tag":
-				if !core.ValidFieldValue(value) {
+				if !dispatch.ValidFieldValue(value) {
 					return e, fmt.Errorf("%w: tag", errMalformedReply)
 				}
 				e.Response.ETag = value
@@ -129,20 +129,20 @@
 		}
 	}
 	if notes > 1 { // which of them holds is not told
-		e.Note = decide.CacheStatusUnknown
+		e.Note = routing.CacheStatusUnknown
 	}
 	if lags > 1 {
 		e.FillWait = 0
 	}
 	switch {
 	case r.status == "DONE":
-		e.Response.Kind, e.Response.Body = core.Served, r.body
+		e.Response.Kind, e.Response.Body = dispatch.Served, r.body
 	case r.status == "KEEP" && (a.Request.IfNoneMatch == "" || tags != 1 || e.Response.ETag != a.Request.IfNoneMatch):
 		// Symptom guarded against: a cache that named another copy, or none, had the client
 		// told by a 304 that its own is current.
-		e.Result = decide.ServerError
+		e.Result = routing.ServerError
 	case r.status == "KEEP":
-		e.Response.Kind = core.NotModified
+		e.Response.Kind = dispatch.NotModified
 	}
 	e.Response.Server = a.Decision.Server
 	return e, nil
@@ -153,8 +153,8 @@
 	"fills_full", "root_failed"}
 
 // parseCacheStatus reads a note. One that is not known counts as not told.
-func parseCacheStatus(s string) decide.CacheStatus {
-	return decide.CacheStatus(max(slices.Index(cacheStatusNames, s), 0))
+func parseCacheStatus(s string) routing.CacheStatus {
+	return routing.CacheStatus(max(slices.Index(cacheStatusNames, s), 0))
 }
 
 // parseFillWait reads the time for the source, in milliseconds. What is no time counts as not told.
@@ -166,7 +166,7 @@
 }
 
 // parseLoad reads a load report. What cannot be read is left out: it is advice.
-func parseLoad(l *decide.LoadReport, s string) {
+func parseLoad(l *routing.LoadReport, s string) {
 	for f := range strings.SplitSeq(s, ";") {
 		name, value, _ := strings.Cut(f, ":")
 		x, err := strconv.ParseFloat(value, 64)
@@ -187,7 +187,7 @@
 }
 
 // appendServeCommand appends the command of an attempt, written at now, with more fields.
-func appendServeCommand(dst []byte, a *core.Attempt, age float64, now float64, more string) []byte {
+func appendServeCommand(dst []byte, a *dispatch.Attempt, age float64, now float64, more string) []byte {
 	r := a.Request
 	f := make([]byte, 0, 256)
 	f = fmt.Appendf(f, "sort=%s,asset=%016x,slice=%d,patience=%d", a.Class.Name, uint64(r.Object), r.Chunk,
@@ -238,8 +238,8 @@
 
 // ReadLoadReport reads the answer to a probe that was sent as gauges under a tag, within so
 // many ms. What the report leaves out is NaN.
-func ReadLoadReport(k *sock.Conn, tag string, most int, within float64) (decide.LoadReport, error) {
-	l := core.UnknownLoad()
+func ReadLoadReport(k *textconn.Conn, tag string, most int, within float64) (routing.LoadReport, error) {
+	l := dispatch.UnknownLoad()
 	if err := k.NetConn.SetReadDeadline(time.Now().Add(clock.Duration(within))); err != nil {
 		return l, err
 	}
--- a/internal/peer/tcp_test.go
+++ b/internal/upstream/tcp_test.go
@@ -1,4 +1,4 @@
-package peer
+package upstream
 
 import (
 	"bufio"
@@ -11,11 +11,11 @@
 	"testing"
 	"time"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/config"
-	"garnetline/internal/core"
-	"garnetline/internal/stats"
+	"garnetline/internal/dispatch"
+	"garnetline/internal/metrics"
+	"garnetline/internal/platformconfig"
+	"garnetline/routing"
 )
 
 // testTimeout fails a test whose peer does not answer; no order depends on it.
@@ -28,7 +28,7 @@
 	ln          net.Listener
 	pool        *Pool
 	clock       *clock.Manual
-	completions chan core.Completion
+	completions chan dispatch.Completion
 }
 
 // cacheConn is the cache's side of one connection.
@@ -46,18 +46,18 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	s := &cacheServer{t: t, ln: ln, addr: netip.MustParseAddrPort(ln.Addr().String()), clock: clock.NewManual(1.7e12), completions: make(chan core.Completion, 16)}
-	guard := &decide.Guard{Ready: map[decide.ServerID]bool{1: true, 8: true}}
-	options := Options{Clock: s.clock, Settings: func() config.Upstream {
-		return config.Upstream{IdleTimeout: 15_000, ConnectTimeout: 5000, MaxStreams: 4}
+	s := &cacheServer{t: t, ln: ln, addr: netip.MustParseAddrPort(ln.Addr().String()), clock: clock.NewManual(1.7e12), completions: make(chan dispatch.Completion, 16)}
+	guard := &routing.Guard{Ready: map[routing.ServerID]bool{1: true, 8: true}}
+	options := Options{Clock: s.clock, Settings: func() platformconfig.Upstream {
+		return platformconfig.Upstream{IdleTimeout: 15_000, ConnectTimeout: 5000, MaxStreams: 4}
 	},
-		Guard: func() *decide.Guard { return guard }, Complete: func(e core.Completion) { s.completions <- e }, Metrics: stats.New(), MaxConnections: func() int64 { return 0 }}
+		Guard: func() *routing.Guard { return guard }, Complete: func(e dispatch.Completion) { s.completions <- e }, Metrics: metrics.New(), MaxConnections: func() int64 { return 0 }}
 	if change != nil {
 		change(&options)
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	s.pool = NewPool(ctx, options)
-	s.pool.UpdateEndpoints(config.WatchEvent{ListUpdate: true, Snapshot: true, Endpoints: []config.Endpoint{{Server: decide.Server{ID: 1, Phase: decide.Ready}, Addr: s.addr}}})
+	s.pool.UpdateEndpoints(platformconfig.WatchEvent{ListUpdate: true, Snapshot: true, Endpoints: []platformconfig.Endpoint{{Server: routing.Server{ID: 1, Phase: routing.Ready}, Addr: s.addr}}})
 	actor := s.pool.upstreams[1]
 	t.Cleanup(func() {
 		stop()
@@ -67,16 +67,16 @@
 }
 
 // send hands an attempt with an id to the pool; known is the tag of the client's copy.
-func (s *cacheServer) send(txn, known string) *core.Attempt {
+func (s *cacheServer) send(txn, known string) *dispatch.Attempt {
 	s.t.Helper()
 	return s.sendBy(txn, known, 0)
 }
 
 // sendBy is send of an attempt that may be written until a time.
-func (s *cacheServer) sendBy(txn, known string, by float64) *core.Attempt {
+func (s *cacheServer) sendBy(txn, known string, by float64) *dispatch.Attempt {
 	s.t.Helper()
-	a := &core.Attempt{Request: &core.Request{TransactionID: txn, Object: 7, IfNoneMatch: known}, Class: &decide.Class{Name: "part"},
-		Decision: decide.SendAttempt{Server: 1, FillSource: 8}, ExpiresAt: s.clock.Now() + 60_000, SendDeadline: by}
+	a := &dispatch.Attempt{Request: &dispatch.Request{TransactionID: txn, Object: 7, IfNoneMatch: known}, Class: &routing.Class{Name: "part"},
+		Decision: routing.SendAttempt{Server: 1, FillSource: 8}, ExpiresAt: s.clock.Now() + 60_000, SendDeadline: by}
 	if e := s.pool.Send(a); e != nil {
 		s.t.Fatalf("%s was not taken: %v", txn, e.Result)
 	}
@@ -97,7 +97,7 @@
 }
 
 // completion waits for the end of an attempt.
-func (s *cacheServer) completion(of *core.Attempt) core.Completion {
+func (s *cacheServer) completion(of *dispatch.Attempt) dispatch.Completion {
 	s.t.Helper()
 	select {
 	case e := <-s.completions:
@@ -109,7 +109,7 @@
 	case <-time.After(testTimeout):
 		s.t.Fatalf("%s has no end", of.Request.TransactionID)
 	}
-	return core.Completion{}
+	return dispatch.Completion{}
 }
 
 // command reads one command.
@@ -159,17 +159,17 @@
 	var c *cacheConn
 	for i, test := range []struct {
 		known, fields string
-		result        decide.Result
-		kind          core.ResponseKind
+		result        routing.Result
+		kind          dispatch.ResponseKind
 	}{
-		{"t1", "tag=t1,minted=5", decide.Served, core.NotModified},
-		{"t1", "tag=t2,minted=5", decide.ServerError, core.Failed},
-		{"t1", "tag=t1x", decide.ServerError, core.Failed},
-		{"t1", "minted=5", decide.ServerError, core.Failed},
-		{"t1", "-", decide.ServerError, core.Failed},
-		{"t1", "tag=t2,tag=t1", decide.ServerError, core.Failed},
-		{"t1", "tag=t1,tag=t2", decide.ServerError, core.Failed},
-		{"", "tag=t1", decide.ServerError, core.Failed},
+		{"t1", "tag=t1,minted=5", routing.Served, dispatch.NotModified},
+		{"t1", "tag=t2,minted=5", routing.ServerError, dispatch.Failed},
+		{"t1", "tag=t1x", routing.ServerError, dispatch.Failed},
+		{"t1", "minted=5", routing.ServerError, dispatch.Failed},
+		{"t1", "-", routing.ServerError, dispatch.Failed},
+		{"t1", "tag=t2,tag=t1", routing.ServerError, dispatch.Failed},
+		{"t1", "tag=t1,tag=t2", routing.ServerError, dispatch.Failed},
+		{"", "tag=t1", routing.ServerError, dispatch.Failed},
 	} {
 		txn := fmt.Sprint("r", i)
 		a := s.send(txn, test.known)
@@ -277,14 +277,14 @@
 		c.command()
 		c.write("*4\r\n$1\r\na\r\n$4\r\nDO")
 		end(c)
-		if e := s.completion(a); e.Result != decide.ConnectionLost {
+		if e := s.completion(a); e.Result != routing.ConnectionLost {
 			t.Errorf("%s: ended as %v", name, e.Result)
 		}
 		b := s.send("b", "")
 		c = s.accept()
 		c.command()
 		c.write(frame("b", "DONE", "tag=t", "body"))
-		if e := s.completion(b); e.Result != decide.Served || string(e.Response.Body) != "body" {
+		if e := s.completion(b); e.Result != routing.Served || string(e.Response.Body) != "body" {
 			t.Errorf("%s: what followed ended as %v", name, e.Result)
 		}
 		s.noCompletion()
@@ -302,7 +302,7 @@
 	}
 	c.SetLinger(0)
 	c.Close()
-	if e := s.completion(a); e.Result != decide.ConnectionLost {
+	if e := s.completion(a); e.Result != routing.ConnectionLost {
 		t.Errorf("ended as %v", e.Result)
 	}
 	s.connections(0)
@@ -318,7 +318,7 @@
 	c.write("*4\r\n$1\r\na\r\n$4\r\nDO")
 	a.MayRetry = true
 	s.pool.Cancel(a)
-	if e := s.completion(a); e.Result != decide.Canceled {
+	if e := s.completion(a); e.Result != routing.Canceled {
 		t.Errorf("ended as %v", e.Result)
 	}
 	if _, err := c.in.ReadByte(); err == nil {
@@ -363,7 +363,7 @@
 	a, b := s.send("a", ""), s.sendBy("b", "", s.clock.Now()+1500)
 	s.clock.Advance(1500) // b's window has ended
 	close(up)
-	if e := s.completion(b); e.Result != decide.NotSent {
+	if e := s.completion(b); e.Result != routing.NotSent {
 		t.Errorf("what may not be written any more ended as %v", e.Result)
 	}
 	c := s.accept()
@@ -371,18 +371,20 @@
 		t.Errorf("%s was written", cmd[1])
 	}
 	c.write(frame("a", "DONE", "-", ""))
-	if e := s.completion(a); e.Result != decide.Served {
+	if e := s.completion(a); e.Result != routing.Served {
 		t.Errorf("what waited ended as %v", e.Result)
 	}
 
 	s = newCacheServer(t, func(o *Options) {
-		o.Settings = func() config.Upstream { return config.Upstream{IdleTimeout: 15_000, ConnectTimeout: 20, MaxStreams: 4} }
+		o.Settings = func() platformconfig.Upstream {
+			return platformconfig.Upstream{IdleTimeout: 15_000, ConnectTimeout: 20, MaxStreams: 4}
+		}
 		o.Dial = func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
 	})
-	if e := s.completion(s.send("a", "")); e.Result != decide.ConnectFailed {
+	if e := s.completion(s.send("a", "")); e.Result != routing.ConnectFailed {
 		t.Errorf("on a connection that never came up it ended as %v", e.Result)
 	}
 	s.connections(0)
@@ -403,7 +405,7 @@
 	c = s.accept()
 	c.command()
 	c.write(frame("b", "DONE", "-", ""))
-	if e := s.completion(b); e.Result != decide.Served {
+	if e := s.completion(b); e.Result != routing.Served {
 		t.Errorf("what followed ended as %v", e.Result)
 	}
 }
--- a/internal/peer/upstream.go
+++ b/internal/upstream/upstream.go
@@ -1,6 +1,6 @@
 // Package peer speaks RESP to caches, parents and the origin. Each has an
 // actor with a mailbox that owns its connections and what is open on them.
-package peer
+package upstream
 
 import (
 	"context"
@@ -11,13 +11,13 @@
 	"sync/atomic"
 	"time"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/config"
-	"garnetline/internal/core"
-	"garnetline/internal/sock"
-	"garnetline/internal/stats"
+	"garnetline/internal/dispatch"
+	"garnetline/internal/metrics"
+	"garnetline/internal/platformconfig"
+	"garnetline/internal/textconn"
 	"garnetline/internal/trace"
+	"garnetline/routing"
 )
 
 const (
@@ -39,10 +39,10 @@
 // Options are what a Pool shares among its peers.
 type Options struct {
 	Clock          clock.Clock
-	Settings       func() config.Upstream // as of now
-	Guard          func() *decide.Guard   // as of now
-	Complete       func(core.Completion)  // takes the ends of attempts; it may block
-	Metrics        *stats.Registry
+	Settings       func() platformconfig.Upstream // as of now
+	Guard          func() *routing.Guard          // as of now
+	Complete       func(dispatch.Completion)      // takes the ends of attempts; it may block
+	Metrics        *metrics.Registry
 	Dial           func(ctx context.Context, to netip.AddrPort) (net.Conn, error) // nil: TCP
 	MaxConnections func() int64                                                   // connections of all peers together; 0: no bound
 	// PropagateTraces says that peers take the fields trace and kept. The platform's do not.
@@ -54,7 +54,7 @@
 type Pool struct {
 	Options
 	ctx       context.Context
-	upstreams map[decide.ServerID]*Upstream
+	upstreams map[routing.ServerID]*Upstream
 }
 
 // NewPool returns a pool whose peers end with ctx.
@@ -65,22 +65,22 @@
 		}
 	}
 	o.openConnections = new(atomic.Int64)
-	return &Pool{Options: o, ctx: ctx, upstreams: map[decide.ServerID]*Upstream{}}
+	return &Pool{Options: o, ctx: ctx, upstreams: map[routing.ServerID]*Upstream{}}
 }
 
 // UpdateEndpoints takes a change of the list: new peers get an actor, those that left
 // lose theirs once nothing is out.
-func (p *Pool) UpdateEndpoints(ev config.WatchEvent) {
-	named := map[decide.ServerID]bool{}
+func (p *Pool) UpdateEndpoints(ev platformconfig.WatchEvent) {
+	named := map[routing.ServerID]bool{}
 	for _, h := range ev.Endpoints {
-		named[h.ID] = h.Phase != decide.Removed
+		named[h.ID] = h.Phase != routing.Removed
 		q := p.upstreams[h.ID]
-		if q != nil && (q.addr != h.Addr || q.removed) && h.Phase != decide.Removed {
+		if q != nil && (q.addr != h.Addr || q.removed) && h.Phase != routing.Removed {
 			q.drain() // another process, or the same at another address
 			delete(p.upstreams, h.ID)
 			q = nil
 		}
-		if q == nil && h.Phase != decide.Removed {
+		if q == nil && h.Phase != routing.Removed {
 			q = newUpstream(p.Options, h.ID, h.Addr)
 			p.upstreams[h.ID] = q
 			go q.run(p.ctx)
@@ -97,13 +97,13 @@
 }
 
 // Send hands an attempt to its peer.
-func (p *Pool) Send(a *core.Attempt) *core.Completion {
+func (p *Pool) Send(a *dispatch.Attempt) *dispatch.Completion {
 	q := p.upstreams[a.Decision.Server]
 	if q == nil || q.removed {
-		return core.Unsent(a, decide.NotSent)
+		return dispatch.Unsent(a, routing.NotSent)
 	}
 	if q.inFlight.Load() >= maxInFlight {
-		return core.Unsent(a, decide.Rejected)
+		return dispatch.Unsent(a, routing.Rejected)
 	}
 	a.TransportState = q
 	q.inFlight.Add(1)
@@ -113,7 +113,7 @@
 
 // TraceRetained tells a server, with what is next written to it, that a trace in which it had a
 // part is kept. A server that is sent nothing for long is not told: it has a limit.
-func (p *Pool) TraceRetained(server decide.ServerID, id trace.ID) {
+func (p *Pool) TraceRetained(server routing.ServerID, id trace.ID) {
 	if q := p.upstreams[server]; q != nil && p.PropagateTraces {
 		select {
 		case q.retainedTraces <- id:
@@ -124,14 +124,14 @@
 }
 
 // Cancel has an attempt given up.
-func (p *Pool) Cancel(a *core.Attempt) {
+func (p *Pool) Cancel(a *dispatch.Attempt) {
 	if q, ok := a.TransportState.(*Upstream); ok {
 		q.mailbox <- message{cancel: a}
 	}
 }
 
 // Release books that the core has taken the end of an attempt.
-func (p *Pool) Release(a *core.Attempt) {
+func (p *Pool) Release(a *dispatch.Attempt) {
 	if q, ok := a.TransportState.(*Upstream); ok {
 		q.inFlight.Add(-1)
 	}
@@ -140,7 +140,7 @@
 // Upstream is the actor of one server.
 type Upstream struct {
 	Options
-	id               decide.ServerID
+	id               routing.ServerID
 	addr             netip.AddrPort
 	mailbox          chan message         // from the core: never full, see maxOut
 	retainedTraces   chan trace.ID        // verdicts that wait for a command to ride on
@@ -150,7 +150,7 @@
 	removed          bool         // the pool's: it left the list
 
 	connections   []*connection
-	queued        []*core.Attempt // for a connection
+	queued        []*dispatch.Attempt // for a connection
 	dialing       bool
 	dialStartedAt float64 // when the latest dial began
 	draining      bool
@@ -158,7 +158,7 @@
 }
 
 type message struct {
-	send, cancel *core.Attempt
+	send, cancel *dispatch.Attempt
 	drain        bool
 }
 
@@ -172,7 +172,7 @@
 
 // connection is one connection.
 type connection struct {
-	text        *sock.Conn
+	text        *textconn.Conn
 	inFlight    map[string]*sentAttempt
 	canceledIDs map[string]bool    // given up here: an answer may still cross
 	unservedAt  map[string]float64 // answered here and not served, and when: a second answer may follow
@@ -183,11 +183,11 @@
 }
 
 type sentAttempt struct {
-	attempt   *core.Attempt
+	attempt   *dispatch.Attempt
 	writtenAt float64
 }
 
-func newUpstream(o Options, id decide.ServerID, addr netip.AddrPort) *Upstream {
+func newUpstream(o Options, id routing.ServerID, addr netip.AddrPort) *Upstream {
 	return &Upstream{Options: o, id: id, addr: addr, mailbox: make(chan message, 2*maxInFlight+8), retainedTraces: make(chan trace.ID, maxRetainedTraces), connectionEvents: make(chan connectionEvent),
 		stopped: make(chan struct{})}
 }
@@ -238,12 +238,12 @@
 		l := p.pickConnection(a.Request.TransactionID)
 		switch res, ok := p.rejectBeforeWrite(a); {
 		case !ok:
-			p.complete(*core.Unsent(a, res))
+			p.complete(*dispatch.Unsent(a, res))
 		case l != nil:
 			p.writeAttempt(l, a)
 			more = more || len(l.inFlight) >= growThreshold
 		case p.draining || !p.dialing && p.atConnectionLimit():
-			p.complete(*core.Unsent(a, decide.Rejected))
+			p.complete(*dispatch.Unsent(a, routing.Rejected))
 		default:
 			held = append(held, a)
 		}
@@ -271,18 +271,18 @@
 
 // rejectBeforeWrite holds an attempt against what the change log says now: it may have
 // waited here since it was decided.
-func (p *Upstream) rejectBeforeWrite(a *core.Attempt) (decide.Result, bool) {
+func (p *Upstream) rejectBeforeWrite(a *dispatch.Attempt) (routing.Result, bool) {
 	g := p.Guard()
 	switch {
 	case g.Excludes(a.Decision.Server) || g.Excludes(a.Decision.FillSource):
-		return decide.NotSent, false
+		return routing.NotSent, false
 	case a.Request.ClientDisconnected(): // nobody waits for it; that it was given up is on its way
 		p.Metrics.Add("attempts_unwanted", 1)
-		return decide.NotSent, false
+		return routing.NotSent, false
 	case a.SendDeadline > 0 && p.Clock.Now() >= a.SendDeadline:
-		return decide.NotSent, false
+		return routing.NotSent, false
 	case p.Clock.Now() >= a.ExpiresAt:
-		return decide.TimedOut, false
+		return routing.TimedOut, false
 	}
 	return 0, true
 }
@@ -303,7 +303,7 @@
 	return best
 }
 
-func (p *Upstream) writeAttempt(l *connection, a *core.Attempt) {
+func (p *Upstream) writeAttempt(l *connection, a *dispatch.Attempt) {
 	now := p.Clock.Now()
 	age := clock.Millis(p.Guard().MaxAge(clock.Duration(now), a.Decision.MaxAge, a.Request.Object, a.Request.Group))
 	if a.Class.Write {
@@ -319,7 +319,7 @@
 }
 
 // traceFields is the fields by which a trace goes on at a peer that takes them.
-func (p *Upstream) traceFields(a *core.Attempt) string {
+func (p *Upstream) traceFields(a *dispatch.Attempt) string {
 	if !p.PropagateTraces {
 		return ""
 	}
@@ -350,8 +350,8 @@
 }
 
 // cancelAttempt gives an attempt up on the wire, and only then reports it over.
-func (p *Upstream) cancelAttempt(a *core.Attempt) {
-	over := core.Completion{Attempt: a, Result: decide.Canceled, Load: core.UnknownLoad()}
+func (p *Upstream) cancelAttempt(a *dispatch.Attempt) {
+	over := dispatch.Completion{Attempt: a, Result: routing.Canceled, Load: dispatch.UnknownLoad()}
 	if i := slices.Index(p.queued, a); i >= 0 {
 		p.queued = slices.Delete(p.queued, i, i+1)
 		p.complete(over)
@@ -403,7 +403,7 @@
 	p.openConnections.Add(-1)
 	p.connections = slices.DeleteFunc(p.connections, func(x *connection) bool { return x == l })
 	for _, s := range l.inFlight {
-		p.complete(core.Completion{Attempt: s.attempt, Result: decide.ConnectionLost, Load: core.UnknownLoad()})
+		p.complete(dispatch.Completion{Attempt: s.attempt, Result: routing.ConnectionLost, Load: dispatch.UnknownLoad()})
 	}
 	l.inFlight = nil
 }
@@ -414,7 +414,7 @@
 	}
 }
 
-func (p *Upstream) complete(e core.Completion) {
+func (p *Upstream) complete(e dispatch.Completion) {
 	p.Complete(e)
 }
 
@@ -445,7 +445,7 @@
 		p.queued = nil
 		for _, a := range failed {
 			p.recordDial(a)
-			p.complete(*core.Unsent(a, decide.ConnectFailed))
+			p.complete(*dispatch.Unsent(a, routing.ConnectFailed))
 		}
 		return
 	}
@@ -453,14 +453,14 @@
 	for _, a := range p.queued {
 		p.recordDial(a)
 	}
-	l := &connection{text: sock.New(e.dialed), inFlight: map[string]*sentAttempt{}, canceledIDs: map[string]bool{}, unservedAt: map[string]float64{}, lastUsedAt: now}
+	l := &connection{text: textconn.New(e.dialed), inFlight: map[string]*sentAttempt{}, canceledIDs: map[string]bool{}, unservedAt: map[string]float64{}, lastUsedAt: now}
 	p.connections = append(p.connections, l)
 	go p.readReplies(ctx, l)
 	p.sendQueued(ctx)
 }
 
 // recordDial notes the dial that has just ended with an attempt that waited for it.
-func (p *Upstream) recordDial(a *core.Attempt) {
+func (p *Upstream) recordDial(a *dispatch.Attempt) {
 	if a.Trace != nil {
 		a.Trace.Timing.Dialled, a.Trace.Timing.Up = p.dialStartedAt, p.Clock.Now()
 	}
@@ -482,7 +482,7 @@
 		return
 	}
 	delete(l.inFlight, r.id)
-	if e.Result != decide.Served {
+	if e.Result != routing.Served {
 		p.checkDuplicateReply(l, s.attempt, &e)
 	}
 	p.complete(e)
@@ -495,13 +495,13 @@
 //
 // Symptom guarded against: a refusal that came twice ended the attempt that followed it,
 // which ran on at the cache while the next one was sent elsewhere.
-func (p *Upstream) checkDuplicateReply(l *connection, a *core.Attempt, e *core.Completion) {
+func (p *Upstream) checkDuplicateReply(l *connection, a *dispatch.Attempt, e *dispatch.Completion) {
 	now := p.Clock.Now()
 	if at, ok := l.unservedAt[a.Request.TransactionID]; ok && now-at < duplicateReplyWindow {
 		p.Metrics.Add("peer_answers_doubted", 1)
 		l.canceledIDs[a.Request.TransactionID] = true // nothing goes there a third time
-		if a.Class.Idempotency != decide.Idempotent {
-			e.Result = decide.ServerError // it may have run
+		if a.Class.Idempotency != routing.Idempotent {
+			e.Result = routing.ServerError // it may have run
 		}
 		p.flush(l, appendCancelCommand(l.text.WriteBuffer(), a.Request.TransactionID))
 	}
--- a/internal/peer/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -1,4 +1,4 @@
-package peer
+package upstream
 
 import (
 	"bytes"
@@ -15,14 +15,14 @@
 	"testing"
 	"time"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/config"
-	"garnetline/internal/core"
+	"garnetline/internal/dispatch"
+	"garnetline/internal/metrics"
+	"garnetline/internal/platformconfig"
 	"garnetline/internal/seeds"
-	"garnetline/internal/sock"
-	"garnetline/internal/stats"
+	"garnetline/internal/textconn"
 	"garnetline/internal/trace"
+	"garnetline/routing"
 )
 
 // fakeConn is a connection that keeps what is written and never brings anything:
@@ -73,21 +73,23 @@
 	t           *testing.T
 	upstream    *Upstream
 	clock       *clock.Manual
-	guard       *decide.Guard
+	guard       *routing.Guard
 	conns       []*fakeConn
 	dials       chan *fakeConn // what a dial ends with; nil: refused
 	refuseDials bool
-	attempts    []*core.Attempt
-	completions map[*core.Attempt][]decide.Result
-	canceled    map[*core.Attempt]bool
+	attempts    []*dispatch.Attempt
+	completions map[*dispatch.Attempt][]routing.Result
+	canceled    map[*dispatch.Attempt]bool
 }
 
 func newHarness(t *testing.T) *harness {
-	m := &harness{t: t, dials: make(chan *fakeConn), clock: clock.NewManual(1.7e12), completions: map[*core.Attempt][]decide.Result{}, canceled: map[*core.Attempt]bool{},
-		guard: &decide.Guard{Ready: map[decide.ServerID]bool{1: true, 8: true}, PurgeRetention: 6 * time.Second}}
-	m.upstream = newUpstream(Options{Clock: m.clock, Settings: func() config.Upstream { return config.Upstream{IdleTimeout: 15000, ConnectTimeout: 400, MaxStreams: 3} },
-		Guard: func() *decide.Guard { return m.guard }, Metrics: stats.New(), MaxConnections: func() int64 { return 5 }, openConnections: new(atomic.Int64),
-		Complete: func(e core.Completion) { m.completions[e.Attempt] = append(m.completions[e.Attempt], e.Result) },
+	m := &harness{t: t, dials: make(chan *fakeConn), clock: clock.NewManual(1.7e12), completions: map[*dispatch.Attempt][]routing.Result{}, canceled: map[*dispatch.Attempt]bool{},
+		guard: &routing.Guard{Ready: map[routing.ServerID]bool{1: true, 8: true}, PurgeRetention: 6 * time.Second}}
+	m.upstream = newUpstream(Options{Clock: m.clock, Settings: func() platformconfig.Upstream {
+		return platformconfig.Upstream{IdleTimeout: 15000, ConnectTimeout: 400, MaxStreams: 3}
+	},
+		Guard: func() *routing.Guard { return m.guard }, Metrics: metrics.New(), MaxConnections: func() int64 { return 5 }, openConnections: new(atomic.Int64),
+		Complete: func(e dispatch.Completion) { m.completions[e.Attempt] = append(m.completions[e.Attempt], e.Result) },
 		Dial: func(context.Context, netip.AddrPort) (net.Conn, error) {
 			if w := <-m.dials; w != nil {
 				return w, nil
@@ -102,9 +104,9 @@
 	return m
 }
 
-func (m *harness) send(txn string) *core.Attempt {
-	a := &core.Attempt{Request: &core.Request{TransactionID: txn, Object: 7, Group: 3}, Class: &decide.Class{Name: "part"},
-		Decision: decide.SendAttempt{Server: 1, FillSource: 8}, ExpiresAt: m.clock.Now() + 2000}
+func (m *harness) send(txn string) *dispatch.Attempt {
+	a := &dispatch.Attempt{Request: &dispatch.Request{TransactionID: txn, Object: 7, Group: 3}, Class: &routing.Class{Name: "part"},
+		Decision: routing.SendAttempt{Server: 1, FillSource: 8}, ExpiresAt: m.clock.Now() + 2000}
 	m.attempts = append(m.attempts, a)
 	m.upstream.handleMessage(m.t.Context(), message{send: a})
 	return a
@@ -127,7 +129,7 @@
 	}
 }
 
-func (m *harness) cancel(a *core.Attempt) {
+func (m *harness) cancel(a *dispatch.Attempt) {
 	if !m.canceled[a] {
 		m.canceled[a] = true
 		m.upstream.handleMessage(m.t.Context(), message{cancel: a})
@@ -268,12 +270,12 @@
 // An attempt that was queued while its cache was listed as draining, or its
 // source was, must not go out late.
 func TestQueuedAttemptChecksEndpointList(t *testing.T) {
-	for _, barred := range []decide.ServerID{1, 8} {
+	for _, barred := range []routing.ServerID{1, 8} {
 		m := newHarness(t)
 		a := m.send("a")
-		m.guard = &decide.Guard{Ready: map[decide.ServerID]bool{9 - barred: true}}
+		m.guard = &routing.Guard{Ready: map[routing.ServerID]bool{9 - barred: true}}
 		m.finishDial()
-		if got := m.completions[a]; len(got) != 1 || got[0] != decide.NotSent || m.conns[0].written.Len() > 0 {
+		if got := m.completions[a]; len(got) != 1 || got[0] != routing.NotSent || m.conns[0].written.Len() > 0 {
 			t.Errorf("%d drains: ended as %v after %q", barred, got, m.conns[0].written.String())
 		}
 	}
@@ -285,7 +287,7 @@
 	m.send("a")
 	m.clock.Advance(40)
 	g := *m.guard
-	g.Purges = []decide.PurgeRecord{{Group: 3, At: clock.Duration(m.clock.Now() - 25.5)}}
+	g.Purges = []routing.PurgeRecord{{Group: 3, At: clock.Duration(m.clock.Now() - 25.5)}}
 	m.guard = &g
 	m.finishDial()
 	if got := m.conns[0].written.String(); !strings.Contains(got, ",fresh=25\r\n") {
@@ -321,7 +323,7 @@
 	b := m.send("b")
 	m.finishDial()
 	m.upstream.handleConnectionEvent(t.Context(), connectionEvent{connection: m.upstream.connections[0], err: io.EOF})
-	if m.completions[a][0] != decide.ConnectFailed || m.completions[b][0] != decide.ConnectionLost {
+	if m.completions[a][0] != routing.ConnectFailed || m.completions[b][0] != routing.ConnectionLost {
 		t.Errorf("refused: %v, reset: %v", m.completions[a], m.completions[b])
 	}
 }
@@ -354,7 +356,7 @@
 		t.Errorf("%d tries after a rest, want one more", tries)
 	}
 	for i, a := range m.attempts[1:] {
-		if len(m.completions[a]) != 1 || m.completions[a][0] != decide.Served {
+		if len(m.completions[a]) != 1 || m.completions[a][0] != routing.Served {
 			t.Errorf("request %d ended as %v", i, m.completions[a])
 		}
 	}
@@ -367,16 +369,16 @@
 	wrote := func(traced, takes bool) []string {
 		m := newHarness(t)
 		m.upstream.PropagateTraces = takes
-		pool := &Pool{Options: m.upstream.Options, upstreams: map[decide.ServerID]*Upstream{1: m.upstream}}
+		pool := &Pool{Options: m.upstream.Options, upstreams: map[routing.ServerID]*Upstream{1: m.upstream}}
 		for i := range retainedTracesPerCommand + 1 {
 			pool.TraceRetained(1, trace.ID{byte(i + 1)})
 		}
 		pool.TraceRetained(2, trace.ID{9}) // nobody
 		for _, txn := range []string{"a", "b", "c"} {
-			a := &core.Attempt{Request: &core.Request{TransactionID: txn, Object: 7, Group: 3, IdempotencyKey: "k"}, Class: &decide.Class{Name: "part"},
-				Decision: decide.SendAttempt{Server: 1, FillSource: 8, CopyRank: 2, JoinFill: true}, ExpiresAt: m.clock.Now() + 2000}
+			a := &dispatch.Attempt{Request: &dispatch.Request{TransactionID: txn, Object: 7, Group: 3, IdempotencyKey: "k"}, Class: &routing.Class{Name: "part"},
+				Decision: routing.SendAttempt{Server: 1, FillSource: 8, CopyRank: 2, JoinFill: true}, ExpiresAt: m.clock.Now() + 2000}
 			if traced {
-				a.Trace = &core.AttemptTrace{Context: trace.Parent{Trace: trace.ID{5}, Span: 6, Sampled: true}}
+				a.Trace = &dispatch.AttemptTrace{Context: trace.Parent{Trace: trace.ID{5}, Span: 6, Sampled: true}}
 			}
 			m.attempts = append(m.attempts, a)
 			m.upstream.handleMessage(t.Context(), message{send: a})
@@ -424,22 +426,22 @@
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
-		r, err := readReply(sock.New(byteSource{reader: bytes.NewReader(b)}), nil)
+		r, err := readReply(textconn.New(byteSource{reader: bytes.NewReader(b)}), nil)
 		if err != nil {
 			return
 		}
 		again := appendBulk([]byte("*4\r\n"), r.id)
 		again = appendBulk(appendBulk(appendBulk(again, r.status), r.fields), string(r.body))
-		r2, err := readReply(sock.New(byteSource{reader: bytes.NewReader(again)}), nil)
+		r2, err := readReply(textconn.New(byteSource{reader: bytes.NewReader(again)}), nil)
 		if err != nil || r2.id != r.id || r2.status != r.status || r2.fields != r.fields || !bytes.Equal(r.body, r2.body) {
 			t.Errorf("%+v became %+v, %v", r, r2, err)
 		}
-		e, err := r.completion(&core.Attempt{Request: &core.Request{IfNoneMatch: "x"}})
+		e, err := r.completion(&dispatch.Attempt{Request: &dispatch.Request{IfNoneMatch: "x"}})
 		named := strings.Count(","+r.fields, ",tag=") == 1 && strings.Contains(","+r.fields+",", ",tag=x,")
-		if err == nil && (e.Result == decide.Served) != (r.status == "DONE" || r.status == "KEEP" && named) {
+		if err == nil && (e.Result == routing.Served) != (r.status == "DONE" || r.status == "KEEP" && named) {
 			t.Errorf("%s with %q became %v", r.status, r.fields, e.Result)
 		}
-		if err == nil && (e.Response.Kind == core.NotModified) != (r.status == "KEEP" && named) {
+		if err == nil && (e.Response.Kind == dispatch.NotModified) != (r.status == "KEEP" && named) {
 			t.Errorf("%s with %q is answered as %v", r.status, r.fields, e.Response.Kind)
 		}
 	})
@@ -450,15 +452,15 @@
 func TestReplyBodies(t *testing.T) {
 	body := strings.Repeat("\r\n$x\x00", 40_000)
 	frame := fmt.Sprintf("*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$15\r\ntag=t1,minted=5\r\n$%d\r\n%s\r\n", len(body), body)
-	r, err := readReply(sock.New(byteSource{reader: strings.NewReader(frame)}), nil)
+	r, err := readReply(textconn.New(byteSource{reader: strings.NewReader(frame)}), nil)
 	if err != nil || string(r.body) != body {
 		t.Errorf("%d bytes, %v", len(r.body), err)
 	}
-	if _, err := readReply(sock.New(byteSource{reader: strings.NewReader(frame[:len(frame)-9])}), nil); err == nil {
+	if _, err := readReply(textconn.New(byteSource{reader: strings.NewReader(frame[:len(frame)-9])}), nil); err == nil {
 		t.Error("a cut body was taken")
 	}
 	long := fmt.Sprintf("*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$1\r\n-\r\n$%d\r\n", maxBodyBytes+1)
-	if _, err := readReply(sock.New(byteSource{reader: strings.NewReader(long)}), nil); !errors.Is(err, errMalformedReply) {
+	if _, err := readReply(textconn.New(byteSource{reader: strings.NewReader(long)}), nil); !errors.Is(err, errMalformedReply) {
 		t.Errorf("a body too long: %v", err)
 	}
 }
@@ -469,37 +471,37 @@
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	dials := make(chan netip.AddrPort, 4)
-	g := &decide.Guard{Ready: map[decide.ServerID]bool{1: true, 2: true, 8: true}}
-	ends := make(chan core.Completion, 4)
-	p := NewPool(ctx, Options{Clock: clock.NewManual(1.7e12), Settings: func() config.Upstream {
-		return config.Upstream{IdleTimeout: 15000, ConnectTimeout: 60_000, MaxStreams: 3}
+	g := &routing.Guard{Ready: map[routing.ServerID]bool{1: true, 2: true, 8: true}}
+	ends := make(chan dispatch.Completion, 4)
+	p := NewPool(ctx, Options{Clock: clock.NewManual(1.7e12), Settings: func() platformconfig.Upstream {
+		return platformconfig.Upstream{IdleTimeout: 15000, ConnectTimeout: 60_000, MaxStreams: 3}
 	}, MaxConnections: func() int64 { return 0 },
-		Guard: func() *decide.Guard { return g }, Metrics: stats.New(), Complete: func(e core.Completion) { ends <- e },
+		Guard: func() *routing.Guard { return g }, Metrics: metrics.New(), Complete: func(e dispatch.Completion) { ends <- e },
 		Dial: func(_ context.Context, to netip.AddrPort) (net.Conn, error) {
 			dials <- to
 			return nil, errors.New("refused")
 		}})
 	at := netip.MustParseAddrPort("127.0.0.9:5050")
-	host := func(id int, phase decide.Phase) config.Endpoint {
-		return config.Endpoint{Server: decide.Server{ID: decide.ServerID(id), Phase: phase}, Addr: at}
+	host := func(id int, phase routing.Phase) platformconfig.Endpoint {
+		return platformconfig.Endpoint{Server: routing.Server{ID: routing.ServerID(id), Phase: phase}, Addr: at}
 	}
-	attempt := func(id int) *core.Attempt {
-		return &core.Attempt{Request: &core.Request{TransactionID: fmt.Sprint(id)}, Class: &decide.Class{}, ExpiresAt: 1.7e12 + 1000,
-			Decision: decide.SendAttempt{Server: decide.ServerID(id), FillSource: 8}}
+	attempt := func(id int) *dispatch.Attempt {
+		return &dispatch.Attempt{Request: &dispatch.Request{TransactionID: fmt.Sprint(id)}, Class: &routing.Class{}, ExpiresAt: 1.7e12 + 1000,
+			Decision: routing.SendAttempt{Server: routing.ServerID(id), FillSource: 8}}
 	}
-	p.UpdateEndpoints(config.WatchEvent{ListUpdate: true, Snapshot: true, Endpoints: []config.Endpoint{host(1, decide.Ready)}})
+	p.UpdateEndpoints(platformconfig.WatchEvent{ListUpdate: true, Snapshot: true, Endpoints: []platformconfig.Endpoint{host(1, routing.Ready)}})
 	old := p.upstreams[1]
-	p.UpdateEndpoints(config.WatchEvent{ListUpdate: true, Endpoints: []config.Endpoint{host(1, decide.Removed), host(2, decide.Ready)}})
+	p.UpdateEndpoints(platformconfig.WatchEvent{ListUpdate: true, Endpoints: []platformconfig.Endpoint{host(1, routing.Removed), host(2, routing.Ready)}})
 	if p.upstreams[1] != nil || p.upstreams[2] == nil || p.upstreams[2] == old {
 		t.Fatalf("peers %v", p.upstreams)
 	}
-	if e := p.Send(attempt(1)); e == nil || e.Result != decide.NotSent {
+	if e := p.Send(attempt(1)); e == nil || e.Result != routing.NotSent {
 		t.Errorf("an attempt to the one that has gone: %v", e)
 	}
 	if e := p.Send(attempt(2)); e != nil {
 		t.Errorf("an attempt to the new one: %v", e.Result)
 	}
-	if to, e := <-dials, <-ends; to != at || e.Result != decide.ConnectFailed {
+	if to, e := <-dials, <-ends; to != at || e.Result != routing.ConnectFailed {
 		t.Errorf("dialled %v, ended as %v", to, e.Result)
 	}
 	<-old.stopped // it ends by itself: nothing is out
@@ -521,7 +523,7 @@
 		t.Errorf("%d of 6 attempts ended with one connection", n)
 	}
 	for _, e := range m.completions {
-		if e[0] != decide.ConnectionLost {
+		if e[0] != routing.ConnectionLost {
 			t.Errorf("ended as %v", e)
 		}
 	}
@@ -555,7 +557,7 @@
 		text string
 		want string
 	}{{whole, "waits for ever"}, {whole + whole[:20], os.ErrDeadlineExceeded.Error()}} {
-		l := &connection{text: sock.New(&stallingConn{byteSource: byteSource{reader: strings.NewReader(c.text)}})}
+		l := &connection{text: textconn.New(&stallingConn{byteSource: byteSource{reader: strings.NewReader(c.text)}})}
 		if r, err := l.nextReply(0); err != nil || r.status != "LACK" {
 			t.Fatalf("%+v, %v", r, err)
 		}
@@ -604,7 +606,7 @@
 		}
 		a.MayRetry = true
 		m.cancel(a)
-		if m.conns[0].isClosed() == answered || len(m.completions[a]) != 1 || m.completions[a][0] != decide.Canceled || len(m.completions[b]) != 1 {
+		if m.conns[0].isClosed() == answered || len(m.completions[a]) != 1 || m.completions[a][0] != routing.Canceled || len(m.completions[b]) != 1 {
 			t.Errorf("answered %v: closed %v, ends %v and %v", answered, m.conns[0].isClosed(), m.completions[a], m.completions[b])
 		}
 	}
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -10,8 +10,8 @@
 	"net/netip"
 
 	"garnetline/internal/fleet"
-	"garnetline/internal/fleet/member"
-	"garnetline/internal/fleet/seal"
+	"garnetline/internal/fleet/membership"
+	"garnetline/internal/fleet/packetcrypto"
 )
 
 // udpHead is what the network adds to a datagram: IPv4 and UDP.
@@ -19,15 +19,15 @@
 
 // Machine is what a host runs.
 type Machine interface {
-	Step(now float64, p *member.Packet) fleet.Output
-	Leave(now float64) member.Output
+	Step(now float64, p *membership.Packet) fleet.Output
+	Leave(now float64) membership.Output
 }
 
 // Bare runs membership alone, without words of boxes and stance.
-type Bare struct{ *member.Machine }
+type Bare struct{ *membership.Machine }
 
 // Step steps it.
-func (b Bare) Step(now float64, p *member.Packet) fleet.Output {
+func (b Bare) Step(now float64, p *membership.Packet) fleet.Output {
 	return fleet.Output{Output: b.Machine.Step(now, p)}
 }
 
@@ -36,25 +36,25 @@
 	Machine
 	Name   string
 	Addr   netip.AddrPort
-	Self   member.Update
+	Self   membership.Update
 	Dead   bool
 	Sent   int64 // packets
 	Bytes  int64 // that it sent, sealed, with the network's heads
 	paused float64
 	wake   float64 // of its earliest timer that is in the queue
-	queued []*member.Packet
+	queued []*membership.Packet
 	Clock  func(now float64) float64                     // its own; nil: the network's
 	On     func(h *Host, now float64, out *fleet.Output) // may be nil
 }
 
 // Link decides what becomes of a packet from one host to another.
 type Link struct {
-	Loss   float64                        // share that is lost
-	Repeat float64                        // share that comes twice
-	Delay  float64                        // ms at the least
-	Jitter float64                        // mean of what comes on top
-	Cut    func(from, to *Host) bool      // nil: nothing is
-	Alter  func(p *member.Packet) float64 // further delay; nil: none
+	Loss   float64                            // share that is lost
+	Repeat float64                            // share that comes twice
+	Delay  float64                            // ms at the least
+	Jitter float64                            // mean of what comes on top
+	Cut    func(from, to *Host) bool          // nil: nothing is
+	Alter  func(p *membership.Packet) float64 // further delay; nil: none
 }
 
 // Net is the network and its hosts.
@@ -74,7 +74,7 @@
 // Send is a packet as it went to an address.
 type Send struct {
 	To     netip.AddrPort
-	Packet member.Packet
+	Packet membership.Packet
 }
 
 // Inject has a packet arrive now, once more or for the first time.
@@ -96,18 +96,18 @@
 // address of the first.
 func (v *Net) Fleet(n int, set fleet.Settings, bare bool) {
 	for i := range n {
-		v.Start(i, fmt.Sprintf("r%03d", i), member.ID(v.Rng.Uint64()|1), 1, set, bare)
+		v.Start(i, fmt.Sprintf("r%03d", i), membership.ID(v.Rng.Uint64()|1), 1, set, bare)
 	}
 }
 
 // Start adds a process of a router at a place, with a seat and a life.
-func (v *Net) Start(place int, name string, seat member.ID, life uint64, set fleet.Settings, bare bool) *Host {
+func (v *Net) Start(place int, name string, seat membership.ID, life uint64, set fleet.Settings, bare bool) *Host {
 	h := &Host{Name: name, Addr: Addr(place), wake: math.Inf(1),
-		Self: member.Update{ID: seat, Revision: member.FirstRevision(life), Name: name, Zone: fmt.Sprintf("z%d", place%3), Version: "v", Addr: Addr(place)}}
+		Self: membership.Update{ID: seat, Revision: membership.FirstRevision(life), Name: name, Zone: fmt.Sprintf("z%d", place%3), Version: "v", Addr: Addr(place)}}
 	rng := rand.New(rand.NewPCG(v.Rng.Uint64(), v.Rng.Uint64()))
 	seeds := []netip.AddrPort{Addr(0), Addr(1)}
 	if bare {
-		h.Machine = Bare{member.New(set.Membership, h.Self, seeds, rng, nil, v.Now)}
+		h.Machine = Bare{membership.New(set.Membership, h.Self, seeds, rng, nil, v.Now)}
 	} else {
 		h.Machine = fleet.New(set, h.Self, seeds, rng, v.Now)
 	}
@@ -186,7 +186,7 @@
 	return true
 }
 
-func (v *Net) step(h *Host, p *member.Packet) {
+func (v *Net) step(h *Host, p *membership.Packet) {
 	now := v.Now
 	if h.Clock != nil {
 		now = h.Clock(now)
@@ -204,14 +204,14 @@
 }
 
 // carry sends what a host wants sent.
-func (v *Net) carry(h *Host, out *member.Output) {
+func (v *Net) carry(h *Host, out *membership.Output) {
 	for _, s := range out.Packets {
 		v.room = s.Packet.Append(v.room[:0])
 		h.Sent++
 		if v.Tap != nil {
 			v.Tap(Send{s.To, *s.Packet})
 		}
-		h.Bytes += int64(len(v.room) + seal.Overhead + udpHead)
+		h.Bytes += int64(len(v.room) + packetcrypto.Overhead + udpHead)
 		to := v.at[s.To]
 		if v.Link.Cut != nil && to != nil && v.Link.Cut(h, to) {
 			continue
@@ -241,7 +241,7 @@
 	at   float64
 	n    uint64 // what was pushed first goes first
 	to   *Host
-	p    *member.Packet
+	p    *membership.Packet
 	addr netip.AddrPort
 }
 
@@ -298,7 +298,7 @@
 
 // Alike tells whether all hosts that live hold the same routers as there, and nobody else.
 func (v *Net) Alike() bool {
-	var want [member.BucketCount]uint32
+	var want [membership.BucketCount]uint32
 	first := true
 	live := 0
 	for _, h := range v.Hosts {
@@ -322,7 +322,7 @@
 }
 
 // Member returns a host's machine of membership.
-func (h *Host) Member() *member.Machine {
+func (h *Host) Member() *membership.Machine {
 	switch m := h.Machine.(type) {
 	case Bare:
 		return m.Machine
@@ -334,7 +334,7 @@
 
 // viewer is a machine that can be asked how it sees a router.
 type viewer interface {
-	State(member.ID) (member.State, bool)
+	State(membership.ID) (membership.State, bool)
 }
 
 // SeenAs counts how the others that live see a host.
--- a/internal/virtual/virtual_test.go
+++ b/internal/virtual/virtual_test.go
@@ -6,8 +6,8 @@
 	"testing"
 
 	"garnetline/internal/fleet"
-	"garnetline/internal/fleet/member"
-	"garnetline/internal/fleet/stance"
+	"garnetline/internal/fleet/connectivity"
+	"garnetline/internal/fleet/membership"
 )
 
 // settled is a fleet whose views are alike.
@@ -58,7 +58,7 @@
 		x := v.Hosts[n-1]
 		v.Kill(x)
 		at := v.Now
-		if !v.Until(at+3000, 10, func() bool { return v.SeenAs(x)[member.Failed] == n-1 }) {
+		if !v.Until(at+3000, 10, func() bool { return v.SeenAs(x)[membership.Failed] == n-1 }) {
 			t.Errorf("%d: after 3 s a killed router is %v", n, v.SeenAs(x))
 		}
 		if *wrong > n-1 {
@@ -99,7 +99,7 @@
 		v.Link.Cut = sides(func(p int) int { return p % parts })
 		v.Run(v.Now + 15_000)
 		for _, h := range v.Hosts {
-			if n, s := h.Member().PresentCount(), h.Machine.(*fleet.Node).Connectivity(); n != 12/parts || s.State != stance.Partial || s.Known != 12 {
+			if n, s := h.Member().PresentCount(), h.Machine.(*fleet.Node).Connectivity(); n != 12/parts || s.State != connectivity.Partial || s.Known != 12 {
 				t.Errorf("cut in %d: %s sees %d there, %+v", parts, h.Name, n, s)
 			}
 		}
@@ -107,7 +107,7 @@
 		took := alike(t, v, 3000)
 		v.Run(v.Now + 12_000)
 		for _, h := range v.Hosts {
-			if s := h.Machine.(*fleet.Node).Connectivity(); s.State != stance.Together {
+			if s := h.Machine.(*fleet.Node).Connectivity(); s.State != connectivity.Together {
 				t.Errorf("%d parts healed after %.0f ms: %s is %v", parts, took, h.Name, s)
 			}
 		}
@@ -139,7 +139,7 @@
 	v := settled(t, 4, 9)
 	x := v.Hosts[4]
 	v.Link.Cut = func(a, _ *Host) bool { return a == x }
-	if !v.Until(v.Now+5000, 50, func() bool { return v.SeenAs(x)[member.Failed] == 8 }) {
+	if !v.Until(v.Now+5000, 50, func() bool { return v.SeenAs(x)[membership.Failed] == 8 }) {
 		t.Errorf("a mute router is %v", v.SeenAs(x))
 	}
 	v.Link.Cut = nil
@@ -162,7 +162,7 @@
 	}
 	v.Stall(x, 30_000)
 	v.Run(v.Now + 29_900)
-	if n := v.SeenAs(x)[member.Failed]; n != 7 {
+	if n := v.SeenAs(x)[membership.Failed]; n != 7 {
 		t.Errorf("stopped for 29.9 s it is failed for %d of 7", n)
 	}
 	took := alike(t, v, 3000)
@@ -270,7 +270,7 @@
 	}
 	v.Run(v.Now + 30_000)
 	s := v.Hosts[0].Machine.(*fleet.Node).Connectivity()
-	if s.State != stance.Alone || s.Known != 8 {
+	if s.State != connectivity.Alone || s.Known != 8 {
 		t.Errorf("%+v", s)
 	}
 }
@@ -280,15 +280,15 @@
 func TestCutOffFromAll(t *testing.T) {
 	v := settled(t, 14, 60)
 	x := v.Hosts[7]
-	stands := func(s stance.State) func() bool {
+	stands := func(s connectivity.State) func() bool {
 		return func() bool { return x.Machine.(*fleet.Node).Connectivity().State == s }
 	}
 	v.Link.Cut = func(a, b *Host) bool { return a == x || b == x }
-	if !v.Until(v.Now+4000, 50, stands(stance.Alone)) {
+	if !v.Until(v.Now+4000, 50, stands(connectivity.Alone)) {
 		t.Errorf("after 4 s it sees %d", x.Member().PresentCount())
 	}
 	v.Link.Cut = nil
-	if !v.Until(v.Now+20_000, 50, stands(stance.Together)) {
+	if !v.Until(v.Now+20_000, 50, stands(connectivity.Together)) {
 		t.Error("it does not come back")
 	}
 }
@@ -305,7 +305,7 @@
 		t.Errorf("%d times one was said to have failed", *n)
 	}
 	v.Kill(v.Hosts[5])
-	if !v.Until(v.Now+4000, 50, func() bool { return v.SeenAs(v.Hosts[5])[member.Failed] == 7 }) {
+	if !v.Until(v.Now+4000, 50, func() bool { return v.SeenAs(v.Hosts[5])[membership.Failed] == 7 }) {
 		t.Errorf("a killed one is %v", v.SeenAs(v.Hosts[5]))
 	}
 	alike(t, v, 3000)
@@ -327,7 +327,7 @@
 		}
 		n := 0
 		for _, m := range h.Member().View().Members {
-			if m.Name == old.Name && m.State == member.Alive && m.Addr == next.Addr {
+			if m.Name == old.Name && m.State == membership.Alive && m.Addr == next.Addr {
 				n++
 			}
 		}
@@ -344,7 +344,7 @@
 	v.Run(v.Now + 5000)
 	v.Leave(old) // says nothing of the seat, which is its successor's
 	v.Run(v.Now + 5000)
-	if n := v.SeenAs(last)[member.Alive]; n != 5 {
+	if n := v.SeenAs(last)[membership.Alive]; n != 5 {
 		t.Errorf("after the old one's end the new one is alive for %d of 5", n)
 	}
 }
@@ -353,10 +353,10 @@
 func TestOneNameTwice(t *testing.T) {
 	v := settled(t, 11, 5)
 	n := spoken(v, "conflict")
-	x := v.Start(41, "r003", member.ID(v.Rng.Uint64()|1), 1, fleet.DefaultSettings(), false)
+	x := v.Start(41, "r003", membership.ID(v.Rng.Uint64()|1), 1, fleet.DefaultSettings(), false)
 	v.Run(v.Now + 20_000)
-	if got := v.SeenAs(x)[member.Alive]; got != 5 || v.SeenAs(v.Hosts[3])[member.Alive] != 5 {
-		t.Errorf("the second is alive for %d, the first for %d of 5", got, v.SeenAs(v.Hosts[3])[member.Alive])
+	if got := v.SeenAs(x)[membership.Alive]; got != 5 || v.SeenAs(v.Hosts[3])[membership.Alive] != 5 {
+		t.Errorf("the second is alive for %d, the first for %d of 5", got, v.SeenAs(v.Hosts[3])[membership.Alive])
 	}
 	if *n != 5 {
 		t.Errorf("told %d times, want once by each of 5", *n)
@@ -368,7 +368,7 @@
 func TestGhosts(t *testing.T) {
 	v := settled(t, 12, 8)
 	wrong := 0
-	real := map[member.ID]bool{}
+	real := map[membership.ID]bool{}
 	for _, h := range v.Hosts {
 		real[h.Self.ID] = true
 	}
@@ -383,7 +383,7 @@
 	}
 	liar := v.Hosts[7]
 	for i := range 1000 {
-		w := member.Update{ID: member.ID(v.Rng.Uint64() | 1), Revision: member.FirstRevision(1), Name: fmt.Sprintf("ghost%d", i), Addr: Addr(1000 + i)}
+		w := membership.Update{ID: membership.ID(v.Rng.Uint64() | 1), Revision: membership.FirstRevision(1), Name: fmt.Sprintf("ghost%d", i), Addr: Addr(1000 + i)}
 		v.Do(liar, func() { liar.Member().InjectUpdate(w) })
 	}
 	v.Run(v.Now + 5000)
@@ -422,7 +422,7 @@
 		t.Errorf("%d changes of the stance in %d flaps", swings, flaps)
 	}
 	v.Run(v.Now + 90_000)
-	if s := v.Hosts[0].Machine.(*fleet.Node).Connectivity(); s.State != stance.Together {
+	if s := v.Hosts[0].Machine.(*fleet.Node).Connectivity(); s.State != connectivity.Together {
 		t.Errorf("when the link is sound it stays %v", s)
 	}
 }
--- a/internal/wire/golden_test.go
+++ b/internal/wire/golden_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"garnetline/decide"
+	"garnetline/routing"
 )
 
 // update has the golden files written anew: go test ./internal/wire -run TestGolden -update
@@ -66,37 +66,37 @@
 		if it.Kind == Begin {
 			printSettings(text, &it.Settings)
 		}
-	case decide.EndpointUpdate:
+	case routing.EndpointUpdate:
 		fmt.Fprintf(text, "list full=%t failed=%t\n", ev.Snapshot, ev.Failed)
 		for _, s := range ev.Servers {
 			fmt.Fprintf(text, "  server=%d zone=%d kind=%d cell=%d phase=%d weight=%v started=%d\n",
 				uint64(s.ID), s.Zone, s.Kind, s.Cell, int(s.Phase), s.Weight, int64(s.StartedAt))
 		}
-	case decide.Request:
+	case routing.Request:
 		fmt.Fprintf(text, "request=%d class=%d object=%x part=%d group=%d left=%d size=%v repeat=%t\n", uint64(ev.ID), ev.Class,
 			uint64(ev.Object), ev.Chunk, ev.PurgeGroup, int64(ev.Timeout), ev.SizeKB, ev.ClientRetry)
-	case decide.Outcome:
+	case routing.Outcome:
 		fmt.Fprintf(text, "outcome request=%d attempt=%d server=%d result=%d note=%d waited=%d took=%d bytes=%d done=%t load=%v,%v,%v,%v\n",
 			uint64(ev.ID), ev.Attempt, uint64(ev.Server), int(ev.Result), int(ev.CacheStatus), int64(ev.SourceWait), int64(ev.Duration), ev.BodyBytes,
 			ev.RequestDone, ev.Load.Inflight, ev.Load.CPUUtilization, ev.Load.HitRatio, ev.Load.LinkUtilization)
-	case decide.TimerFired:
+	case routing.TimerFired:
 		fmt.Fprintf(text, "timer token=%d\n", ev.Token)
-	case decide.Purge:
+	case routing.Purge:
 		fmt.Fprintf(text, "purge object=%x group=%d age=%d\n", uint64(ev.Object), ev.Group, int64(ev.Age))
-	case decide.ClientDisconnected:
+	case routing.ClientDisconnected:
 		fmt.Fprintf(text, "left request=%d\n", uint64(ev.ID))
 	default:
 		fmt.Fprintln(text, "unknown event")
 	}
 }
 
-func printSettings(text *strings.Builder, s *decide.Settings) {
+func printSettings(text *strings.Builder, s *routing.Settings) {
 	fmt.Fprintf(text, "  zones=%d zone=%d kinds=%d parent=%d origin=%d seats=%v routers=%d attempts=%d backoff=%d\n", s.Zones, s.Zone,
 		s.Kinds, s.ParentKind, s.OriginKind, s.RoutersByZone, s.Routers, s.MaxAttempts, int64(s.MaxRetryAfter))
 	fmt.Fprintf(text, "  cancel=%t join=%t direct=%t flow=%v bytes=%v sized=%t hits=%t falls=%t ask=%t\n", s.CanCancel, s.CanJoinFill,
 		s.AllowBypass, s.TransferKBPerSecond, s.BodyBytesPerSecond, s.WeightIsCapacity, s.HitStatusOnly, s.OriginStopsOnOverload, s.MustSubscribe)
 	fmt.Fprintf(text, "  drain=%d purge=%d purged=%d\n", int64(s.DrainGrace), int64(s.PurgeGrace), int64(s.PurgeRetention))
-	for _, r := range []decide.SlowStart{s.CacheSlowStart, s.ParentSlowStart} {
+	for _, r := range []routing.SlowStart{s.CacheSlowStart, s.ParentSlowStart} {
 		fmt.Fprintf(text, "  ramp from=%v warm=%d multiple=%v span=%d\n", r.InitialCapacity, int64(r.Duration), r.OverloadFactor, int64(r.OverloadWindow))
 	}
 	for _, c := range s.Classes {
@@ -110,12 +110,12 @@
 func TestGoldenOutput(t *testing.T) {
 	us := time.Microsecond
 	text := AppendBy(nil, 12)
-	for _, a := range []decide.Action{
-		decide.SendAttempt{ID: 1<<52 - 1, Server: 1<<32 - 1, FillSource: 7, CopyRank: 3, MaxAge: 1_500_000*us + 999, Deadline: 9312250 * us},
-		decide.SendAttempt{ID: 5, Server: 6, FillSource: 7, CopyRank: 1, JoinFill: true}, decide.SendAttempt{ID: 5, Server: 6, FillSource: 7, Revalidate: true},
-		decide.SendAttempt{ID: 5, Server: 6, FillSource: 7, OnlyIfCached: true},
-		decide.Reject{ID: 5}, decide.Reject{ID: 5, RetryAfter: 250_000 * us}, decide.Fail{ID: 6}, decide.CancelAttempt{ID: 7, Attempt: 2},
-		decide.SetTimer{Delay: 500 * us, Token: 1 << 63}, decide.Subscribe{},
+	for _, a := range []routing.Action{
+		routing.SendAttempt{ID: 1<<52 - 1, Server: 1<<32 - 1, FillSource: 7, CopyRank: 3, MaxAge: 1_500_000*us + 999, Deadline: 9312250 * us},
+		routing.SendAttempt{ID: 5, Server: 6, FillSource: 7, CopyRank: 1, JoinFill: true}, routing.SendAttempt{ID: 5, Server: 6, FillSource: 7, Revalidate: true},
+		routing.SendAttempt{ID: 5, Server: 6, FillSource: 7, OnlyIfCached: true},
+		routing.Reject{ID: 5}, routing.Reject{ID: 5, RetryAfter: 250_000 * us}, routing.Fail{ID: 6}, routing.CancelAttempt{ID: 7, Attempt: 2},
+		routing.SetTimer{Delay: 500 * us, Token: 1 << 63}, routing.Subscribe{},
 	} {
 		text = AppendAction(text, a)
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"garnetline/decide"
+	"garnetline/routing"
 )
 
 // pairs are the settings of a BEGIN line by path. The first error sticks in f.
@@ -20,7 +20,7 @@
 // settings reads the path=value pairs that end a BEGIN line, and the names
 // of the values in a load report. Unknown paths are skipped; absent ones take
 // their default.
-func (f *fields) settings() (decide.Settings, []string) {
+func (f *fields) settings() (routing.Settings, []string) {
 	m := map[string]string{}
 	for f.more {
 		s := f.next("info")
@@ -35,7 +35,7 @@
 
 // ParseSettings reads settings given by path, and the names of the values in
 // a load report. An error names the path.
-func ParseSettings(m map[string]string) (decide.Settings, []string, error) {
+func ParseSettings(m map[string]string) (routing.Settings, []string, error) {
 	var f fields
 	s, report := pairs{m, &f}.settings()
 	if e, ok := f.err.(*Error); ok {
@@ -45,8 +45,8 @@
 }
 
 // settings turns the pairs into what the module takes.
-func (p pairs) settings() (decide.Settings, []string) {
-	s := decide.Settings{
+func (p pairs) settings() (routing.Settings, []string) {
+	s := routing.Settings{
 		Zones:                 len(p.list("areas")),
 		Zone:                  p.whole("zone", 0),
 		Kinds:                 len(p.list("machine_types")),
@@ -66,9 +66,9 @@
 		DrainGrace:            p.time("rules.drain_grace_us"),
 		PurgeGrace:            p.time("family_info.obey_after_us"),
 		PurgeRetention:        p.time("family_info.cleared_within_us"),
-		CacheSlowStart: decide.SlowStart{InitialCapacity: p.real("rules.cold_from"), Duration: p.time("rules.cold_us"),
+		CacheSlowStart: routing.SlowStart{InitialCapacity: p.real("rules.cold_from"), Duration: p.time("rules.cold_us"),
 			OverloadFactor: p.real("rules.fall_multiple"), OverloadWindow: p.time("rules.overload_for_us")},
-		ParentSlowStart: decide.SlowStart{InitialCapacity: p.real("family_info.parent_starts_at"), Duration: p.time("family_info.parent_warms_in_us"),
+		ParentSlowStart: routing.SlowStart{InitialCapacity: p.real("family_info.parent_starts_at"), Duration: p.time("family_info.parent_warms_in_us"),
 			OverloadFactor: p.real("family_info.parent_fall_multiple"), OverloadWindow: p.time("rules.overload_for_us")},
 	}
 	if !p.yes("limits.retry_after") {
@@ -87,7 +87,7 @@
 //
 // Symptom guarded against: of two classes, zones or kinds of one name the first stood for
 // both, and a write without an origin went to a cache, which cannot run it.
-func (p pairs) agree(s decide.Settings) {
+func (p pairs) agree(s routing.Settings) {
 	p.apart("areas", p.list("areas"))
 	p.apart("machine_types", p.list("machine_types"))
 	if s.ParentKind >= 0 && s.ParentKind == s.OriginKind {
@@ -116,7 +116,7 @@
 	}
 }
 
-func (p pairs) classes() []decide.Class {
+func (p pairs) classes() []routing.Class {
 	const info = "family_info."
 	writes, fresh, grace := p.list(info+"class_write"), p.list(info+"lifetime_by_class_us"), p.list(info+"older_by_us")
 	n := p.whole("classes.count", 0)
@@ -130,13 +130,13 @@
 			return nil
 		}
 	}
-	var out []decide.Class
+	var out []routing.Class
 	for i := range n {
 		at := fmt.Sprintf("classes.%d.", i)
-		c := decide.Class{
+		c := routing.Class{
 			Name:                    p.m[at+"name"],
-			Idempotency:             decide.Idempotency(choose(p, at+"effect", "read_like", "idempotency_key", "non_idempotent")),
-			KeyScope:                decide.KeyScope(choose(p, at+"group", "all", "zone", "cell")),
+			Idempotency:             routing.Idempotency(choose(p, at+"effect", "read_like", "idempotency_key", "non_idempotent")),
+			KeyScope:                routing.KeyScope(choose(p, at+"group", "all", "zone", "cell")),
 			KeyWindow:               p.time(at + "window_us"),
 			LatencyObjective:        p.time(at + "aim_us"),
 			ObjectiveTransferFactor: p.real(at + "aim_stretch"),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"garnetline/decide"
+	"garnetline/routing"
 )
 
 // Kind tells what an Item is about.
@@ -29,9 +29,9 @@
 type Item struct {
 	Instance int
 	Kind     Kind
-	Event    decide.Event    // for Event; nil where it is of no use to a decision
-	Seed     uint64          // for Begin
-	Settings decide.Settings // for Begin
+	Event    routing.Event    // for Event; nil where it is of no use to a decision
+	Seed     uint64           // for Begin
+	Settings routing.Settings // for Begin
 }
 
 // Batch is all that happened at one time.
@@ -64,7 +64,7 @@
 type Reader struct {
 	in      *bufio.Reader
 	line    int
-	lists   map[uint64][]decide.Server
+	lists   map[uint64][]routing.Server
 	reports map[int][]string // names of the values of a load report, by instance
 	who     int
 	f       fields
@@ -72,7 +72,7 @@
 
 // NewReader returns a Reader on in.
 func NewReader(in io.Reader) *Reader {
-	return &Reader{in: bufio.NewReaderSize(in, 1<<20), lists: map[uint64][]decide.Server{}, reports: map[int][]string{}}
+	return &Reader{in: bufio.NewReaderSize(in, 1<<20), lists: map[uint64][]routing.Server{}, reports: map[int][]string{}}
 }
 
 // Next reads one batch. It returns io.EOF where the input ends between
@@ -164,11 +164,11 @@
 	case "VERDICT":
 		it.Event = f.outcome(r.reports[r.who])
 	case "WAKEUP":
-		it.Event = decide.TimerFired{Token: f.num("nonce", maxToken)}
+		it.Event = routing.TimerFired{Token: f.num("nonce", maxToken)}
 	case "OUTDATED":
-		it.Event = decide.Purge{Group: int(f.num("set_no", maxIndex)), Age: f.time("how_old_us"), Object: f.object("key")}
+		it.Event = routing.Purge{Group: int(f.num("set_no", maxIndex)), Age: f.time("how_old_us"), Object: f.object("key")}
 	case "LEFT":
-		it.Event = decide.ClientDisconnected{ID: decide.RequestID(f.num("id", maxRequest))}
+		it.Event = routing.ClientDisconnected{ID: routing.RequestID(f.num("id", maxRequest))}
 	case "FIRST_BYTE":
 		f.num("id", maxRequest)
 		f.time("cost_time_us")
@@ -194,7 +194,7 @@
 	if err := r.f.end(); err != nil {
 		return err
 	}
-	var list []decide.Server
+	var list []routing.Server
 	for ; n > 0; n-- {
 		name, err := r.read()
 		if err != nil && err != io.EOF {
@@ -204,12 +204,12 @@
 			return r.bad("message", "want ITEM, got %q", name)
 		}
 		f := &r.f
-		s := decide.Server{
-			ID:        decide.ServerID(f.num("server", maxServer)),
+		s := routing.Server{
+			ID:        routing.ServerID(f.num("server", maxServer)),
 			Zone:      int(f.num("site", maxIndex)),
 			Kind:      int(f.num("model", maxIndex)),
 			Cell:      int(f.num("pack", maxIndex)),
-			Phase:     decide.Phase(f.num("phase", 2)),
+			Phase:     routing.Phase(f.num("phase", 2)),
 			Weight:    f.real("power_hint"),
 			StartedAt: f.time("last_start_us"),
 		}
@@ -222,20 +222,20 @@
 	return nil
 }
 
-func (r *Reader) members() decide.Event {
+func (r *Reader) members() routing.Event {
 	f := &r.f
 	form := f.num("form", 3)
 	f.num("revision", math.MaxUint64)
 	if form == 3 {
 		f.next("roster_id")
-		return decide.EndpointUpdate{Failed: true}
+		return routing.EndpointUpdate{Failed: true}
 	}
 	no := f.num("roster_id", 15)
 	list, known := r.lists[no]
 	if !known && f.err == nil {
 		f.fail("roster_id", "no CATALOG with this number")
 	}
-	return decide.EndpointUpdate{Snapshot: form != 1, Servers: list}
+	return routing.EndpointUpdate{Snapshot: form != 1, Servers: list}
 }
 
 // fields takes the values of one line in turn. The first error sticks.
@@ -306,7 +306,7 @@
 }
 
 // object reads 16 hex digits; 0 and an absent one are no object.
-func (f *fields) object(field string) decide.ObjectID {
+func (f *fields) object(field string) routing.ObjectID {
 	s := f.next(field)
 	if s == "-" || s == "0" {
 		return 0
@@ -315,12 +315,12 @@
 	if err != nil || len(s) != 16 {
 		f.fail(field, fmt.Sprintf("%q is not 16 hex digits", s))
 	}
-	return decide.ObjectID(n)
+	return routing.ObjectID(n)
 }
 
-func (f *fields) request() decide.Event {
-	q := decide.Request{
-		ID:         decide.RequestID(f.num("id", maxRequest)),
+func (f *fields) request() routing.Event {
+	q := routing.Request{
+		ID:         routing.RequestID(f.num("id", maxRequest)),
 		PurgeGroup: int(f.num("label_no", maxIndex)),
 		Timeout:    f.time("grace_us"),
 		Chunk:      int(f.num("slice", maxIndex)),
@@ -333,13 +333,13 @@
 	return q
 }
 
-var results = map[string]decide.Result{
-	"served": decide.Served, "server_error": decide.ServerError, "turned_away": decide.Rejected,
-	"no_answer": decide.TimedOut, "no_connection": decide.ConnectFailed, "connection_lost": decide.ConnectionLost,
-	"called_off": decide.Canceled, "not_sent": decide.NotSent, "not_stored": decide.NotCached,
+var results = map[string]routing.Result{
+	"served": routing.Served, "server_error": routing.ServerError, "turned_away": routing.Rejected,
+	"no_answer": routing.TimedOut, "no_connection": routing.ConnectFailed, "connection_lost": routing.ConnectionLost,
+	"called_off": routing.Canceled, "not_sent": routing.NotSent, "not_stored": routing.NotCached,
 }
 
-func (f *fields) result(field string) decide.Result {
+func (f *fields) result(field string) routing.Result {
 	s := f.next(field)
 	res, ok := results[s]
 	if !ok {
@@ -348,13 +348,13 @@
 	return res
 }
 
-func (f *fields) outcome(report []string) decide.Event {
-	o := decide.Outcome{
-		ID:          decide.RequestID(f.num("id", maxRequest)),
+func (f *fields) outcome(report []string) routing.Event {
+	o := routing.Outcome{
+		ID:          routing.RequestID(f.num("id", maxRequest)),
 		Result:      f.result("status"),
-		Server:      decide.ServerID(f.num("server", maxServer)),
+		Server:      routing.ServerID(f.num("server", maxServer)),
 		SourceWait:  f.time("waited_us"),
-		CacheStatus: decide.CacheStatus(f.num("note", 10)),
+		CacheStatus: routing.CacheStatus(f.num("note", 10)),
 		Duration:    f.time("cost_time_us"),
 	}
 	o.Attempt = int(f.num("leg", maxIndex))
@@ -364,9 +364,9 @@
 }
 
 // load reads a load report, whose values come in the order of names.
-func (f *fields) load(field string, names []string) decide.LoadReport {
+func (f *fields) load(field string, names []string) routing.LoadReport {
 	nan := math.NaN()
-	l := decide.LoadReport{Inflight: nan, CPUUtilization: nan, HitRatio: nan, LinkUtilization: nan}
+	l := routing.LoadReport{Inflight: nan, CPUUtilization: nan, HitRatio: nan, LinkUtilization: nan}
 	s := f.next(field)
 	if s == "-" {
 		return l
@@ -408,12 +408,12 @@
 func AppendEnd(dst []byte) []byte { return append(dst, "NEXT\n"...) }
 
 // AppendAction appends the line of one action.
-func AppendAction(dst []byte, a decide.Action) []byte {
+func AppendAction(dst []byte, a routing.Action) []byte {
 	var v [7]int64
 	vals, name := v[:0], ""
 	us := func(d time.Duration) int64 { return int64(d / time.Microsecond) }
 	switch a := a.(type) {
-	case decide.SendAttempt:
+	case routing.SendAttempt:
 		name = "SERVE_OR_FILL"
 		how := int64(0)
 		if a.JoinFill {
@@ -426,15 +426,15 @@
 			how |= 8
 		}
 		vals = append(vals, int64(a.ID), int64(a.CopyRank), how, us(a.Deadline), int64(a.Server), int64(a.FillSource), us(a.MaxAge))
-	case decide.Reject:
+	case routing.Reject:
 		name, vals = "REFUSE", append(vals, int64(a.ID), us(a.RetryAfter))
-	case decide.Fail:
+	case routing.Fail:
 		name, vals = "ABORT", append(vals, int64(a.ID))
-	case decide.CancelAttempt:
+	case routing.CancelAttempt:
 		name, vals = "REVOKE", append(vals, int64(a.ID), int64(a.Attempt))
-	case decide.SetTimer:
+	case routing.SetTimer:
 		return fmt.Appendf(dst, "SCHEDULE %d %d\n", us(a.Delay), a.Token)
-	case decide.Subscribe:
+	case routing.Subscribe:
 		return append(dst, "FOLLOW 1\n"...)
 	default:
 		panic(fmt.Sprintf("wire: unknown action %T", a))
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"garnetline/decide"
+	"garnetline/routing"
 )
 
 const begin = "SELECT 3\nBEGIN 7 areas=hub,edge zone=1 machine_types=a,parent,origin family_info.second_tier_kind=1 " +
@@ -38,21 +38,21 @@
 func TestEvents(t *testing.T) {
 	list := "CATALOG 0 2\nITEM 51530247 0 0 0 1 1 -\nITEM 747639282 1 2 5 2 1.5 6100000\n"
 	us := time.Microsecond
-	for line, want := range map[string]decide.Event{
-		"INGRESS 3184874432926148 11 240000 3 0 3 91f03b7c55d20a64 640.5 0": decide.Request{ID: 3184874432926148, PurgeGroup: 11,
+	for line, want := range map[string]routing.Event{
+		"INGRESS 3184874432926148 11 240000 3 0 3 91f03b7c55d20a64 640.5 0": routing.Request{ID: 3184874432926148, PurgeGroup: 11,
 			Timeout: 240000 * us, Chunk: 3, ClientRetry: true, Object: 0x91f03b7c55d20a64, SizeKB: 640.5},
-		"INGRESS 5 - 240000 - - - - - 1": decide.Request{ID: 5, Timeout: 240000 * us, Class: 1},
-		"VERDICT 5 not_stored 51530247 9400 4 18500 2 1 0.62,0.4,1.25": decide.Outcome{ID: 5, Attempt: 2, Server: 51530247,
-			Result: decide.NotCached, CacheStatus: decide.JoinedFill, SourceWait: 9400 * us, Duration: 18500 * us, RequestDone: true,
-			Load: decide.LoadReport{Inflight: -1, CPUUtilization: 0.62, HitRatio: 0.4, LinkUtilization: 1.25}},
-		"WAKEUP 77":                          decide.TimerFired{Token: 77},
-		"OUTDATED 11 85000 0000007c55d20a01": decide.Purge{Group: 11, Age: 85000 * us, Object: 0x7c55d20a01},
-		"OUTDATED 11 85000 -":                decide.Purge{Group: 11, Age: 85000 * us},
-		"LEFT 3789381167950617":              decide.ClientDisconnected{ID: 3789381167950617},
-		"DIRECTORY_UPDATE 3 41 0":            decide.EndpointUpdate{Failed: true},
-		"DIRECTORY_UPDATE 2 41 0": decide.EndpointUpdate{Snapshot: true, Servers: []decide.Server{
-			{ID: 51530247, Phase: decide.Ready, Weight: 1},
-			{ID: 747639282, Zone: 1, Kind: 2, Cell: 5, Phase: decide.Draining, Weight: 1.5, StartedAt: 6100000 * us}}},
+		"INGRESS 5 - 240000 - - - - - 1": routing.Request{ID: 5, Timeout: 240000 * us, Class: 1},
+		"VERDICT 5 not_stored 51530247 9400 4 18500 2 1 0.62,0.4,1.25": routing.Outcome{ID: 5, Attempt: 2, Server: 51530247,
+			Result: routing.NotCached, CacheStatus: routing.JoinedFill, SourceWait: 9400 * us, Duration: 18500 * us, RequestDone: true,
+			Load: routing.LoadReport{Inflight: -1, CPUUtilization: 0.62, HitRatio: 0.4, LinkUtilization: 1.25}},
+		"WAKEUP 77":                          routing.TimerFired{Token: 77},
+		"OUTDATED 11 85000 0000007c55d20a01": routing.Purge{Group: 11, Age: 85000 * us, Object: 0x7c55d20a01},
+		"OUTDATED 11 85000 -":                routing.Purge{Group: 11, Age: 85000 * us},
+		"LEFT 3789381167950617":              routing.ClientDisconnected{ID: 3789381167950617},
+		"DIRECTORY_UPDATE 3 41 0":            routing.EndpointUpdate{Failed: true},
+		"DIRECTORY_UPDATE 2 41 0": routing.EndpointUpdate{Snapshot: true, Servers: []routing.Server{
+			{ID: 51530247, Phase: routing.Ready, Weight: 1},
+			{ID: 747639282, Zone: 1, Kind: 2, Cell: 5, Phase: routing.Draining, Weight: 1.5, StartedAt: 6100000 * us}}},
 	} {
 		items, err := read(turn(list + begin + line + "\n"))
 		if err != nil || len(items) != 2 {
@@ -60,7 +60,7 @@
 			continue
 		}
 		got := items[1].Event
-		if o, ok := got.(decide.Outcome); ok && math.IsNaN(o.Load.Inflight) {
+		if o, ok := got.(routing.Outcome); ok && math.IsNaN(o.Load.Inflight) {
 			o.Load.Inflight = -1
 			got = o
 		}
@@ -80,10 +80,10 @@
 		s.MaxRetryAfter != 500*time.Millisecond || len(s.RoutersByZone) != 2 || len(s.Classes) != 2 {
 		t.Errorf("settings %+v", s)
 	}
-	if c := s.Classes[1]; c.Idempotency != decide.IdempotentWithKey || c.KeyScope != decide.KeyScopeZone || !c.Write {
+	if c := s.Classes[1]; c.Idempotency != routing.IdempotentWithKey || c.KeyScope != routing.KeyScopeZone || !c.Write {
 		t.Errorf("class %+v", c)
 	}
-	if s.Routers != 1 || s.AllowBypass || s.Classes[0].Idempotency != decide.Idempotent || s.HitStatusOnly || s.OriginStopsOnOverload {
+	if s.Routers != 1 || s.AllowBypass || s.Classes[0].Idempotency != routing.Idempotent || s.HitStatusOnly || s.OriginStopsOnOverload {
 		t.Errorf("defaults: %+v", s)
 	}
 	items, err = read(turn(strings.Replace(begin, "new_key=x", "family_info.note_level=hit family_info.origin_limit_factor=2.5", 1)))
@@ -127,14 +127,14 @@
 
 func TestActions(t *testing.T) {
 	us := time.Microsecond
-	for want, a := range map[string]decide.Action{
-		"SERVE_OR_FILL 5 2 11 9312250 51530247 747639282 1500000\n": decide.SendAttempt{ID: 5, Server: 51530247, FillSource: 747639282,
+	for want, a := range map[string]routing.Action{
+		"SERVE_OR_FILL 5 2 11 9312250 51530247 747639282 1500000\n": routing.SendAttempt{ID: 5, Server: 51530247, FillSource: 747639282,
 			CopyRank: 2, MaxAge: 1500000 * us, Deadline: 9312250 * us, JoinFill: true, Revalidate: true, OnlyIfCached: true},
-		"REFUSE 5 250000\n": decide.Reject{ID: 5, RetryAfter: 250 * time.Millisecond},
-		"ABORT 5\n":         decide.Fail{ID: 5},
-		"REVOKE 5 1\n":      decide.CancelAttempt{ID: 5, Attempt: 1},
-		"SCHEDULE 500 77\n": decide.SetTimer{Delay: 500 * us, Token: 77},
-		"FOLLOW 1\n":        decide.Subscribe{},
+		"REFUSE 5 250000\n": routing.Reject{ID: 5, RetryAfter: 250 * time.Millisecond},
+		"ABORT 5\n":         routing.Fail{ID: 5},
+		"REVOKE 5 1\n":      routing.CancelAttempt{ID: 5, Attempt: 1},
+		"SCHEDULE 500 77\n": routing.SetTimer{Delay: 500 * us, Token: 77},
+		"FOLLOW 1\n":        routing.Subscribe{},
 	} {
 		if got := string(AppendAction(nil, a)); got != want {
 			t.Errorf("%T: got %q, want %q", a, got, want)
--- a/plugin/call.go
+++ b/plugin/call.go
@@ -11,9 +11,9 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/core"
+	"garnetline/internal/dispatch"
+	"garnetline/routing"
 )
 
 const codeUnknown = codes.FailedPrecondition
@@ -47,20 +47,20 @@
 
 // submit hands a request to the core and waits for its answer, or for the
 // caller to leave.
-func (p *Plugin) submit(ctx context.Context, r *core.Request, c core.Transport) (core.Response, error) {
-	answers := make(chan core.Response, 1)
-	r.Transport, r.Respond = c, func(a core.Response) { answers <- a }
+func (p *Plugin) submit(ctx context.Context, r *dispatch.Request, c dispatch.Transport) (dispatch.Response, error) {
+	answers := make(chan dispatch.Response, 1)
+	r.Transport, r.Respond = c, func(a dispatch.Response) { answers <- a }
 	if !p.core.Submit(r) {
-		return core.Response{}, status.Error(codes.Canceled, "garnetline: the plugin is closed")
+		return dispatch.Response{}, status.Error(codes.Canceled, "garnetline: the plugin is closed")
 	}
 	select {
 	case a := <-answers:
 		return a, nil
 	case <-ctx.Done():
 		p.core.Disconnect(r)
-		return core.Response{}, status.FromContextError(ctx.Err()).Err()
+		return dispatch.Response{}, status.FromContextError(ctx.Err()).Err()
 	case <-p.done:
-		return core.Response{}, status.Error(codes.Canceled, "garnetline: the plugin is closed")
+		return dispatch.Response{}, status.Error(codes.Canceled, "garnetline: the plugin is closed")
 	}
 }
 
@@ -74,11 +74,11 @@
 }
 
 // result turns the core's answer into that of the RPC.
-func (c *call) result(a core.Response) error {
+func (c *call) result(a dispatch.Response) error {
 	switch a.Kind {
-	case core.Served, core.NotModified:
+	case dispatch.Served, dispatch.NotModified:
 		return c.err
-	case core.Rejected:
+	case dispatch.Rejected:
 		s := status.New(codes.Unavailable, "garnetline: refused, a retry is harmless")
 		if t, err := s.WithDetails(&errdetails.RetryInfo{RetryDelay: durationpb.New(clock.Duration(a.RetryAfter))}); err == nil {
 			s = t
@@ -92,12 +92,12 @@
 }
 
 // Send begins an attempt.
-func (c *call) Send(a *core.Attempt) *core.Completion {
+func (c *call) Send(a *dispatch.Attempt) *dispatch.Completion {
 	addr, ok := c.p.listed(a.Decision.Server)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !ok || c.closed {
-		return core.Unsent(a, decide.NotSent)
+		return dispatch.Unsent(a, routing.NotSent)
 	}
 	ctx, stop := context.WithDeadline(c.ctx, time.Now().Add(clock.Duration(a.ExpiresAt-c.p.clock.Now())))
 	a.TransportState = stop
@@ -116,29 +116,29 @@
 }
 
 // Cancel gives an attempt up: gRPC resets its stream, and the invoker returns.
-func (c *call) Cancel(a *core.Attempt) { a.TransportState.(context.CancelFunc)() }
+func (c *call) Cancel(a *dispatch.Attempt) { a.TransportState.(context.CancelFunc)() }
 
 // Release has nothing to book.
-func (c *call) Release(*core.Attempt) {}
+func (c *call) Release(*dispatch.Attempt) {}
 
 // outcome tells what the end of an RPC says of its attempt. What is no word
 // of the transport is the application's, and is an answer.
-func outcome(a *core.Attempt, err error, picked bool) core.Completion {
-	e := core.Completion{Attempt: a, Load: core.UnknownLoad(), Response: core.Response{Kind: core.Served, Server: a.Decision.Server}}
+func outcome(a *dispatch.Attempt, err error, picked bool) dispatch.Completion {
+	e := dispatch.Completion{Attempt: a, Load: dispatch.UnknownLoad(), Response: dispatch.Response{Kind: dispatch.Served, Server: a.Decision.Server}}
 	switch code := status.Code(err); {
 	case code == codes.OK:
 	case !picked && code == codes.Unavailable:
-		e.Result = decide.ConnectFailed // no connection was there to write to
+		e.Result = routing.ConnectFailed // no connection was there to write to
 	case code == codes.Unavailable:
-		e.Result = decide.ConnectionLost
+		e.Result = routing.ConnectionLost
 	case code == codes.Canceled:
-		e.Result = decide.Canceled
+		e.Result = routing.Canceled
 	case code == codes.DeadlineExceeded:
-		e.Result = decide.TimedOut
-	case code == codes.ResourceExhausted && a.Class.Idempotency == decide.Idempotent:
-		e.Result = decide.Rejected
+		e.Result = routing.TimedOut
+	case code == codes.ResourceExhausted && a.Class.Idempotency == routing.Idempotent:
+		e.Result = routing.Rejected
 	case code == codes.Internal, code == codes.DataLoss, code == codes.Aborted, code == codes.ResourceExhausted:
-		e.Result = decide.ServerError
+		e.Result = routing.ServerError
 	}
 	return e
 }
@@ -146,14 +146,14 @@
 // named carries a stream's attempt out: it is over once its server is named.
 type named struct{ p *Plugin }
 
-func (n named) Send(a *core.Attempt) *core.Completion {
+func (n named) Send(a *dispatch.Attempt) *dispatch.Completion {
 	if _, ok := n.p.listed(a.Decision.Server); !ok {
-		return core.Unsent(a, decide.NotSent)
+		return dispatch.Unsent(a, routing.NotSent)
 	}
-	return core.Resolved(a)
+	return dispatch.Resolved(a)
 }
-func (n named) Cancel(*core.Attempt)  {}
-func (n named) Release(*core.Attempt) {}
+func (n named) Cancel(*dispatch.Attempt)  {}
+func (n named) Release(*dispatch.Attempt) {}
 
 // stream has the core choose a stream's server. A stream is not tried again:
 // what was sent on it can't be.
@@ -167,8 +167,8 @@
 		return nil, err
 	}
 	addr, ok := p.listed(a.Server)
-	if a.Kind != core.Served || !ok {
-		return nil, (&call{}).result(core.Response{Kind: core.Rejected, RetryAfter: a.RetryAfter})
+	if a.Kind != dispatch.Served || !ok {
+		return nil, (&call{}).result(dispatch.Response{Kind: dispatch.Rejected, RetryAfter: a.RetryAfter})
 	}
 	return streamer(context.WithValue(ctx, choiceKey{}, &choice{addr: addr}), desc, cc, method, opts...)
 }
--- a/plugin/grpc.go
+++ b/plugin/grpc.go
@@ -16,8 +16,8 @@
 	"google.golang.org/grpc/resolver"
 	"google.golang.org/grpc/status"
 
-	"garnetline/decide"
-	"garnetline/internal/config"
+	"garnetline/internal/platformconfig"
+	"garnetline/routing"
 )
 
 const (
@@ -135,14 +135,14 @@
 
 // lookup asks for the servers of the name: the SRV records of the lowest
 // priority and their addresses.
-func (w *watcher) lookup(ctx context.Context) ([]config.Endpoint, error) {
+func (w *watcher) lookup(ctx context.Context) ([]platformconfig.Endpoint, error) {
 	ctx, stop := context.WithTimeout(ctx, lookupFor)
 	defer stop()
 	_, records, err := w.dns.LookupSRV(ctx, "", "", w.name)
 	if err != nil {
 		return nil, err
 	}
-	var hosts []config.Endpoint
+	var hosts []platformconfig.Endpoint
 	for _, r := range records { // sorted by priority
 		if r.Priority != records[0].Priority {
 			break
@@ -153,8 +153,8 @@
 		}
 		for _, a := range addrs {
 			at := netip.AddrPortFrom(a.Unmap(), r.Port)
-			hosts = append(hosts, config.Endpoint{Addr: at, Server: decide.Server{ID: decide.ServerID(hash(at.String())),
-				Phase: decide.Ready, Weight: max(float64(r.Weight), 1)}})
+			hosts = append(hosts, platformconfig.Endpoint{Addr: at, Server: routing.Server{ID: routing.ServerID(hash(at.String())),
+				Phase: routing.Ready, Weight: max(float64(r.Weight), 1)}})
 		}
 	}
 	return hosts, nil
@@ -162,14 +162,14 @@
 
 // tell hands a list to gRPC, which connects, and to the core. A server that
 // is no longer on it gets nothing from here on, whatever was decided before.
-func (w *watcher) tell(hosts []config.Endpoint) {
-	servers, state := map[decide.ServerID]string{}, resolver.State{}
+func (w *watcher) tell(hosts []platformconfig.Endpoint) {
+	servers, state := map[routing.ServerID]string{}, resolver.State{}
 	for _, h := range hosts {
 		servers[h.ID] = h.Addr.String()
 		state.Addresses = append(state.Addresses, resolver.Address{Addr: h.Addr.String()})
 	}
 	w.p.servers.Store(&servers)
-	w.p.core.HandleWatchEvent(config.WatchEvent{ListUpdate: true, Snapshot: true, Endpoints: hosts})
+	w.p.core.HandleWatchEvent(platformconfig.WatchEvent{ListUpdate: true, Snapshot: true, Endpoints: hosts})
 	if err := w.cc.UpdateState(state); err != nil {
 		w.p.count.Add("lists_not_taken", 1)
 	}
--- a/plugin/plugin.go
+++ b/plugin/plugin.go
@@ -23,12 +23,12 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/status"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/core"
-	"garnetline/internal/stats"
+	"garnetline/internal/dispatch"
+	"garnetline/internal/metrics"
 	"garnetline/internal/trace/attach"
 	"garnetline/internal/trace/record"
+	"garnetline/routing"
 )
 
 // Class describes a class of RPCs.
@@ -61,11 +61,11 @@
 type Plugin struct {
 	opts    Options
 	clock   clock.Clock
-	core    *core.Dispatcher
+	core    *dispatch.Dispatcher
 	classes map[classKey]int
-	count   *stats.Registry
-	servers atomic.Pointer[map[decide.ServerID]string] // listed ones, by id
-	tracer  *record.Recorder                           // nil: none
+	count   *metrics.Registry
+	servers atomic.Pointer[map[routing.ServerID]string] // listed ones, by id
+	tracer  *record.Recorder                            // nil: none
 	stop    context.CancelFunc
 	done    chan struct{}
 	close   sync.Once
@@ -90,18 +90,18 @@
 	if o.Refresh < 0 || o.Attempts < 0 {
 		return nil, errors.New("plugin: Refresh, Attempts: want more than 0")
 	}
-	p := &Plugin{opts: o, clock: c, classes: map[classKey]int{}, count: stats.New(), done: make(chan struct{})}
-	p.servers.Store(&map[decide.ServerID]string{})
-	set := decide.Settings{Zones: 1, Kinds: 1, ParentKind: -1, OriginKind: -1, RoutersByZone: []int{1}, Routers: 1,
+	p := &Plugin{opts: o, clock: c, classes: map[classKey]int{}, count: metrics.New(), done: make(chan struct{})}
+	p.servers.Store(&map[routing.ServerID]string{})
+	set := routing.Settings{Zones: 1, Kinds: 1, ParentKind: -1, OriginKind: -1, RoutersByZone: []int{1}, Routers: 1,
 		MaxAttempts: o.Attempts, MaxRetryAfter: time.Second, CanCancel: true, WeightIsCapacity: true,
-		CacheSlowStart: decide.SlowStart{InitialCapacity: 1}}
+		CacheSlowStart: routing.SlowStart{InitialCapacity: 1}}
 	for i, k := range o.Classes {
 		if k.Name == "" || k.Aim <= 0 || k.Deadline <= 0 {
 			return nil, fmt.Errorf("plugin: Classes[%d]: want a Name, an Aim and a Deadline", i)
 		}
 		for e := Safe; e <= Unsafe; e++ {
 			p.classes[classKey{k.Name, e}] = len(set.Classes)
-			set.Classes = append(set.Classes, decide.Class{Name: k.Name, Idempotency: decide.Idempotency(e), KeyWindow: k.Window,
+			set.Classes = append(set.Classes, routing.Class{Name: k.Name, Idempotency: routing.Idempotency(e), KeyWindow: k.Window,
 				LatencyObjective: k.Aim, Deadline: k.Deadline, PriorityWeight: max(k.Worth, 0)})
 			if k.Worth == 0 {
 				set.Classes[len(set.Classes)-1].PriorityWeight = 1
@@ -114,7 +114,7 @@
 		}
 	}
 	var err error
-	if p.core, err = core.New(p.clock, set, rand.Uint64(), p.count); err != nil {
+	if p.core, err = dispatch.New(p.clock, set, rand.Uint64(), p.count); err != nil {
 		return nil, fmt.Errorf("plugin: %w", err)
 	}
 	if p.tracer, err = o.Trace.recorder(c, p.count, o.Classes); err != nil {
@@ -157,12 +157,12 @@
 }
 
 // request makes the core's request of an RPC.
-func (p *Plugin) request(ctx context.Context, method string, req any) (*core.Request, error) {
+func (p *Plugin) request(ctx context.Context, method string, req any) (*dispatch.Request, error) {
 	op, ok := p.opts.Operations.Find(method)
 	if !ok {
 		return nil, status.Errorf(codeUnknown, "garnetline: %s is not in the description", method)
 	}
-	r := &core.Request{Class: p.classes[classKey{op.Class, op.Effect}]}
+	r := &dispatch.Request{Class: p.classes[classKey{op.Class, op.Effect}]}
 	k := Key{}
 	if p.opts.Key != nil {
 		k = p.opts.Key(method, req)
@@ -170,20 +170,20 @@
 	if k.Object == 0 {
 		k.Object = hash(method)
 	}
-	r.Object, r.Chunk, r.Group = decide.ObjectID(k.Object), k.Part, k.Group
+	r.Object, r.Chunk, r.Group = routing.ObjectID(k.Object), k.Part, k.Group
 	left := clock.Millis(p.opts.Classes[r.Class/int(Unsafe+1)].Deadline)
 	if at, ok := ctx.Deadline(); ok {
 		left = clock.Millis(time.Until(at))
 	}
 	r.Deadline = p.clock.Now() + left
 	if p.tracer != nil {
-		r.Client = &core.ClientInfo{ReceivedAt: p.clock.Now(), TraceParent: caller(ctx)}
+		r.Client = &dispatch.ClientInfo{ReceivedAt: p.clock.Now(), TraceParent: caller(ctx)}
 	}
 	return r, nil
 }
 
 // listed tells the address of a server that may be sent to now.
-func (p *Plugin) listed(id decide.ServerID) (string, bool) {
+func (p *Plugin) listed(id routing.ServerID) (string, bool) {
 	addr, ok := (*p.servers.Load())[id]
 	return addr, ok
 }
--- a/plugin/plugin_test.go
+++ b/plugin/plugin_test.go
@@ -16,7 +16,7 @@
 	health "google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/status"
 
-	"garnetline/decide"
+	"garnetline/routing"
 )
 
 // The RPCs of the tests are those of gRPC's own health service.
@@ -221,7 +221,7 @@
 	r.mu.Unlock()
 	gone := fmt.Sprintf("127.0.0.1:%d", r.servers[0].port)
 	for now := asked; ; {
-		if _, still := r.p.listed(decide.ServerID(hash(gone))); !still {
+		if _, still := r.p.listed(routing.ServerID(hash(gone))); !still {
 			break
 		}
 		r.mu.Lock()
--- a/plugin/trace.go
+++ b/plugin/trace.go
@@ -9,9 +9,9 @@
 	"google.golang.org/grpc/metadata"
 
 	"garnetline/internal/clock"
-	"garnetline/internal/core"
+	"garnetline/internal/dispatch"
 	"garnetline/internal/logs"
-	"garnetline/internal/stats"
+	"garnetline/internal/metrics"
 	"garnetline/internal/trace"
 	"garnetline/internal/trace/keep"
 	"garnetline/internal/trace/record"
@@ -33,7 +33,7 @@
 }
 
 // recorder makes what follows the calls; nil where there is no Trace.
-func (t *Trace) recorder(c clock.Clock, count *stats.Registry, classes []Class) (*record.Recorder, error) {
+func (t *Trace) recorder(c clock.Clock, count *metrics.Registry, classes []Class) (*record.Recorder, error) {
 	if t == nil {
 		return nil, nil
 	}
@@ -75,7 +75,7 @@
 
 // within has what an attempt does stand under its span. The caller's own traceparent
 // is replaced; without tracing ctx is returned as it is.
-func within(ctx context.Context, t *core.AttemptTrace) context.Context {
+func within(ctx context.Context, t *dispatch.AttemptTrace) context.Context {
 	if t == nil || t.Context.Span == 0 {
 		return ctx
 	}
--- a/decide/decide.go
+++ b/routing/decide.go
@@ -1,4 +1,4 @@
-package decide
+package routing
 
 // Every decision and tuned value is in this file; types are in api.go, tables in table.go.
 //
--- a/decide/decision_trace_test.go
+++ b/routing/decision_trace_test.go
@@ -1,4 +1,4 @@
-package decide_test
+package routing_test
 
 import (
 	"container/heap"
@@ -15,7 +15,7 @@
 	"testing"
 	"time"
 
-	"garnetline/decide"
+	"garnetline/routing"
 )
 
 // The decision trace pins every decision of the module: a simulated fleet with a fixed seed feeds
@@ -39,8 +39,8 @@
 type traceScenario struct {
 	name      string
 	seed      uint64
-	settings  func(*decide.Settings)
-	servers   func([]decide.Server) []decide.Server
+	settings  func(*routing.Settings)
+	servers   func([]routing.Server) []routing.Server
 	notes     bool    // outcomes tell how the object was met
 	sizes     bool    // requests tell their size
 	loads     bool    // outcomes carry load reports
@@ -50,8 +50,8 @@
 }
 
 func traceScenarios() []traceScenario {
-	weights := func(weight float64) func([]decide.Server) []decide.Server {
-		return func(list []decide.Server) []decide.Server {
+	weights := func(weight float64) func([]routing.Server) []routing.Server {
+		return func(list []routing.Server) []routing.Server {
 			for i := range list {
 				list[i].Weight = weight
 			}
@@ -59,8 +59,8 @@
 		}
 	}
 	// metered is a site without notes, whose weights tell sizes and answers their bytes.
-	metered := func(routers int) func(*decide.Settings) {
-		return func(s *decide.Settings) {
+	metered := func(routers int) func(*routing.Settings) {
+		return func(s *routing.Settings) {
 			s.WeightIsCapacity, s.BodyBytesPerSecond = true, 100_000
 			s.RoutersByZone, s.Routers = []int{0, routers, 1}, routers+1
 		}
@@ -73,59 +73,59 @@
 		{name: "metered-thinnest", seed: 5, settings: metered(40), servers: weights(4), rate: 10, length: 60 * time.Second},
 		{name: "untold", seed: 6, rate: 60, length: 60 * time.Second},
 		{name: "hits-only", seed: 7, notes: true, sizes: true, rate: 80, length: 60 * time.Second,
-			settings: func(s *decide.Settings) { s.HitStatusOnly, s.CanCancel = true, false }},
+			settings: func(s *routing.Settings) { s.HitStatusOnly, s.CanCancel = true, false }},
 		{name: "no-bypass", seed: 8, notes: true, sizes: true, loads: true, rate: 80, length: 60 * time.Second,
-			settings: func(s *decide.Settings) {
+			settings: func(s *routing.Settings) {
 				s.AllowBypass, s.CanJoinFill, s.OriginStopsOnOverload, s.MustSubscribe = false, false, true, true
 				s.RoutersByZone, s.MaxRetryAfter, s.MaxAttempts = nil, 0, 3
 			}},
 		{name: "no-parents", seed: 9, notes: true, sizes: true, loads: true, rate: 80, length: 40 * time.Second,
-			settings: func(s *decide.Settings) { s.ParentKind = -1 },
-			servers: func(list []decide.Server) []decide.Server {
-				return slices.DeleteFunc(list, func(s decide.Server) bool { return s.Kind == 1 })
+			settings: func(s *routing.Settings) { s.ParentKind = -1 },
+			servers: func(list []routing.Server) []routing.Server {
+				return slices.DeleteFunc(list, func(s routing.Server) bool { return s.Kind == 1 })
 			}},
 		{name: "only-caches", seed: 10, rate: 50, length: 40 * time.Second,
-			settings: func(s *decide.Settings) { s.ParentKind, s.OriginKind = -1, -1 },
-			servers:  func(list []decide.Server) []decide.Server { return list[:4] }},
+			settings: func(s *routing.Settings) { s.ParentKind, s.OriginKind = -1, -1 },
+			servers:  func(list []routing.Server) []routing.Server { return list[:4] }},
 		{name: "pushed-origin", seed: 11, notes: true, sizes: true, rate: 150, length: 30 * time.Second,
-			settings: func(s *decide.Settings) { s.RoutersByZone, s.Routers = []int{0, 20, 1}, 21 }},
+			settings: func(s *routing.Settings) { s.RoutersByZone, s.Routers = []int{0, 20, 1}, 21 }},
 	}
 }
 
-func traceSettings() decide.Settings {
+func traceSettings() routing.Settings {
 	ms, sec := time.Millisecond, time.Second
-	return decide.Settings{
+	return routing.Settings{
 		Zones: 3, Zone: 1, Kinds: 3, ParentKind: 1, OriginKind: 2,
 		RoutersByZone: []int{0, 1, 1}, Routers: 2, MaxAttempts: 6, MaxRetryAfter: 500 * ms,
 		CanCancel: true, CanJoinFill: true, AllowBypass: true, TransferKBPerSecond: 1000,
 		DrainGrace: 250 * ms, PurgeGrace: 300 * ms, PurgeRetention: 6 * sec,
-		CacheSlowStart:  decide.SlowStart{InitialCapacity: 0.2, Duration: 10 * sec, OverloadFactor: 2, OverloadWindow: 2 * sec},
-		ParentSlowStart: decide.SlowStart{InitialCapacity: 0.1, Duration: 20 * sec, OverloadFactor: 2, OverloadWindow: 2 * sec},
-		Classes: []decide.Class{
-			{Name: "big", Idempotency: decide.Idempotent, LatencyObjective: 600 * ms, ObjectiveTransferFactor: 2, Deadline: 6 * sec, PriorityWeight: 2},
-			{Name: "small", Idempotency: decide.Idempotent, LatencyObjective: 250 * ms, ObjectiveTransferFactor: 2, Deadline: 3 * sec, PriorityWeight: 1, FreshnessLifetime: 8 * sec},
-			{Name: "write", Idempotency: decide.IdempotentWithKey, LatencyObjective: 700 * ms, Deadline: 3 * sec, KeyWindow: 2 * sec, PriorityWeight: 3, Write: true},
-			{Name: "once", Idempotency: decide.NonIdempotent, LatencyObjective: 700 * ms, Deadline: 3 * sec, PriorityWeight: 3, Write: true},
-			{Name: "form", Idempotency: decide.IdempotentWithKey, KeyScope: decide.KeyScopeZone, LatencyObjective: 400 * ms, Deadline: 2 * sec, KeyWindow: sec, PriorityWeight: 4},
-			{Name: "cell", Idempotency: decide.IdempotentWithKey, KeyScope: decide.KeyScopeCell, LatencyObjective: 400 * ms, Deadline: 2 * sec, KeyWindow: sec, PriorityWeight: 1},
+		CacheSlowStart:  routing.SlowStart{InitialCapacity: 0.2, Duration: 10 * sec, OverloadFactor: 2, OverloadWindow: 2 * sec},
+		ParentSlowStart: routing.SlowStart{InitialCapacity: 0.1, Duration: 20 * sec, OverloadFactor: 2, OverloadWindow: 2 * sec},
+		Classes: []routing.Class{
+			{Name: "big", Idempotency: routing.Idempotent, LatencyObjective: 600 * ms, ObjectiveTransferFactor: 2, Deadline: 6 * sec, PriorityWeight: 2},
+			{Name: "small", Idempotency: routing.Idempotent, LatencyObjective: 250 * ms, ObjectiveTransferFactor: 2, Deadline: 3 * sec, PriorityWeight: 1, FreshnessLifetime: 8 * sec},
+			{Name: "write", Idempotency: routing.IdempotentWithKey, LatencyObjective: 700 * ms, Deadline: 3 * sec, KeyWindow: 2 * sec, PriorityWeight: 3, Write: true},
+			{Name: "once", Idempotency: routing.NonIdempotent, LatencyObjective: 700 * ms, Deadline: 3 * sec, PriorityWeight: 3, Write: true},
+			{Name: "form", Idempotency: routing.IdempotentWithKey, KeyScope: routing.KeyScopeZone, LatencyObjective: 400 * ms, Deadline: 2 * sec, KeyWindow: sec, PriorityWeight: 4},
+			{Name: "cell", Idempotency: routing.IdempotentWithKey, KeyScope: routing.KeyScopeCell, LatencyObjective: 400 * ms, Deadline: 2 * sec, KeyWindow: sec, PriorityWeight: 1},
 		},
 	}
 }
 
 // traceFleet lists four caches in the router's zone and one elsewhere, three parents and an origin.
-func traceFleet() []decide.Server {
-	return []decide.Server{
-		{ID: 21, Zone: 2, Kind: 0, Phase: decide.Ready},
-		{ID: 11, Zone: 1, Kind: 0, Cell: 1, Phase: decide.Ready}, {ID: 12, Zone: 1, Kind: 0, Cell: 1, Phase: decide.Ready},
-		{ID: 13, Zone: 1, Kind: 0, Cell: 2, Phase: decide.Ready}, {ID: 14, Zone: 1, Kind: 0, Cell: 2, Phase: decide.Ready},
-		{ID: 31, Kind: 1, Phase: decide.Ready}, {ID: 32, Kind: 1, Phase: decide.Ready}, {ID: 33, Kind: 1, Phase: decide.Ready},
-		{ID: 41, Kind: 2, Phase: decide.Ready},
+func traceFleet() []routing.Server {
+	return []routing.Server{
+		{ID: 21, Zone: 2, Kind: 0, Phase: routing.Ready},
+		{ID: 11, Zone: 1, Kind: 0, Cell: 1, Phase: routing.Ready}, {ID: 12, Zone: 1, Kind: 0, Cell: 1, Phase: routing.Ready},
+		{ID: 13, Zone: 1, Kind: 0, Cell: 2, Phase: routing.Ready}, {ID: 14, Zone: 1, Kind: 0, Cell: 2, Phase: routing.Ready},
+		{ID: 31, Kind: 1, Phase: routing.Ready}, {ID: 32, Kind: 1, Phase: routing.Ready}, {ID: 33, Kind: 1, Phase: routing.Ready},
+		{ID: 41, Kind: 2, Phase: routing.Ready},
 	}
 }
 
 // simServer is one simulated server: what is listed of it, and how it behaves at present.
 type simServer struct {
-	listed  decide.Server
+	listed  routing.Server
 	silent  bool    // answers nothing
 	down    bool    // takes no connection
 	errors  float64 // share of what it fails
@@ -135,8 +135,8 @@
 
 // simAttempt is an attempt that a simulated server has in hand.
 type simAttempt struct {
-	send    decide.SendAttempt
-	request decide.Request
+	send    routing.SendAttempt
+	request routing.Request
 	index   int
 	started time.Duration
 	ended   bool
@@ -147,7 +147,7 @@
 	at      time.Duration
 	order   int
 	timer   *uint64
-	outcome *decide.Outcome
+	outcome *routing.Outcome
 	attempt *simAttempt // that outcome ends
 	step    func()
 }
@@ -171,16 +171,16 @@
 type simulation struct {
 	traceScenario
 	random   *rand.Rand
-	router   *decide.Router
-	set      decide.Settings
+	router   *routing.Router
+	set      routing.Settings
 	now, end time.Duration
 	queue    simQueue
 	order    int
 	servers  []*simServer
-	open     map[decide.RequestID]decide.Request
-	counts   map[decide.RequestID]int // attempts by request
+	open     map[routing.RequestID]routing.Request
+	counts   map[routing.RequestID]int // attempts by request
 	out      []*simAttempt
-	nextID   decide.RequestID
+	nextID   routing.RequestID
 	load     float64 // requests now, as a multiple of the scenario's rate
 	link     float64 // fill of the zone's link
 	hits     float64 // share of looks that find a copy
@@ -214,14 +214,14 @@
 	t.Helper()
 	s := &simulation{traceScenario: scenario, set: traceSettings(), now: 1000 * time.Second, nextID: 1, load: 1, hits: 0.7,
 		random: rand.New(rand.NewPCG(scenario.seed, 17)),
-		open:   map[decide.RequestID]decide.Request{}, counts: map[decide.RequestID]int{}}
+		open:   map[routing.RequestID]routing.Request{}, counts: map[routing.RequestID]int{}}
 	s.end = s.now + scenario.length
 	s.trace.hash = sha256.New()
 	if scenario.settings != nil {
 		scenario.settings(&s.set)
 	}
 	var err error
-	if s.router, err = decide.New(s.set, scenario.seed); err != nil {
+	if s.router, err = routing.New(s.set, scenario.seed); err != nil {
 		t.Fatal(err)
 	}
 	list := traceFleet()
@@ -247,7 +247,7 @@
 
 // run plays the scenario to its end, then lets go of what is still open.
 func (s *simulation) run() {
-	s.handle(decide.EndpointUpdate{Snapshot: true, Servers: s.list()})
+	s.handle(routing.EndpointUpdate{Snapshot: true, Servers: s.list()})
 	s.after(0, s.arrive)
 	s.after(3*time.Second, s.changeRegime)
 	s.after(700*time.Millisecond, s.sendNews)
@@ -264,7 +264,7 @@
 				event.step()
 			}
 		case event.timer != nil:
-			s.handle(decide.TimerFired{Token: *event.timer})
+			s.handle(routing.TimerFired{Token: *event.timer})
 		default:
 			s.finish(event.attempt, *event.outcome)
 		}
@@ -272,7 +272,7 @@
 	s.trace.printHash()
 }
 
-func (s *simulation) list() (list []decide.Server) {
+func (s *simulation) list() (list []routing.Server) {
 	for _, server := range s.servers {
 		list = append(list, server.listed)
 	}
@@ -280,42 +280,42 @@
 }
 
 // handle feeds the router one event, prints the actions and carries them out.
-func (s *simulation) handle(event decide.Event) {
+func (s *simulation) handle(event routing.Event) {
 	for _, action := range s.router.Handle(s.now, event, nil) {
 		s.print(action)
 		switch action := action.(type) {
-		case decide.SendAttempt:
+		case routing.SendAttempt:
 			s.begin(action)
-		case decide.Reject:
+		case routing.Reject:
 			delete(s.open, action.ID)
-		case decide.Fail:
+		case routing.Fail:
 			delete(s.open, action.ID)
-		case decide.CancelAttempt:
+		case routing.CancelAttempt:
 			s.cancel(action)
-		case decide.SetTimer:
+		case routing.SetTimer:
 			token := action.Token
 			s.at(s.now+action.Delay, &simEvent{timer: &token})
-		case decide.Subscribe:
-			s.after(20*time.Millisecond, func() { s.handle(decide.EndpointUpdate{Snapshot: true, Servers: s.list()}) })
+		case routing.Subscribe:
+			s.after(20*time.Millisecond, func() { s.handle(routing.EndpointUpdate{Snapshot: true, Servers: s.list()}) })
 		}
 	}
 }
 
-func (s *simulation) print(action decide.Action) {
+func (s *simulation) print(action routing.Action) {
 	at := s.now - 1000*time.Second
 	switch a := action.(type) {
-	case decide.SendAttempt:
+	case routing.SendAttempt:
 		s.trace.printf("%d send request=%d server=%d source=%d rank=%d max_age=%d deadline=%d join=%t renew=%t held=%t", at,
 			uint64(a.ID), uint64(a.Server), uint64(a.FillSource), a.CopyRank, int64(a.MaxAge), int64(a.Deadline), a.JoinFill, a.Revalidate, a.OnlyIfCached)
-	case decide.Reject:
+	case routing.Reject:
 		s.trace.printf("%d reject request=%d retry_after=%d", at, uint64(a.ID), int64(a.RetryAfter))
-	case decide.Fail:
+	case routing.Fail:
 		s.trace.printf("%d fail request=%d", at, uint64(a.ID))
-	case decide.CancelAttempt:
+	case routing.CancelAttempt:
 		s.trace.printf("%d cancel request=%d attempt=%d", at, uint64(a.ID), a.Attempt)
-	case decide.SetTimer:
+	case routing.SetTimer:
 		s.trace.printf("%d timer delay=%d token=%d", at, int64(a.Delay), a.Token)
-	case decide.Subscribe:
+	case routing.Subscribe:
 		s.trace.printf("%d subscribe", at)
 	default:
 		s.trace.printf("%d unknown", at)
@@ -335,9 +335,9 @@
 func (s *simulation) arrive() {
 	class := []int{0, 0, 0, 1, 1, 1, 1, 2, 3, 4, 5}[s.random.IntN(11)]
 	c := s.set.Classes[class]
-	q := decide.Request{ID: s.nextID, Class: class, Chunk: s.random.IntN(3), PurgeGroup: s.random.IntN(4), Timeout: c.Deadline,
+	q := routing.Request{ID: s.nextID, Class: class, Chunk: s.random.IntN(3), PurgeGroup: s.random.IntN(4), Timeout: c.Deadline,
 		ClientRetry: s.random.IntN(9) == 0}
-	q.Object = decide.ObjectID(1 + s.random.IntN(400)/(1+s.random.IntN(40)))
+	q.Object = routing.ObjectID(1 + s.random.IntN(400)/(1+s.random.IntN(40)))
 	if s.random.IntN(12) == 0 {
 		q.Timeout = time.Duration(1 + s.random.Int64N(int64(c.Deadline)))
 	}
@@ -360,17 +360,17 @@
 	s.after(time.Duration(s.random.ExpFloat64()/(s.rate*s.load)*float64(time.Second)), s.arrive)
 }
 
-func (s *simulation) disconnect(id decide.RequestID) {
+func (s *simulation) disconnect(id routing.RequestID) {
 	delete(s.open, id)
-	s.handle(decide.ClientDisconnected{ID: id})
+	s.handle(routing.ClientDisconnected{ID: id})
 }
 
 // size is the size of an object's part in KB.
-func (s *simulation) size(q decide.Request) float64 {
+func (s *simulation) size(q routing.Request) float64 {
 	return float64(5 + (uint64(q.Object)*7919+uint64(q.Chunk)*104729)%400)
 }
 
-func (s *simulation) server(id decide.ServerID) *simServer {
+func (s *simulation) server(id routing.ServerID) *simServer {
 	for _, server := range s.servers {
 		if server.listed.ID == id {
 			return server
@@ -380,55 +380,55 @@
 }
 
 // begin decides when and how an attempt will end.
-func (s *simulation) begin(send decide.SendAttempt) {
+func (s *simulation) begin(send routing.SendAttempt) {
 	a := &simAttempt{send: send, request: s.open[send.ID], index: s.counts[send.ID], started: s.now}
 	s.counts[send.ID]++
 	s.out = append(s.out, a)
 	o, delay := s.outcome(a)
 	if s.now+delay >= send.Deadline {
-		o.Result, o.CacheStatus, o.RequestDone, o.BodyBytes, delay = decide.TimedOut, decide.CacheStatusUnknown, false, 0, send.Deadline-s.now
+		o.Result, o.CacheStatus, o.RequestDone, o.BodyBytes, delay = routing.TimedOut, routing.CacheStatusUnknown, false, 0, send.Deadline-s.now
 	}
 	if s.random.IntN(150) == 0 {
-		o.Result, o.CacheStatus, o.RequestDone = decide.ConnectionLost, decide.CacheStatusUnknown, false
+		o.Result, o.CacheStatus, o.RequestDone = routing.ConnectionLost, routing.CacheStatusUnknown, false
 		s.after(delay, func() { s.breakConnection(send.Server) })
 	}
 	s.at(s.now+delay, &simEvent{outcome: &o, attempt: a})
 }
 
 // breakConnection ends all that a server has in hand.
-func (s *simulation) breakConnection(id decide.ServerID) {
+func (s *simulation) breakConnection(id routing.ServerID) {
 	for _, a := range slices.Clone(s.out) {
 		if a.send.Server == id && !a.ended {
-			s.finish(a, decide.Outcome{Result: decide.ConnectionLost, Load: s.noLoad()})
+			s.finish(a, routing.Outcome{Result: routing.ConnectionLost, Load: s.noLoad()})
 		}
 	}
 }
 
-func (s *simulation) cancel(c decide.CancelAttempt) {
+func (s *simulation) cancel(c routing.CancelAttempt) {
 	for _, a := range s.out {
 		if a.send.ID == c.ID && a.index == c.Attempt && !a.ended {
-			s.at(s.now+2*time.Millisecond, &simEvent{outcome: &decide.Outcome{Result: decide.Canceled, Load: s.noLoad()}, attempt: a})
+			s.at(s.now+2*time.Millisecond, &simEvent{outcome: &routing.Outcome{Result: routing.Canceled, Load: s.noLoad()}, attempt: a})
 		}
 	}
 }
 
-func (s *simulation) noLoad() decide.LoadReport {
+func (s *simulation) noLoad() routing.LoadReport {
 	nan := math.NaN()
-	return decide.LoadReport{Inflight: nan, CPUUtilization: nan, HitRatio: nan, LinkUtilization: nan}
+	return routing.LoadReport{Inflight: nan, CPUUtilization: nan, HitRatio: nan, LinkUtilization: nan}
 }
 
 // outcome draws the end of an attempt and the time until then.
-func (s *simulation) outcome(a *simAttempt) (decide.Outcome, time.Duration) {
+func (s *simulation) outcome(a *simAttempt) (routing.Outcome, time.Duration) {
 	target, source := s.server(a.send.Server), s.server(a.send.FillSource)
-	o := decide.Outcome{Load: s.noLoad()}
+	o := routing.Outcome{Load: s.noLoad()}
 	if s.loads && s.random.IntN(3) > 0 {
 		o.Load.LinkUtilization = s.link * (0.8 + 0.4*s.random.Float64())
 	}
 	sending := s.size(a.request) / 1000
 	quick := time.Duration(1+s.random.IntN(8)) * time.Millisecond
-	note := func(n decide.CacheStatus) decide.CacheStatus {
-		if !s.notes || s.set.HitStatusOnly && n >= decide.SourceRejected {
-			return decide.CacheStatusUnknown
+	note := func(n routing.CacheStatus) routing.CacheStatus {
+		if !s.notes || s.set.HitStatusOnly && n >= routing.SourceRejected {
+			return routing.CacheStatusUnknown
 		}
 		return n
 	}
@@ -436,58 +436,58 @@
 	hit := !write && s.random.Float64() < s.hits
 	switch {
 	case target.down:
-		o.Result = decide.ConnectFailed
+		o.Result = routing.ConnectFailed
 		return o, quick
 	case target.silent:
 		return o, time.Hour
 	case s.random.IntN(400) == 0:
-		o.Result = decide.NotSent
+		o.Result = routing.NotSent
 		return o, quick
 	case s.random.Float64() < target.rejects:
-		o.Result = decide.Rejected
+		o.Result = routing.Rejected
 		if fills && s.random.IntN(3) == 0 {
-			o.CacheStatus = note(decide.FillRejected)
+			o.CacheStatus = note(routing.FillRejected)
 		}
 		return o, quick
 	case s.random.Float64() < target.errors:
-		o.Result = decide.ServerError
+		o.Result = routing.ServerError
 		return o, quick
 	case hit && target.listed.Kind != s.set.OriginKind:
-		o.CacheStatus = note([]decide.CacheStatus{decide.Hit, decide.Hit, decide.Hit, decide.StaleHit}[s.random.IntN(4)])
+		o.CacheStatus = note([]routing.CacheStatus{routing.Hit, routing.Hit, routing.Hit, routing.StaleHit}[s.random.IntN(4)])
 		return s.served(a, o, sending*target.slow, 0)
 	case !fills && target.listed.Kind != s.set.OriginKind:
-		o.Result = decide.NotCached
+		o.Result = routing.NotCached
 		if s.random.IntN(20) == 0 { // it joined another request's fill, which failed
-			o.Result, o.CacheStatus = decide.ServerError, note(decide.SourceUnreachable)
+			o.Result, o.CacheStatus = routing.ServerError, note(routing.SourceUnreachable)
 		}
 		return o, quick
 	case source.silent:
 		return o, time.Hour
 	case source.down:
-		o.Result, o.CacheStatus = decide.ServerError, note(decide.SourceUnreachable)
+		o.Result, o.CacheStatus = routing.ServerError, note(routing.SourceUnreachable)
 		return o, quick
 	case s.random.Float64() < source.rejects:
-		o.Result, o.CacheStatus = decide.Rejected, note(decide.SourceRejected)
+		o.Result, o.CacheStatus = routing.Rejected, note(routing.SourceRejected)
 		return o, quick
 	case s.random.Float64() < source.errors:
-		o.Result, o.CacheStatus = decide.ServerError, note([]decide.CacheStatus{decide.SourceUnreachable, decide.OriginFailed}[s.random.IntN(2)])
+		o.Result, o.CacheStatus = routing.ServerError, note([]routing.CacheStatus{routing.SourceUnreachable, routing.OriginFailed}[s.random.IntN(2)])
 		return o, 3 * quick
 	case a.send.OnlyIfCached && s.random.IntN(2) == 0:
-		o.Result, o.CacheStatus = decide.NotCached, note(decide.SourceMiss)
+		o.Result, o.CacheStatus = routing.NotCached, note(routing.SourceMiss)
 		return o, quick
 	case s.random.IntN(3) == 0:
-		o.CacheStatus = note(decide.FilledByOrigin)
+		o.CacheStatus = note(routing.FilledByOrigin)
 		return s.served(a, o, sending*max(target.slow, source.slow), 0.04*s.origin().slow)
 	}
-	o.CacheStatus = note([]decide.CacheStatus{decide.Filled, decide.Filled, decide.JoinedFill}[s.random.IntN(3)])
+	o.CacheStatus = note([]routing.CacheStatus{routing.Filled, routing.Filled, routing.JoinedFill}[s.random.IntN(3)])
 	return s.served(a, o, sending*max(target.slow, source.slow), 0.01*source.slow)
 }
 
 func (s *simulation) origin() *simServer { return s.servers[len(s.servers)-1] }
 
 // served is a success that waits for its source and then takes some seconds to send.
-func (s *simulation) served(a *simAttempt, o decide.Outcome, sending, wait float64) (decide.Outcome, time.Duration) {
-	o.Result, o.RequestDone = decide.Served, true
+func (s *simulation) served(a *simAttempt, o routing.Outcome, sending, wait float64) (routing.Outcome, time.Duration) {
+	o.Result, o.RequestDone = routing.Served, true
 	if s.set.BodyBytesPerSecond > 0 {
 		o.BodyBytes = int(s.size(a.request) / 1000 * s.set.BodyBytesPerSecond)
 	}
@@ -499,7 +499,7 @@
 }
 
 // finish reports the end of an attempt, once.
-func (s *simulation) finish(a *simAttempt, o decide.Outcome) {
+func (s *simulation) finish(a *simAttempt, o routing.Outcome) {
 	if a.ended {
 		return
 	}
@@ -508,7 +508,7 @@
 	o.ID, o.Attempt, o.Server, o.Duration = a.send.ID, a.index, a.send.Server, s.now-a.started
 	_, open := s.open[a.send.ID]
 	o.RequestDone = o.RequestDone || !open
-	if o.Result == decide.Served {
+	if o.Result == routing.Served {
 		delete(s.open, a.send.ID)
 	}
 	s.handle(o)
@@ -575,11 +575,11 @@
 
 // restart lists a server as gone and, after a moment, as freshly started.
 func (s *simulation) restart(server *simServer) {
-	server.down, server.listed.Phase = true, decide.Removed
-	s.handle(decide.EndpointUpdate{Servers: []decide.Server{server.listed}})
+	server.down, server.listed.Phase = true, routing.Removed
+	s.handle(routing.EndpointUpdate{Servers: []routing.Server{server.listed}})
 	s.after(time.Duration(s.random.IntN(1500))*time.Millisecond, func() {
-		server.down, server.listed.Phase, server.listed.StartedAt = false, decide.Ready, s.now
-		s.handle(decide.EndpointUpdate{Servers: []decide.Server{server.listed}})
+		server.down, server.listed.Phase, server.listed.StartedAt = false, routing.Ready, s.now
+		s.handle(routing.EndpointUpdate{Servers: []routing.Server{server.listed}})
 	})
 }
 
@@ -588,34 +588,34 @@
 	one := s.servers[s.random.IntN(len(s.servers))]
 	switch s.random.IntN(12) {
 	case 0:
-		one.listed.Phase = decide.Draining
-		s.handle(decide.EndpointUpdate{Servers: []decide.Server{one.listed}})
+		one.listed.Phase = routing.Draining
+		s.handle(routing.EndpointUpdate{Servers: []routing.Server{one.listed}})
 		s.after(time.Duration(s.random.IntN(3000))*time.Millisecond, func() { s.restart(one) })
 	case 1:
-		s.handle(decide.EndpointUpdate{Failed: true})
+		s.handle(routing.EndpointUpdate{Failed: true})
 	case 2:
-		s.handle(decide.EndpointUpdate{Snapshot: true, Servers: s.list()})
+		s.handle(routing.EndpointUpdate{Snapshot: true, Servers: s.list()})
 	case 3:
-		s.handle(decide.Purge{Object: decide.ObjectID(1 + s.random.IntN(400)), Age: time.Duration(s.random.IntN(900)) * time.Millisecond})
+		s.handle(routing.Purge{Object: routing.ObjectID(1 + s.random.IntN(400)), Age: time.Duration(s.random.IntN(900)) * time.Millisecond})
 	case 4:
-		s.handle(decide.Purge{Group: s.random.IntN(4), Age: time.Duration(s.random.IntN(900)) * time.Millisecond})
+		s.handle(routing.Purge{Group: s.random.IntN(4), Age: time.Duration(s.random.IntN(900)) * time.Millisecond})
 	case 5:
 		load := s.noLoad()
 		load.LinkUtilization = 3 * s.random.Float64()
-		s.handle(decide.PeerLoadReport{Server: one.listed.ID, Load: load, Age: time.Duration(s.random.IntN(1200)) * time.Millisecond})
+		s.handle(routing.PeerLoadReport{Server: one.listed.ID, Load: load, Age: time.Duration(s.random.IntN(1200)) * time.Millisecond})
 	case 6, 7:
-		s.handle(decide.ExtendEjection{Server: one.listed.ID, Until: s.now + time.Duration(s.random.IntN(8000))*time.Millisecond})
+		s.handle(routing.ExtendEjection{Server: one.listed.ID, Until: s.now + time.Duration(s.random.IntN(8000))*time.Millisecond})
 	case 8, 9:
-		s.handle(decide.RequireProbe{Server: one.listed.ID})
+		s.handle(routing.RequireProbe{Server: one.listed.ID})
 	case 10:
-		s.handle(decide.Outcome{ID: s.nextID + 5, Load: s.noLoad()}) // of nobody
-		s.handle(decide.TimerFired{Token: s.random.Uint64()})
+		s.handle(routing.Outcome{ID: s.nextID + 5, Load: s.noLoad()}) // of nobody
+		s.handle(routing.TimerFired{Token: s.random.Uint64()})
 	case 11:
-		guest := decide.Server{ID: 50 + decide.ServerID(s.random.IntN(3)), Zone: 1, Phase: decide.Ready, Weight: 6, StartedAt: s.now}
-		s.handle(decide.EndpointUpdate{Servers: []decide.Server{guest}})
+		guest := routing.Server{ID: 50 + routing.ServerID(s.random.IntN(3)), Zone: 1, Phase: routing.Ready, Weight: 6, StartedAt: s.now}
+		s.handle(routing.EndpointUpdate{Servers: []routing.Server{guest}})
 		s.after(time.Second, func() {
-			guest.Phase = decide.Removed
-			s.handle(decide.EndpointUpdate{Servers: []decide.Server{guest}})
+			guest.Phase = routing.Removed
+			s.handle(routing.EndpointUpdate{Servers: []routing.Server{guest}})
 		})
 	}
 	s.after(time.Duration(100+s.random.IntN(900))*time.Millisecond, s.sendNews)
@@ -623,7 +623,7 @@
 
 // adopt goes over to other settings: one class more, other shares.
 func (s *simulation) adopt() {
-	s.set.Classes = append(slices.Clone(s.set.Classes), decide.Class{Name: "new", LatencyObjective: 300 * time.Millisecond,
+	s.set.Classes = append(slices.Clone(s.set.Classes), routing.Class{Name: "new", LatencyObjective: 300 * time.Millisecond,
 		Deadline: 2 * time.Second, PriorityWeight: 1})
 	s.set.RoutersByZone = []int{0, 3, 1}
 	s.set.CacheSlowStart.InitialCapacity = 0.4
@@ -679,21 +679,21 @@
 // TestGuardTrace pins what a guard says of purges and of a stale change log.
 func TestGuardTrace(t *testing.T) {
 	second := time.Second
-	guards := []decide.Guard{
+	guards := []routing.Guard{
 		{},
-		{Ready: map[decide.ServerID]bool{1: true}, PurgeRetention: 6 * second, PurgeGrace: 300 * time.Millisecond, PurgesSeen: true, LastEventAt: 100 * second,
-			Purges: []decide.PurgeRecord{{Object: 7, At: 99 * second}, {Group: 4, At: 95 * second}, {Object: 7, Group: 3, At: 101 * second}}},
-		{Ready: map[decide.ServerID]bool{1: true, 2: false}, PurgeRetention: 2 * second, PurgeGrace: second, LastEventAt: 10 * second,
-			Purges: []decide.PurgeRecord{{At: 100 * second}}},
+		{Ready: map[routing.ServerID]bool{1: true}, PurgeRetention: 6 * second, PurgeGrace: 300 * time.Millisecond, PurgesSeen: true, LastEventAt: 100 * second,
+			Purges: []routing.PurgeRecord{{Object: 7, At: 99 * second}, {Group: 4, At: 95 * second}, {Object: 7, Group: 3, At: 101 * second}}},
+		{Ready: map[routing.ServerID]bool{1: true, 2: false}, PurgeRetention: 2 * second, PurgeGrace: second, LastEventAt: 10 * second,
+			Purges: []routing.PurgeRecord{{At: 100 * second}}},
 	}
 	text := &strings.Builder{}
 	for i := range guards {
 		g := &guards[i]
-		for id := range decide.ServerID(4) {
+		for id := range routing.ServerID(4) {
 			fmt.Fprintf(text, "guard %d server=%d barred=%t\n", i, uint64(id), g.Excludes(id))
 		}
 		for _, now := range []time.Duration{99 * second, 100 * second, 101*second + 1, 101*second + 500*time.Millisecond + 1, 110 * second} {
-			for object := range decide.ObjectID(9) {
+			for object := range routing.ObjectID(9) {
 				if object > 0 && object < 6 {
 					continue
 				}
@@ -704,7 +704,7 @@
 			}
 		}
 	}
-	var none *decide.Guard
+	var none *routing.Guard
 	fmt.Fprintf(text, "no guard barred=%t purged=%t\n", none.Excludes(1), none.MayBeStale(second, 1, 1))
 	compareGolden(t, "guard.txt", text.String())
 }
--- a/decide/ejection_test.go
+++ b/routing/ejection_test.go
@@ -1,4 +1,4 @@
-package decide
+package routing
 
 import (
 	"slices"
--- a/decide/events.go
+++ b/routing/events.go
@@ -5,7 +5,7 @@
 //
 // This file is the interface: settings, events and actions. Every decision
 // is in decide.go.
-package decide
+package routing
 
 import (
 	"errors"
--- a/decide/example_test.go
+++ b/routing/example_test.go
@@ -1,30 +1,30 @@
-package decide_test
+package routing_test
 
 import (
 	"fmt"
 	"time"
 
-	"garnetline/decide"
+	"garnetline/routing"
 )
 
 // A router is told of its servers and of a request; it answers with what to do.
 func Example() {
-	router, err := decide.New(decide.Settings{
+	router, err := routing.New(routing.Settings{
 		Zones: 2, Zone: 1, Kinds: 3, ParentKind: 1, OriginKind: 2,
 		MaxAttempts: 4, CanJoinFill: true, TransferKBPerSecond: 4000,
-		Classes: []decide.Class{{Name: "page", LatencyObjective: 250 * time.Millisecond, Deadline: 3 * time.Second, PriorityWeight: 1}},
+		Classes: []routing.Class{{Name: "page", LatencyObjective: 250 * time.Millisecond, Deadline: 3 * time.Second, PriorityWeight: 1}},
 	}, 1)
 	if err != nil {
 		fmt.Println(err)
 		return
 	}
-	router.Handle(0, decide.EndpointUpdate{Snapshot: true, Servers: []decide.Server{
-		{ID: 11, Zone: 1, Kind: 0, Phase: decide.Ready},
-		{ID: 31, Zone: 0, Kind: 1, Phase: decide.Ready},
+	router.Handle(0, routing.EndpointUpdate{Snapshot: true, Servers: []routing.Server{
+		{ID: 11, Zone: 1, Kind: 0, Phase: routing.Ready},
+		{ID: 31, Zone: 0, Kind: 1, Phase: routing.Ready},
 	}}, nil)
-	page := decide.Request{ID: 1, Object: 0xfe, Timeout: 3 * time.Second, SizeKB: 200}
+	page := routing.Request{ID: 1, Object: 0xfe, Timeout: 3 * time.Second, SizeKB: 200}
 	for _, a := range router.Handle(time.Millisecond, page, nil) {
-		if get, ok := a.(decide.SendAttempt); ok {
+		if get, ok := a.(routing.SendAttempt); ok {
 			fmt.Printf("request %d to cache %d, a miss filled by parent %d, join %v\n",
 				get.ID, get.Server, get.FillSource, get.JoinFill)
 		}
