--- a/internal/frontend/dnsfront/golden_test.go
+++ b/internal/frontend/dnsfront/golden_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/hex"
-	"flag"
 	"fmt"
 	"net"
 	"os"
@@ -13,14 +12,10 @@
 
 	"github.com/miekg/dns"
 
+	"garnetline/internal/golden"
 	"garnetline/routing"
 )
 
-// With -update the fixture is written anew, from the program as it is:
-//
-//	go test ./PACKAGE -run TestGoldenMessages -update
-var update = flag.Bool("update", false, "write the golden files of this package anew")
-
 // Every kind of question and its answer, to the byte, over UDP and TCP. A line of the
 // fixture is a name, the question and the answer; one cache is listed, so that no choice of
 // the module's shows here.
@@ -74,25 +69,7 @@
 		}
 		fmt.Fprintf(&out, "%s\t%s\t%s\n", c.name, hex.EncodeToString(query), hex.EncodeToString(answer))
 	}
-	const path = "testdata/messages.golden"
-	if *update {
-		if err := os.WriteFile(path, []byte(out.String()), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	was, is := strings.Split(string(want), "\n"), strings.Split(out.String(), "\n")
-	if len(was) != len(is) {
-		t.Fatalf("%d lines, want %d", len(is), len(was))
-	}
-	for i := range was {
-		if was[i] != is[i] {
-			t.Errorf("now  %s\nwant %s", is[i], was[i])
-		}
-	}
+	golden.Compare(t, "messages.golden", []byte(out.String()))
 }
 
 // exchangeRaw sends a packed question and returns the packed answer.
--- a/internal/frontend/httpfront/golden_test.go
+++ b/internal/frontend/httpfront/golden_test.go
@@ -4,24 +4,18 @@
 	"bufio"
 	"bytes"
 	"context"
-	"flag"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
 
 	"garnetline/internal/clock"
 	"garnetline/internal/dispatch"
+	"garnetline/internal/golden"
 	"garnetline/routing"
 )
 
-// With -update the fixture is written anew, from the program as it is:
-//
-//	go test ./PACKAGE -run TestGoldenResponses -update
-var update = flag.Bool("update", false, "write the golden files of this package anew")
-
 // stoppedDispatcher is a core that has stopped.
 type stoppedDispatcher struct{ *fakeDispatcher }
 
@@ -130,28 +124,5 @@
 	stalled := &slowClient{clock: clk, text: "GET " + objectTarget + " HTTP/1.1\r\n"}
 	s.newConn(stalled).serve()
 	out.WriteString("too slow\t" + strconv.Quote(stalled.out.String()) + "\n")
-	compareGolden(t, "testdata/responses.golden", out.String())
-}
-
-// compareGolden holds what is written now against a golden file, line by line.
-func compareGolden(t *testing.T, path, now string) {
-	t.Helper()
-	if *update {
-		if err := os.WriteFile(path, []byte(now), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if string(want) == now {
-		return
-	}
-	was, is := strings.Split(string(want), "\n"), strings.Split(now, "\n")
-	for i := range max(len(was), len(is)) {
-		if i >= len(was) || i >= len(is) || was[i] != is[i] {
-			t.Fatalf("line %d: %q, want %q", i+1, is[min(i, len(is)-1)], was[min(i, len(was)-1)])
-		}
-	}
+	golden.Compare(t, "responses.golden", []byte(out.String()))
 }
