--- a/internal/frontend/dnsfront/server.go
+++ b/internal/frontend/dnsfront/server.go
@@ -16,8 +16,6 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -133,129 +131,6 @@
 // Release has nothing to book either.
 func (s *Server) Release(*dispatch.Attempt) {}
 
-// ServeDNS answers one message.
-func (s *Server) ServeDNS(w dns.ResponseWriter, q *dns.Msg) {
-	m := new(dns.Msg)
-	m.SetReply(q)
-	m.Authoritative = true
-	if o := q.IsEdns0(); o != nil {
-		m.SetEdns0(1232, false)
-	}
-	s.Metrics.Add("dns_queries", 1)
-	switch {
-	case q.Opcode != dns.OpcodeQuery:
-		m.Rcode = dns.RcodeNotImplemented
-	case len(q.Question) != 1:
-		m.Rcode = dns.RcodeFormatError
-	case q.Question[0].Qclass != dns.ClassINET && q.Question[0].Qclass != dns.ClassANY:
-		m.Rcode = dns.RcodeRefused
-	default:
-		select {
-		case s.slots <- struct{}{}:
-			s.answerQuestion(m, q.Question[0])
-			<-s.slots
-		default:
-			m.Rcode = dns.RcodeServerFailure
-		}
-	}
-	s.Metrics.Add("dns_"+strings.ToLower(dns.RcodeToString[m.Rcode]), 1)
-	if err := w.WriteMsg(m); err != nil {
-		s.Metrics.Add("dns_write_errors", 1)
-	}
-}
-
-// answerQuestion fills in the answer to a question.
-func (s *Server) answerQuestion(m *dns.Msg, q dns.Question) {
-	name := dns.CanonicalName(q.Name)
-	if !dns.IsSubDomain(s.Zone, name) {
-		m.Rcode, m.Authoritative = dns.RcodeRefused, false
-		return
-	}
-	soa := &dns.SOA{Hdr: recordHeader(s.Zone, dns.TypeSOA), Ns: "ns." + s.Zone, Mbox: "hostmaster." + s.Zone, Serial: 1,
-		Refresh: 60, Retry: 60, Expire: 60}
-	rest := strings.TrimSuffix(strings.TrimSuffix(name, s.Zone), ".")
-	switch {
-	case rest == "":
-		if q.Qtype == dns.TypeSOA {
-			m.Answer = append(m.Answer, soa)
-		} else {
-			m.Ns = append(m.Ns, soa)
-		}
-		return
-	case strings.HasPrefix(rest, "s-") && !strings.Contains(rest, "."):
-		s.answerTarget(m, q, rest, soa)
-		return
-	}
-	req, rcode := s.parseName(rest)
-	if rcode != dns.RcodeSuccess {
-		if m.Rcode = rcode; rcode == dns.RcodeNameError {
-			m.Ns = append(m.Ns, soa)
-		}
-		return
-	}
-	if q.Qtype != dns.TypeA && q.Qtype != dns.TypeSRV {
-		m.Ns = append(m.Ns, soa) // the name is there, with nothing of that type
-		return
-	}
-	at, id, ok := s.selectServer(req)
-	if !ok {
-		m.Rcode = dns.RcodeServerFailure
-		return
-	}
-	a := &dns.A{Hdr: recordHeader(q.Name, dns.TypeA), A: at.Addr().AsSlice()}
-	if q.Qtype == dns.TypeA {
-		m.Answer = append(m.Answer, a)
-		return
-	}
-	a.Hdr.Name = fmt.Sprintf("s-%08x.%s", uint64(id), s.Zone)
-	m.Answer = append(m.Answer, &dns.SRV{Hdr: recordHeader(q.Name, dns.TypeSRV), Port: at.Port(), Target: a.Hdr.Name})
-	m.Extra = append(m.Extra, a)
-}
-
-func recordHeader(name string, kind uint16) dns.RR_Header {
-	return dns.RR_Header{Name: name, Rrtype: kind, Class: dns.ClassINET, Ttl: recordTTL}
-}
-
-// query is a parsed name.
-type query struct {
-	class  int
-	object routing.ObjectID
-	chunk  int
-	group  int // -1: the name does not tell it
-}
-
-// parseName reads the part of a name before the zone.
-func (s *Server) parseName(rest string) (query, int) {
-	l := query{class: -1, group: -1}
-	words := strings.Split(rest, ".")
-	if len(words) == 4 && strings.HasPrefix(words[2], "g") {
-		n, err := strconv.ParseUint(words[2][1:], 10, 8)
-		if err != nil {
-			return l, dns.RcodeFormatError
-		}
-		l.group = int(n)
-		words = append(words[:2], words[3])
-	}
-	if len(words) != 3 {
-		return l, dns.RcodeFormatError
-	}
-	part, err := strconv.ParseUint(words[0], 10, 31)
-	object, err2 := strconv.ParseUint(words[1], 16, 64)
-	if err != nil || err2 != nil || len(words[1]) != 16 || object == 0 {
-		return l, dns.RcodeFormatError
-	}
-	l.chunk, l.object = int(part), routing.ObjectID(object)
-	for i, k := range s.Classes() {
-		if strings.EqualFold(k.Name, words[2]) {
-			l.class = i
-		}
-	}
-	if l.class < 0 {
-		return l, dns.RcodeNameError
-	}
-	return l, dns.RcodeSuccess
-}
-
 // selectServer has the core choose a box.
 func (s *Server) selectServer(l query) (netip.AddrPort, routing.ServerID, bool) {
 	if s.mayBeStale(l) {
@@ -296,27 +171,3 @@
 func (s *Server) mayBeStale(l query) bool {
 	return !s.Classes()[l.class].Write && s.Guard().MayBeStale(clock.Duration(s.Clock.Now()), l.object, l.group)
 }
-
-// answerTarget answers for the target of a recent SRV answer.
-func (s *Server) answerTarget(m *dns.Msg, q dns.Question, rest string, soa *dns.SOA) {
-	n, err := strconv.ParseUint(rest[len("s-"):], 16, 32)
-	id := routing.ServerID(n)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.Clock.Now()
-	for k, until := range s.targetExpiry {
-		if until < now {
-			delete(s.targetExpiry, k)
-		}
-	}
-	at, ok := s.addresses[id]
-	switch _, fresh := s.targetExpiry[id]; {
-	case err != nil || !ok || !fresh || s.Guard().Excludes(id):
-		m.Rcode = dns.RcodeNameError
-		m.Ns = append(m.Ns, soa)
-	case q.Qtype == dns.TypeA:
-		m.Answer = append(m.Answer, &dns.A{Hdr: recordHeader(q.Name, dns.TypeA), A: at.Addr().AsSlice()})
-	default:
-		m.Ns = append(m.Ns, soa)
-	}
-}
