--- a/internal/frontend/httpfront/bench_test.go
+++ b/internal/frontend/httpfront/bench_test.go
@@ -56,14 +56,14 @@
 	s := newServer(&fakeDispatcher{})
 	c := s.newConn(&memoryConn{in: &repeatingReader{text: getRequest(objectTarget, "X-Family: 17", `If-None-Match: "4be0c1927d55a6f3"`)}})
 	c.text.LimitRead(maxHeaderBytes)
-	r, bad := c.readRequest()
-	if bad != nil {
-		b.Fatal(bad.message)
+	r, err := c.readRequest()
+	if err != nil {
+		b.Fatal(err)
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, bad := s.parseRequest(r); bad != nil {
-			b.Fatal(bad.message)
+		if _, err := s.parseRequest(r); err != nil {
+			b.Fatal(err)
 		}
 	}
 }
--- a/internal/frontend/httpfront/conn.go
+++ b/internal/frontend/httpfront/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
+	"net/http"
 	"time"
 
 	"garnetline/internal/clock"
@@ -11,191 +13,252 @@
 	"garnetline/internal/textconn"
 )
 
-// connState is what a connection is at, in the order in which they make room.
+// healthCheckPath is the path of the platform's health check.
+const healthCheckPath = "/healthz"
+
+// connState is the state of a connection. Connections of a lower state are evicted first.
 type connState int
 
 const (
-	stateRejected connState = iota // it has its answer and is read to its end
-	stateNew                       // its first request is not whole
-	stateIdle
-	stateActive
+	stateRejected connState = iota // has its response and is read from until it ends
+	stateNew                       // waits for its first request
+	stateIdle                      // waits for another request
+	stateActive                    // its request is being served
 )
 
-// conn is one client's connection. The goroutine in serve owns it; phase to kicked are
-// the server's, under its lock.
+// conn is a client's connection. It belongs to the goroutine that runs serve, but for the
+// fields that Server.mu guards.
 type conn struct {
 	server     *Server
 	text       *textconn.Conn
 	acceptedAt float64
+	lastReadAt float64 // when the newest of the bytes that were read arrived
+
+	// Guarded by Server.mu.
 	state      connState
-	stateSince float64 // when the phase began
-	receiving  bool    // a request has begun to come
-	evicted    bool    // it is to make room
-	lastReadAt float64 // when the newest of what was read came
+	stateSince float64
+	receiving  bool // the first byte of a request was read
+	evicted    bool // it is closed as soon as no request is open
 }
 
-func (s *Server) newConn(nc net.Conn) *conn {
+func (s *Server) newConn(netConn net.Conn) *conn {
 	now := s.Clock.Now()
-	return &conn{server: s, text: textconn.New(nc), acceptedAt: now, state: stateNew, stateSince: now}
-}
-
-// setState goes over to a phase, in which reads may go on for some time. A
-// connection that is to make room, or is idle when all end, has none.
-func (c *conn) setState(p connState, asking bool, within float64) {
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	if p != c.state {
-		c.state, c.stateSince = p, c.server.Clock.Now()
+	return &conn{
+		server:     s,
+		text:       textconn.New(netConn),
+		acceptedAt: now,
+		state:      stateNew,
+		stateSince: now,
 	}
-	c.receiving = asking
-	switch {
-	case p == stateActive:
-		c.text.NetConn.SetReadDeadline(time.Time{})
-		return
-	case c.evicted && p == stateRejected:
-		within = 0
-	case c.evicted && asking:
-		within = min(within, evictedReadTimeoutMs)
-	case c.evicted:
-		within = 0
-	case c.server.shuttingDown.Load() && !asking:
-		within = min(within, c.shutdownReadTimeout())
-	}
-	c.text.NetConn.SetReadDeadline(time.Now().Add(clock.Duration(within)))
-}
-
-// shutdownReadTimeout is how long a connection without a request waits for one when all end.
-func (c *conn) shutdownReadTimeout() float64 {
-	if c.state == stateNew {
-		return shutdownFirstRequestTimeoutMs
-	}
-	return 0
 }
 
-// remaining is what is left of a time that began with the connection.
-func (c *conn) remaining(of float64) float64 { return c.acceptedAt + of - c.server.Clock.Now() }
-
-// serve answers the requests of a connection. It is the one place where a
-// client's connection is given back.
+// serve serves the requests of the connection and closes it.
 func (c *conn) serve() {
-	s := c.server
-	defer func() {
-		c.text.Close()
-		s.mu.Lock()
-		delete(s.conns, c)
-		s.mu.Unlock()
-		select {
-		case s.connectionClosed <- struct{}{}:
-		default:
-		}
-	}()
+	defer c.server.remove(c)
+	defer func() { _ = c.text.Close() }()
 	for first := true; c.awaitRequest(first); first = false {
-		req, bad := c.readRequest()
-		if bad != nil {
-			if bad.status != 0 {
-				s.Metrics.Add("requests_malformed", 1)
-				c.rejectUnread(bad)
-			}
+		r, err := c.readRequest()
+		if err != nil {
+			c.rejectUnread(err)
 			return
 		}
-		// Symptom guarded against: a connection whose answer had not said that it
-		// ends was closed when the end began just then, on the next request.
-		if !c.handleRequest(req) {
+		// Symptom guarded against: a connection whose response had not announced the
+		// close was closed on the client's next request when shutdown began just then.
+		if !c.handleRequest(r) {
 			return
 		}
-		if req.closeAfter {
+		if r.closeAfter {
 			c.linger(finalLingerTimeoutMs)
 			return
 		}
 	}
 }
 
-// awaitRequest waits for the first byte of a request.
+// awaitRequest waits for the first byte of a request. It returns false if the connection
+// ended or was idle for too long.
 func (c *conn) awaitRequest(first bool) bool {
-	p, within, rest := stateNew, c.remaining(firstRequestTimeoutMs), c.remaining(firstRequestTimeoutMs)
-	if !first {
-		p, within, rest = stateIdle, idleTimeoutMs, requestTimeoutMs
+	state := stateIdle
+	idleMs, requestMs := idleTimeoutMs, requestTimeoutMs
+	if first {
+		state = stateNew
+		idleMs = c.remainingMs(firstRequestTimeoutMs)
+		requestMs = idleMs
 	}
-	c.setState(p, false, within)
+	c.setState(state, false, idleMs)
 	c.text.LimitRead(maxHeaderBytes)
 	c.text.BeginMessage()
-	if _, err := c.text.R.Peek(1); err != nil && !(isTimeout(err) && c.text.Readable()) {
+	if _, err := c.text.R.Peek(1); err != nil && !c.receivedAtTimeout(err) {
 		return false
 	}
-	c.setState(p, true, rest)
+	c.setState(state, true, requestMs)
 	return true
 }
 
-// keepAlive tells whether the connection stays open after a request.
-func (c *conn) keepAlive(r *request) bool {
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	return !r.closeAfter && !c.server.keepAlivesDisabled.Load() && !c.evicted && !c.text.Discarded()
+// receivedAtTimeout reports whether a read timed out although bytes wait to be read.
+//
+// Symptom guarded against: a read whose deadline has passed does not look at the socket, and
+// a request that had arrived in that moment was closed unread.
+func (c *conn) receivedAtTimeout(err error) bool {
+	return isTimeout(err) && c.text.Readable()
 }
 
-// handleRequest answers one request; it reports whether the connection still holds.
+// handleRequest serves one request. It returns false if the connection cannot be used any
+// more and must be closed at once.
 func (c *conn) handleRequest(r *request) bool {
 	if c.server.Handler != nil {
-		c.setState(stateActive, true, 0)
-		status, body := c.server.Handler(context.Background(), r.method, r.path)
-		r.closeAfter = true
-		return c.writeMessage(r, status, "Content-Type: text/plain\r\n", body)
+		return c.callHandler(r)
 	}
-	if r.path == "/healthz" {
+	if r.path == healthCheckPath {
 		return c.handleHealthCheck(r)
 	}
-	q, bad := c.server.parseRequest(r)
-	if bad != nil {
+	return c.dispatchRequest(r)
+}
+
+// callHandler serves a request by the Handler of the options.
+func (c *conn) callHandler(r *request) bool {
+	c.setState(stateActive, true, 0)
+	status, body := c.server.Handler(context.Background(), r.method, r.path)
+	r.closeAfter = true
+	return c.writeMessage(r, status, contentTypeText, body)
+}
+
+// handleHealthCheck reports to the platform whether this router can serve requests.
+func (c *conn) handleHealthCheck(r *request) bool {
+	if r.method != http.MethodGet && r.method != http.MethodHead {
+		return c.writeError(r, methodNotAllowed(http.MethodGet))
+	}
+	if c.server.healthChecksFail.Load() || !c.server.Ready() {
+		return c.writeError(r, &requestError{status: http.StatusServiceUnavailable, message: "not ready"})
+	}
+	return c.writeMessage(r, http.StatusOK, contentTypeText, []byte("ok\n"))
+}
+
+// dispatchRequest submits a request to the dispatcher and writes its response.
+func (c *conn) dispatchRequest(r *request) bool {
+	dispatched, err := c.server.parseRequest(r)
+	if err != nil {
 		c.server.Metrics.Add("requests_malformed", 1)
-		return c.writeError(r, bad)
+		return c.writeError(r, err)
 	}
 	c.setState(stateActive, true, 0)
 	open := c.server.Metrics.Counter("requests_open")
 	open.Add(1)
 	defer open.Add(-1)
-	answers := make(chan dispatch.Response, 1)
-	q.Respond = func(a dispatch.Response) { answers <- a }
+
+	responses := make(chan dispatch.Response, 1)
+	dispatched.Respond = func(response dispatch.Response) { responses <- response }
 	if c.server.RecordClient {
-		c.server.setClientInfo(q, r, c.text.NetConn)
+		setClientInfo(dispatched, r, c.text.NetConn)
 	}
-	r.clientDeadline = q.Deadline + responseMarginMs // from Submit on the core owns the request
-	if !c.server.Dispatcher.Submit(q) {
-		return c.writeError(r, &requestError{status: 503, message: "stopping"})
+	r.clientDeadline = dispatched.Deadline + responseMarginMs // read before Submit hands the request over
+	if !c.server.Dispatcher.Submit(dispatched) {
+		return c.writeError(r, &requestError{status: http.StatusServiceUnavailable, message: "stopping"})
 	}
-	// An error says that the client has gone: also one that wrote more before it left.
-	heard := make(chan error, 1)
-	go func() { heard <- c.text.ReadAhead(maxReadAheadBytes, func() { c.lastReadAt = c.server.Clock.Now() }) }()
+	return c.awaitResponse(r, dispatched, responses)
+}
+
+// awaitResponse waits for the response of a submitted request and writes it. Meanwhile the
+// connection is read from, to notice a client that disconnects, also one that sent more
+// before.
+func (c *conn) awaitResponse(r *request, dispatched *dispatch.Request, responses <-chan dispatch.Response) bool {
+	readAheadEnded := make(chan error, 1)
+	go func() {
+		readAheadEnded <- c.text.ReadAhead(maxReadAheadBytes, func() { c.lastReadAt = c.server.Clock.Now() })
+	}()
 	select {
-	case a := <-answers:
-		ok := c.writeResponse(r, a)
-		// The watcher is waited for: the connection has one reader at a time.
-		c.text.NetConn.SetReadDeadline(time.Now())
-		err := <-heard
-		return ok && (isTimeout(err) || err == textconn.ErrMessageTooLong)
-	case err := <-heard:
-		if err != textconn.ErrMessageTooLong {
-			c.server.Dispatcher.Disconnect(q)
+	case response := <-responses:
+		written := c.writeResponse(r, response)
+		c.setReadTimeout(0) // ends the read-ahead: a connection has one reader at a time
+		err := <-readAheadEnded
+		return written && (isTimeout(err) || errors.Is(err, textconn.ErrMessageTooLong))
+	case err := <-readAheadEnded:
+		if !errors.Is(err, textconn.ErrMessageTooLong) {
+			c.server.Dispatcher.Disconnect(dispatched)
 			return false
 		}
-		return c.writeResponse(r, <-answers) // it sends without end: the answer is its last
+		// The client sends without end. The response is the last on this connection.
+		return c.writeResponse(r, <-responses)
 	}
 }
 
-// handleHealthCheck answers the front's question whether this router can be used.
-func (c *conn) handleHealthCheck(r *request) bool {
+// linger shuts the sending side of the connection and discards what the client still sends,
+// until the client closes its side or the timeout passes.
+//
+// Symptom guarded against: a connection that is closed with unread bytes is reset, and the
+// reset overtakes the response.
+func (c *conn) linger(timeoutMs float64) {
+	half, ok := c.text.NetConn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	c.setState(stateRejected, true, max(timeoutMs, 0))
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.text.NetConn, maxLingerBytes))
+}
+
+// setState sets the state of the connection and the time that reads may take in it. Less is
+// left to a connection that is evicted, or that has no request at shutdown.
+func (c *conn) setState(state connState, receiving bool, timeoutMs float64) {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if state != c.state {
+		c.state = state
+		c.stateSince = c.server.Clock.Now()
+	}
+	c.receiving = receiving
 	switch {
-	case r.method != "GET" && r.method != "HEAD":
-		return c.writeError(r, &requestError{status: 405, message: "GET only", allow: "GET"})
-	case c.server.healthChecksFail.Load() || !c.server.Ready():
-		return c.writeError(r, &requestError{status: 503, message: "not ready"})
+	case state == stateActive:
+		_ = c.text.NetConn.SetReadDeadline(time.Time{})
+		return
+	case c.evicted && receiving && state != stateRejected:
+		timeoutMs = min(timeoutMs, evictedReadTimeoutMs)
+	case c.evicted:
+		timeoutMs = 0
+	case c.server.shuttingDown.Load() && !receiving:
+		timeoutMs = min(timeoutMs, c.shutdownReadTimeoutMs())
+	}
+	c.setReadTimeout(timeoutMs)
+}
+
+// setReadTimeout lets reads of the connection end after a time, counted from now. A deadline
+// that cannot be set means that the connection is closed, which the next read reports.
+func (c *conn) setReadTimeout(timeoutMs float64) {
+	_ = c.text.NetConn.SetReadDeadline(time.Now().Add(clock.Duration(timeoutMs)))
+}
+
+// shutdownReadTimeoutMs is how long a connection waits for a request at shutdown. Server.mu
+// is held.
+func (c *conn) shutdownReadTimeoutMs() float64 {
+	if c.state == stateNew {
+		return shutdownFirstRequestTimeoutMs
 	}
-	return c.writeMessage(r, 200, "Content-Type: text/plain\r\n", []byte("ok\n"))
+	return 0
 }
 
-// linger ends this side of a connection and reads what still comes, for some time.
-func (c *conn) linger(within float64) {
-	if half, ok := c.text.NetConn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
-		c.setState(stateRejected, true, max(within, 0))
-		io.Copy(io.Discard, io.LimitReader(c.text.NetConn, maxLingerBytes))
+// evictable reports whether the connection may be closed for another one. Server.mu is held.
+func (c *conn) evictable() bool {
+	switch {
+	case c.evicted, c.state == stateActive:
+		return false
+	case c.state == stateNew:
+		return c.server.Clock.Now()-c.stateSince >= newConnGraceMs
 	}
+	return true
+}
+
+// remainingMs is what is left of a time that began when the connection was accepted.
+func (c *conn) remainingMs(timeoutMs float64) float64 {
+	return c.acceptedAt + timeoutMs - c.server.Clock.Now()
+}
+
+// keepAlive reports whether the connection stays open after the response to r.
+func (c *conn) keepAlive(r *request) bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return !r.closeAfter && !c.server.keepAlivesDisabled.Load() && !c.evicted && !c.text.Discarded()
+}
+
+// isTimeout reports whether a read or an accept ended at its deadline.
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
--- a/internal/frontend/httpfront/lifecycle_test.go
+++ b/internal/frontend/httpfront/lifecycle_test.go
@@ -261,7 +261,7 @@
 	now := s.Clock.Now()
 	c := &conn{server: s}
 	for _, x := range []struct{ until, want float64 }{{0, minWriteTimeoutMs}, {now + 500, minWriteTimeoutMs}, {now + 4000, 4000}, {now + 600_000, 6000}} {
-		if got := c.writeTimeout(&request{clientDeadline: x.until}); got != x.want {
+		if got := c.writeTimeoutMs(&request{clientDeadline: x.until}); got != x.want {
 			t.Errorf("waits %v more: %v to write, want %v", x.until-now, got, x.want)
 		}
 	}
--- a/internal/frontend/httpfront/parse.go
+++ b/internal/frontend/httpfront/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
@@ -10,97 +11,220 @@
 	"garnetline/routing"
 )
 
-// setClientInfo notes where a request comes from. More than one traceparent is none.
-func (s *Server) setClientInfo(q *dispatch.Request, r *request, nc net.Conn) {
-	q.Client = &dispatch.ClientInfo{ReceivedAt: r.receivedAt}
-	if v := r.header["Traceparent"]; len(v) == 1 {
-		q.Client.TraceParent = v[0]
-	}
-	if host, _, err := net.SplitHostPort(nc.RemoteAddr().String()); err == nil {
-		q.Client.Address = host
-	}
+// Headers of the platform's client protocol.
+const (
+	headerTransactionID  = "X-Txn"
+	headerClientTimeout  = "X-Ttl-Ms"
+	headerIdempotencyKey = "X-Txn-Key"
+	headerGroup          = "X-Family"
+	headerObjectSize     = "X-Working-Set-Kb"
+)
+
+const (
+	pathPrefix     = "/v1/"
+	parameterChunk = "block"
+	hexIDLength    = 16
+)
+
+// singleValueHeaders are the headers that a request may have once at most.
+var singleValueHeaders = [...]string{
+	headerTransactionID, headerClientTimeout, headerIdempotencyKey, headerGroup, headerObjectSize,
 }
 
-// parseRequest turns a request into what the core takes.
-func (s *Server) parseRequest(r *request) (*dispatch.Request, *requestError) {
-	rest, ok := strings.CutPrefix(r.path, "/v1/")
-	name, object, two := strings.Cut(rest, "/")
-	if !ok || !two || strings.Contains(object, "/") {
-		return nil, &requestError{status: 404, message: "no such path"}
+// parseRequest validates a request for an object and returns it as the dispatcher takes it.
+// The order of the checks decides which status a request with several errors gets.
+func (s *Server) parseRequest(r *request) (*dispatch.Request, error) {
+	className, objectText, ok := splitPath(r.path)
+	if !ok {
+		return nil, &requestError{status: http.StatusNotFound, message: "no such path"}
 	}
-	class := -1
 	classes := s.Classes()
+	classIndex := findClass(classes, className)
+	if classIndex < 0 {
+		return nil, &requestError{status: http.StatusNotFound, message: "unknown class"}
+	}
+	class := &classes[classIndex]
+	if method := methodOf(class); r.method != method {
+		return nil, methodNotAllowed(method)
+	}
+	object, err := parseObjectID(objectText)
+	if err != nil {
+		return nil, err
+	}
+	if !class.Write && len(r.body) > 0 {
+		return nil, badRequest("body: none wanted")
+	}
+	dispatched := &dispatch.Request{Class: classIndex, Object: object, Transport: s.Transport, Body: r.body}
+	if dispatched.Chunk, err = parseChunk(r.query); err != nil {
+		return nil, err
+	}
+	if err := parseHeaders(dispatched, r, class); err != nil {
+		return nil, err
+	}
+	return dispatched, nil
+}
+
+// splitPath returns the class and the object that a path names.
+func splitPath(path string) (class, object string, ok bool) {
+	rest, ok := strings.CutPrefix(path, pathPrefix)
+	if !ok {
+		return "", "", false
+	}
+	class, object, ok = strings.Cut(rest, "/")
+	return class, object, ok && !strings.Contains(object, "/")
+}
+
+// findClass returns the index of a class, or -1.
+func findClass(classes []routing.Class, name string) int {
+	index := -1
 	for i := range classes {
 		if classes[i].Name == name {
-			class = i
+			index = i
 		}
 	}
-	if class < 0 {
-		return nil, &requestError{status: 404, message: "unknown class"}
-	}
-	k := &classes[class]
-	if want := map[bool]string{false: "GET", true: "PUT"}[k.Write]; r.method != want {
-		return nil, &requestError{status: 405, message: want + " only", allow: want}
+	return index
+}
+
+// methodOf returns the method that requests of a class have.
+func methodOf(class *routing.Class) string {
+	if class.Write {
+		return http.MethodPut
 	}
-	q := &dispatch.Request{Class: class, Transport: s.Transport, Body: r.body}
-	bad := func(why string) (*dispatch.Request, *requestError) {
-		return nil, &requestError{status: 400, message: why}
+	return http.MethodGet
+}
+
+// parseHexID reads an identifier of the protocol: 16 hexadecimal digits in lower case.
+func parseHexID(text string) (id uint64, ok bool) {
+	id, err := strconv.ParseUint(text, 16, 64)
+	return id, err == nil && len(text) == hexIDLength && text == strings.ToLower(text)
+}
+
+func parseObjectID(text string) (routing.ObjectID, error) {
+	object, ok := parseHexID(text)
+	if !ok || object == 0 {
+		return 0, badRequest("object: not 16 hex digits")
 	}
-	o, err := strconv.ParseUint(object, 16, 64)
-	if err != nil || len(object) != 16 || o == 0 || object != strings.ToLower(object) {
-		return bad("object: not 16 hex digits")
+	return routing.ObjectID(object), nil
+}
+
+// parseChunk returns the chunk that a query names, or 0.
+func parseChunk(query string) (int, error) {
+	values, err := url.ParseQuery(query)
+	if err != nil || len(values[parameterChunk]) > 1 {
+		return 0, badRequest("query: malformed")
 	}
-	q.Object = routing.ObjectID(o)
-	if !k.Write && len(r.body) > 0 {
-		return bad("body: none wanted")
+	if !values.Has(parameterChunk) {
+		return 0, nil
 	}
-	values, err := url.ParseQuery(r.query)
-	if err != nil || len(values["block"]) > 1 {
-		return bad("query: malformed")
+	text := values.Get(parameterChunk)
+	chunk, err := strconv.ParseUint(text, 10, 31)
+	if err != nil || strconv.FormatUint(chunk, 10) != text {
+		return 0, badRequest("block: not a number")
 	}
-	if v := values.Get("block"); v != "" || values.Has("block") {
-		n, err := strconv.ParseUint(v, 10, 31)
-		if err != nil || strconv.FormatUint(n, 10) != v {
-			return bad("block: not a number")
+	return int(chunk), nil
+}
+
+// parseHeaders reads the protocol's headers into a request.
+func parseHeaders(dispatched *dispatch.Request, r *request, class *routing.Class) (err error) {
+	for _, name := range singleValueHeaders {
+		if len(r.header[name]) > 1 {
+			return badRequest(name + ": more than one")
 		}
-		q.Chunk = int(n)
 	}
-	for _, h := range []string{"X-Txn", "X-Ttl-Ms", "X-Txn-Key", "X-Family", "X-Working-Set-Kb"} {
-		if len(r.header[h]) > 1 {
-			return bad(h + ": more than one")
-		}
+	dispatched.TransactionID = r.header.Get(headerTransactionID)
+	if _, ok := parseHexID(dispatched.TransactionID); !ok {
+		return badRequest("X-Txn: not 16 hex digits")
 	}
-	q.TransactionID = r.header.Get("X-Txn")
-	if _, err := strconv.ParseUint(q.TransactionID, 16, 64); err != nil || len(q.TransactionID) != 16 || q.TransactionID != strings.ToLower(q.TransactionID) {
-		return bad("X-Txn: not 16 hex digits")
+	timeoutMs, err := parseClientTimeout(r.header.Get(headerClientTimeout))
+	if err != nil {
+		return err
 	}
-	ms, err := strconv.ParseUint(r.header.Get("X-Ttl-Ms"), 10, 64)
-	if err != nil || ms == 0 || ms > maxClientTimeoutMs {
-		return bad("X-Ttl-Ms: not a time")
+	dispatched.Deadline = r.receivedAt + timeoutMs - min(responseMarginMs, timeoutMs/responseMarginDivisor)
+	if dispatched.Group, err = parseGroup(r.header.Get(headerGroup)); err != nil {
+		return err
 	}
-	ttl := min(float64(ms), clientTimeoutCapMs)
-	q.Deadline = r.receivedAt + ttl - min(responseMarginMs, ttl/10)
-	if v := r.header.Get("X-Family"); v != "" {
-		n, err := strconv.ParseUint(v, 10, 8)
-		if err != nil {
-			return bad("X-Family: not 0 to 255")
-		}
-		q.Group = int(n)
+	if dispatched.SizeKB, err = parseObjectSize(r.header[headerObjectSize]); err != nil {
+		return err
 	}
-	if v, told := r.header["X-Working-Set-Kb"]; told {
-		if q.SizeKB, err = strconv.ParseFloat(v[0], 64); err != nil || strings.ContainsAny(v[0], "xXpP_") || !(q.SizeKB >= 0 && q.SizeKB <= maxObjectSizeKB) {
-			return bad("X-Working-Set-Kb: not a size")
-		}
+	dispatched.IdempotencyKey = r.header.Get(headerIdempotencyKey)
+	if !validIdempotencyKey(dispatched.IdempotencyKey, class) {
+		return badRequest("X-Txn-Key: missing or malformed")
 	}
-	q.IdempotencyKey = r.header.Get("X-Txn-Key")
-	if q.IdempotencyKey != "" && !dispatch.ValidFieldValue(q.IdempotencyKey) || q.IdempotencyKey == "" && k.Idempotency == routing.IdempotentWithKey {
-		return bad("X-Txn-Key: missing or malformed")
+	if !class.Write {
+		dispatched.IfNoneMatch = parseIfNoneMatch(r.header["If-None-Match"])
 	}
-	// A list of tags, a weak one or * is passed over: the answer is then whole.
-	if v := r.header["If-None-Match"]; len(v) == 1 && len(v[0]) > 2 && v[0][0] == '"' && v[0][len(v[0])-1] == '"' {
-		if tag := v[0][1 : len(v[0])-1]; dispatch.ValidFieldValue(tag) && !k.Write {
-			q.IfNoneMatch = tag
-		}
+	return nil
+}
+
+// parseClientTimeout returns for how many milliseconds the client waits.
+func parseClientTimeout(text string) (float64, error) {
+	timeoutMs, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || timeoutMs == 0 || timeoutMs > maxClientTimeoutMs {
+		return 0, badRequest("X-Ttl-Ms: not a time")
+	}
+	return min(float64(timeoutMs), clientTimeoutCapMs), nil
+}
+
+// parseGroup returns the group of the object, 0 if the request does not name it.
+func parseGroup(text string) (int, error) {
+	if text == "" {
+		return 0, nil
+	}
+	group, err := strconv.ParseUint(text, 10, 8)
+	if err != nil {
+		return 0, badRequest("X-Family: not 0 to 255")
+	}
+	return int(group), nil
+}
+
+// parseObjectSize returns the size of the chunk in KB, 0 if the request does not name it.
+func parseObjectSize(values []string) (float64, error) {
+	if len(values) == 0 {
+		return 0, nil
+	}
+	text := values[0]
+	size, err := strconv.ParseFloat(text, 64)
+	inRange := size >= 0 && size <= maxObjectSizeKB // false for NaN
+	if err != nil || strings.ContainsAny(text, "xXpP_") || !inRange {
+		return 0, badRequest("X-Working-Set-Kb: not a size")
+	}
+	return size, nil
+}
+
+// validIdempotencyKey reports whether a request of the class may have this key, or none.
+func validIdempotencyKey(key string, class *routing.Class) bool {
+	if key == "" {
+		return class.Idempotency != routing.IdempotentWithKey
+	}
+	return dispatch.ValidFieldValue(key)
+}
+
+// parseIfNoneMatch returns the entity tag of the client's copy without its quotes. A list of
+// tags, a weak one and * are ignored, and the client gets a complete response.
+func parseIfNoneMatch(values []string) string {
+	if len(values) != 1 {
+		return ""
+	}
+	quoted := values[0]
+	if len(quoted) <= 2 || quoted[0] != '"' || quoted[len(quoted)-1] != '"' {
+		return ""
+	}
+	tag := quoted[1 : len(quoted)-1]
+	if !dispatch.ValidFieldValue(tag) {
+		return ""
+	}
+	return tag
+}
+
+// setClientInfo records when and from where a request came, for its trace. Several
+// traceparent headers count as none.
+func setClientInfo(dispatched *dispatch.Request, r *request, netConn net.Conn) {
+	client := &dispatch.ClientInfo{ReceivedAt: r.receivedAt}
+	dispatched.Client = client
+	if values := r.header["Traceparent"]; len(values) == 1 {
+		client.TraceParent = values[0]
+	}
+	if host, _, err := net.SplitHostPort(netConn.RemoteAddr().String()); err == nil {
+		client.Address = host
 	}
-	return q, nil
 }
--- a/internal/frontend/httpfront/read.go
+++ b/internal/frontend/httpfront/read.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"net/http/httputil"
 	"net/textproto"
 	"net/url"
@@ -12,47 +13,45 @@
 	"strings"
 )
 
-// request is a parsed request.
+const (
+	protocolPrefix = "HTTP/1."
+	protocolHTTP10 = "HTTP/1.0"
+	protocolHTTP11 = "HTTP/1.1"
+
+	continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
+)
+
+// request is an HTTP request as it was read.
 type request struct {
 	method, path, query string
 	header              textproto.MIMEHeader
 	body                []byte
-	closeAfter          bool // the client wants the connection closed
-	receivedAt          float64
-	clientDeadline      float64 // its client waits until then; 0: not told
+	closeAfter          bool    // the connection is closed after the response
+	receivedAt          float64 // when its last byte arrived
+	clientDeadline      float64 // its client waits until then; 0: not known
 }
 
-// readRequest reads one request.
-func (c *conn) readRequest() (*request, *requestError) {
+// readRequest reads one request. It returns a *requestError for the client, or
+// errClientDisconnected.
+func (c *conn) readRequest() (*request, error) {
 	r := &request{}
-	line, err := c.text.ReadLine()
-	if err == nil && line == "" { // one empty line before a request is let pass
-		line, err = c.text.ReadLine()
-	}
+	protocol, err := c.readRequestLine(r)
 	if err != nil {
-		return nil, c.readFailure(err)
+		return nil, err
 	}
-	parts := strings.Split(line, " ")
-	if len(parts) != 3 || parts[0] == "" || !strings.HasPrefix(parts[2], "HTTP/1.") || len(parts[2]) != 8 {
-		return nil, &requestError{status: 400, message: "malformed request line"}
-	}
-	u, err := url.ParseRequestURI(parts[1])
-	if err != nil {
-		return nil, &requestError{status: 400, message: "malformed target"}
-	}
-	r.method, r.path, r.query = parts[0], u.EscapedPath(), u.RawQuery
 	if r.header, err = c.text.ReadMIMEHeader(); err != nil {
 		return nil, c.readFailure(err)
 	}
-	if len(r.header["Host"]) > 1 || parts[2] == "HTTP/1.1" && len(r.header["Host"]) == 0 {
-		return nil, &requestError{status: 400, message: "Host: want one"}
+	hosts := len(r.header["Host"])
+	if hosts > 1 || protocol == protocolHTTP11 && hosts == 0 {
+		return nil, badRequest("Host: want one")
 	}
-	r.closeAfter = headerHasToken(r.header, "Connection", "close") || parts[2] == "HTTP/1.0"
-	if bad := c.readBody(r); bad != nil {
-		return nil, bad
+	r.closeAfter = headerHasToken(r.header, "Connection", "close") || protocol == protocolHTTP10
+	if err := c.readBody(r); err != nil {
+		return nil, err
 	}
-	// Symptom guarded against: a request that waited behind another one on its connection
-	// was given the time that its client had when it sent it, not what was left of that.
+	// Symptom guarded against: a pipelined request was given the whole time that its client
+	// had when it sent the request, not what was left of it when its turn came.
 	if c.text.ReceivedBytes() || c.lastReadAt == 0 {
 		c.lastReadAt = c.server.Clock.Now()
 	}
@@ -61,98 +60,128 @@
 	return r, nil
 }
 
-// readFailure tells what a failed read means for the client.
-func (c *conn) readFailure(err error) *requestError {
-	var text textproto.ProtocolError
+// readRequestLine reads method and target into r and returns the protocol. One empty line
+// before the request is skipped.
+func (c *conn) readRequestLine(r *request) (protocol string, err error) {
+	line, err := c.text.ReadLine()
+	if err == nil && line == "" {
+		line, err = c.text.ReadLine()
+	}
+	if err != nil {
+		return "", c.readFailure(err)
+	}
+	fields := strings.Split(line, " ")
+	if len(fields) != 3 || fields[0] == "" {
+		return "", badRequest("malformed request line")
+	}
+	protocol = fields[2]
+	if !strings.HasPrefix(protocol, protocolPrefix) || len(protocol) != len(protocolHTTP11) {
+		return "", badRequest("malformed request line")
+	}
+	target, err := url.ParseRequestURI(fields[1])
+	if err != nil {
+		return "", badRequest("malformed target")
+	}
+	r.method = fields[0]
+	r.path = target.EscapedPath()
+	r.query = target.RawQuery
+	return protocol, nil
+}
+
+// readFailure returns what a failed read means for the client.
+func (c *conn) readFailure(err error) error {
+	var malformed textproto.ProtocolError
 	switch {
 	case c.text.LimitExceeded():
-		return &requestError{status: 431, message: "head too long"}
-	case errors.As(err, &text):
-		return &requestError{status: 400, message: "malformed header"}
+		return &requestError{status: http.StatusRequestHeaderFieldsTooLarge, message: "head too long"}
+	case errors.As(err, &malformed):
+		return badRequest("malformed header")
 	case errors.Is(err, context.DeadlineExceeded), isTimeout(err):
-		return &requestError{status: 408, message: "request too slow"}
+		return &requestError{status: http.StatusRequestTimeout, message: "request too slow"}
 	}
 	return errClientDisconnected
 }
 
-func isTimeout(err error) bool {
-	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
-}
-
-// readBody reads what the head announces.
-func (c *conn) readBody(r *request) *requestError {
-	te, cl := r.header["Transfer-Encoding"], r.header["Content-Length"]
+// readBody reads the body that the header announces.
+func (c *conn) readBody(r *request) error {
+	encodings, lengths := r.header["Transfer-Encoding"], r.header["Content-Length"]
 	switch {
-	case len(te) > 0 && len(cl) > 0:
-		return &requestError{status: 400, message: "Content-Length and Transfer-Encoding"}
-	case len(te) > 0:
-		if len(te) != 1 || !strings.EqualFold(te[0], "chunked") {
-			return &requestError{status: 501, message: "Transfer-Encoding: unknown"}
-		}
+	case len(encodings) > 0 && len(lengths) > 0:
+		return badRequest("Content-Length and Transfer-Encoding")
+	case len(encodings) > 1, len(encodings) == 1 && !strings.EqualFold(encodings[0], "chunked"):
+		return &requestError{status: http.StatusNotImplemented, message: "Transfer-Encoding: unknown"}
+	case len(encodings) == 1:
 		return c.readChunkedBody(r)
-	case len(cl) == 0:
+	case len(lengths) == 0:
 		return nil
 	}
-	n, err := strconv.ParseUint(cl[0], 10, 63)
-	if err != nil || len(cl) > 1 {
-		return &requestError{status: 400, message: "Content-Length: not a number"}
+	length, err := strconv.ParseUint(lengths[0], 10, 63)
+	if err != nil || len(lengths) > 1 {
+		return badRequest("Content-Length: not a number")
 	}
-	if n > maxBodyBytes {
-		return &requestError{status: 413, message: "body too long", largeBody: true}
+	if length > maxBodyBytes {
+		return errBodyTooLong
 	}
-	if bad := c.writeContinue(r); bad != nil {
-		return bad
+	return c.readSizedBody(r, int(length))
+}
+
+// readSizedBody reads a body of a known length.
+func (c *conn) readSizedBody(r *request, length int) error {
+	if err := c.writeContinue(r); err != nil {
+		return err
 	}
-	c.text.LimitRead(int(n))
-	b, err := c.text.ReadBody(int(n))
+	c.text.LimitRead(length)
+	body, err := c.text.ReadBody(length)
 	if err != nil {
 		return c.readFailure(err)
 	}
-	// A copy: an attempt may still be written when the client's next request
-	// is read into the buffer.
-	r.body = bytes.Clone(b)
+	// Copied, since an attempt may still be written when the client's next request is read
+	// into the connection's buffer.
+	r.body = bytes.Clone(body)
 	return nil
 }
 
-// readChunkedBody reads a body in chunks.
-func (c *conn) readChunkedBody(r *request) *requestError {
-	if bad := c.writeContinue(r); bad != nil {
-		return bad
+// readChunkedBody reads a body in chunks, and its trailers.
+func (c *conn) readChunkedBody(r *request) error {
+	if err := c.writeContinue(r); err != nil {
+		return err
 	}
-	c.text.LimitRead(8*maxBodyBytes + maxHeaderBytes) // chunks may be small, and each has a line of its own
+	c.text.LimitRead(maxChunkedBytes)
+	chunks := io.LimitReader(httputil.NewChunkedReader(c.text.R), maxBodyBytes+1)
 	var err error
-	if r.body, err = io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.text.R), maxBodyBytes+1)); err != nil {
-		if bad := c.readFailure(err); bad != errClientDisconnected {
-			return bad
+	if r.body, err = io.ReadAll(chunks); err != nil {
+		failure := c.readFailure(err)
+		if errors.Is(failure, errClientDisconnected) {
+			return badRequest("malformed chunks")
 		}
-		return &requestError{status: 400, message: "malformed chunks"}
+		return failure
 	}
 	if len(r.body) > maxBodyBytes {
-		return &requestError{status: 413, message: "body too long", largeBody: true}
+		return errBodyTooLong
 	}
-	if _, err := c.text.ReadMIMEHeader(); err != nil { // trailers
+	if _, err := c.text.ReadMIMEHeader(); err != nil {
 		return c.readFailure(err)
 	}
 	return nil
 }
 
-// writeContinue tells a client that waits for it to send its body.
-func (c *conn) writeContinue(r *request) *requestError {
+// writeContinue lets a client that asked to be told send its body.
+func (c *conn) writeContinue(r *request) error {
 	if !headerHasToken(r.header, "Expect", "100-continue") {
 		return nil
 	}
-	if c.text.Flush(append(c.text.WriteBuffer(), "HTTP/1.1 100 Continue\r\n\r\n"...), nil, minWriteTimeoutMs) != nil {
+	message := append(c.text.WriteBuffer(), continueResponse...)
+	if c.text.Flush(message, nil, minWriteTimeoutMs) != nil {
 		return errClientDisconnected
 	}
 	return nil
 }
 
-// headerHasToken tells whether a header holds a word in its list.
-func headerHasToken(h textproto.MIMEHeader, name, word string) bool {
-	for _, v := range h[name] {
-		for w := range strings.SplitSeq(v, ",") {
-			if strings.EqualFold(strings.TrimSpace(w), word) {
+// headerHasToken reports whether a header that is a list of tokens holds one of them.
+func headerHasToken(header textproto.MIMEHeader, name, token string) bool {
+	for _, value := range header[name] {
+		for element := range strings.SplitSeq(value, ",") {
+			if strings.EqualFold(strings.TrimSpace(element), token) {
 				return true
 			}
 		}
--- a/internal/frontend/httpfront/response.go
+++ b/internal/frontend/httpfront/response.go
@@ -1,7 +1,9 @@
 package httpfront
 
 import (
+	"errors"
 	"fmt"
+	"net/http"
 	"strconv"
 
 	"garnetline/internal/clock"
@@ -9,97 +11,156 @@
 	"garnetline/routing"
 )
 
-// requestError is an answer that the front gives by itself.
+// Header lines of responses.
+const (
+	contentTypeText   = "Content-Type: text/plain\r\n"
+	contentTypeObject = "Content-Type: application/octet-stream\r\n"
+)
+
+// Bodies of responses to requests that the dispatcher did not serve.
+const (
+	rejectedBody = "refused: a retry is harmless\n"
+	failedBody   = "failed\n"
+)
+
+// errClientDisconnected reports that a connection ended within a request: there is nobody to
+// respond to.
+var errClientDisconnected = errors.New("client disconnected")
+
+// errBodyTooLong rejects a body of more than maxBodyBytes.
+var errBodyTooLong = &requestError{
+	status:    http.StatusRequestEntityTooLarge,
+	message:   "body too long",
+	largeBody: true,
+}
+
+// requestError rejects a request that was malformed or came at a bad time, with a response
+// that is not the dispatcher's.
 type requestError struct {
-	status    int // 0: the client has gone, nothing is owed
-	message   string
-	allow     string
-	largeBody bool // the client may have much to send yet
+	status    int
+	message   string // the body of the response
+	allow     string // the method that is allowed, if another one was used
+	largeBody bool   // the client may still have much to send
+}
+
+// Error returns the status and the message.
+func (e *requestError) Error() string { return strconv.Itoa(e.status) + " " + e.message }
+
+func badRequest(message string) *requestError {
+	return &requestError{status: http.StatusBadRequest, message: message}
+}
+
+func methodNotAllowed(allowed string) *requestError {
+	return &requestError{status: http.StatusMethodNotAllowed, message: allowed + " only", allow: allowed}
 }
 
-var errClientDisconnected = &requestError{}
+// reasonPhrases are the reason phrases of all statuses in use. net/http words some of them
+// differently.
+var reasonPhrases = map[int]string{
+	http.StatusOK:                          "OK",
+	http.StatusNotModified:                 "Not Modified",
+	http.StatusBadRequest:                  "Bad Request",
+	http.StatusNotFound:                    "Not Found",
+	http.StatusMethodNotAllowed:            "Method Not Allowed",
+	http.StatusRequestTimeout:              "Request Timeout",
+	http.StatusConflict:                    "Conflict",
+	http.StatusRequestEntityTooLarge:       "Content Too Large",
+	http.StatusRequestHeaderFieldsTooLarge: "Request Header Fields Too Large",
+	http.StatusNotImplemented:              "Not Implemented",
+	http.StatusBadGateway:                  "Bad Gateway",
+	http.StatusServiceUnavailable:          "Service Unavailable",
+}
 
-// writeResponse writes a final answer.
-func (c *conn) writeResponse(r *request, a dispatch.Response) bool {
-	switch a.Kind {
+// writeResponse writes the dispatcher's response to a request. It returns false if the
+// response could not be written.
+func (c *conn) writeResponse(r *request, response dispatch.Response) bool {
+	switch response.Kind {
 	case dispatch.Served:
-		head := "Content-Type: application/octet-stream\r\n"
-		if a.ETag != "" {
-			head += "ETag: \"" + a.ETag + "\"\r\n"
-		}
-		return c.writeMessage(r, 200, head, a.Body)
+		return c.writeMessage(r, http.StatusOK, withEntityTag(contentTypeObject, response.ETag), response.Body)
 	case dispatch.NotModified:
-		head := ""
-		if a.ETag != "" {
-			head = "ETag: \"" + a.ETag + "\"\r\n"
-		}
-		return c.writeMessage(r, 304, head, nil)
+		return c.writeMessage(r, http.StatusNotModified, withEntityTag("", response.ETag), nil)
 	case dispatch.Rejected:
-		head := "Content-Type: text/plain\r\n"
-		if a.RetryAfter > 0 {
-			head += fmt.Sprintf("X-Throttle-Ms: %d\r\n", int64(a.RetryAfter))
+		header := contentTypeText
+		if response.RetryAfter > 0 {
+			header += fmt.Sprintf("X-Throttle-Ms: %d\r\n", int64(response.RetryAfter))
 		}
-		return c.writeMessage(r, 503, head, []byte("refused: a retry is harmless\n"))
-	}
-	if a.Kind == dispatch.DuplicateID {
-		return c.writeError(r, &requestError{status: 409, message: "X-Txn: another request with it is open"})
+		return c.writeMessage(r, http.StatusServiceUnavailable, header, []byte(rejectedBody))
+	case dispatch.DuplicateID:
+		duplicate := &requestError{status: http.StatusConflict, message: "X-Txn: another request with it is open"}
+		return c.writeError(r, duplicate)
+	default:
+		return c.writeMessage(r, http.StatusBadGateway, contentTypeText, []byte(failedBody))
 	}
-	return c.writeMessage(r, 502, "Content-Type: text/plain\r\n", []byte("failed\n"))
 }
 
-// writeError answers by the front's own word.
-func (c *conn) writeError(r *request, p *requestError) bool {
-	head := "Content-Type: text/plain\r\n"
-	if p.allow != "" {
-		head += "Allow: " + p.allow + "\r\n"
+// withEntityTag adds the line of an entity tag to a header, if there is one.
+func withEntityTag(header, tag string) string {
+	if tag == "" {
+		return header
 	}
-	return c.writeMessage(r, p.status, head, []byte(p.message+"\n"))
+	return header + "ETag: \"" + tag + "\"\r\n"
 }
 
-// rejectUnread answers what could not be read to its end, and lets the client read
-// that before the connection is closed.
-//
-// Symptom guarded against: a connection that is closed with unread bytes is
-// reset, and the reset overtakes the answer. What it still sends is dropped for
-// a time that counts from the connection's start, however it sends.
-func (c *conn) rejectUnread(p *requestError) {
-	if c.writeError(&request{closeAfter: true}, p) {
-		within := c.remaining(lingerTimeoutMs)
-		if p.largeBody {
-			within = c.remaining(largeBodyLingerTimeoutMs)
-		}
-		c.linger(within)
+// writeError writes the response of a *requestError. It returns false if the response could
+// not be written, or if there is nobody to respond to.
+func (c *conn) writeError(r *request, err error) bool {
+	var rejection *requestError
+	if !errors.As(err, &rejection) {
+		return false
 	}
+	header := contentTypeText
+	if rejection.allow != "" {
+		header += "Allow: " + rejection.allow + "\r\n"
+	}
+	return c.writeMessage(r, rejection.status, header, []byte(rejection.message+"\n"))
 }
 
-var reasonPhrases = map[int]string{200: "OK", 304: "Not Modified", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-	408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large", 501: "Not Implemented",
-	502: "Bad Gateway", 503: "Service Unavailable"}
+// rejectUnread writes the response to a request that could not be read whole, and lingers so
+// that the client can read it. The time for that counts from the connection's start, however
+// the client spreads its bytes.
+func (c *conn) rejectUnread(err error) {
+	var rejection *requestError
+	if !errors.As(err, &rejection) {
+		return
+	}
+	c.server.Metrics.Add("requests_malformed", 1)
+	if !c.writeError(&request{closeAfter: true}, rejection) {
+		return
+	}
+	timeoutMs := lingerTimeoutMs
+	if rejection.largeBody {
+		timeoutMs = largeBodyLingerTimeoutMs
+	}
+	c.linger(c.remainingMs(timeoutMs))
+}
 
-// writeTimeout is how long an answer may take to be written: a client that waits reads as its
-// link lets it, up to the longest time that any class is waited for.
-func (c *conn) writeTimeout(r *request) float64 {
-	if r.clientDeadline == 0 { // no request for the core: nobody told how long it is waited for
+// writeTimeoutMs returns how long a response may take to be written. A client reads as slowly
+// as its link is while it waits, up to the longest deadline of a class.
+func (c *conn) writeTimeoutMs(r *request) float64 {
+	if r.clientDeadline == 0 {
 		return minWriteTimeoutMs
 	}
-	return max(minWriteTimeoutMs, min(r.clientDeadline-c.server.Clock.Now(), clock.Millis(routing.MaxDeadline(c.server.Classes()))))
+	waitsMs := r.clientDeadline - c.server.Clock.Now()
+	longestMs := clock.Millis(routing.MaxDeadline(c.server.Classes()))
+	return max(minWriteTimeoutMs, min(waitsMs, longestMs))
 }
 
-// writeMessage writes one whole answer.
-func (c *conn) writeMessage(r *request, status int, head string, body []byte) bool {
-	out := fmt.Appendf(c.text.WriteBuffer(), "HTTP/1.1 %d %s\r\n%s", status, reasonPhrases[status], head)
-	if status != 304 {
-		out = fmt.Appendf(out, "Content-Length: %d\r\n", len(body))
+// writeMessage writes a response with the given header lines. It returns false if that
+// failed.
+func (c *conn) writeMessage(r *request, status int, header string, body []byte) bool {
+	message := fmt.Appendf(c.text.WriteBuffer(), "HTTP/1.1 %d %s\r\n%s", status, reasonPhrases[status], header)
+	if status != http.StatusNotModified {
+		message = fmt.Appendf(message, "Content-Length: %d\r\n", len(body))
 	}
 	if !c.keepAlive(r) {
 		r.closeAfter = true
-		out = append(out, "Connection: close\r\n"...)
+		message = append(message, "Connection: close\r\n"...)
 	}
-	out = append(out, "\r\n"...)
-	if r.method == "HEAD" {
+	message = append(message, "\r\n"...)
+	if r.method == http.MethodHead {
 		body = nil
 	}
-	err := c.text.Flush(out, body, c.writeTimeout(r))
+	err := c.text.Flush(message, body, c.writeTimeoutMs(r))
 	c.text.ShrinkWriteBuffer()
 	c.text.ShrinkReadBuffer()
 	c.server.Metrics.Add("http_"+strconv.Itoa(status), 1)
--- a/internal/frontend/httpfront/server.go
+++ b/internal/frontend/httpfront/server.go
@@ -1,6 +1,10 @@
-// Package http is the front for the platform's protocol: HTTP/1.1 over
-// textproto, one request at a time on a connection. It parses and answers;
-// it decides nothing.
+// Package httpfront serves the platform's client protocol: HTTP/1.1, one request at a time on
+// a connection. It reads and validates requests, hands them to the dispatcher and writes the
+// responses. It makes no routing decision. The admin API uses the same server with a Handler.
+//
+// A Server owns the listener and all client connections. Each connection has a goroutine that
+// owns it; a second one reads ahead while a request is open, so that a client that
+// disconnects is noticed at once. Exported methods may be called from any goroutine.
 package httpfront
 
 import (
@@ -17,119 +21,141 @@
 	"garnetline/routing"
 )
 
-// Dispatcher is what the front needs of the core.
+// Dispatcher takes the requests of clients.
 type Dispatcher interface {
+	// Submit hands a request over. It returns false if the dispatcher has stopped; the
+	// request's Respond is then never called.
 	Submit(*dispatch.Request) bool
+	// Disconnect reports that the client of a submitted request has disconnected.
 	Disconnect(*dispatch.Request)
 }
 
 // Options are what a Server needs.
 type Options struct {
-	Clock          clock.Clock
-	Dispatcher     Dispatcher
-	Transport      dispatch.Transport
-	Classes        func() []routing.Class // as of now; their names and places do not change
-	Ready          func() bool            // it has a list of caches
-	Metrics        *metrics.Registry
-	MaxConnections func() int // connections open at once, as of now
-	RecordClient   bool       // requests are to tell where they come from
-	// Handler answers every request by itself, one a connection; nil: requests go to the core.
+	Clock      clock.Clock
+	Dispatcher Dispatcher
+	Transport  dispatch.Transport // forwards the attempts of the requests
+
+	// Classes returns the classes of the current configuration. Their names and order do
+	// not change while the server runs.
+	Classes func() []routing.Class
+
+	// Ready reports whether requests can be served; the health check fails until then.
+	Ready   func() bool
+	Metrics *metrics.Registry
+
+	// MaxConnections returns how many connections may be open at once. It is asked for each
+	// new connection.
+	MaxConnections func() int
+
+	// RecordClient has requests carry the client's address and trace context.
+	RecordClient bool
+
+	// Handler, if set, answers every request in place of the dispatcher, one request a
+	// connection.
 	Handler func(ctx context.Context, method, path string) (status int, body []byte)
 }
 
-// Server owns the listener and the clients' connections.
+// Server owns a listener and the client connections that it accepted.
 type Server struct {
 	Options
 	connections        sync.WaitGroup
-	keepAlivesDisabled atomic.Bool   // answers say so and no connection is kept
-	shuttingDown       atomic.Bool   // what is idle is closed
-	healthChecksFail   atomic.Bool   // the health check says so
-	acceptDeadline     time.Time     // the listener is closed by then; set when the end begins
+	keepAlivesDisabled atomic.Bool   // every response closes its connection
+	shuttingDown       atomic.Bool   // idle connections are closed
+	healthChecksFail   atomic.Bool   // set by FailHealthChecks
 	serveDone          chan struct{} // closed when Serve has returned
-	connectionClosed   chan struct{} // a connection was given back
-	mu                 sync.Mutex
-	conns              map[*conn]bool
-	listener           net.Listener
+	connectionClosed   chan struct{} // holds one value once a connection was closed
+
+	mu             sync.Mutex
+	conns          map[*conn]bool
+	listener       net.Listener
+	acceptDeadline time.Time // the listener is closed by then; set by Shutdown
 }
 
-// New returns a server that has not been started.
+// New returns a server that does not accept connections yet.
 func New(o Options) *Server {
-	return &Server{Options: o, conns: map[*conn]bool{}, connectionClosed: make(chan struct{}, 1), serveDone: make(chan struct{})}
+	return &Server{
+		Options:          o,
+		conns:            map[*conn]bool{},
+		connectionClosed: make(chan struct{}, 1),
+		serveDone:        make(chan struct{}),
+	}
 }
 
-// Serve accepts connections until Finish closes the listener. It is called once.
-func (s *Server) Serve(l net.Listener) error {
+// Serve accepts connections until StopAccepting or Shutdown closes the listener, and then
+// returns nil. It is called once.
+func (s *Server) Serve(listener net.Listener) error {
 	defer close(s.serveDone)
-	s.mu.Lock()
-	s.listener = l
-	if s.keepAlivesDisabled.Load() { // before it began
-		l.Close()
-	}
-	s.mu.Unlock()
+	s.setListener(listener)
 	for {
-		s.drainBacklog()
-		nc, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
+		s.limitBacklogWait()
+		netConn, err := listener.Accept()
+		if err == nil {
+			s.startConn(netConn)
+			continue
 		}
-		if isTimeout(err) { // the end has begun, and nothing waits
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case isTimeout(err): // nothing waits to be accepted
 			if s.shuttingDown.Load() {
-				l.Close()
+				_ = listener.Close()
 			}
-			continue
-		}
-		if err != nil { // out of descriptors, or a client that has gone again
+		default: // out of descriptors, or a client that has disconnected again
 			s.Metrics.Add("accept_errors", 1)
-			time.Sleep(5 * time.Millisecond)
-			continue
+			time.Sleep(acceptRetryInterval)
 		}
-		s.Metrics.Add("connections_taken", 1)
-		s.connections.Add(1)
-		c := s.newConn(nc)
-		s.admit(c)
-		go func() {
-			defer s.connections.Done()
-			c.serve()
-		}()
 	}
 }
 
-// drainBacklog lets one more connection be accepted at the end, if it waits already.
+// setListener keeps the listener for StopAccepting and Shutdown, and closes it if one of them
+// was called before.
+func (s *Server) setListener(listener net.Listener) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = listener
+	if s.keepAlivesDisabled.Load() {
+		_ = listener.Close()
+	}
+}
+
+// limitBacklogWait bounds the next accept once the server shuts down, so that connections
+// that already wait to be accepted are served and the listener is closed after them.
 //
-// Symptom guarded against: a listener that is closed resets what waits to be accepted,
-// with the requests that those connections have brought.
-func (s *Server) drainBacklog() {
+// Symptom guarded against: a listener that is closed resets the connections that wait to be
+// accepted, together with the requests that they have brought.
+func (s *Server) limitBacklogWait() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.shuttingDown.Load() || s.listener == nil {
 		return
 	}
 	until := time.Now().Add(backlogWait)
-	l, ok := s.listener.(interface{ SetDeadline(time.Time) error })
-	if !ok || until.After(s.acceptDeadline) || l.SetDeadline(until) != nil {
-		s.listener.Close()
+	limited, ok := s.listener.(interface{ SetDeadline(time.Time) error })
+	if !ok || until.After(s.acceptDeadline) || limited.SetDeadline(until) != nil {
+		_ = s.listener.Close()
 	}
 }
 
-// admit waits until there is room for one more connection, and makes it.
+// startConn serves an accepted connection on a goroutine of its own, as soon as there is
+// capacity for one more.
+func (s *Server) startConn(netConn net.Conn) {
+	s.Metrics.Add("connections_taken", 1)
+	s.connections.Add(1)
+	c := s.newConn(netConn)
+	s.admit(c)
+	go func() {
+		defer s.connections.Done()
+		c.serve()
+	}()
+}
+
+// admit waits until there is capacity for one more connection, and evicts others for it.
 //
-// Symptom guarded against: connections that say nothing, or that asked once and
-// stay, took all that may be open, and the usual clients waited outside.
+// Symptom guarded against: connections that sent nothing, or that stayed idle after one
+// request, used up all that may be open, and the usual clients were not accepted.
 func (s *Server) admit(c *conn) {
-	for {
-		s.mu.Lock()
-		room := len(s.conns) < max(s.MaxConnections(), 1) || s.shuttingDown.Load() // at the end no more will come
-		if room {
-			s.conns[c] = true
-		} else if v := s.evictionCandidate(); v != nil {
-			s.Metrics.Add("connections_evicted", 1)
-			v.evicted = true
-			v.text.NetConn.SetReadDeadline(time.Now())
-		}
-		s.mu.Unlock()
-		if room {
-			return
-		}
+	for !s.tryAdmit(c) {
 		select {
 		case <-s.connectionClosed:
 		case <-time.After(evictionInterval):
@@ -137,50 +163,85 @@
 	}
 }
 
-// evictionCandidate is the connection that can best be done without, or nil: one that was
-// refused and is still read, then one that has had time for its first request,
-// then the one that is idle for longest. Each is the longest of its kind.
+// tryAdmit adds a connection if there is capacity, and evicts another one if there is none.
+// At shutdown there is always capacity, as no more connections will come.
+func (s *Server) tryAdmit(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) < max(s.MaxConnections(), 1) || s.shuttingDown.Load() {
+		s.conns[c] = true
+		return true
+	}
+	if candidate := s.evictionCandidate(); candidate != nil {
+		s.Metrics.Add("connections_evicted", 1)
+		candidate.evicted = true
+		candidate.setReadTimeout(0)
+	}
+	return false
+}
+
+// evictionCandidate returns the connection to be closed first, or nil if all are in use: one
+// whose request was rejected and which is still read from, then a new one past its grace
+// time, then the one that has been idle for longest. Within a state it is the oldest.
 func (s *Server) evictionCandidate() *conn {
-	var best *conn
+	var first *conn
 	for c := range s.conns {
-		if c.evicted || c.state == stateActive || c.state == stateNew && s.Clock.Now()-c.stateSince < newConnGraceMs {
+		if !c.evictable() {
 			continue
 		}
-		if best == nil || c.state < best.state || c.state == best.state && c.stateSince < best.stateSince {
-			best = c
+		if first == nil || c.state < first.state || c.state == first.state && c.stateSince < first.stateSince {
+			first = c
 		}
 	}
-	return best
+	return first
 }
 
-// FailHealthChecks makes the health check fail; all else goes on.
+// remove forgets a connection that was closed.
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+	select {
+	case s.connectionClosed <- struct{}{}:
+	default:
+	}
+}
+
+// FailHealthChecks makes the health check fail from now on. Requests are served as before.
 func (s *Server) FailHealthChecks() { s.healthChecksFail.Store(true) }
 
-// StopAccepting ends Serve and has every answer end its connection. What is open goes
-// on, and what waits to be accepted is left to others who hold the socket.
+// StopAccepting ends Serve and lets every response close its connection. Open requests are
+// served. Connections that wait to be accepted are left to the other processes that hold
+// the listening socket.
 func (s *Server) StopAccepting() {
 	s.keepAlivesDisabled.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.listener != nil {
-		s.listener.Close()
+		_ = s.listener.Close()
 	}
 }
 
-// Shutdown ends Serve, closes idle connections, lets the others finish what is
-// open on them and returns when all are closed.
+// Shutdown ends Serve after the connections that wait to be accepted, closes idle
+// connections, waits until the others have been served, and returns once all are closed.
+// Serve must have been called, or be called later.
 func (s *Server) Shutdown() {
+	s.beginShutdown()
+	s.limitBacklogWait()
+	<-s.serveDone
+	s.connections.Wait()
+}
+
+// beginShutdown ends the wait of connections that have no request.
+func (s *Server) beginShutdown() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.keepAlivesDisabled.Store(true)
 	s.shuttingDown.Store(true)
 	s.acceptDeadline = time.Now().Add(maxBacklogWait)
 	for c := range s.conns {
 		if c.state != stateActive && !c.receiving {
-			c.text.NetConn.SetReadDeadline(time.Now().Add(clock.Duration(c.shutdownReadTimeout())))
+			c.setReadTimeout(c.shutdownReadTimeoutMs())
 		}
 	}
-	s.mu.Unlock()
-	s.drainBacklog() // the listener, if there is one already
-	<-s.serveDone
-	s.connections.Wait()
 }
