Shape of dnsfront: one step a function, named constants, doc comments

The interfaces of dispatch that Server implements are asserted. Nothing on the wire, no key and no error text changes.

--- a/internal/frontend/dnsfront/config.go
+++ b/internal/frontend/dnsfront/config.go
@@ -1,7 +1,6 @@
 package dnsfront
 
 import (
-	"errors"
 	"fmt"
 	"net/netip"
 	"os"
@@ -10,8 +9,8 @@
 	"github.com/miekg/dns"
 )
 
-// Config is the dns block of the operators' file, or the older file of the front
-// alone. deploy/garnetline.hcl documents the keys.
+// Config is the dns block of the operators' configuration, and the content of the older file
+// for DNS alone. deploy/garnetline.hcl documents the keys.
 type Config struct {
 	Enabled        bool    `toml:"enabled" hcl:"enabled,optional"`
 	Listen         string  `toml:"listen" hcl:"listen,optional"`
@@ -21,36 +20,49 @@
 	MaxConnections int     `toml:"max_connections" hcl:"max_connections,optional"`
 }
 
-// DefaultConfig is what holds where a key is not given: the front is off.
+// Upper bounds of the configured values.
+const (
+	timeoutLimitMs   = 60_000
+	inflightLimit    = 4096
+	connectionsLimit = 256
+)
+
+// DefaultConfig returns the values of keys that are not given. DNS is off.
 func DefaultConfig() Config {
-	return Config{Listen: "127.0.0.1:5353", Zone: "garnetline.local.", TimeoutMs: 1000, MaxInflight: 256, MaxConnections: 32}
+	return Config{
+		Listen:         "127.0.0.1:5353",
+		Zone:           "garnetline.local.",
+		TimeoutMs:      1000,
+		MaxInflight:    256,
+		MaxConnections: 32,
+	}
 }
 
-// LoadConfig reads a file of the front alone. Without one the front is off.
+// LoadConfig reads the older file for DNS alone. Without a path it returns the defaults.
 func LoadConfig(path string) (Config, error) {
-	c := DefaultConfig()
+	config := DefaultConfig()
 	if path == "" {
-		return c, nil
+		return config, nil
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return c, err
+		return config, err
 	}
-	meta, err := toml.Decode(string(text), &c)
+	meta, err := toml.Decode(string(text), &config)
 	if err != nil {
-		return c, fmt.Errorf("%s: %w", path, err)
+		return config, fmt.Errorf("%s: %w", path, err)
 	}
-	if rest := meta.Undecoded(); len(rest) > 0 {
-		return c, fmt.Errorf("%s: %s: unknown key", path, rest[0])
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return config, fmt.Errorf("%s: %s: unknown key", path, unknown[0])
 	}
-	if err := c.Validate(); err != nil {
-		return c, fmt.Errorf("%s: %w", path, err)
+	if err := config.Validate(); err != nil {
+		return config, fmt.Errorf("%s: %w", path, err)
 	}
-	return c, nil
+	return config, nil
 }
 
-// Validate tells whether the values can be used, and brings the zone to its one form.
-// An error begins with the field.
+// Validate checks the values and brings the zone into its canonical form. An error begins
+// with the key at fault.
 func (c *Config) Validate() error {
 	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -59,13 +71,14 @@
 		return fmt.Errorf("zone: %q is not a zone of its own", c.Zone)
 	}
 	c.Zone = dns.CanonicalName(c.Zone)
+	timeoutInRange := c.TimeoutMs >= 1 && c.TimeoutMs <= timeoutLimitMs // false for NaN
 	switch {
-	case !(c.TimeoutMs >= 1 && c.TimeoutMs <= 60_000):
-		return fmt.Errorf("patience_ms: %v, want 1 to 60000", c.TimeoutMs)
-	case c.MaxInflight < 1 || c.MaxInflight > 4096:
-		return errors.New("max_inflight: want 1 to 4096")
-	case c.MaxConnections < 1 || c.MaxConnections > 256:
-		return errors.New("max_connections: want 1 to 256")
+	case !timeoutInRange:
+		return fmt.Errorf("patience_ms: %v, want 1 to %d", c.TimeoutMs, timeoutLimitMs)
+	case c.MaxInflight < 1 || c.MaxInflight > inflightLimit:
+		return fmt.Errorf("max_inflight: want 1 to %d", inflightLimit)
+	case c.MaxConnections < 1 || c.MaxConnections > connectionsLimit:
+		return fmt.Errorf("max_connections: want 1 to %d", connectionsLimit)
 	}
 	return nil
 }
--- a/internal/frontend/dnsfront/name.go
+++ b/internal/frontend/dnsfront/name.go
@@ -9,42 +9,61 @@
 	"garnetline/routing"
 )
 
-// query is a parsed name.
+const (
+	groupPrefix    = "g"
+	objectIDLength = 16 // hexadecimal digits
+
+	unknownClass = -1
+	unknownGroup = -1
+)
+
+// query is what a name asks for.
 type query struct {
 	class  int
 	object routing.ObjectID
 	chunk  int
-	group  int // -1: the name does not tell it
+	group  int // unknownGroup if the name does not carry it
 }
 
-// parseName reads the part of a name before the zone.
-func (s *Server) parseName(rest string) (query, int) {
-	l := query{class: -1, group: -1}
-	words := strings.Split(rest, ".")
-	if len(words) == 4 && strings.HasPrefix(words[2], "g") {
-		n, err := strconv.ParseUint(words[2][1:], 10, 8)
+// parseName reads a name without its zone. The result code is that of the answer if the name
+// cannot be used, and dns.RcodeSuccess otherwise.
+func (s *Server) parseName(name string) (query, int) {
+	parsed := query{class: unknownClass, group: unknownGroup}
+	labels := strings.Split(name, ".")
+	if len(labels) == 4 && strings.HasPrefix(labels[2], groupPrefix) {
+		group, err := strconv.ParseUint(labels[2][len(groupPrefix):], 10, 8)
 		if err != nil {
-			return l, dns.RcodeFormatError
+			return parsed, dns.RcodeFormatError
 		}
-		l.group = int(n)
-		words = append(words[:2], words[3])
+		parsed.group = int(group)
+		labels = append(labels[:2], labels[3])
 	}
-	if len(words) != 3 {
-		return l, dns.RcodeFormatError
+	if len(labels) != 3 {
+		return parsed, dns.RcodeFormatError
 	}
-	part, err := strconv.ParseUint(words[0], 10, 31)
-	object, err2 := strconv.ParseUint(words[1], 16, 64)
-	if err != nil || err2 != nil || len(words[1]) != 16 || object == 0 {
-		return l, dns.RcodeFormatError
+	chunk, err := strconv.ParseUint(labels[0], 10, 31)
+	if err != nil {
+		return parsed, dns.RcodeFormatError
 	}
-	l.chunk, l.object = int(part), routing.ObjectID(object)
-	for i, k := range s.Classes() {
-		if strings.EqualFold(k.Name, words[2]) {
-			l.class = i
-		}
+	object, err := strconv.ParseUint(labels[1], 16, 64)
+	if err != nil || len(labels[1]) != objectIDLength || object == 0 {
+		return parsed, dns.RcodeFormatError
 	}
-	if l.class < 0 {
-		return l, dns.RcodeNameError
+	parsed.chunk = int(chunk)
+	parsed.object = routing.ObjectID(object)
+	if parsed.class = s.findClass(labels[2]); parsed.class == unknownClass {
+		return parsed, dns.RcodeNameError
+	}
+	return parsed, dns.RcodeSuccess
+}
+
+// findClass returns the index of a class by its name, in which case does not matter.
+func (s *Server) findClass(name string) int {
+	index := unknownClass
+	for i, class := range s.Classes() {
+		if strings.EqualFold(class.Name, name) {
+			index = i
+		}
 	}
-	return l, dns.RcodeSuccess
+	return index
 }
--- /dev/null
+++ b/internal/frontend/dnsfront/select.go
@@ -0,0 +1,76 @@
+package dnsfront
+
+import (
+	"net/netip"
+	"time"
+
+	"garnetline/internal/clock"
+	"garnetline/internal/dispatch"
+	"garnetline/routing"
+)
+
+// selection is the server that a query is answered with.
+type selection struct {
+	server  routing.ServerID
+	address netip.AddrPort
+}
+
+// selectServer has the dispatcher select a server. It returns false if there is none that may
+// be used now.
+func (s *Server) selectServer(q query) (selection, bool) {
+	if s.mayBeStale(q) {
+		return selection{}, false
+	}
+	response, ok := s.dispatch(q)
+	if !ok || response.Kind != dispatch.Served {
+		return selection{}, false
+	}
+	// Checked again, since the endpoint list may have changed meanwhile.
+	if s.Guard().Excludes(response.Server) || s.mayBeStale(q) {
+		return selection{}, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	address, ok := s.addresses[response.Server]
+	if !ok || !address.Addr().Is4() {
+		return selection{}, false
+	}
+	s.targetExpiry[response.Server] = s.Clock.Now() + targetLifetimeMs
+	return selection{server: response.Server, address: address}, true
+}
+
+// dispatch submits a query as a request and waits for the response. The dispatcher responds
+// by the deadline; the wait is bounded in case it stops meanwhile.
+func (s *Server) dispatch(q query) (dispatch.Response, bool) {
+	responses := make(chan dispatch.Response, 1)
+	request := &dispatch.Request{
+		Class:     q.class,
+		Object:    q.object,
+		Chunk:     q.chunk,
+		Group:     max(q.group, 0),
+		Transport: s,
+		Deadline:  s.Clock.Now() + s.TimeoutMs,
+		Respond:   func(response dispatch.Response) { responses <- response },
+	}
+	if !s.Dispatcher.Submit(request) {
+		return dispatch.Response{}, false
+	}
+	timer := time.NewTimer(clock.Duration(s.TimeoutMs) + ioTimeout)
+	defer timer.Stop()
+	select {
+	case response := <-responses:
+		return response, true
+	case <-timer.C:
+		s.Dispatcher.Disconnect(request)
+		return dispatch.Response{}, false
+	}
+}
+
+// mayBeStale reports whether caches may hold copies of the object from before a purge. A DNS
+// answer cannot limit the age of a copy, so no server may be named meanwhile.
+func (s *Server) mayBeStale(q query) bool {
+	if s.Classes()[q.class].Write {
+		return false
+	}
+	return s.Guard().MayBeStale(clock.Duration(s.Clock.Now()), q.object, q.group)
+}
--- a/internal/frontend/dnsfront/server.go
+++ b/internal/frontend/dnsfront/server.go
@@ -1,13 +1,16 @@
-// Package dns is the front that answers name lookups: a name carries class,
-// object and part, and the answer is the box that the core chose for them. It
-// is off unless an operator's file switches it on.
+// Package dnsfront answers DNS queries with the server that the dispatcher selects: a name
+// carries class, object and chunk. It is off unless the operators' configuration enables it.
 //
 // Names have the form
 //
-//	PART.OBJECT[.gGROUP].CLASS.ZONE
+//	CHUNK.OBJECT[.gGROUP].CLASS.ZONE
 //
-// as in 3.7f3a9c21e0b4d655.g17.video-part.garnetline.local. An A lookup gives
-// the address; SRV gives the port too, and a target that resolves for a second.
+// as in 3.7f3a9c21e0b4d655.g17.video-part.garnetline.local. The answer to an A query is the
+// address of the server. An SRV query is answered with the port too, and with a target name
+// that resolves for a second.
+//
+// A Server owns its sockets and the addresses of the listed servers. Queries are handled on
+// goroutines of the DNS library; all methods may be called from any goroutine.
 package dnsfront
 
 import (
@@ -31,14 +34,16 @@
 
 const (
 	recordTTL        = 0      // seconds; with 1 an answer could outlive a drain
-	targetLifetimeMs = 1000.0 // ms for which the target of an SRV answer resolves
+	targetLifetimeMs = 1000.0 // for which the target of an SRV answer resolves
 	ioTimeout        = 2 * time.Second
 	idleTimeout      = 4 * time.Second
 )
 
-// Dispatcher is what the front needs of the core.
+// Dispatcher takes the requests that queries stand for.
 type Dispatcher interface {
+	// Submit hands a request over. It returns false if the dispatcher has stopped.
 	Submit(*dispatch.Request) bool
+	// Disconnect reports that nobody waits for the response to a request any more.
 	Disconnect(*dispatch.Request)
 }
 
@@ -47,127 +52,112 @@
 	Config
 	Clock      clock.Clock
 	Dispatcher Dispatcher
-	Classes    func() []routing.Class // as of now; their names and places do not change
-	Guard      func() *routing.Guard
-	Metrics    *metrics.Registry
+
+	// Classes returns the classes of the current configuration. Their names and order do
+	// not change while the server runs.
+	Classes func() []routing.Class
+	Guard   func() *routing.Guard // the latest one
+	Metrics *metrics.Registry
 }
 
-// Server answers lookups over UDP and TCP. It is a carrier too: the attempt of
-// a lookup is over once its box is named.
+// Server answers queries over UDP and TCP. It is also the dispatch.Transport of their
+// requests: an attempt is complete once its server is selected, as the client connects to
+// the server by itself.
 type Server struct {
 	Options
-	slots chan struct{}
+	slots chan struct{} // one for each query that may wait for the dispatcher
 	udp   *dns.Server
 	tcp   *dns.Server
 
 	mu           sync.Mutex
 	addresses    map[routing.ServerID]netip.AddrPort
-	targetExpiry map[routing.ServerID]float64 // until when an SRV target resolves
+	targetExpiry map[routing.ServerID]float64 // until when a server's SRV target resolves
 }
 
-// New returns a server that has not been started.
+var (
+	_ dispatch.Transport        = (*Server)(nil)
+	_ dispatch.EndpointListener = (*Server)(nil)
+)
+
+// New returns a server that does not listen yet.
 func New(o Options) *Server {
-	return &Server{Options: o, slots: make(chan struct{}, max(o.MaxInflight, 1)),
-		addresses: map[routing.ServerID]netip.AddrPort{}, targetExpiry: map[routing.ServerID]float64{}}
+	return &Server{
+		Options:      o,
+		slots:        make(chan struct{}, max(o.MaxInflight, 1)),
+		addresses:    map[routing.ServerID]netip.AddrPort{},
+		targetExpiry: map[routing.ServerID]float64{},
+	}
 }
 
-// Start listens on UDP and TCP and serves until Stop. It returns the address
-// taken, which tells the port where the configuration has 0.
+// Start listens on UDP and TCP and answers queries until Shutdown. It returns the address in
+// use, which has the port that was taken where the configured one is 0.
 func (s *Server) Start() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", s.Listen)
+	listener, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return netip.AddrPort{}, fmt.Errorf("dns: listen: %w", err)
 	}
-	at := l.Addr().(*net.TCPAddr).AddrPort()
-	pc, err := net.ListenPacket("udp", at.String())
+	address := listener.Addr().(*net.TCPAddr).AddrPort()
+	packetConn, err := net.ListenPacket("udp", address.String())
 	if err != nil {
-		l.Close()
-		return at, fmt.Errorf("dns: listen: %w", err)
+		_ = listener.Close()
+		return address, fmt.Errorf("dns: listen: %w", err)
 	}
-	idle := func() time.Duration { return idleTimeout }
-	s.udp = &dns.Server{PacketConn: pc, Handler: s, ReadTimeout: ioTimeout, WriteTimeout: ioTimeout}
-	s.tcp = &dns.Server{Listener: netutil.LimitListener(l, max(s.MaxConnections, 1)), Handler: s, ReadTimeout: ioTimeout,
-		WriteTimeout: ioTimeout, IdleTimeout: idle}
-	var up sync.WaitGroup
-	for _, d := range []*dns.Server{s.udp, s.tcp} {
-		up.Add(1)
-		d.NotifyStartedFunc = up.Done
-		go d.ActivateAndServe()
+	s.udp = &dns.Server{
+		PacketConn:   packetConn,
+		Handler:      s,
+		ReadTimeout:  ioTimeout,
+		WriteTimeout: ioTimeout,
 	}
-	up.Wait()
-	return at, nil
+	s.tcp = &dns.Server{
+		Listener:     netutil.LimitListener(listener, max(s.MaxConnections, 1)),
+		Handler:      s,
+		ReadTimeout:  ioTimeout,
+		WriteTimeout: ioTimeout,
+		IdleTimeout:  func() time.Duration { return idleTimeout },
+	}
+	var started sync.WaitGroup
+	for _, server := range []*dns.Server{s.udp, s.tcp} {
+		started.Add(1)
+		server.NotifyStartedFunc = started.Done
+		go func() { _ = server.ActivateAndServe() }()
+	}
+	started.Wait()
+	return address, nil
 }
 
-// Shutdown ends both listeners once what is open is answered, or ctx ends.
+// Shutdown closes the sockets once the open queries are answered, or ctx is done.
 func (s *Server) Shutdown(ctx context.Context) error {
 	return errors.Join(s.udp.ShutdownContext(ctx), s.tcp.ShutdownContext(ctx))
 }
 
-// UpdateEndpoints keeps the boxes' addresses.
+// UpdateEndpoints keeps the addresses of the listed servers.
 func (s *Server) UpdateEndpoints(ev platformconfig.WatchEvent) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ev.Snapshot {
 		clear(s.addresses)
 	}
-	for _, h := range ev.Endpoints {
-		if s.addresses[h.ID] = h.Addr; h.Phase == routing.Removed {
-			delete(s.addresses, h.ID)
+	for _, endpoint := range ev.Endpoints {
+		if endpoint.Phase == routing.Removed {
+			delete(s.addresses, endpoint.ID)
+		} else {
+			s.addresses[endpoint.ID] = endpoint.Addr
 		}
 	}
 }
 
-// Send names the box of an attempt.
-func (s *Server) Send(a *dispatch.Attempt) *dispatch.Completion {
-	if g := s.Guard(); g.Excludes(a.Decision.Server) || g.Excludes(a.Decision.FillSource) {
-		return dispatch.Unsent(a, routing.NotSent)
+// Send completes an attempt with the server that was selected for it, unless that server may
+// not be used any more.
+func (s *Server) Send(attempt *dispatch.Attempt) *dispatch.Completion {
+	guard := s.Guard()
+	if guard.Excludes(attempt.Decision.Server) || guard.Excludes(attempt.Decision.FillSource) {
+		return dispatch.Unsent(attempt, routing.NotSent)
 	}
-	return dispatch.Resolved(a)
+	return dispatch.Resolved(attempt)
 }
 
-// Cancel has nothing to give up: no attempt is out after Send.
+// Cancel does nothing: no attempt is in flight after Send.
 func (s *Server) Cancel(*dispatch.Attempt) {}
 
-// Release has nothing to book either.
+// Release does nothing: Send keeps nothing of an attempt.
 func (s *Server) Release(*dispatch.Attempt) {}
-
-// selectServer has the core choose a box.
-func (s *Server) selectServer(l query) (netip.AddrPort, routing.ServerID, bool) {
-	if s.mayBeStale(l) {
-		return netip.AddrPort{}, 0, false
-	}
-	answers := make(chan dispatch.Response, 1)
-	r := &dispatch.Request{Class: l.class, Object: l.object, Chunk: l.chunk, Group: max(l.group, 0), Transport: s,
-		Deadline: s.Clock.Now() + s.TimeoutMs, Respond: func(a dispatch.Response) { answers <- a }}
-	if !s.Dispatcher.Submit(r) {
-		return netip.AddrPort{}, 0, false
-	}
-	// The core answers by the deadline; the wait here is bounded for the case
-	// that it stops meanwhile.
-	wait := time.NewTimer(clock.Duration(s.TimeoutMs) + ioTimeout)
-	defer wait.Stop()
-	var a dispatch.Response
-	select {
-	case a = <-answers:
-	case <-wait.C:
-		s.Dispatcher.Disconnect(r)
-	}
-	// Held against the change log once more: the answer leaves now.
-	if a.Kind != dispatch.Served || s.Guard().Excludes(a.Server) || s.mayBeStale(l) {
-		return netip.AddrPort{}, 0, false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	at, ok := s.addresses[a.Server]
-	if ok && at.Addr().Is4() {
-		s.targetExpiry[a.Server] = s.Clock.Now() + targetLifetimeMs
-		return at, a.Server, true
-	}
-	return at, 0, false
-}
-
-// mayBeStale tells whether old copies of the object may lie about. A DNS answer
-// cannot say how old a copy may be, so no box may be named meanwhile.
-func (s *Server) mayBeStale(l query) bool {
-	return !s.Classes()[l.class].Write && s.Guard().MayBeStale(clock.Duration(s.Clock.Now()), l.object, l.group)
-}
