--- a/internal/frontend/httpfront/bench_test.go
+++ b/internal/frontend/httpfront/bench_test.go
@@ -8,12 +8,6 @@
 	"garnetline/internal/dispatch"
 )
 
-// immediateDispatcher is a core that answers in Submit and keeps nothing.
-type immediateDispatcher struct{ response dispatch.Response }
-
-func (c *immediateDispatcher) Submit(r *dispatch.Request) bool { r.Respond(c.response); return true }
-func (c *immediateDispatcher) Disconnect(*dispatch.Request)    {}
-
 // BenchmarkRequest measures one request and its answer over a kept loopback connection.
 // The client allocates nothing, so that allocations are the front's alone.
 func BenchmarkRequest(b *testing.B) {
@@ -67,15 +61,3 @@
 		}
 	}
 }
-
-// repeatingReader brings one text again and again.
-type repeatingReader struct {
-	text string
-	at   int
-}
-
-func (r *repeatingReader) Read(p []byte) (int, error) {
-	n := copy(p, r.text[r.at:])
-	r.at = (r.at + n) % len(r.text)
-	return n, nil
-}
--- a/internal/frontend/httpfront/lifecycle_test.go
+++ b/internal/frontend/httpfront/lifecycle_test.go
@@ -6,101 +6,87 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
-	"garnetline/internal/clock"
 	"garnetline/internal/dispatch"
-	"garnetline/routing"
 )
 
-// waitFor waits for a condition within a wide bound.
-func waitFor(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("not seen in time: " + what)
+// Guards against a handover that cuts connections: their next request is answered,
+// as the last one, and the socket's other holders take what is new.
+func TestStopAccepting(t *testing.T) {
+	s := newServer(&fakeDispatcher{response: dispatch.Response{Kind: dispatch.Served, Body: []byte("x")}})
+	conn := dial(t, s)
+	in := bufio.NewReader(conn)
+	for _, last := range []bool{false, true} {
+		if last {
+			s.StopAccepting()
+			<-s.serveDone
+		}
+		io.WriteString(conn, getRequest(objectTarget))
+		r, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if io.Copy(io.Discard, r.Body); r.StatusCode != 200 || r.Close != last {
+			t.Errorf("handed over %v: status %d, close %v", last, r.StatusCode, r.Close)
 		}
 	}
 }
 
-// readResponse reads the next answer and wants it whole, with a body.
-func readResponse(t *testing.T, in *bufio.Reader, body string) *http.Response {
-	t.Helper()
-	r, err := http.ReadResponse(in, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if b, err := io.ReadAll(r.Body); err != nil || string(b) != body {
-		t.Fatalf("%d bytes of %d: %v", len(b), len(body), err)
-	}
-	return r
-}
-
-// Guards against a watcher that stops at the first byte of what comes next: a client that
-// wrote more and then left was not missed, and its request was sent on.
-func TestDisconnectAfterReadAhead(t *testing.T) {
-	for name, more := range map[string]string{"a byte": "G", "a request": getRequest(objectTarget), "requests": strings.Repeat(getRequest(objectTarget), 100),
-		"more than is kept": strings.Repeat("x", 3*maxReadAheadBytes)} {
-		t.Run(name, func(t *testing.T) {
-			f := &fakeDispatcher{hold: true}
-			s := newServer(f)
-			conn := dial(t, s)
-			if _, err := io.WriteString(conn, getRequest(objectTarget)); err != nil {
-				t.Fatal(err)
-			}
-			waitFor(t, "the request is taken", func() bool { return f.count() == 1 })
-			if _, err := io.WriteString(conn, more); err != nil {
-				t.Fatal(err)
-			}
-			conn.Close()
-			select {
-			case r := <-f.disconnected:
-				if r != f.request(0) {
-					t.Error("another request was left")
-				}
-			case <-time.After(20 * time.Second):
-				t.Error("that the client left was not told")
-			}
-			waitFor(t, "its connection is given back", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.conns) == 0 })
-			if f.count() != 1 {
-				t.Errorf("%d requests were taken", f.count())
-			}
-		})
-	}
-}
-
-// What waits behind an open request is answered in turn, with the time that its client had
-// when it came; one that sends without end has its answer, as the last on its connection.
-func TestPipelinedRequests(t *testing.T) {
-	f := &fakeDispatcher{hold: true}
+// After Stopping the health check fails and requests are served on; Finish
+// lets what is open end and closes the connection behind it.
+func TestHealthCheckAndShutdown(t *testing.T) {
+	f := &fakeDispatcher{response: dispatch.Response{Kind: dispatch.Served, Body: []byte("x")}}
 	s := newServer(f)
-	clk := s.Clock.(*clock.Manual)
 	conn := dial(t, s)
 	in := bufio.NewReader(conn)
-	two := strings.Replace(getRequest(objectTarget), "2d41", "2d42", 1)
-	io.WriteString(conn, getRequest(objectTarget)+two) // in one piece: the second is read with the first
-	waitFor(t, "the request is taken", func() bool { return f.count() == 1 })
-	clk.Advance(700)
-	f.request(0).Respond(dispatch.Response{Kind: dispatch.Served, Body: []byte("1")})
-	readResponse(t, in, "1")
-	waitFor(t, "the next is taken", func() bool { return f.count() == 2 })
-	if q := f.request(1); q.Deadline != 1.7e12+1500-responseMarginMs {
-		t.Errorf("the second has until %v, as if it had come later than it did", q.Deadline-1.7e12)
-	}
-	io.WriteString(conn, strings.Repeat("x", 2*maxReadAheadBytes))
-	waitFor(t, "more than is kept has come", func() bool {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for c := range s.conns {
-			return c.text.Discarded()
+	ask := func(text string) *http.Response {
+		t.Helper()
+		if _, err := io.WriteString(conn, text); err != nil {
+			t.Fatal(err)
 		}
-		return false
-	})
-	f.request(1).Respond(dispatch.Response{Kind: dispatch.Served, Body: []byte("2")})
-	if r := readResponse(t, in, "2"); !r.Close {
-		t.Error("a connection that cannot be read on is kept")
+		r, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, r.Body)
+		return r
+	}
+	health := "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+	if r := ask(health); r.StatusCode != 200 {
+		t.Error("not healthy:", r.Status)
+	}
+	s.FailHealthChecks()
+	if r := ask(health); r.StatusCode != 503 {
+		t.Error("still healthy:", r.Status)
+	}
+	if r := ask(getRequest(objectTarget)); r.StatusCode != 200 || r.Close {
+		t.Error("not served while stopping:", r.Status)
 	}
+	answer := f.response
+	f.setResponse(answer, true)
+	if _, err := io.WriteString(conn, getRequest(objectTarget)); err != nil {
+		t.Fatal(err)
+	}
+	for f.count() < 2 {
+		time.Sleep(time.Millisecond) // until the request is taken; bounded by the test's own limit
+	}
+	done := make(chan bool)
+	go func() {
+		s.Shutdown()
+		close(done)
+	}()
+	for !s.keepAlivesDisabled.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	f.request(1).Respond(answer)
+	r, err := http.ReadResponse(in, nil)
+	if err != nil || r.StatusCode != 200 || !r.Close {
+		t.Errorf("open at the end: %v %v", r, err)
+	}
+	<-done
 }
 
 // Guards against a listener that is closed on connections which wait to be accepted, while
@@ -135,26 +121,51 @@
 	<-done
 }
 
-// gatedConn is a connection each of whose reads waits for a gate, and which tells of read
-// deadlines.
-type gatedConn struct {
-	*net.TCPConn
-	gate        chan bool
-	deadlineSet chan bool
-}
-
-func (g *gatedConn) Read(p []byte) (int, error) {
-	<-g.gate
-	return g.TCPConn.Read(p)
-}
-
-func (g *gatedConn) SetReadDeadline(t time.Time) error {
-	err := g.TCPConn.SetReadDeadline(t)
-	select {
-	case g.deadlineSet <- true:
-	default:
+// Guards against a request that is read behind the last answer on its connection: it would
+// be sent on, and its answer could not be given.
+func TestNoRequestReadAfterFinalResponse(t *testing.T) {
+	for name, c := range map[string]struct {
+		text  string
+		end   func(*testing.T, *Server)
+		taken int
+	}{
+		"the client ends it":     {getRequest(objectTarget, "Connection: close"), nil, 1},
+		"it could not be read":   {"hello\r\n\r\n", nil, 0},
+		"the router hands over":  {getRequest(objectTarget), func(_ *testing.T, s *Server) { s.StopAccepting() }, 1},
+		"the router ends":        {getRequest(objectTarget), func(t *testing.T, s *Server) { go s.Shutdown(); waitFor(t, "the end", s.shuttingDown.Load) }, 1},
+		"it is to make room":     {getRequest(objectTarget), evictAll, 1},
+		"too much waits to read": {getRequest(objectTarget) + strings.Repeat("x", 2*maxReadAheadBytes), waitReadAheadOverflow, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &fakeDispatcher{hold: true}
+			s := newServer(f)
+			conn := dial(t, s)
+			conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+			io.WriteString(conn, c.text+getRequest(objectTarget)) // the second waits already
+			waitFor(t, "the first is taken", func() bool { return f.count() == c.taken })
+			if c.end != nil {
+				c.end(t, s)
+			}
+			if c.taken > 0 {
+				f.request(0).Respond(dispatch.Response{Kind: dispatch.Served, Body: []byte("x")})
+			}
+			in := bufio.NewReader(conn)
+			r, err := http.ReadResponse(in, nil)
+			if err != nil || !r.Close {
+				t.Fatalf("%v %v", r, err)
+			}
+			io.Copy(io.Discard, r.Body)
+			io.WriteString(conn, getRequest(objectTarget)) // this side of the connection is shut
+			if b, err := in.ReadByte(); err == nil {
+				t.Errorf("%q behind the last answer", b)
+			}
+			conn.Close()
+			waitFor(t, "it is given back", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.conns) == 0 })
+			if f.count() != c.taken {
+				t.Errorf("%d requests were taken, want %d", f.count(), c.taken)
+			}
+		})
 	}
-	return err
 }
 
 // Guards against a request that came whole at the moment at which an idle connection is
@@ -219,21 +230,34 @@
 	}
 }
 
-// gatedListener accepts one connection as g.
-type gatedListener struct {
-	net.Listener
-	conn     *gatedConn
-	accepted chan *gatedConn
-}
-
-func (l *gatedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+// Guards against a new connection that is closed with no answer while its first request
+// lies in the socket: when it is to make room, when all end, and when its time is over.
+func TestFirstRequestCrossesClose(t *testing.T) {
+	for name, end := range map[string]func(*testing.T, *Server){
+		"evicted":  evictAll,
+		"finished": func(t *testing.T, s *Server) { go s.Shutdown(); waitFor(t, "the end", s.shuttingDown.Load) },
+		"too late": func(*testing.T, *Server) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newServer(&fakeDispatcher{response: dispatch.Response{Kind: dispatch.Served, Body: []byte("x")}})
+			g := &gatedConn{gate: make(chan bool), deadlineSet: make(chan bool, 1)}
+			addr := serveHooked(t, s, func(c net.Conn) (net.Conn, error) {
+				g.TCPConn = c.(*net.TCPConn)
+				return g, nil
+			})
+			client := dialAt(t, addr)
+			<-g.deadlineSet // it waits for its first request: the read is at the gate
+			io.WriteString(client, getRequest(objectTarget))
+			waitFor(t, "the request lies in the socket", func() bool { return unreadBytes(t, g.TCPConn) == len(getRequest(objectTarget)) })
+			end(t, s)
+			s.mu.Lock()
+			g.SetReadDeadline(time.Now().Add(-time.Second)) // whatever time it was given is over
+			s.mu.Unlock()
+			close(g.gate)
+			readResponse(t, bufio.NewReader(client), "x")
+			client.Close()
+		})
 	}
-	l.conn.TCPConn = c.(*net.TCPConn)
-	l.accepted <- l.conn
-	return l.conn, nil
 }
 
 // Guards against an answer that a reset overtakes: the client has sent more than was read
@@ -253,16 +277,22 @@
 	readResponse(t, bufio.NewReader(conn), body)
 }
 
-// An answer may be read as slowly as its client's link lets it, while the client waits.
-func TestWriteTimeout(t *testing.T) {
-	s := newServer(&fakeDispatcher{})
-	classes := []routing.Class{{Deadline: 6 * time.Second}, {Deadline: time.Second}}
-	s.Classes = func() []routing.Class { return classes }
-	now := s.Clock.Now()
-	c := &conn{server: s}
-	for _, x := range []struct{ until, want float64 }{{0, minWriteTimeoutMs}, {now + 500, minWriteTimeoutMs}, {now + 4000, 4000}, {now + 600_000, 6000}} {
-		if got := c.writeTimeoutMs(&request{clientDeadline: x.until}); got != x.want {
-			t.Errorf("waits %v more: %v to write, want %v", x.until-now, got, x.want)
+// Guards against small writes that the system holds back: they would go with a reset.
+func TestNoDelay(t *testing.T) {
+	s := newServer(&fakeDispatcher{hold: true})
+	dial(t, s)
+	waitFor(t, "a connection", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.conns) == 1 })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		raw, err := c.text.NetConn.(syscall.Conn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
 		}
+		raw.Control(func(fd uintptr) {
+			if on, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_NODELAY); err != nil || on == 0 {
+				t.Errorf("TCP_NODELAY is %d, %v", on, err)
+			}
+		})
 	}
 }
--- a/internal/frontend/httpfront/golden_test.go
+++ b/internal/frontend/httpfront/response_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"garnetline/internal/clock"
 	"garnetline/internal/dispatch"
@@ -16,10 +17,59 @@
 	"garnetline/routing"
 )
 
-// stoppedDispatcher is a core that has stopped.
-type stoppedDispatcher struct{ *fakeDispatcher }
+// The answers of the core as the client reads them, one after another on one
+// connection.
+func TestResponses(t *testing.T) {
+	f := &fakeDispatcher{}
+	conn := dial(t, newServer(f))
+	in := bufio.NewReader(conn)
+	for _, c := range []struct {
+		answer dispatch.Response
+		status int
+		name   string
+		value  string
+		body   string
+	}{
+		{dispatch.Response{Kind: dispatch.Served, Body: []byte("a\x00\r\nb"), ETag: "t1"}, 200, "Etag", `"t1"`, "a\x00\r\nb"},
+		{dispatch.Response{Kind: dispatch.NotModified, ETag: "t1"}, 304, "Etag", `"t1"`, ""},
+		{dispatch.Response{Kind: dispatch.Rejected, RetryAfter: 250}, 503, "X-Throttle-Ms", "250", "refused: a retry is harmless\n"},
+		{dispatch.Response{Kind: dispatch.Failed}, 502, "X-Throttle-Ms", "", "failed\n"},
+		{dispatch.Response{Kind: dispatch.DuplicateID}, 409, "X-Throttle-Ms", "", "X-Txn: another request with it is open\n"},
+		{dispatch.Response{Kind: dispatch.Served}, 200, "Content-Length", "0", ""},
+	} {
+		f.setResponse(c.answer, false)
+		if _, err := io.WriteString(conn, getRequest(objectTarget, `If-None-Match: "t1"`, "X-Family: 17", "X-Working-Set-Kb: 412.5")); err != nil {
+			t.Fatal(err)
+		}
+		r, err := http.ReadResponse(in, &http.Request{Method: "GET"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil || r.StatusCode != c.status || r.Header.Get(c.name) != c.value || string(body) != c.body || r.Close {
+			t.Errorf("%+v: %d %v %q %v", c.answer, r.StatusCode, r.Header, body, err)
+		}
+	}
+	q := f.request(0)
+	if q.TransactionID != "9b1f03aa5c7e2d41" || q.Object != 0x7f3a9c21e0b4d655 || q.Chunk != 3 || q.Group != 17 || q.IfNoneMatch != "t1" || q.SizeKB != 412.5 ||
+		q.Deadline != 1.7e12+1500-responseMarginMs {
+		t.Errorf("%+v", q)
+	}
+}
 
-func (stoppedDispatcher) Submit(*dispatch.Request) bool { return false }
+// An answer may be read as slowly as its client's link lets it, while the client waits.
+func TestWriteTimeout(t *testing.T) {
+	s := newServer(&fakeDispatcher{})
+	classes := []routing.Class{{Deadline: 6 * time.Second}, {Deadline: time.Second}}
+	s.Classes = func() []routing.Class { return classes }
+	now := s.Clock.Now()
+	c := &conn{server: s}
+	for _, x := range []struct{ until, want float64 }{{0, minWriteTimeoutMs}, {now + 500, minWriteTimeoutMs}, {now + 4000, 4000}, {now + 600_000, 6000}} {
+		if got := c.writeTimeoutMs(&request{clientDeadline: x.until}); got != x.want {
+			t.Errorf("waits %v more: %v to write, want %v", x.until-now, got, x.want)
+		}
+	}
+}
 
 // exchange sends a text on a new connection and returns the bytes of all answers up to the
 // first final one.
