--- a/internal/frontend/httpfront/limits.go
+++ b/internal/frontend/httpfront/limits.go
@@ -49,7 +49,7 @@
 	minWriteTimeoutMs = 2_000.0
 
 	// lingerTimeoutMs counts from the acceptance of a connection. Until then a client whose
-	// request was rejected before it was read whole is still read from.
+	// request was rejected before it was read completely is still read from.
 	lingerTimeoutMs = 2_800.0
 
 	// largeBodyLingerTimeoutMs is lingerTimeoutMs for a client that announced, or sent, a
--- a/internal/frontend/httpfront/read.go
+++ b/internal/frontend/httpfront/read.go
@@ -50,7 +50,7 @@
 	if err := c.readBody(r); err != nil {
 		return nil, err
 	}
-	// Symptom guarded against: a pipelined request was given the whole time that its client
+	// Symptom guarded against: a pipelined request was given all the time that its client
 	// had when it sent the request, not what was left of it when its turn came.
 	if c.text.ReceivedBytes() || c.lastReadAt == 0 {
 		c.lastReadAt = c.server.Clock.Now()
@@ -165,7 +165,7 @@
 	return nil
 }
 
-// writeContinue lets a client that asked to be told send its body.
+// writeContinue tells a client that expects it to send its body.
 func (c *conn) writeContinue(r *request) error {
 	if !headerHasToken(r.header, "Expect", "100-continue") {
 		return nil
--- a/internal/frontend/httpfront/response.go
+++ b/internal/frontend/httpfront/response.go
@@ -115,7 +115,7 @@
 	return c.writeMessage(r, rejection.status, header, []byte(rejection.message+"\n"))
 }
 
-// rejectUnread writes the response to a request that could not be read whole, and lingers so
+// rejectUnread writes the response to a request that could not be read completely, and lingers so
 // that the client can read it. The time for that counts from the connection's start, however
 // the client spreads its bytes.
 func (c *conn) rejectUnread(err error) {
