--- a/decide/decide.go
+++ b/decide/decide.go
@@ -59,54 +59,6 @@
 // rode tells whether a look failed together with the fill for another request.
 func (a *attempt) rode(n Note) bool { return a.look && n >= SourceRefused && n != NoFillPlace }
 
-// server is all that the router knows of one server.
-type server struct {
-	Server
-	role          role
-	ready, silent bool          // listed as ready; set aside for not answering at all
-	cold          time.Duration // since when it is taken for freshly started
-	fails, rests  int           // failures in a row; how often in a row it was set aside
-	bad           float64       // share of errors in what it has a part in, smoothed
-	broke, judged time.Duration // when a connection broke last, when bad was felt last
-	lag           ratio         // how long it takes over what its bytes need
-	resting       time.Duration // until then it is set aside
-	heard         time.Duration // latest outcome of its own, for a source: latest fill
-	out           int           // attempts that name it and have not ended
-	charges       []rate        // work sent to it lately
-	score         float64       // its place in ranked
-	gate          gate          // rations what is sent to a cache, or the known fills of a source
-}
-
-// attempt is one sending of a request.
-type attempt struct {
-	req        *request
-	n          int
-	to, source *server // source fills a miss; to itself: nobody does
-	sent       time.Duration
-	over, moot bool // it has ended; it is proved not to have run
-	look       bool // only for what a cache holds
-	looks      int  // how often it was seen to take long, though all seemed alive
-	fill, deep bool // for a known miss; for what its parent lacks: rations count them
-	held       bool // its source gives only what it holds
-}
-
-// request is an unfinished request.
-type request struct {
-	Request
-	class          *Class
-	mean           *float64 // sending time of its class, seconds
-	deadline       time.Duration
-	last           time.Duration // until then it may be held
-	inTime         time.Duration // an answer by then earns the full worth
-	hot            float64       // decayed count of its object
-	tries          []*attempt
-	out            int       // tries that have not ended
-	avoid          []*server // that failed this request
-	missed, lacked bool      // a look found no copy; nor has its parent one
-	waiting        bool      // it waits now
-	value          float64   // of serving it, once it was held: worth a second of sending
-}
-
 // Router makes the decisions of one router. It is not safe for concurrent use.
 type Router struct {
 	set      Settings
@@ -148,7 +100,8 @@
 	if err := s.check(); err != nil {
 		return fmt.Errorf("decide: %w", err)
 	}
-	r.set, r.part, r.aim, r.ramps = s, 1, 0, [roles]Ramp{s.Cache, s.Parent, {From: 1}}
+	r.set, r.part, r.aim = s, 1, 0
+	r.ramps = [roles]Ramp{s.Cache, s.Parent, {From: 1}}
 	if len(s.SeatsByZone) > 0 {
 		r.part = 1 / float64(max(s.SeatsByZone[s.Zone], 1))
 	}
@@ -283,8 +236,8 @@
 			sent += c.v
 		}
 	}
-	budget := coldMargin * ramp.Multiple * r.warmth(s, r.now-ramp.Span) * r.carries(s.role) * r.weight(s) *
-		ramp.Span.Seconds()
+	budget := coldMargin * ramp.Multiple * r.warmth(s, r.now-ramp.Span) *
+		r.carries(s.role) * r.weight(s) * ramp.Span.Seconds()
 	lot := r.seed ^ mix(uint64(s.ID)^mix(uint64(r.now/max(ramp.Span, 1))))
 	return sent+work < budget || sent == 0 && uniform(lot) < budget/work
 }
@@ -304,7 +257,8 @@
 
 // charge books work sent to a server; what one that restarted gets unlisted counts.
 func (r *Router) charge(s *server, work float64) {
-	s.charges = slices.DeleteFunc(s.charges, func(c rate) bool { return c.at <= r.now-r.ramps[s.role].Span })
+	span := r.ramps[s.role].Span
+	s.charges = slices.DeleteFunc(s.charges, func(c rate) bool { return c.at <= r.now-span })
 	s.charges = append(s.charges, rate{r.now, work})
 }
 
@@ -382,7 +336,8 @@
 	}
 	c := &r.set.Classes[q.Class]
 	req := &request{Request: q, class: c, mean: &r.means[q.Class], deadline: r.now + q.Left}
-	req.inTime = r.now + min(q.Left, c.Aim+time.Duration(c.AimStretch*float64(r.sending(req))))
+	stretched := c.Aim + time.Duration(c.AimStretch*float64(r.sending(req)))
+	req.inTime = r.now + min(q.Left, stretched)
 	if r.sized(req) { // refused ones count too: the larger are refused more often
 		*req.mean += (q.SizeKB/r.set.FlowKBps - *req.mean) * meanGain
 	}
@@ -460,7 +415,10 @@
 		return false
 	}
 	a := q.ran()
-	return a == nil || q.class.Effect == Safe || q.class.Effect == Keyed && r.now < a.sent+q.class.Window
+	if a == nil || q.class.Effect == Safe {
+		return true
+	}
+	return q.class.Effect == Keyed && r.now < a.sent+q.class.Window
 }
 
 // inGroup tells whether s discards repeats of what q may have run already.
@@ -783,7 +741,8 @@
 
 // learn books an outcome with the servers that had a part in it.
 func (r *Router) learn(a *attempt, o Outcome) {
-	slow := o.Result == TimedOut && a.stuck() || (a.deep || a.req.class.Write) && o.Note == SourceUnreached
+	slow := o.Result == TimedOut && a.stuck() ||
+		(a.deep || a.req.class.Write) && o.Note == SourceUnreached
 	if slow {
 		r.strain(a, max(refused, o.Took.Seconds()/r.aim.Seconds()))
 	}
@@ -940,7 +899,9 @@
 // purged books a purge and forgets those whose older copies are gone.
 func (r *Router) purged(p Purge) {
 	r.purges.Done = r.set.PurgeDone
-	l := slices.DeleteFunc(r.purges.Purges, func(x PurgedAt) bool { return x.At+r.set.PurgeDone < r.now })
+	l := slices.DeleteFunc(r.purges.Purges, func(x PurgedAt) bool {
+		return x.At+r.set.PurgeDone < r.now
+	})
 	r.purges.Purges = append(l, PurgedAt{p.Object, p.Group, r.now - p.Age})
 }
 
--- a/decide/decision_trace_test.go
+++ b/decide/decision_trace_test.go
@@ -31,7 +31,7 @@
 var update = flag.Bool("update", false, "write the golden files anew")
 
 const (
-	traceLines    = 60  // lines at the start of a trace that are kept as text
+	traceLines    = 60   // lines at the start of a trace that are kept as text
 	traceHashStep = 1000 // lines between two hashes
 )
 
