--- /dev/null
+++ b/cmd/garnetline/golden_test.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/urfave/cli/v3"
+
+	"garnetline/internal/fleet/duties"
+	"garnetline/internal/golden"
+)
+
+// Commands, their arguments and their flags are what scripts of the operators rest on.
+func TestCommandsAndFlags(t *testing.T) {
+	var text strings.Builder
+	describeCommand(&text, program(io.Discard), "")
+	golden.Compare(t, "commands.golden", []byte(text.String()))
+}
+
+// The keys under which operators' scripts find the register and the leases held.
+func TestKeysOfTheDutyPage(t *testing.T) {
+	text, err := json.Marshal(dutyPage{Register: &duties.Shown{}, Held: []duties.Lease{{}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	golden.Compare(t, "duties.golden", []byte(string(text)+"\n"))
+}
+
+func describeCommand(out io.Writer, command *cli.Command, parent string) {
+	path := strings.TrimSpace(parent + " " + command.Name)
+	fmt.Fprintln(out, strings.TrimSpace(path+" "+command.ArgsUsage))
+	for _, f := range command.Flags {
+		fmt.Fprintf(out, "    --%s %T\n", strings.Join(f.Names(), " "), f.Get())
+	}
+	for _, sub := range command.Commands {
+		describeCommand(out, sub, path)
+	}
+}
