--- a/routing/events.go
+++ b/routing/events.go
@@ -3,8 +3,8 @@
 // try again and when to refuse. It does no I/O; the caller feeds it events
 // and carries out the actions that it returns.
 //
-// This file is the interface: settings, events and actions. Every decision
-// is in decide.go.
+// This file is the interface: settings, events and actions. The decisions are in
+// the files that deploy/balancer.toml names as policy.
 package routing
 
 import (
--- a/routing/guard.go
+++ b/routing/guard.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Guard is what an attempt is held against once more when it is written: it
 // may have been queued since it was decided. A Guard does not change.
@@ -73,3 +76,18 @@
 func (p PurgeRecord) covers(o ObjectID, group int) bool {
 	return p.Object == o && o != 0 || p.Object == 0 && p.Group == group
 }
+
+// handlePurge books a purge and forgets those whose older copies are gone.
+func (r *Router) handlePurge(p Purge) {
+	r.purgeLog.PurgeRetention = r.settings.PurgeRetention
+	l := slices.DeleteFunc(r.purgeLog.Purges, func(x PurgeRecord) bool {
+		return x.At+r.settings.PurgeRetention < r.now
+	})
+	r.purgeLog.Purges = append(l, PurgeRecord{p.Object, p.Group, r.now - p.Age})
+}
+
+// maxCopyAge returns the oldest copy that will do for q: fresh, and younger than the
+// latest purge of its object or group. 0 means that any will do.
+func (r *Router) maxCopyAge(q *request) time.Duration {
+	return r.purgeLog.MaxAge(r.now, q.class.FreshnessLifetime, q.Object, q.PurgeGroup)
+}
