--- a/cmd/drill/main_test.go
+++ b/cmd/drill/main_test.go
@@ -27,7 +27,7 @@
 	for in, want := range map[string]string{
 		begin:           "line 7: field message: input ends inside a batch",
 		"TURN x\nEND\n": "line 1: field clock_us",
-		"TURN 1\nSELECT 3\nBEGIN 7 areas=a\nEND\n": "instance 3: decide: Classes",
+		"TURN 1\nSELECT 3\nBEGIN 7 areas=a\nEND\n": "instance 3: routing: Classes",
 	} {
 		if err := run(strings.NewReader(in), &bytes.Buffer{}); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("error %v, want %s", err, want)
--- a/internal/platformconfig/config_test.go
+++ b/internal/platformconfig/config_test.go
@@ -58,7 +58,7 @@
 		{`"dial":"127.0.0.2:5050"`, `"dial":"x"`, "known.results[0].fleet.hosts[0].dial"},
 		{`"bucket":17`, `"object":"17"`, "known.results[1].invalidate.object"},
 		{`"invalidate"`, `"other"`, "known.results[1].fleet"},
-		{`"zone":1`, `"zone":7`, "settings: decide: Zone"},
+		{`"zone":1`, `"zone":7`, "settings: routing: Zone"},
 		{`"try_limit":6`, `"try_limit":"x"`, "settings.limits.try_limit"},
 		{`"conn_idle_us":15000000`, `"conn_idle_us":-1`, "settings.limits.conn_idle_us"},
 		{`"max_streams":100`, `"max_streams":0`, "settings.limits.max_streams"},
--- a/routing/decision_trace_test.go
+++ b/routing/decision_trace_test.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"crypto/sha256"
-	"flag"
 	"fmt"
 	"hash"
 	"math"
@@ -15,21 +14,10 @@
 	"testing"
 	"time"
 
+	"garnetline/internal/golden"
 	"garnetline/routing"
 )
 
-// The decision trace pins every decision of the module: a simulated fleet with a fixed seed feeds
-// a router requests, outcomes, timers, list changes and purges, and each action that it returns
-// is printed field by field. The first actions of a scenario are kept as lines, all of them as a
-// running hash. A change of shape or names must leave the files as they are.
-//
-//	go test ./decide -run TestDecisionTrace -update       writes testdata/decisions-*.txt anew
-//	DECISION_TRACE_DIR=/tmp/x go test ./decide -run ...   writes all lines to that folder too
-//
-// The figures come from floating point arithmetic on amd64; a machine that fuses multiplication
-// and addition may decide otherwise.
-var update = flag.Bool("update", false, "write the golden files anew")
-
 const (
 	traceLines    = 60   // lines at the start of a trace that are kept as text
 	traceHashStep = 1000 // lines between two hashes
@@ -632,6 +620,16 @@
 	}
 }
 
+// TestDecisionTrace pins every decision of the package: a simulated fleet with a fixed seed feeds
+// a router requests, outcomes, timers, list changes and purges, and each action that it returns
+// is printed field by field. The first actions of a scenario are kept as lines, all of them as a
+// running hash. A change of shape or names must leave the files as they are.
+//
+//	UPDATE_GOLDEN=1 go test ./routing -run Trace            writes testdata anew
+//	DECISION_TRACE_DIR=/tmp/x go test ./routing -run Trace  writes all lines to that folder too
+//
+// The figures come from floating point arithmetic on amd64; a machine that fuses multiplication
+// and addition may decide otherwise.
 func TestDecisionTrace(t *testing.T) {
 	for _, scenario := range traceScenarios() {
 		t.Run(scenario.name, func(t *testing.T) {
@@ -642,40 +640,11 @@
 					t.Fatal(err)
 				}
 			}
-			compareGolden(t, "decisions-"+scenario.name+".txt", s.trace.kept.String())
+			golden.Compare(t, "decisions-"+scenario.name+".txt", []byte(s.trace.kept.String()))
 		})
 	}
 }
 
-// compareGolden holds a text against a file of testdata, to the byte.
-func compareGolden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if *update {
-		if err := os.MkdirAll("testdata", 0o777); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, []byte(got), 0o666); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if string(want) == got {
-		return
-	}
-	gotLines, wantLines := strings.Split(got, "\n"), strings.Split(string(want), "\n")
-	for i := range min(len(gotLines), len(wantLines)) {
-		if gotLines[i] != wantLines[i] {
-			t.Fatalf("%s, line %d:\n got %s\nwant %s", path, i+1, gotLines[i], wantLines[i])
-		}
-	}
-	t.Fatalf("%s: %d lines, want %d", path, len(gotLines), len(wantLines))
-}
-
 // TestGuardTrace pins what a guard says of purges and of a stale change log.
 func TestGuardTrace(t *testing.T) {
 	second := time.Second
@@ -706,5 +675,5 @@
 	}
 	var none *routing.Guard
 	fmt.Fprintf(text, "no guard barred=%t purged=%t\n", none.Excludes(1), none.MayBeStale(second, 1, 1))
-	compareGolden(t, "guard.txt", text.String())
+	golden.Compare(t, "guard.txt", []byte(text.String()))
 }
--- a/routing/records.go
+++ b/routing/records.go
@@ -2,6 +2,16 @@
 
 import "time"
 
+// role is what a server does for this router.
+type role int
+
+const (
+	cache role = iota
+	parent
+	origin
+	roleCount // how many there are
+)
+
 // server is all that the router knows of one server.
 type server struct {
 	Server
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -126,13 +126,13 @@
 
 func TestNewNamesTheSetting(t *testing.T) {
 	for name, spoil := range map[string]func(*Settings){
-		"Classes":     func(s *Settings) { s.Classes = nil },
-		"Zone":        func(s *Settings) { s.Zone = 3 },
-		"ParentKind":  func(s *Settings) { s.ParentKind = 3 },
-		"OriginKind":  func(s *Settings) { s.OriginKind = -2 },
-		"SeatsByZone": func(s *Settings) { s.RoutersByZone = []int{1} },
-		"MaxAttempts": func(s *Settings) { s.MaxAttempts = 0 },
-		"Deadline":    func(s *Settings) { s.Classes[1].Deadline = 0 },
+		"Classes":       func(s *Settings) { s.Classes = nil },
+		"Zone":          func(s *Settings) { s.Zone = 3 },
+		"ParentKind":    func(s *Settings) { s.ParentKind = 3 },
+		"OriginKind":    func(s *Settings) { s.OriginKind = -2 },
+		"RoutersByZone": func(s *Settings) { s.RoutersByZone = []int{1} },
+		"MaxAttempts":   func(s *Settings) { s.MaxAttempts = 0 },
+		"Deadline":      func(s *Settings) { s.Classes[1].Deadline = 0 },
 	} {
 		s := settings()
 		spoil(&s)
--- a/routing/state.go
+++ b/routing/state.go
@@ -44,7 +44,7 @@
 // UpdateSettings goes over to other settings: what is known of servers and objects stays.
 func (r *Router) UpdateSettings(s Settings) error {
 	if err := s.validate(); err != nil {
-		return fmt.Errorf("decide: %w", err)
+		return fmt.Errorf("routing: %w", err)
 	}
 	r.settings, r.zoneFraction, r.longestObjective, r.slowStarts = s, 1, 0, [roleCount]SlowStart{s.CacheSlowStart, s.ParentSlowStart, {InitialCapacity: 1}}
 	if len(s.RoutersByZone) > 0 {
@@ -82,3 +82,81 @@
 		r.rejectOrFail(q)
 	}
 }
+
+// Handle takes one event and appends the actions that it calls for to out.
+func (r *Router) Handle(now time.Duration, ev Event, out []Action) []Action {
+	r.now, r.actions = now, out
+	switch ev := ev.(type) {
+	case EndpointUpdate:
+		if ev.Failed {
+			r.emit(SetTimer{firstEjectionTime, timerSubscribe})
+		} else {
+			r.handleEndpointUpdate(ev)
+		}
+	case Request:
+		if r.requests[ev.ID] == nil {
+			r.handleRequest(ev)
+		}
+	case Outcome:
+		r.handleOutcome(ev)
+	case TimerFired:
+		r.handleTimer(ev.Token)
+	case Purge:
+		r.handlePurge(ev)
+	case PeerLoadReport:
+		r.handlePeerLoadReport(ev)
+	case ExtendEjection:
+		if s := r.readyServer(ev.Server); s != nil && s.ejections > 0 && ev.Until > s.ejectedUntil {
+			s.ejectedUntil = min(ev.Until, now+maxEjectionExtension)
+		}
+	case RequireProbe:
+		if s := r.readyServer(ev.Server); s != nil && s.ejections == 0 && (s.consecutiveFailures > 0 || now > s.lastResponseAt+recentSuccessWindow) {
+			s.ejections, s.ejectedUntil = 1, now
+		}
+	case ClientDisconnected:
+		if q := r.requests[ev.ID]; q != nil {
+			r.finish(q)
+		}
+	}
+	out, r.actions = r.actions, nil
+	return out
+}
+
+const (
+	maxEjectionExtension = 5 * time.Second        // by which a rest is prolonged at once, at the most
+	recentSuccessWindow  = 500 * time.Millisecond // for so long an answer of a server speaks for it
+)
+
+// readyServer returns a server that is listed as ready; nil: it is not.
+func (r *Router) readyServer(id ServerID) *server {
+	for _, s := range r.servers {
+		if s.ID == id && s.ready {
+			return s
+		}
+	}
+	return nil
+}
+
+// AppendEjected appends the servers that are listed as ready and that this router set aside, or
+// tries again and has not heard of since.
+func (r *Router) AppendEjected(to []ServerID) []ServerID {
+	for _, s := range r.servers {
+		if s.ready && s.ejections > 0 {
+			to = append(to, s.ID)
+		}
+	}
+	return to
+}
+
+// UnavailableCount returns how many servers that are listed as ready are set aside.
+func (r *Router) UnavailableCount() int64 {
+	n := int64(0)
+	for _, s := range r.servers {
+		if s.ready && !r.available(s) {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *Router) emit(a Action) { r.actions = append(r.actions, a) }
