--- a/routing/admission.go
+++ b/routing/admission.go
@@ -6,141 +6,208 @@
 	"time"
 )
 
-// expectedLatency is how long serving q is likely to take where it must wait: by its sending time.
-func (r *Router) expectedLatency(q *request) time.Duration {
-	switch {
-	case q.class.Write:
-		return q.class.LatencyObjective / 2
-	case !q.cacheMissed: // the largest are never in time at that pace, and may wait a little too
-		s, most := r.transferTime(q), q.objectiveAt-q.deadline+q.Timeout-q.class.LatencyObjective/2
-		return max(s, min(secondsToDuration(queuedPace*s.Seconds()), most))
+// enqueue keeps a request back while it can still be in time, else ends it. Its first timer stands:
+// if the latency that is expected of it falls later on, it must not wait for a second one.
+func (r *Router) enqueue(request *request) {
+	if request.valuePerSecond == 0 {
+		request.queueUntil = request.objectiveAt - r.expectedLatency(request)
+		value := request.class.PriorityWeight * min(request.popularity, popularThreshold)
+		request.valuePerSecond = value / max(r.transferTime(request).Seconds(), minQueuedSeconds)
+		r.emit(SetTimer{max(0, request.queueUntil-r.now), timerToken(request, timerQueueExpired)})
+	}
+	if min(request.queueUntil, request.objectiveAt-r.expectedLatency(request)) <= r.now {
+		r.rejectOrFail(request)
+		return
 	}
-	return secondsToDuration(r.fillLatency + max(queuedPace, r.fillPace)*r.transferTime(q).Seconds())
+	request.queued = true
+	r.queue = append(r.queue, request)
 }
 
-// saturated tells whether a cache has as much out from this router as its link sends at full
-// pace, or a part of that. Symptom guarded against: without notes only late answers tell that.
-func (r *Router) saturated(s *server, part float64) bool {
-	return r.countsInflight() &&
-		float64(s.inflight) >= max(inflightFloor(s.limiter.active), r.inflightQuota(s))*part
+// dispatchQueue dispatches the queued requests again, those of the highest value a second first.
+func (r *Router) dispatchQueue() {
+	queue := r.queue
+	r.queue = nil
+	slices.SortStableFunc(queue, func(a, b *request) int {
+		return cmp.Compare(b.valuePerSecond, a.valuePerSecond)
+	})
+	for _, request := range queue {
+		if request.queued {
+			request.queued = false
+			r.dispatch(request)
+		}
+	}
 }
 
-// zoneSaturated tells whether all caches together have as much out from this router as they
-// send. Symptom guarded against: eight routers, each allowed two at a cache that sends
-// six, jammed the link of their location, and what they refused kept it jammed.
-func (r *Router) zoneSaturated() bool {
-	most, out, full := 0.0, 0, false
-	for _, s := range r.readyByRole[cache] {
-		most, out, full = most+r.inflightQuota(s), out+s.inflight, full || s.limiter.active
+// expectedLatency is how long a request that had to queue is likely to take.
+func (r *Router) expectedLatency(request *request) time.Duration {
+	if request.class.Write {
+		return request.class.LatencyObjective / 2
+	}
+	transferTime := r.transferTime(request)
+	if request.cacheMissed {
+		pace := max(queuedPace, r.fillPace)
+		return secondsToDuration(r.fillLatency + pace*transferTime.Seconds())
 	}
-	return r.countsInflight() && float64(out) >= max(inflightFloor(full), most)
+	// The largest are never in time at the queued pace, and may queue a little too.
+	spared := request.objectiveAt - request.deadline + request.Timeout - request.class.LatencyObjective/2
+	return max(transferTime, min(secondsToDuration(queuedPace*transferTime.Seconds()), spared))
 }
 
-// inflightFloor is what a router keeps out however thin its part: one more where no cache is
-// known to be full. Symptom guarded against: a flush made all answers long, eighty
-// routers held at two at once, and a quarter was refused while the caches had room.
-func inflightFloor(full bool) float64 { return choose(full, minInflight, minInflight+extraInflight) }
+// saturated reports whether a cache has as many attempts in flight from this router as its link
+// sends at full pace, or a part of that.
+//
+// Symptom guarded against: without cache status only late responses tell that.
+func (r *Router) saturated(server *server, part float64) bool {
+	if !r.countsInflight() {
+		return false
+	}
+	return float64(server.inflight) >= max(inflightFloor(server.limiter.active), r.inflightQuota(server))*part
+}
 
-// countsInflight tells whether what is out counts against weights.
-func (r *Router) countsInflight() bool {
-	return r.settings.WeightIsCapacity && r.settings.TransferKBPerSecond > 0 && !r.cacheStatusKnown
+// zoneSaturated reports whether all caches together have as many attempts in flight from this
+// router as they send.
+//
+// Symptom guarded against: eight routers, each allowed two at a cache that sends six, jammed the
+// link of their zone, and what they rejected kept it jammed.
+func (r *Router) zoneSaturated() bool {
+	if !r.countsInflight() {
+		return false
+	}
+	quota := 0.0
+	inflight := 0
+	limited := false
+	for _, server := range r.readyByRole[cache] {
+		quota += r.inflightQuota(server)
+		inflight += server.inflight
+		limited = limited || server.limiter.active
+	}
+	return float64(inflight) >= max(inflightFloor(limited), quota)
 }
 
-// inflightQuota is what this router may have out at a cache, all of its location alike.
-func (r *Router) inflightQuota(s *server) float64 {
-	most := overcommitFactor * r.zoneFraction
-	if r.settings.BodyBytesPerSecond > 0 && s.slowdown.value(r.now, slowdownTimeConstant) < saturatedSlowdown {
-		most = max(most, 1) // others have little out there
+// canFailOver reports whether a cache has ample headroom to take a request from its saturated home.
+// Where the quota at one cache is under the least that is always allowed, no object moves.
+func (r *Router) canFailOver(home, candidate *server) bool {
+	if r.zoneFraction*overcommitFactor*home.Weight < minInflight {
+		return false
 	}
-	return most * s.Weight * r.keyFraction(s)
+	return !r.saturated(candidate, failoverHeadroom)
 }
 
-// enqueue keeps a request back while it can be in time. Its first wake-up stands: if
-// its need falls later on, it still must not wait for a second one that never comes.
-func (r *Router) enqueue(q *request) {
-	if q.valuePerSecond == 0 {
-		q.queueUntil = q.objectiveAt - r.expectedLatency(q)
-		q.valuePerSecond = q.class.PriorityWeight * min(q.popularity, popularThreshold) /
-			max(r.transferTime(q).Seconds(), 0.01)
-		r.emit(SetTimer{max(0, q.queueUntil-r.now), uint64(q.ID)<<timerKindBits | timerQueueExpired})
+// inflightFloor is what a router keeps in flight however small its quota: one more where no cache's
+// limiter is active.
+//
+// Symptom guarded against: a purge of everything made all responses late, eighty routers queued at
+// two each at once, and a quarter was rejected while the caches had headroom.
+func inflightFloor(limited bool) float64 {
+	if limited {
+		return minInflight
 	}
-	if min(q.queueUntil, q.objectiveAt-r.expectedLatency(q)) <= r.now {
-		r.rejectOrFail(q)
-		return
+	return minInflight + extraInflight
+}
+
+// countsInflight reports whether attempts in flight can be compared with weights.
+func (r *Router) countsInflight() bool {
+	return r.settings.WeightIsCapacity && r.settings.TransferKBPerSecond > 0 && !r.cacheStatusKnown
+}
+
+// inflightQuota is what this router may have in flight at a cache, all routers of its zone alike.
+func (r *Router) inflightQuota(server *server) float64 {
+	quota := overcommitFactor * r.zoneFraction
+	if r.settings.BodyBytesPerSecond > 0 && r.slowdownOf(server) < saturatedSlowdown {
+		quota = max(quota, 1) // other routers have little in flight there
 	}
-	q.queued = true
-	r.queue = append(r.queue, q)
+	return quota * server.Weight * r.keyFraction(server)
 }
 
-// dispatchQueue tries the held requests again, the most worth a second first.
-func (r *Router) dispatchQueue() {
-	held := r.queue
-	r.queue = nil
-	slices.SortStableFunc(held, func(a, b *request) int {
-		return cmp.Compare(b.valuePerSecond, a.valuePerSecond)
-	})
-	for _, q := range held {
-		if q.queued {
-			q.queued = false
-			r.dispatch(q)
-		}
+// recordPace records how busy a served attempt shows its bottleneck to be.
+func (r *Router) recordPace(attempt *attempt, outcome *Outcome, transfer transfer) {
+	pace := (outcome.Duration - outcome.SourceWait).Seconds() / max(transfer.seconds, minPaceSeconds)
+	switch status := outcome.CacheStatus; {
+	case status == CacheStatusUnknown:
+		// Else rejections alone would be observed, and a limiter never be lifted.
+		attempt.target.limiter.observe(r.now, unknownStatusUtilization, r.zoneFraction)
+	case !transfer.known || status.filled() && r.settings.HitStatusOnly: // the fill's wait is not told
+	case status.filled():
+		r.fillLatency += (outcome.SourceWait.Seconds() - r.fillLatency) * limiterGain / 2
+		r.fillPace += (min(pace, 2*fillPaceTarget) - r.fillPace) * limiterGain / 2
+		hitPace := max(attempt.target.limiter.utilization*hitPaceTarget, 1)
+		attempt.source.limiter.observe(r.now, pace/hitPace/fillPaceTarget, r.zoneFraction)
+	case status == Hit || status == StaleHit:
+		attempt.target.limiter.observe(r.now, pace/hitPaceTarget, r.zoneFraction)
 	}
 }
 
-func (r *Router) handlePeerLoadReport(v PeerLoadReport) {
-	if v.Age < time.Second && v.Load.LinkUtilization >= 0 && containsServer(r.readyByRole[cache], v.Server) {
-		r.linkLimiter.observe(r.now, v.Load.LinkUtilization/linkUtilizationTarget, r.zoneFraction)
+// handlePeerLoadReport uses the report of a cache of this zone if it is recent.
+func (r *Router) handlePeerLoadReport(report PeerLoadReport) {
+	recent := report.Age < peerReportMaxAge && report.Load.LinkUtilization >= 0
+	if recent && containsServer(r.readyByRole[cache], report.Server) {
+		r.recordLinkLoad(report.Load)
 	}
 }
 
-// recordOriginLoad books how full the origin is: for reads at half of what it is for
-// writes, which then still come through.
-func (r *Router) recordOriginLoad(a *attempt, x float64) {
-	r.originLimiter.observe(r.now, x, r.zoneFraction)
-	if a.request.class.Write {
-		a.source.limiter.observe(r.now, x/1.5, r.zoneFraction)
+// recordOriginLoad records how busy the origin is: for writes it counts less than for reads, so
+// that they still come through.
+func (r *Router) recordOriginLoad(attempt *attempt, utilization float64) {
+	r.originLimiter.observe(r.now, utilization, r.zoneFraction)
+	if attempt.request.class.Write {
+		attempt.source.limiter.observe(r.now, utilization/writeHeadroom, r.zoneFraction)
 	}
 }
 
-// limiter rations what shares a bottleneck: a link, a source's known fills, fetches from the
-// origin, writes, or all that is sent to one cache. Symptom guarded against: a full link, or
-// a server that slows; more work made all slower until none was in time. So while it is
-// full a request first looks for a copy; only known misses wait, for a few fills.
+// limiter is an adaptive concurrency limit for what shares a bottleneck: a link, a source's fills,
+// fetches from the origin, writes, or all that is sent to one cache. While it is active a request
+// first looks for a copy; only known misses wait, for a few fills.
+//
+// Symptom guarded against: a full link, or a server that slows: more work made all slower until
+// none was in time.
 type limiter struct {
-	utilization                float64       // how full the bottleneck is, smoothed; 1: as full as it should be
-	active                     bool          // it rations
-	inflight                   int           // what this router has under way there
-	limit                      float64       // how much that may be
-	updatedAt                  time.Duration // when limit was last moved
-	lastStartedAt, pausedUntil time.Duration // when the newest was sent; until then no further one is
+	utilization   float64 // smoothed; 1: as busy as the bottleneck should be
+	active        bool
+	inflight      int           // from this router
+	limit         float64       // of inflight, while active
+	updatedAt     time.Duration // latest change of limit
+	lastStartedAt time.Duration // of the newest
+	pausedUntil   time.Duration // none is admitted before
+}
+
+// admits reports whether one more may start. A limit below one is kept by pauses.
+func (l *limiter) admits(now time.Duration) bool {
+	return !l.active || float64(l.inflight) < max(l.limit, 1) && now >= l.pausedUntil
 }
 
-// admits tells whether there is room for one more. A limit below one is kept by
-// pauses between one and the next.
-func (g *limiter) admits(now time.Duration) bool {
-	return !g.active || float64(g.inflight) < max(g.limit, 1) && now >= g.pausedUntil
+// track adds delta to what is in flight.
+func (l *limiter) track(now time.Duration, delta int) {
+	l.inflight += delta
+	if delta > 0 {
+		l.lastStartedAt = now
+	} else if l.limit < 1 && l.active {
+		l.pausedUntil = now + time.Duration(float64(now-l.lastStartedAt)*(1/l.limit-1))
+	}
 }
 
-// observe takes one observation of how full the bottleneck is. The ration starts from
-// what is out and is lifted only when it was not needed for a while, or all that
-// waits would fill the link again. part is this router's of its location's requests.
-func (g *limiter) observe(now time.Duration, x, part float64) {
-	steps := min(float64((now-g.updatedAt)/limitUpdateInterval), 10)
-	g.utilization += (min(x, 4) - g.utilization) * limiterGain * min(max(steps, 1), 2)
-	if !g.active && g.utilization > limiterActivation {
-		g.active, g.limit = true, max(initialZoneLimit*part, float64(g.inflight))
+// observe takes one observation of the bottleneck's utilization. The limit starts from what is in
+// flight and is lifted only when it was not needed for a while, or all that waits would fill the
+// link again. zoneFraction is the router's part of its zone's requests.
+func (l *limiter) observe(now time.Duration, utilization, zoneFraction float64) {
+	steps := min(float64((now-l.updatedAt)/limitUpdateInterval), maxLimitSteps)
+	weight := min(max(steps, 1), maxObservationSteps)
+	l.utilization += (min(utilization, maxUtilization) - l.utilization) * limiterGain * weight
+	if !l.active && l.utilization > limiterActivation {
+		l.active = true
+		l.limit = max(initialZoneLimit*zoneFraction, float64(l.inflight))
 	}
 	if steps < 1 {
 		return
 	}
-	g.updatedAt = now
-	out := min(float64(g.inflight)+1, g.limit)
+	l.updatedAt = now
+	used := min(float64(l.inflight)+1, l.limit)
 	switch {
-	case g.utilization < limiterActivation/2 && out < max(g.limit, 2)/2:
-		g.active = false
-	case g.utilization > 1:
-		g.limit = max(minZoneLimit*part, g.limit+(out/g.utilization-g.limit)*limiterGain*min(steps, 2.5))
-	case out >= g.limit-1:
-		g.limit *= 1 + 0.05*steps
+	case l.utilization < limiterActivation/2 && used < max(l.limit, 2)/2:
+		l.active = false
+	case l.utilization > 1:
+		decrease := (used/l.utilization - l.limit) * limiterGain * min(steps, maxDecreaseSteps)
+		l.limit = max(minZoneLimit*zoneFraction, l.limit+decrease)
+	case used >= l.limit-1:
+		l.limit *= 1 + limitGrowth*steps
 	}
 }
--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -2,72 +2,136 @@
 
 import "slices"
 
-// handleEndpointUpdate takes a change of the list. Who leaves or drains is not chosen from now on.
-func (r *Router) handleEndpointUpdate(m EndpointUpdate) {
+// handleEndpointUpdate applies a change of the endpoint list. Servers that are removed or draining
+// are not chosen from now on.
+func (r *Router) handleEndpointUpdate(update EndpointUpdate) {
+	if update.Failed {
+		r.emit(SetTimer{subscribeRetryInterval, timerSubscribe})
+		return
+	}
 	first := !r.initialized
 	r.initialized = true
 	if first && r.settings.MustSubscribe {
 		r.emit(Subscribe{})
 	}
-	for _, s := range r.servers {
-		s.ready = s.ready && !m.Snapshot
-	}
-	for _, e := range m.Servers {
-		r.applyEndpoint(e, first)
-	}
-	was := r.totalWeight
-	r.readyByRole, r.totalWeight = [roleCount][]*server{}, [roleCount]float64{}
-	for _, s := range r.servers {
-		if s.ready {
-			r.readyByRole[s.role] = append(r.readyByRole[s.role], s)
-			r.totalWeight[s.role] += r.weight(s)
+	if update.Snapshot {
+		for _, server := range r.servers {
+			server.ready = false
 		}
 	}
-	r.servers = slices.DeleteFunc(r.servers, r.expired)
-	for role, n := range r.totalWeight { // who left no longer carries its part
-		r.throughput[role].value *= n / max(n, was[role], 0.01)
+	for _, listed := range update.Servers {
+		r.applyEndpoint(listed, first)
 	}
+	r.indexReady()
+	r.servers = slices.DeleteFunc(r.servers, r.expired)
 	r.dispatchQueue()
 }
 
-// applyEndpoint takes one entry; caches of other zones are not kept. A new server is cold
-// from its start or, where that is not told, from now, unless on the first list.
-func (r *Router) applyEndpoint(e Server, first bool) {
-	role := cache
-	switch {
-	case e.Kind == r.settings.OriginKind:
-		role = origin
-	case e.Kind == r.settings.ParentKind:
-		role = parent
-	case e.Zone != r.settings.Zone:
+// applyEndpoint applies one entry of the list; caches of other zones are not kept.
+func (r *Router) applyEndpoint(listed Server, first bool) {
+	role := r.roleOf(listed)
+	if role == cache && listed.Zone != r.settings.Zone {
 		return
 	}
-	i := slices.IndexFunc(r.servers, func(s *server) bool { return s.ID == e.ID })
-	if i < 0 {
-		i = len(r.servers)
+	index := slices.IndexFunc(r.servers, func(server *server) bool { return server.ID == listed.ID })
+	if index < 0 {
+		index = len(r.servers)
 		r.servers = append(r.servers, &server{warmingSince: r.now, lastResponseAt: longAgo})
 	}
-	s := r.servers[i]
-	if first {
-		s.warmingSince = longAgo
+	server := r.servers[index]
+	r.startWarming(server, listed, first)
+	server.Server = listed
+	server.role = role
+	server.ready = listed.Phase == Ready
+}
+
+func (r *Router) roleOf(listed Server) role {
+	switch listed.Kind {
+	case r.settings.OriginKind:
+		return origin
+	case r.settings.ParentKind:
+		return parent
+	default:
+		return cache
+	}
+}
+
+// indexReady lists the ready servers by role, and scales what a role carried to the weight that is
+// left of it.
+func (r *Router) indexReady() {
+	before := r.totalWeight
+	r.readyByRole = [roleCount][]*server{}
+	r.totalWeight = [roleCount]float64{}
+	for _, server := range r.servers {
+		if server.ready {
+			r.readyByRole[server.role] = append(r.readyByRole[server.role], server)
+			r.totalWeight[server.role] += r.weight(server)
+		}
 	}
-	if e.StartedAt != 0 && e.StartedAt != s.StartedAt {
-		s.warmingSince = e.StartedAt
-		s.consecutiveFailures, s.ejections, s.ejectedUntil = 0, 0, 0
+	for role, weight := range r.totalWeight {
+		r.throughput[role].value *= weight / max(weight, before[role], minWeight)
 	}
-	s.Server, s.role, s.ready = e, role, e.Phase == Ready
 }
 
-// expired tells whether s left so long ago that no late listed start concerns it.
-func (r *Router) expired(s *server) bool {
-	n := len(s.recentWork)
-	return !s.ready && (n == 0 || s.recentWork[n-1].updatedAt < r.now-serverRetention)
+// startWarming notes when a listed server started. A new server is warming up from its start or,
+// where that is not told, from now; one of the first list that tells none is not.
+func (r *Router) startWarming(server *server, listed Server, first bool) {
+	if first {
+		server.warmingSince = longAgo
+	}
+	if listed.StartedAt != 0 && listed.StartedAt != server.StartedAt {
+		server.warmingSince = listed.StartedAt
+		server.consecutiveFailures = 0
+		server.ejections = 0
+		server.ejectedUntil = 0
+	}
 }
 
-// weight is a server's size against its peers.
-func (r *Router) weight(s *server) float64 {
+// weight is a server's capacity relative to its peers.
+func (r *Router) weight(server *server) float64 {
 	if r.settings.WeightIsCapacity {
-		return max(s.Weight, 0.01)
+		return max(server.Weight, minWeight)
 	}
 	return 1
 }
+
+// expired reports whether a server was removed so long ago that no late start event concerns it.
+func (r *Router) expired(server *server) bool {
+	if server.ready {
+		return false
+	}
+	pieces := len(server.recentWork)
+	return pieces == 0 || server.recentWork[pieces-1].updatedAt < r.now-serverRetention
+}
+
+// readyServer returns a server that is listed as ready, or nil.
+func (r *Router) readyServer(id ServerID) *server {
+	for _, server := range r.servers {
+		if server.ID == id && server.ready {
+			return server
+		}
+	}
+	return nil
+}
+
+// AppendEjected appends the servers listed as ready that are ejected, or probed and have not
+// responded since.
+func (r *Router) AppendEjected(ids []ServerID) []ServerID {
+	for _, server := range r.servers {
+		if server.ready && server.ejections > 0 {
+			ids = append(ids, server.ID)
+		}
+	}
+	return ids
+}
+
+// UnavailableCount returns how many servers listed as ready are not chosen at present.
+func (r *Router) UnavailableCount() int64 {
+	count := int64(0)
+	for _, server := range r.servers {
+		if server.ready && !r.available(server) {
+			count++
+		}
+	}
+	return count
+}
--- a/routing/inflight.go
+++ b/routing/inflight.go
@@ -1,58 +1,67 @@
 package routing
 
-import "time"
-
-// firstMaybeExecuted is the first attempt that may have run, or nil.
-func (q *request) firstMaybeExecuted() *attempt {
-	for _, a := range q.attempts {
-		if !a.notExecuted {
-			return a
-		}
+// startAttempt creates an attempt and counts it with all that limits it.
+func (r *Router) startAttempt(request *request, route route) *attempt {
+	started := &attempt{request: request, index: len(request.attempts), sentAt: r.now}
+	started.target = route.target
+	started.source = route.source
+	request.attempts = append(request.attempts, started)
+	toCache := route.target.role == cache
+	started.cacheOnly = toCache && route.source == route.target
+	started.fill = !request.class.Write && route.source.role != cache && (request.cacheMissed || !toCache)
+	started.fromOrigin = request.sourceMissed || started.fill && route.source.role == origin
+	r.track(started, 1)
+	r.recordSentWork(route.target, *request.meanTransferTime)
+	if route.source != route.target {
+		r.recordSentWork(route.source, *request.meanTransferTime)
 	}
-	return nil
+	return started
 }
 
-// finish forgets a request and cancels what is out for it.
-func (r *Router) finish(q *request) {
-	delete(r.requests, q.ID)
-	q.queued = false
-	for _, a := range q.attempts {
-		if a.ended {
+// finish forgets a request and cancels what is in flight for it.
+func (r *Router) finish(request *request) {
+	delete(r.requests, request.ID)
+	request.queued = false
+	for _, attempt := range request.attempts {
+		if attempt.ended {
 			continue
 		}
-		r.track(a, -1)
+		r.track(attempt, -1)
 		if r.settings.CanCancel {
-			r.emit(CancelAttempt{q.ID, a.index})
+			r.emit(CancelAttempt{request.ID, attempt.index})
 		}
 	}
 }
 
-// track books an attempt as out, or no longer, with all that rations it.
-func (r *Router) track(a *attempt, n int) {
-	a.ended = n < 0
-	a.request.inflight += n
-	a.target.inflight += n
-	a.source.inflight += choose(a.source == a.target, 0, n)
-	if a.target.role == cache {
-		a.target.limiter.track(r.now, n)
+// track counts an attempt as in flight (delta 1) or ended (delta -1) with its servers and limiters.
+func (r *Router) track(attempt *attempt, delta int) {
+	attempt.ended = delta < 0
+	attempt.request.inflight += delta
+	attempt.target.inflight += delta
+	if attempt.source != attempt.target {
+		attempt.source.inflight += delta
 	}
-	if a.request.class.Write {
-		a.source.limiter.track(r.now, n)
+	if attempt.target.role == cache {
+		attempt.target.limiter.track(r.now, delta)
 	}
-	if a.fromOrigin {
-		r.originLimiter.track(r.now, n)
+	if attempt.request.class.Write {
+		attempt.source.limiter.track(r.now, delta)
 	}
-	if a.fill {
-		r.linkLimiter.track(r.now, n)
-		a.source.limiter.track(r.now, n)
+	if attempt.fromOrigin {
+		r.originLimiter.track(r.now, delta)
+	}
+	if attempt.fill {
+		r.linkLimiter.track(r.now, delta)
+		attempt.source.limiter.track(r.now, delta)
 	}
 }
 
-// track books n more as out.
-func (g *limiter) track(now time.Duration, n int) {
-	if g.inflight += n; n > 0 {
-		g.lastStartedAt = now
-	} else if g.limit < 1 && g.active {
-		g.pausedUntil = now + time.Duration(float64(now-g.lastStartedAt)*(1/g.limit-1))
+// firstMaybeExecuted returns the first attempt that may have been executed, or nil.
+func (q *request) firstMaybeExecuted() *attempt {
+	for _, attempt := range q.attempts {
+		if !attempt.notExecuted {
+			return attempt
+		}
 	}
+	return nil
 }
--- a/routing/observations.go
+++ b/routing/observations.go
@@ -1,51 +1,73 @@
 package routing
 
-import (
-	"slices"
-	"time"
-)
-
-// recordSentWork books work sent to a server; what one that restarted gets unlisted counts.
-func (r *Router) recordSentWork(s *server, work float64) {
-	s.recentWork = slices.DeleteFunc(s.recentWork, func(c decayingSum) bool { return c.updatedAt <= r.now-r.slowStarts[s.role].OverloadWindow })
-	s.recentWork = append(s.recentWork, decayingSum{r.now, work})
-}
+import "slices"
 
-// recordThroughput books work that s served; what it ends after it left says nothing of the rest.
-func (r *Router) recordThroughput(s *server, work float64) {
-	if s.ready {
-		sum := r.throughput[s.role].add(r.now, throughputTimeConstant, work/throughputTimeConstant.Seconds())
-		r.peakThroughput[s.role] = max(r.peakThroughput[s.role], sum/r.totalWeight[s.role])
+// recordServed records what a served attempt tells of its servers, the origin and the object's size.
+func (r *Router) recordServed(attempt *attempt, outcome *Outcome) {
+	transfer := r.measureTransfer(attempt.request, outcome)
+	if transfer.measured {
+		slowdown := outcome.Duration.Seconds() / (transfer.seconds + responseTimeAllowance)
+		r.recordSlowdown(attempt.target, slowdown)
+	}
+	r.recordSuccess(attempt.target)
+	r.recordThroughput(attempt.target, transfer.seconds)
+	if attempt.source != attempt.target && outcome.CacheStatus.sourceServed() {
+		r.recordSuccess(attempt.source)
+		r.recordThroughput(attempt.source, transfer.seconds)
+	}
+	if outcome.CacheStatus == FilledByOrigin {
+		r.recordOriginLoad(attempt, outcome.SourceWait.Seconds()/r.longestObjective.Seconds())
+	} else if attempt.request.class.Write {
+		r.recordOriginLoad(attempt, outcome.Duration.Seconds()/r.longestObjective.Seconds())
 	}
+	r.recordPace(attempt, outcome, transfer)
+	r.learnTransferTime(attempt.request, outcome, transfer)
 }
 
-// recordErrorRates books with both that had a part in an attempt whether it failed.
-func (r *Router) recordErrorRates(a *attempt, failed bool) {
-	for _, s := range []*server{a.target, a.source} {
-		gain := min(errorRateGain, (r.now - s.errorRateUpdatedAt).Seconds()) // what fails at once has one cause
-		if s.errorRate, s.errorRateUpdatedAt = s.errorRate*(1-gain), r.now; failed && !r.cacheStatusKnown {
-			s.errorRate = min(errorRateCap, s.errorRate+gain)
-		}
+// recordOverdue records what an attempt tells before it ends, by how long it takes already.
+func (r *Router) recordOverdue(attempt *attempt) {
+	elapsed := r.now - attempt.sentAt
+	if elapsed > r.longestObjective && attempt.suggestsOriginOverload() {
+		r.recordOriginLoad(attempt, elapsed.Seconds()/r.longestObjective.Seconds())
 	}
+	request, target := attempt.request, attempt.target
+	if r.settings.BodyBytesPerSecond > 0 && !request.class.Write {
+		slowdown := elapsed.Seconds() / (r.transferTime(request).Seconds() + responseTimeAllowance)
+		r.recordSlowdown(target, max(slowdown, r.slowdownOf(target)))
+	}
+}
+
+// recordLinkLoad records the use of the zone's link as one of its caches measured it.
+func (r *Router) recordLinkLoad(load LoadReport) {
+	r.linkLimiter.observe(r.now, load.LinkUtilization/linkUtilizationTarget, r.zoneFraction)
 }
 
-// hasSize tells whether a request came with its size.
-func (r *Router) hasSize(q *request) bool { return q.SizeKB > 0 && r.settings.TransferKBPerSecond > 0 }
+// recordSlowdown records how slow one response of a server was.
+func (r *Router) recordSlowdown(server *server, slowdown float64) {
+	server.slowdown.observe(r.now, slowdownTimeConstant, slowdownGain, min(slowdown, slowdownCap))
+}
 
-// transferTime is work as a duration.
-func (r *Router) transferTime(q *request) time.Duration {
-	w, _ := r.transferSeconds(q)
-	return secondsToDuration(w)
+// recordSentWork records work sent to a server: one that restarted unlisted counts it too.
+func (r *Router) recordSentWork(server *server, work float64) {
+	expired := r.now - r.slowStarts[server.role].OverloadWindow
+	server.recentWork = slices.DeleteFunc(server.recentWork, func(piece decayingSum) bool {
+		return piece.updatedAt <= expired
+	})
+	server.recentWork = append(server.recentWork, decayingSum{r.now, work})
 }
 
-// transferSeconds is the sending time of a request in seconds: from its size, or else the
-// least that its part ever took, or the mean of its class.
-func (r *Router) transferSeconds(q *request) (seconds float64, known bool) {
-	if r.hasSize(q) {
-		return q.SizeKB / r.settings.TransferKBPerSecond, true
-	}
-	if x, ok := r.transferTimes.get(q.chunkKey()); ok {
-		return x, true
+// recordThroughput records work that a server completed; what one completes after its removal
+// tells nothing of the others.
+func (r *Router) recordThroughput(server *server, work float64) {
+	if !server.ready {
+		return
 	}
-	return *q.meanTransferTime, false
+	role := server.role
+	sum := r.throughput[role].add(r.now, throughputTimeConstant, work/throughputTimeConstant.Seconds())
+	r.peakThroughput[role] = max(r.peakThroughput[role], sum/r.totalWeight[role])
+}
+
+// slowdownOf is the smoothed slowdown of a server now.
+func (r *Router) slowdownOf(server *server) float64 {
+	return server.slowdown.value(r.now, slowdownTimeConstant)
 }
--- a/routing/outlier.go
+++ b/routing/outlier.go
@@ -2,192 +2,229 @@
 
 import "time"
 
-// available tells whether s may be chosen: not resting and, when its rest is over
-// but it has not answered since, with nothing else out.
-func (r *Router) available(s *server) bool {
-	return s.ready && r.now >= s.ejectedUntil && (s.ejections == 0 || s.inflight == 0)
+// available reports whether a server may be chosen: it is not ejected and, until it has responded
+// after an ejection, nothing else is in flight to it.
+func (r *Router) available(server *server) bool {
+	return server.ready && r.now >= server.ejectedUntil && (server.ejections == 0 || server.inflight == 0)
 }
 
-// recordFailure books a failure of s. Set aside it rests, twice as long each time.
-func (r *Router) recordFailure(s *server) {
-	s.consecutiveFailures++
-	if (s.consecutiveFailures >= consecutiveFailureLimit || s.ejections > 0 || r.isOutlier(s)) &&
-		r.now >= s.ejectedUntil {
-		s.ejectedUntil = r.now + min(firstEjectionTime<<min(s.ejections, 8), maxEjectionTime)
-		s.ejections++
+// recordFailure records a failure of a server, which may eject it, each time for twice as long.
+func (r *Router) recordFailure(server *server) {
+	server.consecutiveFailures++
+	if r.now < server.ejectedUntil {
+		return
+	}
+	if server.consecutiveFailures >= consecutiveFailureLimit || server.ejections > 0 || r.isOutlier(server) {
+		doublings := min(server.ejections, maxEjectionDoublings)
+		server.ejectedUntil = r.now + min(firstEjectionTime<<doublings, maxEjectionTime)
+		server.ejections++
 	}
 }
 
-// isOutlier tells whether s fails far more than its best peer. Symptom guarded against: a
-// parent that failed its fills looked well, by hits that name it; its errors went to caches.
-func (r *Router) isOutlier(s *server) bool {
-	least := s.errorRate
-	for _, x := range r.readyByRole[s.role] {
-		least = min(least, x.errorRate)
+// recordSuccess records a success of a server and ends its ejection.
+//
+// Symptom guarded against: a server that was unresponsive and responds again has most likely
+// restarted and warms up before the endpoint list tells. It might hurt one that was cut off.
+func (r *Router) recordSuccess(server *server) {
+	if server.unresponsive && server.ejections > 1 && server.warmingSince < r.now-maxEjectionTime {
+		server.warmingSince = r.now
+	}
+	server.consecutiveFailures = 0
+	server.unresponsive = false
+	server.lastResponseAt = r.now
+	if !r.isOutlier(server) {
+		server.ejections = 0
+		server.ejectedUntil = 0
 	}
-	return s.errorRate > outlierErrorMargin+2*least
 }
 
-// moreErrorProne is the one of cache and source that fails more of what it has a part in.
-func (a *attempt) moreErrorProne() *server {
-	return choose(a.source.errorRate > a.target.errorRate, a.source, a.target)
-}
-
-// recordSuccess books a success of s. Symptom guarded against: a server that was silent and
-// answers again has most likely restarted, cold, before the list tells. It might hurt
-// one that was cut off.
-func (r *Router) recordSuccess(s *server) {
-	if s.unresponsive && s.ejections > 1 && s.warmingSince < r.now-maxEjectionTime {
-		s.warmingSince = r.now
-	}
-	s.consecutiveFailures, s.unresponsive, s.lastResponseAt = 0, false, r.now
-	if !r.isOutlier(s) {
-		s.ejections, s.ejectedUntil = 0, 0
-	}
-}
-
-// checkInterval is how long an attempt may take before one asks why.
-func (r *Router) checkInterval(q *request) time.Duration {
-	return max(100*time.Millisecond, q.class.LatencyObjective/2+r.transferTime(q))
-}
-
-// checkOverdue judges an attempt that takes longer than it should. Symptom guarded against: a
-// server that went silent, which neither answers nor refuses. A cache that has not been
-// heard since the attempt was sent is blamed itself; if it has answered others,
-// the source is, unless it is heard too, as it is by hits that name it: then what
-// fails more than its peers. It might hurt where little is sent.
-func (r *Router) checkOverdue(a *attempt) {
-	q := a.request
-	if r.now > a.sentAt+r.longestObjective && a.suggestsOriginOverload() {
-		r.recordOriginLoad(a, (r.now-a.sentAt).Seconds()/r.longestObjective.Seconds())
-	}
-	if r.settings.BodyBytesPerSecond > 0 && !q.class.Write { // overdue, it tells before it ends
-		lag := (r.now - a.sentAt).Seconds() / (r.transferTime(q).Seconds() + responseTimeAllowance)
-		lag = max(lag, a.target.slowdown.value(r.now, slowdownTimeConstant))
-		a.target.slowdown.observe(r.now, slowdownTimeConstant, slowdownGain, min(lag, slowdownCap))
-	}
-	bad := a.target
-	if a.target.lastResponseAt > a.sentAt {
-		bad = a.source
-	}
-	// A cache heard of lately is alive: a thin router hears little of each, and took the
-	// slowness of a flush for silence; eighty of them cancelled and filled elsewhere again.
-	alive := bad.lastResponseAt > a.sentAt || bad.role == cache && bad.lastResponseAt > r.now-maxEjectionTime
-	if !alive {
-		bad.unresponsive = true
-		r.recordFailure(bad)
-	} else if a.overdueChecks++; a.overdueChecks == 3 {
-		r.recordErrorRates(a, true)
-		if bad = a.moreErrorProne(); r.isOutlier(bad) {
-			r.recordFailure(bad)
-			alive = false
+// isOutlier reports whether a server fails far more than its best peer.
+//
+// Symptom guarded against: a parent that failed its fills looked well, by hits that name it, and
+// its errors were attributed to caches.
+func (r *Router) isOutlier(server *server) bool {
+	least := server.errorRate
+	for _, peer := range r.readyByRole[server.role] {
+		least = min(least, peer.errorRate)
+	}
+	return server.errorRate > outlierErrorMargin+2*least
+}
+
+// recordErrorRates records with both servers of an attempt whether it failed.
+func (r *Router) recordErrorRates(attempt *attempt, failed bool) {
+	for _, server := range [...]*server{attempt.target, attempt.source} {
+		elapsed := (r.now - server.errorRateUpdatedAt).Seconds()
+		gain := min(errorRateGain, elapsed) // what fails at the same time has one cause
+		server.errorRate *= 1 - gain
+		server.errorRateUpdatedAt = r.now
+		if failed && !r.cacheStatusKnown {
+			server.errorRate = min(errorRateCap, server.errorRate+gain)
 		}
 	}
-	switch {
-	case r.now+r.checkInterval(q) > q.deadline: // too late for anything else
-	case alive || r.available(bad):
-		r.emit(SetTimer{r.checkInterval(q), uint64(q.ID)<<timerKindBits | timerCheckAttempt})
-	case !r.mayAttempt(q):
-	case r.settings.CanCancel && q.class.Idempotency == Idempotent:
-		q.excluded = append(q.excluded, bad)
-		r.emit(CancelAttempt{q.ID, a.index})
-	}
 }
 
-// suggestsOriginOverload tells whether an attempt that takes long speaks for a full origin. Symptom
-// guarded against: one lost answer to a write, while others took their usual
-// time, had all misses wait for the origin's ration.
-func (a *attempt) suggestsOriginOverload() bool {
-	return (a.fromOrigin || a.request.class.Write) && a.source.lastResponseAt <= a.sentAt
+// moreErrorProne returns the one of target and source that fails more of its attempts.
+func (a *attempt) moreErrorProne() *server {
+	if a.source.errorRate > a.target.errorRate {
+		return a.source
+	}
+	return a.target
 }
 
-// recordOutcome books an outcome with the servers that had a part in it.
-func (r *Router) recordOutcome(a *attempt, o Outcome) {
-	slow := o.Result == TimedOut && a.suggestsOriginOverload() ||
-		(a.fromOrigin || a.request.class.Write) && o.CacheStatus == SourceUnreachable
-	if slow {
-		r.recordOriginLoad(a, max(rejectionUtilization, o.Duration.Seconds()/r.longestObjective.Seconds()))
+// recordOutcome records the end of an attempt with the servers that took part in it.
+func (r *Router) recordOutcome(attempt *attempt, outcome Outcome) {
+	originSlow := attempt.showsSlowOrigin(&outcome)
+	if originSlow {
+		utilization := outcome.Duration.Seconds() / r.longestObjective.Seconds()
+		r.recordOriginLoad(attempt, max(rejectionUtilization, utilization))
 	}
-	if o.Result == Canceled || o.Result == NotSent || o.Result == TimedOut {
-		return // no fault of a server: one that is silent is found by look
+	switch outcome.Result {
+	case Canceled, NotSent, TimedOut:
+		return // no server's fault: an unresponsive one is found by checkOverdue
 	}
-	a.target.lastResponseAt = r.now
-	r.cacheStatusKnown = r.cacheStatusKnown || o.CacheStatus != CacheStatusUnknown && !r.settings.HitStatusOnly
-	if o.Result == Served || o.Result == ServerError {
-		r.recordErrorRates(a, o.Result != Served)
+	attempt.target.lastResponseAt = r.now
+	if outcome.CacheStatus != CacheStatusUnknown && !r.settings.HitStatusOnly {
+		r.cacheStatusKnown = true
+	}
+	if outcome.Result == Served || outcome.Result == ServerError {
+		r.recordErrorRates(attempt, outcome.Result == ServerError)
 	}
 	switch {
-	case o.Result == Served:
-		r.recordServed(a, o)
-	case slow || a.failedWithSharedFill(o.CacheStatus): // the origin's fault, or of a source that nobody knows
-	case o.CacheStatus == SourceRejected || o.CacheStatus == SourceUnreachable:
-		a.source.limiter.observe(r.now, rejectionUtilization, r.zoneFraction)
-		r.recordFailure(a.source)
-	case o.CacheStatus == OriginFailed || a.target.role == origin:
-		r.recordOriginLoad(a, rejectionUtilization)
-	case o.Result == Rejected && a.moreErrorProne() != a.target && r.isOutlier(a.source):
-		r.recordFailure(a.source)
-	case o.Result == Rejected || o.CacheStatus == FillRejected:
-		a.target.limiter.observe(r.now, rejectionUtilization, r.zoneFraction)
-	case o.Result == NotCached:
-		r.recordSuccess(a.target)
-	case o.Result == ServerError:
-		r.recordFailure(a.moreErrorProne())
-	// All attempts on one connection break at once.
-	case o.Result == ConnectFailed || a.sentAt >= a.target.connectionLostAt:
-		a.target.connectionLostAt = r.now
-		r.recordFailure(a.target)
-	}
-}
-
-// recordServed books a success: what the servers carried and, where the
-// sending time is known, how crowded they are.
-func (r *Router) recordServed(a *attempt, o Outcome) {
-	q := a.request
-	work, known := r.transferSeconds(q)
-	told := o.BodyBytes > 0 && r.settings.BodyBytesPerSecond > 0 && !q.class.Write
-	if told {
-		work, known = float64(o.BodyBytes)/r.settings.BodyBytesPerSecond, true
-		lag := o.Duration.Seconds() / (work + responseTimeAllowance)
-		a.target.slowdown.observe(r.now, slowdownTimeConstant, slowdownGain, min(lag, slowdownCap))
-	}
-	r.recordSuccess(a.target)
-	r.recordThroughput(a.target, work)
-	filled := o.CacheStatus == Filled || o.CacheStatus == FilledByOrigin
-	// Symptom guarded against: without notes a source was never heard of and was
-	// blamed for every slow attempt, until all parents rested.
-	if a.source != a.target && (filled || o.CacheStatus == JoinedFill || o.CacheStatus == CacheStatusUnknown) {
-		r.recordSuccess(a.source)
-		r.recordThroughput(a.source, work)
-	}
-	if o.CacheStatus == FilledByOrigin {
-		r.recordOriginLoad(a, o.SourceWait.Seconds()/r.longestObjective.Seconds())
-	} else if q.class.Write {
-		r.recordOriginLoad(a, o.Duration.Seconds()/r.longestObjective.Seconds())
-	}
-	pace := (o.Duration - o.SourceWait).Seconds() / max(work, 0.02)
+	case outcome.Result == Served:
+		r.recordServed(attempt, &outcome)
+	case originSlow || attempt.failedWithSharedFill(outcome.CacheStatus):
+		// It is the origin's fault, or of a source that is not known here.
+	default:
+		r.attributeFailure(attempt, &outcome)
+	}
+}
+
+// showsSlowOrigin reports whether a failed attempt tells of an origin that is too slow.
+func (a *attempt) showsSlowOrigin(outcome *Outcome) bool {
+	if outcome.Result == TimedOut && a.suggestsOriginOverload() {
+		return true
+	}
+	return a.asksOrigin() && outcome.CacheStatus == SourceUnreachable
+}
+
+// attributeFailure records a failure with the server whose fault it is.
+func (r *Router) attributeFailure(attempt *attempt, outcome *Outcome) {
+	target, source := attempt.target, attempt.source
 	switch {
-	case !known || filled && r.settings.HitStatusOnly: // its wait is not told
-	case filled:
-		r.fillLatency += (o.SourceWait.Seconds() - r.fillLatency) * limiterGain / 2
-		r.fillPace += (min(pace, 2*fillPaceTarget) - r.fillPace) * limiterGain / 2
-		hitPace := max(a.target.limiter.utilization*hitPaceTarget, 1)
-		a.source.limiter.observe(r.now, pace/hitPace/fillPaceTarget, r.zoneFraction)
-	case o.CacheStatus == CacheStatusUnknown:
-	case o.CacheStatus == Hit || o.CacheStatus == StaleHit:
-		a.target.limiter.observe(r.now, pace/hitPaceTarget, r.zoneFraction)
-	}
-	if o.CacheStatus == CacheStatusUnknown { // else refusals alone would be felt, and a gate never open again
-		a.target.limiter.observe(r.now, unknownStatusUtilization, r.zoneFraction)
-	}
-	if r.hasSize(q) {
-		return
+	case outcome.CacheStatus == SourceRejected || outcome.CacheStatus == SourceUnreachable:
+		source.limiter.observe(r.now, rejectionUtilization, r.zoneFraction)
+		r.recordFailure(source)
+	case outcome.CacheStatus == OriginFailed || target.role == origin:
+		r.recordOriginLoad(attempt, rejectionUtilization)
+	case outcome.Result == Rejected && attempt.moreErrorProne() != target && r.isOutlier(source):
+		r.recordFailure(source)
+	case outcome.Result == Rejected || outcome.CacheStatus == FillRejected:
+		target.limiter.observe(r.now, rejectionUtilization, r.zoneFraction)
+	case outcome.Result == NotCached:
+		r.recordSuccess(target)
+	case outcome.Result == ServerError:
+		r.recordFailure(attempt.moreErrorProne())
+	case outcome.Result == ConnectFailed || attempt.sentAt >= target.connectionLostAt:
+		target.connectionLostAt = r.now // all attempts on one connection are lost at the same time
+		r.recordFailure(target)
 	}
-	if took := o.Duration.Seconds(); !told && (!known || took < work) {
-		work = took
+}
+
+// checkOverdue handles an attempt that takes longer than it should: it may eject a server, and
+// cancel the attempt to send its request elsewhere.
+//
+// Symptom guarded against: a server that became unresponsive, which neither serves nor rejects. It
+// might hurt where little is sent.
+func (r *Router) checkOverdue(attempt *attempt) {
+	request := attempt.request
+	r.recordOverdue(attempt)
+	suspect, atFault := r.findOverdueFault(attempt)
+	switch {
+	case r.now+r.checkInterval(request) > request.deadline: // too late for anything else
+	case !atFault || r.available(suspect):
+		r.emit(SetTimer{r.checkInterval(request), timerToken(request, timerCheckAttempt)})
+	case !r.mayAttempt(request):
+	case r.settings.CanCancel && request.class.Idempotency == Idempotent:
+		request.excluded = append(request.excluded, suspect)
+		r.emit(CancelAttempt{request.ID, attempt.index})
 	}
-	r.transferTimes.put(q.chunkKey(), work)
-	if told || !known || o.CacheStatus == Hit {
-		*q.meanTransferTime += (work - *q.meanTransferTime) * meanTransferTimeGain
+}
+
+// checkInterval is how long an attempt may take until its next check.
+func (r *Router) checkInterval(request *request) time.Duration {
+	return max(minCheckInterval, request.class.LatencyObjective/2+r.transferTime(request))
+}
+
+// findOverdueFault returns the server that an overdue attempt most likely waits for, and whether
+// that is at fault. A target that has not responded since the attempt was sent is suspected itself;
+// if it has responded to others, the source is, unless that has responded too, as it does by hits
+// that name it: then what fails more than its peers.
+func (r *Router) findOverdueFault(attempt *attempt) (suspect *server, atFault bool) {
+	suspect = attempt.target
+	if attempt.target.lastResponseAt > attempt.sentAt {
+		suspect = attempt.source
+	}
+	if !r.respondedLately(suspect, attempt.sentAt) {
+		suspect.unresponsive = true
+		r.recordFailure(suspect)
+		return suspect, true
+	}
+	attempt.overdueChecks++
+	if attempt.overdueChecks != overdueChecksToFault {
+		return suspect, false
+	}
+	r.recordErrorRates(attempt, true)
+	suspect = attempt.moreErrorProne()
+	if !r.isOutlier(suspect) {
+		return suspect, false
+	}
+	r.recordFailure(suspect)
+	return suspect, true
+}
+
+// respondedLately reports whether a server has responded since a time or, for a cache, lately.
+//
+// Symptom guarded against: a router with few requests hears little of each cache and took the
+// slowness after a purge of everything for silence; eighty of them canceled and filled elsewhere.
+func (r *Router) respondedLately(server *server, since time.Duration) bool {
+	if server.lastResponseAt > since {
+		return true
+	}
+	return server.role == cache && server.lastResponseAt > r.now-recentResponseWindow
+}
+
+// suggestsOriginOverload reports whether an attempt that takes long tells of an overloaded origin.
+//
+// Symptom guarded against: one lost response to a write, while others took their usual time, had
+// all misses wait for the origin's limiter.
+func (a *attempt) suggestsOriginOverload() bool {
+	return a.asksOrigin() && a.source.lastResponseAt <= a.sentAt
+}
+
+// extendEjection prolongs an ejection, within a bound; it never begins nor ends one.
+func (r *Router) extendEjection(event ExtendEjection) {
+	server := r.readyServer(event.Server)
+	if server != nil && server.ejections > 0 && event.Until > server.ejectedUntil {
+		server.ejectedUntil = min(event.Until, r.now+maxEjectionExtension)
 	}
 }
+
+// requireProbe has the next request to a server probe it, unless it served this router lately.
+func (r *Router) requireProbe(event RequireProbe) {
+	server := r.readyServer(event.Server)
+	if server == nil || server.ejections > 0 {
+		return
+	}
+	if server.consecutiveFailures > 0 || r.now > server.lastResponseAt+recentSuccessWindow {
+		server.ejections = 1
+		server.ejectedUntil = r.now
+	}
+}
+
+// sourceServed reports whether a success may be the source's too.
+//
+// Symptom guarded against: without cache status a source never counted as responding and was at
+// fault for every slow attempt, until all parents were ejected.
+func (s CacheStatus) sourceServed() bool {
+	return s.filled() || s == JoinedFill || s == CacheStatusUnknown
+}
--- /dev/null
+++ b/routing/rendezvous.go
@@ -0,0 +1,27 @@
+package routing
+
+import "math"
+
+// Homes of objects are found by weighted rendezvous hashing. All routers must agree on them, so the
+// functions of this file never change.
+
+// rendezvousScore is the score of a server for a key; the server with the least is its home. A
+// server is home of a part of all keys that is proportional to its capacity.
+func rendezvousScore(key uint64, id ServerID, capacity float64) float64 {
+	return -math.Log(uniform(key^mix64(uint64(id)))) / capacity
+}
+
+// mix64 is the finalizer of SplitMix64.
+func mix64(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// uniform maps a key evenly to numbers above 0 and below 1.
+func uniform(key uint64) float64 {
+	const mantissaBits = 53
+	return (float64(mix64(key)>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
+}
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -1,61 +1,82 @@
 package routing
 
-// failedWithSharedFill tells whether a look failed together with the fill for another request.
-func (a *attempt) failedWithSharedFill(n CacheStatus) bool {
-	return a.cacheOnly && n >= SourceRejected && n != FillRejected
+// retry decides what follows a failed attempt: a fill after a miss, or another server.
+func (r *Router) retry(request *request, attempt *attempt, outcome Outcome) {
+	// Without cache status a rejection is by the cache, or by its source.
+	ambiguous := !r.cacheStatusKnown && outcome.Result == Rejected && !request.class.Write
+	notCached := outcome.Result == NotCached
+	sourceMiss := outcome.CacheStatus == SourceMiss || attempt.onlyIfCached && notCached
+	switch {
+	case attempt.cacheOnly && notCached || attempt.failedWithSharedFill(outcome.CacheStatus):
+		request.cacheMissed = true
+	case request.cacheMissed && sourceMiss && !request.sourceMissed:
+		request.sourceMissed = true
+	case outcome.CacheStatus.sourceFailed() || ambiguous && attempt.index == 0:
+		request.excluded = append(request.excluded, attempt.source)
+	default:
+		request.excluded = append(request.excluded, attempt.moreErrorProne())
+	}
+	r.dispatch(request)
 }
 
-// mayAttempt tells whether one more attempt of q is allowed: by the try limit, the
-// time and what it may do twice.
-func (r *Router) mayAttempt(q *request) bool {
-	most := r.settings.MaxAttempts
-	if !r.cacheStatusKnown && !q.class.Write {
-		most = min(most, maxReadAttemptsUnknownStatus)
-	}
-	if len(q.attempts) >= most || r.now >= q.deadline {
+// mayAttempt reports whether one more attempt of a request is allowed: by the limit of attempts,
+// its deadline and what it may do twice.
+func (r *Router) mayAttempt(request *request) bool {
+	limit := r.settings.MaxAttempts
+	if !r.cacheStatusKnown && !request.class.Write {
+		limit = min(limit, maxReadAttemptsUnknownStatus)
+	}
+	if len(request.attempts) >= limit || r.now >= request.deadline {
+		return false
+	}
+	executed := request.firstMaybeExecuted()
+	if executed == nil {
+		return true
+	}
+	switch request.class.Idempotency {
+	case Idempotent:
+		return true
+	case IdempotentWithKey:
+		return r.now < executed.sentAt+request.class.KeyWindow
+	default:
 		return false
 	}
-	a := q.firstMaybeExecuted()
-	return a == nil || q.class.Idempotency == Idempotent ||
-		q.class.Idempotency == IdempotentWithKey && r.now < a.sentAt+q.class.KeyWindow
 }
 
-// inKeyScope tells whether s discards repeats of what q may have run already.
-func (q *request) inKeyScope(s *server) bool {
-	a := q.firstMaybeExecuted()
-	if a == nil || q.class.Idempotency != IdempotentWithKey {
+// inKeyScope reports whether a server discards repeats of what may have been executed already.
+func (q *request) inKeyScope(server *server) bool {
+	executed := q.firstMaybeExecuted()
+	if executed == nil || q.class.Idempotency != IdempotentWithKey {
+		return true
+	}
+	sameZone := server.Zone == executed.target.Zone
+	switch q.class.KeyScope {
+	case KeyScopeAll:
 		return true
+	case KeyScopeZone:
+		return sameZone
+	case KeyScopeCell:
+		return sameZone && server.Cell == executed.target.Cell
+	default:
+		return false
 	}
-	return q.class.KeyScope == KeyScopeAll || q.class.KeyScope == KeyScopeZone && s.Zone == a.target.Zone ||
-		q.class.KeyScope == KeyScopeCell && s.Zone == a.target.Zone && s.Cell == a.target.Cell
 }
 
-// rejectOrFail gives the final answer to a request that will not be served.
-func (r *Router) rejectOrFail(q *request) {
-	if q.inflight > 0 {
-		return // an attempt is out; its outcome decides
+// rejectOrFail gives the final answer to a request that will not be served. While an attempt is
+// in flight, its outcome decides.
+func (r *Router) rejectOrFail(request *request) {
+	if request.inflight > 0 {
+		return
 	}
-	if q.firstMaybeExecuted() != nil && q.class.Idempotency != Idempotent {
-		r.emit(Fail{q.ID})
+	if request.firstMaybeExecuted() != nil && request.class.Idempotency != Idempotent {
+		r.emit(Fail{request.ID})
 	} else {
-		r.emit(Reject{q.ID, r.settings.MaxRetryAfter / 2})
+		r.emit(Reject{request.ID, r.settings.MaxRetryAfter / 2})
 	}
-	r.finish(q)
+	r.finish(request)
 }
 
-// retry decides what follows a failed attempt.
-func (r *Router) retry(q *request, a *attempt, o Outcome) {
-	untold := !r.cacheStatusKnown && o.Result == Rejected && !q.class.Write // by the cache, or by its source
-	switch {
-	case a.cacheOnly && o.Result == NotCached || a.failedWithSharedFill(o.CacheStatus):
-		q.cacheMissed = true
-	case q.cacheMissed && !q.sourceMissed &&
-		(o.CacheStatus == SourceMiss || a.onlyIfCached && o.Result == NotCached):
-		q.sourceMissed = true
-	case o.CacheStatus >= SourceRejected && o.CacheStatus != FillRejected || untold && a.index == 0:
-		q.excluded = append(q.excluded, a.source)
-	default:
-		q.excluded = append(q.excluded, a.moreErrorProne())
-	}
-	r.dispatch(q)
+// failedWithSharedFill reports whether a look failed together with the fill for another request.
+func (a *attempt) failedWithSharedFill(status CacheStatus) bool {
+	return a.cacheOnly && status.sourceFailed()
 }
--- a/routing/router.go
+++ b/routing/router.go
@@ -1,57 +1,67 @@
 package routing
 
-import "time"
+import (
+	"time"
+)
 
-func (r *Router) handleRequest(q Request) {
-	if q.Class < 0 || q.Class >= len(r.settings.Classes) {
-		r.emit(Reject{ID: q.ID}) // never announced; nothing was sent, so a retry is harmless
+// handleRequest takes in a client's request: it is sent on, queued or answered at once.
+func (r *Router) handleRequest(event Request) {
+	if r.requests[event.ID] != nil {
 		return
 	}
-	c := &r.settings.Classes[q.Class]
-	req := &request{Request: q, class: c, deadline: r.now + q.Timeout}
-	req.meanTransferTime = &r.meanTransferTimes[q.Class]
-	stretch := time.Duration(c.ObjectiveTransferFactor * float64(r.transferTime(req)))
-	req.objectiveAt = r.now + min(q.Timeout, c.LatencyObjective+stretch)
-	if r.hasSize(req) { // refused ones count too: the larger are refused more often
-		seconds := q.SizeKB / r.settings.TransferKBPerSecond
-		*req.meanTransferTime += (seconds - *req.meanTransferTime) * meanTransferTimeGain
+	if event.Class < 0 || event.Class >= len(r.settings.Classes) {
+		r.emit(Reject{ID: event.ID}) // never announced; nothing was sent, so a retry is harmless
+		return
+	}
+	class := &r.settings.Classes[event.Class]
+	req := &request{Request: event, class: class, deadline: r.now + event.Timeout}
+	req.meanTransferTime = &r.meanTransferTimes[event.Class]
+	stretch := time.Duration(class.ObjectiveTransferFactor * float64(r.transferTime(req)))
+	req.objectiveAt = r.now + min(event.Timeout, class.LatencyObjective+stretch)
+	if r.hasSize(req) { // rejected ones count too: the larger are rejected more often
+		r.learnMeanTransferTime(req, event.SizeKB/r.settings.TransferKBPerSecond)
 	}
-	if !c.Write {
-		req.popularity = r.recordRequestFor(q.Object)
+	if !class.Write {
+		req.popularity = r.recordRequestFor(event.Object)
 	}
-	r.requests[q.ID] = req
+	r.requests[event.ID] = req
 	r.dispatch(req)
 }
 
-// dispatch gives a request its next attempt, holds it, or ends it.
-func (r *Router) dispatch(q *request) {
-	to, source, room := r.selectRoute(q)
+// dispatch sends the next attempt of a request, queues the request or ends it.
+func (r *Router) dispatch(request *request) {
+	route := r.selectRoute(request)
 	switch {
-	case to == nil || !r.mayAttempt(q):
-		r.rejectOrFail(q)
-	case room:
-		r.sendAttempt(q, to, source)
+	case route.target == nil || !r.mayAttempt(request):
+		r.rejectOrFail(request)
+	case route.admitted:
+		r.sendAttempt(request, route)
 	default:
-		r.enqueue(q)
+		r.enqueue(request)
 	}
 }
 
-func (r *Router) handleOutcome(o Outcome) {
-	q := r.requests[o.ID]
-	if q == nil || o.Attempt < 0 || o.Attempt >= len(q.attempts) || q.attempts[o.Attempt].ended {
+// handleOutcome records the end of an attempt and continues its request. Outcomes of unknown or
+// ended attempts change nothing.
+func (r *Router) handleOutcome(outcome Outcome) {
+	request := r.requests[outcome.ID]
+	if request == nil || outcome.Attempt < 0 || outcome.Attempt >= len(request.attempts) {
 		return
 	}
-	a := q.attempts[o.Attempt]
-	a.notExecuted = o.Result.NotExecuted()
-	r.track(a, -1)
-	if a.target.role == cache && o.Load.LinkUtilization >= 0 {
-		r.linkLimiter.observe(r.now, o.Load.LinkUtilization/linkUtilizationTarget, r.zoneFraction)
-	}
-	r.recordOutcome(a, o)
-	if o.Result == Served || o.RequestDone {
-		r.finish(q)
-	} else if q.inflight == 0 {
-		r.retry(q, a, o)
+	attempt := request.attempts[outcome.Attempt]
+	if attempt.ended {
+		return
+	}
+	attempt.notExecuted = outcome.Result.NotExecuted()
+	r.track(attempt, -1)
+	if attempt.target.role == cache && outcome.Load.LinkUtilization >= 0 {
+		r.recordLinkLoad(outcome.Load)
+	}
+	r.recordOutcome(attempt, outcome)
+	if outcome.Result == Served || outcome.RequestDone {
+		r.finish(request)
+	} else if request.inflight == 0 {
+		r.retry(request, attempt, outcome)
 	}
 	r.dispatchQueue()
 }
--- a/routing/selection.go
+++ b/routing/selection.go
@@ -2,132 +2,171 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 )
 
-// The ordinary path: a request goes to the home cache of its object, found by
-// rendezvous hashing over the zone's caches, and a miss is filled from the home
-// parent, found over all parents. A request for a popular object joins a fill that
-// is under way. The rest is for when that path breaks.
+// The ordinary path: a request goes to the home cache of its object, found by rendezvous hashing
+// over the zone's caches, and a miss is filled from the home parent, found over all parents. A
+// request for a popular object joins a fill in progress. The rest is for when that path fails.
 
-// rankServers returns the servers of a role that can take q in the rendezvous order
-// of key, best first, valid until it is called again. A cold or slow server draws
-// keys as it can carry them. If all parents look sick, their looks tell nothing.
-func (r *Router) rankServers(role role, key uint64, q *request) []*server {
-	allSick := role == parent && !slices.ContainsFunc(r.readyByRole[role], r.available)
-	out := r.ranking[:0]
-	for _, s := range r.readyByRole[role] {
-		room := r.weight(s) * r.capacityFraction(s, r.now) * r.keyFraction(s)
-		s.score = -math.Log(uniform(key^mix64(uint64(s.ID)))) / room
-		if (allSick || r.available(s)) && !slices.Contains(q.excluded, s) && q.inKeyScope(s) &&
-			r.withinSlowStartBudget(s, *q.meanTransferTime) {
-			out = append(out, s)
-		}
-	}
-	slices.SortFunc(out, func(a, b *server) int {
-		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.ID, b.ID))
-	})
-	r.ranking = out
-	return out
+// route is where an attempt goes.
+type route struct {
+	target   *server // nil: nowhere
+	source   *server // who fills a miss; the target itself, or nil: nobody
+	admitted bool    // it need not wait
 }
 
-// keyFraction is the part of its keys that a far slower s keeps. Symptom guarded against: a cache that
-// did a tenth of its work was waited for as a crowded home, and a third of all was refused.
-func (r *Router) keyFraction(s *server) float64 {
-	lag := s.slowdown.value(r.now, slowdownTimeConstant)
-	least := lag
-	for _, x := range r.readyByRole[s.role] {
-		least = min(least, x.slowdown.value(r.now, slowdownTimeConstant))
+// selectRoute picks the target of a request's next attempt, and who fills a miss. A saturated
+// home cache has the next cache with ample headroom as its failover target.
+func (r *Router) selectRoute(request *request) route {
+	source, sourceAdmits := r.selectSource(request)
+	if request.class.Write && (r.settings.AllowBypass || source == nil) {
+		return route{source, source, sourceAdmits}
 	}
-	part := min(1, toleratedSlowdown*least/lag)
-	return max(part*part, minKeyFraction)
-}
-
-// selectRoute picks where the next attempt goes, a crowded home's to the next cache with
-// ample room, and who fills a miss. room: it need not wait.
-func (r *Router) selectRoute(q *request) (to, source *server, room bool) {
-	source, open := r.selectSource(q)
-	if q.class.Write && (r.settings.AllowBypass || source == nil) {
-		return source, source, open
+	caches := r.rankServers(cache, request.chunkKey(), request)
+	if len(caches) > 0 && r.mustQueue(request, sourceAdmits) {
+		return route{caches[0], source, false}
 	}
-	full, home := false, (*server)(nil)
-	look := !q.cacheMissed && !q.class.Write &&
-		(r.linkLimiter.active || r.originLimiter.active || source != nil && source.limiter.active)
-	for _, s := range r.rankServers(cache, q.chunkKey(), q) {
+	var home *server
+	limited := false
+	for _, candidate := range caches {
 		switch {
-		case q.cacheMissed && (!open || !r.linkLimiter.admits(r.now)) ||
-			q.sourceMissed && !r.originLimiter.admits(r.now):
-			return s, source, false
-		case !q.class.Write && r.zoneSaturated():
-			return s, source, false
-		case !q.class.Write && home == nil && r.saturated(s, 1):
-			home = s
-		case home != nil && (r.zoneFraction*overcommitFactor*home.Weight < minInflight ||
-			r.saturated(s, failoverHeadroom)):
-		case !s.limiter.admits(r.now):
-			if full = true; q.popularity < popularThreshold {
-				return s, source, false
+		case !request.class.Write && home == nil && r.saturated(candidate, 1):
+			home = candidate
+		case home != nil && !r.canFailOver(home, candidate):
+		case !candidate.limiter.admits(r.now):
+			limited = true
+			if request.popularity < popularThreshold {
+				return route{candidate, source, false}
 			}
-		case source == nil || look:
-			return s, s, true
+		case source == nil || r.looksFirst(request, source):
+			return route{candidate, candidate, true}
 		default:
-			return s, source, true
+			return route{candidate, source, true}
 		}
 	}
 	if home != nil {
-		return home, source, false
+		return route{home, source, false}
+	}
+	if source == nil || limited || !r.settings.AllowBypass {
+		return route{source, source, false}
 	}
-	// No cache can take it: straight to the source, which must be let ask the origin.
-	if to = source; source == nil || full || !r.settings.AllowBypass {
-		return to, source, false
+	return r.bypassCaches(source, sourceAdmits)
+}
+
+// mustQueue reports whether a request must wait whichever cache it goes to.
+func (r *Router) mustQueue(request *request, sourceAdmits bool) bool {
+	switch {
+	case request.cacheMissed && (!sourceAdmits || !r.linkLimiter.admits(r.now)):
+		return true
+	case request.sourceMissed && !r.originLimiter.admits(r.now):
+		return true
 	}
+	return !request.class.Write && r.zoneSaturated()
+}
+
+// looksFirst reports whether a request must look for a copy before it may cause a fill, since a
+// bottleneck of fills is busy.
+func (r *Router) looksFirst(request *request, source *server) bool {
+	busy := r.linkLimiter.active || r.originLimiter.active || source.limiter.active
+	return busy && !request.cacheMissed && !request.class.Write
+}
+
+// bypassCaches routes straight to the source, which must be allowed to ask the origin.
+func (r *Router) bypassCaches(source *server, sourceAdmits bool) route {
+	filler := source
 	if len(r.readyByRole[origin]) > 0 {
-		source = r.readyByRole[origin][0]
+		filler = r.readyByRole[origin][0]
 	}
-	return to, source, open && r.linkLimiter.admits(r.now) && r.originLimiter.admits(r.now)
+	return route{source, filler, sourceAdmits && r.linkLimiter.admits(r.now) && r.originLimiter.admits(r.now)}
 }
 
-// selectSource returns the home parent of an object, or its stand-in where that is lost or cold; the origin
-// for a write, and where no or too few parents are left. open: it may be sent one more. Symptom guarded
-// against: with one of two parents silent the other's link was full, and answers came late.
-func (r *Router) selectSource(q *request) (source *server, open bool) {
-	l := r.rankServers(parent, mix64(uint64(q.Object)), q)
-	few := float64(len(l)) < minAvailableParents*float64(len(r.readyByRole[parent])) &&
-		!r.settings.OriginStopsOnOverload && len(r.readyByRole[origin]) > 0
-	lost := func(s *server) bool { return s.unresponsive && !r.available(s) && s.score < l[0].score }
-	if len(l) == 0 || q.class.Write || few && slices.ContainsFunc(r.readyByRole[parent], lost) {
-		l = r.readyByRole[origin]
+// selectSource returns the home parent of an object, or its failover target where that is ejected
+// or warming up; the origin for a write, and where no or too few parents are left. admits: it may
+// be sent one more.
+//
+// Symptom guarded against: with one of two parents unresponsive the other's link was full, and
+// answers came late.
+func (r *Router) selectSource(request *request) (source *server, admits bool) {
+	sources := r.rankServers(parent, mix64(uint64(request.Object)), request)
+	if len(sources) == 0 || request.class.Write || r.parentsOverstretched(sources) {
+		sources = r.readyByRole[origin]
 	}
-	if len(l) == 0 || !q.inKeyScope(l[0]) {
+	if len(sources) == 0 || !request.inKeyScope(sources[0]) {
 		return nil, false
 	}
-	return l[0], l[0].limiter.admits(r.now)
+	return sources[0], sources[0].limiter.admits(r.now)
 }
 
-// sendAttempt sends one attempt.
-func (r *Router) sendAttempt(q *request, to, source *server) {
-	a := &attempt{request: q, index: len(q.attempts), target: to, source: source, sentAt: r.now}
-	q.attempts = append(q.attempts, a)
-	a.cacheOnly = source == to && to.role == cache
-	a.fill = !q.class.Write && source.role != cache && (q.cacheMissed || to.role != cache)
-	a.fromOrigin = q.sourceMissed || a.fill && source.role == origin
-	r.track(a, 1)
-	r.recordSentWork(to, *q.meanTransferTime)
-	if source != to {
-		r.recordSentWork(source, *q.meanTransferTime)
+// parentsOverstretched reports whether too few parents are left to take over the objects of one
+// that ranks above them and is unresponsive, while the origin can.
+func (r *Router) parentsOverstretched(ranked []*server) bool {
+	parents := r.readyByRole[parent]
+	if r.settings.OriginStopsOnOverload || len(r.readyByRole[origin]) == 0 {
+		return false
+	}
+	if float64(len(ranked)) >= minAvailableParents*float64(len(parents)) {
+		return false
 	}
-	g := SendAttempt{ID: q.ID, Server: to.ID, FillSource: source.ID, Deadline: q.deadline}
-	g.MaxAge = r.maxCopyAge(q)
-	g.JoinFill = r.settings.CanJoinFill && q.popularity >= popularThreshold // a write is never hot
-	g.OnlyIfCached = a.fill && !a.fromOrigin && r.originLimiter.active
-	a.onlyIfCached = g.OnlyIfCached
-	if !q.class.Write && to.role == cache {
-		g.Revalidate = g.JoinFill && q.class.FreshnessLifetime > 0
-		if g.CopyRank = 1; q.popularity >= popularThreshold {
-			g.CopyRank = 2
+	return slices.ContainsFunc(parents, func(server *server) bool {
+		return server.unresponsive && !r.available(server) && server.score < ranked[0].score
+	})
+}
+
+// rankServers returns the servers of a role that can take a request in the rendezvous order of
+// key, best first; the result is valid until the next call. A warming or slow server draws as
+// many keys as it can carry. If all parents are ejected, their ejections tell nothing.
+func (r *Router) rankServers(role role, key uint64, request *request) []*server {
+	allEjected := role == parent && !slices.ContainsFunc(r.readyByRole[role], r.available)
+	ranked := r.ranking[:0]
+	for _, server := range r.readyByRole[role] {
+		capacity := r.weight(server) * r.capacityFraction(server, r.now) * r.keyFraction(server)
+		server.score = rendezvousScore(key, server.ID, capacity)
+		if !allEjected && !r.available(server) || slices.Contains(request.excluded, server) {
+			continue
+		}
+		if request.inKeyScope(server) && r.withinSlowStartBudget(server, *request.meanTransferTime) {
+			ranked = append(ranked, server)
+		}
+	}
+	slices.SortFunc(ranked, func(a, b *server) int {
+		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.ID, b.ID))
+	})
+	r.ranking = ranked
+	return ranked
+}
+
+// keyFraction is the part of its keys that a server keeps that is far slower than its best peer.
+//
+// Symptom guarded against: a cache that did a tenth of its work was queued for as a saturated
+// home, and a third of all requests was rejected.
+func (r *Router) keyFraction(server *server) float64 {
+	slowdown := r.slowdownOf(server)
+	least := slowdown
+	for _, peer := range r.readyByRole[server.role] {
+		least = min(least, r.slowdownOf(peer))
+	}
+	fraction := min(1, toleratedSlowdown*least/slowdown)
+	return max(fraction*fraction, minKeyFraction)
+}
+
+// sendAttempt sends an attempt and sets the timer of its first check.
+func (r *Router) sendAttempt(request *request, route route) {
+	sent := r.startAttempt(request, route)
+	action := SendAttempt{ID: request.ID, Server: sent.target.ID, FillSource: sent.source.ID}
+	action.Deadline = request.deadline
+	action.MaxAge = r.maxCopyAge(request)
+	popular := request.popularity >= popularThreshold // a write never is
+	action.JoinFill = r.settings.CanJoinFill && popular
+	action.OnlyIfCached = sent.fill && !sent.fromOrigin && r.originLimiter.active
+	sent.onlyIfCached = action.OnlyIfCached
+	if !request.class.Write && sent.target.role == cache {
+		action.Revalidate = action.JoinFill && request.class.FreshnessLifetime > 0
+		action.CopyRank = ordinaryCopyRank
+		if popular {
+			action.CopyRank = popularCopyRank
 		}
 	}
-	r.emit(g)
-	r.emit(SetTimer{r.checkInterval(q), uint64(q.ID)<<timerKindBits | timerCheckAttempt})
+	r.emit(action)
+	r.emit(SetTimer{r.checkInterval(request), timerToken(request, timerCheckAttempt)})
 }
--- a/routing/state.go
+++ b/routing/state.go
@@ -5,158 +5,116 @@
 	"time"
 )
 
-// Router makes the decisions of one router. It is not safe for concurrent use.
+// Router makes the routing decisions of one edge router. It is not safe for concurrent use.
 type Router struct {
 	settings          Settings
 	seed              uint64
-	servers           []*server            // by id
-	readyByRole       [roleCount][]*server // ready ones by role
-	requests          map[RequestID]*request
-	queue             []*request                // held until a cache has room, oldest first
-	meanTransferTimes []float64                 // sending time by class, seconds
-	popularity        boundedTable[decayingSum] // decayed counts by object
-	transferTimes     boundedTable[float64]     // least sending time seen by part, seconds
-	originLimiter     limiter                   // rations what parents must fetch from the origin
-	linkLimiter       limiter                   // rations the fills that come in through the location's link
+	longestObjective  time.Duration // of all classes: an origin that takes it is overloaded
+	zoneFraction      float64       // of its zone's requests that this router receives
+	slowStarts        [roleCount]SlowStart
+	servers           []*server
+	readyByRole       [roleCount][]*server
+	totalWeight       [roleCount]float64        // of the ready servers
+	throughput        [roleCount]decayingSum    // seconds of transfer time a second, served for this router
+	peakThroughput    [roleCount]float64        // highest throughput seen, per weight
+	initialized       bool                      // the first endpoint list has come
+	requests          map[RequestID]*request    // unfinished ones
+	queue             []*request                // oldest first
+	meanTransferTimes []float64                 // by class, seconds
+	transferTimes     boundedTable[float64]     // least one seen by chunk, seconds
+	popularity        boundedTable[decayingSum] // request counts by object
+	originLimiter     limiter                   // of what parents fetch from the origin
+	linkLimiter       limiter                   // of fills through the zone's link
 	purgeLog          Guard                     // only its purges are used
-	slowStarts        [roleCount]SlowStart      // how servers gain capacity after a start
-	totalWeight       [roleCount]float64        // weights of the ready ones by role
-	throughput        [roleCount]decayingSum    // work a second that they served for this router
-	peakThroughput    [roleCount]float64        // the most of that seen, per weight
-	initialized       bool                      // it has had its first list
-	cacheStatusKnown  bool                      // outcomes come with notes, of failures too
-	fillLatency       float64                   // time that a fill takes to begin, smoothed, seconds
-	fillPace          float64                   // time that it takes then over its sending time, smoothed
-	longestObjective  time.Duration             // the longest of all classes: an origin that takes it is full
-	zoneFraction      float64                   // of the requests of its location, as far as the settings tell
-	ranking           []*server                 // what ranked returned last
-	now               time.Duration
-	actions           []Action
+	cacheStatusKnown  bool                      // outcomes tell it, also of failures
+	fillLatency       float64                   // smoothed time until a fill begins, seconds
+	fillPace          float64                   // smoothed time of a fill over its transfer time
+	ranking           []*server                 // result of the latest rankServers
+	now               time.Duration             // of the event being handled
+	actions           []Action                  // called for by it
 }
 
-// New returns a Router that has just started. It fails where a setting
-// cannot be used, and names it.
-func New(s Settings, seed uint64) (*Router, error) {
+// New returns a Router that has just started. A seed sets the routers of a zone apart in what
+// they draw by lot. An error wraps a *SettingError.
+func New(settings Settings, seed uint64) (*Router, error) {
 	r := &Router{seed: seed, requests: map[RequestID]*request{}}
-	return r, r.UpdateSettings(s)
+	return r, r.UpdateSettings(settings)
 }
 
-// UpdateSettings goes over to other settings: what is known of servers and objects stays.
-func (r *Router) UpdateSettings(s Settings) error {
-	if err := s.validate(); err != nil {
+// UpdateSettings replaces the settings and keeps what is known of servers, objects and requests.
+// Settings that cannot be used change nothing; the error wraps a *SettingError.
+func (r *Router) UpdateSettings(settings Settings) error {
+	if err := settings.validate(); err != nil {
 		return fmt.Errorf("routing: %w", err)
 	}
-	r.settings, r.zoneFraction, r.longestObjective, r.slowStarts = s, 1, 0, [roleCount]SlowStart{s.CacheSlowStart, s.ParentSlowStart, {InitialCapacity: 1}}
-	if len(s.RoutersByZone) > 0 {
-		r.zoneFraction = 1 / float64(max(s.RoutersByZone[s.Zone], 1))
+	r.settings = settings
+	r.slowStarts = [roleCount]SlowStart{settings.CacheSlowStart, settings.ParentSlowStart, {InitialCapacity: 1}}
+	r.zoneFraction = 1
+	if len(settings.RoutersByZone) > 0 {
+		r.zoneFraction = 1 / float64(max(settings.RoutersByZone[settings.Zone], 1))
 	}
-	for i, c := range s.Classes {
-		r.longestObjective = max(r.longestObjective, c.LatencyObjective, time.Millisecond)
-		if i == len(r.meanTransferTimes) {
-			r.meanTransferTimes = append(r.meanTransferTimes, c.LatencyObjective.Seconds()) // until more is known: not too short
+	r.longestObjective = time.Millisecond
+	for i, class := range settings.Classes {
+		r.longestObjective = max(r.longestObjective, class.LatencyObjective)
+		if i == len(r.meanTransferTimes) { // until more is known: not too short
+			r.meanTransferTimes = append(r.meanTransferTimes, class.LatencyObjective.Seconds())
 		}
 	}
 	return nil
 }
 
-// Timer tokens: a request and, in the low bits, what to do.
-const (
-	timerSubscribe    = iota // subscribe to the server list again
-	timerCheckAttempt        // see how the newest attempt is doing
-	timerQueueExpired        // a held request has waited long enough
-	timerKindBits     = 2
-)
-
-// handleTimer takes a wake-up.
-func (r *Router) handleTimer(tok uint64) {
-	if tok == timerSubscribe {
-		r.emit(Subscribe{})
-		return
-	}
-	q := r.requests[RequestID(tok>>timerKindBits)]
-	switch what := tok & (1<<timerKindBits - 1); {
-	case q == nil:
-	case what == timerCheckAttempt && q.inflight > 0 && !q.attempts[len(q.attempts)-1].ended:
-		r.checkOverdue(q.attempts[len(q.attempts)-1])
-	case what == timerQueueExpired && q.queued:
-		r.rejectOrFail(q)
-	}
-}
-
-// Handle takes one event and appends the actions that it calls for to out.
-func (r *Router) Handle(now time.Duration, ev Event, out []Action) []Action {
-	r.now, r.actions = now, out
-	switch ev := ev.(type) {
+// Handle handles one event at the time now and appends the actions that it calls for to actions.
+// Times count from any one moment and never decrease.
+func (r *Router) Handle(now time.Duration, event Event, actions []Action) []Action {
+	r.now = now
+	r.actions = actions
+	switch event := event.(type) {
 	case EndpointUpdate:
-		if ev.Failed {
-			r.emit(SetTimer{firstEjectionTime, timerSubscribe})
-		} else {
-			r.handleEndpointUpdate(ev)
-		}
+		r.handleEndpointUpdate(event)
 	case Request:
-		if r.requests[ev.ID] == nil {
-			r.handleRequest(ev)
-		}
+		r.handleRequest(event)
 	case Outcome:
-		r.handleOutcome(ev)
+		r.handleOutcome(event)
 	case TimerFired:
-		r.handleTimer(ev.Token)
+		r.handleTimer(event.Token)
 	case Purge:
-		r.handlePurge(ev)
+		r.handlePurge(event)
 	case PeerLoadReport:
-		r.handlePeerLoadReport(ev)
+		r.handlePeerLoadReport(event)
 	case ExtendEjection:
-		if s := r.readyServer(ev.Server); s != nil && s.ejections > 0 && ev.Until > s.ejectedUntil {
-			s.ejectedUntil = min(ev.Until, now+maxEjectionExtension)
-		}
+		r.extendEjection(event)
 	case RequireProbe:
-		if s := r.readyServer(ev.Server); s != nil && s.ejections == 0 && (s.consecutiveFailures > 0 || now > s.lastResponseAt+recentSuccessWindow) {
-			s.ejections, s.ejectedUntil = 1, now
-		}
+		r.requireProbe(event)
 	case ClientDisconnected:
-		if q := r.requests[ev.ID]; q != nil {
-			r.finish(q)
+		if request := r.requests[event.ID]; request != nil {
+			r.finish(request)
 		}
 	}
-	out, r.actions = r.actions, nil
-	return out
+	actions = r.actions
+	r.actions = nil
+	return actions
 }
 
-const (
-	maxEjectionExtension = 5 * time.Second        // by which a rest is prolonged at once, at the most
-	recentSuccessWindow  = 500 * time.Millisecond // for so long an answer of a server speaks for it
-)
+func (r *Router) emit(action Action) { r.actions = append(r.actions, action) }
 
-// readyServer returns a server that is listed as ready; nil: it is not.
-func (r *Router) readyServer(id ServerID) *server {
-	for _, s := range r.servers {
-		if s.ID == id && s.ready {
-			return s
-		}
+// handleTimer handles the firing of a timer; its request may have ended since.
+func (r *Router) handleTimer(token uint64) {
+	if token == timerSubscribe {
+		r.emit(Subscribe{})
+		return
 	}
-	return nil
-}
-
-// AppendEjected appends the servers that are listed as ready and that this router set aside, or
-// tries again and has not heard of since.
-func (r *Router) AppendEjected(to []ServerID) []ServerID {
-	for _, s := range r.servers {
-		if s.ready && s.ejections > 0 {
-			to = append(to, s.ID)
-		}
+	request := r.requests[RequestID(token>>timerKindBits)]
+	if request == nil {
+		return
 	}
-	return to
-}
-
-// UnavailableCount returns how many servers that are listed as ready are set aside.
-func (r *Router) UnavailableCount() int64 {
-	n := int64(0)
-	for _, s := range r.servers {
-		if s.ready && !r.available(s) {
-			n++
+	switch token & (1<<timerKindBits - 1) {
+	case timerCheckAttempt:
+		if request.inflight > 0 && !request.latestAttempt().ended {
+			r.checkOverdue(request.latestAttempt())
+		}
+	case timerQueueExpired:
+		if request.queued {
+			r.rejectOrFail(request)
 		}
 	}
-	return n
 }
-
-func (r *Router) emit(a Action) { r.actions = append(r.actions, a) }
--- /dev/null
+++ b/routing/transfertime.go
@@ -0,0 +1,78 @@
+package routing
+
+import "time"
+
+// transfer is the time that sending a response at full pace takes.
+type transfer struct {
+	seconds  float64
+	known    bool // not just the mean of its class
+	measured bool // by the bytes of this response
+}
+
+// hasSize reports whether a request came with the size of its object.
+func (r *Router) hasSize(request *request) bool {
+	return request.SizeKB > 0 && r.settings.TransferKBPerSecond > 0
+}
+
+// transferTime is transferSeconds as a duration.
+func (r *Router) transferTime(request *request) time.Duration {
+	seconds, _ := r.transferSeconds(request)
+	return secondsToDuration(seconds)
+}
+
+// transferSeconds is the transfer time of a request in seconds: by its size, or else the least that
+// its chunk ever took, or the mean of its class.
+func (r *Router) transferSeconds(request *request) (seconds float64, known bool) {
+	if r.hasSize(request) {
+		return request.SizeKB / r.settings.TransferKBPerSecond, true
+	}
+	if least, ok := r.transferTimes.get(request.chunkKey()); ok {
+		return least, true
+	}
+	return *request.meanTransferTime, false
+}
+
+// measureTransfer is the transfer time of a served request: by the bytes of the response where they
+// tell it, else as known before.
+func (r *Router) measureTransfer(request *request, outcome *Outcome) transfer {
+	if outcome.BodyBytes > 0 && r.settings.BodyBytesPerSecond > 0 && !request.class.Write {
+		measured := float64(outcome.BodyBytes) / r.settings.BodyBytesPerSecond
+		return transfer{seconds: measured, known: true, measured: true}
+	}
+	seconds, known := r.transferSeconds(request)
+	return transfer{seconds: seconds, known: known}
+}
+
+// learnTransferTime keeps the transfer time of a chunk whose requests come without a size.
+func (r *Router) learnTransferTime(request *request, outcome *Outcome, transfer transfer) {
+	if r.hasSize(request) {
+		return
+	}
+	seconds := transfer.seconds
+	took := outcome.Duration.Seconds()
+	if !transfer.measured && (!transfer.known || took < seconds) {
+		seconds = took
+	}
+	r.transferTimes.put(request.chunkKey(), seconds)
+	if transfer.measured || !transfer.known || outcome.CacheStatus == Hit {
+		r.learnMeanTransferTime(request, seconds)
+	}
+}
+
+// learnMeanTransferTime moves the mean of a request's class towards one transfer time.
+func (r *Router) learnMeanTransferTime(request *request, seconds float64) {
+	mean := request.meanTransferTime
+	*mean += (seconds - *mean) * meanTransferTimeGain
+}
+
+// chunkKey is the key of a request's chunk: caches keep each chunk by itself.
+func (q *request) chunkKey() uint64 {
+	return mix64(uint64(q.Object) + uint64(q.Chunk)*chunkStride)
+}
+
+// chunkStride keeps the chunks of an object apart; all routers must agree on it.
+const chunkStride = 0x9e3779b97f4a7c15
+
+func secondsToDuration(seconds float64) time.Duration {
+	return time.Duration(seconds * float64(time.Second))
+}
--- a/routing/unknown_status_test.go
+++ b/routing/unknown_status_test.go
@@ -587,7 +587,11 @@
 		for _, n := range there {
 			sent += n
 		}
-		if want := choose(full, 2, 3); sent != want {
+		want := 3
+		if full {
+			want = 2
+		}
+		if sent != want {
 			t.Errorf("caches full %v: %d sent of 20 (%v), want %d out and the rest held", full, sent, there, want)
 		}
 	}
