--- a/routing/guard_test.go
+++ b/routing/guard_test.go
@@ -31,3 +31,37 @@
 		}
 	}
 }
+
+// Rule 5: an age bound from the moment of the purge until all copies are gone.
+func TestPurges(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		purge Purge
+		class int
+		wait  time.Duration
+		want  time.Duration
+	}{
+		{"object", Purge{Object: 7, Age: 100 * ms}, 0, 200 * ms, 300 * ms},
+		{"other object", Purge{Object: 8, Group: 4, Age: 100 * ms}, 0, 0, 0},
+		{"group", Purge{Group: 4, Age: 100 * ms}, 0, 0, 100 * ms},
+		{"other group", Purge{Group: 5, Age: 100 * ms}, 0, 0, 0},
+		{"just told", Purge{Object: 7}, 0, 0, time.Microsecond},
+		{"fresher than the class asks", Purge{Object: 7, Age: sec}, 1, 0, sec},
+		{"older than the class allows", Purge{Object: 7, Age: 5 * sec}, 1, 4 * sec, 8 * sec},
+		{"at the end", Purge{Object: 7, Age: sec}, 0, 5*sec - ms, 6*sec - ms},
+	} {
+		f := newHarness(t, settings(), fleet())
+		f.handle(c.purge)
+		f.now += c.wait
+		if g := f.singleAttempt(f.request(Request{Class: c.class, Object: 7, PurgeGroup: 4, SizeKB: 1})); g.MaxAge != c.want {
+			t.Errorf("%s: age %v, want %v", c.name, g.MaxAge, c.want)
+		}
+	}
+	f := newHarness(t, settings(), fleet())
+	f.handle(Purge{Object: 7})
+	f.now += 7 * sec
+	f.handle(Purge{Object: 9})
+	if len(f.router.purgeLog.Purges) != 1 {
+		t.Errorf("%d purges kept, want 1", len(f.router.purgeLog.Purges))
+	}
+}
