--- a/routing/admission_test.go
+++ b/routing/admission_test.go
@@ -5,8 +5,8 @@
 	"testing"
 )
 
-// A full link: requests look first, and known misses are rationed; free
-// again, the ordinary path comes back.
+// With a saturated link requests look for a copy first, and fills of known misses are limited; when
+// it is free again, the ordinary path comes back.
 func TestSaturatedLinkLimitsFills(t *testing.T) {
 	f := newHarness(t, settings(), fleet())
 	report := func(x float64) {
@@ -42,8 +42,8 @@
 	}
 }
 
-// A slow origin: a known miss asks its parent for what it holds, and what the
-// parent lacks is rationed.
+// With a slow origin a known miss asks its parent for what that holds, and what the parent lacks is
+// limited.
 func TestSlowOriginIsLimited(t *testing.T) {
 	f := newHarness(t, settings(), fleet())
 	for range 10 {
@@ -67,9 +67,9 @@
 	}
 }
 
-// An origin that many routers push: what a router always has out there is its
-// part of what its location has, kept by pauses where that is below one; and a
-// write is held too while the origin answers none in time.
+// With an origin that many routers overload, what a router always has in flight there is its quota
+// of its zone's limit, kept by pauses where that is below one; a write is queued too while the
+// origin answers none in time.
 func TestLimitsAreZoneQuotas(t *testing.T) {
 	s := settings()
 	s.RoutersByZone, s.Routers = []int{0, 20, 1}, 21
@@ -81,16 +81,16 @@
 		f.router.recordOriginLoad(strained, 4)
 	}
 	if want := minZoneLimit / 20; f.router.originLimiter.limit > want*1.01 {
-		t.Errorf("the ration of one of 20 routers is %v, want %v", f.router.originLimiter.limit, want)
+		t.Errorf("the limit of one of 20 routers is %v, want %v", f.router.originLimiter.limit, want)
 	}
 	f.router.originLimiter.track(f.now, 1)
 	f.now += sec
 	f.router.originLimiter.track(f.now, -1)
 	if f.now += 8 * sec; f.router.originLimiter.admits(f.now) {
-		t.Error("no pause after what one router may have out a tenth of the time")
+		t.Error("no pause after what one router may have in flight a tenth of the time")
 	}
 	if f.now += 2 * sec; !f.router.originLimiter.admits(f.now) {
-		t.Error("still closed after the pause")
+		t.Error("nothing admitted after the pause")
 	}
 	if g := f.singleAttempt(f.request(Request{Class: 2, Object: 1, SizeKB: 10})); g.Server != 41 {
 		t.Fatalf("a write went to %v", g.Server)
@@ -100,31 +100,31 @@
 	}
 }
 
-// Held again when fills became faster, a request still gets its answer (the
-// symptom: its wake-up had passed while an attempt was out, and none was set).
+// Queued again when fills became faster, a request still gets its answer. Symptom guarded against:
+// its timer had fired while an attempt was in flight, and none was set.
 func TestRequestQueuedTwiceIsAnswered(t *testing.T) {
 	f := newHarness(t, settings(), fleet())
 	f.router.linkLimiter.active, f.router.fillPace = true, 3
 	look := f.singleAttempt(f.request(Request{Object: 1, SizeKB: 200}))
 	f.router.linkLimiter.limit, f.router.linkLimiter.inflight = 1, 1
 	if acts := f.finish(look, 0, NotCached, CacheStatusUnknown); len(sendActions(acts)) != 0 {
-		t.Fatalf("not held: %v", acts)
+		t.Fatalf("not queued: %v", acts)
 	}
 	q := f.router.requests[look.ID]
 	q.queued, f.router.queue, f.router.linkLimiter.inflight = false, nil, 0
-	f.router.dispatch(q) // an attempt goes out, and is when the wake-up comes
+	f.router.dispatch(q) // an attempt is in flight when the timer fires
 	if q.inflight != 1 {
-		t.Fatalf("%d attempts out, want 1", q.inflight)
+		t.Fatalf("%d attempts in flight, want 1", q.inflight)
 	}
 	f.now = q.queueUntil
 	f.handle(TimerFired{uint64(q.ID)<<timerKindBits | timerQueueExpired})
 	f.router.fillPace, f.router.linkLimiter.inflight = 1, 9
-	if acts := f.finish(look, 1, Rejected, FillRejected); !isRefused(acts) {
-		t.Errorf("neither answered nor waking up: %v", acts)
+	if acts := f.finish(look, 1, Rejected, FillRejected); !isRejected(acts) {
+		t.Errorf("neither answered nor with a timer: %v", acts)
 	}
 }
 
-// A cache that refused for a while and serves again is not rationed for ever.
+// A cache that rejected for a while and serves again is not limited for ever.
 func TestLimiterReopensWithoutStatus(t *testing.T) {
 	f := newHarness(t, settings(), fleet())
 	cache := f.router.readyByRole[cache][0]
@@ -133,7 +133,7 @@
 		cache.limiter.observe(f.now, rejectionUtilization, 1)
 	}
 	if !cache.limiter.active {
-		t.Fatal("refusals do not start the ration")
+		t.Fatal("rejections do not activate the limiter")
 	}
 	for i := range 400 {
 		f.now += 100 * ms
@@ -142,13 +142,13 @@
 		}
 	}
 	if cache.limiter.active {
-		t.Errorf("still rationed at fullness %.2f", cache.limiter.utilization)
+		t.Errorf("still limited at utilization %.2f", cache.limiter.utilization)
 	}
 }
 
-// A home cache that has all that its link can send is stood in for by caches with
-// ample room, and waited for when there is none. (The symptom: all waited, and a
-// sixth was refused while the next cache had room for two thirds more.)
+// A home cache that has all that its link can send has failover targets, the caches with ample
+// headroom, and is queued for when there is none. Symptom guarded against: all requests queued, and
+// a sixth was rejected while the next cache had headroom for two thirds more.
 func TestSaturatedHomeHasFailoverTarget(t *testing.T) {
 	s := settings()
 	s.WeightIsCapacity, s.RoutersByZone = true, []int{0, 1, 1}
@@ -179,8 +179,8 @@
 	}
 }
 
-// A write does not wait for a crowded cache: its bytes are few and its worth
-// is the highest (the symptom: a third of the writes was refused unsent).
+// A write does not queue for a saturated cache: its bytes are few and its priority is the highest.
+// Symptom guarded against: a third of the writes was rejected unsent.
 func TestWritesPassASaturatedCache(t *testing.T) {
 	s := settings()
 	s.WeightIsCapacity, s.AllowBypass = true, false
@@ -193,13 +193,13 @@
 		f.request(Request{Object: ObjectID(f.nextID), Timeout: 6 * sec})
 	}
 	if g := f.singleAttempt(f.request(Request{Object: 7, Class: 2, Timeout: 3 * sec})); !f.router.saturated(f.router.requests[g.ID].attempts[0].target, 1) {
-		t.Error("the write went to a cache that was not crowded")
+		t.Error("the write went to a cache that was not saturated")
 	}
 }
 
-// A router that serves its location alone for a while may use the caches' whole
-// links as long as they answer in time, and its part of them once they lag. (The
-// symptom: it refused a tenth while the links were half used.)
+// A router that serves its zone alone for a while may use the caches' whole links as long as they
+// respond in time, and its quota of them once they slow down. Symptom guarded against: it rejected a
+// tenth while the links were half used.
 func TestCachesAtFullPaceTakeMore(t *testing.T) {
 	s := settings()
 	s.WeightIsCapacity, s.RoutersByZone, s.BodyBytesPerSecond = true, []int{0, 2, 2}, 100_000
@@ -211,18 +211,17 @@
 	c := f.router.readyByRole[cache][0]
 	c.inflight = 18
 	if f.router.saturated(c, 1) {
-		t.Error("a cache whose answers come in time counts as crowded")
+		t.Error("a cache whose responses come in time counts as saturated")
 	}
 	c.slowdown.observe(f.now, slowdownTimeConstant, 1, 2*saturatedSlowdown)
 	if !f.router.saturated(c, 1) {
-		t.Error("a cache that lags, with more out than this router's part, does not")
+		t.Error("a slow cache, with more in flight than this router's quota, does not")
 	}
 }
 
-// All routers of a location together have no more out than its caches send, though
-// each may have leastOut at any one of them. (The symptom: eight routers had 16 out at
-// caches that send six, the link of the location jammed and 50 in 100 were refused
-// long after a burst of 5 s.)
+// All routers of a zone together have no more in flight than its caches send, though each may have
+// minInflight at any one of them. Symptom guarded against: eight routers had 16 in flight at caches
+// that send six, the link of the zone jammed and 50 in 100 were rejected long after a burst of 5 s.
 func TestManyRoutersShareTheirCaches(t *testing.T) {
 	f := newSmallShareHarness(t)
 	n := 0
@@ -230,13 +229,13 @@
 		n += len(sendActions(f.request(Request{Object: ObjectID(1 + i), Timeout: 6 * sec})))
 	}
 	if most := overcommitFactor * 6 * 3 / 8; float64(n) < most || float64(n) > most+1 {
-		t.Errorf("%d are out, want this router's part, %.1f", n, most)
+		t.Errorf("%d are in flight, want this router's quota, %.1f", n, most)
 	}
 }
 
-// An object stays with its home where this router's part of a cache is so small that
-// two at once are chance. (The symptom: 44 in 100 objects changed their cache on a
-// day without a fault, and the fills that this made filled the link.)
+// An object stays with its home where this router's quota of a cache is so small that two at the
+// same time are chance. Symptom guarded against: 44 in 100 objects changed their cache on a day
+// without a fault, and the fills that this caused saturated the link.
 func TestSmallSharesMoveNoObjects(t *testing.T) {
 	f := newSmallShareHarness(t)
 	home := f.singleAttempt(f.request(Request{Object: 7, Timeout: 6 * sec})).Server
@@ -248,13 +247,13 @@
 		}
 	}
 	if want := 4 - int(inflightFloor(false)); len(f.router.queue) != want {
-		t.Errorf("%d wait for their home, want %d", len(f.router.queue), want)
+		t.Errorf("%d queued for their home, want %d", len(f.router.queue), want)
 	}
 }
 
-// A request that waits is refused when no answer at the pace of a crowd is in time
-// any more, not sent to be late. (The symptom: of what was sent after a wait, a third
-// came after its time, and its work was lost.)
+// A queued request is rejected when no response at the pace of a saturated cache is in time any
+// more, not sent to be late. Symptom guarded against: of what was sent from the queue, a third came
+// after its deadline, and its work was lost.
 func TestQueuedIsSentInTimeOrNotAtAll(t *testing.T) {
 	f := newSmallShareHarness(t)
 	for range int(inflightFloor(false)) {
@@ -264,24 +263,23 @@
 	acts := f.request(Request{Object: 7, Timeout: 6 * sec})
 	q := f.router.requests[f.nextID-1]
 	if len(sendActions(acts)) != 0 || q == nil {
-		t.Fatalf("not held: %v", acts)
+		t.Fatalf("not queued: %v", acts)
 	}
-	if left := q.objectiveAt - q.queueUntil; left < secondsToDuration(2*expectedLatencySeconds(f, q)) || q.queueUntil <= began {
-		t.Errorf("held until %v before its time, for work of %.3f s", left, expectedLatencySeconds(f, q))
+	if left := q.objectiveAt - q.queueUntil; left < secondsToDuration(2*f.transferSecondsOf(q)) || q.queueUntil <= began {
+		t.Errorf("queued until %v before its objective, for a transfer of %.3f s", left, f.transferSecondsOf(q))
 	}
 	f.now = q.queueUntil
-	if acts := f.handle(TimerFired{uint64(q.ID)<<timerKindBits | timerQueueExpired}); !isRefused(acts) {
-		t.Errorf("%v: want a refusal", acts)
+	if acts := f.handle(TimerFired{uint64(q.ID)<<timerKindBits | timerQueueExpired}); !isRejected(acts) {
+		t.Errorf("%v: want a rejection", acts)
 	}
 }
 
-// A router with a twentieth of its location's requests sees too little of any
-// cache to know its part of it, and keeps three out where it may go no further,
-// two where a cache refused of late. Symptom guarded against: when all copies went
-// void at once, eighty thin routers each held all beyond two at a cache, and held
-// requests ended refused while the caches still had room (join+vast: 23 to 27%
-// refused for 10 s, the caches' own refusals at 1%); where caches were full (a
-// second zone+vast), three out at each made it worse.
+// A router with a twentieth of its zone's requests sees too little of any cache to know its quota of
+// it, and keeps three in flight where it may go no further, two where a cache rejected lately.
+// Symptom guarded against: when all copies became void at the same time, eighty routers with small
+// quotas each queued all beyond two at a cache, and queued requests were rejected while the caches
+// still had headroom (join+vast: 23 to 27% rejected for 10 s, the caches' own rejections at 1%);
+// where caches were saturated (a second zone+vast), three in flight at each made it worse.
 func TestSmallShareRouterKeepsThreeInflight(t *testing.T) {
 	for _, full := range []bool{false, true} {
 		s := settings()
@@ -292,7 +290,7 @@
 		}
 		f := newHarness(t, s, list)
 		for _, c := range f.router.readyByRole[cache] {
-			for i := 0; full && i < 3; i++ { // three refusals turn a cache's gate on
+			for i := 0; full && i < 3; i++ { // three rejections activate a cache's limiter
 				f.now += limitUpdateInterval
 				c.limiter.observe(f.now, rejectionUtilization, f.router.zoneFraction)
 			}
@@ -312,14 +310,14 @@
 			want = 2
 		}
 		if sent != want {
-			t.Errorf("caches full %v: %d sent of 20 (%v), want %d out and the rest held", full, sent, there, want)
+			t.Errorf("caches limited %v: %d sent of 20 (%v), want %d in flight and the rest queued", full, sent, there, want)
 		}
 	}
 }
 
-// Where answers tell hits and fills but not how long a fill waited, a small object's fill
-// must not make its parent look full (the symptom: known misses were rationed all day), and
-// notes that come do not stand for failures, which are never told.
+// Where responses tell hits and fills but not how long a fill waited, a small object's fill must not
+// make its parent look saturated (symptom guarded against: known misses were limited all day), and a
+// status that comes does not stand for failures, which are never told.
 func TestHitStatusOnly(t *testing.T) {
 	for _, only := range []bool{true, false} {
 		set := settings()
@@ -329,13 +327,13 @@
 			f.now += 100 * ms
 			g := f.singleAttempt(f.request(Request{Object: ObjectID(1 + i), SizeKB: 10, Timeout: 6 * sec})) // 10 ms to send
 			if g.FillSource == g.Server {
-				break // it looks for a copy first: the parent is rationed
+				break // it looks for a copy first: the parent is limited
 			}
 			f.handle(Outcome{ID: g.ID, Server: g.Server, Result: Served, CacheStatus: Filled, Duration: 200 * ms, BodyBytes: 1, RequestDone: true})
 		}
-		rationed := slices.ContainsFunc(f.router.readyByRole[parent], func(p *server) bool { return p.limiter.active })
-		if rationed == only || f.router.cacheStatusKnown == only {
-			t.Errorf("hits only %v: a parent is rationed: %v, failures count as told: %v", only, rationed, f.router.cacheStatusKnown)
+		limited := slices.ContainsFunc(f.router.readyByRole[parent], func(p *server) bool { return p.limiter.active })
+		if limited == only || f.router.cacheStatusKnown == only {
+			t.Errorf("hits only %v: a parent is limited: %v, the status of failures counts as known: %v", only, limited, f.router.cacheStatusKnown)
 		}
 	}
 }
--- a/routing/guard_test.go
+++ b/routing/guard_test.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// A change log that is cut off may keep a purge back that binds all the same:
-// where purges happen, copies must then be younger than the grace.
+// A watch stream that is cut off may keep a purge back that binds all the same: where purges happen,
+// copies must then be younger than the grace.
 func TestGuardWithStaleWatch(t *testing.T) {
 	g := Guard{PurgeRetention: 6 * sec, PurgeGrace: 500 * ms, PurgesSeen: true, LastEventAt: 100 * sec}
 	for _, c := range []struct {
@@ -16,7 +16,7 @@
 		want     time.Duration
 		purged   bool
 	}{
-		{"heard lately", g, 101_400, 0, 0, false},
+		{"event lately", g, 101_400, 0, 0, false},
 		{"cut off", g, 101_600, 0, 500, true},
 		{"cut off, with a bound", g, 101_600, 12_000, 500, true},
 		{"cut off, with a tighter bound", g, 101_600, 200, 200, true},
@@ -32,7 +32,7 @@
 	}
 }
 
-// Rule 5: an age bound from the moment of the purge until all copies are gone.
+// A purge bounds the age of copies from its moment until all older copies are gone.
 func TestPurges(t *testing.T) {
 	for _, c := range []struct {
 		name  string
@@ -45,7 +45,7 @@
 		{"other object", Purge{Object: 8, Group: 4, Age: 100 * ms}, 0, 0, 0},
 		{"group", Purge{Group: 4, Age: 100 * ms}, 0, 0, 100 * ms},
 		{"other group", Purge{Group: 5, Age: 100 * ms}, 0, 0, 0},
-		{"just told", Purge{Object: 7}, 0, 0, time.Microsecond},
+		{"just purged", Purge{Object: 7}, 0, 0, time.Microsecond},
 		{"fresher than the class asks", Purge{Object: 7, Age: sec}, 1, 0, sec},
 		{"older than the class allows", Purge{Object: 7, Age: 5 * sec}, 1, 4 * sec, 8 * sec},
 		{"at the end", Purge{Object: 7, Age: sec}, 0, 5*sec - ms, 6*sec - ms},
--- a/routing/harness_test.go
+++ b/routing/harness_test.go
@@ -56,6 +56,7 @@
 	nextID  RequestID
 }
 
+// newHarness starts a router that knows a list of servers.
 func newHarness(t *testing.T, s Settings, list []Server) *harness {
 	t.Helper()
 	r, err := New(s, 1)
@@ -67,6 +68,7 @@
 	return f
 }
 
+// handle feeds the router an event at the present time.
 func (f *harness) handle(ev Event) []Action {
 	f.actions = f.router.Handle(f.now, ev, nil)
 	return f.actions
@@ -84,6 +86,7 @@
 	return f.handle(q)
 }
 
+// sendActions returns the attempts among actions.
 func sendActions(acts []Action) (out []SendAttempt) {
 	for _, a := range acts {
 		if g, ok := a.(SendAttempt); ok {
@@ -93,6 +96,7 @@
 	return out
 }
 
+// singleAttempt returns the attempt of actions that must hold one.
 func (f *harness) singleAttempt(acts []Action) SendAttempt {
 	f.Helper()
 	g := sendActions(acts)
@@ -109,21 +113,23 @@
 		RequestDone: res == Served, Load: LoadReport{nan, nan, nan, nan}})
 }
 
-func isRefused(acts []Action) bool {
+// isRejected reports whether a request was answered with a Reject.
+func isRejected(acts []Action) bool {
 	return slices.ContainsFunc(acts, func(a Action) bool { _, ok := a.(Reject); return ok })
 }
 
+// isFailed reports whether a request was answered with a Fail.
 func isFailed(acts []Action) bool {
 	return slices.ContainsFunc(acts, func(a Action) bool { _, ok := a.(Fail); return ok })
 }
 
-// finishWithoutStatus ends an attempt as a cache does that tells nothing of its fills.
+// finishWithoutStatus reports the end of an attempt by a cache that tells no cache status.
 func (f *harness) finishWithoutStatus(g SendAttempt, n int, res Result, took time.Duration) []Action {
 	return f.handle(Outcome{ID: g.ID, Attempt: n, Server: g.Server, Result: res, Duration: took, RequestDone: res == Served})
 }
 
-// newSmallShareHarness is a router that is one of eight in its location, whose part of each of the
-// three caches is under two of their six transfers.
+// newSmallShareHarness starts one of eight routers of a zone, whose quota of each of the three caches
+// is under two of their six transfers.
 func newSmallShareHarness(t *testing.T) *harness {
 	s := settings()
 	s.WeightIsCapacity, s.RoutersByZone, s.BodyBytesPerSecond = true, []int{0, 8, 1}, 100_000
@@ -132,14 +138,14 @@
 		list[i].Weight = 6
 	}
 	f := newHarness(t, s, list)
-	for _, c := range f.router.readyByRole[cache] { // others have much out there
+	for _, c := range f.router.readyByRole[cache] { // others have much in flight there
 		c.slowdown.observe(f.now, slowdownTimeConstant, 1, 1.5*saturatedSlowdown)
 	}
 	return f
 }
 
-// expectedLatencySeconds is the work of a request in seconds.
-func expectedLatencySeconds(f *harness, q *request) float64 {
-	w, _ := f.router.transferSeconds(q)
-	return w
+// transferSecondsOf is the transfer time of a request in seconds.
+func (f *harness) transferSecondsOf(q *request) float64 {
+	seconds, _ := f.router.transferSeconds(q)
+	return seconds
 }
--- a/routing/outlier_test.go
+++ b/routing/outlier_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// A sick source is not taken for a sick cache, nor the other way round.
+// A failing source is not taken for a failing cache, nor the other way round.
 func TestFailuresAreAttributed(t *testing.T) {
 	f := newHarness(t, settings(), fleet())
 	home := f.singleAttempt(f.request(Request{Object: 5, SizeKB: 1}))
@@ -19,7 +19,7 @@
 	}
 	after := f.singleAttempt(f.request(Request{Object: 5, SizeKB: 1}))
 	if after.Server != home.Server {
-		t.Errorf("the cache was blamed for its source: %v, then %v", home, after)
+		t.Errorf("the cache was at fault for its source: %v, then %v", home, after)
 	}
 	f = newHarness(t, settings(), fleet())
 	for range consecutiveFailureLimit {
@@ -30,11 +30,11 @@
 	}
 	f.now += maxEjectionTime
 	if g := f.singleAttempt(f.request(Request{Object: 5, SizeKB: 1})); g.Server != home.Server {
-		t.Errorf("no tentative return: %v", g)
+		t.Errorf("no probe after the ejection: %v", g)
 	}
 }
 
-// A silent cache is found by the lack of outcomes, and what it holds moves.
+// An unresponsive cache is found by the lack of outcomes, and its requests move.
 func TestUnresponsiveCacheIsFound(t *testing.T) {
 	f := newHarness(t, settings(), fleet())
 	var out []SendAttempt
@@ -50,7 +50,7 @@
 		}
 		for _, m := range sendActions(acts) {
 			if moved++; m.Server == out[0].Server {
-				t.Errorf("moved to the silent cache: %v", m)
+				t.Errorf("moved to the unresponsive cache: %v", m)
 			}
 		}
 	}
@@ -59,8 +59,8 @@
 	}
 }
 
-// A look that rode on another request's failing fill is a miss, no fault of
-// its cache (the symptom: caches set aside because of a slow origin).
+// A look that joined another request's failing fill is a miss, no fault of its cache. Symptom guarded
+// against: caches were ejected because of a slow origin.
 func TestSharedFillFailureBlamesNoServer(t *testing.T) {
 	f := newHarness(t, settings(), fleet())
 	for range 10 {
@@ -88,14 +88,14 @@
 			Outcome{Result: ServerError, CacheStatus: SourceUnreachable, Duration: 2 * sec})
 	}
 	if !f.router.originLimiter.active || from.consecutiveFailures > 0 || from.limiter.active {
-		t.Errorf("origin rationed: %v; parent blamed: %v, %v", f.router.originLimiter.active, from.consecutiveFailures, from.limiter.active)
+		t.Errorf("origin limited: %v; parent at fault: %v, %v", f.router.originLimiter.active, from.consecutiveFailures, from.limiter.active)
 	}
 }
 
-// A cache that answered this router a second ago and is slow now is waited for, not
-// taken for silent. Symptom guarded against: after a flush every answer was slow,
-// thin routers that had heard nothing since an attempt cancelled it and had another
-// cache fill the object again (join+vast, seed 775179834380: G 0.41 against 0.55).
+// A cache that responded to this router a second ago and is slow now is waited for, not taken for
+// unresponsive. Symptom guarded against: after a purge of everything all responses were slow; routers
+// with few requests, which had received none since an attempt, canceled it and had another cache fill
+// the object again (join+vast, seed 775179834380: G 0.41 against 0.55).
 func TestSlowCacheThatRespondedLatelyIsNotUnresponsive(t *testing.T) {
 	f := newHarness(t, settings(), fleet())
 	g := f.singleAttempt(f.request(Request{Object: 5, SizeKB: 1}))
@@ -111,21 +111,21 @@
 		_, ok := a.(CancelAttempt)
 		return ok
 	}) {
-		t.Errorf("a cache heard 1.7 s ago was taken for silent: %v", acts)
+		t.Errorf("a cache that responded 1.7 s ago was taken for unresponsive: %v", acts)
 	}
 	if s := f.router.servers[slices.IndexFunc(f.router.servers, func(s *server) bool { return s.ID == g.Server })]; s.unresponsive {
-		t.Error("marked silent")
+		t.Error("marked unresponsive")
 	}
 }
 
-// Slow attempts must not put parents to rest where outcomes never name the
-// source (the symptom: both rested, and the origin had to fill everything).
+// Slow attempts must not eject parents where outcomes never name the source. Symptom guarded against:
+// both were ejected, and the origin had to fill everything.
 func TestFillsWithoutStatusKeepTheirParent(t *testing.T) {
 	f := newHarness(t, settings(), fleet())
 	for i := range 100 {
 		f.now += 20 * ms
 		slow := f.singleAttempt(f.request(Request{Object: ObjectID(1 + i), Timeout: 6 * sec}))
-		for j := range 6 { // meanwhile its cache answers others
+		for j := range 6 { // meanwhile its cache serves others
 			f.now += ms
 			f.finishWithoutStatus(f.singleAttempt(f.request(Request{Object: ObjectID(1000 + 10*i + j), Timeout: 6 * sec})), 0, Served, ms)
 		}
@@ -134,19 +134,19 @@
 		f.finishWithoutStatus(slow, 0, Served, 2*sec)
 		for _, p := range f.router.readyByRole[parent] {
 			if p.ejections > 0 {
-				t.Fatalf("parent %d was put to rest after %d slow attempts", p.ID, i+1)
+				t.Fatalf("parent %d was ejected after %d slow attempts", p.ID, i+1)
 			}
 		}
 	}
 }
 
-// A parent that fails its fills is left alone though all hits name it too, and
-// the caches that met it are not; what failed by it goes through the other one
-// at once. It has its place again when it is well. (The symptom: one attempt
-// in three ended as an error, and no server was ever set aside.)
+// A parent that fails its fills is ejected though all hits name it too, and the caches that met it
+// are not; what failed by it goes through the other one at once. It has its place again when it has
+// recovered. Symptom guarded against: one attempt in three ended as an error, and no server was ever
+// ejected.
 func TestErrorsWithoutStatusFindTheParent(t *testing.T) {
 	f := newHarness(t, settings(), fleet())
-	play := func(n int, fails func(g SendAttempt, held bool) bool) (errors, refusals int) {
+	play := func(n int, fails func(g SendAttempt, held bool) bool) (errors, rejections int) {
 		for i := range n {
 			f.now += 20 * ms
 			acts, try := f.request(Request{Object: ObjectID(1 + i), Timeout: 6 * sec}), 0
@@ -160,43 +160,43 @@
 				}
 				acts, try = f.finishWithoutStatus(g, try, res, 10*ms), try+1
 			}
-			if isRefused(acts) {
-				refusals++
+			if isRejected(acts) {
+				rejections++
 			}
 		}
-		return errors, refusals
+		return errors, rejections
 	}
 	bad := f.router.readyByRole[parent][0].ID
-	errors, refusals := play(600, func(g SendAttempt, held bool) bool { return g.FillSource == bad && !held })
-	if errors > 40 || refusals > 2 {
-		t.Errorf("%d errors and %d refusals met a parent that fails all fills", errors, refusals)
+	errors, rejections := play(600, func(g SendAttempt, held bool) bool { return g.FillSource == bad && !held })
+	if errors > 40 || rejections > 2 {
+		t.Errorf("%d errors and %d rejections met a parent that fails all fills", errors, rejections)
 	}
 	for _, c := range f.router.readyByRole[cache] {
 		if c.ejections > 0 {
-			t.Errorf("cache %d was set aside for its parent", c.ID)
+			t.Errorf("cache %d was ejected for its parent", c.ID)
 		}
 	}
 	play(600, func(SendAttempt, bool) bool { return false })
 	if s := f.router.readyByRole[parent][0]; s.ejections > 0 {
-		t.Errorf("the parent is well again and still set aside, at %.2f", s.errorRate)
+		t.Errorf("the parent has recovered and is still ejected, at %.2f", s.errorRate)
 	}
 	// The same of a cache, and of all of them alike.
 	bad = f.router.readyByRole[cache][0].ID
-	if errors, refusals = play(600, func(g SendAttempt, held bool) bool { return g.Server == bad && held }); errors > 40 || refusals > 2 {
-		t.Errorf("%d errors and %d refusals met a cache that fails", errors, refusals)
+	if errors, rejections = play(600, func(g SendAttempt, held bool) bool { return g.Server == bad && held }); errors > 40 || rejections > 2 {
+		t.Errorf("%d errors and %d rejections met a cache that fails", errors, rejections)
 	}
 	play(600, func(SendAttempt, bool) bool { return false })
 	n := 0
 	play(600, func(SendAttempt, bool) bool { n++; return n%8 == 0 })
 	for _, c := range f.router.servers {
 		if c.ejections > 0 {
-			t.Errorf("server %d was set aside though all fail alike", c.ID)
+			t.Errorf("server %d was ejected though all fail alike", c.ID)
 		}
 	}
 }
 
-// What fails at once is one failure, and a busy server is not set aside for a few
-// among hundreds. (The symptom: a cache with 70 requests out rested for three.)
+// What fails at the same time is one failure, and a busy server is not ejected for a few among
+// hundreds. Symptom guarded against: a cache with 70 requests in flight was ejected for three.
 func TestFewErrorsOfManyAreNoOutlier(t *testing.T) {
 	f := newHarness(t, settings(), fleet())
 	var open []SendAttempt
@@ -213,7 +213,7 @@
 	}
 	for _, s := range f.router.servers {
 		if s.ejections > 0 || f.router.isOutlier(s) {
-			t.Errorf("server %d is set aside, at %.2f", s.ID, s.errorRate)
+			t.Errorf("server %d is ejected, at %.2f", s.ID, s.errorRate)
 		}
 	}
 }
@@ -231,13 +231,13 @@
 	}
 	for _, c := range f.router.readyByRole[cache] {
 		if c.consecutiveFailures > 1 || c.ejections > 0 {
-			t.Errorf("cache %d: %d failures, %d rests", c.ID, c.consecutiveFailures, c.ejections)
+			t.Errorf("cache %d: %d failures, %d ejections", c.ID, c.consecutiveFailures, c.ejections)
 		}
 	}
 }
 
-// A write whose answer is lost, while others are answered in their usual time,
-// does not make the origin look full: no read is held back or sent to look first.
+// A write whose response is lost, while others take their usual time, does not make the origin look
+// overloaded: no read is queued or sent to look first.
 func TestLostResponseIsNoOriginOverload(t *testing.T) {
 	f := newHarness(t, settings(), fleet())
 	write := func() SendAttempt { return f.singleAttempt(f.request(Request{Class: 2, Object: 9, Timeout: 3 * sec})) }
@@ -251,7 +251,7 @@
 		f.finishWithoutStatus(lost, 0, TimedOut, 3*sec)
 	}
 	if f.router.originLimiter.active || f.router.originLimiter.utilization > limiterActivation/2 {
-		t.Errorf("the origin is taken for full: on %v, at %.2f", f.router.originLimiter.active, f.router.originLimiter.utilization)
+		t.Errorf("the origin is taken for overloaded: limited %v, at %.2f", f.router.originLimiter.active, f.router.originLimiter.utilization)
 	}
 	for range 3 { // with nothing answered at all, it is
 		stuck := write()
@@ -259,12 +259,12 @@
 		f.handle(TimerFired{Token: uint64(stuck.ID)<<timerKindBits | timerCheckAttempt})
 	}
 	if !f.router.originLimiter.active {
-		t.Error("an origin that answers nothing is not taken for full")
+		t.Error("an origin that answers nothing is not taken for overloaded")
 	}
 }
 
-// A parent whose fills hang is set aside though hits that name it go on. (The
-// symptom: one attempt in three to it ended late or not at all for 5 s.)
+// A parent whose fills hang is ejected though hits that name it go on. Symptom guarded against: one
+// attempt in three to it ended late or not at all for 5 s.
 func TestHitsKeepNoHangingParentAlive(t *testing.T) {
 	f := newHarness(t, settings(), fleet())
 	bad, hung := f.router.readyByRole[parent][0].ID, 0
@@ -272,16 +272,16 @@
 		id RequestID
 		at time.Duration
 	}
-	var looks []wait
+	var checks []wait
 	for i := range 600 {
 		f.now += 20 * ms
-		for len(looks) > 0 && looks[0].at <= f.now {
-			w := looks[0]
-			looks = looks[1:]
+		for len(checks) > 0 && checks[0].at <= f.now {
+			w := checks[0]
+			checks = checks[1:]
 			for _, a := range f.handle(TimerFired{Token: uint64(w.id)<<timerKindBits | timerCheckAttempt}) {
 				switch a := a.(type) {
 				case SetTimer:
-					looks = append(looks, wait{w.id, f.now + a.Delay})
+					checks = append(checks, wait{w.id, f.now + a.Delay})
 				case CancelAttempt:
 					f.handle(Outcome{ID: a.ID, Attempt: a.Attempt, Result: Canceled})
 				}
@@ -292,7 +292,7 @@
 			case SendAttempt:
 				if a.FillSource == bad && i%3 == 0 {
 					hung++
-					looks = append(looks, wait{a.ID, f.now + 400*ms})
+					checks = append(checks, wait{a.ID, f.now + 400*ms})
 				} else {
 					f.finishWithoutStatus(a, 0, Served, 50*ms)
 				}
@@ -300,6 +300,6 @@
 		}
 	}
 	if hung > 65 {
-		t.Errorf("%d of some 100 fills went to a parent that brings none", hung)
+		t.Errorf("%d of some 100 fills went to a parent that completes none", hung)
 	}
 }
--- a/routing/retry_test.go
+++ b/routing/retry_test.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Rule 2: what may have run is repeated only as its class allows.
+// What may have been executed is repeated only as its class allows.
 func TestRetriesFollowIdempotency(t *testing.T) {
 	for _, c := range []struct {
 		name  string
@@ -19,9 +19,9 @@
 		{"keyed, error, in window", 2, ServerError, 0, true, false},
 		{"keyed, error, just in window", 2, ServerError, 2*sec - ms, true, false},
 		{"keyed, error, window over", 2, ServerError, 2 * sec, false, true},
-		{"keyed, never ran, window over", 2, ConnectFailed, 2 * sec, true, false},
+		{"keyed, never executed, window over", 2, ConnectFailed, 2 * sec, true, false},
 		{"unsafe, error", 3, ServerError, 0, false, true},
-		{"unsafe, never ran", 3, Rejected, 0, true, false},
+		{"unsafe, never executed", 3, Rejected, 0, true, false},
 	} {
 		f := newHarness(t, settings(), fleet())
 		g := f.singleAttempt(f.request(Request{Class: c.class, Object: 1, SizeKB: 10}))
@@ -33,19 +33,19 @@
 	}
 }
 
-// Rule 2: never two attempts at once.
+// A request never has two attempts in flight.
 func TestNeverTwoAttemptsAtOnce(t *testing.T) {
 	f := newHarness(t, settings(), fleet())
 	g := f.singleAttempt(f.request(Request{Object: 1, SizeKB: 10}))
 	for range 4 {
 		f.now += sec
 		if acts := f.handle(TimerFired{uint64(g.ID)<<timerKindBits | timerCheckAttempt}); len(sendActions(acts)) != 0 {
-			t.Fatalf("second copy: %v", acts)
+			t.Fatalf("hedged: %v", acts)
 		}
 	}
 }
 
-// A write that may have run and may not run again is answered at once.
+// A write that may have been executed, and may not be again, is answered at once.
 func TestFinalAnswerIsNotDelayed(t *testing.T) {
 	f := newHarness(t, settings(), fleet())
 	g := f.singleAttempt(f.request(Request{Class: 3, Object: 1, SizeKB: 10}))
@@ -54,8 +54,8 @@
 	}
 }
 
-// What a parent does not hold is known by the miss of a fill that asks for no
-// more; without notes there is no other word for it.
+// What a parent does not hold is known by the miss of a fill that may only use its copies; without
+// cache status nothing else tells it.
 func TestParentMissWithoutStatus(t *testing.T) {
 	f := newHarness(t, settings(), fleet())
 	f.router.originLimiter.active, f.router.originLimiter.limit = true, 10
@@ -66,25 +66,25 @@
 	}
 	deep := f.singleAttempt(f.finishWithoutStatus(held, 1, NotCached, ms))
 	if deep.Server != held.Server || deep.OnlyIfCached {
-		t.Errorf("%+v: want a fetch through the same cache", deep)
+		t.Errorf("%+v: want a fetch from the origin through the same cache", deep)
 	}
 }
 
-// Three refusals without a word end a read: further ones feed the jam.
+// Three rejections without cache status end a read: further ones feed the jam.
 func TestReadsWithoutStatusStopEarly(t *testing.T) {
 	f := newHarness(t, settings(), fleet())
 	g := f.singleAttempt(f.request(Request{Object: 7, Timeout: 6 * sec}))
 	for n := range maxReadAttemptsUnknownStatus - 1 {
 		g = f.singleAttempt(f.finishWithoutStatus(g, n, Rejected, ms))
 	}
-	if acts := f.finishWithoutStatus(g, maxReadAttemptsUnknownStatus-1, Rejected, ms); !isRefused(acts) {
-		t.Errorf("%v: want a refusal", acts)
+	if acts := f.finishWithoutStatus(g, maxReadAttemptsUnknownStatus-1, Rejected, ms); !isRejected(acts) {
+		t.Errorf("%v: want a rejection", acts)
 	}
 }
 
-// A refusal without a word may be the source's: the home cache is asked once
-// more with another (the symptom: while a parent was lost, every miss of its
-// objects went round the caches and was refused).
+// A rejection without cache status may be the source's: the home cache is asked once more with
+// another source. Symptom guarded against: while a parent was lost, every miss of its objects went
+// round the caches and was rejected.
 func TestRejectionWithoutStatusChangesTheSource(t *testing.T) {
 	f := newHarness(t, settings(), fleet())
 	a := f.singleAttempt(f.request(Request{Object: 7, Timeout: 6 * sec}))
@@ -93,6 +93,6 @@
 		t.Errorf("%+v follows %+v: want the same cache and another source", b, a)
 	}
 	if c := f.singleAttempt(f.finishWithoutStatus(b, 1, Rejected, ms)); c.Server == a.Server {
-		t.Errorf("%+v: want another cache after two refusals", c)
+		t.Errorf("%+v: want another cache after two rejections", c)
 	}
 }
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -21,13 +22,18 @@
 	} {
 		s := settings()
 		spoil(&s)
-		if _, err := New(s, 1); err == nil || !strings.Contains(err.Error(), name) {
+		_, err := New(s, 1)
+		if err == nil || !strings.Contains(err.Error(), name) {
 			t.Errorf("%s: error %v does not name it", name, err)
 		}
+		var unusable *SettingError
+		if !errors.As(err, &unusable) || !strings.Contains(unusable.Setting, name) {
+			t.Errorf("%s: error %v is no SettingError of it", name, err)
+		}
 	}
 }
 
-// Rule 1: one final answer, in time, whatever is listed or lost.
+// Every request has one final answer, in time, whatever is listed or lost.
 func TestEveryRequestIsAnswered(t *testing.T) {
 	kinds := map[string][]Server{"none": nil, "no cache": fleet()[3:], "no parent": append(fleet()[:4], fleet()[6:]...),
 		"no origin": fleet()[:6], "only caches": fleet()[:3]}
@@ -35,7 +41,7 @@
 		for class := range settings().Classes {
 			f := newHarness(t, settings(), list)
 			acts := f.request(Request{Class: class, Object: 1, SizeKB: 10})
-			for n := 0; !isRefused(acts) && !isFailed(acts); n++ {
+			for n := 0; !isRejected(acts) && !isFailed(acts); n++ {
 				if n > 8 {
 					t.Fatalf("%s, class %d: no answer: %v", name, class, acts)
 				}
@@ -49,12 +55,12 @@
 		}
 	}
 	f := newHarness(t, settings(), fleet())
-	if acts := f.handle(Request{ID: 9, Class: 99, Timeout: sec}); !isRefused(acts) {
+	if acts := f.handle(Request{ID: 9, Class: 99, Timeout: sec}); !isRejected(acts) {
 		t.Errorf("unknown class: %v", acts)
 	}
 }
 
-// Late and foreign facts change nothing.
+// Late events, and those of others, change nothing.
 func TestUnknownEventsChangeNothing(t *testing.T) {
 	f := newHarness(t, settings(), fleet())
 	g := f.singleAttempt(f.request(Request{Object: 1, SizeKB: 10}))
@@ -102,7 +108,7 @@
 	}
 }
 
-// Servers come and go for ever; what is kept of them does not grow.
+// Servers come and go all the time; what is kept of them does not grow.
 func TestRemovedServersExpire(t *testing.T) {
 	f := newHarness(t, settings(), fleet())
 	for i := range 500 {
--- a/routing/selection_test.go
+++ b/routing/selection_test.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// Rule 3: a server that drains or is gone gets nothing, nor fills anything.
+// A draining or removed server gets nothing, nor fills anything.
 func TestDrainingServersGetNothing(t *testing.T) {
 	for _, m := range []EndpointUpdate{
 		{Servers: []Server{{ID: 12, Zone: 1, Kind: cacheKind, Phase: Draining}, {ID: 32, Kind: parentKind, Phase: Removed}}},
@@ -45,15 +45,15 @@
 		for i := range 100 {
 			g := f.singleAttempt(f.request(Request{Object: ObjectID(i + 1), SizeKB: 1}))
 			if g.Server == 12 || g.FillSource == 32 {
-				t.Fatalf("sent to a server that drains: %v", g)
+				t.Fatalf("sent to a draining server: %v", g)
 			}
 			f.finish(g, 0, Served, Hit)
 		}
 	}
 }
 
-// No cache can take a request: it goes straight to its home parent, which may
-// ask the origin (the symptom: misses of parents named as their own source).
+// If no cache can take a request it goes straight to its home parent, which may ask the origin.
+// Symptom guarded against: misses of parents that were named as their own source.
 func TestBypassToTheParent(t *testing.T) {
 	f := newHarness(t, settings(), fleet()[3:])
 	if g := f.singleAttempt(f.request(Request{Object: 5, SizeKB: 1})); g.Server != 31 && g.Server != 32 || g.FillSource != 41 {
@@ -61,9 +61,9 @@
 	}
 }
 
-// A cache that does a tenth of its work for a while keeps few of its keys, and
-// has them again when it is well. (The symptom: its keys waited for it as for a
-// crowded home, and a third of all requests were refused.)
+// A cache that does a tenth of its work for a while keeps few of its keys, and has them again when
+// it has recovered. Symptom guarded against: requests for its keys queued for it as for a saturated
+// home, and a third of all requests were rejected.
 func TestSlowCacheKeepsFewKeys(t *testing.T) {
 	set := settings()
 	set.BodyBytesPerSecond = 100_000
@@ -95,80 +95,102 @@
 		}
 		return there
 	}
-	well := play(300, 1)
+	before := play(300, 1)
 	play(150, 10)
-	sick := play(300, 10)
+	during := play(300, 10)
 	play(300, 1)
-	again := play(300, 1)
-	if well < 60 || sick > well/3 || again < well*3/4 {
-		t.Errorf("of 300 it had %d when well, %d when slow and %d when well again", well, sick, again)
+	after := play(300, 1)
+	if before < 60 || during > before/3 || after < before*3/4 {
+		t.Errorf("of 300 requests it had %d before, %d while slow and %d after", before, during, after)
 	}
 }
 
-// Guards against a silent parent that is asked for many at once whenever its rest ends, and,
-// where few parents are left, against the others' link: what the silent one would fill comes
-// from the origin, unless that stops when it is asked for too much; then from the others.
+// An unresponsive parent is probed with one request at a time whenever its ejection ends. Where few
+// parents are left, what it would fill comes from the origin, unless that stops when it is
+// overloaded; then from the other parents. Symptoms guarded against: many requests at once to an
+// unresponsive parent, and a saturated link of the other.
 func TestUnresponsiveParentsShare(t *testing.T) {
-	for _, falls := range []bool{false, true} {
+	for _, stops := range []bool{false, true} {
 		set := settings()
-		set.HitStatusOnly, set.OriginStopsOnOverload = true, falls
-		f := newHarness(t, set, fleet())
-		silent := f.router.readyByRole[parent][0]
-		other, stand := f.router.readyByRole[parent][1].ID, f.router.readyByRole[origin][0].ID
-		if falls {
-			stand = other
-		}
-		type sent struct {
-			SendAttempt
-			at time.Duration
-		}
-		var out []sent
-		most, stood, homes := 0, map[ServerID]int{}, map[ObjectID]ServerID{}
-		take := func(acts []Action, q ObjectID) {
-			for _, g := range sendActions(acts) {
-				if g.FillSource == silent.ID {
-					out = append(out, sent{g, f.now})
-					continue
-				}
-				if silent.ejections > 0 && homes[q] == silent.ID {
-					stood[g.FillSource]++
-				}
-				f.finish(g, 0, Served, Filled)
-			}
+		set.HitStatusOnly, set.OriginStopsOnOverload = true, stops
+		f := &unresponsiveParent{harness: newHarness(t, set, fleet()),
+			homes: map[ObjectID]ServerID{}, failovers: map[ServerID]int{}}
+		f.parent = f.router.readyByRole[parent][0]
+		target := f.router.readyByRole[origin][0].ID
+		if stops {
+			target = f.router.readyByRole[parent][1].ID
 		}
 		for i := range 3000 {
 			f.now += 5 * ms
-			o := ObjectID(i%200 + 1)
-			acts := f.request(Request{Object: o, SizeKB: 100, Timeout: 6 * sec})
-			if g := sendActions(acts); len(g) > 0 && i < 200 {
-				homes[o] = g[0].FillSource // nobody rests yet
-			}
-			take(acts, o)
-			for j := 0; j < len(out); j++ { // looks, and what they give up
-				s := &out[j]
-				if f.now < s.at+500*ms {
-					continue
-				}
-				s.at = f.now
-				for _, a := range f.handle(TimerFired{uint64(s.ID)<<timerKindBits | timerCheckAttempt}) {
-					if c, ok := a.(CancelAttempt); ok {
-						for _, g := range sendActions(f.handle(Outcome{ID: c.ID, Attempt: c.Attempt, Server: s.Server, Result: Canceled})) {
-							f.finish(g, 1, Served, Filled)
-						}
-						out = slices.Delete(out, j, j+1)
-						j--
-					}
-				}
-			}
-			if silent.ejections > 1 {
-				most = max(most, len(out))
+			object := ObjectID(i%200 + 1)
+			actions := f.request(Request{Object: object, SizeKB: 100, Timeout: 6 * sec})
+			if sent := sendActions(actions); len(sent) > 0 && i < 200 {
+				f.homes[object] = sent[0].FillSource // no parent is ejected yet
 			}
+			f.serve(actions, object)
+			f.checkAttempts()
+		}
+		if f.parent.ejections < 3 || f.mostInflight > 1 {
+			t.Errorf("origin stops %v: %d ejections, then %d in flight at once to an unresponsive parent",
+				stops, f.parent.ejections, f.mostInflight)
+		}
+		if n := len(f.failovers); n != 1 || f.failovers[target] < 100 {
+			t.Errorf("origin stops %v: its share came from %v, want all from %d", stops, f.failovers, target)
+		}
+	}
+}
+
+// unresponsiveParent is a harness with a parent that answers nothing.
+type unresponsiveParent struct {
+	*harness
+	parent       *server
+	inflight     []inflightAttempt // to the parent
+	mostInflight int               // at once, from its second ejection on
+	homes        map[ObjectID]ServerID
+	failovers    map[ServerID]int // fills in the place of the ejected parent
+}
+
+type inflightAttempt struct {
+	SendAttempt
+	checkedAt time.Duration
+}
+
+// serve ends each attempt at once, but those that the unresponsive parent fills.
+func (f *unresponsiveParent) serve(actions []Action, object ObjectID) {
+	for _, sent := range sendActions(actions) {
+		if sent.FillSource == f.parent.ID {
+			f.inflight = append(f.inflight, inflightAttempt{sent, f.now})
+			continue
 		}
-		if silent.ejections < 3 || most > 1 {
-			t.Errorf("falls %v: rests %d, then %d out at once at a silent parent", falls, silent.ejections, most)
+		if f.parent.ejections > 0 && f.homes[object] == f.parent.ID {
+			f.failovers[sent.FillSource]++
 		}
-		if n := len(stood); n != 1 || stood[stand] < 100 {
-			t.Errorf("falls %v: its part came from %v, want all from %d", falls, stood, stand)
+		f.finish(sent, 0, Served, Filled)
+	}
+}
+
+// checkAttempts fires the timers of what is in flight and ends what is canceled.
+func (f *unresponsiveParent) checkAttempts() {
+	for i := 0; i < len(f.inflight); i++ {
+		attempt := &f.inflight[i]
+		if f.now < attempt.checkedAt+500*ms {
+			continue
+		}
+		attempt.checkedAt = f.now
+		for _, action := range f.handle(TimerFired{uint64(attempt.ID)<<timerKindBits | timerCheckAttempt}) {
+			canceled, ok := action.(CancelAttempt)
+			if !ok {
+				continue
+			}
+			outcome := Outcome{ID: canceled.ID, Attempt: canceled.Attempt, Server: attempt.Server, Result: Canceled}
+			for _, sent := range sendActions(f.handle(outcome)) {
+				f.finish(sent, 1, Served, Filled)
+			}
+			f.inflight = slices.Delete(f.inflight, i, i+1)
+			i--
 		}
 	}
+	if f.parent.ejections > 1 {
+		f.mostInflight = max(f.mostInflight, len(f.inflight))
+	}
 }
