--- a/routing/example_test.go
+++ b/routing/example_test.go
@@ -7,7 +7,7 @@
 	"garnetline/routing"
 )
 
-// A router is told of its servers and of a request; it answers with what to do.
+// A router is notified of its servers and of a request, and returns what to do.
 func Example() {
 	router, err := routing.New(routing.Settings{
 		Zones: 2, Zone: 1, Kinds: 3, ParentKind: 1, OriginKind: 2,
--- a/routing/harness_test.go
+++ b/routing/harness_test.go
@@ -131,6 +131,7 @@
 // newSmallShareHarness starts one of eight routers of a zone, whose quota of each of the three caches
 // is under two of their six transfers.
 func newSmallShareHarness(t *testing.T) *harness {
+	t.Helper()
 	s := settings()
 	s.WeightIsCapacity, s.RoutersByZone, s.BodyBytesPerSecond = true, []int{0, 8, 1}, 100_000
 	list := fleet()
