--- a/internal/wire/golden_test.go
+++ b/internal/wire/golden_test.go
@@ -1,7 +1,6 @@
 package wire
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -9,31 +8,10 @@
 	"testing"
 	"time"
 
+	"garnetline/internal/golden"
 	"garnetline/routing"
 )
 
-// update has the golden files written anew: go test ./internal/wire -run TestGolden -update
-var update = flag.Bool("update", false, "write the golden files anew")
-
-// compareGolden holds a text against a file of testdata, to the byte.
-func compareGolden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if *update {
-		if err := os.WriteFile(path, []byte(got), 0o666); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if string(want) != got {
-		t.Errorf("%s: got\n%s\nwant\n%s", path, got, want)
-	}
-}
-
 // TestGoldenInput pins how each line of the simulator is read: testdata/session.txt has every
 // message, status, note and setting, session.read.txt what was understood of it, field by field.
 func TestGoldenInput(t *testing.T) {
@@ -55,7 +33,7 @@
 			printItem(text, it)
 		}
 	}
-	compareGolden(t, "session.read.txt", text.String())
+	golden.Compare(t, "session.read.txt", []byte(text.String()))
 }
 
 func printItem(text *strings.Builder, it Item) {
@@ -119,5 +97,5 @@
 	} {
 		text = AppendAction(text, a)
 	}
-	compareGolden(t, "reply.txt", string(AppendEnd(text)))
+	golden.Compare(t, "reply.txt", AppendEnd(text))
 }
