Split the simulator's protocol by concern; named limits, flags and forms

Need: reading a message, its values and writing a line stood in one file, with one function for all messages, literals for limits and flags, and settings in long lines.

No line of the protocol and no text of an error changes.

--- a/internal/wire/reader.go
+++ b/internal/wire/reader.go
@@ -1,447 +1,262 @@
-// Package wire reads and writes the line protocol between the routers'
-// decisions and whatever carries them out. It parses, formats and validates;
-// it decides nothing.
 package wire
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math"
-	"strconv"
 	"strings"
-	"time"
 
 	"garnetline/routing"
 )
 
-// Kind tells what an Item is about.
-type Kind int
+const readBufferBytes = 1 << 20
 
-// The kinds of items in a batch.
-const (
-	Event Kind = iota // an event for a running instance
-	Begin             // an instance starts, with nothing but its settings
-	Stop              // an instance was killed
-)
-
-// Item is one message of a batch, for one instance.
-type Item struct {
-	Instance int
-	Kind     Kind
-	Event    routing.Event    // for Event; nil where it is of no use to a decision
-	Seed     uint64           // for Begin
-	Settings routing.Settings // for Begin
-}
-
-// Batch is all that happened at one time.
-type Batch struct {
-	Now   time.Duration
-	Items []Item
-}
+// noInstance is the instance before the first SELECT of a batch.
+const noInstance = -1
 
-// Error tells what is wrong with a line.
-type Error struct {
-	Line  int
-	Field string
-	Why   string
-}
-
-func (e *Error) Error() string {
-	return fmt.Sprintf("line %d: field %s: %s", e.Line, e.Field, e.Why)
-}
-
-const (
-	maxRequestID    = 1<<52 - 1
-	maxServerID     = 1<<32 - 1
-	maxToken        = 1 << 63
-	maxMicroseconds = math.MaxInt64 / 1000 // microseconds that fit a time.Duration
-	maxIndex        = 1 << 31
-)
-
-// Reader reads batches. The numbered server lists outlive a batch, since
-// later messages may name them.
+// Reader reads batches. The numbered server lists outlive a batch, since later messages may name
+// them.
 type Reader struct {
 	input      *bufio.Reader
 	line       int
 	catalogs   map[uint64][]routing.Server
 	loadFields map[int][]string // names of the values of a load report, by instance
-	instance   int
-	fields     fields
+	instance   int              // that the messages are for
+	fields     fields           // of the line
 }
 
 // NewReader returns a Reader on in.
 func NewReader(in io.Reader) *Reader {
-	return &Reader{input: bufio.NewReaderSize(in, 1<<20), catalogs: map[uint64][]routing.Server{}, loadFields: map[int][]string{}}
+	return &Reader{
+		input:      bufio.NewReaderSize(in, readBufferBytes),
+		catalogs:   map[uint64][]routing.Server{},
+		loadFields: map[int][]string{},
+	}
 }
 
-// Next reads one batch. It returns io.EOF where the input ends between
-// batches, and an *Error for anything else that is not as it should be.
+// Next reads one batch. It returns io.EOF where the input ends between batches, and an *Error for
+// anything else that is not as it should be.
 func (r *Reader) Next() (Batch, error) {
-	var b Batch
+	var batch Batch
 	name, err := r.readLine()
 	if err != nil {
-		return b, err
+		return batch, err
 	}
 	if name != "TURN" {
-		return b, r.errorf("message", "want TURN, got %q", name)
+		return batch, r.errorf("want TURN, got %q", name)
 	}
-	b.Now = r.fields.duration("clock_us")
+	batch.Now = r.fields.duration("clock_us")
 	if err := r.fields.end(); err != nil {
-		return b, err
+		return batch, err
 	}
-	r.instance = -1
+	r.instance = noInstance
 	for {
 		name, err := r.readLine()
-		if err == io.EOF {
-			return b, r.errorf("message", "input ends inside a batch")
+		if errors.Is(err, io.EOF) {
+			return batch, r.errorf("input ends inside a batch")
 		}
 		if err != nil {
-			return b, err
+			return batch, err
 		}
 		if name == "END" {
-			return b, r.fields.end()
+			return batch, r.fields.end()
 		}
-		it, ok, err := r.parseMessage(name)
+		item, ok, err := r.parseMessage(name)
 		if err != nil {
-			return b, err
+			return batch, err
 		}
 		if ok {
-			b.Items = append(b.Items, it)
+			batch.Items = append(batch.Items, item)
 		}
 	}
 }
 
-func (r *Reader) errorf(field, why string, a ...any) error {
-	return &Error{r.line, field, fmt.Sprintf(why, a...)}
+// errorf is an error of the message that the line has.
+func (r *Reader) errorf(why string, values ...any) error {
+	return &Error{r.line, "message", fmt.Sprintf(why, values...)}
 }
 
-// readLine takes the next line and splits it; it returns the message's name.
+// readLine takes the next line and splits it; it returns the message's name. io.EOF, not wrapped,
+// tells that no line is left.
 func (r *Reader) readLine() (string, error) {
-	s, err := r.input.ReadString('\n')
-	if err == io.EOF && s == "" {
-		return "", io.EOF
-	}
-	if err != nil && err != io.EOF {
+	line, err := r.input.ReadString('\n')
+	if err != nil && !errors.Is(err, io.EOF) {
 		return "", fmt.Errorf("read: %w", err)
 	}
+	if err != nil && line == "" {
+		return "", io.EOF
+	}
 	r.line++
-	if err == io.EOF {
-		return "", r.errorf("message", "line is cut short")
+	if err != nil {
+		return "", r.errorf("line is cut short")
 	}
-	name, rest, more := strings.Cut(strings.TrimSuffix(s, "\n"), " ")
+	name, rest, more := strings.Cut(strings.TrimSuffix(line, "\n"), " ")
 	r.fields = fields{line: r.line, rest: rest, more: more}
 	return name, nil
 }
 
 // parseMessage parses one message; ok is false where it makes no item by itself.
-func (r *Reader) parseMessage(name string) (it Item, ok bool, err error) {
-	f := &r.fields
+func (r *Reader) parseMessage(name string) (item Item, ok bool, err error) {
 	switch name {
 	case "SELECT":
-		r.instance = int(f.unsigned("who", maxIndex))
-		return it, false, f.end()
+		r.instance = r.fields.index("who")
+		return item, false, r.fields.end()
 	case "CATALOG":
-		return it, false, r.readCatalog()
+		return item, false, r.readCatalog()
 	}
-	if r.instance < 0 {
-		return it, false, r.errorf("message", "%q before any SELECT, or unknown", name)
+	if r.instance == noInstance {
+		return item, false, r.errorf("%q before any SELECT, or unknown", name)
 	}
-	it.Instance = r.instance
+	item.Instance = r.instance
 	switch name {
 	case "BEGIN":
-		it.Kind = Begin
-		it.Seed = f.unsigned("random_seed", math.MaxUint64)
-		var report []string
-		it.Settings, report = f.settings()
-		r.loadFields[r.instance] = report
+		item.Kind = Begin
+		item.Seed = r.fields.unsigned("random_seed", math.MaxUint64)
+		item.Settings, r.loadFields[r.instance] = r.fields.settings()
+		return item, true, r.fields.end()
 	case "TEARDOWN":
-		it.Kind = Stop
+		item.Kind = Stop
+		return item, true, r.fields.end()
+	}
+	event, isEvent := r.parseEvent(name)
+	if !isEvent && !r.skipMessage(name) {
+		return item, false, r.errorf("unknown message %q", name)
+	}
+	item.Event = event
+	return item, isEvent, r.fields.end()
+}
+
+// parseEvent parses a message that is an event for a router; ok is false where it is none.
+func (r *Reader) parseEvent(name string) (event routing.Event, ok bool) {
+	f := &r.fields
+	switch name {
 	case "DIRECTORY_UPDATE":
-		it.Event = r.endpointUpdate()
+		return r.parseEndpointUpdate(), true
 	case "INGRESS":
-		it.Event = f.request()
+		return f.request(), true
 	case "VERDICT":
-		it.Event = f.outcome(r.loadFields[r.instance])
+		return f.outcome(r.loadFields[r.instance]), true
 	case "WAKEUP":
-		it.Event = routing.TimerFired{Token: f.unsigned("nonce", maxToken)}
+		return routing.TimerFired{Token: f.unsigned("nonce", maxToken)}, true
 	case "OUTDATED":
-		it.Event = routing.Purge{Group: int(f.unsigned("set_no", maxIndex)), Age: f.duration("how_old_us"), Object: f.object("key")}
+		return routing.Purge{Group: f.index("set_no"), Age: f.duration("how_old_us"), Object: f.object("key")}, true
 	case "LEFT":
-		it.Event = routing.ClientDisconnected{ID: routing.RequestID(f.unsigned("id", maxRequestID))}
+		return routing.ClientDisconnected{ID: f.requestID()}, true
+	default:
+		return nil, false
+	}
+}
+
+// skipMessage checks a message that is of no use to a decision; false: it is unknown.
+func (r *Reader) skipMessage(name string) bool {
+	f := &r.fields
+	switch name {
 	case "FIRST_BYTE":
-		f.unsigned("id", maxRequestID)
+		f.requestID()
 		f.duration("cost_time_us")
-		f.unsigned("server", maxServerID)
-		f.unsigned("leg", maxIndex)
+		f.serverID()
+		f.index("leg")
 	case "PROBED":
 		f.duration("cost_time_us")
 		f.result("status")
-		f.unsigned("server", maxServerID)
+		f.serverID()
 		f.load("pressure", r.loadFields[r.instance])
 	case "MEMO":
-		f.unsigned("author", maxIndex)
+		f.index("author")
 		f.nextValue("msg")
 	default:
-		return it, false, r.errorf("message", "unknown message %q", name)
+		return false
 	}
-	return it, it.Kind != Event || it.Event != nil, f.end()
+	return true
 }
 
 // readCatalog reads a numbered list of servers.
 func (r *Reader) readCatalog() error {
-	no, n := r.fields.unsigned("roster_id", 15), r.fields.unsigned("rows_in", maxIndex)
+	number := r.fields.unsigned("roster_id", maxCatalog)
+	rows := r.fields.unsigned("rows_in", maxIndex)
 	if err := r.fields.end(); err != nil {
 		return err
 	}
 	var list []routing.Server
-	for ; n > 0; n-- {
+	for range rows {
 		name, err := r.readLine()
-		if err != nil && err != io.EOF {
+		if err != nil && !errors.Is(err, io.EOF) {
 			return err
 		}
 		if name != "ITEM" {
-			return r.errorf("message", "want ITEM, got %q", name)
+			return r.errorf("want ITEM, got %q", name)
 		}
-		f := &r.fields
-		s := routing.Server{
-			ID:        routing.ServerID(f.unsigned("server", maxServerID)),
-			Zone:      int(f.unsigned("site", maxIndex)),
-			Kind:      int(f.unsigned("model", maxIndex)),
-			Cell:      int(f.unsigned("pack", maxIndex)),
-			Phase:     routing.Phase(f.unsigned("phase", 2)),
-			Weight:    f.float("power_hint"),
-			StartedAt: f.duration("last_start_us"),
-		}
-		if err := f.end(); err != nil {
+		list = append(list, r.fields.listedServer())
+		if err := r.fields.end(); err != nil {
 			return err
 		}
-		list = append(list, s)
 	}
-	r.catalogs[no] = list
+	r.catalogs[number] = list
 	return nil
 }
 
-func (r *Reader) endpointUpdate() routing.Event {
+func (f *fields) listedServer() routing.Server {
+	const maxPhase = uint64(routing.Draining)
+	return routing.Server{
+		ID:        f.serverID(),
+		Zone:      f.index("site"),
+		Kind:      f.index("model"),
+		Cell:      f.index("pack"),
+		Phase:     routing.Phase(f.unsigned("phase", maxPhase)),
+		Weight:    f.float("power_hint"),
+		StartedAt: f.duration("last_start_us"),
+	}
+}
+
+// Forms of a DIRECTORY_UPDATE; the others are whole lists.
+const (
+	formChange = 1
+	formFailed = 3
+)
+
+func (r *Reader) parseEndpointUpdate() routing.EndpointUpdate {
 	f := &r.fields
-	form := f.unsigned("form", 3)
+	form := f.unsigned("form", formFailed)
 	f.unsigned("revision", math.MaxUint64)
-	if form == 3 {
+	if form == formFailed {
 		f.nextValue("roster_id")
 		return routing.EndpointUpdate{Failed: true}
 	}
-	no := f.unsigned("roster_id", 15)
-	list, known := r.catalogs[no]
-	if !known && f.err == nil {
+	list, known := r.catalogs[f.unsigned("roster_id", maxCatalog)]
+	if !known {
 		f.fail("roster_id", "no CATALOG with this number")
 	}
-	return routing.EndpointUpdate{Snapshot: form != 1, Servers: list}
-}
-
-// fields takes the values of one line in turn. The first error sticks.
-type fields struct {
-	line int
-	rest string
-	more bool
-	err  error
-}
-
-func (f *fields) fail(field, why string) {
-	if f.err == nil {
-		f.err = &Error{f.line, field, why}
-	}
-}
-
-// end reports the first error, or that values are left over.
-func (f *fields) end() error {
-	if f.more {
-		f.fail("end of line", "too many values")
-	}
-	return f.err
-}
-
-func (f *fields) nextValue(field string) string {
-	if !f.more {
-		f.fail(field, "missing")
-		return "-"
-	}
-	var s string
-	s, f.rest, f.more = strings.Cut(f.rest, " ")
-	if s == "" {
-		f.fail(field, "empty")
-	}
-	return s
-}
-
-// unsigned reads a whole number up to max; an absent one is 0.
-func (f *fields) unsigned(field string, max uint64) uint64 {
-	s := f.nextValue(field)
-	if s == "-" {
-		return 0
-	}
-	n, err := strconv.ParseUint(s, 10, 64)
-	if err != nil || n > max {
-		f.fail(field, fmt.Sprintf("%q is not a whole number up to %d", s, max))
-		return 0
-	}
-	return n
-}
-
-func (f *fields) duration(field string) time.Duration {
-	return time.Duration(f.unsigned(field, maxMicroseconds)) * time.Microsecond
+	return routing.EndpointUpdate{Snapshot: form != formChange, Servers: list}
 }
 
-// float reads a number that is not negative; an absent one is 0.
-func (f *fields) float(field string) float64 {
-	s := f.nextValue(field)
-	if s == "-" {
-		return 0
-	}
-	x, err := strconv.ParseFloat(s, 64)
-	if err != nil || !(x >= 0) || math.IsInf(x, 0) {
-		f.fail(field, fmt.Sprintf("%q is not a number from 0", s))
-		return 0
-	}
-	return x
-}
-
-// object reads 16 hex digits; 0 and an absent one are no object.
-func (f *fields) object(field string) routing.ObjectID {
-	s := f.nextValue(field)
-	if s == "-" || s == "0" {
-		return 0
-	}
-	n, err := strconv.ParseUint(s, 16, 64)
-	if err != nil || len(s) != 16 {
-		f.fail(field, fmt.Sprintf("%q is not 16 hex digits", s))
-	}
-	return routing.ObjectID(n)
-}
-
-func (f *fields) request() routing.Event {
-	q := routing.Request{
-		ID:         routing.RequestID(f.unsigned("id", maxRequestID)),
-		PurgeGroup: int(f.unsigned("label_no", maxIndex)),
+func (f *fields) request() routing.Request {
+	const optionRetry = 2
+	request := routing.Request{
+		ID:         f.requestID(),
+		PurgeGroup: f.index("label_no"),
 		Timeout:    f.duration("grace_us"),
-		Chunk:      int(f.unsigned("slice", maxIndex)),
-	}
-	f.unsigned("project", maxIndex)
-	q.ClientRetry = f.unsigned("opts", maxIndex)&2 != 0
-	q.Object = f.object("key")
-	q.SizeKB = f.float("length_kb")
-	q.Class = int(f.unsigned("class", maxIndex))
-	return q
-}
-
-var results = map[string]routing.Result{
-	"served": routing.Served, "server_error": routing.ServerError, "turned_away": routing.Rejected,
-	"no_answer": routing.TimedOut, "no_connection": routing.ConnectFailed, "connection_lost": routing.ConnectionLost,
-	"called_off": routing.Canceled, "not_sent": routing.NotSent, "not_stored": routing.NotCached,
+		Chunk:      f.index("slice"),
+	}
+	f.index("project")
+	request.ClientRetry = f.index("opts")&optionRetry != 0
+	request.Object = f.object("key")
+	request.SizeKB = f.float("length_kb")
+	request.Class = f.index("class")
+	return request
 }
 
-func (f *fields) result(field string) routing.Result {
-	s := f.nextValue(field)
-	res, ok := results[s]
-	if !ok {
-		f.fail(field, fmt.Sprintf("unknown status %q", s))
-	}
-	return res
-}
-
-func (f *fields) outcome(report []string) routing.Event {
-	o := routing.Outcome{
-		ID:          routing.RequestID(f.unsigned("id", maxRequestID)),
+func (f *fields) outcome(loadFields []string) routing.Outcome {
+	return routing.Outcome{
+		ID:          f.requestID(),
 		Result:      f.result("status"),
-		Server:      routing.ServerID(f.unsigned("server", maxServerID)),
+		Server:      f.serverID(),
 		SourceWait:  f.duration("waited_us"),
-		CacheStatus: routing.CacheStatus(f.unsigned("note", 10)),
+		CacheStatus: routing.CacheStatus(f.unsigned("note", maxCacheStatus)),
 		Duration:    f.duration("cost_time_us"),
+		Attempt:     f.index("leg"),
+		RequestDone: f.unsigned("done_flag", 1) == 1,
+		Load:        f.load("pressure", loadFields),
 	}
-	o.Attempt = int(f.unsigned("leg", maxIndex))
-	o.RequestDone = f.unsigned("done_flag", 1) == 1
-	o.Load = f.load("pressure", report)
-	return o
-}
-
-// load reads a load report, whose values come in the order of names.
-func (f *fields) load(field string, names []string) routing.LoadReport {
-	nan := math.NaN()
-	l := routing.LoadReport{Inflight: nan, CPUUtilization: nan, HitRatio: nan, LinkUtilization: nan}
-	s := f.nextValue(field)
-	if s == "-" {
-		return l
-	}
-	values := strings.Split(s, ",")
-	if len(values) != len(names) {
-		f.fail(field, fmt.Sprintf("%d values, want %d", len(values), len(names)))
-		return l
-	}
-	for i, v := range values {
-		if v == "-" {
-			continue
-		}
-		x, err := strconv.ParseFloat(v, 64)
-		if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
-			f.fail(field, fmt.Sprintf("%q is not a number", v))
-			return l
-		}
-		switch names[i] {
-		case "active":
-			l.Inflight = x
-		case "cpu":
-			l.CPUUtilization = x
-		case "x0":
-			l.HitRatio = x
-		case "x1":
-			l.LinkUtilization = x
-		}
-	}
-	return l
-}
-
-// AppendBy appends the line that gives the following actions to an instance.
-func AppendBy(dst []byte, instance int) []byte {
-	return append(strconv.AppendInt(append(dst, "BY "...), int64(instance), 10), '\n')
-}
-
-// AppendEnd appends the line that ends a reply.
-func AppendEnd(dst []byte) []byte { return append(dst, "NEXT\n"...) }
-
-// AppendAction appends the line of one action.
-func AppendAction(dst []byte, a routing.Action) []byte {
-	var v [7]int64
-	vals, name := v[:0], ""
-	us := func(d time.Duration) int64 { return int64(d / time.Microsecond) }
-	switch a := a.(type) {
-	case routing.SendAttempt:
-		name = "SERVE_OR_FILL"
-		how := int64(0)
-		if a.JoinFill {
-			how |= 1
-		}
-		if a.OnlyIfCached {
-			how |= 2
-		}
-		if a.Revalidate {
-			how |= 8
-		}
-		vals = append(vals, int64(a.ID), int64(a.CopyRank), how, us(a.Deadline), int64(a.Server), int64(a.FillSource), us(a.MaxAge))
-	case routing.Reject:
-		name, vals = "REFUSE", append(vals, int64(a.ID), us(a.RetryAfter))
-	case routing.Fail:
-		name, vals = "ABORT", append(vals, int64(a.ID))
-	case routing.CancelAttempt:
-		name, vals = "REVOKE", append(vals, int64(a.ID), int64(a.Attempt))
-	case routing.SetTimer:
-		return fmt.Appendf(dst, "SCHEDULE %d %d\n", us(a.Delay), a.Token)
-	case routing.Subscribe:
-		return append(dst, "FOLLOW 1\n"...)
-	default:
-		panic(fmt.Sprintf("wire: unknown action %T", a))
-	}
-	dst = append(dst, name...)
-	for _, n := range vals {
-		dst = strconv.AppendInt(append(dst, ' '), n, 10)
-	}
-	return append(dst, '\n')
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -93,7 +93,7 @@
 }
 
 func TestBadInput(t *testing.T) {
-	for _, c := range []struct{ name, in, want string }{
+	for _, test := range []struct{ name, in, want string }{
 		{"unknown message", batch("SELECT 3\nNONSENSE 1\n"), "line 3: field message"},
 		{"no instance", batch("WAKEUP 1\n"), "line 2: field message"},
 		{"not a batch", "END\n", "line 1: field message"},
@@ -119,8 +119,8 @@
 		{"word", batch("SELECT 3\nBEGIN 7 classes.count=1 classes.0.effect=maybe\n"), "field classes.0.effect"},
 		{"lists", batch("SELECT 3\nBEGIN 7 classes.count=2 family_info.class_write=true\n"), "field family_info.class_write"},
 	} {
-		if _, err := readAll(c.in); err == nil || !strings.Contains(err.Error(), c.want) {
-			t.Errorf("%s: error %v, want %s", c.name, err, c.want)
+		if _, err := readAll(test.in); err == nil || !strings.Contains(err.Error(), test.want) {
+			t.Errorf("%s: error %v, want %s", test.name, err, test.want)
 		}
 	}
 }
