--- a/internal/wire/golden_test.go
+++ b/internal/wire/golden_test.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = in.Close() })
+	defer in.Close()
 	text := &strings.Builder{}
 	r := NewReader(in)
 	for {
