Move startWarming and Guard.binds into the policy files

Need: they decide: since when a server counts as freshly started, and how long a purge binds. They stood in endpoints.go and purges.go, which policy does not name.

Change: startWarming is in slowstart.go, Guard.binds in guard.go, unchanged.

--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -73,20 +73,6 @@
 	}
 }
 
-// startWarming notes when a listed server started. A new server is warming up from its start or,
-// where that is not told, from now; one of the first list that tells none is not.
-func (r *Router) startWarming(server *server, listed Server, first bool) {
-	if first {
-		server.warmingSince = longAgo
-	}
-	if listed.StartedAt != 0 && listed.StartedAt != server.StartedAt {
-		server.warmingSince = listed.StartedAt
-		server.consecutiveFailures = 0
-		server.ejections = 0
-		server.ejectedUntil = 0
-	}
-}
-
 // weight is a server's capacity relative to its peers.
 func (r *Router) weight(server *server) float64 {
 	if r.settings.WeightIsCapacity {
--- a/routing/guard.go
+++ b/routing/guard.go
@@ -58,6 +58,11 @@
 	})
 }
 
+// binds reports whether copies from before a purge may still exist.
+func (g *Guard) binds(purge PurgeRecord, now time.Duration) bool {
+	return purge.At+g.PurgeRetention > now
+}
+
 // watchStale reports whether there may be purges that have not arrived.
 //
 // Symptom guarded against: with the watch stream cut off a purge binds all the same. It might hurt
--- a/routing/purges.go
+++ b/routing/purges.go
@@ -19,11 +19,6 @@
 	return p.Group == group
 }
 
-// binds reports whether copies from before a purge may still exist.
-func (g *Guard) binds(purge PurgeRecord, now time.Duration) bool {
-	return purge.At+g.PurgeRetention > now
-}
-
 // handlePurge records a purge and forgets those that have left no older copy.
 func (r *Router) handlePurge(event Purge) {
 	retention := r.settings.PurgeRetention
--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -2,6 +2,20 @@
 
 import "time"
 
+// startWarming notes when a listed server started. A new server is warming up from its start or,
+// where that is not told, from now; one of the first list that tells none is not.
+func (r *Router) startWarming(server *server, listed Server, first bool) {
+	if first {
+		server.warmingSince = longAgo
+	}
+	if listed.StartedAt != 0 && listed.StartedAt != server.StartedAt {
+		server.warmingSince = listed.StartedAt
+		server.consecutiveFailures = 0
+		server.ejections = 0
+		server.ejectedUntil = 0
+	}
+}
+
 // capacityFraction is the least part of its capacity that a server has at a time.
 func (r *Router) capacityFraction(server *server, at time.Duration) float64 {
 	slowStart := &r.slowStarts[server.role]
