--- a/cmd/garnetline/bench_test.go
+++ b/cmd/garnetline/bench_test.go
@@ -72,7 +72,7 @@
 			for i := 0; ; i++ {
 				if w, err := http.Get("http://" + listen + "/healthz"); err == nil {
 					w.Body.Close()
-					if w.StatusCode == 200 {
+					if w.StatusCode == http.StatusOK {
 						break
 					}
 				}
@@ -123,7 +123,7 @@
 			return
 		}
 		io.Copy(io.Discard, w.Body)
-		if w.StatusCode != 200 {
+		if w.StatusCode != http.StatusOK {
 			b.Errorf("status %d", w.StatusCode)
 		}
 	}
--- /dev/null
+++ b/cmd/garnetline/daemon.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"garnetline/internal/clock"
+	"garnetline/internal/discovery"
+	"garnetline/internal/dispatch"
+	"garnetline/internal/frontend/dnsfront"
+	"garnetline/internal/frontend/httpfront"
+	"garnetline/internal/logs"
+	"garnetline/internal/metrics"
+	"garnetline/internal/platformconfig"
+	"garnetline/internal/trace/record"
+	"garnetline/internal/upstream"
+	"garnetline/routing"
+)
+
+// daemon is one running router: its parts, in the order in which they are started, and its
+// configuration. The goroutine that calls run owns active and drained; all other fields are
+// set before the parts start.
+type daemon struct {
+	log     *zerolog.Logger
+	metrics *metrics.Registry
+	clock   clock.System
+	signals chan os.Signal
+
+	startup  setup                                 // what the process was started with
+	active   setup                                 // what the last reload brought
+	platform atomic.Pointer[platformconfig.Config] // active.platform, which all parts read
+	load     func() (setup, error)                 // reads the files again
+
+	dispatcher *dispatch.Dispatcher
+	watcher    *discovery.Watcher
+	upstreams  *upstream.Pool
+	recorder   *record.Recorder // nil unless traces are on
+	fleet      *fleetServices   // nil unless the fleet is on
+	dns        *dnsfront.Server
+	front      *httpfront.Server
+
+	listReceived atomic.Bool   // the dispatcher has an endpoint list
+	stopping     atomic.Bool   // SIGTERM has come
+	serveErrors  chan error    // of the listeners
+	drained      chan struct{} // closed when all requests are answered; nil before SIGTERM
+
+	stopParts context.CancelFunc
+	cleanups  []func() // run by close, the last one first
+}
+
+// serve runs a router until a signal ends it. load reads its configuration again.
+func serve(ctx context.Context, initial setup, load func() (setup, error)) error {
+	log := logs.New(os.Stderr)
+	if err := logs.SetLevel(initial.operators.Log.Level); err != nil {
+		return err
+	}
+	applyRuntimeLimits(initial.platform.Limits)
+	router := &daemon{
+		log:         log,
+		metrics:     metrics.New(),
+		clock:       clock.NewSystem(),
+		startup:     initial,
+		active:      initial,
+		load:        load,
+		serveErrors: make(chan error, 2),
+	}
+	router.platform.Store(initial.platform)
+	defer router.close()
+	if err := router.start(ctx); err != nil {
+		return err
+	}
+	return router.run()
+}
+
+// onClose has close call cleanup, before those that are registered already.
+func (d *daemon) onClose(cleanup func()) {
+	d.cleanups = append(d.cleanups, cleanup)
+}
+
+// close stops the parts, the last started first, and waits for them.
+func (d *daemon) close() {
+	for i := len(d.cleanups) - 1; i >= 0; i-- {
+		d.cleanups[i]()
+	}
+}
+
+// start builds the parts and starts them. What is started is stopped by close, also where
+// start returns an error.
+func (d *daemon) start(ctx context.Context) error {
+	d.onClose(d.logCounters)
+	d.receiveSignals()
+	listener, err := openListener(d.startup.platform)
+	if err != nil {
+		return err
+	}
+	ctx, d.stopParts = context.WithCancel(ctx)
+	d.onClose(d.stopParts)
+	if err := d.build(ctx); err != nil {
+		return err
+	}
+	if err := d.startDNS(); err != nil {
+		return err
+	}
+	d.startParts(ctx)
+	go d.acceptClients(listener)
+	if err := d.startAdmin(); err != nil {
+		return err
+	}
+	platform := d.startup.platform
+	d.log.Info().Str("name", platform.Name).Str("listen", platform.Listen.String()).Str("version", version).Msg("serving")
+	return nil
+}
+
+// receiveSignals takes signals before anything can be asked of the router: one that nobody
+// waits for would end the process at once.
+func (d *daemon) receiveSignals() {
+	d.signals = make(chan os.Signal, 4)
+	signal.Notify(d.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	d.onClose(func() { signal.Stop(d.signals) })
+}
+
+// run handles signals until all requests are answered after a SIGTERM or SIGINT, or until a
+// listener fails.
+func (d *daemon) run() error {
+	for {
+		select {
+		case err := <-d.serveErrors:
+			if d.drained == nil {
+				return fmt.Errorf("listen: %w", err)
+			}
+		case <-d.drained:
+			return nil
+		case received := <-d.signals:
+			d.handleSignal(received)
+		}
+	}
+}
+
+func (d *daemon) handleSignal(received os.Signal) {
+	switch received {
+	case syscall.SIGUSR1:
+		d.logCounters()
+	case syscall.SIGHUP:
+		// It is handled during a shutdown too: requests that are open may need the new
+		// address of the change log.
+		d.reload()
+	default:
+		if d.drained == nil {
+			d.beginShutdown()
+		}
+	}
+}
+
+func (d *daemon) logCounters() {
+	logs.WriteCounters(d.log, d.metrics.Snapshot())
+}
+
+// classes are the request classes of the active configuration. Any goroutine may call it.
+func (d *daemon) classes() []routing.Class {
+	return d.platform.Load().Settings.Classes
+}
--- /dev/null
+++ b/cmd/garnetline/daemon_parts.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"garnetline/internal/discovery"
+	"garnetline/internal/dispatch"
+	"garnetline/internal/frontend/dnsfront"
+	"garnetline/internal/frontend/httpfront"
+	"garnetline/internal/platformconfig"
+	"garnetline/internal/trace/attach"
+	"garnetline/internal/upstream"
+)
+
+// dnsShutdownTimeout is how long the DNS front has for lookups that are open at the end.
+const dnsShutdownTimeout = time.Second
+
+// build makes the parts and connects them to each other. Nothing runs before startParts.
+func (d *daemon) build(ctx context.Context) error {
+	platform, operators := d.startup.platform, d.startup.operators
+	var err error
+	d.dispatcher, err = dispatch.New(d.clock, platform.Settings, platform.Seed, d.metrics)
+	if err != nil {
+		return err
+	}
+	d.watcher = discovery.NewWatcher(d.clock, platform, d.handleWatchEvent, d.metrics)
+	d.upstreams = upstream.NewPool(ctx, upstream.Options{
+		Clock:           d.clock,
+		Settings:        func() platformconfig.Upstream { return d.platform.Load().Upstream },
+		Guard:           d.watcher.Guard,
+		Complete:        d.dispatcher.Complete,
+		Metrics:         d.metrics,
+		MaxConnections:  func() int64 { return maxUpstreamConnections(d.platform.Load().Limits) },
+		PropagateTraces: operators.Trace.Enabled && operators.Trace.PropagateToServers,
+	})
+	d.recorder, err = newRecorder(d)
+	if err != nil {
+		return err
+	}
+	if d.recorder != nil {
+		d.recorder.Kept = d.upstreams.TraceRetained
+		d.dispatcher.SetTracer(attach.Core(d.recorder))
+	}
+	d.fleet, err = joinFleet(d)
+	if err != nil {
+		return err
+	}
+	d.dns = dnsfront.New(dnsfront.Options{
+		Config:     operators.DNS,
+		Clock:      d.clock,
+		Dispatcher: d.dispatcher,
+		Classes:    d.classes,
+		Guard:      d.watcher.Guard,
+		Metrics:    d.metrics,
+	})
+	d.dispatcher.AddListeners(d.upstreams, d.dns)
+	d.front = httpfront.New(httpfront.Options{
+		Clock:          d.clock,
+		Dispatcher:     d.dispatcher,
+		Transport:      d.upstreams,
+		Classes:        d.classes,
+		Ready:          d.listReceived.Load,
+		Metrics:        d.metrics,
+		MaxConnections: func() int { return maxClientConnections(d.platform.Load().Limits) },
+		RecordClient:   d.recorder != nil,
+	})
+	return nil
+}
+
+// handleWatchEvent passes an event on from the watcher's goroutine.
+func (d *daemon) handleWatchEvent(event platformconfig.WatchEvent) {
+	d.dispatcher.HandleWatchEvent(event)
+	d.listReceived.Store(true)
+}
+
+// startDNS opens the sockets of the DNS front, where it is enabled.
+func (d *daemon) startDNS() error {
+	if !d.startup.operators.DNS.Enabled {
+		return nil
+	}
+	if _, err := d.dns.Start(); err != nil {
+		return err
+	}
+	d.onClose(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), dnsShutdownTimeout)
+		defer cancel()
+		d.dns.Shutdown(ctx) //nolint:errcheck // lookups that are open after the timeout get no answer
+	})
+	return nil
+}
+
+// startParts starts a goroutine for each part that has one.
+func (d *daemon) startParts(ctx context.Context) {
+	go d.dispatcher.Run(ctx)
+	if d.recorder != nil {
+		go d.recorder.Run()
+		d.onClose(func() {
+			// The dispatcher tells the recorder of the last requests.
+			d.stopParts()
+			<-d.dispatcher.Stopped()
+			d.recorder.Finish()
+		})
+	}
+	if d.fleet != nil {
+		go d.fleet.Run(ctx)
+		d.onClose(func() {
+			// A successor takes the fleet's socket from then on.
+			d.stopParts()
+			<-d.fleet.Stopped()
+		})
+	}
+	go d.watcher.Run(ctx)
+}
+
+// acceptClients serves the clients' listener. On an inherited socket it waits for the change
+// log first: the other process that holds the socket can answer until then.
+func (d *daemon) acceptClients(listener net.Listener) {
+	if d.startup.platform.ListenFD != 0 {
+		<-d.watcher.Synced()
+	}
+	d.serveErrors <- d.front.Serve(listener)
+}
+
+// startAdmin serves the admin API, where the configuration has an address for it.
+func (d *daemon) startAdmin() error {
+	address := d.startup.platform.AdminListen
+	if !address.IsValid() {
+		return nil
+	}
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return fmt.Errorf("mgmt: %w", err)
+	}
+	server := httpfront.New(httpfront.Options{
+		Clock:          d.clock,
+		Metrics:        d.metrics,
+		Handler:        d.adminHandler().Handle,
+		MaxConnections: func() int { return maxAdminConnections },
+	})
+	go func() { d.serveErrors <- server.Serve(listener) }()
+	d.onClose(server.Shutdown)
+	return nil
+}
--- a/cmd/garnetline/docs_test.go
+++ b/cmd/garnetline/docs_test.go
@@ -25,7 +25,7 @@
 		ran++
 		args := strings.Fields(strings.ReplaceAll(command, "docs/", "../../docs/"))
 		var out bytes.Buffer
-		if err := traceCommand(&out).Run(context.Background(), append([]string{"trace"}, args...)); err != nil {
+		if err := newTraceCommand(&out).Run(context.Background(), append([]string{"trace"}, args...)); err != nil {
 			t.Errorf("%s: %v", command, err)
 		}
 		var got []string
--- a/cmd/garnetline/endings_test.go
+++ b/cmd/garnetline/endings_test.go
@@ -51,7 +51,7 @@
 	for bound := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
 		if r, err := http.Get("http://" + listen + "/healthz"); err == nil {
 			r.Body.Close()
-			if r.StatusCode == 200 {
+			if r.StatusCode == http.StatusOK {
 				return listen, end
 			}
 		}
@@ -227,7 +227,7 @@
 		}
 	}
 	for _, c := range []struct{ longest, want time.Duration }{{6 * time.Second, 3500}, {time.Second, 1500}, {100 * time.Millisecond, 700}} {
-		if got := endIn([]routing.Class{{Deadline: c.longest}, {Deadline: time.Millisecond}}); got != float64(c.want) {
+		if got := drainTime([]routing.Class{{Deadline: c.longest}, {Deadline: time.Millisecond}}); got != float64(c.want) {
 			t.Errorf("with a deadline of %v all ends after %v ms, want %d", c.longest, got, c.want)
 		}
 	}
--- a/cmd/garnetline/fleet.go
+++ b/cmd/garnetline/fleet.go
@@ -2,308 +2,190 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
-	"net"
-	"net/textproto"
-	"os"
-	"os/signal"
-	"strings"
-	"syscall"
-	"text/tabwriter"
-	"time"
-
-	"github.com/urfave/cli/v3"
+	"sync"
 
+	"garnetline/internal/admin/disabled"
 	"garnetline/internal/clock"
-	"garnetline/internal/fleet"
-	"garnetline/internal/platformconfig"
+	"garnetline/internal/discovery"
+	"garnetline/internal/dispatch"
+	"garnetline/internal/fleet/bans"
+	"garnetline/internal/fleet/connectivity"
+	"garnetline/internal/fleet/leasemanager"
+	"garnetline/internal/fleet/loadreport"
+	"garnetline/internal/fleet/recoveryprobe"
+	"garnetline/internal/fleet/transport"
+	"garnetline/internal/metrics"
+	"garnetline/internal/operatorconfig"
+	"garnetline/routing"
 )
 
-const (
-	doorWithin = 2 * time.Second
-	watchEvery = 200 * time.Millisecond
-)
+// maxEligibleHealthScore is the local health score from which on a router takes itself for
+// too slow to hold leases.
+const maxEligibleHealthScore = 3
 
-// fleetCommand shows what a running router knows of the others, from its door.
-func fleetCommand(out io.Writer) *cli.Command {
-	flags := []cli.Flag{
-		&cli.StringFlag{Name: "mgmt", Usage: "`ADDRESS` of the router's door; without it, EDGE_MGMT or the configuration's"},
-		&cli.StringFlag{Name: "config", Usage: "configuration `FILE` that names the door; without it, what EDGE_CONFIG names"},
-		&cli.BoolFlag{Name: "json", Usage: "print JSON"},
-	}
-	show := func(c *cli.Command, table func(io.Writer, *fleet.Status) error) error {
-		s, text, err := statusOf(c)
-		if err != nil {
-			return err
-		}
-		if c.Bool("json") {
-			_, err := out.Write(text)
-			return err
-		}
-		return table(out, s)
-	}
-	return &cli.Command{Name: "fleet", Usage: "show what a running router knows of the others", Commands: []*cli.Command{
-		{Name: "status", Usage: "the stance, and how many there are", Flags: flags,
-			Action: func(_ context.Context, c *cli.Command) error { return show(c, status) }},
-		{Name: "members", Usage: "a line for each router", Flags: flags,
-			Action: func(_ context.Context, c *cli.Command) error { return show(c, members) }},
-		{Name: "watch", Usage: "a line for each change, until it is ended", Flags: flags,
-			Action: func(ctx context.Context, c *cli.Command) error {
-				ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
-				defer stop()
-				return watch(ctx, c, out)
-			}},
-		{Name: "duties", Usage: "who holds which duty, and how the register stands at this router", Flags: flags,
-			Action: func(_ context.Context, c *cli.Command) error {
-				text, err := call(c, "GET", "/fleet/duties")
-				if err != nil {
-					return err
-				}
-				if c.Bool("json") {
-					_, err := out.Write(text)
-					return err
-				}
-				p := dutyPage{}
-				if err := json.Unmarshal(text, &p); err != nil {
-					return err
-				}
-				return showDuties(out, &p)
-			}},
-		{Name: "duty", Usage: "hand a duty on", Commands: []*cli.Command{
-			{Name: "move", Usage: "from the router whose door is called to ROUTER, or to the one that comes first", ArgsUsage: "DUTY [ROUTER]", Flags: flags,
-				Action: func(_ context.Context, c *cli.Command) error {
-					if c.Args().First() == "" {
-						return errors.New("fleet duty move: DUTY: missing")
-					}
-					path := "/fleet/duty/move/" + c.Args().First()
-					if to := c.Args().Get(1); to != "" {
-						path += "/to/" + to
-					}
-					return order(c, out, path)
-				}},
-		}},
-		bansCommand(out, flags),
-		{Name: "elector", Usage: "take an elector in, or out, at the leader's door", Commands: []*cli.Command{
-			{Name: "add", ArgsUsage: "ROUTER", Flags: flags, Usage: "one whose file names it among the electors; it is a learner until it has caught up",
-				Action: func(_ context.Context, c *cli.Command) error {
-					return order(c, out, "/fleet/elector/add/"+c.Args().First())
-				}},
-			{Name: "remove", ArgsUsage: "ROUTER", Flags: flags, Usage: "one at a time",
-				Action: func(_ context.Context, c *cli.Command) error {
-					return order(c, out, "/fleet/elector/remove/"+c.Args().First())
-				}},
-		}},
-	}}
+// fleetServices are what a router does together with the others of its fleet, where the
+// operators' file has one. Without a fleet it is nil: no socket, no goroutine, and the
+// methods that the daemon calls on nil do nothing.
+type fleetServices struct {
+	*transport.Transport
+	watcher    *discovery.Watcher
+	dispatcher *dispatch.Dispatcher
+	clock      clock.Clock
+	metrics    *metrics.Registry
+
+	leases        *leasemanager.Manager      // nil: this router takes part in no leases
+	loadReports   *loadreport.Collector      // nil: it polls no servers for others
+	recoveryProbe *recoveryprobe.Coordinator // nil: it probes ejected servers on its own schedule
+	bans          *bans.Manager              // nil: the lease registry keeps no bans
+	actors        []actor                    // of the last three, those that are there
+
+	mu   sync.Mutex
+	stop context.CancelFunc // set by Run
 }
 
-// order makes a call that changes something.
-func order(c *cli.Command, out io.Writer, path string) error {
-	text, err := call(c, "POST", path)
-	if err == nil {
-		_, err = out.Write(text)
-	}
-	return err
+// actor runs until its context ends, and says when it has.
+type actor interface {
+	Run(ctx context.Context)
+	Stopped() <-chan struct{}
 }
 
-// showDuties prints who holds what.
-func showDuties(out io.Writer, p *dutyPage) error {
-	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	for _, l := range p.Held {
-		fmt.Fprintf(t, "held here\t%s under token %d\n", l.Name, l.FencingToken)
-	}
-	r := p.Register
-	if !r.Voter {
-		fmt.Fprintln(t, "register\tthis router is no elector")
-		return t.Flush()
-	}
-	fmt.Fprintf(t, "leader\t%s, term %d\n", r.Leader, r.Term)
-	fmt.Fprintf(t, "voters\t%s\n", strings.Join(r.Voters, " "))
-	if len(r.Learners) > 0 {
-		fmt.Fprintf(t, "learners\t%s\n", strings.Join(r.Learners, " "))
-	}
-	if r.Fault != "" {
-		fmt.Fprintf(t, "stopped\t%s\n", strings.ReplaceAll(r.Fault, "\n", ": "))
+// joinFleet makes the transport to the other routers and connects the endpoint list to it. It
+// returns nil where the operators' file has no fleet.
+func joinFleet(router *daemon) (*fleetServices, error) {
+	platform, operators := router.startup.platform, router.startup.operators
+	if !operators.Fleet.Enabled {
+		return nil, nil
+	}
+	settings, err := operators.Fleet.TransportSettings()
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	zone := operators.Fleet.Zone
+	if zone == "" {
+		zone = platform.Zones[platform.Settings.Zone]
+	}
+	link, err := transport.New(transport.Options{
+		Settings:    settings,
+		Name:        platform.Name,
+		Zone:        zone,
+		Version:     version,
+		StateDir:    platform.StateDir,
+		InitialBans: router.storedBans(),
+		Clock:       router.clock,
+		Log:         router.log,
+		Stats:       router.metrics,
+	})
+	if err != nil {
+		return nil, err
 	}
-	for _, d := range r.Leases {
-		holder := d.Holder
-		if holder == "" {
-			holder = "nobody"
+	router.watcher.SetGossip(link)
+	services := &fleetServices{Transport: link, watcher: router.watcher, dispatcher: router.dispatcher, clock: router.clock, metrics: router.metrics}
+	if operators.Leases.Enabled {
+		if err := services.startLeases(router, settings.FleetName, zone); err != nil {
+			return nil, fmt.Errorf("duties: %w", err)
 		}
-		fmt.Fprintf(t, "%s\t%s under token %d\n", d.Name, holder, d.FencingToken)
 	}
-	return t.Flush()
+	return services, nil
 }
 
-// statusOf asks the door, and returns what it says as it came too.
-func statusOf(c *cli.Command) (*fleet.Status, []byte, error) {
-	text, err := call(c, "GET", "/fleet")
+// storedBans returns the servers that operators have disabled at this router.
+func (router *daemon) storedBans() []routing.ServerID {
+	stored, err := disabled.NewStore(router.startup.platform.StateDir).List()
 	if err != nil {
-		return nil, nil, err
+		router.metrics.Add("marks_unread", 1)
 	}
-	s := &fleet.Status{}
-	if err := json.Unmarshal(text, s); err != nil {
-		return nil, nil, fmt.Errorf("no status of a fleet: %w", err)
+	var servers []routing.ServerID
+	for server := range stored {
+		servers = append(servers, server)
 	}
-	return s, text, nil
+	return servers
 }
 
-// call makes one call at the door that the flags name.
-func call(c *cli.Command, method, path string) ([]byte, error) {
-	addr := c.String("mgmt")
-	if addr == "" {
-		addr = os.Getenv("EDGE_MGMT")
-	}
-	if addr == "" {
-		conf, err := platformconfig.Load(c.String("config"), os.Getenv)
-		if err != nil {
-			return nil, fmt.Errorf("mgmt: not given, and %w", err)
-		}
-		if !conf.AdminListen.IsValid() {
-			return nil, errors.New("mgmt: not given, and the configuration names none")
-		}
-		addr = conf.AdminListen.String()
+// Run runs the services until ctx ends or Leave is called.
+func (f *fleetServices) Run(ctx context.Context) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	f.mu.Lock()
+	f.stop = stop
+	f.mu.Unlock()
+	if f.leases == nil {
+		f.Transport.Run(ctx)
+		return
+	}
+	// Leases are transferred before the others are notified that this router leaves, so the
+	// transport ends after the lease manager.
+	transportCtx, stopTransport := context.WithCancel(context.Background())
+	for _, service := range f.actors {
+		go service.Run(ctx)
+	}
+	go func() {
+		defer stopTransport()
+		f.leases.Run(ctx)
+	}()
+	f.Transport.Run(transportCtx)
+	stop()
+	<-f.leases.Stopped()
+	for _, service := range f.actors {
+		<-service.Stopped()
 	}
-	return ask(addr, method, path)
 }
 
-// ask makes one call at a door.
-func ask(addr, method, path string) ([]byte, error) {
-	conn, err := net.DialTimeout("tcp", addr, doorWithin)
-	if err != nil {
-		return nil, err
-	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(doorWithin))
-	if _, err := fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n\r\n", method, path, addr); err != nil {
-		return nil, err
-	}
-	in := textproto.NewConn(conn)
-	first, err := in.ReadLine()
-	if err != nil {
-		return nil, err
+// Leave notifies the others that this router leaves, and gives the socket back.
+func (f *fleetServices) Leave() {
+	if f == nil {
+		return
 	}
-	if _, err := in.ReadMIMEHeader(); err != nil {
-		return nil, err
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stop != nil {
+		f.stop()
 	}
-	body, err := io.ReadAll(io.LimitReader(in.R, 64<<20))
-	switch code := strings.Fields(first + " 0 0"); {
-	case err != nil:
-		return nil, err
-	case code[1] == "404" && path == "/fleet":
-		return nil, fmt.Errorf("%s: that router knows no others: its file has no fleet block, or it is not enabled", addr)
-	case code[1] == "404":
-		return nil, fmt.Errorf("%s: that router takes part in no duties: its file has no duties block, or it is not enabled", addr)
-	case code[1] != "200":
-		return nil, fmt.Errorf("%s: %s", addr, strings.TrimSpace(string(body)))
-	}
-	return body, nil
 }
 
-func status(out io.Writer, s *fleet.Status) error {
-	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(t, "router\t%s, seat %s, life %d\n", s.Name, s.RouterID, s.Incarnation)
-	fmt.Fprintf(t, "fleet\t%s\n", s.Fleet)
-	fmt.Fprintf(t, "stance\t%s since %s\n", s.Connectivity, stamp(s.ConnectivitySince))
-	fmt.Fprintf(t, "there\t%d of %d known lately\n", s.Present, s.Known)
-	if s.HealthScore > 0 {
-		fmt.Fprintf(t, "slowness\t%d: it takes itself for slow, and accuses later\n", s.HealthScore)
-	}
-	if !s.Bound {
-		fmt.Fprintln(t, "socket\twaits: another process has the address")
-	}
-	if s.Superseded {
-		fmt.Fprintln(t, "seat\ta later process has it")
+// Reload goes over to the keys and addresses of another operators' file, which was checked
+// when it was read.
+func (f *fleetServices) Reload(fleet operatorconfig.Fleet) {
+	if f == nil {
+		return
 	}
-	if len(s.Bans) > 0 {
-		fmt.Fprintf(t, "banned\t%s\n", strings.Join(s.Bans, " "))
+	if settings, err := fleet.TransportSettings(); err == nil {
+		f.Transport.Reload(settings)
 	}
-	return t.Flush()
 }
 
-func members(out io.Writer, s *fleet.Status) error {
-	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "NAME\tSTATE\tSINCE\tBY\tWAY\tZONE\tVERSION\tLIFE\tADDRESS\tSEAT")
-	for _, m := range s.Members {
-		way := "by others"
-		switch {
-		case m.Self:
-			way = "itself"
-		case m.Direct:
-			way = "direct"
-		case m.State == "failed" || m.State == "left":
-			way = "-"
-		}
-		since := "-"
-		if m.StateSince > 0 {
-			since = stamp(m.StateSince)
-		}
-		by := m.ReportedBy
-		if by == "" {
-			by = "-"
-		}
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d.%d\t%s\t%s\n", m.Name, m.State, since, by, way, m.Zone, m.Version, m.Incarnation, m.Refutations, m.Addr, m.RouterID)
-	}
-	return t.Flush()
+// Ready reports whether the fleet lets this router call itself ready: not one that has lost
+// its peers, its servers and the change log.
+func (f *fleetServices) Ready() bool {
+	if f == nil {
+		return true
+	}
+	if f.bans != nil && !f.bans.Ready() {
+		return false
+	}
+	listed, unavailable := f.watcher.ServerCounts()
+	available := listed - unavailable
+	serversLost := available > 0 && f.dispatcher.EjectedCount() >= available
+	state := connectivity.Together
+	if f.Status().Connectivity == connectivity.Alone.String() {
+		state = connectivity.Alone
+	}
+	return state.Ready(serversLost, f.watcher.Stale(f.clock.Now()))
 }
 
-func stamp(ms float64) string {
-	return time.Unix(0, int64(clock.Duration(ms))).Format("15:04:05.000")
+// eligible reports whether this router may hold leases: not one that is cut off from its
+// servers, that takes itself for slow, or whose successor runs.
+func (f *fleetServices) eligible() bool {
+	view := f.Members()
+	return !view.Superseded && view.HealthScore <= maxEligibleHealthScore && view.Present > 1 &&
+		f.Status().Bound && !f.watcher.Stale(f.clock.Now())
 }
 
-// watch prints what changes between looks.
-func watch(ctx context.Context, c *cli.Command, out io.Writer) error {
-	last := map[string]string{}
-	tick := time.NewTicker(watchEvery)
-	defer tick.Stop()
-	for first := true; ; first = false {
-		s, text, err := statusOf(c)
-		if err != nil && first {
-			return err
-		}
-		now := map[string]string{}
-		if err != nil {
-			now["door"] = "does not answer: " + err.Error()
-		} else {
-			now["stance"] = fmt.Sprintf("%s, %d of %d there", s.Connectivity, s.Present, s.Known)
-			for _, m := range s.Members {
-				now[m.Name+" "+m.RouterID] = fmt.Sprintf("%s, life %d at %s", m.State, m.Incarnation, m.Addr)
-			}
-			for _, b := range s.Bans {
-				now["box "+b] = "banned"
-			}
-		}
-		changed := false
-		for k, v := range now {
-			if last[k] != v {
-				changed = true
-				if !c.Bool("json") {
-					fmt.Fprintf(out, "%s  %s: %s\n", time.Now().Format("15:04:05.000"), k, v)
-				}
-			}
-		}
-		for k := range last {
-			if _, there := now[k]; !there && err == nil {
-				changed = true
-				if !c.Bool("json") {
-					fmt.Fprintf(out, "%s  %s: no more\n", time.Now().Format("15:04:05.000"), k)
-				}
-			}
-		}
-		if c.Bool("json") && changed && err == nil {
-			line, err := json.Marshal(json.RawMessage(text))
-			if err != nil {
-				return err
-			}
-			fmt.Fprintf(out, "%s\n", line)
-		}
-		last = now
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
-	}
+// ManagesBans reports whether the lease registry keeps the operators' bans.
+func (f *fleetServices) ManagesBans() bool { return f != nil && f.bans != nil }
+
+// SetServerDisabled disables a server by order of an operator, or enables it again, through
+// the lease registry.
+func (f *fleetServices) SetServerDisabled(ctx context.Context, server routing.ServerID, disable bool) error {
+	return f.bans.Apply(ctx, bans.Change{Server: server, Disable: disable})
 }
--- a/cmd/garnetline/fleet_test.go
+++ b/cmd/garnetline/fleet_test.go
@@ -18,7 +18,7 @@
 func inspect(t *testing.T, args ...string) (string, error) {
 	t.Helper()
 	var out bytes.Buffer
-	err := fleetCommand(&out).Run(context.Background(), append([]string{"fleet"}, args...))
+	err := newFleetCommand(&out).Run(context.Background(), append([]string{"fleet"}, args...))
 	return out.String(), err
 }
 
@@ -59,7 +59,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	seen := make(chan string, 100)
-	go fleetCommand(lineWriter(seen)).Run(ctx, []string{"fleet", "watch", "--mgmt", door})
+	go newFleetCommand(lineWriter(seen)).Run(ctx, []string{"fleet", "watch", "--mgmt", door})
 	waitFor := func(what string) {
 		t.Helper()
 		for late := time.After(30 * time.Second); ; {
@@ -187,7 +187,7 @@
 		}
 		t.Setenv("EDGE_CONFIG", "")
 		var out bytes.Buffer
-		err := program(&out).Run(context.Background(), []string{"garnetline", "check", "--settings", path})
+		err := newCommand(&out).Run(context.Background(), []string{"garnetline", "check", "--settings", path})
 		return out.String(), err
 	}
 	if got, err := run("log {}\n"); err != nil || !strings.Contains(got, "x.hcl: can be used") {
--- /dev/null
+++ b/cmd/garnetline/fleet_watch.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"garnetline/internal/fleet"
+)
+
+const watchInterval = 200 * time.Millisecond
+
+// fleetView is what watchFleet compares between two looks: what is said of each subject.
+type fleetView map[string]string
+
+// watchFleet prints what changes in a router's view of its fleet, until ctx ends. It returns
+// an error if the first call fails; later failures are changes.
+func watchFleet(ctx context.Context, command *cli.Command, out io.Writer) error {
+	asJSON := command.Bool("json")
+	previous := fleetView{}
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for first := true; ; first = false {
+		status, text, callErr := fleetStatus(command)
+		if callErr != nil && first {
+			return callErr
+		}
+		current := fleetViewOf(status, callErr)
+		changes := previous.changesTo(current, callErr == nil)
+		if !asJSON {
+			err := printChanges(out, changes)
+			if err != nil {
+				return err
+			}
+		} else if len(changes) > 0 && callErr == nil {
+			err := printJSONLine(out, text)
+			if err != nil {
+				return err
+			}
+		}
+		previous = current
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// fleetViewOf describes a status, or the error with which the call for it ended.
+func fleetViewOf(status *fleet.Status, callErr error) fleetView {
+	view := fleetView{}
+	if callErr != nil {
+		view["door"] = "does not answer: " + callErr.Error()
+		return view
+	}
+	view["stance"] = fmt.Sprintf("%s, %d of %d there", status.Connectivity, status.Present, status.Known)
+	for i := range status.Members {
+		member := &status.Members[i]
+		view[member.Name+" "+member.RouterID] = fmt.Sprintf("%s, life %d at %s", member.State, member.Incarnation, member.Addr)
+	}
+	for _, server := range status.Bans {
+		view["box "+server] = "banned"
+	}
+	return view
+}
+
+// changesTo returns a line for each subject of which next says something else. What next does
+// not have counts as gone only where next is complete.
+func (v fleetView) changesTo(next fleetView, complete bool) []string {
+	var lines []string
+	for subject, text := range next {
+		if v[subject] != text {
+			lines = append(lines, subject+": "+text)
+		}
+	}
+	if !complete {
+		return lines
+	}
+	for subject := range v {
+		if _, present := next[subject]; !present {
+			lines = append(lines, subject+": no more")
+		}
+	}
+	return lines
+}
+
+func printChanges(out io.Writer, changes []string) error {
+	lines := &printer{out: out}
+	for _, change := range changes {
+		lines.linef("%s  %s", time.Now().Format("15:04:05.000"), change)
+	}
+	return lines.err
+}
+
+// printJSONLine prints JSON on one line.
+func printJSONLine(out io.Writer, text []byte) error {
+	line, err := json.Marshal(json.RawMessage(text))
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "%s\n", line)
+	return err
+}
--- a/cmd/garnetline/golden_test.go
+++ b/cmd/garnetline/golden_test.go
@@ -16,13 +16,13 @@
 // Commands, their arguments and their flags are what scripts of the operators rest on.
 func TestCommandsAndFlags(t *testing.T) {
 	var text strings.Builder
-	describeCommand(&text, program(io.Discard), "")
+	describeCommand(&text, newCommand(io.Discard), "")
 	golden.Compare(t, "commands.golden", []byte(text.String()))
 }
 
 // The keys under which operators' scripts find the register and the leases held.
-func TestKeysOfTheDutyPage(t *testing.T) {
-	text, err := json.Marshal(dutyPage{Register: &leasemanager.Status{}, Held: []leasemanager.Lease{{}}})
+func TestLeasePageKeys(t *testing.T) {
+	text, err := json.Marshal(leasePage{Registry: &leasemanager.Status{}, Held: []leasemanager.Lease{{}}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/garnetline/metrics_test.go
+++ b/cmd/garnetline/metrics_test.go
@@ -32,6 +32,6 @@
 	}
 	page := admin.Metrics{Classes: []admin.ClassMetrics{{Name: "part", Served: 1, Rejected: 2, Failed: 3}, {Name: "form", Served: 4, Rejected: 5, Failed: 6}},
 		Relayed: 7, OpenRequests: 8, ListedServers: 9, UnavailableServers: 10, ReloadsAccepted: 11, ReloadsRejected: 12}.AppendPrometheus(nil)
-	page = (&mates{Transport: l, count: count}).AppendMetrics(page)
+	page = (&fleetServices{Transport: l, metrics: count}).AppendMetrics(page)
 	golden.Compare(t, "metrics.golden", page)
 }
--- a/cmd/garnetline/serve_test.go
+++ b/cmd/garnetline/serve_test.go
@@ -254,7 +254,7 @@
 		}
 		io.WriteString(c, "GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
 		w, err := http.ReadResponse(bufio.NewReader(c), nil)
-		stops = err == nil && w.StatusCode != 200
+		stops = err == nil && w.StatusCode != http.StatusOK
 		c.Close()
 	}
 	file(listen, first)
--- a/cmd/garnetline/peers_test.go
+++ b/cmd/garnetline/trace_peers_test.go
@@ -152,7 +152,7 @@
 		}
 	}
 	var out bytes.Buffer
-	if err := traceCommand(&out).Run(context.Background(), []string{"trace", "show", "--folder", r.folder, "--folder", folders[0], "--folder", folders[1], "--folder", folders[2], rider.String()}); err != nil ||
+	if err := newTraceCommand(&out).Run(context.Background(), []string{"trace", "show", "--folder", r.folder, "--folder", folders[0], "--folder", folders[1], "--folder", folders[2], rider.String()}); err != nil ||
 		!strings.Contains(out.String(), "work: joined a fill") || !strings.Contains(out.String(), "it rode a fill of trace") {
 		t.Errorf("%v: %s", err, out.String())
 	}
--- a/cmd/garnetline/trace_test.go
+++ b/cmd/garnetline/trace_test.go
@@ -82,7 +82,7 @@
 		}
 		w, _ := say(t, conn, "GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
 		conn.Close()
-		if w.StatusCode == 200 {
+		if w.StatusCode == http.StatusOK {
 			return r
 		}
 	}
@@ -293,7 +293,7 @@
 		for _, r := range routers {
 			args = append(args, "--folder", r.folder)
 		}
-		if err := traceCommand(&out).Run(context.Background(), append([]string{"trace"}, args...)); err != nil {
+		if err := newTraceCommand(&out).Run(context.Background(), append([]string{"trace"}, args...)); err != nil {
 			t.Errorf("%v: %v", args, err)
 		}
 		return out.String()
@@ -332,7 +332,7 @@
 			t.Fatal(err)
 		}
 		defer conn.Close()
-		if w, _ := say(t, conn, fmt.Sprintf("GET /v1/part/00000000000000aa HTTP/1.1\r\nHost: x\r\nX-Txn: %016x\r\nX-Ttl-Ms: 900\r\n\r\n", txn)); w.StatusCode == 200 {
+		if w, _ := say(t, conn, fmt.Sprintf("GET /v1/part/00000000000000aa HTTP/1.1\r\nHost: x\r\nX-Txn: %016x\r\nX-Ttl-Ms: 900\r\n\r\n", txn)); w.StatusCode == http.StatusOK {
 			t.Error("served by a box that fails")
 		}
 	}
@@ -350,7 +350,7 @@
 	write("trace {\n enabled = true\n folder = \"elsewhere\"\n}\n")
 	until(t, "another folder", func() bool { return strings.Contains(r.log.String(), "trace: only a restart") })
 	write(fmt.Sprintf("log {\n level = \"debug\"\n}\ntrace {\n enabled = true\n folder = %q\n secret = \"shared\"\n}\n", r.folder))
-	until(t, "a good file", func() bool { return strings.Contains(r.log.String(), `"event":"reloaded"`) })
+	until(t, "a good file", func() bool { return strings.Contains(r.log.String(), `"event":"configuration reloaded"`) })
 	ask(21)
 	until(t, "debug", func() bool {
 		return strings.Contains(r.log.String(), `"event":"request refused"`) || strings.Contains(r.log.String(), `"event":"request failed"`)
@@ -373,11 +373,11 @@
 // With the operators' file away, or tracing off in it, no folder is made; a class block
 // says what differs, and nothing else does.
 func TestNoTracesWithoutSettings(t *testing.T) {
-	if rec, err := tracing(setup{}.file.Trace, nil, nil, nil, nil, nil); rec != nil || err != nil {
+	if rec, err := newRecorder(&daemon{}); rec != nil || err != nil {
 		t.Errorf("%v, %v", rec, err)
 	}
 	none := 0.0
-	s := kept(operatorconfig.Trace{OrdinaryPerSecond: 2, Classes: []operatorconfig.TraceClass{{Name: "part", SlowThreshold: 9}, {Name: "form", OrdinaryPerSecond: &none}}},
+	s := recorderSettings(operatorconfig.Trace{OrdinaryPerSecond: 2, Classes: []operatorconfig.TraceClass{{Name: "part", SlowThreshold: 9}, {Name: "form", OrdinaryPerSecond: &none}}},
 		[]routing.Class{{Name: "part", LatencyObjective: time.Second}, {Name: "form", LatencyObjective: time.Second}})
 	if p, f := s.Classes["part"], s.Classes["form"]; p.Ordinary != 2 || p.Wanted != 9 || f.Ordinary != 0 || f.Wanted != 1000 {
 		t.Errorf("%+v, %+v", p, f)
--- a/cmd/garnetline/tracing.go
+++ b/cmd/garnetline/tracing.go
@@ -2,14 +2,9 @@
 
 import (
 	"fmt"
-	"sync/atomic"
-
-	"github.com/rs/zerolog"
 
 	"garnetline/internal/clock"
-	"garnetline/internal/metrics"
 	"garnetline/internal/operatorconfig"
-	"garnetline/internal/platformconfig"
 	"garnetline/internal/trace/export"
 	"garnetline/internal/trace/keep"
 	"garnetline/internal/trace/record"
@@ -17,49 +12,85 @@
 	"garnetline/routing"
 )
 
-// tracing makes what follows the requests, or nil where the operators' file does not
-// switch it on.
-func tracing(t operatorconfig.Trace, conf *platformconfig.Config, clk clock.Clock, count *metrics.Registry, log *zerolog.Logger,
-	now *atomic.Pointer[platformconfig.Config]) (*record.Recorder, error) {
-	if !t.Enabled {
+// newRecorder returns what traces requests, or nil where the operators' file has it off.
+func newRecorder(router *daemon) (*record.Recorder, error) {
+	settings := router.startup.operators.Trace
+	if !settings.Enabled {
 		return nil, nil
 	}
-	w, err := store.Open(t.Dir, int64(t.SegmentMB)<<20, int64(t.KeepMB)<<20)
+	sinks, err := openTraceSinks(router, settings)
+	if err != nil {
+		return nil, err
+	}
+	platform := router.startup.platform
+	options := record.Options{
+		Clock:  router.clock,
+		Router: platform.Name,
+		Secret: settings.Secret,
+		Seed:   platform.Seed,
+		Stats:  router.metrics,
+		Log:    router.log,
+		Sink:   sinks,
+		Pace:   func() float64 { return router.platform.Load().Settings.BodyBytesPerSecond },
+	}
+	return record.New(options, recorderSettings(settings, platform.Settings.Classes)), nil
+}
+
+// openTraceSinks opens what traces go to: the folder of segments and, where one is named, a
+// collector.
+func openTraceSinks(router *daemon, settings operatorconfig.Trace) (record.Sinks, error) {
+	segments, err := store.Open(settings.Dir, int64(settings.SegmentMB)<<20, int64(settings.KeepMB)<<20)
 	if err != nil {
 		return nil, fmt.Errorf("trace: folder: %w", err)
 	}
-	sinks := record.Sinks{w}
-	if c := t.Collector; c != nil {
-		x, err := export.New(export.Options{URL: c.URL, Queue: c.QueueLimit, Timeout: c.Timeout, Stats: count, Log: log, Seed: conf.Seed})
-		if err != nil {
-			return nil, fmt.Errorf("trace: collector: url: %w", err)
-		}
-		sinks = append(sinks, x)
+	collector := settings.Collector
+	if collector == nil {
+		return record.Sinks{segments}, nil
+	}
+	exporter, err := export.New(export.Options{
+		URL:     collector.URL,
+		Queue:   collector.QueueLimit,
+		Timeout: collector.Timeout,
+		Stats:   router.metrics,
+		Log:     router.log,
+		Seed:    router.startup.platform.Seed,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("trace: collector: url: %w", err)
 	}
-	return record.New(record.Options{Clock: clk, Router: conf.Name, Secret: t.Secret, Seed: conf.Seed, Stats: count, Log: log, Sink: sinks,
-		Pace: func() float64 { return now.Load().Settings.BodyBytesPerSecond }}, kept(t, conf.Settings.Classes)), nil
+	return record.Sinks{segments, exporter}, nil
 }
 
-// kept is what is kept of each class: what the operators' file says, and else slower
-// traces than the class's aim and the budget of all.
-func kept(t operatorconfig.Trace, classes []routing.Class) record.Settings {
-	s := record.Settings{Undecided: t.UndecidedKB << 10, RetryWithin: t.RetryWindow, Sampled: t.HonorSampled, Other: keep.Class{Ordinary: t.OrdinaryPerSecond},
-		Classes: map[string]keep.Class{}}
-	for _, c := range classes {
-		s.Classes[c.Name] = keep.Class{Wanted: clock.Millis(c.LatencyObjective), Ordinary: t.OrdinaryPerSecond, All: c.Idempotency == routing.IdempotentWithKey}
+// recorderSettings says which traces of each class are retained: what the operators' file
+// has of the class, and else those slower than its latency objective and the ordinary ones
+// that the common budget allows.
+func recorderSettings(settings operatorconfig.Trace, classes []routing.Class) record.Settings {
+	recorder := record.Settings{
+		Undecided:   settings.UndecidedKB << 10,
+		RetryWithin: settings.RetryWindow,
+		Sampled:     settings.HonorSampled,
+		Other:       keep.Class{Ordinary: settings.OrdinaryPerSecond},
+		Classes:     map[string]keep.Class{},
+	}
+	for _, class := range classes {
+		recorder.Classes[class.Name] = keep.Class{
+			Wanted:   clock.Millis(class.LatencyObjective),
+			Ordinary: settings.OrdinaryPerSecond,
+			All:      class.Idempotency == routing.IdempotentWithKey,
+		}
 	}
-	for _, c := range t.Classes {
-		k, known := s.Classes[c.Name]
+	for _, override := range settings.Classes {
+		class, known := recorder.Classes[override.Name]
 		if !known {
 			continue
 		}
-		if c.OrdinaryPerSecond != nil {
-			k.Ordinary = *c.OrdinaryPerSecond
+		if override.OrdinaryPerSecond != nil {
+			class.Ordinary = *override.OrdinaryPerSecond
 		}
-		if c.SlowThreshold > 0 {
-			k.Wanted = c.SlowThreshold
+		if override.SlowThreshold > 0 {
+			class.Wanted = override.SlowThreshold
 		}
-		s.Classes[c.Name] = k
+		recorder.Classes[override.Name] = class
 	}
-	return s
+	return recorder
 }
--- a/cmd/garnetline/upgrade_test.go
+++ b/cmd/garnetline/upgrade_test.go
@@ -163,7 +163,7 @@
 	const health = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
 	for ready := false; !ready; {
 		w, _ := say(t, conn, health)
-		ready = w.StatusCode == 200
+		ready = w.StatusCode == http.StatusOK
 	}
 	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
 		t.Fatal(err)
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -297,10 +297,10 @@
 	const next = "another key for routers on loopback"
 	for _, keys := range [][]string{{Key, next}, {next, Key}, {next}} {
 		for _, x := range r.Routers {
-			was := x.Told(`"event":"reloaded"`)
+			was := x.Told(`"event":"configuration reloaded"`)
 			no(t, x.Settings(keys...))
 			no(t, x.Signal(syscall.SIGHUP))
-			must(t, x.Name+" reloaded")(r.Until("reloaded", within, func() (bool, string) { return x.Told(`"event":"reloaded"`) > was, "" }))
+			must(t, x.Name+" reloaded")(r.Until("reloaded", within, func() (bool, string) { return x.Told(`"event":"configuration reloaded"`) > was, "" }))
 		}
 	}
 	for what, b := range map[string][]byte{
