--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,14 +1,15 @@
-// Package clock is the program's one source of time: Unix milliseconds as a
-// float64. The decision module counts in time.Duration; Duration and Millis
-// convert at its edge.
+// Package clock is the program's one source of time. Times are Unix milliseconds as a
+// float64; the decision module counts in time.Duration, and Duration and Millis convert at
+// its edge.
+//
+// Clocks own nothing but their own start. All of them may be used from any goroutine.
 package clock
 
 import (
 	"math"
-	"sync"
 	"time"
 
-	sys "golang.org/x/sys/unix"
+	"golang.org/x/sys/unix"
 
 	"garnetline/internal/failpoint"
 )
@@ -18,40 +19,45 @@
 	Now() float64 // Unix milliseconds
 }
 
-// System follows the system's clock as it stood at the start, and from there
-// the monotonic one, so that a step of the wall clock moves no deadline.
+// System reads the wall clock once, when it is made, and from then on follows the monotonic
+// clock, so that a step of the wall clock moves no deadline.
 type System struct {
 	start     time.Time
-	startUnix float64 // what the wall clock said then
+	startUnix float64 // ms, the wall clock at start
 }
 
 // NewSystem returns a clock that starts now.
-func NewSystem() System { return System{time.Now(), unixMillis(failpoint.Wall())} }
+func NewSystem() System {
+	return System{start: time.Now(), startUnix: unixMillis(failpoint.WallClock())}
+}
 
 // Now returns the time in Unix milliseconds.
 func (s System) Now() float64 {
-	return s.startUnix + float64(time.Since(s.start))/float64(time.Millisecond)
+	return s.startUnix + Millis(time.Since(s.start))
 }
 
-// stepRounding is to what a step is rounded: without one it is none at all, and what others
-// wrote at one moment stays at one moment.
+// stepRounding is the unit, in ms, to which a step of the wall clock is rounded. Without a
+// step the result is exactly 0, so that equal times of others stay equal when converted.
 const stepRounding = 20.0
 
-// WallClockStep is by how much the wall clock has been set since the clock's start.
+// WallClockStep returns by how many milliseconds the wall clock has been set forward since the
+// clock's start; a negative number says that it was set back.
 func (s System) WallClockStep() float64 {
-	return math.Round((unixMillis(failpoint.Wall())-s.Now())/stepRounding) * stepRounding
+	difference := unixMillis(failpoint.WallClock()) - s.Now()
+	return math.Round(difference/stepRounding) * stepRounding
 }
 
 func unixMillis(t time.Time) float64 { return float64(t.UnixMicro()) / 1e3 }
 
-// WallClockStep is by how many milliseconds the machine's wall clock has been set since a clock's
-// start: a time that somebody else took from the wall clock is that much later than by c.
+// WallClockStep returns by how many milliseconds the machine's wall clock has been set forward
+// since the start of c: a time that another machine read from its wall clock is that much
+// later than the same time by c. It is 0 for clocks that know no wall clock.
 //
 // Symptom guarded against: a wall clock that was set back by some seconds made every purge
 // look long past, and old copies were served as if there had been none.
 func WallClockStep(c Clock) float64 {
-	if s, ok := c.(wallClockStepper); ok {
-		return s.WallClockStep()
+	if stepper, ok := c.(wallClockStepper); ok {
+		return stepper.WallClockStep()
 	}
 	return 0
 }
@@ -59,63 +65,28 @@
 // wallClockStepper is a clock that knows by how much the wall clock has been set.
 type wallClockStepper interface{ WallClockStep() float64 }
 
-// Boot counts milliseconds since the machine's start, suspended time among them: a lease
-// must not be longer for a machine that slept through a part of it. Where there is no such
-// clock it is the monotonic one, which stands still while the machine is suspended; what a
-// holder then writes after its waking is held back by tokens alone.
+// Boot counts milliseconds since the machine's start, the time in which it was suspended
+// included: a lease must not last longer on a machine that slept through a part of it.
+//
+// Where the system has no such clock, Boot follows the monotonic one, which stands still
+// while the machine is suspended. A lease holder that wakes up then is held back by its
+// fencing token alone.
 type Boot struct{ start time.Time }
 
 // NewBoot returns the boot clock.
 func NewBoot() Boot { return Boot{time.Now()} }
 
-// Now returns the time in milliseconds, from no particular start.
+// Now returns the time in milliseconds since a moment that is the same for the whole process.
 func (b Boot) Now() float64 {
-	var t sys.Timespec
-	if sys.ClockGettime(sys.CLOCK_BOOTTIME, &t) == nil {
-		return float64(t.Sec)*1000 + float64(t.Nsec)/1e6
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		return Millis(time.Since(b.start))
 	}
-	return float64(time.Since(b.start)) / float64(time.Millisecond)
-}
-
-// Manual is a clock that tests set.
-type Manual struct {
-	mu   sync.Mutex
-	now  float64
-	step float64
-}
-
-// NewManual returns a clock that stands at now.
-func NewManual(now float64) *Manual { return &Manual{now: now} }
-
-// Now returns the time that was set.
-func (m *Manual) Now() float64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.now
-}
-
-// Advance moves the clock on.
-func (m *Manual) Advance(ms float64) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.now += ms
-}
-
-// StepWallClock sets the wall clock by so many ms; the clock itself goes on.
-func (m *Manual) StepWallClock(ms float64) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.step += ms
-}
-
-// WallClockStep is by how much the wall clock was set.
-func (m *Manual) WallClockStep() float64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.step
+	return float64(now.Sec)*1000 + float64(now.Nsec)/1e6
 }
 
-// Duration converts milliseconds. What does not fit is cut to the ends.
+// Duration converts milliseconds to a duration. Values beyond its range become the nearest
+// end of it, and NaN becomes 0.
 func Duration(ms float64) time.Duration {
 	ns := ms * float64(time.Millisecond)
 	switch {
@@ -129,5 +100,5 @@
 	return time.Duration(ns)
 }
 
-// Millis converts a duration.
+// Millis converts a duration to milliseconds.
 func Millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// The module's times and the program's convert into one another, and what does
-// not fit is cut, not wrapped.
+// Milliseconds and durations convert into one another, and values out of range become the
+// nearest end of the range.
 func TestConversions(t *testing.T) {
 	for ms, want := range map[float64]time.Duration{0: 0, 1.5: 1500 * time.Microsecond, -2: -2 * time.Millisecond,
 		1e300: math.MaxInt64, math.Inf(-1): math.MinInt64} {
@@ -16,7 +16,7 @@
 		}
 	}
 	if got := Duration(math.NaN()); got != 0 {
-		t.Errorf("no number became %v", got)
+		t.Errorf("NaN became %v", got)
 	}
 	if got := Millis(1500 * time.Microsecond); got != 1.5 {
 		t.Errorf("1.5 ms became %v", got)
@@ -32,7 +32,7 @@
 	}
 }
 
-// A clock that is not set has no step, and rounds what little two readings differ by.
+// A wall clock that was not set has no step, though two readings differ a little.
 func TestWallClockStep(t *testing.T) {
 	s := NewSystem()
 	if got := WallClockStep(s); got != 0 {
--- a/internal/failpoint/enabled.go
+++ b/internal/failpoint/enabled.go
@@ -1,7 +1,5 @@
 //go:build faults
 
-// Package faults is where a build for tests (-tags faults) lets the machine's wall clock
-// jump and a save take long, by what files in the process's TMPDIR say at that moment.
 package failpoint
 
 import (
@@ -12,15 +10,28 @@
 	"time"
 )
 
-// told is what a file says, in milliseconds; none says 0.
-func told(name string) time.Duration {
-	b, _ := os.ReadFile(filepath.Join(os.Getenv("TMPDIR"), name))
-	ms, _ := strconv.ParseInt(strings.TrimSpace(string(b)), 10, 64)
-	return time.Duration(ms) * time.Millisecond
-}
+// The files that tests write, each with a number of milliseconds.
+const (
+	wallClockFile = "fault-wall"
+	syncDelayFile = "fault-save"
+)
 
-// Wall is the machine's wall clock, set by as much as fault-wall says.
-func Wall() time.Time { return time.Now().Add(told("fault-wall")) }
+// WallClock returns the machine's wall clock, moved by what wallClockFile says.
+func WallClock() time.Time { return time.Now().Add(readDuration(wallClockFile)) }
 
-// Save takes as long as fault-save says.
-func Save() { time.Sleep(told("fault-save")) }
+// BeforeSync is called before a file is made durable. It takes as long as syncDelayFile says.
+func BeforeSync() { time.Sleep(readDuration(syncDelayFile)) }
+
+// readDuration returns what a file says in milliseconds, and 0 where there is no such file
+// or no number in it.
+func readDuration(name string) time.Duration {
+	content, err := os.ReadFile(filepath.Join(os.Getenv("TMPDIR"), name))
+	if err != nil {
+		return 0
+	}
+	ms, err := strconv.ParseInt(strings.TrimSpace(string(content)), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
--- a/internal/fleet/consensus/wal/wal.go
+++ b/internal/fleet/consensus/wal/wal.go
@@ -57,7 +57,7 @@
 type syncDelayFile struct{ *os.File }
 
 func (s syncDelayFile) Sync() error {
-	failpoint.Save()
+	failpoint.BeforeSync()
 	return s.File.Sync()
 }
 
