--- a/internal/metrics/names_test.go
+++ b/internal/metrics/names_test.go
@@ -1,49 +1,34 @@
 package metrics_test
 
 import (
-	"flag"
 	"go/ast"
 	"go/parser"
 	"go/token"
 	"io/fs"
 	"maps"
-	"os"
 	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
 	"strings"
 	"testing"
-)
 
-var update = flag.Bool("update", false, "rewrite testdata from what the program has now")
+	"garnetline/internal/golden"
+)
 
 // counterName is what a counter may be called; a star stands for what is known at run time.
 var counterName = regexp.MustCompile(`^[a-z][a-z0-9_*]*$`)
 
 // Guards the names of all counters, which operators read in the log and on /metrics: none may
-// change, come or go unnoticed. After a change that is meant:
-//
-//	go test ./internal/metrics -run TestCounterNames -update
+// change, come or go unnoticed. The names are those that the module's sources pass to
+// Registry.Add and Registry.Counter.
 func TestCounterNames(t *testing.T) {
 	found := map[string]bool{}
 	for _, files := range sources(t, "../..") {
 		addCounterNames(files, found)
 	}
 	got := strings.Join(slices.Sorted(maps.Keys(found)), "\n") + "\n"
-	const golden = "testdata/counters.golden"
-	if *update {
-		if err := os.WriteFile(golden, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(golden)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got != string(want) {
-		t.Errorf("counters are now\n%s\nwant\n%s", got, want)
-	}
+	golden.Compare(t, "counters.golden", []byte(got))
 }
 
 // sources parses the module's Go files but those of tests, by directory.
@@ -67,20 +52,17 @@
 // addCounterNames collects what a package passes as the first argument of Add(name, n) and
 // Counter(name).
 func addCounterNames(files []*ast.File, found map[string]bool) {
-	declared := declarations(files)
+	declared := declarations{}
 	for _, file := range files {
-		ast.Inspect(file, func(n ast.Node) bool {
-			call, ok := n.(*ast.CallExpr)
-			if !ok {
-				return true
-			}
-			method, ok := call.Fun.(*ast.SelectorExpr)
-			if !ok || !(method.Sel.Name == "Add" && len(call.Args) == 2 || method.Sel.Name == "Counter" && len(call.Args) == 1) {
-				return true
-			}
-			for _, name := range values(call.Args[0], declared, 8) {
-				if counterName.MatchString(name) {
-					found[name] = true
+		declared.addFile(file)
+	}
+	for _, file := range files {
+		ast.Inspect(file, func(node ast.Node) bool {
+			if argument := counterArgument(node); argument != nil {
+				for _, name := range declared.values(argument, maxDepth) {
+					if counterName.MatchString(name) {
+						found[name] = true
+					}
 				}
 			}
 			return true
@@ -88,84 +70,127 @@
 	}
 }
 
-// declarations are the values that a package's names stand for: of constants and variables
-// theirs, of functions what they return.
-func declarations(files []*ast.File) map[string][]ast.Expr {
-	declared := map[string][]ast.Expr{}
-	for _, file := range files {
-		for _, decl := range file.Decls {
-			switch decl := decl.(type) {
-			case *ast.GenDecl:
-				for _, spec := range decl.Specs {
-					if spec, ok := spec.(*ast.ValueSpec); ok && len(spec.Names) == len(spec.Values) {
-						for i, name := range spec.Names {
-							declared[name.Name] = []ast.Expr{spec.Values[i]}
-						}
-					}
-				}
-			case *ast.FuncDecl:
-				if decl.Body == nil {
-					continue
-				}
-				ast.Inspect(decl.Body, func(n ast.Node) bool {
-					if r, ok := n.(*ast.ReturnStmt); ok && len(r.Results) == 1 {
-						declared[decl.Name.Name] = append(declared[decl.Name.Name], r.Results[0])
-					}
-					return true
-				})
-			}
-		}
+// counterArgument returns the name's expression if a node is a call of Add or Counter.
+func counterArgument(node ast.Node) ast.Expr {
+	call, ok := node.(*ast.CallExpr)
+	if !ok {
+		return nil
 	}
-	return declared
+	method, ok := call.Fun.(*ast.SelectorExpr)
+	if !ok {
+		return nil
+	}
+	isAdd := method.Sel.Name == "Add" && len(call.Args) == 2
+	isCounter := method.Sel.Name == "Counter" && len(call.Args) == 1
+	if !isAdd && !isCounter {
+		return nil
+	}
+	return call.Args[0]
 }
 
-// values are the strings that an expression may be, as far as the source tells; a star stands
-// for what it does not.
-func values(e ast.Expr, declared map[string][]ast.Expr, depth int) (all []string) {
-	unknown := []string{"*"}
-	if depth == 0 {
-		return unknown
+// declarations are the expressions that the names of a package stand for: of constants and
+// variables their values, of functions and methods what they return.
+type declarations map[string][]ast.Expr
+
+func (d declarations) addFile(file *ast.File) {
+	for _, decl := range file.Decls {
+		switch decl := decl.(type) {
+		case *ast.GenDecl:
+			d.addValues(decl)
+		case *ast.FuncDecl:
+			d.addResults(decl)
+		}
 	}
-	of := func(exprs []ast.Expr) []string {
-		var all []string
-		for _, e := range exprs {
-			all = append(all, values(e, declared, depth-1)...)
+}
+
+func (d declarations) addValues(decl *ast.GenDecl) {
+	for _, spec := range decl.Specs {
+		value, ok := spec.(*ast.ValueSpec)
+		if !ok || len(value.Names) != len(value.Values) {
+			continue
 		}
-		if all == nil {
-			return unknown
+		for i, name := range value.Names {
+			d[name.Name] = []ast.Expr{value.Values[i]}
 		}
-		return all
 	}
-	switch e := e.(type) {
+}
+
+func (d declarations) addResults(function *ast.FuncDecl) {
+	if function.Body == nil {
+		return
+	}
+	ast.Inspect(function.Body, func(node ast.Node) bool {
+		if result, ok := node.(*ast.ReturnStmt); ok && len(result.Results) == 1 {
+			d[function.Name.Name] = append(d[function.Name.Name], result.Results[0])
+		}
+		return true
+	})
+}
+
+const (
+	// unknown stands in a name for what is known only when the program runs.
+	unknown = "*"
+	// maxDepth bounds how far names are followed, for those that lead back to themselves.
+	maxDepth = 8
+)
+
+// values returns the strings that an expression may be, as far as the source tells.
+func (d declarations) values(expr ast.Expr, depth int) []string {
+	if depth == 0 {
+		return []string{unknown}
+	}
+	switch expr := expr.(type) {
 	case *ast.BasicLit:
-		if s, err := strconv.Unquote(e.Value); err == nil && e.Kind == token.STRING {
-			return []string{s}
+		if text, err := strconv.Unquote(expr.Value); err == nil && expr.Kind == token.STRING {
+			return []string{text}
 		}
 	case *ast.Ident:
-		return of(declared[e.Name])
+		return d.valuesOfAll(d[expr.Name], depth)
 	case *ast.ParenExpr:
-		return values(e.X, declared, depth-1)
+		return d.values(expr.X, depth-1)
 	case *ast.BinaryExpr:
-		for _, x := range values(e.X, declared, depth-1) {
-			for _, y := range values(e.Y, declared, depth-1) {
-				all = append(all, x+y)
-			}
-		}
-		return all
+		return concatenations(d.values(expr.X, depth-1), d.values(expr.Y, depth-1))
 	case *ast.CallExpr:
-		if f, ok := e.Fun.(*ast.Ident); ok {
-			return of(declared[f.Name])
+		if function, ok := expr.Fun.(*ast.Ident); ok {
+			return d.valuesOfAll(d[function.Name], depth)
 		}
 	case *ast.IndexExpr:
-		return values(e.X, declared, depth-1)
+		return d.values(expr.X, depth-1)
 	case *ast.CompositeLit:
-		elements := slices.Clone(e.Elts)
-		for i, x := range elements {
-			if pair, ok := x.(*ast.KeyValueExpr); ok {
-				elements[i] = pair.Value
-			}
+		return d.valuesOfAll(elements(expr), depth)
+	}
+	return []string{unknown}
+}
+
+func (d declarations) valuesOfAll(exprs []ast.Expr, depth int) []string {
+	if len(exprs) == 0 {
+		return []string{unknown}
+	}
+	var all []string
+	for _, expr := range exprs {
+		all = append(all, d.values(expr, depth-1)...)
+	}
+	return all
+}
+
+// concatenations returns each of first followed by each of second.
+func concatenations(first, second []string) []string {
+	var all []string
+	for _, head := range first {
+		for _, tail := range second {
+			all = append(all, head+tail)
+		}
+	}
+	return all
+}
+
+// elements returns the elements of a list, or the values of a list with keys.
+func elements(list *ast.CompositeLit) []ast.Expr {
+	elements := slices.Clone(list.Elts)
+	for i, element := range elements {
+		if pair, ok := element.(*ast.KeyValueExpr); ok {
+			elements[i] = pair.Value
 		}
-		return of(elements)
 	}
-	return unknown
+	return elements
 }
