--- a/internal/logs/golden_test.go
+++ b/internal/logs/golden_test.go
@@ -3,19 +3,16 @@
 import (
 	"bytes"
 	"errors"
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
-)
 
-var update = flag.Bool("update", false, "rewrite testdata from what the program writes now")
+	"garnetline/internal/golden"
+)
 
 // Guards the form of the log, which operators' tools read: the names of time, level, event and
-// error, and the counters as one event with sorted names. After a change that is meant:
-// go test ./internal/logs -update
+// error, and the counters as one event with sorted names.
 func TestFormOfEvents(t *testing.T) {
 	defer zerolog.SetGlobalLevel(zerolog.GlobalLevel())
 	defer func(f func() time.Time) { zerolog.TimestampFunc = f }(zerolog.TimestampFunc)
@@ -37,17 +34,5 @@
 	} else {
 		out.WriteString(err.Error() + "\n")
 	}
-	const golden = "testdata/events.golden"
-	if *update {
-		if err := os.WriteFile(golden, out.Bytes(), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(golden)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !bytes.Equal(out.Bytes(), want) {
-		t.Errorf("written:\n%s\nwant:\n%s", out.Bytes(), want)
-	}
+	golden.Compare(t, "events.golden", out.Bytes())
 }
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -1,5 +1,8 @@
-// Package logs makes the program's structured log: one event a line, as JSON, on
-// zerolog. What is written carries no idempotency key and no tag of an object.
+// Package logs sets up the program's structured log: one event per line, as JSON, written by
+// zerolog. Events carry no idempotency key and no entity tag.
+//
+// The form of events and the level are global to the process. A logger may be used from any
+// goroutine if its writer may.
 package logs
 
 import (
@@ -11,47 +14,65 @@
 	"github.com/rs/zerolog"
 )
 
+// The keys that every event has. Operators' tools read them.
+const (
+	timeKey    = "ms" // Unix milliseconds, as everywhere in the program
+	messageKey = "event"
+)
+
+// countersMessage is the message of the event that WriteCounters writes.
+const countersMessage = "counters"
+
 func init() {
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	zerolog.TimestampFieldName = "ms" // Unix milliseconds, as everywhere in the program
-	zerolog.MessageFieldName = "event"
+	zerolog.TimestampFieldName = timeKey
+	zerolog.MessageFieldName = messageKey
 }
 
-// Levels are the names that a level may have, the most talkative first.
+// Levels are the names of the levels, the most verbose first.
 var Levels = []string{"debug", "info", "warn", "error", "off"}
 
-// ParseLevel reads the name of a level.
+// zerologLevels are the levels that Levels names, in the same order.
+var zerologLevels = []zerolog.Level{
+	zerolog.DebugLevel,
+	zerolog.InfoLevel,
+	zerolog.WarnLevel,
+	zerolog.ErrorLevel,
+	zerolog.Disabled,
+}
+
+// ParseLevel returns the level of a name, or an error that lists the names there are.
 func ParseLevel(name string) (zerolog.Level, error) {
-	for i, n := range Levels {
-		if n == name {
-			return [...]zerolog.Level{zerolog.DebugLevel, zerolog.InfoLevel, zerolog.WarnLevel, zerolog.ErrorLevel, zerolog.Disabled}[i], nil
-		}
+	index := slices.Index(Levels, name)
+	if index < 0 {
+		return zerolog.NoLevel, fmt.Errorf("%q is none of %v", name, Levels)
 	}
-	return zerolog.NoLevel, fmt.Errorf("%q is none of %v", name, Levels)
+	return zerologLevels[index], nil
 }
 
-// New returns a log that writes to w. It is safe for concurrent use where w is; a
-// file is, since each event is one write.
+// New returns a logger that writes to w. It is safe for concurrent use if w is; a file is,
+// since each event is one write.
 func New(w io.Writer) *zerolog.Logger {
-	l := zerolog.New(w).With().Timestamp().Logger()
-	return &l
+	logger := zerolog.New(w).With().Timestamp().Logger()
+	return &logger
 }
 
-// SetLevel sets the level from which on all logs of the program write. An unknown name
-// changes nothing.
+// SetLevel sets the least level of events that the process writes. If the name is unknown it
+// returns an error and changes nothing.
 func SetLevel(name string) error {
-	l, err := ParseLevel(name)
-	if err == nil {
-		zerolog.SetGlobalLevel(l)
+	level, err := ParseLevel(name)
+	if err != nil {
+		return err
 	}
-	return err
+	zerolog.SetGlobalLevel(level)
+	return nil
 }
 
-// WriteCounters logs counters as one event, by name.
-func WriteCounters(l *zerolog.Logger, all map[string]int64) {
-	e := l.Info()
-	for _, n := range slices.Sorted(maps.Keys(all)) {
-		e.Int64(n, all[n])
+// WriteCounters writes the values of counters as one event, in the order of their names.
+func WriteCounters(logger *zerolog.Logger, values map[string]int64) {
+	event := logger.Info()
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		event.Int64(name, values[name])
 	}
-	e.Msg("counters")
+	event.Msg(countersMessage)
 }
