textconn: whole names, one step a line, and comments that say whose each method is

Need: the package comment and the methods' comments spoke in terms of the old house, and two of the methods did several things on a line.

Change: names and shape alone. limitedConn.Read is its steps; the reader's and the writer's fields stand apart; the fuzz test's model has a type. No constant, error or byte changes.

--- a/internal/textconn/message.go
+++ b/internal/textconn/message.go
@@ -9,62 +9,71 @@
 	"garnetline/internal/clock"
 )
 
-// ReadLineSlice reads a line as it stands in the reader's buffer, without its end. It
-// is valid until the next read; one longer than that buffer is an error.
-func (k *Conn) ReadLineSlice() ([]byte, error) {
-	b, err := k.R.ReadSlice('\n')
+const (
+	bodyStep      = 4 << 10  // bytes, by which the buffer of a body grows at first
+	maxIdleBuffer = 16 << 10 // bytes that an idle connection keeps of a grown buffer
+)
+
+// ReadLineSlice reads a line and returns it without its end, in place: it is valid until the
+// next read. A line longer than textproto's buffer is an error. It is the reader's.
+func (c *Conn) ReadLineSlice() ([]byte, error) {
+	line, err := c.R.ReadSlice('\n')
 	if err != nil {
 		return nil, err
 	}
-	return textproto.TrimBytes(b), nil
+	return textproto.TrimBytes(line), nil
 }
 
-// ReadBody reads n bytes into the connection's buffer, which the message holds
-// until the next one. It grows with what has come, not with what was promised.
-func (k *Conn) ReadBody(n int) ([]byte, error) {
-	k.readBuffer = k.readBuffer[:0]
-	for len(k.readBuffer) < n {
-		at, step := len(k.readBuffer), min(n-len(k.readBuffer), max(4096, len(k.readBuffer)))
-		if cap(k.readBuffer) < at+step {
-			k.readBuffer = append(make([]byte, 0, at+step), k.readBuffer...)
+// ReadBody reads n bytes into the connection's buffer, where they stay valid until the next
+// call. The buffer grows with the bytes that have come and not with n, which the other side
+// has only announced. It is the reader's.
+func (c *Conn) ReadBody(n int) ([]byte, error) {
+	c.readBuffer = c.readBuffer[:0]
+	for len(c.readBuffer) < n {
+		have := len(c.readBuffer)
+		step := min(n-have, max(bodyStep, have))
+		if cap(c.readBuffer) < have+step {
+			c.readBuffer = append(make([]byte, 0, have+step), c.readBuffer...)
 		}
-		k.readBuffer = k.readBuffer[:at+step]
-		if _, err := io.ReadFull(k.R, k.readBuffer[at:]); err != nil {
+		c.readBuffer = c.readBuffer[:have+step]
+		if _, err := io.ReadFull(c.R, c.readBuffer[have:]); err != nil {
 			return nil, err
 		}
 	}
-	return k.readBuffer, nil
+	return c.readBuffer, nil
+}
+
+// ShrinkReadBuffer releases a read buffer that has grown beyond 16 KB. The reader calls it
+// between messages.
+func (c *Conn) ShrinkReadBuffer() {
+	if cap(c.readBuffer) > maxIdleBuffer {
+		c.readBuffer = nil
+	}
 }
 
-// WriteBuffer returns the empty buffer for a message to be appended to; Flush writes it.
-func (k *Conn) WriteBuffer() []byte { return k.writeBuffer[:0] }
+// WriteBuffer returns an empty buffer to which a message for Flush is appended. It is the
+// writer's.
+func (c *Conn) WriteBuffer() []byte { return c.writeBuffer[:0] }
 
-// Flush writes a message that was put together in Out, and then body. It
-// gives up after a time.
-func (k *Conn) Flush(msg, body []byte, within float64) error {
-	k.writeBuffer = msg
-	if err := k.NetConn.SetWriteDeadline(time.Now().Add(clock.Duration(within))); err != nil {
+// Flush writes a message that was appended to WriteBuffer, and then body, within so many
+// milliseconds. After an error it is not known how much was written. It is the writer's.
+func (c *Conn) Flush(message, body []byte, within float64) error {
+	c.writeBuffer = message
+	if err := c.NetConn.SetWriteDeadline(time.Now().Add(clock.Duration(within))); err != nil {
 		return err
 	}
-	bufs := net.Buffers{msg}
+	buffers := net.Buffers{message}
 	if len(body) > 0 {
-		bufs = append(bufs, body)
+		buffers = append(buffers, body)
 	}
-	_, err := bufs.WriteTo(k.NetConn)
+	_, err := buffers.WriteTo(c.NetConn)
 	return err
 }
 
-// ShrinkReadBuffer gives back a read buffer that has grown; the reader calls it between
-// messages. RestOut is the writer's.
-func (k *Conn) ShrinkReadBuffer() {
-	if cap(k.readBuffer) > maxIdleBuffer {
-		k.readBuffer = nil
-	}
-}
-
-// ShrinkWriteBuffer gives back a write buffer that has grown.
-func (k *Conn) ShrinkWriteBuffer() {
-	if cap(k.writeBuffer) > maxIdleBuffer {
-		k.writeBuffer = nil
+// ShrinkWriteBuffer releases a write buffer that has grown beyond 16 KB. The writer calls it
+// between messages.
+func (c *Conn) ShrinkWriteBuffer() {
+	if cap(c.writeBuffer) > maxIdleBuffer {
+		c.writeBuffer = nil
 	}
 }
--- a/internal/textconn/readahead.go
+++ b/internal/textconn/readahead.go
@@ -7,40 +7,42 @@
 )
 
 const (
-	readAheadStep = 4 << 10   // by which what is read ahead grows at first
-	maxDiscarded  = 128 << 20 // bytes dropped by one Watch, after which it looks no longer
+	readAheadStep = 4 << 10   // bytes, by which the buffer read ahead grows at first
+	maxDiscarded  = 128 << 20 // bytes dropped by one ReadAhead before it returns
 )
 
-// ReadAhead reads ahead until the connection ends or its read deadline passes, and returns
-// why. Up to most bytes wait for textproto, the rest is dropped. Nobody else may read
-// meanwhile; came is called for each piece.
+// ReadAhead reads until the connection ends or its read deadline passes, and returns that
+// error. It keeps up to limit bytes for the next reads and drops the rest; after 128 MB of
+// those it returns ErrMessageTooLong. It calls received for each piece. It is the reader's:
+// nobody else may read meanwhile.
 //
-// Symptom guarded against: one byte more than a request hid it for good that the client
-// had left, and what nobody wanted any more was sent on.
-func (k *Conn) ReadAhead(most int, came func()) error {
-	var one [1]byte // an idle watch needs no buffer
-	var drop []byte
+// Symptom guarded against: a client that had sent one byte beyond its request could
+// disconnect unnoticed, and its request was forwarded though nobody waited for it.
+func (c *Conn) ReadAhead(limit int, received func()) error {
+	var firstByte [1]byte // an idle connection needs no larger buffer
+	var scratch []byte    // for bytes that are dropped
 	for dropped := 0; dropped < maxDiscarded; {
-		b := one[:]
-		if n := len(k.readAhead); n > 0 && n < most {
-			k.readAhead = slices.Grow(k.readAhead, min(max(n, readAheadStep), most-n))
-			b = k.readAhead[n:min(cap(k.readAhead), most)]
-		} else if n > 0 {
-			if drop == nil {
-				drop = make([]byte, readAheadStep)
-			}
-			b = drop
-		}
-		n, err := k.NetConn.Read(b)
+		dst := firstByte[:]
+		held := len(c.readAhead)
 		switch {
-		case len(k.readAhead) >= most && n > 0:
-			dropped += n
-			k.discarded.Store(true)
-		case n > 0:
-			k.readAhead = append(k.readAhead, b[:n]...)
+		case held > 0 && held < limit:
+			c.readAhead = slices.Grow(c.readAhead, min(max(held, readAheadStep), limit-held))
+			dst = c.readAhead[held:min(cap(c.readAhead), limit)]
+		case held > 0:
+			if scratch == nil {
+				scratch = make([]byte, readAheadStep)
+			}
+			dst = scratch
 		}
+		n, err := c.NetConn.Read(dst)
 		if n > 0 {
-			came()
+			if held >= limit {
+				dropped += n
+				c.discarded.Store(true)
+			} else {
+				c.readAhead = append(c.readAhead, dst[:n]...)
+			}
+			received()
 		}
 		if err != nil {
 			return err
@@ -49,38 +51,38 @@
 	return ErrMessageTooLong
 }
 
-// Discarded tells whether Watch dropped bytes: what follows on the connection cannot be read.
-func (k *Conn) Discarded() bool { return k.discarded.Load() }
-
-// BeginMessage begins a message; Fresh tells whether any byte of it came from the socket since,
-// and not from what had been read before.
-func (k *Conn) BeginMessage()       { k.receivedBytes = false }
-func (k *Conn) ReceivedBytes() bool { return k.receivedBytes }
+// Discarded reports whether ReadAhead dropped bytes: nothing that follows on the connection
+// can be understood. Any goroutine may call it.
+func (c *Conn) Discarded() bool { return c.discarded.Load() }
 
-// Readable tells whether something waits to be read, without waiting for it. It takes the read
-// deadline away.
+// Readable reports whether something can be read, without waiting for it. It takes away the
+// read deadline. It is the reader's.
 //
-// Symptom guarded against: a read whose deadline has passed does not look at the socket
-// at all, and a request that lay there whole was closed unread.
-func (k *Conn) Readable() bool {
-	if k.R.Buffered() > 0 || len(k.readAhead) > 0 {
+// Symptom guarded against: a read whose deadline has passed does not look at the socket at
+// all, and a connection was closed though a complete request lay there.
+func (c *Conn) Readable() bool {
+	if c.R.Buffered() > 0 || len(c.readAhead) > 0 {
 		return true
 	}
-	sc, ok := k.NetConn.(syscall.Conn)
-	if !ok || k.NetConn.SetReadDeadline(time.Time{}) != nil {
+	socket, ok := c.NetConn.(syscall.Conn)
+	if !ok || c.NetConn.SetReadDeadline(time.Time{}) != nil {
 		return false
 	}
-	raw, err := sc.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
-	b, n := make([]byte, readAheadStep), 0
-	if raw.Read(func(fd uintptr) bool {
-		n, err = syscall.Read(int(fd), b)
-		return true // it does not wait
-	}) != nil || err != nil || n <= 0 {
+	buffer := make([]byte, readAheadStep)
+	n := 0
+	var readErr error
+	err = raw.Read(func(fd uintptr) bool {
+		n, readErr = syscall.Read(int(fd), buffer)
+		return true // do not wait until the socket is readable
+	})
+	if err != nil || readErr != nil || n <= 0 {
 		return false
 	}
-	k.readAhead, k.receivedBytes = b[:n], true
+	c.readAhead = buffer[:n]
+	c.receivedBytes = true
 	return true
 }
--- a/internal/textconn/textconn.go
+++ b/internal/textconn/textconn.go
@@ -1,6 +1,12 @@
-// Package sock holds what every socket of the program shares: a text
-// connection whose reading is bounded, with one buffer for each direction: a
-// multiplexed connection is read and written at the same time.
+// Package textconn is the program's buffered connection for protocols of text lines and
+// counted bodies: HTTP, RESP, and the change log's frames.
+//
+// A Conn bounds how many bytes one message may bring and how long it may take, which
+// textproto alone does not, and reuses one buffer for each direction.
+//
+// A Conn has one owner, who closes it. At most one goroutine may read and one may write at
+// the same time, so that a multiplexed connection can do both; each method says which of the
+// two it belongs to.
 package textconn
 
 import (
@@ -13,86 +19,119 @@
 	"garnetline/internal/clock"
 )
 
-// maxIdleBuffer is how much of a grown buffer an idle connection holds on to.
-const maxIdleBuffer = 16 << 10
-
-// ErrMessageTooLong reports a message longer than it may be.
+// ErrMessageTooLong reports a message with more bytes than LimitRead allows.
 var ErrMessageTooLong = errors.New("message too long")
 
-// Conn is a connection with a textproto reader over it and one buffer a
-// direction in which messages are put together. It has one owner, who closes it.
+// Conn is a network connection with a textproto.Conn over it.
 type Conn struct {
 	*textproto.Conn
-	NetConn       net.Conn
-	remaining     int    // bytes that the message being read may still bring
-	readBuffer    []byte // the message being read
-	writeBuffer   []byte // the message being written
-	limitExceeded bool   // a read went past the limit
-	// What was read beside textproto, which gets it first. Watch and Poll write it, while
-	// nobody reads.
-	readAhead       []byte
-	discarded       atomic.Bool // Watch dropped bytes
-	receivedBytes   bool        // textproto has had bytes from the socket since Settle
-	stallTimeout    float64     // ms that a read may take within a message; 0: reads set no deadline
-	messageDeadline time.Time   // the message is read by then
-	messageStart    time.Time   // the message's first Pace
+	NetConn net.Conn // below textproto, for deadlines and addresses
+
+	// The reader's.
+	remaining       int  // bytes that may still be read, see LimitRead
+	limitExceeded   bool // a read was refused since the last LimitRead
+	readBuffer      []byte
+	receivedBytes   bool      // bytes came from the socket since BeginMessage
+	stallTimeout    float64   // ms a read may take; zero: reads set no deadline
+	messageStart    time.Time // when SetReadPace was first called for the message
+	messageDeadline time.Time // when the whole message has to be there
+
+	// readAhead holds bytes that ReadAhead and Readable took from the socket. The reader
+	// consumes them first. They are written only while nobody reads.
+	readAhead []byte
+	discarded atomic.Bool // ReadAhead dropped bytes
+
+	writeBuffer []byte // the writer's
 }
 
-// New wraps a connection.
-func New(c net.Conn) *Conn {
-	k := &Conn{NetConn: c}
-	k.Conn = textproto.NewConn(limitedConn{k})
-	return k
+// New returns a Conn over a connection. Nothing can be read before LimitRead is called.
+func New(netConn net.Conn) *Conn {
+	c := &Conn{NetConn: netConn}
+	c.Conn = textproto.NewConn(limitedConn{c})
+	return c
 }
 
-// limitedConn is the connection under textproto. textproto reads lines of any
-// length; this bounds what one message can make it hold.
+// LimitRead allows n more bytes to be read from the socket, in place of what was allowed
+// before. It is the reader's.
+func (c *Conn) LimitRead(n int) {
+	c.remaining = n
+	c.limitExceeded = false
+}
+
+// LimitExceeded reports whether a read was refused with ErrMessageTooLong since the last
+// call of LimitRead. textproto may hide that error behind one of its own.
+func (c *Conn) LimitExceeded() bool { return c.limitExceeded }
+
+// SetReadPace bounds the time for the message being read, in milliseconds: stall for each
+// read from the socket, and whole for all of them, counted from the first call for the
+// message. A message may be given more time when its length is known, by another call.
+// A stall of zero ends the message and leaves reads without a deadline of their own. It is
+// the reader's.
+func (c *Conn) SetReadPace(stall, whole float64) {
+	if c.stallTimeout == 0 {
+		c.messageStart = time.Now()
+	}
+	c.stallTimeout = stall
+	c.messageDeadline = c.messageStart.Add(clock.Duration(whole))
+}
+
+// BeginMessage starts a message for ReceivedBytes. It is the reader's.
+func (c *Conn) BeginMessage() { c.receivedBytes = false }
+
+// ReceivedBytes reports whether any byte came from the socket since BeginMessage. If none
+// did, all of the message had been buffered before. It is the reader's.
+func (c *Conn) ReceivedBytes() bool { return c.receivedBytes }
+
+// limitedConn is the connection as textproto sees it. textproto reads lines of any length;
+// limitedConn bounds what one message can make it hold.
 type limitedConn struct{ conn *Conn }
 
-func (l limitedConn) Read(p []byte) (int, error) {
-	if l.conn.remaining <= 0 {
-		l.conn.limitExceeded = true
+// Read returns what was read ahead, or else what the socket brings.
+func (l limitedConn) Read(dst []byte) (int, error) {
+	conn := l.conn
+	if conn.remaining <= 0 {
+		conn.limitExceeded = true
 		return 0, ErrMessageTooLong
 	}
-	p = p[:min(len(p), l.conn.remaining)]
-	if len(l.conn.readAhead) > 0 {
-		n := copy(p, l.conn.readAhead)
-		if l.conn.readAhead = l.conn.readAhead[n:]; len(l.conn.readAhead) == 0 {
-			l.conn.readAhead = nil
-		}
-		l.conn.remaining -= n
+	dst = dst[:min(len(dst), conn.remaining)]
+	if len(conn.readAhead) > 0 {
+		n := conn.consumeReadAhead(dst)
+		conn.remaining -= n
 		return n, nil
 	}
-	if l.conn.stallTimeout > 0 {
-		until := time.Now().Add(clock.Duration(l.conn.stallTimeout))
-		if l.conn.messageDeadline.Before(until) {
-			until = l.conn.messageDeadline
-		}
-		if err := l.conn.NetConn.SetReadDeadline(until); err != nil {
-			return 0, err
-		}
+	if err := conn.setPacedDeadline(); err != nil {
+		return 0, err
 	}
-	n, err := l.conn.NetConn.Read(p)
-	l.conn.remaining -= n
-	l.conn.receivedBytes = l.conn.receivedBytes || n > 0
+	n, err := conn.NetConn.Read(dst)
+	conn.remaining -= n
+	conn.receivedBytes = conn.receivedBytes || n > 0
 	return n, err
 }
 
+// Write writes to the socket.
 func (l limitedConn) Write(p []byte) (int, error) { return l.conn.NetConn.Write(p) }
-func (l limitedConn) Close() error                { return l.conn.NetConn.Close() }
 
-// LimitRead bounds what may be read from the socket until the next call.
-func (k *Conn) LimitRead(n int) { k.remaining, k.limitExceeded = n, false }
+// Close closes the socket.
+func (l limitedConn) Close() error { return l.conn.NetConn.Close() }
 
-// SetReadPace has each read of the message that is coming take stall ms at the most, and all of
-// them together whole, counted from the message's first Pace. Without a stall it is over.
-func (k *Conn) SetReadPace(stall, whole float64) {
-	now := time.Now()
-	if k.stallTimeout == 0 {
-		k.messageStart = now
+// consumeReadAhead moves bytes that were read ahead to dst.
+func (c *Conn) consumeReadAhead(dst []byte) int {
+	n := copy(dst, c.readAhead)
+	c.readAhead = c.readAhead[n:]
+	if len(c.readAhead) == 0 {
+		c.readAhead = nil
 	}
-	k.stallTimeout, k.messageDeadline = stall, k.messageStart.Add(clock.Duration(whole))
+	return n
 }
 
-// LimitExceeded tells whether a read stopped at the bound.
-func (k *Conn) LimitExceeded() bool { return k.limitExceeded }
+// setPacedDeadline sets the read deadline for one read, if the message has a pace.
+func (c *Conn) setPacedDeadline() error {
+	if c.stallTimeout <= 0 {
+		return nil
+	}
+	deadline := time.Now().Add(clock.Duration(c.stallTimeout))
+	if c.messageDeadline.Before(deadline) {
+		deadline = c.messageDeadline
+	}
+	return c.NetConn.SetReadDeadline(deadline)
+}
--- a/internal/textconn/textconn_test.go
+++ b/internal/textconn/textconn_test.go
@@ -21,55 +21,29 @@
 
 func (s *byteSource) Read(p []byte) (int, error) { return s.reader.Read(p[:min(len(p), s.step)]) }
 
-// FuzzConn reads lines and bodies in a random order and checks them against
-// the bytes themselves: nothing is lost between the two kinds of reading, no
-// message takes more from the socket than it may, and no body more memory
-// than has come.
+// FuzzConn reads lines and bodies in a random order and checks them against the bytes
+// themselves: nothing is lost between the two kinds of reading, no message takes more from
+// the socket than it may, and no body more memory than has come.
 func FuzzConn(f *testing.F) {
 	seeds.Add(f, 24, 400)
 	f.Fuzz(func(t *testing.T, steps []byte) {
-		data := bytes.Repeat(append([]byte("line\r\n"), steps...), 20)
-		raw := bytes.NewReader(data)
-		step := 7
-		if len(steps) > 0 {
-			step = 1 + int(steps[0])*17
-		}
-		k, at := New(&byteSource{reader: raw, step: step}), 0
+		model := newReadModel(steps)
 		for i := 0; i+1 < len(steps); i += 2 {
-			taken, limit := len(data)-raw.Len(), int(steps[i+1])*40
-			k.LimitRead(limit)
+			taken := model.taken()
+			limit := int(steps[i+1]) * 40
+			model.conn.LimitRead(limit)
 			var err error
-			switch steps[i] % 3 {
-			case 0:
-				var line []byte
-				if line, err = k.ReadLineSlice(); err == nil {
-					end := at + bytes.IndexByte(data[at:], '\n') + 1
-					if want := bytes.Trim(data[at:end], " \t\r\n"); !bytes.Equal(line, want) {
-						t.Fatalf("line %q at %d, want %q", line, at, want)
-					}
-					at = end
-				}
-			default:
-				n, body := int(steps[i+1])*30, []byte(nil)
-				if body, err = k.ReadBody(n); err == nil {
-					if !bytes.Equal(body, data[at:at+n]) {
-						t.Fatalf("another body of %d at %d", n, at)
-					}
-					at += n
-				} else if cap(k.readBuffer) > 2*max(limit+4096, 4096) {
-					t.Fatalf("%d bytes are held for a body cut at %d", cap(k.readBuffer), limit)
-				}
-				k.ShrinkReadBuffer()
-				if cap(k.readBuffer) > maxIdleBuffer {
-					t.Fatalf("an idle buffer of %d bytes", cap(k.readBuffer))
-				}
+			if steps[i]%3 == 0 {
+				err = model.readLine(t)
+			} else {
+				err = model.readBody(t, int(steps[i+1])*30, limit)
 			}
-			if got := len(data) - raw.Len() - taken; got > limit {
+			if got := model.taken() - taken; got > limit {
 				t.Fatalf("%d bytes were taken, %d allowed", got, limit)
 			}
 			if err != nil {
-				if k.LimitExceeded() != errors.Is(err, ErrMessageTooLong) && !errors.Is(err, io.ErrUnexpectedEOF) {
-					t.Fatalf("over %v, but %v", k.LimitExceeded(), err)
+				if exceeded := model.conn.LimitExceeded(); exceeded != errors.Is(err, ErrMessageTooLong) && !errors.Is(err, io.ErrUnexpectedEOF) {
+					t.Fatalf("limit exceeded %v, but %v", exceeded, err)
 				}
 				return
 			}
@@ -77,38 +51,97 @@
 	})
 }
 
-// deadlineConn keeps the read deadlines that are set, and brings nothing.
+// readModel knows the bytes that a connection brings.
+type readModel struct {
+	data   []byte
+	source *bytes.Reader
+	conn   *Conn
+	offset int // of the next byte to be read
+}
+
+func newReadModel(steps []byte) *readModel {
+	data := bytes.Repeat(append([]byte("line\r\n"), steps...), 20)
+	step := 7
+	if len(steps) > 0 {
+		step = 1 + int(steps[0])*17
+	}
+	source := bytes.NewReader(data)
+	return &readModel{data: data, source: source, conn: New(&byteSource{reader: source, step: step})}
+}
+
+// taken is how many bytes have left the socket.
+func (m *readModel) taken() int { return len(m.data) - m.source.Len() }
+
+func (m *readModel) readLine(t *testing.T) error {
+	t.Helper()
+	line, err := m.conn.ReadLineSlice()
+	if err != nil {
+		return err
+	}
+	end := m.offset + bytes.IndexByte(m.data[m.offset:], '\n') + 1
+	if want := bytes.Trim(m.data[m.offset:end], " \t\r\n"); !bytes.Equal(line, want) {
+		t.Fatalf("line %q at %d, want %q", line, m.offset, want)
+	}
+	m.offset = end
+	return nil
+}
+
+func (m *readModel) readBody(t *testing.T, size, limit int) error {
+	t.Helper()
+	body, err := m.conn.ReadBody(size)
+	if err == nil {
+		if !bytes.Equal(body, m.data[m.offset:m.offset+size]) {
+			t.Fatalf("another body of %d at %d", size, m.offset)
+		}
+		m.offset += size
+	} else if held := cap(m.conn.readBuffer); held > 2*max(limit+4096, 4096) {
+		t.Fatalf("%d bytes are held for a body cut at %d", held, limit)
+	}
+	m.conn.ShrinkReadBuffer()
+	if held := cap(m.conn.readBuffer); held > maxIdleBuffer {
+		t.Fatalf("an idle buffer of %d bytes", held)
+	}
+	return err
+}
+
+// deadlineConn keeps the read deadline that was set last, and brings nothing.
 type deadlineConn struct {
 	net.Conn
 	deadline time.Time
 }
 
-func (p *deadlineConn) SetReadDeadline(t time.Time) error { p.deadline = t; return nil }
-func (p *deadlineConn) Read([]byte) (int, error)          { return 0, io.EOF }
+func (c *deadlineConn) SetReadDeadline(t time.Time) error {
+	c.deadline = t
+	return nil
+}
 
-// Guards against a fixed time for a whole message: one whose bytes come at the pace that
-// was told was cut, though it never stood still.
+func (c *deadlineConn) Read([]byte) (int, error) { return 0, io.EOF }
+
+// Guards against a fixed time for a whole message: one whose bytes came at the pace of the
+// settings was cut, though it never stalled.
 func TestReadPace(t *testing.T) {
-	p := &deadlineConn{}
-	k := New(p)
-	read := func() float64 {
-		k.LimitRead(10)
-		k.R.Peek(1)
-		return clock.Millis(time.Until(p.deadline))
+	netConn := &deadlineConn{}
+	conn := New(netConn)
+	deadlineOfRead := func() float64 {
+		conn.LimitRead(10)
+		if _, err := conn.R.Peek(1); !errors.Is(err, io.EOF) {
+			t.Fatalf("read ended with %v", err)
+		}
+		return clock.Millis(time.Until(netConn.deadline))
 	}
-	k.SetReadPace(800, 800)
-	k.messageStart = k.messageStart.Add(-700 * time.Millisecond) // so long under way
-	k.SetReadPace(800, 800)
-	if left := read(); left > 100 {
+	conn.SetReadPace(800, 800)
+	conn.messageStart = conn.messageStart.Add(-700 * time.Millisecond) // so long under way
+	conn.SetReadPace(800, 800)
+	if left := deadlineOfRead(); left > 100 {
 		t.Errorf("%v ms are left of 100", left)
 	}
-	k.SetReadPace(800, 10_400) // its length is known now
-	if left := read(); left < 400 || left > 800 {
-		t.Errorf("%v ms are left until it counts as stopped, want 800", left)
+	conn.SetReadPace(800, 10_400) // its length is known now
+	if left := deadlineOfRead(); left < 400 || left > 800 {
+		t.Errorf("%v ms are left until it counts as stalled, want 800", left)
 	}
-	k.SetReadPace(0, 0)
-	p.deadline = time.Time{}
-	if read(); !p.deadline.IsZero() {
+	conn.SetReadPace(0, 0)
+	netConn.deadline = time.Time{}
+	if deadlineOfRead(); !netConn.deadline.IsZero() {
 		t.Error("a read between messages has a deadline")
 	}
 }
