--- a/cmd/garnetline/golden_test.go
+++ b/cmd/garnetline/golden_test.go
@@ -9,20 +9,20 @@
 
 	"github.com/urfave/cli/v3"
 
-	"garnetline/internal/fleet/duties"
+	"garnetline/internal/fleet/leasemanager"
 	"garnetline/internal/golden"
 )
 
 // Commands, their arguments and their flags are what scripts of the operators rest on.
 func TestCommandsAndFlags(t *testing.T) {
 	var text strings.Builder
-	describeCommand(&text, program(io.Discard), "")
+	describeCommand(&text, newCommand(io.Discard), "")
 	golden.Compare(t, "commands.golden", []byte(text.String()))
 }
 
 // The keys under which operators' scripts find the register and the leases held.
-func TestKeysOfTheDutyPage(t *testing.T) {
-	text, err := json.Marshal(dutyPage{Register: &duties.Shown{}, Held: []duties.Lease{{}}})
+func TestLeasePageKeys(t *testing.T) {
+	text, err := json.Marshal(leasePage{Registry: &leasemanager.Status{}, Held: []leasemanager.Lease{{}}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/garnetline/peers_test.go
+++ b/cmd/garnetline/trace_peers_test.go
@@ -12,10 +12,10 @@
 	"strings"
 	"testing"
 
-	"garnetline/decide"
 	"garnetline/internal/standin"
 	"garnetline/internal/trace"
 	"garnetline/internal/trace/store"
+	"garnetline/routing"
 )
 
 // Where the operators' file says that boxes take it, a trace goes on there, and by them at
@@ -30,7 +30,7 @@
 	var hub *standin.Speaker
 	for i := range 3 { // the first is the hub
 		folder := t.TempDir()
-		s, err := standin.NewSpeaker(decide.ServerID(i).String(), folder, hub, uint64(i)<<32)
+		s, err := standin.NewSpeaker(routing.ServerID(i).String(), folder, hub, uint64(i)<<32)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -152,7 +152,7 @@
 		}
 	}
 	var out bytes.Buffer
-	if err := traceCommand(&out).Run(context.Background(), []string{"trace", "show", "--folder", r.folder, "--folder", folders[0], "--folder", folders[1], "--folder", folders[2], rider.String()}); err != nil ||
+	if err := newTraceCommand(&out).Run(context.Background(), []string{"trace", "show", "--folder", r.folder, "--folder", folders[0], "--folder", folders[1], "--folder", folders[2], rider.String()}); err != nil ||
 		!strings.Contains(out.String(), "work: joined a fill") || !strings.Contains(out.String(), "it rode a fill of trace") {
 		t.Errorf("%v: %s", err, out.String())
 	}
--- a/internal/marks/golden_test.go
+++ b/internal/admin/disabled/golden_test.go
@@ -1,4 +1,4 @@
-package marks
+package disabled
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"garnetline/decide"
+	"garnetline/routing"
 )
 
 // Pins the files that say which caches are out: their folder, names, sizes and rights, as a
@@ -17,9 +17,9 @@
 // testdata/state is such a folder, written by an earlier version.
 func TestGoldenFiles(t *testing.T) {
 	state := t.TempDir()
-	want := map[decide.ServerID]bool{7: true, 0xc41f7a: true, 0xffffffff: true}
+	want := map[routing.ServerID]bool{7: true, 0xc41f7a: true, 0xffffffff: true}
 	for id := range want {
-		if err := In(state).Set(id, true); err != nil {
+		if err := NewStore(state).Set(id, true); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -52,7 +52,7 @@
 	if err != nil || out.String() != string(text) {
 		t.Errorf("got\n%swant\n%s%v", out.String(), text, err)
 	}
-	if got, err := In("testdata/state").All(); err != nil || !maps.Equal(got, want) {
+	if got, err := NewStore("testdata/state").List(); err != nil || !maps.Equal(got, want) {
 		t.Errorf("the earlier version's: %v, %v", got, err)
 	}
 }
--- a/internal/lab/members.go
+++ b/internal/lab/members.go
@@ -11,7 +11,7 @@
 	"sync"
 
 	"garnetline/internal/fleet"
-	"garnetline/internal/fleet/member"
+	"garnetline/internal/fleet/membership"
 	"garnetline/internal/virtual"
 )
 
@@ -24,10 +24,10 @@
 // Ways are the ways that are compared: as built, without Lifeguard, and the plainest.
 func Ways() []Way {
 	return []Way{
-		{"as built", fleet.Default},
+		{"as built", fleet.DefaultSettings},
 		{"without Lifeguard", func() fleet.Settings {
-			s := fleet.Default()
-			s.Member.Health, s.Member.Beta, s.Member.Confirm = 0, 1, 0
+			s := fleet.DefaultSettings()
+			s.Membership.MaxHealthScore, s.Membership.MaxSuspicionMult, s.Membership.SuspicionConfirmations = 0, 1, 0
 			return s
 		}},
 		{"all ping all", nil},
@@ -186,7 +186,7 @@
 			}
 		}
 		v.Until(at+60_000, 10, func() bool {
-			n := v.SeenAs(x)[member.Failed]
+			n := v.SeenAs(x)[membership.Failed]
 			if n > 0 && math.IsNaN(first) {
 				first = v.Now - at
 			}
@@ -219,23 +219,23 @@
 // rough runs a fleet for a while in which nobody dies and some stall, and counts what is
 // said of routers by those who say it first.
 func rough(v *virtual.Net, ms float64, stalls func(*virtual.Host) bool) (r Rough) {
-	by := map[member.ID]*virtual.Host{}
+	by := map[membership.ID]*virtual.Host{}
 	for _, h := range v.Hosts {
 		by[h.Self.ID] = h
 	}
 	for _, h := range v.Hosts {
 		h.On = func(h *virtual.Host, _ float64, out *fleet.Output) {
 			for _, e := range out.Events {
-				x := by[e.Word.ID]
-				if e.Word.By != h.Self.ID || x == nil || x.Dead {
+				x := by[e.Update.ID]
+				if e.Update.ReportedBy != h.Self.ID || x == nil || x.Dead {
 					continue
 				}
 				switch {
-				case e.What == "suspect" && !stalls(x):
+				case e.Kind == "suspect" && !stalls(x):
 					r.Suspects++
-				case e.What == "failed" && !stalls(x):
+				case e.Kind == "failed" && !stalls(x):
 					r.Failures++
-				case e.What == "failed":
+				case e.Kind == "failed":
 					r.StalledFailed++
 				}
 			}
--- /dev/null
+++ b/internal/metrics/names_test.go
@@ -0,0 +1,196 @@
+package metrics_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"maps"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"garnetline/internal/golden"
+)
+
+// counterName is what a counter may be called; a star stands for what is known at run time.
+var counterName = regexp.MustCompile(`^[a-z][a-z0-9_*]*$`)
+
+// Guards the names of all counters, which operators read in the log and on /metrics: none may
+// change, come or go unnoticed. The names are those that the module's sources pass to
+// Registry.Add and Registry.Counter.
+func TestCounterNames(t *testing.T) {
+	found := map[string]bool{}
+	for _, files := range sources(t, "../..") {
+		addCounterNames(files, found)
+	}
+	got := strings.Join(slices.Sorted(maps.Keys(found)), "\n") + "\n"
+	golden.Compare(t, "counters.golden", []byte(got))
+}
+
+// sources parses the module's Go files but those of tests, by directory.
+func sources(t *testing.T, root string) map[string][]*ast.File {
+	t.Helper()
+	byDir := map[string][]*ast.File{}
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+		byDir[filepath.Dir(path)] = append(byDir[filepath.Dir(path)], file)
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return byDir
+}
+
+// addCounterNames collects what a package passes as the first argument of Add(name, n) and
+// Counter(name).
+func addCounterNames(files []*ast.File, found map[string]bool) {
+	declared := declarations{}
+	for _, file := range files {
+		declared.addFile(file)
+	}
+	for _, file := range files {
+		ast.Inspect(file, func(node ast.Node) bool {
+			if argument := counterArgument(node); argument != nil {
+				for _, name := range declared.values(argument, maxDepth) {
+					if counterName.MatchString(name) {
+						found[name] = true
+					}
+				}
+			}
+			return true
+		})
+	}
+}
+
+// counterArgument returns the name's expression if a node is a call of Add or Counter.
+func counterArgument(node ast.Node) ast.Expr {
+	call, ok := node.(*ast.CallExpr)
+	if !ok {
+		return nil
+	}
+	method, ok := call.Fun.(*ast.SelectorExpr)
+	if !ok {
+		return nil
+	}
+	isAdd := method.Sel.Name == "Add" && len(call.Args) == 2
+	isCounter := method.Sel.Name == "Counter" && len(call.Args) == 1
+	if !isAdd && !isCounter {
+		return nil
+	}
+	return call.Args[0]
+}
+
+// declarations are the expressions that the names of a package stand for: of constants and
+// variables their values, of functions and methods what they return.
+type declarations map[string][]ast.Expr
+
+func (d declarations) addFile(file *ast.File) {
+	for _, decl := range file.Decls {
+		switch decl := decl.(type) {
+		case *ast.GenDecl:
+			d.addValues(decl)
+		case *ast.FuncDecl:
+			d.addResults(decl)
+		}
+	}
+}
+
+func (d declarations) addValues(decl *ast.GenDecl) {
+	for _, spec := range decl.Specs {
+		value, ok := spec.(*ast.ValueSpec)
+		if !ok || len(value.Names) != len(value.Values) {
+			continue
+		}
+		for i, name := range value.Names {
+			d[name.Name] = []ast.Expr{value.Values[i]}
+		}
+	}
+}
+
+func (d declarations) addResults(function *ast.FuncDecl) {
+	if function.Body == nil {
+		return
+	}
+	ast.Inspect(function.Body, func(node ast.Node) bool {
+		if result, ok := node.(*ast.ReturnStmt); ok && len(result.Results) == 1 {
+			d[function.Name.Name] = append(d[function.Name.Name], result.Results[0])
+		}
+		return true
+	})
+}
+
+const (
+	// unknown stands in a name for what is known only when the program runs.
+	unknown = "*"
+	// maxDepth bounds how far names are followed, for those that lead back to themselves.
+	maxDepth = 8
+)
+
+// values returns the strings that an expression may be, as far as the source tells.
+func (d declarations) values(expr ast.Expr, depth int) []string {
+	if depth == 0 {
+		return []string{unknown}
+	}
+	switch expr := expr.(type) {
+	case *ast.BasicLit:
+		if text, err := strconv.Unquote(expr.Value); err == nil && expr.Kind == token.STRING {
+			return []string{text}
+		}
+	case *ast.Ident:
+		return d.valuesOfAll(d[expr.Name], depth)
+	case *ast.ParenExpr:
+		return d.values(expr.X, depth-1)
+	case *ast.BinaryExpr:
+		return concatenations(d.values(expr.X, depth-1), d.values(expr.Y, depth-1))
+	case *ast.CallExpr:
+		if function, ok := expr.Fun.(*ast.Ident); ok {
+			return d.valuesOfAll(d[function.Name], depth)
+		}
+	case *ast.IndexExpr:
+		return d.values(expr.X, depth-1)
+	case *ast.CompositeLit:
+		return d.valuesOfAll(elements(expr), depth)
+	}
+	return []string{unknown}
+}
+
+func (d declarations) valuesOfAll(exprs []ast.Expr, depth int) []string {
+	if len(exprs) == 0 {
+		return []string{unknown}
+	}
+	var all []string
+	for _, expr := range exprs {
+		all = append(all, d.values(expr, depth-1)...)
+	}
+	return all
+}
+
+// concatenations returns each of first followed by each of second.
+func concatenations(first, second []string) []string {
+	var all []string
+	for _, head := range first {
+		for _, tail := range second {
+			all = append(all, head+tail)
+		}
+	}
+	return all
+}
+
+// elements returns the elements of a list, or the values of a list with keys.
+func elements(list *ast.CompositeLit) []ast.Expr {
+	elements := slices.Clone(list.Elts)
+	for i, element := range elements {
+		if pair, ok := element.(*ast.KeyValueExpr); ok {
+			elements[i] = pair.Value
+		}
+	}
+	return elements
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"garnetline/decide"
+	"garnetline/routing"
 )
 
 // pairs are the settings of a BEGIN line by path. The first error sticks in f.
@@ -20,7 +20,7 @@
 // settings reads the path=value pairs that end a BEGIN line, and the names
 // of the values in a load report. Unknown paths are skipped; absent ones take
 // their default.
-func (f *fields) settings() (decide.Settings, []string) {
+func (f *fields) settings() (routing.Settings, []string) {
 	m := map[string]string{}
 	for f.more {
 		s := f.next("info")
@@ -35,7 +35,7 @@
 
 // ParseSettings reads settings given by path, and the names of the values in
 // a load report. An error names the path.
-func ParseSettings(m map[string]string) (decide.Settings, []string, error) {
+func ParseSettings(m map[string]string) (routing.Settings, []string, error) {
 	var f fields
 	s, report := pairs{m, &f}.settings()
 	if e, ok := f.err.(*Error); ok {
@@ -45,37 +45,37 @@
 }
 
 // settings turns the pairs into what the module takes.
-func (p pairs) settings() (decide.Settings, []string) {
-	s := decide.Settings{
-		Zones:       len(p.list("areas")),
-		Zone:        p.whole("zone", 0),
-		Kinds:       len(p.list("machine_types")),
-		ParentKind:  p.whole("family_info.second_tier_kind", -1),
-		OriginKind:  p.whole("family_info.root_kind", -1),
-		Routers:     p.whole("peers_total", 1),
-		MaxAttempts: p.whole("limits.try_limit", 1),
-		MaxBackoff:  p.time("limits.max_retry_after_us"),
-		CanCancel:   p.yes("limits.cancel"),
-		CanJoin:     p.yes("family_info.can_join"),
-		Direct:      p.yes("family_info.bypass_allowed"),
-		FlowKBps:    p.real("family_info.one_flow_kb_per_s"),
-		WeightsSize: p.m["weights"] == "nominal" || p.m["weights"] == "rough",
-		HitsOnly:    p.m["family_info.note_level"] == "hit",
-		OriginFalls: p.real("family_info.origin_limit_factor") > 0,
-		MustAsk:     p.m["discovery"] == "on_request",
-		DrainGrace:  p.time("rules.drain_grace_us"),
-		PurgeGrace:  p.time("family_info.obey_after_us"),
-		PurgeDone:   p.time("family_info.cleared_within_us"),
-		Cache: decide.Ramp{From: p.real("rules.cold_from"), Warm: p.time("rules.cold_us"),
-			Multiple: p.real("rules.fall_multiple"), Span: p.time("rules.overload_for_us")},
-		Parent: decide.Ramp{From: p.real("family_info.parent_starts_at"), Warm: p.time("family_info.parent_warms_in_us"),
-			Multiple: p.real("family_info.parent_fall_multiple"), Span: p.time("rules.overload_for_us")},
+func (p pairs) settings() (routing.Settings, []string) {
+	s := routing.Settings{
+		Zones:                 len(p.list("areas")),
+		Zone:                  p.whole("zone", 0),
+		Kinds:                 len(p.list("machine_types")),
+		ParentKind:            p.whole("family_info.second_tier_kind", -1),
+		OriginKind:            p.whole("family_info.root_kind", -1),
+		Routers:               p.whole("peers_total", 1),
+		MaxAttempts:           p.whole("limits.try_limit", 1),
+		MaxRetryAfter:         p.time("limits.max_retry_after_us"),
+		CanCancel:             p.yes("limits.cancel"),
+		CanJoinFill:           p.yes("family_info.can_join"),
+		AllowBypass:           p.yes("family_info.bypass_allowed"),
+		TransferKBPerSecond:   p.real("family_info.one_flow_kb_per_s"),
+		WeightIsCapacity:      p.m["weights"] == "nominal" || p.m["weights"] == "rough",
+		HitStatusOnly:         p.m["family_info.note_level"] == "hit",
+		OriginStopsOnOverload: p.real("family_info.origin_limit_factor") > 0,
+		MustSubscribe:         p.m["discovery"] == "on_request",
+		DrainGrace:            p.time("rules.drain_grace_us"),
+		PurgeGrace:            p.time("family_info.obey_after_us"),
+		PurgeRetention:        p.time("family_info.cleared_within_us"),
+		CacheSlowStart: routing.SlowStart{InitialCapacity: p.real("rules.cold_from"), Duration: p.time("rules.cold_us"),
+			OverloadFactor: p.real("rules.fall_multiple"), OverloadWindow: p.time("rules.overload_for_us")},
+		ParentSlowStart: routing.SlowStart{InitialCapacity: p.real("family_info.parent_starts_at"), Duration: p.time("family_info.parent_warms_in_us"),
+			OverloadFactor: p.real("family_info.parent_fall_multiple"), OverloadWindow: p.time("rules.overload_for_us")},
 	}
 	if !p.yes("limits.retry_after") {
-		s.MaxBackoff = 0
+		s.MaxRetryAfter = 0
 	}
 	for _, v := range p.list("family_info.seats_by_zone") {
-		s.SeatsByZone = append(s.SeatsByZone, p.wholeOf("family_info.seats_by_zone", v))
+		s.RoutersByZone = append(s.RoutersByZone, p.wholeOf("family_info.seats_by_zone", v))
 	}
 	s.Classes = p.classes()
 	p.agree(s)
@@ -87,13 +87,13 @@
 //
 // Symptom guarded against: of two classes, zones or kinds of one name the first stood for
 // both, and a write without an origin went to a cache, which cannot run it.
-func (p pairs) agree(s decide.Settings) {
+func (p pairs) agree(s routing.Settings) {
 	p.apart("areas", p.list("areas"))
 	p.apart("machine_types", p.list("machine_types"))
 	if s.ParentKind >= 0 && s.ParentKind == s.OriginKind {
 		p.f.fail("family_info.second_tier_kind", fmt.Sprintf("kind %d is the origin's, as family_info.root_kind says", s.ParentKind))
 	}
-	for path, from := range map[string]float64{"rules.cold_from": s.Cache.From, "family_info.parent_starts_at": s.Parent.From} {
+	for path, from := range map[string]float64{"rules.cold_from": s.CacheSlowStart.InitialCapacity, "family_info.parent_starts_at": s.ParentSlowStart.InitialCapacity} {
 		if from > 1 {
 			p.f.fail(path, fmt.Sprintf("%v is more than all of a server's capacity", from))
 		}
@@ -116,7 +116,7 @@
 	}
 }
 
-func (p pairs) classes() []decide.Class {
+func (p pairs) classes() []routing.Class {
 	const info = "family_info."
 	writes, fresh, grace := p.list(info+"class_write"), p.list(info+"lifetime_by_class_us"), p.list(info+"older_by_us")
 	n := p.whole("classes.count", 0)
@@ -130,26 +130,26 @@
 			return nil
 		}
 	}
-	var out []decide.Class
+	var out []routing.Class
 	for i := range n {
 		at := fmt.Sprintf("classes.%d.", i)
-		c := decide.Class{
-			Name:       p.m[at+"name"],
-			Effect:     decide.Effect(choose(p, at+"effect", "read_like", "idempotency_key", "non_idempotent")),
-			Group:      decide.Group(choose(p, at+"group", "all", "zone", "cell")),
-			Window:     p.time(at + "window_us"),
-			Aim:        p.time(at + "aim_us"),
-			AimStretch: p.real(at + "aim_stretch"),
-			Deadline:   p.time(at + "deadline_us"),
-			Worth:      p.real(at + "value"),
-			LateWorth:  p.real(at + "late_worth"),
-			Write:      len(writes) > 0 && p.yesOf(info+"class_write", writes[i]),
+		c := routing.Class{
+			Name:                    p.m[at+"name"],
+			Idempotency:             routing.Idempotency(choose(p, at+"effect", "read_like", "idempotency_key", "non_idempotent")),
+			KeyScope:                routing.KeyScope(choose(p, at+"group", "all", "zone", "cell")),
+			KeyWindow:               p.time(at + "window_us"),
+			LatencyObjective:        p.time(at + "aim_us"),
+			ObjectiveTransferFactor: p.real(at + "aim_stretch"),
+			Deadline:                p.time(at + "deadline_us"),
+			PriorityWeight:          p.real(at + "value"),
+			LateWeightFactor:        p.real(at + "late_worth"),
+			Write:                   len(writes) > 0 && p.yesOf(info+"class_write", writes[i]),
 		}
 		if len(fresh) > 0 {
-			c.Fresh = p.timeOf(info+"lifetime_by_class_us", fresh[i])
+			c.FreshnessLifetime = p.timeOf(info+"lifetime_by_class_us", fresh[i])
 		}
 		if len(grace) > 0 {
-			c.Grace = p.timeOf(info+"older_by_us", grace[i])
+			c.MaxStale = p.timeOf(info+"older_by_us", grace[i])
 		}
 		out = append(out, c)
 	}
--- a/plugin/call.go
+++ b/plugin/call.go
@@ -11,9 +11,9 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"garnetline/decide"
 	"garnetline/internal/clock"
-	"garnetline/internal/core"
+	"garnetline/internal/dispatch"
+	"garnetline/routing"
 )
 
 const codeUnknown = codes.FailedPrecondition
@@ -47,20 +47,20 @@
 
 // submit hands a request to the core and waits for its answer, or for the
 // caller to leave.
-func (p *Plugin) submit(ctx context.Context, r *core.Request, c core.Carrier) (core.Answer, error) {
-	answers := make(chan core.Answer, 1)
-	r.Carrier, r.Reply = c, func(a core.Answer) { answers <- a }
+func (p *Plugin) submit(ctx context.Context, r *dispatch.Request, c dispatch.Transport) (dispatch.Response, error) {
+	answers := make(chan dispatch.Response, 1)
+	r.Transport, r.Respond = c, func(a dispatch.Response) { answers <- a }
 	if !p.core.Submit(r) {
-		return core.Answer{}, status.Error(codes.Canceled, "garnetline: the plugin is closed")
+		return dispatch.Response{}, status.Error(codes.Canceled, "garnetline: the plugin is closed")
 	}
 	select {
 	case a := <-answers:
 		return a, nil
 	case <-ctx.Done():
-		p.core.Leave(r)
-		return core.Answer{}, status.FromContextError(ctx.Err()).Err()
+		p.core.Disconnect(r)
+		return dispatch.Response{}, status.FromContextError(ctx.Err()).Err()
 	case <-p.done:
-		return core.Answer{}, status.Error(codes.Canceled, "garnetline: the plugin is closed")
+		return dispatch.Response{}, status.Error(codes.Canceled, "garnetline: the plugin is closed")
 	}
 }
 
@@ -74,13 +74,13 @@
 }
 
 // result turns the core's answer into that of the RPC.
-func (c *call) result(a core.Answer) error {
+func (c *call) result(a dispatch.Response) error {
 	switch a.Kind {
-	case core.Served, core.Same:
+	case dispatch.Served, dispatch.NotModified:
 		return c.err
-	case core.Refused:
+	case dispatch.Rejected:
 		s := status.New(codes.Unavailable, "garnetline: refused, a retry is harmless")
-		if t, err := s.WithDetails(&errdetails.RetryInfo{RetryDelay: durationpb.New(clock.Duration(a.Backoff))}); err == nil {
+		if t, err := s.WithDetails(&errdetails.RetryInfo{RetryDelay: durationpb.New(clock.Duration(a.RetryAfter))}); err == nil {
 			s = t
 		}
 		return s.Err()
@@ -92,15 +92,15 @@
 }
 
 // Send begins an attempt.
-func (c *call) Send(a *core.Attempt) *core.End {
-	addr, ok := c.p.listed(a.Get.Server)
+func (c *call) Send(a *dispatch.Attempt) *dispatch.Completion {
+	addr, ok := c.p.listed(a.Decision.Server)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !ok || c.closed {
-		return core.NotTaken(a, decide.NotSent)
+		return dispatch.Unsent(a, routing.NotSent)
 	}
-	ctx, stop := context.WithDeadline(c.ctx, time.Now().Add(clock.Duration(a.Until-c.p.clock.Now())))
-	a.Via = stop
+	ctx, stop := context.WithDeadline(c.ctx, time.Now().Add(clock.Duration(a.ExpiresAt-c.p.clock.Now())))
+	a.TransportState = stop
 	c.out.Add(1)
 	go func() {
 		defer c.out.Done()
@@ -110,35 +110,35 @@
 		c.mu.Lock()
 		c.err = err
 		c.mu.Unlock()
-		c.p.core.End(outcome(a, err, to.picked.Load()))
+		c.p.core.Complete(outcome(a, err, to.picked.Load()))
 	}()
 	return nil
 }
 
 // Cancel gives an attempt up: gRPC resets its stream, and the invoker returns.
-func (c *call) Cancel(a *core.Attempt) { a.Via.(context.CancelFunc)() }
+func (c *call) Cancel(a *dispatch.Attempt) { a.TransportState.(context.CancelFunc)() }
 
-// Over has nothing to book.
-func (c *call) Over(*core.Attempt) {}
+// Release has nothing to book.
+func (c *call) Release(*dispatch.Attempt) {}
 
 // outcome tells what the end of an RPC says of its attempt. What is no word
 // of the transport is the application's, and is an answer.
-func outcome(a *core.Attempt, err error, picked bool) core.End {
-	e := core.End{Attempt: a, Load: core.NoLoad(), Answer: core.Answer{Kind: core.Served, Server: a.Get.Server}}
+func outcome(a *dispatch.Attempt, err error, picked bool) dispatch.Completion {
+	e := dispatch.Completion{Attempt: a, Load: dispatch.UnknownLoad(), Response: dispatch.Response{Kind: dispatch.Served, Server: a.Decision.Server}}
 	switch code := status.Code(err); {
 	case code == codes.OK:
 	case !picked && code == codes.Unavailable:
-		e.Result = decide.Unreached // no connection was there to write to
+		e.Result = routing.ConnectFailed // no connection was there to write to
 	case code == codes.Unavailable:
-		e.Result = decide.Broken
+		e.Result = routing.ConnectionLost
 	case code == codes.Canceled:
-		e.Result = decide.Cancelled
+		e.Result = routing.Canceled
 	case code == codes.DeadlineExceeded:
-		e.Result = decide.TimedOut
-	case code == codes.ResourceExhausted && a.Class.Effect == decide.Safe:
-		e.Result = decide.Full
+		e.Result = routing.TimedOut
+	case code == codes.ResourceExhausted && a.Class.Idempotency == routing.Idempotent:
+		e.Result = routing.Rejected
 	case code == codes.Internal, code == codes.DataLoss, code == codes.Aborted, code == codes.ResourceExhausted:
-		e.Result = decide.Errored
+		e.Result = routing.ServerError
 	}
 	return e
 }
@@ -146,14 +146,14 @@
 // named carries a stream's attempt out: it is over once its server is named.
 type named struct{ p *Plugin }
 
-func (n named) Send(a *core.Attempt) *core.End {
-	if _, ok := n.p.listed(a.Get.Server); !ok {
-		return core.NotTaken(a, decide.NotSent)
+func (n named) Send(a *dispatch.Attempt) *dispatch.Completion {
+	if _, ok := n.p.listed(a.Decision.Server); !ok {
+		return dispatch.Unsent(a, routing.NotSent)
 	}
-	return core.Named(a)
+	return dispatch.Resolved(a)
 }
-func (n named) Cancel(*core.Attempt) {}
-func (n named) Over(*core.Attempt)   {}
+func (n named) Cancel(*dispatch.Attempt)  {}
+func (n named) Release(*dispatch.Attempt) {}
 
 // stream has the core choose a stream's server. A stream is not tried again:
 // what was sent on it can't be.
@@ -167,8 +167,8 @@
 		return nil, err
 	}
 	addr, ok := p.listed(a.Server)
-	if a.Kind != core.Served || !ok {
-		return nil, (&call{}).result(core.Answer{Kind: core.Refused, Backoff: a.Backoff})
+	if a.Kind != dispatch.Served || !ok {
+		return nil, (&call{}).result(dispatch.Response{Kind: dispatch.Rejected, RetryAfter: a.RetryAfter})
 	}
 	return streamer(context.WithValue(ctx, choiceKey{}, &choice{addr: addr}), desc, cc, method, opts...)
 }
