--- a/internal/upstream/command.go
+++ b/internal/upstream/command.go
@@ -2,53 +2,76 @@
 
 import (
 	"fmt"
-	"strings"
 
 	"garnetline/internal/dispatch"
+	"garnetline/routing"
 )
 
-// appendServeCommand appends the command of an attempt, written at now, with more fields.
-func appendServeCommand(dst []byte, a *dispatch.Attempt, age float64, now float64, more string) []byte {
-	r := a.Request
-	f := make([]byte, 0, 256)
-	f = fmt.Appendf(f, "sort=%s,asset=%016x,slice=%d,patience=%d", a.Class.Name, uint64(r.Object), r.Chunk,
-		max(1, int64(a.ExpiresAt-now)))
-	if r.IdempotencyKey != "" {
-		f = fmt.Appendf(f, ",op=%s", r.IdempotencyKey)
-	}
-	if a.Decision.FillSource != a.Decision.Server {
-		f = fmt.Appendf(f, ",via=%v", a.Decision.FillSource)
-	}
-	if a.Decision.CopyRank > 0 {
-		f = fmt.Appendf(f, ",tier=%d", a.Decision.CopyRank)
-	}
-	if age > 0 {
-		f = fmt.Appendf(f, ",fresh=%d", max(1, int64(age)))
+// typicalFieldsBytes has room for the fields of most commands.
+const typicalFieldsBytes = 256
+
+// appendServeCommand appends the command that carries an attempt: serve ID FIELDS BODY. It is
+// written at now, takes a copy of at most maxAge milliseconds if that is not zero, and has
+// moreFields behind its own.
+func appendServeCommand(dst []byte, attempt *dispatch.Attempt, maxAge, now float64, moreFields string) []byte {
+	fields := make([]byte, 0, typicalFieldsBytes)
+	fields = appendServeFields(fields, attempt, maxAge, now)
+	fields = append(fields, moreFields...)
+	dst = appendArray(dst, 4)
+	dst = appendBulk(dst, "serve")
+	dst = appendBulk(dst, attempt.Request.TransactionID)
+	dst = appendBulk(dst, string(fields))
+	return appendBulk(dst, string(attempt.Request.Body))
+}
+
+// appendServeFields appends the fields of a serve command, separated by commas.
+func appendServeFields(dst []byte, attempt *dispatch.Attempt, maxAge, now float64) []byte {
+	request := attempt.Request
+	decision := &attempt.Decision
+	patience := max(1, int64(attempt.ExpiresAt-now))
+	dst = fmt.Appendf(dst, "sort=%s,asset=%016x,slice=%d,patience=%d", attempt.Class.Name, uint64(request.Object), request.Chunk, patience)
+	if request.IdempotencyKey != "" {
+		dst = fmt.Appendf(dst, ",op=%s", request.IdempotencyKey)
 	}
-	words := make([]string, 0, 3)
-	if a.Decision.JoinFill {
-		words = append(words, "join")
+	if decision.FillSource != decision.Server {
+		dst = fmt.Appendf(dst, ",via=%v", decision.FillSource)
 	}
-	if a.Decision.OnlyIfCached {
-		words = append(words, "held")
+	if decision.CopyRank > 0 {
+		dst = fmt.Appendf(dst, ",tier=%d", decision.CopyRank)
 	}
-	if a.Decision.Revalidate {
-		words = append(words, "renew")
+	if maxAge > 0 {
+		dst = fmt.Appendf(dst, ",fresh=%d", max(1, int64(maxAge)))
 	}
-	if len(words) > 0 {
-		f = fmt.Appendf(f, ",opts=%s", strings.Join(words, "+"))
+	dst = appendServeOptions(dst, decision)
+	if request.IfNoneMatch != "" {
+		dst = fmt.Appendf(dst, ",known=%s", request.IfNoneMatch)
 	}
-	if r.IfNoneMatch != "" {
-		f = fmt.Appendf(f, ",known=%s", r.IfNoneMatch)
+	return dst
+}
+
+// appendServeOptions appends the field opts, if any option is set.
+func appendServeOptions(dst []byte, decision *routing.SendAttempt) []byte {
+	separator := ",opts="
+	for _, option := range [...]struct {
+		set  bool
+		name string
+	}{
+		{decision.JoinFill, "join"},
+		{decision.OnlyIfCached, "held"},
+		{decision.Revalidate, "renew"},
+	} {
+		if option.set {
+			dst = append(dst, separator...)
+			dst = append(dst, option.name...)
+			separator = "+"
+		}
 	}
-	f = append(f, more...)
-	dst = append(dst, "*4\r\n"...)
-	dst = appendBulk(dst, "serve")
-	dst = appendBulk(dst, r.TransactionID)
-	dst = appendBulk(dst, string(f))
-	return appendBulk(dst, string(r.Body))
+	return dst
 }
 
-func appendCancelCommand(dst []byte, txn string) []byte {
-	return appendBulk(appendBulk(append(dst, "*2\r\n"...), "cancel"), txn)
+// appendCancelCommand appends the command that cancels a request: cancel ID.
+func appendCancelCommand(dst []byte, id string) []byte {
+	dst = appendArray(dst, 2)
+	dst = appendBulk(dst, "cancel")
+	return appendBulk(dst, id)
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -13,210 +13,275 @@
 	"garnetline/routing"
 )
 
-// connectionEvent comes from a dial (conn or err), a reader's answer or its end (err).
-type connectionEvent struct {
-	connection *connection // nil: from a dial
-	dialed     net.Conn
-	reply      reply
-	err        error
-}
+const (
+	maxConnections       = 8      // to one server, retired ones aside
+	growThreshold        = 2      // requests in flight on a connection from which on one more is made
+	growBackoff          = 2000.0 // ms without a further connection after a failed dial
+	maxCanceledIDs       = 256    // on a connection, before it is retired
+	writeTimeout         = 100.0  // ms; a write blocks the actor
+	idleTimeoutShare     = 0.8    // of the settings' idle timeout, after which this side closes first
+	unresponsiveAfter    = 250.0  // ms without a reply, after which a cancel retires the connection
+	replyStallTimeout    = 800.0  // ms between reads of a reply, and for all of it besides its bytes' time
+	replyTimeFactor      = 4.0    // times what a reply's bytes take at the settings' pace
+	duplicateReplyWindow = 1000.0 // ms within which a second reply to an id is expected
+)
 
-// connection is one connection.
+// connection is one connection to the server. It belongs to the actor but for text's reading
+// half, which is the reader goroutine's.
 type connection struct {
 	text        *textconn.Conn
-	inFlight    map[string]*sentAttempt
-	canceledIDs map[string]bool    // given up here: an answer may still cross
-	unservedAt  map[string]float64 // answered here and not served, and when: a second answer may follow
-	lastReplyAt float64            // when the latest answer came; 0: none yet
-	lastUsedAt  float64            // when it last had something open
-	retired     bool               // takes nothing new
+	inFlight    map[string]*sentAttempt // by transaction id
+	canceledIDs map[string]bool         // canceled here: a reply may still come
+	unservedAt  map[string]float64      // when a reply other than a served one came: a second may follow
+	lastReplyAt float64                 // zero: none has come
+	lastUsedAt  float64                 // when something was written or read
+	retired     bool                    // takes no new attempt, and is closed when none is in flight
 	closed      bool
 }
 
+// sentAttempt is an attempt in flight.
 type sentAttempt struct {
 	attempt   *dispatch.Attempt
 	writtenAt float64
 }
 
-// atConnectionLimit tells whether this peer, or all together, have as many connections as they may.
-func (p *Upstream) atConnectionLimit() bool {
-	most, links := p.MaxConnections(), 0
-	for _, l := range p.connections {
-		if !l.retired {
-			links++
-		}
+// connectionEvent reports to the actor: the result of a dial (dialed or err), a reply, or the
+// end of a connection (err).
+type connectionEvent struct {
+	connection *connection // nil for the result of a dial
+	dialed     net.Conn
+	reply      reply
+	err        error
+}
+
+func newConnection(netConn net.Conn, now float64) *connection {
+	return &connection{
+		text:        textconn.New(netConn),
+		inFlight:    map[string]*sentAttempt{},
+		canceledIDs: map[string]bool{},
+		unservedAt:  map[string]float64{},
+		lastUsedAt:  now,
+	}
+}
+
+// accepts reports whether a request with an id can be sent on the connection. An id that is
+// in flight there, or was canceled there, cannot: a reply that crosses the cancel would be
+// taken for the new attempt's.
+func (c *connection) accepts(id string, maxStreams int) bool {
+	return !c.retired && len(c.inFlight) < maxStreams && c.inFlight[id] == nil && !c.canceledIDs[id]
+}
+
+// repliedSince reports whether a reply has come on the connection since a time.
+func (c *connection) repliedSince(at float64) bool { return c.lastReplyAt >= at }
+
+// nextReply waits for a reply and reads it. The time for that counts from its first byte.
+//
+// Symptoms guarded against: a reply that stopped short left the connection open and silent,
+// and whatever else was in flight there ran into its deadline. A fixed time for the whole of
+// it cut replies whose bytes came at the pace of the settings.
+func (c *connection) nextReply(bytesPerSecond float64) (reply, error) {
+	if err := c.text.NetConn.SetReadDeadline(time.Time{}); err != nil {
+		return reply{}, err
+	}
+	c.text.LimitRead(maxReplyBytes)
+	if _, err := c.text.R.Peek(1); err != nil {
+		return reply{}, err
 	}
-	return links >= maxConnections || most > 0 && p.openConnections.Load() >= most
+	c.text.SetReadPace(replyStallTimeout, replyStallTimeout)
+	defer c.text.SetReadPace(0, 0)
+	return readReply(c.text, func(bodyBytes int) {
+		if bytesPerSecond <= 0 {
+			return
+		}
+		transfer := 1000 * float64(bodyBytes) / bytesPerSecond
+		c.text.SetReadPace(replyStallTimeout, replyStallTimeout+replyTimeFactor*transfer)
+	})
 }
 
-// pickConnection returns the connection with the least open that can take a request, or
-// nil. An id that is open or was given up on a connection is not used there
-// again: an answer that crosses the cancel would be taken for the new attempt's.
+// pickConnection returns the connection with the fewest requests in flight that accepts one
+// with an id, or nil.
 //
-// Symptom guarded against: one answer that could not be read took all that was
-// open with the server along, since all of it was on one connection.
-func (p *Upstream) pickConnection(txn string) (best *connection) {
-	for _, l := range p.connections {
-		if !l.retired && len(l.inFlight) < p.Settings().MaxStreams && l.inFlight[txn] == nil && !l.canceledIDs[txn] &&
-			(best == nil || len(l.inFlight) < len(best.inFlight)) {
-			best = l
+// Symptom guarded against: one malformed reply ended all that was in flight at the server,
+// since all of it was on one connection.
+func (u *Upstream) pickConnection(id string) *connection {
+	var best *connection
+	for _, conn := range u.connections {
+		if conn.accepts(id, u.Settings().MaxStreams) && (best == nil || len(conn.inFlight) < len(best.inFlight)) {
+			best = conn
 		}
 	}
 	return best
 }
 
-// flush writes the command that was put together. A write that fails leaves
-// nothing to be said about what came through: the connection is lost.
-func (p *Upstream) flush(l *connection, msg []byte) bool {
-	l.lastUsedAt = p.Clock.Now()
-	err := l.text.Flush(msg, nil, writeTimeout)
-	if err != nil {
-		p.closeConnection(l)
+// atConnectionLimit reports whether this server, or all together, have as many connections as
+// they may.
+func (u *Upstream) atConnectionLimit() bool {
+	limit := u.MaxConnections()
+	usable := 0
+	for _, conn := range u.connections {
+		if !conn.retired {
+			usable++
+		}
 	}
-	return err == nil
+	return usable >= maxConnections || limit > 0 && u.openConnections.Load() >= limit
 }
 
-// closeIfRetired closes a connection that is set aside and has nothing open.
-func (p *Upstream) closeIfRetired(l *connection) {
-	if l.retired && len(l.inFlight) == 0 {
-		p.closeConnection(l)
-	}
+// mayGrow reports whether a connection may be added to those there are.
+func (u *Upstream) mayGrow() bool {
+	return !u.atConnectionLimit() && u.Clock.Now() >= u.growAfter
+}
+
+// startDial begins to make a connection. There is one dial at a time.
+func (u *Upstream) startDial(ctx context.Context) {
+	u.dialing = true
+	u.dialStartedAt = u.Clock.Now()
+	u.openConnections.Add(1)
+	u.Metrics.Add("peer_dials", 1)
+	go u.dial(ctx)
 }
 
-// closeConnection closes a connection, which gives up everything open on it. It is the
-// one place where a connection to a peer is given back.
-func (p *Upstream) closeConnection(l *connection) {
-	if l.closed {
+// dial makes a connection and reports it to the actor. It runs on a goroutine of its own.
+func (u *Upstream) dial(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, clock.Duration(u.Settings().ConnectTimeout))
+	defer cancel()
+	netConn, err := u.Dial(ctx, u.addr)
+	if u.post(connectionEvent{dialed: netConn, err: err}) {
 		return
 	}
-	l.closed = true
-	l.text.Close()
-	p.openConnections.Add(-1)
-	p.connections = slices.DeleteFunc(p.connections, func(x *connection) bool { return x == l })
-	for _, s := range l.inFlight {
-		p.complete(dispatch.Completion{Attempt: s.attempt, Result: routing.ConnectionLost, Load: dispatch.UnknownLoad()})
+	u.openConnections.Add(-1) // the actor has stopped
+	if netConn != nil {
+		_ = netConn.Close() // nothing was written to it
 	}
-	l.inFlight = nil
 }
 
-func (p *Upstream) closeAllConnections() {
-	for len(p.connections) > 0 {
-		p.closeConnection(p.connections[0])
+// readReplies reports the replies of a connection, and at last its end, to the actor. It runs
+// on a goroutine of its own.
+func (u *Upstream) readReplies(conn *connection) {
+	for {
+		r, err := conn.nextReply(u.Settings().BytesPerSecond)
+		if !u.post(connectionEvent{connection: conn, reply: r, err: err}) || err != nil {
+			return
+		}
 	}
 }
 
-func (p *Upstream) handleConnectionEvent(ctx context.Context, e connectionEvent) {
+// post hands an event to the actor. It reports whether the actor took it or has stopped.
+func (u *Upstream) post(event connectionEvent) bool {
+	select {
+	case u.connectionEvents <- event:
+		return true
+	case <-u.stopped:
+		return false
+	}
+}
+
+func (u *Upstream) handleConnectionEvent(ctx context.Context, event connectionEvent) {
 	switch {
-	case e.connection == nil:
-		p.handleDialResult(ctx, e)
-	case e.err != nil:
-		p.closeConnection(e.connection)
-	case !e.connection.closed:
-		p.handleReply(ctx, e.connection, e.reply)
+	case event.connection == nil:
+		u.handleDialResult(ctx, event)
+	case event.err != nil:
+		u.closeConnection(event.connection)
+	case !event.connection.closed:
+		u.handleReply(ctx, event.connection, event.reply)
 	}
 }
 
-// handleDialResult takes the end of a dial. A connection that did not come up proves
-// that nothing ran.
-func (p *Upstream) handleDialResult(ctx context.Context, e connectionEvent) {
-	p.dialing = false
-	if e.err != nil {
-		p.openConnections.Add(-1)
-		p.Metrics.Add("peer_dials_failed", 1)
-		// Symptom guarded against: at a cache that holds few connections, each request
-		// of each of many routers tried for one more, and each try costs it a handshake.
-		if len(p.connections) > 0 {
-			p.growAfter = p.Clock.Now() + growBackoff
-		}
-		failed := p.queued
-		p.queued = nil
-		for _, a := range failed {
-			p.recordDial(a)
-			p.complete(*dispatch.Unsent(a, routing.ConnectFailed))
-		}
-		return
+// handleDialResult uses a new connection for what is queued, or fails that.
+func (u *Upstream) handleDialResult(ctx context.Context, event connectionEvent) {
+	u.dialing = false
+	for _, attempt := range u.queued {
+		u.recordDial(attempt)
 	}
-	now := p.Clock.Now()
-	for _, a := range p.queued {
-		p.recordDial(a)
+	if event.err != nil {
+		u.handleDialFailure()
+		return
 	}
-	l := &connection{text: textconn.New(e.dialed), inFlight: map[string]*sentAttempt{}, canceledIDs: map[string]bool{}, unservedAt: map[string]float64{}, lastUsedAt: now}
-	p.connections = append(p.connections, l)
-	go p.readReplies(ctx, l)
-	p.sendQueued(ctx)
+	conn := newConnection(event.dialed, u.Clock.Now())
+	u.connections = append(u.connections, conn)
+	go u.readReplies(conn)
+	u.sendQueued(ctx)
 }
 
-// recordDial notes the dial that has just ended with an attempt that waited for it.
-func (p *Upstream) recordDial(a *dispatch.Attempt) {
-	if a.Trace != nil {
-		a.Trace.Timing.Dialled, a.Trace.Timing.Up = p.dialStartedAt, p.Clock.Now()
+// handleDialFailure completes what waited for a connection. One that did not come up proves
+// that nothing ran.
+//
+// Symptom guarded against: at a cache that holds few connections each request of each of many
+// routers tried for one more, and each try cost it a handshake.
+func (u *Upstream) handleDialFailure() {
+	u.openConnections.Add(-1)
+	u.Metrics.Add("peer_dials_failed", 1)
+	if len(u.connections) > 0 {
+		u.growAfter = u.Clock.Now() + growBackoff
+	}
+	failed := u.queued
+	u.queued = nil
+	for _, attempt := range failed {
+		u.Complete(*dispatch.Unsent(attempt, routing.ConnectFailed))
 	}
 }
 
-// closeIdle closes connections that have been idle for long.
-func (p *Upstream) closeIdle() {
-	now := p.Clock.Now()
-	for _, l := range slices.Clone(p.connections) {
-		maps.DeleteFunc(l.unservedAt, func(_ string, at float64) bool { return now-at >= duplicateReplyWindow })
-		if len(l.inFlight) > 0 {
-			continue
-		}
-		l.text.ShrinkWriteBuffer()
-		if now-l.lastUsedAt > p.Settings().IdleTimeout*idleTimeoutShare {
-			p.closeConnection(l)
-		}
+// recordDial enters the dial that has just ended in the trace of an attempt that waited for it.
+func (u *Upstream) recordDial(attempt *dispatch.Attempt) {
+	if attempt.Trace == nil {
+		return
 	}
+	attempt.Trace.Timing.Dialled = u.dialStartedAt
+	attempt.Trace.Timing.Up = u.Clock.Now()
 }
 
-func (p *Upstream) dial(ctx context.Context) {
-	ctx, stop := context.WithTimeout(ctx, clock.Duration(p.Settings().ConnectTimeout))
-	defer stop()
-	c, err := p.Dial(ctx, p.addr)
-	if !p.post(connectionEvent{dialed: c, err: err}) { // the actor has ended meanwhile
-		p.openConnections.Add(-1)
-		if c != nil {
-			c.Close()
-		}
+// flush writes a command that was appended to the connection's write buffer, and reports
+// whether that worked. After an error nobody knows what came through, and the connection is
+// closed.
+func (u *Upstream) flush(conn *connection, command []byte) bool {
+	conn.lastUsedAt = u.Clock.Now()
+	if err := conn.text.Flush(command, nil, writeTimeout); err != nil {
+		u.closeConnection(conn)
+		return false
 	}
+	return true
 }
 
-// readReplies hands over the answers of a connection until it ends.
-func (p *Upstream) readReplies(_ context.Context, l *connection) {
-	for {
-		r, err := l.nextReply(p.Settings().BytesPerSecond)
-		if !p.post(connectionEvent{connection: l, reply: r, err: err}) || err != nil {
-			return
-		}
+// closeIfRetired closes a retired connection on which nothing is in flight.
+func (u *Upstream) closeIfRetired(conn *connection) {
+	if conn.retired && len(conn.inFlight) == 0 {
+		u.closeConnection(conn)
 	}
 }
 
-// nextReply reads one answer, which has some time from its first byte on.
-//
-// Symptom guarded against: an answer that stops short keeps the connection open
-// and silent, and whatever else was open there waited for its deadline. And: a fixed time
-// for all of it cut answers whose bytes come at the pace that the settings tell.
-func (l *connection) nextReply(bytesPerS float64) (reply, error) {
-	if err := l.text.NetConn.SetReadDeadline(time.Time{}); err != nil {
-		return reply{}, err
+// closeConnection closes a connection, which cancels everything in flight on it, and completes
+// that as lost. No connection is closed anywhere else once it is up.
+func (u *Upstream) closeConnection(conn *connection) {
+	if conn.closed {
+		return
 	}
-	l.text.LimitRead(maxReplyBytes)
-	if _, err := l.text.R.Peek(1); err != nil {
-		return reply{}, err
+	conn.closed = true
+	_ = conn.text.Close() // the connection is given up in any case
+	u.openConnections.Add(-1)
+	u.connections = slices.DeleteFunc(u.connections, func(other *connection) bool { return other == conn })
+	for _, sent := range conn.inFlight {
+		u.Complete(dispatch.Completion{Attempt: sent.attempt, Result: routing.ConnectionLost, Load: dispatch.UnknownLoad()})
 	}
-	l.text.SetReadPace(replyStallTimeout, replyStallTimeout)
-	defer l.text.SetReadPace(0, 0)
-	return readReply(l.text, func(n int) {
-		if bytesPerS > 0 {
-			l.text.SetReadPace(replyStallTimeout, replyStallTimeout+replyTimeFactor*1000*float64(n)/bytesPerS)
-		}
-	})
+	conn.inFlight = nil
 }
 
-func (p *Upstream) post(e connectionEvent) bool {
-	select {
-	case p.connectionEvents <- e:
-		return true
-	case <-p.stopped:
-		return false
+func (u *Upstream) closeAllConnections() {
+	for len(u.connections) > 0 {
+		u.closeConnection(u.connections[0])
+	}
+}
+
+// closeIdle closes connections that have been idle for most of the settings' idle timeout,
+// before the server does, and forgets ids that no second reply is expected for.
+func (u *Upstream) closeIdle() {
+	now := u.Clock.Now()
+	for _, conn := range slices.Clone(u.connections) {
+		maps.DeleteFunc(conn.unservedAt, func(_ string, at float64) bool { return now-at >= duplicateReplyWindow })
+		if len(conn.inFlight) > 0 {
+			continue
+		}
+		conn.text.ShrinkWriteBuffer()
+		if now-conn.lastUsedAt > u.Settings().IdleTimeout*idleTimeoutShare {
+			u.closeConnection(conn)
+		}
 	}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,5 +1,13 @@
-// Package peer speaks RESP to caches, parents and the origin. Each has an
-// actor with a mailbox that owns its connections and what is open on them.
+// Package upstream is the client side of the caches, parents and the origin: it carries
+// dispatch's attempts to them over RESP.
+//
+// A Pool has one Upstream for each listed server. An Upstream is an actor: its goroutine owns
+// the server's connections, the attempts in flight on them and those that are queued, and
+// takes messages from a mailbox. Each connection has a reader goroutine besides, and each
+// dial one of its own; both report to the actor. The Pool itself belongs to the goroutine of
+// the dispatcher, which is the only one that may call it.
+//
+// Every attempt that Send accepted is completed exactly once.
 package upstream
 
 import (
@@ -16,103 +24,127 @@
 	"garnetline/routing"
 )
 
-// Options are what a Pool shares among its peers.
+// Options are what a Pool shares with its Upstreams.
 type Options struct {
-	Clock          clock.Clock
-	Settings       func() platformconfig.Upstream // as of now
-	Guard          func() *routing.Guard          // as of now
-	Complete       func(dispatch.Completion)      // takes the ends of attempts; it may block
-	Metrics        *metrics.Registry
-	Dial           func(ctx context.Context, to netip.AddrPort) (net.Conn, error) // nil: TCP
-	MaxConnections func() int64                                                   // connections of all peers together; 0: no bound
-	// PropagateTraces says that peers take the fields trace and kept. The platform's do not.
+	Clock    clock.Clock
+	Settings func() platformconfig.Upstream // as of now
+	Guard    func() *routing.Guard          // as of now
+	Complete func(dispatch.Completion)      // receives each attempt's completion; it may block
+	Metrics  *metrics.Registry
+
+	// Dial makes a connection; nil stands for TCP with TCP_NODELAY set.
+	Dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+
+	// MaxConnections bounds the connections to all servers together; zero is no bound.
+	MaxConnections func() int64
+
+	// PropagateTraces tells whether servers take the fields trace and kept. Those of the
+	// platform do not.
 	PropagateTraces bool
-	openConnections *atomic.Int64 // of those, open or being dialled
+
+	openConnections *atomic.Int64 // of all Upstreams, those being dialed among them
 }
 
-// Pool holds the peers by id. It belongs to the core's goroutine.
+// Pool holds an Upstream for each server of the endpoint list. Only the dispatcher's
+// goroutine may call its methods, none of which blocks.
 type Pool struct {
 	Options
 	ctx       context.Context
 	upstreams map[routing.ServerID]*Upstream
 }
 
-// NewPool returns a pool whose peers end with ctx.
-func NewPool(ctx context.Context, o Options) *Pool {
-	if o.Dial == nil {
-		o.Dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
-			return (&net.Dialer{}).DialContext(ctx, "tcp", to.String())
-		}
+// NewPool returns an empty pool. Its Upstreams close their connections when ctx ends.
+func NewPool(ctx context.Context, options Options) *Pool {
+	if options.Dial == nil {
+		options.Dial = dialTCP
 	}
-	o.openConnections = new(atomic.Int64)
-	return &Pool{Options: o, ctx: ctx, upstreams: map[routing.ServerID]*Upstream{}}
+	options.openConnections = new(atomic.Int64)
+	return &Pool{Options: options, ctx: ctx, upstreams: map[routing.ServerID]*Upstream{}}
 }
 
-// UpdateEndpoints takes a change of the list: new peers get an actor, those that left
-// lose theirs once nothing is out.
-func (p *Pool) UpdateEndpoints(ev platformconfig.WatchEvent) {
-	named := map[routing.ServerID]bool{}
-	for _, h := range ev.Endpoints {
-		named[h.ID] = h.Phase != routing.Removed
-		q := p.upstreams[h.ID]
-		if q != nil && (q.addr != h.Addr || q.removed) && h.Phase != routing.Removed {
-			q.drain() // another process, or the same at another address
-			delete(p.upstreams, h.ID)
-			q = nil
-		}
-		if q == nil && h.Phase != routing.Removed {
-			q = newUpstream(p.Options, h.ID, h.Addr)
-			p.upstreams[h.ID] = q
-			go q.run(p.ctx)
+// dialTCP makes a TCP connection. The net package sets TCP_NODELAY on it: a command held back
+// by the system would be lost when the connection is reset.
+func dialTCP(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp", to.String())
+}
+
+// UpdateEndpoints applies a change of the endpoint list. A new server gets an Upstream; that
+// of a removed one ends when no attempt is in flight there any more.
+func (p *Pool) UpdateEndpoints(event platformconfig.WatchEvent) {
+	listed := map[routing.ServerID]bool{}
+	for _, endpoint := range event.Endpoints {
+		listed[endpoint.ID] = endpoint.Phase != routing.Removed
+		if listed[endpoint.ID] {
+			p.ensureUpstream(endpoint)
 		}
 	}
-	for id, q := range p.upstreams {
-		if listed, ok := named[id]; !listed && (ok || ev.Snapshot) {
-			q.drain()
+	for id, upstream := range p.upstreams {
+		if stays, named := listed[id]; !stays && (named || event.Snapshot) {
+			upstream.drain()
 		}
-		if q.removed && q.inFlight.Load() == 0 {
+		if upstream.removed && upstream.inFlight.Load() == 0 {
 			delete(p.upstreams, id)
 		}
 	}
 }
 
-// Send hands an attempt to its peer.
-func (p *Pool) Send(a *dispatch.Attempt) *dispatch.Completion {
-	q := p.upstreams[a.Decision.Server]
-	if q == nil || q.removed {
-		return dispatch.Unsent(a, routing.NotSent)
+// ensureUpstream starts an Upstream for a listed server, unless there is one. A server that
+// has come back, or is listed at another address, is another process and gets a new one.
+func (p *Pool) ensureUpstream(endpoint platformconfig.Endpoint) {
+	upstream := p.upstreams[endpoint.ID]
+	if upstream != nil && upstream.addr == endpoint.Addr && !upstream.removed {
+		return
 	}
-	if q.inFlight.Load() >= maxInFlight {
-		return dispatch.Unsent(a, routing.Rejected)
+	if upstream != nil {
+		upstream.drain()
 	}
-	a.TransportState = q
-	q.inFlight.Add(1)
-	q.mailbox <- message{send: a}
+	upstream = newUpstream(p.Options, endpoint.ID, endpoint.Addr)
+	p.upstreams[endpoint.ID] = upstream
+	go upstream.run(p.ctx)
+}
+
+// Send hands an attempt to its server's Upstream. It returns the completion of one that
+// cannot be taken, or nil.
+func (p *Pool) Send(attempt *dispatch.Attempt) *dispatch.Completion {
+	upstream := p.upstreams[attempt.Decision.Server]
+	if upstream == nil || upstream.removed {
+		return dispatch.Unsent(attempt, routing.NotSent)
+	}
+	if upstream.inFlight.Load() >= maxInFlight {
+		return dispatch.Unsent(attempt, routing.Rejected)
+	}
+	attempt.TransportState = upstream
+	upstream.inFlight.Add(1)
+	upstream.mailbox <- message{send: attempt}
 	return nil
 }
 
-// TraceRetained tells a server, with what is next written to it, that a trace in which it had a
-// part is kept. A server that is sent nothing for long is not told: it has a limit.
-func (p *Pool) TraceRetained(server routing.ServerID, id trace.ID) {
-	if q := p.upstreams[server]; q != nil && p.PropagateTraces {
-		select {
-		case q.retainedTraces <- id:
-		default:
-			p.Metrics.Add("verdicts_dropped", 1)
-		}
+// Cancel asks for an attempt that Send took to be canceled. Its completion follows when the
+// cancellation is written, or says otherwise if the attempt was over before.
+func (p *Pool) Cancel(attempt *dispatch.Attempt) {
+	if upstream, ok := attempt.TransportState.(*Upstream); ok {
+		upstream.mailbox <- message{cancel: attempt}
 	}
 }
 
-// Cancel has an attempt given up.
-func (p *Pool) Cancel(a *dispatch.Attempt) {
-	if q, ok := a.TransportState.(*Upstream); ok {
-		q.mailbox <- message{cancel: a}
+// Release tells the pool that the dispatcher has handled an attempt's completion.
+func (p *Pool) Release(attempt *dispatch.Attempt) {
+	if upstream, ok := attempt.TransportState.(*Upstream); ok {
+		upstream.inFlight.Add(-1)
 	}
 }
 
-// Release books that the core has taken the end of an attempt.
-func (p *Pool) Release(a *dispatch.Attempt) {
-	if q, ok := a.TransportState.(*Upstream); ok {
-		q.inFlight.Add(-1)
+// TraceRetained notifies a server, with the next command written to it, that a trace in which
+// it took part is retained. A server to which nothing is sent is not notified; its own limit
+// then drops what it holds of the trace.
+func (p *Pool) TraceRetained(server routing.ServerID, id trace.ID) {
+	upstream := p.upstreams[server]
+	if upstream == nil || !p.PropagateTraces {
+		return
+	}
+	select {
+	case upstream.retainedTraces <- id:
+	default:
+		p.Metrics.Add("verdicts_dropped", 1)
 	}
 }
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -13,149 +13,238 @@
 	"garnetline/routing"
 )
 
-// reply is one answer as it came.
+const (
+	replyStrings  = 4       // the id, the status, the fields and the body
+	noFields      = "-"     // stands for an empty list of fields
+	maxFillWait   = 600_000 // ms; a longer wait for the fill source is ignored
+	maxLoadFigure = 1e9     // a larger figure of a load report is ignored
+)
+
+// The statuses of replies to serve.
+const (
+	statusDone  = "DONE"  // the body follows
+	statusKeep  = "KEEP"  // the client's copy is current
+	statusLack  = "LACK"  // not cached, not executed
+	statusWait  = "WAIT"  // rejected, not executed
+	statusBroke = "BROKE" // an error, possibly executed
+	statusPast  = "PAST"  // the request had ended, not executed
+)
+
+// The statuses of replies to probes.
+const (
+	statusFit   = "FIT"
+	statusUnfit = "UNFIT"
+)
+
+// The fields of replies.
+const (
+	tagField         = "tag"
+	loadField        = "l"
+	cacheStatusField = "n"
+	fillWaitField    = "lag"
+)
+
+// resultsByStatus has the results of replies to serve.
+var resultsByStatus = map[string]routing.Result{
+	statusDone:  routing.Served,
+	statusKeep:  routing.Served,
+	statusLack:  routing.NotCached,
+	statusWait:  routing.Rejected,
+	statusBroke: routing.ServerError,
+	statusPast:  routing.NotSent,
+}
+
+// reply is a reply as it came.
 type reply struct {
-	id, status, fields string
-	body               []byte
+	id     string
+	status string
+	fields string
+	body   []byte
 }
 
-// readReply reads one answer. The body is the caller's; sized is told its length before.
-func readReply(k *textconn.Conn, sized func(n int)) (reply, error) {
-	k.LimitRead(maxReplyBytes)
+// readReply reads one reply, whose body belongs to the caller. onBodyLength, if it is not nil,
+// is called with the length of the body before that is read.
+func readReply(conn *textconn.Conn, onBodyLength func(n int)) (reply, error) {
+	conn.LimitRead(maxReplyBytes)
 	var r reply
-	n, err := readLength(k, '*', 4)
+	n, err := readLength(conn, arrayType, replyStrings)
 	if err != nil {
 		return r, err
 	}
-	if n != 4 {
+	if n != replyStrings {
 		return r, fmt.Errorf("%w: array of %d", errMalformedReply, n)
 	}
-	for i := range 3 {
-		b, err := readBulk(k, maxFieldBytes, nil)
+	for _, field := range [...]*string{&r.id, &r.status, &r.fields} {
+		content, err := readBulk(conn, maxFieldBytes, nil)
 		if err != nil {
 			return r, err
 		}
-		*[]*string{&r.id, &r.status, &r.fields}[i] = string(b)
+		*field = string(content)
 	}
-	b, err := readBulk(k, maxBodyBytes, sized)
-	if len(b) > 0 {
-		r.body = append([]byte(nil), b...)
+	body, err := readBulk(conn, maxBodyBytes, onBodyLength)
+	if len(body) > 0 {
+		r.body = append([]byte(nil), body...)
 	}
-	k.ShrinkReadBuffer()
+	conn.ShrinkReadBuffer()
 	return r, err
 }
 
-// resultsByStatus are the words of an answer.
-var resultsByStatus = map[string]routing.Result{"DONE": routing.Served, "KEEP": routing.Served, "LACK": routing.NotCached,
-	"WAIT": routing.Rejected, "BROKE": routing.ServerError, "PAST": routing.NotSent}
-
-// completion turns an answer to an attempt into its end.
-func (r reply) completion(a *dispatch.Attempt) (dispatch.Completion, error) {
-	e := dispatch.Completion{Attempt: a, Load: dispatch.UnknownLoad()}
-	var ok bool
-	notes, lags, tags := 0, 0, 0
-	if e.Result, ok = resultsByStatus[r.status]; !ok {
-		return e, fmt.Errorf("%w: word %.20q", errMalformedReply, r.status)
-	}
-	if r.fields != "-" && r.fields != "" {
-		for f := range strings.SplitSeq(r.fields, ",") {
-			name, value, ok := strings.Cut(f, "=")
-			switch {
-			case !ok:
-				return e, fmt.Errorf("%w: field %.20q", errMalformedReply, f)
-			case name == "tag":
-				if !dispatch.ValidFieldValue(value) {
-					return e, fmt.Errorf("%w: tag", errMalformedReply)
-				}
-				e.Response.ETag = value
-				tags++
-			case name == "l":
-				parseLoad(&e.Load, value)
-			case name == "n":
-				e.Note = parseCacheStatus(value)
-				notes++
-			case name == "lag":
-				e.FillWait = parseFillWait(value)
-				lags++
+// completion returns the completion of the attempt that the reply is to.
+func (r reply) completion(attempt *dispatch.Attempt) (dispatch.Completion, error) {
+	result, known := resultsByStatus[r.status]
+	if !known {
+		return dispatch.Completion{}, fmt.Errorf("%w: status %.20q", errMalformedReply, r.status)
+	}
+	fields, err := parseReplyFields(r.fields)
+	if err != nil {
+		return dispatch.Completion{}, err
+	}
+	completion := dispatch.Completion{
+		Attempt:  attempt,
+		Result:   result,
+		Response: dispatch.Response{ETag: fields.tag, Server: attempt.Decision.Server},
+		Load:     fields.load,
+		Note:     fields.cacheStatus,
+		FillWait: fields.fillWait,
+	}
+	switch {
+	case r.status == statusDone:
+		completion.Response.Kind = dispatch.Served
+		completion.Response.Body = r.body
+	case r.status == statusKeep && fields.namesOnly(attempt.Request.IfNoneMatch):
+		completion.Response.Kind = dispatch.NotModified
+	case r.status == statusKeep:
+		// Symptom guarded against: a cache that named another copy than the client's, or
+		// none, had the client told by a 304 that its own is current.
+		completion.Result = routing.ServerError
+	}
+	return completion, nil
+}
+
+// replyFields are the fields of a reply.
+type replyFields struct {
+	tag         string
+	tags        int // how often the field tag stands there
+	load        routing.LoadReport
+	cacheStatus routing.CacheStatus
+	fillWait    float64 // ms; zero: not told
+}
+
+// namesOnly reports whether the fields name a tag, and no other.
+func (f *replyFields) namesOnly(tag string) bool {
+	return tag != "" && f.tags == 1 && f.tag == tag
+}
+
+// parseReplyFields reads a list of fields. A field that is unknown, cannot be read or stands
+// there twice is left out, since all but the tag is advice.
+func parseReplyFields(list string) (replyFields, error) {
+	fields := replyFields{load: dispatch.UnknownLoad()}
+	if list == noFields || list == "" {
+		return fields, nil
+	}
+	notes, fillWaits := 0, 0
+	for field := range strings.SplitSeq(list, ",") {
+		name, value, ok := strings.Cut(field, "=")
+		if !ok {
+			return fields, fmt.Errorf("%w: field %.20q", errMalformedReply, field)
+		}
+		switch name {
+		case tagField:
+			if !dispatch.ValidFieldValue(value) {
+				return fields, fmt.Errorf("%w: tag", errMalformedReply)
 			}
+			fields.tag = value
+			fields.tags++
+		case loadField:
+			parseLoad(&fields.load, value)
+		case cacheStatusField:
+			fields.cacheStatus = parseCacheStatus(value)
+			notes++
+		case fillWaitField:
+			fields.fillWait = parseFillWait(value)
+			fillWaits++
 		}
 	}
-	if notes > 1 { // which of them holds is not told
-		e.Note = routing.CacheStatusUnknown
+	if notes > 1 {
+		fields.cacheStatus = routing.CacheStatusUnknown
 	}
-	if lags > 1 {
-		e.FillWait = 0
+	if fillWaits > 1 {
+		fields.fillWait = 0
 	}
-	switch {
-	case r.status == "DONE":
-		e.Response.Kind, e.Response.Body = dispatch.Served, r.body
-	case r.status == "KEEP" && (a.Request.IfNoneMatch == "" || tags != 1 || e.Response.ETag != a.Request.IfNoneMatch):
-		// Symptom guarded against: a cache that named another copy, or none, had the client
-		// told by a 304 that its own is current.
-		e.Result = routing.ServerError
-	case r.status == "KEEP":
-		e.Response.Kind = dispatch.NotModified
-	}
-	e.Response.Server = a.Decision.Server
-	return e, nil
+	return fields, nil
 }
 
-// cacheStatusNames are the words that stand in n, in the module's order.
-var cacheStatusNames = []string{"", "cached", "fetched", "fetched_root", "merged", "past_fresh", "up_refused", "up_lost", "up_empty",
-	"fills_full", "root_failed"}
+// cacheStatusNames are the values of the field n, in the order of routing's constants.
+var cacheStatusNames = []string{
+	"",
+	"cached",
+	"fetched",
+	"fetched_root",
+	"merged",
+	"past_fresh",
+	"up_refused",
+	"up_lost",
+	"up_empty",
+	"fills_full",
+	"root_failed",
+}
 
-// parseCacheStatus reads a note. One that is not known counts as not told.
-func parseCacheStatus(s string) routing.CacheStatus {
-	return routing.CacheStatus(max(slices.Index(cacheStatusNames, s), 0))
+// parseCacheStatus reads a cache status. One that is not known counts as not told.
+func parseCacheStatus(name string) routing.CacheStatus {
+	return routing.CacheStatus(max(slices.Index(cacheStatusNames, name), 0))
 }
 
-// parseFillWait reads the time for the source, in milliseconds. What is no time counts as not told.
-func parseFillWait(s string) float64 {
-	if x, err := strconv.ParseFloat(s, 64); err == nil && x >= 0 && x < maxFillWait {
-		return x
+// parseFillWait reads the time for the fill source in milliseconds. What is no such time
+// counts as not told.
+func parseFillWait(text string) float64 {
+	wait, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(wait >= 0 && wait < maxFillWait) { // NaN is no time
+		return 0
 	}
-	return 0
+	return wait
 }
 
-// parseLoad reads a load report. What cannot be read is left out: it is advice.
-func parseLoad(l *routing.LoadReport, s string) {
-	for f := range strings.SplitSeq(s, ";") {
-		name, value, _ := strings.Cut(f, ":")
-		x, err := strconv.ParseFloat(value, 64)
-		if err != nil || !(x >= 0 && x < 1e9) {
+// parseLoad enters the figures of a load report in load. What cannot be read is left as it is.
+func parseLoad(load *routing.LoadReport, text string) {
+	for item := range strings.SplitSeq(text, ";") {
+		name, value, _ := strings.Cut(item, ":")
+		figure, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(figure >= 0 && figure < maxLoadFigure) { // NaN is no figure
 			continue
 		}
 		switch name {
 		case "inflight", "active":
-			l.Inflight = x
+			load.Inflight = figure
 		case "util", "cpu":
-			l.CPUUtilization = x
+			load.CPUUtilization = figure
 		case "x0":
-			l.HitRatio = x
+			load.HitRatio = figure
 		case "x1":
-			l.LinkUtilization = x
+			load.LinkUtilization = figure
 		}
 	}
 }
 
-// ReadLoadReport reads the answer to a probe that was sent as gauges under a tag, within so
-// many ms. What the report leaves out is NaN.
-func ReadLoadReport(k *textconn.Conn, tag string, most int, within float64) (routing.LoadReport, error) {
-	l := dispatch.UnknownLoad()
-	if err := k.NetConn.SetReadDeadline(time.Now().Add(clock.Duration(within))); err != nil {
-		return l, err
+// ReadLoadReport reads the reply to a probe that was sent under a tag, with a body of at most
+// maxBody bytes, within so many milliseconds. Figures that the report leaves out are NaN. The
+// caller owns the connection and closes it after an error.
+func ReadLoadReport(conn *textconn.Conn, tag string, maxBody int, within float64) (routing.LoadReport, error) {
+	load := dispatch.UnknownLoad()
+	if err := conn.NetConn.SetReadDeadline(time.Now().Add(clock.Duration(within))); err != nil {
+		return load, err
 	}
-	r, err := readReply(k, nil)
+	r, err := readReply(conn, nil)
 	if err != nil {
-		return l, err
+		return load, err
 	}
-	if r.id != tag || r.status != "FIT" && r.status != "UNFIT" || len(r.body) > most {
-		return l, fmt.Errorf("%w to a probe", errMalformedReply)
+	toProbe := r.status == statusFit || r.status == statusUnfit
+	if r.id != tag || !toProbe || len(r.body) > maxBody {
+		return load, fmt.Errorf("%w to a probe", errMalformedReply)
 	}
-	for f := range strings.SplitSeq(r.fields, ",") {
-		if value, ok := strings.CutPrefix(f, "l="); ok {
-			parseLoad(&l, value)
+	for field := range strings.SplitSeq(r.fields, ",") {
+		if value, ok := strings.CutPrefix(field, loadField+"="); ok {
+			parseLoad(&load, value)
 		}
 	}
-	return l, nil
+	return load, nil
 }
--- a/internal/upstream/resp.go
+++ b/internal/upstream/resp.go
@@ -8,53 +8,68 @@
 	"garnetline/internal/textconn"
 )
 
-// What one answer may bring: a RESP array of four bulk strings.
+// Bounds of a RESP array of four bulk strings, in bytes.
 const (
-	maxFieldBytes = 4 << 10  // id, word or fields
-	maxBodyBytes  = 240_000  // the largest object
-	maxLengthLine = 32       // a length line
-	maxFillWait   = 600_000  // ms; a longer wait for a source is none
-	maxReadAhead  = 4 * 1024 // what textproto's reader may hold beyond it
+	maxFieldBytes = 4 << 10  // of the id, the status or the fields
+	maxBodyBytes  = 240_000  // of the largest object
+	maxLengthLine = 32       // of a line with a length
+	maxReadAhead  = 4 * 1024 // that textproto's reader may hold beyond the reply
 	maxReplyBytes = maxBodyBytes + 3*maxFieldBytes + 5*maxLengthLine + maxReadAhead
 )
 
-var errMalformedReply = errors.New("not an answer")
+// The types of RESP values that are read.
+const (
+	arrayType      = '*'
+	bulkStringType = '$'
+)
+
+// errMalformedReply reports bytes that are no reply. The connection cannot be used further.
+var errMalformedReply = errors.New("malformed reply")
 
-// readLength reads a line of a RESP type and its length.
-func readLength(k *textconn.Conn, kind byte, most int) (int, error) {
-	line, err := k.ReadLineSlice()
+// readLength reads the first line of a RESP value: its type and its length, at most limit.
+func readLength(conn *textconn.Conn, valueType byte, limit int) (int, error) {
+	line, err := conn.ReadLineSlice()
 	if err != nil {
 		return 0, err
 	}
-	if len(line) < 2 || len(line) > maxLengthLine || line[0] != kind {
-		return 0, fmt.Errorf("%w: want a line of %q", errMalformedReply, kind)
+	if len(line) < 2 || len(line) > maxLengthLine || line[0] != valueType {
+		return 0, fmt.Errorf("%w: no line that begins with %q", errMalformedReply, valueType)
 	}
 	n, err := strconv.ParseUint(string(line[1:]), 10, 32)
-	if err != nil || n > uint64(most) {
+	if err != nil || n > uint64(limit) {
 		return 0, fmt.Errorf("%w: length out of range", errMalformedReply)
 	}
 	return int(n), nil
 }
 
-// readBulk reads a bulk string into the connection's buffer.
-func readBulk(k *textconn.Conn, most int, sized func(n int)) ([]byte, error) {
-	n, err := readLength(k, '$', most)
+// readBulk reads a bulk string of at most limit bytes. It is valid until the next read.
+// onLength, if it is not nil, is called with the length before the string itself is read.
+func readBulk(conn *textconn.Conn, limit int, onLength func(n int)) ([]byte, error) {
+	n, err := readLength(conn, bulkStringType, limit)
 	if err != nil {
 		return nil, err
 	}
-	if sized != nil {
-		sized(n)
+	if onLength != nil {
+		onLength(n)
 	}
-	b, err := k.ReadBody(n + 2)
+	content, err := conn.ReadBody(n + len("\r\n"))
 	if err != nil {
 		return nil, err
 	}
-	if b[n] != '\r' || b[n+1] != '\n' {
+	if content[n] != '\r' || content[n+1] != '\n' {
 		return nil, fmt.Errorf("%w: bulk string of another length", errMalformedReply)
 	}
-	return b[:n], nil
+	return content[:n], nil
+}
+
+// appendArray appends the first line of an array of n values.
+func appendArray(dst []byte, n int) []byte {
+	return fmt.Appendf(dst, "*%d\r\n", n)
 }
 
-func appendBulk(dst []byte, s string) []byte {
-	return append(append(fmt.Appendf(dst, "$%d\r\n", len(s)), s...), "\r\n"...)
+// appendBulk appends a bulk string.
+func appendBulk(dst []byte, content string) []byte {
+	dst = fmt.Appendf(dst, "$%d\r\n", len(content))
+	dst = append(dst, content...)
+	return append(dst, "\r\n"...)
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -14,248 +14,309 @@
 )
 
 const (
-	maxInFlight              = 512    // attempts that one peer has in hand; each makes two orders at the most
-	maxConnections           = 8      // connections to one peer
-	growThreshold            = 2      // requests open on each of them from which on one more is made
-	maxCanceledIDs           = 256    // ids given up on a connection before it is set aside
-	writeTimeout             = 100.0  // ms that a write may block the actor
-	idleTimeoutShare         = 0.8    // of the idle time after which this side closes first
-	unresponsiveAfter        = 250.0  // ms without an answer after which a request given up speaks against its connection
-	replyStallTimeout        = 800.0  // ms between pieces of an answer, and for all of it beyond what its bytes need
-	maxRetainedTraces        = 256    // verdicts that wait for a peer
-	retainedTracesPerCommand = 4      // of them, in one command
-	growBackoff              = 2e3    // ms without a further connection once a server took no more
-	replyTimeFactor          = 4.0    // times what an answer's bytes need at the told pace that they may take beyond wholeIn
-	duplicateReplyWindow     = 1000.0 // ms for which an answer may come a second time
+	maxInFlight              = 512 // attempts that one server has been handed and not completed
+	maxRetainedTraces        = 256 // ids that wait for a command to the server
+	retainedTracesPerCommand = 4
+	closeIdleInterval        = time.Second
+
+	// mailboxSize has room for two messages for each attempt, to send and to cancel it, and
+	// for the one to drain, so that putting one in never blocks.
+	mailboxSize = 2*maxInFlight + 8
 )
 
-// Upstream is the actor of one server.
+// Upstream is the actor of one server. The fields below addr that are not marked as shared
+// belong to the goroutine of run.
 type Upstream struct {
 	Options
-	id               routing.ServerID
-	addr             netip.AddrPort
-	mailbox          chan message         // from the core: never full, see maxOut
-	retainedTraces   chan trace.ID        // verdicts that wait for a command to ride on
-	connectionEvents chan connectionEvent // from connections
-	stopped          chan struct{}
-	inFlight         atomic.Int64 // attempts sent here whose end the core has not taken
-	removed          bool         // the pool's: it left the list
+	id      routing.ServerID
+	addr    netip.AddrPort
+	removed bool // the pool's: it has left the endpoint list
+
+	mailbox          chan message  // shared, written by the pool
+	retainedTraces   chan trace.ID // shared, written by the pool
+	connectionEvents chan connectionEvent
+	stopped          chan struct{} // closed when run returns
+	inFlight         atomic.Int64  // shared: attempts taken and not yet released
 
 	connections   []*connection
-	queued        []*dispatch.Attempt // for a connection
-	dialing       bool
-	dialStartedAt float64 // when the latest dial began
+	queued        []*dispatch.Attempt // waiting for a connection
 	draining      bool
-	growAfter     float64 // no connection beyond those it has is made before
+	dialing       bool
+	dialStartedAt float64
+	growAfter     float64 // until then no connection is added to those there are
 }
 
+// message is what the pool asks of an Upstream: one of the fields is set.
 type message struct {
-	send, cancel *dispatch.Attempt
-	drain        bool
+	send   *dispatch.Attempt
+	cancel *dispatch.Attempt
+	drain  bool
 }
 
-func newUpstream(o Options, id routing.ServerID, addr netip.AddrPort) *Upstream {
-	return &Upstream{Options: o, id: id, addr: addr, mailbox: make(chan message, 2*maxInFlight+8), retainedTraces: make(chan trace.ID, maxRetainedTraces), connectionEvents: make(chan connectionEvent),
-		stopped: make(chan struct{})}
+func newUpstream(options Options, id routing.ServerID, addr netip.AddrPort) *Upstream {
+	return &Upstream{
+		Options:          options,
+		id:               id,
+		addr:             addr,
+		mailbox:          make(chan message, mailboxSize),
+		retainedTraces:   make(chan trace.ID, maxRetainedTraces),
+		connectionEvents: make(chan connectionEvent),
+		stopped:          make(chan struct{}),
+	}
 }
 
-// drain tells the actor, once, to end when nothing is out.
-func (p *Upstream) drain() {
-	if !p.removed {
-		p.removed = true
-		p.mailbox <- message{drain: true}
+// drain asks the actor, once, to end when no attempt is in flight. It is called by the pool.
+func (u *Upstream) drain() {
+	if u.removed {
+		return
 	}
+	u.removed = true
+	u.mailbox <- message{drain: true}
 }
 
-func (p *Upstream) run(ctx context.Context) {
-	defer close(p.stopped)
-	defer p.closeAllConnections()
-	tick := time.NewTicker(time.Second)
-	defer tick.Stop()
-	for !(p.draining && p.inFlight.Load() == 0 && len(p.mailbox) == 0) {
+// run is the actor. It returns when the server is drained or ctx ends, and completes what is
+// in flight on its connections then.
+func (u *Upstream) run(ctx context.Context) {
+	defer close(u.stopped)
+	defer u.closeAllConnections()
+	ticker := time.NewTicker(closeIdleInterval)
+	defer ticker.Stop()
+	for !u.drained() {
 		select {
-		case o := <-p.mailbox:
-			p.handleMessage(ctx, o)
-		case e := <-p.connectionEvents:
-			p.handleConnectionEvent(ctx, e)
-		case <-tick.C:
-			p.closeIdle()
+		case m := <-u.mailbox:
+			u.handleMessage(ctx, m)
+		case event := <-u.connectionEvents:
+			u.handleConnectionEvent(ctx, event)
+		case <-ticker.C:
+			u.closeIdle()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (p *Upstream) handleMessage(ctx context.Context, o message) {
+// drained reports whether nothing is left to do for a removed server.
+func (u *Upstream) drained() bool {
+	return u.draining && u.inFlight.Load() == 0 && len(u.mailbox) == 0
+}
+
+func (u *Upstream) handleMessage(ctx context.Context, m message) {
 	switch {
-	case o.send != nil:
-		p.queued = append(p.queued, o.send)
-		p.sendQueued(ctx)
-	case o.cancel != nil:
-		p.cancelAttempt(o.cancel)
-	case o.drain:
-		p.draining = true
+	case m.send != nil:
+		u.queued = append(u.queued, m.send)
+		u.sendQueued(ctx)
+	case m.cancel != nil:
+		u.cancelAttempt(m.cancel)
+	case m.drain:
+		u.draining = true
 	}
 }
 
-// sendQueued writes what waits, and dials where a connection is wanted for it.
-func (p *Upstream) sendQueued(ctx context.Context) {
-	held, more := p.queued[:0], false
-	for _, a := range p.queued {
-		l := p.pickConnection(a.Request.TransactionID)
-		switch res, ok := p.rejectBeforeWrite(a); {
-		case !ok:
-			p.complete(*dispatch.Unsent(a, res))
-		case l != nil:
-			p.writeAttempt(l, a)
-			more = more || len(l.inFlight) >= growThreshold
-		case p.draining || !p.dialing && p.atConnectionLimit():
-			p.complete(*dispatch.Unsent(a, routing.Rejected))
+// sendQueued writes the queued attempts for which there is a connection, and dials where one
+// more is wanted.
+func (u *Upstream) sendQueued(ctx context.Context) {
+	waiting := u.queued[:0]
+	busy := false
+	for _, attempt := range u.queued {
+		conn := u.pickConnection(attempt.Request.TransactionID)
+		rejection := u.rejectBeforeWrite(attempt)
+		switch {
+		case rejection != nil:
+			u.reject(attempt, rejection)
+		case conn != nil:
+			u.writeAttempt(conn, attempt)
+			busy = busy || len(conn.inFlight) >= growThreshold
+		case u.draining || !u.dialing && u.atConnectionLimit():
+			u.Complete(*dispatch.Unsent(attempt, routing.Rejected))
 		default:
-			held = append(held, a)
+			waiting = append(waiting, attempt)
 		}
 	}
-	clear(p.queued[len(held):])
-	p.queued = held
-	if (len(held) > 0 || more && !p.atConnectionLimit() && p.Clock.Now() >= p.growAfter) && !p.dialing {
-		p.dialing, p.dialStartedAt = true, p.Clock.Now()
-		p.openConnections.Add(1)
-		p.Metrics.Add("peer_dials", 1)
-		go p.dial(ctx)
+	clear(u.queued[len(waiting):])
+	u.queued = waiting
+	if u.dialing {
+		return
+	}
+	if len(waiting) > 0 || busy && u.mayGrow() {
+		u.startDial(ctx)
 	}
 }
 
-// rejectBeforeWrite holds an attempt against what the change log says now: it may have
-// waited here since it was decided.
-func (p *Upstream) rejectBeforeWrite(a *dispatch.Attempt) (routing.Result, bool) {
-	g := p.Guard()
+// rejection is why an attempt is not written, and the result with which it is completed.
+type rejection struct {
+	result routing.Result
+	reason string
+}
+
+// The rejections are shared values, so that none costs an allocation.
+var (
+	rejectedExcluded           = &rejection{routing.NotSent, "server or fill source excluded"}
+	rejectedClientDisconnected = &rejection{routing.NotSent, "client disconnected"}
+	rejectedSendWindowClosed   = &rejection{routing.NotSent, "send window closed"}
+	rejectedExpired            = &rejection{routing.TimedOut, "expired"}
+)
+
+// rejectBeforeWrite returns why an attempt must not be written any more, or nil. It repeats
+// what was checked when the attempt was decided, since that may have waited for a connection
+// while the endpoint list changed, its client disconnected or its time ran out.
+func (u *Upstream) rejectBeforeWrite(attempt *dispatch.Attempt) *rejection {
+	guard := u.Guard()
 	switch {
-	case g.Excludes(a.Decision.Server) || g.Excludes(a.Decision.FillSource):
-		return routing.NotSent, false
-	case a.Request.ClientDisconnected(): // nobody waits for it; that it was given up is on its way
-		p.Metrics.Add("attempts_unwanted", 1)
-		return routing.NotSent, false
-	case a.SendDeadline > 0 && p.Clock.Now() >= a.SendDeadline:
-		return routing.NotSent, false
-	case p.Clock.Now() >= a.ExpiresAt:
-		return routing.TimedOut, false
+	case guard.Excludes(attempt.Decision.Server), guard.Excludes(attempt.Decision.FillSource):
+		return rejectedExcluded
+	case attempt.Request.ClientDisconnected(): // the attempt's cancellation is on its way
+		return rejectedClientDisconnected
+	case attempt.SendDeadline > 0 && u.Clock.Now() >= attempt.SendDeadline:
+		return rejectedSendWindowClosed
+	case u.Clock.Now() >= attempt.ExpiresAt:
+		return rejectedExpired
+	}
+	return nil
+}
+
+// reject completes an attempt that is not written.
+func (u *Upstream) reject(attempt *dispatch.Attempt, why *rejection) {
+	if why == rejectedClientDisconnected {
+		u.Metrics.Add("attempts_unwanted", 1)
 	}
-	return 0, true
+	u.Complete(*dispatch.Unsent(attempt, why.result))
 }
 
-func (p *Upstream) writeAttempt(l *connection, a *dispatch.Attempt) {
-	now := p.Clock.Now()
-	age := clock.Millis(p.Guard().MaxAge(clock.Duration(now), a.Decision.MaxAge, a.Request.Object, a.Request.Group))
-	if a.Class.Write {
-		age = 0
+// writeAttempt writes an attempt's command. The age that a copy may have is bounded by the
+// purges that are known now.
+func (u *Upstream) writeAttempt(conn *connection, attempt *dispatch.Attempt) {
+	now := u.Clock.Now()
+	decision := &attempt.Decision
+	maxAge := clock.Millis(u.Guard().MaxAge(clock.Duration(now), decision.MaxAge, attempt.Request.Object, attempt.Request.Group))
+	if attempt.Class.Write {
+		maxAge = 0
 	}
-	l.inFlight[a.Request.TransactionID] = &sentAttempt{a, now}
-	if a.Trace != nil {
-		a.Trace.Timing.Wrote, a.Trace.Timing.Age = now, age
+	conn.inFlight[attempt.Request.TransactionID] = &sentAttempt{attempt: attempt, writtenAt: now}
+	if attempt.Trace != nil {
+		attempt.Trace.Timing.Wrote = now
+		attempt.Trace.Timing.Age = maxAge
 	}
-	if p.flush(l, appendServeCommand(l.text.WriteBuffer(), a, age, now, p.traceFields(a))) {
-		p.Metrics.Add("attempts_relayed", 1)
+	command := appendServeCommand(conn.text.WriteBuffer(), attempt, maxAge, now, u.traceFields(attempt))
+	if u.flush(conn, command) {
+		u.Metrics.Add("attempts_relayed", 1)
 	}
 }
 
-// traceFields is the fields by which a trace goes on at a peer that takes them.
-func (p *Upstream) traceFields(a *dispatch.Attempt) string {
-	if !p.PropagateTraces {
+// traceFields returns the fields of a command that continue the attempt's trace and notify
+// the server of retained ones, each with a comma before it. It is empty for servers that take
+// no such fields.
+func (u *Upstream) traceFields(attempt *dispatch.Attempt) string {
+	if !u.PropagateTraces {
 		return ""
 	}
-	text := ""
-	if a.Trace != nil && a.Trace.Context.Span != 0 {
-		text = ",trace=" + a.Trace.Context.String()
+	fields := ""
+	if attempt.Trace != nil && attempt.Trace.Context.Span != 0 {
+		fields = ",trace=" + attempt.Trace.Context.String()
 	}
-	for n := range retainedTracesPerCommand {
+	separator := ",kept="
+	for range retainedTracesPerCommand {
 		select {
-		case id := <-p.retainedTraces:
-			text += []string{",kept=", "+"}[min(n, 1)] + id.String()
+		case id := <-u.retainedTraces:
+			fields += separator + id.String()
+			separator = "+"
 		default:
-			return text
+			return fields
 		}
 	}
-	return text
+	return fields
 }
 
-// cancelAttempt gives an attempt up on the wire, and only then reports it over.
-func (p *Upstream) cancelAttempt(a *dispatch.Attempt) {
-	over := dispatch.Completion{Attempt: a, Result: routing.Canceled, Load: dispatch.UnknownLoad()}
-	if i := slices.Index(p.queued, a); i >= 0 {
-		p.queued = slices.Delete(p.queued, i, i+1)
-		p.complete(over)
+// cancelAttempt cancels an attempt. It is completed only when its cancellation has been
+// written or its connection closed, so that a retry cannot be in flight beside it.
+func (u *Upstream) cancelAttempt(attempt *dispatch.Attempt) {
+	if i := slices.Index(u.queued, attempt); i >= 0 {
+		u.queued = slices.Delete(u.queued, i, i+1)
+		u.completeCanceled(attempt)
 		return
 	}
-	for _, l := range p.connections {
-		s := l.inFlight[a.Request.TransactionID]
-		if s == nil || s.attempt != a {
-			continue
-		}
-		delete(l.inFlight, a.Request.TransactionID)
-		// Symptom guarded against: where a connection has said nothing since, its
-		// cancel may not arrive, and the next attempt was a second copy.
-		if a.MayRetry && l.lastReplyAt < s.writtenAt {
-			p.closeConnection(l)
-			p.complete(over)
+	for _, conn := range u.connections {
+		sent := conn.inFlight[attempt.Request.TransactionID]
+		if sent != nil && sent.attempt == attempt {
+			u.cancelSent(conn, sent)
 			return
 		}
-		l.canceledIDs[a.Request.TransactionID] = true
-		// Symptoms guarded against: clients that leave soon had all connections
-		// set aside, and none could be made. A machine that vanished leaves its
-		// connections open and silent; what is written there after it is back
-		// would be lost as well, and it would look silent for ever.
-		if l.lastReplyAt < s.writtenAt && p.Clock.Now()-s.writtenAt >= unresponsiveAfter || len(l.canceledIDs) > maxCanceledIDs {
-			l.retired = true
-		}
-		p.flush(l, appendCancelCommand(l.text.WriteBuffer(), a.Request.TransactionID))
-		p.complete(over)
-		p.closeIfRetired(l)
+	}
+}
+
+// cancelSent cancels an attempt that was written to a connection.
+func (u *Upstream) cancelSent(conn *connection, sent *sentAttempt) {
+	attempt := sent.attempt
+	id := attempt.Request.TransactionID
+	delete(conn.inFlight, id)
+	// Symptom guarded against: on a connection that had brought no reply since the attempt
+	// was written the cancel did not arrive, and the retry was a second copy of the request.
+	if attempt.MayRetry && !conn.repliedSince(sent.writtenAt) {
+		u.closeConnection(conn)
+		u.completeCanceled(attempt)
 		return
 	}
+	conn.canceledIDs[id] = true
+	// Symptom guarded against: a machine that vanished leaves its connections open and
+	// silent. Commands written to them after its return were lost too, and it looked silent
+	// for ever. The delay keeps connections whose clients merely disconnect soon: all of them
+	// were retired for that once, and no more could be made.
+	unresponsive := !conn.repliedSince(sent.writtenAt) && u.Clock.Now()-sent.writtenAt >= unresponsiveAfter
+	if unresponsive || len(conn.canceledIDs) > maxCanceledIDs {
+		conn.retired = true
+	}
+	u.flush(conn, appendCancelCommand(conn.text.WriteBuffer(), id))
+	u.completeCanceled(attempt)
+	u.closeIfRetired(conn)
 }
 
-func (p *Upstream) complete(e dispatch.Completion) {
-	p.Complete(e)
+func (u *Upstream) completeCanceled(attempt *dispatch.Attempt) {
+	u.Complete(dispatch.Completion{Attempt: attempt, Result: routing.Canceled, Load: dispatch.UnknownLoad()})
 }
 
-func (p *Upstream) handleReply(ctx context.Context, l *connection, r reply) {
-	now := p.Clock.Now()
-	l.lastReplyAt, l.lastUsedAt = now, now
-	s := l.inFlight[r.id]
-	if s == nil {
-		delete(l.canceledIDs, r.id) // it crossed the cancel
-		p.Metrics.Add("peer_answers_late", 1)
+// handleReply completes the attempt that a reply belongs to. A reply to none has crossed the
+// attempt's cancel, or is the second to one that is completed.
+func (u *Upstream) handleReply(ctx context.Context, conn *connection, r reply) {
+	now := u.Clock.Now()
+	conn.lastReplyAt = now
+	conn.lastUsedAt = now
+	sent := conn.inFlight[r.id]
+	if sent == nil {
+		delete(conn.canceledIDs, r.id)
+		u.Metrics.Add("peer_answers_late", 1)
 		return
 	}
-	e, err := r.completion(s.attempt)
+	completion, err := r.completion(sent.attempt)
 	if err != nil {
-		p.Metrics.Add("peer_answers_unreadable", 1)
-		p.closeConnection(l)
+		u.Metrics.Add("peer_answers_unreadable", 1)
+		u.closeConnection(conn)
 		return
 	}
-	delete(l.inFlight, r.id)
-	if e.Result != routing.Served {
-		p.checkDuplicateReply(l, s.attempt, &e)
+	delete(conn.inFlight, r.id)
+	if completion.Result != routing.Served {
+		u.checkDuplicateReply(conn, &completion)
 	}
-	p.complete(e)
-	p.closeIfRetired(l)
-	p.sendQueued(ctx)
+	u.Complete(completion)
+	u.closeIfRetired(conn)
+	u.sendQueued(ctx)
 }
 
-// checkDuplicateReply settles an answer that may be the second one to an attempt before: its request was
-// answered on this connection a moment ago and was sent here again.
+// checkDuplicateReply handles a reply other than a served one that may be the second to an
+// earlier attempt of the same request: that one was completed on this connection a moment ago
+// and the request was sent here again. The attempt is then canceled on the wire, and counts
+// as possibly executed unless its class is idempotent.
 //
-// Symptom guarded against: a refusal that came twice ended the attempt that followed it,
-// which ran on at the cache while the next one was sent elsewhere.
-func (p *Upstream) checkDuplicateReply(l *connection, a *dispatch.Attempt, e *dispatch.Completion) {
-	now := p.Clock.Now()
-	if at, ok := l.unservedAt[a.Request.TransactionID]; ok && now-at < duplicateReplyWindow {
-		p.Metrics.Add("peer_answers_doubted", 1)
-		l.canceledIDs[a.Request.TransactionID] = true // nothing goes there a third time
-		if a.Class.Idempotency != routing.Idempotent {
-			e.Result = routing.ServerError // it may have run
+// Symptom guarded against: a rejection that came twice completed the attempt that followed
+// it, which ran on at the cache while the next one was sent elsewhere.
+func (u *Upstream) checkDuplicateReply(conn *connection, completion *dispatch.Completion) {
+	now := u.Clock.Now()
+	id := completion.Attempt.Request.TransactionID
+	if at, ok := conn.unservedAt[id]; ok && now-at < duplicateReplyWindow {
+		u.Metrics.Add("peer_answers_doubted", 1)
+		conn.canceledIDs[id] = true // no third attempt on this connection
+		if completion.Attempt.Class.Idempotency != routing.Idempotent {
+			completion.Result = routing.ServerError
 		}
-		p.flush(l, appendCancelCommand(l.text.WriteBuffer(), a.Request.TransactionID))
+		u.flush(conn, appendCancelCommand(conn.text.WriteBuffer(), id))
 	}
-	l.unservedAt[a.Request.TransactionID] = now
+	conn.unservedAt[id] = now
 }
