--- a/internal/admin/disabled/golden_test.go
+++ b/internal/admin/disabled/golden_test.go
@@ -4,11 +4,11 @@
 	"fmt"
 	"io/fs"
 	"maps"
-	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
+	"garnetline/internal/golden"
 	"garnetline/routing"
 )
 
@@ -42,16 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	const golden = "testdata/files.golden"
-	if os.Getenv("UPDATE_GOLDEN") != "" {
-		if err := os.WriteFile(golden, []byte(out.String()), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	text, err := os.ReadFile(golden)
-	if err != nil || out.String() != string(text) {
-		t.Errorf("got\n%swant\n%s%v", out.String(), text, err)
-	}
+	golden.Compare(t, "files.golden", []byte(out.String()))
 	if got, err := NewStore("testdata/state").List(); err != nil || !maps.Equal(got, want) {
 		t.Errorf("the earlier version's: %v, %v", got, err)
 	}
--- a/internal/admin/golden_test.go
+++ b/internal/admin/golden_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"reflect"
 	"strings"
 	"testing"
@@ -12,27 +11,10 @@
 	"garnetline/internal/fleet"
 	"garnetline/internal/fleet/bans"
 	"garnetline/internal/fleet/leasemanager"
+	"garnetline/internal/golden"
 	"garnetline/routing"
 )
 
-// compareGolden compares text with a file in testdata. UPDATE_GOLDEN=1 writes the file anew.
-func compareGolden(t *testing.T, name, got string) {
-	t.Helper()
-	path := "testdata/" + name
-	if os.Getenv("UPDATE_GOLDEN") != "" {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got != string(want) {
-		t.Errorf("%s: got\n%s\nwant\n%s", path, got, want)
-	}
-}
-
 // fakeFleet has one call of its own and a figure.
 type fakeFleet struct{}
 
@@ -73,7 +55,7 @@
 			}
 		}
 	}
-	compareGolden(t, "pages.golden", out.String())
+	golden.Compare(t, "pages.golden", []byte(out.String()))
 }
 
 // jsonKeys writes the keys of a type as encoding/json names them, with their kinds.
@@ -112,5 +94,5 @@
 	} {
 		jsonKeys(&out, page.path, reflect.TypeOf(page.of))
 	}
-	compareGolden(t, "json.golden", out.String())
+	golden.Compare(t, "json.golden", []byte(out.String()))
 }
--- a/internal/discovery/golden_test.go
+++ b/internal/discovery/golden_test.go
@@ -8,33 +8,14 @@
 	"io"
 	"net"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 
+	"garnetline/internal/golden"
 	"garnetline/internal/platformconfig"
 	"garnetline/internal/textconn"
 )
 
-// compareGolden compares text with a file in testdata. UPDATE_GOLDEN=1 writes the file anew.
-func compareGolden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if os.Getenv("UPDATE_GOLDEN") != "" {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got != string(want) {
-		t.Errorf("%s: got\n%s\nwant\n%s", path, got, want)
-	}
-}
-
 // formatEvent writes what a frame says, by values and not by the names of fields.
 func formatEvent(w io.Writer, ev platformconfig.WatchEvent, kind byte) {
 	fmt.Fprintf(w, "  kind %d, event %d, list %v, whole %v\n", kind, ev.Seq, ev.ListUpdate, ev.Snapshot)
@@ -81,7 +62,7 @@
 		fmt.Fprintf(&out, "told %s\n", hex.EncodeToString(b))
 		formatEvent(&out, ev, kind)
 	}
-	compareGolden(t, "frames.golden", out.String())
+	golden.Compare(t, "frames.golden", []byte(out.String()))
 }
 
 func connOf(b []byte) net.Conn { return stubConn{reader: bytes.NewReader(b)} }
--- a/internal/operatorconfig/golden_test.go
+++ b/internal/operatorconfig/golden_test.go
@@ -2,29 +2,12 @@
 
 import (
 	"fmt"
-	"os"
 	"reflect"
 	"strings"
 	"testing"
-)
 
-// compareGolden compares text with a file in testdata. UPDATE_GOLDEN=1 writes the file anew.
-func compareGolden(t *testing.T, name, got string) {
-	t.Helper()
-	path := "testdata/" + name
-	if os.Getenv("UPDATE_GOLDEN") != "" {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got != string(want) {
-		t.Errorf("%s: got\n%s\nwant\n%s", path, got, want)
-	}
-}
+	"garnetline/internal/golden"
+)
 
 // formatKeys writes each key that a block is read from with its value, by the tags.
 func formatKeys(out *strings.Builder, at string, v reflect.Value) {
@@ -71,12 +54,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	compareGolden(t, "full.golden", formatConfig(&f))
+	golden.Compare(t, "full.golden", []byte(formatConfig(&f)))
 	f, err = loadText(t, "trace {\n class \"a\" {}\n collector { url = \"http://127.0.0.1\" }\n}\nduties {\n prober {}\n first_try {}\n bans {}\n}")
 	if err != nil {
 		t.Fatal(err)
 	}
-	compareGolden(t, "default.golden", formatConfig(&f))
+	golden.Compare(t, "default.golden", []byte(formatConfig(&f)))
 }
 
 // Pins what the fleet's machines are given for the keys of the file, by values.
@@ -97,7 +80,7 @@
 	fmt.Fprintln(&out, st.RecentWindow, st.TogetherShare, st.SilenceTimeout, st.DowngradeDelay, st.UpgradeDelay, st.MaxUpgradeDelay)
 	a := f.Leases.ConsensusSettings()
 	fmt.Fprintln(&out, a.ElectionTicks, a.Lease.TTL, a.Lease.SafetyMargin, a.Lease.MaxClockDrift, a.Lease.RetryInterval)
-	compareGolden(t, "fleet.golden", out.String())
+	golden.Compare(t, "fleet.golden", []byte(out.String()))
 }
 
 // Pins where the error of a file that cannot be used points: file, line, block and field, or
@@ -130,7 +113,7 @@
 		parts := strings.SplitN(err.Error(), ": ", 4)
 		fmt.Fprintf(&out, "%q -> %s\n", text, strings.Join(parts[:min(3, len(parts)-1)], ": "))
 	}
-	compareGolden(t, "errors.golden", out.String())
+	golden.Compare(t, "errors.golden", []byte(out.String()))
 }
 
 // Pins which blocks only a restart can change. UPDATE_GOLDEN=1 writes
@@ -147,5 +130,5 @@
 		}
 		fmt.Fprintf(&out, "%q -> %v\n", text, f.CheckReload(next))
 	}
-	compareGolden(t, "restart.golden", out.String())
+	golden.Compare(t, "restart.golden", []byte(out.String()))
 }
--- a/internal/platformconfig/golden_test.go
+++ b/internal/platformconfig/golden_test.go
@@ -2,29 +2,12 @@
 
 import (
 	"fmt"
-	"os"
 	"reflect"
 	"strings"
 	"testing"
-)
 
-// compareGolden compares text with a file in testdata. UPDATE_GOLDEN=1 writes the file anew.
-func compareGolden(t *testing.T, name, got string) {
-	t.Helper()
-	path := "testdata/" + name
-	if os.Getenv("UPDATE_GOLDEN") != "" {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got != string(want) {
-		t.Errorf("%s: got\n%s\nwant\n%s", path, got, want)
-	}
-}
+	"garnetline/internal/golden"
+)
 
 // Pins what each key of the platform's JSON is read as. UPDATE_GOLDEN=1 writes
 // testdata/full.golden anew, from testdata/full.json, which has every key.
@@ -74,7 +57,7 @@
 	line("rules", s.DrainGrace, s.PurgeGrace, s.PurgeRetention)
 	line("cache", s.CacheSlowStart.InitialCapacity, s.CacheSlowStart.Duration, s.CacheSlowStart.OverloadFactor, s.CacheSlowStart.OverloadWindow)
 	line("parent", s.ParentSlowStart.InitialCapacity, s.ParentSlowStart.Duration, s.ParentSlowStart.OverloadFactor, s.ParentSlowStart.OverloadWindow)
-	compareGolden(t, "full.golden", out.String())
+	golden.Compare(t, "full.golden", []byte(out.String()))
 }
 
 // jsonKeys writes the keys of a type that the platform's JSON is read into.
@@ -98,7 +81,7 @@
 func TestGoldenKeys(t *testing.T) {
 	var out strings.Builder
 	jsonKeys(&out, "", reflect.TypeOf(document{}))
-	compareGolden(t, "keys.golden", out.String())
+	golden.Compare(t, "keys.golden", []byte(out.String()))
 }
 
 // Pins which field the error of a configuration that cannot be used names, up to its first
@@ -169,7 +152,7 @@
 	}
 	_, err := Load("", noEnvironment)
 	fmt.Fprintf(&out, "nothing given -> %v\n", err)
-	compareGolden(t, "errors.golden", out.String())
+	golden.Compare(t, "errors.golden", []byte(out.String()))
 }
 
 // Pins which fields only a restart can change. UPDATE_GOLDEN=1 writes
@@ -206,5 +189,5 @@
 		}
 		fmt.Fprintf(&out, "%s -> %v\n", change[1], c.CheckReload(next))
 	}
-	compareGolden(t, "restart.golden", out.String())
+	golden.Compare(t, "restart.golden", []byte(out.String()))
 }
