Write the discovery watcher with typed frames, session ends and one job a function

The parser of frames held all kinds and offsets in one function, a session's end came back as three bare values, and locals were one letter. Now: kinds of frames and the offsets of a record are named; a frame is a type; gossip's bans, drains and purges have a function each; the package comment says what the watcher owns and who may call. Order, times, counters and bytes are as they were: golden frames and all tests of the package (also with -race) and of cmd/garnetline pass.

--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -11,107 +11,142 @@
 	"garnetline/routing"
 )
 
-// ErrMissingEvents reports that events are missing before the one that came.
-var ErrMissingEvents = errors.New("change log: events missing")
+// ErrMissingEvents reports that events before the received frame are missing.
+var ErrMissingEvents = errors.New("discovery: events missing")
 
-// handleFrame takes one frame. What follows on a missed one is not taken, since the log tells what
-// came after the number that it is asked from.
+// handleFrame applies one frame. A frame that follows on missing events is not applied: the
+// change log is asked again from the last applied event, once for each missing number, so
+// that a log whose numbers have gaps is followed as it is.
 //
-// Symptom guarded against: a log that had lost events on the way went on with empty frames,
-// and the router sent on to caches that drained until something new came.
-func (l *Watcher) handleFrame(f frameResult) error {
-	if next := l.lastSeq + min(uint64(f.kind), 1); f.event.Seq > next && l.refetchedSeq != next {
-		l.refetchedSeq = next // asked for once: a log whose numbers are not in order is followed as it is
-		l.counters.Add("changelog_gaps", 1)
+// Symptom guarded against: a change log that had lost events on the way went on with
+// heartbeats, and the router sent to draining caches until something new came.
+func (w *Watcher) handleFrame(received frame) error {
+	expected := w.lastSeq
+	if received.kind != kindHeartbeat {
+		expected++
+	}
+	if received.event.Seq > expected && w.refetchedSeq != expected {
+		w.refetchedSeq = expected
+		w.counters.Add("changelog_gaps", 1)
 		return ErrMissingEvents
 	}
-	l.recordFrame()
-	if f.kind != 0 && f.event.Seq > l.lastSeq {
-		l.applyEvent(f.event)
-		l.lastSeq = f.event.Seq
-		l.broadcastEvent(f.event)
+	w.recordFrame()
+	if received.kind != kindHeartbeat && received.event.Seq > w.lastSeq {
+		w.applyEvent(received.event)
+		w.lastSeq = received.event.Seq
+		w.broadcastEvent(received.event)
 	} else {
-		g := *l.guard.Load()
-		g.LastEventAt = clock.Duration(l.clock.Now())
-		l.guard.Store(&g)
+		guard := *w.guard.Load()
+		guard.LastEventAt = clock.Duration(w.clock.Now())
+		w.guard.Store(&guard)
 	}
-	l.markSynced()
+	w.markSynced()
 	return nil
 }
 
-// effectiveState is a listed server as the rest of the program sees it: one that is taken
-// out drains.
-func (l *Watcher) effectiveState(h platformconfig.Endpoint) platformconfig.Endpoint {
-	if _, out := l.disabled[h.ID]; out && h.Phase == routing.Ready {
-		h.Phase = routing.Draining
-	}
-	if started, out := l.gossip.activeDrains[h.ID]; out && h.Phase == routing.Ready && h.StartedAt <= started {
-		h.Phase = routing.Draining
+// applyConfig switches to another configuration and applies the events that it holds beyond
+// the last applied one.
+func (w *Watcher) applyConfig(config *platformconfig.Config) {
+	w.config = config
+	guard := *w.guard.Load()
+	guard.PurgeRetention = config.Settings.PurgeRetention
+	guard.PurgeGrace = config.Settings.PurgeGrace
+	w.guard.Store(&guard)
+	for _, event := range config.KnownEvents {
+		if event.Seq > w.lastSeq {
+			w.applyEvent(event)
+			w.lastSeq = event.Seq
+		}
 	}
-	return h
 }
 
-// applyConfig goes over to another configuration. What it knows beyond what was told
-// is told now.
-func (l *Watcher) applyConfig(conf *platformconfig.Config) {
-	l.config = conf
-	g := *l.guard.Load()
-	g.PurgeRetention, g.PurgeGrace = conf.Settings.PurgeRetention, conf.Settings.PurgeGrace
-	l.guard.Store(&g)
-	for _, ev := range conf.KnownEvents {
-		if ev.Seq > l.lastSeq {
-			l.applyEvent(ev)
-			l.lastSeq = ev.Seq
+// applyEvent records an event in the endpoint list and publishes it.
+func (w *Watcher) applyEvent(event platformconfig.WatchEvent) {
+	if event.ListUpdate && event.Snapshot {
+		clear(w.servers)
+	}
+	effective := make([]platformconfig.Endpoint, 0, len(event.Endpoints))
+	for _, endpoint := range event.Endpoints {
+		if endpoint.Phase == routing.Removed {
+			delete(w.servers, endpoint.ID)
+		} else {
+			w.servers[endpoint.ID] = endpoint
 		}
+		effective = append(effective, w.effectiveState(endpoint))
 	}
+	event.Endpoints = effective
+	w.publish(event)
 }
 
-// applyEvent books an event in the list and publishes it.
-func (l *Watcher) applyEvent(ev platformconfig.WatchEvent) {
-	if ev.ListUpdate && ev.Snapshot {
-		clear(l.servers)
+// effectiveState returns an endpoint as the rest of the program sees it: a ready server
+// counts as draining while it is disabled, or while its drain is known from the fleet alone.
+func (w *Watcher) effectiveState(endpoint platformconfig.Endpoint) platformconfig.Endpoint {
+	if endpoint.Phase != routing.Ready {
+		return endpoint
 	}
-	seen := make([]platformconfig.Endpoint, 0, len(ev.Endpoints))
-	for _, h := range ev.Endpoints {
-		if l.servers[h.ID] = h; h.Phase == routing.Removed {
-			delete(l.servers, h.ID)
-		}
-		seen = append(seen, l.effectiveState(h))
+	_, isDisabled := w.disabled[endpoint.ID]
+	drainedStart, drains := w.gossip.activeDrains[endpoint.ID]
+	if isDisabled || drains && endpoint.StartedAt <= drainedStart {
+		endpoint.Phase = routing.Draining
 	}
-	ev.Endpoints = seen
-	l.publish(ev)
+	return endpoint
 }
 
-// publish publishes an event and then tells it: what is decided from then on and
-// what was decided before both see it.
-func (l *Watcher) publish(ev platformconfig.WatchEvent) {
-	g := nextGuard(l.guard.Load(), ev, clock.Duration(l.clock.Now()), clock.WallClockStep(l.clock))
-	l.guard.Store(g)
-	l.listedCount.Store(int64(len(l.servers)))
-	l.unavailableCount.Store(int64(len(l.servers) - len(g.Ready)))
-	l.publishReadyServers(g)
-	l.notify(ev)
+// publishEndpoint publishes the effective state of one listed server.
+func (w *Watcher) publishEndpoint(endpoint platformconfig.Endpoint) {
+	w.publish(platformconfig.WatchEvent{
+		Seq:        w.lastSeq,
+		ListUpdate: true,
+		Endpoints:  []platformconfig.Endpoint{w.effectiveState(endpoint)},
+	})
 }
 
-// nextGuard is the guard after one more event, whose times are the wall clock's, set by step
-// since the start.
-func nextGuard(g *routing.Guard, ev platformconfig.WatchEvent, now time.Duration, step float64) *routing.Guard {
-	n := *g
-	n.LastEventAt = now
-	if ev.ListUpdate {
-		n.Ready = map[routing.ServerID]bool{}
-		if !ev.Snapshot { // a whole list names all that there are
-			maps.Copy(n.Ready, g.Ready)
-		}
-		for _, h := range ev.Endpoints {
-			n.Ready[h.ID] = h.Phase == routing.Ready
-		}
-		maps.DeleteFunc(n.Ready, func(_ routing.ServerID, ready bool) bool { return !ready })
+// publish publishes the guard that an event leads to and then notifies of the event, in this
+// order: attempts chosen before the event and after it are both checked against the new guard.
+func (w *Watcher) publish(event platformconfig.WatchEvent) {
+	guard := nextGuard(w.guard.Load(), event, clock.Duration(w.clock.Now()), clock.WallClockStep(w.clock))
+	w.guard.Store(guard)
+	w.listedCount.Store(int64(len(w.servers)))
+	w.unavailableCount.Store(int64(len(w.servers) - len(guard.Ready)))
+	w.publishReadyServers(guard)
+	w.notify(event)
+}
+
+// nextGuard returns the guard after one more event. now is the router's clock; the times of
+// an event are those of the wall clock, which was set by wallClockStep milliseconds since the
+// router's start.
+func nextGuard(previous *routing.Guard, event platformconfig.WatchEvent, now time.Duration, wallClockStep float64) *routing.Guard {
+	guard := *previous
+	guard.LastEventAt = now
+	if event.ListUpdate {
+		guard.Ready = nextReady(previous.Ready, event)
 	}
-	n.PurgesSeen = n.PurgesSeen || ev.Purge != nil
-	n.Purges = slices.DeleteFunc(slices.Clone(g.Purges), func(p routing.PurgeRecord) bool { return p.At+g.PurgeRetention < now })
-	if ev.Purge != nil {
-		n.Purges = append(n.Purges, routing.PurgeRecord{Object: ev.Purge.Object, Group: ev.Purge.Group, At: clock.Duration(ev.Purge.At - step)})
+	guard.Purges = slices.DeleteFunc(slices.Clone(previous.Purges), func(purge routing.PurgeRecord) bool {
+		return purge.At+previous.PurgeRetention < now
+	})
+	if event.Purge != nil {
+		guard.PurgesSeen = true
+		guard.Purges = append(guard.Purges, routing.PurgeRecord{
+			Object: event.Purge.Object,
+			Group:  event.Purge.Group,
+			At:     clock.Duration(event.Purge.At - wallClockStep),
+		})
+	}
+	return &guard
+}
+
+// nextReady returns the ready servers after a list update.
+func nextReady(previous map[routing.ServerID]bool, event platformconfig.WatchEvent) map[routing.ServerID]bool {
+	ready := map[routing.ServerID]bool{}
+	if !event.Snapshot {
+		maps.Copy(ready, previous)
+	}
+	for _, endpoint := range event.Endpoints {
+		if endpoint.Phase == routing.Ready {
+			ready[endpoint.ID] = true
+		} else {
+			delete(ready, endpoint.ID)
+		}
 	}
-	return &n
+	return ready
 }
--- a/internal/discovery/golden_test.go
+++ b/internal/discovery/golden_test.go
@@ -17,8 +17,9 @@
 )
 
 // formatEvent writes what a frame says, by values and not by the names of fields.
-func formatEvent(w io.Writer, ev platformconfig.WatchEvent, kind byte) {
-	fmt.Fprintf(w, "  kind %d, event %d, list %v, whole %v\n", kind, ev.Seq, ev.ListUpdate, ev.Snapshot)
+func formatEvent(w io.Writer, decoded frame) {
+	ev := decoded.event
+	fmt.Fprintf(w, "  kind %d, event %d, list %v, whole %v\n", decoded.kind, ev.Seq, ev.ListUpdate, ev.Snapshot)
 	for _, h := range ev.Endpoints {
 		fmt.Fprintf(w, "  server %v at %v, zone %d, kind %d, cell %d, phase %d, weight %v, started %v\n",
 			h.ID, h.Addr, h.Zone, h.Kind, h.Cell, h.Phase, h.Weight, h.StartedAt)
@@ -55,12 +56,12 @@
 		encodeFrame(0x2d, 4, append([]byte{0, 17}, encodePurge(1_764_576_000_480, 0)[:8]...)...),
 		encodeFrame(0x2e, 3, encodePurge(0, 1_764_576_000_123)...),
 	} {
-		ev, kind, err := readFrame(textconn.New(connOf(b)), 2, 1)
+		decoded, err := readFrame(textconn.New(connOf(b)), 2, 1)
 		if err != nil {
 			t.Fatal(err)
 		}
 		fmt.Fprintf(&out, "told %s\n", hex.EncodeToString(b))
-		formatEvent(&out, ev, kind)
+		formatEvent(&out, decoded)
 	}
 	golden.Compare(t, "frames.golden", []byte(out.String()))
 }
--- a/internal/discovery/gossip.go
+++ b/internal/discovery/gossip.go
@@ -1,9 +1,6 @@
 package discovery
 
 import (
-	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"garnetline/internal/clock"
@@ -12,206 +9,227 @@
 	"garnetline/routing"
 )
 
+// Times in milliseconds.
 const (
-	staleAfter = 1500.0 // ms without a frame after which the log counts as cut off
-	// gossipSlack is how much older than the latest frame a neighbour's word may be and still
-	// count as one that this router's log did not tell: frames and words cross.
+	// staleAfter is the time without a frame after which the watch counts as stale.
+	staleAfter = 1500.0
+	// gossipSlack is how much older than the latest frame a drain of a peer may be and still
+	// count as one that this router's own watch missed: frames and gossip may cross.
 	gossipSlack = 2000.0
-	// catchUpPeriod is how long a log that is back has for what was missed, before what the
-	// neighbours told meanwhile is dropped: from then on its own word rules.
+	// catchUpPeriod is the time that a watch which is back has for what it missed. Then the
+	// drains that peers told meanwhile are dropped, and its own list holds alone.
 	catchUpPeriod = 500.0
-	maxPurgeLead  = 60_000.0 // ms; a purge of a later moment is none
+	// maxPurgeLead is how far in the future a purge may be dated; later ones are ignored.
+	maxPurgeLead = 60_000.0
 )
 
-// Gossip are the other routers, as far as the list is concerned. Only this log says
-// that a box is usable; word of others takes out.
+// Gossip is what the watcher needs of the other routers of the fleet. Only this router's own
+// watch makes a server usable; what peers tell can but exclude one.
 type Gossip interface {
-	SetDisabled(box routing.ServerID, out bool) // staff called this router
-	Broadcast(w gossip.Item)                    // this router's log told it
-	ChangesReady() <-chan struct{}              // there are changes
-	TakeChanges() []gossip.Change               // what others told since the last call
+	// SetDisabled tells the fleet that an operator disabled or enabled a server here.
+	SetDisabled(server routing.ServerID, disabled bool)
+	// Broadcast tells the fleet what this router's own watch received.
+	Broadcast(item gossip.Item)
+	// ChangesReady receives when TakeChanges has something to return.
+	ChangesReady() <-chan struct{}
+	// TakeChanges returns what peers told since the last call.
+	TakeChanges() []gossip.Change
 }
 
-// gossipedDrain is a drain that a neighbour told.
+// gossipedDrain is the drain of a server that a peer told.
 type gossipedDrain struct {
-	started    time.Duration // start of the box that it is of
-	receivedAt float64       // when it was heard
+	started    time.Duration // start of the server that drains
+	receivedAt float64       // ms
 }
 
-// gossipState is what the log knows from the others. It is all empty without a fleet.
+// gossipState is what the watcher knows from its peers. It is zero without a fleet.
 type gossipState struct {
 	Gossip
 	changesReady <-chan struct{}
 	drains       map[routing.ServerID]gossipedDrain
-	activeDrains map[routing.ServerID]time.Duration // of those, what is followed
-	lastFrameAt  float64                            // the latest frame of the own log
-	steadySince  float64                            // from when on there was no gap between frames
+	activeDrains map[routing.ServerID]time.Duration // those of drains that are followed; the start
+	lastFrameAt  float64                            // ms; of this router's own watch
+	steadySince  float64                            // ms; no gap between frames from then on
 }
 
-// SetGossip has the log tell the neighbours, and follow what they tell while it is cut off
-// itself. It is called before Run.
-func (l *Watcher) SetGossip(n Gossip) {
-	now := l.clock.Now()
-	l.gossip = gossipState{Gossip: n, changesReady: n.ChangesReady(), drains: map[routing.ServerID]gossipedDrain{},
-		activeDrains: map[routing.ServerID]time.Duration{}, lastFrameAt: now, steadySince: now}
+// SetGossip has the watcher tell its peers what it receives, and follow what they tell while
+// its own watch is stale. It must be called before Run.
+func (w *Watcher) SetGossip(peers Gossip) {
+	now := w.clock.Now()
+	w.gossip = gossipState{
+		Gossip:       peers,
+		changesReady: peers.ChangesReady(),
+		drains:       map[routing.ServerID]gossipedDrain{},
+		activeDrains: map[routing.ServerID]time.Duration{},
+		lastFrameAt:  now,
+		steadySince:  now,
+	}
 }
 
-// broadcastEvent tells the neighbours what the own log told: what takes out, and nothing else.
-func (l *Watcher) broadcastEvent(ev platformconfig.WatchEvent) {
-	if l.gossip.Gossip == nil {
+// broadcastEvent tells the peers of drains and purges. A snapshot is not told: every router
+// receives one at its start.
+func (w *Watcher) broadcastEvent(event platformconfig.WatchEvent) {
+	if w.gossip.Gossip == nil {
 		return
 	}
-	if !ev.Snapshot { // a whole list is what all are told at their start
-		for _, h := range ev.Endpoints {
-			if h.Phase != routing.Ready {
-				l.gossip.Broadcast(gossip.Item{Kind: gossip.Drain, Server: h.ID, StartedAt: clock.Millis(h.StartedAt)})
+	if !event.Snapshot {
+		for _, endpoint := range event.Endpoints {
+			if endpoint.Phase != routing.Ready {
+				started := clock.Millis(endpoint.StartedAt)
+				w.gossip.Broadcast(gossip.Item{Kind: gossip.Drain, Server: endpoint.ID, StartedAt: started})
 			}
 		}
 	}
-	if p := ev.Purge; p != nil {
-		l.gossip.Broadcast(gossip.Item{Kind: gossip.Purge, Object: p.Object, Group: p.Group, PurgedAt: p.At})
+	if purge := event.Purge; purge != nil {
+		w.gossip.Broadcast(gossip.Item{Kind: gossip.Purge, Object: purge.Object, Group: purge.Group, PurgedAt: purge.At})
 	}
 }
 
-// broadcastDisabled tells the neighbours of a call of staff.
-func (l *Watcher) broadcastDisabled(id routing.ServerID, out bool) {
-	if l.gossip.Gossip != nil {
-		l.gossip.SetDisabled(id, out)
+// broadcastDisabled tells the peers that an operator disabled or enabled a server.
+func (w *Watcher) broadcastDisabled(id routing.ServerID, disabled bool) {
+	if w.gossip.Gossip != nil {
+		w.gossip.SetDisabled(id, disabled)
 	}
 }
 
-// recordFrame notes that the own log spoke.
-func (l *Watcher) recordFrame() {
-	if l.gossip.Gossip == nil {
+// recordFrame notes the time of a frame of this router's own watch.
+func (w *Watcher) recordFrame() {
+	if w.gossip.Gossip == nil {
 		return
 	}
-	now := l.clock.Now()
-	if now-l.gossip.lastFrameAt > staleAfter {
-		l.gossip.steadySince = now
+	now := w.clock.Now()
+	if now-w.gossip.lastFrameAt > staleAfter {
+		w.gossip.steadySince = now
 	}
-	l.gossip.lastFrameAt = now
+	w.gossip.lastFrameAt = now
 }
 
-// applyGossip takes what the others told since the last time.
-func (l *Watcher) applyGossip() {
-	now := l.clock.Now()
-	for _, c := range l.gossip.TakeChanges() {
-		switch c.Kind {
+// applyGossip applies what the peers told since the last call.
+func (w *Watcher) applyGossip() {
+	now := w.clock.Now()
+	for _, change := range w.gossip.TakeChanges() {
+		switch change.Kind {
 		case gossip.Ban:
-			if _, out := l.disabled[c.Server]; out != c.Disabled {
-				if err := l.disabledStore.Set(c.Server, c.Disabled); err != nil {
-					l.counters.Add("marks_unwritten", 1)
-				}
-				l.counters.Add("fleet_bans_taken", 1)
-				l.applyDisabled(c.Server, c.Disabled)
-			}
+			w.applyGossipedBan(change)
 		case gossip.Drain:
-			if t, known := l.gossip.drains[c.Server]; !known || clock.Duration(c.StartedAt) >= t.started {
-				l.gossip.drains[c.Server] = gossipedDrain{clock.Duration(c.StartedAt), now}
-			}
+			w.recordGossipedDrain(now, change)
 		case gossip.Purge:
-			if done := clock.Millis(l.config.Settings.PurgeRetention); c.PurgedAt > now-done && c.PurgedAt < now+maxPurgeLead {
-				l.counters.Add("fleet_purges_taken", 1)
-				l.publish(platformconfig.WatchEvent{Seq: l.lastSeq, Purge: &platformconfig.Purge{Object: c.Object, Group: c.Group, At: c.PurgedAt}})
-			}
+			w.applyGossipedPurge(now, change)
 		}
 	}
-	l.updateGossipedDrains()
+	w.updateGossipedDrains()
 }
 
-// updateGossipedDrains follows the neighbours' drains while the own log is cut off, and drops them once
-// it is back.
-func (l *Watcher) updateGossipedDrains() {
-	f := &l.gossip
-	if f.Gossip == nil {
+// applyGossipedBan disables or enables a server as a peer's operator did.
+func (w *Watcher) applyGossipedBan(change gossip.Change) {
+	if _, isDisabled := w.disabled[change.Server]; isDisabled == change.Disabled {
 		return
 	}
-	now := l.clock.Now()
-	if now-f.lastFrameAt <= staleAfter {
-		if now-f.steadySince < catchUpPeriod {
-			return
-		}
-		for id, t := range f.drains {
-			if t.receivedAt < f.lastFrameAt-gossipSlack {
-				delete(f.drains, id)
-			}
-		}
-		for id := range f.activeDrains {
-			delete(f.activeDrains, id)
-			l.republish(id)
-		}
-		return
-	}
-	for id, t := range f.drains {
-		h, listed := l.servers[id]
-		if _, done := f.activeDrains[id]; done || !listed || h.StartedAt > t.started || t.receivedAt < f.lastFrameAt-gossipSlack {
-			continue
-		}
-		f.activeDrains[id] = t.started
-		l.counters.Add("fleet_drains_taken", 1)
-		l.republish(id)
+	if err := w.disabledStore.Set(change.Server, change.Disabled); err != nil {
+		w.counters.Add("marks_unwritten", 1)
 	}
+	w.counters.Add("fleet_bans_taken", 1)
+	w.applyDisabled(change.Server, change.Disabled)
 }
 
-// republish tells a listed box as it is seen now.
-func (l *Watcher) republish(id routing.ServerID) {
-	if h, listed := l.servers[id]; listed {
-		l.publish(platformconfig.WatchEvent{Seq: l.lastSeq, ListUpdate: true, Endpoints: []platformconfig.Endpoint{l.effectiveState(h)}})
+// recordGossipedDrain keeps the drain of the latest start of a server.
+func (w *Watcher) recordGossipedDrain(now float64, change gossip.Change) {
+	started := clock.Duration(change.StartedAt)
+	if known, ok := w.gossip.drains[change.Server]; ok && started < known.started {
+		return
 	}
+	w.gossip.drains[change.Server] = gossipedDrain{started: started, receivedAt: now}
 }
 
-// ReadyServers returns the listed servers of a kind and zone that are ready, as of the latest
-// event. It may be called from any goroutine; without neighbours there are none.
-func (l *Watcher) ReadyServers(zone, kind int) (boxes []platformconfig.Endpoint) {
-	if all := l.readyServers.Load(); all != nil {
-		for _, h := range *all {
-			if h.Zone == zone && h.Kind == kind {
-				boxes = append(boxes, h)
-			}
-		}
+// applyGossipedPurge publishes a purge that still binds.
+func (w *Watcher) applyGossipedPurge(now float64, change gossip.Change) {
+	retention := clock.Millis(w.config.Settings.PurgeRetention)
+	binds := change.PurgedAt > now-retention && change.PurgedAt < now+maxPurgeLead
+	if !binds {
+		return
 	}
-	return boxes
+	w.counters.Add("fleet_purges_taken", 1)
+	purge := &platformconfig.Purge{Object: change.Object, Group: change.Group, At: change.PurgedAt}
+	w.publish(platformconfig.WatchEvent{Seq: w.lastSeq, Purge: purge})
 }
 
-// publishReadyServers publishes the ready servers, for Boxes.
-func (l *Watcher) publishReadyServers(g *routing.Guard) {
-	if l.gossip.Gossip == nil {
+// updateGossipedDrains follows the peers' drains while this router's own watch is stale, and
+// drops them once the watch is back and has caught up.
+func (w *Watcher) updateGossipedDrains() {
+	if w.gossip.Gossip == nil {
 		return
 	}
-	var all []platformconfig.Endpoint
-	for id, h := range l.servers {
-		if g.Ready[id] {
-			all = append(all, h)
+	now := w.clock.Now()
+	switch {
+	case now-w.gossip.lastFrameAt > staleAfter:
+		w.followGossipedDrains()
+	case now-w.gossip.steadySince >= catchUpPeriod:
+		w.dropGossipedDrains()
+	}
+}
+
+// followGossipedDrains excludes the servers whose drains this router's own watch missed.
+func (w *Watcher) followGossipedDrains() {
+	state := &w.gossip
+	for id, drain := range state.drains {
+		endpoint, listed := w.servers[id]
+		_, active := state.activeDrains[id]
+		if active || !listed || endpoint.StartedAt > drain.started || drain.receivedAt < state.lastFrameAt-gossipSlack {
+			continue
 		}
+		state.activeDrains[id] = drain.started
+		w.counters.Add("fleet_drains_taken", 1)
+		w.publishEndpoint(endpoint)
 	}
-	l.readyServers.Store(&all)
 }
 
-// SetDisabledByRegistry takes a cache out, or back, as the register has it. That it is out is not told to
-// the neighbours, who read the register too.
-func (l *Watcher) SetDisabledByRegistry(ctx context.Context, id routing.ServerID, out bool) error {
-	return l.submit(ctx, disableRequest{server: id, disabled: out, skipBroadcast: out, result: make(chan error, 1)})
+// dropGossipedDrains ends all followed drains and forgets those that are older than the
+// latest frame.
+func (w *Watcher) dropGossipedDrains() {
+	state := &w.gossip
+	for id, drain := range state.drains {
+		if drain.receivedAt < state.lastFrameAt-gossipSlack {
+			delete(state.drains, id)
+		}
+	}
+	for id := range state.activeDrains {
+		delete(state.activeDrains, id)
+		if endpoint, listed := w.servers[id]; listed {
+			w.publishEndpoint(endpoint)
+		}
+	}
 }
 
-// Disabled returns what staff took out, as of now. It may be called from any goroutine;
-// without neighbours there is nothing.
-func (l *Watcher) Disabled() []routing.ServerID {
-	if p := l.disabledServers.Load(); p != nil {
-		return *p
+// ReadyServers returns the ready servers of a zone and kind. Without a fleet it returns nil.
+func (w *Watcher) ReadyServers(zone, kind int) []platformconfig.Endpoint {
+	all := w.readyServers.Load()
+	if all == nil {
+		return nil
+	}
+	var servers []platformconfig.Endpoint
+	for _, endpoint := range *all {
+		if endpoint.Zone == zone && endpoint.Kind == kind {
+			servers = append(servers, endpoint)
+		}
 	}
-	return nil
+	return servers
 }
 
-// publishDisabled publishes what is out, for Out.
-func (l *Watcher) publishDisabled() {
-	if l.gossip.Gossip != nil {
-		out := slices.Sorted(maps.Keys(l.disabled))
-		l.disabledServers.Store(&out)
+// publishReadyServers publishes what ReadyServers returns.
+func (w *Watcher) publishReadyServers(guard *routing.Guard) {
+	if w.gossip.Gossip == nil {
+		return
+	}
+	var ready []platformconfig.Endpoint
+	for id, endpoint := range w.servers {
+		if guard.Ready[id] {
+			ready = append(ready, endpoint)
+		}
 	}
+	w.readyServers.Store(&ready)
 }
 
-// Stale tells whether the log is cut off, by the latest guard. It may be called from any
-// goroutine.
-func (l *Watcher) Stale(now float64) bool {
-	return clock.Duration(now) > l.guard.Load().LastEventAt+clock.Duration(staleAfter)
+// Stale reports whether no frame was received for staleAfter, at a time in Unix milliseconds.
+func (w *Watcher) Stale(now float64) bool {
+	return clock.Duration(now) > w.guard.Load().LastEventAt+clock.Duration(staleAfter)
 }
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -1,6 +1,11 @@
-// Package changelog follows the log of list changes and purges. Its actor
-// owns the connection and the number of the last event, and publishes what
-// attempts are held against when they are written.
+// Package discovery watches the platform's change log: the endpoint list of caches, parents
+// and origins, and purges.
+//
+// A Watcher owns the connection to the change log, the number of the last applied event, the
+// endpoint list, and the set of servers that operators disabled. Only the goroutine of
+// Watcher.Run changes them. What others need is published whole: a routing.Guard, which is
+// replaced and never changed, the counts of servers, and the lists that the fleet reads. All
+// exported methods but Run and SetGossip may be called from any goroutine.
 package discovery
 
 import (
@@ -20,145 +25,176 @@
 )
 
 const (
-	recordLength         = 27
-	headerLength         = 8 + 1                               // number and kind, which the length counts
-	maxFrameLength       = headerLength + recordLength*(8<<10) // a list longer than any fleet
-	frameTimeout         = 1600.0                              // ms without a frame: one comes each second
-	dialTimeout          = 500.0
-	initialBackoff       = 50.0 // ms before the next connection; doubles
-	maxBackoff           = 800.0
-	disabledPollInterval = 200 * time.Millisecond // between looks at what another process was told
-	// initialSyncTimeout is the time that a log has for its first word: what is new comes
-	// at once, and where nothing is, a successor must not be late for that.
+	// disabledPollInterval is the time between reads of the store of disabled servers, which
+	// another process of this router may have changed.
+	disabledPollInterval = 200 * time.Millisecond
+	// initialSyncTimeout bounds, in milliseconds, how long Synced waits for the first frame.
+	// New events arrive at once; where there are none, a successor process must not be late
+	// because of that.
 	initialSyncTimeout = 300.0
 )
 
-// Watcher is the actor of the change log, and of the list that it tells.
+// Watcher follows the change log and keeps the endpoint list.
 type Watcher struct {
-	clock            clock.Clock
-	config           *platformconfig.Config      // Run's
-	pendingConfig    chan *platformconfig.Config // the next one, the latest only
-	disableRequests  chan disableRequest         // from staff
-	notify           func(platformconfig.WatchEvent)
-	counters         *metrics.Registry
+	clock    clock.Clock
+	counters *metrics.Registry
+	notify   func(platformconfig.WatchEvent)
+	dial     func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+
+	// State of the goroutine of Run.
+	config       *platformconfig.Config
+	lastSeq      uint64 // number of the last applied event
+	refetchedSeq uint64 // missing number for which the change log was last asked again
+	servers      map[routing.ServerID]platformconfig.Endpoint
+	disabled     map[routing.ServerID]time.Duration // by operators; the start that was listed then
+	gossip       gossipState
+
+	// Requests to that goroutine.
+	pendingConfig   chan *platformconfig.Config // holds the latest only
+	disableRequests chan disableRequest
+
+	// What other goroutines read.
 	guard            atomic.Pointer[routing.Guard]
-	lastSeq          uint64
-	refetchedSeq     uint64 // the number that was missing when the log was last asked anew for it
-	dial             func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
-	disabledStore    disabled.Store
-	servers          map[routing.ServerID]platformconfig.Endpoint // as listed, without those that are gone
-	disabled         map[routing.ServerID]time.Duration           // taken out by staff, with the start listed then
-	listedCount      atomic.Int64                                 // how many hosts there are
-	unavailableCount atomic.Int64                                 // how many of them may not be sent to
-	synced           atomic.Bool                                  // its word is as new as it can be had soon
-	syncedSignal     chan struct{}                                // closed then
-	gossip           gossipState
-	readyServers     atomic.Pointer[[]platformconfig.Endpoint] // that are ready; nil without neighbours
-	disabledServers  atomic.Pointer[[]routing.ServerID]        // that staff took out; the same
+	listedCount      atomic.Int64
+	unavailableCount atomic.Int64 // listed servers that are not ready
+	synced           atomic.Bool
+	syncedSignal     chan struct{}                             // closed when synced becomes true
+	readyServers     atomic.Pointer[[]platformconfig.Endpoint] // nil without a fleet
+	disabledServers  atomic.Pointer[[]routing.ServerID]        // nil without a fleet
+
+	// disabledStore keeps the disabled servers for the next process of this router.
+	disabledStore disabled.Store
 }
 
-// NewWatcher returns a log that has told what the configuration knows. tell takes
-// each event, in order; it may block.
-func NewWatcher(c clock.Clock, conf *platformconfig.Config, tell func(platformconfig.WatchEvent), s *metrics.Registry) *Watcher {
-	l := &Watcher{clock: c, config: conf, pendingConfig: make(chan *platformconfig.Config, 1), disableRequests: make(chan disableRequest), notify: tell, counters: s,
-		lastSeq: conf.KnownSeq, disabledStore: disabled.NewStore(conf.StateDir), servers: map[routing.ServerID]platformconfig.Endpoint{},
-		disabled: map[routing.ServerID]time.Duration{}, syncedSignal: make(chan struct{})}
-	l.dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
-		return (&net.Dialer{}).DialContext(ctx, "tcp", to.String())
+// NewWatcher returns a watcher that has applied no event yet. Run calls notify with each
+// event, in order; notify may block.
+func NewWatcher(clk clock.Clock, config *platformconfig.Config, notify func(platformconfig.WatchEvent), counters *metrics.Registry) *Watcher {
+	w := &Watcher{
+		clock:           clk,
+		counters:        counters,
+		notify:          notify,
+		dial:            dialTCP,
+		config:          config,
+		lastSeq:         config.KnownSeq,
+		servers:         map[routing.ServerID]platformconfig.Endpoint{},
+		disabled:        map[routing.ServerID]time.Duration{},
+		pendingConfig:   make(chan *platformconfig.Config, 1),
+		disableRequests: make(chan disableRequest),
+		syncedSignal:    make(chan struct{}),
+		disabledStore:   disabled.NewStore(config.StateDir),
 	}
-	l.guard.Store(&routing.Guard{PurgeRetention: conf.Settings.PurgeRetention, PurgeGrace: conf.Settings.PurgeGrace})
-	return l
+	w.guard.Store(&routing.Guard{
+		PurgeRetention: config.Settings.PurgeRetention,
+		PurgeGrace:     config.Settings.PurgeGrace,
+	})
+	return w
 }
 
-// Guard returns what attempts are held against now. It does not change.
-func (l *Watcher) Guard() *routing.Guard { return l.guard.Load() }
+func dialTCP(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp", to.String())
+}
+
+// Guard returns what attempts are checked against now. The caller must not change it.
+func (w *Watcher) Guard() *routing.Guard { return w.guard.Load() }
 
-// ServerCounts returns how many servers the list holds, and how many of them are
-// draining or taken out.
-func (l *Watcher) ServerCounts() (all, barred int64) {
-	return l.listedCount.Load(), l.unavailableCount.Load()
+// ServerCounts returns how many servers the endpoint list holds, and how many of them are
+// draining or disabled.
+func (w *Watcher) ServerCounts() (listed, unavailable int64) {
+	return w.listedCount.Load(), w.unavailableCount.Load()
 }
 
-// Synced is closed once the log has spoken, or has had its time to.
-func (l *Watcher) Synced() <-chan struct{} { return l.syncedSignal }
+// Synced returns a channel that is closed once the change log has sent a frame, or has not
+// done so within initialSyncTimeout.
+func (w *Watcher) Synced() <-chan struct{} { return w.syncedSignal }
 
-// Reload has the log that another configuration names followed, from the last
-// number held and at once. It never blocks and has one caller at a time.
-func (l *Watcher) Reload(conf *platformconfig.Config) {
+// Reload replaces the configuration. The change log that it names is followed at once, from
+// the last applied event. Reload never blocks; calls must not overlap.
+func (w *Watcher) Reload(config *platformconfig.Config) {
 	select {
-	case <-l.pendingConfig: // never taken up
+	case <-w.pendingConfig: // an earlier one that Run has not received
 	default:
 	}
-	l.pendingConfig <- conf
+	w.pendingConfig <- config
 }
 
-// Run tells what is known and then follows the log until ctx ends.
-func (l *Watcher) Run(ctx context.Context) {
-	marked, err := l.disabledStore.List()
-	if err != nil {
-		l.counters.Add("marks_unread", 1)
-	}
-	for id := range marked {
-		l.disabled[id] = 0
+// Run applies the events that the configuration holds and then follows the change log until
+// ctx ends. It is called once.
+func (w *Watcher) Run(ctx context.Context) {
+	w.loadDisabled()
+	for _, event := range w.config.KnownEvents {
+		w.applyEvent(event)
 	}
-	l.publishDisabled()
-	for _, ev := range l.config.KnownEvents {
-		l.applyEvent(ev)
-	}
-	late := time.AfterFunc(clock.Duration(initialSyncTimeout), l.markSynced)
-	defer late.Stop()
-	wait := reconnectBackoff{random: rand.New(rand.NewPCG(l.config.Seed, 0))}
+	syncTimer := time.AfterFunc(clock.Duration(initialSyncTimeout), w.markSynced)
+	defer syncTimer.Stop()
+	backoff := reconnectBackoff{random: rand.New(rand.NewPCG(w.config.Seed, 0))}
 	for ctx.Err() == nil {
-		heard, next, err := l.runSession(ctx)
-		if next == nil && ctx.Err() == nil {
-			l.counters.Add("changelog_reconnects", 1)
-			if errors.Is(err, ErrMalformedFrame) {
-				l.counters.Add("changelog_broken_frames", 1)
-			}
-			_, next, _ = l.processEvents(ctx, nil, time.After(clock.Duration(wait.nextDelay(heard))))
+		ended := w.runSession(ctx)
+		if ended.nextConfig == nil && ctx.Err() == nil {
+			w.countReconnect(ended.err)
+			delay := clock.Duration(backoff.nextDelay(ended.receivedFrame))
+			ended = w.processEvents(ctx, nil, time.After(delay))
 		}
-		if next != nil {
-			l.applyConfig(next)
-			wait.ceiling = 0
+		if ended.nextConfig != nil {
+			w.applyConfig(ended.nextConfig)
+			backoff.reset()
 		}
 	}
 }
 
-// markSynced says that the log has spoken, or will not soon.
-func (l *Watcher) markSynced() {
-	if !l.synced.Swap(true) {
-		close(l.syncedSignal)
+// countReconnect counts a session that ended with err.
+func (w *Watcher) countReconnect(err error) {
+	w.counters.Add("changelog_reconnects", 1)
+	if errors.Is(err, ErrMalformedFrame) {
+		w.counters.Add("changelog_broken_frames", 1)
 	}
 }
 
-// processEvents does what comes up until the connection that frames come from ends, or the
-// pause is over, or another configuration comes.
-func (l *Watcher) processEvents(ctx context.Context, frames <-chan frameResult, pause <-chan time.Time) (heard bool, next *platformconfig.Config, err error) {
-	look := time.NewTicker(disabledPollInterval)
-	defer look.Stop()
+// markSynced closes the channel of Synced; further calls do nothing.
+func (w *Watcher) markSynced() {
+	if !w.synced.Swap(true) {
+		close(w.syncedSignal)
+	}
+}
+
+// sessionEnd tells why processEvents returned.
+type sessionEnd struct {
+	receivedFrame bool                   // before its end
+	nextConfig    *platformconfig.Config // the one that replaces the current one, if that is why
+	err           error                  // of the connection or of ctx
+}
+
+// processEvents handles frames, requests, gossip and the ticker until frames brings the end
+// of the connection, pause fires, another configuration arrives or ctx ends. frames or pause
+// may be nil.
+func (w *Watcher) processEvents(ctx context.Context, frames <-chan frameResult, pause <-chan time.Time) sessionEnd {
+	var end sessionEnd
+	ticker := time.NewTicker(disabledPollInterval)
+	defer ticker.Stop()
 	for {
 		select {
-		case f := <-frames:
-			if f.err != nil {
-				return heard, nil, f.err
+		case received := <-frames:
+			if received.err != nil {
+				end.err = received.err
+				return end
 			}
-			heard = true
-			if err := l.handleFrame(f); err != nil {
-				return heard, nil, err
+			end.receivedFrame = true
+			if end.err = w.handleFrame(received.frame); end.err != nil {
+				return end
 			}
-		case o := <-l.disableRequests:
-			o.result <- l.handleDisableRequest(o)
-		case <-look.C:
-			l.syncDisabledStore()
-			l.updateGossipedDrains()
-		case <-l.gossip.changesReady:
-			l.applyGossip()
-		case conf := <-l.pendingConfig:
-			return heard, conf, nil
+		case request := <-w.disableRequests:
+			request.result <- w.handleDisableRequest(request)
+		case <-ticker.C:
+			w.syncDisabledStore()
+			w.updateGossipedDrains()
+		case <-w.gossip.changesReady:
+			w.applyGossip()
+		case end.nextConfig = <-w.pendingConfig:
+			return end
 		case <-pause:
-			return heard, nil, nil
+			return end
 		case <-ctx.Done():
-			return heard, nil, ctx.Err()
+			end.err = ctx.Err()
+			return end
 		}
 	}
 }
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -277,14 +277,14 @@
 	f.Fuzz(func(t *testing.T, b []byte) {
 		k := textconn.New(stubConn{reader: bytes.NewReader(b)})
 		for {
-			ev, _, err := readFrame(k, 2, 1)
+			decoded, err := readFrame(k, 2, 1)
 			if err != nil {
 				if !errors.Is(err, ErrMalformedFrame) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 					t.Fatal(err)
 				}
 				return
 			}
-			for _, h := range ev.Endpoints {
+			for _, h := range decoded.event.Endpoints {
 				if h.Zone >= 2 || h.Kind >= 1 || h.Phase > routing.Draining || h.StartedAt < 0 {
 					t.Fatalf("%+v", h)
 				}
