Read the platform's configuration in steps, with errors typed by field

Parse and the reading of known events were long functions of one-letter locals that formatted each error by hand. Each part of the file has a function of its own now, environment variables, defaults and bounds have names, and an error is a FieldError with field and cause, where the reader of settings does not name its path itself.

Texts of errors are the same to the byte: all 37 of TestGoldenErrors' cases were written in full before and after and compared. TestFieldError is new; tests of the package and of those that import it pass, go vet too.

--- a/internal/platformconfig/config.go
+++ b/internal/platformconfig/config.go
@@ -1,5 +1,7 @@
-// Package config reads what an edge router is told at its start. Errors name
-// the field that cannot be used.
+// Package platformconfig reads the platform's configuration of a router: a JSON file and a
+// few environment variables. A Config is not changed once it is read; a reload replaces it
+// whole, so that any goroutine may read one. The package also defines the events of the
+// change log, since the file holds those of before the router's start.
 package platformconfig
 
 import (
@@ -12,62 +14,89 @@
 	"garnetline/routing"
 )
 
-// Limits bound the process.
-type Limits struct {
-	Cores    float64 `json:"cores"`
-	MemoryMB int     `json:"memory_mb"`
-	Sockets  int     `json:"sockets"`
-}
+// Environment variables. Name, listen and admin address override those of the file.
+const (
+	envConfig      = "EDGE_CONFIG"
+	envName        = "EDGE_NAME"
+	envListen      = "EDGE_LISTEN"
+	envAdminListen = "EDGE_MGMT"
+	envListenFD    = "EDGE_LISTEN_FD"
+	envStateDir    = "TMPDIR"
+)
 
-// Config is all that an edge router is told at its start.
+// Config is what the platform tells a router at its start.
 type Config struct {
 	Name             string
 	Listen           netip.AddrPort
-	ListenFD         int            // descriptor of a listening socket that is inherited; 0: none
-	AdminListen      netip.AddrPort // where staff call; not valid: nowhere
-	StateDir         string         // folder that outlives the process, shared with its successor; empty: none
-	Discovery        netip.AddrPort
+	ListenFD         int            // descriptor of an inherited listening socket; 0: none
+	AdminListen      netip.AddrPort // of the admin API; not valid: there is none
+	StateDir         string         // outlives the process, shared with its successor; "": none
+	Discovery        netip.AddrPort // of the change log
 	Seed             uint64
 	Limits           Limits
 	Settings         routing.Settings
-	LoadReportFields []string // names of the values of a load report
+	LoadReportFields []string // names of the values in a load report
 	Upstream         Upstream
-	KnownEvents      []WatchEvent
-	KnownSeq         uint64 // number of the last known event
+	KnownEvents      []WatchEvent // of before the start
+	KnownSeq         uint64       // number of the last known event
 	Zones            []string
-	Kinds            []string
+	Kinds            []string // of servers
+}
+
+// Limits bound the process. Zero means no limit.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
 }
 
-// Upstream holds what the settings say of connections to caches.
+// Upstream configures connections to servers.
 type Upstream struct {
-	IdleTimeout    float64 // ms; an idle connection is closed after it
-	ConnectTimeout float64 // ms; a connection that is not up by then failed
-	MaxStreams     int     // requests that one connection carries
-	BytesPerSecond float64 // pace of one transfer; 0: not told
+	IdleTimeout    float64 // ms, after which an idle connection is closed
+	ConnectTimeout float64 // ms
+	MaxStreams     int     // requests open at once on a connection
+	BytesPerSecond float64 // of one transfer; 0: not known
+}
+
+// FieldError reports a field, or an environment variable, that cannot be used.
+type FieldError struct {
+	Field string // path in the file, as in known.results[0].fleet
+	Err   error
+}
+
+// Error returns the field and the cause in one line.
+func (e *FieldError) Error() string { return e.Field + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *FieldError) Unwrap() error { return e.Err }
+
+// fieldErrorf returns a FieldError with a formatted cause.
+func fieldErrorf(field, format string, args ...any) error {
+	return &FieldError{Field: field, Err: fmt.Errorf(format, args...)}
 }
 
-// Load reads the file that EDGE_CONFIG names, or path where it is given.
-// EDGE_NAME, EDGE_LISTEN and EDGE_MGMT go before what the file says.
+// Load reads a file; path "" stands for the one that EDGE_CONFIG names. env returns the value
+// of an environment variable.
 func Load(path string, env func(string) string) (*Config, error) {
 	if path == "" {
-		path = env("EDGE_CONFIG")
+		path = env(envConfig)
 	}
 	if path == "" {
-		return nil, errors.New("EDGE_CONFIG: not set, and no --config given")
+		return nil, &FieldError{Field: envConfig, Err: errors.New("not set, and no --config given")}
 	}
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
+		return nil, &FieldError{Field: envConfig, Err: err}
 	}
 	return Parse(data, env)
 }
 
-// CheckReload tells whether a running program can go over to next, and names the
-// field that it cannot: where it listens and stands, and what lists and open
-// requests refer to by place, holds for its life.
+// CheckReload returns a FieldError that names a field which differs in next but cannot change
+// while the program runs: addresses that it listens on, and what endpoint lists and open
+// requests refer to by index.
 func (c *Config) CheckReload(next *Config) error {
-	a, b := &c.Settings, &next.Settings
-	for _, f := range []struct {
+	current, replacement := &c.Settings, &next.Settings
+	for _, fixed := range []struct {
 		field string
 		same  bool
 	}{
@@ -75,16 +104,19 @@
 		{"mgmt", c.AdminListen == next.AdminListen},
 		{"settings.areas", slices.Equal(c.Zones, next.Zones)},
 		{"settings.machine_types", slices.Equal(c.Kinds, next.Kinds)},
-		{"settings.zone", a.Zone == b.Zone},
-		{"settings.family_info.second_tier_kind", a.ParentKind == b.ParentKind},
-		{"settings.family_info.root_kind", a.OriginKind == b.OriginKind},
-		{"settings.classes", slices.EqualFunc(a.Classes, b.Classes, func(x, y routing.Class) bool {
-			return x.Name == y.Name && x.Idempotency == y.Idempotency && x.Write == y.Write
-		})},
+		{"settings.zone", current.Zone == replacement.Zone},
+		{"settings.family_info.second_tier_kind", current.ParentKind == replacement.ParentKind},
+		{"settings.family_info.root_kind", current.OriginKind == replacement.OriginKind},
+		{"settings.classes", slices.EqualFunc(current.Classes, replacement.Classes, sameRequests)},
 	} {
-		if !f.same {
-			return fmt.Errorf("%s: can change with a restart only", f.field)
+		if !fixed.same {
+			return &FieldError{Field: fixed.field, Err: errors.New("can change with a restart only")}
 		}
 	}
 	return nil
 }
+
+// sameRequests reports whether a request of one class may go on as one of the other.
+func sameRequests(a, b routing.Class) bool {
+	return a.Name == b.Name && a.Idempotency == b.Idempotency && a.Write == b.Write
+}
--- a/internal/platformconfig/config_test.go
+++ b/internal/platformconfig/config_test.go
@@ -1,6 +1,8 @@
 package platformconfig
 
 import (
+	"errors"
+	"io/fs"
 	"strings"
 	"testing"
 	"time"
@@ -21,31 +23,31 @@
 func noEnvironment(string) string { return "" }
 
 func TestParse(t *testing.T) {
-	c, err := Parse([]byte(validConfig), noEnvironment)
+	config, err := Parse([]byte(validConfig), noEnvironment)
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := c.KnownEvents[0].Endpoints[0]
+	h := config.KnownEvents[0].Endpoints[0]
 	if h.ID != 0xc41f7a || h.Zone != 1 || h.Cell != 2 || h.Phase != routing.Draining || h.Weight != 4 ||
-		h.StartedAt != 1764576000000*time.Millisecond || h.Addr.String() != "127.0.0.2:5050" || !c.KnownEvents[0].Snapshot {
+		h.StartedAt != 1764576000000*time.Millisecond || h.Addr.String() != "127.0.0.2:5050" || !config.KnownEvents[0].Snapshot {
 		t.Errorf("%+v", h)
 	}
-	if p := c.KnownEvents[1].Purge; p == nil || p.Group != 17 || p.Object != 0 || p.At != 1764576000480 {
+	if p := config.KnownEvents[1].Purge; p == nil || p.Group != 17 || p.Object != 0 || p.At != 1764576000480 {
 		t.Errorf("%+v", p)
 	}
-	if s := c.Settings; s.MaxAttempts != 6 || len(s.Classes) != 1 || s.Classes[0].LatencyObjective != 280*time.Millisecond ||
-		s.PurgeRetention != 6*time.Second || len(c.LoadReportFields) != 2 || c.Upstream != (Upstream{IdleTimeout: 15000, ConnectTimeout: 400, MaxStreams: 100, BytesPerSecond: c.Settings.BodyBytesPerSecond}) || c.KnownSeq != 2 {
-		t.Errorf("%+v %+v", s, c)
+	if s := config.Settings; s.MaxAttempts != 6 || len(s.Classes) != 1 || s.Classes[0].LatencyObjective != 280*time.Millisecond ||
+		s.PurgeRetention != 6*time.Second || len(config.LoadReportFields) != 2 || config.Upstream != (Upstream{IdleTimeout: 15000, ConnectTimeout: 400, MaxStreams: 100, BytesPerSecond: config.Settings.BodyBytesPerSecond}) || config.KnownSeq != 2 {
+		t.Errorf("%+v %+v", s, config)
 	}
 	env := func(k string) string { return map[string]string{"EDGE_NAME": "n7", "EDGE_LISTEN": "127.0.0.3:1"}[k] }
-	if c, err := Parse([]byte(validConfig), env); err != nil || c.Name != "n7" || c.Listen.String() != "127.0.0.3:1" {
-		t.Errorf("the environment does not go first: %v %v", c, err)
+	if config, err := Parse([]byte(validConfig), env); err != nil || config.Name != "n7" || config.Listen.String() != "127.0.0.3:1" {
+		t.Errorf("the environment does not go first: %v %v", config, err)
 	}
 }
 
 // What cannot be used is named by its field.
 func TestParseErrorNamesField(t *testing.T) {
-	for _, c := range [][3]string{
+	for _, test := range []struct{ text, replacement, field string }{
 		{`"127.0.0.1:5050"`, `"nowhere"`, "listen"},
 		{`"127.0.0.1:9092"`, `""`, "changelog"},
 		{`8c1f30d27a5be964`, `xyz`, "seed"},
@@ -73,12 +75,24 @@
 		{`"class_write":[false]`, `"class_write":[false,true]`, "settings.family_info.class_write"},
 		{`"settings"`, `"set"`, "settings"},
 	} {
-		text := strings.Replace(validConfig, c[0], c[1], 1)
+		text := strings.Replace(validConfig, test.text, test.replacement, 1)
 		if text == validConfig {
-			t.Fatalf("%s is not in the text", c[0])
+			t.Fatalf("%s is not in the text", test.text)
 		}
-		if _, err := Parse([]byte(text), noEnvironment); err == nil || !strings.Contains(err.Error(), c[2]) {
-			t.Errorf("%s: %v, want %s named", c[1], err, c[2])
+		if _, err := Parse([]byte(text), noEnvironment); err == nil || !strings.Contains(err.Error(), test.field) {
+			t.Errorf("%s: %v, want %s named", test.replacement, err, test.field)
 		}
 	}
 }
+
+// The field of an error is to be had without its text, and so is the cause.
+func TestFieldError(t *testing.T) {
+	_, err := Parse([]byte(strings.Replace(validConfig, `"s-00c41f7a"`, `"s-1"`, 1)), noEnvironment)
+	var fieldError *FieldError
+	if !errors.As(err, &fieldError) || fieldError.Field != "known.results[0].fleet.hosts[0].host" || fieldError.Unwrap() == nil {
+		t.Errorf("%#v", err)
+	}
+	if _, err := Load("testdata/none.json", noEnvironment); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("a file that is not there: %v", err)
+	}
+}
--- a/internal/platformconfig/document.go
+++ b/internal/platformconfig/document.go
@@ -8,6 +8,12 @@
 	"strconv"
 )
 
+const (
+	firstInheritedFD = 3 // after the standard streams
+	minSockets       = 32
+)
+
+// document is the file. The keys are the platform's.
 type document struct {
 	Name               string          `json:"name"`
 	Listen             string          `json:"listen"`
@@ -20,95 +26,106 @@
 	Settings           json.RawMessage `json:"settings"`
 }
 
-type knownEvents struct {
-	Seq     uint64 `json:"seq"`
-	Results []struct {
-		Seq        uint64      `json:"seq"`
-		Fleet      *listUpdate `json:"fleet"`
-		Invalidate *purge      `json:"invalidate"`
-	} `json:"results"`
-}
-
-type listUpdate struct {
-	Snapshot bool `json:"whole"`
-	Hosts    []struct {
-		Host   string  `json:"host"`
-		Dial   string  `json:"dial"`
-		Site   string  `json:"site"`
-		Class  string  `json:"class"`
-		Block  int     `json:"block"`
-		Health string  `json:"health"`
-		Share  float64 `json:"share"`
-		Born   float64 `json:"born_ms"`
-	} `json:"hosts"`
-}
-
-type purge struct {
-	Object string  `json:"object"`
-	Bucket *int    `json:"bucket"`
-	Time   float64 `json:"time"`
-}
-
-// Parse reads a configuration.
+// Parse reads the text of a file. env returns the value of an environment variable. An error
+// names the field, except for a text that is no JSON.
 func Parse(data []byte, env func(string) string) (*Config, error) {
-	var f document
-	if err := json.Unmarshal(data, &f); err != nil {
-		var bad *json.UnmarshalTypeError
-		if errors.As(err, &bad) {
-			return nil, fmt.Errorf("%s: is a %s", bad.Field, bad.Value)
-		}
-		return nil, fmt.Errorf("config: %w", err)
+	doc, err := decodeDocument(data)
+	if err != nil {
+		return nil, err
 	}
-	if v := env("EDGE_NAME"); v != "" {
-		f.Name = v
+	doc.override(env)
+	config := &Config{
+		Name:     doc.Name,
+		Limits:   doc.Limits,
+		KnownSeq: doc.Known.Seq,
+		StateDir: env(envStateDir),
 	}
-	if v := env("EDGE_LISTEN"); v != "" {
-		f.Listen = v
+	if config.ListenFD, err = parseListenFD(env(envListenFD)); err != nil {
+		return nil, err
 	}
-	if v := env("EDGE_MGMT"); v != "" {
-		f.AdminListen = v
+	if err := config.parseAddresses(doc); err != nil {
+		return nil, err
 	}
-	c := &Config{Name: f.Name, Limits: f.Limits, KnownSeq: f.Known.Seq, StateDir: env("TMPDIR")}
-	var err error
-	if v := env("EDGE_LISTEN_FD"); v != "" {
-		if c.ListenFD, err = strconv.Atoi(v); err != nil || c.ListenFD < 3 {
-			return nil, fmt.Errorf("EDGE_LISTEN_FD: %q is not a descriptor from 3", v)
-		}
+	if config.Seed, err = strconv.ParseUint(doc.Seed, 16, 64); err != nil {
+		return nil, fieldErrorf("seed", "%q is not up to 16 hex digits", doc.Seed)
 	}
-	if f.AdminListen != "" {
-		if c.AdminListen, err = netip.ParseAddrPort(f.AdminListen); err != nil {
-			return nil, fmt.Errorf("mgmt: %w", err)
-		}
+	if err := doc.Limits.validate(); err != nil {
+		return nil, err
 	}
-	if c.Listen, err = netip.ParseAddrPort(f.Listen); err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+	if err := config.parseSettings(doc.Settings); err != nil {
+		return nil, err
 	}
-	if c.Discovery, err = netip.ParseAddrPort(f.Discovery); err != nil {
-		return nil, fmt.Errorf("changelog: %w", err)
+	if doc.FlowBytesPerSecond < 0 {
+		return nil, fieldErrorf("flow_bytes_per_s", "%v: negative", doc.FlowBytesPerSecond)
 	}
-	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
-		return nil, fmt.Errorf("seed: %q is not up to 16 hex digits", f.Seed)
+	config.Settings.BodyBytesPerSecond = doc.FlowBytesPerSecond
+	config.Upstream.BytesPerSecond = doc.FlowBytesPerSecond
+	if err := config.parseKnownEvents(doc.Known); err != nil {
+		return nil, err
 	}
-	if f.Limits.MemoryMB < 0 || f.Limits.Sockets < 0 || f.Limits.Cores < 0 {
-		return nil, fmt.Errorf("limits: %+v: negative", f.Limits)
+	return config, nil
+}
+
+func decodeDocument(data []byte) (*document, error) {
+	var doc document
+	err := json.Unmarshal(data, &doc)
+	var wrongType *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &wrongType):
+		return nil, fieldErrorf(wrongType.Field, "is a %s", wrongType.Value)
+	case err != nil:
+		return nil, fmt.Errorf("config: %w", err)
 	}
-	if f.Limits.Sockets > 0 && f.Limits.Sockets < 32 {
-		return nil, fmt.Errorf("limits.sockets: %d, want 32 or more", f.Limits.Sockets)
+	return &doc, nil
+}
+
+// override replaces what the environment names.
+func (d *document) override(env func(string) string) {
+	for name, field := range map[string]*string{
+		envName:        &d.Name,
+		envListen:      &d.Listen,
+		envAdminListen: &d.AdminListen,
+	} {
+		if value := env(name); value != "" {
+			*field = value
+		}
 	}
-	if err := c.parseSettings(f.Settings); err != nil {
-		return nil, err
+}
+
+// parseListenFD reads the number of an inherited descriptor; "" is none.
+func parseListenFD(text string) (int, error) {
+	if text == "" {
+		return 0, nil
 	}
-	if f.FlowBytesPerSecond < 0 {
-		return nil, fmt.Errorf("flow_bytes_per_s: %v: negative", f.FlowBytesPerSecond)
+	fd, err := strconv.Atoi(text)
+	if err != nil || fd < firstInheritedFD {
+		return 0, fieldErrorf(envListenFD, "%q is not a descriptor from %d", text, firstInheritedFD)
 	}
-	c.Settings.BodyBytesPerSecond, c.Upstream.BytesPerSecond = f.FlowBytesPerSecond, f.FlowBytesPerSecond
-	for i, r := range f.Known.Results {
-		ev, err := c.parseEvent(r.Seq, r.Fleet, r.Invalidate)
-		if err != nil {
-			return nil, fmt.Errorf("known.results[%d].%w", i, err)
+	return fd, nil
+}
+
+func (c *Config) parseAddresses(doc *document) error {
+	var err error
+	if doc.AdminListen != "" {
+		if c.AdminListen, err = netip.ParseAddrPort(doc.AdminListen); err != nil {
+			return &FieldError{Field: "mgmt", Err: err}
 		}
-		c.KnownEvents = append(c.KnownEvents, ev)
-		c.KnownSeq = max(c.KnownSeq, r.Seq)
 	}
-	return c, nil
+	if c.Listen, err = netip.ParseAddrPort(doc.Listen); err != nil {
+		return &FieldError{Field: "listen", Err: err}
+	}
+	if c.Discovery, err = netip.ParseAddrPort(doc.Discovery); err != nil {
+		return &FieldError{Field: "changelog", Err: err}
+	}
+	return nil
+}
+
+func (l Limits) validate() error {
+	if l.MemoryMB < 0 || l.Sockets < 0 || l.Cores < 0 {
+		return fieldErrorf("limits", "%+v: negative", l)
+	}
+	if l.Sockets > 0 && l.Sockets < minSockets {
+		return fieldErrorf("limits.sockets", "%d, want %d or more", l.Sockets, minSockets)
+	}
+	return nil
 }
--- a/internal/platformconfig/golden_test.go
+++ b/internal/platformconfig/golden_test.go
@@ -15,22 +15,22 @@
 	env := func(name string) string {
 		return map[string]string{"TMPDIR": "/state", "EDGE_LISTEN_FD": "7"}[name]
 	}
-	c, err := Load("testdata/full.json", env)
+	config, err := Load("testdata/full.json", env)
 	if err != nil {
 		t.Fatal(err)
 	}
 	var out strings.Builder
 	line := func(key string, values ...any) { fmt.Fprintln(&out, append([]any{key}, values...)...) }
-	line("name", c.Name)
-	line("listen", c.Listen)
-	line("EDGE_LISTEN_FD", c.ListenFD)
-	line("mgmt", c.AdminListen)
-	line("TMPDIR", c.StateDir)
-	line("changelog", c.Discovery)
-	line("seed", c.Seed)
-	line("limits", c.Limits.Cores, c.Limits.MemoryMB, c.Limits.Sockets)
-	line("flow_bytes_per_s", c.Upstream.BytesPerSecond)
-	for _, ev := range c.KnownEvents {
+	line("name", config.Name)
+	line("listen", config.Listen)
+	line("EDGE_LISTEN_FD", config.ListenFD)
+	line("mgmt", config.AdminListen)
+	line("TMPDIR", config.StateDir)
+	line("changelog", config.Discovery)
+	line("seed", config.Seed)
+	line("limits", config.Limits.Cores, config.Limits.MemoryMB, config.Limits.Sockets)
+	line("flow_bytes_per_s", config.Upstream.BytesPerSecond)
+	for _, ev := range config.KnownEvents {
 		line("known", ev.Seq, ev.ListUpdate, ev.Snapshot)
 		for _, h := range ev.Endpoints {
 			line("  host", h.ID, h.Addr, h.Zone, h.Kind, h.Cell, int(h.Phase), h.Weight, h.StartedAt)
@@ -39,14 +39,14 @@
 			line("  invalidate", uint64(p.Object), p.Group, p.At)
 		}
 	}
-	line("known.seq", c.KnownSeq)
-	line("settings.areas", c.Zones)
-	line("settings.machine_types", c.Kinds)
-	line("settings.telemetry.fields", c.LoadReportFields)
-	line("settings.limits.conn_idle_us", c.Upstream.IdleTimeout)
-	line("settings.limits.connect_timeout_us", c.Upstream.ConnectTimeout)
-	line("settings.limits.max_streams", c.Upstream.MaxStreams)
-	s := c.Settings
+	line("known.seq", config.KnownSeq)
+	line("settings.areas", config.Zones)
+	line("settings.machine_types", config.Kinds)
+	line("settings.telemetry.fields", config.LoadReportFields)
+	line("settings.limits.conn_idle_us", config.Upstream.IdleTimeout)
+	line("settings.limits.connect_timeout_us", config.Upstream.ConnectTimeout)
+	line("settings.limits.max_streams", config.Upstream.MaxStreams)
+	s := config.Settings
 	line("counts", s.Zones, s.Zone, s.Kinds, s.ParentKind, s.OriginKind, s.RoutersByZone, s.Routers)
 	for _, k := range s.Classes {
 		line("class", k.Name, int(k.Idempotency), int(k.KeyScope), k.KeyWindow, k.LatencyObjective, k.ObjectiveTransferFactor, k.Deadline, k.PriorityWeight, k.LateWeightFactor, k.Write, k.FreshnessLifetime, k.MaxStale)
@@ -88,7 +88,7 @@
 // colon, and that it is one line. UPDATE_GOLDEN=1 writes testdata/errors.golden anew.
 func TestGoldenErrors(t *testing.T) {
 	var out strings.Builder
-	for _, c := range [][2]string{
+	for _, change := range []struct{ text, replacement string }{
 		{`{"name"`, `"name"`},
 		{`"127.0.0.1:5050"`, `"nowhere"`},
 		{`"127.0.0.1:5050"`, `17`},
@@ -122,19 +122,19 @@
 		{`"settings"`, `"set"`},
 		{`"settings":{`, `"settings":[{`},
 	} {
-		text := strings.Replace(validConfig, c[0], c[1], 1)
+		text := strings.Replace(validConfig, change.text, change.replacement, 1)
 		if text == validConfig {
-			t.Fatalf("%s is not in the text", c[0])
+			t.Fatalf("%s is not in the text", change.text)
 		}
-		if c[1] == `"settings":[{` {
+		if change.replacement == `"settings":[{` {
 			text = strings.TrimSuffix(text, "}") + "]}"
 		}
 		_, err := Parse([]byte(text), noEnvironment)
 		if err == nil || strings.Contains(err.Error(), "\n") {
-			t.Fatalf("%s: %v", c[1], err)
+			t.Fatalf("%s: %v", change.replacement, err)
 		}
 		field, _, _ := strings.Cut(err.Error(), ": ")
-		fmt.Fprintf(&out, "%s -> %s\n", c[1], field)
+		fmt.Fprintf(&out, "%s -> %s\n", change.replacement, field)
 	}
 	for _, env := range []string{"EDGE_CONFIG", "EDGE_LISTEN", "EDGE_MGMT", "EDGE_LISTEN_FD"} {
 		get := func(name string) string {
@@ -158,12 +158,12 @@
 // Pins which fields only a restart can change. UPDATE_GOLDEN=1 writes
 // testdata/restart.golden anew.
 func TestGoldenRestart(t *testing.T) {
-	c, err := Parse([]byte(validConfig), noEnvironment)
+	config, err := Parse([]byte(validConfig), noEnvironment)
 	if err != nil {
 		t.Fatal(err)
 	}
 	var out strings.Builder
-	for _, change := range [][2]string{
+	for _, change := range []struct{ text, replacement string }{
 		{`"name":"n0"`, `"name":"n1"`},
 		{`"127.0.0.1:5050","seed"`, `"127.0.0.1:5051","seed"`},
 		{`"name":"n0"`, `"name":"n0","mgmt":"127.0.0.1:1"`},
@@ -179,15 +179,15 @@
 		{`"class_write":[false]`, `"class_write":[true]`},
 		{`"aim_us":280000`, `"aim_us":1`},
 	} {
-		text := strings.Replace(validConfig, change[0], change[1], 1)
-		if strings.Contains(change[1], `"x":[0]`) {
+		text := strings.Replace(validConfig, change.text, change.replacement, 1)
+		if strings.Contains(change.replacement, `"x":[0]`) {
 			text = strings.Replace(text, `[0,2]`, `[0,2,0]`, 1)
 		}
 		next, err := Parse([]byte(text), noEnvironment)
 		if err != nil || text == validConfig {
-			t.Fatalf("%s: %v", change[1], err)
+			t.Fatalf("%s: %v", change.replacement, err)
 		}
-		fmt.Fprintf(&out, "%s -> %v\n", change[1], c.CheckReload(next))
+		fmt.Fprintf(&out, "%s -> %v\n", change.replacement, config.CheckReload(next))
 	}
 	golden.Compare(t, "restart.golden", []byte(out.String()))
 }
--- a/internal/platformconfig/settings.go
+++ b/internal/platformconfig/settings.go
@@ -13,75 +13,117 @@
 	"garnetline/routing"
 )
 
-// parseSettings reads the settings, which stand here as nested JSON under the
-// names that the simulator's wire gives as paths.
+// Defaults of connections to servers.
+const (
+	defaultIdleTimeout    = 15_000.0 // ms
+	defaultConnectTimeout = 400.0    // ms
+	defaultMaxStreams     = 100
+)
+
+// absent is how the simulator's protocol writes a value that is not there.
+const absent = "-"
+
+// parseSettings reads the settings. They are nested JSON here; the simulator's protocol names
+// the same ones by path, and its reader is used for both.
 func (c *Config) parseSettings(raw json.RawMessage) error {
 	if len(raw) == 0 {
-		return errors.New("settings: missing")
+		return &FieldError{Field: "settings", Err: errors.New("missing")}
 	}
-	var tree map[string]any
-	d := json.NewDecoder(bytes.NewReader(raw))
-	d.UseNumber()
-	if err := d.Decode(&tree); err != nil {
-		return fmt.Errorf("settings: %w", err)
+	values, err := flattenSettings(raw)
+	if err != nil {
+		return &FieldError{Field: "settings", Err: err}
 	}
-	m := map[string]string{}
-	flatten(m, "", tree)
-	s, report, err := wire.ParseSettings(m)
+	settings, reportFields, err := wire.ParseSettings(values)
 	if err != nil {
-		return fmt.Errorf("settings.%w", err)
+		return fmt.Errorf("settings.%w", err) // the error begins with the path
 	}
-	if _, err := routing.New(s, 0); err != nil {
-		return fmt.Errorf("settings: %w", err)
+	if _, err := routing.New(settings, 0); err != nil {
+		return &FieldError{Field: "settings", Err: err}
 	}
-	c.Settings, c.LoadReportFields = s, report
-	c.Zones, c.Kinds = strings.Split(m["areas"], ","), strings.Split(m["machine_types"], ",")
-	c.Upstream = Upstream{IdleTimeout: 15000, ConnectTimeout: 400, MaxStreams: 100}
-	for path, v := range map[string]*float64{"limits.conn_idle_us": &c.Upstream.IdleTimeout, "limits.connect_timeout_us": &c.Upstream.ConnectTimeout} {
-		if m[path] == "" {
-			continue
-		}
-		us, err := strconv.ParseFloat(m[path], 64)
-		if err != nil || !(us > 0) || math.IsInf(us, 0) {
-			return fmt.Errorf("settings.%s: %q is not a time in microseconds", path, m[path])
-		}
-		*v = us / 1000
+	c.Settings = settings
+	c.LoadReportFields = reportFields
+	c.Zones = strings.Split(values["areas"], ",")
+	c.Kinds = strings.Split(values["machine_types"], ",")
+	c.Upstream, err = parseUpstream(values)
+	return err
+}
+
+// parseUpstream reads what the settings say of connections to servers.
+func parseUpstream(values map[string]string) (Upstream, error) {
+	upstream := Upstream{IdleTimeout: defaultIdleTimeout, ConnectTimeout: defaultConnectTimeout, MaxStreams: defaultMaxStreams}
+	if err := parseMicroseconds(values, "limits.conn_idle_us", &upstream.IdleTimeout); err != nil {
+		return upstream, err
 	}
-	if v := m["limits.max_streams"]; v != "" {
-		if c.Upstream.MaxStreams, err = strconv.Atoi(v); err != nil || c.Upstream.MaxStreams < 1 {
-			return fmt.Errorf("settings.limits.max_streams: %q is not a number from 1", v)
+	if err := parseMicroseconds(values, "limits.connect_timeout_us", &upstream.ConnectTimeout); err != nil {
+		return upstream, err
+	}
+	if text := values["limits.max_streams"]; text != "" {
+		streams, err := strconv.Atoi(text)
+		if err != nil || streams < 1 {
+			return upstream, fieldErrorf("settings.limits.max_streams", "%q is not a number from 1", text)
 		}
+		upstream.MaxStreams = streams
+	}
+	return upstream, nil
+}
+
+// parseMicroseconds reads the time of a path into milliseconds, if there is one.
+func parseMicroseconds(values map[string]string, path string, milliseconds *float64) error {
+	text := values[path]
+	if text == "" {
+		return nil
+	}
+	microseconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(microseconds > 0) || math.IsInf(microseconds, 0) {
+		return fieldErrorf("settings."+path, "%q is not a time in microseconds", text)
 	}
+	*milliseconds = microseconds / 1000
 	return nil
 }
 
-// flatten writes a tree as path=value pairs, in the form of the wire.
-func flatten(m map[string]string, path string, v any) {
-	switch v := v.(type) {
+// flattenSettings returns the values of a JSON object by path, in the form of the simulator's
+// protocol.
+func flattenSettings(raw json.RawMessage) (map[string]string, error) {
+	var tree map[string]any
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.UseNumber()
+	if err := decoder.Decode(&tree); err != nil {
+		return nil, err
+	}
+	values := map[string]string{}
+	flatten(values, "", tree)
+	return values, nil
+}
+
+// flatten adds a value and all below it. A list stands under its path with its plain
+// elements, and under path.count with the number of all.
+func flatten(values map[string]string, path string, value any) {
+	switch value := value.(type) {
 	case map[string]any:
-		for k, x := range v {
-			flatten(m, strings.TrimPrefix(path+"."+k, "."), x)
+		for key, child := range value {
+			flatten(values, strings.TrimPrefix(path+"."+key, "."), child)
 		}
 	case []any:
-		plain := make([]string, 0, len(v))
-		for i, x := range v {
-			switch x.(type) {
+		plain := make([]string, 0, len(value))
+		for i, element := range value {
+			switch element.(type) {
 			case map[string]any, []any:
-				flatten(m, path+"."+strconv.Itoa(i), x)
+				flatten(values, path+"."+strconv.Itoa(i), element)
 			default:
-				plain = append(plain, formatScalar(x))
+				plain = append(plain, formatScalar(element))
 			}
 		}
-		m[path+".count"] = strconv.Itoa(len(v))
-		m[path] = strings.Join(plain, ",")
+		values[path+".count"] = strconv.Itoa(len(value))
+		values[path] = strings.Join(plain, ",")
 	default:
-		m[path] = formatScalar(v)
+		values[path] = formatScalar(value)
 	}
 }
 
-func formatScalar(v any) string {
-	if v == nil {
-		return "-"
+// formatScalar writes a plain value without the characters that separate values.
+func formatScalar(value any) string {
+	if value == nil {
+		return absent
 	}
-	return strings.NewReplacer(" ", "_", ",", "_").Replace(fmt.Sprint(v))
+	return strings.NewReplacer(" ", "_", ",", "_").Replace(fmt.Sprint(value))
 }
