Split the membership state machine by concern into functions of one job

Need: machine.go and spread.go held the protocol of 860 lines under few, long functions; a reader of SWIM could not find the suspicion or the exchange of views. Change: packet.go and codec.go (wire), receive.go (verification of senders, requests), update.go (applying updates), suspicion.go, probe.go, relay.go, broadcast.go, sync.go, checksum.go, peer.go (with the replay window); timers each a method; one syncWriter packs an answer's packets where three closures did; event kinds and limits are named; the parser of fields is wireformat's.

--- a/internal/fleet/membership/broadcast.go
+++ b/internal/fleet/membership/broadcast.go
@@ -7,52 +7,63 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// broadcastQueue holds what is to be passed on, each so often and no more. It is gone through in
-// turn, so that all are passed on alike.
-type broadcastQueue struct {
-	entries     []broadcast
-	next        int
-	queuedItems map[uint64]bool // that are in it
-}
+const (
+	// fastGossipThreshold is how many queued broadcasts make a router send faster.
+	fastGossipThreshold = 48
+	fastGossipFactor    = 4
+
+	// maxBroadcasts bounds the queue; what finds no room waits for the exchange of views.
+	maxBroadcasts = 4096
+)
 
-// broadcast is a word of a router, or an item.
+// broadcast is an update or an item that is sent to others a number of times.
 type broadcast struct {
 	update    Update
-	item      []byte
-	transmits int
+	item      []byte // nil: it is the update
+	transmits int    // so far
 }
 
-// fastGossipThreshold is how many rumours make a router pass them on faster.
-const fastGossipThreshold = 48
-
-// maxBroadcasts is how many rumours wait; more wait for the exchange of views.
-const maxBroadcasts = 4096
+// broadcastQueue holds the broadcasts. They are sent in turn, so that all are sent alike.
+type broadcastQueue struct {
+	entries     []broadcast
+	next        int             // into entries
+	queuedItems map[uint64]bool // checksums of the items in entries
+}
 
-func (q *broadcastQueue) addUpdate(w Update) {
+// addUpdate queues an update, in place of an older one about the same router or one by the
+// same reporter.
+func (q *broadcastQueue) addUpdate(update Update) {
 	for i := range q.entries {
-		if x := &q.entries[i]; x.item == nil && x.update.ID == w.ID && (newer(&w, &x.update) || x.update.ReportedBy == w.ReportedBy) {
-			*x = broadcast{update: w}
+		entry := &q.entries[i]
+		if entry.item != nil || entry.update.ID != update.ID {
+			continue
+		}
+		if newer(&update, &entry.update) || entry.update.ReportedBy == update.ReportedBy {
+			*entry = broadcast{update: update}
 			return
 		}
 	}
 	if len(q.entries) < maxBroadcasts {
-		q.entries = append(q.entries, broadcast{update: w})
+		q.entries = append(q.entries, broadcast{update: update})
 	}
 }
 
-func (q *broadcastQueue) addItem(b []byte) {
+// addItem queues an item, unless it is queued.
+func (q *broadcastQueue) addItem(item []byte) {
 	if q.queuedItems == nil {
 		q.queuedItems = map[uint64]bool{}
 	}
-	if h := xxhash.Sum64(b); !q.queuedItems[h] && len(q.entries) < maxBroadcasts {
-		q.queuedItems[h] = true
-		q.entries = append(q.entries, broadcast{item: b})
+	sum := xxhash.Sum64(item)
+	if !q.queuedItems[sum] && len(q.entries) < maxBroadcasts {
+		q.queuedItems[sum] = true
+		q.entries = append(q.entries, broadcast{item: item})
 	}
 }
 
+// remove removes the i-th entry; the last one takes its place.
 func (q *broadcastQueue) remove(i int) {
-	if b := q.entries[i].item; b != nil {
-		delete(q.queuedItems, xxhash.Sum64(b))
+	if item := q.entries[i].item; item != nil {
+		delete(q.queuedItems, xxhash.Sum64(item))
 	}
 	last := len(q.entries) - 1
 	q.entries[i] = q.entries[last]
@@ -60,75 +71,13 @@
 	q.entries = q.entries[:last]
 }
 
-// attachBroadcasts puts rumours into a packet, as far as there is room.
-func (m *Machine) attachBroadcasts(p *Packet, room int) {
-	limit := int(math.Ceil(m.settings.RetransmitMult * math.Log10(float64(len(m.present)+2))))
-	q := &m.broadcasts
-	for n := len(q.entries); n > 0 && len(q.entries) > 0; n-- {
-		if q.next >= len(q.entries) {
-			q.next = 0
-		}
-		x := &q.entries[q.next]
-		if x.item == nil {
-			if r := m.peers[x.update.ID]; r != nil && newer(&r.Update, &x.update) || r == nil && x.update.ID != m.self.ID {
-				q.remove(q.next)
-				continue
-			}
-			if room -= x.update.encodedSize(); room < 0 || len(p.Updates) >= maxUpdates {
-				return
-			}
-			p.Updates = append(p.Updates, x.update)
-		} else {
-			if room -= len(x.item) + 3; room < 0 || len(p.Items) >= maxItems {
-				return
-			}
-			p.Items = append(p.Items, x.item)
-		}
-		if x.transmits++; x.transmits >= limit {
-			q.remove(q.next)
-		} else {
-			q.next++
-		}
-	}
-}
-
-// send sends a packet to a router, or to an address at which one may be. What it is held
-// to be, if that is not alive, goes first: it may refute.
-func (m *Machine) send(to netip.AddrPort, r *peer, p *Packet) {
-	if m.superseded && p.Kind != Ack && p.Kind != SyncResponse && p.Kind != SyncRequest {
-		return // its successor speaks
-	}
-	m.sequence++
-	p.From, p.Sequence = m.self, m.sequence
-	p.From.State = Alive
-	if r != nil && p.Kind != SyncResponse {
-		if r.State != Alive {
-			p.Updates = append(p.Updates, r.Update)
-		}
-		m.attachBroadcasts(p, packetBudget-p.encodedSize())
-	}
-	m.output.Packets = append(m.output.Packets, OutgoingPacket{to, p})
-}
-
-// encodedSize is about how many bytes a packet's words, items and sums take.
-func (p *Packet) encodedSize() int {
-	n := 4 * len(p.Checksums)
-	for i := range p.Updates {
-		n += p.Updates[i].encodedSize()
-	}
-	for _, it := range p.Items {
-		n += len(it) + 3
-	}
-	return n
-}
-
-// Broadcast has an item passed on to all.
+// Broadcast queues an item to be sent to all.
 func (m *Machine) Broadcast(item []byte) {
 	m.broadcasts.addItem(item)
 	m.scheduleGossip()
 }
 
-// scheduleGossip has what is new passed on soon.
+// scheduleGossip has the queue sent soon.
 func (m *Machine) scheduleGossip() {
 	if math.IsInf(m.nextGossipAt, 1) {
 		m.nextGossipAt = m.now + m.settings.GossipInterval*m.rng.Float64()
@@ -136,104 +85,103 @@
 	m.wakeAt = min(m.wakeAt, m.nextGossipAt)
 }
 
+// sendGossip sends queued broadcasts to a few random routers.
 func (m *Machine) sendGossip() {
 	if len(m.broadcasts.entries) == 0 {
 		return
 	}
-	var to []*peer
+	var receivers []*peer
 	for range m.settings.GossipFanout {
-		r := m.randomPeer(to)
-		if r == nil {
+		receiver := m.randomPeer(receivers)
+		if receiver == nil {
 			break
 		}
-		to = append(to, r)
-		m.send(r.Addr, r, &Packet{Kind: Gossip})
+		receivers = append(receivers, receiver)
+		m.send(receiver.Addr, receiver, &Packet{Kind: Gossip})
+	}
+	queued := len(m.broadcasts.entries)
+	if queued == 0 || len(m.present) == 0 {
+		return
+	}
+	m.nextGossipAt = m.now + m.settings.GossipInterval
+	if queued > fastGossipThreshold { // a fleet that starts at once: updates are old before their turn comes
+		m.nextGossipAt = m.now + m.settings.GossipInterval/fastGossipFactor
 	}
-	if n := len(m.broadcasts.entries); n > 0 && len(m.present) > 0 {
-		m.nextGossipAt = m.now + m.settings.GossipInterval
-		if n > fastGossipThreshold { // a fleet that starts at once: news is old before its turn comes
-			m.nextGossipAt = m.now + m.settings.GossipInterval/4
+}
+
+// send sends a packet to a router, or with a nil receiver to an address at which one may
+// be. What the receiver is held for, if that is not alive, goes first: it may refute.
+func (m *Machine) send(addr netip.AddrPort, receiver *peer, packet *Packet) {
+	if m.superseded && packet.Kind != Ack && packet.Kind != SyncResponse && packet.Kind != SyncRequest {
+		return // its successor sends the rest
+	}
+	m.sequence++
+	packet.Sequence = m.sequence
+	packet.From = m.self
+	packet.From.State = Alive
+	if receiver != nil && packet.Kind != SyncResponse {
+		if receiver.State != Alive {
+			packet.Updates = append(packet.Updates, receiver.Update)
 		}
+		m.attachBroadcasts(packet, packetBudget-packet.encodedSize())
 	}
+	m.output.Packets = append(m.output.Packets, OutgoingPacket{addr, packet})
 }
 
-// allChecksums is the sums of the view and of the shelf together.
-func (m *Machine) allChecksums() []uint32 {
-	s := make([]uint32, BucketCount)
-	for i := range s {
-		if s[i] = m.checksums[i]; m.store != nil {
-			s[i] ^= m.store.Checksum(i)
+// attachBroadcasts puts queued broadcasts into a packet, as far as budget bytes hold them.
+func (m *Machine) attachBroadcasts(packet *Packet, budget int) {
+	limit := int(math.Ceil(m.settings.RetransmitMult * math.Log10(float64(len(m.present)+2))))
+	queue := &m.broadcasts
+	for remaining := len(queue.entries); remaining > 0 && len(queue.entries) > 0; remaining-- {
+		if queue.next >= len(queue.entries) {
+			queue.next = 0
+		}
+		entry := &queue.entries[queue.next]
+		if entry.item == nil && m.outdated(&entry.update) {
+			queue.remove(queue.next)
+			continue
+		}
+		budget -= entry.encodedSize()
+		if budget < 0 || !entry.addTo(packet) {
+			return
+		}
+		entry.transmits++
+		if entry.transmits >= limit {
+			queue.remove(queue.next)
+		} else {
+			queue.next++
 		}
 	}
-	return s
 }
 
-// requestSync asks for what differs.
-func (m *Machine) requestSync(to netip.AddrPort, of ID) {
-	m.send(to, nil, &Packet{Kind: SyncRequest, Nonce: m.newRequest(of, true), Target: of, Checksums: m.allChecksums()})
+// outdated reports whether more is known than what a queued update says.
+func (m *Machine) outdated(update *Update) bool {
+	known := m.peers[update.ID]
+	if known == nil {
+		return update.ID != m.self.ID
+	}
+	return newer(&known.Update, update)
 }
 
-// sendDifferences sends what this router holds in the buckets in which the other differs, up to a
-// bound: the rest follows with the next exchange, which is then soon.
-func (m *Machine) sendDifferences(r *peer, p *Packet, kind Kind) {
-	sums := m.allChecksums()
-	page := &Packet{Kind: kind, Nonce: p.Nonce}
-	if kind == SyncResponse {
-		page.Checksums = sums
-	}
-	sent, room := 0, packetBudget-4*len(page.Checksums)
-	flush := func() bool {
-		if sent++; sent > maxSyncPackets {
-			return false
-		}
-		m.send(r.Addr, nil, page)
-		page, room = &Packet{Kind: kind, Nonce: p.Nonce}, packetBudget
-		return true
+func (b *broadcast) encodedSize() int {
+	if b.item == nil {
+		return b.update.encodedSize()
 	}
-	word := func(w Update) bool {
-		if room < w.encodedSize() && !flush() {
+	return encodedItemSize(b.item)
+}
+
+// addTo adds the broadcast to a packet. It returns false where that has as many already.
+func (b *broadcast) addTo(p *Packet) bool {
+	if b.item == nil {
+		if len(p.Updates) >= maxUpdates {
 			return false
 		}
-		room -= w.encodedSize()
-		page.Updates = append(page.Updates, w)
+		p.Updates = append(p.Updates, b.update)
 		return true
 	}
-	differs := false
-	first := m.rng.IntN(BucketCount) // a bound that binds must not starve the last ones
-	for k := range BucketCount {
-		b := (first + k) % BucketCount
-		if p.Checksums != nil && sums[b] == p.Checksums[b] {
-			continue
-		}
-		differs = true
-		for _, list := range [][]*peer{m.present, m.departed} {
-			for _, x := range list {
-				if int(x.ID%BucketCount) == b && !word(x.Update) {
-					return
-				}
-			}
-		}
-		full := false
-		if m.store != nil {
-			m.store.ForEach(b, func(it []byte) bool {
-				if (room < len(it)+3 || len(page.Items) == maxItems) && !flush() {
-					full = true
-					return false
-				}
-				room -= len(it) + 3
-				page.Items = append(page.Items, it)
-				return true
-			})
-		}
-		if full {
-			return
-		}
-	}
-	if differs {
-		m.syncInterval = min(m.settings.ReconnectInterval, m.settings.SyncInterval)
-		m.nextSyncAt = min(m.nextSyncAt, m.now+m.syncInterval*(0.5+m.rng.Float64()))
-	}
-	if kind == SyncResponse || page.encodedSize() > 0 {
-		flush()
+	if len(p.Items) >= maxItems {
+		return false
 	}
+	p.Items = append(p.Items, b.item)
+	return true
 }
--- a/internal/fleet/membership/codec.go
+++ b/internal/fleet/membership/codec.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"errors"
 	"net/netip"
 
 	"google.golang.org/protobuf/encoding/protowire"
@@ -9,20 +8,7 @@
 	"garnetline/internal/fleet/wireformat"
 )
 
-// Bounds of a packet and of what is in it.
-const (
-	MaxPacketLen  = 1400 // bytes before sealing
-	MaxNameLen    = 64   // of a router, a zone, a version
-	MaxItemLen    = 96
-	MaxPayloadLen = 1100 // of Carry
-	maxUpdates    = 64
-	maxItems      = 64
-)
-
-// ErrMalformedPacket reports bytes that are no packet.
-var ErrMalformedPacket = errors.New("fleet: broken packet")
-
-// Fields of a packet and of a word, as protobuf numbers them.
+// Field numbers of a packet, in protobuf's encoding.
 const (
 	fieldKind = 1 + iota
 	fieldFrom
@@ -36,6 +22,7 @@
 	fieldPayload
 )
 
+// Field numbers of an update.
 const (
 	updateFieldID = 1 + iota
 	updateFieldRevision
@@ -47,7 +34,14 @@
 	updateFieldAddr
 )
 
-// Append appends a packet in protobuf's form.
+const (
+	checksumLen = 4 // bytes
+	portLen     = 2 // bytes
+	ipv4Len     = 4 // bytes
+	ipv6Len     = 16
+)
+
+// Append appends the encoded packet to b.
 func (p *Packet) Append(b []byte) []byte {
 	b = wireformat.AppendUint(b, fieldKind, uint64(p.Kind))
 	b = appendUpdate(b, fieldFrom, &p.From)
@@ -58,169 +52,166 @@
 		b = appendAddr(b, fieldTargetAddr, p.TargetAddr)
 	}
 	if len(p.Checksums) > 0 {
-		b = protowire.AppendTag(b, fieldChecksums, protowire.BytesType)
-		b = protowire.AppendVarint(b, uint64(4*len(p.Checksums)))
-		for _, s := range p.Checksums {
-			b = protowire.AppendFixed32(b, s)
-		}
+		b = appendChecksums(b, p.Checksums)
 	}
 	if len(p.Payload) > 0 {
-		b = protowire.AppendBytes(protowire.AppendTag(b, fieldPayload, protowire.BytesType), p.Payload)
+		b = appendBytes(b, fieldPayload, p.Payload)
 	}
 	for i := range p.Updates {
 		b = appendUpdate(b, fieldUpdate, &p.Updates[i])
 	}
-	for _, it := range p.Items {
-		b = protowire.AppendTag(b, fieldItem, protowire.BytesType)
-		b = protowire.AppendBytes(b, it)
+	for _, item := range p.Items {
+		b = appendBytes(b, fieldItem, item)
+	}
+	return b
+}
+
+func appendBytes(b []byte, field protowire.Number, content []byte) []byte {
+	b = protowire.AppendTag(b, field, protowire.BytesType)
+	return protowire.AppendBytes(b, content)
+}
+
+func appendChecksums(b []byte, checksums []uint32) []byte {
+	b = protowire.AppendTag(b, fieldChecksums, protowire.BytesType)
+	b = protowire.AppendVarint(b, uint64(checksumLen*len(checksums)))
+	for _, sum := range checksums {
+		b = protowire.AppendFixed32(b, sum)
 	}
 	return b
 }
 
-func appendFixed64(b []byte, f protowire.Number, v uint64) []byte {
-	if v == 0 {
+// appendFixed64 appends a number, unless it is 0.
+func appendFixed64(b []byte, field protowire.Number, value uint64) []byte {
+	if value == 0 {
 		return b
 	}
-	return protowire.AppendFixed64(protowire.AppendTag(b, f, protowire.Fixed64Type), v)
+	return protowire.AppendFixed64(protowire.AppendTag(b, field, protowire.Fixed64Type), value)
 }
 
-func appendAddr(b []byte, f protowire.Number, a netip.AddrPort) []byte {
-	ip := a.Addr().AsSlice()
-	b = protowire.AppendTag(b, f, protowire.BytesType)
-	b = protowire.AppendVarint(b, uint64(len(ip)+2))
+func appendAddr(b []byte, field protowire.Number, addr netip.AddrPort) []byte {
+	ip := addr.Addr().AsSlice()
+	b = protowire.AppendTag(b, field, protowire.BytesType)
+	b = protowire.AppendVarint(b, uint64(len(ip)+portLen))
 	b = append(b, ip...)
-	return append(b, byte(a.Port()>>8), byte(a.Port()))
+	return append(b, byte(addr.Port()>>8), byte(addr.Port()))
 }
 
-// appendUpdate appends a word; its length goes before it, in two bytes at the most.
-func appendUpdate(b []byte, f protowire.Number, w *Update) []byte {
-	var room [4*MaxNameLen + 64]byte
-	in := appendFixed64(room[:0], updateFieldID, uint64(w.ID))
-	in = wireformat.AppendUint(in, updateFieldRevision, w.Revision)
-	in = wireformat.AppendUint(in, updateFieldState, uint64(w.State))
-	in = appendFixed64(in, updateFieldReportedBy, uint64(w.ReportedBy))
-	in = wireformat.AppendString(in, updateFieldName, w.Name)
-	in = wireformat.AppendString(in, updateFieldZone, w.Zone)
-	in = wireformat.AppendString(in, updateFieldVersion, w.Version)
-	if w.Addr.IsValid() {
-		in = appendAddr(in, updateFieldAddr, w.Addr)
-	}
-	b = protowire.AppendTag(b, f, protowire.BytesType)
-	return protowire.AppendBytes(b, in)
+// appendUpdate appends an update; its length, of two bytes at the most, goes before it.
+func appendUpdate(b []byte, field protowire.Number, u *Update) []byte {
+	var buffer [4*MaxNameLen + 64]byte
+	encoded := appendFixed64(buffer[:0], updateFieldID, uint64(u.ID))
+	encoded = wireformat.AppendUint(encoded, updateFieldRevision, u.Revision)
+	encoded = wireformat.AppendUint(encoded, updateFieldState, uint64(u.State))
+	encoded = appendFixed64(encoded, updateFieldReportedBy, uint64(u.ReportedBy))
+	encoded = wireformat.AppendString(encoded, updateFieldName, u.Name)
+	encoded = wireformat.AppendString(encoded, updateFieldZone, u.Zone)
+	encoded = wireformat.AppendString(encoded, updateFieldVersion, u.Version)
+	if u.Addr.IsValid() {
+		encoded = appendAddr(encoded, updateFieldAddr, u.Addr)
+	}
+	return appendBytes(b, field, encoded)
 }
 
-// encodedSize is about how many bytes a word takes.
-func (w *Update) encodedSize() int { return 48 + len(w.Name) + len(w.Zone) + len(w.Version) }
+// Decode decodes a packet. Unknown fields of a later version are skipped; whatever is out of
+// bounds is ErrMalformedPacket. Nothing in the result refers to b.
+func Decode(b []byte) (*Packet, error) {
+	if len(b) > MaxPacketLen {
+		return nil, ErrMalformedPacket
+	}
+	p := &Packet{}
+	if !wireformat.ParseFieldsFixed64(b, p.setField) || !p.valid() {
+		return nil, ErrMalformedPacket
+	}
+	return p, nil
+}
 
-// forEachField calls f with each field of a message, and stops where it says no.
-func forEachField(b []byte, f func(n protowire.Number, v uint64, b []byte) bool) bool {
-	for len(b) > 0 {
-		n, t, k := protowire.ConsumeTag(b)
-		if k < 0 {
-			return false
-		}
-		b = b[k:]
-		var v uint64
-		var in []byte
-		switch t {
-		case protowire.VarintType:
-			v, k = protowire.ConsumeVarint(b)
-		case protowire.Fixed64Type:
-			v, k = protowire.ConsumeFixed64(b)
-		case protowire.BytesType:
-			in, k = protowire.ConsumeBytes(b)
-		default:
+func (p *Packet) valid() bool {
+	knownKind := p.Kind != 0 && p.Kind < kindEnd
+	return knownKind && p.From.ID != 0 && p.From.State == Alive && p.From.Addr.IsValid()
+}
+
+// setField takes one decoded field. It returns false where the field is out of bounds.
+func (p *Packet) setField(number protowire.Number, value uint64, content []byte) bool {
+	switch number {
+	case fieldKind:
+		p.Kind = Kind(min(value, uint64(kindEnd)))
+	case fieldFrom:
+		return p.From.unmarshal(content)
+	case fieldSequence:
+		p.Sequence = value
+	case fieldNonce:
+		p.Nonce = value
+	case fieldTarget:
+		p.Target = ID(value)
+	case fieldTargetAddr:
+		return parseAddr(content, &p.TargetAddr)
+	case fieldChecksums:
+		return p.setChecksums(content)
+	case fieldUpdate:
+		return p.addUpdate(content)
+	case fieldPayload:
+		if len(content) > MaxPayloadLen {
 			return false
 		}
-		if k < 0 || !f(n, v, in) {
+		p.Payload = append([]byte(nil), content...)
+	case fieldItem:
+		if len(p.Items) == maxItems || len(content) > MaxItemLen {
 			return false
 		}
-		b = b[k:]
+		p.Items = append(p.Items, append([]byte(nil), content...))
 	}
 	return true
 }
 
-// Decode reads a packet. Unknown fields of a later version are passed over; whatever is
-// out of bounds is no packet. Nothing in the result refers to b.
-func Decode(b []byte) (*Packet, error) {
-	if len(b) > MaxPacketLen {
-		return nil, ErrMalformedPacket
+func (p *Packet) setChecksums(content []byte) bool {
+	if len(content) != checksumLen*BucketCount || p.Checksums != nil {
+		return false
 	}
-	p := &Packet{}
-	ok := forEachField(b, func(n protowire.Number, v uint64, in []byte) bool {
-		switch n {
-		case fieldKind:
-			p.Kind = Kind(min(v, uint64(kindEnd)))
-		case fieldFrom:
-			return p.From.unmarshal(in)
-		case fieldSequence:
-			p.Sequence = v
-		case fieldNonce:
-			p.Nonce = v
-		case fieldTarget:
-			p.Target = ID(v)
-		case fieldTargetAddr:
-			return parseAddr(in, &p.TargetAddr)
-		case fieldChecksums:
-			if len(in) != 4*BucketCount || p.Checksums != nil {
-				return false
-			}
-			for ; len(in) > 0; in = in[4:] {
-				s, _ := protowire.ConsumeFixed32(in)
-				p.Checksums = append(p.Checksums, s)
-			}
-		case fieldUpdate:
-			var w Update
-			if len(p.Updates) == maxUpdates || !w.unmarshal(in) {
-				return false
-			}
-			p.Updates = append(p.Updates, w)
-		case fieldPayload:
-			if len(in) > MaxPayloadLen {
-				return false
-			}
-			p.Payload = append([]byte(nil), in...)
-		case fieldItem:
-			if len(p.Items) == maxItems || len(in) > MaxItemLen {
-				return false
-			}
-			p.Items = append(p.Items, append([]byte(nil), in...))
-		}
-		return true
-	})
-	if !ok || p.Kind == 0 || p.Kind >= kindEnd || p.From.ID == 0 || p.From.State != Alive || !p.From.Addr.IsValid() {
-		return nil, ErrMalformedPacket
+	for ; len(content) > 0; content = content[checksumLen:] {
+		sum, _ := protowire.ConsumeFixed32(content)
+		p.Checksums = append(p.Checksums, sum)
 	}
-	return p, nil
+	return true
 }
 
-func (w *Update) unmarshal(b []byte) bool {
-	ok := forEachField(b, func(n protowire.Number, v uint64, in []byte) bool {
-		switch n {
-		case updateFieldID:
-			w.ID = ID(v)
-		case updateFieldRevision:
-			w.Revision = v
-		case updateFieldState:
-			w.State = State(min(v, 255))
-		case updateFieldReportedBy:
-			w.ReportedBy = ID(v)
-		case updateFieldName:
-			return parseName(in, &w.Name)
-		case updateFieldZone:
-			return parseName(in, &w.Zone)
-		case updateFieldVersion:
-			return parseName(in, &w.Version)
-		case updateFieldAddr:
-			return parseAddr(in, &w.Addr)
-		}
-		return true
-	})
-	return ok && w.ID != 0 && w.State <= Left
+func (p *Packet) addUpdate(content []byte) bool {
+	var update Update
+	if len(p.Updates) == maxUpdates || !update.unmarshal(content) {
+		return false
+	}
+	p.Updates = append(p.Updates, update)
+	return true
+}
+
+// unmarshal decodes an update. It returns false where that is out of bounds.
+func (u *Update) unmarshal(b []byte) bool {
+	return wireformat.ParseFieldsFixed64(b, u.setField) && u.ID != 0 && u.State <= Left
+}
+
+func (u *Update) setField(number protowire.Number, value uint64, content []byte) bool {
+	switch number {
+	case updateFieldID:
+		u.ID = ID(value)
+	case updateFieldRevision:
+		u.Revision = value
+	case updateFieldState:
+		u.State = State(min(value, 255))
+	case updateFieldReportedBy:
+		u.ReportedBy = ID(value)
+	case updateFieldName:
+		return parseName(content, &u.Name)
+	case updateFieldZone:
+		return parseName(content, &u.Zone)
+	case updateFieldVersion:
+		return parseName(content, &u.Version)
+	case updateFieldAddr:
+		return parseAddr(content, &u.Addr)
+	}
+	return true
 }
 
-// parseName takes printable ASCII alone: names stand in logs and on terminals.
-func parseName(b []byte, to *string) bool {
+// parseName accepts printable ASCII only, since names are printed to logs and terminals.
+func parseName(b []byte, name *string) bool {
 	if len(b) > MaxNameLen {
 		return false
 	}
@@ -229,16 +220,17 @@
 			return false
 		}
 	}
-	*to = string(b)
+	*name = string(b)
 	return true
 }
 
-func parseAddr(b []byte, to *netip.AddrPort) bool {
-	n := len(b) - 2
-	if n != 4 && n != 16 {
+func parseAddr(b []byte, addr *netip.AddrPort) bool {
+	ipLen := len(b) - portLen
+	if ipLen != ipv4Len && ipLen != ipv6Len {
 		return false
 	}
-	ip, _ := netip.AddrFromSlice(b[:n])
-	*to = netip.AddrPortFrom(ip, uint16(b[n])<<8|uint16(b[n+1]))
-	return to.Port() != 0
+	ip, _ := netip.AddrFromSlice(b[:ipLen])
+	port := uint16(b[ipLen])<<8 | uint16(b[ipLen+1])
+	*addr = netip.AddrPortFrom(ip, port)
+	return port != 0
 }
--- /dev/null
+++ b/internal/fleet/membership/receive.go
@@ -0,0 +1,204 @@
+package membership
+
+import "slices"
+
+const (
+	maxUnverified      = 64   // packets of routers that have not been verified yet
+	maxPendingRequests = 1024 // requests that wait for an answer
+	maxCorrections     = 8    // updates that put one sender right
+
+	// requestLifetime is how many probe intervals a request waits for its answer, and a
+	// packet for the verification of its sender.
+	requestLifetime = 4
+)
+
+// pendingRequest is a request that a later packet may answer.
+type pendingRequest struct {
+	nonce     uint64
+	target    ID // 0: whoever answers
+	expiresAt float64
+	sync      bool // a SyncRequest
+}
+
+// unverifiedPacket is a packet that waits until its sender has been verified.
+type unverifiedPacket struct {
+	packet    *Packet
+	expiresAt float64
+}
+
+// handlePacket handles a packet that was decrypted and decoded.
+func (m *Machine) handlePacket(packet *Packet) {
+	if packet.From.ID == m.self.ID {
+		m.applySelfUpdate(packet.From)
+		return
+	}
+	incarnation := packet.From.Incarnation()
+	sender := m.peers[packet.From.ID]
+	if sender != nil && incarnation < sender.Incarnation() {
+		m.rejectOldIncarnation(sender, packet)
+		return
+	}
+	verified := sender != nil && sender.replay.verifiedFor(incarnation)
+	if verified && !sender.replay.accept(packet.Sequence) {
+		m.Replays++
+		return
+	}
+	request, answered := m.matchRequest(packet)
+	if !verified && !answered {
+		m.challenge(packet)
+		return
+	}
+	if !verified {
+		m.applyUpdate(packet.From, "answered")
+		if sender = m.peers[packet.From.ID]; sender == nil {
+			return // no room
+		}
+		sender.replay = replayWindow{incarnation: incarnation, verified: true, highest: packet.Sequence, seen: 1}
+		sender.direct = true
+	}
+	m.handleVerified(sender, packet, answered && request.sync)
+	m.releaseUnverified(sender, incarnation)
+}
+
+// rejectOldIncarnation drops a packet of the process before, or a recorded one of it. If
+// that process still lives it is to know that it has a successor, or that this one is gone.
+func (m *Machine) rejectOldIncarnation(known *peer, packet *Packet) {
+	m.Replays++
+	if packet.Kind == SyncRequest || packet.Kind == Ping {
+		m.send(packet.From.Addr, nil, &Packet{Kind: Gossip, Updates: []Update{known.Update}})
+	}
+}
+
+// challenge asks a sender that has not been verified for an answer, and keeps its packet
+// until then.
+func (m *Machine) challenge(packet *Packet) {
+	if packet.Kind == Ping && m.isTarget(packet) {
+		m.send(packet.From.Addr, nil, &Packet{Kind: Ack, Nonce: packet.Nonce, Target: m.self.ID})
+		packet.Kind = Gossip // the rest of it waits
+	}
+	if packet.Kind == Ack || packet.Kind == Nack || packet.Kind == SyncResponse {
+		return // answers no request of this router
+	}
+	m.unverified = slices.DeleteFunc(m.unverified, func(waiting unverifiedPacket) bool {
+		return waiting.expiresAt <= m.now || waiting.packet.From.ID == packet.From.ID
+	})
+	if len(m.unverified) == maxUnverified { // the oldest had its chance
+		m.unverified = m.unverified[1:]
+	}
+	m.unverified = append(m.unverified, unverifiedPacket{packet, m.now + requestLifetime*m.settings.ProbeInterval})
+	m.send(packet.From.Addr, nil, &Packet{Kind: Ping, Nonce: m.newRequest(packet.From.ID, false), Target: packet.From.ID})
+}
+
+// releaseUnverified handles the packet that waited until its sender was verified.
+func (m *Machine) releaseUnverified(sender *peer, incarnation uint64) {
+	i := slices.IndexFunc(m.unverified, func(waiting unverifiedPacket) bool { return waiting.packet.From.ID == sender.ID })
+	if i < 0 {
+		return
+	}
+	packet := m.unverified[i].packet
+	m.unverified = slices.Delete(m.unverified, i, i+1)
+	if packet.From.Incarnation() == incarnation && sender.replay.accept(packet.Sequence) {
+		m.handleVerified(sender, packet, false)
+	}
+}
+
+// isTarget reports whether a packet is meant for this router.
+func (m *Machine) isTarget(packet *Packet) bool {
+	return packet.Target == m.self.ID || packet.Target == 0
+}
+
+// handleVerified handles a packet of a verified sender. answersSync tells that it answers a
+// SyncRequest of this router.
+func (m *Machine) handleVerified(sender *peer, packet *Packet, answersSync bool) {
+	sender.lastReceivedAt = m.now
+	m.lastReceivedAt = m.now
+	m.applySenderUpdate(sender, packet.From)
+	m.applyUpdates(sender, packet.Updates)
+	for _, item := range packet.Items {
+		if m.store != nil && m.store.Receive(m.now, sender.ID, item) {
+			m.Broadcast(item)
+		}
+	}
+	switch packet.Kind {
+	case Ping:
+		if m.isTarget(packet) {
+			m.send(sender.Addr, sender, &Packet{Kind: Ack, Nonce: packet.Nonce, Target: m.self.ID})
+		}
+	case Ack, Nack:
+		m.handleProbeReply(sender, packet)
+	case IndirectPing:
+		m.startRelay(sender, packet)
+	case Data:
+		if len(packet.Payload) > 0 {
+			m.output.Payloads = append(m.output.Payloads, Payload{sender.ID, sender.Incarnation(), packet.Payload})
+		}
+	case SyncRequest:
+		m.sendDifferences(sender, packet, SyncResponse)
+	case SyncResponse:
+		if answersSync && packet.Checksums != nil {
+			m.sendDifferences(sender, packet, Gossip)
+		}
+	}
+}
+
+// applySenderUpdate applies what a sender says of itself. Where that refutes a suspicion,
+// the accusers are told at once, not when gossip reaches them.
+func (m *Machine) applySenderUpdate(sender *peer, update Update) {
+	suspected := sender.State == Suspect
+	m.applyUpdate(update, "its own word")
+	if !suspected || sender.State != Alive {
+		return
+	}
+	for _, id := range sender.accusers {
+		if accuser := m.peers[id]; accuser != nil && accuser.State.Present() {
+			m.send(accuser.Addr, accuser, &Packet{Kind: Gossip, Updates: []Update{sender.Update}})
+		}
+	}
+}
+
+// applyUpdates applies what a sender says of others. A sender with an outdated suspicion has
+// missed the refutation and may be about to declare a router failed that lives: it is put
+// right at once.
+func (m *Machine) applyUpdates(sender *peer, updates []Update) {
+	var corrections []Update
+	for i := range updates {
+		update := &updates[i]
+		m.applyUpdate(*update, "told")
+		known := m.peers[update.ID]
+		if known == nil || update.State == Alive || known.State != Alive {
+			continue
+		}
+		if newer(&known.Update, update) && len(corrections) < maxCorrections {
+			corrections = append(corrections, known.Update)
+		}
+	}
+	if corrections != nil {
+		m.send(sender.Addr, sender, &Packet{Kind: Gossip, Updates: corrections})
+	}
+}
+
+// matchRequest returns the request that a packet answers. A SyncRequest is answered by
+// several packets.
+func (m *Machine) matchRequest(packet *Packet) (request pendingRequest, ok bool) {
+	if packet.Kind != Ack && packet.Kind != Nack && packet.Kind != SyncResponse {
+		return pendingRequest{}, false
+	}
+	for _, request := range m.pending {
+		if request.nonce == packet.Nonce && (request.target == 0 || request.target == packet.From.ID) {
+			return request, true
+		}
+	}
+	return pendingRequest{}, false
+}
+
+// newRequest notes a request to target and returns its nonce. The oldest is dropped where
+// there are too many.
+func (m *Machine) newRequest(target ID, sync bool) (nonce uint64) {
+	if len(m.pending) == maxPendingRequests {
+		m.pending = m.pending[1:]
+	}
+	nonce = m.rng.Uint64() | 1
+	expiresAt := m.now + requestLifetime*m.settings.ProbeInterval*m.healthMultiplier()
+	m.pending = append(m.pending, pendingRequest{nonce, target, expiresAt, sync})
+	return nonce
+}
--- /dev/null
+++ b/internal/fleet/membership/update.go
@@ -0,0 +1,169 @@
+package membership
+
+import "slices"
+
+// recentPeriods is for how many probe intervals a router that was heard of is asked before
+// another's word that it is gone is believed.
+const recentPeriods = 8
+
+// maxReportedConflicts bounds how many conflicts are remembered as reported.
+const maxReportedConflicts = 256
+
+// applyUpdate applies an update about a router, if it is newer than what is known.
+func (m *Machine) applyUpdate(update Update, cause string) {
+	if update.ID == m.self.ID {
+		m.applySelfUpdate(update)
+		return
+	}
+	if !update.Addr.IsValid() {
+		return
+	}
+	known := m.peers[update.ID]
+	if known == nil {
+		m.addPeer(update, cause)
+		return
+	}
+	if update.State == Failed && known.State == Alive && m.heardRecently(known) {
+		// No suspicion came before it, and it was heard of a moment ago: a partition healed
+		// whose other side had declared it failed. It is asked before that is believed.
+		update.State = Suspect
+	}
+	if update.State == Suspect && known.State == Suspect && update.Revision == known.Revision {
+		m.confirmSuspicion(known, update)
+		return
+	}
+	if !newer(&update, &known.Update) && m.disabledRule != ruleOrdering {
+		return
+	}
+	m.replaceUpdate(known, update, cause)
+	if known.State == Suspect && update.ReportedBy != m.self.ID && m.heardRecently(known) {
+		// Heard of a moment ago: it is told at once, and what it says is broadcast. Where two
+		// sides see each other through one router, nobody else can.
+		m.send(known.Addr, known, &Packet{Kind: Ping, Nonce: m.newRequest(known.ID, false), Target: known.ID})
+	}
+	m.broadcastChange(known.Update)
+}
+
+// heardRecently reports whether a packet of the router itself came a moment ago.
+func (m *Machine) heardRecently(r *peer) bool {
+	return r.lastReceivedAt > 0 && m.now-r.lastReceivedAt <= recentPeriods*m.settings.ProbeInterval
+}
+
+// addPeer adds a router that was not known. One that is gone is not added: it was forgotten,
+// or never known.
+func (m *Machine) addPeer(update Update, cause string) {
+	if !update.State.Present() {
+		return
+	}
+	if len(m.peers) >= m.settings.MaxMembers {
+		m.Rejected++
+		if m.Rejected == 1 {
+			m.output.addEvent(EventFull, update, "no room for more routers")
+		}
+		return
+	}
+	added := &peer{Update: update, stateSince: m.now}
+	m.peers[update.ID] = added
+	m.addPresent(added)
+	m.toggleChecksum(added)
+	m.startSuspicion(added)
+	m.output.addEvent(EventJoined, update, cause)
+	m.broadcastChange(added.Update)
+}
+
+// broadcastChange broadcasts an update by which the view has changed.
+func (m *Machine) broadcastChange(update Update) {
+	m.output.ViewChanged = true
+	m.broadcasts.addUpdate(update)
+	m.scheduleGossip()
+}
+
+// replaceUpdate replaces what is known of a router by a newer update.
+func (m *Machine) replaceUpdate(known *peer, update Update, cause string) {
+	old := known.Update
+	m.stopSuspicion(known)
+	m.toggleChecksum(known)
+	if old.Revision != update.Revision || old.State != update.State {
+		known.stateSince = m.now
+	}
+	known.Update = update
+	switch {
+	case !old.State.Present() && update.State.Present():
+		m.departed = removePeer(m.departed, known)
+		m.addPresent(known)
+	case old.State.Present() && !update.State.Present():
+		m.present = removePeer(m.present, known)
+		m.departed = append(m.departed, known)
+		if m.idsByName[old.Name] == known.ID {
+			delete(m.idsByName, old.Name)
+		}
+	}
+	m.toggleChecksum(known)
+	m.startSuspicion(known)
+	switch {
+	case update.State != old.State && update.State != Alive:
+		m.output.addEvent(update.State.String(), update, cause)
+	case update.Incarnation() != old.Incarnation():
+		m.output.addEvent(EventJoined, update, "a new life: "+cause)
+	case update.State != old.State:
+		m.output.addEvent(EventBack, update, cause)
+	}
+}
+
+func removePeer(list []*peer, removed *peer) []*peer {
+	return slices.DeleteFunc(list, func(r *peer) bool { return r == removed })
+}
+
+// addPresent adds a router to the order of probing, at a random place.
+func (m *Machine) addPresent(added *peer) {
+	m.present = append(m.present, added)
+	i := m.rng.IntN(len(m.present))
+	last := len(m.present) - 1
+	m.present[i], m.present[last] = m.present[last], m.present[i]
+	if other, ok := m.idsByName[added.Name]; ok && other != added.ID {
+		m.reportConflict(added.Update, "two routers have this name")
+	} else {
+		m.idsByName[added.Name] = added.ID
+	}
+}
+
+// reportConflict reports, once for each router, that two have one name or one ID.
+func (m *Machine) reportConflict(update Update, cause string) {
+	key := cause + update.ID.String()
+	if !m.reportedConflicts[key] && len(m.reportedConflicts) < maxReportedConflicts {
+		m.reportedConflicts[key] = true
+		m.output.addEvent(EventConflict, update, cause)
+	}
+}
+
+// applySelfUpdate applies what others say of this router's ID.
+func (m *Machine) applySelfUpdate(update Update) {
+	incarnation := m.self.Incarnation()
+	switch {
+	case update.Incarnation() < incarnation:
+	case update.Incarnation() > incarnation && update.State.Present():
+		// The successor in an upgrade, or one that was started by mistake with a copy of
+		// this router's state directory. Either way there is one member, and it is that one.
+		if !m.superseded {
+			m.superseded = true
+			m.output.addEvent(EventSuperseded, update, "a later process has this router's seat")
+		}
+	case update.Incarnation() > incarnation:
+		m.self.Revision = FirstRevision(update.Incarnation() + 1)
+		m.announceSelf("the later process of its seat is gone")
+	case update.State != Alive && update.Revision >= m.self.Revision && m.disabledRule != ruleRefutation:
+		m.self.Revision = update.Revision + 1
+		m.raiseHealthScore(1)
+		m.announceSelf("told as " + update.State.String())
+	case update.State == Alive && (update.Addr != m.self.Addr || update.Revision > m.self.Revision):
+		m.reportConflict(update, "another process has this router's seat and life")
+	}
+}
+
+// announceSelf broadcasts this router's new revision.
+func (m *Machine) announceSelf(cause string) {
+	m.superseded = false
+	m.updateSelfChecksum()
+	m.output.addEvent(EventRefuted, m.self, cause)
+	m.broadcastChange(m.self)
+}
