--- a/internal/fleet/membership/golden_test.go
+++ b/internal/fleet/membership/golden_test.go
@@ -69,8 +69,8 @@
 
 // An incarnation of a process begins at a multiple of 2^24; what is below counts refutations.
 func TestIncarnationBits(t *testing.T) {
-	w := Update{Revision: FirstRevision(3) + 2}
-	if w.Revision != 3<<24+2 || w.Incarnation() != 3 {
-		t.Errorf("%x, of life %d", w.Revision, w.Incarnation())
+	update := Update{Revision: FirstRevision(3) + 2}
+	if update.Revision != 3<<24+2 || update.Incarnation() != 3 {
+		t.Errorf("%x, of incarnation %d", update.Revision, update.Incarnation())
 	}
 }
--- a/internal/fleet/membership/search_test.go
+++ b/internal/fleet/membership/search_test.go
@@ -16,301 +16,388 @@
 
 // The search goes through what can happen to a few routers, each with a clock of its own:
 // a timer fires, a packet arrives, arrives twice or never, a process is killed, or is
-// started anew. A state is reached again by the same steps; those with one digest are one.
+// started again. A state is reached again by the same steps; those with one digest are one.
 
-const inFlight = 5 // packets on their way; the oldest is lost beyond it
+const (
+	maxInFlight = 5 // packets on their way; the oldest is lost beyond it
+	// healTime is for how long the routers run without a fault before views must be equal.
+	healTime = 60_000
+	// failTime is after how long who is wrongly suspected has been declared failed.
+	failTime = 8000
+)
 
+// world is a state of the search.
 type world struct {
-	m      []*Machine
-	dice   []*rand.PCG
-	now    []float64
-	wake   []float64
-	dead   []bool
-	lives  []uint64
-	air    []OutgoingPacket
-	order  map[[2]ID]Update // latest that each holds of each
-	broken testRule
-	wrong  string
+	machines     []*Machine
+	sources      []*rand.PCG // of their random numbers
+	now          []float64
+	wakeAt       []float64
+	dead         []bool
+	incarnations []uint64
+	inFlight     []OutgoingPacket
+	known        map[[2]ID]Update // latest that each router knows of each
+	disabledRule testRule
+	violation    string
 }
 
-// copy is a world of its own in the same state.
-func (w *world) copy() *world {
-	c := &world{dice: make([]*rand.PCG, len(w.m)), now: slices.Clone(w.now), wake: slices.Clone(w.wake), dead: slices.Clone(w.dead),
-		lives: slices.Clone(w.lives), air: slices.Clone(w.air), order: maps.Clone(w.order), broken: w.broken, wrong: w.wrong}
-	for i, m := range w.m {
-		dice := *w.dice[i]
-		c.dice[i] = &dice
-		c.m = append(c.m, m.copy(rand.New(&dice)))
+// clone returns a world of its own in the same state.
+func (w *world) clone() *world {
+	clone := &world{
+		sources:      make([]*rand.PCG, len(w.machines)),
+		now:          slices.Clone(w.now),
+		wakeAt:       slices.Clone(w.wakeAt),
+		dead:         slices.Clone(w.dead),
+		incarnations: slices.Clone(w.incarnations),
+		inFlight:     slices.Clone(w.inFlight),
+		known:        maps.Clone(w.known),
+		disabledRule: w.disabledRule,
+		violation:    w.violation,
+	}
+	for i, m := range w.machines {
+		source := *w.sources[i]
+		clone.sources[i] = &source
+		clone.machines = append(clone.machines, m.clone(rand.New(&source)))
 	}
-	return c
+	return clone
 }
 
-func (m *Machine) copy(rng *rand.Rand) *Machine {
-	c := *m
-	c.rng, c.peers, c.idsByName, c.reportedConflicts = rng, make(map[ID]*peer, len(m.peers)), maps.Clone(m.idsByName), maps.Clone(m.reportedConflicts)
+func (m *Machine) clone(rng *rand.Rand) *Machine {
+	clone := *m
+	clone.rng = rng
+	clone.peers = make(map[ID]*peer, len(m.peers))
+	clone.idsByName = maps.Clone(m.idsByName)
+	clone.reportedConflicts = maps.Clone(m.reportedConflicts)
 	for id, r := range m.peers {
-		x := *r
-		x.accusers = slices.Clone(r.accusers)
-		c.peers[id] = &x
+		clonedPeer := *r
+		clonedPeer.accusers = slices.Clone(r.accusers)
+		clone.peers[id] = &clonedPeer
 	}
-	for _, l := range []*[]*peer{&c.present, &c.suspects, &c.departed} {
-		*l = slices.Clone(*l)
-		for i, r := range *l {
-			(*l)[i] = c.peers[r.ID]
+	for _, list := range []*[]*peer{&clone.present, &clone.suspects, &clone.departed} {
+		*list = slices.Clone(*list)
+		for i, r := range *list {
+			(*list)[i] = clone.peers[r.ID]
 		}
 	}
 	if m.probe.target != nil {
-		c.probe.target = c.peers[m.probe.target.ID]
+		clone.probe.target = clone.peers[m.probe.target.ID]
 	}
-	c.pending, c.relays, c.unverified, c.broadcasts.entries = slices.Clone(m.pending), slices.Clone(m.relays), slices.Clone(m.unverified), slices.Clone(m.broadcasts.entries)
-	return &c
+	clone.pending = slices.Clone(m.pending)
+	clone.relays = slices.Clone(m.relays)
+	clone.unverified = slices.Clone(m.unverified)
+	clone.broadcasts.entries = slices.Clone(m.broadcasts.entries)
+	return &clone
 }
 
+// testAddr returns the address of the i-th router.
 func testAddr(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 1)
 }
 
-func newWorld(n int, b testRule) *world {
-	w := &world{m: make([]*Machine, n), dice: make([]*rand.PCG, n), now: make([]float64, n), wake: make([]float64, n), dead: make([]bool, n), lives: make([]uint64, n),
-		order: map[[2]ID]Update{}, broken: b}
-	for i := range n {
+func newWorld(routers int, disabledRule testRule) *world {
+	w := &world{
+		machines:     make([]*Machine, routers),
+		sources:      make([]*rand.PCG, routers),
+		now:          make([]float64, routers),
+		wakeAt:       make([]float64, routers),
+		dead:         make([]bool, routers),
+		incarnations: make([]uint64, routers),
+		known:        map[[2]ID]Update{},
+		disabledRule: disabledRule,
+	}
+	for i := range routers {
 		w.start(i)
 	}
 	return w
 }
 
+// start starts the next process of a router.
 func (w *world) start(i int) {
-	set := DefaultSettings()
-	set.GossipFanout, set.IndirectProbes, set.GossipInterval = 1, 1, 50
-	w.lives[i]++
-	self := Update{ID: ID(i + 1), Revision: FirstRevision(w.lives[i]), Name: "r" + strconv.Itoa(i), Addr: testAddr(i)}
-	w.dice[i] = rand.NewPCG(uint64(i), w.lives[i])
-	w.m[i] = New(set, self, []netip.AddrPort{testAddr(0)}, rand.New(w.dice[i]), nil, w.now[i])
-	w.m[i].disabledRule = w.broken
-	w.dead[i], w.wake[i] = false, w.now[i]
-	for k := range w.order {
-		if k[0] == self.ID {
-			delete(w.order, k) // a new life knows nothing
+	settings := DefaultSettings()
+	settings.GossipFanout = 1
+	settings.IndirectProbes = 1
+	settings.GossipInterval = 50
+	w.incarnations[i]++
+	self := Update{ID: ID(i + 1), Revision: FirstRevision(w.incarnations[i]), Name: "r" + strconv.Itoa(i), Addr: testAddr(i)}
+	w.sources[i] = rand.NewPCG(uint64(i), w.incarnations[i])
+	w.machines[i] = New(settings, self, []netip.AddrPort{testAddr(0)}, rand.New(w.sources[i]), nil, w.now[i])
+	w.machines[i].disabledRule = w.disabledRule
+	w.dead[i] = false
+	w.wakeAt[i] = w.now[i]
+	for pair := range w.known {
+		if pair[0] == self.ID {
+			delete(w.known, pair) // a new incarnation knows nothing
 		}
 	}
 }
 
+// step steps a router and checks that it never goes back in what it knows of another.
 func (w *world) step(i int, p *Packet) {
-	out := w.m[i].Step(w.now[i], p)
-	w.wake[i] = out.WakeAt
-	w.air = append(w.air, out.Packets...)
-	w.air = w.air[max(0, len(w.air)-inFlight):]
-	for _, m := range w.m[i].View().Members {
-		k := [2]ID{ID(i + 1), m.ID}
-		if old, known := w.order[k]; known && newer(&old, &m.Update) {
-			w.wrong = fmt.Sprintf("r%d went back from %v of %x to %v of %x for %s", i, old.State, old.Revision, m.State, m.Revision, m.Name)
+	out := w.machines[i].Step(w.now[i], p)
+	w.wakeAt[i] = out.WakeAt
+	w.inFlight = append(w.inFlight, out.Packets...)
+	w.inFlight = w.inFlight[max(0, len(w.inFlight)-maxInFlight):]
+	for _, member := range w.machines[i].View().Members {
+		pair := [2]ID{ID(i + 1), member.ID}
+		if old, known := w.known[pair]; known && newer(&old, &member.Update) {
+			w.violation = fmt.Sprintf("r%d went back from %v of %x to %v of %x for %s", i, old.State, old.Revision, member.State, member.Revision, member.Name)
 		}
-		w.order[k] = m.Update
+		w.known[pair] = member.Update
 	}
 }
 
-// arrive has the k-th packet on its way arrive.
-func (w *world) arrive(k int, keep bool) {
-	s := w.air[k]
+// arrive has the i-th packet in flight arrive; keep has it arrive again later.
+func (w *world) arrive(i int, keep bool) {
+	out := w.inFlight[i]
 	if !keep {
-		w.air = slices.Delete(slices.Clone(w.air), k, k+1)
+		w.inFlight = slices.Delete(slices.Clone(w.inFlight), i, i+1)
 	}
-	for i := range w.m {
-		if testAddr(i) == s.To && !w.dead[i] {
-			p := *s.Packet
-			w.step(i, &p)
+	for router := range w.machines {
+		if testAddr(router) == out.To && !w.dead[router] {
+			p := *out.Packet
+			w.step(router, &p)
 		}
 	}
 }
 
-// Moves are numbered: timers, arrivals, arrivals of copies, kills with a new start, kills.
-func (w *world) moves() (l []byte) {
-	n := byte(len(w.m))
-	for i := range n {
+// A move is its kind times ten and the number of a router or a packet in flight.
+const (
+	moveTimer = iota * 10
+	moveArrive
+	moveArriveCopy
+	moveRestart
+	moveKill
+)
+
+// moves returns what can happen next.
+func (w *world) moves() (moves []byte) {
+	routers := byte(len(w.machines))
+	for i := range routers {
 		if !w.dead[i] {
-			l = append(l, i)
+			moves = append(moves, moveTimer+i)
 		}
 	}
-	for k := range w.air {
-		l = append(l, 10+byte(k), 20+byte(k))
+	for i := range w.inFlight {
+		moves = append(moves, moveArrive+byte(i), moveArriveCopy+byte(i))
 	}
-	for i := range n {
-		if w.lives[i] < 2 {
-			l = append(l, 30+i)
+	for i := range routers {
+		if w.incarnations[i] < 2 {
+			moves = append(moves, moveRestart+i)
 		}
 	}
 	if !slices.Contains(w.dead, true) {
-		l = append(l, 40+n-1)
+		moves = append(moves, moveKill+routers-1)
 	}
-	return l
+	return moves
 }
 
-func (w *world) do(b byte) {
-	i := int(b % 10)
-	switch b / 10 {
-	case 0:
-		w.now[i] = max(w.now[i], w.wake[i])
+func (w *world) apply(move byte) {
+	i := int(move % 10)
+	switch kind := move - move%10; kind {
+	case moveTimer:
+		w.now[i] = max(w.now[i], w.wakeAt[i])
 		w.step(i, nil)
-	case 1, 2:
-		if i < len(w.air) {
-			w.arrive(i, b/10 == 2)
+	case moveArrive, moveArriveCopy:
+		if i < len(w.inFlight) {
+			w.arrive(i, kind == moveArriveCopy)
 		}
-	case 3:
+	case moveRestart:
 		w.start(i)
-	case 4:
+	case moveKill:
 		w.dead[i] = true
 	}
 }
 
-// digest is what two states have alike that are one: times count from each router's now,
-// numbers of questions by whether they are still asked.
+// digest is what two states that count as one have in common: times relative to each
+// router's now, nonces by whether their request still waits.
 func (w *world) digest() uint64 {
-	var s strings.Builder
-	for i, m := range w.m {
-		fmt.Fprint(&s, w.dead[i], w.lives[i], m.healthScore, m.superseded, m.self.Revision, len(m.broadcasts.entries), int(m.nextProbeAt-w.now[i]), len(m.unverified), m.probe.target != nil, '|')
-		for _, x := range m.View().Members {
-			r := m.peers[x.ID]
-			fmt.Fprint(&s, x.ID, x.Revision, x.State)
-			if r != nil {
-				fmt.Fprint(&s, r.replay.verified, r.replay.incarnation, int(max(0, r.suspicionDeadline-w.now[i])))
+	var text strings.Builder
+	for i, m := range w.machines {
+		fmt.Fprint(&text, w.dead[i], w.incarnations[i], m.healthScore, m.superseded, m.self.Revision, len(m.broadcasts.entries),
+			int(m.nextProbeAt-w.now[i]), len(m.unverified), m.probe.target != nil, '|')
+		for _, member := range m.View().Members {
+			fmt.Fprint(&text, member.ID, member.Revision, member.State)
+			if r := m.peers[member.ID]; r != nil {
+				fmt.Fprint(&text, r.replay.verified, r.replay.incarnation, int(max(0, r.suspicionDeadline-w.now[i])))
 			}
 		}
 	}
-	for _, p := range w.air {
-		asked := false
-		for i, m := range w.m {
-			asked = asked || testAddr(i) == p.To && slices.ContainsFunc(m.pending, func(q pendingRequest) bool { return q.nonce == p.Packet.Nonce })
+	for _, out := range w.inFlight {
+		p := out.Packet
+		fmt.Fprint(&text, out.To, p.Kind, p.From.ID, p.From.Revision, w.awaited(out))
+		for _, update := range p.Updates {
+			fmt.Fprint(&text, update.ID, update.Revision, update.State)
 		}
-		fmt.Fprint(&s, p.To, p.Packet.Kind, p.Packet.From.ID, p.Packet.From.Revision, asked)
-		for _, x := range p.Packet.Updates {
-			fmt.Fprint(&s, x.ID, x.Revision, x.State)
+	}
+	return xxhash.Sum64String(text.String())
+}
+
+// awaited reports whether the receiver of a packet waits for its nonce.
+func (w *world) awaited(out OutgoingPacket) bool {
+	for i, m := range w.machines {
+		waits := func(request pendingRequest) bool { return request.nonce == out.Packet.Nonce }
+		if testAddr(i) == out.To && slices.ContainsFunc(m.pending, waits) {
+			return true
 		}
 	}
-	return xxhash.Sum64String(s.String())
+	return false
 }
 
-// heal lets all go on without a fault and tells whether the views end alike.
+// heal lets all run without a fault and reports whether the views end equal.
 func (w *world) heal() bool {
-	t := slices.Max(w.now)
-	start := t
-	for end := t + 60_000; t < end; {
-		next, who := end, -1
-		for i := range w.m {
-			if at := max(t, w.wake[i]); !w.dead[i] && at < next {
-				next, who = at, i
+	now := slices.Max(w.now)
+	start := now
+	for end := now + healTime; now < end; {
+		router := -1
+		next := end
+		for i := range w.machines {
+			if at := max(now, w.wakeAt[i]); !w.dead[i] && at < next {
+				next = at
+				router = i
 			}
 		}
-		t = next
-		if who < 0 {
+		now = next
+		if router < 0 {
 			break
 		}
 		for i := range w.now {
-			w.now[i] = max(w.now[i], t)
+			w.now[i] = max(w.now[i], now)
 		}
-		w.step(who, nil)
-		for n := 0; len(w.air) > 0 && n < 50; n++ {
+		w.step(router, nil)
+		for n := 0; len(w.inFlight) > 0 && n < 50; n++ {
 			w.arrive(0, false)
 		}
-		if t > start+8000 && w.alike() { // what is wrongly suspected has failed by then
+		if now > start+failTime && w.equalViews() {
 			return true
 		}
 	}
-	return w.alike()
+	return w.equalViews()
 }
 
-func (w *world) alike() bool {
+func (w *world) equalViews() bool {
 	live := 0
-	for _, d := range w.dead {
-		if !d {
+	for _, dead := range w.dead {
+		if !dead {
 			live++
 		}
 	}
-	for i, m := range w.m {
-		if !w.dead[i] && (m.PresentCount() != live || m.Checksums() != w.m[slices.Index(w.dead, false)].Checksums()) {
+	firstLive := w.machines[slices.Index(w.dead, false)]
+	for i, m := range w.machines {
+		if !w.dead[i] && (m.PresentCount() != live || m.Checksums() != firstLive.Checksums()) {
 			return false
 		}
 	}
 	return true
 }
 
-// search goes through states from a settled fleet on, the shallow ones first, and returns
-// how many there were and the first path that breaks a rule.
-func search(n, states, every int, b testRule) (seen, healed, depth int, path []byte, why string) {
-	type node struct {
-		w    *world
-		path []byte
+func (w *world) views() (lines []string) {
+	for i, m := range w.machines {
+		for _, member := range m.View().Members {
+			lines = append(lines, fmt.Sprintf("r%d dead %v: %s %v %x", i, w.dead[i], member.Name, member.State, member.Revision))
+		}
 	}
-	first := newWorld(n, 0)
+	return lines
+}
+
+// searchResult is what a search found.
+type searchResult struct {
+	states    int
+	healed    int // of those
+	depth     int // steps to the latest one
+	path      []byte
+	violation string // empty: none
+}
+
+// searchNode is a state with the moves that led to it.
+type searchNode struct {
+	world *world
+	path  []byte
+}
+
+// search goes through states from a settled fleet on, the shallow ones first, up to the
+// first path that breaks a rule. Every healEvery-th state is healed.
+func search(routers, maxStates, healEvery int, disabledRule testRule) (result searchResult) {
+	first := newWorld(routers, 0)
 	first.heal()
-	first.air, first.broken = nil, b
-	for _, m := range first.m {
-		m.disabledRule = b
+	first.inFlight = nil
+	first.disabledRule = disabledRule
+	for _, m := range first.machines {
+		m.disabledRule = disabledRule
 	}
-	known := map[uint64]bool{}
-	queue := []node{{first, nil}}
-	for len(queue) > 0 && seen < states {
-		w, path := queue[0].w, queue[0].path
+	visited := map[uint64]bool{}
+	queue := []searchNode{{first, nil}}
+	for len(queue) > 0 && result.states < maxStates {
+		node := queue[0]
 		queue = queue[1:]
-		if w.wrong != "" {
-			return seen, healed, len(path), path, w.wrong
+		if node.world.violation != "" {
+			result.depth = len(node.path)
+			result.path = node.path
+			result.violation = node.world.violation
+			return result
 		}
-		d := w.digest()
-		if known[d] {
+		digest := node.world.digest()
+		if visited[digest] {
 			continue
 		}
-		known[d] = true
-		seen++
-		depth = len(path)
-		if seen%every == 0 {
-			healed++
-			if x := w.copy(); !x.heal() || x.wrong != "" {
-				return seen, healed, depth, path, fmt.Sprintf("%s; at the end %v", x.wrong, x.views())
+		visited[digest] = true
+		result.states++
+		result.depth = len(node.path)
+		if result.states%healEvery == 0 {
+			result.healed++
+			if violation := node.world.checkHeals(); violation != "" {
+				result.path = node.path
+				result.violation = violation
+				return result
 			}
 		}
-		if len(queue) > min(4*states, 100_000) {
-			continue // enough to go on with
-		}
-		for _, move := range w.moves() {
-			x := w.copy()
-			x.do(move)
-			queue = append(queue, node{x, append(slices.Clone(path), move)})
+		if len(queue) <= min(4*maxStates, 100_000) { // else there are enough to go on with
+			queue = append(queue, node.successors()...)
 		}
 	}
-	return seen, healed, depth, nil, ""
+	return result
 }
 
-func (w *world) views() (l []string) {
-	for i, m := range w.m {
-		for _, x := range m.View().Members {
-			l = append(l, fmt.Sprintf("r%d dead %v: %s %v %x", i, w.dead[i], x.Name, x.State, x.Revision))
-		}
+// checkHeals returns what is wrong after a copy of the world was healed, or nothing.
+func (w *world) checkHeals() string {
+	clone := w.clone()
+	if clone.heal() && clone.violation == "" {
+		return ""
+	}
+	return fmt.Sprintf("%s; at the end %v", clone.violation, clone.views())
+}
+
+func (n searchNode) successors() (nodes []searchNode) {
+	for _, move := range n.world.moves() {
+		next := n.world.clone()
+		next.apply(move)
+		nodes = append(nodes, searchNode{next, append(slices.Clone(n.path), move)})
 	}
-	return l
+	return nodes
 }
 
-// No two views stay different once messages flow, and an older word never beats a newer
-// one. GARNETLINE_STATES goes through more states than CI does.
+// No two views stay different once packets arrive, and an older update never replaces a
+// newer one. GARNETLINE_STATES goes through more states than CI does.
 func TestStateSearch(t *testing.T) {
 	states := 6000
 	if s, err := strconv.Atoi(os.Getenv("GARNETLINE_STATES")); err == nil {
 		states = s
 	}
-	for _, n := range []int{2, 3} {
-		seen, healed, depth, path, why := search(n, states, 7, 0)
-		t.Logf("%d routers: %d states up to %d steps, %d healed", n, seen, depth, healed)
-		if why != "" {
-			t.Errorf("%d routers, steps %v: %s", n, path, why)
+	for _, routers := range []int{2, 3} {
+		result := search(routers, states, 7, 0)
+		t.Logf("%d routers: %d states up to %d steps, %d healed", routers, result.states, result.depth, result.healed)
+		if result.violation != "" {
+			t.Errorf("%d routers, steps %v: %s", routers, result.path, result.violation)
 		}
 	}
 }
 
-// Each rule that is switched off is found out.
+// Each rule that is disabled is noticed.
 func TestStateSearchFindsDisabledRules(t *testing.T) {
-	for b, n := range map[testRule]int{ruleOrdering: 2, ruleRefutation: 2} {
-		if seen, _, _, path, why := search(n, 20_000, 2, b); why == "" {
-			t.Errorf("rule %d is off, and %d states show nothing", b, seen)
+	for rule, routers := range map[testRule]int{ruleOrdering: 2, ruleRefutation: 2} {
+		result := search(routers, 20_000, 2, rule)
+		if result.violation == "" {
+			t.Errorf("rule %d is disabled, and %d states show nothing", rule, result.states)
 		} else {
-			t.Logf("rule %d off: found in state %d by %v: %s", b, seen, path, why)
+			t.Logf("rule %d disabled: found in state %d by %v: %s", rule, result.states, result.path, result.violation)
 		}
 	}
 }
