Say in the field's terms why membership changed its view

Change: "suspicion not refuted in time", "new incarnation", "probe not answered" and so on; a malformed packet's error says so. Event kinds, which are counters' names too, stay, and a test holds them.

--- a/internal/fleet/membership/golden_test.go
+++ b/internal/fleet/membership/golden_test.go
@@ -67,6 +67,19 @@
 	}
 }
 
+// Events are logged and counted under these names, and under those of states.
+func TestEventKinds(t *testing.T) {
+	for got, want := range map[string]string{
+		EventSuspect: Suspect.String(), EventFailed: Failed.String(), EventLeft: Left.String(),
+		EventJoined: "joined", EventBack: "back", EventRefuted: "refuted", EventConflict: "conflict",
+		EventSuperseded: "superseded", EventStalled: "woken", EventFull: "full",
+	} {
+		if got != want {
+			t.Errorf("an event is %q, want %q", got, want)
+		}
+	}
+}
+
 // An incarnation of a process begins at a multiple of 2^24; what is below counts refutations.
 func TestIncarnationBits(t *testing.T) {
 	update := Update{Revision: FirstRevision(3) + 2}
--- a/internal/fleet/membership/machine.go
+++ b/internal/fleet/membership/machine.go
@@ -148,7 +148,7 @@
 // for tests of what a router that has the key can do wrongly.
 func (m *Machine) InjectUpdate(update Update) {
 	m.output = &Output{}
-	m.applyUpdate(update, "made up")
+	m.applyUpdate(update, "injected by a test")
 	m.output = nil
 }
 
@@ -166,7 +166,7 @@
 	m.nextProbeAt = m.now + m.settings.ProbeInterval
 	m.nextSyncAt = m.now
 	m.syncInterval = m.shortestSyncInterval()
-	m.output.addEvent(EventStalled, m.self, "late by a stall of its own")
+	m.output.addEvent(EventStalled, m.self, "this router was stalled")
 }
 
 // runTimers does what is due.
--- a/internal/fleet/membership/packet.go
+++ b/internal/fleet/membership/packet.go
@@ -19,7 +19,7 @@
 const packetBudget = 1150
 
 // ErrMalformedPacket reports bytes that are no packet.
-var ErrMalformedPacket = errors.New("fleet: broken packet")
+var ErrMalformedPacket = errors.New("fleet: malformed packet")
 
 // Kind tells what a packet is for.
 type Kind uint8
--- a/internal/fleet/membership/probe.go
+++ b/internal/fleet/membership/probe.go
@@ -126,7 +126,7 @@
 	update := target.Update
 	update.State = Suspect
 	update.ReportedBy = m.self.ID
-	m.applyUpdate(update, "no answer to a probe")
+	m.applyUpdate(update, "probe not answered")
 }
 
 // handleProbeReply handles an Ack or Nack of this router's own probe, or of one that it
--- a/internal/fleet/membership/receive.go
+++ b/internal/fleet/membership/receive.go
@@ -49,7 +49,7 @@
 		return
 	}
 	if !verified {
-		m.applyUpdate(packet.From, "answered")
+		m.applyUpdate(packet.From, "answered a request")
 		if sender = m.peers[packet.From.ID]; sender == nil {
 			return // no room
 		}
@@ -145,7 +145,7 @@
 // the accusers are told at once, not when gossip reaches them.
 func (m *Machine) applySenderUpdate(sender *peer, update Update) {
 	suspected := sender.State == Suspect
-	m.applyUpdate(update, "its own word")
+	m.applyUpdate(update, "own update")
 	if !suspected || sender.State != Alive {
 		return
 	}
@@ -163,7 +163,7 @@
 	var corrections []Update
 	for i := range updates {
 		update := &updates[i]
-		m.applyUpdate(*update, "told")
+		m.applyUpdate(*update, "update of another router")
 		known := m.peers[update.ID]
 		if known == nil || update.State == Alive || known.State != Alive {
 			continue
--- a/internal/fleet/membership/suspicion.go
+++ b/internal/fleet/membership/suspicion.go
@@ -60,7 +60,7 @@
 			update := suspect.Update
 			update.State = Failed
 			update.ReportedBy = m.self.ID
-			m.applyUpdate(update, "nobody refuted in time") // takes it out of suspects
+			m.applyUpdate(update, "suspicion not refuted in time") // takes it out of suspects
 			i--
 		case suspect.nextCheckAt() <= m.now:
 			suspect.checks++
--- a/internal/fleet/membership/update.go
+++ b/internal/fleet/membership/update.go
@@ -58,7 +58,7 @@
 	if len(m.peers) >= m.settings.MaxMembers {
 		m.Rejected++
 		if m.Rejected == 1 {
-			m.output.addEvent(EventFull, update, "no room for more routers")
+			m.output.addEvent(EventFull, update, "member limit reached")
 		}
 		return
 	}
@@ -104,7 +104,7 @@
 	case update.State != old.State && update.State != Alive:
 		m.output.addEvent(update.State.String(), update, cause)
 	case update.Incarnation() != old.Incarnation():
-		m.output.addEvent(EventJoined, update, "a new life: "+cause)
+		m.output.addEvent(EventJoined, update, "new incarnation: "+cause)
 	case update.State != old.State:
 		m.output.addEvent(EventBack, update, cause)
 	}
@@ -146,17 +146,17 @@
 		// this router's state directory. Either way there is one member, and it is that one.
 		if !m.superseded {
 			m.superseded = true
-			m.output.addEvent(EventSuperseded, update, "a later process has this router's seat")
+			m.output.addEvent(EventSuperseded, update, "a later process has this router's identity")
 		}
 	case update.Incarnation() > incarnation:
 		m.self.Revision = FirstRevision(update.Incarnation() + 1)
-		m.announceSelf("the later process of its seat is gone")
+		m.announceSelf("the later process of this identity is gone")
 	case update.State != Alive && update.Revision >= m.self.Revision && m.disabledRule != ruleRefutation:
 		m.self.Revision = update.Revision + 1
 		m.raiseHealthScore(1)
-		m.announceSelf("told as " + update.State.String())
+		m.announceSelf("reported as " + update.State.String())
 	case update.State == Alive && (update.Addr != m.self.Addr || update.Revision > m.self.Revision):
-		m.reportConflict(update, "another process has this router's seat and life")
+		m.reportConflict(update, "another process has this router's identity and incarnation")
 	}
 }
 
