--- /dev/null
+++ b/internal/fleet/gossip/expiry.go
@@ -0,0 +1,75 @@
+package gossip
+
+import (
+	"slices"
+
+	"garnetline/routing"
+)
+
+const (
+	// expiryInterval is the time between two looks for items to forget, ms.
+	expiryInterval = 1000
+	// maxForgotten bounds how many forgotten items are remembered.
+	maxForgotten = 8192
+)
+
+// Step applies the enables that were deferred, once that is permitted, and forgets old
+// items.
+func (s *Store) Step(now float64) {
+	if !s.DeferEnables && len(s.deferredEnables) > 0 {
+		s.applyDeferredEnables()
+	}
+	if now-s.lastExpiryAt < expiryInterval {
+		return
+	}
+	s.lastExpiryAt = now
+	for id, e := range s.dots {
+		if e.Removed && s.expired(now, e, s.settings.DotRetention) {
+			delete(s.dots, id)
+			s.markForgotten(e.dotHash())
+			s.dirty = true
+		}
+	}
+	for hash, e := range s.items {
+		if s.expired(now, e, s.settings.ItemRetention) {
+			delete(s.items, hash)
+			s.markForgotten(hash)
+		}
+	}
+}
+
+func (s *Store) applyDeferredEnables() {
+	for _, server := range s.deferredServers() {
+		delete(s.deferredEnables, server)
+		if !s.Disabled(server) {
+			s.recordBanChange(server, Item{Kind: Ban, Server: server, Removed: true})
+		}
+	}
+}
+
+// deferredServers returns the servers whose enable is deferred, in order.
+func (s *Store) deferredServers() []routing.ServerID {
+	return slices.DeleteFunc(s.Bans(), func(server routing.ServerID) bool { return !s.deferredEnables[server] })
+}
+
+// expired reports whether an item is to be forgotten. From half of its retention on it is
+// not advertised: else a router that forgot it first would be sent it again, and take it
+// for new.
+func (s *Store) expired(now float64, e *entry, retention float64) bool {
+	age := now - e.receivedAt
+	if age >= retention/2 {
+		s.setAdvertised(e, false)
+	}
+	return age >= retention
+}
+
+// markForgotten remembers an item as forgotten, in place of the oldest one where there are
+// too many.
+func (s *Store) markForgotten(hash uint64) {
+	if len(s.forgottenOrder) == maxForgotten {
+		delete(s.forgotten, s.forgottenOrder[0])
+		s.forgottenOrder = s.forgottenOrder[1:]
+	}
+	s.forgotten[hash] = true
+	s.forgottenOrder = append(s.forgottenOrder, hash)
+}
