Let gossip's tests use the terms of the package; the model of bans gets a type

Need: the test against the model was one function of 60 lines over maps of maps. Change: the model disables, enables and receives by methods; the other tests name what is local and what is remote. No assertion is changed.

--- a/internal/fleet/gossip/golden_test.go
+++ b/internal/fleet/gossip/golden_test.go
@@ -31,14 +31,14 @@
 
 // The file of the bans that the next process reads is the same bytes.
 func TestGoldenBansFile(t *testing.T) {
-	s := New(DefaultSettings(), 7, 1<<24)
-	s.SetDisabled(0, 5, true)
-	s.SetDisabled(0, 6, true)
-	s.SetDisabled(0, 6, false)
+	store := New(DefaultSettings(), 7, 1<<24)
+	store.SetDisabled(0, 5, true)
+	store.SetDisabled(0, 6, true)
+	store.SetDisabled(0, 6, false)
 	foreign := Item{Kind: Ban, Server: 9, Router: 3, Sequence: 2}
-	s.Receive(0, 3, foreign.Append(nil))
-	b, _ := s.Export()
-	stored := golden.CompareMessages(t, "bans.golden", []golden.Message{{Name: "bans", Bytes: b}})
+	store.Receive(0, 3, foreign.Append(nil))
+	exported, _ := store.Export()
+	stored := golden.CompareMessages(t, "bans.golden", []golden.Message{{Name: "bans", Bytes: exported}})
 	next := New(DefaultSettings(), 7, 2<<24)
 	next.Import(0, stored[0].Bytes)
 	if again, _ := next.Export(); !bytes.Equal(again, stored[0].Bytes) {
--- a/internal/fleet/gossip/store_test.go
+++ b/internal/fleet/gossip/store_test.go
@@ -13,189 +13,238 @@
 	"garnetline/routing"
 )
 
-// describe is what a shelf says, as text.
+// describe returns what a store holds, as text.
 func describe(s *Store) string {
-	var l []string
-	for b := range membership.BucketCount {
-		s.ForEach(b, func(it []byte) bool { l = append(l, fmt.Sprintf("%x", it)); return true })
+	var items []string
+	for bucket := range membership.BucketCount {
+		s.ForEach(bucket, func(encoded []byte) bool {
+			items = append(items, fmt.Sprintf("%x", encoded))
+			return true
+		})
 	}
-	slices.Sort(l)
-	return fmt.Sprint(s.Bans(), l, s.checksums)
+	slices.Sort(items)
+	return fmt.Sprint(s.Bans(), items, s.checksums)
 }
 
-// Several routers ban and enable as chance has it, hearing a part of each other in any
-// order and more than once. Once each has heard all, they are of one mind: a box is out
-// just where a ban is left whose dot no enable knew.
-func TestMergeAgainstModel(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		const n = 3
-		var shelves [n]*Store
-		for i := range shelves {
-			shelves[i] = New(DefaultSettings(), membership.ID(i+1), 0)
+// modelDot is a ban of the model.
+type modelDot struct {
+	server routing.ServerID
+	id     string
+}
+
+func dotOf(encoded []byte) modelDot {
+	item, _ := Decode(encoded)
+	return modelDot{item.Server, fmt.Sprint(item.Router, item.Sequence)}
+}
+
+// model is what several stores should come to: a server is disabled where a ban is left
+// whose dot no enable knew.
+type model struct {
+	stores  []*Store
+	sent    [][]byte
+	live    map[modelDot]bool
+	known   []map[modelDot]bool // by each store
+	removed map[modelDot]bool
+}
+
+func newModel(routers int) *model {
+	m := &model{live: map[modelDot]bool{}, removed: map[modelDot]bool{}}
+	for i := range routers {
+		m.stores = append(m.stores, New(DefaultSettings(), membership.ID(i+1), 0))
+		m.known = append(m.known, map[modelDot]bool{})
+	}
+	return m
+}
+
+func (m *model) disable(router int, server routing.ServerID) {
+	for _, encoded := range m.stores[router].SetDisabled(1, server, true) {
+		ban := dotOf(encoded)
+		m.live[ban] = true
+		m.known[router][ban] = true
+		m.sent = append(m.sent, encoded)
+	}
+}
+
+func (m *model) enable(router int, server routing.ServerID) {
+	m.sent = append(m.sent, m.stores[router].SetDisabled(1, server, false)...)
+	for ban := range m.known[router] {
+		if ban.server == server {
+			m.removed[ban] = true
 		}
-		var all [][]byte
-		type dotOf struct {
-			box routing.ServerID
-			id  string
+	}
+}
+
+func (m *model) receive(router int, encoded []byte) {
+	m.stores[router].Receive(1, 9, encoded)
+	m.known[router][dotOf(encoded)] = true
+}
+
+// receiveAll has each store receive all that was sent, twice, in a random order.
+func (m *model) receiveAll() {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for _, s := range m.stores {
+		for range 2 {
+			rng.Shuffle(len(m.sent), func(i, j int) { m.sent[i], m.sent[j] = m.sent[j], m.sent[i] })
+			for _, encoded := range m.sent {
+				s.Receive(1, 9, encoded)
+			}
 		}
-		live, knows, gone := map[dotOf]bool{}, [n]map[dotOf]bool{{}, {}, {}}, map[dotOf]bool{}
-		items := map[string]dotOf{}
+	}
+}
+
+// disabled returns for each server that was ever disabled whether it is now.
+func (m *model) disabled() map[routing.ServerID]bool {
+	disabled := map[routing.ServerID]bool{}
+	for ban := range m.live {
+		disabled[ban.server] = disabled[ban.server] || !m.removed[ban]
+	}
+	return disabled
+}
+
+// Several routers ban and enable at random, and receive a part of each other's items in any
+// order and more than once. Once each has received all, they agree with each other and with
+// the model.
+func TestMergeAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const routers = 3
+		want := newModel(routers)
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			i, box := rapid.IntRange(0, n-1).Draw(t, "router"), routing.ServerID(rapid.IntRange(1, 3).Draw(t, "box"))
-			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			router := rapid.IntRange(0, routers-1).Draw(t, "router")
+			server := routing.ServerID(rapid.IntRange(1, 3).Draw(t, "server"))
+			switch rapid.IntRange(0, 3).Draw(t, "action") {
 			case 0:
-				for _, it := range shelves[i].SetDisabled(1, box, true) {
-					w, _ := Decode(it)
-					d := dotOf{box, fmt.Sprint(w.Router, w.Sequence)}
-					live[d], knows[i][d], items[string(it)] = true, true, d
-					all = append(all, it)
-				}
+				want.disable(router, server)
 			case 1:
-				all = append(all, shelves[i].SetDisabled(1, box, false)...)
-				for d := range knows[i] {
-					if d.box == box {
-						gone[d] = true
-					}
-				}
+				want.enable(router, server)
 			default:
-				if len(all) > 0 {
-					it := all[rapid.IntRange(0, len(all)-1).Draw(t, "item")]
-					shelves[i].Receive(1, 9, it)
-					w, _ := Decode(it)
-					knows[i][dotOf{w.Server, fmt.Sprint(w.Router, w.Sequence)}] = true
+				if len(want.sent) > 0 {
+					want.receive(router, want.sent[rapid.IntRange(0, len(want.sent)-1).Draw(t, "item")])
 				}
 			}
 		}
-		rng := rand.New(rand.NewPCG(1, 2))
-		for _, s := range shelves {
-			for range 2 {
-				rng.Shuffle(len(all), func(a, b int) { all[a], all[b] = all[b], all[a] })
-				for _, it := range all {
-					s.Receive(1, 9, it)
-				}
+		want.receiveAll()
+		for i, s := range want.stores {
+			if describe(s) != describe(want.stores[0]) {
+				t.Fatalf("stores differ:\n%s\n%s", describe(s), describe(want.stores[0]))
 			}
-		}
-		want := map[routing.ServerID]bool{}
-		for d := range live {
-			want[d.box] = want[d.box] || !gone[d]
-		}
-		for i, s := range shelves {
-			if describe(s) != describe(shelves[0]) {
-				t.Fatalf("of two minds:\n%s\n%s", describe(s), describe(shelves[0]))
-			}
-			for box, out := range want {
-				if s.Disabled(box) != out {
-					t.Fatalf("router %d: %v out %v, want %v", i, box, s.Disabled(box), out)
+			for server, disabled := range want.disabled() {
+				if s.Disabled(server) != disabled {
+					t.Fatalf("router %d: %v disabled %v, want %v", i, server, s.Disabled(server), disabled)
 				}
 			}
 		}
 	})
 }
 
-// A neighbour's enable is held while it is not to be taken, and taken then; one of staff
-// here counts at once.
+// That another router enables a server is held back while that is deferred, and applied
+// then; an operator's enable at this router counts at once.
 func TestRemoteEnableIsDeferred(t *testing.T) {
-	a, b := New(DefaultSettings(), 1, 0), New(DefaultSettings(), 2, 0)
-	ban := a.SetDisabled(0, 5, true)
-	b.Receive(0, 1, ban[0])
-	b.DeferEnables = true
-	for _, it := range a.SetDisabled(0, 5, false) {
-		b.Receive(0, 1, it)
-	}
-	if !b.Disabled(5) {
-		t.Error("enabled while cautious")
+	remote, local := New(DefaultSettings(), 1, 0), New(DefaultSettings(), 2, 0)
+	receive := func(items [][]byte) {
+		for _, encoded := range items {
+			local.Receive(0, 1, encoded)
+		}
 	}
-	b.TakeChanges()
-	b.DeferEnables = false
-	b.Step(1)
-	if c := b.TakeChanges(); b.Disabled(5) || len(c) != 1 || c[0].Disabled {
-		t.Errorf("not enabled when it is no longer cautious: %+v", c)
+	receive(remote.SetDisabled(0, 5, true))
+	local.DeferEnables = true
+	receive(remote.SetDisabled(0, 5, false))
+	if !local.Disabled(5) {
+		t.Error("enabled while that is deferred")
 	}
-	b.DeferEnables = true
-	b.Receive(0, 1, a.SetDisabled(0, 6, true)[0])
-	for _, it := range a.SetDisabled(0, 6, false) {
-		b.Receive(0, 1, it)
+	local.TakeChanges()
+	local.DeferEnables = false
+	local.Step(1)
+	if c := local.TakeChanges(); local.Disabled(5) || len(c) != 1 || c[0].Disabled {
+		t.Errorf("not enabled when it is no longer deferred: %+v", c)
 	}
-	b.SetDisabled(0, 6, false)
-	if b.Disabled(6) {
-		t.Error("staff's own enable does not count")
+	local.DeferEnables = true
+	receive(remote.SetDisabled(0, 6, true))
+	receive(remote.SetDisabled(0, 6, false))
+	local.SetDisabled(0, 6, false)
+	if local.Disabled(6) {
+		t.Error("the operator's own enable does not count")
 	}
 }
 
-// What is forgotten is not taken again from one that forgets later, and in the time
-// between the sums of the two are alike.
+// What is forgotten is not accepted again from one that forgets later, and in the time
+// between the checksums of the two are equal.
 func TestExpiredItemsStayForgotten(t *testing.T) {
-	set := DefaultSettings()
-	a, b := New(set, 1, 0), New(set, 2, 0)
-	w := Item{Kind: Drain, Server: 4, StartedAt: 1000}
-	it := a.AddLocal(0, w)
-	b.Receive(5000, 1, it)
-	for now := 0.0; now < 2*set.ItemRetention; now += 10_000 {
-		a.Step(now)
-		b.Step(now)
-		b.ForEach(w.bucket(), func(it []byte) bool {
-			if a.Receive(now, 2, it) {
-				t.Fatalf("taken again after %.0f ms", now)
+	settings := DefaultSettings()
+	first, second := New(settings, 1, 0), New(settings, 2, 0)
+	item := Item{Kind: Drain, Server: 4, StartedAt: 1000}
+	encoded := first.AddLocal(0, item)
+	second.Receive(5000, 1, encoded)
+	for now := 0.0; now < 2*settings.ItemRetention; now += 10_000 {
+		first.Step(now)
+		second.Step(now)
+		second.ForEach(item.bucket(), func(advertised []byte) bool {
+			if first.Receive(now, 2, advertised) {
+				t.Fatalf("accepted again after %.0f ms", now)
 			}
 			return true
 		})
 	}
-	if a.checksums != b.checksums || len(a.items)+len(b.items) != 0 {
-		t.Errorf("%d and %d left", len(a.items), len(b.items))
+	if first.checksums != second.checksums || len(first.items)+len(second.items) != 0 {
+		t.Errorf("%d and %d left", len(first.items), len(second.items))
 	}
-	if a.Receive(2*set.ItemRetention, 2, it) {
+	if first.Receive(2*settings.ItemRetention, 2, encoded) {
 		t.Error("an old packet brings it back")
 	}
 }
 
-// Bans outlive the process, and a life that lost its state takes up its own numbers.
+// Bans outlive the process, and an incarnation that lost its state continues its numbers.
 func TestExportImport(t *testing.T) {
-	a := New(DefaultSettings(), 1, 0)
-	a.SetDisabled(0, 5, true)
-	a.SetDisabled(0, 6, true)
-	a.SetDisabled(0, 6, false)
-	kept, changed := a.Export()
-	if _, again := a.Export(); !changed || again {
-		t.Error("changed is told wrongly")
+	before := New(DefaultSettings(), 1, 0)
+	before.SetDisabled(0, 5, true)
+	before.SetDisabled(0, 6, true)
+	before.SetDisabled(0, 6, false)
+	stored, changed := before.Export()
+	if _, again := before.Export(); !changed || again {
+		t.Error("changed is wrong")
 	}
-	b := New(DefaultSettings(), 1, 0)
-	b.Import(0, kept)
-	b.Import(0, kept[:len(kept)-1])
-	if describe(a) != describe(b) || !b.Disabled(5) || b.Disabled(6) {
-		t.Errorf("%s, want %s", describe(b), describe(a))
+	after := New(DefaultSettings(), 1, 0)
+	after.Import(0, stored)
+	after.Import(0, stored[:len(stored)-1])
+	if describe(before) != describe(after) || !after.Disabled(5) || after.Disabled(6) {
+		t.Errorf("%s, want %s", describe(after), describe(before))
 	}
-	if it := b.SetDisabled(0, 7, true); len(it) != 1 || b.lastSequence <= a.lastSequence {
-		t.Errorf("%d dots, number %d after %d", len(it), b.lastSequence, a.lastSequence)
+	if items := after.SetDisabled(0, 7, true); len(items) != 1 || after.lastSequence <= before.lastSequence {
+		t.Errorf("%d dots, number %d after %d", len(items), after.lastSequence, before.lastSequence)
 	}
 }
 
 func TestBounds(t *testing.T) {
-	set := DefaultSettings()
-	set.MaxDots, set.MaxItems = 3, 2
-	s := New(set, 1, 0)
+	settings := DefaultSettings()
+	settings.MaxDots = 3
+	settings.MaxItems = 2
+	s := New(settings, 1, 0)
 	for i := range 10 {
-		w := Item{Kind: Ban, Server: 1, Router: 9, Sequence: uint64(i + 1)}
-		s.Receive(0, 9, w.Append(nil))
-		w = Item{Kind: Purge, Object: routing.ObjectID(i + 1), PurgedAt: 5}
-		s.Receive(0, 9, w.Append(nil))
+		ban := Item{Kind: Ban, Server: 1, Router: 9, Sequence: uint64(i + 1)}
+		s.Receive(0, 9, ban.Append(nil))
+		purge := Item{Kind: Purge, Object: routing.ObjectID(i + 1), PurgedAt: 5}
+		s.Receive(0, 9, purge.Append(nil))
 	}
 	if len(s.dots) != 3 || len(s.items) != 2 || s.Rejected != 15 {
-		t.Errorf("%d dots, %d words, %d refused", len(s.dots), len(s.items), s.Rejected)
+		t.Errorf("%d dots, %d items, %d rejected", len(s.dots), len(s.items), s.Rejected)
 	}
 }
 
 func FuzzDecode(f *testing.F) {
-	for _, w := range []Item{{Kind: Ban, Server: 1, Router: 2, Sequence: 3, Removed: true}, {Kind: Drain, Server: 7, StartedAt: 1e12}, {Kind: Purge, Object: 1 << 63, PurgedAt: 1e12}} {
-		f.Add(w.Append(nil))
+	for _, item := range []Item{
+		{Kind: Ban, Server: 1, Router: 2, Sequence: 3, Removed: true},
+		{Kind: Drain, Server: 7, StartedAt: 1e12},
+		{Kind: Purge, Object: 1 << 63, PurgedAt: 1e12},
+	} {
+		f.Add(item.Append(nil))
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
-		w, ok := Decode(b)
+		item, ok := Decode(b)
 		if !ok {
 			return
 		}
-		once := w.Append(nil)
-		if again, ok := Decode(once); !ok || again != w || !bytes.Equal(once, again.Append(nil)) {
-			t.Fatalf("%+v, then %+v", w, again)
+		encoded := item.Append(nil)
+		if again, ok := Decode(encoded); !ok || again != item || !bytes.Equal(encoded, again.Append(nil)) {
+			t.Fatalf("%+v, then %+v", item, again)
 		}
 	})
 }
