Show the judgement of connectivity in steps: seen, classified, delayed

Need: one function of 50 lines did all, a field was never read, and the operators' table stood in between.

--- a/internal/fleet/connectivity/connectivity.go
+++ b/internal/fleet/connectivity/connectivity.go
@@ -1,18 +1,21 @@
-// Package stance says what a router may assume from its view of the others: it is
-// together with them, with a part of them, or alone. It does no I/O.
+// Package connectivity judges from a router's view of the fleet whether it is together with
+// the others, partitioned with some of them, or alone. It does no I/O.
 //
-// A stance that takes room away comes soon, one that gives room needs evidence for
+// A state that permits less is entered soon; one that permits more needs evidence for
 // longer, and for longer each time that it did not last.
+//
+// A Machine is not safe for concurrent use: the goroutine that owns the router's fleet.Node
+// makes all calls.
 package connectivity
 
 import (
 	"garnetline/internal/fleet/membership"
 )
 
-// State is how much of the fleet a router has with it.
+// State is how much of the fleet a router can reach.
 type State uint8
 
-// The stances, the one with the most room first.
+// The states, the one that permits the most first.
 const (
 	Together State = iota
 	Partial
@@ -21,137 +24,137 @@
 
 var stateNames = [...]string{"together", "partial", "alone"}
 
-// String is how a stance stands in text.
+// String returns the name of the state as logs, metrics and the admin API show it.
 func (s State) String() string { return stateNames[s] }
 
-// Settings are the bounds. Times are milliseconds.
+// AcceptsRemoteEnable reports whether a server that another router enables is enabled here.
+func (s State) AcceptsRemoteEnable() bool { return s == Together }
+
+// Ready reports whether a router in this state is ready: not one that has nobody left,
+// neither peers nor servers nor the change log. One that only lost its peers is.
+func (s State) Ready(serversLost, changeLogLost bool) bool {
+	return s != Alone || !serversLost || !changeLogLost
+}
+
+// Settings are the thresholds. Times are milliseconds.
 type Settings struct {
-	RecentWindow    float64 // a router that was there within it counts as one that should be
-	TogetherShare   float64 // of those: together from it on
-	SilenceTimeout  float64 // alone when nobody was heard for so long, whatever the view says
-	DowngradeDelay  float64 // evidence for a stance with less room
-	UpgradeDelay    float64 // for one with more
-	MaxUpgradeDelay float64 // and never more than this, however often it flaps
+	RecentWindow    float64 // a router that was present within it is expected to be
+	TogetherShare   float64 // share of the expected routers from which on a router is together
+	SilenceTimeout  float64 // alone after no packet for so long, whatever the view says
+	DowngradeDelay  float64 // evidence for a state that permits less
+	UpgradeDelay    float64 // evidence for one that permits more
+	MaxUpgradeDelay float64 // bound of UpgradeDelay's growth
 }
 
-// DefaultSettings is what the operators' file begins with.
+// DefaultSettings returns the settings that the operators' file begins with.
 func DefaultSettings() Settings {
-	return Settings{RecentWindow: 600_000, TogetherShare: 0.75, SilenceTimeout: 2000, DowngradeDelay: 500, UpgradeDelay: 5000, MaxUpgradeDelay: 60_000}
+	return Settings{
+		RecentWindow:    600_000,
+		TogetherShare:   0.75,
+		SilenceTimeout:  2000,
+		DowngradeDelay:  500,
+		UpgradeDelay:    5000,
+		MaxUpgradeDelay: 60_000,
+	}
 }
 
-// Status is the stance with what it rests on.
+// Status is the state with what it is based on.
 type Status struct {
 	State   State
 	Since   float64 // ms
 	Present int     // alive or suspect, this router among them
-	Known   int     // there lately and not left: what shared budgets are divided by
+	Known   int     // present lately and not left: what shared budgets are divided by
 }
 
-// Machine follows the view.
+// Machine follows the view of one router.
 type Machine struct {
 	settings       Settings
-	lastSeenAt     map[membership.ID]float64 // when each was there latest
+	lastSeenAt     map[membership.ID]float64 // when each was present latest
 	current        Status
-	candidate      State // what the view says, while it is not what holds
+	candidate      State // what the view says
 	candidateSince float64
-	upgradeDelay   float64 // evidence for more room
-	lost           float64 // when room was last taken away
-	upgraded       bool
+	upgradeDelay   float64
+	upgraded       bool // it has been at least once
 }
 
-// New returns a machine that stands alone until the view says otherwise.
-func New(set Settings, now float64) *Machine {
-	return &Machine{settings: set, lastSeenAt: map[membership.ID]float64{}, current: Status{Alone, now, 1, 1}, candidate: Alone, upgradeDelay: set.UpgradeDelay}
+// New returns a machine that is alone until the view says otherwise.
+func New(settings Settings, now float64) *Machine {
+	return &Machine{
+		settings:     settings,
+		lastSeenAt:   map[membership.ID]float64{},
+		current:      Status{State: Alone, Since: now, Present: 1, Known: 1},
+		candidate:    Alone,
+		upgradeDelay: settings.UpgradeDelay,
+	}
 }
 
-// Step takes the view as of now.
-func (m *Machine) Step(now float64, v *membership.View) Status {
-	m.current.Present = v.Present
-	for i := range v.Members {
-		switch w := &v.Members[i]; {
-		case w.State.Present():
-			m.lastSeenAt[w.ID] = now
-		case w.State == membership.Left:
-			delete(m.lastSeenAt, w.ID)
-		}
-	}
-	for id, at := range m.lastSeenAt {
-		if now-at >= m.settings.RecentWindow {
-			delete(m.lastSeenAt, id)
-		}
-	}
+// Status returns the state that holds now.
+func (m *Machine) Status() Status { return m.current }
+
+// Step takes the view as of now, in ms.
+func (m *Machine) Step(now float64, view *membership.View) Status {
+	m.current.Present = view.Present
+	m.recordSeen(now, view)
 	m.current.Known = max(1, len(m.lastSeenAt))
-	says := Together
-	switch {
-	case m.current.Present <= 1, v.Silence > m.settings.SilenceTimeout:
-		// One that is cut off from all takes minutes to fail hundreds one by one, the more so
-		// as it doubts itself. That nobody says anything it knows at once.
-		says = Alone
-	case float64(m.current.Present) < m.settings.TogetherShare*float64(m.current.Known):
-		says = Partial
-	}
-	if says != m.candidate {
-		m.candidate, m.candidateSince = says, now
+	candidate := m.classify(view)
+	if candidate != m.candidate {
+		m.candidate = candidate
+		m.candidateSince = now
 	}
-	if says == m.current.State {
-		if says == Together && now-m.current.Since >= m.settings.MaxUpgradeDelay {
+	if candidate == m.current.State {
+		if candidate == Together && now-m.current.Since >= m.settings.MaxUpgradeDelay {
 			m.upgradeDelay = m.settings.UpgradeDelay // it has lasted
 		}
 		return m.current
 	}
-	need := m.settings.DowngradeDelay
-	if says < m.current.State {
-		need = m.upgradeDelay
+	upgrade := candidate < m.current.State
+	delay := m.settings.DowngradeDelay
+	if upgrade {
+		delay = m.upgradeDelay
 	}
-	if now-m.candidateSince < need {
+	if now-m.candidateSince < delay {
 		return m.current
 	}
-	if says > m.current.State {
-		if m.upgraded { // what was given did not last: the next time it takes longer
-			m.upgradeDelay = min(m.settings.MaxUpgradeDelay, 2*m.upgradeDelay)
-		}
-	} else {
+	switch {
+	case upgrade:
 		m.upgraded = true
+	case m.upgraded: // what was permitted did not last: the next time it takes longer
+		m.upgradeDelay = min(m.settings.MaxUpgradeDelay, 2*m.upgradeDelay)
 	}
-	m.current.State, m.current.Since = says, now
+	m.current.State = candidate
+	m.current.Since = now
 	return m.current
 }
 
-// Status returns what holds now.
-func (m *Machine) Status() Status { return m.current }
-
-// AcceptsRemoteEnable tells whether a neighbour's word that a box is enabled again is taken.
-func (s State) AcceptsRemoteEnable() bool { return s == Together }
-
-// Ready tells whether a router in this stance is ready: not one that has nobody left,
-// neither neighbours nor boxes nor the change log. One that only lost its neighbours is.
-func (s State) Ready(boxesLost, logLost bool) bool { return s != Alone || !boxesLost || !logLost }
-
-// Behavior says what is done in each stance about one thing.
-type Behavior struct{ Subject, Together, Partial, Alone string }
-
-// Behaviors is all that depends on the fleet.
-func Behaviors() []Behavior {
-	yes := func(s State) string {
-		if s.AcceptsRemoteEnable() {
-			return "taken"
+// recordSeen notes which routers are present, and forgets those that left or have not been
+// for long.
+func (m *Machine) recordSeen(now float64, view *membership.View) {
+	for i := range view.Members {
+		member := &view.Members[i]
+		switch {
+		case member.State.Present():
+			m.lastSeenAt[member.ID] = now
+		case member.State == membership.Left:
+			delete(m.lastSeenAt, member.ID)
 		}
-		return "held until together"
 	}
-	ready := func(s State) string {
-		if s.Ready(true, true) {
-			return "as without a fleet"
+	for id, at := range m.lastSeenAt {
+		if now-at >= m.settings.RecentWindow {
+			delete(m.lastSeenAt, id)
 		}
-		return "not ready once all boxes and the change log are lost too"
 	}
-	return []Behavior{
-		{"parts of shared budgets", "one of those known lately", "the same: silence adds nothing", "the same: silence adds nothing"},
-		{"a neighbour's ban of a box", "taken", "taken", "what was heard holds"},
-		{"a neighbour's drain, log cut off", "taken", "taken", "what was heard holds"},
-		{"a neighbour's purge", "taken", "taken", "what was heard holds"},
-		{"a neighbour's enable of a box", yes(Together), yes(Partial), yes(Alone)},
-		{"staff's enable at this door", "taken, told", "taken here, told", "taken here, told later"},
-		{"readiness", ready(Together), ready(Partial), ready(Alone)},
-		{"requests", "never wait", "never wait", "never wait"},
+}
+
+// classify returns the state that the view shows at this moment.
+func (m *Machine) classify(view *membership.View) State {
+	if m.current.Present <= 1 || view.Silence > m.settings.SilenceTimeout {
+		// A router that is cut off from all takes minutes to declare hundreds failed one by
+		// one, the more so as it raises its health score. That no packet comes it knows at
+		// once.
+		return Alone
+	}
+	if float64(m.current.Present) < m.settings.TogetherShare*float64(m.current.Known) {
+		return Partial
 	}
+	return Together
 }
