--- a/internal/fleet/transport/identity.go
+++ b/internal/fleet/transport/identity.go
@@ -11,68 +11,86 @@
 	"garnetline/internal/fleet/membership"
 )
 
-// identityFile is the file that holds a router's seat and the number of its latest life. Two
-// processes of a router share it, which is how each knows of the other.
+const (
+	// identityFilePrefix stands before the router's name.
+	identityFilePrefix = "garnetline-fleet-"
+	// identityFormat is the content of the file: the router's ID and its latest incarnation.
+	identityFormat = "%v %d\n"
+	identityScan   = "%x %d\n"
+	maxIdentityLen = 64 // bytes that are read
+
+	// maxIncarnation bounds what is accepted from the file, so that revisions do not
+	// overflow.
+	maxIncarnation = 1 << 39
+)
+
+// identityFile is the path of the file that holds a router's ID and the number of its latest
+// incarnation, or empty where nothing is kept. Two processes of a router share the file,
+// which is how each knows of the other.
 type identityFile string
 
-// identityFileIn returns the file of a router in its state folder; "" keeps nothing.
-func identityFileIn(state, name string) identityFile {
-	if state == "" {
+// identityFileIn returns the identity file of a router in its state directory, which may be
+// empty.
+func identityFileIn(stateDir, name string) identityFile {
+	if stateDir == "" {
 		return ""
 	}
-	return identityFile(filepath.Join(state, "garnetline-fleet-"+name))
+	return identityFile(filepath.Join(stateDir, identityFilePrefix+name))
 }
 
-// startIncarnation begins a life: the next one of the seat, or the first of a new seat where there is
-// none or it cannot be read.
-func (s identityFile) startIncarnation() (id membership.ID, life uint64, err error) {
-	if s == "" {
+// startIncarnation begins the next incarnation of the ID in the file, or the first of a new
+// ID where there is none or it cannot be read.
+func (f identityFile) startIncarnation() (id membership.ID, incarnation uint64, err error) {
+	if f == "" {
 		return newRouterID(), 1, nil
 	}
-	f, err := os.OpenFile(string(s), os.O_RDWR|os.O_CREATE, 0o600)
+	file, err := os.OpenFile(string(f), os.O_RDWR|os.O_CREATE, 0o600)
 	if err != nil {
 		return 0, 0, err
 	}
-	defer f.Close() // gives the lock back
-	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX); err != nil {
+	defer func() { _ = file.Close() }() // releases the lock
+	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX); err != nil {
 		return 0, 0, err
 	}
-	if id, life = s.parse(f); id == 0 {
-		id, life = newRouterID(), 0
+	id, incarnation, ok := f.parse(file)
+	if !ok {
+		id = newRouterID()
+		incarnation = 0
 	}
-	life++
-	if err := f.Truncate(0); err != nil {
+	incarnation++
+	if err := file.Truncate(0); err != nil {
 		return 0, 0, err
 	}
-	if _, err := f.WriteAt(fmt.Appendf(nil, "%v %d\n", id, life), 0); err != nil {
+	if _, err := file.WriteAt(fmt.Appendf(nil, identityFormat, id, incarnation), 0); err != nil {
 		return 0, 0, err
 	}
-	return id, life, f.Sync()
+	return id, incarnation, file.Sync()
 }
 
-// latestIncarnation returns the number of the latest life, 0 where that is not known.
-func (s identityFile) latestIncarnation() uint64 {
-	if s == "" {
+// latestIncarnation returns the number of the latest incarnation, 0 where that is not known.
+func (f identityFile) latestIncarnation() uint64 {
+	if f == "" {
 		return 0
 	}
-	f, err := os.Open(string(s))
+	file, err := os.Open(string(f))
 	if err != nil {
 		return 0
 	}
-	defer f.Close()
-	_, life := s.parse(f)
-	return life
+	defer func() { _ = file.Close() }() // nothing was written
+	_, incarnation, _ := f.parse(file)
+	return incarnation
 }
 
-func (s identityFile) parse(f io.Reader) (id membership.ID, life uint64) {
-	var n uint64
-	if k, _ := fmt.Fscanf(io.LimitReader(f, 64), "%x %d\n", &n, &life); k != 2 || life >= 1<<39 {
-		return 0, 0
+func (identityFile) parse(file io.Reader) (id membership.ID, incarnation uint64, ok bool) {
+	var number uint64
+	n, _ := fmt.Fscanf(io.LimitReader(file, maxIdentityLen), identityScan, &number, &incarnation)
+	if n != 2 || incarnation >= maxIncarnation {
+		return 0, 0, false
 	}
-	return membership.ID(n), life
+	return membership.ID(number), incarnation, number != 0
 }
 
-// bansPath is the file of the bans beside the seat's.
-func (s identityFile) bansPath() string { return string(s) + ".bans" }
+// bansPath returns the path of the file of the bans, beside the identity file.
+func (f identityFile) bansPath() string { return string(f) + ".bans" }
 
 func newRouterID() membership.ID { return membership.ID(rand.Uint64() | 1) }
--- /dev/null
+++ b/internal/fleet/transport/packets.go
@@ -0,0 +1,98 @@
+package transport
+
+import (
+	"errors"
+	"net"
+
+	"garnetline/internal/fleet/membership"
+	"garnetline/internal/fleet/packetcrypto"
+)
+
+// loadReportReserve is the share of the limits that load reports of servers leave for other
+// packets: the next report says more than one that was dropped.
+const loadReportReserve = 0.25
+
+// sendPackets encrypts and sends packets, within the limits a second.
+func (t *Transport) sendPackets(now float64, packets []membership.OutgoingPacket) {
+	t.sendWithReserve(now, packets, 0)
+}
+
+// sendWithReserve sends as sendPackets does, but leaves a share of the limits for packets
+// that matter more.
+//
+// Symptom guarded against: a router that checks 60 servers for 80 routers has more to report
+// than may be sent; lease renewals, messages between voters and answers to probes waited
+// for that.
+func (t *Transport) sendWithReserve(now float64, packets []membership.OutgoingPacket, reserve float64) {
+	if !t.bound {
+		return
+	}
+	keyring := t.keyring.Load()
+	var buffer [membership.MaxPacketLen]byte
+	for _, out := range packets {
+		encoded := out.Packet.Append(buffer[:0])
+		if len(encoded) > membership.MaxPacketLen {
+			t.options.Stats.Add("fleet_too_long", 1)
+			continue
+		}
+		t.sendBuffer = keyring.Seal(t.sendBuffer[:0], encoded)
+		if !t.limiter.allow(now, len(t.sendBuffer), reserve) {
+			t.options.Stats.Add("fleet_over_budget", 1)
+			continue
+		}
+		if _, err := t.conn.WriteToUDPAddrPort(t.sendBuffer, out.To); err != nil {
+			t.options.Stats.Add("fleet_send_errors", 1)
+			continue
+		}
+		t.options.Stats.Add("fleet_packets_out", 1)
+		t.options.Stats.Add("fleet_bytes_out", int64(len(t.sendBuffer)))
+	}
+}
+
+// readLoop reads, decrypts and decodes packets for Run, until the socket is closed.
+func (t *Transport) readLoop() {
+	sealed := make([]byte, membership.MaxPacketLen+packetcrypto.Overhead+1) // one more shows what is too long
+	var buffer []byte
+	for {
+		n, _, err := t.conn.ReadFromUDPAddrPort(sealed)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			t.options.Stats.Add("fleet_read_errors", 1)
+			continue
+		}
+		t.options.Stats.Add("fleet_packets_in", 1)
+		t.options.Stats.Add("fleet_bytes_in", int64(n))
+		buffer, err = t.keyring.Load().Open(buffer[:0], sealed[:n])
+		if err != nil {
+			t.options.Stats.Add(rejectionCounter(err), 1)
+			continue
+		}
+		p, err := membership.Decode(buffer)
+		if err != nil {
+			t.options.Stats.Add(rejectionCounter(err), 1)
+			continue
+		}
+		select {
+		case t.packets <- p:
+		default:
+			t.options.Stats.Add("fleet_crowded_out", 1)
+		}
+	}
+}
+
+// rejectionCounter returns the name of the counter of packets rejected with an error.
+func rejectionCounter(err error) string {
+	switch {
+	case errors.Is(err, packetcrypto.ErrForeignPacket):
+		return "fleet_strangers"
+	case errors.Is(err, packetcrypto.ErrVersionMismatch):
+		return "fleet_other_versions"
+	case errors.Is(err, packetcrypto.ErrFleetMismatch):
+		return "fleet_other_fleets"
+	case errors.Is(err, packetcrypto.ErrNoMatchingKey):
+		return "fleet_unopened"
+	}
+	return "fleet_broken_packets"
+}
