Let the transport's log lines speak of identity, incarnation and connectivity

Need: on-call staff meet "seat", "life", "stance" and "not to be had yet". Change: messages and fields take the field's terms (router_id, incarnation, connectivity, present, reported_by); the socket's line names the address. The field "what" of changes in the view stays, since the test cluster's checks that nothing failed look for it.

--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -107,7 +107,7 @@
 	t.keyring.Store(options.Keyring)
 	id, incarnation, err := t.identity.startIncarnation()
 	if err != nil {
-		return nil, fmt.Errorf("fleet: seat: %w", err)
+		return nil, fmt.Errorf("fleet: identity file: %w", err)
 	}
 	t.incarnation = incarnation
 	self := membership.Update{
@@ -160,7 +160,7 @@
 	}
 	reader.Go(t.readLoop)
 	self := t.node.Self()
-	t.options.Log.Info().Str("addr", self.Addr.String()).Str("seat", self.ID.String()).Uint64("life", t.incarnation).Msg("fleet joined")
+	t.options.Log.Info().Str("addr", self.Addr.String()).Str("router_id", self.ID.String()).Uint64("incarnation", t.incarnation).Msg("fleet transport started")
 	t.serve(ctx, timer)
 }
 
@@ -183,7 +183,7 @@
 			}
 			if !logged {
 				logged = true
-				t.options.Log.Warn().Err(err).Msg("fleet socket not to be had yet")
+				t.options.Log.Warn().Err(err).Str("addr", t.options.ListenAddr.String()).Msg("fleet socket not available yet, retrying")
 			}
 			if !errors.Is(err, syscall.EADDRINUSE) {
 				t.options.Stats.Add("fleet_bind_errors", 1)
@@ -226,7 +226,7 @@
 	}
 	t.deliver(now, out.Payloads)
 	if out.ConnectivityChanged {
-		t.options.Log.Info().Str("stance", out.Connectivity.State.String()).Int("there", out.Connectivity.Present).Int("known", out.Connectivity.Known).Msg("fleet stance")
+		t.options.Log.Info().Str("connectivity", out.Connectivity.State.String()).Int("present", out.Connectivity.Present).Int("known", out.Connectivity.Known).Msg("fleet connectivity changed")
 		t.publishPending = true
 	}
 	if len(out.Changes) > 0 {
@@ -257,7 +257,7 @@
 func (t *Transport) leave() {
 	now := t.now()
 	if t.identity.latestIncarnation() > t.incarnation {
-		t.options.Log.Info().Msg("fleet seat handed to a successor")
+		t.options.Log.Info().Uint64("incarnation", t.incarnation).Msg("fleet identity taken over by a later process")
 		return
 	}
 	out := t.node.Leave(now)
@@ -276,8 +276,15 @@
 		line = t.options.Log.Warn()
 	}
 	update := event.Update
-	line.Str("what", event.Kind).Str("member", update.Name).Str("seat", update.ID.String()).Str("state", update.State.String()).
-		Uint64("life", update.Incarnation()).Str("addr", update.Addr.String()).Str("by", update.ReportedBy.String()).Str("cause", event.Cause).Msg("fleet member")
+	line.Str("what", event.Kind). // the test cluster looks for it
+		Str("member", update.Name).
+		Str("router_id", update.ID.String()).
+		Str("state", update.State.String()).
+		Uint64("incarnation", update.Incarnation()).
+		Str("addr", update.Addr.String()).
+		Str("reported_by", update.ReportedBy.String()).
+		Str("cause", event.Cause).
+		Msg("fleet member changed")
 }
 
 // restoreBans loads the bans of the process before, and adds those that operators set while
@@ -304,6 +311,6 @@
 	}
 	if err != nil {
 		t.options.Stats.Add("fleet_bans_unkept", 1)
-		t.options.Log.Error().Err(err).Msg("fleet bans not kept for the next start")
+		t.options.Log.Error().Err(err).Msg("fleet bans not saved for the next start")
 	}
 }
