Parse a fragment's header apart from reassembly

Need: Add read four numbers by index and looked for the message within one function; names were of one letter.

--- a/internal/fleet/fragment/fragment.go
+++ b/internal/fleet/fragment/fragment.go
@@ -1,6 +1,8 @@
-// Package carry cuts what is longer than a packet between routers into pieces, and puts
-// it together again. It does no I/O. A piece that is lost loses the whole, which its
-// sender's protocol sends again.
+// Package fragment splits messages that are longer than a packet between routers into
+// fragments, and reassembles them. It does no I/O. A fragment that is lost loses its whole
+// message, which the protocol of the sender sends again.
+//
+// A Reassembler is not safe for concurrent use: the goroutine that owns it makes all calls.
 package fragment
 
 import (
@@ -11,106 +13,139 @@
 	"garnetline/internal/fleet/membership"
 )
 
-// Channel tells whom what is carried is for.
+// Channel tells what a message is for.
 type Channel uint8
 
-// The channels.
+// The channels. Their numbers are on the wire.
 const (
-	Raft           Channel = 1 + iota // between electors
-	LeaseRequest                      // a router's question to an elector
-	LeaseResponse                     // and back
-	LoadReport                        // of the load of boxes
-	VoterHello                        // between electors, about themselves
-	LeaderHint                        // who leads, of one that does not
-	BanRequest                        // a router's question about staff's bans
-	BanResponse                       // and back
-	EjectionReport                    // the boxes that a router has set aside, to who tries first
-	ProbeResult                       // and what that one knows of them
+	Raft           Channel = 1 + iota // between voters
+	LeaseRequest                      // of a router to a voter
+	LeaseResponse                     // to a LeaseRequest
+	LoadReport                        // of the load of servers
+	VoterHello                        // between voters, about themselves
+	LeaderHint                        // who leads, by a voter that does not
+	BanRequest                        // of a router to a voter, about the operators' bans
+	BanResponse                       // to a BanRequest
+	EjectionReport                    // of the servers that a router has ejected, to who probes them
+	ProbeResult                       // to an EjectionReport
 )
 
-// Bounds of what is put together, whatever comes.
+// Limits of what is reassembled, whatever arrives.
 const (
-	maxFragmentLen    = membership.MaxPayloadLen - 40
-	maxFragments      = 600 // of one
-	maxPartial        = 64  // that are not whole yet
-	reassemblyTimeout = 2000.0
+	headerReserve     = 40
+	maxFragmentLen    = membership.MaxPayloadLen - headerReserve // bytes
+	maxFragments      = 600                                      // of one message
+	maxPartial        = 64                                       // messages that are not complete yet
+	reassemblyTimeout = 2000.0                                   // ms after the latest fragment
 )
 
-// MaxMessageLen is the longest that is carried, in bytes.
+// MaxMessageLen is the length of the longest message, in bytes.
 const MaxMessageLen = maxFragmentLen * maxFragments
 
-// Split cuts b into loads. id differs between those that are on their way at one time.
-func Split(id uint64, ch Channel, b []byte) (loads [][]byte) {
-	n := max(1, (len(b)+maxFragmentLen-1)/maxFragmentLen)
-	if n > maxFragments {
+// Split splits a message into payloads, nil where it is too long. id differs between the
+// messages that are in transit at one time.
+func Split(id uint64, channel Channel, message []byte) (payloads [][]byte) {
+	count := max(1, (len(message)+maxFragmentLen-1)/maxFragmentLen)
+	if count > maxFragments {
 		return nil
 	}
-	for i := range n {
-		p := b[i*maxFragmentLen : min(len(b), (i+1)*maxFragmentLen)]
-		l := protowire.AppendVarint([]byte{byte(ch)}, id)
-		l = protowire.AppendVarint(l, uint64(i))
-		l = protowire.AppendVarint(l, uint64(n))
-		loads = append(loads, append(l, p...))
+	for i := range count {
+		content := message[i*maxFragmentLen : min(len(message), (i+1)*maxFragmentLen)]
+		payload := protowire.AppendVarint([]byte{byte(channel)}, id)
+		payload = protowire.AppendVarint(payload, uint64(i))
+		payload = protowire.AppendVarint(payload, uint64(count))
+		payloads = append(payloads, append(payload, content...))
 	}
-	return loads
+	return payloads
 }
 
-// Reassembler puts pieces together. It is not safe for concurrent use.
+// header is what stands before the content of a fragment.
+type header struct {
+	channel Channel
+	id      uint64
+	index   uint64
+	count   uint64
+}
+
+// parseHeader returns the header of a payload and the content after it.
+func parseHeader(payload []byte) (head header, content []byte, ok bool) {
+	if len(payload) == 0 {
+		return header{}, nil, false
+	}
+	head.channel = Channel(payload[0])
+	content = payload[1:]
+	for _, field := range []*uint64{&head.id, &head.index, &head.count} {
+		value, n := protowire.ConsumeVarint(content)
+		if n < 0 {
+			return header{}, nil, false
+		}
+		*field = value
+		content = content[n:]
+	}
+	ok = head.count > 0 && head.count <= maxFragments && head.index < head.count
+	return head, content, ok
+}
+
+// Reassembler reassembles messages.
 type Reassembler struct {
 	partial []*partialMessage
 }
 
+// partialMessage is a message some fragments of which have arrived.
 type partialMessage struct {
 	from        membership.ID
 	incarnation uint64
-	id          uint64
 	channel     Channel
+	id          uint64
 	fragments   [][]byte
 	missing     int
 	expiresAt   float64
 }
 
-// Add takes a load; whole tells that it was the last piece of b.
-func (j *Reassembler) Add(now float64, l membership.Payload) (ch Channel, b []byte, whole bool) {
-	in := l.Data
-	if len(in) == 0 {
+// Add adds a payload that arrived now, in ms. complete tells that it completed a message.
+func (r *Reassembler) Add(now float64, payload membership.Payload) (channel Channel, message []byte, complete bool) {
+	head, content, ok := parseHeader(payload.Data)
+	if !ok {
 		return 0, nil, false
 	}
-	ch, in = Channel(in[0]), in[1:]
-	var v [3]uint64
-	for i := range v {
-		n, k := protowire.ConsumeVarint(in)
-		if k < 0 {
-			return 0, nil, false
-		}
-		v[i], in = n, in[k:]
+	if head.count == 1 {
+		return head.channel, content, true
 	}
-	id, i, n := v[0], v[1], v[2]
-	if n == 0 || n > maxFragments || i >= n {
+	r.partial = slices.DeleteFunc(r.partial, func(p *partialMessage) bool { return p.expiresAt <= now })
+	i := r.find(payload, head)
+	partial := r.partial[i]
+	partial.expiresAt = now + reassemblyTimeout
+	if len(partial.fragments) != int(head.count) || partial.fragments[head.index] != nil {
 		return 0, nil, false
 	}
-	if n == 1 {
-		return ch, in, true
+	partial.fragments[head.index] = append([]byte{}, content...)
+	partial.missing--
+	if partial.missing > 0 {
+		return 0, nil, false
 	}
-	j.partial = slices.DeleteFunc(j.partial, func(o *partialMessage) bool { return o.expiresAt <= now })
-	at := slices.IndexFunc(j.partial, func(o *partialMessage) bool {
-		return o.from == l.From && o.incarnation == l.Incarnation && o.id == id && o.channel == ch
+	r.partial = slices.Delete(r.partial, i, i+1)
+	return head.channel, slices.Concat(partial.fragments...), true
+}
+
+// find returns the index of the message that a fragment belongs to, which is begun where it
+// is the first.
+func (r *Reassembler) find(payload membership.Payload, head header) int {
+	i := slices.IndexFunc(r.partial, func(p *partialMessage) bool {
+		return p.from == payload.From && p.incarnation == payload.Incarnation && p.id == head.id && p.channel == head.channel
 	})
-	if at < 0 {
-		if len(j.partial) == maxPartial { // the oldest has had its time
-			j.partial = j.partial[1:]
-		}
-		at = len(j.partial)
-		j.partial = append(j.partial, &partialMessage{from: l.From, incarnation: l.Incarnation, id: id, channel: ch, fragments: make([][]byte, n), missing: int(n)})
+	if i >= 0 {
+		return i
 	}
-	o := j.partial[at]
-	if o.expiresAt = now + reassemblyTimeout; len(o.fragments) != int(n) || o.fragments[i] != nil {
-		return 0, nil, false
-	}
-	o.fragments[i] = append([]byte{}, in...)
-	if o.missing--; o.missing > 0 {
-		return 0, nil, false
+	if len(r.partial) == maxPartial { // the oldest had its time
+		r.partial = r.partial[1:]
 	}
-	j.partial = slices.Delete(j.partial, at, at+1)
-	return ch, slices.Concat(o.fragments...), true
+	r.partial = append(r.partial, &partialMessage{
+		from:        payload.From,
+		incarnation: payload.Incarnation,
+		channel:     head.channel,
+		id:          head.id,
+		fragments:   make([][]byte, head.count),
+		missing:     int(head.count),
+	})
+	return len(r.partial) - 1
 }
--- a/internal/fleet/fragment/golden_test.go
+++ b/internal/fleet/fragment/golden_test.go
@@ -16,21 +16,21 @@
 		long[i] = byte(i * 7)
 	}
 	var messages []golden.Message
-	for _, l := range Split(300, Raft, long) {
-		messages = append(messages, golden.Message{Name: "long", Bytes: l})
+	for _, payload := range Split(300, Raft, long) {
+		messages = append(messages, golden.Message{Name: "long", Bytes: payload})
 	}
 	names := []string{"raft", "lease-request", "lease-response", "load-report", "voter-hello", "leader-hint",
 		"ban-request", "ban-response", "ejection-report", "probe-result"}
 	channels := []Channel{Raft, LeaseRequest, LeaseResponse, LoadReport, VoterHello, LeaderHint, BanRequest, BanResponse, EjectionReport, ProbeResult}
-	for i, ch := range channels {
-		messages = append(messages, golden.Message{Name: names[i], Bytes: Split(uint64(i), ch, []byte(names[i]))[0]})
+	for i, channel := range channels {
+		messages = append(messages, golden.Message{Name: names[i], Bytes: Split(uint64(i), channel, []byte(names[i]))[0]})
 	}
 	messages = append(messages, golden.Message{Name: "empty", Bytes: Split(1, Raft, nil)[0]})
-	var j Reassembler
+	var reassembler Reassembler
 	var got [][]byte
 	for _, m := range golden.CompareMessages(t, "fragments.golden", messages) {
-		if _, b, whole := j.Add(0, membership.Payload{From: 1, Data: m.Bytes}); whole {
-			got = append(got, b)
+		if _, message, complete := reassembler.Add(0, membership.Payload{From: 1, Data: m.Bytes}); complete {
+			got = append(got, message)
 		}
 	}
 	if len(got) != 2+len(channels) || !bytes.Equal(got[0], long) {
