Name the parts of a sealed packet; errors say what is wrong with it

Need: offsets were numbers, and four errors read like answers to a question on another page. Change: header, nonce and ciphertext by named offsets, deriveKey apart; the errors name the packet ("packet of another fleet"), those of the operators' file the key.

--- a/internal/fleet/packetcrypto/keyring.go
+++ b/internal/fleet/packetcrypto/keyring.go
@@ -1,6 +1,8 @@
-// Package seal closes packets between routers with a key of the operators' file, so that
-// nobody without it can write or read them, and tells apart what does not belong here:
-// bytes of strangers, of other versions of the protocol, of other fleets.
+// Package packetcrypto encrypts packets between routers with a key of the operators' file,
+// so that nobody without it can write or read them, and tells apart what does not belong
+// here: foreign bytes, other versions of the protocol, other fleets.
+//
+// A Keyring does not change and may be used by several goroutines at a time.
 package packetcrypto
 
 import (
@@ -13,29 +15,41 @@
 	"golang.org/x/crypto/chacha20poly1305"
 )
 
-// Version is the protocol's. Routers of different ones do not hear each other.
+// Version is the version of the protocol. Routers of different versions do not talk.
 const Version = 1
 
-// What a packet that is not taken is.
+// Errors that tell why a packet was not opened.
 var (
-	ErrForeignPacket   = errors.New("no packet of a router")
-	ErrVersionMismatch = errors.New("another version of the protocol")
-	ErrFleetMismatch   = errors.New("another fleet")
-	ErrNoMatchingKey   = errors.New("sealed with no key that is held, or changed on its way")
+	ErrForeignPacket   = errors.New("not a packet of a router")
+	ErrVersionMismatch = errors.New("packet of another protocol version")
+	ErrFleetMismatch   = errors.New("packet of another fleet")
+	ErrNoMatchingKey   = errors.New("packet encrypted with an unknown key, or modified")
 )
 
-// headerLen is what stands in clear: two letters, the version, the fleet and the key.
-const headerLen = 2 + 1 + 4 + 1
+// The header is in clear and authenticated: two bytes of magic, the version, the hash of the
+// fleet's name and the hint of the key.
+const (
+	magic0 = 'g'
+	magic1 = 'f'
 
-// Overhead is how many bytes sealing adds.
-const Overhead = headerLen + chacha20poly1305.NonceSizeX + chacha20poly1305.Overhead
+	versionOffset = 2
+	fleetOffset   = 3
+	hintOffset    = fleetOffset + fleetHashLen
+	headerLen     = hintOffset + 1
+
+	fleetHashLen = 4
+	nonceEnd     = headerLen + chacha20poly1305.NonceSizeX
+)
+
+// Overhead is how many bytes sealing adds to a packet.
+const Overhead = nonceEnd + chacha20poly1305.Overhead
 
 // MinSecretLen is the least length of a secret, in bytes.
 const MinSecretLen = 16
 
-// Keyring seals with its first key and opens with each of them. It does not change.
+// Keyring seals with its first key and opens with each of them.
 type Keyring struct {
-	fleetHash [4]byte
+	fleetHash [fleetHashLen]byte
 	keys      []key
 }
 
@@ -44,53 +58,64 @@
 	secret [chacha20poly1305.KeySize]byte
 }
 
-// NewKeyring returns the ring of a fleet. Each secret is text of MinSecret bytes or more.
+// NewKeyring returns the keyring of a fleet. Each secret is text of MinSecretLen bytes or
+// more.
 func NewKeyring(fleet string, secrets []string) (*Keyring, error) {
 	if len(secrets) == 0 {
-		return nil, errors.New("keys: there is none")
+		return nil, errors.New("keys: none given")
 	}
-	h := xxhash.Sum64String(fleet)
-	r := &Keyring{fleetHash: [4]byte{byte(h), byte(h >> 8), byte(h >> 16), byte(h >> 24)}}
-	for i, s := range secrets {
-		if len(s) < MinSecretLen {
-			return nil, fmt.Errorf("keys: the one in place %d has %d bytes, want %d or more", i+1, len(s), MinSecretLen)
+	hash := xxhash.Sum64String(fleet)
+	ring := &Keyring{fleetHash: [fleetHashLen]byte{byte(hash), byte(hash >> 8), byte(hash >> 16), byte(hash >> 24)}}
+	for i, secret := range secrets {
+		if len(secret) < MinSecretLen {
+			return nil, fmt.Errorf("keys: key %d has %d bytes, want at least %d", i+1, len(secret), MinSecretLen)
 		}
-		text := sha256.Sum256([]byte("garnetline fleet\x00" + fleet + "\x00" + s))
-		r.keys = append(r.keys, key{text[0] ^ text[31], sha256.Sum256(text[:])})
+		ring.keys = append(ring.keys, deriveKey(fleet, secret))
+	}
+	return ring, nil
+}
+
+func deriveKey(fleet, secret string) key {
+	sum := sha256.Sum256([]byte("garnetline fleet\x00" + fleet + "\x00" + secret))
+	return key{
+		hint:   sum[0] ^ sum[len(sum)-1],
+		secret: sha256.Sum256(sum[:]),
 	}
-	return r, nil
 }
 
-// Seal appends a sealed packet to b.
+// Seal appends the encrypted packet to b.
 func (r *Keyring) Seal(b, packet []byte) []byte {
-	k := &r.keys[0]
+	sealingKey := &r.keys[0]
 	start := len(b)
-	b = append(b, 'g', 'f', Version, r.fleetHash[0], r.fleetHash[1], r.fleetHash[2], r.fleetHash[3], k.hint)
+	b = append(b, magic0, magic1, Version)
+	b = append(b, r.fleetHash[:]...)
+	b = append(b, sealingKey.hint)
 	var nonce [chacha20poly1305.NonceSizeX]byte
 	rand.Read(nonce[:]) // never fails: it ends the program instead
 	b = append(b, nonce[:]...)
-	a, _ := chacha20poly1305.NewX(k.secret[:]) // fails for another length of key alone
-	return a.Seal(b, nonce[:], packet, b[start:start+headerLen])
+	cipher, _ := chacha20poly1305.NewX(sealingKey.secret[:]) // fails only for another length of key
+	return cipher.Seal(b, nonce[:], packet, b[start:start+headerLen])
 }
 
-// Open returns what a sealed packet holds, appended to b.
+// Open appends the decrypted packet to b. The error is one of ErrForeignPacket,
+// ErrVersionMismatch, ErrFleetMismatch and ErrNoMatchingKey.
 func (r *Keyring) Open(b, sealed []byte) ([]byte, error) {
 	switch {
-	case len(sealed) < Overhead || sealed[0] != 'g' || sealed[1] != 'f':
+	case len(sealed) < Overhead || sealed[0] != magic0 || sealed[1] != magic1:
 		return nil, ErrForeignPacket
-	case sealed[2] != Version:
+	case sealed[versionOffset] != Version:
 		return nil, ErrVersionMismatch
-	case [4]byte(sealed[3:7]) != r.fleetHash:
+	case [fleetHashLen]byte(sealed[fleetOffset:hintOffset]) != r.fleetHash:
 		return nil, ErrFleetMismatch
 	}
-	body := sealed[headerLen+chacha20poly1305.NonceSizeX:]
+	header, nonce, ciphertext := sealed[:headerLen], sealed[headerLen:nonceEnd], sealed[nonceEnd:]
 	for i := range r.keys {
-		if r.keys[i].hint != sealed[7] {
+		if r.keys[i].hint != sealed[hintOffset] {
 			continue
 		}
-		a, _ := chacha20poly1305.NewX(r.keys[i].secret[:])
-		if p, err := a.Open(b, sealed[headerLen:headerLen+chacha20poly1305.NonceSizeX], body, sealed[:headerLen]); err == nil {
-			return p, nil
+		cipher, _ := chacha20poly1305.NewX(r.keys[i].secret[:])
+		if packet, err := cipher.Open(b, nonce, ciphertext, header); err == nil {
+			return packet, nil
 		}
 	}
 	return nil, ErrNoMatchingKey
