--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -277,14 +277,14 @@
 	}
 	update := event.Update
 	line.Str("what", event.Kind). // the test cluster looks for it
-		Str("member", update.Name).
-		Str("router_id", update.ID.String()).
-		Str("state", update.State.String()).
-		Uint64("incarnation", update.Incarnation()).
-		Str("addr", update.Addr.String()).
-		Str("reported_by", update.ReportedBy.String()).
-		Str("cause", event.Cause).
-		Msg("fleet member changed")
+					Str("member", update.Name).
+					Str("router_id", update.ID.String()).
+					Str("state", update.State.String()).
+					Uint64("incarnation", update.Incarnation()).
+					Str("addr", update.Addr.String()).
+					Str("reported_by", update.ReportedBy.String()).
+					Str("cause", event.Cause).
+					Msg("fleet member changed")
 }
 
 // restoreBans loads the bans of the process before, and adds those that operators set while
