--- a/internal/fleet/wireformat/append.go
+++ b/internal/fleet/wireformat/append.go
@@ -1,21 +1,23 @@
-// Package form writes the fields of what routers say to each other, in protobuf's form:
-// numbers and strings, left out where they are zero.
+// Package wireformat encodes and decodes the fields of what routers send to each other, in
+// protobuf's encoding. Numbers and strings that are zero are left out.
+//
+// Its functions keep no state and may be called by any goroutine.
 package wireformat
 
 import "google.golang.org/protobuf/encoding/protowire"
 
-// AppendUint appends a number, unless it is 0.
-func AppendUint(b []byte, f protowire.Number, v uint64) []byte {
-	if v == 0 {
+// AppendUint appends a varint field to b, unless the value is 0.
+func AppendUint(b []byte, field protowire.Number, value uint64) []byte {
+	if value == 0 {
 		return b
 	}
-	return protowire.AppendVarint(protowire.AppendTag(b, f, protowire.VarintType), v)
+	return protowire.AppendVarint(protowire.AppendTag(b, field, protowire.VarintType), value)
 }
 
-// AppendString appends a string, unless it is empty.
-func AppendString(b []byte, f protowire.Number, s string) []byte {
-	if s == "" {
+// AppendString appends a string field to b, unless the value is empty.
+func AppendString(b []byte, field protowire.Number, value string) []byte {
+	if value == "" {
 		return b
 	}
-	return protowire.AppendString(protowire.AppendTag(b, f, protowire.BytesType), s)
+	return protowire.AppendString(protowire.AppendTag(b, field, protowire.BytesType), value)
 }
