--- a/internal/fleet/membership/golden_test.go
+++ b/internal/fleet/membership/golden_test.go
@@ -67,10 +67,23 @@
 	}
 }
 
+// Events are logged and counted under these names, and under those of states.
+func TestEventKinds(t *testing.T) {
+	for got, want := range map[string]string{
+		EventSuspect: Suspect.String(), EventFailed: Failed.String(), EventLeft: Left.String(),
+		EventJoined: "joined", EventBack: "back", EventRefuted: "refuted", EventConflict: "conflict",
+		EventSuperseded: "superseded", EventStalled: "woken", EventFull: "full",
+	} {
+		if got != want {
+			t.Errorf("an event is %q, want %q", got, want)
+		}
+	}
+}
+
 // An incarnation of a process begins at a multiple of 2^24; what is below counts refutations.
 func TestIncarnationBits(t *testing.T) {
-	w := Update{Revision: FirstRevision(3) + 2}
-	if w.Revision != 3<<24+2 || w.Incarnation() != 3 {
-		t.Errorf("%x, of life %d", w.Revision, w.Incarnation())
+	update := Update{Revision: FirstRevision(3) + 2}
+	if update.Revision != 3<<24+2 || update.Incarnation() != 3 {
+		t.Errorf("%x, of incarnation %d", update.Revision, update.Incarnation())
 	}
 }
