--- /dev/null
+++ b/internal/fleet/consensus/requests.go
@@ -0,0 +1,265 @@
+package consensus
+
+import (
+	"encoding/binary"
+
+	"go.etcd.io/raft/v3"
+
+	"garnetline/internal/fleet/lease"
+	"garnetline/internal/fleet/leaseregistry"
+)
+
+// readIDLen is the length of a read's ID as raft carries it, in bytes.
+const readIDLen = 8
+
+// updateLeadership begins or ends to serve requests. A leader serves once an entry of its own
+// term is applied: only then does it know of all leases that earlier leaders granted.
+func (n *Node) updateLeadership() {
+	status := n.raftNode.BasicStatus()
+	if status.RaftState != raft.StateLeader {
+		if n.leaseExpiry != nil || len(n.queuedRequests) > 0 {
+			n.leaseExpiry, n.queuedRequests = nil, nil
+			n.dropPending()
+		}
+		return
+	}
+	term := status.GetTerm()
+	if n.appliedTerm == term && (n.leaseExpiry == nil || n.leadingTerm != term) {
+		n.leaseExpiry = lease.NewExpiryTracker(n.settings.Lease, n.now, n.registry)
+		n.leadingTerm = term
+		n.dropPending()
+	}
+}
+
+// dropPending forgets what was in progress in another term.
+func (n *Node) dropPending() {
+	clear(n.pendingReads)
+	clear(n.pendingProposals)
+	clear(n.proposalsByLease)
+}
+
+// queueRequest receives a router's request. A request that cannot be served now is dropped;
+// its router repeats it, maybe at another voter.
+func (n *Node) queueRequest(request ClientRequest) {
+	n.updateLeadership()
+	limit := n.settings.MaxPendingRequests
+	if n.leaseExpiry == nil || len(n.queuedRequests)+len(n.pendingProposals) >= limit || len(n.pendingReads) > limit {
+		return
+	}
+	n.queuedRequests = append(n.queuedRequests, request)
+}
+
+// readIsDue tells whether queued requests can be served by a new read. Reads run one at a
+// time, and what is received meanwhile shares the next; a read whose responses were lost is
+// waited for no longer than a tick.
+func (n *Node) readIsDue() bool {
+	if n.leaseExpiry == nil || len(n.queuedRequests) == 0 {
+		return false
+	}
+	return len(n.pendingReads) == 0 || n.now-n.lastReadAt >= n.settings.TickInterval
+}
+
+// startRead asks raft to confirm, by a quorum, that this node still leads, on behalf of all
+// queued requests.
+func (n *Node) startRead() {
+	n.lastReadID++
+	n.lastReadAt = n.now
+	n.pendingReads[n.lastReadID] = n.queuedRequests
+	n.queuedRequests = nil
+	n.raftNode.ReadIndex(binary.BigEndian.AppendUint64(nil, n.lastReadID))
+}
+
+// finishRead serves the requests of a confirmed read: a quorum still followed this leader
+// after they were received. Earlier reads were lost, and their requests are repeated by the
+// routers.
+func (n *Node) finishRead(read raft.ReadState) {
+	if len(read.RequestCtx) != readIDLen {
+		return
+	}
+	readID := binary.BigEndian.Uint64(read.RequestCtx)
+	requests := n.pendingReads[readID]
+	delete(n.pendingReads, readID)
+	for earlier := range n.pendingReads {
+		if earlier < readID {
+			delete(n.pendingReads, earlier)
+		}
+	}
+	if n.leaseExpiry == nil || n.appliedIndex < read.Index {
+		return
+	}
+	for _, request := range requests {
+		n.serveRequest(request)
+	}
+}
+
+// serveRequest responds to a request at once, or proposes a command whose result is the
+// response.
+func (n *Node) serveRequest(request ClientRequest) {
+	current := n.registry.Leases[request.Lease]
+	switch {
+	case request.Ban != nil:
+		n.serveBanRequest(request)
+	case n.proposalsByLease[request.Lease] > 0:
+		// Symptom guarded against: the lease had been proposed for another router, and before
+		// that was applied its holder renewed: it was granted the lease for a whole TTL more.
+	case !withinLimits(request):
+	case request.Release:
+		n.serveRelease(request, current)
+	case isRenewal(request, current):
+		n.leaseExpiry.Extend(n.now, request.Lease)
+		n.respondLease(request, current)
+	case isTransferTarget(request, current):
+		n.proposeFor(request, grantCommand(request, current, false))
+	case request.FencingToken == 0 && n.leaseExpiry.Available(n.now, current):
+		holderLost := current != nil && current.Holder != 0
+		n.proposeFor(request, grantCommand(request, current, holderLost))
+	default:
+		n.respondLease(request, current)
+	}
+}
+
+func withinLimits(request ClientRequest) bool {
+	return request.Lease != "" && len(request.Lease) <= leaseregistry.MaxNameLen && len(request.Handoff) <= leaseregistry.MaxHandoffLen
+}
+
+// isRenewal tells whether the process that holds the lease asks for it again.
+func isRenewal(request ClientRequest, current *leaseregistry.Lease) bool {
+	if current == nil || current.Holder != request.From || current.Incarnation != request.Incarnation {
+		return false
+	}
+	return request.FencingToken == current.FencingToken || request.FencingToken == 0
+}
+
+// isTransferTarget tells whether the lease was transferred to the router, whose process
+// becomes known by this request.
+func isTransferTarget(request ClientRequest, current *leaseregistry.Lease) bool {
+	return current != nil && current.Holder == request.From && current.Incarnation == 0 && request.FencingToken == 0
+}
+
+func grantCommand(request ClientRequest, current *leaseregistry.Lease, holderLost bool) *leaseregistry.Command {
+	command := &leaseregistry.Command{
+		Op:          leaseregistry.OpGrant,
+		Lease:       request.Lease,
+		Holder:      request.From,
+		Incarnation: request.Incarnation,
+		HolderLost:  holderLost,
+		RequestID:   request.ID,
+	}
+	if current != nil {
+		command.ExpectedToken = current.FencingToken
+	}
+	return command
+}
+
+// serveRelease has the holder's release or transfer committed. Of anyone else's it only
+// says who holds the lease.
+func (n *Node) serveRelease(request ClientRequest, current *leaseregistry.Lease) {
+	if current == nil || current.Holder != request.From || current.FencingToken != request.FencingToken {
+		n.respondLease(request, current)
+		return
+	}
+	command := &leaseregistry.Command{
+		Op:            leaseregistry.OpRelease,
+		Lease:         request.Lease,
+		Holder:        request.From,
+		ExpectedToken: request.FencingToken,
+		Handoff:       request.Handoff,
+		RequestID:     request.ID,
+	}
+	if request.TransferTo != 0 {
+		command.Op, command.Holder = leaseregistry.OpTransfer, request.TransferTo
+	}
+	n.proposeFor(request, command)
+}
+
+func (n *Node) serveBanRequest(request ClientRequest) {
+	if request.Ban.Set != nil {
+		n.proposeFor(request, request.Ban.Set)
+		return
+	}
+	n.respondBans(request, nil)
+}
+
+// proposeFor proposes a command whose result is the response to a request. Where raft drops
+// the proposal there is no response, and the router repeats the request.
+func (n *Node) proposeFor(request ClientRequest, command *leaseregistry.Command) {
+	if n.raftNode.Propose(command.Append(nil)) != nil {
+		return
+	}
+	n.pendingProposals[request.ID] = request
+	n.proposalsByLease[request.Lease]++
+}
+
+// completeProposal notifies those whom an applied command concerns, and responds to the
+// request that led to it if this leader proposed it.
+func (n *Node) completeProposal(command *leaseregistry.Command, err error) {
+	if n.leaseExpiry == nil {
+		return
+	}
+	if err == nil {
+		n.notifyRelease(command)
+	}
+	request, proposedHere := n.pendingProposals[command.RequestID]
+	if !proposedHere {
+		return
+	}
+	delete(n.pendingProposals, command.RequestID)
+	n.proposalsByLease[command.Lease]--
+	if n.proposalsByLease[command.Lease] <= 0 {
+		delete(n.proposalsByLease, command.Lease)
+	}
+	if request.Ban != nil {
+		n.respondBans(request, err)
+		return
+	}
+	if command.Op == leaseregistry.OpGrant && err == nil {
+		n.leaseExpiry.Extend(n.now, command.Lease)
+	}
+	n.respondLease(request, n.registry.Leases[command.Lease])
+}
+
+// notifyRelease tells of a lease that its holder gave up: the router that it was transferred
+// to, which then requests it by itself, or whoever the owner of this node chooses.
+func (n *Node) notifyRelease(command *leaseregistry.Command) {
+	switch command.Op {
+	case leaseregistry.OpTransfer:
+		n.output.Responses = append(n.output.Responses, ClientResponse{To: command.Holder, Response: lease.Response{
+			Lease:        command.Lease,
+			Holder:       command.Holder,
+			FencingToken: n.registry.Leases[command.Lease].FencingToken,
+		}})
+	case leaseregistry.OpRelease:
+		n.output.Released = append(n.output.Released, lease.Response{
+			Lease:        command.Lease,
+			FencingToken: n.registry.Leases[command.Lease].FencingToken,
+		})
+	}
+}
+
+// respondBans responds with the state of operators' bans, and with why one was not set.
+func (n *Node) respondBans(request ClientRequest, err error) {
+	response := &BanResponse{RequestID: request.ID, Version: n.registry.BanVersion()}
+	if err != nil {
+		response.Rejection = err.Error()
+	}
+	if response.Version != request.Ban.KnownVersion {
+		response.Bans = n.registry.BansSnapshot()
+	}
+	n.output.Responses = append(n.output.Responses, ClientResponse{To: request.From, Ban: response})
+}
+
+// respondLease responds with the state of a lease; current is nil if it was never granted.
+func (n *Node) respondLease(request ClientRequest, current *leaseregistry.Lease) {
+	response := lease.Response{RequestID: request.ID, Lease: request.Lease}
+	if current != nil {
+		response.FencingToken = current.FencingToken
+		response.Holder = current.Holder
+		response.Losses = current.Losses[request.From]
+		response.Granted = current.Holder == request.From && current.Incarnation == request.Incarnation
+		response.Remaining = n.leaseExpiry.Remaining(n.now, request.Lease)
+	}
+	if response.Granted {
+		response.Handoff = current.Handoff
+	}
+	n.output.Responses = append(n.output.Responses, ClientResponse{To: request.From, Response: response})
+}
--- /dev/null
+++ b/internal/fleet/consensus/status.go
@@ -0,0 +1,93 @@
+package consensus
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/tracker"
+
+	"garnetline/internal/fleet/leaseregistry"
+)
+
+// Status is the state of a node.
+type Status struct {
+	ID, LeaderID, Term, CommitIndex, AppliedIndex uint64
+	Leading                                       bool // it leads and serves requests
+	Voters, Learners                              []uint64
+	Halted                                        bool // its storage failed
+}
+
+// Status returns the state of the node.
+func (n *Node) Status() Status {
+	status := n.raftNode.BasicStatus()
+	return Status{
+		ID:           n.id,
+		LeaderID:     status.Lead,
+		Term:         status.GetTerm(),
+		CommitIndex:  status.GetCommit(),
+		AppliedIndex: n.appliedIndex,
+		Leading:      n.leaseExpiry != nil,
+		Voters:       slices.Clone(n.confState.GetVoters()),
+		Learners:     slices.Clone(n.confState.GetLearners()),
+		Halted:       n.haltErr != nil,
+	}
+}
+
+// State returns the lease registry as this node has applied it. It may be out of date: a
+// router that needs the current state sends a request instead.
+func (n *Node) State() *leaseregistry.State { return n.registry }
+
+// Leases returns the leases of the registry by name, as this node has applied them.
+func (n *Node) Leases() []*leaseregistry.Lease {
+	return slices.SortedFunc(maps.Values(n.registry.Leases), func(a, b *leaseregistry.Lease) int {
+		return cmp.Compare(a.Name, b.Name)
+	})
+}
+
+// LearnerLag returns how many entries a learner is behind the commit index, or -1 if this
+// node does not lead or has not heard from the learner.
+func (n *Node) LearnerLag(id uint64) int {
+	lag := -1
+	n.raftNode.WithProgress(func(peer uint64, _ raft.ProgressType, progress tracker.Progress) {
+		if peer != id || progress.Match == 0 {
+			return
+		}
+		status := n.raftNode.BasicStatus()
+		commit := status.GetCommit()
+		lag = int(commit - min(progress.Match, commit))
+	})
+	return lag
+}
+
+// ReportUnreachable tells raft that a message to a node could not be sent, and whether it
+// was a snapshot.
+func (n *Node) ReportUnreachable(id uint64, snapshot bool) {
+	n.raftNode.ReportUnreachable(id)
+	if snapshot {
+		n.raftNode.ReportSnapshot(id, raft.SnapshotFailure)
+	}
+}
+
+// ReportSnapshotSent tells raft that a snapshot is on its way. If it gets lost, the follower
+// rejects the next append and raft sends another.
+func (n *Node) ReportSnapshotSent(id uint64) { n.raftNode.ReportSnapshot(id, raft.SnapshotFinish) }
+
+// TransferLeadership hands the leadership to the active voter with the longest log. It does
+// nothing if this node does not lead or is transferring it already.
+func (n *Node) TransferLeadership() {
+	target, longest := uint64(0), uint64(0)
+	n.raftNode.WithProgress(func(id uint64, kind raft.ProgressType, progress tracker.Progress) {
+		if id == n.id || kind != raft.ProgressTypePeer || !progress.RecentActive {
+			return
+		}
+		if progress.Match > longest || progress.Match == longest && id < target {
+			target, longest = id, progress.Match
+		}
+	})
+	status := n.raftNode.BasicStatus()
+	if status.RaftState == raft.StateLeader && target != 0 && status.LeadTransferee == 0 {
+		n.raftNode.TransferLeader(target)
+	}
+}
--- /dev/null
+++ b/internal/fleet/consensus/wal/record.go
@@ -0,0 +1,198 @@
+package wal
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// FormatVersion is the version of the file format that this program writes. It reads older
+// ones too.
+const FormatVersion = 1
+
+// Sizes of a record, in bytes. A record is the length and the checksum of what follows, its
+// kind, and its body.
+const (
+	lengthLen    = 4
+	checksumLen  = 4
+	kindLen      = 1
+	prefixLen    = lengthLen + checksumLen
+	headerLen    = prefixLen + kindLen
+	maxRecordLen = 16 << 20 // of kind and body
+)
+
+// The kinds of records. The first record of a log, and no other, names its owner.
+const (
+	kindOwner byte = 1 + iota
+	kindHardState
+	kindEntry
+	kindSnapshot
+	kindMetadata
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Errors of a log that this program must not use.
+var (
+	ErrNotLog       = errors.New("wal: not a voter's log")
+	ErrNewerFormat  = errors.New("wal: of a newer format than this program knows")
+	errShortWrite   = errors.New("wal: short write")
+	errRecordTooBig = errors.New("wal: record too big")
+)
+
+// OwnerError reports a log that belongs to another voter, as after a directory was copied.
+type OwnerError struct {
+	Found, Want string
+}
+
+func (e *OwnerError) Error() string {
+	return fmt.Sprintf("wal: log of %q, not of %q", e.Found, e.Want)
+}
+
+// CorruptRecordError reports a record whose checksum holds and whose body cannot be decoded.
+type CorruptRecordError struct {
+	Kind byte
+	Err  error
+}
+
+func (e *CorruptRecordError) Error() string {
+	return fmt.Sprintf("wal: corrupt record of kind %d: %v", e.Kind, e.Err)
+}
+
+func (e *CorruptRecordError) Unwrap() error { return e.Err }
+
+// ownerBody is the body of the first record.
+func ownerBody(owner string) []byte { return append([]byte{FormatVersion}, owner...) }
+
+// checkOwner returns an error unless the body of the first record names this owner, in a
+// format that can be read.
+func checkOwner(body []byte, owner string) error {
+	if len(body) == 0 || body[0] > FormatVersion {
+		return ErrNewerFormat
+	}
+	if found := string(body[1:]); found != owner {
+		return &OwnerError{Found: found, Want: owner}
+	}
+	return nil
+}
+
+// appendRecord appends a record to b.
+func appendRecord(b []byte, kind byte, body []byte) []byte {
+	b = binary.BigEndian.AppendUint32(b, uint32(kindLen+len(body)))
+	checksum := crc32.New(castagnoli)
+	checksum.Write([]byte{kind})
+	checksum.Write(body)
+	b = binary.BigEndian.AppendUint32(b, checksum.Sum32())
+	b = append(b, kind)
+	return append(b, body...)
+}
+
+// appendMessage appends a record whose body is a protobuf message.
+func appendMessage(b []byte, kind byte, message proto.Message) ([]byte, error) {
+	body, err := proto.Marshal(message)
+	if err != nil {
+		return b, err
+	}
+	if len(body) >= maxRecordLen {
+		return b, fmt.Errorf("%w: %d bytes", errRecordTooBig, len(body))
+	}
+	return appendRecord(b, kind, body), nil
+}
+
+// nextRecord returns the kind and the body of the record that content begins with, and its
+// length as stored; ok is false if it is torn.
+func nextRecord(content []byte) (kind byte, body []byte, length int, ok bool) {
+	if len(content) < headerLen {
+		return 0, nil, 0, false
+	}
+	payloadLen := int(binary.BigEndian.Uint32(content))
+	if payloadLen < kindLen || payloadLen > maxRecordLen || len(content) < prefixLen+payloadLen {
+		return 0, nil, 0, false
+	}
+	payload := content[prefixLen : prefixLen+payloadLen]
+	if crc32.Checksum(payload, castagnoli) != binary.BigEndian.Uint32(content[lengthLen:]) {
+		return 0, nil, 0, false
+	}
+	return payload[0], payload[kindLen:], prefixLen + payloadLen, true
+}
+
+// readRecords reads records until one is torn. valid is the length of those that are not.
+func readRecords(content []byte, owner string) (valid int, state State, err error) {
+	for {
+		kind, body, length, ok := nextRecord(content[valid:])
+		if !ok {
+			return valid, state, nil
+		}
+		isFirst := valid == 0
+		if isFirst != (kind == kindOwner) {
+			return valid, state, ErrNotLog
+		}
+		if isFirst {
+			err = checkOwner(body, owner)
+		} else {
+			err = state.apply(kind, body)
+		}
+		if err != nil {
+			return valid, state, err
+		}
+		valid += length
+	}
+}
+
+// State is what a log holds.
+type State struct {
+	HardState *raftpb.HardState
+	Snapshot  *raftpb.Snapshot // nil: none
+	Entries   []*raftpb.Entry  // after the snapshot
+	Metadata  []byte           // of the log's owner: its raft ID, and whom it has heard from
+}
+
+// apply adds a record to the state.
+func (s *State) apply(kind byte, body []byte) error {
+	var err error
+	switch kind {
+	case kindHardState:
+		s.HardState = &raftpb.HardState{}
+		err = proto.Unmarshal(body, s.HardState)
+	case kindEntry:
+		entry := &raftpb.Entry{}
+		if err = proto.Unmarshal(body, entry); err == nil {
+			s.appendEntry(entry)
+		}
+	case kindSnapshot:
+		s.Snapshot = &raftpb.Snapshot{}
+		err = proto.Unmarshal(body, s.Snapshot)
+		s.Entries = entriesAfter(s.Entries, s.Snapshot.GetMetadata().GetIndex())
+	case kindMetadata:
+		s.Metadata = append([]byte(nil), body...)
+	default:
+		err = errors.New("unknown kind")
+	}
+	if err != nil {
+		return &CorruptRecordError{Kind: kind, Err: err}
+	}
+	return nil
+}
+
+// appendEntry appends an entry in place of those from its index on, which another leader has
+// overwritten.
+func (s *State) appendEntry(entry *raftpb.Entry) {
+	for len(s.Entries) > 0 && s.Entries[len(s.Entries)-1].GetIndex() >= entry.GetIndex() {
+		s.Entries = s.Entries[:len(s.Entries)-1]
+	}
+	if entry.GetIndex() > s.Snapshot.GetMetadata().GetIndex() {
+		s.Entries = append(s.Entries, entry)
+	}
+}
+
+// entriesAfter returns the entries behind an index.
+func entriesAfter(entries []*raftpb.Entry, index uint64) []*raftpb.Entry {
+	for len(entries) > 0 && entries[0].GetIndex() <= index {
+		entries = entries[1:]
+	}
+	return entries
+}
--- a/internal/fleet/consensus/wal/wal_test.go
+++ b/internal/fleet/consensus/wal/wal_test.go
@@ -12,11 +12,12 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// memoryFS is a folder that forgets at a crash what was not synced, and fails at a call.
+// memoryFS is a directory that loses what was not synced in a crash, and whose calls fail
+// from a given one on.
 type memoryFS struct {
-	syncedFiles  map[string]*memoryFile // as names stand after a crash
-	visibleFiles map[string]*memoryFile // as they stand
-	failAtCall   int                    // the call that fails; it and all later ones
+	syncedFiles  map[string]*memoryFile // by the names that survive a crash
+	visibleFiles map[string]*memoryFile // by their present names
+	failAtCall   int                    // this call and all later ones fail; 0: none
 	calls        int
 	crashed      bool
 }
@@ -33,7 +34,8 @@
 }
 
 func (m *memoryFS) call() error {
-	if m.calls++; m.failAtCall > 0 && m.calls >= m.failAtCall {
+	m.calls++
+	if m.failAtCall > 0 && m.calls >= m.failAtCall {
 		m.crashed = true
 		return errDisk
 	}
@@ -88,7 +90,7 @@
 	return nil
 }
 
-// crash leaves what was synced, and of the rest as much as chance has it.
+// crash keeps what was synced, and of the rest a random part.
 func (m *memoryFS) crash(rng *rand.Rand) {
 	m.visibleFiles = map[string]*memoryFile{}
 	for n, d := range m.syncedFiles {
@@ -151,65 +153,65 @@
 	return b.String()
 }
 
-// writeUntilFailure writes steps until one fails and returns the states that may be found afterwards:
-// the last one that was acknowledged, and the one that was under way.
-func writeUntilFailure(m *memoryFS, steps int) (sure, maybe State, err error) {
-	l, sure, _, err := Open(m, "f/1")
-	maybe = sure
+// writeUntilFailure writes steps until one fails and returns the states that may be found
+// afterwards: the last one that was acknowledged, and the one in progress.
+func writeUntilFailure(m *memoryFS, steps int) (acknowledged, inProgress State, err error) {
+	l, acknowledged, _, err := Open(m, "f/1")
+	inProgress = acknowledged
 	if err != nil {
-		return sure, maybe, err
+		return acknowledged, inProgress, err
 	}
 	defer l.Close()
 	for i := uint64(1); i <= uint64(steps); i++ {
-		last := sure.Snapshot.GetMetadata().GetIndex() + uint64(len(sure.Entries))
-		maybe.Entries = append([]*raftpb.Entry(nil), sure.Entries...)
+		last := acknowledged.Snapshot.GetMetadata().GetIndex() + uint64(len(acknowledged.Entries))
+		inProgress.Entries = append([]*raftpb.Entry(nil), acknowledged.Entries...)
 		e := entry(last+1, i, fmt.Sprint("e", i))
-		if i%4 == 0 && len(sure.Entries) > 0 {
+		if i%4 == 0 && len(acknowledged.Entries) > 0 {
 			e = entry(last, i, "over") // another leader's, over the last one
 		}
 		h := hardState(i, i%3+1, last)
-		maybe.appendEntry(e)
-		maybe.HardState = h
+		inProgress.appendEntry(e)
+		inProgress.HardState = h
 		if err := l.Save(h, []*raftpb.Entry{e}, nil); err != nil {
-			return sure, maybe, err
+			return acknowledged, inProgress, err
 		}
-		sure = maybe
+		acknowledged = inProgress
 		if i%5 == 0 {
 			index, term := last, i
-			maybe.Snapshot = &raftpb.Snapshot{Data: []byte(fmt.Sprint("s", i)), Metadata: &raftpb.SnapshotMetadata{Index: &index, Term: &term}}
-			maybe.Entries = entriesAfter(append([]*raftpb.Entry(nil), sure.Entries...), index)
-			if err := l.Rewrite(maybe); err != nil {
-				return sure, maybe, err
+			inProgress.Snapshot = &raftpb.Snapshot{Data: []byte(fmt.Sprint("s", i)), Metadata: &raftpb.SnapshotMetadata{Index: &index, Term: &term}}
+			inProgress.Entries = entriesAfter(append([]*raftpb.Entry(nil), acknowledged.Entries...), index)
+			if err := l.Rewrite(inProgress); err != nil {
+				return acknowledged, inProgress, err
 			}
-			sure = maybe
+			acknowledged = inProgress
 		}
 	}
-	return sure, maybe, nil
+	return acknowledged, inProgress, nil
 }
 
-// Each call fails in turn, and the machine with it. What was acknowledged is found again,
-// whole, or what was under way; and no log takes anything after a failure.
+// Each call fails in turn, and the machine with it. Either the acknowledged state is found
+// again, complete, or the one in progress.
 func TestFailureAtEveryCall(t *testing.T) {
-	whole := newMemoryFS()
-	if _, _, err := writeUntilFailure(whole, 12); err != nil {
+	intact := newMemoryFS()
+	if _, _, err := writeUntilFailure(intact, 12); err != nil {
 		t.Fatal(err)
 	}
-	for at := 1; at <= whole.calls; at++ {
+	for at := 1; at <= intact.calls; at++ {
 		for seed := range uint64(5) {
 			m := newMemoryFS()
 			m.failAtCall = at
-			sure, maybe, _ := writeUntilFailure(m, 12)
+			acknowledged, inProgress, _ := writeUntilFailure(m, 12)
 			m.crash(rand.New(rand.NewPCG(seed, uint64(at))))
 			l, found, _, err := Open(m, "f/1")
 			if err != nil {
 				t.Fatalf("call %d failed: then %v", at, err)
 			}
-			if got := describe(found); got != describe(sure) && got != describe(maybe) {
+			if got := describe(found); got != describe(acknowledged) && got != describe(inProgress) {
 				// A record of entries may be there without the hard state that came with it.
-				half := maybe
-				half.HardState = sure.HardState
+				half := inProgress
+				half.HardState = acknowledged.HardState
 				if got != describe(half) {
-					t.Fatalf("call %d failed: found %s, want %s or %s", at, got, describe(sure), describe(maybe))
+					t.Fatalf("call %d failed: found %s, want %s or %s", at, got, describe(acknowledged), describe(inProgress))
 				}
 			}
 			l.Close()
@@ -236,28 +238,60 @@
 	}
 }
 
-// State of another fleet or elector, of a newer form, or that is none is refused, and
-// says why.
+// The log of another fleet or voter, of a newer format, or that is none is rejected with an
+// error that names the cause.
 func TestRejectsForeignLogs(t *testing.T) {
-	for want, b := range map[string][]byte{
-		`of "g/1", not of "f/1"`:    appendRecord(nil, kindOwner, ownerBody("g/1")),
-		"of a newer form":           appendRecord(nil, kindOwner, append([]byte{FormatVersion + 1}, "f/1"...)),
-		"no log of an elector":      appendRecord(nil, kindHardState, nil),
-		"a record that is whole":    append(appendRecord(nil, kindOwner, ownerBody("f/1")), appendRecord(nil, 9, nil)...),
-		"a record that is whole ma": append(appendRecord(nil, kindOwner, ownerBody("f/1")), appendRecord(nil, kindEntry, []byte{0xff})...),
-	} {
-		m := newMemoryFS()
-		m.visibleFiles[fileName] = &memoryFile{content: b, syncedLen: len(b)}
-		if _, _, _, err := Open(m, "f/1"); err == nil || !strings.Contains(err.Error(), want) {
-			t.Errorf("%s: %v", want, err)
+	withOwner := func(kind byte, body []byte) []byte {
+		return appendRecord(appendRecord(nil, kindOwner, ownerBody("f/1")), kind, body)
+	}
+	corrupt := func(kind byte) func(error) bool {
+		return func(err error) bool {
+			var corruptRecord *CorruptRecordError
+			return errors.As(err, &corruptRecord) && corruptRecord.Kind == kind
 		}
 	}
+	for name, c := range map[string]struct {
+		content  []byte
+		is       func(error) bool
+		wantText string
+	}{
+		"another owner": {
+			appendRecord(nil, kindOwner, ownerBody("g/1")),
+			func(err error) bool {
+				var owner *OwnerError
+				return errors.As(err, &owner) && *owner == OwnerError{Found: "g/1", Want: "f/1"}
+			},
+			`of "g/1", not of "f/1"`,
+		},
+		"newer format": {
+			appendRecord(nil, kindOwner, append([]byte{FormatVersion + 1}, "f/1"...)),
+			func(err error) bool { return errors.Is(err, ErrNewerFormat) },
+			"of a newer format",
+		},
+		"no log": {
+			appendRecord(nil, kindHardState, nil),
+			func(err error) bool { return errors.Is(err, ErrNotLog) },
+			"not a voter's log",
+		},
+		"second owner":  {withOwner(kindOwner, ownerBody("f/1")), func(err error) bool { return errors.Is(err, ErrNotLog) }, "not a voter's log"},
+		"unknown kind":  {withOwner(9, nil), corrupt(9), "corrupt record of kind 9"},
+		"invalid entry": {withOwner(kindEntry, []byte{0xff}), corrupt(kindEntry), "corrupt record of kind 3"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newMemoryFS()
+			m.visibleFiles[fileName] = &memoryFile{content: c.content, syncedLen: len(c.content)}
+			_, _, _, err := Open(m, "f/1")
+			if err == nil || !c.is(err) || !strings.Contains(err.Error(), c.wantText) {
+				t.Errorf("%v, want %q", err, c.wantText)
+			}
+		})
+	}
 }
 
-// On the machine's own folder: what was saved is there in the next life, a torn tail is
+// In a directory of the machine: what was saved is found by the next process, a torn tail is
 // cut, and a long log is rewritten.
 func TestDir(t *testing.T) {
-	f := Dir(t.TempDir() + "/elector")
+	f := Dir(t.TempDir() + "/voter")
 	l, _, fresh, err := Open(f, "f/1")
 	if err != nil || !fresh {
 		t.Fatal(fresh, err)
@@ -295,9 +329,9 @@
 	f.Add(append(appendRecord(nil, kindOwner, ownerBody("f/1")), appendRecord(nil, kindEntry, e)...))
 	f.Add(appendRecord(nil, kindOwner, ownerBody("f/1"))[:7])
 	f.Fuzz(func(t *testing.T, b []byte) {
-		whole, s, err := readRecords(b, "f/1")
-		if whole > len(b) || err == nil && whole > 0 && len(s.Entries) > len(b)/headerLen {
-			t.Fatalf("%d of %d bytes, %d entries", whole, len(b), len(s.Entries))
+		valid, state, err := readRecords(b, "f/1")
+		if valid > len(b) || err == nil && valid > 0 && len(state.Entries) > len(b)/headerLen {
+			t.Fatalf("%d of %d bytes, %d entries", valid, len(b), len(state.Entries))
 		}
 	})
 }
