Give the tests of the consensus node a harness of their own file

node_test.go held a storage, a simulated cluster, the model of linearizability and eight tests. Names and comments are in raft's terms.

--- /dev/null
+++ b/internal/fleet/consensus/cluster_test.go
@@ -0,0 +1,347 @@
+package consensus
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"garnetline/internal/fleet/consensus/wal"
+	"garnetline/internal/fleet/lease"
+	"garnetline/internal/fleet/membership"
+)
+
+var errStorageFull = errors.New("disk full")
+
+// memoryStorage is a storage in memory: what was saved survives a crash, unless it is
+// unsynced.
+type memoryStorage struct {
+	state     wal.State
+	failing   bool
+	saveDelay float64 // ms that the next save takes; negative once it has been made
+	saves     int
+	unsynced  bool      // nothing is synced: a crash loses what came after synced
+	synced    wal.State // what the machine happened to write by itself
+}
+
+// crash is the end of a process and its machine.
+func (s *memoryStorage) crash() {
+	if s.unsynced {
+		s.state = s.synced
+	}
+}
+
+func (s *memoryStorage) Save(hardState *raftpb.HardState, entries []*raftpb.Entry, snapshot *raftpb.Snapshot) error {
+	if s.failing {
+		return errStorageFull
+	}
+	s.saves++
+	if s.unsynced && s.saves%7 == 0 {
+		s.synced = wal.State{HardState: s.state.HardState, Snapshot: s.state.Snapshot, Entries: slices.Clone(s.state.Entries)}
+	}
+	s.saveDelay = -s.saveDelay // this save takes it
+	if snapshot != nil {
+		s.state.Snapshot = proto.Clone(snapshot).(*raftpb.Snapshot)
+		s.state.Entries = slices.DeleteFunc(s.state.Entries, func(e *raftpb.Entry) bool {
+			return e.GetIndex() <= snapshot.GetMetadata().GetIndex()
+		})
+	}
+	for _, entry := range entries {
+		s.state.Entries = slices.DeleteFunc(s.state.Entries, func(e *raftpb.Entry) bool {
+			return e.GetIndex() >= entry.GetIndex()
+		})
+		s.state.Entries = append(s.state.Entries, proto.Clone(entry).(*raftpb.Entry))
+	}
+	if hardState != nil {
+		s.state.HardState = proto.Clone(hardState).(*raftpb.HardState)
+	}
+	return nil
+}
+
+func (s *memoryStorage) SaveMetadata([]byte) error     { return nil }
+func (s *memoryStorage) Rewrite(state wal.State) error { s.state = state; return nil }
+func (s *memoryStorage) NeedsRewrite() bool            { return false }
+
+// envelope is a message on its way. One of its three contents is set.
+type envelope struct {
+	from, to int // a voter, or a router behind the voters
+	arriveAt float64
+	message  *raftpb.Message
+	request  *ClientRequest
+	response *lease.Response
+}
+
+// firstRouterID is the ID of the first router; the others follow.
+const firstRouterID = 100
+
+// cluster is voters and routers on one simulated clock; each router's clock has a rate of
+// its own. Voters are numbered from 0, routers behind them.
+type cluster struct {
+	t        testing.TB
+	rng      *rand.Rand
+	now      float64
+	settings Settings
+
+	nodes        []*Node
+	storages     []*memoryStorage
+	wakeAt       []float64
+	blockedUntil []float64 // until then a voter waits for its storage
+	down         []bool
+	leading      []bool
+
+	partitioned func(from, to int) bool
+	lossRate    float64
+	leaderKnown bool // routers know the leader, as leader hints tell the daemon's
+	inFlight    []envelope
+
+	routers   []*router
+	grants    int
+	violation string // two routers held one lease at a time
+	history   []porcupine.Operation
+}
+
+type router struct {
+	*lease.Holder
+	id           membership.ID
+	clockRate    float64
+	wakeAt       float64
+	stalledUntil float64 // in the cluster's time
+	queued       []lease.Response
+	likelyLeader int
+	historyIndex map[uint64]int // by request ID
+}
+
+func newCluster(tb testing.TB, seed uint64, voters, routers int, leases ...string) *cluster {
+	tb.Helper()
+	settings := DefaultSettings()
+	settings.Lease.TTL, settings.Lease.SafetyMargin = 1000, 100
+	settings.Lease.RetryInterval, settings.Lease.MaxBackoff = 60, 1500
+	cluster := &cluster{
+		t:            tb,
+		rng:          rand.New(rand.NewPCG(seed, 5)),
+		settings:     settings,
+		nodes:        make([]*Node, voters),
+		wakeAt:       make([]float64, voters),
+		blockedUntil: make([]float64, voters+1),
+		down:         make([]bool, voters),
+		leading:      make([]bool, voters),
+		partitioned:  func(int, int) bool { return false },
+	}
+	for range voters {
+		cluster.storages = append(cluster.storages, &memoryStorage{})
+	}
+	for i := range voters {
+		cluster.start(i)
+	}
+	var ids []membership.ID
+	for i := range routers {
+		ids = append(ids, membership.ID(firstRouterID+i))
+	}
+	for i, id := range ids {
+		maxDrift := settings.Lease.MaxClockDrift / 2
+		r := &router{
+			Holder:       lease.NewHolder(settings.Lease, id, uint64(i)<<40),
+			id:           id,
+			clockRate:    1 + (cluster.rng.Float64()*2-1)*maxDrift,
+			historyIndex: map[uint64]int{},
+		}
+		for _, name := range leases {
+			r.SetRank(0, name, lease.Rank(name, id, ids))
+		}
+		cluster.routers = append(cluster.routers, r)
+	}
+	return cluster
+}
+
+// start starts a voter with what its storage holds.
+func (c *cluster) start(i int) {
+	voters := map[uint64]string{}
+	for k := range c.nodes {
+		voters[uint64(k+1)] = fmt.Sprint("e", k)
+	}
+	node, err := NewNode(c.settings, uint64(i+1), c.storages[i], c.storages[i].state, voters, c.now)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.nodes[i], c.down[i], c.wakeAt[i], c.leading[i] = node, false, c.now, false
+}
+
+// startAll starts the voters that are down.
+func (c *cluster) startAll() {
+	for i := range c.nodes {
+		if c.down[i] {
+			c.start(i)
+		}
+	}
+}
+
+func (c *cluster) stop(i int) { c.down[i], c.leading[i] = true, false }
+
+// leader returns the number of a voter that leads; -1: none.
+func (c *cluster) leader() int { return slices.Index(c.leading, true) }
+
+func (c *cluster) heal() { c.partitioned = func(int, int) bool { return false } }
+
+// isolate cuts a voter or router off from all others.
+func (c *cluster) isolate(member int) {
+	c.partitioned = func(from, to int) bool { return from == member || to == member }
+}
+
+// clock returns a router's own time.
+func (c *cluster) clock(r *router) float64 { return c.now * r.clockRate }
+
+func (c *cluster) send(from int, e envelope) {
+	if c.partitioned(from, e.to) || c.rng.Float64() < c.lossRate {
+		return
+	}
+	e.arriveAt, e.from = c.now+1+c.rng.ExpFloat64()*3, from
+	if from < len(c.nodes) {
+		e.arriveAt += max(0, c.blockedUntil[from]-c.now) // it leaves once the storage has it
+	}
+	c.inFlight = append(c.inFlight, e)
+}
+
+func (c *cluster) step(i int, in Input) {
+	out, err := c.nodes[i].Step(c.now, in)
+	if storage := c.storages[i]; storage.saveDelay < 0 {
+		c.blockedUntil[i], storage.saveDelay = c.now-storage.saveDelay, 0
+	}
+	if err != nil {
+		c.stop(i)
+		return
+	}
+	c.wakeAt[i], c.leading[i] = out.WakeAt, out.Leading
+	for _, m := range out.Messages {
+		c.send(i, envelope{to: int(m.GetTo()) - 1, message: proto.Clone(m).(*raftpb.Message)}) // as on a wire
+		if m.GetType() == raftpb.MsgSnap {
+			c.nodes[i].ReportSnapshotSent(m.GetTo()) // as the daemon does
+		}
+	}
+	for _, response := range out.Released {
+		for k := range c.routers {
+			c.send(i, envelope{to: len(c.nodes) + k, response: &response})
+		}
+	}
+	for _, response := range out.Responses {
+		c.send(i, envelope{to: len(c.nodes) + int(response.To) - firstRouterID, response: &response.Response})
+	}
+}
+
+func (c *cluster) stepRouter(k int) {
+	r := c.routers[k]
+	if c.now < r.stalledUntil {
+		return
+	}
+	for _, response := range r.queued {
+		c.deliver(k, response)
+	}
+	r.queued = nil
+	requests, _, wake := r.Step(c.clock(r))
+	r.wakeAt = wake
+	for _, request := range requests {
+		r.likelyLeader = c.rng.IntN(len(c.nodes))
+		for i, leads := range c.leading {
+			if leads && (c.leaderKnown || c.rng.IntN(3) > 0) {
+				r.likelyLeader = i
+			}
+		}
+		r.historyIndex[request.ID] = len(c.history)
+		c.history = append(c.history, openOperation(k, r.id, request, c.now))
+		c.send(len(c.nodes)+k, envelope{to: r.likelyLeader, request: &ClientRequest{From: r.id, Incarnation: 1, Request: request}})
+	}
+}
+
+// deliver has a router handle a response, and looks whether two hold a lease now.
+func (c *cluster) deliver(k int, response lease.Response) {
+	r := c.routers[k]
+	if i, open := r.historyIndex[response.RequestID]; open {
+		completeOperation(&c.history[i], response, c.now)
+		delete(r.historyIndex, response.RequestID)
+	}
+	for _, change := range r.HandleResponse(c.clock(r), response) {
+		if change.FencingToken == 0 {
+			continue
+		}
+		c.grants++
+		for _, other := range c.routers {
+			if token, valid := other.Valid(c.clock(other), response.Lease); valid && other != r {
+				c.violation = fmt.Sprintf("at %.0f %v holds %s under %d and %v under %d", c.now, r.id, response.Lease, change.FencingToken, other.id, token)
+			}
+		}
+	}
+}
+
+// run plays for some simulated time in ms.
+func (c *cluster) run(ms float64) {
+	for end := c.now + ms; c.now < end; c.now += 2 {
+		c.deliverDue()
+		for i := range c.nodes {
+			if !c.down[i] && c.wakeAt[i] <= c.now && c.blockedUntil[i] <= c.now {
+				c.step(i, Input{})
+			}
+		}
+		for k, r := range c.routers {
+			if r.wakeAt <= c.clock(r) {
+				c.stepRouter(k)
+			}
+		}
+	}
+}
+
+// deliverDue delivers what has arrived by now.
+func (c *cluster) deliverDue() {
+	due := c.inFlight
+	c.inFlight = nil
+	for _, next := range due {
+		if next.arriveAt > c.now {
+			c.inFlight = append(c.inFlight, next)
+			continue
+		}
+		switch k := next.to - len(c.nodes); {
+		case k >= 0 && c.now < c.routers[k].stalledUntil:
+			c.routers[k].queued = append(c.routers[k].queued, *next.response)
+		case k >= 0:
+			c.deliver(k, *next.response)
+			c.routers[k].wakeAt = 0
+		case c.now < c.blockedUntil[next.to]:
+			c.inFlight = append(c.inFlight, next)
+		case !c.down[next.to]:
+			c.step(next.to, Input{Message: next.message, Request: next.request})
+		}
+	}
+}
+
+// held returns how many of the leases are held, counting each router that holds one.
+func (c *cluster) held(leases ...string) (n int) {
+	for _, name := range leases {
+		for k := range c.routers {
+			if c.holds(k, name) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// holds tells whether a router holds a lease.
+func (c *cluster) holds(k int, name string) bool {
+	_, valid := c.routers[k].Valid(c.clock(c.routers[k]), name)
+	return valid
+}
+
+// holder returns the number of the router that holds a lease; -1: none.
+func (c *cluster) holder(name string) int {
+	return slices.IndexFunc(c.routers, func(r *router) bool { _, valid := r.Valid(c.clock(r), name); return valid })
+}
+
+// transfer has a router release a lease to another.
+func (c *cluster) transfer(name string, from, to int, handoff []byte) {
+	r := c.routers[from]
+	r.Release(c.clock(r), name, c.routers[to].id, handoff)
+	r.wakeAt = 0
+}
--- a/internal/fleet/consensus/wal/golden_test.go
+++ b/internal/fleet/consensus/wal/golden_test.go
@@ -82,7 +82,7 @@
 	if err != nil || fresh {
 		t.Fatal(fresh, err)
 	}
-	defer l.Close()
+	defer closeFile(t, l)
 	want := goldenState()
 	if describe(found) != describe(want) || !bytes.Equal(found.Metadata, want.Metadata) {
 		t.Errorf("found %s, want %s", describe(found), describe(want))
--- a/internal/fleet/consensus/wal/wal_test.go
+++ b/internal/fleet/consensus/wal/wal_test.go
@@ -135,6 +135,13 @@
 
 func (h *openFile) Close() error { return h.fs.call() }
 
+func closeFile(t *testing.T, f interface{ Close() error }) {
+	t.Helper()
+	if err := f.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func entry(i, term uint64, text string) *raftpb.Entry {
 	return &raftpb.Entry{Index: &i, Term: &term, Data: []byte(text)}
 }
@@ -156,12 +163,12 @@
 // writeUntilFailure writes steps until one fails and returns the states that may be found
 // afterwards: the last one that was acknowledged, and the one in progress.
 func writeUntilFailure(m *memoryFS, steps int) (acknowledged, inProgress State, err error) {
-	l, acknowledged, _, err := Open(m, "f/1")
+	log, acknowledged, _, err := Open(m, "f/1")
 	inProgress = acknowledged
 	if err != nil {
 		return acknowledged, inProgress, err
 	}
-	defer l.Close()
+	defer func() { _ = log.Close() }() // fails where the directory does
 	for i := uint64(1); i <= uint64(steps); i++ {
 		last := acknowledged.Snapshot.GetMetadata().GetIndex() + uint64(len(acknowledged.Entries))
 		inProgress.Entries = append([]*raftpb.Entry(nil), acknowledged.Entries...)
@@ -172,7 +179,7 @@
 		h := hardState(i, i%3+1, last)
 		inProgress.appendEntry(e)
 		inProgress.HardState = h
-		if err := l.Save(h, []*raftpb.Entry{e}, nil); err != nil {
+		if err := log.Save(h, []*raftpb.Entry{e}, nil); err != nil {
 			return acknowledged, inProgress, err
 		}
 		acknowledged = inProgress
@@ -180,7 +187,7 @@
 			index, term := last, i
 			inProgress.Snapshot = &raftpb.Snapshot{Data: []byte(fmt.Sprint("s", i)), Metadata: &raftpb.SnapshotMetadata{Index: &index, Term: &term}}
 			inProgress.Entries = entriesAfter(append([]*raftpb.Entry(nil), acknowledged.Entries...), index)
-			if err := l.Rewrite(inProgress); err != nil {
+			if err := log.Rewrite(inProgress); err != nil {
 				return acknowledged, inProgress, err
 			}
 			acknowledged = inProgress
@@ -214,7 +221,7 @@
 					t.Fatalf("call %d failed: found %s, want %s or %s", at, got, describe(acknowledged), describe(inProgress))
 				}
 			}
-			l.Close()
+			closeFile(t, l)
 		}
 	}
 }
@@ -250,7 +257,7 @@
 			return errors.As(err, &corruptRecord) && corruptRecord.Kind == kind
 		}
 	}
-	for name, c := range map[string]struct {
+	for name, foreign := range map[string]struct {
 		content  []byte
 		is       func(error) bool
 		wantText string
@@ -279,10 +286,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := newMemoryFS()
-			m.visibleFiles[fileName] = &memoryFile{content: c.content, syncedLen: len(c.content)}
+			m.visibleFiles[fileName] = &memoryFile{content: foreign.content, syncedLen: len(foreign.content)}
 			_, _, _, err := Open(m, "f/1")
-			if err == nil || !c.is(err) || !strings.Contains(err.Error(), c.wantText) {
-				t.Errorf("%v, want %q", err, c.wantText)
+			if err == nil || !foreign.is(err) || !strings.Contains(err.Error(), foreign.wantText) {
+				t.Errorf("%v, want %q", err, foreign.wantText)
 			}
 		})
 	}
@@ -291,37 +298,39 @@
 // In a directory of the machine: what was saved is found by the next process, a torn tail is
 // cut, and a long log is rewritten.
 func TestDir(t *testing.T) {
-	f := Dir(t.TempDir() + "/voter")
-	l, _, fresh, err := Open(f, "f/1")
+	dir := Dir(t.TempDir() + "/voter")
+	log, _, fresh, err := Open(dir, "dir/1")
 	if err != nil || !fresh {
 		t.Fatal(fresh, err)
 	}
 	big := strings.Repeat("x", 1000)
-	for i := uint64(1); !l.NeedsRewrite(); i++ {
-		if err := l.Save(hardState(1, 1, i), []*raftpb.Entry{entry(i, 1, big)}, nil); err != nil {
+	for i := uint64(1); !log.NeedsRewrite(); i++ {
+		if err := log.Save(hardState(1, 1, i), []*raftpb.Entry{entry(i, 1, big)}, nil); err != nil {
 			t.Fatal(err)
 		}
 	}
 	want := State{HardState: hardState(1, 1, 5), Entries: []*raftpb.Entry{entry(5, 1, "five")}}
-	if err := l.Rewrite(want); err != nil || l.Size() > 1000 || l.NeedsRewrite() {
-		t.Errorf("%d bytes, %v", l.Size(), err)
+	if err := log.Rewrite(want); err != nil || log.Size() > 1000 || log.NeedsRewrite() {
+		t.Errorf("%d bytes, %v", log.Size(), err)
 	}
 	want.Entries = append(want.Entries, entry(6, 1, "six"))
-	if err := l.Save(nil, want.Entries[1:], nil); err != nil {
+	if err := log.Save(nil, want.Entries[1:], nil); err != nil {
 		t.Fatal(err)
 	}
-	l.Close()
-	a, err := f.Append(fileName)
+	closeFile(t, log)
+	tail, err := dir.Append(fileName)
 	if err != nil {
 		t.Fatal(err)
 	}
-	a.Write(appendRecord(nil, kindEntry, []byte("torn"))[:10])
-	a.Close()
-	l, got, fresh, err := Open(f, "f/1")
+	if _, err := tail.Write(appendRecord(nil, kindEntry, []byte("torn"))[:10]); err != nil {
+		t.Fatal(err)
+	}
+	closeFile(t, tail)
+	log, got, fresh, err := Open(dir, "dir/1")
 	if err != nil || fresh || describe(got) != describe(want) {
 		t.Errorf("%v: %s, want %s", err, describe(got), describe(want))
 	}
-	l.Close()
+	closeFile(t, log)
 }
 
 func FuzzReadRecords(f *testing.F) {
