--- /dev/null
+++ b/internal/fleet/leaseregistry/snapshot.go
@@ -0,0 +1,180 @@
+package leaseregistry
+
+import (
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"garnetline/internal/fleet/membership"
+	"garnetline/internal/fleet/wireformat"
+	"garnetline/routing"
+)
+
+// Field numbers of a snapshot: one field for each lease, ban and voter's name. They are
+// stored and do not change, as those of the three below.
+const (
+	snapshotLease     protowire.Number = 1
+	snapshotBan       protowire.Number = 2
+	snapshotVoterName protowire.Number = 3
+)
+
+// Field numbers of a lease. A router's losses follow its ID.
+const (
+	leaseName         protowire.Number = 1
+	leaseHolder       protowire.Number = 2
+	leaseIncarnation  protowire.Number = 3
+	leaseFencingToken protowire.Number = 4
+	leaseHandoff      protowire.Number = 5
+	leaseLossRouter   protowire.Number = 6
+	leaseLossCount    protowire.Number = 7
+)
+
+// Field numbers of a ban.
+const (
+	banServer   protowire.Number = 1 // plus one, since 0 is a server too
+	banDisabled protowire.Number = 2
+	banVersion  protowire.Number = 3
+	banSetBy    protowire.Number = 4
+	banReason   protowire.Number = 5
+	banSetAt    protowire.Number = 6
+)
+
+// Field numbers of a voter's name.
+const (
+	voterID   protowire.Number = 1
+	voterName protowire.Number = 2
+)
+
+// Snapshot returns the whole state as bytes, the same for equal states.
+func (s *State) Snapshot() []byte {
+	w := fieldWriter{}
+	for _, name := range slices.Sorted(maps.Keys(s.Leases)) {
+		w.message(snapshotLease, s.Leases[name].writeTo)
+	}
+	s.writeBans(&w)
+	for _, id := range slices.Sorted(maps.Keys(s.VoterNames)) {
+		w.message(snapshotVoterName, func(entry *fieldWriter) {
+			entry.number(voterID, id)
+			entry.text(voterName, s.VoterNames[id])
+		})
+	}
+	return w.encoded
+}
+
+// BansSnapshot returns the part of a snapshot that holds operators' bans. Restore reads it.
+func (s *State) BansSnapshot() []byte {
+	w := fieldWriter{}
+	s.writeBans(&w)
+	return w.encoded
+}
+
+func (s *State) writeBans(w *fieldWriter) {
+	for _, server := range slices.Sorted(maps.Keys(s.Bans)) {
+		w.message(snapshotBan, s.Bans[server].writeTo)
+	}
+}
+
+func (l *Lease) writeTo(w *fieldWriter) {
+	w.text(leaseName, l.Name)
+	w.number(leaseHolder, uint64(l.Holder))
+	w.number(leaseIncarnation, l.Incarnation)
+	w.number(leaseFencingToken, l.FencingToken)
+	w.text(leaseHandoff, string(l.Handoff))
+	for _, id := range slices.Sorted(maps.Keys(l.Losses)) {
+		w.number(leaseLossRouter, uint64(id))
+		w.number(leaseLossCount, l.Losses[id])
+	}
+}
+
+func (b *Ban) writeTo(w *fieldWriter) {
+	w.number(banServer, uint64(b.Server)+1)
+	w.flag(banDisabled, b.Disabled)
+	w.number(banVersion, b.Version)
+	w.text(banSetBy, b.SetBy)
+	w.text(banReason, b.Reason)
+	w.number(banSetAt, uint64(b.SetAt))
+}
+
+// Restore decodes a snapshot; ok is false if it is none.
+func Restore(snapshot []byte) (state *State, ok bool) {
+	state = New()
+	ok = wireformat.ParseFields(snapshot, func(field protowire.Number, _ uint64, content []byte) bool {
+		switch field {
+		case snapshotLease:
+			return state.restoreLease(content)
+		case snapshotBan:
+			return state.restoreBan(content)
+		case snapshotVoterName:
+			return state.restoreVoterName(content)
+		}
+		return true
+	})
+	return state, ok
+}
+
+func (s *State) restoreLease(message []byte) bool {
+	lease := &Lease{Losses: map[membership.ID]uint64{}}
+	var lossRouter membership.ID
+	ok := wireformat.ParseFields(message, func(field protowire.Number, value uint64, content []byte) bool {
+		switch field {
+		case leaseName:
+			lease.Name = string(content)
+		case leaseHolder:
+			lease.Holder = membership.ID(value)
+		case leaseIncarnation:
+			lease.Incarnation = value
+		case leaseFencingToken:
+			lease.FencingToken = value
+		case leaseHandoff:
+			lease.Handoff = slices.Clone(content)
+		case leaseLossRouter:
+			lossRouter = membership.ID(value)
+		case leaseLossCount:
+			lease.Losses[lossRouter] = value
+		}
+		return true
+	})
+	if ok {
+		s.Leases[lease.Name] = lease
+	}
+	return ok
+}
+
+func (s *State) restoreBan(message []byte) bool {
+	ban := &Ban{}
+	ok := wireformat.ParseFields(message, func(field protowire.Number, value uint64, content []byte) bool {
+		switch field {
+		case banServer:
+			ban.Server = routing.ServerID(value - 1)
+		case banDisabled:
+			ban.Disabled = value != 0
+		case banVersion:
+			ban.Version = value
+		case banSetBy:
+			ban.SetBy = string(content)
+		case banReason:
+			ban.Reason = string(content)
+		case banSetAt:
+			ban.SetAt = float64(value)
+		}
+		return true
+	})
+	if ok {
+		s.Bans[ban.Server] = ban
+	}
+	return ok
+}
+
+func (s *State) restoreVoterName(message []byte) bool {
+	var id uint64
+	return wireformat.ParseFields(message, func(field protowire.Number, value uint64, content []byte) bool {
+		switch field {
+		case voterID:
+			id = value
+		case voterName:
+			s.VoterNames[id] = string(content)
+		}
+		return true
+	})
+}
