Split the bans package by concern, with errors and log lines in the terms of the field

machine.go held types, polling, the following of the registry and the handling of responses; manager.go the state file, the operators' JSON and the actor.

Log and error texts change, their conditions do not. The default of who set a ban is a named constant, since it is stored.

--- a/internal/fleet/bans/golden_test.go
+++ b/internal/fleet/bans/golden_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -16,8 +17,8 @@
 	"garnetline/routing"
 )
 
-// The file that bans rest on is read by later releases and written as it always was: by
-// the routers' names of servers, with the keys of the first release.
+// The file of local bans is read by later releases and written as it always was, with the
+// keys of the first release.
 // UPDATE_GOLDEN=1 rewrites testdata.
 func TestStateFileFormat(t *testing.T) {
 	folder := t.TempDir()
@@ -28,11 +29,9 @@
 		9:       {Version: 12},
 		1 << 33: {Unregistered: true, SetBy: "the door of r01", SetAt: 1_700_000_000_456.5},
 	}
-	k := New(options)
-	for id, basis := range bans {
-		k.machine.local[id] = basis
-	}
-	k.persist()
+	manager := New(options)
+	maps.Copy(manager.machine.localBans, bans)
+	manager.persist()
 	path := filepath.Join(folder, "garnetline-bans.json")
 	written, err := os.ReadFile(path)
 	if err != nil {
@@ -49,7 +48,7 @@
 
 // Operators' scripts read this JSON. UPDATE_GOLDEN=1 rewrites testdata.
 func TestStatusJSON(t *testing.T) {
-	page := Status{
+	status := Status{
 		ReadAt: 1_700_000_000_500.25,
 		Bans: []Ban{
 			{Server: routing.ServerID(7).String(), Disabled: true, Version: 12, SetBy: "ada", Reason: "disk", SetAt: 1_700_000_000_123},
@@ -57,13 +56,13 @@
 		},
 		DisabledHere: []string{routing.ServerID(7).String()},
 	}
-	text, err := json.MarshalIndent(page, "", " ")
+	text, err := json.MarshalIndent(status, "", " ")
 	if err != nil {
 		t.Fatal(err)
 	}
 	golden.Compare(t, "status.json", text)
 	var read Status
-	if err := json.Unmarshal(golden.Read(t, "status.json"), &read); err != nil || !reflect.DeepEqual(read, page) {
+	if err := json.Unmarshal(golden.Read(t, "status.json"), &read); err != nil || !reflect.DeepEqual(read, status) {
 		t.Errorf("read back: %+v, %v", read, err)
 	}
 }
--- a/internal/fleet/bans/machine_test.go
+++ b/internal/fleet/bans/machine_test.go
@@ -14,201 +14,236 @@
 	"garnetline/routing"
 )
 
-// router is one with its list and its shelf of neighbours' words, as in the daemon.
-type router struct {
-	m     *Machine
-	out   map[routing.ServerID]bool
-	shelf *gossip.Store
-	cut   bool // from the register and the others
-	calls map[uint64]Change
+// simulatedRouter has what a ban touches in the daemon: the disabled servers and the store of
+// gossip.
+type simulatedRouter struct {
+	machine     *Machine
+	disabled    map[routing.ServerID]bool
+	gossip      *gossip.Store
+	partitioned bool // from the registry and the other routers
+	changes     map[uint64]Change
 }
 
-// town is routers, a register in one place and staff.
-type town struct {
-	t       testing.TB
-	rng     *rand.Rand
-	now     float64
-	loss    float64
-	reg     *leaseregistry.State
-	index   uint64
-	routers []*router
-	latest  map[routing.ServerID]string // what staff did last, as far as it was taken
-	enabled int
+// simulation is routers, a registry in one place and operators.
+type simulation struct {
+	rng         *rand.Rand
+	now         float64
+	loss        float64 // share of requests, and of responses, that is lost
+	registry    *leaseregistry.State
+	index       uint64 // of the registry's latest command
+	routers     []*simulatedRouter
+	lastChange  map[routing.ServerID]string // what operators did last, as far as it was taken
+	enableCount int
 }
 
-func (w *town) list(x *router) []routing.ServerID { return slices.Sorted(maps.Keys(x.out)) }
+func newSimulation(seed uint64) *simulation {
+	sim := &simulation{rng: rand.New(rand.NewPCG(seed, 3)), registry: leaseregistry.New(), lastChange: map[routing.ServerID]string{}}
+	for i := range 3 {
+		sim.routers = append(sim.routers, &simulatedRouter{
+			machine:  NewMachine(DefaultSettings(), uint64(i)<<40, nil, 0),
+			disabled: map[routing.ServerID]bool{},
+			gossip:   gossip.New(gossip.DefaultSettings(), membership.ID(i+1), 1),
+			changes:  map[uint64]Change{},
+		})
+	}
+	return sim
+}
 
-func (w *town) set(x *router, box routing.ServerID, out, tell bool) {
-	if x.out[box] = true; !out {
-		delete(x.out, box)
+func (r *simulatedRouter) disabledHere() []routing.ServerID {
+	return slices.Sorted(maps.Keys(r.disabled))
+}
+
+func (r *simulatedRouter) setDisabled(server routing.ServerID, disable bool) {
+	if disable {
+		r.disabled[server] = true
+	} else {
+		delete(r.disabled, server)
 	}
-	if tell {
-		x.shelf.SetDisabled(w.now, box, out)
+}
+
+// applyGossip has a router's servers follow what the others published, as the watcher of the
+// endpoint list does.
+func (r *simulatedRouter) applyGossip() {
+	for _, change := range r.gossip.TakeChanges() {
+		r.setDisabled(change.Server, change.Disabled)
 	}
-	w.words(x)
 }
 
-// words has a router's list follow what the others told, as the change log's actor does.
-func (w *town) words(x *router) {
-	for _, c := range x.shelf.TakeChanges() {
-		if x.out[c.Server] = true; !c.Disabled {
-			delete(x.out, c.Server)
-		}
+func (s *simulation) setDisabled(router *simulatedRouter, server routing.ServerID, disable, publish bool) {
+	router.setDisabled(server, disable)
+	if publish {
+		router.gossip.SetDisabled(s.now, server, disable)
 	}
+	router.applyGossip()
 }
 
-func (w *town) take(x *router, out Output) {
-	for _, o := range out.Actions {
-		w.set(x, o.Server, o.Disable, !o.Disable)
+// handleOutput does what a Manager does.
+func (s *simulation) handleOutput(router *simulatedRouter, out Output) {
+	for _, action := range out.Actions {
+		s.setDisabled(router, action.Server, action.Disable, !action.Disable)
 	}
-	for _, e := range out.Completions {
-		c := x.calls[e.ChangeID]
-		if e.Err == nil {
-			w.set(x, c.Server, false, true)
-			w.enabled++
+	for _, completion := range out.Completions {
+		change := router.changes[completion.ChangeID]
+		if completion.Err == nil {
+			s.setDisabled(router, change.Server, false, true)
+			s.enableCount++
 		}
 	}
-	for _, a := range out.Requests {
-		if x.cut || w.rng.Float64() < w.loss {
+	for _, request := range out.Requests {
+		if router.partitioned || s.rng.Float64() < s.loss {
 			continue
 		}
-		answer := consensus.BanResponse{RequestID: a.ID}
-		if a.Set != nil {
-			w.index++
-			c, _ := leaseregistry.DecodeCommand(a.Set.Append(nil))
-			if err := w.reg.Apply(w.index, c); err != nil {
-				answer.Rejection = err.Error()
-			} else if !c.Disabled {
-				w.latest[c.Server] = "enabled"
-			}
-		}
-		if answer.Version = w.reg.BanVersion(); answer.Version != a.KnownVersion {
-			answer.Bans = w.reg.BansSnapshot()
+		response := s.respond(request)
+		if s.rng.Float64() >= s.loss {
+			s.handleOutput(router, router.machine.HandleResponse(s.now, response))
 		}
-		if w.rng.Float64() >= w.loss {
-			w.take(x, x.m.HandleResponse(w.now, answer))
+	}
+}
+
+// respond does what the voters do.
+func (s *simulation) respond(request Request) consensus.BanResponse {
+	response := consensus.BanResponse{RequestID: request.ID}
+	if request.Set != nil {
+		s.index++
+		command, _ := leaseregistry.DecodeCommand(request.Set.Append(nil))
+		if err := s.registry.Apply(s.index, command); err != nil {
+			response.Rejection = err.Error()
+		} else if !command.Disabled {
+			s.lastChange[command.Server] = "enabled"
 		}
 	}
+	response.Version = s.registry.BanVersion()
+	if response.Version != request.KnownVersion {
+		response.Bans = s.registry.BansSnapshot()
+	}
+	return response
 }
 
-func (w *town) run(ms float64) {
-	for end := w.now + ms; w.now < end; w.now += 20 {
-		for _, x := range w.routers {
-			w.take(x, x.m.Step(w.now, w.list(x)))
-			y := w.routers[w.rng.IntN(len(w.routers))]
-			if x == y || x.cut || y.cut || w.rng.Float64() < max(0.7, w.loss) {
+func (s *simulation) run(ms float64) {
+	for end := s.now + ms; s.now < end; s.now += 20 {
+		for _, router := range s.routers {
+			s.handleOutput(router, router.machine.Step(s.now, router.disabledHere()))
+			peer := s.routers[s.rng.IntN(len(s.routers))]
+			if router == peer || router.partitioned || peer.partitioned || s.rng.Float64() < max(0.7, s.loss) {
 				continue
 			}
-			for b := range membership.BucketCount {
-				x.shelf.ForEach(b, func(item []byte) bool { y.shelf.Receive(w.now, 0, item); return true })
+			for bucket := range membership.BucketCount {
+				router.gossip.ForEach(bucket, func(item []byte) bool {
+					peer.gossip.Receive(s.now, 0, item)
+					return true
+				})
 			}
-			w.words(y)
+			peer.applyGossip()
 		}
 	}
 }
 
-func newTown(t testing.TB, seed uint64) *town {
-	w := &town{t: t, rng: rand.New(rand.NewPCG(seed, 3)), reg: leaseregistry.New(), latest: map[routing.ServerID]string{}}
-	for i := range 3 {
-		w.routers = append(w.routers, &router{m: NewMachine(DefaultSettings(), uint64(i)<<40, nil, 0), out: map[routing.ServerID]bool{},
-			shelf: gossip.New(gossip.DefaultSettings(), membership.ID(i+1), 1), calls: map[uint64]Change{}})
+// randomEvent has an operator, a router or the network do something.
+func (s *simulation) randomEvent() {
+	router := s.routers[s.rng.IntN(3)]
+	server := routing.ServerID(s.rng.IntN(2) + 1)
+	switch s.rng.IntN(6) {
+	case 0, 1:
+		s.setDisabled(router, server, true, true)
+		router.machine.RecordDisabled(s.now, Change{Server: server, Disable: true, SetBy: "x"})
+		s.lastChange[server] = "disabled"
+	case 2:
+		change := Change{Server: server}
+		router.changes[router.machine.RequestEnable(s.now, change)] = change
+	case 3:
+		router.partitioned = !router.partitioned
+	case 4:
+		router.machine = NewMachine(DefaultSettings(), s.rng.Uint64()>>1, maps.Clone(router.machine.LocalBans()), s.now)
+		router.changes = map[uint64]Change{}
+	case 5:
+		s.loss = s.rng.Float64() * 0.4
 	}
-	return w
 }
 
-// Staff take boxes out and let them in at any router, routers are cut off, start again,
-// and lose questions and answers: when all is quiet all have out what the register has,
-// and what staff took out last is out.
+// Operators disable and enable servers at any router, routers are partitioned, start again,
+// and lose requests and responses: when all is quiet, all have disabled what the registry has
+// disabled, and what operators disabled last is disabled.
 func TestRandomOperatorChanges(t *testing.T) {
-	enabled := 0
+	enableCount := 0
 	for seed := range uint64(100) {
-		w := newTown(t, seed)
+		sim := newSimulation(seed)
 		for range 30 {
-			x := w.routers[w.rng.IntN(3)]
-			box := routing.ServerID(w.rng.IntN(2) + 1)
-			switch w.rng.IntN(6) {
-			case 0, 1:
-				w.set(x, box, true, true)
-				x.m.RecordDisabled(w.now, Change{Server: box, Disable: true, SetBy: "x"})
-				w.latest[box] = "disabled"
-			case 2:
-				c := Change{Server: box}
-				x.calls[x.m.RequestEnable(w.now, c)] = c
-			case 3:
-				x.cut = !x.cut
-			case 4:
-				x.m = NewMachine(DefaultSettings(), w.rng.Uint64()>>1, maps.Clone(x.m.LocalBans()), w.now)
-				x.calls = map[uint64]Change{}
-			case 5:
-				w.loss = w.rng.Float64() * 0.4
-			}
-			w.run(w.rng.Float64() * 900)
+			sim.randomEvent()
+			sim.run(sim.rng.Float64() * 900)
 		}
-		w.loss = 0
-		for _, x := range w.routers {
-			x.cut = false
+		sim.loss = 0
+		for _, router := range sim.routers {
+			router.partitioned = false
 		}
-		w.run(15_000)
-		enabled += w.enabled
-		for box := routing.ServerID(1); box <= 2; box++ {
-			r := w.reg.Bans[box]
-			for i, x := range w.routers {
-				if is := x.out[box]; is != (r != nil && r.Disabled) || w.latest[box] == "disabled" && !is {
-					t.Errorf("seed %d: box %d is out %v at router %d, the register has %+v, staff last %s it", seed, box, is, i, r, w.latest[box])
+		sim.run(15_000)
+		enableCount += sim.enableCount
+		for server := routing.ServerID(1); server <= 2; server++ {
+			ban := sim.registry.Bans[server]
+			registered := ban != nil && ban.Disabled
+			for i, router := range sim.routers {
+				disabled := router.disabled[server]
+				if disabled != registered || sim.lastChange[server] == "disabled" && !disabled {
+					t.Errorf("seed %d: server %d is disabled %v at router %d, the registry has %+v, operators last %s it",
+						seed, server, disabled, i, ban, sim.lastChange[server])
 				}
 			}
 		}
 	}
-	if enabled < 100 {
-		t.Errorf("%d enables show nothing", enabled)
+	if enableCount < 100 {
+		t.Errorf("%d enables show nothing", enableCount)
 	}
 }
 
-// A call with an older version than the register's is refused; one that nobody answers
-// ends, and the box stays out.
-func TestVersionConflictAndNoQuorum(t *testing.T) {
-	w := newTown(t, 1)
-	x := w.routers[0]
-	w.set(x, 7, true, true)
-	x.m.RecordDisabled(0, Change{Server: 7, Disable: true, SetBy: "ada", Reason: "disk"})
-	w.run(1000)
-	if b := w.routers[2].m.Bans(); len(b) != 1 || !b[0].Disabled || b[0].SetBy != "ada" || b[0].Reason != "disk" || !w.routers[2].out[7] {
-		t.Fatalf("%+v", b)
-	}
-	ended := func(c Change, cut bool) (err error) {
-		x.cut = cut
-		n := x.m.RequestEnable(w.now, c)
-		err = errors.New("no end")
-		for range 100 {
-			w.now += 20
-			out := x.m.Step(w.now, w.list(x))
-			for _, a := range out.Requests {
-				if cut {
-					continue
-				}
-				w.index++
-				answer := consensus.BanResponse{RequestID: a.ID}
-				if a.Set != nil && w.reg.Apply(w.index, a.Set) != nil {
-					answer.Rejection = "no"
-				}
-				answer.Version, answer.Bans = w.reg.BanVersion(), w.reg.BansSnapshot()
-				out.Completions = append(out.Completions, x.m.HandleResponse(w.now, answer).Completions...)
+// enable plays an operator's enable at a router until it completes.
+func (s *simulation) enable(router *simulatedRouter, change Change, partitioned bool) error {
+	router.partitioned = partitioned
+	changeID := router.machine.RequestEnable(s.now, change)
+	for range 100 {
+		s.now += 20
+		out := router.machine.Step(s.now, router.disabledHere())
+		for _, request := range out.Requests {
+			if partitioned {
+				continue
 			}
-			for _, e := range out.Completions {
-				if e.ChangeID == n {
-					return e.Err
-				}
+			s.index++
+			response := consensus.BanResponse{RequestID: request.ID}
+			if request.Set != nil && s.registry.Apply(s.index, request.Set) != nil {
+				response.Rejection = "no"
 			}
+			response.Version = s.registry.BanVersion()
+			response.Bans = s.registry.BansSnapshot()
+			out.Completions = append(out.Completions, router.machine.HandleResponse(s.now, response).Completions...)
 		}
-		return err
+		for _, completion := range out.Completions {
+			if completion.ChangeID == changeID {
+				return completion.Err
+			}
+		}
+	}
+	return errors.New("the change did not complete")
+}
+
+// A change with an older version than the registry's is rejected; one without a response ends,
+// and the server stays disabled.
+func TestVersionConflictAndNoQuorum(t *testing.T) {
+	const server = routing.ServerID(7)
+	sim := newSimulation(1)
+	router, other := sim.routers[0], sim.routers[2]
+	sim.setDisabled(router, server, true, true)
+	router.machine.RecordDisabled(0, Change{Server: server, Disable: true, SetBy: "ada", Reason: "disk"})
+	sim.run(1000)
+	bans := other.machine.Bans()
+	if len(bans) != 1 || !bans[0].Disabled || bans[0].SetBy != "ada" || bans[0].Reason != "disk" || !other.disabled[server] {
+		t.Fatalf("%+v", bans)
 	}
-	if err := ended(Change{Server: 7, Version: 99}, false); !errors.Is(err, ErrVersionConflict) {
+	if err := sim.enable(router, Change{Server: server, Version: 99}, false); !errors.Is(err, ErrVersionConflict) {
 		t.Error(err)
 	}
-	if err := ended(Change{Server: 7}, true); !errors.Is(err, ErrNoQuorum) || !w.reg.Bans[7].Disabled {
+	if err := sim.enable(router, Change{Server: server}, true); !errors.Is(err, ErrNoQuorum) || !sim.registry.Bans[server].Disabled {
 		t.Error(err)
 	}
-	if err := ended(Change{Server: 7, Version: w.reg.Bans[7].Version}, false); err != nil || w.reg.Bans[7].Disabled {
+	current := sim.registry.Bans[server].Version
+	if err := sim.enable(router, Change{Server: server, Version: current}, false); err != nil || sim.registry.Bans[server].Disabled {
 		t.Error(err)
 	}
 }
--- a/internal/fleet/bans/manager.go
+++ b/internal/fleet/bans/manager.go
@@ -2,13 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"io/fs"
-	"math"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"sync/atomic"
 	"time"
 
@@ -22,215 +16,212 @@
 
 const (
 	mailboxSize     = 64
-	maxStepInterval = 100 * time.Millisecond // between looks at what is out here
+	maxStepInterval = 100 * time.Millisecond // between looks at what is disabled here
 	actionTimeout   = 500 * time.Millisecond
 )
 
-// Options are what the keeper works with.
+// defaultSetBy, with the router's name behind it, says who set a ban whose caller gave no
+// name. It is stored in the registry.
+const defaultSetBy = "the door of "
+
+// Options are what a Manager works with.
 type Options struct {
 	Settings
-	StateDir              string                                                         // folder that outlives the process; empty: none
-	RouterName            string                                                         // of the router, for who
-	ReadyTimeout          float64                                                        // ms after the start until which the router waits to have read the register
-	SendRequest           func(question uint64, a consensus.BanRequest)                  // must not block
-	Disabled              func() []routing.ServerID                                      // that are out here now
-	SetDisabled           func(ctx context.Context, id routing.ServerID, out bool) error // by staff at this router
-	SetDisabledByRegistry func(ctx context.Context, id routing.ServerID, out bool) error // by the register
-	Clock                 clock.Clock                                                    // the boot clock
-	WallClock             clock.Clock
-	Log                   *zerolog.Logger
-	Metrics               *metrics.Registry
+	StateDir     string  // a folder that outlives the process; empty: nothing is stored
+	RouterName   string  // for bans whose caller gave no name
+	ReadyTimeout float64 // ms from the start for which Ready waits for the registry
+
+	// SendRequest sends a request to a voter. It must not block.
+	SendRequest func(requestID uint64, request consensus.BanRequest)
+	// Disabled returns the servers that are disabled at this router now.
+	Disabled func() []routing.ServerID
+	// SetDisabled disables or enables a server at this router, by an operator's change.
+	SetDisabled func(ctx context.Context, server routing.ServerID, disable bool) error
+	// SetDisabledByRegistry does the same to follow the registry.
+	SetDisabledByRegistry func(ctx context.Context, server routing.ServerID, disable bool) error
+
+	Clock     clock.Clock // the boot clock
+	WallClock clock.Clock
+	Log       *zerolog.Logger
+	Metrics   *metrics.Registry
 }
 
-// Manager is the actor.
+// Manager runs a Machine: it sends its requests, carries out its actions and stores its bans.
 type Manager struct {
 	options     Options
-	machine     *Machine
-	mailbox     chan func(now float64)
-	completions map[uint64]chan error
+	file        stateFile
+	machine     *Machine               // owned by Run
+	completions map[uint64]chan error  // by change; owned by Run
+	mailbox     chan func(now float64) // run by Run
 	status      atomic.Pointer[Status]
 	ready       atomic.Bool
 	done        chan struct{}
 }
 
-// Status is what staff see of the register's bans.
-type Status struct {
-	ReadAt       float64  `json:"read_ms"` // Unix ms of the latest reading; 0: none yet
-	Bans         []Ban    `json:"bans"`
-	DisabledHere []string `json:"out_here"` // at this router, whatever the register says
-}
-
-// Ban is one of the register's bans.
-type Ban struct {
-	Server   string  `json:"box"`
-	Disabled bool    `json:"out"`
-	Version  uint64  `json:"version"`
-	SetBy    string  `json:"who"`
-	Reason   string  `json:"why"`
-	SetAt    float64 `json:"at_ms"`
-}
-
-// New returns a keeper that has read what an earlier life kept.
-func New(o Options) *Manager {
-	basis := map[routing.ServerID]LocalBan{}
-	if o.StateDir != "" {
-		b, err := os.ReadFile(o.stateFile())
-		if err == nil {
-			err = json.Unmarshal(b, &basis)
-		}
-		if err != nil && !errors.Is(err, fs.ErrNotExist) {
-			// It only says what bans rest on: without it they stay until staff say otherwise.
-			o.Log.Error().Err(err).Msg("keeper: what bans rest on cannot be read")
-			basis = map[routing.ServerID]LocalBan{}
-		}
-	}
-	k := &Manager{options: o, machine: NewMachine(o.Settings, rand.Uint64()>>1, basis, o.Clock.Now()), mailbox: make(chan func(float64), mailboxSize), completions: map[uint64]chan error{}, done: make(chan struct{})}
-	k.status.Store(&Status{})
-	return k
+// New returns a Manager with the bans that an earlier process stored. Run starts it.
+func New(options Options) *Manager {
+	file := newStateFile(options.StateDir)
+	localBans, err := file.load()
+	if err != nil {
+		// The file only says what bans rest on: without it they hold until an operator enables.
+		options.Log.Error().Err(err).Str("path", string(file)).Msg("local ban file cannot be read, starting without it")
+	}
+	firstRequestID := rand.Uint64() >> 1
+	manager := &Manager{
+		options:     options,
+		file:        file,
+		machine:     NewMachine(options.Settings, firstRequestID, localBans, options.Clock.Now()),
+		completions: map[uint64]chan error{},
+		mailbox:     make(chan func(float64), mailboxSize),
+		done:        make(chan struct{}),
+	}
+	manager.status.Store(&Status{})
+	return manager
 }
 
-func (o *Options) stateFile() string { return filepath.Join(o.StateDir, "garnetline-bans.json") }
-
 // Run keeps the bans until ctx ends.
-func (k *Manager) Run(ctx context.Context) {
-	defer close(k.done)
-	began := k.options.Clock.Now()
+func (m *Manager) Run(ctx context.Context) {
+	defer close(m.done)
+	readyDeadline := m.options.Clock.Now() + m.options.ReadyTimeout
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case f := <-k.mailbox:
-			f(k.options.Clock.Now())
+		case run := <-m.mailbox:
+			run(m.options.Clock.Now())
 		case <-timer.C:
 		}
-		now := k.options.Clock.Now()
-		out := k.machine.Step(now, k.options.Disabled())
-		for _, a := range out.Requests {
-			k.options.SendRequest(a.ID, a.BanRequest)
+		now := m.options.Clock.Now()
+		out := m.machine.Step(now, m.options.Disabled())
+		for _, request := range out.Requests {
+			m.options.SendRequest(request.ID, request.BanRequest)
 		}
-		for _, o := range out.Actions {
-			k.runAction(ctx, o)
+		for _, action := range out.Actions {
+			m.runAction(ctx, action)
 		}
-		k.handleOutput(out)
-		// A router that starts is not ready before it has taken out what the register says.
-		if heard := !math.IsNaN(k.machine.LastReadAt()); !k.ready.Load() && (heard && len(out.Actions) == 0 || now-began > k.options.ReadyTimeout) {
-			if k.ready.Store(true); !heard {
-				k.options.Log.Warn().Msg("keeper: no elector told the bans in time; ready with those that this router knows")
-			}
-		}
-		k.publish(now)
+		m.handleOutput(out)
+		m.updateReady(len(out.Actions) > 0, now > readyDeadline)
+		m.publish(now)
 		timer.Reset(min(maxStepInterval, clock.Duration(max(1, out.WakeAt-now))))
 	}
 }
 
-// runAction does to a box what the register says.
-func (k *Manager) runAction(ctx context.Context, o Action) {
-	octx, stop := context.WithTimeout(ctx, actionTimeout)
-	defer stop()
-	err := k.options.SetDisabledByRegistry(octx, o.Server, o.Disable)
-	k.options.Metrics.Add("keeper_orders", 1)
-	if err == nil {
-		k.options.Log.Info().Str("box", o.Server.String()).Bool("out", o.Disable).Msg("keeper: by the register")
+// updateReady makes the router ready once it has disabled what the registry has disabled, or
+// the time for that is over.
+func (m *Manager) updateReady(actionsLeft, timedOut bool) {
+	if m.ready.Load() {
+		return
 	}
-}
-
-// handleOutput carries out what a step or an answer calls for besides.
-func (k *Manager) handleOutput(out Output) {
-	for _, e := range out.Completions {
-		if c := k.completions[e.ChangeID]; c != nil {
-			delete(k.completions, e.ChangeID)
-			c <- e.Err
-		}
+	confirmed := m.machine.registryRead()
+	caughtUp := confirmed && !actionsLeft
+	if !caughtUp && !timedOut {
+		return
 	}
-	if out.Persist {
-		k.persist()
+	m.ready.Store(true)
+	if !confirmed {
+		m.options.Log.Warn().Float64("timeout_ms", m.options.ReadyTimeout).Int("local_bans", len(m.machine.LocalBans())).
+			Msg("ban list not confirmed by the lease registry before timeout, using the local copy")
 	}
 }
 
-// persist writes what bans rest on, whole or not at all.
-func (k *Manager) persist() {
-	if k.options.StateDir == "" {
-		return
-	}
-	b, err := json.Marshal(k.machine.LocalBans())
-	if err == nil {
-		err = os.WriteFile(k.options.stateFile()+".new", b, 0o600)
-	}
+// runAction does to a server what the registry says. One that fails is repeated by the
+// Machine.
+func (m *Manager) runAction(ctx context.Context, action Action) {
+	ctx, cancel := context.WithTimeout(ctx, actionTimeout)
+	defer cancel()
+	err := m.options.SetDisabledByRegistry(ctx, action.Server, action.Disable)
+	m.options.Metrics.Add("keeper_orders", 1)
 	if err == nil {
-		err = os.Rename(k.options.stateFile()+".new", k.options.stateFile())
-	}
-	if err != nil {
-		k.options.Metrics.Add("keeper_unkept", 1)
+		m.options.Log.Info().Stringer("server", action.Server).Bool("disabled", action.Disable).
+			Msg("ban of the lease registry applied")
 	}
 }
 
-func (k *Manager) publish(now float64) {
-	p := &Status{Bans: []Ban{}, DisabledHere: []string{}}
-	for _, box := range k.options.Disabled() {
-		p.DisabledHere = append(p.DisabledHere, box.String())
-	}
-	if h := k.machine.LastReadAt(); !math.IsNaN(h) {
-		p.ReadAt = k.options.WallClock.Now() - (now - h)
+// handleOutput does what both steps and responses may call for.
+func (m *Manager) handleOutput(out Output) {
+	for _, completion := range out.Completions {
+		if waiter := m.completions[completion.ChangeID]; waiter != nil {
+			delete(m.completions, completion.ChangeID)
+			waiter <- completion.Err
+		}
 	}
-	for _, b := range k.machine.Bans() {
-		p.Bans = append(p.Bans, Ban{b.Server.String(), b.Disabled, b.Version, b.SetBy, b.Reason, b.SetAt})
+	if out.Persist {
+		m.persist()
 	}
-	k.status.Store(p)
 }
 
-// Status returns the bans as they were read last, and when that was. It does not change.
-func (k *Manager) Status() *Status { return k.status.Load() }
+// persist stores the local bans. A failure is counted: the next change stores them again.
+func (m *Manager) persist() {
+	if err := m.file.save(m.machine.LocalBans()); err != nil {
+		m.options.Metrics.Add("keeper_unkept", 1)
+	}
+}
 
-// Ready tells whether the register has been read, or had its time to be.
-func (k *Manager) Ready() bool { return k.ready.Load() }
+// Ready reports whether the registry has been read, or had its time to be.
+func (m *Manager) Ready() bool { return m.ready.Load() }
 
 // Stopped is closed when Run has returned.
-func (k *Manager) Stopped() <-chan struct{} { return k.done }
+func (m *Manager) Stopped() <-chan struct{} { return m.done }
 
-// HandleResponse takes what an elector said. It never blocks.
-func (k *Manager) HandleResponse(a consensus.BanResponse) {
+// HandleResponse takes a voter's response. It never blocks.
+func (m *Manager) HandleResponse(response consensus.BanResponse) {
 	select {
-	case k.mailbox <- func(now float64) { k.handleOutput(k.machine.HandleResponse(now, a)) }:
+	case m.mailbox <- func(now float64) { m.handleOutput(m.machine.HandleResponse(now, response)) }:
 	default:
-		k.options.Metrics.Add("keeper_crowded_out", 1)
+		m.options.Metrics.Add("keeper_crowded_out", 1)
 	}
 }
 
-// Apply carries out a call of staff. A box is taken out here at once, and the register told
-// when it can be; it is let back only once the register has taken that.
-func (k *Manager) Apply(ctx context.Context, c Change) error {
-	if c.SetAt = k.options.WallClock.Now(); c.SetBy == "" {
-		c.SetBy = "the door of " + k.options.RouterName
+// Apply carries out an operator's change. A server is disabled here at once, and registered
+// as soon as that can be; it is enabled only once the registry has taken the change, and
+// ErrNoQuorum or ErrVersionConflict is returned where it does not.
+func (m *Manager) Apply(ctx context.Context, change Change) error {
+	change.SetAt = m.options.WallClock.Now()
+	if change.SetBy == "" {
+		change.SetBy = defaultSetBy + m.options.RouterName
 	}
-	if c.Disable {
-		if err := k.options.SetDisabled(ctx, c.Server, true); err != nil {
-			return err
-		}
-		return k.enqueue(ctx, func(now float64) {
-			k.machine.RecordDisabled(now, c)
-			k.persist()
-		})
+	if change.Disable {
+		return m.disable(ctx, change)
 	}
-	end := make(chan error, 1)
-	if err := k.enqueue(ctx, func(now float64) { k.completions[k.machine.RequestEnable(now, c)] = end }); err != nil {
+	return m.enable(ctx, change)
+}
+
+func (m *Manager) disable(ctx context.Context, change Change) error {
+	if err := m.options.SetDisabled(ctx, change.Server, true); err != nil {
+		return err
+	}
+	return m.enqueue(ctx, func(now float64) {
+		m.machine.RecordDisabled(now, change)
+		m.persist()
+	})
+}
+
+func (m *Manager) enable(ctx context.Context, change Change) error {
+	completed := make(chan error, 1)
+	err := m.enqueue(ctx, func(now float64) {
+		changeID := m.machine.RequestEnable(now, change)
+		m.completions[changeID] = completed
+	})
+	if err != nil {
 		return err
 	}
 	select {
-	case err := <-end:
+	case err := <-completed:
 		if err != nil {
 			return err
 		}
-		return k.options.SetDisabled(ctx, c.Server, false)
+		return m.options.SetDisabled(ctx, change.Server, false)
 	case <-ctx.Done():
 		return ErrNoQuorum
 	}
 }
 
-func (k *Manager) enqueue(ctx context.Context, f func(now float64)) error {
+// enqueue has Run call a function.
+func (m *Manager) enqueue(ctx context.Context, run func(now float64)) error {
 	select {
-	case k.mailbox <- f:
+	case m.mailbox <- run:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
--- /dev/null
+++ b/internal/fleet/bans/statefile.go
@@ -0,0 +1,59 @@
+package bans
+
+import (
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"garnetline/routing"
+)
+
+// stateFileName is the file of the local bans, in a folder that outlives the process.
+const stateFileName = "garnetline-bans.json"
+
+// stateFile stores the local bans between processes. The empty path stores nothing.
+type stateFile string
+
+func newStateFile(folder string) stateFile {
+	if folder == "" {
+		return ""
+	}
+	return stateFile(filepath.Join(folder, stateFileName))
+}
+
+// load returns the stored bans. There are none where the file does not exist.
+func (f stateFile) load() (map[routing.ServerID]LocalBan, error) {
+	bans := map[routing.ServerID]LocalBan{}
+	if f == "" {
+		return bans, nil
+	}
+	text, err := os.ReadFile(string(f))
+	if errors.Is(err, fs.ErrNotExist) {
+		return bans, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(text, &bans); err != nil {
+		return nil, err
+	}
+	return bans, nil
+}
+
+// save replaces the stored bans, as a whole or not at all.
+func (f stateFile) save(bans map[routing.ServerID]LocalBan) error {
+	if f == "" {
+		return nil
+	}
+	text, err := json.Marshal(bans)
+	if err != nil {
+		return err
+	}
+	next := string(f) + ".new"
+	if err := os.WriteFile(next, text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, string(f))
+}
--- /dev/null
+++ b/internal/fleet/bans/status.go
@@ -0,0 +1,45 @@
+package bans
+
+import "math"
+
+// Status is what operators see of the registered bans.
+type Status struct {
+	ReadAt       float64  `json:"read_ms"` // Unix ms of the latest reading of the registry; 0: none yet
+	Bans         []Ban    `json:"bans"`
+	DisabledHere []string `json:"out_here"` // at this router, whatever the registry has
+}
+
+// Ban is one registered ban.
+type Ban struct {
+	Server   string  `json:"box"`
+	Disabled bool    `json:"out"`
+	Version  uint64  `json:"version"`
+	SetBy    string  `json:"who"`
+	Reason   string  `json:"why"`
+	SetAt    float64 `json:"at_ms"` // Unix ms
+}
+
+// Status returns the bans as they were read last. What it points to does not change.
+func (m *Manager) Status() *Status { return m.status.Load() }
+
+// publish replaces what Status returns.
+func (m *Manager) publish(now float64) {
+	status := &Status{Bans: []Ban{}, DisabledHere: []string{}}
+	for _, server := range m.options.Disabled() {
+		status.DisabledHere = append(status.DisabledHere, server.String())
+	}
+	if readAt := m.machine.LastReadAt(); !math.IsNaN(readAt) {
+		status.ReadAt = m.options.WallClock.Now() - (now - readAt)
+	}
+	for _, ban := range m.machine.Bans() {
+		status.Bans = append(status.Bans, Ban{
+			Server:   ban.Server.String(),
+			Disabled: ban.Disabled,
+			Version:  ban.Version,
+			SetBy:    ban.SetBy,
+			Reason:   ban.Reason,
+			SetAt:    ban.SetAt,
+		})
+	}
+	m.status.Store(status)
+}
