--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -1,191 +1,268 @@
 package dispatch
 
 import (
-	"container/heap"
 	"math"
 
 	"garnetline/internal/clock"
 	"garnetline/routing"
 )
 
-// Attempt is one sending of a request.
+// Attempt is one sending of a request to a server. Its exported fields are set before the
+// transport gets it and do not change, but for MayRetry and TransportState.
 type Attempt struct {
 	Request         *Request
-	Index           int
+	Index           int // place among the attempts of its request
 	Decision        routing.SendAttempt
-	ExpiresAt       float64 // it is given up then
-	SendDeadline    float64 // it may be written until then; 0: until it is given up
+	ExpiresAt       float64 // it is canceled then
+	SendDeadline    float64 // it must not be written later; 0: until it expires
 	Class           *routing.Class
-	RequestDeadline float64 // of its request
+	RequestDeadline float64 // Request.Deadline, which the dispatcher alone may read
 
-	MayRetry       bool          // it is given up while its request is open: another may follow
-	TransportState any           // the carrier's own
+	// MayRetry is set before Transport.Cancel: the request is still open, and another attempt
+	// may follow this one.
+	MayRetry bool
+	// TransportState belongs to the transport that accepted the attempt.
+	TransportState any
 	Trace          *AttemptTrace // nil: its request is not traced
 
 	sentAt            float64
-	accepted          bool // by its carrier
+	accepted          bool // by its transport
 	ended             bool
-	completionDelayed bool           // it was given up or lost; its end waits for wayFor
-	notExecuted       bool           // it ended and is proved not to have run
-	cancelRequested   bool           // the carrier has been asked to give it up
-	cancelResult      routing.Result // what it is called then
+	completionDelayed bool           // for cancelTransit
+	notExecuted       bool           // it ended, and provably was not executed
+	cancelRequested   bool           // Transport.Cancel was called
+	cancelResult      routing.Result // what replaces Canceled as the result then
 }
 
-// Completion is how a carrier says that an attempt is over. Result Cancelled says
-// that it was given up, where that was asked for.
+// Completion is a transport's report that an attempt has ended.
 type Completion struct {
 	Attempt  *Attempt
-	Result   routing.Result
-	Response Response
+	Result   routing.Result // Canceled: it ended since Transport.Cancel was called
+	Response Response       // of Served, or where Final is set
 	Load     routing.LoadReport
-	Note     routing.CacheStatus // how it met its object, where that is told
-	FillWait float64             // ms for the source's first byte or failure; 0: not told
-	Final    bool                // the request is over though nothing was served by the attempt
+	Note     routing.CacheStatus // how the server found the object, where it says so
+	FillWait float64             // ms until the fill source's first byte or failure; 0: unknown
+	Final    bool                // Response ends the request whatever Result is
 }
 
-// Unsent is the end of an attempt that never left.
-func Unsent(a *Attempt, r routing.Result) *Completion {
-	return &Completion{Attempt: a, Result: r, Load: UnknownLoad()}
+// Unsent returns the completion of an attempt that was not sent.
+func Unsent(attempt *Attempt, result routing.Result) *Completion {
+	return &Completion{Attempt: attempt, Result: result, Load: UnknownLoad()}
 }
 
-// Resolved is the end of an attempt that is over once its server is named: the
-// request is answered with it. The module books what it sent as work and
-// learns nothing, since how the client fares there is not told here.
-func Resolved(a *Attempt) *Completion {
-	return &Completion{Attempt: a, Result: routing.Canceled, Final: true, Load: UnknownLoad(),
-		Response: Response{Kind: Served, Server: a.Decision.Server}}
+// Resolved returns the completion of an attempt that ends when its server is named: the server
+// is the response, as in a DNS lookup. The module counts the work that the client will cause
+// there but learns nothing from it, since nobody reports how the client fares.
+func Resolved(attempt *Attempt) *Completion {
+	return &Completion{
+		Attempt:  attempt,
+		Result:   routing.Canceled,
+		Final:    true,
+		Load:     UnknownLoad(),
+		Response: Response{Kind: Served, Server: attempt.Decision.Server},
+	}
 }
 
-// Transport carries attempts out. No call may block or call back: how an attempt
-// that was taken ended comes to the core's mailbox as an End.
+// UnknownLoad returns a load report without values.
+func UnknownLoad() routing.LoadReport {
+	nan := math.NaN()
+	return routing.LoadReport{Inflight: nan, CPUUtilization: nan, HitRatio: nan, LinkUtilization: nan}
+}
+
+// Transport carries out attempts. Its methods are called on the dispatcher's goroutine; they
+// must neither block nor call the dispatcher.
 type Transport interface {
-	// Send takes an attempt, or returns how it ended at once.
+	// Send accepts an attempt and returns nil, or returns how it ended at once. How an accepted
+	// attempt ended is reported by Dispatcher.Complete.
 	Send(*Attempt) *Completion
-	// Cancel gives an attempt up. Its End follows once it is given up on the
-	// wire, with that or another result.
+	// Cancel has an accepted attempt canceled. Its completion follows when the cancel has been
+	// written, with the result Canceled or another one.
 	Cancel(*Attempt)
-	// Release says that the core has taken the End of an attempt that was sent.
+	// Release says that the dispatcher has handled the completion of an accepted attempt.
 	Release(*Attempt)
 }
 
-// UnknownLoad is a load report without values.
-func UnknownLoad() routing.LoadReport {
-	nan := math.NaN()
-	return routing.LoadReport{Inflight: nan, CPUUtilization: nan, HitRatio: nan, LinkUtilization: nan}
-}
-
-// cancelTransit is how long giving an attempt up, by a cancel or the end of its connection, has to
-// arrive before the request is sent again: a way to a cache takes a few ms at the most.
+// cancelTransit is how many ms a cancel, or the end of a connection, has to arrive at a server
+// before the request is sent again: the way to a cache takes a few ms at the most.
 //
-// Symptom guarded against: what was sent on at once overtook the cancel, on another
-// connection, and the request was out twice.
+// Symptom guarded against: a retry that was sent at once, on another connection, overtook the
+// cancel of the attempt before, and the request was executed twice at a time.
 const cancelTransit = 5.0
 
-// handleCompletion books the end of an attempt.
-func (c *Dispatcher) handleCompletion(e Completion) {
-	a := e.Attempt
-	if a.ended {
+// startAttempt makes an attempt of a decision and hands it to the request's transport.
+func (d *Dispatcher) startAttempt(decision routing.SendAttempt) {
+	request := d.openRequests[decision.ID]
+	if request == nil {
 		return
 	}
-	at := c.clock.Now() + cancelTransit // past its time nothing is sent on, and the answer is not held back
-	if left := e.Result == routing.Canceled || e.Result == routing.ConnectionLost; left && a.accepted && !a.completionDelayed && !a.Request.responded && at < a.ExpiresAt {
-		a.completionDelayed = true
-		heap.Push(&c.timers, timer{at: at, completion: &e})
+	attempt := d.newAttempt(request, decision)
+	allowed := d.mayStart(attempt)
+	request.attempts = append(request.attempts, attempt)
+	if !allowed {
+		d.handleCompletion(Unsent(attempt, routing.NotSent))
 		return
 	}
-	a.ended = true
-	if a.accepted {
-		a.Request.Transport.Release(a)
+	if completion := request.Transport.Send(attempt); completion != nil {
+		d.handleCompletion(completion)
+		return
 	}
-	if e.Result == routing.Canceled && a.cancelRequested {
-		e.Result = a.cancelResult
+	attempt.accepted = true
+	d.metrics.Add("attempts_sent", 1)
+	d.scheduleExpiry(attempt.ExpiresAt, attempt)
+}
+
+func (d *Dispatcher) newAttempt(request *Request, decision routing.SendAttempt) *Attempt {
+	attempt := &Attempt{
+		Request:         request,
+		Index:           len(request.attempts),
+		Decision:        decision,
+		Class:           &d.settings.Classes[request.Class],
+		ExpiresAt:       request.Deadline,
+		RequestDeadline: request.Deadline,
+		sentAt:          d.clock.Now(),
 	}
-	if e.Final {
-		c.metrics.Add("attempts_named", 1)
-	} else {
-		c.metrics.Add("attempts_"+resultNames[e.Result], 1)
+	if decision.Deadline != 0 {
+		attempt.ExpiresAt = min(clock.Millis(decision.Deadline), request.Deadline)
 	}
-	a.notExecuted = e.Result.NotExecuted()
-	r := a.Request
-	if r.trace != nil {
-		r.trace.AttemptEnded(c.clock.Now(), e.Result, len(e.Response.Body), e.Load, a.Trace.Timing)
-		if r.responded {
-			c.closeTrace(r)
-		}
+	if request.trace != nil {
+		attempt.Trace = &AttemptTrace{Context: request.trace.AttemptStarted(attempt.sentAt, decision)}
 	}
-	if !r.responded && (e.Result == routing.Served || e.Final) {
-		c.respond(r, e.Response)
+	return attempt
+}
+
+// mayStart reports whether an attempt may be sent that is not yet among those of its request.
+// What must not happen is checked here once more, whatever the module decided.
+func (d *Dispatcher) mayStart(attempt *Attempt) bool {
+	request := attempt.Request
+	switch {
+	case request.ClientDisconnected(), request.responded:
+		return false
+	case attempt.retryForbidden():
+		return false
+	case !request.lastAttemptEnded():
+		return false // one attempt at a time
 	}
-	c.handleEvent(routing.Outcome{ID: r.id, Attempt: a.Index, Server: a.Decision.Server, Result: e.Result,
-		Duration: clock.Duration(c.clock.Now() - a.sentAt), BodyBytes: len(e.Response.Body), RequestDone: r.responded, Load: e.Load,
-		CacheStatus: e.Note, SourceWait: clock.Duration(e.FillWait)})
-	if r.responded {
-		c.removeRequest(r)
-		r.releaseBody()
+	return attempt.Index < d.settings.MaxAttempts && attempt.sentAt < attempt.ExpiresAt
+}
+
+// retryForbidden reports whether the request's class forbids the attempt since an earlier one
+// may have been executed. It sets SendDeadline where the class permits retries only within the
+// window of an idempotency key: the attempt may wait for a connection.
+//
+// Symptom guarded against: a retry that waited for a connection was written after the window
+// in which the server knows its key.
+func (a *Attempt) retryForbidden() bool {
+	earlier := a.Request.firstPossiblyExecuted()
+	if earlier == nil {
+		return false
+	}
+	switch a.Class.Idempotency {
+	case routing.IdempotentWithKey:
+		a.SendDeadline = earlier.sentAt + clock.Millis(a.Class.KeyWindow)
+		return a.sentAt >= a.SendDeadline
+	case routing.NonIdempotent:
+		return true
+	default:
+		return false
 	}
 }
 
-var resultNames = [...]string{routing.Served: "served", routing.ServerError: "errored", routing.Rejected: "full",
-	routing.TimedOut: "timed_out", routing.ConnectFailed: "unreached", routing.ConnectionLost: "broken",
-	routing.Canceled: "cancelled", routing.NotSent: "not_sent", routing.NotCached: "miss"}
+// cancelAttempt has an attempt canceled. It ends when its transport reports the completion,
+// whose result, if that is Canceled, becomes the given one.
+func (d *Dispatcher) cancelAttempt(attempt *Attempt, result routing.Result) {
+	if attempt.ended || attempt.cancelRequested {
+		return
+	}
+	attempt.cancelRequested = true
+	attempt.cancelResult = result
+	attempt.MayRetry = !attempt.Request.responded
+	attempt.Request.Transport.Cancel(attempt)
+}
 
-// startAttempt makes an attempt of a decision.
-func (c *Dispatcher) startAttempt(g routing.SendAttempt) {
-	r := c.openRequests[g.ID]
-	if r == nil {
+// handleCompletion ends an attempt: its request is answered, or the module decides what
+// follows.
+func (d *Dispatcher) handleCompletion(completion *Completion) {
+	attempt := completion.Attempt
+	request := attempt.Request
+	if attempt.ended || d.delayCompletion(completion) {
 		return
 	}
-	a := &Attempt{Request: r, Index: len(r.attempts), Decision: g, Class: &c.settings.Classes[r.Class], sentAt: c.clock.Now(),
-		ExpiresAt: min(clock.Millis(g.Deadline), r.Deadline), RequestDeadline: r.Deadline}
-	if g.Deadline == 0 {
-		a.ExpiresAt = r.Deadline
+	attempt.ended = true
+	if attempt.accepted {
+		request.Transport.Release(attempt)
 	}
-	if r.trace != nil {
-		a.Trace = &AttemptTrace{Context: r.trace.AttemptStarted(a.sentAt, g)}
+	if completion.Result == routing.Canceled && attempt.cancelRequested {
+		completion.Result = attempt.cancelResult
 	}
-	busy := len(r.attempts) > 0 && !r.attempts[len(r.attempts)-1].ended
-	barred := r.ClientDisconnected() || c.retryForbidden(r, a)
-	r.attempts = append(r.attempts, a)
-	over := Unsent(a, routing.NotSent)
-	if !r.responded && !busy && !barred && a.Index < c.settings.MaxAttempts && a.sentAt < a.ExpiresAt {
-		over = r.Transport.Send(a)
+	d.metrics.Add(completionCounter(completion), 1)
+	attempt.notExecuted = completion.Result.NotExecuted()
+	d.traceCompletion(completion)
+	if !request.responded && (completion.Result == routing.Served || completion.Final) {
+		d.respond(request, completion.Response)
 	}
-	if over != nil {
-		c.handleCompletion(*over)
-		return
+	d.notifyRouter(d.outcome(completion))
+	if request.responded {
+		d.removeRequest(request)
+		request.releaseBody()
 	}
-	a.accepted = true
-	c.metrics.Add("attempts_sent", 1)
-	c.schedule(a.ExpiresAt, 0, a, nil)
 }
 
-// retryForbidden tells whether the class of a request bars what may run a second time, and bounds
-// the time at which the attempt may be written: the module decided before it was queued.
-//
-// Symptom guarded against: a repeat that waited for a connection was written after the
-// window in which its key is known.
-func (c *Dispatcher) retryForbidden(r *Request, a *Attempt) bool {
-	for _, t := range r.attempts {
-		if t.notExecuted {
-			continue
-		}
-		switch a.Class.Idempotency {
-		case routing.IdempotentWithKey:
-			a.SendDeadline = t.sentAt + clock.Millis(a.Class.KeyWindow)
-			return a.sentAt >= a.SendDeadline
-		case routing.NonIdempotent:
-			return true
-		}
-		break
-	}
-	return false
-}
-
-// cancelAttempt has an attempt given up. It is over when its carrier says so.
-func (c *Dispatcher) cancelAttempt(a *Attempt, as routing.Result) {
-	if a.ended || a.cancelRequested {
-		return
+// delayCompletion reports whether a completion has to wait for cancelTransit, and has it
+// handled then. Once the attempt's own time is over nothing is sent again, and the response
+// need not wait.
+func (d *Dispatcher) delayCompletion(completion *Completion) bool {
+	attempt := completion.Attempt
+	resumeAt := d.clock.Now() + cancelTransit
+	switch {
+	case completion.Result != routing.Canceled && completion.Result != routing.ConnectionLost:
+		return false
+	case !attempt.accepted, attempt.completionDelayed, attempt.Request.responded:
+		return false
+	case resumeAt >= attempt.ExpiresAt:
+		return false
+	}
+	attempt.completionDelayed = true
+	d.scheduleCompletion(resumeAt, completion)
+	return true
+}
+
+// outcome is a completion as the decision module takes it.
+func (d *Dispatcher) outcome(completion *Completion) routing.Outcome {
+	attempt := completion.Attempt
+	return routing.Outcome{
+		ID:          attempt.Request.id,
+		Attempt:     attempt.Index,
+		Server:      attempt.Decision.Server,
+		Result:      completion.Result,
+		Duration:    clock.Duration(d.clock.Now() - attempt.sentAt),
+		BodyBytes:   len(completion.Response.Body),
+		RequestDone: attempt.Request.responded,
+		Load:        completion.Load,
+		CacheStatus: completion.Note,
+		SourceWait:  clock.Duration(completion.FillWait),
+	}
+}
+
+// resolvedCounter counts attempts that ended when their server was named.
+const resolvedCounter = "attempts_named"
+
+// resultCounters are the names of the counters of other attempts, by their results.
+var resultCounters = [...]string{
+	routing.Served:         "attempts_served",
+	routing.ServerError:    "attempts_errored",
+	routing.Rejected:       "attempts_full",
+	routing.TimedOut:       "attempts_timed_out",
+	routing.ConnectFailed:  "attempts_unreached",
+	routing.ConnectionLost: "attempts_broken",
+	routing.Canceled:       "attempts_cancelled",
+	routing.NotSent:        "attempts_not_sent",
+	routing.NotCached:      "attempts_miss",
+}
+
+// completionCounter returns the name of the counter of completions like this one.
+func completionCounter(completion *Completion) string {
+	if completion.Final {
+		return resolvedCounter
 	}
-	a.cancelRequested, a.cancelResult, a.MayRetry = true, as, !a.Request.responded
-	a.Request.Transport.Cancel(a)
+	return resultCounters[completion.Result]
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -1,6 +1,15 @@
-// Package core is the actor round the decision module. It deals in requests,
-// attempts and outcomes and knows no wire: fronts hand it requests, carriers
-// carry out its attempts.
+// Package dispatch runs the decision module (package routing) on the requests of one router.
+// Frontends submit requests, transports carry out their attempts, and the Dispatcher between
+// them turns what happens into events for the module and the module's actions into attempts,
+// cancellations, timers and responses. The package knows no wire format.
+//
+// The Dispatcher owns the module, the open requests and all timers. They belong to the
+// goroutine that runs Run; nothing else touches them. Other goroutines talk to it through its
+// mailbox: Submit, Disconnect, Complete and the other methods that say so may be called from
+// anywhere. The dispatcher itself waits for nobody, so that a transport or a frontend may wait
+// for room in its mailbox.
+//
+// Times are Unix milliseconds by the clock that New is given.
 package dispatch
 
 import (
@@ -14,172 +23,151 @@
 	"garnetline/routing"
 )
 
-// mailboxSize bounds the events that wait for the core.
+// mailboxSize bounds the messages that wait for the dispatcher.
 const mailboxSize = 4096
 
-// Dispatcher is the actor that owns the module, the open requests and the timers.
+// idleWait is how long the dispatcher sleeps when there is neither a message nor a timer.
+const idleWait = time.Hour
+
+// Dispatcher owns the decision module, the open requests and the timers of one router.
 type Dispatcher struct {
-	clock           clock.Clock
-	settings        routing.Settings
-	router          *routing.Router
-	listeners       []EndpointListener
-	tracer          Tracer
-	metrics         *metrics.Registry
-	mailbox         chan any
-	stopped         chan struct{}
+	clock     clock.Clock
+	settings  routing.Settings
+	router    *routing.Router
+	listeners []EndpointListener
+	tracer    Tracer // nil: requests are not traced
+	metrics   *metrics.Registry
+
+	mailbox chan message
+	stopped chan struct{}
+
 	nextID          routing.RequestID
 	openRequests    map[routing.RequestID]*Request
-	byTransactionID map[string]*Request // of those, the ones with a client's id
+	byTransactionID map[string]*Request // those open requests whose client named an id
 	timers          timerHeap
-	drainBy         float64 // all is answered by then; 0: there is no such time
-	pendingEvents   []routing.Event
-	actions         []routing.Action
-	ejectedBuffer   []routing.ServerID // room for show
+	drainBy         float64 // all requests are answered by then; 0: not draining
 
-	ejectedCount     atomic.Int64 // servers that the module has set aside
-	publishesEjected bool         // the ones set aside are published
+	pendingEvents []routing.Event  // for the module, in order; see notifyRouter
+	actions       []routing.Action // reused between events
+
+	ejectedCount     atomic.Int64
+	publishesEjected bool
 	ejected          atomic.Pointer[[]routing.ServerID]
+	ejectedBuffer    []routing.ServerID // reused by publishEjections
 }
 
-type disconnectMessage struct{ request *Request }
-
-type drainMessage struct{ deadline float64 }
-
-// New returns a core that has not been started.
-func New(c clock.Clock, set routing.Settings, seed uint64, s *metrics.Registry) (*Dispatcher, error) {
-	router, err := routing.New(set, seed)
+// New returns a dispatcher that has not been started. The seed varies the choices between
+// routers. It returns an error that names the setting if the settings cannot be used.
+func New(clk clock.Clock, settings routing.Settings, seed uint64, registry *metrics.Registry) (*Dispatcher, error) {
+	router, err := routing.New(settings, seed)
 	if err != nil {
 		return nil, err
 	}
-	return &Dispatcher{clock: c, settings: set, router: router, metrics: s, mailbox: make(chan any, mailboxSize),
-		stopped: make(chan struct{}), openRequests: map[routing.RequestID]*Request{}, byTransactionID: map[string]*Request{}}, nil
+	return &Dispatcher{
+		clock:           clk,
+		settings:        settings,
+		router:          router,
+		metrics:         registry,
+		mailbox:         make(chan message, mailboxSize),
+		stopped:         make(chan struct{}),
+		openRequests:    map[routing.RequestID]*Request{},
+		byTransactionID: map[string]*Request{},
+	}, nil
 }
 
-// AddListeners adds listers. It must not be called once Run has been.
-func (c *Dispatcher) AddListeners(l ...EndpointListener) { c.listeners = append(c.listeners, l...) }
+// AddListeners adds listeners for changes of the endpoint list. It must not be called after
+// Run.
+func (d *Dispatcher) AddListeners(listeners ...EndpointListener) {
+	d.listeners = append(d.listeners, listeners...)
+}
 
-// SetTracer has all requests followed. It must not be called once Run has been.
-func (c *Dispatcher) SetTracer(t Tracer) { c.tracer = t }
+// SetTracer has all requests traced. It must not be called after Run.
+func (d *Dispatcher) SetTracer(tracer Tracer) { d.tracer = tracer }
 
-// Stopped is closed when Run has returned.
-func (c *Dispatcher) Stopped() <-chan struct{} { return c.stopped }
+// Stopped returns a channel that is closed when Run has returned.
+func (d *Dispatcher) Stopped() <-chan struct{} { return d.stopped }
 
-// Run works through the mailbox until ctx ends.
-func (c *Dispatcher) Run(ctx context.Context) {
-	defer close(c.stopped)
-	t := time.NewTimer(time.Hour)
-	defer t.Stop()
+// Run handles messages and timers until ctx ends. It is called once.
+func (d *Dispatcher) Run(ctx context.Context) {
+	defer close(d.stopped)
+	wakeUp := time.NewTimer(idleWait)
+	defer wakeUp.Stop()
 	for {
-		wait := time.Hour
-		if len(c.timers) > 0 {
-			wait = max(0, clock.Duration(c.timers[0].at-c.clock.Now()))
-		}
-		t.Reset(wait)
+		wakeUp.Reset(d.untilNextTimer())
 		select {
-		case m := <-c.mailbox:
-			c.handleMessage(m)
-		case <-t.C:
+		case m := <-d.mailbox:
+			m.apply(d)
+		case <-wakeUp.C:
 		case <-ctx.Done():
 			return
 		}
-		c.fireTimers()
-		c.ejectedCount.Store(c.router.UnavailableCount())
-		c.publishEjections()
+		d.fireTimers()
+		d.publishEjections()
 	}
 }
 
-// Submit hands a request to the core, which calls Reply exactly once unless
-// the client leaves first. It reports false where the core has stopped.
-func (c *Dispatcher) Submit(r *Request) bool { return c.enqueue(r) }
+// Submit hands a request to the dispatcher, which calls Respond exactly once unless the client
+// disconnects first. It reports false if the dispatcher has stopped; Respond is not called
+// then. Any goroutine may call it, and it waits for room in the mailbox.
+func (d *Dispatcher) Submit(request *Request) bool { return d.enqueue(submitMessage{request}) }
 
-// Disconnect says that the client of a submitted request has gone.
-func (c *Dispatcher) Disconnect(r *Request) {
-	r.disconnected.Store(true)
-	c.enqueue(disconnectMessage{r})
+// Disconnect says that the client of a submitted request has disconnected. Any goroutine may
+// call it.
+func (d *Dispatcher) Disconnect(request *Request) {
+	request.disconnected.Store(true)
+	d.enqueue(disconnectMessage{request})
 }
 
-// DrainBy has all that is open, or is still taken, answered by a time: the process is
-// killed soon after.
-func (c *Dispatcher) DrainBy(at float64) { c.enqueue(drainMessage{at}) }
-
-// Complete reports the end of an attempt.
-func (c *Dispatcher) Complete(e Completion) { c.enqueue(e) }
+// DrainBy has every request that is open, or is still submitted, answered by a time: the
+// process is killed soon after. Any goroutine may call it.
+func (d *Dispatcher) DrainBy(deadline float64) { d.enqueue(drainMessage{deadline}) }
 
-// HandleWatchEvent hands over an event of the change log.
-func (c *Dispatcher) HandleWatchEvent(ev platformconfig.WatchEvent) { c.enqueue(ev) }
+// Complete reports the end of an attempt that its transport had accepted. Any goroutine may
+// call it.
+func (d *Dispatcher) Complete(completion Completion) { d.enqueue(completionMessage{&completion}) }
 
-// Reload goes over to other settings, which config.Admits has let pass.
-func (c *Dispatcher) Reload(set routing.Settings) { c.enqueue(set) }
-
-func (c *Dispatcher) enqueue(m any) bool {
-	select {
-	case c.mailbox <- m:
-		return true
-	case <-c.stopped:
-		return false
-	}
+// HandleWatchEvent hands over an event of the endpoint list's watch. Any goroutine may call it.
+func (d *Dispatcher) HandleWatchEvent(event platformconfig.WatchEvent) {
+	d.enqueue(watchMessage{event})
 }
 
-// handleMessage takes one message.
-func (c *Dispatcher) handleMessage(m any) {
-	switch m := m.(type) {
-	case *Request:
-		c.handleRequest(m)
-	case disconnectMessage:
-		c.handleDisconnect(m.request)
-	case drainMessage:
-		c.drainBy = m.deadline
-		for _, r := range c.openRequests {
-			c.schedule(m.deadline, 0, nil, r)
-		}
-	case Completion:
-		c.handleCompletion(m)
-	case platformconfig.WatchEvent:
-		c.applyWatchEvent(m)
-	case routing.PeerLoadReport, routing.ExtendEjection, routing.RequireProbe:
-		c.handleEvent(m.(routing.Event))
-	case routing.Settings:
-		if err := c.router.UpdateSettings(m); err == nil {
-			c.settings = m
-		}
-	}
-}
+// Reload replaces the settings. The caller has checked that they differ from those in use only
+// in what may change while the program runs. Any goroutine may call it.
+func (d *Dispatcher) Reload(settings routing.Settings) { d.enqueue(reloadMessage{settings}) }
 
-// handleEvent gives the module an event and carries out what it calls for, and so on
-// with the events that this makes at once.
-func (c *Dispatcher) handleEvent(ev routing.Event) {
-	c.pendingEvents = append(c.pendingEvents, ev)
-	if len(c.pendingEvents) > 1 {
-		return // the loop below is running
+// notifyRouter gives the decision module an event and executes the actions that it returns.
+// Events that arise from them are handled in order by the outermost call.
+func (d *Dispatcher) notifyRouter(event routing.Event) {
+	d.pendingEvents = append(d.pendingEvents, event)
+	if len(d.pendingEvents) > 1 {
+		return // the outermost call goes on with it
 	}
-	for i := 0; i < len(c.pendingEvents); i++ {
-		c.actions = c.router.Handle(clock.Duration(c.clock.Now()), c.pendingEvents[i], c.actions[:0])
-		for _, a := range c.actions {
-			c.execute(a)
+	for i := 0; i < len(d.pendingEvents); i++ {
+		now := clock.Duration(d.clock.Now())
+		d.actions = d.router.Handle(now, d.pendingEvents[i], d.actions[:0])
+		for _, action := range d.actions {
+			d.execute(action)
 		}
 	}
-	c.pendingEvents = c.pendingEvents[:0]
+	d.pendingEvents = d.pendingEvents[:0]
 }
 
-func (c *Dispatcher) execute(a routing.Action) {
-	switch a := a.(type) {
+// execute carries out one action of the decision module.
+func (d *Dispatcher) execute(action routing.Action) {
+	switch action := action.(type) {
 	case routing.SendAttempt:
-		c.startAttempt(a)
+		d.startAttempt(action)
 	case routing.Reject:
-		if r := c.openRequests[a.ID]; r != nil {
-			c.removeRequest(r)
-			c.respond(r, Response{Kind: Rejected, RetryAfter: clock.Millis(a.RetryAfter)})
-		}
+		retryAfter := clock.Millis(action.RetryAfter)
+		d.finishRequest(action.ID, Response{Kind: Rejected, RetryAfter: retryAfter})
 	case routing.Fail:
-		if r := c.openRequests[a.ID]; r != nil {
-			c.removeRequest(r)
-			c.respond(r, Response{Kind: Failed})
-		}
+		d.finishRequest(action.ID, Response{Kind: Failed})
 	case routing.CancelAttempt:
-		if r := c.openRequests[a.ID]; r != nil && a.Attempt < len(r.attempts) {
-			c.cancelAttempt(r.attempts[a.Attempt], routing.Canceled)
+		request := d.openRequests[action.ID]
+		if request != nil && action.Attempt < len(request.attempts) {
+			d.cancelAttempt(request.attempts[action.Attempt], routing.Canceled)
 		}
 	case routing.SetTimer:
-		c.schedule(c.clock.Now()+clock.Millis(a.Delay), a.Token, nil, nil)
+		d.scheduleRouterTimer(d.clock.Now()+clock.Millis(action.Delay), action.Token)
 	}
 }
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -13,37 +13,72 @@
 
 const startTime = 1.7e12
 
+// The classes of settings, by their place.
+const (
+	idempotentClass = iota
+	keyedClass
+	nonIdempotentClass
+	classCount
+)
+
 func settings() routing.Settings {
-	ramp := routing.SlowStart{InitialCapacity: 0.2, Duration: 10 * time.Second, OverloadFactor: 2, OverloadWindow: 2 * time.Second}
-	return routing.Settings{Zones: 1, Kinds: 3, ParentKind: 1, OriginKind: 2, RoutersByZone: []int{1}, Routers: 1,
+	slowStart := routing.SlowStart{InitialCapacity: 0.2, Duration: 10 * time.Second, OverloadFactor: 2, OverloadWindow: 2 * time.Second}
+	return routing.Settings{
+		Zones: 1, Kinds: 3, ParentKind: 1, OriginKind: 2, RoutersByZone: []int{1}, Routers: 1,
 		MaxAttempts: 6, MaxRetryAfter: time.Second, CanCancel: true, CanJoinFill: true, DrainGrace: time.Second,
-		PurgeGrace: 500 * time.Millisecond, PurgeRetention: 6 * time.Second, CacheSlowStart: ramp, ParentSlowStart: ramp,
+		PurgeGrace: 500 * time.Millisecond, PurgeRetention: 6 * time.Second, CacheSlowStart: slowStart, ParentSlowStart: slowStart,
 		Classes: []routing.Class{
 			{Name: "part", Idempotency: routing.Idempotent, LatencyObjective: 400 * time.Millisecond, Deadline: 6 * time.Second, PriorityWeight: 2},
 			{Name: "keyed", Idempotency: routing.IdempotentWithKey, KeyWindow: time.Second, LatencyObjective: 700 * time.Millisecond, Deadline: 3 * time.Second, PriorityWeight: 3, Write: true},
 			{Name: "once", Idempotency: routing.NonIdempotent, LatencyObjective: 700 * time.Millisecond, Deadline: 3 * time.Second, PriorityWeight: 3, Write: true},
-		}}
+		},
+	}
 }
 
-func endpoint(id, kind int, p routing.Phase) platformconfig.Endpoint {
-	return platformconfig.Endpoint{Server: routing.Server{ID: routing.ServerID(id), Kind: kind, Phase: p, Weight: 1}}
+func endpoint(id, kind int, phase routing.Phase) platformconfig.Endpoint {
+	return platformconfig.Endpoint{Server: routing.Server{ID: routing.ServerID(id), Kind: kind, Phase: phase, Weight: 1}}
 }
 
+// endpointList is three caches, a parent and the origin.
 func endpointList() platformconfig.WatchEvent {
-	return platformconfig.WatchEvent{ListUpdate: true, Snapshot: true, Endpoints: []platformconfig.Endpoint{endpoint(1, 0, routing.Ready), endpoint(2, 0, routing.Ready),
-		endpoint(3, 0, routing.Ready), endpoint(8, 1, routing.Ready), endpoint(9, 2, routing.Ready)}}
+	return platformconfig.WatchEvent{ListUpdate: true, Snapshot: true, Endpoints: []platformconfig.Endpoint{
+		endpoint(1, 0, routing.Ready),
+		endpoint(2, 0, routing.Ready),
+		endpoint(3, 0, routing.Ready),
+		endpoint(8, 1, routing.Ready),
+		endpoint(9, 2, routing.Ready),
+	}}
 }
 
-// model is what must hold of a core, kept from its calls alone.
-type model struct {
+// newDispatcher returns a dispatcher that knows the endpoint list and is not started: tests
+// apply its messages and fire its timers.
+func newDispatcher(tb testing.TB, clk clock.Clock, settings routing.Settings) *Dispatcher {
+	tb.Helper()
+	dispatcher, err := New(clk, settings, 1, metrics.New())
+	if err != nil {
+		tb.Fatal(err)
+	}
+	watchMessage{endpointList()}.apply(dispatcher)
+	return dispatcher
+}
+
+// complete reports the end of an attempt.
+func complete(dispatcher *Dispatcher, attempt *Attempt, result routing.Result) {
+	completion := &Completion{Attempt: attempt, Result: result, Response: Response{Kind: Served}, Load: UnknownLoad()}
+	completionMessage{completion}.apply(dispatcher)
+}
+
+// dispatcherModel is what must hold of a dispatcher, known from its calls alone. It is the transport of
+// all requests, and a script of random bytes says what happens.
+type dispatcherModel struct {
 	t           *testing.T
 	dispatcher  *Dispatcher
 	clock       *clock.Manual
 	script      []byte
 	requests    []*requestState
 	states      map[*Request]*requestState
-	inFlight    []*Attempt // taken by the carrier, not ended
-	canceled    []*Attempt // of those, to be given up
+	inFlight    []*Attempt
+	canceled    []*Attempt // asked to be canceled
 	unavailable map[routing.ServerID]bool
 }
 
@@ -53,214 +88,240 @@
 	attempts, inFlight       int
 	responses                int
 	disconnected             bool
-	possiblyExecuted         int // attempts not proved never to have run
+	possiblyExecuted         int // attempts that may have been executed
 	firstSentAt, respondedAt float64
 }
 
-func (m *model) nextByte() int {
+func newModel(t *testing.T, script []byte) *dispatcherModel {
+	t.Helper()
+	clk := clock.NewManual(startTime)
+	return &dispatcherModel{t: t, dispatcher: newDispatcher(t, clk, settings()), clock: clk, script: script,
+		states: map[*Request]*requestState{}, unavailable: map[routing.ServerID]bool{}}
+}
+
+func (m *dispatcherModel) nextByte() int {
 	if len(m.script) == 0 {
 		return 0
 	}
-	b := m.script[0]
+	next := m.script[0]
 	m.script = m.script[1:]
-	return int(b)
+	return int(next)
 }
 
-func (m *model) Send(a *Attempt) *Completion {
-	s, now := m.states[a.Request], m.clock.Now()
-	class := m.dispatcher.settings.Classes[a.Request.Class]
-	s.attempts++
-	switch {
-	case s.attempts > 6 || a.Index != s.attempts-1:
-		m.t.Fatalf("attempt %d of a request, numbered %d", s.attempts, a.Index)
-	case s.inFlight > 0:
-		m.t.Fatal("two attempts out")
-	case s.responses > 0 || s.disconnected || now >= s.request.Deadline:
-		m.t.Fatal("an attempt for a request that is over")
-	case m.unavailable[a.Decision.Server] || m.unavailable[a.Decision.FillSource]:
-		m.t.Fatal("an attempt to a server that drains")
-	case s.possiblyExecuted > 0 && class.Idempotency == routing.NonIdempotent, s.possiblyExecuted > 0 && class.Idempotency == routing.IdempotentWithKey && now >= s.firstSentAt+1000:
-		m.t.Fatal("a resend of what may have run")
-	}
-	if b := m.nextByte(); b%5 == 0 {
-		return Unsent(a, []routing.Result{routing.ConnectFailed, routing.Rejected, routing.NotSent}[b%3])
+// Send implements Transport: it checks that the attempt is allowed, and accepts it or not.
+func (m *dispatcherModel) Send(attempt *Attempt) *Completion {
+	state := m.states[attempt.Request]
+	state.attempts++
+	m.checkAttempt(state, attempt)
+	if next := m.nextByte(); next%5 == 0 {
+		return Unsent(attempt, []routing.Result{routing.ConnectFailed, routing.Rejected, routing.NotSent}[next%3])
 	}
-	if s.possiblyExecuted++; s.possiblyExecuted == 1 {
-		s.firstSentAt = now
+	state.possiblyExecuted++
+	if state.possiblyExecuted == 1 {
+		state.firstSentAt = m.clock.Now()
 	}
-	s.inFlight++
-	m.inFlight = append(m.inFlight, a)
+	state.inFlight++
+	m.inFlight = append(m.inFlight, attempt)
 	return nil
 }
 
-func (m *model) Cancel(a *Attempt) { m.canceled = append(m.canceled, a) }
-func (m *model) Release(*Attempt)  {}
+func (m *dispatcherModel) checkAttempt(state *requestState, attempt *Attempt) {
+	now := m.clock.Now()
+	class := m.dispatcher.settings.Classes[attempt.Request.Class]
+	retry := state.possiblyExecuted > 0
+	switch {
+	case state.attempts > 6 || attempt.Index != state.attempts-1:
+		m.t.Fatalf("attempt %d of a request has index %d", state.attempts, attempt.Index)
+	case state.inFlight > 0:
+		m.t.Fatal("two attempts in flight")
+	case state.responses > 0 || state.disconnected || now >= state.request.Deadline:
+		m.t.Fatal("an attempt for a request that has ended")
+	case m.unavailable[attempt.Decision.Server] || m.unavailable[attempt.Decision.FillSource]:
+		m.t.Fatal("an attempt to a draining server")
+	case retry && class.Idempotency == routing.NonIdempotent:
+		m.t.Fatal("a retry of what may have been executed")
+	case retry && class.Idempotency == routing.IdempotentWithKey && now >= state.firstSentAt+1000:
+		m.t.Fatal("a retry after the window of its key")
+	}
+}
+
+// Cancel implements Transport.
+func (m *dispatcherModel) Cancel(attempt *Attempt) { m.canceled = append(m.canceled, attempt) }
+
+// Release implements Transport.
+func (m *dispatcherModel) Release(*Attempt) {}
 
-func (m *model) checkResponse(s *requestState) func(Response) {
-	return func(a Response) {
-		s.responses++
-		s.respondedAt = m.clock.Now()
-		if s.responses > 1 || s.disconnected {
-			m.t.Fatalf("answer %d to a request, left %v", s.responses, s.disconnected)
+func (m *dispatcherModel) checkResponse(state *requestState) func(Response) {
+	return func(response Response) {
+		state.responses++
+		state.respondedAt = m.clock.Now()
+		if state.responses > 1 || state.disconnected {
+			m.t.Fatalf("response %d to a request, client disconnected: %v", state.responses, state.disconnected)
 		}
-		if a.Kind == Rejected && s.possiblyExecuted > 0 && m.dispatcher.settings.Classes[s.request.Class].Idempotency == routing.NonIdempotent {
-			m.t.Fatal("refused what may have run")
+		class := m.dispatcher.settings.Classes[state.request.Class]
+		if response.Kind == Rejected && state.possiblyExecuted > 0 && class.Idempotency == routing.NonIdempotent {
+			m.t.Fatal("rejected what may have been executed")
 		}
 	}
 }
 
-// endAttempt ends one attempt; proof says that it never ran.
-func (m *model) endAttempt(i int, res routing.Result, proof bool) {
-	a := m.inFlight[i]
-	m.inFlight = append(m.inFlight[:i:i], m.inFlight[i+1:]...)
-	s := m.states[a.Request]
-	s.inFlight--
-	if proof {
-		s.possiblyExecuted--
+// endAttempt ends one of the attempts in flight, provably not executed or not.
+func (m *dispatcherModel) endAttempt(index int, result routing.Result, notExecuted bool) {
+	attempt := m.inFlight[index]
+	m.inFlight = append(m.inFlight[:index:index], m.inFlight[index+1:]...)
+	state := m.states[attempt.Request]
+	state.inFlight--
+	if notExecuted {
+		state.possiblyExecuted--
 	}
-	m.dispatcher.handleMessage(Completion{Attempt: a, Result: res, Response: Response{Kind: Served}, Load: UnknownLoad()})
+	complete(m.dispatcher, attempt, result)
 }
 
-// advance moves the clock on, from timer to timer.
-func (m *model) advance(ms float64) {
-	n := 0
-	for to := m.clock.Now() + ms; m.clock.Now() < to; m.dispatcher.fireTimers() {
-		if n++; n > 100_000 {
+// advance moves the clock forward, from timer to timer.
+func (m *dispatcherModel) advance(ms float64) {
+	rounds := 0
+	for end := m.clock.Now() + ms; m.clock.Now() < end; m.dispatcher.fireTimers() {
+		if rounds++; rounds > 100_000 {
 			m.t.Fatal("the timers never end")
 		}
-		next := to
+		next := end
 		if len(m.dispatcher.timers) > 0 {
-			next = max(m.clock.Now(), min(to, m.dispatcher.timers[0].at))
+			next = max(m.clock.Now(), min(end, m.dispatcher.timers[0].at))
 		}
 		m.clock.Advance(next - m.clock.Now())
-		if next == to {
+		if next == end {
 			m.dispatcher.fireTimers()
 			return
 		}
 	}
 }
 
-func (m *model) runStep() {
-	switch op, x := m.nextByte()%8, m.nextByte(); op {
+func (m *dispatcherModel) submit(request *Request) {
+	state := &requestState{request: request}
+	request.Transport = m
+	if request.Respond == nil {
+		request.Respond = m.checkResponse(state)
+	}
+	m.requests = append(m.requests, state)
+	m.states[request] = state
+	submitMessage{request}.apply(m.dispatcher)
+}
+
+// runStep does what the next two bytes of the script say.
+func (m *dispatcherModel) runStep() {
+	step := m.nextByte() % 8
+	argument := m.nextByte()
+	switch step {
 	case 0, 1:
-		r := &Request{Class: x % 3, Object: routing.ObjectID(1 + x%5), Chunk: x % 2, Transport: m, Deadline: m.clock.Now() + float64(200+x*10)}
-		s := &requestState{request: r}
-		r.Respond = m.checkResponse(s)
-		m.requests, m.states[r] = append(m.requests, s), s
-		m.dispatcher.handleMessage(r)
+		deadline := m.clock.Now() + float64(200+argument*10)
+		m.submit(&Request{Class: argument % classCount, Object: routing.ObjectID(1 + argument%5), Chunk: argument % 2, Deadline: deadline})
 	case 2, 3:
 		if len(m.inFlight) > 0 {
-			res := []routing.Result{routing.Served, routing.ServerError, routing.ConnectionLost, routing.Rejected, routing.NotCached, routing.ConnectFailed}[x%6]
-			m.endAttempt(x%len(m.inFlight), res, res >= routing.Rejected)
+			results := []routing.Result{routing.Served, routing.ServerError, routing.ConnectionLost, routing.Rejected, routing.NotCached, routing.ConnectFailed}
+			result := results[argument%6]
+			m.endAttempt(argument%len(m.inFlight), result, result >= routing.Rejected)
 		}
 	case 4:
-		m.advance(float64(x * 4))
+		m.advance(float64(argument * 4))
 	case 5:
-		for len(m.canceled) > 0 {
-			a := m.canceled[0]
-			m.canceled = m.canceled[1:]
-			for i, o := range m.inFlight {
-				if o == a {
-					m.endAttempt(i, routing.Canceled, false)
-					break
-				}
-			}
-		}
+		m.endCanceled()
 	case 6:
 		if len(m.requests) > 0 {
-			if s := m.requests[x%len(m.requests)]; s.responses == 0 {
-				s.disconnected = true
-				m.dispatcher.handleMessage(disconnectMessage{s.request})
-			}
+			m.disconnect(m.requests[argument%len(m.requests)])
 		}
 	case 7:
-		id, p := 1+x%3, routing.Ready
-		if x&8 != 0 {
-			p = routing.Draining
+		m.updateEndpoint(1+argument%3, argument&8 != 0)
+	}
+}
+
+// endCanceled ends the attempts that were asked to be canceled.
+func (m *dispatcherModel) endCanceled() {
+	for len(m.canceled) > 0 {
+		attempt := m.canceled[0]
+		m.canceled = m.canceled[1:]
+		for i, other := range m.inFlight {
+			if other == attempt {
+				m.endAttempt(i, routing.Canceled, false)
+				break
+			}
 		}
-		m.unavailable[routing.ServerID(id)] = p != routing.Ready
-		m.dispatcher.handleMessage(platformconfig.WatchEvent{ListUpdate: true, Endpoints: []platformconfig.Endpoint{endpoint(id, 0, p)}})
 	}
 }
 
-// Whatever a carrier and clients do, each request gets one answer by its
-// deadline, attempts never overlap, and what may have run is not run again.
+func (m *dispatcherModel) disconnect(state *requestState) {
+	if state.responses > 0 {
+		return
+	}
+	state.disconnected = true
+	disconnectMessage{state.request}.apply(m.dispatcher)
+}
+
+func (m *dispatcherModel) updateEndpoint(id int, draining bool) {
+	phase := routing.Ready
+	if draining {
+		phase = routing.Draining
+	}
+	m.unavailable[routing.ServerID(id)] = draining
+	watchMessage{platformconfig.WatchEvent{ListUpdate: true, Endpoints: []platformconfig.Endpoint{endpoint(id, 0, phase)}}}.apply(m.dispatcher)
+}
+
+// Whatever transports and clients do, each request gets one response by its deadline, attempts
+// never overlap, and what may have been executed is not executed again.
 func FuzzDispatcher(f *testing.F) {
 	seeds.Add(f, 48, 600)
-	f.Fuzz(func(t *testing.T, steps []byte) {
-		steps = steps[:min(len(steps), 4096)]
-		clk := clock.NewManual(startTime)
-		c, err := New(clk, settings(), 1, metrics.New())
-		if err != nil {
-			t.Fatal(err)
+	f.Fuzz(func(t *testing.T, script []byte) {
+		model := newModel(t, script[:min(len(script), 4096)])
+		for len(model.script) > 0 {
+			model.runStep()
 		}
-		m := &model{t: t, dispatcher: c, clock: clk, script: steps, states: map[*Request]*requestState{}, unavailable: map[routing.ServerID]bool{}}
-		c.handleMessage(endpointList())
-		for len(m.script) > 0 {
-			m.runStep()
-		}
-		m.advance(20_000) // no attempt ends any more: the deadline answers
-		for i, s := range m.requests {
-			if s.responses == 0 && !s.disconnected {
-				t.Errorf("request %d has no answer", i)
+		model.advance(20_000) // no attempt ends any more: the deadline answers
+		for i, state := range model.requests {
+			if state.responses == 0 && !state.disconnected {
+				t.Errorf("request %d has no response", i)
 			}
-			if s.responses > 0 && s.respondedAt > s.request.Deadline+responseGrace+0.001 {
-				t.Errorf("request %d was answered %.1f ms after its deadline", i, s.respondedAt-s.request.Deadline)
+			if state.responses > 0 && state.respondedAt > state.request.Deadline+responseGrace+0.001 {
+				t.Errorf("request %d was answered %.1f ms after its deadline", i, state.respondedAt-state.request.Deadline)
 			}
 		}
-		if len(c.openRequests) != 0 {
-			t.Errorf("%d requests are still held", len(c.openRequests))
+		if len(model.dispatcher.openRequests) != 0 {
+			t.Errorf("%d requests are still open", len(model.dispatcher.openRequests))
 		}
 	})
 }
 
-// The client's 64-bit id must not become the module's: shifted into a timer
-// token it would lose bits.
+// The client's 64-bit id must not become the module's: shifted into a timer token it would lose
+// bits.
 func TestRequestsGetSmallIDs(t *testing.T) {
-	clk := clock.NewManual(startTime)
-	c, err := New(clk, settings(), 1, metrics.New())
-	if err != nil {
-		t.Fatal(err)
-	}
-	m := &model{t: t, dispatcher: c, clock: clk, states: map[*Request]*requestState{}, script: []byte{1, 1}}
-	c.handleMessage(endpointList())
-	for i := 1; i <= 2; i++ {
-		r := &Request{TransactionID: []string{"", "ffffffffffffffff", "fffffffffffffffe"}[i], Transport: m, Object: 1, Deadline: startTime + 1000, Respond: func(Response) {}}
-		m.states[r] = &requestState{request: r}
-		c.handleMessage(r)
-		if r.id != routing.RequestID(i) {
-			t.Errorf("request %d has id %d", i, r.id)
+	model := newModel(t, []byte{1, 1})
+	for i, transactionID := range []string{"ffffffffffffffff", "fffffffffffffffe"} {
+		request := &Request{TransactionID: transactionID, Object: 1, Deadline: startTime + 1000, Respond: func(Response) {}}
+		model.submit(request)
+		if want := routing.RequestID(i + 1); request.id != want {
+			t.Errorf("request %d has id %d", want, request.id)
 		}
 	}
 }
 
-// A request under the id of one that is open is refused without an attempt and
-// leaves the first alone, also when its client goes; later the id is free.
+// A request under the id of one that is open is refused without an attempt and leaves the first
+// alone, also when its client disconnects; later the id is free.
 func TestDuplicateTransactionID(t *testing.T) {
-	clk := clock.NewManual(startTime)
-	c, err := New(clk, settings(), 1, metrics.New())
-	if err != nil {
-		t.Fatal(err)
-	}
-	m := &model{t: t, dispatcher: c, clock: clk, states: map[*Request]*requestState{}, script: []byte{1, 1, 1}}
-	c.handleMessage(endpointList())
+	model := newModel(t, []byte{1, 1, 1})
 	var got [3][]ResponseKind
-	take := func(i int) *Request {
-		r := &Request{TransactionID: "9b1f03aa5c7e2d41", Transport: m, Object: routing.ObjectID(1 + i), Deadline: startTime + 1000,
-			Respond: func(a Response) { got[i] = append(got[i], a.Kind) }}
-		m.states[r] = &requestState{request: r}
-		c.handleMessage(r)
-		return r
+	submit := func(i int) *Request {
+		request := &Request{TransactionID: "9b1f03aa5c7e2d41", Object: routing.ObjectID(1 + i), Deadline: startTime + 1000,
+			Respond: func(response Response) { got[i] = append(got[i], response.Kind) }}
+		model.submit(request)
+		return request
 	}
-	take(0)
-	second := take(1)
-	c.handleMessage(disconnectMessage{second})
-	if len(m.inFlight) != 1 || len(got[0]) != 0 || len(got[1]) != 1 || got[1][0] != DuplicateID {
-		t.Fatalf("%d attempts, answers %v", len(m.inFlight), got)
+	submit(0)
+	second := submit(1)
+	disconnectMessage{second}.apply(model.dispatcher)
+	if len(model.inFlight) != 1 || len(got[0]) != 0 || len(got[1]) != 1 || got[1][0] != DuplicateID {
+		t.Fatalf("%d attempts, responses %v", len(model.inFlight), got)
 	}
-	m.endAttempt(0, routing.Served, false)
-	take(2)
-	if len(got[0]) != 1 || got[0][0] != Served || len(m.inFlight) != 1 || len(got[2]) != 0 {
-		t.Errorf("%d attempts, answers %v", len(m.inFlight), got)
+	model.endAttempt(0, routing.Served, false)
+	submit(2)
+	if len(got[0]) != 1 || got[0][0] != Served || len(model.inFlight) != 1 || len(got[2]) != 0 {
+		t.Errorf("%d attempts, responses %v", len(model.inFlight), got)
 	}
 }
--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -7,53 +7,54 @@
 	"garnetline/routing"
 )
 
-// PublishEjected has the servers that are set aside published. It must not be called once Run
-// has been.
-func (c *Dispatcher) PublishEjected() { c.publishesEjected = true }
-
-// publishEjections publishes the servers that are set aside, where that is wanted and has changed.
-func (c *Dispatcher) publishEjections() {
-	if !c.publishesEjected {
-		return
-	}
-	l := c.router.AppendEjected(c.ejectedBuffer[:0])
-	if c.ejectedBuffer = l; !slices.Equal(l, c.Ejected()) {
-		l = slices.Clone(l)
-		c.ejected.Store(&l)
+// PublishEjected has the list of ejected servers published, for Ejected. It must not be called
+// after Run.
+func (d *Dispatcher) PublishEjected() { d.publishesEjected = true }
+
+// Ejected returns the servers that the module's outlier detection has ejected, as of the last
+// message or timer; nil unless PublishEjected was called. The slice is never changed. Any
+// goroutine may call it.
+func (d *Dispatcher) Ejected() []routing.ServerID {
+	if ejected := d.ejected.Load(); ejected != nil {
+		return *ejected
 	}
+	return nil
 }
 
-// Ejected returns the servers that the module has set aside, where they are published. It
-// does not change.
-func (c *Dispatcher) Ejected() []routing.ServerID {
-	if p := c.ejected.Load(); p != nil {
-		return *p
+// EjectedCount returns how many servers the module has ejected, as of the last message or
+// timer. Any goroutine may call it.
+func (d *Dispatcher) EjectedCount() int64 { return d.ejectedCount.Load() }
+
+// publishEjections publishes how many servers are ejected and, where that is wanted, which.
+func (d *Dispatcher) publishEjections() {
+	d.ejectedCount.Store(d.router.UnavailableCount())
+	if !d.publishesEjected {
+		return
 	}
-	return nil
+	d.ejectedBuffer = d.router.AppendEjected(d.ejectedBuffer[:0])
+	if slices.Equal(d.ejectedBuffer, d.Ejected()) {
+		return
+	}
+	ejected := slices.Clone(d.ejectedBuffer)
+	d.ejected.Store(&ejected)
 }
 
-// ReportLoad hands over a cache's load as another router measured it, age ms ago. It does not
-// wait: a report that finds no room is worth nothing later.
-func (c *Dispatcher) ReportLoad(id routing.ServerID, l routing.LoadReport, age float64) {
-	c.offer(routing.PeerLoadReport{Server: id, Load: l, Age: clock.Duration(age)})
+// ReportLoad hands over a server's load as another router measured it, ageMs ago. Any goroutine
+// may call it. It does not wait: a report that finds no room in the mailbox is dropped, since
+// it is worth nothing later.
+func (d *Dispatcher) ReportLoad(id routing.ServerID, load routing.LoadReport, ageMs float64) {
+	d.offer(peerMessage{routing.PeerLoadReport{Server: id, Load: load, Age: clock.Duration(ageMs)}})
 }
 
-// ExtendEjection prolongs the rest of a server that is set aside, for so many ms from now. Like a
-// report it does not wait.
-func (c *Dispatcher) ExtendEjection(id routing.ServerID, ms float64) {
-	c.offer(routing.ExtendEjection{Server: id, Until: clock.Duration(c.clock.Now() + ms)})
+// ExtendEjection keeps an ejected server ejected for ms from now at least. Like ReportLoad it
+// does not wait.
+func (d *Dispatcher) ExtendEjection(id routing.ServerID, ms float64) {
+	until := clock.Duration(d.clock.Now() + ms)
+	d.offer(peerMessage{routing.ExtendEjection{Server: id, Until: until}})
 }
 
-// RequireProbe has a server that others set aside tried before it gets more.
-func (c *Dispatcher) RequireProbe(id routing.ServerID) { c.offer(routing.RequireProbe{Server: id}) }
-
-// offer hands another router's word to the module, if there is room.
-func (c *Dispatcher) offer(ev routing.Event) {
-	select {
-	case c.mailbox <- ev:
-	default:
-	}
+// RequireProbe has a server that other routers ejected probed by a single request before it
+// gets more. Like ReportLoad it does not wait.
+func (d *Dispatcher) RequireProbe(id routing.ServerID) {
+	d.offer(peerMessage{routing.RequireProbe{Server: id}})
 }
-
-// EjectedCount returns how many servers the module has set aside.
-func (c *Dispatcher) EjectedCount() int64 { return c.ejectedCount.Load() }
--- a/internal/dispatch/endpoints.go
+++ b/internal/dispatch/endpoints.go
@@ -6,35 +6,43 @@
 	"garnetline/routing"
 )
 
-// EndpointListener is told of each change of the list before the module is.
+// EndpointListener is told of each change of the endpoint list, on the dispatcher's goroutine
+// and before the decision module is. It must not block.
 type EndpointListener interface {
-	UpdateEndpoints(ev platformconfig.WatchEvent)
+	UpdateEndpoints(event platformconfig.WatchEvent)
 }
 
-// applyWatchEvent passes an event of the change log on.
-func (c *Dispatcher) applyWatchEvent(ev platformconfig.WatchEvent) {
+// applyWatchEvent passes a watch event on to the listeners and the decision module.
+func (d *Dispatcher) applyWatchEvent(event platformconfig.WatchEvent) {
 	switch {
-	case ev.ListUpdate:
-		for _, l := range c.listeners {
-			l.UpdateEndpoints(ev)
+	case event.ListUpdate:
+		for _, listener := range d.listeners {
+			listener.UpdateEndpoints(event)
 		}
-		c.metrics.Add("lists_told", 1)
-		c.handleEvent(c.membershipChange(ev))
-	case ev.Purge != nil:
-		c.metrics.Add("purges_told", 1)
-		c.handleEvent(routing.Purge{Object: ev.Purge.Object, Group: ev.Purge.Group,
-			Age: clock.Duration(max(0, c.clock.Now()+clock.WallClockStep(c.clock)-ev.Purge.At))})
+		d.metrics.Add("lists_told", 1)
+		d.notifyRouter(d.endpointUpdate(event))
+	case event.Purge != nil:
+		d.metrics.Add("purges_told", 1)
+		wallClock := d.clock.Now() + clock.WallClockStep(d.clock)
+		d.notifyRouter(routing.Purge{
+			Object: event.Purge.Object,
+			Group:  event.Purge.Group,
+			Age:    clock.Duration(max(0, wallClock-event.Purge.At)),
+		})
 	}
 }
 
-// membershipChange is a change of the list as the module takes it, with times of the core's clock.
-func (c *Dispatcher) membershipChange(ev platformconfig.WatchEvent) routing.EndpointUpdate {
-	m, step := routing.EndpointUpdate{Snapshot: ev.Snapshot}, clock.Duration(clock.WallClockStep(c.clock))
-	for _, h := range ev.Endpoints {
-		if h.StartedAt != 0 { // which is long ago
-			h.StartedAt = max(h.StartedAt-step, 1)
+// endpointUpdate is a change of the endpoint list as the decision module takes it. Starts of
+// servers are converted from the wall clock, by which the list tells them, to the dispatcher's
+// clock.
+func (d *Dispatcher) endpointUpdate(event platformconfig.WatchEvent) routing.EndpointUpdate {
+	update := routing.EndpointUpdate{Snapshot: event.Snapshot}
+	step := clock.Duration(clock.WallClockStep(d.clock))
+	for _, endpoint := range event.Endpoints {
+		if endpoint.StartedAt != 0 { // 0 says that the start is not known
+			endpoint.StartedAt = max(endpoint.StartedAt-step, 1)
 		}
-		m.Servers = append(m.Servers, h.Server)
+		update.Servers = append(update.Servers, endpoint.Server)
 	}
-	return m
+	return update
 }
--- a/internal/dispatch/lifecycle_test.go
+++ b/internal/dispatch/lifecycle_test.go
@@ -5,308 +5,312 @@
 	"time"
 
 	"garnetline/internal/clock"
-	"garnetline/internal/metrics"
 	"garnetline/internal/platformconfig"
 	"garnetline/routing"
 )
 
-// hangingTransport is a carrier that takes every attempt and says nothing more of it.
+// hangingTransport accepts every attempt and never reports a completion.
 type hangingTransport struct {
 	sent     []*Attempt
 	canceled []*Attempt
 }
 
-func (h *hangingTransport) Send(a *Attempt) *Completion { h.sent = append(h.sent, a); return nil }
-func (h *hangingTransport) Cancel(a *Attempt)           { h.canceled = append(h.canceled, a) }
-func (h *hangingTransport) Release(*Attempt)            {}
+func (h *hangingTransport) Send(attempt *Attempt) *Completion {
+	h.sent = append(h.sent, attempt)
+	return nil
+}
+func (h *hangingTransport) Cancel(attempt *Attempt) { h.canceled = append(h.canceled, attempt) }
+func (h *hangingTransport) Release(*Attempt)        {}
 
-// harness is a core that is stepped by hand, on a set clock, before caches that hang.
-type harness struct {
+// testHarness is a dispatcher whose messages and timers a test runs by hand, on a manual clock,
+// with servers that hang.
+type testHarness struct {
 	*Dispatcher
 	clock     *clock.Manual
 	transport hangingTransport
 	responses map[*Request][]Response
 }
 
-func newHarness(t *testing.T, change func(*routing.Settings)) *harness {
+func newHarness(t *testing.T, change func(*routing.Settings)) *testHarness {
 	t.Helper()
-	set := settings()
+	changed := settings()
 	if change != nil {
-		change(&set)
+		change(&changed)
 	}
 	clk := clock.NewManual(startTime)
-	c, err := New(clk, set, 1, metrics.New())
-	if err != nil {
-		t.Fatal(err)
-	}
-	c.handleMessage(endpointList())
-	return &harness{Dispatcher: c, clock: clk, responses: map[*Request][]Response{}}
+	return &testHarness{Dispatcher: newDispatcher(t, clk, changed), clock: clk, responses: map[*Request][]Response{}}
 }
 
-// submit takes a request whose client waits for so many ms.
-func (b *harness) submit(class int, ms float64) *Request {
-	r := &Request{Class: class, Object: 7, Deadline: b.clock.Now() + ms, Transport: &b.transport}
-	r.Respond = func(a Response) { b.responses[r] = append(b.responses[r], a) }
-	b.handleMessage(r)
-	return r
+// submit submits a request whose client waits for ms.
+func (h *testHarness) submit(class int, ms float64) *Request {
+	request := &Request{Class: class, Object: 7, Deadline: h.clock.Now() + ms, Transport: &h.transport}
+	request.Respond = func(response Response) { h.responses[request] = append(h.responses[request], response) }
+	submitMessage{request}.apply(h.Dispatcher)
+	return request
 }
 
-func (b *harness) advance(ms float64) {
+func (h *testHarness) advance(ms float64) {
 	for range int(ms) {
-		b.clock.Advance(1)
-		b.fireTimers()
+		h.clock.Advance(1)
+		h.fireTimers()
 	}
 }
 
-// Guards against an answer after the client of a very short request has given up: the
-// core's own wait for the module does not count from the same few milliseconds.
+// Guards against a response after the client of a very short request has given up: the time
+// that the dispatcher waits for the module is bounded by the time that the request had.
 func TestShortDeadline(t *testing.T) {
 	for _, ms := range []float64{20, 45, 180, 1480} {
-		b := newHarness(t, nil)
-		r := b.submit(0, ms)
-		b.advance(ms + 1 + ms*responseGraceShare)
-		if len(b.responses[r]) != 1 {
+		harness := newHarness(t, nil)
+		request := harness.submit(idempotentClass, ms)
+		harness.advance(ms + 1 + ms*responseGraceShare)
+		if len(harness.responses[request]) != 1 {
 			t.Errorf("%v ms: no answer %v ms after", ms, 1+ms*responseGraceShare)
 		}
 	}
 }
 
-// Guards against requests that wait for a cache that hangs until the process is killed: all
-// that is open, or comes yet, has its answer by the time that is set.
+// Guards against requests that wait for a hanging cache until the process is killed: what is
+// open, and what is submitted later, is answered by the time that is set.
 func TestDrainBy(t *testing.T) {
-	b := newHarness(t, nil)
-	open := b.submit(0, 6000)
-	b.DrainBy(b.clock.Now() + 500)
-	b.handleMessage(<-b.Dispatcher.mailbox)
-	late := b.submit(2, 6000)
-	b.advance(499)
-	if len(b.responses) > 0 {
+	harness := newHarness(t, nil)
+	open := harness.submit(idempotentClass, 6000)
+	harness.DrainBy(harness.clock.Now() + 500)
+	(<-harness.mailbox).apply(harness.Dispatcher)
+	late := harness.submit(nonIdempotentClass, 6000)
+	harness.advance(499)
+	if len(harness.responses) > 0 {
 		t.Fatal("answered before the end")
 	}
-	b.advance(10)
-	for _, r := range []*Request{open, late} {
-		if a := b.responses[r]; len(a) != 1 || a[0].Kind != Failed {
-			t.Errorf("at the end: %+v", a)
+	harness.advance(10)
+	for _, request := range []*Request{open, late} {
+		if responses := harness.responses[request]; len(responses) != 1 || responses[0].Kind != Failed {
+			t.Errorf("at the end: %+v", responses)
 		}
 	}
-	if len(b.transport.canceled) != 2 {
-		t.Errorf("%d attempts were given up", len(b.transport.canceled))
+	if len(harness.transport.canceled) != 2 {
+		t.Errorf("%d attempts were canceled", len(harness.transport.canceled))
 	}
-	// What was never sent on is harmless to retry, and says so.
-	b = newHarness(t, nil)
-	r := b.submit(0, 6000)
-	for len(b.transport.sent) > 0 {
-		a := b.transport.sent[0]
-		b.transport.sent = b.transport.sent[1:]
-		b.handleMessage(*Unsent(a, routing.ConnectFailed))
+	// What was never sent is harmless to retry, and its response says so.
+	harness = newHarness(t, nil)
+	request := harness.submit(idempotentClass, 6000)
+	for len(harness.transport.sent) > 0 {
+		attempt := harness.transport.sent[0]
+		harness.transport.sent = harness.transport.sent[1:]
+		completionMessage{Unsent(attempt, routing.ConnectFailed)}.apply(harness.Dispatcher)
 	}
-	if a := b.responses[r]; len(a) != 1 || a[0].Kind != Rejected {
-		t.Errorf("never sent on: %+v", a)
+	if responses := harness.responses[request]; len(responses) != 1 || responses[0].Kind != Rejected {
+		t.Errorf("never sent: %+v", responses)
 	}
 }
 
-// Guards against a repeat that is written after the window of its key, since it waited for
-// a connection, and against any repeat of what must not run twice.
+// Guards against a retry that is written after the window of its key, since it waited for a
+// connection, and against any retry of what must not be executed twice.
 func TestRetryForbidden(t *testing.T) {
-	b := newHarness(t, nil)
-	r := b.submit(1, 3000)
-	first := b.transport.sent[0]
-	b.advance(300)
-	b.handleMessage(Completion{Attempt: first, Result: routing.ConnectionLost, Load: UnknownLoad()})
-	b.advance(cancelTransit)
-	if len(b.transport.sent) != 2 {
-		t.Fatalf("%d attempts", len(b.transport.sent))
-	}
-	if a := b.transport.sent[1]; first.SendDeadline != 0 || a.SendDeadline != startTime+1000 {
-		t.Errorf("the repeat may be written until %v, want 1000", a.SendDeadline-startTime)
-	}
-	// Whatever the module asks for.
-	for class, want := range map[int]bool{0: false, 1: true, 2: true} {
-		r := &Request{Class: class, attempts: []*Attempt{{sentAt: startTime, ended: true}}}
-		a := &Attempt{Request: r, Class: &b.settings.Classes[class], sentAt: startTime + 1000}
-		if got := b.retryForbidden(r, a); got != want {
-			t.Errorf("class %d: barred %v", class, got)
+	harness := newHarness(t, nil)
+	request := harness.submit(keyedClass, 3000)
+	first := harness.transport.sent[0]
+	harness.advance(300)
+	complete(harness.Dispatcher, first, routing.ConnectionLost)
+	harness.advance(cancelTransit)
+	if len(harness.transport.sent) != 2 {
+		t.Fatalf("%d attempts", len(harness.transport.sent))
+	}
+	if attempt := harness.transport.sent[1]; first.SendDeadline != 0 || attempt.SendDeadline != startTime+1000 {
+		t.Errorf("the retry may be written until %v, want 1000", attempt.SendDeadline-startTime)
+	}
+	// The check holds whatever the module decides.
+	for class, want := range map[int]bool{idempotentClass: false, keyedClass: true, nonIdempotentClass: true} {
+		request := &Request{Class: class, attempts: []*Attempt{{sentAt: startTime, ended: true}}}
+		attempt := &Attempt{Request: request, Class: &harness.settings.Classes[class], sentAt: startTime + 1000}
+		if got := attempt.retryForbidden(); got != want {
+			t.Errorf("class %d: forbidden: %v", class, got)
 		}
-		if r.attempts[0].notExecuted = true; b.retryForbidden(r, a) {
-			t.Errorf("class %d: barred though nothing ran", class)
+		if request.attempts[0].notExecuted = true; attempt.retryForbidden() {
+			t.Errorf("class %d: forbidden though nothing was executed", class)
 		}
 	}
-	if len(b.responses[r]) > 0 {
-		t.Error("answered while a repeat is out")
+	if len(harness.responses[request]) > 0 {
+		t.Error("answered while a retry is in flight")
 	}
 }
 
-// Guards against work for nobody: a request whose client left between attempts, or while it
-// waited in the module, is not sent on though the core has not heard of it yet.
+// Guards against work for nobody: a request whose client disconnected between attempts, or
+// while the module had it queued, is not sent, though the dispatcher has not handled the
+// message about it yet.
 func TestDisconnectedClientIsNotForwarded(t *testing.T) {
-	b := newHarness(t, nil)
-	r := b.submit(0, 6000)
-	b.Disconnect(r) // it is in the mailbox, behind the end of the attempt
-	b.handleMessage(Completion{Attempt: b.transport.sent[0], Result: routing.ServerError, Load: UnknownLoad()})
-	if len(b.transport.sent) != 1 {
-		t.Errorf("%d attempts for a client that has left", len(b.transport.sent))
+	harness := newHarness(t, nil)
+	request := harness.submit(idempotentClass, 6000)
+	harness.Disconnect(request) // it is in the mailbox, behind the end of the attempt
+	complete(harness.Dispatcher, harness.transport.sent[0], routing.ServerError)
+	if len(harness.transport.sent) != 1 {
+		t.Errorf("%d attempts for a client that has disconnected", len(harness.transport.sent))
 	}
-	b.handleMessage(<-b.Dispatcher.mailbox)
-	if n := b.metrics.Counter("clients_gone_waiting").Load(); n > 1 || len(b.openRequests) != 0 {
-		t.Errorf("%d left while they waited, %d are open", n, len(b.openRequests))
+	(<-harness.mailbox).apply(harness.Dispatcher)
+	if n := harness.metrics.Counter("clients_gone_waiting").Load(); n > 1 || len(harness.openRequests) != 0 {
+		t.Errorf("%d disconnected without an attempt in flight, %d are open", n, len(harness.openRequests))
 	}
 
-	// Held in the module: caches that refuse make requests wait.
-	b = newHarness(t, func(s *routing.Settings) {
-		s.TransferKBPerSecond, s.WeightIsCapacity, s.RoutersByZone, s.Classes[0].ObjectiveTransferFactor = 1000, true, []int{8}, 4
+	// Queued in the module: caches without capacity make requests wait.
+	harness = newHarness(t, func(settings *routing.Settings) {
+		settings.TransferKBPerSecond = 1000
+		settings.WeightIsCapacity = true
+		settings.RoutersByZone = []int{8}
+		settings.Classes[idempotentClass].ObjectiveTransferFactor = 4
 	})
-	var held []*Request
+	var queued []*Request
 	for i := range 40 {
-		r := b.submit(0, 6000)
-		if r.Object = routing.ObjectID(i + 1); len(r.attempts) == 0 && len(b.responses[r]) == 0 {
-			held = append(held, r)
+		request := harness.submit(idempotentClass, 6000)
+		request.Object = routing.ObjectID(i + 1)
+		if len(request.attempts) == 0 && len(harness.responses[request]) == 0 {
+			queued = append(queued, request)
 		}
 	}
-	if len(held) == 0 {
-		t.Fatal("none waits in the module")
+	if len(queued) == 0 {
+		t.Fatal("none is queued in the module")
 	}
-	for _, r := range held {
-		b.Disconnect(r)
+	for _, request := range queued {
+		harness.Disconnect(request)
 	}
-	before := len(b.transport.sent)
-	for range held {
-		b.handleMessage(<-b.Dispatcher.mailbox)
+	before := len(harness.transport.sent)
+	for range queued {
+		(<-harness.mailbox).apply(harness.Dispatcher)
 	}
-	for _, a := range b.transport.sent[:before] {
-		b.handleMessage(Completion{Attempt: a, Result: routing.Served, Response: Response{Kind: Served}, Load: UnknownLoad()})
+	for _, attempt := range harness.transport.sent[:before] {
+		complete(harness.Dispatcher, attempt, routing.Served)
 	}
-	b.advance(300)
-	for _, a := range b.transport.sent {
-		for _, r := range held {
-			if a.Request == r {
-				t.Error("sent on for a client that left while it waited")
+	harness.advance(300)
+	for _, attempt := range harness.transport.sent {
+		for _, request := range queued {
+			if attempt.Request == request {
+				t.Error("sent for a client that disconnected while its request was queued")
 			}
 		}
 	}
-	if got := b.metrics.Counter("clients_gone_waiting").Load(); got != int64(len(held)) {
-		t.Errorf("%d are counted, want %d", got, len(held))
+	if got := harness.metrics.Counter("clients_gone_waiting").Load(); got != int64(len(queued)) {
+		t.Errorf("%d are counted, want %d", got, len(queued))
 	}
 }
 
-// Guards against a wall clock that is set while the router runs: what the change log tells by
-// it, of a purge and of a server's start, is as old as it was.
+// Guards against a wall clock that is set while the router runs: the age of a purge and of a
+// server, whose times are the wall clock's, stays what it was.
 func TestWallClockStep(t *testing.T) {
 	for _, by := range []float64{-3_600_000, 0, 3_600_000} {
-		b := newHarness(t, nil)
-		b.clock.StepWallClock(by)
-		b.handleMessage(platformconfig.WatchEvent{Purge: &platformconfig.Purge{Object: 7, At: startTime + by - 50}})
-		b.submit(0, 1480)
-		if a := b.transport.sent; len(a) != 1 || a[0].Decision.MaxAge != 50*time.Millisecond {
-			t.Errorf("set by %v ms: %d sent, copies of %v will do", by, len(a), a[0].Decision.MaxAge)
+		harness := newHarness(t, nil)
+		harness.clock.StepWallClock(by)
+		watchMessage{platformconfig.WatchEvent{Purge: &platformconfig.Purge{Object: 7, At: startTime + by - 50}}}.apply(harness.Dispatcher)
+		harness.submit(idempotentClass, 1480)
+		if sent := harness.transport.sent; len(sent) != 1 || sent[0].Decision.MaxAge != 50*time.Millisecond {
+			t.Errorf("set by %v ms: %d sent, copies of %v will do", by, len(sent), sent[0].Decision.MaxAge)
 		}
-		l := b.membershipChange(platformconfig.WatchEvent{Endpoints: []platformconfig.Endpoint{{Server: routing.Server{StartedAt: clock.Duration(startTime + by - 50)}}, {}}}).Servers
-		if l[0].StartedAt != clock.Duration(startTime-50) || l[1].StartedAt != 0 {
-			t.Errorf("set by %v ms: %v", by, l)
+		started := platformconfig.Endpoint{Server: routing.Server{StartedAt: clock.Duration(startTime + by - 50)}}
+		servers := harness.endpointUpdate(platformconfig.WatchEvent{Endpoints: []platformconfig.Endpoint{started, {}}}).Servers
+		if servers[0].StartedAt != clock.Duration(startTime-50) || servers[1].StartedAt != 0 {
+			t.Errorf("set by %v ms: %v", by, servers)
 		}
 	}
 }
 
-// Guards against a request that is out twice: what is sent on at once overtakes the cancel,
-// or the end of the connection, by which the attempt before was given up.
+// Guards against a request that is executed twice at a time: a retry that is sent at once
+// overtakes the cancel, or the end of the connection, that ended the attempt before.
 func TestRetryWaitsForCancelTransit(t *testing.T) {
-	for _, res := range []routing.Result{routing.Canceled, routing.ConnectionLost} {
-		b := newHarness(t, nil)
-		r := b.submit(0, 1480)
-		if res == routing.Canceled {
-			b.cancelAttempt(r.attempts[0], routing.Canceled)
+	for _, result := range []routing.Result{routing.Canceled, routing.ConnectionLost} {
+		harness := newHarness(t, nil)
+		request := harness.submit(idempotentClass, 1480)
+		if result == routing.Canceled {
+			harness.cancelAttempt(request.attempts[0], routing.Canceled)
 		}
-		b.handleMessage(Completion{Attempt: r.attempts[0], Result: res})
-		b.advance(cancelTransit - 1)
-		if len(b.transport.sent) != 1 {
-			t.Fatalf("%v: sent on within %v ms", res, cancelTransit-1)
+		complete(harness.Dispatcher, request.attempts[0], result)
+		harness.advance(cancelTransit - 1)
+		if len(harness.transport.sent) != 1 {
+			t.Fatalf("%v: sent again within %v ms", result, cancelTransit-1)
 		}
-		b.advance(1)
-		if len(b.transport.sent) != 2 {
-			t.Errorf("%v: %d sent after %v ms, want the next one", res, len(b.transport.sent), cancelTransit)
+		harness.advance(1)
+		if len(harness.transport.sent) != 2 {
+			t.Errorf("%v: %d sent after %v ms, want the next one", result, len(harness.transport.sent), cancelTransit)
 		}
 	}
-	b := newHarness(t, nil) // its client leaves meanwhile: nothing is sent on
-	r := b.submit(0, 1480)
-	b.handleMessage(Completion{Attempt: r.attempts[0], Result: routing.ConnectionLost})
-	b.Disconnect(r)
-	b.handleMessage(disconnectMessage{r})
-	b.advance(2 * cancelTransit)
-	if len(b.transport.sent) != 1 || !r.attempts[0].ended || len(b.openRequests) != 0 {
-		t.Errorf("%d sent for a client that left, ended %v, %d open", len(b.transport.sent), r.attempts[0].ended, len(b.openRequests))
+	harness := newHarness(t, nil) // its client disconnects meanwhile: nothing is sent
+	request := harness.submit(idempotentClass, 1480)
+	complete(harness.Dispatcher, request.attempts[0], routing.ConnectionLost)
+	harness.Disconnect(request)
+	disconnectMessage{request}.apply(harness.Dispatcher)
+	harness.advance(2 * cancelTransit)
+	if len(harness.transport.sent) != 1 || !request.attempts[0].ended || len(harness.openRequests) != 0 {
+		t.Errorf("%d sent for a client that disconnected, ended %v, %d open", len(harness.transport.sent), request.attempts[0].ended, len(harness.openRequests))
 	}
 }
 
-// Guards against an answer that is held back for the way of a cancel when nothing can be sent
-// on any more: at the attempt's end the client is told at once that a retry is harmless.
+// Guards against a response that is delayed for a cancel's transit though nothing can be sent
+// any more: when the attempt expires the client is told at once that a retry is harmless.
 func TestExpiredAttemptCompletesAtOnce(t *testing.T) {
-	b := newHarness(t, nil)
-	r := b.submit(0, 1480)
-	b.advance(1480)
-	if len(b.transport.canceled) != 1 {
-		t.Fatalf("%d attempts were given up at the end", len(b.transport.canceled))
+	harness := newHarness(t, nil)
+	request := harness.submit(idempotentClass, 1480)
+	harness.advance(1480)
+	if len(harness.transport.canceled) != 1 {
+		t.Fatalf("%d attempts were canceled at the end", len(harness.transport.canceled))
 	}
-	b.handleMessage(Completion{Attempt: r.attempts[0], Result: routing.Canceled, Load: UnknownLoad()})
-	if a := b.responses[r]; len(a) != 1 || a[0].Kind != Rejected {
-		t.Errorf("answered %+v, want a refusal at once", a)
+	complete(harness.Dispatcher, request.attempts[0], routing.Canceled)
+	if responses := harness.responses[request]; len(responses) != 1 || responses[0].Kind != Rejected {
+		t.Errorf("answered %+v, want a rejection at once", responses)
 	}
 }
 
-// Guards against a repeat after a window of keys, or more attempts, than the settings allow by
-// now: what is reloaded under an open request holds for its next attempt.
+// Guards against a retry after the window of its key, or more attempts than allowed, by the
+// settings in use: what is reloaded while a request is open holds for its next attempt.
 func TestReloadShortensKeyWindow(t *testing.T) {
-	for _, c := range []struct {
-		name   string
-		change func(*routing.Settings)
-		sent   int
-		sendBy float64
+	for _, test := range []struct {
+		name         string
+		change       func(*routing.Settings)
+		sent         int
+		sendDeadline float64
 	}{
 		{"not shortened", func(*routing.Settings) {}, 2, startTime + 1000},
-		{"shorter, not over", func(s *routing.Settings) { s.Classes[1].KeyWindow = 400 * time.Millisecond }, 2, startTime + 400},
-		{"shorter, over", func(s *routing.Settings) { s.Classes[1].KeyWindow = 200 * time.Millisecond }, 1, 0},
-		{"one attempt", func(s *routing.Settings) { s.MaxAttempts = 1 }, 1, 0},
+		{"shorter, not over", func(settings *routing.Settings) { settings.Classes[keyedClass].KeyWindow = 400 * time.Millisecond }, 2, startTime + 400},
+		{"shorter, over", func(settings *routing.Settings) { settings.Classes[keyedClass].KeyWindow = 200 * time.Millisecond }, 1, 0},
+		{"one attempt", func(settings *routing.Settings) { settings.MaxAttempts = 1 }, 1, 0},
 	} {
-		b := newHarness(t, nil)
-		r := b.submit(1, 3000)
+		harness := newHarness(t, nil)
+		request := harness.submit(keyedClass, 3000)
 		next := settings()
-		c.change(&next)
-		b.Reload(next)
-		b.handleMessage(<-b.Dispatcher.mailbox)
-		b.advance(300)
-		b.handleMessage(Completion{Attempt: b.transport.sent[0], Result: routing.ServerError, Load: UnknownLoad()})
-		b.advance(100)
-		if last := b.transport.sent[len(b.transport.sent)-1]; len(b.transport.sent) != c.sent || last.SendDeadline != c.sendBy {
-			t.Errorf("%s: %d sent, the last to be written by %v", c.name, len(b.transport.sent), last.SendDeadline-startTime)
+		test.change(&next)
+		harness.Reload(next)
+		(<-harness.mailbox).apply(harness.Dispatcher)
+		harness.advance(300)
+		complete(harness.Dispatcher, harness.transport.sent[0], routing.ServerError)
+		harness.advance(100)
+		if last := harness.transport.sent[len(harness.transport.sent)-1]; len(harness.transport.sent) != test.sent || last.SendDeadline != test.sendDeadline {
+			t.Errorf("%s: %d sent, the last to be written by %v", test.name, len(harness.transport.sent), last.SendDeadline-startTime)
 		}
-		if a := b.responses[r]; c.sent == 1 && (len(a) != 1 || a[0].Kind != Failed) {
-			t.Errorf("%s: answered %+v", c.name, a)
+		if responses := harness.responses[request]; test.sent == 1 && (len(responses) != 1 || responses[0].Kind != Failed) {
+			t.Errorf("%s: answered %+v", test.name, responses)
 		}
 	}
 }
 
-// Guards against work for a client that gave up early: what is out for it is given up, once,
-// its late end is no answer, and the client may come again under the same id at once.
+// Guards against work for a client that gave up early: its attempt is canceled, once, the late
+// completion is no response, and the client may use the same id again at once.
 func TestDisconnectCancelsAttempt(t *testing.T) {
-	b := newHarness(t, nil)
-	ask := func() *Request {
-		r := &Request{TransactionID: "9b1f03aa5c7e2d41", Object: 7, Deadline: b.clock.Now() + 1480, Transport: &b.transport}
-		r.Respond = func(a Response) { b.responses[r] = append(b.responses[r], a) }
-		b.handleMessage(r)
-		return r
-	}
-	first := ask()
-	b.handleMessage(disconnectMessage{first})
-	b.handleMessage(disconnectMessage{first})
-	if len(b.transport.canceled) != 1 || b.transport.canceled[0] != first.attempts[0] {
-		t.Fatalf("%d attempts were given up", len(b.transport.canceled))
-	}
-	second := ask()
-	if len(b.transport.sent) != 2 || len(b.responses[second]) != 0 {
-		t.Fatalf("came again: %d sent, answered %+v", len(b.transport.sent), b.responses[second])
-	}
-	for _, r := range []*Request{first, second} {
-		b.handleMessage(Completion{Attempt: r.attempts[0], Result: routing.Served, Response: Response{Kind: Served}, Load: UnknownLoad()})
-	}
-	if a := b.responses[second]; len(b.responses[first]) != 0 || len(a) != 1 || a[0].Kind != Served || len(b.openRequests) != 0 || len(b.byTransactionID) != 0 {
-		t.Errorf("answered %v, %d open", b.responses, len(b.openRequests))
+	harness := newHarness(t, nil)
+	submit := func() *Request {
+		request := &Request{TransactionID: "9b1f03aa5c7e2d41", Object: 7, Deadline: harness.clock.Now() + 1480, Transport: &harness.transport}
+		request.Respond = func(response Response) { harness.responses[request] = append(harness.responses[request], response) }
+		submitMessage{request}.apply(harness.Dispatcher)
+		return request
+	}
+	first := submit()
+	disconnectMessage{first}.apply(harness.Dispatcher)
+	disconnectMessage{first}.apply(harness.Dispatcher)
+	if len(harness.transport.canceled) != 1 || harness.transport.canceled[0] != first.attempts[0] {
+		t.Fatalf("%d attempts were canceled", len(harness.transport.canceled))
+	}
+	second := submit()
+	if len(harness.transport.sent) != 2 || len(harness.responses[second]) != 0 {
+		t.Fatalf("the id again: %d sent, answered %+v", len(harness.transport.sent), harness.responses[second])
+	}
+	for _, request := range []*Request{first, second} {
+		complete(harness.Dispatcher, request.attempts[0], routing.Served)
+	}
+	if responses := harness.responses[second]; len(harness.responses[first]) != 0 || len(responses) != 1 || responses[0].Kind != Served || len(harness.openRequests) != 0 || len(harness.byTransactionID) != 0 {
+		t.Errorf("answered %v, %d open", harness.responses, len(harness.openRequests))
 	}
 }
--- /dev/null
+++ b/internal/dispatch/messages.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"garnetline/internal/platformconfig"
+	"garnetline/routing"
+)
+
+// message is what other goroutines put into the dispatcher's mailbox.
+type message interface {
+	// apply handles the message on the dispatcher's goroutine.
+	apply(d *Dispatcher)
+}
+
+type (
+	submitMessage     struct{ request *Request }
+	disconnectMessage struct{ request *Request }
+	drainMessage      struct{ deadline float64 }
+	completionMessage struct{ completion *Completion }
+	watchMessage      struct{ event platformconfig.WatchEvent }
+	reloadMessage     struct{ settings routing.Settings }
+	// peerMessage is an event for the decision module that another router caused.
+	peerMessage struct{ event routing.Event }
+)
+
+func (m submitMessage) apply(d *Dispatcher)     { d.handleRequest(m.request) }
+func (m disconnectMessage) apply(d *Dispatcher) { d.handleDisconnect(m.request) }
+func (m drainMessage) apply(d *Dispatcher)      { d.handleDrain(m.deadline) }
+func (m completionMessage) apply(d *Dispatcher) { d.handleCompletion(m.completion) }
+func (m watchMessage) apply(d *Dispatcher)      { d.applyWatchEvent(m.event) }
+func (m reloadMessage) apply(d *Dispatcher)     { d.applySettings(m.settings) }
+func (m peerMessage) apply(d *Dispatcher)       { d.notifyRouter(m.event) }
+
+// enqueue puts a message into the mailbox and waits for room there. It reports false if the
+// dispatcher has stopped.
+func (d *Dispatcher) enqueue(m message) bool {
+	select {
+	case d.mailbox <- m:
+		return true
+	case <-d.stopped:
+		return false
+	}
+}
+
+// offer puts a message into the mailbox if there is room, and drops it otherwise.
+func (d *Dispatcher) offer(m message) {
+	select {
+	case d.mailbox <- m:
+	default:
+	}
+}
+
+// applySettings goes over to other settings, or keeps those in use if the module cannot use
+// the others.
+func (d *Dispatcher) applySettings(settings routing.Settings) {
+	if err := d.router.UpdateSettings(settings); err == nil {
+		d.settings = settings
+	}
+}
+
+// handleDrain has all open requests answered by a time, and those that come later, too.
+func (d *Dispatcher) handleDrain(deadline float64) {
+	d.drainBy = deadline
+	for _, request := range d.openRequests {
+		d.scheduleDeadline(deadline, request)
+	}
+}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"strings"
 	"sync/atomic"
 
@@ -10,189 +9,251 @@
 	"garnetline/routing"
 )
 
-// ResponseKind tells what an answer is.
+// ResponseKind tells how a request ended.
 type ResponseKind int
 
-// The kinds of final answers.
+// The kinds of responses.
 const (
-	Failed   ResponseKind = iota
-	Rejected              // a retry is harmless after Backoff
+	// Failed says that the request was not served and may have been executed.
+	Failed ResponseKind = iota
+	// Rejected says that the request was not served and that a retry after
+	// Response.RetryAfter is harmless.
+	Rejected
+	// Served carries the body of a server's response.
 	Served
-	NotModified // served: the copy that the client holds is the one
-	DuplicateID // not taken: another request with its id is open
+	// NotModified says that the copy that the client has is current.
+	NotModified
+	// DuplicateID says that another request with the same transaction id is open. The request
+	// was not looked at.
+	DuplicateID
 )
 
-// Response is the one final answer to a request.
+// Response is the one final response to a request.
 type Response struct {
 	Kind       ResponseKind
 	Body       []byte
 	ETag       string
-	RetryAfter float64 // ms
+	RetryAfter float64 // ms, of Rejected
 	Server     routing.ServerID
 }
 
-// Request is what a front takes in. From Submit on the core owns it; the
-// front keeps Body unchanged until the attempt that carries it is over.
+// Request is a client's request as a frontend submits it. From Submit on the dispatcher owns
+// it; the frontend keeps the bytes of Body unchanged until the attempt that carries them has
+// ended.
 type Request struct {
-	TransactionID  string // the client's id, passed on unchanged
-	IdempotencyKey string // idempotency key
-	IfNoneMatch    string // tag of the client's copy
-	Class          int
+	TransactionID  string // the client's id, passed on unchanged; empty: it named none
+	IdempotencyKey string // empty: it named none
+	IfNoneMatch    string // entity tag of the copy that the client has; empty: none
+	Class          int    // index into routing.Settings.Classes
 	Object         routing.ObjectID
 	Chunk          int
 	Group          int
-	SizeKB         float64 // of the part, as the settings' links count it; 0: not told
+	SizeKB         float64 // of the chunk, in the unit of the settings' links; 0: unknown
 	Body           []byte
-	Deadline       float64   // the client gives up
-	Transport      Transport // carries the attempts out
-	Respond        func(Response)
-	Client         *ClientInfo // nil: not told
+	Deadline       float64        // when the client gives up
+	Transport      Transport      // carries out the attempts
+	Respond        func(Response) // called on the dispatcher's goroutine; must not block
+	Client         *ClientInfo    // nil: unknown
 
 	id           routing.RequestID
 	trace        RequestTrace // nil: it is not traced
 	attempts     []*Attempt
-	responded    bool
-	disconnected atomic.Bool // its client has left
+	responded    bool // or its client disconnected: Respond is not called any more
+	disconnected atomic.Bool
 }
 
-// ClientDisconnected tells whether the client has left, as soon as that is known and on any goroutine:
-// nothing is sent on for it from then on.
+// ClientInfo tells when and where a request comes from. Traces show it.
+type ClientInfo struct {
+	ReceivedAt  float64 // when the request's last byte came; 0: when the dispatcher took it
+	TraceParent string  // the traceparent header as it came, not checked
+	Address     string
+}
+
+// ClientDisconnected reports whether the client has disconnected; nothing is sent for the
+// request from then on. Any goroutine may call it, and it does not wait for the dispatcher.
 func (r *Request) ClientDisconnected() bool { return r.disconnected.Load() }
 
-// ClientInfo tells when and where a request comes from, as far as that is traced.
-type ClientInfo struct {
-	ReceivedAt  float64 // when its last byte came; 0: when the core takes it
-	TraceParent string  // the traceparent that came with it, not checked
-	Address     string  // the client's address
+// lastAttemptEnded reports whether no attempt is in flight.
+func (r *Request) lastAttemptEnded() bool {
+	count := len(r.attempts)
+	return count == 0 || r.attempts[count-1].ended
 }
 
-// ValidFieldValue tells whether a tag or key can stand in a carrier's fields as it is:
-// short, and of letters, digits and marks that cannot end a field.
-func ValidFieldValue(s string) bool {
-	if s == "" || len(s) > 128 {
+// firstPossiblyExecuted returns the first attempt that is not known to have been left
+// unexecuted, or nil.
+func (r *Request) firstPossiblyExecuted() *Attempt {
+	for _, attempt := range r.attempts {
+		if !attempt.notExecuted {
+			return attempt
+		}
+	}
+	return nil
+}
+
+// releaseBody gives back the body of a request that has been answered, once no attempt is in
+// flight. The request itself stays in memory until its timer has fired.
+func (r *Request) releaseBody() {
+	if r.lastAttemptEnded() {
+		r.Body = nil
+	}
+}
+
+// maxFieldValue is the greatest length, in bytes, of what ValidFieldValue accepts.
+const maxFieldValue = 128
+
+// ValidFieldValue reports whether an entity tag or idempotency key can stand in a transport's
+// fields as it is: short, and of letters, digits and marks that cannot end a field.
+func ValidFieldValue(value string) bool {
+	if value == "" || len(value) > maxFieldValue {
 		return false
 	}
-	for i := range len(s) {
-		c := s[i]
-		if !(c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || strings.IndexByte("-_.:+/", c) >= 0) {
+	for i := range len(value) {
+		c := value[i]
+		isDigit := c >= '0' && c <= '9'
+		isLetter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		if !isDigit && !isLetter && strings.IndexByte("-_.:+/", c) < 0 {
 			return false
 		}
 	}
 	return true
 }
 
-// slack is how long after the deadline of a request the core waits for the
-// module's word before it answers by itself, and slackPart bounds it by the time that the
-// request has: who waits for 50 ms would not wait for 5 more.
+// The dispatcher waits for the module's decision until responseGrace ms after the deadline of a
+// request, and then responds by itself. responseGraceShare bounds that by the time which the
+// request had: a client that waits for 50 ms would not wait for 5 more.
 const (
 	responseGrace      = 5.0
 	responseGraceShare = 0.05
 )
 
-// handleRequest opens a request under an id of its own: the module shifts ids into
-// timer tokens, where a client's 64-bit id would lose bits.
+// handleRequest opens a request under a small id of its own: the module shifts ids into timer
+// tokens, where a client's 64-bit id would lose bits.
 //
-// Symptom guarded against: under the id of an open request a second one went
-// out, and on the caches' side the two were one.
-func (c *Dispatcher) handleRequest(r *Request) {
-	if c.byTransactionID[r.TransactionID] != nil {
-		c.respond(r, Response{Kind: DuplicateID})
+// Symptom guarded against: a second request went out under the transaction id of an open one,
+// and the caches took the two for one.
+func (d *Dispatcher) handleRequest(request *Request) {
+	if d.byTransactionID[request.TransactionID] != nil {
+		d.respond(request, Response{Kind: DuplicateID})
 		return
 	}
-	c.nextID++
-	r.id = c.nextID
-	c.openRequests[r.id] = r
-	if r.TransactionID != "" {
-		c.byTransactionID[r.TransactionID] = r
+	d.nextID++
+	request.id = d.nextID
+	d.openRequests[request.id] = request
+	if request.TransactionID != "" {
+		d.byTransactionID[request.TransactionID] = request
 	}
-	now := c.clock.Now()
-	if c.drainBy > 0 {
-		r.Deadline = min(r.Deadline, c.drainBy)
+	now := d.clock.Now()
+	if d.drainBy > 0 {
+		request.Deadline = min(request.Deadline, d.drainBy)
 	}
-	c.schedule(r.Deadline+min(responseGrace, responseGraceShare*max(r.Deadline-now, 0)), 0, nil, r)
-	c.metrics.Add("requests_taken", 1)
-	if c.tracer != nil {
-		r.trace = c.tracer.Open(c.clock.Now(), r, &c.settings.Classes[r.Class])
+	timeLeft := max(request.Deadline-now, 0)
+	d.scheduleDeadline(request.Deadline+min(responseGrace, responseGraceShare*timeLeft), request)
+	d.metrics.Add("requests_taken", 1)
+	if d.tracer != nil {
+		request.trace = d.tracer.Open(d.clock.Now(), request, &d.settings.Classes[request.Class])
 	}
-	c.handleEvent(routing.Request{ID: r.id, Class: r.Class, Object: r.Object, Chunk: r.Chunk, PurgeGroup: r.Group,
-		SizeKB: r.SizeKB, Timeout: clock.Duration(r.Deadline - c.clock.Now())})
+	d.notifyRouter(routing.Request{
+		ID:         request.id,
+		Class:      request.Class,
+		Object:     request.Object,
+		Chunk:      request.Chunk,
+		PurgeGroup: request.Group,
+		SizeKB:     request.SizeKB,
+		Timeout:    clock.Duration(request.Deadline - d.clock.Now()),
+	})
 }
 
-// handleDisconnect closes a request whose client has gone; nothing is owed.
-func (c *Dispatcher) handleDisconnect(r *Request) {
-	if c.openRequests[r.id] != r {
+// handleDisconnect closes a request whose client has disconnected, without a response.
+func (d *Dispatcher) handleDisconnect(request *Request) {
+	if d.openRequests[request.id] != request {
 		return
 	}
-	c.metrics.Add("clients_gone", 1)
-	if n := len(r.attempts); n == 0 || r.attempts[n-1].ended {
-		c.metrics.Add("clients_gone_waiting", 1) // with nothing out
+	d.metrics.Add("clients_gone", 1)
+	if request.lastAttemptEnded() {
+		d.metrics.Add("clients_gone_waiting", 1)
 	}
-	r.responded = true
-	c.traceResponse(r, trace.Left)
-	c.closeRequest(r)
+	request.responded = true
+	d.traceResponse(request, trace.Left)
+	d.closeRequest(request)
 }
 
-// closeRequest forgets a request and has the module give up what is out for it.
-func (c *Dispatcher) closeRequest(r *Request) {
-	c.removeRequest(r)
-	c.handleEvent(routing.ClientDisconnected{ID: r.id})
-	for _, a := range r.attempts { // what the module no longer knows of
-		c.cancelAttempt(a, routing.Canceled)
+// handleDeadline responds to a request whose time is over and that has no response yet.
+//
+// Symptom guarded against: an attempt that its transport could not cancel in time kept the
+// client waiting past its deadline.
+func (d *Dispatcher) handleDeadline(request *Request) {
+	if d.openRequests[request.id] != request {
+		return
 	}
-}
-
-// removeRequest ends what holds a request as open.
-func (c *Dispatcher) removeRequest(r *Request) {
-	delete(c.openRequests, r.id)
-	if c.byTransactionID[r.TransactionID] == r {
-		delete(c.byTransactionID, r.TransactionID)
+	response := Response{Kind: Failed}
+	draining := d.clock.Now() < request.Deadline
+	if draining && request.firstPossiblyExecuted() == nil {
+		// Another router has the time to serve it.
+		response = Response{Kind: Rejected, RetryAfter: clock.Millis(d.settings.MaxRetryAfter) / 2}
 	}
+	d.respond(request, response)
+	d.closeRequest(request)
 }
 
-// respond gives the one final answer.
-func (c *Dispatcher) respond(r *Request, a Response) {
-	if r.responded {
+// finishRequest gives an open request the response that the module decided on.
+func (d *Dispatcher) finishRequest(id routing.RequestID, response Response) {
+	request := d.openRequests[id]
+	if request == nil {
 		return
 	}
-	r.responded = true
-	c.metrics.Add([]string{"answers_failed", "answers_refused", "answers_served", "answers_same", "answers_clash"}[a.Kind], 1)
-	c.metrics.Add(ClassCounterName(c.settings.Classes[r.Class].Name, a.Kind), 1)
-	r.Respond(a)
-	c.traceResponse(r, traceOutcomes[a.Kind])
-	r.releaseBody()
+	d.removeRequest(request)
+	d.respond(request, response)
 }
 
-// ClassCounterName names the counter of the requests of a class that ended in a way.
-func ClassCounterName(class string, k ResponseKind) string {
-	switch k {
-	case Served, NotModified:
-		return "class_" + class + "_served"
-	case Rejected:
-		return "class_" + class + "_refused"
+// closeRequest removes a request and cancels its attempts.
+func (d *Dispatcher) closeRequest(request *Request) {
+	d.removeRequest(request)
+	d.notifyRouter(routing.ClientDisconnected{ID: request.id})
+	for _, attempt := range request.attempts { // the module knows the request no longer
+		d.cancelAttempt(attempt, routing.Canceled)
 	}
-	return "class_" + class + "_failed"
 }
 
-// releaseBody gives back the body of a request that is over and has nothing out:
-// timers hold the request until its deadline.
-func (r *Request) releaseBody() {
-	if n := len(r.attempts); n == 0 || r.attempts[n-1].ended {
-		r.Body = nil
+// removeRequest ends a request's being open, and frees its transaction id.
+func (d *Dispatcher) removeRequest(request *Request) {
+	delete(d.openRequests, request.id)
+	if d.byTransactionID[request.TransactionID] == request {
+		delete(d.byTransactionID, request.TransactionID)
 	}
 }
 
-// handleDeadline answers a request whose time is over and that has no answer yet.
-//
-// Symptom guarded against: an attempt whose carrier cannot give it up in time
-// would keep its client waiting past the deadline.
-func (c *Dispatcher) handleDeadline(r *Request) {
-	if c.openRequests[r.id] != r {
+// responseCounters are the names of the counters of responses.
+var responseCounters = [...]string{
+	Failed:      "answers_failed",
+	Rejected:    "answers_refused",
+	Served:      "answers_served",
+	NotModified: "answers_same",
+	DuplicateID: "answers_clash",
+}
+
+// respond gives a request its one response, unless it has it or its client disconnected. It is
+// the only caller of Respond.
+func (d *Dispatcher) respond(request *Request, response Response) {
+	if request.responded {
 		return
 	}
-	a := Response{Kind: Failed}
-	if c.clock.Now() < r.Deadline && !slices.ContainsFunc(r.attempts, func(t *Attempt) bool { return !t.notExecuted }) {
-		a = Response{Kind: Rejected, RetryAfter: clock.Millis(c.settings.MaxRetryAfter) / 2} // it would have had time elsewhere
+	request.responded = true
+	class := d.settings.Classes[request.Class].Name
+	d.metrics.Add(responseCounters[response.Kind], 1)
+	d.metrics.Add(ClassCounterName(class, response.Kind), 1)
+	request.Respond(response)
+	d.traceResponse(request, traceOutcomes[response.Kind])
+	request.releaseBody()
+}
+
+// ClassCounterName returns the name of the counter of a class's requests that ended in a way.
+func ClassCounterName(class string, kind ResponseKind) string {
+	switch kind {
+	case Served, NotModified:
+		return "class_" + class + "_served"
+	case Rejected:
+		return "class_" + class + "_refused"
+	default:
+		return "class_" + class + "_failed"
 	}
-	c.respond(r, a)
-	c.closeRequest(r)
 }
--- a/internal/dispatch/timers.go
+++ b/internal/dispatch/timers.go
@@ -2,49 +2,80 @@
 
 import (
 	"container/heap"
+	"time"
 
+	"garnetline/internal/clock"
 	"garnetline/routing"
 )
 
-// fireTimers fires the timers that are due.
-func (c *Dispatcher) fireTimers() {
-	for len(c.timers) > 0 && c.timers[0].at <= c.clock.Now() {
-		switch t := heap.Pop(&c.timers).(timer); {
-		case t.completion != nil:
-			c.handleCompletion(*t.completion)
-		case t.attempt != nil:
-			c.cancelAttempt(t.attempt, routing.TimedOut)
-		case t.request != nil:
-			c.handleDeadline(t.request)
-		default:
-			c.handleEvent(routing.TimerFired{Token: t.token})
-		}
-	}
+// timer is something to do at a time. At most one of the pointers is set; if none is, the
+// timer is the decision module's.
+type timer struct {
+	at         float64
+	request    *Request    // its deadline is over
+	attempt    *Attempt    // it expires
+	completion *Completion // it has been delayed for long enough
+	token      uint64      // of the module's timer
 }
 
-func (c *Dispatcher) schedule(at float64, token uint64, a *Attempt, r *Request) {
-	heap.Push(&c.timers, timer{at: at, token: token, attempt: a, request: r})
+func (d *Dispatcher) scheduleDeadline(at float64, request *Request) {
+	heap.Push(&d.timers, timer{at: at, request: request})
 }
 
-// timer is one entry of the heap: for an attempt, its end, a request or the module.
-type timer struct {
-	at         float64
-	token      uint64
-	attempt    *Attempt
-	request    *Request
-	completion *Completion
+func (d *Dispatcher) scheduleExpiry(at float64, attempt *Attempt) {
+	heap.Push(&d.timers, timer{at: at, attempt: attempt})
+}
+
+func (d *Dispatcher) scheduleCompletion(at float64, completion *Completion) {
+	heap.Push(&d.timers, timer{at: at, completion: completion})
+}
+
+func (d *Dispatcher) scheduleRouterTimer(at float64, token uint64) {
+	heap.Push(&d.timers, timer{at: at, token: token})
 }
 
+// untilNextTimer returns how long the dispatcher may sleep.
+func (d *Dispatcher) untilNextTimer() time.Duration {
+	if len(d.timers) == 0 {
+		return idleWait
+	}
+	return max(0, clock.Duration(d.timers[0].at-d.clock.Now()))
+}
+
+// fireTimers does what is due.
+func (d *Dispatcher) fireTimers() {
+	for len(d.timers) > 0 && d.timers[0].at <= d.clock.Now() {
+		due := heap.Pop(&d.timers).(timer)
+		switch {
+		case due.completion != nil:
+			d.handleCompletion(due.completion)
+		case due.attempt != nil:
+			d.cancelAttempt(due.attempt, routing.TimedOut)
+		case due.request != nil:
+			d.handleDeadline(due.request)
+		default:
+			d.notifyRouter(routing.TimerFired{Token: due.token})
+		}
+	}
+}
+
+// timerHeap implements heap.Interface, the earliest timer first.
 type timerHeap []timer
 
-func (t timerHeap) Len() int           { return len(t) }
-func (t timerHeap) Less(i, j int) bool { return t[i].at < t[j].at }
-func (t timerHeap) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *timerHeap) Push(x any)        { *t = append(*t, x.(timer)) }
-func (t *timerHeap) Pop() any {
-	old := *t
-	x := old[len(old)-1]
-	old[len(old)-1] = timer{}
-	*t = old[:len(old)-1]
-	return x
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *timerHeap) Push(x any) { *h = append(*h, x.(timer)) }
+
+// Pop implements heap.Interface. The slot is cleared, so that what the timer pointed to can be
+// freed.
+func (h *timerHeap) Pop() any {
+	old := *h
+	last := len(old) - 1
+	popped := old[last]
+	old[last] = timer{}
+	*h = old[:last]
+	return popped
 }
