--- a/internal/upstream/cacheserver_test.go
+++ b/internal/upstream/cacheserver_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"testing"
@@ -16,100 +17,168 @@
 	"garnetline/routing"
 )
 
-// testTimeout fails a test whose peer does not answer; no order depends on it.
+// testTimeout fails a test that waits for something in vain; no order depends on it.
 const testTimeout = 10 * time.Second
 
-// cacheServer is a cache on a loopback listener whose every word the test says.
+// cacheServer is a cache on a loopback listener, whose every byte the test writes, and a pool
+// that has it as server 1.
 type cacheServer struct {
 	t           *testing.T
 	addr        netip.AddrPort
-	ln          net.Listener
+	listener    *net.TCPListener
 	pool        *Pool
 	clock       *clock.Manual
 	completions chan dispatch.Completion
 }
 
-// cacheConn is the cache's side of one connection.
+// cacheConn is the cache's side of a connection.
 type cacheConn struct {
 	*net.TCPConn
 	t  *testing.T
 	in *bufio.Reader
 }
 
-// newCacheServer starts a cache and a pool that lists it as server 1.
+// newCacheServer starts a cache and a pool with options that change may change.
 func newCacheServer(t *testing.T, change func(*Options)) *cacheServer {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	listener := listenTCP(t)
+	server := &cacheServer{
+		t:           t,
+		addr:        netip.MustParseAddrPort(listener.Addr().String()),
+		listener:    listener,
+		clock:       clock.NewManual(1.7e12),
+		completions: make(chan dispatch.Completion, 16),
 	}
-	t.Cleanup(func() { ln.Close() })
-	s := &cacheServer{t: t, ln: ln, addr: netip.MustParseAddrPort(ln.Addr().String()), clock: clock.NewManual(1.7e12), completions: make(chan dispatch.Completion, 16)}
 	guard := &routing.Guard{Ready: map[routing.ServerID]bool{1: true, 8: true}}
-	options := Options{Clock: s.clock, Settings: func() platformconfig.Upstream {
-		return platformconfig.Upstream{IdleTimeout: 15_000, ConnectTimeout: 5000, MaxStreams: 4}
-	},
-		Guard: func() *routing.Guard { return guard }, Complete: func(e dispatch.Completion) { s.completions <- e }, Metrics: metrics.New(), MaxConnections: func() int64 { return 0 }}
+	options := Options{
+		Clock: server.clock,
+		Settings: func() platformconfig.Upstream {
+			return platformconfig.Upstream{IdleTimeout: 15_000, ConnectTimeout: 5000, MaxStreams: 4}
+		},
+		Guard:          func() *routing.Guard { return guard },
+		Complete:       func(completion dispatch.Completion) { server.completions <- completion },
+		Metrics:        metrics.New(),
+		MaxConnections: func() int64 { return 0 },
+	}
 	if change != nil {
 		change(&options)
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	s.pool = NewPool(ctx, options)
-	s.pool.UpdateEndpoints(platformconfig.WatchEvent{ListUpdate: true, Snapshot: true, Endpoints: []platformconfig.Endpoint{{Server: routing.Server{ID: 1, Phase: routing.Ready}, Addr: s.addr}}})
-	actor := s.pool.upstreams[1]
+	ctx, cancel := context.WithCancel(context.Background())
+	server.pool = NewPool(ctx, options)
+	endpoint := platformconfig.Endpoint{Server: routing.Server{ID: 1, Phase: routing.Ready}, Addr: server.addr}
+	server.pool.UpdateEndpoints(platformconfig.WatchEvent{ListUpdate: true, Snapshot: true, Endpoints: []platformconfig.Endpoint{endpoint}})
+	actor := server.pool.upstreams[1]
 	t.Cleanup(func() {
-		stop()
+		cancel()
 		<-actor.stopped
 	})
-	return s
+	return server
 }
 
-// send hands an attempt with an id to the pool; known is the tag of the client's copy.
-func (s *cacheServer) send(txn, known string) *dispatch.Attempt {
+// listenTCP listens on a loopback port until the test ends.
+func listenTCP(t *testing.T) *net.TCPListener {
+	t.Helper()
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := listener.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	closeAtEnd(t, listener)
+	return listener
+}
+
+// closeAtEnd closes something when the test ends, if that is not done by then.
+func closeAtEnd(t *testing.T, closer io.Closer) {
+	t.Helper()
+	t.Cleanup(func() { _ = closer.Close() })
+}
+
+// send hands an attempt with an id to the pool; ifNoneMatch is the tag of the client's copy.
+func (s *cacheServer) send(id, ifNoneMatch string) *dispatch.Attempt {
 	s.t.Helper()
-	return s.sendBy(txn, known, 0)
+	return s.sendBy(id, ifNoneMatch, 0)
 }
 
-// sendBy is send of an attempt that may be written until a time.
-func (s *cacheServer) sendBy(txn, known string, by float64) *dispatch.Attempt {
+// sendBy is send for an attempt that must not be written after a time.
+func (s *cacheServer) sendBy(id, ifNoneMatch string, deadline float64) *dispatch.Attempt {
 	s.t.Helper()
-	a := &dispatch.Attempt{Request: &dispatch.Request{TransactionID: txn, Object: 7, IfNoneMatch: known}, Class: &routing.Class{Name: "part"},
-		Decision: routing.SendAttempt{Server: 1, FillSource: 8}, ExpiresAt: s.clock.Now() + 60_000, SendDeadline: by}
-	if e := s.pool.Send(a); e != nil {
-		s.t.Fatalf("%s was not taken: %v", txn, e.Result)
+	attempt := &dispatch.Attempt{
+		Request:      &dispatch.Request{TransactionID: id, Object: 7, IfNoneMatch: ifNoneMatch},
+		Class:        &routing.Class{Name: "part"},
+		Decision:     routing.SendAttempt{Server: 1, FillSource: 8},
+		ExpiresAt:    s.clock.Now() + 60_000,
+		SendDeadline: deadline,
+	}
+	if completion := s.pool.Send(attempt); completion != nil {
+		s.t.Fatalf("%s was not taken: %v", id, completion.Result)
 	}
-	return a
+	return attempt
 }
 
 // accept waits for the next connection.
 func (s *cacheServer) accept() *cacheConn {
 	s.t.Helper()
-	s.ln.(*net.TCPListener).SetDeadline(time.Now().Add(testTimeout))
-	c, err := s.ln.Accept()
+	conn, err := s.listener.AcceptTCP()
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.t.Cleanup(func() { c.Close() })
-	c.SetDeadline(time.Now().Add(testTimeout))
-	return &cacheConn{TCPConn: c.(*net.TCPConn), t: s.t, in: bufio.NewReader(c)}
+	closeAtEnd(s.t, conn)
+	if err := conn.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+		s.t.Fatal(err)
+	}
+	return &cacheConn{TCPConn: conn, t: s.t, in: bufio.NewReader(conn)}
 }
 
-// completion waits for the end of an attempt.
-func (s *cacheServer) completion(of *dispatch.Attempt) dispatch.Completion {
+// completion waits for the completion of an attempt, which has to be the next one.
+func (s *cacheServer) completion(attempt *dispatch.Attempt) dispatch.Completion {
 	s.t.Helper()
+	want := attempt.Request.TransactionID
 	select {
-	case e := <-s.completions:
-		if e.Attempt != of {
-			s.t.Fatalf("the end of %s came, not of %s", e.Attempt.Request.TransactionID, of.Request.TransactionID)
+	case completion := <-s.completions:
+		if completion.Attempt != attempt {
+			s.t.Fatalf("%s completed, not %s", completion.Attempt.Request.TransactionID, want)
 		}
-		s.pool.Release(of)
-		return e
+		s.pool.Release(attempt)
+		return completion
 	case <-time.After(testTimeout):
-		s.t.Fatalf("%s has no end", of.Request.TransactionID)
+		s.t.Fatalf("%s did not complete", want)
 	}
 	return dispatch.Completion{}
 }
 
+// noCompletion checks that no further attempt has completed.
+func (s *cacheServer) noCompletion() {
+	s.t.Helper()
+	select {
+	case completion := <-s.completions:
+		s.t.Fatalf("%s completed as %v", completion.Attempt.Request.TransactionID, completion.Result)
+	default:
+	}
+}
+
+// waitForCounter waits until a counter of the pool has come to a value.
+func (s *cacheServer) waitForCounter(name string, want int64) {
+	s.t.Helper()
+	s.waitFor(name, func() bool { return s.pool.Metrics.Counter(name).Load() >= want })
+}
+
+// waitForNoConnections waits until none is open or being dialed.
+func (s *cacheServer) waitForNoConnections() {
+	s.t.Helper()
+	s.waitFor("no connections", func() bool { return s.pool.openConnections.Load() == 0 })
+}
+
+func (s *cacheServer) waitFor(what string, reached func() bool) {
+	s.t.Helper()
+	for deadline := time.Now().Add(testTimeout); !reached(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
 // command reads one command.
 func (c *cacheConn) command() []string {
 	c.t.Helper()
@@ -117,23 +186,19 @@
 	if _, err := fmt.Fscanf(c.in, "*%d\r\n", &n); err != nil {
 		c.t.Fatal(err)
 	}
-	words := make([]string, n)
-	for i := range words {
+	command := make([]string, n)
+	for i := range command {
 		var length int
 		if _, err := fmt.Fscanf(c.in, "$%d\r\n", &length); err != nil {
 			c.t.Fatal(err)
 		}
-		b := make([]byte, length+2)
-		for at := 0; at < len(b); {
-			got, err := c.in.Read(b[at:])
-			if err != nil {
-				c.t.Fatal(err)
-			}
-			at += got
+		content := make([]byte, length+len("\r\n"))
+		if _, err := io.ReadFull(c.in, content); err != nil {
+			c.t.Fatal(err)
 		}
-		words[i] = string(b[:length])
+		command[i] = string(content[:length])
 	}
-	return words
+	return command
 }
 
 // write writes bytes as they are.
@@ -144,61 +209,40 @@
 	}
 }
 
-// frame is an answer as a cache writes it.
-func frame(id, word, fields, body string) string {
-	b := appendBulk(appendBulk(appendBulk([]byte("*4\r\n"), id), word), fields)
-	return string(appendBulk(b, body))
+// closeWith ends the connection, with a reset if that is asked for.
+func (c *cacheConn) closeWith(reset bool) {
+	c.t.Helper()
+	if reset {
+		if err := c.SetLinger(0); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	if err := c.Close(); err != nil {
+		c.t.Fatal(err)
+	}
 }
 
-// tcpPair is both ends of a loopback connection.
+// frame is a reply as a cache writes it.
+func frame(id, status, fields, body string) string {
+	text := appendArray(nil, replyStrings)
+	for _, content := range []string{id, status, fields, body} {
+		text = appendBulk(text, content)
+	}
+	return string(text)
+}
+
+// tcpPair returns both ends of a loopback connection.
 func tcpPair(t *testing.T) (near, far net.Conn) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	listener := listenTCP(t)
+	near, err := dialTCP(t.Context(), netip.MustParseAddrPort(listener.Addr().String()))
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	if near, err = net.Dial("tcp", ln.Addr().String()); err != nil {
-		t.Fatal(err)
-	}
-	if far, err = ln.Accept(); err != nil {
+	closeAtEnd(t, near)
+	if far, err = listener.Accept(); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() {
-		near.Close()
-		far.Close()
-	})
+	closeAtEnd(t, far)
 	return near, far
 }
-
-// counter waits until a counter of the pool has a value.
-func (s *cacheServer) counter(name string, want int64) {
-	s.t.Helper()
-	for until := time.Now().Add(testTimeout); s.pool.Metrics.Counter(name).Load() < want; {
-		if time.Now().After(until) {
-			s.t.Fatalf("%s did not come to %d", name, want)
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
-
-// connections waits until so many are open or being dialled.
-func (s *cacheServer) connections(want int64) {
-	s.t.Helper()
-	for until := time.Now().Add(testTimeout); s.pool.openConnections.Load() != want; {
-		if time.Now().After(until) {
-			s.t.Fatalf("%d connections, not %d", s.pool.openConnections.Load(), want)
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
-
-// noCompletion checks that no attempt has ended.
-func (s *cacheServer) noCompletion() {
-	s.t.Helper()
-	select {
-	case e := <-s.completions:
-		s.t.Fatalf("%s ended as %v", e.Attempt.Request.TransactionID, e.Result)
-	default:
-	}
-}
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -9,221 +9,233 @@
 	"testing"
 	"time"
 
-	"garnetline/internal/textconn"
 	"garnetline/routing"
 )
 
-// A machine that vanished leaves its connection open and silent. What follows
-// must not be written there, or it looks silent when it is back.
+// Guards against a machine that vanished and looks silent when it is back: its connection
+// stays open and silent, and what follows was written there.
 func TestUnresponsiveConnectionIsRetired(t *testing.T) {
-	m := newHarness(t)
-	a := m.send("a")
-	m.finishDial()
-	m.clock.Advance(800)
-	m.cancel(a)
-	if !m.conns[0].isClosed() {
-		t.Error("the silent connection is still open")
-	}
-	m.send("b")
-	m.finishDial()
-	if len(m.conns) != 2 || !strings.Contains(m.conns[1].written.String(), "$1\r\nb\r\n") {
-		t.Errorf("%d connections", len(m.conns))
+	actor := newHarness(t)
+	a := actor.send("a")
+	actor.finishDial()
+	actor.clock.Advance(800)
+	actor.cancel(a)
+	if !actor.conns[0].isClosed() {
+		t.Error("the unresponsive connection is still open")
+	}
+	actor.send("b")
+	actor.finishDial()
+	if len(actor.conns) != 2 || !actor.conns[1].wrote("b") {
+		t.Errorf("%d connections", len(actor.conns))
 	}
 }
 
 // A refused connection proves that nothing ran; a reset does not.
 func TestConnectionRefusedAndReset(t *testing.T) {
-	m := newHarness(t)
-	m.refuseDials = true
-	a := m.send("a")
-	m.finishDial()
-	m.refuseDials = false
-	b := m.send("b")
-	m.finishDial()
-	m.upstream.handleConnectionEvent(t.Context(), connectionEvent{connection: m.upstream.connections[0], err: io.EOF})
-	if m.completions[a][0] != routing.ConnectFailed || m.completions[b][0] != routing.ConnectionLost {
-		t.Errorf("refused: %v, reset: %v", m.completions[a], m.completions[b])
+	actor := newHarness(t)
+	actor.refuseDials = true
+	a := actor.send("a")
+	actor.finishDial()
+	actor.refuseDials = false
+	b := actor.send("b")
+	actor.finishDial()
+	actor.endConnection(actor.upstream.connections[0], io.EOF)
+	if actor.completions[a][0] != routing.ConnectFailed || actor.completions[b][0] != routing.ConnectionLost {
+		t.Errorf("refused: %v, reset: %v", actor.completions[a], actor.completions[b])
 	}
 }
 
-// A server that takes no more connections is left alone with that for a while: what
-// follows goes over the one that there is, and nothing ends for it.
+// A server that takes no more connections is not dialed for a while: what follows is sent
+// over the one there is, and no request fails for it.
 func TestNoDialPerRequestAtConnectionLimit(t *testing.T) {
-	m := newHarness(t)
-	tries := 0
-	ask := func(i int) {
-		m.send(fmt.Sprint(i))
-		if m.upstream.dialing {
-			tries++
+	actor := newHarness(t)
+	dials := 0
+	request := func(i int) {
+		actor.send(fmt.Sprint(i))
+		if actor.upstream.dialing {
+			dials++
 		}
-		m.refuseDials = len(m.conns) > 0
-		m.finishDial()
-		m.upstream.handleConnectionEvent(t.Context(), connectionEvent{connection: m.upstream.connections[0], reply: reply{id: fmt.Sprint(i), status: "DONE", fields: "-"}})
+		actor.refuseDials = len(actor.conns) > 0
+		actor.finishDial()
+		actor.reply(actor.upstream.connections[0], fmt.Sprint(i), statusDone)
 	}
-	m.send("first")
-	m.finishDial()
+	actor.send("first")
+	actor.finishDial()
 	for i := range 50 {
-		ask(i)
-		m.clock.Advance(10)
+		request(i)
+		actor.clock.Advance(10)
 	}
-	if tries != 1 || len(m.conns) != 1 {
-		t.Errorf("%d tries for a further connection within 500 ms, %d connections; want 1 and 1", tries, len(m.conns))
+	if dials != 1 || len(actor.conns) != 1 {
+		t.Errorf("%d dials for a further connection within 500 ms, %d connections; want 1 and 1", dials, len(actor.conns))
 	}
-	m.clock.Advance(growBackoff)
-	if ask(50); tries != 2 {
-		t.Errorf("%d tries after a rest, want one more", tries)
+	actor.clock.Advance(growBackoff)
+	if request(50); dials != 2 {
+		t.Errorf("%d dials after the backoff, want one more", dials)
 	}
-	for i, a := range m.attempts[1:] {
-		if len(m.completions[a]) != 1 || m.completions[a][0] != routing.Served {
-			t.Errorf("request %d ended as %v", i, m.completions[a])
+	for i, attempt := range actor.attempts[1:] {
+		if got := actor.completions[attempt]; len(got) != 1 || got[0] != routing.Served {
+			t.Errorf("request %d completed as %v", i, got)
 		}
 	}
 }
 
-// What is open with a server lies on several connections, so that a spoilt
-// answer on one takes little along. (The symptom: it took all.)
+// Guards against one connection for all requests to a server: a malformed reply on it
+// completed them all as lost.
 func TestMalformedReplyClosesOneConnection(t *testing.T) {
-	m := newHarness(t)
+	actor := newHarness(t)
 	for i := range 6 {
-		m.send(fmt.Sprint(i))
-		m.finishDial()
+		actor.send(fmt.Sprint(i))
+		actor.finishDial()
 	}
-	if len(m.upstream.connections) < 2 {
+	if len(actor.upstream.connections) < 2 {
 		t.Fatal("all is on one connection")
 	}
-	m.upstream.handleConnectionEvent(t.Context(), connectionEvent{connection: m.upstream.connections[0], err: errMalformedReply})
-	if n := len(m.completions); n == 0 || n > 2 {
-		t.Errorf("%d of 6 attempts ended with one connection", n)
+	actor.endConnection(actor.upstream.connections[0], errMalformedReply)
+	if n := len(actor.completions); n == 0 || n > 2 {
+		t.Errorf("%d of 6 attempts completed with one connection", n)
 	}
-	for _, e := range m.completions {
-		if e[0] != routing.ConnectionLost {
-			t.Errorf("ended as %v", e)
+	for _, got := range actor.completions {
+		if got[0] != routing.ConnectionLost {
+			t.Errorf("completed as %v", got)
 		}
 	}
 }
 
+// errNoDeadline is what a stallingConn returns where a read would wait for ever.
+var errNoDeadline = errors.New("waits for ever")
+
 // stallingConn is a connection that brings some bytes and then nothing more.
 type stallingConn struct {
 	byteSource
 	deadline time.Time
 }
 
-func (h *stallingConn) SetReadDeadline(t time.Time) error {
-	h.deadline = t
+func (c *stallingConn) SetReadDeadline(t time.Time) error {
+	c.deadline = t
 	return nil
 }
 
-func (h *stallingConn) Read(p []byte) (int, error) {
-	if n, err := h.reader.Read(p); err == nil {
+func (c *stallingConn) Read(p []byte) (int, error) {
+	if n, err := c.reader.Read(p); err == nil {
 		return n, nil
 	}
-	if h.deadline.IsZero() {
-		return 0, errors.New("waits for ever")
+	if c.deadline.IsZero() {
+		return 0, errNoDeadline
 	}
 	return 0, os.ErrDeadlineExceeded
 }
 
-// An answer that has begun has a time to end; one that has not begun has none.
+// A reply that has begun has a time to end; the wait for one that has not begun has none.
 func TestTruncatedReplyTimesOut(t *testing.T) {
-	whole := "*4\r\n$1\r\na\r\n$4\r\nLACK\r\n$1\r\n-\r\n$0\r\n\r\n"
-	for _, c := range []struct {
+	complete := frame("a", statusLack, noFields, "")
+	for _, test := range []struct {
 		text string
-		want string
-	}{{whole, "waits for ever"}, {whole + whole[:20], os.ErrDeadlineExceeded.Error()}} {
-		l := &connection{text: textconn.New(&stallingConn{byteSource: byteSource{reader: strings.NewReader(c.text)}})}
-		if r, err := l.nextReply(0); err != nil || r.status != "LACK" {
+		want error
+	}{
+		{complete, errNoDeadline},
+		{complete + complete[:20], os.ErrDeadlineExceeded},
+	} {
+		conn := newConnection(&stallingConn{byteSource: byteSource{reader: strings.NewReader(test.text)}}, 0)
+		if r, err := conn.nextReply(0); err != nil || r.status != statusLack {
 			t.Fatalf("%+v, %v", r, err)
 		}
-		if _, err := l.nextReply(0); err == nil || err.Error() != c.want {
-			t.Errorf("after %q: %v, want %s", c.text, err, c.want)
+		if _, err := conn.nextReply(0); err == nil || err.Error() != test.want.Error() {
+			t.Errorf("after %q: %v, want %v", test.text, err, test.want)
 		}
 	}
 }
 
-// Clients that leave soon after they asked say nothing of the server: its
-// connections stay in use. (The symptom: all eight were set aside, each for one
-// such client, and what came next was refused as if the server were full.)
+// Guards against connections retired for clients that disconnect soon, which says nothing of
+// the server: all eight were, and what came next was rejected as if the server were full.
 func TestEarlyCancelsKeepConnections(t *testing.T) {
-	m := newHarness(t)
+	actor := newHarness(t)
 	for i := range 40 {
-		a := m.send(fmt.Sprintf("stay%d", i))
-		b := m.send(fmt.Sprintf("leave%d", i))
-		m.finishDial()
-		m.clock.Advance(20)
-		m.cancel(b)
+		stays := actor.send(fmt.Sprintf("stay%d", i))
+		leaves := actor.send(fmt.Sprintf("leave%d", i))
+		actor.finishDial()
+		actor.clock.Advance(20)
+		actor.cancel(leaves)
 		if i > 4 {
-			m.cancel(m.attempts[2*(i-5)])
+			actor.cancel(actor.attempts[2*(i-5)])
 		}
-		for _, l := range m.upstream.connections {
-			if l.retired {
-				t.Fatalf("a connection was set aside after %d", i)
+		for _, conn := range actor.upstream.connections {
+			if conn.retired {
+				t.Fatalf("a connection was retired after %d", i)
 			}
 		}
-		if len(m.completions[a]) > 0 {
-			t.Fatalf("attempt %d ended as %v", i, m.completions[a])
+		if got := actor.completions[stays]; len(got) > 0 {
+			t.Fatalf("attempt %d completed as %v", i, got)
 		}
 	}
 }
 
-// What is given up to be sent again, on a connection that has said nothing
-// since, is given up by closing that: only then can no second copy be out. On
-// one that has answered others the cancel does.
+// An attempt that is canceled for a retry, on a connection that has brought no reply since it
+// was written, is canceled by closing that: only then can no second copy be in flight. On one
+// that has brought others a cancel will do.
 func TestRetryClosesUnresponsiveConnection(t *testing.T) {
-	for _, answered := range []bool{false, true} {
-		m := newHarness(t)
-		a, b := m.send("a"), m.send("b")
-		m.finishDial()
-		m.clock.Advance(100)
-		if answered {
-			m.upstream.handleConnectionEvent(t.Context(), connectionEvent{connection: m.upstream.connections[0], reply: reply{id: "b", status: "LACK", fields: "-"}})
+	for _, replied := range []bool{false, true} {
+		actor := newHarness(t)
+		a, b := actor.send("a"), actor.send("b")
+		actor.finishDial()
+		actor.clock.Advance(100)
+		if replied {
+			actor.reply(actor.upstream.connections[0], "b", statusLack)
 		}
 		a.MayRetry = true
-		m.cancel(a)
-		if m.conns[0].isClosed() == answered || len(m.completions[a]) != 1 || m.completions[a][0] != routing.Canceled || len(m.completions[b]) != 1 {
-			t.Errorf("answered %v: closed %v, ends %v and %v", answered, m.conns[0].isClosed(), m.completions[a], m.completions[b])
+		actor.cancel(a)
+		closed := actor.conns[0].isClosed()
+		gotA, gotB := actor.completions[a], actor.completions[b]
+		if closed == replied || len(gotA) != 1 || gotA[0] != routing.Canceled || len(gotB) != 1 {
+			t.Errorf("replied %v: closed %v, completed as %v and %v", replied, closed, gotA, gotB)
 		}
 	}
 }
 
-// Guards against a refusal that comes twice: the second one is not taken for the end of the
-// attempt that followed, while that runs on and another one is sent.
+// Guards against a rejection that comes twice: the second must not be taken for the end of
+// the attempt that followed, while that runs on and another one is sent.
 func TestDuplicateReply(t *testing.T) {
-	for effect, want := range map[routing.Idempotency]routing.Result{routing.Idempotent: routing.Rejected, routing.IdempotentWithKey: routing.ServerError, routing.NonIdempotent: routing.ServerError} {
-		m := newHarness(t)
-		say := func() {
-			m.upstream.handleConnectionEvent(t.Context(), connectionEvent{connection: m.upstream.connections[0], reply: reply{id: "a", status: "WAIT", fields: "-"}})
-		}
-		m.send("a")
-		m.finishDial()
-		say()
-		m.clock.Advance(5)
-		again := m.send("a")
-		again.Class = &routing.Class{Idempotency: effect}
-		say()
-		if got := m.completions[again]; len(got) != 1 || got[0] != want {
-			t.Errorf("effect %v: ended as %v, want %v", effect, got, want)
+	for idempotency, want := range map[routing.Idempotency]routing.Result{
+		routing.Idempotent:        routing.Rejected,
+		routing.IdempotentWithKey: routing.ServerError,
+		routing.NonIdempotent:     routing.ServerError,
+	} {
+		actor := newHarness(t)
+		actor.send("a")
+		actor.finishDial()
+		actor.reply(actor.upstream.connections[0], "a", statusWait)
+		actor.clock.Advance(5)
+		retry := actor.send("a")
+		retry.Class = &routing.Class{Idempotency: idempotency}
+		actor.reply(actor.upstream.connections[0], "a", statusWait)
+		if got := actor.completions[retry]; len(got) != 1 || got[0] != want {
+			t.Errorf("%v: completed as %v, want %v", idempotency, got, want)
 		}
-		if got := m.conns[0].written.String(); !strings.HasSuffix(got, string(appendCancelCommand(nil, "a"))) {
-			t.Errorf("effect %v: it was not given up: %q", effect, got)
+		if got := actor.conns[0].written.String(); !strings.HasSuffix(got, string(appendCancelCommand(nil, "a"))) {
+			t.Errorf("%v: it was not canceled: %q", idempotency, got)
 		}
-		m.send("a")
-		m.finishDial()
-		if len(m.conns) != 2 || !strings.Contains(m.conns[1].written.String(), "$1\r\na\r\n") {
-			t.Errorf("effect %v: the third was sent where a crossing answer may come", effect)
+		actor.send("a")
+		actor.finishDial()
+		if len(actor.conns) != 2 || !actor.conns[1].wrote("a") {
+			t.Errorf("%v: the third attempt was sent where a crossing reply may come", idempotency)
 		}
 	}
-	// Long after, it is an answer like any other.
-	m := newHarness(t)
+}
+
+// Long after the first, a second rejection is a reply like any other, and the first is
+// forgotten.
+func TestDuplicateReplyWindow(t *testing.T) {
+	actor := newHarness(t)
 	for range 2 {
-		m.send("a")
-		m.finishDial()
-		m.upstream.handleConnectionEvent(t.Context(), connectionEvent{connection: m.upstream.connections[0], reply: reply{id: "a", status: "WAIT", fields: "-"}})
-		m.clock.Advance(duplicateReplyWindow)
+		actor.send("a")
+		actor.finishDial()
+		actor.reply(actor.upstream.connections[0], "a", statusWait)
+		actor.clock.Advance(duplicateReplyWindow)
 	}
-	if strings.Contains(m.conns[0].written.String(), "cancel") {
-		t.Error("a second refusal was doubted for no reason")
+	if strings.Contains(actor.conns[0].written.String(), "cancel") {
+		t.Error("a rejection was taken for a duplicate for no reason")
 	}
-	if m.upstream.closeIdle(); len(m.upstream.connections[0].unservedAt) > 0 {
-		t.Error("what was answered is kept for ever")
+	actor.upstream.closeIdle()
+	if remembered := len(actor.upstream.connections[0].unservedAt); remembered > 0 {
+		t.Errorf("%d replies are remembered for ever", remembered)
 	}
 }
--- a/internal/upstream/golden_test.go
+++ b/internal/upstream/golden_test.go
@@ -2,49 +2,33 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
 	"io"
-	"os"
 	"strings"
 	"testing"
 	"testing/iotest"
 
 	"garnetline/internal/dispatch"
+	"garnetline/internal/golden"
 	"garnetline/internal/textconn"
 	"garnetline/internal/trace"
 	"garnetline/routing"
 )
 
-// The files in testdata hold what goes over the wire to caches and back. They are written
-// anew by `go test ./internal/upstream -run Golden -update`, which only a change of the wire calls for.
-var update = flag.Bool("update", false, "write the golden files of testdata")
-
-// compareGolden compares bytes with a file of testdata.
-func compareGolden(t *testing.T, name string, got []byte) {
-	t.Helper()
-	path := "testdata/" + name
-	if *update {
-		if err := os.WriteFile(path, got, 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !bytes.Equal(got, want) {
-		t.Errorf("%s: got\n%s\nwant\n%s", name, got, want)
-	}
-}
+// The files in testdata hold what goes over the wire to caches and back, see package golden.
 
 // goldenAttempts are one of each form of a command: each field, each word of opts and each bound.
 func goldenAttempts() []*dispatch.Attempt {
 	const now = 1.7e12
 	part := &routing.Class{Name: "video-part"}
 	write := &routing.Class{Name: "submit", Write: true, Idempotency: routing.NonIdempotent}
-	attempt := func(txn string, class *routing.Class, get routing.SendAttempt) *dispatch.Attempt {
-		return &dispatch.Attempt{Request: &dispatch.Request{TransactionID: txn, Object: 0x7f3a9c21e0b4d655, Chunk: 3, Group: 17}, Class: class, Decision: get, ExpiresAt: now + 1480.6}
+	attempt := func(id string, class *routing.Class, decision routing.SendAttempt) *dispatch.Attempt {
+		return &dispatch.Attempt{
+			Request:   &dispatch.Request{TransactionID: id, Object: 0x7f3a9c21e0b4d655, Chunk: 3, Group: 17},
+			Class:     class,
+			Decision:  decision,
+			ExpiresAt: now + 1480.6,
+		}
 	}
 	plain := attempt("9b1f03aa5c7e2d41", part, routing.SendAttempt{Server: 0xc41f7a, FillSource: 0xc41f7a})
 	filled := attempt("9b1f03aa5c7e2d42", part, routing.SendAttempt{Server: 0xc41f7a, FillSource: 8, CopyRank: 3, JoinFill: true})
@@ -62,19 +46,19 @@
 
 func TestGoldenCommands(t *testing.T) {
 	var out []byte
-	for i, a := range goldenAttempts() {
-		age := []float64{0, 0.4, 7999.9}[i%3]
-		out = appendServeCommand(out, a, age, 1.7e12, "")
+	for i, attempt := range goldenAttempts() {
+		maxAge := []float64{0, 0.4, 7999.9}[i%3]
+		out = appendServeCommand(out, attempt, maxAge, 1.7e12, "")
 	}
-	m := newHarness(t)
-	m.upstream.PropagateTraces = true
-	m.upstream.retainedTraces <- trace.ID{1}
-	m.upstream.retainedTraces <- trace.ID{2}
+	actor := newHarness(t)
+	actor.upstream.PropagateTraces = true
+	actor.upstream.retainedTraces <- trace.ID{1}
+	actor.upstream.retainedTraces <- trace.ID{2}
 	traced := goldenAttempts()[1]
 	traced.Trace = &dispatch.AttemptTrace{Context: trace.Parent{Trace: trace.ID{5}, Span: 6, Sampled: true}}
-	out = appendServeCommand(out, traced, 20, 1.7e12, m.upstream.traceFields(traced))
+	out = appendServeCommand(out, traced, 20, 1.7e12, actor.upstream.traceFields(traced))
 	out = appendCancelCommand(out, "9b1f03aa5c7e2d41")
-	compareGolden(t, "commands.resp", out)
+	golden.Compare(t, "commands.resp", out)
 	if got := commands(t, out); len(got) != 8 || got[4][3] != "$4\r\nbody\x00\xff" || got[7][0] != "cancel" {
 		t.Errorf("read back as %q", got)
 	}
@@ -109,11 +93,7 @@
 
 // TestGoldenReplies reads each form of an answer, whole and a byte at a time.
 func TestGoldenReplies(t *testing.T) {
-	compareGolden(t, "replies.resp", goldenReplies())
-	stored, err := os.ReadFile("testdata/replies.resp")
-	if err != nil {
-		t.Fatal(err)
-	}
+	stored := golden.Compare(t, "replies.resp", goldenReplies())
 	for _, in := range []io.Reader{bytes.NewReader(stored), iotest.OneByteReader(bytes.NewReader(stored))} {
 		k := textconn.New(byteSource{reader: in})
 		var out strings.Builder
@@ -132,7 +112,7 @@
 			fmt.Fprintf(&out, "%s result=%d kind=%d server=%d tag=%q body=%q note=%d waited=%g load=%g,%g,%g,%g\n", r.id, int(e.Result), int(e.Response.Kind),
 				uint32(e.Response.Server), e.Response.ETag, e.Response.Body, int(e.Note), e.FillWait, e.Load.Inflight, e.Load.CPUUtilization, e.Load.HitRatio, e.Load.LinkUtilization)
 		}
-		compareGolden(t, "replies.golden", []byte(out.String()))
+		golden.Compare(t, "replies.golden", []byte(out.String()))
 	}
 }
 
@@ -147,46 +127,5 @@
 		l, err := ReadLoadReport(textconn.New(near), "p", 100, 5000)
 		fmt.Fprintf(&out, "%s %s %s: load=%g,%g,%g,%g %v\n", r[0], r[1], r[2], l.Inflight, l.CPUUtilization, l.HitRatio, l.LinkUtilization, err)
 	}
-	compareGolden(t, "gauges.golden", []byte(out.String()))
-}
-
-func BenchmarkAppendServe(b *testing.B) {
-	attempts := goldenAttempts()
-	var out []byte
-	b.ReportAllocs()
-	for i := 0; b.Loop(); i++ {
-		out = appendServeCommand(out[:0], attempts[i%len(attempts)], 20, 1.7e12, "")
-	}
-}
-
-// repeated brings the same bytes for ever.
-type repeated struct {
-	text []byte
-	at   int
-}
-
-func (r *repeated) Read(p []byte) (int, error) {
-	n := copy(p, r.text[r.at:])
-	r.at = (r.at + n) % len(r.text)
-	return n, nil
-}
-
-func BenchmarkReply(b *testing.B) {
-	for name, size := range map[string]int{"small": 100, "large": 100_000} {
-		b.Run(name, func(b *testing.B) {
-			text := frame("9b1f03aa5c7e2d41", "DONE", "tag=4be0c1927d55a6f3,minted=1764576000123,n=cached,lag=1.5,l=inflight:7;util:0.61", strings.Repeat("x", size))
-			k := textconn.New(byteSource{reader: &repeated{text: []byte(text)}})
-			a := &dispatch.Attempt{Request: &dispatch.Request{}, Decision: routing.SendAttempt{Server: 7}}
-			b.ReportAllocs()
-			for b.Loop() {
-				r, err := readReply(k, nil)
-				if err == nil {
-					_, err = r.completion(a)
-				}
-				if err != nil {
-					b.Fatal(err)
-				}
-			}
-		})
-	}
+	golden.Compare(t, "gauges.golden", []byte(out.String()))
 }
--- a/internal/upstream/harness_test.go
+++ b/internal/upstream/harness_test.go
@@ -19,57 +19,66 @@
 	"garnetline/routing"
 )
 
-// fakeConn is a connection that keeps what is written and never brings anything:
-// answers are handed to the actor directly.
+// fakeConn is a connection that records what is written and never brings anything: replies
+// are handed to the actor directly.
 type fakeConn struct {
 	net.Conn
 	written    bytes.Buffer
-	failWrites bool // the next write breaks
+	failWrites bool
 	closed     chan struct{}
-	// replies counts the answers handed over for an id.
-	replies map[string]int
+	replies    map[string]int // handed to the actor, by id
 }
 
-func (w *fakeConn) Read([]byte) (int, error) {
-	<-w.closed
+func newFakeConn() *fakeConn {
+	return &fakeConn{closed: make(chan struct{}), replies: map[string]int{}}
+}
+
+func (c *fakeConn) Read([]byte) (int, error) {
+	<-c.closed
 	return 0, io.EOF
 }
 
-func (w *fakeConn) Write(p []byte) (int, error) {
-	if w.failWrites {
+func (c *fakeConn) Write(p []byte) (int, error) {
+	if c.failWrites {
 		return 0, errors.New("reset")
 	}
-	return w.written.Write(p)
+	return c.written.Write(p)
 }
 
-func (w *fakeConn) SetWriteDeadline(time.Time) error { return nil }
-func (w *fakeConn) SetReadDeadline(time.Time) error  { return nil }
-func (w *fakeConn) Close() error {
-	select {
-	case <-w.closed:
-	default:
-		close(w.closed)
+func (c *fakeConn) SetWriteDeadline(time.Time) error { return nil }
+func (c *fakeConn) SetReadDeadline(time.Time) error  { return nil }
+
+func (c *fakeConn) Close() error {
+	if !c.isClosed() {
+		close(c.closed)
 	}
 	return nil
 }
 
-func (w *fakeConn) isClosed() bool {
+func (c *fakeConn) isClosed() bool {
 	select {
-	case <-w.closed:
+	case <-c.closed:
 		return true
 	default:
 		return false
 	}
 }
 
-// harness drives one peer's actor by hand and checks what it writes and reports.
+const (
+	harnessMaxStreams     = 3
+	harnessMaxConnections = 5
+	harnessTimeout        = 2000 // ms that an attempt has
+)
+
+// harness drives one Upstream's actor by hand, without its goroutine, and records what it
+// writes and completes.
 type harness struct {
 	t           *testing.T
 	upstream    *Upstream
 	clock       *clock.Manual
 	guard       *routing.Guard
 	conns       []*fakeConn
-	dials       chan *fakeConn // what a dial ends with; nil: refused
+	dials       chan *fakeConn // the result of a dial; nil: refused
 	refuseDials bool
 	attempts    []*dispatch.Attempt
 	completions map[*dispatch.Attempt][]routing.Result
@@ -77,83 +86,140 @@
 }
 
 func newHarness(t *testing.T) *harness {
-	m := &harness{t: t, dials: make(chan *fakeConn), clock: clock.NewManual(1.7e12), completions: map[*dispatch.Attempt][]routing.Result{}, canceled: map[*dispatch.Attempt]bool{},
-		guard: &routing.Guard{Ready: map[routing.ServerID]bool{1: true, 8: true}, PurgeRetention: 6 * time.Second}}
-	m.upstream = newUpstream(Options{Clock: m.clock, Settings: func() platformconfig.Upstream {
-		return platformconfig.Upstream{IdleTimeout: 15000, ConnectTimeout: 400, MaxStreams: 3}
-	},
-		Guard: func() *routing.Guard { return m.guard }, Metrics: metrics.New(), MaxConnections: func() int64 { return 5 }, openConnections: new(atomic.Int64),
-		Complete: func(e dispatch.Completion) { m.completions[e.Attempt] = append(m.completions[e.Attempt], e.Result) },
-		Dial: func(context.Context, netip.AddrPort) (net.Conn, error) {
-			if w := <-m.dials; w != nil {
-				return w, nil
-			}
-			return nil, errors.New("refused")
-		}}, 1, netip.MustParseAddrPort("127.0.0.1:1"))
+	t.Helper()
+	actor := &harness{
+		t:           t,
+		clock:       clock.NewManual(1.7e12),
+		guard:       &routing.Guard{Ready: map[routing.ServerID]bool{1: true, 8: true}, PurgeRetention: 6 * time.Second},
+		dials:       make(chan *fakeConn),
+		completions: map[*dispatch.Attempt][]routing.Result{},
+		canceled:    map[*dispatch.Attempt]bool{},
+	}
+	actor.upstream = newUpstream(Options{
+		Clock: actor.clock,
+		Settings: func() platformconfig.Upstream {
+			return platformconfig.Upstream{IdleTimeout: 15000, ConnectTimeout: 400, MaxStreams: harnessMaxStreams}
+		},
+		Guard:           func() *routing.Guard { return actor.guard },
+		Metrics:         metrics.New(),
+		MaxConnections:  func() int64 { return harnessMaxConnections },
+		Complete:        actor.recordCompletion,
+		Dial:            actor.dial,
+		openConnections: new(atomic.Int64),
+	}, 1, netip.MustParseAddrPort("127.0.0.1:1"))
 	t.Cleanup(func() {
-		close(m.upstream.stopped)
-		close(m.dials)
-		m.upstream.closeAllConnections()
+		close(actor.upstream.stopped)
+		close(actor.dials)
+		actor.upstream.closeAllConnections()
 	})
-	return m
+	return actor
+}
+
+func (h *harness) recordCompletion(completion dispatch.Completion) {
+	h.completions[completion.Attempt] = append(h.completions[completion.Attempt], completion.Result)
+}
+
+func (h *harness) dial(context.Context, netip.AddrPort) (net.Conn, error) {
+	if conn := <-h.dials; conn != nil {
+		return conn, nil
+	}
+	return nil, errors.New("refused")
 }
 
-func (m *harness) send(txn string) *dispatch.Attempt {
-	a := &dispatch.Attempt{Request: &dispatch.Request{TransactionID: txn, Object: 7, Group: 3}, Class: &routing.Class{Name: "part"},
-		Decision: routing.SendAttempt{Server: 1, FillSource: 8}, ExpiresAt: m.clock.Now() + 2000}
-	m.attempts = append(m.attempts, a)
-	m.upstream.handleMessage(m.t.Context(), message{send: a})
-	return a
+// attempt is a new one, not yet sent.
+func (h *harness) attempt(id string) *dispatch.Attempt {
+	return &dispatch.Attempt{
+		Request:   &dispatch.Request{TransactionID: id, Object: 7, Group: 3},
+		Class:     &routing.Class{Name: "part"},
+		Decision:  routing.SendAttempt{Server: 1, FillSource: 8},
+		ExpiresAt: h.clock.Now() + harnessTimeout,
+	}
+}
+
+func (h *harness) send(id string) *dispatch.Attempt {
+	h.t.Helper()
+	attempt := h.attempt(id)
+	h.sendAttempt(attempt)
+	return attempt
+}
+
+func (h *harness) sendAttempt(attempt *dispatch.Attempt) {
+	h.t.Helper()
+	h.attempts = append(h.attempts, attempt)
+	h.upstream.handleMessage(h.t.Context(), message{send: attempt})
+}
+
+func (h *harness) cancel(attempt *dispatch.Attempt) {
+	h.t.Helper()
+	if h.canceled[attempt] {
+		return
+	}
+	h.canceled[attempt] = true
+	h.upstream.handleMessage(h.t.Context(), message{cancel: attempt})
 }
 
-// finishDial lets a dial that is under way end.
-func (m *harness) finishDial() {
-	for m.upstream.dialing {
-		var w *fakeConn
-		if !m.refuseDials {
-			w = &fakeConn{closed: make(chan struct{}), replies: map[string]int{}}
-			m.conns = append(m.conns, w)
+// finishDial lets dials that are under way end.
+func (h *harness) finishDial() {
+	h.t.Helper()
+	for h.upstream.dialing {
+		var conn *fakeConn
+		if !h.refuseDials {
+			conn = newFakeConn()
+			h.conns = append(h.conns, conn)
 		}
-		m.dials <- w
+		h.dials <- conn
 		for up := false; !up; { // ends of readers may come before it
-			e := <-m.upstream.connectionEvents
-			up = e.connection == nil
-			m.upstream.handleConnectionEvent(m.t.Context(), e)
+			event := <-h.upstream.connectionEvents
+			up = event.connection == nil
+			h.upstream.handleConnectionEvent(h.t.Context(), event)
 		}
 	}
 }
 
-func (m *harness) cancel(a *dispatch.Attempt) {
-	if !m.canceled[a] {
-		m.canceled[a] = true
-		m.upstream.handleMessage(m.t.Context(), message{cancel: a})
-	}
+// reply hands the actor a reply on a connection.
+func (h *harness) reply(conn *connection, id, status string) {
+	h.t.Helper()
+	h.upstream.handleConnectionEvent(h.t.Context(), connectionEvent{connection: conn, reply: reply{id: id, status: status, fields: noFields}})
+}
+
+// endConnection hands the actor the end of a connection.
+func (h *harness) endConnection(conn *connection, err error) {
+	h.t.Helper()
+	h.upstream.handleConnectionEvent(h.t.Context(), connectionEvent{connection: conn, err: err})
 }
 
-// commands splits what was written. An answered id may be used again.
-func commands(t *testing.T, b []byte) (out [][]string) {
-	for len(b) > 0 {
+// wrote reports whether a command with an id was written to a connection.
+func (c *fakeConn) wrote(id string) bool {
+	return bytes.Contains(c.written.Bytes(), appendBulk(nil, id))
+}
+
+// commands splits what was written into commands, and those into their strings.
+func commands(t *testing.T, written []byte) (out [][]string) {
+	t.Helper()
+	for len(written) > 0 {
 		var n int
-		if _, err := fmt.Sscanf(string(b), "*%d\r\n", &n); err != nil {
-			t.Fatalf("%q: %v", b, err)
+		if _, err := fmt.Sscanf(string(written), "*%d\r\n", &n); err != nil {
+			t.Fatalf("%q: %v", written, err)
 		}
-		b = b[bytes.IndexByte(b, '\n')+1:]
-		var cmd []string
+		written = afterLine(written)
+		var command []string
 		for range n {
-			var l int
-			if _, err := fmt.Sscanf(string(b), "$%d\r\n", &l); err != nil {
-				t.Fatalf("%q: %v", b, err)
+			var length int
+			if _, err := fmt.Sscanf(string(written), "$%d\r\n", &length); err != nil {
+				t.Fatalf("%q: %v", written, err)
 			}
-			b = b[bytes.IndexByte(b, '\n')+1:]
-			cmd = append(cmd, string(b[:l]))
-			b = b[l+2:]
+			written = afterLine(written)
+			command = append(command, string(written[:length]))
+			written = written[length+len("\r\n"):]
 		}
-		out = append(out, cmd)
+		out = append(out, command)
 	}
 	return out
 }
 
-// byteSource is a connection that brings fixed bytes.
+func afterLine(text []byte) []byte { return text[bytes.IndexByte(text, '\n')+1:] }
+
+// byteSource is a connection that brings the bytes of a reader.
 type byteSource struct {
 	net.Conn
 	reader io.Reader
@@ -161,13 +227,14 @@
 
 func (s byteSource) Read(p []byte) (int, error) { return s.reader.Read(p) }
 
-// disconnectClient says that the client of an attempt's request has gone, as its front does.
-func disconnectClient(t *testing.T, a *dispatch.Attempt) {
+// disconnectClient tells a dispatcher that the client of an attempt's request has
+// disconnected, as its frontend does.
+func disconnectClient(t *testing.T, attempt *dispatch.Attempt) {
 	t.Helper()
-	c, err := dispatch.New(clock.NewManual(0), routing.Settings{Zones: 1, Kinds: 1, ParentKind: -1, OriginKind: -1, MaxAttempts: 1,
-		Classes: []routing.Class{{Deadline: 1}}}, 1, metrics.New())
+	settings := routing.Settings{Zones: 1, Kinds: 1, ParentKind: -1, OriginKind: -1, MaxAttempts: 1, Classes: []routing.Class{{Deadline: 1}}}
+	dispatcher, err := dispatch.New(clock.NewManual(0), settings, 1, metrics.New())
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.Disconnect(a.Request)
+	dispatcher.Disconnect(attempt.Request)
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -14,181 +14,189 @@
 	"garnetline/routing"
 )
 
-// FuzzUpstream checks the states of a peer's connections: each attempt ends once,
-// none goes to a closed connection, nothing given up is left without a word,
-// and no id is on a connection twice.
+// FuzzUpstream checks the states of a server's connections: each attempt completes once, none
+// is written to a closed connection, nothing canceled is left without a completion, and no id
+// is in flight on a connection twice.
 func FuzzUpstream(f *testing.F) {
 	seeds.Add(f, 32, 300)
 	f.Fuzz(func(t *testing.T, steps []byte) {
-		m := newHarness(t)
+		actor := newHarness(t)
 		for i := 0; i+1 < len(steps) && i < 2000; i += 2 {
-			m.runStep(steps[i]%9, int(steps[i+1]))
-			m.check()
-		}
-		m.refuseDials = false
-		m.finishDial()
-		for _, a := range m.attempts {
-			m.cancel(a)
-		}
-		m.check()
-		for i, a := range m.attempts {
-			if len(m.completions[a]) != 1 {
-				t.Errorf("attempt %d ended as %v", i, m.completions[a])
+			actor.runStep(steps[i]%9, int(steps[i+1]))
+			actor.check()
+		}
+		actor.refuseDials = false
+		actor.finishDial()
+		for _, attempt := range actor.attempts {
+			actor.cancel(attempt)
+		}
+		actor.check()
+		for i, attempt := range actor.attempts {
+			if got := actor.completions[attempt]; len(got) != 1 {
+				t.Errorf("attempt %d completed as %v", i, got)
 			}
 		}
 	})
 }
 
-func (m *harness) runStep(op byte, x int) {
-	ctx := m.t.Context()
-	switch op {
+// runStep does one random step; choice picks among its variants.
+func (h *harness) runStep(operation byte, choice int) {
+	h.t.Helper()
+	switch operation {
 	case 0, 1, 2:
-		if len(m.upstream.queued) < 64 {
-			m.send(fmt.Sprintf("%016x", x%8))
+		if len(h.upstream.queued) < 64 {
+			h.send(fmt.Sprintf("%016x", choice%8))
 		}
 	case 3:
-		m.refuseDials = x%3 == 0
-		m.finishDial()
+		h.refuseDials = choice%3 == 0
+		h.finishDial()
 	case 4:
-		if len(m.attempts) > 0 {
-			m.cancel(m.attempts[x%len(m.attempts)])
+		if len(h.attempts) > 0 {
+			h.cancel(h.attempts[choice%len(h.attempts)])
 		}
 	case 5, 6:
-		if len(m.upstream.connections) > 0 {
-			l, id := m.upstream.connections[x%len(m.upstream.connections)], fmt.Sprintf("%016x", x/6%8)
-			if w := l.text.NetConn.(*fakeConn); l.inFlight[id] != nil || l.canceledIDs[id] {
-				w.replies[id]++
-			}
-			word := []string{"DONE", "LACK", "WAIT", "BROKE", "KEEP", "??"}[x%6]
-			m.upstream.handleConnectionEvent(ctx, connectionEvent{connection: l, reply: reply{id: id, status: word, fields: "-"}})
+		if conn := h.anyConnection(choice); conn != nil {
+			h.replyAtRandom(conn, choice)
 		}
 	case 7:
-		if len(m.upstream.connections) > 0 {
-			l := m.upstream.connections[x%len(m.upstream.connections)]
-			if x%2 == 0 {
-				m.upstream.handleConnectionEvent(ctx, connectionEvent{connection: l, err: io.EOF})
-			} else {
-				l.text.NetConn.(*fakeConn).failWrites = true
-			}
+		if conn := h.anyConnection(choice); conn != nil {
+			h.breakAtRandom(conn, choice)
 		}
 	case 8:
-		m.clock.Advance(float64(x * 100))
-		m.upstream.closeIdle()
+		h.clock.Advance(float64(choice * 100))
+		h.upstream.closeIdle()
+	}
+}
+
+// anyConnection is an open connection, or nil if there is none.
+func (h *harness) anyConnection(choice int) *connection {
+	if len(h.upstream.connections) == 0 {
+		return nil
+	}
+	return h.upstream.connections[choice%len(h.upstream.connections)]
+}
+
+func (h *harness) replyAtRandom(conn *connection, choice int) {
+	h.t.Helper()
+	id := fmt.Sprintf("%016x", choice/6%8)
+	if conn.inFlight[id] != nil || conn.canceledIDs[id] {
+		conn.text.NetConn.(*fakeConn).replies[id]++
 	}
+	status := []string{"DONE", "LACK", "WAIT", "BROKE", "KEEP", "??"}[choice%6]
+	h.reply(conn, id, status)
 }
 
-// check reads what was written: commands must be whole and fit the ends.
-func (m *harness) check() {
-	for _, w := range m.conns {
+func (h *harness) breakAtRandom(conn *connection, choice int) {
+	h.t.Helper()
+	if choice%2 == 0 {
+		h.endConnection(conn, io.EOF)
+	} else {
+		conn.text.NetConn.(*fakeConn).failWrites = true
+	}
+}
+
+// check compares what was written, what is open and what is completed.
+func (h *harness) check() {
+	h.t.Helper()
+	h.checkCommands()
+	h.checkConnections()
+	for attempt, results := range h.completions {
+		if len(results) > 1 {
+			h.t.Fatalf("%s completed as %v", attempt.Request.TransactionID, results)
+		}
+	}
+}
+
+// checkCommands checks that commands are complete, and that an id is only used again on a
+// connection when its reply has come.
+func (h *harness) checkCommands() {
+	h.t.Helper()
+	for _, conn := range h.conns {
 		served := map[string]int{}
-		for _, cmd := range commands(m.t, w.written.Bytes()) {
-			if cmd[0] == "serve" {
-				served[cmd[1]]++
+		for _, command := range commands(h.t, conn.written.Bytes()) {
+			id := command[1]
+			if command[0] == "serve" {
+				served[id]++
 			}
-			if served[cmd[1]] > 1+w.replies[cmd[1]] {
-				m.t.Fatalf("%s was written again where a late answer may be taken for its own", cmd[1])
+			if served[id] > 1+conn.replies[id] {
+				h.t.Fatalf("%s was written again where a late reply may be taken for its own", id)
 			}
 		}
 	}
-	live := map[*fakeConn]bool{}
-	for _, l := range m.upstream.connections {
-		w := l.text.NetConn.(*fakeConn)
-		live[w] = true
-		if len(l.inFlight) > 3 {
-			m.t.Fatalf("%d requests on a connection for 3", len(l.inFlight))
+}
+
+// checkConnections checks what is in flight on each connection, and that each is counted and
+// closed as it should be.
+func (h *harness) checkConnections() {
+	h.t.Helper()
+	open := map[*fakeConn]bool{}
+	for _, conn := range h.upstream.connections {
+		open[conn.text.NetConn.(*fakeConn)] = true
+		if len(conn.inFlight) > harnessMaxStreams {
+			h.t.Fatalf("%d requests on a connection for %d", len(conn.inFlight), harnessMaxStreams)
 		}
-		for txn, s := range l.inFlight {
-			if len(m.completions[s.attempt]) > 0 {
-				m.t.Fatalf("%s is open but over", txn)
+		for id, sent := range conn.inFlight {
+			if len(h.completions[sent.attempt]) > 0 {
+				h.t.Fatalf("%s is in flight but completed", id)
 			}
 		}
 	}
-	want := int64(len(m.upstream.connections))
-	if m.upstream.dialing {
+	want := int64(len(h.upstream.connections))
+	if h.upstream.dialing {
 		want++
 	}
-	if got := m.upstream.openConnections.Load(); got != want || got > m.upstream.MaxConnections() {
-		m.t.Fatalf("%d connections are counted, want %d and at most %d", got, want, m.upstream.MaxConnections())
-	}
-	for i, w := range m.conns {
-		if !live[w] && !w.isClosed() {
-			m.t.Fatalf("connection %d was dropped without being closed", i)
-		}
+	if got := h.upstream.openConnections.Load(); got != want || got > harnessMaxConnections {
+		h.t.Fatalf("%d connections are counted, want %d and at most %d", got, want, harnessMaxConnections)
 	}
-	for a, e := range m.completions {
-		if len(e) > 1 {
-			m.t.Fatalf("%s ended as %v", a.Request.TransactionID, e)
+	for i, conn := range h.conns {
+		if !open[conn] && !conn.isClosed() {
+			h.t.Fatalf("connection %d was dropped without being closed", i)
 		}
 	}
 }
 
-// An attempt that was queued while its cache was listed as draining, or its
-// source was, must not go out late.
+// An attempt that was queued when its cache, or its fill source, was listed as draining must
+// not be written late.
 func TestQueuedAttemptChecksEndpointList(t *testing.T) {
-	for _, barred := range []routing.ServerID{1, 8} {
-		m := newHarness(t)
-		a := m.send("a")
-		m.guard = &routing.Guard{Ready: map[routing.ServerID]bool{9 - barred: true}}
-		m.finishDial()
-		if got := m.completions[a]; len(got) != 1 || got[0] != routing.NotSent || m.conns[0].written.Len() > 0 {
-			t.Errorf("%d drains: ended as %v after %q", barred, got, m.conns[0].written.String())
+	for _, excluded := range []routing.ServerID{1, 8} {
+		actor := newHarness(t)
+		attempt := actor.send("a")
+		actor.guard = &routing.Guard{Ready: map[routing.ServerID]bool{9 - excluded: true}}
+		actor.finishDial()
+		written := actor.conns[0].written.String()
+		if got := actor.completions[attempt]; len(got) != 1 || got[0] != routing.NotSent || written != "" {
+			t.Errorf("%d drains: completed as %v after %q", excluded, got, written)
 		}
 	}
 }
 
-// A purge told while an attempt is queued bounds the age of the copy.
+// A purge that is received while an attempt is queued bounds the age of the copy.
 func TestQueuedAttemptChecksPurges(t *testing.T) {
-	m := newHarness(t)
-	m.send("a")
-	m.clock.Advance(40)
-	g := *m.guard
-	g.Purges = []routing.PurgeRecord{{Group: 3, At: clock.Duration(m.clock.Now() - 25.5)}}
-	m.guard = &g
-	m.finishDial()
-	if got := m.conns[0].written.String(); !strings.Contains(got, ",fresh=25\r\n") {
+	actor := newHarness(t)
+	actor.send("a")
+	actor.clock.Advance(40)
+	guard := *actor.guard
+	guard.Purges = []routing.PurgeRecord{{Group: 3, At: clock.Duration(actor.clock.Now() - 25.5)}}
+	actor.guard = &guard
+	actor.finishDial()
+	if got := actor.conns[0].written.String(); !strings.Contains(got, ",fresh=25\r\n") {
 		t.Errorf("wrote %q, want fresh=25", got)
 	}
 }
 
-// Where peers take no part in traces a command is the same to the byte, traced or not,
-// whatever verdicts there are; where they do it has the attempt's context, and each
-// verdict once, so many at a time.
+// Where servers take no part in traces a command is the same to the byte, traced or not,
+// whatever traces are retained; where they do it has the attempt's context, and each retained
+// trace once, so many at a time.
 func TestTraceFieldsOnlyWhenPropagated(t *testing.T) {
-	wrote := func(traced, takes bool) []string {
-		m := newHarness(t)
-		m.upstream.PropagateTraces = takes
-		pool := &Pool{Options: m.upstream.Options, upstreams: map[routing.ServerID]*Upstream{1: m.upstream}}
-		for i := range retainedTracesPerCommand + 1 {
-			pool.TraceRetained(1, trace.ID{byte(i + 1)})
-		}
-		pool.TraceRetained(2, trace.ID{9}) // nobody
-		for _, txn := range []string{"a", "b", "c"} {
-			a := &dispatch.Attempt{Request: &dispatch.Request{TransactionID: txn, Object: 7, Group: 3, IdempotencyKey: "k"}, Class: &routing.Class{Name: "part"},
-				Decision: routing.SendAttempt{Server: 1, FillSource: 8, CopyRank: 2, JoinFill: true}, ExpiresAt: m.clock.Now() + 2000}
-			if traced {
-				a.Trace = &dispatch.AttemptTrace{Context: trace.Parent{Trace: trace.ID{5}, Span: 6, Sampled: true}}
-			}
-			m.attempts = append(m.attempts, a)
-			m.upstream.handleMessage(t.Context(), message{send: a})
-			m.finishDial()
-		}
-		var out []string
-		for _, w := range m.conns {
-			for _, c := range commands(t, w.written.Bytes()) {
-				out = append(out, c[2])
-			}
-		}
-		return out
-	}
 	plain := "sort=part,asset=0000000000000007,slice=0,patience=2000,op=k,via=s-00000008,tier=2,opts=join"
-	for _, got := range [][]string{wrote(false, false), wrote(true, false)} {
-		for _, fields := range got {
+	for _, traced := range []bool{false, true} {
+		for _, fields := range tracedFields(t, traced, false) {
 			if fields != plain {
 				t.Errorf("%q, want %q", fields, plain)
 			}
 		}
 	}
-	got := wrote(true, true)
+	got := tracedFields(t, true, true)
 	context := plain + ",trace=00-05000000000000000000000000000000-0000000000000006-01"
 	slices.SortFunc(got, func(a, b string) int { return len(b) - len(a) })
 	if len(got) != 3 || !strings.HasPrefix(got[0], context+",kept=0100") || strings.Count(got[0], "+") != retainedTracesPerCommand-1 ||
@@ -197,23 +205,66 @@
 	}
 }
 
-// Guards against an attempt that is written though it may not be any more: it waited in the
-// mailbox, or for a connection, when its client left or the window of its key ended.
+// tracedFields are the fields of three commands that are written, traced or not, while there
+// are more retained traces than one command takes.
+func tracedFields(t *testing.T, traced, propagate bool) []string {
+	t.Helper()
+	actor := newHarness(t)
+	actor.upstream.PropagateTraces = propagate
+	pool := &Pool{Options: actor.upstream.Options, upstreams: map[routing.ServerID]*Upstream{1: actor.upstream}}
+	for i := range retainedTracesPerCommand + 1 {
+		pool.TraceRetained(1, trace.ID{byte(i + 1)})
+	}
+	pool.TraceRetained(2, trace.ID{9}) // not a server of the pool
+	for _, id := range []string{"a", "b", "c"} {
+		attempt := actor.attempt(id)
+		attempt.Request.IdempotencyKey = "k"
+		attempt.Decision.CopyRank = 2
+		attempt.Decision.JoinFill = true
+		if traced {
+			attempt.Trace = &dispatch.AttemptTrace{Context: trace.Parent{Trace: trace.ID{5}, Span: 6, Sampled: true}}
+		}
+		actor.sendAttempt(attempt)
+		actor.finishDial()
+	}
+	var out []string
+	for _, conn := range actor.conns {
+		for _, command := range commands(t, conn.written.Bytes()) {
+			out = append(out, command[2])
+		}
+	}
+	return out
+}
+
+// Guards against an attempt that is written though it must not be any more: it waited in the
+// mailbox, or for a connection, when its client disconnected or the window of its key closed.
 func TestAttemptRejectedBeforeWrite(t *testing.T) {
-	for name, change := range map[string]func(m *harness, a *dispatch.Attempt){
-		"client gone":   func(_ *harness, a *dispatch.Attempt) { disconnectClient(t, a) },
-		"window ended":  func(m *harness, a *dispatch.Attempt) { a.SendDeadline = m.clock.Now() + 30; m.clock.Advance(30) },
-		"its time over": func(m *harness, _ *dispatch.Attempt) { m.clock.Advance(2000) },
+	for _, test := range []struct {
+		want   *rejection
+		change func(actor *harness, attempt *dispatch.Attempt)
+	}{
+		{rejectedExcluded, func(actor *harness, _ *dispatch.Attempt) { actor.guard = &routing.Guard{} }},
+		{rejectedClientDisconnected, func(_ *harness, attempt *dispatch.Attempt) { disconnectClient(t, attempt) }},
+		{rejectedSendWindowClosed, func(actor *harness, attempt *dispatch.Attempt) {
+			attempt.SendDeadline = actor.clock.Now() + 30
+			actor.clock.Advance(30)
+		}},
+		{rejectedExpired, func(actor *harness, _ *dispatch.Attempt) { actor.clock.Advance(harnessTimeout) }},
 	} {
-		m := newHarness(t)
-		a := m.send("a") // it waits for a dial
-		change(m, a)
-		m.finishDial()
-		b := m.send("b") // in the mailbox, with a connection there
-		change(m, b)
-		m.upstream.sendQueued(t.Context())
-		if got := m.completions[a]; len(got) != 1 || got[0] != routing.NotSent && got[0] != routing.TimedOut || strings.Contains(m.conns[0].written.String(), "$1\r\na\r\n") {
-			t.Errorf("%s: ended as %v after %q", name, got, m.conns[0].written.String())
-		}
+		t.Run(test.want.reason, func(t *testing.T) {
+			actor := newHarness(t)
+			first := actor.send("a") // it waits for a dial
+			test.change(actor, first)
+			if got := actor.upstream.rejectBeforeWrite(first); got != test.want {
+				t.Errorf("rejected as %+v", got)
+			}
+			actor.finishDial()
+			second := actor.send("b") // its message is handled when a connection is there
+			test.change(actor, second)
+			actor.upstream.sendQueued(t.Context())
+			if got := actor.completions[first]; len(got) != 1 || got[0] != test.want.result || actor.conns[0].wrote("a") {
+				t.Errorf("completed as %v after %q", got, actor.conns[0].written.String())
+			}
+		})
 	}
 }
