--- a/internal/discovery/golden_test.go
+++ b/internal/discovery/golden_test.go
@@ -8,36 +8,18 @@
 	"io"
 	"net"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 
+	"garnetline/internal/golden"
 	"garnetline/internal/platformconfig"
 	"garnetline/internal/textconn"
 )
 
-// compareGolden compares text with a file in testdata. UPDATE_GOLDEN=1 writes the file anew.
-func compareGolden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if os.Getenv("UPDATE_GOLDEN") != "" {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got != string(want) {
-		t.Errorf("%s: got\n%s\nwant\n%s", path, got, want)
-	}
-}
-
 // formatEvent writes what a frame says, by values and not by the names of fields.
-func formatEvent(w io.Writer, ev platformconfig.WatchEvent, kind byte) {
-	fmt.Fprintf(w, "  kind %d, event %d, list %v, whole %v\n", kind, ev.Seq, ev.ListUpdate, ev.Snapshot)
+func formatEvent(w io.Writer, decoded frame) {
+	ev := decoded.event
+	fmt.Fprintf(w, "  kind %d, event %d, list %v, whole %v\n", decoded.kind, ev.Seq, ev.ListUpdate, ev.Snapshot)
 	for _, h := range ev.Endpoints {
 		fmt.Fprintf(w, "  server %v at %v, zone %d, kind %d, cell %d, phase %d, weight %v, started %v\n",
 			h.ID, h.Addr, h.Zone, h.Kind, h.Cell, h.Phase, h.Weight, h.StartedAt)
@@ -74,14 +56,14 @@
 		encodeFrame(0x2d, 4, append([]byte{0, 17}, encodePurge(1_764_576_000_480, 0)[:8]...)...),
 		encodeFrame(0x2e, 3, encodePurge(0, 1_764_576_000_123)...),
 	} {
-		ev, kind, err := readFrame(textconn.New(connOf(b)), 2, 1)
+		decoded, err := readFrame(textconn.New(connOf(b)), 2, 1)
 		if err != nil {
 			t.Fatal(err)
 		}
 		fmt.Fprintf(&out, "told %s\n", hex.EncodeToString(b))
-		formatEvent(&out, ev, kind)
+		formatEvent(&out, decoded)
 	}
-	compareGolden(t, "frames.golden", out.String())
+	golden.Compare(t, "frames.golden", []byte(out.String()))
 }
 
 func connOf(b []byte) net.Conn { return stubConn{reader: bytes.NewReader(b)} }
--- /dev/null
+++ b/internal/platformconfig/document.go
@@ -0,0 +1,131 @@
+package platformconfig
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"strconv"
+)
+
+const (
+	firstInheritedFD = 3 // after the standard streams
+	minSockets       = 32
+)
+
+// document is the file. The keys are the platform's.
+type document struct {
+	Name               string          `json:"name"`
+	Listen             string          `json:"listen"`
+	Seed               string          `json:"seed"`
+	Limits             Limits          `json:"limits"`
+	AdminListen        string          `json:"mgmt"`
+	Discovery          string          `json:"changelog"`
+	Known              knownEvents     `json:"known"`
+	FlowBytesPerSecond float64         `json:"flow_bytes_per_s"`
+	Settings           json.RawMessage `json:"settings"`
+}
+
+// Parse reads the text of a file. env returns the value of an environment variable. An error
+// names the field, except for a text that is no JSON.
+func Parse(data []byte, env func(string) string) (*Config, error) {
+	doc, err := decodeDocument(data)
+	if err != nil {
+		return nil, err
+	}
+	doc.override(env)
+	config := &Config{
+		Name:     doc.Name,
+		Limits:   doc.Limits,
+		KnownSeq: doc.Known.Seq,
+		StateDir: env(envStateDir),
+	}
+	if config.ListenFD, err = parseListenFD(env(envListenFD)); err != nil {
+		return nil, err
+	}
+	if err := config.parseAddresses(doc); err != nil {
+		return nil, err
+	}
+	if config.Seed, err = strconv.ParseUint(doc.Seed, 16, 64); err != nil {
+		return nil, fieldErrorf("seed", "%q is not up to 16 hex digits", doc.Seed)
+	}
+	if err := doc.Limits.validate(); err != nil {
+		return nil, err
+	}
+	if err := config.parseSettings(doc.Settings); err != nil {
+		return nil, err
+	}
+	if doc.FlowBytesPerSecond < 0 {
+		return nil, fieldErrorf("flow_bytes_per_s", "%v: negative", doc.FlowBytesPerSecond)
+	}
+	config.Settings.BodyBytesPerSecond = doc.FlowBytesPerSecond
+	config.Upstream.BytesPerSecond = doc.FlowBytesPerSecond
+	if err := config.parseKnownEvents(doc.Known); err != nil {
+		return nil, err
+	}
+	return config, nil
+}
+
+func decodeDocument(data []byte) (*document, error) {
+	var doc document
+	err := json.Unmarshal(data, &doc)
+	var wrongType *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &wrongType):
+		return nil, fieldErrorf(wrongType.Field, "is a %s", wrongType.Value)
+	case err != nil:
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	return &doc, nil
+}
+
+// override replaces what the environment names.
+func (d *document) override(env func(string) string) {
+	for name, field := range map[string]*string{
+		envName:        &d.Name,
+		envListen:      &d.Listen,
+		envAdminListen: &d.AdminListen,
+	} {
+		if value := env(name); value != "" {
+			*field = value
+		}
+	}
+}
+
+// parseListenFD reads the number of an inherited descriptor; "" is none.
+func parseListenFD(text string) (int, error) {
+	if text == "" {
+		return 0, nil
+	}
+	fd, err := strconv.Atoi(text)
+	if err != nil || fd < firstInheritedFD {
+		return 0, fieldErrorf(envListenFD, "%q is not a descriptor from %d", text, firstInheritedFD)
+	}
+	return fd, nil
+}
+
+func (c *Config) parseAddresses(doc *document) error {
+	var err error
+	if doc.AdminListen != "" {
+		if c.AdminListen, err = netip.ParseAddrPort(doc.AdminListen); err != nil {
+			return &FieldError{Field: "mgmt", Err: err}
+		}
+	}
+	if c.Listen, err = netip.ParseAddrPort(doc.Listen); err != nil {
+		return &FieldError{Field: "listen", Err: err}
+	}
+	if c.Discovery, err = netip.ParseAddrPort(doc.Discovery); err != nil {
+		return &FieldError{Field: "changelog", Err: err}
+	}
+	return nil
+}
+
+func (l Limits) validate() error {
+	if l.MemoryMB < 0 || l.Sockets < 0 || l.Cores < 0 {
+		return fieldErrorf("limits", "%+v: negative", l)
+	}
+	if l.Sockets > 0 && l.Sockets < minSockets {
+		return fieldErrorf("limits.sockets", "%d, want %d or more", l.Sockets, minSockets)
+	}
+	return nil
+}
