Read the operators' file block by block, with errors typed by position

Validation stood in long switches with bare bounds, and an error was text alone. Each block completes and checks itself, bounds and defaults have names, and an error is a ConfigError with file, line, block and field.

Texts of errors are the same to the byte: the 52 of TestGoldenErrors' cases were written in full before and after and compared. TestConfigError is new; tests of the package and of cmd/garnetline pass, go vet too.

--- a/internal/operatorconfig/config.go
+++ b/internal/operatorconfig/config.go
@@ -1,21 +1,35 @@
-// Package settings reads the operators' file, deploy/garnetline.hcl: a block for
-// each feature that the platform does not have. Without a file all of them are off.
+// Package operatorconfig reads the operators' file, deploy/garnetline.hcl: one block for each
+// feature that the platform's configuration does not know. Without a file all of them are
+// off. A Config is read whole and then not changed; a reload replaces it.
 package operatorconfig
 
 import (
 	"errors"
 	"fmt"
+	"os"
+	"reflect"
+
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/gohcl"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
-	"os"
-	"reflect"
 
 	"garnetline/internal/frontend/dnsfront"
 	"garnetline/internal/logs"
 )
 
-// Config is the whole of the operators' file.
+// Names of the blocks.
+const (
+	blockLog    = "log"
+	blockDNS    = "dns"
+	blockTrace  = "trace"
+	blockFleet  = "fleet"
+	blockLeases = "duties" // as it was called first
+)
+
+// errRestartOnly is the cause of a CheckReload that fails for any change of a block.
+var errRestartOnly = errors.New("only a restart can change it")
+
+// Config is the operators' file.
 type Config struct {
 	Log    Log
 	DNS    dnsfront.Config
@@ -24,52 +38,77 @@
 	Leases Leases
 }
 
-// Log says what is logged.
+// Log configures the program's log.
 type Log struct {
 	Level string `hcl:"level,optional"` // one of logs.Levels
 }
 
-// Default is what holds without a file.
+// Default returns what holds without a file.
 func Default() Config {
-	return Config{Log: Log{Level: "info"}, DNS: dnsfront.DefaultConfig(),
-		Fleet: defaultFleet(), Leases: defaultLeases(), Trace: Trace{SegmentMB: 8, KeepMB: 256, UndecidedKB: 4096, OrdinaryPerSecond: 2, RetryWindow: 5000, HonorSampled: true}}
+	return Config{
+		Log:    Log{Level: "info"},
+		DNS:    dnsfront.DefaultConfig(),
+		Trace:  defaultTrace(),
+		Fleet:  defaultFleet(),
+		Leases: defaultLeases(),
+	}
 }
 
-// Load reads an operators' file; "" stands for none. An error is one line that
-// names the file, the line and the field.
+// Load reads a file; path "" stands for none. It returns the defaults beside an error, which
+// is one line. For all but a file that cannot be opened, it is a ConfigError.
 func Load(path string) (Config, error) {
-	f := Default()
+	config := Default()
 	if path == "" {
-		return f, nil
+		return config, nil
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return Default(), err
 	}
-	parsed, diags := hclsyntax.ParseConfig(text, path, hcl.InitialPos)
-	if diags.HasErrors() {
-		return Default(), firstError(diags)
+	file, diagnostics := hclsyntax.ParseConfig(text, path, hcl.InitialPos)
+	if diagnostics.HasErrors() {
+		return Default(), parseError(diagnostics)
 	}
+	if diagnostics = config.decode(file.Body); diagnostics.HasErrors() {
+		return Default(), parseError(diagnostics)
+	}
+	if block, err := config.validate(); err != nil {
+		return Default(), blockError(file, path, block, err)
+	}
+	return config, nil
+}
+
+// decode reads the blocks that are there over the values that config holds.
+func (c *Config) decode(body hcl.Body) hcl.Diagnostics {
 	blocks := struct {
 		Log    *Log             `hcl:"log,block"`
 		DNS    *dnsfront.Config `hcl:"dns,block"`
 		Trace  *Trace           `hcl:"trace,block"`
 		Fleet  *Fleet           `hcl:"fleet,block"`
-		Duties *Leases          `hcl:"duties,block"`
-	}{&f.Log, &f.DNS, &f.Trace, &f.Fleet, &f.Leases}
-	if diags = gohcl.DecodeBody(parsed.Body, nil, &blocks); diags.HasErrors() {
-		return Default(), firstError(diags)
-	}
-	for _, c := range []struct {
-		block string
-		check func() error
-	}{{"log", f.Log.validate}, {"dns", f.DNS.Validate}, {"trace", f.Trace.validate}, {"fleet", f.Fleet.validate},
-		{"duties", func() error { return f.Leases.validate(f.Fleet.Enabled) }}} {
-		if err := c.check(); err != nil {
-			return Default(), fmt.Errorf("%s: %w", position(parsed, path, c.block, err), err)
+		Leases *Leases          `hcl:"duties,block"`
+	}{&c.Log, &c.DNS, &c.Trace, &c.Fleet, &c.Leases}
+	return gohcl.DecodeBody(body, nil, &blocks)
+}
+
+// validate checks each block, after it has completed it with defaults that depend on other
+// values. It returns the first block that cannot be used, and an error that begins with the
+// name of the field.
+func (c *Config) validate() (block string, err error) {
+	for _, check := range []struct {
+		block    string
+		validate func() error
+	}{
+		{blockLog, c.Log.validate},
+		{blockDNS, c.DNS.Validate},
+		{blockTrace, c.Trace.validate},
+		{blockFleet, c.Fleet.validate},
+		{blockLeases, func() error { return c.Leases.validate(c.Fleet.Enabled) }},
+	} {
+		if err := check.validate(); err != nil {
+			return check.block, err
 		}
 	}
-	return f, nil
+	return "", nil
 }
 
 func (l *Log) validate() error {
@@ -79,21 +118,23 @@
 	return nil
 }
 
-// CheckReload tells whether a running program can go over to another file. An error
-// names what only a restart can change.
-func (f *Config) CheckReload(next Config) error {
-	if f.DNS != next.DNS {
-		return errors.New("dns: only a restart can change it")
+// CheckReload returns a ConfigError that names a block in which next differs by what cannot
+// change while the program runs.
+func (c *Config) CheckReload(next Config) error {
+	if c.DNS != next.DNS {
+		return &ConfigError{Block: blockDNS, Err: errRestartOnly}
 	}
-	if f.Trace.Enabled != next.Trace.Enabled || f.Trace.Dir != next.Trace.Dir || f.Trace.Secret != next.Trace.Secret || f.Trace.PropagateToServers != next.Trace.PropagateToServers ||
-		!sameCollector(f.Trace.Collector, next.Trace.Collector) {
-		return errors.New("trace: only a restart can change enabled, folder, secret, peers and collector")
+	if err := c.Trace.checkReload(&next.Trace); err != nil {
+		return &ConfigError{Block: blockTrace, Err: err}
 	}
-	if err := f.Fleet.checkReload(&next.Fleet); err != nil {
-		return fmt.Errorf("fleet: %w", err)
+	if err := c.Fleet.checkReload(&next.Fleet); err != nil {
+		return &ConfigError{Block: blockFleet, Err: err}
 	}
-	if !reflect.DeepEqual(f.Leases, next.Leases) {
-		return errors.New("duties: only a restart can change it")
+	if !reflect.DeepEqual(c.Leases, next.Leases) {
+		return &ConfigError{Block: blockLeases, Err: errRestartOnly}
 	}
 	return nil
 }
+
+// within reports whether a value lies in a range, which includes its ends. NaN does not.
+func within(value, least, most float64) bool { return value >= least && value <= most }
--- a/internal/operatorconfig/config_test.go
+++ b/internal/operatorconfig/config_test.go
@@ -1,6 +1,7 @@
 package operatorconfig
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -109,3 +110,33 @@
 		t.Error(err)
 	}
 }
+
+// File, line, block and field of an error are to be had without its text.
+func TestConfigError(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "x.hcl")
+	for text, want := range map[string]ConfigError{
+		"log {}\ntrace {\n keep_mb = 9\n}":             {File: path, Line: 3, Block: "trace", Field: "keep_mb"},
+		"trace {\n class \"a\" {}\n class \"a\" {}\n}": {File: path, Line: 1, Block: "trace", Field: "class"},
+		"log {}\nzones {}":                             {File: path, Line: 2},
+	} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := Load(path)
+		var got *ConfigError
+		if !errors.As(err, &got) || got.Unwrap() == nil {
+			t.Fatalf("%q: %#v", text, err)
+		}
+		want.Err = got.Err
+		if *got != want {
+			t.Errorf("%q: %+v, want %+v", text, *got, want)
+		}
+	}
+	next := Default()
+	next.DNS.Listen = "127.0.0.1:1"
+	config := Default()
+	var got *ConfigError
+	if err := config.CheckReload(next); !errors.As(err, &got) || got.Block != "dns" {
+		t.Errorf("%#v", err)
+	}
+}
--- a/internal/operatorconfig/error.go
+++ b/internal/operatorconfig/error.go
@@ -2,41 +2,78 @@
 
 import (
 	"fmt"
+	"regexp"
+
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
-	"regexp"
 )
 
-// firstError is the first of what was found, as one line.
-func firstError(diags hcl.Diagnostics) error {
-	for _, d := range diags {
-		if d.Severity == hcl.DiagError {
-			at := ""
-			if d.Subject != nil {
-				at = fmt.Sprintf("%s:%d: ", d.Subject.Filename, d.Subject.Start.Line)
-			}
-			return fmt.Errorf("%s%s: %s", at, d.Summary, lineBreaks.ReplaceAllString(d.Detail, " "))
-		}
+// ConfigError reports the first thing in an operators' file that cannot be used.
+type ConfigError struct {
+	File  string // "" from CheckReload
+	Line  int    // of the field, or else of the block; 0: not known
+	Block string // "" where the file could not be parsed
+	Field string // as far as Err begins with the name of one
+	Err   error
+}
+
+// Error returns file, line, block and cause in one line.
+func (e *ConfigError) Error() string {
+	text := e.Err.Error()
+	if e.Block != "" {
+		text = e.Block + ": " + text
 	}
-	return diags
+	switch {
+	case e.Line > 0:
+		return fmt.Sprintf("%s:%d: %s", e.File, e.Line, text)
+	case e.File != "":
+		return e.File + ": " + text
+	}
+	return text
 }
 
+// Unwrap returns the cause.
+func (e *ConfigError) Unwrap() error { return e.Err }
+
 var (
 	lineBreaks   = regexp.MustCompile(`\s*\n\s*`)
 	leadingField = regexp.MustCompile(`^[a-z_]+`)
 )
 
-// position is where a field that cannot be used stands: file, line and block.
-func position(f *hcl.File, path, block string, err error) string {
-	for _, b := range f.Body.(*hclsyntax.Body).Blocks {
-		if b.Type != block {
+// parseError returns the first error among diagnostics.
+func parseError(diagnostics hcl.Diagnostics) error {
+	for _, diagnostic := range diagnostics {
+		if diagnostic.Severity != hcl.DiagError {
+			continue
+		}
+		detail := lineBreaks.ReplaceAllString(diagnostic.Detail, " ")
+		result := &ConfigError{Err: fmt.Errorf("%s: %s", diagnostic.Summary, detail)}
+		if subject := diagnostic.Subject; subject != nil {
+			result.File = subject.Filename
+			result.Line = subject.Start.Line
+		}
+		return result
+	}
+	return diagnostics
+}
+
+// blockError returns an error of a block with its position. err begins with the name of the
+// field.
+func blockError(file *hcl.File, path, block string, err error) error {
+	result := &ConfigError{File: path, Block: block, Field: leadingField.FindString(err.Error()), Err: err}
+	body, ok := file.Body.(*hclsyntax.Body)
+	if !ok {
+		return result
+	}
+	for _, candidate := range body.Blocks {
+		if candidate.Type != block {
 			continue
 		}
-		line := b.TypeRange.Start.Line
-		if a := b.Body.Attributes[leadingField.FindString(err.Error())]; a != nil {
-			line = a.NameRange.Start.Line
+		result.Line = candidate.TypeRange.Start.Line
+		if attribute := candidate.Body.Attributes[result.Field]; attribute != nil {
+			result.Line = attribute.NameRange.Start.Line
 		}
-		return fmt.Sprintf("%s:%d: %s", path, line, block)
+		break
 	}
-	return path + ": " + block
+	return result
 }
--- a/internal/operatorconfig/fleet.go
+++ b/internal/operatorconfig/fleet.go
@@ -11,15 +11,21 @@
 	"garnetline/internal/fleet/transport"
 )
 
-// Fleet says how a router knows the others of its installation. Times are milliseconds.
+const (
+	maxNameLength           = 64 // of a router, a fleet or a zone
+	defaultPacketsPerSecond = 500
+	defaultBytesPerSecond   = 100_000
+)
+
+// Fleet configures how a router knows the others of its installation. Times are milliseconds.
 type Fleet struct {
 	Enabled   bool     `hcl:"enabled,optional"`
-	Name      string   `hcl:"name,optional"`      // of the fleet; routers of another one are not heard
+	Name      string   `hcl:"name,optional"`      // packets of a fleet of another name are dropped
 	Listen    string   `hcl:"listen,optional"`    // UDP; port 0: any
-	Advertise string   `hcl:"advertise,optional"` // where others write to; "": where it listens
+	Advertise string   `hcl:"advertise,optional"` // where the others send to; "": Listen
 	Join      []string `hcl:"join,optional"`      // addresses at which others may be
-	Keys      []string `hcl:"keys,optional"`      // the first seals, each opens
-	Zone      string   `hcl:"zone,optional"`      // "": the configuration's
+	Keys      []string `hcl:"keys,optional"`      // the first one encrypts, each decrypts
+	Zone      string   `hcl:"zone,optional"`      // "": that of the platform's configuration
 
 	ProbeInterval       float64 `hcl:"probe_ms,optional"`
 	ProbeTimeout        float64 `hcl:"timeout_ms,optional"`
@@ -38,10 +44,25 @@
 }
 
 func defaultFleet() Fleet {
-	d := fleet.DefaultSettings()
-	return Fleet{Name: "garnetline", Listen: "127.0.0.1:7946", ProbeInterval: d.Membership.ProbeInterval, ProbeTimeout: d.Membership.ProbeTimeout, MinSuspicionTimeout: d.Membership.MinSuspicionTimeout,
-		SyncInterval: d.Membership.SyncInterval, ReconnectInterval: d.Membership.ReconnectInterval, MaxMembers: d.Membership.MaxMembers, PacketsPerSecond: 500, BytesPerSecond: 100_000,
-		RecentWindow: d.Connectivity.RecentWindow, TogetherShare: d.Connectivity.TogetherShare, SilenceTimeout: d.Connectivity.SilenceTimeout, DowngradeDelay: d.Connectivity.DowngradeDelay, UpgradeDelay: d.Connectivity.UpgradeDelay}
+	defaults := fleet.DefaultSettings()
+	membership, connectivity := defaults.Membership, defaults.Connectivity
+	return Fleet{
+		Name:                "garnetline",
+		Listen:              "127.0.0.1:7946",
+		ProbeInterval:       membership.ProbeInterval,
+		ProbeTimeout:        membership.ProbeTimeout,
+		MinSuspicionTimeout: membership.MinSuspicionTimeout,
+		SyncInterval:        membership.SyncInterval,
+		ReconnectInterval:   membership.ReconnectInterval,
+		MaxMembers:          membership.MaxMembers,
+		PacketsPerSecond:    defaultPacketsPerSecond,
+		BytesPerSecond:      defaultBytesPerSecond,
+		RecentWindow:        connectivity.RecentWindow,
+		TogetherShare:       connectivity.TogetherShare,
+		SilenceTimeout:      connectivity.SilenceTimeout,
+		DowngradeDelay:      connectivity.DowngradeDelay,
+		UpgradeDelay:        connectivity.UpgradeDelay,
+	}
 }
 
 func (f *Fleet) validate() error {
@@ -52,66 +73,108 @@
 	return err
 }
 
-// TransportSettings returns the settings as the link takes them. An error names the field.
-func (f *Fleet) TransportSettings() (s transport.Settings, err error) {
-	between := func(name string, v, least, most float64) {
-		if err == nil && !(v >= least && v <= most) {
-			err = fmt.Errorf("%s: want %v to %v", name, least, most)
-		}
+// TransportSettings returns the settings of the transport, and of membership and connectivity
+// above it. An error begins with the name of the field.
+func (f *Fleet) TransportSettings() (transport.Settings, error) {
+	settings := transport.Settings{
+		FleetName:        f.Name,
+		PacketsPerSecond: f.PacketsPerSecond,
+		BytesPerSecond:   f.BytesPerSecond,
+		Node:             f.nodeSettings(),
 	}
-	between("probe_ms", f.ProbeInterval, 20, 60_000)
-	between("timeout_ms", f.ProbeTimeout, 5, f.ProbeInterval/2)
-	between("suspect_ms", f.MinSuspicionTimeout, f.ProbeInterval, 600_000)
-	between("sync_ms", f.SyncInterval, 100, 3_600_000)
-	between("reach_ms", f.ReconnectInterval, 50, 600_000)
-	between("max_members", float64(f.MaxMembers), 2, 1<<16)
-	between("packets_per_s", f.PacketsPerSecond, 20, 1e6)
-	between("bytes_per_s", f.BytesPerSecond, 2000, 1e9)
-	between("lately_ms", f.RecentWindow, 1000, 86_400_000)
-	between("together_share", f.TogetherShare, 0.5, 1)
-	between("alone_after_silence_ms", f.SilenceTimeout, 4*f.ProbeInterval, 600_000)
-	between("less_room_after_ms", f.DowngradeDelay, 0, 600_000)
-	between("more_room_after_ms", f.UpgradeDelay, f.DowngradeDelay, 600_000)
-	if err != nil {
-		return s, err
+	if err := f.validateRanges(); err != nil {
+		return settings, err
 	}
-	if f.Name == "" || len(f.Name) > 64 || len(f.Zone) > 64 {
-		return s, errors.New("name: want 1 to 64 bytes, and a zone of 64 at the most")
+	if f.Name == "" || len(f.Name) > maxNameLength || len(f.Zone) > maxNameLength {
+		return settings, fmt.Errorf("name: want 1 to %[1]d bytes, and a zone of %[1]d at the most", maxNameLength)
+	}
+	if err := f.parseAddresses(&settings); err != nil {
+		return settings, err
+	}
+	var err error
+	settings.Keyring, err = packetcrypto.NewKeyring(f.Name, f.Keys)
+	return settings, err
+}
+
+// validateRanges checks the numbers.
+func (f *Fleet) validateRanges() error {
+	for _, field := range []struct {
+		name               string
+		value, least, most float64
+	}{
+		{"probe_ms", f.ProbeInterval, 20, 60_000},
+		{"timeout_ms", f.ProbeTimeout, 5, f.ProbeInterval / 2},
+		{"suspect_ms", f.MinSuspicionTimeout, f.ProbeInterval, 600_000},
+		{"sync_ms", f.SyncInterval, 100, 3_600_000},
+		{"reach_ms", f.ReconnectInterval, 50, 600_000},
+		{"max_members", float64(f.MaxMembers), 2, 1 << 16},
+		{"packets_per_s", f.PacketsPerSecond, 20, 1e6},
+		{"bytes_per_s", f.BytesPerSecond, 2000, 1e9},
+		{"lately_ms", f.RecentWindow, 1000, 86_400_000},
+		{"together_share", f.TogetherShare, 0.5, 1},
+		{"alone_after_silence_ms", f.SilenceTimeout, 4 * f.ProbeInterval, 600_000},
+		{"less_room_after_ms", f.DowngradeDelay, 0, 600_000},
+		{"more_room_after_ms", f.UpgradeDelay, f.DowngradeDelay, 600_000},
+	} {
+		if !within(field.value, field.least, field.most) {
+			return fmt.Errorf("%s: want %v to %v", field.name, field.least, field.most)
+		}
 	}
-	if s.ListenAddr, err = netip.ParseAddrPort(f.Listen); err != nil {
-		return s, fmt.Errorf("listen: %w", err)
+	return nil
+}
+
+// parseAddresses reads the addresses into settings.
+func (f *Fleet) parseAddresses(settings *transport.Settings) error {
+	var err error
+	if settings.ListenAddr, err = netip.ParseAddrPort(f.Listen); err != nil {
+		return fmt.Errorf("listen: %w", err)
 	}
-	if s.AdvertiseAddr = s.ListenAddr; f.Advertise != "" {
-		if s.AdvertiseAddr, err = netip.ParseAddrPort(f.Advertise); err != nil {
-			return s, fmt.Errorf("advertise: %w", err)
+	settings.AdvertiseAddr = settings.ListenAddr
+	if f.Advertise != "" {
+		if settings.AdvertiseAddr, err = netip.ParseAddrPort(f.Advertise); err != nil {
+			return fmt.Errorf("advertise: %w", err)
 		}
 	}
-	if s.AdvertiseAddr.Addr().IsUnspecified() {
-		return s, errors.New("advertise: wanted where listen names no address of its own")
+	if settings.AdvertiseAddr.Addr().IsUnspecified() {
+		return errors.New("advertise: wanted where listen names no address of its own")
 	}
-	for i, j := range f.Join {
-		a, err := netip.ParseAddrPort(j)
+	for i, text := range f.Join {
+		seed, err := netip.ParseAddrPort(text)
 		if err != nil {
-			return s, fmt.Errorf("join: the one in place %d: %w", i+1, err)
+			return fmt.Errorf("join: the one in place %d: %w", i+1, err)
 		}
-		s.Seeds = append(s.Seeds, a)
+		settings.Seeds = append(settings.Seeds, seed)
 	}
-	if s.Keyring, err = packetcrypto.NewKeyring(f.Name, f.Keys); err != nil {
-		return s, err
-	}
-	s.FleetName, s.PacketsPerSecond, s.BytesPerSecond, s.Node = f.Name, f.PacketsPerSecond, f.BytesPerSecond, fleet.DefaultSettings()
-	m, st := &s.Node.Membership, &s.Node.Connectivity
-	m.ProbeInterval, m.ProbeTimeout, m.MinSuspicionTimeout, m.SyncInterval, m.ReconnectInterval, m.MaxMembers = f.ProbeInterval, f.ProbeTimeout, f.MinSuspicionTimeout, f.SyncInterval, f.ReconnectInterval, f.MaxMembers
-	st.RecentWindow, st.TogetherShare, st.SilenceTimeout, st.DowngradeDelay, st.UpgradeDelay = f.RecentWindow, f.TogetherShare, f.SilenceTimeout, f.DowngradeDelay, f.UpgradeDelay
-	st.MaxUpgradeDelay = max(st.MaxUpgradeDelay, st.UpgradeDelay)
-	return s, nil
+	return nil
+}
+
+// nodeSettings returns the settings of membership and connectivity.
+func (f *Fleet) nodeSettings() fleet.Settings {
+	settings := fleet.DefaultSettings()
+	membership := &settings.Membership
+	membership.ProbeInterval = f.ProbeInterval
+	membership.ProbeTimeout = f.ProbeTimeout
+	membership.MinSuspicionTimeout = f.MinSuspicionTimeout
+	membership.SyncInterval = f.SyncInterval
+	membership.ReconnectInterval = f.ReconnectInterval
+	membership.MaxMembers = f.MaxMembers
+	connectivity := &settings.Connectivity
+	connectivity.RecentWindow = f.RecentWindow
+	connectivity.TogetherShare = f.TogetherShare
+	connectivity.SilenceTimeout = f.SilenceTimeout
+	connectivity.DowngradeDelay = f.DowngradeDelay
+	connectivity.UpgradeDelay = f.UpgradeDelay
+	connectivity.MaxUpgradeDelay = max(connectivity.MaxUpgradeDelay, f.UpgradeDelay)
+	return settings
 }
 
-// checkReload tells whether a running router can go over to next: keys and join can change.
+// checkReload returns an error if next differs by more than keys and addresses to join at,
+// which alone can change while the program runs.
 func (f *Fleet) checkReload(next *Fleet) error {
-	a, b := *f, *next
-	a.Keys, b.Keys, a.Join, b.Join = nil, nil, nil, nil
-	if !reflect.DeepEqual(a, b) {
+	current, replacement := *f, *next
+	current.Keys, replacement.Keys = nil, nil
+	current.Join, replacement.Join = nil, nil
+	if !reflect.DeepEqual(current, replacement) {
 		return errors.New("only a restart can change it, but for keys and join")
 	}
 	return nil
--- a/internal/operatorconfig/golden_test.go
+++ b/internal/operatorconfig/golden_test.go
@@ -10,28 +10,28 @@
 )
 
 // formatKeys writes each key that a block is read from with its value, by the tags.
-func formatKeys(out *strings.Builder, at string, v reflect.Value) {
-	switch v.Kind() {
+func formatKeys(out *strings.Builder, at string, value reflect.Value) {
+	switch value.Kind() {
 	case reflect.Pointer:
-		if v.IsNil() {
+		if value.IsNil() {
 			fmt.Fprintf(out, "%s none\n", at)
 			return
 		}
-		formatKeys(out, at, v.Elem())
+		formatKeys(out, at, value.Elem())
 	case reflect.Struct:
-		for i := range v.NumField() {
-			formatKeys(out, at+"."+v.Type().Field(i).Tag.Get("hcl"), v.Field(i))
+		for i := range value.NumField() {
+			formatKeys(out, at+"."+value.Type().Field(i).Tag.Get("hcl"), value.Field(i))
 		}
 	case reflect.Slice:
-		if v.Type().Elem().Kind() != reflect.Struct {
-			fmt.Fprintf(out, "%s %q\n", at, v.Interface())
+		if value.Type().Elem().Kind() != reflect.Struct {
+			fmt.Fprintf(out, "%s %q\n", at, value.Interface())
 			return
 		}
-		for i := range v.Len() {
-			formatKeys(out, fmt.Sprintf("%s[%d]", at, i), v.Index(i))
+		for i := range value.Len() {
+			formatKeys(out, fmt.Sprintf("%s[%d]", at, i), value.Index(i))
 		}
 	default:
-		fmt.Fprintf(out, "%s %v\n", at, v.Interface())
+		fmt.Fprintf(out, "%s %v\n", at, value.Interface())
 	}
 }
 
--- a/internal/operatorconfig/leases.go
+++ b/internal/operatorconfig/leases.go
@@ -7,14 +7,37 @@
 	"garnetline/internal/fleet/bans"
 	"garnetline/internal/fleet/consensus"
 	"garnetline/internal/fleet/lease"
-	firsttry "garnetline/internal/fleet/recoveryprobe"
+	"garnetline/internal/fleet/recoveryprobe"
 )
 
-// Leases says what one router does for all of them. Times are milliseconds.
+// Bounds and defaults of leases and of the features that rest on them. Times are
+// milliseconds.
+const (
+	defaultElectionTimeout = 600.0
+	minElectionTimeout     = 200.0
+	maxElectionTimeout     = 60_000.0
+	minElectionTicks       = 4
+	maxReturnRate          = 10_000.0 // routers a second
+	minBanPollInterval     = 50.0
+	maxBanPollInterval     = 60_000.0
+	defaultBanReadyTimeout = 5000.0
+	minBanReadyTimeout     = 100.0
+	maxBanReadyTimeout     = 600_000.0
+	defaultReportInterval  = 250.0
+	minReportInterval      = 20.0
+	maxReportInterval      = 60_000.0
+	defaultReportMultiple  = 4 // of the shortest interval between load reports, for the longest
+	maxSlowReportInterval  = 600_000.0
+	minVoters              = 3
+	maxVoters              = 5 // and no number between
+)
+
+// Leases configures what one router does on behalf of all, as the voters of the lease
+// registry agree. Times are milliseconds.
 type Leases struct {
 	Enabled         bool     `hcl:"enabled,optional"`
-	Voters          []string `hcl:"electors,optional"` // names of the three or five routers that keep the register
-	WALDir          string   `hcl:"folder,optional"`   // of an elector's log
+	Voters          []string `hcl:"electors,optional"` // names of the three or five routers that keep the registry
+	WALDir          string   `hcl:"folder,optional"`   // of a voter's write-ahead log
 	Duration        float64  `hcl:"lease_ms,optional"`
 	SafetyMargin    float64  `hcl:"margin_ms,optional"`
 	MaxClockDrift   float64  `hcl:"drift,optional"`
@@ -26,83 +49,129 @@
 	Bans          *Bans          `hcl:"bans,block"`
 }
 
-// RecoveryProbe is the duty of trying first what was set aside.
+// LoadReport has one router ask the servers of its zone for their load.
+type LoadReport struct {
+	MinInterval float64 `hcl:"every_ms,optional"` // of one server, while its load changes
+	MaxInterval float64 `hcl:"most_ms,optional"`  // while it does not
+}
+
+// RecoveryProbe has one router of a zone probe ejected servers first.
 type RecoveryProbe struct {
-	ReturnRate float64 `hcl:"routers_per_s,optional"` // that come in once a box is found well
+	ReturnRate float64 `hcl:"routers_per_s,optional"` // that send again once the probe succeeded
 }
 
-// Bans has the register keep staff's bans.
+// Bans has the lease registry keep which servers operators disabled.
 type Bans struct {
-	PollInterval float64 `hcl:"every_ms,optional"`      // between readings of the register
-	ReadyTimeout float64 `hcl:"ready_wait_ms,optional"` // a router that starts waits so long to have read it
+	PollInterval float64 `hcl:"every_ms,optional"`      // between reads of the registry
+	ReadyTimeout float64 `hcl:"ready_wait_ms,optional"` // for the first read of a router that starts
 }
 
-// LoadReport is the duty of asking the boxes of a location for their load.
-type LoadReport struct {
-	MinInterval float64 `hcl:"every_ms,optional"`
-	MaxInterval float64 `hcl:"most_ms,optional"`
+func defaultLeases() Leases {
+	defaults := lease.DefaultSettings()
+	return Leases{
+		Duration:        defaults.TTL,
+		SafetyMargin:    defaults.SafetyMargin,
+		MaxClockDrift:   defaults.MaxClockDrift,
+		RetryInterval:   defaults.RetryInterval,
+		ElectionTimeout: defaultElectionTimeout,
+	}
 }
 
-func defaultLeases() Leases {
-	d := lease.DefaultSettings()
-	return Leases{Duration: d.TTL, SafetyMargin: d.SafetyMargin, MaxClockDrift: d.MaxClockDrift, RetryInterval: d.RetryInterval, ElectionTimeout: 600}
+// ConsensusSettings returns the settings of the voters and of the lease holders.
+func (l *Leases) ConsensusSettings() consensus.Settings {
+	settings := consensus.DefaultSettings()
+	settings.ElectionTicks = max(minElectionTicks, int(l.ElectionTimeout/settings.TickInterval))
+	settings.Lease.TTL = l.Duration
+	settings.Lease.SafetyMargin = l.SafetyMargin
+	settings.Lease.MaxClockDrift = l.MaxClockDrift
+	settings.Lease.RetryInterval = l.RetryInterval
+	return settings
 }
 
-func (d *Leases) validate(fleet bool) error {
-	if f := d.RecoveryProbe; f != nil {
-		if f.ReturnRate == 0 {
-			f.ReturnRate = firsttry.DefaultSettings().ReturnRate
-		}
-		if !(f.ReturnRate >= 1 && f.ReturnRate <= 10_000) {
-			return errors.New("first_try: routers_per_s: want 1 to 10000")
+// validate checks the block and completes the blocks in it. They are checked even if leases
+// are not enabled.
+func (l *Leases) validate(fleetEnabled bool) error {
+	if l.RecoveryProbe != nil {
+		if err := l.RecoveryProbe.complete(); err != nil {
+			return err
 		}
 	}
-	if b := d.Bans; b != nil {
-		if b.PollInterval == 0 {
-			b.PollInterval = bans.DefaultSettings().PollInterval
-		}
-		if b.ReadyTimeout == 0 {
-			b.ReadyTimeout = 5000
-		}
-		if !(b.PollInterval >= 50 && b.PollInterval <= 60_000 && b.ReadyTimeout >= 100 && b.ReadyTimeout <= 600_000) {
-			return errors.New("bans: every_ms or ready_wait_ms out of range")
+	if l.Bans != nil {
+		if err := l.Bans.complete(); err != nil {
+			return err
 		}
 	}
-	if p := d.LoadReport; p != nil {
-		if p.MinInterval == 0 {
-			p.MinInterval = 250
-		}
-		if p.MaxInterval == 0 {
-			p.MaxInterval = 4 * p.MinInterval
-		}
-		if !(p.MinInterval >= 20 && p.MinInterval <= 60_000 && p.MaxInterval >= p.MinInterval && p.MaxInterval <= 600_000) {
-			return errors.New("prober: every_ms or most_ms out of range")
+	if l.LoadReport != nil {
+		if err := l.LoadReport.complete(); err != nil {
+			return err
 		}
 	}
 	switch {
-	case !d.Enabled:
+	case !l.Enabled:
 		return nil
-	case !fleet:
+	case !fleetEnabled:
 		return errors.New("enabled: wants a fleet that is enabled too")
-	case len(d.Voters) != 3 && len(d.Voters) != 5:
-		return fmt.Errorf("electors: want 3 or 5 names, not %d", len(d.Voters))
-	case !(d.ElectionTimeout >= 200 && d.ElectionTimeout <= 60_000):
-		return errors.New("election_ms: want 200 to 60000")
+	case len(l.Voters) != minVoters && len(l.Voters) != maxVoters:
+		return fmt.Errorf("electors: want %d or %d names, not %d", minVoters, maxVoters, len(l.Voters))
+	case !within(l.ElectionTimeout, minElectionTimeout, maxElectionTimeout):
+		return fmt.Errorf("election_ms: want %.0f to %.0f", minElectionTimeout, maxElectionTimeout)
+	}
+	if err := l.validateVoters(); err != nil {
+		return err
 	}
+	return l.ConsensusSettings().Lease.Validate()
+}
+
+func (l *Leases) validateVoters() error {
 	seen := map[string]bool{}
-	for _, n := range d.Voters {
-		if n == "" || len(n) > 64 || seen[n] {
-			return fmt.Errorf("electors: %q is no name, or named twice", n)
+	for _, name := range l.Voters {
+		if name == "" || len(name) > maxNameLength || seen[name] {
+			return fmt.Errorf("electors: %q is no name, or named twice", name)
 		}
-		seen[n] = true
+		seen[name] = true
+	}
+	return nil
+}
+
+// complete fills in defaults and checks the result.
+func (p *RecoveryProbe) complete() error {
+	if p.ReturnRate == 0 {
+		p.ReturnRate = recoveryprobe.DefaultSettings().ReturnRate
+	}
+	if !within(p.ReturnRate, 1, maxReturnRate) {
+		return fmt.Errorf("first_try: routers_per_s: want 1 to %.0f", maxReturnRate)
+	}
+	return nil
+}
+
+// complete fills in defaults and checks the result.
+func (b *Bans) complete() error {
+	if b.PollInterval == 0 {
+		b.PollInterval = bans.DefaultSettings().PollInterval
+	}
+	if b.ReadyTimeout == 0 {
+		b.ReadyTimeout = defaultBanReadyTimeout
+	}
+	pollOK := within(b.PollInterval, minBanPollInterval, maxBanPollInterval)
+	readyOK := within(b.ReadyTimeout, minBanReadyTimeout, maxBanReadyTimeout)
+	if !pollOK || !readyOK {
+		return errors.New("bans: every_ms or ready_wait_ms out of range")
 	}
-	return d.ConsensusSettings().Lease.Validate()
+	return nil
 }
 
-// ConsensusSettings returns the settings as the electors and holders take them.
-func (d *Leases) ConsensusSettings() consensus.Settings {
-	s := consensus.DefaultSettings()
-	s.ElectionTicks = max(4, int(d.ElectionTimeout/s.TickInterval))
-	s.Lease.TTL, s.Lease.SafetyMargin, s.Lease.MaxClockDrift, s.Lease.RetryInterval = d.Duration, d.SafetyMargin, d.MaxClockDrift, d.RetryInterval
-	return s
+// complete fills in defaults and checks the result.
+func (r *LoadReport) complete() error {
+	if r.MinInterval == 0 {
+		r.MinInterval = defaultReportInterval
+	}
+	if r.MaxInterval == 0 {
+		r.MaxInterval = defaultReportMultiple * r.MinInterval
+	}
+	minOK := within(r.MinInterval, minReportInterval, maxReportInterval)
+	maxOK := within(r.MaxInterval, r.MinInterval, maxSlowReportInterval)
+	if !minOK || !maxOK {
+		return errors.New("prober: every_ms or most_ms out of range")
+	}
+	return nil
 }
--- a/internal/operatorconfig/trace.go
+++ b/internal/operatorconfig/trace.go
@@ -6,78 +6,133 @@
 	"net/url"
 )
 
-// Trace says what is traced, and kept of it.
+// Bounds and defaults of traces.
+const (
+	maxSegmentMB         = 1024
+	maxKeepMB            = 1 << 20
+	minUndecidedKB       = 64
+	maxUndecidedKB       = 1 << 20
+	maxOrdinaryPerSecond = 1e5
+	maxRetryWindow       = 60_000.0  // ms
+	maxSlowThreshold     = 600_000.0 // ms
+	defaultQueueLimit    = 1024
+	maxQueueLimit        = 1 << 20
+	defaultExportTimeout = 2000.0 // ms
+	minExportTimeout     = 10.0
+	maxExportTimeout     = 60_000.0
+)
+
+// Trace configures traces of requests. Times are milliseconds.
 type Trace struct {
 	Enabled            bool         `hcl:"enabled,optional"`
 	Dir                string       `hcl:"folder,optional"`         // of the segments
-	Secret             string       `hcl:"secret,optional"`         // mixed into whatever names a client or a key; the same at all routers
+	Secret             string       `hcl:"secret,optional"`         // mixed into what names a client or a key; the same at all routers
 	SegmentMB          int          `hcl:"segment_mb,optional"`     // size at which a segment is closed
-	KeepMB             int          `hcl:"keep_mb,optional"`        // of all segments; the oldest go first
-	UndecidedKB        int          `hcl:"undecided_kb,optional"`   // memory for traces that are not decided
-	OrdinaryPerSecond  float64      `hcl:"ordinary_per_s,optional"` // ordinary traces kept a second, a class
+	KeepMB             int          `hcl:"keep_mb,optional"`        // of all segments; the oldest are deleted first
+	UndecidedKB        int          `hcl:"undecided_kb,optional"`   // memory for traces without a sampling decision
+	OrdinaryPerSecond  float64      `hcl:"ordinary_per_s,optional"` // ordinary traces retained, of each class
 	RetryWindow        float64      `hcl:"retry_within_ms,optional"`
-	HonorSampled       bool         `hcl:"honour_sampled,optional"` // what a client samples, as its traceparent says, is kept
-	PropagateToServers bool         `hcl:"peers,optional"`          // boxes and hubs take the fields trace and kept
+	HonorSampled       bool         `hcl:"honour_sampled,optional"` // retain what a client's traceparent samples
+	PropagateToServers bool         `hcl:"peers,optional"`          // servers take the fields trace and kept
 	Classes            []TraceClass `hcl:"class,block"`
 	Collector          *Collector   `hcl:"collector,block"`
 }
 
-// TraceClass is what differs for one class.
+// TraceClass overrides values for one class.
 type TraceClass struct {
 	Name              string   `hcl:"name,label"`
 	OrdinaryPerSecond *float64 `hcl:"ordinary_per_s,optional"` // nil: that of all classes
-	SlowThreshold     float64  `hcl:"wanted_ms,optional"`      // slower ones are kept; 0: the class's own aim
+	SlowThreshold     float64  `hcl:"wanted_ms,optional"`      // slower requests are retained; 0: the class's latency objective
 }
 
-// Collector is where kept traces are sent by OTLP over HTTP.
+// Collector configures the export of retained traces by OTLP over HTTP.
 type Collector struct {
 	URL        string  `hcl:"url"`
 	QueueLimit int     `hcl:"queue,optional"`      // traces that wait; more are dropped and counted
 	Timeout    float64 `hcl:"timeout_ms,optional"` // of one call
 }
 
+func defaultTrace() Trace {
+	return Trace{
+		SegmentMB:         8,
+		KeepMB:            256,
+		UndecidedKB:       4096,
+		OrdinaryPerSecond: 2,
+		RetryWindow:       5000,
+		HonorSampled:      true,
+	}
+}
+
 func (t *Trace) validate() error {
 	switch {
 	case t.Enabled && t.Dir == "":
 		return errors.New("enabled: want a folder to keep traces in")
-	case t.SegmentMB < 1 || t.SegmentMB > 1024:
-		return errors.New("segment_mb: want 1 to 1024")
-	case t.KeepMB < 2*t.SegmentMB || t.KeepMB > 1<<20:
-		return errors.New("keep_mb: want two segments or more, and 1048576 at the most")
-	case t.UndecidedKB < 64 || t.UndecidedKB > 1<<20:
-		return errors.New("undecided_kb: want 64 to 1048576")
-	case !(t.OrdinaryPerSecond >= 0 && t.OrdinaryPerSecond <= 1e5):
-		return errors.New("ordinary_per_s: want 0 to 100000")
-	case !(t.RetryWindow >= 0 && t.RetryWindow <= 60_000):
-		return errors.New("retry_within_ms: want 0 to 60000")
+	case t.SegmentMB < 1 || t.SegmentMB > maxSegmentMB:
+		return fmt.Errorf("segment_mb: want 1 to %d", maxSegmentMB)
+	case t.KeepMB < 2*t.SegmentMB || t.KeepMB > maxKeepMB:
+		return fmt.Errorf("keep_mb: want two segments or more, and %d at the most", maxKeepMB)
+	case t.UndecidedKB < minUndecidedKB || t.UndecidedKB > maxUndecidedKB:
+		return fmt.Errorf("undecided_kb: want %d to %d", minUndecidedKB, maxUndecidedKB)
+	case !within(t.OrdinaryPerSecond, 0, maxOrdinaryPerSecond):
+		return fmt.Errorf("ordinary_per_s: want 0 to %.0f", maxOrdinaryPerSecond)
+	case !within(t.RetryWindow, 0, maxRetryWindow):
+		return fmt.Errorf("retry_within_ms: want 0 to %.0f", maxRetryWindow)
+	}
+	if err := t.validateClasses(); err != nil {
+		return err
+	}
+	if t.Collector != nil {
+		return t.Collector.complete()
 	}
+	return nil
+}
+
+func (t *Trace) validateClasses() error {
 	seen := map[string]bool{}
-	for i, c := range t.Classes {
-		if seen[c.Name] {
-			return fmt.Errorf("class %q: named twice", c.Name)
+	for _, class := range t.Classes {
+		if seen[class.Name] {
+			return fmt.Errorf("class %q: named twice", class.Name)
 		}
-		seen[c.Name] = true
-		if c.OrdinaryPerSecond != nil && !(*c.OrdinaryPerSecond >= 0 && *c.OrdinaryPerSecond <= 1e5) || !(c.SlowThreshold >= 0 && c.SlowThreshold <= 600_000) {
-			return fmt.Errorf("class %q: ordinary_per_s or wanted_ms out of range", t.Classes[i].Name)
+		seen[class.Name] = true
+		rateOK := class.OrdinaryPerSecond == nil || within(*class.OrdinaryPerSecond, 0, maxOrdinaryPerSecond)
+		if !rateOK || !within(class.SlowThreshold, 0, maxSlowThreshold) {
+			return fmt.Errorf("class %q: ordinary_per_s or wanted_ms out of range", class.Name)
 		}
 	}
-	if c := t.Collector; c != nil {
-		u, err := url.Parse(c.URL)
-		if err != nil || u.Scheme != "http" || u.Host == "" {
-			return fmt.Errorf("collector: url: %q is not an http URL", c.URL)
-		}
-		if c.QueueLimit == 0 {
-			c.QueueLimit = 1024
-		}
-		if c.Timeout == 0 {
-			c.Timeout = 2000
-		}
-		if c.QueueLimit < 1 || c.QueueLimit > 1<<20 || !(c.Timeout >= 10 && c.Timeout <= 60_000) {
-			return errors.New("collector: queue or timeout_ms out of range")
-		}
+	return nil
+}
+
+// complete fills in defaults and checks the result.
+func (c *Collector) complete() error {
+	address, err := url.Parse(c.URL)
+	if err != nil || address.Scheme != "http" || address.Host == "" {
+		return fmt.Errorf("collector: url: %q is not an http URL", c.URL)
+	}
+	if c.QueueLimit == 0 {
+		c.QueueLimit = defaultQueueLimit
+	}
+	if c.Timeout == 0 {
+		c.Timeout = defaultExportTimeout
+	}
+	if c.QueueLimit < 1 || c.QueueLimit > maxQueueLimit || !within(c.Timeout, minExportTimeout, maxExportTimeout) {
+		return errors.New("collector: queue or timeout_ms out of range")
 	}
 	return nil
 }
 
-// sameCollector tells whether two collectors are alike, or both absent.
-func sameCollector(a, b *Collector) bool { return a == b || a != nil && b != nil && *a == *b }
+// checkReload returns an error if next differs by what only a restart can change.
+func (t *Trace) checkReload(next *Trace) error {
+	if t.Enabled != next.Enabled || t.Dir != next.Dir || t.Secret != next.Secret ||
+		t.PropagateToServers != next.PropagateToServers || !sameCollector(t.Collector, next.Collector) {
+		return errors.New("only a restart can change enabled, folder, secret, peers and collector")
+	}
+	return nil
+}
+
+// sameCollector reports whether two collectors are equal, or both nil.
+func sameCollector(a, b *Collector) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return *a == *b
+}
