Write the admin API as a function a call, metrics in a file of their own

Handle mixed the choice of a call with its method and answer. Paths, statuses, texts and files are as they were: the golden files and the tests of both packages pass, go vet too.

--- a/internal/admin/disabled/store_test.go
+++ b/internal/admin/disabled/store_test.go
@@ -13,19 +13,19 @@
 // and not a folder without marks, which would bring every cache back.
 func TestStore(t *testing.T) {
 	state := t.TempDir()
-	d := NewStore(state)
+	store := NewStore(state)
 	want := map[routing.ServerID]bool{}
 	for _, step := range []struct {
 		id routing.ServerID
 		on bool
 	}{{7, true}, {8, true}, {7, true}, {7, false}, {7, false}, {0xffffffff, true}} {
-		if err := d.Set(step.id, step.on); err != nil {
+		if err := store.Set(step.id, step.on); err != nil {
 			t.Fatal(err)
 		}
 		if want[step.id] = true; !step.on {
 			delete(want, step.id)
 		}
-		if err := os.WriteFile(filepath.Join(string(d), "other"), nil, 0o600); err != nil {
+		if err := os.WriteFile(filepath.Join(string(store), "other"), nil, 0o600); err != nil {
 			t.Fatal(err)
 		}
 		if got, err := NewStore(state).List(); err != nil || !maps.Equal(got, want) {
--- a/internal/admin/golden_test.go
+++ b/internal/admin/golden_test.go
@@ -28,7 +28,7 @@
 // testdata/pages.golden anew.
 func TestGoldenCalls(t *testing.T) {
 	ready := true
-	d := &Handler{Ready: func() bool { return ready },
+	handler := &Handler{Ready: func() bool { return ready },
 		Metrics: func() Metrics {
 			return Metrics{Classes: []ClassMetrics{{Name: "part", Served: 1, Rejected: 2, Failed: 3}, {Name: "a \"b\"", Served: 4}}, Relayed: 5,
 				OpenRequests: 6, ListedServers: 7, UnavailableServers: 8, ReloadsAccepted: 9, ReloadsRejected: 10}
@@ -43,13 +43,13 @@
 			return nil
 		}}
 	var out strings.Builder
-	for _, d.Fleet = range []Fleet{nil, fakeFleet{}} {
+	for _, handler.Fleet = range []Fleet{nil, fakeFleet{}} {
 		for _, ready = range []bool{true, false} {
-			fmt.Fprintf(&out, "== fleet %v, ready %v\n", d.Fleet != nil, ready)
+			fmt.Fprintf(&out, "== fleet %v, ready %v\n", handler.Fleet != nil, ready)
 			for _, path := range []string{"/ready", "/metrics", "/caches/disable/s-00000001", "/caches/enable/s-00000001",
 				"/caches/disable/s-00000008", "/caches/disable/s-00000009", "/caches/disable/8", "/caches/disable", "/fleet", "/fleet/other", "/"} {
 				for _, method := range []string{"GET", "POST"} {
-					status, body := d.Handle(t.Context(), method, path)
+					status, body := handler.Handle(t.Context(), method, path)
 					fmt.Fprintf(&out, "%s %s: %d\n%s", method, path, status, body)
 				}
 			}
@@ -59,15 +59,15 @@
 }
 
 // jsonKeys writes the keys of a type as encoding/json names them, with their kinds.
-func jsonKeys(out *strings.Builder, at string, v reflect.Type) {
-	switch v.Kind() {
+func jsonKeys(out *strings.Builder, at string, value reflect.Type) {
+	switch value.Kind() {
 	case reflect.Pointer:
-		jsonKeys(out, at, v.Elem())
+		jsonKeys(out, at, value.Elem())
 	case reflect.Slice:
-		jsonKeys(out, at+"[]", v.Elem())
+		jsonKeys(out, at+"[]", value.Elem())
 	case reflect.Struct:
-		for i := range v.NumField() {
-			f := v.Field(i)
+		for i := range value.NumField() {
+			f := value.Field(i)
 			name, more, _ := strings.Cut(f.Tag.Get("json"), ",")
 			if name == "" {
 				name = f.Name
@@ -78,7 +78,7 @@
 			jsonKeys(out, at+"."+name+more, f.Type)
 		}
 	default:
-		fmt.Fprintf(out, "%s %s\n", at, v.Kind())
+		fmt.Fprintf(out, "%s %s\n", at, value.Kind())
 	}
 }
 
--- a/internal/admin/handler.go
+++ b/internal/admin/handler.go
@@ -1,11 +1,12 @@
-// Package door answers the calls of staff: whether the router is ready, its figures,
-// and which caches it leaves out. It speaks no wire; a front carries it.
+// Package admin answers the calls of the admin API: whether the router is ready, its metrics,
+// and which servers operators disable. It opens no socket; a front carries the calls. A
+// Handler owns no state and may be called from any goroutine.
 package admin
 
 import (
 	"context"
 	"errors"
-	"fmt"
+	"net/http"
 	"strings"
 	"time"
 
@@ -13,114 +14,108 @@
 	"garnetline/routing"
 )
 
-// callTimeout is how long a call may wait for the list's actor: a caller waits 1 s.
+// callTimeout bounds how long a call waits for the watcher of the endpoint list; callers wait
+// for one second.
 const callTimeout = 800 * time.Millisecond
 
-// Handler is what the pages are made of.
+// Paths of the API. The id of a server follows the last two.
+const (
+	pathFleet   = "/fleet" // and all below it
+	pathReady   = "/ready"
+	pathMetrics = "/metrics"
+	pathDisable = "/caches/disable/"
+	pathEnable  = "/caches/enable/"
+)
+
+// Handler answers calls from what the rest of the router tells it.
 type Handler struct {
-	Ready       func() bool
-	Metrics     func() Metrics // as of now
-	SetDisabled func(ctx context.Context, id routing.ServerID, out bool) error
-	Fleet       Fleet // nil: the router knows no others, and has no such calls
+	// Ready reports whether requests can be served.
+	Ready func() bool
+	// Metrics returns the current values.
+	Metrics func() Metrics
+	// SetDisabled disables or enables a server. It returns discovery.ErrUnknownServer for
+	// one that there is not.
+	SetDisabled func(ctx context.Context, server routing.ServerID, disabled bool) error
+	// Fleet answers the calls below /fleet. It is nil where the router knows no others.
+	Fleet Fleet
 }
 
-// Fleet is what the router knows of the others: the calls below /fleet, and figures for
-// /metrics.
+// Fleet is what the admin API needs of the part that knows the other routers.
 type Fleet interface {
+	// Handle answers a call below /fleet; ok is false if there is no such call.
 	Handle(ctx context.Context, method, path string) (status int, body []byte, ok bool)
+	// AppendMetrics appends further metrics in the text format of Prometheus.
 	AppendMetrics(metrics []byte) []byte
 }
 
-// Metrics are the numbers that staff see.
-type Metrics struct {
-	Classes            []ClassMetrics
-	Relayed            int64 // attempts written whole to caches
-	OpenRequests       int64 // requests taken and not ended
-	ListedServers      int64 // servers on the list
-	UnavailableServers int64 // of those, how many get nothing new
-	ReloadsAccepted    int64 // configurations gone over to
-	ReloadsRejected    int64 // and refused
-}
-
-// ClassMetrics counts the requests of one class by how they ended.
-type ClassMetrics struct {
-	Name                     string
-	Served, Rejected, Failed int64
-}
-
 // Handle answers one call.
-func (d *Handler) Handle(ctx context.Context, method, path string) (status int, body []byte) {
-	if d.Fleet != nil && strings.HasPrefix(path, "/fleet") {
-		ctx, stop := context.WithTimeout(ctx, callTimeout)
-		defer stop()
-		if status, body, ok := d.Fleet.Handle(ctx, method, path); ok {
+func (h *Handler) Handle(ctx context.Context, method, path string) (status int, body []byte) {
+	if h.Fleet != nil && strings.HasPrefix(path, pathFleet) {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		if status, body, ok := h.Fleet.Handle(ctx, method, path); ok {
 			return status, body
 		}
 	}
-	want := "GET"
-	id, disable := strings.CutPrefix(path, "/caches/disable/")
-	enable := false
-	if !disable {
-		id, enable = strings.CutPrefix(path, "/caches/enable/")
+	if server, ok := strings.CutPrefix(path, pathDisable); ok {
+		return h.setDisabled(ctx, method, server, true)
 	}
-	switch {
-	case disable || enable:
-		want = "POST"
-	case path != "/ready" && path != "/metrics":
-		return 404, []byte("no such call\n")
+	if server, ok := strings.CutPrefix(path, pathEnable); ok {
+		return h.setDisabled(ctx, method, server, false)
+	}
+	switch path {
+	case pathReady:
+		return h.ready(method)
+	case pathMetrics:
+		return h.metrics(method)
 	}
+	return http.StatusNotFound, []byte("no such call\n")
+}
+
+// ready answers whether the router is ready.
+func (h *Handler) ready(method string) (int, []byte) {
 	switch {
-	case method != want:
-		return 405, []byte(want + " only\n")
-	case want == "POST":
-		return d.setDisabled(ctx, id, disable)
-	case path == "/metrics" && d.Fleet != nil:
-		return 200, d.Fleet.AppendMetrics(d.Metrics().AppendPrometheus(nil))
-	case path == "/metrics":
-		return 200, d.Metrics().AppendPrometheus(nil)
-	case !d.Ready():
-		return 503, []byte("not ready\n")
+	case method != http.MethodGet:
+		return wrongMethod(http.MethodGet)
+	case !h.Ready():
+		return http.StatusServiceUnavailable, []byte("not ready\n")
 	}
-	return 200, []byte("ready\n")
+	return http.StatusOK, []byte("ready\n")
 }
 
-// setDisabled takes a cache out of use, or back.
-func (d *Handler) setDisabled(ctx context.Context, text string, out bool) (int, []byte) {
-	id, err := routing.ParseServerID(text)
+// metrics answers with the metrics of the router and of its fleet.
+func (h *Handler) metrics(method string) (int, []byte) {
+	if method != http.MethodGet {
+		return wrongMethod(http.MethodGet)
+	}
+	body := h.Metrics().AppendPrometheus(nil)
+	if h.Fleet != nil {
+		body = h.Fleet.AppendMetrics(body)
+	}
+	return http.StatusOK, body
+}
+
+// setDisabled disables or enables the server that a path names.
+func (h *Handler) setDisabled(ctx context.Context, method, server string, disabled bool) (int, []byte) {
+	if method != http.MethodPost {
+		return wrongMethod(http.MethodPost)
+	}
+	id, err := routing.ParseServerID(server)
 	if err != nil {
-		return 404, []byte(err.Error() + "\n")
+		return http.StatusNotFound, []byte(err.Error() + "\n")
 	}
-	ctx, stop := context.WithTimeout(ctx, callTimeout)
-	defer stop()
-	switch err := d.SetDisabled(ctx, id, out); {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err = h.SetDisabled(ctx, id, disabled)
+	switch {
 	case errors.Is(err, discovery.ErrUnknownServer):
-		return 404, []byte(err.Error() + "\n")
+		return http.StatusNotFound, []byte(err.Error() + "\n")
 	case err != nil:
-		return 503, []byte(err.Error() + "\n")
+		return http.StatusServiceUnavailable, []byte(err.Error() + "\n")
 	}
-	return 200, []byte("done\n")
+	return http.StatusOK, []byte("done\n")
 }
 
-// AppendPrometheus appends the figures in the text form of Prometheus.
-func (f Metrics) AppendPrometheus(b []byte) []byte {
-	b = append(b, "# TYPE app_operations_total counter\n"...)
-	for _, c := range f.Classes {
-		for _, x := range []struct {
-			status string
-			n      int64
-		}{{"fulfilled", c.Served}, {"throttled", c.Rejected}, {"faulted", c.Failed}} {
-			b = fmt.Appendf(b, "app_operations_total{priority=%q,status=%q} %d\n", c.Name, x.status, x.n)
-		}
-	}
-	for _, x := range []struct {
-		name, kind string
-		n          int64
-	}{
-		{"relayed_total", "counter", f.Relayed}, {"open_requests", "gauge", f.OpenRequests},
-		{"registry_entries", "gauge", f.ListedServers}, {"out_of_rotation", "gauge", f.UnavailableServers},
-		{"cfg_accepted_total", "counter", f.ReloadsAccepted}, {"cfg_invalid_total", "counter", f.ReloadsRejected},
-	} {
-		b = fmt.Appendf(b, "# TYPE app_%s %s\napp_%s %d\n", x.name, x.kind, x.name, x.n)
-	}
-	return b
+func wrongMethod(want string) (int, []byte) {
+	return http.StatusMethodNotAllowed, []byte(want + " only\n")
 }
--- a/internal/admin/handler_test.go
+++ b/internal/admin/handler_test.go
@@ -13,7 +13,7 @@
 func TestHandle(t *testing.T) {
 	var out []routing.ServerID
 	ready := false
-	d := &Handler{Ready: func() bool { return ready },
+	handler := &Handler{Ready: func() bool { return ready },
 		Metrics: func() Metrics {
 			return Metrics{Classes: []ClassMetrics{{Name: "part", Served: 812, Rejected: 3, Failed: 1}}, Relayed: 900, OpenRequests: 14, ListedServers: 9, UnavailableServers: 2}
 		},
@@ -30,7 +30,7 @@
 			}
 			return nil
 		}}
-	for _, c := range []struct {
+	for _, test := range []struct {
 		method, path string
 		status       int
 		out          int // servers taken out since
@@ -45,15 +45,15 @@
 		{"POST", "/caches/disable/s-00c41f7a", 200, 1},
 		{"POST", "/caches/enable/s-00c41f7a", 200, 0},
 	} {
-		if status, _ := d.Handle(t.Context(), c.method, c.path); status != c.status || len(out) != c.out {
-			t.Errorf("%s %s: %d, out %v; want %d and %d", c.method, c.path, status, out, c.status, c.out)
+		if status, _ := handler.Handle(t.Context(), test.method, test.path); status != test.status || len(out) != test.out {
+			t.Errorf("%s %s: %d, out %v; want %d and %d", test.method, test.path, status, out, test.status, test.out)
 		}
 	}
 	ready = true
-	if status, _ := d.Handle(t.Context(), "GET", "/ready"); status != 200 {
+	if status, _ := handler.Handle(t.Context(), "GET", "/ready"); status != 200 {
 		t.Error(status)
 	}
-	_, b := d.Handle(t.Context(), "GET", "/metrics")
+	_, b := handler.Handle(t.Context(), "GET", "/metrics")
 	for _, want := range []string{`app_operations_total{priority="part",status="fulfilled"} 812`, `{priority="part",status="throttled"} 3`,
 		`{priority="part",status="faulted"} 1`, "\napp_relayed_total 900\n", "\napp_open_requests 14\n", "\napp_registry_entries 9\n", "\napp_out_of_rotation 2\n"} {
 		if !strings.Contains(string(b), want) {
--- /dev/null
+++ b/internal/admin/metrics.go
@@ -0,0 +1,45 @@
+package admin
+
+import "fmt"
+
+// Metrics are the values that operators see at /metrics.
+type Metrics struct {
+	Classes            []ClassMetrics
+	Relayed            int64 // attempts written whole to servers
+	OpenRequests       int64 // accepted and not ended
+	ListedServers      int64
+	UnavailableServers int64 // of those listed, the ones that are sent nothing new
+	ReloadsAccepted    int64
+	ReloadsRejected    int64
+}
+
+// ClassMetrics counts the requests of one class by how they ended.
+type ClassMetrics struct {
+	Name                     string
+	Served, Rejected, Failed int64
+}
+
+// AppendPrometheus appends the metrics in the text format of Prometheus.
+func (m Metrics) AppendPrometheus(text []byte) []byte {
+	text = append(text, "# TYPE app_operations_total counter\n"...)
+	for _, class := range m.Classes {
+		text = appendOperations(text, class.Name, "fulfilled", class.Served)
+		text = appendOperations(text, class.Name, "throttled", class.Rejected)
+		text = appendOperations(text, class.Name, "faulted", class.Failed)
+	}
+	text = appendMetric(text, "relayed_total", "counter", m.Relayed)
+	text = appendMetric(text, "open_requests", "gauge", m.OpenRequests)
+	text = appendMetric(text, "registry_entries", "gauge", m.ListedServers)
+	text = appendMetric(text, "out_of_rotation", "gauge", m.UnavailableServers)
+	text = appendMetric(text, "cfg_accepted_total", "counter", m.ReloadsAccepted)
+	text = appendMetric(text, "cfg_invalid_total", "counter", m.ReloadsRejected)
+	return text
+}
+
+func appendOperations(text []byte, class, status string, count int64) []byte {
+	return fmt.Appendf(text, "app_operations_total{priority=%q,status=%q} %d\n", class, status, count)
+}
+
+func appendMetric(text []byte, name, kind string, value int64) []byte {
+	return fmt.Appendf(text, "# TYPE app_%[1]s %[2]s\napp_%[1]s %[3]d\n", name, kind, value)
+}
