--- a/internal/fleet/simulation_test.go
+++ b/internal/fleet/simulation_test.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"fmt"
+	"hash"
 	"hash/fnv"
 	"testing"
 
@@ -17,68 +18,94 @@
 	"garnetline/internal/virtual"
 )
 
+// simulation is a fleet on a simulated network with a hash over all that it does.
+type simulation struct {
+	net     *virtual.Net
+	hash    hash.Hash64
+	packets int
+	report  bytes.Buffer
+}
+
+func newSimulation(routers int) *simulation {
+	s := &simulation{net: virtual.New(7), hash: fnv.New64a()}
+	s.net.Tap = func(sent virtual.Send) {
+		s.packets++
+		s.record("%v %v ", s.net.Now, sent.To)
+		s.record("%s", sent.Packet.Append(nil))
+	}
+	s.net.Fleet(routers, fleet.DefaultSettings(), false)
+	for _, host := range s.net.Hosts {
+		host.On = s.recordOutput
+	}
+	return s
+}
+
+func (s *simulation) record(format string, args ...any) {
+	_, _ = fmt.Fprintf(s.hash, format, args...) // a hash returns no error
+}
+
+func (s *simulation) recordOutput(host *virtual.Host, now float64, out *fleet.Output) {
+	for _, event := range out.Events {
+		s.record("%v %s %s %x %s ", now, host.Name, event.Kind, event.Update.Revision, event.Update.Name)
+	}
+	for _, change := range out.Changes {
+		s.record("%v %s %d %d %v ", now, host.Name, change.Kind, change.Server, change.Disabled)
+	}
+	s.record("%v %v %d ", out.Connectivity.State, out.Connectivity.Since, out.Connectivity.Known)
+}
+
+// do has a router do something now.
+func (s *simulation) do(i int, action func(node *fleet.Node, now float64)) {
+	host := s.net.Hosts[i]
+	s.net.Do(host, func() { action(host.Machine.(*fleet.Node), s.net.Now) })
+}
+
+// run runs the fleet for a while and reports what it did so far.
+func (s *simulation) run(phase string, ms float64) {
+	s.net.Run(s.net.Now + ms)
+	fmt.Fprintf(&s.report, "%s %d %016x\n", phase, s.packets, s.hash.Sum64())
+}
+
 // Twelve routers on a simulated network send the same packets at the same times as before,
 // through loss, a stall, an upgrade, a crash, a partition that heals and a shutdown: what is
 // rewritten for its readers behaves as it did.
 func TestGoldenSimulation(t *testing.T) {
 	const routers = 12
-	net := virtual.New(7)
-	sum := fnv.New64a()
-	packets := 0
-	net.Tap = func(s virtual.Send) {
-		packets++
-		fmt.Fprintf(sum, "%v %v ", net.Now, s.To)
-		sum.Write(s.Packet.Append(nil))
-	}
-	net.Fleet(routers, fleet.DefaultSettings(), false)
-	for _, host := range net.Hosts {
-		host.On = func(h *virtual.Host, now float64, out *fleet.Output) {
-			for _, e := range out.Events {
-				fmt.Fprintf(sum, "%v %s %s %x %s ", now, h.Name, e.Kind, e.Update.Revision, e.Update.Name)
-			}
-			for _, c := range out.Changes {
-				fmt.Fprintf(sum, "%v %s %d %d %v ", now, h.Name, c.Kind, c.Server, c.Disabled)
-			}
-			fmt.Fprintf(sum, "%v %v %d ", out.Connectivity.State, out.Connectivity.Since, out.Connectivity.Known)
-		}
-	}
-	node := func(i int) *fleet.Node { return net.Hosts[i].Machine.(*fleet.Node) }
-	var got bytes.Buffer
-	phase := func(name string, ms float64) {
-		net.Run(net.Now + ms)
-		fmt.Fprintf(&got, "%s %d %016x\n", name, packets, sum.Sum64())
-	}
-	phase("start", 15_000)
-	net.Do(net.Hosts[2], func() { node(2).SetDisabled(net.Now, 5, true) })
+	sim := newSimulation(routers)
+	sim.run("start", 15_000)
+	sim.do(2, func(node *fleet.Node, now float64) { node.SetDisabled(now, 5, true) })
 	for i := range routers {
-		net.Do(net.Hosts[i], func() {
-			node(i).Publish(net.Now, gossip.Item{Kind: gossip.Drain, Server: 6, StartedAt: 1000})
-			node(i).Publish(net.Now, gossip.Item{Kind: gossip.Purge, Object: 9, PurgedAt: 2000})
+		sim.do(i, func(node *fleet.Node, now float64) {
+			node.Publish(now, gossip.Item{Kind: gossip.Drain, Server: 6, StartedAt: 1000})
+			node.Publish(now, gossip.Item{Kind: gossip.Purge, Object: 9, PurgedAt: 2000})
 		})
 	}
-	phase("items", 5000)
-	net.Link.Loss, net.Link.Repeat = 0.2, 0.1
-	phase("loss", 30_000)
-	net.Stall(net.Hosts[3], 5000)
-	phase("stall", 20_000)
-	net.Link.Loss, net.Link.Repeat = 0.02, 0
-	old := net.Hosts[4]
-	net.Start(4, old.Name, old.Self.ID, 2, fleet.DefaultSettings(), false)
-	phase("upgrade", 10_000)
-	net.Kill(net.Hosts[5])
-	phase("crash", 20_000)
-	net.Link.Cut = func(from, to *virtual.Host) bool { return (from.Self.ID^to.Self.ID)&2 != 0 }
-	phase("partition", 30_000)
-	net.Do(net.Hosts[2], func() { node(2).SetDisabled(net.Now, 5, false) })
-	net.Do(net.Hosts[6], func() { node(6).SetDisabled(net.Now, 5, true) })
-	phase("partition with bans", 10_000)
-	net.Link.Cut = nil
-	phase("healed", 60_000)
-	net.Do(net.Hosts[7], func() {
-		node(7).InjectUpdate(membership.Update{ID: net.Hosts[8].Self.ID, Revision: membership.FirstRevision(1), State: membership.Failed, ReportedBy: 3, Name: "r008", Addr: net.Hosts[8].Addr})
+	sim.run("items", 5000)
+	sim.net.Link.Loss = 0.2
+	sim.net.Link.Repeat = 0.1
+	sim.run("loss", 30_000)
+	sim.net.Stall(sim.net.Hosts[3], 5000)
+	sim.run("stall", 20_000)
+	sim.net.Link.Loss = 0.02
+	sim.net.Link.Repeat = 0
+	predecessor := sim.net.Hosts[4]
+	sim.net.Start(4, predecessor.Name, predecessor.Self.ID, 2, fleet.DefaultSettings(), false)
+	sim.run("upgrade", 10_000)
+	sim.net.Kill(sim.net.Hosts[5])
+	sim.run("crash", 20_000)
+	sim.net.Link.Cut = func(from, to *virtual.Host) bool { return (from.Self.ID^to.Self.ID)&2 != 0 }
+	sim.run("partition", 30_000)
+	sim.do(2, func(node *fleet.Node, now float64) { node.SetDisabled(now, 5, false) })
+	sim.do(6, func(node *fleet.Node, now float64) { node.SetDisabled(now, 5, true) })
+	sim.run("partition with bans", 10_000)
+	sim.net.Link.Cut = nil
+	sim.run("healed", 60_000)
+	accused := sim.net.Hosts[8]
+	sim.do(7, func(node *fleet.Node, _ float64) {
+		node.InjectUpdate(membership.Update{ID: accused.Self.ID, Revision: membership.FirstRevision(1), State: membership.Failed, ReportedBy: 3, Name: "r008", Addr: accused.Addr})
 	})
-	phase("false report", 10_000)
-	net.Leave(net.Hosts[9])
-	phase("shutdown", 20_000)
-	golden.Compare(t, "simulation.golden", got.Bytes())
+	sim.run("false report", 10_000)
+	sim.net.Leave(sim.net.Hosts[9])
+	sim.run("shutdown", 20_000)
+	golden.Compare(t, "simulation.golden", sim.report.Bytes())
 }
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -5,7 +5,7 @@
 	"garnetline/internal/fleet/membership"
 )
 
-// Status is what a router shows of its fleet: at its door, as JSON, and so to the
+// Status is what a router shows of its fleet: in the admin API, as JSON, and so to the
 // command line and to tests.
 type Status struct {
 	Name              string         `json:"name"`
@@ -16,9 +16,9 @@
 	Bound             bool           `json:"bound"`  // the socket is this process's
 	Connectivity      string         `json:"stance"` // together, partial or alone
 	ConnectivitySince float64        `json:"stance_since_ms"`
-	Present           int            `json:"there"` // alive or suspect, this one among them
-	Known             int            `json:"known"` // there lately: what shared budgets are divided by
-	HealthScore       int            `json:"health"`
+	Present           int            `json:"there"`  // alive or suspect, this one among them
+	Known             int            `json:"known"`  // present lately: what shared budgets are divided by
+	HealthScore       int            `json:"health"` // how slow it takes itself to be; 0: not at all
 	Superseded        bool           `json:"yielded"`
 	Members           []MemberStatus `json:"members"`
 	Bans              []string       `json:"bans"`
@@ -32,7 +32,7 @@
 	Refutations uint64  `json:"refutations"`
 	State       string  `json:"state"`
 	StateSince  float64 `json:"since_ms"`
-	ReportedBy  string  `json:"by,omitempty"` // whose word it is, by name where that is known
+	ReportedBy  string  `json:"by,omitempty"` // by name where that is known, else by ID
 	Zone        string  `json:"zone"`
 	Version     string  `json:"version"`
 	Addr        string  `json:"addr"`
@@ -40,27 +40,55 @@
 	Self        bool    `json:"self,omitempty"`
 }
 
-// NewStatus makes a status of a view.
-func NewStatus(v *membership.View, r connectivity.Status, fleet string) *Status {
-	s := &Status{Fleet: fleet, At: v.At, Connectivity: r.State.String(), ConnectivitySince: r.Since, Present: v.Present, Known: r.Known, HealthScore: v.HealthScore,
-		Superseded: v.Superseded, Members: make([]MemberStatus, 0, len(v.Members)), Bans: []string{}}
-	names := make(map[membership.ID]string, len(v.Members))
-	for i := range v.Members {
-		names[v.Members[i].ID] = v.Members[i].Name
+// NewStatus returns the status of a view. Its Bound and Bans are for the caller to fill.
+func NewStatus(view *membership.View, current connectivity.Status, fleet string) *Status {
+	status := &Status{
+		Fleet:             fleet,
+		At:                view.At,
+		Connectivity:      current.State.String(),
+		ConnectivitySince: current.Since,
+		Present:           view.Present,
+		Known:             current.Known,
+		HealthScore:       view.HealthScore,
+		Superseded:        view.Superseded,
+		Members:           make([]MemberStatus, 0, len(view.Members)),
+		Bans:              []string{},
 	}
-	for i := range v.Members {
-		m := &v.Members[i]
-		x := MemberStatus{Name: m.Name, RouterID: m.ID.String(), Incarnation: m.Incarnation(), Refutations: m.Revision - membership.FirstRevision(m.Incarnation()), State: m.State.String(),
-			StateSince: m.StateSince, Zone: m.Zone, Version: m.Version, Addr: m.Addr.String(), Direct: m.Direct, Self: m.Self}
-		if m.State != membership.Alive {
-			if x.ReportedBy = names[m.ReportedBy]; x.ReportedBy == "" {
-				x.ReportedBy = m.ReportedBy.String()
-			}
+	names := make(map[membership.ID]string, len(view.Members))
+	for i := range view.Members {
+		names[view.Members[i].ID] = view.Members[i].Name
+	}
+	for i := range view.Members {
+		member := newMemberStatus(&view.Members[i], names)
+		if member.Self {
+			status.Name = member.Name
+			status.RouterID = member.RouterID
+			status.Incarnation = member.Incarnation
 		}
-		if m.Self {
-			s.Name, s.RouterID, s.Incarnation = m.Name, x.RouterID, x.Incarnation
+		status.Members = append(status.Members, member)
+	}
+	return status
+}
+
+func newMemberStatus(member *membership.Member, names map[membership.ID]string) MemberStatus {
+	status := MemberStatus{
+		Name:        member.Name,
+		RouterID:    member.ID.String(),
+		Incarnation: member.Incarnation(),
+		Refutations: member.Revision - membership.FirstRevision(member.Incarnation()),
+		State:       member.State.String(),
+		StateSince:  member.StateSince,
+		Zone:        member.Zone,
+		Version:     member.Version,
+		Addr:        member.Addr.String(),
+		Direct:      member.Direct,
+		Self:        member.Self,
+	}
+	if member.State != membership.Alive {
+		status.ReportedBy = names[member.ReportedBy]
+		if status.ReportedBy == "" {
+			status.ReportedBy = member.ReportedBy.String()
 		}
-		s.Members = append(s.Members, x)
 	}
-	return s
+	return status
 }
--- a/internal/fleet/status_test.go
+++ b/internal/fleet/status_test.go
@@ -16,21 +16,21 @@
 	self := membership.Update{ID: 0xab, Revision: membership.FirstRevision(4) + 1, Name: "r1", Zone: "north", Version: "1.2", Addr: netip.MustParseAddrPort("10.1.2.3:7946")}
 	suspect := membership.Update{ID: 0xcd, Revision: membership.FirstRevision(2) + 3, State: membership.Suspect, ReportedBy: 0xab, Name: "r2", Zone: "south", Version: "1.1", Addr: netip.MustParseAddrPort("[fd00::2]:7946")}
 	failed := membership.Update{ID: 0xef, Revision: membership.FirstRevision(1), State: membership.Failed, ReportedBy: 0x99, Name: "r3", Addr: netip.MustParseAddrPort("10.1.2.4:7946")}
-	v := &membership.View{At: 1_700_000_000_000, Self: self.ID, Present: 2, Alive: 1, HealthScore: 3, Conflicts: 1, Superseded: true, Silence: 12, Members: []membership.Member{
+	view := &membership.View{At: 1_700_000_000_000, Self: self.ID, Present: 2, Alive: 1, HealthScore: 3, Conflicts: 1, Superseded: true, Silence: 12, Members: []membership.Member{
 		{Update: self, LastReceivedAt: 1_700_000_000_000, Direct: true, Self: true},
 		{Update: suspect, StateSince: 1_699_999_999_000, LastReceivedAt: 1_699_999_998_000, Direct: true},
 		{Update: failed, StateSince: 1_699_999_000_000.5},
 	}}
-	s := NewStatus(v, connectivity.Status{State: connectivity.Partial, Since: 1_699_999_999_500, Present: 2, Known: 3}, "garnetline")
-	s.Bound = true
-	s.Bans = append(s.Bans, "5")
-	b, err := json.MarshalIndent(s, "", " ")
+	status := NewStatus(view, connectivity.Status{State: connectivity.Partial, Since: 1_699_999_999_500, Present: 2, Known: 3}, "garnetline")
+	status.Bound = true
+	status.Bans = append(status.Bans, "5")
+	encoded, err := json.MarshalIndent(status, "", " ")
 	if err != nil {
 		t.Fatal(err)
 	}
-	stored := golden.Compare(t, "status.json", append(b, '\n'))
+	stored := golden.Compare(t, "status.json", append(encoded, '\n'))
 	read := &Status{}
-	if err := json.Unmarshal(stored, read); err != nil || !reflect.DeepEqual(read, s) {
-		t.Errorf("%v: %+v, want %+v", err, read, s)
+	if err := json.Unmarshal(stored, read); err != nil || !reflect.DeepEqual(read, status) {
+		t.Errorf("%v: %+v, want %+v", err, read, status)
 	}
 }
