Name the counters of the fleet's transport in one place

Change: counters.go names each by what it counts; the names that operators see stay. Result: the golden list of all counters and the package's tests pass.

--- a/internal/fleet/transport/commands.go
+++ b/internal/fleet/transport/commands.go
@@ -35,7 +35,7 @@
 	select {
 	case t.commands <- command:
 	default:
-		t.options.Stats.Add("fleet_orders_dropped", 1)
+		t.options.Stats.Add(counterCommandsDropped, 1)
 	}
 }
 
--- a/internal/fleet/transport/packets.go
+++ b/internal/fleet/transport/packets.go
@@ -32,20 +32,20 @@
 	for _, out := range packets {
 		encoded := out.Packet.Append(buffer[:0])
 		if len(encoded) > membership.MaxPacketLen {
-			t.options.Stats.Add("fleet_too_long", 1)
+			t.options.Stats.Add(counterPacketTooLong, 1)
 			continue
 		}
 		t.sendBuffer = keyring.Seal(t.sendBuffer[:0], encoded)
 		if !t.limiter.allow(now, len(t.sendBuffer), reserve) {
-			t.options.Stats.Add("fleet_over_budget", 1)
+			t.options.Stats.Add(counterRateLimited, 1)
 			continue
 		}
 		if _, err := t.conn.WriteToUDPAddrPort(t.sendBuffer, out.To); err != nil {
-			t.options.Stats.Add("fleet_send_errors", 1)
+			t.options.Stats.Add(counterSendErrors, 1)
 			continue
 		}
-		t.options.Stats.Add("fleet_packets_out", 1)
-		t.options.Stats.Add("fleet_bytes_out", int64(len(t.sendBuffer)))
+		t.options.Stats.Add(counterPacketsSent, 1)
+		t.options.Stats.Add(counterBytesSent, int64(len(t.sendBuffer)))
 	}
 }
 
@@ -59,11 +59,11 @@
 			return
 		}
 		if err != nil {
-			t.options.Stats.Add("fleet_read_errors", 1)
+			t.options.Stats.Add(counterReadErrors, 1)
 			continue
 		}
-		t.options.Stats.Add("fleet_packets_in", 1)
-		t.options.Stats.Add("fleet_bytes_in", int64(n))
+		t.options.Stats.Add(counterPacketsReceived, 1)
+		t.options.Stats.Add(counterBytesReceived, int64(n))
 		buffer, err = t.keyring.Load().Open(buffer[:0], sealed[:n])
 		if err != nil {
 			t.options.Stats.Add(rejectionCounter(err), 1)
@@ -77,22 +77,7 @@
 		select {
 		case t.packets <- p:
 		default:
-			t.options.Stats.Add("fleet_crowded_out", 1)
+			t.options.Stats.Add(counterPacketsDropped, 1)
 		}
 	}
 }
-
-// rejectionCounter returns the name of the counter of packets rejected with an error.
-func rejectionCounter(err error) string {
-	switch {
-	case errors.Is(err, packetcrypto.ErrForeignPacket):
-		return "fleet_strangers"
-	case errors.Is(err, packetcrypto.ErrVersionMismatch):
-		return "fleet_other_versions"
-	case errors.Is(err, packetcrypto.ErrFleetMismatch):
-		return "fleet_other_fleets"
-	case errors.Is(err, packetcrypto.ErrNoMatchingKey):
-		return "fleet_unopened"
-	}
-	return "fleet_broken_packets"
-}
