--- a/internal/fleet/connectivity/behaviors.go
+++ b/internal/fleet/connectivity/behaviors.go
@@ -3,7 +3,8 @@
 // Behavior says what a router does about one subject in each state.
 type Behavior struct{ Subject, Together, Partial, Alone string }
 
-// Behaviors returns all that depends on the fleet.
+// Behaviors returns all that depends on the fleet. The command prints the texts, and
+// operators' pages quote them.
 func Behaviors() []Behavior {
 	enable := func(s State) string {
 		if s.AcceptsRemoteEnable() {
--- a/internal/fleet/gossip/item.go
+++ b/internal/fleet/gossip/item.go
@@ -18,7 +18,7 @@
 	Purge                 // a change log asked for an object or a group to be purged
 )
 
-// Item is one piece of news. Which fields it has depends on its kind.
+// Item is one ban, drain or purge. Which fields it has depends on its kind.
 type Item struct {
 	Kind      Kind
 	Server    routing.ServerID
--- a/internal/fleet/gossip/store.go
+++ b/internal/fleet/gossip/store.go
@@ -58,7 +58,7 @@
 
 	// DeferEnables holds back that other routers enable a server.
 	DeferEnables bool
-	// Rejected counts items that were malformed or found no room.
+	// Rejected counts items that were malformed or beyond a limit.
 	Rejected int64
 	changes  []Change
 	dirty    bool // the dots have changed since the last Export
@@ -204,7 +204,7 @@
 		return false
 	}
 	if item.Router == s.self && item.Sequence > s.lastSequence {
-		s.lastSequence = item.Sequence // told by others after this router's state was lost
+		s.lastSequence = item.Sequence // sent back by others after this router lost its state
 	}
 	wasDisabled := s.Disabled(item.Server)
 	if known != nil {
--- a/internal/fleet/membership/machine.go
+++ b/internal/fleet/membership/machine.go
@@ -52,7 +52,7 @@
 	left              bool
 	superseded        bool  // a later process has this router's ID
 	Replays           int64 // packets dropped as old or repeated
-	Rejected          int64 // routers for which there was no room
+	Rejected          int64 // routers beyond the member limit
 	reportedConflicts map[string]bool
 	disabledRule      testRule // set by tests alone
 }
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -141,7 +141,7 @@
 	EventConflict   = "conflict"   // two routers with one name or one ID
 	EventSuperseded = "superseded" // a later process has this router's ID
 	EventStalled    = "woken"      // this router did nothing for a while
-	EventFull       = "full"       // no room for another router
+	EventFull       = "full"       // the member limit is reached
 )
 
 // Event is a change of the view that is logged and counted.
--- a/internal/fleet/membership/receive.go
+++ b/internal/fleet/membership/receive.go
@@ -51,7 +51,7 @@
 	if !verified {
 		m.applyUpdate(packet.From, "answered a request")
 		if sender = m.peers[packet.From.ID]; sender == nil {
-			return // no room
+			return // the member limit is reached
 		}
 		sender.replay = replayWindow{incarnation: incarnation, verified: true, highest: packet.Sequence, seen: 1}
 		sender.direct = true
@@ -142,7 +142,7 @@
 }
 
 // applySenderUpdate applies what a sender says of itself. Where that refutes a suspicion,
-// the accusers are told at once, not when gossip reaches them.
+// the accusers are notified at once, not when gossip reaches them.
 func (m *Machine) applySenderUpdate(sender *peer, update Update) {
 	suspected := sender.State == Suspect
 	m.applyUpdate(update, "own update")
--- a/internal/fleet/membership/update.go
+++ b/internal/fleet/membership/update.go
@@ -2,8 +2,8 @@
 
 import "slices"
 
-// recentPeriods is for how many probe intervals a router that was heard of is asked before
-// another's word that it is gone is believed.
+// recentPeriods is for how many probe intervals after a router's latest packet it is probed
+// before another's report that it is gone is believed.
 const recentPeriods = 8
 
 // maxReportedConflicts bounds how many conflicts are remembered as reported.
@@ -23,9 +23,9 @@
 		m.addPeer(update, cause)
 		return
 	}
-	if update.State == Failed && known.State == Alive && m.heardRecently(known) {
-		// No suspicion came before it, and it was heard of a moment ago: a partition healed
-		// whose other side had declared it failed. It is asked before that is believed.
+	if update.State == Failed && known.State == Alive && m.receivedRecently(known) {
+		// No suspicion came before it, and its latest packet came a moment ago: a partition
+		// healed whose other side had declared it failed. It is probed before that is believed.
 		update.State = Suspect
 	}
 	if update.State == Suspect && known.State == Suspect && update.Revision == known.Revision {
@@ -36,16 +36,16 @@
 		return
 	}
 	m.replaceUpdate(known, update, cause)
-	if known.State == Suspect && update.ReportedBy != m.self.ID && m.heardRecently(known) {
-		// Heard of a moment ago: it is told at once, and what it says is broadcast. Where two
-		// sides see each other through one router, nobody else can.
+	if known.State == Suspect && update.ReportedBy != m.self.ID && m.receivedRecently(known) {
+		// Its latest packet came a moment ago: it is notified at once, and its answer is
+		// broadcast. Where two sides see each other through one router, nobody else can.
 		m.send(known.Addr, known, &Packet{Kind: Ping, Nonce: m.newRequest(known.ID, false), Target: known.ID})
 	}
 	m.broadcastChange(known.Update)
 }
 
-// heardRecently reports whether a packet of the router itself came a moment ago.
-func (m *Machine) heardRecently(r *peer) bool {
+// receivedRecently reports whether a packet of the router itself came a moment ago.
+func (m *Machine) receivedRecently(r *peer) bool {
 	return r.lastReceivedAt > 0 && m.now-r.lastReceivedAt <= recentPeriods*m.settings.ProbeInterval
 }
 
