--- /dev/null
+++ b/routing/retry.go
@@ -0,0 +1,82 @@
+package routing
+
+// retry decides what follows a failed attempt: a fill after a miss, or another server.
+func (r *Router) retry(request *request, attempt *attempt, outcome Outcome) {
+	// Without cache status a rejection is by the cache, or by its source.
+	ambiguous := !r.cacheStatusKnown && outcome.Result == Rejected && !request.class.Write
+	notCached := outcome.Result == NotCached
+	sourceMiss := outcome.CacheStatus == SourceMiss || attempt.onlyIfCached && notCached
+	switch {
+	case attempt.cacheOnly && notCached || attempt.failedWithSharedFill(outcome.CacheStatus):
+		request.cacheMissed = true
+	case request.cacheMissed && sourceMiss && !request.sourceMissed:
+		request.sourceMissed = true
+	case outcome.CacheStatus.sourceFailed() || ambiguous && attempt.index == 0:
+		request.excluded = append(request.excluded, attempt.source)
+	default:
+		request.excluded = append(request.excluded, attempt.moreErrorProne())
+	}
+	r.dispatch(request)
+}
+
+// mayAttempt reports whether one more attempt of a request is allowed: by the limit of attempts,
+// its deadline and what it may do twice.
+func (r *Router) mayAttempt(request *request) bool {
+	limit := r.settings.MaxAttempts
+	if !r.cacheStatusKnown && !request.class.Write {
+		limit = min(limit, maxReadAttemptsUnknownStatus)
+	}
+	if len(request.attempts) >= limit || r.now >= request.deadline {
+		return false
+	}
+	executed := request.firstMaybeExecuted()
+	if executed == nil {
+		return true
+	}
+	switch request.class.Idempotency {
+	case Idempotent:
+		return true
+	case IdempotentWithKey:
+		return r.now < executed.sentAt+request.class.KeyWindow
+	default:
+		return false
+	}
+}
+
+// inKeyScope reports whether a server discards repeats of what may have been executed already.
+func (q *request) inKeyScope(server *server) bool {
+	executed := q.firstMaybeExecuted()
+	if executed == nil || q.class.Idempotency != IdempotentWithKey {
+		return true
+	}
+	sameZone := server.Zone == executed.target.Zone
+	switch q.class.KeyScope {
+	case KeyScopeAll:
+		return true
+	case KeyScopeZone:
+		return sameZone
+	case KeyScopeCell:
+		return sameZone && server.Cell == executed.target.Cell
+	default:
+		return false
+	}
+}
+
+// rejectOrFail gives the final answer to a request that will not be served. While an attempt is
+// in flight, its outcome decides.
+func (r *Router) rejectOrFail(request *request) {
+	if request.inflight > 0 {
+		return
+	}
+	if request.firstMaybeExecuted() != nil && request.class.Idempotency != Idempotent {
+		r.emit(Fail{request.ID})
+	} else {
+		r.emit(Reject{request.ID, r.settings.MaxRetryAfter / 2})
+	}
+	r.finish(request)
+}
+
+// failedWithSharedFill reports whether a look failed together with the fill for another request.
+func (a *attempt) failedWithSharedFill(status CacheStatus) bool {
+	return a.cacheOnly && status.sourceFailed()
+}
