Split the lease by sides, and name its causes and fractions

holder.go held settings, ranks, the leader's tracker, messages and the holder. They are settings.go, rank.go, expiry.go, messages.go, holder.go and response.go, where handling a response is cut by what came (notice, release, rejection, grant). Why a lease is held or no longer is a ChangeCause with named values; one logged text changes: "the register has another token" is "the registry has another token" now.

--- a/internal/fleet/lease/fingerprint.go
+++ b/internal/fleet/lease/fingerprint.go
@@ -7,71 +7,88 @@
 	"slices"
 )
 
-// Clone returns a holder that goes its own way from here on: a search of all that may
-// happen goes several from one state.
+// This file is for searches through all states that holders and a registry can reach.
+
+// Clone returns a copy of the holder that is independent from here on.
 func (h *Holder) Clone() *Holder {
-	n := *h
-	n.leases = make(map[string]*leaseState, len(h.leases))
-	for name, l := range h.leases {
-		c := *l
-		c.pendingRequests = maps.Clone(l.pendingRequests)
-		if l.releasing != nil {
-			g := *l.releasing
-			c.releasing = &g
+	clone := *h
+	clone.leases = make(map[string]*leaseState, len(h.leases))
+	for name, state := range h.leases {
+		copied := *state
+		copied.pendingRequests = maps.Clone(state.pendingRequests)
+		if state.releasing != nil {
+			releasing := *state.releasing
+			copied.releasing = &releasing
 		}
-		n.leases[name] = &c
+		clone.leases[name] = &copied
 	}
-	return &n
+	return &clone
 }
 
-// Clone returns a ledger that goes its own way from here on.
-func (l *ExpiryTracker) Clone() *ExpiryTracker {
-	return &ExpiryTracker{l.settings, maps.Clone(l.expiry)}
+// Clone returns a copy of the tracker that is independent from here on.
+func (t *ExpiryTracker) Clone() *ExpiryTracker {
+	return &ExpiryTracker{t.settings, maps.Clone(t.expiry)}
 }
 
-// AppendFingerprint appends what two holders must have in common to behave alike from now on: times
-// are taken from now, and of the questions only those that may still be answered count.
-// Two with the same form, and the same answers on their way, do the same.
-func (h *Holder) AppendFingerprint(b []byte, now float64, answerable func(question uint64) bool) []byte {
-	num := func(v uint64) { b = binary.AppendUvarint(b, v) }
-	in := func(at float64) { num(uint64(min(max(at-now, 0), 1e9))) }
+// maxFingerprintMs bounds times in a fingerprint: what is further away is alike.
+const maxFingerprintMs = 1e9
+
+// AppendFingerprint appends what two holders must have in common to behave alike from now on:
+// times are counted from now, and of the pending requests only those count that may still get
+// a response. Two with the same fingerprint, and the same responses on their way, do the same.
+func (h *Holder) AppendFingerprint(b []byte, now float64, answerable func(requestID uint64) bool) []byte {
+	number := func(v uint64) { b = binary.AppendUvarint(b, v) }
+	timeLeft := func(at float64) { number(uint64(min(max(at-now, 0), maxFingerprintMs))) }
 	for _, name := range slices.Sorted(maps.Keys(h.leases)) {
-		l := h.leases[name]
-		num(uint64(l.rank + 1))
-		num(l.fencingToken)
-		num(l.highestToken)
-		in(l.expiresAt)
-		in(l.nextRequestAt)
-		in(l.backoffUntil)
-		for _, q := range slices.Sorted(maps.Keys(l.pendingRequests)) {
-			if answerable(q) {
-				num(h.lastRequestID - q)
-				num(uint64(min(now-l.pendingRequests[q], 2*h.settings.TTL))) // by then any answer is too late
+		state := h.leases[name]
+		number(uint64(state.rank + 1))
+		number(state.fencingToken)
+		number(state.highestToken)
+		timeLeft(state.expiresAt)
+		timeLeft(state.nextRequestAt)
+		timeLeft(state.backoffUntil)
+		for _, id := range slices.Sorted(maps.Keys(state.pendingRequests)) {
+			if answerable(id) {
+				number(h.lastRequestID - id)
+				number(uint64(min(now-state.pendingRequests[id], 2*h.settings.TTL))) // by then any response is too late
 			}
 		}
-		if num(math.MaxUint64); l.releasing != nil {
-			num(l.releasing.FencingToken)
-			num(uint64(l.releasing.TransferTo))
-			num(uint64(l.releaseAttempts))
+		number(math.MaxUint64)
+		if state.releasing != nil {
+			number(state.releasing.FencingToken)
+			number(uint64(state.releasing.TransferTo))
+			number(uint64(state.releaseAttempts))
 		}
 	}
 	return b
 }
 
-// AppendFingerprint appends what two ledgers must have in common to answer alike from now on.
-func (l *ExpiryTracker) AppendFingerprint(b []byte, now float64) []byte {
-	for _, name := range slices.Sorted(maps.Keys(l.expiry)) {
-		b = binary.AppendUvarint(b, uint64(max(0, l.expiry[name]-now)))
+// AppendFingerprint appends what two trackers must have in common to answer alike from now on.
+func (t *ExpiryTracker) AppendFingerprint(b []byte, now float64) []byte {
+	for _, name := range slices.Sorted(maps.Keys(t.expiry)) {
+		b = binary.AppendUvarint(b, uint64(max(0, t.expiry[name]-now)))
 	}
 	return b
 }
 
-// AwaitsResponse tells whether an answer to a question may still change something.
-func (h *Holder) AwaitsResponse(name string, question uint64) bool {
-	l := h.leases[name]
-	if l == nil {
+// AwaitsResponse tells whether a response to a request may still change something.
+func (h *Holder) AwaitsResponse(name string, requestID uint64) bool {
+	state := h.leases[name]
+	if state == nil {
 		return false
 	}
-	_, open := l.pendingRequests[question]
-	return open || l.releasing != nil
+	_, pending := state.pendingRequests[requestID]
+	return pending || state.releasing != nil
+}
+
+// Backdate changes when a pending request was sent. It is for tests that break the rule by
+// which a lease counts from before it was requested.
+func (h *Holder) Backdate(name string, requestID uint64, sentAt float64) {
+	state := h.leases[name]
+	if state == nil {
+		return
+	}
+	if _, pending := state.pendingRequests[requestID]; pending {
+		state.pendingRequests[requestID] = sentAt
+	}
 }
--- a/internal/fleet/lease/rank_test.go
+++ b/internal/fleet/lease/rank_test.go
@@ -7,8 +7,8 @@
 	"garnetline/internal/fleet/membership"
 )
 
-// Routers of different versions must agree on who comes first for a duty: the order is
-// pinned as it was first released.
+// Routers of different versions must agree on the ranks for a lease: the order is pinned as
+// it was first released.
 func TestGoldenRanks(t *testing.T) {
 	routers := []membership.ID{1, 2, 3, 0xdeadbeef, 0x1122334455667788}
 	for name, want := range map[string][]membership.ID{
--- /dev/null
+++ b/internal/fleet/lease/response.go
@@ -0,0 +1,127 @@
+package lease
+
+import "math"
+
+// HandleResponse handles a response or a notice of the registry. It returns what this router
+// holds now, or no longer.
+func (h *Holder) HandleResponse(now float64, response Response) []Change {
+	state := h.leases[response.Lease]
+	if state == nil {
+		return nil
+	}
+	if response.FencingToken >= state.highestToken {
+		state.lastKnownHolder = response.Holder
+	}
+	if state.releasing != nil {
+		h.handleReleaseResponse(now, state, response)
+		return nil
+	}
+	if response.RequestID == 0 {
+		h.handleNotice(now, state, response)
+		return nil
+	}
+	sentAt, pending := state.pendingRequests[response.RequestID]
+	if !pending || response.FencingToken < state.highestToken {
+		return nil // to an earlier incarnation, or overtaken by a later response
+	}
+	state.highestToken = response.FencingToken
+	delete(state.pendingRequests, response.RequestID)
+	if !response.Granted {
+		return h.handleRejection(now, state, response)
+	}
+	return h.handleGrant(now, sentAt, state, response)
+}
+
+// handleReleaseResponse ends a release that the registry has applied.
+func (h *Holder) handleReleaseResponse(now float64, state *leaseState, response Response) {
+	switch {
+	case response.Granted && response.FencingToken > state.releasing.FencingToken:
+		// An earlier request of this process was granted meanwhile, which it does not accept:
+		// that grant is released instead.
+		state.releasing.FencingToken = response.FencingToken
+		state.releaseAttempts = 0
+		state.nextRequestAt = now
+	case response.FencingToken > state.releasing.FencingToken || response.Holder != h.self:
+		state.releasing = nil
+		state.nextRequestAt = now + h.settings.TTL
+	}
+}
+
+// handleNotice handles the notice that a lease was transferred to this router, or that nobody
+// holds it.
+func (h *Holder) handleNotice(now float64, state *leaseState, response Response) {
+	if state.fencingToken != 0 {
+		return
+	}
+	switch {
+	case response.Holder == h.self:
+		// It requests the lease, or releases it until the registry confirms that.
+		state.nextRequestAt, state.backoffUntil = now, 0
+		if state.rank < 0 {
+			state.releasing = &Request{Lease: response.Lease, FencingToken: response.FencingToken, Release: true}
+			state.releaseAttempts = 0
+		}
+	case response.Holder == 0 && state.rank >= 0:
+		// All candidates request it, in the order of their ranks.
+		turn := now + float64(state.rank)*h.settings.RetryInterval/noticeDivisor
+		state.nextRequestAt = min(state.nextRequestAt, max(state.backoffUntil, turn))
+	}
+}
+
+// handleRejection handles that another router holds the lease, or another process of this
+// one.
+func (h *Holder) handleRejection(now float64, state *leaseState, response Response) (changes []Change) {
+	if state.fencingToken != 0 && response.FencingToken != state.fencingToken {
+		changes = append(changes, Change{Lease: response.Lease, Cause: CauseTokenReplaced})
+		state.fencingToken, state.expiresAt = 0, 0
+	}
+	if state.fencingToken == 0 {
+		state.scheduleRetry(h.settings, now, response)
+	}
+	return changes
+}
+
+// handleGrant handles that the lease was granted or renewed, by a request sent at sentAt.
+func (h *Holder) handleGrant(now, sentAt float64, state *leaseState, response Response) (changes []Change) {
+	expiresAt := sentAt + h.settings.holderPeriod()
+	if now >= expiresAt && now >= state.expiresAt { // the response took longer than the lease
+		if state.fencingToken != 0 {
+			changes = append(changes, Change{Lease: response.Lease, Cause: CauseRenewedLate})
+		}
+		state.fencingToken, state.expiresAt = 0, 0
+		state.nextRequestAt = now
+		return changes
+	}
+	isNew := response.FencingToken != state.fencingToken
+	if isNew {
+		changes = append(changes, Change{Lease: response.Lease, FencingToken: response.FencingToken, Handoff: response.Handoff, Cause: CauseGranted})
+	}
+	if isNew || expiresAt > state.expiresAt {
+		state.fencingToken, state.expiresAt = response.FencingToken, expiresAt
+	}
+	state.nextRequestAt = now + h.settings.TTL/renewalDivisor
+	if state.rank < 0 { // requested before the router stopped wanting it
+		h.Release(now, response.Lease, 0, nil)
+		changes = append(changes, Change{Lease: response.Lease, Cause: CauseNotWanted})
+	}
+	return changes
+}
+
+// scheduleRetry sets when to request a lease again that another router holds. A router that
+// lost it before backs off longer each time, up to a bound.
+func (s *leaseState) scheduleRetry(settings Settings, now float64, response Response) {
+	if s.rank < 0 {
+		s.nextRequestAt = math.Inf(1)
+		return
+	}
+	untilFree := max(settings.RetryInterval, min(response.Remaining, settings.TTL))
+	s.nextRequestAt = now + untilFree + float64(s.rank)*settings.TTL/rankDivisor
+	if response.Losses == 0 {
+		return
+	}
+	if s.backoffUntil <= now {
+		doublings := float64(min(response.Losses, maxBackoffDoublings))
+		s.backoffUntil = now + min(settings.MaxBackoff, settings.TTL*math.Pow(2, doublings))
+	}
+	s.nextRequestAt = max(s.nextRequestAt, s.backoffUntil)
+}
--- a/internal/fleet/leasemanager/manager.go
+++ b/internal/fleet/leasemanager/manager.go
@@ -477,7 +477,7 @@
 		} else {
 			d.options.Metrics.Add("duties_lost", 1)
 		}
-		d.options.Log.Info().Str("duty", c.Lease).Uint64("token", c.FencingToken).Str("cause", c.Cause).Msg("duty")
+		d.options.Log.Info().Str("duty", c.Lease).Uint64("token", c.FencingToken).Str("cause", string(c.Cause)).Msg("duty")
 	}
 }
 
