--- a/internal/fleet/recoveryprobe/coordinator.go
+++ b/internal/fleet/recoveryprobe/coordinator.go
@@ -16,104 +16,136 @@
 const (
 	stepInterval     = 50 * time.Millisecond
 	mailboxSize      = 256
-	holderCandidates = 2 // routers that are told where the holder is not known
+	holderCandidates = 2 // routers that are sent reports while the holder is unknown
 )
 
-// Options are what the actor works with. No function may block.
+// Options are what a Coordinator works with. No function may block.
 type Options struct {
 	Settings
-	Zone            string
-	Self            membership.ID
-	Valid           func(duty string) (token uint64, ok bool)
-	LastKnownHolder func(duty string) membership.ID // the holder, by the register's latest answer
-	Ejected         func() []routing.ServerID
-	ExtendEjection  func(id routing.ServerID, ms float64)
-	RequireProbe    func(id routing.ServerID)
-	ZonePeers       func() []membership.ID
-	Send            func(to membership.ID, ch fragment.Channel, b []byte)
-	Clock           clock.Clock // the boot clock
-	Metrics         *metrics.Registry
+	Zone string
+	Self membership.ID
+
+	// Valid returns the fencing token of a lease that this router holds now.
+	Valid func(leaseName string) (fencingToken uint64, ok bool)
+	// LastKnownHolder returns a lease's holder by the latest response of the lease registry.
+	LastKnownHolder func(leaseName string) membership.ID
+	// Ejected returns the servers that this router's outlier detection has ejected.
+	Ejected func() []routing.ServerID
+	// ExtendEjection keeps an ejected server ejected for some ms from now.
+	ExtendEjection func(server routing.ServerID, ms float64)
+	// RequireProbe ejects a server until one request to it has succeeded.
+	RequireProbe func(server routing.ServerID)
+	// ZonePeers returns the other routers of the zone that are alive.
+	ZonePeers func() []membership.ID
+	Send      func(to membership.ID, channel fragment.Channel, message []byte)
+
+	Clock   clock.Clock // the boot clock
+	Metrics *metrics.Registry
 }
 
-// Coordinator is the actor.
+// Coordinator runs a Machine: it sends its messages and has the routing module eject and probe.
 type Coordinator struct {
-	options Options
-	machine *Machine
-	mailbox chan received
-	done    chan struct{}
+	options   Options
+	leaseName string
+	machine   *Machine // owned by Run
+	mailbox   chan received
+	done      chan struct{}
 }
 
+// received is a message with its sender.
 type received struct {
 	from    membership.ID
 	message Message
 }
 
-// New returns a trier that has not begun.
-func New(o Options) *Coordinator {
-	return &Coordinator{options: o, machine: NewMachine(o.Settings, o.Self), mailbox: make(chan received, mailboxSize), done: make(chan struct{})}
+// New returns a Coordinator. Run starts it.
+func New(options Options) *Coordinator {
+	return &Coordinator{
+		options:   options,
+		leaseName: LeaseName(options.Zone),
+		machine:   NewMachine(options.Settings, options.Self),
+		mailbox:   make(chan received, mailboxSize),
+		done:      make(chan struct{}),
+	}
 }
 
 // Run plays this router's part until ctx ends.
-func (t *Coordinator) Run(ctx context.Context) {
-	defer close(t.done)
-	tick := time.NewTicker(stepInterval)
-	defer tick.Stop()
+func (c *Coordinator) Run(ctx context.Context) {
+	defer close(c.done)
+	ticker := time.NewTicker(stepInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case h := <-t.mailbox:
-			if !t.machine.HandleMessage(t.options.Clock.Now(), h.from, h.message) {
-				t.options.Metrics.Add("first_words_refused", 1)
+		case next := <-c.mailbox:
+			if !c.machine.HandleMessage(c.options.Clock.Now(), next.from, next.message) {
+				c.options.Metrics.Add("first_words_refused", 1)
 			}
-		case <-tick.C:
-			t.step()
+		case <-ticker.C:
+			c.step()
 		}
 	}
 }
 
-func (t *Coordinator) step() {
-	in := Input{Ejected: t.options.Ejected(), ZonePeers: t.options.ZonePeers()}
-	if token, ok := t.options.Valid(LeaseName(t.options.Zone)); ok {
-		in.FencingToken = token
+func (c *Coordinator) step() {
+	out := c.machine.Step(c.options.Clock.Now(), c.input())
+	for server, ms := range out.EjectionExtensions {
+		c.options.ExtendEjection(server, ms)
+		c.options.Metrics.Add("first_holds", 1)
 	}
-	in.HolderCandidates = append(lease.TopRanked(LeaseName(t.options.Zone), append(slices.Clone(in.ZonePeers), t.options.Self), holderCandidates), t.options.LastKnownHolder(LeaseName(t.options.Zone)))
-	out := t.machine.Step(t.options.Clock.Now(), in)
-	for id, ms := range out.EjectionExtensions {
-		t.options.ExtendEjection(id, ms)
-		t.options.Metrics.Add("first_holds", 1)
+	for _, server := range out.Probes {
+		c.options.RequireProbe(server)
+		c.options.Metrics.Add("first_suspects", 1)
 	}
-	for _, id := range out.Probes {
-		t.options.RequireProbe(id)
-		t.options.Metrics.Add("first_suspects", 1)
+	for to, message := range out.Messages {
+		c.send(to, message)
 	}
-	for id, w := range out.Messages {
-		ch := fragment.EjectionReport
-		if w.FencingToken != 0 {
-			// At the write: a holder that was stopped says nothing under a lease that ended.
-			if now, ok := t.options.Valid(LeaseName(t.options.Zone)); !ok || now != w.FencingToken {
-				t.options.Metrics.Add("first_held_back", 1)
-				continue
-			}
-			ch = fragment.ProbeResult
-		}
-		t.options.Send(id, ch, w.Append(nil))
+}
+
+func (c *Coordinator) input() Input {
+	peers := c.options.ZonePeers()
+	routers := append(slices.Clone(peers), c.options.Self)
+	candidates := lease.TopRanked(c.leaseName, routers, holderCandidates)
+	fencingToken, ok := c.options.Valid(c.leaseName)
+	if !ok {
+		fencingToken = 0
+	}
+	return Input{
+		Ejected:          c.options.Ejected(),
+		FencingToken:     fencingToken,
+		ZonePeers:        peers,
+		HolderCandidates: append(candidates, c.options.LastKnownHolder(c.leaseName)),
+	}
+}
+
+func (c *Coordinator) send(to membership.ID, message Message) {
+	if message.FencingToken == 0 {
+		c.options.Send(to, fragment.EjectionReport, message.Append(nil))
+		return
+	}
+	// Checked at the write: a holder that was stopped says nothing under a lease that has ended.
+	if current, ok := c.options.Valid(c.leaseName); !ok || current != message.FencingToken {
+		c.options.Metrics.Add("first_held_back", 1)
+		return
 	}
+	c.options.Send(to, fragment.ProbeResult, message.Append(nil))
 }
 
 // Stopped is closed when Run has returned.
-func (t *Coordinator) Stopped() <-chan struct{} { return t.done }
+func (c *Coordinator) Stopped() <-chan struct{} { return c.done }
 
-// Receive takes what another router said. It never blocks.
-func (t *Coordinator) Receive(from membership.ID, ch fragment.Channel, b []byte) {
-	w, ok := Decode(b)
-	if !ok || (w.FencingToken != 0) != (ch == fragment.ProbeResult) {
-		t.options.Metrics.Add("first_words_refused", 1)
+// Receive takes another router's message. It never blocks.
+func (c *Coordinator) Receive(from membership.ID, channel fragment.Channel, encoded []byte) {
+	message, ok := Decode(encoded)
+	fromHolder := message.FencingToken != 0
+	if !ok || fromHolder != (channel == fragment.ProbeResult) {
+		c.options.Metrics.Add("first_words_refused", 1)
 		return
 	}
 	select {
-	case t.mailbox <- received{from, w}:
+	case c.mailbox <- received{from: from, message: message}:
 	default:
-		t.options.Metrics.Add("first_crowded_out", 1)
+		c.options.Metrics.Add("first_crowded_out", 1)
 	}
 }
--- a/internal/fleet/recoveryprobe/machine.go
+++ b/internal/fleet/recoveryprobe/machine.go
@@ -1,9 +1,3 @@
-// Package first is the duty of trying a box again that was set aside: one router of a
-// location does it, with one request, and the others wait for what it finds and then come
-// in one after another. It has a machine without I/O, and its actor.
-//
-// It only ever delays a router's own try. Without a word of the holder for a while each
-// router goes on by itself, as without the duty; nobody is let in sooner than its own rest.
 package recoveryprobe
 
 import (
@@ -11,301 +5,211 @@
 	"math"
 	"slices"
 
-	"google.golang.org/protobuf/encoding/protowire"
-
 	"garnetline/internal/fleet/lease"
-	"garnetline/internal/fleet/leaseregistry"
 	"garnetline/internal/fleet/membership"
-	"garnetline/internal/fleet/wireformat"
 	"garnetline/routing"
 )
 
-// LeaseName is the name of the duty of a location.
-func LeaseName(zone string) string { return "first/" + zone }
-
-// Settings are times, in milliseconds, and the pace of the ramp.
-type Settings struct {
-	ReportInterval float64 // between a router's words of what it has set aside, while there is any
-	HolderTimeout  float64 // the holder's word holds for so long
-	ReturnRate     float64 // routers a second that try a box once it is found well
-	ResultTTL      float64 // what was found is remembered for so long
-	ProbeInterval  float64 // a box is suspected at the holder so often at the most
-}
-
-// DefaultSettings is what the operators' file begins with.
-func DefaultSettings() Settings {
-	return Settings{ReportInterval: 200, HolderTimeout: 1000, ReturnRate: 30, ResultTTL: 60_000, ProbeInterval: 1000}
-}
-
-// MaxServers is how many boxes a word names at the most, whatever is sent.
-const MaxServers = 256
-
-// ejectionDelay is how long the holder's module has to set aside what it is to suspect, ms.
-const ejectionDelay = 150.0
+// maxPeerReports bounds the routers whose reports the lease holder remembers.
+const maxPeerReports = 4096
 
-// ServerStatus is one box in a word.
-type ServerStatus struct {
-	Server    routing.ServerID
-	Age       float64 // ms since it was set aside; in the holder's word, since it was found well
-	Recovered bool    // the holder's: it was found well
-}
-
-// Message is what a router says: what it has set aside or, under a token, what the holder
-// knows of that.
-type Message struct {
-	FencingToken uint64 // 0: not the holder's
-	Servers      []ServerStatus
-}
-
-// Input is what a router sees by itself.
-type Input struct {
-	Ejected          []routing.ServerID // that its module has set aside
-	FencingToken     uint64             // 0: it does not hold the duty
-	ZonePeers        []membership.ID    // alive, of its location, without itself
-	HolderCandidates []membership.ID    // who may hold the duty
-}
-
-// Output is what a step calls for.
-type Output struct {
-	EjectionExtensions map[routing.ServerID]float64 // ms from now for which a box is left alone
-	Probes             []routing.ServerID
-	Messages           map[membership.ID]Message
-}
-
-// Machine is one router's part. It is not safe for concurrent use.
+// Machine is one router's part. It is not safe for concurrent use. Times are milliseconds of
+// the clock that its caller reads.
 type Machine struct {
-	settings         Settings
-	self             membership.ID
-	ejectedAt        map[routing.ServerID]float64 // own: set aside since
-	lastSentAt       float64
-	nextPeerIndex    int // of the mates that are told where the holder is not known
+	settings      Settings
+	self          membership.ID
+	ejectedAt     map[routing.ServerID]float64 // by this router
+	lastSentAt    float64                      // -Inf: a message is due at once
+	nextPeerIndex int                          // round robin while the holder is unknown
+
+	// What the lease holder sent.
 	fence            lease.Fence
 	holder           membership.ID
-	holderLastSeenAt float64 // when its latest word came
+	holderLastSeenAt float64 // -Inf: never
 	holderResults    map[routing.ServerID]probeResult
-	// The holder's:
+
+	// Of the lease holder alone.
 	peerReports  map[membership.ID]ejectionReport
 	results      map[routing.ServerID]probeResult
 	lastProbedAt map[routing.ServerID]float64
 }
 
+// probeResult is what the lease holder knows of an ejected server.
 type probeResult struct {
 	recovered bool
-	at        float64 // when it was found well
+	at        float64 // when that was found
 }
 
+// ejectionReport is what another router has ejected.
 type ejectionReport struct {
 	receivedAt float64
 	ejectedAt  map[routing.ServerID]float64
 }
 
-// NewMachine returns a router's part that knows of nothing.
-func NewMachine(set Settings, self membership.ID) *Machine {
-	return &Machine{settings: set, self: self, ejectedAt: map[routing.ServerID]float64{}, lastSentAt: math.Inf(-1), holderLastSeenAt: math.Inf(-1), fence: lease.Fence{},
-		holderResults: map[routing.ServerID]probeResult{}, peerReports: map[membership.ID]ejectionReport{}, results: map[routing.ServerID]probeResult{}, lastProbedAt: map[routing.ServerID]float64{}}
-}
-
-// Step brings the machine to now.
-func (m *Machine) Step(now float64, in Input) (out Output) {
-	out = Output{EjectionExtensions: map[routing.ServerID]float64{}, Messages: map[membership.ID]Message{}}
-	for box := range m.ejectedAt {
-		if !slices.Contains(in.Ejected, box) {
-			delete(m.ejectedAt, box)
-			m.lastSentAt = math.Inf(-1)             // the holder is told at once
-			m.results[box] = probeResult{true, now} // the holder's own try went well
-		}
-	}
-	for _, box := range in.Ejected {
-		if _, known := m.ejectedAt[box]; !known {
-			m.ejectedAt[box], m.lastSentAt = now, math.Inf(-1)
-		}
-	}
-	if in.FencingToken != 0 {
-		m.coordinate(now, in, &out)
+// NewMachine returns a Machine that knows of no ejected server and no lease holder.
+func NewMachine(settings Settings, self membership.ID) *Machine {
+	return &Machine{
+		settings:         settings,
+		self:             self,
+		ejectedAt:        map[routing.ServerID]float64{},
+		lastSentAt:       math.Inf(-1),
+		fence:            lease.Fence{},
+		holderLastSeenAt: math.Inf(-1),
+		holderResults:    map[routing.ServerID]probeResult{},
+		peerReports:      map[membership.ID]ejectionReport{},
+		results:          map[routing.ServerID]probeResult{},
+		lastProbedAt:     map[routing.ServerID]float64{},
+	}
+}
+
+// Step advances the Machine to now.
+func (m *Machine) Step(now float64, input Input) Output {
+	out := Output{EjectionExtensions: map[routing.ServerID]float64{}, Messages: map[membership.ID]Message{}}
+	m.recordEjections(now, input.Ejected)
+	if input.FencingToken != 0 {
+		m.coordinate(now, input, &out)
 		return out
 	}
 	clear(m.peerReports)
 	clear(m.results)
-	if len(m.ejectedAt) == 0 && math.IsInf(m.lastSentAt, -1) {
-		m.lastSentAt = now // nothing to say, but that there is nothing any more
-		if m.holder != 0 && now-m.holderLastSeenAt <= m.settings.HolderTimeout {
-			out.Messages[m.holder] = Message{}
-		}
-	}
-	if len(m.ejectedAt) > 0 && now-m.lastSentAt >= m.settings.ReportInterval {
-		m.lastSentAt = now
-		w := Message{}
-		for _, box := range slices.Sorted(maps.Keys(m.ejectedAt)) {
-			w.Servers = append(w.Servers, ServerStatus{Server: box, Age: now - m.ejectedAt[box]})
-		}
-		w.Servers = w.Servers[:min(len(w.Servers), MaxServers)]
-		if m.holder != 0 && now-m.holderLastSeenAt <= m.settings.HolderTimeout {
-			out.Messages[m.holder] = w
-		} else {
-			for _, id := range in.HolderCandidates {
-				if id != m.self && id != 0 {
-					out.Messages[id] = w
-				}
-			}
-			// Symptom guarded against: the holder was none of the likeliest, nobody told it of a
-			// box, and all tried by themselves. So one mate after another is told too.
-			if n := len(in.ZonePeers); n > 0 {
-				m.nextPeerIndex++
-				out.Messages[in.ZonePeers[m.nextPeerIndex%n]] = w
-			}
-		}
-	}
-	if now-m.holderLastSeenAt <= m.settings.HolderTimeout {
-		m.extendEjections(now, in, &out)
+	m.scheduleReports(now, input, &out)
+	if m.holderSeen(now) {
+		m.extendEjections(now, input.ZonePeers, &out)
 	}
 	return out
 }
 
-// extendEjections leaves alone what the holder tries, or has found well a moment ago.
-func (m *Machine) extendEjections(now float64, in Input, out *Output) {
-	for box, since := range m.ejectedAt {
-		f, named := m.holderResults[box]
-		switch {
-		case !named:
-		case !f.recovered:
-			out.EjectionExtensions[box] = m.holderLastSeenAt + m.settings.HolderTimeout - now
-		case since > f.at: // it failed this router after the holder found it well: its own matter
-		default:
-			// The routers come in one after another, each at its place, whoever else waits.
-			all := append(slices.Clone(in.ZonePeers), m.self)
-			slot := f.at + 1000*float64(lease.Rank(LeaseName("ramp"), m.self, all))/m.settings.ReturnRate
-			if slot > now {
-				out.EjectionExtensions[box] = slot - now
-			}
+// recordEjections notes what this router ejected or returned to since the step before.
+func (m *Machine) recordEjections(now float64, ejected []routing.ServerID) {
+	for server := range m.ejectedAt {
+		if !slices.Contains(ejected, server) {
+			delete(m.ejectedAt, server)
+			m.sendAtOnce()
+			m.results[server] = probeResult{recovered: true, at: now} // by this router's own probe
+		}
+	}
+	for _, server := range ejected {
+		if _, known := m.ejectedAt[server]; !known {
+			m.ejectedAt[server] = now
+			m.sendAtOnce()
 		}
 	}
 }
 
-// coordinate is the holder's part of a step.
-func (m *Machine) coordinate(now float64, in Input, out *Output) {
-	m.holderLastSeenAt = math.Inf(-1)
-	clear(m.holderResults)
-	wanted := map[routing.ServerID]float64{} // with the latest moment at which one set it aside
-	for id, r := range m.peerReports {
-		if now-r.receivedAt > 3*m.settings.ReportInterval+m.settings.HolderTimeout || !slices.Contains(in.ZonePeers, id) {
-			delete(m.peerReports, id)
-			continue
+func (m *Machine) sendAtOnce() { m.lastSentAt = math.Inf(-1) }
+
+// holderSeen reports whether the lease holder's latest message is still valid.
+func (m *Machine) holderSeen(now float64) bool {
+	return now-m.holderLastSeenAt <= m.settings.HolderTimeout
+}
+
+// scheduleReports tells the lease holder, or those who may be it, what this router has ejected.
+func (m *Machine) scheduleReports(now float64, input Input, out *Output) {
+	holderKnown := m.holder != 0 && m.holderSeen(now)
+	if len(m.ejectedAt) == 0 {
+		nothingLeft := math.IsInf(m.lastSentAt, -1)
+		if nothingLeft && holderKnown {
+			out.Messages[m.holder] = Message{}
 		}
-		for box, since := range r.ejectedAt {
-			wanted[box] = max(wanted[box], since)
+		if nothingLeft {
+			m.lastSentAt = now
 		}
+		return
 	}
-	for box, f := range m.results {
-		if now-f.at > m.settings.ResultTTL {
-			delete(m.results, box)
-		}
+	if now-m.lastSentAt < m.settings.ReportInterval {
+		return
 	}
-	for _, box := range slices.Sorted(maps.Keys(wanted)) {
-		f, known := m.results[box]
-		if known && f.recovered && wanted[box] <= f.at {
-			continue
-		}
-		if _, mine := m.ejectedAt[box]; mine { // its own rests say when it is tried
-			m.results[box] = probeResult{false, now}
-			continue
-		}
-		switch t, was := m.lastProbedAt[box]; {
-		case !was || now-t >= m.settings.ProbeInterval:
-			m.lastProbedAt[box] = now
-			m.results[box] = probeResult{false, now}
-			out.Probes = append(out.Probes, box)
-		case known && !f.recovered && now-t >= ejectionDelay: // not set aside for that: it was heard of just before
-			m.results[box] = probeResult{true, now}
-		}
+	m.lastSentAt = now
+	report := m.ejectionMessage(now)
+	if holderKnown {
+		out.Messages[m.holder] = report
+		return
 	}
-	for box := range m.lastProbedAt {
-		if _, w := wanted[box]; !w && now-m.lastProbedAt[box] > m.settings.ResultTTL {
-			delete(m.lastProbedAt, box)
+	for _, candidate := range input.HolderCandidates {
+		if candidate != m.self && candidate != 0 {
+			out.Messages[candidate] = report
 		}
 	}
-	if now-m.lastSentAt < m.settings.ReportInterval/2 {
-		return
+	// Symptom guarded against: the holder was none of the candidates, no router told it of a
+	// server, and all probed by themselves. So one peer after another is told too.
+	if peerCount := len(input.ZonePeers); peerCount > 0 {
+		m.nextPeerIndex++
+		out.Messages[input.ZonePeers[m.nextPeerIndex%peerCount]] = report
 	}
-	m.lastSentAt = now
-	for id, r := range m.peerReports {
-		w := Message{FencingToken: in.FencingToken}
-		for _, box := range slices.Sorted(maps.Keys(r.ejectedAt)) {
-			f := m.results[box]
-			w.Servers = append(w.Servers, ServerStatus{Server: box, Recovered: f.recovered, Age: now - f.at})
-		}
-		out.Messages[id] = w
+}
+
+func (m *Machine) ejectionMessage(now float64) Message {
+	servers := slices.Sorted(maps.Keys(m.ejectedAt))
+	servers = servers[:min(len(servers), MaxServers)]
+	var message Message
+	for _, server := range servers {
+		message.Servers = append(message.Servers, ServerStatus{Server: server, Age: now - m.ejectedAt[server]})
 	}
+	return message
 }
 
-// HandleMessage takes another router's word. It tells whether it was taken.
-func (m *Machine) HandleMessage(now float64, from membership.ID, w Message) bool {
-	if w.FencingToken == 0 {
-		if len(m.peerReports) >= 4096 {
-			return false
-		}
-		r := ejectionReport{now, map[routing.ServerID]float64{}}
-		for _, it := range w.Servers {
-			r.ejectedAt[it.Server] = now - it.Age
-		}
-		if len(r.ejectedAt) == 0 {
-			delete(m.peerReports, from)
-			return true
-		}
-		if _, known := m.peerReports[from]; !known {
-			m.lastSentAt = math.Inf(-1) // it is answered at once
+// extendEjections keeps this router away from what the lease holder probes, or has found
+// recovered a moment ago.
+func (m *Machine) extendEjections(now float64, zonePeers []membership.ID, out *Output) {
+	for server, ejectedAt := range m.ejectedAt {
+		result, known := m.holderResults[server]
+		switch {
+		case !known:
+		case !result.recovered:
+			out.EjectionExtensions[server] = m.holderLastSeenAt + m.settings.HolderTimeout - now
+		case ejectedAt > result.at:
+			// It failed this router after the holder found it recovered: this router's own matter.
+		default:
+			if returnAt := m.returnTime(result.at, zonePeers); returnAt > now {
+				out.EjectionExtensions[server] = returnAt - now
+			}
 		}
-		m.peerReports[from] = r
-		return true
 	}
-	if !m.fence.Admit("", w.FencingToken) {
+}
+
+// returnTime is when this router may return to a server that recovered: the routers do so one
+// after another, each at its place, whichever of them have the server ejected.
+func (m *Machine) returnTime(recoveredAt float64, zonePeers []membership.ID) float64 {
+	routers := append(slices.Clone(zonePeers), m.self)
+	place := lease.Rank(returnOrderKey, m.self, routers)
+	return recoveredAt + 1000*float64(place)/m.settings.ReturnRate
+}
+
+// HandleMessage takes another router's message. It reports whether the message was accepted:
+// not under an older fencing token than the latest, nor from more routers than there is room
+// for.
+func (m *Machine) HandleMessage(now float64, from membership.ID, message Message) bool {
+	if message.FencingToken == 0 {
+		return m.handleReport(now, from, message.Servers)
+	}
+	if !m.fence.Admit("", message.FencingToken) {
 		return false
 	}
-	m.holder, m.holderLastSeenAt = from, now
+	m.holder = from
+	m.holderLastSeenAt = now
 	clear(m.holderResults)
-	for _, it := range w.Servers {
-		m.holderResults[it.Server] = probeResult{it.Recovered, now - it.Age}
+	for _, status := range message.Servers {
+		m.holderResults[status.Server] = probeResult{recovered: status.Recovered, at: now - status.Age}
 	}
 	return true
 }
 
-// Append appends a word in protobuf's form.
-func (w Message) Append(b []byte) []byte {
-	b = wireformat.AppendUint(b, 1, w.FencingToken)
-	for _, it := range w.Servers {
-		up := uint64(0)
-		if it.Recovered {
-			up = 1
-		}
-		in := wireformat.AppendUint(wireformat.AppendUint(wireformat.AppendUint(nil, 1, uint64(it.Server)+1), 2, uint64(max(0, it.Age))), 3, up)
-		b = wireformat.AppendString(b, 2, string(in))
+// handleReport takes what another router has ejected.
+func (m *Machine) handleReport(now float64, from membership.ID, servers []ServerStatus) bool {
+	if len(m.peerReports) >= maxPeerReports {
+		return false
 	}
-	return b
-}
-
-// Decode reads a word; false where it is none, or out of bounds.
-func Decode(b []byte) (w Message, ok bool) {
-	ok = leaseregistry.DecodeFields(b, func(f protowire.Number, v uint64, in []byte) bool {
-		switch f {
-		case 1:
-			w.FencingToken = v
-		case 2:
-			var it ServerStatus
-			good := leaseregistry.DecodeFields(in, func(f protowire.Number, v uint64, _ []byte) bool {
-				switch f {
-				case 1:
-					it.Server = routing.ServerID(v - 1)
-				case 2:
-					it.Age = float64(min(v, 1<<40))
-				case 3:
-					it.Recovered = v != 0
-				}
-				return true
-			})
-			if w.Servers = append(w.Servers, it); !good || len(w.Servers) > MaxServers {
-				return false
-			}
-		}
+	if len(servers) == 0 {
+		delete(m.peerReports, from)
 		return true
-	})
-	return w, ok
+	}
+	if _, known := m.peerReports[from]; !known {
+		m.sendAtOnce()
+	}
+	report := ejectionReport{receivedAt: now, ejectedAt: map[routing.ServerID]float64{}}
+	for _, status := range servers {
+		report.ejectedAt[status.Server] = now - status.Age
+	}
+	m.peerReports[from] = report
+	return true
 }
--- a/internal/fleet/recoveryprobe/machine_test.go
+++ b/internal/fleet/recoveryprobe/machine_test.go
@@ -1,7 +1,6 @@
 package recoveryprobe
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"reflect"
 	"slices"
@@ -11,191 +10,221 @@
 	"garnetline/routing"
 )
 
-// place is the routers of one location before one box, each with the module's rests as
-// they are without the duty: 500 ms, doubled up to 4 s, one request out after each.
-type place struct {
-	rng     *rand.Rand
-	now     float64
-	loss    float64
-	up      bool
-	routers []*router
-	holder  int // -1: nobody
-	token   uint64
-	tries   []float64 // at the box, when it is up, of those that had set it aside
-	on      bool
-}
+// server is the one that fails and recovers.
+const server = routing.ServerID(7)
 
-type router struct {
-	m       *Machine
-	id      membership.ID
-	rests   int
-	resting float64
-	heard   float64
-	bad     bool // its way to the box is broken
-	mates   []membership.ID
+// zone is the routers of one zone before one server, each with the routing module's ejection
+// times as they are without a lease: 500 ms, doubled up to 4 s, one request out after each.
+type zone struct {
+	rng          *rand.Rand
+	now          float64 // ms
+	messageLoss  float64 // share of the messages that are lost
+	serverUp     bool
+	routers      []*zoneRouter
+	holder       int // index of the lease holder; -1: none
+	fencingToken uint64
+	probes       []float64 // when a router that had ejected the server sent it a request, while it was up
+	withLease    bool
 }
 
-const box = routing.ServerID(7)
+type zoneRouter struct {
+	machine      *Machine
+	id           membership.ID
+	failures     int // in a row; above 0: the server is ejected here
+	ejectedUntil float64
+	lastSuccess  float64
+	unreachable  bool // this router cannot reach the server
+	peers        []membership.ID
+}
 
-func newPlace(seed uint64, n int, on bool) *place {
-	p := &place{rng: rand.New(rand.NewPCG(seed, 1)), up: true, holder: 0, token: 1, on: on}
-	for i := range n {
-		p.routers = append(p.routers, &router{m: NewMachine(DefaultSettings(), membership.ID(i+1)), id: membership.ID(i + 1)})
+func newZone(seed uint64, routers int, withLease bool) *zone {
+	z := &zone{rng: rand.New(rand.NewPCG(seed, 1)), serverUp: true, holder: 0, fencingToken: 1, withLease: withLease}
+	for i := range routers {
+		id := membership.ID(i + 1)
+		z.routers = append(z.routers, &zoneRouter{machine: NewMachine(DefaultSettings(), id), id: id})
 	}
-	for _, r := range p.routers {
-		for _, x := range p.routers {
-			if x != r {
-				r.mates = append(r.mates, x.id)
+	for _, router := range z.routers {
+		for _, other := range z.routers {
+			if other != router {
+				router.peers = append(router.peers, other.id)
 			}
 		}
 	}
-	return p
+	return z
 }
 
-// run plays for some ms in steps of 10; each router has a request each 50.
-func (p *place) run(ms float64) {
-	for end := p.now + ms; p.now < end; p.now += 10 {
-		for i, r := range p.routers {
-			if int(p.now/10)%5 == i%5 && p.now >= r.resting {
-				if p.up && !r.bad {
-					if r.rests > 0 {
-						p.tries = append(p.tries, p.now)
-					}
-					r.rests, r.heard = 0, p.now
-				} else {
-					r.resting = p.now + min(500*float64(int(1)<<min(r.rests, 8)), 4000)
-					r.rests++
-				}
-			}
-			if !p.on || int(p.now)%50 != 0 {
-				continue
-			}
-			in := Input{HolderCandidates: []membership.ID{p.routers[0].id, p.routers[1].id}, ZonePeers: r.mates}
-			if r.rests > 0 {
-				in.Ejected = []routing.ServerID{box}
-			}
-			if i == p.holder {
-				in.FencingToken = p.token
-			}
-			out := r.m.Step(p.now, in)
-			if ms := out.EjectionExtensions[box]; ms > 0 && r.rests > 0 {
-				r.resting = max(r.resting, p.now+min(ms, 5000))
-			}
-			if slices.Contains(out.Probes, box) && r.rests == 0 && p.now > r.heard+500 {
-				r.rests, r.resting = 1, p.now
+// run plays for some ms in steps of 10; each router has a request every 50.
+func (z *zone) run(ms float64) {
+	for end := z.now + ms; z.now < end; z.now += 10 {
+		for i, router := range z.routers {
+			if int(z.now/10)%5 == i%5 && z.now >= router.ejectedUntil {
+				z.request(router)
 			}
-			for id, w := range out.Messages {
-				if p.rng.Float64() >= p.loss {
-					read, _ := Decode(w.Append(nil))
-					p.routers[id-1].m.HandleMessage(p.now, r.id, read)
-				}
+			if z.withLease && int(z.now)%50 == 0 {
+				z.step(router, i == z.holder)
 			}
 		}
 	}
 }
 
-// aside counts the routers that have the box set aside.
-func (p *place) aside() (n int) {
-	for _, r := range p.routers {
-		if r.rests > 0 {
-			n++
+// request has a router send the server a request.
+func (z *zone) request(router *zoneRouter) {
+	if !z.serverUp || router.unreachable {
+		router.ejectedUntil = z.now + min(500*float64(int(1)<<min(router.failures, 8)), 4000)
+		router.failures++
+		return
+	}
+	if router.failures > 0 {
+		z.probes = append(z.probes, z.now)
+	}
+	router.failures = 0
+	router.lastSuccess = z.now
+}
+
+// step does what a Coordinator and the routing module do.
+func (z *zone) step(router *zoneRouter, isHolder bool) {
+	input := Input{HolderCandidates: []membership.ID{z.routers[0].id, z.routers[1].id}, ZonePeers: router.peers}
+	if router.failures > 0 {
+		input.Ejected = []routing.ServerID{server}
+	}
+	if isHolder {
+		input.FencingToken = z.fencingToken
+	}
+	out := router.machine.Step(z.now, input)
+	if ms := out.EjectionExtensions[server]; ms > 0 && router.failures > 0 {
+		router.ejectedUntil = max(router.ejectedUntil, z.now+min(ms, 5000))
+	}
+	if slices.Contains(out.Probes, server) && router.failures == 0 && z.now > router.lastSuccess+500 {
+		router.failures = 1
+		router.ejectedUntil = z.now
+	}
+	for to, message := range out.Messages {
+		if z.rng.Float64() >= z.messageLoss {
+			received, _ := Decode(message.Append(nil))
+			z.routers[to-1].machine.HandleMessage(z.now, router.id, received)
 		}
 	}
-	return n
 }
 
-// meets is how many tries the box meets in its first second after 10 s away, and how long
-// until all are back.
-func meets(p *place) (first int, all float64) {
-	p.run(1000)
-	p.up = false
-	p.run(10_000)
-	p.up, p.tries = true, nil
-	back := p.now
-	for p.aside() > 0 && p.now < back+60_000 {
-		p.run(50)
-	}
-	for _, at := range p.tries {
-		if len(p.tries) > 0 && at < p.tries[0]+1000 {
-			first++
+// ejectedCount counts the routers that have the server ejected.
+func (z *zone) ejectedCount() int {
+	count := 0
+	for _, router := range z.routers {
+		if router.failures > 0 {
+			count++
 		}
 	}
-	return first, p.now - back
+	return count
 }
 
-// A box that comes back meets one try, and then the others at the pace of the ramp, lost
-// words or not. Without the duty it meets them as their rests end.
+// recover has the server fail for 10 s. It returns how many probes the server receives in the
+// first second after the first of them, and how long it takes until all routers are back, in ms.
+func (z *zone) recover() (probesInFirstSecond int, allBack float64) {
+	z.run(1000)
+	z.serverUp = false
+	z.run(10_000)
+	z.serverUp = true
+	z.probes = nil
+	recoveredAt := z.now
+	for z.ejectedCount() > 0 && z.now < recoveredAt+60_000 {
+		z.run(50)
+	}
+	for _, at := range z.probes {
+		if at < z.probes[0]+1000 {
+			probesInFirstSecond++
+		}
+	}
+	return probesInFirstSecond, z.now - recoveredAt
+}
+
+// A server that recovers receives one probe, and then the other routers at the return rate,
+// messages lost or not. Without a lease it receives them as their ejection times end.
 func TestRoutersReturnGradually(t *testing.T) {
-	for _, n := range []int{3, 30, 300} {
-		with, whole := meets(newPlace(1, n, true))
-		without, alone := meets(newPlace(1, n, false))
-		t.Logf("%d routers: %d tries in the first second, all back after %.1f s; by themselves %d, %.1f s", n, with, whole/1000, without, alone/1000)
-		if bound := 1 + int(DefaultSettings().ReturnRate); with > bound || n >= 300 && without < 2*bound {
-			t.Errorf("%d routers: %d tries in the first second, %d without the duty", n, with, without)
+	returnRate := DefaultSettings().ReturnRate
+	for _, routers := range []int{3, 30, 300} {
+		withLease, allBack := newZone(1, routers, true).recover()
+		withoutLease, allBackWithout := newZone(1, routers, false).recover()
+		t.Logf("%d routers: %d probes in the first second, all back after %.1f s; without a lease %d, %.1f s",
+			routers, withLease, allBack/1000, withoutLease, allBackWithout/1000)
+		bound := 1 + int(returnRate)
+		if withLease > bound || routers >= 300 && withoutLease < 2*bound {
+			t.Errorf("%d routers: %d probes in the first second, %d without a lease", routers, withLease, withoutLease)
 		}
-		if whole > 1000*(float64(n)/DefaultSettings().ReturnRate+5) {
-			t.Errorf("%d routers: all back after %.0f ms", n, whole)
+		if allBack > 1000*(float64(routers)/returnRate+5) {
+			t.Errorf("%d routers: all back after %.0f ms", routers, allBack)
 		}
-		p := newPlace(2, n, true)
-		p.loss = 0.2
-		if lossy, whole := meets(p); lossy > 1+int(DefaultSettings().ReturnRate)+n/20 || whole > 1000*(float64(n)/DefaultSettings().ReturnRate+6) {
-			t.Errorf("%d routers, a fifth of the words lost: %d, %.0f ms", n, lossy, whole)
+		lossy := newZone(2, routers, true)
+		lossy.messageLoss = 0.2
+		probes, allBack := lossy.recover()
+		if probes > 1+int(returnRate)+routers/20 || allBack > 1000*(float64(routers)/returnRate+6) {
+			t.Errorf("%d routers, a fifth of the messages lost: %d probes, %.0f ms", routers, probes, allBack)
 		}
 	}
 }
 
-// Nobody waits for a holder that is gone, silent, or has no requests to try with; a router
-// whose own way is broken stays away alone and holds nobody up.
+// No router waits for a lease holder that is gone, unresponsive, or has no requests to probe
+// with; one that cannot reach the server stays away alone and holds up nobody.
 func TestProbesWithoutHolder(t *testing.T) {
-	for _, c := range []struct {
-		name string
-		do   func(p *place)
-		left int
+	for _, test := range []struct {
+		name    string
+		fault   func(z *zone)
+		ejected int
 	}{
-		{"the holder is gone", func(p *place) { p.holder = -1 }, 0},
-		{"no words arrive", func(p *place) { p.loss = 1 }, 0},
-		{"another holds it", func(p *place) { p.holder, p.token = 5, 2 }, 0},
-		{"one way is broken", func(p *place) { p.routers[5].bad = true }, 1},
+		{"the holder is gone", func(z *zone) { z.holder = -1 }, 0},
+		{"no messages arrive", func(z *zone) { z.messageLoss = 1 }, 0},
+		{"another router holds the lease", func(z *zone) { z.holder, z.fencingToken = 5, 2 }, 0},
+		{"one router cannot reach the server", func(z *zone) { z.routers[5].unreachable = true }, 1},
 	} {
-		p := newPlace(3, 10, true)
-		p.run(1000)
-		p.up = false
-		p.run(5000)
-		c.do(p)
-		p.up = true
-		p.run(12_000)
-		if n := p.aside(); n != c.left {
-			t.Errorf("%s: %d routers have it set aside", c.name, n)
+		z := newZone(3, 10, true)
+		z.run(1000)
+		z.serverUp = false
+		z.run(5000)
+		test.fault(z)
+		z.serverUp = true
+		z.run(12_000)
+		if count := z.ejectedCount(); count != test.ejected {
+			t.Errorf("%s: %d routers have the server ejected", test.name, count)
 		}
 	}
-	p := newPlace(4, 10, true)
-	p.routers[5].bad = true
-	p.run(20_000)
-	if n := p.aside(); n != 1 {
-		t.Errorf("one whose way is broken: %d have the box set aside", n)
+}
+
+// A server that one router alone cannot reach stays in use at all others.
+func TestUnreachableFromOneRouter(t *testing.T) {
+	z := newZone(4, 10, true)
+	z.routers[5].unreachable = true
+	z.run(20_000)
+	if count := z.ejectedCount(); count != 1 {
+		t.Errorf("%d routers have the server ejected", count)
 	}
-	// The holder is none of those that are likely: it is found all the same.
-	p = newPlace(5, 30, true)
-	p.holder = 17
-	if n, all := meets(p); all < 10*1000/DefaultSettings().ReturnRate || p.routers[3].m.holder != 18 {
-		t.Errorf("%d tries in the first second, all back after %.0f ms", n, all)
+}
+
+// A lease holder that is none of the candidates is found all the same.
+func TestHolderOutsideCandidates(t *testing.T) {
+	z := newZone(5, 30, true)
+	z.holder = 17
+	probes, allBack := z.recover()
+	if allBack < 10*1000/DefaultSettings().ReturnRate || z.routers[3].machine.holder != 18 {
+		t.Errorf("%d probes in the first second, all back after %.0f ms", probes, allBack)
 	}
-	// A word under an older token is not taken.
-	m := NewMachine(DefaultSettings(), 1)
-	if !m.HandleMessage(0, 2, Message{FencingToken: 9}) || m.HandleMessage(0, 3, Message{FencingToken: 8}) {
-		t.Error("an older holder's word is taken")
+}
+
+// A message under an older fencing token is rejected.
+func TestOlderTokenIsRejected(t *testing.T) {
+	machine := NewMachine(DefaultSettings(), 1)
+	if !machine.HandleMessage(0, 2, Message{FencingToken: 9}) || machine.HandleMessage(0, 3, Message{FencingToken: 8}) {
+		t.Error("an older holder's message is accepted")
 	}
 }
 
 func FuzzDecode(f *testing.F) {
-	w := Message{FencingToken: 3, Servers: []ServerStatus{{Server: 0, Age: 20, Recovered: true}, {Server: 9, Age: 1}}}
-	f.Add(w.Append(nil))
-	if got, ok := Decode(w.Append(nil)); !ok || !reflect.DeepEqual(got, w) {
-		f.Fatal(fmt.Sprintf("%+v", got))
-	}
-	f.Fuzz(func(t *testing.T, b []byte) {
-		if w, ok := Decode(b); ok && len(w.Servers) > MaxServers {
-			t.Fatal(len(w.Servers))
+	sent := Message{FencingToken: 3, Servers: []ServerStatus{{Server: 0, Age: 20, Recovered: true}, {Server: 9, Age: 1}}}
+	f.Add(sent.Append(nil))
+	if got, ok := Decode(sent.Append(nil)); !ok || !reflect.DeepEqual(got, sent) {
+		f.Fatalf("%+v", got)
+	}
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		if message, ok := Decode(encoded); ok && len(message.Servers) > MaxServers {
+			t.Fatal(len(message.Servers))
 		}
 	})
 }
