--- a/internal/fleet/loadreport/collector_test.go
+++ b/internal/fleet/loadreport/collector_test.go
@@ -17,65 +17,98 @@
 	"garnetline/routing"
 )
 
-// A holder asks the boxes and tells its mates of several in one packet; a mate takes that
-// with its age, and nothing under an older token; without the duty nothing is asked.
+// The lease holder polls the servers and sends its peers several reports in one packet; a peer
+// takes them with their age, and none under an older token; without the lease nothing is polled.
 func TestReportsAreBatched(t *testing.T) {
-	var boxes []Server
-	for i := range 5 {
-		b, err := standin.NewBox(nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer b.Close()
-		b.SetGauges(func(string) string { return "l=util:0.5" })
-		boxes = append(boxes, Server{routing.ServerID(i), netip.MustParseAddrPort(b.Addr().String())})
+	packets := holderPackets(t, startServers(t, 5), 20)
+	received := map[routing.ServerID]int{}
+	peer := New(Options{
+		Zone:    "z",
+		Clock:   clock.NewBoot(),
+		Metrics: metrics.New(),
+		ReportLoad: func(server routing.ServerID, load routing.LoadReport, age float64) {
+			received[server]++
+			if load.CPUUtilization != 0.5 || !math.IsNaN(load.HitRatio) || age < 0 || age > 10_000 {
+				t.Errorf("server %v: %+v, %v ms old", server, load, age)
+			}
+		},
+	})
+	for _, packet := range packets {
+		peer.Receive(packet)
+	}
+	reports := 0
+	for _, count := range received {
+		reports += count
+	}
+	if len(received) != 5 || reports < 2*len(packets) {
+		t.Errorf("%d packets reported %d servers %d times", len(packets), len(received), reports)
+	}
+	underOlderToken := append([]byte{8, 6}, packets[0][2:]...)
+	peer.Receive(underOlderToken)
+	if peer.options.Metrics.Counter("reports_refused").Load() == 0 {
+		t.Error("an older holder's report is accepted")
 	}
-	var token atomic.Uint64
+	peer.Receive([]byte{1, 2, 3})
+}
+
+// holderPackets returns what a router sends its peers that gets the lease after a while, under
+// token 7, until there are so many packets.
+func holderPackets(t *testing.T, servers []Server, wanted int) [][]byte {
+	t.Helper()
+	var fencingToken atomic.Uint64
 	var mu sync.Mutex
 	var packets [][]byte
-	p := New(Options{Zone: "z", MinInterval: 20, MaxInterval: 20, Clock: clock.NewBoot(), Metrics: metrics.New(),
-		Valid:   func(string) (uint64, bool) { n := token.Load(); return n, n != 0 },
-		Servers: func() []Server { return boxes }, ZonePeers: func() []membership.ID { return []membership.ID{2} },
-		Send: func(_ membership.ID, _ fragment.Channel, b []byte) {
+	holder := New(Options{
+		Zone:        "z",
+		MinInterval: 20,
+		MaxInterval: 20,
+		Clock:       clock.NewBoot(),
+		Metrics:     metrics.New(),
+		Valid: func(string) (uint64, bool) {
+			current := fencingToken.Load()
+			return current, current != 0
+		},
+		Servers:   func() []Server { return servers },
+		ZonePeers: func() []membership.ID { return []membership.ID{2} },
+		Send: func(_ membership.ID, _ fragment.Channel, packet []byte) {
 			mu.Lock()
 			defer mu.Unlock()
-			packets = append(packets, b)
+			packets = append(packets, packet)
 		},
-		ReportLoad: func(routing.ServerID, routing.LoadReport, float64) {}})
+		ReportLoad: func(routing.ServerID, routing.LoadReport, float64) {},
+	})
 	ctx, stop := context.WithCancel(context.Background())
-	go p.Run(ctx)
-	sent := func() (n int) {
+	go holder.Run(ctx)
+	sentPackets := func() int {
 		mu.Lock()
 		defer mu.Unlock()
 		return len(packets)
 	}
-	if time.Sleep(100 * time.Millisecond); sent() != 0 || p.options.Metrics.Counter("probes_sent").Load() != 0 {
-		t.Error("asked without the duty")
+	time.Sleep(100 * time.Millisecond)
+	if sentPackets() != 0 || holder.options.Metrics.Counter("probes_sent").Load() != 0 {
+		t.Error("polled without the lease")
 	}
-	token.Store(7)
-	for end := time.Now().Add(20 * time.Second); sent() < 20 && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	fencingToken.Store(7)
+	for end := time.Now().Add(20 * time.Second); sentPackets() < wanted && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
 	}
 	stop()
-	<-p.Stopped()
-	took := map[routing.ServerID]int{}
-	mate := New(Options{Zone: "z", Clock: clock.NewBoot(), Metrics: metrics.New(), ReportLoad: func(id routing.ServerID, l routing.LoadReport, age float64) {
-		if took[id]++; l.CPUUtilization != 0.5 || !math.IsNaN(l.HitRatio) || age < 0 || age > 10_000 {
-			t.Errorf("box %v: %+v, %v ms old", id, l, age)
+	<-holder.Stopped()
+	return packets
+}
+
+// startServers starts fake servers that report a CPU utilization of one half.
+func startServers(t *testing.T, count int) []Server {
+	t.Helper()
+	var servers []Server
+	for i := range count {
+		fake, err := standin.NewBox(nil)
+		if err != nil {
+			t.Fatal(err)
 		}
-	}})
-	for _, b := range packets {
-		mate.Receive(b)
-	}
-	reports := 0
-	for _, n := range took {
-		reports += n
-	}
-	if len(took) != 5 || reports < 2*len(packets) {
-		t.Errorf("%d packets told %d boxes %d times", len(packets), len(took), reports)
-	}
-	late := append([]byte{8, 6}, packets[0][2:]...) // the same under token 6
-	if mate.Receive(late); mate.options.Metrics.Counter("reports_refused").Load() == 0 {
-		t.Error("an older holder's report is taken")
+		t.Cleanup(func() { _ = fake.Close() })
+		fake.SetGauges(func(string) string { return "l=util:0.5" })
+		servers = append(servers, Server{ID: routing.ServerID(i), Address: netip.MustParseAddrPort(fake.Addr().String())})
 	}
-	mate.Receive([]byte{1, 2, 3})
+	return servers
 }
