Name the parts of the test of known failures; its set-up is a function

The cases were built from one-word constants and a map of files within the loop. The fifteen cases and their checks are the same.

--- a/internal/ci/knownred_test.go
+++ b/internal/ci/knownred_test.go
@@ -1,4 +1,4 @@
-// Package ci tests the script that runs the tests.
+// Package ci tests the script that runs the tests. It has no code of its own.
 package ci
 
 import (
@@ -9,63 +9,82 @@
 	"testing"
 )
 
+// Sources of the tests of a small module's package p.
+const (
+	testFileHeader = "package p\n\nimport \"testing\"\n\n"
+	passingTest    = "func TestGood(t *testing.T) {}\n"
+	failingTest    = "func TestRed(t *testing.T) { t.Fatal(\"red\") }\n"
+	longerName     = "func TestRedder(t *testing.T) { t.Fatal(\"redder\") }\n"
+	withSubtests   = "func TestSub(t *testing.T) {\n\tt.Run(\"a\", func(t *testing.T) { t.Fatal(\"a\") })\n\tt.Run(\"b\", func(*testing.T) {})\n}\n"
+	doesNotCompile = "func TestRed(t *testing.T) { nothing }\n"
+)
+
+// knownFailure is a line of KNOWN-RED.txt for failingTest.
+const knownFailure = "m/p TestRed | the cause | 28\n"
+
 // Guards against a list of known failures that hides more than it names: other tests whose
-// names begin alike, a test that is well again, one that is gone, lines nobody can read.
+// names begin alike, a test that passes again, one that is gone, lines that nobody can read.
 func TestKnownRed(t *testing.T) {
 	script, err := filepath.Abs("../../.ci/go-test.sh")
 	if err != nil {
 		t.Fatal(err)
 	}
-	const (
-		head   = "package p\n\nimport \"testing\"\n\n"
-		good   = "func TestGood(t *testing.T) {}\n"
-		red    = "func TestRed(t *testing.T) { t.Fatal(\"red\") }\n"
-		longer = "func TestRedder(t *testing.T) { t.Fatal(\"redder\") }\n"
-		sub    = "func TestSub(t *testing.T) {\n\tt.Run(\"a\", func(t *testing.T) { t.Fatal(\"a\") })\n\tt.Run(\"b\", func(*testing.T) {})\n}\n"
-		line   = "m/p TestRed | the cause | 28\n"
-	)
-	for _, c := range []struct{ name, tests, list, want string }{ // want "": passes
-		{"no list, all pass", good, "", ""},
-		{"no list, one fails", good + red, "", "TestRed"},
-		{"an empty list passes over nothing", good + red, "\n", "malformed"},
-		{"listed", good + red, line, ""},
-		{"listed without an end of line", good + red, strings.TrimSpace(line), ""},
-		{"only what is listed", good + red + longer, line, "TestRedder"},
-		{"a part of a test", good + sub, "m/p TestSub/a | the cause | 28\n", ""},
-		{"passes again", good + red, line + "m/p TestGood | the cause | 28\n", "passes again"},
-		{"is gone", good, line, "no such test"},
-		{"another package", good + red, "m/q TestRed | the cause | 28\n", "no such package"},
-		{"four", good + red, strings.Repeat(line, 4), "more than three"},
-		{"no cause", good + red, "m/p TestRed | | 28\n", "malformed"},
-		{"no issue", good + red, "m/p TestRed | the cause |\n", "malformed"},
-		{"a pattern", good + red, "m/p Test.* | the cause | 28\n", "malformed"},
-		{"does not build", "func TestRed(t *testing.T) { nothing }\n", line, "nothing"},
+	for _, test := range []struct {
+		name      string
+		tests     string
+		knownRed  string // no file where it is empty
+		wantError string // in what the script prints; empty: it passes
+	}{
+		{"no list, all pass", passingTest, "", ""},
+		{"no list, one fails", passingTest + failingTest, "", "TestRed"},
+		{"an empty list passes over nothing", passingTest + failingTest, "\n", "malformed"},
+		{"listed", passingTest + failingTest, knownFailure, ""},
+		{"listed without an end of line", passingTest + failingTest, strings.TrimSpace(knownFailure), ""},
+		{"only what is listed", passingTest + failingTest + longerName, knownFailure, "TestRedder"},
+		{"a part of a test", passingTest + withSubtests, "m/p TestSub/a | the cause | 28\n", ""},
+		{"passes again", passingTest + failingTest, knownFailure + "m/p TestGood | the cause | 28\n", "passes again"},
+		{"is gone", passingTest, knownFailure, "no such test"},
+		{"another package", passingTest + failingTest, "m/q TestRed | the cause | 28\n", "no such package"},
+		{"four", passingTest + failingTest, strings.Repeat(knownFailure, 4), "more than three"},
+		{"no cause", passingTest + failingTest, "m/p TestRed | | 28\n", "malformed"},
+		{"no issue", passingTest + failingTest, "m/p TestRed | the cause |\n", "malformed"},
+		{"a pattern", passingTest + failingTest, "m/p Test.* | the cause | 28\n", "malformed"},
+		{"does not build", doesNotCompile, knownFailure, "nothing"},
 	} {
-		t.Run(c.name, func(t *testing.T) {
+		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			dir := t.TempDir()
-			files := map[string]string{"go.mod": "module m\n\ngo 1.26\n", "p/p_test.go": head + c.tests}
-			if c.list != "" {
-				files["KNOWN-RED.txt"] = c.list
-			}
-			for name, text := range files {
-				path := filepath.Join(dir, name)
-				if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-					t.Fatal(err)
-				}
-				if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
-					t.Fatal(err)
-				}
+			output, err := runScript(t, script, test.tests, test.knownRed)
+			if passed := err == nil; passed != (test.wantError == "") || !strings.Contains(output, test.wantError) {
+				t.Errorf("ended with %v, wanted %q in:\n%s", err, test.wantError, output)
 			}
-			cmd := exec.CommandContext(t.Context(), script)
-			cmd.Dir = dir
-			out, err := cmd.CombinedOutput()
-			if (err == nil) != (c.want == "") || !strings.Contains(string(out), c.want) {
-				t.Errorf("ended with %v, wanted %q in:\n%s", err, c.want, out)
-			}
-			if c.want == "" && c.list != "" && !strings.Contains(string(out), "the cause") {
-				t.Errorf("the cause is not printed:\n%s", out)
+			if test.wantError == "" && test.knownRed != "" && !strings.Contains(output, "the cause") {
+				t.Errorf("the cause is not printed:\n%s", output)
 			}
 		})
 	}
 }
+
+// runScript runs the script in a module of one package with these tests and this list.
+func runScript(t *testing.T, script, tests, knownRed string) (output string, err error) {
+	t.Helper()
+	module := t.TempDir()
+	writeFile(t, filepath.Join(module, "go.mod"), "module m\n\ngo 1.26\n")
+	writeFile(t, filepath.Join(module, "p", "p_test.go"), testFileHeader+tests)
+	if knownRed != "" {
+		writeFile(t, filepath.Join(module, "KNOWN-RED.txt"), knownRed)
+	}
+	command := exec.CommandContext(t.Context(), script)
+	command.Dir = module
+	combined, err := command.CombinedOutput()
+	return string(combined), err
+}
+
+func writeFile(t *testing.T, path, content string) {
+	t.Helper()
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, []byte(content), 0o644); err != nil {
+		t.Fatal(err)
+	}
+}
