--- a/internal/fleet/recoveryprobe/golden_test.go
+++ b/internal/fleet/recoveryprobe/golden_test.go
@@ -24,6 +24,6 @@
 		}
 	}
 	if name := LeaseName("lyon"); name != "first/lyon" {
-		t.Errorf("the lease is called %q in the register", name)
+		t.Errorf("the lease is called %q in the registry", name)
 	}
 }
