--- a/test.sh
+++ b/test.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Checks the tree: formatting, vet, the deploy build, the tests.
+# Checks the tree: formatting, vet, the linter, the deploy build, the tests.
 set -euo pipefail
 cd "$(dirname "$0")"
 unformatted=$(gofmt -l .)
@@ -8,6 +8,8 @@
 	exit 1
 fi
 go vet ./...
+go vet -tags faults ./...
+.ci/lint.sh
 # The build is the deploy file's own, so that what is tested is what is deployed.
 build=$(sed -n 's/^build = "\(.*\)".*/\1/p' deploy/balancer.toml)
 sh -c "$build"
