Type what a transport keeps with an attempt: TransportState in place of any

Need: Attempt.TransportState was any, and each transport asserted its own type out of it, in one place without a check. Change: an interface with Cancel and Release. In upstream the server's actor implements it, in the plugin the function that cancels the RPC. The pool passes calls on as before; no attempt allocates more.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -21,8 +21,8 @@
 	// MayRetry is set before Transport.Cancel: the request is still open, and another attempt
 	// may follow this one.
 	MayRetry bool
-	// TransportState belongs to the transport that accepted the attempt.
-	TransportState any
+	// TransportState is set by the transport that accepted the attempt.
+	TransportState TransportState
 	Trace          *AttemptTrace // nil: its request is not traced
 
 	sentAt            float64
@@ -82,6 +82,14 @@
 	Release(*Attempt)
 }
 
+// TransportState is what a transport keeps with an attempt that it has accepted, such as the
+// connections to the server that it chose. Its methods are for the transport's own Cancel and
+// Release; the dispatcher does not call them.
+type TransportState interface {
+	Cancel(*Attempt)
+	Release(*Attempt)
+}
+
 // cancelTransit is how many ms a cancel, or the end of a connection, has to arrive at a server
 // before the request is sent again: the way to a cache takes a few ms at the most.
 //
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -122,15 +122,15 @@
 // Cancel asks for an attempt that Send took to be canceled. Its completion follows when the
 // cancellation is written, or says otherwise if the attempt was over before.
 func (p *Pool) Cancel(attempt *dispatch.Attempt) {
-	if upstream, ok := attempt.TransportState.(*Upstream); ok {
-		upstream.mailbox <- message{cancel: attempt}
+	if attempt.TransportState != nil {
+		attempt.TransportState.Cancel(attempt)
 	}
 }
 
 // Release tells the pool that the dispatcher has handled an attempt's completion.
 func (p *Pool) Release(attempt *dispatch.Attempt) {
-	if upstream, ok := attempt.TransportState.(*Upstream); ok {
-		upstream.inFlight.Add(-1)
+	if attempt.TransportState != nil {
+		attempt.TransportState.Release(attempt)
 	}
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -74,6 +74,14 @@
 	u.mailbox <- message{drain: true}
 }
 
+// Cancel implements dispatch.TransportState: the actor cancels the attempt. It is called by the
+// pool.
+func (u *Upstream) Cancel(attempt *dispatch.Attempt) { u.mailbox <- message{cancel: attempt} }
+
+// Release implements dispatch.TransportState: the attempt's completion has been handled. It is
+// called by the pool.
+func (u *Upstream) Release(*dispatch.Attempt) { u.inFlight.Add(-1) }
+
 // run is the actor. It returns when the server is drained or ctx ends, and completes what is
 // in flight on its connections then.
 func (u *Upstream) run(ctx context.Context) {
--- a/plugin/call.go
+++ b/plugin/call.go
@@ -100,7 +100,7 @@
 		return dispatch.Unsent(a, routing.NotSent)
 	}
 	ctx, stop := context.WithDeadline(c.ctx, time.Now().Add(clock.Duration(a.ExpiresAt-c.p.clock.Now())))
-	a.TransportState = stop
+	a.TransportState = cancelRPC(stop)
 	c.out.Add(1)
 	go func() {
 		defer c.out.Done()
@@ -116,7 +116,16 @@
 }
 
 // Cancel gives an attempt up: gRPC resets its stream, and the invoker returns.
-func (c *call) Cancel(a *dispatch.Attempt) { a.TransportState.(context.CancelFunc)() }
+func (c *call) Cancel(a *dispatch.Attempt) { a.TransportState.Cancel(a) }
+
+// cancelRPC cancels the RPC of an attempt.
+type cancelRPC context.CancelFunc
+
+// Cancel implements dispatch.TransportState.
+func (c cancelRPC) Cancel(*dispatch.Attempt) { c() }
+
+// Release implements dispatch.TransportState.
+func (c cancelRPC) Release(*dispatch.Attempt) {}
 
 // Release has nothing to book.
 func (c *call) Release(*dispatch.Attempt) {}
