Drop the server id of an Upstream, which nothing reads

Need: a field that is only written tells a reader that something depends on it. Change: the field and the constructor's parameter go. Result: the package's tests pass.

--- a/internal/upstream/harness_test.go
+++ b/internal/upstream/harness_test.go
@@ -106,7 +106,7 @@
 		Complete:        actor.recordCompletion,
 		Dial:            actor.dial,
 		openConnections: new(atomic.Int64),
-	}, 1, netip.MustParseAddrPort("127.0.0.1:1"))
+	}, netip.MustParseAddrPort("127.0.0.1:1"))
 	t.Cleanup(func() {
 		close(actor.upstream.stopped)
 		close(actor.dials)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -98,7 +98,7 @@
 	if upstream != nil {
 		upstream.drain()
 	}
-	upstream = newUpstream(p.Options, endpoint.ID, endpoint.Addr)
+	upstream = newUpstream(p.Options, endpoint.Addr)
 	p.upstreams[endpoint.ID] = upstream
 	go upstream.run(p.ctx)
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -28,7 +28,6 @@
 // belong to the goroutine of run.
 type Upstream struct {
 	Options
-	id      routing.ServerID
 	addr    netip.AddrPort
 	removed bool // the pool's: it has left the endpoint list
 
@@ -53,10 +52,9 @@
 	drain  bool
 }
 
-func newUpstream(options Options, id routing.ServerID, addr netip.AddrPort) *Upstream {
+func newUpstream(options Options, addr netip.AddrPort) *Upstream {
 	return &Upstream{
 		Options:          options,
-		id:               id,
 		addr:             addr,
 		mailbox:          make(chan message, mailboxSize),
 		retainedTraces:   make(chan trace.ID, maxRetainedTraces),
