Split the lease manager by concern, and its codec to one way of writing fields

manager.go (573 lines) held both goroutines, requests, status and operators' calls, voter.go all of a voter's life. They are manager.go (options, run, delivery, operators' calls), holder.go (the holder's goroutine and what it publishes), requests.go (which voter is asked), status.go, voter_loop.go (the voter's goroutine), voter.go (the node and its messages), bootstrap.go (hellos, the first start) and members.go (learners, voters). The codec has its field numbers and flags by name, and writes with wireformat.Writer.

--- a/internal/fleet/leasemanager/codec.go
+++ b/internal/fleet/leasemanager/codec.go
@@ -12,212 +12,327 @@
 	"garnetline/internal/fleet/wireformat"
 )
 
-// The forms of what routers and electors say to each other, in protobuf's: numbers and
-// strings. Bounds are those of the register.
+// This file has the encodings of what routers and voters send each other, and of what a voter
+// keeps in its log: protobuf messages of numbers and strings. Field numbers do not change.
+// Decoding rejects what exceeds the limits of the registry.
 
-func flagBit(on bool) uint64 {
-	if on {
-		return 1
-	}
-	return 0
-}
-
-// EncodeRequest and the three after it are the forms of a question and of its answer.
-func EncodeRequest(a lease.Request) []byte {
-	b := wireformat.AppendUint(nil, 1, a.ID)
-	b = wireformat.AppendString(b, 2, a.Lease)
-	b = wireformat.AppendUint(b, 3, a.FencingToken)
-	b = wireformat.AppendUint(b, 4, flagBit(a.Release))
-	b = wireformat.AppendUint(b, 5, uint64(a.TransferTo))
-	return wireformat.AppendString(b, 6, string(a.Handoff))
-}
-
-func DecodeRequest(b []byte) (a lease.Request, ok bool) {
-	ok = leaseregistry.DecodeFields(b, func(f protowire.Number, v uint64, in []byte) bool {
-		switch f {
-		case 1:
-			a.ID = v
-		case 2:
-			a.Lease = string(in)
-		case 3:
-			a.FencingToken = v
-		case 4:
-			a.Release = v != 0
-		case 5:
-			a.TransferTo = membership.ID(v)
-		case 6:
-			a.Handoff = slices.Clone(in)
+// maxRemainingMs bounds a decoded duration, which keeps it exact.
+const maxRemainingMs = 1 << 40
+
+// Field numbers of a lease request.
+const (
+	requestID           protowire.Number = 1
+	requestLease        protowire.Number = 2
+	requestFencingToken protowire.Number = 3
+	requestRelease      protowire.Number = 4
+	requestTransferTo   protowire.Number = 5
+	requestHandoff      protowire.Number = 6
+)
+
+// EncodeRequest encodes a router's request about a lease.
+func EncodeRequest(request lease.Request) []byte {
+	w := wireformat.NewWriter(nil)
+	w.Uint(requestID, request.ID)
+	w.String(requestLease, request.Lease)
+	w.Uint(requestFencingToken, request.FencingToken)
+	w.Bool(requestRelease, request.Release)
+	w.Uint(requestTransferTo, uint64(request.TransferTo))
+	w.Bytes(requestHandoff, request.Handoff)
+	return w.Encoded()
+}
+
+// DecodeRequest decodes a router's request about a lease; ok is false if it is none.
+func DecodeRequest(payload []byte) (request lease.Request, ok bool) {
+	ok = wireformat.ParseFields(payload, func(field protowire.Number, value uint64, content []byte) bool {
+		switch field {
+		case requestID:
+			request.ID = value
+		case requestLease:
+			request.Lease = string(content)
+		case requestFencingToken:
+			request.FencingToken = value
+		case requestRelease:
+			request.Release = value != 0
+		case requestTransferTo:
+			request.TransferTo = membership.ID(value)
+		case requestHandoff:
+			request.Handoff = slices.Clone(content)
 		}
 		return true
 	})
-	return a, ok && a.Lease != "" && len(a.Lease) <= leaseregistry.MaxNameLen && len(a.Handoff) <= leaseregistry.MaxHandoffLen
+	withinLimits := request.Lease != "" && len(request.Lease) <= leaseregistry.MaxNameLen && len(request.Handoff) <= leaseregistry.MaxHandoffLen
+	return request, ok && withinLimits
 }
 
-// leaderHint is the answer of an elector that does not lead: who does, as far as it knows.
+// Field numbers of a lease response.
+const (
+	responseRequestID    protowire.Number = 1
+	responseLease        protowire.Number = 2
+	responseGranted      protowire.Number = 3
+	responseFencingToken protowire.Number = 4
+	responseHolder       protowire.Number = 5
+	responseRemaining    protowire.Number = 6
+	responseLosses       protowire.Number = 7
+	responseHandoff      protowire.Number = 8
+)
+
+// EncodeResponse encodes a voter's response, or its notice, about a lease.
+func EncodeResponse(response lease.Response) []byte {
+	w := wireformat.NewWriter(nil)
+	w.Uint(responseRequestID, response.RequestID)
+	w.String(responseLease, response.Lease)
+	w.Bool(responseGranted, response.Granted)
+	w.Uint(responseFencingToken, response.FencingToken)
+	w.Uint(responseHolder, uint64(response.Holder))
+	w.Uint(responseRemaining, uint64(response.Remaining))
+	w.Uint(responseLosses, response.Losses)
+	w.Bytes(responseHandoff, response.Handoff)
+	return w.Encoded()
+}
+
+// DecodeResponse decodes a voter's response, or its notice, about a lease; ok is false if it
+// is none.
+func DecodeResponse(payload []byte) (response lease.Response, ok bool) {
+	ok = wireformat.ParseFields(payload, func(field protowire.Number, value uint64, content []byte) bool {
+		switch field {
+		case responseRequestID:
+			response.RequestID = value
+		case responseLease:
+			response.Lease = string(content)
+		case responseGranted:
+			response.Granted = value != 0
+		case responseFencingToken:
+			response.FencingToken = value
+		case responseHolder:
+			response.Holder = membership.ID(value)
+		case responseRemaining:
+			response.Remaining = float64(min(value, maxRemainingMs))
+		case responseLosses:
+			response.Losses = value
+		case responseHandoff:
+			response.Handoff = slices.Clone(content)
+		}
+		return true
+	})
+	return response, ok && response.Lease != ""
+}
+
+// leaderHint is the response of a voter that does not lead: who does, as far as it knows.
 type leaderHint struct {
 	RequestID uint64
-	Leader    string
+	Leader    string // a voter's name
 }
 
+// Field numbers of a leader hint.
+const (
+	hintRequestID protowire.Number = 1
+	hintLeader    protowire.Number = 2
+)
+
 func (h leaderHint) encode() []byte {
-	return wireformat.AppendString(wireformat.AppendUint(nil, 1, h.RequestID), 2, h.Leader)
+	w := wireformat.NewWriter(nil)
+	w.Uint(hintRequestID, h.RequestID)
+	w.String(hintLeader, h.Leader)
+	return w.Encoded()
 }
 
-func decodeLeaderHint(b []byte) (h leaderHint, ok bool) {
-	ok = leaseregistry.DecodeFields(b, func(f protowire.Number, v uint64, in []byte) bool {
-		if f == 1 {
-			h.RequestID = v
-		} else if f == 2 {
-			h.Leader = string(in)
+func decodeLeaderHint(payload []byte) (hint leaderHint, ok bool) {
+	ok = wireformat.ParseFields(payload, func(field protowire.Number, value uint64, content []byte) bool {
+		switch field {
+		case hintRequestID:
+			hint.RequestID = value
+		case hintLeader:
+			hint.Leader = string(content)
 		}
 		return true
 	})
-	return h, ok && h.Leader != "" && len(h.Leader) <= leaseregistry.MaxNameLen
-}
-
-func EncodeResponse(a lease.Response) []byte {
-	b := wireformat.AppendUint(nil, 1, a.RequestID)
-	b = wireformat.AppendString(b, 2, a.Lease)
-	b = wireformat.AppendUint(b, 3, flagBit(a.Granted))
-	b = wireformat.AppendUint(b, 4, a.FencingToken)
-	b = wireformat.AppendUint(b, 5, uint64(a.Holder))
-	b = wireformat.AppendUint(b, 6, uint64(a.Remaining))
-	b = wireformat.AppendUint(b, 7, a.Losses)
-	return wireformat.AppendString(b, 8, string(a.Handoff))
-}
-
-func DecodeResponse(b []byte) (a lease.Response, ok bool) {
-	ok = leaseregistry.DecodeFields(b, func(f protowire.Number, v uint64, in []byte) bool {
-		switch f {
-		case 1:
-			a.RequestID = v
-		case 2:
-			a.Lease = string(in)
-		case 3:
-			a.Granted = v != 0
-		case 4:
-			a.FencingToken = v
-		case 5:
-			a.Holder = membership.ID(v)
-		case 6:
-			a.Remaining = float64(min(v, 1<<40))
-		case 7:
-			a.Losses = v
-		case 8:
-			a.Handoff = slices.Clone(in)
-		}
-		return true
-	})
-	return a, ok && a.Lease != ""
+	return hint, ok && hint.Leader != "" && len(hint.Leader) <= leaseregistry.MaxNameLen
 }
 
-// EncodeBanRequest is the form of what is asked about staff's bans.
-func EncodeBanRequest(question uint64, a consensus.BanRequest) []byte {
-	b := wireformat.AppendUint(wireformat.AppendUint(nil, 1, question), 2, a.KnownVersion)
-	if a.Set != nil {
-		b = wireformat.AppendString(b, 3, string(a.Set.Append(nil)))
+// Field numbers of a request about operators' bans.
+const (
+	banRequestID           protowire.Number = 1
+	banRequestKnownVersion protowire.Number = 2
+	banRequestSet          protowire.Number = 3 // a command of the registry
+)
+
+// EncodeBanRequest encodes a router's request about operators' bans.
+func EncodeBanRequest(requestID uint64, request consensus.BanRequest) []byte {
+	w := wireformat.NewWriter(nil)
+	w.Uint(banRequestID, requestID)
+	w.Uint(banRequestKnownVersion, request.KnownVersion)
+	if request.Set != nil {
+		w.Bytes(banRequestSet, request.Set.Append(nil))
 	}
-	return b
-}
-
-func decodeBanRequest(b []byte) (question uint64, a consensus.BanRequest, ok bool) {
-	sets := true
-	ok = leaseregistry.DecodeFields(b, func(f protowire.Number, v uint64, in []byte) bool {
-		switch f {
-		case 1:
-			question = v
-		case 2:
-			a.KnownVersion = v
-		case 3:
-			a.Set, sets = leaseregistry.DecodeCommand(in)
-			sets = sets && a.Set.Op == leaseregistry.OpSetBan && a.Set.Server>>32 == 0
+	return w.Encoded()
+}
+
+func decodeBanRequest(payload []byte) (requestID uint64, request consensus.BanRequest, ok bool) {
+	ok = wireformat.ParseFields(payload, func(field protowire.Number, value uint64, content []byte) bool {
+		switch field {
+		case banRequestID:
+			requestID = value
+		case banRequestKnownVersion:
+			request.KnownVersion = value
+		case banRequestSet:
+			command, valid := leaseregistry.DecodeCommand(content)
+			request.Set = command
+			return valid && isBanCommand(command)
 		}
-		return sets
+		return true
 	})
-	if ok && a.Set != nil {
-		a.Set.RequestID = question // by which the leader finds whose command it was
+	if ok && request.Set != nil {
+		request.Set.RequestID = requestID // by which the leader finds whose command it was
 	}
-	return question, a, ok
-}
-
-func encodeBanResponse(a consensus.BanResponse) []byte {
-	b := wireformat.AppendUint(wireformat.AppendUint(nil, 1, a.RequestID), 2, a.Version)
-	return wireformat.AppendString(wireformat.AppendString(b, 3, a.Rejection), 4, string(a.Bans))
-}
-
-// DecodeBanResponse reads what an elector answered.
-func DecodeBanResponse(b []byte) (a consensus.BanResponse, ok bool) {
-	ok = leaseregistry.DecodeFields(b, func(f protowire.Number, v uint64, in []byte) bool {
-		switch f {
-		case 1:
-			a.RequestID = v
-		case 2:
-			a.Version = v
-		case 3:
-			a.Rejection = string(in)
-		case 4:
-			a.Bans = slices.Clone(in)
+	return requestID, request, ok
+}
+
+// isBanCommand tells whether a command sets a ban of a server that there can be.
+func isBanCommand(command *leaseregistry.Command) bool {
+	return command.Op == leaseregistry.OpSetBan && command.Server>>32 == 0
+}
+
+// Field numbers of a response about operators' bans.
+const (
+	banResponseRequestID protowire.Number = 1
+	banResponseVersion   protowire.Number = 2
+	banResponseRejection protowire.Number = 3
+	banResponseBans      protowire.Number = 4
+)
+
+func encodeBanResponse(response consensus.BanResponse) []byte {
+	w := wireformat.NewWriter(nil)
+	w.Uint(banResponseRequestID, response.RequestID)
+	w.Uint(banResponseVersion, response.Version)
+	w.String(banResponseRejection, response.Rejection)
+	w.Bytes(banResponseBans, response.Bans)
+	return w.Encoded()
+}
+
+// DecodeBanResponse decodes a voter's response about operators' bans; ok is false if it is
+// none.
+func DecodeBanResponse(payload []byte) (response consensus.BanResponse, ok bool) {
+	ok = wireformat.ParseFields(payload, func(field protowire.Number, value uint64, content []byte) bool {
+		switch field {
+		case banResponseRequestID:
+			response.RequestID = value
+		case banResponseVersion:
+			response.Version = value
+		case banResponseRejection:
+			response.Rejection = string(content)
+		case banResponseBans:
+			response.Bans = slices.Clone(content)
 		}
 		return true
 	})
-	return a, ok
+	return response, ok
 }
 
-// hello is what electors say to each other about themselves, besides raft's messages.
+// hello is what voters tell each other about themselves, besides the messages of raft.
 type hello struct {
-	Name            string
-	RaftID          uint64 // its number, or the one that it would begin with
+	Name            string // of the voter that it is about
+	RaftID          uint64 // its raft ID, or the one that it would start with
 	NoLog           bool   // it has no log
-	Reply           bool   // it answers
-	HeardFromSender bool   // Back: something came from the asker's first number once
-	SenderIsVoter   bool   // Back: that number is among the voters, as far as this one knows
-	JoinRequest     bool   // asks to be taken in under ID
+	Reply           bool   // it replies to a hello
+	HeardFromSender bool   // with Reply: it has heard from the raft ID that the hello named
+	SenderIsVoter   bool   // with Reply: that raft ID is a voter, as far as it knows
+	JoinRequest     bool   // it asks to be added under RaftID
+}
+
+// Field numbers of a hello, and the bits of its flags.
+const (
+	helloName   protowire.Number = 1
+	helloRaftID protowire.Number = 2
+	helloFlags  protowire.Number = 3
+
+	helloNoLog           = 1 << 0
+	helloReply           = 1 << 1
+	helloHeardFromSender = 1 << 2
+	helloSenderIsVoter   = 1 << 3
+	helloJoinRequest     = 1 << 4
+)
+
+func (h hello) flags() uint64 {
+	flags := uint64(0)
+	for _, flag := range []struct {
+		set bool
+		bit uint64
+	}{
+		{h.NoLog, helloNoLog},
+		{h.Reply, helloReply},
+		{h.HeardFromSender, helloHeardFromSender},
+		{h.SenderIsVoter, helloSenderIsVoter},
+		{h.JoinRequest, helloJoinRequest},
+	} {
+		if flag.set {
+			flags |= flag.bit
+		}
+	}
+	return flags
+}
+
+func (h *hello) setFlags(flags uint64) {
+	h.NoLog = flags&helloNoLog != 0
+	h.Reply = flags&helloReply != 0
+	h.HeardFromSender = flags&helloHeardFromSender != 0
+	h.SenderIsVoter = flags&helloSenderIsVoter != 0
+	h.JoinRequest = flags&helloJoinRequest != 0
 }
 
 func (h hello) encode() []byte {
-	b := wireformat.AppendString(nil, 1, h.Name)
-	b = wireformat.AppendUint(b, 2, h.RaftID)
-	b = wireformat.AppendUint(b, 3, flagBit(h.NoLog)|flagBit(h.Reply)<<1|flagBit(h.HeardFromSender)<<2|flagBit(h.SenderIsVoter)<<3|flagBit(h.JoinRequest)<<4)
-	return b
-}
-
-func decodeHello(b []byte) (h hello, ok bool) {
-	ok = leaseregistry.DecodeFields(b, func(f protowire.Number, v uint64, in []byte) bool {
-		switch f {
-		case 1:
-			h.Name = string(in)
-		case 2:
-			h.RaftID = v
-		case 3:
-			h.NoLog, h.Reply, h.HeardFromSender, h.SenderIsVoter, h.JoinRequest = v&1 != 0, v&2 != 0, v&4 != 0, v&8 != 0, v&16 != 0
+	w := wireformat.NewWriter(nil)
+	w.String(helloName, h.Name)
+	w.Uint(helloRaftID, h.RaftID)
+	w.Uint(helloFlags, h.flags())
+	return w.Encoded()
+}
+
+func decodeHello(payload []byte) (received hello, ok bool) {
+	ok = wireformat.ParseFields(payload, func(field protowire.Number, value uint64, content []byte) bool {
+		switch field {
+		case helloName:
+			received.Name = string(content)
+		case helloRaftID:
+			received.RaftID = value
+		case helloFlags:
+			received.setFlags(value)
 		}
 		return true
 	})
-	return h, ok && h.Name != "" && len(h.Name) <= leaseregistry.MaxNameLen && h.RaftID != 0
+	withinLimits := received.Name != "" && len(received.Name) <= leaseregistry.MaxNameLen && received.RaftID != 0
+	return received, ok && withinLimits
 }
 
-// voterMetadata is what an elector's log keeps of it: its number, and whom it has heard.
+// voterMetadata is what a voter keeps of itself in its log.
 type voterMetadata struct {
 	RaftID    uint64
-	HeardFrom []uint64
+	HeardFrom []uint64 // raft IDs that it received messages of raft from
 }
 
-func (o voterMetadata) encode() []byte {
-	b := wireformat.AppendUint(nil, 1, o.RaftID)
-	for _, id := range o.HeardFrom {
-		b = wireformat.AppendUint(b, 2, id)
+// Field numbers of the metadata.
+const (
+	metadataRaftID    protowire.Number = 1
+	metadataHeardFrom protowire.Number = 2 // repeated
+)
+
+func (v voterMetadata) encode() []byte {
+	w := wireformat.NewWriter(nil)
+	w.Uint(metadataRaftID, v.RaftID)
+	for _, id := range v.HeardFrom {
+		w.Uint(metadataHeardFrom, id)
 	}
-	return b
+	return w.Encoded()
 }
 
-func decodeVoterMetadata(b []byte) (o voterMetadata, ok bool) {
-	ok = leaseregistry.DecodeFields(b, func(f protowire.Number, v uint64, _ []byte) bool {
-		if f == 1 {
-			o.RaftID = v
-		} else if f == 2 {
-			o.HeardFrom = append(o.HeardFrom, v)
+func decodeVoterMetadata(stored []byte) (metadata voterMetadata, ok bool) {
+	ok = wireformat.ParseFields(stored, func(field protowire.Number, value uint64, _ []byte) bool {
+		switch field {
+		case metadataRaftID:
+			metadata.RaftID = value
+		case metadataHeardFrom:
+			metadata.HeardFrom = append(metadata.HeardFrom, value)
 		}
 		return true
 	})
-	return o, ok
+	return metadata, ok
 }
--- /dev/null
+++ b/internal/fleet/leasemanager/requests.go
@@ -0,0 +1,78 @@
+package leasemanager
+
+import (
+	"maps"
+	"slices"
+
+	"garnetline/internal/fleet/fragment"
+	"garnetline/internal/fleet/lease"
+	"garnetline/internal/fleet/membership"
+)
+
+const (
+	maxPendingRequests = 64 // that a leader hint can redirect
+
+	// Every rotateAfter requests without a response one goes to the next voter of the list,
+	// and after forgetLeaderAfter the likely leader is forgotten.
+	rotateAfter       = 3
+	forgetLeaderAfter = 4
+)
+
+// SendBanRequest sends a request about operators' bans, as EncodeBanRequest encodes it, to the
+// voters. Its response, if one comes, goes to Options.OnBanResponse.
+func (m *Manager) SendBanRequest(requestID uint64, payload []byte) {
+	m.enqueueHolder(func(float64) {
+		m.sendRequest(requestID, outgoingMessage{channel: fragment.BanRequest, payload: payload})
+	})
+}
+
+// sendRequest sends a request to the voter that responded last, or to the next one.
+func (m *Manager) sendRequest(requestID uint64, message outgoingMessage) {
+	m.pendingRequests[requestID] = message
+	if len(m.pendingRequests) > maxPendingRequests {
+		oldest := slices.Min(slices.Collect(maps.Keys(m.pendingRequests)))
+		delete(m.pendingRequests, oldest)
+	}
+	m.unansweredRequests++
+	message.routerID = m.likelyLeader
+	if message.routerID == 0 || m.unansweredRequests%rotateAfter == 0 {
+		voters := m.options.Voters
+		next := m.unansweredRequests / rotateAfter % len(voters)
+		message.routerID = m.memberID(voters[next])
+	}
+	if m.unansweredRequests%forgetLeaderAfter == 0 {
+		m.likelyLeader = 0
+	}
+	if message.routerID != 0 {
+		m.send(message)
+	}
+}
+
+// handleLeaderHint repeats a request at the leader that another voter named, once for each
+// request.
+func (m *Manager) handleLeaderHint(hint leaderHint) {
+	message, pending := m.pendingRequests[hint.RequestID]
+	if !pending {
+		return
+	}
+	delete(m.pendingRequests, hint.RequestID)
+	message.routerID = m.memberID(hint.Leader)
+	if message.routerID != 0 {
+		m.likelyLeader = message.routerID
+		m.send(message)
+	}
+}
+
+// handleResponse handles a voter's response, or its notice, about a lease.
+func (m *Manager) handleResponse(now float64, from membership.ID, response lease.Response) {
+	m.recordResponder(from, response.RequestID)
+	m.recordChanges(m.holder.HandleResponse(now, response))
+	m.publishLeases(now)
+}
+
+// recordResponder notes who responded to a request.
+func (m *Manager) recordResponder(from membership.ID, requestID uint64) {
+	m.likelyLeader = from
+	m.unansweredRequests = 0
+	delete(m.pendingRequests, requestID)
+}
