--- a/internal/fleet/leaseregistry/command.go
+++ b/internal/fleet/leaseregistry/command.go
@@ -66,22 +66,22 @@
 
 // Append appends the command in protobuf's encoding.
 func (c *Command) Append(b []byte) []byte {
-	w := fieldWriter{b}
-	w.number(fieldOp, uint64(c.Op))
-	w.text(fieldLease, c.Lease)
-	w.number(fieldHolder, uint64(c.Holder))
-	w.number(fieldIncarnation, c.Incarnation)
-	w.number(fieldExpectedToken, c.ExpectedToken)
-	w.text(fieldHandoff, string(c.Handoff))
-	w.number(fieldServer, uint64(c.Server))
-	w.flag(fieldDisabled, c.Disabled)
-	w.text(fieldText, c.Text)
-	w.text(fieldReason, c.Reason)
-	w.number(fieldSetAt, uint64(c.SetAt))
-	w.number(fieldVoterID, c.VoterID)
-	w.flag(fieldHolderLost, c.HolderLost)
-	w.number(fieldRequestID, c.RequestID)
-	return w.encoded
+	w := wireformat.NewWriter(b)
+	w.Uint(fieldOp, uint64(c.Op))
+	w.String(fieldLease, c.Lease)
+	w.Uint(fieldHolder, uint64(c.Holder))
+	w.Uint(fieldIncarnation, c.Incarnation)
+	w.Uint(fieldExpectedToken, c.ExpectedToken)
+	w.Bytes(fieldHandoff, c.Handoff)
+	w.Uint(fieldServer, uint64(c.Server))
+	w.Bool(fieldDisabled, c.Disabled)
+	w.String(fieldText, c.Text)
+	w.String(fieldReason, c.Reason)
+	w.Uint(fieldSetAt, uint64(c.SetAt))
+	w.Uint(fieldVoterID, c.VoterID)
+	w.Bool(fieldHolderLost, c.HolderLost)
+	w.Uint(fieldRequestID, c.RequestID)
+	return w.Encoded()
 }
 
 // DecodeCommand decodes a command; ok is false if it is none, or exceeds a limit.
--- a/internal/fleet/leaseregistry/snapshot.go
+++ b/internal/fleet/leaseregistry/snapshot.go
@@ -48,52 +48,52 @@
 
 // Snapshot returns the whole state as bytes, the same for equal states.
 func (s *State) Snapshot() []byte {
-	w := fieldWriter{}
+	w := wireformat.NewWriter(nil)
 	for _, name := range slices.Sorted(maps.Keys(s.Leases)) {
-		w.message(snapshotLease, s.Leases[name].writeTo)
+		w.Message(snapshotLease, s.Leases[name].writeTo)
 	}
-	s.writeBans(&w)
+	s.writeBans(w)
 	for _, id := range slices.Sorted(maps.Keys(s.VoterNames)) {
-		w.message(snapshotVoterName, func(entry *fieldWriter) {
-			entry.number(voterID, id)
-			entry.text(voterName, s.VoterNames[id])
+		w.Message(snapshotVoterName, func(entry *wireformat.Writer) {
+			entry.Uint(voterID, id)
+			entry.String(voterName, s.VoterNames[id])
 		})
 	}
-	return w.encoded
+	return w.Encoded()
 }
 
 // BansSnapshot returns the part of a snapshot that holds operators' bans. Restore reads it.
 func (s *State) BansSnapshot() []byte {
-	w := fieldWriter{}
-	s.writeBans(&w)
-	return w.encoded
+	w := wireformat.NewWriter(nil)
+	s.writeBans(w)
+	return w.Encoded()
 }
 
-func (s *State) writeBans(w *fieldWriter) {
+func (s *State) writeBans(w *wireformat.Writer) {
 	for _, server := range slices.Sorted(maps.Keys(s.Bans)) {
-		w.message(snapshotBan, s.Bans[server].writeTo)
+		w.Message(snapshotBan, s.Bans[server].writeTo)
 	}
 }
 
-func (l *Lease) writeTo(w *fieldWriter) {
-	w.text(leaseName, l.Name)
-	w.number(leaseHolder, uint64(l.Holder))
-	w.number(leaseIncarnation, l.Incarnation)
-	w.number(leaseFencingToken, l.FencingToken)
-	w.text(leaseHandoff, string(l.Handoff))
+func (l *Lease) writeTo(w *wireformat.Writer) {
+	w.String(leaseName, l.Name)
+	w.Uint(leaseHolder, uint64(l.Holder))
+	w.Uint(leaseIncarnation, l.Incarnation)
+	w.Uint(leaseFencingToken, l.FencingToken)
+	w.Bytes(leaseHandoff, l.Handoff)
 	for _, id := range slices.Sorted(maps.Keys(l.Losses)) {
-		w.number(leaseLossRouter, uint64(id))
-		w.number(leaseLossCount, l.Losses[id])
+		w.Uint(leaseLossRouter, uint64(id))
+		w.Uint(leaseLossCount, l.Losses[id])
 	}
 }
 
-func (b *Ban) writeTo(w *fieldWriter) {
-	w.number(banServer, uint64(b.Server)+1)
-	w.flag(banDisabled, b.Disabled)
-	w.number(banVersion, b.Version)
-	w.text(banSetBy, b.SetBy)
-	w.text(banReason, b.Reason)
-	w.number(banSetAt, uint64(b.SetAt))
+func (b *Ban) writeTo(w *wireformat.Writer) {
+	w.Uint(banServer, uint64(b.Server)+1)
+	w.Bool(banDisabled, b.Disabled)
+	w.Uint(banVersion, b.Version)
+	w.String(banSetBy, b.SetBy)
+	w.String(banReason, b.Reason)
+	w.Uint(banSetAt, uint64(b.SetAt))
 }
 
 // Restore decodes a snapshot; ok is false if it is none.
