--- a/internal/admin/golden_test.go
+++ b/internal/admin/golden_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"reflect"
 	"strings"
 	"testing"
@@ -12,27 +11,10 @@
 	"garnetline/internal/fleet"
 	"garnetline/internal/fleet/bans"
 	"garnetline/internal/fleet/leasemanager"
+	"garnetline/internal/golden"
 	"garnetline/routing"
 )
 
-// compareGolden compares text with a file in testdata. UPDATE_GOLDEN=1 writes the file anew.
-func compareGolden(t *testing.T, name, got string) {
-	t.Helper()
-	path := "testdata/" + name
-	if os.Getenv("UPDATE_GOLDEN") != "" {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got != string(want) {
-		t.Errorf("%s: got\n%s\nwant\n%s", path, got, want)
-	}
-}
-
 // fakeFleet has one call of its own and a figure.
 type fakeFleet struct{}
 
@@ -46,7 +28,7 @@
 // testdata/pages.golden anew.
 func TestGoldenCalls(t *testing.T) {
 	ready := true
-	d := &Handler{Ready: func() bool { return ready },
+	handler := &Handler{Ready: func() bool { return ready },
 		Metrics: func() Metrics {
 			return Metrics{Classes: []ClassMetrics{{Name: "part", Served: 1, Rejected: 2, Failed: 3}, {Name: "a \"b\"", Served: 4}}, Relayed: 5,
 				OpenRequests: 6, ListedServers: 7, UnavailableServers: 8, ReloadsAccepted: 9, ReloadsRejected: 10}
@@ -61,31 +43,31 @@
 			return nil
 		}}
 	var out strings.Builder
-	for _, d.Fleet = range []Fleet{nil, fakeFleet{}} {
+	for _, handler.Fleet = range []Fleet{nil, fakeFleet{}} {
 		for _, ready = range []bool{true, false} {
-			fmt.Fprintf(&out, "== fleet %v, ready %v\n", d.Fleet != nil, ready)
+			fmt.Fprintf(&out, "== fleet %v, ready %v\n", handler.Fleet != nil, ready)
 			for _, path := range []string{"/ready", "/metrics", "/caches/disable/s-00000001", "/caches/enable/s-00000001",
 				"/caches/disable/s-00000008", "/caches/disable/s-00000009", "/caches/disable/8", "/caches/disable", "/fleet", "/fleet/other", "/"} {
 				for _, method := range []string{"GET", "POST"} {
-					status, body := d.Handle(t.Context(), method, path)
+					status, body := handler.Handle(t.Context(), method, path)
 					fmt.Fprintf(&out, "%s %s: %d\n%s", method, path, status, body)
 				}
 			}
 		}
 	}
-	compareGolden(t, "pages.golden", out.String())
+	golden.Compare(t, "pages.golden", []byte(out.String()))
 }
 
 // jsonKeys writes the keys of a type as encoding/json names them, with their kinds.
-func jsonKeys(out *strings.Builder, at string, v reflect.Type) {
-	switch v.Kind() {
+func jsonKeys(out *strings.Builder, at string, value reflect.Type) {
+	switch value.Kind() {
 	case reflect.Pointer:
-		jsonKeys(out, at, v.Elem())
+		jsonKeys(out, at, value.Elem())
 	case reflect.Slice:
-		jsonKeys(out, at+"[]", v.Elem())
+		jsonKeys(out, at+"[]", value.Elem())
 	case reflect.Struct:
-		for i := range v.NumField() {
-			f := v.Field(i)
+		for i := range value.NumField() {
+			f := value.Field(i)
 			name, more, _ := strings.Cut(f.Tag.Get("json"), ",")
 			if name == "" {
 				name = f.Name
@@ -96,7 +78,7 @@
 			jsonKeys(out, at+"."+name+more, f.Type)
 		}
 	default:
-		fmt.Fprintf(out, "%s %s\n", at, v.Kind())
+		fmt.Fprintf(out, "%s %s\n", at, value.Kind())
 	}
 }
 
@@ -112,5 +94,5 @@
 	} {
 		jsonKeys(&out, page.path, reflect.TypeOf(page.of))
 	}
-	compareGolden(t, "json.golden", out.String())
+	golden.Compare(t, "json.golden", []byte(out.String()))
 }
--- a/internal/frontend/httpfront/bench_test.go
+++ b/internal/frontend/httpfront/bench_test.go
@@ -8,12 +8,6 @@
 	"garnetline/internal/dispatch"
 )
 
-// immediateDispatcher is a core that answers in Submit and keeps nothing.
-type immediateDispatcher struct{ response dispatch.Response }
-
-func (c *immediateDispatcher) Submit(r *dispatch.Request) bool { r.Respond(c.response); return true }
-func (c *immediateDispatcher) Disconnect(*dispatch.Request)    {}
-
 // BenchmarkRequest measures one request and its answer over a kept loopback connection.
 // The client allocates nothing, so that allocations are the front's alone.
 func BenchmarkRequest(b *testing.B) {
@@ -56,26 +50,14 @@
 	s := newServer(&fakeDispatcher{})
 	c := s.newConn(&memoryConn{in: &repeatingReader{text: getRequest(objectTarget, "X-Family: 17", `If-None-Match: "4be0c1927d55a6f3"`)}})
 	c.text.LimitRead(maxHeaderBytes)
-	r, bad := c.readRequest()
-	if bad != nil {
-		b.Fatal(bad.message)
+	r, err := c.readRequest()
+	if err != nil {
+		b.Fatal(err)
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, bad := s.parseRequest(r); bad != nil {
-			b.Fatal(bad.message)
+		if _, err := s.parseRequest(r); err != nil {
+			b.Fatal(err)
 		}
 	}
 }
-
-// repeatingReader brings one text again and again.
-type repeatingReader struct {
-	text string
-	at   int
-}
-
-func (r *repeatingReader) Read(p []byte) (int, error) {
-	n := copy(p, r.text[r.at:])
-	r.at = (r.at + n) % len(r.text)
-	return n, nil
-}
