Sort discovery's tests by concern; test what peers' gossip may do to the list

The tests stood in one file, each with a listener and goroutines of its own.

gossip.go had no test in its package. Five new ones step the watcher by a set clock: a peer's drain holds only while the own watch is stale, not for an earlier start, not when much older than the latest frame; bans and purges; what is broadcast.

--- /dev/null
+++ b/internal/discovery/apply_test.go
@@ -0,0 +1,144 @@
+package discovery
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"garnetline/internal/clock"
+	"garnetline/internal/platformconfig"
+	"garnetline/internal/seeds"
+	"garnetline/internal/standin"
+	"garnetline/routing"
+)
+
+// Guards against events that are lost on the way: a heartbeat with a later number, or an
+// event that does not follow the last one, has the change log asked again from the last
+// number. A change log that goes on like that is followed as it is.
+func TestMissedEvents(t *testing.T) {
+	event := func(seq uint64) []byte { return encodeChange(seq, 7, stateReady) }
+	heartbeat := func(seq uint64) []byte { return encodeFrame(seq, 0) }
+	server := newFakeChangeLog(t)
+	watcher, events := newTestWatcher(server.addr())
+	startWatcher(t, watcher)
+	server.accept(1, event(2), heartbeat(3))     // 3 never came
+	server.accept(2, event(3), event(5))         // nor did 4
+	server.acceptAndClose(3, event(4), event(5)) // here they are
+	server.accept(5, event(7))                   // 6 is not there
+	server.accept(5, event(7), heartbeat(7), event(8))
+	expectEvents(t, events, 1, 2, 3, 4, 5, 7, 8)
+}
+
+// Guards against an attempt that is chosen after the notification of a drain and written by
+// the guard of before: whoever is notified of an event finds the guard that has it.
+func TestGuardIsPublishedBeforeItIsTold(t *testing.T) {
+	server := newFakeChangeLog(t)
+	watcher, events := newTestWatcher(server.addr())
+	notify, excluded := watcher.notify, make(chan bool, 16)
+	watcher.notify = func(event platformconfig.WatchEvent) {
+		excluded <- watcher.Guard().Excludes(7)
+		notify(event)
+	}
+	startWatcher(t, watcher)
+	server.accept(1, encodeChange(2, 7, stateReady), encodeChange(3, 7, stateDraining), encodeChange(4, 7, stateReady))
+	expectEvents(t, events, 1, 2, 3, 4)
+	for i, want := range []bool{true, false, true, false} {
+		if got := <-excluded; got != want {
+			t.Errorf("event %d: excluded %v at its notification, want %v", i+1, got, want)
+		}
+	}
+	if err := watcher.SetDisabled(t.Context(), 7, true); err != nil || !<-excluded {
+		t.Errorf("disabled: %v, or not excluded at its notification", err)
+	}
+}
+
+// Guards against a wall clock that is set while the router runs: a purge's time is the wall
+// clock's, and set back by more than a purge binds it looked long past when it was received.
+func TestWallClockStep(t *testing.T) {
+	for _, step := range []float64{-3_600_000, -7_000, 0, 7_000, 3_600_000} {
+		changeLog, err := standin.NewTeller(1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer changeLog.Close()
+		watcher, events := newTestWatcher(changeLog.Addr().(*net.TCPAddr).AddrPort())
+		watcher.clock.(*clock.Manual).StepWallClock(step)
+		stop := startWatcher(t, watcher)
+		changeLog.Purge(9, uint64(now+step-50))
+		event := nextEvent(t, events)
+		for event.Purge == nil {
+			event = nextEvent(t, events)
+		}
+		at := clock.Duration(now)
+		guard := watcher.Guard()
+		if !guard.MayBeStale(at, 9, 0) || guard.MaxAge(at, 0, 9, 0).Round(time.Millisecond) != 50*time.Millisecond {
+			t.Errorf("set by %v ms: stale copies %v, copies of up to %v may be served", step, guard.MayBeStale(at, 9, 0), guard.MaxAge(at, 0, 9, 0))
+		}
+		stop()
+	}
+}
+
+// guardModel is a plain replay of the events that a guard was made of.
+type guardModel struct {
+	ready    map[routing.ServerID]bool
+	purgedAt map[int]float64 // ms, by group
+}
+
+// FuzzGuard checks the published guard against a plain replay of the events.
+func FuzzGuard(f *testing.F) {
+	seeds.Add(f, 16, 90)
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		guard := &routing.Guard{PurgeRetention: 6 * time.Second}
+		model := guardModel{ready: map[routing.ServerID]bool{}, purgedAt: map[int]float64{}}
+		at := now
+		for i := 0; i+2 < len(steps); i += 3 {
+			id, argument := routing.ServerID(steps[i+1]%5), int(steps[i+2])
+			at += float64(argument * 10)
+			event := model.step(steps[i]%4, id, argument, at)
+			guard = nextGuard(guard, event, clock.Duration(at), 0)
+			model.check(t, guard, at)
+		}
+	})
+}
+
+// step makes an event, and applies it to the model.
+func (m guardModel) step(operation byte, id routing.ServerID, argument int, at float64) platformconfig.WatchEvent {
+	if operation > 1 {
+		group := argument % 4
+		m.purgedAt[group] = at
+		return platformconfig.WatchEvent{Purge: &platformconfig.Purge{Group: group, At: at}}
+	}
+	snapshot := operation == 1
+	if snapshot {
+		clear(m.ready)
+	}
+	phase := routing.Phase(argument % 3)
+	m.ready[id] = phase == routing.Ready
+	return platformconfig.WatchEvent{
+		ListUpdate: true,
+		Snapshot:   snapshot,
+		Endpoints:  []platformconfig.Endpoint{{Server: routing.Server{ID: id, Phase: phase}}},
+	}
+}
+
+// check compares a guard with the model.
+func (m guardModel) check(t *testing.T, guard *routing.Guard, at float64) {
+	t.Helper()
+	for id := range routing.ServerID(5) {
+		if guard.Excludes(id) == m.ready[id] {
+			t.Fatalf("server %d: excluded %v, ready %v", id, guard.Excludes(id), m.ready[id])
+		}
+	}
+	for group := range 4 {
+		purgedAt, purged := m.purgedAt[group]
+		want := purged && purgedAt+6000 > at
+		if guard.MayBeStale(clock.Duration(at), 99, group) != want {
+			t.Fatalf("group %d purged at %.0f: now %.0f, want %v", group, purgedAt, at, want)
+		}
+		age := guard.MaxAge(clock.Duration(at), 8*time.Second, 99, group)
+		bound := max(clock.Duration(at-purgedAt), time.Microsecond) + time.Millisecond
+		if want && age > bound || !want && age != 8*time.Second {
+			t.Fatalf("group %d: age %v", group, age)
+		}
+	}
+}
--- /dev/null
+++ b/internal/discovery/gossip_test.go
@@ -0,0 +1,181 @@
+package discovery
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+
+	"garnetline/internal/clock"
+	"garnetline/internal/fleet/gossip"
+	"garnetline/internal/platformconfig"
+	"garnetline/routing"
+)
+
+// fakeGossip keeps what the watcher tells its peers, and returns the changes that a test
+// gives it.
+type fakeGossip struct {
+	disabled  []routing.ServerID
+	broadcast []gossip.Item
+	changes   []gossip.Change
+}
+
+func (g *fakeGossip) SetDisabled(server routing.ServerID, _ bool) {
+	g.disabled = append(g.disabled, server)
+}
+
+func (g *fakeGossip) Broadcast(item gossip.Item) { g.broadcast = append(g.broadcast, item) }
+
+func (g *fakeGossip) ChangesReady() <-chan struct{} { return nil }
+
+func (g *fakeGossip) TakeChanges() []gossip.Change {
+	changes := g.changes
+	g.changes = nil
+	return changes
+}
+
+// gossipFixture is a watcher that is stepped by the test, without Run: it has applied event 2,
+// by which servers 7 and 8 are ready.
+type gossipFixture struct {
+	*Watcher
+	t     *testing.T
+	clock *clock.Manual
+	peers *fakeGossip
+}
+
+func newGossipFixture(t *testing.T) gossipFixture {
+	t.Helper()
+	watcher, _ := newTestWatcher(netip.AddrPort{})
+	watcher.notify = func(platformconfig.WatchEvent) {}
+	fixture := gossipFixture{watcher, t, watcher.clock.(*clock.Manual), &fakeGossip{}}
+	watcher.SetGossip(fixture.peers)
+	fixture.receive(kindSnapshot, platformconfig.WatchEvent{Seq: 2, ListUpdate: true, Snapshot: true, Endpoints: []platformconfig.Endpoint{
+		{Server: routing.Server{ID: 7, Phase: routing.Ready}}, {Server: routing.Server{ID: 8, Phase: routing.Ready}}}})
+	return fixture
+}
+
+// receive has a frame of the router's own watch come.
+func (f gossipFixture) receive(kind frameKind, event platformconfig.WatchEvent) {
+	f.t.Helper()
+	if err := f.handleFrame(frame{kind: kind, event: event}); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// hear has changes of the peers come.
+func (f gossipFixture) hear(changes ...gossip.Change) {
+	f.peers.changes = changes
+	f.applyGossip()
+}
+
+// expectReady checks which servers are ready.
+func (f gossipFixture) expectReady(when string, want ...routing.ServerID) {
+	f.t.Helper()
+	var ready []routing.ServerID
+	for _, endpoint := range f.ReadyServers(0, 0) {
+		ready = append(ready, endpoint.ID)
+	}
+	slices.Sort(ready)
+	if !slices.Equal(ready, want) {
+		f.t.Errorf("%s: %v are ready, want %v", when, ready, want)
+	}
+}
+
+// Guards against a drain that is missed while discovery is down, and against peers who
+// overrule a router's own watch: a peer's drain holds while that watch is stale, and is
+// dropped once the watch is back and has had time to catch up.
+func TestGossipedDrain(t *testing.T) {
+	fixture := newGossipFixture(t)
+	drain := gossip.Change{Item: gossip.Item{Kind: gossip.Drain, Server: 7}}
+	fixture.hear(drain)
+	fixture.expectReady("with a watch that is not stale", 7, 8)
+	fixture.clock.Advance(staleAfter)
+	fixture.updateGossipedDrains()
+	fixture.expectReady("just not stale yet", 7, 8)
+	fixture.clock.Advance(1)
+	if !fixture.Stale(fixture.clock.Now()) {
+		t.Error("the watch does not count as stale")
+	}
+	fixture.updateGossipedDrains()
+	fixture.expectReady("stale", 8)
+	fixture.receive(kindHeartbeat, platformconfig.WatchEvent{Seq: 2})
+	fixture.clock.Advance(catchUpPeriod - 1)
+	fixture.updateGossipedDrains()
+	fixture.expectReady("back, not caught up", 8)
+	fixture.clock.Advance(1)
+	fixture.updateGossipedDrains()
+	fixture.expectReady("caught up", 7, 8)
+}
+
+// A drain of an earlier start of a server does not exclude the present one.
+func TestGossipedDrainOfEarlierStart(t *testing.T) {
+	fixture := newGossipFixture(t)
+	restarted := platformconfig.Endpoint{Server: routing.Server{ID: 8, Phase: routing.Ready, StartedAt: clock.Duration(now)}}
+	fixture.receive(kindChanges, platformconfig.WatchEvent{Seq: 3, ListUpdate: true, Endpoints: []platformconfig.Endpoint{restarted}})
+	fixture.hear(gossip.Change{Item: gossip.Item{Kind: gossip.Drain, Server: 8, StartedAt: now - 1}})
+	fixture.clock.Advance(staleAfter + 1)
+	fixture.updateGossipedDrains()
+	fixture.expectReady("stale", 7, 8)
+	if n := fixture.counters.Counter("fleet_drains_taken").Load(); n != 0 {
+		t.Errorf("%d drains were followed", n)
+	}
+}
+
+// A drain that is much older than the latest frame was received, and undone, by the router's
+// own watch: it is not followed when that watch is stale again.
+func TestGossipedDrainOfBefore(t *testing.T) {
+	fixture := newGossipFixture(t)
+	fixture.hear(gossip.Change{Item: gossip.Item{Kind: gossip.Drain, Server: 7}})
+	for range 3 {
+		fixture.clock.Advance(gossipSlack / 2)
+		fixture.receive(kindHeartbeat, platformconfig.WatchEvent{Seq: 2})
+	}
+	fixture.clock.Advance(staleAfter + 1)
+	fixture.updateGossipedDrains()
+	fixture.expectReady("stale", 7, 8)
+}
+
+// A peer's ban holds at once; a purge does if it still binds and is not of the far future.
+func TestGossipedBanAndPurge(t *testing.T) {
+	fixture := newGossipFixture(t)
+	fixture.hear(gossip.Change{Item: gossip.Item{Kind: gossip.Ban, Server: 7}, Disabled: true})
+	fixture.expectReady("disabled by a peer", 8)
+	if got := fixture.Disabled(); !slices.Equal(got, []routing.ServerID{7}) {
+		t.Errorf("disabled: %v", got)
+	}
+	fixture.hear(gossip.Change{Item: gossip.Item{Kind: gossip.Ban, Server: 7}})
+	fixture.expectReady("enabled by a peer", 7, 8)
+	for object, purgedAt := range map[routing.ObjectID]float64{1: now - 50, 2: now - 6000, 3: now + maxPurgeLead} {
+		fixture.hear(gossip.Change{Item: gossip.Item{Kind: gossip.Purge, Object: object, PurgedAt: purgedAt}})
+		published := slices.ContainsFunc(fixture.Guard().Purges, func(purge routing.PurgeRecord) bool { return purge.Object == object })
+		if published != (object == 1) {
+			t.Errorf("purged at %+.0f ms: published %v", purgedAt-now, published)
+		}
+	}
+	if len(fixture.peers.disabled) != 0 || len(fixture.peers.broadcast) != 0 {
+		t.Errorf("what peers told was told again: %v, %v", fixture.peers.disabled, fixture.peers.broadcast)
+	}
+}
+
+// Peers are told of drains, removals and purges, but not of what a snapshot holds or of what
+// is ready.
+func TestBroadcast(t *testing.T) {
+	fixture := newGossipFixture(t)
+	endpoints := func(phases ...routing.Phase) (list []platformconfig.Endpoint) {
+		for i, phase := range phases {
+			list = append(list, platformconfig.Endpoint{Server: routing.Server{ID: routing.ServerID(7 + i), Phase: phase, StartedAt: clock.Duration(now)}})
+		}
+		return list
+	}
+	phases := endpoints(routing.Draining, routing.Ready, routing.Removed)
+	fixture.receive(kindSnapshot, platformconfig.WatchEvent{Seq: 3, ListUpdate: true, Snapshot: true, Endpoints: phases})
+	fixture.receive(kindChanges, platformconfig.WatchEvent{Seq: 4, ListUpdate: true, Endpoints: phases})
+	fixture.receive(kindObjectPurge, platformconfig.WatchEvent{Seq: 5, Purge: &platformconfig.Purge{Object: 3, Group: 4, At: now}})
+	want := []gossip.Item{
+		{Kind: gossip.Drain, Server: 7, StartedAt: now},
+		{Kind: gossip.Drain, Server: 9, StartedAt: now},
+		{Kind: gossip.Purge, Object: 3, Group: 4, PurgedAt: now},
+	}
+	if !slices.Equal(fixture.peers.broadcast, want) {
+		t.Errorf("told %+v, want %+v", fixture.peers.broadcast, want)
+	}
+}
--- /dev/null
+++ b/internal/discovery/helpers_test.go
@@ -0,0 +1,158 @@
+package discovery
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"garnetline/internal/clock"
+	"garnetline/internal/metrics"
+	"garnetline/internal/platformconfig"
+	"garnetline/routing"
+)
+
+// now is where the clocks of tests stand, in Unix milliseconds.
+const now = 1.7e12
+
+// testTimeout ends a test whose watcher does not do what is awaited. It decides no order.
+const testTimeout = 10 * time.Second
+
+// States of a record.
+const (
+	stateReady byte = iota
+	stateDraining
+	stateRemoved
+)
+
+// encodeFrame writes a frame as the protocol describes it, not by the code under test.
+func encodeFrame(seq uint64, kind byte, payload ...byte) []byte {
+	b := binary.BigEndian.AppendUint32(nil, uint32(9+len(payload)))
+	return append(append(binary.BigEndian.AppendUint64(b, seq), kind), payload...)
+}
+
+func encodeRecord(id uint32, state byte) []byte {
+	b := binary.BigEndian.AppendUint32(nil, id)
+	b = append(b, 127, 0, 0, 9, 0x13, 0xba, state, 1, 0, 0, 5)
+	b = binary.BigEndian.AppendUint32(b, 2500)
+	return binary.BigEndian.AppendUint64(b, 1_700_000_000_123)
+}
+
+// encodeChange writes a frame of kind 2 with one record.
+func encodeChange(seq uint64, id uint32, state byte) []byte {
+	return encodeFrame(seq, 2, encodeRecord(id, state)...)
+}
+
+func encodePurge(object uint64, at uint64) []byte {
+	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, object), at)
+}
+
+// encodeGroupPurge writes a frame of kind 4, of group 17.
+func encodeGroupPurge(seq, at uint64) []byte {
+	return encodeFrame(seq, 4, append([]byte{0, 17}, encodePurge(at, 0)[:8]...)...)
+}
+
+// newTestWatcher returns a watcher that knows event 1, an empty list, and a channel that
+// receives the events that it notifies of.
+func newTestWatcher(addr netip.AddrPort) (*Watcher, chan platformconfig.WatchEvent) {
+	events := make(chan platformconfig.WatchEvent, 16)
+	config := &platformconfig.Config{
+		Discovery:   addr,
+		KnownSeq:    1,
+		KnownEvents: []platformconfig.WatchEvent{{Seq: 1, ListUpdate: true, Snapshot: true}},
+		Zones:       []string{"a", "b"},
+		Kinds:       []string{"box"},
+		Settings:    routing.Settings{PurgeRetention: 6 * time.Second},
+	}
+	notify := func(event platformconfig.WatchEvent) { events <- event }
+	return NewWatcher(clock.NewManual(now), config, notify, metrics.New()), events
+}
+
+// startWatcher runs a watcher until stop is called, which the test's end does too.
+func startWatcher(t *testing.T, watcher *Watcher) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		watcher.Run(ctx)
+		close(done)
+	}()
+	stop = func() {
+		cancel()
+		<-done
+	}
+	t.Cleanup(stop)
+	return stop
+}
+
+// nextEvent awaits an event.
+func nextEvent(t *testing.T, events <-chan platformconfig.WatchEvent) platformconfig.WatchEvent {
+	t.Helper()
+	select {
+	case event := <-events:
+		return event
+	case <-time.After(testTimeout):
+		t.Fatal("no event came")
+		return platformconfig.WatchEvent{}
+	}
+}
+
+// expectEvents awaits events with these numbers, in order.
+func expectEvents(t *testing.T, events <-chan platformconfig.WatchEvent, seqs ...uint64) {
+	t.Helper()
+	for _, seq := range seqs {
+		if event := nextEvent(t, events); event.Seq != seq {
+			t.Fatalf("event %d came, want %d", event.Seq, seq)
+		}
+	}
+}
+
+// fakeChangeLog accepts the connections of one watcher and sends what a test gives it.
+type fakeChangeLog struct {
+	*net.TCPListener
+	t *testing.T
+}
+
+func newFakeChangeLog(t *testing.T) fakeChangeLog {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	return fakeChangeLog{listener.(*net.TCPListener), t}
+}
+
+func (s fakeChangeLog) addr() netip.AddrPort { return s.Addr().(*net.TCPAddr).AddrPort() }
+
+// accept takes the next connection, checks the number that it asks from and sends frames. The
+// connection stays open until the test's end.
+func (s fakeChangeLog) accept(from uint64, frames ...[]byte) net.Conn {
+	s.t.Helper()
+	if err := s.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+		s.t.Fatal(err)
+	}
+	conn, err := s.Accept()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { conn.Close() })
+	var request [8]byte
+	if _, err := io.ReadFull(conn, request[:]); err != nil || binary.BigEndian.Uint64(request[:]) != from {
+		s.t.Fatalf("asked from %v, %v; want %d", request, err, from)
+	}
+	if _, err := conn.Write(slices.Concat(frames...)); err != nil {
+		s.t.Fatal(err)
+	}
+	return conn
+}
+
+// acceptAndClose is accept of a connection that ends then.
+func (s fakeChangeLog) acceptAndClose(from uint64, frames ...[]byte) {
+	s.t.Helper()
+	s.accept(from, frames...).Close()
+}
