--- /dev/null
+++ b/internal/frontend/httpfront/read.go
@@ -0,0 +1,190 @@
+package httpfront
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"net/textproto"
+	"net/url"
+	"strconv"
+	"strings"
+)
+
+const (
+	protocolPrefix = "HTTP/1."
+	protocolHTTP10 = "HTTP/1.0"
+	protocolHTTP11 = "HTTP/1.1"
+
+	continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
+)
+
+// request is an HTTP request as it was read.
+type request struct {
+	method, path, query string
+	header              textproto.MIMEHeader
+	body                []byte
+	closeAfter          bool    // the connection is closed after the response
+	receivedAt          float64 // when its last byte arrived
+	clientDeadline      float64 // its client waits until then; 0: not known
+}
+
+// readRequest reads one request. It returns a *requestError for the client, or
+// errClientDisconnected.
+func (c *conn) readRequest() (*request, error) {
+	r := &request{}
+	protocol, err := c.readRequestLine(r)
+	if err != nil {
+		return nil, err
+	}
+	if r.header, err = c.text.ReadMIMEHeader(); err != nil {
+		return nil, c.readFailure(err)
+	}
+	hosts := len(r.header["Host"])
+	if hosts > 1 || protocol == protocolHTTP11 && hosts == 0 {
+		return nil, badRequest("Host: want one")
+	}
+	r.closeAfter = headerHasToken(r.header, "Connection", "close") || protocol == protocolHTTP10
+	if err := c.readBody(r); err != nil {
+		return nil, err
+	}
+	// Symptom guarded against: a pipelined request was given the whole time that its client
+	// had when it sent the request, not what was left of it when its turn came.
+	if c.text.ReceivedBytes() || c.lastReadAt == 0 {
+		c.lastReadAt = c.server.Clock.Now()
+	}
+	r.receivedAt = c.lastReadAt
+	c.server.Metrics.Add("requests_read", 1)
+	return r, nil
+}
+
+// readRequestLine reads method and target into r and returns the protocol. One empty line
+// before the request is skipped.
+func (c *conn) readRequestLine(r *request) (protocol string, err error) {
+	line, err := c.text.ReadLine()
+	if err == nil && line == "" {
+		line, err = c.text.ReadLine()
+	}
+	if err != nil {
+		return "", c.readFailure(err)
+	}
+	fields := strings.Split(line, " ")
+	if len(fields) != 3 || fields[0] == "" {
+		return "", badRequest("malformed request line")
+	}
+	protocol = fields[2]
+	if !strings.HasPrefix(protocol, protocolPrefix) || len(protocol) != len(protocolHTTP11) {
+		return "", badRequest("malformed request line")
+	}
+	target, err := url.ParseRequestURI(fields[1])
+	if err != nil {
+		return "", badRequest("malformed target")
+	}
+	r.method = fields[0]
+	r.path = target.EscapedPath()
+	r.query = target.RawQuery
+	return protocol, nil
+}
+
+// readFailure returns what a failed read means for the client.
+func (c *conn) readFailure(err error) error {
+	var malformed textproto.ProtocolError
+	switch {
+	case c.text.LimitExceeded():
+		return &requestError{status: http.StatusRequestHeaderFieldsTooLarge, message: "head too long"}
+	case errors.As(err, &malformed):
+		return badRequest("malformed header")
+	case errors.Is(err, context.DeadlineExceeded), isTimeout(err):
+		return &requestError{status: http.StatusRequestTimeout, message: "request too slow"}
+	}
+	return errClientDisconnected
+}
+
+// readBody reads the body that the header announces.
+func (c *conn) readBody(r *request) error {
+	encodings, lengths := r.header["Transfer-Encoding"], r.header["Content-Length"]
+	switch {
+	case len(encodings) > 0 && len(lengths) > 0:
+		return badRequest("Content-Length and Transfer-Encoding")
+	case len(encodings) > 1, len(encodings) == 1 && !strings.EqualFold(encodings[0], "chunked"):
+		return &requestError{status: http.StatusNotImplemented, message: "Transfer-Encoding: unknown"}
+	case len(encodings) == 1:
+		return c.readChunkedBody(r)
+	case len(lengths) == 0:
+		return nil
+	}
+	length, err := strconv.ParseUint(lengths[0], 10, 63)
+	if err != nil || len(lengths) > 1 {
+		return badRequest("Content-Length: not a number")
+	}
+	if length > maxBodyBytes {
+		return errBodyTooLong
+	}
+	return c.readSizedBody(r, int(length))
+}
+
+// readSizedBody reads a body of a known length.
+func (c *conn) readSizedBody(r *request, length int) error {
+	if err := c.writeContinue(r); err != nil {
+		return err
+	}
+	c.text.LimitRead(length)
+	body, err := c.text.ReadBody(length)
+	if err != nil {
+		return c.readFailure(err)
+	}
+	// Copied, since an attempt may still be written when the client's next request is read
+	// into the connection's buffer.
+	r.body = bytes.Clone(body)
+	return nil
+}
+
+// readChunkedBody reads a body in chunks, and its trailers.
+func (c *conn) readChunkedBody(r *request) error {
+	if err := c.writeContinue(r); err != nil {
+		return err
+	}
+	c.text.LimitRead(maxChunkedBytes)
+	chunks := io.LimitReader(httputil.NewChunkedReader(c.text.R), maxBodyBytes+1)
+	var err error
+	if r.body, err = io.ReadAll(chunks); err != nil {
+		failure := c.readFailure(err)
+		if errors.Is(failure, errClientDisconnected) {
+			return badRequest("malformed chunks")
+		}
+		return failure
+	}
+	if len(r.body) > maxBodyBytes {
+		return errBodyTooLong
+	}
+	if _, err := c.text.ReadMIMEHeader(); err != nil {
+		return c.readFailure(err)
+	}
+	return nil
+}
+
+// writeContinue lets a client that asked to be told send its body.
+func (c *conn) writeContinue(r *request) error {
+	if !headerHasToken(r.header, "Expect", "100-continue") {
+		return nil
+	}
+	message := append(c.text.WriteBuffer(), continueResponse...)
+	if c.text.Flush(message, nil, minWriteTimeoutMs) != nil {
+		return errClientDisconnected
+	}
+	return nil
+}
+
+// headerHasToken reports whether a header that is a list of tokens holds one of them.
+func headerHasToken(header textproto.MIMEHeader, name, token string) bool {
+	for _, value := range header[name] {
+		for element := range strings.SplitSeq(value, ",") {
+			if strings.EqualFold(strings.TrimSpace(element), token) {
+				return true
+			}
+		}
+	}
+	return false
+}
