Bring the tests of settings, admin and discovery to the strict rules of the linter

Unchecked results, long functions and house words in comments were left in these tests, and the pages on rewriting golden files stood in each.

--- a/internal/admin/disabled/golden_test.go
+++ b/internal/admin/disabled/golden_test.go
@@ -12,9 +12,8 @@
 	"garnetline/routing"
 )
 
-// Pins the files that say which caches are out: their folder, names, sizes and rights, as a
-// process of another version reads them. UPDATE_GOLDEN=1 writes testdata/files.golden anew;
-// testdata/state is such a folder, written by an earlier version.
+// Pins the files of disabled servers: their folder, names, sizes and modes, as a process of
+// another version reads them. testdata/state is such a folder, written by an earlier version.
 func TestGoldenFiles(t *testing.T) {
 	state := t.TempDir()
 	want := map[routing.ServerID]bool{7: true, 0xc41f7a: true, 0xffffffff: true}
--- a/internal/admin/disabled/store_test.go
+++ b/internal/admin/disabled/store_test.go
@@ -10,7 +10,7 @@
 )
 
 // Guards what a successor reads, and that a folder that cannot be read is an error
-// and not a folder without marks, which would bring every cache back.
+// and not a folder without marks, which would enable every server.
 func TestStore(t *testing.T) {
 	state := t.TempDir()
 	store := NewStore(state)
--- a/internal/admin/golden_test.go
+++ b/internal/admin/golden_test.go
@@ -24,8 +24,7 @@
 
 func (fakeFleet) AppendMetrics(b []byte) []byte { return append(b, "app_fleet_figure 1\n"...) }
 
-// Pins paths, methods, statuses and texts of the operators' door. UPDATE_GOLDEN=1 writes
-// testdata/pages.golden anew.
+// Pins paths, methods, statuses and texts of the admin API.
 func TestGoldenCalls(t *testing.T) {
 	ready := true
 	handler := &Handler{Ready: func() bool { return ready },
@@ -82,8 +81,7 @@
 	}
 }
 
-// Pins the keys of the JSON that the door's calls below /fleet answer with. UPDATE_GOLDEN=1
-// writes testdata/json.golden anew.
+// Pins the keys of the JSON that the calls below /fleet answer with.
 func TestGoldenJSON(t *testing.T) {
 	var out strings.Builder
 	for _, page := range []struct {
--- a/internal/admin/handler_test.go
+++ b/internal/admin/handler_test.go
@@ -9,7 +9,7 @@
 	"garnetline/routing"
 )
 
-// Guards the words and figures of the operators' door.
+// Guards statuses and metrics of the admin API.
 func TestHandle(t *testing.T) {
 	var out []routing.ServerID
 	ready := false
@@ -33,7 +33,7 @@
 	for _, test := range []struct {
 		method, path string
 		status       int
-		out          int // servers taken out since
+		out          int // servers that are disabled then
 	}{
 		{"GET", "/ready", 503, 0},
 		{"GET", "/other", 404, 0},
--- a/internal/discovery/apply_test.go
+++ b/internal/discovery/apply_test.go
@@ -60,7 +60,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer changeLog.Close()
+		t.Cleanup(func() { _ = changeLog.Close() })
 		watcher, events := newTestWatcher(changeLog.Addr().(*net.TCPAddr).AddrPort())
 		watcher.clock.(*clock.Manual).StepWallClock(step)
 		stop := startWatcher(t, watcher)
--- a/internal/discovery/disabled_test.go
+++ b/internal/discovery/disabled_test.go
@@ -40,7 +40,7 @@
 	watcher := NewWatcher(clock.NewManual(now), config, notify, metrics.New())
 	here, there := net.Pipe()
 	watcher.dial = func(context.Context, netip.AddrPort) (net.Conn, error) { return here, nil }
-	t.Cleanup(func() { there.Close() }) // after the watcher's end
+	t.Cleanup(func() { _ = there.Close() }) // after the watcher's end
 	go func() { _, _ = io.ReadFull(there, make([]byte, 8)) }()
 	startWatcher(t, watcher)
 	return routerProcess{watcher, t, events}
--- a/internal/discovery/golden_test.go
+++ b/internal/discovery/golden_test.go
@@ -16,15 +16,15 @@
 )
 
 // formatFrame writes what a frame says, by values and not by the names of fields.
-func formatFrame(w io.Writer, decoded frame) {
+func formatFrame(text *strings.Builder, decoded frame) {
 	event := decoded.event
-	fmt.Fprintf(w, "  kind %d, event %d, list %v, whole %v\n", decoded.kind, event.Seq, event.ListUpdate, event.Snapshot)
+	fmt.Fprintf(text, "  kind %d, event %d, list %v, whole %v\n", decoded.kind, event.Seq, event.ListUpdate, event.Snapshot)
 	for _, endpoint := range event.Endpoints {
-		fmt.Fprintf(w, "  server %v at %v, zone %d, kind %d, cell %d, phase %d, weight %v, started %v\n",
+		fmt.Fprintf(text, "  server %v at %v, zone %d, kind %d, cell %d, phase %d, weight %v, started %v\n",
 			endpoint.ID, endpoint.Addr, endpoint.Zone, endpoint.Kind, endpoint.Cell, endpoint.Phase, endpoint.Weight, endpoint.StartedAt)
 	}
 	if purge := event.Purge; purge != nil {
-		fmt.Fprintf(w, "  purge of object %016x, group %d at %.0f\n", uint64(purge.Object), purge.Group, purge.At)
+		fmt.Fprintf(text, "  purge of object %016x, group %d at %.0f\n", uint64(purge.Object), purge.Group, purge.At)
 	}
 }
 
@@ -33,7 +33,7 @@
 func TestGoldenFrames(t *testing.T) {
 	var text strings.Builder
 	here, there := net.Pipe()
-	defer there.Close()
+	t.Cleanup(func() { _ = there.Close() })
 	watcher, _ := newTestWatcher(netip.AddrPort{})
 	watcher.dial = func(context.Context, netip.AddrPort) (net.Conn, error) { return here, nil }
 	ctx, stop := context.WithCancel(t.Context())
--- a/internal/discovery/gossip.go
+++ b/internal/discovery/gossip.go
@@ -17,26 +17,26 @@
 	// count as one that this router's own watch missed: frames and gossip may cross.
 	gossipSlack = 2000.0
 	// catchUpPeriod is the time that a watch which is back has for what it missed. Then the
-	// drains that peers told meanwhile are dropped, and its own list holds alone.
+	// drains that peers reported meanwhile are dropped, and its own list holds alone.
 	catchUpPeriod = 500.0
 	// maxPurgeLead is how far in the future a purge may be dated; later ones are ignored.
 	maxPurgeLead = 60_000.0
 )
 
 // Gossip is what the watcher needs of the other routers of the fleet. Only this router's own
-// watch makes a server usable; what peers tell can but exclude one.
+// watch makes a server usable; what peers report can only exclude one.
 type Gossip interface {
-	// SetDisabled tells the fleet that an operator disabled or enabled a server here.
+	// SetDisabled reports to the fleet that an operator disabled or enabled a server here.
 	SetDisabled(server routing.ServerID, disabled bool)
-	// Broadcast tells the fleet what this router's own watch received.
+	// Broadcast reports to the fleet what this router's own watch received.
 	Broadcast(item gossip.Item)
 	// ChangesReady receives when TakeChanges has something to return.
 	ChangesReady() <-chan struct{}
-	// TakeChanges returns what peers told since the last call.
+	// TakeChanges returns what peers reported since the last call.
 	TakeChanges() []gossip.Change
 }
 
-// gossipedDrain is the drain of a server that a peer told.
+// gossipedDrain is the drain of a server that a peer reported.
 type gossipedDrain struct {
 	started    time.Duration // start of the server that drains
 	receivedAt float64       // ms
@@ -52,7 +52,7 @@
 	steadySince  float64                            // ms; no gap between frames from then on
 }
 
-// SetGossip has the watcher tell its peers what it receives, and follow what they tell while
+// SetGossip has the watcher report to its peers what it receives, and follow what they report while
 // its own watch is stale. It must be called before Run.
 func (w *Watcher) SetGossip(peers Gossip) {
 	now := w.clock.Now()
@@ -66,7 +66,7 @@
 	}
 }
 
-// broadcastEvent tells the peers of drains and purges. A snapshot is not told: every router
+// broadcastEvent reports drains and purges to the peers. A snapshot is not reported: every router
 // receives one at its start.
 func (w *Watcher) broadcastEvent(event platformconfig.WatchEvent) {
 	if w.gossip.Gossip == nil {
@@ -85,7 +85,7 @@
 	}
 }
 
-// broadcastDisabled tells the peers that an operator disabled or enabled a server.
+// broadcastDisabled reports to the peers that an operator disabled or enabled a server.
 func (w *Watcher) broadcastDisabled(id routing.ServerID, disabled bool) {
 	if w.gossip.Gossip != nil {
 		w.gossip.SetDisabled(id, disabled)
@@ -104,7 +104,7 @@
 	w.gossip.lastFrameAt = now
 }
 
-// applyGossip applies what the peers told since the last call.
+// applyGossip applies what the peers reported since the last call.
 func (w *Watcher) applyGossip() {
 	now := w.clock.Now()
 	for _, change := range w.gossip.TakeChanges() {
--- a/internal/discovery/gossip_test.go
+++ b/internal/discovery/gossip_test.go
@@ -11,7 +11,7 @@
 	"garnetline/routing"
 )
 
-// fakeGossip keeps what the watcher tells its peers, and returns the changes that a test
+// fakeGossip keeps what the watcher reports to its peers, and returns the changes that a test
 // gives it.
 type fakeGossip struct {
 	disabled  []routing.ServerID
@@ -61,8 +61,8 @@
 	}
 }
 
-// hear has changes of the peers come.
-func (f gossipFixture) hear(changes ...gossip.Change) {
+// receiveChanges has changes of the peers come.
+func (f gossipFixture) receiveChanges(changes ...gossip.Change) {
 	f.peers.changes = changes
 	f.applyGossip()
 }
@@ -86,7 +86,7 @@
 func TestGossipedDrain(t *testing.T) {
 	fixture := newGossipFixture(t)
 	drain := gossip.Change{Item: gossip.Item{Kind: gossip.Drain, Server: 7}}
-	fixture.hear(drain)
+	fixture.receiveChanges(drain)
 	fixture.expectReady("with a watch that is not stale", 7, 8)
 	fixture.clock.Advance(staleAfter)
 	fixture.updateGossipedDrains()
@@ -111,7 +111,7 @@
 	fixture := newGossipFixture(t)
 	restarted := platformconfig.Endpoint{Server: routing.Server{ID: 8, Phase: routing.Ready, StartedAt: clock.Duration(now)}}
 	fixture.receive(kindChanges, platformconfig.WatchEvent{Seq: 3, ListUpdate: true, Endpoints: []platformconfig.Endpoint{restarted}})
-	fixture.hear(gossip.Change{Item: gossip.Item{Kind: gossip.Drain, Server: 8, StartedAt: now - 1}})
+	fixture.receiveChanges(gossip.Change{Item: gossip.Item{Kind: gossip.Drain, Server: 8, StartedAt: now - 1}})
 	fixture.clock.Advance(staleAfter + 1)
 	fixture.updateGossipedDrains()
 	fixture.expectReady("stale", 7, 8)
@@ -124,7 +124,7 @@
 // own watch: it is not followed when that watch is stale again.
 func TestGossipedDrainOfBefore(t *testing.T) {
 	fixture := newGossipFixture(t)
-	fixture.hear(gossip.Change{Item: gossip.Item{Kind: gossip.Drain, Server: 7}})
+	fixture.receiveChanges(gossip.Change{Item: gossip.Item{Kind: gossip.Drain, Server: 7}})
 	for range 3 {
 		fixture.clock.Advance(gossipSlack / 2)
 		fixture.receive(kindHeartbeat, platformconfig.WatchEvent{Seq: 2})
@@ -137,26 +137,26 @@
 // A peer's ban holds at once; a purge does if it still binds and is not of the far future.
 func TestGossipedBanAndPurge(t *testing.T) {
 	fixture := newGossipFixture(t)
-	fixture.hear(gossip.Change{Item: gossip.Item{Kind: gossip.Ban, Server: 7}, Disabled: true})
+	fixture.receiveChanges(gossip.Change{Item: gossip.Item{Kind: gossip.Ban, Server: 7}, Disabled: true})
 	fixture.expectReady("disabled by a peer", 8)
 	if got := fixture.Disabled(); !slices.Equal(got, []routing.ServerID{7}) {
 		t.Errorf("disabled: %v", got)
 	}
-	fixture.hear(gossip.Change{Item: gossip.Item{Kind: gossip.Ban, Server: 7}})
+	fixture.receiveChanges(gossip.Change{Item: gossip.Item{Kind: gossip.Ban, Server: 7}})
 	fixture.expectReady("enabled by a peer", 7, 8)
 	for object, purgedAt := range map[routing.ObjectID]float64{1: now - 50, 2: now - 6000, 3: now + maxPurgeLead} {
-		fixture.hear(gossip.Change{Item: gossip.Item{Kind: gossip.Purge, Object: object, PurgedAt: purgedAt}})
+		fixture.receiveChanges(gossip.Change{Item: gossip.Item{Kind: gossip.Purge, Object: object, PurgedAt: purgedAt}})
 		published := slices.ContainsFunc(fixture.Guard().Purges, func(purge routing.PurgeRecord) bool { return purge.Object == object })
 		if published != (object == 1) {
 			t.Errorf("purged at %+.0f ms: published %v", purgedAt-now, published)
 		}
 	}
 	if len(fixture.peers.disabled) != 0 || len(fixture.peers.broadcast) != 0 {
-		t.Errorf("what peers told was told again: %v, %v", fixture.peers.disabled, fixture.peers.broadcast)
+		t.Errorf("what peers reported was reported again: %v, %v", fixture.peers.disabled, fixture.peers.broadcast)
 	}
 }
 
-// Peers are told of drains, removals and purges, but not of what a snapshot holds or of what
+// Drains, removals and purges are reported to the peers, but not what a snapshot holds or what
 // is ready.
 func TestBroadcast(t *testing.T) {
 	fixture := newGossipFixture(t)
@@ -176,6 +176,6 @@
 		{Kind: gossip.Purge, Object: 3, Group: 4, PurgedAt: now},
 	}
 	if !slices.Equal(fixture.peers.broadcast, want) {
-		t.Errorf("told %+v, want %+v", fixture.peers.broadcast, want)
+		t.Errorf("reported %+v, want %+v", fixture.peers.broadcast, want)
 	}
 }
--- a/internal/discovery/helpers_test.go
+++ b/internal/discovery/helpers_test.go
@@ -119,11 +119,11 @@
 
 func newFakeChangeLog(t *testing.T) fakeChangeLog {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { listener.Close() })
+	t.Cleanup(func() { _ = listener.Close() })
 	return fakeChangeLog{listener.(*net.TCPListener), t}
 }
 
@@ -140,7 +140,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.t.Cleanup(func() { conn.Close() })
+	s.t.Cleanup(func() { _ = conn.Close() })
 	var request [8]byte
 	if _, err := io.ReadFull(conn, request[:]); err != nil || binary.BigEndian.Uint64(request[:]) != from {
 		s.t.Fatalf("asked from %v, %v; want %d", request, err, from)
@@ -154,5 +154,7 @@
 // acceptAndClose is accept of a connection that ends then.
 func (s fakeChangeLog) acceptAndClose(from uint64, frames ...[]byte) {
 	s.t.Helper()
-	s.accept(from, frames...).Close()
+	if err := s.accept(from, frames...).Close(); err != nil {
+		s.t.Error(err)
+	}
 }
--- a/internal/discovery/session_test.go
+++ b/internal/discovery/session_test.go
@@ -116,7 +116,9 @@
 // the last number, and the draining server is excluded.
 func TestDrainAfterDiscoveryWasDown(t *testing.T) {
 	server, closed := newFakeChangeLog(t), newFakeChangeLog(t)
-	closed.Close()
+	if err := closed.Close(); err != nil {
+		t.Fatal(err)
+	}
 	watcher, events := newTestWatcher(server.addr())
 	dial, dials, refused := watcher.dial, 0, make(chan error, 3)
 	watcher.dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
--- a/internal/operatorconfig/golden_test.go
+++ b/internal/operatorconfig/golden_test.go
@@ -47,8 +47,7 @@
 }
 
 // Pins every block and key of the operators' file with the value that is read from it and
-// with its default. UPDATE_GOLDEN=1 writes testdata/full.golden, from testdata/full.hcl,
-// which has every key, and testdata/default.golden anew.
+// with its default; testdata/full.hcl has every key.
 func TestGoldenKeys(t *testing.T) {
 	f, err := Load("testdata/full.hcl")
 	if err != nil {
@@ -62,8 +61,7 @@
 	golden.Compare(t, "default.golden", []byte(formatConfig(&f)))
 }
 
-// Pins what the fleet's machines are given for the keys of the file, by values.
-// UPDATE_GOLDEN=1 writes testdata/fleet.golden anew.
+// Pins what membership, connectivity, transport and leases are given for the keys of the file, by values.
 func TestGoldenTransport(t *testing.T) {
 	f, err := Load("testdata/full.hcl")
 	if err != nil {
@@ -84,8 +82,7 @@
 }
 
 // Pins where the error of a file that cannot be used points: file, line, block and field, or
-// what the reader of the language says; and that it is one line. UPDATE_GOLDEN=1 writes
-// testdata/errors.golden anew.
+// what the reader of the language says; and that it is one line.
 func TestGoldenErrors(t *testing.T) {
 	const fleet = "fleet {\n enabled = true\n keys = [\"sixteen bytes or more\"]\n "
 	const duties = fleet + "}\nduties {\n enabled = true\n electors = [\"a\", \"b\", \"c\"]\n "
@@ -116,8 +113,7 @@
 	golden.Compare(t, "errors.golden", []byte(out.String()))
 }
 
-// Pins which blocks only a restart can change. UPDATE_GOLDEN=1 writes
-// testdata/restart.golden anew.
+// Pins which blocks only a restart can change.
 func TestGoldenRestart(t *testing.T) {
 	f := Default()
 	var out strings.Builder
--- a/internal/platformconfig/golden_test.go
+++ b/internal/platformconfig/golden_test.go
@@ -7,10 +7,10 @@
 	"testing"
 
 	"garnetline/internal/golden"
+	"garnetline/routing"
 )
 
-// Pins what each key of the platform's JSON is read as. UPDATE_GOLDEN=1 writes
-// testdata/full.golden anew, from testdata/full.json, which has every key.
+// Pins what each key of the platform's JSON is read as; testdata/full.json has every key.
 func TestGoldenConfig(t *testing.T) {
 	env := func(name string) string {
 		return map[string]string{"TMPDIR": "/state", "EDGE_LISTEN_FD": "7"}[name]
@@ -19,45 +19,58 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var out strings.Builder
-	line := func(key string, values ...any) { fmt.Fprintln(&out, append([]any{key}, values...)...) }
-	line("name", config.Name)
-	line("listen", config.Listen)
-	line("EDGE_LISTEN_FD", config.ListenFD)
-	line("mgmt", config.AdminListen)
-	line("TMPDIR", config.StateDir)
-	line("changelog", config.Discovery)
-	line("seed", config.Seed)
-	line("limits", config.Limits.Cores, config.Limits.MemoryMB, config.Limits.Sockets)
-	line("flow_bytes_per_s", config.Upstream.BytesPerSecond)
-	for _, ev := range config.KnownEvents {
-		line("known", ev.Seq, ev.ListUpdate, ev.Snapshot)
-		for _, h := range ev.Endpoints {
-			line("  host", h.ID, h.Addr, h.Zone, h.Kind, h.Cell, int(h.Phase), h.Weight, h.StartedAt)
+	var text textLines
+	writeConfig(&text, config)
+	writeSettings(&text, &config.Settings)
+	golden.Compare(t, "full.golden", []byte(text.String()))
+}
+
+// textLines is a text that is written line by line.
+type textLines struct{ strings.Builder }
+
+func (l *textLines) line(key string, values ...any) {
+	fmt.Fprintln(&l.Builder, append([]any{key}, values...)...)
+}
+
+func writeConfig(text *textLines, config *Config) {
+	text.line("name", config.Name)
+	text.line("listen", config.Listen)
+	text.line("EDGE_LISTEN_FD", config.ListenFD)
+	text.line("mgmt", config.AdminListen)
+	text.line("TMPDIR", config.StateDir)
+	text.line("changelog", config.Discovery)
+	text.line("seed", config.Seed)
+	text.line("limits", config.Limits.Cores, config.Limits.MemoryMB, config.Limits.Sockets)
+	text.line("flow_bytes_per_s", config.Upstream.BytesPerSecond)
+	for _, event := range config.KnownEvents {
+		text.line("known", event.Seq, event.ListUpdate, event.Snapshot)
+		for _, endpoint := range event.Endpoints {
+			text.line("  host", endpoint.ID, endpoint.Addr, endpoint.Zone, endpoint.Kind, endpoint.Cell, int(endpoint.Phase), endpoint.Weight, endpoint.StartedAt)
 		}
-		if p := ev.Purge; p != nil {
-			line("  invalidate", uint64(p.Object), p.Group, p.At)
+		if purge := event.Purge; purge != nil {
+			text.line("  invalidate", uint64(purge.Object), purge.Group, purge.At)
 		}
 	}
-	line("known.seq", config.KnownSeq)
-	line("settings.areas", config.Zones)
-	line("settings.machine_types", config.Kinds)
-	line("settings.telemetry.fields", config.LoadReportFields)
-	line("settings.limits.conn_idle_us", config.Upstream.IdleTimeout)
-	line("settings.limits.connect_timeout_us", config.Upstream.ConnectTimeout)
-	line("settings.limits.max_streams", config.Upstream.MaxStreams)
-	s := config.Settings
-	line("counts", s.Zones, s.Zone, s.Kinds, s.ParentKind, s.OriginKind, s.RoutersByZone, s.Routers)
-	for _, k := range s.Classes {
-		line("class", k.Name, int(k.Idempotency), int(k.KeyScope), k.KeyWindow, k.LatencyObjective, k.ObjectiveTransferFactor, k.Deadline, k.PriorityWeight, k.LateWeightFactor, k.Write, k.FreshnessLifetime, k.MaxStale)
+	text.line("known.seq", config.KnownSeq)
+	text.line("settings.areas", config.Zones)
+	text.line("settings.machine_types", config.Kinds)
+	text.line("settings.telemetry.fields", config.LoadReportFields)
+	text.line("settings.limits.conn_idle_us", config.Upstream.IdleTimeout)
+	text.line("settings.limits.connect_timeout_us", config.Upstream.ConnectTimeout)
+	text.line("settings.limits.max_streams", config.Upstream.MaxStreams)
+}
+
+func writeSettings(text *textLines, s *routing.Settings) {
+	text.line("counts", s.Zones, s.Zone, s.Kinds, s.ParentKind, s.OriginKind, s.RoutersByZone, s.Routers)
+	for _, class := range s.Classes {
+		text.line("class", class.Name, int(class.Idempotency), int(class.KeyScope), class.KeyWindow, class.LatencyObjective, class.ObjectiveTransferFactor, class.Deadline, class.PriorityWeight, class.LateWeightFactor, class.Write, class.FreshnessLifetime, class.MaxStale)
 	}
-	line("limits", s.MaxAttempts, s.MaxRetryAfter, s.CanCancel)
-	line("family_info", s.CanJoinFill, s.AllowBypass, s.TransferKBPerSecond, s.BodyBytesPerSecond, s.HitStatusOnly, s.OriginStopsOnOverload)
-	line("discovery, weights", s.MustSubscribe, s.WeightIsCapacity)
-	line("rules", s.DrainGrace, s.PurgeGrace, s.PurgeRetention)
-	line("cache", s.CacheSlowStart.InitialCapacity, s.CacheSlowStart.Duration, s.CacheSlowStart.OverloadFactor, s.CacheSlowStart.OverloadWindow)
-	line("parent", s.ParentSlowStart.InitialCapacity, s.ParentSlowStart.Duration, s.ParentSlowStart.OverloadFactor, s.ParentSlowStart.OverloadWindow)
-	golden.Compare(t, "full.golden", []byte(out.String()))
+	text.line("limits", s.MaxAttempts, s.MaxRetryAfter, s.CanCancel)
+	text.line("family_info", s.CanJoinFill, s.AllowBypass, s.TransferKBPerSecond, s.BodyBytesPerSecond, s.HitStatusOnly, s.OriginStopsOnOverload)
+	text.line("discovery, weights", s.MustSubscribe, s.WeightIsCapacity)
+	text.line("rules", s.DrainGrace, s.PurgeGrace, s.PurgeRetention)
+	text.line("cache", s.CacheSlowStart.InitialCapacity, s.CacheSlowStart.Duration, s.CacheSlowStart.OverloadFactor, s.CacheSlowStart.OverloadWindow)
+	text.line("parent", s.ParentSlowStart.InitialCapacity, s.ParentSlowStart.Duration, s.ParentSlowStart.OverloadFactor, s.ParentSlowStart.OverloadWindow)
 }
 
 // jsonKeys writes the keys of a type that the platform's JSON is read into.
@@ -77,51 +90,54 @@
 }
 
 // Pins the keys of the platform's JSON, the settings' own aside, which testdata/full.json
-// has. UPDATE_GOLDEN=1 writes testdata/keys.golden anew.
+// has.
 func TestGoldenKeys(t *testing.T) {
 	var out strings.Builder
 	jsonKeys(&out, "", reflect.TypeOf(document{}))
 	golden.Compare(t, "keys.golden", []byte(out.String()))
 }
 
+// unusableChanges are changes of validConfig that make it unusable.
+var unusableChanges = []struct{ text, replacement string }{
+	{`{"name"`, `"name"`},
+	{`"127.0.0.1:5050"`, `"nowhere"`},
+	{`"127.0.0.1:5050"`, `17`},
+	{`"name":"n0"`, `"mgmt":"x"`},
+	{`"127.0.0.1:9092"`, `""`},
+	{`8c1f30d27a5be964`, `xyz`},
+	{`"cores":1.0`, `"cores":-1`},
+	{`"sockets":1024`, `"sockets":4`},
+	{`"memory_mb":192`, `"memory_mb":"a lot"`},
+	{`"limits":{"cores"`, `"flow_bytes_per_s":-1,"limits":{"cores"`},
+	{`"s-00c41f7a"`, `"s-1"`},
+	{`"site":"edge-1"`, `"site":"edge-9"`},
+	{`"class":"box"`, `"class":"cat"`},
+	{`"health":"draining"`, `"health":"fine"`},
+	{`"dial":"127.0.0.2:5050"`, `"dial":"x"`},
+	{`"block":2`, `"block":"2"`},
+	{`"bucket":17`, `"object":"17"`},
+	{`"invalidate"`, `"other"`},
+	{`"zone":1`, `"zone":7`},
+	{`"try_limit":6`, `"try_limit":"x"`},
+	{`"conn_idle_us":15000000`, `"conn_idle_us":-1`},
+	{`"connect_timeout_us":400000`, `"connect_timeout_us":0`},
+	{`"max_streams":100`, `"max_streams":0`},
+	{`"read_like"`, `"whatever"`},
+	{`["hub","edge-1"]`, `["edge-1","edge-1"]`},
+	{`"parent","origin"]`, `"box","origin"]`},
+	{`"second_tier_kind":1`, `"second_tier_kind":2`},
+	{`"report_x1"`, `"parent_starts_at":1.5,"report_x1"`},
+	{`"telemetry"`, `"rules":{"cold_from":2},"telemetry"`},
+	{`"class_write":[false]`, `"class_write":[false,true]`},
+	{`"settings"`, `"set"`},
+	{`"settings":{`, `"settings":[{`},
+}
+
 // Pins which field the error of a configuration that cannot be used names, up to its first
-// colon, and that it is one line. UPDATE_GOLDEN=1 writes testdata/errors.golden anew.
+// colon, and that it is one line.
 func TestGoldenErrors(t *testing.T) {
 	var out strings.Builder
-	for _, change := range []struct{ text, replacement string }{
-		{`{"name"`, `"name"`},
-		{`"127.0.0.1:5050"`, `"nowhere"`},
-		{`"127.0.0.1:5050"`, `17`},
-		{`"name":"n0"`, `"mgmt":"x"`},
-		{`"127.0.0.1:9092"`, `""`},
-		{`8c1f30d27a5be964`, `xyz`},
-		{`"cores":1.0`, `"cores":-1`},
-		{`"sockets":1024`, `"sockets":4`},
-		{`"memory_mb":192`, `"memory_mb":"a lot"`},
-		{`"limits":{"cores"`, `"flow_bytes_per_s":-1,"limits":{"cores"`},
-		{`"s-00c41f7a"`, `"s-1"`},
-		{`"site":"edge-1"`, `"site":"edge-9"`},
-		{`"class":"box"`, `"class":"cat"`},
-		{`"health":"draining"`, `"health":"fine"`},
-		{`"dial":"127.0.0.2:5050"`, `"dial":"x"`},
-		{`"block":2`, `"block":"2"`},
-		{`"bucket":17`, `"object":"17"`},
-		{`"invalidate"`, `"other"`},
-		{`"zone":1`, `"zone":7`},
-		{`"try_limit":6`, `"try_limit":"x"`},
-		{`"conn_idle_us":15000000`, `"conn_idle_us":-1`},
-		{`"connect_timeout_us":400000`, `"connect_timeout_us":0`},
-		{`"max_streams":100`, `"max_streams":0`},
-		{`"read_like"`, `"whatever"`},
-		{`["hub","edge-1"]`, `["edge-1","edge-1"]`},
-		{`"parent","origin"]`, `"box","origin"]`},
-		{`"second_tier_kind":1`, `"second_tier_kind":2`},
-		{`"report_x1"`, `"parent_starts_at":1.5,"report_x1"`},
-		{`"telemetry"`, `"rules":{"cold_from":2},"telemetry"`},
-		{`"class_write":[false]`, `"class_write":[false,true]`},
-		{`"settings"`, `"set"`},
-		{`"settings":{`, `"settings":[{`},
-	} {
+	for _, change := range unusableChanges {
 		text := strings.Replace(validConfig, change.text, change.replacement, 1)
 		if text == validConfig {
 			t.Fatalf("%s is not in the text", change.text)
@@ -155,8 +171,7 @@
 	golden.Compare(t, "errors.golden", []byte(out.String()))
 }
 
-// Pins which fields only a restart can change. UPDATE_GOLDEN=1 writes
-// testdata/restart.golden anew.
+// Pins which fields only a restart can change.
 func TestGoldenRestart(t *testing.T) {
 	config, err := Parse([]byte(validConfig), noEnvironment)
 	if err != nil {
