--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -28,7 +28,6 @@
 // belong to the goroutine of run.
 type Upstream struct {
 	Options
-	id      routing.ServerID
 	addr    netip.AddrPort
 	removed bool // the pool's: it has left the endpoint list
 
@@ -53,10 +52,9 @@
 	drain  bool
 }
 
-func newUpstream(options Options, id routing.ServerID, addr netip.AddrPort) *Upstream {
+func newUpstream(options Options, addr netip.AddrPort) *Upstream {
 	return &Upstream{
 		Options:          options,
-		id:               id,
 		addr:             addr,
 		mailbox:          make(chan message, mailboxSize),
 		retainedTraces:   make(chan trace.ID, maxRetainedTraces),
@@ -74,6 +72,14 @@
 	u.mailbox <- message{drain: true}
 }
 
+// Cancel implements dispatch.TransportState: the actor cancels the attempt. It is called by the
+// pool.
+func (u *Upstream) Cancel(attempt *dispatch.Attempt) { u.mailbox <- message{cancel: attempt} }
+
+// Release implements dispatch.TransportState: the attempt's completion has been handled. It is
+// called by the pool.
+func (u *Upstream) Release(*dispatch.Attempt) { u.inFlight.Add(-1) }
+
 // run is the actor. It returns when the server is drained or ctx ends, and completes what is
 // in flight on its connections then.
 func (u *Upstream) run(ctx context.Context) {
