--- a/cmd/garnetline/main.go
+++ b/cmd/garnetline/main.go
@@ -34,7 +34,7 @@
 		Usage: "edge router for caches of large objects",
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "serve until SIGTERM; SIGHUP reads the configuration again, SIGUSR1 prints the counters", Flags: files,
-				Action: func(ctx context.Context, command *cli.Command) error { return serveCommand(ctx, command) }},
+				Action: serveCommand},
 			{Name: "check", Usage: "check a configuration and say what it holds", Flags: files,
 				Action: func(_ context.Context, command *cli.Command) error { return check(command, out) }},
 			newTraceCommand(out),
--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -32,33 +32,33 @@
 
 // Compare fails the test unless got is what testdata/name holds, to the byte. It returns what
 // the file holds.
-func Compare(t testing.TB, name string, got []byte) []byte {
-	t.Helper()
+func Compare(tb testing.TB, name string, got []byte) []byte {
+	tb.Helper()
 	if os.Getenv(updateVariable) != "" {
-		write(t, name, got)
+		write(tb, name, got)
 	}
-	want := Read(t, name)
+	want := Read(tb, name)
 	if !bytes.Equal(got, want) {
-		t.Errorf("%s differs (%d bytes, want %d):\ngot\n%s\nwant\n%s", name, len(got), len(want), got, want)
+		tb.Errorf("%s differs (%d bytes, want %d):\ngot\n%s\nwant\n%s", name, len(got), len(want), got, want)
 	}
 	return want
 }
 
 // CompareMessages is Compare for messages, one a line: its name and its bytes in
 // hexadecimal. It returns the messages of the file.
-func CompareMessages(t testing.TB, name string, got []Message) []Message {
-	t.Helper()
+func CompareMessages(tb testing.TB, name string, got []Message) []Message {
+	tb.Helper()
 	var text bytes.Buffer
 	for _, message := range got {
 		fmt.Fprintf(&text, "%s %x\n", message.Name, message.Bytes)
 	}
 	var want []Message
-	lines := bufio.NewScanner(bytes.NewReader(Compare(t, name, text.Bytes())))
+	lines := bufio.NewScanner(bytes.NewReader(Compare(tb, name, text.Bytes())))
 	for lines.Scan() {
 		label, digits, _ := strings.Cut(lines.Text(), " ")
 		content, err := hex.DecodeString(digits)
 		if err != nil {
-			t.Fatalf("%s: %s: %v", name, label, err)
+			tb.Fatalf("%s: %s: %v", name, label, err)
 		}
 		want = append(want, Message{Name: label, Bytes: content})
 	}
@@ -66,22 +66,22 @@
 }
 
 // Read returns what testdata/name holds.
-func Read(t testing.TB, name string) []byte {
-	t.Helper()
+func Read(tb testing.TB, name string) []byte {
+	tb.Helper()
 	content, err := os.ReadFile(filepath.Join("testdata", name))
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	return content
 }
 
-func write(t testing.TB, name string, content []byte) {
-	t.Helper()
+func write(tb testing.TB, name string, content []byte) {
+	tb.Helper()
 	path := filepath.Join("testdata", name)
 	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	if err := os.WriteFile(path, content, 0o644); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 }
