--- a/internal/admin/disabled/golden_test.go
+++ b/internal/admin/disabled/golden_test.go
@@ -4,17 +4,16 @@
 	"fmt"
 	"io/fs"
 	"maps"
-	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
+	"garnetline/internal/golden"
 	"garnetline/routing"
 )
 
-// Pins the files that say which caches are out: their folder, names, sizes and rights, as a
-// process of another version reads them. UPDATE_GOLDEN=1 writes testdata/files.golden anew;
-// testdata/state is such a folder, written by an earlier version.
+// Pins the files of disabled servers: their folder, names, sizes and modes, as a process of
+// another version reads them. testdata/state is such a folder, written by an earlier version.
 func TestGoldenFiles(t *testing.T) {
 	state := t.TempDir()
 	want := map[routing.ServerID]bool{7: true, 0xc41f7a: true, 0xffffffff: true}
@@ -42,16 +41,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	const golden = "testdata/files.golden"
-	if os.Getenv("UPDATE_GOLDEN") != "" {
-		if err := os.WriteFile(golden, []byte(out.String()), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	text, err := os.ReadFile(golden)
-	if err != nil || out.String() != string(text) {
-		t.Errorf("got\n%swant\n%s%v", out.String(), text, err)
-	}
+	golden.Compare(t, "files.golden", []byte(out.String()))
 	if got, err := NewStore("testdata/state").List(); err != nil || !maps.Equal(got, want) {
 		t.Errorf("the earlier version's: %v, %v", got, err)
 	}
--- a/internal/operatorconfig/golden_test.go
+++ b/internal/operatorconfig/golden_test.go
@@ -2,53 +2,36 @@
 
 import (
 	"fmt"
-	"os"
 	"reflect"
 	"strings"
 	"testing"
-)
 
-// compareGolden compares text with a file in testdata. UPDATE_GOLDEN=1 writes the file anew.
-func compareGolden(t *testing.T, name, got string) {
-	t.Helper()
-	path := "testdata/" + name
-	if os.Getenv("UPDATE_GOLDEN") != "" {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got != string(want) {
-		t.Errorf("%s: got\n%s\nwant\n%s", path, got, want)
-	}
-}
+	"garnetline/internal/golden"
+)
 
 // formatKeys writes each key that a block is read from with its value, by the tags.
-func formatKeys(out *strings.Builder, at string, v reflect.Value) {
-	switch v.Kind() {
+func formatKeys(out *strings.Builder, at string, value reflect.Value) {
+	switch value.Kind() {
 	case reflect.Pointer:
-		if v.IsNil() {
+		if value.IsNil() {
 			fmt.Fprintf(out, "%s none\n", at)
 			return
 		}
-		formatKeys(out, at, v.Elem())
+		formatKeys(out, at, value.Elem())
 	case reflect.Struct:
-		for i := range v.NumField() {
-			formatKeys(out, at+"."+v.Type().Field(i).Tag.Get("hcl"), v.Field(i))
+		for i := range value.NumField() {
+			formatKeys(out, at+"."+value.Type().Field(i).Tag.Get("hcl"), value.Field(i))
 		}
 	case reflect.Slice:
-		if v.Type().Elem().Kind() != reflect.Struct {
-			fmt.Fprintf(out, "%s %q\n", at, v.Interface())
+		if value.Type().Elem().Kind() != reflect.Struct {
+			fmt.Fprintf(out, "%s %q\n", at, value.Interface())
 			return
 		}
-		for i := range v.Len() {
-			formatKeys(out, fmt.Sprintf("%s[%d]", at, i), v.Index(i))
+		for i := range value.Len() {
+			formatKeys(out, fmt.Sprintf("%s[%d]", at, i), value.Index(i))
 		}
 	default:
-		fmt.Fprintf(out, "%s %v\n", at, v.Interface())
+		fmt.Fprintf(out, "%s %v\n", at, value.Interface())
 	}
 }
 
@@ -64,23 +47,21 @@
 }
 
 // Pins every block and key of the operators' file with the value that is read from it and
-// with its default. UPDATE_GOLDEN=1 writes testdata/full.golden, from testdata/full.hcl,
-// which has every key, and testdata/default.golden anew.
+// with its default; testdata/full.hcl has every key.
 func TestGoldenKeys(t *testing.T) {
 	f, err := Load("testdata/full.hcl")
 	if err != nil {
 		t.Fatal(err)
 	}
-	compareGolden(t, "full.golden", formatConfig(&f))
+	golden.Compare(t, "full.golden", []byte(formatConfig(&f)))
 	f, err = loadText(t, "trace {\n class \"a\" {}\n collector { url = \"http://127.0.0.1\" }\n}\nduties {\n prober {}\n first_try {}\n bans {}\n}")
 	if err != nil {
 		t.Fatal(err)
 	}
-	compareGolden(t, "default.golden", formatConfig(&f))
+	golden.Compare(t, "default.golden", []byte(formatConfig(&f)))
 }
 
-// Pins what the fleet's machines are given for the keys of the file, by values.
-// UPDATE_GOLDEN=1 writes testdata/fleet.golden anew.
+// Pins what membership, connectivity, transport and leases are given for the keys of the file, by values.
 func TestGoldenTransport(t *testing.T) {
 	f, err := Load("testdata/full.hcl")
 	if err != nil {
@@ -97,12 +78,11 @@
 	fmt.Fprintln(&out, st.RecentWindow, st.TogetherShare, st.SilenceTimeout, st.DowngradeDelay, st.UpgradeDelay, st.MaxUpgradeDelay)
 	a := f.Leases.ConsensusSettings()
 	fmt.Fprintln(&out, a.ElectionTicks, a.Lease.TTL, a.Lease.SafetyMargin, a.Lease.MaxClockDrift, a.Lease.RetryInterval)
-	compareGolden(t, "fleet.golden", out.String())
+	golden.Compare(t, "fleet.golden", []byte(out.String()))
 }
 
 // Pins where the error of a file that cannot be used points: file, line, block and field, or
-// what the reader of the language says; and that it is one line. UPDATE_GOLDEN=1 writes
-// testdata/errors.golden anew.
+// what the reader of the language says; and that it is one line.
 func TestGoldenErrors(t *testing.T) {
 	const fleet = "fleet {\n enabled = true\n keys = [\"sixteen bytes or more\"]\n "
 	const duties = fleet + "}\nduties {\n enabled = true\n electors = [\"a\", \"b\", \"c\"]\n "
@@ -130,11 +110,10 @@
 		parts := strings.SplitN(err.Error(), ": ", 4)
 		fmt.Fprintf(&out, "%q -> %s\n", text, strings.Join(parts[:min(3, len(parts)-1)], ": "))
 	}
-	compareGolden(t, "errors.golden", out.String())
+	golden.Compare(t, "errors.golden", []byte(out.String()))
 }
 
-// Pins which blocks only a restart can change. UPDATE_GOLDEN=1 writes
-// testdata/restart.golden anew.
+// Pins which blocks only a restart can change.
 func TestGoldenRestart(t *testing.T) {
 	f := Default()
 	var out strings.Builder
@@ -147,5 +126,5 @@
 		}
 		fmt.Fprintf(&out, "%q -> %v\n", text, f.CheckReload(next))
 	}
-	compareGolden(t, "restart.golden", out.String())
+	golden.Compare(t, "restart.golden", []byte(out.String()))
 }
--- /dev/null
+++ b/internal/upstream/cacheserver_test.go
@@ -0,0 +1,248 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"garnetline/internal/clock"
+	"garnetline/internal/dispatch"
+	"garnetline/internal/metrics"
+	"garnetline/internal/platformconfig"
+	"garnetline/routing"
+)
+
+// testTimeout fails a test that waits for something in vain; no order depends on it.
+const testTimeout = 10 * time.Second
+
+// cacheServer is a cache on a loopback listener, whose every byte the test writes, and a pool
+// that has it as server 1.
+type cacheServer struct {
+	t           *testing.T
+	addr        netip.AddrPort
+	listener    *net.TCPListener
+	pool        *Pool
+	clock       *clock.Manual
+	completions chan dispatch.Completion
+}
+
+// cacheConn is the cache's side of a connection.
+type cacheConn struct {
+	*net.TCPConn
+	t  *testing.T
+	in *bufio.Reader
+}
+
+// newCacheServer starts a cache and a pool with options that change may change.
+func newCacheServer(t *testing.T, change func(*Options)) *cacheServer {
+	t.Helper()
+	listener := listenTCP(t)
+	server := &cacheServer{
+		t:           t,
+		addr:        netip.MustParseAddrPort(listener.Addr().String()),
+		listener:    listener,
+		clock:       clock.NewManual(1.7e12),
+		completions: make(chan dispatch.Completion, 16),
+	}
+	guard := &routing.Guard{Ready: map[routing.ServerID]bool{1: true, 8: true}}
+	options := Options{
+		Clock: server.clock,
+		Settings: func() platformconfig.Upstream {
+			return platformconfig.Upstream{IdleTimeout: 15_000, ConnectTimeout: 5000, MaxStreams: 4}
+		},
+		Guard:          func() *routing.Guard { return guard },
+		Complete:       func(completion dispatch.Completion) { server.completions <- completion },
+		Metrics:        metrics.New(),
+		MaxConnections: func() int64 { return 0 },
+	}
+	if change != nil {
+		change(&options)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	server.pool = NewPool(ctx, options)
+	endpoint := platformconfig.Endpoint{Server: routing.Server{ID: 1, Phase: routing.Ready}, Addr: server.addr}
+	server.pool.UpdateEndpoints(platformconfig.WatchEvent{ListUpdate: true, Snapshot: true, Endpoints: []platformconfig.Endpoint{endpoint}})
+	actor := server.pool.upstreams[1]
+	t.Cleanup(func() {
+		cancel()
+		<-actor.stopped
+	})
+	return server
+}
+
+// listenTCP listens on a loopback port until the test ends.
+func listenTCP(t *testing.T) *net.TCPListener {
+	t.Helper()
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := listener.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	closeAtEnd(t, listener)
+	return listener
+}
+
+// closeAtEnd closes something when the test ends, if that is not done by then.
+func closeAtEnd(t *testing.T, closer io.Closer) {
+	t.Helper()
+	t.Cleanup(func() { _ = closer.Close() })
+}
+
+// send hands an attempt with an id to the pool; ifNoneMatch is the tag of the client's copy.
+func (s *cacheServer) send(id, ifNoneMatch string) *dispatch.Attempt {
+	s.t.Helper()
+	return s.sendBy(id, ifNoneMatch, 0)
+}
+
+// sendBy is send for an attempt that must not be written after a time.
+func (s *cacheServer) sendBy(id, ifNoneMatch string, deadline float64) *dispatch.Attempt {
+	s.t.Helper()
+	attempt := &dispatch.Attempt{
+		Request:      &dispatch.Request{TransactionID: id, Object: 7, IfNoneMatch: ifNoneMatch},
+		Class:        &routing.Class{Name: "part"},
+		Decision:     routing.SendAttempt{Server: 1, FillSource: 8},
+		ExpiresAt:    s.clock.Now() + 60_000,
+		SendDeadline: deadline,
+	}
+	if completion := s.pool.Send(attempt); completion != nil {
+		s.t.Fatalf("%s was not taken: %v", id, completion.Result)
+	}
+	return attempt
+}
+
+// accept waits for the next connection.
+func (s *cacheServer) accept() *cacheConn {
+	s.t.Helper()
+	conn, err := s.listener.AcceptTCP()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	closeAtEnd(s.t, conn)
+	if err := conn.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+		s.t.Fatal(err)
+	}
+	return &cacheConn{TCPConn: conn, t: s.t, in: bufio.NewReader(conn)}
+}
+
+// completion waits for the completion of an attempt, which has to be the next one.
+func (s *cacheServer) completion(attempt *dispatch.Attempt) dispatch.Completion {
+	s.t.Helper()
+	want := attempt.Request.TransactionID
+	select {
+	case completion := <-s.completions:
+		if completion.Attempt != attempt {
+			s.t.Fatalf("%s completed, not %s", completion.Attempt.Request.TransactionID, want)
+		}
+		s.pool.Release(attempt)
+		return completion
+	case <-time.After(testTimeout):
+		s.t.Fatalf("%s did not complete", want)
+	}
+	return dispatch.Completion{}
+}
+
+// noCompletion checks that no further attempt has completed.
+func (s *cacheServer) noCompletion() {
+	s.t.Helper()
+	select {
+	case completion := <-s.completions:
+		s.t.Fatalf("%s completed as %v", completion.Attempt.Request.TransactionID, completion.Result)
+	default:
+	}
+}
+
+// waitForCounter waits until a counter of the pool has come to a value.
+func (s *cacheServer) waitForCounter(name string, want int64) {
+	s.t.Helper()
+	s.waitFor(name, func() bool { return s.pool.Metrics.Counter(name).Load() >= want })
+}
+
+// waitForNoConnections waits until none is open or being dialed.
+func (s *cacheServer) waitForNoConnections() {
+	s.t.Helper()
+	s.waitFor("no connections", func() bool { return s.pool.openConnections.Load() == 0 })
+}
+
+func (s *cacheServer) waitFor(what string, reached func() bool) {
+	s.t.Helper()
+	for deadline := time.Now().Add(testTimeout); !reached(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
+// command reads one command.
+func (c *cacheConn) command() []string {
+	c.t.Helper()
+	var n int
+	if _, err := fmt.Fscanf(c.in, "*%d\r\n", &n); err != nil {
+		c.t.Fatal(err)
+	}
+	command := make([]string, n)
+	for i := range command {
+		var length int
+		if _, err := fmt.Fscanf(c.in, "$%d\r\n", &length); err != nil {
+			c.t.Fatal(err)
+		}
+		content := make([]byte, length+len("\r\n"))
+		if _, err := io.ReadFull(c.in, content); err != nil {
+			c.t.Fatal(err)
+		}
+		command[i] = string(content[:length])
+	}
+	return command
+}
+
+// write writes bytes as they are.
+func (c *cacheConn) write(text string) {
+	c.t.Helper()
+	if _, err := c.Write([]byte(text)); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// closeWith ends the connection, with a reset if that is asked for.
+func (c *cacheConn) closeWith(reset bool) {
+	c.t.Helper()
+	if reset {
+		if err := c.SetLinger(0); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	if err := c.Close(); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// frame is a reply as a cache writes it.
+func frame(id, status, fields, body string) string {
+	text := appendArray(nil, replyStrings)
+	for _, content := range []string{id, status, fields, body} {
+		text = appendBulk(text, content)
+	}
+	return string(text)
+}
+
+// tcpPair returns both ends of a loopback connection.
+func tcpPair(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	listener := listenTCP(t)
+	near, err := dialTCP(t.Context(), netip.MustParseAddrPort(listener.Addr().String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	closeAtEnd(t, near)
+	if far, err = listener.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	closeAtEnd(t, far)
+	return near, far
+}
