--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"strings"
 	"sync/atomic"
 
 	"garnetline/internal/clock"
@@ -98,8 +97,21 @@
 	}
 }
 
-// maxFieldValue is the greatest length, in bytes, of what ValidFieldValue accepts.
-const maxFieldValue = 128
+// What ValidFieldValue accepts.
+const (
+	maxFieldValue = 128 // bytes
+	fieldBytes    = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-_.:+/"
+)
+
+var validFieldByte = byteSet(fieldBytes)
+
+// byteSet returns a set of the bytes of members.
+func byteSet(members string) (set [256]bool) {
+	for i := range len(members) {
+		set[members[i]] = true
+	}
+	return set
+}
 
 // ValidFieldValue reports whether an entity tag or idempotency key can stand in a transport's
 // fields as it is: short, and of letters, digits and marks that cannot end a field.
@@ -108,10 +120,7 @@
 		return false
 	}
 	for i := range len(value) {
-		c := value[i]
-		isDigit := c >= '0' && c <= '9'
-		isLetter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
-		if !isDigit && !isLetter && strings.IndexByte("-_.:+/", c) < 0 {
+		if !validFieldByte[value[i]] {
 			return false
 		}
 	}
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -91,27 +91,22 @@
 
 // completion returns the completion of the attempt that the reply is to.
 func (r reply) completion(attempt *dispatch.Attempt) (dispatch.Completion, error) {
-	result, known := resultsByStatus[r.status]
+	completion := dispatch.Completion{Attempt: attempt, Load: dispatch.UnknownLoad()}
+	completion.Response.Server = attempt.Decision.Server
+	var known bool
+	completion.Result, known = resultsByStatus[r.status]
 	if !known {
-		return dispatch.Completion{}, fmt.Errorf("%w: status %.20q", errMalformedReply, r.status)
+		return completion, fmt.Errorf("%w: status %.20q", errMalformedReply, r.status)
 	}
-	fields, err := parseReplyFields(r.fields)
+	tags, err := parseReplyFields(&completion, r.fields)
 	if err != nil {
-		return dispatch.Completion{}, err
-	}
-	completion := dispatch.Completion{
-		Attempt:  attempt,
-		Result:   result,
-		Response: dispatch.Response{ETag: fields.tag, Server: attempt.Decision.Server},
-		Load:     fields.load,
-		Note:     fields.cacheStatus,
-		FillWait: fields.fillWait,
+		return completion, err
 	}
 	switch {
 	case r.status == statusDone:
 		completion.Response.Kind = dispatch.Served
 		completion.Response.Body = r.body
-	case r.status == statusKeep && fields.namesOnly(attempt.Request.IfNoneMatch):
+	case r.status == statusKeep && tags == 1 && namesClientCopy(&completion):
 		completion.Response.Kind = dispatch.NotModified
 	case r.status == statusKeep:
 		// Symptom guarded against: a cache that named another copy than the client's, or
@@ -121,57 +116,49 @@
 	return completion, nil
 }
 
-// replyFields are the fields of a reply.
-type replyFields struct {
-	tag         string
-	tags        int // how often the field tag stands there
-	load        routing.LoadReport
-	cacheStatus routing.CacheStatus
-	fillWait    float64 // ms; zero: not told
-}
-
-// namesOnly reports whether the fields name a tag, and no other.
-func (f *replyFields) namesOnly(tag string) bool {
-	return tag != "" && f.tags == 1 && f.tag == tag
+// namesClientCopy reports whether the reply's tag is that of the copy that the client has.
+func namesClientCopy(completion *dispatch.Completion) bool {
+	clientTag := completion.Attempt.Request.IfNoneMatch
+	return clientTag != "" && completion.Response.ETag == clientTag
 }
 
-// parseReplyFields reads a list of fields. A field that is unknown, cannot be read or stands
-// there twice is left out, since all but the tag is advice.
-func parseReplyFields(list string) (replyFields, error) {
-	fields := replyFields{load: dispatch.UnknownLoad()}
+// parseReplyFields enters the fields of a reply in its completion, and returns how many tags
+// there are. Other fields that are unknown, cannot be read or stand there twice are left out,
+// since all but the tag is advice.
+func parseReplyFields(completion *dispatch.Completion, list string) (tags int, err error) {
 	if list == noFields || list == "" {
-		return fields, nil
+		return 0, nil
 	}
-	notes, fillWaits := 0, 0
+	cacheStatuses, fillWaits := 0, 0
 	for field := range strings.SplitSeq(list, ",") {
 		name, value, ok := strings.Cut(field, "=")
 		if !ok {
-			return fields, fmt.Errorf("%w: field %.20q", errMalformedReply, field)
+			return tags, fmt.Errorf("%w: field %.20q", errMalformedReply, field)
 		}
 		switch name {
 		case tagField:
 			if !dispatch.ValidFieldValue(value) {
-				return fields, fmt.Errorf("%w: tag", errMalformedReply)
+				return tags, fmt.Errorf("%w: tag", errMalformedReply)
 			}
-			fields.tag = value
-			fields.tags++
+			completion.Response.ETag = value
+			tags++
 		case loadField:
-			parseLoad(&fields.load, value)
+			parseLoad(&completion.Load, value)
 		case cacheStatusField:
-			fields.cacheStatus = parseCacheStatus(value)
-			notes++
+			completion.Note = parseCacheStatus(value)
+			cacheStatuses++
 		case fillWaitField:
-			fields.fillWait = parseFillWait(value)
+			completion.FillWait = parseFillWait(value)
 			fillWaits++
 		}
 	}
-	if notes > 1 {
-		fields.cacheStatus = routing.CacheStatusUnknown
+	if cacheStatuses > 1 {
+		completion.Note = routing.CacheStatusUnknown
 	}
 	if fillWaits > 1 {
-		fields.fillWait = 0
+		completion.FillWait = 0
 	}
-	return fields, nil
+	return tags, nil
 }
 
 // cacheStatusNames are the values of the field n, in the order of routing's constants.
--- a/internal/upstream/resp.go
+++ b/internal/upstream/resp.go
@@ -64,12 +64,16 @@
 
 // appendArray appends the first line of an array of n values.
 func appendArray(dst []byte, n int) []byte {
-	return fmt.Appendf(dst, "*%d\r\n", n)
+	dst = append(dst, arrayType)
+	dst = strconv.AppendInt(dst, int64(n), 10)
+	return append(dst, "\r\n"...)
 }
 
 // appendBulk appends a bulk string.
 func appendBulk(dst []byte, content string) []byte {
-	dst = fmt.Appendf(dst, "$%d\r\n", len(content))
+	dst = append(dst, bulkStringType)
+	dst = strconv.AppendInt(dst, int64(len(content)), 10)
+	dst = append(dst, "\r\n"...)
 	dst = append(dst, content...)
 	return append(dst, "\r\n"...)
 }
