Name the counters of the fleet's transport Metrics, as in all other options

transport.Options.Stats is Metrics, by meaning over the whole module. go vet, the linter and the tests of transport and of the command pass, without the race detector.

--- a/cmd/garnetline/fleet.go
+++ b/cmd/garnetline/fleet.go
@@ -74,7 +74,7 @@
 		InitialBans: router.storedBans(),
 		Clock:       router.clock,
 		Log:         router.log,
-		Stats:       router.metrics,
+		Metrics:     router.metrics,
 	})
 	if err != nil {
 		return nil, err
--- a/cmd/garnetline/metrics_test.go
+++ b/cmd/garnetline/metrics_test.go
@@ -26,7 +26,7 @@
 	count := metrics.New()
 	count.Add("fleet_packets_in", 17)
 	l, err := transport.New(transport.Options{Settings: transport.Settings{FleetName: "f", ListenAddr: loopback, AdvertiseAddr: loopback, Keyring: ring, Node: fleet.DefaultSettings(),
-		PacketsPerSecond: 500, BytesPerSecond: 100_000}, Name: "r", Zone: "z", StateDir: t.TempDir(), Clock: clock.NewManual(1.7e12), Log: logs.New(&bytes.Buffer{}), Stats: count})
+		PacketsPerSecond: 500, BytesPerSecond: 100_000}, Name: "r", Zone: "z", StateDir: t.TempDir(), Clock: clock.NewManual(1.7e12), Log: logs.New(&bytes.Buffer{}), Metrics: count})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fleet/transport/commands.go
+++ b/internal/fleet/transport/commands.go
@@ -35,7 +35,7 @@
 	select {
 	case t.commands <- command:
 	default:
-		t.options.Stats.Add(counterCommandsDropped, 1)
+		t.options.Metrics.Add(counterCommandsDropped, 1)
 	}
 }
 
--- a/internal/fleet/transport/packets.go
+++ b/internal/fleet/transport/packets.go
@@ -32,20 +32,20 @@
 	for _, out := range packets {
 		encoded := out.Packet.Append(buffer[:0])
 		if len(encoded) > membership.MaxPacketLen {
-			t.options.Stats.Add(counterPacketTooLong, 1)
+			t.options.Metrics.Add(counterPacketTooLong, 1)
 			continue
 		}
 		t.sendBuffer = keyring.Seal(t.sendBuffer[:0], encoded)
 		if !t.limiter.allow(now, len(t.sendBuffer), reserve) {
-			t.options.Stats.Add(counterRateLimited, 1)
+			t.options.Metrics.Add(counterRateLimited, 1)
 			continue
 		}
 		if _, err := t.conn.WriteToUDPAddrPort(t.sendBuffer, out.To); err != nil {
-			t.options.Stats.Add(counterSendErrors, 1)
+			t.options.Metrics.Add(counterSendErrors, 1)
 			continue
 		}
-		t.options.Stats.Add(counterPacketsSent, 1)
-		t.options.Stats.Add(counterBytesSent, int64(len(t.sendBuffer)))
+		t.options.Metrics.Add(counterPacketsSent, 1)
+		t.options.Metrics.Add(counterBytesSent, int64(len(t.sendBuffer)))
 	}
 }
 
@@ -59,25 +59,25 @@
 			return
 		}
 		if err != nil {
-			t.options.Stats.Add(counterReadErrors, 1)
+			t.options.Metrics.Add(counterReadErrors, 1)
 			continue
 		}
-		t.options.Stats.Add(counterPacketsReceived, 1)
-		t.options.Stats.Add(counterBytesReceived, int64(n))
+		t.options.Metrics.Add(counterPacketsReceived, 1)
+		t.options.Metrics.Add(counterBytesReceived, int64(n))
 		buffer, err = t.keyring.Load().Open(buffer[:0], sealed[:n])
 		if err != nil {
-			t.options.Stats.Add(rejectionCounter(err), 1)
+			t.options.Metrics.Add(rejectionCounter(err), 1)
 			continue
 		}
 		p, err := membership.Decode(buffer)
 		if err != nil {
-			t.options.Stats.Add(rejectionCounter(err), 1)
+			t.options.Metrics.Add(rejectionCounter(err), 1)
 			continue
 		}
 		select {
 		case t.packets <- p:
 		default:
-			t.options.Stats.Add(counterPacketsDropped, 1)
+			t.options.Metrics.Add(counterPacketsDropped, 1)
 		}
 	}
 }
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -59,7 +59,7 @@
 	StateDir            string // outlives the process; empty: there is none
 	Clock               clock.Clock
 	Log                 *zerolog.Logger
-	Stats               *metrics.Registry
+	Metrics             *metrics.Registry
 	InitialBans         []routing.ServerID // set by operators while no fleet knew
 	Receiver            Receiver           // nil: messages are dropped
 }
@@ -186,7 +186,7 @@
 				t.options.Log.Warn().Err(err).Str("addr", t.options.ListenAddr.String()).Msg("fleet socket not available yet, retrying")
 			}
 			if !errors.Is(err, syscall.EADDRINUSE) {
-				t.options.Stats.Add(counterBindErrors, 1)
+				t.options.Metrics.Add(counterBindErrors, 1)
 			}
 			timer.Reset(clock.Duration(bindRetryInterval))
 		}
@@ -267,7 +267,7 @@
 
 // logEvent logs and counts a change of the view.
 func (t *Transport) logEvent(event membership.Event) {
-	t.options.Stats.Add(eventCounterPrefix+event.Kind, 1)
+	t.options.Metrics.Add(eventCounterPrefix+event.Kind, 1)
 	line := t.options.Log.Info()
 	switch event.Kind {
 	case membership.EventConflict, membership.EventFull:
@@ -310,7 +310,7 @@
 		err = os.Rename(path+".new", path)
 	}
 	if err != nil {
-		t.options.Stats.Add(counterBansNotSaved, 1)
+		t.options.Metrics.Add(counterBansNotSaved, 1)
 		t.options.Log.Error().Err(err).Msg("fleet bans not saved for the next start")
 	}
 }
--- a/internal/fleet/transport/transport_test.go
+++ b/internal/fleet/transport/transport_test.go
@@ -42,7 +42,7 @@
 		StateDir: stateDir,
 		Clock:    clock.NewSystem(),
 		Log:      logs.New(io.Discard),
-		Stats:    metrics.New(),
+		Metrics:  metrics.New(),
 	}
 }
 
