Replace state files of bans by one function, internal/atomicfile.Replace

Seen: the transport and the ban manager each wrote a file beside the old one and renamed it, in the same lines.

Change: both call atomicfile.Replace; name of the temporary file, mode and order are as they were.

--- a/internal/fleet/bans/statefile.go
+++ b/internal/fleet/bans/statefile.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 
+	"garnetline/internal/atomicfile"
 	"garnetline/routing"
 )
 
@@ -51,9 +52,5 @@
 	if err != nil {
 		return err
 	}
-	next := string(f) + ".new"
-	if err := os.WriteFile(next, text, 0o600); err != nil {
-		return err
-	}
-	return os.Rename(next, string(f))
+	return atomicfile.Replace(string(f), text)
 }
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -22,6 +22,7 @@
 
 	"github.com/rs/zerolog"
 
+	"garnetline/internal/atomicfile"
 	"garnetline/internal/clock"
 	"garnetline/internal/fleet"
 	"garnetline/internal/fleet/fragment"
@@ -304,12 +305,7 @@
 
 // saveBans replaces the file of the bans for the next process, as a whole or not at all.
 func (t *Transport) saveBans(bans []byte) {
-	path := t.identity.bansPath()
-	err := os.WriteFile(path+".new", bans, 0o600)
-	if err == nil {
-		err = os.Rename(path+".new", path)
-	}
-	if err != nil {
+	if err := atomicfile.Replace(t.identity.bansPath(), bans); err != nil {
 		t.options.Metrics.Add(counterBansNotSaved, 1)
 		t.options.Log.Error().Err(err).Msg("fleet bans not saved for the next start")
 	}
