Show the pages of leases and bans by one function

Seen: fleet duties and fleet bans each called the admin API, printed JSON or read it, and printed a table, in the same lines.

Change: showPage does it for both. fleet status and members keep their own way, since they check the answer before printing it as JSON, and watch reads it too.

Result: the tests of the command pass, without the race detector.

--- a/cmd/garnetline/bans_command.go
+++ b/cmd/garnetline/bans_command.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"net/url"
 	"os/user"
 	"slices"
@@ -51,19 +49,7 @@
 
 // showBans prints the bans that a router knows of.
 func showBans(command *cli.Command, out io.Writer) error {
-	text, err := callAdmin(command, http.MethodGet, "/fleet/bans")
-	if err != nil {
-		return err
-	}
-	if command.Bool("json") {
-		_, err := out.Write(text)
-		return err
-	}
-	status := bans.Status{}
-	if err := json.Unmarshal(text, &status); err != nil {
-		return err
-	}
-	return printBans(out, &status)
+	return showPage(command, out, "/fleet/bans", printBans)
 }
 
 func printBans(out io.Writer, status *bans.Status) error {
--- a/cmd/garnetline/fleet_command.go
+++ b/cmd/garnetline/fleet_command.go
@@ -91,7 +91,12 @@
 
 // showLeases prints who holds which lease.
 func showLeases(command *cli.Command, out io.Writer) error {
-	text, err := callAdmin(command, http.MethodGet, "/fleet/duties")
+	return showPage(command, out, "/fleet/duties", printLeases)
+}
+
+// showPage prints what the admin API answers at path as a table, or as JSON.
+func showPage[Page any](command *cli.Command, out io.Writer, path string, printTable func(io.Writer, *Page) error) error {
+	text, err := callAdmin(command, http.MethodGet, path)
 	if err != nil {
 		return err
 	}
@@ -99,11 +104,11 @@
 		_, err := out.Write(text)
 		return err
 	}
-	page := leasePage{}
+	var page Page
 	if err := json.Unmarshal(text, &page); err != nil {
 		return err
 	}
-	return printLeases(out, &page)
+	return printTable(out, &page)
 }
 
 // transferLease hands a lease of the router that is called to another one.
