Review case 3: after an upgrade a purge that the old process knew does not bind

A router is upgraded while its change log stalls for new connections. The old process is told of a purge; the new one says yes without it and asks caches for copies of any age, since it has not received a purge itself.

The stand-in change log can stall, break off and purge a group.

--- a/review/3/case/main.go
+++ b/review/3/case/main.go
@@ -1,166 +1,115 @@
-// Command case partitions a small fleet while operators on both sides decide about one cache, and
-// checks that a router that said yes to a ban keeps to it after the partition has healed.
+// Command case upgrades a router while the change log stalls, and checks that no copy from before a
+// purge that the old process was told of answers requests that the rule binds.
 package main
 
 import (
 	"errors"
-	"fmt"
 	"math/rand/v2"
-	"net/http"
-	"net/netip"
 	"os"
+	"syscall"
 	"time"
 
-	"garnetline/internal/faultproxy"
 	"garnetline/review/standin"
 )
 
 const (
-	partition  = 6 * time.Second  // how long the partition lasts
-	afterwards = 20 * time.Second // how long the case watches after it
-	askEvery   = 50 * time.Millisecond
+	readyLimit   = 6 * time.Second                          // the new process says yes within this time
+	bindsAfter   = 2 * time.Second                          // news of the change log binds from so long after the yes
+	dropsAfter   = standin.PurgeDone - 100*time.Millisecond // when the caches drop the old copies by themselves
+	killDelay    = standin.LongestDeadline + 700*time.Millisecond
+	toldAfter    = 100 * time.Millisecond // from the start of the new process to the purge, and from that to the break
+	requestEvery = 20 * time.Millisecond
+	group        = 17
+	objects      = 200 // of the group
 )
 
-var errNo = errors.New("an operator's call was answered with no")
+var errNoCopy = errors.New("no cache was asked before the purge")
 
-func main() { standin.Main(os.Args[1], banAcrossPartition) }
+func main() { standin.Main(os.Args[1], purgeDuringUpgrade) }
 
-// fleet is a running fleet of three routers.
-type fleet struct {
-	run       *standin.Run
-	proxy     *faultproxy.Proxy
-	processes []*standin.Process
-	cache     *standin.Server // the cache that operators disable
-}
-
-// status is the page of the admin API about the fleet.
-type status struct {
-	Connectivity string `json:"stance"`
-}
-
-func banAcrossPartition(run *standin.Run) error {
-	deployment, err := run.NewDeployment("n0", "n1", "n2")
+func purgeDuringUpgrade(run *standin.Run) error {
+	deployment, err := run.NewDeployment("n0")
 	if err != nil {
 		return err
 	}
-	fleet := &fleet{run: run, proxy: faultproxy.New(1), cache: deployment.Caches[0]}
-	run.OnClose(fleet.proxy.Close)
-	if err := fleet.start(deployment); err != nil {
+	router := deployment.Routers[0]
+	old, err := router.StartReady(10 * time.Second)
+	if err != nil {
 		return err
 	}
-	load := run.StartLoad(askEvery, func() standin.Request {
-		return standin.Request{Class: "sheet", Object: 1 + rand.Uint64N(1000), Group: 1, Timeout: 2500 * time.Millisecond}
-	}, deployment.Routers...)
-	defer load.Stop()
-	time.Sleep(time.Second)
+	load := run.StartLoad(requestEvery, func() standin.Request {
+		return standin.Request{Class: "video-part", Object: 1 + rand.Uint64N(objects), Group: group, Timeout: 2500 * time.Millisecond}
+	}, router)
+	time.Sleep(6 * time.Second)
 
-	// The cache is taken out, and all routers hold the ban.
-	if err := fleet.call(0, "disable"); err != nil {
-		return err
-	}
-	time.Sleep(2 * time.Second)
-	if count := fleet.requestsIn(time.Second); count > 0 {
-		return fmt.Errorf("the ban does not hold at all routers: %d requests within a second", count)
-	}
 	if run.Trouble {
-		run.Logf("the network parts n0 from n1 and n2")
-		fleet.proxy.Partition([]string{"n0"}, []string{"n1", "n2"})
-		time.Sleep(2 * time.Second)
-	}
-	// On one side an operator calls it back; on the other side an operator takes it out.
-	if err := fleet.call(1, "enable"); err != nil {
-		return err
+		run.Logf("the change log stalls for new connections")
+		deployment.ChangeLog.SetStalled(true)
 	}
-	time.Sleep(2 * time.Second)
-	bannedAt := time.Now()
-	if err := fleet.call(0, "disable"); err != nil {
+	next, err := router.Start()
+	if err != nil {
 		return err
 	}
+	time.Sleep(toldAfter)
+	purgedAt := time.Now().Truncate(time.Millisecond)
+	run.Logf("group %d is purged; the change log tells it", group)
+	deployment.ChangeLog.PurgeGroup(group, purgedAt)
+	time.Sleep(toldAfter)
 	if run.Trouble {
-		time.Sleep(partition - 4*time.Second)
-		run.Logf("the network heals")
-		fleet.proxy.Heal()
-	}
-	fleet.check(load, bannedAt.Add(standin.DrainGrace+standin.Slack))
-	return nil
-}
-
-// start starts the routers and waits until each knows the others.
-func (f *fleet) start(deployment *standin.Deployment) error {
-	var listen, advertise []string
-	for _, router := range deployment.Routers {
-		addr, err := standin.FreeAddr("udp")
-		if err != nil {
-			return err
-		}
-		relay, err := f.proxy.UDP(router.Name, netip.MustParseAddrPort(addr))
-		if err != nil {
-			return err
-		}
-		listen = append(listen, addr)
-		advertise = append(advertise, relay.String())
+		run.Logf("the change log breaks off its connections")
+		deployment.ChangeLog.BreakConns()
 	}
-	if err := deployment.WriteSettings(f.run, listen, advertise, ""); err != nil {
+	if err := run.Await("the new process says yes", readyLimit, next.Ready); err != nil {
 		return err
 	}
-	for _, router := range deployment.Routers {
-		process, err := router.StartReady(10 * time.Second)
-		if err != nil {
-			return err
+	readyAt := time.Now()
+	run.Logf("%s: SIGTERM", old.Name)
+	old.Signal(syscall.SIGTERM)
+	go func() {
+		select {
+		case <-old.Exited():
+			run.Logf("%s: ended", old.Name)
+		case <-time.After(killDelay):
+			run.Logf("%s: SIGKILL", old.Name)
+			old.Signal(syscall.SIGKILL)
 		}
-		f.processes = append(f.processes, process)
+	}()
+	time.Sleep(time.Until(purgedAt.Add(dropsAfter)))
+	run.Logf("the caches drop their copies from before the purge")
+	for _, cache := range deployment.Caches {
+		cache.Drop(purgedAt)
 	}
-	return f.run.Await("all routers are together", 30*time.Second, func() bool { return f.together() })
+	time.Sleep(time.Second)
+	run.Logf("the change log is well again")
+	deployment.ChangeLog.SetStalled(false)
+	time.Sleep(3 * time.Second)
+	asked, lost := load.Stop()
+	run.Logf("requests: %v, without a whole answer: %v", asked, lost)
+	return check(run, deployment, purgedAt, readyAt.Add(bindsAfter+standin.PurgeGrace+standin.Slack))
 }
 
-func (f *fleet) together() bool {
-	for _, process := range f.processes {
-		var page status
-		if process.Page("/fleet", &page) != nil || page.Connectivity != "together" {
-			return false
+// check compares the copies that answered with the purge. Attempts that were sent after the time
+// binding must not be answered from a copy from before the purge.
+func check(run *standin.Run, deployment *standin.Deployment, purgedAt, binding time.Time) error {
+	before, late := 0, 0
+	for _, cache := range deployment.Caches {
+		for _, attempt := range cache.Sent() {
+			old := attempt.Minted.Before(purgedAt)
+			run.Logf("%s got %s at %+d ms of the purge, fields %s; answered from a copy minted at %+d ms", attempt.Server, attempt.ID,
+				attempt.At.Sub(purgedAt).Milliseconds(), attempt.Fields, attempt.Minted.Sub(purgedAt).Milliseconds())
+			switch {
+			case attempt.At.Before(purgedAt):
+				before++
+			case old && attempt.At.After(binding):
+				late++
+				run.Brokenf("request %s, sent %d ms after the purge and %d ms after the rule began to bind, was answered from a copy minted %d ms before the purge",
+					attempt.ID, attempt.At.Sub(purgedAt).Milliseconds(), attempt.At.Sub(binding).Milliseconds(), purgedAt.Sub(attempt.Minted).Milliseconds())
+			}
 		}
 	}
-	return true
-}
-
-// call disables or enables the cache at a router.
-func (f *fleet) call(router int, what string) error {
-	code, body := f.processes[router].Call(http.MethodPost, "/caches/"+what+"/"+f.cache.Name())
-	f.run.Logf("operator at %s: %s %s: %d %q", f.processes[router].Name, what, f.cache.Name(), code, body)
-	if code != http.StatusOK {
-		return errNo
+	run.Logf("attempts before the purge: %d; answered from an old copy when the rule bound: %d", before, late)
+	if before == 0 {
+		return errNoCopy
 	}
 	return nil
 }
-
-// requestsIn returns how many requests the cache gets in the time that begins now.
-func (f *fleet) requestsIn(period time.Duration) int {
-	start := time.Now()
-	time.Sleep(period)
-	return f.cache.CountSince(start)
-}
-
-// check watches the cache until some time after the partition. The router n0 has said yes to the ban,
-// and nobody has called the cache back since: from the time binding on, it must send it nothing.
-func (f *fleet) check(load *standin.Load, binding time.Time) {
-	for end := time.Now().Add(afterwards); time.Now().Before(end); {
-		f.run.Logf("%s gets %d requests within a second", f.cache.Name(), f.requestsIn(time.Second))
-	}
-	byRouter := map[string]int{}
-	for _, attempt := range f.cache.Sent() {
-		if !attempt.At.After(binding) {
-			continue
-		}
-		router := load.AskedOf(attempt.ID)
-		byRouter[router]++
-		if router == "n0" {
-			f.run.Brokenf("n0 sent request %s to %s %d ms after the end of the grace of the ban that it said yes to",
-				attempt.ID, attempt.Server, attempt.At.Sub(binding).Milliseconds())
-		}
-	}
-	f.run.Logf("requests to %s after the end of the grace, by router: %v", f.cache.Name(), byRouter)
-	for _, process := range f.processes {
-		_, page := process.Call(http.MethodGet, "/fleet")
-		f.run.Logf("%s: %s", process.Name, page)
-	}
-}
--- a/review/standin/cache.go
+++ b/review/standin/cache.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"strconv"
 	"strings"
@@ -48,6 +49,7 @@
 type Server struct {
 	Host
 	IsOrigin bool
+	Forgets  bool // attempts are not kept for Sent; set before a router is started
 
 	run    *Run
 	mu     sync.Mutex
@@ -110,19 +112,19 @@
 		s.copies[attempt.Object()] = minted
 	}
 	attempt.Minted = minted
-	s.sent = append(s.sent, attempt)
+	if !s.Forgets {
+		s.sent = append(s.sent, attempt)
+	}
 	s.mu.Unlock()
 	tag := fmt.Sprintf("tag=%013x,minted=%d", minted.UnixMilli(), minted.UnixMilli())
 	return bulks(id, "DONE", tag, "object "+attempt.Object())
 }
 
-// Drop makes the cache drop its copy of an object if the copy is older than a purge.
-func (s *Server) Drop(object string, purgedAt time.Time) {
+// Drop makes the cache drop its copies from before a purge.
+func (s *Server) Drop(purgedAt time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.copies[object].Before(purgedAt) {
-		delete(s.copies, object)
-	}
+	maps.DeleteFunc(s.copies, func(_ string, minted time.Time) bool { return minted.Before(purgedAt) })
 }
 
 // Sent returns the attempts that the server received.
--- a/review/standin/changelog.go
+++ b/review/standin/changelog.go
@@ -25,7 +25,7 @@
 const (
 	frameEmpty   = 0
 	frameChanges = 2
-	frameObject  = 3
+	frameGroup   = 4
 )
 
 // stateNames are the states of a server in JSON.
@@ -47,10 +47,10 @@
 type ChangeLog struct {
 	Addr string
 
-	run      *Run
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[net.Conn]bool
+	stalled  bool     // connections made now are accepted and told nothing
 	frames   [][]byte // events from number 2 on
 	changed  chan struct{}
 }
@@ -61,29 +61,24 @@
 	if err != nil {
 		return nil, err
 	}
-	changeLog := &ChangeLog{Addr: listener.Addr().String(), run: r, conns: map[net.Conn]bool{}, changed: make(chan struct{})}
-	changeLog.serve(listener)
-	r.OnClose(func() { changeLog.Break() })
+	changeLog := &ChangeLog{Addr: listener.Addr().String(), listener: listener, conns: map[net.Conn]bool{}, changed: make(chan struct{})}
+	go changeLog.serve()
+	r.OnClose(changeLog.Close)
 	return changeLog, nil
 }
 
-// serve accepts connections until Break closes the listener.
-func (c *ChangeLog) serve(listener net.Listener) {
-	c.mu.Lock()
-	c.listener = listener
-	c.mu.Unlock()
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			c.mu.Lock()
-			c.conns[conn] = true
-			c.mu.Unlock()
-			go c.serveConn(conn)
+// serve accepts connections until Close closes the listener.
+func (c *ChangeLog) serve() {
+	for {
+		conn, err := c.listener.Accept()
+		if err != nil {
+			return
 		}
-	}()
+		c.mu.Lock()
+		c.conns[conn] = true
+		c.mu.Unlock()
+		go c.serveConn(conn)
+	}
 }
 
 // serveConn sends the events after the number that the router writes, then each later event, and an
@@ -99,6 +94,10 @@
 	if _, err := io.ReadFull(conn, number[:]); err != nil {
 		return
 	}
+	if c.isStalled() {
+		_, _ = io.Copy(io.Discard, conn) // until the router gives up
+		return
+	}
 	has := binary.BigEndian.Uint64(number[:])
 	for {
 		c.mu.Lock()
@@ -155,48 +154,39 @@
 	c.add(frameChanges, payload)
 }
 
-func objectPurge(object uint64, at time.Time) []byte {
-	payload := binary.BigEndian.AppendUint64(nil, object)
-	return binary.BigEndian.AppendUint64(payload, uint64(at.UnixMilli()))
+// PurgeGroup adds the purge of a group.
+func (c *ChangeLog) PurgeGroup(group uint16, at time.Time) {
+	payload := binary.BigEndian.AppendUint16(nil, group)
+	c.add(frameGroup, binary.BigEndian.AppendUint64(payload, uint64(at.UnixMilli())))
 }
 
-// PurgeObject adds the purge of an object.
-func (c *ChangeLog) PurgeObject(object uint64, at time.Time) {
-	c.add(frameObject, objectPurge(object, at))
+// SetStalled sets whether the change log stalls: it accepts connections and tells them nothing. Open
+// connections go on.
+func (c *ChangeLog) SetStalled(stalled bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stalled = stalled
 }
 
-// BreakWithin breaks off partway through the event of an object's purge: the purge is in the log,
-// half of its frame is written, and the change log is down from then on.
-func (c *ChangeLog) BreakWithin(object uint64, at time.Time) {
+func (c *ChangeLog) isStalled() bool {
 	c.mu.Lock()
-	event := frame(c.last()+1, frameObject, objectPurge(object, at))
-	c.frames = append(c.frames, event)
-	for conn := range c.conns {
-		_, _ = conn.Write(event[:len(event)/2])
-	}
-	c.mu.Unlock()
-	c.Break()
+	defer c.mu.Unlock()
+	return c.stalled
 }
 
-// Break takes the change log down: connections end, and new ones are refused.
-func (c *ChangeLog) Break() {
+// BreakConns breaks off all open connections.
+func (c *ChangeLog) BreakConns() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.listener != nil {
-		_ = c.listener.Close()
-	}
 	for conn := range c.conns {
 		_ = conn.Close()
 	}
 }
 
-// Resume brings the change log back at the same address.
-func (c *ChangeLog) Resume() error {
-	listener, err := net.Listen("tcp4", c.Addr) //nolint:noctx // a listener that lives as long as the case
-	if err == nil {
-		c.serve(listener)
-	}
-	return err
+// Close ends the change log.
+func (c *ChangeLog) Close() {
+	_ = c.listener.Close()
+	c.BreakConns()
 }
 
 // hostWeight is the weight of every server in the list.
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -60,6 +60,37 @@
 	return readAnswer(bufio.NewReader(conn))
 }
 
+// Conn is a client's connection that is kept alive.
+type Conn struct {
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+// Dial opens a connection to a router.
+func Dial(addr string) (*Conn, error) {
+	conn, err := net.DialTimeout("tcp", addr, time.Second) //nolint:noctx // bounded by its time-out
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{conn: conn, reader: bufio.NewReader(conn)}, nil
+}
+
+// Close closes the connection.
+func (c *Conn) Close() { _ = c.conn.Close() }
+
+// Ask sends a read with the given X-Ttl-Ms and reads the answer.
+func (c *Conn) Ask(class string, object uint64, timeout string) (Answer, error) {
+	if err := c.conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		return Answer{}, err
+	}
+	_, err := fmt.Fprintf(c.conn, "GET /v1/%s/%016x?block=0 HTTP/1.1\r\nHost: backend.local\r\nX-Txn: %s\r\nX-Ttl-Ms: %s\r\nX-Family: 1\r\n\r\n",
+		class, object, NewID(), timeout)
+	if err != nil {
+		return Answer{}, err
+	}
+	return readAnswer(c.reader)
+}
+
 // readAnswer reads an HTTP answer whose body has a Content-Length.
 func readAnswer(reader *bufio.Reader) (Answer, error) {
 	var answer Answer
--- a/review/standin/router.go
+++ b/review/standin/router.go
@@ -126,10 +126,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return process, r.run.Await(process.Name+": ready", limit, func() bool {
-		status, _ := process.Call(http.MethodGet, "/ready")
-		return status == http.StatusOK
-	})
+	return process, r.run.Await(process.Name+": ready", limit, process.Ready)
+}
+
+// Ready reports whether the process says that it is ready.
+func (p *Process) Ready() bool {
+	status, _ := p.Call(http.MethodGet, "/ready")
+	return status == http.StatusOK
 }
 
 // Signal sends a signal to the process. After SIGTERM or SIGKILL, the process is expected to end.
@@ -222,3 +225,6 @@
 	}
 	return lines[max(0, len(lines)-most):]
 }
+
+// Pid returns the id of the process.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
