Show pending timers and heap bytes on /metrics

Change: the gauges app_pending_timers and app_heap_bytes, and the counter timers_pending in the log.

Cause, to be fixed next: the timers of a request's deadline and of its attempt's expiry point to the request and stay in the dispatcher's heap until they are due, also when the request was answered long before.

--- a/cmd/garnetline/admin.go
+++ b/cmd/garnetline/admin.go
@@ -47,6 +47,8 @@
 		UnavailableServers: unavailable + d.dispatcher.EjectedCount(),
 		ReloadsAccepted:    d.counter("reloads"),
 		ReloadsRejected:    d.counter("reloads_refused"),
+		PendingTimers:      d.counter("timers_pending"),
+		HeapBytes:          heapBytes(),
 	}
 	for _, class := range d.classes() {
 		values.Classes = append(values.Classes, admin.ClassMetrics{
--- a/cmd/garnetline/limits.go
+++ b/cmd/garnetline/limits.go
@@ -3,6 +3,7 @@
 import (
 	"runtime"
 	"runtime/debug"
+	"runtime/metrics"
 
 	"garnetline/internal/platformconfig"
 )
@@ -45,3 +46,11 @@
 func maxUpstreamConnections(limits platformconfig.Limits) int64 {
 	return int64(float64(limits.Sockets) * upstreamConnectionShare)
 }
+
+// heapBytes returns the memory of the objects in the Go heap. Objects that are no longer used count
+// until the garbage collector has freed them.
+func heapBytes() int64 {
+	sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	metrics.Read(sample)
+	return int64(sample[0].Value.Uint64())
+}
--- a/internal/admin/metrics.go
+++ b/internal/admin/metrics.go
@@ -11,6 +11,8 @@
 	UnavailableServers int64 // listed servers that get no new requests
 	ReloadsAccepted    int64
 	ReloadsRejected    int64
+	PendingTimers      int64 // timers of the dispatcher that have not fired yet
+	HeapBytes          int64 // memory of the objects in the Go heap, those not collected yet included
 }
 
 // ClassMetrics counts the requests of one class by outcome.
@@ -33,6 +35,8 @@
 	text = appendMetric(text, "out_of_rotation", "gauge", m.UnavailableServers)
 	text = appendMetric(text, "cfg_accepted_total", "counter", m.ReloadsAccepted)
 	text = appendMetric(text, "cfg_invalid_total", "counter", m.ReloadsRejected)
+	text = appendMetric(text, "pending_timers", "gauge", m.PendingTimers)
+	text = appendMetric(text, "heap_bytes", "gauge", m.HeapBytes)
 	return text
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -46,7 +46,8 @@
 	openRequests    map[routing.RequestID]*Request
 	byTransactionID map[string]*Request // the open requests that have a transaction id
 	timers          timerHeap
-	drainBy         float64 // time by which all requests must be answered; 0: not draining
+	pendingTimers   *atomic.Int64 // metric: the number of timers
+	drainBy         float64       // time by which all requests must be answered; 0: not draining
 
 	pendingEvents []routing.Event  // events that the module has not handled yet, in order; see notifyRouter
 	actions       []routing.Action // the module's actions; the slice is reused between events
@@ -70,6 +71,7 @@
 		settings:        settings,
 		router:          router,
 		metrics:         registry,
+		pendingTimers:   registry.Counter("timers_pending"),
 		mailbox:         make(chan message, mailboxSize),
 		stopped:         make(chan struct{}),
 		openRequests:    map[routing.RequestID]*Request{},
@@ -104,6 +106,7 @@
 			return
 		}
 		d.fireTimers()
+		d.pendingTimers.Store(int64(len(d.timers)))
 		d.publishEjections()
 	}
 }
