Cancel the timers of a request when it ends, so that answered requests leave memory

Cause: the deadline timer of a request, the expiry timers of its attempts and the decision module's timers stayed in the dispatcher's heap until they were due. The first two point to the request, so request, attempts, response channel and closure stayed too, up to 60 s after the answer.

Not the cause: the length of X-Ttl-Ms itself. With any timeout an answered request stayed for the rest of it, so a cap at the class's deadline would only have made the leak 20 times slower. What the frontend accepts is unchanged.

Change: a timer knows its position in the heap and is canceled by its owner. The end or the cancel of an attempt cancels its expiry, the end of a request its deadline and the module's timers for it. For that SetTimer names the request that it serves; a timer that the module asks for after the end of the request is not set.

Related paths with the same cause: the module's timers, whose delay follows from X-Working-Set-Kb and can be many hours where a client announces an absurd size; a request that ends before its first timer is asked for, as DNS lookups do; drains, which set a second deadline timer.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -28,6 +28,7 @@
 	Trace          *AttemptTrace // nil: the request is not traced
 
 	sentAt            float64
+	expiryTimer       timer
 	accepted          bool // the transport accepted the attempt
 	ended             bool
 	completionDelayed bool           // its completion was delayed by cancelTransit; the delay may be over
@@ -191,6 +192,7 @@
 		return
 	}
 	attempt.cancelRequested = true
+	d.timers.cancel(&attempt.expiryTimer)
 	attempt.cancelResult = result
 	attempt.MayRetry = !attempt.Request.responded
 	if attempt.TransportState != nil {
@@ -208,6 +210,7 @@
 		return
 	}
 	attempt.ended = true
+	d.timers.cancel(&attempt.expiryTimer)
 	if attempt.accepted && attempt.TransportState != nil {
 		attempt.TransportState.Release(attempt)
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -177,6 +177,6 @@
 			d.cancelAttempt(request.attempts[action.Attempt], routing.Canceled)
 		}
 	case routing.SetTimer:
-		d.scheduleRouterTimer(d.clock.Now()+clock.Millis(action.Delay), action.Token)
+		d.scheduleRouterTimer(d.clock.Now()+clock.Millis(action.Delay), action)
 	}
 }
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -292,6 +292,12 @@
 		if len(model.dispatcher.openRequests) != 0 {
 			t.Errorf("%d requests are still open", len(model.dispatcher.openRequests))
 		}
+		for len(model.inFlight) > 0 {
+			model.endAttempt(0, routing.Canceled, false)
+		}
+		if len(model.dispatcher.timers) != 0 {
+			t.Errorf("%d timers are still pending although all requests and attempts have ended", len(model.dispatcher.timers))
+		}
 	})
 }
 
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -62,6 +62,6 @@
 func (d *Dispatcher) handleDrain(deadline float64) {
 	d.drainBy = deadline
 	for _, request := range d.openRequests {
-		d.scheduleDeadline(deadline, request)
+		d.scheduleDeadline(min(deadline, request.deadlineTimer.at), request)
 	}
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -59,6 +59,9 @@
 	attempts     []*Attempt
 	responded    bool // Respond was called, or the client disconnected, so that Respond must not be called
 	disconnected atomic.Bool
+
+	deadlineTimer timer
+	routerTimers  []*timer // the decision module's pending timers for this request
 }
 
 // ClientInfo tells when and from which address a request arrived. Traces show both.
@@ -92,7 +95,7 @@
 }
 
 // releaseBody drops the reference to the body of an answered request if no attempt is in flight.
-// The Request itself stays in memory until its deadline timer fires.
+// The frontend may keep the Request itself longer.
 func (r *Request) releaseBody() {
 	if r.lastAttemptEnded() {
 		r.Body = nil
@@ -229,9 +232,11 @@
 	}
 }
 
-// removeRequest removes a request from the open requests and frees its transaction id.
+// removeRequest removes a request from the open requests, cancels its timers and frees its
+// transaction id.
 func (d *Dispatcher) removeRequest(request *Request) {
 	delete(d.openRequests, request.id)
+	d.cancelTimers(request)
 	if d.byTransactionID[request.TransactionID] == request {
 		delete(d.byTransactionID, request.TransactionID)
 	}
--- a/routing/actions.go
+++ b/routing/actions.go
@@ -46,8 +46,10 @@
 	Attempt int // index among the attempts of its request
 }
 
-// SetTimer requests a TimerFired event with Token after Delay. A timer cannot be canceled.
+// SetTimer requests a TimerFired event with Token after Delay. The caller may drop the timer when the
+// request with the given ID has ended: the Router would ignore the event.
 type SetTimer struct {
+	ID    RequestID // request that the timer serves; 0: none
 	Delay time.Duration
 	Token uint64
 }
--- a/routing/admission.go
+++ b/routing/admission.go
@@ -17,7 +17,7 @@
 		request.queueUntil = latestStart
 		request.valuePerSecond = r.queueValue(request)
 		queueTime := max(0, request.queueUntil-r.now)
-		r.emit(SetTimer{Delay: queueTime, Token: timerToken(request, timerQueueExpired)})
+		r.setTimer(request, queueTime, timerQueueExpired)
 	}
 	if min(request.queueUntil, latestStart) <= r.now {
 		r.rejectOrFail(request)
--- a/routing/outlier.go
+++ b/routing/outlier.go
@@ -210,7 +210,7 @@
 	case r.now+interval > request.deadline:
 		// The deadline is too close for another check or attempt.
 	case !atFault || r.available(suspect):
-		r.emit(SetTimer{Delay: interval, Token: timerToken(request, timerCheckAttempt)})
+		r.setTimer(request, interval, timerCheckAttempt)
 	case movable && r.mayAttempt(request):
 		request.excluded = append(request.excluded, suspect)
 		r.emit(CancelAttempt{ID: request.ID, Attempt: attempt.index})
--- a/routing/records.go
+++ b/routing/records.go
@@ -89,9 +89,10 @@
 	timerKindMask     = 1<<timerKindBits - 1
 )
 
-// timerToken returns the token of a timer of the given kind for a request.
-func timerToken(request *request, kind uint64) uint64 {
-	return uint64(request.ID)<<timerKindBits | kind
+// setTimer sets a timer of the given kind for a request.
+func (r *Router) setTimer(request *request, delay time.Duration, kind uint64) {
+	token := uint64(request.ID)<<timerKindBits | kind
+	r.emit(SetTimer{ID: request.ID, Delay: delay, Token: token})
 }
 
 // containsServer reports whether list contains a server with the given ID.
--- a/routing/selection.go
+++ b/routing/selection.go
@@ -229,7 +229,7 @@
 		}
 	}
 	r.emit(action)
-	r.emit(SetTimer{Delay: r.checkInterval(request), Token: timerToken(request, timerCheckAttempt)})
+	r.setTimer(request, r.checkInterval(request), timerCheckAttempt)
 }
 
 // startAttempt creates an attempt and adds it to the counts of its servers and limiters, and to the work
