Take ended requests out of the queue at once, not with the next outcome

A queued request that was rejected, or whose client disconnected, stayed in the router's queue until the next outcome of any attempt. While caches hang there is none, and nothing bounded how many ended requests waited there; every later pass sorted them too.

Change: Router.finish removes the request from the queue.

Test: TestEndedRequestsLeaveTheQueue failed before: of 100 requests, half of whose clients disconnected, 48 ended ones were in the queue, and 95 after all open ones had been rejected.

--- a/routing/admission_test.go
+++ b/routing/admission_test.go
@@ -1,6 +1,9 @@
 package routing
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 // TestRequestQueuedTwiceIsAnswered checks that a request gets its answer although it is queued twice. Its
 // only timer fires between the two waits, while an attempt is in flight, so no timer would end the second
@@ -222,3 +225,31 @@
 		})
 	}
 }
+
+// TestEndedRequestsLeaveTheQueue guards against memory that grows while caches hang: a queued request that
+// was rejected, or whose client disconnected, stayed in the queue until the next outcome of any attempt.
+func TestEndedRequestsLeaveTheQueue(t *testing.T) {
+	harness := newSmallQuotaHarness(t)
+	router := harness.router
+	for id := RequestID(1); id <= 100; id++ {
+		harness.request(Request{ID: id, Object: 7})
+		if id%2 == 0 {
+			harness.handle(ClientDisconnected{ID: id})
+		}
+	}
+	open := func(queued *request) bool { return router.requests[queued.ID] == queued }
+	kept := slices.Clone(router.queue)
+	if len(kept) == 0 || !slices.ContainsFunc(kept, open) {
+		t.Fatalf("got %d requests in the queue, want the open ones", len(kept))
+	}
+	if ended := slices.DeleteFunc(slices.Clone(kept), open); len(ended) != 0 {
+		t.Errorf("got %d requests in the queue whose clients have disconnected, want none", len(ended))
+	}
+	harness.now += second
+	for _, queued := range kept {
+		harness.expireQueued(queued.ID)
+	}
+	if len(router.queue) != 0 {
+		t.Errorf("got %d requests in the queue after all were rejected, want none", len(router.queue))
+	}
+}
--- a/routing/records.go
+++ b/routing/records.go
@@ -95,6 +95,15 @@
 	r.emit(SetTimer{ID: request.ID, Delay: delay, Token: token})
 }
 
+// removeQueued removes a request from the queue if it is in it.
+func (r *Router) removeQueued(ended *request) {
+	if !ended.queued {
+		return
+	}
+	ended.queued = false
+	r.queue = slices.DeleteFunc(r.queue, func(queued *request) bool { return queued == ended })
+}
+
 // containsServer reports whether list contains a server with the given ID.
 func containsServer(list []*server, id ServerID) bool {
 	return slices.ContainsFunc(list, func(server *server) bool { return server.ID == id })
--- a/routing/router.go
+++ b/routing/router.go
@@ -201,7 +201,7 @@
 // finish removes a request and cancels its attempts in flight.
 func (r *Router) finish(request *request) {
 	delete(r.requests, request.ID)
-	request.queued = false
+	r.removeQueued(request)
 	for _, attempt := range request.attempts {
 		if attempt.ended {
 			continue
