Show on /metrics whether the change log is heard

The metrics could not tell apart: a purge that was received and not applied, a cut watch that was not noticed, and one that was noticed without effect.

Change: app_watch_frames_total, the frames that this process received from the change log, and app_watch_stale, 1 where none came for 1.5 s; the counter changelog_frames in the log. Existing names are unchanged; the golden files have the added lines alone.

The cause, to be fixed next: Guard.watchStale applies only if this very process has received a purge (PurgesSeen), and its clock, Guard.LastEventAt, starts when the known events of the configuration are applied, not when the log is heard.

--- a/cmd/garnetline/admin.go
+++ b/cmd/garnetline/admin.go
@@ -49,6 +49,10 @@
 		ReloadsRejected:    d.counter("reloads_refused"),
 		PendingTimers:      d.counter("timers_pending"),
 		HeapBytes:          heapBytes(),
+		WatchFrames:        d.counter("changelog_frames"),
+	}
+	if d.watcher.Stale(d.clock.Now()) {
+		values.WatchStale = 1
 	}
 	for _, class := range d.classes() {
 		values.Classes = append(values.Classes, admin.ClassMetrics{
--- a/internal/admin/golden_test.go
+++ b/internal/admin/golden_test.go
@@ -32,7 +32,7 @@
 		Metrics: func() Metrics {
 			return Metrics{Classes: []ClassMetrics{{Name: "part", Served: 1, Rejected: 2, Failed: 3}, {Name: "a \"b\"", Served: 4}}, Relayed: 5,
 				OpenRequests: 6, ListedServers: 7, UnavailableServers: 8, ReloadsAccepted: 9, ReloadsRejected: 10,
-				PendingTimers: 11, HeapBytes: 12}
+				PendingTimers: 11, HeapBytes: 12, WatchFrames: 13, WatchStale: 1}
 		},
 		SetDisabled: func(_ context.Context, id routing.ServerID, _ bool) error {
 			switch id {
--- a/internal/admin/metrics.go
+++ b/internal/admin/metrics.go
@@ -12,6 +12,8 @@
 	ReloadsAccepted    int64
 	ReloadsRejected    int64
 	PendingTimers      int64 // timers of the dispatcher that have not fired yet
+	WatchFrames        int64 // frames received from the change log
+	WatchStale         int64 // 1 if the change log is cut off, so that events may be missing; 0 otherwise
 	HeapBytes          int64 // memory of the objects in the Go heap, those not collected yet included
 }
 
@@ -37,6 +39,8 @@
 	text = appendMetric(text, "cfg_invalid_total", "counter", m.ReloadsRejected)
 	text = appendMetric(text, "pending_timers", "gauge", m.PendingTimers)
 	text = appendMetric(text, "heap_bytes", "gauge", m.HeapBytes)
+	text = appendMetric(text, "watch_frames_total", "counter", m.WatchFrames)
+	text = appendMetric(text, "watch_stale", "gauge", m.WatchStale)
 	return text
 }
 
--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -23,6 +23,7 @@
 // drain and then send only heartbeats. The router would then send requests to the draining cache
 // until the next event.
 func (w *Watcher) handleFrame(received frame) error {
+	w.counters.Add("changelog_frames", 1)
 	expected := w.lastSeq
 	if received.kind != kindHeartbeat {
 		expected++
