Bound the age of copies whenever the watch is cut off, not only after a purge was received

Cause: a router whose watch is cut off accepts only copies younger than the purge grace, but the guard did so only if Guard.PurgesSeen was set, and only a purge that this very process received set it. The new process had received none, and took that for "no purges here".

Change: the settings tell whether a deployment has purges: they say how long copies from before one remain (cleared_within_us). The watcher sets PurgesOccur from them, at the start and at a reload. A grace of 0 is no longer taken for "any age" while the watch is cut off.

Regression tests: TestUnheardChangeLogBoundsCopies and TestNoPurgesNoBound failed before (any age accepted 5 s after a start without a frame, when cut off later, and after a reload that brings purges); the case "cut off, without a grace" is new in TestStaleWatchBoundsCopyAge. No expectation changed; the guard's golden file is the same to the byte.

--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -51,10 +51,7 @@
 // whose numbers are above lastSeq.
 func (w *Watcher) applyConfig(config *platformconfig.Config) {
 	w.config = config
-	guard := *w.guard.Load()
-	guard.PurgeRetention = config.Settings.PurgeRetention
-	guard.PurgeGrace = config.Settings.PurgeGrace
-	w.guard.Store(&guard)
+	w.guard.Store(withSettings(*w.guard.Load(), config))
 	for _, event := range config.KnownEvents {
 		if event.Seq > w.lastSeq {
 			w.applyEvent(event)
@@ -63,6 +60,16 @@
 	}
 }
 
+// withSettings returns a copy of a guard that has the settings of a configuration. A deployment has
+// purges if its settings say how long copies from before a purge remain. A router must not conclude
+// that there are none because it has received none: its watch may have been cut off since its start.
+func withSettings(guard routing.Guard, config *platformconfig.Config) *routing.Guard {
+	guard.PurgeRetention = config.Settings.PurgeRetention
+	guard.PurgeGrace = config.Settings.PurgeGrace
+	guard.PurgesOccur = config.Settings.PurgeRetention > 0
+	return &guard
+}
+
 // applyEvent applies an event to the endpoint list and publishes it.
 func (w *Watcher) applyEvent(event platformconfig.WatchEvent) {
 	if event.ListUpdate && event.Snapshot {
@@ -130,7 +137,6 @@
 		return purge.At+previous.PurgeRetention < at
 	})
 	if event.Purge != nil {
-		guard.PurgesSeen = true
 		guard.Purges = append(guard.Purges, routing.PurgeRecord{
 			Object: event.Purge.Object,
 			Group:  event.Purge.Group,
--- /dev/null
+++ b/internal/discovery/stale_watch_test.go
@@ -0,0 +1,77 @@
+package discovery
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"garnetline/internal/clock"
+	"garnetline/internal/platformconfig"
+)
+
+// Settings of newUnstartedWatcher about purges.
+const (
+	testPurgeGrace     = 500 * time.Millisecond
+	testPurgeRetention = 6 * time.Second
+)
+
+// newUnstartedWatcher returns a watcher that has applied the known events of its configuration, as Run
+// does, and has heard nothing from the change log. Tests pass it frames.
+func newUnstartedWatcher(t *testing.T, purgeRetention time.Duration) *Watcher {
+	t.Helper()
+	watcher, _ := newTestWatcher(netip.AddrPort{})
+	watcher.config.Settings.PurgeGrace = testPurgeGrace
+	watcher.config.Settings.PurgeRetention = purgeRetention
+	watcher = NewWatcher(watcher.clock, watcher.config, func(platformconfig.WatchEvent) {}, watcher.counters)
+	for _, event := range watcher.config.KnownEvents {
+		watcher.applyEvent(event)
+	}
+	return watcher
+}
+
+// receiveFrame passes a frame without content to a watcher.
+func receiveFrame(t *testing.T, watcher *Watcher, kind frameKind, seq uint64) {
+	t.Helper()
+	if err := watcher.handleFrame(frame{kind: kind, event: platformconfig.WatchEvent{Seq: seq}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// expectMaxAge checks the maximum age of a copy that no known purge concerns. 0 means any age.
+func expectMaxAge(t *testing.T, watcher *Watcher, when string, want time.Duration) {
+	t.Helper()
+	now := clock.Duration(watcher.clock.Now())
+	if got := watcher.Guard().MaxAge(now, 0, 9, 0); got != want {
+		t.Errorf("%s: got maximum age %v, want %v", when, got, want)
+	}
+	if got := watcher.Guard().MayBeStale(now, 9, 0); got != (want != 0) {
+		t.Errorf("%s: got purged copies possible %v, want %v", when, got, want != 0)
+	}
+}
+
+// TestUnheardChangeLogBoundsCopies guards against copies from before a purge that the process could not
+// know: a process whose change log stalls from its start accepted copies of any age, because it had never
+// received a purge itself. The process that it replaced in an upgrade had.
+func TestUnheardChangeLogBoundsCopies(t *testing.T) {
+	watcher := newUnstartedWatcher(t, testPurgeRetention)
+	clk := watcher.clock.(*clock.Manual)
+	clk.Advance(5000)
+	expectMaxAge(t, watcher, "5 s after the start without a frame", testPurgeGrace)
+	receiveFrame(t, watcher, kindHeartbeat, 1)
+	expectMaxAge(t, watcher, "after the first frame", 0)
+	clk.Advance(1500)
+	expectMaxAge(t, watcher, "1.5 s after a frame", 0)
+	clk.Advance(1)
+	expectMaxAge(t, watcher, "cut off, without a purge ever received", testPurgeGrace)
+}
+
+// TestNoPurgesNoBound checks that a deployment whose settings name no purges bounds no copies.
+func TestNoPurgesNoBound(t *testing.T) {
+	watcher := newUnstartedWatcher(t, 0)
+	watcher.clock.(*clock.Manual).Advance(5000)
+	expectMaxAge(t, watcher, "cut off, without purges", 0)
+	next := *watcher.config
+	next.Settings.PurgeRetention = testPurgeRetention
+	watcher.applyConfig(&next)
+	expectMaxAge(t, watcher, "after a reload with purges", testPurgeGrace)
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -83,10 +83,7 @@
 		syncedSignal:    make(chan struct{}),
 		disabledStore:   disabled.NewStore(config.StateDir),
 	}
-	w.guard.Store(&routing.Guard{
-		PurgeRetention: config.Settings.PurgeRetention,
-		PurgeGrace:     config.Settings.PurgeGrace,
-	})
+	w.guard.Store(withSettings(routing.Guard{}, config))
 	return w
 }
 
--- a/routing/decision_trace_test.go
+++ b/routing/decision_trace_test.go
@@ -220,7 +220,7 @@
 		{
 			Ready:          map[routing.ServerID]bool{1: true},
 			PurgeRetention: 6 * second, PurgeGrace: 300 * time.Millisecond,
-			PurgesSeen: true, LastEventAt: 100 * second,
+			PurgesOccur: true, LastEventAt: 100 * second,
 			Purges: []routing.PurgeRecord{
 				{Object: 7, At: 99 * second}, {Group: 4, At: 95 * second}, {Object: 7, Group: 3, At: 101 * second},
 			},
--- a/routing/guard.go
+++ b/routing/guard.go
@@ -13,7 +13,7 @@
 	Purges         []PurgeRecord     // copies from before these purges may still exist
 	PurgeRetention time.Duration     // time after a purge until no older copies are left
 	PurgeGrace     time.Duration     // time within which a purge must take effect
-	PurgesSeen     bool              // purges occur in this deployment
+	PurgesOccur    bool              // purges occur in this deployment
 	LastEventAt    time.Duration     // time of the latest event of the watch stream; 0: no event yet
 }
 
@@ -30,7 +30,7 @@
 func (g *Guard) MaxAge(now, maxAge time.Duration, object ObjectID, group int) time.Duration {
 	exceedsGrace := maxAge == 0 || maxAge > g.PurgeGrace
 	if exceedsGrace && g.watchStale(now) {
-		maxAge = g.PurgeGrace
+		maxAge = max(g.PurgeGrace, time.Microsecond) // 0 would stand for any age
 	}
 	for _, purge := range g.Purges {
 		if !g.binds(purge, now) || !purge.covers(object, group) {
@@ -70,7 +70,7 @@
 // Missed purges must take effect too. Therefore, only copies younger than the purge grace, the time within
 // which a purge must take effect, are served while the stream is cut off. This lowers the hit ratio.
 func (g *Guard) watchStale(now time.Duration) bool {
-	if !g.PurgesSeen || g.LastEventAt == 0 {
+	if !g.PurgesOccur || g.LastEventAt == 0 {
 		return false
 	}
 	return now > g.LastEventAt+watchStaleAfter
--- a/routing/guard_test.go
+++ b/routing/guard_test.go
@@ -11,7 +11,7 @@
 func TestStaleWatchBoundsCopyAge(t *testing.T) {
 	const grace = 500 * millisecond
 	watched := Guard{
-		PurgeRetention: 6 * second, PurgeGrace: grace, PurgesSeen: true, LastEventAt: 100 * second,
+		PurgeRetention: 6 * second, PurgeGrace: grace, PurgesOccur: true, LastEventAt: 100 * second,
 	}
 	tests := []struct {
 		name      string
@@ -27,8 +27,10 @@
 			bound: 12 * second, wantAge: grace, wantStale: true},
 		{name: "cut off, with a tighter bound", guard: watched, now: 101_600 * millisecond,
 			bound: 200 * millisecond, wantAge: 200 * millisecond, wantStale: true},
+		{name: "cut off, without a grace", now: 101_600 * millisecond, wantAge: time.Microsecond, wantStale: true,
+			guard: Guard{PurgesOccur: true, LastEventAt: watched.LastEventAt}},
 		{name: "no purges here", guard: Guard{PurgeGrace: grace, LastEventAt: watched.LastEventAt}, now: 200 * second},
-		{name: "no event yet", guard: Guard{PurgeGrace: grace, PurgesSeen: true}, now: 200 * second},
+		{name: "no event yet", guard: Guard{PurgeGrace: grace, PurgesOccur: true}, now: 200 * second},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
