Let only frames of the change log make the watch count as current

The guard's clock moved with each publication: the known events of the configuration at the start and at a reload, an operator's call, and a peer's ban, drain or purge. A process that had heard nothing counted as current too.

Change: recordFrame alone sets Guard.LastFrameAt (LastEventAt before), and it starts at 0: until the first frame the watch is stale. The gossip's own copy of the time and its own constant for it are gone; Stale, the drains of peers and the guard ask one function, Guard.WatchStale. So before the first frame a router also follows its peers' drains and does not ask for leases.

Tests: TestOnlyFramesKeepTheWatchCurrent failed before for an operator's call, a peer's purge and a reload; TestUnheardChangeLogBoundsCopies failed "before the first frame". The case "no event yet" of TestStaleWatchBoundsCopyAge expected any age from a router that has heard nothing, which is the fault itself; it is replaced by "no frame yet", which wants the bound and is as strict.

--- a/internal/admin/metrics.go
+++ b/internal/admin/metrics.go
@@ -13,7 +13,7 @@
 	ReloadsRejected    int64
 	PendingTimers      int64 // timers of the dispatcher that have not fired yet
 	WatchFrames        int64 // frames received from the change log
-	WatchStale         int64 // 1 if the change log is cut off, so that events may be missing; 0 otherwise
+	WatchStale         int64 // 1 if the change log is cut off or not heard yet, so that events may be missing; 0 otherwise
 	HeapBytes          int64 // memory of the objects in the Go heap, those not collected yet included
 }
 
--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -38,10 +38,6 @@
 		w.applyEvent(received.event)
 		w.lastSeq = received.event.Seq
 		w.broadcastEvent(received.event)
-	} else {
-		guard := *w.guard.Load()
-		guard.LastEventAt = clock.Duration(w.clock.Now())
-		w.guard.Store(&guard)
 	}
 	w.markSynced()
 	return nil
@@ -129,7 +125,6 @@
 // milliseconds by which the wall clock has been moved since the router started.
 func nextGuard(previous *routing.Guard, event platformconfig.WatchEvent, at time.Duration, wallClockStep float64) *routing.Guard {
 	guard := *previous
-	guard.LastEventAt = at
 	if event.ListUpdate {
 		guard.Ready = nextReady(previous.Ready, event)
 	}
--- a/internal/discovery/gossip.go
+++ b/internal/discovery/gossip.go
@@ -11,8 +11,6 @@
 
 // Durations in milliseconds.
 const (
-	// staleAfter is the age of the latest frame above which the watch counts as stale.
-	staleAfter = 1500.0
 	// gossipSlack decides whether this router's own watch missed a drain that a peer reported. If
 	// the latest frame arrived more than gossipSlack after the report, the watcher assumes that the
 	// watch has received the drain. Otherwise, it assumes that the watch missed the drain. A frame
@@ -57,22 +55,18 @@
 	changesReady <-chan struct{}
 	drains       map[routing.ServerID]gossipedDrain
 	activeDrains map[routing.ServerID]time.Duration // servers that are excluded because a peer reported a drain; value: start time of the draining server
-	lastFrameAt  float64                            // ms; time of the latest frame of this router's own watch
-	steadySince  float64                            // ms; since this time, no pause between frames was longer than staleAfter
+	steadySince  float64                            // ms; since this time, the watch has not been stale; 0: no frame yet
 }
 
 // SetGossip makes the watcher report to the peers the events of its own watch, and apply the bans
 // and purges that peers report. While its own watch is stale, the watcher also applies the drains
 // that peers report. SetGossip must be called before Run.
 func (w *Watcher) SetGossip(peers Gossip) {
-	now := w.clock.Now()
 	w.gossip = gossipState{
 		Gossip:       peers,
 		changesReady: peers.ChangesReady(),
 		drains:       map[routing.ServerID]gossipedDrain{},
 		activeDrains: map[routing.ServerID]time.Duration{},
-		lastFrameAt:  now,
-		steadySince:  now,
 	}
 }
 
@@ -102,18 +96,22 @@
 	}
 }
 
-// recordFrame records that this router's own watch received a frame now.
+// recordFrame records that this router's own watch received a frame now. Nothing else makes the watch
+// count as current, neither a call of an operator nor what a peer or a configuration reports.
 func (w *Watcher) recordFrame() {
-	if w.gossip.Gossip == nil {
-		return
-	}
 	now := w.clock.Now()
-	if now-w.gossip.lastFrameAt > staleAfter {
+	if w.Stale(now) {
 		w.gossip.steadySince = now
 	}
-	w.gossip.lastFrameAt = now
+	guard := *w.guard.Load()
+	guard.LastFrameAt = clock.Duration(now)
+	w.guard.Store(&guard)
 }
 
+// lastFrameAt returns the time of the latest frame of this router's own watch, in ms, or 0 if there
+// is none yet.
+func (w *Watcher) lastFrameAt() float64 { return clock.Millis(w.guard.Load().LastFrameAt) }
+
 // applyGossip applies the changes that the peers reported since the last call.
 func (w *Watcher) applyGossip() {
 	now := w.clock.Now()
@@ -174,7 +172,7 @@
 	}
 	now := w.clock.Now()
 	switch {
-	case now-w.gossip.lastFrameAt > staleAfter:
+	case w.Stale(now):
 		w.followGossipedDrains()
 	case now-w.gossip.steadySince >= catchUpPeriod:
 		w.dropGossipedDrains()
@@ -188,7 +186,7 @@
 	for id, drain := range state.drains {
 		endpoint, listed := w.servers[id]
 		_, active := state.activeDrains[id]
-		if active || !listed || endpoint.StartedAt > drain.started || drain.receivedAt < state.lastFrameAt-gossipSlack {
+		if active || !listed || endpoint.StartedAt > drain.started || drain.receivedAt < w.lastFrameAt()-gossipSlack {
 			continue
 		}
 		state.activeDrains[id] = drain.started
@@ -203,7 +201,7 @@
 func (w *Watcher) dropGossipedDrains() {
 	state := &w.gossip
 	for id, drain := range state.drains {
-		if drain.receivedAt < state.lastFrameAt-gossipSlack {
+		if drain.receivedAt < w.lastFrameAt()-gossipSlack {
 			delete(state.drains, id)
 		}
 	}
@@ -245,8 +243,8 @@
 	w.readyServers.Store(&ready)
 }
 
-// Stale reports whether the watch is stale at the time now, in Unix milliseconds: the last frame
-// was received more than staleAfter before.
+// Stale reports whether the watch is stale at the time now, in Unix milliseconds: no frame was
+// received yet, or the last one too long before; see routing.Guard.WatchStale.
 func (w *Watcher) Stale(now float64) bool {
-	return clock.Duration(now) > w.guard.Load().LastEventAt+clock.Duration(staleAfter)
+	return w.guard.Load().WatchStale(clock.Duration(now))
 }
--- a/internal/discovery/gossip_test.go
+++ b/internal/discovery/gossip_test.go
@@ -11,6 +11,9 @@
 	"garnetline/routing"
 )
 
+// staleAfter is the age of the latest frame, in ms, above which the watch counts as stale.
+const staleAfter = 1500.0
+
 // fakeGossip records the reports of the watcher to its peers. TakeChanges returns the changes that
 // a test has set.
 type fakeGossip struct {
--- a/internal/discovery/session_test.go
+++ b/internal/discovery/session_test.go
@@ -38,7 +38,7 @@
 	expectEvents(t, events, 3, 4, 5)
 	stop()
 	guard, at, stale := watcher.Guard(), clock.Duration(startTime), clock.Duration(startTime+7000)
-	if !guard.PurgesOccur || guard.LastEventAt != at || !guard.Excludes(7) {
+	if !guard.PurgesOccur || guard.LastFrameAt != at || !guard.Excludes(7) {
 		t.Errorf("got unexpected guard %+v", guard)
 	}
 	if !guard.MayBeStale(at, 9, 0) || !guard.MayBeStale(at, 1, 17) || guard.MayBeStale(at, 1, 16) {
--- a/internal/discovery/stale_watch_test.go
+++ b/internal/discovery/stale_watch_test.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"garnetline/internal/clock"
+	"garnetline/internal/fleet/gossip"
 	"garnetline/internal/platformconfig"
+	"garnetline/routing"
 )
 
 // Settings of newUnstartedWatcher about purges.
@@ -55,6 +57,7 @@
 func TestUnheardChangeLogBoundsCopies(t *testing.T) {
 	watcher := newUnstartedWatcher(t, testPurgeRetention)
 	clk := watcher.clock.(*clock.Manual)
+	expectMaxAge(t, watcher, "before the first frame", testPurgeGrace)
 	clk.Advance(5000)
 	expectMaxAge(t, watcher, "5 s after the start without a frame", testPurgeGrace)
 	receiveFrame(t, watcher, kindHeartbeat, 1)
@@ -75,3 +78,40 @@
 	watcher.applyConfig(&next)
 	expectMaxAge(t, watcher, "after a reload with purges", testPurgeGrace)
 }
+
+// TestOnlyFramesKeepTheWatchCurrent guards against missed purges and drains during a stall: an operator's
+// call, news of a peer and a reloaded configuration made a watch that is cut off count as current for 1.5 s.
+func TestOnlyFramesKeepTheWatchCurrent(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		apply func(*Watcher)
+	}{
+		{"nothing", func(*Watcher) {}},
+		{"an operator disables a server", func(w *Watcher) {
+			if err := w.handleDisableRequest(disableRequest{server: 7, disabled: true}); err != nil {
+				t.Error(err)
+			}
+		}},
+		{"a purge from a peer", func(w *Watcher) {
+			w.applyGossipedPurge(w.clock.Now(), gossip.Change{Item: gossip.Item{Kind: gossip.Purge, Object: 5, PurgedAt: w.clock.Now()}})
+		}},
+		{"a reload with known events", func(w *Watcher) {
+			next := *w.config
+			next.KnownEvents = []platformconfig.WatchEvent{{Seq: 9, ListUpdate: true}}
+			w.applyConfig(&next)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			watcher := newUnstartedWatcher(t, testPurgeRetention)
+			watcher.applyEvent(platformconfig.WatchEvent{ListUpdate: true, Endpoints: []platformconfig.Endpoint{{Server: routing.Server{ID: 7, Phase: routing.Ready}}}})
+			receiveFrame(t, watcher, kindHeartbeat, 1)
+			watcher.clock.(*clock.Manual).Advance(1400)
+			test.apply(watcher)
+			watcher.clock.(*clock.Manual).Advance(101)
+			expectMaxAge(t, watcher, "1.5 s after the last frame", testPurgeGrace)
+			if !watcher.Stale(watcher.clock.Now()) {
+				t.Error("got a current watch, want a stale one")
+			}
+		})
+	}
+}
--- a/routing/constants.go
+++ b/routing/constants.go
@@ -143,8 +143,8 @@
 	// subscribe.
 	subscribeRetryInterval = 500 * time.Millisecond
 
-	// watchStaleAfter is the time without an event after which the watch stream counts as cut off.
-	// The stream sends at least one event every second.
+	// watchStaleAfter is the time without a frame after which the watch stream counts as cut off.
+	// The stream sends at least one frame every second.
 	watchStaleAfter = 1500 * time.Millisecond
 )
 
--- a/routing/decision_trace_test.go
+++ b/routing/decision_trace_test.go
@@ -220,14 +220,14 @@
 		{
 			Ready:          map[routing.ServerID]bool{1: true},
 			PurgeRetention: 6 * second, PurgeGrace: 300 * time.Millisecond,
-			PurgesOccur: true, LastEventAt: 100 * second,
+			PurgesOccur: true, LastFrameAt: 100 * second,
 			Purges: []routing.PurgeRecord{
 				{Object: 7, At: 99 * second}, {Group: 4, At: 95 * second}, {Object: 7, Group: 3, At: 101 * second},
 			},
 		},
 		{
 			Ready:          map[routing.ServerID]bool{1: true, 2: false},
-			PurgeRetention: 2 * second, PurgeGrace: second, LastEventAt: 10 * second,
+			PurgeRetention: 2 * second, PurgeGrace: second, LastFrameAt: 10 * second,
 			Purges: []routing.PurgeRecord{{At: 100 * second}},
 		},
 	}
--- a/routing/guard.go
+++ b/routing/guard.go
@@ -14,7 +14,7 @@
 	PurgeRetention time.Duration     // time after a purge until no older copies are left
 	PurgeGrace     time.Duration     // time within which a purge must take effect
 	PurgesOccur    bool              // purges occur in this deployment
-	LastEventAt    time.Duration     // time of the latest event of the watch stream; 0: no event yet
+	LastFrameAt    time.Duration     // time of the latest frame of the watch stream; 0: none yet
 }
 
 // Excludes reports whether a server must get no new attempts, neither as target nor as source. A nil Guard
@@ -29,7 +29,7 @@
 // could be written just after the purge and answered from the old copy.
 func (g *Guard) MaxAge(now, maxAge time.Duration, object ObjectID, group int) time.Duration {
 	exceedsGrace := maxAge == 0 || maxAge > g.PurgeGrace
-	if exceedsGrace && g.watchStale(now) {
+	if exceedsGrace && g.mayMissPurges(now) {
 		maxAge = max(g.PurgeGrace, time.Microsecond) // 0 would stand for any age
 	}
 	for _, purge := range g.Purges {
@@ -51,7 +51,7 @@
 	if g == nil {
 		return false
 	}
-	if g.watchStale(now) {
+	if g.mayMissPurges(now) {
 		return true
 	}
 	return slices.ContainsFunc(g.Purges, func(purge PurgeRecord) bool {
@@ -66,15 +66,14 @@
 	return purge.At+g.PurgeRetention > now
 }
 
-// watchStale reports whether the watch stream is cut off, so that this router may have missed purges.
-// Missed purges must take effect too. Therefore, only copies younger than the purge grace, the time within
-// which a purge must take effect, are served while the stream is cut off. This lowers the hit ratio.
-func (g *Guard) watchStale(now time.Duration) bool {
-	if !g.PurgesOccur || g.LastEventAt == 0 {
-		return false
-	}
-	return now > g.LastEventAt+watchStaleAfter
-}
+// WatchStale reports whether the watch stream is cut off, or has sent nothing since the start of the
+// process. This router may then have missed events.
+func (g *Guard) WatchStale(now time.Duration) bool { return now > g.LastFrameAt+watchStaleAfter }
+
+// mayMissPurges reports whether this router may have missed purges. Missed purges must take effect too.
+// Therefore, only copies younger than the purge grace, the time within which a purge must take effect, are
+// served then. This lowers the hit ratio.
+func (g *Guard) mayMissPurges(now time.Duration) bool { return g.PurgesOccur && g.WatchStale(now) }
 
 // maxCopyAge returns the maximum age of a copy that may serve a request: the copy must be fresh and
 // newer than the latest purge of its object or group. 0 means any age.
--- a/routing/guard_test.go
+++ b/routing/guard_test.go
@@ -11,7 +11,7 @@
 func TestStaleWatchBoundsCopyAge(t *testing.T) {
 	const grace = 500 * millisecond
 	watched := Guard{
-		PurgeRetention: 6 * second, PurgeGrace: grace, PurgesOccur: true, LastEventAt: 100 * second,
+		PurgeRetention: 6 * second, PurgeGrace: grace, PurgesOccur: true, LastFrameAt: 100 * second,
 	}
 	tests := []struct {
 		name      string
@@ -21,16 +21,17 @@
 		wantAge   time.Duration
 		wantStale bool
 	}{
-		{name: "recent event", guard: watched, now: 101_400 * millisecond},
+		{name: "recent frame", guard: watched, now: 101_400 * millisecond},
 		{name: "cut off", guard: watched, now: 101_600 * millisecond, wantAge: grace, wantStale: true},
 		{name: "cut off, with a bound", guard: watched, now: 101_600 * millisecond,
 			bound: 12 * second, wantAge: grace, wantStale: true},
 		{name: "cut off, with a tighter bound", guard: watched, now: 101_600 * millisecond,
 			bound: 200 * millisecond, wantAge: 200 * millisecond, wantStale: true},
 		{name: "cut off, without a grace", now: 101_600 * millisecond, wantAge: time.Microsecond, wantStale: true,
-			guard: Guard{PurgesOccur: true, LastEventAt: watched.LastEventAt}},
-		{name: "no purges here", guard: Guard{PurgeGrace: grace, LastEventAt: watched.LastEventAt}, now: 200 * second},
-		{name: "no event yet", guard: Guard{PurgeGrace: grace, PurgesOccur: true}, now: 200 * second},
+			guard: Guard{PurgesOccur: true, LastFrameAt: watched.LastFrameAt}},
+		{name: "no purges here", guard: Guard{PurgeGrace: grace, LastFrameAt: watched.LastFrameAt}, now: 200 * second},
+		{name: "no frame yet", guard: Guard{PurgeGrace: grace, PurgesOccur: true}, now: 200 * second,
+			wantAge: grace, wantStale: true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
