Do not count the watch as current while heartbeats name events that were not sent

A heartbeat that names a later event makes the watcher ask for the missing ones, once. If the change log still does not send them, the next heartbeats made the watch count as current, though a purge or a drain may be among what is missing.

Change: handleFrame records a frame only if it leaves nothing missing. Until the missing events come the watch is stale: copies are bounded, and in a fleet the drains of peers are followed.

Test: TestFrameThatShowsMissingEventsIsNotCurrent failed before (any age accepted). An event that is skipped for good after it was asked for again is still taken as no event; that stays open.

--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -21,7 +21,8 @@
 //
 // Heartbeats reveal missing events too. Without the check of heartbeats, a change log could lose a
 // drain and then send only heartbeats. The router would then send requests to the draining cache
-// until the next event.
+// until the next event. For the same reason, a heartbeat that names events which the change log does
+// not send does not make the watch count as current.
 func (w *Watcher) handleFrame(received frame) error {
 	w.counters.Add("changelog_frames", 1)
 	expected := w.lastSeq
@@ -33,12 +34,14 @@
 		w.counters.Add("changelog_gaps", 1)
 		return ErrMissingEvents
 	}
-	w.recordFrame()
 	if received.kind != kindHeartbeat && received.event.Seq > w.lastSeq {
 		w.applyEvent(received.event)
 		w.lastSeq = received.event.Seq
 		w.broadcastEvent(received.event)
 	}
+	if received.event.Seq <= w.lastSeq {
+		w.recordFrame()
+	}
 	w.markSynced()
 	return nil
 }
--- a/internal/discovery/stale_watch_test.go
+++ b/internal/discovery/stale_watch_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"errors"
 	"net/netip"
 	"testing"
 	"time"
@@ -115,3 +116,21 @@
 		})
 	}
 }
+
+// TestFrameThatShowsMissingEventsIsNotCurrent guards against missed purges where the change log names
+// events that it does not send, even when it is asked again: its heartbeats made the watch count as current.
+func TestFrameThatShowsMissingEventsIsNotCurrent(t *testing.T) {
+	watcher := newUnstartedWatcher(t, testPurgeRetention)
+	receiveFrame(t, watcher, kindHeartbeat, 1)
+	watcher.clock.(*clock.Manual).Advance(1400)
+	missing := frame{kind: kindHeartbeat, event: platformconfig.WatchEvent{Seq: 3}}
+	if err := watcher.handleFrame(missing); !errors.Is(err, ErrMissingEvents) {
+		t.Fatalf("got error %v, want ErrMissingEvents", err)
+	}
+	receiveFrame(t, watcher, kindHeartbeat, 3)
+	watcher.clock.(*clock.Manual).Advance(101)
+	expectMaxAge(t, watcher, "heartbeats of event 3 without events 2 and 3", testPurgeGrace)
+	receiveFrame(t, watcher, kindChanges, 2)
+	receiveFrame(t, watcher, kindChanges, 3)
+	expectMaxAge(t, watcher, "events 2 and 3 received", 0)
+}
