Let the new process of an upgrade follow what the old one heard from the change log

What a process knew of drains and removals only because it heard them itself was lost in an upgrade: the new process starts from the list of the configuration, which can be old, and while the change log stalls it hears nothing else.

Change: a process that holds an inherited socket leaves in its state folder, with each event, which servers of the configuration's list must not be used any more (draining, removed, started again) and the purges that still bind (garnetline-watch.json). While its own watch is stale, a process reads the file at its start and every 200 ms and treats it as the reports of peers are treated: it can only exclude, and ends 0.5 s after the own watch is heard. Without an inherited socket or a state folder nothing is written or read.

Weighed: taking over the list and its event number. It would also bring servers that are new since the configuration was written, but a file from another start, whose numbers differ, could make a router miss events for good. That servers which the configuration does not list stay unknown until the log is heard is open.

--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -38,6 +38,7 @@
 		w.applyEvent(received.event)
 		w.lastSeq = received.event.Seq
 		w.broadcastEvent(received.event)
+		w.writeHandover()
 	}
 	if received.event.Seq <= w.lastSeq {
 		w.recordFrame()
--- a/internal/discovery/gossip.go
+++ b/internal/discovery/gossip.go
@@ -48,8 +48,8 @@
 	receivedAt float64       // clock time in ms at which the report arrived
 }
 
-// gossipState is the part of the watcher's state that the gossip with the fleet needs. It is the
-// zero value if the router belongs to no fleet.
+// gossipState is the part of the watcher's state that the gossip with the fleet needs. Its Gossip is
+// nil if the router belongs to no fleet; reports then come from a predecessor alone (see handover).
 type gossipState struct {
 	Gossip
 	changesReady <-chan struct{}
@@ -62,9 +62,13 @@
 // and purges that peers report. While its own watch is stale, the watcher also applies the drains
 // that peers report. SetGossip must be called before Run.
 func (w *Watcher) SetGossip(peers Gossip) {
-	w.gossip = gossipState{
+	w.gossip = newGossipState(peers)
+	w.gossip.changesReady = peers.ChangesReady()
+}
+
+func newGossipState(peers Gossip) gossipState {
+	return gossipState{
 		Gossip:       peers,
-		changesReady: peers.ChangesReady(),
 		drains:       map[routing.ServerID]gossipedDrain{},
 		activeDrains: map[routing.ServerID]time.Duration{},
 	}
@@ -163,13 +167,17 @@
 	w.publish(platformconfig.WatchEvent{Seq: w.lastSeq, Purge: purge})
 }
 
+// followReports applies what the predecessor of this process and the peers have heard, as far as this
+// router's own watch is stale.
+func (w *Watcher) followReports() {
+	w.followHandover()
+	w.updateGossipedDrains()
+}
+
 // updateGossipedDrains applies the drains that peers reported if this router's own watch is stale.
 // It drops those drains once the watch has been steady for catchUpPeriod; see
 // gossipState.steadySince.
 func (w *Watcher) updateGossipedDrains() {
-	if w.gossip.Gossip == nil {
-		return
-	}
 	now := w.clock.Now()
 	switch {
 	case w.Stale(now):
--- /dev/null
+++ b/internal/discovery/handover.go
@@ -0,0 +1,140 @@
+package discovery
+
+import (
+	"cmp"
+	"encoding/json"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"garnetline/internal/atomicfile"
+	"garnetline/internal/clock"
+	"garnetline/internal/fleet/gossip"
+	"garnetline/internal/platformconfig"
+	"garnetline/routing"
+)
+
+// handoverFile is the name of a file in the state directory. In it, a process leaves what it has heard
+// from the change log, for the process that replaces it in an upgrade. The successor starts with the
+// known events of the same configuration, which may be old. While the change log is cut off, it would
+// otherwise send requests to servers that its predecessor knew to be draining.
+//
+// Both processes write the file when they receive an event. A reader may find a file that is being
+// written; it ignores what it cannot decode and reads the file again.
+const handoverFile = "garnetline-watch.json"
+
+// handover is the content of the file. Like a report of a peer, it can only exclude servers and copies:
+// only the change log makes a server usable.
+type handover struct {
+	Unavailable []handoverServer `json:"unavailable"`
+	Purges      []handoverPurge  `json:"purges"`
+}
+
+// handoverServer is a start of a server that the known events of the configuration list as ready, and
+// that must not be used any more: the server is draining or removed, or it was started again.
+type handoverServer struct {
+	ID      routing.ServerID `json:"id"`
+	Started float64          `json:"started_ms"`
+}
+
+// handoverPurge is a purge from before which copies may still exist.
+type handoverPurge struct {
+	Object   routing.ObjectID `json:"object"` // 0: the whole group
+	Group    int              `json:"group"`
+	PurgedAt float64          `json:"purged_ms"` // wall clock time, in whole milliseconds as the change log tells it
+}
+
+// handoverPath returns the path of the file, or "" if no process can replace this one: it then holds no
+// inherited listening socket, or has no state directory.
+func handoverPath(config *platformconfig.Config) string {
+	if config.ListenFD == 0 || config.StateDir == "" {
+		return ""
+	}
+	return filepath.Join(config.StateDir, handoverFile)
+}
+
+// writeHandover writes what this process has heard from the change log to the file.
+func (w *Watcher) writeHandover() {
+	path := handoverPath(w.config)
+	if path == "" {
+		return
+	}
+	text, err := json.Marshal(handover{Unavailable: w.unavailableSinceKnown(), Purges: w.recentPurges()})
+	if err == nil {
+		err = atomicfile.Replace(path, text)
+	}
+	if err != nil {
+		w.counters.Add("handovers_unwritten", 1)
+	}
+}
+
+// unavailableSinceKnown compares the endpoint list with the known events of the configuration. It returns
+// the servers that a process with these events alone would wrongly use, in ascending order of their ids.
+func (w *Watcher) unavailableSinceKnown() []handoverServer {
+	servers := []handoverServer{}
+	for id, known := range knownReady(w.config) {
+		current, listed := w.servers[id]
+		if !listed || current.Phase != routing.Ready || current.StartedAt > known.StartedAt {
+			servers = append(servers, handoverServer{ID: id, Started: clock.Millis(known.StartedAt)})
+		}
+	}
+	slices.SortFunc(servers, func(a, b handoverServer) int { return cmp.Compare(a.ID, b.ID) })
+	return servers
+}
+
+// knownReady returns the servers that are ready after the known events of a configuration.
+func knownReady(config *platformconfig.Config) map[routing.ServerID]platformconfig.Endpoint {
+	ready := map[routing.ServerID]platformconfig.Endpoint{}
+	for _, event := range config.KnownEvents {
+		if event.ListUpdate && event.Snapshot {
+			clear(ready)
+		}
+		for _, endpoint := range event.Endpoints {
+			delete(ready, endpoint.ID)
+			if endpoint.Phase == routing.Ready {
+				ready[endpoint.ID] = endpoint
+			}
+		}
+	}
+	return ready
+}
+
+// recentPurges returns the purges from before which copies may still exist.
+func (w *Watcher) recentPurges() []handoverPurge {
+	purges := []handoverPurge{}
+	step := clock.WallClockStep(w.clock)
+	for _, purge := range w.guard.Load().Purges {
+		purgedAt := math.Round(clock.Millis(purge.At) + step)
+		purges = append(purges, handoverPurge{Object: purge.Object, Group: purge.Group, PurgedAt: purgedAt})
+	}
+	return purges
+}
+
+// followHandover applies what the predecessor of this process has heard, while this process does not hear
+// the change log itself.
+func (w *Watcher) followHandover() {
+	path := handoverPath(w.config)
+	now := w.clock.Now()
+	if path == "" || !w.Stale(now) {
+		return
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return // there is no predecessor, or it has heard no event
+	}
+	var left handover
+	if err := json.Unmarshal(text, &left); err != nil {
+		w.counters.Add("handovers_unread", 1)
+		return
+	}
+	for _, server := range left.Unavailable {
+		w.recordGossipedDrain(now, gossip.Change{Item: gossip.Item{Server: server.ID, StartedAt: server.Started}})
+	}
+	known := w.recentPurges()
+	for _, purge := range left.Purges {
+		if !slices.Contains(known, purge) {
+			w.applyGossipedPurge(now, gossip.Change{Item: gossip.Item{Object: purge.Object, Group: purge.Group, PurgedAt: purge.PurgedAt}})
+		}
+	}
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -81,6 +81,7 @@
 		pendingConfig:   make(chan *platformconfig.Config, 1),
 		disableRequests: make(chan disableRequest),
 		syncedSignal:    make(chan struct{}),
+		gossip:          newGossipState(nil),
 		disabledStore:   disabled.NewStore(config.StateDir),
 	}
 	w.guard.Store(withSettings(routing.Guard{}, config))
@@ -123,6 +124,7 @@
 	for _, event := range w.config.KnownEvents {
 		w.applyEvent(event)
 	}
+	w.followReports()
 	syncTimer := time.AfterFunc(clock.Duration(initialSyncTimeout), w.markSynced)
 	defer syncTimer.Stop()
 	backoff := reconnectBackoff{random: rand.New(rand.NewPCG(w.config.Seed, 0))}
@@ -185,7 +187,7 @@
 			request.result <- w.handleDisableRequest(request)
 		case <-ticker.C:
 			w.syncDisabledStore()
-			w.updateGossipedDrains()
+			w.followReports()
 		case <-w.gossip.changesReady:
 			w.applyGossip()
 		case end.nextConfig = <-w.pendingConfig:
