Move reported drains and purges out of gossip.go and name them for what they are

Need: since the handover of an upgrade, reports come from the predecessor of a process too, not from gossip alone; gossip.go held the peers' interface and the treatment of reports together.

Behavior is unchanged.

--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -90,7 +90,7 @@
 
 // effectiveState returns an endpoint in the state that the rest of the program sees. A ready server
 // becomes draining in two cases: an operator has disabled it, or the watcher applies a peer's
-// report that the server is draining (see followGossipedDrains).
+// report that the server is draining (see followReportedDrains).
 func (w *Watcher) effectiveState(endpoint platformconfig.Endpoint) platformconfig.Endpoint {
 	if endpoint.Phase != routing.Ready {
 		return endpoint
--- a/internal/discovery/gossip.go
+++ b/internal/discovery/gossip.go
@@ -9,23 +9,6 @@
 	"garnetline/routing"
 )
 
-// Durations in milliseconds.
-const (
-	// gossipSlack decides whether this router's own watch missed a drain that a peer reported. If
-	// the latest frame arrived more than gossipSlack after the report, the watcher assumes that the
-	// watch has received the drain. Otherwise, it assumes that the watch missed the drain. A frame
-	// that arrives soon after the report does not show that the watch has received the drain,
-	// because the frame of the drain itself may arrive later than the report.
-	gossipSlack = 2000.0
-	// catchUpPeriod is the time that a stale watch gets to receive the events that it missed. It
-	// starts when frames arrive again. At its end, the watcher drops the drains that peers
-	// reported, and only this router's own endpoint list decides which servers are draining.
-	catchUpPeriod = 500.0
-	// maxFuturePurge is the limit for purges that peers report with a time in the future. The
-	// watcher ignores a purge whose time is at least maxFuturePurge ahead.
-	maxFuturePurge = 60_000.0
-)
-
 // Gossip exchanges reports with the other routers of the fleet, the peers. The report of a drain
 // can only exclude a server. The report that a server was enabled only ends the exclusion by an
 // operator: the server is usable only if this router's own watch lists it as ready.
@@ -42,19 +25,13 @@
 	TakeChanges() []gossip.Change
 }
 
-// gossipedDrain is a peer's report that a server is draining.
-type gossipedDrain struct {
-	started    time.Duration // start time of the draining server
-	receivedAt float64       // clock time in ms at which the report arrived
-}
-
 // gossipState is the part of the watcher's state that the gossip with the fleet needs. Its Gossip is
 // nil if the router belongs to no fleet; reports then come from a predecessor alone (see handover).
 type gossipState struct {
 	Gossip
 	changesReady <-chan struct{}
-	drains       map[routing.ServerID]gossipedDrain
-	activeDrains map[routing.ServerID]time.Duration // servers that are excluded because a peer reported a drain; value: start time of the draining server
+	drains       map[routing.ServerID]reportedDrain
+	activeDrains map[routing.ServerID]time.Duration // servers that are excluded because a drain was reported; value: start time of the draining server
 	steadySince  float64                            // ms; since this time, the watch has not been stale; 0: no frame yet
 }
 
@@ -69,7 +46,7 @@
 func newGossipState(peers Gossip) gossipState {
 	return gossipState{
 		Gossip:       peers,
-		drains:       map[routing.ServerID]gossipedDrain{},
+		drains:       map[routing.ServerID]reportedDrain{},
 		activeDrains: map[routing.ServerID]time.Duration{},
 	}
 }
@@ -124,12 +101,12 @@
 		case gossip.Ban:
 			w.applyGossipedBan(change)
 		case gossip.Drain:
-			w.recordGossipedDrain(now, change)
+			w.recordReportedDrain(now, change)
 		case gossip.Purge:
-			w.applyGossipedPurge(now, change)
+			w.applyReportedPurge(now, change)
 		}
 	}
-	w.updateGossipedDrains()
+	w.updateReportedDrains()
 }
 
 // applyGossipedBan disables or enables a server, because an operator did so on a peer.
@@ -144,83 +121,6 @@
 	w.applyDisabled(change.Server, change.Disabled)
 }
 
-// recordGossipedDrain records a drain that a peer reported. It ignores the drain if the recorded
-// drain of the same server belongs to a later start of the server.
-func (w *Watcher) recordGossipedDrain(now float64, change gossip.Change) {
-	started := clock.Duration(change.StartedAt)
-	if known, ok := w.gossip.drains[change.Server]; ok && started < known.started {
-		return
-	}
-	w.gossip.drains[change.Server] = gossipedDrain{started: started, receivedAt: now}
-}
-
-// applyGossipedPurge publishes a purge that a peer reported. It ignores purges that are older than
-// the purge retention, or at least maxFuturePurge in the future.
-func (w *Watcher) applyGossipedPurge(now float64, change gossip.Change) {
-	retention := clock.Millis(w.config.Settings.PurgeRetention)
-	inEffect := change.PurgedAt > now-retention && change.PurgedAt < now+maxFuturePurge
-	if !inEffect {
-		return
-	}
-	w.counters.Add("fleet_purges_taken", 1)
-	purge := &platformconfig.Purge{Object: change.Object, Group: change.Group, At: change.PurgedAt}
-	w.publish(platformconfig.WatchEvent{Seq: w.lastSeq, Purge: purge})
-}
-
-// followReports applies what the predecessor of this process and the peers have heard, as far as this
-// router's own watch is stale.
-func (w *Watcher) followReports() {
-	w.followHandover()
-	w.updateGossipedDrains()
-}
-
-// updateGossipedDrains applies the drains that peers reported if this router's own watch is stale.
-// It drops those drains once the watch has been steady for catchUpPeriod; see
-// gossipState.steadySince.
-func (w *Watcher) updateGossipedDrains() {
-	now := w.clock.Now()
-	switch {
-	case w.Stale(now):
-		w.followGossipedDrains()
-	case now-w.gossip.steadySince >= catchUpPeriod:
-		w.dropGossipedDrains()
-	}
-}
-
-// followGossipedDrains excludes each server whose drain a peer reported and this router's own watch
-// missed (see gossipSlack).
-func (w *Watcher) followGossipedDrains() {
-	state := &w.gossip
-	for id, drain := range state.drains {
-		endpoint, listed := w.servers[id]
-		_, active := state.activeDrains[id]
-		if active || !listed || endpoint.StartedAt > drain.started || drain.receivedAt < w.lastFrameAt()-gossipSlack {
-			continue
-		}
-		state.activeDrains[id] = drain.started
-		w.counters.Add("fleet_drains_taken", 1)
-		w.publishEndpoint(endpoint)
-	}
-}
-
-// dropGossipedDrains ends the exclusion of all servers that followGossipedDrains has excluded. It
-// also forgets each report that arrived more than gossipSlack before the latest frame, because the
-// watch is then assumed to have received the drain itself (see gossipSlack).
-func (w *Watcher) dropGossipedDrains() {
-	state := &w.gossip
-	for id, drain := range state.drains {
-		if drain.receivedAt < w.lastFrameAt()-gossipSlack {
-			delete(state.drains, id)
-		}
-	}
-	for id := range state.activeDrains {
-		delete(state.activeDrains, id)
-		if endpoint, listed := w.servers[id]; listed {
-			w.publishEndpoint(endpoint)
-		}
-	}
-}
-
 // ReadyServers returns the ready servers of a zone and kind. It returns nil if the router belongs
 // to no fleet.
 func (w *Watcher) ReadyServers(zone, kind int) []platformconfig.Endpoint {
--- a/internal/discovery/gossip_test.go
+++ b/internal/discovery/gossip_test.go
@@ -92,20 +92,20 @@
 	fixture.receiveChanges(drain)
 	fixture.expectReady("with a watch that is not stale", 7, 8)
 	fixture.clock.Advance(staleAfter)
-	fixture.updateGossipedDrains()
+	fixture.updateReportedDrains()
 	fixture.expectReady("at the limit, not stale yet", 7, 8)
 	fixture.clock.Advance(1)
 	if !fixture.Stale(fixture.clock.Now()) {
 		t.Error("the watch is not stale, want stale")
 	}
-	fixture.updateGossipedDrains()
+	fixture.updateReportedDrains()
 	fixture.expectReady("stale", 8)
 	fixture.receive(kindHeartbeat, platformconfig.WatchEvent{Seq: 2})
 	fixture.clock.Advance(catchUpPeriod - 1)
-	fixture.updateGossipedDrains()
+	fixture.updateReportedDrains()
 	fixture.expectReady("back, not caught up", 8)
 	fixture.clock.Advance(1)
-	fixture.updateGossipedDrains()
+	fixture.updateReportedDrains()
 	fixture.expectReady("caught up", 7, 8)
 }
 
@@ -117,7 +117,7 @@
 	fixture.receive(kindChanges, platformconfig.WatchEvent{Seq: 3, ListUpdate: true, Endpoints: []platformconfig.Endpoint{restarted}})
 	fixture.receiveChanges(gossip.Change{Item: gossip.Item{Kind: gossip.Drain, Server: 8, StartedAt: startTime - 1}})
 	fixture.clock.Advance(staleAfter + 1)
-	fixture.updateGossipedDrains()
+	fixture.updateReportedDrains()
 	fixture.expectReady("stale", 7, 8)
 	if n := fixture.counters.Counter("fleet_drains_taken").Load(); n != 0 {
 		t.Errorf("got %d followed drains, want 0", n)
@@ -135,7 +135,7 @@
 		fixture.receive(kindHeartbeat, platformconfig.WatchEvent{Seq: 2})
 	}
 	fixture.clock.Advance(staleAfter + 1)
-	fixture.updateGossipedDrains()
+	fixture.updateReportedDrains()
 	fixture.expectReady("stale", 7, 8)
 }
 
--- a/internal/discovery/handover.go
+++ b/internal/discovery/handover.go
@@ -129,12 +129,12 @@
 		return
 	}
 	for _, server := range left.Unavailable {
-		w.recordGossipedDrain(now, gossip.Change{Item: gossip.Item{Server: server.ID, StartedAt: server.Started}})
+		w.recordReportedDrain(now, gossip.Change{Item: gossip.Item{Server: server.ID, StartedAt: server.Started}})
 	}
 	known := w.recentPurges()
 	for _, purge := range left.Purges {
 		if !slices.Contains(known, purge) {
-			w.applyGossipedPurge(now, gossip.Change{Item: gossip.Item{Object: purge.Object, Group: purge.Group, PurgedAt: purge.PurgedAt}})
+			w.applyReportedPurge(now, gossip.Change{Item: gossip.Item{Object: purge.Object, Group: purge.Group, PurgedAt: purge.PurgedAt}})
 		}
 	}
 }
