Show the enables that a router defers in its fleet status and metrics

Need: a test failed since one router still disabled a server that another router had enabled, and neither status nor metrics told a deferred enable from one that had not arrived. The two need different answers: the first is as documented (members.md, table of the connectivity states), the second would be a lost item.

Change: /fleet has deferred_enables (left out while empty), /metrics has app_fleet_deferred_enables, garnetline fleet status has a line. The wait of the test cluster names both lists when it fails.

--- a/cmd/garnetline/fleet_metrics.go
+++ b/cmd/garnetline/fleet_metrics.go
@@ -33,6 +33,7 @@
 	text = appendGauge(text, "known", status.Known)
 	text = appendGauge(text, "slowness", status.HealthScore)
 	text = appendGauge(text, "bans", len(status.Bans))
+	text = appendGauge(text, "deferred_enables", len(status.DeferredEnables))
 	for _, name := range fleetCounters {
 		total := f.metrics.Counter("fleet_" + name).Load()
 		text = fmt.Appendf(text, "# TYPE app_fleet_%s_total counter\napp_fleet_%s_total %d\n", name, name, total)
--- a/cmd/garnetline/fleet_tables.go
+++ b/cmd/garnetline/fleet_tables.go
@@ -28,6 +28,9 @@
 	if len(status.Bans) > 0 {
 		table.linef("banned\t%s", strings.Join(status.Bans, " "))
 	}
+	if len(status.DeferredEnables) > 0 {
+		table.linef("enable deferred\t%s", strings.Join(status.DeferredEnables, " "))
+	}
 	return table.flush()
 }
 
--- a/internal/fleet/gossip/expiry.go
+++ b/internal/fleet/gossip/expiry.go
@@ -40,7 +40,7 @@
 }
 
 func (s *Store) applyDeferredEnables() {
-	for _, server := range s.deferredServers() {
+	for _, server := range s.DeferredEnables() {
 		delete(s.deferredEnables, server)
 		if !s.Disabled(server) {
 			s.recordBanChange(server, Item{Kind: Ban, Server: server, Removed: true})
@@ -48,8 +48,9 @@
 	}
 }
 
-// deferredServers returns the servers whose enable is deferred, sorted by ID.
-func (s *Store) deferredServers() []routing.ServerID {
+// DeferredEnables returns the servers that are disabled here and whose enable by another router is
+// deferred, sorted by ID.
+func (s *Store) DeferredEnables() []routing.ServerID {
 	return slices.DeleteFunc(s.Bans(), func(server routing.ServerID) bool { return !s.deferredEnables[server] })
 }
 
--- a/internal/fleet/gossip/store_test.go
+++ b/internal/fleet/gossip/store_test.go
@@ -151,6 +151,9 @@
 	if !local.Disabled(5) {
 		t.Error("server 5 was enabled by another router while enables are deferred, want disabled")
 	}
+	if got := local.DeferredEnables(); !slices.Equal(got, []routing.ServerID{5}) {
+		t.Errorf("got deferred enables %v, want server 5", got)
+	}
 	local.TakeChanges()
 	local.DeferEnables = false
 	local.Step(1)
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -22,6 +22,7 @@
 	Superseded        bool           `json:"yielded"` // a later process has this router's ID
 	Members           []MemberStatus `json:"members"`
 	Bans              []string       `json:"bans"`
+	DeferredEnables   []string       `json:"deferred_enables,omitempty"` // servers in Bans that another router has enabled; see gossip.Store.DeferEnables
 }
 
 // MemberStatus is one member of a Status.
@@ -40,7 +41,8 @@
 	Self        bool    `json:"self,omitempty"`
 }
 
-// NewStatus returns the status of a view. The caller sets the fields Bound and Bans.
+// NewStatus returns the status of a view. The caller sets the fields Bound, Bans and
+// DeferredEnables.
 func NewStatus(view *membership.View, current connectivity.Status, fleet string) *Status {
 	status := &Status{
 		Fleet:             fleet,
--- a/internal/fleet/status_test.go
+++ b/internal/fleet/status_test.go
@@ -24,6 +24,7 @@
 	status := NewStatus(view, connectivity.Status{State: connectivity.Partial, Since: 1_699_999_999_500, Present: 2, Known: 3}, "garnetline")
 	status.Bound = true
 	status.Bans = append(status.Bans, "5")
+	status.DeferredEnables = append(status.DeferredEnables, "5")
 	encoded, err := json.MarshalIndent(status, "", " ")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/fleet/transport/publish.go
+++ b/internal/fleet/transport/publish.go
@@ -37,6 +37,9 @@
 	for _, server := range t.node.Store.Bans() {
 		status.Bans = append(status.Bans, server.String())
 	}
+	for _, server := range t.node.Store.DeferredEnables() {
+		status.DeferredEnables = append(status.DeferredEnables, server.String())
+	}
 	t.status.Store(status)
 	t.publishPending = false
 	t.publishedAt = now
--- a/internal/testcluster/conditions.go
+++ b/internal/testcluster/conditions.go
@@ -106,7 +106,16 @@
 func (c *Cluster) WaitForBan(timeout time.Duration, server string, banned bool, routers ...*Router) (time.Duration, error) {
 	description := fmt.Sprintf("server %s has banned=%v at all routers", server, banned)
 	return c.waitForStatus(description, timeout, routers, func(_ *Router, status *fleet.Status) (bool, string) {
-		return slices.Contains(status.Bans, server) == banned, fmt.Sprintf("bans %v", status.Bans)
+		return slices.Contains(status.Bans, server) == banned, fmt.Sprintf("bans %v, deferred enables %v", status.Bans, status.DeferredEnables)
+	})
+}
+
+// WaitForDeferredEnable waits until every router knows that another router has enabled a server, and
+// defers this.
+func (c *Cluster) WaitForDeferredEnable(timeout time.Duration, server string, routers ...*Router) (time.Duration, error) {
+	description := fmt.Sprintf("the enable of server %s is deferred at all routers", server)
+	return c.waitForStatus(description, timeout, routers, func(_ *Router, status *fleet.Status) (bool, string) {
+		return slices.Contains(status.DeferredEnables, server), fmt.Sprintf("bans %v, deferred enables %v", status.Bans, status.DeferredEnables)
 	})
 }
 
