Let the ban test wait for what a partial router does with an enable

Cause: the test enabled the server right after it cut the fleet in two and wanted all routers of that side to enable it. A broadcast is sent four times to random peers, and half of the peers could not be reached. If the ban reached r04 and the enable did not, the enable comes with a later comparison of views. By then r04 was partial (3.9 to 4.4 s after the cut), and a partial router that knows the ban defers a peer's enable until it is together: this is the documented behavior, and TestRemoteEnableIsDeferred asks for it. So the test's verdict depended on the order of two packets.

Change: the test first waits until both sides are partial and the ban is at all routers. Then each router has one allowed state: the router that was called enables the server, the others of its side have received the enable and defer it, the other side keeps its ban. This is as strict: it names the state of each router, where the old test passed whether the ban had reached the others or not. All that follows the healing is unchanged.

--- a/internal/testcluster/gossip_test.go
+++ b/internal/testcluster/gossip_test.go
@@ -63,10 +63,11 @@
 }
 
 // TestBanSurvivesConcurrentEnable checks the case that sides A and B of a partition both ban a
-// server, and that side B then enables the server. After the partition heals, all routers hold the
-// ban of side A, since the enable call at side B did not know this ban. A later enable call, at a
-// router that knows the ban, ends the ban at all routers, including a router that was paused during
-// the call.
+// server, and that side B then enables the server. The router that received the enable call enables
+// the server at once; the other routers of side B defer this, since they see only a part of the
+// fleet. After the partition heals, all routers hold the ban of side A, since the enable call at
+// side B did not know this ban. A later enable call, at a router that knows the ban, ends the ban
+// at all routers, including a router that was paused during the call.
 func TestBanSurvivesConcurrentEnable(t *testing.T) {
 	const server = "s-00000001"
 	cluster := startFleet(t, Options{Routers: 6, Servers: 2, Seed: 10})
@@ -80,11 +81,15 @@
 		cluster.post(router, "/caches/enable/"+server, http.StatusOK)
 	}
 	cluster.partition(sideA, sideB)
+	cluster.waitForConnectivity("both sides are partial", connectivityPartial, cluster.Routers...)
 	disable(sideA[0])
 	disable(sideB[0])
+	cluster.waitForBan("both sides ban the server", server, true, cluster.Routers...)
 	enable(sideB[0])
-	cluster.waitForBan("one side bans the server", server, true, sideA...)
-	cluster.waitForBan("the other side does not ban the server", server, false, sideB...)
+	cluster.waitForBan("the router that was called enables the server", server, false, sideB[0])
+	cluster.waitForDeferredEnable("the other routers of its side defer the enable", server, sideB[1:]...)
+	cluster.waitForBan("the other routers of its side still ban the server", server, true, sideB[1:]...)
+	cluster.waitForBan("the other side still bans the server", server, true, sideA...)
 	cluster.Proxy.Heal()
 	cluster.waitForBan("all routers ban the server after the partition has healed", server, true, cluster.Routers...)
 	cluster.waitForConnectivity("healed, all are together", connectivityTogether, cluster.Routers...)
--- a/internal/testcluster/harness_test.go
+++ b/internal/testcluster/harness_test.go
@@ -169,6 +169,12 @@
 	c.require(description, elapsed, err)
 }
 
+func (c *clusterTest) waitForDeferredEnable(description, server string, routers ...*Router) {
+	c.t.Helper()
+	elapsed, err := c.WaitForDeferredEnable(waitTimeout, server, routers...)
+	c.require(description, elapsed, err)
+}
+
 func (c *clusterTest) waitForProbes(description string, previousToken uint64) {
 	c.t.Helper()
 	elapsed, err := c.WaitForProbes(waitTimeout, previousToken)
