--- a/internal/discovery/helpers_test.go
+++ b/internal/discovery/helpers_test.go
@@ -19,6 +19,9 @@
 // startTime is the time of the test clocks, in Unix milliseconds.
 const startTime = 1.7e12
 
+// listedStart is the start time of the servers in the known events of newUnstartedWatcher.
+var listedStart = platformconfig.StartTime(startTime - 60_000)
+
 // testTimeout is the time after which a test fails if its watcher does not do the expected step. It
 // does not influence the order of events.
 const testTimeout = 10 * time.Second
@@ -74,6 +77,54 @@
 	return NewWatcher(clock.NewManual(startTime), config, notify, metrics.New()), events
 }
 
+// Settings of newUnstartedWatcher about purges.
+const (
+	testPurgeGrace     = 500 * time.Millisecond
+	testPurgeRetention = 6 * time.Second
+)
+
+// newUnstartedWatcher returns the watcher of one process of a router that owns stateDir. It has applied
+// the known events of its configuration, which list the servers 7 and 8 as ready since listedStart, and
+// has heard nothing from the change log. Tests pass it frames. Its settings name no purges if
+// purgeRetention is 0.
+func newUnstartedWatcher(stateDir string, purgeRetention time.Duration) *Watcher {
+	server := func(id routing.ServerID) platformconfig.Endpoint {
+		return platformconfig.Endpoint{Server: routing.Server{ID: id, Phase: routing.Ready, StartedAt: listedStart}}
+	}
+	config := &platformconfig.Config{
+		ListenFD:    3,
+		StateDir:    stateDir,
+		KnownSeq:    1,
+		KnownEvents: []platformconfig.WatchEvent{{Seq: 1, ListUpdate: true, Snapshot: true, Endpoints: []platformconfig.Endpoint{server(7), server(8)}}},
+		Settings:    routing.Settings{PurgeGrace: testPurgeGrace, PurgeRetention: purgeRetention},
+	}
+	watcher := NewWatcher(clock.NewManual(startTime), config, func(platformconfig.WatchEvent) {}, metrics.New())
+	watcher.applyKnown()
+	return watcher
+}
+
+// listUpdate returns an event that lists one server.
+func listUpdate(seq uint64, id routing.ServerID, phase routing.Phase, started time.Duration) platformconfig.WatchEvent {
+	server := routing.Server{ID: id, Phase: phase, StartedAt: started}
+	return platformconfig.WatchEvent{Seq: seq, ListUpdate: true, Endpoints: []platformconfig.Endpoint{{Server: server}}}
+}
+
+// receiveEvent passes an event to a watcher, as if the change log had sent it.
+func receiveEvent(t *testing.T, watcher *Watcher, event platformconfig.WatchEvent) {
+	t.Helper()
+	if err := watcher.handleFrame(frame{kind: kindChanges, event: event}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// receiveHeartbeat passes a heartbeat that names the last event to a watcher.
+func receiveHeartbeat(t *testing.T, watcher *Watcher, seq uint64) {
+	t.Helper()
+	if err := watcher.handleFrame(frame{kind: kindHeartbeat, event: platformconfig.WatchEvent{Seq: seq}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // startWatcher runs a watcher until stop is called or the test ends.
 func startWatcher(t *testing.T, watcher *Watcher) (stop func()) {
 	t.Helper()
--- a/internal/discovery/stale_watch_test.go
+++ b/internal/discovery/stale_watch_test.go
@@ -2,44 +2,14 @@
 
 import (
 	"errors"
-	"net/netip"
 	"testing"
 	"time"
 
 	"garnetline/internal/clock"
 	"garnetline/internal/fleet/gossip"
 	"garnetline/internal/platformconfig"
-	"garnetline/routing"
 )
 
-// Settings of newUnstartedWatcher about purges.
-const (
-	testPurgeGrace     = 500 * time.Millisecond
-	testPurgeRetention = 6 * time.Second
-)
-
-// newUnstartedWatcher returns a watcher that has applied the known events of its configuration, as Run
-// does, and has heard nothing from the change log. Tests pass it frames.
-func newUnstartedWatcher(t *testing.T, purgeRetention time.Duration) *Watcher {
-	t.Helper()
-	watcher, _ := newTestWatcher(netip.AddrPort{})
-	watcher.config.Settings.PurgeGrace = testPurgeGrace
-	watcher.config.Settings.PurgeRetention = purgeRetention
-	watcher = NewWatcher(watcher.clock, watcher.config, func(platformconfig.WatchEvent) {}, watcher.counters)
-	for _, event := range watcher.config.KnownEvents {
-		watcher.applyEvent(event)
-	}
-	return watcher
-}
-
-// receiveFrame passes a frame without content to a watcher.
-func receiveFrame(t *testing.T, watcher *Watcher, kind frameKind, seq uint64) {
-	t.Helper()
-	if err := watcher.handleFrame(frame{kind: kind, event: platformconfig.WatchEvent{Seq: seq}}); err != nil {
-		t.Fatal(err)
-	}
-}
-
 // expectMaxAge checks the maximum age of a copy that no known purge concerns. 0 means any age.
 func expectMaxAge(t *testing.T, watcher *Watcher, when string, want time.Duration) {
 	t.Helper()
@@ -56,12 +26,12 @@
 // know: a process whose change log stalls from its start accepted copies of any age, because it had never
 // received a purge itself. The process that it replaced in an upgrade had.
 func TestUnheardChangeLogBoundsCopies(t *testing.T) {
-	watcher := newUnstartedWatcher(t, testPurgeRetention)
+	watcher := newUnstartedWatcher("", testPurgeRetention)
 	clk := watcher.clock.(*clock.Manual)
 	expectMaxAge(t, watcher, "before the first frame", testPurgeGrace)
 	clk.Advance(5000)
 	expectMaxAge(t, watcher, "5 s after the start without a frame", testPurgeGrace)
-	receiveFrame(t, watcher, kindHeartbeat, 1)
+	receiveHeartbeat(t, watcher, 1)
 	expectMaxAge(t, watcher, "after the first frame", 0)
 	clk.Advance(1500)
 	expectMaxAge(t, watcher, "1.5 s after a frame", 0)
@@ -71,7 +41,7 @@
 
 // TestNoPurgesNoBound checks that a deployment whose settings name no purges bounds no copies.
 func TestNoPurgesNoBound(t *testing.T) {
-	watcher := newUnstartedWatcher(t, 0)
+	watcher := newUnstartedWatcher("", 0)
 	watcher.clock.(*clock.Manual).Advance(5000)
 	expectMaxAge(t, watcher, "cut off, without purges", 0)
 	next := *watcher.config
@@ -103,9 +73,8 @@
 		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			watcher := newUnstartedWatcher(t, testPurgeRetention)
-			watcher.applyEvent(platformconfig.WatchEvent{ListUpdate: true, Endpoints: []platformconfig.Endpoint{{Server: routing.Server{ID: 7, Phase: routing.Ready}}}})
-			receiveFrame(t, watcher, kindHeartbeat, 1)
+			watcher := newUnstartedWatcher("", testPurgeRetention)
+			receiveHeartbeat(t, watcher, 1)
 			watcher.clock.(*clock.Manual).Advance(1400)
 			test.apply(watcher)
 			watcher.clock.(*clock.Manual).Advance(101)
@@ -120,17 +89,17 @@
 // TestFrameThatShowsMissingEventsIsNotCurrent guards against missed purges where the change log names
 // events that it does not send, even when it is asked again: its heartbeats made the watch count as current.
 func TestFrameThatShowsMissingEventsIsNotCurrent(t *testing.T) {
-	watcher := newUnstartedWatcher(t, testPurgeRetention)
-	receiveFrame(t, watcher, kindHeartbeat, 1)
+	watcher := newUnstartedWatcher("", testPurgeRetention)
+	receiveHeartbeat(t, watcher, 1)
 	watcher.clock.(*clock.Manual).Advance(1400)
 	missing := frame{kind: kindHeartbeat, event: platformconfig.WatchEvent{Seq: 3}}
 	if err := watcher.handleFrame(missing); !errors.Is(err, ErrMissingEvents) {
 		t.Fatalf("got error %v, want ErrMissingEvents", err)
 	}
-	receiveFrame(t, watcher, kindHeartbeat, 3)
+	receiveHeartbeat(t, watcher, 3)
 	watcher.clock.(*clock.Manual).Advance(101)
 	expectMaxAge(t, watcher, "heartbeats of event 3 without events 2 and 3", testPurgeGrace)
-	receiveFrame(t, watcher, kindChanges, 2)
-	receiveFrame(t, watcher, kindChanges, 3)
+	receiveEvent(t, watcher, platformconfig.WatchEvent{Seq: 2})
+	receiveEvent(t, watcher, platformconfig.WatchEvent{Seq: 3})
 	expectMaxAge(t, watcher, "events 2 and 3 received", 0)
 }
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -120,10 +120,7 @@
 // Run applies the known events of the configuration, and then follows the change log until ctx is
 // done. Run must be called only once.
 func (w *Watcher) Run(ctx context.Context) {
-	w.loadDisabled()
-	for _, event := range w.config.KnownEvents {
-		w.applyEvent(event)
-	}
+	w.applyKnown()
 	w.followReports()
 	syncTimer := time.AfterFunc(clock.Duration(initialSyncTimeout), w.markSynced)
 	defer syncTimer.Stop()
@@ -142,6 +139,15 @@
 	}
 }
 
+// applyKnown applies what the process knows at its start: the servers that operators disabled, and the
+// known events of the configuration.
+func (w *Watcher) applyKnown() {
+	w.loadDisabled()
+	for _, event := range w.config.KnownEvents {
+		w.applyEvent(event)
+	}
+}
+
 // countReconnect counts a reconnect. err is the error that ended the session before it.
 func (w *Watcher) countReconnect(err error) {
 	w.counters.Add("changelog_reconnects", 1)
