Keep the slow start of an enabled server in the watcher and for its successor

What callers saw: a cache that was restarted behind a ban and enabled again counts as started at the call, until the list shows its restart. Any later publication of the old start ended that: a list that names the cache again, or the end of a reported drain. The new process of an upgrade knew neither the call nor the start at the ban, and sent a cold cache the share of a warm one at once.

Cause: the assumed start was put into one published event only; the ban was loaded from the state folder with start 0, which no listed start equals.

Change: the watcher keeps assumed starts (assumed_start.go) until the list has another start, applies them wherever it publishes an endpoint, and leaves them in the handover file, which the successor reads before the known events. A loaded ban gets the start of the known events. The file also changes with each ban and enable. Drains are still compared by the listed start.

--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -84,20 +84,24 @@
 		}
 		effective = append(effective, w.effectiveState(endpoint))
 	}
+	w.dropOutdatedStarts()
 	event.Endpoints = effective
 	w.publish(event)
 }
 
 // effectiveState returns an endpoint in the state that the rest of the program sees. A ready server
 // becomes draining in two cases: an operator has disabled it, or the watcher applies a peer's
-// report that the server is draining (see followReportedDrains).
+// report that the server is draining (see followReportedDrains). Its start time may be an assumed one (see
+// assumedStart).
 func (w *Watcher) effectiveState(endpoint platformconfig.Endpoint) platformconfig.Endpoint {
+	listedStart := endpoint.StartedAt
+	endpoint.StartedAt = w.effectiveStart(endpoint.ID, listedStart)
 	if endpoint.Phase != routing.Ready {
 		return endpoint
 	}
 	_, isDisabled := w.disabled[endpoint.ID]
 	drainedStart, isDraining := w.gossip.activeDrains[endpoint.ID]
-	if isDisabled || isDraining && endpoint.StartedAt <= drainedStart {
+	if isDisabled || isDraining && listedStart <= drainedStart {
 		endpoint.Phase = routing.Draining
 	}
 	return endpoint
--- a/internal/discovery/disabled.go
+++ b/internal/discovery/disabled.go
@@ -6,7 +6,6 @@
 	"maps"
 	"slices"
 
-	"garnetline/internal/clock"
 	"garnetline/routing"
 )
 
@@ -69,7 +68,7 @@
 }
 
 // loadDisabled loads the disabled servers from the store. It must be called before any event is
-// applied.
+// applied. After the known events, recordDisabledStarts completes the entries.
 func (w *Watcher) loadDisabled() {
 	stored, err := w.disabledStore.List()
 	if err != nil {
@@ -81,6 +80,13 @@
 	w.publishDisabled()
 }
 
+// recordDisabledStarts records the listed start times of the servers that loadDisabled has loaded.
+func (w *Watcher) recordDisabledStarts() {
+	for id := range w.disabled {
+		w.disabled[id] = w.servers[id].StartedAt
+	}
+}
+
 // syncDisabledStore reads the store. It applies the changes that another process of this router has
 // made there, and reports them to the peers.
 func (w *Watcher) syncDisabledStore() {
@@ -103,22 +109,20 @@
 }
 
 // applyDisabled disables or enables a server and publishes the change as an update of the endpoint
-// list.
-//
-// Operators restart a disabled server before they enable it. The endpoint list may not show the
-// restart yet: the listed start time is then the same as when the server was disabled. In this
-// case, an enabled server counts as started now.
+// list. An enabled server counts as started now if its listed start time is the same as when it was
+// disabled; see assumedStart.
 func (w *Watcher) applyDisabled(id routing.ServerID, disabled bool) {
 	endpoint, listed := w.servers[id]
 	if disabled {
 		w.disabled[id] = endpoint.StartedAt
 	} else {
-		if endpoint.StartedAt == w.disabled[id] {
-			endpoint.StartedAt = clock.Duration(w.clock.Now() + clock.WallClockStep(w.clock))
+		if listed && endpoint.StartedAt == w.disabled[id] {
+			w.assumeStarted(id, endpoint.StartedAt)
 		}
 		delete(w.disabled, id)
 	}
 	w.publishDisabled()
+	w.writeHandover()
 	if listed {
 		w.publishEndpoint(endpoint)
 	}
--- a/internal/discovery/handover.go
+++ b/internal/discovery/handover.go
@@ -16,19 +16,21 @@
 )
 
 // handoverFile is the name of a file in the state directory. In it, a process leaves what it has heard
-// from the change log, for the process that replaces it in an upgrade. The successor starts with the
-// known events of the same configuration, which may be old. While the change log is cut off, it would
-// otherwise send requests to servers that its predecessor knew to be draining.
+// from the change log and from operators, for the process that replaces it in an upgrade. The successor
+// starts with the known events of the same configuration, which may be old. While the change log is cut
+// off, it would otherwise send requests to servers that its predecessor knew to be draining. It would also
+// send too many requests to servers that operators have restarted and enabled.
 //
-// Both processes write the file when they receive an event. A reader may find a file that is being
-// written; it ignores what it cannot decode and reads the file again.
+// Both processes write the file when they receive an event, and when a server is disabled or enabled. A
+// reader may find a file that is being written; it ignores what it cannot decode and reads the file again.
 const handoverFile = "garnetline-watch.json"
 
-// handover is the content of the file. Like a report of a peer, it can only exclude servers and copies:
-// only the change log makes a server usable.
+// handover is the content of the file. Like a report of a peer, it can only exclude servers and copies, and
+// limit the requests to servers: only the change log makes a server usable.
 type handover struct {
 	Unavailable []handoverServer `json:"unavailable"`
 	Purges      []handoverPurge  `json:"purges"`
+	Enabled     []handoverStart  `json:"enabled,omitempty"`
 }
 
 // handoverServer is a start of a server that the known events of the configuration list as ready, and
@@ -54,13 +56,13 @@
 	return filepath.Join(config.StateDir, handoverFile)
 }
 
-// writeHandover writes what this process has heard from the change log to the file.
+// writeHandover writes the file.
 func (w *Watcher) writeHandover() {
 	path := handoverPath(w.config)
 	if path == "" {
 		return
 	}
-	text, err := json.Marshal(handover{Unavailable: w.unavailableSinceKnown(), Purges: w.recentPurges()})
+	text, err := json.Marshal(handover{Unavailable: w.unavailableSinceKnown(), Purges: w.recentPurges(), Enabled: w.handoverStarts()})
 	if err == nil {
 		err = atomicfile.Replace(path, text)
 	}
@@ -111,21 +113,34 @@
 	return purges
 }
 
-// followHandover applies what the predecessor of this process has heard, while this process does not hear
-// the change log itself.
-func (w *Watcher) followHandover() {
+// readHandover reads the file. It returns false if there is no predecessor, if the predecessor has written
+// nothing, or if the file cannot be decoded.
+func (w *Watcher) readHandover() (handover, bool) {
 	path := handoverPath(w.config)
-	now := w.clock.Now()
-	if path == "" || !w.Stale(now) {
-		return
+	if path == "" {
+		return handover{}, false
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return // there is no predecessor, or it has heard no event
+		return handover{}, false
 	}
 	var left handover
 	if err := json.Unmarshal(text, &left); err != nil {
 		w.counters.Add("handovers_unread", 1)
+		return handover{}, false
+	}
+	return left, true
+}
+
+// followHandover applies what the predecessor of this process has heard from the change log, while this
+// process does not hear the change log itself.
+func (w *Watcher) followHandover() {
+	now := w.clock.Now()
+	if !w.Stale(now) {
+		return
+	}
+	left, ok := w.readHandover()
+	if !ok {
 		return
 	}
 	for _, server := range left.Unavailable {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -48,6 +48,8 @@
 	servers      map[routing.ServerID]platformconfig.Endpoint
 	disabled     map[routing.ServerID]time.Duration // servers that operators disabled; value: the listed start time when the server was disabled
 	gossip       gossipState
+	// assumedStarts holds the servers that operators enabled and whose restart the endpoint list does not show.
+	assumedStarts map[routing.ServerID]assumedStart
 
 	// Requests to the goroutine of Run.
 	pendingConfig   chan *platformconfig.Config // holds only the latest configuration
@@ -78,6 +80,7 @@
 		lastSeq:         config.KnownSeq,
 		servers:         map[routing.ServerID]platformconfig.Endpoint{},
 		disabled:        map[routing.ServerID]time.Duration{},
+		assumedStarts:   map[routing.ServerID]assumedStart{},
 		pendingConfig:   make(chan *platformconfig.Config, 1),
 		disableRequests: make(chan disableRequest),
 		syncedSignal:    make(chan struct{}),
@@ -139,13 +142,15 @@
 	}
 }
 
-// applyKnown applies what the process knows at its start: the servers that operators disabled, and the
-// known events of the configuration.
+// applyKnown applies what the process knows at its start: the servers that operators disabled, those
+// that they enabled while the predecessor ran, and the known events of the configuration.
 func (w *Watcher) applyKnown() {
 	w.loadDisabled()
+	w.loadAssumedStarts()
 	for _, event := range w.config.KnownEvents {
 		w.applyEvent(event)
 	}
+	w.recordDisabledStarts()
 }
 
 // countReconnect counts a reconnect. err is the error that ended the session before it.
