Bound copies after events that the change log has lost for good

What callers may have seen: copies from before a purge. If the change log does not send an event even when it is asked again, the watcher skips its number. The skipped event may have been a purge, and was taken as none.

Change: the guard knows when events were last skipped. Until no copy from before that time is left (the purge retention), copies are bounded by the purge grace, as behind a cut watch. Counted as changelog_skips. A drain among the skipped events stays unknown (ROADMAP).

Evidence: TestSkippedEventsBoundCopies failed before at each second of the retention: maximum age 0s (any age), want 500ms.

--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -17,7 +17,8 @@
 // handleFrame applies one frame. If events before the frame are missing, handleFrame does not apply
 // the frame and returns ErrMissingEvents. The watcher then connects again and requests the events
 // after the last applied event. handleFrame returns ErrMissingEvents only once for each missing
-// event number. If the change log still does not send that event, the watcher skips the gap.
+// event number. If the change log still does not send that event, the watcher skips the gap. The
+// skipped events may have been purges; see routing.Guard.LastSkipAt.
 //
 // Heartbeats reveal missing events too. Without the check of heartbeats, a change log could lose a
 // drain and then send only heartbeats. The router would then send requests to the draining cache
@@ -35,6 +36,9 @@
 		return ErrMissingEvents
 	}
 	if received.kind != kindHeartbeat && received.event.Seq > w.lastSeq {
+		if received.event.Seq > expected {
+			w.recordSkip()
+		}
 		w.applyEvent(received.event)
 		w.lastSeq = received.event.Seq
 		w.broadcastEvent(received.event)
@@ -47,6 +51,14 @@
 	return nil
 }
 
+// recordSkip records that events were skipped now.
+func (w *Watcher) recordSkip() {
+	w.counters.Add("changelog_skips", 1)
+	guard := *w.guard.Load()
+	guard.LastSkipAt = clock.Duration(w.clock.Now())
+	w.guard.Store(&guard)
+}
+
 // applyConfig switches to another configuration. It applies the known events of that configuration
 // whose numbers are above lastSeq.
 func (w *Watcher) applyConfig(config *platformconfig.Config) {
--- a/internal/discovery/stale_watch_test.go
+++ b/internal/discovery/stale_watch_test.go
@@ -103,3 +103,22 @@
 	receiveEvent(t, watcher, platformconfig.WatchEvent{Seq: 3})
 	expectMaxAge(t, watcher, "events 2 and 3 received", 0)
 }
+
+// TestSkippedEventsBoundCopies guards against missed purges where the change log has lost events: the
+// watcher skipped their numbers, and took them for events without a purge.
+func TestSkippedEventsBoundCopies(t *testing.T) {
+	watcher := newUnstartedWatcher("", testPurgeRetention)
+	receiveEvent(t, watcher, platformconfig.WatchEvent{Seq: 2})
+	lost := frame{kind: kindChanges, event: platformconfig.WatchEvent{Seq: 5}}
+	if err := watcher.handleFrame(lost); !errors.Is(err, ErrMissingEvents) {
+		t.Fatalf("got error %v, want ErrMissingEvents", err)
+	}
+	receiveEvent(t, watcher, lost.event) // events 3 and 4 are lost
+	clk := watcher.clock.(*clock.Manual)
+	for range int(testPurgeRetention / time.Second) {
+		expectMaxAge(t, watcher, "after events were skipped", testPurgeGrace)
+		clk.Advance(1000)
+		receiveHeartbeat(t, watcher, 5)
+	}
+	expectMaxAge(t, watcher, "once no copies from before the skipped events are left", 0)
+}
--- a/routing/guard.go
+++ b/routing/guard.go
@@ -15,6 +15,7 @@
 	PurgeGrace     time.Duration     // time within which a purge must take effect
 	PurgesOccur    bool              // purges occur in this deployment
 	LastFrameAt    time.Duration     // time of the latest frame of the watch stream; 0: none yet
+	LastSkipAt     time.Duration     // time of the latest skip of lost events; 0: never
 }
 
 // Excludes reports whether a server must get no new attempts, neither as target nor as source. A nil Guard
@@ -73,7 +74,10 @@
 // mayMissPurges reports whether this router may have missed purges. Missed purges must take effect too.
 // Therefore, only copies younger than the purge grace, the time within which a purge must take effect, are
 // served then. This lowers the hit ratio.
-func (g *Guard) mayMissPurges(now time.Duration) bool { return g.PurgesOccur && g.WatchStale(now) }
+func (g *Guard) mayMissPurges(now time.Duration) bool {
+	skippedLately := g.LastSkipAt != 0 && now < g.LastSkipAt+g.PurgeRetention
+	return g.PurgesOccur && (skippedLately || g.WatchStale(now))
+}
 
 // maxCopyAge returns the maximum age of a copy that may serve a request: the copy must be fresh and
 // newer than the latest purge of its object or group. 0 means any age.
