Count a predecessor's reports by themselves, and replay known events once

Need: drains and purges that only the old process of an upgrade had heard were counted as those of the fleet, also where there is none. And each event of the change log replayed all known events of the configuration to compare them with the list, where a socket is inherited.

Change: a report carries who made it; handover_drains_taken and handover_purges_taken count the predecessor's. The watcher computes the known ready servers when it gets a configuration. A test of timers no longer applies an empty event that it does not need.

--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -63,6 +63,7 @@
 // whose numbers are above lastSeq.
 func (w *Watcher) applyConfig(config *platformconfig.Config) {
 	w.config = config
+	w.knownReady = knownReady(config)
 	w.guard.Store(withSettings(*w.guard.Load(), config))
 	for _, event := range config.KnownEvents {
 		if event.Seq > w.lastSeq {
--- a/internal/discovery/gossip.go
+++ b/internal/discovery/gossip.go
@@ -101,9 +101,9 @@
 		case gossip.Ban:
 			w.applyGossipedBan(change)
 		case gossip.Drain:
-			w.recordReportedDrain(now, change)
+			w.recordReportedDrain(now, peer, change)
 		case gossip.Purge:
-			w.applyReportedPurge(now, change)
+			w.applyReportedPurge(now, peer, change)
 		}
 	}
 	w.updateReportedDrains()
--- a/internal/discovery/handover.go
+++ b/internal/discovery/handover.go
@@ -75,7 +75,7 @@
 // the servers that a process with these events alone would wrongly use, in ascending order of their ids.
 func (w *Watcher) unavailableSinceKnown() []handoverServer {
 	servers := []handoverServer{}
-	for id, known := range knownReady(w.config) {
+	for id, known := range w.knownReady {
 		current, listed := w.servers[id]
 		if !listed || current.Phase != routing.Ready || current.StartedAt > known.StartedAt {
 			servers = append(servers, handoverServer{ID: id, Started: clock.Millis(known.StartedAt)})
@@ -144,12 +144,12 @@
 		return
 	}
 	for _, server := range left.Unavailable {
-		w.recordReportedDrain(now, gossip.Change{Item: gossip.Item{Server: server.ID, StartedAt: server.Started}})
+		w.recordReportedDrain(now, predecessor, gossip.Change{Item: gossip.Item{Server: server.ID, StartedAt: server.Started}})
 	}
 	known := w.recentPurges()
 	for _, purge := range left.Purges {
 		if !slices.Contains(known, purge) {
-			w.applyReportedPurge(now, gossip.Change{Item: gossip.Item{Object: purge.Object, Group: purge.Group, PurgedAt: purge.PurgedAt}})
+			w.applyReportedPurge(now, predecessor, gossip.Change{Item: gossip.Item{Object: purge.Object, Group: purge.Group, PurgedAt: purge.PurgedAt}})
 		}
 	}
 }
--- a/internal/discovery/handover_test.go
+++ b/internal/discovery/handover_test.go
@@ -41,6 +41,10 @@
 				t.Errorf("got maximum age %v for a copy of the purged group, want 20ms", got)
 			}
 
+			if drains, purges := successor.counters.Counter("handover_drains_taken").Load(), successor.counters.Counter("handover_purges_taken").Load(); drains != 1 || purges != 1 {
+				t.Errorf("got %d drains and %d purges counted, want one each", drains, purges)
+			}
+
 			// Once the successor hears the change log, its own list counts.
 			receiveHeartbeat(t, successor, 1)
 			successor.clock.(*clock.Manual).Advance(catchUpPeriod)
--- a/internal/discovery/reports.go
+++ b/internal/discovery/reports.go
@@ -28,31 +28,56 @@
 	maxFuturePurge = 60_000.0
 )
 
+// reporter tells who made a report.
+type reporter int
+
+const (
+	peer reporter = iota
+	predecessor
+)
+
+// drainCounter returns the name of the counter of reported drains that took effect.
+func drainCounter(from reporter) string {
+	if from == predecessor {
+		return "handover_drains_taken"
+	}
+	return "fleet_drains_taken"
+}
+
+// purgeCounter returns the name of the counter of reported purges that took effect.
+func purgeCounter(from reporter) string {
+	if from == predecessor {
+		return "handover_purges_taken"
+	}
+	return "fleet_purges_taken"
+}
+
 // reportedDrain is the report that a server is draining.
 type reportedDrain struct {
+	reporter   reporter
 	started    time.Duration // start time of the draining server
 	receivedAt float64       // clock time in ms at which the report arrived
 }
 
 // recordReportedDrain records a reported drain. It ignores the drain if the recorded
 // drain of the same server belongs to a later start of the server.
-func (w *Watcher) recordReportedDrain(now float64, change gossip.Change) {
+func (w *Watcher) recordReportedDrain(now float64, from reporter, change gossip.Change) {
 	started := clock.Duration(change.StartedAt)
 	if known, ok := w.gossip.drains[change.Server]; ok && started < known.started {
 		return
 	}
-	w.gossip.drains[change.Server] = reportedDrain{started: started, receivedAt: now}
+	w.gossip.drains[change.Server] = reportedDrain{reporter: from, started: started, receivedAt: now}
 }
 
 // applyReportedPurge publishes a reported purge. It ignores purges that are older than
 // the purge retention, or at least maxFuturePurge in the future.
-func (w *Watcher) applyReportedPurge(now float64, change gossip.Change) {
+func (w *Watcher) applyReportedPurge(now float64, from reporter, change gossip.Change) {
 	retention := clock.Millis(w.config.Settings.PurgeRetention)
 	inEffect := change.PurgedAt > now-retention && change.PurgedAt < now+maxFuturePurge
 	if !inEffect {
 		return
 	}
-	w.counters.Add("fleet_purges_taken", 1)
+	w.counters.Add(purgeCounter(from), 1)
 	purge := &platformconfig.Purge{Object: change.Object, Group: change.Group, At: change.PurgedAt}
 	w.publish(platformconfig.WatchEvent{Seq: w.lastSeq, Purge: purge})
 }
@@ -88,7 +113,7 @@
 			continue
 		}
 		state.activeDrains[id] = drain.started
-		w.counters.Add("fleet_drains_taken", 1)
+		w.counters.Add(drainCounter(drain.reporter), 1)
 		w.publishEndpoint(endpoint)
 	}
 }
--- a/internal/discovery/stale_watch_test.go
+++ b/internal/discovery/stale_watch_test.go
@@ -64,7 +64,7 @@
 			}
 		}},
 		{"a purge from a peer", func(w *Watcher) {
-			w.applyReportedPurge(w.clock.Now(), gossip.Change{Item: gossip.Item{Kind: gossip.Purge, Object: 5, PurgedAt: w.clock.Now()}})
+			w.applyReportedPurge(w.clock.Now(), peer, gossip.Change{Item: gossip.Item{Kind: gossip.Purge, Object: 5, PurgedAt: w.clock.Now()}})
 		}},
 		{"a reload with known events", func(w *Watcher) {
 			next := *w.config
--- a/internal/dispatch/timers_test.go
+++ b/internal/dispatch/timers_test.go
@@ -4,7 +4,6 @@
 	"testing"
 
 	"garnetline/internal/clock"
-	"garnetline/internal/platformconfig"
 	"garnetline/routing"
 )
 
@@ -99,7 +98,6 @@
 func TestTimersFireInOrder(t *testing.T) {
 	clk := clock.NewManual(startTime)
 	dispatcher := newDispatcher(t, clk, settings())
-	watchMessage{platformconfig.WatchEvent{}}.apply(dispatcher)
 	timers := make([]timer, 50)
 	for i := range timers {
 		dispatcher.timers.schedule(&timers[i], startTime+float64((i*37)%50))
