Share what the change wrote twice: list updates, ban descriptions, test frames

Found when the change was read once more; behavior stays as it is.

- knownReady folded the known events by a loop of its own.
It and applyEvent share updateServers, and keep start times, not endpoints.
- The handover file was rewritten when a server is disabled too, though nothing in it changes then. assumeStarted writes it, where it does.
- Store.DeferredEnables made and filtered the whole list of bans; its keys are that list.

--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -85,16 +85,9 @@
 
 // applyEvent applies an event to the endpoint list and publishes it.
 func (w *Watcher) applyEvent(event platformconfig.WatchEvent) {
-	if event.ListUpdate && event.Snapshot {
-		clear(w.servers)
-	}
+	updateServers(w.servers, event)
 	effective := make([]platformconfig.Endpoint, 0, len(event.Endpoints))
 	for _, endpoint := range event.Endpoints {
-		if endpoint.Phase == routing.Removed {
-			delete(w.servers, endpoint.ID)
-		} else {
-			w.servers[endpoint.ID] = endpoint
-		}
 		effective = append(effective, w.effectiveState(endpoint))
 	}
 	w.dropOutdatedStarts()
@@ -102,6 +95,20 @@
 	w.publish(event)
 }
 
+// updateServers applies an event to a list of servers.
+func updateServers(servers map[routing.ServerID]platformconfig.Endpoint, event platformconfig.WatchEvent) {
+	if event.ListUpdate && event.Snapshot {
+		clear(servers)
+	}
+	for _, endpoint := range event.Endpoints {
+		if endpoint.Phase == routing.Removed {
+			delete(servers, endpoint.ID)
+		} else {
+			servers[endpoint.ID] = endpoint
+		}
+	}
+}
+
 // effectiveState returns an endpoint in the state that the rest of the program sees. A ready server
 // becomes draining in two cases: an operator has disabled it, or the watcher applies a peer's
 // report that the server is draining (see followReportedDrains). Its start time may be an assumed one (see
--- a/internal/discovery/assumed_start.go
+++ b/internal/discovery/assumed_start.go
@@ -17,10 +17,11 @@
 	calledAt time.Duration // wall clock time of the call
 }
 
-// assumeStarted records that an operator has enabled a listed server just now.
+// assumeStarted records, also for a successor, that an operator has enabled a listed server just now.
 func (w *Watcher) assumeStarted(id routing.ServerID, listed time.Duration) {
 	calledAt := clock.Duration(w.clock.Now() + clock.WallClockStep(w.clock))
 	w.assumedStarts[id] = assumedStart{listed: listed, calledAt: calledAt}
+	w.writeHandover()
 }
 
 // effectiveStart returns the start time of a server that the rest of the program sees.
--- a/internal/discovery/disabled.go
+++ b/internal/discovery/disabled.go
@@ -122,7 +122,6 @@
 		delete(w.disabled, id)
 	}
 	w.publishDisabled()
-	w.writeHandover()
 	if listed {
 		w.publishEndpoint(endpoint)
 	}
--- a/internal/discovery/gossip_test.go
+++ b/internal/discovery/gossip_test.go
@@ -59,9 +59,7 @@
 // receive passes a frame to the watcher, as if the router's own watch had received it.
 func (f gossipFixture) receive(kind frameKind, event platformconfig.WatchEvent) {
 	f.t.Helper()
-	if err := f.handleFrame(frame{kind: kind, event: event}); err != nil {
-		f.t.Fatal(err)
-	}
+	receiveFrame(f.t, f.Watcher, kind, event)
 }
 
 // receiveChanges passes changes to the watcher, as if peers had reported them.
--- a/internal/discovery/handover.go
+++ b/internal/discovery/handover.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"time"
 
 	"garnetline/internal/atomicfile"
 	"garnetline/internal/clock"
@@ -21,8 +22,7 @@
 // off, it would otherwise send requests to servers that its predecessor knew to be draining. It would also
 // send too many requests to servers that operators have restarted and enabled.
 //
-// Both processes write the file when they receive an event, and when a server is disabled or enabled. A
-// reader may find a file that is being written; it ignores what it cannot decode and reads the file again.
+// Both processes write the file when they receive an event, and when a server is enabled. A reader may find a file that is being written; it ignores what it cannot decode and reads the file again.
 const handoverFile = "garnetline-watch.json"
 
 // handover is the content of the file. Like a report of a peer, it can only exclude servers and copies, and
@@ -75,28 +75,27 @@
 // the servers that a process with these events alone would wrongly use, in ascending order of their ids.
 func (w *Watcher) unavailableSinceKnown() []handoverServer {
 	servers := []handoverServer{}
-	for id, known := range w.knownReady {
+	for id, started := range w.knownReady {
 		current, listed := w.servers[id]
-		if !listed || current.Phase != routing.Ready || current.StartedAt > known.StartedAt {
-			servers = append(servers, handoverServer{ID: id, Started: clock.Millis(known.StartedAt)})
+		if !listed || current.Phase != routing.Ready || current.StartedAt > started {
+			servers = append(servers, handoverServer{ID: id, Started: clock.Millis(started)})
 		}
 	}
 	slices.SortFunc(servers, func(a, b handoverServer) int { return cmp.Compare(a.ID, b.ID) })
 	return servers
 }
 
-// knownReady returns the servers that are ready after the known events of a configuration.
-func knownReady(config *platformconfig.Config) map[routing.ServerID]platformconfig.Endpoint {
-	ready := map[routing.ServerID]platformconfig.Endpoint{}
+// knownReady returns the servers that are ready after the known events of a configuration, with their start
+// times.
+func knownReady(config *platformconfig.Config) map[routing.ServerID]time.Duration {
+	servers := map[routing.ServerID]platformconfig.Endpoint{}
 	for _, event := range config.KnownEvents {
-		if event.ListUpdate && event.Snapshot {
-			clear(ready)
-		}
-		for _, endpoint := range event.Endpoints {
-			delete(ready, endpoint.ID)
-			if endpoint.Phase == routing.Ready {
-				ready[endpoint.ID] = endpoint
-			}
+		updateServers(servers, event)
+	}
+	ready := map[routing.ServerID]time.Duration{}
+	for id, endpoint := range servers {
+		if endpoint.Phase == routing.Ready {
+			ready[id] = endpoint.StartedAt
 		}
 	}
 	return ready
--- a/internal/discovery/helpers_test.go
+++ b/internal/discovery/helpers_test.go
@@ -109,20 +109,24 @@
 	return platformconfig.WatchEvent{Seq: seq, ListUpdate: true, Endpoints: []platformconfig.Endpoint{{Server: server}}}
 }
 
-// receiveEvent passes an event to a watcher, as if the change log had sent it.
-func receiveEvent(t *testing.T, watcher *Watcher, event platformconfig.WatchEvent) {
+// receiveFrame passes a frame to a watcher, as if the change log had sent it.
+func receiveFrame(t *testing.T, watcher *Watcher, kind frameKind, event platformconfig.WatchEvent) {
 	t.Helper()
-	if err := watcher.handleFrame(frame{kind: kindChanges, event: event}); err != nil {
+	if err := watcher.handleFrame(frame{kind: kind, event: event}); err != nil {
 		t.Fatal(err)
 	}
 }
 
+// receiveEvent passes an event to a watcher, as if the change log had sent it.
+func receiveEvent(t *testing.T, watcher *Watcher, event platformconfig.WatchEvent) {
+	t.Helper()
+	receiveFrame(t, watcher, kindChanges, event)
+}
+
 // receiveHeartbeat passes a heartbeat that names the last event to a watcher.
 func receiveHeartbeat(t *testing.T, watcher *Watcher, seq uint64) {
 	t.Helper()
-	if err := watcher.handleFrame(frame{kind: kindHeartbeat, event: platformconfig.WatchEvent{Seq: seq}}); err != nil {
-		t.Fatal(err)
-	}
+	receiveFrame(t, watcher, kindHeartbeat, platformconfig.WatchEvent{Seq: seq})
 }
 
 // startWatcher runs a watcher until stop is called or the test ends.
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -43,9 +43,9 @@
 
 	// Only the goroutine of Run uses the following state.
 	config       *platformconfig.Config
-	knownReady   map[routing.ServerID]platformconfig.Endpoint // servers that are ready after the known events of config
-	lastSeq      uint64                                       // number of the last applied event
-	refetchedSeq uint64                                       // event number that was missing when the watcher last requested events again
+	knownReady   map[routing.ServerID]time.Duration // servers that are ready after the known events of config; value: start time
+	lastSeq      uint64                             // number of the last applied event
+	refetchedSeq uint64                             // event number that was missing when the watcher last requested events again
 	servers      map[routing.ServerID]platformconfig.Endpoint
 	disabled     map[routing.ServerID]time.Duration // servers that operators disabled; value: the listed start time when the server was disabled
 	gossip       gossipState
--- a/internal/fleet/gossip/expiry.go
+++ b/internal/fleet/gossip/expiry.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"maps"
 	"slices"
 
 	"garnetline/routing"
@@ -51,7 +52,7 @@
 // DeferredEnables returns the servers that are disabled here and whose enable by another router is
 // deferred, sorted by ID.
 func (s *Store) DeferredEnables() []routing.ServerID {
-	return slices.DeleteFunc(s.Bans(), func(server routing.ServerID) bool { return !s.deferredEnables[server] })
+	return slices.Sorted(maps.Keys(s.deferredEnables))
 }
 
 // expired reports whether an item is at least as old as its retention, in ms. It also stops
--- a/internal/testcluster/conditions.go
+++ b/internal/testcluster/conditions.go
@@ -106,7 +106,7 @@
 func (c *Cluster) WaitForBan(timeout time.Duration, server string, banned bool, routers ...*Router) (time.Duration, error) {
 	description := fmt.Sprintf("server %s has banned=%v at all routers", server, banned)
 	return c.waitForStatus(description, timeout, routers, func(_ *Router, status *fleet.Status) (bool, string) {
-		return slices.Contains(status.Bans, server) == banned, fmt.Sprintf("bans %v, deferred enables %v", status.Bans, status.DeferredEnables)
+		return slices.Contains(status.Bans, server) == banned, describeBans(status)
 	})
 }
 
@@ -115,10 +115,14 @@
 func (c *Cluster) WaitForDeferredEnable(timeout time.Duration, server string, routers ...*Router) (time.Duration, error) {
 	description := fmt.Sprintf("the enable of server %s is deferred at all routers", server)
 	return c.waitForStatus(description, timeout, routers, func(_ *Router, status *fleet.Status) (bool, string) {
-		return slices.Contains(status.DeferredEnables, server), fmt.Sprintf("bans %v, deferred enables %v", status.Bans, status.DeferredEnables)
+		return slices.Contains(status.DeferredEnables, server), describeBans(status)
 	})
 }
 
+func describeBans(status *fleet.Status) string {
+	return fmt.Sprintf("bans %v, deferred enables %v", status.Bans, status.DeferredEnables)
+}
+
 // membershipView lists the members in a router's view with their states. It omits members that have
 // left.
 func membershipView(status *fleet.Status) string {
