--- a/internal/bodies/allocator.go
+++ b/internal/bodies/allocator.go
@@ -7,7 +7,11 @@
 // Body.Repeatable). The first decision about a body is made before its first byte is sent.
 package bodies
 
-import "fmt"
+import (
+	"fmt"
+
+	"garnetline/internal/quota"
+)
 
 // Usage is the capacity reserved for all open bodies together.
 type Usage struct {
@@ -22,9 +26,9 @@
 	Counts Counts
 
 	classes    []Class
-	memory     quota // bytes
-	disk       quota // bytes
-	diskBodies quota
+	memory     quota.Quota // bytes
+	disk       quota.Quota // bytes
+	diskBodies quota.Quota
 	diskWrites tokenBucket // bytes
 }
 
@@ -36,9 +40,9 @@
 	}
 	allocator := &Allocator{
 		classes:    append([]Class(nil), classes...),
-		memory:     newQuota(classes),
-		disk:       newQuota(classes),
-		diskBodies: newQuota(classes),
+		memory:     quota.New(len(classes)),
+		disk:       quota.New(len(classes)),
+		diskBodies: quota.New(len(classes)),
 	}
 	return allocator, allocator.UpdateBudget(budget)
 }
@@ -49,13 +53,23 @@
 	if err := budget.validate(); err != nil {
 		return fmt.Errorf("bodies: %w", err)
 	}
-	a.memory.resize(budget.MemoryBytes, a.classes)
-	a.disk.resize(budget.DiskBytes, a.classes)
-	a.diskBodies.resize(budget.DiskBodies, a.classes)
+	shares := sharesOf(a.classes)
+	a.memory.Resize(budget.MemoryBytes, shares)
+	a.disk.Resize(budget.DiskBytes, shares)
+	a.diskBodies.Resize(budget.DiskBodies, shares)
 	a.diskWrites.setRate(budget.DiskBytesPerSecond)
 	return nil
 }
 
+// sharesOf returns what each class is entitled to of each limit of the budget.
+func sharesOf(classes []Class) []quota.Share {
+	shares := make([]quota.Share, len(classes))
+	for i := range classes {
+		shares[i] = quota.Share{PriorityWeight: classes[i].PriorityWeight, GuaranteedFraction: classes[i].GuaranteedFraction}
+	}
+	return shares
+}
+
 // Admit decides about a body before any of its bytes has been received. class is an index into the
 // classes given to New. size is the announced size in bytes, or -1 if the size is unknown. The
 // action is Continue or Reject. If it is Reject, the returned body is nil, and the caller need not
@@ -78,7 +92,7 @@
 func (a *Allocator) allocate(now float64, body *Body, size int64) {
 	class := &a.classes[body.class]
 	switch {
-	case size <= class.MaxMemoryBytes && a.memory.reserve(body.class, size):
+	case size <= class.MaxMemoryBytes && a.memory.Reserve(body.class, size):
 		body.Location, body.reserved = InMemory, size
 	case size <= class.MaxDiskBytes && a.reserveOnDisk(now, body.class, size):
 		body.Location, body.reserved = OnDisk, size
@@ -91,11 +105,11 @@
 // limits of disk bytes, of bodies on disk and of the write rate. If one of these limits does not
 // allow the body, reserveOnDisk reserves nothing and returns false.
 func (a *Allocator) reserveOnDisk(now float64, class int, size int64) bool {
-	if !a.diskBodies.reserve(class, 1) {
+	if !a.diskBodies.Reserve(class, 1) {
 		return false
 	}
 	if !a.growOnDisk(now, class, size) {
-		a.diskBodies.release(class, 1)
+		a.diskBodies.Release(class, 1)
 		return false
 	}
 	return true
@@ -105,11 +119,11 @@
 // against the limits of disk bytes and of the write rate. If one of these limits does not allow
 // them, growOnDisk reserves nothing and returns false.
 func (a *Allocator) growOnDisk(now float64, class int, addedBytes int64) bool {
-	if !a.disk.reserve(class, addedBytes) {
+	if !a.disk.Reserve(class, addedBytes) {
 		return false
 	}
 	if !a.diskWrites.allow(now, float64(addedBytes)) {
-		a.disk.release(class, addedBytes)
+		a.disk.Release(class, addedBytes)
 		return false
 	}
 	return true
@@ -150,14 +164,14 @@
 	class := &a.classes[body.class]
 	addedBytes := size - body.reserved
 	switch {
-	case body.Location == InMemory && size <= class.MaxMemoryBytes && a.memory.reserve(body.class, addedBytes):
+	case body.Location == InMemory && size <= class.MaxMemoryBytes && a.memory.Reserve(body.class, addedBytes):
 		body.reserved = size
 		return Continue
 	case body.Location == OnDisk && size <= class.MaxDiskBytes && a.growOnDisk(now, body.class, addedBytes):
 		body.reserved = size
 		return Continue
 	case body.Location == InMemory && size <= class.MaxDiskBytes && a.reserveOnDisk(now, body.class, size):
-		a.memory.release(body.class, body.reserved)
+		a.memory.Release(body.class, body.reserved)
 		body.Location = OnDisk
 		body.reserved = size
 		a.Counts.MovedToDisk++
@@ -198,10 +212,10 @@
 func (a *Allocator) release(body *Body) {
 	switch body.Location {
 	case InMemory:
-		a.memory.release(body.class, body.reserved)
+		a.memory.Release(body.class, body.reserved)
 	case OnDisk:
-		a.disk.release(body.class, body.reserved)
-		a.diskBodies.release(body.class, 1)
+		a.disk.Release(body.class, body.reserved)
+		a.diskBodies.Release(body.class, 1)
 	case NotRetained:
 	}
 	body.Location = NotRetained
@@ -211,8 +225,8 @@
 // Usage returns how much of each limit of the budget is reserved.
 func (a *Allocator) Usage() Usage {
 	return Usage{
-		MemoryBytes: a.memory.usedByAll(),
-		DiskBytes:   a.disk.usedByAll(),
-		DiskBodies:  a.diskBodies.usedByAll(),
+		MemoryBytes: a.memory.UsedByAll(),
+		DiskBytes:   a.disk.UsedByAll(),
+		DiskBodies:  a.diskBodies.UsedByAll(),
 	}
 }
--- a/internal/bodies/allocator_test.go
+++ b/internal/bodies/allocator_test.go
@@ -140,7 +140,7 @@
 	for range 100 {
 		allocator.Admit(0, solutionClass, 40)
 	}
-	if got, want := allocator.memory.used[solutionClass], int64(guaranteedSolution+lentToSolutions); got < want {
+	if got, want := allocator.memory.Used(solutionClass), int64(guaranteedSolution+lentToSolutions); got < want {
 		t.Errorf("solutions use %d bytes, want at least %d", got, want)
 	}
 }
--- a/internal/bodies/budget_test.go
+++ b/internal/bodies/budget_test.go
@@ -40,7 +40,7 @@
 	if err == nil || err.Error() != want {
 		t.Errorf("got error %v, want %s", err, want)
 	}
-	if got := allocator.memory.total; got != 100 {
+	if got := allocator.memory.Total(); got != 100 {
 		t.Errorf("got a memory budget of %d bytes after the error, want 100", got)
 	}
 }
--- a/internal/bodies/fuzz_test.go
+++ b/internal/bodies/fuzz_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"garnetline/internal/fuzzutil"
+	"garnetline/internal/quota"
 )
 
 const fuzzMaxSteps = 1500
@@ -67,7 +68,7 @@
 	size := []int64{-1, argument % 50, 2 * argument}[argument/3%3]
 	policy := m.allocator.classes[class]
 	memory := &m.allocator.memory
-	fitsGuarantee := memory.guaranteed(class)-memory.used[class] >= size && memory.usedByAll()+size <= m.budget.MemoryBytes
+	fitsGuarantee := memory.Guaranteed(class)-memory.Used(class) >= size && memory.UsedByAll()+size <= m.budget.MemoryBytes
 	body, action := m.allocator.Admit(m.now, class, size)
 	if rejected := action == Reject; rejected != (size > policy.MaxBytes) || (body == nil) != rejected {
 		m.t.Fatalf("%d bytes of class %s: got action %v, want Reject only above %d bytes", size, policy.Name, action, policy.MaxBytes)
@@ -177,9 +178,9 @@
 	if got := m.allocator.Usage(); got != (Usage{}) {
 		m.t.Errorf("got %+v reserved after all bodies were closed, want nothing", got)
 	}
-	for name, quota := range map[string]quota{"memory": m.allocator.memory, "disk": m.allocator.disk, "disk bodies": m.allocator.diskBodies} {
-		if quota.borrowed != 0 {
-			m.t.Errorf("got %d of %s borrowed after all bodies were closed, want 0", quota.borrowed, name)
+	for name, reserved := range map[string]quota.Quota{"memory": m.allocator.memory, "disk": m.allocator.disk, "disk bodies": m.allocator.diskBodies} {
+		if reserved.Borrowed() != 0 {
+			m.t.Errorf("got %d of %s borrowed after all bodies were closed, want 0", reserved.Borrowed(), name)
 		}
 	}
 }
