--- a/cmd/garnetline/admin.go
+++ b/cmd/garnetline/admin.go
@@ -50,6 +50,13 @@
 		PendingTimers:      d.counter("timers_pending"),
 		HeapBytes:          heapBytes(),
 		WatchFrames:        d.counter("changelog_frames"),
+		Processes:          d.resources.processes.Load(),
+		ResidentBytes:      residentBytes(),
+	}
+	usage := d.resources.budget.Usage()
+	values.MemoryBudgetBytes = usage.Limit
+	for _, account := range usage.Accounts {
+		values.Memory = append(values.Memory, admin.MemoryMetrics{Account: account.Account.String(), Bytes: account.Bytes, Refused: account.Refused})
 	}
 	if d.watcher.Stale(d.clock.Now()) {
 		values.WatchStale = 1
--- a/cmd/garnetline/daemon.go
+++ b/cmd/garnetline/daemon.go
@@ -37,6 +37,7 @@
 	platform atomic.Pointer[platformconfig.Config] // active.platform, read by all parts
 	load     func() (daemonConfig, error)          // reads the configuration files again
 
+	resources  *resources
 	dispatcher *dispatch.Dispatcher
 	watcher    *discovery.Watcher
 	upstreams  *upstream.Pool
@@ -61,7 +62,6 @@
 	if err := logs.SetLevel(initial.operators.Log.Level); err != nil {
 		return err
 	}
-	applyRuntimeLimits(initial.platform.Limits)
 	router := &daemon{
 		log:         log,
 		metrics:     metrics.New(),
@@ -98,6 +98,7 @@
 func (d *daemon) start(ctx context.Context) error {
 	d.onClose(d.logCounters)
 	d.receiveSignals()
+	d.resources = newResources(d)
 	listener, err := openListener(ctx, d.startup.platform)
 	if err != nil {
 		return err
--- a/cmd/garnetline/daemon_parts.go
+++ b/cmd/garnetline/daemon_parts.go
@@ -32,9 +32,10 @@
 		Clock:           d.clock,
 		Settings:        func() platformconfig.Upstream { return d.platform.Load().Upstream },
 		Guard:           d.watcher.Guard,
+		Memory:          d.resources.budget,
 		Complete:        d.dispatcher.Complete,
 		Metrics:         d.metrics,
-		MaxConnections:  func() int64 { return maxUpstreamConnections(d.platform.Load().Limits) },
+		MaxConnections:  func() int64 { return maxUpstreamConnections(d.resources.limits()) },
 		PropagateTraces: operators.Trace.Enabled && operators.Trace.PropagateToServers,
 	})
 	d.recorder, err = newRecorder(d)
@@ -65,7 +66,8 @@
 		Classes:        d.classes,
 		Ready:          d.listReceived.Load,
 		Metrics:        d.metrics,
-		MaxConnections: func() int { return maxClientConnections(d.platform.Load().Limits) },
+		MaxConnections: func() int { return maxClientConnections(d.resources.limits()) },
+		Memory:         d.resources.budget,
 		RecordClient:   d.recorder != nil,
 	})
 	return nil
@@ -98,6 +100,8 @@
 // startParts starts the goroutines of the dispatcher and the watcher. It also starts those of the
 // recorder and the fleet, if these parts are enabled.
 func (d *daemon) startParts(ctx context.Context) {
+	go d.resources.run(ctx)
+	go d.front.ReclaimMemory(ctx)
 	go d.dispatcher.Run(ctx)
 	if d.recorder != nil {
 		go d.recorder.Run()
@@ -147,6 +151,7 @@
 		Metrics:        d.metrics,
 		Handler:        d.adminHandler().Handle,
 		MaxConnections: func() int { return maxAdminConnections },
+		Memory:         d.resources.budget,
 	})
 	go func() { d.serveErrors <- server.Serve(listener) }()
 	d.onClose(server.Shutdown)
--- a/cmd/garnetline/daemon_reload.go
+++ b/cmd/garnetline/daemon_reload.go
@@ -36,7 +36,7 @@
 // apply makes updated the active configuration of all parts.
 func (d *daemon) apply(updated daemonConfig) {
 	d.active = updated
-	applyRuntimeLimits(updated.platform.Limits)
+	applyProcessors(updated.platform.Limits)
 	d.platform.Store(updated.platform)
 	d.dispatcher.Reload(updated.platform.Settings)
 	d.watcher.Reload(updated.platform)
--- a/cmd/garnetline/limits.go
+++ b/cmd/garnetline/limits.go
@@ -9,9 +9,20 @@
 )
 
 const (
-	// heapShare is the fraction of the memory limit that the Go runtime may use. It is below 1
-	// because the kernel counts more memory than the runtime does.
-	heapShare = 0.7
+	// programBytes is the memory that the kernel counts beside the Go runtime's: the pages of the
+	// program's file, and what the C library holds.
+	programBytes = 17 << 20
+	// successorBytes is kept free for the start of a process that replaces this one.
+	successorBytes = 22 << 20
+	// runtimeShare is the fraction of the remaining memory that the Go runtime may use. The kernel can
+	// count somewhat more than the runtime does.
+	runtimeShare = 0.90
+	// clientShare is the fraction of the runtime's memory that may be held for clients. The garbage
+	// collector and the rest of the process need the other part.
+	clientShare = 0.65
+	// minRuntimeBytes is the least memory that the runtime is limited to. With less, the garbage
+	// collector would run all the time.
+	minRuntimeBytes = 12 << 20
 	// clientConnectionShare and upstreamConnectionShare are fractions of the limit on file
 	// descriptors. The rest is for files, the admin API and the DNS front.
 	clientConnectionShare   = 0.6
@@ -23,16 +34,51 @@
 	maxAdminConnections = 12
 )
 
-// applyRuntimeLimits sets the memory limit and the number of processors of the Go runtime.
-func applyRuntimeLimits(limits platformconfig.Limits) {
-	if limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(limits.MemoryMB<<20) * heapShare))
+// memoryLimits are the limits that follow from the memory of one process.
+type memoryLimits struct {
+	runtimeBytes int64 // limit of the Go runtime; 0: no limit
+	clientBytes  int64 // limit of what is held for clients; 0: no limit
+}
+
+// newMemoryLimits returns the limits of one of the given number of processes, which share the
+// configured memory. A process that can be replaced leaves room for the start of its successor.
+func newMemoryLimits(limits platformconfig.Limits, processes int, replaceable bool) memoryLimits {
+	if limits.MemoryMB <= 0 {
+		return memoryLimits{}
+	}
+	total := int64(limits.MemoryMB) << 20
+	share := total / int64(processes)
+	if replaceable && processes == 1 {
+		share = max(total-successorBytes, total/2)
 	}
+	runtimeBytes := max(int64(float64(share-programBytes)*runtimeShare), minRuntimeBytes)
+	return memoryLimits{runtimeBytes: runtimeBytes, clientBytes: int64(float64(runtimeBytes) * clientShare)}
+}
+
+// applyProcessors sets the number of processors of the Go runtime.
+func applyProcessors(limits platformconfig.Limits) {
 	if limits.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(limits.Cores+0.5)))
 	}
 }
 
+// applyRuntimeMemory sets the memory limit of the Go runtime. If the runtime holds more than a lower
+// limit allows, applyRuntimeMemory returns unused memory to the system at once.
+func applyRuntimeMemory(bytes int64) {
+	if bytes <= 0 {
+		return
+	}
+	if previous := debug.SetMemoryLimit(bytes); bytes < previous {
+		debug.FreeOSMemory()
+	}
+}
+
+// shareOfSockets returns the limits with this process's share of the descriptors.
+func shareOfSockets(limits platformconfig.Limits, processes int) platformconfig.Limits {
+	limits.Sockets /= processes
+	return limits
+}
+
 // maxClientConnections returns the limit on concurrent client connections.
 func maxClientConnections(limits platformconfig.Limits) int {
 	if limits.Sockets == 0 {
--- a/internal/admin/golden_test.go
+++ b/internal/admin/golden_test.go
@@ -32,7 +32,8 @@
 		Metrics: func() Metrics {
 			return Metrics{Classes: []ClassMetrics{{Name: "part", Served: 1, Rejected: 2, Failed: 3}, {Name: "a \"b\"", Served: 4}}, Relayed: 5,
 				OpenRequests: 6, ListedServers: 7, UnavailableServers: 8, ReloadsAccepted: 9, ReloadsRejected: 10,
-				PendingTimers: 11, HeapBytes: 12, WatchFrames: 13, WatchStale: 1}
+				PendingTimers: 11, HeapBytes: 12, WatchFrames: 13, WatchStale: 1, Processes: 2, ResidentBytes: 14, MemoryBudgetBytes: 15,
+				Memory: []MemoryMetrics{{Account: "bodies", Bytes: 16, Refused: 17}, {Account: "responses", Bytes: 18}}}
 		},
 		SetDisabled: func(_ context.Context, id routing.ServerID, _ bool) error {
 			switch id {
--- a/internal/admin/metrics.go
+++ b/internal/admin/metrics.go
@@ -15,6 +15,17 @@
 	WatchFrames        int64 // frames received from the change log
 	WatchStale         int64 // 1 if the change log is cut off or not heard yet, so that events may be missing; 0 otherwise
 	HeapBytes          int64 // memory of the objects in the Go heap, those not collected yet included
+	Processes          int64 // running processes of the router, which share its limits
+	ResidentBytes      int64 // memory of this process as the system counts it
+	MemoryBudgetBytes  int64 // memory that this process may hold for clients
+	Memory             []MemoryMetrics
+}
+
+// MemoryMetrics is what this process holds for clients in one account of its memory budget.
+type MemoryMetrics struct {
+	Account string
+	Bytes   int64
+	Refused int64 // reservations for which the budget had no room
 }
 
 // ClassMetrics counts the requests of one class by outcome.
@@ -41,6 +52,17 @@
 	text = appendMetric(text, "heap_bytes", "gauge", m.HeapBytes)
 	text = appendMetric(text, "watch_frames_total", "counter", m.WatchFrames)
 	text = appendMetric(text, "watch_stale", "gauge", m.WatchStale)
+	text = appendMetric(text, "processes", "gauge", m.Processes)
+	text = appendMetric(text, "resident_bytes", "gauge", m.ResidentBytes)
+	text = appendMetric(text, "memory_budget_bytes", "gauge", m.MemoryBudgetBytes)
+	text = append(text, "# TYPE app_memory_held_bytes gauge\n"...)
+	for _, account := range m.Memory {
+		text = fmt.Appendf(text, "app_memory_held_bytes{holder=%q} %d\n", account.Account, account.Bytes)
+	}
+	text = append(text, "# TYPE app_memory_refused_total counter\n"...)
+	for _, account := range m.Memory {
+		text = fmt.Appendf(text, "app_memory_refused_total{holder=%q} %d\n", account.Account, account.Refused)
+	}
 	return text
 }
 
--- a/internal/discovery/session.go
+++ b/internal/discovery/session.go
@@ -59,7 +59,7 @@
 	interrupt := func() { _ = conn.SetDeadline(time.Now()) }
 	defer context.AfterFunc(ctx, interrupt)()
 	request := binary.BigEndian.AppendUint64(stream.WriteBuffer(), afterSeq)
-	if err := stream.Flush(request, nil, dialTimeout); err != nil {
+	if err := stream.Flush(request, dialTimeout); err != nil {
 		send(frameResult{err: err})
 		return
 	}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -206,7 +206,11 @@
 func (d *Dispatcher) handleCompletion(completion *Completion) {
 	attempt := completion.Attempt
 	request := attempt.Request
-	if attempt.ended || d.delayCompletion(completion) {
+	if attempt.ended {
+		completion.Response.Memory.Release()
+		return
+	}
+	if d.delayCompletion(completion) {
 		return
 	}
 	attempt.ended = true
@@ -220,8 +224,10 @@
 	d.metrics.Add(completionCounter(completion), 1)
 	attempt.notExecuted = completion.Result.NotExecuted()
 	d.traceCompletion(completion)
-	if !request.responded && (completion.Result == routing.Served || completion.Final) {
+	if completion.Result == routing.Served || completion.Final {
 		d.respond(request, completion.Response)
+	} else {
+		completion.Response.Memory.Release()
 	}
 	d.notifyRouter(d.outcome(completion))
 	if request.responded {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -130,7 +130,11 @@
 
 // Complete reports the end of an attempt that its transport had accepted. Any goroutine may call
 // Complete.
-func (d *Dispatcher) Complete(completion Completion) { d.enqueue(completionMessage{&completion}) }
+func (d *Dispatcher) Complete(completion Completion) {
+	if !d.enqueue(completionMessage{&completion}) {
+		completion.Response.Memory.Release()
+	}
+}
 
 // HandleWatchEvent passes a watch event to the dispatcher. A watch event is a change of the
 // endpoint list or a purge. Any goroutine may call HandleWatchEvent.
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 
 	"garnetline/internal/clock"
+	"garnetline/internal/memorybudget"
 	"garnetline/internal/trace"
 	"garnetline/routing"
 )
@@ -34,6 +35,7 @@
 	ETag       string
 	RetryAfter float64 // ms; set if Kind is Rejected
 	Server     routing.ServerID
+	Memory     *memorybudget.Reservation // memory of Body; whoever drops the response releases it; nil: not reserved
 }
 
 // Request is a client's request that a frontend submits. After Submit, the dispatcher owns the
@@ -54,6 +56,10 @@
 	Respond        func(Response) // called on the dispatcher's goroutine; must not block
 	Client         *ClientInfo    // nil: unknown
 
+	// ProbeClient asks the system whether the client has disconnected. It does not block, and may be
+	// called from any goroutine. Nil: only Dispatcher.Disconnect tells.
+	ProbeClient func() bool
+
 	id           routing.RequestID
 	trace        RequestTrace // nil: the request is not traced
 	attempts     []*Attempt
@@ -73,8 +79,11 @@
 
 // ClientDisconnected reports whether the client has disconnected. After the client has
 // disconnected, no further attempt is sent for the request. Any goroutine may call
-// ClientDisconnected; the call does not wait for the dispatcher.
-func (r *Request) ClientDisconnected() bool { return r.disconnected.Load() }
+// ClientDisconnected; the call does not wait for the dispatcher. It asks ProbeClient too, because the
+// frontend may not have read the end of the connection yet.
+func (r *Request) ClientDisconnected() bool {
+	return r.disconnected.Load() || r.ProbeClient != nil && r.ProbeClient()
+}
 
 // lastAttemptEnded reports whether no attempt is in flight.
 func (r *Request) lastAttemptEnded() bool {
@@ -255,6 +264,7 @@
 // if its client has disconnected. No other function calls Request.Respond.
 func (d *Dispatcher) respond(request *Request, response Response) {
 	if request.responded {
+		response.Memory.Release()
 		return
 	}
 	request.responded = true
--- a/internal/fleet/loadreport/poll.go
+++ b/internal/fleet/loadreport/poll.go
@@ -94,7 +94,7 @@
 		c.options.Metrics.Add("probes_held_back", 1)
 		return routing.LoadReport{}, errLeaseLost
 	}
-	if err := server.conn.Flush(command, nil, pollTimeout); err != nil {
+	if err := server.conn.Flush(command, pollTimeout); err != nil {
 		return routing.LoadReport{}, err
 	}
 	c.options.Metrics.Add("probes_sent", 1)
--- a/internal/frontend/httpfront/clients_test.go
+++ b/internal/frontend/httpfront/clients_test.go
@@ -20,12 +20,42 @@
 	server := newServer(dispatcher)
 	conn := dial(t, server)
 	send(t, conn, getRequest(objectTarget))
+	waitFor(t, "the request is submitted", func() bool { return dispatcher.count() == 1 })
 	closeConn(t, conn)
 	if request := <-dispatcher.disconnected; request != dispatcher.request(0) {
 		t.Error("got another request reported as disconnected, want the submitted request")
 	}
 }
 
+// TestRequestsOfClosedConnectionAreNotSubmitted checks that requests that wait behind another one are
+// not submitted if the client has closed or reset the connection, whatever it sent before.
+func TestRequestsOfClosedConnectionAreNotSubmitted(t *testing.T) {
+	malformed := strings.Replace(getRequest(objectTarget), "/v1/part/", "/v1/none/", 1)
+	for name, end := range map[string]func(net.Conn){
+		"closed": func(conn net.Conn) { closeConn(t, conn) },
+		"reset": func(conn net.Conn) {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			closeConn(t, conn)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dispatcher := &fakeDispatcher{response: servedX}
+			server := newServer(dispatcher)
+			listener := listen(t)
+			conn := connect(t, listener.Addr().String()) // the server accepts the connection after its end
+			send(t, conn, malformed+getRequest(objectTarget)+getRequest(objectTarget))
+			end(conn)
+			startServer(t, server, listener)
+			waitFor(t, "the connection is served", func() bool {
+				return server.Metrics.Counter("connections_taken").Load()+server.Metrics.Counter("accept_errors").Load() > 0 && server.connCount() == 0
+			})
+			if count := dispatcher.count(); count != 0 {
+				t.Errorf("got %d submitted requests, want none", count)
+			}
+		})
+	}
+}
+
 // TestDisconnectAfterReadAhead checks that the server reports a disconnect to the dispatcher even
 // if the client has sent more bytes while its request was open. If the server stopped reading ahead
 // at the first of these bytes, it would miss the disconnect and still forward the request.
--- a/internal/frontend/httpfront/conn.go
+++ b/internal/frontend/httpfront/conn.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"garnetline/internal/clock"
 	"garnetline/internal/dispatch"
+	"garnetline/internal/memorybudget"
 	"garnetline/internal/textconn"
 )
 
@@ -33,31 +34,46 @@
 	text       *textconn.Conn
 	acceptedAt float64 // time on Server.Clock in ms
 	lastReadAt float64 // time on Server.Clock in ms when bytes were last read; 0: no bytes were read yet
+	pace       pacer
+
+	memory          *memorybudget.Reservation // of the current request
+	readAheadMemory *memorybudget.Reservation // while a request is open, the goroutine that reads ahead owns it
+	held            atomic.Int64              // bytes in both reservations
 
 	// Guarded by Server.mu.
-	state      connState
-	stateSince float64 // time on Server.Clock in ms
-	receiving  bool    // the first byte of a request has arrived
-	evicted    bool    // the server closes the connection as soon as it has no open request
+	state            connState
+	stateSince       float64 // time on Server.Clock in ms
+	receiving        bool    // the first byte of a request has arrived
+	receivingSince   float64 // time on Server.Clock in ms at which that byte arrived
+	writing          bool    // a response is being written
+	evicted          bool    // the server closes the connection as soon as it has no open request
+	evictedForMemory bool    // the connection was evicted because of the memory that it held
 }
 
 func (s *Server) newConn(netConn net.Conn) *conn {
 	now := s.Clock.Now()
+	text := textconn.New(netConn)
+	text.SetGate(s.readers)
 	return &conn{
-		server:     s,
-		text:       textconn.New(netConn),
-		acceptedAt: now,
-		state:      stateNew,
-		stateSince: now,
+		server:          s,
+		text:            text,
+		acceptedAt:      now,
+		state:           stateNew,
+		stateSince:      now,
+		memory:          s.Memory.NewReservation(),
+		readAheadMemory: s.Memory.NewReservation(),
 	}
 }
 
 // serve serves the requests of the connection one after another, and then closes the connection.
 func (c *conn) serve() {
 	defer c.server.remove(c)
+	defer c.releaseAll()
 	defer func() { _ = c.text.Close() }()
+	defer c.text.LeaveGate()
 	for first := true; c.awaitRequest(first); first = false {
 		r, err := c.readRequest()
+		c.text.LeaveGate()
 		if err != nil {
 			c.handleReadError(err)
 			return
@@ -70,9 +86,12 @@
 			return
 		}
 		if r.closeAfter {
+			c.releaseRequest()
 			c.linger(finalLingerTimeoutMs)
 			return
 		}
+		c.releaseRequest()
+		c.pace.wait(c.server.Clock.Now())
 	}
 }
 
@@ -149,8 +168,14 @@
 	openRequests.Add(1)
 	defer openRequests.Add(-1)
 
-	responses := make(chan dispatch.Response, 1)
-	dispatched.Respond = func(response dispatch.Response) { responses <- response }
+	responses := newResponseSlot()
+	dispatched.Respond = responses.deliver
+	defer responses.abandon()
+	if c.text.PeerClosed() {
+		c.server.Metrics.Add("clients_gone_unread", 1)
+		return false
+	}
+	dispatched.ProbeClient = c.text.PeerClosed
 	if c.server.RecordClient {
 		setClientInfo(dispatched, r, c.text.NetConn)
 	}
@@ -164,25 +189,20 @@
 // awaitResponse waits for the response to a submitted request and writes it. While it waits, it
 // reads ahead on the connection to detect that the client disconnects. Reading ahead goes past
 // pipelined bytes, so it detects a disconnect that follows them.
-func (c *conn) awaitResponse(r *request, dispatched *dispatch.Request, responses <-chan dispatch.Response) bool {
+func (c *conn) awaitResponse(r *request, dispatched *dispatch.Request, responses *responseSlot) bool {
 	readAheadEnded := make(chan error, 1)
 	go func() {
-		readAheadEnded <- c.text.ReadAhead(maxReadAheadBytes, func() { c.lastReadAt = c.server.Clock.Now() })
+		readAheadEnded <- c.text.ReadAhead(maxReadAheadBytes, c.reserveReadAhead, func() { c.lastReadAt = c.server.Clock.Now() })
 	}()
 	select {
-	case response := <-responses:
+	case response := <-responses.delivered:
 		written := c.writeResponse(r, response)
 		c.setReadTimeout(0) // ends the read-ahead, so that the connection has one reader at a time
 		err := <-readAheadEnded
-		return written && (isTimeout(err) || errors.Is(err, textconn.ErrMessageTooLong))
-	case err := <-readAheadEnded:
-		if !errors.Is(err, textconn.ErrMessageTooLong) {
-			c.server.Dispatcher.Disconnect(dispatched)
-			return false
-		}
-		// ReadAhead stopped because the client sent too many bytes. The connection is closed after
-		// this response.
-		return c.writeResponse(r, <-responses)
+		return written && isTimeout(err)
+	case <-readAheadEnded: //nolint:errcheck // whatever the error is, the connection has ended
+		c.server.Dispatcher.Disconnect(dispatched)
+		return false
 	}
 }
 
@@ -196,7 +216,7 @@
 		return
 	}
 	c.setState(stateRejected, true, max(timeoutMs, 0))
-	_, _ = io.Copy(io.Discard, io.LimitReader(c.text.NetConn, maxLingerBytes))
+	c.text.Discard(maxLingerBytes)
 }
 
 // setState sets the state of the connection and the timeout of its reads in that state. Reads have
@@ -209,6 +229,9 @@
 		c.state = state
 		c.stateSince = c.server.Clock.Now()
 	}
+	if receiving && !c.receiving {
+		c.receivingSince = c.server.Clock.Now()
+	}
 	c.receiving = receiving
 	switch {
 	case state == stateActive:
--- /dev/null
+++ b/internal/frontend/httpfront/header.go
@@ -0,0 +1,185 @@
+package httpfront
+
+import (
+	"bytes"
+	"net/textproto"
+	"strings"
+)
+
+// headerField is a header field that the server uses.
+type headerField int
+
+// The fields that the server uses. It checks the syntax of other fields and keeps nothing of them.
+const (
+	fieldTransactionID headerField = iota
+	fieldClientTimeout
+	fieldIdempotencyKey
+	fieldGroup
+	fieldObjectSize
+	fieldHost
+	fieldContentLength
+	fieldTransferEncoding
+	fieldIfNoneMatch
+	fieldTraceParent
+	fieldConnection
+	fieldExpect
+	fieldCount
+)
+
+// headerFieldNames are the names of the fields on the wire. Their case does not matter.
+var headerFieldNames = [fieldCount]string{
+	fieldTransactionID:    "X-Txn",
+	fieldClientTimeout:    "X-Ttl-Ms",
+	fieldIdempotencyKey:   "X-Txn-Key",
+	fieldGroup:            "X-Family",
+	fieldObjectSize:       "X-Working-Set-Kb",
+	fieldHost:             "Host",
+	fieldContentLength:    "Content-Length",
+	fieldTransferEncoding: "Transfer-Encoding",
+	fieldIfNoneMatch:      "If-None-Match",
+	fieldTraceParent:      "Traceparent",
+	fieldConnection:       "Connection",
+	fieldExpect:           "Expect",
+}
+
+// maxValueBytes is the length of the longest value that the server keeps. No valid value is longer.
+const maxValueBytes = 1024
+
+// overlongValue replaces a longer value. It is not a valid value of any field.
+const overlongValue = "\x00"
+
+// fieldValues are the values of a field that may occur more than once.
+type fieldValues struct {
+	count int
+	first string
+}
+
+// header holds what the server uses of the header of a request. Its size does not depend on the number
+// of the fields that a client sends.
+type header struct {
+	fields          [fieldCount]fieldValues
+	closeRequested  bool // a Connection field has the token close
+	expectsContinue bool // an Expect field has the token 100-continue
+}
+
+// count returns how many times a field occurs.
+func (h *header) count(field headerField) int { return h.fields[field].count }
+
+// first returns the first value of a field, or "" if there is none.
+func (h *header) first(field headerField) string { return h.fields[field].first }
+
+// add records a value of a field.
+func (h *header) add(field headerField, value []byte) {
+	values := &h.fields[field]
+	values.count++
+	switch {
+	case field == fieldConnection:
+		h.closeRequested = h.closeRequested || hasToken(value, "close")
+	case field == fieldExpect:
+		h.expectsContinue = h.expectsContinue || hasToken(value, "100-continue")
+	case values.count == 1 && len(value) > maxValueBytes:
+		values.first = overlongValue
+	case values.count == 1:
+		values.first = string(value)
+	}
+}
+
+// hasToken reports whether a comma-separated list contains a token, ignoring case.
+func hasToken(list []byte, token string) bool {
+	for element := range strings.SplitSeq(string(list), ",") {
+		if strings.EqualFold(strings.TrimSpace(element), token) {
+			return true
+		}
+	}
+	return false
+}
+
+// findHeaderField returns the field with the given name. ok is false if the server does not use it.
+func findHeaderField(name []byte) (field headerField, ok bool) {
+	for field, known := range headerFieldNames {
+		if len(name) == len(known) && strings.EqualFold(string(name), known) {
+			return headerField(field), true
+		}
+	}
+	return 0, false
+}
+
+// headerScanner collects the lines of a header. A line that begins with a space or a tab continues
+// the value of the line before.
+type headerScanner struct {
+	header *header
+	field  headerField // field of the last line, if used is set
+	used   bool        // the server uses the field of the last line
+	value  []byte      // value of the last line so far, if used is set
+	lines  int         // number of lines that were scanned
+}
+
+// scanLine handles one line without its line end. It returns a textproto.ProtocolError if the line is
+// malformed.
+func (s *headerScanner) scanLine(line []byte) error {
+	s.lines++
+	if line[0] == ' ' || line[0] == '\t' {
+		return s.continueValue(line)
+	}
+	s.finishField()
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found || !validFieldName(name) || !validFieldValue(value) {
+		return errMalformedHeader
+	}
+	s.field, s.used = findHeaderField(name)
+	if s.used {
+		s.value = append(s.value[:0], bytes.Trim(value, " \t")...)
+	}
+	return nil
+}
+
+func (s *headerScanner) continueValue(line []byte) error {
+	if s.lines == 1 || !validFieldValue(line) {
+		return errMalformedHeader
+	}
+	if s.used {
+		s.value = append(append(s.value, ' '), bytes.Trim(line, " \t")...)
+	}
+	return nil
+}
+
+// finishField records the field of the last line. It is called at the end of the header too.
+func (s *headerScanner) finishField() {
+	if s.used {
+		s.header.add(s.field, s.value)
+	}
+	s.used = false
+}
+
+const errMalformedHeader = textproto.ProtocolError("malformed header line")
+
+// fieldNameBytes are the bytes of a field name. A space is accepted, but a name with a space is not that
+// of a field that the server uses.
+const fieldNameBytes = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ!#$%&'*+-.^_`|~ "
+
+var isFieldNameByte = func() (set [256]bool) {
+	for i := range len(fieldNameBytes) {
+		set[fieldNameBytes[i]] = true
+	}
+	return set
+}()
+
+func validFieldName(name []byte) bool {
+	for _, b := range name {
+		if !isFieldNameByte[b] {
+			return false
+		}
+	}
+	return len(name) > 0
+}
+
+// validFieldValue reports whether a value has no control characters other than tabs.
+func validFieldValue(value []byte) bool {
+	const deleteCharacter = 0x7f
+	for _, b := range value {
+		if b < ' ' && b != '\t' || b == deleteCharacter {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/frontend/httpfront/limits.go
+++ b/internal/frontend/httpfront/limits.go
@@ -19,6 +19,14 @@
 	// a connection.
 	maxLingerBytes = 128 << 20
 
+	// maxEvictions is the number of connections without a whole first request that are evicted at a time
+	// while MaxConnections are open.
+	maxEvictions = 4
+
+	// readersPerProcessor is the number of connections for each processor whose received bytes are
+	// processed at a time.
+	readersPerProcessor = 4
+
 	maxObjectSizeKB = 1e9 // the server rejects a request with a larger X-Working-Set-Kb
 )
 
--- a/internal/frontend/httpfront/parse.go
+++ b/internal/frontend/httpfront/parse.go
@@ -11,15 +11,6 @@
 	"garnetline/routing"
 )
 
-// Request headers of the platform's client protocol.
-const (
-	headerTransactionID  = "X-Txn"
-	headerClientTimeout  = "X-Ttl-Ms"
-	headerIdempotencyKey = "X-Txn-Key"
-	headerGroup          = "X-Family"
-	headerObjectSize     = "X-Working-Set-Kb"
-)
-
 const (
 	pathPrefix     = "/v1/"
 	chunkParameter = "block" // name of the parameter in the query string
@@ -27,8 +18,8 @@
 )
 
 // singleValueHeaders are the headers that a request may have at most once.
-var singleValueHeaders = [...]string{
-	headerTransactionID, headerClientTimeout, headerIdempotencyKey, headerGroup, headerObjectSize,
+var singleValueHeaders = [...]headerField{
+	fieldTransactionID, fieldClientTimeout, fieldIdempotencyKey, fieldGroup, fieldObjectSize,
 }
 
 // parseRequest validates a request for an object and converts it to a dispatcher's request. An
@@ -128,32 +119,32 @@
 // parseHeaders copies the values of the protocol's headers into dispatched. An error is a
 // *requestError.
 func parseHeaders(dispatched *dispatch.Request, r *request, class *routing.Class) (err error) {
-	for _, name := range singleValueHeaders {
-		if len(r.header[name]) > 1 {
-			return badRequest(name + ": more than one")
+	for _, field := range singleValueHeaders {
+		if r.header.count(field) > 1 {
+			return badRequest(headerFieldNames[field] + ": more than one")
 		}
 	}
-	dispatched.TransactionID = r.header.Get(headerTransactionID)
+	dispatched.TransactionID = r.header.first(fieldTransactionID)
 	if _, ok := parseHexID(dispatched.TransactionID); !ok {
 		return badRequest("X-Txn: not 16 hex digits")
 	}
-	timeoutMs, err := parseClientTimeout(r.header.Get(headerClientTimeout))
+	timeoutMs, err := parseClientTimeout(r.header.first(fieldClientTimeout))
 	if err != nil {
 		return err
 	}
 	dispatched.Deadline = r.receivedAt + timeoutMs - min(responseMarginMs, timeoutMs/responseMarginDivisor)
-	if dispatched.PurgeGroup, err = parseGroup(r.header.Get(headerGroup)); err != nil {
+	if dispatched.PurgeGroup, err = parseGroup(r.header.first(fieldGroup)); err != nil {
 		return err
 	}
-	if dispatched.SizeKB, err = parseObjectSize(r.header[headerObjectSize]); err != nil {
+	if dispatched.SizeKB, err = parseObjectSize(&r.header); err != nil {
 		return err
 	}
-	dispatched.IdempotencyKey = r.header.Get(headerIdempotencyKey)
+	dispatched.IdempotencyKey = r.header.first(fieldIdempotencyKey)
 	if !validIdempotencyKey(dispatched.IdempotencyKey, class) {
 		return badRequest("X-Txn-Key: missing or malformed")
 	}
 	if !class.Write {
-		dispatched.IfNoneMatch = parseIfNoneMatch(r.header["If-None-Match"])
+		dispatched.IfNoneMatch = parseIfNoneMatch(&r.header)
 	}
 	return nil
 }
@@ -179,13 +170,13 @@
 	return int(group), nil
 }
 
-// parseObjectSize returns the object size in KB from the values of X-Working-Set-Kb, or 0 if there
-// are no values.
-func parseObjectSize(values []string) (float64, error) {
-	if len(values) == 0 {
+// parseObjectSize returns the object size in KB in X-Working-Set-Kb, or 0 if the request has no such
+// field.
+func parseObjectSize(h *header) (float64, error) {
+	if h.count(fieldObjectSize) == 0 {
 		return 0, nil
 	}
-	text := values[0]
+	text := h.first(fieldObjectSize)
 	size, err := strconv.ParseFloat(text, 64)
 	inRange := size >= 0 && size <= maxObjectSizeKB // false for NaN
 	if err != nil || strings.ContainsAny(text, "xXpP_") || !inRange {
@@ -205,11 +196,11 @@
 
 // parseIfNoneMatch returns the entity tag of the client's copy without its quotes. It returns ""
 // for a list of tags, for a weak tag and for *. The client then gets a complete response.
-func parseIfNoneMatch(values []string) string {
-	if len(values) != 1 {
+func parseIfNoneMatch(h *header) string {
+	if h.count(fieldIfNoneMatch) != 1 {
 		return ""
 	}
-	quoted := values[0]
+	quoted := h.first(fieldIfNoneMatch)
 	if len(quoted) <= 2 || quoted[0] != '"' || quoted[len(quoted)-1] != '"' {
 		return ""
 	}
@@ -225,8 +216,8 @@
 func setClientInfo(dispatched *dispatch.Request, r *request, netConn net.Conn) {
 	client := &dispatch.ClientInfo{ReceivedAt: r.receivedAt}
 	dispatched.Client = client
-	if values := r.header["Traceparent"]; len(values) == 1 {
-		client.TraceParent = values[0]
+	if r.header.count(fieldTraceParent) == 1 {
+		client.TraceParent = r.header.first(fieldTraceParent)
 	}
 	if host, _, err := net.SplitHostPort(netConn.RemoteAddr().String()); err == nil {
 		client.Address = host
--- a/internal/frontend/httpfront/read.go
+++ b/internal/frontend/httpfront/read.go
@@ -1,16 +1,17 @@
 package httpfront
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/http/httputil"
 	"net/textproto"
 	"net/url"
 	"strconv"
 	"strings"
+
+	"garnetline/internal/memorybudget"
+	"garnetline/internal/textconn"
 )
 
 const (
@@ -21,10 +22,13 @@
 	continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 )
 
+// errHeaderTooLong rejects a request whose header has too many bytes or lines.
+var errHeaderTooLong = &requestError{status: http.StatusRequestHeaderFieldsTooLarge, message: "head too long"}
+
 // request is an HTTP request that was read from a connection and is not validated yet.
 type request struct {
 	method, path, query string
-	header              textproto.MIMEHeader
+	header              header
 	body                []byte
 	closeAfter          bool    // the connection is closed after the response
 	receivedAt          float64 // time in ms when its last byte arrived
@@ -35,18 +39,21 @@
 // or errClientDisconnected.
 func (c *conn) readRequest() (*request, error) {
 	r := &request{}
+	if err := c.reserve(memorybudget.Requests, requestBytes); err != nil {
+		return nil, err
+	}
 	protocol, err := c.readRequestLine(r)
 	if err != nil {
 		return nil, err
 	}
-	if r.header, err = c.text.ReadMIMEHeader(); err != nil {
-		return nil, c.requestReadError(err)
+	if err := c.readHeader(&r.header); err != nil {
+		return nil, err
 	}
-	hosts := len(r.header["Host"])
+	hosts := r.header.count(fieldHost)
 	if hosts > 1 || protocol == protocolHTTP11 && hosts == 0 {
 		return nil, badRequest("Host: want one")
 	}
-	r.closeAfter = headerHasToken(r.header, "Connection", "close") || protocol == protocolHTTP10
+	r.closeAfter = r.header.closeRequested || protocol == protocolHTTP10
 	if err := c.readBody(r); err != nil {
 		return nil, err
 	}
@@ -64,40 +71,81 @@
 // readRequestLine reads the method and the target into r and returns the protocol version. It
 // skips one empty line before the request.
 func (c *conn) readRequestLine(r *request) (protocol string, err error) {
-	line, err := c.text.ReadLine()
-	if err == nil && line == "" {
-		line, err = c.text.ReadLine()
+	line, err := c.readLine()
+	if err == nil && len(line) == 0 {
+		line, err = c.readLine()
 	}
 	if err != nil {
 		return "", c.requestReadError(err)
 	}
-	fields := strings.Split(line, " ")
-	if len(fields) != 3 || fields[0] == "" {
+	method, rest, _ := strings.Cut(string(line), " ")
+	requestTarget, protocol, _ := strings.Cut(rest, " ")
+	if method == "" || strings.Contains(protocol, " ") {
 		return "", badRequest("malformed request line")
 	}
-	protocol = fields[2]
 	if !strings.HasPrefix(protocol, protocolPrefix) || len(protocol) != len(protocolHTTP11) {
 		return "", badRequest("malformed request line")
 	}
-	target, err := url.ParseRequestURI(fields[1])
+	target, err := url.ParseRequestURI(requestTarget)
 	if err != nil {
 		return "", badRequest("malformed target")
 	}
-	r.method = fields[0]
+	r.method = method
 	r.path = target.EscapedPath()
 	r.query = target.RawQuery
 	return protocol, nil
 }
 
+// readLine reads a line of a head and returns it without its line end. The line is valid until the
+// next read.
+func (c *conn) readLine() ([]byte, error) {
+	line, more, err := c.text.R.ReadLine()
+	if err != nil || !more {
+		return line, err
+	}
+	if err := c.reserveLongLine(); err != nil {
+		return nil, err
+	}
+	long := append(make([]byte, 0, maxHeaderBytes), line...)
+	for more && err == nil {
+		line, more, err = c.text.R.ReadLine()
+		long = append(long, line...)
+	}
+	return long, err
+}
+
+// readHeader reads header lines up to an empty line.
+func (c *conn) readHeader(h *header) error {
+	scanner := headerScanner{header: h}
+	for {
+		line, err := c.readLine()
+		if err == nil && len(line) > 0 {
+			err = scanner.scanLine(line)
+		}
+		if err != nil {
+			return c.requestReadError(err)
+		}
+		if len(line) == 0 {
+			scanner.finishField()
+			return nil
+		}
+	}
+}
+
 // requestReadError converts the error of a read to a *requestError, or to errClientDisconnected if
 // no response can reach the client.
 func (c *conn) requestReadError(err error) error {
 	var malformed textproto.ProtocolError
+	var rejection *requestError
 	switch {
+	case errors.As(err, &rejection):
+		return rejection
 	case c.text.LimitExceeded():
-		return &requestError{status: http.StatusRequestHeaderFieldsTooLarge, message: "head too long"}
+		return errHeaderTooLong
 	case errors.As(err, &malformed):
 		return badRequest("malformed header")
+	case isTimeout(err) && c.isEvictedForMemory():
+		return errOutOfMemory
 	case errors.Is(err, context.DeadlineExceeded), isTimeout(err):
 		return &requestError{status: http.StatusRequestTimeout, message: "request too slow"}
 	}
@@ -106,19 +154,19 @@
 
 // readBody reads the body, if the header announces one.
 func (c *conn) readBody(r *request) error {
-	encodings, lengths := r.header["Transfer-Encoding"], r.header["Content-Length"]
+	encodings, lengths := r.header.count(fieldTransferEncoding), r.header.count(fieldContentLength)
 	switch {
-	case len(encodings) > 0 && len(lengths) > 0:
+	case encodings > 0 && lengths > 0:
 		return badRequest("Content-Length and Transfer-Encoding")
-	case len(encodings) > 1, len(encodings) == 1 && !strings.EqualFold(encodings[0], "chunked"):
+	case encodings > 1, encodings == 1 && !strings.EqualFold(r.header.first(fieldTransferEncoding), "chunked"):
 		return &requestError{status: http.StatusNotImplemented, message: "Transfer-Encoding: unknown"}
-	case len(encodings) == 1:
+	case encodings == 1:
 		return c.readChunkedBody(r)
-	case len(lengths) == 0:
+	case lengths == 0:
 		return nil
 	}
-	length, err := strconv.ParseUint(lengths[0], 10, 63)
-	if err != nil || len(lengths) > 1 {
+	length, err := strconv.ParseUint(r.header.first(fieldContentLength), 10, 63)
+	if err != nil || lengths > 1 {
 		return badRequest("Content-Length: not a number")
 	}
 	if length > maxBodyBytes {
@@ -133,13 +181,10 @@
 		return err
 	}
 	c.text.LimitRead(length)
-	body, err := c.text.ReadBody(length)
-	if err != nil {
+	var err error
+	if r.body, err = c.text.ReadOwnedBody(length, c.reserveBody); err != nil {
 		return c.requestReadError(err)
 	}
-	// The body is copied out of the connection's read buffer. Without the copy, the client's next
-	// request could overwrite the body while an attempt still sends it.
-	r.body = bytes.Clone(body)
 	return nil
 }
 
@@ -149,9 +194,9 @@
 		return err
 	}
 	c.text.LimitRead(maxChunkedBytes)
-	chunks := io.LimitReader(httputil.NewChunkedReader(c.text.R), maxBodyBytes+1)
+	chunks := httputil.NewChunkedReader(c.text.R)
 	var err error
-	if r.body, err = io.ReadAll(chunks); err != nil {
+	if r.body, err = textconn.ReadAllOwned(chunks, maxBodyBytes+1, c.reserveBody); err != nil {
 		requestErr := c.requestReadError(err)
 		if errors.Is(requestErr, errClientDisconnected) {
 			return badRequest("malformed chunks")
@@ -161,33 +206,20 @@
 	if len(r.body) > maxBodyBytes {
 		return errBodyTooLong
 	}
-	if _, err := c.text.ReadMIMEHeader(); err != nil {
-		return c.requestReadError(err)
-	}
-	return nil
+	c.text.LimitRead(maxHeaderBytes)
+	return c.readHeader(&header{})
 }
 
 // writeContinue sends 100 Continue if the request's Expect header asks for it. A client that sends
 // this header waits for 100 Continue before it sends the body.
 func (c *conn) writeContinue(r *request) error {
-	if !headerHasToken(r.header, "Expect", "100-continue") {
+	if !r.header.expectsContinue {
 		return nil
 	}
+	c.text.LeaveGate()
 	message := append(c.text.WriteBuffer(), continueResponse...)
-	if c.text.Flush(message, nil, minWriteTimeoutMs) != nil {
+	if c.text.Flush(message, minWriteTimeoutMs) != nil {
 		return errClientDisconnected
 	}
 	return nil
 }
-
-// headerHasToken reports whether a comma-separated header contains a token, ignoring case.
-func headerHasToken(header textproto.MIMEHeader, name, token string) bool {
-	for _, value := range header[name] {
-		for element := range strings.SplitSeq(value, ",") {
-			if strings.EqualFold(strings.TrimSpace(element), token) {
-				return true
-			}
-		}
-	}
-	return false
-}
--- a/internal/frontend/httpfront/request_test.go
+++ b/internal/frontend/httpfront/request_test.go
@@ -117,6 +117,7 @@
 	closeConn(t, conn)
 	got, want := dispatcher.request(0), dispatcher.request(1)
 	got.Respond, want.Respond = nil, nil
+	got.ProbeClient, want.ProbeClient = nil, nil
 	if !reflect.DeepEqual(got, want) {
 		t.Errorf("got submitted request %+v, want %+v", got, want)
 	}
--- a/internal/frontend/httpfront/response.go
+++ b/internal/frontend/httpfront/response.go
@@ -8,6 +8,7 @@
 
 	"garnetline/internal/clock"
 	"garnetline/internal/dispatch"
+	"garnetline/internal/memorybudget"
 	"garnetline/routing"
 )
 
@@ -75,6 +76,8 @@
 // writeResponse writes the dispatcher's response to a request. It returns false if the
 // response could not be written.
 func (c *conn) writeResponse(r *request, response dispatch.Response) bool {
+	c.held.Add(response.Memory.Bytes(memorybudget.Responses))
+	defer response.Memory.Release()
 	switch response.Kind {
 	case dispatch.Served:
 		return c.writeMessage(r, http.StatusOK, withEntityTag(contentTypeObject, response.ETag), response.Body)
@@ -164,10 +167,23 @@
 	if r.method == http.MethodHead {
 		body = nil
 	}
-	err := c.text.Flush(message, body, c.writeTimeoutMs(r))
+	err := c.flush(message, c.writeTimeoutMs(r), body)
 	c.text.ShrinkWriteBuffer()
 	c.text.ShrinkReadBuffer()
 	c.server.Metrics.Add("http_"+strconv.Itoa(status), 1)
 	c.server.Metrics.Add("bytes_answered", int64(len(body)))
 	return err == nil
 }
+
+// flush writes a response. Meanwhile, the server may evict the connection if the client does not read.
+func (c *conn) flush(message []byte, timeoutMs float64, body []byte) error {
+	c.setWriting(true)
+	defer c.setWriting(false)
+	return c.text.Flush(message, timeoutMs, body)
+}
+
+func (c *conn) setWriting(writing bool) {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.writing = writing
+}
--- a/internal/frontend/httpfront/server.go
+++ b/internal/frontend/httpfront/server.go
@@ -12,13 +12,16 @@
 	"context"
 	"errors"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"garnetline/internal/clock"
 	"garnetline/internal/dispatch"
+	"garnetline/internal/memorybudget"
 	"garnetline/internal/metrics"
+	"garnetline/internal/textconn"
 	"garnetline/routing"
 )
 
@@ -50,6 +53,9 @@
 	// new connection.
 	MaxConnections func() int
 
+	// Memory limits what the connections hold. Nil means no limit.
+	Memory *memorybudget.Budget
+
 	// RecordClient adds the client's address and trace context to the submitted requests.
 	RecordClient bool
 
@@ -65,6 +71,7 @@
 	keepAlivesDisabled atomic.Bool   // every response closes its connection
 	shuttingDown       atomic.Bool   // idle connections are closed
 	healthChecksFail   atomic.Bool   // set by FailHealthChecks
+	readers            textconn.Gate // limits the connections whose received bytes are processed at a time
 	serveDone          chan struct{} // closed when Serve returns
 	connectionClosed   chan struct{} // receives a value when a connection is closed
 
@@ -79,6 +86,7 @@
 	return &Server{
 		Options:          o,
 		conns:            map[*conn]bool{},
+		readers:          textconn.NewGate(readersPerProcessor * runtime.GOMAXPROCS(0)),
 		connectionClosed: make(chan struct{}, 1),
 		serveDone:        make(chan struct{}),
 	}
@@ -162,22 +170,37 @@
 	}
 }
 
-// tryAdmit adds a connection if fewer than MaxConnections are open. Otherwise it evicts another
-// connection and returns false. At shutdown it adds every connection, because only the connections
-// in the backlog are still accepted.
+// tryAdmit adds a connection if fewer than MaxConnections are open and the memory budget has room for
+// another one. Otherwise it evicts another connection and returns false. At shutdown MaxConnections
+// does not apply, because only the connections in the backlog are still accepted.
 func (s *Server) tryAdmit(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) < max(s.MaxConnections(), 1) || s.shuttingDown.Load() {
+	hasRoom := len(s.conns) < max(s.MaxConnections(), 1) || s.shuttingDown.Load()
+	if hasRoom && s.Memory.Reserve(memorybudget.Connections, connectionBytes, 0) == nil {
 		s.conns[c] = true
 		return true
 	}
-	if candidate := s.evictionCandidate(); candidate != nil {
+	s.evict()
+	return false
+}
+
+// evict evicts one idle connection, or up to maxEvictions connections without a whole first request.
+// If it evicted only one of the latter, clients that open connections by hundreds would keep others
+// waiting for an accept. The caller holds s.mu.
+func (s *Server) evict() {
+	for range maxEvictions {
+		candidate := s.evictionCandidate()
+		if candidate == nil {
+			return
+		}
 		s.Metrics.Add("connections_evicted", 1)
 		candidate.evicted = true
 		candidate.setReadTimeout(0)
+		if candidate.state == stateIdle {
+			return
+		}
 	}
-	return false
 }
 
 // evictionCandidate returns the connection to evict next, or nil if none may be evicted. It prefers
--- a/internal/soak/pictures.go
+++ b/internal/soak/pictures.go
@@ -34,7 +34,7 @@
 	{"half-short-fields", playText(func() string { return strings.TrimSuffix(newRead(0).fields(shortFieldsBytes), "\r\n\r\n") })},
 	{"half-body", playText(func() string { return newRead(0).head(maxBodyBytes) + strings.Repeat("b", maxBodyBytes-1) })},
 	{"slow-body", playSlowBody},
-	{"half-chunks", playText(func() string { return chunkedHead() + strings.Repeat("1\r\nc\r\n", maxBodyBytes-1) })},
+	{"half-chunks", playText(func() string { return chunkedHead() + halfChunks })},
 	{"trailers", playText(func() string { return chunkedHead() + "1\r\nc\r\n0\r\n" + shortFields(trailerBytes) })},
 	{"read-nothing", playText(func() string { return newRead(LargeObject).text() })},
 	{"read-ahead", playText(func() string {
@@ -42,6 +42,9 @@
 	})},
 }
 
+// halfChunks is a body of the smallest chunks that is not complete.
+var halfChunks = strings.Repeat("1\r\nc\r\n", maxBodyBytes-1)
+
 // newRead returns a read of an object of the given kind.
 func newRead(kind uint64) request {
 	return request{id: newID(), object: newObject(kind), timeout: 60 * time.Second}
@@ -53,13 +56,18 @@
 	return r.text()
 }
 
-// shortFields returns header lines with different short names and no values.
-func shortFields(size int) string {
+// shortFieldLines are header lines with different short names and no values.
+var shortFieldLines = func() string {
 	var lines strings.Builder
-	for i := 0; lines.Len() < size; i++ {
+	for i := 0; lines.Len() < trailerBytes; i++ {
 		fmt.Fprintf(&lines, "%x:\r\n", i)
 	}
 	return lines.String()
+}()
+
+// shortFields returns whole lines of shortFieldLines of about the given size.
+func shortFields(size int) string {
+	return shortFieldLines[:strings.LastIndexByte(shortFieldLines[:size], '\n')+1]
 }
 
 // chunkedHead returns the head of a write with a chunked body.
--- a/internal/textconn/message.go
+++ b/internal/textconn/message.go
@@ -1,6 +1,7 @@
 package textconn
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/textproto"
@@ -12,6 +13,7 @@
 const (
 	minBodyGrowth = 4 << 10  // minimum number of bytes by which the buffer of a body grows
 	maxIdleBuffer = 16 << 10 // bytes; a connection releases a larger buffer between messages
+	maxWritePiece = 64 << 10 // bytes of one write, after which the write counts as progress
 )
 
 // ReadLineSlice reads a line and returns it without its line end and without leading and trailing
@@ -45,6 +47,41 @@
 	return c.readBuffer, nil
 }
 
+// ReadOwnedBody reads n bytes into a new buffer, which the caller owns. The buffer grows as bytes
+// arrive; see ReadAllOwned. Only the reader may call ReadOwnedBody.
+func (c *Conn) ReadOwnedBody(n int, reserve func(bytes int) error) ([]byte, error) {
+	body, err := ReadAllOwned(io.LimitReader(c.R, int64(n)), n, reserve)
+	if err == nil && len(body) < n {
+		err = io.ErrUnexpectedEOF
+	}
+	return body, err
+}
+
+// ReadAllOwned reads up to limit bytes until the end of the reader into a new buffer, which the caller
+// owns. The buffer grows as bytes arrive. Before it grows, ReadAllOwned calls reserve with the number
+// of added bytes; an error of reserve ends the read.
+func ReadAllOwned(reader io.Reader, limit int, reserve func(bytes int) error) ([]byte, error) {
+	var body []byte
+	for len(body) < limit {
+		if len(body) == cap(body) {
+			added := min(limit-len(body), max(minBodyGrowth, len(body)))
+			if err := reserve(added); err != nil {
+				return nil, err
+			}
+			body = append(make([]byte, 0, len(body)+added), body...)
+		}
+		n, err := reader.Read(body[len(body):min(cap(body), limit)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return body, nil
+}
+
 // ShrinkReadBuffer releases the read buffer if it has grown beyond 16 KiB. The reader calls it
 // between messages.
 func (c *Conn) ShrinkReadBuffer() {
@@ -57,20 +94,40 @@
 // result to Flush. Only the writer may call WriteBuffer.
 func (c *Conn) WriteBuffer() []byte { return c.writeBuffer[:0] }
 
-// Flush writes a message that was appended to WriteBuffer, and then body. The write may take
+// Flush writes a message that was appended to WriteBuffer, and then further parts. The write may take
 // timeoutMillis milliseconds. If Flush returns an error, the peer may have received any part of the
 // bytes. Only the writer may call Flush.
-func (c *Conn) Flush(message, body []byte, timeoutMillis float64) error {
+func (c *Conn) Flush(message []byte, timeoutMillis float64, parts ...[]byte) error {
 	c.writeBuffer = message
 	if err := c.NetConn.SetWriteDeadline(time.Now().Add(clock.Duration(timeoutMillis))); err != nil {
 		return err
 	}
-	buffers := net.Buffers{message}
-	if len(body) > 0 {
-		buffers = append(buffers, body)
+	c.recordProgress()
+	buffers := append(net.Buffers{message}, parts...)
+	for len(buffers) > 0 {
+		piece := takePiece(&buffers)
+		if _, err := piece.WriteTo(c.NetConn); err != nil {
+			return err
+		}
+		c.recordProgress()
+	}
+	return nil
+}
+
+// takePiece removes up to maxWritePiece bytes from the front of buffers and returns them.
+func takePiece(buffers *net.Buffers) net.Buffers {
+	var piece net.Buffers
+	for room := maxWritePiece; room > 0 && len(*buffers) > 0; {
+		first := (*buffers)[0]
+		if len(first) > room {
+			(*buffers)[0] = first[room:]
+			return append(piece, first[:room])
+		}
+		*buffers = (*buffers)[1:]
+		piece = append(piece, first)
+		room -= len(first)
 	}
-	_, err := buffers.WriteTo(c.NetConn)
-	return err
+	return piece
 }
 
 // ShrinkWriteBuffer releases the write buffer if it has grown beyond 16 KiB. The writer calls it
--- /dev/null
+++ b/internal/textconn/poll.go
@@ -0,0 +1,50 @@
+package textconn
+
+import (
+	"errors"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// PeerClosed reports whether the peer has closed or reset the connection, also if bytes that the peer
+// sent before are still unread. It reads nothing and does not block. It returns false if the system
+// cannot tell. Any goroutine may call PeerClosed.
+func (c *Conn) PeerClosed() bool {
+	return c.poll(unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// HasUnread reports whether bytes of the peer wait in the system. It does not block. Any goroutine may
+// call HasUnread.
+func (c *Conn) HasUnread() bool { return c.poll(unix.POLLIN)&unix.POLLIN != 0 }
+
+// poll asks the system which of the events hold for the socket now. It returns 0 if the system cannot
+// tell.
+func (c *Conn) poll(events int16) (held int16) {
+	socket, ok := c.NetConn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	if raw.Control(func(descriptor uintptr) { held = pollDescriptor(int32(descriptor), events) }) != nil {
+		return 0
+	}
+	return held
+}
+
+func pollDescriptor(descriptor int32, events int16) int16 {
+	sockets := []unix.PollFd{{Fd: descriptor, Events: events}}
+	for {
+		_, err := unix.Poll(sockets, 0)
+		switch {
+		case errors.Is(err, unix.EINTR):
+			continue
+		case err != nil:
+			return 0
+		}
+		return sockets[0].Revents
+	}
+}
--- a/internal/textconn/textconn.go
+++ b/internal/textconn/textconn.go
@@ -10,22 +10,23 @@
 package textconn
 
 import (
+	"bufio"
 	"errors"
 	"net"
 	"net/textproto"
+	"runtime"
 	"sync/atomic"
 	"time"
 
 	"garnetline/internal/clock"
 )
 
-// ErrMessageTooLong reports that the peer sent more bytes than LimitRead allows, or that ReadAhead
-// discarded 128 MiB.
+// ErrMessageTooLong reports that the peer sent more bytes than LimitRead allows.
 var ErrMessageTooLong = errors.New("textconn: message exceeds the size limit")
 
-// Conn is a network connection that is read and written through a textproto.Conn.
+// Conn is a network connection that is read through a textproto.Reader.
 type Conn struct {
-	*textproto.Conn
+	*textproto.Reader
 	NetConn net.Conn // the underlying connection, for deadlines and addresses
 
 	// Only the reader uses the following fields.
@@ -43,15 +44,33 @@
 	discarded atomic.Bool // ReadAhead discarded bytes
 
 	writeBuffer []byte // only the writer uses writeBuffer
+
+	created      time.Time
+	lastProgress atomic.Int64 // time of the last read or write of bytes, in ns since created
+
+	// Only the reader uses the following fields; see SetGate.
+	gate       Gate
+	passedGate bool
 }
 
+// Gate limits how many readers process received bytes at a time. Without it, hundreds of peers that
+// send at full speed would keep so many readers runnable that the rest of the process waits for all of
+// them.
+type Gate chan struct{}
+
+// NewGate returns a gate for the given number of readers.
+func NewGate(readers int) Gate { return make(Gate, readers) }
+
 // New returns a Conn over netConn. Reads fail until LimitRead is called.
 func New(netConn net.Conn) *Conn {
-	c := &Conn{NetConn: netConn}
-	c.Conn = textproto.NewConn(limitedConn{c})
+	c := &Conn{NetConn: netConn, created: time.Now()}
+	c.Reader = textproto.NewReader(bufio.NewReader(limitedConn{c}))
 	return c
 }
 
+// Close closes the connection. Any goroutine may call Close.
+func (c *Conn) Close() error { return c.NetConn.Close() }
+
 // LimitRead allows n more bytes to be read, and replaces the earlier limit. Only the reader may
 // call LimitRead.
 func (c *Conn) LimitRead(n int) {
@@ -87,14 +106,59 @@
 // whole message was already buffered. Only the reader may call ReceivedBytes.
 func (c *Conn) ReceivedBytes() bool { return c.receivedBytes }
 
-// limitedConn is the connection that textproto reads and writes. Because textproto reads lines of
-// any length, limitedConn enforces the limit of LimitRead.
+// Stalled returns the time since bytes were last read or written. Any goroutine may call Stalled.
+func (c *Conn) Stalled() time.Duration {
+	return time.Since(c.created) - time.Duration(c.lastProgress.Load())
+}
+
+func (c *Conn) recordProgress() { c.lastProgress.Store(int64(time.Since(c.created))) }
+
+// SetGate makes the reader pass the gate after each read from the socket. The reader leaves the gate
+// before its next read, and when it calls LeaveGate. SetGate is called before the first read.
+func (c *Conn) SetGate(gate Gate) { c.gate = gate }
+
+// passGate waits until the reader may process what it has read. It then lets the goroutines run that
+// are ready. Otherwise, readers that wake each other at the gate would run before all of them.
+func (c *Conn) passGate() {
+	if c.gate != nil {
+		c.gate <- struct{}{}
+		c.passedGate = true
+		runtime.Gosched()
+	}
+}
+
+// LeaveGate lets another reader process what it has read. The reader calls LeaveGate before it waits
+// for anything, and at the end of a message. Only the reader may call LeaveGate.
+func (c *Conn) LeaveGate() {
+	if c.passedGate {
+		<-c.gate
+		c.passedGate = false
+	}
+}
+
+// Discard reads and discards up to limit bytes, until a read fails. Only the reader may call Discard.
+func (c *Conn) Discard(limit int64) {
+	scratch := make([]byte, readAheadStep)
+	for limit > 0 {
+		n, err := c.NetConn.Read(scratch)
+		if err != nil {
+			return
+		}
+		limit -= int64(n)
+		c.passGate()
+		c.LeaveGate()
+	}
+}
+
+// limitedConn is the connection that textproto reads. Because textproto reads lines of any length,
+// limitedConn enforces the limit of LimitRead.
 type limitedConn struct{ conn *Conn }
 
 // Read returns bytes that ReadAhead or Readable has read. If there are no such bytes, Read reads
 // from the socket.
 func (l limitedConn) Read(dst []byte) (int, error) {
 	conn := l.conn
+	conn.LeaveGate()
 	if conn.remaining <= 0 {
 		conn.limitExceeded = true
 		return 0, ErrMessageTooLong
@@ -110,16 +174,14 @@
 	}
 	n, err := conn.NetConn.Read(dst)
 	conn.remaining -= n
-	conn.receivedBytes = conn.receivedBytes || n > 0
+	if n > 0 {
+		conn.receivedBytes = true
+		conn.recordProgress()
+		conn.passGate()
+	}
 	return n, err
 }
 
-// Write writes to the socket.
-func (l limitedConn) Write(p []byte) (int, error) { return l.conn.NetConn.Write(p) }
-
-// Close closes the socket.
-func (l limitedConn) Close() error { return l.conn.NetConn.Close() }
-
 // consumeReadAhead moves bytes from readAhead to dst and returns their number.
 func (c *Conn) consumeReadAhead(dst []byte) int {
 	n := copy(dst, c.readAhead)
--- a/internal/trace/export/call.go
+++ b/internal/trace/export/call.go
@@ -47,7 +47,7 @@
 	}
 	defer func() { _ = conn.Close() }() // an error is ignored, because the call has ended
 	request := fmt.Appendf(conn.WriteBuffer(), requestFormat, x.collector.RequestURI(), x.collector.Host, len(body))
-	if err := conn.Flush(request, body, x.Timeout); err != nil {
+	if err := conn.Flush(request, x.Timeout, body); err != nil {
 		return 0, err
 	}
 	conn.LimitRead(maxResponseSize)
--- a/internal/upstream/benchmark_test.go
+++ b/internal/upstream/benchmark_test.go
@@ -22,7 +22,7 @@
 	var out []byte
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
-		out = appendServeCommand(out[:0], attempts[i%len(attempts)], 20, 1.7e12, "")
+		out = appendServeHead(out[:0], attempts[i%len(attempts)], 20, 1.7e12, "")
 	}
 }
 
--- a/internal/upstream/command.go
+++ b/internal/upstream/command.go
@@ -11,11 +11,14 @@
 // most commands fit into it.
 const typicalFieldsBytes = 256
 
-// appendServeCommand appends the command that carries an attempt: serve ID FIELDS BODY. The command
-// gives the time from now until the attempt expires. If maxAge is above zero, the server must not
-// use a copy older than maxAge milliseconds. The text moreFields follows the other fields of the
-// command.
-func appendServeCommand(dst []byte, attempt *dispatch.Attempt, maxAge, now float64, moreFields string) []byte {
+// bulkEnd ends the last bulk string of a command.
+var bulkEnd = []byte(crlf)
+
+// appendServeHead appends the command that carries an attempt, up to its body: serve ID FIELDS BODY.
+// The body and bulkEnd follow. The command gives the time from now until the attempt expires. If maxAge
+// is above zero, the server must not use a copy older than maxAge milliseconds. The text moreFields
+// follows the other fields of the command.
+func appendServeHead(dst []byte, attempt *dispatch.Attempt, maxAge, now float64, moreFields string) []byte {
 	fields := make([]byte, 0, typicalFieldsBytes)
 	fields = appendServeFields(fields, attempt, maxAge, now)
 	fields = append(fields, moreFields...)
@@ -23,7 +26,7 @@
 	dst = appendBulk(dst, "serve")
 	dst = appendBulk(dst, attempt.Request.TransactionID)
 	dst = appendBulk(dst, string(fields))
-	return appendBulk(dst, string(attempt.Request.Body))
+	return appendBulkHead(dst, len(attempt.Request.Body))
 }
 
 // appendServeFields appends the fields of a serve command, separated by commas.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,7 @@
 
 	"garnetline/internal/clock"
 	"garnetline/internal/dispatch"
+	"garnetline/internal/memorybudget"
 	"garnetline/internal/textconn"
 	"garnetline/routing"
 )
@@ -80,7 +81,7 @@
 // Without these limits, a truncated reply would leave the connection open and silent, and all other
 // attempts in flight on it would run into their deadlines. With a limit that does not depend on the
 // length, large replies that arrive at the configured BytesPerSecond would be aborted.
-func (c *connection) nextReply(bytesPerSecond float64) (reply, error) {
+func (c *connection) nextReply(bytesPerSecond float64, memory *memorybudget.Budget) (reply, error) {
 	if err := c.text.NetConn.SetReadDeadline(time.Time{}); err != nil {
 		return reply{}, err
 	}
@@ -90,13 +91,14 @@
 	}
 	c.text.SetReadPace(replyStallTimeout, replyStallTimeout)
 	defer c.text.SetReadPace(0, 0)
-	return readReply(c.text, func(bodyBytes int) {
+	extendDeadline := func(bodyBytes int) {
 		if bytesPerSecond <= 0 {
 			return
 		}
 		transferMillis := 1000 * float64(bodyBytes) / bytesPerSecond
 		c.text.SetReadPace(replyStallTimeout, replyStallTimeout+replyTimeFactor*transferMillis)
-	})
+	}
+	return replyReader{conn: c.text, onBodyLength: extendDeadline, memory: memory}.read()
 }
 
 // pickConnection returns the connection for an attempt with the given id. Among the connections
@@ -161,8 +163,12 @@
 // error, which ends the connection, and returns. It runs in its own goroutine.
 func (u *Upstream) readReplies(conn *connection) {
 	for {
-		r, err := conn.nextReply(u.Settings().BytesPerSecond)
-		if !u.post(connectionEvent{connection: conn, reply: r, err: err}) || err != nil {
+		r, err := conn.nextReply(u.Settings().BytesPerSecond, u.Memory)
+		posted := u.post(connectionEvent{connection: conn, reply: r, err: err})
+		if !posted {
+			r.memory.Release()
+		}
+		if !posted || err != nil {
 			return
 		}
 	}
@@ -184,7 +190,9 @@
 		u.handleDialResult(ctx, event)
 	case event.err != nil:
 		u.closeConnection(event.connection)
-	case !event.connection.closed:
+	case event.connection.closed:
+		event.reply.memory.Release()
+	default:
 		u.handleReply(ctx, event.connection, event.reply)
 	}
 }
@@ -235,12 +243,12 @@
 	attempt.Trace.Timing.ConnectedAt = u.Clock.Now()
 }
 
-// flush writes a command that was appended to the connection's write buffer, and reports whether
-// the write succeeded. If the write fails, the server may have received a part of the command.
+// flush writes a command that was appended to the connection's write buffer, and then further parts of
+// it. It reports whether the write succeeded. If the write fails, the server may have received a part of the command.
 // flush then closes the connection.
-func (u *Upstream) flush(conn *connection, command []byte) bool {
+func (u *Upstream) flush(conn *connection, command []byte, parts ...[]byte) bool {
 	conn.lastUsedAt = u.Clock.Now()
-	if err := conn.text.Flush(command, nil, writeTimeout); err != nil {
+	if err := conn.text.Flush(command, writeTimeout, parts...); err != nil {
 		u.closeConnection(conn)
 		return false
 	}
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -142,10 +142,10 @@
 		{complete + complete[:20], os.ErrDeadlineExceeded},
 	} {
 		conn := newConnection(&stallingConn{byteSource: byteSource{reader: strings.NewReader(test.text)}}, 0)
-		if r, err := conn.nextReply(0); err != nil || r.status != statusLack {
+		if r, err := conn.nextReply(0, nil); err != nil || r.status != statusLack {
 			t.Fatalf("got reply %+v and error %v", r, err)
 		}
-		if _, err := conn.nextReply(0); err == nil || err.Error() != test.want.Error() {
+		if _, err := conn.nextReply(0, nil); err == nil || err.Error() != test.want.Error() {
 			t.Errorf("after %q: got error %v, want %v", test.text, err, test.want)
 		}
 	}
--- a/internal/upstream/golden_test.go
+++ b/internal/upstream/golden_test.go
@@ -50,7 +50,8 @@
 	var out []byte
 	for i, attempt := range goldenAttempts() {
 		maxAge := []float64{0, 0.4, 7999.9}[i%3]
-		out = appendServeCommand(out, attempt, maxAge, 1.7e12, "")
+		out = appendServeHead(out, attempt, maxAge, 1.7e12, "")
+		out = append(append(out, attempt.Request.Body...), bulkEnd...)
 	}
 	harness := newHarness(t)
 	harness.upstream.PropagateTraces = true
@@ -58,7 +59,8 @@
 	harness.upstream.retainedTraces <- trace.ID{2}
 	traced := goldenAttempts()[1]
 	traced.Trace = &dispatch.AttemptTrace{Context: trace.SpanContext{Trace: trace.ID{5}, Span: 6, Sampled: true}}
-	out = appendServeCommand(out, traced, 20, 1.7e12, harness.upstream.traceFields(traced))
+	out = appendServeHead(out, traced, 20, 1.7e12, harness.upstream.traceFields(traced))
+	out = append(append(out, traced.Request.Body...), bulkEnd...)
 	out = appendCancelCommand(out, "9b1f03aa5c7e2d41")
 	golden.Compare(t, "commands.resp", out)
 	if got := parseCommands(t, out); len(got) != 8 || got[4][3] != "$4\r\nbody\x00\xff" || got[7][0] != "cancel" {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -18,6 +18,7 @@
 
 	"garnetline/internal/clock"
 	"garnetline/internal/dispatch"
+	"garnetline/internal/memorybudget"
 	"garnetline/internal/metrics"
 	"garnetline/internal/platformconfig"
 	"garnetline/internal/trace"
@@ -39,6 +40,9 @@
 	// limit.
 	MaxConnections func() int64
 
+	// Memory limits the bodies of replies that the router holds. Nil means no limit.
+	Memory *memorybudget.Budget
+
 	// PropagateTraces says whether the servers accept the command fields "trace" and "kept". The
 	// platform's own servers do not accept them.
 	PropagateTraces bool
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"slices"
 	"strconv"
 	"strings"
@@ -9,6 +10,7 @@
 
 	"garnetline/internal/clock"
 	"garnetline/internal/dispatch"
+	"garnetline/internal/memorybudget"
 	"garnetline/internal/textconn"
 	"garnetline/routing"
 )
@@ -54,17 +56,34 @@
 	statusPast:  routing.NotSent,
 }
 
+// responsePatience is how long a reply waits until the memory budget has room for its body.
+const responsePatience = 100 * time.Millisecond
+
 // reply is a received reply. Its fields are not parsed yet.
 type reply struct {
-	id     string
-	status string
-	fields string
-	body   []byte
+	id          string
+	status      string
+	fields      string
+	body        []byte
+	bodyDropped bool                      // the memory budget had no room for the body
+	memory      *memorybudget.Reservation // memory of body; whoever drops the reply releases it
+}
+
+// replyReader reads replies from a connection.
+type replyReader struct {
+	conn         *textconn.Conn
+	onBodyLength func(n int)          // if not nil, called with the length of the body, in bytes, before the body is read
+	memory       *memorybudget.Budget // limits the bodies that are kept; nil: no limit
 }
 
-// readReply reads one reply. The caller owns the body of the returned reply. If onBodyLength is not
-// nil, readReply calls it with the length of the body, in bytes, before it reads the body.
+// readReply reads one reply without a limit on memory.
 func readReply(conn *textconn.Conn, onBodyLength func(n int)) (reply, error) {
+	return replyReader{conn: conn, onBodyLength: onBodyLength}.read()
+}
+
+// read reads one reply. The caller owns the body of the returned reply.
+func (reader replyReader) read() (reply, error) {
+	conn := reader.conn
 	conn.LimitRead(maxReplyBytes)
 	var r reply
 	n, err := readLength(conn, arrayType, replyElements)
@@ -75,20 +94,43 @@
 		return r, fmt.Errorf("%w: expected an array of 4 bulk strings, got an array of %d elements", errMalformedReply, n)
 	}
 	for _, field := range [...]*string{&r.id, &r.status, &r.fields} {
-		content, err := readBulk(conn, maxFieldBytes, nil)
+		content, err := readBulk(conn, maxFieldBytes)
 		if err != nil {
 			return r, err
 		}
 		*field = string(content)
 	}
-	body, err := readBulk(conn, maxBodyBytes, onBodyLength)
-	if len(body) > 0 {
-		r.body = append([]byte(nil), body...)
-	}
+	err = reader.readBody(&r)
 	conn.ShrinkReadBuffer()
 	return r, err
 }
 
+// readBody reads the body of a reply. If the memory budget has no room for the body, readBody discards
+// it and sets bodyDropped.
+func (reader replyReader) readBody(r *reply) error {
+	n, err := readLength(reader.conn, bulkStringType, maxBodyBytes)
+	if err != nil {
+		return err
+	}
+	if reader.onBodyLength != nil {
+		reader.onBodyLength(n)
+	}
+	r.memory = reader.memory.NewReservation()
+	if r.memory.Grow(memorybudget.Responses, int64(n), responsePatience) != nil {
+		r.bodyDropped = true
+		_, err = io.CopyN(io.Discard, reader.conn.R, int64(n))
+	} else if n > 0 {
+		r.body, err = reader.conn.ReadOwnedBody(n, func(int) error { return nil })
+	}
+	if err == nil {
+		err = readBulkEnd(reader.conn, n)
+	}
+	if err != nil {
+		r.memory.Release()
+	}
+	return err
+}
+
 // completion returns the completion of the attempt to which the server replied. The error wraps
 // errMalformedReply if the status is unknown or if the fields are malformed.
 func (r reply) completion(attempt *dispatch.Attempt) (dispatch.Completion, error) {
@@ -104,9 +146,12 @@
 		return completion, err
 	}
 	switch {
+	case r.status == statusDone && r.bodyDropped:
+		completion.Response.Kind = dispatch.Failed // the server has executed the request, so it is not retried
 	case r.status == statusDone:
 		completion.Response.Kind = dispatch.Served
 		completion.Response.Body = r.body
+		completion.Response.Memory = r.memory
 	case r.status == statusKeep && tags == 1 && namesClientCopy(&completion):
 		completion.Response.Kind = dispatch.NotModified
 	case r.status == statusKeep:
--- a/internal/upstream/resp.go
+++ b/internal/upstream/resp.go
@@ -23,6 +23,9 @@
 	bulkStringType = '$'
 )
 
+// crlf ends each line and each bulk string.
+const crlf = "\r\n"
+
 // errMalformedReply reports that the received bytes are not a valid reply. The connection must not
 // be used again.
 var errMalformedReply = errors.New("upstream: malformed reply")
@@ -45,38 +48,53 @@
 }
 
 // readBulk reads a bulk string of at most limit bytes. The returned slice is valid until the next
-// read. If onLength is not nil, readBulk calls it with the length, in bytes, before it reads the
-// content.
-func readBulk(conn *textconn.Conn, limit int, onLength func(n int)) ([]byte, error) {
+// read.
+func readBulk(conn *textconn.Conn, limit int) ([]byte, error) {
 	n, err := readLength(conn, bulkStringType, limit)
 	if err != nil {
 		return nil, err
 	}
-	if onLength != nil {
-		onLength(n)
-	}
-	content, err := conn.ReadBody(n + len("\r\n"))
+	content, err := conn.ReadBody(n + len(crlf))
 	if err != nil {
 		return nil, err
 	}
-	if content[n] != '\r' || content[n+1] != '\n' {
-		return nil, fmt.Errorf("%w: expected CRLF after the %d bytes of a bulk string, got %q", errMalformedReply, n, content[n:])
+	return content[:n], checkBulkEnd(n, content[n:])
+}
+
+// readBulkEnd reads the end of a bulk string of n bytes.
+func readBulkEnd(conn *textconn.Conn, n int) error {
+	end, err := conn.ReadBody(len(crlf))
+	if err != nil {
+		return err
 	}
-	return content[:n], nil
+	return checkBulkEnd(n, end)
+}
+
+// checkBulkEnd returns an error unless a bulk string of n bytes ends with CRLF.
+func checkBulkEnd(n int, end []byte) error {
+	if string(end) != crlf {
+		return fmt.Errorf("%w: expected CRLF after the %d bytes of a bulk string, got %q", errMalformedReply, n, end)
+	}
+	return nil
+}
+
+// appendBulkHead appends the first line of a bulk string of n bytes.
+func appendBulkHead(dst []byte, n int) []byte {
+	dst = append(dst, bulkStringType)
+	dst = strconv.AppendInt(dst, int64(n), 10)
+	return append(dst, crlf...)
 }
 
 // appendArray appends the first line of an array of n values.
 func appendArray(dst []byte, n int) []byte {
 	dst = append(dst, arrayType)
 	dst = strconv.AppendInt(dst, int64(n), 10)
-	return append(dst, "\r\n"...)
+	return append(dst, crlf...)
 }
 
 // appendBulk appends a bulk string.
 func appendBulk(dst []byte, content string) []byte {
-	dst = append(dst, bulkStringType)
-	dst = strconv.AppendInt(dst, int64(len(content)), 10)
-	dst = append(dst, "\r\n"...)
+	dst = appendBulkHead(dst, len(content))
 	dst = append(dst, content...)
-	return append(dst, "\r\n"...)
+	return append(dst, crlf...)
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -207,8 +207,9 @@
 		attempt.Trace.Timing.WrittenAt = now
 		attempt.Trace.Timing.MaxAge = maxAge
 	}
-	command := appendServeCommand(conn.text.WriteBuffer(), attempt, maxAge, now, u.traceFields(attempt))
-	if u.flush(conn, command) {
+	body := attempt.Request.Body
+	head := appendServeHead(conn.text.WriteBuffer(), attempt, maxAge, now, u.traceFields(attempt))
+	if u.flush(conn, head, body, bulkEnd) {
 		u.Metrics.Add("attempts_relayed", 1)
 	}
 }
@@ -268,12 +269,14 @@
 	conn.lastUsedAt = now
 	sent := conn.inFlight[r.id]
 	if sent == nil {
+		r.memory.Release()
 		delete(conn.canceledIDs, r.id)
 		u.Metrics.Add("peer_answers_late", 1)
 		return
 	}
 	completion, err := r.completion(sent.attempt)
 	if err != nil {
+		r.memory.Release()
 		u.Metrics.Add("peer_answers_unreadable", 1)
 		u.closeConnection(conn)
 		return
