Refuse an id that may have been executed when it comes again

Cause: Dispatcher.handleRequest knew only the ids of open requests (byTransactionID). The end of a request, also by the client's disconnect with an attempt in flight, removed its id, so the next request with it was new. Processes shared nothing about ids.

The dispatcher looks an id up when a request arrives (409 if it must not run again; a keyed one may be sent within the first window) and again when its first attempt is made, after it has recorded the id itself, so two processes never both send it. A request that no server has executed is forgotten.

Why it works: the id is recorded before the first byte is sent, and in the file before another process can pass its own second check.

--- a/cmd/garnetline/daemon_parts.go
+++ b/cmd/garnetline/daemon_parts.go
@@ -11,6 +11,7 @@
 	"garnetline/internal/frontend/dnsfront"
 	"garnetline/internal/frontend/httpfront"
 	"garnetline/internal/platformconfig"
+	"garnetline/internal/replayguard"
 	"garnetline/internal/trace/instrument"
 	"garnetline/internal/upstream"
 )
@@ -27,6 +28,7 @@
 	if err != nil {
 		return err
 	}
+	d.dispatcher.SetExecutionHistory(d.newReplayGuard())
 	d.watcher = discovery.NewWatcher(d.clock, platform, d.handleWatchEvent, d.metrics)
 	d.upstreams = upstream.NewPool(ctx, upstream.Options{
 		Clock:           d.clock,
@@ -73,6 +75,18 @@
 	return nil
 }
 
+// newReplayGuard returns the history of executed requests, which the processes of the router share.
+func (d *daemon) newReplayGuard() *replayguard.Guard {
+	guard := replayguard.New(d.metrics)
+	if group := d.resources.group; group != nil {
+		if err := guard.Share(d.startup.platform.StateDir, group.Slot()); err != nil {
+			d.log.Warn().Err(err).Msg("cannot share the ids of executed requests with other processes of the router")
+		}
+		d.onClose(guard.Close)
+	}
+	return guard
+}
+
 // handleWatchEvent passes a watch event to the dispatcher. It runs on the watcher's goroutine.
 func (d *daemon) handleWatchEvent(event platformconfig.WatchEvent) {
 	d.dispatcher.HandleWatchEvent(event)
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -159,7 +159,7 @@
 	case !request.lastAttemptEnded():
 		return false // a request has only one attempt in flight
 	}
-	return attempt.Index < d.settings.MaxAttempts && attempt.sentAt < attempt.ExpiresAt
+	return attempt.Index < d.settings.MaxAttempts && attempt.sentAt < attempt.ExpiresAt && d.claimExecution(request)
 }
 
 // retryForbidden reports whether the request's class forbids the attempt because a server may have
@@ -169,13 +169,13 @@
 // SendDeadline to the end of that window. After the window, the server has forgotten the key. An
 // attempt that is still waiting for a connection at that time must not be written.
 func (a *Attempt) retryForbidden() bool {
-	earlier := a.Request.firstPossiblyExecuted()
-	if earlier == nil {
+	executedAt, executed := a.Request.firstExecution()
+	if !executed {
 		return false
 	}
 	switch a.Class.Idempotency {
 	case routing.IdempotentWithKey:
-		a.SendDeadline = earlier.sentAt + clock.Millis(a.Class.KeyWindow)
+		a.SendDeadline = executedAt + keyWindowMs(a.Class)
 		return a.sentAt >= a.SendDeadline
 	case routing.NonIdempotent:
 		return true
@@ -184,6 +184,9 @@
 	}
 }
 
+// keyWindowMs returns for how many milliseconds a server remembers the idempotency keys of a class.
+func keyWindowMs(class *routing.Class) float64 { return clock.Millis(class.KeyWindow) }
+
 // cancelAttempt asks the transport to cancel an attempt. The attempt ends when the transport
 // reports its completion. If the completion has the result Canceled, the dispatcher replaces that
 // result by the given result.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -39,6 +39,8 @@
 	tracer    Tracer // nil: requests are not traced
 	metrics   *metrics.Registry
 
+	executions ExecutionHistory // nil: ended requests are not remembered
+
 	mailbox chan message
 	stopped chan struct{}
 
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -24,7 +24,7 @@
 	// NotModified says that the client's copy is current.
 	NotModified
 	// DuplicateID says that the request was not processed, because another request with the same
-	// transaction id is open.
+	// transaction id is open, or may have been executed and must not be executed again.
 	DuplicateID
 )
 
@@ -66,6 +66,10 @@
 	responded    bool // Respond was called, or the client disconnected, so that Respond must not be called
 	disconnected atomic.Bool
 
+	executedAt float64 // time at which an earlier request with the same id may have been executed; 0: never
+	inHistory  bool    // the history of executions has the id
+	claimed    bool    // the history has the id because of this request
+
 	deadlineTimer timer
 	routerTimers  []*timer // the decision module's pending timers for this request
 }
@@ -91,16 +95,19 @@
 	return count == 0 || r.attempts[count-1].ended
 }
 
-// firstPossiblyExecuted returns the first attempt that a server may have executed, or nil if no
-// server may have executed the request. A server may also have executed an attempt that is in
-// flight.
-func (r *Request) firstPossiblyExecuted() *Attempt {
+// firstExecution returns the time of the first attempt that a server may have executed. ok is false if
+// no server may have executed the request. A server may also have executed an attempt that is in
+// flight, and an earlier request with the same id.
+func (r *Request) firstExecution() (at float64, ok bool) {
+	if r.executedAt > 0 {
+		return r.executedAt, true
+	}
 	for _, attempt := range r.attempts {
 		if !attempt.notExecuted {
-			return attempt
+			return attempt.sentAt, true
 		}
 	}
-	return nil
+	return 0, false
 }
 
 // releaseBody drops the reference to the body of an answered request if no attempt is in flight.
@@ -162,6 +169,11 @@
 		d.respond(request, Response{Kind: DuplicateID})
 		return
 	}
+	if !d.recallExecution(request) {
+		d.metrics.Add("requests_repeated", 1)
+		d.respond(request, Response{Kind: DuplicateID})
+		return
+	}
 	d.nextID++
 	request.id = d.nextID
 	d.openRequests[request.id] = request
@@ -212,7 +224,7 @@
 	}
 	response := Response{Kind: Failed}
 	draining := d.clock.Now() < request.Deadline
-	if draining && request.firstPossiblyExecuted() == nil {
+	if _, executed := request.firstExecution(); draining && !executed {
 		// The timer was set to the drain deadline, which is before the client's deadline. Another
 		// router still has time to serve the request, so the client is told to retry.
 		response = Response{Kind: Rejected, RetryAfter: clock.Millis(d.settings.MaxRetryAfter) / 2}
@@ -246,6 +258,7 @@
 func (d *Dispatcher) removeRequest(request *Request) {
 	delete(d.openRequests, request.id)
 	d.cancelTimers(request)
+	d.settleExecution(request)
 	if d.byTransactionID[request.TransactionID] == request {
 		delete(d.byTransactionID, request.TransactionID)
 	}
