Take a server with a new start time or after a removal for another process

Cause, found by reading, not seen in a run: upstream.Pool kept the Upstream of a server whose id and address were unchanged, so attempts that waited for a connection to the old process were written to the new one (ensureUpstream); a drained Upstream still wrote what waited for a dial (sendQueued). The router reset consecutive failures and ejections for a new start time, but kept unresponsive, error rate and slowdown, and reset nothing where a server was removed and listed again without a start time (startWarming, applyEndpoint).

Change: the start time belongs to the identity of an Upstream's process; a drained Upstream completes what waits as not sent; resetHealth forgets all that is known of a server's health.

TestRestartedServerIsAnotherProcess and TestNewProcessOfServerIsNotEjected (2 of 2 cases failed before).

Examined and sound: routers of a fleet verify the identity of each packet's receiver; load reports, bans and leases are keyed by ids, not by addresses.

--- a/internal/upstream/benchmark_test.go
+++ b/internal/upstream/benchmark_test.go
@@ -82,7 +82,7 @@
 		Complete:        func(dispatch.Completion) {},
 		Dial:            func(context.Context, netip.AddrPort) (net.Conn, error) { return discardConn{}, nil },
 		openConnections: new(atomic.Int64),
-	}, netip.MustParseAddrPort("127.0.0.1:1"))
+	}, platformconfig.Endpoint{Addr: netip.MustParseAddrPort("127.0.0.1:1")})
 	attempt := &dispatch.Attempt{
 		Request:   &dispatch.Request{TransactionID: "a", Object: 7},
 		Class:     &routing.Class{Name: "part"},
--- a/internal/upstream/harness_test.go
+++ b/internal/upstream/harness_test.go
@@ -106,7 +106,7 @@
 		Complete:        harness.recordCompletion,
 		Dial:            harness.dial,
 		openConnections: new(atomic.Int64),
-	}, netip.MustParseAddrPort("127.0.0.1:1"))
+	}, platformconfig.Endpoint{Addr: netip.MustParseAddrPort("127.0.0.1:1")})
 	t.Cleanup(func() {
 		close(harness.upstream.stopped)
 		close(harness.dials)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -96,16 +96,17 @@
 }
 
 // ensureUpstream starts an Upstream for a listed server that has none. A server that is listed
-// again after its removal, or with another address, is a different process. It gets a new Upstream.
+// again after its removal, with another address or with another start time, is a different process. It
+// gets a new Upstream.
 func (p *Pool) ensureUpstream(endpoint platformconfig.Endpoint) {
 	upstream := p.upstreams[endpoint.ID]
-	if upstream != nil && upstream.addr == endpoint.Addr && !upstream.removed {
+	if upstream != nil && upstream.servedBy(endpoint) {
 		return
 	}
 	if upstream != nil {
 		upstream.drain()
 	}
-	upstream = newUpstream(p.Options, endpoint.Addr)
+	upstream = newUpstream(p.Options, endpoint)
 	p.upstreams[endpoint.ID] = upstream
 	go upstream.run(p.ctx)
 }
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"testing"
+	"time"
 
 	"garnetline/internal/clock"
 	"garnetline/internal/dispatch"
@@ -68,3 +69,59 @@
 	}
 	<-old.stopped // the removed server's Upstream stops because nothing is in flight
 }
+
+// TestRestartedServerIsAnotherProcess checks that a server with a new start time, at the same address and
+// under the same id, gets none of the attempts that wait for its predecessor.
+func TestRestartedServerIsAnotherProcess(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	const now = 1.7e12
+	dials := make(chan chan net.Conn, 2)
+	completions := make(chan dispatch.Completion, 2)
+	guard := &routing.Guard{Ready: map[routing.ServerID]bool{1: true, 8: true}}
+	pool := NewPool(ctx, Options{
+		Clock:          clock.NewManual(now),
+		Settings:       func() platformconfig.Upstream { return platformconfig.Upstream{ConnectTimeout: 60_000, MaxStreams: 3} },
+		MaxConnections: func() int64 { return 0 },
+		Guard:          func() *routing.Guard { return guard },
+		Metrics:        metrics.New(),
+		Complete:       func(completion dispatch.Completion) { completions <- completion },
+		Dial: func(context.Context, netip.AddrPort) (net.Conn, error) {
+			dialed := make(chan net.Conn)
+			dials <- dialed
+			return <-dialed, nil
+		},
+	})
+	list := func(started time.Duration) *Upstream {
+		server := routing.Server{ID: 1, Phase: routing.Ready, StartedAt: started}
+		pool.UpdateEndpoints(platformconfig.WatchEvent{ListUpdate: true, Snapshot: true, Endpoints: []platformconfig.Endpoint{
+			{Server: server, Addr: netip.MustParseAddrPort("127.0.0.9:5050")},
+		}})
+		return pool.upstreams[1]
+	}
+	old := list(0)
+	if list(0) != old {
+		t.Error("got another Upstream for the same process")
+	}
+	waiting := &dispatch.Attempt{
+		Request: &dispatch.Request{TransactionID: "a"}, Class: &routing.Class{}, ExpiresAt: now + 1000,
+		Decision: routing.SendAttempt{Server: 1, FillSource: 8},
+	}
+	if completion := pool.Send(waiting); completion != nil {
+		t.Fatalf("attempt completed by Send as %v, want it accepted", completion.Result)
+	}
+	dialed := <-dials
+	if list(5*time.Second) == old {
+		t.Fatal("got the same Upstream for a process that was started later")
+	}
+	if completion := <-completions; completion.Result != routing.NotSent {
+		t.Errorf("attempt that waited for the old process completed as %v, want NotSent", completion.Result)
+	}
+	waiting.TransportState.Release(waiting)
+	conn := newFakeConn()
+	dialed <- conn // the new process accepts the connection that was meant for the old one
+	<-old.stopped
+	if written := conn.written.String(); written != "" {
+		t.Errorf("got %q written to the new process", written)
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -9,6 +9,7 @@
 
 	"garnetline/internal/clock"
 	"garnetline/internal/dispatch"
+	"garnetline/internal/platformconfig"
 	"garnetline/internal/trace"
 	"garnetline/routing"
 )
@@ -30,7 +31,8 @@
 type Upstream struct {
 	Options
 	addr    netip.AddrPort
-	removed bool // used only by the pool: the server has left the endpoint list
+	started time.Duration // start time of the server's process; 0: not known
+	removed bool          // used only by the pool: the server has left the endpoint list
 
 	mailbox          chan message  // written by the pool
 	retainedTraces   chan trace.ID // written by the pool
@@ -53,10 +55,11 @@
 	drain  bool
 }
 
-func newUpstream(options Options, addr netip.AddrPort) *Upstream {
+func newUpstream(options Options, endpoint platformconfig.Endpoint) *Upstream {
 	return &Upstream{
 		Options:          options,
-		addr:             addr,
+		addr:             endpoint.Addr,
+		started:          endpoint.StartedAt,
 		mailbox:          make(chan message, mailboxSize),
 		retainedTraces:   make(chan trace.ID, maxRetainedTraces),
 		connectionEvents: make(chan connectionEvent),
@@ -64,6 +67,13 @@
 	}
 }
 
+// servedBy reports whether the endpoint is the process that the Upstream is connected to. Only the pool
+// calls servedBy.
+func (u *Upstream) servedBy(endpoint platformconfig.Endpoint) bool {
+	restarted := endpoint.StartedAt != 0 && endpoint.StartedAt != u.started
+	return !u.removed && u.addr == endpoint.Addr && !restarted
+}
+
 // drain tells the actor to stop when no attempt is in flight. Further calls have no effect. Only
 // the pool calls drain.
 func (u *Upstream) drain() {
@@ -117,6 +127,7 @@
 		u.cancelAttempt(m.cancel)
 	case m.drain:
 		u.draining = true
+		u.sendQueued(ctx) // completes the attempts that wait for a connection
 	}
 }
 
@@ -132,10 +143,12 @@
 		switch {
 		case cause != nil:
 			u.reject(attempt, cause)
+		case u.draining: // another process may answer at the address now
+			u.Complete(*dispatch.Unsent(attempt, routing.NotSent))
 		case conn != nil:
 			u.writeAttempt(conn, attempt)
 			busy = busy || len(conn.inFlight) >= growThreshold
-		case u.draining || !u.dialing && u.atConnectionLimit():
+		case !u.dialing && u.atConnectionLimit():
 			u.Complete(*dispatch.Unsent(attempt, routing.Rejected))
 		default:
 			waiting = append(waiting, attempt)
--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -40,6 +40,9 @@
 		r.servers = append(r.servers, &server{warmingSince: r.now, lastResponseAt: longAgo})
 	}
 	server := r.servers[index]
+	if server.Phase == Removed && listed.Phase != Removed {
+		server.resetHealth()
+	}
 	r.startWarming(server, listed, inFirstList)
 	server.Server = listed
 	server.role = role
--- a/routing/outlier_test.go
+++ b/routing/outlier_test.go
@@ -1,6 +1,9 @@
 package routing
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 // sendMany sends a request for each of several objects, all at the same time, and returns their attempts.
 func (h *harness) sendMany(objects int) []SendAttempt {
@@ -51,6 +54,39 @@
 	}
 }
 
+// TestNewProcessOfServerIsNotEjected checks that nothing that is known about the health of a server counts
+// for the process that has its ID next: one that was started later, or one that is listed after a removal.
+func TestNewProcessOfServerIsNotEjected(t *testing.T) {
+	for name, relist := range map[string]func(h *harness, failed Server){
+		"new start time": func(h *harness, failed Server) {
+			failed.StartedAt = h.now - maxEjectionTime
+			h.handle(EndpointUpdate{Servers: []Server{failed}})
+		},
+		"removed and listed again": func(h *harness, failed Server) {
+			removed := failed
+			removed.Phase = Removed
+			h.handle(EndpointUpdate{Servers: []Server{removed}})
+			h.handle(EndpointUpdate{Servers: []Server{failed}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t, settings(), fleet())
+			home := harness.requestOne(Request{Object: 5, SizeKB: 1}).Server
+			index := slices.IndexFunc(harness.router.servers, func(server *server) bool { return server.ID == home })
+			record := harness.router.servers[index]
+			record.unresponsive = true
+			record.consecutiveFailures = consecutiveFailureLimit
+			record.ejections = 2
+			record.ejectedUntil = harness.now + maxEjectionTime
+			record.errorRate = 0.9
+			relist(harness, record.Server)
+			if record.unresponsive || record.consecutiveFailures != 0 || record.ejections != 0 || record.ejectedUntil != 0 || record.errorRate != 0 {
+				t.Errorf("got %+v for a new process, want no failures", *record)
+			}
+		})
+	}
+}
+
 // TestUnresponsiveCacheIsDetected checks that the router detects an unresponsive cache by overdue attempts,
 // and sends the requests of these attempts to other caches.
 func TestUnresponsiveCacheIsDetected(t *testing.T) {
--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -7,7 +7,7 @@
 
 // startWarming determines from which time a listed server warms up. inFirstList is true for an entry of the
 // first endpoint list. If the start time of the server is reported, the server warms up from that time, and
-// a new start time resets its consecutive failures and ejections. If the start time is not reported, a
+// a new start time resets what is known about its health. If the start time is not reported, a
 // server of the first endpoint list does not warm up, and any other server warms up from the time of its
 // first entry.
 func (r *Router) startWarming(server *server, listed Server, inFirstList bool) {
@@ -16,12 +16,23 @@
 	}
 	if listed.StartedAt != 0 && listed.StartedAt != server.StartedAt {
 		server.warmingSince = listed.StartedAt
-		server.consecutiveFailures = 0
-		server.ejections = 0
-		server.ejectedUntil = 0
+		server.resetHealth()
 	}
 }
 
+// resetHealth forgets what is known about the health of a server. It is called when another process has
+// the server's ID.
+func (s *server) resetHealth() {
+	s.unresponsive = false
+	s.consecutiveFailures = 0
+	s.ejections = 0
+	s.ejectedUntil = 0
+	s.errorRate = 0
+	s.errorRateUpdatedAt = 0
+	s.connectionLostAt = 0
+	s.slowdown = decayingRatio{}
+}
+
 // capacityFraction returns the capacity of a server at the given time, as a fraction of its full capacity.
 func (r *Router) capacityFraction(server *server, at time.Duration) float64 {
 	slowStart := &r.slowStarts[server.role]
