--- a/cmd/garnetline/resources.go
+++ b/cmd/garnetline/resources.go
@@ -14,9 +14,11 @@
 )
 
 const (
-	// resourceInterval is how often a process counts the processes that share its limits, and checks
-	// its memory.
-	resourceInterval = 50 * time.Millisecond
+	// resourceInterval is how often a process checks its memory.
+	resourceInterval = 500 * time.Millisecond
+	// sharedResourceInterval is the same for a process that can be replaced. It also counts the processes
+	// that share its limits.
+	sharedResourceInterval = 100 * time.Millisecond
 	// memoryReportInterval is the least time between two reports about memory in the log.
 	memoryReportInterval = time.Second
 	// nearLimitShare is the fraction of the memory of a process from which on reports say who holds it.
@@ -71,7 +73,11 @@
 
 // run follows the number of processes and watches the memory until ctx is done.
 func (r *resources) run(ctx context.Context) {
-	ticker := time.NewTicker(resourceInterval)
+	interval := resourceInterval
+	if r.group != nil {
+		interval = sharedResourceInterval
+	}
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -80,6 +86,7 @@
 		case <-ticker.C:
 		}
 		r.countProcesses()
+		r.daemon.front.EnforceConnectionLimit()
 		r.applyMemory()
 		r.reportMemory()
 	}
--- a/internal/frontend/httpfront/memory.go
+++ b/internal/frontend/httpfront/memory.go
@@ -23,10 +23,6 @@
 
 // reserve reserves memory of the connection's current request. The error is a *requestError.
 func (c *conn) reserve(account memorybudget.Account, bytes int64) error {
-	if c.memory.Grow(account, bytes, 0) == nil {
-		c.held.Add(bytes)
-		return nil
-	}
 	c.text.LeaveGate()
 	if c.memory.Grow(account, bytes, memoryPatience) != nil {
 		return errOutOfMemory
--- a/internal/frontend/httpfront/reclaim.go
+++ b/internal/frontend/httpfront/reclaim.go
@@ -18,9 +18,10 @@
 	// sendStalledAfter is the time without progress after which a client that sends a request may be
 	// evicted to free memory.
 	sendStalledAfter = 50 * time.Millisecond
-	// readStalledAfter is the same for a client that receives a response. It is longer, because the
-	// system reports progress only after a part of its buffer has become free.
-	readStalledAfter = 300 * time.Millisecond
+	// readStalledAfter is the same for a client that receives a response. It is longer, because that
+	// request has been executed, and because the system reports progress only after a part of its buffer
+	// has become free.
+	readStalledAfter = 1000 * time.Millisecond
 
 	// slowAfterMs is the time after which a client that still sends the same request may be evicted to
 	// free memory although it makes progress.
@@ -33,10 +34,11 @@
 const (
 	rankFinished evictionRank = iota // the last response was written
 	rankUnused                       // no byte of a first request has come for newConnGraceMs
-	rankStalled                      // the client neither sends the rest of its request nor reads its response
+	rankStalled                      // the client does not send the rest of its request
 	rankIdle
-	rankSlow
-	rankNone // the connection may not be evicted
+	rankSlow   // the client still sends the same request
+	rankUnread // the client does not read its response
+	rankNone   // the connection may not be evicted
 )
 
 // ReclaimMemory evicts connections when the memory budget is exhausted, until ctx is done.
@@ -97,7 +99,7 @@
 		return rankFinished
 	case c.state == stateActive:
 		if c.writing && stalled >= readStalledAfter {
-			return rankStalled
+			return rankUnread
 		}
 		return rankNone
 	case c.receiving && stalled >= sendStalledAfter && !c.text.HasUnread():
--- a/internal/frontend/httpfront/server.go
+++ b/internal/frontend/httpfront/server.go
@@ -194,15 +194,34 @@
 		if candidate == nil {
 			return
 		}
-		s.Metrics.Add("connections_evicted", 1)
-		candidate.evicted = true
-		candidate.setReadTimeout(0)
+		s.evictConn(candidate)
 		if candidate.state == stateIdle {
 			return
 		}
 	}
 }
 
+// EnforceConnectionLimit evicts connections if more than MaxConnections are open, because the limit has
+// become lower.
+func (s *Server) EnforceConnectionLimit() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for excess := len(s.conns) - max(s.MaxConnections(), 1); excess > 0; excess-- {
+		candidate := s.evictionCandidate()
+		if candidate == nil {
+			return
+		}
+		s.evictConn(candidate)
+	}
+}
+
+// evictConn makes the pending read of a connection fail. The caller holds s.mu.
+func (s *Server) evictConn(candidate *conn) {
+	s.Metrics.Add("connections_evicted", 1)
+	candidate.evicted = true
+	candidate.setReadTimeout(0)
+}
+
 // evictionCandidate returns the connection to evict next, or nil if none may be evicted. It prefers
 // connections in stateRejected, then connections in stateNew older than newConnGraceMs, then
 // connections in stateIdle. Among connections in the same state, it returns the connection that
--- a/internal/memorybudget/budget.go
+++ b/internal/memorybudget/budget.go
@@ -113,11 +113,15 @@
 }
 
 // Reserve reserves bytes in an account. If there is too little memory, Reserve signals pressure and
-// waits until others have released enough, for patience at the most. The error is an *ExhaustedError.
+// waits until others have released enough, for patience at the most. With a patience of 0, it does
+// neither. The error is an *ExhaustedError.
 func (b *Budget) Reserve(account Account, bytes int64, patience time.Duration) error {
 	if b == nil || b.tryReserve(account, bytes) {
 		return nil
 	}
+	if patience <= 0 {
+		return b.refuse(account, bytes)
+	}
 	timeout := time.NewTimer(patience)
 	defer timeout.Stop()
 	for {
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -4,12 +4,20 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
+	"time"
 
 	"garnetline/internal/fakeserver"
 )
 
+// Values of endpoints in the change log.
+const (
+	phaseRemoved = 2
+	serverWeight = 100
+)
+
 // knownSequence is the sequence number of the last event that the configuration contains.
 const knownSequence = 4
 
@@ -36,16 +44,16 @@
 
 // NewDeployment starts the servers and the change log and writes the configuration. It starts no
 // process of the router.
-func NewDeployment(program, dir string, limits Limits, kind Kind) (*Deployment, error) {
+func NewDeployment(program, dir string, limits Limits, kind Kind, deadline time.Duration) (*Deployment, error) {
 	deployment := &Deployment{Limits: limits, program: program, dir: dir, configPath: filepath.Join(dir, "config.json")}
-	if err := deployment.start(kind); err != nil {
+	if err := deployment.start(kind, deadline); err != nil {
 		deployment.Close()
 		return nil, err
 	}
 	return deployment, nil
 }
 
-func (d *Deployment) start(kind Kind) error {
+func (d *Deployment) start(kind Kind, deadline time.Duration) error {
 	var err error
 	if d.ChangeLog, err = fakeserver.NewChangeLog(knownSequence); err != nil {
 		return err
@@ -58,7 +66,7 @@
 	if err := d.listen(); err != nil {
 		return err
 	}
-	return os.WriteFile(d.configPath, []byte(d.config(kind)), 0o600)
+	return os.WriteFile(d.configPath, []byte(d.config(kind, deadline)), 0o600)
 }
 
 // listen opens the socket that all processes of the router inherit.
@@ -93,29 +101,42 @@
 	Unsafe Kind = "non_idempotent"
 )
 
-// settingsFormat is the text of the settings. Its arguments are the effect of the class of writes.
+// settingsFormat is the text of the settings. Its arguments are the deadline of the classes in
+// microseconds and the effect of the class of writes.
 const settingsFormat = `{"areas":["edge"],"machine_types":["box","parent","origin"],"zone":0,"weights":"rough",
-"classes":[{"name":"part","effect":"read_like","aim_us":400000,"deadline_us":3000000,"value":2.0},
- {"name":"form","effect":%q,"group":"all","window_us":2000000,"aim_us":400000,"deadline_us":3000000,"value":3.0}],
+"classes":[{"name":"part","effect":"read_like","aim_us":400000,"deadline_us":%[1]d,"value":2.0},
+ {"name":"form","effect":%[2]q,"group":"all","window_us":2000000,"aim_us":400000,"deadline_us":%[1]d,"value":3.0}],
 "family_info":{"class_write":[false,true],"root_kind":2,"second_tier_kind":1,"seats_by_zone":[1],"cleared_within_us":6000000,"one_flow_kb_per_s":5000,"can_join":true},
 "limits":{"try_limit":6,"cancel":true,"retry_after":true,"max_retry_after_us":2000000},"rules":{"cold_from":0.15,"cold_us":16000000,"fall_multiple":3.0,"overload_for_us":1500000}}`
 
 // config returns the platform's configuration file.
-func (d *Deployment) config(kind Kind) string {
+func (d *Deployment) config(kind Kind, deadline time.Duration) string {
 	hosts := ""
-	for i, server := range d.Servers.list {
+	for i, addr := range d.Servers.addrs {
 		name := "box"
-		if i == len(d.Servers.list)-1 {
+		if i == serverCount-1 {
 			name = "origin"
 		}
 		if i > 0 {
 			hosts += ","
 		}
 		hosts += fmt.Sprintf(`{"host":"s-%08x","dial":%q,"site":"edge","class":%q,"block":0,"health":"ready","share":100,"born_ms":0}`,
-			i+1, server.Addr(), name)
+			i+1, addr, name)
 	}
 	return fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"1","limits":{"cores":1,"memory_mb":%d,"sockets":%d},"changelog":%q,
 "known":{"seq":%d,"results":[{"seq":%d,"fleet":{"seq":%d,"whole":true,"hosts":[%s]}}]},"settings":%s}`,
 		d.Addr, d.Limits.MemoryMB, d.Limits.Sockets, d.ChangeLog.Addr(), knownSequence, knownSequence, knownSequence, hosts,
-		fmt.Sprintf(settingsFormat, string(kind)))
+		fmt.Sprintf(settingsFormat, deadline.Microseconds(), string(kind)))
+}
+
+// RestartServer announces that another process has the address and the id of a cache.
+func (d *Deployment) RestartServer(index int) error {
+	addr, err := netip.ParseAddrPort(d.Servers.addrs[index])
+	if err != nil {
+		return err
+	}
+	started := uint64(time.Now().UnixMilli())
+	d.ChangeLog.UpdateEndpoints(fakeserver.Endpoint{ID: uint32(index + 1), Addr: addr, Phase: phaseRemoved, Weight: serverWeight})
+	d.ChangeLog.UpdateEndpoints(fakeserver.Endpoint{ID: uint32(index + 1), Addr: addr, Weight: serverWeight, Started: started})
+	return nil
 }
--- a/internal/soak/leave_test.go
+++ b/internal/soak/leave_test.go
@@ -25,7 +25,7 @@
 	}
 	clients.Wait()
 	time.Sleep(time.Second)
-	executions := deployment.Servers.Executions()
+	executions := executionsOf(t, deployment)
 	for _, left := range lefts {
 		for _, late := range left.lateExecutions(executions) {
 			t.Errorf("request sent on for a client that had left: %s", late)
@@ -71,7 +71,7 @@
 	sendAll()
 	predecessor.Kill()
 	sendAll()
-	executions := deployment.Servers.Executions()
+	executions := executionsOf(t, deployment)
 	if len(executions) < len(ids)/2 {
 		t.Errorf("got %d of %d writes executed at all", len(executions), len(ids))
 	}
--- a/internal/soak/loud_test.go
+++ b/internal/soak/loud_test.go
@@ -17,14 +17,14 @@
 		t.Run(picture.Name, func(t *testing.T) {
 			deployment := startDeployment(t, smallestLimits, Keyed)
 			process, monitor := startRouter(t, deployment)
-			usual := StartUsualClients(deployment.Addr)
+			usual := StartUsualClients(deployment.Addr, deadline)
 			loud := StartCrowd(deployment.Addr, 1, picture)
 			time.Sleep(loudDuration)
 			loud.Stop()
 			result := usual.Stop()
 			checkUsage(t, deployment.Limits, monitor.Stop())
 			checkUsual(t, result)
-			t.Logf("%d requests executed", len(deployment.Servers.Executions()))
+			t.Logf("%d requests executed", len(executionsOf(t, deployment)))
 			if slow := result.Latency(0.99); slow > objective {
 				t.Errorf("99 of 100 usual requests were answered within %v, want at most %v", slow, objective)
 			}
--- a/internal/soak/memory_test.go
+++ b/internal/soak/memory_test.go
@@ -10,8 +10,17 @@
 // program is the path of the daemon.
 var program string
 
-// TestMain builds the daemon once for all tests.
-func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+// TestMain builds the daemon once for all tests, or runs the servers.
+func TestMain(m *testing.M) {
+	if IsServers() {
+		if err := RunServers(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(buildAndRun(m))
+}
 
 func buildAndRun(m *testing.M) int {
 	dir, err := os.MkdirTemp("", "soak")
@@ -30,6 +39,7 @@
 const (
 	crowdConnections = 600
 	pictureDuration  = 3 * time.Second
+	deadline         = 3 * time.Second // of all classes
 )
 
 // smallestLimits are the smallest limits that the platform names for a router.
@@ -46,7 +56,7 @@
 		t.Run(name, func(t *testing.T) {
 			deployment := startDeployment(t, smallestLimits, Keyed)
 			process, monitor := startRouter(t, deployment)
-			usual := StartUsualClients(deployment.Addr)
+			usual := StartUsualClients(deployment.Addr, deadline)
 			crowd := StartCrowd(deployment.Addr, crowdConnections, played...)
 			time.Sleep(pictureDuration)
 			crowd.Stop()
@@ -62,7 +72,7 @@
 
 func startDeployment(t *testing.T, limits Limits, kind Kind) *Deployment {
 	t.Helper()
-	deployment, err := NewDeployment(program, t.TempDir(), limits, kind)
+	deployment, err := NewDeployment(program, t.TempDir(), limits, kind, deadline)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -113,3 +123,13 @@
 		t.Errorf("%d of %d requests of usual clients were served, want at least nine tenths", result.Served, result.Asked)
 	}
 }
+
+// executionsOf ends the servers of a deployment and returns the requests that arrived.
+func executionsOf(t *testing.T, deployment *Deployment) map[string][]time.Time {
+	t.Helper()
+	executions, err := deployment.Servers.Executions()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return executions
+}
--- a/internal/soak/servers.go
+++ b/internal/soak/servers.go
@@ -1,8 +1,15 @@
 package soak
 
 import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"garnetline/internal/fakeserver"
@@ -22,61 +29,110 @@
 	smallBody      = "bytes"
 )
 
-// Execution is the arrival of a request at a server.
-type Execution struct {
-	ID string // transaction id
-	At time.Time
-}
+// serversVariable is the environment variable that makes a test binary run the servers.
+const serversVariable = "GARNETLINE_SOAK_SERVERS"
 
-// Servers are the caches and the origin. They record what they receive.
-type Servers struct {
-	list      []*fakeserver.Server
-	largeBody string
+// IsServers reports whether TestMain has to call RunServers instead of the tests.
+func IsServers() bool { return os.Getenv(serversVariable) != "" }
 
-	mu         sync.Mutex
-	executions []Execution
-}
-
-func newServers() (*Servers, error) {
-	servers := &Servers{largeBody: strings.Repeat("x", largeBodyBytes)}
+// RunServers runs the servers until standard input ends. It prints the address of each server, and then
+// a line with the transaction id and the time in Unix nanoseconds of each request that arrives.
+func RunServers() error {
+	process := &serverProcess{largeBody: strings.Repeat("x", largeBodyBytes)}
 	for range serverCount {
-		server, err := fakeserver.NewServer(servers.reply)
+		server, err := fakeserver.NewServer(process.reply)
 		if err != nil {
-			_ = servers.close()
-			return nil, err
+			return err
 		}
-		servers.list = append(servers.list, server)
+		process.print(server.Addr().String())
 	}
-	return servers, nil
+	_, err := io.Copy(io.Discard, os.Stdin)
+	return err
 }
 
-func (s *Servers) close() error {
-	for _, server := range s.list {
-		_ = server.Close()
-	}
-	return nil
+// serverProcess is the process of the servers.
+type serverProcess struct {
+	largeBody string
+	mu        sync.Mutex // guards standard output
+}
+
+func (p *serverProcess) print(line string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, _ = fmt.Fprintln(os.Stdout, line)
 }
 
-func (s *Servers) reply(id, fields string) string {
-	s.mu.Lock()
-	s.executions = append(s.executions, Execution{ID: id, At: time.Now()})
-	s.mu.Unlock()
+func (p *serverProcess) reply(id, fields string) string {
+	p.print(fmt.Sprintf("%s %d", id, time.Now().UnixNano()))
 	switch {
 	case strings.Contains(fields, "f0,slice="):
 		return ""
 	case strings.Contains(fields, "b0,slice="):
-		return fakeserver.Answer(id, "DONE", "tag=t7,minted=1", s.largeBody)
+		return fakeserver.Answer(id, "DONE", "tag=t7,minted=1", p.largeBody)
 	}
 	return fakeserver.Answer(id, "DONE", "tag=t7,minted=1", smallBody)
 }
 
-// Executions returns what the servers have received so far, by transaction id.
-func (s *Servers) Executions() map[string][]time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	times := map[string][]time.Time{}
-	for _, execution := range s.executions {
-		times[execution.ID] = append(times[execution.ID], execution.At)
+// Servers are the caches and the origin. They run in a process of their own: in one with hundreds of busy
+// clients they would note requests later than these arrive.
+type Servers struct {
+	addrs []string
+	input io.Closer
+	ended chan struct{} // closed when all lines of the process were read
+	times map[string][]time.Time
+	err   error
+}
+
+func newServers() (*Servers, error) {
+	command := exec.CommandContext(context.Background(), os.Args[0])
+	command.Env = append(os.Environ(), serversVariable+"=1")
+	command.Stderr = os.Stderr
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	input, err := command.StdinPipe()
+	if err != nil {
+		return nil, err
+	}
+	output, err := command.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := command.Start(); err != nil {
+		return nil, err
+	}
+	servers := &Servers{input: input, ended: make(chan struct{}), times: map[string][]time.Time{}}
+	lines := bufio.NewScanner(output)
+	for len(servers.addrs) < serverCount && lines.Scan() {
+		servers.addrs = append(servers.addrs, lines.Text())
+	}
+	go servers.record(command, lines)
+	return servers, lines.Err()
+}
+
+// record reads what the process prints until its end.
+func (s *Servers) record(command *exec.Cmd, lines *bufio.Scanner) {
+	defer close(s.ended)
+	for lines.Scan() {
+		var id string
+		var nanoseconds int64
+		if _, err := fmt.Sscan(lines.Text(), &id, &nanoseconds); err != nil {
+			s.err = err
+			continue
+		}
+		s.times[id] = append(s.times[id], time.Unix(0, nanoseconds))
+	}
+	if err := command.Wait(); err != nil && s.err == nil {
+		s.err = err
 	}
-	return times
+}
+
+func (s *Servers) close() error {
+	err := s.input.Close()
+	<-s.ended
+	return err
+}
+
+// Executions ends the servers and returns the times at which requests arrived, by transaction id.
+func (s *Servers) Executions() (map[string][]time.Time, error) {
+	_ = s.close()
+	return s.times, s.err
 }
--- a/internal/soak/usual.go
+++ b/internal/soak/usual.go
@@ -11,7 +11,6 @@
 )
 
 const (
-	usualTimeout  = 3 * time.Second
 	answerGrace   = 500 * time.Millisecond // an answer may come this long after the timeout of its request
 	writeBytes    = 8_000
 	usualInterval = 25 * time.Millisecond
@@ -21,10 +20,12 @@
 // connections and on connections that stay open.
 type UsualClients struct {
 	addr    string
+	timeout time.Duration // of each request
 	stop    chan struct{}
 	stopped chan struct{}
 
 	mu     sync.Mutex
+	kills  []time.Time
 	result UsualResult
 	idle   []*client
 }
@@ -32,7 +33,9 @@
 // UsualResult tells what became of the requests of usual clients.
 type UsualResult struct {
 	Asked, Served int
-	Lost          []string // requests without a complete answer in time
+	Excused       int      // requests without an answer that were open when a process was killed
+	Lost          []string // other requests without a complete answer in time
+	writes        []string // ids of writes
 	latencies     []time.Duration
 }
 
@@ -46,8 +49,8 @@
 }
 
 // StartUsualClients starts the clients.
-func StartUsualClients(addr string) *UsualClients {
-	clients := &UsualClients{addr: addr, stop: make(chan struct{}), stopped: make(chan struct{})}
+func StartUsualClients(addr string, timeout time.Duration) *UsualClients {
+	clients := &UsualClients{addr: addr, timeout: timeout, stop: make(chan struct{}), stopped: make(chan struct{})}
 	go clients.run()
 	return clients
 }
@@ -80,7 +83,7 @@
 
 // ask sends one request and records its end.
 func (u *UsualClients) ask(sequence int) {
-	asked := request{id: newID(), object: newObject(0), timeout: usualTimeout}
+	asked := request{id: newID(), object: newObject(0), timeout: u.timeout}
 	switch sequence % 4 {
 	case 0:
 		asked.object = newObject(LargeObject)
@@ -93,7 +96,12 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.result.Asked++
+	if asked.body != "" {
+		u.result.writes = append(u.result.writes, asked.id)
+	}
 	switch {
+	case err != nil && u.killedSince(start):
+		u.result.Excused++
 	case err != nil:
 		u.result.Lost = append(u.result.Lost, fmt.Sprintf("%s after %v: %v", asked.id, took, err))
 	case got.status == http.StatusOK:
@@ -102,6 +110,18 @@
 	}
 }
 
+// noteKill records that a process is killed without notice.
+func (u *UsualClients) noteKill() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.kills = append(u.kills, time.Now())
+}
+
+// killedSince reports whether a process was killed after start. The caller holds u.mu.
+func (u *UsualClients) killedSince(start time.Time) bool {
+	return len(u.kills) > 0 && u.kills[len(u.kills)-1].After(start)
+}
+
 // exchange sends a request on an idle connection or on a new one. If an idle connection ends before
 // the answer begins, the request crossed the close, and is sent once more.
 func (u *UsualClients) exchange(asked request, reuse bool) (answer, error) {
