Set memory aside for the admin API and the DNS front

Cause: the admin API reserved its memory in the accounts of clients, so a call could be refused while clients held them full; the DNS front's buffers were counted nowhere (64 KiB for each message over TCP).

Change: both have fixed parts that the clients' budget does not get. The pictures ask for /metrics while they run, and check that nothing is held once the clients have left.

--- a/cmd/garnetline/daemon_parts.go
+++ b/cmd/garnetline/daemon_parts.go
@@ -165,7 +165,6 @@
 		Metrics:        d.metrics,
 		Handler:        d.adminHandler().Handle,
 		MaxConnections: func() int { return maxAdminConnections },
-		Memory:         d.resources.budget,
 	})
 	go func() { d.serveErrors <- server.Serve(listener) }()
 	d.onClose(server.Shutdown)
--- a/cmd/garnetline/limits.go
+++ b/cmd/garnetline/limits.go
@@ -5,6 +5,7 @@
 	"runtime/debug"
 	"runtime/metrics"
 
+	"garnetline/internal/frontend/dnsfront"
 	"garnetline/internal/platformconfig"
 )
 
@@ -23,6 +24,8 @@
 	// minRuntimeBytes is the least memory that the runtime is limited to. With less, the garbage
 	// collector would run all the time.
 	minRuntimeBytes = 12 << 20
+	// minClientBytes is the least memory that may be held for clients, enough for some connections.
+	minClientBytes = 2 << 20
 	// clientConnectionShare and upstreamConnectionShare are fractions of the limit on file
 	// descriptors. The rest is for files, the admin API and the DNS front.
 	clientConnectionShare   = 0.6
@@ -32,6 +35,13 @@
 	unlimitedClientConnections = 1024
 	// maxAdminConnections is the limit on concurrent connections to the admin API.
 	maxAdminConnections = 12
+	// adminBytes is set aside for the connections to the admin API, which answers however much clients
+	// hold. A connection has its buffers, a head and a body.
+	adminBytes = maxAdminConnections * (100 << 10)
+	// dnsConnectionBytes and dnsQueryBytes are set aside for each TCP connection of the DNS front, whose
+	// messages have up to 64 KiB, and for each query that it answers at a time.
+	dnsConnectionBytes = 80 << 10
+	dnsQueryBytes      = 8 << 10
 )
 
 // memoryLimits are the limits that follow from the memory of one process.
@@ -40,19 +50,35 @@
 	clientBytes  int64 // limit of what is held for clients; 0: no limit
 }
 
-// newMemoryLimits returns the limits of one of the given number of processes, which share the
-// configured memory. A process that can be replaced leaves room for the start of its successor.
-func newMemoryLimits(limits platformconfig.Limits, processes int, replaceable bool) memoryLimits {
+// memoryShare says which part of the configured memory a process has, and what it sets aside.
+type memoryShare struct {
+	processes     int   // running processes of the router, which share the memory
+	replaceable   bool  // another process may be started beside this one
+	reservedBytes int64 // memory that is not available to clients
+}
+
+// newMemoryLimits returns the limits of one process. A process that can be replaced leaves room for the
+// start of its successor.
+func newMemoryLimits(limits platformconfig.Limits, part memoryShare) memoryLimits {
 	if limits.MemoryMB <= 0 {
 		return memoryLimits{}
 	}
 	total := int64(limits.MemoryMB) << 20
-	share := total / int64(processes)
-	if replaceable && processes == 1 {
+	share := total / int64(part.processes)
+	if part.replaceable && part.processes == 1 {
 		share = max(total-successorBytes, total/2)
 	}
 	runtimeBytes := max(int64(float64(share-programBytes)*runtimeShare), minRuntimeBytes)
-	return memoryLimits{runtimeBytes: runtimeBytes, clientBytes: int64(float64(runtimeBytes) * clientShare)}
+	clientBytes := int64(float64(runtimeBytes)*clientShare) - part.reservedBytes
+	return memoryLimits{runtimeBytes: runtimeBytes, clientBytes: max(clientBytes, minClientBytes)}
+}
+
+// reservedBytes returns the memory that the admin API and the DNS front need whatever clients hold.
+func reservedBytes(dns dnsfront.Config) int64 {
+	if !dns.Enabled {
+		return adminBytes
+	}
+	return adminBytes + int64(dns.MaxConnections)*dnsConnectionBytes + int64(dns.MaxInflight)*dnsQueryBytes
 }
 
 // applyProcessors sets the number of processors of the Go runtime.
--- a/cmd/garnetline/resources.go
+++ b/cmd/garnetline/resources.go
@@ -115,7 +115,11 @@
 
 func (r *resources) memoryLimits() memoryLimits {
 	platform := r.daemon.platform.Load()
-	return newMemoryLimits(platform.Limits, int(r.processes.Load()), platform.ListenFD != 0)
+	return newMemoryLimits(platform.Limits, memoryShare{
+		processes:     int(r.processes.Load()),
+		replaceable:   platform.ListenFD != 0,
+		reservedBytes: reservedBytes(r.daemon.startup.operators.DNS),
+	})
 }
 
 // reportMemory logs who holds the memory if reservations were refused since the last report, or if the
--- a/internal/soak/memory_test.go
+++ b/internal/soak/memory_test.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"regexp"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -59,10 +62,14 @@
 			usual := StartUsualClients(deployment.Addr, deadline)
 			crowd := StartCrowd(deployment.Addr, crowdConnections, played...)
 			time.Sleep(pictureDuration)
+			if _, err := process.Metrics(); err != nil {
+				t.Errorf("metrics while clients hold memory: %v", err)
+			}
 			crowd.Stop()
 			result := usual.Stop()
 			checkUsage(t, deployment.Limits, monitor.Stop())
 			checkUsual(t, result)
+			checkReleased(t, process)
 			if process.Exited() {
 				t.Errorf("process has exited; log: %s", process.Log.String())
 			}
@@ -70,6 +77,23 @@
 	}
 }
 
+// checkReleased checks that nothing is held for clients that have left.
+func checkReleased(t *testing.T, process *Process) {
+	t.Helper()
+	page := ""
+	for deadline := time.Now().Add(deadline); time.Now().Before(deadline); time.Sleep(readyPollInterval) {
+		page, _ = process.Metrics()
+		held := heldLine.FindAllString(page, -1)
+		if len(held) == 5 && !slices.ContainsFunc(held, func(line string) bool { return !strings.HasSuffix(line, " 0") }) {
+			return
+		}
+	}
+	t.Errorf("got memory held for clients that have left: %q", heldLine.FindAllString(page, -1))
+}
+
+// heldLine is a metric of memory that is held for clients.
+var heldLine = regexp.MustCompile(`(?m)^app_memory_held_bytes.*$`)
+
 func startDeployment(t *testing.T, limits Limits, kind Kind) *Deployment {
 	t.Helper()
 	deployment, err := NewDeployment(program, t.TempDir(), limits, kind, deadline)
