Bound connections at shutdown, and let the soak restart processes with sockets of their own

Cause: at shutdown the limit on connections did not apply, so a crowd in the backlog could take all descriptors and, before the budget, memory without bound.

Change: at shutdown a process accepts up to 0.66 of its descriptors (0.6 otherwise; 0.3 are for servers). The soak has plans in which each process binds the clients' socket itself: SIGTERM, the earliest kill, a new start after a second; usual clients go elsewhere from 0.4 s after SIGTERM on, as the platform sends them. Connections refused while nothing listens count as such, and are a finding where the platform holds the socket.

TestBacklogServedAtShutdown is unchanged.

--- a/cmd/garnetline/daemon_parts.go
+++ b/cmd/garnetline/daemon_parts.go
@@ -71,6 +71,8 @@
 		MaxConnections: func() int { return maxClientConnections(d.resources.limits()) },
 		Memory:         d.resources.budget,
 		RecordClient:   d.recorder != nil,
+
+		MaxShutdownConnections: func() int { return maxShutdownConnections(d.resources.limits()) },
 	})
 	return nil
 }
--- a/cmd/garnetline/limits.go
+++ b/cmd/garnetline/limits.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"math"
 	"runtime"
 	"runtime/debug"
 	"runtime/metrics"
@@ -30,6 +31,9 @@
 	// descriptors. The rest is for files, the admin API and the DNS front.
 	clientConnectionShare   = 0.6
 	upstreamConnectionShare = 0.3
+	// shutdownConnectionShare replaces clientConnectionShare at shutdown, so that connections in the backlog
+	// are served although all others are in use.
+	shutdownConnectionShare = 0.66
 	// unlimitedClientConnections is the limit on client connections if the configuration has no
 	// limit on file descriptors.
 	unlimitedClientConnections = 1024
@@ -113,6 +117,14 @@
 	return max(1, int(float64(limits.Sockets)*clientConnectionShare))
 }
 
+// maxShutdownConnections returns the limit on concurrent client connections at shutdown.
+func maxShutdownConnections(limits platformconfig.Limits) int {
+	if limits.Sockets == 0 {
+		return math.MaxInt
+	}
+	return max(1, int(float64(limits.Sockets)*shutdownConnectionShare))
+}
+
 // maxUpstreamConnections returns the limit on concurrent connections to servers, or 0 if the
 // configuration has no limit on file descriptors.
 func maxUpstreamConnections(limits platformconfig.Limits) int64 {
--- a/internal/frontend/httpfront/server.go
+++ b/internal/frontend/httpfront/server.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"runtime"
 	"sync"
@@ -53,6 +54,10 @@
 	// new connection.
 	MaxConnections func() int
 
+	// MaxShutdownConnections returns the maximum number of open connections at shutdown, when only the
+	// connections in the backlog are still accepted. Nil means no limit.
+	MaxShutdownConnections func() int
+
 	// Memory limits what the connections hold. Nil means no limit.
 	Memory *memorybudget.Budget
 
@@ -83,6 +88,9 @@
 
 // New returns a Server that accepts no connections until Serve is called.
 func New(o Options) *Server {
+	if o.MaxShutdownConnections == nil {
+		o.MaxShutdownConnections = func() int { return math.MaxInt }
+	}
 	return &Server{
 		Options:          o,
 		conns:            map[*conn]bool{},
@@ -170,13 +178,20 @@
 	}
 }
 
-// tryAdmit adds a connection if fewer than MaxConnections are open and the memory budget has room for
-// another one. Otherwise it evicts another connection and returns false. At shutdown MaxConnections
-// does not apply, because only the connections in the backlog are still accepted.
+// connectionLimit returns how many connections may be open now. The caller holds s.mu.
+func (s *Server) connectionLimit() int {
+	if s.shuttingDown.Load() {
+		return s.MaxShutdownConnections()
+	}
+	return s.MaxConnections()
+}
+
+// tryAdmit adds a connection if fewer than connectionLimit are open and the memory budget has room for
+// another one. Otherwise it evicts another connection and returns false.
 func (s *Server) tryAdmit(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	hasRoom := len(s.conns) < max(s.MaxConnections(), 1) || s.shuttingDown.Load()
+	hasRoom := len(s.conns) < max(s.connectionLimit(), 1)
 	if hasRoom && s.Memory.Reserve(memorybudget.Connections, connectionBytes, 0) == nil {
 		s.conns[c] = true
 		return true
@@ -206,7 +221,7 @@
 func (s *Server) EnforceConnectionLimit() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for excess := len(s.conns) - max(s.MaxConnections(), 1); excess > 0; excess-- {
+	for excess := len(s.conns) - max(s.connectionLimit(), 1); excess > 0; excess-- {
 		candidate := s.evictionCandidate()
 		if candidate == nil {
 			return
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -27,10 +27,18 @@
 	Sockets  int
 }
 
+// Options describe a deployment.
+type Options struct {
+	Limits    Limits
+	Kind      Kind          // of the class of writes
+	Deadline  time.Duration // of all classes
+	OwnSocket bool          // each process binds the clients' socket itself, so that two cannot run beside each other
+}
+
 // Deployment is one router, whose processes share a listening socket and a state directory, and the
 // servers and the change log that it uses.
 type Deployment struct {
-	Limits    Limits
+	Options
 	ChangeLog *fakeserver.ChangeLog
 	Servers   *Servers
 	Addr      string // address of the clients' socket
@@ -38,22 +46,22 @@
 	program    string
 	dir        string
 	configPath string
-	socket     *os.File
+	socket     *os.File // nil if each process binds its own
 	closers    []func() error
 }
 
 // NewDeployment starts the servers and the change log and writes the configuration. It starts no
 // process of the router.
-func NewDeployment(program, dir string, limits Limits, kind Kind, deadline time.Duration) (*Deployment, error) {
-	deployment := &Deployment{Limits: limits, program: program, dir: dir, configPath: filepath.Join(dir, "config.json")}
-	if err := deployment.start(kind, deadline); err != nil {
+func NewDeployment(program, dir string, options Options) (*Deployment, error) {
+	deployment := &Deployment{Options: options, program: program, dir: dir, configPath: filepath.Join(dir, "config.json")}
+	if err := deployment.start(); err != nil {
 		deployment.Close()
 		return nil, err
 	}
 	return deployment, nil
 }
 
-func (d *Deployment) start(kind Kind, deadline time.Duration) error {
+func (d *Deployment) start() error {
 	var err error
 	if d.ChangeLog, err = fakeserver.NewChangeLog(knownSequence); err != nil {
 		return err
@@ -66,10 +74,10 @@
 	if err := d.listen(); err != nil {
 		return err
 	}
-	return os.WriteFile(d.configPath, []byte(d.config(kind, deadline)), 0o600)
+	return os.WriteFile(d.configPath, []byte(d.config()), 0o600)
 }
 
-// listen opens the socket that all processes of the router inherit.
+// listen opens the socket that all processes of the router inherit, or finds an address for it.
 func (d *Deployment) listen() error {
 	var config net.ListenConfig
 	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -78,6 +86,9 @@
 	}
 	defer func() { _ = listener.Close() }()
 	d.Addr = listener.Addr().String()
+	if d.OwnSocket {
+		return nil
+	}
 	if d.socket, err = listener.(*net.TCPListener).File(); err != nil {
 		return err
 	}
@@ -110,7 +121,7 @@
 "limits":{"try_limit":6,"cancel":true,"retry_after":true,"max_retry_after_us":2000000},"rules":{"cold_from":0.15,"cold_us":16000000,"fall_multiple":3.0,"overload_for_us":1500000}}`
 
 // config returns the platform's configuration file.
-func (d *Deployment) config(kind Kind, deadline time.Duration) string {
+func (d *Deployment) config() string {
 	hosts := ""
 	for i, addr := range d.Servers.addrs {
 		name := "box"
@@ -126,7 +137,7 @@
 	return fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"1","limits":{"cores":1,"memory_mb":%d,"sockets":%d},"changelog":%q,
 "known":{"seq":%d,"results":[{"seq":%d,"fleet":{"seq":%d,"whole":true,"hosts":[%s]}}]},"settings":%s}`,
 		d.Addr, d.Limits.MemoryMB, d.Limits.Sockets, d.ChangeLog.Addr(), knownSequence, knownSequence, knownSequence, hosts,
-		fmt.Sprintf(settingsFormat, deadline.Microseconds(), string(kind)))
+		fmt.Sprintf(settingsFormat, d.Deadline.Microseconds(), string(d.Kind)))
 }
 
 // RestartServer announces that another process has the address and the id of a cache.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -41,8 +41,11 @@
 	}
 	process := &Process{AdminAddr: adminAddr, exited: make(chan struct{})}
 	process.cmd = exec.CommandContext(context.Background(), d.program, "serve", "--config", d.configPath)
-	process.cmd.Env = append(os.Environ(), "TMPDIR="+d.dir, "EDGE_MGMT="+adminAddr, fmt.Sprintf("EDGE_LISTEN_FD=%d", inheritedDescriptor))
-	process.cmd.ExtraFiles = []*os.File{d.socket}
+	process.cmd.Env = append(os.Environ(), "TMPDIR="+d.dir, "EDGE_MGMT="+adminAddr)
+	if d.socket != nil {
+		process.cmd.Env = append(process.cmd.Env, fmt.Sprintf("EDGE_LISTEN_FD=%d", inheritedDescriptor))
+		process.cmd.ExtraFiles = []*os.File{d.socket}
+	}
 	process.cmd.Stderr = &process.Log
 	process.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := process.cmd.Start(); err != nil {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -10,6 +10,7 @@
 // Times of the platform.
 const (
 	acceptAfterSignal = 700 * time.Millisecond // requests may still come this long after SIGTERM
+	newConnections    = 400 * time.Millisecond // new connections may still come this long after SIGTERM
 	longestKillDelay  = 3 * time.Second        // the kill waits for the longest deadline of a class, but not longer
 	restartPause      = time.Second            // between the end of a process and the start of the next one
 	earlyKillDelay    = 500 * time.Millisecond // a kill of a series comes at most this long after the process is ready
@@ -17,11 +18,9 @@
 
 // Plan is what one run does. It follows from its seed.
 type Plan struct {
-	Seed     uint64
-	Limits   Limits
-	Kind     Kind
-	Deadline time.Duration // deadline of all classes
-	Crowd    int           // connections that misbehave
+	Seed uint64
+	Options
+	Crowd    int // connections that misbehave
 	Pictures []Picture
 	Steps    []Step
 }
@@ -42,11 +41,14 @@
 func NewPlan(seed uint64) Plan {
 	random := rand.New(rand.NewPCG(seed, seed))
 	plan := Plan{
-		Seed:     seed,
-		Limits:   []Limits{{192, 1024}, {96, 1024}, {96, 512}}[random.IntN(3)],
-		Kind:     []Kind{Keyed, Unsafe}[random.IntN(2)],
-		Deadline: []time.Duration{600 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second}[random.IntN(3)],
-		Crowd:    []int{0, 60, plan600(random)}[random.IntN(3)],
+		Seed: seed,
+		Options: Options{
+			Limits:    []Limits{{192, 1024}, {96, 1024}, {96, 512}}[random.IntN(3)],
+			Kind:      []Kind{Keyed, Unsafe}[random.IntN(2)],
+			Deadline:  []time.Duration{600 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second}[random.IntN(3)],
+			OwnSocket: random.IntN(3) == 0,
+		},
+		Crowd: []int{0, 60, 300 + random.IntN(301)}[random.IntN(3)],
 	}
 	for range 1 + random.IntN(4) {
 		plan.Pictures = append(plan.Pictures, MemoryPictures[random.IntN(len(MemoryPictures))])
@@ -59,17 +61,14 @@
 	return plan
 }
 
-// plan600 returns a size of a crowd that leaves few descriptors to others.
-func plan600(random *rand.Rand) int { return 300 + random.IntN(301) }
-
 // String describes the plan in one line.
 func (p Plan) String() string {
 	names := make([]string, 0, len(p.Pictures))
 	for _, picture := range p.Pictures {
 		names = append(names, picture.Name)
 	}
-	return fmt.Sprintf("seed %d: %d MB, %d descriptors, writes %s, deadline %v, %d connections play %q, then %q",
-		p.Seed, p.Limits.MemoryMB, p.Limits.Sockets, p.Kind, p.Deadline, p.Crowd, names, p.Steps)
+	return fmt.Sprintf("seed %d: %d MB, %d descriptors, writes %s, deadline %v, own socket %v, %d connections play %q, then %q",
+		p.Seed, p.Limits.MemoryMB, p.Limits.Sockets, p.Kind, p.Deadline, p.OwnSocket, p.Crowd, names, p.Steps)
 }
 
 // Report is what a run showed.
@@ -95,7 +94,7 @@
 
 // Run carries out a plan with the given program. The error says that the run could not be carried out.
 func Run(program, dir string, plan Plan) (Report, error) {
-	deployment, err := NewDeployment(program, dir, plan.Limits, plan.Kind, plan.Deadline)
+	deployment, err := NewDeployment(program, dir, plan.Options)
 	if err != nil {
 		return Report{}, err
 	}
@@ -138,6 +137,9 @@
 func (r *run) perform(step Step) error {
 	switch step {
 	case StepUpgrade:
+		if r.plan.OwnSocket {
+			return r.restart()
+		}
 		return r.upgrade()
 	case StepKillSeries:
 		return r.killSeries()
@@ -166,6 +168,21 @@
 	return nil
 }
 
+// restart tells the process to end, kills it as early as the platform may, and starts another one.
+// Clients are sent elsewhere meanwhile.
+func (r *run) restart() error {
+	r.current.Signal(syscall.SIGTERM)
+	time.Sleep(newConnections)
+	r.usual.setPaused(true)
+	time.Sleep(acceptAfterSignal - newConnections + min(r.plan.Deadline, longestKillDelay))
+	r.repeater.noteKill()
+	r.current.Kill()
+	time.Sleep(restartPause)
+	err := r.start()
+	r.usual.setPaused(false)
+	return err
+}
+
 // killSeries kills the process, starts another one, kills that soon after it is ready, and starts a third.
 func (r *run) killSeries() error {
 	for range 2 {
@@ -200,6 +217,9 @@
 	if report.Usage.Descriptors > r.plan.Limits.Sockets {
 		findings = append(findings, fmt.Sprintf("%d descriptors in use, want at most %d", report.Usage.Descriptors, r.plan.Limits.Sockets))
 	}
+	if report.Usual.Refused > 0 && !r.plan.OwnSocket {
+		findings = append(findings, fmt.Sprintf("%d connections refused although the platform holds the socket", report.Usual.Refused))
+	}
 	for _, lost := range report.Usual.Lost {
 		findings = append(findings, "lost request of a usual client: "+lost)
 	}
--- a/internal/soak/usual.go
+++ b/internal/soak/usual.go
@@ -1,12 +1,14 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -26,6 +28,7 @@
 
 	mu     sync.Mutex
 	kills  []time.Time
+	paused bool // no request is started
 	result UsualResult
 	idle   []*client
 }
@@ -33,6 +36,7 @@
 // UsualResult tells what became of the requests of usual clients.
 type UsualResult struct {
 	Asked, Served int
+	Refused       int      // connections refused while no process listened
 	Excused       int      // requests without an answer that were open when a process was killed
 	Lost          []string // other requests without a complete answer in time
 	writes        []string // ids of writes
@@ -76,6 +80,8 @@
 		case <-u.stop:
 			return
 		case <-ticker.C:
+		}
+		if !u.isPaused() {
 			open.Go(func() { u.ask(sequence) })
 		}
 	}
@@ -100,6 +106,8 @@
 		u.result.writes = append(u.result.writes, asked.id)
 	}
 	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		u.result.Refused++
 	case err != nil && u.killedSince(start):
 		u.result.Excused++
 	case err != nil:
@@ -117,6 +125,19 @@
 	u.kills = append(u.kills, time.Now())
 }
 
+// setPaused stops or continues the start of requests.
+func (u *UsualClients) setPaused(paused bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.paused = paused
+}
+
+func (u *UsualClients) isPaused() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.paused
+}
+
 // killedSince reports whether a process was killed after start. The caller holds u.mu.
 func (u *UsualClients) killedSince(start time.Time) bool {
 	return len(u.kills) > 0 && u.kills[len(u.kills)-1].After(start)
