Leave descriptors for the start of a successor, and evict just the excess

EnforceConnectionLimit counted connections that were evicted already and evicted as many again at its next check.

Change: a process that can be replaced leaves 48 descriptors; evicted connections do not count as staying. TestLowerConnectionLimitEvictsExcess.

--- a/cmd/garnetline/limits.go
+++ b/cmd/garnetline/limits.go
@@ -16,6 +16,8 @@
 	programBytes = 17 << 20
 	// successorBytes is kept free for the start of a process that replaces this one.
 	successorBytes = 22 << 20
+	// successorSockets is the same for descriptors.
+	successorSockets = 48
 	// runtimeShare is the fraction of the remaining memory that the Go runtime may use. The kernel can
 	// count somewhat more than the runtime does.
 	runtimeShare = 0.90
@@ -103,9 +105,14 @@
 	}
 }
 
-// shareOfSockets returns the limits with this process's share of the descriptors.
-func shareOfSockets(limits platformconfig.Limits, processes int) platformconfig.Limits {
-	limits.Sockets /= processes
+// shareOfSockets returns the limits with this process's share of the descriptors. A process that can be
+// replaced leaves some for the start of its successor.
+func shareOfSockets(limits platformconfig.Limits, processes int, replaceable bool) platformconfig.Limits {
+	share := limits.Sockets / processes
+	if replaceable && processes == 1 && share > 0 {
+		share = max(share-successorSockets, share/2)
+	}
+	limits.Sockets = share
 	return limits
 }
 
--- a/cmd/garnetline/resources.go
+++ b/cmd/garnetline/resources.go
@@ -68,7 +68,8 @@
 
 // limits returns this process's share of the configured descriptors.
 func (r *resources) limits() platformconfig.Limits {
-	return shareOfSockets(r.daemon.platform.Load().Limits, int(r.processes.Load()))
+	platform := r.daemon.platform.Load()
+	return shareOfSockets(platform.Limits, int(r.processes.Load()), platform.ListenFD != 0)
 }
 
 // run follows the number of processes and watches the memory until ctx is done.
--- a/internal/frontend/httpfront/lifecycle_test.go
+++ b/internal/frontend/httpfront/lifecycle_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -306,3 +307,28 @@
 		})
 	}
 }
+
+// TestLowerConnectionLimitEvictsExcess checks that the server evicts just the connections beyond a limit
+// that has become lower, as it does when a second process begins to share the limits.
+func TestLowerConnectionLimitEvictsExcess(t *testing.T) {
+	server := newServer(&fakeDispatcher{response: servedX})
+	var limit atomic.Int64
+	limit.Store(4)
+	server.MaxConnections = func() int { return int(limit.Load()) }
+	conns := []net.Conn{dial(t, server)}
+	for range 3 {
+		conns = append(conns, connect(t, conns[0].RemoteAddr().String()))
+	}
+	for _, conn := range conns {
+		send(t, conn, getRequest(objectTarget))
+		readResponse(t, bufio.NewReader(conn), "x")
+	}
+	server.EnforceConnectionLimit()
+	limit.Store(1)
+	server.EnforceConnectionLimit()
+	server.EnforceConnectionLimit() // the evicted connections may not have ended yet
+	waitFor(t, "the connections beyond the limit are closed", func() bool { return server.connCount() == 1 })
+	if evicted := server.Metrics.Counter("connections_evicted").Load(); evicted != 3 {
+		t.Errorf("got %d evicted connections, want 3", evicted)
+	}
+}
--- a/internal/frontend/httpfront/server.go
+++ b/internal/frontend/httpfront/server.go
@@ -221,7 +221,13 @@
 func (s *Server) EnforceConnectionLimit() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for excess := len(s.conns) - max(s.connectionLimit(), 1); excess > 0; excess-- {
+	staying := 0
+	for c := range s.conns {
+		if !c.evicted {
+			staying++
+		}
+	}
+	for excess := staying - max(s.connectionLimit(), 1); excess > 0; excess-- {
 		candidate := s.evictionCandidate()
 		if candidate == nil {
 			return
