--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -186,11 +186,11 @@
 // killSeries kills the process, starts another one, kills that soon after it is ready, and starts a third.
 func (r *run) killSeries() error {
 	for range 2 {
-		r.usual.noteKill()
+		begin := time.Now()
 		r.repeater.noteKill()
 		r.current.Kill()
+		r.usual.noteKill(interval{begin, time.Now()})
 		time.Sleep(restartPause)
-		r.usual.noteKill() // what the dead process had accepted by then
 		if err := r.start(); err != nil {
 			return err
 		}
--- a/internal/soak/usual.go
+++ b/internal/soak/usual.go
@@ -27,7 +27,8 @@
 	stopped chan struct{}
 
 	mu     sync.Mutex
-	kills  []time.Time
+	kills  []interval
+	failed []failedRequest
 	paused bool // no request is started
 	result UsualResult
 	idle   []*client
@@ -52,6 +53,19 @@
 	return r.latencies[int(fraction*float64(len(r.latencies)-1))]
 }
 
+// interval is a span of time.
+type interval struct{ from, to time.Time }
+
+func (i interval) overlaps(other interval) bool {
+	return !i.to.Before(other.from) && !other.to.Before(i.from)
+}
+
+// failedRequest is a request without a complete answer.
+type failedRequest struct {
+	open interval // from its first byte until it failed
+	text string
+}
+
 // StartUsualClients starts the clients.
 func StartUsualClients(addr string, timeout time.Duration) *UsualClients {
 	clients := &UsualClients{addr: addr, timeout: timeout, stop: make(chan struct{}), stopped: make(chan struct{})}
@@ -63,6 +77,7 @@
 func (u *UsualClients) Stop() UsualResult {
 	close(u.stop)
 	<-u.stopped
+	u.judgeFailures()
 	for _, idle := range u.idle {
 		idle.close()
 	}
@@ -108,21 +123,34 @@
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		u.result.Refused++
-	case err != nil && u.killedSince(start):
-		u.result.Excused++
 	case err != nil:
-		u.result.Lost = append(u.result.Lost, fmt.Sprintf("%s after %v: %v", asked.id, took, err))
+		u.failed = append(u.failed, failedRequest{
+			open: interval{start, start.Add(took)},
+			text: fmt.Sprintf("%s after %v: %v", asked.id, took, err),
+		})
 	case got.status == http.StatusOK:
 		u.result.Served++
 		u.result.latencies = append(u.result.latencies, took)
 	}
 }
 
-// noteKill records that a process is killed without notice.
-func (u *UsualClients) noteKill() {
+// noteKill records that a process without notice was killed in the given time.
+func (u *UsualClients) noteKill(killed interval) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.kills = append(u.kills, time.Now())
+	u.kills = append(u.kills, killed)
+}
+
+// judgeFailures excuses the failed requests that were open when a process was killed. The others are
+// lost.
+func (u *UsualClients) judgeFailures() {
+	for _, failed := range u.failed {
+		if slices.ContainsFunc(u.kills, failed.open.overlaps) {
+			u.result.Excused++
+		} else {
+			u.result.Lost = append(u.result.Lost, failed.text)
+		}
+	}
 }
 
 // setPaused stops or continues the start of requests.
@@ -138,11 +166,6 @@
 	return u.paused
 }
 
-// killedSince reports whether a process was killed after start. The caller holds u.mu.
-func (u *UsualClients) killedSince(start time.Time) bool {
-	return len(u.kills) > 0 && u.kills[len(u.kills)-1].After(start)
-}
-
 // exchange sends a request on an idle connection or on a new one. If an idle connection ends before
 // the answer begins, the request crossed the close, and is sent once more.
 func (u *UsualClients) exchange(asked request, reuse bool) (answer, error) {
