--- a/internal/soak/standin.go
+++ b/internal/soak/standin.go
@@ -19,7 +19,7 @@
 )
 
 // errUsage reports arguments that RunStandin does not know.
-var errUsage = errors.New("usage: standin servers | standin crowd ADDRESS CONNECTIONS PICTURE...")
+var errUsage = errors.New("usage: standin servers | standin crowd ADDRESS CONNECTIONS PICTURE [PICTURE]")
 
 // RunStandin runs a command of the standin program until standard input ends.
 func RunStandin(arguments []string) error {
