Release a rejected request's memory at once, and drop what the change left over

- A request that could not be read kept its reservation while its connection lingered, up to 5.5 s, though nothing of it was kept. handleReadError releases it.
TestRejectedRequestHoldsNoMemory failed before (6,144 bytes of requests and 32,768 of bodies held).
- A comment and a counter were left of a limit on header lines that was taken out again; textconn.Conn.Buffered had one caller, inside; replayguard checked for a nil Guard that nothing makes.

--- a/internal/frontend/httpfront/header.go
+++ b/internal/frontend/httpfront/header.go
@@ -111,17 +111,17 @@
 	field  headerField // field of the last line, if used is set
 	used   bool        // the server uses the field of the last line
 	value  []byte      // value of the last line so far, if used is set
-	lines  int         // number of lines that were scanned
+	begun  bool        // a line that begins a field was scanned
 }
 
 // scanLine handles one line without its line end. It returns a textproto.ProtocolError if the line is
 // malformed.
 func (s *headerScanner) scanLine(line []byte) error {
-	s.lines++
 	if line[0] == ' ' || line[0] == '\t' {
 		return s.continueValue(line)
 	}
 	s.finishField()
+	s.begun = true
 	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found || !validFieldName(name) || !validFieldValue(value) {
 		return errMalformedHeader
@@ -134,7 +134,7 @@
 }
 
 func (s *headerScanner) continueValue(line []byte) error {
-	if s.lines == 1 || !validFieldValue(line) {
+	if !s.begun || !validFieldValue(line) {
 		return errMalformedHeader
 	}
 	if s.used {
--- a/internal/frontend/httpfront/lifecycle_test.go
+++ b/internal/frontend/httpfront/lifecycle_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"garnetline/internal/dispatch"
+	"garnetline/internal/memorybudget"
 )
 
 // TestStopAccepting checks that after StopAccepting, the server serves one more request on each
@@ -332,3 +333,24 @@
 		t.Errorf("got %d evicted connections, want 3", evicted)
 	}
 }
+
+// TestRejectedRequestHoldsNoMemory checks that a rejected request holds no memory while its connection
+// lingers.
+func TestRejectedRequestHoldsNoMemory(t *testing.T) {
+	server := newServer(&fakeDispatcher{})
+	server.Memory = memorybudget.New(1<<20, server.Metrics)
+	conn := dial(t, server)
+	head := strings.Replace(putRequest(0), "Content-Length: 0", "Transfer-Encoding: chunked", 1)
+	send(t, conn, head+"4e20\r\n"+strings.Repeat("b", 20_000)+"\r\nmalformed\r\n")
+	if status, err := bufio.NewReader(conn).ReadString('\n'); err != nil || status != "HTTP/1.1 400 Bad Request\r\n" {
+		t.Fatalf("got status line %q, error %v, want 400", status, err)
+	}
+	for _, account := range []memorybudget.Account{memorybudget.Requests, memorybudget.Bodies} {
+		if held := server.Memory.Usage().Accounts[account].Bytes; held != 0 {
+			t.Errorf("got %d bytes of %v held for a rejected request, want none", held, account)
+		}
+	}
+	if server.connCount() != 1 {
+		t.Error("the connection has ended, want it to linger")
+	}
+}
--- a/internal/frontend/httpfront/read.go
+++ b/internal/frontend/httpfront/read.go
@@ -22,7 +22,7 @@
 	continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 )
 
-// errHeaderTooLong rejects a request whose header has too many bytes or lines.
+// errHeaderTooLong rejects a request whose header has too many bytes.
 var errHeaderTooLong = &requestError{status: http.StatusRequestHeaderFieldsTooLarge, message: "head too long"}
 
 // request is an HTTP request that was read from a connection and is not validated yet.
--- a/internal/frontend/httpfront/response.go
+++ b/internal/frontend/httpfront/response.go
@@ -128,6 +128,7 @@
 	if !errors.As(err, &rejection) {
 		return
 	}
+	c.releaseRequest() // nothing of the request is kept while the connection lingers
 	c.server.Metrics.Add("requests_malformed", 1)
 	if !c.writeError(&request{closeAfter: true}, rejection) {
 		return
--- a/internal/replayguard/guard.go
+++ b/internal/replayguard/guard.go
@@ -39,7 +39,7 @@
 // fileMode is the mode of the files.
 const fileMode = 0o600
 
-// Guard is the table of one process. A nil Guard remembers nothing.
+// Guard is the table of one process.
 type Guard struct {
 	metrics *metrics.Registry
 	table   [tableBytes]byte
@@ -89,7 +89,7 @@
 // id. ok is false if it sent none.
 func (g *Guard) ExecutedHere(id string) (at float64, ok bool) {
 	number, valid := parseID(id)
-	if g == nil || !valid {
+	if !valid {
 		return 0, false
 	}
 	return bucket(g.bucket(number)).find(number)
@@ -98,7 +98,7 @@
 // ExecutedElsewhere reports whether another process of the router has sent a request with the id.
 func (g *Guard) ExecutedElsewhere(id string) bool {
 	number, valid := parseID(id)
-	if g == nil || !valid || g.dir == "" {
+	if !valid || g.dir == "" {
 		return false
 	}
 	for slot := range processgroup.MaxProcesses {
@@ -140,7 +140,7 @@
 // Record remembers that a request with the id is sent at the given time, unless it is known already.
 func (g *Guard) Record(id string, at float64) {
 	number, valid := parseID(id)
-	if g == nil || !valid {
+	if !valid {
 		return
 	}
 	entries := bucket(g.bucket(number))
@@ -156,7 +156,7 @@
 // Forget removes an id whose request no server has executed.
 func (g *Guard) Forget(id string) {
 	number, valid := parseID(id)
-	if g == nil || !valid {
+	if !valid {
 		return
 	}
 	bucket(g.bucket(number)).remove(number)
--- a/internal/textconn/readahead.go
+++ b/internal/textconn/readahead.go
@@ -76,10 +76,6 @@
 // the reader may call HasReadAhead.
 func (c *Conn) HasReadAhead() bool { return len(c.readAhead) > 0 }
 
-// Buffered reports whether bytes of the peer wait for the reader without a read from the socket. Only
-// the reader may call Buffered.
-func (c *Conn) Buffered() bool { return c.R.Buffered() > 0 || c.HasReadAhead() }
-
 // Discarded reports whether ReadAhead discarded bytes. If it did, the reader cannot interpret later
 // bytes on the connection. Any goroutine may call Discarded.
 func (c *Conn) Discarded() bool { return c.discarded.Load() }
@@ -91,7 +87,7 @@
 // the socket. Without Readable, a connection could be closed although a complete request waits in
 // the socket.
 func (c *Conn) Readable() bool {
-	if c.Buffered() {
+	if c.R.Buffered() > 0 || c.HasReadAhead() {
 		return true
 	}
 	socket, ok := c.NetConn.(syscall.Conn)
