--- a/cmd/garnetline/admin.go
+++ b/cmd/garnetline/admin.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"os"
+
 	"garnetline/internal/admin"
 	"garnetline/internal/dispatch"
+	"garnetline/internal/procstat"
 )
 
 // adminHandler returns the handler of the admin API. If the fleet keeps bans in the lease registry,
@@ -51,7 +54,7 @@
 		HeapBytes:          heapBytes(),
 		WatchFrames:        d.counter("changelog_frames"),
 		Processes:          d.resources.processes.Load(),
-		ResidentBytes:      residentBytes(),
+		ResidentBytes:      procstat.ResidentBytes(os.Getpid()),
 	}
 	usage := d.resources.budget.Usage()
 	values.MemoryBudgetBytes = usage.Limit
--- a/cmd/garnetline/resources.go
+++ b/cmd/garnetline/resources.go
@@ -1,16 +1,15 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"os"
-	"strconv"
 	"sync/atomic"
 	"time"
 
 	"garnetline/internal/memorybudget"
 	"garnetline/internal/platformconfig"
 	"garnetline/internal/processgroup"
+	"garnetline/internal/procstat"
 )
 
 const (
@@ -130,7 +129,7 @@
 		return
 	}
 	usage := r.budget.Usage()
-	resident := residentBytes()
+	resident := procstat.ResidentBytes(os.Getpid())
 	limit := int64(r.daemon.platform.Load().Limits.MemoryMB) << 20 / r.processes.Load()
 	nearLimit := float64(resident) >= nearLimitShare*float64(limit)
 	if !nearLimit && usage.Refused() == r.refused {
@@ -146,20 +145,3 @@
 	r.refused = usage.Refused()
 	r.reportedAt = time.Now()
 }
-
-// residentBytes returns the memory of this process as the system counts it, or 0 if it cannot be read.
-func residentBytes() int64 {
-	text, err := os.ReadFile("/proc/self/statm")
-	if err != nil {
-		return 0
-	}
-	fields := bytes.Fields(text)
-	if len(fields) < 2 {
-		return 0
-	}
-	pages, err := strconv.ParseInt(string(fields[1]), 10, 64)
-	if err != nil {
-		return 0
-	}
-	return pages * int64(os.Getpagesize())
-}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
@@ -119,23 +117,6 @@
 	return ok && status.Signaled()
 }
 
-// residentBytes returns the resident memory of the process, files included, or 0 if it has exited.
-func (p *Process) residentBytes() int64 {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	fields := strings.Fields(string(text))
-	if len(fields) < 2 {
-		return 0
-	}
-	pages, err := strconv.ParseInt(fields[1], 10, 64)
-	if err != nil {
-		return 0
-	}
-	return pages * int64(os.Getpagesize())
-}
-
 // descriptors returns how many descriptors the process holds, or 0 if it has exited.
 func (p *Process) descriptors() int {
 	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
--- a/internal/soak/usage.go
+++ b/internal/soak/usage.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"garnetline/internal/procstat"
 )
 
 const sampleInterval = 10 * time.Millisecond
@@ -65,7 +67,7 @@
 		if process.Exited() {
 			continue
 		}
-		current.ResidentBytes += process.residentBytes()
+		current.ResidentBytes += procstat.ResidentBytes(process.cmd.Process.Pid)
 		current.Descriptors += process.descriptors()
 	}
 	m.peak.ResidentBytes = max(m.peak.ResidentBytes, current.ResidentBytes)
