Let the fake change log's test close a connection that was accepted

Trace: it closed the change log right after its write. If the accept loop had not taken the connection yet, the system resets what waits at the closed listener.

The test now reads the heartbeat that follows its request, so that the connection was accepted, and wants the end of the stream as before: as strict.

--- a/internal/fakeserver/changelog_test.go
+++ b/internal/fakeserver/changelog_test.go
@@ -118,10 +118,11 @@
 	changeLog := startChangeLog(t)
 	conn := dial(t, changeLog)
 	write(t, conn, requestFrom(4))
+	expectBytes(t, conn, decodeHex(t, "00000009"+"0000000000000004"+"00")) // the change log has accepted the connection
 	if err := changeLog.Close(); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := io.Copy(io.Discard, conn); err != nil { // a heartbeat may have been sent
+	if _, err := io.Copy(io.Discard, conn); err != nil { // another heartbeat may have been sent
 		t.Errorf("got error %v, want the end of the stream", err)
 	}
 }
