--- a/review/peers/main.go
+++ b/review/peers/peers.go
@@ -1,11 +1,6 @@
-// Command peers plays the clients, the caches and the platform of the cases 6 to 10 of the second
-// review against the project's own programs. Each case has a subcommand, which its run.sh starts:
-//
-//	peers CASE FOLDER
-//
-// It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With TROUBLE=0
-// in the environment it leaves the disruption out.
-package main
+// Package peers plays the clients, the caches and the platform of the cases 6 to 10 of the second review
+// against the project's own programs. The program of each case calls Main.
+package peers
 
 import (
 	"errors"
@@ -37,19 +32,23 @@
 	"slow-changelog":    playSlowChangeLog,
 	"hidden-request":    playHiddenRequest,
 	"upgrade":           playUpgrade,
+	"healed-partition":  playHealedPartition,
 }
 
-func main() {
-	status, err := play(os.Args[1:])
+// Main plays a scenario, writes record.txt to the folder that the first argument names, and ends the process.
+// It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With TROUBLE=0 in
+// the environment it leaves the disruption out.
+func Main(name string) {
+	status, err := play(name, os.Args[1:])
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "peers:", err)
+		fmt.Fprintln(os.Stderr, "review:", err)
 	}
 	os.Exit(status)
 }
 
-func play(args []string) (status int, err error) {
-	if len(args) != 2 || scenarios[args[0]] == nil {
-		return statusNotRun, errors.New("usage: peers CASE FOLDER")
+func play(name string, args []string) (status int, err error) {
+	if len(args) != 1 || scenarios[name] == nil {
+		return statusNotRun, errors.New("usage: caseN FOLDER")
 	}
 	seed := uint64(defaultSeed)
 	if text := os.Getenv("SEED"); text != "" {
@@ -57,7 +56,7 @@
 			return statusNotRun, err
 		}
 	}
-	stage, err := newStage(args[1], os.Getenv("TROUBLE") != "0", seed)
+	stage, err := newStage(args[0], os.Getenv("TROUBLE") != "0", seed)
 	if err != nil {
 		return statusNotRun, err
 	}
@@ -68,8 +67,8 @@
 	})
 	defer overtime.Stop()
 	defer stage.close()
-	stage.log.printf("case %s, trouble %t, seed %d", args[0], stage.trouble, seed)
-	breaks, err := scenarios[args[0]](stage)
+	stage.log.printf("case %s, trouble %t, seed %d", name, stage.trouble, seed)
+	breaks, err := scenarios[name](stage)
 	if err != nil {
 		stage.log.printf("the case could not run: %v", err)
 		return statusNotRun, err
--- a/review/peers/router.go
+++ b/review/peers/router.go
@@ -1,4 +1,4 @@
-package main
+package peers
 
 import (
 	"encoding/json"
@@ -95,6 +95,7 @@
 	config string   // path of the configuration file
 	state  string   // folder for TMPDIR
 	socket *os.File // the clients' listening socket, where the platform holds it
+	flags  string   // added to the run command
 }
 
 // newPlace makes the folders and the configuration of a router. If held is set, the platform holds the
@@ -149,7 +150,7 @@
 	}
 	defer func() { _ = output.Close() }()
 	started := &router{log: s.log, name: where.name, listen: where.listen, mgmt: mgmt, ended: make(chan struct{})}
-	started.cmd = exec.Command("/bin/sh", "-c", command)
+	started.cmd = exec.Command("/bin/sh", "-c", command+where.flags)
 	started.cmd.Dir = s.root
 	started.cmd.Env = append(os.Environ(), "EDGE_NAME="+where.name, "EDGE_LISTEN="+where.listen, "EDGE_MGMT="+mgmt,
 		"EDGE_CONFIG="+where.config, "TMPDIR="+where.state)
--- a/review/peers/stage.go
+++ b/review/peers/stage.go
@@ -1,4 +1,4 @@
-package main
+package peers
 
 import (
 	"fmt"
