--- a/review/peers/partition.go
+++ b/review/peers/partition.go
@@ -17,7 +17,7 @@
 const (
 	partitionTime = 6 * time.Second // split+mass: "for 6 s a zone is partitioned"
 	betweenCalls  = 2 * time.Second
-	afterHealing  = 20 * time.Second
+	afterHealing  = 45 * time.Second
 	joinTimeout   = 20 * time.Second
 	pacePerRouter = 40 * time.Millisecond
 )
