--- a/review/peers/peers.go
+++ b/review/peers/peers.go
@@ -66,6 +66,7 @@
 		os.Exit(statusNotRun)
 	})
 	defer overtime.Stop()
+	stage.closeOnSignal()
 	defer stage.close()
 	stage.log.printf("case %s, trouble %t, seed %d", name, stage.trouble, seed)
 	breaks, err := scenarios[name](stage)
--- a/review/peers/router.go
+++ b/review/peers/router.go
@@ -159,12 +159,9 @@
 		started.cmd.ExtraFiles = []*os.File{where.socket}
 	}
 	started.cmd.Stdout, started.cmd.Stderr = output, output
-	if err := started.cmd.Start(); err != nil {
+	if err := s.launch(started); err != nil {
 		return nil, err
 	}
-	s.mu.Lock()
-	s.routers = append(s.routers, started)
-	s.mu.Unlock()
 	s.log.printf("router %s: process %d started on %s: %s", where.name, started.pid(), where.listen, command)
 	go func() {
 		defer close(started.ended)
@@ -174,6 +171,20 @@
 	return started, nil
 }
 
+// launch starts the process, unless the case has ended.
+func (s *stage) launch(started *router) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return errors.New("the case has ended")
+	}
+	if err := started.cmd.Start(); err != nil {
+		return err
+	}
+	s.routers = append(s.routers, started)
+	return nil
+}
+
 func (r *router) pid() int { return r.cmd.Process.Pid }
 
 var runLine = regexp.MustCompile(`(?m)^run = "(.*)"`)
--- a/review/peers/stage.go
+++ b/review/peers/stage.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -34,6 +36,7 @@
 	mu      sync.Mutex
 	random  *rand.Rand
 	routers []*router
+	closed  bool // no further router may be started
 }
 
 func newStage(folder string, trouble bool, seed uint64) (*stage, error) {
@@ -69,11 +72,23 @@
 // newKey returns an idempotency key of 32 hex digits.
 func (s *stage) newKey() string { return s.newID() + s.newID() }
 
+// closeOnSignal ends the case, and all that it has started, when it is told to end.
+func (s *stage) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		s.log.printf("the case was told to end: %v", <-signals)
+		s.close()
+		os.Exit(statusNotRun)
+	}()
+}
+
 // close kills the routers that still run, by their ids, and removes the temporary folder.
 func (s *stage) close() {
 	s.mu.Lock()
 	routers := s.routers
 	s.routers = nil
+	s.closed = true
 	s.mu.Unlock()
 	for _, process := range routers {
 		process.kill()
