Benchmark reading a request without a socket

It covers the forms of a request: a read, a long head, an absolute target, a sized and a chunked body.

--- a/internal/frontend/httpfront/bench_test.go
+++ b/internal/frontend/httpfront/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"testing"
 
 	"garnetline/internal/dispatch"
@@ -58,3 +59,32 @@
 		}
 	}
 }
+
+// BenchmarkRead measures how long the server takes to read and validate a request. No socket is
+// involved.
+func BenchmarkRead(b *testing.B) {
+	chunked := strings.Replace(putRequest(0), "Content-Length: 0", "Transfer-Encoding: chunked", 1)
+	for name, text := range map[string]string{
+		"read":     getRequest(objectTarget, "X-Family: 17", `If-None-Match: "4be0c1927d55a6f3"`),
+		"browser":  getRequest(objectTarget, "User-Agent: Mozilla/5.0 (X11; Linux x86_64)", "Accept: */*", "Accept-Language: de", "Cache-Control: no-cache"),
+		"absolute": getRequest("http://backend.local" + objectTarget),
+		"write":    putRequest(2000) + strings.Repeat("a", 2000),
+		"chunked":  chunked + strings.Repeat("1f4\r\n"+strings.Repeat("a", 500)+"\r\n", 4) + "0\r\n\r\n",
+	} {
+		b.Run(name, func(b *testing.B) {
+			server := newServer(&fakeDispatcher{})
+			conn := server.newConn(&memoryConn{in: &repeatingReader{text: text}})
+			b.ReportAllocs()
+			for b.Loop() {
+				conn.text.LimitRead(maxHeaderBytes)
+				request, err := conn.readRequest()
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := server.parseRequest(request); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
