Log and count each rejected request with its reason

Change: requestError has a typed reason; requests_malformed_REASON counts it, and the log has "request rejected" with front, reason, status, text and client. A flood of them is cut to ten events a second by a sampler on the monotonic clock (those of zerolog use the wall clock and would be silent for as long as it is set back).

TestRejectionsSayTheirReason, TestThrottledLogger; the packages' tests and the linter pass.

--- a/cmd/garnetline/daemon_parts.go
+++ b/cmd/garnetline/daemon_parts.go
@@ -71,6 +71,7 @@
 		MaxConnections: func() int { return maxClientConnections(d.resources.limits()) },
 		Memory:         d.resources.budget,
 		RecordClient:   d.recorder != nil,
+		Log:            d.log.With().Str("front", "clients").Logger(),
 
 		MaxShutdownConnections: func() int { return maxShutdownConnections(d.resources.limits()) },
 	})
@@ -166,6 +167,7 @@
 		Clock:          d.clock,
 		Metrics:        d.metrics,
 		Handler:        d.adminHandler().Handle,
+		Log:            d.log.With().Str("front", "admin").Logger(),
 		MaxConnections: func() int { return maxAdminConnections },
 	})
 	go func() { d.serveErrors <- server.Serve(listener) }()
--- a/internal/frontend/httpfront/conn.go
+++ b/internal/frontend/httpfront/conn.go
@@ -151,17 +151,17 @@
 		return c.writeError(r, methodNotAllowed(http.MethodGet))
 	}
 	if c.server.healthChecksFail.Load() || !c.server.Ready() {
-		return c.writeError(r, &requestError{status: http.StatusServiceUnavailable, message: "not ready"})
+		return c.writeError(r, unavailable(reasonNotReady, "not ready"))
 	}
 	return c.writeMessage(r, http.StatusOK, contentTypeText, []byte("ok\n"))
 }
 
 // dispatchRequest submits a request to the dispatcher and writes its response.
 func (c *conn) dispatchRequest(r *request) bool {
-	dispatched, err := c.server.parseRequest(r)
-	if err != nil {
-		c.server.Metrics.Add("requests_malformed", 1)
-		return c.writeError(r, err)
+	dispatched, rejection := c.server.parseRequest(r)
+	if rejection != nil {
+		c.recordRejection(rejection)
+		return c.writeError(r, rejection)
 	}
 	c.setState(stateActive, true, 0)
 	openRequests := c.server.Metrics.Counter("requests_open")
@@ -181,7 +181,7 @@
 	}
 	r.clientDeadline = dispatched.Deadline + responseMarginMs // computed before Submit, because after Submit the dispatcher owns the request
 	if !c.server.Dispatcher.Submit(dispatched) {
-		return c.writeError(r, &requestError{status: http.StatusServiceUnavailable, message: "stopping"})
+		return c.writeError(r, unavailable(reasonStopping, "stopping"))
 	}
 	return c.awaitResponse(r, dispatched, responses)
 }
--- a/internal/frontend/httpfront/memory.go
+++ b/internal/frontend/httpfront/memory.go
@@ -1,7 +1,6 @@
 package httpfront
 
 import (
-	"net/http"
 	"time"
 
 	"garnetline/internal/memorybudget"
@@ -17,10 +16,6 @@
 // evicts connections that hold memory and make no progress.
 const memoryPatience = 200 * time.Millisecond
 
-// errOutOfMemory rejects a request for which the memory budget has no room. The request was not
-// forwarded, so the client may retry it.
-var errOutOfMemory = &requestError{status: http.StatusServiceUnavailable, message: "out of memory: a retry is harmless"}
-
 // reserve reserves memory of the connection's current request. The error is a *requestError.
 func (c *conn) reserve(account memorybudget.Account, bytes int64) error {
 	c.text.LeaveGate()
--- a/internal/frontend/httpfront/parse.go
+++ b/internal/frontend/httpfront/parse.go
@@ -22,18 +22,18 @@
 	fieldTransactionID, fieldClientTimeout, fieldIdempotencyKey, fieldGroup, fieldObjectSize,
 }
 
-// parseRequest validates a request for an object and converts it to a dispatcher's request. An
-// error is a *requestError. If a request has several errors, the first check that fails decides the
+// parseRequest validates a request for an object and converts it to a dispatcher's request. If a
+// request has several errors, the first check that fails decides the
 // status of the response. The order of the checks therefore matters.
-func (s *Server) parseRequest(r *request) (*dispatch.Request, error) {
+func (s *Server) parseRequest(r *request) (*dispatch.Request, *requestError) {
 	className, objectText, ok := splitPath(r.path)
 	if !ok {
-		return nil, &requestError{status: http.StatusNotFound, message: "no such path"}
+		return nil, notFound("no such path")
 	}
 	classes := s.Classes()
 	classIndex := findClass(classes, className)
 	if classIndex < 0 {
-		return nil, &requestError{status: http.StatusNotFound, message: "unknown class"}
+		return nil, notFound("unknown class")
 	}
 	class := &classes[classIndex]
 	if method := methodOf(class); r.method != method {
@@ -44,7 +44,7 @@
 		return nil, err
 	}
 	if !class.Write && len(r.body) > 0 {
-		return nil, badRequest("body: none wanted")
+		return nil, badRequest(reasonUnwantedBody, "body: none wanted")
 	}
 	dispatched := &dispatch.Request{Class: classIndex, Object: object, Transport: s.Transport, Body: r.body}
 	if dispatched.Chunk, err = parseChunk(r.query); err != nil {
@@ -91,19 +91,19 @@
 	return id, err == nil && len(text) == hexIDLength && text == strings.ToLower(text)
 }
 
-func parseObjectID(text string) (routing.ObjectID, error) {
+func parseObjectID(text string) (routing.ObjectID, *requestError) {
 	object, ok := parseHexID(text)
 	if !ok || object == 0 {
-		return 0, badRequest("object: not 16 hex digits")
+		return 0, badRequest(reasonObject, "object: not 16 hex digits")
 	}
 	return routing.ObjectID(object), nil
 }
 
 // parseChunk returns the chunk number in a query string, or 0 if the query string has none.
-func parseChunk(query string) (int, error) {
+func parseChunk(query string) (int, *requestError) {
 	values, err := url.ParseQuery(query)
 	if err != nil || len(values[chunkParameter]) > 1 {
-		return 0, badRequest("query: malformed")
+		return 0, badRequest(reasonQuery, "query: malformed")
 	}
 	if !values.Has(chunkParameter) {
 		return 0, nil
@@ -111,22 +111,21 @@
 	text := values.Get(chunkParameter)
 	chunk, err := strconv.ParseUint(text, 10, 31)
 	if err != nil || strconv.FormatUint(chunk, 10) != text {
-		return 0, badRequest("block: not a number")
+		return 0, badRequest(reasonQuery, "block: not a number")
 	}
 	return int(chunk), nil
 }
 
-// parseHeaders copies the values of the protocol's headers into dispatched. An error is a
-// *requestError.
-func parseHeaders(dispatched *dispatch.Request, r *request, class *routing.Class) (err error) {
+// parseHeaders copies the values of the protocol's headers into dispatched.
+func parseHeaders(dispatched *dispatch.Request, r *request, class *routing.Class) (err *requestError) {
 	for _, field := range singleValueHeaders {
 		if r.header.count(field) > 1 {
-			return badRequest(headerFieldNames[field] + ": more than one")
+			return badRequest(reasonFieldValue, headerFieldNames[field]+": more than one")
 		}
 	}
 	dispatched.TransactionID = r.header.first(fieldTransactionID)
 	if _, ok := parseHexID(dispatched.TransactionID); !ok {
-		return badRequest("X-Txn: not 16 hex digits")
+		return badRequest(reasonFieldValue, "X-Txn: not 16 hex digits")
 	}
 	timeoutMs, err := parseClientTimeout(r.header.first(fieldClientTimeout))
 	if err != nil {
@@ -141,7 +140,7 @@
 	}
 	dispatched.IdempotencyKey = r.header.first(fieldIdempotencyKey)
 	if !validIdempotencyKey(dispatched.IdempotencyKey, class) {
-		return badRequest("X-Txn-Key: missing or malformed")
+		return badRequest(reasonFieldValue, "X-Txn-Key: missing or malformed")
 	}
 	if !class.Write {
 		dispatched.IfNoneMatch = parseIfNoneMatch(&r.header)
@@ -150,29 +149,29 @@
 }
 
 // parseClientTimeout returns how many milliseconds the client waits for its response.
-func parseClientTimeout(text string) (float64, error) {
+func parseClientTimeout(text string) (float64, *requestError) {
 	timeoutMs, err := strconv.ParseUint(text, 10, 64)
 	if err != nil || timeoutMs == 0 || timeoutMs > maxClientTimeoutMs {
-		return 0, badRequest("X-Ttl-Ms: not a time")
+		return 0, badRequest(reasonFieldValue, "X-Ttl-Ms: not a time")
 	}
 	return min(float64(timeoutMs), clientTimeoutCapMs), nil
 }
 
 // parseGroup returns the group in the text of an X-Family header, or 0 if the text is empty.
-func parseGroup(text string) (int, error) {
+func parseGroup(text string) (int, *requestError) {
 	if text == "" {
 		return 0, nil
 	}
 	group, err := strconv.ParseUint(text, 10, 8)
 	if err != nil {
-		return 0, badRequest("X-Family: not 0 to 255")
+		return 0, badRequest(reasonFieldValue, "X-Family: not 0 to 255")
 	}
 	return int(group), nil
 }
 
 // parseObjectSize returns the object size in KB in X-Working-Set-Kb, or 0 if the request has no such
 // field.
-func parseObjectSize(h *header) (float64, error) {
+func parseObjectSize(h *header) (float64, *requestError) {
 	if h.count(fieldObjectSize) == 0 {
 		return 0, nil
 	}
@@ -180,7 +179,7 @@
 	size, err := strconv.ParseFloat(text, 64)
 	inRange := size >= 0 && size <= maxObjectSizeKB // false for NaN
 	if err != nil || strings.ContainsAny(text, "xXpP_") || !inRange {
-		return 0, badRequest("X-Working-Set-Kb: not a size")
+		return 0, badRequest(reasonFieldValue, "X-Working-Set-Kb: not a size")
 	}
 	return size, nil
 }
--- a/internal/frontend/httpfront/read.go
+++ b/internal/frontend/httpfront/read.go
@@ -22,9 +22,6 @@
 	continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 )
 
-// errHeaderTooLong rejects a request whose header has too many bytes.
-var errHeaderTooLong = &requestError{status: http.StatusRequestHeaderFieldsTooLarge, message: "head too long"}
-
 // request is an HTTP request that was read from a connection and is not validated yet.
 type request struct {
 	method, path, query string
@@ -51,7 +48,7 @@
 	}
 	hosts := r.header.count(fieldHost)
 	if hosts > 1 || protocol == protocolHTTP11 && hosts == 0 {
-		return nil, badRequest("Host: want one")
+		return nil, badRequest(reasonHost, "Host: want one")
 	}
 	r.closeAfter = r.header.closeRequested || protocol == protocolHTTP10
 	if err := c.readBody(r); err != nil {
@@ -81,14 +78,14 @@
 	method, rest, _ := strings.Cut(string(line), " ")
 	requestTarget, protocol, _ := strings.Cut(rest, " ")
 	if method == "" || strings.Contains(protocol, " ") {
-		return "", badRequest("malformed request line")
+		return "", badRequest(reasonRequestLine, "malformed request line")
 	}
 	if !strings.HasPrefix(protocol, protocolPrefix) || len(protocol) != len(protocolHTTP11) {
-		return "", badRequest("malformed request line")
+		return "", badRequest(reasonRequestLine, "malformed request line")
 	}
 	target, err := url.ParseRequestURI(requestTarget)
 	if err != nil {
-		return "", badRequest("malformed target")
+		return "", badRequest(reasonTarget, "malformed target")
 	}
 	r.method = method
 	r.path = target.EscapedPath()
@@ -143,11 +140,11 @@
 	case c.text.LimitExceeded():
 		return errHeaderTooLong
 	case errors.As(err, &malformed):
-		return badRequest("malformed header")
+		return badRequest(reasonHeader, "malformed header")
 	case isTimeout(err) && c.isEvictedForMemory():
 		return errOutOfMemory
 	case errors.Is(err, context.DeadlineExceeded), isTimeout(err):
-		return &requestError{status: http.StatusRequestTimeout, message: "request too slow"}
+		return errTooSlow
 	}
 	return errClientDisconnected
 }
@@ -157,9 +154,9 @@
 	encodings, lengths := r.header.count(fieldTransferEncoding), r.header.count(fieldContentLength)
 	switch {
 	case encodings > 0 && lengths > 0:
-		return badRequest("Content-Length and Transfer-Encoding")
+		return badRequest(reasonBodyLength, "Content-Length and Transfer-Encoding")
 	case encodings > 1, encodings == 1 && !strings.EqualFold(r.header.first(fieldTransferEncoding), "chunked"):
-		return &requestError{status: http.StatusNotImplemented, message: "Transfer-Encoding: unknown"}
+		return &requestError{status: http.StatusNotImplemented, reason: reasonBodyLength, message: "Transfer-Encoding: unknown"}
 	case encodings == 1:
 		return c.readChunkedBody(r)
 	case lengths == 0:
@@ -167,7 +164,7 @@
 	}
 	length, err := strconv.ParseUint(r.header.first(fieldContentLength), 10, 63)
 	if err != nil || lengths > 1 {
-		return badRequest("Content-Length: not a number")
+		return badRequest(reasonBodyLength, "Content-Length: not a number")
 	}
 	if length > maxBodyBytes {
 		return errBodyTooLong
@@ -199,7 +196,7 @@
 	if r.body, err = textconn.ReadAllOwned(chunks, maxBodyBytes+1, c.reserveBody); err != nil {
 		requestErr := c.requestReadError(err)
 		if errors.Is(requestErr, errClientDisconnected) {
-			return badRequest("malformed chunks")
+			return badRequest(reasonChunks, "malformed chunks")
 		}
 		return requestErr
 	}
--- a/internal/frontend/httpfront/request_test.go
+++ b/internal/frontend/httpfront/request_test.go
@@ -12,6 +12,8 @@
 
 	"garnetline/internal/clock"
 	"garnetline/internal/dispatch"
+	"garnetline/internal/fakeserver"
+	"garnetline/internal/logs"
 )
 
 // The server rejects malformed requests and does not submit them to the dispatcher.
@@ -207,3 +209,26 @@
 		}
 	})
 }
+
+// TestRejectionsSayTheirReason checks that a rejection is counted by its reason and logged with it, for a
+// message that is malformed and for one that cannot be used.
+func TestRejectionsSayTheirReason(t *testing.T) {
+	for text, reason := range map[string]string{
+		getRequest(objectTarget, "X-A : a"):             "header",
+		getRequest("/v1/part/xyz", "Connection: close"): "object",
+	} {
+		var log fakeserver.Output
+		options := newServer(&fakeDispatcher{}).Options
+		options.Log = *logs.New(&log)
+		server := New(options)
+		conn := dial(t, server)
+		send(t, conn, text)
+		mustReadResponse(t, bufio.NewReader(conn))
+		if got := server.Metrics.Counter("requests_malformed_" + reason).Load(); got != 1 {
+			t.Errorf("got %d rejections for the reason %s, want 1", got, reason)
+		}
+		if want := `"reason":"` + reason + `","status":400`; !strings.Contains(log.String(), want) {
+			t.Errorf("the log is %q, want an event with %s", log.String(), want)
+		}
+	}
+}
--- a/internal/frontend/httpfront/response.go
+++ b/internal/frontend/httpfront/response.go
@@ -28,34 +28,6 @@
 // response can be sent in that case.
 var errClientDisconnected = errors.New("client disconnected before its request was complete")
 
-// errBodyTooLong rejects a request whose body has more than maxBodyBytes.
-var errBodyTooLong = &requestError{
-	status:    http.StatusRequestEntityTooLarge,
-	message:   "body too long",
-	largeBody: true,
-}
-
-// requestError is an error that the server sends to the client as the response. Either the request
-// is at fault, or the server cannot serve requests now. A request is at fault if it is malformed,
-// arrives too slowly or has the id of an open request.
-type requestError struct {
-	status    int
-	message   string // the body of the response
-	allow     string // the allowed method if the request used another method, otherwise empty
-	largeBody bool   // the client may still send a large body
-}
-
-// Error returns the status and the message.
-func (e *requestError) Error() string { return strconv.Itoa(e.status) + " " + e.message }
-
-func badRequest(message string) *requestError {
-	return &requestError{status: http.StatusBadRequest, message: message}
-}
-
-func methodNotAllowed(allowed string) *requestError {
-	return &requestError{status: http.StatusMethodNotAllowed, message: allowed + " only", allow: allowed}
-}
-
 // reasonPhrases maps each status in use to its reason phrase. Some phrases differ from those of
 // net/http.
 var reasonPhrases = map[int]string{
@@ -90,7 +62,7 @@
 		}
 		return c.writeMessage(r, http.StatusServiceUnavailable, header, []byte(rejectedBody))
 	case dispatch.DuplicateID:
-		duplicate := &requestError{status: http.StatusConflict, message: "X-Txn: another request with it is open"}
+		duplicate := &requestError{status: http.StatusConflict, reason: reasonDuplicateID, message: "X-Txn: another request with it is open"}
 		return c.writeError(r, duplicate)
 	default:
 		return c.writeMessage(r, http.StatusBadGateway, contentTypeText, []byte(failedBody))
@@ -105,41 +77,6 @@
 	return header + "ETag: \"" + tag + "\"\r\n"
 }
 
-// writeError writes the response for a *requestError. It returns false if the response could not be
-// written. It also returns false if err is not a *requestError, because the client has then
-// disconnected.
-func (c *conn) writeError(r *request, err error) bool {
-	var rejection *requestError
-	if !errors.As(err, &rejection) {
-		return false
-	}
-	header := contentTypeText
-	if rejection.allow != "" {
-		header += "Allow: " + rejection.allow + "\r\n"
-	}
-	return c.writeMessage(r, rejection.status, header, []byte(rejection.message+"\n"))
-}
-
-// handleReadError writes the response to a request that could not be read completely. It then
-// lingers, so that the client can read the response. The linger timeout starts when the connection
-// is accepted, so a client cannot extend the timeout by sending slowly.
-func (c *conn) handleReadError(err error) {
-	var rejection *requestError
-	if !errors.As(err, &rejection) {
-		return
-	}
-	c.releaseRequest() // nothing of the request is kept while the connection lingers
-	c.server.Metrics.Add("requests_malformed", 1)
-	if !c.writeError(&request{closeAfter: true}, rejection) {
-		return
-	}
-	timeoutMs := lingerTimeoutMs
-	if rejection.largeBody {
-		timeoutMs = largeBodyLingerTimeoutMs
-	}
-	c.linger(c.remainingMs(timeoutMs))
-}
-
 // writeTimeoutMs returns the timeout for writing a response. It is the time that the client still
 // waits, so that a client on a slow link can read the whole response. It is at most the longest
 // deadline of any class and at least minWriteTimeoutMs.
--- a/internal/frontend/httpfront/server.go
+++ b/internal/frontend/httpfront/server.go
@@ -18,8 +18,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"garnetline/internal/clock"
 	"garnetline/internal/dispatch"
+	"garnetline/internal/logs"
 	"garnetline/internal/memorybudget"
 	"garnetline/internal/metrics"
 	"garnetline/internal/textconn"
@@ -61,6 +64,9 @@
 	// Memory limits what the connections hold. Nil means no limit.
 	Memory *memorybudget.Budget
 
+	// Log receives an event for each rejected request, up to ten a second. The zero value logs nothing.
+	Log zerolog.Logger
+
 	// RecordClient adds the client's address and trace context to the submitted requests.
 	RecordClient bool
 
@@ -73,9 +79,10 @@
 type Server struct {
 	Options
 	connections        sync.WaitGroup
-	keepAlivesDisabled atomic.Bool   // every response closes its connection
-	shuttingDown       atomic.Bool   // idle connections are closed
-	healthChecksFail   atomic.Bool   // set by FailHealthChecks
+	keepAlivesDisabled atomic.Bool // every response closes its connection
+	shuttingDown       atomic.Bool // idle connections are closed
+	healthChecksFail   atomic.Bool // set by FailHealthChecks
+	rejectionLog       zerolog.Logger
 	readers            textconn.Gate // limits the connections whose received bytes are processed at a time
 	serveDone          chan struct{} // closed when Serve returns
 	connectionClosed   chan struct{} // receives a value when a connection is closed
@@ -94,6 +101,7 @@
 	return &Server{
 		Options:          o,
 		conns:            map[*conn]bool{},
+		rejectionLog:     logs.Throttled(o.Log, o.Clock),
 		readers:          textconn.NewGate(readersPerProcessor * runtime.GOMAXPROCS(0)),
 		connectionClosed: make(chan struct{}, 1),
 		serveDone:        make(chan struct{}),
