Reject folded header lines

What callers saw: a header line that continues the one before was joined with it and passed on; others on the way may take it for a line of its own, or for a value without it.

Cause: the parser followed textproto. RFC 9112, 5.2 leaves a server the choice between a 400 and a join; a router has to choose the one that nobody reads in two ways.

Change: a line that begins with a space is a 400 with the reason "header". Since a line is a whole field now, the scanner that collected values is gone. FuzzHeader demands an error for such lines and compares the rest as before.

--- a/cmd/garnetline/malformed_request_test.go
+++ b/cmd/garnetline/malformed_request_test.go
@@ -19,6 +19,11 @@
 	name, message string
 	status        int
 }{
+	{"9112 2.2 CR in a value", "READ~FIELDS~X-A: a\rb~~", 400},
+	{"9112 2.2 two CR at the end of a line", "READ~FIELDS~X-A: a\r~~", 400},
+	{"9112 2.2 space before the first field", "READ~ X-A: a~FIELDS~~", 400},
+	{"9112 2.2 line of a space before the first field", "READ~ ~FIELDS~~", 400},
+	{"9112 2.2 line of a space before the request", " ~READ~FIELDS~~", 400},
 	{"9112 5.1 space before a colon", "READ~FIELDS~X-A : a~~", 400},
 	{"9112 5.1 tab before a colon", "READ~FIELDS~X-A\t: a~~", 400},
 	{"9112 5.1 space before the colon of Transfer-Encoding", "WRITE~FIELDS~Content-Length: 3~Transfer-Encoding : chunked~~0~~", 400},
@@ -29,6 +34,14 @@
 	{"9112 5.1 no colon", "READ~FIELDS~X-A~~", 400},
 	{"9110 5.6.2 name is no token", "READ~FIELDS~X(A): a~~", 400},
 	{"9110 5.6.2 name with a byte above 127", "READ~FIELDS~X-\xc3\xa9: a~~", 400},
+	{"9112 5.2 folded line", "READ~FIELDS~X-A: a~ b~~", 400},
+	{"9112 5.2 folded line with a tab", "READ~FIELDS~X-A: a~\tb~~", 400},
+	{"9112 5.2 folded line of a space", "READ~FIELDS~X-A: a~ ~~", 400},
+	{"9112 5.2 folded Transfer-Encoding", "WRITE~FIELDS~Transfer-Encoding:~ chunked~~0~~", 400},
+	{"9112 5.2 folded Content-Length", "WRITE~FIELDS~Content-Length:~ 3~~abc", 400},
+	{"9110 5.5 NUL in a value", "READ~FIELDS~X-A: a\x00b~~", 400},
+	{"9110 5.5 DEL in a value", "READ~FIELDS~X-A: a\x7fb~~", 400},
+	{"9110 5.5 control character before Transfer-Encoding's value", "WRITE~FIELDS~Transfer-Encoding: \x0bchunked~~0~~", 400},
 }
 
 // expandRequest replaces the placeholders of a message.
--- a/internal/frontend/httpfront/header.go
+++ b/internal/frontend/httpfront/header.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"net/textproto"
 	"strings"
 )
 
@@ -104,55 +103,24 @@
 	return 0, false
 }
 
-// headerScanner collects the lines of a header. A line that begins with a space or a tab continues
-// the value of the line before.
-type headerScanner struct {
-	header *header
-	field  headerField // field of the last line, if used is set
-	used   bool        // the server uses the field of the last line
-	value  []byte      // value of the last line so far, if used is set
-	begun  bool        // a line that begins a field was scanned
-}
-
-// scanLine handles one line without its line end. It returns a textproto.ProtocolError if the line is
-// malformed.
-func (s *headerScanner) scanLine(line []byte) error {
+// addLine parses a field line without its line end, and records the field if the server uses it.
+//
+// A line that begins with a space continues the one before (RFC 9112, section 5.2). It is rejected,
+// since others on the way may not join the two, and would read another value.
+func (h *header) addLine(line []byte) error {
 	if line[0] == ' ' || line[0] == '\t' {
-		return s.continueValue(line)
+		return errFoldedLine
 	}
-	s.finishField()
-	s.begun = true
 	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found || !validToken(name) || !validFieldValue(value) {
 		return errMalformedHeader
 	}
-	s.field, s.used = findHeaderField(name)
-	if s.used {
-		s.value = append(s.value[:0], bytes.Trim(value, " \t")...)
-	}
-	return nil
-}
-
-func (s *headerScanner) continueValue(line []byte) error {
-	if !s.begun || !validFieldValue(line) {
-		return errMalformedHeader
-	}
-	if s.used {
-		s.value = append(append(s.value, ' '), bytes.Trim(line, " \t")...)
+	if field, ok := findHeaderField(name); ok {
+		h.add(field, bytes.Trim(value, " \t"))
 	}
 	return nil
 }
 
-// finishField records the field of the last line. It is called at the end of the header too.
-func (s *headerScanner) finishField() {
-	if s.used {
-		s.header.add(s.field, s.value)
-	}
-	s.used = false
-}
-
-const errMalformedHeader = textproto.ProtocolError("malformed header line")
-
 // tokenBytes are the bytes of a token (RFC 9110, section 5.6.2).
 const tokenBytes = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ!#$%&'*+-.^_`|~"
 
--- a/internal/frontend/httpfront/header_test.go
+++ b/internal/frontend/httpfront/header_test.go
@@ -22,15 +22,15 @@
 
 func (c textConn) Read(p []byte) (int, error) { return c.reader.Read(p) }
 
-// hasSpaceInName reports whether a line of a header has a space in the name of its field. textproto
-// accepts such a name, which is no token.
-func hasSpaceInName(text []byte) bool {
+// mustBeRejected reports whether a header has a line that textproto accepts and the server must not: one
+// with a space in the name of its field, or one that continues the line before.
+func mustBeRejected(text []byte) bool {
 	for line := range bytes.Lines(text) {
 		name, _, _ := bytes.Cut(line, []byte(":"))
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return false
 		}
-		if line[0] != ' ' && line[0] != '\t' && bytes.ContainsAny(name, " \t") {
+		if bytes.ContainsAny(name, " \t") {
 			return true
 		}
 	}
@@ -57,9 +57,9 @@
 		connection.text.LimitRead(maxHeaderBytes)
 		var got header
 		gotErr := connection.readHeader(&got)
-		if hasSpaceInName(text) {
+		if mustBeRejected(text) {
 			if gotErr == nil {
-				t.Fatal("got no error for a name with a space")
+				t.Fatal("got no error for a name with a space or a folded line")
 			}
 			return
 		}
--- a/internal/frontend/httpfront/read.go
+++ b/internal/frontend/httpfront/read.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"net/http/httputil"
-	"net/textproto"
 	"net/url"
 	"strconv"
 	"strings"
@@ -113,17 +112,15 @@
 
 // readHeader reads header lines up to an empty line.
 func (c *conn) readHeader(h *header) error {
-	scanner := headerScanner{header: h}
 	for {
 		line, err := c.readLine()
 		if err == nil && len(line) > 0 {
-			err = scanner.scanLine(line)
+			err = h.addLine(line)
 		}
 		if err != nil {
 			return c.requestReadError(err)
 		}
 		if len(line) == 0 {
-			scanner.finishField()
 			return nil
 		}
 	}
@@ -132,15 +129,12 @@
 // requestReadError converts the error of a read to a *requestError, or to errClientDisconnected if
 // no response can reach the client.
 func (c *conn) requestReadError(err error) error {
-	var malformed textproto.ProtocolError
 	var rejection *requestError
 	switch {
 	case errors.As(err, &rejection):
 		return rejection
 	case c.text.LimitExceeded():
 		return errHeaderTooLong
-	case errors.As(err, &malformed):
-		return badRequest(reasonHeader, "malformed header")
 	case isTimeout(err) && c.isEvictedForMemory():
 		return errOutOfMemory
 	case errors.Is(err, context.DeadlineExceeded), isTimeout(err):
--- a/internal/frontend/httpfront/rejection.go
+++ b/internal/frontend/httpfront/rejection.go
@@ -69,6 +69,12 @@
 	return &requestError{status: http.StatusServiceUnavailable, reason: reason, message: message}
 }
 
+// errMalformedHeader rejects a request that has a malformed header line.
+var errMalformedHeader = badRequest(reasonHeader, "malformed header")
+
+// errFoldedLine rejects a request that has a header line which begins with a space.
+var errFoldedLine = badRequest(reasonHeader, "header: folded line")
+
 // errHeaderTooLong rejects a request whose header has too many bytes.
 var errHeaderTooLong = &requestError{
 	status:  http.StatusRequestHeaderFieldsTooLarge,
