Parse the request line by the grammar of HTTP/1.1

What callers saw: requests with a version such as HTTP/1.x, with "HTTP/1." and a CR, with a target of another scheme, with a user or without a host were passed on; a method with a CR or quotes, a fragment, and bytes that a URI may not have got 404, 405 or even 200 on a connection that stayed open.

Cause: only the prefix and the length of the version were checked, the method not at all, and the target by url.ParseRequestURI, which knows no schemes and accepts most bytes. A version after 1.1 needed no Host.

Change: requestline.go checks method, version and target by RFC 9112, 2.3 and 3, and by RFC 3986. A later minor version is read as 1.1, so it needs a Host too. A query with a bad percent sign is now a malformed target and ends the connection (golden row "query"; "two blocks" keeps the other text).

--- a/internal/frontend/httpfront/header.go
+++ b/internal/frontend/httpfront/header.go
@@ -121,28 +121,6 @@
 	return nil
 }
 
-// tokenBytes are the bytes of a token (RFC 9110, section 5.6.2).
-const tokenBytes = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ!#$%&'*+-.^_`|~"
-
-var isTokenByte = func() (set [256]bool) {
-	for i := range len(tokenBytes) {
-		set[tokenBytes[i]] = true
-	}
-	return set
-}()
-
-// validToken reports whether a text is a token, as the name of a field must be. A name followed by a
-// space is none: if the field were accepted as an unknown one, a server that ignores the space would read
-// it as the known one, and might find another request in the body.
-func validToken(text []byte) bool {
-	for _, b := range text {
-		if !isTokenByte[b] {
-			return false
-		}
-	}
-	return len(text) > 0
-}
-
 // validFieldValue reports whether a value has no control characters other than tabs.
 func validFieldValue(value []byte) bool {
 	const deleteCharacter = 0x7f
--- a/internal/frontend/httpfront/read.go
+++ b/internal/frontend/httpfront/read.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"net/http/httputil"
-	"net/url"
 	"strconv"
 	"strings"
 
@@ -13,17 +12,12 @@
 	"garnetline/internal/textconn"
 )
 
-const (
-	protocolPrefix = "HTTP/1."
-	protocolHTTP10 = "HTTP/1.0"
-	protocolHTTP11 = "HTTP/1.1"
-
-	continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
-)
+const continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 
 // request is an HTTP request that was read from a connection and is not validated yet.
 type request struct {
 	method, path, query string
+	minorVersion        int // of HTTP/1.x
 	header              header
 	body                []byte
 	closeAfter          bool    // the connection is closed after the response
@@ -38,18 +32,16 @@
 	if err := c.reserve(memorybudget.Requests, requestBytes); err != nil {
 		return nil, err
 	}
-	protocol, err := c.readRequestLine(r)
-	if err != nil {
+	if err := c.readRequestLine(r); err != nil {
 		return nil, err
 	}
 	if err := c.readHeader(&r.header); err != nil {
 		return nil, err
 	}
-	hosts := r.header.count(fieldHost)
-	if hosts > 1 || protocol == protocolHTTP11 && hosts == 0 {
-		return nil, badRequest(reasonHost, "Host: want one")
+	if err := r.checkHost(); err != nil {
+		return nil, err
 	}
-	r.closeAfter = r.header.closeRequested || protocol == protocolHTTP10
+	r.closeAfter = r.header.closeRequested || r.minorVersion == 0
 	if err := c.readBody(r); err != nil {
 		return nil, err
 	}
@@ -64,32 +56,17 @@
 	return r, nil
 }
 
-// readRequestLine reads the method and the target into r and returns the protocol version. It
-// skips one empty line before the request.
-func (c *conn) readRequestLine(r *request) (protocol string, err error) {
+// readRequestLine reads the first line of a request into r. It skips one empty line before the request
+// (RFC 9112, section 2.2).
+func (c *conn) readRequestLine(r *request) error {
 	line, err := c.readLine()
 	if err == nil && len(line) == 0 {
 		line, err = c.readLine()
 	}
 	if err != nil {
-		return "", c.requestReadError(err)
-	}
-	method, rest, _ := strings.Cut(string(line), " ")
-	requestTarget, protocol, _ := strings.Cut(rest, " ")
-	if method == "" || strings.Contains(protocol, " ") {
-		return "", badRequest(reasonRequestLine, "malformed request line")
-	}
-	if !strings.HasPrefix(protocol, protocolPrefix) || len(protocol) != len(protocolHTTP11) {
-		return "", badRequest(reasonRequestLine, "malformed request line")
-	}
-	target, err := url.ParseRequestURI(requestTarget)
-	if err != nil {
-		return "", badRequest(reasonTarget, "malformed target")
+		return c.requestReadError(err)
 	}
-	r.method = method
-	r.path = target.EscapedPath()
-	r.query = target.RawQuery
-	return protocol, nil
+	return parseRequestLine(r, line)
 }
 
 // readLine reads a line of a head and returns it without its line end. The line is valid until the
@@ -126,6 +103,18 @@
 	}
 }
 
+// checkHost checks that the request has one Host field. HTTP/1.0 needs none (RFC 9112, section 3.2).
+func (r *request) checkHost() error {
+	hosts := r.header.count(fieldHost)
+	if hosts == 0 && r.minorVersion == 0 {
+		return nil
+	}
+	if hosts != 1 {
+		return badRequest(reasonHost, "Host: want one")
+	}
+	return nil
+}
+
 // requestReadError converts the error of a read to a *requestError, or to errClientDisconnected if
 // no response can reach the client.
 func (c *conn) requestReadError(err error) error {
--- a/internal/frontend/httpfront/response_test.go
+++ b/internal/frontend/httpfront/response_test.go
@@ -188,6 +188,7 @@
 		{"object", getRequest("/v1/part/xyz")},
 		{"body of a read", getRequest(objectTarget, "Content-Length: 1") + "x"},
 		{"query", getRequest("/v1/part/7f3a9c21e0b4d655?block=%")},
+		{"two blocks", getRequest("/v1/part/7f3a9c21e0b4d655?block=1&block=2")},
 		{"block", getRequest("/v1/part/7f3a9c21e0b4d655?block=-1")},
 		{"two times", getRequest(objectTarget, "X-Ttl-Ms: 1")},
 		{"txn", strings.Replace(getRequest(objectTarget), "2d41", "2d4", 1)},
