Reject a request whose Host field is no host

What callers saw: a Host field with a user, a path, a space, a malformed port or open brackets was passed on.

Cause: only the number of the fields was checked. RFC 9112, 3.2 asks for a 400 where the value is invalid; others on the way may route by what they read in it.

Change: the value is empty or a host, with or without a port (RFC 9110, 7.2; RFC 3986).

Six rows of RFC 9110, 7.2 failed before; all pass.

--- a/cmd/garnetline/malformed_request_test.go
+++ b/cmd/garnetline/malformed_request_test.go
@@ -73,6 +73,12 @@
 	{"9110 7.2 no Host in a later minor version", "GET /v1/part/00000000000000aa HTTP/1.2~X-Txn: TRANSACTION~X-Ttl-Ms: 3000~~", 400},
 	{"9110 7.2 no Host in absolute form", "GET http://x/v1/part/00000000000000aa HTTP/1.1~X-Txn: TRANSACTION~X-Ttl-Ms: 3000~~", 400},
 	{"9110 7.2 two Hosts", "READ~FIELDS~Host: x~~", 400},
+	{"9110 7.2 Host with a user", "READ~X-Txn: TRANSACTION~X-Ttl-Ms: 3000~Host: u@x~~", 400},
+	{"9110 7.2 Host with a path", "READ~X-Txn: TRANSACTION~X-Ttl-Ms: 3000~Host: x/y~~", 400},
+	{"9110 7.2 Host with a space", "READ~X-Txn: TRANSACTION~X-Ttl-Ms: 3000~Host: x y~~", 400},
+	{"9110 7.2 Host with a port that is no number", "READ~X-Txn: TRANSACTION~X-Ttl-Ms: 3000~Host: x:y~~", 400},
+	{"9110 7.2 Host with open brackets", "READ~X-Txn: TRANSACTION~X-Ttl-Ms: 3000~Host: [::1~~", 400},
+	{"9110 7.2 Host with two ports", "READ~X-Txn: TRANSACTION~X-Ttl-Ms: 3000~Host: x:1:2~~", 400},
 }
 
 // expandRequest replaces the placeholders of a message.
--- a/internal/frontend/httpfront/read.go
+++ b/internal/frontend/httpfront/read.go
@@ -103,7 +103,8 @@
 	}
 }
 
-// checkHost checks that the request has one Host field. HTTP/1.0 needs none (RFC 9112, section 3.2).
+// checkHost checks that the request has one valid Host field. HTTP/1.0 needs none, and the field is empty
+// where the target has no host (RFC 9112, section 3.2).
 func (r *request) checkHost() error {
 	hosts := r.header.count(fieldHost)
 	if hosts == 0 && r.minorVersion == 0 {
@@ -112,6 +113,9 @@
 	if hosts != 1 {
 		return badRequest(reasonHost, "Host: want one")
 	}
+	if host := r.header.first(fieldHost); host != "" && !validHost(host) {
+		return badRequest(reasonHost, "Host: malformed")
+	}
 	return nil
 }
 
