Read Transfer-Encoding as a list, and not in HTTP/1.0

What callers saw: a write of HTTP/1.0 with Transfer-Encoding was read as chunked and passed on. Codings that do not end with chunked, and chunked twice or with a parameter, had 501, which says that the length is known.

Cause: one field with the value "chunked" was read, whatever the version; everything else was 501. RFC 9112, 6.1 makes the framing of such an HTTP/1.0 message faulty, and 6.3 asks for a 400 where chunked is not the last coding.

Unknown codings before chunked stay 501. The golden row "encoding" (gzip alone) is a 400 now; "unknown encoding" has the 501.

--- a/internal/frontend/httpfront/header.go
+++ b/internal/frontend/httpfront/header.go
@@ -57,6 +57,7 @@
 // of the fields that a client sends.
 type header struct {
 	fields          [fieldCount]fieldValues
+	codings         transferCodings
 	closeRequested  bool // a Connection field has the token close
 	expectsContinue bool // an Expect field has the token 100-continue
 }
@@ -76,6 +77,8 @@
 		h.closeRequested = h.closeRequested || hasToken(value, "close")
 	case field == fieldExpect:
 		h.expectsContinue = h.expectsContinue || hasToken(value, "100-continue")
+	case field == fieldTransferEncoding:
+		h.codings.add(string(value))
 	case values.count == 1 && len(value) > maxValueBytes:
 		values.first = overlongValue
 	case values.count == 1:
--- a/internal/frontend/httpfront/read.go
+++ b/internal/frontend/httpfront/read.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"net/http/httputil"
-	"strconv"
-	"strings"
 
 	"garnetline/internal/memorybudget"
 	"garnetline/internal/textconn"
@@ -136,29 +133,6 @@
 	return errClientDisconnected
 }
 
-// readBody reads the body, if the header announces one.
-func (c *conn) readBody(r *request) error {
-	encodings, lengths := r.header.count(fieldTransferEncoding), r.header.count(fieldContentLength)
-	switch {
-	case encodings > 0 && lengths > 0:
-		return badRequest(reasonBodyLength, "Content-Length and Transfer-Encoding")
-	case encodings > 1, encodings == 1 && !strings.EqualFold(r.header.first(fieldTransferEncoding), "chunked"):
-		return &requestError{status: http.StatusNotImplemented, reason: reasonBodyLength, message: "Transfer-Encoding: unknown"}
-	case encodings == 1:
-		return c.readChunkedBody(r)
-	case lengths == 0:
-		return nil
-	}
-	length, err := strconv.ParseUint(r.header.first(fieldContentLength), 10, 63)
-	if err != nil || lengths > 1 {
-		return badRequest(reasonBodyLength, "Content-Length: not a number")
-	}
-	if length > maxBodyBytes {
-		return errBodyTooLong
-	}
-	return c.readSizedBody(r, int(length))
-}
-
 // readSizedBody reads a body of a known length.
 func (c *conn) readSizedBody(r *request, length int) error {
 	if err := c.writeContinue(r); err != nil {
--- a/internal/frontend/httpfront/response_test.go
+++ b/internal/frontend/httpfront/response_test.go
@@ -180,6 +180,7 @@
 		{"length", putRequest(1, "Content-Length: 2") + "x"},
 		{"length and chunks", putRequest(1, "Transfer-Encoding: chunked") + "x"},
 		{"encoding", strings.Replace(putRequest(0), "Content-Length: 0", "Transfer-Encoding: gzip", 1)},
+		{"unknown encoding", strings.Replace(putRequest(0), "Content-Length: 0", "Transfer-Encoding: gzip, chunked", 1)},
 		{"chunks", strings.Replace(putRequest(0), "Content-Length: 0", "Transfer-Encoding: chunked", 1) + "x\r\n"},
 		{"path", getRequest("/")},
 		{"class", getRequest("/v1/nothing/7f3a9c21e0b4d655")},
