Read chunks and trailers by their grammar alone

What callers saw: chunks with spaces after their size, with extensions of any form, and trailers of any kind were passed on: with LF as line end, with a space before the colon, folded, or with Content-Length, Transfer-Encoding, Host and the protocol's own fields in them.

Cause: httputil's reader strips spaces and drops extensions unread, and trailers were checked like a header whose fields nobody uses. Strict readers on the way reject such messages, lenient ones may see another message.

--- a/internal/frontend/httpfront/header.go
+++ b/internal/frontend/httpfront/header.go
@@ -22,6 +22,7 @@
 	fieldTraceParent
 	fieldConnection
 	fieldExpect
+	fieldTrailer
 	fieldCount
 )
 
@@ -39,6 +40,7 @@
 	fieldTraceParent:      "Traceparent",
 	fieldConnection:       "Connection",
 	fieldExpect:           "Expect",
+	fieldTrailer:          "Trailer",
 }
 
 // maxValueBytes is the length of the longest value that the server keeps. No valid value is longer.
@@ -56,10 +58,11 @@
 // header holds what the server uses of the header of a request. Its size does not depend on the number
 // of the fields that a client sends.
 type header struct {
-	fields          [fieldCount]fieldValues
-	codings         transferCodings
-	closeRequested  bool // a Connection field has the token close
-	expectsContinue bool // an Expect field has the token 100-continue
+	fields           [fieldCount]fieldValues
+	codings          transferCodings
+	closeRequested   bool // a Connection field has the token close
+	expectsContinue  bool // an Expect field has the token 100-continue
+	forbiddenTrailer bool // a Trailer field announces a field that must not be a trailer
 }
 
 // count returns how many times a field occurs.
@@ -77,6 +80,8 @@
 		h.closeRequested = h.closeRequested || hasToken(value, "close")
 	case field == fieldExpect:
 		h.expectsContinue = h.expectsContinue || hasToken(value, "100-continue")
+	case field == fieldTrailer:
+		h.forbiddenTrailer = h.forbiddenTrailer || namesForbiddenTrailer(value)
 	case field == fieldTransferEncoding:
 		h.codings.add(string(value))
 	case values.count == 1 && len(value) > maxValueBytes:
@@ -107,21 +112,30 @@
 }
 
 // addLine parses a field line without its line end, and records the field if the server uses it.
+func (h *header) addLine(line []byte) error {
+	name, value, err := parseFieldLine(line)
+	if err != nil {
+		return err
+	}
+	if field, ok := findHeaderField(name); ok {
+		h.add(field, value)
+	}
+	return nil
+}
+
+// parseFieldLine returns the name and the value of a field line without its line end.
 //
 // A line that begins with a space continues the one before (RFC 9112, section 5.2). It is rejected,
 // since others on the way may not join the two, and would read another value.
-func (h *header) addLine(line []byte) error {
+func parseFieldLine(line []byte) (name, value []byte, err error) {
 	if line[0] == ' ' || line[0] == '\t' {
-		return errFoldedLine
+		return nil, nil, errFoldedLine
 	}
 	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found || !validToken(name) || !validFieldValue(value) {
-		return errMalformedHeader
+		return nil, nil, errMalformedHeader
 	}
-	if field, ok := findHeaderField(name); ok {
-		h.add(field, bytes.Trim(value, " \t"))
-	}
-	return nil
+	return name, bytes.Trim(value, " \t"), nil
 }
 
 // validFieldValue reports whether a value has no control characters other than tabs.
--- a/internal/frontend/httpfront/header_test.go
+++ b/internal/frontend/httpfront/header_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/textproto"
+	"slices"
 	"strings"
 	"testing"
 
@@ -43,7 +44,7 @@
 	for _, text := range []string{
 		"Host: x\r\nX-Txn: a\r\n\r\n", "host:x\n\n", "X-Txn: a\r\n  b\r\n\tc \r\nX-Txn: d\r\n\r\n", " X-Txn: a\r\n\r\n", "X-Txn a\r\n\r\n",
 		"X-Txn : a\r\n\r\n", ":a\r\n\r\n", "Connection: keep-alive, Close\r\nExpect: 100-Continue\r\n\r\n", "X-Txn:\x00\r\n\r\n", "Host: \x7f\r\n\r\n",
-		"Host: x\r\n \r\n\r\n", "X-Ttl-Ms: 1\r\nOther: " + strings.Repeat("y", 5000) + "\r\n z\r\n\r\n", "H\xc3: a\r\n\r\n", "Host: x",
+		"Host: x\r\n \r\n\r\n", "Transfer-Encoding: gzip, chunked\r\nTrailer: Host\r\n\r\n", "X-Ttl-Ms: 1\r\nOther: " + strings.Repeat("y", 5000) + "\r\n z\r\n\r\n", "H\xc3: a\r\n\r\n", "Host: x",
 	} {
 		f.Add([]byte(text))
 	}
@@ -82,7 +83,7 @@
 		if got.fields[field].count != len(values) {
 			t.Errorf("got %d values of %s, want %q", got.fields[field].count, name, values)
 		}
-		isList := headerField(field) == fieldConnection || headerField(field) == fieldExpect
+		isList := slices.Contains([]headerField{fieldConnection, fieldExpect, fieldTransferEncoding, fieldTrailer}, headerField(field))
 		if len(values) == 0 || isList {
 			continue
 		}
@@ -94,6 +95,13 @@
 			t.Errorf("got %q as the first value of %s, want %q", got.fields[field].first, name, first)
 		}
 	}
+	var codings transferCodings
+	for _, value := range want["Transfer-Encoding"] {
+		codings.add(value)
+	}
+	if got.codings != codings {
+		t.Errorf("got codings %+v for %q, want %+v", got.codings, want["Transfer-Encoding"], codings)
+	}
 	joined := strings.Join(want["Connection"], ",")
 	if wantClose := hasToken([]byte(joined), "close"); got.closeRequested != wantClose {
 		t.Errorf("got closeRequested %v for %q, want %v", got.closeRequested, joined, wantClose)
--- a/internal/frontend/httpfront/read.go
+++ b/internal/frontend/httpfront/read.go
@@ -1,12 +1,12 @@
 package httpfront
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"errors"
-	"net/http/httputil"
 
 	"garnetline/internal/memorybudget"
-	"garnetline/internal/textconn"
 )
 
 const continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
@@ -66,19 +66,35 @@
 	return parseRequestLine(r, line)
 }
 
-// readLine reads a line of a head and returns it without its line end. The line is valid until the
-// next read.
+// readLine reads a line of a head and returns it without its line end, which may be CRLF or LF (RFC 9112,
+// section 2.2). At the end of the connection, or of the time, it returns what has arrived of the line. The line
+// is valid until the next read.
 func (c *conn) readLine() ([]byte, error) {
-	line, more, err := c.text.R.ReadLine()
-	if err != nil || !more {
+	line, err := c.readRawLine()
+	if len(line) == 0 || err != nil && c.text.LimitExceeded() {
+		return nil, err
+	}
+	if stripped, ok := cutCRLF(line); ok {
+		return stripped, nil
+	}
+	return bytes.TrimSuffix(line, []byte("\n")), nil
+}
+
+// cutCRLF removes CRLF from the end of a line. ok is false if the line ends without it.
+func cutCRLF(line []byte) (stripped []byte, ok bool) { return bytes.CutSuffix(line, []byte("\r\n")) }
+
+// readRawLine reads a line up to its LF. With an error it returns what was read before.
+func (c *conn) readRawLine() ([]byte, error) {
+	line, err := c.text.R.ReadSlice('\n')
+	if !errors.Is(err, bufio.ErrBufferFull) {
 		return line, err
 	}
 	if err := c.reserveLongLine(); err != nil {
 		return nil, err
 	}
 	long := append(make([]byte, 0, maxHeaderBytes), line...)
-	for more && err == nil {
-		line, more, err = c.text.R.ReadLine()
+	for errors.Is(err, bufio.ErrBufferFull) {
+		line, err = c.text.R.ReadSlice('\n')
 		long = append(long, line...)
 	}
 	return long, err
@@ -146,28 +162,6 @@
 	return nil
 }
 
-// readChunkedBody reads a body with chunked transfer encoding, and discards its trailers.
-func (c *conn) readChunkedBody(r *request) error {
-	if err := c.writeContinue(r); err != nil {
-		return err
-	}
-	c.text.LimitRead(maxChunkedBytes)
-	chunks := httputil.NewChunkedReader(c.text.R)
-	var err error
-	if r.body, err = textconn.ReadAllOwned(chunks, maxBodyBytes+1, c.reserveBody); err != nil {
-		requestErr := c.requestReadError(err)
-		if errors.Is(requestErr, errClientDisconnected) {
-			return badRequest(reasonChunks, "malformed chunks")
-		}
-		return requestErr
-	}
-	if len(r.body) > maxBodyBytes {
-		return errBodyTooLong
-	}
-	c.text.LimitRead(maxHeaderBytes)
-	return c.readHeader(&header{})
-}
-
 // writeContinue sends 100 Continue if the request's Expect header asks for it. A client that sends
 // this header waits for 100 Continue before it sends the body.
 func (c *conn) writeContinue(r *request) error {
--- a/internal/frontend/httpfront/rejection.go
+++ b/internal/frontend/httpfront/rejection.go
@@ -20,6 +20,7 @@
 	reasonHost          rejectionReason = "host"
 	reasonBodyLength    rejectionReason = "body_length"
 	reasonChunks        rejectionReason = "chunks"
+	reasonTrailer       rejectionReason = "trailer"
 	reasonHeaderTooLong rejectionReason = "header_too_long"
 	reasonBodyTooLong   rejectionReason = "body_too_long"
 	reasonTooSlow       rejectionReason = "too_slow"
