Reject unknown expectations, and send no 100 to HTTP/1.0

What callers saw: "Expect: 200-ok" was passed on as if it were met, and a client that speaks HTTP/1.0 got a 100 Continue that it does not know.

Change: 417 and the end of the connection for an unknown one; no 100 to HTTP/1.0. TestSoundRequestsAreServed has 20 sound messages in the forms that HTTP/1.1 allows, served with one attempt each.

--- a/cmd/garnetline/malformed_request_test.go
+++ b/cmd/garnetline/malformed_request_test.go
@@ -128,6 +128,31 @@
 	{"9110 7.2 Host with a port that is no number", "READ~X-Txn: TRANSACTION~X-Ttl-Ms: 3000~Host: x:y~~", 400},
 	{"9110 7.2 Host with open brackets", "READ~X-Txn: TRANSACTION~X-Ttl-Ms: 3000~Host: [::1~~", 400},
 	{"9110 7.2 Host with two ports", "READ~X-Txn: TRANSACTION~X-Ttl-Ms: 3000~Host: x:1:2~~", 400},
+	{"9110 10.1.1 unknown expectation", "WRITE~FIELDS~Expect: 200-ok~Content-Length: 3~~abc", 417},
+}
+
+// soundRequests are messages in unusual forms that HTTP/1.1 allows.
+var soundRequests = []struct{ name, message string }{
+	{"9112 2.2 empty line before the request", "~READ~FIELDS~~"},
+	{"9112 2.3 HTTP/1.0 without a Host", "GET /v1/part/00000000000000aa HTTP/1.0~X-Txn: TRANSACTION~X-Ttl-Ms: 3000~~"},
+	{"9112 2.3 later minor version", "GET /v1/part/00000000000000aa HTTP/1.9~FIELDS~~"},
+	{"9112 3.2 percent-encoded query", "GET /v1/part/00000000000000aa?block=%31 HTTP/1.1~FIELDS~~"},
+	{"9112 3.2.2 absolute form", "GET HTTP://x:80/v1/part/00000000000000aa?block=1 HTTP/1.1~FIELDS~~"},
+	{"9112 3.2.2 absolute form of https", "GET https://[::1]/v1/part/00000000000000aa HTTP/1.1~FIELDS~~"},
+	{"9112 5 no space, much space", "READ~FIELDS~X-A:a~X-B: \t b \t ~~"},
+	{"9112 5 names in other letters", "WRITE~FIELDS~cOnTeNt-LeNgTh: 3~~abc"},
+	{"9110 5.5 value with bytes above 127, and none", "READ~FIELDS~X-A: \xc3\xa9\x80:~X-B:~~"},
+	{"9110 5.6.2 name of each kind of character", "READ~FIELDS~09azAZ!#$%&'*+-.^_`|: a~~"},
+	{"9112 6.2 zeros before a length", "WRITE~FIELDS~Content-Length: 003~~abc"},
+	{"9112 7 chunked in other letters", "WRITE~FIELDS~Transfer-Encoding: \tChunked ~~3~abc~0~~"},
+	{"9112 7.1 zeros and capitals in sizes", "CHUNKED00a~0123456789~A~0123456789~000~~"},
+	{"9112 7.1 empty body", "CHUNKED0~~"},
+	{"9112 7.1.1 extensions", "CHUNKED3;a;b=c;d=\"\\\"; \xc3\"~abc~0 ;\te = f~~"},
+	{"9112 7.1.2 trailers", "WRITE~FIELDS~Trailer: X-A, X-B~Transfer-Encoding: chunked~~3~abc~0~X-A: a~x-b:~~"},
+	{"9110 7.2 Host with a port", "READ~X-Txn: TRANSACTION~X-Ttl-Ms: 3000~Host: a_b.%C3%A4:80~~"},
+	{"9110 7.2 Host with an address", "READ~X-Txn: TRANSACTION~X-Ttl-Ms: 3000~Host: [::1]:~~"},
+	{"9110 7.2 empty Host", "READ~X-Txn: TRANSACTION~X-Ttl-Ms: 3000~Host:~~"},
+	{"9110 10.1.1 expectation in HTTP/1.0", "PUT /v1/form/00000000000000aa HTTP/1.0~FIELDS~Expect: 100-continue~Content-Length: 3~~abc"},
 }
 
 // expandRequest replaces the placeholders of a message.
@@ -142,19 +167,26 @@
 	).Replace(message)
 }
 
-// TestMalformedRequestsReachNoServer guards against requests that are hidden in the body of another one: a
-// router that overlooks a Transfer-Encoding field with a space before its colon sends on the request with
-// that field, and the request that its body holds. Each malformed message, and the sound write behind it,
-// gets one rejection and the end of its connection, and reaches no server.
-func TestMalformedRequestsReachNoServer(t *testing.T) {
-	server := daemontest.NewServer(t, func(id, _ string) string { return fakeserver.Answer(id, "DONE", "-", servedBody) })
-	addr, _ := runDaemon(t, daemontest.Config{
+// startServingRouter starts a router whose only cache serves every request.
+func startServingRouter(t *testing.T) (server *fakeserver.Server, addr string) {
+	t.Helper()
+	server = daemontest.NewServer(t, func(id, _ string) string { return fakeserver.Answer(id, "DONE", "-", servedBody) })
+	addr, _ = runDaemon(t, daemontest.Config{
 		ChangeLog: daemontest.NewIdleChangeLog(t).Addr(),
 		Endpoints: []daemontest.Endpoint{
 			{ID: 1, Kind: daemontest.Cache, Addr: server.Addr()},
 			{ID: 9, Kind: daemontest.Origin, Addr: server.Addr()},
 		},
 	})
+	return server, addr
+}
+
+// TestMalformedRequestsReachNoServer guards against requests that are hidden in the body of another one: a
+// router that overlooks a Transfer-Encoding field with a space before its colon sends on the request with
+// that field, and the request that its body holds. Each malformed message, and the sound write behind it,
+// gets one rejection and the end of its connection, and reaches no server.
+func TestMalformedRequestsReachNoServer(t *testing.T) {
+	server, addr := startServingRouter(t)
 	for i, test := range malformedRequests {
 		t.Run(test.name, func(t *testing.T) {
 			before := len(server.Requests())
@@ -172,3 +204,21 @@
 		})
 	}
 }
+
+// TestSoundRequestsAreServed checks that the strictness about malformed messages costs no sound one: each is
+// served by one attempt, and the connection stays open unless the client speaks HTTP/1.0.
+func TestSoundRequestsAreServed(t *testing.T) {
+	server, addr := startServingRouter(t)
+	for i, test := range soundRequests {
+		t.Run(test.name, func(t *testing.T) {
+			before := len(server.Requests())
+			response := daemontest.Dial(t, addr).Exchange(t, expandRequest(test.message, i+1))
+			if wantClose := strings.Contains(test.message, "HTTP/1.0"); response.Status != 200 || response.Close != wantClose {
+				t.Errorf("got status %d, connection closed %v; want 200 and %v", response.Status, response.Close, wantClose)
+			}
+			if got := server.Requests()[before:]; len(got) != 1 {
+				t.Errorf("a server got %q, want one request", got)
+			}
+		})
+	}
+}
--- a/internal/frontend/httpfront/header.go
+++ b/internal/frontend/httpfront/header.go
@@ -62,6 +62,7 @@
 	codings          transferCodings
 	closeRequested   bool // a Connection field has the token close
 	expectsContinue  bool // an Expect field has the token 100-continue
+	expectsOther     bool // an Expect field has another expectation
 	forbiddenTrailer bool // a Trailer field announces a field that must not be a trailer
 }
 
@@ -79,7 +80,7 @@
 	case field == fieldConnection:
 		h.closeRequested = h.closeRequested || hasToken(value, "close")
 	case field == fieldExpect:
-		h.expectsContinue = h.expectsContinue || hasToken(value, "100-continue")
+		h.addExpectations(value)
 	case field == fieldTrailer:
 		h.forbiddenTrailer = h.forbiddenTrailer || namesForbiddenTrailer(value)
 	case field == fieldTransferEncoding:
@@ -91,10 +92,22 @@
 	}
 }
 
+// addExpectations records the elements of an Expect field.
+func (h *header) addExpectations(list []byte) {
+	for expectation := range bytes.SplitSeq(list, []byte(",")) {
+		switch expectation = bytes.Trim(expectation, " \t"); {
+		case strings.EqualFold(string(expectation), "100-continue"):
+			h.expectsContinue = true
+		case len(expectation) > 0:
+			h.expectsOther = true
+		}
+	}
+}
+
 // hasToken reports whether a comma-separated list contains a token, ignoring case.
 func hasToken(list []byte, token string) bool {
 	for element := range strings.SplitSeq(string(list), ",") {
-		if strings.EqualFold(strings.TrimSpace(element), token) {
+		if strings.EqualFold(strings.Trim(element, " \t"), token) {
 			return true
 		}
 	}
--- a/internal/frontend/httpfront/read.go
+++ b/internal/frontend/httpfront/read.go
@@ -38,6 +38,9 @@
 	if err := r.checkHost(); err != nil {
 		return nil, err
 	}
+	if r.header.expectsOther {
+		return nil, errExpectationFailed
+	}
 	r.closeAfter = r.header.closeRequested || r.minorVersion == 0
 	if err := c.readBody(r); err != nil {
 		return nil, err
@@ -163,9 +166,10 @@
 }
 
 // writeContinue sends 100 Continue if the request's Expect header asks for it. A client that sends
-// this header waits for 100 Continue before it sends the body.
+// this header waits for 100 Continue before it sends the body. One that speaks HTTP/1.0 does not know
+// the response (RFC 9110, section 10.1.1).
 func (c *conn) writeContinue(r *request) error {
-	if !r.header.expectsContinue {
+	if !r.header.expectsContinue || r.minorVersion == 0 {
 		return nil
 	}
 	c.text.LeaveGate()
--- a/internal/frontend/httpfront/rejection.go
+++ b/internal/frontend/httpfront/rejection.go
@@ -20,6 +20,7 @@
 	reasonHost          rejectionReason = "host"
 	reasonBodyLength    rejectionReason = "body_length"
 	reasonChunks        rejectionReason = "chunks"
+	reasonExpectation   rejectionReason = "expectation"
 	reasonTrailer       rejectionReason = "trailer"
 	reasonHeaderTooLong rejectionReason = "header_too_long"
 	reasonBodyTooLong   rejectionReason = "body_too_long"
@@ -76,6 +77,13 @@
 // errFoldedLine rejects a request that has a header line which begins with a space.
 var errFoldedLine = badRequest(reasonHeader, "header: folded line")
 
+// errExpectationFailed rejects a request that expects what the server does not know.
+var errExpectationFailed = &requestError{
+	status:  http.StatusExpectationFailed,
+	reason:  reasonExpectation,
+	message: "Expect: unknown",
+}
+
 // errHeaderTooLong rejects a request whose header has too many bytes.
 var errHeaderTooLong = &requestError{
 	status:  http.StatusRequestHeaderFieldsTooLarge,
--- a/internal/frontend/httpfront/response.go
+++ b/internal/frontend/httpfront/response.go
@@ -39,6 +39,7 @@
 	http.StatusRequestTimeout:              "Request Timeout",
 	http.StatusConflict:                    "Conflict",
 	http.StatusRequestEntityTooLarge:       "Content Too Large",
+	http.StatusExpectationFailed:           "Expectation Failed",
 	http.StatusRequestHeaderFieldsTooLarge: "Request Header Fields Too Large",
 	http.StatusNotImplemented:              "Not Implemented",
 	http.StatusBadGateway:                  "Bad Gateway",
