--- a/internal/frontend/httpfront/chunked.go
+++ b/internal/frontend/httpfront/chunked.go
@@ -113,10 +113,11 @@
 }
 
 // validChunkExtensions reports whether a text consists of extensions, each with a semicolon before its
-// name (RFC 9112, section 7.1.1).
+// name (RFC 9112, section 7.1.1). Spaces before a semicolon, which the grammar has for the sake of old
+// senders, are rejected as by net/http.
 func validChunkExtensions(text string) bool {
 	for text != "" {
-		rest, found := strings.CutPrefix(trimLeftSpace(text), ";")
+		rest, found := strings.CutPrefix(text, ";")
 		if !found {
 			return false
 		}
@@ -124,12 +125,12 @@
 		if !found {
 			return false
 		}
+		text = rest
 		if value, hasValue := strings.CutPrefix(trimLeftSpace(rest), "="); hasValue {
-			if rest, found = cutTokenOrQuoted(trimLeftSpace(value)); !found {
+			if text, found = cutTokenOrQuoted(trimLeftSpace(value)); !found {
 				return false
 			}
 		}
-		text = rest
 	}
 	return true
 }
--- a/internal/frontend/httpfront/fakeconn_test.go
+++ b/internal/frontend/httpfront/fakeconn_test.go
@@ -66,6 +66,7 @@
 func (m *memoryConn) Close() error                     { return nil }
 func (m *memoryConn) SetReadDeadline(time.Time) error  { return nil }
 func (m *memoryConn) SetWriteDeadline(time.Time) error { return nil }
+func (m *memoryConn) SetDeadline(time.Time) error      { return nil }
 
 // gatedConn is a connection whose reads wait for the channel gate. Each read begins when it
 // receives a value from gate or when gate is closed. SetReadDeadline sends a value on the channel
--- a/internal/frontend/httpfront/header.go
+++ b/internal/frontend/httpfront/header.go
@@ -92,13 +92,12 @@
 	}
 }
 
-// addExpectations records the elements of an Expect field.
+// addExpectations records the elements of an Expect field. An empty field expects nothing.
 func (h *header) addExpectations(list []byte) {
 	for expectation := range bytes.SplitSeq(list, []byte(",")) {
-		switch expectation = bytes.Trim(expectation, " \t"); {
-		case strings.EqualFold(string(expectation), "100-continue"):
+		if strings.EqualFold(string(bytes.Trim(expectation, " \t")), "100-continue") {
 			h.expectsContinue = true
-		case len(expectation) > 0:
+		} else if len(list) > 0 {
 			h.expectsOther = true
 		}
 	}
--- a/internal/frontend/httpfront/requestline.go
+++ b/internal/frontend/httpfront/requestline.go
@@ -92,8 +92,12 @@
 }
 
 // parseTarget stores the path and the query of a target, which is in origin form, in absolute form, or
-// the asterisk of an OPTIONS request (RFC 9112, section 3.2). It returns false for any other target.
+// the asterisk of an OPTIONS request (RFC 9112, section 3.2). It returns false for any other target, so
+// for each target of a CONNECT request.
 func (r *request) parseTarget(target string) bool {
+	if r.method == http.MethodConnect {
+		return false
+	}
 	if target == "*" {
 		r.path = target
 		return r.method == http.MethodOptions
@@ -142,7 +146,21 @@
 	if colon := strings.IndexByte(text, ':'); colon >= 0 {
 		host, port = text[:colon], text[colon:]
 	}
-	return host != "" && isHostByte.containsAll(host) && validPercentEncoding(host) && (port == "" || validPort(port))
+	return host != "" && isHostByte.containsAll(host) && validHostEncoding(host) && (port == "" || validPort(port))
+}
+
+// validHostEncoding reports whether a host has percent-encoding only for bytes above 127. Others need
+// none, and net/url rejects them.
+func validHostEncoding(host string) bool {
+	if !validPercentEncoding(host) {
+		return false
+	}
+	for i := range len(host) {
+		if host[i] == '%' && host[i+1] < '8' {
+			return false
+		}
+	}
+	return true
 }
 
 // validPort reports whether a text is a colon that may be followed by digits.
