Reject replies of servers that are not plain RESP, and say so

What the router did: lines of a reply that end with LF or two CR, with spaces round type or length, fields without a name, two tags, and a KEEP with a body were accepted. Replies that the reader could not read were counted nowhere, and no malformed reply was logged.

Cause: the length lines were read as textproto's, stripped of white space, and the parts of a reply were not compared with each other.

Change: a line ends with CRLF and nothing else (textconn.ReadCRLFLine); two tags, and bytes beside KEEP, which brings none by the protocol, make a reply malformed. Each malformed reply is in peer_answers_unreadable and, up to ten a second, in the log. Zeros before a length and an empty list of fields stay accepted: they can be read in one way only.

--- a/cmd/garnetline/daemon_parts.go
+++ b/cmd/garnetline/daemon_parts.go
@@ -37,6 +37,7 @@
 		Memory:          d.resources.budget,
 		Complete:        d.dispatcher.Complete,
 		Metrics:         d.metrics,
+		Log:             *d.log,
 		MaxConnections:  func() int64 { return maxUpstreamConnections(d.resources.limits()) },
 		PropagateTraces: operators.Trace.Enabled && operators.Trace.PropagateToServers,
 	})
--- a/internal/textconn/message.go
+++ b/internal/textconn/message.go
@@ -1,10 +1,11 @@
 package textconn
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net"
-	"net/textproto"
 	"time"
 
 	"garnetline/internal/clock"
@@ -16,16 +17,25 @@
 	maxWritePiece = 64 << 10 // bytes of one write, after which the write counts as progress
 )
 
-// ReadLineSlice reads a line and returns it without its line end and without leading and trailing
-// spaces and tabs. The returned slice points into textproto's buffer and is valid until the next
-// read. A line that does not fit into that buffer is an error. Only the reader may call
-// ReadLineSlice.
-func (c *Conn) ReadLineSlice() ([]byte, error) {
+// ErrMalformedLine reports a line that does not end with CRLF, or that is too long for the buffer.
+var ErrMalformedLine = errors.New("textconn: malformed line")
+
+// ReadCRLFLine reads a line that ends with CRLF and returns it without its line end. The returned slice
+// points into the connection's buffer and is valid until the next read. Only the reader may call
+// ReadCRLFLine.
+func (c *Conn) ReadCRLFLine() ([]byte, error) {
 	line, err := c.R.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		return nil, ErrMalformedLine
+	}
 	if err != nil {
 		return nil, err
 	}
-	return textproto.TrimBytes(line), nil
+	line, found := bytes.CutSuffix(line, []byte("\r\n"))
+	if !found {
+		return nil, ErrMalformedLine
+	}
+	return line, nil
 }
 
 // ReadBody reads n bytes into the connection's buffer. The returned slice is valid until the next
--- a/internal/textconn/textconn_test.go
+++ b/internal/textconn/textconn_test.go
@@ -75,13 +75,18 @@
 
 func (m *readModel) readLine(t *testing.T) error {
 	t.Helper()
-	line, err := m.conn.ReadLineSlice()
-	if err != nil {
+	line, err := m.conn.ReadCRLFLine()
+	malformed := errors.Is(err, ErrMalformedLine)
+	if err != nil && !malformed {
 		return err
 	}
 	end := m.offset + bytes.IndexByte(m.data[m.offset:], '\n') + 1
-	if want := bytes.Trim(m.data[m.offset:end], " \t\r\n"); !bytes.Equal(line, want) {
-		t.Fatalf("got line %q at offset %d, want %q", line, m.offset, want)
+	if end == 0 || end-m.offset > m.conn.R.Size() {
+		return err // the line does not fit into the buffer
+	}
+	want, sound := bytes.CutSuffix(m.data[m.offset:end], []byte("\r\n"))
+	if malformed == sound || sound && !bytes.Equal(line, want) {
+		t.Fatalf("got line %q, error %v at offset %d, want %q", line, err, m.offset, want)
 	}
 	m.offset = end
 	return nil
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -189,6 +189,9 @@
 	case event.connection == nil:
 		u.handleDialResult(ctx, event)
 	case event.err != nil:
+		if !event.connection.closed {
+			u.recordMalformedReply(event.err)
+		}
 		u.closeConnection(event.connection)
 	case event.connection.closed:
 		event.reply.memory.Release()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,8 +16,11 @@
 	"net/netip"
 	"sync/atomic"
 
+	"github.com/rs/zerolog"
+
 	"garnetline/internal/clock"
 	"garnetline/internal/dispatch"
+	"garnetline/internal/logs"
 	"garnetline/internal/memorybudget"
 	"garnetline/internal/metrics"
 	"garnetline/internal/platformconfig"
@@ -33,6 +36,9 @@
 	Complete func(dispatch.Completion)      // receives the completion of each attempt; the call may block
 	Metrics  *metrics.Registry
 
+	// Log receives an event for each malformed reply, up to ten a second. The zero value logs nothing.
+	Log zerolog.Logger
+
 	// Dial connects to a server; nil means TCP with TCP_NODELAY set.
 	Dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 
@@ -65,6 +71,7 @@
 		options.Dial = dialTCP
 	}
 	options.openConnections = new(atomic.Int64)
+	options.Log = logs.Throttled(options.Log, options.Clock)
 	return &Pool{Options: options, ctx: ctx, upstreams: map[routing.ServerID]*Upstream{}}
 }
 
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -145,6 +145,9 @@
 	if err != nil {
 		return completion, err
 	}
+	if err := r.check(tags); err != nil {
+		return completion, err
+	}
 	switch {
 	case r.status == statusDone && r.bodyDropped:
 		completion.Response.Kind = dispatch.Failed // the server has executed the request, so it is not retried
@@ -162,6 +165,18 @@
 	return completion, nil
 }
 
+// check returns an error if the parts of a reply contradict each other: a body that belongs to two
+// copies, or one beside the statement that the client's copy is current.
+func (r reply) check(tags int) error {
+	switch {
+	case r.status == statusDone && tags > 1:
+		return fmt.Errorf("%w: expected one entity tag in a DONE reply, got %d", errMalformedReply, tags)
+	case r.status == statusKeep && (len(r.body) > 0 || r.bodyDropped):
+		return fmt.Errorf("%w: expected no body in a KEEP reply, got %d bytes", errMalformedReply, len(r.body))
+	}
+	return nil
+}
+
 // namesClientCopy reports whether the reply has the same entity tag as the client's copy.
 func namesClientCopy(completion *dispatch.Completion) bool {
 	clientTag := completion.Attempt.Request.IfNoneMatch
@@ -169,7 +184,7 @@
 }
 
 // parseReplyFields stores the fields of a reply in its completion and returns the number of fields
-// named "tag". A field without a value and an invalid tag are errors.
+// named "tag". A field without a name or a value and an invalid tag are errors.
 //
 // All fields except "tag" are advisory. parseReplyFields therefore ignores unknown fields and
 // values that cannot be parsed. It also ignores a cache status or fill wait that occurs more than
@@ -181,13 +196,13 @@
 	cacheStatuses, fillWaits := 0, 0
 	for field := range strings.SplitSeq(list, ",") {
 		name, value, ok := strings.Cut(field, "=")
-		if !ok {
-			return tags, fmt.Errorf("%w: expected a reply field of the form name=value, got %.20q", errMalformedReply, field)
+		if !ok || name == "" {
+			return tags, fmt.Errorf("%w: expected a reply field of the form name=value, got %d bytes", errMalformedReply, len(field))
 		}
 		switch name {
 		case tagField:
 			if !dispatch.ValidFieldValue(value) {
-				return tags, fmt.Errorf("%w: expected a valid entity tag in field tag, got %.140q (%d bytes)", errMalformedReply, value, len(value))
+				return tags, fmt.Errorf("%w: expected a valid entity tag in field tag, got %d bytes", errMalformedReply, len(value))
 			}
 			completion.Response.ETag = value
 			tags++
--- a/internal/upstream/resp.go
+++ b/internal/upstream/resp.go
@@ -33,16 +33,19 @@
 // readLength reads the first line of a RESP value and returns the length in that line. It returns
 // an error if the value has another type than valueType, or if the length is above limit.
 func readLength(conn *textconn.Conn, valueType byte, limit int) (int, error) {
-	line, err := conn.ReadLineSlice()
+	line, err := conn.ReadCRLFLine()
+	if errors.Is(err, textconn.ErrMalformedLine) {
+		return 0, fmt.Errorf("%w: %w", errMalformedReply, err)
+	}
 	if err != nil {
 		return 0, err
 	}
 	if len(line) < 2 || len(line) > maxLengthLine || line[0] != valueType {
-		return 0, fmt.Errorf("%w: expected a length line of 2 to %d bytes that begins with %q, got %.40q (%d bytes)", errMalformedReply, maxLengthLine, valueType, line, len(line))
+		return 0, fmt.Errorf("%w: expected a length line of 2 to %d bytes that begins with %q, got %d bytes", errMalformedReply, maxLengthLine, valueType, len(line))
 	}
 	n, err := strconv.ParseUint(string(line[1:]), 10, 32)
 	if err != nil || n > uint64(limit) {
-		return 0, fmt.Errorf("%w: expected a length from 0 to %d after %q, got %q", errMalformedReply, limit, valueType, line[1:])
+		return 0, fmt.Errorf("%w: expected a length from 0 to %d after %q, got %d bytes", errMalformedReply, limit, valueType, len(line)-1)
 	}
 	return int(n), nil
 }
--- a/internal/upstream/tcp_test.go
+++ b/internal/upstream/tcp_test.go
@@ -10,6 +10,9 @@
 	"testing"
 
 	"garnetline/internal/dispatch"
+	"garnetline/internal/fakeserver"
+	"garnetline/internal/logs"
+	"garnetline/internal/metrics"
 	"garnetline/internal/platformconfig"
 	"garnetline/routing"
 )
@@ -230,3 +233,68 @@
 		t.Errorf("next attempt completed as %v, want Served", got.Result)
 	}
 }
+
+// TestMalformedRepliesEndTheConnection sends malformed replies on real connections, each followed by a sound
+// reply to the same attempt. None of them may complete the attempt otherwise than by the end of its
+// connection, and each is counted. Replies in each form of RESP stay accepted.
+func TestMalformedRepliesEndTheConnection(t *testing.T) {
+	const sound = "*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$5\r\ntag=t\r\n$3\r\nabc\r\n"
+	replace := func(old, replacement string) string { return strings.Replace(sound, old, replacement, 1) }
+	for _, test := range []struct {
+		name, text string
+		accepted   bool
+	}{
+		{"as usual", sound, true},
+		{"zeros before lengths", replace("*4", "*04"), true},
+		{"no fields", replace("$5\r\ntag=t", "$1\r\n-"), true},
+		{"field without a value", replace("$5\r\ntag=t", "$8\r\nx=,tag=t"), true},
+		{"line ends with LF", replace("*4\r\n", "*4\n"), false},
+		{"line ends with two CR", replace("*4\r\n", "*4\r\r\n"), false},
+		{"space before the type", replace("*4", " *4"), false},
+		{"space after the length", replace("*4", "*4 "), false},
+		{"space before the length", replace("$1", "$ 1"), false},
+		{"tab after the length", replace("$1", "$1\t"), false},
+		{"plus", replace("$1", "$+1"), false},
+		{"below zero", replace("$1", "$-1"), false},
+		{"hexadecimal", replace("$1", "$0x1"), false},
+		{"no length", replace("$1", "$"), false},
+		{"line that never ends", strings.Repeat("*", 5000), false},
+		{"length beyond 64 bits", replace("$1", "$18446744073709551617"), false},
+		{"another type", replace("$1", "+1"), false},
+		{"five elements", replace("*4", "*5"), false},
+		{"longer than its length", replace("$3\r\nabc", "$3\r\nabcd"), false},
+		{"shorter than its length", replace("$3\r\nabc", "$3\r\nab"), false},
+		{"string ends with LF", replace("abc\r\n", "abc\n\n"), false},
+		{"body too long", replace("$3", "$240001"), false},
+		{"unknown status", replace("DONE", "GONE"), false},
+		{"status in small letters", replace("DONE", "done"), false},
+		{"field without a sign", replace("$5\r\ntag=t", "$3\r\ntag"), false},
+		{"field without a name", replace("$5\r\ntag=t", "$2\r\n=t"), false},
+		{"empty field", replace("$5\r\ntag=t", "$6\r\ntag=t,"), false},
+		{"two tags", replace("$5\r\ntag=t", "$11\r\ntag=t,tag=u"), false},
+		{"the client's copy, with a body", replace("DONE", "KEEP"), false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var log fakeserver.Output
+			counters := metrics.New()
+			server := newCacheServer(t, func(options *Options) { options.Metrics, options.Log = counters, *logs.New(&log) })
+			attempt := server.send("a", "t")
+			conn := server.accept()
+			conn.readCommand()
+			conn.write(test.text + sound)
+			want, malformed := routing.Served, int64(0)
+			if !test.accepted {
+				want, malformed = routing.ConnectionLost, 1
+			}
+			if got := server.waitForCompletion(attempt).Result; got != want {
+				t.Errorf("attempt completed as %v, want %v", got, want)
+			}
+			if got := counters.Counter("peer_answers_unreadable").Load(); got != malformed {
+				t.Errorf("got %d malformed replies counted, want %d", got, malformed)
+			}
+			if logged := strings.Contains(log.String(), `"error":"upstream: malformed reply`); logged == test.accepted {
+				t.Errorf("got the log %q, want the reason of a malformed reply and of no other", log.String())
+			}
+		})
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"slices"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 	"garnetline/internal/clock"
 	"garnetline/internal/dispatch"
 	"garnetline/internal/platformconfig"
+	"garnetline/internal/textconn"
 	"garnetline/internal/trace"
 	"garnetline/routing"
 )
@@ -290,7 +292,7 @@
 	completion, err := r.completion(sent.attempt)
 	if err != nil {
 		r.memory.Release()
-		u.Metrics.Add("peer_answers_unreadable", 1)
+		u.recordMalformedReply(err)
 		u.closeConnection(conn)
 		return
 	}
@@ -303,6 +305,16 @@
 	u.sendQueued(ctx)
 }
 
+// recordMalformedReply counts and logs a reply that cannot be used. Other errors of a connection, such as
+// its end, are not malformed replies and are not recorded.
+func (u *Upstream) recordMalformedReply(err error) {
+	if !errors.Is(err, errMalformedReply) && !errors.Is(err, textconn.ErrMessageTooLong) {
+		return
+	}
+	u.Metrics.Add("peer_answers_unreadable", 1)
+	u.Log.Warn().Str("server", u.addr.String()).Err(err).Msg("malformed reply, closing the connection to the server")
+}
+
 // checkDuplicateReply handles a reply with a result other than Served. The reply counts as a
 // duplicate if a reply with the same id and such a result came on the same connection within
 // duplicateReplyWindow. A duplicate may belong to an earlier attempt of the request, and the cache
