Reject heartbeats with a payload and purges at times that no clock has

What the router did: a heartbeat frame with bytes behind its header was taken for an empty one, and the time of a purge was converted to a time.Duration whatever it was; beyond the year 2262 the result differs between x86-64 and arm64. No malformed frame was logged.

Change: both are malformed frames: counted, logged with their reason, and asked for again on a new connection. The known events of the configuration get the same bound for purges and starts, with the name of the field.

TestMalformedFramesEndTheConnection has 15 frames over real connections; three of them were applied before (heartbeat, object and group purge).

--- a/cmd/garnetline/daemon_parts.go
+++ b/cmd/garnetline/daemon_parts.go
@@ -30,6 +30,7 @@
 	}
 	d.dispatcher.SetExecutionHistory(d.newReplayGuard())
 	d.watcher = discovery.NewWatcher(d.clock, platform, d.handleWatchEvent, d.metrics)
+	d.watcher.SetLog(*d.log)
 	d.upstreams = upstream.NewPool(ctx, upstream.Options{
 		Clock:           d.clock,
 		Settings:        func() platformconfig.Upstream { return d.platform.Load().Upstream },
--- a/internal/discovery/frame.go
+++ b/internal/discovery/frame.go
@@ -4,7 +4,6 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"math"
 	"net/netip"
 
 	"garnetline/internal/platformconfig"
@@ -58,9 +57,6 @@
 // recordPhases are the phases of servers, indexed by the state byte of a record.
 var recordPhases = [...]routing.Phase{routing.Ready, routing.Draining, routing.Removed}
 
-// maxStart is the latest start time, in Unix milliseconds, that fits into a time.Duration.
-const maxStart = math.MaxInt64 / 1_000_000
-
 // frame is one decoded frame.
 type frame struct {
 	kind  frameKind
@@ -103,6 +99,9 @@
 	var err error
 	switch result.kind {
 	case kindHeartbeat:
+		if len(payload) > 0 {
+			err = fmt.Errorf("%w: expected a heartbeat without a payload, got %d bytes", ErrMalformedFrame, len(payload))
+		}
 	case kindSnapshot, kindChanges:
 		event.ListUpdate = true
 		event.Snapshot = result.kind == kindSnapshot
@@ -139,8 +138,8 @@
 		return platformconfig.Endpoint{}, fmt.Errorf("%w: server record has state %d, zone %d and kind %d, expected values below %d, %d and %d", ErrMalformedFrame, state, zone, kind, len(recordPhases), zones, kinds)
 	}
 	start := binary.BigEndian.Uint64(record[recordStart:])
-	if start > maxStart {
-		return platformconfig.Endpoint{}, fmt.Errorf("%w: expected a start time of at most %d ms in a server record, got %d", ErrMalformedFrame, int64(maxStart), start)
+	if start > platformconfig.MaxUnixMillis {
+		return platformconfig.Endpoint{}, fmt.Errorf("%w: expected a start time of at most %d ms in a server record, got %d", ErrMalformedFrame, int64(platformconfig.MaxUnixMillis), start)
 	}
 	address := netip.AddrFrom4([4]byte(record[recordAddress:recordPort]))
 	return platformconfig.Endpoint{
@@ -163,12 +162,12 @@
 	if len(payload) != objectPurgeSize {
 		return nil, fmt.Errorf("%w: expected %d bytes for an object purge, got %d", ErrMalformedFrame, objectPurgeSize, len(payload))
 	}
+	purgedAt, err := parsePurgeTime(payload[8:])
 	object := binary.BigEndian.Uint64(payload)
-	if object == 0 {
-		return nil, nil
+	if err != nil || object == 0 {
+		return nil, err
 	}
-	purgedAt := binary.BigEndian.Uint64(payload[8:])
-	return &platformconfig.Purge{Object: routing.ObjectID(object), At: float64(purgedAt)}, nil
+	return &platformconfig.Purge{Object: routing.ObjectID(object), At: purgedAt}, nil
 }
 
 // parseGroupPurge decodes the purge of a group of objects.
@@ -176,7 +175,19 @@
 	if len(payload) != groupPurgeSize {
 		return nil, fmt.Errorf("%w: expected %d bytes for a group purge, got %d", ErrMalformedFrame, groupPurgeSize, len(payload))
 	}
+	purgedAt, err := parsePurgeTime(payload[2:])
+	if err != nil {
+		return nil, err
+	}
 	group := binary.BigEndian.Uint16(payload)
-	purgedAt := binary.BigEndian.Uint64(payload[2:])
-	return &platformconfig.Purge{Group: int(group), At: float64(purgedAt)}, nil
+	return &platformconfig.Purge{Group: int(group), At: purgedAt}, nil
+}
+
+// parsePurgeTime decodes the time of a purge, in Unix milliseconds.
+func parsePurgeTime(field []byte) (float64, error) {
+	purgedAt := binary.BigEndian.Uint64(field)
+	if purgedAt > platformconfig.MaxUnixMillis {
+		return 0, fmt.Errorf("%w: expected a purge time of at most %d ms, got %d", ErrMalformedFrame, int64(platformconfig.MaxUnixMillis), purgedAt)
+	}
+	return float64(purgedAt), nil
 }
--- a/internal/discovery/session_test.go
+++ b/internal/discovery/session_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
 	"garnetline/internal/clock"
+	"garnetline/internal/fakeserver"
+	"garnetline/internal/logs"
 	"garnetline/internal/platformconfig"
 	"garnetline/routing"
 )
@@ -239,3 +243,49 @@
 	}
 	expectEvents(t, events, 1)
 }
+
+// TestMalformedFramesEndTheConnection sends malformed frames on real connections, each behind a sound event
+// and before another one. The watcher applies the first event, counts and logs the frame, and asks for the
+// second event on a new connection.
+func TestMalformedFramesEndTheConnection(t *testing.T) {
+	patchRecord := func(offset int, value ...byte) []byte {
+		record := encodeRecord(7, stateReady)
+		copy(record[offset:], value)
+		return encodeFrame(3, 2, record...)
+	}
+	tooLate := binary.BigEndian.AppendUint64(nil, platformconfig.MaxUnixMillis+1)
+	for name, malformed := range map[string][]byte{
+		"shorter than its header":  {0, 0, 0, 8, 0, 0, 0, 0, 0, 0, 0, 3, 0},
+		"longer than all records":  {0, 4, 0, 0, 0},
+		"unknown kind":             encodeFrame(3, 5),
+		"heartbeat with a payload": encodeFrame(2, 0, 0),
+		"part of a record":         encodeFrame(3, 1, encodeRecord(7, stateReady)[1:]...),
+		"more than a record":       encodeFrame(3, 2, append(encodeRecord(7, stateReady), 0)...),
+		"unknown state":            patchRecord(recordState, 3),
+		"unknown zone":             patchRecord(recordZone, 2),
+		"unknown server kind":      patchRecord(recordKind, 1),
+		"start after all times":    patchRecord(recordStart, tooLate...),
+		"short object purge":       encodeFrame(3, 3, encodePurge(9, startTime)[1:]...),
+		"long object purge":        encodeFrame(3, 3, append(encodePurge(9, startTime), 0)...),
+		"object purge of no time":  encodeFrame(3, 3, append([]byte{0, 0, 0, 0, 0, 0, 0, 9}, tooLate...)...),
+		"short group purge":        encodeFrame(3, 4, 17),
+		"group purge of no time":   encodeFrame(3, 4, append([]byte{0, 17}, tooLate...)...),
+	} {
+		t.Run(name, func(t *testing.T) {
+			var log fakeserver.Output
+			server := newFakeChangeLog(t)
+			watcher, events := newTestWatcher(server.addr())
+			watcher.SetLog(*logs.New(&log))
+			startWatcher(t, watcher)
+			server.accept(1, encodeChange(2, 7, stateReady), malformed, encodeGroupPurge(3, startTime))
+			server.accept(2, encodeGroupPurge(3, startTime))
+			expectEvents(t, events, 1, 2, 3)
+			if got := watcher.counters.Counter("changelog_broken_frames").Load(); got != 1 {
+				t.Errorf("got %d malformed frames counted, want 1", got)
+			}
+			if !strings.Contains(log.String(), `"error":"discovery: malformed frame: `) {
+				t.Errorf("got the log %q, want the reason", log.String())
+			}
+		})
+	}
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -5,7 +5,7 @@
 // endpoint list, and the set of servers that operators disabled. Only the goroutine of Watcher.Run
 // changes them. For other goroutines, the Watcher publishes a routing.Guard, the counts of servers,
 // and the lists of servers that the fleet reads. A published Guard is never modified, only
-// replaced. All exported methods except Run and SetGossip may be called from any goroutine.
+// replaced. All exported methods except Run, SetGossip and SetLog may be called from any goroutine.
 package discovery
 
 import (
@@ -17,8 +17,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"garnetline/internal/admin/disabled"
 	"garnetline/internal/clock"
+	"garnetline/internal/logs"
 	"garnetline/internal/metrics"
 	"garnetline/internal/platformconfig"
 	"garnetline/routing"
@@ -38,6 +41,7 @@
 type Watcher struct {
 	clock    clock.Clock
 	counters *metrics.Registry
+	log      zerolog.Logger
 	notify   func(platformconfig.WatchEvent)
 	dial     func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 
@@ -97,6 +101,10 @@
 	return (&net.Dialer{}).DialContext(ctx, "tcp", to.String())
 }
 
+// SetLog sets the logger for malformed frames, of which it gets up to ten a second. SetLog is called before
+// Run; without it nothing is logged.
+func (w *Watcher) SetLog(log zerolog.Logger) { w.log = logs.Throttled(log, w.clock) }
+
 // Guard returns the current guard, against which attempts must be checked. The caller must not
 // modify it.
 func (w *Watcher) Guard() *routing.Guard { return w.guard.Load() }
@@ -160,6 +168,7 @@
 	w.counters.Add("changelog_reconnects", 1)
 	if errors.Is(err, ErrMalformedFrame) {
 		w.counters.Add("changelog_broken_frames", 1)
+		w.log.Warn().Err(err).Msg("malformed frame of the change log, connecting again")
 	}
 }
 
--- a/internal/platformconfig/config_test.go
+++ b/internal/platformconfig/config_test.go
@@ -60,6 +60,7 @@
 		{`"health":"draining"`, `"health":"fine"`, "known.results[0].fleet.hosts[0].health"},
 		{`"dial":"127.0.0.2:5050"`, `"dial":"x"`, "known.results[0].fleet.hosts[0].dial"},
 		{`"bucket":17`, `"object":"17"`, "known.results[1].invalidate.object"},
+		{`1764576000480`, `1e19`, "known.results[1].invalidate.time"},
 		{`"invalidate"`, `"other"`, "known.results[1].fleet"},
 		{`"zone":1`, `"zone":7`, "settings: routing: Zone"},
 		{`"try_limit":6`, `"try_limit":"x"`, "settings.limits.try_limit"},
--- a/internal/platformconfig/events.go
+++ b/internal/platformconfig/events.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -72,6 +73,10 @@
 	Time   float64 `json:"time"`
 }
 
+// MaxUnixMillis is the latest time of a start or a purge, in Unix milliseconds, that fits into a
+// time.Duration.
+const MaxUnixMillis = math.MaxInt64 / 1_000_000
+
 // objectIDLength is the length of an object ID in text, in hexadecimal digits.
 const objectIDLength = 16
 
@@ -145,6 +150,9 @@
 	if err != nil {
 		return endpoint, &FieldError{Field: path + ".dial", Err: err}
 	}
+	if doc.Born > MaxUnixMillis {
+		return endpoint, fielderror.Errorf(path+".born_ms", "expected at most %d, got %v", int64(MaxUnixMillis), doc.Born)
+	}
 	server := routing.Server{
 		ID:        id,
 		Zone:      zone,
@@ -158,6 +166,9 @@
 }
 
 func parsePurge(doc *purgeDocument, path string) (*Purge, error) {
+	if doc.Time > MaxUnixMillis {
+		return nil, fielderror.Errorf(path+".time", "expected at most %d, got %v", int64(MaxUnixMillis), doc.Time)
+	}
 	if doc.Bucket != nil {
 		return &Purge{Group: *doc.Bucket, At: doc.Time}, nil
 	}
