Send the malformed messages to the admin API too

The admin API has the parser of the clients' front; TestMalformedAdminCallsDoNothing shows that each message of the table, sent as a call that disables the only cache, gets its status and the end of the connection and disables nothing, and that a sound call is carried out.

--- a/cmd/garnetline/helpers_test.go
+++ b/cmd/garnetline/helpers_test.go
@@ -83,9 +83,15 @@
 // shutDown sends SIGTERM and waits for serve to return. The end of the test calls shutDown too;
 // only the first call has an effect.
 func runDaemon(t *testing.T, config daemontest.Config) (addr string, shutDown func()) {
+	t.Helper()
+	return runDaemonWithEnv(t, config, nil)
+}
+
+// runDaemonWithEnv is like runDaemon, with environment variables of the daemon.
+func runDaemonWithEnv(t *testing.T, config daemontest.Config, env map[string]string) (addr string, shutDown func()) {
 	t.Helper()
 	config.ListenAddr = daemontest.FreeAddr(t)
-	daemon := startServe(config.Load(t, nil), nil)
+	daemon := startServe(config.Load(t, env), nil)
 	shutDown = sync.OnceFunc(func() {
 		if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
 			t.Error(err)
--- a/cmd/garnetline/malformed_request_test.go
+++ b/cmd/garnetline/malformed_request_test.go
@@ -8,7 +8,6 @@
 	"testing"
 
 	"garnetline/internal/daemontest"
-	"garnetline/internal/fakeserver"
 )
 
 // malformedRequests are messages that the router must reject without sending anything to a server. In a
@@ -169,18 +168,18 @@
 	).Replace(message)
 }
 
-// startServingRouter starts a router whose only cache serves every request.
-func startServingRouter(t *testing.T) (server *fakeserver.Server, addr string) {
+// checkMalformed sends a malformed message with the given text behind it on a new connection. It checks
+// that one response rejects the message and that the connection ends.
+func checkMalformed(t *testing.T, addr, message string, status int) {
 	t.Helper()
-	server = daemontest.NewServer(t, func(id, _ string) string { return fakeserver.Answer(id, "DONE", "-", servedBody) })
-	addr, _ = runDaemon(t, daemontest.Config{
-		ChangeLog: daemontest.NewIdleChangeLog(t).Addr(),
-		Endpoints: []daemontest.Endpoint{
-			{ID: 1, Kind: daemontest.Cache, Addr: server.Addr()},
-			{ID: 9, Kind: daemontest.Origin, Addr: server.Addr()},
-		},
-	})
-	return server, addr
+	client := daemontest.Dial(t, addr)
+	client.Send(t, message)
+	if response := client.Receive(t); response.Status != status || !response.Close {
+		t.Errorf("got status %d, connection closed %v; want %d and a closed connection", response.Status, response.Close, status)
+	}
+	if response, err := client.Read(); !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("got another response %+v, error %v; want the end of the connection", response, err)
+	}
 }
 
 // TestMalformedRequestsReachNoServer guards against requests that are hidden in the body of another one: a
@@ -188,18 +187,12 @@
 // that field, and the request that its body holds. Each malformed message, and the sound write behind it,
 // gets one rejection and the end of its connection, and reaches no server.
 func TestMalformedRequestsReachNoServer(t *testing.T) {
-	server, addr := startServingRouter(t)
+	server := daemontest.NewServer(t, servesAll)
+	addr, _ := runDaemon(t, oneCache(daemontest.NewIdleChangeLog(t), server))
 	for i, test := range malformedRequests {
 		t.Run(test.name, func(t *testing.T) {
 			before := len(server.Requests())
-			client := daemontest.Dial(t, addr)
-			client.Send(t, expandRequest(test.message+"WRITE~FIELDS~Content-Length: 0~~", 2*i+1))
-			if response := client.Receive(t); response.Status != test.status || !response.Close {
-				t.Errorf("got status %d, connection closed %v; want %d and a closed connection", response.Status, response.Close, test.status)
-			}
-			if response, err := client.Read(); !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-				t.Errorf("got another response %+v, error %v; want the end of the connection", response, err)
-			}
+			checkMalformed(t, addr, expandRequest(test.message+"WRITE~FIELDS~Content-Length: 0~~", 2*i+1), test.status)
 			if got := server.Requests()[before:]; len(got) > 0 {
 				t.Errorf("a server got %q, want nothing", got)
 			}
@@ -207,10 +200,37 @@
 	}
 }
 
+// TestMalformedAdminCallsDoNothing sends the malformed messages to the admin API, as calls that disable the
+// only cache. None may be carried out; a sound call is.
+func TestMalformedAdminCallsDoNothing(t *testing.T) {
+	const call = "POST /caches/disable/s-00000001"
+	adminAddr := daemontest.FreeAddr(t)
+	server := daemontest.NewServer(t, servesAll)
+	runDaemonWithEnv(t, oneCache(daemontest.NewIdleChangeLog(t), server), map[string]string{"EDGE_MGMT": adminAddr, "TMPDIR": t.TempDir()})
+	asCall := strings.NewReplacer("GET /v1/part/00000000000000aa", call, "PUT /v1/form/00000000000000aa", call, "/v1/part/00000000000000aa", "/caches/disable/s-00000001")
+	checkDisabled := func(want string) {
+		t.Helper()
+		if body := daemontest.Exchange(t, adminAddr, daemontest.Request("GET", "/metrics")).Body; !strings.Contains(body, "\napp_out_of_rotation "+want+"\n") {
+			t.Fatalf("got metrics %s, want %s disabled", body, want)
+		}
+	}
+	for i, test := range malformedRequests {
+		t.Run(test.name, func(t *testing.T) {
+			checkMalformed(t, adminAddr, asCall.Replace(expandRequest(test.message, i+1)), test.status)
+			checkDisabled("0")
+		})
+	}
+	if got := daemontest.Exchange(t, adminAddr, asCall.Replace(expandRequest("READ~FIELDS~~", 0))).Status; got != 200 {
+		t.Errorf("a sound call: got status %d, want 200", got)
+	}
+	checkDisabled("1")
+}
+
 // TestSoundRequestsAreServed checks that the strictness about malformed messages costs no sound one: each is
 // served by one attempt, and the connection stays open unless the client speaks HTTP/1.0.
 func TestSoundRequestsAreServed(t *testing.T) {
-	server, addr := startServingRouter(t)
+	server := daemontest.NewServer(t, servesAll)
+	addr, _ := runDaemon(t, oneCache(daemontest.NewIdleChangeLog(t), server))
 	for i, test := range soundRequests {
 		t.Run(test.name, func(t *testing.T) {
 			before := len(server.Requests())
