--- a/internal/textconn/message.go
+++ b/internal/textconn/message.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -25,17 +24,17 @@
 // ReadCRLFLine.
 func (c *Conn) ReadCRLFLine() ([]byte, error) {
 	line, err := c.R.ReadSlice('\n')
-	if errors.Is(err, bufio.ErrBufferFull) {
-		return nil, ErrMalformedLine
-	}
 	if err != nil {
+		if errors.Is(err, bufio.ErrBufferFull) {
+			err = ErrMalformedLine
+		}
 		return nil, err
 	}
-	line, found := bytes.CutSuffix(line, []byte("\r\n"))
-	if !found {
+	end := len(line) - len("\r\n")
+	if end < 0 || line[end] != '\r' {
 		return nil, ErrMalformedLine
 	}
-	return line, nil
+	return line[:end], nil
 }
 
 // ReadBody reads n bytes into the connection's buffer. The returned slice is valid until the next
--- a/internal/upstream/resp.go
+++ b/internal/upstream/resp.go
@@ -34,10 +34,10 @@
 // an error if the value has another type than valueType, or if the length is above limit.
 func readLength(conn *textconn.Conn, valueType byte, limit int) (int, error) {
 	line, err := conn.ReadCRLFLine()
-	if errors.Is(err, textconn.ErrMalformedLine) {
-		return 0, fmt.Errorf("%w: %w", errMalformedReply, err)
-	}
 	if err != nil {
+		if errors.Is(err, textconn.ErrMalformedLine) {
+			err = fmt.Errorf("%w: %w", errMalformedReply, err)
+		}
 		return 0, err
 	}
 	if len(line) < 2 || len(line) > maxLengthLine || line[0] != valueType {
