Wait for the admin API in its test, and tell what usual clients got instead of 200

- TestMalformedAdminCallsDoNothing: the first calls were refused, since the client's front is healthy before the admin API listens.
The test waits for it now.
- TestClientsStayWithinMemoryLimit/read-ahead: 91 of 123 requests of usual clients were served.
What the others got was not told; it is now.

--- a/cmd/garnetline/malformed_request_test.go
+++ b/cmd/garnetline/malformed_request_test.go
@@ -214,6 +214,13 @@
 			t.Fatalf("got metrics %s, want %s disabled", body, want)
 		}
 	}
+	daemontest.WaitUntil(t, "the admin API accepts connections", func() bool {
+		client, err := daemontest.DialContext(t.Context(), adminAddr)
+		if err == nil {
+			daemontest.Close(t, client)
+		}
+		return err == nil
+	})
 	for i, test := range malformedRequests {
 		t.Run(test.name, func(t *testing.T) {
 			checkMalformed(t, adminAddr, asCall.Replace(expandRequest(test.message, i+1)), test.status)
--- a/internal/soak/memory_test.go
+++ b/internal/soak/memory_test.go
@@ -144,7 +144,7 @@
 
 func checkUsual(t *testing.T, result UsualResult) {
 	t.Helper()
-	t.Logf("usual clients: %d of %d served, half within %v, 99 of 100 within %v", result.Served, result.Asked, result.Latency(0.5), result.Latency(0.99))
+	t.Logf("usual clients: %d of %d served, half within %v, 99 of 100 within %v, others by status: %v", result.Served, result.Asked, result.Latency(0.5), result.Latency(0.99), result.Unserved)
 	for _, lost := range result.Lost {
 		t.Errorf("lost request of a usual client: %s", lost)
 	}
--- a/internal/soak/usual.go
+++ b/internal/soak/usual.go
@@ -37,10 +37,11 @@
 // UsualResult tells what became of the requests of usual clients.
 type UsualResult struct {
 	Asked, Served int
-	Refused       int      // connections refused while no process listened
-	Excused       int      // requests without an answer that were open when a process was killed
-	Lost          []string // other requests without a complete answer in time
-	writes        []string // ids of writes
+	Refused       int         // connections refused while no process listened
+	Excused       int         // requests without an answer that were open when a process was killed
+	Unserved      map[int]int // requests answered with another status than 200, by status
+	Lost          []string    // other requests without a complete answer in time
+	writes        []string    // ids of writes
 	latencies     []time.Duration
 }
 
@@ -131,6 +132,11 @@
 	case got.status == http.StatusOK:
 		u.result.Served++
 		u.result.latencies = append(u.result.latencies, took)
+	default:
+		if u.result.Unserved == nil {
+			u.result.Unserved = map[int]int{}
+		}
+		u.result.Unserved[got.status]++
 	}
 }
 
