Compare names and schemes as ASCII

What callers saw: a target whose scheme is "http" and a long s (U+017F) was passed on, since strings.EqualFold takes that letter for an s, and the Kelvin sign for a k.

Change: one comparison that demands the same length, in which no other letter can stand for one of ASCII; used for schemes, names, codings and list elements.

--- a/internal/frontend/httpfront/framing.go
+++ b/internal/frontend/httpfront/framing.go
@@ -26,7 +26,7 @@
 		switch {
 		case !validToken([]byte(strings.TrimRight(coding, " \t"))):
 			t.malformed = true
-		case !strings.EqualFold(coding, chunkedCoding):
+		case !equalFoldASCII(coding, chunkedCoding):
 			t.unknown = true
 		case hasParameter:
 			t.malformed = true
--- a/internal/frontend/httpfront/header.go
+++ b/internal/frontend/httpfront/header.go
@@ -95,7 +95,7 @@
 // addExpectations records the elements of an Expect field. An empty field expects nothing.
 func (h *header) addExpectations(list []byte) {
 	for expectation := range bytes.SplitSeq(list, []byte(",")) {
-		if strings.EqualFold(string(bytes.Trim(expectation, " \t")), "100-continue") {
+		if equalFoldASCII(string(bytes.Trim(expectation, " \t")), "100-continue") {
 			h.expectsContinue = true
 		} else if len(list) > 0 {
 			h.expectsOther = true
@@ -106,7 +106,7 @@
 // hasToken reports whether a comma-separated list contains a token, ignoring case.
 func hasToken(list []byte, token string) bool {
 	for element := range strings.SplitSeq(string(list), ",") {
-		if strings.EqualFold(strings.Trim(element, " \t"), token) {
+		if equalFoldASCII(strings.Trim(element, " \t"), token) {
 			return true
 		}
 	}
@@ -116,7 +116,7 @@
 // findHeaderField returns the field with the given name. ok is false if the server does not use it.
 func findHeaderField(name []byte) (field headerField, ok bool) {
 	for field, known := range headerFieldNames {
-		if len(name) == len(known) && strings.EqualFold(string(name), known) {
+		if equalFoldASCII(string(name), known) {
 			return headerField(field), true
 		}
 	}
--- a/internal/frontend/httpfront/requestline.go
+++ b/internal/frontend/httpfront/requestline.go
@@ -104,7 +104,7 @@
 	}
 	if !strings.HasPrefix(target, "/") {
 		scheme, rest, found := strings.Cut(target, "://")
-		if !found || !strings.EqualFold(scheme, "http") && !strings.EqualFold(scheme, "https") {
+		if !found || !equalFoldASCII(scheme, "http") && !equalFoldASCII(scheme, "https") {
 			return false
 		}
 		authority := rest
@@ -120,6 +120,12 @@
 	return isTargetByte.containsAll(target) && validPercentEncoding(target)
 }
 
+// equalFoldASCII reports whether two texts are equal, ignoring the case of letters. Unlike
+// strings.EqualFold it does not take the long s or the Kelvin sign for a letter of ASCII.
+func equalFoldASCII(text, other string) bool {
+	return len(text) == len(other) && strings.EqualFold(text, other)
+}
+
 // validPercentEncoding reports whether two hexadecimal digits follow each percent sign.
 func validPercentEncoding(text string) bool {
 	for {
--- a/internal/frontend/httpfront/trailer.go
+++ b/internal/frontend/httpfront/trailer.go
@@ -25,7 +25,7 @@
 		return true
 	}
 	return slices.ContainsFunc(forbiddenTrailers, func(forbidden string) bool {
-		return strings.EqualFold(string(name), forbidden)
+		return equalFoldASCII(string(name), forbidden)
 	})
 }
 
