--- a/internal/frontend/httpfront/trailer.go
+++ b/internal/frontend/httpfront/trailer.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"slices"
-	"strings"
 )
 
 // forbiddenTrailers are fields that must stand in the header, besides those that the server uses: they
