Take back the bytes that stay in the socket behind an open request

Cause, as far as it is seen: a crowd that sends 400 reads at once on each of 600 connections lost its connection after the first answer; now each of these reads is served, and usual clients find no room. That they are refused by the budget and not by the router is not shown.

--- a/internal/frontend/httpfront/conn.go
+++ b/internal/frontend/httpfront/conn.go
@@ -52,9 +52,6 @@
 
 func (s *Server) newConn(netConn net.Conn) *conn {
 	now := s.Clock.Now()
-	if socket, ok := netConn.(interface{ SetReadBuffer(bytes int) error }); ok {
-		_ = socket.SetReadBuffer(receiveBufferBytes) // a connection that has ended already is noticed by its first read
-	}
 	text := textconn.New(netConn)
 	text.SetGate(s.readers)
 	return &conn{
@@ -190,7 +187,8 @@
 }
 
 // awaitResponse waits for the response to a submitted request and writes it. While it waits, it
-// reads ahead on the connection to detect that the client disconnects, also behind pipelined bytes.
+// reads ahead on the connection to detect that the client disconnects. Reading ahead goes past
+// pipelined bytes, so it detects a disconnect that follows them.
 func (c *conn) awaitResponse(r *request, dispatched *dispatch.Request, responses *responseSlot) bool {
 	readAheadEnded := make(chan error, 1)
 	go func() {
@@ -286,7 +284,7 @@
 func (c *conn) keepAlive(r *request) bool {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	return !r.closeAfter && !c.server.keepAlivesDisabled.Load() && !c.evicted
+	return !r.closeAfter && !c.server.keepAlivesDisabled.Load() && !c.evicted && !c.text.Discarded()
 }
 
 // isTimeout reports whether err says that a read or an accept reached its deadline.
--- a/internal/textconn/poll.go
+++ b/internal/textconn/poll.go
@@ -7,14 +7,11 @@
 	"golang.org/x/sys/unix"
 )
 
-// endEvents are the events of a connection that the peer has closed or reset.
-const endEvents = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
-
 // PeerClosed reports whether the peer has closed or reset the connection, also if bytes that the peer
 // sent before are still unread. It reads nothing and does not block. It returns false if the system
 // cannot tell. Any goroutine may call PeerClosed.
 func (c *Conn) PeerClosed() bool {
-	return c.poll(unix.POLLRDHUP)&endEvents != 0
+	return c.poll(unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
 // HasUnread reports whether bytes of the peer wait in the system. It does not block. Any goroutine may
