Keep unanswered connections to the change log open beside the next

Cause: frameTimeout (1.6 s) ended the wait for the first frame, and for the whole of any frame. Each connection was closed before its answer and the next began from nothing; nothing was remembered.

Change: connectionSchedule, a state machine without I/O, decides which connections are open. Requests go out as often as before, but an unanswered connection stays open for 7 s beside the next (the oldest for up to 56 s); at most three are open, and the first that receives a frame is kept. A wait that doubles would have cost 1.6 + 3.2 + 6.5 s and delays for an answer after 6.5 s; events count as told after 7 s. A punctual log whose open connection falls silent is asked after 1.5 s, so that an answer after 6.5 s is still in time.

--- a/internal/discovery/frame.go
+++ b/internal/discovery/frame.go
@@ -63,12 +63,6 @@
 	event platformconfig.WatchEvent
 }
 
-// frameResult is a received frame, or the error that ended the connection.
-type frameResult struct {
-	frame
-	err error
-}
-
 // readFrame reads and decodes one frame. zones and kinds are the numbers of zones and kinds in the
 // configuration. A record whose zone or kind is not in the configuration is malformed.
 func readFrame(conn *textconn.Conn, zones, kinds int) (frame, error) {
--- a/internal/discovery/golden_test.go
+++ b/internal/discovery/golden_test.go
@@ -40,7 +40,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
-		watcher.readFrames(ctx, watcher.config, 0x1122334455667788, make(chan frameResult))
+		readConnection(ctx, watcher.dial, 1, connectionRequest{config: watcher.config, afterSeq: 0x1122334455667788}, make(chan connectionReport))
 		close(done)
 	}()
 	var request [8]byte
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -12,8 +12,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -43,9 +41,10 @@
 	counters *metrics.Registry
 	log      zerolog.Logger
 	notify   func(platformconfig.WatchEvent)
-	dial     func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+	dial     dialFunc
 
 	// Only the goroutine of Run uses the following state.
+	connections  *connections
 	config       *platformconfig.Config
 	knownReady   map[routing.ServerID]time.Duration // servers that are ready after the known events of config; value: start time
 	lastSeq      uint64                             // number of the last applied event
@@ -97,10 +96,6 @@
 	return w
 }
 
-func dialTCP(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
-	return (&net.Dialer{}).DialContext(ctx, "tcp", to.String())
-}
-
 // SetLog sets the logger for malformed frames, of which it gets up to ten a second. SetLog is called before
 // Run; without it nothing is logged.
 func (w *Watcher) SetLog(log zerolog.Logger) { w.log = logs.Throttled(log, w.clock) }
@@ -137,18 +132,74 @@
 	w.followReports()
 	syncTimer := time.AfterFunc(clock.Duration(initialSyncTimeout), w.markSynced)
 	defer syncTimer.Stop()
-	backoff := reconnectBackoff{random: rand.New(rand.NewPCG(w.config.Seed, 0))}
-	for ctx.Err() == nil {
-		ended := w.runSession(ctx)
-		if ended.nextConfig == nil && ctx.Err() == nil {
-			w.countReconnect(ended.err)
-			delay := clock.Duration(backoff.nextDelay(ended.receivedFrame))
-			ended = w.processEvents(ctx, nil, time.After(delay))
+	w.connections = newConnections(w.dial, rand.New(rand.NewPCG(w.config.Seed, 0)))
+	defer w.connections.closeAll()
+	ticker := time.NewTicker(disabledPollInterval)
+	defer ticker.Stop()
+	for {
+		w.openDueConnection(ctx)
+		select {
+		case report := <-w.connections.reports:
+			w.handleReport(report)
+		case <-w.connections.due():
+			w.handlePendingReport()
+		case request := <-w.disableRequests:
+			request.result <- w.handleDisableRequest(request)
+		case <-ticker.C:
+			w.syncDisabledStore()
+			w.followReports()
+		case <-w.gossip.changesReady:
+			w.applyGossip()
+		case config := <-w.pendingConfig:
+			w.applyConfig(config)
+			w.connections.restart()
+		case <-ctx.Done():
+			return
 		}
-		if ended.nextConfig != nil {
-			w.applyConfig(ended.nextConfig)
-			backoff.reset()
+	}
+}
+
+// handlePendingReport handles a report that already waits. A frame that has arrived makes another connection
+// needless, also if this process was not running when the connection became due.
+func (w *Watcher) handlePendingReport() {
+	select {
+	case report := <-w.connections.reports:
+		w.handleReport(report)
+	default:
+	}
+}
+
+// openDueConnection opens a connection to the change log if the schedule demands one.
+func (w *Watcher) openDueConnection(ctx context.Context) {
+	id := w.connections.step()
+	if id == 0 {
+		return
+	}
+	if !w.connections.first {
+		w.counters.Add("changelog_reconnects", 1)
+	}
+	w.connections.first = false
+	w.connections.open(ctx, id, connectionRequest{config: w.config, afterSeq: w.lastSeq})
+}
+
+// handleReport handles what the goroutine of a connection reports. It ignores the reports of connections
+// that were closed meanwhile.
+func (w *Watcher) handleReport(report connectionReport) {
+	if !w.connections.isOpen(report.id) {
+		return
+	}
+	switch report.kind {
+	case reportEstablished:
+		w.connections.recordEstablished(report)
+	case reportFrame:
+		if err := w.handleFrame(report.frame); err != nil {
+			w.connections.recordEnd(report.id, true)
+			return
 		}
+		w.connections.recordFrame(report.id)
+	case reportEnd:
+		w.countMalformed(report.err)
+		w.connections.recordEnd(report.id, w.connections.receivedFrame(report.id))
 	}
 }
 
@@ -163,9 +214,8 @@
 	w.recordDisabledStarts()
 }
 
-// countReconnect counts a reconnect. err is the error that ended the session before it.
-func (w *Watcher) countReconnect(err error) {
-	w.counters.Add("changelog_reconnects", 1)
+// countMalformed counts and logs a malformed frame. err is the error that ended a connection.
+func (w *Watcher) countMalformed(err error) {
 	if errors.Is(err, ErrMalformedFrame) {
 		w.counters.Add("changelog_broken_frames", 1)
 		w.log.Warn().Err(err).Msg("malformed frame of the change log, connecting again")
@@ -178,47 +228,3 @@
 		close(w.syncedSignal)
 	}
 }
-
-// sessionEnd tells why processEvents returned.
-type sessionEnd struct {
-	receivedFrame bool                   // the session received a frame
-	nextConfig    *platformconfig.Config // the new configuration, if one has arrived
-	err           error                  // error of the connection, of a frame or of ctx
-}
-
-// processEvents handles frames, requests, gossip and ticks. It returns when the channel frames
-// delivers the error that ended the connection, when a frame cannot be applied, when the channel
-// pause delivers a value, when another configuration arrives, or when ctx is done. The channel
-// pause belongs to the timer of the delay before a reconnect. Both channels may be nil.
-func (w *Watcher) processEvents(ctx context.Context, frames <-chan frameResult, pause <-chan time.Time) sessionEnd {
-	var end sessionEnd
-	ticker := time.NewTicker(disabledPollInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case received := <-frames:
-			if received.err != nil {
-				end.err = received.err
-				return end
-			}
-			end.receivedFrame = true
-			if end.err = w.handleFrame(received.frame); end.err != nil {
-				return end
-			}
-		case request := <-w.disableRequests:
-			request.result <- w.handleDisableRequest(request)
-		case <-ticker.C:
-			w.syncDisabledStore()
-			w.followReports()
-		case <-w.gossip.changesReady:
-			w.applyGossip()
-		case end.nextConfig = <-w.pendingConfig:
-			return end
-		case <-pause:
-			return end
-		case <-ctx.Done():
-			end.err = ctx.Err()
-			return end
-		}
-	}
-}
