Say since when and why the change log is not heard

A stale watch was one number, 0 or 1. Whether the change log was unreachable, answered nothing, fell silent or closed its connections could be told by nothing that the router reports.

--- a/cmd/garnetline/admin.go
+++ b/cmd/garnetline/admin.go
@@ -61,8 +61,10 @@
 	for _, account := range usage.Accounts {
 		values.Memory = append(values.Memory, admin.MemoryMetrics{Account: account.Account.String(), Bytes: account.Bytes, Refused: account.Refused})
 	}
-	if d.watcher.Stale(d.clock.Now()) {
+	if staleness, stale := d.watcher.Staleness(d.clock.Now()); stale {
 		values.WatchStale = 1
+		values.WatchStaleSince = int64(staleness.Since)
+		values.WatchStaleReason = staleness.Reason
 	}
 	for _, class := range d.classes() {
 		values.Classes = append(values.Classes, admin.ClassMetrics{
--- a/cmd/garnetline/fleet_admin.go
+++ b/cmd/garnetline/fleet_admin.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 
+	"garnetline/internal/fleet"
 	"garnetline/internal/fleet/bans"
 	"garnetline/internal/fleet/leasemanager"
 	"garnetline/routing"
@@ -35,7 +36,7 @@
 func (f *fleetServices) handleGet(path string) (status int, body []byte, ok bool) {
 	switch {
 	case path == "/fleet":
-		return jsonPage(f.Status())
+		return jsonPage(f.statusWithWatch())
 	case f.leases == nil:
 		return 0, nil, false
 	case path == "/fleet/duties":
@@ -46,6 +47,15 @@
 	return 0, nil, false
 }
 
+// statusWithWatch returns the status of the fleet with that of this router's watch of the change log.
+func (f *fleetServices) statusWithWatch() *fleet.Status {
+	status := *f.Status()
+	if staleness, stale := f.watcher.Staleness(f.clock.Now()); stale {
+		status.StaleWatch = &fleet.WatchStatus{Since: staleness.Since, Reason: string(staleness.Reason)}
+	}
+	return &status
+}
+
 // handlePost answers a POST request. The argument parts holds the segments of the request's path.
 // The first segment is "fleet".
 func (f *fleetServices) handlePost(ctx context.Context, parts []string) (status int, body []byte, ok bool) {
--- a/cmd/garnetline/fleet_tables.go
+++ b/cmd/garnetline/fleet_tables.go
@@ -25,6 +25,9 @@
 	if status.Superseded {
 		table.linef("seat\ta later process has it")
 	}
+	if watch := status.StaleWatch; watch != nil {
+		table.linef("change log\tnot heard since %s: %s", formatTime(watch.Since), watch.Reason)
+	}
 	if len(status.Bans) > 0 {
 		table.linef("banned\t%s", strings.Join(status.Bans, " "))
 	}
--- a/cmd/garnetline/fleet_watch.go
+++ b/cmd/garnetline/fleet_watch.go
@@ -62,6 +62,9 @@
 		return view
 	}
 	view["stance"] = fmt.Sprintf("%s, %d of %d there", status.Connectivity, status.Present, status.Known)
+	if watch := status.StaleWatch; watch != nil {
+		view["change log"] = "not heard: " + watch.Reason
+	}
 	for i := range status.Members {
 		member := &status.Members[i]
 		view[member.Name+" "+member.RouterID] = fmt.Sprintf("%s, life %d at %s", member.State, member.Incarnation, member.Addr)
--- a/cmd/garnetline/metrics_test.go
+++ b/cmd/garnetline/metrics_test.go
@@ -7,6 +7,7 @@
 
 	"garnetline/internal/admin"
 	"garnetline/internal/clock"
+	"garnetline/internal/discovery"
 	"garnetline/internal/fleet"
 	"garnetline/internal/fleet/packetcrypto"
 	"garnetline/internal/fleet/transport"
@@ -32,7 +33,7 @@
 		t.Fatal(err)
 	}
 	page := admin.Metrics{Classes: []admin.ClassMetrics{{Name: "part", Served: 1, Rejected: 2, Failed: 3}, {Name: "form", Served: 4, Rejected: 5, Failed: 6}},
-		Relayed: 7, OpenRequests: 8, ListedServers: 9, UnavailableServers: 10, ReloadsAccepted: 11, ReloadsRejected: 12, PendingTimers: 13, HeapBytes: 14, WatchFrames: 15, WatchStale: 1}.AppendPrometheus(nil)
+		Relayed: 7, OpenRequests: 8, ListedServers: 9, UnavailableServers: 10, ReloadsAccepted: 11, ReloadsRejected: 12, PendingTimers: 13, HeapBytes: 14, WatchFrames: 15, WatchStale: 1, WatchStaleSince: 16, WatchStaleReason: discovery.ReasonSilent}.AppendPrometheus(nil)
 	page = (&fleetServices{Transport: fleetTransport, metrics: registry}).AppendMetrics(page)
 	golden.Compare(t, "metrics.golden", page)
 }
--- a/internal/admin/metrics.go
+++ b/internal/admin/metrics.go
@@ -1,6 +1,10 @@
 package admin
 
-import "fmt"
+import (
+	"fmt"
+
+	"garnetline/internal/discovery"
+)
 
 // Metrics holds the router's own values for GET /metrics. The fleet's metrics are not among them.
 type Metrics struct {
@@ -14,6 +18,8 @@
 	PendingTimers      int64 // timers of the dispatcher that have not fired yet
 	WatchFrames        int64 // frames received from the change log
 	WatchStale         int64 // 1 if the change log is cut off or not heard yet, so that events may be missing; 0 otherwise
+	WatchStaleSince    int64 // if WatchStale is 1: time of the latest frame, or of the start, in Unix ms; 0 otherwise
+	WatchStaleReason   discovery.StaleReason
 	HeapBytes          int64 // memory of the objects in the Go heap, those not collected yet included
 	Processes          int64 // running processes of the router, which share its limits
 	ResidentBytes      int64 // memory of this process as the system counts it
@@ -52,6 +58,8 @@
 	text = appendMetric(text, "heap_bytes", "gauge", m.HeapBytes)
 	text = appendMetric(text, "watch_frames_total", "counter", m.WatchFrames)
 	text = appendMetric(text, "watch_stale", "gauge", m.WatchStale)
+	text = appendMetric(text, "watch_stale_since_ms", "gauge", m.WatchStaleSince)
+	text = appendReasons(text, m.WatchStaleReason)
 	text = appendMetric(text, "processes", "gauge", m.Processes)
 	text = appendMetric(text, "resident_bytes", "gauge", m.ResidentBytes)
 	text = appendMetric(text, "memory_budget_bytes", "gauge", m.MemoryBudgetBytes)
@@ -66,6 +74,20 @@
 	return text
 }
 
+// appendReasons appends a metric for each reason for which the watch of the change log may be stale: 1 for
+// the current reason, 0 for the others.
+func appendReasons(text []byte, current discovery.StaleReason) []byte {
+	text = append(text, "# TYPE app_watch_stale_reason gauge\n"...)
+	for _, reason := range discovery.StaleReasons {
+		value := 0
+		if reason == current {
+			value = 1
+		}
+		text = fmt.Appendf(text, "app_watch_stale_reason{reason=%q} %d\n", reason, value)
+	}
+	return text
+}
+
 func appendOperations(text []byte, class, status string, count int64) []byte {
 	return fmt.Appendf(text, "app_operations_total{priority=%q,status=%q} %d\n", class, status, count)
 }
--- a/internal/discovery/connections.go
+++ b/internal/discovery/connections.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -94,6 +95,27 @@
 	delete(c.opened, id)
 }
 
+// count returns the number of open connections.
+func (c *connections) count() int { return len(c.opened) }
+
+// anyEstablished reports whether an open connection is established.
+func (c *connections) anyEstablished() bool {
+	for _, connection := range c.opened {
+		if connection.stream != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// anyReceivedFrame reports whether an open connection has received a frame.
+func (c *connections) anyReceivedFrame() bool {
+	return slices.ContainsFunc(c.schedule.open, func(connection scheduledConnection) bool { return connection.receivedFrame })
+}
+
+// isEstablished reports whether the open connection with an id is established.
+func (c *connections) isEstablished(id connectionID) bool { return c.opened[id].stream != nil }
+
 func (c *connections) isOpen(id connectionID) bool { return c.opened[id] != nil }
 
 // receivedFrame reports whether an open connection has received a frame.
--- a/internal/discovery/gossip.go
+++ b/internal/discovery/gossip.go
@@ -84,6 +84,7 @@
 	if w.Stale(now) {
 		w.gossip.steadySince = now
 	}
+	w.stale.lastEnd = ""
 	guard := *w.guard.Load()
 	guard.LastFrameAt = clock.Duration(now)
 	w.guard.Store(&guard)
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -52,6 +52,7 @@
 	servers      map[routing.ServerID]platformconfig.Endpoint
 	disabled     map[routing.ServerID]time.Duration // servers that operators disabled; value: the listed start time when the server was disabled
 	gossip       gossipState
+	stale        staleWatch
 	// assumedStarts holds the servers that operators enabled and whose restart the endpoint list does not show.
 	assumedStarts map[routing.ServerID]assumedStart
 
@@ -61,6 +62,7 @@
 
 	// Other goroutines read the following state.
 	guard            atomic.Pointer[routing.Guard]
+	staleness        atomic.Pointer[Staleness] // nil before Run
 	listedCount      atomic.Int64
 	unavailableCount atomic.Int64 // listed servers that are draining or disabled
 	synced           atomic.Bool
@@ -132,6 +134,7 @@
 	w.followReports()
 	syncTimer := time.AfterFunc(clock.Duration(initialSyncTimeout), w.markSynced)
 	defer syncTimer.Stop()
+	w.stale.startedAt = w.clock.Now()
 	w.connections = newConnections(w.dial, rand.New(rand.NewPCG(w.config.Seed, 0)))
 	defer w.connections.closeAll()
 	ticker := time.NewTicker(disabledPollInterval)
@@ -148,6 +151,7 @@
 		case <-ticker.C:
 			w.syncDisabledStore()
 			w.followReports()
+			w.updateStaleness()
 		case <-w.gossip.changesReady:
 			w.applyGossip()
 		case config := <-w.pendingConfig:
@@ -193,12 +197,15 @@
 		w.connections.recordEstablished(report)
 	case reportFrame:
 		if err := w.handleFrame(report.frame); err != nil {
+			w.recordConnectionEnd(err, true)
 			w.connections.recordEnd(report.id, true)
 			return
 		}
 		w.connections.recordFrame(report.id)
+		w.updateStaleness()
 	case reportEnd:
 		w.countMalformed(report.err)
+		w.recordConnectionEnd(report.err, w.connections.isEstablished(report.id))
 		w.connections.recordEnd(report.id, w.connections.receivedFrame(report.id))
 	}
 }
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -23,6 +23,13 @@
 	Members           []MemberStatus `json:"members"`
 	Bans              []string       `json:"bans"`
 	DeferredEnables   []string       `json:"deferred_enables,omitempty"` // servers in Bans that another router has enabled; see gossip.Store.DeferEnables
+	StaleWatch        *WatchStatus   `json:"watch_stale,omitempty"`      // nil if the router hears the change log
+}
+
+// WatchStatus tells since when and why a router does not hear the change log.
+type WatchStatus struct {
+	Since  float64 `json:"since_ms"` // time of the latest frame, or of the start if there was none, Unix ms
+	Reason string  `json:"reason"`
 }
 
 // MemberStatus is one member of a Status.
@@ -41,8 +48,8 @@
 	Self        bool    `json:"self,omitempty"`
 }
 
-// NewStatus returns the status of a view. The caller sets the fields Bound, Bans and
-// DeferredEnables.
+// NewStatus returns the status of a view. The caller sets the fields Bound, Bans, DeferredEnables
+// and StaleWatch.
 func NewStatus(view *membership.View, current connectivity.Status, fleet string) *Status {
 	status := &Status{
 		Fleet:             fleet,
--- a/internal/fleet/status_test.go
+++ b/internal/fleet/status_test.go
@@ -25,6 +25,7 @@
 	status.Bound = true
 	status.Bans = append(status.Bans, "5")
 	status.DeferredEnables = append(status.DeferredEnables, "5")
+	status.StaleWatch = &WatchStatus{Since: 1_699_999_990_000, Reason: "silent"}
 	encoded, err := json.MarshalIndent(status, "", " ")
 	if err != nil {
 		t.Fatal(err)
