Give a slow trace collector more time with each call that timed out

A collector that always needs longer than timeout_ms got the same batch again and again; its traces were stored there many times and never counted as exported.

Each call that timed out doubles the timeout, up to 60 s; an answered call limits it to twice the time that it needed (package adaptivetimeout). Close still has the configured time for the call in progress, since that call now ends with a context.

--- a/internal/trace/export/call.go
+++ b/internal/trace/export/call.go
@@ -33,21 +33,24 @@
 // would also fail.
 var errPermanent = errors.New("permanent failure to export a batch of traces")
 
-// send sends a batch in one call. If the call fails, retryAfter is the time in ms that the
+// send sends a batch in one call. The timeout in ms applies to connecting, and again to the request and the
+// response. The call also ends when ctx is done. If the call fails, retryAfter is the time in ms that the
 // collector asked to wait before the next call. It is 0 if the collector asked for no wait. The
 // error wraps errPermanent if the batch must not be sent again.
-func (x *Exporter) send(batch []*trace.Trace) (retryAfter float64, err error) {
+func (x *Exporter) send(ctx context.Context, batch []*trace.Trace, timeout float64) (retryAfter float64, err error) {
 	body, err := render.Batch(batch)
 	if err != nil {
 		return 0, fmt.Errorf("%w: %w", errPermanent, err)
 	}
-	conn, err := x.dial()
+	conn, err := x.dial(ctx, timeout)
 	if err != nil {
 		return 0, err
 	}
 	defer func() { _ = conn.Close() }() // an error is ignored, because the call has ended
+	interrupt := func() { _ = conn.NetConn.SetDeadline(time.Now()) }
+	defer context.AfterFunc(ctx, interrupt)()
 	request := fmt.Appendf(conn.WriteBuffer(), requestFormat, x.collector.RequestURI(), x.collector.Host, len(body))
-	if err := conn.Flush(request, x.Timeout, body); err != nil {
+	if err := conn.Flush(request, timeout, body); err != nil {
 		return 0, err
 	}
 	conn.LimitRead(maxResponseSize)
@@ -56,9 +59,9 @@
 
 // dial connects to the collector. The timeout for the response starts when the connection has
 // been established.
-func (x *Exporter) dial() (*textconn.Conn, error) {
-	timeout := clock.Duration(x.Timeout)
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+func (x *Exporter) dial(ctx context.Context, timeoutMillis float64) (*textconn.Conn, error) {
+	timeout := clock.Duration(timeoutMillis)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	netConn, err := (&net.Dialer{}).DialContext(ctx, "tcp", x.collector.Host)
 	if err != nil {
--- a/internal/trace/export/export.go
+++ b/internal/trace/export/export.go
@@ -7,20 +7,24 @@
 package export
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/url"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"garnetline/internal/adaptivetimeout"
 	"garnetline/internal/clock"
 	"garnetline/internal/metrics"
 	"garnetline/internal/trace"
 )
 
 const (
+	maxTimeout = 60_000.0 // ms, upper bound of the timeout of a call, unless Options.Timeout is longer
 	// maxBatch is the maximum number of traces in one call.
 	maxBatch = 64
 	// defaultPort and defaultPath replace a missing port and a missing path in a collector's
@@ -47,7 +51,7 @@
 type Options struct {
 	URL       string  // URL of the collector; the scheme must be http
 	QueueSize int     // maximum number of traces in the queue
-	Timeout   float64 // ms, for connecting; after connecting, the same time again for the request and the response
+	Timeout   float64 // ms, for connecting; after connecting, the same time again for the request and the response; doubles after a call that timed out, up to maxTimeout
 	Metrics   *metrics.Registry
 	Log       *zerolog.Logger
 	Seed      uint64 // seed of the random waits after failures; must differ between routers
@@ -64,6 +68,10 @@
 	// Owned by the goroutine of run.
 	batch   []*trace.Trace // traces taken from the queue and not yet exported
 	backoff backoff
+	timeout adaptivetimeout.Timeout
+
+	calls       context.Context // is done soon after Close; ends the call in progress
+	cancelCalls context.CancelFunc
 }
 
 // New returns an Exporter whose goroutine runs until Close. If the URL is invalid, New returns
@@ -73,6 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
+	calls, cancelCalls := context.WithCancel(context.Background())
 	x := &Exporter{
 		Options:   options,
 		collector: collector,
@@ -80,6 +89,10 @@
 		quit:      make(chan struct{}),
 		stopped:   make(chan struct{}),
 		backoff:   backoff{random: rand.New(rand.NewPCG(options.Seed, backoffStream))},
+		timeout:   adaptivetimeout.New(options.Timeout, maxTimeout),
+
+		calls:       calls,
+		cancelCalls: cancelCalls,
 	}
 	go x.run()
 	return x, nil
@@ -115,12 +128,15 @@
 // Flush does nothing, because the goroutine of run sends queued traces without delay.
 func (x *Exporter) Flush(float64) error { return nil }
 
-// Close stops the Exporter and waits until its goroutine has returned. If the last call failed, the
-// Exporter makes one more call with one batch, and counts the traces that this call did not export
+// Close stops the Exporter and waits until its goroutine has returned. A call in progress has
+// Options.Timeout to end. If the last call failed, the Exporter makes one more call with one batch, and counts the traces that this call did not export
 // as not exported. Close must be called only once. Add must not be called after Close.
 func (x *Exporter) Close(float64) error {
 	close(x.quit)
+	timer := time.AfterFunc(clock.Duration(x.Timeout), x.cancelCalls)
 	<-x.stopped
+	timer.Stop()
+	x.cancelCalls()
 	return nil
 }
 
@@ -129,7 +145,7 @@
 func (x *Exporter) run() {
 	defer close(x.stopped)
 	for x.waitForBatch() {
-		retryAfter, err := x.send(x.batch)
+		retryAfter, err := x.sendTimed()
 		if err == nil {
 			x.recordExported()
 			x.backoff.reset()
@@ -143,6 +159,21 @@
 	}
 }
 
+// sendTimed sends the batch, and adapts the timeout of the next call to the result. A collector that is
+// always slower than Options.Timeout would otherwise get the same batch again and again.
+func (x *Exporter) sendTimed() (retryAfter float64, err error) {
+	start := time.Now()
+	retryAfter, err = x.send(x.calls, x.batch, x.timeout.Current())
+	var netError net.Error
+	switch {
+	case err == nil:
+		x.timeout.RecordAnswered(clock.Millis(time.Since(start)))
+	case errors.As(err, &netError) && netError.Timeout():
+		x.timeout.RecordExpired()
+	}
+	return retryAfter, err
+}
+
 // waitForBatch waits until there is a batch to send. It returns false if Close was called
 // instead. If a failed call left a batch, waitForBatch does not wait, but adds queued traces to
 // that batch.
@@ -207,7 +238,7 @@
 func (x *Exporter) sendLast() {
 	x.fillBatch()
 	if len(x.batch) > 0 {
-		if _, err := x.send(x.batch); err == nil {
+		if _, err := x.send(context.Background(), x.batch, x.Timeout); err == nil {
 			x.recordExported()
 		}
 	}
