Give a slow server more time with each load poll that timed out

The load of a server that answers polls later than 300 ms was never known: each poll was given up after that time and its connection closed, however often it was polled. The timeout of a server's polls now doubles after one that timed out, up to 4.8 s, and returns with faster answers. The end of the collector interrupts a poll under way, so that the longer timeout does not delay a shutdown.

--- a/internal/fleet/loadreport/poll.go
+++ b/internal/fleet/loadreport/poll.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 
+	"garnetline/internal/adaptivetimeout"
 	"garnetline/internal/clock"
 	"garnetline/internal/textconn"
 	"garnetline/internal/upstream"
@@ -14,7 +15,8 @@
 )
 
 const (
-	pollTimeout       = 300.0   // ms
+	minPollTimeout    = 300.0   // ms; doubles after a poll that timed out
+	maxPollTimeout    = 4800.0  // ms
 	maxResponseSize   = 1 << 10 // bytes
 	significantChange = 0.1     // change of the link utilization above which the next poll follows after MinInterval
 	intervalGrowth    = 1.5     // factor by which the time between polls grows while the load does not change
@@ -24,8 +26,8 @@
 // the lease.
 var errLeaseLost = errors.New("load report: this router lost the lease before it wrote the poll to the server")
 
-// polledServer is a server that is polled. The poll that is under way owns conn and sequence; the
-// Collector's mu guards the other fields.
+// polledServer is a server that is polled. The poll that is under way owns conn, sequence and
+// timeout; the Collector's mu guards the other fields.
 type polledServer struct {
 	Server
 	nextPollAt          float64
@@ -35,10 +37,16 @@
 
 	conn     *textconn.Conn
 	sequence uint64
+	timeout  adaptivetimeout.Timeout
 }
 
 func newPolledServer(server Server, interval float64) *polledServer {
-	return &polledServer{Server: server, interval: interval, lastLinkUtilization: math.NaN()}
+	return &polledServer{
+		Server:              server,
+		interval:            interval,
+		lastLinkUtilization: math.NaN(),
+		timeout:             adaptivetimeout.New(minPollTimeout, maxPollTimeout),
+	}
 }
 
 func (s *polledServer) close() {
@@ -62,7 +70,7 @@
 
 // poll polls a server once, passes the load to Options.ReportLoad and stores it for sendReports.
 func (c *Collector) poll(ctx context.Context, server *polledServer, fencingToken uint64) {
-	load, err := c.query(ctx, server, fencingToken)
+	load, err := c.timedQuery(ctx, server, fencingToken)
 	now := c.options.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -79,12 +87,29 @@
 	c.options.ReportLoad(server.ID, load, 0)
 }
 
+// timedQuery polls a server, and adapts the timeout of its next poll to the result. Otherwise the load of a
+// server that is always slower than minPollTimeout would never be known.
+func (c *Collector) timedQuery(ctx context.Context, server *polledServer, fencingToken uint64) (routing.LoadReport, error) {
+	start := c.options.Clock.Now()
+	load, err := c.query(ctx, server, fencingToken)
+	var netError net.Error
+	switch {
+	case err == nil:
+		server.timeout.RecordAnswered(c.options.Clock.Now() - start)
+	case errors.As(err, &netError) && netError.Timeout():
+		server.timeout.RecordExpired()
+	}
+	return load, err
+}
+
 // query writes one poll and reads the response. It returns errLeaseLost if the fencing token is no
 // longer valid right before the write.
 func (c *Collector) query(ctx context.Context, server *polledServer, fencingToken uint64) (routing.LoadReport, error) {
 	if err := server.connect(ctx); err != nil {
 		return routing.LoadReport{}, err
 	}
+	conn := server.conn
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 	server.sequence++
 	tag := fmt.Sprintf("p%d.%d", fencingToken, server.sequence) // servers can read the fencing token from the tag
 	command := fmt.Appendf(server.conn.WriteBuffer(), "*2\r\n$6\r\ngauges\r\n$%d\r\n%s\r\n", len(tag), tag)
@@ -94,11 +119,11 @@
 		c.options.Metrics.Add("probes_held_back", 1)
 		return routing.LoadReport{}, errLeaseLost
 	}
-	if err := server.conn.Flush(command, pollTimeout); err != nil {
+	if err := server.conn.Flush(command, server.timeout.Current()); err != nil {
 		return routing.LoadReport{}, err
 	}
 	c.options.Metrics.Add("probes_sent", 1)
-	return upstream.ReadLoadReport(server.conn, tag, maxResponseSize, pollTimeout)
+	return upstream.ReadLoadReport(server.conn, tag, maxResponseSize, server.timeout.Current())
 }
 
 // connect dials the server, unless the connection of an earlier poll is still open.
@@ -106,7 +131,7 @@
 	if s.conn != nil {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, clock.Duration(pollTimeout))
+	ctx, cancel := context.WithTimeout(ctx, clock.Duration(s.timeout.Current()))
 	defer cancel()
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", s.Address.String())
 	if err != nil {
