Hear a lease registry that answers after the request was repeated

Callers of an enable got 503 (no majority of the voters) although the registry had carried it out, and a ban was registered anew each 150 ms, each time as another version, where the voters' answers took longer than that.

Cause: the machine repeats a request after RetryInterval and forgot the one before, so that only a response within 150 ms counted.

--- a/internal/fleet/bans/machine.go
+++ b/internal/fleet/bans/machine.go
@@ -37,13 +37,13 @@
 	// Requests and changes that wait for a response.
 	openRequests  map[uint64]float64 // time of each request by its ID
 	changes       map[uint64]*pendingChange
-	registrations map[routing.ServerID]uint64 // ID of the request that registers a server's ban
+	registrations map[uint64]routing.ServerID // servers whose ban an open request registers, by the request's ID
 }
 
 // pendingChange is an operator's change that the registry has not applied yet.
 type pendingChange struct {
 	Change
-	requestID     uint64
+	requestIDs    []uint64 // of all requests for the change: a response may arrive after the next request was sent
 	nextRequestAt float64
 	deadline      float64
 }
@@ -68,7 +68,7 @@
 		lastActionAt:      map[routing.ServerID]float64{},
 		openRequests:      map[uint64]float64{},
 		changes:           map[uint64]*pendingChange{},
-		registrations:     map[routing.ServerID]uint64{},
+		registrations:     map[uint64]routing.ServerID{},
 	}
 }
 
@@ -97,7 +97,7 @@
 // disabled the server. The Machine registers the ban as soon as the voters can be reached.
 func (m *Machine) RecordDisabled(now float64, change Change) {
 	m.localBans[change.Server] = LocalBan{Unregistered: true, SetBy: change.SetBy, Reason: change.Reason, SetAt: change.SetAt}
-	delete(m.registrations, change.Server)
+	m.forgetRegistrations(change.Server)
 	m.nextPollAt = now
 }
 
@@ -134,7 +134,7 @@
 		case now < change.nextRequestAt:
 		case m.registryRead():
 			change.nextRequestAt = now + m.settings.RetryInterval
-			change.requestID = m.addRequest(now, m.command(change.Change), out)
+			change.requestIDs = append(change.requestIDs, m.addRequest(now, m.command(change.Change), out))
 		default: // read the registry first, to learn which version the change replaces
 			change.nextRequestAt = now + m.settings.RetryInterval
 			m.addRequest(now, nil, out)
@@ -166,7 +166,7 @@
 		}
 		ban := m.localBans[server]
 		change := Change{Server: server, Disable: true, SetBy: ban.SetBy, Reason: ban.Reason, SetAt: ban.SetAt}
-		m.registrations[server] = m.addRequest(now, m.command(change), out)
+		m.registrations[m.addRequest(now, m.command(change), out)] = server
 		registering = true
 	}
 	return registering
@@ -204,6 +204,7 @@
 	if len(m.openRequests) >= maxOpenRequests {
 		oldest := slices.Min(slices.Collect(maps.Keys(m.openRequests)))
 		delete(m.openRequests, oldest)
+		delete(m.registrations, oldest)
 	}
 	m.lastRequestID++
 	m.openRequests[m.lastRequestID] = now
@@ -238,7 +239,7 @@
 	if !m.readRegistry(now, response) {
 		return out
 	}
-	m.completeRegistrations(now, response.RequestID, &out)
+	m.completeRegistration(now, response.RequestID, &out)
 	m.completeChanges(now, response, &out)
 	return out
 }
@@ -270,26 +271,30 @@
 	return true
 }
 
-// completeRegistrations completes the registrations that the request with the given ID made.
-func (m *Machine) completeRegistrations(now float64, requestID uint64, out *Output) {
-	for server, registration := range m.registrations {
-		if registration != requestID {
-			continue
-		}
-		delete(m.registrations, server)
-		if ban := m.registered[server]; ban != nil && ban.Disabled { // registered by this request or by another router
-			m.adoptRegistered(server, ban, out)
-		} else { // an enable by an operator who did not know of the ban was registered first: register the ban as the next version
-			m.nextPollAt = now
-		}
+// completeRegistration completes the registration that the request with the given ID made, if any.
+func (m *Machine) completeRegistration(now float64, requestID uint64, out *Output) {
+	server, registering := m.registrations[requestID]
+	if !registering {
+		return
 	}
+	m.forgetRegistrations(server)
+	if ban := m.registered[server]; ban != nil && ban.Disabled { // registered by this request or by another router
+		m.adoptRegistered(server, ban, out)
+	} else { // an enable by an operator who did not know of the ban was registered first: register the ban as the next version
+		m.nextPollAt = now
+	}
+}
+
+// forgetRegistrations ignores the responses to all requests that register the ban of a server.
+func (m *Machine) forgetRegistrations(server routing.ServerID) {
+	maps.DeleteFunc(m.registrations, func(_ uint64, registering routing.ServerID) bool { return registering == server })
 }
 
 // completeChanges completes the operator's change that a request made, or schedules another
 // request for it.
 func (m *Machine) completeChanges(now float64, response consensus.BanResponse, out *Output) {
 	for changeID, change := range m.changes {
-		if change.requestID != response.RequestID {
+		if !slices.Contains(change.requestIDs, response.RequestID) {
 			continue
 		}
 		ban := m.registered[change.Server]
--- a/internal/trace/export/export.go
+++ b/internal/trace/export/export.go
@@ -82,7 +82,7 @@
 		return nil, err
 	}
 	calls, cancelCalls := context.WithCancel(context.Background())
-	x := &Exporter{
+	created := &Exporter{
 		Options:   options,
 		collector: collector,
 		queue:     make(chan *trace.Trace, options.QueueSize),
@@ -94,8 +94,8 @@
 		calls:       calls,
 		cancelCalls: cancelCalls,
 	}
-	go x.run()
-	return x, nil
+	go created.run()
+	return created, nil
 }
 
 // parseCollectorURL parses the URL of a collector. It adds the default port or the default path
