Give a slow DNS server more time with each lookup that timed out

A gRPC client whose DNS server always needs longer than 2 s for a lookup never got an endpoint list, or kept an old one for good: each lookup was given up after the same time. The timeout now doubles after a lookup that timed out, up to 16 s, and returns with faster answers.

--- a/plugin/resolver.go
+++ b/plugin/resolver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"strings"
@@ -10,6 +11,8 @@
 
 	"google.golang.org/grpc/resolver"
 
+	"garnetline/internal/adaptivetimeout"
+	"garnetline/internal/clock"
 	"garnetline/internal/platformconfig"
 	"garnetline/routing"
 )
@@ -20,9 +23,10 @@
 
 	defaultDNSPort = "53"
 
-	// lookupTimeout limits the duration of one lookup, which consists of the SRV query and the
-	// address queries for the targets of the SRV records.
-	lookupTimeout = 2 * time.Second
+	// A timeout limits the duration of one lookup, which consists of the SRV query and the address
+	// queries for the targets of the SRV records. It doubles after a lookup that timed out.
+	minLookupTimeout = 2_000.0  // ms
+	maxLookupTimeout = 16_000.0 // ms
 
 	// maxLookupsPerInterval limits how many lookups gRPC can request in one refresh interval, in
 	// addition to the periodic lookups.
@@ -50,6 +54,7 @@
 		dns:             dnsResolver(target.URL.Host),
 		name:            target.Endpoint(),
 		lookupRequested: make(chan struct{}, 1),
+		timeout:         adaptivetimeout.New(minLookupTimeout, maxLookupTimeout),
 		cancel:          cancel,
 	}
 	r.running.Add(1)
@@ -84,6 +89,7 @@
 	dns             *net.Resolver
 	name            string        // name of the SRV records
 	lookupRequested chan struct{} // receives a value when gRPC requests a lookup
+	timeout         adaptivetimeout.Timeout
 	cancel          context.CancelFunc
 	running         sync.WaitGroup
 }
@@ -128,7 +134,9 @@
 // refresh looks up the endpoints and publishes them. If the lookup fails, the previous endpoint
 // list stays in use.
 func (r *srvResolver) refresh(ctx context.Context) {
+	start := time.Now()
 	endpoints, err := r.lookup(ctx)
+	r.recordLookup(start, err)
 	if err == nil {
 		r.publish(endpoints)
 		return
@@ -139,10 +147,22 @@
 	}
 }
 
+// recordLookup adapts the timeout of the next lookup to the result of one. Otherwise the endpoint list of a
+// DNS server that always needs longer than minLookupTimeout would never be known.
+func (r *srvResolver) recordLookup(start time.Time, err error) {
+	var netError net.Error
+	switch {
+	case err == nil:
+		r.timeout.RecordAnswered(clock.Millis(time.Since(start)))
+	case errors.As(err, &netError) && netError.Timeout():
+		r.timeout.RecordExpired()
+	}
+}
+
 // lookup returns the endpoints of r.name, which are the addresses of the SRV records with the
 // lowest priority value. LookupSRV returns the records sorted by that value.
 func (r *srvResolver) lookup(ctx context.Context) ([]platformconfig.Endpoint, error) {
-	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	ctx, cancel := context.WithTimeout(ctx, clock.Duration(r.timeout.Current()))
 	defer cancel()
 	_, records, err := r.dns.LookupSRV(ctx, "", "", r.name)
 	if err != nil {
--- a/plugin/resolver_test.go
+++ b/plugin/resolver_test.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/grpc/resolver"
 
+	"garnetline/internal/adaptivetimeout"
 	"garnetline/internal/platformconfig"
 )
 
@@ -94,6 +95,30 @@
 	}
 }
 
+// TestSlowDNSServerIsHeard guards against an endpoint list that is never known because the DNS server always
+// needs longer than the timeout.
+func TestSlowDNSServerIsHeard(t *testing.T) {
+	client := newTestClient(t, "get", 1)
+	client.dns.slowDown(150 * time.Millisecond)
+	idle := newIdlePlugin(t)
+	slow := &srvResolver{
+		plugin:  idle,
+		conn:    &fakeClientConn{},
+		dns:     dnsResolver(client.dns.address),
+		name:    serviceName,
+		timeout: adaptivetimeout.New(100, 6400),
+	}
+	for range 7 {
+		slow.refresh(t.Context())
+	}
+	if _, listed := idle.serverAddress(client.servers[0].serverID()); !listed {
+		t.Errorf("the server is not listed after 7 lookups, of which %d failed", idle.metrics.Counter(lookupsFailedCounter).Load())
+	}
+	if failed := idle.metrics.Counter(lookupsFailedCounter).Load(); failed > 4 {
+		t.Errorf("got %d failed lookups, want at most 4", failed)
+	}
+}
+
 func TestEndpointListRejectedByGRPCIsCounted(t *testing.T) {
 	plugin := newIdlePlugin(t)
 	listResolver := &srvResolver{plugin: plugin, conn: &fakeClientConn{updateErr: errors.New("bad state")}}
--- a/plugin/testclient_test.go
+++ b/plugin/testclient_test.go
@@ -268,6 +268,7 @@
 
 	mu     sync.Mutex
 	listed []*fakeServer
+	delay  time.Duration // until a query is answered
 }
 
 // startDNS starts a DNS server on a loopback address. It is stopped at the end of the test.
@@ -305,6 +306,13 @@
 	d.listed = servers
 }
 
+// slowDown makes the server answer queries only after a delay.
+func (d *fakeDNS) slowDown(delay time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.delay = delay
+}
+
 // ServeDNS implements dns.Handler.
 func (d *fakeDNS) ServeDNS(w dns.ResponseWriter, query *dns.Msg) {
 	question := query.Question[0]
@@ -315,7 +323,9 @@
 			response.Answer = append(response.Answer, record)
 		}
 	}
+	delay := d.delay
 	d.mu.Unlock()
+	time.Sleep(delay)
 	if err := w.WriteMsg(response); err != nil {
 		d.t.Errorf("write DNS response: %v", err)
 	}
