Keep requests to peers pending for 7 s, so that slow peers find each other

Routers of a fleet whose answers to each other take longer than about 0.6 s never became members of one fleet: leases, bans and load reports were not shared, though every packet arrived.

Cause: a request was dropped after four probe intervals (0.8 s), and the stored packet of a sender that is not verified yet as well, while the next request began from nothing. Both now wait for 7 s at least; the number kept is bounded as before (1024 requests, 64 packets).

--- a/internal/fleet/membership/receive.go
+++ b/internal/fleet/membership/receive.go
@@ -10,6 +10,9 @@
 	// requestLifetime is the number of probe intervals after which an unanswered request is
 	// dropped, and after which the stored packet of an unverified sender is dropped.
 	requestLifetime = 4
+	// minRequestLifetime is the shortest such time in ms. The next request does not replace the one before, so
+	// a peer that answers each request late is verified too.
+	minRequestLifetime = 7000.0
 )
 
 // pendingRequest is a request that a later packet may answer.
@@ -88,7 +91,8 @@
 	if len(m.unverified) == maxUnverified { // drop the oldest packet: its sender had the most time to answer
 		m.unverified = m.unverified[1:]
 	}
-	m.unverified = append(m.unverified, unverifiedPacket{packet, m.now + requestLifetime*m.settings.ProbeInterval})
+	expiresAt := m.now + max(minRequestLifetime, requestLifetime*m.settings.ProbeInterval)
+	m.unverified = append(m.unverified, unverifiedPacket{packet, expiresAt})
 	m.send(packet.From.Addr, nil, &Packet{Kind: Ping, Nonce: m.newRequest(packet.From.ID, false), Target: packet.From.ID})
 }
 
@@ -195,6 +199,12 @@
 	return pendingRequest{}, false
 }
 
+// requestLifetime returns the time in ms after which an unanswered request is dropped. It is longer while this
+// router is slow.
+func (m *Machine) requestLifetime() float64 {
+	return max(minRequestLifetime, requestLifetime*m.settings.ProbeInterval*m.healthMultiplier())
+}
+
 // newRequest adds a pending request to the given target and returns the request's nonce. It drops
 // the oldest request if maxPendingRequests requests are pending.
 func (m *Machine) newRequest(target ID, sync bool) (nonce uint64) {
@@ -202,7 +212,7 @@
 		m.pending = m.pending[1:]
 	}
 	nonce = m.rng.Uint64() | 1
-	expiresAt := m.now + requestLifetime*m.settings.ProbeInterval*m.healthMultiplier()
+	expiresAt := m.now + m.requestLifetime()
 	m.pending = append(m.pending, pendingRequest{nonce, target, expiresAt, sync})
 	return nonce
 }
