Say once how a timeout learns, how a line ends and how a list splits

The exporter, the load polls and the plug-in's lookups each sorted a call's error into answered, timed out and others; adaptivetimeout.Record does it now. The reader of chunks had its own copy of textconn.ReadCRLFLine, and httpfront split comma-separated lists in four places; listElements does it now. No behaviour changes; the tests of httpfront, textconn, adaptivetimeout, trace, loadreport and plugin pass.

--- a/internal/adaptivetimeout/adaptivetimeout.go
+++ b/internal/adaptivetimeout/adaptivetimeout.go
@@ -2,6 +2,11 @@
 // client that repeats a call with a fixed timeout never gets an answer from a peer that always needs longer.
 package adaptivetimeout
 
+import (
+	"errors"
+	"net"
+)
+
 // growth is the factor by which the timeout grows after a call that timed out, and the ratio of the timeout to
 // the duration of a call that was answered.
 const growth = 2
@@ -21,11 +26,22 @@
 // Current returns the timeout of the next call.
 func (t *Timeout) Current() float64 { return t.current }
 
-// RecordExpired records that a call timed out. The next call has twice as much time.
-func (t *Timeout) RecordExpired() { t.current = min(growth*t.current, t.longest) }
+// Record records the result of a call that took the given time. Errors other than timeouts say nothing about
+// the time that the peer needs, and leave the timeout as it is.
+func (t *Timeout) Record(took float64, err error) {
+	var netError net.Error
+	switch {
+	case err == nil:
+		t.recordAnswered(took)
+	case errors.As(err, &netError) && netError.Timeout():
+		t.recordExpired()
+	}
+}
+
+// recordExpired gives the next call twice as much time.
+func (t *Timeout) recordExpired() { t.current = min(growth*t.current, t.longest) }
 
-// RecordAnswered records that a call was answered after the given time. The next call has no more time than
-// this call, and no more than twice what this call needed.
-func (t *Timeout) RecordAnswered(took float64) {
+// recordAnswered gives the next call no more time than this call had, and no more than twice what it needed.
+func (t *Timeout) recordAnswered(took float64) {
 	t.current = max(t.shortest, min(t.current, growth*took))
 }
--- a/internal/adaptivetimeout/adaptivetimeout_test.go
+++ b/internal/adaptivetimeout/adaptivetimeout_test.go
@@ -1,6 +1,9 @@
 package adaptivetimeout
 
-import "testing"
+import (
+	"context"
+	"testing"
+)
 
 // TestSlowPeerIsAnsweredAtLast checks that a peer that always needs the same time is answered after few
 // calls, that the next calls do not time out again, and that the timeout is short again for a peer that has
@@ -11,16 +14,16 @@
 		expired := 0
 		for range 20 {
 			if needed > timeout.Current() {
-				timeout.RecordExpired()
+				timeout.Record(0, context.DeadlineExceeded)
 				expired++
 			} else {
-				timeout.RecordAnswered(needed)
+				timeout.Record(needed, nil)
 			}
 		}
 		if expired > 6 {
 			t.Errorf("a peer that needs %.0f ms: %d calls expired, want at most 6", needed, expired)
 		}
-		timeout.RecordAnswered(1)
+		timeout.Record(1, nil)
 		if got := timeout.Current(); got != 100 {
 			t.Errorf("after a fast answer: got a timeout of %v ms, want 100", got)
 		}
@@ -31,13 +34,13 @@
 func TestTimeoutIsBounded(t *testing.T) {
 	timeout := New(300, 1000)
 	for range 10 {
-		timeout.RecordExpired()
+		timeout.Record(0, context.DeadlineExceeded)
 	}
 	if got := timeout.Current(); got != 1000 {
 		t.Errorf("after many expired calls: got %v ms, want 1000", got)
 	}
 	fixed := New(300, 100)
-	fixed.RecordExpired()
+	fixed.Record(0, context.DeadlineExceeded)
 	if got := fixed.Current(); got != 300 {
 		t.Errorf("longest below shortest: got %v ms, want 300", got)
 	}
--- a/internal/fleet/loadreport/poll.go
+++ b/internal/fleet/loadreport/poll.go
@@ -92,13 +92,7 @@
 func (c *Collector) timedQuery(ctx context.Context, server *polledServer, fencingToken uint64) (routing.LoadReport, error) {
 	start := c.options.Clock.Now()
 	load, err := c.query(ctx, server, fencingToken)
-	var netError net.Error
-	switch {
-	case err == nil:
-		server.timeout.RecordAnswered(c.options.Clock.Now() - start)
-	case errors.As(err, &netError) && netError.Timeout():
-		server.timeout.RecordExpired()
-	}
+	server.timeout.Record(c.options.Clock.Now()-start, err)
 	return load, err
 }
 
--- a/internal/frontend/httpfront/chunked.go
+++ b/internal/frontend/httpfront/chunked.go
@@ -76,18 +76,11 @@
 // readLine reads a line that ends with CRLF and returns it without its end. A line that does not fit
 // into the reader's buffer is malformed.
 func (c *chunkReader) readLine() ([]byte, error) {
-	line, err := c.reader.ReadSlice('\n')
-	if errors.Is(err, bufio.ErrBufferFull) {
+	line, err := textconn.ReadCRLFLine(c.reader)
+	if errors.Is(err, textconn.ErrMalformedLine) {
 		return nil, errMalformedChunk
 	}
-	if err != nil {
-		return nil, truncated(err)
-	}
-	line, ok := cutCRLF(line)
-	if !ok {
-		return nil, errMalformedChunk
-	}
-	return line, nil
+	return line, truncated(err)
 }
 
 // truncated converts the end of the connection within a body to an error that does not mean the end of
--- a/internal/frontend/httpfront/framing.go
+++ b/internal/frontend/httpfront/framing.go
@@ -20,8 +20,8 @@
 // add adds the elements of one field. An empty element counts as malformed: RFC 9110, section 5.6.1 lets
 // a recipient ignore it, but not all do.
 func (t *transferCodings) add(list string) {
-	for element := range strings.SplitSeq(list, ",") {
-		coding, _, hasParameter := strings.Cut(strings.Trim(element, " \t"), ";")
+	for element := range listElements(list) {
+		coding, _, hasParameter := strings.Cut(element, ";")
 		t.chunkedLast = false
 		switch {
 		case !validToken([]byte(strings.TrimRight(coding, " \t"))):
--- a/internal/frontend/httpfront/header.go
+++ b/internal/frontend/httpfront/header.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"iter"
 	"strings"
 )
 
@@ -94,8 +95,8 @@
 
 // addExpectations records the elements of an Expect field. An empty field expects nothing.
 func (h *header) addExpectations(list []byte) {
-	for expectation := range bytes.SplitSeq(list, []byte(",")) {
-		if equalFoldASCII(string(bytes.Trim(expectation, " \t")), "100-continue") {
+	for expectation := range listElements(string(list)) {
+		if equalFoldASCII(expectation, "100-continue") {
 			h.expectsContinue = true
 		} else if len(list) > 0 {
 			h.expectsOther = true
@@ -105,14 +106,25 @@
 
 // hasToken reports whether a comma-separated list contains a token, ignoring case.
 func hasToken(list []byte, token string) bool {
-	for element := range strings.SplitSeq(string(list), ",") {
-		if equalFoldASCII(strings.Trim(element, " \t"), token) {
+	for element := range listElements(string(list)) {
+		if equalFoldASCII(element, token) {
 			return true
 		}
 	}
 	return false
 }
 
+// listElements returns the elements of a comma-separated list without the white space around them.
+func listElements(list string) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for element := range strings.SplitSeq(list, ",") {
+			if !yield(strings.Trim(element, " \t")) {
+				return
+			}
+		}
+	}
+}
+
 // findHeaderField returns the field with the given name. ok is false if the server does not use it.
 func findHeaderField(name []byte) (field headerField, ok bool) {
 	for field, known := range headerFieldNames {
--- a/internal/frontend/httpfront/trailer.go
+++ b/internal/frontend/httpfront/trailer.go
@@ -1,9 +1,6 @@
 package httpfront
 
-import (
-	"bytes"
-	"slices"
-)
+import "slices"
 
 // forbiddenTrailers are fields that must stand in the header, besides those that the server uses: they
 // tell how to read, route or authenticate the message (RFC 9110, section 6.5.1).
@@ -30,8 +27,8 @@
 
 // namesForbiddenTrailer reports whether a Trailer field announces a field that must not be a trailer.
 func namesForbiddenTrailer(list []byte) bool {
-	for name := range bytes.SplitSeq(list, []byte(",")) {
-		if isForbiddenTrailer(bytes.Trim(name, " \t")) {
+	for name := range listElements(string(list)) {
+		if isForbiddenTrailer([]byte(name)) {
 			return true
 		}
 	}
--- a/internal/textconn/message.go
+++ b/internal/textconn/message.go
@@ -19,11 +19,13 @@
 // ErrMalformedLine reports a line that does not end with CRLF, or that is too long for the buffer.
 var ErrMalformedLine = errors.New("textconn: malformed line")
 
+// ReadCRLFLine reads a line with the function ReadCRLFLine. Only the reader may call it.
+func (c *Conn) ReadCRLFLine() ([]byte, error) { return ReadCRLFLine(c.R) }
+
 // ReadCRLFLine reads a line that ends with CRLF and returns it without its line end. The returned slice
-// points into the connection's buffer and is valid until the next read. Only the reader may call
-// ReadCRLFLine.
-func (c *Conn) ReadCRLFLine() ([]byte, error) {
-	line, err := c.R.ReadSlice('\n')
+// points into the reader's buffer and is valid until the next read.
+func ReadCRLFLine(reader *bufio.Reader) ([]byte, error) {
+	line, err := reader.ReadSlice('\n')
 	if err != nil {
 		if errors.Is(err, bufio.ErrBufferFull) {
 			err = ErrMalformedLine
--- a/internal/trace/export/export.go
+++ b/internal/trace/export/export.go
@@ -11,7 +11,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/url"
 	"time"
 
@@ -164,13 +163,7 @@
 func (x *Exporter) sendTimed() (retryAfter float64, err error) {
 	start := time.Now()
 	retryAfter, err = x.send(x.calls, x.batch, x.timeout.Current())
-	var netError net.Error
-	switch {
-	case err == nil:
-		x.timeout.RecordAnswered(clock.Millis(time.Since(start)))
-	case errors.As(err, &netError) && netError.Timeout():
-		x.timeout.RecordExpired()
-	}
+	x.timeout.Record(clock.Millis(time.Since(start)), err)
 	return retryAfter, err
 }
 
--- a/plugin/resolver.go
+++ b/plugin/resolver.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/netip"
 	"strings"
@@ -132,11 +131,11 @@
 }
 
 // refresh looks up the endpoints and publishes them. If the lookup fails, the previous endpoint
-// list stays in use.
+// list stays in use. The timeout of the next lookup follows from this one.
 func (r *srvResolver) refresh(ctx context.Context) {
 	start := time.Now()
 	endpoints, err := r.lookup(ctx)
-	r.recordLookup(start, err)
+	r.timeout.Record(clock.Millis(time.Since(start)), err)
 	if err == nil {
 		r.publish(endpoints)
 		return
@@ -147,18 +146,6 @@
 	}
 }
 
-// recordLookup adapts the timeout of the next lookup to the result of one. Otherwise the endpoint list of a
-// DNS server that always needs longer than minLookupTimeout would never be known.
-func (r *srvResolver) recordLookup(start time.Time, err error) {
-	var netError net.Error
-	switch {
-	case err == nil:
-		r.timeout.RecordAnswered(clock.Millis(time.Since(start)))
-	case errors.As(err, &netError) && netError.Timeout():
-		r.timeout.RecordExpired()
-	}
-}
-
 // lookup returns the endpoints of r.name, which are the addresses of the SRV records with the
 // lowest priority value. LookupSRV returns the records sorted by that value.
 func (r *srvResolver) lookup(ctx context.Context) ([]platformconfig.Endpoint, error) {
