Test that a change log to which connections come up late is heard

TestSlowEstablishmentIsAwaited shows on the set clock that establishments of 0 to 6.5 s end within the deadline and how many connections they cost.

--- a/internal/discovery/schedule_test.go
+++ b/internal/discovery/schedule_test.go
@@ -18,6 +18,7 @@
 
 // simulatedAnswer is how a simulated change log answers a connection. Times are in ms.
 type simulatedAnswer struct {
+	dialing    float64 // time until the connection is established
 	firstFrame float64 // after the opening
 	interval   float64 // between frames
 	lastFrame  float64 // time after which nothing is sent any more
@@ -36,6 +37,11 @@
 	return simulatedAnswer{firstFrame: firstFrame, interval: heartbeatInterval, lastFrame: math.Inf(1)}
 }
 
+// slowToConnect is a change log to which each connection is established late, and which then answers at once.
+func slowToConnect(dialing float64) simulatedAnswer {
+	return simulatedAnswer{dialing: dialing, firstFrame: dialing + simulationStep, interval: heartbeatInterval, lastFrame: math.Inf(1)}
+}
+
 // simulation plays a connectionSchedule against a change log, on a clock of its own.
 type simulation struct {
 	answer func(number int) simulatedAnswer // of the connection with this number; the first is 1
@@ -79,7 +85,7 @@
 // deliver passes on what a connection brings now.
 func (s *simulation) deliver(schedule *connectionSchedule, open map[connectionID]*simulatedConnection, id connectionID, now float64) {
 	connection := open[id]
-	if now == connection.openedAt+simulationStep {
+	if now == connection.openedAt+max(simulationStep, connection.dialing) {
 		schedule.recordEstablished(id, now)
 	}
 	if connection.byteEvery > 0 && now < connection.nextFrame {
@@ -149,6 +155,25 @@
 	}
 }
 
+// TestSlowEstablishmentIsAwaited guards against a change log that is never heard because each connection is
+// given up before it is established.
+func TestSlowEstablishmentIsAwaited(t *testing.T) {
+	for dialing := 0.0; dialing <= slowestAnswer; dialing += 50 {
+		for seed := range uint64(5) {
+			played := simulate(seed, shortSimulation, slowToConnect(dialing))
+			if at := played.firstFrameAfter(0); at > followDeadline {
+				t.Errorf("established after %.0f ms, seed %d: got the first frame after %.0f ms, want at most %.0f ms", dialing, seed, at, followDeadline)
+			}
+			if most := 2 + int(dialing/dialTimeout); len(played.opened) > most {
+				t.Errorf("established after %.0f ms, seed %d: got %d connections, want at most %d", dialing, seed, len(played.opened), most)
+			}
+			if played.maxOpen > maxConnections {
+				t.Errorf("established after %.0f ms, seed %d: got %d open connections, want at most %d", dialing, seed, played.maxOpen, maxConnections)
+			}
+		}
+	}
+}
+
 // TestDeadConnectionsAreReplaced checks that waiting for slow answers does not delay the replacement of dead
 // connections, and that a dead change log gets no more requests for it.
 func TestDeadConnectionsAreReplaced(t *testing.T) {
--- a/internal/discovery/slow_log_test.go
+++ b/internal/discovery/slow_log_test.go
@@ -1,9 +1,11 @@
 package discovery
 
 import (
+	"context"
 	"encoding/binary"
 	"io"
 	"net"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -176,3 +178,25 @@
 		t.Errorf("got the drain %v after the change log has sent again, want at most %v", took, most)
 	}
 }
+
+// TestSlowDialIsAwaited guards against a change log that is never heard because each connection to it is given
+// up before it is established.
+func TestSlowDialIsAwaited(t *testing.T) {
+	t.Parallel()
+	const dialTime = 2 * time.Second
+	log, server := startSlowChangeLog(t, 0)
+	log.serve(t, server)
+	watcher, events := newTestWatcher(server.addr())
+	dial := watcher.dial
+	watcher.dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+		select {
+		case <-time.After(dialTime):
+			return dial(ctx, to)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	startWatcher(t, watcher)
+	expectEvents(t, events, 1)
+	log.drain(t, events)
+}
