--- a/deploy/garnetline.hcl
+++ b/deploy/garnetline.hcl
@@ -38,7 +38,7 @@
   # collector {                    # retained traces go there too, as OTLP in JSON over HTTP
   #   url        = "http://127.0.0.1:4318/v1/traces"
   #   queue      = 1024            # traces that wait; more are not sent, and counted
-  #   timeout_ms = 2000            # of one call
+  #   timeout_ms = 2000            # of one call; doubles after calls that timed out, up to 60000
   # }
 
   # class "video-part" {
