Slow raft's clock down while elections fail, so that slow voters elect a leader

Where a message between voters takes 0.3 s or more there was never a leader: no lease, no ban, each caller got 503.

Cause: the election timeout is fixed in ticks, an election begins anew before the votes of the last one arrive, and a new leader steps down after one timeout without a majority. A voter now doubles the interval between its ticks, up to four times, after two timeouts without a leader in which other voters' messages arrived; four timeouts with a leader halve it. Without any message it stays as it is, so that elections after a partition are as fast as before.

--- a/internal/fleet/consensus/cluster_test.go
+++ b/internal/fleet/consensus/cluster_test.go
@@ -95,6 +95,7 @@
 	leading      []bool
 
 	partitioned func(from, to int) bool
+	delay       float64 // ms; of each message
 	lossRate    float64
 	leaderKnown bool // routers always know the leader; real routers learn it from leader hints
 	inFlight    []envelope
@@ -199,7 +200,7 @@
 	if c.partitioned(from, e.to) || c.rng.Float64() < c.lossRate {
 		return
 	}
-	e.arriveAt, e.from = c.now+1+c.rng.ExpFloat64()*3, from
+	e.arriveAt, e.from = c.now+1+c.delay+c.rng.ExpFloat64()*3, from
 	if from < len(c.nodes) {
 		e.arriveAt += max(0, c.blockedUntil[from]-c.now) // the message is sent only after the storage has saved the voter's state
 	}
--- a/internal/fleet/consensus/node.go
+++ b/internal/fleet/consensus/node.go
@@ -41,6 +41,7 @@
 	appliedTerm  uint64 // term of the last applied entry
 
 	nextTickAt float64 // in ms
+	pace       electionPace
 	now        float64 // time of the current step, in ms
 	output     *Output // output of the current step; nil between steps
 
@@ -72,6 +73,7 @@
 		registry:         leaseregistry.New(),
 		confState:        &raftpb.ConfState{},
 		nextTickAt:       now + settings.TickInterval,
+		pace:             newElectionPace(settings.ElectionTicks),
 		pendingReads:     map[uint64][]ClientRequest{},
 		pendingProposals: map[uint64]ClientRequest{},
 		proposalsByLease: map[string]int{},
@@ -182,8 +184,15 @@
 	if n.now < n.nextTickAt {
 		return
 	}
-	n.nextTickAt = n.now + n.settings.TickInterval
 	n.raftNode.Tick()
+	n.pace.recordTick(n.hasLeader())
+	n.nextTickAt = n.now + n.settings.TickInterval*n.pace.factor
+}
+
+// hasLeader reports whether this node knows a leader. Of itself, it must know that a majority follows it.
+func (n *Node) hasLeader() bool {
+	lead := n.raftNode.BasicStatus().Lead
+	return lead != raft.None && (lead != n.id || n.leaseExpiry != nil)
 }
 
 // handleInput passes an event to raft or queues a request. It ignores raft's errors. A message
@@ -191,6 +200,7 @@
 func (n *Node) handleInput(in Input) {
 	switch {
 	case in.Message != nil:
+		n.pace.recordMessage()
 		_ = n.raftNode.Step(in.Message)
 	case in.Request != nil:
 		n.queueRequest(*in.Request)
