Serve pipelined requests that do not fit into the read-ahead

Cause: to notice the end of a client, all it sent behind an open request was read, and what was over 64,384 bytes, or had no room in the memory budget, was thrown away.

So the next pipelined request waits until the client has received all but 64 KB of its responses, and behind a rejection for its turn at 500 a second over all connections; paused connections may be evicted.

--- a/internal/frontend/httpfront/conn.go
+++ b/internal/frontend/httpfront/conn.go
@@ -23,6 +23,7 @@
 const (
 	stateRejected connState = iota // the last response, often a rejection, was written; the server discards further bytes
 	stateNew                       // the server waits for the first request
+	statePaused                    // more requests wait, but the client has not received the last response
 	stateIdle                      // the server waits for another request
 	stateActive                    // the server serves a request
 )
@@ -35,6 +36,7 @@
 	acceptedAt float64 // time on Server.Clock in ms
 	lastReadAt float64 // time on Server.Clock in ms when bytes were last read; 0: no bytes were read yet
 	pace       pacer
+	rejected   bool // the last response was a rejection by the dispatcher
 
 	memory          *memorybudget.Reservation // of the current request
 	readAheadMemory *memorybudget.Reservation // while a request is open, the goroutine that reads ahead owns it
@@ -52,6 +54,9 @@
 
 func (s *Server) newConn(netConn net.Conn) *conn {
 	now := s.Clock.Now()
+	if socket, ok := netConn.(interface{ SetReadBuffer(bytes int) error }); ok {
+		_ = socket.SetReadBuffer(receiveBufferBytes) // a connection that has ended already is noticed by its first read
+	}
 	text := textconn.New(netConn)
 	text.SetGate(s.readers)
 	return &conn{
@@ -91,6 +96,9 @@
 			return
 		}
 		c.releaseRequest()
+		if !c.awaitBackpressure() {
+			return
+		}
 		c.pace.wait(c.server.Clock.Now())
 	}
 }
@@ -187,8 +195,7 @@
 }
 
 // awaitResponse waits for the response to a submitted request and writes it. While it waits, it
-// reads ahead on the connection to detect that the client disconnects. Reading ahead goes past
-// pipelined bytes, so it detects a disconnect that follows them.
+// reads ahead on the connection to detect that the client disconnects, also behind pipelined bytes.
 func (c *conn) awaitResponse(r *request, dispatched *dispatch.Request, responses *responseSlot) bool {
 	readAheadEnded := make(chan error, 1)
 	go func() {
@@ -284,7 +291,7 @@
 func (c *conn) keepAlive(r *request) bool {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	return !r.closeAfter && !c.server.keepAlivesDisabled.Load() && !c.evicted && !c.text.Discarded()
+	return !r.closeAfter && !c.server.keepAlivesDisabled.Load() && !c.evicted
 }
 
 // isTimeout reports whether err says that a read or an accept reached its deadline.
--- a/internal/frontend/httpfront/limits.go
+++ b/internal/frontend/httpfront/limits.go
@@ -12,9 +12,13 @@
 	maxChunkedBytes = 8*maxBodyBytes + maxHeaderBytes
 
 	// maxReadAheadBytes limits how many bytes the server keeps if a client sends more while its
-	// request is open. The server reads further bytes and discards them.
+	// request is open. Further bytes stay in the socket.
 	maxReadAheadBytes = maxHeaderBytes + maxBodyBytes
 
+	// receiveBufferBytes is the size of a connection's receive buffer in the system, which holds the bytes
+	// that stay in the socket. The end of a connection is seen only behind bytes that have arrived there.
+	receiveBufferBytes = 256 << 10
+
 	// maxLingerBytes limits how many bytes are read and discarded after the last response on
 	// a connection.
 	maxLingerBytes = 128 << 20
--- a/internal/frontend/httpfront/memory.go
+++ b/internal/frontend/httpfront/memory.go
@@ -62,6 +62,13 @@
 	c.server.Memory.Release(memorybudget.Connections, connectionBytes)
 }
 
+// isEvicted reports whether the server evicted the connection.
+func (c *conn) isEvicted() bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return c.evicted
+}
+
 // isEvictedForMemory reports whether the server evicted the connection because of the memory that it
 // held.
 func (c *conn) isEvictedForMemory() bool {
--- a/internal/frontend/httpfront/reclaim.go
+++ b/internal/frontend/httpfront/reclaim.go
@@ -102,6 +102,11 @@
 			return rankUnread
 		}
 		return rankNone
+	case c.state == statePaused:
+		if stalled >= readStalledAfter {
+			return rankUnread
+		}
+		return rankNone
 	case c.receiving && stalled >= sendStalledAfter && !c.text.HasUnread():
 		return rankStalled
 	case c.receiving && c.server.Clock.Now()-c.receivingSince >= slowAfterMs:
--- a/internal/frontend/httpfront/response.go
+++ b/internal/frontend/httpfront/response.go
@@ -51,6 +51,7 @@
 func (c *conn) writeResponse(r *request, response dispatch.Response) bool {
 	c.held.Add(response.Memory.Bytes(memorybudget.Responses))
 	defer response.Memory.Release()
+	c.rejected = response.Kind == dispatch.Rejected
 	switch response.Kind {
 	case dispatch.Served:
 		return c.writeMessage(r, http.StatusOK, withEntityTag(contentTypeObject, response.ETag), response.Body)
--- a/internal/frontend/httpfront/server.go
+++ b/internal/frontend/httpfront/server.go
@@ -84,6 +84,7 @@
 	healthChecksFail   atomic.Bool // set by FailHealthChecks
 	rejectionLog       zerolog.Logger
 	readers            textconn.Gate // limits the connections whose received bytes are processed at a time
+	rejectionPacer     sharedPacer   // limits pipelined requests behind rejected ones
 	serveDone          chan struct{} // closed when Serve returns
 	connectionClosed   chan struct{} // receives a value when a connection is closed
 
@@ -218,7 +219,7 @@
 			return
 		}
 		s.evictConn(candidate)
-		if candidate.state == stateIdle {
+		if candidate.state >= statePaused {
 			return
 		}
 	}
@@ -253,7 +254,7 @@
 
 // evictionCandidate returns the connection to evict next, or nil if none may be evicted. It prefers
 // connections in stateRejected, then connections in stateNew older than newConnGraceMs, then
-// connections in stateIdle. Among connections in the same state, it returns the connection that
+// connections in statePaused, then connections in stateIdle. Among connections in the same state, it returns the connection that
 // entered the state first. The caller holds s.mu.
 func (s *Server) evictionCandidate() *conn {
 	var candidate *conn
--- a/internal/textconn/gate_test.go
+++ b/internal/textconn/gate_test.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
+	"os"
+	"strings"
 	"testing"
 	"time"
 )
@@ -98,3 +101,40 @@
 		})
 	}
 }
+
+// TestReadAheadLeavesBytesInSocket checks that ReadAhead leaves what it may not keep in the socket, that later
+// reads get each byte, and that ReceivedBytes tells the bytes that waited there from later ones.
+func TestReadAheadLeavesBytesInSocket(t *testing.T) {
+	const limit, total = 8 << 10, 40 << 10
+	server, client := connect(t)
+	conn := New(server)
+	text := strings.Repeat("0123456789abcdef", total/16)
+	if _, err := io.WriteString(client, text); err != nil {
+		t.Fatal(err)
+	}
+	arrived, ended := make(chan struct{}), make(chan error)
+	go func() {
+		ended <- conn.ReadAhead(limit, func(int) error { return nil }, func() {
+			if len(conn.readAhead)+conn.unread == total {
+				close(arrived)
+			}
+		})
+	}()
+	<-arrived
+	_ = server.SetReadDeadline(time.Now())
+	if err := <-ended; !errors.Is(err, os.ErrDeadlineExceeded) || len(conn.readAhead) != limit {
+		t.Fatalf("got error %v with %d bytes kept, want a timeout and %d bytes", err, len(conn.readAhead), limit)
+	}
+	_ = server.SetReadDeadline(time.Time{})
+	conn.LimitRead(total + 1)
+	conn.BeginMessage()
+	if body, err := conn.ReadBody(total); err != nil || string(body) != text || conn.ReceivedBytes() {
+		t.Errorf("got %d bytes, error %v, received %v; want the bytes that waited in the socket", len(body), err, conn.ReceivedBytes())
+	}
+	if _, err := io.WriteString(client, "x"); err != nil {
+		t.Fatal(err)
+	}
+	if body, err := conn.ReadBody(1); err != nil || string(body) != "x" || !conn.ReceivedBytes() {
+		t.Errorf("got %q, error %v, received %v; want a byte that arrived later", body, err, conn.ReceivedBytes())
+	}
+}
--- a/internal/textconn/poll.go
+++ b/internal/textconn/poll.go
@@ -7,17 +7,38 @@
 	"golang.org/x/sys/unix"
 )
 
+// endEvents are the events of a connection that the peer has closed or reset.
+const endEvents = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+
 // PeerClosed reports whether the peer has closed or reset the connection, also if bytes that the peer
 // sent before are still unread. It reads nothing and does not block. It returns false if the system
 // cannot tell. Any goroutine may call PeerClosed.
 func (c *Conn) PeerClosed() bool {
-	return c.poll(unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	return c.poll(unix.POLLRDHUP)&endEvents != 0
 }
 
 // HasUnread reports whether bytes of the peer wait in the system. It does not block. Any goroutine may
 // call HasUnread.
 func (c *Conn) HasUnread() bool { return c.poll(unix.POLLIN)&unix.POLLIN != 0 }
 
+// UnacknowledgedBytes returns how many written bytes the peer's system has not acknowledged yet. It returns 0 if
+// the system cannot tell. Any goroutine may call UnacknowledgedBytes.
+func (c *Conn) UnacknowledgedBytes() int {
+	socket, ok := c.NetConn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	bytes := 0
+	if raw.Control(func(descriptor uintptr) { bytes, _ = unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ) }) != nil {
+		return 0
+	}
+	return bytes
+}
+
 // poll asks the system which of the events hold for the socket now. It returns 0 if the system cannot
 // tell.
 func (c *Conn) poll(events int16) (held int16) {
--- a/internal/textconn/readahead.go
+++ b/internal/textconn/readahead.go
@@ -1,85 +1,144 @@
 package textconn
 
 import (
+	"errors"
+	"io"
 	"syscall"
 	"time"
-)
-
-const (
-	readAheadStep = 4 << 10 // bytes; minimum growth of the read-ahead buffer, and size of a single read buffer
 
-	// discardPause is the pause after each discardBurst of discarded bytes. Without it, one client that
-	// sends at full speed could use most of a processor.
-	discardBurst = 512 << 10 // bytes
-	discardPause = time.Millisecond
+	"golang.org/x/sys/unix"
 )
 
-// ReadAhead reads until a read fails, and returns the error of that read. Usually the read fails
-// because the connection ends or its read deadline passes. ReadAhead keeps up to limit bytes for
-// later reads and discards the rest. Before it keeps more bytes, it calls reserve with their number;
-// after an error of reserve it keeps no more. It calls onReceived after each read that returns bytes.
-// Only the reader may call ReadAhead.
+// readAheadStep is the minimum growth of the read-ahead buffer, and the size of a single read buffer, in
+// bytes.
+const readAheadStep = 4 << 10
+
+// ReadAhead reads until the connection ends or its read deadline passes, and returns the error. It keeps
+// up to limit bytes for later reads. Before it keeps more bytes, it calls reserve with their number. When
+// the limit is reached or reserve returns an error, further bytes stay in the socket, so that TCP holds
+// the peer back; ReadAhead then waits for the end of the connection without reading. It calls onReceived
+// each time that bytes arrive. Only the reader may call ReadAhead.
 //
-// ReadAhead keeps reading after the first byte so that it notices the end of the connection. If it
-// stopped after that byte, a client that sends one byte beyond its request could disconnect
-// unnoticed. Its request would be forwarded although no client waits for the response.
+// ReadAhead goes on after the first byte so that it notices the end of the connection. If it stopped
+// after that byte, a client that sends one byte beyond its request could disconnect unnoticed. Its
+// request would be forwarded although no client waits for the response.
 func (c *Conn) ReadAhead(limit int, reserve func(bytes int) error, onReceived func()) error {
-	var firstByte [1]byte // an idle connection needs no larger buffer
-	var scratch []byte    // receives the bytes that are discarded
-	for discarded := 0; ; {
-		dst := firstByte[:]
-		buffered := len(c.readAhead)
-		switch {
-		case c.Discarded() || buffered >= limit || buffered > 0 && !c.growReadAhead(limit, reserve):
-			if scratch == nil {
-				scratch = make([]byte, readAheadStep)
-			}
-			dst = scratch
-		case buffered > 0:
-			dst = c.readAhead[buffered:min(cap(c.readAhead), limit)]
-		}
-		n, err := c.NetConn.Read(dst)
-		if n > 0 {
-			if scratch == nil {
-				c.readAhead = append(c.readAhead, dst[:n]...)
-			} else {
-				discarded += n
-				c.discarded.Store(true)
-			}
+	for len(c.readAhead) < limit && c.growReadAhead(limit, reserve) {
+		n, err := c.readIntoReadAhead(limit)
+		if n > 0 && c.countUnread(n) {
 			onReceived()
 		}
 		if err != nil {
 			return err
 		}
-		if discarded >= discardBurst {
-			discarded = 0
-			time.Sleep(discardPause)
-		}
 	}
+	return c.awaitEnd(onReceived)
 }
 
-// growReadAhead makes room for more bytes in readAhead. It returns false if reserve does.
+// readIntoReadAhead appends the bytes of one read to readAhead. For the first byte it needs no room in
+// readAhead, so that an idle connection has no larger buffer.
+func (c *Conn) readIntoReadAhead(limit int) (int, error) {
+	buffered := len(c.readAhead)
+	if buffered == 0 {
+		var firstByte [1]byte
+		n, err := c.NetConn.Read(firstByte[:])
+		c.setReadAhead(append([]byte(nil), firstByte[:n]...))
+		return n, err
+	}
+	n, err := c.NetConn.Read(c.limitToUnread(c.readAhead[buffered:min(cap(c.readAhead), limit)]))
+	c.readAhead = c.readAhead[:buffered+n]
+	return n, err
+}
+
+// setReadAhead makes a buffer with its bytes the content of readAhead.
+func (c *Conn) setReadAhead(buffer []byte) {
+	c.readAhead = buffer
+	c.readAheadBuffer = buffer[:0]
+}
+
+// growReadAhead makes room for more bytes in readAhead, unless it is empty. It returns false if reserve
+// returns an error. What reserve has allowed since readAhead was empty last is the size of its buffer.
 func (c *Conn) growReadAhead(limit int, reserve func(bytes int) error) bool {
 	buffered := len(c.readAhead)
-	if buffered < min(cap(c.readAhead), limit) {
+	if buffered == 0 || buffered < min(cap(c.readAhead), limit) {
+		return true
+	}
+	if buffered < cap(c.readAheadBuffer) { // earlier bytes were consumed
+		c.readAhead = append(c.readAheadBuffer, c.readAhead...)
 		return true
 	}
 	added := min(max(buffered, readAheadStep), limit-buffered)
 	if reserve(added) != nil {
 		return false
 	}
-	c.readAhead = append(make([]byte, 0, buffered+added), c.readAhead...)
+	c.setReadAhead(append(make([]byte, 0, buffered+added), c.readAhead...))
 	return true
 }
 
+// AwaitEnd waits until the peer has closed or reset the connection, or the read deadline passes, and returns the
+// error. It reads nothing. Only the reader may call AwaitEnd.
+func (c *Conn) AwaitEnd() error { return c.awaitEnd(func() {}) }
+
+// awaitEnd waits until the peer has closed or reset the connection, or the read deadline passes. It reads
+// nothing. The system reports each arrival of bytes and the end of the connection, also behind bytes that
+// are unread.
+func (c *Conn) awaitEnd(onReceived func()) error {
+	socket, ok := c.NetConn.(syscall.Conn)
+	if !ok {
+		return errNoSocket
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	err = raw.Read(func(descriptor uintptr) (ended bool) {
+		if c.recordUnread(int(descriptor)) {
+			onReceived()
+		}
+		return pollDescriptor(int32(descriptor), unix.POLLRDHUP)&endEvents != 0
+	})
+	if err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+// errNoSocket ends the wait on a connection that is not a socket and so cannot be watched without reading.
+var errNoSocket = errors.New("textconn: the connection is not a socket")
+
+// recordUnread records how many bytes wait in the socket, and reports whether more have arrived since it
+// was called last.
+func (c *Conn) recordUnread(descriptor int) (arrived bool) {
+	unread, err := unix.IoctlGetInt(descriptor, unix.SIOCINQ)
+	if err != nil {
+		return false
+	}
+	arrived = unread > c.unread
+	c.unread = unread
+	return arrived
+}
+
+// limitToUnread cuts a buffer so that a read into it returns only bytes that recordUnread has seen, or only
+// later ones.
+func (c *Conn) limitToUnread(buffer []byte) []byte {
+	if c.unread > 0 && len(buffer) > c.unread {
+		return buffer[:c.unread]
+	}
+	return buffer
+}
+
+// countUnread subtracts bytes that were read from those that recordUnread has seen. It reports whether
+// the bytes arrived later.
+func (c *Conn) countUnread(n int) (arrived bool) {
+	arrived = n > c.unread
+	c.unread = max(c.unread-n, 0)
+	return arrived
+}
+
 // HasReadAhead reports whether bytes that ReadAhead or Readable has read wait for later reads. Only
 // the reader may call HasReadAhead.
 func (c *Conn) HasReadAhead() bool { return len(c.readAhead) > 0 }
 
-// Discarded reports whether ReadAhead discarded bytes. If it did, the reader cannot interpret later
-// bytes on the connection. Any goroutine may call Discarded.
-func (c *Conn) Discarded() bool { return c.discarded.Load() }
-
 // Readable reports, without blocking, whether bytes can be read. It may clear the read deadline.
 // Only the reader may call Readable.
 //
@@ -102,13 +161,13 @@
 	n := 0
 	var readErr error
 	err = raw.Read(func(fd uintptr) bool {
-		n, readErr = syscall.Read(int(fd), buffer)
+		n, readErr = syscall.Read(int(fd), c.limitToUnread(buffer))
 		return true // do not wait until the socket is readable
 	})
 	if err != nil || readErr != nil || n <= 0 {
 		return false
 	}
-	c.readAhead = buffer[:n]
-	c.receivedBytes = true
+	c.setReadAhead(buffer[:n])
+	c.receivedBytes = c.countUnread(n) || c.receivedBytes
 	return true
 }
--- a/internal/textconn/textconn.go
+++ b/internal/textconn/textconn.go
@@ -33,15 +33,16 @@
 	remaining       int  // number of bytes that may still be read; see LimitRead
 	limitExceeded   bool // since the last LimitRead, a read failed because of the limit
 	readBuffer      []byte
-	receivedBytes   bool      // since BeginMessage, bytes were read from the socket
+	receivedBytes   bool      // since BeginMessage, bytes were read that arrived after the last ReadAhead
 	stallTimeout    float64   // ms; limit of each read; 0: reads set no deadline
 	messageStart    time.Time // time of the first call of SetReadPace for the message
 	messageDeadline time.Time // time by which the whole message must have been read
 
 	// readAhead holds bytes that ReadAhead and Readable read from the socket. Later reads
 	// consume them first. Only the reader uses readAhead.
-	readAhead []byte
-	discarded atomic.Bool // ReadAhead discarded bytes
+	readAhead       []byte
+	readAheadBuffer []byte // the buffer that holds readAhead, from its beginning
+	unread          int    // bytes that ReadAhead saw in the socket and left there
 
 	writeBuffer []byte // only the writer uses writeBuffer
 
@@ -102,8 +103,9 @@
 // BeginMessage.
 func (c *Conn) BeginMessage() { c.receivedBytes = false }
 
-// ReceivedBytes reports whether any byte was read from the socket since BeginMessage. If not, the
-// whole message was already buffered. Only the reader may call ReceivedBytes.
+// ReceivedBytes reports whether any byte was read since BeginMessage that arrived after the last
+// ReadAhead. If not, the whole message was already buffered or waited in the socket. Only the reader may
+// call ReceivedBytes.
 func (c *Conn) ReceivedBytes() bool { return c.receivedBytes }
 
 // Stalled returns the time since bytes were last read or written. Any goroutine may call Stalled.
@@ -172,10 +174,10 @@
 	if err := conn.setPacedDeadline(); err != nil {
 		return 0, err
 	}
-	n, err := conn.NetConn.Read(dst)
+	n, err := conn.NetConn.Read(conn.limitToUnread(dst))
 	conn.remaining -= n
 	if n > 0 {
-		conn.receivedBytes = true
+		conn.receivedBytes = conn.countUnread(n) || conn.receivedBytes
 		conn.recordProgress()
 		conn.passGate()
 	}
@@ -187,7 +189,7 @@
 	n := copy(dst, c.readAhead)
 	c.readAhead = c.readAhead[n:]
 	if len(c.readAhead) == 0 {
-		c.readAhead = nil
+		c.readAhead, c.readAheadBuffer = nil, nil
 	}
 	return n
 }
