Answer what clients sent at once before a planned restart ends their connections

Cause: from SIGTERM or the shutdown on, each response announced the end of its connection, and what had been read behind it was dropped.

Change: only the response to the last request that has arrived announces the end; the read-ahead is stopped before the response is written, so that this is known. After Server.DrainBy, the time by which the dispatcher answers all, the next response is the last.

--- a/cmd/garnetline/daemon_shutdown.go
+++ b/cmd/garnetline/daemon_shutdown.go
@@ -29,7 +29,9 @@
 	if d.startup.platform.ListenFD != 0 {
 		d.front.StopAccepting() // the other process that holds the socket accepts new connections
 	}
-	d.dispatcher.DrainBy(d.clock.Now() + drainTime(d.classes()))
+	drainBy := d.clock.Now() + drainTime(d.classes())
+	d.dispatcher.DrainBy(drainBy)
+	d.front.DrainBy(drainBy)
 	drained := make(chan struct{})
 	d.drained = drained
 	go func() {
--- a/internal/frontend/httpfront/backpressure.go
+++ b/internal/frontend/httpfront/backpressure.go
@@ -29,7 +29,7 @@
 	if !c.hasPipelined() {
 		return true
 	}
-	if c.rejected && !c.pause(c.server.rejectionPacer.take(c.server.Clock.Now())) {
+	if c.rejected && !c.server.keepAlivesDisabled.Load() && !c.pause(c.server.rejectionPacer.take(c.server.Clock.Now())) {
 		return false
 	}
 	return c.awaitReceipt() && !c.isEvictedForMemory()
@@ -45,7 +45,7 @@
 func (c *conn) awaitReceipt() bool {
 	interval, progressAt := backpressureIntervalMs, c.server.Clock.Now()
 	unacknowledged := c.text.UnacknowledgedBytes()
-	for unacknowledged > maxUnacknowledgedBytes && !c.server.shuttingDown.Load() && !c.isEvicted() {
+	for unacknowledged > maxUnacknowledgedBytes && !c.server.keepAlivesDisabled.Load() && !c.isEvicted() {
 		if !c.pause(interval) || c.server.Clock.Now()-progressAt > idleTimeoutMs {
 			return false
 		}
--- a/internal/frontend/httpfront/conn.go
+++ b/internal/frontend/httpfront/conn.go
@@ -36,6 +36,7 @@
 	acceptedAt float64 // time on Server.Clock in ms
 	lastReadAt float64 // time on Server.Clock in ms when bytes were last read; 0: no bytes were read yet
 	pace       pacer
+	readAhead  readAheadRun
 	rejected   bool // the last response was a rejection by the dispatcher
 
 	memory          *memorybudget.Reservation // of the current request
@@ -108,6 +109,9 @@
 func (c *conn) awaitRequest(first bool) bool {
 	state := stateIdle
 	idleMs, requestMs := idleTimeoutMs, requestTimeoutMs
+	if c.server.keepAlivesDisabled.Load() {
+		requestMs = min(requestMs, c.server.drainingMs())
+	}
 	if first {
 		state = stateNew
 		idleMs = c.remainingMs(firstRequestTimeoutMs)
@@ -197,17 +201,12 @@
 // awaitResponse waits for the response to a submitted request and writes it. While it waits, it
 // reads ahead on the connection to detect that the client disconnects, also behind pipelined bytes.
 func (c *conn) awaitResponse(r *request, dispatched *dispatch.Request, responses *responseSlot) bool {
-	readAheadEnded := make(chan error, 1)
-	go func() {
-		readAheadEnded <- c.text.ReadAhead(maxReadAheadBytes, c.reserveReadAhead, func() { c.lastReadAt = c.server.Clock.Now() })
-	}()
+	c.startReadAhead()
 	select {
 	case response := <-responses.delivered:
 		written := c.writeResponse(r, response)
-		c.setReadTimeout(0) // ends the read-ahead, so that the connection has one reader at a time
-		err := <-readAheadEnded
-		return written && isTimeout(err)
-	case <-readAheadEnded: //nolint:errcheck // whatever the error is, the connection has ended
+		return isTimeout(c.stopReadAhead()) && written
+	case <-c.readAhead.ended: // the connection has ended
 		c.server.Dispatcher.Disconnect(dispatched)
 		return false
 	}
@@ -287,11 +286,17 @@
 	return c.acceptedAt + timeoutMs - c.server.Clock.Now()
 }
 
-// keepAlive reports whether the connection stays open after the response to r.
+// keepAlive reports whether the connection stays open after the response to r. If keep-alives are disabled, it
+// stays open only for the requests that the client has already sent.
 func (c *conn) keepAlive(r *request) bool {
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	return !r.closeAfter && !c.server.keepAlivesDisabled.Load() && !c.evicted
+	if r.closeAfter || c.isEvicted() {
+		return false
+	}
+	if !c.server.keepAlivesDisabled.Load() {
+		return true
+	}
+	c.stopReadAhead() //nolint:errcheck // if the connection has ended, the response cannot be written
+	return c.hasPipelined() && c.server.drainingMs() > 0
 }
 
 // isTimeout reports whether err says that a read or an accept reached its deadline.
--- a/internal/frontend/httpfront/lifecycle_test.go
+++ b/internal/frontend/httpfront/lifecycle_test.go
@@ -116,13 +116,13 @@
 func TestNoRequestReadAfterFinalResponse(t *testing.T) {
 	for name, test := range map[string]struct {
 		text      string
-		end       func(*testing.T, *Server) // makes the next response the last on its connection; nil if the field text does that
+		end       func(*testing.T, *Server) // makes the server end the connection; nil if the field text does that
 		submitted int                       // number of requests that the dispatcher gets
 	}{
 		"the client asks for the close": {getRequest(objectTarget, "Connection: close"), nil, 1},
 		"the request is malformed":      {"hello\r\n\r\n", nil, 0},
-		"the server stops accepting":    {getRequest(objectTarget), func(_ *testing.T, server *Server) { server.StopAccepting() }, 1},
-		"the server shuts down":         {getRequest(objectTarget), beginShutdown, 1},
+		"the server stops accepting":    {getRequest(objectTarget), func(_ *testing.T, server *Server) { server.StopAccepting() }, 2},
+		"the server shuts down":         {getRequest(objectTarget), beginShutdown, 2},
 		"the connection is evicted":     {getRequest(objectTarget), evictAll, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -131,14 +131,18 @@
 			conn := dial(t, server)
 			setReadDeadline(t, conn)
 			send(t, conn, test.text+getRequest(objectTarget)) // the second request is sent before the first response
-			waitFor(t, "the first request is submitted", func() bool { return dispatcher.count() == test.submitted })
+			waitFor(t, "the first request is submitted", func() bool { return dispatcher.count() == min(test.submitted, 1) })
 			if test.end != nil {
 				test.end(t, server)
 			}
-			if test.submitted > 0 {
-				dispatcher.request(0).Respond(servedX)
-			}
 			reader := bufio.NewReader(conn)
+			for i := range test.submitted {
+				waitFor(t, "the next request is submitted", func() bool { return dispatcher.count() == i+1 })
+				dispatcher.request(i).Respond(servedX)
+				if i+1 < test.submitted && readResponse(t, reader, "x").closes {
+					t.Fatalf("response %d closes the connection, want a response to each request sent before it", i)
+				}
+			}
 			if response := mustReadResponse(t, reader); !response.closes {
 				t.Fatalf("response %+v keeps the connection alive, want it closed", response)
 			}
--- a/internal/frontend/httpfront/server.go
+++ b/internal/frontend/httpfront/server.go
@@ -92,6 +92,7 @@
 	conns          map[*conn]bool
 	listener       net.Listener
 	acceptDeadline time.Time // time by which Serve closes the listener; set by Shutdown
+	drainBy        float64   // time on Clock in ms; see DrainBy
 }
 
 // New returns a Server that accepts no connections until Serve is called.
@@ -102,6 +103,7 @@
 	return &Server{
 		Options:          o,
 		conns:            map[*conn]bool{},
+		drainBy:          math.Inf(1),
 		rejectionLog:     logs.Throttled(o.Log, o.Clock),
 		readers:          textconn.NewGate(readersPerProcessor * runtime.GOMAXPROCS(0)),
 		connectionClosed: make(chan struct{}, 1),
@@ -284,7 +286,7 @@
 func (s *Server) FailHealthChecks() { s.healthChecksFail.Store(true) }
 
 // StopAccepting closes the listener, which ends Serve, and makes every later response close its
-// connection. Requests that are open are still served. Connections in the backlog are left to the
+// connection, unless the client has already sent more requests on it. Requests that are open are still served. Connections in the backlog are left to the
 // other processes that hold the listening socket.
 func (s *Server) StopAccepting() {
 	s.keepAlivesDisabled.Store(true)
@@ -295,6 +297,22 @@
 	}
 }
 
+// DrainBy limits how long the server reads requests that clients sent before the last response on their
+// connection. The argument is the time on Options.Clock in ms by which the last response must be written.
+// Without DrainBy there is no limit.
+func (s *Server) DrainBy(at float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drainBy = at
+}
+
+// drainingMs returns the time in ms that is left until the limit set by DrainBy.
+func (s *Server) drainingMs() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drainBy - s.Clock.Now()
+}
+
 // Shutdown makes Serve accept the connections in the backlog and then return. It closes idle
 // connections and lets open requests finish. It returns when Serve has returned and all connections
 // are closed. Serve must therefore be called before Shutdown or concurrently.
