Wait for connections in the poller, so that no process stands still at its socket

Cause: whether an accept waits in the kernel is a property of the inherited socket, which the starter of the successor makes blocking for a while. The listener of package net calls accept first; closing it waits for that accept, with the lock held that each connection needs.

Change: the inherited socket has a listener that waits in the runtime's poller and makes the socket non-blocking right before each accept. No listener is closed with the server's lock held, and each wait of a shutdown has a bound: 100 ms for the close, 1 s for Serve, 5 s after the last answer was due for all. SO_RCVTIMEO was tried first; it has no effect on the multipath TCP sockets that Go opens. Locks still held over a system call, none of which waits for a peer: httpfront.Server.mu (poll with no wait), processgroup.Group.mu (lock files), loadreport.Collector.mu (close of a connection), bodies/spool (files, unused).

--- a/cmd/garnetline/daemon_shutdown.go
+++ b/cmd/garnetline/daemon_shutdown.go
@@ -18,10 +18,14 @@
 	// killMargin is the time, in ms, between the last response and the kill. A response needs this
 	// time to reach its client.
 	killMargin = 200.0
+	// shutdownLimit is the time, in ms after the last request had to be answered, after which the process ends
+	// although connections are still open, for instance to clients that read slowly.
+	shutdownLimit = 5000.0
 )
 
 // beginShutdown starts the graceful shutdown. The router reports itself not ready and accepts
-// requests for acceptAfterSignal. When all requests are answered, it closes d.drained.
+// requests for acceptAfterSignal. When all requests are answered, or shutdownLimit has passed, it closes
+// d.drained.
 func (d *daemon) beginShutdown() {
 	d.stopping.Store(true)
 	d.fleet.Leave()
@@ -37,8 +41,22 @@
 	go func() {
 		defer close(drained)
 		time.Sleep(acceptAfterSignal)
+		d.shutdownFront(drainBy + shutdownLimit)
+	}()
+}
+
+// shutdownFront shuts the front end down. It returns when all connections are closed, or at the time limit.
+func (d *daemon) shutdownFront(limit float64) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
 		d.front.Shutdown()
 	}()
+	select {
+	case <-ended:
+	case <-time.After(clock.Duration(limit - d.clock.Now())):
+		d.log.Warn().Msg("shutdown limit reached, ending with open connections")
+	}
 }
 
 // drainTime returns the time, in ms after the signal, by which all open requests have to be
--- a/cmd/garnetline/listener.go
+++ b/cmd/garnetline/listener.go
@@ -4,7 +4,8 @@
 	"context"
 	"fmt"
 	"net"
-	"os"
+
+	"golang.org/x/sys/unix"
 
 	"garnetline/internal/platformconfig"
 )
@@ -20,11 +21,10 @@
 		}
 		return listener, nil
 	}
-	file := os.NewFile(uintptr(config.ListenFD), "listen")
-	defer file.Close() //nolint:errcheck // the listener uses a duplicate of the descriptor
-	listener, err := net.FileListener(file)
+	listener, err := newInheritedListener(config.ListenFD)
 	if err != nil {
 		return nil, fmt.Errorf("EDGE_LISTEN_FD: descriptor %d: %w", config.ListenFD, err)
 	}
+	_ = unix.Close(config.ListenFD) // the listener uses a duplicate
 	return listener, nil
 }
--- /dev/null
+++ b/cmd/garnetline/listener_test.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"garnetline/internal/daemontest"
+	"garnetline/internal/platformconfig"
+)
+
+// TestInheritedSocketInBlockingMode guards against a process that stands still in an accept, because another holder of
+// the inherited socket has made it blocking: the accept still takes connections, and closing the listener ends it.
+func TestInheritedSocketInBlockingMode(t *testing.T) {
+	const closeTimeout = time.Second
+	config := net.ListenConfig{}
+	original, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = original.Close() }()
+	inherited, err := original.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = inherited.Close() }()
+	descriptor, err := unix.Dup(int(inherited.Fd())) // openListener closes it
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := openListener(t.Context(), &platformconfig.Config{ListenFD: descriptor})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.SetNonblock(int(inherited.Fd()), false); err != nil {
+		t.Fatal(err)
+	}
+	accepted := make(chan error)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err == nil {
+				err = conn.Close()
+			}
+			accepted <- err
+			if err != nil {
+				return
+			}
+		}
+	}()
+	for range 3 {
+		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", original.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := <-accepted; err != nil {
+			t.Errorf("accept: %v", err)
+		}
+		_ = conn.Close()
+	}
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_ = listener.Close()
+	}()
+	select {
+	case <-closed:
+	case <-time.After(closeTimeout):
+		t.Error("the listener is not closed, because an accept waits in the kernel")
+		_, _ = (&net.Dialer{}).DialContext(t.Context(), "tcp", original.Addr().String()) // ends that accept
+	}
+	select {
+	case err := <-accepted:
+		if err == nil {
+			t.Error("got a connection after the close")
+		}
+	case <-time.After(daemontest.Timeout):
+		t.Error("the accept does not end after the close")
+	}
+}
+
+// TestInheritedDescriptorIsNoListener checks that a descriptor that cannot be listened on is rejected at the start.
+func TestInheritedDescriptorIsNoListener(t *testing.T) {
+	file, err := os.CreateTemp(t.TempDir(), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "udp", "127.0.0.1:9")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	socket, err := conn.(*net.UDPConn).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = socket.Close() }()
+	for name, descriptor := range map[string]uintptr{"file": file.Fd(), "UDP socket": socket.Fd(), "closed": 1 << 20} {
+		if _, err := openListener(t.Context(), &platformconfig.Config{ListenFD: int(descriptor)}); err == nil || !strings.Contains(err.Error(), "EDGE_LISTEN_FD") {
+			t.Errorf("%s: got error %v, want one that names EDGE_LISTEN_FD", name, err)
+		}
+	}
+}
--- a/internal/frontend/httpfront/limits.go
+++ b/internal/frontend/httpfront/limits.go
@@ -96,4 +96,6 @@
 	evictionInterval    = 20 * time.Millisecond  // delay between evictions while MaxConnections are open
 	backlogWait         = 20 * time.Millisecond  // at shutdown, longest wait for the next connection in the backlog
 	maxBacklogWait      = 400 * time.Millisecond // at shutdown, longest wait for all connections in the backlog
+	maxCloseWait        = 100 * time.Millisecond // longest wait for the close of the listener
+	maxServeWait        = 1 * time.Second        // at shutdown, longest wait for the end of Serve
 )
--- a/internal/frontend/httpfront/server.go
+++ b/internal/frontend/httpfront/server.go
@@ -141,26 +141,32 @@
 // called already, setListener closes the listener.
 func (s *Server) setListener(listener net.Listener) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.listener = listener
+	s.mu.Unlock()
 	if s.keepAlivesDisabled.Load() {
 		_ = listener.Close()
 	}
 }
 
+// openListener returns the listener, or nil before Serve, and the time by which Serve closes it.
+func (s *Server) openListener() (listener net.Listener, closeBy time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listener, s.acceptDeadline
+}
+
 // limitBacklogWait sets a deadline for the next accept if the server is shutting down. Serve then
 // accepts the connections that wait in the backlog before it closes the listener. If the listener
 // were closed immediately, those connections would be reset and their requests would be lost.
 func (s *Server) limitBacklogWait() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.shuttingDown.Load() || s.listener == nil {
+	listener, closeBy := s.openListener()
+	if !s.shuttingDown.Load() || listener == nil {
 		return
 	}
 	deadline := time.Now().Add(backlogWait)
-	deadlineListener, ok := s.listener.(interface{ SetDeadline(time.Time) error })
-	if !ok || deadline.After(s.acceptDeadline) || deadlineListener.SetDeadline(deadline) != nil {
-		_ = s.listener.Close()
+	deadlineListener, ok := listener.(interface{ SetDeadline(time.Time) error })
+	if !ok || deadline.After(closeBy) || deadlineListener.SetDeadline(deadline) != nil {
+		closeWithin(listener, maxCloseWait)
 	}
 }
 
@@ -290,10 +296,29 @@
 // other processes that hold the listening socket.
 func (s *Server) StopAccepting() {
 	s.keepAlivesDisabled.Store(true)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.listener != nil {
-		_ = s.listener.Close()
+	if listener, _ := s.openListener(); listener != nil {
+		closeWithin(listener, maxCloseWait)
+	}
+}
+
+// closeWithin closes a listener. It returns before the end if that takes longer: a close waits for an accept that
+// waits in the kernel.
+func closeWithin(listener net.Listener, limit time.Duration) {
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_ = listener.Close()
+	}()
+	waitWithin(closed, limit)
+}
+
+// waitWithin waits until a channel is closed, or until limit has passed.
+func waitWithin(closed <-chan struct{}, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-closed:
+	case <-timer.C:
 	}
 }
 
@@ -314,12 +339,12 @@
 }
 
 // Shutdown makes Serve accept the connections in the backlog and then return. It closes idle
-// connections and lets open requests finish. It returns when Serve has returned and all connections
-// are closed. Serve must therefore be called before Shutdown or concurrently.
+// connections and lets open requests finish. It returns when Serve has returned, or has not for maxServeWait,
+// and all connections are closed. Serve must therefore be called before Shutdown or concurrently.
 func (s *Server) Shutdown() {
 	s.beginShutdown()
 	s.limitBacklogWait()
-	<-s.serveDone
+	waitWithin(s.serveDone, maxServeWait)
 	s.connections.Wait()
 }
 
