Answer more than 128 queries on one TCP connection of the DNS front

Cause: the default limit of the DNS library, at which it closes the connection over unread queries. The limit is 4,096 now, so that still no client holds a connection for good.

--- a/internal/frontend/dnsfront/server.go
+++ b/internal/frontend/dnsfront/server.go
@@ -38,6 +38,9 @@
 	targetLifetimeMs = 1000.0 // how long the target name of an SRV answer resolves
 	ioTimeout        = 2 * time.Second
 	idleTimeout      = 4 * time.Second
+	// maxConnectionQueries is the number of queries after which a TCP connection is closed, so that no client holds it
+	// for good. Queries that a client has sent beyond them are lost, so it is far above what clients send at once.
+	maxConnectionQueries = 4096
 )
 
 // Dispatcher selects a server for each request. The DNS server submits one request for each query.
@@ -112,11 +115,12 @@
 		WriteTimeout: ioTimeout,
 	}
 	s.tcp = &dns.Server{
-		Listener:     netutil.LimitListener(listener, max(s.MaxConnections, 1)),
-		Handler:      s,
-		ReadTimeout:  ioTimeout,
-		WriteTimeout: ioTimeout,
-		IdleTimeout:  func() time.Duration { return idleTimeout },
+		Listener:      netutil.LimitListener(listener, max(s.MaxConnections, 1)),
+		Handler:       s,
+		ReadTimeout:   ioTimeout,
+		WriteTimeout:  ioTimeout,
+		IdleTimeout:   func() time.Duration { return idleTimeout },
+		MaxTCPQueries: maxConnectionQueries,
 	}
 	var started sync.WaitGroup
 	for _, server := range []*dns.Server{s.udp, s.tcp} {
