Reach the socket of a connection in one place

poll, UnacknowledgedBytes, Readable and the wait for the end each asked for the raw connection by themselves. No behaviour changes; the tests of textconn and httpfront pass.

--- a/internal/textconn/poll.go
+++ b/internal/textconn/poll.go
@@ -23,37 +23,38 @@
 
 // UnacknowledgedBytes returns how many written bytes the peer's system has not acknowledged yet. It returns 0 if
 // the system cannot tell. Any goroutine may call UnacknowledgedBytes.
-func (c *Conn) UnacknowledgedBytes() int {
-	socket, ok := c.NetConn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	bytes := 0
-	if raw.Control(func(descriptor uintptr) { bytes, _ = unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ) }) != nil {
-		return 0
-	}
-	return bytes
+func (c *Conn) UnacknowledgedBytes() (unacknowledged int) {
+	c.control(func(descriptor int) {
+		if bytes, err := unix.IoctlGetInt(descriptor, unix.SIOCOUTQ); err == nil {
+			unacknowledged = bytes
+		}
+	})
+	return unacknowledged
 }
 
 // poll asks the system which of the events hold for the socket now. It returns 0 if the system cannot
 // tell.
 func (c *Conn) poll(events int16) (held int16) {
-	socket, ok := c.NetConn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := socket.SyscallConn()
+	c.control(func(descriptor int) { held = pollDescriptor(int32(descriptor), events) })
+	return held
+}
+
+// control calls ask with the descriptor of the socket, unless the connection is closed or is no socket.
+func (c *Conn) control(ask func(descriptor int)) {
+	raw, err := c.rawConn()
 	if err != nil {
-		return 0
+		return
 	}
-	if raw.Control(func(descriptor uintptr) { held = pollDescriptor(int32(descriptor), events) }) != nil {
-		return 0
+	_ = raw.Control(func(descriptor uintptr) { ask(int(descriptor)) })
+}
+
+// rawConn gives access to the socket.
+func (c *Conn) rawConn() (syscall.RawConn, error) {
+	socket, ok := c.NetConn.(syscall.Conn)
+	if !ok {
+		return nil, errNoSocket
 	}
-	return held
+	return socket.SyscallConn()
 }
 
 func pollDescriptor(descriptor int32, events int16) int16 {
--- a/internal/textconn/readahead.go
+++ b/internal/textconn/readahead.go
@@ -83,11 +83,7 @@
 // nothing. The system reports each arrival of bytes and the end of the connection, also behind bytes that
 // are unread.
 func (c *Conn) awaitEnd(onReceived func()) error {
-	socket, ok := c.NetConn.(syscall.Conn)
-	if !ok {
-		return errNoSocket
-	}
-	raw, err := socket.SyscallConn()
+	raw, err := c.rawConn()
 	if err != nil {
 		return err
 	}
@@ -149,12 +145,8 @@
 	if c.R.Buffered() > 0 || c.HasReadAhead() {
 		return true
 	}
-	socket, ok := c.NetConn.(syscall.Conn)
-	if !ok || c.NetConn.SetReadDeadline(time.Time{}) != nil {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
+	raw, err := c.rawConn()
+	if err != nil || c.NetConn.SetReadDeadline(time.Time{}) != nil {
 		return false
 	}
 	buffer := make([]byte, readAheadStep)
