--- a/internal/soak/blocking_socket_test.go
+++ b/internal/soak/blocking_socket_test.go
@@ -15,7 +15,7 @@
 
 const (
 	// blockingUpgrades is the number of upgrades of TestUpgradesWithBlockingSocket. The environment variable
-	// SOAK_UPGRADES replaces it for a long run.
+	// GARNETLINE_SOAK_UPGRADES replaces it for a long run.
 	blockingUpgrades = 6
 	// maxModePause is the longest time in µs between two changes of the socket's mode.
 	maxModePause = 2000
@@ -30,10 +30,10 @@
 // Few new connections come, since each would end an accept that waits in the kernel.
 func TestUpgradesWithBlockingSocket(t *testing.T) {
 	upgrades := blockingUpgrades
-	if text := os.Getenv("SOAK_UPGRADES"); text != "" {
+	if text := os.Getenv("GARNETLINE_SOAK_UPGRADES"); text != "" {
 		var err error
 		if upgrades, err = strconv.Atoi(text); err != nil {
-			t.Fatalf("SOAK_UPGRADES: %v", err)
+			t.Fatalf("GARNETLINE_SOAK_UPGRADES: %v", err)
 		}
 	}
 	deployment := startDeployment(t, Limits{MemoryMB: 192, Sockets: 1024}, Keyed)
