--- a/cmd/garnetline/inherited_listener.go
+++ b/cmd/garnetline/inherited_listener.go
@@ -94,8 +94,20 @@
 	return nil, errors.Join(errNotPollable, unix.Close(duplicate))
 }
 
-// Accept waits for a connection and returns it.
+// Accept waits for a connection and returns it. It drops connections that their clients have reset meanwhile: they
+// have no remote address any more.
 func (l *inheritedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.acceptOne()
+		if err != nil || conn.RemoteAddr() != nil {
+			return conn, err
+		}
+		_ = conn.Close()
+	}
+}
+
+// acceptOne waits for a connection and returns it.
+func (l *inheritedListener) acceptOne() (net.Conn, error) {
 	var accepted int
 	var acceptErr error
 	err := l.raw.Read(func(descriptor uintptr) (done bool) {
--- a/cmd/garnetline/listener_test.go
+++ b/cmd/garnetline/listener_test.go
@@ -106,3 +106,45 @@
 		}
 	}
 }
+
+// TestInheritedListenerDropsResetConnections guards against connections without a remote address: a client has reset
+// its connection before it is accepted.
+func TestInheritedListenerDropsResetConnections(t *testing.T) {
+	original, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = original.Close() }()
+	inherited, err := original.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = inherited.Close() }()
+	listener, err := newInheritedListener(int(inherited.Fd()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	dial := func() *net.TCPConn {
+		conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", original.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return conn.(*net.TCPConn)
+	}
+	for range 5 {
+		reset := dial()
+		_ = reset.SetLinger(0) // the close sends a reset
+		_ = reset.Close()
+	}
+	open := dial()
+	defer func() { _ = open.Close() }()
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = accepted.Close() }()
+	if got, want := accepted.RemoteAddr(), open.LocalAddr(); got == nil || got.String() != want.String() {
+		t.Errorf("got a connection of %v, want the one of %v, whose client has not reset it", got, want)
+	}
+}
