Say once what the change said twice: lifetimes, eviction ranks, attempts to register

Cause: read again, the change computed the lifetime of requests to peers in two places and had a constant and a method of one name, repeated the rank of a client that does not read, and duplicated the inherited descriptor in two places with a close between them.

--- a/cmd/garnetline/inherited_listener.go
+++ b/cmd/garnetline/inherited_listener.go
@@ -74,24 +74,21 @@
 // openPollable returns a file on a duplicate of the descriptor that is registered with the poller. Package os
 // registers only descriptors that are non-blocking when the file is created.
 func openPollable(descriptor int) (*os.File, error) {
-	duplicate, err := unix.FcntlInt(uintptr(descriptor), unix.F_DUPFD_CLOEXEC, 0)
-	if err != nil {
-		return nil, err
-	}
 	for range maxRegisterAttempts {
-		if err := unix.SetNonblock(duplicate, true); err != nil {
-			break
+		if err := unix.SetNonblock(descriptor, true); err != nil {
+			return nil, err
+		}
+		duplicate, err := unix.FcntlInt(uintptr(descriptor), unix.F_DUPFD_CLOEXEC, 0)
+		if err != nil {
+			return nil, err
 		}
 		file := os.NewFile(uintptr(duplicate), "listen")
 		if file.SetReadDeadline(time.Time{}) == nil {
 			return file, nil
 		}
-		if duplicate, err = unix.FcntlInt(uintptr(descriptor), unix.F_DUPFD_CLOEXEC, 0); err != nil {
-			return nil, errors.Join(err, file.Close())
-		}
 		_ = file.Close() // another holder has made the socket blocking meanwhile
 	}
-	return nil, errors.Join(errNotPollable, unix.Close(duplicate))
+	return nil, errNotPollable
 }
 
 // Accept waits for a connection and returns it. It drops connections that their clients have reset meanwhile: they
--- a/internal/adaptivetimeout/adaptivetimeout.go
+++ b/internal/adaptivetimeout/adaptivetimeout.go
@@ -26,22 +26,15 @@
 // Current returns the timeout of the next call.
 func (t *Timeout) Current() float64 { return t.current }
 
-// Record records the result of a call that took the given time. Errors other than timeouts say nothing about
-// the time that the peer needs, and leave the timeout as it is.
+// Record records the result of a call that took the given time. A timeout gives the next call twice as much
+// time. An answer gives it no more time than this call had, and no more than twice what this call needed. Other
+// errors say nothing about the time that the peer needs, and leave the timeout as it is.
 func (t *Timeout) Record(took float64, err error) {
 	var netError net.Error
 	switch {
 	case err == nil:
-		t.recordAnswered(took)
+		t.current = max(t.shortest, min(t.current, growth*took))
 	case errors.As(err, &netError) && netError.Timeout():
-		t.recordExpired()
+		t.current = min(growth*t.current, t.longest)
 	}
 }
-
-// recordExpired gives the next call twice as much time.
-func (t *Timeout) recordExpired() { t.current = min(growth*t.current, t.longest) }
-
-// recordAnswered gives the next call no more time than this call had, and no more than twice what it needed.
-func (t *Timeout) recordAnswered(took float64) {
-	t.current = max(t.shortest, min(t.current, growth*took))
-}
--- a/internal/fleet/membership/receive.go
+++ b/internal/fleet/membership/receive.go
@@ -7,9 +7,9 @@
 	maxPendingRequests = 1024 // requests that wait for an answer
 	maxCorrections     = 8    // updates in the packet that corrects a sender's outdated suspicions
 
-	// requestLifetime is the number of probe intervals after which an unanswered request is
+	// lifetimeIntervals is the number of probe intervals after which an unanswered request is
 	// dropped, and after which the stored packet of an unverified sender is dropped.
-	requestLifetime = 4
+	lifetimeIntervals = 4
 	// minRequestLifetime is the shortest such time in ms. The next request does not replace the one before, so
 	// a peer that answers each request late is verified too.
 	minRequestLifetime = 7000.0
@@ -91,8 +91,7 @@
 	if len(m.unverified) == maxUnverified { // drop the oldest packet: its sender had the most time to answer
 		m.unverified = m.unverified[1:]
 	}
-	expiresAt := m.now + max(minRequestLifetime, requestLifetime*m.settings.ProbeInterval)
-	m.unverified = append(m.unverified, unverifiedPacket{packet, expiresAt})
+	m.unverified = append(m.unverified, unverifiedPacket{packet, m.now + m.requestLifetime(1)})
 	m.send(packet.From.Addr, nil, &Packet{Kind: Ping, Nonce: m.newRequest(packet.From.ID, false), Target: packet.From.ID})
 }
 
@@ -199,10 +198,10 @@
 	return pendingRequest{}, false
 }
 
-// requestLifetime returns the time in ms after which an unanswered request is dropped. It is longer while this
-// router is slow.
-func (m *Machine) requestLifetime() float64 {
-	return max(minRequestLifetime, requestLifetime*m.settings.ProbeInterval*m.healthMultiplier())
+// requestLifetime returns the time in ms after which an unanswered request, or the stored packet of an unverified
+// sender, is dropped. The multiplier prolongs the probe intervals in it.
+func (m *Machine) requestLifetime(multiplier float64) float64 {
+	return max(minRequestLifetime, lifetimeIntervals*m.settings.ProbeInterval*multiplier)
 }
 
 // newRequest adds a pending request to the given target and returns the request's nonce. It drops
@@ -212,7 +211,7 @@
 		m.pending = m.pending[1:]
 	}
 	nonce = m.rng.Uint64() | 1
-	expiresAt := m.now + m.requestLifetime()
+	expiresAt := m.now + m.requestLifetime(m.healthMultiplier()) // longer while this router is slow
 	m.pending = append(m.pending, pendingRequest{nonce, target, expiresAt, sync})
 	return nonce
 }
--- a/internal/frontend/httpfront/reclaim.go
+++ b/internal/frontend/httpfront/reclaim.go
@@ -97,13 +97,8 @@
 		return rankNone
 	case c.state == stateRejected:
 		return rankFinished
-	case c.state == stateActive:
-		if c.writing && stalled >= readStalledAfter {
-			return rankUnread
-		}
-		return rankNone
-	case c.state == statePaused:
-		if stalled >= readStalledAfter {
+	case c.state == stateActive, c.state == statePaused:
+		if (c.writing || c.state == statePaused) && stalled >= readStalledAfter {
 			return rankUnread
 		}
 		return rankNone
--- a/internal/frontend/httpfront/server.go
+++ b/internal/frontend/httpfront/server.go
@@ -262,8 +262,8 @@
 
 // evictionCandidate returns the connection to evict next, or nil if none may be evicted. It prefers
 // connections in stateRejected, then connections in stateNew older than newConnGraceMs, then
-// connections in statePaused, then connections in stateIdle. Among connections in the same state, it returns the connection that
-// entered the state first. The caller holds s.mu.
+// connections in statePaused, then connections in stateIdle. Among connections in the same state, it
+// returns the connection that entered the state first. The caller holds s.mu.
 func (s *Server) evictionCandidate() *conn {
 	var candidate *conn
 	for c := range s.conns {
@@ -292,8 +292,8 @@
 func (s *Server) FailHealthChecks() { s.healthChecksFail.Store(true) }
 
 // StopAccepting closes the listener, which ends Serve, and makes every later response close its
-// connection, unless the client has already sent more requests on it. Requests that are open are still served. Connections in the backlog are left to the
-// other processes that hold the listening socket.
+// connection, unless the client has already sent more requests on it. Requests that are open are still
+// served. Connections in the backlog are left to the other processes that hold the listening socket.
 func (s *Server) StopAccepting() {
 	s.keepAlivesDisabled.Store(true)
 	if listener, _ := s.openListener(); listener != nil {
--- a/internal/textconn/poll.go
+++ b/internal/textconn/poll.go
@@ -48,6 +48,9 @@
 	_ = raw.Control(func(descriptor uintptr) { ask(int(descriptor)) })
 }
 
+// errNoSocket reports a connection that is not a socket, so that the system cannot be asked about it.
+var errNoSocket = errors.New("textconn: the connection is not a socket")
+
 // rawConn gives access to the socket.
 func (c *Conn) rawConn() (syscall.RawConn, error) {
 	socket, ok := c.NetConn.(syscall.Conn)
--- a/internal/textconn/readahead.go
+++ b/internal/textconn/readahead.go
@@ -1,7 +1,6 @@
 package textconn
 
 import (
-	"errors"
 	"io"
 	"syscall"
 	"time"
@@ -99,9 +98,6 @@
 	return io.EOF
 }
 
-// errNoSocket ends the wait on a connection that is not a socket and so cannot be watched without reading.
-var errNoSocket = errors.New("textconn: the connection is not a socket")
-
 // recordUnread records how many bytes wait in the socket, and reports whether more have arrived since it
 // was called last.
 func (c *Conn) recordUnread(descriptor int) (arrived bool) {
