Share the setup of the listener's tests and the wait for a process to exit

Cause: two tests opened an inherited socket line by line, and two soak tests waited for the exit of a process each in its own way, one with a fixed sleep.

Change: newInheritedSocket, dialSocket and checkExit; the assertions and bounds are the same.

--- a/cmd/garnetline/listener_test.go
+++ b/cmd/garnetline/listener_test.go
@@ -13,21 +13,37 @@
 	"garnetline/internal/platformconfig"
 )
 
-// TestInheritedSocketInBlockingMode guards against a process that stands still in an accept, because another holder of
-// the inherited socket has made it blocking: the accept still takes connections, and closing the listener ends it.
-func TestInheritedSocketInBlockingMode(t *testing.T) {
-	const closeTimeout = time.Second
-	config := net.ListenConfig{}
-	original, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+// newInheritedSocket returns a socket that listens, as another process would pass it on, and its address.
+func newInheritedSocket(t *testing.T) (socket *os.File, addr string) {
+	t.Helper()
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	socket, err = listener.(*net.TCPListener).File()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = original.Close() }()
-	inherited, err := original.(*net.TCPListener).File()
+	t.Cleanup(func() { _ = socket.Close() })
+	return socket, listener.Addr().String()
+}
+
+// dialSocket returns a connection to addr.
+func dialSocket(t *testing.T, addr string) *net.TCPConn {
+	t.Helper()
+	conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = inherited.Close() }()
+	return conn.(*net.TCPConn)
+}
+
+// TestInheritedSocketInBlockingMode guards against a process that stands still in an accept, because another holder of
+// the inherited socket has made it blocking: the accept still takes connections, and closing the listener ends it.
+func TestInheritedSocketInBlockingMode(t *testing.T) {
+	const closeTimeout = time.Second
+	inherited, addr := newInheritedSocket(t)
 	descriptor, err := unix.Dup(int(inherited.Fd())) // openListener closes it
 	if err != nil {
 		t.Fatal(err)
@@ -53,10 +69,7 @@
 		}
 	}()
 	for range 3 {
-		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", original.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
+		conn := dialSocket(t, addr)
 		if err := <-accepted; err != nil {
 			t.Errorf("accept: %v", err)
 		}
@@ -71,7 +84,7 @@
 	case <-closed:
 	case <-time.After(closeTimeout):
 		t.Error("the listener is not closed, because an accept waits in the kernel")
-		_, _ = (&net.Dialer{}).DialContext(t.Context(), "tcp", original.Addr().String()) // ends that accept
+		_ = dialSocket(t, addr) // ends that accept
 	}
 	select {
 	case err := <-accepted:
@@ -110,34 +123,18 @@
 // TestInheritedListenerDropsResetConnections guards against connections without a remote address: a client has reset
 // its connection before it is accepted.
 func TestInheritedListenerDropsResetConnections(t *testing.T) {
-	original, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = original.Close() }()
-	inherited, err := original.(*net.TCPListener).File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = inherited.Close() }()
+	inherited, addr := newInheritedSocket(t)
 	listener, err := newInheritedListener(int(inherited.Fd()))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
-	dial := func() *net.TCPConn {
-		conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", original.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		return conn.(*net.TCPConn)
-	}
 	for range 5 {
-		reset := dial()
+		reset := dialSocket(t, addr)
 		_ = reset.SetLinger(0) // the close sends a reset
 		_ = reset.Close()
 	}
-	open := dial()
+	open := dialSocket(t, addr)
 	defer func() { _ = open.Close() }()
 	accepted, err := listener.Accept()
 	if err != nil {
--- a/internal/fleet/consensus/slow_links_test.go
+++ b/internal/fleet/consensus/slow_links_test.go
@@ -5,8 +5,7 @@
 // TestSlowVotersElectLeader guards against voters that never elect a leader, because a vote takes longer than
 // the election timeout, however often the election is repeated.
 func TestSlowVotersElectLeader(t *testing.T) {
-	// Raft draws its timeouts from a source that cannot be seeded, and votes are split often where a message takes
-	// as long as these differ. The bound leaves room for many split elections.
+	// Raft's timeouts are random and not seeded, so many elections in a row may end with split votes.
 	const electedWithin, watched = 120_000.0, 60_000.0 // ms
 	for _, delay := range []float64{0, 100, 250, 300, 400, 500, 700, 1000} {
 		for seed := range uint64(4) {
--- a/internal/soak/blocking_socket_test.go
+++ b/internal/soak/blocking_socket_test.go
@@ -54,12 +54,7 @@
 		}
 		successor := startProcess(t, deployment)
 		process.Signal(syscall.SIGTERM)
-		select {
-		case <-process.exited:
-		case <-time.After(acceptAfterSignal + min(deadline, longestKillDelay)):
-			t.Error("the process has not exited by itself")
-			process.Kill()
-		}
+		checkExit(t, process)
 		clients.Wait()
 		process = successor
 	}
--- a/internal/soak/restart_test.go
+++ b/internal/soak/restart_test.go
@@ -42,16 +42,23 @@
 					process = startProcess(t, deployment)
 				}
 				restartUnderPipelines(t, deployment, func() { successor = end(t, deployment, process) })
-				time.Sleep(acceptAfterSignal + min(deadline, longestKillDelay))
-				if !process.Exited() {
-					t.Error("the process has not exited by itself")
-				}
-				process.Kill()
+				checkExit(t, process)
 			}
 		})
 	}
 }
 
+// checkExit checks that a process exits by itself before the platform may kill it.
+func checkExit(t *testing.T, process *Process) {
+	t.Helper()
+	select {
+	case <-process.exited:
+	case <-time.After(acceptAfterSignal + min(deadline, longestKillDelay)):
+		t.Error("the process has not exited by itself")
+		process.Kill()
+	}
+}
+
 // restartUnderPipelines calls end once each of the clients has got the first response of its pipeline.
 func restartUnderPipelines(t *testing.T, deployment *Deployment, end func()) {
 	t.Helper()
